--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Targets for people and CI. `make help` lists them.
+GO ?= go
+BIN := bin
+
+.PHONY: help build test check generate demo
+
+help: ## List the targets.
+	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
+
+build: ## Build every command into bin/.
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+test: ## Run all tests.
+	$(GO) test ./...
+
+check: ## gofmt, vet and staticcheck.
+	@bad=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$bad" ]; then echo "gofmt: $$bad"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+generate: ## Make the generated code anew (needs protoc).
+	mkdir -p $(BIN)/gen
+	GOBIN=$(CURDIR)/$(BIN)/gen $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
+	PATH=$(CURDIR)/$(BIN)/gen:$$PATH protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer/peerpb/peer.proto
+
+demo: build ## The whole path as separate processes on loopback.
+	./scripts/demo.sh
--- /dev/null
+++ b/process/settings/types.go
@@ -0,0 +1,70 @@
+// Package settings holds the settings of one daemon, read once at its start
+// from a YAML file.
+package settings
+
+import "time"
+
+// Settings of one daemon. A process learns its addresses and availability
+// zone from here.
+type Settings struct {
+	VM       string   `yaml:"vm"`   // id in the VM list
+	Zone     string   `yaml:"zone"` // availability zone
+	Listen   Listen   `yaml:"listen"`
+	Platform Platform `yaml:"platform"`
+	Control  Control  `yaml:"control,omitempty"`
+	Limits   Limits   `yaml:"limits,omitempty"`
+	Log      Log      `yaml:"log,omitempty"`
+	TLS      TLS      `yaml:"tls,omitempty"`
+}
+
+// Listen holds host:port addresses by IP number.
+type Listen struct {
+	Callers   string `yaml:"callers"`
+	Peers     string `yaml:"peers"`
+	Operators string `yaml:"operators"`
+}
+
+// Platform holds the base URLs of the platform's services.
+type Platform struct {
+	Log     string `yaml:"log"`
+	VMs     string `yaml:"vms"`
+	Weights string `yaml:"weights"`
+}
+
+// Control holds the times of the control state.
+type Control struct {
+	Lease       time.Duration `yaml:"lease,omitempty"`        // T: how long a begun tail read lets a holder act; 3s
+	Drift       time.Duration `yaml:"drift,omitempty"`        // clock drift and guard on top of T; 1s
+	Heartbeat   time.Duration `yaml:"heartbeat,omitempty"`    // between probes; 500ms
+	DeadAfter   time.Duration `yaml:"dead_after,omitempty"`   // silence until a peer counts as dead; 3s
+	Isolation   time.Duration `yaml:"isolation,omitempty"`    // without log and peers until new work is refused; 5s
+	Checkpoint  int           `yaml:"checkpoint,omitempty"`   // records between checkpoints; 500
+	AddressTTL  time.Duration `yaml:"address_ttl,omitempty"`  // how long callers keep addresses; 5s
+	DrainLimit  time.Duration `yaml:"drain_limit,omitempty"`  // longest wait for open streams at a stop; 60s
+	LoadPoll    time.Duration `yaml:"load_poll,omitempty"`    // between load reads of one engine; 250ms
+	OnceAppends float64       `yaml:"once_appends,omitempty"` // at-most-once appends a second of this daemon; 30
+}
+
+// Limits bound what the daemon takes from callers.
+type Limits struct {
+	HeaderBytes int           `yaml:"header_bytes,omitempty"` // 32768
+	BodyBytes   int64         `yaml:"body_bytes,omitempty"`   // 8388608
+	Connections int           `yaml:"connections,omitempty"`  // 4096
+	ReadHeader  time.Duration `yaml:"read_header,omitempty"`  // 5s
+	ReadBody    time.Duration `yaml:"read_body,omitempty"`    // 30s
+	BufferBytes int           `yaml:"buffer_bytes,omitempty"` // held for one slow caller; 262144
+}
+
+// Log says how the daemon writes its log lines.
+type Log struct {
+	Level  string `yaml:"level,omitempty"`  // debug, info, warn, error; info
+	Format string `yaml:"format,omitempty"` // text, json; text
+}
+
+// TLS names key files. Empty means plain TCP.
+type TLS struct {
+	Cert          string `yaml:"cert,omitempty"`
+	Key           string `yaml:"key,omitempty"`
+	CA            string `yaml:"ca,omitempty"`             // for mutual TLS between daemons
+	OperatorToken string `yaml:"operator_token,omitempty"` // file with the operators' token
+}
