--- /dev/null
+++ b/process/membership/probe.go
@@ -0,0 +1,84 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"sort"
+
+	"github.com/pomelospool/pomelospool/peer/peerpb"
+)
+
+// relays is how many members are asked to probe one that didn't answer.
+const relays = 3
+
+// deadEvery is the number of rounds between probes of dead members that the
+// VM list still names. Without them the two sides of a healed partition would
+// never talk again.
+const deadEvery = 6
+
+// schedule picks whom to probe. It goes through a random order of all members
+// before it starts anew, so that each one is probed within a bounded time.
+type schedule struct {
+	rnd   *rand.Rand
+	order []string
+	round int
+}
+
+// next returns the member to probe in this round, or nil.
+func (s *schedule) next(t *table) *entry {
+	s.round++
+	if s.round%deadEvery == 0 {
+		if e := s.dead(t); e != nil {
+			return e
+		}
+	}
+	for range 2 {
+		for len(s.order) > 0 {
+			id := s.order[0]
+			s.order = s.order[1:]
+			if e := t.members[id]; e != nil && e.m.State != peerpb.Member_DEAD {
+				return e
+			}
+		}
+		s.shuffle(t)
+	}
+	return nil
+}
+
+func (s *schedule) shuffle(t *table) {
+	s.order = s.order[:0]
+	for id := range t.members {
+		s.order = append(s.order, id)
+	}
+	sort.Strings(s.order)
+	s.rnd.Shuffle(len(s.order), func(i, j int) { s.order[i], s.order[j] = s.order[j], s.order[i] })
+}
+
+func (s *schedule) dead(t *table) *entry {
+	var ids []string
+	for id, e := range t.members {
+		if e.m.State == peerpb.Member_DEAD && e.listed {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		return nil
+	}
+	sort.Strings(ids)
+	return t.members[ids[s.rnd.IntN(len(ids))]]
+}
+
+// relaysFor returns up to relays live members other than id.
+func (s *schedule) relaysFor(t *table, id string) []*peerpb.Member {
+	var list []*peerpb.Member
+	for other, e := range t.members {
+		if other != id && e.m.State == peerpb.Member_LIVE {
+			list = append(list, e.m)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Id < list[j].Id })
+	s.rnd.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	if len(list) > relays {
+		list = list[:relays]
+	}
+	return list
+}
--- /dev/null
+++ b/process/membership/table.go
@@ -0,0 +1,192 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/pomelospool/pomelospool/peer/peerpb"
+)
+
+// entry is what the table knows of one member.
+type entry struct {
+	m       *peerpb.Member
+	since   time.Duration // when the present state began, on the local clock
+	listed  bool          // stands in the VM list
+	leaving bool          // the VM list says that it leaves
+}
+
+// table holds the members by VM id. It is owned by one goroutine; every
+// method takes the time, so that tests drive it with a virtual clock. A
+// *peerpb.Member in it is never changed in place, since messages that are
+// being sent share it; self is, and so is copied wherever it leaves.
+type table struct {
+	self    *peerpb.Member
+	members map[string]*entry // without self
+	news    *newsQueue
+	limits  limits
+}
+
+// limits are the times of failure detection.
+type limits struct {
+	suspicion time.Duration // from suspect until dead
+	tombstone time.Duration // how long a dead member is remembered
+}
+
+func newTable(self *peerpb.Member, l limits) *table {
+	return &table{self: self, members: make(map[string]*entry), news: newNewsQueue(), limits: l}
+}
+
+// supersedes tells whether news a replaces b about the same VM: a later start
+// first, then a higher beat, then the worse state.
+func supersedes(a, b *peerpb.Member) bool {
+	if a.StartedMs != b.StartedMs {
+		return a.StartedMs > b.StartedMs
+	}
+	if a.Beat != b.Beat {
+		return a.Beat > b.Beat
+	}
+	return severity(a.State) > severity(b.State)
+}
+
+// severity orders the states that one beat may have.
+func severity(s peerpb.Member_State) int {
+	switch s {
+	case peerpb.Member_LIVE:
+		return 0
+	case peerpb.Member_LEAVING:
+		return 1
+	case peerpb.Member_SUSPECT:
+		return 2
+	default:
+		return 3
+	}
+}
+
+// merge takes one piece of news in and tells whether it was new.
+func (t *table) merge(now time.Duration, m *peerpb.Member) bool {
+	if m.GetId() == "" {
+		return false
+	}
+	if m.Id == t.self.Id {
+		return t.refute(m)
+	}
+	e, ok := t.members[m.Id]
+	if !ok {
+		t.members[m.Id] = &entry{m: m, since: now}
+		t.news.add(m)
+		return true
+	}
+	if !supersedes(m, e.m) {
+		t.noteApplied(e, m)
+		return false
+	}
+	e.m = m
+	e.since = now
+	t.news.add(m)
+	return true
+}
+
+// noteApplied keeps the newest offset that the same incarnation reported.
+func (t *table) noteApplied(e *entry, m *peerpb.Member) {
+	if m.Incarnation != e.m.Incarnation || m.Applied <= e.m.Applied {
+		return
+	}
+	next := cloneMember(e.m)
+	next.Applied = m.Applied
+	e.m = next
+}
+
+// refute answers news that call this process suspect or dead. Without it a
+// process that was paused or cut off for a moment would stay dead in the
+// others' tables for good; the higher beat overrides every older statement.
+func (t *table) refute(m *peerpb.Member) bool {
+	if m.Incarnation != t.self.Incarnation || severity(m.State) < severity(peerpb.Member_SUSPECT) {
+		return false
+	}
+	if m.Beat < t.self.Beat {
+		return false
+	}
+	t.self.Beat = m.Beat + 1
+	t.news.add(t.self)
+	return true
+}
+
+// heard notes a direct answer or probe from a member. The member speaks for
+// itself, so a suspicion held here ends unless its beat was overruled; then
+// the reply carries the news and the member refutes it.
+func (t *table) heard(now time.Duration, m *peerpb.Member) {
+	t.merge(now, m)
+	e := t.members[m.Id]
+	if e == nil || e.m.Incarnation != m.Incarnation {
+		return
+	}
+	t.noteApplied(e, m)
+	if e.m.State == peerpb.Member_SUSPECT && e.m.Beat == m.Beat {
+		t.news.add(e.m)
+	}
+}
+
+// suspect marks a member that answered neither directly nor through others.
+func (t *table) suspect(now time.Duration, id string) {
+	e := t.members[id]
+	if e == nil || severity(e.m.State) >= severity(peerpb.Member_SUSPECT) {
+		return
+	}
+	t.setState(now, e, peerpb.Member_SUSPECT)
+}
+
+func (t *table) setState(now time.Duration, e *entry, s peerpb.Member_State) {
+	m := cloneMember(e.m)
+	m.State = s
+	e.m = m
+	e.since = now
+	t.news.add(m)
+}
+
+// tick turns old suspicions into deaths and forgets old tombstones.
+func (t *table) tick(now time.Duration) {
+	for id, e := range t.members {
+		age := now - e.since
+		switch {
+		case e.m.State == peerpb.Member_SUSPECT && age >= t.limits.suspicion:
+			t.setState(now, e, peerpb.Member_DEAD)
+		case e.m.State == peerpb.Member_DEAD && !e.listed && age >= t.limits.tombstone:
+			delete(t.members, id)
+		}
+	}
+}
+
+// incomplete tells whether a listed member has never been heard of.
+func (t *table) incomplete() bool {
+	for _, e := range t.members {
+		if e.m.StartedMs == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// all returns every member that has been heard of.
+func (t *table) all() []*peerpb.Member {
+	out := make([]*peerpb.Member, 0, len(t.members))
+	for _, e := range t.members {
+		if e.m.StartedMs != 0 {
+			out = append(out, e.m)
+		}
+	}
+	return out
+}
+
+// leave marks this process as leaving, with a beat that overrides LIVE.
+func (t *table) leave() {
+	t.self.State = peerpb.Member_LEAVING
+	t.self.Beat++
+	t.news.add(t.self)
+}
+
+func cloneMember(m *peerpb.Member) *peerpb.Member {
+	return &peerpb.Member{
+		Id: m.Id, Incarnation: m.Incarnation, StartedMs: m.StartedMs,
+		PeerAddr: m.PeerAddr, CallerAddr: m.CallerAddr, Zone: m.Zone,
+		Beat: m.Beat, State: m.State, Applied: m.Applied,
+	}
+}
--- /dev/null
+++ b/process/membership/view.go
@@ -0,0 +1,86 @@
+package membership
+
+import (
+	"sort"
+	"time"
+
+	"github.com/pomelospool/pomelospool/peer/peerpb"
+)
+
+// View is an immutable picture of the members, self first, then by id.
+type View struct {
+	Self        *peerpb.Member
+	Members     []Seen
+	PeerContact time.Duration // local time of the last word from any peer
+}
+
+// Seen is one other member.
+type Seen struct {
+	Member  *peerpb.Member
+	Leaving bool // by its own word or by the VM list
+	Listed  bool // stands in the VM list
+}
+
+// Usable tells whether the member is there to work with.
+func (s Seen) Usable() bool { return s.Member.State == peerpb.Member_LIVE && !s.Leaving }
+
+// View returns the newest picture.
+func (m *Membership) View() *View { return m.view.Load() }
+
+func (m *Membership) publish() {
+	v := &View{Self: cloneMember(m.table.self), PeerContact: m.peers.last}
+	for _, e := range m.table.members {
+		v.Members = append(v.Members, Seen{
+			Member:  cloneMember(e.m),
+			Leaving: e.leaving || e.m.State == peerpb.Member_LEAVING,
+			Listed:  e.listed,
+		})
+	}
+	sort.Slice(v.Members, func(i, j int) bool { return v.Members[i].Member.Id < v.Members[j].Member.Id })
+	m.view.Store(v)
+}
+
+// LiveIncarnations returns the incarnations that are alive, self included.
+// Leaving ones count: they still hold what they have not released.
+func (v *View) LiveIncarnations() map[string]bool {
+	live := map[string]bool{v.Self.Incarnation: true}
+	for _, s := range v.Members {
+		if s.Member.State != peerpb.Member_DEAD && s.Member.Incarnation != "" {
+			live[s.Member.Incarnation] = true
+		}
+	}
+	return live
+}
+
+// Rank returns this process's place among the usable members, by id, and
+// their number. A process that is leaving ranks behind all.
+func (v *View) Rank() (rank, of int) {
+	of = 1
+	for _, s := range v.Members {
+		if !s.Usable() {
+			continue
+		}
+		of++
+		if s.Member.Id < v.Self.Id {
+			rank++
+		}
+	}
+	if v.Self.State != peerpb.Member_LIVE {
+		rank = of - 1
+	}
+	return rank, of
+}
+
+// Reachable counts the known members and those that are live, without self.
+func (v *View) Reachable() (live, known int) {
+	for _, s := range v.Members {
+		if !s.Listed && s.Member.State == peerpb.Member_DEAD {
+			continue
+		}
+		known++
+		if s.Member.State == peerpb.Member_LIVE || s.Member.State == peerpb.Member_LEAVING {
+			live++
+		}
+	}
+	return live, known
+}
