Stand-ins, HTTP adapters and pomelostandin, thin

Cause: the other packages need a log service, VM list, weight store, engines and plain services to run against, in process and as processes.

Weighed: one fault language for all stand-ins (standin.Fault) instead of a type for each; the body is small and a test can post it with curl.

No tests yet: the contract tests follow.

--- /dev/null
+++ b/standin/logsvc/fault.go
@@ -0,0 +1,75 @@
+package logsvc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/standin"
+)
+
+var (
+	errOutage = errors.New("log outage")
+	errLost   = errors.New("answer lost")
+)
+
+func unavailable(err error) error {
+	return fmt.Errorf("log: %w: %w", platform.ErrUnavailable, err)
+}
+
+// enter lets a call in after the latency, or fails it by the outage.
+func (l *Log) enter(ctx context.Context, read bool) error {
+	l.mu.Lock()
+	latency := l.latency
+	l.mu.Unlock()
+	if err := standin.Sleep(ctx, latency); err != nil {
+		return unavailable(err)
+	}
+	for {
+		l.mu.Lock()
+		outage, changed := l.outage, l.changed
+		if outage == Refuse || (read && outage == NoReads) {
+			l.counters.Refused++
+			l.mu.Unlock()
+			return unavailable(errOutage)
+		}
+		l.mu.Unlock()
+		if outage != Hang {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return unavailable(ctx.Err())
+		}
+	}
+}
+
+// Apply switches a fault: "latency" (ms), "refuse", "hang", "no_reads", "up",
+// "lose" (count), "delay" (count, ms), "rate" (value).
+func (l *Log) Apply(_ context.Context, f standin.Fault) error {
+	d := time.Duration(f.MS) * time.Millisecond
+	switch f.Kind {
+	case "latency":
+		l.SetLatency(d)
+	case "refuse":
+		l.SetOutage(Refuse)
+	case "hang":
+		l.SetOutage(Hang)
+	case "no_reads":
+		l.SetOutage(NoReads)
+	case "up":
+		l.SetOutage(Up)
+	case "lose":
+		l.LoseAnswers(f.Count)
+	case "delay":
+		l.DelayAppends(f.Count, d)
+	case "rate":
+		l.SetRate(f.Value)
+	default:
+		return fmt.Errorf("%w: %q", standin.ErrUnknownFault, f.Kind)
+	}
+	return nil
+}
