--- a/standin/engine/fault.go
+++ b/standin/engine/fault.go
@@ -19,6 +19,7 @@
 	cut     int
 	cutAt   int  // tokens before the cut
 	reset   bool // the cut resets the connection
+	lose    int  // answers to orders to lose after they took effect
 }
 
 // plan says which faults strike one request.
@@ -41,10 +42,18 @@
 	return p
 }
 
+// loseOrder tells whether the answer to an order is to be lost.
+func (f *faults) loseOrder() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return standin.Take(&f.lose)
+}
+
 // Apply switches a fault. "crash" and "silent" strike at once; "crash_on"
 // (text, after) strikes requests with a marker in the prompt; "refuse",
 // "cross" and "cut" (after; text "reset" for a hard end) strike the next
-// count requests; "slow" (value) is a factor on the time of each step;
+// count requests; "lose" (count) loses the answers to orders that took
+// effect; "slow" (value) is a factor on the time of each step;
 // "leaving" (count 0 or 1) sets the engine's own word that it leaves.
 func (e *Engine) Apply(ctx context.Context, f standin.Fault) error {
 	switch f.Kind {
@@ -74,6 +83,8 @@
 		f.cross = c.Count
 	case "cut":
 		f.cut, f.cutAt, f.reset = c.Count, c.After, c.Text == "reset"
+	case "lose":
+		f.lose = c.Count
 	default:
 		return fmt.Errorf("%w: %q", standin.ErrUnknownFault, c.Kind)
 	}
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -113,6 +113,9 @@
 	if err == nil {
 		err = e.Order(req.Context(), o)
 	}
+	if errors.Is(err, errLost) {
+		e.Abort(req.Request)
+	}
 	return answer(w, struct{}{}, err)
 }
 
--- a/standin/engine/order.go
+++ b/standin/engine/order.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -19,9 +20,14 @@
 	if err != nil {
 		return err
 	}
+	if refused == nil && e.fault.loseOrder() {
+		return unavailable(errLost)
+	}
 	return refused
 }
 
+var errLost = errors.New("answer lost")
+
 func (e *Engine) order(o platform.Order) error {
 	repeated := e.accepted[o.ID]
 	if e.state.Changing && !repeated {
@@ -167,3 +173,8 @@
 	}
 	return refused
 }
+
+// Preload puts blocks into the prefix cache, as if they had been prefilled.
+func (e *Engine) Preload(blocks []uint64) {
+	e.do(context.Background(), func() { e.batch.cache.insert(time.Now(), blocks) })
+}
