--- /dev/null
+++ b/standin/engine/serve_test.go
@@ -0,0 +1,315 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/standin"
+	"github.com/pomelospool/pomelospool/standin/token"
+)
+
+// got is what a caller of a stream has at its end.
+type got struct {
+	status int
+	id     string // of the chunks
+	text   string
+	first  int // token_index of the first chunk
+	end    string
+	done   bool // [DONE] came
+	err    error
+}
+
+func start(t *testing.T, o Options) *Engine {
+	t.Helper()
+	e := New(o)
+	if err := e.Run("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { e.Close() })
+	return e
+}
+
+// open sends a request over a connection of its own.
+func open(ctx context.Context, e *Engine, id string, req Request) (*http.Response, error) {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return nil, err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, e.URL()+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set(HeaderRequestID, id)
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return client.Do(r)
+}
+
+// stream reads a streamed answer to its end, whichever it is.
+func stream(ctx context.Context, e *Engine, id string, req Request) got {
+	req.Stream = true
+	resp, err := open(ctx, e, id, req)
+	if err != nil {
+		return got{err: err}
+	}
+	defer resp.Body.Close()
+	g := got{status: resp.StatusCode, first: -1}
+	scan := bufio.NewScanner(resp.Body)
+	for scan.Scan() {
+		data, ok := strings.CutPrefix(scan.Text(), "data: ")
+		if ok {
+			g.event(data)
+		}
+	}
+	if g.err == nil {
+		g.err = scan.Err()
+	}
+	return g
+}
+
+func (g *got) event(data string) {
+	if data == "[DONE]" {
+		g.done = true
+		return
+	}
+	var c Chunk
+	if g.err = json.Unmarshal([]byte(data), &c); g.err != nil {
+		return
+	}
+	if g.first < 0 {
+		g.first = *c.TokenIndex
+	}
+	g.id = c.ID
+	g.text += *c.Choices[0].Text
+	if end := c.Choices[0].FinishReason; end != nil {
+		g.end = *end
+	}
+}
+
+// whole tells whether g is the answer to prompt from token from up to max.
+func (g got) whole(prompt string, from, max int) bool {
+	return g.err == nil && g.done && g.end == endLength && g.text == token.Text(token.Hash(prompt), from, max)
+}
+
+func fault(t *testing.T, e *Engine, f standin.Fault) {
+	t.Helper()
+	if err := e.Apply(t.Context(), f); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestStreams(t *testing.T) {
+	e := start(t, Options{})
+	g := stream(t.Context(), e, "r1", Request{Prompt: "p", MaxTokens: 20})
+	if !g.whole("p", 0, 20) || g.id != "r1" || g.first != 0 {
+		t.Fatalf("got %+v", g)
+	}
+	g = stream(t.Context(), e, "r2", Request{Prompt: "p", MaxTokens: 20, Resume: &Resume{Tokens: 15}})
+	if !g.whole("p", 15, 20) || g.first != 15 {
+		t.Fatalf("resumed: %+v", g)
+	}
+	g = stream(t.Context(), e, "r3", Request{Prompt: "p", MaxTokens: 5, Resume: &Resume{Tokens: 5}})
+	if !g.whole("p", 5, 5) {
+		t.Fatalf("resumed at the end: %+v", g)
+	}
+	if r := e.Record(); r.Tokens != 25 || r.Requests["r2"] != (RequestRecord{Starts: 1, Finishes: 1, Tokens: 5}) {
+		t.Fatalf("record %+v", r)
+	}
+}
+
+func TestWholeAnswer(t *testing.T) {
+	e := start(t, Options{})
+	resp, err := open(t.Context(), e, "r1", Request{Prompt: "12345", MaxTokens: 4})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var c Chunk
+	if err := json.NewDecoder(resp.Body).Decode(&c); err != nil {
+		t.Fatal(err)
+	}
+	if *c.Choices[0].Text != token.Text(token.Hash("12345"), 0, 4) {
+		t.Fatalf("text %q", *c.Choices[0].Text)
+	}
+	if *c.Usage != (Usage{PromptTokens: 2, CompletionTokens: 4, TotalTokens: 6}) || resp.Header.Get(HeaderRequestID) != "r1" {
+		t.Fatalf("usage %+v of %q", c.Usage, resp.Header.Get(HeaderRequestID))
+	}
+}
+
+func TestRefusalsDontRun(t *testing.T) {
+	cases := []struct {
+		name   string
+		fault  standin.Fault
+		req    Request
+		status int
+	}{
+		{"refuse", standin.Fault{Kind: "refuse", Count: 1}, Request{Model: "m"}, 503},
+		{"leaving", standin.Fault{Kind: "leaving", Count: 1}, Request{Model: "m"}, 503},
+		{"another model", standin.Fault{Kind: "cut"}, Request{Model: "x"}, 404},
+		{"another adapter", standin.Fault{Kind: "cut"}, Request{Model: "m", Adapter: "x"}, 404},
+		{"too long", standin.Fault{Kind: "cut"}, Request{Model: "m", MaxTokens: 1000}, 400},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := start(t, Options{Spec: platform.EngineSpec{Model: "m"}, KVCapacity: 500})
+			fault(t, e, c.fault)
+			resp, err := open(t.Context(), e, "r", c.req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if resp.StatusCode != c.status || resp.Header.Get(HeaderNotRun) != "true" {
+				t.Fatalf("status %d, header %v", resp.StatusCode, resp.Header)
+			}
+			if r := e.Record(); r.Refused != 1 || len(r.Requests) != 0 {
+				t.Fatalf("record %+v", r)
+			}
+		})
+	}
+}
+
+func TestFaultsOfAnswers(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault standin.Fault
+		check func(got) bool
+	}{
+		{"cut in good form, but without [DONE]", standin.Fault{Kind: "cut", Count: 1, After: 3}, func(g got) bool {
+			return g.err == nil && !g.done && g.end == "" && g.text == token.Text(token.Hash("p"), 0, 3)
+		}},
+		{"cut with a reset", standin.Fault{Kind: "cut", Count: 1, After: 3, Text: "reset"}, func(g got) bool {
+			return g.err != nil && !g.done
+		}},
+		{"crash on a marker", standin.Fault{Kind: "crash_on", Text: "p", After: 2}, func(g got) bool {
+			return g.err != nil && !g.done
+		}},
+		{"no fault for another content", standin.Fault{Kind: "crash_on", Text: "q"}, func(g got) bool {
+			return g.whole("p", 0, 10)
+		}},
+		{"slow", standin.Fault{Kind: "slow", Value: 2}, func(g got) bool {
+			return g.whole("p", 0, 10)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := start(t, Options{})
+			fault(t, e, c.fault)
+			g := stream(t.Context(), e, "r", Request{Prompt: "p", MaxTokens: 10})
+			if !c.check(g) {
+				t.Fatalf("got %+v", g)
+			}
+		})
+	}
+}
+
+func TestCrossedAnswers(t *testing.T) {
+	e := start(t, Options{})
+	fault(t, e, standin.Fault{Kind: "cross", Count: 2})
+	other := make(chan got, 1)
+	go func() { other <- stream(t.Context(), e, "b", Request{Prompt: "pb", MaxTokens: 8}) }()
+	a := stream(t.Context(), e, "a", Request{Prompt: "pa", MaxTokens: 8})
+	b := <-other
+	if a.id != "b" || b.id != "a" || !a.whole("pb", 0, 8) || !b.whole("pa", 0, 8) {
+		t.Fatalf("a got %+v, b got %+v", a, b)
+	}
+}
+
+// begun starts a stream that never ends by itself and returns once its first
+// token came.
+func begun(t *testing.T, ctx context.Context, e *Engine) (*http.Response, *bufio.Reader) {
+	t.Helper()
+	resp, err := open(ctx, e, "long", Request{Prompt: "p", MaxTokens: 100000, Stream: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := bufio.NewReader(resp.Body)
+	if _, err := r.ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	return resp, r
+}
+
+// await polls until the engine has some work, or none.
+func await(t *testing.T, e *Engine, busy bool) {
+	t.Helper()
+	for {
+		l, err := e.Load(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if (l.Running+l.Waiting > 0) == busy {
+			return
+		}
+	}
+}
+
+func TestClosedConnectionCancels(t *testing.T) {
+	e := start(t, Options{})
+	ctx, cancel := context.WithCancel(t.Context())
+	resp, _ := begun(t, ctx, e)
+	defer resp.Body.Close()
+	cancel()
+	await(t, e, false)
+}
+
+func TestCancelByID(t *testing.T) {
+	e := start(t, Options{})
+	resp, r := begun(t, t.Context(), e)
+	defer resp.Body.Close()
+	found, err := e.CancelID(t.Context(), "long")
+	if err != nil || !found {
+		t.Fatalf("found %v, %v", found, err)
+	}
+	rest, err := io.ReadAll(r)
+	if err != nil || !bytes.Contains(rest, []byte(`"finish_reason":"cancelled"`)) {
+		t.Fatalf("%v, rest %s", err, rest[max(len(rest)-200, 0):])
+	}
+	await(t, e, false)
+}
+
+// A user sees an answer stop in the middle for good: something between the
+// two ends lost track of the connection, and no FIN ever comes.
+func TestSilentConnections(t *testing.T) {
+	e := start(t, Options{})
+	resp, r := begun(t, t.Context(), e)
+	defer resp.Body.Close()
+	fault(t, e, standin.Fault{Kind: "silent"})
+	var made int
+	e.do(t.Context(), func() { made = e.batch.find("long").made })
+	if g := stream(t.Context(), e, "new", Request{Prompt: "p", MaxTokens: 50}); !g.whole("p", 0, 50) {
+		t.Fatalf("a new connection got %+v", g)
+	}
+	e.Close()
+	rest, err := io.ReadAll(r)
+	if got := 1 + bytes.Count(rest, []byte("data: ")); err == nil || got > made {
+		t.Fatalf("the silent one got %d tokens, %d were made before; %v", got, made, err)
+	}
+}
+
+func TestChangeWaitsForWhatRuns(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		t.Run(fmt.Sprintf("cut %v", cut), func(t *testing.T) {
+			e := start(t, Options{CutOnChange: cut})
+			done := make(chan got, 1)
+			go func() { done <- stream(t.Context(), e, "r", Request{Prompt: "p", MaxTokens: 200}) }()
+			await(t, e, true)
+			err := e.Order(t.Context(), platform.Order{ID: "o", Spec: platform.EngineSpec{Role: platform.RoleDecode}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if g := <-done; g.whole("p", 0, 200) == cut {
+				t.Fatalf("answer whole: %v, error %v", !cut, g.err)
+			}
+			if q := e.Record().Requests["r"]; (q.Finishes == 0) != cut {
+				t.Fatalf("record %+v", q)
+			}
+		})
+	}
+}
--- a/standin/vmlist/vmlist.go
+++ b/standin/vmlist/vmlist.go
@@ -38,6 +38,19 @@
 	down    bool
 	shown   map[string]platform.VM
 	pending []change
+	lists   int
+}
+
+// Record is what the list saw.
+type Record struct {
+	Lists int `json:"lists"` // answers given
+}
+
+// Record returns what the list saw so far.
+func (l *List) Record() Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Record{Lists: l.lists}
 }
 
 type change struct {
@@ -95,6 +108,7 @@
 		return nil, fmt.Errorf("vms: %w: %w", platform.ErrUnavailable, err)
 	}
 	l.settle()
+	l.lists++
 	vms := make([]platform.VM, 0, len(l.shown))
 	for _, vm := range l.shown {
 		vms = append(vms, vm)
@@ -150,6 +164,10 @@
 		return nil
 	})
 	r.POST("/_standin/fault", bunrouter.HTTPHandlerFunc(standin.FaultHandler(l.Apply)))
+	r.GET("/_standin/record", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		standin.JSON(w, http.StatusOK, l.Record())
+		return nil
+	})
 	return r
 }
 
--- a/standin/weights/weights.go
+++ b/standin/weights/weights.go
@@ -40,6 +40,20 @@
 	rate    float64
 	loaders int
 	down    bool
+	loads   int
+}
+
+// Record is what the store saw.
+type Record struct {
+	Loads   int `json:"loads"`   // that came to their end
+	Loading int `json:"loading"` // under way
+}
+
+// Record returns what the store saw so far.
+func (s *Store) Record() Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Record{Loads: s.loads, Loading: s.loaders}
 }
 
 // New returns a store.
@@ -97,9 +111,16 @@
 			return ctx.Err()
 		}
 	}
+	s.loaded()
 	return nil
 }
 
+func (s *Store) loaded() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loads++
+}
+
 func (s *Store) state() (float64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -171,6 +192,10 @@
 		return answer(w, struct{}{}, err)
 	})
 	r.POST("/_standin/fault", bunrouter.HTTPHandlerFunc(standin.FaultHandler(s.Apply)))
+	r.GET("/_standin/record", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		standin.JSON(w, http.StatusOK, s.Record())
+		return nil
+	})
 	return r
 }
 
