--- a/version/document/types.go
+++ b/version/document/types.go
@@ -17,7 +17,8 @@
 	KindPlain Kind = "plain"
 )
 
-// Document describes one service. Durations are written as "1.6s".
+// Document describes one service. Durations are written as "1.6s". Every key
+// that a comment gives a default for may be left out.
 type Document struct {
 	Service    string     `yaml:"service"`
 	Kind       Kind       `yaml:"kind"`
@@ -43,11 +44,11 @@
 // Target is a model engine or a plain server.
 type Target struct {
 	Name    string        `yaml:"name"`
-	Addr    string        `yaml:"addr"` // host:port
-	Zone    string        `yaml:"zone"` // availability zone
-	Model   string        `yaml:"model,omitempty"`
-	Adapter string        `yaml:"adapter,omitempty"`
-	Role    platform.Role `yaml:"role,omitempty"`         // where it starts; the planner may change it
+	Addr    string        `yaml:"addr"`                   // host:port
+	Zone    string        `yaml:"zone"`                   // availability zone
+	Model   string        `yaml:"model,omitempty"`        // the only model, when there is one
+	Adapter string        `yaml:"adapter,omitempty"`      // none
+	Role    platform.Role `yaml:"role,omitempty"`         // where it starts, the planner may change it; mixed
 	Pinned  bool          `yaml:"pinned,omitempty"`       // the planner leaves its role alone
 	Fenced  bool          `yaml:"checks_fence,omitempty"` // refuses old fencing numbers
 	Drain   bool          `yaml:"drain,omitempty"`        // gets no new work
@@ -55,43 +56,43 @@
 
 // Objectives are the service levels that the burn report measures.
 type Objectives struct {
-	FirstToken    time.Duration `yaml:"first_token,omitempty"`
-	BetweenTokens time.Duration `yaml:"between_tokens,omitempty"`
-	Answer        time.Duration `yaml:"answer"` // whole answer, and the default deadline
-	Target        float64       `yaml:"target"` // share of requests that must meet them, as 0.95
-	Window        time.Duration `yaml:"window"` // over which the budget is counted
+	FirstToken    time.Duration `yaml:"first_token,omitempty"`    // models only; not measured by default
+	BetweenTokens time.Duration `yaml:"between_tokens,omitempty"` // models only; not measured by default
+	Answer        time.Duration `yaml:"answer"`                   // whole answer, and the default deadline
+	Target        float64       `yaml:"target"`                   // share of requests that must meet them; 0.95
+	Window        time.Duration `yaml:"window"`                   // over which the budget is counted; 720h
 }
 
 // Limits bound what one request or caller may use.
 type Limits struct {
-	BodyBytes        int64         `yaml:"body_bytes"`
-	PromptTokens     int           `yaml:"prompt_tokens,omitempty"`
-	OutputTokens     int           `yaml:"output_tokens,omitempty"`
-	StreamsPerCaller int           `yaml:"streams_per_caller"`
-	QueuePerTarget   int           `yaml:"queue_per_target"` // requests in flight at one target
-	MaxDeadline      time.Duration `yaml:"max_deadline"`
+	BodyBytes        int64         `yaml:"body_bytes"`              // 1048576
+	PromptTokens     int           `yaml:"prompt_tokens,omitempty"` // models only; the largest max_tokens
+	OutputTokens     int           `yaml:"output_tokens,omitempty"` // models only; the largest max_tokens
+	StreamsPerCaller int           `yaml:"streams_per_caller"`      // 64
+	QueuePerTarget   int           `yaml:"queue_per_target"`        // requests in flight at one target; 64
+	MaxDeadline      time.Duration `yaml:"max_deadline"`            // 4 times objectives.answer
 }
 
 // Retry bounds repeated attempts.
 type Retry struct {
-	Attempts int     `yaml:"attempts"` // in all, the first included
-	Budget   float64 `yaml:"budget"`   // retries a request, on average, as 0.1
+	Attempts int     `yaml:"attempts"` // in all, the first included; 3
+	Budget   float64 `yaml:"budget"`   // retries a request, on average; 0.1
 }
 
 // Once describes calls that may not be repeated.
 type Once struct {
-	Paths  []string      `yaml:"paths,omitempty"`  // path prefixes of non-idempotent calls
-	Window time.Duration `yaml:"window,omitempty"` // how long a key is remembered
+	Paths  []string      `yaml:"paths,omitempty"`  // path prefixes of non-idempotent calls; none
+	Window time.Duration `yaml:"window,omitempty"` // how long a key is remembered; 1h when there are paths
 }
 
-// Roles guides the role planner.
+// Roles guides the role planner; models only.
 type Roles struct {
-	GoodputWeight float64       `yaml:"goodput_weight,omitempty"` // 1: goodput only, 0: as few changes as can be
-	MinPrefill    int           `yaml:"min_prefill,omitempty"`    // engines able to prefill, never fewer
-	MinDecode     int           `yaml:"min_decode,omitempty"`
-	MaxChanging   int           `yaml:"max_changing,omitempty"`
-	ChangeTime    time.Duration `yaml:"change_time,omitempty"` // expected seconds away, until measured
-	MinDwell      time.Duration `yaml:"min_dwell,omitempty"`
+	GoodputWeight float64       `yaml:"goodput_weight"` // 1: goodput only, 0: as few changes as can be; 0.5
+	MinPrefill    int           `yaml:"min_prefill"`    // engines able to prefill, never fewer; 1
+	MinDecode     int           `yaml:"min_decode"`     // engines able to decode, never fewer; 1
+	MaxChanging   int           `yaml:"max_changing"`   // engines changing at once; 1
+	ChangeTime    time.Duration `yaml:"change_time"`    // expected seconds away, until measured; 10s
+	MinDwell      time.Duration `yaml:"min_dwell"`      // between changes of one engine; 1m
 }
 
 // Fair gives organisations weights; one that isn't named has weight 1.
