Publish: a document through the log alone, with its outcome

Weighed: asking daemons for the outcome, against reading the log. Reading needs no daemon and gives the same answer as the fold, so it is the rule; daemons are asked only when the log no longer keeps the records since the base.

Change: the envelope id is a hash of service, base and YAML, so the same file on the same base counts once. The publisher reads to the tail before every append, and decides by the first of: a verdict on the document, an accepted newer version, or a base that was not in force when the document came.

--- /dev/null
+++ b/version/publish/publish_test.go
@@ -0,0 +1,176 @@
+package publish
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/process/record"
+)
+
+const service = "feed"
+
+var errLost = errors.New("answer lost")
+
+// fakeLog is a log in memory with faults, on the bubble's clock.
+type fakeLog struct {
+	records   []platform.Record
+	earliest  int64
+	appends   int
+	failAfter int                                           // appends that take effect but whose answer is lost
+	failWith  int                                           // appends that fail without effect
+	down      bool                                          // reads fail
+	onAppend  func(l *fakeLog, r record.Envelope, at int64) // plays the daemons
+}
+
+func (l *fakeLog) add(kind record.Kind, id string, body any) int64 {
+	b, _ := json.Marshal(body)
+	data, _ := json.Marshal(record.Envelope{ID: id, Kind: kind, Writer: "other", Body: b})
+	return l.put(data)
+}
+
+func (l *fakeLog) put(data []byte) int64 {
+	at := int64(len(l.records) + 1)
+	l.records = append(l.records, platform.Record{Offset: at, Data: data})
+	return at
+}
+
+func (l *fakeLog) accept(version int64) { l.judge(version, true, 0) }
+
+func (l *fakeLog) judge(version int64, ok bool, c code.Code) {
+	l.add(record.KindVerdict, "v", record.Verdict{Service: service, Version: version, Accept: ok, Code: c, Detail: "see line 3"})
+}
+
+func (l *fakeLog) document(id string, base int64) int64 {
+	return l.add(record.KindDocument, id, record.Document{Service: service, Base: base, YAML: "x"})
+}
+
+func (l *fakeLog) Append(_ context.Context, _ string, data []byte) (int64, error) {
+	l.appends++
+	if l.failWith > 0 {
+		l.failWith--
+		return 0, platform.ErrUnavailable
+	}
+	at := l.put(data)
+	if l.onAppend != nil {
+		env, _ := decode[record.Envelope](data)
+		l.onAppend(l, env, at)
+	}
+	if l.failAfter > 0 {
+		l.failAfter--
+		return 0, errLost
+	}
+	return at, nil
+}
+
+func (l *fakeLog) Read(ctx context.Context, _ string, from int64, max int, wait time.Duration) ([]platform.Record, int64, error) {
+	if l.down {
+		return nil, 0, platform.ErrUnavailable
+	}
+	newest := int64(len(l.records))
+	if from < l.earliest {
+		return nil, 0, platform.ErrExpired
+	}
+	if from > newest {
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+		return nil, newest, nil
+	}
+	return l.records[from-1 : min(newest, from-1+int64(max))], newest, nil
+}
+
+func (l *fakeLog) Earliest(context.Context, string) (int64, error) {
+	if l.down {
+		return 0, platform.ErrUnavailable
+	}
+	return l.earliest, nil
+}
+
+func acceptIt(l *fakeLog, _ record.Envelope, at int64) { l.accept(at) }
+
+func TestOutcomes(t *testing.T) {
+	mine := ID(record.Document{Service: service, Base: 1, YAML: "y"})
+	tests := []struct {
+		name    string
+		prepare func(l *fakeLog)
+		inForce int64 // what daemons answer
+		base    int64
+		code    code.Code
+		want    Result // without Service and Base
+		appends int
+	}{
+		{"accepted", func(l *fakeLog) { l.onAppend = acceptIt }, 0, 1, code.OK, Result{Version: 3, Newest: 3}, 1},
+		{"refused", func(l *fakeLog) {
+			l.onAppend = func(l *fakeLog, _ record.Envelope, at int64) { l.judge(at, false, code.DocOutOfRange) }
+		}, 0, 1, code.DocOutOfRange, Result{Version: 3, Newest: 1}, 1},
+		// Two operators publish on version 1. The other's document stands
+		// before ours, so it wins, and ours gets no verdict of its own.
+		{"lost the race", func(l *fakeLog) {
+			l.document("theirs", 1)
+			l.onAppend = func(l *fakeLog, _ record.Envelope, at int64) { l.accept(at - 1) }
+		}, 0, 1, code.BaseConflict, Result{Version: 4, Newest: 3, Winner: 3}, 1},
+		{"won before a later one", func(l *fakeLog) {
+			l.onAppend = func(l *fakeLog, _ record.Envelope, at int64) { l.document("theirs", 1); l.accept(at); l.accept(at + 1) }
+		}, 0, 1, code.OK, Result{Version: 3, Newest: 3}, 1},
+		{"base overtaken before", func(l *fakeLog) { l.document("theirs", 1); l.accept(3) }, 0, 1, code.BaseConflict, Result{Newest: 3, Winner: 3}, 0},
+		{"same file again", func(l *fakeLog) { l.document(mine, 1); l.accept(3) }, 0, 1, code.OK, Result{Version: 3, Newest: 3, Again: true}, 0},
+		// Only the first verdict counts: a late second one on theirs changes
+		// nothing, so that ours is the next in the queue.
+		{"theirs refused, then accepted", func(l *fakeLog) {
+			l.document("theirs", 1)
+			l.judge(3, false, code.DocMissing)
+			l.accept(3)
+			l.onAppend = acceptIt
+		}, 0, 1, code.OK, Result{Version: 6, Newest: 6}, 1},
+		// The append took effect but its answer got lost. A second append
+		// would be harmless but is not needed: the document is found.
+		{"answer lost", func(l *fakeLog) { l.failAfter = 1; l.onAppend = acceptIt }, 0, 1, code.OK, Result{Version: 3, Newest: 3}, 1},
+		{"append failed twice", func(l *fakeLog) { l.failWith = 2; l.onAppend = acceptIt }, 0, 1, code.OK, Result{Version: 3, Newest: 3}, 3},
+		{"no verdict in time", func(*fakeLog) {}, 0, 1, code.PublishUnknown, Result{Version: 3, Newest: 1}, 1},
+		{"append fails for good", func(l *fakeLog) { l.failWith = 1 << 20 }, 0, 1, code.PublishUnknown, Result{Newest: 1}, 19},
+		{"log down", func(l *fakeLog) { l.down = true }, 0, 1, code.LogUnavailable, Result{}, 0},
+		{"base is no document", func(l *fakeLog) {}, 0, 2, code.BaseConflict, Result{}, 0},
+		{"base is not yet written", func(l *fakeLog) {}, 0, 70, code.BaseConflict, Result{}, 0},
+		{"base was refused", func(l *fakeLog) { l.document("r", 1); l.judge(3, false, code.DocMissing) }, 0, 3, code.BaseConflict, Result{Version: 5}, 1},
+		{"service exists already", func(*fakeLog) {}, 0, 0, code.BaseConflict, Result{Newest: 1, Winner: 1}, 0},
+		// The records since the base are gone, and with them the winner: only
+		// the daemons still know it.
+		{"winner expired", func(l *fakeLog) { l.document("theirs", 1); l.accept(3); l.earliest = 5 }, 3, 1, code.BaseConflict, Result{Newest: 3, Winner: 3}, 0},
+		{"base expired, still in force", func(l *fakeLog) { l.earliest = 3; l.onAppend = acceptIt }, 1, 1, code.OK, Result{Version: 3, Newest: 3}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := &fakeLog{earliest: 1}
+				l.document("first", 0)
+				l.accept(1)
+				tt.prepare(l)
+				ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+				defer cancel()
+				p := &Publisher{Log: l, Writer: "me", InForce: func(context.Context, string) (int64, error) { return tt.inForce, nil }}
+				got, err := p.Publish(ctx, service, tt.base, []byte("y"))
+				if code.Of(err) != tt.code {
+					t.Errorf("error %v, want code %d", err, tt.code)
+				}
+				tt.want.Service, tt.want.Base = service, tt.base
+				if got != tt.want {
+					t.Errorf("got  %+v\nwant %+v", got, tt.want)
+				}
+				if l.appends != tt.appends {
+					t.Errorf("%d appends, want %d", l.appends, tt.appends)
+				}
+				if tt.code == code.BaseConflict && tt.want.Winner > 0 && !strings.Contains(err.Error(), "won base") {
+					t.Errorf("the winner isn't named: %v", err)
+				}
+			})
+		})
+	}
+}
