pomelosctl, thin: publish, check, status, address, call, explain, completion

Not tested yet: caller and ctl; tests follow. Tried by hand: help, check over examples/ (all valid), completion, status of a daemon that is down (exit 5). A first form embedded the shared options into each command, and go-flags panicked on them (reflect.Value.Set on an unexported field).

--- /dev/null
+++ b/operator/ctl/address.go
@@ -0,0 +1,58 @@
+package ctl
+
+import (
+	"time"
+
+	"github.com/pomelospool/pomelospool/operator/caller"
+)
+
+const addressHelp = `Asks one of the daemons named by --callers which addresses callers may use,
+and for how long.`
+
+type addressCommand struct{ app *app }
+
+// addressReport is the JSON of address.
+type addressReport struct {
+	caller.Addresses
+	From string `json:"from"` // daemon that answered
+}
+
+// Execute asks once.
+func (c *addressCommand) Execute([]string) error {
+	client, err := c.app.caller(0)
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	ctx, cancel := c.app.withTimeout()
+	defer cancel()
+	var r addressReport
+	err = c.app.progress(saying("address: asking the daemons"), func() error {
+		r.Addresses, r.From, err = client.Addresses(ctx)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	if c.app.JSON {
+		return c.app.printJSON(r)
+	}
+	for _, a := range r.Addresses.Addresses {
+		c.app.printf("%s\t%s\n", a.Addr, a.Zone)
+	}
+	c.app.printf("may be kept for %s (from %s)\n", time.Duration(r.TTLMs)*time.Millisecond, r.From)
+	return nil
+}
+
+// caller returns a client for the daemons named by --callers.
+func (a *app) caller(seed uint64) (*caller.Client, error) {
+	daemons, err := a.callers()
+	if err != nil {
+		return nil, err
+	}
+	conf, err := a.tls()
+	if err != nil {
+		return nil, err
+	}
+	return caller.New(caller.Options{Daemons: daemons, TLS: conf, Seed: seed}), nil
+}
--- /dev/null
+++ b/operator/ctl/app.go
@@ -0,0 +1,191 @@
+// Package ctl is the command line of operators and callers. The main of
+// pomelosctl only calls Main.
+package ctl
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/yamlcheck"
+	"github.com/pomelospool/pomelospool/operator/status"
+)
+
+// globals are the options of every command.
+type globals struct {
+	Log     string        `long:"log" env:"POMELOS_LOG" value-name:"URL" description:"Base URL of the log service"`
+	Daemons []string      `long:"daemons" env:"POMELOS_DAEMONS" env-delim:"," value-name:"HOST:PORT" description:"Operators' ports of all daemons; repeat it or separate by commas"`
+	Callers []string      `long:"callers" env:"POMELOS_CALLERS" env-delim:"," value-name:"HOST:PORT" description:"Callers' ports of some daemons; repeat it or separate by commas"`
+	Timeout time.Duration `long:"timeout" default:"30s" description:"Longest wait of the whole command"`
+	JSON    bool          `long:"json" description:"Write the result as JSON"`
+	CA      string        `long:"ca" value-name:"FILE" description:"CA of the daemons' certificates; plain TCP without it"`
+	Token   string        `long:"token" value-name:"FILE" description:"File with the operators' token"`
+}
+
+// app is what the commands share.
+type app struct {
+	globals
+	ctx context.Context
+	in  io.Reader
+	out io.Writer
+	err io.Writer
+}
+
+// Main runs the command line and returns the exit code, as Exit* say.
+func Main(ctx context.Context, args []string, in io.Reader, out, errOut io.Writer) int {
+	a := &app{ctx: ctx, in: in, out: out, err: errOut}
+	parser := newParser(a)
+	_, err := parser.ParseArgs(args)
+	return a.exit(err)
+}
+
+// newParser lists the commands.
+func newParser(a *app) *flags.Parser {
+	parser := flags.NewNamedParser("pomelosctl", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Operators' and callers' tool of pomelospool.\n\n" + exitHelp
+	mustAdd(parser.AddGroup("Common options", "", &a.globals))
+	add := func(name, short, long string, data any) {
+		mustAdd(parser.AddCommand(name, short, long, data))
+	}
+	add("publish", "Bring a service document into force", publishHelp, &publishCommand{app: a})
+	add("check", "Check documents and settings offline", checkHelp, &checkCommand{app: a})
+	add("status", "Say what is in force on which daemons", statusHelp, &statusCommand{app: a})
+	add("address", "Ask for the addresses that callers may use", addressHelp, &addressCommand{app: a})
+	add("call", "Send one request as a caller", callHelp, &callCommand{app: a})
+	add("explain", "Explain a numbered code", explainHelp, &explainCommand{app: a})
+	add("completion", "Print the shell's completion script", completionHelp, &completionCommand{app: a})
+	add("version", "Print the version", "Prints the version of this build.", &versionCommand{app: a})
+	return parser
+}
+
+// mustAdd panics on a malformed struct tag, which is a fault of this package.
+func mustAdd[T any](_ T, err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+// exit prints err and returns the exit code.
+func (a *app) exit(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	var f *flags.Error
+	if errors.As(err, &f) {
+		if f.Type == flags.ErrHelp {
+			fmt.Fprintln(a.out, f.Message)
+			return ExitOK
+		}
+		fmt.Fprintln(a.err, "pomelosctl: "+f.Message)
+		return ExitUsage
+	}
+	var u usageError
+	if errors.As(err, &u) {
+		fmt.Fprintln(a.err, "pomelosctl: "+u.Error())
+		return ExitUsage
+	}
+	var said reported
+	if !errors.As(err, &said) {
+		fmt.Fprintln(a.err, "pomelosctl: "+err.Error())
+		a.advise(err)
+	}
+	return exitOf(err)
+}
+
+// advise says what to do about an error with a code.
+func (a *app) advise(err error) {
+	var coded *code.Error
+	var problems yamlcheck.Problems
+	if errors.As(err, &coded) && !errors.As(err, &problems) {
+		fmt.Fprintln(a.err, "what to do: "+coded.Code.Info().Action)
+	}
+}
+
+// usageError says what is missing on the command line.
+type usageError string
+
+func (u usageError) Error() string { return string(u) }
+
+// reported is an error that the command has printed itself.
+type reported struct{ error }
+
+func (r reported) Unwrap() error { return r.error }
+
+// withTimeout bounds a command.
+func (a *app) withTimeout() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(a.ctx, a.Timeout)
+}
+
+// printJSON writes v indented.
+func (a *app) printJSON(v any) error {
+	enc := json.NewEncoder(a.out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+func (a *app) printf(format string, args ...any) { fmt.Fprintf(a.out, format, args...) }
+
+// daemons returns the operators' ports, or a usage error.
+func (a *app) daemons() ([]string, error) {
+	list := split(a.Daemons)
+	if len(list) == 0 {
+		return nil, usageError("name the daemons' operators' ports by --daemons or POMELOS_DAEMONS")
+	}
+	return list, nil
+}
+
+// callers returns the callers' ports, or a usage error.
+func (a *app) callers() ([]string, error) {
+	list := split(a.Callers)
+	if len(list) == 0 {
+		return nil, usageError("name callers' ports of some daemons by --callers or POMELOS_CALLERS")
+	}
+	return list, nil
+}
+
+func split(list []string) []string {
+	return strings.FieldsFunc(strings.Join(list, ","), func(r rune) bool { return r == ',' || r == ' ' })
+}
+
+// tls returns the client side of TLS, nil without --ca.
+func (a *app) tls() (*tls.Config, error) {
+	if a.CA == "" {
+		return nil, nil
+	}
+	pem, err := os.ReadFile(a.CA)
+	if err != nil {
+		return nil, fmt.Errorf("read CA: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("no certificate in %s", a.CA)
+	}
+	return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}, nil
+}
+
+// operators returns a client for the operators' ports.
+func (a *app) operators() (*status.Client, error) {
+	conf, err := a.tls()
+	if err != nil {
+		return nil, err
+	}
+	token := ""
+	if a.Token != "" {
+		data, err := os.ReadFile(a.Token)
+		if err != nil {
+			return nil, fmt.Errorf("read token: %w", err)
+		}
+		token = strings.TrimSpace(string(data))
+	}
+	return status.NewClient(conf, token), nil
+}
--- /dev/null
+++ b/operator/ctl/check.go
@@ -0,0 +1,99 @@
+package ctl
+
+import (
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"gopkg.in/yaml.v3"
+
+	"github.com/pomelospool/pomelospool/internal/yamlcheck"
+	"github.com/pomelospool/pomelospool/process/settings"
+	"github.com/pomelospool/pomelospool/version/document"
+)
+
+const checkHelp = `Checks files without a network. A file with one of the keys vm, listen or
+platform is taken for daemon settings, any other for a service document.
+Each problem is one line: FILE:LINE:COLUMN: KEY: what is wrong; what would be
+right (code).`
+
+type checkCommand struct {
+	app  *app
+	Args struct {
+		Files []flags.Filename `positional-arg-name:"FILE" description:"Documents and settings" required:"1"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// checkReport is the JSON of check, one for each file.
+type checkReport struct {
+	File     string               `json:"file"`
+	Kind     string               `json:"kind"` // document or settings
+	Problems []*yamlcheck.Problem `json:"problems"`
+}
+
+// Execute checks every file and fails if one has problems.
+func (c *checkCommand) Execute([]string) error {
+	var reports []checkReport
+	var all []*yamlcheck.Problem
+	for _, file := range c.Args.Files {
+		r, err := checkFile(string(file))
+		if err != nil {
+			return err
+		}
+		reports = append(reports, r)
+		all = append(all, r.Problems...)
+	}
+	err := yamlcheck.AsError(all)
+	if c.app.JSON {
+		if printErr := c.app.printJSON(reports); printErr != nil {
+			return printErr
+		}
+	} else {
+		c.print(reports)
+	}
+	if err != nil {
+		return reported{err}
+	}
+	return nil
+}
+
+func (c *checkCommand) print(reports []checkReport) {
+	for _, r := range reports {
+		for _, p := range r.Problems {
+			c.app.printf("%s\n", p.Error())
+		}
+		if len(r.Problems) == 0 {
+			c.app.printf("%s: valid %s\n", r.File, r.Kind)
+		}
+	}
+}
+
+func checkFile(file string) (checkReport, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return checkReport{}, err
+	}
+	r := checkReport{File: file, Kind: "document", Problems: []*yamlcheck.Problem{}}
+	var problems []*yamlcheck.Problem
+	if isSettings(data) {
+		r.Kind = "settings"
+		_, problems = settings.Parse(file, data)
+	} else {
+		_, problems = document.Parse(file, data)
+	}
+	r.Problems = append(r.Problems, problems...)
+	return r, nil
+}
+
+// isSettings tells settings from a document by their top keys. A file that
+// doesn't parse counts as a document, whose check then says why.
+func isSettings(data []byte) bool {
+	var top struct {
+		VM       yaml.Node `yaml:"vm"`
+		Listen   yaml.Node `yaml:"listen"`
+		Platform yaml.Node `yaml:"platform"`
+	}
+	if len(data) > document.MaxBytes || yaml.Unmarshal(data, &top) != nil {
+		return false
+	}
+	return !top.VM.IsZero() || !top.Listen.IsZero() || !top.Platform.IsZero()
+}
--- /dev/null
+++ b/operator/ctl/info.go
@@ -0,0 +1,113 @@
+package ctl
+
+import (
+	"runtime/debug"
+	"strconv"
+	"strings"
+
+	"github.com/pomelospool/pomelospool/code"
+)
+
+const (
+	explainHelp    = `Explains a code by its number or name, or lists all without an argument.`
+	completionHelp = `Prints a script for the shell (bash). Load it by: source <(pomelosctl completion bash)`
+)
+
+type explainCommand struct {
+	app  *app
+	Args struct {
+		Code string `positional-arg-name:"CODE" description:"Number or name, as 5001 or BASE_CONFLICT"`
+	} `positional-args:"yes"`
+}
+
+// explained is the JSON of explain.
+type explained struct {
+	Code    code.Code `json:"code"`
+	Name    string    `json:"name"`
+	Status  int       `json:"status"`
+	NotRun  bool      `json:"not_run"`
+	Meaning string    `json:"meaning"`
+	Action  string    `json:"action"`
+}
+
+// Execute prints one code or all.
+func (c *explainCommand) Execute([]string) error {
+	var found []explained
+	for _, i := range code.All() {
+		if c.Args.Code == "" || c.Args.Code == strconv.Itoa(int(i.Code)) || strings.EqualFold(c.Args.Code, i.Name) {
+			found = append(found, explained(i))
+		}
+	}
+	if len(found) == 0 {
+		return usageError("no code " + c.Args.Code + "; explain without an argument lists all")
+	}
+	if c.app.JSON {
+		return c.app.printJSON(found)
+	}
+	if c.Args.Code == "" {
+		for _, i := range found {
+			c.app.printf("%4d %-22s %s\n", int(i.Code), i.Name, i.Meaning)
+		}
+		return nil
+	}
+	i := found[0]
+	run := "It may have run, or its running doesn't matter."
+	if i.NotRun {
+		run = "Nothing was run."
+	}
+	c.app.printf("%d %s (HTTP %d)\n%s\n%s\nWhat to do: %s\n", int(i.Code), i.Name, i.Status, i.Meaning, run, i.Action)
+	return nil
+}
+
+type versionCommand struct{ app *app }
+
+// build is the JSON of version.
+type build struct {
+	Version  string `json:"version"`
+	Revision string `json:"revision"`
+}
+
+// Execute prints the module's version as the build knows it.
+func (c *versionCommand) Execute([]string) error {
+	b := build{Version: "unknown"}
+	if info, ok := debug.ReadBuildInfo(); ok {
+		b.Version = info.Main.Version
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				b.Revision = s.Value
+			}
+		}
+	}
+	if c.app.JSON {
+		return c.app.printJSON(b)
+	}
+	c.app.printf("pomelosctl %s %s\n", b.Version, b.Revision)
+	return nil
+}
+
+type completionCommand struct {
+	app  *app
+	Args struct {
+		Shell string `positional-arg-name:"SHELL" description:"bash"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// bashScript asks the command itself, which go-flags answers when
+// GO_FLAGS_COMPLETION is set.
+const bashScript = `_pomelosctl() {
+	local args=("${COMP_WORDS[@]:1:$COMP_CWORD}")
+	local IFS=$'\n'
+	COMPREPLY=($(GO_FLAGS_COMPLETION=1 "${COMP_WORDS[0]}" "${args[@]}"))
+	return 0
+}
+complete -o default -F _pomelosctl pomelosctl
+`
+
+// Execute prints the script.
+func (c *completionCommand) Execute([]string) error {
+	if c.Args.Shell != "bash" {
+		return usageError("completion knows bash only")
+	}
+	c.app.printf("%s", bashScript)
+	return nil
+}
--- /dev/null
+++ b/operator/ctl/publish.go
@@ -0,0 +1,174 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/yamlcheck"
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/version/document"
+	"github.com/pomelospool/pomelospool/version/publish"
+)
+
+const publishHelp = `Checks the document, appends it to the log and waits for the verdict.
+
+Without --base the version in force now is the base, so that nothing is
+published that is in force already. Give --base with the version that you
+changed: should another operator have been faster, you get code 5001 with the
+winner. The same file on the same base counts once, so it is safe to publish
+it again after code 5002. --wait also waits until every daemon named by
+--daemons has the version in force.`
+
+// askTimeout bounds one question to one daemon.
+const askTimeout = 2 * time.Second
+
+// pollStatus is the time between two looks at all daemons.
+const pollStatus = 200 * time.Millisecond
+
+type publishCommand struct {
+	app  *app
+	Base int64 `long:"base" default:"-1" default-mask:"the version in force" value-name:"VERSION" description:"Version that this file replaces, 0 for a new service"`
+	Wait bool  `long:"wait" description:"Wait until the version is in force on every daemon"`
+	Args struct {
+		File flags.Filename `positional-arg-name:"FILE" description:"Service document"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// publishReport is the JSON of publish.
+type publishReport struct {
+	publish.Result
+	Code    code.Code `json:"code"`
+	Error   string    `json:"error,omitempty"`
+	InForce bool      `json:"in_force_already,omitempty"`
+	On      int       `json:"on,omitempty"` // daemons with the version in force, with --wait
+	Of      int       `json:"of,omitempty"`
+}
+
+// Execute publishes one file.
+func (c *publishCommand) Execute([]string) error {
+	data, err := os.ReadFile(string(c.Args.File))
+	if err != nil {
+		return err
+	}
+	doc, problems := document.Parse(string(c.Args.File), data)
+	if err := yamlcheck.AsError(problems); err != nil {
+		return err
+	}
+	log, err := c.app.log()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := c.app.withTimeout()
+	defer cancel()
+	var report publishReport
+	err = c.app.progress(saying("publish: waiting for the log's verdict on "+doc.Service), func() error {
+		report, err = c.publish(ctx, log, doc.Service, data)
+		return err
+	})
+	if err == nil && c.Wait {
+		err = c.waitForAll(ctx, &report)
+	}
+	return c.report(report, err)
+}
+
+func (c *publishCommand) publish(ctx context.Context, log platform.Log, service string, data []byte) (publishReport, error) {
+	p := &publish.Publisher{Log: log, Writer: "pomelosctl-" + uuid.NewString(), InForce: c.inForce}
+	base := c.Base
+	if base < 0 {
+		now, err := p.Current(ctx, service)
+		if err != nil {
+			return publishReport{}, err
+		}
+		base = now.Version
+		if now.YAML == string(data) {
+			r := publish.Result{Service: service, Base: base, Version: base, Newest: base, Again: true}
+			return publishReport{Result: r, InForce: true}, nil
+		}
+	}
+	r, err := p.Publish(ctx, service, base, data)
+	return publishReport{Result: r}, err
+}
+
+// inForce asks the daemons for the version in force.
+func (c *publishCommand) inForce(ctx context.Context, service string) (int64, error) {
+	addrs, err := c.app.daemons()
+	if err != nil {
+		return 0, err
+	}
+	client, err := c.app.operators()
+	if err != nil {
+		return 0, err
+	}
+	defer client.Close()
+	fleet := client.Fetch(ctx, addrs, askTimeout)
+	if fleet.Answered == 0 {
+		return 0, code.New(code.DaemonUnreachable, "none of %d daemons answered", fleet.Asked)
+	}
+	return fleet.Version(service), nil
+}
+
+// waitForAll polls the daemons until all have the version in force.
+func (c *publishCommand) waitForAll(ctx context.Context, report *publishReport) error {
+	addrs, err := c.app.daemons()
+	if err != nil {
+		return err
+	}
+	client, err := c.app.operators()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	say := func() string { return fmt.Sprintf("publish: waiting for all of %d daemons", len(addrs)) }
+	return c.app.progress(say, func() error {
+		tick := time.NewTicker(pollStatus)
+		defer tick.Stop()
+		for {
+			report.On, report.Of = 0, len(addrs)
+			for _, d := range client.Fetch(ctx, addrs, askTimeout).Daemons {
+				if d.Status != nil && d.Status.VersionOf(report.Service) >= report.Version {
+					report.On++
+				}
+			}
+			if report.On == report.Of {
+				return nil
+			}
+			select {
+			case <-ctx.Done():
+				return code.New(code.DaemonUnreachable, "version %d of %s is in force on %d of %d daemons", report.Version, report.Service, report.On, report.Of)
+			case <-tick.C:
+			}
+		}
+	})
+}
+
+func (c *publishCommand) report(r publishReport, err error) error {
+	if c.app.JSON {
+		r.Code = code.Of(err)
+		if err != nil {
+			r.Error = err.Error()
+		}
+		return errors.Join(c.app.printJSON(r), err)
+	}
+	if err != nil {
+		return err
+	}
+	switch {
+	case r.InForce:
+		c.app.printf("%s: this file is in force already, version %d\n", r.Service, r.Version)
+	case r.Newest > r.Version:
+		c.app.printf("%s: version %d was accepted before; version %d is in force now\n", r.Service, r.Version, r.Newest)
+	default:
+		c.app.printf("%s: version %d accepted on base %d\n", r.Service, r.Version, r.Base)
+	}
+	if r.Of > 0 {
+		c.app.printf("%s: version %d in force on %d of %d daemons\n", r.Service, r.Version, r.On, r.Of)
+	}
+	return nil
+}
--- /dev/null
+++ b/operator/status/status.go
@@ -0,0 +1,163 @@
+// Package status is what a daemon says about itself on GET /status of its
+// operators' port, and the view over a fleet made from several such answers.
+package status
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/platform"
+)
+
+// Path is where daemons answer with a Status in JSON.
+const Path = "/status"
+
+// StateLive is the state of a member or target that works.
+const StateLive = "live"
+
+// Status is one daemon's own view.
+type Status struct {
+	Daemon      string    `json:"daemon"` // VM id
+	Zone        string    `json:"zone"`
+	Incarnation string    `json:"incarnation"`
+	Callers     string    `json:"callers"` // address for callers
+	State       string    `json:"state"`   // serving, isolated, draining, starting
+	Code        code.Code `json:"code"`    // why new requests are refused, 0 if they aren't
+	Applied     int64     `json:"applied"` // control offset in force
+	LogAgeMs    int64     `json:"log_age_ms"`
+	Services    []Service `json:"services"`
+	Members     []Member  `json:"members"`
+	Leases      []Lease   `json:"leases"` // held by this daemon
+	Targets     []Target  `json:"targets"`
+}
+
+// Service is a service with the version in force.
+type Service struct {
+	Name    string `json:"name"`
+	Kind    string `json:"kind"`
+	Version int64  `json:"version"`
+}
+
+// Member is another daemon as this one sees it.
+type Member struct {
+	Daemon      string `json:"daemon"`
+	Zone        string `json:"zone"`
+	Incarnation string `json:"incarnation"`
+	State       string `json:"state"` // live, suspect, dead, leaving
+	Applied     int64  `json:"applied"`
+}
+
+// Lease is a lease that the daemon holds.
+type Lease struct {
+	Group  string `json:"group"`
+	Fence  int64  `json:"fence"`   // offset of the claim
+	LeftMs int64  `json:"left_ms"` // how long it may act without another read of the log
+}
+
+// Target is a target as this daemon sees it.
+type Target struct {
+	Service  string        `json:"service"`
+	Name     string        `json:"name"`
+	Addr     string        `json:"addr"`
+	Zone     string        `json:"zone"`
+	Role     platform.Role `json:"role,omitempty"`
+	State    string        `json:"state"` // live, changing, suspect, leaving, unreachable
+	InFlight int           `json:"in_flight"`
+	LoadAge  int64         `json:"load_age_ms"` // -1 if no load was ever read
+}
+
+// Fleet is the view over all daemons that were asked.
+type Fleet struct {
+	Asked    int        `json:"asked"`
+	Answered int        `json:"answered"`
+	Daemons  []Answer   `json:"daemons"` // in the order in which they were named
+	Services []Coverage `json:"services"`
+}
+
+// Answer is one daemon's answer, or why there is none.
+type Answer struct {
+	Addr   string    `json:"addr"` // operators' port that was asked
+	Status *Status   `json:"status,omitempty"`
+	Code   code.Code `json:"code"` // code.DaemonUnreachable without an answer
+	Error  string    `json:"error,omitempty"`
+}
+
+// Coverage says on how many daemons the newest version of a service is in
+// force. A daemon that didn't answer counts in Of, never in On.
+type Coverage struct {
+	Name    string `json:"name"`
+	Version int64  `json:"version"`
+	On      int    `json:"on"`
+	Of      int    `json:"of"`
+}
+
+// NewFleet sums up the answers.
+func NewFleet(answers []Answer) Fleet {
+	f := Fleet{Asked: len(answers), Daemons: answers}
+	versions := make(map[string]map[int64]int)
+	for _, a := range answers {
+		if a.Status == nil {
+			continue
+		}
+		f.Answered++
+		for _, s := range a.Status.Services {
+			if versions[s.Name] == nil {
+				versions[s.Name] = make(map[int64]int)
+			}
+			versions[s.Name][s.Version]++
+		}
+	}
+	for name, on := range versions {
+		newest := int64(0)
+		for v := range on {
+			newest = max(newest, v)
+		}
+		f.Services = append(f.Services, Coverage{Name: name, Version: newest, On: on[newest], Of: len(answers)})
+	}
+	sort.Slice(f.Services, func(i, j int) bool { return f.Services[i].Name < f.Services[j].Name })
+	return f
+}
+
+// Version returns the newest version of a service in force on any daemon, 0
+// for none.
+func (f Fleet) Version(service string) int64 {
+	for _, c := range f.Services {
+		if c.Name == service {
+			return c.Version
+		}
+	}
+	return 0
+}
+
+// VersionOf returns the version of a service in force here, 0 for none.
+func (s *Status) VersionOf(service string) int64 {
+	for _, svc := range s.Services {
+		if svc.Name == service {
+			return svc.Version
+		}
+	}
+	return 0
+}
+
+// MemberCount says how many of the members are live, as 3/4.
+func (s *Status) MemberCount() string {
+	live := 0
+	for _, m := range s.Members {
+		if m.State == StateLive {
+			live++
+		}
+	}
+	return fmt.Sprintf("%d/%d", live, len(s.Members))
+}
+
+// TargetCount says how many of the targets are live, as 11/12.
+func (s *Status) TargetCount() string {
+	live := 0
+	for _, t := range s.Targets {
+		if t.State == StateLive {
+			live++
+		}
+	}
+	return fmt.Sprintf("%d/%d", live, len(s.Targets))
+}
