docs/CODES.md from the code table; tests of the callers' library

Cause: every numbered code needs its meaning, whether anything ran and what to do, and the callers' library had no tests.

Change: operator/codedoc writes the page (goldie -update), a test compares it with the table; explain uses the same words. caller: fault cases in a table.

Shown failing first, each guard removed in turn, with the case that failed: believing the header or the body alone (not run only in the body / header); end marker without finish_reason taken as whole; end of stream taken as whole (cut, 1 attempt for 2); no check of the event's id (crossed event); no check of the token's index (doubled token); a failed dial not taken as proof (dead address gives 3003); repeating every unknown outcome (2 attempts for 1).

--- /dev/null
+++ b/operator/caller/caller_test.go
@@ -0,0 +1,213 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pomelospool/pomelospool/code"
+)
+
+// act answers one attempt.
+type act func(w http.ResponseWriter, r *http.Request)
+
+// fleet is some daemons that answer the attempts of a test one after another,
+// whichever of them is asked.
+type fleet struct {
+	t       *testing.T
+	servers []*httptest.Server
+	extra   []string // further addresses that the daemons name
+
+	mu    sync.Mutex
+	acts  []act
+	hosts []string // which daemon got each attempt
+	keys  []string
+}
+
+func newFleet(t *testing.T, n int, acts ...act) *fleet {
+	f := &fleet{t: t, acts: acts}
+	for range n {
+		s := httptest.NewServer(f)
+		t.Cleanup(s.Close)
+		f.servers = append(f.servers, s)
+	}
+	return f
+}
+
+func (f *fleet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == PathAddresses {
+		a := Addresses{TTLMs: 60000}
+		for _, s := range f.servers {
+			a.Addresses = append(a.Addresses, Address{Addr: host(s)})
+		}
+		for _, e := range f.extra {
+			a.Addresses = append(a.Addresses, Address{Addr: e})
+		}
+		_ = json.NewEncoder(w).Encode(a)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	f.mu.Lock()
+	i := min(len(f.hosts), len(f.acts)-1)
+	f.hosts = append(f.hosts, r.Host)
+	f.keys = append(f.keys, r.Header.Get(HeaderKey))
+	f.mu.Unlock()
+	f.acts[i](w, r)
+}
+
+func (f *fleet) client() *Client {
+	c := New(Options{Daemons: []string{host(f.servers[0])}, Seed: 1})
+	f.t.Cleanup(c.Close)
+	return c
+}
+
+func host(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+
+// stream sends events; ID in an event stands for the request's id.
+func stream(events ...string) act {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for _, e := range events {
+			fmt.Fprintf(w, "data: %s\n\n", strings.ReplaceAll(e, "ID", r.Header.Get(HeaderRequestID)))
+		}
+	}
+}
+
+func tok(i int) string {
+	return fmt.Sprintf(`{"id":"ID","token_index":%d,"choices":[{"delta":{"content":" t%d"}}]}`, i, i)
+}
+
+const (
+	stop = `{"id":"ID","token_index":2,"choices":[{"delta":{"content":" t2"},"finish_reason":"stop"}]}`
+	done = "[DONE]"
+)
+
+func refuse(c code.Code, header, body bool) act {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if header {
+			w.Header().Set(HeaderNotRun, "true")
+		}
+		w.WriteHeader(c.Info().Status)
+		fmt.Fprintf(w, `{"error":{"code":%d,"message":"no","not_run":%t,"retry_after_ms":1}}`, int(c), body)
+	}
+}
+
+// vanish closes the connection without an answer, as a killed daemon does.
+func vanish(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func crossedHeader(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderRequestID, "another")
+	stream(tok(0), tok(1), stop, done)(w, r)
+}
+
+func TestDo(t *testing.T) {
+	whole := stream(tok(0), tok(1), stop, done)
+	other := `{"id":"another","token_index":0,"choices":[{"delta":{"content":" x"}}]}`
+	broken := `{"error":{"code":2006,"message":"gone","not_run":false}}`
+	chat := Chat("m", "hello", 3)
+	fixed := chat
+	fixed.Idempotent = false
+	verified := chat
+	verified.Verify = func(i int, text string) bool { return text == fmt.Sprintf(" t%d", i) }
+	wrong := fixed
+	wrong.Verify = func(i int, _ string) bool { return i != 1 }
+	plain := Request{Path: "/s/app/holds", Body: []byte("{}")}
+	keyed := plain
+	keyed.Key = "k1"
+	tests := []struct {
+		name     string
+		req      Request
+		acts     []act
+		code     code.Code
+		attempts int
+		cut      int
+		faults   Faults
+	}{
+		{"whole", verified, []act{whole}, code.OK, 1, 0, Faults{}},
+		{"draining, then another", chat, []act{refuse(code.Draining, true, true), whole}, code.OK, 2, 0, Faults{}},
+		{"overloaded, later", chat, []act{refuse(code.Overloaded, true, true), whole}, code.OK, 2, 0, Faults{}},
+		// A refusal that doesn't say "not run" twice over may have run.
+		{"not run only in the body", plain, []act{refuse(code.Draining, false, true), whole}, code.Draining, 1, 0, Faults{}},
+		{"not run only in the header", plain, []act{refuse(code.Draining, true, false), whole}, code.Draining, 1, 0, Faults{}},
+		{"refused for good", chat, []act{refuse(code.PromptTooLong, true, true), whole}, code.PromptTooLong, 1, 0, Faults{}},
+		{"outcome unknown, with key", keyed, []act{refuse(code.OutcomeUnknown, false, false), whole}, code.OutcomeUnknown, 1, 0, Faults{}},
+		// A daemon is killed after it sent some tokens. The connection closes
+		// in good order, only the end marker is missing.
+		{"cut, restarted", chat, []act{stream(tok(0), tok(1)), whole}, code.OK, 2, 1, Faults{}},
+		{"cut, no restart", fixed, []act{stream(tok(0), tok(1)), whole}, code.StreamCut, 1, 1, Faults{}},
+		{"end marker without finish", fixed, []act{stream(tok(0), tok(1), done)}, code.StreamCut, 1, 1, Faults{}},
+		{"error within the stream", fixed, []act{stream(tok(0), broken)}, code.StreamCut, 1, 1, Faults{}},
+		{"daemon gone, no key", plain, []act{vanish, whole}, code.OutcomeUnknown, 1, 0, Faults{}},
+		{"daemon gone, same key", keyed, []act{vanish, whole}, code.OK, 2, 0, Faults{}},
+		{"crossed event", fixed, []act{stream(tok(0), other, tok(1), stop, done)}, code.OK, 1, 0, Faults{Crossed: 1}},
+		{"crossed answer", fixed, []act{crossedHeader}, code.AnswerMismatch, 1, 0, Faults{Crossed: 1}},
+		{"doubled token", fixed, []act{stream(tok(0), tok(0), tok(1), stop, done)}, code.OK, 1, 0, Faults{Doubled: 1}},
+		{"lost token", fixed, []act{stream(tok(0), stop, done)}, code.AnswerMismatch, 1, 0, Faults{Lost: 1}},
+		{"wrong token", wrong, []act{whole}, code.AnswerMismatch, 1, 0, Faults{Wrong: 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, 3, tt.acts...)
+			var text []string
+			tt.req.Token = func(tok Token) {
+				if tok.Index == 0 {
+					text = nil
+				}
+				text = append(text, tok.Text)
+			}
+			a, err := f.client().Do(t.Context(), tt.req)
+			if code.Of(err) != tt.code || a.Code != tt.code || a.Whole != (tt.code == code.OK) {
+				t.Errorf("error %v, answer %+v, want code %d", err, a, tt.code)
+			}
+			if a.Attempts != tt.attempts || len(f.hosts) != tt.attempts || a.Cut != tt.cut || a.Faults != tt.faults {
+				t.Errorf("%d attempts (%d seen), %d cut, %+v; want %d, %d, %+v", a.Attempts, len(f.hosts), a.Cut, a.Faults, tt.attempts, tt.cut, tt.faults)
+			}
+			if a.Whole && tt.req.Stream && strings.Join(text, "") != " t0 t1 t2" {
+				t.Errorf("text %q", text)
+			}
+			for i, k := range f.keys {
+				if k != tt.req.Key {
+					t.Errorf("attempt %d has key %q", i, k)
+				}
+			}
+		})
+	}
+}
+
+// A daemon that drains names others: the next attempt goes to one of those.
+func TestNextAttemptGoesElsewhere(t *testing.T) {
+	f := newFleet(t, 2, refuse(code.Draining, true, true), stream(tok(0), tok(1), stop, done))
+	if _, err := f.client().Do(t.Context(), Chat("m", "p", 3)); err != nil {
+		t.Fatal(err)
+	}
+	if f.hosts[0] == f.hosts[1] {
+		t.Errorf("both attempts went to %s", f.hosts[0])
+	}
+}
+
+// An address in a list may be a daemon that died since. A refused connection
+// proves that nothing ran, so even a call without a key goes on to the next.
+func TestDeadAddressIsSkipped(t *testing.T) {
+	dead := httptest.NewServer(nil)
+	dead.Close()
+	ok := func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "{}") }
+	f := newFleet(t, 1, ok)
+	f.extra = []string{host(dead)}
+	c := f.client()
+	for range 10 {
+		c.book.expires = time.Time{} // read the list again, with the dead address
+		a, err := c.Do(t.Context(), Request{Path: "/s/app/x"})
+		if err != nil || a.Addr != host(f.servers[0]) {
+			t.Fatalf("%+v, %v", a, err)
+		}
+	}
+	if len(f.hosts) != 10 {
+		t.Errorf("%d runs for 10 calls", len(f.hosts))
+	}
+}
--- a/operator/ctl/info.go
+++ b/operator/ctl/info.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/operator/codedoc"
 )
 
 const (
@@ -25,7 +26,7 @@
 	Code    code.Code `json:"code"`
 	Name    string    `json:"name"`
 	Status  int       `json:"status"`
-	NotRun  bool      `json:"not_run"`
+	Ran     string    `json:"ran"` // yes, no, maybe, or - when it isn't about a request
 	Meaning string    `json:"meaning"`
 	Action  string    `json:"action"`
 }
@@ -35,7 +36,7 @@
 	var found []explained
 	for _, i := range code.All() {
 		if c.Args.Code == "" || c.Args.Code == strconv.Itoa(int(i.Code)) || strings.EqualFold(c.Args.Code, i.Name) {
-			found = append(found, explained(i))
+			found = append(found, explained{i.Code, i.Name, i.Status, codedoc.Ran(i), i.Meaning, i.Action})
 		}
 	}
 	if len(found) == 0 {
@@ -51,11 +52,7 @@
 		return nil
 	}
 	i := found[0]
-	run := "It may have run, or its running doesn't matter."
-	if i.NotRun {
-		run = "Nothing was run."
-	}
-	c.app.printf("%d %s (HTTP %d)\n%s\n%s\nWhat to do: %s\n", int(i.Code), i.Name, i.Status, i.Meaning, run, i.Action)
+	c.app.printf("%d %s (HTTP %d)\n%s\nWas it run: %s\nWhat to do: %s\n", int(i.Code), i.Name, i.Status, i.Meaning, i.Ran, i.Action)
 	return nil
 }
 
