ctl: the commands in a table, on a log and daemon in one loopback server

Cause: the command line had no test.

Change: one table of command lines with exit code and output, on a site that accepts every document; every example passes check. Found by it: checkBase relied on the log giving exactly one record for max=1 and refused a valid base when more came; it now looks at the first.

--- /dev/null
+++ b/operator/ctl/ctl_test.go
@@ -0,0 +1,143 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/operator/caller"
+	"github.com/pomelospool/pomelospool/operator/status"
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/process/record"
+)
+
+// site is a log service and a daemon on one loopback server. The daemon
+// accepts every document at once and answers every call.
+type site struct {
+	mu      sync.Mutex
+	records []platform.Record
+	version int64
+}
+
+func (s *site) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case r.URL.Path == "/streams/control/records" && r.Method == http.MethodPost:
+		data, _ := io.ReadAll(r.Body)
+		at := s.put(data)
+		s.version = at
+		verdict, _ := json.Marshal(record.Verdict{Service: "halen-application", Version: at, Accept: true})
+		env, _ := json.Marshal(record.Envelope{ID: "v", Kind: record.KindVerdict, Body: verdict})
+		s.put(env)
+		answer(w, map[string]int64{"offset": at})
+	case r.URL.Path == "/streams/control/records":
+		from, _ := strconv.Atoi(r.URL.Query().Get("from"))
+		from = min(max(from, 1), len(s.records)+1)
+		answer(w, map[string]any{"records": s.records[from-1:], "newest": len(s.records), "earliest": 1})
+	case r.URL.Path == status.Path:
+		svc := status.Service{Name: "halen-application", Kind: "plain", Version: s.version}
+		answer(w, status.Status{Daemon: "entry-1", Zone: "hall-a", State: "serving", Applied: 9, Services: []status.Service{svc}})
+	case r.URL.Path == caller.PathAddresses:
+		answer(w, caller.Addresses{Addresses: []caller.Address{{Addr: r.Host, Zone: "hall-a"}}, TTLMs: 5000})
+	case r.URL.Path == caller.PathChat:
+		w.Header().Set("Content-Type", "text/event-stream")
+		id := r.Header.Get(caller.HeaderRequestID)
+		fmt.Fprintf(w, "data: {\"id\":%q,\"token_index\":0,\"choices\":[{\"delta\":{\"content\":\"mole\"},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n", id)
+	case r.URL.Path == "/s/app/holds":
+		fmt.Fprintf(w, "held %s by %s\n", r.Header.Get(caller.HeaderKey), r.Header.Get(caller.HeaderOrg))
+	default:
+		w.Header().Set(caller.HeaderNotRun, "true")
+		w.WriteHeader(http.StatusNotFound)
+		fmt.Fprintf(w, `{"error":{"code":%d,"message":"no such service","not_run":true}}`, int(code.UnknownService))
+	}
+}
+
+func (s *site) put(data []byte) int64 {
+	at := int64(len(s.records) + 1)
+	s.records = append(s.records, platform.Record{Offset: at, Data: data})
+	return at
+}
+
+func answer(w http.ResponseWriter, v any) { _ = json.NewEncoder(w).Encode(v) }
+
+// Each line is one run of the command line, one after another on one site.
+func TestCommands(t *testing.T) {
+	server := httptest.NewServer(new(site))
+	defer server.Close()
+	dead := httptest.NewServer(nil)
+	dead.Close()
+	live, gone := server.Listener.Addr().String(), dead.Listener.Addr().String()
+	changed := filepath.Join(t.TempDir(), "changed.yaml")
+	data, err := os.ReadFile("../../examples/halen-application.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(changed, append(data, "# changed\n"...), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	common := []string{"--log", server.URL, "--daemons", live, "--callers", live}
+	tests := []struct {
+		args string
+		exit int
+		want string // regular expression over stdout and stderr
+	}{
+		{"check ../../examples/halen-application.yaml ../../examples/pomelospoold.yaml", ExitOK, "valid document\n.*valid settings"},
+		{"check ../../process/settings/testdata/bad/missing.yaml", ExitFailed, `missing.yaml:1:1: zone: is missing; add the key \(code 4005\)`},
+		{"check none.yaml", ExitFailed, "no such file"},
+		{"publish ../../examples/halen-application.yaml --wait", ExitOK, "version 1 accepted on base 0\n.* in force on 1 of 1 daemons"},
+		{"publish ../../examples/halen-application.yaml", ExitOK, "in force already, version 1"},
+		{"publish " + changed + " --base 1 --json", ExitOK, `"version": 3`},
+		{"publish ../../examples/halen-application.yaml --base 1", ExitRefused, "5001 BASE_CONFLICT: version 3 .* won base 1\nwhat to do: Read the version"},
+		{"publish ../../process/settings/testdata/bad/missing.yaml", ExitFailed, "code 4002"},
+		{"publish ../../examples/halen-application.yaml --timeout 300ms --log http://" + gone, ExitUnreachable, "5003 LOG_UNAVAILABLE"},
+		{"status", ExitOK, "version 3 of halen-application in force on 1 of 1 daemons"},
+		{"status --daemons " + gone, ExitUnreachable, "version 3 of halen-application in force on 1 of 2 daemons(.|\n)*" + gone + ": 6003"},
+		{"status --json", ExitOK, `"answered": 1`},
+		{"address", ExitOK, live + "\thall-a\nmay be kept for 5s"},
+		{"call --model m hello there", ExitOK, "^mole\n$"},
+		{"call --model m --json hello", ExitOK, `"text": "mole"`},
+		{"call --service app --path /holds --key k7 --org school", ExitOK, "held k7 by school"},
+		{"call --service none", ExitRefused, "1006 UNKNOWN_SERVICE: no such service"},
+		{"call --model m", ExitUsage, "give a prompt"},
+		{"call", ExitUsage, "give either --model"},
+		{"explain base_conflict", ExitOK, "5001 BASE_CONFLICT .HTTP 409."},
+		{"explain 77", ExitUsage, "no code 77"},
+		{"completion bash", ExitOK, "GO_FLAGS_COMPLETION=1"},
+		{"version --json", ExitOK, `"version"`},
+		{"nonsense", ExitUsage, "Unknown command"},
+		{"publish --help", ExitOK, "--base=VERSION"},
+	}
+	for _, tt := range tests {
+		var out strings.Builder
+		args := append(append([]string(nil), common...), strings.Fields(tt.args)...)
+		exit := Main(t.Context(), args, strings.NewReader(""), &out, &out)
+		if exit != tt.exit || !regexp.MustCompile(tt.want).MatchString(out.String()) {
+			t.Errorf("%s\nexit %d, want %d; output, which should match %q:\n%s", tt.args, exit, tt.exit, tt.want, out.String())
+		}
+	}
+}
+
+// Every example passes its check.
+func TestExamplesAreValid(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*.yaml")
+	if err != nil || len(files) < 5 {
+		t.Fatalf("%d examples, %v", len(files), err)
+	}
+	for _, file := range files {
+		r, err := checkFile(file)
+		if err != nil || len(r.Problems) > 0 {
+			t.Errorf("%s: %v, %v", file, r.Problems, err)
+		}
+	}
+}
--- a/version/publish/publish.go
+++ b/version/publish/publish.go
@@ -225,7 +225,7 @@
 	if err != nil {
 		return err
 	}
-	if len(records) == 1 && records[0].Offset == base {
+	if len(records) > 0 && records[0].Offset == base {
 		env, ok := decode[record.Envelope](records[0].Data)
 		doc, ok2 := decode[record.Document](env.Body)
 		if ok && ok2 && env.Kind == record.KindDocument && doc.Service == r.w.service {
