--- /dev/null
+++ b/process/burn/burn_test.go
@@ -0,0 +1,277 @@
+package burn
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/version/document"
+)
+
+var goals = document.Objectives{
+	FirstToken:    time.Second,
+	BetweenTokens: 50 * time.Millisecond,
+	Answer:        10 * time.Second,
+	Target:        0.9,
+	Window:        720 * time.Hour,
+}
+
+// clock is a settable time.
+type clock struct{ now time.Time }
+
+func newClock() *clock { return &clock{time.Date(2026, 5, 4, 8, 0, 10, 0, time.UTC)} }
+
+func (c *clock) burn(daemon string) *Burn {
+	return New(Options{
+		Daemon:     daemon,
+		Now:        func() time.Time { return c.now },
+		Objectives: func(string) (document.Objectives, bool) { return goals, true },
+	})
+}
+
+func sample(c code.Code, first, between, total time.Duration) Sample {
+	return Sample{Service: "lm", Org: "school", Code: c, First: first, Between: between, Total: total}
+}
+
+func fine() Sample { return sample(code.OK, 1, 1, 1) }
+
+func TestJudge(t *testing.T) {
+	const s, ms = time.Second, time.Millisecond
+	tests := []struct {
+		name string
+		x    Sample
+		want [objectives]grade // first, between, answer, lost
+	}{
+		{"good", sample(code.OK, s, 50*ms, 10*s), [objectives]grade{good, good, good, good}},
+		{"late first token", sample(code.OK, s+1, 50*ms, 9*s), [objectives]grade{bad, good, good, good}},
+		{"slow tokens", sample(code.OK, s, 51*ms, 9*s), [objectives]grade{good, bad, good, good}},
+		{"late answer", sample(code.OK, s, 50*ms, 10*s+1), [objectives]grade{good, good, bad, good}},
+		{"plain answer", sample(code.OK, 0, 0, s), [objectives]grade{unmeasured, unmeasured, good, good}},
+		{"refused", sample(code.Overloaded, 0, 0, ms), [objectives]grade{bad, unmeasured, bad, good}},
+		{"cut", sample(code.StreamCut, s, 20*ms, 2*s), [objectives]grade{good, good, bad, bad}},
+		{"unknown outcome", sample(code.OutcomeUnknown, 0, 0, s), [objectives]grade{bad, unmeasured, bad, bad}},
+		{"caller's fault", sample(code.PromptTooLong, 0, 0, ms), [objectives]grade{}},
+		{"caller gone", sample(code.CallerGone, s, ms, s), [objectives]grade{}},
+		{"over its share", sample(code.OrgOverShare, 0, 0, ms), [objectives]grade{}},
+	}
+	for _, tt := range tests {
+		if got := judge(tt.x, goals).grades; got != tt.want {
+			t.Errorf("%s: %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// An outage of ten minutes: the alert comes with it, the short window ends it
+// soon after, and the spent budget stays for three days.
+func TestAlertComesAndGoes(t *testing.T) {
+	c := newClock()
+	b := c.burn("a")
+	run := func(d time.Duration, x Sample) {
+		for range int(d / time.Minute) {
+			c.now = c.now.Add(time.Minute)
+			for range 10 {
+				b.Observe(x)
+			}
+		}
+	}
+	look := func(what string, alert Alert, rates ...float64) Service {
+		t.Helper()
+		s := b.Report().Services[0]
+		if got := s.Alert(WholeAnswer); got != alert {
+			t.Errorf("%s: alert %q, want %q", what, got, alert)
+		}
+		for i, want := range rates {
+			if got := s.Windows[i].Rate(WholeAnswer, goals.Target); got < want-0.001 || got > want+0.001 {
+				t.Errorf("%s: rate over %v is %v, want %v", what, s.Windows[i].Length, got, want)
+			}
+		}
+		return s
+	}
+	run(6*time.Hour, fine())
+	look("before", AlertNone, 0, 0, 0, 0)
+	run(10*time.Minute, sample(code.NoTarget, 0, 0, 1))
+	// 10 of 60 minutes bad: a sixth, at a budget of a tenth.
+	look("outage", AlertNone, 10, 10.0/6)
+	run(50*time.Minute, sample(code.NoTarget, 0, 0, 1))
+	s := look("long outage", AlertTicket, 10, 10)
+	if got := s.Windows[1].Codes; len(got) != 1 || got[0] != (CodeCount{code.NoTarget, 600}) {
+		t.Errorf("codes of the last hour: %v", got)
+	}
+	run(2*time.Hour, sample(code.NoTarget, 0, 0, 1))
+	look("longer outage", AlertTicket, 10, 10)
+	run(6*time.Hour+30*time.Minute, fine())
+	s = look("after", AlertNone, 0, 0, 0)
+	if s.Spent(WholeAnswer) <= 0 {
+		t.Error("the spent budget is forgotten")
+	}
+	run(73*time.Hour, fine())
+	look("three days after", AlertNone, 0, 0, 0, 0)
+}
+
+// With a budget of one in a hundred an outage pages at once.
+func TestPage(t *testing.T) {
+	c := newClock()
+	strict := goals
+	strict.Target = 0.99
+	b := New(Options{Now: func() time.Time { return c.now }, Objectives: func(string) (document.Objectives, bool) { return strict, true }})
+	for range 20 {
+		c.now = c.now.Add(time.Minute)
+		b.Observe(sample(code.NoTarget, 0, 0, 1))
+	}
+	if got := b.Report().Services[0].Alert(WholeAnswer); got != AlertPage {
+		t.Errorf("alert %q", got)
+	}
+}
+
+// randomSamples spreads requests of a few organisations over three hours.
+func randomSamples(n int) []Sample {
+	rng := rand.New(rand.NewPCG(1, 2))
+	codes := []code.Code{code.OK, code.OK, code.OK, code.StreamCut, code.Overloaded, code.CallerGone}
+	out := make([]Sample, n)
+	for i := range out {
+		x := sample(codes[rng.IntN(len(codes))], time.Duration(rng.Int64N(int64(2*time.Second))), time.Duration(rng.Int64N(int64(time.Second/10))), time.Duration(rng.Int64N(int64(20*time.Second))))
+		x.Service = fmt.Sprintf("s%d", rng.IntN(3))
+		x.Org = fmt.Sprintf("org-%d", rng.IntN(10))
+		out[i] = x
+	}
+	return out
+}
+
+// The merge over daemons is what one daemon with all samples would report.
+func TestMergeIsExact(t *testing.T) {
+	c := newClock()
+	parts := []*Burn{c.burn("a"), c.burn("b"), c.burn("c")}
+	whole := c.burn("all")
+	for i, x := range randomSamples(5000) {
+		c.now = c.now.Add(2 * time.Second)
+		parts[(i*7)%3].Observe(x)
+		whole.Observe(x)
+	}
+	reports := make([]*Report, len(parts))
+	for i, p := range parts {
+		data, err := json.Marshal(p.Report())
+		if err != nil {
+			t.Fatal(err)
+		}
+		reports[i] = new(Report)
+		if err := json.Unmarshal(data, reports[i]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got := Merge(reports...)
+	want := Merge(whole.Report())
+	if !reflect.DeepEqual(got.Services, want.Services) {
+		t.Errorf("got  %+v\nwant %+v", got.Services, want.Services)
+	}
+	if fmt.Sprint(got.Daemons) != "[a b c]" || len(got.Services) != 3 {
+		t.Errorf("daemons %v, %d services", got.Daemons, len(got.Services))
+	}
+}
+
+// Thousands of organisations share a bounded number of groups, the busiest
+// have one of their own, and no request is left out of the sum.
+func TestOrganisationsAreBounded(t *testing.T) {
+	c := newClock()
+	b := c.burn("a")
+	const n = 20000
+	for i := range n {
+		c.now = c.now.Add(100 * time.Millisecond)
+		x := fine()
+		x.Org = fmt.Sprintf("org-%d", i%5000)
+		if i%4 == 0 {
+			x.Org = "busy"
+		}
+		b.Observe(x)
+	}
+	s := b.Report().Services[0]
+	sum, busy := uint64(0), uint64(0)
+	for _, o := range s.Orgs {
+		good := o.Windows[2].Counts[WholeAnswer].Good
+		sum += good
+		if o.Name == "busy" {
+			busy = good
+		}
+	}
+	if len(s.Orgs) > maxOrgs+1 || sum != n || busy != n/4 {
+		t.Errorf("%d groups, %d requests, %d of the busy one", len(s.Orgs), sum, busy)
+	}
+}
+
+// A daemon restarts: the long windows go on from its snapshot, which fits the
+// budget also with three full days of every service.
+func TestSnapshotOutlivesARestart(t *testing.T) {
+	c := newClock()
+	before := c.burn("a")
+	for i, x := range randomSamples(9000) {
+		c.now = c.now.Add(29 * time.Second)
+		if i%3 == 0 {
+			x.Service = fmt.Sprintf("busy-%d", i%maxServices)
+		}
+		before.Observe(x)
+	}
+	data, err := before.Snapshot()
+	if err != nil || len(data) > MaxSnapshot {
+		t.Fatalf("%d bytes, %v", len(data), err)
+	}
+	after := c.burn("a")
+	if err := after.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	left := len(before.names()) - len(after.names())
+	if left < 0 || left == len(before.names()) {
+		t.Fatalf("%d services left out", left)
+	}
+	for _, name := range after.names() {
+		got, want := after.services[name].all.windows(c.now)[2:], before.services[name].all.windows(c.now)[2:]
+		if !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: got %+v, want %+v", name, got, want)
+		}
+	}
+	if err := c.burn("b").Restore(data); err == nil {
+		t.Error("another daemon took the snapshot, so its counts would count twice")
+	}
+	early := c.burn("a")
+	c.now = c.now.Add(-100 * time.Hour)
+	if err := early.Restore(data); err != nil || len(early.services["s0"].all.coarse.save(time.Time{})) > 0 {
+		t.Errorf("buckets of the future were restored: %v", err)
+	}
+	if err := early.Restore([]byte(`{"daemon":"a","data":"eA=="}`)); err == nil {
+		t.Error("a broken snapshot was taken")
+	}
+}
+
+func BenchmarkObserve(b *testing.B) {
+	burn := newClock().burn("a")
+	x := fine()
+	x.Total = time.Second
+	b.ReportAllocs()
+	for i := range b.N {
+		x.Org = orgNames[i%len(orgNames)]
+		burn.Observe(x)
+	}
+}
+
+var orgNames = func() []string {
+	names := make([]string, 5000)
+	for i := range names {
+		names[i] = fmt.Sprintf("org-%d", i)
+	}
+	return names
+}()
+
+// BenchmarkService reports the bytes that a full service takes.
+func BenchmarkService(b *testing.B) {
+	b.ReportAllocs()
+	for range b.N {
+		burn := newClock().burn("a")
+		for i := range orgNames {
+			x := fine()
+			x.Org = orgNames[i]
+			burn.Observe(x)
+		}
+	}
+}
