pomelosctl burn: all daemons merged, as a table, JSON and one HTML page

The page was not looked at in a browser, only checked by test: 4 svg elements, no src, href, @import or url(), names escaped.

--- /dev/null
+++ b/operator/burnview/burnview_test.go
@@ -0,0 +1,86 @@
+package burnview
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/operator/status"
+	"github.com/pomelospool/pomelospool/process/burn"
+	"github.com/pomelospool/pomelospool/version/document"
+)
+
+// daemon serves the report of a Burn with a few samples.
+func daemon(t *testing.T, id string) string {
+	now := time.Date(2026, 5, 4, 8, 10, 0, 0, time.UTC)
+	goals := document.Objectives{FirstToken: time.Second, Answer: 10 * time.Second, Target: 0.95, Window: 720 * time.Hour}
+	b := burn.New(burn.Options{
+		Daemon:     id,
+		Now:        func() time.Time { return now },
+		Objectives: func(string) (document.Objectives, bool) { return goals, true },
+	})
+	for i := range 100 {
+		s := burn.Sample{Service: "lm", Org: "school", First: 300 * time.Millisecond, Total: time.Duration(i+1) * 50 * time.Millisecond}
+		if i%20 == 0 {
+			s = burn.Sample{Service: "lm", Org: "<b>coach</b>", Code: code.StreamCut, Total: time.Second}
+		}
+		b.Observe(s)
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(b.Report())
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func fetch(t *testing.T) (View, string) {
+	dead := httptest.NewServer(nil)
+	dead.Close()
+	gone := dead.Listener.Addr().String()
+	a := daemon(t, "entry-1")
+	client := status.NewClient(nil, "")
+	t.Cleanup(client.Close)
+	return Fetch(t.Context(), client, []string{a, daemon(t, "entry-2"), gone, a}, 5*time.Second), gone
+}
+
+// Two daemons answer, one of them under two addresses, and one is down: its
+// absence is said, and no sample counts twice.
+func TestTable(t *testing.T) {
+	v, gone := fetch(t)
+	var out strings.Builder
+	if err := v.Table(&out, true); err != nil {
+		t.Fatal(err)
+	}
+	text := strings.ReplaceAll(out.String(), gone, "GONE")
+	goldie.New(t).Assert(t, "table", []byte(text))
+}
+
+// The page loads nothing, has its plots inside and shows names as text.
+func TestPageStandsAlone(t *testing.T) {
+	v, gone := fetch(t)
+	var out strings.Builder
+	if err := v.HTML(&out); err != nil {
+		t.Fatal(err)
+	}
+	page := out.String()
+	if n := strings.Count(page, "<svg"); n != 4 {
+		t.Errorf("%d plots, want 4", n)
+	}
+	if loads := regexp.MustCompile(`(src|href)=|@import|url\(`).FindString(page); loads != "" {
+		t.Errorf("the page loads something: %s", loads)
+	}
+	if strings.Contains(page, "<b>coach") || !strings.Contains(page, "&lt;b&gt;coach") {
+		t.Error("a name stands in the page as markup")
+	}
+	if want := fmt.Sprintf("Not in this report: %s (6003 DAEMON_UNREACHABLE)", gone); !strings.Contains(page, want) {
+		t.Errorf("the page lacks %q", want)
+	}
+}
--- /dev/null
+++ b/operator/svgplot/svgplot.go
@@ -0,0 +1,98 @@
+// Package svgplot draws the plots of the reports as SVG.
+package svgplot
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+const (
+	width  = 16 * vg.Centimeter
+	height = 8 * vg.Centimeter
+	bar    = 12 * vg.Millimeter
+)
+
+// Curve is one line of a plot of quantiles.
+type Curve struct {
+	Name string
+	At   func(q float64) time.Duration
+}
+
+// quantiles are the points of a curve, closer together towards the slow end.
+var quantiles = []float64{0.01, 0.1, 0.25, 0.5, 0.75, 0.9, 0.95, 0.99, 0.995, 0.999, 0.9999}
+
+// Quantiles draws times over quantiles. The axis is logarithmic in the share
+// of requests that are slower, so that the slow end can be read.
+func Quantiles(title string, curves ...Curve) ([]byte, error) {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = "share of requests that are faster"
+	p.Y.Label.Text = "milliseconds"
+	p.Legend.Top, p.Legend.Left = true, true
+	p.X.Tick.Marker = plot.ConstantTicks(quantileTicks())
+	for i, c := range curves {
+		points := make(plotter.XYs, len(quantiles))
+		for j, q := range quantiles {
+			points[j] = plotter.XY{X: nines(q), Y: float64(c.At(q)) / float64(time.Millisecond)}
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return nil, fmt.Errorf("plot %s: %w", c.Name, err)
+		}
+		line.Dashes = dashes(i)
+		p.Add(line)
+		p.Legend.Add(c.Name, line)
+	}
+	p.Add(plotter.NewGrid())
+	return render(p)
+}
+
+// nines gives 1 for 0.9, 2 for 0.99 and so on.
+func nines(q float64) float64 { return -math.Log10(1 - q) }
+
+func quantileTicks() []plot.Tick {
+	labels := []float64{0.1, 0.5, 0.9, 0.99, 0.999, 0.9999}
+	ticks := make([]plot.Tick, len(labels))
+	for i, q := range labels {
+		ticks[i] = plot.Tick{Value: nines(q), Label: fmt.Sprintf("%g", q)}
+	}
+	return ticks
+}
+
+func dashes(i int) []vg.Length {
+	styles := [][]vg.Length{nil, {vg.Points(6), vg.Points(3)}, {vg.Points(2), vg.Points(2)}}
+	return styles[i%len(styles)]
+}
+
+// Bars draws one bar a label.
+func Bars(title, unit string, labels []string, values []float64) ([]byte, error) {
+	p := plot.New()
+	p.Title.Text = title
+	p.Y.Label.Text = unit
+	p.Y.Min = 0
+	bars, err := plotter.NewBarChart(plotter.Values(values), bar)
+	if err != nil {
+		return nil, fmt.Errorf("plot %s: %w", title, err)
+	}
+	p.Add(bars)
+	p.NominalX(labels...)
+	return render(p)
+}
+
+func render(p *plot.Plot) ([]byte, error) {
+	canvas := vgsvg.New(width, height)
+	p.Draw(draw.New(canvas))
+	var b bytes.Buffer
+	if _, err := canvas.WriteTo(&b); err != nil {
+		return nil, fmt.Errorf("write SVG: %w", err)
+	}
+	return b.Bytes(), nil
+}
