pomelosctl load: open-loop arrivals, times from the intended arrival

Weighed: correcting coordinated omission afterwards (HdrHistogram's RecordCorrectedValue with an expected interval) against measuring from a plan that is fixed beforehand. The plan needs no guess of the interval and works for mixed lengths, so it is the rule; the times from the true start stand beside.

Change: operator/load (seeded plan, run, summary, table, JSON, SVG), ctl load.

Shown failing first: with the lateness left out, TestCoordinatedOmission fails for one request in flight (the 2 s stall is hidden in p90).

--- a/operator/ctl/app.go
+++ b/operator/ctl/app.go
@@ -62,6 +62,7 @@
 	add("status", "Say what is in force on which daemons", statusHelp, &statusCommand{app: a})
 	add("address", "Ask for the addresses that callers may use", addressHelp, &addressCommand{app: a})
 	add("call", "Send one request as a caller", callHelp, &callCommand{app: a})
+	add("load", "Send load and measure the answers", loadHelp, &loadCommand{app: a})
 	add("burn", "Say how fast the services spend their error budgets", burnHelp, &burnCommand{app: a})
 	add("explain", "Explain a numbered code", explainHelp, &explainCommand{app: a})
 	add("completion", "Print the shell's completion script", completionHelp, &completionCommand{app: a})
