Agreement: fold, follower, leases and reconciler, thin whole

Cause: the daemons have nothing but the log to agree through, and it gives an order but no compare-and-set.

Weighed: each record names what it was decided on, so the first that fits wins and copies are void at any distance. For orders this took one new field, Order.After (offset of the end of the engine's last order); a window of seen ids was written first and dropped, as it needs memory and still ends somewhere. Order.Load is new as well, so that loads are counted from the log.

Change: packages clock, fold, follow, lease, reconcile; loads are limited by their place among open loads in the log, so nothing is agreed between groups.

--- /dev/null
+++ b/process/fold/state.go
@@ -0,0 +1,167 @@
+// Package fold turns the records of the control stream into the state that all
+// daemons agree on. It is a pure function of the records in log order: no
+// clock, no I/O, no randomness, so that equal offsets mean equal states.
+package fold
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/platform"
+)
+
+// Format numbers the layout of State in checkpoints. A change of the rules
+// that gives another state for the same records needs a new number.
+const Format = 1
+
+// Bounds of what the state keeps.
+const (
+	MaxPending  = 16   // documents waiting for a verdict, a service
+	MaxOutcomes = 32   // outcomes kept for publishers and against copies, a service
+	MaxEngines  = 4096 // engines remembered without an open order
+	MaxRemoved  = 1024 // removed services remembered
+)
+
+// Errors of the package.
+var (
+	// ErrGap means that records are missing before the given one.
+	ErrGap = errors.New("fold: gap before the record")
+	// ErrFormat means that a checkpoint has a layout that this binary can't read.
+	ErrFormat = errors.New("fold: unknown checkpoint format")
+)
+
+// State is the fold of all records up to Applied. Values inside the maps are
+// never changed in place, so Clone is cheap and clones stay as they are.
+type State struct {
+	Format     int                `json:"format"`
+	Applied    int64              `json:"applied"` // offset of the newest record folded
+	Changed    int64              `json:"changed"` // offset at which a version last came into force
+	Services   map[string]Service `json:"services,omitempty"`
+	Leases     map[string]Lease   `json:"leases,omitempty"`  // by group
+	Engines    map[string]Engine  `json:"engines,omitempty"` // by Order.Engine
+	Checkpoint Mark               `json:"checkpoint"`        // checkpoint with the highest Covers
+}
+
+// Service is the agreed state of one service.
+type Service struct {
+	Version  int64       `json:"version"` // offset of the accepted document, 0 before the first
+	YAML     string      `json:"yaml,omitempty"`
+	Removed  bool        `json:"removed,omitempty"` // the version in force ended the service
+	Pending  []Candidate `json:"pending,omitempty"` // in log order; the head gets the next verdict
+	Outcomes []Outcome   `json:"outcomes,omitempty"`
+}
+
+// Candidate is a document that waits for its verdict.
+type Candidate struct {
+	ID      string `json:"id"`      // of the envelope
+	Version int64  `json:"version"` // offset of the document
+	YAML    string `json:"yaml,omitempty"`
+	Remove  bool   `json:"remove,omitempty"`
+}
+
+// Outcome tells a publisher what became of its document.
+type Outcome struct {
+	ID      string    `json:"id"`             // of the envelope
+	Version int64     `json:"version"`        // offset of the document
+	Code    code.Code `json:"code,omitempty"` // OK, BaseConflict or the verdict's code
+	Winner  int64     `json:"winner"`         // version in force when this was decided
+	Detail  string    `json:"detail,omitempty"`
+}
+
+// Lease is the newest valid claim on a group.
+type Lease struct {
+	Claim    int64  `json:"claim"` // offset of the claim: the fencing number
+	Holder   string `json:"holder"`
+	Addr     string `json:"addr,omitempty"`
+	Released bool   `json:"released,omitempty"`
+	Clean    bool   `json:"clean,omitempty"` // the lease before it was released, not taken over
+}
+
+// Engine is what was ordered of one engine.
+type Engine struct {
+	Open *Open `json:"open,omitempty"`
+	Done *Done `json:"done,omitempty"` // the newest that ended
+}
+
+// Open is an order that was logged and has not ended. It is read-only.
+type Open struct {
+	ID     string              `json:"id"` // of the envelope, and of the order sent
+	Group  string              `json:"group"`
+	Claim  int64               `json:"claim"`
+	Offset int64               `json:"offset"`
+	Addr   string              `json:"addr"`
+	Spec   platform.EngineSpec `json:"spec"`
+	Load   bool                `json:"load,omitempty"` // reads from the weight store
+	Reason string              `json:"reason,omitempty"`
+}
+
+// Done is an order that ended. It is read-only.
+type Done struct {
+	ID     string              `json:"id"`
+	Offset int64               `json:"offset"` // of the record that ended it
+	Spec   platform.EngineSpec `json:"spec"`
+	Detail string              `json:"detail,omitempty"`
+}
+
+// Mark is the place of a checkpoint in the log.
+type Mark struct {
+	At     int64 `json:"at"`
+	Covers int64 `json:"covers"`
+}
+
+// New returns the state before the first record.
+func New() *State {
+	return &State{
+		Format:   Format,
+		Services: map[string]Service{},
+		Leases:   map[string]Lease{},
+		Engines:  map[string]Engine{},
+	}
+}
+
+// Clone returns a copy that later calls of Apply on s don't change.
+func (s *State) Clone() *State {
+	c := *s
+	c.Services = maps.Clone(s.Services)
+	c.Leases = maps.Clone(s.Leases)
+	c.Engines = maps.Clone(s.Engines)
+	return &c
+}
+
+// Encode returns the JSON form for a checkpoint. Equal states give equal bytes.
+func (s *State) Encode() ([]byte, error) { return json.Marshal(s) }
+
+// Decode reads a state that Encode wrote. It gives ErrFormat for a layout of
+// another binary, which the reader treats as if the checkpoint weren't there.
+func Decode(data []byte) (*State, error) {
+	s := New()
+	if err := json.Unmarshal(data, s); err != nil {
+		return nil, fmt.Errorf("fold: checkpoint: %w", err)
+	}
+	if s.Format != Format {
+		return nil, fmt.Errorf("%w %d", ErrFormat, s.Format)
+	}
+	return s, nil
+}
+
+// LastDone returns the offset of the record that ended the engine's newest
+// order, 0 when none ended. The next order of the engine names it.
+func (s *State) LastDone(engine string) int64 {
+	if d := s.Engines[engine].Done; d != nil {
+		return d.Offset
+	}
+	return 0
+}
+
+// Outcome returns what became of the document with the envelope id.
+func (s *State) Outcome(service, id string) (Outcome, bool) {
+	for _, o := range s.Services[service].Outcomes {
+		if o.ID == id {
+			return o, true
+		}
+	}
+	return Outcome{}, false
+}
--- /dev/null
+++ b/process/follow/recover.go
@@ -0,0 +1,164 @@
+package follow
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/process/fold"
+	"github.com/pomelospool/pomelospool/process/record"
+)
+
+// recoverChunk is how many records the first step back looks at.
+const recoverChunk = 1024
+
+// Recover returns the state from which a starting reader goes on: that of a
+// trusted checkpoint, or the empty one while the log still has its first
+// record. It looks for a checkpoint from the tail backwards, so its cost
+// depends on the distance of the newest checkpoint and not on the length of
+// the log. The error has code.RecordsExpired when neither exists.
+func Recover(ctx context.Context, l platform.Log) (*fold.State, error) {
+	return recoverState(ctx, l)
+}
+
+func recoverState(ctx context.Context, l platform.Log) (*fold.State, error) {
+	earliest, newest, err := extent(ctx, l)
+	if err != nil {
+		return nil, err
+	}
+	chunk := int64(recoverChunk)
+	for to := newest; to >= earliest; chunk *= 2 {
+		from := max(earliest, to-chunk+1)
+		s, err := newestCheckpoint(ctx, l, from, to, earliest)
+		if err != nil || s != nil {
+			return s, err
+		}
+		to = from - 1
+	}
+	if earliest > 1 {
+		return nil, code.New(code.RecordsExpired, "no checkpoint among records %d to %d", earliest, newest)
+	}
+	return fold.New(), nil
+}
+
+// extent returns the earliest and the newest offset of the control stream.
+func extent(ctx context.Context, l platform.Log) (earliest, newest int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	earliest, err = l.Earliest(ctx, record.Control)
+	if err != nil {
+		return 0, 0, fmt.Errorf("recover: %w", err)
+	}
+	_, newest, err = l.Read(ctx, record.Control, earliest, 1, 0)
+	if err != nil {
+		return 0, 0, fmt.Errorf("recover: %w", err)
+	}
+	return earliest, newest, nil
+}
+
+// newestCheckpoint returns the state of the trusted checkpoint in [from, to]
+// that covers most, or nil.
+func newestCheckpoint(ctx context.Context, l platform.Log, from, to, earliest int64) (*fold.State, error) {
+	var best *fold.State
+	for from <= to {
+		recs, err := readSome(ctx, l, from, to)
+		if err != nil {
+			return nil, err
+		}
+		if len(recs) == 0 {
+			return best, nil
+		}
+		for _, r := range recs {
+			best = better(best, r, earliest)
+		}
+		from = recs[len(recs)-1].Offset + 1
+	}
+	return best, nil
+}
+
+func readSome(ctx context.Context, l platform.Log, from, to int64) ([]platform.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	recs, _, err := l.Read(ctx, record.Control, from, int(min(readMax, to-from+1)), 0)
+	if err != nil {
+		return nil, fmt.Errorf("recover: %w", err)
+	}
+	return recs, nil
+}
+
+// better returns the state of r if it is a trusted checkpoint that covers more
+// than best. One that can't be read is passed over.
+func better(best *fold.State, r platform.Record, earliest int64) *fold.State {
+	var e record.Envelope
+	if json.Unmarshal(r.Data, &e) != nil || e.Kind != record.KindCheckpoint {
+		return best
+	}
+	var c record.Checkpoint
+	if json.Unmarshal(e.Body, &c) != nil || !fold.Trusted(c, r.Offset, earliest) {
+		return best
+	}
+	if best != nil && c.Covers <= best.Applied {
+		return best
+	}
+	s, err := fold.Load(c)
+	if err != nil {
+		log.WithError(err).WithField("offset", r.Offset).Warn("follow: checkpoint passed over")
+		return best
+	}
+	return s
+}
+
+// fromPeer goes on with a peer's records while the log can't be read. It never
+// renews the lease: a peer may lag, so its word doesn't show that no later
+// claim stands.
+func (f *Follower) fromPeer(ctx context.Context) {
+	if f.o.Peers == nil {
+		return
+	}
+	from := int64(1)
+	if f.state != nil {
+		from = f.state.Applied + 1
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	b, err := f.o.Peers.Fetch(ctx, from)
+	if err != nil {
+		log.WithError(err).Debug("follow: no peer answered")
+		return
+	}
+	counts.Add("peer_fetches", 1)
+	if err := f.takeBatch(b, from); err != nil {
+		log.WithError(err).Warn("follow: peer's records passed over")
+	}
+}
+
+// takeBatch folds what a peer gave.
+//
+// The guard is against a peer that is behind: its checkpoint is taken only if
+// it covers more than what this process has folded, so nothing goes back.
+func (f *Follower) takeBatch(b Batch, from int64) error {
+	if f.state == nil && from == 1 && len(b.Checkpoint) == 0 {
+		f.state = fold.New()
+	}
+	if len(b.Checkpoint) > 0 && b.Covers >= from {
+		s, err := fold.Load(record.Checkpoint{Covers: b.Covers, State: b.Checkpoint})
+		if err != nil {
+			return err
+		}
+		f.state = s
+	}
+	if f.state == nil {
+		return nil
+	}
+	if err := f.apply(b.Records); err != nil {
+		return err
+	}
+	if f.state.Applied >= b.Applied && f.state.Applied >= f.Applied() {
+		f.publish()
+	}
+	return nil
+}
--- /dev/null
+++ b/process/lease/conn.go
@@ -0,0 +1,70 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Check tells whether a write may be made now: nil, or an error with
+// code.LeaseLost.
+type Check func() error
+
+// Conn is a connection on which nothing is written without authority.
+//
+// The guard is against a process that is paused between its decision and the
+// write, which would send an order long after its lease lapsed. The check runs
+// in Write, directly before the system call, so what a pause can still hit is
+// the microsecond between the two. Every write checks, so a connection that
+// was opened anew by the HTTP client is under the same guard.
+type Conn struct {
+	net.Conn
+	check Check
+}
+
+// Write writes p if the check allows it.
+func (c *Conn) Write(p []byte) (int, error) {
+	if err := c.check(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// Dialer returns a dial function for http.Transport.DialContext whose
+// connections check before each write and give up undelivered bytes after
+// userTimeout.
+//
+// The second guard is against a partition: bytes that were written under the
+// lease stay in the kernel, which sends them again for many minutes, and an
+// order arrives long after a successor took over. TCP_USER_TIMEOUT makes the
+// kernel drop the connection and its bytes; it must be below Rule.Guard.
+func Dialer(check Check, userTimeout time.Duration) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	d := &net.Dialer{
+		Timeout: userTimeout,
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return setUserTimeout(raw, userTimeout)
+		},
+	}
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &Conn{Conn: c, check: check}, nil
+	}
+}
+
+func setUserTimeout(raw syscall.RawConn, d time.Duration) error {
+	var set error
+	err := raw.Control(func(fd uintptr) {
+		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+	if err != nil {
+		return fmt.Errorf("lease: user timeout: %w", err)
+	}
+	return set
+}
--- /dev/null
+++ b/process/reconcile/harness_test.go
@@ -0,0 +1,296 @@
+package reconcile
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gopkg.in/yaml.v3"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/process/clock"
+	"github.com/pomelospool/pomelospool/process/fold"
+	"github.com/pomelospool/pomelospool/process/follow"
+	"github.com/pomelospool/pomelospool/process/internal/logtest"
+	"github.com/pomelospool/pomelospool/process/lease"
+	"github.com/pomelospool/pomelospool/process/record"
+	"github.com/pomelospool/pomelospool/request/view"
+	"github.com/pomelospool/pomelospool/version/document"
+)
+
+const changeTime = 5 * time.Second
+
+// fakeEngine carries orders out in changeTime and notes what it was sent.
+type fakeEngine struct {
+	platform.Engine
+	mu     sync.Mutex
+	state  platform.EngineState
+	until  time.Time
+	orders []platform.Order // accepted, copies left out
+	lose   int              // answers to lose
+}
+
+func (e *fakeEngine) State(context.Context) (platform.EngineState, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settle()
+	return e.state, nil
+}
+
+func (e *fakeEngine) settle() {
+	if e.state.Changing && !time.Now().Before(e.until) {
+		e.state.Changing, e.state.Spec = false, e.state.Target
+	}
+}
+
+func (e *fakeEngine) Order(_ context.Context, o platform.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settle()
+	switch {
+	case e.state.ChecksFence && o.Fence < e.state.LastFence:
+		return platform.ErrFenced
+	case o.ID != e.state.LastOrder && e.state.Changing:
+		return platform.ErrBusy
+	case o.Spec.Version == "bad":
+		return code.New(code.OrderRefused, "no such version")
+	}
+	e.state.LastFence = max(o.Fence, e.state.LastFence)
+	if o.ID != e.state.LastOrder {
+		e.state.LastOrder, e.state.Changing, e.state.Target = o.ID, true, o.Spec
+		e.until = time.Now().Add(changeTime)
+		e.orders = append(e.orders, o)
+	}
+	if e.lose > 0 {
+		e.lose--
+		return fmt.Errorf("order: %w", platform.ErrUnavailable)
+	}
+	return nil
+}
+
+// restart makes the engine forget what it was told.
+func (e *fakeEngine) restart(spec platform.EngineSpec) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state = platform.EngineState{Spec: spec, ChecksFence: e.state.ChecksFence}
+}
+
+func (e *fakeEngine) leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.Leaving = true
+}
+
+// versions returns the versions that were ordered.
+func (e *fakeEngine) versions() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := ""
+	for _, o := range e.orders {
+		s += o.Spec.Version + " "
+	}
+	return s
+}
+
+func (e *fakeEngine) is(version string) bool {
+	s, _ := e.State(context.Background())
+	return !s.Changing && s.Spec.Version == version
+}
+
+// fleet is a log, engines and daemons.
+type fleet struct {
+	t       *testing.T
+	log     *logtest.Log
+	engines map[string]*fakeEngine
+	daemons []*daemon
+	rate    float64
+}
+
+// daemon is one process as far as control goes.
+type daemon struct {
+	fleet  *fleet
+	id     string
+	rank   int
+	link   *link
+	follow *follow.Follower
+	lease  *lease.Manager
+	rec    *Reconciler
+}
+
+// link is a daemon's way to the log, which can be cut.
+type link struct {
+	*logtest.Log
+	mu  sync.Mutex
+	cut bool
+}
+
+func (l *link) set(cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = cut
+}
+
+func (l *link) err() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cut {
+		return fmt.Errorf("cut: %w", platform.ErrUnavailable)
+	}
+	return nil
+}
+
+func (l *link) Append(ctx context.Context, s string, data []byte) (int64, error) {
+	if err := l.err(); err != nil {
+		return 0, err
+	}
+	return l.Log.Append(ctx, s, data)
+}
+
+func (l *link) Read(ctx context.Context, s string, from int64, n int, wait time.Duration) ([]platform.Record, int64, error) {
+	recs, newest, err := l.Log.Read(ctx, s, from, n, wait)
+	if e := l.err(); e != nil {
+		return nil, 0, e
+	}
+	return recs, newest, err
+}
+
+// newFleet has the engines e0, e1 and so on.
+func newFleet(t *testing.T, engines int) *fleet {
+	f := &fleet{t: t, log: &logtest.Log{}, engines: map[string]*fakeEngine{}, rate: 1e9}
+	for i := range engines {
+		f.engines[fmt.Sprint("e", i)] = &fakeEngine{}
+	}
+	return f
+}
+
+// members is the membership view of one daemon.
+type members struct{ d *daemon }
+
+func (m members) Gone(incarnation string) bool {
+	for _, d := range m.d.fleet.daemons {
+		if d.id == incarnation {
+			return false
+		}
+	}
+	return true
+}
+
+func (m members) Rank(string) (int, bool) { return m.d.rank, true }
+
+type weights struct{ rate float64 }
+
+func (w weights) Size(context.Context, string, string) (int64, error) { return 1, nil }
+func (w weights) Rate(context.Context) (float64, error)               { return w.rate, nil }
+
+// add starts a daemon.
+func (f *fleet) add(id string) *daemon {
+	d := &daemon{fleet: f, id: id, rank: len(f.daemons), link: &link{Log: f.log}}
+	c := clock.NewRuntime()
+	d.follow = follow.New(follow.Options{Log: d.link, Clock: c, Self: id, Validate: validate, Rank: func() int { return d.rank }})
+	d.lease = lease.New(lease.Options{Clock: c, Follower: d.follow, View: members{d}, Groups: d.groups, Self: id})
+	d.rec = New(Options{Clock: c, Follower: d.follow, Leases: d.lease, Snapshot: d.snapshot, Connect: d.connect, Weights: weights{f.rate}})
+	f.daemons = append(f.daemons, d)
+	d.follow.Start()
+	d.lease.Start()
+	d.rec.Start()
+	<-d.follow.Ready()
+	return d
+}
+
+// kill ends a daemon without a release.
+func (f *fleet) kill(d *daemon) {
+	for _, err := range []error{d.rec.Stop(), d.lease.Stop(), d.follow.Stop()} {
+		if err != nil {
+			f.t.Error(err)
+		}
+	}
+	f.forget(d)
+}
+
+// forget lets the others see the daemon as dead.
+func (f *fleet) forget(d *daemon) {
+	for i, x := range f.daemons {
+		if x == d {
+			f.daemons = append(f.daemons[:i:i], f.daemons[i+1:]...)
+		}
+	}
+}
+
+func (f *fleet) stop() {
+	for len(f.daemons) > 0 {
+		f.kill(f.daemons[0])
+	}
+}
+
+func validate(text string) (code.Code, string) {
+	var d document.Document
+	if err := yaml.Unmarshal([]byte(text), &d); err != nil {
+		return code.DocSyntax, err.Error()
+	}
+	return code.OK, ""
+}
+
+// publish puts a document with all engines in force.
+func (f *fleet) publish(version string) {
+	f.t.Helper()
+	base := int64(0)
+	if len(f.daemons) > 0 {
+		base = f.daemons[0].follow.State().Services["s"].Version
+	}
+	doc := document.Document{Service: "s", Kind: document.KindModel, Models: []document.Model{{Name: "m", Version: version}}}
+	for i := range len(f.engines) {
+		doc.Targets = append(doc.Targets, document.Target{Addr: fmt.Sprint("e", i), Zone: "z", Model: "m"})
+	}
+	text, err := yaml.Marshal(doc)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.append("doc-"+version, record.KindDocument, record.Document{Service: "s", Base: base, YAML: string(text)})
+}
+
+func (f *fleet) append(id string, kind record.Kind, body any) {
+	f.t.Helper()
+	a := follow.NewAppender(f.log, func() int64 { return 0 }, 1000)
+	e, err := follow.Envelope(id, kind, "operator", body)
+	if err == nil {
+		_, err = a.Append(context.Background(), e)
+	}
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (d *daemon) snapshot() *view.Snapshot { return snapshotOf(d.follow.State()) }
+
+func snapshotOf(s *fold.State) *view.Snapshot {
+	var services []*view.Service
+	for _, svc := range s.Services {
+		var doc document.Document
+		if svc.Version > 0 && yaml.Unmarshal([]byte(svc.YAML), &doc) == nil {
+			services = append(services, &view.Service{Doc: &doc, Version: svc.Version})
+		}
+	}
+	return view.NewSnapshot(s.Applied, services, nil)
+}
+
+func (d *daemon) groups() []string { return Names(Groups(d.snapshot())) }
+
+func (d *daemon) connect(id string, check lease.Check, _ time.Duration) platform.Engine {
+	return guarded{d.fleet.engines[id], check}
+}
+
+// guarded checks before each write, as lease.Conn does.
+type guarded struct {
+	*fakeEngine
+	check lease.Check
+}
+
+func (g guarded) Order(ctx context.Context, o platform.Order) error {
+	if err := g.check(); err != nil {
+		return err
+	}
+	return g.fakeEngine.Order(ctx, o)
+}
--- /dev/null
+++ b/process/reconcile/reconciler_test.go
@@ -0,0 +1,123 @@
+package reconcile
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pomelospool/pomelospool/platform"
+)
+
+// A caller sees an engine go away in the middle of a change, or get changes in
+// the wrong order. Daemons die, are cut off or lose answers at each step
+// between the decision and the end of an order; the one that goes on must end
+// what was begun and send each order once.
+func TestOrders(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		fault    func(f *fleet)
+		versions string // what the engine carried out
+	}{
+		{"no fault", func(*fleet) {}, "v1 v2 "},
+		{"holder dies in the middle of a change", func(f *fleet) { f.kill(f.daemons[0]) }, "v1 v2 "},
+		{"two takeovers in a row", func(f *fleet) {
+			f.kill(f.daemons[0])
+			time.Sleep(2 * time.Second)
+			f.kill(f.daemons[0])
+			f.add("c")
+		}, "v1 v2 "},
+		{"engine crashes in the middle of a change", func(f *fleet) { f.engines["e0"].restart(platform.EngineSpec{}) }, "v1 v1 v2 "},
+		{"answer of the log lost", func(f *fleet) { f.log.LoseAnswers(5) }, "v1 v2 "},
+		{"answer of the engine lost", func(f *fleet) { f.engines["e0"].lose = 3 }, "v1 v2 "},
+		{"log down for minutes", func(f *fleet) {
+			f.log.Down(true)
+			time.Sleep(3 * time.Minute)
+			f.log.Down(false)
+		}, "v1 v2 "},
+		{"holder cut off from the log, not dead", func(f *fleet) {
+			f.daemons[0].link.set(true)
+			f.forget(f.daemons[0])
+		}, "v1 v2 "},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 1)
+				first := f.add("a")
+				f.add("b")
+				f.publish("v1")
+				time.Sleep(12 * time.Second) // the order is under way
+				c.fault(f)
+				f.publish("v2")
+				time.Sleep(40 * time.Second)
+				if e := f.engines["e0"]; !e.is("v2") || e.versions() != c.versions {
+					t.Errorf("engine carried out %q, state %+v; want %q", e.versions(), e.state, c.versions)
+				}
+				f.stop()
+				_ = first.follow.Stop() // one that was cut off
+				_ = first.lease.Stop()
+				_ = first.rec.Stop()
+			})
+		})
+	}
+}
+
+// An engine restarts with an old version at night. It must be brought back
+// without anyone's doing, and again the next time.
+func TestBroughtBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		f.add("a")
+		f.publish("v1")
+		time.Sleep(20 * time.Second)
+		for range 3 {
+			f.engines["e0"].restart(platform.EngineSpec{Model: "m", Version: "v0"})
+			time.Sleep(10 * time.Second)
+			if !f.engines["e0"].is("v1") {
+				t.Errorf("engine was not brought back: %+v", f.engines["e0"].state)
+			}
+		}
+		f.engines["e0"].leave()
+		time.Sleep(2 * time.Second)
+		if !f.daemons[0].rec.EnginesLeaving()["e0"] {
+			t.Error("the engine's word that it leaves is not passed on")
+		}
+		f.stop()
+	})
+}
+
+// Twenty engines need a new version at once and the store feeds four. No more
+// than four may load at any time, although two daemons hold a group each.
+func TestLoadsWithinRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 20)
+		f.rate = 4e9
+		f.add("a")
+		f.add("b")
+		f.publish("v1")
+		most := 0
+		for range 600 {
+			time.Sleep(100 * time.Millisecond)
+			most = max(most, f.changing())
+		}
+		if most > 4 || most < 3 {
+			t.Errorf("%d loads at once with four slots", most)
+		}
+		for id, e := range f.engines {
+			if !e.is("v1") {
+				t.Errorf("%s was not loaded", id)
+			}
+		}
+		f.stop()
+	})
+}
+
+func (f *fleet) changing() int {
+	n := 0
+	for _, e := range f.engines {
+		if s, _ := e.State(context.Background()); s.Changing {
+			n++
+		}
+	}
+	return n
+}
--- a/process/record/record.go
+++ b/process/record/record.go
@@ -82,6 +82,8 @@
 	Engine string              `json:"engine"`
 	Addr   string              `json:"addr"`
 	Spec   platform.EngineSpec `json:"spec"`
+	After  int64               `json:"after"`          // offset of the record that ended the engine's order before, 0 for none
+	Load   bool                `json:"load,omitempty"` // the engine reads from the weight store
 	Reason string              `json:"reason"`
 }
 
