--- /dev/null
+++ b/connection/address/address.go
@@ -0,0 +1,79 @@
+// Package address answers callers' question which addresses to use. No
+// balancer stands before the daemons: this answer is what spreads callers.
+package address
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Member is one daemon as the membership sees it.
+type Member struct {
+	Addr    string // host:port for callers
+	Zone    string // availability zone
+	Leaving bool   // stops soon: callers must be elsewhere by then
+}
+
+// Entry is one address of an answer.
+type Entry struct {
+	Addr string `json:"addr"`
+	Zone string `json:"zone"`
+}
+
+// Answer tells a caller which addresses to use, best first, and for how long
+// it may keep the answer.
+type Answer struct {
+	Addresses []Entry `json:"addresses"`
+	TTLMs     int64   `json:"ttl_ms"`
+}
+
+// Book makes answers. It is safe for concurrent use.
+type Book struct {
+	members func() []Member
+	ttl     time.Duration
+}
+
+// NewBook returns a Book over members, which returns the live members and
+// must be safe for concurrent use.
+func NewBook(members func() []Member, ttl time.Duration) *Book {
+	return &Book{members: members, ttl: ttl}
+}
+
+// Answer orders the members that stay: the caller's availability zone first,
+// and within a zone by a hash of seed and address. Different seeds give
+// different orders, so that callers spread; the same seed keeps its order
+// while members come and go, so that its connections stay in use.
+func (b *Book) Answer(zone string, seed uint64) Answer {
+	var stay []Member
+	for _, m := range b.members() {
+		if !m.Leaving {
+			stay = append(stay, m)
+		}
+	}
+	slices.SortFunc(stay, func(x, y Member) int {
+		return cmp.Or(
+			away(x, zone)-away(y, zone),
+			cmp.Compare(rank(seed, x.Addr), rank(seed, y.Addr)),
+		)
+	})
+	a := Answer{Addresses: make([]Entry, 0, len(stay)), TTLMs: b.ttl.Milliseconds()}
+	for _, m := range stay {
+		a.Addresses = append(a.Addresses, Entry{Addr: m.Addr, Zone: m.Zone})
+	}
+	return a
+}
+
+func away(m Member, zone string) int {
+	if m.Zone == zone {
+		return 0
+	}
+	return 1
+}
+
+func rank(seed uint64, addr string) uint64 {
+	return xxhash.Sum64String(strconv.FormatUint(seed, 16) + addr)
+}
--- /dev/null
+++ b/connection/load/engine.go
@@ -0,0 +1,147 @@
+package load
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pomelospool/pomelospool/connection/pool"
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/request/routing"
+)
+
+// engine is what is known of one engine.
+type engine struct {
+	name string
+	addr string
+	api  platform.Engine
+	stop context.CancelFunc
+
+	mu     sync.RWMutex
+	load   platform.Load
+	loadAt time.Time // on this process's clock
+	state  platform.EngineState
+	known  bool // state was read
+	died   bool // the incarnation in load is known to be dead
+	cache  cacheView
+}
+
+func (w *Watcher) poll(ctx context.Context, e *engine) {
+	tick := time.NewTicker(w.opts.Poll)
+	defer tick.Stop()
+	for i := 0; ; i++ {
+		w.pollOnce(ctx, e, i%stateEvery == 0)
+		select {
+		case <-w.tomb.Dying():
+			return
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (w *Watcher) pollOnce(ctx context.Context, e *engine, withState bool) {
+	ctx, cancel := context.WithTimeout(ctx, pollLimit)
+	defer cancel()
+	if !w.readLoad(ctx, e) {
+		w.opts.Pool.Verify(ctx, e.addr)
+		return
+	}
+	e.readCache(ctx)
+	if withState {
+		e.readState(ctx)
+	}
+}
+
+// readLoad reads the load and tells whether the engine answered.
+func (w *Watcher) readLoad(ctx context.Context, e *engine) bool {
+	begun := time.Now()
+	l, err := e.api.Load(ctx)
+	if err != nil {
+		return false
+	}
+	if e.takeLoad(l, begun) {
+		w.crashed(e.name)
+	}
+	return true
+}
+
+// takeLoad stores a report and tells whether it shows a death that was not
+// known. The report is as old as the engine's clock says, within bounds, since
+// the two clocks need not agree.
+func (e *engine) takeLoad(l platform.Load, begun time.Time) bool {
+	lag := min(max(begun.Sub(l.At), 0), maxLag)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	restarted := e.load.Incarnation != "" && e.load.Incarnation != l.Incarnation
+	unknown := restarted && !e.died
+	if restarted {
+		e.died = false
+		e.cache = cacheView{}
+		e.known = false
+	}
+	e.load, e.loadAt = l, begun.Add(-lag)
+	return unknown
+}
+
+// noteDeath tells whether the death of the present incarnation was news.
+func (e *engine) noteDeath() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	news := !e.died
+	e.died = true
+	return news
+}
+
+func (e *engine) readCache(ctx context.Context) {
+	e.mu.RLock()
+	after := e.cache.seq
+	e.mu.RUnlock()
+	events, err := e.api.CacheEvents(ctx, after)
+	if err != nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cache.seq == after {
+		e.cache.apply(events)
+	}
+}
+
+func (e *engine) readState(ctx context.Context) {
+	s, err := e.api.State(ctx)
+	if err != nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state, e.known = s, true
+}
+
+// fill adds the engine's word to r.
+func (e *engine) fill(r *routing.Target, p *pool.Pool, now time.Time) {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	r.CachedTokens = e.cachedTokens
+	if !e.loadAt.IsZero() {
+		r.Load = e.load
+		r.LoadAge = now.Sub(e.loadAt)
+		sent := p.SentSince(e.addr, e.loadAt)
+		r.SentCount, r.SentPrefill, r.SentDecode = sent.Count, sent.Prefill, sent.Decode
+	}
+	if !e.known {
+		return
+	}
+	r.Changing = e.state.Changing
+	r.Live = r.Live && !e.state.Leaving
+	if spec := e.state.Spec; spec.Model != "" {
+		r.Model, r.Adapter, r.Role = spec.Model, spec.Adapter, spec.Role
+	}
+}
+
+func (e *engine) cachedTokens(prefix []uint64) int {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	return e.cache.tokens(prefix)
+}
--- /dev/null
+++ b/connection/load/watcher.go
@@ -0,0 +1,237 @@
+// Package load follows the load of the targets that this process may use and
+// corrects its lag by what the process sent itself.
+package load
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"gopkg.in/tomb.v2"
+
+	"github.com/pomelospool/pomelospool/connection/pool"
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/request/routing"
+	"github.com/pomelospool/pomelospool/request/view"
+	"github.com/pomelospool/pomelospool/version/document"
+)
+
+const (
+	defaultPoll  = 250 * time.Millisecond
+	defaultWatch = 64
+	syncEvery    = 500 * time.Millisecond
+	stateEvery   = 4 // load reads per state read
+	pollLimit    = time.Second
+	maxLag       = time.Second // of a load report behind its reading
+)
+
+// Options of a Watcher.
+type Options struct {
+	View    *view.Holder
+	Pool    *pool.Pool
+	Engine  func(addr string) platform.Engine // control side of an engine
+	Process string                            // names this process in hashed choices
+	Zone    string                            // its availability zone
+	Poll    time.Duration                     // between load reads of one engine; 250ms
+	Watch   int                               // targets watched in all, about; 64
+	// Crashed is called once for each death of a target that was noticed.
+	Crashed func(target string)
+}
+
+// Watcher is safe for concurrent use.
+type Watcher struct {
+	opts Options
+	tomb tomb.Tomb
+
+	mu       sync.RWMutex
+	watched  map[string]*engine // by address
+	services map[string]chosen  // by service name
+}
+
+// chosen is the watched part of one service's targets.
+type chosen struct {
+	version int64
+	targets []document.Target
+}
+
+// New returns a Watcher that follows the snapshots in o.View until Close.
+func New(o Options) *Watcher {
+	if o.Poll <= 0 {
+		o.Poll = defaultPoll
+	}
+	if o.Watch <= 0 {
+		o.Watch = defaultWatch
+	}
+	w := &Watcher{opts: o, watched: make(map[string]*engine), services: make(map[string]chosen)}
+	w.tomb.Go(w.follow)
+	return w
+}
+
+// Close stops the polling.
+func (w *Watcher) Close() error {
+	w.tomb.Kill(nil)
+	return w.tomb.Wait()
+}
+
+func (w *Watcher) follow() error {
+	tick := time.NewTicker(syncEvery)
+	defer tick.Stop()
+	for {
+		if s := w.opts.View.Load(); s != nil {
+			w.sync(s)
+		}
+		select {
+		case <-w.tomb.Dying():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+// sync starts and stops polling as services and targets come and go.
+func (w *Watcher) sync(s *view.Snapshot) {
+	all := 0
+	for _, svc := range s.Services {
+		all += len(svc.Doc.Targets)
+	}
+	services := make(map[string]chosen, len(s.Services))
+	keep := make(map[string]bool, all)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for name, svc := range s.Services {
+		targets := w.choose(svc.Doc, all)
+		services[name] = chosen{version: svc.Version, targets: targets}
+		for _, t := range targets {
+			keep[t.Addr] = true
+			if svc.Doc.Kind == document.KindModel {
+				w.startPolling(t)
+			}
+		}
+	}
+	w.services = services
+	for addr, e := range w.watched {
+		if !keep[addr] {
+			e.stop()
+			delete(w.watched, addr)
+		}
+	}
+	w.opts.Pool.Retain(keep)
+}
+
+func (w *Watcher) choose(doc *document.Document, all int) []document.Target {
+	n := quota(w.opts.Watch, len(doc.Targets), all)
+	return subset(doc.Targets, w.opts.Zone, w.opts.Process, n)
+}
+
+// startPolling polls t's engine. Callers hold w.mu.
+func (w *Watcher) startPolling(t document.Target) {
+	if w.opts.Engine == nil || w.watched[t.Addr] != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &engine{name: t.Name, addr: t.Addr, api: w.opts.Engine(t.Addr), stop: cancel}
+	w.watched[t.Addr] = e
+	w.tomb.Go(func() error {
+		defer cancel()
+		w.poll(ctx, e)
+		return nil
+	})
+}
+
+// Targets returns what is known now of the targets of svc that this process
+// watches. It never waits for I/O.
+func (w *Watcher) Targets(svc *view.Service) []routing.Target {
+	now := time.Now()
+	snap := w.opts.View.Load()
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	c, ok := w.services[svc.Doc.Service]
+	if !ok || c.version != svc.Version {
+		// The next sync takes the new version over; until then its targets
+		// are chosen anew for each request.
+		c.targets = w.choose(svc.Doc, len(svc.Doc.Targets))
+	}
+	out := make([]routing.Target, 0, len(c.targets))
+	for _, t := range c.targets {
+		out = append(out, w.target(svc.Doc, t, snap, now))
+	}
+	return out
+}
+
+// target joins the document, the engine's own word and the pool's.
+//
+// A target that is leaving gets no new work: its mark in the snapshot, in the
+// document and in its own state are all looked at for each request, so the
+// slowest of the three alone decides when the last new request reaches it.
+func (w *Watcher) target(doc *document.Document, t document.Target, snap *view.Snapshot, now time.Time) routing.Target {
+	status := w.opts.Pool.Status(t.Addr)
+	leaving := t.Drain || snap != nil && snap.Leaving[t.Addr]
+	r := routing.Target{
+		Name:     t.Name,
+		Addr:     t.Addr,
+		Zone:     t.Zone,
+		Model:    t.Model,
+		Adapter:  t.Adapter,
+		Role:     t.Role,
+		Live:     !leaving && !status.Down,
+		Suspect:  status.Suspect,
+		InFlight: status.InFlight,
+		Limit:    doc.Limits.QueuePerTarget,
+	}
+	if e := w.watched[t.Addr]; e != nil {
+		e.fill(&r, w.opts.Pool, now)
+	}
+	return r
+}
+
+// Down takes the pool's word that addr refused a connection. Only a refusal
+// is a death: an address that can't be reached may lie behind a partition,
+// and all that was in flight there would be suspected for nothing.
+func (w *Watcher) Down(addr string, err error) {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	w.mu.RLock()
+	e := w.watched[addr]
+	name := w.nameOf(addr)
+	w.mu.RUnlock()
+	if e != nil && !e.noteDeath() {
+		return
+	}
+	w.crashed(name)
+}
+
+func (w *Watcher) nameOf(addr string) string {
+	for _, c := range w.services {
+		for _, t := range c.targets {
+			if t.Addr == addr {
+				return t.Name
+			}
+		}
+	}
+	return addr
+}
+
+func (w *Watcher) crashed(name string) {
+	log.WithField("target", name).Warn("load: target died")
+	if w.opts.Crashed != nil {
+		w.opts.Crashed(name)
+	}
+}
+
+// Verify checks at once whether t has died: it refuses connections, or its
+// engine has a new incarnation. Crashed was called before it returns.
+func (w *Watcher) Verify(ctx context.Context, t routing.Target) {
+	if w.opts.Pool.Verify(ctx, t.Addr) {
+		return
+	}
+	w.mu.RLock()
+	e := w.watched[t.Addr]
+	w.mu.RUnlock()
+	if e != nil {
+		w.readLoad(ctx, e)
+	}
+}
--- /dev/null
+++ b/connection/pool/pool.go
@@ -0,0 +1,225 @@
+// Package pool holds the connections from this process to its targets. Each
+// target has its own transport; one whose connections stop making progress
+// gets a fresh transport, and is probed over a new connection.
+package pool
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"gopkg.in/tomb.v2"
+)
+
+const (
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 3
+	idlePerTarget     = 64
+	idleTimeout       = 30 * time.Second
+)
+
+// Options of a Pool. Zero values take the defaults named beside them.
+type Options struct {
+	Connect     time.Duration // longest time to connect; 1s
+	UserTimeout time.Duration // TCP_USER_TIMEOUT; 2s
+	ProbeEvery  time.Duration // between probes of an unhealthy target; 200ms
+	ProbeWait   time.Duration // longest wait for a probe's answer; 500ms
+	// Dial replaces the TCP dialer, in tests.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Down is called once each time a target stops accepting connections, with
+	// the error of the dial.
+	Down func(addr string, err error)
+}
+
+func (o Options) withDefaults() Options {
+	def := func(d *time.Duration, v time.Duration) {
+		if *d <= 0 {
+			*d = v
+		}
+	}
+	def(&o.Connect, time.Second)
+	def(&o.UserTimeout, 2*time.Second)
+	def(&o.ProbeEvery, 200*time.Millisecond)
+	def(&o.ProbeWait, 500*time.Millisecond)
+	if o.Dial == nil {
+		o.Dial = dialer(o.Connect, o.UserTimeout)
+	}
+	return o
+}
+
+// Pool is safe for concurrent use.
+type Pool struct {
+	opts  Options
+	fresh *http.Transport // one connection a request
+	tomb  tomb.Tomb
+
+	mu      sync.Mutex
+	targets map[string]*target
+	closed  bool
+}
+
+// target is the state of one address, guarded by Pool.mu.
+type target struct {
+	transport *http.Transport
+	inFlight  int
+	sent      sent
+	suspect   bool
+	down      bool
+	probing   bool
+}
+
+// Status is what the pool knows of one target.
+type Status struct {
+	InFlight int  // requests of this process there now
+	Suspect  bool // a connection made no progress, and no probe was answered since
+	Down     bool // refuses connections
+}
+
+// New returns a Pool; Close ends it.
+func New(o Options) *Pool {
+	p := &Pool{opts: o.withDefaults(), targets: make(map[string]*target)}
+	p.fresh = p.transport()
+	p.fresh.DisableKeepAlives = true
+	p.tomb.Go(func() error {
+		<-p.tomb.Dying()
+		return nil
+	})
+	return p
+}
+
+// Close ends the probes and the idle connections.
+func (p *Pool) Close() error {
+	p.mu.Lock()
+	p.closed = true
+	for _, t := range p.targets {
+		t.transport.CloseIdleConnections()
+	}
+	p.mu.Unlock()
+	p.tomb.Kill(nil)
+	return p.tomb.Wait()
+}
+
+func (p *Pool) transport() *http.Transport {
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := p.opts.Dial(ctx, network, addr)
+			if err != nil {
+				return nil, fmt.Errorf("%w: %w", ErrConnect, err)
+			}
+			return &conn{Conn: c}, nil
+		},
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: idlePerTarget,
+		IdleConnTimeout:     idleTimeout,
+	}
+}
+
+// get returns the target of addr. Callers hold p.mu.
+func (p *Pool) get(addr string) *target {
+	t, ok := p.targets[addr]
+	if !ok {
+		t = &target{transport: p.transport()}
+		p.targets[addr] = t
+	}
+	return t
+}
+
+// Status returns what is known of addr.
+func (p *Pool) Status(addr string) Status {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, ok := p.targets[addr]
+	if !ok {
+		return Status{}
+	}
+	return Status{InFlight: t.inFlight, Suspect: t.suspect, Down: t.down}
+}
+
+// Begin counts a request to addr with its estimated prompt and output tokens.
+// The function that it returns ends the request; call it once.
+func (p *Pool) Begin(addr string, prefill, decode int) func() {
+	p.mu.Lock()
+	t := p.get(addr)
+	t.inFlight++
+	t.sent.add(time.Now(), Sent{Count: 1, Prefill: prefill, Decode: decode})
+	p.mu.Unlock()
+	return func() {
+		p.mu.Lock()
+		t.inFlight--
+		p.mu.Unlock()
+	}
+}
+
+// SentSince sums what was begun at addr since then, at most sentSpan back.
+func (p *Pool) SentSince(addr string, since time.Time) Sent {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, ok := p.targets[addr]
+	if !ok {
+		return Sent{}
+	}
+	return t.sent.since(since, time.Now())
+}
+
+// Retain forgets the targets that keep doesn't hold and that are idle.
+func (p *Pool) Retain(keep map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, t := range p.targets {
+		if keep[addr] || t.inFlight > 0 {
+			continue
+		}
+		t.transport.CloseIdleConnections()
+		delete(p.targets, addr)
+	}
+}
+
+// Silent reports that a connection to addr made no progress. What a middlebox
+// forgets it forgets for many connections at once: idle ones of this transport
+// would take the next requests and stall them too. So all of them are retired:
+// new requests go over a fresh transport from now on, and the target counts as
+// suspect until a probe over a new connection is answered.
+func (p *Pool) Silent(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.get(addr)
+	t.transport.CloseIdleConnections()
+	t.transport = p.transport()
+	t.suspect = true
+	p.watch(addr, t)
+	log.WithField("addr", addr).Warn("pool: connections retired")
+}
+
+// Unreachable reports that addr accepted no connection, with the dial's error.
+func (p *Pool) Unreachable(addr string, err error) {
+	p.mu.Lock()
+	t := p.get(addr)
+	first := !t.down
+	t.down = true
+	p.watch(addr, t)
+	p.mu.Unlock()
+	if !first {
+		return
+	}
+	log.WithField("addr", addr).WithError(err).Warn("pool: target down")
+	if p.opts.Down != nil {
+		p.opts.Down(addr, err)
+	}
+}
+
+// watch starts the probes of an unhealthy target. Callers hold p.mu.
+func (p *Pool) watch(addr string, t *target) {
+	if t.probing || p.closed {
+		return
+	}
+	t.probing = true
+	p.tomb.Go(func() error {
+		p.probeUntilHealthy(addr, t)
+		return nil
+	})
+}
--- /dev/null
+++ b/connection/pool/probe.go
@@ -0,0 +1,78 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+)
+
+const maxProbeBackoff = 5 // times ProbeEvery
+
+// probeUntilHealthy probes a target over new connections until it answers or
+// leaves the pool.
+func (p *Pool) probeUntilHealthy(addr string, t *target) {
+	wait := p.opts.ProbeEvery
+	for {
+		err := p.Probe(context.Background(), addr)
+		if p.settle(addr, t, err) {
+			return
+		}
+		select {
+		case <-p.tomb.Dying():
+			return
+		case <-time.After(wait):
+		}
+		wait = min(wait*2, p.opts.ProbeEvery*maxProbeBackoff)
+	}
+}
+
+// settle notes a probe's result and tells whether probing is over.
+func (p *Pool) settle(addr string, t *target, err error) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.targets[addr] != t {
+		t.probing = false
+		return true
+	}
+	if err != nil {
+		return false
+	}
+	t.suspect, t.down, t.probing = false, false, false
+	log.WithField("addr", addr).Info("pool: target answers")
+	return true
+}
+
+// Probe asks addr for any answer over a new connection. OPTIONS * is HTTP's
+// own no-op: any status counts as an answer.
+func (p *Pool) Probe(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, p.opts.ProbeWait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodOptions, "http://"+addr, http.NoBody)
+	if err != nil {
+		return err
+	}
+	req.URL.Opaque = "*"
+	resp, err := p.fresh.RoundTrip(req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// Verify probes addr at once after a connection broke, and reports whether the
+// target is gone. A gone target is marked as down before Verify returns.
+func (p *Pool) Verify(ctx context.Context, addr string) bool {
+	err := p.Probe(ctx, addr)
+	if err == nil || ctx.Err() != nil {
+		return false
+	}
+	if errors.Is(err, ErrConnect) {
+		p.Unreachable(addr, err)
+		return true
+	}
+	p.Silent(addr)
+	return false
+}
--- /dev/null
+++ b/request/admission/admission.go
@@ -0,0 +1,158 @@
+// Package admission decides at once whether a request may run: by its
+// deadline, its priority and its organisation's fair share. It never queues;
+// a refusal says when to come back.
+package admission
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/request/routing"
+	"github.com/pomelospool/pomelospool/version/document"
+)
+
+// Fullness, as a share of the places at the targets, from which requests are
+// refused. The places above normalFull are the reserve of high priority.
+const (
+	contention = 0.80 // fair shares are enforced from here on
+	lowFull    = 0.80 // requests of low priority
+	normalFull = 0.95 // requests of normal priority
+	highFull   = 1.00 // requests of high priority
+)
+
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+)
+
+// Ask is what admission decides on.
+type Ask struct {
+	Doc      *document.Document
+	Org      string
+	Priority int           // -1, 0, 1
+	Cost     float64       // work, in any unit that is the same for all
+	Left     time.Duration // until the deadline
+	Decision routing.Decision
+	Targets  []routing.Target
+	// Idle returns the expected finish if all targets were idle. It is called
+	// for refusals only.
+	Idle func() (time.Duration, bool)
+}
+
+// Controller is safe for concurrent use. Its memory grows with the requests
+// in flight, not with the organisations known.
+type Controller struct {
+	now func() time.Time
+
+	mu       sync.Mutex
+	services map[string]*service
+}
+
+// New returns a Controller that reads the time from now.
+func New(now func() time.Time) *Controller {
+	return &Controller{now: now, services: make(map[string]*service)}
+}
+
+// Admit returns a function to call once when the request is over, or a
+// *code.Error with code.Overloaded, code.DeadlineTooShort or code.OrgOverShare.
+func (c *Controller) Admit(a Ask) (func(), error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.get(a.Doc.Service)
+	if a.Decision.Finish > a.Left {
+		return nil, late(a)
+	}
+	full := fullness(a)
+	if full >= limit(a.Priority) {
+		return nil, code.New(code.Overloaded, "%.0f%% of the places are taken", full*100).
+			After(s.retryAfter(full-limit(a.Priority), places(a.Targets)))
+	}
+	if full >= contention && a.Priority <= 0 && s.overShare(a) {
+		return nil, code.New(code.OrgOverShare, "organisation %.80q", a.Org).
+			After(s.retryAfter(full-contention, places(a.Targets)))
+	}
+	return c.enter(s, a), nil
+}
+
+// Full returns the refusal for a request that routing found no place for.
+func (c *Controller) Full(doc *document.Document, targets []routing.Target) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.get(doc.Service)
+	return code.New(code.Overloaded, "every target is full").
+		After(s.retryAfter(0, places(targets)))
+}
+
+func (c *Controller) enter(s *service, a Ask) func() {
+	s.begin(a, c.now())
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		s.end(a, c.now())
+	}
+}
+
+// get returns the state of a service. Names come from documents in force.
+func (c *Controller) get(name string) *service {
+	s, ok := c.services[name]
+	if !ok {
+		s = &service{orgs: make(map[string]*usage)}
+		c.services[name] = s
+	}
+	return s
+}
+
+func limit(priority int) float64 {
+	switch {
+	case priority > 0:
+		return highFull
+	case priority < 0:
+		return lowFull
+	}
+	return normalFull
+}
+
+// late tells a deadline that is too short for any target from one that the
+// backlog makes too short.
+func late(a Ask) error {
+	if idle, ok := a.Idle(); ok && idle > a.Left {
+		return code.New(code.DeadlineTooShort, "an idle target needs about %v", idle.Round(time.Millisecond))
+	}
+	wait := clamp(a.Decision.Finish - a.Left)
+	return code.New(code.Overloaded, "the answer would take about %v", a.Decision.Finish.Round(time.Millisecond)).After(wait)
+}
+
+func clamp(d time.Duration) time.Duration {
+	return min(max(d, minRetryAfter), maxRetryAfter)
+}
+
+// fullness is the greater of two shares: places taken at the live targets, and
+// the deadline that would be used up. Reports lag, so a target's place count
+// is the greater of what it reported plus what was sent since, and of what
+// this process knows to be there.
+func fullness(a Ask) float64 {
+	taken, all := 0, 0
+	for _, t := range a.Targets {
+		if !t.Live || t.Limit <= 0 {
+			continue
+		}
+		n := max(t.InFlight, t.Load.Running+t.Load.Waiting+t.SentCount)
+		taken += min(n, t.Limit)
+		all += t.Limit
+	}
+	if all == 0 {
+		return 0
+	}
+	return float64(taken) / float64(all)
+}
+
+func places(targets []routing.Target) int {
+	n := 0
+	for _, t := range targets {
+		if t.Live {
+			n += t.Limit
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/request/attempt/attempt.go
@@ -0,0 +1,179 @@
+// Package attempt runs a request at its targets: one try at a time, with
+// retries bounded by proof, by idempotence and by the service's budget.
+package attempt
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pomelospool/pomelospool/connection/pool"
+	"github.com/pomelospool/pomelospool/request/routing"
+)
+
+// Headers that travel between callers, daemons and targets.
+const (
+	HeaderID       = "X-Request-Id"
+	HeaderDeadline = "X-Deadline-Ms"
+)
+
+// Answer is the answer of one attempt, header read, body not.
+type Answer struct {
+	ID     string // of the attempt
+	Target string
+	Status int
+	Header http.Header
+	Body   io.Reader // reads fail when the target makes no progress
+	Framed bool      // the end of Body is marked by length or by chunks
+}
+
+// Receiver takes answers. It is used by one goroutine.
+type Receiver interface {
+	// Receive takes the answer of one attempt. An error is a *Failure, or
+	// counts as Cut.
+	Receive(a Answer) error
+	// Progress is the number of tokens passed on: where a resume starts.
+	Progress() int
+	// Committed tells that bytes went to the caller that no resume can follow.
+	Committed() bool
+}
+
+var (
+	processID = newProcessID()
+	counter   atomic.Uint64
+)
+
+func newProcessID() string {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// newID returns the id of an attempt at request: unique to it in the fleet,
+// and not to be guessed by whoever wrote the content.
+func newID(request string) string {
+	return request + "." + processID + strconv.FormatUint(counter.Add(1), 36)
+}
+
+// try runs one attempt at t.
+func (r *Runner) try(ctx context.Context, q *Request, t routing.Target, first time.Duration, recv Receiver) *Failure {
+	ctx, dog := newWatchdog(ctx, first)
+	defer dog.end()
+	end := r.opts.Pool.Begin(t.Addr, q.Route.PromptTokens, q.Route.OutputTokens)
+	defer end()
+
+	id := newID(q.ID)
+	req, err := r.build(ctx, q, t, id, recv.Progress())
+	if err != nil {
+		return &Failure{Class: NotWritten, Target: t.Name, Err: err}
+	}
+	x, err := r.opts.Pool.Send(req, q.mode())
+	if err != nil {
+		return r.sendFailure(ctx, t, x, err)
+	}
+	defer x.Response.Body.Close()
+	dog.disarm()
+	body := &watchedBody{src: x.Response.Body, dog: dog, first: first, next: r.opts.Between}
+	err = receive(x.Response, id, t, q.Model, body, recv)
+	return r.receiveFailure(ctx, t, err)
+}
+
+func (r *Runner) build(ctx context.Context, q *Request, t routing.Target, id string, resume int) (*http.Request, error) {
+	body := q.Body(resume)
+	req, err := http.NewRequestWithContext(ctx, q.Method, "http://"+t.Addr+q.Path, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return nil, err
+	}
+	// The body has no GetBody on purpose: net/http repeats a request with an
+	// Idempotency-Key by itself when it can rewind it, past the budget.
+	req.ContentLength = int64(len(body))
+	if len(body) == 0 && q.Idempotent {
+		req.Body = http.NoBody
+	}
+	for k, v := range q.Header {
+		req.Header[k] = v
+	}
+	left := time.Until(q.Deadline).Milliseconds()
+	req.Header.Set(HeaderID, id)
+	req.Header.Set(HeaderDeadline, strconv.FormatInt(max(left, 1), 10))
+	return req, nil
+}
+
+// receive checks whose answer it is and hands it to the receiver. An answer
+// under another id can be that of an earlier request on the connection, or of
+// another caller: passing it on would give one caller what another asked. An
+// engine's refusal may lack the id: nothing of it but its status is passed on.
+func receive(resp *http.Response, id string, t routing.Target, model bool, body io.Reader, recv Receiver) error {
+	got := resp.Header.Get(HeaderID)
+	refusal := model && got == "" && resp.StatusCode >= http.StatusBadRequest
+	if got != id && !refusal {
+		return &Failure{Class: Mismatch, Target: t.Name, Err: fmt.Errorf("answer has id %.80q", got)}
+	}
+	return recv.Receive(Answer{
+		ID:     id,
+		Target: t.Name,
+		Status: resp.StatusCode,
+		Header: resp.Header,
+		Body:   body,
+		Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+	})
+}
+
+func (r *Runner) sendFailure(ctx context.Context, t routing.Target, x *pool.Exchange, err error) *Failure {
+	f := &Failure{Class: NoAnswer, Target: t.Name, Err: err}
+	written := x.Written()
+	if errors.Is(err, pool.ErrConnect) && ctx.Err() == nil {
+		r.opts.Pool.Unreachable(t.Addr, err)
+	}
+	if stopped := stoppedClass(ctx); stopped != nil {
+		f.Class = *stopped
+	}
+	if f.Class == Silent {
+		r.opts.Pool.Silent(t.Addr)
+	}
+	// A caller that left or a deadline that passed ends the request whether or
+	// not it was written; the outcome still says if it was.
+	f.notWritten = !written
+	if !written && (f.Class == NoAnswer || f.Class == Silent) {
+		f.Class = NotWritten
+	}
+	return f
+}
+
+func (r *Runner) receiveFailure(ctx context.Context, t routing.Target, err error) *Failure {
+	if err == nil {
+		return nil
+	}
+	f := &Failure{Class: classOf(err, Cut), Target: t.Name, Err: err}
+	if stopped := stoppedClass(ctx); stopped != nil && f.Class == Cut {
+		f.Class = *stopped
+	}
+	if f.Class == Silent {
+		r.opts.Pool.Silent(t.Addr)
+	}
+	return f
+}
+
+// stoppedClass tells why the attempt's context ended, nil if it did not.
+func stoppedClass(ctx context.Context) *Class {
+	if ctx.Err() == nil {
+		return nil
+	}
+	class := CallerGone
+	cause := context.Cause(ctx)
+	if errors.Is(cause, errSilent) {
+		class = Silent
+	}
+	if errors.Is(cause, context.DeadlineExceeded) {
+		class = Late
+	}
+	return &class
+}
--- /dev/null
+++ b/request/attempt/runner.go
@@ -0,0 +1,327 @@
+package attempt
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/connection/pool"
+	"github.com/pomelospool/pomelospool/request/quarantine"
+	"github.com/pomelospool/pomelospool/request/routing"
+	"github.com/pomelospool/pomelospool/request/view"
+)
+
+const (
+	defaultFirst    = 2 * time.Second
+	defaultBetween  = 2 * time.Second
+	firstPatience   = 3 // times the expected time to the first token
+	verifyLimit     = 250 * time.Millisecond
+	defaultAttempts = 3
+	roomPause       = 20 * time.Millisecond
+)
+
+// Targets gives what is known of a service's targets now.
+type Targets interface {
+	Targets(svc *view.Service) []routing.Target
+}
+
+// Options of a Runner.
+type Options struct {
+	Pool       *pool.Pool
+	Router     routing.Router
+	Targets    Targets
+	Quarantine quarantine.Tracker // may be nil
+	// Verify checks at once whether a target whose connection broke has died,
+	// and returns after the tracker was told. Nil: a probe over a new connection.
+	Verify  func(ctx context.Context, t routing.Target)
+	First   time.Duration // least wait for an answer's header; 2s
+	Between time.Duration // longest wait between two reads of an answer; 2s
+	Now     func() time.Time
+}
+
+// Request is one request of a caller.
+type Request struct {
+	ID          string
+	Service     *view.Service
+	Route       routing.Request
+	Deadline    time.Time
+	Method      string
+	Path        string // with the query
+	Header      http.Header
+	Body        func(resume int) []byte // the body that goes on after so many tokens
+	Idempotent  bool
+	Model       bool // goes to an engine
+	Fingerprint uint64
+}
+
+// mode gives calls that can't be repeated a connection of their own: on an
+// idle one that has gone silent they would end as outcome unknown.
+func (q *Request) mode() pool.Mode {
+	if q.Idempotent {
+		return pool.Reuse
+	}
+	return pool.Fresh
+}
+
+// Result says how a request went.
+type Result struct {
+	Attempts int
+	Written  bool   // some byte reached a connection to a target
+	Target   string // of the last attempt
+}
+
+// Runner runs requests. It is safe for concurrent use.
+type Runner struct {
+	opts    Options
+	budgets *Budgets
+}
+
+// NewRunner returns a Runner.
+func NewRunner(o Options) *Runner {
+	if o.First <= 0 {
+		o.First = defaultFirst
+	}
+	if o.Between <= 0 {
+		o.Between = defaultBetween
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Verify == nil {
+		p := o.Pool
+		o.Verify = func(ctx context.Context, t routing.Target) { p.Verify(ctx, t.Addr) }
+	}
+	return &Runner{opts: o, budgets: NewBudgets(o.Now)}
+}
+
+// Run runs q until it is answered, or may not be repeated. first is the
+// decision that admission was made on, or nil. The error is a *code.Error; one
+// whose code says that nothing ran is given only when nothing was written.
+func (r *Runner) Run(ctx context.Context, q *Request, first *routing.Decision, recv Receiver) (Result, error) {
+	run := &run{Runner: r, q: q, recv: recv, route: q.Route, next: first}
+	r.budgets.Request(q.Service.Doc.Service)
+	err := run.loop(ctx)
+	return run.result, err
+}
+
+// run is the state of one request over its attempts.
+type run struct {
+	*Runner
+	q      *Request
+	recv   Receiver
+	route  routing.Request
+	next   *routing.Decision
+	result Result
+	last   *Failure
+	zone   string // of the last failed target
+}
+
+func (u *run) loop(ctx context.Context) error {
+	for {
+		if err := u.checkContent(); err != nil {
+			return err
+		}
+		t, d, err := u.choose()
+		if u.shouldWait(err) && sleep(ctx, roomPause) {
+			continue
+		}
+		if err != nil {
+			return u.noTarget(err)
+		}
+		progress := u.recv.Progress()
+		failure := u.attempt(ctx, t, d)
+		if failure == nil {
+			return nil
+		}
+		u.note(failure, t)
+		if err := u.mayRepeat(ctx, failure, u.recv.Progress() > progress); err != nil {
+			return err
+		}
+	}
+}
+
+// shouldWait tells whether to wait for room. A request that was accepted and
+// lost its target must not be refused because the targets left are full for a
+// moment; one that has not been tried is refused at once.
+func (u *run) shouldWait(err error) bool {
+	return err != nil && u.last != nil && code.Of(err) == code.Overloaded
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// attempt makes one try and keeps the quarantine's books about it. When the
+// connection broke, the target is checked before the content is taken off the
+// books: what was in flight at a death must still stand there.
+func (u *run) attempt(ctx context.Context, t routing.Target, d routing.Decision) *Failure {
+	u.result.Attempts++
+	u.result.Target = t.Name
+	if u.opts.Quarantine != nil && u.q.Fingerprint != 0 {
+		u.opts.Quarantine.Begin(u.q.Fingerprint, t.Name)
+		defer u.opts.Quarantine.End(u.q.Fingerprint, t.Name)
+	}
+	wait := max(u.opts.First, d.First*firstPatience)
+	failure := u.try(ctx, u.q, t, wait, u.recv)
+	if failure != nil && failure.breaks() {
+		vctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), verifyLimit)
+		defer cancel()
+		u.opts.Verify(vctx, t)
+	}
+	return failure
+}
+
+func (u *run) note(f *Failure, t routing.Target) {
+	u.last = f
+	u.zone = t.Zone
+	u.result.Written = u.result.Written || !f.notWritten && f.Class != NotWritten
+	u.route.Exclude = append(u.route.Exclude[:len(u.route.Exclude):len(u.route.Exclude)], t.Name)
+	u.next = nil
+	log.WithFields(log.Fields{
+		"request": u.q.ID,
+		"target":  t.Name,
+		"class":   f.Class.String(),
+		"error":   f.Err,
+	}).Info("attempt: failed")
+}
+
+// mayRepeat returns nil when another attempt is allowed. An attempt that
+// passed tokens on is not drawn from the budget: its work is kept.
+func (u *run) mayRepeat(ctx context.Context, f *Failure, progressed bool) error {
+	doc := u.q.Service.Doc
+	attempts := doc.Retry.Attempts
+	if attempts <= 0 {
+		attempts = defaultAttempts
+	}
+	switch {
+	case ctx.Err() != nil || !f.repeatable(u.q.Idempotent) || u.recv.Committed():
+		return u.final(f)
+	case u.result.Attempts >= attempts:
+		return u.final(f)
+	case !progressed && !u.budgets.Take(doc.Service, doc.Retry.Budget):
+		if !u.result.Written {
+			return u.final(f)
+		}
+		return code.Wrap(code.RetryBudgetSpent, f, "after %d attempts", u.result.Attempts).After(retryAfter)
+	}
+	return nil
+}
+
+const retryAfter = time.Second
+
+// final turns the last failure into the request's error.
+func (u *run) final(f *Failure) error {
+	c := classCodes[f.Class]
+	if c.Info().NotRun && u.result.Written {
+		c = code.TargetFailed
+	}
+	e := code.Wrap(c, f, "after %d attempts", u.result.Attempts)
+	if c.Info().NotRun {
+		e.After(retryAfter)
+	}
+	return e
+}
+
+// noTarget handles a failed choice. After an attempt that was written, "no
+// target" would claim that nothing ran.
+func (u *run) noTarget(err error) error {
+	if u.last != nil && u.result.Written {
+		return u.final(u.last)
+	}
+	return err
+}
+
+func (u *run) checkContent() error {
+	if u.opts.Quarantine == nil || u.q.Fingerprint == 0 {
+		return nil
+	}
+	standing, left := u.opts.Quarantine.Check(u.q.Fingerprint)
+	u.route.Alone = standing == quarantine.Suspect
+	if standing != quarantine.Convicted {
+		return nil
+	}
+	if u.result.Written {
+		return code.Wrap(code.TargetFailed, u.last, "the content crashes targets")
+	}
+	return code.New(code.CrashConvicted, "").After(left)
+}
+
+// Choose decides where q would go now.
+func (r *Runner) Choose(q *Request) (routing.Decision, []routing.Target, error) {
+	targets := r.opts.Targets.Targets(q.Service)
+	d, err := r.opts.Router.Route(q.Route, targets)
+	return d, targets, err
+}
+
+// choose picks the target of the next attempt: another one than before, in
+// another availability zone if one has room there, and only if nothing else is
+// left a target that failed already.
+func (u *run) choose() (routing.Target, routing.Decision, error) {
+	targets := u.opts.Targets.Targets(u.q.Service)
+	if u.next != nil && !u.route.Alone {
+		if t, ok := find(targets, u.next.Target); ok && t.Live {
+			return t, *u.next, nil
+		}
+	}
+	u.route.Deadline = u.q.Deadline.Sub(u.opts.Now())
+	d, err := u.routeElsewhere(targets)
+	if err != nil && len(u.route.Exclude) > 0 {
+		again := u.route
+		again.Exclude = nil
+		d, err = u.opts.Router.Route(again, targets)
+	}
+	if err != nil {
+		return routing.Target{}, d, u.aloneError(err)
+	}
+	t, ok := find(targets, d.Target)
+	if !ok {
+		return t, d, code.New(code.NoTarget, "routing named %q", d.Target)
+	}
+	return t, d, nil
+}
+
+func (u *run) routeElsewhere(targets []routing.Target) (routing.Decision, error) {
+	if u.zone == "" {
+		return u.opts.Router.Route(u.route, targets)
+	}
+	var away []routing.Target
+	for _, t := range targets {
+		if t.Zone != u.zone {
+			away = append(away, t)
+		}
+	}
+	if d, err := u.opts.Router.Route(u.route, away); err == nil {
+		return d, nil
+	}
+	return u.opts.Router.Route(u.route, targets)
+}
+
+// aloneError tells the caller of suspect content why it waits.
+func (u *run) aloneError(err error) error {
+	if !u.route.Alone {
+		return err
+	}
+	var ce *code.Error
+	if errors.As(err, &ce) && ce.Code == code.Overloaded {
+		return code.Wrap(code.CrashSuspect, err, "").After(retryAfter)
+	}
+	return err
+}
+
+func find(targets []routing.Target, name string) (routing.Target, bool) {
+	for _, t := range targets {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return routing.Target{}, false
+}
--- /dev/null
+++ b/request/entry/fixture_test.go
@@ -0,0 +1,222 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/connection/address"
+	"github.com/pomelospool/pomelospool/connection/pool"
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/request/routing"
+	"github.com/pomelospool/pomelospool/request/view"
+	"github.com/pomelospool/pomelospool/standin/token"
+	"github.com/pomelospool/pomelospool/version/document"
+)
+
+const (
+	testModel = "m"
+	patience  = 300 * time.Millisecond // for a target's progress, in tests
+)
+
+// leastLoaded is the smallest Router that keeps the contract.
+type leastLoaded struct{ finish time.Duration }
+
+func (l leastLoaded) Route(r routing.Request, targets []routing.Target) (routing.Decision, error) {
+	best, full := -1, false
+	for i, t := range targets {
+		if !t.Live || contains(r.Exclude, t.Name) {
+			continue
+		}
+		if t.InFlight >= t.Limit || r.Alone && t.InFlight > 0 {
+			full = true
+			continue
+		}
+		if best < 0 || cost(t) < cost(targets[best]) {
+			best = i
+		}
+	}
+	switch {
+	case best >= 0:
+		return routing.Decision{Target: targets[best].Name, Finish: l.finish}, nil
+	case full:
+		return routing.Decision{}, code.New(code.Overloaded, "")
+	}
+	return routing.Decision{}, code.New(code.NoTarget, "")
+}
+
+func cost(t routing.Target) int {
+	if t.Suspect {
+		return t.InFlight + 1000
+	}
+	return t.InFlight
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
+
+// docTargets gives a document's targets as the pool sees them.
+type docTargets struct {
+	pool    *pool.Pool
+	leaving func(addr string) bool
+}
+
+func (d docTargets) Targets(svc *view.Service) []routing.Target {
+	var out []routing.Target
+	for _, t := range svc.Doc.Targets {
+		s := d.pool.Status(t.Addr)
+		out = append(out, routing.Target{
+			Name: t.Name, Addr: t.Addr, Zone: t.Zone, Model: t.Model, Role: platform.RoleMixed,
+			Live: !s.Down && !t.Drain, Suspect: s.Suspect, InFlight: s.InFlight, Limit: svc.Doc.Limits.QueuePerTarget,
+		})
+	}
+	return out
+}
+
+// fixture is one entry on a real listener before targets on real listeners.
+type fixture struct {
+	t     testing.TB
+	entry *Entry
+	pool  *pool.Pool
+	url   string
+	addr  string
+}
+
+// newFixture serves models at the addresses of engines and the service "app"
+// at those of plains. change may alter what it likes.
+func newFixture(t testing.TB, engines, plains []string, change func(*Options, *document.Document)) *fixture {
+	t.Helper()
+	p := pool.New(pool.Options{ProbeEvery: 10 * time.Millisecond, ProbeWait: patience})
+	llm := &document.Document{Service: "llm", Kind: document.KindModel, Models: []document.Model{{Name: testModel}}, Targets: targets("e", engines)}
+	app := &document.Document{Service: "app", Kind: document.KindPlain, Targets: targets("p", plains), Once: document.Once{Paths: []string{"/holds"}}}
+	o := Options{View: &view.Holder{}, Pool: p, Router: leastLoaded{}, First: patience, Between: patience, Write: patience}
+	o.Targets = docTargets{pool: p}
+	o.Addresses = address.NewBook(func() []address.Member { return []address.Member{{Addr: "127.0.0.1:1", Zone: "a"}} }, time.Second)
+	for _, d := range []*document.Document{llm, app} {
+		d.Objectives.Answer = 10 * time.Second
+		d.Limits.QueuePerTarget = 1000
+		d.Retry = document.Retry{Attempts: 3, Budget: 0.1}
+		if change != nil {
+			change(&o, d)
+		}
+	}
+	o.View.Store(view.NewSnapshot(1, []*view.Service{{Doc: llm, Version: 1}, {Doc: app, Version: 1}}, nil))
+	f := &fixture{t: t, entry: New(o), pool: p}
+	f.serve(o)
+	return f
+}
+
+func (f *fixture) serve(o Options) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	srv := NewServer(o.Limits, f.entry)
+	go srv.Serve(Listen(l, o.Limits))
+	f.addr = l.Addr().String()
+	f.url = "http://" + f.addr
+	f.t.Cleanup(func() {
+		srv.Close()
+		f.entry.Close()
+		f.pool.Close()
+	})
+}
+
+func targets(prefix string, addrs []string) []document.Target {
+	var out []document.Target
+	for i, a := range addrs {
+		out = append(out, document.Target{Name: fmt.Sprint(prefix, i), Addr: a, Zone: fmt.Sprint("z", i), Model: testModel})
+	}
+	return out
+}
+
+// reply is an answer as a caller sees it.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of reading the body
+}
+
+func (r reply) code() string { return r.header.Get(headerCode) }
+
+func (f *fixture) do(method, path, body string, header ...string) reply {
+	f.t.Helper()
+	req, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err, header: http.Header{}}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+}
+
+func modelRequest(prompt string, tokens int, stream bool) string {
+	return fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":%v}`, testModel, prompt, tokens, stream)
+}
+
+// complete asks for a streamed completion.
+func (f *fixture) complete(prompt string, tokens int, header ...string) reply {
+	f.t.Helper()
+	return f.do("POST", "/v1/completions", modelRequest(prompt, tokens, true), header...)
+}
+
+type event struct {
+	ID      string
+	Choices []struct{ Text string }
+	Error   *struct{ Code int }
+}
+
+// checkStream tells what a caller would find wrong with a streamed answer.
+func checkStream(body, id, prompt string, tokens int) error {
+	var text strings.Builder
+	done := false
+	for _, line := range bytes.Split([]byte(body), []byte("\n\n")) {
+		data, ok := bytes.CutPrefix(line, []byte("data: "))
+		if !ok {
+			continue
+		}
+		if string(data) == "[DONE]" {
+			done = true
+			continue
+		}
+		var e event
+		if err := json.Unmarshal(data, &e); err != nil {
+			return err
+		}
+		if e.Error != nil {
+			return fmt.Errorf("error %d in the stream", e.Error.Code)
+		}
+		if e.ID != id {
+			return fmt.Errorf("chunk of %q", e.ID)
+		}
+		text.WriteString(e.Choices[0].Text)
+	}
+	if want := token.Text(token.Hash(prompt), 0, tokens); text.String() != want {
+		return fmt.Errorf("got %q, want %q", text.String(), want)
+	}
+	if !done {
+		return fmt.Errorf("no end marker")
+	}
+	return nil
+}
--- /dev/null
+++ b/request/entry/observe.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/process/burn"
+)
+
+// observation measures one request for the burn report.
+type observation struct {
+	to    burn.Observer
+	s     burn.Sample
+	begun time.Time
+}
+
+func newObservation(to burn.Observer, service, org string) *observation {
+	return &observation{to: to, s: burn.Sample{Service: service, Org: org}, begun: time.Now()}
+}
+
+// token notes the first token.
+func (o *observation) token() { o.s.First = time.Since(o.begun) }
+
+// end hands the sample over.
+func (o *observation) end(err error, tokens int) {
+	if o.to == nil {
+		return
+	}
+	o.s.Code = code.Of(err)
+	o.s.Total = time.Since(o.begun)
+	o.s.Tokens = tokens
+	if tokens > 1 && o.s.First > 0 {
+		o.s.Between = (o.s.Total - o.s.First) / time.Duration(tokens-1)
+	}
+	o.to.Observe(o.s)
+}
--- /dev/null
+++ b/request/entry/plainanswer.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/request/attempt"
+)
+
+// plainAnswer receives the answer of a plain service. It holds back up to
+// hold bytes, so that an answer that breaks off within them can be asked for
+// again; a longer answer is passed on as it comes.
+type plainAnswer struct {
+	w     http.ResponseWriter
+	hold  int64
+	stall time.Duration
+
+	status    int
+	header    http.Header
+	held      []byte
+	committed bool
+}
+
+func (r *plainAnswer) Progress() int   { return 0 }
+func (r *plainAnswer) Committed() bool { return r.committed }
+
+// Receive takes one attempt's answer.
+func (r *plainAnswer) Receive(a attempt.Answer) error {
+	r.status = 0
+	held, err := io.ReadAll(io.LimitReader(a.Body, r.hold+1))
+	if err != nil {
+		return &attempt.Failure{Class: attempt.Cut, Target: a.Target, Err: err}
+	}
+	if !a.Framed && hasBody(a.Status) {
+		return &attempt.Failure{Class: attempt.Cut, Target: a.Target, Err: errUnmarked}
+	}
+	r.status, r.header, r.held = a.Status, a.Header, held
+	if a.Status >= http.StatusInternalServerError && int64(len(held)) <= r.hold {
+		return &attempt.Failure{Class: attempt.Failed, Target: a.Target, Err: fmt.Errorf("status %d", a.Status)}
+	}
+	if int64(len(held)) <= r.hold {
+		return nil
+	}
+	return r.passThrough(a)
+}
+
+func hasBody(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+func (r *plainAnswer) passThrough(a attempt.Answer) error {
+	r.committed = true
+	r.writeHeader(code.OK)
+	if n := a.Header.Get("Content-Length"); n != "" {
+		r.w.Header().Set("Content-Length", n)
+	}
+	r.w.WriteHeader(r.status)
+	out := &stallWriter{dst: r.w, ctl: http.NewResponseController(r.w), stall: r.stall}
+	defer out.clear()
+	if _, err := out.Write(r.held); err != nil {
+		return &attempt.Failure{Class: attempt.CallerGone, Target: a.Target, Err: err}
+	}
+	r.held = nil
+	_, err := io.Copy(out, a.Body)
+	if err != nil && errors.Is(err, out.err) {
+		return &attempt.Failure{Class: attempt.CallerGone, Target: a.Target, Err: err}
+	}
+	return err
+}
+
+// writeHeader copies the target's header but for what ends with its
+// connection.
+func (r *plainAnswer) writeHeader(c code.Code) {
+	h := r.w.Header()
+	for k, v := range r.header {
+		if !hopByHop[k] {
+			h[k] = v
+		}
+	}
+	h.Set(headerCode, strconv.Itoa(int(c)))
+}
+
+// stallWriter gives each write to a caller its own deadline.
+type stallWriter struct {
+	dst   io.Writer
+	ctl   *http.ResponseController
+	stall time.Duration
+	err   error
+}
+
+func (s *stallWriter) Write(p []byte) (int, error) {
+	_ = s.ctl.SetWriteDeadline(time.Now().Add(s.stall))
+	n, err := s.dst.Write(p)
+	s.err = err
+	return n, err
+}
+
+func (s *stallWriter) clear() { _ = s.ctl.SetWriteDeadline(time.Time{}) }
--- /dev/null
+++ b/request/limit/limit.go
@@ -0,0 +1,155 @@
+// Package limit bounds what callers may use: connections, streams and bytes.
+package limit
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pomelospool/pomelospool/code"
+)
+
+// Streams counts the open requests of each caller. The map holds callers with
+// open requests only.
+type Streams struct {
+	mu   sync.Mutex
+	open map[string]int
+}
+
+// NewStreams returns an empty Streams.
+func NewStreams() *Streams { return &Streams{open: make(map[string]int)} }
+
+// Enter counts one request of caller and returns the function that ends it,
+// or code.TooManyStreams. A max of 0 or less means no limit.
+func (s *Streams) Enter(caller string, max int) (func(), error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if max > 0 && s.open[caller] >= max {
+		return nil, code.New(code.TooManyStreams, "%d are open", s.open[caller]).After(time.Second)
+	}
+	s.open[caller]++
+	return func() { s.leave(caller) }, nil
+}
+
+func (s *Streams) leave(caller string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[caller]--
+	if s.open[caller] == 0 {
+		delete(s.open, caller)
+	}
+}
+
+// ReadBody reads the whole body of req within max bytes and wait.
+//
+// A caller that sends its body a byte at a time holds a connection and memory
+// for as long as it pleases; the read deadline covers the whole body, so
+// dripping bytes doesn't extend it.
+func ReadBody(w http.ResponseWriter, req *http.Request, max int64, wait time.Duration) ([]byte, error) {
+	if req.ContentLength > max {
+		return nil, code.New(code.BodyTooLarge, "%d bytes, at most %d", req.ContentLength, max)
+	}
+	ctl := http.NewResponseController(w)
+	_ = ctl.SetReadDeadline(time.Now().Add(wait))
+	body, err := readAll(http.MaxBytesReader(w, req.Body, max), req.ContentLength)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, code.New(code.BodyTooLarge, "at most %d bytes", max)
+	}
+	if err != nil {
+		return nil, code.Wrap(code.BadRequest, err, "the body ended early")
+	}
+	_ = ctl.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(r, body)
+	return body, err
+}
+
+// refusal is written as it is to a connection over the limit.
+var refusal = func() []byte {
+	i := code.TooManyConns.Info()
+	body := fmt.Sprintf(`{"error":{"code":%d,"type":%q,"message":%q,"not_run":true,"retry_after_ms":1000}}`,
+		int(i.Code), i.Name, i.Meaning)
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nX-Result-Code: %d\r\n"+
+		"X-Not-Run: true\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
+		i.Status, http.StatusText(i.Status), int(i.Code), len(body), body)
+}()
+
+const refusalWait = 100 * time.Millisecond
+
+// listener takes at most max connections at a time.
+type listener struct {
+	net.Listener
+	max int
+
+	mu   sync.Mutex
+	open int
+}
+
+// Listen returns a listener that answers connections beyond max with
+// code.TooManyConns and closes them.
+func Listen(l net.Listener, max int) net.Listener {
+	if max <= 0 {
+		return l
+	}
+	return &listener{Listener: l, max: max}
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.enter() {
+			return &counted{Conn: c, leave: sync.OnceFunc(l.leave)}, nil
+		}
+		refuse(c)
+	}
+}
+
+// refuse answers without reading. The write fits the socket's buffer, so it
+// doesn't hold up the accepting of others.
+func refuse(c net.Conn) {
+	_ = c.SetWriteDeadline(time.Now().Add(refusalWait))
+	_, _ = c.Write(refusal)
+	_ = c.Close()
+}
+
+func (l *listener) enter() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open >= l.max {
+		return false
+	}
+	l.open++
+	return true
+}
+
+func (l *listener) leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open--
+}
+
+type counted struct {
+	net.Conn
+	leave func()
+}
+
+func (c *counted) Close() error {
+	err := c.Conn.Close()
+	c.leave()
+	return err
+}
--- /dev/null
+++ b/request/stream/reader.go
@@ -0,0 +1,110 @@
+// Package stream carries a streamed answer from targets to a caller: it
+// parses server-sent events strictly, checks each chunk's id and position,
+// and writes to the caller with bounded memory.
+package stream
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+)
+
+// MaxEvent is the longest event, in bytes, that a target may send.
+const MaxEvent = 256 << 10
+
+// Errors of a Reader beside those of its source.
+var (
+	ErrTooLong   = errors.New("event too long")
+	ErrMalformed = errors.New("malformed event stream")
+)
+
+// Reader reads server-sent events. It takes lines that end in LF or CRLF and
+// refuses fields that the protocol doesn't name.
+type Reader struct {
+	src  *bufio.Reader
+	line []byte
+	data []byte
+}
+
+// NewReader returns a Reader of src.
+func NewReader(src io.Reader) *Reader {
+	return &Reader{src: bufio.NewReader(src)}
+}
+
+// Next returns the data of the next event, valid until the next call. It
+// gives io.EOF when the source ends between two events and
+// io.ErrUnexpectedEOF when it ends within one.
+func (r *Reader) Next() ([]byte, error) {
+	r.data = r.data[:0]
+	lines := 0
+	for {
+		line, err := r.readLine()
+		if err == io.EOF && (lines > 0 || len(line) > 0) {
+			return nil, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, err
+		}
+		if len(line) == 0 {
+			if lines > 0 {
+				return r.data, nil
+			}
+			continue
+		}
+		isData, err := r.field(line, lines)
+		if err != nil {
+			return nil, err
+		}
+		if isData {
+			lines++
+		}
+	}
+}
+
+// field takes one line into the event and tells whether it was data.
+func (r *Reader) field(line []byte, lines int) (bool, error) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "", "event", "id", "retry": // a comment, or a field that carries no tokens
+		return false, nil
+	case "data":
+	default:
+		return false, ErrMalformed
+	}
+	if lines > 0 {
+		r.data = append(r.data, '\n')
+	}
+	r.data = append(r.data, bytes.TrimPrefix(value, []byte(" "))...)
+	if len(r.data) > MaxEvent {
+		return false, ErrTooLong
+	}
+	return true, nil
+}
+
+// readLine returns a line without its end. A source that ends in the middle
+// of a line gives the rest of it and io.EOF.
+func (r *Reader) readLine() ([]byte, error) {
+	r.line = r.line[:0]
+	for {
+		part, err := r.src.ReadSlice('\n')
+		if len(r.line)+len(part) > MaxEvent {
+			return nil, ErrTooLong
+		}
+		if err == nil && len(r.line) == 0 {
+			return trimEnd(part), nil
+		}
+		r.line = append(r.line, part...)
+		if err == nil {
+			return trimEnd(r.line), nil
+		}
+		if err != bufio.ErrBufferFull {
+			return r.line, err
+		}
+	}
+}
+
+func trimEnd(line []byte) []byte {
+	line = bytes.TrimSuffix(line, []byte("\n"))
+	return bytes.TrimSuffix(line, []byte("\r"))
+}
