Entry: fault cases over real connections

One fault of the code was found by them: with every target refusing connections the second choice answered 2001 without Retry-After; now the attempt's own failure (2002) is the answer.

Ruled out: a generic fault proxy between entry and target. A handler that writes the bytes of the fault is shorter and hits the exact byte.

--- a/request/attempt/runner.go
+++ b/request/attempt/runner.go
@@ -231,10 +231,10 @@
 	return e
 }
 
-// noTarget handles a failed choice. After an attempt that was written, "no
-// target" would claim that nothing ran.
+// noTarget handles a failed choice. After an attempt its failure says more,
+// and if that was written, "no target" would claim that nothing ran.
 func (u *run) noTarget(err error) error {
-	if u.last != nil && u.result.Written {
+	if u.last != nil {
 		return u.final(u.last)
 	}
 	return err
--- /dev/null
+++ b/request/entry/fault_test.go
@@ -0,0 +1,158 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/pomelospool/pomelospool/standin"
+)
+
+const answerTokens = 6
+
+// TestModelFaults: a caller streams an answer while the first engine that
+// gets the request misbehaves and the second one is well. Whatever the first
+// one does, the caller sees each token of its own answer once, then the end.
+func TestModelFaults(t *testing.T) {
+	long := strings.Repeat("x", 300<<10)
+	cases := []struct {
+		name  string
+		play  func(c *call)
+		other int // requests that the second engine gets
+	}{
+		{"well", func(c *call) { c.head().tokens(0, 1, 2, 3, 4).finish(5) }, 0},
+		{"crossed chunk", func(c *call) { c.head().tokens(0, 1).token("other", 2, false).tokens(2, 3, 4).finish(5) }, 0},
+		{"crossed end", func(c *call) { c.head().tokens(0).token("other", 1, true).tokens(1, 2, 3, 4).finish(5) }, 0},
+		{"doubled chunk", func(c *call) { c.head().tokens(0, 1, 1, 2).tokens(2, 0, 3, 4).finish(5) }, 0},
+		{"token after the last", func(c *call) {
+			c.head().tokens(0, 1, 2, 3, 4).token(c.id, 5, true).tokens(6, 7).raw("data: [DONE]\n\n")
+		}, 0},
+		{"lost marker", func(c *call) { c.head().tokens(0, 1, 2, 3, 4).token(c.id, 5, true) }, 0},
+		{"gap", func(c *call) { c.head().tokens(0, 1, 3, 4).finish(5) }, 1},
+		{"early marker", func(c *call) { c.head().tokens(0, 1).raw("data: [DONE]\n\n") }, 1},
+		{"clean early end", func(c *call) { c.head().tokens(0, 1) }, 1},
+		{"reset before the header", func(c *call) { c.reset() }, 1},
+		{"reset before a token", func(c *call) { c.head().reset() }, 1},
+		{"reset within a chunk", func(c *call) { c.head().tokens(0, 1).raw(`data: {"id":"`).reset() }, 1},
+		{"end within an event", func(c *call) { c.head().tokens(0, 1).raw(`data: {"id":"` + c.id + `","token_index":2}` + "\n") }, 1},
+		{"another's header", func(c *call) { c.w.Header().Set("X-Request-Id", "other"); c.tokens(0).finish(1) }, 1},
+		{"no header", func(c *call) { c.w.Header().Set("Content-Type", "text/event-stream"); c.tokens(0).finish(1) }, 1},
+		{"not an event stream", func(c *call) {
+			c.w.Header().Set("X-Request-Id", c.id)
+			c.w.Header().Set("Content-Type", "text/html")
+			c.tokens(0).finish(1)
+		}, 1},
+		{"unknown field", func(c *call) { c.head().tokens(0).raw("dat: 1\n\n").tokens(1).finish(2) }, 1},
+		{"not JSON", func(c *call) { c.head().tokens(0).raw("data: {\n\n").tokens(1).finish(2) }, 1},
+		{"no token index", func(c *call) { c.head().tokens(0).raw(`data: {"id":"` + c.id + `"}` + "\n\n").finish(1) }, 1},
+		{"endless line", func(c *call) { c.head().tokens(0).raw("data: " + long).hang() }, 1},
+		{"endless event", func(c *call) { c.head().tokens(0).raw(strings.Repeat("data: "+long[:1000]+"\n", 300)).hang() }, 1},
+		{"error event", func(c *call) { c.head().tokens(0).raw(`data: {"error":{"code":1}}` + "\n\n").hang() }, 1},
+		{"silent before the header", func(c *call) { c.hang() }, 1},
+		{"silent before a token", func(c *call) { c.head().hang() }, 1},
+		{"silent within the answer", func(c *call) { c.head().tokens(0, 1, 2).hang() }, 1},
+		{"full", func(c *call) { c.w.WriteHeader(http.StatusServiceUnavailable) }, 1},
+		{"failing", func(c *call) { c.w.Header().Set("X-Request-Id", c.id); c.w.WriteHeader(http.StatusInternalServerError) }, 1},
+		{"model gone", func(c *call) { c.w.Header().Set("X-Not-Run", "true"); c.w.WriteHeader(http.StatusNotFound) }, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			bad, good := newScript(t, tc.play), startEngine(t)
+			f := newFixture(t, []string{bad.addr(), good.Addr()}, nil, nil)
+			r := f.complete("prompt", answerTokens, "X-Request-Id", "mine")
+			if err := checkStream(r.body, "mine", "prompt", answerTokens); err != nil || r.code() != "0" {
+				t.Errorf("caller saw: %v (code %s, read error %v)", err, r.code(), r.err)
+			}
+			if n := len(good.Record().Requests); n != tc.other {
+				t.Errorf("second engine got %d requests, want %d", n, tc.other)
+			}
+			if n := bad.count(); n != 1 {
+				t.Errorf("first engine got %d requests, want 1", n)
+			}
+		})
+	}
+}
+
+// TestWholeFaults: as TestModelFaults, for answers that aren't streamed.
+func TestWholeFaults(t *testing.T) {
+	whole := func(id string) string {
+		return `{"id":"` + id + `","choices":[],"usage":{"completion_tokens":1}}`
+	}
+	send := func(c *call, length string, body string) *call {
+		c.w.Header().Set("X-Request-Id", c.id)
+		if length != "" {
+			c.w.Header().Set("Content-Length", length)
+		}
+		return c.raw(body)
+	}
+	cases := []struct {
+		name  string
+		play  func(c *call)
+		other int
+	}{
+		{"well", func(c *call) { send(c, "", whole(c.id)) }, 0},
+		{"another's body", func(c *call) { send(c, "", whole("other")) }, 1},
+		{"no usage", func(c *call) { send(c, "", `{"id":"`+c.id+`"}`) }, 1},
+		{"cut within JSON", func(c *call) { send(c, "", whole(c.id)[:20]) }, 1},
+		{"shorter than its length", func(c *call) { send(c, "500", whole(c.id)).reset() }, 1},
+		{"silent within the answer", func(c *call) { send(c, "", whole(c.id)[:20]).hang() }, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			bad, good := newScript(t, tc.play), startEngine(t)
+			f := newFixture(t, []string{bad.addr(), good.Addr()}, nil, nil)
+			r := f.do("POST", "/v1/completions", modelRequest("p", 3, false), "X-Request-Id", "mine")
+			if r.status != 200 || !strings.Contains(r.body, `"id":"mine"`) || !strings.Contains(r.body, `"usage"`) {
+				t.Errorf("caller saw: %+v", r)
+			}
+			if n := len(good.Record().Requests); n != tc.other {
+				t.Errorf("second engine got %d requests, want %d", n, tc.other)
+			}
+		})
+	}
+}
+
+// TestSilentConnections: a dispatcher's stream stops in the middle: a
+// middlebox forgot every connection to the engine, idle ones too, while new
+// ones work. The stream goes on over a new connection, and no later request is
+// put on one of the old ones.
+func TestSilentConnections(t *testing.T) {
+	e := startEngine(t)
+	f := newFixture(t, []string{e.Addr()}, nil, nil)
+	for range 3 {
+		f.complete("warm", answerTokens)
+	}
+	if err := e.Apply(t.Context(), standin.Fault{Kind: "silent"}); err != nil {
+		t.Fatal(err)
+	}
+	before := len(e.Record().Requests)
+	for range 5 {
+		r := f.complete("after", answerTokens, "X-Request-Id", "mine")
+		if err := checkStream(r.body, "mine", "after", answerTokens); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := len(e.Record().Requests) - before; n != 5 {
+		t.Errorf("the engine ran %d requests, want 5", n)
+	}
+}
+
+// TestRetryAmplification: every engine answers each request with a failure.
+// Retries would double the load that may be the cause; the service's budget
+// of 0.1 bounds attempts to 1.1 times the requests.
+func TestRetryAmplification(t *testing.T) {
+	fail := func(c *call) { c.w.WriteHeader(http.StatusInternalServerError) }
+	a, b := newScript(t, fail), newScript(t, fail)
+	f := newFixture(t, []string{a.addr(), b.addr()}, nil, nil)
+	const requests = 1000
+	for range requests {
+		f.complete("p", 1)
+	}
+	if n := a.count() + b.count(); n > requests*11/10 {
+		t.Errorf("%d attempts for %d requests", n, requests)
+	} else {
+		t.Logf("%d attempts for %d requests", n, requests)
+	}
+}
--- a/request/entry/fixture_test.go
+++ b/request/entry/fixture_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/connection/address"
 	"github.com/pomelospool/pomelospool/connection/pool"
@@ -21,6 +23,12 @@
 	"github.com/pomelospool/pomelospool/version/document"
 )
 
+// TestMain keeps the log lines of provoked faults out of the output.
+func TestMain(m *testing.M) {
+	log.SetLevel(log.FatalLevel)
+	m.Run()
+}
+
 const (
 	testModel = "m"
 	patience  = 300 * time.Millisecond // for a target's progress, in tests
@@ -69,10 +77,7 @@
 }
 
 // docTargets gives a document's targets as the pool sees them.
-type docTargets struct {
-	pool    *pool.Pool
-	leaving func(addr string) bool
-}
+type docTargets struct{ pool *pool.Pool }
 
 func (d docTargets) Targets(svc *view.Service) []routing.Target {
 	var out []routing.Target
@@ -103,7 +108,7 @@
 	llm := &document.Document{Service: "llm", Kind: document.KindModel, Models: []document.Model{{Name: testModel}}, Targets: targets("e", engines)}
 	app := &document.Document{Service: "app", Kind: document.KindPlain, Targets: targets("p", plains), Once: document.Once{Paths: []string{"/holds"}}}
 	o := Options{View: &view.Holder{}, Pool: p, Router: leastLoaded{}, First: patience, Between: patience, Write: patience}
-	o.Targets = docTargets{pool: p}
+	o.Targets = docTargets{p}
 	o.Addresses = address.NewBook(func() []address.Member { return []address.Member{{Addr: "127.0.0.1:1", Zone: "a"}} }, time.Second)
 	for _, d := range []*document.Document{llm, app} {
 		d.Objectives.Answer = 10 * time.Second
