--- /dev/null
+++ b/request/routing/policy_test.go
@@ -0,0 +1,233 @@
+package routing
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/platform"
+)
+
+const testRate = 8000
+
+func engine(name string, set ...func(*Target)) Target {
+	t := Target{Name: name, Zone: "a", Model: "m", Role: platform.RoleMixed, Live: true, Limit: 64}
+	t.Load.PrefillRate = testRate
+	for _, f := range set {
+		f(&t)
+	}
+	return t
+}
+
+func queued(n int) func(*Target)       { return func(t *Target) { t.Load.QueuedPrefill = n } }
+func as(r platform.Role) func(*Target) { return func(t *Target) { t.Role = r } }
+func cached(n int) func(*Target) {
+	return func(t *Target) { t.CachedTokens = func([]uint64) int { return n } }
+}
+func with(f func(*Target)) func(t *Target) { return f }
+
+func request(set ...func(*Request)) Request {
+	r := Request{ID: "r", Service: "s", Model: "m", Zone: "a", PromptTokens: 2000, OutputTokens: 100, Seed: 1, Prefix: []uint64{1}}
+	for _, f := range set {
+		f(&r)
+	}
+	return r
+}
+
+func kvOptions() Options { return Options{KVMoveRate: 200_000, BetweenTokens: 36 * time.Millisecond} }
+
+// TestRoute holds one case for each rule: what the rule sees, and who is chosen.
+func TestRoute(t *testing.T) {
+	running := func(n int) func(*Target) { return func(t *Target) { t.Load.Running = n; t.InFlight = n } }
+	cases := []struct {
+		name    string
+		req     func(*Request)
+		targets []Target
+		want    Decision // Target, KVFrom, Decode, Spilled
+		err     code.Code
+	}{
+		{name: "nothing", err: code.NoTarget},
+		{name: "dead or changing", err: code.NoTarget, targets: []Target{
+			engine("dead", with(func(t *Target) { t.Live = false })), engine("changing", with(func(t *Target) { t.Changing = true }))}},
+		{name: "other model", err: code.NoTarget, targets: []Target{engine("b", with(func(t *Target) { t.Model = "x" }))}},
+		{name: "other adapter", err: code.NoTarget, targets: []Target{engine("b", with(func(t *Target) { t.Adapter = "x" }))}},
+		{name: "adapter", req: func(r *Request) { r.Adapter = "x" }, want: Decision{Target: "b"}, targets: []Target{
+			engine("a"), engine("b", with(func(t *Target) { t.Adapter = "x" }))}},
+		{name: "excluded", req: func(r *Request) { r.Exclude = []string{"a"} }, want: Decision{Target: "b"}, targets: []Target{
+			engine("a"), engine("b", queued(90000))}},
+		{name: "all full", err: code.Overloaded, targets: []Target{engine("a", running(64)), engine("b", running(70))}},
+		{name: "own requests fill the limit", err: code.Overloaded, targets: []Target{engine("a", with(func(t *Target) { t.InFlight = 64 }))}},
+		{name: "alone", req: func(r *Request) { r.Alone = true }, want: Decision{Target: "b"}, targets: []Target{
+			engine("a", running(1)), engine("b", queued(10000))}},
+		{name: "alone, all busy", req: func(r *Request) { r.Alone = true }, err: code.Overloaded, targets: []Target{engine("a", running(1))}},
+		{name: "shorter queue", want: Decision{Target: "b"}, targets: []Target{engine("a", queued(4000)), engine("b", queued(1000))}},
+		{name: "sent since the report", want: Decision{Target: "b"}, targets: []Target{
+			engine("a", with(func(t *Target) { t.SentPrefill = 4000 })), engine("b", queued(1000))}},
+		{name: "worked off since the report", want: Decision{Target: "a"}, targets: []Target{
+			engine("a", queued(4000), with(func(t *Target) { t.LoadAge = time.Second })), engine("b", queued(1000))}},
+		{name: "slow decode", want: Decision{Target: "b"}, targets: []Target{
+			engine("a", running(10), with(func(t *Target) { t.Load.DecodeRate = 100 })), engine("b", running(10))}},
+		{name: "cached", want: Decision{Target: "b"}, targets: []Target{engine("a"), engine("b", queued(500), cached(1800))}},
+		{name: "cached, but far too busy", want: Decision{Target: "a", KVFrom: "b"}, targets: []Target{
+			engine("a"), engine("b", queued(40000), cached(1800))}},
+		{name: "moves a long prefix", req: func(r *Request) { r.PromptTokens = 20000 }, want: Decision{Target: "a", KVFrom: "b"}, targets: []Target{
+			engine("a"), engine("b", queued(40000), cached(18000))}},
+		{name: "computes a short one", req: func(r *Request) { r.PromptTokens = 200 }, want: Decision{Target: "a"}, targets: []Target{
+			engine("a"), engine("b", queued(40000), cached(100))}},
+		{name: "no KV from a suspect", req: func(r *Request) { r.PromptTokens = 20000 }, want: Decision{Target: "a"}, targets: []Target{
+			engine("a"), engine("b", queued(40000), cached(18000), with(func(t *Target) { t.Suspect = true }))}},
+		{name: "zone", want: Decision{Target: "b"}, targets: []Target{engine("a", with(func(t *Target) { t.Zone = "z" })), engine("b")}},
+		{name: "suspect", want: Decision{Target: "b"}, targets: []Target{
+			engine("a", with(func(t *Target) { t.Suspect = true })), engine("b", queued(8000))}},
+		{name: "suspect is all there is", want: Decision{Target: "a"}, targets: []Target{engine("a", with(func(t *Target) { t.Suspect = true }))}},
+		{name: "prefill, then decode", want: Decision{Target: "p", Decode: "d"}, targets: []Target{
+			engine("d", as(platform.RoleDecode), running(8)), engine("p", as(platform.RolePrefill))}},
+		{name: "spills when waiting costs more", want: Decision{Target: "d", Spilled: true}, targets: []Target{
+			engine("d", as(platform.RoleDecode), running(8)), engine("p", as(platform.RolePrefill), queued(40000))}},
+		{name: "waits when spilling costs more", want: Decision{Target: "p", Decode: "d"}, targets: []Target{
+			engine("d", as(platform.RoleDecode), running(40)), engine("p", as(platform.RolePrefill), queued(800))}},
+		{name: "only prefill engines left", want: Decision{Target: "p", Spilled: true}, targets: []Target{engine("p", as(platform.RolePrefill))}},
+		{name: "plain", req: func(r *Request) { r.Model = "" }, want: Decision{Target: "b"}, targets: []Target{
+			{Name: "a", Live: true, InFlight: 5}, {Name: "b", Live: true, InFlight: 2}}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := request()
+			if c.req != nil {
+				c.req(&r)
+			}
+			got, err := New(kvOptions()).Route(r, c.targets)
+			if (c.err != 0) != (err != nil) || (err != nil && code.Of(err) != c.err) {
+				t.Fatalf("error %v, want code %d", err, c.err)
+			}
+			if err != nil {
+				var e *code.Error
+				if errors.As(err, &e) && e.Code == code.Overloaded && e.RetryAfter < minRetryAfter {
+					t.Errorf("retry after %v", e.RetryAfter)
+				}
+				return
+			}
+			if got.Score <= 0 || got.Score > 1 {
+				t.Errorf("score %v lies outside (0,1]", got.Score)
+			}
+			got.Score, got.First, got.Finish = 0, 0, 0
+			if got != c.want {
+				t.Errorf("got %+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
+
+// TestEstimate checks the times that admission reads against sums made by hand.
+func TestEstimate(t *testing.T) {
+	targets := []Target{engine("a", queued(4000), func(t *Target) { t.Load.Running = 1 })}
+	o := Options{StepBase: 20 * time.Millisecond, StepPerStream: time.Millisecond}
+	d, err := New(o).Route(request(), targets)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := time.Duration(float64(4000+2000) / testRate * float64(time.Second))
+	if d.First != first || d.Finish != first+100*21*time.Millisecond {
+		t.Errorf("first %v, finish %v", d.First, d.Finish)
+	}
+}
+
+// leastLoaded is the baseline: the shortest queue by the report and what this
+// process sent itself.
+func leastLoaded(targets []Target) string {
+	return slices.MinFunc(targets, func(a, b Target) int {
+		return a.Load.QueuedPrefill + a.SentPrefill - b.Load.QueuedPrefill - b.SentPrefill
+	}).Name
+}
+
+// herd lets processes route against reports that are renewed every half second and
+// returns the mean over the reports of (most requests at one target) / (mean
+// over the targets).
+func herd(deciders int, choose func(r Request, ts []Target) string) float64 {
+	const (
+		engines  = 12
+		periods  = 200
+		period   = 500 * time.Millisecond
+		requests = 40 // of 1000 tokens in a period: 83% of the capacity
+		tokens   = 1000
+	)
+	var queue [engines]int
+	seed, ratio := uint64(1), 0.0
+	for range periods {
+		views := make([][]Target, deciders)
+		for d := range views {
+			for e := range engines {
+				views[d] = append(views[d], engine(fmt.Sprint(e), queued(queue[e])))
+			}
+		}
+		var got [engines]int
+		for i := range requests {
+			seed = mix(seed)
+			view := views[seed%uint64(deciders)]
+			for e := range view {
+				view[e].LoadAge = period * time.Duration(i) / requests
+			}
+			r := request(func(r *Request) { r.Seed, r.PromptTokens, r.Prefix = seed, tokens, nil })
+			name := choose(r, view)
+			e := slices.IndexFunc(view, func(t Target) bool { return t.Name == name })
+			view[e].SentPrefill += tokens
+			view[e].SentCount++
+			view[e].InFlight++
+			got[e]++
+		}
+		for e := range queue {
+			queue[e] = max(queue[e]+got[e]*tokens-int(testRate*period.Seconds()), 0)
+		}
+		ratio += float64(slices.Max(got[:])) * engines / requests / periods
+	}
+	return ratio
+}
+
+// A caller sees some answers come late while most engines idle.
+// All processes read the same load reports, half a second old, and each sends
+// its next requests to the engine with the shortest queue, which is the same
+// one for all. The cause is that none reckons with the others.
+func TestNoHerding(t *testing.T) {
+	const policyMost = 2.5 // least loaded reaches 2.8 with 8 processes, 9.0 with 64
+	for deciders, baselineMore := range map[int]float64{8: 1.3, 64: 3} {
+		p := New(Options{Deciders: deciders})
+		policy := herd(deciders, func(r Request, ts []Target) string {
+			d, err := p.Route(r, ts)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return d.Target
+		})
+		baseline := herd(deciders, func(_ Request, ts []Target) string { return leastLoaded(ts) })
+		t.Logf("%d deciders: most/mean %.2f, least loaded %.2f", deciders, policy, baseline)
+		if policy > policyMost || baseline < policy*baselineMore {
+			t.Errorf("%d deciders: most/mean %.2f (at most %v), least loaded %.2f", deciders, policy, policyMost, baseline)
+		}
+	}
+}
+
+func BenchmarkRoute(b *testing.B) {
+	for _, n := range []int{12, 100, 710} {
+		targets := make([]Target, n)
+		for i := range targets {
+			targets[i] = engine(fmt.Sprint(i), queued(i*37%9000), cached(i%1500))
+			targets[i].Role = []platform.Role{platform.RolePrefill, platform.RoleDecode, platform.RoleMixed}[i%3]
+		}
+		o := kvOptions()
+		o.Deciders = 8
+		p := New(o)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			r := request()
+			for i := range b.N {
+				r.Seed = uint64(i + 1)
+				if _, err := p.Route(r, targets); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
