--- /dev/null
+++ b/bench/policy/deployment.go
@@ -0,0 +1,52 @@
+package policy
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/version/document"
+)
+
+// Deployment is a fleet of engines and the document that guides its roles.
+type Deployment struct {
+	Name     string
+	Zones    []string
+	Roles    []platform.Role // of the engines at the start
+	Deciders int             // entry processes
+	Doc      *document.Document
+}
+
+// deciders is the number of entry VMs of the brief.
+const deciders = 8
+
+// NewDeployment returns the fleet of the given name.
+func NewDeployment(name string) (*Deployment, error) {
+	switch name {
+	case "jadranski":
+		return deployment(name, []string{"zg-dubrava", "zg-jankomir", "zg-zitnjak"}, document.Roles{
+			GoodputWeight: 0.8, MinPrefill: 1, MinDecode: 1, MaxChanging: 1, ChangeTime: 10 * time.Second, MinDwell: 45 * time.Second,
+		}), nil
+	case "halen":
+		return deployment(name, []string{"hall-a", "hall-b", "hall-c", "hall-d"}, document.Roles{
+			GoodputWeight: 0.2, MinPrefill: 1, MinDecode: 1, MaxChanging: 1, ChangeTime: 10 * time.Second, MinDwell: 10 * time.Minute,
+		}), nil
+	}
+	return nil, fmt.Errorf("deployment %q is neither jadranski nor halen", name)
+}
+
+func deployment(name string, zones []string, roles document.Roles) *Deployment {
+	const p, m, d = platform.RolePrefill, platform.RoleMixed, platform.RoleDecode
+	return &Deployment{
+		Name:     name,
+		Zones:    zones,
+		Roles:    []platform.Role{p, d, d, p, m, d, p, m, d},
+		Deciders: deciders,
+		Doc: &document.Document{
+			Service:    name,
+			Kind:       document.KindModel,
+			Objectives: document.Objectives{FirstToken: FirstToken, BetweenTokens: BetweenTokens, Answer: Deadline, Target: 0.95},
+			Roles:      roles,
+		},
+	}
+}
--- /dev/null
+++ b/process/planner/capacity.go
@@ -0,0 +1,84 @@
+package planner
+
+import "github.com/pomelospool/pomelospool/platform"
+
+// fleet is the engines of each role, as the sum of their speeds.
+type fleet struct{ prefill, mixed, decode float64 }
+
+func (f fleet) with(role platform.Role, speed float64) fleet {
+	switch role {
+	case platform.RolePrefill:
+		f.prefill += speed
+	case platform.RoleDecode:
+		f.decode += speed
+	default:
+		f.mixed += speed
+	}
+	return f
+}
+
+// fits tells whether the fleet can serve the mix. Prompts that the prefill
+// engines can't take go to mixed and, a few, to decode engines, where they
+// take time from the streams.
+func (r *Rates) fits(f fleet, m Mix) bool {
+	rest := max(m.Prefill-f.prefill*r.Prefill, 0)
+	busy := r.busy()
+	most := f.mixed*busy*r.Prefill + f.decode*spillTokens/r.limit
+	if rest > most {
+		return false
+	}
+	if m.Decode > (f.decode+f.mixed)*r.decode(m) {
+		return false
+	}
+	used := rest/r.Prefill + m.Decode*r.PerStream
+	return used <= (f.mixed+f.decode)*busy
+}
+
+// Bounds of the search for the largest mix that fits.
+const (
+	maxHeadroom  = 4
+	bisections   = 18
+	easy         = 0.75 // use of the fleet below which all requests are on time
+	lossWhenFull = 0.08 // share that is late when use is 1
+)
+
+// headroom is the largest factor by which the mix could grow and still fit.
+func (r *Rates) headroom(f fleet, m Mix) float64 {
+	if m.Prefill+m.Decode <= 0 {
+		return maxHeadroom
+	}
+	lo, hi := 0.0, float64(maxHeadroom)
+	for range bisections {
+		mid := (lo + hi) / 2
+		if r.fits(f, m.scaled(mid)) {
+			lo = mid
+		} else {
+			hi = mid
+		}
+	}
+	return lo
+}
+
+func (m Mix) scaled(f float64) Mix {
+	return Mix{m.Requests * f, m.Prefill * f, m.Decode * f}
+}
+
+// onTime is the work that the fleet finishes on time, in engines: all of the
+// mix while use is easy, a little less towards full use, and no more than
+// fits beyond that.
+func (r *Rates) onTime(f fleet, m Mix) float64 {
+	work := m.Prefill/r.Prefill + m.Decode/r.decode(m)
+	use := 1 / max(r.headroom(f, m), 1/float64(100))
+	return work * served(use)
+}
+
+func served(use float64) float64 {
+	if use <= easy {
+		return 1
+	}
+	if use <= 1 {
+		x := (use - easy) / (1 - easy)
+		return 1 - lossWhenFull*x*x
+	}
+	return (1 - lossWhenFull) / use
+}
--- /dev/null
+++ b/process/planner/demand.go
@@ -0,0 +1,127 @@
+package planner
+
+import (
+	"math"
+	"time"
+)
+
+// Demand estimates what callers ask for, over a fast and a slow horizon, and
+// learns from past shifts of the mix how long a new one is to be trusted.
+type Demand struct {
+	Fast, Slow Mix
+	Shift      Shift
+	Lifetime   time.Duration // how long a shift lasts, by experience
+	requests   float64
+	prefill    float64
+	decode     float64
+	seen       time.Duration // time covered by observations
+}
+
+// Mix is demand per second.
+type Mix struct {
+	Requests float64
+	Prefill  float64 // prompt tokens/s
+	Decode   float64 // output tokens/s
+}
+
+// Shift is a departure of the fast estimate from the slow one.
+type Shift struct {
+	Sign   int // of the change of the prefill share; 0 for none
+	Since  time.Duration
+	Origin float64 // prefill share that it departed from
+}
+
+// The horizons and the bounds on trust.
+const (
+	fastHorizon     = 12 * time.Second
+	slowHorizon     = 120 * time.Second
+	firstLifetime   = 120 * time.Second // until a shift has been seen to end
+	minLifetime     = 10 * time.Second
+	maxLifetime     = 10 * time.Minute
+	lifetimeWeight  = 0.35 // of the newest shift
+	shiftBegins     = 0.08 // departure in prefill share
+	shiftEnds       = 0.03
+	maxObservedStep = 10 * time.Second // a longer gap tells nothing of the present
+)
+
+func (d Demand) observe(now, step time.Duration, o *Observation, r *Rates) Demand {
+	req, pre, dec := o.Requests-d.requests, o.Prefill-d.prefill, o.Decode-d.decode
+	first := d.requests == 0 && d.seen == 0
+	d.requests, d.prefill, d.decode = o.Requests, o.Prefill, o.Decode
+	if first || step <= 0 || step > maxObservedStep || req < 0 || pre < 0 || dec < 0 {
+		return d
+	}
+	s := step.Seconds()
+	m := Mix{req / s, pre / s, dec / s}
+	d.Fast = d.Fast.blend(m, weight(step, fastHorizon, d.seen))
+	d.Slow = d.Slow.blend(m, weight(step, slowHorizon, d.seen))
+	d.seen += step
+	if d.Lifetime == 0 {
+		d.Lifetime = firstLifetime
+	}
+	return d.followShift(now, r)
+}
+
+// weight of a new value that covers step. At first it is the plain mean's.
+func weight(step, horizon, seen time.Duration) float64 {
+	w := 1 - math.Exp(-step.Seconds()/horizon.Seconds())
+	return max(w, step.Seconds()/(seen+step).Seconds())
+}
+
+func (m Mix) blend(n Mix, w float64) Mix {
+	return Mix{
+		Requests: m.Requests + w*(n.Requests-m.Requests),
+		Prefill:  m.Prefill + w*(n.Prefill-m.Prefill),
+		Decode:   m.Decode + w*(n.Decode-m.Decode),
+	}
+}
+
+// share is the part of the work that is prefill.
+func (m Mix) share(r *Rates) float64 {
+	p := m.Prefill / r.Prefill
+	d := m.Decode / r.decode(m)
+	if p+d <= 0 {
+		return 0
+	}
+	return p / (p + d)
+}
+
+// followShift notes when shifts of the mix begin and end. One that ends where
+// it came from lasted as long as it took; one whose new level became the usual one lasts.
+func (d Demand) followShift(now time.Duration, r *Rates) Demand {
+	fast, slow := d.Fast.share(r), d.Slow.share(r)
+	diff := fast - slow
+	if d.Shift.Sign == 0 {
+		if math.Abs(diff) > shiftBegins {
+			d.Shift = Shift{Sign: sign(diff), Since: now, Origin: slow}
+		}
+		return d
+	}
+	if diff*float64(d.Shift.Sign) > shiftEnds {
+		return d
+	}
+	lasted := now - d.Shift.Since
+	level := slow - d.Shift.Origin
+	if level*float64(d.Shift.Sign) > shiftBegins {
+		lasted = max(lasted, maxLifetime/2)
+	}
+	life := float64(d.Lifetime) + lifetimeWeight*float64(lasted-d.Lifetime)
+	d.Lifetime = min(max(time.Duration(life), minLifetime), maxLifetime)
+	d.Shift = Shift{}
+	return d
+}
+
+// trust is how long the fast estimate is expected to hold from now on.
+func (d Demand) trust(now time.Duration) time.Duration {
+	if d.Shift.Sign == 0 {
+		return d.Lifetime
+	}
+	return max(d.Lifetime-(now-d.Shift.Since), d.Lifetime/4)
+}
+
+func sign(f float64) int {
+	if f < 0 {
+		return -1
+	}
+	return 1
+}
--- /dev/null
+++ b/process/planner/limits.go
@@ -0,0 +1,61 @@
+package planner
+
+import (
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/version/document"
+)
+
+// limits keep enough engines able to prefill and to decode. Without them a
+// mix that is all of one kind for a while would leave a service unable to
+// answer anything else for as long as a change takes.
+type limits struct {
+	prefill, decode       int // engines able to, mixed ones in both
+	minPrefill, minDecode int
+}
+
+func limitsOf(o *Observation, doc *document.Document) limits {
+	l := limits{minPrefill: max(doc.Roles.MinPrefill, 1), minDecode: max(doc.Roles.MinDecode, 1)}
+	for i := range o.Engines {
+		e := &o.Engines[i]
+		if !e.Live || e.Changing {
+			continue
+		}
+		if e.Role != platform.RoleDecode {
+			l.prefill++
+		}
+		if e.Role != platform.RolePrefill {
+			l.decode++
+		}
+	}
+	return l
+}
+
+// mayLeave tells whether the service lives on while an engine of the role is away.
+func (l limits) mayLeave(role platform.Role) bool {
+	prefill, decode := l.prefill, l.decode
+	if role != platform.RoleDecode {
+		prefill--
+	}
+	if role != platform.RolePrefill {
+		decode--
+	}
+	return prefill >= l.minPrefill && decode >= l.minDecode
+}
+
+// mayBecome tells whether it lives on after the change.
+func (l limits) mayBecome(from, to platform.Role) bool {
+	prefill, decode := l.prefill, l.decode
+	if from != platform.RoleDecode {
+		prefill--
+	}
+	if from != platform.RolePrefill {
+		decode--
+	}
+	if to != platform.RoleDecode {
+		prefill++
+	}
+	if to != platform.RolePrefill {
+		decode++
+	}
+	return prefill >= l.minPrefill && decode >= l.minDecode
+}
--- /dev/null
+++ b/process/planner/plan.go
@@ -0,0 +1,183 @@
+package planner
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/version/document"
+)
+
+// Defaults for what a document leaves out, and the bounds of a decision.
+const (
+	defaultWeight = 0.5
+	defaultChange = 10 * time.Second
+	defaultDwell  = 60 * time.Second
+	minWeight     = 0.05
+	warmUp        = 20 * time.Second // of observations before the first change
+	tail          = 60 * time.Second // how long the usual mix counts after the trust horizon
+	priceFactor   = 2
+	minGain       = 2 // engine-seconds, whatever the weight
+)
+
+// Plan takes in an observation and returns the changes of role to order now:
+// none most times, never more than one. A change must gain more work on time,
+// over the time in which the mix is trusted, than the engine's absence
+// costs, and a price on top that the document's goodput weight sets.
+//
+// Every process plans over all engines of the model and so finds nearly the
+// same best change; it orders it only if the engine is in its own group. Else
+// all groups would answer the same shift at once.
+func Plan(now time.Duration, obs Observation, doc *document.Document, prev State) (State, []Change) {
+	s := prev
+	if !s.begun {
+		s = State{begun: true, Started: now, Last: now, Away: changeTime(doc)}
+	}
+	step := now - s.Last
+	s.Last = now
+	s.Rates = s.Rates.observe(&obs, doc.Objectives.BetweenTokens)
+	s.Demand = s.Demand.observe(now, step, &obs, &s.Rates)
+	s.remember(now, &obs)
+	c, ok := s.best(now, &obs, doc)
+	if !ok || !mayOrder(&obs, c.Engine) {
+		return s, nil
+	}
+	i, _ := findMemory(s.Engines, c.Engine)
+	s.Engines[i].Pending = c.To
+	s.Engines[i].Ordered = now
+	s.Changed = now
+	return s, []Change{c}
+}
+
+func changeTime(doc *document.Document) time.Duration {
+	if doc.Roles.ChangeTime > 0 {
+		return doc.Roles.ChangeTime
+	}
+	return defaultChange
+}
+
+func mayOrder(o *Observation, engine string) bool {
+	if o.Group == "" {
+		return true
+	}
+	i := slices.IndexFunc(o.Engines, func(e Engine) bool { return e.Name == engine })
+	return o.Engines[i].Group == o.Group
+}
+
+// best returns the change that gains most, if one pays.
+func (s *State) best(now time.Duration, o *Observation, doc *document.Document) (Change, bool) {
+	if s.Demand.seen < warmUp || s.changing(o) >= max(doc.Roles.MaxChanging, 1) {
+		return Change{}, false
+	}
+	f := s.fleet(o)
+	limits := limitsOf(o, doc)
+	var best Change
+	for _, from := range roles {
+		e := s.candidate(now, o, doc, from)
+		if e == nil || !limits.mayLeave(from) {
+			continue
+		}
+		for _, to := range roles {
+			if to == from || !limits.mayBecome(from, to) {
+				continue
+			}
+			if gain := s.gain(now, f, e, to); gain > best.Gain {
+				best = Change{Engine: e.Name, From: from, To: to, Gain: gain}
+			}
+		}
+	}
+	if best.Gain <= s.price(doc) {
+		return Change{}, false
+	}
+	best.Reason = fmt.Sprintf("prefill share %.2f, usually %.2f, trusted for %v: %.0f engine-seconds gained",
+		s.Demand.Fast.share(&s.Rates), s.Demand.Slow.share(&s.Rates), s.Demand.trust(now).Round(time.Second), best.Gain)
+	return best, true
+}
+
+var roles = []platform.Role{platform.RolePrefill, platform.RoleMixed, platform.RoleDecode}
+
+// changing counts the engines that are away for a change, of every group.
+func (s *State) changing(o *Observation) int {
+	n := 0
+	for i := range o.Engines {
+		j, _ := findMemory(s.Engines, o.Engines[i].Name)
+		if o.Engines[i].Changing || s.Engines[j].Pending != "" {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *State) fleet(o *Observation) fleet {
+	var f fleet
+	for i := range o.Engines {
+		e := &o.Engines[i]
+		if e.Live && !e.Changing {
+			f = f.with(e.Role, s.speed(e.Name))
+		}
+	}
+	return f
+}
+
+func (s *State) speed(name string) float64 {
+	i, _ := findMemory(s.Engines, name)
+	return s.Engines[i].Speed
+}
+
+// candidate is the engine of a role that costs least to take away: the one
+// with the least work to finish first.
+func (s *State) candidate(now time.Duration, o *Observation, doc *document.Document, role platform.Role) *Engine {
+	dwell := defaultDwell
+	if doc.Roles.MinDwell > 0 {
+		dwell = doc.Roles.MinDwell
+	}
+	var best *Engine
+	for i := range o.Engines {
+		e := &o.Engines[i]
+		if e.Role != role || !e.Live || e.Changing || e.Pinned {
+			continue
+		}
+		j, _ := findMemory(s.Engines, e.Name)
+		m := &s.Engines[j]
+		settled := m.Since == s.Started || now-m.Since >= dwell
+		if !settled || now < m.NotBefore {
+			continue
+		}
+		if best == nil || s.unfinished(e) < s.unfinished(best) {
+			best = e
+		}
+	}
+	return best
+}
+
+// unfinished is the seconds of work at an engine.
+func (s *State) unfinished(e *Engine) float64 {
+	return float64(e.Load.QueuedPrefill)/s.Rates.Prefill + float64(e.Load.DecodeRemaining)*s.Rates.PerStream
+}
+
+// gain is the work on time, in engine-seconds, that a change adds: over the
+// trust horizon under the mix of now, then for a while under the usual mix
+// (the new role stays until another change pays), less what is lost while the engine is away.
+func (s *State) gain(now time.Duration, f fleet, e *Engine, to platform.Role) float64 {
+	speed := s.speed(e.Name)
+	without := f.with(e.Role, -speed)
+	after := without.with(to, speed)
+	r, fast, slow := &s.Rates, s.Demand.Fast, s.Demand.Slow
+	away := s.Away.Seconds()
+	lost := (r.onTime(f, fast) - r.onTime(without, fast)) * away
+	trusted := max(s.Demand.trust(now).Seconds()-away, 0)
+	gained := (r.onTime(after, fast) - r.onTime(f, fast)) * trusted
+	usual := (r.onTime(after, slow) - r.onTime(f, slow)) * tail.Seconds()
+	return gained + usual - lost
+}
+
+// price is the gain, in engine-seconds, below which a change isn't worth it.
+func (s *State) price(doc *document.Document) float64 {
+	w := doc.Roles.GoodputWeight
+	if w == 0 {
+		w = defaultWeight
+	}
+	w = min(max(w, minWeight), 1)
+	return minGain + priceFactor*(1-w)/w*s.Away.Seconds()
+}
