--- a/bench/policy/bench.go
+++ b/bench/policy/bench.go
@@ -13,6 +13,8 @@
 	LeastLoaded = "never changed, least loaded"
 	RoundRobin  = "never changed, round robin"
 	Threshold   = "threshold rule, least loaded"
+	RoutingOnly = "never changed, our routing"
+	OurThresh   = "threshold rule, our routing"
 )
 
 func systems(m *Model, d *Deployment) []system {
@@ -20,11 +22,14 @@
 		PrefillRate: m.prefillRate(), KVMoveRate: m.KVMoveRate, KVMoveDelay: duration(m.KVMoveDelay),
 		BetweenTokens: BetweenTokens, Deciders: d.Deciders,
 	}
+	ours := func() routing.Router { return routing.New(opts) }
 	return []system{
-		{Pomelospool, func() routing.Router { return routing.New(opts) }, &real{d, make([]planner.State, len(d.Zones))}},
+		{Pomelospool, ours, &real{d, make([]planner.State, len(d.Zones))}},
 		{LeastLoaded, func() routing.Router { return leastLoaded(m) }, never{}},
 		{RoundRobin, func() routing.Router { return roundRobin(m) }, never{}},
 		{Threshold, func() routing.Router { return leastLoaded(m) }, &threshold{m: m}},
+		{RoutingOnly, ours, never{}},
+		{OurThresh, ours, &threshold{m: m}},
 	}
 }
 
--- a/bench/policy/engine.go
+++ b/bench/policy/engine.go
@@ -163,7 +163,7 @@
 	case platform.RoleDecode:
 		return e.m.SpillChunk
 	}
-	free := e.m.StepTarget - e.m.StepBase - float64(n)*e.m.StepPerStream
+	free := e.m.StepTarget*e.speed - e.m.StepBase - float64(n)*e.m.StepPerStream
 	return max(int(free*e.m.PrefillRate), e.m.MinChunk)
 }
 
--- a/process/planner/memory.go
+++ b/process/planner/memory.go
@@ -76,7 +76,7 @@
 	}
 	var speed float64
 	switch {
-	case e.Role == platform.RolePrefill && l.PrefillRate > 0:
+	case r.pressed(e):
 		speed = l.PrefillRate / r.Prefill
 	case e.Role == platform.RoleDecode && l.QueuedPrefill == 0 && l.Running >= minFitStreams && l.DecodeRate > 0:
 		n := float64(l.Running)
--- a/process/planner/rates.go
+++ b/process/planner/rates.go
@@ -86,7 +86,7 @@
 	if l.KVCapacity > 0 {
 		r.KVCapacity = float64(l.KVCapacity)
 	}
-	if e.Role == platform.RolePrefill && l.PrefillRate > 0 {
+	if r.pressed(e) {
 		r.Prefill += rateWeight * (l.PrefillRate - r.Prefill)
 	}
 	pure := e.Role == platform.RoleDecode && l.QueuedPrefill == 0
@@ -97,6 +97,19 @@
 	}
 }
 
+// pressed tells whether an engine's prefill rate shows what it can do.
+//
+// The failure it stops: an engine with little to do takes small steps and reports
+// a low rate. Taken for its capacity, that calls for more prefill engines,
+// which then have still less to do, until few are left to decode.
+func (r *Rates) pressed(e *Engine) bool {
+	waits := float64(e.Load.QueuedPrefill) > pressedSeconds*r.Prefill
+	return e.Role == platform.RolePrefill && e.Load.PrefillRate > 0 && waits
+}
+
+// pressedSeconds is the least work in the queue of a pressed engine.
+const pressedSeconds = 0.15
+
 // busy is the share of a decode step that is left for streams and prompts
 // when the step takes as long as the objective allows.
 func (r *Rates) busy() float64 { return max(1-r.Base/r.limit, 0.05) }
--- a/request/routing/estimate.go
+++ b/request/routing/estimate.go
@@ -28,6 +28,7 @@
 	others  float64 // prompt tokens that other processes sent to a target since its report
 	age     float64 // mean age of the reports, seconds
 	decoder *Target // engine to decode on after a prefill engine
+	decodes bool    // an engine that decodes is there, with room or without
 	source  kvSource
 }
 
@@ -44,17 +45,26 @@
 		env.age = meanAge(cands)
 		return env
 	}
-	sent := 0
-	for i := range cands {
-		sent += cands[i].t.SentPrefill
-	}
 	env.age = meanAge(cands)
-	env.others = float64(sent) / float64(len(cands)) * float64(p.deciders.Load()-1)
+	env.others = meanSent(cands) * float64(p.deciders.Load()-1)
 	env.decoder = p.pickDecoder(s, env)
 	env.source = env.bestSource(targets)
 	return env
 }
 
+// meanSent is the prompt tokens that this process sent to an engine on
+// average since the reports. It stands for what each other process sent.
+func meanSent(cands []candidate) float64 {
+	sent, n := 0, 0
+	for i := range cands {
+		if role(cands[i].t) != platform.RoleDecode {
+			sent += cands[i].t.SentPrefill
+			n++
+		}
+	}
+	return float64(sent) / float64(max(n, 1))
+}
+
 func meanAge(cands []candidate) float64 {
 	if len(cands) == 0 {
 		return 0
@@ -126,7 +136,10 @@
 // for as long as the lag, and a busy one idle.
 func (e *environment) prefillQueue(t *Target, rate float64) float64 {
 	age := min(t.LoadAge, maxReportAge).Seconds()
-	q := float64(t.Load.QueuedPrefill+t.SentPrefill) + e.others - rate*age
+	q := float64(t.Load.QueuedPrefill+t.SentPrefill) - rate*age
+	if role(t) != platform.RoleDecode {
+		q += e.others
+	}
 	return max(q, 0)
 }
 
@@ -173,9 +186,6 @@
 	out := float64(max(e.r.OutputTokens, 1))
 	cost := out*e.stepTime(t, n+1) + e.memoryWait(t)
 	cost += float64(n) * e.opts.StepPerStream.Seconds() * out
-	if e.breaksBetween(t, n+1) {
-		cost *= objectivePenalty
-	}
 	if role(t) == platform.RoleMixed {
 		cost *= mixedDecodeCost
 	}
@@ -185,12 +195,3 @@
 // mixedDecodeCost prefers engines that do nothing but decode: on a mixed one
 // each prompt interrupts the streams.
 const mixedDecodeCost = 1.2
-
-// objectivePenalty multiplies the cost where the between-tokens objective
-// would be missed, for this request and those beside it.
-const objectivePenalty = 3
-
-func (e *environment) breaksBetween(t *Target, n int) bool {
-	limit := e.opts.BetweenTokens.Seconds()
-	return limit > 0 && e.stepTime(t, n) > limit
-}
--- /dev/null
+++ b/request/routing/filter_pace.go
@@ -0,0 +1,54 @@
+package routing
+
+import "github.com/pomelospool/pomelospool/platform"
+
+// How much of the between-tokens objective a step may take before an engine
+// counts as full. A stream also waits for its KV cache and for a place in the
+// batch. A mixed engine fills its steps with prompts up to the objective, so its measured step
+// says little; what its streams alone would take must leave room for prompts.
+const (
+	paceMargin  = 0.95
+	mixedMargin = 0.97
+	urgentExtra = 1.1
+)
+
+// breaksPace tells whether n streams on t would miss the between-tokens
+// objective, with the seconds that moving the KV cache adds to the first gap.
+//
+// The failure it stops: one stream too many makes all the streams beside it
+// late, so under overload nearly every answer misses its objective while the engines
+// are busy all the time. Refusing that one keeps the others on time.
+func (e *environment) breaksPace(t *Target, n int, move float64) bool {
+	limit := e.opts.BetweenTokens.Seconds() * paceMargin
+	if e.opts.BetweenTokens <= 0 {
+		return false
+	}
+	if e.r.Priority > 0 {
+		limit *= urgentExtra
+	}
+	limit -= move / float64(max(e.r.OutputTokens, 1))
+	if role(t) == platform.RoleMixed {
+		return e.assumedStep(n) > limit*mixedMargin
+	}
+	return e.stepTime(t, n) > limit
+}
+
+// withPace drops the candidates whose streams would have no room, on
+// themselves or, after a prefill engine, on any engine that decodes.
+func (e *environment) withPace(cands []candidate) []candidate {
+	if e.plain {
+		return cands
+	}
+	keep := cands[:0]
+	for _, c := range cands {
+		elsewhere := role(c.t) == platform.RolePrefill && e.opts.KVMoveRate > 0 && e.decodes
+		if elsewhere && e.decoder == nil {
+			continue
+		}
+		if !elsewhere && e.breaksPace(c.t, requestsAt(c.t)+1, 0) {
+			continue
+		}
+		keep = append(keep, c)
+	}
+	return keep
+}
--- a/request/routing/pick_decode.go
+++ b/request/routing/pick_decode.go
@@ -12,12 +12,17 @@
 	s.decoders = s.decoders[:0]
 	streams := 0
 	step := 0.0
+	move := env.moveTime(env.r.PromptTokens)
 	for i := range s.cands {
 		t := s.cands[i].t
 		if role(t) == platform.RolePrefill {
 			continue
 		}
+		env.decodes = true
 		n := requestsAt(t)
+		if env.breaksPace(t, n+1, move) {
+			continue
+		}
 		streams += n
 		step += env.stepTime(t, n+1)
 		s.decoders = append(s.decoders, candidate{t: t, cost: env.decodeCost(t)})
--- a/request/routing/policy.go
+++ b/request/routing/policy.go
@@ -114,6 +114,10 @@
 		return Decision{}, p.overloaded(s, &r, full)
 	}
 	env := p.environment(s, &r, targets)
+	s.cands = env.withPace(s.cands)
+	if len(s.cands) == 0 {
+		return Decision{}, p.overloaded(s, &r, &targets[0])
+	}
 	for i := range s.cands {
 		c := &s.cands[i]
 		c.est = env.estimate(c.t)
--- a/request/routing/score_role.go
+++ b/request/routing/score_role.go
@@ -24,9 +24,6 @@
 	if est.spill {
 		h += est.work * spillFactor
 	}
-	if est.decode == "" && e.breaksBetween(t, requestsAt(t)+1) {
-		h += est.finish * (objectivePenalty - 1)
-	}
 	return h
 }
 
