--- a/cmd/pomelospoold/main.go
+++ b/cmd/pomelospoold/main.go
@@ -1,4 +1,73 @@
 // Command pomelospoold is the entry daemon; every VM runs a copy alike.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/pomelospool/pomelospool/process/daemon"
+	"github.com/pomelospool/pomelospool/process/settings"
+)
+
+// options of the command line; all else stands in the settings file.
+type options struct {
+	Settings string `long:"settings" value-name:"FILE" required:"true" description:"Settings of this daemon, in YAML"`
+	Check    bool   `long:"check" description:"Check the settings and exit"`
+}
+
+func main() {
+	var o options
+	parser := flags.NewParser(&o, flags.Default)
+	parser.LongDescription = "Entry daemon of pomelospool. SIGTERM stops it in a planned way: no request is cut."
+	if _, err := parser.Parse(); err != nil {
+		os.Exit(usage(err))
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+const exitUsage = 2
+
+func usage(err error) int {
+	var fe *flags.Error
+	if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+		return 0
+	}
+	return exitUsage
+}
+
+func run(o options) error {
+	s, err := settings.Load(o.Settings)
+	if err != nil {
+		return err
+	}
+	if o.Check {
+		return nil
+	}
+	daemon.SetLog(s.Log, os.Stderr)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	d, err := daemon.New(s)
+	if err != nil {
+		return err
+	}
+	d.Start()
+	select {
+	case sig := <-stop:
+		log.WithField("signal", sig.String()).Info("daemon: asked to stop")
+	case <-d.Dying():
+		return d.Wait()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), s.Control.DrainLimit)
+	defer cancel()
+	return d.Shutdown(ctx)
+}
--- a/internal/deps/deps.go
+++ b/internal/deps/deps.go
@@ -7,6 +7,7 @@
 	_ "github.com/HdrHistogram/hdrhistogram-go"
 	_ "github.com/apex/log"
 	_ "github.com/apex/log/handlers/json"
+	_ "github.com/apex/log/handlers/logfmt"
 	_ "github.com/cespare/xxhash/v2"
 	_ "github.com/google/uuid"
 	_ "github.com/jessevdk/go-flags"
--- /dev/null
+++ b/process/daemon/control.go
@@ -0,0 +1,197 @@
+package daemon
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/yamlcheck"
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/process/fold"
+	"github.com/pomelospool/pomelospool/process/reconcile"
+	"github.com/pomelospool/pomelospool/request/view"
+	"github.com/pomelospool/pomelospool/version/document"
+)
+
+// validate judges a document by the rules of this binary.
+func validate(yaml string) (code.Code, string) {
+	_, problems := document.Parse("document", []byte(yaml))
+	err := yamlcheck.AsError(problems)
+	if err == nil {
+		return code.OK, ""
+	}
+	return code.Of(err), err.Error()
+}
+
+// documents keeps the parsed form of each version in force. It belongs to
+// the control goroutine.
+type documents struct {
+	byVersion map[int64]*view.Service
+}
+
+// services returns the services in force, parsed. A version that this binary
+// can't parse any more was accepted by an older one and stays in force there;
+// here its service keeps the newest form that could be read.
+func (c *documents) services(s *fold.State) []*view.Service {
+	next := make(map[int64]*view.Service, len(s.Services))
+	var out []*view.Service
+	for _, name := range slices.Sorted(maps.Keys(s.Services)) {
+		svc := s.Services[name]
+		if svc.Version == 0 || svc.Removed {
+			continue
+		}
+		v := c.byVersion[svc.Version]
+		if v == nil {
+			v = parseService(name, svc)
+		}
+		if v == nil {
+			continue
+		}
+		next[svc.Version] = v
+		out = append(out, v)
+	}
+	c.byVersion = next
+	return out
+}
+
+// parseService reads an accepted document without judging it again: a verdict
+// stands for good, so a stricter binary must not drop what is in force.
+func parseService(name string, svc fold.Service) *view.Service {
+	doc, err := document.Accepted([]byte(svc.YAML))
+	if err != nil {
+		log.WithError(err).WithField("service", name).Error("config: accepted document can't be read")
+		return nil
+	}
+	return &view.Service{Doc: doc, Version: svc.Version}
+}
+
+// controlEvery is the time between two looks at what changes without a
+// record: the VM list, the engines' own word, the planner.
+const controlEvery = 500 * time.Millisecond
+
+// controlLoop is the goroutine that owns control state.
+func (d *Daemon) controlLoop() error {
+	tick := time.NewTicker(controlEvery)
+	defer tick.Stop()
+	for {
+		changed := d.follower.Changed()
+		d.refresh()
+		select {
+		case <-d.tomb.Dying():
+			return nil
+		case <-changed:
+		case <-tick.C:
+			d.planner.step()
+		}
+	}
+}
+
+// refresh stores a new snapshot if anything in it changed.
+func (d *Daemon) refresh() {
+	select {
+	case <-d.follower.Ready():
+	default:
+		return
+	}
+	s := d.follower.State()
+	old := d.view.Load()
+	services := d.docs.services(s)
+	snap := view.NewSnapshot(s.Applied, services, nil)
+	snap.Leaving = reconcile.Leaving(snap, d.leavingVMs(), d.reconciler.EnginesLeaving())
+	if old != nil && sameVersions(old, snap) && maps.Equal(old.Leaving, snap.Leaving) {
+		return
+	}
+	logVersions(old, snap)
+	d.view.Store(snap)
+	if d.phase() == phaseStarting {
+		d.setPhase(phaseServing)
+		log.WithField("offset", s.Applied).Info("daemon: serving")
+	}
+}
+
+func sameVersions(a, b *view.Snapshot) bool {
+	return maps.EqualFunc(a.Services, b.Services, func(x, y *view.Service) bool { return x.Version == y.Version })
+}
+
+func logVersions(old, snap *view.Snapshot) {
+	for name, svc := range snap.Services {
+		if old != nil && old.Services[name] != nil && old.Services[name].Version == svc.Version {
+			continue
+		}
+		log.WithFields(log.Fields{"service": name, "version": svc.Version}).Info("config: in force")
+	}
+}
+
+// leavingVMs gives the VMs that membership has seen leaving in the VM list.
+func (d *Daemon) leavingVMs() []platform.VM { return d.members.LeavingVMs() }
+
+func (d *Daemon) groupNames() []string {
+	snap := d.view.Load()
+	if snap == nil {
+		return nil
+	}
+	return reconcile.Names(reconcile.Groups(snap))
+}
+
+var errNoConfiguration = errors.New("the control stream has not been read yet")
+
+// Admit implements view.Gate.
+func (d *Daemon) Admit() error {
+	switch d.phase() {
+	case phaseStarting:
+		return code.Wrap(code.NoConfiguration, errNoConfiguration, "").After(time.Second)
+	case phaseDraining:
+		return code.New(code.Draining, "").After(time.Second)
+	}
+	if d.isolated() {
+		return code.New(code.Isolated, "neither the log nor enough peers for %v", d.s.Control.Isolation).After(d.s.Control.Isolation)
+	}
+	return nil
+}
+
+// isolated tells whether this process may be the only one that doesn't know
+// what is in force. With the log it knows. Without it, peers that are at
+// least half of the fleet would have told it. Otherwise it may be cut off
+// while operators drain a target or publish, and would send work where none
+// may go; it refuses, and callers have other addresses.
+func (d *Daemon) isolated() bool {
+	if d.logAge() < d.s.Control.Isolation {
+		return false
+	}
+	live, known := d.members.View().Reachable()
+	if live+1 > known-live {
+		return d.members.PeerAge() > d.s.Control.Isolation && known > 0
+	}
+	return true
+}
+
+// logAge is the time since a finished read of the log's tail began.
+func (d *Daemon) logAge() time.Duration {
+	began, ok := d.follower.LastReadBegan()
+	if !ok {
+		return d.s.Control.Isolation
+	}
+	return d.clock.Now() - began
+}
+
+func (d *Daemon) objectives(service string) (document.Objectives, bool) {
+	snap := d.view.Load()
+	if snap == nil || snap.Services[service] == nil {
+		return document.Objectives{}, false
+	}
+	return snap.Services[service].Doc.Objectives, true
+}
+
+// rank is this process's place among the live daemons.
+func (d *Daemon) rank() int {
+	rank, _ := d.members.View().Rank()
+	return rank
+}
+
+func sortedServices(snap *view.Snapshot) []string {
+	return slices.Sorted(maps.Keys(snap.Services))
+}
--- /dev/null
+++ b/process/daemon/daemon.go
@@ -0,0 +1,279 @@
+// Package daemon wires one entry process: the platform's adapters, the fold
+// of the control stream, membership, leases and orders, the role planner, and
+// the request path. Every VM runs the same; none is set aside for control.
+//
+// The control goroutine alone builds what is in force and stores it as an
+// immutable snapshot. Traffic loads the snapshot and never waits for it.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/google/uuid"
+	"gopkg.in/tomb.v2"
+
+	"github.com/pomelospool/pomelospool/connection/address"
+	"github.com/pomelospool/pomelospool/connection/load"
+	"github.com/pomelospool/pomelospool/connection/pool"
+	"github.com/pomelospool/pomelospool/peer"
+	"github.com/pomelospool/pomelospool/peer/peerpb"
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/platform/httpapi"
+	"github.com/pomelospool/pomelospool/process/burn"
+	"github.com/pomelospool/pomelospool/process/clock"
+	"github.com/pomelospool/pomelospool/process/follow"
+	"github.com/pomelospool/pomelospool/process/lease"
+	"github.com/pomelospool/pomelospool/process/membership"
+	"github.com/pomelospool/pomelospool/process/reconcile"
+	"github.com/pomelospool/pomelospool/process/settings"
+	"github.com/pomelospool/pomelospool/request/entry"
+	"github.com/pomelospool/pomelospool/request/once"
+	"github.com/pomelospool/pomelospool/request/quarantine"
+	"github.com/pomelospool/pomelospool/request/routing"
+	"github.com/pomelospool/pomelospool/request/view"
+)
+
+// Daemon is one entry process. Make it with New.
+type Daemon struct {
+	s     *settings.Settings
+	self  string // incarnation
+	tomb  tomb.Tomb
+	clock clock.Clock
+	state atomic.Int32 // of type phase
+
+	platform platformClients
+	dialer   *peer.Dialer
+
+	follower   *follow.Follower
+	members    *membership.Membership
+	leases     *lease.Manager
+	reconciler *reconcile.Reconciler
+	planner    *rolePlanner
+
+	view    *view.Holder
+	pool    *pool.Pool
+	watcher *load.Watcher
+	router  *countingRouter
+	burn    *burn.Burn
+	once    onceKeeper
+	crashes crashTracker
+	entry   *entry.Entry
+
+	docs      documents
+	listeners listeners
+	callers   *http.Server
+	operators *http.Server
+	peers     *peer.Server
+	stopOnce  sync.Once
+}
+
+// onceKeeper is the at-most-once part with its life and its peers' calls.
+type onceKeeper interface {
+	once.Keeper
+	Start()
+	Stop() error
+	HandlePropose(context.Context, *peerpb.ProposeRequest) (*peerpb.ProposeReply, error)
+	HandleLookup(context.Context, *peerpb.LookupRequest) (*peerpb.LookupReply, error)
+}
+
+// crashTracker is the quarantine with its news on heartbeats.
+type crashTracker interface {
+	quarantine.Tracker
+	membership.Convictions
+}
+
+// platformClients are the adapters to the platform.
+type platformClients struct {
+	log     *httpapi.Log
+	vms     *httpapi.VMs
+	weights *httpapi.Weights
+}
+
+// listeners are the daemon's open ports.
+type listeners struct {
+	callers, peers, operators net.Listener
+}
+
+// New listens on the daemon's ports and wires its parts. Nothing runs yet.
+func New(s *settings.Settings) (*Daemon, error) {
+	d := &Daemon{
+		s:     s,
+		self:  s.VM + "/" + uuid.NewString(),
+		clock: clock.Boot{},
+		view:  &view.Holder{},
+	}
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	keys, err := loadKeys(s.TLS)
+	if err != nil {
+		d.listeners.close()
+		return nil, err
+	}
+	d.wirePlatform()
+	d.wireMembership(keys)
+	d.wireAgreement()
+	d.wireRequests()
+	d.wireServers(keys)
+	return d, nil
+}
+
+func (d *Daemon) listen() error {
+	var err error
+	open := func(addr string) net.Listener {
+		if err != nil {
+			return nil
+		}
+		var l net.Listener
+		l, err = net.Listen("tcp", addr)
+		return l
+	}
+	d.listeners.callers = open(d.s.Listen.Callers)
+	d.listeners.peers = open(d.s.Listen.Peers)
+	d.listeners.operators = open(d.s.Listen.Operators)
+	if err != nil {
+		d.listeners.close()
+		return fmt.Errorf("daemon: %w", err)
+	}
+	return nil
+}
+
+func (l *listeners) close() {
+	for _, one := range []net.Listener{l.callers, l.peers, l.operators} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+}
+
+func (d *Daemon) wirePlatform() {
+	d.platform = platformClients{
+		log:     httpapi.NewLog(d.s.Platform.Log, httpapi.Options{MaxConns: logConns}),
+		vms:     httpapi.NewVMs(d.s.Platform.VMs, httpapi.Options{}),
+		weights: httpapi.NewWeights(d.s.Platform.Weights, httpapi.Options{}),
+	}
+}
+
+// logConns bounds the connections to the log: long polls of the control
+// stream and of the at-most-once shards that this process batches.
+const logConns = 24
+
+func (d *Daemon) wireMembership(keys *keys) {
+	d.dialer = peer.NewDialer(peer.DialerOptions{Creds: keys.peerClient()})
+	d.crashes = d.newCrashTracker()
+	d.members = membership.New(membership.Options{
+		Self: &peerpb.Member{
+			Id:          d.s.VM,
+			Incarnation: d.self,
+			StartedMs:   uint64(time.Now().UnixMilli()),
+			PeerAddr:    d.s.Listen.Peers,
+			CallerAddr:  d.s.Listen.Callers,
+			Zone:        d.s.Zone,
+		},
+		Prober:      d.dialer,
+		VMs:         d.platform.vms,
+		PeerAddr:    d.peerAddr,
+		IsTarget:    d.isTargetHost,
+		Applied:     func() int64 { return d.follower.Applied() },
+		Convictions: d.crashes,
+		Now:         d.clock.Now,
+		Period:      d.s.Control.Heartbeat,
+		DeadAfter:   d.s.Control.DeadAfter,
+		Seed:        uint64(time.Now().UnixNano()),
+		Log:         log.Log,
+	})
+}
+
+// peerAddr guesses where a listed VM takes heartbeats: all copies are alike,
+// so on the same port as this one, until the VM itself says otherwise.
+func (d *Daemon) peerAddr(v platform.VM) string {
+	_, port, err := net.SplitHostPort(d.s.Listen.Peers)
+	if err != nil {
+		return v.Addr
+	}
+	return net.JoinHostPort(v.Addr, port)
+}
+
+// isTargetHost tells whether a document in force names a target on the host.
+func (d *Daemon) isTargetHost(host string) bool {
+	snap := d.view.Load()
+	return snap != nil && snap.TargetHosts[host]
+}
+
+func (d *Daemon) wireAgreement() {
+	d.follower = follow.New(follow.Options{
+		Log:        d.platform.log,
+		Clock:      d.clock,
+		Self:       d.self,
+		Validate:   validate,
+		Peers:      &peerRecords{d: d},
+		Rank:       d.rank,
+		Checkpoint: d.s.Control.Checkpoint,
+	})
+	rule := lease.Rule{T: d.s.Control.Lease, Guard: d.s.Control.Drift}.WithDefaults()
+	d.leases = lease.New(lease.Options{
+		Rule:     rule,
+		Clock:    d.clock,
+		Follower: d.follower,
+		View:     &leaseView{d: d},
+		Groups:   d.groupNames,
+		Self:     d.self,
+		Addr:     d.s.Listen.Peers,
+	})
+	d.planner = newRolePlanner(d)
+	d.reconciler = reconcile.New(reconcile.Options{
+		Rule:     rule,
+		Clock:    d.clock,
+		Follower: d.follower,
+		Leases:   d.leases,
+		Snapshot: d.view.Load,
+		Connect:  connectEngine,
+		Wish:     d.planner.wish,
+		Weights:  d.platform.weights,
+	})
+}
+
+// connectEngine makes the adapter for orders of one lease term.
+func connectEngine(engine string, check lease.Check, userTimeout time.Duration) platform.Engine {
+	return httpapi.NewEngine(engine, httpapi.Options{
+		UserTimeout: userTimeout,
+		BeforeWrite: check,
+	})
+}
+
+func (d *Daemon) wireRequests() {
+	d.pool = pool.New(pool.Options{Down: func(addr string, err error) { d.watcher.Down(addr, err) }})
+	d.watcher = load.New(load.Options{
+		View:    d.view,
+		Pool:    d.pool,
+		Engine:  func(addr string) platform.Engine { return httpapi.NewEngine(addr, httpapi.Options{MaxConns: 2}) },
+		Process: d.s.VM,
+		Zone:    d.s.Zone,
+		Poll:    d.s.Control.LoadPoll,
+		Crashed: d.crashes.Crashed,
+	})
+	d.router = newCountingRouter(routing.New(routing.Options{}))
+	d.burn = burn.New(burn.Options{Daemon: d.s.VM, Objectives: d.objectives})
+	d.once = d.newOnceKeeper()
+	d.entry = entry.New(entry.Options{
+		View:       d.view,
+		Gate:       d,
+		Pool:       d.pool,
+		Router:     d.router,
+		Targets:    d.watcher,
+		Addresses:  address.NewBook(d.addresses, d.s.Control.AddressTTL),
+		Once:       d.once,
+		Quarantine: d.crashes,
+		Burn:       d.burn,
+		Verify:     d.watcher.Verify,
+		Limits:     d.s.Limits,
+		Zone:       d.s.Zone,
+	})
+}
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -24,8 +24,12 @@
 	"github.com/pomelospool/pomelospool/platform"
 )
 
-// fullPeriod is the least time between two requests for all members.
-const fullPeriod = 2 * time.Second
+// Times between two requests for all members. At 360 members one answer has
+// about 25 KB, so the usual one costs 0.2 KB/s.
+const (
+	fullFirst  = time.Second
+	fullPeriod = 2 * time.Minute
+)
 
 // Prober sends one heartbeat to the peer at addr and returns its reply.
 type Prober interface {
@@ -47,6 +51,7 @@
 	Prober      Prober
 	VMs         platform.VMs             // may be nil
 	PeerAddr    func(platform.VM) string // where a listed VM takes heartbeats
+	IsTarget    func(host string) bool   // a document names the VM as a target; may be nil
 	Applied     func() int64             // control offset in force here
 	Convictions Convictions              // may be nil
 	Now         func() time.Duration     // local clock; never steps back
@@ -60,17 +65,22 @@
 
 // Membership runs the heartbeats of one process.
 type Membership struct {
-	o     Options
-	tomb  tomb.Tomb
-	calls chan func()
-	view  atomic.Pointer[View]
+	o       Options
+	tomb    tomb.Tomb
+	started time.Duration // set once, in New
+	calls   chan func()
+	view    atomic.Pointer[View]
+	// leaving holds the VMs that the VM list shows as leaving.
+	leaving atomic.Pointer[[]platform.VM]
 
 	// Owned by the loop goroutine.
 	table    *table
 	schedule *schedule
 	lastTick time.Duration
+
 	lastList time.Duration
-	lastFull time.Duration
+	nextFull time.Duration // when all members are asked for
+	fullWait time.Duration // between the last two requests for all
 	listing  bool
 	peers    peerContact
 }
@@ -86,6 +96,9 @@
 	if o.Log == nil {
 		o.Log = &log.Logger{Handler: log.HandlerFunc(func(*log.Entry) error { return nil })}
 	}
+	if o.IsTarget == nil {
+		o.IsTarget = func(string) bool { return false }
+	}
 	if o.Applied == nil {
 		o.Applied = func() int64 { return 0 }
 	}
@@ -98,9 +111,9 @@
 		}),
 		schedule: &schedule{rnd: rand.New(rand.NewPCG(o.Seed, 1))},
 	}
-	m.lastTick = o.Now()
+	m.started = o.Now()
+	m.lastTick = m.started
 	m.lastList = m.lastTick - o.ListPeriod
-	m.lastFull = m.lastTick - fullPeriod
 	m.publish()
 	return m
 }
@@ -225,7 +238,12 @@
 	m.tomb.Go(func() error {
 		reply, ok := m.ask(addr, req)
 		if ok {
-			m.post(func() { m.reached(reply) })
+			m.post(func() {
+				m.reached(reply)
+				if req.Full {
+					m.gotFull()
+				}
+			})
 			return nil
 		}
 		if m.askThrough(via, indirect) {
@@ -236,17 +254,25 @@
 	})
 }
 
-// wantFull tells whether the next heartbeat asks for all members. A process
-// that has just started knows only the VM list; without the full answer it
-// would hold members for dead that it has merely not reached yet.
+// wantFull tells whether the next heartbeat asks for all members: at the
+// start, then at intervals that double, since the peers that answer first may
+// have started just now themselves. A process that has just started knows
+// only the VM list; without the full answer it would hold members for gone
+// that it has merely not reached yet.
 func (m *Membership) wantFull() bool {
-	if m.lastTick-m.lastFull < fullPeriod || !m.table.incomplete() {
+	if m.lastTick < m.nextFull {
 		return false
 	}
-	m.lastFull = m.lastTick
+	m.nextFull = m.lastTick + m.o.Period
 	return true
 }
 
+// gotFull plans the next request for all members.
+func (m *Membership) gotFull() {
+	m.fullWait = min(max(2*m.fullWait, fullFirst), fullPeriod)
+	m.nextFull = m.o.Now() + m.fullWait
+}
+
 // ask sends one heartbeat with a time limit of one period.
 func (m *Membership) ask(addr string, req *peerpb.HeartbeatRequest) (*peerpb.HeartbeatReply, bool) {
 	ctx, cancel := context.WithTimeout(m.tomb.Context(context.Background()), m.o.Period)
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -16,6 +16,8 @@
 const (
 	period    = 500 * time.Millisecond
 	deadAfter = 3 * time.Second
+
+	targetHost = "target"
 )
 
 var errCut = errors.New("link is cut")
@@ -40,13 +42,21 @@
 
 func newFleet(n int) *fleet {
 	f := &fleet{nodes: map[string]*node{}, cut: map[[2]string]bool{}}
+	f.grow(n)
+	return f
+}
+
+// grow lists n daemons and starts them.
+func (f *fleet) grow(n int) {
+	var ids []string
 	for i := range n {
-		f.vms = append(f.vms, platform.VM{ID: fmt.Sprintf("vm-%03d", i), Addr: fmt.Sprintf("vm-%03d", i)})
+		id := fmt.Sprintf("vm-%03d", i)
+		f.vms = append(f.vms, platform.VM{ID: id, Addr: id})
+		ids = append(ids, id)
 	}
-	for _, v := range f.vms {
-		f.start(v.ID)
+	for _, id := range ids {
+		f.start(id)
 	}
-	return f
 }
 
 func (f *fleet) start(id string) *node {
@@ -62,6 +72,7 @@
 		Self:     &peerpb.Member{Id: id, Incarnation: fmt.Sprintf("%s/%d", id, seed), StartedMs: seed, PeerAddr: id},
 		Prober:   &link{f: f, from: id},
 		VMs:      f,
+		IsTarget: func(host string) bool { return host == targetHost },
 		PeerAddr: func(v platform.VM) string { return v.Addr },
 		Applied:  func() int64 { <-f.awakeOf(id); return 0 },
 		Now:      func() time.Duration { return time.Since(began) },
@@ -290,7 +301,7 @@
 		fresh := f.start("vm-002")
 		_, ok := within(30*time.Second, func() bool {
 			for _, n := range f.nodes {
-				if n.id != "vm-002" && n.m.View().LiveIncarnations()[old] {
+				if n.id != "vm-002" && n.m.View().Standing("vm-002", old) != Gone {
 					return false
 				}
 			}
@@ -320,28 +331,45 @@
 	})
 }
 
-// A VM starts in a large fleet. It knows only the VM list, and probing all of
-// them takes many rounds. It must not hold live members for dead meanwhile,
-// or it would take over what they hold.
-func TestNewcomerHoldsNobodyForDead(t *testing.T) {
+// A VM starts in a large fleet, and the VM list doesn't name it yet, so nobody
+// probes it. Probing the others itself takes many rounds. It must soon know
+// who is alive, or it would take over what they hold.
+func TestNewcomerSoonKnowsTheLiving(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(32)
 		defer f.stop()
 		within(30*time.Second, f.all("vm-005", peerpb.Member_LIVE, 31))
-		f.kill("vm-005")
 		advance(time.Minute)
-		fresh := f.start("vm-005")
-		dead := 0
-		within(30*time.Second, func() bool {
-			for _, s := range fresh.m.View().Members {
-				if s.Member.State == peerpb.Member_DEAD {
-					dead++
-				}
+		fresh := f.start("vm-new")
+		advance(deadAfter)
+		for id, n := range f.nodes {
+			if id == "vm-new" {
+				continue
 			}
-			return false
-		})
-		if dead > 0 {
-			t.Errorf("held live members for dead %d times", dead)
+			if got := fresh.m.View().Standing(id, n.m.View().Self.Incarnation); got != Alive {
+				t.Errorf("%s: standing %d", id, got)
+			}
+		}
+	})
+}
+
+// The VM list names the VMs of targets too. They never answer heartbeats, and
+// probing them must not delay the detection of a dead daemon.
+func TestVMsOfTargetsDontDelayDetection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(0)
+		defer f.stop()
+		for i := range 600 {
+			f.vms = append(f.vms, platform.VM{ID: fmt.Sprintf("target-%d", i), Addr: targetHost})
+		}
+		f.grow(8)
+		within(30*time.Second, f.all("vm-001", peerpb.Member_LIVE, 7))
+		f.kill("vm-001")
+		if d, ok := within(8*time.Second, f.all("vm-001", peerpb.Member_DEAD, 7)); !ok {
+			t.Errorf("after %v: %v", d, f.states("vm-001"))
+		}
+		if live, known := f.nodes["vm-000"].m.View().Reachable(); live != 6 || known != 7 {
+			t.Errorf("%d of %d reachable, want 6 of 7", live, known)
 		}
 	})
 }
--- a/process/membership/probe.go
+++ b/process/membership/probe.go
@@ -10,7 +10,7 @@
 // relays is how many members are asked to probe one that didn't answer.
 const relays = 3
 
-// deadEvery is the number of rounds between probes of dead members that the
+// deadEvery is the number of rounds between probes of silent members that the
 // VM list still names. Without them the two sides of a healed partition would
 // never talk again.
 const deadEvery = 6
@@ -23,11 +23,13 @@
 	round int
 }
 
-// next returns the member to probe in this round, or nil.
+// next returns the member to probe in this round, or nil. Members that were
+// never heard of are probed rarely, since the VM list names VMs of all kinds;
+// only a process that knows nobody alive asks them in every round.
 func (s *schedule) next(t *table) *entry {
 	s.round++
 	if s.round%deadEvery == 0 {
-		if e := s.dead(t); e != nil {
+		if e := s.silent(t); e != nil {
 			return e
 		}
 	}
@@ -35,28 +37,31 @@
 		for len(s.order) > 0 {
 			id := s.order[0]
 			s.order = s.order[1:]
-			if e := t.members[id]; e != nil && e.m.State != peerpb.Member_DEAD {
+			if e := t.members[id]; e != nil && e.talks() {
 				return e
 			}
 		}
 		s.shuffle(t)
 	}
-	return nil
+	return s.silent(t)
 }
 
 func (s *schedule) shuffle(t *table) {
 	s.order = s.order[:0]
-	for id := range t.members {
-		s.order = append(s.order, id)
+	for id, e := range t.members {
+		if e.talks() {
+			s.order = append(s.order, id)
+		}
 	}
 	sort.Strings(s.order)
 	s.rnd.Shuffle(len(s.order), func(i, j int) { s.order[i], s.order[j] = s.order[j], s.order[i] })
 }
 
-func (s *schedule) dead(t *table) *entry {
+// silent returns a listed member that is dead or was never heard of, or nil.
+func (s *schedule) silent(t *table) *entry {
 	var ids []string
 	for id, e := range t.members {
-		if e.m.State == peerpb.Member_DEAD && e.listed {
+		if e.listed && !e.talks() {
 			ids = append(ids, id)
 		}
 	}
--- a/process/membership/table.go
+++ b/process/membership/table.go
@@ -14,6 +14,12 @@
 	leaving bool          // the VM list says that it leaves
 }
 
+// known tells whether the member was ever heard of.
+func (e *entry) known() bool { return e.m.StartedMs != 0 }
+
+// talks tells whether the member is expected to answer.
+func (e *entry) talks() bool { return e.known() && e.m.State != peerpb.Member_DEAD }
+
 // table holds the members by VM id. It is owned by one goroutine; every
 // method takes the time, so that tests drive it with a virtual clock. A
 // *peerpb.Member in it is never changed in place, since messages that are
@@ -147,6 +153,10 @@
 	for id, e := range t.members {
 		age := now - e.since
 		switch {
+		case !e.known():
+			if !e.listed {
+				delete(t.members, id)
+			}
 		case e.m.State == peerpb.Member_SUSPECT && age >= t.limits.suspicion:
 			t.setState(now, e, peerpb.Member_DEAD)
 		case e.m.State == peerpb.Member_DEAD && !e.listed && age >= t.limits.tombstone:
@@ -155,21 +165,11 @@
 	}
 }
 
-// incomplete tells whether a listed member has never been heard of.
-func (t *table) incomplete() bool {
-	for _, e := range t.members {
-		if e.m.StartedMs == 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // all returns every member that has been heard of.
 func (t *table) all() []*peerpb.Member {
 	out := make([]*peerpb.Member, 0, len(t.members))
 	for _, e := range t.members {
-		if e.m.StartedMs != 0 {
+		if e.known() {
 			out = append(out, e.m)
 		}
 	}
--- a/process/membership/view.go
+++ b/process/membership/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/peer/peerpb"
+	"github.com/pomelospool/pomelospool/platform"
 )
 
 // View is an immutable picture of the members, self first, then by id.
@@ -40,16 +41,35 @@
 	m.view.Store(v)
 }
 
-// LiveIncarnations returns the incarnations that are alive, self included.
-// Leaving ones count: they still hold what they have not released.
-func (v *View) LiveIncarnations() map[string]bool {
-	live := map[string]bool{v.Self.Incarnation: true}
+// Standing is what is known of one incarnation.
+type Standing int
+
+// The standings of an incarnation.
+const (
+	Unheard Standing = iota // no word about it
+	Alive                   // live, suspect or leaving: it may still act
+	Gone                    // dead, or its VM runs a later incarnation
+)
+
+// Standing tells whether the incarnation, of the VM with the given id, may
+// still act.
+func (v *View) Standing(vm, incarnation string) Standing {
+	if v.Self.Id == vm {
+		if v.Self.Incarnation == incarnation {
+			return Alive
+		}
+		return Gone
+	}
 	for _, s := range v.Members {
-		if s.Member.State != peerpb.Member_DEAD && s.Member.Incarnation != "" {
-			live[s.Member.Incarnation] = true
+		if s.Member.Id != vm || s.Member.StartedMs == 0 {
+			continue
 		}
+		if s.Member.Incarnation == incarnation && s.Member.State != peerpb.Member_DEAD {
+			return Alive
+		}
+		return Gone
 	}
-	return live
+	return Unheard
 }
 
 // Rank returns this process's place among the usable members, by id, and
@@ -74,7 +94,7 @@
 // Reachable counts the known members and those that are live, without self.
 func (v *View) Reachable() (live, known int) {
 	for _, s := range v.Members {
-		if !s.Listed && s.Member.State == peerpb.Member_DEAD {
+		if s.Member.StartedMs == 0 || !s.Listed && s.Member.State == peerpb.Member_DEAD {
 			continue
 		}
 		known++
@@ -84,3 +104,15 @@
 	}
 	return live, known
 }
+
+// LeavingVMs returns the VMs of any kind that the newest VM list shows as
+// leaving, the VMs of targets included.
+func (m *Membership) LeavingVMs() []platform.VM {
+	if p := m.leaving.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// Uptime is how long this process has been listening.
+func (m *Membership) Uptime() time.Duration { return m.o.Now() - m.started }
--- a/process/membership/vmlist.go
+++ b/process/membership/vmlist.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pomelospool/pomelospool/peer/peerpb"
@@ -24,12 +25,21 @@
 			if err != nil {
 				return
 			}
-			m.table.applyList(m.o.Now(), vms, m.o.PeerAddr)
+			m.table.applyList(m.o.Now(), m.daemons(vms), m.o.PeerAddr)
+			leaving := slices.DeleteFunc(slices.Clone(vms), func(v platform.VM) bool { return !v.Leaving })
+			m.leaving.Store(&leaving)
 		})
 		return nil
 	})
 }
 
+// daemons leaves out the VMs of targets. They never answer heartbeats: among
+// hundreds of them, daemons that all start at once would take minutes to find
+// each other.
+func (m *Membership) daemons(vms []platform.VM) []platform.VM {
+	return slices.DeleteFunc(slices.Clone(vms), func(v platform.VM) bool { return m.o.IsTarget(v.Addr) })
+}
+
 // applyList takes the VM list in. A VM that is new here becomes a member that
 // still has to answer; one that left the list is forgotten once it is dead.
 // The list lags, so it never ends a member that answers.
--- a/request/view/view.go
+++ b/request/view/view.go
@@ -4,6 +4,7 @@
 package view
 
 import (
+	"net"
 	"sync/atomic"
 
 	"github.com/pomelospool/pomelospool/version/document"
@@ -21,6 +22,8 @@
 	Services map[string]*Service // by service name
 	Models   map[string]*Service // by model name, model services only
 	Leaving  map[string]bool     // target addresses that get no new work
+
+	TargetHosts map[string]bool // hosts on which targets run
 }
 
 // NewSnapshot indexes the services by name and by model.
@@ -30,12 +33,19 @@
 		Services: make(map[string]*Service, len(services)),
 		Models:   make(map[string]*Service),
 		Leaving:  leaving,
+
+		TargetHosts: make(map[string]bool),
 	}
 	for _, svc := range services {
 		s.Services[svc.Doc.Service] = svc
 		for _, m := range svc.Doc.Models {
 			s.Models[m.Name] = svc
 		}
+		for _, t := range svc.Doc.Targets {
+			if host, _, err := net.SplitHostPort(t.Addr); err == nil {
+				s.TargetHosts[host] = true
+			}
+		}
 	}
 	return s
 }
--- a/version/document/parse.go
+++ b/version/document/parse.go
@@ -38,15 +38,7 @@
 // all defaults filled in, or nil and every problem found, never both. file
 // names the document in the problems.
 func Parse(file string, data []byte) (*Document, []*Problem) {
-	d := &Document{
-		Objectives: Objectives{Target: defaultTarget, Window: defaultWindow},
-		Limits: Limits{
-			BodyBytes:        defaultBodyBytes,
-			StreamsPerCaller: defaultStreamsPerCaller,
-			QueuePerTarget:   defaultQueuePerTarget,
-		},
-		Retry: Retry{Attempts: defaultAttempts, Budget: defaultBudget},
-	}
+	d := withDefaults()
 	f := yamlcheck.Decode(file, data, MaxBytes, d)
 	if f.Failed() {
 		return nil, f.Problems()
@@ -59,6 +51,18 @@
 	return d, nil
 }
 
+func withDefaults() *Document {
+	return &Document{
+		Objectives: Objectives{Target: defaultTarget, Window: defaultWindow},
+		Limits: Limits{
+			BodyBytes:        defaultBodyBytes,
+			StreamsPerCaller: defaultStreamsPerCaller,
+			QueuePerTarget:   defaultQueuePerTarget,
+		},
+		Retry: Retry{Attempts: defaultAttempts, Budget: defaultBudget},
+	}
+}
+
 // Marshal writes a document so that Parse gives the same one again.
 func Marshal(d *Document) ([]byte, error) {
 	data, err := yaml.Marshal(d)
