--- a/operator/ctl/load.go
+++ b/operator/ctl/load.go
@@ -9,6 +9,8 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/operator/load"
+	"github.com/pomelospool/pomelospool/request/prefix"
+	"github.com/pomelospool/pomelospool/standin/token"
 )
 
 const loadHelp = `Sends streamed prompts to a model at arrival times that are fixed beforehand by
@@ -27,6 +29,7 @@
 	Orgs        int            `long:"orgs" default:"10" description:"Organisations to spread them over"`
 	Deadline    time.Duration  `long:"deadline" default:"30s" description:"Deadline of each request"`
 	MaxInFlight int            `long:"max-in-flight" default:"4096" description:"Most open requests"`
+	Verify      bool           `long:"verify" description:"Check every token, which only the stand-in engine allows"`
 	Plot        flags.Filename `long:"plot" value-name:"FILE" description:"Write the times over their quantiles as SVG"`
 }
 
@@ -69,7 +72,7 @@
 	if !(c.Rate > 0) || c.Duration <= 0 || c.MaxInFlight < 1 {
 		return load.Options{}, usageError("rate, duration and max-in-flight must be above 0")
 	}
-	return load.Options{
+	o := load.Options{
 		Model:       c.Model,
 		Rate:        c.Rate,
 		Duration:    c.Duration,
@@ -78,7 +81,18 @@
 		Orgs:        c.Orgs,
 		Deadline:    c.Deadline,
 		MaxInFlight: c.MaxInFlight,
-	}, nil
+	}
+	if c.Verify {
+		o.Verify = verifyStandin
+	}
+	return o, nil
+}
+
+// verifyStandin returns the check of the stand-in engine's answer to a chat
+// with one user's message.
+func verifyStandin(content string) func(i int, text string) bool {
+	hash := token.Hash(prefix.Prompt([]prefix.Message{{Role: "user", Content: content}}))
+	return func(i int, text string) bool { return text == token.At(hash, i) }
 }
 
 func (c *loadCommand) show(s *load.Summary) error {
--- /dev/null
+++ b/operator/ctl/load_test.go
@@ -0,0 +1,70 @@
+package ctl
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/pomelospool/pomelospool/operator/caller"
+	"github.com/pomelospool/pomelospool/operator/load"
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/standin"
+	"github.com/pomelospool/pomelospool/standin/engine"
+)
+
+// The load goes straight to a stand-in engine, which stands in for a daemon
+// that adds nothing. First all is well. Then the engine cuts two answers, and
+// next it swaps two with one another: the cut ones are repeated, the crossed
+// ones are known by their ids and repeated, and all are whole in the end.
+func TestLoadSeesCutAndCrossedAnswers(t *testing.T) {
+	e := engine.New(engine.Options{Spec: platform.EngineSpec{Model: "m", Version: "1"}})
+	defer e.Close()
+	next := e.Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == caller.PathAddresses {
+			answer(w, caller.Addresses{Addresses: []caller.Address{{Addr: r.Host}}, TTLMs: 60000})
+			return
+		}
+		next.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	plot := filepath.Join(t.TempDir(), "times.svg")
+	run := func() load.Summary {
+		t.Helper()
+		var out, errs strings.Builder
+		args := []string{"--callers", server.Listener.Addr().String(), "--json", "load", "--model", "m", "--verify",
+			"--rate", "200", "--duration", "300ms", "--mix", "a:1:50:8", "--plot", plot}
+		exit := Main(t.Context(), args, strings.NewReader(""), &out, &errs)
+		var s load.Summary
+		if err := json.Unmarshal([]byte(out.String()), &s); err != nil {
+			t.Fatalf("exit %d, %v: %s%s", exit, err, out.String(), errs.String())
+		}
+		if (exit == ExitOK) != s.Good() {
+			t.Errorf("exit %d with %+v", exit, s)
+		}
+		return s
+	}
+	s := run()
+	if !s.Good() || !s.Verified || s.Sent < 30 || s.Whole != s.Sent || s.Attempts != s.Sent {
+		t.Errorf("without faults: %+v", s)
+	}
+	if svg, err := os.ReadFile(plot); err != nil || !strings.Contains(string(svg), "<svg") {
+		t.Errorf("no plot: %v", err)
+	}
+	for _, f := range []standin.Fault{{Kind: "cut", Count: 2}, {Kind: "cross", Count: 2}} {
+		if err := e.Apply(t.Context(), f); err != nil {
+			t.Fatal(err)
+		}
+		s = run()
+		if s.Whole != s.Sent || s.Attempts != s.Sent+2 {
+			t.Errorf("%s: %d of %d whole in %d attempts", f.Kind, s.Whole, s.Sent, s.Attempts)
+		}
+		if s.Cut+s.Faults.Crossed != 2 || (s.Cut == 2) != (f.Kind == "cut") || s.Faults.Wrong+s.Faults.Doubled+s.Faults.Lost > 0 {
+			t.Errorf("%s: %d cut, %+v", f.Kind, s.Cut, s.Faults)
+		}
+	}
+}
--- a/operator/ctl/publish.go
+++ b/operator/ctl/publish.go
@@ -65,6 +65,7 @@
 	if err != nil {
 		return err
 	}
+	defer log.Close()
 	ctx, cancel := c.app.withTimeout()
 	defer cancel()
 	var report publishReport
