Burn: keep the counts through a restart; shorter functions in the caller

Change: Load and Save on a log stream of the daemon's own; Save refuses before Load. caller.Do is split into call, attempt and answer. Bars of the plots were cut off at the right edge when looked at (drawn to PNG on a scratch copy); they have margins now, and time axes begin at 0.

Shown failing first: Save without its check is accepted before the load; Load without its check adds the counts twice (see the test's count of 7).

--- a/operator/caller/send.go
+++ b/operator/caller/send.go
@@ -32,41 +32,69 @@
 		r.Deadline = defaultDeadline
 	}
 	start := time.Now()
-	end := start.Add(r.Deadline)
-	ctx, cancel := context.WithDeadline(ctx, end.Add(deadlineGrace))
+	call := &call{c: c, r: &r, a: &Answer{ID: r.ID}, start: start, end: start.Add(r.Deadline)}
+	ctx, cancel := context.WithDeadline(ctx, call.end.Add(deadlineGrace))
 	defer cancel()
-	a := &Answer{ID: r.ID}
-	var err error
-	avoid := ""
-	for a.Attempts < c.opts.Attempts {
-		addr, pickErr := c.book.pick(ctx, avoid)
-		if pickErr != nil {
-			if err == nil {
-				err = pickErr
-				a.Code, a.NotRun = code.Of(err), true
-			}
-			break
+	err := call.run(ctx)
+	call.a.Total = time.Since(start)
+	call.a.Whole = err == nil
+	return call.a, err
+}
+
+// call is one request with all its attempts.
+type call struct {
+	c     *Client
+	r     *Request
+	a     *Answer
+	start time.Time
+	end   time.Time
+	avoid string // address that refused or failed last
+}
+
+func (c *call) run(ctx context.Context) error {
+	var last error
+	for c.a.Attempts < c.c.opts.Attempts {
+		addr, err := c.c.book.pick(ctx, c.avoid)
+		if err != nil {
+			return c.noAddress(last, err)
 		}
-		a.Attempts++
-		a.Addr = addr
-		t := &try{c: c, r: &r, a: a, start: start, end: end}
-		err = t.run(ctx, addr)
-		a.Code = code.Of(err)
+		next, err := c.attempt(ctx, addr)
 		if err == nil {
-			break
-		}
-		next := t.next(err)
-		if next.elsewhere {
-			c.book.fail(addr)
-			avoid = addr
+			return nil
 		}
-		if !next.again || time.Now().Add(next.after).After(end) || !wait(ctx, next.after) {
-			break
+		last = err
+		if !next.again || time.Now().Add(next.after).After(c.end) || !wait(ctx, next.after) {
+			return err
 		}
 	}
-	a.Total = time.Since(start)
-	a.Whole = err == nil
-	return a, err
+	return last
+}
+
+// noAddress keeps the error of an earlier attempt, which says more.
+func (c *call) noAddress(last, err error) error {
+	if last != nil {
+		return last
+	}
+	c.a.Code, c.a.NotRun = code.Of(err), true
+	return err
+}
+
+// attempt tries one address and says what to do if that failed.
+func (c *call) attempt(ctx context.Context, addr string) (step, error) {
+	c.a.Attempts++
+	c.a.Addr = addr
+	t := &try{c: c.c, r: c.r, a: c.a, start: c.start, end: c.end}
+	err := t.run(ctx, addr)
+	c.a.Code = code.Of(err)
+	if err == nil {
+		return step{}, nil
+	}
+	next := t.next(err)
+	if next.elsewhere {
+		c.c.book.fail(addr)
+		c.avoid = addr
+	}
+	return next, err
 }
 
 // try is one attempt.
@@ -91,6 +119,11 @@
 		return t.failed(ctx, addr, err)
 	}
 	defer resp.Body.Close()
+	return t.answered(resp, addr)
+}
+
+// answered reads the answer of the daemon at addr.
+func (t *try) answered(resp *http.Response, addr string) error {
 	t.a.Status = resp.StatusCode
 	t.a.ContentType = resp.Header.Get("Content-Type")
 	if id := resp.Header.Get(HeaderRequestID); id != "" && id != t.r.ID {
--- a/operator/svgplot/svgplot.go
+++ b/operator/svgplot/svgplot.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"fmt"
+	"image/color"
 	"math"
 	"time"
 
@@ -20,6 +21,8 @@
 	bar    = 12 * vg.Millimeter
 )
 
+var barColor = color.Gray{Y: 0x60}
+
 // Curve is one line of a plot of quantiles.
 type Curve struct {
 	Name string
@@ -36,6 +39,7 @@
 	p.Title.Text = title
 	p.X.Label.Text = "share of requests that are faster"
 	p.Y.Label.Text = "milliseconds"
+	p.Y.Min = 0
 	p.Legend.Top, p.Legend.Left = true, true
 	p.X.Tick.Marker = plot.ConstantTicks(quantileTicks())
 	for i, c := range curves {
@@ -82,8 +86,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("plot %s: %w", title, err)
 	}
+	bars.Color = barColor
+	bars.LineStyle.Width = 0
 	p.Add(bars)
 	p.NominalX(labels...)
+	p.X.Min, p.X.Max = -0.5, float64(len(values))-0.5
+	p.Y.Max = max(p.Y.Max, 1)
 	return render(p)
 }
 
--- a/process/burn/burn.go
+++ b/process/burn/burn.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pomelospool/pomelospool/version/document"
@@ -25,7 +26,8 @@
 // Its memory is bounded: about 0.7 MB a service
 // (BenchmarkService).
 type Burn struct {
-	opts Options
+	opts   Options
+	loaded atomic.Bool // an earlier incarnation's snapshot, or none stands
 
 	mu       sync.RWMutex
 	services map[string]*service
--- a/process/burn/burn_test.go
+++ b/process/burn/burn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"reflect"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/standin/logsvc"
 	"github.com/pomelospool/pomelospool/version/document"
 )
 
@@ -244,6 +246,49 @@
 	}
 }
 
+// The log is down while a daemon starts, so that it can't load its snapshot at
+// once. What it measured before isn't written over, and counts once.
+func TestSaveWaitsForLoad(t *testing.T) {
+	c := newClock()
+	log := logsvc.New(logsvc.Options{})
+	defer log.Close()
+	run := func(n int) *Burn {
+		b := c.burn("a")
+		for range n {
+			b.Observe(fine())
+		}
+		return b
+	}
+	first := run(3)
+	if err := errors.Join(first.Load(t.Context(), log), first.Save(t.Context(), log, "1")); err != nil {
+		t.Fatal(err)
+	}
+	second := run(4)
+	log.SetOutage(logsvc.Refuse)
+	if err := second.Load(t.Context(), log); err == nil {
+		t.Error("loaded in an outage")
+	}
+	log.SetOutage(logsvc.Up)
+	if err := second.Save(t.Context(), log, "2"); !errors.Is(err, ErrNotLoaded) {
+		t.Errorf("saved before the load: %v", err)
+	}
+	for range 2 {
+		if err := second.Load(t.Context(), log); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := second.Save(t.Context(), log, "2"); err != nil {
+		t.Fatal(err)
+	}
+	third := run(0)
+	if err := third.Load(t.Context(), log); err != nil {
+		t.Fatal(err)
+	}
+	if got := third.Report().Services[0].Windows[3].Counts[WholeAnswer].Good; got != 7 {
+		t.Errorf("%d requests, want 7", got)
+	}
+}
+
 func BenchmarkObserve(b *testing.B) {
 	burn := newClock().burn("a")
 	x := fine()
