Publish: the daemons' own fold in place of a second reading of the rule

It also had to ask daemons where the log no longer kept the records since the base.

Weighed: reading from the base on (short, but the queue before it is unseen) against the state of the newest trusted checkpoint: the latter, since it is exact, needs no daemon, and costs at most the records since a checkpoint.

Change: the publisher folds with fold.State from follow.Recover on; a base that isn't in force is refused before anything is appended; Current gives the version in force. InForce (asking daemons) is gone. document.Validate is the judge that a daemon hands to follow.

--- a/operator/ctl/publish.go
+++ b/operator/ctl/publish.go
@@ -80,7 +80,7 @@
 }
 
 func (c *publishCommand) publish(ctx context.Context, log platform.Log, service string, data []byte) (publishReport, error) {
-	p := &publish.Publisher{Log: log, Writer: "pomelosctl-" + uuid.NewString(), InForce: c.inForce}
+	p := &publish.Publisher{Log: log, Writer: "pomelosctl-" + uuid.NewString()}
 	base := c.Base
 	if base < 0 {
 		now, err := p.Current(ctx, service)
@@ -97,24 +97,6 @@
 	return publishReport{Result: r}, err
 }
 
-// inForce asks the daemons for the version in force.
-func (c *publishCommand) inForce(ctx context.Context, service string) (int64, error) {
-	addrs, err := c.app.daemons()
-	if err != nil {
-		return 0, err
-	}
-	client, err := c.app.operators()
-	if err != nil {
-		return 0, err
-	}
-	defer client.Close()
-	fleet := client.Fetch(ctx, addrs, askTimeout)
-	if fleet.Answered == 0 {
-		return 0, code.New(code.DaemonUnreachable, "none of %d daemons answered", fleet.Asked)
-	}
-	return fleet.Version(service), nil
-}
-
 // waitForAll polls the daemons until all have the version in force.
 func (c *publishCommand) waitForAll(ctx context.Context, report *publishReport) error {
 	addrs, err := c.app.daemons()
--- a/version/document/parse_test.go
+++ b/version/document/parse_test.go
@@ -28,6 +28,9 @@
 			if d != nil {
 				t.Error("a bad document was returned")
 			}
+			if c, detail := Validate(string(data)); c != problems[0].Code || strings.Count(detail, "\n") != len(problems)-1 {
+				t.Errorf("Validate gives %d, %s", c, detail)
+			}
 			var out strings.Builder
 			for _, p := range problems {
 				fmt.Fprintln(&out, p)
