caller: the caller's own availability zone first

Cause: daemons answer addresses best first, by the zone that the caller names; the library picked evenly over all and named none.

Without a zone the choice stays even, which the load tool wants.

Shown failing first: without the preference TestOwnZoneFirst sees calls go to other zones.

--- a/operator/caller/book.go
+++ b/operator/caller/book.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"sync"
 	"time"
 
@@ -43,7 +44,7 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var a Addresses
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.scheme+"://"+addr+PathAddresses, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.scheme+"://"+addr+PathAddresses+"?zone="+url.QueryEscape(c.opts.Zone), nil)
 	if err != nil {
 		return a, err
 	}
@@ -62,11 +63,12 @@
 // is used only when no other is left, until the next answer.
 type book struct {
 	seeds []string
+	zone  string
 	fetch func(ctx context.Context, addr string) (Addresses, error)
 
 	mu      sync.Mutex
 	rng     *rand.Rand
-	known   []string
+	known   []Address
 	failed  map[string]bool
 	expires time.Time
 }
@@ -74,13 +76,15 @@
 func newBook(o Options, fetch func(context.Context, string) (Addresses, error)) *book {
 	return &book{
 		seeds:  o.Daemons,
+		zone:   o.Zone,
 		fetch:  fetch,
 		rng:    rand.New(rand.NewPCG(o.Seed, 1)),
 		failed: make(map[string]bool),
 	}
 }
 
-// pick returns an address, other than avoid if there is another.
+// pick returns an address, other than avoid if there is another, and in the
+// caller's zone if there is one.
 func (b *book) pick(ctx context.Context, avoid string) (string, error) {
 	if b.expired() {
 		if _, _, err := b.ask(ctx); err != nil && !b.any() {
@@ -89,21 +93,23 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var good, rest []string
+	var near, far, rest []string
 	for _, a := range b.known {
-		if a == avoid || b.failed[a] {
-			rest = append(rest, a)
-			continue
+		switch {
+		case a.Addr == avoid || b.failed[a.Addr]:
+			rest = append(rest, a.Addr)
+		case a.Zone == b.zone:
+			near = append(near, a.Addr)
+		default:
+			far = append(far, a.Addr)
 		}
-		good = append(good, a)
-	}
-	if len(good) == 0 {
-		good = rest
 	}
-	if len(good) == 0 {
-		return "", code.New(code.DaemonUnreachable, "no daemon gave an address")
+	for _, list := range [][]string{near, far, rest} {
+		if len(list) > 0 {
+			return list[b.rng.IntN(len(list))], nil
+		}
 	}
-	return good[b.rng.IntN(len(good))], nil
+	return "", code.New(code.DaemonUnreachable, "no daemon gave an address")
 }
 
 // fail notes that an address refused or failed.
@@ -151,7 +157,11 @@
 	defer b.mu.Unlock()
 	var good, rest []string
 	seen := make(map[string]bool)
-	for _, a := range append(append([]string(nil), b.known...), b.seeds...) {
+	var all []string
+	for _, a := range b.known {
+		all = append(all, a.Addr)
+	}
+	for _, a := range append(all, b.seeds...) {
 		switch {
 		case seen[a]:
 		case b.failed[a]:
@@ -169,10 +179,7 @@
 	ttl := time.Duration(a.TTLMs) * time.Millisecond
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.known = b.known[:0]
-	for _, e := range a.Addresses {
-		b.known = append(b.known, e.Addr)
-	}
+	b.known = a.Addresses
 	clear(b.failed)
 	b.expires = time.Now().Add(min(max(ttl, minTTL), maxTTL))
 }
--- a/operator/caller/caller.go
+++ b/operator/caller/caller.go
@@ -45,6 +45,7 @@
 // Options of a Client.
 type Options struct {
 	Daemons  []string    // callers' ports, host:port, to ask for addresses first
+	Zone     string      // the caller's availability zone, whose daemons come first
 	TLS      *tls.Config // nil means plain TCP
 	Attempts int         // in all; 4
 	Seed     uint64      // for the choice among addresses
--- a/operator/caller/caller_test.go
+++ b/operator/caller/caller_test.go
@@ -43,8 +43,8 @@
 func (f *fleet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == PathAddresses {
 		a := Addresses{TTLMs: 60000}
-		for _, s := range f.servers {
-			a.Addresses = append(a.Addresses, Address{Addr: host(s)})
+		for i, s := range f.servers {
+			a.Addresses = append(a.Addresses, Address{Addr: host(s), Zone: fmt.Sprint("zone-", i)})
 		}
 		for _, e := range f.extra {
 			a.Addresses = append(a.Addresses, Address{Addr: e})
@@ -191,6 +191,24 @@
 	}
 }
 
+// A caller with a zone stays within it, until nothing there is left.
+func TestOwnZoneFirst(t *testing.T) {
+	ok := func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "{}") }
+	f := newFleet(t, 3, ok)
+	c := New(Options{Daemons: []string{host(f.servers[0])}, Zone: "zone-1"})
+	defer c.Close()
+	own := host(f.servers[1])
+	for i := range 12 {
+		if i == 6 {
+			c.book.fail(own)
+		}
+		a, err := c.Do(t.Context(), Request{Path: "/s/app/x"})
+		if err != nil || (a.Addr == own) != (i < 6) {
+			t.Errorf("call %d went to %s, %v", i, a.Addr, err)
+		}
+	}
+}
+
 // An address in a list may be a daemon that died since. A refused connection
 // proves that nothing ran, so even a call without a key goes on to the next.
 func TestDeadAddressIsSkipped(t *testing.T) {
--- a/operator/ctl/address.go
+++ b/operator/ctl/address.go
@@ -54,5 +54,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return caller.New(caller.Options{Daemons: daemons, TLS: conf, Seed: seed}), nil
+	return caller.New(caller.Options{Daemons: daemons, Zone: a.Zone, TLS: conf, Seed: seed}), nil
 }
--- a/operator/ctl/app.go
+++ b/operator/ctl/app.go
@@ -26,6 +26,7 @@
 	Log     string        `long:"log" env:"POMELOS_LOG" value-name:"URL" description:"Base URL of the log service"`
 	Daemons []string      `long:"daemons" env:"POMELOS_DAEMONS" env-delim:"," value-name:"HOST:PORT" description:"Operators' ports of all daemons; repeat it or separate by commas"`
 	Callers []string      `long:"callers" env:"POMELOS_CALLERS" env-delim:"," value-name:"HOST:PORT" description:"Callers' ports of some daemons; repeat it or separate by commas"`
+	Zone    string        `long:"zone" env:"POMELOS_ZONE" description:"The caller's availability zone, whose daemons are preferred"`
 	Timeout time.Duration `long:"timeout" default:"30s" description:"Longest wait of the whole command"`
 	JSON    bool          `long:"json" description:"Write the result as JSON"`
 	CA      string        `long:"ca" value-name:"FILE" description:"CA of the daemons' certificates; plain TCP without it"`
