ctl: the table of commands runs on the stand-in log and a real follower

Cause: the test's own log accepted every document by itself, so publish was never seen together with the daemons' verdict.

--- a/operator/ctl/ctl_test.go
+++ b/operator/ctl/ctl_test.go
@@ -3,50 +3,49 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"regexp"
-	"strconv"
 	"strings"
-	"sync"
 	"testing"
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/operator/caller"
 	"github.com/pomelospool/pomelospool/operator/status"
-	"github.com/pomelospool/pomelospool/platform"
-	"github.com/pomelospool/pomelospool/process/record"
+	"github.com/pomelospool/pomelospool/process/clock"
+	"github.com/pomelospool/pomelospool/process/follow"
+	"github.com/pomelospool/pomelospool/standin/logsvc"
+	"github.com/pomelospool/pomelospool/version/document"
 )
 
 // site is a log service and a daemon on one loopback server. The daemon
-// accepts every document at once and answers every call.
+// follows the log and answers every call.
 type site struct {
-	mu      sync.Mutex
-	records []platform.Record
-	version int64
+	log      http.Handler
+	follower *follow.Follower
+}
+
+func newSite(t *testing.T) *httptest.Server {
+	log := logsvc.New(logsvc.Options{})
+	f := follow.New(follow.Options{Log: log, Clock: clock.Boot{}, Self: "entry-1-a", Validate: document.Validate})
+	f.Start()
+	server := httptest.NewServer(&site{log.Handler(), f})
+	t.Cleanup(func() {
+		server.Close()
+		_ = f.Stop()
+		_ = log.Close()
+	})
+	return server
 }
 
 func (s *site) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	switch {
-	case r.URL.Path == "/streams/control/records" && r.Method == http.MethodPost:
-		data, _ := io.ReadAll(r.Body)
-		at := s.put(data)
-		s.version = at
-		verdict, _ := json.Marshal(record.Verdict{Service: "halen-application", Version: at, Accept: true})
-		env, _ := json.Marshal(record.Envelope{ID: "v", Kind: record.KindVerdict, Body: verdict})
-		s.put(env)
-		answer(w, map[string]int64{"offset": at})
-	case r.URL.Path == "/streams/control/records":
-		from, _ := strconv.Atoi(r.URL.Query().Get("from"))
-		from = min(max(from, 1), len(s.records)+1)
-		answer(w, map[string]any{"records": s.records[from-1:], "newest": len(s.records), "earliest": 1})
+	case strings.HasPrefix(r.URL.Path, "/streams/"):
+		s.log.ServeHTTP(w, r)
 	case r.URL.Path == status.Path:
-		svc := status.Service{Name: "halen-application", Kind: "plain", Version: s.version}
+		svc := status.Service{Name: "halen-application", Kind: "plain", Version: s.follower.State().Services["halen-application"].Version}
 		answer(w, status.Status{Daemon: "entry-1", Zone: "hall-a", State: "serving", Applied: 9, Services: []status.Service{svc}})
 	case r.URL.Path == caller.PathAddresses:
 		answer(w, caller.Addresses{Addresses: []caller.Address{{Addr: r.Host, Zone: "hall-a"}}, TTLMs: 5000})
@@ -63,18 +62,11 @@
 	}
 }
 
-func (s *site) put(data []byte) int64 {
-	at := int64(len(s.records) + 1)
-	s.records = append(s.records, platform.Record{Offset: at, Data: data})
-	return at
-}
-
 func answer(w http.ResponseWriter, v any) { _ = json.NewEncoder(w).Encode(v) }
 
 // Each line is one run of the command line, one after another on one site.
 func TestCommands(t *testing.T) {
-	server := httptest.NewServer(new(site))
-	defer server.Close()
+	server := newSite(t)
 	dead := httptest.NewServer(nil)
 	dead.Close()
 	live, gone := server.Listener.Addr().String(), dead.Listener.Addr().String()
@@ -97,7 +89,7 @@
 		{"check none.yaml", ExitFailed, "no such file"},
 		{"publish ../../examples/halen-application.yaml --wait", ExitOK, "version 1 accepted on base 0\n.* in force on 1 of 1 daemons"},
 		{"publish ../../examples/halen-application.yaml", ExitOK, "in force already, version 1"},
-		{"publish " + changed + " --base 1 --json", ExitOK, `"version": 3`},
+		{"publish " + changed + " --base 1 --wait --json", ExitOK, `"version": 3`},
 		{"publish ../../examples/halen-application.yaml --base 1", ExitRefused, "5001 BASE_CONFLICT: version 3 .* in place of base 1\nwhat to do: Read the version"},
 		{"publish ../../process/settings/testdata/bad/missing.yaml", ExitFailed, "code 4002"},
 		{"publish ../../examples/halen-application.yaml --timeout 300ms --log http://" + gone, ExitUnreachable, "5003 LOG_UNAVAILABLE"},
