caller: the test reads what its daemons saw under their lock

Cause: go test -race named a race in the test itself (a handler that gives up a connection may still run while the test looks); the checks are the same.

--- a/operator/caller/caller_test.go
+++ b/operator/caller/caller_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -61,6 +62,13 @@
 	f.acts[i](w, r)
 }
 
+// seen returns which daemon got each attempt, and its keys.
+func (f *fleet) seen() (hosts, keys []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.hosts), slices.Clone(f.keys)
+}
+
 func (f *fleet) client() *Client {
 	c := New(Options{Daemons: []string{host(f.servers[0])}, Seed: 1})
 	f.t.Cleanup(c.Close)
@@ -165,13 +173,14 @@
 			if code.Of(err) != tt.code || a.Code != tt.code || a.Whole != (tt.code == code.OK) {
 				t.Errorf("error %v, answer %+v, want code %d", err, a, tt.code)
 			}
-			if a.Attempts != tt.attempts || len(f.hosts) != tt.attempts || a.Cut != tt.cut || a.Faults != tt.faults {
-				t.Errorf("%d attempts (%d seen), %d cut, %+v; want %d, %d, %+v", a.Attempts, len(f.hosts), a.Cut, a.Faults, tt.attempts, tt.cut, tt.faults)
+			hosts, keys := f.seen()
+			if a.Attempts != tt.attempts || len(hosts) != tt.attempts || a.Cut != tt.cut || a.Faults != tt.faults {
+				t.Errorf("%d attempts (%d seen), %d cut, %+v; want %d, %d, %+v", a.Attempts, len(hosts), a.Cut, a.Faults, tt.attempts, tt.cut, tt.faults)
 			}
 			if a.Whole && tt.req.Stream && strings.Join(text, "") != " t0 t1 t2" {
 				t.Errorf("text %q", text)
 			}
-			for i, k := range f.keys {
+			for i, k := range keys {
 				if k != tt.req.Key {
 					t.Errorf("attempt %d has key %q", i, k)
 				}
@@ -186,8 +195,8 @@
 	if _, err := f.client().Do(t.Context(), Chat("m", "p", 3)); err != nil {
 		t.Fatal(err)
 	}
-	if f.hosts[0] == f.hosts[1] {
-		t.Errorf("both attempts went to %s", f.hosts[0])
+	if hosts, _ := f.seen(); hosts[0] == hosts[1] {
+		t.Errorf("both attempts went to %s", hosts[0])
 	}
 }
 
@@ -225,7 +234,7 @@
 			t.Fatalf("%+v, %v", a, err)
 		}
 	}
-	if len(f.hosts) != 10 {
-		t.Errorf("%d runs for 10 calls", len(f.hosts))
+	if hosts, _ := f.seen(); len(hosts) != 10 {
+		t.Errorf("%d runs for 10 calls", len(hosts))
 	}
 }
