--- a/operator/ctl/load.go
+++ b/operator/ctl/load.go
@@ -16,8 +16,10 @@
 const loadHelp = `Sends streamed prompts to a model at arrival times that are fixed beforehand by
 the seed, whether or not earlier ones are answered, and measures from the
 intended arrival. The mix is a list of NAME:SHARE:PROMPT:OUTPUT, with the mean
-tokens of prompt and answer. Exit code 1 if an answer was lost, cut for good or
-faulty, or a request wasn't sent.`
+tokens of prompt and answer; the default is
+` + load.DefaultMix + `.
+Exit code 1 if an answer was lost, cut for good or faulty, or a request wasn't
+sent.`
 
 type loadCommand struct {
 	app         *app
@@ -25,7 +27,7 @@
 	Rate        float64        `long:"rate" default:"10" description:"Requests a second"`
 	Duration    time.Duration  `long:"duration" default:"10s" description:"How long requests arrive"`
 	Seed        uint64         `long:"seed" default:"1" description:"Seed of arrivals, lengths and texts"`
-	Mix         string         `long:"mix" description:"Kinds of requests"`
+	Mix         string         `long:"mix" default-mask:"questions, threads and drafts" value-name:"MIX" description:"Kinds of requests"`
 	Orgs        int            `long:"orgs" default:"10" description:"Organisations to spread them over"`
 	Deadline    time.Duration  `long:"deadline" default:"30s" description:"Deadline of each request"`
 	MaxInFlight int            `long:"max-in-flight" default:"4096" description:"Most open requests"`
--- a/version/publish/publish.go
+++ b/version/publish/publish.go
@@ -67,13 +67,20 @@
 	return p.propose(ctx, record.Document{Service: service, Base: base, Remove: true})
 }
 
-// Current returns the version of a service in force at the log's tail.
+// Current returns the version of a service in force at the log's tail. While
+// the log can't be reached it tries again until ctx ends.
 func (p *Publisher) Current(ctx context.Context, service string) (InForce, error) {
 	t := &tail{log: p.Log}
+	pause := firstPause
 	for !t.reached {
-		if err := t.read(ctx, 0); err != nil {
+		err := t.read(ctx, 0)
+		if err == nil {
+			continue
+		}
+		if code.Of(err) == code.RecordsExpired || !wait(ctx, pause) {
 			return InForce{}, unavailable(err)
 		}
+		pause = min(2*pause, longestWait)
 	}
 	svc := t.state.Services[service]
 	return InForce{Version: svc.Version, YAML: svc.YAML}, nil
--- a/version/publish/publish_test.go
+++ b/version/publish/publish_test.go
@@ -26,6 +26,7 @@
 	appends   int
 	failAfter int                        // appends that take effect but whose answer is lost
 	failWith  int                        // appends that fail without effect
+	failReads int                        // reads that fail
 	down      bool                       // reads fail
 	onAppend  func(l *fakeLog, at int64) // plays the daemons
 }
@@ -98,6 +99,10 @@
 }
 
 func (l *fakeLog) Earliest(context.Context, string) (int64, error) {
+	if l.failReads > 0 {
+		l.failReads--
+		return 0, platform.ErrUnavailable
+	}
 	if l.down {
 		return 0, platform.ErrUnavailable
 	}
@@ -187,3 +192,16 @@
 		})
 	}
 }
+
+// The log is down for three reads when an operator asks for the version.
+func TestCurrentWaitsOutAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &fakeLog{earliest: 1, failReads: 3}
+		l.document("first", 0)
+		l.accept(1)
+		got, err := (&Publisher{Log: l}).Current(t.Context(), service)
+		if err != nil || got != (InForce{Version: 1, YAML: "x"}) {
+			t.Errorf("%+v, %v", got, err)
+		}
+	})
+}
