--- a/version/document/parse.go
+++ b/version/document/parse.go
@@ -6,7 +6,6 @@
 
 	"gopkg.in/yaml.v3"
 
-	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/internal/yamlcheck"
 	"github.com/pomelospool/pomelospool/platform"
 )
@@ -60,16 +59,6 @@
 	return d, nil
 }
 
-// Validate judges a document as a daemon does before its verdict: code.OK, or
-// the code of the first problem with all problems, one a line.
-func Validate(yaml string) (code.Code, string) {
-	_, problems := Parse("document", []byte(yaml))
-	if err := yamlcheck.AsError(problems); err != nil {
-		return problems[0].Code, err.Error()
-	}
-	return code.OK, ""
-}
-
 // Marshal writes a document so that Parse gives the same one again.
 func Marshal(d *Document) ([]byte, error) {
 	data, err := yaml.Marshal(d)
