--- a/operator/ctl/load.go
+++ b/operator/ctl/load.go
@@ -9,13 +9,17 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/operator/load"
+	"github.com/pomelospool/pomelospool/request/prefix"
+	"github.com/pomelospool/pomelospool/standin/token"
 )
 
 const loadHelp = `Sends streamed prompts to a model at arrival times that are fixed beforehand by
 the seed, whether or not earlier ones are answered, and measures from the
 intended arrival. The mix is a list of NAME:SHARE:PROMPT:OUTPUT, with the mean
-tokens of prompt and answer. Exit code 1 if an answer was lost, cut for good or
-faulty, or a request wasn't sent.`
+tokens of prompt and answer; the default is
+` + load.DefaultMix + `.
+Exit code 1 if an answer was lost, cut for good or faulty, or a request wasn't
+sent.`
 
 type loadCommand struct {
 	app         *app
@@ -23,10 +27,11 @@
 	Rate        float64        `long:"rate" default:"10" description:"Requests a second"`
 	Duration    time.Duration  `long:"duration" default:"10s" description:"How long requests arrive"`
 	Seed        uint64         `long:"seed" default:"1" description:"Seed of arrivals, lengths and texts"`
-	Mix         string         `long:"mix" description:"Kinds of requests"`
+	Mix         string         `long:"mix" default-mask:"questions, threads and drafts" value-name:"MIX" description:"Kinds of requests"`
 	Orgs        int            `long:"orgs" default:"10" description:"Organisations to spread them over"`
 	Deadline    time.Duration  `long:"deadline" default:"30s" description:"Deadline of each request"`
 	MaxInFlight int            `long:"max-in-flight" default:"4096" description:"Most open requests"`
+	Verify      bool           `long:"verify" description:"Check every token, which only the stand-in engine allows"`
 	Plot        flags.Filename `long:"plot" value-name:"FILE" description:"Write the times over their quantiles as SVG"`
 }
 
@@ -69,7 +74,7 @@
 	if !(c.Rate > 0) || c.Duration <= 0 || c.MaxInFlight < 1 {
 		return load.Options{}, usageError("rate, duration and max-in-flight must be above 0")
 	}
-	return load.Options{
+	o := load.Options{
 		Model:       c.Model,
 		Rate:        c.Rate,
 		Duration:    c.Duration,
@@ -78,7 +83,18 @@
 		Orgs:        c.Orgs,
 		Deadline:    c.Deadline,
 		MaxInFlight: c.MaxInFlight,
-	}, nil
+	}
+	if c.Verify {
+		o.Verify = verifyStandin
+	}
+	return o, nil
+}
+
+// verifyStandin returns the check of the stand-in engine's answer to a chat
+// with one user's message.
+func verifyStandin(content string) func(i int, text string) bool {
+	hash := token.Hash(prefix.Prompt([]prefix.Message{{Role: "user", Content: content}}))
+	return func(i int, text string) bool { return text == token.At(hash, i) }
 }
 
 func (c *loadCommand) show(s *load.Summary) error {
