--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -12,11 +12,10 @@
 	"github.com/pomelospool/pomelospool/version/document"
 )
 
-// Fullness, as a share of the places at the targets, from which requests are
-// refused. The places above normalFull are the reserve of high priority.
+// Fullness, as a share of the room at the targets, from which requests are
+// refused. The room above normalFull are the reserve of high priority.
 const (
-	contention = 0.80 // fair shares are enforced from here on
-	lowFull    = 0.80 // requests of low priority
+	lowFull    = 0.70 // requests of low priority
 	normalFull = 0.95 // requests of normal priority
 	highFull   = 1.00 // requests of high priority
 )
@@ -63,14 +62,14 @@
 	if a.Decision.Finish > a.Left {
 		return nil, late(a)
 	}
-	full := fullness(a)
-	if full >= limit(a.Priority) {
-		return nil, code.New(code.Overloaded, "%.0f%% of the places are taken", full*100).
-			After(s.retryAfter(full-limit(a.Priority), places(a.Targets)))
+	full := s.fullness(a)
+	if over := full.share - limit(a.Priority); over >= 0 {
+		return nil, code.New(code.Overloaded, "%.0f%% of the room is taken", full.share*100).
+			After(s.retryAfter(over, room(a.Targets)))
 	}
-	if full >= contention && a.Priority <= 0 && s.overShare(a) {
+	if over := full.excess - 1; over >= 0 && a.Priority <= 0 && s.overShare(a, 1/full.excess, c.now()) {
 		return nil, code.New(code.OrgOverShare, "organisation %.80q", a.Org).
-			After(s.retryAfter(full-contention, places(a.Targets)))
+			After(s.retryAfter(over, room(a.Targets)))
 	}
 	return c.enter(s, a), nil
 }
@@ -81,7 +80,7 @@
 	defer c.mu.Unlock()
 	s := c.get(doc.Service)
 	return code.New(code.Overloaded, "every target is full").
-		After(s.retryAfter(0, places(targets)))
+		After(s.retryAfter(0, room(targets)))
 }
 
 func (c *Controller) enter(s *service, a Ask) func() {
@@ -126,33 +125,3 @@
 func clamp(d time.Duration) time.Duration {
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
-
-// fullness is the greater of two shares: places taken at the live targets, and
-// the deadline that would be used up. Reports lag, so a target's place count
-// is the greater of what it reported plus what was sent since, and of what
-// this process knows to be there.
-func fullness(a Ask) float64 {
-	taken, all := 0, 0
-	for _, t := range a.Targets {
-		if !t.Live || t.Limit <= 0 {
-			continue
-		}
-		n := max(t.InFlight, t.Load.Running+t.Load.Waiting+t.SentCount)
-		taken += min(n, t.Limit)
-		all += t.Limit
-	}
-	if all == 0 {
-		return 0
-	}
-	return float64(taken) / float64(all)
-}
-
-func places(targets []routing.Target) int {
-	n := 0
-	for _, t := range targets {
-		if t.Live {
-			n += t.Limit
-		}
-	}
-	return n
-}
--- /dev/null
+++ b/request/admission/admission_test.go
@@ -0,0 +1,126 @@
+package admission
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/request/routing"
+	"github.com/pomelospool/pomelospool/version/document"
+)
+
+// rooms are the two ways in which a service runs out of room: places at the
+// targets, and time.
+var rooms = []struct {
+	name  string
+	limit int
+}{{"places", simServers + 5}, {"time", 0}}
+
+// TestOverload: the load rises to ten times what the fleet can do. Accepted
+// without a bound, every request would wait until its deadline has passed and
+// the fleet would work for nobody. Goodput stays at 95% of that at 1x, and
+// high priority keeps 95% of its own.
+func TestOverload(t *testing.T) {
+	for _, room := range rooms {
+		base, high := 0.0, 0.0
+		for _, factor := range []float64{1, 2, 5, 10} {
+			s := run(1, room.limit, false, []source{
+				{"high", 1, capacity * 0.1},
+				{"many", 0, capacity*factor - capacity*0.1},
+			})
+			if factor == 1 {
+				base, high = s.total(), s.good["high"]
+			}
+			t.Logf("%s %gx: goodput %.3f of 1x (%.3f of capacity), high %.3f of 1x, refused %v", room.name, factor,
+				s.total()/base, s.total()/(capacity*simLength.Seconds()), s.good["high"]/high, s.refused)
+			if s.total() < 0.95*base || s.good["high"] < 0.95*high {
+				t.Errorf("%s %gx: goodput %.3f, high %.3f of 1x", room.name, factor, s.total()/base, s.good["high"]/high)
+			}
+		}
+	}
+}
+
+// TestFlood: nineteen organisations use 80% of the fleet; then another one
+// sends ten times what the fleet can do. The others lose at most 5%, as a mean
+// over seeds.
+func TestFlood(t *testing.T) {
+	const seeds = 8
+	for _, room := range rooms {
+		var calm []source
+		for i := range 19 {
+			calm = append(calm, source{fmt.Sprint("org", i), 0, capacity * 0.8 / 19})
+		}
+		flood := append(slices.Clip(calm), source{"flood", 0, capacity * 10})
+		sum, worst, taken := 0.0, 1.0, 0.0
+		for seed := range uint64(seeds) {
+			before, after := run(seed, room.limit, false, calm), run(seed, room.limit, false, flood)
+			kept := (after.total() - after.good["flood"]) / before.total()
+			sum += kept
+			worst = min(worst, kept)
+			taken += after.good["flood"] / (capacity * simLength.Seconds())
+			for _, d := range after.daemons {
+				if c := d.ctl.services["s"].cost; c != 0 {
+					t.Errorf("cost %g in flight after the end", c)
+				}
+			}
+		}
+		t.Logf("%s: others keep %.3f, in the worst run %.3f; the flood gets %.3f of capacity", room.name, sum/seeds, worst, taken/seeds)
+		if sum/seeds < 0.95 {
+			t.Errorf("%s: others keep %.3f", room.name, sum/seeds)
+		}
+	}
+}
+
+// TestRefusalCodes: which refusal a request gets, and when to come back.
+func TestRefusalCodes(t *testing.T) {
+	half := []routing.Target{{Live: true, Limit: 100, InFlight: 50}}
+	busy := []routing.Target{{Live: true, Limit: 100, InFlight: 85}}
+	full := []routing.Target{{Live: true, Limit: 100, InFlight: 97}}
+	gone := append([]routing.Target{{Limit: 900}}, full...)
+	cases := []struct {
+		name     string
+		targets  []routing.Target
+		org      string
+		priority int
+		finish   time.Duration
+		idle     time.Duration
+		want     code.Code
+	}{
+		{"room", half, "a", 0, 1, 1, code.OK},
+		{"backlog", half, "a", 0, 11 * time.Second, time.Second, code.Overloaded},
+		{"too short for any", half, "a", 0, 11 * time.Second, 12 * time.Second, code.DeadlineTooShort},
+		{"work alone fills the time", half, "a", 0, 9710 * time.Millisecond, 9700 * time.Millisecond, code.OK},
+		{"waiting fills the time", half, "a", 0, 9800 * time.Millisecond, time.Second, code.Overloaded},
+		{"low at contention", busy, "b", -1, 1, 1, code.Overloaded},
+		{"over share at contention", busy, "a", 0, 1, 1, code.OrgOverShare},
+		{"over share, high", busy, "a", 1, 1, 1, code.OK},
+		{"heavier weight", busy, "heavy", 0, 1, 1, code.OK},
+		{"newcomer at contention", busy, "b", 0, 1, 1, code.OK},
+		{"normal at the reserve", full, "b", 0, 1, 1, code.Overloaded},
+		{"high in the reserve", full, "b", 1, 1, 1, code.OK},
+		{"dead targets have no room", gone, "b", 0, 1, 1, code.Overloaded},
+	}
+	doc := &document.Document{Service: "s", Fair: document.Fair{Weights: map[string]float64{"heavy": 9}}}
+	for _, tc := range cases {
+		c := New(time.Now)
+		for _, org := range []string{"a", "a", "a", "heavy", "heavy", "heavy", "c"} {
+			if _, err := c.Admit(Ask{Doc: doc, Org: org, Cost: 1, Left: time.Second, Targets: half}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		_, err := c.Admit(Ask{
+			Doc: doc, Org: tc.org, Priority: tc.priority, Cost: 1, Left: 10 * time.Second, Targets: tc.targets,
+			Decision: routing.Decision{Finish: tc.finish},
+			Idle:     func() (time.Duration, bool) { return tc.idle, true },
+		})
+		if code.Of(err) != tc.want {
+			t.Errorf("%s: %v", tc.name, err)
+		}
+		retry := tc.want == code.Overloaded || tc.want == code.OrgOverShare
+		if ce, ok := err.(*code.Error); ok && (ce.RetryAfter > 0) != retry {
+			t.Errorf("%s: retry after %v", tc.name, ce.RetryAfter)
+		}
+	}
+}
--- a/request/admission/share.go
+++ b/request/admission/share.go
@@ -1,58 +1,93 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	shareSlack = 1.1              // over the fair share by which one is tolerated
-	rateWindow = 10 * time.Second // over which completions are averaged
+	rateWindow  = 10 * time.Second       // over which completions are averaged
+	usageWindow = 8 * time.Second        // over which usage is averaged
+	levelEvery  = 100 * time.Millisecond // between searches for the fair level
+	levelPasses = 20                     // of one search, at most
+	maxOrgs     = 4096                   // organisations whose usage is kept
+	idleUsage   = 0.02                   // of the mean usage: less is forgotten
 )
 
 // service is the state of one service at this process.
 type service struct {
-	orgs    map[string]*usage // organisations with requests in flight only
+	orgs    map[string]*usage // organisations with usage of late
 	cost    float64           // in flight
-	weights float64           // sum over orgs
 	rate    float64           // completions a second, averaged
 	lastEnd time.Time
+	level   float64   // fair level: mean cost in flight for a weight of 1
+	levelAt time.Time // when it was found
 }
 
-// usage is one organisation's requests in flight.
+// usage is what one organisation has in flight.
 type usage struct {
 	requests int
-	cost     float64
+	cost     float64 // in flight now
+	mean     float64 // in flight, averaged over usageWindow
+	meanAt   time.Time
 	weight   float64
 }
 
+// update brings the mean up to now.
+func (u *usage) update(now time.Time) {
+	keep := math.Exp(-now.Sub(u.meanAt).Seconds() / usageWindow.Seconds())
+	u.mean = u.cost + (u.mean-u.cost)*keep
+	u.meanAt = now
+}
+
 func (s *service) begin(a Ask, now time.Time) {
 	u, ok := s.orgs[a.Org]
 	if !ok {
-		u = &usage{weight: weight(a)}
+		u = &usage{weight: weight(a), meanAt: now}
 		s.orgs[a.Org] = u
-		s.weights += u.weight
 	}
+	u.update(now)
 	u.requests++
 	u.cost += a.Cost
 	s.cost += a.Cost
 	if s.lastEnd.IsZero() {
 		s.lastEnd = now
 	}
+	if len(s.orgs) > maxOrgs {
+		s.forget(now)
+	}
 }
 
 func (s *service) end(a Ask, now time.Time) {
 	u := s.orgs[a.Org]
+	u.update(now)
 	u.requests--
 	u.cost -= a.Cost
 	s.cost -= a.Cost
 	if u.requests == 0 {
-		s.weights -= u.weight
-		delete(s.orgs, a.Org)
-	}
-	if len(s.orgs) == 0 {
-		s.cost, s.weights = 0, 0 // rounding errors don't add up
+		u.cost = 0 // rounding errors don't add up
 	}
 	s.count(now)
 }
 
+// forget drops the organisations that have nothing in flight and whose usage
+// of late is small; if that leaves too many, all that have nothing in flight.
+func (s *service) forget(now time.Time) {
+	small := idleUsage * s.cost / float64(len(s.orgs))
+	for range 2 {
+		for org, u := range s.orgs {
+			u.update(now)
+			if u.requests == 0 && u.mean <= small {
+				delete(s.orgs, org)
+			}
+		}
+		if len(s.orgs) <= maxOrgs {
+			return
+		}
+		small = math.Inf(1)
+	}
+}
+
 // count takes one completion into the average rate.
 func (s *service) count(now time.Time) {
 	gap := now.Sub(s.lastEnd).Seconds()
@@ -62,21 +97,67 @@
 	s.rate = s.rate*keep + 1/window
 }
 
-// overShare tells whether the organisation would hold more than its weighted
-// share of the work in flight.
+// overShare tells whether the organisation uses more than its fair share of
+// the usage at contention, which is part of the present usage.
 //
 // One organisation's flood would otherwise take every place that comes free,
 // and the others' requests would be refused in proportion. By Little's law
 // work in flight is throughput times duration, so a share of it is a share of
-// the targets' time. Only organisations with requests in flight are counted:
-// 47,000 that are quiet cost no memory and don't shrink anyone's share.
-func (s *service) overShare(a Ask) bool {
+// the targets' time. It is averaged over a short while: an organisation with
+// one request at a time would else be refused its second one. The share is
+// max-min fair: those who ask for little get it all, whatever others ask for,
+// and a lone organisation gets everything up to contention. Organisations that
+// are quiet cost no memory and shrink no one's share.
+func (s *service) overShare(a Ask, part float64, now time.Time) bool {
 	u := s.orgs[a.Org]
 	if u == nil {
 		return false
 	}
-	fair := u.weight / s.weights
-	return u.cost+a.Cost > shareSlack*fair*(s.cost+a.Cost)
+	s.findLevel(part, now)
+	u.update(now)
+	return u.mean > s.level*u.weight
+}
+
+// findLevel searches for the level now and then, and averages what it finds:
+// part comes from lagging reports, and a single low one would have those
+// refused who are well below their share.
+func (s *service) findLevel(part float64, now time.Time) {
+	since := now.Sub(s.levelAt)
+	if since < levelEvery {
+		return
+	}
+	keep := math.Exp(-since.Seconds() / usageWindow.Seconds())
+	s.level = s.level*keep + s.fairLevel(part, now)*(1-keep)
+	s.levelAt = now
+}
+
+// fairLevel returns the level at which the organisations' usage, cut at level
+// times weight, adds up to part of what it is. It raises the level in
+// passes: what those below it leave is shared among those above.
+func (s *service) fairLevel(part float64, now time.Time) float64 {
+	s.forget(now)
+	sum, weights := 0.0, 0.0
+	for _, u := range s.orgs {
+		sum += u.mean
+		weights += u.weight
+	}
+	fit := sum * part
+	level := fit / weights
+	for range levelPasses {
+		left, above := fit, 0.0
+		for _, u := range s.orgs {
+			if u.mean <= level*u.weight {
+				left -= u.mean
+			} else {
+				above += u.weight
+			}
+		}
+		if above == 0 || left <= level*above {
+			return level
+		}
+		level = left / above
+	}
+	return level
 }
 
 func weight(a Ask) float64 {
--- /dev/null
+++ b/request/stream/stream_test.go
@@ -0,0 +1,167 @@
+package stream
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"testing/synctest"
+	"time"
+)
+
+type sink struct {
+	events []string
+	err    error
+}
+
+func (s *sink) Event(data []byte) error {
+	s.events = append(s.events, string(data))
+	return s.err
+}
+
+func TestReader(t *testing.T) {
+	cases := []struct {
+		name, in string
+		want     []string
+		err      error
+	}{
+		{"two events", "data: a\n\ndata:b\r\n\r\n", []string{"a", "b"}, io.EOF},
+		{"several lines", "data: a\ndata: b\n\n", []string{"a\nb"}, io.EOF},
+		{"comments and fields", ": ping\n\nevent: x\nid: 1\ndata: a\n\n", []string{"a"}, io.EOF},
+		{"end within an event", "data: a\n", nil, io.ErrUnexpectedEOF},
+		{"end within a line", "data: a\n\ndat", []string{"a"}, io.ErrUnexpectedEOF},
+		{"unknown field", "x: a\n\n", nil, ErrMalformed},
+		{"long line", "data: " + strings.Repeat("x", MaxEvent) + "\n\n", nil, ErrTooLong},
+		{"long event", strings.Repeat("data: "+strings.Repeat("x", 1000)+"\n", 300), nil, ErrTooLong},
+	}
+	for _, tc := range cases {
+		for _, src := range []io.Reader{strings.NewReader(tc.in), iotest.OneByteReader(strings.NewReader(tc.in))} {
+			got, err := readAll(src)
+			if fmt.Sprint(got) != fmt.Sprint(tc.want) || !errors.Is(err, tc.err) {
+				t.Errorf("%s: got %q, %v", tc.name, got, err)
+			}
+		}
+	}
+}
+
+func readAll(src io.Reader) ([]string, error) {
+	r := NewReader(src)
+	var out []string
+	for {
+		data, err := r.Next()
+		if err != nil {
+			return out, err
+		}
+		out = append(out, string(data))
+	}
+}
+
+// FuzzSSE: whatever an engine sends, in whatever pieces, the reader ends, stays
+// within its limit, and a relay passes on no token twice, none out of order
+// and no end marker before the last token.
+func FuzzSSE(f *testing.F) {
+	f.Add([]byte("data: {\"id\":\"a\",\"token_index\":0,\"choices\":[{\"finish_reason\":\"length\"}]}\n\ndata: [DONE]\n\n"))
+	f.Add([]byte("data: {\"id\":\"a\",\"token_index\":1}\n\n"))
+	f.Add([]byte(": x\r\n\r\ndata:\n\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		whole, err1 := readAll(bytes.NewReader(in))
+		bits, err2 := readAll(iotest.OneByteReader(bytes.NewReader(in)))
+		if fmt.Sprint(whole) != fmt.Sprint(bits) || fmt.Sprint(err1) != fmt.Sprint(err2) {
+			t.Fatalf("pieces matter: %q, %v and %q, %v", whole, err1, bits, err2)
+		}
+		out := &sink{}
+		r := NewRelay("caller", 0, out)
+		err := r.Run(bytes.NewReader(in), "a")
+		checkRelayed(t, out.events, r, err)
+	})
+}
+
+func checkRelayed(t *testing.T, events []string, r *Relay, err error) {
+	ended := false
+	next := 0
+	for _, e := range events {
+		if ended {
+			t.Fatalf("event %q after the end", e)
+		}
+		if e == string(done) {
+			ended = true
+			continue
+		}
+		c, perr := parseChunk([]byte(e))
+		if perr != nil || *c.TokenIndex != next {
+			t.Fatalf("passed on %q as token %d", e, next)
+		}
+		next++
+	}
+	if ended != (err == nil) || ended && !r.Finished() || next != r.Next() {
+		t.Fatalf("ended %v, finished %v, error %v", ended, r.Finished(), err)
+	}
+}
+
+// blocked is a caller that takes the header and then nothing more.
+type blocked struct {
+	httptest.ResponseRecorder
+	release chan struct{}
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.release
+	return 0, http.ErrHandlerTimeout
+}
+
+// TestWriterBound: a caller stops reading. Events are held up to the limit,
+// then the engine's side waits; once the write fails it is told so.
+func TestWriterBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit, size = 1000, 92
+		b := &blocked{release: make(chan struct{})}
+		var gone error
+		w := NewWriter(b, limit, time.Second, func(err error) { gone = err })
+		taken := 0
+		result := make(chan error, 1)
+		go func() {
+			for {
+				if err := w.Event(make([]byte, size)); err != nil {
+					result <- err
+					return
+				}
+				taken += size
+			}
+		}()
+		synctest.Wait()
+		if taken == 0 || taken > limit+size {
+			t.Errorf("%d bytes held, limit %d", taken, limit)
+		}
+		close(b.release)
+		if err := <-result; !errors.Is(err, http.ErrHandlerTimeout) {
+			t.Error(err)
+		}
+		if err := w.Close(); err == nil || gone == nil {
+			t.Errorf("close: %v, gone: %v", err, gone)
+		}
+	})
+}
+
+// TestWriterWhole: what was added before Close arrives, in order.
+func TestWriterWhole(t *testing.T) {
+	rec := httptest.NewRecorder()
+	w := NewWriter(rec, 64, time.Second, func(error) {})
+	var want strings.Builder
+	for i := range 100 {
+		fmt.Fprintf(&want, "data: %d\n\n", i)
+		if err := w.Event(fmt.Append(nil, i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := w.Close(); err != nil || rec.Body.String() != want.String() {
+		t.Errorf("got %q, %v", rec.Body, err)
+	}
+	if err := w.Event(nil); !errors.Is(err, errClosed) {
+		t.Error(err)
+	}
+}
