Silent connections, handover to decode engines, cancel over a new connection

A silent connection was noticed, but the engine behind it wasn't told: the close doesn't arrive there, and it goes on making tokens for nobody. Routing's choice of a decode engine and of a cache to move had nobody to carry it out.

Change: pool.Cancel tells the engine over a new connection; a streamed answer is handed over after its first token, its cache moved by load.Move, without counting as a retry. Tests of pool, attempt, load and address.

Ruled out: asking the prefill engine for one token only (max_tokens 1): its finish reason would end the caller's stream.

Two faults found by the tests: the budget kept parts of a retry for good, so that a quiet service had 9 instead of 10 in reserve; the script engine counted cancel calls as requests (in the test only).

Figures, virtual time (TestTimeToNotice): a request on a connection that is silent before or within the answer is answered elsewhere after exactly 2 s, the progress timeout, with an hour left until its deadline.

--- /dev/null
+++ b/connection/address/address_test.go
@@ -0,0 +1,43 @@
+package address
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestAnswer: callers get the members that stay, their own zone first, and
+// spread over them.
+func TestAnswer(t *testing.T) {
+	var members []Member
+	for i := range 8 {
+		members = append(members, Member{Addr: fmt.Sprint("10.0.0.", i), Zone: fmt.Sprint("z", i%2), Leaving: i >= 6})
+	}
+	b := NewBook(func() []Member { return members }, 5*time.Second)
+	first := make(map[string]int)
+	for seed := range uint64(3000) {
+		a := b.Answer("z1", seed)
+		if len(a.Addresses) != 6 || a.TTLMs != 5000 {
+			t.Fatalf("got %+v", a)
+		}
+		for i, e := range a.Addresses {
+			if (e.Zone == "z1") != (i < 3) {
+				t.Fatalf("seed %d: %+v", seed, a.Addresses)
+			}
+		}
+		first[a.Addresses[0].Addr]++
+	}
+	for addr, n := range first {
+		if n < 900 || n > 1100 {
+			t.Errorf("%s is first for %d of 3000 callers", addr, n)
+		}
+	}
+	before := b.Answer("z1", 7).Addresses[0]
+	members[0].Leaving = true
+	if after := b.Answer("z1", 7).Addresses[0]; after != before {
+		t.Errorf("a caller was moved from %v to %v for nothing", before, after)
+	}
+	if a := NewBook(func() []Member { return nil }, 0).Answer("", 0); a.Addresses == nil {
+		t.Error("no members must be an empty list, not null")
+	}
+}
--- /dev/null
+++ b/connection/load/load_test.go
@@ -0,0 +1,255 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/connection/pool"
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/request/routing"
+	"github.com/pomelospool/pomelospool/request/view"
+	"github.com/pomelospool/pomelospool/version/document"
+)
+
+func TestMain(m *testing.M) {
+	log.SetLevel(log.FatalLevel)
+	m.Run()
+}
+
+// fake is an engine's control side.
+type fake struct {
+	platform.Engine
+	mu     sync.Mutex
+	load   platform.Load
+	state  platform.EngineState
+	events []platform.CacheEvent
+	lag    time.Duration
+}
+
+func (f *fake) set(change func(*fake)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+func (f *fake) Load(context.Context) (platform.Load, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := f.load
+	l.At = time.Now().Add(-f.lag)
+	return l, nil
+}
+
+func (f *fake) State(context.Context) (platform.EngineState, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state, nil
+}
+
+func (f *fake) CacheEvents(_ context.Context, after int64) ([]platform.CacheEvent, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []platform.CacheEvent
+	for _, e := range f.events {
+		if e.Seq > after {
+			out = append(out, e)
+		}
+	}
+	return out, nil
+}
+
+// watch runs a Watcher over one engine in virtual time.
+func watch(t *testing.T, f *fake, do func(w *Watcher, p *pool.Pool, get func() routing.Target, crashes *int)) {
+	synctest.Test(t, func(t *testing.T) {
+		doc := &document.Document{Service: "s", Kind: document.KindModel, Targets: []document.Target{{Name: "e", Addr: "e:1", Model: "m"}}}
+		svc := &view.Service{Doc: doc, Version: 1}
+		h := &view.Holder{}
+		h.Store(view.NewSnapshot(1, []*view.Service{svc}, map[string]bool{}))
+		refuse := func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("no network") }
+		p := pool.New(pool.Options{Dial: refuse})
+		crashes := 0
+		w := New(Options{View: h, Pool: p, Engine: func(string) platform.Engine { return f }, Crashed: func(string) { crashes++ }})
+		get := func() routing.Target {
+			time.Sleep(1200 * time.Millisecond) // a few polls, state included
+			synctest.Wait()
+			return w.Targets(svc)[0]
+		}
+		do(w, p, get, &crashes)
+		w.Close()
+		p.Close()
+	})
+}
+
+// TestTargetView: what requests see of an engine: its own word over the
+// document's, and load with what was sent since the report.
+func TestTargetView(t *testing.T) {
+	f := &fake{lag: 500 * time.Millisecond}
+	f.load = platform.Load{Incarnation: "1", Running: 3}
+	f.state = platform.EngineState{Spec: platform.EngineSpec{Role: platform.RoleDecode, Model: "other"}}
+	watch(t, f, func(_ *Watcher, p *pool.Pool, get func() routing.Target, _ *int) {
+		got := get()
+		if got.Model != "other" || got.Role != platform.RoleDecode || got.Load.Running != 3 || !got.Live {
+			t.Errorf("got %+v", got)
+		}
+		if got.LoadAge < f.lag || got.LoadAge > f.lag+defaultPoll {
+			t.Errorf("load is %v old", got.LoadAge)
+		}
+		p.Begin("e:1", 100, 10)
+		now := get()
+		if now.SentCount != 0 || now.InFlight != 1 {
+			t.Errorf("long after sending: %+v", now)
+		}
+		f.set(func(f *fake) { f.state.Leaving = true })
+		if got := get(); got.Live {
+			t.Error("a leaving engine gets new work")
+		}
+	})
+}
+
+// TestSentSinceReport: a request sent after the newest report was measured is
+// not in it; it must be counted until a report that holds it has come.
+func TestSentSinceReport(t *testing.T) {
+	f := &fake{lag: 500 * time.Millisecond}
+	watch(t, f, func(w *Watcher, p *pool.Pool, get func() routing.Target, _ *int) {
+		get()
+		p.Begin("e:1", 100, 10)
+		svc := w.opts.View.Load().Services["s"]
+		counted := 0
+		for range 20 {
+			got := w.Targets(svc)[0]
+			if got.SentCount == 1 && got.SentPrefill == 100 && got.SentDecode == 10 {
+				counted++
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		// The report lags by 500 ms and is read every 250 ms; steps are 100 ms.
+		if counted < 10 || counted > 18 {
+			t.Errorf("counted for %d steps of 50 ms", counted)
+		}
+	})
+}
+
+// TestDeathsAreToldOnce: an engine dies and comes back. Its refused
+// connections and its new incarnation show the same death; told twice, it
+// would convict what ran there once.
+func TestDeathsAreToldOnce(t *testing.T) {
+	refused := fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
+	cases := []struct {
+		name string
+		do   func(w *Watcher, f *fake)
+		want int
+	}{
+		{"none", func(*Watcher, *fake) {}, 0},
+		{"refused", func(w *Watcher, _ *fake) { w.Down("e:1", refused) }, 1},
+		{"refused twice", func(w *Watcher, _ *fake) { w.Down("e:1", refused); w.Down("e:1", refused) }, 1},
+		{"restart", func(_ *Watcher, f *fake) { f.set(func(f *fake) { f.load.Incarnation = "2" }) }, 1},
+		{"both", func(w *Watcher, f *fake) {
+			w.Down("e:1", refused)
+			f.set(func(f *fake) { f.load.Incarnation = "2" })
+		}, 1},
+		{"partition", func(w *Watcher, _ *fake) { w.Down("e:1", syscall.ETIMEDOUT) }, 0},
+	}
+	for _, tc := range cases {
+		f := &fake{load: platform.Load{Incarnation: "1"}}
+		watch(t, f, func(w *Watcher, _ *pool.Pool, get func() routing.Target, crashes *int) {
+			get()
+			tc.do(w, f)
+			get()
+			if *crashes != tc.want {
+				t.Errorf("%s: %d deaths told, want %d", tc.name, *crashes, tc.want)
+			}
+		})
+	}
+}
+
+// TestCacheView: what is believed of a prefix cache after events, gaps and
+// resets. A gap may hide that blocks are gone.
+func TestCacheView(t *testing.T) {
+	add := func(seq int64, blocks ...uint64) platform.CacheEvent {
+		return platform.CacheEvent{Seq: seq, Added: blocks}
+	}
+	gone := func(seq int64, blocks ...uint64) platform.CacheEvent {
+		return platform.CacheEvent{Seq: seq, Gone: blocks}
+	}
+	cases := []struct {
+		name   string
+		events []platform.CacheEvent
+		want   int
+	}{
+		{"in order", []platform.CacheEvent{add(1, 1, 2), add(2, 3)}, 3},
+		{"gone", []platform.CacheEvent{add(1, 1, 2, 3), gone(2, 2)}, 1},
+		{"gap", []platform.CacheEvent{add(1, 1, 2, 3), add(3, 1)}, 1},
+		{"repeated", []platform.CacheEvent{add(1, 1, 2), gone(2, 1), add(1, 1)}, 0},
+		{"reset", []platform.CacheEvent{add(1, 1, 2), {Seq: 2, Reset: true}}, 0},
+	}
+	for _, tc := range cases {
+		var c cacheView
+		c.apply(tc.events)
+		if got := c.tokens([]uint64{1, 2, 3}); got != tc.want*blockTokens {
+			t.Errorf("%s: %d tokens, want %d blocks", tc.name, got, tc.want)
+		}
+	}
+	var c cacheView
+	for i := range int64(1000) {
+		var many []uint64
+		for j := range uint64(1000) {
+			many = append(many, uint64(i)*1000+j)
+		}
+		c.apply([]platform.CacheEvent{add(i+1, many...)})
+	}
+	if len(c.blocks) > maxBlocks {
+		t.Errorf("%d blocks kept", len(c.blocks))
+	}
+}
+
+// TestSubset: at 710 targets a process watches a bounded few, its own zone
+// first, all processes together watch all, and one target less changes one.
+func TestSubset(t *testing.T) {
+	var all []document.Target
+	for i := range 710 {
+		all = append(all, document.Target{Name: fmt.Sprint("t", i), Zone: fmt.Sprint("z", i%5)})
+	}
+	seen := make(map[string]bool)
+	for p := range 360 {
+		got := subset(all, fmt.Sprint("z", p%5), fmt.Sprint("p", p), 64)
+		own := 0
+		for _, g := range got {
+			seen[g.Name] = true
+			if g.Zone == fmt.Sprint("z", p%5) {
+				own++
+			}
+		}
+		if len(got) != 64 || own != 48 {
+			t.Fatalf("%d targets, %d in the own zone", len(got), own)
+		}
+	}
+	if len(seen) != len(all) {
+		t.Errorf("%d of %d targets are watched by some process", len(seen), len(all))
+	}
+	before, after := subset(all, "z0", "p", 64), subset(all[1:], "z0", "p", 64)
+	kept := make(map[string]bool)
+	for _, g := range before {
+		kept[g.Name] = true
+	}
+	changed := 0
+	for _, g := range after {
+		if !kept[g.Name] {
+			changed++
+		}
+	}
+	if changed > 1 {
+		t.Errorf("%d targets changed for one that left", changed)
+	}
+	if got := subset(all[:3], "z0", "p", 64); len(got) != 3 {
+		t.Errorf("%d of 3 targets", len(got))
+	}
+}
--- a/connection/pool/pool.go
+++ b/connection/pool/pool.go
@@ -58,6 +58,8 @@
 	fresh *http.Transport // one connection a request
 	tomb  tomb.Tomb
 
+	cancels chan struct{} // a place for each cancel call under way
+
 	mu      sync.Mutex
 	targets map[string]*target
 	closed  bool
@@ -83,6 +85,7 @@
 // New returns a Pool; Close ends it.
 func New(o Options) *Pool {
 	p := &Pool{opts: o.withDefaults(), targets: make(map[string]*target)}
+	p.cancels = make(chan struct{}, maxCancels)
 	p.fresh = p.transport()
 	p.fresh.DisableKeepAlives = true
 	p.tomb.Go(func() error {
--- /dev/null
+++ b/connection/pool/pool_test.go
@@ -0,0 +1,220 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"golang.org/x/sys/unix"
+)
+
+func TestMain(m *testing.M) {
+	log.SetLevel(log.FatalLevel)
+	m.Run()
+}
+
+// counted is a server that counts its connections.
+type counted struct {
+	*httptest.Server
+	conns atomic.Int32
+}
+
+func newCounted(t *testing.T, h http.HandlerFunc) *counted {
+	c := &counted{}
+	c.Server = httptest.NewUnstartedServer(h)
+	c.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			c.conns.Add(1)
+		}
+	}
+	c.Start()
+	t.Cleanup(c.Close)
+	return c
+}
+
+func (c *counted) addr() string { return c.Listener.Addr().String() }
+
+func send(t *testing.T, p *Pool, addr string, mode Mode) (*Exchange, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), "POST", "http://"+addr+"/", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	x, err := p.Send(req, mode)
+	if err == nil {
+		_, _ = io.Copy(io.Discard, x.Response.Body)
+		x.Response.Body.Close()
+	}
+	return x, err
+}
+
+func answer(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }
+
+// TestConnectionsReplaced: requests share a connection until one went silent;
+// then none goes on an old one. Calls that can't be repeated share none.
+func TestConnectionsReplaced(t *testing.T) {
+	s := newCounted(t, answer)
+	p := New(Options{})
+	defer p.Close()
+	steps := []struct {
+		name string
+		mode Mode
+		do   func()
+		want int32
+	}{
+		{"first", Reuse, nil, 1},
+		{"shared", Reuse, nil, 1},
+		{"fresh", Fresh, nil, 2},
+		{"fresh again", Fresh, nil, 3},
+		{"after silence", Reuse, func() { p.Silent(s.addr()); waitHealthy(p, s.addr()) }, 5},
+	}
+	for _, st := range steps {
+		if st.do != nil {
+			st.do()
+		}
+		if _, err := send(t, p, s.addr(), st.mode); err != nil {
+			t.Fatal(st.name, err)
+		}
+		if n := s.conns.Load(); n != st.want {
+			t.Errorf("%s: %d connections, want %d", st.name, n, st.want)
+		}
+	}
+}
+
+func waitHealthy(p *Pool, addr string) {
+	for s := p.Status(addr); s.Suspect || s.Down; s = p.Status(addr) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestWrittenProof: what a failed request proves about its bytes.
+func TestWrittenProof(t *testing.T) {
+	reset := newCounted(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	gone := newCounted(t, answer)
+	gone.Close()
+	p := New(Options{})
+	defer p.Close()
+	for _, tc := range []struct {
+		name, addr string
+		want       bool
+	}{{"refused connection", gone.addr(), false}, {"reset after reading", reset.addr(), true}} {
+		x, err := send(t, p, tc.addr, Fresh)
+		if err == nil || x.Written() != tc.want {
+			t.Errorf("%s: written %v, error %v", tc.name, x.Written(), err)
+		}
+		if got := errors.Is(err, ErrConnect); got == tc.want {
+			t.Errorf("%s: error %v", tc.name, err)
+		}
+	}
+}
+
+// TestSealStopsLateWrites: a request is given up before its bytes were
+// written, and reported as not run. A write that comes after that must fail,
+// or the target runs what the caller was told did not run.
+func TestSealStopsLateWrites(t *testing.T) {
+	a, b := net.Pipe()
+	defer b.Close()
+	c := &conn{Conn: a}
+	if n := c.seal(); n != 0 {
+		t.Fatalf("%d bytes before any write", n)
+	}
+	if _, err := c.Write([]byte("late")); !errors.Is(err, errSealed) {
+		t.Errorf("late write: %v", err)
+	}
+	if c.mark() != 0 {
+		t.Error("late write was counted as begun")
+	}
+}
+
+// TestUserTimeout: the kernel must give up connections that a middlebox
+// forgot; this is what tells it to.
+func TestUserTimeout(t *testing.T) {
+	s := newCounted(t, answer)
+	c, err := dialer(time.Second, 1500*time.Millisecond)(t.Context(), "tcp", s.addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var ms, idle int
+	_ = raw.Control(func(fd uintptr) {
+		ms, _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		idle, _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_KEEPIDLE)
+	})
+	if ms != 1500 || idle != 1 {
+		t.Errorf("user timeout %d ms, keepalive after %d s", ms, idle)
+	}
+}
+
+// TestDownAndBack: a target refuses connections, is probed, and comes back.
+// The death is told once, however many requests meet it.
+func TestDownAndBack(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	var told atomic.Int32
+	p := New(Options{ProbeEvery: time.Millisecond, Down: func(string, error) { told.Add(1) }})
+	defer p.Close()
+	var wg sync.WaitGroup
+	for range 10 {
+		wg.Go(func() { p.Verify(context.Background(), addr) })
+	}
+	wg.Wait()
+	if !p.Status(addr).Down || told.Load() != 1 {
+		t.Fatalf("down %v, told %d times", p.Status(addr).Down, told.Load())
+	}
+	l, err = net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: http.HandlerFunc(answer)}
+	go s.Serve(l)
+	defer s.Close()
+	waitHealthy(p, addr)
+}
+
+// TestSentSince: what was sent since a report counts, older things don't, and
+// the memory of a target stays as it is.
+func TestSentSince(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := New(Options{})
+		end := p.Begin("a", 10, 1)
+		time.Sleep(time.Second)
+		report := time.Now()
+		p.Begin("a", 20, 2)
+		time.Sleep(150 * time.Millisecond)
+		p.Begin("a", 30, 3)
+		if got := p.SentSince("a", report); got != (Sent{Count: 2, Prefill: 50, Decode: 5}) {
+			t.Errorf("got %+v", got)
+		}
+		end()
+		if n := p.Status("a").InFlight; n != 2 {
+			t.Errorf("%d in flight", n)
+		}
+		time.Sleep(10 * time.Second)
+		if got := p.SentSince("a", report); got != (Sent{}) {
+			t.Errorf("much later: %+v", got)
+		}
+		p.Retain(nil)
+		if len(p.targets) != 1 {
+			t.Error("a target with requests in flight was forgotten")
+		}
+		p.Close()
+	})
+}
--- a/request/attempt/attempt.go
+++ b/request/attempt/attempt.go
@@ -33,6 +33,7 @@
 	Header http.Header
 	Body   io.Reader // reads fail when the target makes no progress
 	Framed bool      // the end of Body is marked by length or by chunks
+	Decode bool      // another engine is to go on after the first token
 }
 
 // Receiver takes answers. It is used by one goroutine.
@@ -63,9 +64,15 @@
 	return request + "." + processID + strconv.FormatUint(counter.Add(1), 36)
 }
 
+// plan is how one attempt is made.
+type plan struct {
+	first  time.Duration // longest wait for the header, and for the first token
+	decode bool          // another engine is to go on after the first token
+}
+
 // try runs one attempt at t.
-func (r *Runner) try(ctx context.Context, q *Request, t routing.Target, first time.Duration, recv Receiver) *Failure {
-	ctx, dog := newWatchdog(ctx, first)
+func (r *Runner) try(ctx context.Context, q *Request, t routing.Target, p plan, recv Receiver) *Failure {
+	ctx, dog := newWatchdog(ctx, p.first)
 	defer dog.end()
 	end := r.opts.Pool.Begin(t.Addr, q.Route.PromptTokens, q.Route.OutputTokens)
 	defer end()
@@ -77,13 +84,23 @@
 	}
 	x, err := r.opts.Pool.Send(req, q.mode())
 	if err != nil {
-		return r.sendFailure(ctx, t, x, err)
+		f := r.sendFailure(ctx, t, x, err)
+		r.cancelSilent(f, q, t, id)
+		return f
 	}
 	defer x.Response.Body.Close()
 	dog.disarm()
-	body := &watchedBody{src: x.Response.Body, dog: dog, first: first, next: r.opts.Between}
-	err = receive(x.Response, id, t, q.Model, body, recv)
-	return r.receiveFailure(ctx, t, err)
+	body := &watchedBody{src: x.Response.Body, dog: dog, first: p.first, next: r.opts.Between}
+	err = receive(x.Response, id, t, q.Model, p.decode, body, recv)
+	f := r.receiveFailure(ctx, t, err)
+	r.cancelSilent(f, q, t, id)
+	return f
+}
+
+func (r *Runner) cancelSilent(f *Failure, q *Request, t routing.Target, id string) {
+	if f != nil && f.Class == Silent && q.Model {
+		r.opts.Pool.Cancel(t.Addr, id)
+	}
 }
 
 func (r *Runner) build(ctx context.Context, q *Request, t routing.Target, id string, resume int) (*http.Request, error) {
@@ -111,7 +128,7 @@
 // under another id can be that of an earlier request on the connection, or of
 // another caller: passing it on would give one caller what another asked. An
 // engine's refusal may lack the id: nothing of it but its status is passed on.
-func receive(resp *http.Response, id string, t routing.Target, model bool, body io.Reader, recv Receiver) error {
+func receive(resp *http.Response, id string, t routing.Target, model, decode bool, body io.Reader, recv Receiver) error {
 	got := resp.Header.Get(HeaderID)
 	refusal := model && got == "" && resp.StatusCode >= http.StatusBadRequest
 	if got != id && !refusal {
@@ -124,6 +141,7 @@
 		Header: resp.Header,
 		Body:   body,
 		Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+		Decode: decode,
 	})
 }
 
--- /dev/null
+++ b/request/attempt/attempt_test.go
@@ -0,0 +1,254 @@
+package attempt
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/connection/pool"
+	"github.com/pomelospool/pomelospool/request/quarantine"
+	"github.com/pomelospool/pomelospool/request/routing"
+	"github.com/pomelospool/pomelospool/request/view"
+	"github.com/pomelospool/pomelospool/version/document"
+)
+
+func TestMain(m *testing.M) {
+	log.SetLevel(log.FatalLevel)
+	m.Run()
+}
+
+// pipes is a network in memory, for virtual time: servers by address.
+type pipes struct {
+	mu      sync.Mutex
+	servers map[string]*pipeListener
+	list    []*http.Server
+}
+
+func (p *pipes) serve(addr string, h http.HandlerFunc) {
+	l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.servers == nil {
+		p.servers = make(map[string]*pipeListener)
+	}
+	p.servers[addr] = l
+	srv := &http.Server{Handler: h}
+	p.list = append(p.list, srv)
+	go srv.Serve(l)
+}
+
+func (p *pipes) dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	p.mu.Lock()
+	l := p.servers[addr]
+	p.mu.Unlock()
+	if l == nil {
+		return nil, net.ErrClosed
+	}
+	ours, theirs := net.Pipe()
+	select {
+	case l.conns <- theirs:
+		return ours, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (p *pipes) close() {
+	for _, s := range p.list {
+		s.Close()
+	}
+}
+
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error   { l.once.Do(func() { close(l.closed) }); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// inOrder routes to the first target that isn't excluded.
+type inOrder struct{}
+
+func (inOrder) Route(r routing.Request, targets []routing.Target) (routing.Decision, error) {
+	for _, t := range targets {
+		excluded := false
+		for _, x := range r.Exclude {
+			excluded = excluded || x == t.Name
+		}
+		if t.Live && !excluded {
+			return routing.Decision{Target: t.Name}, nil
+		}
+	}
+	return routing.Decision{}, code.New(code.NoTarget, "")
+}
+
+type fixed []routing.Target
+
+func (f fixed) Targets(*view.Service) []routing.Target { return f }
+
+// whole receives an answer and keeps it.
+type whole struct{ body string }
+
+func (w *whole) Progress() int   { return 0 }
+func (w *whole) Committed() bool { return false }
+func (w *whole) Receive(a Answer) error {
+	body, err := io.ReadAll(a.Body)
+	w.body = string(body)
+	return err
+}
+
+func request(idempotent bool) *Request {
+	doc := &document.Document{Service: "s", Retry: document.Retry{Attempts: 3, Budget: 0.1}}
+	return &Request{
+		ID: "r", Service: &view.Service{Doc: doc}, Deadline: time.Now().Add(time.Hour),
+		Method: "POST", Path: "/", Header: http.Header{}, Body: func(int) []byte { return []byte("body") },
+		Idempotent: idempotent, Fingerprint: 7,
+	}
+}
+
+// TestTimeToNotice: an engine's connection goes silent, before the answer or
+// in the middle of it. The request has an hour left; it is answered by another
+// engine as soon as the progress timeout is over, whichever moment it was.
+func TestTimeToNotice(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			net := &pipes{}
+			net.serve("a:1", func(w http.ResponseWriter, r *http.Request) {
+				io.Copy(io.Discard, r.Body)
+				w.Header().Set(HeaderID, r.Header.Get(HeaderID))
+				if begun {
+					io.WriteString(w, "par")
+					http.NewResponseController(w).Flush()
+				}
+				<-r.Context().Done()
+			})
+			net.serve("b:1", func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(HeaderID, r.Header.Get(HeaderID))
+				io.WriteString(w, "whole")
+			})
+			p := pool.New(pool.Options{Dial: net.dial})
+			r := NewRunner(Options{Pool: p, Router: inOrder{}, Targets: fixed{
+				{Name: "a", Addr: "a:1", Live: true}, {Name: "b", Addr: "b:1", Live: true},
+			}})
+			recv := &whole{}
+			start := time.Now()
+			if _, err := r.Run(t.Context(), request(true), nil, recv); err != nil || recv.body != "whole" {
+				t.Errorf("begun %v: got %q, %v", begun, recv.body, err)
+			}
+			if took := time.Since(start); took != defaultFirst {
+				t.Errorf("begun %v: answered after %v, want %v", begun, took, defaultFirst)
+			}
+			net.close()
+			p.Close()
+		})
+	}
+}
+
+// books is a Tracker that notes what it is told.
+type books struct {
+	mu       sync.Mutex
+	standing quarantine.Standing
+	inFlight int
+	said     []string
+}
+
+func (b *books) Check(uint64) (quarantine.Standing, time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.standing, time.Minute
+}
+func (b *books) Begin(uint64, string) { b.note(1, "begin") }
+func (b *books) End(uint64, string)   { b.note(-1, "end") }
+func (b *books) Crashed(string)       { b.note(0, "crashed") }
+
+func (b *books) note(n int, what string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.inFlight += n
+	b.said = append(b.said, what)
+}
+
+// TestCrashIsNotedInFlight: a request crashes its target. The death must be
+// noted while the request still stands in the books, and the next attempt must
+// see the new standing; else a crash-causing request takes one target after
+// another.
+func TestCrashIsNotedInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var runs atomic.Int32
+		net := &pipes{}
+		net.serve("a:1", func(http.ResponseWriter, *http.Request) {
+			runs.Add(1)
+			panic(http.ErrAbortHandler)
+		})
+		b := &books{}
+		p := pool.New(pool.Options{Dial: net.dial})
+		r := NewRunner(Options{
+			Pool: p, Router: inOrder{}, Quarantine: b,
+			Targets: fixed{{Name: "a", Addr: "a:1", Live: true}, {Name: "b", Addr: "a:1", Live: true}},
+			Verify: func(_ context.Context, target routing.Target) {
+				b.Crashed(target.Name)
+				b.mu.Lock()
+				b.standing = quarantine.Convicted
+				b.mu.Unlock()
+			},
+		})
+		_, err := r.Run(t.Context(), request(true), nil, &whole{})
+		if code.Of(err) != code.TargetFailed || runs.Load() != 1 {
+			t.Errorf("%d runs, %v", runs.Load(), err)
+		}
+		if len(b.said) != 3 || b.said[0] != "begin" || b.said[1] != "crashed" || b.said[2] != "end" {
+			t.Errorf("books: %v", b.said)
+		}
+		if _, err := r.Run(t.Context(), request(true), nil, &whole{}); code.Of(err) != code.CrashConvicted {
+			t.Errorf("sent again: %v", err)
+		}
+		net.close()
+		p.Close()
+	})
+}
+
+// TestBudget: retries stay within the greater of the reserve and the share,
+// and the past is forgotten.
+func TestBudget(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := NewBudgets(func() time.Time { return now })
+	taken := func(requests int) int {
+		n := 0
+		for range requests {
+			b.Request("s")
+			if b.Take("s", 0.1) {
+				n++
+			}
+		}
+		return n
+	}
+	if n := taken(1000); n != 100 {
+		t.Errorf("%d retries for 1000 requests", n)
+	}
+	now = now.Add(time.Hour)
+	if n := taken(20); n != budgetReserve {
+		t.Errorf("%d retries after a pause", n)
+	}
+}
--- a/request/attempt/budget.go
+++ b/request/attempt/budget.go
@@ -68,7 +68,7 @@
 		s.retries /= 2
 		s.halved = s.halved.Add(budgetHalfLife)
 		if s.requests < 1 && s.retries < 1 {
-			s.halved = now
+			*s = budget{halved: now}
 		}
 	}
 	return s
--- /dev/null
+++ b/request/attempt/choose.go
@@ -0,0 +1,79 @@
+package attempt
+
+import (
+	"errors"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/request/routing"
+)
+
+// Choose decides where q would go now.
+func (r *Runner) Choose(q *Request) (routing.Decision, []routing.Target, error) {
+	targets := r.opts.Targets.Targets(q.Service)
+	d, err := r.opts.Router.Route(q.Route, targets)
+	return d, targets, err
+}
+
+// choose picks the target of the next attempt: another one than before, in
+// another availability zone if one has room there, and only if nothing else is
+// left a target that failed already.
+func (u *run) choose() (routing.Target, routing.Decision, error) {
+	targets := u.opts.Targets.Targets(u.q.Service)
+	if u.next != nil && !u.route.Alone {
+		if t, ok := find(targets, u.next.Target); ok && t.Live {
+			return t, *u.next, nil
+		}
+	}
+	u.route.Deadline = u.q.Deadline.Sub(u.opts.Now())
+	d, err := u.routeElsewhere(targets)
+	if err != nil && len(u.route.Exclude) > 0 {
+		again := u.route
+		again.Exclude = nil
+		d, err = u.opts.Router.Route(again, targets)
+	}
+	if err != nil {
+		return routing.Target{}, d, u.aloneError(err)
+	}
+	t, ok := find(targets, d.Target)
+	if !ok {
+		return t, d, code.New(code.NoTarget, "routing named %q", d.Target)
+	}
+	return t, d, nil
+}
+
+func (u *run) routeElsewhere(targets []routing.Target) (routing.Decision, error) {
+	if u.zone == "" {
+		return u.opts.Router.Route(u.route, targets)
+	}
+	var away []routing.Target
+	for _, t := range targets {
+		if t.Zone != u.zone {
+			away = append(away, t)
+		}
+	}
+	if d, err := u.opts.Router.Route(u.route, away); err == nil {
+		return d, nil
+	}
+	return u.opts.Router.Route(u.route, targets)
+}
+
+// aloneError tells the caller of suspect content why it waits.
+func (u *run) aloneError(err error) error {
+	if !u.route.Alone {
+		return err
+	}
+	var ce *code.Error
+	if errors.As(err, &ce) && ce.Code == code.Overloaded {
+		return code.Wrap(code.CrashSuspect, err, "").After(retryAfter)
+	}
+	return err
+}
+
+func find(targets []routing.Target, name string) (routing.Target, bool) {
+	for _, t := range targets {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return routing.Target{}, false
+}
--- a/request/attempt/failure.go
+++ b/request/attempt/failure.go
@@ -22,11 +22,12 @@
 	Refused                 // the target answered that the request is wrong
 	CallerGone              // the caller takes no more
 	Late                    // the deadline passed
+	Handover                // no failure: another engine goes on
 )
 
 var classNames = [...]string{
 	"not written", "no answer", "silent", "cut", "mismatch",
-	"busy", "failed", "refused", "caller gone", "late",
+	"busy", "failed", "refused", "caller gone", "late", "handover",
 }
 
 // String names the class for logs.
@@ -43,6 +44,7 @@
 	Refused:    code.TargetRefused,
 	CallerGone: code.CallerGone,
 	Late:       code.DeadlinePassed,
+	Handover:   code.TargetFailed,
 }
 
 // Failure is why an attempt failed.
@@ -69,7 +71,7 @@
 	switch f.Class {
 	case NotWritten:
 		return true
-	case NoAnswer, Silent, Cut, Mismatch, Busy, Failed:
+	case NoAnswer, Silent, Cut, Mismatch, Busy, Failed, Handover:
 		return idempotent
 	}
 	return false
--- a/request/attempt/runner.go
+++ b/request/attempt/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
@@ -22,6 +21,7 @@
 	verifyLimit     = 250 * time.Millisecond
 	defaultAttempts = 3
 	roomPause       = 20 * time.Millisecond
+	moveLimit       = 500 * time.Millisecond
 )
 
 // Targets gives what is known of a service's targets now.
@@ -29,6 +29,11 @@
 	Targets(svc *view.Service) []routing.Target
 }
 
+// KV moves the KV cache of a prompt between two engines, by their names.
+type KV interface {
+	Move(ctx context.Context, from, to string, prefix []uint64) error
+}
+
 // Options of a Runner.
 type Options struct {
 	Pool       *pool.Pool
@@ -38,6 +43,7 @@
 	// Verify checks at once whether a target whose connection broke has died,
 	// and returns after the tracker was told. Nil: a probe over a new connection.
 	Verify  func(ctx context.Context, t routing.Target)
+	KV      KV            // may be nil: caches are computed, not moved
 	First   time.Duration // least wait for an answer's header; 2s
 	Between time.Duration // longest wait between two reads of an answer; 2s
 	Now     func() time.Time
@@ -118,6 +124,7 @@
 	result Result
 	last   *Failure
 	zone   string // of the last failed target
+	handed bool   // over from a prefill to a decode engine
 }
 
 func (u *run) loop(ctx context.Context) error {
@@ -137,6 +144,10 @@
 		if failure == nil {
 			return nil
 		}
+		if failure.Class == Handover {
+			u.handOver(ctx, d)
+			continue
+		}
 		u.note(failure, t)
 		if err := u.mayRepeat(ctx, failure, u.recv.Progress() > progress); err != nil {
 			return err
@@ -170,8 +181,12 @@
 		u.opts.Quarantine.Begin(u.q.Fingerprint, t.Name)
 		defer u.opts.Quarantine.End(u.q.Fingerprint, t.Name)
 	}
-	wait := max(u.opts.First, d.First*firstPatience)
-	failure := u.try(ctx, u.q, t, wait, u.recv)
+	u.moveKV(ctx, d.KVFrom, t.Name)
+	p := plan{
+		first:  max(u.opts.First, d.First*firstPatience),
+		decode: d.Decode != "" && d.Decode != t.Name && !u.handed,
+	}
+	failure := u.try(ctx, u.q, t, p, u.recv)
 	if failure != nil && failure.breaks() {
 		vctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), verifyLimit)
 		defer cancel()
@@ -180,6 +195,28 @@
 	return failure
 }
 
+// handOver sends the rest of the answer to the engine that routing chose for
+// decoding, with the prompt's cache. It is no retry: nothing failed, and the
+// tokens so far are kept.
+func (u *run) handOver(ctx context.Context, d routing.Decision) {
+	u.handed = true
+	u.moveKV(ctx, d.Target, d.Decode)
+	u.next = &routing.Decision{Target: d.Decode, First: d.First}
+}
+
+// moveKV moves the prompt's cache. Without it the engine computes the prompt
+// anew, so a failure costs time only, and that is bounded.
+func (u *run) moveKV(ctx context.Context, from, to string) {
+	if from == "" || u.opts.KV == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, moveLimit)
+	defer cancel()
+	if err := u.opts.KV.Move(ctx, from, to, u.q.Route.Prefix); err != nil {
+		log.WithFields(log.Fields{"from": from, "to": to}).WithError(err).Info("attempt: cache not moved")
+	}
+}
+
 func (u *run) note(f *Failure, t routing.Target) {
 	u.last = f
 	u.zone = t.Zone
@@ -254,74 +291,3 @@
 	}
 	return code.New(code.CrashConvicted, "").After(left)
 }
-
-// Choose decides where q would go now.
-func (r *Runner) Choose(q *Request) (routing.Decision, []routing.Target, error) {
-	targets := r.opts.Targets.Targets(q.Service)
-	d, err := r.opts.Router.Route(q.Route, targets)
-	return d, targets, err
-}
-
-// choose picks the target of the next attempt: another one than before, in
-// another availability zone if one has room there, and only if nothing else is
-// left a target that failed already.
-func (u *run) choose() (routing.Target, routing.Decision, error) {
-	targets := u.opts.Targets.Targets(u.q.Service)
-	if u.next != nil && !u.route.Alone {
-		if t, ok := find(targets, u.next.Target); ok && t.Live {
-			return t, *u.next, nil
-		}
-	}
-	u.route.Deadline = u.q.Deadline.Sub(u.opts.Now())
-	d, err := u.routeElsewhere(targets)
-	if err != nil && len(u.route.Exclude) > 0 {
-		again := u.route
-		again.Exclude = nil
-		d, err = u.opts.Router.Route(again, targets)
-	}
-	if err != nil {
-		return routing.Target{}, d, u.aloneError(err)
-	}
-	t, ok := find(targets, d.Target)
-	if !ok {
-		return t, d, code.New(code.NoTarget, "routing named %q", d.Target)
-	}
-	return t, d, nil
-}
-
-func (u *run) routeElsewhere(targets []routing.Target) (routing.Decision, error) {
-	if u.zone == "" {
-		return u.opts.Router.Route(u.route, targets)
-	}
-	var away []routing.Target
-	for _, t := range targets {
-		if t.Zone != u.zone {
-			away = append(away, t)
-		}
-	}
-	if d, err := u.opts.Router.Route(u.route, away); err == nil {
-		return d, nil
-	}
-	return u.opts.Router.Route(u.route, targets)
-}
-
-// aloneError tells the caller of suspect content why it waits.
-func (u *run) aloneError(err error) error {
-	if !u.route.Alone {
-		return err
-	}
-	var ce *code.Error
-	if errors.As(err, &ce) && ce.Code == code.Overloaded {
-		return code.Wrap(code.CrashSuspect, err, "").After(retryAfter)
-	}
-	return err
-}
-
-func find(targets []routing.Target, name string) (routing.Target, bool) {
-	for _, t := range targets {
-		if t.Name == name {
-			return t, true
-		}
-	}
-	return routing.Target{}, false
-}
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -38,6 +38,7 @@
 	Quarantine quarantine.Tracker
 	Burn       burn.Observer
 	Verify     func(ctx context.Context, t routing.Target) // see attempt.Options
+	KV         attempt.KV                                  // see attempt.Options
 	Limits     settings.Limits
 	Zone       string        // availability zone of this process
 	First      time.Duration // see attempt.Options
@@ -83,6 +84,7 @@
 			Targets:    o.Targets,
 			Quarantine: o.Quarantine,
 			Verify:     o.Verify,
+			KV:         o.KV,
 			First:      o.First,
 			Between:    o.Between,
 		}),
--- a/request/entry/fault_test.go
+++ b/request/entry/fault_test.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"testing"
 
+	"github.com/pomelospool/pomelospool/request/routing"
 	"github.com/pomelospool/pomelospool/standin"
+	"github.com/pomelospool/pomelospool/version/document"
 )
 
 const answerTokens = 6
@@ -70,6 +73,13 @@
 			if n := bad.count(); n != 1 {
 				t.Errorf("first engine got %d requests, want 1", n)
 			}
+			// The close of a silent connection doesn't arrive: the engine would
+			// go on for nobody unless it is told over a new one.
+			if strings.HasPrefix(tc.name, "silent") {
+				if id := <-bad.cancels; id != bad.id() {
+					t.Errorf("%q was cancelled, want %q", id, bad.id())
+				}
+			}
 		})
 	}
 }
@@ -156,3 +166,40 @@
 		t.Logf("%d attempts for %d requests", n, requests)
 	}
 }
+
+// TestHandover: routing sends the prompt to a prefill engine and the answer to
+// a decode engine. The caller sees one stream, and neither a retry nor a
+// failure is counted.
+func TestHandover(t *testing.T) {
+	prefill, decode := startEngine(t), startEngine(t)
+	kv := &moves{}
+	f := newFixture(t, []string{prefill.Addr(), decode.Addr()}, nil, func(o *Options, d *document.Document) {
+		o.Router = handover{}
+		o.KV = kv
+		d.Retry.Attempts = 1
+	})
+	r := f.complete("prompt", 200, "X-Request-Id", "mine")
+	if err := checkStream(r.body, "mine", "prompt", 200); err != nil {
+		t.Fatal(err)
+	}
+	if kv.said != "e0>e1" {
+		t.Errorf("cache moved %q", kv.said)
+	}
+	if n := len(decode.Record().Requests); n != 1 {
+		t.Errorf("the decode engine got %d requests", n)
+	}
+}
+
+// handover sends every prompt to e0 and every answer to e1.
+type handover struct{}
+
+func (handover) Route(routing.Request, []routing.Target) (routing.Decision, error) {
+	return routing.Decision{Target: "e0", Decode: "e1"}, nil
+}
+
+type moves struct{ said string }
+
+func (m *moves) Move(_ context.Context, from, to string, _ []uint64) error {
+	m.said += from + ">" + to
+	return nil
+}
--- a/request/entry/receive.go
+++ b/request/entry/receive.go
@@ -112,7 +112,14 @@
 	if t, _, _ := mime.ParseMediaType(a.Header.Get("Content-Type")); t != "text/event-stream" {
 		return &attempt.Failure{Class: attempt.Failed, Target: a.Target, Err: fmt.Errorf("content type %.80q", t)}
 	}
+	r.relay.HandOver(0)
+	if a.Decode {
+		r.relay.HandOver(1)
+	}
 	err := r.relay.Run(a.Body, a.ID)
+	if errors.Is(err, stream.ErrHandover) {
+		return &attempt.Failure{Class: attempt.Handover, Target: a.Target, Err: err}
+	}
 	if errors.Is(err, stream.ErrCaller) {
 		return &attempt.Failure{Class: attempt.CallerGone, Target: a.Target, Err: err}
 	}
--- a/request/entry/script_test.go
+++ b/request/entry/script_test.go
@@ -15,8 +15,10 @@
 // script is a target that misbehaves on command.
 type script struct {
 	*httptest.Server
-	mu   sync.Mutex
-	runs int
+	mu      sync.Mutex
+	runs    int
+	ids     []string
+	cancels chan string // ids of the cancel calls
 }
 
 // call is one request at a script.
@@ -30,16 +32,22 @@
 
 func newScript(t testing.TB, play func(c *call)) *script {
 	t.Helper()
-	s := &script{}
+	s := &script{cancels: make(chan string, 100)}
 	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		var b struct {
 			Prompt string
 			Resume struct{ Tokens int }
+			ID     string
 		}
 		_ = json.Unmarshal(body, &b)
+		if r.URL.Path == "/v1/cancel" {
+			s.cancels <- b.ID
+			return
+		}
 		s.mu.Lock()
 		s.runs++
+		s.ids = append(s.ids, r.Header.Get("X-Request-Id"))
 		s.mu.Unlock()
 		play(&call{w: w, ctx: r.Context().Done(), id: r.Header.Get("X-Request-Id"), prompt: b.Prompt, resume: b.Resume.Tokens})
 	}))
@@ -58,6 +66,13 @@
 	return s.runs
 }
 
+// id returns the id of the first request.
+func (s *script) id() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ids[0]
+}
+
 // head sends a good header.
 func (c *call) head() *call {
 	c.w.Header().Set("X-Request-Id", c.id)
--- a/request/stream/relay.go
+++ b/request/stream/relay.go
@@ -15,6 +15,8 @@
 	ErrTarget = errors.New("target reported an error")
 	// ErrCaller means that the caller doesn't take the answer any more.
 	ErrCaller = errors.New("caller takes no more")
+	// ErrHandover means that the stream is well and goes on at another engine.
+	ErrHandover = errors.New("handed over")
 )
 
 // maxForeign bounds the chunks of other requests that one attempt may carry.
@@ -33,6 +35,7 @@
 	next     int
 	finished bool
 	dropped  int
+	handover int
 }
 
 // NewRelay returns a Relay for the request id whose first token is at start.
@@ -49,11 +52,15 @@
 // Dropped counts the chunks that were doubled or belonged to other requests.
 func (r *Relay) Dropped() int { return r.dropped }
 
+// HandOver makes the next Run stop with ErrHandover once it passed on tokens
+// tokens, unless the answer is whole by then. 0 means that it doesn't stop.
+func (r *Relay) HandOver(tokens int) { r.handover = tokens }
+
 // Run passes on the stream of one attempt. It returns nil once the stream is
 // whole, else an error that wraps one of this package's or of src.
 func (r *Relay) Run(src io.Reader, attempt string) error {
 	events := NewReader(src)
-	foreign := 0
+	foreign, begun := 0, r.next
 	for {
 		data, err := events.Next()
 		if err != nil {
@@ -66,6 +73,9 @@
 		if err != nil {
 			return err
 		}
+		if r.handover > 0 && r.next-begun >= r.handover && !r.finished {
+			return ErrHandover
+		}
 		if own {
 			continue
 		}
