A leaving engine's refusals no longer spend the retry budget

A leaving engine refuses at once and has nothing in flight, so until the next state read it looked like the best choice, drew every request, and each refusal was a retry: with 8 callers the budget was spent within milliseconds.

Change: a target that refused counts as suspect for 500 ms and has its state read at the next poll. A refusal that nothing announced is retried without asking the budget, but counted in it. Refused too: reading the state at every poll, which costs 4 calls a second and engine and leaves the gap open.

A connection over the limit gets its refusal although it sent bytes that nobody reads.

--- a/connection/load/engine.go
+++ b/connection/load/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
@@ -27,10 +28,11 @@
 }
 
 func (w *Watcher) poll(ctx context.Context, e *engine) {
+	defer e.close()
 	tick := time.NewTicker(w.opts.Poll)
 	defer tick.Stop()
 	for i := 0; ; i++ {
-		w.pollOnce(ctx, e, i%stateEvery == 0)
+		w.pollOnce(ctx, e, i%stateEvery == 0 || w.opts.Pool.Status(e.addr).Refusing)
 		select {
 		case <-w.tomb.Dying():
 			return
@@ -41,6 +43,13 @@
 	}
 }
 
+// close ends the adapter's connections, if it has any.
+func (e *engine) close() {
+	if c, ok := e.api.(io.Closer); ok {
+		_ = c.Close()
+	}
+}
+
 func (w *Watcher) pollOnce(ctx context.Context, e *engine, withState bool) {
 	ctx, cancel := context.WithTimeout(ctx, pollLimit)
 	defer cancel()
--- a/connection/load/watcher.go
+++ b/connection/load/watcher.go
@@ -177,7 +177,7 @@
 		Adapter:  t.Adapter,
 		Role:     t.Role,
 		Live:     !leaving && !status.Down,
-		Suspect:  status.Suspect,
+		Suspect:  status.Suspect || status.Refusing,
 		InFlight: status.InFlight,
 		Limit:    doc.Limits.QueuePerTarget,
 	}
--- a/connection/pool/pool.go
+++ b/connection/pool/pool.go
@@ -21,6 +21,7 @@
 	keepAliveCount    = 3
 	idlePerTarget     = 64
 	idleTimeout       = 30 * time.Second
+	refusedFor        = 500 * time.Millisecond
 )
 
 // Options of a Pool. Zero values take the defaults named beside them.
@@ -73,6 +74,7 @@
 	suspect   bool
 	down      bool
 	probing   bool
+	refused   time.Time // when it last refused a request that it didn't run
 }
 
 // Status is what the pool knows of one target.
@@ -80,6 +82,7 @@
 	InFlight int  // requests of this process there now
 	Suspect  bool // a connection made no progress, and no probe was answered since
 	Down     bool // refuses connections
+	Refusing bool // refused a request within refusedFor
 }
 
 // New returns a Pool; Close ends it.
@@ -140,7 +143,22 @@
 	if !ok {
 		return Status{}
 	}
-	return Status{InFlight: t.inFlight, Suspect: t.suspect, Down: t.down}
+	return Status{
+		InFlight: t.inFlight,
+		Suspect:  t.suspect,
+		Down:     t.down,
+		Refusing: !t.refused.IsZero() && time.Since(t.refused) < refusedFor,
+	}
+}
+
+// Refused reports that addr refused a request without running it: it is full,
+// or leaving, or changing its role. Its own word about that comes with the
+// next state read; until then it has nothing in flight and looks like the best
+// choice, and would draw request after request.
+func (p *Pool) Refused(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.get(addr).refused = time.Now()
 }
 
 // Begin counts a request to addr with its estimated prompt and output tokens.
--- a/request/attempt/attempt.go
+++ b/request/attempt/attempt.go
@@ -77,6 +77,7 @@
 	end := r.opts.Pool.Begin(t.Addr, q.Route.PromptTokens, q.Route.OutputTokens)
 	defer end()
 
+	foreseen := r.opts.Pool.Status(t.Addr).Refusing
 	id := newID(q.ID)
 	req, err := r.build(ctx, q, t, id, recv.Progress())
 	if err != nil {
@@ -94,6 +95,10 @@
 	err = receive(x.Response, id, t, q.Model, p.decode, body, recv)
 	f := r.receiveFailure(ctx, t, err)
 	r.cancelSilent(f, q, t, id)
+	if f != nil && f.Class == Busy {
+		r.opts.Pool.Refused(t.Addr)
+		f.unforeseen = !foreseen
+	}
 	return f
 }
 
--- a/request/attempt/budget.go
+++ b/request/attempt/budget.go
@@ -54,6 +54,14 @@
 	return true
 }
 
+// Count counts a retry of service that is made in any case. Others have to
+// make up for it.
+func (b *Budgets) Count(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.get(service).retries++
+}
+
 // get returns the budget of service, decayed. Callers hold b.mu. Services come
 // from documents in force, so the map stays as small as their number.
 func (b *Budgets) get(service string) *budget {
--- a/request/attempt/failure.go
+++ b/request/attempt/failure.go
@@ -54,6 +54,7 @@
 	Err    error
 
 	notWritten bool // proven, whatever the class
+	unforeseen bool // a refusal that nothing known of the target announced
 }
 
 // Error names the target, the class and the cause.
--- a/request/attempt/runner.go
+++ b/request/attempt/runner.go
@@ -232,19 +232,25 @@
 }
 
 // mayRepeat returns nil when another attempt is allowed. An attempt that
-// passed tokens on is not drawn from the budget: its work is kept.
+// passed tokens on is not drawn from the budget: its work is kept. Nor is the
+// first refusal by a target that leaves or changes: it ran nothing, and the
+// requests on their way to it at that moment must not be lost for want of
+// budget. Once the refusal is known, going there again needs it.
 func (u *run) mayRepeat(ctx context.Context, f *Failure, progressed bool) error {
 	doc := u.q.Service.Doc
 	attempts := doc.Retry.Attempts
 	if attempts <= 0 {
 		attempts = defaultAttempts
 	}
+	if f.unforeseen {
+		u.budgets.Count(doc.Service)
+	}
 	switch {
 	case ctx.Err() != nil || !f.repeatable(u.q.Idempotent) || u.recv.Committed():
 		return u.final(f)
 	case u.result.Attempts >= attempts:
 		return u.final(f)
-	case !progressed && !u.budgets.Take(doc.Service, doc.Retry.Budget):
+	case !progressed && !f.unforeseen && !u.budgets.Take(doc.Service, doc.Retry.Budget):
 		if !u.result.Written {
 			return u.final(f)
 		}
--- /dev/null
+++ b/request/entry/bench_test.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+const benchTokens = 32
+
+// benchEngine answers each request with benchTokens tokens at once.
+func benchEngine(b testing.TB) string {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		id := r.Header.Get("X-Request-Id")
+		w.Header().Set("X-Request-Id", id)
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := range benchTokens {
+			end := "null"
+			if i == benchTokens-1 {
+				end = `"length"`
+			}
+			fmt.Fprintf(w, `data: {"id":%q,"token_index":%d,"choices":[{"text":" token","finish_reason":%s}]}`+"\n\n", id, i, end)
+		}
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	}))
+	b.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func ask(b testing.TB, url string) {
+	resp, err := http.Post(url+"/v1/completions", "application/json", strings.NewReader(modelRequest("prompt", benchTokens, true)))
+	if err != nil {
+		b.Fatal(err)
+	}
+	n, err := io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	if err != nil || n < 1000 {
+		b.Fatal(n, err)
+	}
+}
+
+func BenchmarkDirect(b *testing.B) {
+	url := "http://" + benchEngine(b)
+	run(b, url)
+}
+
+func BenchmarkThroughEntry(b *testing.B) {
+	run(b, newFixture(b, []string{benchEngine(b)}, nil, nil).url)
+}
+
+func run(b *testing.B, url string) {
+	ask(b, url)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			ask(b, url)
+		}
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+}
+
+// maxAllocRatio bounds the allocations of a request through the entry, client
+// and engine included, over those of a direct call.
+const maxAllocRatio = 5.5
+
+// TestAllocationBound: the cost of a request must not creep up unseen. Counted
+// in allocations, in the same run as the direct call, as times vary.
+func TestAllocationBound(t *testing.T) {
+	engine := benchEngine(t)
+	f := newFixture(t, []string{engine}, nil, nil)
+	measure := func(url string) float64 {
+		return testing.AllocsPerRun(200, func() { ask(t, url) })
+	}
+	direct, through := measure("http://"+engine), measure(f.url)
+	t.Logf("allocations a request of %d tokens: %.0f direct, %.0f through the entry", benchTokens, direct, through)
+	if through > maxAllocRatio*direct {
+		t.Errorf("%.0f allocations, more than %.1f times %.0f", through, maxAllocRatio, direct)
+	}
+}
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -205,8 +205,10 @@
 	return nil
 }
 
-// Close waits for the calls that outlived their callers.
+// Close refuses new requests and waits for the calls that outlived their
+// callers.
 func (e *Entry) Close() error {
+	e.draining.Store(true)
 	e.tomb.Kill(nil)
 	return e.tomb.Wait()
 }
--- a/request/entry/fault_test.go
+++ b/request/entry/fault_test.go
@@ -149,21 +149,28 @@
 	}
 }
 
-// TestRetryAmplification: every engine answers each request with a failure.
-// Retries would double the load that may be the cause; the service's budget
-// of 0.1 bounds attempts to 1.1 times the requests.
+// TestRetryAmplification: every engine answers each request with a failure or
+// a refusal. Retries would multiply the load that may be the cause; the
+// service's budget of 0.1 bounds attempts to 1.1 times the requests.
 func TestRetryAmplification(t *testing.T) {
-	fail := func(c *call) { c.w.WriteHeader(http.StatusInternalServerError) }
-	a, b := newScript(t, fail), newScript(t, fail)
-	f := newFixture(t, []string{a.addr(), b.addr()}, nil, nil)
-	const requests = 1000
-	for range requests {
-		f.complete("p", 1)
+	plays := map[string]func(c *call){
+		"failing":  func(c *call) { c.w.WriteHeader(http.StatusInternalServerError) },
+		"full":     func(c *call) { c.w.WriteHeader(http.StatusTooManyRequests) },
+		"changing": func(c *call) { c.w.Header().Set("X-Not-Run", "true"); c.w.WriteHeader(http.StatusServiceUnavailable) },
+		"dying":    func(c *call) { c.reset() },
 	}
-	if n := a.count() + b.count(); n > requests*11/10 {
-		t.Errorf("%d attempts for %d requests", n, requests)
-	} else {
-		t.Logf("%d attempts for %d requests", n, requests)
+	for name, play := range plays {
+		a, b := newScript(t, play), newScript(t, play)
+		f := newFixture(t, []string{a.addr(), b.addr()}, nil, nil)
+		const requests = 1000
+		for range requests {
+			f.complete("p", 1)
+		}
+		n := a.count() + b.count()
+		t.Logf("%s: %d attempts for %d requests", name, n, requests)
+		if n > requests*11/10 {
+			t.Errorf("%s: %d attempts for %d requests", name, n, requests)
+		}
 	}
 }
 
--- a/request/entry/fixture_test.go
+++ b/request/entry/fixture_test.go
@@ -85,7 +85,7 @@
 		s := d.pool.Status(t.Addr)
 		out = append(out, routing.Target{
 			Name: t.Name, Addr: t.Addr, Zone: t.Zone, Model: t.Model, Role: platform.RoleMixed,
-			Live: !s.Down && !t.Drain, Suspect: s.Suspect, InFlight: s.InFlight, Limit: svc.Doc.Limits.QueuePerTarget,
+			Live: !s.Down && !t.Drain, Suspect: s.Suspect || s.Refusing, InFlight: s.InFlight, Limit: svc.Doc.Limits.QueuePerTarget,
 		})
 	}
 	return out
--- a/request/limit/limit.go
+++ b/request/limit/limit.go
@@ -86,12 +86,17 @@
 		i.Status, http.StatusText(i.Status), int(i.Code), len(body), body)
 }()
 
-const refusalWait = 100 * time.Millisecond
+const (
+	refusalWait = 100 * time.Millisecond
+	refusalRead = 64 << 10
+	maxRefusing = 64
+)
 
 // listener takes at most max connections at a time.
 type listener struct {
 	net.Listener
-	max int
+	max      int
+	refusing chan struct{}
 
 	mu   sync.Mutex
 	open int
@@ -103,7 +108,7 @@
 	if max <= 0 {
 		return l
 	}
-	return &listener{Listener: l, max: max}
+	return &listener{Listener: l, max: max, refusing: make(chan struct{}, maxRefusing)}
 }
 
 func (l *listener) Accept() (net.Conn, error) {
@@ -115,16 +120,30 @@
 		if l.enter() {
 			return &counted{Conn: c, leave: sync.OnceFunc(l.leave)}, nil
 		}
-		refuse(c)
+		l.refuse(c)
 	}
 }
 
-// refuse answers without reading. The write fits the socket's buffer, so it
-// doesn't hold up the accepting of others.
-func refuse(c net.Conn) {
-	_ = c.SetWriteDeadline(time.Now().Add(refusalWait))
+// refuse answers and closes. A close with unread bytes makes the kernel reset
+// the connection, and the caller may lose the answer: so what the caller sends
+// meanwhile is read, for a moment and by a bounded number of goroutines.
+func (l *listener) refuse(c net.Conn) {
+	_ = c.SetDeadline(time.Now().Add(refusalWait))
 	_, _ = c.Write(refusal)
-	_ = c.Close()
+	select {
+	case l.refusing <- struct{}{}:
+	default:
+		_ = c.Close()
+		return
+	}
+	go func() {
+		defer func() { <-l.refusing }()
+		defer c.Close()
+		if half, ok := c.(interface{ CloseWrite() error }); ok {
+			_ = half.CloseWrite()
+		}
+		_, _ = io.Copy(io.Discard, io.LimitReader(c, refusalRead))
+	}()
 }
 
 func (l *listener) enter() bool {
--- a/request/stream/relay.go
+++ b/request/stream/relay.go
@@ -22,7 +22,7 @@
 // maxForeign bounds the chunks of other requests that one attempt may carry.
 const maxForeign = 1024
 
-// Sink takes the data of events, each whole.
+// Sink takes the data of events, each whole. It keeps none of the memory.
 type Sink interface {
 	Event(data []byte) error
 }
@@ -30,17 +30,19 @@
 // Relay carries one caller's stream over one or several attempts, so that the
 // caller sees each token once and in order. It is used by one goroutine.
 type Relay struct {
-	id       string
+	id       []byte // quoted
 	sink     Sink
 	next     int
 	finished bool
 	dropped  int
 	handover int
+	chunk    chunk
+	out      []byte
 }
 
 // NewRelay returns a Relay for the request id whose first token is at start.
 func NewRelay(id string, start int, sink Sink) *Relay {
-	return &Relay{id: id, sink: sink, next: start}
+	return &Relay{id: quote(id), sink: sink, next: start}
 }
 
 // Next is the index of the next token: where another attempt resumes.
@@ -61,6 +63,7 @@
 func (r *Relay) Run(src io.Reader, attempt string) error {
 	events := NewReader(src)
 	foreign, begun := 0, r.next
+	own := quote(attempt)
 	for {
 		data, err := events.Next()
 		if err != nil {
@@ -69,14 +72,14 @@
 		if bytes.Equal(data, done) {
 			return r.end()
 		}
-		own, err := r.take(data, attempt)
+		mine, err := r.take(data, own)
 		if err != nil {
 			return err
 		}
 		if r.handover > 0 && r.next-begun >= r.handover && !r.finished {
 			return ErrHandover
 		}
-		if own {
+		if mine {
 			continue
 		}
 		foreign++
@@ -93,23 +96,24 @@
 // with another id, or with an index that was passed on before, is dropped. An
 // index beyond the next one means that tokens are lost: passing it on would
 // hide that, so the attempt counts as cut and is resumed at the gap.
-func (r *Relay) take(data []byte, attempt string) (bool, error) {
-	c, err := parseChunk(data)
-	if err != nil {
+func (r *Relay) take(data, own []byte) (bool, error) {
+	c := &r.chunk
+	if err := c.parse(data); err != nil {
 		return false, err
 	}
-	if c.ID != attempt {
+	if !bytes.Equal(c.ID, own) {
 		r.dropped++
 		return false, nil
 	}
-	if *c.TokenIndex < r.next || r.finished {
+	if c.TokenIndex < r.next || r.finished {
 		r.dropped++
 		return true, nil
 	}
-	if *c.TokenIndex > r.next {
-		return true, fmt.Errorf("%w: token %d after %d", ErrCut, *c.TokenIndex, r.next-1)
+	if c.TokenIndex > r.next {
+		return true, fmt.Errorf("%w: token %d after %d", ErrCut, c.TokenIndex, r.next-1)
 	}
-	if err := r.sink.Event(Rename(data, attempt, r.id)); err != nil {
+	r.out = rename(r.out[:0], data, own, r.id)
+	if err := r.sink.Event(r.out); err != nil {
 		return true, fmt.Errorf("%w: %w", ErrCaller, err)
 	}
 	r.next++
--- a/request/stream/stream_test.go
+++ b/request/stream/stream_test.go
@@ -92,8 +92,8 @@
 			ended = true
 			continue
 		}
-		c, perr := parseChunk([]byte(e))
-		if perr != nil || *c.TokenIndex != next {
+		var c chunk
+		if perr := c.parse([]byte(e)); perr != nil || c.TokenIndex != next {
 			t.Fatalf("passed on %q as token %d", e, next)
 		}
 		next++
