--- a/request/attempt/failure.go
+++ b/request/attempt/failure.go
@@ -22,11 +22,12 @@
 	Refused                 // the target answered that the request is wrong
 	CallerGone              // the caller takes no more
 	Late                    // the deadline passed
+	Handover                // no failure: another engine goes on
 )
 
 var classNames = [...]string{
 	"not written", "no answer", "silent", "cut", "mismatch",
-	"busy", "failed", "refused", "caller gone", "late",
+	"busy", "failed", "refused", "caller gone", "late", "handover",
 }
 
 // String names the class for logs.
@@ -43,6 +44,7 @@
 	Refused:    code.TargetRefused,
 	CallerGone: code.CallerGone,
 	Late:       code.DeadlinePassed,
+	Handover:   code.TargetFailed,
 }
 
 // Failure is why an attempt failed.
@@ -52,6 +54,7 @@
 	Err    error
 
 	notWritten bool // proven, whatever the class
+	unforeseen bool // a refusal that nothing known of the target announced
 }
 
 // Error names the target, the class and the cause.
@@ -69,7 +72,7 @@
 	switch f.Class {
 	case NotWritten:
 		return true
-	case NoAnswer, Silent, Cut, Mismatch, Busy, Failed:
+	case NoAnswer, Silent, Cut, Mismatch, Busy, Failed, Handover:
 		return idempotent
 	}
 	return false
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -38,6 +38,7 @@
 	Quarantine quarantine.Tracker
 	Burn       burn.Observer
 	Verify     func(ctx context.Context, t routing.Target) // see attempt.Options
+	KV         attempt.KV                                  // see attempt.Options
 	Limits     settings.Limits
 	Zone       string        // availability zone of this process
 	First      time.Duration // see attempt.Options
@@ -83,6 +84,7 @@
 			Targets:    o.Targets,
 			Quarantine: o.Quarantine,
 			Verify:     o.Verify,
+			KV:         o.KV,
 			First:      o.First,
 			Between:    o.Between,
 		}),
@@ -203,8 +205,10 @@
 	return nil
 }
 
-// Close waits for the calls that outlived their callers.
+// Close refuses new requests and waits for the calls that outlived their
+// callers.
 func (e *Entry) Close() error {
+	e.draining.Store(true)
 	e.tomb.Kill(nil)
 	return e.tomb.Wait()
 }
--- a/request/entry/fault_test.go
+++ b/request/entry/fault_test.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"testing"
 
+	"github.com/pomelospool/pomelospool/request/routing"
 	"github.com/pomelospool/pomelospool/standin"
+	"github.com/pomelospool/pomelospool/version/document"
 )
 
 const answerTokens = 6
@@ -70,6 +73,13 @@
 			if n := bad.count(); n != 1 {
 				t.Errorf("first engine got %d requests, want 1", n)
 			}
+			// The close of a silent connection doesn't arrive: the engine would
+			// go on for nobody unless it is told over a new one.
+			if strings.HasPrefix(tc.name, "silent") {
+				if id := <-bad.cancels; id != bad.id() {
+					t.Errorf("%q was cancelled, want %q", id, bad.id())
+				}
+			}
 		})
 	}
 }
@@ -139,20 +149,64 @@
 	}
 }
 
-// TestRetryAmplification: every engine answers each request with a failure.
-// Retries would double the load that may be the cause; the service's budget
-// of 0.1 bounds attempts to 1.1 times the requests.
+// TestRetryAmplification: every engine answers each request with a failure or
+// a refusal. Retries would multiply the load that may be the cause; the
+// service's budget of 0.1 bounds attempts to 1.1 times the requests.
 func TestRetryAmplification(t *testing.T) {
-	fail := func(c *call) { c.w.WriteHeader(http.StatusInternalServerError) }
-	a, b := newScript(t, fail), newScript(t, fail)
-	f := newFixture(t, []string{a.addr(), b.addr()}, nil, nil)
-	const requests = 1000
-	for range requests {
-		f.complete("p", 1)
+	plays := map[string]func(c *call){
+		"failing":  func(c *call) { c.w.WriteHeader(http.StatusInternalServerError) },
+		"full":     func(c *call) { c.w.WriteHeader(http.StatusTooManyRequests) },
+		"changing": func(c *call) { c.w.Header().Set("X-Not-Run", "true"); c.w.WriteHeader(http.StatusServiceUnavailable) },
+		"dying":    func(c *call) { c.reset() },
+	}
+	for name, play := range plays {
+		a, b := newScript(t, play), newScript(t, play)
+		f := newFixture(t, []string{a.addr(), b.addr()}, nil, nil)
+		const requests = 1000
+		for range requests {
+			f.complete("p", 1)
+		}
+		n := a.count() + b.count()
+		t.Logf("%s: %d attempts for %d requests", name, n, requests)
+		if n > requests*11/10 {
+			t.Errorf("%s: %d attempts for %d requests", name, n, requests)
+		}
+	}
+}
+
+// TestHandover: routing sends the prompt to a prefill engine and the answer to
+// a decode engine. The caller sees one stream, and neither a retry nor a
+// failure is counted.
+func TestHandover(t *testing.T) {
+	prefill, decode := startEngine(t), startEngine(t)
+	kv := &moves{}
+	f := newFixture(t, []string{prefill.Addr(), decode.Addr()}, nil, func(o *Options, d *document.Document) {
+		o.Router = handover{}
+		o.KV = kv
+		d.Retry.Attempts = 1
+	})
+	r := f.complete("prompt", 200, "X-Request-Id", "mine")
+	if err := checkStream(r.body, "mine", "prompt", 200); err != nil {
+		t.Fatal(err)
 	}
-	if n := a.count() + b.count(); n > requests*11/10 {
-		t.Errorf("%d attempts for %d requests", n, requests)
-	} else {
-		t.Logf("%d attempts for %d requests", n, requests)
+	if kv.said != "e0>e1" {
+		t.Errorf("cache moved %q", kv.said)
 	}
+	if n := len(decode.Record().Requests); n != 1 {
+		t.Errorf("the decode engine got %d requests", n)
+	}
+}
+
+// handover sends every prompt to e0 and every answer to e1.
+type handover struct{}
+
+func (handover) Route(routing.Request, []routing.Target) (routing.Decision, error) {
+	return routing.Decision{Target: "e0", Decode: "e1"}, nil
+}
+
+type moves struct{ said string }
+
+func (m *moves) Move(_ context.Context, from, to string, _ []uint64) error {
+	m.said += from + ">" + to
+	return nil
 }
