--- a/bench/policy/run.go
+++ b/bench/policy/run.go
@@ -54,6 +54,7 @@
 	pointEvery  = 10.0
 	speedSpread = 0.1 // engines differ from the mean by up to this
 	maxTries    = 4
+	admitFirst  = FirstToken * 90 / 100 // admission's margin for its estimate, for all systems
 )
 
 func newRun(m *Model, d *Deployment, tr *Trace, sys system) *run {
@@ -199,7 +200,7 @@
 			req.Prefix = []uint64{j.group}
 		}
 		d, err := r.routers[j.decider].Route(req, v.targets)
-		if err != nil || (j.first == 0 && d.First > FirstToken) {
+		if err != nil || (j.first == 0 && d.First > admitFirst) {
 			return false
 		}
 		p := r.byName[d.Target]
--- a/process/planner/plan.go
+++ b/process/planner/plan.go
@@ -15,10 +15,10 @@
 	defaultChange = 10 * time.Second
 	defaultDwell  = 60 * time.Second
 	minWeight     = 0.05
-	warmUp        = 20 * time.Second // of observations before the first change
+	warmUp        = 40 * time.Second // of observations before the first change
 	tail          = 60 * time.Second // how long the usual mix counts after the trust horizon
-	priceFactor   = 2
-	minGain       = 2 // engine-seconds, whatever the weight
+	priceFactor   = 3
+	minGain       = 10 // engine-seconds, whatever the weight
 )
 
 // Plan takes in an observation and returns the changes of role to order now:
--- a/process/planner/rates.go
+++ b/process/planner/rates.go
@@ -108,7 +108,7 @@
 }
 
 // pressedSeconds is the least work in the queue of a pressed engine.
-const pressedSeconds = 0.15
+const pressedSeconds = 0.3
 
 // busy is the share of a decode step that is left for streams and prompts
 // when the step takes as long as the objective allows.
