--- a/bench/policy/bound.go
+++ b/bench/policy/bound.go
@@ -227,16 +227,20 @@
 	decode := x*long.decode + y*short.decode
 	limit := BetweenTokens.Seconds()
 	busy := 1 - m.StepBase/limit
+	beside := m.PrefillRate / max(1-m.Overlap, minCompute) // prompt tokens/s in steps with streams
 	rest := max(prefill-c.p*m.prefillRate(), 0)
-	if rest > c.m*busy*m.PrefillRate+c.d*float64(m.SpillChunk)/limit {
+	if rest > c.m*busy*beside+c.d*float64(m.SpillChunk)/limit {
 		return false
 	}
 	if decode > c.d*m.decodeRate()+c.m*b.mixedDecodeRate() {
 		return false
 	}
-	return rest/m.PrefillRate+decode*m.StepPerStream <= (c.m+c.d)*busy
+	return rest/beside+decode*m.StepPerStream <= (c.m+c.d)*busy
 }
 
+// minCompute keeps a full overlap from making prompts free of time.
+const minCompute = 0.01
+
 func (b *bound) mixedDecodeRate() float64 {
 	n := float64(b.m.Streams[platform.RoleMixed])
 	return n / (b.m.StepBase + n*b.m.StepPerStream)
--- a/bench/policy/engine.go
+++ b/bench/policy/engine.go
@@ -170,8 +170,11 @@
 func (e *engine) step(done func(*job, float64), handOver func(*job, float64)) {
 	n := len(e.running)
 	tokens := min(e.chunk(), e.queued)
-	took := e.m.StepBase + float64(n)*e.m.StepPerStream + float64(tokens)/e.m.PrefillRate
-	took /= e.speed
+	compute := float64(tokens) / e.m.PrefillRate
+	if n > 0 {
+		compute *= 1 - e.m.Overlap
+	}
+	took := (e.m.StepBase + float64(n)*e.m.StepPerStream + compute) / e.speed
 	e.now += took
 	e.steps++
 	e.worked += e.m.work(float64(tokens), float64(n))
--- a/bench/policy/model.go
+++ b/bench/policy/model.go
@@ -24,6 +24,7 @@
 	CacheTokens   int     // tokens of finished prompts that are kept
 	KVMoveRate    float64 // tokens/s between two engines
 	KVMoveDelay   float64
+	Overlap       float64 // share of a prompt's compute time hidden behind a decode step
 	ChangeTime    float64 // away, after the last stream ended
 	RestartTime   float64 // away, after a crash
 }
--- a/bench/policy/run.go
+++ b/bench/policy/run.go
@@ -18,23 +18,24 @@
 
 // run is one system on one trace.
 type run struct {
-	m       *Model
-	d       *Deployment
-	tr      *Trace
-	sys     system
-	rng     *rand.Rand
-	now     float64
-	engines []*engine
-	byName  map[string]*engine
-	index   map[string]int
-	views   []*view
-	routers []routing.Router
-	pending []report
-	seen    []report
-	orders  []order
-	asked   planner.Observation // the demand so far
-	res     Result
-	window  Point
+	m        *Model
+	d        *Deployment
+	tr       *Trace
+	sys      system
+	rng      *rand.Rand
+	now      float64
+	engines  []*engine
+	byName   map[string]*engine
+	index    map[string]int
+	views    []*view
+	routers  []routing.Router
+	pending  []report
+	seen     []report
+	orders   []order
+	asked    planner.Observation // the demand so far
+	homeless []*job              // lost their engine and found no other yet
+	res      Result
+	window   Point
 }
 
 // order is a role change under way.
@@ -49,7 +50,7 @@
 const (
 	tick        = 0.010
 	planEvery   = 1.0
-	crashSeenIn = 1.0
+	rehomeEvery = 0.1
 	runOut      = 60.0 // after the last arrival
 	pointEvery  = 10.0
 	speedSpread = 0.1 // engines differ from the mean by up to this
@@ -129,6 +130,9 @@
 			}
 		}
 	}
+	if every(i, rehomeEvery, 0) {
+		r.rehome()
+	}
 	if every(i, planEvery, 0) {
 		r.plan()
 	}
@@ -196,11 +200,14 @@
 			Service: r.d.Name, Model: modelName, PromptTokens: j.prompt, OutputTokens: j.estimate,
 			Deadline: Deadline - duration(r.now-j.at), Zone: r.d.Zones[j.zone], Seed: r.rng.Uint64(), Exclude: j.tried,
 		}
+		if j.prefillAt != nil {
+			req.Priority = 1 // accepted already
+		}
 		if j.group != 0 {
 			req.Prefix = []uint64{j.group}
 		}
 		d, err := r.routers[j.decider].Route(req, v.targets)
-		if err != nil || (j.first == 0 && d.First > admitFirst) {
+		if err != nil || (j.prefillAt == nil && d.First > admitFirst) {
 			return false
 		}
 		p := r.byName[d.Target]
@@ -249,7 +256,23 @@
 	made := j.out - j.left
 	j.prompt = j.arrival.prompt + made
 	if !r.route(j) {
-		r.res.Lost++
+		r.homeless = append(r.homeless, j)
+	}
+}
+
+// rehome tries again to place what lost its engine. What was accepted is
+// answered, late if need be; it counts as lost only past its deadline.
+func (r *run) rehome() {
+	jobs := r.homeless
+	r.homeless = nil
+	for _, j := range jobs {
+		if r.now-j.at > Deadline.Seconds() {
+			r.res.Lost++
+			continue
+		}
+		if !r.route(j) {
+			r.homeless = append(r.homeless, j)
+		}
 	}
 }
 
--- a/process/planner/plan.go
+++ b/process/planner/plan.go
@@ -17,7 +17,7 @@
 	minWeight     = 0.05
 	warmUp        = 40 * time.Second // of observations before the first change
 	tail          = 60 * time.Second // how long the usual mix counts after the trust horizon
-	priceFactor   = 3
+	priceFactor   = 4
 	minGain       = 10 // engine-seconds, whatever the weight
 )
 
