--- /dev/null
+++ b/process/planner/plan_test.go
@@ -0,0 +1,301 @@
+package planner
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/version/document"
+)
+
+// outcome is what an engine does with an order.
+type outcome int
+
+const (
+	obeys outcome = iota
+	refuses
+	crashes
+)
+
+// world runs Plan each second over engines that report ideal rates.
+type world struct {
+	doc    *document.Document
+	obs    Observation
+	states map[string]State // by group; "" plans all
+	does   outcome
+	away   map[string]int // seconds that an engine stays away
+	next   map[string]platform.Role
+	now    time.Duration
+	log    []Change
+	least  [2]int // fewest engines able to prefill and to decode so far
+	most   int    // most engines away at once
+}
+
+const (
+	awaySeconds = 8
+	testPrefill = 22_000.0
+	testDecode  = 2_000.0
+)
+
+func newWorld(prefill, mixed, decode int) *world {
+	w := &world{
+		doc: &document.Document{
+			Objectives: document.Objectives{BetweenTokens: 36 * time.Millisecond},
+			Roles:      document.Roles{GoodputWeight: 0.8, MinPrefill: 1, MinDecode: 2, MaxChanging: 1, MinDwell: 30 * time.Second},
+		},
+		states: map[string]State{"": {}},
+		away:   map[string]int{},
+		next:   map[string]platform.Role{},
+		least:  [2]int{99, 99},
+	}
+	for i := range prefill + mixed + decode {
+		role := platform.RoleDecode
+		if i < prefill {
+			role = platform.RolePrefill
+		} else if i < prefill+mixed {
+			role = platform.RoleMixed
+		}
+		w.obs.Engines = append(w.obs.Engines, Engine{
+			Name: fmt.Sprintf("e%d", i), Group: fmt.Sprintf("g%d", i%3), Incarnation: "1", Role: role, Live: true,
+			Load: platform.Load{Running: 40, PrefillRate: testPrefill, DecodeRate: 40 / (assumedBase + 40*assumedPerStream), QueuedPrefill: 0, KVCapacity: 400_000},
+		})
+	}
+	return w
+}
+
+// run lets seconds pass with a mix given in engines' worth of work.
+func (w *world) run(seconds int, prefill, decode float64) {
+	for range seconds {
+		w.now += time.Second
+		w.obs.Requests += 30
+		w.obs.Prefill += prefill * testPrefill
+		w.obs.Decode += decode * testDecode
+		w.carryOut()
+		var changes []Change
+		for group, s := range w.states {
+			o := w.obs
+			o.Group = group
+			next, cs := Plan(w.now, o, w.doc, s)
+			w.states[group] = next
+			changes = append(changes, cs...)
+		}
+		w.order(changes)
+		w.count()
+	}
+}
+
+func (w *world) engine(name string) *Engine {
+	for i := range w.obs.Engines {
+		if w.obs.Engines[i].Name == name {
+			return &w.obs.Engines[i]
+		}
+	}
+	return nil
+}
+
+func (w *world) order(changes []Change) {
+	for _, c := range changes {
+		w.log = append(w.log, c)
+		if w.does == refuses {
+			continue
+		}
+		w.engine(c.Engine).Changing = true
+		w.away[c.Engine] = awaySeconds
+		w.next[c.Engine] = c.To
+	}
+}
+
+func (w *world) carryOut() {
+	for name, left := range w.away {
+		if left > 1 {
+			w.away[name] = left - 1
+			continue
+		}
+		delete(w.away, name)
+		e := w.engine(name)
+		e.Changing = false
+		if w.does == crashes {
+			e.Incarnation += "'"
+			continue
+		}
+		e.Role = w.next[name]
+	}
+}
+
+func (w *world) count() {
+	l := limitsOf(&w.obs, w.doc)
+	w.least = [2]int{min(w.least[0], l.prefill), min(w.least[1], l.decode)}
+	w.most = max(w.most, len(w.away))
+}
+
+func (w *world) roles() map[platform.Role]int {
+	n := map[platform.Role]int{}
+	for _, e := range w.obs.Engines {
+		n[e.Role]++
+	}
+	return n
+}
+
+// TestPlan has one row for each promise of the planner.
+func TestPlan(t *testing.T) {
+	toPrefill := func(w *world) { w.run(60, 2.5, 4.0); w.run(200, 5.5, 2.0) }
+	cases := []struct {
+		name     string
+		engines  [3]int // prefill, mixed, decode
+		set      func(*world)
+		play     func(*world)
+		min, max int // changes
+	}{
+		{"steady and easy", [3]int{3, 2, 4}, nil, func(w *world) { w.run(600, 2, 3) }, 0, 0},
+		{"follows a lasting step", [3]int{3, 0, 6}, nil, toPrefill, 1, 4},
+		{"a step that few changes are worth", [3]int{3, 0, 6}, func(w *world) { w.doc.Roles.GoodputWeight = 0.01 }, toPrefill, 0, 1},
+		{"nothing asked", [3]int{3, 2, 4}, nil, func(w *world) { w.run(300, 0, 0) }, 0, 0},
+		{"pinned", [3]int{3, 0, 6}, func(w *world) {
+			for i := range w.obs.Engines {
+				w.obs.Engines[i].Pinned = true
+			}
+		}, toPrefill, 0, 0},
+		{"keeps enough to decode", [3]int{1, 0, 3}, nil, func(w *world) { w.run(400, 3.5, 0.1) }, 1, 1},
+		{"oscillation faster than a change pays", [3]int{3, 2, 4}, nil, func(w *world) {
+			for range 20 {
+				w.run(15, 4.0, 3.0)
+				w.run(15, 2.6, 4.4)
+			}
+		}, 0, 4},
+		{"counts that begin anew", [3]int{3, 2, 4}, nil, func(w *world) {
+			w.run(100, 2, 3)
+			w.obs.Requests, w.obs.Prefill, w.obs.Decode = 0, 0, 0
+			w.run(100, 2, 3)
+		}, 0, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(c.engines[0], c.engines[1], c.engines[2])
+			if c.set != nil {
+				c.set(w)
+			}
+			c.play(w)
+			if n := len(w.log); n < c.min || n > c.max {
+				t.Errorf("%d changes, want %d to %d: %+v", n, c.min, c.max, w.log)
+			}
+			if w.least[0] < 1 || w.least[1] < 2 || w.most > 1 {
+				t.Errorf("fewest able to prefill and decode %v, most away %d", w.least, w.most)
+			}
+		})
+	}
+}
+
+// A fleet is one engine short for good, and its other engines late.
+// Each time the planner asks an engine to change, it crashes, or refuses;
+// asked again as soon as it is back, it never does any work. The cause is a
+// planner that forgets what its last order came to.
+func TestFailedChangeBacksOff(t *testing.T) {
+	for _, does := range []outcome{refuses, crashes} {
+		w := newWorld(3, 0, 6)
+		w.does = does
+		w.run(60, 2.5, 4.0)
+		w.run(600, 5.5, 2.0)
+		asked := map[string]int{}
+		for _, c := range w.log {
+			asked[c.Engine]++
+		}
+		for name, n := range asked {
+			if n > 5 { // 30 s, then doubling: five orders in 600 s
+				t.Errorf("outcome %d: %s asked %d times", does, name, n)
+			}
+		}
+		if len(w.log) < 2 {
+			t.Errorf("outcome %d: gave up after %d orders", does, len(w.log))
+		}
+	}
+}
+
+// Roles jump too far, and back, at each shift.
+// Every availability zone has its own planner; all see the same shift and each
+// orders it. The cause is that none leaves it to the zone of the best engine.
+func TestGroupsDontActTogether(t *testing.T) {
+	one := newWorld(3, 0, 6)
+	three := newWorld(3, 0, 6)
+	three.states = map[string]State{"g0": {}, "g1": {}, "g2": {}}
+	for _, w := range []*world{one, three} {
+		w.run(60, 2.5, 4.0)
+		w.run(200, 5.5, 2.0)
+	}
+	if one.roles()[platform.RolePrefill] == 3 {
+		t.Fatal("one planner changed nothing")
+	}
+	if !reflect.DeepEqual(one.roles(), three.roles()) || len(three.log) > len(one.log) || three.most > 1 {
+		t.Errorf("three planners: %v in %d changes, %d at once; one: %v in %d", three.roles(), len(three.log), three.most, one.roles(), len(one.log))
+	}
+}
+
+// Answers come late though most engines idle: nearly all are prefill engines.
+// With a light load they take small steps and report low rates. Believed to be
+// slow, they get company, and each has still less to do.
+func TestIdleEnginesDontLookSlow(t *testing.T) {
+	w := newWorld(3, 0, 6)
+	for i := range w.obs.Engines {
+		w.obs.Engines[i].Load.PrefillRate = testPrefill / 4
+	}
+	w.run(300, 2.2, 4)
+	if r := w.states[""].Rates.Prefill; r < testPrefill {
+		t.Errorf("believes %.0f tokens/s", r)
+	}
+	if len(w.log) > 0 {
+		t.Errorf("changes %+v", w.log)
+	}
+}
+
+func TestLearnsRates(t *testing.T) {
+	w := newWorld(3, 2, 4)
+	for i := range w.obs.Engines {
+		l := &w.obs.Engines[i].Load
+		l.Running = 10 + 18*max(i-5, 0)
+		l.DecodeRate = float64(l.Running) / (0.030 + float64(l.Running)*0.0005)
+		if w.obs.Engines[i].Role == platform.RolePrefill {
+			l.QueuedPrefill, l.PrefillRate = 20_000, 10_000
+		}
+	}
+	w.run(600, 1, 1)
+	r := w.states[""].Rates
+	near := func(got, want float64) bool { return got > want*0.9 && got < want*1.1 }
+	if !near(r.Prefill, 10_000) || !near(r.Base, 0.030) || !near(r.PerStream, 0.0005) {
+		t.Errorf("prefill %.0f, base %.4f, per stream %.6f", r.Prefill, r.Base, r.PerStream)
+	}
+}
+
+// TestPlanIsPure holds Plan to giving the same answer again and to leaving its
+// arguments as they were.
+func TestPlanIsPure(t *testing.T) {
+	w := newWorld(3, 0, 6)
+	w.run(60, 2.5, 4.0)
+	w.run(10, 5.5, 2.0)
+	prev := w.states[""]
+	kept := append([]EngineMemory(nil), prev.Engines...)
+	for range 30 {
+		a, ca := Plan(w.now+time.Second, w.obs, w.doc, prev)
+		b, cb := Plan(w.now+time.Second, w.obs, w.doc, prev)
+		if !reflect.DeepEqual(a, b) || !reflect.DeepEqual(ca, cb) {
+			t.Fatal("two answers to the same question")
+		}
+	}
+	if !reflect.DeepEqual(kept, prev.Engines) {
+		t.Error("Plan wrote to its previous state")
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range []int{12, 100, 710} {
+		w := newWorld(n/3, n/3, n-2*(n/3))
+		w.run(60, float64(n)/4, float64(n)/3)
+		prev := w.states[""]
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				Plan(w.now+time.Duration(i)*time.Second, w.obs, w.doc, prev)
+			}
+		})
+	}
+}
