--- a/process/record/record.go
+++ b/process/record/record.go
@@ -109,6 +109,7 @@
 	Attempt string `json:"attempt"` // unique to one try of one process
 	Digest  uint64 `json:"digest"`  // of the content, to catch a reused key
 	At      int64  `json:"at"`      // unix milliseconds at the writer
+	Window  int64  `json:"window"`  // milliseconds for which the key is remembered
 }
 
 // Result closes an intent.
@@ -121,6 +122,8 @@
 	Type    string    `json:"type,omitempty"` // content type of Body
 	Body    []byte    `json:"body,omitempty"` // the answer, when small enough to keep
 	Kept    bool      `json:"kept,omitempty"` // Body is the whole answer
+	Digest  uint64    `json:"digest"`         // as in the intent
+	Window  int64     `json:"window"`         // as in the intent
 }
 
 // Batch carries several at-most-once records in one append.
--- /dev/null
+++ b/request/once/fault_test.go
@@ -0,0 +1,219 @@
+package once
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/standin/logsvc"
+)
+
+const (
+	key        = "hold-7"
+	logLatency = 2 * time.Millisecond
+)
+
+// TestFaults: a family's slot hold is sent and sent again while daemons, the
+// target and the log fail. Whatever happens the target runs it at most once,
+// and the caller is told truly: the first answer, not run, or unknown.
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		name string
+		runs int
+		play func(f *fleet, a, b *node)
+	}{
+		{"sent again to another daemon", 1, func(f *fleet, a, b *node) {
+			f.expect("first", a.send(call(key)), "held "+key)
+			f.expect("again", b.send(call(key)), "held "+key)
+		}},
+		{"sent again while it runs", 1, func(f *fleet, a, b *node) {
+			ticket := a.begin(key)
+			time.AfterFunc(2*time.Second, func() { ticket.Done(f.run(key)) })
+			f.expect("again", b.send(call(key)), "held "+key)
+		}},
+		{"sent again while it runs for long", 1, func(f *fleet, a, b *node) {
+			ticket := a.begin(key)
+			f.expect("again", b.send(call(key)), "3002")
+			ticket.Done(f.run(key))
+			f.expect("later", b.send(call(key)), "held "+key)
+		}},
+		{"other content under the key", 1, func(f *fleet, a, b *node) {
+			a.send(call(key))
+			f.expect("other", b.send(Call{Service: "app", Key: key, Digest: 2}), "3005")
+		}},
+		{"daemon dies before the write", 0, func(f *fleet, a, b *node) {
+			a.begin(key)
+			a.kill()
+			f.expect("again", b.send(call(key)), "3003")
+			f.expect("once more", f.other(a, b).send(call(key)), "3003")
+		}},
+		{"daemon dies during the write", 1, func(f *fleet, a, b *node) {
+			a.begin(key)
+			f.run(key)
+			a.kill()
+			f.expect("again", b.send(call(key)), "3003")
+		}},
+		{"daemon dies after the answer", 1, func(f *fleet, a, b *node) {
+			a.send(call(key))
+			advance(time.Second)
+			a.kill()
+			f.expect("again", b.send(call(key)), "held "+key)
+		}},
+		{"daemon dies before its result is logged", 1, func(f *fleet, a, b *node) {
+			ticket := a.begin(key)
+			f.log.SetOutage(logsvc.Refuse)
+			ticket.Done(f.run(key))
+			advance(time.Second)
+			a.kill()
+			f.log.SetOutage(logsvc.Up)
+			advance(time.Minute)
+			f.expect("again", b.send(call(key)), "3003")
+		}},
+		{"target unreachable", 1, func(f *fleet, a, b *node) {
+			a.begin(key).NotRun(code.TargetUnreachable)
+			f.expect("again", b.send(call(key)), "held "+key)
+		}},
+		{"target dies", 1, func(f *fleet, a, b *node) {
+			ticket := a.begin(key)
+			f.run(key)
+			ticket.Unknown()
+			f.expect("again", b.send(call(key)), "3003")
+			f.expect("at the same", a.send(call(key)), "3003")
+		}},
+		{"answer too large for the log", 1, func(f *fleet, a, b *node) {
+			large := Answer{Status: 200, Body: []byte(strings.Repeat("x", maxKeptSmall+1))}
+			ticket := a.begin(key)
+			f.run(key)
+			ticket.Done(large)
+			f.expect("again", b.send(call(key)), string(large.Body))
+			advance(time.Second)
+			a.kill()
+			f.expect("daemon gone", b.send(call(key)), "3006")
+		}},
+		{"held for dead and alive", 1, func(f *fleet, a, b *node) {
+			ticket := a.begin(key)
+			a.set(func() { a.gone = true })
+			f.expect("again", b.send(call(key)), "3003")
+			ticket.Done(f.run(key))
+			advance(time.Second)
+			f.expect("later", b.send(call(key)), "held "+key)
+		}},
+		{"held for dead, then not run", 0, func(f *fleet, a, b *node) {
+			ticket := a.begin(key)
+			a.set(func() { a.gone = true })
+			f.expect("again", b.send(call(key)), "3003")
+			ticket.NotRun(code.TargetUnreachable)
+			advance(time.Second)
+			f.expect("later", b.send(call(key)), "3003")
+		}},
+		{"all daemons replaced", 1, func(f *fleet, a, b *node) {
+			a.send(call(key))
+			advance(time.Second)
+			for _, n := range f.nodes {
+				n.kill()
+			}
+			n := f.start()
+			f.expect("again", n.send(call(key)), "held "+key)
+		}},
+		{"log refuses", 1, func(f *fleet, a, b *node) {
+			f.log.SetOutage(logsvc.Refuse)
+			began := time.Now()
+			f.expect("first", a.send(call(key)), "3004")
+			f.expect("again", b.send(call(key)), "3004")
+			if d := time.Since(began); d > 4*logLatency {
+				f.t.Errorf("refused after %v", d)
+			}
+			f.log.SetOutage(logsvc.Up)
+			advance(time.Minute)
+			f.expect("later", b.send(call(key)), "held "+key)
+		}},
+		{"log hangs", 1, func(f *fleet, a, b *node) {
+			f.log.SetOutage(logsvc.Hang)
+			f.expect("first", a.send(call(key)), "3004")
+			f.log.SetOutage(logsvc.Up)
+			advance(time.Minute)
+			f.expect("later", b.send(call(key)), "held "+key)
+		}},
+		{"log can't be read", 1, func(f *fleet, a, b *node) {
+			b.send(call("warm"))
+			f.log.SetOutage(logsvc.NoReads)
+			f.expect("first", a.send(call(key)), "3004")
+			f.log.SetOutage(logsvc.Up)
+			advance(time.Minute)
+			f.expect("later", b.send(call(key)), "held "+key)
+		}},
+		{"log down, sent again to the same daemon", 1, func(f *fleet, a, b *node) {
+			a.send(call(key))
+			f.log.SetOutage(logsvc.Refuse)
+			f.expect("again", a.send(call(key)), "held "+key)
+		}},
+		{"answer of the append lost", 1, func(f *fleet, a, b *node) {
+			f.log.LoseAnswers(1)
+			f.expect("first", a.send(call(key)), "held "+key)
+			f.expect("again", b.send(call(key)), "held "+key)
+		}},
+		{"every answer of an append lost", 1, func(f *fleet, a, b *node) {
+			f.log.LoseAnswers(-1)
+			f.expect("first", a.send(call(key)), "held "+key)
+			f.expect("again", b.send(call(key)), "held "+key)
+		}},
+		{"append takes effect late", 1, func(f *fleet, a, b *node) {
+			f.log.DelayAppends(1, 5*time.Second)
+			f.expect("first", a.send(call(key)), "held "+key)
+			advance(10 * time.Second)
+			f.expect("again", b.send(call(key)), "held "+key)
+		}},
+		{"append takes effect after it was given up", 1, func(f *fleet, a, b *node) {
+			f.log.DelayAppends(3, 5*time.Second)
+			f.expect("first", a.send(call(key)), "3004")
+			advance(time.Minute)
+			f.expect("later", b.send(call(key)), "held "+key)
+		}},
+		{"batcher dies", 1, func(f *fleet, a, b *node) {
+			batcher := f.batcherOf(key)
+			batcher.set(func() { batcher.dead = true })
+			n := f.other(batcher)
+			f.expect("first", n.send(call(key)), "held "+key)
+			f.expect("again", f.other(batcher, n).send(call(key)), "held "+key)
+		}},
+		{"batcher paused and awake again", 1, func(f *fleet, a, b *node) {
+			batcher := f.batcherOf(key)
+			n := f.other(batcher)
+			m := f.other(batcher, n)
+			batcher.pause()
+			f.expect("first", n.send(call(key)), "held "+key)
+			batcher.wake()
+			advance(time.Second)
+			f.expect("again", m.send(call(key)), "held "+key)
+			f.expect("at the batcher", batcher.send(call(key)), "held "+key)
+		}},
+		{"winner paused and awake again", 1, func(f *fleet, a, b *node) {
+			ticket := a.begin(key)
+			a.pause()
+			f.expect("again", b.send(call(key)), "3002")
+			a.set(func() { a.gone = true })
+			f.expect("held for dead", b.send(call(key)), "3003")
+			a.wake()
+			ticket.Done(f.run(key))
+			advance(time.Second)
+			f.expect("awake", b.send(call(key)), "held "+key)
+		}},
+		{"caller gone before the log answers", 1, func(f *fleet, a, b *node) {
+			f.log.SetLatency(300 * time.Millisecond)
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			f.expect("first", a.sendBefore(ctx, call(key)), "3004")
+			f.expect("again", b.send(call(key)), "held "+key)
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			bubble(t, 4, logsvc.Options{Latency: logLatency}, func(f *fleet) {
+				tc.play(f, f.nodes[0], f.nodes[1])
+				f.ran(key, tc.runs)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/request/once/resolve.go
@@ -0,0 +1,153 @@
+package once
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/peer/peerpb"
+	"github.com/pomelospool/pomelospool/process/record"
+)
+
+const lookupPause = 100 * time.Millisecond // between two tries to reach the winner
+
+// resolve answers a call whose key another attempt holds or closed. again: the
+// key may be free now, and the call may try anew.
+func (l *Log) resolve(ctx context.Context, a *attempt, o *peerpb.Outcome) (answer *Answer, again bool, err error) {
+	switch o.Kind {
+	case peerpb.Outcome_REUSED:
+		return nil, false, code.New(code.KeyReused, "")
+	case peerpb.Outcome_CLOSED:
+		answer, err := l.closed(ctx, a, o)
+		return answer, false, err
+	case peerpb.Outcome_BUSY:
+		return l.await(ctx, a, o)
+	}
+	return nil, false, code.New(code.Internal, "outcome %v", o.Kind)
+}
+
+// closed returns the first answer of a key that has a result.
+func (l *Log) closed(ctx context.Context, a *attempt, o *peerpb.Outcome) (*Answer, error) {
+	var r record.Result
+	if json.Unmarshal(o.Result, &r) != nil {
+		return nil, code.New(code.KeyBusy, "its result can't be read now").After(retryAfter)
+	}
+	if r.Code != code.OK {
+		return nil, code.New(code.OutcomeUnknown, "")
+	}
+	if !r.Kept {
+		whole, known := l.lookup(ctx, a.call, o)
+		if !known || whole.Result == nil || json.Unmarshal(whole.Result, &r) != nil || !r.Kept {
+			return nil, code.New(code.AnswerNotKept, "status %d", r.Status)
+		}
+	}
+	counts.Add("answered_again", 1)
+	return &Answer{Status: r.Status, Type: r.Type, Body: r.Body}, nil
+}
+
+// await waits for the attempt that holds the key, as long as its process
+// lives and the caller waits. A caller that sends again wants the first
+// answer, and would only ask again after a refusal.
+func (l *Log) await(ctx context.Context, a *attempt, o *peerpb.Outcome) (*Answer, bool, error) {
+	for ctx.Err() == nil {
+		if !l.mayLive(o.Writer) {
+			return l.declareUnknown(ctx, a, o)
+		}
+		reply, reached := l.lookup(ctx, a.call, o)
+		switch {
+		case reached && !reply.Known:
+			return l.declareUnknown(ctx, a, o)
+		case reached && !reply.Running:
+			return l.finished(ctx, a, o, reply)
+		}
+		sleep(ctx, lookupPause)
+	}
+	return nil, false, busy()
+}
+
+func busy() error { return code.New(code.KeyBusy, "").After(retryAfter) }
+
+// finished takes the result that the winner's process gave.
+func (l *Log) finished(ctx context.Context, a *attempt, o *peerpb.Outcome, reply *peerpb.LookupReply) (*Answer, bool, error) {
+	var r record.Result
+	if json.Unmarshal(reply.Result, &r) != nil {
+		return nil, false, busy()
+	}
+	if r.Code.Info().NotRun {
+		sleep(ctx, lookupPause)
+		return nil, ctx.Err() == nil, busy()
+	}
+	answer, err := l.closed(ctx, a, &peerpb.Outcome{Attempt: o.Attempt, Writer: o.Writer, Result: reply.Result})
+	return answer, false, err
+}
+
+// mayLive tells whether the process of an incarnation may still be running.
+// One that no member list knows is of the past, but right after the start the
+// list isn't whole.
+func (l *Log) mayLive(incarnation string) bool {
+	if incarnation == l.o.Self {
+		return true
+	}
+	for _, m := range l.o.Members() {
+		if m.Incarnation == incarnation {
+			return m.Live
+		}
+	}
+	return l.o.Now().Sub(l.started) < settleTime
+}
+
+// declareUnknown closes a key whose winner can't tell any more. It is final
+// only once it stands in the log: until then another outcome may come first.
+func (l *Log) declareUnknown(ctx context.Context, a *attempt, o *peerpb.Outcome) (*Answer, bool, error) {
+	r := a.result(code.OutcomeUnknown)
+	r.Attempt = o.Attempt
+	body, _ := json.Marshal(r)
+	env := record.Envelope{ID: o.Attempt + "/u", Kind: record.KindResult, Writer: l.o.Self, Body: body}
+	outcomes, err := l.proposeAll(ctx, a.shard(l.o.Shards), []record.Envelope{env})
+	if err != nil || outcomes[0].Kind != peerpb.Outcome_RECORDED {
+		return nil, false, busy()
+	}
+	counts.Add("declared_unknown", 1)
+	return nil, true, nil
+}
+
+// lookup asks the process of the winner. reached is false when it gave no
+// answer.
+func (l *Log) lookup(ctx context.Context, c Call, o *peerpb.Outcome) (reply *peerpb.LookupReply, reached bool) {
+	req := &peerpb.LookupRequest{Service: c.Service, Key: c.Key, Attempt: o.Attempt}
+	if o.Writer == l.o.Self {
+		reply, err := l.HandleLookup(ctx, req)
+		return reply, err == nil
+	}
+	addr := l.addrOf(o.Writer)
+	if addr == "" || l.o.Client == nil {
+		return nil, false
+	}
+	client, err := l.o.Client(addr)
+	if err != nil {
+		return nil, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, lookupWait+tryTimeout)
+	defer cancel()
+	reply, err = client.Lookup(ctx, req)
+	return reply, err == nil
+}
+
+func (l *Log) addrOf(incarnation string) string {
+	for _, m := range l.o.Members() {
+		if m.Incarnation == incarnation && m.Live {
+			return m.Addr
+		}
+	}
+	return ""
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/request/once/ticket.go
@@ -0,0 +1,43 @@
+package once
+
+import (
+	"sync/atomic"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/process/record"
+)
+
+// ticket implements Ticket.
+type ticket struct {
+	l    *Log
+	a    *attempt
+	used atomic.Bool
+}
+
+// Done implements Ticket.
+func (t *ticket) Done(a Answer) {
+	r := t.a.result(code.OK)
+	r.Status, r.Type, r.Body, r.Kept = a.Status, a.Type, a.Body, true
+	t.end(r)
+}
+
+// NotRun implements Ticket. A code that doesn't say that nothing ran is
+// recorded as one that does: the caller of this method has the proof.
+func (t *ticket) NotRun(c code.Code) {
+	if !c.Info().NotRun {
+		c = code.TargetUnreachable
+	}
+	t.end(t.a.result(c))
+}
+
+// Unknown implements Ticket.
+func (t *ticket) Unknown() { t.end(t.a.result(code.OutcomeUnknown)) }
+
+func (t *ticket) end(r *record.Result) {
+	if t.used.Swap(true) {
+		counts.Add("ticket_used_twice", 1)
+		return
+	}
+	t.l.attempts.finish(t.a, r)
+	t.l.record(t.a, stored(r))
+}
