--- a/operator/caller/book.go
+++ b/operator/caller/book.go
@@ -41,6 +41,9 @@
 }
 
 func (c *Client) fetch(ctx context.Context, addr string) (Addresses, error) {
+	if c.opts.Fixed {
+		return c.fixed(), nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var a Addresses
@@ -183,3 +186,12 @@
 	clear(b.failed)
 	b.expires = time.Now().Add(min(max(ttl, minTTL), maxTTL))
 }
+
+// fixed answers with the daemons that the options name.
+func (c *Client) fixed() Addresses {
+	a := Addresses{TTLMs: maxTTL.Milliseconds()}
+	for _, d := range c.opts.Daemons {
+		a.Addresses = append(a.Addresses, Address{Addr: d})
+	}
+	return a
+}
--- a/operator/caller/caller.go
+++ b/operator/caller/caller.go
@@ -47,6 +47,7 @@
 	Daemons  []string    // callers' ports, host:port, to ask for addresses first
 	Zone     string      // the caller's availability zone, whose daemons come first
 	TLS      *tls.Config // nil means plain TCP
+	Fixed    bool        // use Daemons as they are and ask nobody for addresses
 	Attempts int         // in all; 4
 	Seed     uint64      // for the choice among addresses
 }
--- a/operator/ctl/load.go
+++ b/operator/ctl/load.go
@@ -8,6 +8,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/operator/caller"
 	"github.com/pomelospool/pomelospool/operator/load"
 	"github.com/pomelospool/pomelospool/request/prefix"
 	"github.com/pomelospool/pomelospool/standin/token"
@@ -32,6 +33,7 @@
 	Deadline    time.Duration  `long:"deadline" default:"30s" description:"Deadline of each request"`
 	MaxInFlight int            `long:"max-in-flight" default:"4096" description:"Most open requests"`
 	Verify      bool           `long:"verify" description:"Check every token, which only the stand-in engine allows"`
+	Direct      bool           `long:"direct" description:"Call the addresses of --callers themselves, as those of an engine, to compare"`
 	Plot        flags.Filename `long:"plot" value-name:"FILE" description:"Write the times over their quantiles as SVG"`
 }
 
@@ -41,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	client, err := c.app.caller(c.Seed)
+	client, err := c.client()
 	if err != nil {
 		return err
 	}
@@ -62,6 +64,13 @@
 	return nil
 }
 
+func (c *loadCommand) client() (*caller.Client, error) {
+	if !c.Direct {
+		return c.app.caller(c.Seed)
+	}
+	return caller.New(caller.Options{Daemons: c.app.Callers, Fixed: true, Seed: c.Seed}), nil
+}
+
 func (c *loadCommand) options() (load.Options, error) {
 	mix := c.Mix
 	if mix == "" {
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -7,7 +7,6 @@
 package daemon
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -62,7 +61,7 @@
 	watcher *load.Watcher
 	router  *countingRouter
 	burn    *burn.Burn
-	once    onceKeeper
+	once    *once.Log
 	crashes crashTracker
 	entry   *entry.Entry
 
@@ -74,15 +73,6 @@
 	stopOnce  sync.Once
 }
 
-// onceKeeper is the at-most-once part with its life and its peers' calls.
-type onceKeeper interface {
-	once.Keeper
-	Start()
-	Stop() error
-	HandlePropose(context.Context, *peerpb.ProposeRequest) (*peerpb.ProposeReply, error)
-	HandleLookup(context.Context, *peerpb.LookupRequest) (*peerpb.LookupReply, error)
-}
-
 // crashTracker is the quarantine with its news on heartbeats.
 type crashTracker interface {
 	quarantine.Tracker
--- a/process/daemon/parts.go
+++ b/process/daemon/parts.go
@@ -1,34 +1,52 @@
 package daemon
 
 import (
-	"context"
 	"time"
 
-	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/peer/peerpb"
 	"github.com/pomelospool/pomelospool/request/once"
 	"github.com/pomelospool/pomelospool/request/quarantine"
 )
 
-// Until the at-most-once keeper and the quarantine are wired, non-idempotent
-// calls are refused, truly not run, and no content is under suspicion.
-
-type noOnce struct{}
-
-func (d *Daemon) newOnceKeeper() onceKeeper { return noOnce{} }
-
-func (noOnce) Begin(context.Context, once.Call) (once.Ticket, *once.Answer, error) {
-	return nil, nil, code.New(code.OnceUnavailable, "not wired").After(time.Second)
+func (d *Daemon) newOnceKeeper() *once.Log {
+	return once.New(once.Options{
+		Self:    d.self,
+		Log:     d.platform.log,
+		Members: d.onceMembers,
+		Client:  d.dialer.Client,
+		Window:  d.onceWindow,
+		Rate:    d.s.Control.OnceAppends,
+	})
 }
-func (noOnce) Start()      {}
-func (noOnce) Stop() error { return nil }
-func (noOnce) HandlePropose(context.Context, *peerpb.ProposeRequest) (*peerpb.ProposeReply, error) {
-	return &peerpb.ProposeReply{}, nil
+
+// onceMembers shows the other daemons to the at-most-once keeper.
+func (d *Daemon) onceMembers() []once.Member {
+	var out []once.Member
+	for _, s := range d.members.View().Members {
+		if s.Member.Incarnation == "" {
+			continue
+		}
+		out = append(out, once.Member{
+			Incarnation: s.Member.Incarnation,
+			Addr:        s.Member.PeerAddr,
+			Live:        s.Member.State != peerpb.Member_DEAD,
+			Leaving:     s.Leaving,
+		})
+	}
+	return out
 }
-func (noOnce) HandleLookup(context.Context, *peerpb.LookupRequest) (*peerpb.LookupReply, error) {
-	return &peerpb.LookupReply{}, nil
+
+// onceWindow returns how long a service's keys are remembered.
+func (d *Daemon) onceWindow(service string) time.Duration {
+	snap := d.view.Load()
+	if snap == nil || snap.Services[service] == nil {
+		return once.DefaultWindow
+	}
+	return snap.Services[service].Doc.Once.Window
 }
 
+// Until the quarantine is wired, no content is under suspicion.
+
 type noCrashes struct{}
 
 func (d *Daemon) newCrashTracker() crashTracker { return noCrashes{} }
--- a/process/daemon/run.go
+++ b/process/daemon/run.go
@@ -142,6 +142,9 @@
 	}
 	_ = d.leases.Stop()
 	d.saveBurn(rel)
+	if err := d.once.Drain(rel); err != nil {
+		log.WithError(err).Warn("once: results not all recorded")
+	}
 	_ = d.once.Stop()
 	_ = d.follower.Stop()
 }
@@ -182,17 +185,17 @@
 	})
 }
 
-// burnEvery is the time between two records of the burn report: at 360
-// daemons that is 0.6 appends a second.
-const burnEvery = 10 * time.Minute
-
 // burnLoop restores the daemon's burn report and saves it from time to time.
+// While the log is down it tries again; nothing is saved before the old
+// counts are back, or a restart in an outage would wipe them out.
 func (d *Daemon) burnLoop() error {
 	ctx := d.tomb.Context(context.Background())
-	d.restoreBurn(ctx)
-	tick := time.NewTicker(burnEvery)
+	tick := time.NewTicker(burn.SnapshotEvery)
 	defer tick.Stop()
 	for {
+		if err := d.burn.Load(ctx, d.platform.log); err != nil {
+			log.WithError(err).Debug("burn: report not read yet")
+		}
 		select {
 		case <-d.tomb.Dying():
 			return nil
@@ -203,26 +206,7 @@
 }
 
 func (d *Daemon) saveBurn(ctx context.Context) {
-	data, err := d.burn.Snapshot()
-	if err == nil {
-		_, err = d.platform.log.Append(ctx, burn.Stream(d.s.VM), data)
-	}
-	if err != nil {
+	if err := d.burn.Save(ctx, d.platform.log, d.self); err != nil {
 		log.WithError(err).Warn("burn: report not saved")
 	}
 }
-
-func (d *Daemon) restoreBurn(ctx context.Context) {
-	stream := burn.Stream(d.s.VM)
-	_, newest, err := d.platform.log.Read(ctx, stream, 1<<62, 1, 0)
-	if err != nil || newest == 0 {
-		return
-	}
-	recs, _, err := d.platform.log.Read(ctx, stream, newest, 1, 0)
-	if err != nil || len(recs) == 0 {
-		return
-	}
-	if err := d.burn.Restore(recs[0].Data); err != nil {
-		log.WithError(err).Warn("burn: report not restored")
-	}
-}
