--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -57,6 +57,8 @@
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingTimeout}),
 		grpc.WithIdleTimeout(idleConn),
 		grpc.WithDisableServiceConfig(),
+		grpc.WithInitialWindowSize(windowSize),
+		grpc.WithInitialConnWindowSize(windowSize),
 		grpc.WithReadBufferSize(bufferSize),
 		grpc.WithWriteBufferSize(bufferSize),
 	}
@@ -66,6 +68,10 @@
 	return &Dialer{opts: opts, conns: make(map[string]*grpc.ClientConn)}
 }
 
+// windowSize of each connection and stream in bytes. A fixed one keeps grpc
+// from measuring the path with pings, which cost more than the heartbeats.
+const windowSize = 1 << 20
+
 // bufferSize of each connection in bytes; messages are a few hundred bytes,
 // and at 360 peers the default of 32 KiB twice would take 23 MB.
 const bufferSize = 4 << 10
--- a/peer/server.go
+++ b/peer/server.go
@@ -37,7 +37,10 @@
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: idleConn}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPing, PermitWithoutStream: true}),
-		grpc.NumStreamWorkers(0),
+		grpc.InitialWindowSize(windowSize),
+		grpc.InitialConnWindowSize(windowSize),
+		grpc.ReadBufferSize(bufferSize),
+		grpc.WriteBufferSize(bufferSize),
 	}
 	if creds != nil {
 		opts = append(opts, grpc.Creds(creds))
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -1,8 +1,8 @@
 // Package membership tells each daemon which others are alive. The VM list
 // says who should exist, but it lags; heartbeats say who answers.
 //
-// Each round a process probes one member, chosen in a random order that
-// covers all of them. One that doesn't answer is probed through a few others,
+// Each round a process probes one of its neighbours: the next members after it
+// on several rings. One that doesn't answer is probed through a few others,
 // so that a single broken path is no death; then it is suspect, and dead
 // after a while unless it refutes that. Changes ride on the heartbeats. The
 // bytes a process sends don't depend on the number of members.
@@ -239,10 +239,11 @@
 		reply, ok := m.ask(addr, req)
 		if ok {
 			m.post(func() {
-				m.reached(reply)
 				if req.Full {
-					m.gotFull()
+					m.gotFull(m.table.takeFull(m.o.Now(), reply.News))
+					reply.News = nil
 				}
+				m.reached(reply)
 			})
 			return nil
 		}
@@ -267,9 +268,14 @@
 	return true
 }
 
-// gotFull plans the next request for all members.
-func (m *Membership) gotFull() {
-	m.fullWait = min(max(2*m.fullWait, fullFirst), fullPeriod)
+// gotFull plans the next request for all members: soon while the answers
+// still bring something new, as when a whole fleet starts at once, and else
+// after twice the time.
+func (m *Membership) gotFull(grew bool) {
+	m.fullWait = min(2*m.fullWait, fullPeriod)
+	if grew || m.fullWait == 0 {
+		m.fullWait = fullFirst
+	}
 	m.nextFull = m.o.Now() + m.fullWait
 }
 
--- a/process/membership/probe.go
+++ b/process/membership/probe.go
@@ -1,8 +1,13 @@
 package membership
 
 import (
+	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/pomelospool/pomelospool/peer/peerpb"
 )
@@ -15,8 +20,9 @@
 // never talk again.
 const deadEvery = 6
 
-// schedule picks whom to probe. It goes through a random order of all members
-// before it starts anew, so that each one is probed within a bounded time.
+// schedule picks whom to probe. It goes through a random order of its
+// neighbours before it starts anew, so that each one is probed within a
+// bounded time.
 type schedule struct {
 	rnd   *rand.Rand
 	order []string
@@ -46,17 +52,46 @@
 	return s.silent(t)
 }
 
+// neighbours is how many members a process probes in turn. With as many rings
+// as neighbours each member is probed by that many others too, and no process
+// needs connections to the whole fleet.
+const neighbours = 8
+
+// shuffle takes the process's neighbours in a new random order. On each of
+// several rings, ordered by a hash of ring and id, the neighbour is the next
+// member after this process. The rings are random to each other, so news
+// crosses the fleet in few steps, and one failure changes few neighbours.
 func (s *schedule) shuffle(t *table) {
 	s.order = s.order[:0]
-	for id, e := range t.members {
-		if e.talks() {
+	for ring := range neighbours {
+		id := t.successor(ring)
+		if id != "" && !slices.Contains(s.order, id) {
 			s.order = append(s.order, id)
 		}
 	}
-	sort.Strings(s.order)
 	s.rnd.Shuffle(len(s.order), func(i, j int) { s.order[i], s.order[j] = s.order[j], s.order[i] })
 }
 
+// successor returns the member after self on a ring, or "" when alone.
+func (t *table) successor(ring int) string {
+	self := ringHash(ring, t.self.Id)
+	best, found := "", uint64(math.MaxUint64)
+	for id, e := range t.members {
+		if !e.talks() {
+			continue
+		}
+		// Distance along the ring, which wraps around with the integers.
+		if d := ringHash(ring, id) - self; d < found || best == "" {
+			best, found = id, d
+		}
+	}
+	return best
+}
+
+func ringHash(ring int, id string) uint64 {
+	return xxhash.Sum64String(strconv.Itoa(ring) + "/" + id)
+}
+
 // silent returns a listed member that is dead or was never heard of, or nil.
 func (s *schedule) silent(t *table) *entry {
 	var ids []string
--- a/process/membership/table.go
+++ b/process/membership/table.go
@@ -75,10 +75,18 @@
 	if m.Id == t.self.Id {
 		return t.refute(m)
 	}
+	if !t.take(now, m) {
+		return false
+	}
+	t.news.add(m)
+	return true
+}
+
+// take replaces what is held of a member if m is newer.
+func (t *table) take(now time.Duration, m *peerpb.Member) bool {
 	e, ok := t.members[m.Id]
 	if !ok {
 		t.members[m.Id] = &entry{m: m, since: now}
-		t.news.add(m)
 		return true
 	}
 	if !supersedes(m, e.m) {
@@ -87,10 +95,24 @@
 	}
 	e.m = m
 	e.since = now
-	t.news.add(m)
 	return true
 }
 
+// takeFull takes a peer's answer with all members in and tells whether it
+// brought anything new. It isn't spread further as news: everyone asks for
+// such answers, and hundreds of old news would hold up the few that matter.
+func (t *table) takeFull(now time.Duration, all []*peerpb.Member) bool {
+	grew := false
+	for _, m := range all {
+		if m.GetId() == t.self.Id {
+			t.refute(m)
+			continue
+		}
+		grew = t.take(now, m) || grew
+	}
+	return grew
+}
+
 // noteApplied keeps the newest offset that the same incarnation reported.
 func (t *table) noteApplied(e *entry, m *peerpb.Member) {
 	if m.Incarnation != e.m.Incarnation || m.Applied <= e.m.Applied {
