Agreement: random-interleaving checker with planted faults

Cause: the fold, lease and order rules hold together only if they hold in every order of pauses, lost answers, cuts, restarts and late deliveries.

Change: process/agreecheck drives the real fold.State, lease.Tracker, reconcile.Decide and follow.Recover as step machines in virtual time. rapid draws the faults and shrinks them; small delays come from a drawn seed. Engines of four kinds (fence checked or not, all order ids known or the last only) never say that they are busy, so nothing rests on that.

--- /dev/null
+++ b/process/agreecheck/proc_test.go
@@ -0,0 +1,385 @@
+package agreecheck
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/process/fold"
+	"github.com/pomelospool/pomelospool/process/follow"
+	"github.com/pomelospool/pomelospool/process/lease"
+	"github.com/pomelospool/pomelospool/process/reconcile"
+	"github.com/pomelospool/pomelospool/process/record"
+)
+
+// proc is one process as a machine that makes one step at a time.
+type proc struct {
+	w           *world
+	index       int
+	incarnation string
+	strict      bool    // its binary refuses documents that others accept
+	drift       float64 // of its clock
+	lagging     time.Duration
+	wakes       time.Duration // paused until then
+	cutUntil    time.Duration // from the log
+	tracker     *lease.Tracker
+	state       *fold.State
+	tail        lease.Tail
+	read        *reading
+	works       []*work
+}
+
+// reading is a read of the tail under way.
+type reading struct {
+	began  time.Duration // on the process's clock
+	recs   []platform.Record
+	newest int64
+}
+
+// work is what the process does at one engine.
+type work struct {
+	memory reconcile.Memory
+	seen   *platform.EngineState // read, and not yet decided on
+	order  platform.Order        // checked, not yet written
+	ready  bool                  // order is set
+	held   int                   // incarnation of the engine that the connection leads to
+	sentAt time.Duration
+	write  *write // waits for its answer
+	ends   time.Duration
+}
+
+func newProc(w *world, index int) *proc {
+	p := &proc{w: w, index: index}
+	p.strict = w.chance(2)
+	p.drift = float64(2*w.draw(0, 1)-1) * maxDrift
+	p.start()
+	return p
+}
+
+// start begins a new incarnation with nothing but its settings.
+func (p *proc) start() {
+	p.incarnation = p.w.id(fmt.Sprintf("p%d.", p.index))
+	r := rule
+	if p.w.plant == noDrift {
+		r.Guard = 0
+	}
+	p.tracker = lease.NewTracker(r, p.incarnation)
+	p.state, p.read, p.wakes, p.cutUntil = nil, nil, 0, 0
+	p.tail = lease.Tail{}
+	p.works = nil
+	for range p.w.engines {
+		p.works = append(p.works, &work{memory: reconcile.Memory{Since: p.clock()}})
+	}
+}
+
+// clock is the time of the process: CLOCK_BOOTTIME with its drift.
+func (p *proc) clock() time.Duration {
+	t := p.w.now + time.Duration(float64(p.w.now)*p.drift)
+	return t - p.lagging
+}
+
+// cut tells whether the process can't reach the log now.
+func (p *proc) cut() bool { return p.w.now < p.cutUntil }
+
+// acts tells whether the process would act if it ran now.
+func (p *proc) acts() bool {
+	_, ok := p.authority()
+	return ok
+}
+
+func (p *proc) authority() (lease.Authority, bool) {
+	if p.tail.State == nil {
+		return lease.Authority{}, false
+	}
+	return p.tracker.Authority(p.clock(), p.tail, group)
+}
+
+// Gone and Rank are the membership view: late, and at times wrong.
+func (p *proc) Gone(incarnation string) bool {
+	alive := slices.ContainsFunc(p.w.procs, func(x *proc) bool { return x.incarnation == incarnation })
+	return !alive || p.w.suspected[incarnation]
+}
+
+func (p *proc) Rank(string) (int, bool) { return p.index, true }
+
+// step lets the process do some of what its goroutines do.
+func (p *proc) step() {
+	if p.w.now < p.wakes {
+		return
+	}
+	if p.w.chance(2) {
+		p.readStep()
+	}
+	if p.state == nil {
+		return
+	}
+	for i, k := range p.works {
+		if p.w.chance(2) && p.w.now >= p.wakes {
+			p.workStep(i, k)
+		}
+	}
+	switch n := p.w.draw(0, 999); {
+	case p.w.now < p.wakes:
+	case n < 300:
+		p.claimStep()
+	case n < 400:
+		p.verdictStep()
+	case n < 405:
+		p.checkpointStep()
+	case n < 406:
+		p.release()
+	}
+}
+
+// readStep begins or ends a read of the tail. The log answers with what stood
+// at the begin or at the end.
+func (p *proc) readStep() {
+	if p.cut() {
+		p.read = nil
+		return
+	}
+	if p.state == nil {
+		p.recover()
+		return
+	}
+	if p.read == nil {
+		p.read = &reading{began: p.clock()}
+		if p.w.chance(2) {
+			p.fetch()
+		}
+		return
+	}
+	if p.read.newest == 0 {
+		p.fetch()
+	}
+	p.finish()
+}
+
+func (p *proc) fetch() {
+	if p.state.Applied+1 < p.w.earliest {
+		p.state = nil
+		p.read = nil
+		return
+	}
+	p.read.recs, p.read.newest, _ = logView{w: p.w}.Read(context.Background(), "", p.state.Applied+1, 500, 0)
+}
+
+// finish folds what was read and checks that nothing went back.
+func (p *proc) finish() {
+	r := p.read
+	p.read = nil
+	if r == nil {
+		return
+	}
+	before := p.tail.State
+	p.fold(r.recs)
+	if p.state.Applied < r.newest || (before != nil && p.state.Applied < before.Applied) {
+		return
+	}
+	if before == nil {
+		p.compare()
+	}
+	began := r.began
+	if p.w.plant == ageFromEnd {
+		began = p.clock()
+	}
+	if before == nil || len(r.recs) > 0 {
+		before, p.tail.State = p.tail.State, p.state.Clone()
+	}
+	p.tail.Began, p.tail.Fresh = began, true
+	if before != nil && p.tail.State.Services[service].Version < before.Services[service].Version {
+		p.w.fail("%s: version went back from %d to %d", p.incarnation, before.Services[service].Version, p.tail.State.Services[service].Version)
+	}
+	seen := p.clock()
+	if p.w.plant == earlyTakeover {
+		seen -= rule.T + rule.Guard
+	}
+	p.tracker.Observe(seen, p.tail.State)
+}
+
+func (p *proc) fold(recs []platform.Record) {
+	for _, r := range recs {
+		data := r.Data
+		if p.w.plant == recomputeVerdict {
+			data = p.recomputed(data)
+		}
+		if err := p.state.Apply(r.Offset, data); err != nil {
+			p.w.fail("%s: %v", p.incarnation, err)
+		}
+	}
+}
+
+// compare checks that equal offsets mean equal states.
+func (p *proc) compare() {
+	if got, want := encode(p.state), encode(p.w.states[p.state.Applied]); got != want {
+		p.w.fail("%s differs at offset %d:\n%s\nwant\n%s", p.incarnation, p.state.Applied, got, want)
+	}
+}
+
+// recover starts from a checkpoint by the real rule.
+func (p *proc) recover() {
+	p.w.stats.recoveries++
+	if p.w.plant == staleCheckpoint {
+		p.state = p.anyCheckpoint()
+		return
+	}
+	s, err := follow.Recover(context.Background(), logView{w: p.w})
+	if err != nil {
+		p.w.fail("%s can't start: %v", p.incarnation, err)
+		return
+	}
+	p.state = s
+}
+
+// works at one engine: look and decide, then write, then wait for the answer.
+func (p *proc) workStep(i int, k *work) {
+	switch {
+	case k.write != nil:
+		p.await(k)
+	case k.ready:
+		p.writeStep(i, k)
+	case k.seen == nil:
+		p.look(p.w.engines[i], k)
+	default:
+		p.decide(i, k)
+	}
+}
+
+// look reads the engine's state for the next decision.
+func (p *proc) look(e *engine, k *work) {
+	e.settle(p.w.now)
+	seen := e.state
+	k.seen = &seen
+	k.held = e.incarnation
+}
+
+func (p *proc) decide(i int, k *work) {
+	a, ok := p.authority()
+	if !ok {
+		k.seen = nil
+		return
+	}
+	s := p.tail.State
+	open := s.Engines[engineID(i)].Open
+	k.memory.ForOrder(open)
+	defer func() { k.seen = nil }()
+	d := reconcile.Decide(reconcile.Input{
+		Now: p.clock(), Rule: p.tracker.Rule(), Fence: a.Fence, Applied: s.Applied,
+		Want: p.want(s), Wanted: s.Services[service].Version > 0,
+		Open: open, Seen: *k.seen, Known: true, Memory: k.memory, Slots: 1,
+	})
+	switch d.Action {
+	case reconcile.Log:
+		id := p.w.id("o")
+		p.w.send(id, record.KindOrder, record.Order{Group: group, Claim: a.Fence, Engine: engineID(i), Spec: d.Spec, After: s.LastDone(engineID(i)), Reason: "why-" + id})
+	case reconcile.Send:
+		k.order, k.ready = platform.Order{ID: open.ID, Fence: a.Fence, Spec: open.Spec}, true
+	case reconcile.Done:
+		k.memory.End(open.ID)
+		p.w.send("done-"+open.ID, record.KindOrderDone, record.OrderDone{Engine: engineID(i), Order: open.ID})
+	}
+}
+
+// want is the newest version, or now and then a role that a planner wishes.
+func (p *proc) want(s *fold.State) platform.EngineSpec {
+	spec := platform.EngineSpec{Version: fmt.Sprint(s.Services[service].Version)}
+	if p.w.chance(5) {
+		spec.Role = platform.RoleDecode
+	}
+	return spec
+}
+
+// writeStep checks the lease and writes. Time may pass between the two.
+func (p *proc) writeStep(i int, k *work) {
+	a, ok := p.authority()
+	if p.w.plant != checkOnce && (!ok || a.Fence != k.order.Fence) {
+		k.ready = false
+		return
+	}
+	delay := p.w.ms(0, int(rule.UserTimeout().Milliseconds()))
+	x := &write{from: p.incarnation, engine: i, incarnation: k.held, order: k.order}
+	if p.w.kind.anyDelay && p.w.chance(6) {
+		delay, x.excused = p.w.ms(500, 30000), true
+	}
+	if p.w.kind.anyPause && p.w.chance(6) {
+		pause := p.w.ms(0, 20000)
+		p.wakes, delay, x.excused = p.w.now+pause, delay+pause, true
+		p.w.stats.pauses++
+	}
+	x.due = p.w.now + delay
+	p.w.writes = append(p.w.writes, x)
+	k.ready, k.write, k.sentAt = false, x, p.clock()
+	k.ends = max(p.wakes, p.w.now) + p.w.ms(100, 2000)
+	if p.w.chance(6) {
+		x.err = platform.ErrUnavailable
+	}
+}
+
+// await takes the answer, or gives up.
+func (p *proc) await(k *work) {
+	answered := k.write.answered && k.write.err != platform.ErrUnavailable
+	if !answered && p.w.now < k.ends {
+		return
+	}
+	k.memory.Note(k.write.order.ID, k.sentAt, p.clock(), answered, "", p.tracker.Rule().Guard)
+	k.write = nil
+}
+
+func (p *proc) claimStep() {
+	if p.cut() || p.tail.State == nil {
+		return
+	}
+	for _, c := range p.tracker.Wanted(p.clock(), p.tail, []string{group}, p) {
+		p.w.send(p.w.id("claim"), record.KindClaim, c)
+	}
+}
+
+func (p *proc) verdictStep() {
+	pending := p.state.Services[service].Pending
+	if p.cut() || len(pending) == 0 {
+		return
+	}
+	v := record.Verdict{Service: service, Version: pending[0].Version, Accept: p.judge(pending[0].YAML), Code: code.DocSyntax}
+	p.w.send(p.w.id("verdict"), record.KindVerdict, v)
+}
+
+// judge is the rule of the process's binary.
+func (p *proc) judge(yaml string) bool { return !p.strict || !strings.HasPrefix(yaml, "lax") }
+
+func (p *proc) checkpointStep() {
+	if p.cut() {
+		return
+	}
+	data, _ := p.state.Encode()
+	p.w.send(p.w.id("checkpoint"), record.KindCheckpoint, record.Checkpoint{Covers: p.state.Applied, State: data})
+}
+
+// release is a planned stop: nothing is under way any more.
+func (p *proc) release() {
+	a, ok := p.authority()
+	if !ok || slices.ContainsFunc(p.works, func(k *work) bool { return k.write != nil }) {
+		return
+	}
+	p.tracker.Give(a.Fence)
+	p.w.send(p.w.id("release"), record.KindRelease, record.Release{Group: group, Claim: a.Fence})
+	p.start()
+}
+
+// recomputed is a verdict as the process's own binary would give it.
+func (p *proc) recomputed(data []byte) []byte {
+	var e record.Envelope
+	var v record.Verdict
+	pending := p.state.Services[service].Pending
+	if json.Unmarshal(data, &e) != nil || e.Kind != record.KindVerdict || json.Unmarshal(e.Body, &v) != nil || len(pending) == 0 {
+		return data
+	}
+	v.Accept = p.judge(pending[0].YAML)
+	e.Body, _ = json.Marshal(v)
+	data, _ = json.Marshal(e)
+	return data
+}
--- a/process/reconcile/decide.go
+++ b/process/reconcile/decide.go
@@ -112,9 +112,9 @@
 	return Decision{Action: Send, Why: "order is open"}
 }
 
-// sent notes that the order was sent at the time at and answered, or not, at
+// Note notes that the order was sent at the time at and answered, or not, at
 // the time now. An answer that refuses it for good is given as refused.
-func (m *Memory) sent(order string, at, now time.Duration, answered bool, refused string, guard time.Duration) {
+func (m *Memory) Note(order string, at, now time.Duration, answered bool, refused string, guard time.Duration) {
 	m.Order = order
 	m.Sent, m.SentAt = true, at
 	m.Refused = refused
@@ -123,8 +123,11 @@
 	}
 }
 
-// forOrder drops what was remembered of another order, but for Quiet.
-func (m *Memory) forOrder(open *fold.Open) {
+// End notes that the end of the order is being appended.
+func (m *Memory) End(order string) { m.Order, m.Ending = order, true }
+
+// ForOrder drops what was remembered of another order, but for Quiet.
+func (m *Memory) ForOrder(open *fold.Open) {
 	if open != nil && open.ID == m.Order {
 		return
 	}
--- a/process/reconcile/engine.go
+++ b/process/reconcile/engine.go
@@ -57,7 +57,7 @@
 		r.setLeaving(e.id, seen.Leaving)
 	}
 	open := tail.State.Engines[e.id].Open
-	e.memory.forOrder(open)
+	e.memory.ForOrder(open)
 	now := r.o.Clock.Now()
 	want, wanted := Desired(m, r.o.Wish)
 	d := Decide(Input{
@@ -102,7 +102,7 @@
 	case Send:
 		r.send(ctx, e, open)
 	case Done:
-		e.memory.Order, e.memory.Ending = open.ID, true
+		e.memory.End(open.ID)
 		r.done(ctx, open, e.id, d.Why)
 	case Reclaim:
 		log.WithField("group", e.group).Info("reconcile: engine knows a newer fence, claim anew")
@@ -142,7 +142,7 @@
 	err := e.adapter.Order(ctx, platform.Order{ID: open.ID, Fence: e.fence, Spec: open.Spec})
 	counts.Add("orders_sent", 1)
 	answered, refused := answer(err)
-	e.memory.sent(open.ID, at, r.o.Clock.Now(), answered, refused, r.o.Rule.Guard)
+	e.memory.Note(open.ID, at, r.o.Clock.Now(), answered, refused, r.o.Rule.Guard)
 	fields := log.Fields{"engine": e.id, "order": open.ID, "fence": e.fence}
 	if err != nil {
 		log.WithError(err).WithFields(fields).Warn("reconcile: order not accepted")
