--- /dev/null
+++ b/process/lease/lease_test.go
@@ -0,0 +1,206 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/pomelospool/pomelospool/process/fold"
+)
+
+// view is a membership in which the listed incarnations are gone.
+type view map[string]bool
+
+func (v view) Gone(i string) bool      { return v[i] }
+func (v view) Rank(string) (int, bool) { return 1, true }
+
+func tailOf(l fold.Lease, began time.Duration) Tail {
+	s := fold.New()
+	s.Leases["g"] = l
+	return Tail{State: s, Began: began, Fresh: true}
+}
+
+// A holder is paused, cut off, replaced or stopped, and the next one is about
+// to act. At no moment may both think that they may write.
+func TestAuthority(t *testing.T) {
+	const s = time.Second
+	mine := fold.Lease{Claim: 7, Holder: "me"}
+	for _, c := range []struct {
+		name              string
+		lease             fold.Lease
+		stood, began, now time.Duration
+		want              bool
+	}{
+		{"first moment", mine, 10 * s, 13 * s, 14 * s, true},
+		{"old holder may still act", mine, 10 * s, 13 * s, 14*s - 1, false},
+		{"read too old", mine, 10 * s, 20 * s, 23 * s, false},
+		{"read just young enough", mine, 10 * s, 20 * s, 23*s - 1, true},
+		{"resumed after an hour", mine, 10 * s, 20 * s, time.Hour, false},
+		{"after a release, bytes may be on the way", fold.Lease{Claim: 7, Holder: "me", Clean: true}, 10 * s, 10 * s, 11*s - 1, false},
+		{"after a release", fold.Lease{Claim: 7, Holder: "me", Clean: true}, 10 * s, 10 * s, 11 * s, true},
+		{"another's", fold.Lease{Claim: 7, Holder: "you"}, 10 * s, 20 * s, 21 * s, false},
+		{"released", fold.Lease{Claim: 7, Holder: "me", Released: true}, 10 * s, 20 * s, 21 * s, false},
+	} {
+		tr := NewTracker(Rule{}.WithDefaults(), "me")
+		tr.Observe(c.stood, tailOf(c.lease, 0).State)
+		a, ok := tr.Authority(c.now, tailOf(c.lease, c.began), "g")
+		if ok != c.want || (ok && a.Fence != 7) {
+			t.Errorf("%s: %v %+v", c.name, ok, a)
+		}
+		tr.Give(7)
+		if _, ok := tr.Authority(c.now, tailOf(c.lease, c.began), "g"); ok {
+			t.Errorf("%s: acts after it gave the lease back", c.name)
+		}
+	}
+}
+
+// A group stands without a living holder. It is claimed once a candidate's
+// turn has come, and never while the log can't be read.
+func TestWanted(t *testing.T) {
+	const s = time.Second
+	for _, c := range []struct {
+		name  string
+		lease fold.Lease
+		gone  view
+		now   time.Duration
+		want  int
+	}{
+		{"nobody yet", fold.Lease{}, nil, 2 * s, 1},
+		{"before its turn", fold.Lease{}, nil, s / 2, 0},
+		{"holder lives", fold.Lease{Claim: 3, Holder: "you"}, nil, 2 * s, 0},
+		{"holder gone", fold.Lease{Claim: 3, Holder: "you"}, view{"you": true}, 2 * s, 1},
+		{"released", fold.Lease{Claim: 3, Holder: "you", Released: true}, nil, 2 * s, 1},
+		{"own", fold.Lease{Claim: 3, Holder: "me"}, view{"me": true}, 2 * s, 0},
+		{"log down", fold.Lease{}, nil, time.Hour, 0},
+	} {
+		tr := NewTracker(Rule{}.WithDefaults(), "me")
+		tail := tailOf(c.lease, 0)
+		tr.Wanted(0, tail, []string{"g"}, c.gone)
+		claims := tr.Wanted(c.now, tail, []string{"g"}, c.gone)
+		if len(claims) != c.want || (c.want > 0 && claims[0].Previous != c.lease.Claim) {
+			t.Errorf("%s: %+v", c.name, claims)
+		}
+	}
+}
+
+// Many groups and daemons: each group has candidates of its own zone first,
+// and no daemon is the first for far more groups than others.
+func TestRank(t *testing.T) {
+	var live []Candidate
+	for i := range 12 {
+		live = append(live, Candidate{ID: fmt.Sprint(i), Zone: fmt.Sprint(i % 3)})
+	}
+	first, ranked := map[string]int{}, 0
+	for g := range 600 {
+		for _, c := range live {
+			rank, ok := Rank(fmt.Sprint("g", g), "1", c.ID, live)
+			if ok {
+				ranked++
+			}
+			if ok && rank == 0 {
+				first[c.ID]++
+			}
+			if rank == 0 && c.Zone != "1" {
+				t.Errorf("group %d goes to zone %s", g, c.Zone)
+			}
+		}
+	}
+	for id, n := range first {
+		if n < 100 || n > 200 {
+			t.Errorf("daemon %s is first for %d of 600 groups", id, n)
+		}
+	}
+	if ranked != 600*MaxCandidates {
+		t.Errorf("%d candidates in all", ranked)
+	}
+}
+
+// The lease lapses between two writes of one connection, and a partition keeps
+// bytes in the kernel. The second write must not leave, and the kernel must
+// have been told to give up.
+func TestConn(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	lost := errors.New("lost")
+	var now error
+	dial := Dialer(func() error { return now }, 500*time.Millisecond)
+	c, err := dial(context.Background(), "tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, first := c.Write([]byte("a"))
+	now = lost
+	_, second := c.Write([]byte("b"))
+	if first != nil || second != lost {
+		t.Errorf("writes gave %v and %v", first, second)
+	}
+	if got := userTimeout(t, c.(*Conn).Conn.(*net.TCPConn)); got != 500 {
+		t.Errorf("TCP_USER_TIMEOUT is %d ms", got)
+	}
+	_ = c.Close()
+	buf := make([]byte, 8)
+	n, _ := peer.Read(buf)
+	if string(buf[:n]) != "a" {
+		t.Errorf("%q arrived", buf[:n])
+	}
+}
+
+func userTimeout(t *testing.T, c syscall.Conn) int {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ms := 0
+	if err := raw.Control(func(fd uintptr) {
+		ms, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return ms
+}
+
+// BenchmarkCheckToWrite gives the time from the reading of the clock to the
+// end of the write: the window in which a pause can't be caught.
+func BenchmarkCheckToWrite(b *testing.B) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	go func() {
+		c, err := ln.Accept()
+		buf := make([]byte, 1<<16)
+		for err == nil {
+			_, err = c.Read(buf)
+		}
+	}()
+	var checked time.Time
+	c, err := Dialer(func() error { checked = time.Now(); return nil }, time.Second)(context.Background(), "tcp", ln.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	order := make([]byte, 400)
+	var window time.Duration
+	for b.Loop() {
+		if _, err := c.Write(order); err != nil {
+			b.Fatal(err)
+		}
+		window += time.Since(checked)
+	}
+	b.ReportMetric(float64(window.Nanoseconds())/float64(b.N), "ns/window")
+}
--- a/process/reconcile/harness_test.go
+++ b/process/reconcile/harness_test.go
@@ -31,6 +31,7 @@
 	until  time.Time
 	orders []platform.Order // accepted, copies left out
 	lose   int              // answers to lose
+	deaf   bool             // orders don't arrive
 }
 
 func (e *fakeEngine) State(context.Context) (platform.EngineState, error) {
@@ -51,6 +52,8 @@
 	defer e.mu.Unlock()
 	e.settle()
 	switch {
+	case e.deaf:
+		return fmt.Errorf("order: %w", platform.ErrUnavailable)
 	case e.state.ChecksFence && o.Fence < e.state.LastFence:
 		return platform.ErrFenced
 	case o.ID != e.state.LastOrder && e.state.Changing:
@@ -78,10 +81,11 @@
 	e.state = platform.EngineState{Spec: spec, ChecksFence: e.state.ChecksFence}
 }
 
-func (e *fakeEngine) leave() {
+// set changes the engine under its lock.
+func (e *fakeEngine) set(change func(*fakeEngine)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.state.Leaving = true
+	change(e)
 }
 
 // versions returns the versions that were ordered.
@@ -105,7 +109,8 @@
 	t       *testing.T
 	log     *logtest.Log
 	engines map[string]*fakeEngine
-	daemons []*daemon
+	mu      sync.Mutex
+	daemons []*daemon // changed by the test alone, under mu
 	rate    float64
 }
 
@@ -170,6 +175,8 @@
 type members struct{ d *daemon }
 
 func (m members) Gone(incarnation string) bool {
+	m.d.fleet.mu.Lock()
+	defer m.d.fleet.mu.Unlock()
 	for _, d := range m.d.fleet.daemons {
 		if d.id == incarnation {
 			return false
@@ -192,7 +199,9 @@
 	d.follow = follow.New(follow.Options{Log: d.link, Clock: c, Self: id, Validate: validate, Rank: func() int { return d.rank }})
 	d.lease = lease.New(lease.Options{Clock: c, Follower: d.follow, View: members{d}, Groups: d.groups, Self: id})
 	d.rec = New(Options{Clock: c, Follower: d.follow, Leases: d.lease, Snapshot: d.snapshot, Connect: d.connect, Weights: weights{f.rate}})
+	f.mu.Lock()
 	f.daemons = append(f.daemons, d)
+	f.mu.Unlock()
 	d.follow.Start()
 	d.lease.Start()
 	d.rec.Start()
@@ -212,6 +221,8 @@
 
 // forget lets the others see the daemon as dead.
 func (f *fleet) forget(d *daemon) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for i, x := range f.daemons {
 		if x == d {
 			f.daemons = append(f.daemons[:i:i], f.daemons[i+1:]...)
@@ -234,14 +245,17 @@
 }
 
 // publish puts a document with all engines in force.
-func (f *fleet) publish(version string) {
+func (f *fleet) publish(version string) { f.publishOf(version, len(f.engines)) }
+
+// publishOf names the first n engines only.
+func (f *fleet) publishOf(version string, n int) {
 	f.t.Helper()
 	base := int64(0)
 	if len(f.daemons) > 0 {
 		base = f.daemons[0].follow.State().Services["s"].Version
 	}
 	doc := document.Document{Service: "s", Kind: document.KindModel, Models: []document.Model{{Name: "m", Version: version}}}
-	for i := range len(f.engines) {
+	for i := range n {
 		doc.Targets = append(doc.Targets, document.Target{Addr: fmt.Sprint("e", i), Zone: "z", Model: "m"})
 	}
 	text, err := yaml.Marshal(doc)
--- a/process/reconcile/reconciler_test.go
+++ b/process/reconcile/reconciler_test.go
@@ -20,6 +20,28 @@
 		versions string // what the engine carried out
 	}{
 		{"no fault", func(*fleet) {}, "v1 v2 "},
+		{"planned stop", func(f *fleet) {
+			d := f.daemons[0]
+			_, _ = d.rec.Stop(), d.lease.Stop()
+			if err := d.lease.Release(context.Background()); err != nil {
+				f.t.Error(err)
+			}
+			f.kill(d)
+		}, "v1 v2 "},
+		{"holder dies between log and send", func(f *fleet) {
+			f.engines["e0"].restart(platform.EngineSpec{})
+			f.engines["e0"].set(func(e *fakeEngine) { e.deaf = true })
+			time.Sleep(3 * time.Second)
+			f.kill(f.daemons[0])
+			f.engines["e0"].set(func(e *fakeEngine) { e.deaf = false })
+		}, "v1 v1 v2 "},
+		{"engine has seen a newer claim", func(f *fleet) {
+			f.engines["e0"].set(func(e *fakeEngine) { e.state.ChecksFence, e.state.LastFence = true, f.daemons[0].follow.Applied() })
+		}, "v1 v2 "},
+		{"engine refuses a version", func(f *fleet) {
+			f.publish("bad")
+			time.Sleep(20 * time.Second)
+		}, "v1 v2 "},
 		{"holder dies in the middle of a change", func(f *fleet) { f.kill(f.daemons[0]) }, "v1 v2 "},
 		{"two takeovers in a row", func(f *fleet) {
 			f.kill(f.daemons[0])
@@ -77,7 +99,7 @@
 				t.Errorf("engine was not brought back: %+v", f.engines["e0"].state)
 			}
 		}
-		f.engines["e0"].leave()
+		f.engines["e0"].set(func(e *fakeEngine) { e.state.Leaving = true })
 		time.Sleep(2 * time.Second)
 		if !f.daemons[0].rec.EnginesLeaving()["e0"] {
 			t.Error("the engine's word that it leaves is not passed on")
@@ -86,6 +108,27 @@
 	})
 }
 
+// A target is taken out of the document while its order is open and the
+// engine doesn't answer. The order must end, or it would count for ever.
+func TestTargetLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		f.engines["e1"].deaf = true
+		d := f.add("a")
+		f.publish("v1")
+		time.Sleep(30 * time.Second)
+		if d.follow.State().Engines["e1"].Open == nil {
+			t.Fatal("no order is open")
+		}
+		f.publishOf("v2", 1)
+		time.Sleep(30 * time.Second)
+		if e := d.follow.State().Engines["e1"]; e.Open != nil || e.Done.Detail != "target left" {
+			t.Errorf("order of the target that left: %+v", e)
+		}
+		f.stop()
+	})
+}
+
 // Twenty engines need a new version at once and the store feeds four. No more
 // than four may load at any time, although two daemons hold a group each.
 func TestLoadsWithinRate(t *testing.T) {
