reconcile: refusals end an order, and failing orders are spaced

Cause: the HTTP adapter gives a plain error for a 4xx answer; only code.OrderRefused counted as a refusal, so an order for a version that doesn't exist stayed open for ever and kept the corrected document out. Ended orders were logged anew at once.

Change: every error that isn't one of the way ends the order, after the time for which a copy may be on its way; orders for a spec that failed wait 5 s, doubling up to 2 min.

No case was weakened: the fake engine now refuses as the adapter does.

--- a/process/agreecheck/proc_test.go
+++ b/process/agreecheck/proc_test.go
@@ -296,7 +296,7 @@
 	case reconcile.Send:
 		k.order, k.ready = platform.Order{ID: open.ID, Fence: a.Fence, Spec: open.Spec}, true
 	case reconcile.Done:
-		k.memory.End(open.ID)
+		k.memory.End(open, d.Why, p.clock())
 		p.w.send("done-"+open.ID, record.KindOrderDone, record.OrderDone{Engine: engineID(i), Order: open.ID})
 	}
 }
--- a/process/reconcile/decide.go
+++ b/process/reconcile/decide.go
@@ -33,8 +33,19 @@
 	Quiet   time.Duration // until then a copy of this or the last order may be on its way
 	Refused string        // why the engine refused it for good, or empty
 	Ending  bool          // its end was appended, perhaps without an answer
+
+	// orders that ended otherwise than asked, over several orders
+	Failed   platform.EngineSpec
+	FailedAt time.Duration
+	Fails    int // in a row for the same spec
 }
 
+// Waits before an order for a spec that failed is logged again. They double.
+const (
+	failWait     = 5 * time.Second
+	failWaitMost = 2 * time.Minute
+)
+
 // Input is all that a decision depends on.
 type Input struct {
 	Now     time.Duration
@@ -113,25 +124,52 @@
 }
 
 // Note notes that the order was sent at the time at and answered, or not, at
-// the time now. An answer that refuses it for good is given as refused.
+// the time now. An answer that refuses it for good is given as refused; as it
+// may be an error of the way and not the engine's, it counts as no answer too.
 func (m *Memory) Note(order string, at, now time.Duration, answered bool, refused string, guard time.Duration) {
 	m.Order = order
 	m.Sent, m.SentAt = true, at
 	m.Refused = refused
-	if !answered {
+	if !answered || refused != "" {
 		m.Quiet = now + guard
 	}
 }
 
-// End notes that the end of the order is being appended.
-func (m *Memory) End(order string) { m.Order, m.Ending = order, true }
+// End notes that the end of the order is being appended. why is empty if it
+// was carried out.
+//
+// The guard is against an engine that refuses or loses each order at once: it
+// would get orders, and the log records, as fast as both answer. Each failure
+// in a row for the same spec doubles the wait.
+func (m *Memory) End(open *fold.Open, why string, now time.Duration) {
+	again := m.Order == open.ID && m.Ending
+	m.Order, m.Ending = open.ID, true
+	switch {
+	case again:
+	case why == "":
+		m.Fails = 0
+	case m.Failed != open.Spec:
+		m.Fails = 1
+	default:
+		m.Fails++
+	}
+	m.Failed, m.FailedAt = open.Spec, now
+}
+
+// retryAt returns when the spec that failed may be ordered again.
+func (m *Memory) retryAt() time.Duration {
+	if m.Fails == 0 {
+		return 0
+	}
+	return m.FailedAt + min(failWait<<min(m.Fails-1, 8), failWaitMost)
+}
 
 // ForOrder drops what was remembered of another order, but for Quiet.
 func (m *Memory) ForOrder(open *fold.Open) {
 	if open != nil && open.ID == m.Order {
 		return
 	}
-	*m = Memory{Since: m.Since, Quiet: m.Quiet}
+	*m = Memory{Since: m.Since, Quiet: m.Quiet, Failed: m.Failed, FailedAt: m.FailedAt, Fails: m.Fails}
 }
 
 // decideNew compares the engine with what it should be. Because it looks at
@@ -149,6 +187,8 @@
 		return wait("engine is changing")
 	case in.Seen.Spec == in.Want:
 		return wait("engine is as it should be")
+	case in.Want == in.Memory.Failed && in.Now < in.Memory.retryAt():
+		return wait("the last order for this failed")
 	case load && in.Ahead >= in.Slots:
 		return wait("weight store is taken")
 	}
--- a/process/reconcile/engine.go
+++ b/process/reconcile/engine.go
@@ -102,7 +102,7 @@
 	case Send:
 		r.send(ctx, e, open)
 	case Done:
-		e.memory.End(open.ID)
+		e.memory.End(open, d.Why, r.o.Clock.Now())
 		r.done(ctx, open, e.id, d.Why)
 	case Reclaim:
 		log.WithField("group", e.group).Info("reconcile: engine knows a newer fence, claim anew")
@@ -153,14 +153,19 @@
 
 // answer sorts the outcome of a send: whether the engine answered, and why it
 // refused the order for good. Busy and fenced are answers that end nothing.
+//
+// Any other error that isn't one of the way is a refusal for good. Without
+// that an order for a version that doesn't exist would stay open for ever, and
+// the corrected document could never be ordered.
 func answer(err error) (answered bool, refused string) {
 	switch {
 	case err == nil, errors.Is(err, platform.ErrBusy), errors.Is(err, platform.ErrFenced):
 		return true, ""
-	case code.Of(err) == code.OrderRefused:
-		return true, err.Error()
+	case errors.Is(err, platform.ErrUnavailable), code.Of(err) == code.LeaseLost,
+		errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		return false, ""
 	}
-	return false, ""
+	return true, err.Error()
 }
 
 // done appends the end of an order.
--- a/process/reconcile/harness_test.go
+++ b/process/reconcile/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -59,7 +60,7 @@
 	case o.ID != e.state.LastOrder && e.state.Changing:
 		return platform.ErrBusy
 	case o.Spec.Version == "bad":
-		return code.New(code.OrderRefused, "no such version")
+		return errors.New("engine: status 400: no such version")
 	}
 	e.state.LastFence = max(o.Fence, e.state.LastFence)
 	if o.ID != e.state.LastOrder {
--- a/process/reconcile/reconciler_test.go
+++ b/process/reconcile/reconciler_test.go
@@ -41,8 +41,13 @@
 			f.engines["e0"].set(func(e *fakeEngine) { e.state.ChecksFence, e.state.LastFence = true, f.daemons[0].follow.Applied() })
 		}, "v1 v2 "},
 		{"engine refuses a version", func(f *fleet) {
+			time.Sleep(10 * time.Second) // v1 is in force
+			before, _ := f.log.Counts()
 			f.publish("bad")
-			time.Sleep(20 * time.Second)
+			time.Sleep(10 * time.Minute)
+			if after, _ := f.log.Counts(); after-before > 40 {
+				f.t.Errorf("%d appends for an order that is always refused", after-before)
+			}
 		}, "v1 v2 "},
 		{"holder dies in the middle of a change", func(f *fleet) { f.kill(f.daemons[0]) }, "v1 v2 "},
 		{"two takeovers in a row", func(f *fleet) {
