Every guard shown failing without it; admission with many organisations

Cause: the house rule that a guard's test fails first. With 50 high priority fell to 0.56 of its own at 10x by places: four daemons fill the same gap and the reserve with it. The normal limit now keeps to a cautious estimate too (others taken to send half of their part as well), at 0.90; fair shares begin at 0.75. Tried: limits 0.95/0.95 whole part: high 0.95, others beside a flood 0.935; square root of the part at 0.95: high 0.78. Half the part at 0.90: taken.

--- a/connection/load/cache.go
+++ b/connection/load/cache.go
@@ -21,7 +21,7 @@
 		if e.Seq <= c.seq {
 			continue
 		}
-		if e.Reset || e.Seq != c.seq+1 || len(c.blocks) > maxBlocks {
+		if e.Reset || e.Seq != c.seq+1 {
 			c.blocks = nil
 		}
 		c.seq = e.Seq
--- a/connection/pool/pool_test.go
+++ b/connection/pool/pool_test.go
@@ -91,6 +91,45 @@
 	}
 }
 
+// TestBusyConnectionIsRetiredToo: a connection carries a stream while another
+// one to the same target goes silent. Once its stream is over it is idle, and
+// may be as dead as the other: it must take no request any more.
+func TestBusyConnectionIsRetiredToo(t *testing.T) {
+	reached, release := make(chan string, 1), make(chan struct{})
+	s := newCounted(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/stream" {
+			reached <- r.RemoteAddr
+			<-release
+		}
+		_, _ = io.WriteString(w, r.RemoteAddr)
+	})
+	p := New(Options{})
+	defer p.Close()
+	ask := func(path string) string {
+		req, _ := http.NewRequestWithContext(t.Context(), "POST", "http://"+s.addr()+path, strings.NewReader("x"))
+		x, err := p.Send(req, Reuse)
+		if err != nil {
+			t.Error(err)
+			return ""
+		}
+		defer x.Response.Body.Close()
+		from, _ := io.ReadAll(x.Response.Body)
+		return string(from)
+	}
+	streamed := make(chan string)
+	go func() { streamed <- ask("/stream") }()
+	old := <-reached
+	p.Silent(s.addr())
+	ask("/")
+	close(release)
+	<-streamed
+	for range 3 {
+		if from := ask("/"); from == old {
+			t.Error("a request went over a connection from before the silence")
+		}
+	}
+}
+
 func waitHealthy(p *Pool, addr string) {
 	for s := p.Status(addr); s.Suspect || s.Down; s = p.Status(addr) {
 		time.Sleep(time.Millisecond)
--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -18,6 +18,8 @@
 	lowFull    = 0.70 // requests of low priority
 	normalFull = 0.95 // requests of normal priority
 	highFull   = 1.00 // requests of high priority
+
+	cautiousFull = 0.90 // requests of normal priority, by the cautious estimate
 )
 
 const (
@@ -63,7 +65,7 @@
 		return nil, late(a)
 	}
 	full := s.fullness(a)
-	if over := full.share - limit(a.Priority); over >= 0 {
+	if over := full.over(a.Priority); over >= 0 {
 		return nil, code.New(code.Overloaded, "%.0f%% of the room is taken", full.share*100).
 			After(s.retryAfter(over, room(a.Targets)))
 	}
@@ -102,14 +104,18 @@
 	return s
 }
 
-func limit(priority int) float64 {
+// over tells by how much the room for a priority is exceeded; negative when
+// there is some. Those who leave a reserve to others keep to the cautious
+// estimate too: four processes that each fill the same gap would fill the
+// reserve as well.
+func (f fullness) over(priority int) float64 {
 	switch {
 	case priority > 0:
-		return highFull
+		return f.share - highFull
 	case priority < 0:
-		return lowFull
+		return max(f.share, f.cautious) - lowFull
 	}
-	return normalFull
+	return max(f.share-normalFull, f.cautious-cautiousFull)
 }
 
 // late tells a deadline that is too short for any target from one that the
--- a/request/admission/admission_test.go
+++ b/request/admission/admission_test.go
@@ -23,13 +23,15 @@
 // the fleet would work for nobody. Goodput stays at 95% of that at 1x, and
 // high priority keeps 95% of its own.
 func TestOverload(t *testing.T) {
+	const orgs = 50 // alike, so that fair shares alone bound nothing
 	for _, room := range rooms {
 		base, high := 0.0, 0.0
 		for _, factor := range []float64{1, 2, 5, 10} {
-			s := run(1, room.limit, false, []source{
-				{"high", 1, capacity * 0.1},
-				{"many", 0, capacity*factor - capacity*0.1},
-			})
+			sources := []source{{"high", 1, capacity * 0.1}}
+			for i := range orgs {
+				sources = append(sources, source{fmt.Sprint("org", i), 0, capacity * (factor - 0.1) / orgs})
+			}
+			s := run(1, room.limit, false, sources)
 			if factor == 1 {
 				base, high = s.total(), s.good["high"]
 			}
@@ -93,6 +95,8 @@
 		{"too short for any", half, "a", 0, 11 * time.Second, 12 * time.Second, code.DeadlineTooShort},
 		{"work alone fills the time", half, "a", 0, 9710 * time.Millisecond, 9700 * time.Millisecond, code.OK},
 		{"waiting fills the time", half, "a", 0, 9800 * time.Millisecond, time.Second, code.Overloaded},
+		{"waiting fills half of it", half, "b", 0, 6 * time.Second, time.Second, code.Overloaded},
+		{"waiting fills a little", half, "b", 0, 2 * time.Second, time.Second, code.OK},
 		{"low at contention", busy, "b", -1, 1, 1, code.Overloaded},
 		{"over share at contention", busy, "a", 0, 1, 1, code.OrgOverShare},
 		{"over share, high", busy, "a", 1, 1, 1, code.OK},
--- a/request/admission/fullness.go
+++ b/request/admission/fullness.go
@@ -18,7 +18,7 @@
 // of those who stay below their share, and costs no throughput: the targets
 // are busy at this point.
 const (
-	placesContention = 0.80 // of the places
+	placesContention = 0.75 // of the places
 	waitContention   = 0.20 // of the time that waiting may use
 )
 
@@ -27,6 +27,9 @@
 	// share is the greater of the shares of the places that are taken, and of
 	// the time for waiting that would be used up.
 	share float64
+	// cautious is share with the others taken to have sent half as much more
+	// as this process did.
+	cautious float64
 	// excess is the usage in flight over that at which fair shares begin to be
 	// enforced: from 1 on there is contention.
 	excess float64
@@ -40,7 +43,11 @@
 		return f
 	}
 	wait := waiting(a)
-	return fullness{share: max(f.share, wait.share), excess: max(f.excess, wait.excess)}
+	return fullness{
+		share:    max(f.share, wait.share),
+		cautious: max(f.cautious, wait.share),
+		excess:   max(f.excess, wait.excess),
+	}
 }
 
 // occupancy sums what is known of the live targets.
@@ -94,7 +101,11 @@
 		return max(taken, float64(o.inFlight)) / float64(o.places)
 	}
 	likely := share(1)
-	return fullness{share: likely, excess: max(likely, share(others)) / placesContention}
+	return fullness{
+		share:    likely,
+		cautious: max(likely, share((1+others)/2)),
+		excess:   max(likely, share(others)) / placesContention,
+	}
 }
 
 // waiting is the fullness in time. A request whose work alone takes most of
--- a/request/attempt/runner.go
+++ b/request/attempt/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net/http"
 	"time"
 
@@ -29,6 +30,12 @@
 	Targets(svc *view.Service) []routing.Target
 }
 
+// Metrics of all runners of the process.
+var (
+	attempts = expvar.NewInt("attempt_attempts")
+	failures = expvar.NewMap("attempt_failures") // by class
+)
+
 // KV moves the KV cache of a prompt between two engines, by their names.
 type KV interface {
 	Move(ctx context.Context, from, to string, prefix []uint64) error
@@ -176,6 +183,7 @@
 // books: what was in flight at a death must still stand there.
 func (u *run) attempt(ctx context.Context, t routing.Target, d routing.Decision) *Failure {
 	u.result.Attempts++
+	attempts.Add(1)
 	u.result.Target = t.Name
 	if u.opts.Quarantine != nil && u.q.Fingerprint != 0 {
 		u.opts.Quarantine.Begin(u.q.Fingerprint, t.Name)
@@ -218,6 +226,7 @@
 }
 
 func (u *run) note(f *Failure, t routing.Target) {
+	failures.Add(f.Class.String(), 1)
 	u.last = f
 	u.zone = t.Zone
 	u.result.Written = u.result.Written || !f.notWritten && f.Class != NotWritten
@@ -238,9 +247,9 @@
 // budget. Once the refusal is known, going there again needs it.
 func (u *run) mayRepeat(ctx context.Context, f *Failure, progressed bool) error {
 	doc := u.q.Service.Doc
-	attempts := doc.Retry.Attempts
-	if attempts <= 0 {
-		attempts = defaultAttempts
+	most := doc.Retry.Attempts
+	if most <= 0 {
+		most = defaultAttempts
 	}
 	if f.unforeseen {
 		u.budgets.Count(doc.Service)
@@ -248,7 +257,7 @@
 	switch {
 	case ctx.Err() != nil || !f.repeatable(u.q.Idempotent) || u.recv.Committed():
 		return u.final(f)
-	case u.result.Attempts >= attempts:
+	case u.result.Attempts >= most:
 		return u.final(f)
 	case !progressed && !f.unforeseen && !u.budgets.Take(doc.Service, doc.Retry.Budget):
 		if !u.result.Written {
--- a/request/entry/caller_test.go
+++ b/request/entry/caller_test.go
@@ -165,7 +165,10 @@
 		c.hang()
 		close(cancelled)
 	})
-	f := newFixture(t, []string{s.addr()}, nil, func(o *Options, _ *document.Document) { o.Between = time.Minute })
+	f := newFixture(t, []string{s.addr()}, nil, func(o *Options, d *document.Document) {
+		o.Between = time.Minute
+		d.Objectives.Answer = time.Hour // nothing but the close may end it
+	})
 	body := modelRequest("p", 5, true)
 	c := f.rawConn(rawPost(len(body), body))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -196,7 +199,10 @@
 		}
 	})
 	e := startEngine(t)
-	f := newFixture(t, []string{s.addr(), e.Addr()}, nil, nil)
+	f := newFixture(t, []string{s.addr(), e.Addr()}, nil, func(o *Options, d *document.Document) {
+		o.Write = time.Second           // enough for all of it to arrive, were it taken
+		d.Objectives.Answer = time.Hour // nothing but the stall may end it
+	})
 	body := modelRequest("p", 1, true)
 	f.rawConn(rawPost(len(body), body))
 	for f.pool.Status(s.addr()).InFlight == 0 {
--- a/request/entry/fault_test.go
+++ b/request/entry/fault_test.go
@@ -22,41 +22,42 @@
 		name  string
 		play  func(c *call)
 		other int // requests that the second engine gets
+		kept  int // tokens that the first engine need not be asked for again
 	}{
-		{"well", func(c *call) { c.head().tokens(0, 1, 2, 3, 4).finish(5) }, 0},
-		{"crossed chunk", func(c *call) { c.head().tokens(0, 1).token("other", 2, false).tokens(2, 3, 4).finish(5) }, 0},
-		{"crossed end", func(c *call) { c.head().tokens(0).token("other", 1, true).tokens(1, 2, 3, 4).finish(5) }, 0},
-		{"doubled chunk", func(c *call) { c.head().tokens(0, 1, 1, 2).tokens(2, 0, 3, 4).finish(5) }, 0},
+		{"well", func(c *call) { c.head().tokens(0, 1, 2, 3, 4).finish(5) }, 0, 0},
+		{"crossed chunk", func(c *call) { c.head().tokens(0, 1).token("other", 2, false).tokens(2, 3, 4).finish(5) }, 0, 0},
+		{"crossed end", func(c *call) { c.head().tokens(0).token("other", 1, true).tokens(1, 2, 3, 4).finish(5) }, 0, 0},
+		{"doubled chunk", func(c *call) { c.head().tokens(0, 1, 1, 2).tokens(2, 0, 3, 4).finish(5) }, 0, 0},
 		{"token after the last", func(c *call) {
 			c.head().tokens(0, 1, 2, 3, 4).token(c.id, 5, true).tokens(6, 7).raw("data: [DONE]\n\n")
-		}, 0},
-		{"lost marker", func(c *call) { c.head().tokens(0, 1, 2, 3, 4).token(c.id, 5, true) }, 0},
-		{"gap", func(c *call) { c.head().tokens(0, 1, 3, 4).finish(5) }, 1},
-		{"early marker", func(c *call) { c.head().tokens(0, 1).raw("data: [DONE]\n\n") }, 1},
-		{"clean early end", func(c *call) { c.head().tokens(0, 1) }, 1},
-		{"reset before the header", func(c *call) { c.reset() }, 1},
-		{"reset before a token", func(c *call) { c.head().reset() }, 1},
-		{"reset within a chunk", func(c *call) { c.head().tokens(0, 1).raw(`data: {"id":"`).reset() }, 1},
-		{"end within an event", func(c *call) { c.head().tokens(0, 1).raw(`data: {"id":"` + c.id + `","token_index":2}` + "\n") }, 1},
-		{"another's header", func(c *call) { c.w.Header().Set("X-Request-Id", "other"); c.tokens(0).finish(1) }, 1},
-		{"no header", func(c *call) { c.w.Header().Set("Content-Type", "text/event-stream"); c.tokens(0).finish(1) }, 1},
+		}, 0, 0},
+		{"lost marker", func(c *call) { c.head().tokens(0, 1, 2, 3, 4).token(c.id, 5, true) }, 0, 0},
+		{"gap", func(c *call) { c.head().tokens(0, 1, 3, 4).finish(5) }, 1, 2},
+		{"early marker", func(c *call) { c.head().tokens(0, 1).raw("data: [DONE]\n\n") }, 1, 2},
+		{"clean early end", func(c *call) { c.head().tokens(0, 1) }, 1, 2},
+		{"reset before the header", func(c *call) { c.reset() }, 1, 0},
+		{"reset before a token", func(c *call) { c.head().reset() }, 1, 0},
+		{"reset within a chunk", func(c *call) { c.head().tokens(0, 1).raw(`data: {"id":"`).reset() }, 1, 2},
+		{"end within an event", func(c *call) { c.head().tokens(0, 1).raw(`data: {"id":"` + c.id + `","token_index":2}` + "\n") }, 1, 2},
+		{"another's header", func(c *call) { c.w.Header().Set("X-Request-Id", "other"); c.tokens(0).finish(1) }, 1, 0},
+		{"no header", func(c *call) { c.w.Header().Set("Content-Type", "text/event-stream"); c.tokens(0).finish(1) }, 1, 0},
 		{"not an event stream", func(c *call) {
 			c.w.Header().Set("X-Request-Id", c.id)
 			c.w.Header().Set("Content-Type", "text/html")
 			c.tokens(0).finish(1)
-		}, 1},
-		{"unknown field", func(c *call) { c.head().tokens(0).raw("dat: 1\n\n").tokens(1).finish(2) }, 1},
-		{"not JSON", func(c *call) { c.head().tokens(0).raw("data: {\n\n").tokens(1).finish(2) }, 1},
-		{"no token index", func(c *call) { c.head().tokens(0).raw(`data: {"id":"` + c.id + `"}` + "\n\n").finish(1) }, 1},
-		{"endless line", func(c *call) { c.head().tokens(0).raw("data: " + long).hang() }, 1},
-		{"endless event", func(c *call) { c.head().tokens(0).raw(strings.Repeat("data: "+long[:1000]+"\n", 300)).hang() }, 1},
-		{"error event", func(c *call) { c.head().tokens(0).raw(`data: {"error":{"code":1}}` + "\n\n").hang() }, 1},
-		{"silent before the header", func(c *call) { c.hang() }, 1},
-		{"silent before a token", func(c *call) { c.head().hang() }, 1},
-		{"silent within the answer", func(c *call) { c.head().tokens(0, 1, 2).hang() }, 1},
-		{"full", func(c *call) { c.w.WriteHeader(http.StatusServiceUnavailable) }, 1},
-		{"failing", func(c *call) { c.w.Header().Set("X-Request-Id", c.id); c.w.WriteHeader(http.StatusInternalServerError) }, 1},
-		{"model gone", func(c *call) { c.w.Header().Set("X-Not-Run", "true"); c.w.WriteHeader(http.StatusNotFound) }, 1},
+		}, 1, 0},
+		{"unknown field", func(c *call) { c.head().tokens(0).raw("dat: 1\n\n").tokens(1).finish(2) }, 1, 1},
+		{"not JSON", func(c *call) { c.head().tokens(0).raw("data: {\n\n").tokens(1).finish(2) }, 1, 1},
+		{"no token index", func(c *call) { c.head().tokens(0).raw(`data: {"id":"` + c.id + `"}` + "\n\n").finish(1) }, 1, 1},
+		{"endless line", func(c *call) { c.head().tokens(0).raw("data: " + long).hang() }, 1, 1},
+		{"endless event", func(c *call) { c.head().tokens(0).raw(strings.Repeat("data: "+long[:1000]+"\n", 300)).hang() }, 1, 1},
+		{"error event", func(c *call) { c.head().tokens(0).raw(`data: {"error":{"code":1}}` + "\n\n").hang() }, 1, 1},
+		{"silent before the header", func(c *call) { c.hang() }, 1, 0},
+		{"silent before a token", func(c *call) { c.head().hang() }, 1, 0},
+		{"silent within the answer", func(c *call) { c.head().tokens(0, 1, 2).hang() }, 1, 3},
+		{"full", func(c *call) { c.w.WriteHeader(http.StatusServiceUnavailable) }, 1, 0},
+		{"failing", func(c *call) { c.w.Header().Set("X-Request-Id", c.id); c.w.WriteHeader(http.StatusInternalServerError) }, 1, 0},
+		{"model gone", func(c *call) { c.w.Header().Set("X-Not-Run", "true"); c.w.WriteHeader(http.StatusNotFound) }, 1, 0},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -70,6 +71,9 @@
 			if n := len(good.Record().Requests); n != tc.other {
 				t.Errorf("second engine got %d requests, want %d", n, tc.other)
 			}
+			if n := good.Record().Tokens; tc.other > 0 && n != answerTokens-tc.kept {
+				t.Errorf("second engine made %d tokens, want %d", n, answerTokens-tc.kept)
+			}
 			if n := bad.count(); n != 1 {
 				t.Errorf("first engine got %d requests, want 1", n)
 			}
@@ -197,6 +201,22 @@
 	}
 }
 
+// TestHandoverToTheDead: the decode engine refuses connections. The prefill
+// engine goes on by itself, and is not asked for one token at a time.
+func TestHandoverToTheDead(t *testing.T) {
+	prefill := startEngine(t)
+	dead := newScript(t, nil)
+	dead.Close()
+	f := newFixture(t, []string{prefill.Addr(), dead.addr()}, nil, func(o *Options, _ *document.Document) { o.Router = handover{} })
+	r := f.complete("prompt", 50, "X-Request-Id", "mine")
+	if err := checkStream(r.body, "mine", "prompt", 50); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(prefill.Record().Requests); n != 2 {
+		t.Errorf("the prefill engine got %d requests, want 2", n)
+	}
+}
+
 // handover sends every prompt to e0 and every answer to e1.
 type handover struct{}
 
--- a/request/entry/observe.go
+++ b/request/entry/observe.go
@@ -1,12 +1,21 @@
 package entry
 
 import (
+	"expvar"
+	"strconv"
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/process/burn"
 )
 
+// Metrics of all entries of the process.
+var (
+	results    = expvar.NewMap("entry_results")        // finished requests by result code
+	firstToken = expvar.NewInt("entry_first_token_ns") // sum over streamed answers
+	tokensSent = expvar.NewInt("entry_tokens")         // passed on to callers
+)
+
 // observation measures one request for the burn report.
 type observation struct {
 	to    burn.Observer
@@ -19,10 +28,15 @@
 }
 
 // token notes the first token.
-func (o *observation) token() { o.s.First = time.Since(o.begun) }
+func (o *observation) token() {
+	o.s.First = time.Since(o.begun)
+	firstToken.Add(int64(o.s.First))
+}
 
 // end hands the sample over.
 func (o *observation) end(err error, tokens int) {
+	results.Add(strconv.Itoa(int(code.Of(err))), 1)
+	tokensSent.Add(int64(tokens))
 	if o.to == nil {
 		return
 	}
--- a/request/entry/path_test.go
+++ b/request/entry/path_test.go
@@ -46,12 +46,13 @@
 		addrs = append(addrs, e.Addr())
 	}
 	var w *load.Watcher
-	f := newFixture(t, addrs, nil, func(o *Options, _ *document.Document) {
+	f := newFixture(t, addrs, nil, func(o *Options, d *document.Document) {
+		d.Retry.Budget = 0 // the reserve only: less than there are callers
 		if w == nil {
 			w = real(t, o)
 		}
 	})
-	const callers = 8
+	const callers = 32
 	var stop atomic.Bool
 	var answered atomic.Int32
 	var wg sync.WaitGroup
--- a/request/stream/stream_test.go
+++ b/request/stream/stream_test.go
@@ -61,6 +61,27 @@
 	}
 }
 
+// TestRelayErrors: why an attempt's stream counts as broken.
+func TestRelayErrors(t *testing.T) {
+	own := `data: {"id":"a","token_index":0}` + "\n\n"
+	for in, want := range map[string]error{
+		own + `data: {"error":{"code":1},"id":"a","token_index":1}` + "\n\n": ErrTarget,
+		own + `data: {"error":null,"id":"a","token_index":2}` + "\n\n":       ErrCut,
+		own + "data: [DONE]\n\n": ErrCut,
+		own:                      io.EOF,
+		own + "data":             io.ErrUnexpectedEOF,
+		own + "data: {\n\n":      ErrMalformed,
+		strings.Repeat(`data: {"id":"b","token_index":0}`+"\n\n", maxForeign+1): ErrCut,
+	} {
+		if err := NewRelay("caller", 0, &sink{}).Run(strings.NewReader(in), "a"); !errors.Is(err, want) {
+			t.Errorf("%.80q: %v, want %v", in, err, want)
+		}
+	}
+	if err := NewRelay("caller", 0, &sink{err: io.ErrClosedPipe}).Run(strings.NewReader(own), "a"); !errors.Is(err, ErrCaller) {
+		t.Error(err)
+	}
+}
+
 // FuzzSSE: whatever an engine sends, in whatever pieces, the reader ends, stays
 // within its limit, and a relay passes on no token twice, none out of order
 // and no end marker before the last token.
