--- a/process/planner/capacity.go
+++ b/process/planner/capacity.go
@@ -2,17 +2,18 @@
 
 import "github.com/pomelospool/pomelospool/platform"
 
-// fleet is the engines of each role, as the sum of their speeds.
+// fleet is the number of engines of each role.
 type fleet struct{ prefill, mixed, decode float64 }
 
-func (f fleet) with(role platform.Role, speed float64) fleet {
+// with adds n engines of a role.
+func (f fleet) with(role platform.Role, n float64) fleet {
 	switch role {
 	case platform.RolePrefill:
-		f.prefill += speed
+		f.prefill += n
 	case platform.RoleDecode:
-		f.decode += speed
+		f.decode += n
 	default:
-		f.mixed += speed
+		f.mixed += n
 	}
 	return f
 }
@@ -37,6 +38,7 @@
 // Bounds of the search for the largest mix that fits.
 const (
 	maxHeadroom  = 4
+	minHeadroom  = 0.01
 	bisections   = 18
 	easy         = 0.75 // use of the fleet below which all requests are on time
 	lossWhenFull = 0.08 // share that is late when use is 1
--- a/process/planner/memory.go
+++ b/process/planner/memory.go
@@ -4,8 +4,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/pomelospool/pomelospool/platform"
 )
 
 // Times around changes that went wrong, or whose outcome isn't seen yet.
@@ -14,9 +12,6 @@
 	firstBackoff = 30 * time.Second
 	maxBackoff   = 10 * time.Minute
 	awayWeight   = 0.3
-	speedWeight  = 0.02
-	minSpeed     = 0.5
-	maxSpeed     = 1.5
 )
 
 // remember brings the memory of each engine up to date: orders that were
@@ -26,12 +21,11 @@
 	s.Engines = make([]EngineMemory, 0, len(o.Engines))
 	for i := range o.Engines {
 		e := &o.Engines[i]
-		m := EngineMemory{Name: e.Name, Incarnation: e.Incarnation, Speed: 1, Since: s.Started}
+		m := EngineMemory{Name: e.Name, Incarnation: e.Incarnation, Since: s.Started}
 		if j, ok := findMemory(old, e.Name); ok {
 			m = old[j]
 		}
 		s.settle(now, e, &m)
-		m.learnSpeed(e, &s.Rates)
 		m.Incarnation = e.Incarnation
 		s.Engines = append(s.Engines, m)
 	}
@@ -66,24 +60,3 @@
 func (s *State) learnAway(d time.Duration) {
 	s.Away += time.Duration(awayWeight * float64(d-s.Away))
 }
-
-// learnSpeed compares the engine's own rate with the mean engine's, in
-// whatever role it has now; the other roles are taken to scale alike.
-func (m *EngineMemory) learnSpeed(e *Engine, r *Rates) {
-	l := &e.Load
-	if !e.Live || e.Changing {
-		return
-	}
-	var speed float64
-	switch {
-	case r.pressed(e):
-		speed = l.PrefillRate / r.Prefill
-	case e.Role == platform.RoleDecode && l.QueuedPrefill == 0 && l.Running >= minFitStreams && l.DecodeRate > 0:
-		n := float64(l.Running)
-		speed = (r.Base + n*r.PerStream) * l.DecodeRate / n
-	default:
-		return
-	}
-	speed = min(max(speed, minSpeed), maxSpeed)
-	m.Speed += speedWeight * (speed - m.Speed)
-}
--- a/process/planner/plan.go
+++ b/process/planner/plan.go
@@ -114,17 +114,12 @@
 	for i := range o.Engines {
 		e := &o.Engines[i]
 		if e.Live && !e.Changing {
-			f = f.with(e.Role, s.speed(e.Name))
+			f = f.with(e.Role, 1)
 		}
 	}
 	return f
 }
 
-func (s *State) speed(name string) float64 {
-	i, _ := findMemory(s.Engines, name)
-	return s.Engines[i].Speed
-}
-
 // candidate is the engine of a role that costs least to take away: the one
 // with the least work to finish first.
 func (s *State) candidate(now time.Duration, o *Observation, doc *document.Document, role platform.Role) *Engine {
@@ -160,9 +155,8 @@
 // trust horizon under the mix of now, then for a while under the usual mix
 // (the new role stays until another change pays), less what is lost while the engine is away.
 func (s *State) gain(now time.Duration, f fleet, e *Engine, to platform.Role) float64 {
-	speed := s.speed(e.Name)
-	without := f.with(e.Role, -speed)
-	after := without.with(to, speed)
+	without := f.with(e.Role, -1)
+	after := without.with(to, 1)
 	r, fast, slow := &s.Rates, s.Demand.Fast, s.Demand.Slow
 	away := s.Away.Seconds()
 	lost := (r.onTime(f, fast) - r.onTime(without, fast)) * away
--- a/process/planner/types.go
+++ b/process/planner/types.go
@@ -59,7 +59,6 @@
 type EngineMemory struct {
 	Name        string
 	Incarnation string
-	Speed       float64 // against the mean engine
 	Since       time.Duration
 	Pending     platform.Role // ordered and not seen yet, or empty
 	Ordered     time.Duration
