--- a/request/routing/policy_test.go
+++ b/request/routing/policy_test.go
@@ -42,6 +42,7 @@
 // TestRoute holds one case for each rule: what the rule sees, and who is chosen.
 func TestRoute(t *testing.T) {
 	running := func(n int) func(*Target) { return func(t *Target) { t.Load.Running = n; t.InFlight = n } }
+	crowd := func(n int) func(*Target) { return func(t *Target) { running(n)(t); t.Limit = 200 } }
 	cases := []struct {
 		name    string
 		req     func(*Request)
@@ -90,6 +91,13 @@
 		{name: "waits when spilling costs more", want: Decision{Target: "p", Decode: "d"}, targets: []Target{
 			engine("d", as(platform.RoleDecode), running(40)), engine("p", as(platform.RolePrefill), queued(800))}},
 		{name: "only prefill engines left", want: Decision{Target: "p", Spilled: true}, targets: []Target{engine("p", as(platform.RolePrefill))}},
+		{name: "room for one more stream", want: Decision{Target: "p", Decode: "e"}, targets: []Target{
+			engine("d", as(platform.RoleDecode), crowd(80)), engine("e", as(platform.RoleDecode), crowd(60)), engine("p", as(platform.RolePrefill))}},
+		{name: "no room for one more stream", err: code.Overloaded, targets: []Target{
+			engine("d", as(platform.RoleDecode), crowd(80)), engine("p", as(platform.RolePrefill))}},
+		{name: "urgent", req: func(r *Request) { r.Priority = 1 }, want: Decision{Target: "p", Decode: "d"}, targets: []Target{
+			engine("d", as(platform.RoleDecode), crowd(72)), engine("p", as(platform.RolePrefill))}},
+		{name: "no room on a mixed engine", err: code.Overloaded, targets: []Target{engine("m", crowd(80))}},
 		{name: "plain", req: func(r *Request) { r.Model = "" }, want: Decision{Target: "b"}, targets: []Target{
 			{Name: "a", Live: true, InFlight: 5}, {Name: "b", Live: true, InFlight: 2}}},
 	}
