--- a/bench/policy/engine.go
+++ b/bench/policy/engine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/request/routing"
 )
 
 // job is one request on its way.
@@ -18,6 +19,8 @@
 	first     float64 // when the first token came, 0 before
 	tried     []string
 	prefillAt *engine
+	expected  routing.Decision // what routing expected at the last attempt
+	sentAt    float64
 }
 
 // engine is one model engine. It works step by step: each step gives every
--- a/bench/policy/result.go
+++ b/bench/policy/result.go
@@ -1,5 +1,7 @@
 package policy
 
+import "math"
+
 // Result is what one system did on one trace. Work is counted in
 // engine-seconds on dedicated engines, so that a long prompt and a long output
 // weigh what they cost.
@@ -19,9 +21,13 @@
 	LateAnswer  int     `json:"late_answer"`
 	Lost        int     `json:"lost"` // in crashes, with no engine to go on
 	Changes     int     `json:"changes"`
-	LostEach    float64 `json:"lost_each"` // engine-seconds of work for each change
+	LostEach    float64 `json:"lost_each"`    // engine-seconds of work for each change
+	FirstBias   float64 `json:"first_bias"`   // mean seconds by which the first token came later than expected
+	FirstError  float64 `json:"first_error"`  // mean seconds off, either way
+	FinishRatio float64 `json:"finish_ratio"` // mean time to the end over the expected one
 
 	offered, onTime, tokens, lost float64
+	ended                         int
 	Points                        []Point `json:"-"`
 }
 
@@ -34,10 +40,27 @@
 	Roles   [3]int // prefill, mixed, decode
 }
 
+// compare sums how far routing's estimates were off.
+func (r *Result) compare(j *job, at float64) {
+	if j.expected.Finish <= 0 || len(j.tried) > 0 {
+		return
+	}
+	off := j.first - j.sentAt - j.expected.First.Seconds()
+	r.ended++
+	r.FirstBias += off
+	r.FirstError += math.Abs(off)
+	r.FinishRatio += (at - j.sentAt) / j.expected.Finish.Seconds()
+}
+
 func (r *Result) finish(t *Trace) {
 	r.Trace, r.Seed = t.Name, t.Seed
 	r.Goodput = r.onTime / t.Length
 	r.Tokens = r.tokens / t.Length
+	if r.ended > 0 {
+		r.FirstBias /= float64(r.ended)
+		r.FirstError /= float64(r.ended)
+		r.FinishRatio /= float64(r.ended)
+	}
 	if r.Changes > 0 {
 		r.LostEach = r.lost / float64(r.Changes)
 	}
--- a/bench/policy/run.go
+++ b/bench/policy/run.go
@@ -224,6 +224,7 @@
 func (r *run) send(j *job, p *engine, d *routing.Decision, v *view) {
 	first := j.first == 0 && j.prefillAt == nil
 	j.decodeAt = p
+	j.expected, j.sentAt = *d, r.now
 	if d.Decode != "" && d.Decode != p.name {
 		j.decodeAt = r.byName[d.Decode]
 		j.decodeAt.expected++
@@ -283,6 +284,7 @@
 	}
 	v.targets[r.index[j.decodeAt.name]].InFlight--
 	work := r.m.work(float64(j.arrival.prompt), float64(j.out))
+	r.res.compare(j, at)
 	between := 0.0
 	if j.out > 1 {
 		between = (at - j.first) / float64(j.out-1)
--- a/bench/policy/summary.go
+++ b/bench/policy/summary.go
@@ -65,6 +65,9 @@
 	s.Lost += r.Lost
 	s.Changes += r.Changes
 	s.lost += r.lost
+	s.FirstBias += r.FirstBias
+	s.FirstError += r.FirstError
+	s.FinishRatio += r.FinishRatio
 }
 
 // mean turns rates into means; counts stay sums over the seeds.
@@ -73,6 +76,9 @@
 	s.Goodput /= n
 	s.Bound /= n
 	s.Tokens /= n
+	s.FirstBias /= n
+	s.FirstError /= n
+	s.FinishRatio /= n
 	s.Share = s.Goodput / s.Bound
 	if s.Changes > 0 {
 		s.LostEach = s.lost / float64(s.Changes)
