--- a/bench/policy/summary.go
+++ b/bench/policy/summary.go
@@ -65,6 +65,9 @@
 	s.Lost += r.Lost
 	s.Changes += r.Changes
 	s.lost += r.lost
+	s.FirstBias += r.FirstBias
+	s.FirstError += r.FirstError
+	s.FinishRatio += r.FinishRatio
 }
 
 // mean turns rates into means; counts stay sums over the seeds.
@@ -73,6 +76,9 @@
 	s.Goodput /= n
 	s.Bound /= n
 	s.Tokens /= n
+	s.FirstBias /= n
+	s.FirstError /= n
+	s.FinishRatio /= n
 	s.Share = s.Goodput / s.Bound
 	if s.Changes > 0 {
 		s.LostEach = s.lost / float64(s.Changes)
@@ -120,3 +126,18 @@
 	}
 	return out
 }
+
+// Remarks compares with the rows that are no baselines of the goals: our own
+// routing under the threshold rule, and without any role change.
+func Remarks(sums []Summary) []string {
+	us := Find(sums, Pomelospool)
+	var out []string
+	for _, name := range []string{RoutingOnly, OurThresh} {
+		s := Find(sums, name)
+		if s.Goodput > us.Goodput {
+			out = append(out, fmt.Sprintf("%q reaches %.1f%% of the bound with %d changes, pomelospool %.1f%% with %d",
+				name, 100*s.Share, s.Changes, 100*us.Share, us.Changes))
+		}
+	}
+	return out
+}
