make chaos: a seeded run under faults, judged by what targets recorded

Change: bench/chaos makes schedule and load from the seed, scripts/chaos.sh carries the schedule out on 4 daemons, 4 engines (one ignores fencing numbers) and 2 plain services, bench/audit defines and counts lost, doubled, crossed, cut, untrue and conflicting. Plain services are never ended: they hold the count of runs. pomelosbench get and fault stand in for curl. Weighed: persisting the stand-ins' records over crashes; saving an engine's record just before its crash is enough, since only conflicting orders are read.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: help build test check generate demo
+.PHONY: help build test check generate demo chaos
 
 help: ## List the targets.
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -25,3 +25,6 @@
 
 demo: build ## The whole path as separate processes on loopback.
 	./scripts/demo.sh
+
+chaos: build ## A seeded run under faults; SEED=1 DURATION=60.
+	./scripts/chaos.sh
--- /dev/null
+++ b/bench/audit/judge_test.go
@@ -0,0 +1,96 @@
+package audit
+
+import (
+	"testing"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/operator/caller"
+)
+
+const deadline = 20000
+
+func stream(o Outcome) Outcome {
+	o.Kind, o.ID, o.Asked, o.DeadlineMs = KindStream, "s", 9, deadline
+	return o
+}
+
+func plain(kind Kind, o Outcome) Outcome {
+	o.Kind, o.ID, o.Key, o.DeadlineMs = kind, "r", "k", deadline
+	return o
+}
+
+// A checker that can't fail proves nothing: each fault that the runs look for
+// must turn the verdict, and nothing else must.
+func TestJudge(t *testing.T) {
+	whole := Outcome{Whole: true, Tokens: 9, Status: 200, OwnBody: true}
+	refused := Outcome{NotRun: true, Code: code.Draining, Status: 503}
+	unknown := Outcome{Code: code.OutcomeUnknown, Status: 502}
+	with := func(o Outcome, f func(*Outcome)) Outcome { f(&o); return o }
+	for _, c := range []struct {
+		name     string
+		outcomes []Outcome
+		runs     int
+		want     Row
+	}{
+		{"stream whole", []Outcome{stream(whole)}, 0, Row{Answered: 1}},
+		{"stream refused", []Outcome{stream(refused)}, 0, Row{NotRun: 1}},
+		{"stream too short", []Outcome{stream(with(whole, func(o *Outcome) { o.Tokens = 8 }))}, 0, Row{Answered: 1, Cut: 1}},
+		{"stream with a gap", []Outcome{stream(with(whole, func(o *Outcome) { o.Faults.Lost = 1 }))}, 0, Row{Answered: 1, Cut: 1}},
+		{"stream with a token twice", []Outcome{stream(with(whole, func(o *Outcome) { o.Faults.Doubled = 1 }))}, 0, Row{Answered: 1, Doubled: 1}},
+		{"stream of another", []Outcome{stream(with(whole, func(o *Outcome) { o.Faults.Wrong = 1 }))}, 0, Row{Answered: 1, Crossed: 1}},
+		{"stream cut, told", []Outcome{stream(Outcome{Code: code.StreamCut, Status: 200})}, 0, Row{Cut: 1}},
+		{"given up, told", []Outcome{stream(Outcome{Code: code.TargetFailed, Status: 502})}, 0, Row{Told: 1}},
+		{"past its deadline, told", []Outcome{stream(Outcome{Code: code.DeadlinePassed, Status: 504, TookMs: deadline})}, 0, Row{Told: 1}},
+		{"said past its deadline before it was", []Outcome{stream(Outcome{Code: code.DeadlinePassed, Status: 504, TookMs: 9000})}, 0, Row{Lost: 1}},
+		{"no word by the deadline", []Outcome{stream(Outcome{Code: code.DeadlinePassed, TookMs: deadline})}, 0, Row{Lost: 1}},
+		{"a fault of the daemon itself", []Outcome{stream(Outcome{Code: code.Internal, Status: 500})}, 0, Row{Lost: 1}},
+
+		{"board", []Outcome{plain(KindFeed, whole)}, 1, Row{Answered: 1}},
+		{"board, run again after a fault", []Outcome{plain(KindFeed, whole)}, 2, Row{Answered: 1}},
+		{"board of another", []Outcome{plain(KindFeed, with(whole, func(o *Outcome) { o.OwnBody = false }))}, 1, Row{Answered: 1, Crossed: 1}},
+		{"board from nowhere", []Outcome{plain(KindFeed, whole)}, 0, Row{Answered: 1, Lost: 1}},
+		{"board said not run, but ran", []Outcome{plain(KindFeed, refused)}, 1, Row{NotRun: 1, Untrue: 1}},
+
+		{"ticket", []Outcome{plain(KindOnce, whole)}, 1, Row{Answered: 1}},
+		{"ticket asked for twice", []Outcome{plain(KindOnce, whole), plain(KindOnce, whole)}, 1, Row{Answered: 1}},
+		{"ticket twice", []Outcome{plain(KindOnce, whole)}, 2, Row{Answered: 1, Doubled: 1}},
+		{"ticket unknown", []Outcome{plain(KindOnce, unknown)}, 1, Row{Unknown: 1}},
+		{"ticket unknown, not run", []Outcome{plain(KindOnce, unknown)}, 0, Row{Unknown: 1}},
+		{"ticket unknown, ran twice", []Outcome{plain(KindOnce, unknown)}, 2, Row{Unknown: 1, Doubled: 1}},
+		{"ticket unknown, then known", []Outcome{plain(KindOnce, unknown), plain(KindOnce, whole)}, 1, Row{Answered: 1}},
+		{"ticket unknown, then refused", []Outcome{plain(KindOnce, unknown), plain(KindOnce, refused)}, 1, Row{Unknown: 1}},
+		{"ticket said not run, but ran", []Outcome{plain(KindOnce, refused)}, 1, Row{NotRun: 1, Untrue: 1}},
+		{"ticket from nowhere", []Outcome{plain(KindOnce, whole)}, 0, Row{Answered: 1, Lost: 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			kind := c.outcomes[0].Kind
+			p := Plain{Keys: map[string]int{"k": c.runs}}
+			if kind == KindFeed {
+				p = Plain{Requests: map[string]int{"r.1": c.runs}}
+			}
+			rep := Judge(c.outcomes, Records{Plain: []Plain{p}})
+			c.want.Kind, c.want.Sent = kind, 1
+			for _, row := range rep.Rows {
+				if row.Kind == kind && row != c.want {
+					t.Errorf("got  %+v\nwant %+v", row, c.want)
+				}
+			}
+			if rep.Good() != c.want.Good() {
+				t.Errorf("good: %t", rep.Good())
+			}
+		})
+	}
+}
+
+func TestConflictingOrdersAndCuts(t *testing.T) {
+	for _, e := range []Engine{{Overlapping: 1}, {Stale: 1}} {
+		if Judge(nil, Records{Engines: []Engine{{}, e}}).Good() {
+			t.Errorf("%+v passes", e)
+		}
+	}
+	repeated := stream(Outcome{Whole: true, Tokens: 9, Attempts: 2, Cut: 1, Faults: caller.Faults{}})
+	rep := Judge([]Outcome{repeated}, Records{})
+	if !rep.Good() || rep.Untouched() {
+		t.Error("an answer that was cut once and repeated must pass under faults only")
+	}
+}
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
-BIN=$ROOT/bin
+BIN=${BIN:-$ROOT/bin}
 WORK=$(mktemp -d)
 declare -A PIDS=()
 
@@ -77,10 +77,14 @@
   start weights "$BIN/pomelostandin" weights --listen $WEIGHTS_ADDR --size 200000000 --rate 1e9
 }
 
-# start_engine N starts model engine N.
+# start_engine N starts model engine N. Those named in UNFENCED ignore the
+# fencing numbers of orders, as some deployments' engines do.
+UNFENCED=" "
 start_engine() {
+  local fence=(--checks-fence)
+  [[ $UNFENCED != *" $1 "* ]] || fence=()
   start "engine-$1" "$BIN/pomelostandin" engine --listen "127.0.2.$1:17200" --name "engine-$1" \
-    --weights "http://$WEIGHTS_ADDR" --role-change 1s --checks-fence
+    --weights "http://$WEIGHTS_ADDR" --role-change 1s "${fence[@]}"
 }
 
 # start_plain N starts plain service N.
@@ -88,6 +92,64 @@
 
 ctl() { "$BIN/pomelosctl" "$@"; }
 
+bench() { "$BIN/pomelosbench" "$@"; }
+
+# start_fleet DAEMONS ENGINES PLAIN starts the platform and so many processes
+# over three availability zones, and waits until the daemons live.
+start_fleet() {
+  local n vms=()
+  for n in $(seq "$1"); do vms+=("entry-$n=127.0.1.$n@$(zone "$n")"); done
+  for n in $(seq "$2"); do vms+=("engine-$n=127.0.2.$n@$(zone "$n")"); done
+  for n in $(seq "$3"); do vms+=("plain-$n=127.0.3.$n@$(zone "$n")"); done
+  start_platform "${vms[@]}"
+  for n in $(seq "$2"); do start_engine "$n"; done
+  for n in $(seq "$3"); do start_plain "$n"; done
+  bench get --wait 10s "http://$LOG_ADDR/_standin/record" >/dev/null
+  bench get --wait 10s "http://$VMS_ADDR/vms" >/dev/null
+  for n in $(seq "$1"); do start_daemon "$n" "$(zone "$n")"; done
+  for n in $(seq "$1"); do bench get --wait 10s "http://127.0.1.$n:17102/healthz" >/dev/null; done
+  # shellcheck disable=SC2046 # a list of numbers
+  use_daemons $(seq "$1")
+}
+
+# zone N gives the availability zone of the N-th process of a kind.
+zone() {
+  local zones=(zone-a zone-b zone-c)
+  echo "${zones[$((($1 - 1) % 3))]}"
+}
+
+# publish_all DAEMONS ENGINES FILE... publishes documents, and waits until all
+# daemons serve and all engines have loaded their model.
+publish_all() {
+  local n daemons=$1 engines=$2 f
+  shift 2
+  for f in "$@"; do ctl publish "$f"; done
+  for n in $(seq "$daemons"); do bench get --wait 15s "http://127.0.1.$n:17102/readyz" >/dev/null; done
+  for n in $(seq "$engines"); do wait_engine "$n" >/dev/null; done
+}
+
+# wait_engine N waits until engine N has carried out an order.
+wait_engine() {
+  bench get --wait 20s --has 'changing":false' --has 'last_order":"order' "http://127.0.2.$1:17200/control/state"
+}
+
+# save_record NAME keeps what a stand-in recorded up to now in $RECORDS.
+RECORDS=$WORK/records
+mkdir -p "$RECORDS"
+declare -A LIVES=()
+save_record() {
+  bench get --wait 5s "http://$(address "$1")/_standin/record" >"$RECORDS/$1.${LIVES[$1]:-0}.json"
+}
+
+# address NAME gives host and port of a stand-in.
+address() {
+  case $1 in
+  log) echo "$LOG_ADDR" ;;
+  engine-*) echo "127.0.2.${1#engine-}:17200" ;;
+  plain-*) echo "127.0.3.${1#plain-}:17300" ;;
+  esac
+}
+
 # use_daemons N... names the daemons to pomelosctl.
 use_daemons() {
   local n ops=() callers=()
