caller: "not run" holds only if it is true of every attempt

A call whose first daemon died in the middle and whose others then refused was told "not run"; a caller who sends it under a new key runs it twice. Change: such a request ends as OUTCOME_UNKNOWN, not run false. Shown failing first: without verdict, three of the four cases say "not run true, code 1005 ...; want false, 3003".

--- a/bench/audit/outcome.go
+++ b/bench/audit/outcome.go
@@ -106,6 +106,7 @@
 	code.DeadlinePassed:   true,
 	code.AnswerMismatch:   true,
 	code.TargetRefused:    true,
+	code.OutcomeUnknown:   true, // refused in the end, after an attempt that may have run
 }
 
 // short tells whether an answer that was taken as whole is not.
--- a/operator/caller/caller_test.go
+++ b/operator/caller/caller_test.go
@@ -238,3 +238,32 @@
 		t.Errorf("%d runs for 10 calls", len(hosts))
 	}
 }
+
+// A daemon is killed while it runs a ticket confirmation; the caller asks the
+// others with the same key, and all of them are draining. Each of those refusals
+// is true, but a caller told "not run" for the whole would confirm the ticket
+// anew under another key, and charge the family twice.
+func TestNotRunHoldsForAllAttempts(t *testing.T) {
+	draining := refuse(code.Draining, true, true)
+	keyed := Request{Path: "/s/app/holds", Body: []byte("{}"), Key: "k1"}
+	chat := Chat("m", "hello", 3)
+	for _, tt := range []struct {
+		name   string
+		req    Request
+		acts   []act
+		code   code.Code
+		notRun bool
+	}{
+		{"all refused", keyed, []act{draining}, code.Draining, true},
+		{"daemon gone, then refused", keyed, []act{vanish, draining}, code.OutcomeUnknown, false},
+		{"busy, then refused", keyed, []act{refuse(code.KeyBusy, false, false), draining}, code.OutcomeUnknown, false},
+		{"stream cut, then refused", chat, []act{stream(tok(0)), draining}, code.OutcomeUnknown, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			a, err := newFleet(t, 3, tt.acts...).client().Do(t.Context(), tt.req)
+			if a.NotRun != tt.notRun || a.Code != tt.code || code.Of(err) != tt.code {
+				t.Errorf("not run %t, code %d, error %v; want %t, %d", a.NotRun, a.Code, err, tt.notRun, tt.code)
+			}
+		})
+	}
+}
--- a/operator/caller/send.go
+++ b/operator/caller/send.go
@@ -35,7 +35,7 @@
 	call := &call{c: c, r: &r, a: &Answer{ID: r.ID}, start: start, end: start.Add(r.Deadline)}
 	ctx, cancel := context.WithDeadline(ctx, call.end.Add(deadlineGrace))
 	defer cancel()
-	err := call.run(ctx)
+	err := call.verdict(call.run(ctx))
 	call.a.Total = time.Since(start)
 	call.a.Whole = err == nil
 	return call.a, err
@@ -43,12 +43,25 @@
 
 // call is one request with all its attempts.
 type call struct {
-	c     *Client
-	r     *Request
-	a     *Answer
-	start time.Time
-	end   time.Time
-	avoid string // address that refused or failed last
+	c      *Client
+	r      *Request
+	a      *Answer
+	start  time.Time
+	end    time.Time
+	avoid  string // address that refused or failed last
+	mayRun bool   // an attempt may have run
+}
+
+// verdict corrects what the last attempt said about the whole request. A
+// refusal as not run is true for its own attempt only: after one that may have
+// run, a caller who takes it for the whole would send the call anew under
+// another key, and it would run twice.
+func (c *call) verdict(err error) error {
+	if err == nil || !c.a.NotRun || !c.mayRun {
+		return err
+	}
+	c.a.Code, c.a.NotRun = code.OutcomeUnknown, false
+	return code.Wrap(code.OutcomeUnknown, err, "an earlier attempt may have run")
 }
 
 func (c *call) run(ctx context.Context) error {
@@ -89,6 +102,7 @@
 	if err == nil {
 		return step{}, nil
 	}
+	c.mayRun = c.mayRun || !c.a.NotRun
 	next := t.next(err)
 	if next.elsewhere {
 		c.c.book.fail(addr)
