--- a/bench/capacity/meter.go
+++ b/bench/capacity/meter.go
@@ -64,7 +64,8 @@
 
 type countedConn struct {
 	net.Conn
-	w *wire
+	w     *wire
+	reads bool // count what arrives too
 }
 
 // Write counts and passes on.
@@ -75,10 +76,12 @@
 	return n, err
 }
 
-// countedListener counts what its accepted connections write.
+// countedListener counts what its accepted connections write, and what they
+// read if told so.
 type countedListener struct {
 	net.Listener
-	w *wire
+	w     *wire
+	reads bool
 }
 
 // Accept wraps the next connection.
@@ -87,5 +90,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return l.w.count(c), nil
+	return &countedConn{Conn: c, w: l.w, reads: l.reads}, nil
+}
+
+// Read counts what the other end wrote: one write a read, about.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.reads && n > 0 {
+		c.w.bytes.Add(int64(n))
+		c.w.writes.Add(1)
+	}
+	return n, err
 }
--- a/bench/capacity/slope.go
+++ b/bench/capacity/slope.go
@@ -25,22 +25,24 @@
 	Worst  float64 // largest deviation of a point from the line, as a share of the point
 }
 
-// Fit returns the slope through the points.
+// Fit returns the slope through the points. The squares are weighted by
+// 1/Y², so that the line is off by the same share at small and large sizes.
 func Fit(name, xUnit, yUnit string, points ...Point) Slope {
 	s := Slope{Name: name, XUnit: xUnit, YUnit: yUnit, Points: points}
-	n := float64(len(points))
-	var sx, sy, sxx, sxy float64
+	var w, wx, wy, wxx, wxy float64
 	for _, p := range points {
-		sx += p.X
-		sy += p.Y
-		sxx += p.X * p.X
-		sxy += p.X * p.Y
+		weight := 1 / max(p.Y*p.Y, math.SmallestNonzeroFloat32)
+		w += weight
+		wx += weight * p.X
+		wy += weight * p.Y
+		wxx += weight * p.X * p.X
+		wxy += weight * p.X * p.Y
 	}
-	if d := n*sxx - sx*sx; d != 0 {
-		s.B = (n*sxy - sx*sy) / d
+	if d := w*wxx - wx*wx; d != 0 {
+		s.B = (w*wxy - wx*wy) / d
 	}
-	if n > 0 {
-		s.A = (sy - s.B*sx) / n
+	if w > 0 {
+		s.A = (wy - s.B*wx) / w
 	}
 	for _, p := range points {
 		if p.Y != 0 {
--- a/cmd/pomelosbench/main.go
+++ b/cmd/pomelosbench/main.go
@@ -14,6 +14,7 @@
 	parser := flags.NewParser(nil, flags.Default)
 	parser.LongDescription = "Measures pomelospool. Each sub-command drives the real code."
 	add(parser, "policy", "Goodput and role changes over traces", policyHelp, &policyCommand{})
+	add(parser, "capacity", "State, messages, CPU and memory of each role", capacityHelp, &capacityCommand{})
 	add(parser, "demo", "Judge a run of the demo", demoHelp, &demoCommand{})
 	addChaos(parser)
 	if _, err := parser.Parse(); err != nil {
