A refusing target is left alone while another one is willing

Cause: TestEngineReplaced failed in 1 of 4 race runs on a busy machine (load 28): callers got 2004. The low score of a refusing target isn't enough: a leaving engine has nothing in flight, and with 16 streams at each other one a tenth of its score is still the best.

--- a/connection/load/watcher.go
+++ b/connection/load/watcher.go
@@ -155,19 +155,38 @@
 		c.targets = w.choose(svc.Doc, len(svc.Doc.Targets))
 	}
 	out := make([]routing.Target, 0, len(c.targets))
+	willing := 0
+	refusing := make([]bool, 0, len(c.targets))
 	for _, t := range c.targets {
-		out = append(out, w.target(svc.Doc, t, snap, now))
+		status := w.opts.Pool.Status(t.Addr)
+		r := w.target(svc.Doc, t, status, snap, now)
+		out = append(out, r)
+		refusing = append(refusing, status.Refusing)
+		if r.Live && !r.Changing && !status.Refusing {
+			willing++
+		}
+	}
+	if willing > 0 {
+		leaveAlone(out, refusing)
 	}
 	return out
 }
 
+// leaveAlone takes the targets that refused a request a moment ago out of the
+// choice. A low score doesn't do: a leaving engine has nothing in flight, and
+// under load even a tenth of its score is the best one.
+func leaveAlone(targets []routing.Target, refusing []bool) {
+	for i := range targets {
+		targets[i].Live = targets[i].Live && !refusing[i]
+	}
+}
+
 // target joins the document, the engine's own word and the pool's.
 //
 // A target that is leaving gets no new work: its mark in the snapshot, in the
 // document and in its own state are all looked at for each request, so the
 // slowest of the three alone decides when the last new request reaches it.
-func (w *Watcher) target(doc *document.Document, t document.Target, snap *view.Snapshot, now time.Time) routing.Target {
-	status := w.opts.Pool.Status(t.Addr)
+func (w *Watcher) target(doc *document.Document, t document.Target, status pool.Status, snap *view.Snapshot, now time.Time) routing.Target {
 	leaving := t.Drain || snap != nil && snap.Leaving[t.Addr]
 	r := routing.Target{
 		Name:     t.Name,
@@ -177,7 +196,7 @@
 		Adapter:  t.Adapter,
 		Role:     t.Role,
 		Live:     !leaving && !status.Down,
-		Suspect:  status.Suspect || status.Refusing,
+		Suspect:  status.Suspect,
 		InFlight: status.InFlight,
 		Limit:    doc.Limits.QueuePerTarget,
 	}
