Attempt: what was in flight at a crash waits for its turn to run alone

Cause: an idempotent request that was in flight beside a crash-causing one is suspect and must run alone. With every other target busy at that moment it was answered 2003 at once, although it was accepted and may run again.

Change: like a request that finds all targets full after an attempt, it waits for room until its deadline. One that has not been tried is still refused at once (1012).

Failing first: without it TestInnocentWaitsForItsTurn prints `got "", 2003 TARGET_FAILED: after 1 attempts`. What stays open: nothing keeps a target free for suspects, so in a busy fleet the wait can last until the deadline.

--- a/request/attempt/attempt_test.go
+++ b/request/attempt/attempt_test.go
@@ -183,6 +183,12 @@
 func (b *books) End(uint64, string)   { b.note(-1, "end") }
 func (b *books) Crashed(string)       { b.note(0, "crashed") }
 
+func (b *books) set(s quarantine.Standing) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.standing = s
+}
+
 func (b *books) note(n int, what string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -209,9 +215,7 @@
 			Targets: fixed{{Name: "a", Addr: "a:1", Live: true}, {Name: "b", Addr: "a:1", Live: true}},
 			Verify: func(_ context.Context, target routing.Target) {
 				b.Crashed(target.Name)
-				b.mu.Lock()
-				b.standing = quarantine.Convicted
-				b.mu.Unlock()
+				b.set(quarantine.Convicted)
 			},
 		})
 		_, err := r.Run(t.Context(), request(true), nil, &whole{})
@@ -229,6 +233,47 @@
 	})
 }
 
+// busyAlone has no idle target for requests that must run alone until the
+// third time that it is asked.
+type busyAlone struct{ asked int }
+
+func (b *busyAlone) Route(r routing.Request, targets []routing.Target) (routing.Decision, error) {
+	if !r.Alone {
+		return inOrder{}.Route(r, targets)
+	}
+	if b.asked++; b.asked < 3 {
+		return routing.Decision{}, code.New(code.Overloaded, "")
+	}
+	return routing.Decision{Target: "b"}, nil
+}
+
+// TestInnocentWaitsForItsTurn: a dispatcher's question was in flight when
+// another request took the engine down. It is suspect now and has to run
+// alone; that all engines are busy at that moment must not end it.
+func TestInnocentWaitsForItsTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := &pipes{}
+		net.serve("a:1", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		net.serve("b:1", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(HeaderID, r.Header.Get(HeaderID))
+			io.WriteString(w, "whole")
+		})
+		b := &books{}
+		p := pool.New(pool.Options{Dial: net.dial})
+		r := NewRunner(Options{
+			Pool: p, Router: &busyAlone{}, Quarantine: b,
+			Targets: fixed{{Name: "a", Addr: "a:1", Live: true}, {Name: "b", Addr: "b:1", Live: true}},
+			Verify:  func(context.Context, routing.Target) { b.set(quarantine.Suspect) },
+		})
+		recv := &whole{}
+		if _, err := r.Run(t.Context(), request(true), nil, recv); err != nil || recv.body != "whole" {
+			t.Errorf("got %q, %v", recv.body, err)
+		}
+		net.close()
+		p.Close()
+	})
+}
+
 // TestBudget: retries stay within the greater of the reserve and the share,
 // and the past is forgotten.
 func TestBudget(t *testing.T) {
--- a/request/attempt/runner.go
+++ b/request/attempt/runner.go
@@ -164,9 +164,14 @@
 
 // shouldWait tells whether to wait for room. A request that was accepted and
 // lost its target must not be refused because the targets left are full for a
-// moment; one that has not been tried is refused at once.
+// moment, or because it was in flight at a crash and has to run alone now; one
+// that has not been tried is refused at once.
 func (u *run) shouldWait(err error) bool {
-	return err != nil && u.last != nil && code.Of(err) == code.Overloaded
+	if err == nil || u.last == nil {
+		return false
+	}
+	c := code.Of(err)
+	return c == code.Overloaded || c == code.CrashSuspect
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
