Engines lost under load: leaving, crashing, silent, with the real routing

Change: TestEngineLost loses two of three engines under 32 callers, each in three ways, with the real routing, load watcher and adapters; callers check every token themselves.

Ignoring an engine's own word that it leaves is not noticed here, as its refusals do the same; it is by TestTargetView.

--- a/request/entry/path_test.go
+++ b/request/entry/path_test.go
@@ -36,23 +36,56 @@
 	return w
 }
 
-// TestEngineReplaced: under load, one engine after another announces that it
-// leaves, gets no new work, ends what it has and is gone; another takes its
-// place in turn. No caller sees anything but its whole answer.
-func TestEngineReplaced(t *testing.T) {
-	engines := []*engine.Engine{startEngine(t), startEngine(t), startEngine(t)}
+// TestEngineLost: under load, two of three engines are lost, one after the
+// other. In a planned stop one announces that it leaves, gets no new work,
+// ends what it has and is gone; or it crashes; or all its connections go
+// silent. No caller sees anything but its whole answer.
+func TestEngineLost(t *testing.T) {
+	fault := func(kind string) func(*testing.T, *fixture, *load.Watcher, *engine.Engine, int) {
+		return func(t *testing.T, _ *fixture, _ *load.Watcher, e *engine.Engine, _ int) {
+			if err := e.Apply(t.Context(), standin.Fault{Kind: kind}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	cases := []struct {
+		name   string
+		budget float64 // 0: the reserve only, less than there are callers
+		lose   func(*testing.T, *fixture, *load.Watcher, *engine.Engine, int)
+	}{
+		{"leaves", 0, leave},
+		{"crashes", 0.1, fault("crash")},
+		{"goes silent", 0.1, fault("silent")},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			engines := []*engine.Engine{startEngine(t), startEngine(t), startEngine(t)}
+			underLoad(t, engines, tc.budget, tc.lose)
+			for i, e := range engines {
+				for id, q := range e.Record().Requests {
+					if q.Starts > 1 || tc.name == "leaves" && q.Cut+q.Cancelled > 0 {
+						t.Errorf("engine %d: %s: %+v", i, id, q)
+					}
+				}
+			}
+		})
+	}
+}
+
+// underLoad loses the first two engines while callers check their answers.
+func underLoad(t *testing.T, engines []*engine.Engine, budget float64, lose func(*testing.T, *fixture, *load.Watcher, *engine.Engine, int)) {
 	var addrs []string
 	for _, e := range engines {
 		addrs = append(addrs, e.Addr())
 	}
 	var w *load.Watcher
 	f := newFixture(t, addrs, nil, func(o *Options, d *document.Document) {
-		d.Retry.Budget = 0 // the reserve only: less than there are callers
+		d.Retry.Budget = budget
 		if w == nil {
 			w = real(t, o)
 		}
 	})
-	const callers = 32
+	const callers, between = 32, 300
 	var stop atomic.Bool
 	var answered atomic.Int32
 	var wg sync.WaitGroup
@@ -68,26 +101,17 @@
 			}
 		})
 	}
-	more := func() {
-		for n := answered.Load(); answered.Load() < n+100; {
+	for i := range 3 {
+		for n := answered.Load(); answered.Load() < n+between; {
 			time.Sleep(time.Millisecond)
 		}
+		if i < 2 {
+			lose(t, f, w, engines[i], i)
+		}
 	}
-	for i, e := range engines[:2] {
-		more()
-		leave(t, f, w, e, i)
-	}
-	more()
 	stop.Store(true)
 	wg.Wait()
-	t.Logf("%d requests answered whole while two engines left", answered.Load())
-	for i, e := range engines {
-		for id, q := range e.Record().Requests {
-			if q.Starts > 1 || q.Cut > 0 || q.Cancelled > 0 {
-				t.Errorf("engine %d: %s: %+v", i, id, q)
-			}
-		}
-	}
+	t.Logf("%d requests answered while two engines were lost", answered.Load())
 }
 
 // leave takes one engine through its planned stop.
