Load reads keep to a budget; load reports ride on answers

Weighed: gossip of loads (710 loads a second are too many bytes), fewer targets alone (16 are still 44 KB/s), slower reads alone (24 s old). Taken: a budget of calls a second for the whole daemon, and the load on each answer in the ORCA header that engines of this kind already send; an answer comes from each watched engine about every 2 s at the target. Settings: control.watch, control.load_reads. The daemon passes KV moves on.

--- a/connection/load/engine.go
+++ b/connection/load/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"sync"
 	"time"
 
@@ -29,8 +30,6 @@
 
 func (w *Watcher) poll(ctx context.Context, e *engine) {
 	defer e.close()
-	tick := time.NewTicker(w.opts.Poll)
-	defer tick.Stop()
 	for i := 0; ; i++ {
 		w.pollOnce(ctx, e, i%stateEvery == 0 || w.opts.Pool.Status(e.addr).Refusing)
 		select {
@@ -38,11 +37,53 @@
 			return
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-time.After(w.interval()):
 		}
 	}
 }
 
+// callsAPoll is the mean number of calls of one poll: load, cache events, and
+// every stateEvery-th time the state.
+const callsAPoll = 2 + 1.0/stateEvery
+
+// interval is the time between two polls of one engine. It grows with the
+// number of engines watched, so that a daemon before hundreds of them keeps
+// within its share of bytes and processor time; between the polls the reports
+// on answers tell the load.
+func (w *Watcher) interval() time.Duration {
+	w.mu.RLock()
+	n := len(w.watched)
+	w.mu.RUnlock()
+	budget := time.Duration(float64(n) * callsAPoll / w.opts.Reads * float64(time.Second))
+	return max(w.opts.Poll, budget)
+}
+
+// Answered takes the load report on an answer of the target at addr, if there
+// is one. pool.Options.Answered calls it.
+func (w *Watcher) Answered(addr string, h http.Header) {
+	value := h.Get(platform.LoadHeader)
+	if value == "" {
+		return
+	}
+	w.mu.RLock()
+	e := w.watched[addr]
+	w.mu.RUnlock()
+	if e == nil {
+		return
+	}
+	if l, err := platform.ParseLoad(value, time.Now()); err == nil {
+		e.takeReport(l)
+	}
+}
+
+// takeReport stores the load that an answer reported.
+func (e *engine) takeReport(l platform.Load) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l.Engine, l.Incarnation = e.load.Engine, e.load.Incarnation
+	e.load, e.loadAt = l, l.At
+}
+
 // close ends the adapter's connections, if it has any.
 func (e *engine) close() {
 	if c, ok := e.api.(io.Closer); ok {
--- a/connection/load/load_test.go
+++ b/connection/load/load_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"testing"
@@ -33,6 +34,7 @@
 	state  platform.EngineState
 	events []platform.CacheEvent
 	lag    time.Duration
+	calls  int
 }
 
 func (f *fake) set(change func(*fake)) {
@@ -44,6 +46,7 @@
 func (f *fake) Load(context.Context) (platform.Load, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.calls++
 	l := f.load
 	l.At = time.Now().Add(-f.lag)
 	return l, nil
@@ -52,12 +55,14 @@
 func (f *fake) State(context.Context) (platform.EngineState, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.calls++
 	return f.state, nil
 }
 
 func (f *fake) CacheEvents(_ context.Context, after int64) ([]platform.CacheEvent, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.calls++
 	var out []platform.CacheEvent
 	for _, e := range f.events {
 		if e.Seq > after {
@@ -253,3 +258,34 @@
 		t.Errorf("%d of 3 targets", len(got))
 	}
 }
+
+// A large fleet: many daemons read many engines, and the reading alone takes
+// more bytes than all control may. The polls must keep to their budget, and
+// the reports on answers must still bring the load of now.
+func TestReadsKeepToBudget(t *testing.T) {
+	const engines, reads, seconds = 20, 10.0, 60
+	synctest.Test(t, func(t *testing.T) {
+		doc := &document.Document{Service: "s", Kind: document.KindModel}
+		for i := range engines {
+			doc.Targets = append(doc.Targets, document.Target{Name: fmt.Sprint(i), Addr: fmt.Sprintf("e%d:1", i), Model: "m"})
+		}
+		svc := &view.Service{Doc: doc, Version: 1}
+		h := &view.Holder{}
+		h.Store(view.NewSnapshot(1, []*view.Service{svc}, nil))
+		f := &fake{}
+		p := pool.New(pool.Options{})
+		w := New(Options{View: h, Pool: p, Engine: func(string) platform.Engine { return f }, Reads: reads})
+		<-time.After(seconds * time.Second)
+		w.Answered("e7:1", http.Header{platform.LoadHeader: {platform.FormatLoad(platform.Load{Running: 41})}})
+		got := w.Targets(svc)[7]
+		if got.Load.Running != 41 || got.LoadAge != 0 {
+			t.Errorf("after an answer: %+v", got)
+		}
+		w.Close()
+		p.Close()
+		// The first round reads every engine at once.
+		if most := int(reads*seconds + 3*engines); f.calls > most {
+			t.Errorf("%d calls in %d s, at most %d", f.calls, seconds, most)
+		}
+	})
+}
--- a/connection/load/watcher.go
+++ b/connection/load/watcher.go
@@ -22,6 +22,7 @@
 const (
 	defaultPoll  = 250 * time.Millisecond
 	defaultWatch = 64
+	defaultReads = 250.0
 	syncEvery    = 500 * time.Millisecond
 	stateEvery   = 4 // load reads per state read
 	pollLimit    = time.Second
@@ -37,6 +38,7 @@
 	Zone    string                            // its availability zone
 	Poll    time.Duration                     // between load reads of one engine; 250ms
 	Watch   int                               // targets watched in all, about; 64
+	Reads   float64                           // calls a second to all engines together; 250
 	// Crashed is called once for each death of a target that was noticed.
 	Crashed func(target string)
 }
@@ -65,6 +67,9 @@
 	if o.Watch <= 0 {
 		o.Watch = defaultWatch
 	}
+	if o.Reads <= 0 {
+		o.Reads = defaultReads
+	}
 	w := &Watcher{opts: o, watched: make(map[string]*engine), services: make(map[string]chosen)}
 	w.tomb.Go(w.follow)
 	return w
--- a/connection/pool/exchange.go
+++ b/connection/pool/exchange.go
@@ -41,6 +41,9 @@
 		return x, err
 	}
 	x.Response = resp
+	if p.opts.Answered != nil {
+		p.opts.Answered(req.URL.Host, resp.Header)
+	}
 	return x, nil
 }
 
--- a/connection/pool/pool.go
+++ b/connection/pool/pool.go
@@ -35,6 +35,8 @@
 	// Down is called once each time a target stops accepting connections, with
 	// the error of the dial.
 	Down func(addr string, err error)
+	// Answered is called with the header of every answer.
+	Answered func(addr string, h http.Header)
 }
 
 func (o Options) withDefaults() Options {
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -239,7 +239,10 @@
 }
 
 func (d *Daemon) wireRequests() {
-	d.pool = pool.New(pool.Options{Down: func(addr string, err error) { d.watcher.Down(addr, err) }})
+	d.pool = pool.New(pool.Options{
+		Down:     func(addr string, err error) { d.watcher.Down(addr, err) },
+		Answered: func(addr string, h http.Header) { d.watcher.Answered(addr, h) },
+	})
 	d.watcher = load.New(load.Options{
 		View:    d.view,
 		Pool:    d.pool,
@@ -247,6 +250,8 @@
 		Process: d.s.VM,
 		Zone:    d.s.Zone,
 		Poll:    d.s.Control.LoadPoll,
+		Watch:   d.s.Control.Watch,
+		Reads:   d.s.Control.LoadReads,
 		Crashed: d.crashes.Crashed,
 	})
 	d.router = newCountingRouter(routing.New(routing.Options{}))
@@ -263,6 +268,7 @@
 		Quarantine: d.crashes,
 		Burn:       d.burn,
 		Verify:     d.watcher.Verify,
+		KV:         d.watcher,
 		Limits:     d.s.Limits,
 		Zone:       d.s.Zone,
 	})
--- a/process/settings/load.go
+++ b/process/settings/load.go
@@ -19,6 +19,10 @@
 	maxTime        = time.Hour
 	minCheckpoint  = 10
 	maxCheckpoint  = 100_000
+	minWatch       = 1
+	maxWatch       = 10_000
+	minLoadReads   = 0.1
+	maxLoadReads   = 100_000.0
 	minOnceAppends = 0.1
 	maxOnceAppends = 1000.0
 	minHeaderBytes = 1 << 10
@@ -47,6 +51,8 @@
 			AddressTTL:  5 * time.Second,
 			DrainLimit:  time.Minute,
 			LoadPoll:    250 * time.Millisecond,
+			Watch:       64,
+			LoadReads:   250,
 			OnceAppends: 30,
 		},
 		Limits: Limits{
@@ -147,6 +153,8 @@
 	f.Duration("control.drain_limit", c.DrainLimit, minTime, maxTime)
 	f.Duration("control.load_poll", c.LoadPoll, minTime, maxTime)
 	yamlcheck.Range(f, "control.checkpoint", c.Checkpoint, minCheckpoint, maxCheckpoint)
+	yamlcheck.Range(f, "control.watch", c.Watch, minWatch, maxWatch)
+	yamlcheck.Range(f, "control.load_reads", c.LoadReads, minLoadReads, maxLoadReads)
 	yamlcheck.Range(f, "control.once_appends", c.OnceAppends, minOnceAppends, maxOnceAppends)
 	if c.DeadAfter < heartbeatsToDead*c.Heartbeat {
 		f.Report("control.dead_after", code.DocInconsistent,
--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/request/prefix"
 	"github.com/pomelospool/pomelospool/standin"
 	"github.com/pomelospool/pomelospool/standin/token"
@@ -119,6 +120,7 @@
 		c.form.identity = c.e.cross.Swap(c.r.Context(), c.form.identity)
 	}
 	c.w.Header().Set(HeaderRequestID, c.form.id)
+	c.reportLoad()
 	if stream {
 		c.stream()
 		return
@@ -126,6 +128,14 @@
 	c.unstreamed()
 }
 
+// reportLoad puts the load of this moment on the answer.
+func (c *call) reportLoad() {
+	var l platform.Load
+	if err := c.e.do(c.r.Context(), func() { l = c.e.samples[len(c.e.samples)-1] }); err == nil {
+		c.w.Header().Set(platform.LoadHeader, platform.FormatLoad(l))
+	}
+}
+
 func (c *call) finish() {
 	c.e.cancel(c.seq)
 	made, end := c.seq.out.get()
