--- a/process/planner/demand.go
+++ b/process/planner/demand.go
@@ -51,8 +51,8 @@
 	if first || step <= 0 || step > maxObservedStep || req < 0 || pre < 0 || dec < 0 {
 		return d
 	}
-	s := step.Seconds()
-	m := Mix{req / s, pre / s, dec / s}
+	perSecond := float64(max(o.Processes, 1)) / step.Seconds()
+	m := Mix{req, pre, dec}.scaled(perSecond)
 	d.Fast = d.Fast.blend(m, weight(step, fastHorizon, d.seen))
 	d.Slow = d.Slow.blend(m, weight(step, slowHorizon, d.seen))
 	d.seen += step
--- a/process/planner/plan.go
+++ b/process/planner/plan.go
@@ -57,12 +57,17 @@
 	return defaultChange
 }
 
+// mayOrder tells whether the engine is in a group of this process.
 func mayOrder(o *Observation, engine string) bool {
-	if o.Group == "" {
+	if o.Groups == nil && o.Group == "" {
 		return true
 	}
 	i := slices.IndexFunc(o.Engines, func(e Engine) bool { return e.Name == engine })
-	return o.Engines[i].Group == o.Group
+	group := o.Engines[i].Group
+	if o.Groups != nil {
+		return slices.Contains(o.Groups, group)
+	}
+	return group == o.Group
 }
 
 // best returns the change that gains most, if one pays.
--- a/process/planner/plan_test.go
+++ b/process/planner/plan_test.go
@@ -231,6 +231,40 @@
 	}
 }
 
+// All roles change at once when an entry VM is added.
+// Each process knows its own callers only and takes them for one in so many.
+// Were the running counts scaled, not what was added to them, a new number of
+// processes would look like an hour's requests within a second.
+func TestProcessesComeAndGo(t *testing.T) {
+	w := newWorld(3, 2, 4)
+	for _, n := range []int{8, 7, 8, 9, 8} {
+		w.obs.Processes = n
+		w.run(120, 2.0/float64(n), 3.0/float64(n))
+	}
+	m := w.states[""].Demand.Fast
+	if m.Prefill > 2.1*testPrefill || m.Decode > 3.1*testDecode || len(w.log) > 0 {
+		t.Errorf("demand %+v, changes %+v", m, w.log)
+	}
+}
+
+// A successor takes over a group and changes nothing for minutes.
+// It planned while it held no group, took each change that it couldn't order
+// for a refused one, and backs off from all engines.
+func TestNoGroupNoOrders(t *testing.T) {
+	w := newWorld(3, 0, 6)
+	w.obs.Groups = []string{}
+	w.run(60, 2.5, 4.0)
+	w.run(60, 5.5, 2.0)
+	if len(w.log) > 0 {
+		t.Fatalf("ordered %+v", w.log)
+	}
+	w.obs.Groups = []string{"g0", "g1", "g2"}
+	w.run(5, 5.5, 2.0)
+	if len(w.log) == 0 {
+		t.Error("nothing ordered after the takeover")
+	}
+}
+
 // Answers come late though most engines idle: nearly all are prefill engines.
 // With a light load they take small steps and report low rates. Believed to be
 // slow, they get company, and each has still less to do.
--- a/process/planner/types.go
+++ b/process/planner/types.go
@@ -26,11 +26,13 @@
 // own group and in others, and of what callers ask of them. The counts grow
 // over the life of the process; one that shrinks has begun anew.
 type Observation struct {
-	Group    string // the group that this process may order; empty for all
-	Engines  []Engine
-	Requests float64 // requests that callers have sent, refused ones included
-	Prefill  float64 // their prompt tokens, without those found cached
-	Decode   float64 // their output tokens, by estimate
+	Group     string   // the group that this process may order; empty for all
+	Groups    []string // instead of Group unless nil; none when empty
+	Processes int      // among which callers spread evenly; the counts are this one's alone. 0 is 1
+	Engines   []Engine
+	Requests  float64 // requests that callers have sent, refused ones included
+	Prefill   float64 // their prompt tokens, without those found cached
+	Decode    float64 // their output tokens, by estimate
 }
 
 // Change asks for an engine's new role.
--- a/request/routing/filter_pace.go
+++ b/request/routing/filter_pace.go
@@ -19,10 +19,14 @@
 // late, so under overload nearly every answer misses its objective while the engines
 // are busy all the time. Refusing that one keeps the others on time.
 func (e *environment) breaksPace(t *Target, n int, move float64) bool {
-	limit := e.opts.BetweenTokens.Seconds() * paceMargin
-	if e.opts.BetweenTokens <= 0 {
+	objective := e.opts.BetweenTokens
+	if e.r.BetweenTokens > 0 {
+		objective = e.r.BetweenTokens
+	}
+	if objective <= 0 {
 		return false
 	}
+	limit := objective.Seconds() * paceMargin
 	if e.r.Priority > 0 {
 		limit *= urgentExtra
 	}
--- a/request/routing/policy_test.go
+++ b/request/routing/policy_test.go
@@ -97,6 +97,8 @@
 			engine("d", as(platform.RoleDecode), crowd(80)), engine("p", as(platform.RolePrefill))}},
 		{name: "urgent", req: func(r *Request) { r.Priority = 1 }, want: Decision{Target: "p", Decode: "d"}, targets: []Target{
 			engine("d", as(platform.RoleDecode), crowd(72)), engine("p", as(platform.RolePrefill))}},
+		{name: "room by the service's own objective", req: func(r *Request) { r.BetweenTokens = 50 * time.Millisecond }, want: Decision{Target: "m"},
+			targets: []Target{engine("m", crowd(80))}},
 		{name: "no room on a mixed engine", err: code.Overloaded, targets: []Target{engine("m", crowd(80))}},
 		{name: "plain", req: func(r *Request) { r.Model = "" }, want: Decision{Target: "b"}, targets: []Target{
 			{Name: "a", Live: true, InFlight: 5}, {Name: "b", Live: true, InFlight: 2}}},
--- a/request/routing/types.go
+++ b/request/routing/types.go
@@ -26,6 +26,9 @@
 	Seed         uint64        // for ties, so that processes don't choose alike
 	Exclude      []string      // targets that an earlier attempt used
 	Alone        bool          // must run on a target with nothing else
+
+	// BetweenTokens is the service's objective; 0 takes that of Options.
+	BetweenTokens time.Duration
 }
 
 // Target is what a process knows of one target, load corrected by what it
