Wire the policy whole; refuse what the backlog alone would make late

Cause: routing ran without deciders, pace and KV moves, the planner got counts scaled by the fleet's size (a member that comes or goes looked like a jump of demand), and non-holders' plans became backoffs of their successors. Under load, admission went by deadlines alone, so the queue stayed as long as they allow and first tokens came late. Shown failing first: without the rule the request behind 2 s of backlog was admitted. Tests of request/... and process/daemon green.

--- a/process/daemon/control.go
+++ b/process/daemon/control.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -85,11 +86,28 @@
 			return nil
 		case <-changed:
 		case <-tick.C:
+			d.setDeciders()
 			d.planner.step()
 		}
 	}
 }
 
+// setDeciders tells routing how many processes send to the same targets, so
+// that all of them together don't take the one that looks best to each.
+func (d *Daemon) setDeciders() {
+	_, daemons := d.members.View().Rank()
+	snap := d.view.Load()
+	if snap == nil {
+		return
+	}
+	targets := 0
+	for _, svc := range snap.Services {
+		targets += len(svc.Doc.Targets)
+	}
+	share := min(1, float64(d.s.Control.Watch)/float64(max(targets, 1)))
+	d.router.SetDeciders(max(1, int(math.Round(float64(daemons)*share))))
+}
+
 // refresh stores a new snapshot if anything in it changed.
 func (d *Daemon) refresh() {
 	select {
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -244,6 +244,10 @@
 	})
 }
 
+// kvMoveRate is the assumed rate of moving KV cache between engines, in
+// tokens a second, as docs/ENGINE-MODEL.md has it.
+const kvMoveRate = 100_000
+
 func (d *Daemon) wireRequests() {
 	d.pool = pool.New(pool.Options{
 		Down:     func(addr string, err error) { d.watcher.Down(addr, err) },
@@ -260,7 +264,7 @@
 		Reads:   d.s.Control.LoadReads,
 		Crashed: d.crashes.Crashed,
 	})
-	d.router = newCountingRouter(routing.New(routing.Options{}))
+	d.router = newCountingRouter(routing.New(routing.Options{KVMoveRate: kvMoveRate}))
 	d.burn = burn.New(burn.Options{Daemon: d.s.VM, Objectives: d.objectives})
 	d.once = d.newOnceKeeper()
 	d.entry = entry.New(entry.Options{
--- a/process/daemon/plan.go
+++ b/process/daemon/plan.go
@@ -88,8 +88,9 @@
 	return r, ok
 }
 
-// step plans once for every model service. Only a holder's wishes lead to
-// orders; the others plan too, so that a successor knows the mix at once.
+// step plans once for every model service. Only for groups that it holds does
+// a process wish anything; the others plan too, so that a successor knows the
+// mix at once.
 func (p *rolePlanner) step() {
 	snap := p.d.view.Load()
 	if snap == nil {
@@ -134,15 +135,17 @@
 	}
 }
 
-// observe gathers what this process knows of a model's engines. Callers
-// spread over all daemons, so the demand seen here is scaled by their number.
+// observe gathers what this process knows of a model's engines, and the
+// groups that it may order.
 func (p *rolePlanner) observe(svc *view.Service, model string, groups map[string]string) (planner.Observation, map[string]bool) {
 	_, of := p.d.members.View().Rank()
 	dem := p.d.router.demand(model)
 	obs := planner.Observation{
-		Requests: float64(dem.requests.Load()) * float64(of),
-		Prefill:  float64(dem.prefill.Load()) * float64(of),
-		Decode:   float64(dem.decode.Load()) * float64(of),
+		Groups:    []string{},
+		Processes: of,
+		Requests:  float64(dem.requests.Load()),
+		Prefill:   float64(dem.prefill.Load()),
+		Decode:    float64(dem.decode.Load()),
 	}
 	held := make(map[string]bool)
 	for _, t := range p.d.watcher.Targets(svc) {
@@ -150,9 +153,9 @@
 			continue
 		}
 		group := groups[t.Addr]
-		if _, _, ok := p.d.leases.Held(group); ok {
+		if _, _, ok := p.d.leases.Held(group); ok && !held[group] {
 			held[group] = true
-			obs.Group = group
+			obs.Groups = append(obs.Groups, group)
 		}
 		obs.Engines = append(obs.Engines, planner.Engine{
 			Name:        t.Addr,
@@ -165,9 +168,6 @@
 			Load:        t.Load,
 		})
 	}
-	if len(held) != 1 {
-		obs.Group = ""
-	}
 	return obs, held
 }
 
--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -64,6 +64,9 @@
 	if a.Decision.Finish > a.Left {
 		return nil, late(a)
 	}
+	if wait, late := startsLate(a); late {
+		return nil, code.New(code.Overloaded, "the first token would take about %v", a.Decision.First.Round(time.Millisecond)).After(wait)
+	}
 	full := s.fullness(a)
 	if over := full.over(a.Priority); over >= 0 {
 		return nil, code.New(code.Overloaded, "%.0f%% of the room is taken", full.share*100).
@@ -128,6 +131,26 @@
 	return code.New(code.Overloaded, "the answer would take about %v", a.Decision.Finish.Round(time.Millisecond)).After(wait)
 }
 
+// firstMargin is the share of the first-token objective that the estimate may
+// take, since it is some way too low on the whole.
+const firstMargin = 0.9
+
+// startsLate tells whether the backlog alone makes the first token miss the
+// objective, and how long until it wouldn't. Without it a queue grows at every
+// target until deadlines refuse: the same number of requests is answered, but
+// each of them late. High priority goes by its deadline, and so does a prompt
+// that even an idle target couldn't begin to answer in time.
+func startsLate(a Ask) (time.Duration, bool) {
+	goal := time.Duration(firstMargin * float64(a.Doc.Objectives.FirstToken))
+	over := a.Decision.First - goal
+	if goal <= 0 || over <= 0 || a.Priority > 0 {
+		return 0, false
+	}
+	idle, ok := a.Idle()
+	backlog := a.Decision.Finish - idle
+	return clamp(over), ok && backlog >= over
+}
+
 func clamp(d time.Duration) time.Duration {
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
--- a/request/admission/admission_test.go
+++ b/request/admission/admission_test.go
@@ -128,3 +128,36 @@
 		}
 	}
 }
+
+// TestStartsLate: the backlog alone would make the first token come after its
+// objective, though the deadline is far. Accepted, every answer would come
+// late while the queue stays as long as deadlines allow.
+func TestStartsLate(t *testing.T) {
+	const goal = time.Second
+	for _, c := range []struct {
+		name                string
+		priority            int
+		first, finish, idle time.Duration
+		want                code.Code
+	}{
+		{"no backlog", 0, 200 * time.Millisecond, 3 * time.Second, 3 * time.Second, code.OK},
+		{"backlog makes it late", 0, 2 * time.Second, 5 * time.Second, 3 * time.Second, code.Overloaded},
+		{"backlog, high priority", 1, 2 * time.Second, 5 * time.Second, 3 * time.Second, code.OK},
+		{"long prompt, no backlog", 0, 4 * time.Second, 7 * time.Second, 7 * time.Second, code.OK},
+		{"long prompt, small backlog", 0, 4 * time.Second, 7 * time.Second, 6 * time.Second, code.OK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := New(time.Now).Admit(Ask{
+				Doc:      &document.Document{Service: "s", Objectives: document.Objectives{FirstToken: goal}},
+				Priority: c.priority,
+				Left:     time.Minute,
+				Decision: routing.Decision{First: c.first, Finish: c.finish},
+				Targets:  []routing.Target{{Live: true, Limit: 100}},
+				Idle:     func() (time.Duration, bool) { return c.idle, true },
+			})
+			if code.Of(err) != c.want {
+				t.Errorf("got %v, want %d", err, c.want)
+			}
+		})
+	}
+}
--- a/request/entry/model.go
+++ b/request/entry/model.go
@@ -168,6 +168,8 @@
 		Deadline:     time.Until(c.terms.deadline),
 		Zone:         e.opts.Zone,
 		Seed:         xxhash.Sum64String(id),
+
+		BetweenTokens: c.svc.Doc.Objectives.BetweenTokens,
 	}
 }
 
