--- a/process/fold/documents.go
+++ b/process/fold/documents.go
@@ -80,6 +80,7 @@
 	}
 	svc.Pending = nil
 	s.Changed = offset
+	s.Versions++
 	if svc.Removed {
 		svc.YAML = ""
 	}
--- a/process/fold/orders.go
+++ b/process/fold/orders.go
@@ -32,12 +32,22 @@
 	s.Engines[o.Engine] = e
 }
 
-// orderDone ends the open order that it names.
+// orderDone ends the open order that it names, if the writer still holds its
+// group and no version came into force since it decided.
+//
+// The guard is against a process that saw the order carried out, was paused,
+// and says so after a successor or a new document. The engine may have crashed
+// meanwhile and know nothing of the order, of which a copy may be on its way:
+// it would take effect after the next one.
 func (s *State) orderDone(offset int64, d record.OrderDone) {
 	e := s.Engines[d.Engine]
 	if e.Open == nil || e.Open.ID != d.Order {
 		return
 	}
+	l := s.Leases[d.Group]
+	if l.Claim != d.Claim || l.Released || d.Changed != s.Changed {
+		return
+	}
 	s.Engines[d.Engine] = Engine{Done: &Done{
 		ID:     d.Order,
 		Offset: offset,
--- a/process/fold/state.go
+++ b/process/fold/state.go
@@ -37,8 +37,9 @@
 // never changed in place, so Clone is cheap and clones stay as they are.
 type State struct {
 	Format     int                `json:"format"`
-	Applied    int64              `json:"applied"` // offset of the newest record folded
-	Changed    int64              `json:"changed"` // offset at which a version last came into force
+	Applied    int64              `json:"applied"`  // offset of the newest record folded
+	Changed    int64              `json:"changed"`  // offset at which a version last came into force
+	Versions   int64              `json:"versions"` // how many versions came into force so far
 	Services   map[string]Service `json:"services,omitempty"`
 	Leases     map[string]Lease   `json:"leases,omitempty"`  // by group
 	Engines    map[string]Engine  `json:"engines,omitempty"` // by Order.Engine
--- a/process/reconcile/engine.go
+++ b/process/reconcile/engine.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -23,10 +24,31 @@
 	fence   int64 // lease term of adapter
 	adapter platform.Engine
 	check   lease.Check
+	until   atomic.Int64 // on the clock: end of what the step's state allows
 	memory  Memory
 	why     string // of the last decision, for log lines
 }
 
+// allow bounds the writes of a step by the age of the state that it decides on.
+//
+// The guard is against a step that stalls: the process reads on meanwhile, so
+// its lease stays young, but the step doesn't know of a document that moved
+// the engine to another group. The holder of that group waits for T + Guard,
+// by when writes of this step have ended.
+func (e *engine) allow(rule lease.Rule, tail lease.Tail) {
+	e.until.Store(int64(rule.Until(tail.Began)))
+}
+
+// bounded adds the bound of allow to the check of the lease.
+func (e *engine) bounded(check lease.Check, now func() time.Duration) lease.Check {
+	return func() error {
+		if now() >= time.Duration(e.until.Load()) {
+			return code.New(code.LeaseLost, "the state of the step is too old")
+		}
+		return check()
+	}
+}
+
 // term makes a fresh adapter at the begin of a lease term. Bytes of an older
 // term can't leave through its connections.
 func (e *engine) term(group string, fence int64, o Options) {
@@ -35,7 +57,7 @@
 	}
 	e.close()
 	e.fence = fence
-	e.check = o.Leases.Check(group, fence)
+	e.check = e.bounded(o.Leases.Check(group, fence), o.Clock.Now)
 	e.adapter = o.Connect(e.id, e.check, o.Rule.UserTimeout())
 }
 
@@ -103,7 +125,7 @@
 		r.send(ctx, e, open)
 	case Done:
 		e.memory.End(open, d.Why, r.o.Clock.Now())
-		r.done(ctx, open, e.id, d.Why)
+		r.done(ctx, record.OrderDone{Group: e.group, Claim: e.fence, Changed: s.Changed, Engine: e.id, Order: open.ID, Detail: d.Why})
 	case Reclaim:
 		log.WithField("group", e.group).Info("reconcile: engine knows a newer fence, claim anew")
 		r.o.Leases.Reclaim(e.group)
@@ -169,16 +191,11 @@
 }
 
 // done appends the end of an order.
-func (r *Reconciler) done(ctx context.Context, open *fold.Open, engine, detail string) {
-	if detail != "" {
-		log.WithFields(log.Fields{"engine": engine, "order": open.ID, "why": detail}).Warn("reconcile: order ended otherwise")
+func (r *Reconciler) done(ctx context.Context, d record.OrderDone) {
+	if d.Detail != "" {
+		log.WithFields(log.Fields{"engine": d.Engine, "order": d.Order, "why": d.Detail}).Warn("reconcile: order ended otherwise")
 	}
-	r.write(ctx, "done-"+open.ID, record.KindOrderDone, record.OrderDone{
-		Group:  open.Group,
-		Engine: engine,
-		Order:  open.ID,
-		Detail: detail,
-	})
+	r.write(ctx, "done-"+uuid.NewString(), record.KindOrderDone, d)
 }
 
 func (r *Reconciler) write(ctx context.Context, id string, kind record.Kind, body any) {
@@ -203,9 +220,10 @@
 		if since, ok := r.orphans[id]; ok {
 			seen[id] = since
 		}
-		_, _, held := r.o.Leases.Held(first[fold.ServiceOf(e.Open.Group)])
+		group := first[fold.ServiceOf(e.Open.Group)]
+		fence, _, held := r.o.Leases.Held(group)
 		if held && now >= seen[id]+r.o.Rule.T+r.o.Rule.Guard {
-			r.done(ctx, e.Open, id, "target left")
+			r.done(ctx, record.OrderDone{Group: group, Claim: fence, Changed: tail.State.Changed, Engine: id, Order: e.Open.ID, Detail: "target left"})
 		}
 	}
 	r.orphans = seen
--- a/process/reconcile/reconciler.go
+++ b/process/reconcile/reconciler.go
@@ -61,8 +61,9 @@
 
 	// engines and orphans belong to the loop; each engine's entry is lent to
 	// one goroutine while a step runs.
-	engines map[string]*engine
-	orphans map[string]time.Duration // open orders without a target: since when
+	engines  map[string]*engine
+	versions int64                    // in force so far, at the last step
+	orphans  map[string]time.Duration // open orders without a target: since when
 
 	mu      sync.Mutex
 	leaving map[string]bool // by the engines' own word
@@ -132,8 +133,8 @@
 // alone: engines may have moved to another group, whose holder trusts that
 // this process stops within the time of its reads.
 func (r *Reconciler) step(ctx context.Context) {
+	snap := r.o.Snapshot() // before the state, so that it can't be ahead of it
 	tail := r.o.Follower.Tail()
-	snap := r.o.Snapshot()
 	if snap == nil || snap.Applied < tail.State.Changed {
 		return
 	}
@@ -141,7 +142,7 @@
 	now := r.o.Clock.Now()
 	r.loads.Observe(now, tail.State)
 	groups := Groups(snap)
-	r.keepEngines(now, groups)
+	r.keepEngines(now, groups, tail.State.Versions)
 	work, _ := errgroup.WithContext(ctx)
 	work.SetLimit(parallel)
 	for _, g := range groups {
@@ -152,6 +153,7 @@
 		}
 		for _, m := range g.Engines {
 			e := r.engines[m.Engine]
+			e.allow(r.o.Rule, tail)
 			e.term(g.Name, fence, r.o)
 			work.Go(func() error {
 				r.reconcile(ctx, e, m, tail)
@@ -164,14 +166,20 @@
 }
 
 // keepEngines has an entry for each engine of the groups. One that changed its
-// group is new there.
-func (r *Reconciler) keepEngines(now time.Duration, groups []Group) {
+// group is new there, and all are when versions were passed over.
+//
+// The second rule is against an engine that left a group and came back while
+// this process read neither: its group looks the same, but a holder of the one
+// between may still act for it.
+func (r *Reconciler) keepEngines(now time.Duration, groups []Group, versions int64) {
+	skipped := versions > r.versions+1
+	r.versions = versions
 	listed := make(map[string]bool)
 	for _, g := range groups {
 		for _, m := range g.Engines {
 			listed[m.Engine] = true
 			e := r.engines[m.Engine]
-			if e == nil || e.group != g.Name {
+			if e == nil || e.group != g.Name || skipped {
 				e.close()
 				r.engines[m.Engine] = &engine{id: m.Engine, group: g.Name, memory: Memory{Since: now}}
 			}
--- a/process/record/record.go
+++ b/process/record/record.go
@@ -89,10 +89,12 @@
 
 // OrderDone ends an order: carried out, refused, or overtaken by a restart.
 type OrderDone struct {
-	Group  string `json:"group"`
-	Engine string `json:"engine"`
-	Order  string `json:"order"` // envelope id of the order
-	Detail string `json:"detail,omitempty"`
+	Group   string `json:"group"`   // of the writer
+	Claim   int64  `json:"claim"`   // lease on Group under which it was decided
+	Changed int64  `json:"changed"` // offset of the newest version in force then
+	Engine  string `json:"engine"`
+	Order   string `json:"order"` // envelope id of the order
+	Detail  string `json:"detail,omitempty"`
 }
 
 // Checkpoint holds the folded state up to and including Covers.
