Quarantine: contents that kill targets, one run at a time in the fleet

Cause: one request that kills each target that runs it, sent again by its caller to other daemons under new keys, would cost a target each time. Weighed: conviction by intersection of two crashes alone (convicts what runs everywhere when two targets die); a run strictly alone (at full load no target is ever idle, and all that was in flight beside the cause is refused); trials owned by one daemon by hash (7 of 8 sendings refused). Chosen: suspect after one crash, run alone under a claim that all peers know, beside others after 5 s without an idle target, still under the claim; convicted at the second crash unless it ended well elsewhere, for 10 min, doubling. Not covered: a content sent to n daemons at once before any crash loses up to n targets; two watched contents at one target are convicted together.

--- /dev/null
+++ b/request/quarantine/quarantine_test.go
@@ -0,0 +1,289 @@
+package quarantine
+
+import (
+	"sync"
+	"testing"
+	"time"
+)
+
+const bad = uint64(1000)
+
+// TestEnginesLost: one request kills each engine that runs it, and its caller
+// sends it again under new keys. Every daemon that hasn't heard of it would
+// lose an engine; the fleet may lose two for each such content.
+func TestEnginesLost(t *testing.T) {
+	cases := []struct {
+		name   string
+		poison []uint64
+		most   int
+		want   Standing
+		play   func(r *rig)
+	}{
+		{"to one daemon after another", []uint64{bad}, 2, Convicted, func(r *rig) {
+			for i := range 4 * daemons {
+				r.send(i%daemons, bad)
+			}
+		}},
+		{"to all daemons at once after the first crash", []uint64{bad}, 2, Convicted, func(r *rig) {
+			r.try(r.books[0], bad)
+			r.together(daemons, func(i int) { r.send(i, bad) })
+			r.together(daemons, func(i int) { r.send(i, bad) })
+		}},
+		{"again before the first is answered", []uint64{bad}, 2, Convicted, func(r *rig) {
+			r.together(2, func(i int) {
+				<-time.After(time.Duration(i) * (crashTime + 5*hop))
+				r.send(i, bad)
+			})
+			r.together(daemons, func(i int) { r.send(i, bad) })
+		}},
+		{"to two daemons at once, never seen before", []uint64{bad}, 2, Convicted, func(r *rig) {
+			r.together(2, func(i int) { r.send(i, bad) })
+			r.together(daemons, func(i int) { r.send(i, bad) })
+		}},
+		{"two such contents at once", []uint64{bad, bad + 1}, 4, Convicted, func(r *rig) {
+			for range 4 {
+				r.together(2*daemons, func(i int) {
+					if i < 2 {
+						r.send(i, bad+uint64(i))
+					}
+				})
+			}
+		}},
+		{"beside a hundred innocents", []uint64{bad}, 2, Convicted, func(r *rig) {
+			for range 12 { // no engine is idle: after a while it runs beside others
+				r.together(101, func(i int) {
+					if i == 0 {
+						r.send(0, bad)
+						return
+					}
+					r.send(i%daemons, uint64(i))
+				})
+				<-time.After(time.Second)
+			}
+		}},
+		{"broadcasts lost, heartbeats not", []uint64{bad}, 2, Convicted, func(r *rig) {
+			r.deaf = true
+			r.try(r.books[0], bad)
+			r.heartbeats(5 * time.Second)
+			for i := range daemons {
+				r.send(i, bad)
+				r.heartbeats(5 * time.Second)
+			}
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				r := newRig(t, tc.poison...)
+				defer r.stop()
+				tc.play(r)
+				r.atMost(tc.most)
+				for i := range daemons {
+					r.standing(i, bad, tc.want)
+				}
+			})
+		})
+	}
+}
+
+// TestInnocents: an engine dies with forty requests in flight, one of which is
+// the cause. The others are sent again by their callers until they are
+// answered; none may be refused for long, let alone convicted.
+func TestInnocents(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		const innocents = 40
+		r := newRig(t, bad)
+		defer r.stop()
+		began := time.Now()
+		longest := time.Duration(0)
+		for i := range innocents {
+			r.books[0].Begin(uint64(i+1), "engine-4")
+		}
+		r.send(0, bad) // prefers engine 4
+		for i := range innocents {
+			r.books[0].End(uint64(i+1), "engine-4")
+		}
+		r.together(innocents, func(i int) {
+			for r.send(i%daemons, uint64(i+1)) != 0 {
+				<-time.After(time.Second)
+			}
+			r.mu.Lock()
+			longest = max(longest, time.Since(began))
+			r.mu.Unlock()
+		})
+		refusals := 0
+		for fp, n := range r.refused {
+			if fp != bad {
+				refusals += n
+			}
+		}
+		t.Logf("%d innocents: %d refusals, the last answered after %v", innocents, refusals, longest)
+		if longest > 10*time.Second {
+			t.Errorf("an innocent request was refused for %v", longest)
+		}
+		r.heartbeats(10 * time.Second)
+		for i := range innocents {
+			r.standing(i%daemons, uint64(i+1), Clear)
+		}
+		r.atMost(2)
+	})
+}
+
+// TestNotConvicted: things that look like a deadly content and are none.
+func TestNotConvicted(t *testing.T) {
+	const fp = 7
+	cases := []struct {
+		name string
+		want Standing
+		play func(b *Book)
+	}{
+		{"its connection was cut, the target lives", Clear, func(b *Book) {
+			b.Begin(fp, "a")
+			b.End(fp, "a")
+		}},
+		{"one crash", Suspect, func(b *Book) {
+			b.Begin(fp, "a")
+			b.Crashed("a")
+		}},
+		{"one crash, noticed late", Suspect, func(b *Book) {
+			b.Begin(fp, "a")
+			b.End(fp, "a")
+			<-time.After(settleTime / 2)
+			b.Crashed("a")
+		}},
+		{"one crash, told twice", Suspect, func(b *Book) {
+			b.Begin(fp, "a")
+			b.Crashed("a")
+			b.Crashed("a")
+		}},
+		{"left the target well before", Clear, func(b *Book) {
+			b.Begin(fp, "a")
+			b.End(fp, "a")
+			<-time.After(2 * settleTime)
+			b.Crashed("a")
+		}},
+		{"runs everywhere, two targets die", Suspect, func(b *Book) {
+			b.Begin(fp, "c")
+			b.End(fp, "c")
+			<-time.After(2 * settleTime)
+			b.Begin(fp, "a")
+			b.Begin(fp, "b")
+			b.Crashed("a")
+			b.Crashed("b")
+		}},
+		{"an availability zone fails", Clear, func(b *Book) {
+			b.Begin(fp, "a")
+			for _, target := range []string{"a", "b", "c"} {
+				b.Begin(fp+1, target)
+				b.Crashed(target)
+			}
+		}},
+		{"suspect long ago", Clear, func(b *Book) {
+			b.Begin(fp, "a")
+			b.Crashed("a")
+			<-time.After(suspectFor)
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				b := New(Options{Self: "d"})
+				tc.play(b)
+				if got, _ := b.Check(fp); got != tc.want {
+					t.Errorf("standing %d, want %d", got, tc.want)
+				}
+			})
+		})
+	}
+}
+
+// TestConvictedForATime: a conviction ends, the content runs alone once more,
+// kills again, and is refused for twice as long.
+func TestConvictedForATime(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		r := newRig(t, bad)
+		defer r.stop()
+		r.send(0, bad)
+		for _, want := range []time.Duration{10, 20, 40} {
+			want *= time.Minute
+			_, left := r.books[1].Check(bad)
+			if left > want || left < want-time.Second {
+				t.Fatalf("refused for %v, want %v", left, want)
+			}
+			<-time.After(left)
+			r.standing(1, bad, Suspect)
+			r.send(1, bad)
+		}
+		r.atMost(5)
+	})
+}
+
+// TestBounded: a flood of crashes with new contents each.
+func TestBounded(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		b := New(Options{Self: "d"})
+		for i := range uint64(2 * maxContents) {
+			b.Begin(i+1, "a")
+			if i%maxSuspects == maxSuspects-1 {
+				b.Crashed("a")
+				for k := range uint64(maxSuspects) {
+					b.End(i+1-k, "a")
+				}
+				<-time.After(2 * sameCrash)
+			}
+		}
+		if n := len(b.contents); n > maxContents || n < maxContents*7/8 {
+			t.Errorf("%d contents held", n)
+		}
+		if n := len(b.Outgoing()); n > maxNews*maxCrashes {
+			t.Errorf("%d messages on a heartbeat", n)
+		}
+	})
+}
+
+// TestClaim: all daemons want to run the same suspect content at once. One
+// may, and when it has given the right back another one.
+func TestClaim(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		r := newRig(t, bad)
+		defer r.stop()
+		r.try(r.books[0], bad)
+		for first := range 3 {
+			var mu sync.Mutex
+			var granted []func(bool)
+			r.together(daemons-first, func(i int) {
+				release, ok := r.books[first+i].Claim(t.Context(), bad)
+				mu.Lock()
+				defer mu.Unlock()
+				if ok {
+					granted = append(granted, release)
+				}
+			})
+			if len(granted) != 1 {
+				t.Fatalf("%d daemons may run it", len(granted))
+			}
+			granted[0](false)
+			<-time.After(2 * settleTime)
+		}
+	})
+}
+
+// TestFingerprint: what makes a content another one, and what doesn't.
+func TestFingerprint(t *testing.T) {
+	base := Fingerprint("s", "/v1/completions", []byte(`{"model":"m","prompt":"p","user":"a"}`))
+	cases := []struct {
+		service, path, body string
+		same                bool
+	}{
+		{"s", "/v1/completions", `{ "prompt":"p", "model":"m", "stream":true, "id":"9" }`, true},
+		{"s", "/v1/completions", `{"model":"m","prompt":"q"}`, false},
+		{"t", "/v1/completions", `{"model":"m","prompt":"p"}`, false},
+		{"s", "/v1/chat/completions", `{"model":"m","prompt":"p"}`, false},
+		{"s", "/v1/completions", `{"model":"m","prompt":"p"`, false},
+	}
+	for _, tc := range cases {
+		if got := Fingerprint(tc.service, tc.path, []byte(tc.body)) == base; got != tc.same {
+			t.Errorf("%+v: same is %v", tc, got)
+		}
+	}
+}
--- a/request/quarantine/types.go
+++ b/request/quarantine/types.go
@@ -2,7 +2,10 @@
 // run it, and keeps them from taking down the fleet.
 package quarantine
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Standing is what is held against a content fingerprint.
 type Standing int
@@ -12,6 +15,7 @@
 	Clear     Standing = iota
 	Suspect            // in flight at a crash: runs alone
 	Convicted          // refused for a time
+	Watched            // suspect for which no idle target was found: runs beside others
 )
 
 // Tracker follows content fingerprints. It is safe for concurrent use.
@@ -25,3 +29,14 @@
 	// Crashed notes that a target died; what was in flight there is suspect.
 	Crashed(target string)
 }
+
+// Claimer is a Tracker that also gives the right to run suspect content. It is
+// asked after Check said Suspect or Watched, before the content is sent to a target.
+type Claimer interface {
+	Tracker
+	// Claim takes the only right in the fleet to run the content now. ok is
+	// false while another run of it goes on; then release is nil. release is
+	// called once, after End; finished says that a target gave the whole
+	// answer, which clears the content. Claim may wait a moment for the peers.
+	Claim(ctx context.Context, fingerprint uint64) (release func(finished bool), ok bool)
+}
