Once: random histories, a probe of its own, guards shown failing

Weighed: letting a request through as a probe (it waits 1 s or 2 s for a log that hangs) against a goroutine that reads; the second was taken. Ruled out as a guard: reading the stream after a failed append only saves appends; the fold takes a second copy without harm.

--- a/request/once/fault_test.go
+++ b/request/once/fault_test.go
@@ -117,6 +117,15 @@
 			n := f.start()
 			f.expect("again", n.send(call(key)), "held "+key)
 		}},
+		{"all daemons replaced while it runs", 1, func(f *fleet, a, b *node) {
+			a.begin(key)
+			f.run(key)
+			for _, n := range f.nodes {
+				n.kill()
+				n.set(func() { n.old = true })
+			}
+			f.expect("again", f.start().send(call(key)), "3003")
+		}},
 		{"log refuses", 1, func(f *fleet, a, b *node) {
 			f.log.SetOutage(logsvc.Refuse)
 			began := time.Now()
@@ -132,6 +141,12 @@
 		{"log hangs", 1, func(f *fleet, a, b *node) {
 			f.log.SetOutage(logsvc.Hang)
 			f.expect("first", a.send(call(key)), "3004")
+			advance(time.Second)
+			began := time.Now()
+			f.expect("at once", a.send(call(key)), "3004")
+			if d := time.Since(began); d > 0 {
+				f.t.Errorf("refused after %v", d)
+			}
 			f.log.SetOutage(logsvc.Up)
 			advance(time.Minute)
 			f.expect("later", b.send(call(key)), "held "+key)
@@ -146,6 +161,7 @@
 		}},
 		{"log down, sent again to the same daemon", 1, func(f *fleet, a, b *node) {
 			a.send(call(key))
+			advance(time.Second)
 			f.log.SetOutage(logsvc.Refuse)
 			f.expect("again", a.send(call(key)), "held "+key)
 		}},
@@ -157,7 +173,11 @@
 		{"every answer of an append lost", 1, func(f *fleet, a, b *node) {
 			f.log.LoseAnswers(-1)
 			f.expect("first", a.send(call(key)), "held "+key)
+			advance(time.Minute)
 			f.expect("again", b.send(call(key)), "held "+key)
+			if n := f.log.Counters().Appends; n != 2 {
+				f.t.Errorf("%d appends for an intent and a result", n)
+			}
 		}},
 		{"append takes effect late", 1, func(f *fleet, a, b *node) {
 			f.log.DelayAppends(1, 5*time.Second)
@@ -171,6 +191,13 @@
 			advance(time.Minute)
 			f.expect("later", b.send(call(key)), "held "+key)
 		}},
+		{"daemon gives up, then dies", 1, func(f *fleet, a, b *node) {
+			f.log.DelayAppends(3, 5*time.Second)
+			f.expect("first", a.send(call(key)), "3004")
+			advance(time.Minute)
+			a.kill()
+			f.expect("later", b.send(call(key)), "held "+key)
+		}},
 		{"batcher dies", 1, func(f *fleet, a, b *node) {
 			batcher := f.batcherOf(key)
 			batcher.set(func() { batcher.dead = true })
@@ -189,6 +216,16 @@
 			f.expect("again", m.send(call(key)), "held "+key)
 			f.expect("at the batcher", batcher.send(call(key)), "held "+key)
 		}},
+		{"batcher that missed the result", 1, func(f *fleet, a, b *node) {
+			batcher := f.batcherOf(key)
+			n := f.other(batcher)
+			ticket := n.begin(key)
+			batcher.set(func() { batcher.dead = true })
+			ticket.NotRun(code.TargetUnreachable)
+			advance(time.Second)
+			batcher.set(func() { batcher.dead = false })
+			f.expect("again", f.other(batcher, n).send(call(key)), "held "+key)
+		}},
 		{"winner paused and awake again", 1, func(f *fleet, a, b *node) {
 			ticket := a.begin(key)
 			a.pause()
--- a/request/once/fleet_test.go
+++ b/request/once/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"sync"
 	"testing"
@@ -18,9 +19,12 @@
 	"github.com/pomelospool/pomelospool/standin/logsvc"
 )
 
-// TestMain keeps the log lines of provoked faults out of the output.
+// TestMain keeps the log lines of provoked faults out of the output, and sets
+// how many random histories are tried; the command line comes after it.
 func TestMain(m *testing.M) {
 	log.SetLevel(log.FatalLevel)
+	_ = flag.Set("rapid.checks", "3000")
+	_ = flag.Set("rapid.seed", "1")
 	m.Run()
 }
 
@@ -43,6 +47,7 @@
 	awake chan struct{} // closed while the process runs
 	dead  bool          // killed
 	gone  bool          // held for dead by the members
+	old   bool          // not in the members' list any more
 }
 
 func newFleet(t testing.TB, n int, o logsvc.Options) *fleet {
@@ -71,6 +76,9 @@
 	defer f.mu.Unlock()
 	var out []Member
 	for _, n := range f.nodes {
+		if n.old {
+			continue
+		}
 		out = append(out, Member{Incarnation: n.name, Addr: n.name, Live: !n.gone})
 	}
 	return out
--- a/request/once/fold.go
+++ b/request/once/fold.go
@@ -153,7 +153,7 @@
 
 func (f *Fold) applyUnknown(it *item, offset int64) {
 	e := f.lookup(it.id)
-	if e != nil && (e.state == done || slices.Contains(e.dead, it.result.Attempt)) {
+	if e != nil && slices.Contains(e.dead, it.result.Attempt) {
 		return
 	}
 	f.close(it, offset, unknown)
--- a/request/once/health.go
+++ b/request/once/health.go
@@ -1,74 +1,80 @@
 package once
 
 import (
+	"context"
 	"expvar"
 	"sync"
 	"time"
+
+	"github.com/pomelospool/pomelospool/process/record"
 )
 
 // counts are the metrics of at most once in this process.
 var counts = expvar.NewMap("once")
 
-// Waits of an outage.
-const (
-	downFirst = 250 * time.Millisecond
-	downMost  = 2 * time.Second
-)
+// probePeriod is the time between two looks at a log that is down.
+const probePeriod = 250 * time.Millisecond
 
 // health remembers that the log failed, so that requests are refused at once
-// instead of waiting for the same time-out one after another. Every so often
-// one try is let through.
+// instead of each waiting for the same time-out. No request is a probe: one
+// that was would wait for the log in its caller's stead.
 type health struct {
-	now func() time.Time
-
-	mu    sync.Mutex
-	wait  time.Duration // 0 while the log is up
-	until time.Time
+	mu       sync.Mutex
+	failed   bool
+	readable bool // again, since it failed
 }
 
-// try tells whether the log may be tried now.
-func (h *health) try() bool {
+// ok tells whether the log may be used now.
+func (h *health) ok() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.wait == 0 {
-		return true
-	}
-	now := h.now()
-	if now.Before(h.until) {
-		return false
-	}
-	h.until = now.Add(h.wait)
-	return true
-}
-
-// refuses tells whether the log failed a moment ago.
-func (h *health) refuses() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.wait > 0 && h.now().Before(h.until)
+	return !h.failed || h.readable
 }
 
 // down notes a failure and tells whether the log was up before.
 func (h *health) down() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	first := h.wait == 0
-	h.wait = min(max(2*h.wait, downFirst), downMost)
-	h.until = h.now().Add(h.wait)
+	first := !h.failed
+	h.failed, h.readable = true, false
 	counts.Add("log_down", 1)
 	return first
 }
 
-// readable notes that a read worked: the next append may be tried at once.
-func (h *health) readable() {
+// canRead notes that a read worked: appends may be tried.
+func (h *health) canRead() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.until = time.Time{}
+	h.readable = true
 }
 
-// up notes that the log works.
+// up notes that an append worked.
 func (h *health) up() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.wait = 0
+	h.failed = false
+}
+
+// probe looks at the log while it is down.
+func (l *Log) probe() error {
+	tick := time.NewTicker(probePeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-l.tomb.Dying():
+			return nil
+		case <-tick.C:
+		}
+		if !l.health.ok() {
+			l.look()
+		}
+	}
+}
+
+func (l *Log) look() {
+	ctx, cancel := context.WithTimeout(l.tomb.Context(context.Background()), readTimeout)
+	defer cancel()
+	if _, _, err := l.o.Log.Read(ctx, record.OnceStream(0), 1<<62, 1, 0); err == nil {
+		l.health.canRead()
+	}
 }
--- a/request/once/keeper.go
+++ b/request/once/keeper.go
@@ -75,7 +75,7 @@
 	l := &Log{
 		o:        o,
 		started:  o.Now(),
-		health:   &health{now: o.Now},
+		health:   &health{},
 		limit:    rate.NewLimiter(rate.Limit(o.Rate), max(1, int(o.Rate/10))),
 		attempts: newAttempts(o.Self, o.Now),
 		avoid:    &avoidList{now: o.Now, until: make(map[string]time.Time)},
@@ -118,6 +118,7 @@
 		for _, c := range l.closers {
 			l.tomb.Go(c.run)
 		}
+		l.tomb.Go(l.probe)
 		<-l.tomb.Dying()
 		return nil
 	})
--- a/request/once/shard.go
+++ b/request/once/shard.go
@@ -90,7 +90,7 @@
 // submit hands a proposal in. A full shard refuses it, and so does one whose
 // log failed a moment ago, even while its goroutine waits for the log.
 func (s *shard) submit(p *proposal) error {
-	if s.health.refuses() {
+	if !s.health.ok() {
 		return errNotAppended
 	}
 	select {
@@ -156,7 +156,7 @@
 		return decision{}, false
 	}
 	d, ok := s.fold.decide(&p.item)
-	if !ok || d.final || s.health.now().Sub(s.read) < freshFor {
+	if !ok || d.final || time.Since(s.read) < freshFor {
 		return d, ok
 	}
 	if s.catchUp(p.ctx, 0) != nil || s.fold == nil {
@@ -168,7 +168,7 @@
 // work appends until nothing is pending.
 func (s *shard) work(ctx context.Context, t *tomb.Tomb) {
 	for len(s.pending) > 0 && ctx.Err() == nil {
-		if !s.health.try() {
+		if !s.health.ok() {
 			s.refuseAll()
 			return
 		}
--- a/request/once/shardread.go
+++ b/request/once/shardread.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/pomelospool/pomelospool/platform"
 )
@@ -48,8 +49,8 @@
 			if s.fold.Next() <= want {
 				return fmt.Errorf("once: %s ends at %d before append %d", s.stream, newest, want)
 			}
-			s.read = s.health.now()
-			s.health.readable()
+			s.read = time.Now()
+			s.health.canRead()
 			return nil
 		}
 	}
