daemon: tests of the wiring; a quiet log no longer looks like isolation

Cause: process/daemon had no tests. Writing the one for isolation found a fault: the long poll of a quiet log lasts 3 s, so what it shows is up to 6 s old, above the isolation time of 5 s. A daemon whose peers were gone but which read the log without trouble refused requests with 1004 about every other second. Change: idle polls last a quarter of the isolation time at most, those of lease holders a quarter of the lease. Settings with port 0 get the port in use. Ruled out: a longer isolation time, which would let a cut-off daemon send work to drained targets for longer. Weaker at first: the address list was asked of any daemon, so the leaving one's own answer hid a missing Leave; now the other daemon is asked.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -91,10 +91,12 @@
 	callers, peers, operators net.Listener
 }
 
-// New listens on the daemon's ports and wires its parts. Nothing runs yet.
+// New listens on the daemon's ports and wires its parts. Nothing runs yet. A
+// port 0 in the settings lets the system choose one, which Listen tells.
 func New(s *settings.Settings) (*Daemon, error) {
+	own := *s
 	d := &Daemon{
-		s:     s,
+		s:     &own,
 		self:  s.VM + "/" + uuid.NewString(),
 		clock: clock.Boot{},
 		view:  &view.Holder{},
@@ -132,9 +134,17 @@
 		d.listeners.close()
 		return fmt.Errorf("daemon: %w", err)
 	}
+	d.s.Listen = settings.Listen{
+		Callers:   d.listeners.callers.Addr().String(),
+		Peers:     d.listeners.peers.Addr().String(),
+		Operators: d.listeners.operators.Addr().String(),
+	}
 	return nil
 }
 
+// Listen gives the addresses that the daemon listens on.
+func (d *Daemon) Listen() settings.Listen { return d.s.Listen }
+
 func (l *listeners) close() {
 	for _, one := range []net.Listener{l.callers, l.peers, l.operators} {
 		if one != nil {
@@ -206,6 +216,8 @@
 		Peers:      &peerRecords{d: d},
 		Rank:       d.rank,
 		Checkpoint: d.s.Control.Checkpoint,
+		HolderWait: d.s.Control.Lease / holderReads,
+		IdleWait:   min(d.s.Control.Isolation/idleReads, idleWait),
 	})
 	rule := lease.Rule{T: d.s.Control.Lease, Guard: d.s.Control.Drift}.WithDefaults()
 	d.leases = lease.New(lease.Options{
@@ -230,6 +242,20 @@
 	})
 }
 
+// Bounds of the long polls at the log's tail, which end without a record when
+// nothing is published.
+//
+// What a read shows is as old as its begin, so at the end of the next read it
+// is two polls old. Polls about as long as the isolation time would make a
+// daemon that reads a quiet log without trouble refuse requests now and then,
+// once its peers are gone; a quarter of it leaves room for a slow log. A
+// lease, too, lives on the begin of its holder's reads.
+const (
+	idleWait    = 3 * time.Second
+	idleReads   = 4 // in the isolation time
+	holderReads = 4 // in the lease time
+)
+
 // connectEngine makes the adapter for orders of one lease term.
 func connectEngine(engine string, check lease.Check, userTimeout time.Duration) platform.Engine {
 	return httpapi.NewEngine(engine, httpapi.Options{
--- /dev/null
+++ b/process/daemon/daemon_test.go
@@ -0,0 +1,171 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/operator/caller"
+	"github.com/pomelospool/pomelospool/process/settings"
+)
+
+// An operator publishes twice, then the platform replaces all VMs at once.
+// None of the new processes knows the old ones; all find the second version in
+// the log, and must not serve by the first on the way there.
+func TestConfigurationSurvivesRestartOfAll(t *testing.T) {
+	f := newFleet(t, 3, settings.TLS{})
+	p := f.plain()
+	first := f.publish("feed", plainYAML(p.Addr(), time.Second))
+	f.inForce("feed", first)
+	second := f.publish("feed", plainYAML(p.Addr(), 2*time.Second))
+	f.inForce("feed", second)
+	f.kill()
+	for i := range f.daemons {
+		f.start(i)
+	}
+	for i := range f.daemons {
+		eventually(t, "the new daemon serves", func() bool {
+			if v := f.version(i, "feed"); v == first {
+				t.Fatalf("daemon %d went back to version %d", i, v)
+			}
+			status, _ := f.ready(i)
+			return status == http.StatusOK
+		})
+		if v := f.version(i, "feed"); v != second {
+			t.Errorf("daemon %d serves by version %d, want %d", i, v, second)
+		}
+	}
+}
+
+// One VM loses its way to the log, but not to the other daemons. Operators
+// publish; the drained target must get no work from that VM either. It reads
+// the records from its peers, and serves on, also when it is started anew.
+func TestCutOffFromTheLogOnly(t *testing.T) {
+	f := newFleet(t, 3, settings.TLS{})
+	p := f.plain()
+	f.inForce("feed", f.publish("feed", plainYAML(p.Addr(), time.Second)))
+	f.gates[0].cut()
+	second := f.publish("feed", plainYAML(p.Addr(), 2*time.Second))
+	f.inForce("feed", second)
+	eventually(t, "the log's age shows the cut", func() bool { return f.daemons[0].logAge() > 2*f.daemons[0].s.Control.Isolation })
+	if status, body := f.ready(0); status != http.StatusOK {
+		t.Errorf("with all its peers, the daemon says %d %s", status, body)
+	}
+	f.daemons[0].Kill()
+	f.start(0)
+	f.inForce("feed", second, 0)
+	f.gates[0].mend()
+	f.inForce("feed", f.publish("feed", plainYAML(p.Addr(), 3*time.Second)))
+}
+
+// A VM loses the log and all other daemons. Elsewhere targets may be drained
+// by now, so it refuses new requests, truly unrun, and says which code.
+func TestIsolatedDaemonRefuses(t *testing.T) {
+	f := newFleet(t, 3, settings.TLS{})
+	p := f.plain()
+	f.inForce("feed", f.publish("feed", plainYAML(p.Addr(), time.Second)))
+	eventually(t, "all hear of each other", func() bool { live, _ := f.daemons[0].members.View().Reachable(); return live == 2 })
+	f.gates[0].cut()
+	f.daemons[1].Kill()
+	f.daemons[2].Kill()
+	eventually(t, "isolated", func() bool { return f.status(0).Code == code.Isolated })
+	runs := p.Record().Runs
+	c := caller.New(caller.Options{Daemons: []string{f.daemons[0].Listen().Callers}, Fixed: true, Attempts: 1})
+	defer c.Close()
+	a, _ := c.Do(t.Context(), caller.Request{Path: "/s/feed/boards", Body: []byte("b")})
+	if a.Code != code.Isolated || !a.NotRun || p.Record().Runs != runs {
+		t.Errorf("%+v, %d runs", a, p.Record().Runs-runs)
+	}
+	if status, body := f.ready(0); status != http.StatusServiceUnavailable || !strings.HasPrefix(body, "1004 ") {
+		t.Errorf("readyz: %d %s", status, body)
+	}
+	f.gates[0].mend()
+	// The log is quiet and the peers stay away: only reads of the log's tail
+	// show that nothing new is in force, and they must do so often enough.
+	eventually(t, "served again", func() bool { return f.status(0).State == "serving" })
+	began, reads := time.Duration(0), 0
+	eventually(t, "more reads", func() bool {
+		if s := f.status(0); s.State != "serving" {
+			t.Fatalf("with the log at hand, the daemon is %s, log age %d ms", s.State, s.LogAgeMs)
+		}
+		if at, _ := f.daemons[0].follower.LastReadBegan(); at != began {
+			began, reads = at, reads+1
+		}
+		return reads == 5
+	})
+}
+
+// A daemon is stopped for an update while it streams an answer that takes
+// longer than callers keep addresses. The stream goes on to its end; callers
+// who come meanwhile are refused unrun, and find the daemon in no list.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	f := newFleet(t, 2, settings.TLS{})
+	e := f.engine(10 * time.Millisecond)
+	f.inForce("language", f.publish("language", modelYAML(e.Addr())))
+	eventually(t, "the engine is live", func() bool { return len(f.status(0).Targets) == 1 && f.status(0).Targets[0].State == "live" })
+	const tokens = 250
+	old, other := f.daemons[0], f.daemons[1]
+	c := caller.New(caller.Options{Daemons: []string{old.Listen().Callers}, Fixed: true, Attempts: 1})
+	defer c.Close()
+	req := caller.Chat("m", "hello", tokens)
+	begun, ended := make(chan struct{}), make(chan *caller.Answer, 1)
+	req.Token = func(tok caller.Token) {
+		if tok.Index == 0 {
+			close(begun)
+		}
+	}
+	go func() { a, _ := c.Do(t.Context(), req); ended <- a }()
+	<-begun
+	stopped := make(chan error, 1)
+	go func() { stopped <- old.Shutdown(context.Background()) }()
+	eventually(t, "drains", func() bool { return old.phase() == phaseDraining })
+	if a, _ := c.Do(t.Context(), caller.Chat("m", "too late", 1)); a.Code != code.Draining || !a.NotRun {
+		t.Errorf("a new request at the draining daemon: %+v", a)
+	}
+	eventually(t, "the other daemon names only itself", func() bool {
+		_, list := get(t, http.DefaultClient, "http://"+other.Listen().Callers+caller.PathAddresses)
+		return !strings.Contains(list, old.Listen().Callers)
+	})
+	select {
+	case <-ended:
+		t.Fatal("the list came too late, or the stream ended too soon to show anything")
+	default:
+	}
+	if a := <-ended; !a.Whole || a.Tokens != tokens || a.Cut > 0 {
+		t.Errorf("the stream in flight: %+v", a)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("the stop: %v", err)
+	}
+}
+
+// A platform's probe asks for readiness before the first document, while the
+// daemon serves, and while it drains.
+func TestStatusAndReadiness(t *testing.T) {
+	f := newFleet(t, 2, settings.TLS{})
+	f.gates[0].cut()
+	f.gates[1].cut()
+	f.kill()
+	f.start(0)
+	if status, body := f.ready(0); status != http.StatusServiceUnavailable || !strings.HasPrefix(body, "1014 ") {
+		t.Errorf("before the log was read: %d %s", status, body)
+	}
+	f.gates[0].mend()
+	p := f.plain()
+	version := f.publish("feed", plainYAML(p.Addr(), time.Second))
+	f.inForce("feed", version, 0)
+	s := f.status(0)
+	if s.State != "serving" || s.Code != code.OK || len(s.Services) != 1 || s.Services[0].Version != version || s.Applied < version {
+		t.Errorf("serving: %+v", s)
+	}
+	if status, _ := f.ready(0); status != http.StatusOK {
+		t.Errorf("serving, but readyz says %d", status)
+	}
+	f.daemons[0].setPhase(phaseDraining)
+	if status, body := f.ready(0); status != http.StatusServiceUnavailable || !strings.HasPrefix(body, "1005 ") {
+		t.Errorf("draining: %d %s", status, body)
+	}
+}
--- /dev/null
+++ b/process/daemon/fleet_test.go
@@ -0,0 +1,282 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/operator/status"
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/process/settings"
+	"github.com/pomelospool/pomelospool/standin/engine"
+	"github.com/pomelospool/pomelospool/standin/logsvc"
+	"github.com/pomelospool/pomelospool/standin/plain"
+	"github.com/pomelospool/pomelospool/standin/vmlist"
+	"github.com/pomelospool/pomelospool/standin/weights"
+	"github.com/pomelospool/pomelospool/version/publish"
+)
+
+// TestMain keeps the log lines of provoked faults out of the output.
+func TestMain(m *testing.M) {
+	log.SetLevel(log.FatalLevel)
+	m.Run()
+}
+
+// giveUp ends a wait for something that should have happened; no verdict
+// depends on its length.
+const giveUp = 20 * time.Second
+
+// eventually looks again until ok holds.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	end := time.After(giveUp)
+	for !ok() {
+		select {
+		case <-tick.C:
+		case <-end:
+			t.Fatalf("gave up waiting: %s", what)
+		}
+	}
+}
+
+// gate stands between one daemon and the log, and can be shut: what waits at
+// it is refused too, as with a network that is cut.
+type gate struct {
+	url string
+
+	mu   sync.Mutex
+	ctx  context.Context
+	shut context.CancelFunc
+}
+
+func newGate(t *testing.T, l *logsvc.Log) *gate {
+	g := &gate{}
+	g.ctx, g.shut = context.WithCancel(context.Background())
+	h := l.Handler()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		defer context.AfterFunc(g.open(), cancel)()
+		if g.open().Err() != nil {
+			http.Error(w, "cut off", http.StatusServiceUnavailable)
+			return
+		}
+		h.ServeHTTP(w, r.WithContext(ctx))
+	}))
+	t.Cleanup(srv.Close)
+	g.url = srv.URL
+	return g
+}
+
+func (g *gate) open() context.Context {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ctx
+}
+
+func (g *gate) cut() { g.shut() }
+
+func (g *gate) mend() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ctx, g.shut = context.WithCancel(context.Background())
+}
+
+// fleet is some daemons with stand-ins around them, each daemon on an IP
+// number of its own.
+type fleet struct {
+	t       *testing.T
+	log     *logsvc.Log
+	vms     *vmlist.List
+	weights *weights.Store
+	gates   []*gate
+	daemons []*Daemon
+	peers   string // port, the same on all
+	tls     settings.TLS
+}
+
+// hostOf gives the IP number of daemon i, on loopback.
+func hostOf(i int) string { return fmt.Sprintf("127.0.41.%d", i+1) }
+
+func newFleet(t *testing.T, n int, tls settings.TLS) *fleet {
+	f := &fleet{t: t, log: logsvc.New(logsvc.Options{}), tls: tls, daemons: make([]*Daemon, n)}
+	var vms []platform.VM
+	for i := range n {
+		vms = append(vms, platform.VM{ID: fmt.Sprintf("vm-%d", i), Addr: hostOf(i), Zone: "z"})
+		f.gates = append(f.gates, newGate(t, f.log))
+	}
+	f.vms = vmlist.New(vmlist.Options{VMs: vms})
+	f.weights = weights.New(weights.Options{})
+	f.run(f.vms.Run, f.vms.Close)
+	f.run(f.weights.Run, f.weights.Close)
+	f.peers = freePort(t)
+	t.Cleanup(f.kill)
+	for i := range n {
+		f.start(i)
+	}
+	return f
+}
+
+func (f *fleet) run(run func(string) error, stop func() error) {
+	f.t.Helper()
+	if err := run("127.0.0.1:0"); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = stop() })
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", hostOf(0)+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	_, port, _ := net.SplitHostPort(l.Addr().String())
+	return port
+}
+
+// start runs daemon i with short times.
+func (f *fleet) start(i int) {
+	f.t.Helper()
+	s := settings.Default()
+	s.VM, s.Zone, s.TLS = fmt.Sprintf("vm-%d", i), "z", f.tls
+	s.Listen = settings.Listen{Callers: hostOf(i) + ":0", Peers: hostOf(i) + ":" + f.peers, Operators: hostOf(i) + ":0"}
+	s.Platform = settings.Platform{Log: f.gates[i].url, VMs: f.vms.URL(), Weights: f.weights.URL()}
+	s.Control.Heartbeat = 40 * time.Millisecond
+	s.Control.DeadAfter = 250 * time.Millisecond
+	s.Control.Isolation = 400 * time.Millisecond
+	s.Control.Lease, s.Control.Drift = 500*time.Millisecond, 100*time.Millisecond
+	s.Control.AddressTTL, s.Control.LoadPoll = 150*time.Millisecond, 40*time.Millisecond
+	d, err := New(s)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	d.Start()
+	f.daemons[i] = d
+}
+
+func (f *fleet) kill() {
+	var all sync.WaitGroup
+	for _, d := range f.daemons {
+		all.Go(d.Kill)
+	}
+	all.Wait()
+}
+
+// publish brings a document into force and returns its version.
+func (f *fleet) publish(service, yaml string) int64 {
+	f.t.Helper()
+	p := &publish.Publisher{Log: f.log, Writer: "test"}
+	now, err := p.Current(f.t.Context(), service)
+	if err == nil {
+		var r publish.Result
+		if r, err = p.Publish(f.t.Context(), service, now.Version, []byte(yaml)); err == nil {
+			return r.Version
+		}
+	}
+	f.t.Fatal(err)
+	return 0
+}
+
+// version is what daemon i has in force, 0 for nothing.
+func (f *fleet) version(i int, service string) int64 {
+	snap := f.daemons[i].view.Load()
+	if snap == nil || snap.Services[service] == nil {
+		return 0
+	}
+	return snap.Services[service].Version
+}
+
+// inForce waits until the daemons have a version, all of them if none is named.
+func (f *fleet) inForce(service string, version int64, daemons ...int) {
+	f.t.Helper()
+	if len(daemons) == 0 {
+		for i := range f.daemons {
+			daemons = append(daemons, i)
+		}
+	}
+	for _, i := range daemons {
+		eventually(f.t, fmt.Sprintf("version %d of %s on daemon %d", version, service, i), func() bool {
+			return f.version(i, service) == version
+		})
+	}
+}
+
+// plainYAML describes a plain service; answer tells versions apart.
+func plainYAML(addr string, answer time.Duration) string {
+	return fmt.Sprintf("service: feed\nkind: plain\nowner: o\ntargets:\n  - {name: p, addr: %q, zone: z}\nobjectives: {answer: %s}\n", addr, answer)
+}
+
+func modelYAML(addr string) string {
+	return fmt.Sprintf("service: language\nkind: model\nowner: o\nmodels:\n  - {name: m, version: \"1\", max_tokens: 4096}\n"+
+		"targets:\n  - {name: e, addr: %q, zone: z, pinned: true}\nobjectives: {answer: 20s}\n", addr)
+}
+
+func (f *fleet) plain() *plain.Service {
+	f.t.Helper()
+	p := plain.New(plain.Options{Name: "p"})
+	f.run(p.Run, p.Close)
+	return p
+}
+
+// engine runs an engine that has its model already.
+func (f *fleet) engine(step time.Duration) *engine.Engine {
+	f.t.Helper()
+	e := engine.New(engine.Options{
+		Name:     "e",
+		Spec:     platform.EngineSpec{Role: platform.RoleMixed, Model: "m", Version: "1"},
+		StepBase: step,
+	})
+	f.run(e.Run, e.Close)
+	return e
+}
+
+// get asks a port of a daemon and returns status and body.
+func get(t *testing.T, c *http.Client, url string, header ...string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, strings.TrimSpace(string(body))
+}
+
+func (f *fleet) status(i int) status.Status {
+	f.t.Helper()
+	_, body := get(f.t, http.DefaultClient, "http://"+f.daemons[i].Listen().Operators+status.Path)
+	var s status.Status
+	if err := json.Unmarshal([]byte(body), &s); err != nil {
+		f.t.Fatal(err)
+	}
+	return s
+}
+
+func (f *fleet) ready(i int) (int, string) {
+	f.t.Helper()
+	return get(f.t, http.DefaultClient, "http://"+f.daemons[i].Listen().Operators+"/readyz")
+}
