--- a/bench/audit/judge.go
+++ b/bench/audit/judge.go
@@ -1,3 +1,24 @@
+// Package audit compares what callers got with what targets recorded. It
+// trusts neither the daemons' counters nor their logs.
+//
+// Every request ends for its caller in one way, the best over its sendings:
+//
+//   - answered: whole. A stream's every token was checked, a plain answer's
+//     body is the one to this request.
+//   - refused, not run: every attempt proved that nothing reached a target.
+//   - unknown: a call that may run at most once, and may have run.
+//   - failed, told so: an idempotent request that was given up, with a 2xxx
+//     code of a daemon; past the deadline only when the deadline had passed.
+//   - cut: a stream that ended in the middle for good, told or not; also any
+//     answer taken for whole that is shorter than asked.
+//   - lost: all else. Nobody gave an answer or a truthful code before the
+//     deadline; or the caller has an answer, but no target counted a run.
+//
+// Doubled is a key that targets ran more than once, or a token that came
+// twice. Crossed is anything of another request that reached the caller.
+// Untrue is a refusal as not run although a target counted a run. Conflicting
+// are orders that an engine got while another one ran, or carried out under a
+// fencing number below the highest that it had seen.
 package audit
 
 import (
@@ -7,6 +28,14 @@
 	"text/tabwriter"
 )
 
+// Plain is what the stand-in of a plain service recorded.
+type Plain struct {
+	Name     string         `json:"name"`
+	Runs     int            `json:"runs"`
+	Keys     map[string]int `json:"keys"`     // runs by Idempotency-Key
+	Requests map[string]int `json:"requests"` // runs by X-Request-Id
+}
+
 // Engine is the part of an engine stand-in's record that is judged. One that
 // crashed has a record for each life.
 type Engine struct {
--- a/bench/chaos/load.go
+++ b/bench/chaos/load.go
@@ -29,7 +29,7 @@
 	Model    string
 	Feed     string  // idempotent plain service
 	Once     string  // plain service, and path of calls that may run at most once
-	Short    bool    // streams of a few tokens, for runs of many requests
+	Short    bool    // streams of a few tokens and some very long ones, for runs of many requests
 	Resend   float64 // share of non-idempotent calls sent again although they ended
 }
 
@@ -44,6 +44,9 @@
 	maxInFlight  = 2048
 	callersAZone = 3 // callers with a book of addresses of their own
 	shortTokens  = 8
+	longShare    = 0.03 // of short streams; they outlast a daemon's wait before it drains
+	longLeast    = 500
+	longMost     = 1200
 	questionMost = 60
 	draftLeast   = 150
 	draftMost    = 400
@@ -86,6 +89,8 @@
 
 func (o *LoadOptions) tokens(rng *rand.Rand) int {
 	switch {
+	case o.Short && rng.Float64() < longShare:
+		return longLeast + rng.IntN(longMost-longLeast)
 	case o.Short:
 		return 1 + rng.IntN(shortTokens)
 	case rng.Float64() < draftShare:
--- a/bench/chaos/plan.go
+++ b/bench/chaos/plan.go
@@ -98,6 +98,7 @@
 func (p *planner) strike(at time.Duration) {
 	kinds := []func(time.Duration){
 		p.killDaemon, p.killDaemon, p.pauseDaemon, p.pauseDaemon, p.termDaemon,
+		p.replaceAll,
 		p.crashEngine, p.pauseEngine, p.engineFault, p.engineFault, p.engineFault,
 		p.plainFault, p.plainFault, p.plainFault,
 		p.outage, p.loseAppends, p.publish,
@@ -162,6 +163,21 @@
 	p.away("engine", p.fleet.Engines, at, p.between(minPause, maxPause), VerbPause, VerbResume)
 }
 
+// replaceAll kills every daemon that is up at the same moment, as when the
+// platform replaces all VMs, and starts new ones.
+func (p *planner) replaceAll(at time.Duration) {
+	for i := 1; i <= p.fleet.Daemons; i++ {
+		name := fmt.Sprintf("daemon-%d", i)
+		if p.out[name] >= at && p.out[name] > 0 {
+			continue
+		}
+		until := min(at+p.between(minAway, maxAway), p.end)
+		p.out[name] = until + settle
+		p.add(at, VerbKill, name, "")
+		p.add(until, VerbStart, name, "")
+	}
+}
+
 // crashEngine lets an engine end itself in the middle of what it does.
 func (p *planner) crashEngine(at time.Duration) {
 	until := min(at+p.between(minAway, maxAway), p.end)
--- a/cmd/pomelosbench/chaos.go
+++ b/cmd/pomelosbench/chaos.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -31,10 +32,13 @@
 	add(p, "chaos-plan", "Schedule of faults", chaosPlanHelp, &chaosPlanCommand{})
 	add(p, "chaos-load", "Load that records each outcome", chaosLoadHelp, &chaosLoadCommand{})
 	add(p, "judge", "Judge a run by what callers and targets recorded", judgeHelp, &judgeCommand{})
+	add(p, "added-latency", "Time that the path adds to a direct call", addedHelp, &addedCommand{})
 	add(p, "get", "Print what a URL answers", getHelp, &getCommand{})
 	add(p, "fault", "Switch a fault of a stand-in", faultHelp, &faultCommand{})
 }
 
+var errFaulty = errors.New("not every request was answered once and whole")
+
 type chaosPlanCommand struct {
 	Seed      uint64        `long:"seed" default:"1" description:"Seed of the schedule"`
 	Duration  time.Duration `long:"duration" default:"60s" description:"Length of the load"`
@@ -65,7 +69,7 @@
 	Model    string        `long:"model" default:"timetable-8b" description:"Model of the streams"`
 	Feed     string        `long:"feed" default:"jadranski-feed/boards/split" description:"Service and path of the idempotent calls"`
 	Once     string        `long:"once" default:"halen-application/confirmations" description:"Service and path of the calls that may run at most once"`
-	Short    bool          `long:"short" description:"Streams of a few tokens"`
+	Short    bool          `long:"short" description:"Streams of a few tokens, and some very long ones"`
 	Resend   float64       `long:"resend" default:"0.1" description:"Share of calls sent again with the same key although they ended"`
 	Out      string        `long:"out" required:"true" value-name:"FILE" description:"Where the outcomes go"`
 }
@@ -162,3 +166,14 @@
 	}
 	return out, nil
 }
+
+func readJSON(file string, v any) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, v); err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	return nil
+}
--- a/operator/caller/caller_test.go
+++ b/operator/caller/caller_test.go
@@ -267,3 +267,20 @@
 		})
 	}
 }
+
+// All daemons are replaced at once, and for some seconds every address refuses.
+// A caller with time left must still be asking when the first new one is up.
+func TestPausesGrowWhileAllAddressesFail(t *testing.T) {
+	c := &call{a: &Answer{}}
+	var total time.Duration
+	for range 20 {
+		total += pauseElsewhere << c.doublings()
+	}
+	if total < 5*time.Second || total > 15*time.Second {
+		t.Errorf("20 attempts last %v", total)
+	}
+	c.a.Status = http.StatusServiceUnavailable
+	if n := c.doublings(); n != 0 {
+		t.Errorf("after a daemon's word the pause is doubled %d times", n)
+	}
+}
--- a/operator/caller/send.go
+++ b/operator/caller/send.go
@@ -50,6 +50,7 @@
 	end    time.Time
 	avoid  string // address that refused or failed last
 	mayRun bool   // an attempt may have run
+	silent int    // attempts in a row without a daemon's word
 }
 
 // verdict corrects what the last attempt said about the whole request. A
@@ -104,6 +105,7 @@
 	}
 	c.mayRun = c.mayRun || !c.a.NotRun
 	next := t.next(err)
+	next.after <<= c.doublings()
 	if next.elsewhere {
 		c.c.book.fail(addr)
 		c.avoid = addr
@@ -111,6 +113,20 @@
 	return next, err
 }
 
+// doublings gives how often the pause after an attempt is doubled. While all
+// daemons are replaced at once every address fails; a caller that ran through
+// its attempts within the first second would give up long before its deadline.
+func (c *call) doublings() int {
+	if c.a.Status != 0 {
+		c.silent = 0
+		return 0
+	}
+	c.silent++
+	return min(c.silent-1, maxDoublings)
+}
+
+const maxDoublings = 5
+
 // try is one attempt.
 type try struct {
 	c     *Client
--- a/scripts/chaos.sh
+++ b/scripts/chaos.sh
@@ -31,20 +31,6 @@
   return 0
 }
 
-# again NAME starts a process anew once the old one is gone.
-again() {
-  local n=${1##*-}
-  if [ -n "${PIDS[$1]:-}" ]; then
-    wait "${PIDS[$1]}" 2>/dev/null || true
-    unset "PIDS[$1]"
-  fi
-  LIVES[$1]=$((${LIVES[$1]:-0} + 1))
-  case $1 in
-  daemon-*) start_daemon "$n" "$(zone "$n")" ;;
-  engine-*) start_engine "$n" ;;
-  esac
-}
-
 # republish SERVICE publishes a document that differs from the last one.
 republish() {
   VERSIONS=$((${VERSIONS:-0} + 1))
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -150,6 +150,28 @@
   esac
 }
 
+# again NAME starts a process anew once the old one is gone.
+again() {
+  local n=${1##*-}
+  if [ -n "${PIDS[$1]:-}" ]; then
+    wait "${PIDS[$1]}" 2>/dev/null || true
+    unset "PIDS[$1]"
+  fi
+  LIVES[$1]=$((${LIVES[$1]:-0} + 1))
+  case $1 in
+  daemon-*) start_daemon "$n" "$(zone "$n")" ;;
+  engine-*) start_engine "$n" ;;
+  esac
+}
+
+# ended NAME waits for a process that was told to stop, and fails unless it
+# ended in good order.
+ended() {
+  local pid=${PIDS[$1]}
+  unset "PIDS[$1]"
+  wait "$pid" || { echo "$1 exited $?" >&2; return 1; }
+}
+
 # use_daemons N... names the daemons to pomelosctl.
 use_daemons() {
   local n ops=() callers=()
