Log: lines that say the same are bounded and counted

Cause: every failed attempt writes a line, so a storm of failures writes thousands a second and the lines of other parts drown in them.

Weighed: sampling one in n (the first lines, which tell most, can be lost); one budget for all lines (a storm of one part takes the others' lines).

Change: process/logging.Limiter, a log.Handler before the format's; daemon.SetLog wires it.

--- a/process/daemon/logs.go
+++ b/process/daemon/logs.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log/handlers/json"
 	"github.com/apex/log/handlers/logfmt"
 
+	"github.com/pomelospool/pomelospool/process/logging"
 	"github.com/pomelospool/pomelospool/process/settings"
 )
 
@@ -18,9 +19,12 @@
 		level = log.InfoLevel
 	}
 	log.SetLevel(level)
+	log.SetHandler(logging.NewLimiter(format(s, w), logging.Options{}))
+}
+
+func format(s settings.Log, w io.Writer) log.Handler {
 	if s.Format == "json" {
-		log.SetHandler(json.New(w))
-		return
+		return json.New(w)
 	}
-	log.SetHandler(logfmt.New(w))
+	return logfmt.New(w)
 }
