Attempt: log lines hold nothing that a caller or a target sent

Cause: "attempt: failed" had the error's text. Targets quote the prompt in their errors, and net/http quotes what it can't parse, so prompts and answers got into the log.

Weighed: cutting the text short (a short prompt stays whole); removing it at each place that makes an error (net/http's own texts would still go through). Taken: one place, attempt.cause, which prints only texts that are known: attempt.Detail for what this code says itself, a list of sentinels, errno; of any other error it names the type.

Also: "attempt: cache not moved" names the request; the standard library's log (net/http: handshakes, panics) goes through the same handler and budget.

--- a/process/daemon/logs.go
+++ b/process/daemon/logs.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	stdlog "log"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
@@ -11,7 +12,8 @@
 	"github.com/pomelospool/pomelospool/process/settings"
 )
 
-// SetLog sets the process's log as the settings say. They were checked, so an
+// SetLog sets the process's log as the settings say, the standard library's
+// log included. They were checked, so an
 // unknown level can't come here; info stands in for it.
 func SetLog(s settings.Log, w io.Writer) {
 	level, err := log.ParseLevel(s.Level)
@@ -19,7 +21,10 @@
 		level = log.InfoLevel
 	}
 	log.SetLevel(level)
-	log.SetHandler(logging.NewLimiter(format(s, w), logging.Options{}))
+	handler := logging.NewLimiter(format(s, w), logging.Options{})
+	log.SetHandler(handler)
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(logging.Library{Next: handler})
 }
 
 func format(s settings.Log, w io.Writer) log.Handler {
--- a/request/attempt/attempt.go
+++ b/request/attempt/attempt.go
@@ -129,6 +129,8 @@
 	return req, nil
 }
 
+const errOtherID = Detail("answer has another id")
+
 // receive checks whose answer it is and hands it to the receiver. An answer
 // under another id can be that of an earlier request on the connection, or of
 // another caller: passing it on would give one caller what another asked. An
@@ -137,7 +139,7 @@
 	got := resp.Header.Get(HeaderID)
 	refusal := model && got == "" && resp.StatusCode >= http.StatusBadRequest
 	if got != id && !refusal {
-		return &Failure{Class: Mismatch, Target: t.Name, Err: fmt.Errorf("answer has id %.80q", got)}
+		return &Failure{Class: Mismatch, Target: t.Name, Err: fmt.Errorf("%w: %.80q", errOtherID, got)}
 	}
 	return recv.Receive(Answer{
 		ID:     id,
--- /dev/null
+++ b/request/attempt/cause.go
@@ -0,0 +1,78 @@
+package attempt
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"syscall"
+
+	"github.com/pomelospool/pomelospool/connection/pool"
+	"github.com/pomelospool/pomelospool/request/stream"
+)
+
+// Detail is the cause of a failure in words of this code's own, without
+// anything that a caller or a target sent. It may stand in log lines.
+type Detail string
+
+// Error returns the text.
+func (d Detail) Error() string { return string(d) }
+
+// ownErrors are the errors whose text is known to hold nothing foreign, the
+// telling ones first.
+var ownErrors = []error{
+	pool.ErrConnect, errSilent,
+	stream.ErrTarget, stream.ErrMalformed, stream.ErrTooLong, stream.ErrCaller,
+	context.Canceled, context.DeadlineExceeded,
+	io.ErrUnexpectedEOF, io.EOF,
+	stream.ErrCut,
+}
+
+// cause describes err for a log line.
+//
+// The guard is against content in the log: targets quote the prompt in their
+// errors, net/http quotes what it can't parse, and an URL holds the caller's
+// query. So no error's text is taken but those that are known; of any other
+// one the type is named.
+func cause(err error) string {
+	var own Detail
+	if errors.As(err, &own) {
+		return own.Error()
+	}
+	text := ""
+	for _, known := range ownErrors {
+		if errors.Is(err, known) {
+			text = known.Error()
+			break
+		}
+	}
+	var errno syscall.Errno
+	var op *net.OpError
+	switch {
+	case errors.As(err, &errno):
+		return join(text, errno.Error())
+	case errors.As(err, &op):
+		return join(text, op.Op)
+	case text != "":
+		return text
+	}
+	return fmt.Sprintf("%T", innermost(err))
+}
+
+func join(a, b string) string {
+	if a == "" {
+		return b
+	}
+	return a + ": " + b
+}
+
+func innermost(err error) error {
+	for {
+		next := errors.Unwrap(err)
+		if next == nil {
+			return err
+		}
+		err = next
+	}
+}
--- a/request/attempt/runner.go
+++ b/request/attempt/runner.go
@@ -226,7 +226,7 @@
 	ctx, cancel := context.WithTimeout(ctx, moveLimit)
 	defer cancel()
 	if err := u.opts.KV.Move(ctx, from, to, u.q.Route.Prefix); err != nil {
-		log.WithFields(log.Fields{"from": from, "to": to}).WithError(err).Info("attempt: cache not moved")
+		log.WithFields(log.Fields{"request": u.q.ID, "from": from, "to": to}).WithError(err).Info("attempt: cache not moved")
 	}
 }
 
@@ -241,7 +241,7 @@
 		"request": u.q.ID,
 		"target":  t.Name,
 		"class":   f.Class.String(),
-		"error":   f.Err,
+		"cause":   cause(f.Err),
 	}).Info("attempt: failed")
 }
 
--- a/request/entry/plainanswer.go
+++ b/request/entry/plainanswer.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -41,7 +40,7 @@
 	}
 	r.status, r.header, r.held = a.Status, a.Header, held
 	if a.Status >= http.StatusInternalServerError && int64(len(held)) <= r.hold {
-		return &attempt.Failure{Class: attempt.Failed, Target: a.Target, Err: fmt.Errorf("status %d", a.Status)}
+		return &attempt.Failure{Class: attempt.Failed, Target: a.Target, Err: statusDetail(a.Status)}
 	}
 	if int64(len(held)) <= r.hold {
 		return nil
--- a/request/entry/receive.go
+++ b/request/entry/receive.go
@@ -7,26 +7,33 @@
 	"io"
 	"mime"
 	"net/http"
+	"strconv"
 
 	"github.com/pomelospool/pomelospool/request/attempt"
 	"github.com/pomelospool/pomelospool/request/stream"
 )
 
-const maxErrorDetail = 512 // bytes of a target's error that are passed on
+const maxErrorDetail = 512 // bytes of a target's error that are kept
 
-var (
-	errTooLarge = errors.New("answer over the limit")
-	errUnmarked = errors.New("answer without an end marker")
-	errNotWhole = errors.New("answer isn't whole")
+const (
+	errTooLarge  = attempt.Detail("answer over the limit")
+	errUnmarked  = attempt.Detail("answer without an end marker")
+	errNotWhole  = attempt.Detail("answer isn't whole")
+	errOtherID   = attempt.Detail("answer names another id")
+	errNotStream = attempt.Detail("answer isn't an event stream")
 )
 
+func statusDetail(status int) attempt.Detail {
+	return attempt.Detail("status " + strconv.Itoa(status))
+}
+
 // modelFailure returns how an engine's status failed, nil for a good one.
 func modelFailure(a attempt.Answer) error {
 	if a.Status == http.StatusOK {
 		return nil
 	}
 	detail, _ := io.ReadAll(io.LimitReader(a.Body, maxErrorDetail))
-	f := &attempt.Failure{Target: a.Target, Err: fmt.Errorf("status %d: %s", a.Status, detail)}
+	f := &attempt.Failure{Target: a.Target, Err: fmt.Errorf("%w: %s", statusDetail(a.Status), detail)}
 	notRun := a.Header.Get(headerNotRun) == "true"
 	switch {
 	case a.Status == http.StatusBadRequest || a.Status == http.StatusRequestEntityTooLarge:
@@ -75,7 +82,7 @@
 		return &attempt.Failure{Class: attempt.Cut, Target: a.Target, Err: errNotWhole}
 	}
 	if whole.ID != a.ID {
-		return &attempt.Failure{Class: attempt.Mismatch, Target: a.Target, Err: fmt.Errorf("answer names %.80q", whole.ID)}
+		return &attempt.Failure{Class: attempt.Mismatch, Target: a.Target, Err: fmt.Errorf("%w: %.80q", errOtherID, whole.ID)}
 	}
 	r.body = stream.Rename(body, a.ID, r.id)
 	r.tokens = whole.Usage.CompletionTokens
@@ -110,7 +117,7 @@
 		return err
 	}
 	if t, _, _ := mime.ParseMediaType(a.Header.Get("Content-Type")); t != "text/event-stream" {
-		return &attempt.Failure{Class: attempt.Failed, Target: a.Target, Err: fmt.Errorf("content type %.80q", t)}
+		return &attempt.Failure{Class: attempt.Failed, Target: a.Target, Err: fmt.Errorf("%w: %.80q", errNotStream, t)}
 	}
 	r.relay.HandOver(0)
 	if a.Decode {
--- a/request/entry/script_test.go
+++ b/request/entry/script_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 
@@ -73,6 +74,13 @@
 	return s.ids[0]
 }
 
+// seen returns the ids of all requests.
+func (s *script) seen() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.ids)
+}
+
 // head sends a good header.
 func (c *call) head() *call {
 	c.w.Header().Set("X-Request-Id", c.id)
