--- a/process/logging/limit.go
+++ b/process/logging/limit.go
@@ -3,12 +3,16 @@
 package logging
 
 import (
+	"expvar"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
 )
 
+// counts are the metrics of all limiters of the process.
+var counts = expvar.NewMap("logging")
+
 // LeftOut is the message of the lines that say what was left out. Its fields
 // are message, level and count.
 const LeftOut = "logging: lines left out"
@@ -102,8 +106,10 @@
 	b.refill(l.opts)
 	if b.lines >= 1 {
 		b.lines--
+		counts.Add("passed", 1)
 		return true
 	}
+	counts.Add("left_out", 1)
 	b.leftOut++
 	b.logger = e.Logger
 	if !l.reporting {
--- a/process/logging/limit_test.go
+++ b/process/logging/limit_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	stdlog "log"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -154,3 +156,17 @@
 		})
 	}
 }
+
+// TestLibrary: net/http reports a panic by the standard library's logger; it
+// comes out as one line of ours, cut to a bound.
+func TestLibrary(t *testing.T) {
+	out := &kept{}
+	stdlog.New(Library{Next: out}, "", 0).Print("http: panic serving: " + strings.Repeat("x", maxLibraryText))
+	if len(out.entries) != 1 || out.entries[0].Level != log.WarnLevel {
+		t.Fatalf("got %d lines", len(out.entries))
+	}
+	text := out.entries[0].Fields["text"].(string)
+	if !strings.HasPrefix(text, "http: panic serving: x") || len(text) != maxLibraryText {
+		t.Errorf("got %d bytes: %.30s", len(text), text)
+	}
+}
--- a/request/attempt/failure.go
+++ b/request/attempt/failure.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 
 	"github.com/pomelospool/pomelospool/code"
 )
@@ -33,6 +34,9 @@
 // String names the class for logs.
 func (c Class) String() string { return classNames[c] }
 
+// metric names the class as the key of a metric.
+func (c Class) metric() string { return strings.ReplaceAll(c.String(), " ", "_") }
+
 var classCodes = [...]code.Code{
 	NotWritten: code.TargetUnreachable,
 	NoAnswer:   code.TargetFailed,
--- a/request/attempt/runner.go
+++ b/request/attempt/runner.go
@@ -32,8 +32,8 @@
 
 // Metrics of all runners of the process.
 var (
-	attempts = expvar.NewInt("attempt_attempts")
-	failures = expvar.NewMap("attempt_failures") // by class
+	tries    = expvar.NewInt("attempt_tries")
+	failures = expvar.NewMap("attempt_failures") // by Class.metric
 )
 
 // KV moves the KV cache of a prompt between two engines, by their names.
@@ -188,7 +188,7 @@
 // books: what was in flight at a death must still stand there.
 func (u *run) attempt(ctx context.Context, t routing.Target, d routing.Decision) *Failure {
 	u.result.Attempts++
-	attempts.Add(1)
+	tries.Add(1)
 	u.result.Target = t.Name
 	if u.opts.Quarantine != nil && u.q.Fingerprint != 0 {
 		u.opts.Quarantine.Begin(u.q.Fingerprint, t.Name)
@@ -231,7 +231,7 @@
 }
 
 func (u *run) note(f *Failure, t routing.Target) {
-	failures.Add(f.Class.String(), 1)
+	failures.Add(f.Class.metric(), 1)
 	u.last = f
 	u.zone = t.Zone
 	u.result.Written = u.result.Written || !f.notWritten && f.Class != NotWritten
--- a/request/entry/observe.go
+++ b/request/entry/observe.go
@@ -12,7 +12,8 @@
 // Metrics of all entries of the process.
 var (
 	results    = expvar.NewMap("entry_results")        // finished requests by result code
-	firstToken = expvar.NewInt("entry_first_token_ns") // sum over streamed answers
+	firstToken = expvar.NewInt("entry_first_token_ns") // sum over the streamed answers that began
+	firsts     = expvar.NewInt("entry_first_tokens")   // streamed answers that began
 	tokensSent = expvar.NewInt("entry_tokens")         // passed on to callers
 )
 
@@ -31,6 +32,7 @@
 func (o *observation) token() {
 	o.s.First = time.Since(o.begun)
 	firstToken.Add(int64(o.s.First))
+	firsts.Add(1)
 }
 
 // end hands the sample over.
