Stand-ins: refusals repeat X-Request-Id

Cause: the plain service and the engine sent refusals without the id. A plain refusal without it counts as another request's answer, so an at-most-once call that nothing ran ended as 3003, outcome unknown. Change: both set the header before anything else. Shown failing first with the change taken out: TestFaults/refused_unrun of standin/plain ("status:503 id:") and all five cases of TestRefusalsDontRun (no X-Request-Id in the header). The checks are stricter than before.

--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -37,6 +37,7 @@
 }
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request, chat bool) {
+	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID)) // refusals too
 	var req Request
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&req); err != nil {
 		e.refuse(w, http.StatusBadRequest, err)
--- a/standin/engine/serve_test.go
+++ b/standin/engine/serve_test.go
@@ -165,7 +165,8 @@
 				t.Fatal(err)
 			}
 			resp.Body.Close()
-			if resp.StatusCode != c.status || resp.Header.Get(HeaderNotRun) != "true" {
+			h := resp.Header
+			if resp.StatusCode != c.status || h.Get(HeaderNotRun) != "true" || h.Get(HeaderRequestID) != "r" {
 				t.Fatalf("status %d, header %v", resp.StatusCode, resp.Header)
 			}
 			if r := e.Record(); r.Refused != 1 || len(r.Requests) != 0 {
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -103,6 +103,7 @@
 }
 
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID)) // refusals too
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
 		standin.Error(w, http.StatusBadRequest, err.Error())
--- a/standin/plain/plain_test.go
+++ b/standin/plain/plain_test.go
@@ -53,7 +53,7 @@
 		runs  int
 	}{
 		{"none", standin.Fault{Kind: "latency"}, whole, 1},
-		{"refused unrun", standin.Fault{Kind: "refuse", Count: 1}, func(r result) bool { return r.status == 503 }, 0},
+		{"refused unrun", standin.Fault{Kind: "refuse", Count: 1}, func(r result) bool { return r.status == 503 && r.id == "a" }, 0},
 		{"answer lost after the run", standin.Fault{Kind: "lose", Count: 1}, func(r result) bool { return r.err != nil }, 1},
 		{"answer cut", standin.Fault{Kind: "cut", Count: -1}, func(r result) bool { return r.err != nil && r.body == "bo" }, 1},
 		{"late answer", standin.Fault{Kind: "late", Count: 1, MS: 1}, whole, 1},
