Tests of entry, pool and load: no time.Sleep

In synctest bubbles advance(d) does the same on virtual time; in real time a poll by a ticker waits for the event, and a poll whose condition never comes now fails after a minute instead of hanging. What is asserted is unchanged.

--- a/connection/load/load_test.go
+++ b/connection/load/load_test.go
@@ -21,6 +21,9 @@
 	"github.com/pomelospool/pomelospool/version/document"
 )
 
+// advance lets virtual time pass, in a synctest bubble.
+func advance(d time.Duration) { <-time.After(d) }
+
 func TestMain(m *testing.M) {
 	log.SetLevel(log.FatalLevel)
 	m.Run()
@@ -84,7 +87,7 @@
 		crashes := 0
 		w := New(Options{View: h, Pool: p, Engine: func(string) platform.Engine { return f }, Crashed: func(string) { crashes++ }})
 		get := func() routing.Target {
-			time.Sleep(1200 * time.Millisecond) // a few polls, state included
+			advance(1200 * time.Millisecond) // a few polls, state included
 			synctest.Wait()
 			return w.Targets(svc)[0]
 		}
@@ -134,7 +137,7 @@
 			if got.SentCount == 1 && got.SentPrefill == 100 && got.SentDecode == 10 {
 				counted++
 			}
-			time.Sleep(50 * time.Millisecond)
+			advance(50 * time.Millisecond)
 		}
 		// The report lags by 500 ms and is read every 250 ms; steps are 100 ms.
 		if counted < 10 || counted > 18 {
--- a/connection/pool/pool_test.go
+++ b/connection/pool/pool_test.go
@@ -76,7 +76,7 @@
 		{"shared", Reuse, nil, 1},
 		{"fresh", Fresh, nil, 2},
 		{"fresh again", Fresh, nil, 3},
-		{"after silence", Reuse, func() { p.Silent(s.addr()); waitHealthy(p, s.addr()) }, 5},
+		{"after silence", Reuse, func() { p.Silent(s.addr()); waitHealthy(t, p, s.addr()) }, 5},
 	}
 	for _, st := range steps {
 		if st.do != nil {
@@ -130,12 +130,25 @@
 	}
 }
 
-func waitHealthy(p *Pool, addr string) {
+const pollLimit = time.Minute // stops a poll for a target that stays unwell
+
+func waitHealthy(t *testing.T, p *Pool, addr string) {
+	t.Helper()
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	limit := time.After(pollLimit)
 	for s := p.Status(addr); s.Suspect || s.Down; s = p.Status(addr) {
-		time.Sleep(time.Millisecond)
+		select {
+		case <-tick.C:
+		case <-limit:
+			t.Fatalf("%s stays as %+v", addr, s)
+		}
 	}
 }
 
+// advance lets virtual time pass, in a synctest bubble.
+func advance(d time.Duration) { <-time.After(d) }
+
 // TestWrittenProof: what a failed request proves about its bytes.
 func TestWrittenProof(t *testing.T) {
 	reset := newCounted(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
@@ -225,7 +238,7 @@
 	s := &http.Server{Handler: http.HandlerFunc(answer)}
 	go s.Serve(l)
 	defer s.Close()
-	waitHealthy(p, addr)
+	waitHealthy(t, p, addr)
 }
 
 // TestSentSince: what was sent since a report counts, older things don't, and
@@ -234,10 +247,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := New(Options{})
 		end := p.Begin("a", 10, 1)
-		time.Sleep(time.Second)
+		advance(time.Second)
 		report := time.Now()
 		p.Begin("a", 20, 2)
-		time.Sleep(150 * time.Millisecond)
+		advance(150 * time.Millisecond)
 		p.Begin("a", 30, 3)
 		if got := p.SentSince("a", report); got != (Sent{Count: 2, Prefill: 50, Decode: 5}) {
 			t.Errorf("got %+v", got)
@@ -246,7 +259,7 @@
 		if n := p.Status("a").InFlight; n != 2 {
 			t.Errorf("%d in flight", n)
 		}
-		time.Sleep(10 * time.Second)
+		advance(10 * time.Second)
 		if got := p.SentSince("a", report); got != (Sent{}) {
 			t.Errorf("much later: %+v", got)
 		}
--- a/request/entry/caller_test.go
+++ b/request/entry/caller_test.go
@@ -208,9 +208,7 @@
 	})
 	body := modelRequest("p", 1, true)
 	f.rawConn(rawPost(len(body), body))
-	for f.pool.Status(s.addr()).InFlight == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	await(t, func() bool { return f.pool.Status(s.addr()).InFlight > 0 })
 	for range 20 {
 		r := f.complete("q", 3, "X-Request-Id", "mine")
 		if err := checkStream(r.body, "mine", "q", 3); err != nil {
@@ -257,9 +255,7 @@
 	}
 	drained := make(chan error)
 	go func() { drained <- f.entry.Drain(t.Context()) }()
-	for !f.entry.draining.Load() {
-		time.Sleep(time.Millisecond)
-	}
+	await(t, f.entry.draining.Load)
 	if r := f.complete("p", 1); r.code() != "1005" || r.header.Get(headerNotRun) != "true" {
 		t.Errorf("draining: %+v", r)
 	}
--- a/request/entry/fixture_test.go
+++ b/request/entry/fixture_test.go
@@ -29,6 +29,23 @@
 	m.Run()
 }
 
+const pollLimit = time.Minute // stops a poll whose condition never comes
+
+// await polls until the condition holds.
+func await(t testing.TB, holds func() bool) {
+	t.Helper()
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	limit := time.After(pollLimit)
+	for !holds() {
+		select {
+		case <-tick.C:
+		case <-limit:
+			t.Fatal("the condition never came")
+		}
+	}
+}
+
 const (
 	testModel = "m"
 	patience  = 300 * time.Millisecond // for a target's progress, in tests
--- a/request/entry/path_test.go
+++ b/request/entry/path_test.go
@@ -102,9 +102,8 @@
 		})
 	}
 	for i := range 3 {
-		for n := answered.Load(); answered.Load() < n+between; {
-			time.Sleep(time.Millisecond)
-		}
+		n := answered.Load()
+		await(t, func() bool { return answered.Load() >= n+between })
 		if i < 2 {
 			lose(t, f, w, engines[i], i)
 		}
@@ -121,9 +120,7 @@
 		t.Fatal(err)
 	}
 	svc := f.entry.opts.View.Load().Services["llm"]
-	for w.Targets(svc)[i].Live || w.Targets(svc)[i].InFlight > 0 {
-		time.Sleep(time.Millisecond)
-	}
+	await(t, func() bool { return !w.Targets(svc)[i].Live && w.Targets(svc)[i].InFlight == 0 })
 	before := len(e.Record().Requests)
 	e.Close()
 	if n := len(e.Record().Requests); n != before {
