--- a/operator/ctl/burn.go
+++ b/operator/ctl/burn.go
@@ -1,13 +1,14 @@
 package ctl
 
 import (
+	"context"
 	"fmt"
 	"os"
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/operator/burnview"
+	"github.com/pomelospool/pomelospool/operator/status"
 )
 
 const burnHelp = `Merges the burn of all daemons named by --daemons: for each service and
@@ -23,27 +24,15 @@
 
 // Execute asks all daemons once.
 func (c *burnCommand) Execute([]string) error {
-	addrs, err := c.app.daemons()
-	if err != nil {
-		return err
-	}
-	client, err := c.app.operators()
-	if err != nil {
-		return err
-	}
-	defer client.Close()
-	ctx, cancel := c.app.withTimeout()
-	defer cancel()
 	var view burnview.View
-	err = c.app.progress(saying("burn: asking the daemons"), func() error {
+	err := c.app.askDaemons("burn", func(ctx context.Context, client *status.Client, addrs []string) {
 		view = burnview.Fetch(ctx, client, addrs, askTimeout)
-		return nil
 	})
 	if err == nil {
 		err = c.show(view)
 	}
-	if err == nil && len(view.Missing) > 0 {
-		return reported{code.New(code.DaemonUnreachable, "%d of %d daemons didn't answer", len(view.Missing), view.Asked)}
+	if err == nil {
+		err = missing(len(view.Missing), view.Asked)
 	}
 	return err
 }
--- a/operator/ctl/exit.go
+++ b/operator/ctl/exit.go
@@ -1,6 +1,12 @@
 package ctl
 
-import "github.com/pomelospool/pomelospool/code"
+import (
+	"errors"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/pomelospool/pomelospool/code"
+)
 
 // Exit codes.
 const (
@@ -18,7 +24,15 @@
 
 // exitOf gives the exit code for an error.
 func exitOf(err error) int {
-	c := code.Of(err)
+	var usage usageError
+	var parse *flags.Error
+	if errors.As(err, &usage) || errors.As(err, &parse) {
+		return ExitUsage
+	}
+	return exitOfCode(code.Of(err))
+}
+
+func exitOfCode(c code.Code) int {
 	switch c {
 	case code.OK:
 		return ExitOK
--- a/operator/ctl/info.go
+++ b/operator/ctl/info.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/jessevdk/go-flags"
+
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/operator/codedoc"
 )
@@ -17,10 +19,31 @@
 type explainCommand struct {
 	app  *app
 	Args struct {
-		Code string `positional-arg-name:"CODE" description:"Number or name, as 5001 or BASE_CONFLICT"`
+		Code codeName `positional-arg-name:"CODE" description:"Number or name, as 5001 or BASE_CONFLICT"`
 	} `positional-args:"yes"`
 }
 
+// codeName is the number or the name of a code.
+type codeName string
+
+// Complete lists the codes that begin with match, for the shell.
+func (codeName) Complete(match string) []flags.Completion {
+	var out []flags.Completion
+	for _, i := range code.All() {
+		for _, item := range []string{strconv.Itoa(int(i.Code)), i.Name} {
+			if strings.HasPrefix(item, strings.ToUpper(match)) {
+				out = append(out, flags.Completion{Item: item})
+			}
+		}
+	}
+	return out
+}
+
+// names tells whether n stands for the code; empty stands for all.
+func (n codeName) names(i code.Info) bool {
+	return n == "" || string(n) == strconv.Itoa(int(i.Code)) || strings.EqualFold(string(n), i.Name)
+}
+
 // explained is the JSON of explain.
 type explained struct {
 	Code    code.Code `json:"code"`
@@ -35,12 +58,12 @@
 func (c *explainCommand) Execute([]string) error {
 	var found []explained
 	for _, i := range code.All() {
-		if c.Args.Code == "" || c.Args.Code == strconv.Itoa(int(i.Code)) || strings.EqualFold(c.Args.Code, i.Name) {
+		if c.Args.Code.names(i) {
 			found = append(found, explained{i.Code, i.Name, i.Status, codedoc.Ran(i), i.Meaning, i.Action})
 		}
 	}
 	if len(found) == 0 {
-		return usageError("no code " + c.Args.Code + "; explain without an argument lists all")
+		return usageError("no code " + string(c.Args.Code) + "; explain without an argument lists all")
 	}
 	if c.app.JSON {
 		return c.app.printJSON(found)
@@ -100,11 +123,20 @@
 complete -o default -F _pomelosctl pomelosctl
 `
 
+// completionReport is the JSON of completion.
+type completionReport struct {
+	Shell  string `json:"shell"`
+	Script string `json:"script"`
+}
+
 // Execute prints the script.
 func (c *completionCommand) Execute([]string) error {
 	if c.Args.Shell != "bash" {
 		return usageError("completion knows bash only")
 	}
+	if c.app.JSON {
+		return c.app.printJSON(completionReport{Shell: c.Args.Shell, Script: bashScript})
+	}
 	c.app.printf("%s", bashScript)
 	return nil
 }
--- a/operator/ctl/publish.go
+++ b/operator/ctl/publish.go
@@ -12,6 +12,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/internal/yamlcheck"
+	"github.com/pomelospool/pomelospool/operator/status"
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/version/document"
 	"github.com/pomelospool/pomelospool/version/publish"
@@ -24,19 +25,18 @@
 changed: should another operator have been faster, you get code 5001 with the
 winner. The same file on the same base counts once, so it is safe to publish
 it again after code 5002. --wait also waits until every daemon named by
---daemons has the version in force.`
-
-// askTimeout bounds one question to one daemon.
-const askTimeout = 2 * time.Second
+--daemons has the version in force. --remove ends the service that the
+document names.`
 
 // pollStatus is the time between two looks at all daemons.
 const pollStatus = 200 * time.Millisecond
 
 type publishCommand struct {
-	app  *app
-	Base int64 `long:"base" default:"-1" default-mask:"the version in force" value-name:"VERSION" description:"Version that this file replaces, 0 for a new service"`
-	Wait bool  `long:"wait" description:"Wait until the version is in force on every daemon"`
-	Args struct {
+	app    *app
+	Base   int64 `long:"base" default:"-1" default-mask:"the version in force" value-name:"VERSION" description:"Version that this file replaces, 0 for a new service"`
+	Wait   bool  `long:"wait" description:"Wait until the version is in force on every daemon"`
+	Remove bool  `long:"remove" description:"End the document's service instead"`
+	Args   struct {
 		File flags.Filename `positional-arg-name:"FILE" description:"Service document"`
 	} `positional-args:"yes" required:"yes"`
 }
@@ -88,22 +88,30 @@
 			return publishReport{}, err
 		}
 		base = now.Version
-		if now.YAML == string(data) {
+		if now.YAML == c.wanted(data) {
 			r := publish.Result{Service: service, Base: base, Version: base, Newest: base, Again: true}
 			return publishReport{Result: r, InForce: true}, nil
 		}
 	}
+	if c.Remove {
+		r, err := p.Remove(ctx, service, base)
+		return publishReport{Result: r}, err
+	}
 	r, err := p.Publish(ctx, service, base, data)
 	return publishReport{Result: r}, err
 }
 
+// wanted is the text that shall be in force, none after a removal.
+func (c *publishCommand) wanted(data []byte) string {
+	if c.Remove {
+		return ""
+	}
+	return string(data)
+}
+
 // waitForAll polls the daemons until all have the version in force.
 func (c *publishCommand) waitForAll(ctx context.Context, report *publishReport) error {
-	addrs, err := c.app.daemons()
-	if err != nil {
-		return err
-	}
-	client, err := c.app.operators()
+	addrs, client, err := c.app.fleet()
 	if err != nil {
 		return err
 	}
@@ -115,7 +123,7 @@
 		for {
 			report.On, report.Of = 0, len(addrs)
 			for _, d := range client.Fetch(ctx, addrs, askTimeout).Daemons {
-				if d.Status != nil && d.Status.VersionOf(report.Service) >= report.Version {
+				if d.Status != nil && c.done(d.Status, report.Result) {
 					report.On++
 				}
 			}
@@ -131,6 +139,14 @@
 	})
 }
 
+// done tells whether a daemon has the result in force.
+func (c *publishCommand) done(s *status.Status, r publish.Result) bool {
+	if c.Remove {
+		return s.VersionOf(r.Service) == 0
+	}
+	return s.VersionOf(r.Service) >= r.Version
+}
+
 func (c *publishCommand) report(r publishReport, err error) error {
 	if c.app.JSON {
 		r.Code = code.Of(err)
@@ -143,6 +159,10 @@
 		return err
 	}
 	switch {
+	case r.InForce && c.Remove:
+		c.app.printf("%s: isn't in force\n", r.Service)
+	case c.Remove:
+		c.app.printf("%s: ended by version %d on base %d\n", r.Service, r.Version, r.Base)
 	case r.InForce:
 		c.app.printf("%s: this file is in force already, version %d\n", r.Service, r.Version)
 	case r.Newest > r.Version:
--- a/operator/ctl/status.go
+++ b/operator/ctl/status.go
@@ -1,10 +1,10 @@
 package ctl
 
 import (
+	"context"
 	"fmt"
 	"text/tabwriter"
 
-	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/operator/status"
 )
 
@@ -21,21 +21,9 @@
 
 // Execute asks all daemons once.
 func (c *statusCommand) Execute([]string) error {
-	addrs, err := c.app.daemons()
-	if err != nil {
-		return err
-	}
-	client, err := c.app.operators()
-	if err != nil {
-		return err
-	}
-	defer client.Close()
-	ctx, cancel := c.app.withTimeout()
-	defer cancel()
 	var fleet status.Fleet
-	err = c.app.progress(saying("status: asking the daemons"), func() error {
+	err := c.app.askDaemons("status", func(ctx context.Context, client *status.Client, addrs []string) {
 		fleet = client.Fetch(ctx, addrs, askTimeout)
-		return nil
 	})
 	if err != nil {
 		return err
@@ -45,8 +33,8 @@
 	} else {
 		c.print(fleet)
 	}
-	if err == nil && fleet.Answered < fleet.Asked {
-		return reported{code.New(code.DaemonUnreachable, "%d of %d daemons didn't answer", fleet.Asked-fleet.Answered, fleet.Asked)}
+	if err == nil {
+		err = missing(fleet.Asked-fleet.Answered, fleet.Asked)
 	}
 	return err
 }
