--- a/process/daemon/logs.go
+++ b/process/daemon/logs.go
@@ -2,15 +2,18 @@
 
 import (
 	"io"
+	stdlog "log"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
 	"github.com/apex/log/handlers/logfmt"
 
+	"github.com/pomelospool/pomelospool/process/logging"
 	"github.com/pomelospool/pomelospool/process/settings"
 )
 
-// SetLog sets the process's log as the settings say. They were checked, so an
+// SetLog sets the process's log as the settings say, the standard library's
+// log included. They were checked, so an
 // unknown level can't come here; info stands in for it.
 func SetLog(s settings.Log, w io.Writer) {
 	level, err := log.ParseLevel(s.Level)
@@ -18,9 +21,15 @@
 		level = log.InfoLevel
 	}
 	log.SetLevel(level)
+	handler := logging.NewLimiter(format(s, w), logging.Options{})
+	log.SetHandler(handler)
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(logging.Library{Next: handler})
+}
+
+func format(s settings.Log, w io.Writer) log.Handler {
 	if s.Format == "json" {
-		log.SetHandler(json.New(w))
-		return
+		return json.New(w)
 	}
-	log.SetHandler(logfmt.New(w))
+	return logfmt.New(w)
 }
