reconcile: claim anew for an engine that came after the claim

Numbers of two groups say nothing about who came later.

Change: an engine remembers the newest version at the time it came into the group; a claim older than that is made anew before any order. Weighed against numbering engines by themselves, which needs a record for each.

--- a/process/reconcile/decide.go
+++ b/process/reconcile/decide.go
@@ -27,6 +27,7 @@
 // Memory is what a process remembers of one engine while it holds its group.
 type Memory struct {
 	Since   time.Duration // when this process first saw the engine in the group
+	Moved   int64         // offset of the newest version at that time
 	Order   string        // the open order that the fields below are about
 	Sent    bool          // sent by this process
 	SentAt  time.Duration
@@ -74,9 +75,14 @@
 //
 // An engine that came into the group is left alone for as long as a claimer
 // waits. The guard is against a holder of its old group that hasn't read the
-// new document yet and still acts for the engine.
+// new document yet and still acts for the engine. The claim must be younger
+// than that document too: the old holder's number may be higher than an older
+// claim of this group, and the engine would take a write of the old holder that
+// a pause made late.
 func Decide(in Input) Decision {
 	switch {
+	case in.Fence < in.Memory.Moved:
+		return Decision{Action: Reclaim, Why: "the engine came after the claim"}
 	case in.Now < in.Memory.Since+in.Rule.T+in.Rule.Guard:
 		return wait("new in the group")
 	case !in.Known:
@@ -169,7 +175,7 @@
 	if open != nil && open.ID == m.Order {
 		return
 	}
-	*m = Memory{Since: m.Since, Quiet: m.Quiet, Failed: m.Failed, FailedAt: m.FailedAt, Fails: m.Fails}
+	*m = Memory{Since: m.Since, Moved: m.Moved, Quiet: m.Quiet, Failed: m.Failed, FailedAt: m.FailedAt, Fails: m.Fails}
 }
 
 // decideNew compares the engine with what it should be. Because it looks at
--- a/process/reconcile/decide_test.go
+++ b/process/reconcile/decide_test.go
@@ -37,6 +37,7 @@
 		{"copy of the last order on its way", nil, func(in *Input) { in.Memory.Quiet = in.Now + 1 }, Wait},
 		{"no slot for a load", nil, func(in *Input) { in.Ahead = 1 }, Wait},
 		{"no slot, role only", nil, func(in *Input) { in.Ahead = 1; in.Want = oldSpec; in.Want.Role = platform.RoleDecode }, Log},
+		{"came after the claim", nil, func(in *Input) { in.Memory.Moved = 6 }, Reclaim},
 		{"fence behind", nil, func(in *Input) { in.Seen.LastFence = 9 }, Reclaim},
 		{"fence from nowhere", nil, func(in *Input) { in.Seen.LastFence = 1 << 40 }, Log},
 
--- a/process/reconcile/reconciler.go
+++ b/process/reconcile/reconciler.go
@@ -12,6 +12,7 @@
 
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/process/clock"
+	"github.com/pomelospool/pomelospool/process/fold"
 	"github.com/pomelospool/pomelospool/process/lease"
 	"github.com/pomelospool/pomelospool/request/view"
 )
@@ -142,7 +143,7 @@
 	now := r.o.Clock.Now()
 	r.loads.Observe(now, tail.State)
 	groups := Groups(snap)
-	r.keepEngines(now, groups, tail.State.Versions)
+	r.keepEngines(now, groups, tail.State)
 	work, _ := errgroup.WithContext(ctx)
 	work.SetLimit(parallel)
 	for _, g := range groups {
@@ -171,9 +172,9 @@
 // The second rule is against an engine that left a group and came back while
 // this process read neither: its group looks the same, but a holder of the one
 // between may still act for it.
-func (r *Reconciler) keepEngines(now time.Duration, groups []Group, versions int64) {
-	skipped := versions > r.versions+1
-	r.versions = versions
+func (r *Reconciler) keepEngines(now time.Duration, groups []Group, s *fold.State) {
+	skipped := s.Versions > r.versions+1
+	r.versions = s.Versions
 	listed := make(map[string]bool)
 	for _, g := range groups {
 		for _, m := range g.Engines {
@@ -181,7 +182,7 @@
 			e := r.engines[m.Engine]
 			if e == nil || e.group != g.Name || skipped {
 				e.close()
-				r.engines[m.Engine] = &engine{id: m.Engine, group: g.Name, memory: Memory{Since: now}}
+				r.engines[m.Engine] = &engine{id: m.Engine, group: g.Name, memory: Memory{Since: now, Moved: s.Changed}}
 			}
 		}
 	}
