--- a/connection/load/watcher.go
+++ b/connection/load/watcher.go
@@ -202,6 +202,7 @@
 		Role:     t.Role,
 		Live:     !leaving && !status.Down,
 		Suspect:  status.Suspect,
+		Refusing: status.Refusing,
 		InFlight: status.InFlight,
 		Limit:    doc.Limits.QueuePerTarget,
 	}
--- a/request/attempt/attempt.go
+++ b/request/attempt/attempt.go
@@ -77,7 +77,6 @@
 	end := r.opts.Pool.Begin(t.Addr, q.Route.PromptTokens, q.Route.OutputTokens)
 	defer end()
 
-	foreseen := r.opts.Pool.Status(t.Addr).Refusing
 	id := newID(q.ID)
 	req, err := r.build(ctx, q, t, id, recv.Progress())
 	if err != nil {
@@ -97,7 +96,9 @@
 	r.cancelSilent(f, q, t, id)
 	if f != nil && f.Class == Busy {
 		r.opts.Pool.Refused(t.Addr)
-		f.unforeseen = !foreseen
+		// What counts is what was known when t was chosen: between the choice
+		// and this attempt others may have been refused by it.
+		f.unforeseen = !t.Refusing
 	}
 	return f
 }
--- a/request/routing/types.go
+++ b/request/routing/types.go
@@ -43,6 +43,7 @@
 	Live         bool // reachable, and neither leaving nor drained
 	Changing     bool // carrying out an order
 	Suspect      bool // its connections made no progress lately
+	Refusing     bool // refused a request a moment ago without running it
 	Load         platform.Load
 	LoadAge      time.Duration
 	SentPrefill  int                       // prompt tokens sent since Load was measured
