--- a/request/once/fault_test.go
+++ b/request/once/fault_test.go
@@ -126,6 +126,10 @@
 			}
 			f.expect("again", f.start().send(call(key)), "3003")
 		}},
+		{"log keeps records for less than the window", 0, func(f *fleet, a, b *node) {
+			a.l.o.Retention = DefaultWindow
+			f.expect("first", a.send(call(key)), "3004")
+		}},
 		{"log refuses", 1, func(f *fleet, a, b *node) {
 			f.log.SetOutage(logsvc.Refuse)
 			began := time.Now()
@@ -140,9 +144,11 @@
 		}},
 		{"log hangs", 1, func(f *fleet, a, b *node) {
 			f.log.SetOutage(logsvc.Hang)
+			began := time.Now()
 			f.expect("first", a.send(call(key)), "3004")
+			f.t.Logf("the first was refused after %v", time.Since(began))
 			advance(time.Second)
-			began := time.Now()
+			began = time.Now()
 			f.expect("at once", a.send(call(key)), "3004")
 			if d := time.Since(began); d > 0 {
 				f.t.Errorf("refused after %v", d)
