Quarantine: the broadcast to all live peers

Cause: each daemon would have to write the hook that tells all peers at once. Weighed: Dialer.Heartbeat closes the peer's connection when it times out, which would also cut proposals that are under way on it; so the plain client is used.

--- a/request/quarantine/quarantine_test.go
+++ b/request/quarantine/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -73,7 +74,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			bubble(t, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
 				r := newRig(t, tc.poison...)
 				defer r.stop()
 				tc.play(r)
@@ -90,7 +91,7 @@
 // the cause. The others are sent again by their callers until they are
 // answered; none may be refused for long, let alone convicted.
 func TestInnocents(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		const innocents = 40
 		r := newRig(t, bad)
 		defer r.stop()
@@ -186,7 +187,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			bubble(t, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
 				b := New(Options{Self: "d"})
 				tc.play(b)
 				if got, _ := b.Check(fp); got != tc.want {
@@ -200,7 +201,7 @@
 // TestConvictedForATime: a conviction ends, the content runs alone once more,
 // kills again, and is refused for twice as long.
 func TestConvictedForATime(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, bad)
 		defer r.stop()
 		r.send(0, bad)
@@ -220,7 +221,7 @@
 
 // TestBounded: a flood of crashes with new contents each.
 func TestBounded(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		b := New(Options{Self: "d"})
 		for i := range uint64(2 * maxContents) {
 			b.Begin(i+1, "a")
@@ -244,7 +245,7 @@
 // TestClaim: all daemons want to run the same suspect content at once. One
 // may, and when it has given the right back another one.
 func TestClaim(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, bad)
 		defer r.stop()
 		r.try(r.books[0], bad)
--- a/request/quarantine/rig_test.go
+++ b/request/quarantine/rig_test.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
+	"google.golang.org/grpc"
 
 	"github.com/pomelospool/pomelospool/peer/peerpb"
 )
@@ -51,7 +52,7 @@
 	for i := range daemons {
 		r.books = append(r.books, New(Options{
 			Self:      fmt.Sprintf("daemon-%d", i),
-			Broadcast: func(ctx context.Context, news []*peerpb.Conviction) { r.broadcast(i, news) },
+			Broadcast: func(ctx context.Context, news []*peerpb.Conviction) { r.broadcast(ctx, i, news) },
 		}))
 		r.books[i].Start()
 	}
@@ -64,37 +65,49 @@
 	}
 }
 
-// broadcast is the daemons' hook: to all at once, and their news back.
-func (r *rig) broadcast(from int, news []*peerpb.Conviction) {
-	r.mu.Lock()
-	deaf := r.deaf
-	r.mu.Unlock()
-	if deaf {
-		<-time.After(defaultWait)
-		return
-	}
-	var wg sync.WaitGroup
-	for i := range r.books {
-		if i != from {
-			wg.Go(func() { r.tell(from, i, news) })
+// broadcast is the daemons' hook, over links that may lose everything.
+func (r *rig) broadcast(ctx context.Context, from int, news []*peerpb.Conviction) {
+	fleet := Fleet{Self: func() *peerpb.Member { return nil }}
+	fleet.Addrs = func() (addrs []string) {
+		for i := range r.books {
+			if i != from {
+				addrs = append(addrs, strconv.Itoa(i))
+			}
 		}
+		return addrs
 	}
-	wg.Wait()
+	fleet.Client = func(addr string) (peerpb.PeerClient, error) { return &link{r: r, to: addr}, nil }
+	fleet.Broadcast(ctx, news, r.books[from].Incoming)
+}
+
+type link struct {
+	peerpb.PeerClient
+	r  *rig
+	to string
 }
 
-func (r *rig) tell(from, to int, news []*peerpb.Conviction) {
+// Heartbeat implements peerpb.PeerClient.
+func (k *link) Heartbeat(ctx context.Context, h *peerpb.HeartbeatRequest, _ ...grpc.CallOption) (*peerpb.HeartbeatReply, error) {
+	k.r.mu.Lock()
+	deaf := k.r.deaf
+	k.r.mu.Unlock()
+	if deaf {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	to, _ := strconv.Atoi(k.to)
 	<-time.After(hop)
-	r.books[to].Incoming(news)
-	reply := r.books[to].Outgoing()
+	k.r.books[to].Incoming(h.Convictions)
+	reply := k.r.books[to].Outgoing()
 	<-time.After(hop)
-	r.books[from].Incoming(reply)
+	return &peerpb.HeartbeatReply{Convictions: reply}, nil
 }
 
 // heartbeats exchanges news around a ring, as often as membership would.
 func (r *rig) heartbeats(d time.Duration) {
 	for began := time.Now(); time.Since(began) < d; <-time.After(500 * time.Millisecond) {
 		for i := range r.books {
-			r.tell(i, (i+1)%daemons, r.books[i].Outgoing())
+			r.books[(i+1)%daemons].Incoming(r.books[i].Outgoing())
 		}
 	}
 }
@@ -238,9 +251,3 @@
 		r.t.Errorf("daemon %d: standing %d of content %d, want %d", daemon, got, fp, want)
 	}
 }
-
-// bubble runs a test with virtual time.
-func bubble(t *testing.T, test func(t *testing.T)) {
-	t.Helper()
-	synctest.Test(t, test)
-}
