Quarantine: a daemon with the content in flight answers a claim

Cause: the content is at two targets when the first dies; the first one's daemon ran it again alone before the second died, and a third target was lost. Change: a claim is answered with a claim when the content is in flight here. Guards shown failing: no objection: 3 engines lost; end in flight not told: 0 daemons may run it; release not told: the same. All others taken out again: each still fails. -race -count=8 passes. Failed try: ending such a claim dropped its mark, so that a crash in the second after it would have counted as one of a run alone.

--- a/request/quarantine/claim.go
+++ b/request/quarantine/claim.go
@@ -53,6 +53,43 @@
 	return func(finished bool) { once.Do(func() { b.release(fp, beside, finished) }) }, true
 }
 
+// object answers a peer's claim with one of its own when the content is in
+// flight here already, from before anybody knew of a crash.
+//
+// The guard is against a third lost target: the content is at two, one dies,
+// and its daemon would run it again alone while the other is still to die.
+func (b *Book) object(c *content, k claim, now time.Time) bool {
+	if k.by == b.o.Self || !now.Before(k.until) || c.claim.own && now.Before(c.claim.until) || !b.isRunning(c.fp) {
+		return false
+	}
+	b.claims++
+	c.claim = claim{by: b.o.Self, seq: b.claims, own: true, running: true, confirmed: true, until: now.Add(claimFor)}
+	return true
+}
+
+func (b *Book) isRunning(fp uint64) bool {
+	for _, m := range b.targets {
+		if m[fp] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// ranOut ends the claim of a content that was in flight and no longer is.
+func (b *Book) ranOut(fp uint64, now time.Time) {
+	c := b.contents[fp]
+	if c == nil || !c.claim.running || b.isRunning(fp) {
+		return
+	}
+	until := now.Add(settleTime)
+	if !until.Before(c.claim.until) {
+		return
+	}
+	c.claim.until = until
+	b.post([]*peerpb.Conviction{claimNews(c, now)})
+}
+
 // mark writes a claim as the target of its news; readMark reads it.
 func (k claim) mark() string { return claimMark + k.by + "#" + strconv.FormatUint(k.seq, 10) }
 
--- a/request/quarantine/content.go
+++ b/request/quarantine/content.go
@@ -28,6 +28,7 @@
 	by        string // incarnation, empty for none
 	seq       uint64 // number of the claim there
 	own       bool   // of this process
+	running   bool   // own, and only because the content was already in flight
 	until     time.Time
 	confirmed bool // every peer that could be reached knows it
 }
@@ -99,7 +100,7 @@
 
 // alone tells whether this process has the right to run the content alone.
 func (c *content) alone(now time.Time) bool {
-	return c.claim.own && now.Before(c.claim.until)
+	return c.claim.own && !c.claim.running && now.Before(c.claim.until)
 }
 
 // blame notes a death that this process saw and tells whether it is new. One
--- a/request/quarantine/news.go
+++ b/request/quarantine/news.go
@@ -104,7 +104,7 @@
 		k, ok := readMark(n.Target)
 		k.until = now.Add(min(ttl, claimFor))
 		k.confirmed = n.Crashes > 0
-		if ok {
+		if ok && !b.object(c, k, now) {
 			c.mergeClaim(k, now)
 		}
 	case n.Crashes == 0:
--- a/request/quarantine/quarantine_test.go
+++ b/request/quarantine/quarantine_test.go
@@ -41,6 +41,13 @@
 			r.together(2, func(i int) { r.send(i, bad) })
 			r.together(daemons, func(i int) { r.send(i, bad) })
 		}},
+		{"in flight elsewhere when the first engine dies", []uint64{bad}, 2, Convicted, func(r *rig) {
+			r.together(2, func(i int) {
+				<-time.After(time.Duration(i) * crashTime * 3 / 4)
+				r.send(i, bad)
+			})
+			r.together(daemons, func(i int) { r.send(i, bad) })
+		}},
 		{"two such contents at once", []uint64{bad, bad + 1}, 4, Convicted, func(r *rig) {
 			for range 4 {
 				r.together(2*daemons, func(i int) {
@@ -248,7 +255,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, bad)
 		defer r.stop()
+		last := r.books[daemons-1]
+		last.Begin(bad, "engine-11") // in flight there from before
 		r.try(r.books[0], bad)
+		if _, ok := r.books[1].Claim(t.Context(), bad); ok {
+			t.Error("a daemon may run it while it is in flight at another")
+		}
+		last.End(bad, "engine-11")
+		<-time.After(2 * settleTime)
 		for first := range 3 {
 			var mu sync.Mutex
 			var granted []func(bool)
--- a/request/quarantine/rig_test.go
+++ b/request/quarantine/rig_test.go
@@ -112,19 +112,23 @@
 	}
 }
 
-// pick returns an engine that is alive, and empty if alone is asked for.
+// pick returns an engine that is alive, an idle one if it can, and only such
+// a one if alone is asked for.
 func (r *rig) pick(fp uint64, alone bool) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	best := ""
 	for i := range engines {
 		e := fmt.Sprintf("engine-%d", (int(fp)+i)%engines)
 		if time.Now().Before(r.dead[e]) || alone && r.inFlight[e] > 0 {
 			continue
 		}
-		r.inFlight[e]++
-		return e
+		if best == "" || r.inFlight[e] < r.inFlight[best] {
+			best = e
+		}
 	}
-	return ""
+	r.inFlight[best]++
+	return best
 }
 
 func (r *rig) leave(engine string) {
--- a/request/quarantine/tracker.go
+++ b/request/quarantine/tracker.go
@@ -171,6 +171,7 @@
 		delete(b.targets, target)
 	}
 	b.ended.add(ending{fp, target, now})
+	b.ranOut(fp, now)
 }
 
 // tick settles what is old enough and returns the time.
