--- a/request/quarantine/quarantine_test.go
+++ b/request/quarantine/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -40,6 +41,13 @@
 			r.together(2, func(i int) { r.send(i, bad) })
 			r.together(daemons, func(i int) { r.send(i, bad) })
 		}},
+		{"in flight elsewhere when the first engine dies", []uint64{bad}, 2, Convicted, func(r *rig) {
+			r.together(2, func(i int) {
+				<-time.After(time.Duration(i) * crashTime * 3 / 4)
+				r.send(i, bad)
+			})
+			r.together(daemons, func(i int) { r.send(i, bad) })
+		}},
 		{"two such contents at once", []uint64{bad, bad + 1}, 4, Convicted, func(r *rig) {
 			for range 4 {
 				r.together(2*daemons, func(i int) {
@@ -73,7 +81,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			bubble(t, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
 				r := newRig(t, tc.poison...)
 				defer r.stop()
 				tc.play(r)
@@ -90,7 +98,7 @@
 // the cause. The others are sent again by their callers until they are
 // answered; none may be refused for long, let alone convicted.
 func TestInnocents(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		const innocents = 40
 		r := newRig(t, bad)
 		defer r.stop()
@@ -186,7 +194,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			bubble(t, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
 				b := New(Options{Self: "d"})
 				tc.play(b)
 				if got, _ := b.Check(fp); got != tc.want {
@@ -200,7 +208,7 @@
 // TestConvictedForATime: a conviction ends, the content runs alone once more,
 // kills again, and is refused for twice as long.
 func TestConvictedForATime(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, bad)
 		defer r.stop()
 		r.send(0, bad)
@@ -220,7 +228,7 @@
 
 // TestBounded: a flood of crashes with new contents each.
 func TestBounded(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		b := New(Options{Self: "d"})
 		for i := range uint64(2 * maxContents) {
 			b.Begin(i+1, "a")
@@ -244,10 +252,17 @@
 // TestClaim: all daemons want to run the same suspect content at once. One
 // may, and when it has given the right back another one.
 func TestClaim(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, bad)
 		defer r.stop()
+		last := r.books[daemons-1]
+		last.Begin(bad, "engine-11") // in flight there from before
 		r.try(r.books[0], bad)
+		if _, ok := r.books[1].Claim(t.Context(), bad); ok {
+			t.Error("a daemon may run it while it is in flight at another")
+		}
+		last.End(bad, "engine-11")
+		<-time.After(2 * settleTime)
 		for first := range 3 {
 			var mu sync.Mutex
 			var granted []func(bool)
