--- a/request/entry/bench_test.go
+++ b/request/entry/bench_test.go
@@ -1,12 +1,20 @@
 package entry
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
+
+	"github.com/pomelospool/pomelospool/process/logging"
+	"github.com/pomelospool/pomelospool/version/document"
 )
 
 const benchTokens = 32
@@ -81,3 +89,38 @@
 		t.Errorf("%.0f allocations, more than %.1f times %.0f", through, maxAllocRatio, direct)
 	}
 }
+
+// countingWriter counts what a log writes.
+type countingWriter struct{ lines atomic.Int64 }
+
+func (c *countingWriter) Write(p []byte) (int, error) {
+	c.lines.Add(int64(bytes.Count(p, []byte("\n"))))
+	return len(p), nil
+}
+
+// BenchmarkLogInStorm gives the log's lines a second when all targets fail
+// every request, and when all requests are refused, with and without the bound.
+func BenchmarkLogInStorm(b *testing.B) {
+	for _, bounded := range []bool{false, true} {
+		for name, limit := range map[string]int{"failing": 1000, "refused": 0} {
+			b.Run(fmt.Sprintf("%s/bounded=%t", name, bounded), func(b *testing.B) {
+				w := &countingWriter{}
+				captureLog(b, func(log.Handler) log.Handler {
+					if bounded {
+						return logging.NewLimiter(logfmt.New(w), logging.Options{})
+					}
+					return logfmt.New(w)
+				})
+				s := newScript(b, func(c *call) { c.w.WriteHeader(http.StatusInternalServerError) })
+				f := newFixture(b, []string{s.addr()}, nil, func(_ *Options, d *document.Document) { d.Limits.QueuePerTarget = limit })
+				b.RunParallel(func(pb *testing.PB) {
+					for pb.Next() {
+						f.complete("p", 1)
+					}
+				})
+				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+				b.ReportMetric(float64(w.lines.Load())/b.Elapsed().Seconds(), "lines/s")
+			})
+		}
+	}
+}
--- a/request/entry/logs_test.go
+++ b/request/entry/logs_test.go
@@ -45,7 +45,7 @@
 
 // captureLog sends all lines, debug ones too, to the returned lines until the
 // test ends. It is for tests that don't run in parallel.
-func captureLog(t *testing.T, wrap func(log.Handler) log.Handler) *lines {
+func captureLog(t testing.TB, wrap func(log.Handler) log.Handler) *lines {
 	l := &lines{}
 	std := log.Log.(*log.Logger)
 	before := *std
