--- /dev/null
+++ b/request/attempt/run.go
@@ -0,0 +1,203 @@
+package attempt
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/request/quarantine"
+	"github.com/pomelospool/pomelospool/request/routing"
+)
+
+// run is the state of one request over its attempts.
+type run struct {
+	*Runner
+	q      *Request
+	recv   Receiver
+	route  routing.Request
+	next   *routing.Decision
+	result Result
+	last   *Failure
+	zone   string // of the last failed target
+	handed bool   // over from a prefill to a decode engine
+}
+
+func (u *run) loop(ctx context.Context) error {
+	for {
+		if err := u.checkContent(); err != nil {
+			return err
+		}
+		t, d, err := u.choose()
+		if u.shouldWait(err) && sleep(ctx, roomPause) {
+			continue
+		}
+		if err != nil {
+			return u.noTarget(err)
+		}
+		progress := u.recv.Progress()
+		failure := u.attempt(ctx, t, d)
+		if failure == nil {
+			return nil
+		}
+		if failure.Class == Handover {
+			u.handOver(ctx, d)
+			continue
+		}
+		u.note(failure, t)
+		if err := u.mayRepeat(ctx, failure, u.recv.Progress() > progress); err != nil {
+			return err
+		}
+	}
+}
+
+// shouldWait tells whether to wait for room. A request that was accepted and
+// lost its target must not be refused because the targets left are full for a
+// moment, or because it was in flight at a crash and has to run alone now; one
+// that has not been tried is refused at once.
+func (u *run) shouldWait(err error) bool {
+	if err == nil || u.last == nil {
+		return false
+	}
+	c := code.Of(err)
+	return c == code.Overloaded || c == code.CrashSuspect
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// attempt makes one try and keeps the quarantine's books about it. When the
+// connection broke, the target is checked before the content is taken off the
+// books: what was in flight at a death must still stand there.
+func (u *run) attempt(ctx context.Context, t routing.Target, d routing.Decision) *Failure {
+	u.result.Attempts++
+	tries.Add(1)
+	u.result.Target = t.Name
+	if u.opts.Quarantine != nil && u.q.Fingerprint != 0 {
+		u.opts.Quarantine.Begin(u.q.Fingerprint, t.Name)
+		defer u.opts.Quarantine.End(u.q.Fingerprint, t.Name)
+	}
+	u.moveKV(ctx, d.KVFrom, t.Name)
+	p := plan{
+		first:  max(u.opts.First, d.First*firstPatience),
+		decode: d.Decode != "" && d.Decode != t.Name && !u.handed,
+	}
+	failure := u.try(ctx, u.q, t, p, u.recv)
+	if failure != nil && failure.breaks() {
+		vctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), verifyLimit)
+		defer cancel()
+		u.opts.Verify(vctx, t)
+	}
+	return failure
+}
+
+// handOver sends the rest of the answer to the engine that routing chose for
+// decoding, with the prompt's cache. It is no retry: nothing failed, and the
+// tokens so far are kept.
+func (u *run) handOver(ctx context.Context, d routing.Decision) {
+	u.handed = true
+	u.moveKV(ctx, d.Target, d.Decode)
+	u.next = &routing.Decision{Target: d.Decode, First: d.First}
+}
+
+// moveKV moves the prompt's cache. Without it the engine computes the prompt
+// anew, so a failure costs time only, and that is bounded.
+func (u *run) moveKV(ctx context.Context, from, to string) {
+	if from == "" || u.opts.KV == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, moveLimit)
+	defer cancel()
+	if err := u.opts.KV.Move(ctx, from, to, u.q.Route.Prefix); err != nil {
+		log.WithFields(log.Fields{"request": u.q.ID, "from": from, "to": to}).WithError(err).Info("attempt: cache not moved")
+	}
+}
+
+func (u *run) note(f *Failure, t routing.Target) {
+	failures.Add(f.Class.metric(), 1)
+	u.last = f
+	u.zone = t.Zone
+	u.result.Written = u.result.Written || !f.notWritten && f.Class != NotWritten
+	u.route.Exclude = append(u.route.Exclude[:len(u.route.Exclude):len(u.route.Exclude)], t.Name)
+	u.next = nil
+	log.WithFields(log.Fields{
+		"request": u.q.ID,
+		"target":  t.Name,
+		"class":   f.Class.String(),
+		"cause":   cause(f.Err),
+	}).Info("attempt: failed")
+}
+
+// mayRepeat returns nil when another attempt is allowed. An attempt that
+// passed tokens on is not drawn from the budget: its work is kept. Nor is the
+// first refusal by a target that leaves or changes: it ran nothing, and the
+// requests on their way to it at that moment must not be lost for want of
+// budget. Once the refusal is known, going there again needs it.
+func (u *run) mayRepeat(ctx context.Context, f *Failure, progressed bool) error {
+	doc := u.q.Service.Doc
+	most := doc.Retry.Attempts
+	if most <= 0 {
+		most = defaultAttempts
+	}
+	if f.unforeseen {
+		u.budgets.Count(doc.Service)
+	}
+	switch {
+	case ctx.Err() != nil || !f.repeatable(u.q.Idempotent) || u.recv.Committed():
+		return u.final(f)
+	case u.result.Attempts >= most:
+		return u.final(f)
+	case !progressed && !f.unforeseen && !u.budgets.Take(doc.Service, doc.Retry.Budget):
+		if !u.result.Written {
+			return u.final(f)
+		}
+		return code.Wrap(code.RetryBudgetSpent, f, "after %d attempts", u.result.Attempts).After(retryAfter)
+	}
+	return nil
+}
+
+const retryAfter = time.Second
+
+// final turns the last failure into the request's error.
+func (u *run) final(f *Failure) error {
+	c := classCodes[f.Class]
+	if c.Info().NotRun && u.result.Written {
+		c = code.TargetFailed
+	}
+	e := code.Wrap(c, f, "after %d attempts", u.result.Attempts)
+	if c.Info().NotRun {
+		e.After(retryAfter)
+	}
+	return e
+}
+
+// noTarget handles a failed choice. After an attempt its failure says more,
+// and if that was written, "no target" would claim that nothing ran.
+func (u *run) noTarget(err error) error {
+	if u.last != nil {
+		return u.final(u.last)
+	}
+	return err
+}
+
+func (u *run) checkContent() error {
+	if u.opts.Quarantine == nil || u.q.Fingerprint == 0 {
+		return nil
+	}
+	standing, left := u.opts.Quarantine.Check(u.q.Fingerprint)
+	u.route.Alone = standing == quarantine.Suspect
+	if standing != quarantine.Convicted {
+		return nil
+	}
+	if u.result.Written {
+		return code.Wrap(code.TargetFailed, u.last, "the content crashes targets")
+	}
+	return code.New(code.CrashConvicted, "").After(left)
+}
