internal/pause: one wait for a time or the end of a context

attempt, publish and the stand-ins each had their own. The same code stands in operator/caller, operator/load, bench/chaos, request/once and process/follow, which others are working on: left for them. No change of behaviour.

--- a/request/attempt/run.go
+++ b/request/attempt/run.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/request/quarantine"
 	"github.com/pomelospool/pomelospool/request/routing"
 )
@@ -30,7 +31,7 @@
 			return err
 		}
 		t, d, err := u.choose()
-		if u.shouldWait(err) && sleep(ctx, roomPause) {
+		if u.shouldWait(err) && pause.For(ctx, roomPause) == nil {
 			continue
 		}
 		if err != nil {
@@ -64,15 +65,6 @@
 	return c == code.Overloaded || c == code.CrashSuspect
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // attempt makes one try and keeps the quarantine's books about it. When the
 // connection broke, the target is checked before the content is taken off the
 // books: what was in flight at a death must still stand there.
--- a/standin/common.go
+++ b/standin/common.go
@@ -19,21 +19,6 @@
 	return *n < 0
 }
 
-// Sleep waits for d or until ctx ends, and returns the error of ctx.
-func Sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Crossing swaps the answers of two requests that run at the same time. The
 // zero value is ready.
 type Crossing[T any] struct {
--- a/standin/logsvc/fault.go
+++ b/standin/logsvc/fault.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/standin"
 )
@@ -24,7 +25,7 @@
 	l.mu.Lock()
 	latency := l.latency
 	l.mu.Unlock()
-	if err := standin.Sleep(ctx, latency); err != nil {
+	if err := pause.For(ctx, latency); err != nil {
 		return unavailable(err)
 	}
 	for {
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/standin"
 )
 
@@ -119,7 +120,7 @@
 		s.opts.Exit()
 		panic(http.ErrAbortHandler)
 	}
-	if standin.Sleep(r.Context(), p.delay) != nil {
+	if pause.For(r.Context(), p.delay) != nil {
 		return
 	}
 	if p.lose {
--- a/version/publish/publish.go
+++ b/version/publish/publish.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/process/record"
 )
@@ -71,16 +72,16 @@
 // the log can't be reached it tries again until ctx ends.
 func (p *Publisher) Current(ctx context.Context, service string) (InForce, error) {
 	t := &tail{log: p.Log}
-	pause := firstPause
+	backoff := firstPause
 	for !t.reached {
 		err := t.read(ctx, 0)
 		if err == nil {
 			continue
 		}
-		if code.Of(err) == code.RecordsExpired || !wait(ctx, pause) {
+		if code.Of(err) == code.RecordsExpired || pause.For(ctx, backoff) != nil {
 			return InForce{}, unavailable(err)
 		}
-		pause = min(2*pause, longestWait)
+		backoff = min(2*backoff, longestWait)
 	}
 	svc := t.state.Services[service]
 	return InForce{Version: svc.Version, YAML: svc.YAML}, nil
--- a/version/publish/run.go
+++ b/version/publish/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/process/fold"
 	"github.com/pomelospool/pomelospool/process/follow"
@@ -64,22 +65,22 @@
 // before it appends again, so the document is found if it stands; should it
 // land later all the same, both copies carry one id and count once.
 func (r *run) loop(ctx context.Context) error {
-	pause := firstPause
+	backoff := firstPause
 	for {
 		decided, err := r.step(ctx)
 		switch {
 		case decided:
 			return err
 		case err == nil:
-			pause = firstPause
+			backoff = firstPause
 			continue
 		case code.Of(err) == code.RecordsExpired:
 			return err
 		}
-		if !wait(ctx, pause) {
+		if pause.For(ctx, backoff) != nil {
 			return r.timeout(err)
 		}
-		pause = min(2*pause, longestWait)
+		backoff = min(2*backoff, longestWait)
 	}
 }
 
@@ -160,15 +161,3 @@
 	}
 	return unavailable(err)
 }
-
-// wait pauses for d and tells whether ctx still holds.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
