Tests: ids at the stand-ins, and no address at all on the burn page

From the caller's id one finds the stand-ins' records of its model, plain and at-most-once requests. Shown failing first: with <img srcset="https://x.test/a"> in the page, which the old check let through, "the page names an address: https://x.test/a".

--- a/operator/burnview/burnview_test.go
+++ b/operator/burnview/burnview_test.go
@@ -77,6 +77,11 @@
 	if loads := regexp.MustCompile(`(src|href)=|@import|url\(`).FindString(page); loads != "" {
 		t.Errorf("the page loads something: %s", loads)
 	}
+	// Names of XML namespaces are no addresses: nothing is fetched from there.
+	local := regexp.MustCompile(`xmlns(:xlink)?="[^"]*"`).ReplaceAllString(page, "")
+	if url := regexp.MustCompile(`(?i)[a-z]+://[^\s"<]*`).FindString(local); url != "" {
+		t.Errorf("the page names an address: %s", url)
+	}
 	if strings.Contains(page, "<b>coach") || !strings.Contains(page, "&lt;b&gt;coach") {
 		t.Error("a name stands in the page as markup")
 	}
--- a/request/entry/logs_test.go
+++ b/request/entry/logs_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -167,6 +168,26 @@
 	}
 }
 
+// TestRequestIDAtTheTargets: from a caller's id one finds what the stand-ins
+// recorded of its requests, also of an at-most-once call.
+func TestRequestIDAtTheTargets(t *testing.T) {
+	e, p := startEngine(t), startPlain(t)
+	f := newFixture(t, []string{e.Addr()}, []string{p.Addr()}, withLedger(newLedger()))
+	f.complete("p", 1, "X-Request-Id", "model-8")
+	f.do("GET", "/s/app/x", "", "X-Request-Id", "plain-8")
+	f.do("POST", "/s/app/holds", "", "X-Request-Id", "once-8", "Idempotency-Key", "k")
+	ids := slices.Concat(slices.Collect(maps.Keys(e.Record().Requests)), slices.Collect(maps.Keys(p.Record().Requests)))
+	slices.Sort(ids)
+	var names []string
+	for _, id := range ids {
+		name, _, _ := strings.Cut(id, ".")
+		names = append(names, name)
+	}
+	if want := []string{"model-8", "once-8", "plain-8"}; !slices.Equal(names, want) {
+		t.Errorf("recorded %q, want one of each of %q", ids, want)
+	}
+}
+
 // TestStormOfFailures: callers ask ten times what the engines carry, of which
 // one refuses all and one breaks every connection. The log holds a burst of
 // lines and what was left out, not a line for every attempt.
