Daemon: what was left out of the log is said before the process ends

The report comes up to a second after the line; a process that stopped within it would lose the count. SetLog returns the report, main defers it. Tried by starting and stopping pomelospoold; no test of main.

--- a/cmd/pomelospoold/main.go
+++ b/cmd/pomelospoold/main.go
@@ -53,7 +53,7 @@
 	if o.Check {
 		return nil
 	}
-	daemon.SetLog(s.Log, os.Stderr)
+	defer daemon.SetLog(s.Log, os.Stderr)()
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	d, err := daemon.New(s)
--- a/process/daemon/logs.go
+++ b/process/daemon/logs.go
@@ -13,9 +13,10 @@
 )
 
 // SetLog sets the process's log as the settings say, the standard library's
-// log included. They were checked, so an
-// unknown level can't come here; info stands in for it.
-func SetLog(s settings.Log, w io.Writer) {
+// log included. They were checked, so an unknown level can't come here; info
+// stands in for it. Call the function that it returns before the process ends:
+// it says what was left out of the log until then.
+func SetLog(s settings.Log, w io.Writer) func() {
 	level, err := log.ParseLevel(s.Level)
 	if err != nil {
 		level = log.InfoLevel
@@ -25,6 +26,7 @@
 	log.SetHandler(handler)
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(logging.Library{Next: handler})
+	return handler.Report
 }
 
 func format(s settings.Log, w io.Writer) log.Handler {
