--- a/connection/pool/pool.go
+++ b/connection/pool/pool.go
@@ -85,6 +85,8 @@
 	Suspect  bool // a connection made no progress, and no probe was answered since
 	Down     bool // refuses connections
 	Refusing bool // refused a request within refusedFor
+	// RefusedAt is when the last refusal came.
+	RefusedAt time.Time
 }
 
 // New returns a Pool; Close ends it.
@@ -146,10 +148,11 @@
 		return Status{}
 	}
 	return Status{
-		InFlight: t.inFlight,
-		Suspect:  t.suspect,
-		Down:     t.down,
-		Refusing: !t.refused.IsZero() && time.Since(t.refused) < refusedFor,
+		InFlight:  t.inFlight,
+		Suspect:   t.suspect,
+		Down:      t.down,
+		Refusing:  !t.refused.IsZero() && time.Since(t.refused) < refusedFor,
+		RefusedAt: t.refused,
 	}
 }
 
--- a/request/attempt/attempt.go
+++ b/request/attempt/attempt.go
@@ -68,6 +68,14 @@
 type plan struct {
 	first  time.Duration // longest wait for the header, and for the first token
 	decode bool          // another engine is to go on after the first token
+	chosen time.Time     // when the choice of the target began
+}
+
+// refusedBefore tells whether the target at addr was known to refuse when the
+// choice began. A refusal that came between choice and sending wasn't.
+func (r *Runner) refusedBefore(addr string, chosen time.Time) bool {
+	s := r.opts.Pool.Status(addr)
+	return s.Refusing && s.RefusedAt.Before(chosen)
 }
 
 // try runs one attempt at t.
@@ -77,6 +85,7 @@
 	end := r.opts.Pool.Begin(t.Addr, q.Route.PromptTokens, q.Route.OutputTokens)
 	defer end()
 
+	foreseen := r.refusedBefore(t.Addr, p.chosen)
 	id := newID(q.ID)
 	req, err := r.build(ctx, q, t, id, recv.Progress())
 	if err != nil {
@@ -96,9 +105,7 @@
 	r.cancelSilent(f, q, t, id)
 	if f != nil && f.Class == Busy {
 		r.opts.Pool.Refused(t.Addr)
-		// What counts is what was known when t was chosen: between the choice
-		// and this attempt others may have been refused by it.
-		f.unforeseen = !t.Refusing
+		f.unforeseen = !foreseen
 	}
 	return f
 }
