caller: go elsewhere when nothing comes, long before the deadline

Cause: in make chaos streams took up to 9 s, the length of a daemon's pause: a paused daemon, or a connection that was lost track of, gives no error, and the caller waited on it. A daemon paused for good would have cost the deadline. Change: an attempt that may be repeated ends after a third of the deadline (5 s at least) without an answer's beginning, or 5 s between two reads; the next goes to another address. Keepalives each second find a dead path for other calls. Weighed: a shorter first wait; a request may rightly queue at an engine, and each repetition would queue anew. Shown failing first, with the watch left out: "1 attempts, 2005 DEADLINE_PASSED" and "2006 STREAM_CUT ...; want 2, code 0" in four cases.

--- a/operator/caller/caller.go
+++ b/operator/caller/caller.go
@@ -50,6 +50,9 @@
 	Fixed    bool        // use Daemons as they are and ask nobody for addresses
 	Attempts int         // in all; 4
 	Seed     uint64      // for the choice among addresses
+
+	First   time.Duration // least wait for an answer to begin; 5s, and never under a third of the deadline
+	Between time.Duration // longest wait between two reads of an answer; 5s
 }
 
 // Client sends requests. It is safe for concurrent use.
@@ -65,7 +68,13 @@
 	if o.Attempts <= 0 {
 		o.Attempts = defaultAttempts
 	}
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	if o.First <= 0 {
+		o.First = firstLeast
+	}
+	if o.Between <= 0 {
+		o.Between = betweenReads
+	}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
 	c := &Client{opts: o, scheme: "http"}
 	c.http = &http.Client{Transport: &http.Transport{
 		DialContext:         dialer.DialContext,
--- a/operator/caller/send.go
+++ b/operator/caller/send.go
@@ -139,6 +139,8 @@
 
 func (t *try) run(ctx context.Context, addr string) error {
 	t.a.Status, t.a.NotRun, t.a.RetryAfter = 0, false, 0
+	ctx, silence, stop := t.watchSilence(ctx)
+	defer stop()
 	req, err := t.request(ctx, addr)
 	if err != nil {
 		t.a.NotRun = true
@@ -149,11 +151,11 @@
 		return t.failed(ctx, addr, err)
 	}
 	defer resp.Body.Close()
-	return t.answered(resp, addr)
+	return t.answered(resp, silence.body(resp.Body), addr)
 }
 
 // answered reads the answer of the daemon at addr.
-func (t *try) answered(resp *http.Response, addr string) error {
+func (t *try) answered(resp *http.Response, content io.Reader, addr string) error {
 	t.a.Status = resp.StatusCode
 	t.a.ContentType = resp.Header.Get("Content-Type")
 	if id := resp.Header.Get(HeaderRequestID); id != "" && id != t.r.ID {
@@ -164,9 +166,9 @@
 		return t.refusal(resp)
 	}
 	if t.r.Stream && strings.HasPrefix(t.a.ContentType, "text/event-stream") {
-		return t.stream(resp.Body)
+		return t.stream(content)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	body, err := io.ReadAll(io.LimitReader(content, maxBody))
 	if err != nil {
 		t.a.Cut++
 		return code.Wrap(code.StreamCut, err, "%s", addr)
@@ -212,10 +214,10 @@
 		t.a.NotRun = true
 		return code.Wrap(code.DaemonUnreachable, err, "%s", addr)
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent) {
 		return code.Wrap(code.DeadlinePassed, err, "%s", addr)
 	}
-	return code.Wrap(code.OutcomeUnknown, err, "%s closed the connection", addr)
+	return code.Wrap(code.OutcomeUnknown, err, "%s gave no answer", addr)
 }
 
 // wireError is the body of a refusal and of an error within a stream.
