caller: pauses also grow over daemons that can't serve yet; judge: a target's own error

Change: the pause doubles for each daemon in a row that can't serve, whether it refuses or is gone. The judge counts a 5xx that the target itself gave as failed, told so; a doubled run behind it still counts, a test says so. Left to the request path's owner: the stand-in says X-Not-Run with that 503, but the daemon records it as the key's answer, so the key can't run later.

--- a/bench/audit/judge.go
+++ b/bench/audit/judge.go
@@ -9,6 +9,7 @@
 //   - unknown: a call that may run at most once, and may have run.
 //   - failed, told so: an idempotent request that was given up, with a 2xxx
 //     code of a daemon; past the deadline only when the deadline had passed.
+//     Also a plain call that the target itself answered with a 5xx status.
 //   - cut: a stream that ended in the middle for good, told or not; also any
 //     answer taken for whole that is shorter than asked.
 //   - lost: all else. Nobody gave an answer or a truthful code before the
--- a/bench/audit/judge_test.go
+++ b/bench/audit/judge_test.go
@@ -48,6 +48,9 @@
 		{"board", []Outcome{plain(KindFeed, whole)}, 1, Row{Answered: 1}},
 		{"board, run again after a fault", []Outcome{plain(KindFeed, whole)}, 2, Row{Answered: 1}},
 		{"board of another", []Outcome{plain(KindFeed, with(whole, func(o *Outcome) { o.OwnBody = false }))}, 1, Row{Answered: 1, Crossed: 1}},
+		{"board, the target's own error", []Outcome{plain(KindFeed, Outcome{Whole: true, Status: 503})}, 0, Row{Told: 1}},
+		{"board of another, well answered", []Outcome{plain(KindFeed, Outcome{Whole: true, Status: 404})}, 1, Row{Answered: 1, Crossed: 1}},
+		{"ticket, the target's own error, ran twice", []Outcome{plain(KindOnce, Outcome{Whole: true, Status: 500})}, 2, Row{Told: 1, Doubled: 1}},
 		{"board from nowhere", []Outcome{plain(KindFeed, whole)}, 0, Row{Answered: 1, Lost: 1}},
 		{"board said not run, but ran", []Outcome{plain(KindFeed, refused)}, 1, Row{NotRun: 1, Untrue: 1}},
 
--- a/operator/caller/send.go
+++ b/operator/caller/send.go
@@ -50,7 +50,7 @@
 	end    time.Time
 	avoid  string // address that refused or failed last
 	mayRun bool   // an attempt may have run
-	silent int    // attempts in a row without a daemon's word
+	passed int    // attempts in a row at daemons that could not serve
 }
 
 // verdict corrects what the last attempt said about the whole request. A
@@ -105,7 +105,7 @@
 	}
 	c.mayRun = c.mayRun || !c.a.NotRun
 	next := t.next(err)
-	next.after <<= c.doublings()
+	next.after <<= c.doublings(next)
 	if next.elsewhere {
 		c.c.book.fail(addr)
 		c.avoid = addr
@@ -113,16 +113,17 @@
 	return next, err
 }
 
-// doublings gives how often the pause after an attempt is doubled. While all
-// daemons are replaced at once every address fails; a caller that ran through
-// its attempts within the first second would give up long before its deadline.
-func (c *call) doublings() int {
-	if c.a.Status != 0 {
-		c.silent = 0
+// doublings gives how often the pause after an attempt is doubled: once more for
+// each daemon in a row that can't serve. While all daemons are replaced at once
+// none can, and with the log down they refuse for a while; a caller that ran
+// through its attempts within seconds would give up long before its deadline.
+func (c *call) doublings(next step) int {
+	if !next.elsewhere {
+		c.passed = 0
 		return 0
 	}
-	c.silent++
-	return min(c.silent-1, maxDoublings)
+	c.passed++
+	return min(c.passed-1, maxDoublings)
 }
 
 const maxDoublings = 5
