--- a/operator/caller/send.go
+++ b/operator/caller/send.go
@@ -50,7 +50,7 @@
 	end    time.Time
 	avoid  string // address that refused or failed last
 	mayRun bool   // an attempt may have run
-	silent int    // attempts in a row without a daemon's word
+	passed int    // attempts in a row at daemons that could not serve
 }
 
 // verdict corrects what the last attempt said about the whole request. A
@@ -105,7 +105,7 @@
 	}
 	c.mayRun = c.mayRun || !c.a.NotRun
 	next := t.next(err)
-	next.after <<= c.doublings()
+	next.after <<= c.doublings(next)
 	if next.elsewhere {
 		c.c.book.fail(addr)
 		c.avoid = addr
@@ -113,16 +113,17 @@
 	return next, err
 }
 
-// doublings gives how often the pause after an attempt is doubled. While all
-// daemons are replaced at once every address fails; a caller that ran through
-// its attempts within the first second would give up long before its deadline.
-func (c *call) doublings() int {
-	if c.a.Status != 0 {
-		c.silent = 0
+// doublings gives how often the pause after an attempt is doubled: once more for
+// each daemon in a row that can't serve. While all daemons are replaced at once
+// none can, and with the log down they refuse for a while; a caller that ran
+// through its attempts within seconds would give up long before its deadline.
+func (c *call) doublings(next step) int {
+	if !next.elsewhere {
+		c.passed = 0
 		return 0
 	}
-	c.silent++
-	return min(c.silent-1, maxDoublings)
+	c.passed++
+	return min(c.passed-1, maxDoublings)
 }
 
 const maxDoublings = 5
@@ -139,6 +140,8 @@
 
 func (t *try) run(ctx context.Context, addr string) error {
 	t.a.Status, t.a.NotRun, t.a.RetryAfter = 0, false, 0
+	ctx, silence, stop := t.watchSilence(ctx)
+	defer stop()
 	req, err := t.request(ctx, addr)
 	if err != nil {
 		t.a.NotRun = true
@@ -149,11 +152,11 @@
 		return t.failed(ctx, addr, err)
 	}
 	defer resp.Body.Close()
-	return t.answered(resp, addr)
+	return t.answered(resp, silence.body(resp.Body), addr)
 }
 
 // answered reads the answer of the daemon at addr.
-func (t *try) answered(resp *http.Response, addr string) error {
+func (t *try) answered(resp *http.Response, content io.Reader, addr string) error {
 	t.a.Status = resp.StatusCode
 	t.a.ContentType = resp.Header.Get("Content-Type")
 	if id := resp.Header.Get(HeaderRequestID); id != "" && id != t.r.ID {
@@ -164,9 +167,9 @@
 		return t.refusal(resp)
 	}
 	if t.r.Stream && strings.HasPrefix(t.a.ContentType, "text/event-stream") {
-		return t.stream(resp.Body)
+		return t.stream(content)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	body, err := io.ReadAll(io.LimitReader(content, maxBody))
 	if err != nil {
 		t.a.Cut++
 		return code.Wrap(code.StreamCut, err, "%s", addr)
@@ -212,10 +215,10 @@
 		t.a.NotRun = true
 		return code.Wrap(code.DaemonUnreachable, err, "%s", addr)
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent) {
 		return code.Wrap(code.DeadlinePassed, err, "%s", addr)
 	}
-	return code.Wrap(code.OutcomeUnknown, err, "%s closed the connection", addr)
+	return code.Wrap(code.OutcomeUnknown, err, "%s gave no answer", addr)
 }
 
 // wireError is the body of a refusal and of an error within a stream.
