--- a/process/daemon/control.go
+++ b/process/daemon/control.go
@@ -108,7 +108,9 @@
 	d.router.SetDeciders(max(1, int(math.Round(float64(daemons)*share))))
 }
 
-// refresh stores a new snapshot if anything in it changed.
+// refresh stores a new snapshot if anything in it changed, or if a version came
+// into force that this binary can't read: the reconciler waits for a snapshot
+// that covers the newest change, and would wait for ever for all services.
 func (d *Daemon) refresh() {
 	select {
 	case <-d.follower.Ready():
@@ -120,7 +122,7 @@
 	services := d.docs.services(s)
 	snap := view.NewSnapshot(s.Applied, services, nil)
 	snap.Leaving = reconcile.Leaving(snap, d.leavingVMs(), d.reconciler.EnginesLeaving())
-	if old != nil && sameVersions(old, snap) && maps.Equal(old.Leaving, snap.Leaving) {
+	if old != nil && old.Applied >= s.Changed && sameVersions(old, snap) && maps.Equal(old.Leaving, snap.Leaving) {
 		return
 	}
 	logVersions(old, snap)
