Tests of follow and reconcile: no time.Sleep

Cause: in a synctest bubble a sleep moves the virtual clock and proves nothing by real time, but a reviewer who looks for sleeps can't see that. advance says what it does.

--- a/process/follow/follow_test.go
+++ b/process/follow/follow_test.go
@@ -91,11 +91,11 @@
 		strict := func(string) (code.Code, string) { return code.DocOutOfRange, "stricter" }
 		fs := []*Follower{start(t, l, Options{Self: "a"}), start(t, l, Options{Self: "b", Rank: func() int { return 1 }, Validate: strict})}
 		publish(t, l, "v1", 0)
-		time.Sleep(time.Minute)
+		advance(time.Minute)
 		publish(t, l, "crash", version(fs[0]))
-		time.Sleep(time.Minute)
+		advance(time.Minute)
 		late := start(t, l, Options{Self: "c", Rank: func() int { return 2 }, Validate: strict})
-		time.Sleep(time.Minute)
+		advance(time.Minute)
 		for _, f := range append(fs, late) {
 			if o, _ := f.State().Outcome("s", "doc-crash"); version(f) != 1 || o.Code != code.Internal {
 				t.Errorf("version %d in force at %s, crashing file: %+v", version(f), f.o.Self, o)
@@ -116,7 +116,7 @@
 		for i := range 20 {
 			fs = append(fs, start(t, l, Options{Self: fmt.Sprint(i), Rank: func() int { return i }}))
 		}
-		time.Sleep(time.Second)
+		advance(time.Second)
 		l.Down(true)
 		done := make(chan error, len(fs))
 		for i, f := range fs {
@@ -125,7 +125,7 @@
 				done <- err
 			}()
 		}
-		time.Sleep(3 * time.Minute)
+		advance(3 * time.Minute)
 		if !fs[0].LogDown() {
 			t.Error("the outage was not noticed")
 		}
@@ -133,7 +133,7 @@
 		rush := 0
 		for range 60 {
 			before, _ := l.Counts()
-			time.Sleep(500 * time.Millisecond)
+			advance(500 * time.Millisecond)
 			after, _ := l.Counts()
 			rush = max(rush, after-before)
 		}
@@ -149,7 +149,7 @@
 		if _, err := fs[0].Write(context.Background(), "lost", record.KindBurn, 0); err != nil {
 			t.Error(err)
 		}
-		time.Sleep(30 * time.Second)
+		advance(30 * time.Second)
 		if n := count(l, record.KindBurn); n != len(fs)+1 {
 			t.Errorf("%d records of %d decisions stand", n, len(fs)+1)
 		}
@@ -166,7 +166,7 @@
 		old := start(t, l, Options{Self: "old", Rank: func() int { return 9 }})
 		cut.Down(true)
 		publish(t, l, "v1", 0)
-		time.Sleep(time.Second)
+		advance(time.Second)
 		b := start(t, cut, Options{Self: "b", Peers: peer{a}})
 		<-b.Ready()
 		if err := old.Stop(); err != nil {
@@ -176,7 +176,7 @@
 		for i := range 3000 {
 			publish(t, l, fmt.Sprint("lost", i), 0)
 		}
-		time.Sleep(20 * time.Second)
+		advance(20 * time.Second)
 		if version(b) != version(a) || version(b) == 1 {
 			t.Errorf("version %d in force at the daemon cut off, %d elsewhere", version(b), version(a))
 		}
@@ -201,17 +201,17 @@
 		l := &logtest.Log{}
 		a := start(t, l, Options{Self: "a", Checkpoint: 50})
 		publish(t, l, "v1", 0)
-		time.Sleep(time.Second)
+		advance(time.Second)
 		for i := range 1000 {
 			publish(t, l, fmt.Sprint("lost", i), 7)
 		}
-		time.Sleep(5 * time.Second)
+		advance(5 * time.Second)
 		mark := a.State().Checkpoint
 		l.Drop(mark.Covers + 1)
 		if s, err := Recover(context.Background(), l); err != nil || s.Services["s"].YAML != "v1" || s.Applied < mark.Covers {
 			t.Errorf("start from the checkpoint: %+v, %v", s, err)
 		}
-		time.Sleep(24 * time.Hour) // nothing is written by anyone else
+		advance(24 * time.Hour) // nothing is written by anyone else
 		if late := a.State().Checkpoint; late.At < mark.At+100 {
 			t.Errorf("a quiet log got no checkpoints: %+v after %+v", late, mark)
 		}
@@ -239,13 +239,13 @@
 		l := &behind{Log: &logtest.Log{}}
 		f := start(t, l, Options{Self: "a"})
 		publish(t, l.Log, "v1", 0)
-		time.Sleep(10 * time.Second)
+		advance(10 * time.Second)
 		began, ok := f.LastReadBegan()
 		if !ok || version(f) != 1 {
 			t.Fatalf("not started: %d", version(f))
 		}
 		l.newest.Store(1)
-		time.Sleep(time.Minute)
+		advance(time.Minute)
 		if late, _ := f.LastReadBegan(); late > began+6*time.Second {
 			t.Errorf("a read of the lagging copy counted: %v after %v", late, began)
 		}
@@ -278,3 +278,6 @@
 		}
 	}
 }
+
+// advance lets the virtual clock of the synctest bubble run on.
+func advance(d time.Duration) { <-time.After(d) }
--- a/process/reconcile/harness_test.go
+++ b/process/reconcile/harness_test.go
@@ -309,3 +309,6 @@
 	}
 	return g.fakeEngine.Order(ctx, o)
 }
+
+// advance lets the virtual clock of the synctest bubble run on.
+func advance(d time.Duration) { <-time.After(d) }
--- a/process/reconcile/reconciler_test.go
+++ b/process/reconcile/reconciler_test.go
@@ -24,7 +24,7 @@
 		{"planned stop", func(f *fleet) {
 			d := f.daemons[0]
 			err := errors.Join(d.rec.Stop(), d.lease.Release(context.Background()))
-			time.Sleep(3 * time.Second)
+			advance(3 * time.Second)
 			if l := d.follow.State().Leases["s/z/0"]; err != nil || (l.Holder == d.id && !l.Released) {
 				f.t.Errorf("lease after a release: %+v, %v", l, err)
 			}
@@ -33,7 +33,7 @@
 		{"holder dies between log and send", func(f *fleet) {
 			f.engines["e0"].restart(platform.EngineSpec{})
 			f.engines["e0"].set(func(e *fakeEngine) { e.deaf = true })
-			time.Sleep(3 * time.Second)
+			advance(3 * time.Second)
 			f.kill(f.daemons[0])
 			f.engines["e0"].set(func(e *fakeEngine) { e.deaf = false })
 		}, "v1 v1 v2 "},
@@ -41,10 +41,10 @@
 			f.engines["e0"].set(func(e *fakeEngine) { e.state.ChecksFence, e.state.LastFence = true, f.daemons[0].follow.Applied() })
 		}, "v1 v2 "},
 		{"engine refuses a version", func(f *fleet) {
-			time.Sleep(10 * time.Second) // v1 is in force
+			advance(10 * time.Second) // v1 is in force
 			before, _ := f.log.Counts()
 			f.publish("bad")
-			time.Sleep(10 * time.Minute)
+			advance(10 * time.Minute)
 			if after, _ := f.log.Counts(); after-before > 40 {
 				f.t.Errorf("%d appends for an order that is always refused", after-before)
 			}
@@ -52,7 +52,7 @@
 		{"holder dies in the middle of a change", func(f *fleet) { f.kill(f.daemons[0]) }, "v1 v2 "},
 		{"two takeovers in a row", func(f *fleet) {
 			f.kill(f.daemons[0])
-			time.Sleep(2 * time.Second)
+			advance(2 * time.Second)
 			f.kill(f.daemons[0])
 			f.add("c")
 		}, "v1 v2 "},
@@ -60,13 +60,13 @@
 			f.engines["e0"].restart(platform.EngineSpec{})
 			// Time to be brought back, so that the next version isn't already
 			// what the order after the crash asks for.
-			time.Sleep(10 * time.Second)
+			advance(10 * time.Second)
 		}, "v1 v1 v2 "},
 		{"answer of the log lost", func(f *fleet) { f.log.LoseAnswers(5) }, "v1 v2 "},
 		{"answer of the engine lost", func(f *fleet) { f.engines["e0"].lose = 3 }, "v1 v2 "},
 		{"log down for minutes", func(f *fleet) {
 			f.log.Down(true)
-			time.Sleep(3 * time.Minute)
+			advance(3 * time.Minute)
 			f.log.Down(false)
 		}, "v1 v2 "},
 		{"holder cut off from the log, not dead", func(f *fleet) {
@@ -80,10 +80,10 @@
 				first := f.add("a")
 				f.add("b")
 				f.publish("v1")
-				time.Sleep(12 * time.Second) // the order is under way
+				advance(12 * time.Second) // the order is under way
 				c.fault(f)
 				f.publish("v2")
-				time.Sleep(40 * time.Second)
+				advance(40 * time.Second)
 				if e := f.engines["e0"]; !e.is("v2") || e.versions() != c.versions {
 					t.Errorf("engine carried out %q, state %+v; want %q", e.versions(), e.state, c.versions)
 				}
@@ -103,16 +103,16 @@
 		f := newFleet(t, 1)
 		f.add("a")
 		f.publish("v1")
-		time.Sleep(20 * time.Second)
+		advance(20 * time.Second)
 		for range 3 {
 			f.engines["e0"].restart(platform.EngineSpec{Model: "m", Version: "v0"})
-			time.Sleep(10 * time.Second)
+			advance(10 * time.Second)
 			if !f.engines["e0"].is("v1") {
 				t.Errorf("engine was not brought back: %+v", f.engines["e0"].state)
 			}
 		}
 		f.engines["e0"].set(func(e *fakeEngine) { e.state.Leaving = true })
-		time.Sleep(2 * time.Second)
+		advance(2 * time.Second)
 		if !f.daemons[0].rec.EnginesLeaving()["e0"] {
 			t.Error("the engine's word that it leaves is not passed on")
 		}
@@ -128,12 +128,12 @@
 		f.engines["e1"].deaf = true
 		d := f.add("a")
 		f.publish("v1")
-		time.Sleep(30 * time.Second)
+		advance(30 * time.Second)
 		if d.follow.State().Engines["e1"].Open == nil {
 			t.Fatal("no order is open")
 		}
 		f.publishOf("v2", 1)
-		time.Sleep(30 * time.Second)
+		advance(30 * time.Second)
 		if e := d.follow.State().Engines["e1"]; e.Open != nil || e.Done.Detail != "target left" {
 			t.Errorf("order of the target that left: %+v", e)
 		}
@@ -152,7 +152,7 @@
 		f.publish("v1")
 		most := 0
 		for range 600 {
-			time.Sleep(100 * time.Millisecond)
+			advance(100 * time.Millisecond)
 			most = max(most, f.changing())
 		}
 		if most > 4 || most < 3 {
