--- a/process/daemon/run.go
+++ b/process/daemon/run.go
@@ -118,8 +118,9 @@
 	if drained != nil {
 		log.WithField("open", d.entry.Open()).Warn("daemon: drain limit reached, open requests are cut")
 	}
-	d.stopControl(ctx)
-	d.stopTraffic()
+	d.handOver(ctx)
+	d.closeIdle()
+	d.close()
 	d.tomb.Kill(nil)
 	err := d.tomb.Wait()
 	log.Info("daemon: stopped")
@@ -134,34 +135,47 @@
 // the log down they expire instead.
 const releaseLimit = 2 * time.Second
 
-func (d *Daemon) stopControl(ctx context.Context) {
+// closeIdle lets callers' connections end with the answers that are on them.
+func (d *Daemon) closeIdle() {
+	end, cancel := context.WithTimeout(context.Background(), idleLimit)
+	defer cancel()
+	_ = d.callers.Shutdown(end)
+	_ = d.entry.Close()
+}
+
+// idleLimit bounds the wait for callers' connections at a stop.
+const idleLimit = time.Second
+
+// handOver gives back and writes down what others need: results of calls
+// that may not be repeated, leases, the burn report. Results have all the time
+// that ctx leaves, since one that isn't recorded is unknown for good.
+func (d *Daemon) handOver(ctx context.Context) {
 	_ = d.reconciler.Stop()
-	rel, cancel := context.WithTimeout(ctx, releaseLimit)
+	if err := d.once.Drain(ctx); err != nil {
+		log.WithError(err).Warn("once: results not all recorded")
+	}
+	brief, cancel := context.WithTimeout(ctx, releaseLimit)
 	defer cancel()
-	if err := d.leases.Release(rel); err != nil {
+	if err := d.leases.Release(brief); err != nil {
 		log.WithError(err).Warn("daemon: leases not given back")
 	}
-	_ = d.leases.Stop()
-	d.saveBurn(rel)
-	if err := d.once.Drain(rel); err != nil {
-		log.WithError(err).Warn("once: results not all recorded")
-	}
-	_ = d.once.Stop()
-	_ = d.follower.Stop()
+	d.saveBurn(brief)
 }
 
-func (d *Daemon) stopTraffic() {
-	end, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	_ = d.callers.Shutdown(end)
+// close ends every part. Requests that are still open are cut.
+func (d *Daemon) close() {
+	d.listeners.close()
 	_ = d.callers.Close()
-	_ = d.entry.Close()
-	_ = d.watcher.Close()
-	_ = d.crashes.Stop()
-	_ = d.pool.Close()
 	_ = d.operators.Close()
 	d.peers.Stop()
 	_ = d.members.Stop()
+	_ = d.reconciler.Stop()
+	_ = d.leases.Stop()
+	_ = d.once.Stop()
+	_ = d.follower.Stop()
+	_ = d.watcher.Close()
+	_ = d.crashes.Stop()
+	_ = d.pool.Close()
 	d.dialer.Close()
 }
 
@@ -170,19 +184,7 @@
 func (d *Daemon) Kill() {
 	d.stopOnce.Do(func() {
 		d.setPhase(phaseDraining)
-		d.listeners.close()
-		_ = d.callers.Close()
-		_ = d.operators.Close()
-		d.peers.Stop()
-		_ = d.members.Stop()
-		_ = d.reconciler.Stop()
-		_ = d.leases.Stop()
-		_ = d.once.Stop()
-		_ = d.follower.Stop()
-		_ = d.watcher.Close()
-		_ = d.crashes.Stop()
-		_ = d.pool.Close()
-		d.dialer.Close()
+		d.close()
 		d.tomb.Kill(nil)
 		_ = d.tomb.Wait()
 	})
