One place for TCP_USER_TIMEOUT; orders go over the lease's own connections

Cause: the option was set in three copies, and the daemon's orders were checked by a second mechanism (httpapi BeforeWrite) that no test covered, while lease.Dialer, which has its tests, was unused. Change: internal/sock; httpapi takes a dialer, the daemon gives it lease.Dialer; connections from callers and peers get 20 s. Shown failing first: with the plain dialer an order without the lease reached the engine (2 orders instead of 1).

--- a/connection/pool/conn.go
+++ b/connection/pool/conn.go
@@ -5,10 +5,9 @@
 	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/pomelospool/pomelospool/internal/sock"
 )
 
 // errSealed is what a write on a sealed connection gets.
@@ -68,14 +67,7 @@
 			Interval: keepAliveInterval,
 			Count:    keepAliveCount,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var sockErr error
-			err := raw.Control(func(fd uintptr) {
-				ms := int(userTimeout.Milliseconds())
-				sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, ms)
-			})
-			return errors.Join(err, sockErr)
-		},
+		Control: sock.UserTimeout(userTimeout),
 	}
 	return d.DialContext
 }
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -7,6 +7,7 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -21,6 +22,7 @@
 	"github.com/pomelospool/pomelospool/connection/address"
 	"github.com/pomelospool/pomelospool/connection/load"
 	"github.com/pomelospool/pomelospool/connection/pool"
+	"github.com/pomelospool/pomelospool/internal/sock"
 	"github.com/pomelospool/pomelospool/peer"
 	"github.com/pomelospool/pomelospool/peer/peerpb"
 	"github.com/pomelospool/pomelospool/platform"
@@ -111,14 +113,20 @@
 	return d, nil
 }
 
+// acceptedTimeout is how long what was sent to a caller or peer may stand
+// unacknowledged. A connection that something between the two ends lost track
+// of would otherwise hold its stream and its memory for many minutes.
+const acceptedTimeout = 20 * time.Second
+
 func (d *Daemon) listen() error {
+	listener := net.ListenConfig{Control: sock.UserTimeout(acceptedTimeout)}
 	var err error
 	open := func(addr string) net.Listener {
 		if err != nil {
 			return nil
 		}
 		var l net.Listener
-		l, err = net.Listen("tcp", addr)
+		l, err = listener.Listen(context.Background(), "tcp", addr)
 		return l
 	}
 	d.listeners.callers = open(d.s.Listen.Callers)
@@ -254,8 +262,7 @@
 // connectEngine makes the adapter for orders of one lease term.
 func connectEngine(engine string, check lease.Check, userTimeout time.Duration) platform.Engine {
 	return httpapi.NewEngine(engine, httpapi.Options{
-		UserTimeout: userTimeout,
-		BeforeWrite: check,
+		Dial: lease.Dialer(check, userTimeout),
 	})
 }
 
--- a/process/lease/conn.go
+++ b/process/lease/conn.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/pomelospool/pomelospool/internal/sock"
 )
 
 // Check tells whether a write may be made now: nil, or an error with
@@ -34,6 +32,14 @@
 	return c.Conn.Write(p)
 }
 
+// SetLinger sets what closing does with unsent bytes, see net.TCPConn.
+func (c *Conn) SetLinger(sec int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(sec)
+	}
+	return nil
+}
+
 // Dialer returns a dial function for http.Transport.DialContext whose
 // connections check before each write and give up undelivered bytes after
 // userTimeout.
@@ -45,9 +51,7 @@
 func Dialer(check Check, userTimeout time.Duration) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	d := &net.Dialer{
 		Timeout: userTimeout,
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			return setUserTimeout(raw, userTimeout)
-		},
+		Control: sock.UserTimeout(userTimeout),
 	}
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := d.DialContext(ctx, network, addr)
@@ -57,14 +61,3 @@
 		return &Conn{Conn: c, check: check}, nil
 	}
 }
-
-func setUserTimeout(raw syscall.RawConn, d time.Duration) error {
-	var set error
-	err := raw.Control(func(fd uintptr) {
-		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
-	})
-	if err != nil {
-		return fmt.Errorf("lease: user timeout: %w", err)
-	}
-	return set
-}
