A target's refusal that ran nothing frees the key; status counts daemons only

Shown failing first: the ticket was closed "done", want "not run". The target's own word is taken as proof, as it is for engines. Also: make rolling ended with MEMBERS 3/4; the VM of a withdrawn target is listed, never heard of, and was counted as a member. Status leaves such out.

--- a/code/code.go
+++ b/code/code.go
@@ -20,7 +20,7 @@
 	Code    Code
 	Name    string // stable, in upper snake case
 	Status  int    // HTTP status with which the code travels
-	NotRun  bool   // true only when nothing was written to a target
+	NotRun  bool   // true only when nothing was written to a target, or it said itself that it ran nothing
 	Meaning string // one sentence: what happened
 	Action  string // one sentence: what the reader of the code does next
 }
--- a/code/table.go
+++ b/code/table.go
@@ -81,7 +81,7 @@
 	{NoConfiguration, "NO_CONFIGURATION", http.StatusServiceUnavailable, true, "The daemon has started but has not yet read what is in force.", "Use another address from the list, or come back after Retry-After."},
 	{TooManyConns, "TOO_MANY_CONNECTIONS", http.StatusServiceUnavailable, true, "The daemon has as many connections as it takes.", "Use another address from the list."},
 
-	{NoTarget, "NO_TARGET", http.StatusServiceUnavailable, true, "No live target can serve the request.", "Send it again after Retry-After; see status for the targets."},
+	{NoTarget, "NO_TARGET", http.StatusServiceUnavailable, true, "No live target can serve the request, or the target itself said that it didn't run it.", "Send it again after Retry-After; see status for the targets."},
 	{TargetUnreachable, "TARGET_UNREACHABLE", http.StatusBadGateway, true, "No target accepted a connection.", "Send it again after Retry-After."},
 	{TargetFailed, "TARGET_FAILED", statusUnknown, false, "The targets that ran the request failed.", "An idempotent request may be sent again."},
 	{RetryBudgetSpent, "RETRY_BUDGET_SPENT", statusUnknown, false, "An attempt failed and the service's retry budget is spent.", "An idempotent request may be sent again after Retry-After."},
--- a/process/daemon/operators.go
+++ b/process/daemon/operators.go
@@ -61,6 +61,9 @@
 		LogAgeMs:    d.logAge().Milliseconds(),
 	}
 	for _, m := range d.members.View().Members {
+		if m.Member.StartedMs == 0 {
+			continue // a listed VM that was never heard of, perhaps a target's
+		}
 		s.Members = append(s.Members, memberStatus(m))
 	}
 	snap := d.view.Load()
@@ -96,10 +99,7 @@
 
 func memberStatus(m membership.Seen) status.Member {
 	state := strings.ToLower(m.Member.State.String())
-	switch {
-	case m.Member.StartedMs == 0:
-		state = "unheard"
-	case m.Leaving && state == status.StateLive:
+	if m.Leaving && state == status.StateLive {
 		state = "leaving"
 	}
 	return status.Member{
--- a/request/entry/once.go
+++ b/request/entry/once.go
@@ -100,6 +100,10 @@
 func settle(ticket once.Ticket, recv *plainAnswer, result attempt.Result, err error) onceResult {
 	var f *attempt.Failure
 	failed := errors.As(err, &f) && f.Class == attempt.Failed && recv.status != 0
+	if (err == nil || failed) && recv.refusedUnrun() {
+		ticket.NotRun(code.NoTarget)
+		return onceResult{err: code.Wrap(code.NoTarget, err, "the target refused the call and didn't run it").After(retryAfter)}
+	}
 	if err == nil || failed {
 		a := once.Answer{Status: recv.status, Type: recv.header.Get("Content-Type"), Body: recv.held}
 		ticket.Done(a)
@@ -116,6 +120,13 @@
 	return onceResult{err: code.Wrap(code.OutcomeUnknown, err, "")}
 }
 
+// refusedUnrun tells whether the target itself says that it didn't run the
+// call. Such a refusal is no answer to keep: recorded as one, it would be all
+// that the key ever gives, and the call would never run.
+func (r *plainAnswer) refusedUnrun() bool {
+	return r.status >= http.StatusInternalServerError && r.header.Get(headerNotRun) == "true"
+}
+
 // wholePlain takes an answer only as a whole: it has to be recorded.
 type wholePlain struct{ *plainAnswer }
 
--- a/request/entry/once_test.go
+++ b/request/entry/once_test.go
@@ -59,6 +59,11 @@
 			c.w.Header().Set("X-Request-Id", c.id)
 			c.w.WriteHeader(http.StatusServiceUnavailable)
 		}, "0", "done ", "", 1},
+		{"refused by the target unrun", func(c *call) {
+			c.w.Header().Set("X-Request-Id", c.id)
+			c.w.Header().Set("X-Not-Run", "true")
+			c.w.WriteHeader(http.StatusServiceUnavailable)
+		}, "2001", "not run", "true", 1},
 		{"answer lost", func(c *call) { c.reset() }, "3003", "unknown", "", 1},
 		{"answer cut", func(c *call) { c.w.Header().Set("Content-Length", "9"); answer(c); c.reset() }, "3003", "unknown", "", 1},
 		{"another's answer", func(c *call) { c.w.Header().Set("X-Request-Id", "other"); c.raw("held") }, "3003", "unknown", "", 1},
