--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -398,3 +398,21 @@
 		}
 	})
 }
+
+// Hundreds of daemons start at once. Each has hundreds of changes to tell, and
+// their messages must not stay full of them for minutes after all is known.
+func TestNewsOfAMassStartRunsDry(t *testing.T) {
+	const members = 360
+	q := newNewsQueue()
+	for i := range members {
+		q.add(&peerpb.Member{Id: fmt.Sprint(i)})
+	}
+	messages := 0
+	for len(q.take(members)) > 0 {
+		messages++
+	}
+	// At two messages a period that is a minute and a half at most.
+	if messages > 180 {
+		t.Errorf("%d messages until the news ran dry", messages)
+	}
+}
