--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -416,3 +416,43 @@
 		t.Errorf("%d messages until the news ran dry", messages)
 	}
 }
+
+// A VM loses its network for a moment, suspects a member, and is frozen right
+// then. When it wakes the suspicion looks old enough for a death, though the
+// silence was its own. It must not call the member dead.
+func TestSleeperCallsNobodyDead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(8)
+		defer f.stop()
+		within(30*time.Second, f.all("vm-003", peerpb.Member_LIVE, 7))
+		sleeper := f.nodes["vm-003"].m
+		seen := func(s peerpb.Member_State) int {
+			n := 0
+			for _, m := range sleeper.View().Members {
+				if m.Member.State == s {
+					n++
+				}
+			}
+			return n
+		}
+		cut := func(on bool) {
+			for _, v := range f.vms {
+				f.set("vm-003", v.ID, on)
+			}
+		}
+		cut(true)
+		if _, ok := within(10*time.Second, func() bool { return seen(peerpb.Member_SUSPECT) > 0 }); !ok {
+			t.Fatal("suspects nobody")
+		}
+		cut(false)
+		f.pause("vm-003", 10*time.Second)
+		dead := 0
+		within(10*time.Second, func() bool {
+			dead += seen(peerpb.Member_DEAD)
+			return false
+		})
+		if dead > 0 {
+			t.Errorf("called others dead %d times", dead)
+		}
+	})
+}
