--- a/operator/caller/caller_test.go
+++ b/operator/caller/caller_test.go
@@ -114,6 +114,9 @@
 	stream(tok(0), tok(1), stop, done)(w, r)
 }
 
+// Daemons refuse, vanish, cut an answer or give another request's. The caller
+// must come to its own whole answer or a true code, and send again only what
+// may be sent again.
 func TestDo(t *testing.T) {
 	whole := stream(tok(0), tok(1), stop, done)
 	other := `{"id":"another","token_index":0,"choices":[{"delta":{"content":" x"}}]}`
--- a/standin/engine/serve_test.go
+++ b/standin/engine/serve_test.go
@@ -294,6 +294,9 @@
 	}
 }
 
+// A caller's stream runs when its engine gets an order. An engine that waits
+// must end the stream whole; one that is set to cut must cut it, or the tests
+// that rely on the cut prove nothing.
 func TestChangeWaitsForWhatRuns(t *testing.T) {
 	for _, cut := range []bool{false, true} {
 		t.Run(fmt.Sprintf("cut %v", cut), func(t *testing.T) {
--- a/version/publish/publish_test.go
+++ b/version/publish/publish_test.go
@@ -111,6 +111,9 @@
 
 func acceptIt(l *fakeLog, at int64) { l.accept(at) }
 
+// An operator publishes while others do, the log loses answers or is away, and
+// records expire. Each publication must end in its true outcome with the
+// winner's version, and stand in the log once.
 func TestOutcomes(t *testing.T) {
 	mine := ID(record.Document{Service: service, Base: 1, YAML: "y"})
 	tests := []struct {
