daemon: accepted connections have TCP_USER_TIMEOUT, with a test

Cause: with the listeners' TCP_USER_TIMEOUT at 0 no test failed, and docs/design/2-requests.md still said that callers' connections have none. Change: TestAcceptedConnectionsTimeOut reads the option of an accepted connection of each of the three ports: 20 s.

Shown failing: with sock.UserTimeout(0) in listen, "callers: TCP_USER_TIMEOUT is 0 ms", the same for peers and operators. Ten runs in a row passed, ten with -race as well.

--- /dev/null
+++ b/process/daemon/listen_test.go
@@ -0,0 +1,60 @@
+package daemon
+
+import (
+	"net"
+	"testing"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/pomelospool/pomelospool/process/settings"
+)
+
+// A VM of a caller, a peer or an operator vanishes in the middle of an answer,
+// and nothing tells the daemon. Its kernel would go on sending for many
+// minutes, and each such stream hold its memory. So every accepted connection
+// has its TCP_USER_TIMEOUT. That it is set is shown here, not that it fires.
+func TestAcceptedConnectionsTimeOut(t *testing.T) {
+	const local = "127.0.0.1:0"
+	d := &Daemon{s: &settings.Settings{Listen: settings.Listen{Callers: local, Peers: local, Operators: local}}}
+	if err := d.listen(); err != nil {
+		t.Fatal(err)
+	}
+	defer d.listeners.close()
+	for name, l := range map[string]net.Listener{
+		"callers":   d.listeners.callers,
+		"peers":     d.listeners.peers,
+		"operators": d.listeners.operators,
+	} {
+		if ms := acceptedUserTimeout(t, l); ms != 20_000 {
+			t.Errorf("%s: TCP_USER_TIMEOUT is %d ms", name, ms)
+		}
+	}
+}
+
+// acceptedUserTimeout reads the option of a connection that l accepts, in ms.
+func acceptedUserTimeout(t *testing.T, l net.Listener) int {
+	t.Helper()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = accepted.Close() }()
+	raw, err := accepted.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ms := 0
+	var got error
+	err = raw.Control(func(fd uintptr) {
+		ms, got = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	})
+	if err != nil || got != nil {
+		t.Fatal(err, got)
+	}
+	return ms
+}
