quarantine: suspect content claims its target, so that no two share one

Cause: the claim was per content. Two suspects of two daemons could choose the same idle engine at once; when the guilty one crashed it, the innocent one was in flight at two deaths and convicted too.

Weighed: the claim under a content entry (swept and counted against its bound, gossiped by third parties) was ruled out for a map of its own, told by owners only. Waiting a settle time after every run was ruled out: with one engine left each suspect would wait a second. A whole answer frees the target at once, and a death right after it is laid to the content that has the target by then.

Change: Claimer.ClaimTarget, taken after the choice for suspect and watched content; a target that isn't got is left out of the choice; none left: wait as before. A run that fails holds the target for the settle time.

--- a/process/daemon/crash_test.go
+++ b/process/daemon/crash_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -48,6 +49,20 @@
 	return all
 }
 
+// acquainted waits until every daemon knows every other one as live: before
+// that, news of crashes and claims reaches nobody.
+func (f *fleet) acquainted() {
+	f.t.Helper()
+	eventually(f.t, "everyone knows everyone", func() bool {
+		for _, d := range f.daemons {
+			if live, _ := d.members.View().Reachable(); live != len(f.daemons)-1 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // lost counts the engines that take no connection any more.
 func lost(engines []*engine.Engine) int {
 	n := 0
@@ -70,14 +85,7 @@
 	const daemons, engines, rounds = 8, 5, 2
 	f := newFleet(t, daemons, settings.TLS{})
 	all := f.fragile(engines)
-	eventually(t, "everyone knows everyone", func() bool {
-		for _, d := range f.daemons {
-			if live, _ := d.members.View().Reachable(); live != daemons-1 {
-				return false
-			}
-		}
-		return true
-	})
+	f.acquainted()
 	last := code.OK
 	for i := range daemons * rounds {
 		a := f.ask(i%daemons, "the "+marker+" again")
@@ -112,3 +120,23 @@
 	a, _ := c.Do(ctx, caller.Chat("m", prompt, 100))
 	return a
 }
+
+// Innocent streams run beside the crashing prompt on its engine. They are
+// suspects for a moment, but each must be answered whole in the end.
+func TestInnocentsBesideACrashAreAnswered(t *testing.T) {
+	f := newFleet(t, 3, settings.TLS{})
+	f.fragile(3)
+	f.acquainted()
+	var wg sync.WaitGroup
+	answers := make([]*caller.Answer, 12)
+	for i := range answers {
+		wg.Go(func() { answers[i] = f.ask(i%3, fmt.Sprintf("innocent question %d", i)) })
+	}
+	f.ask(0, marker)
+	wg.Wait()
+	for i, a := range answers {
+		if !a.Whole {
+			t.Errorf("innocent %d: code %d after %d attempts, %d tokens", i, a.Code, a.Attempts, a.Tokens)
+		}
+	}
+}
--- a/request/attempt/choose.go
+++ b/request/attempt/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/request/routing"
@@ -18,7 +19,7 @@
 // another availability zone if one has room there, and only if nothing else is
 // left a target that failed already.
 func (u *run) choose() (routing.Target, routing.Decision, error) {
-	targets := u.opts.Targets.Targets(u.q.Service)
+	targets := without(u.opts.Targets.Targets(u.q.Service), u.held)
 	if u.next != nil && !u.route.Alone {
 		if t, ok := find(targets, u.next.Target); ok && t.Live {
 			return t, *u.next, nil
@@ -69,6 +70,20 @@
 	return err
 }
 
+// without returns the targets but those named.
+func without(targets []routing.Target, names []string) []routing.Target {
+	if len(names) == 0 {
+		return targets
+	}
+	var out []routing.Target
+	for _, t := range targets {
+		if !slices.Contains(names, t.Name) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
 func find(targets []routing.Target, name string) (routing.Target, bool) {
 	for _, t := range targets {
 		if t.Name == name {
--- a/request/attempt/run.go
+++ b/request/attempt/run.go
@@ -23,6 +23,8 @@
 	last    *Failure
 	zone    string              // of the last failed target
 	release func(finished bool) // of the claim on suspect content, or nil
+	suspect bool                // may run only with the claim of its target
+	held    []string            // targets that other suspect content has now
 	handed  bool                // over from a prefill to a decode engine
 	chosen  time.Time           // when the choice of the present target began
 }
@@ -37,7 +39,7 @@
 			return u.contentError(err)
 		}
 		u.chosen = u.opts.Now()
-		t, d, err := u.choose()
+		p, err := u.place(ctx)
 		if u.shouldWait(err) && pause.For(ctx, roomPause) == nil {
 			continue
 		}
@@ -45,15 +47,15 @@
 			return u.noTarget(err)
 		}
 		progress := u.recv.Progress()
-		failure := u.attempt(ctx, t, d)
+		failure := u.attemptAt(ctx, p)
 		if failure == nil {
 			return nil
 		}
 		if failure.Class == Handover {
-			u.handOver(ctx, d)
+			u.handOver(ctx, p.d)
 			continue
 		}
-		u.note(failure, t)
+		u.note(failure, p.t)
 		if err := u.mayRepeat(ctx, failure, u.recv.Progress() > progress); err != nil {
 			return err
 		}
@@ -195,6 +197,7 @@
 	}
 	standing, left := u.opts.Quarantine.Check(u.q.Fingerprint)
 	u.route.Alone = standing == quarantine.Suspect
+	u.suspect = u.route.Alone || standing == quarantine.Watched
 	switch standing {
 	case quarantine.Convicted:
 		return code.New(code.CrashConvicted, "").After(left)
--- a/request/quarantine/news.go
+++ b/request/quarantine/news.go
@@ -78,7 +78,7 @@
 		cs = append(cs, c)
 	}
 	sort.Slice(cs, func(i, j int) bool { return cs[i].ends().After(cs[j].ends()) })
-	return b.newsOf(cs[:min(len(cs), maxNews)], now)
+	return append(b.targetNews(now), b.newsOf(cs[:min(len(cs), maxNews)], now)...)
 }
 
 // Incoming implements membership.Convictions.
@@ -87,6 +87,10 @@
 	defer b.mu.Unlock()
 	now := b.tick()
 	for _, n := range news {
+		if strings.HasPrefix(n.Target, targetMark) {
+			b.mergeTarget(n, now)
+			continue
+		}
 		c := b.content(n.Fingerprint, now)
 		if c == nil {
 			continue
--- /dev/null
+++ b/request/quarantine/target_test.go
@@ -0,0 +1,165 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pomelospool/pomelospool/peer/peerpb"
+)
+
+// claimAll has the daemons claim the engine at once, each for a content of its
+// own, and returns the releases that were granted.
+func (r *rig) claimAll(engine string, who ...int) map[int]func(bool) {
+	var mu sync.Mutex
+	granted := make(map[int]func(bool))
+	r.together(len(who), func(i int) {
+		release, ok := r.books[who[i]].ClaimTarget(r.t.Context(), uint64(who[i]+1), engine)
+		mu.Lock()
+		defer mu.Unlock()
+		if ok {
+			granted[who[i]] = release
+		}
+	})
+	return granted
+}
+
+// TestClaimTarget: suspect contents of several daemons choose the same idle
+// engine. One may run there; who comes next waits for it, for a crash that is
+// noticed late, and for a holder that died, but not for longer.
+func TestClaimTarget(t *testing.T) {
+	all := []int{0, 1, 2, 3, 4, 5, 6, 7}
+	cases := []struct {
+		name    string
+		first   []int
+		between func(r *rig, granted map[int]func(bool))
+		second  []int
+		want    int // granted at second
+	}{
+		{"two at once, both again while it runs", []int{0, 1}, func(*rig, map[int]func(bool)) {}, []int{0, 1}, 0},
+		{"all at once, all again while it runs", all, func(*rig, map[int]func(bool)) {}, all, 0},
+		{"answered", []int{6, 7}, func(_ *rig, granted map[int]func(bool)) {
+			granted[6](true)
+			<-time.After(3 * hop)
+		}, all, 1},
+		{"failed, and the crash may show yet", []int{6, 7}, func(_ *rig, granted map[int]func(bool)) {
+			granted[6](false)
+			<-time.After(settleTime / 2)
+		}, all, 0},
+		{"failed a while ago", []int{6, 7}, func(_ *rig, granted map[int]func(bool)) {
+			granted[6](false)
+			<-time.After(settleTime + 3*hop)
+		}, all, 1},
+		{"the holder died", []int{0, 1}, func(r *rig, _ map[int]func(bool)) {
+			<-time.After(claimFor - time.Second)
+			if n := len(r.claimAll("e", 1, 2)); n != 0 {
+				r.t.Errorf("%d may run while the holder could live", n)
+			}
+			<-time.After(time.Second)
+		}, []int{1, 2}, 1},
+		{"the release is lost, heartbeats tell", []int{0, 1}, func(r *rig, granted map[int]func(bool)) {
+			r.deaf = true
+			granted[0](true)
+			<-time.After(time.Second)
+			r.deaf = false
+			r.heartbeats(newsLag / 2)
+		}, []int{1}, 1},
+		{"old news of an ended claim", []int{0}, func(r *rig, granted map[int]func(bool)) {
+			old := r.books[0].Outgoing()
+			granted[0](true)
+			<-time.After(time.Second)
+			r.books[1].Incoming(old)
+		}, []int{1}, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t)
+				defer r.stop()
+				granted := r.claimAll("e", tc.first...)
+				if len(granted) != 1 || granted[tc.first[0]] == nil {
+					t.Fatalf("%d of the first may run, want the lowest incarnation alone", len(granted))
+				}
+				tc.between(r, granted)
+				if n := len(r.claimAll("e", tc.second...)); n != tc.want {
+					t.Errorf("%d of the second may run, want %d", n, tc.want)
+				}
+				if n := len(r.claimAll("another", tc.second...)); n != 1 {
+					t.Errorf("%d may run at another engine, want 1", n)
+				}
+				for i, b := range r.books {
+					if len(b.contents) != 0 {
+						t.Errorf("daemon %d: %d contents held for claims of targets", i, len(b.contents))
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestAnsweredBeforeTheCrash: an innocent suspect is answered by an engine,
+// the guilty one runs there right after and crashes it, within the moment in
+// which an end may still turn out to be a crash. Only the guilty is convicted;
+// alone at the engine, the innocent one would be.
+func TestAnsweredBeforeTheCrash(t *testing.T) {
+	for _, next := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			const suspect = uint64(7)
+			r := newRig(t)
+			defer r.stop()
+			b := r.books[1]
+			for _, fp := range []uint64{suspect, bad} {
+				b.Begin(fp, "engine-0")
+			}
+			b.Crashed("engine-0")
+			b.End(suspect, "engine-0")
+			b.End(bad, "engine-0")
+			run := func(b *Book, fp uint64) {
+				_, ok := b.Claim(t.Context(), fp)
+				_, free := b.ClaimTarget(t.Context(), fp, "engine-1")
+				if !ok || !free {
+					t.Fatalf("content %d may not run: %v %v", fp, ok, free)
+				}
+				b.Begin(fp, "engine-1")
+			}
+			release, _ := b.ClaimTarget(t.Context(), suspect, "engine-1")
+			release(true)
+			run(b, suspect)
+			b.End(suspect, "engine-1")
+			b.releaseTarget(targetKey("engine-1"), b.claimed[targetKey("engine-1")], 0)
+			<-time.After(3 * hop)
+			want := Convicted
+			if next {
+				run(r.books[0], bad)
+				want = Suspect
+				defer r.standing(1, bad, Convicted)
+				defer r.books[0].Crashed("engine-1")
+			}
+			b.Crashed("engine-1")
+			r.standing(1, suspect, want)
+		})
+	}
+}
+
+// TestTargetClaimsBounded: a peer tells of claims without end.
+func TestTargetClaimsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(Options{Self: "d"})
+		for i := range uint64(2 * maxTargetClaims) {
+			b.Incoming([]*peerpb.Conviction{{Fingerprint: i + 1, Suspect: true, Target: fmt.Sprintf("%speer#%d", targetMark, i), TtlMs: 1000}})
+		}
+		if n := len(b.claimed); n != maxTargetClaims {
+			t.Errorf("%d claims held", n)
+		}
+		if _, ok := b.ClaimTarget(context.Background(), 1, "e"); ok {
+			t.Error("claimed, though the claims of peers aren't all known")
+		}
+		<-time.After(time.Second + newsLag + time.Millisecond)
+		if _, ok := b.ClaimTarget(context.Background(), 1, "e"); !ok || len(b.claimed) != 1 {
+			t.Errorf("claimed: %v; %d claims held", ok, len(b.claimed))
+		}
+	})
+}
--- a/request/quarantine/tracker.go
+++ b/request/quarantine/tracker.go
@@ -51,9 +51,10 @@
 	targets  map[string]map[uint64]int // in flight, by target
 	ended    endings
 	burst    []death
-	claims   uint64   // made by this process
-	watched  int      // Watched contents that run here now
-	clearing []uint64 // contents that ran alone to their end a moment ago
+	claims   uint64                 // made by this process
+	claimed  map[uint64]targetClaim // by targetKey
+	watched  int                    // Watched contents that run here now
+	clearing []uint64               // contents that ran alone to their end a moment ago
 }
 
 // death is one crash seen by this process.
@@ -83,6 +84,7 @@
 		o:        o,
 		contents: make(map[uint64]*content),
 		targets:  make(map[string]map[uint64]int),
+		claimed:  make(map[uint64]targetClaim),
 		out:      make(chan []*peerpb.Conviction, outQueue),
 		ended:    endings{clean: make(map[uint64]struct{})},
 	}
@@ -238,7 +240,7 @@
 			continue
 		}
 		changed = append(changed, c)
-		if c.counted() >= 2 && b.proven(c, d.at) {
+		if c.counted() >= 2 && b.proven(c, d.at) && !b.outlived(fp, d) {
 			guilty = append(guilty, c)
 		}
 	}
--- a/request/quarantine/types.go
+++ b/request/quarantine/types.go
@@ -39,4 +39,10 @@
 	// called once, after End; finished says that a target gave the whole
 	// answer, which clears the content. Claim may wait a moment for the peers.
 	Claim(ctx context.Context, fingerprint uint64) (release func(finished bool), ok bool)
+	// ClaimTarget takes the only right in the fleet to run suspect content at a
+	// target. It is asked after Claim, once the target is chosen. ok is false
+	// while another suspect runs there; then release is nil. release is called
+	// once, after End; finished says that the target gave the whole answer, which
+	// frees it at once. ClaimTarget may wait a moment for the peers.
+	ClaimTarget(ctx context.Context, fingerprint uint64, target string) (release func(finished bool), ok bool)
 }
