pool: Verify returns once the death is told, also to the second request

Cause: of two requests broken by one death the first marks the target as down and then tells of it; between the two (a log line lies there) the second request's Verify found it marked and returned. It went on to another target as innocent, beside others, and was in flight with them at a second death.

Ruled out: a lock in the watcher alone (it is taken after that window). Waiting in Unreachable: requests that can't connect would wait too, for nothing.

Change: Verify waits until Options.Down has returned, or its ctx ended.

TestVerifyWaitsForTheWord without the wait: "1 verified before the death was told". Still open: the same window, without a log line in it, lies in load.Watcher.Down between noteDeath and the telling lock.

--- a/connection/pool/pool.go
+++ b/connection/pool/pool.go
@@ -75,6 +75,7 @@
 	sent      sent
 	suspect   bool
 	down      bool
+	told      chan struct{} // closed once Options.Down returned, nil before the first time
 	probing   bool
 	refused   time.Time // when it last refused a request that it didn't run
 }
@@ -227,11 +228,16 @@
 	t := p.get(addr)
 	first := !t.down
 	t.down = true
+	if first {
+		t.told = make(chan struct{})
+	}
+	told := t.told
 	p.watch(addr, t)
 	p.mu.Unlock()
 	if !first {
 		return
 	}
+	defer close(told)
 	log.WithField("addr", addr).WithError(err).Warn("pool: target down")
 	if p.opts.Down != nil {
 		p.opts.Down(addr, err)
--- a/connection/pool/pool_test.go
+++ b/connection/pool/pool_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -270,3 +271,34 @@
 		p.Close()
 	})
 }
+
+// TestVerifyWaitsForTheWord: one death breaks two requests. The first marks
+// the target as down and is still telling of the death when the second
+// verifies it. Were the second told at once, it would go to another target as
+// innocent, and if it is the cause, with others, crash that one beside them.
+func TestVerifyWaitsForTheWord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		telling := make(chan struct{})
+		p := New(Options{
+			Dial: func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED },
+			Down: func(string, error) { <-telling },
+		})
+		defer p.Close()
+		var verified atomic.Int32
+		for range 2 {
+			go func() {
+				p.Verify(t.Context(), "a:1")
+				verified.Add(1)
+			}()
+			synctest.Wait()
+		}
+		if n := verified.Load(); n != 0 {
+			t.Errorf("%d verified before the death was told", n)
+		}
+		close(telling)
+		synctest.Wait()
+		if n := verified.Load(); n != 2 {
+			t.Errorf("%d verified after the death was told, want 2", n)
+		}
+	})
+}
--- a/connection/pool/probe.go
+++ b/connection/pool/probe.go
@@ -63,7 +63,7 @@
 }
 
 // Verify probes addr at once after a connection broke, and reports whether the
-// target is gone. A gone target is marked as down before Verify returns.
+// target is gone. A gone target is marked as down and told of before Verify returns.
 func (p *Pool) Verify(ctx context.Context, addr string) bool {
 	err := p.Probe(ctx, addr)
 	if err == nil || ctx.Err() != nil {
@@ -71,8 +71,26 @@
 	}
 	if errors.Is(err, ErrConnect) {
 		p.Unreachable(addr, err)
+		p.awaitTold(ctx, addr)
 		return true
 	}
 	p.Silent(addr)
 	return false
 }
+
+// awaitTold waits until whoever found addr down first has told of it. The
+// guard is against a request that was broken by the same death and goes to
+// another target before the quarantine knows of it: it would run there as
+// innocent, beside others, and be in flight with them at a second death.
+func (p *Pool) awaitTold(ctx context.Context, addr string) {
+	p.mu.Lock()
+	told := p.get(addr).told
+	p.mu.Unlock()
+	if told == nil {
+		return
+	}
+	select {
+	case <-told:
+	case <-ctx.Done():
+	}
+}
