attempt: a suspect waits for a held target rather than try a failed one again

Cause: found by the table of TestSuspectsShareNoTarget: with the other target held, a suspect fell back to the one that had just died under it, twice, and ended with 2003 "after 3 attempts". Weighed: falling back after a pause; a held target is free soon, the failed one mostly isn't.

Change: no fallback while a target is held.

--- a/request/attempt/attempt_test.go
+++ b/request/attempt/attempt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -274,6 +275,81 @@
 	})
 }
 
+// claims is a Claimer that knows which targets other suspects have, until one
+// is given back at the third refusal.
+type claims struct {
+	books
+	taken   map[string]bool
+	refused int
+}
+
+func (c *claims) Claim(context.Context, uint64) (func(bool), bool) { return func(bool) {}, true }
+
+func (c *claims) ClaimTarget(_ context.Context, _ uint64, target string) (func(bool), bool) {
+	if c.taken[target] {
+		c.refused++
+		c.taken["b"] = c.taken["b"] && c.refused < 3
+		return nil, false
+	}
+	c.note(0, "claim "+target)
+	return func(finished bool) { c.note(0, fmt.Sprintf("release %s %v", target, finished)) }, true
+}
+
+// TestSuspectsShareNoTarget: a suspect chooses the target that another one has
+// just claimed. It must go elsewhere, or wait if it was tried before, and give
+// its target back also when that dies.
+func TestSuspectsShareNoTarget(t *testing.T) {
+	cases := []struct {
+		name     string
+		standing quarantine.Standing
+		taken    []string
+		dies     bool // a
+		want     string
+		err      code.Code
+	}{
+		{"clear", quarantine.Clear, []string{"a", "b"}, false, "[begin end]", code.OK},
+		{"free", quarantine.Suspect, nil, false, "[claim a begin end release a true]", code.OK},
+		{"the other is free", quarantine.Suspect, []string{"a"}, false, "[claim b begin end release b true]", code.OK},
+		{"beside others", quarantine.Watched, []string{"a"}, false, "[claim b begin end release b true]", code.OK},
+		{"none is free", quarantine.Suspect, []string{"a", "b"}, false, "[]", code.CrashSuspect},
+		{"its target dies, then it waits", quarantine.Suspect, []string{"b"}, true,
+			"[claim a begin end release a false claim b begin end release b true]", code.OK},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				net := &pipes{}
+				answer := func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set(HeaderID, r.Header.Get(HeaderID))
+					io.WriteString(w, "whole")
+				}
+				net.serve("b:1", answer)
+				if tc.dies {
+					answer = func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+				}
+				net.serve("a:1", answer)
+				c := &claims{books: books{standing: tc.standing}, taken: map[string]bool{}}
+				for _, name := range tc.taken {
+					c.taken[name] = true
+				}
+				p := pool.New(pool.Options{Dial: net.dial})
+				r := NewRunner(Options{
+					Pool: p, Router: inOrder{}, Quarantine: c, Verify: func(context.Context, routing.Target) {},
+					Targets: fixed{{Name: "a", Addr: "a:1", Live: true}, {Name: "b", Addr: "b:1", Live: true}},
+				})
+				if _, err := r.Run(t.Context(), request(true), nil, &whole{}); code.Of(err) != tc.err {
+					t.Errorf("got %v, want code %d", err, tc.err)
+				}
+				if got := fmt.Sprint(c.said); got != tc.want {
+					t.Errorf("said %s, want %s", got, tc.want)
+				}
+				net.close()
+				p.Close()
+			})
+		})
+	}
+}
+
 // TestBudget: retries stay within the greater of the reserve and the share,
 // and the past is forgotten.
 func TestBudget(t *testing.T) {
--- a/request/attempt/choose.go
+++ b/request/attempt/choose.go
@@ -17,7 +17,8 @@
 
 // choose picks the target of the next attempt: another one than before, in
 // another availability zone if one has room there, and only if nothing else is
-// left a target that failed already.
+// left a target that failed already. Targets that other suspect content has
+// now are left out; they are waited for rather than a failed one tried again.
 func (u *run) choose() (routing.Target, routing.Decision, error) {
 	targets := without(u.opts.Targets.Targets(u.q.Service), u.held)
 	if u.next != nil && !u.route.Alone {
@@ -27,7 +28,7 @@
 	}
 	u.route.Deadline = u.q.Deadline.Sub(u.opts.Now())
 	d, err := u.routeElsewhere(targets)
-	if err != nil && len(u.route.Exclude) > 0 {
+	if err != nil && len(u.route.Exclude) > 0 && len(u.held) == 0 {
 		again := u.route
 		again.Exclude = nil
 		d, err = u.opts.Router.Route(again, targets)
--- a/request/quarantine/rig_test.go
+++ b/request/quarantine/rig_test.go
@@ -212,6 +212,13 @@
 		return 1012, false
 	}
 	defer r.leave(engine)
+	if standing != Clear {
+		release, ok := b.ClaimTarget(context.Background(), fp, engine)
+		if !ok {
+			return 1012, false
+		}
+		defer func() { release(finished) }()
+	}
 	b.Begin(fp, engine)
 	defer b.End(fp, engine)
 	finished = r.serve(engine, fp)
--- a/request/quarantine/target_test.go
+++ b/request/quarantine/target_test.go
@@ -100,50 +100,56 @@
 	}
 }
 
-// TestAnsweredBeforeTheCrash: an innocent suspect is answered by an engine,
-// the guilty one runs there right after and crashes it, within the moment in
-// which an end may still turn out to be a crash. Only the guilty is convicted;
-// alone at the engine, the innocent one would be.
+// TestAnsweredBeforeTheCrash: an innocent suspect is answered by an engine. The
+// guilty one runs there right after and crashes it, within the moment in which
+// an end may still turn out to be a crash. Only the guilty one is convicted;
+// with nobody there since, the first would be.
 func TestAnsweredBeforeTheCrash(t *testing.T) {
-	for _, next := range []bool{true, false} {
+	const first = uint64(7)
+	for _, next := range []int{-1, 0, 1} { // the daemon of the guilty one, or none
 		synctest.Test(t, func(t *testing.T) {
-			const suspect = uint64(7)
 			r := newRig(t)
 			defer r.stop()
 			b := r.books[1]
-			for _, fp := range []uint64{suspect, bad} {
-				b.Begin(fp, "engine-0")
-			}
+			b.Begin(first, "engine-0")
+			b.Begin(bad, "engine-0")
 			b.Crashed("engine-0")
-			b.End(suspect, "engine-0")
+			b.End(first, "engine-0")
 			b.End(bad, "engine-0")
-			run := func(b *Book, fp uint64) {
-				_, ok := b.Claim(t.Context(), fp)
-				_, free := b.ClaimTarget(t.Context(), fp, "engine-1")
-				if !ok || !free {
-					t.Fatalf("content %d may not run: %v %v", fp, ok, free)
-				}
-				b.Begin(fp, "engine-1")
-			}
-			release, _ := b.ClaimTarget(t.Context(), suspect, "engine-1")
+			release := r.begin(1, first, "engine-1")
+			b.End(first, "engine-1")
 			release(true)
-			run(b, suspect)
-			b.End(suspect, "engine-1")
-			b.releaseTarget(targetKey("engine-1"), b.claimed[targetKey("engine-1")], 0)
 			<-time.After(3 * hop)
-			want := Convicted
-			if next {
-				run(r.books[0], bad)
-				want = Suspect
-				defer r.standing(1, bad, Convicted)
-				defer r.books[0].Crashed("engine-1")
+			if next >= 0 {
+				r.begin(next, bad, "engine-1")
+				r.books[next].Crashed("engine-1")
+				r.standing(1, bad, Convicted)
 			}
 			b.Crashed("engine-1")
-			r.standing(1, suspect, want)
+			want := Suspect
+			if next < 0 {
+				want = Convicted
+			}
+			r.standing(1, first, want)
 		})
 	}
 }
 
+// begin has a daemon run suspect content at an engine.
+func (r *rig) begin(daemon int, fp uint64, engine string) (release func(bool)) {
+	r.t.Helper()
+	b := r.books[daemon]
+	if _, ok := b.Claim(r.t.Context(), fp); !ok {
+		r.t.Fatalf("content %d isn't claimed", fp)
+	}
+	release, ok := b.ClaimTarget(r.t.Context(), fp, engine)
+	if !ok {
+		r.t.Fatalf("engine isn't claimed for content %d", fp)
+	}
+	b.Begin(fp, engine)
+	return release
+}
+
 // TestTargetClaimsBounded: a peer tells of claims without end.
 func TestTargetClaimsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
