--- a/request/attempt/choose.go
+++ b/request/attempt/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/request/routing"
@@ -16,9 +17,10 @@
 
 // choose picks the target of the next attempt: another one than before, in
 // another availability zone if one has room there, and only if nothing else is
-// left a target that failed already.
+// left a target that failed already. Targets that other suspect content has
+// now are left out; they are waited for rather than a failed one tried again.
 func (u *run) choose() (routing.Target, routing.Decision, error) {
-	targets := u.opts.Targets.Targets(u.q.Service)
+	targets := without(u.opts.Targets.Targets(u.q.Service), u.held)
 	if u.next != nil && !u.route.Alone {
 		if t, ok := find(targets, u.next.Target); ok && t.Live {
 			return t, *u.next, nil
@@ -26,7 +28,7 @@
 	}
 	u.route.Deadline = u.q.Deadline.Sub(u.opts.Now())
 	d, err := u.routeElsewhere(targets)
-	if err != nil && len(u.route.Exclude) > 0 {
+	if err != nil && len(u.route.Exclude) > 0 && len(u.held) == 0 {
 		again := u.route
 		again.Exclude = nil
 		d, err = u.opts.Router.Route(again, targets)
@@ -69,6 +71,20 @@
 	return err
 }
 
+// without returns the targets but those named.
+func without(targets []routing.Target, names []string) []routing.Target {
+	if len(names) == 0 {
+		return targets
+	}
+	var out []routing.Target
+	for _, t := range targets {
+		if !slices.Contains(names, t.Name) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
 func find(targets []routing.Target, name string) (routing.Target, bool) {
 	for _, t := range targets {
 		if t.Name == name {
