Policy plot: the legend no longer lies over the lines

Cause: looked at as a picture, the legend's lines ran into each other and over the last third of the curves. Change: room above the lines, legend at the left, padding. Looked at again: each name reads, no curve is covered.

--- a/cmd/pomelosbench/plot.go
+++ b/cmd/pomelosbench/plot.go
@@ -13,7 +13,10 @@
 
 const (
 	plotWidth  = 10 * vg.Inch
-	plotHeight = 5 * vg.Inch
+	plotHeight = 6 * vg.Inch
+
+	// legendShare is the room for the legend, as a share of the highest value.
+	legendShare = 0.55
 )
 
 // colours tell the systems apart in the order of the results.
@@ -46,6 +49,12 @@
 		p.Add(line)
 		p.Legend.Add(fmt.Sprintf("%s (%d changes)", r.System, r.Changes), line)
 	}
+	// The legend stands above the lines, in room made for it.
+	p.Y.Min = 0
+	p.Y.Max *= 1 + legendShare
+	p.Legend.Padding = vg.Points(2)
+	p.Legend.Left = true
+	p.Legend.XOffs = vg.Points(8)
 	if err := p.Save(plotWidth, plotHeight, file); err != nil {
 		return fmt.Errorf("plot: %w", err)
 	}
