At most once: tests over real grpc, and at a stop with a slow log

Cause: a mutation run made onceMembers give nobody and removed once.Drain from the stop, and no test of process/daemon noticed.

TestLargeFirstAnswerComesFromTheOtherDaemon sends one key to two daemons. The answer of 70000 bytes is too large for the log, so it comes by Lookup. TestPlannedStopRecordsResults answers eight calls while an append takes 700 ms, stops the daemon, and sends the same keys to the other one. Eight, since a result whose shard the other daemon batches may outlive the stop without a drain.

A failed try: without a wait until the second daemon has heard of the first, the second answers 3006 ANSWER_NOT_KEPT at once. That is so in the first moments of a process; request/once tells it as final, where "busy" would let the caller ask again. Not changed here; the test is about a running fleet.

Conclusion: both guards are held by a test over the whole path.

--- /dev/null
+++ b/process/daemon/once_test.go
@@ -0,0 +1,107 @@
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pomelospool/pomelospool/operator/caller"
+	"github.com/pomelospool/pomelospool/process/settings"
+	"github.com/pomelospool/pomelospool/standin/plain"
+)
+
+// onceYAML is plainYAML with calls that may run once only.
+func onceYAML(addr string) string {
+	return plainYAML(addr, 5*time.Second) + "once: {paths: [/boards]}\n"
+}
+
+// call sends a call to daemon i, again if it was refused unrun.
+func (f *fleet) call(i int, key, body string) *caller.Answer {
+	f.t.Helper()
+	c := caller.New(caller.Options{Daemons: []string{f.daemons[i].Listen().Callers}, Fixed: true, Attempts: 10})
+	defer c.Close()
+	a, _ := c.Do(f.t.Context(), caller.Request{Path: "/s/feed/boards", Body: []byte(body), Key: key})
+	return a
+}
+
+// A caller's connection breaks while it reads a large answer. It sends the
+// same key to another daemon. The log has no room for the answer, only the
+// daemon that got it has it, and the call may not run again.
+func TestLargeFirstAnswerComesFromTheOtherDaemon(t *testing.T) {
+	f := newFleet(t, 2, settings.TLS{})
+	p := f.plain()
+	f.inForce("feed", f.publish("feed", onceYAML(p.Addr())))
+	eventually(t, "the other daemon knows the first", func() bool { live, _ := f.daemons[1].members.View().Reachable(); return live == 1 })
+	body := strings.Repeat("pomelo ", 10_000)
+	for i := range f.daemons {
+		if a := f.call(i, "large", body); !a.Whole || string(a.Body) != body {
+			t.Errorf("daemon %d: code %d, %d bytes of %d", i, a.Code, len(a.Body), len(body))
+		}
+	}
+	if n := p.Record().Keys["large"]; n != 1 {
+		t.Errorf("%d runs", n)
+	}
+}
+
+// heldTarget runs a plain service that answers nothing before release;
+// waiting counts what came.
+func (f *fleet) heldTarget(waiting *atomic.Int32) (p *plain.Service, addr string, release func()) {
+	p = plain.New(plain.Options{Name: "p"})
+	open := make(chan struct{})
+	h := p.Handler()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		waiting.Add(1)
+		<-open
+		h.ServeHTTP(w, r)
+	}))
+	release = sync.OnceFunc(func() { close(open) })
+	f.t.Cleanup(srv.Close)
+	f.t.Cleanup(release)
+	return p, srv.Listener.Addr().String(), release
+}
+
+// slowLog is longer than a daemon serves on at its stop, so that results wait
+// for the log when it drains.
+const slowLog = 700 * time.Millisecond
+
+// The log is slow, and a daemon is stopped just after it answered calls that
+// may run once only. Their callers' answers get lost on the way, so they send
+// the same keys to another daemon. Had the results died with the first daemon
+// their outcome would be unknown for good.
+func TestPlannedStopRecordsResults(t *testing.T) {
+	f := newFleet(t, 2, settings.TLS{})
+	var waiting atomic.Int32
+	p, addr, release := f.heldTarget(&waiting)
+	f.inForce("feed", f.publish("feed", onceYAML(addr)))
+	const calls = 8 // so that each daemon appends for some
+	answers := make(chan *caller.Answer, calls)
+	key := func(i int) string { return fmt.Sprintf("key-%d", i) }
+	for i := range calls {
+		go func() { answers <- f.call(0, key(i), "body of "+key(i)) }()
+	}
+	eventually(t, "all are at the target", func() bool { return waiting.Load() == calls })
+	f.log.SetLatency(slowLog)
+	release()
+	for range calls {
+		if a := <-answers; !a.Whole {
+			t.Errorf("before the stop: %+v", a)
+		}
+	}
+	stopped := f.stop(0)
+	eventually(t, "drains", func() bool { return f.daemons[0].phase() == phaseDraining })
+	f.log.SetLatency(0)
+	if err := <-stopped; err != nil {
+		t.Errorf("the stop: %v", err)
+	}
+	for i := range calls {
+		a := f.call(1, key(i), "body of "+key(i))
+		if n := p.Record().Keys[key(i)]; !a.Whole || string(a.Body) != "body of "+key(i) || n != 1 {
+			t.Errorf("%s at the other daemon: code %d, body %q, %d runs", key(i), a.Code, a.Body, n)
+		}
+	}
+}
