Once: "answer not kept" only when its keeper is dead; test fleets apart

Cause 1: an answer too large for the log is kept by the daemon that ran the call. While that daemon was paused, or unheard of by one that had just started, the caller got 3006, which is final and untrue. Shown failing first: 3006 instead of 3002 while it is paused. Now 3002 with Retry-After, the answer once it is awake, 3006 when it is dead. Cause 2: process/daemon failed once with "address already in use" when several runs shared the machine: all used the same IP numbers and a restart takes its old port.

--- a/process/daemon/fleet_test.go
+++ b/process/daemon/fleet_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -107,8 +108,13 @@
 	tls     settings.TLS
 }
 
-// hostOf gives the IP number of daemon i, on loopback.
-func hostOf(i int) string { return fmt.Sprintf("127.0.41.%d", i+1) }
+// hostOf gives the IP number of daemon i, on loopback. Each test process has
+// numbers of its own: a daemon that starts again takes its old port, which
+// another run on the machine could have got meanwhile.
+func hostOf(i int) string {
+	id := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+id>>8%200, id&0xff, i+1)
+}
 
 func newFleet(t *testing.T, n int, tls settings.TLS) *fleet {
 	f := &fleet{t: t, log: logsvc.New(logsvc.Options{}), tls: tls, daemons: make([]*Daemon, n)}
--- a/request/once/fault_test.go
+++ b/request/once/fault_test.go
@@ -55,6 +55,18 @@
 			a.kill()
 			f.expect("again", b.send(call(key)), "3003")
 		}},
+		{"answer too large for the log, its daemon paused", 1, func(f *fleet, a, b *node) {
+			large := f.run(key)
+			large.Body = make([]byte, 64<<10)
+			a.begin(key).Done(large)
+			advance(time.Second)
+			a.pause()
+			f.expect("while it is paused", b.send(call(key)), "3002")
+			a.wake()
+			f.expect("when it is awake", b.send(call(key)), string(large.Body))
+			a.kill()
+			f.expect("when it is dead", b.send(call(key)), "3006")
+		}},
 		{"daemon dies after the answer", 1, func(f *fleet, a, b *node) {
 			a.send(call(key))
 			advance(time.Second)
--- a/request/once/resolve.go
+++ b/request/once/resolve.go
@@ -27,7 +27,10 @@
 	return nil, false, code.New(code.Internal, "outcome %v", o.Kind)
 }
 
-// closed returns the first answer of a key that has a result.
+// closed returns the first answer of a key that has a result. An answer too
+// large for the log is kept by the process that ran the call. While that may
+// live but isn't reached, as when it is paused or this process has just
+// started, "not kept" would be untrue and final; the caller may ask again.
 func (l *Log) closed(ctx context.Context, a *attempt, o *peerpb.Outcome) (*Answer, error) {
 	var r record.Result
 	if json.Unmarshal(o.Result, &r) != nil {
@@ -37,8 +40,11 @@
 		return nil, code.New(code.OutcomeUnknown, "")
 	}
 	if !r.Kept {
-		whole, known := l.lookup(ctx, a.call, o)
-		if !known || whole.Result == nil || json.Unmarshal(whole.Result, &r) != nil || !r.Kept {
+		whole, reached := l.lookup(ctx, a.call, o)
+		if !reached && l.mayLive(o.Writer) {
+			return nil, busy()
+		}
+		if !reached || whole.Result == nil || json.Unmarshal(whole.Result, &r) != nil || !r.Kept {
 			return nil, code.New(code.AnswerNotKept, "status %d", r.Status)
 		}
 	}
