--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: help build test check generate demo chaos rolling capacity
+.PHONY: help build test check generate demo chaos rolling capacity inforce
 
 help: ## List the targets.
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -34,3 +34,6 @@
 
 rolling: build ## Planned changes under load: restarts, drain, role, model; SEED=1 SCALE=1.
 	./scripts/rolling.sh
+
+inforce: build ## How long until a published version is in force on all of four daemons.
+	./scripts/inforce.sh
