Membership: a last check before a death; suspicions end at a direct word

A process that was cut off suspects several members at a time; on waking it probes one a period, and the suspicions of those it hasn't reached yet grow old. Ruled out: the restart of suspicions after a pause, which only gives each of them the same too short time again. Change: a suspicion that is old enough leads to one more check, directly and through others, and only a failed one to a death; a direct word from a suspect ends the suspicion in this table. The restart after a pause is gone, since it adds nothing; suspicion is shorter by the time of the check.

--- a/process/membership/exchange.go
+++ b/process/membership/exchange.go
@@ -14,9 +14,40 @@
 	fullPeriod = 2 * time.Minute
 )
 
-// probe asks a member directly, then through others, off the loop.
+// probe checks a member; one that isn't reached becomes suspect.
 func (m *Membership) probe(e *entry) {
-	id, addr := e.m.Id, e.m.PeerAddr
+	id := e.m.Id
+	m.check(e, func(reached, fair bool) {
+		if !reached && fair {
+			m.table.suspect(m.o.Now(), id)
+		}
+	})
+}
+
+// confirm checks a suspect once more and calls it dead if it isn't reached.
+// Suspicions can be many at a time when the silence was this process's own,
+// cut off or paused, and there is no time to probe each of them in turn;
+// without a last check it would call all the others dead and spread that.
+func (m *Membership) confirm(e *entry) {
+	beat := e.m.Beat
+	e.confirming = true
+	m.check(e, func(reached, fair bool) {
+		now := m.o.Now()
+		e.confirming = false
+		switch {
+		case reached:
+			m.table.acquit(now, e, beat)
+		case fair && e.m.State == peerpb.Member_SUSPECT && e.m.Beat == beat:
+			m.table.setState(now, e, peerpb.Member_DEAD)
+		}
+	})
+}
+
+// check asks a member directly, then through others, off the loop. done gets
+// the result on the loop; fair is false when this process was paused since the
+// check began, so that a missing answer proves nothing.
+func (m *Membership) check(e *entry, done func(reached, fair bool)) {
+	addr := e.m.PeerAddr
 	req := m.request()
 	if m.wantFull() {
 		req.Full, req.Digest = true, m.table.digest()
@@ -24,30 +55,35 @@
 	if e.m.State != peerpb.Member_LIVE {
 		req.News = append(req.News, e.m)
 	}
-	via := m.schedule.relaysFor(m.table, id)
+	via := m.schedule.relaysFor(m.table, e.m.Id)
 	indirect := m.request()
 	indirect.ProbeAddr = addr
 	began := m.lastTick
 	m.tomb.Go(func() error {
-		reply, ok := m.ask(addr, req)
-		if ok {
-			m.post(func() {
-				if req.Full {
-					m.gotFull(m.table.takeFull(m.o.Now(), reply.News))
-					reply.News = nil
-				}
-				m.reached(reply)
-			})
-			return nil
-		}
-		if m.askThrough(via, indirect) {
-			return nil
+		reply, reached := m.ask(addr, req)
+		if !reached {
+			reached = m.askThrough(via, indirect)
 		}
-		m.post(func() { m.unreached(id, began) })
+		m.post(func() {
+			m.takeReply(req, reply)
+			done(reached, m.o.Now()-began <= 3*m.o.Period+m.o.DeadAfter/2)
+		})
 		return nil
 	})
 }
 
+// takeReply takes a direct answer in; reply is nil when there was none.
+func (m *Membership) takeReply(req *peerpb.HeartbeatRequest, reply *peerpb.HeartbeatReply) {
+	if reply == nil {
+		return
+	}
+	if req.Full {
+		m.gotFull(m.table.takeFull(m.o.Now(), reply.News))
+		reply.News = nil
+	}
+	m.reached(reply)
+}
+
 // ask sends one heartbeat with a time limit of one period.
 func (m *Membership) ask(addr string, req *peerpb.HeartbeatRequest) (*peerpb.HeartbeatReply, bool) {
 	ctx, cancel := context.WithTimeout(m.tomb.Context(context.Background()), m.o.Period)
@@ -87,16 +123,6 @@
 	m.takeNews(now, reply.From, reply.News, reply.Convictions)
 }
 
-// unreached suspects a member, unless this process was paused since the probe
-// began: then the missing answer proves nothing.
-func (m *Membership) unreached(id string, began time.Duration) {
-	now := m.o.Now()
-	if now-began > 3*m.o.Period+m.o.DeadAfter/2 {
-		return
-	}
-	m.table.suspect(now, id)
-}
-
 // HandleHeartbeat answers a peer's probe; the grpc server calls it.
 func (m *Membership) HandleHeartbeat(ctx context.Context, r *peerpb.HeartbeatRequest) (*peerpb.HeartbeatReply, error) {
 	var reply *peerpb.HeartbeatReply
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -81,6 +81,10 @@
 // peerContact remembers when any peer last answered.
 type peerContact struct{ last time.Duration }
 
+// checkPeriods is how long the two checks before a death take at most: each
+// asks directly and then through others.
+const checkPeriods = 4
+
 // New returns a Membership that isn't running yet.
 func New(o Options) *Membership {
 	if o.ListPeriod == 0 {
@@ -99,7 +103,7 @@
 		o:     o,
 		calls: make(chan func(), 64),
 		table: newTable(o.Self, limits{
-			suspicion: max(o.DeadAfter-2*o.Period, o.Period),
+			suspicion: max(o.DeadAfter-checkPeriods*o.Period, o.Period),
 			tombstone: 20 * o.DeadAfter,
 		}),
 		schedule: &schedule{rnd: rand.New(rand.NewPCG(o.Seed, 1))},
@@ -167,9 +171,11 @@
 	paused := now-m.lastTick > 2*m.o.Period+m.o.DeadAfter/2
 	m.lastTick = now
 	if paused {
-		m.forgive(now)
+		m.o.Log.Warn("membership: paused")
+	}
+	for _, e := range m.table.tick(now) {
+		m.confirm(e)
 	}
-	m.table.tick(now)
 	m.readList(now)
 	e := m.schedule.next(m.table)
 	if e == nil {
@@ -178,18 +184,6 @@
 	m.probe(e)
 }
 
-// forgive restarts all suspicions after this process itself was paused. The
-// silence it sees on waking is its own: without this a process that slept
-// would call every other dead at once and spread that.
-func (m *Membership) forgive(now time.Duration) {
-	m.o.Log.Warn("membership: paused, suspicions start anew")
-	for _, e := range m.table.members {
-		if e.m.State == peerpb.Member_SUSPECT {
-			e.since = now
-		}
-	}
-}
-
 // Leave tells everyone that this process is leaving.
 func (m *Membership) Leave() {
 	m.do(m.table.leave)
--- a/process/membership/table.go
+++ b/process/membership/table.go
@@ -15,6 +15,8 @@
 	since   time.Duration // when the present state began, on the local clock
 	listed  bool          // stands in the VM list
 	leaving bool          // the VM list says that it leaves
+
+	confirming bool // a last check before death is under way
 }
 
 // known tells whether the member was ever heard of.
@@ -142,8 +144,8 @@
 }
 
 // heard notes a direct answer or probe from a member. The member speaks for
-// itself, so a suspicion held here ends unless its beat was overruled; then
-// the reply carries the news and the member refutes it.
+// itself, so a suspicion held here ends; what others hold they check themselves
+// before they call it dead.
 func (t *table) heard(now time.Duration, m *peerpb.Member) {
 	t.merge(now, m)
 	e := t.members[m.Id]
@@ -151,9 +153,18 @@
 		return
 	}
 	t.noteApplied(e, m)
-	if e.m.State == peerpb.Member_SUSPECT && e.m.Beat == m.Beat {
-		t.news.add(e.m)
+	t.acquit(now, e, m.Beat)
+}
+
+// acquit ends a suspicion of the given beat, in this table only.
+func (t *table) acquit(now time.Duration, e *entry, beat uint64) {
+	if e.m.State != peerpb.Member_SUSPECT || e.m.Beat != beat {
+		return
 	}
+	m := cloneMember(e.m)
+	m.State = peerpb.Member_LIVE
+	e.m = m
+	e.since = now
 }
 
 // suspect marks a member that answered neither directly nor through others.
@@ -173,8 +184,10 @@
 	t.news.add(m)
 }
 
-// tick turns old suspicions into deaths and forgets old tombstones.
-func (t *table) tick(now time.Duration) {
+// tick returns the members whose suspicion is old enough for a last check,
+// and forgets old tombstones.
+func (t *table) tick(now time.Duration) []*entry {
+	var due []*entry
 	for id, e := range t.members {
 		age := now - e.since
 		switch {
@@ -183,11 +196,14 @@
 				delete(t.members, id)
 			}
 		case e.m.State == peerpb.Member_SUSPECT && age >= t.limits.suspicion:
-			t.setState(now, e, peerpb.Member_DEAD)
+			if !e.confirming {
+				due = append(due, e)
+			}
 		case e.m.State == peerpb.Member_DEAD && !e.listed && age >= t.limits.tombstone:
 			delete(t.members, id)
 		}
 	}
+	return due
 }
 
 // digest sums up what is known of all members, self included. Two tables with
