--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -18,6 +19,7 @@
 	deadAfter = 3 * time.Second
 
 	targetHost = "target"
+	lossOf     = 10
 )
 
 var errCut = errors.New("link is cut")
@@ -31,6 +33,8 @@
 	vms    []platform.VM
 	starts uint64
 	news   int // members carried by answers
+
+	loss *rand.Rand // when set, one call in lossOf is lost
 }
 
 type node struct {
@@ -152,8 +156,9 @@
 	l.f.mu.Lock()
 	to := l.f.nodes[addr]
 	bad := l.f.cut[[2]string{l.from, addr}] || l.f.cut[[2]string{addr, l.from}] || to == nil || to.killed
+	lost := l.f.loss != nil && l.f.loss.IntN(lossOf) == 0
 	l.f.mu.Unlock()
-	if bad {
+	if bad || lost {
 		<-ctx.Done()
 		return nil, errCut
 	}
@@ -456,3 +461,30 @@
 		}
 	})
 }
+
+// A bad switch loses one heartbeat in ten for ten minutes. Members are
+// suspected now and then, but nobody may be called dead, or leases would move
+// about for nothing.
+func TestLossIsNoDeath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(8)
+		defer f.stop()
+		within(30*time.Second, f.all("vm-001", peerpb.Member_LIVE, 7))
+		f.mu.Lock()
+		f.loss = rand.New(rand.NewPCG(1, 1))
+		f.mu.Unlock()
+		suspect, dead := 0, 0
+		within(10*time.Minute, func() bool {
+			for id := range f.nodes {
+				states := f.states(id)
+				suspect += states[peerpb.Member_SUSPECT]
+				dead += states[peerpb.Member_DEAD]
+			}
+			return false
+		})
+		t.Logf("seen suspect %d times, dead %d times", suspect, dead)
+		if dead > 0 {
+			t.Errorf("called dead %d times", dead)
+		}
+	})
+}
