Demand counted once a request, by entry; one wait for all loops

Cause, found by reading the whole change: the planner's demand was counted in a wrapper around the router. A refusal routes the request a second time, to see what an idle fleet would do, so every refused request counted twice, just when the planner is to read the overload. Change: entry tells of each model request once (Options.Asked); the wrapper is gone and the daemon holds the routing policy itself. Also: sleepUntil stood twice, two more waits in request/once; all call internal/pause now. Behaviour of these is the same.

--- a/bench/chaos/load.go
+++ b/bench/chaos/load.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/pomelospool/pomelospool/bench/audit"
+	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/operator/caller"
 	"github.com/pomelospool/pomelospool/request/prefix"
 	"github.com/pomelospool/pomelospool/standin/token"
@@ -125,7 +126,7 @@
 	var open errgroup.Group
 	open.SetLimit(maxInFlight)
 	for _, a := range o.plan() {
-		if !sleepUntil(ctx, l.start.Add(a.at)) {
+		if pause.For(ctx, time.Until(l.start.Add(a.at))) != nil {
 			break
 		}
 		open.Go(func() error { return l.one(ctx, a) })
@@ -194,15 +195,3 @@
 	r.Deadline = l.o.Deadline
 	return r
 }
-
-// sleepUntil waits for t and tells whether ctx still holds.
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	timer := time.NewTimer(time.Until(t))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/operator/load/run.go
+++ b/operator/load/run.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/operator/caller"
 )
 
@@ -58,7 +59,7 @@
 	start := time.Now()
 	for i, a := range plan {
 		samples[i].kind = a.Kind
-		if !sleepUntil(ctx, start.Add(a.At)) {
+		if pause.For(ctx, time.Until(start.Add(a.At))) != nil {
 			break
 		}
 		open.Go(func() error {
@@ -87,15 +88,3 @@
 	}
 	return sample{kind: a.Kind, late: late, answer: *answer, sent: true}
 }
-
-// sleepUntil waits for t and tells whether ctx still holds.
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	timer := time.NewTimer(time.Until(t))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -61,7 +61,8 @@
 	view    *view.Holder
 	pool    *pool.Pool
 	watcher *load.Watcher
-	router  *countingRouter
+	router  *routing.Policy
+	demands demands
 	burn    *burn.Burn
 	once    *once.Log
 	crashes *quarantine.Book
@@ -96,6 +97,8 @@
 		self:  s.VM + "/" + uuid.NewString(),
 		clock: clock.Boot{},
 		view:  &view.Holder{},
+
+		demands: demands{models: make(map[string]*demand)},
 	}
 	if err := d.listen(); err != nil {
 		return nil, err
@@ -286,7 +289,7 @@
 		Reads:   d.s.Control.LoadReads,
 		Crashed: d.crashes.Crashed,
 	})
-	d.router = newCountingRouter(routing.New(routing.Options{KVMoveRate: kvMoveRate}))
+	d.router = routing.New(routing.Options{KVMoveRate: kvMoveRate})
 	d.burn = burn.New(burn.Options{Daemon: d.s.VM, Objectives: d.objectives})
 	d.once = d.newOnceKeeper()
 	d.entry = entry.New(entry.Options{
@@ -295,6 +298,7 @@
 		Pool:       d.pool,
 		Router:     d.router,
 		Targets:    d.watcher,
+		Asked:      d.demands.asked,
 		Addresses:  address.NewBook(d.addresses, d.s.Control.AddressTTL),
 		Once:       d.once,
 		Quarantine: d.crashes,
--- a/process/daemon/plan.go
+++ b/process/daemon/plan.go
@@ -9,16 +9,15 @@
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/process/planner"
 	"github.com/pomelospool/pomelospool/process/reconcile"
-	"github.com/pomelospool/pomelospool/request/routing"
 	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/version/document"
 )
 
-// countingRouter counts what callers ask for on the way to the real router.
-type countingRouter struct {
-	*routing.Policy
-	mu       sync.Mutex
-	services map[string]*demand
+// demands counts what callers ask of this process, by model. It is safe for
+// concurrent use.
+type demands struct {
+	mu     sync.Mutex
+	models map[string]*demand
 }
 
 // demand is what callers of one model asked of this process since its start.
@@ -26,37 +25,25 @@
 	requests, prefill, decode atomic.Int64
 }
 
-func newCountingRouter(p *routing.Policy) *countingRouter {
-	return &countingRouter{Policy: p, services: make(map[string]*demand)}
-}
-
-// Count notes a request that reached this process, refused ones included.
-func (c *countingRouter) Count(model string, prefill, decode int) {
-	d := c.demand(model)
+// asked notes a request, refused ones included.
+func (c *demands) asked(model string, prefill, decode int) {
+	d := c.of(model)
 	d.requests.Add(1)
 	d.prefill.Add(int64(prefill))
 	d.decode.Add(int64(decode))
 }
 
-func (c *countingRouter) demand(model string) *demand {
+func (c *demands) of(model string) *demand {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	d := c.services[model]
+	d := c.models[model]
 	if d == nil {
 		d = &demand{}
-		c.services[model] = d
+		c.models[model] = d
 	}
 	return d
 }
 
-// Route counts the first look at a request and passes it on.
-func (c *countingRouter) Route(r routing.Request, targets []routing.Target) (routing.Decision, error) {
-	if len(r.Exclude) == 0 && r.Model != "" {
-		c.Count(r.Model, r.PromptTokens, r.OutputTokens)
-	}
-	return c.Policy.Route(r, targets)
-}
-
 // rolePlanner runs the planner for each model on the control goroutine and
 // holds the roles that it wishes for.
 type rolePlanner struct {
@@ -139,7 +126,7 @@
 // groups that it may order.
 func (p *rolePlanner) observe(svc *view.Service, model string, groups map[string]string) (planner.Observation, map[string]bool) {
 	_, of := p.d.members.View().Rank()
-	dem := p.d.router.demand(model)
+	dem := p.d.demands.of(model)
 	obs := planner.Observation{
 		Groups:    []string{},
 		Processes: of,
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -43,7 +43,10 @@
 	Zone       string        // availability zone of this process
 	First      time.Duration // see attempt.Options
 	Between    time.Duration // see attempt.Options
-	Write      time.Duration // longest stall of a caller that reads a stream; 10s
+	// Asked is called once for each model request of good form, refused ones
+	// included, with its estimated tokens; nil: nobody asks.
+	Asked func(model string, prompt, output int)
+	Write time.Duration // longest stall of a caller that reads a stream; 10s
 }
 
 // Entry is the callers' HTTP handler. It is safe for concurrent use.
--- a/request/entry/model.go
+++ b/request/entry/model.go
@@ -198,6 +198,9 @@
 	id := w.Header().Get(attempt.HeaderID)
 	q := c.request(id, req.URL.Path, e)
 	obs := newObservation(e.opts.Burn, c.svc.Doc.Service, c.terms.org)
+	if e.opts.Asked != nil {
+		e.opts.Asked(c.body.Model, c.tokens, c.output)
+	}
 	cost := float64(c.tokens + outputCost*c.output)
 	p, err := e.admit(q, c.terms, cost)
 	if err != nil {
--- a/request/once/closer.go
+++ b/request/once/closer.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/peer/peerpb"
 	"github.com/pomelospool/pomelospool/process/record"
 )
@@ -106,7 +107,7 @@
 				wait = closeWait
 				continue
 			}
-			if !c.sleep(wait) {
+			if pause.For(c.l.tomb.Context(context.Background()), wait) != nil {
 				return nil
 			}
 			wait = min(2*wait, closeMost)
@@ -114,17 +115,6 @@
 	}
 }
 
-func (c *closer) sleep(d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-c.l.tomb.Dying():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // send proposes the results and returns those that aren't recorded.
 func (c *closer) send(batch []record.Envelope) []record.Envelope {
 	ctx, cancel := context.WithTimeout(c.l.tomb.Context(context.Background()), closeTimeout)
--- a/request/once/resolve.go
+++ b/request/once/resolve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/peer/peerpb"
 	"github.com/pomelospool/pomelospool/process/record"
 )
@@ -67,7 +68,7 @@
 		case reached && !reply.Running:
 			return l.finished(ctx, a, o, reply)
 		}
-		sleep(ctx, lookupPause)
+		_ = pause.For(ctx, lookupPause)
 	}
 	return nil, false, busy()
 }
@@ -81,7 +82,7 @@
 		return nil, false, busy()
 	}
 	if r.Code.Info().NotRun {
-		sleep(ctx, lookupPause)
+		_ = pause.For(ctx, lookupPause)
 		return nil, ctx.Err() == nil, busy()
 	}
 	answer, err := l.closed(ctx, a, &peerpb.Outcome{Attempt: o.Attempt, Writer: o.Writer, Result: reply.Result})
@@ -148,12 +149,3 @@
 	}
 	return ""
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
