--- a/bench/capacity/control.go
+++ b/bench/capacity/control.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/fold"
 	"github.com/pomelospool/pomelospool/process/follow"
 	"github.com/pomelospool/pomelospool/process/planner"
@@ -65,7 +65,7 @@
 func (f *folder) order(i int, claim int64) {
 	f.add(fmt.Sprintf("order-11111111-2222-3333-4444-%012d", i), record.KindOrder, record.Order{
 		Group: "g", Claim: claim, Engine: fmt.Sprintf("10.0.%d.%d:8000", i/256, i%256), Addr: "127.127.127.127:8000",
-		Spec: platform.EngineSpec{Role: platform.RolePrefill, Model: "model-name", Version: "2026-12-01"}, Reason: "engine differs",
+		Spec: port.EngineSpec{Role: port.RolePrefill, Model: "model-name", Version: "2026-12-01"}, Reason: "engine differs",
 	})
 }
 
@@ -180,14 +180,14 @@
 	}
 }
 
-var roles = []platform.Role{platform.RolePrefill, platform.RoleDecode, platform.RoleMixed}
+var roles = []port.Role{port.RolePrefill, port.RoleDecode, port.RoleMixed}
 
 func observation(n int) planner.Observation {
 	var obs planner.Observation
 	for i := range n {
 		obs.Engines = append(obs.Engines, planner.Engine{
 			Name: fmt.Sprintf("10.0.%d.%d:8000", i/256, i%256), Group: "g", Incarnation: "1", Role: roles[i%len(roles)], Live: true,
-			Load: platform.Load{Running: 8, QueuedPrefill: 2000, DecodeRemaining: 900, KVUsed: 40000, KVCapacity: 131072, PrefillRate: 9000, DecodeRate: 400},
+			Load: port.Load{Running: 8, QueuedPrefill: 2000, DecodeRemaining: 900, KVUsed: 40000, KVCapacity: 131072, PrefillRate: 9000, DecodeRate: 400},
 		})
 	}
 	return obs
--- a/bench/capacity/membership.go
+++ b/bench/capacity/membership.go
@@ -10,7 +10,7 @@
 
 	"github.com/pomelospool/pomelospool/peer"
 	"github.com/pomelospool/pomelospool/peer/peerpb"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/membership"
 )
 
@@ -19,7 +19,7 @@
 
 // fleet runs n members in this process over in-memory connections.
 type fleet struct {
-	vms   []platform.VM
+	vms   []port.VM
 	nodes map[string]*fleetNode
 }
 
@@ -31,14 +31,14 @@
 	wire   wire
 }
 
-// List implements platform.VMs.
-func (f *fleet) List(context.Context) ([]platform.VM, error) { return f.vms, nil }
+// List implements port.VMs.
+func (f *fleet) List(context.Context) ([]port.VM, error) { return f.vms, nil }
 
 func newFleet(n int) *fleet {
 	f := &fleet{nodes: make(map[string]*fleetNode)}
 	for i := range n {
 		id := fmt.Sprintf("vm-%03d", i)
-		f.vms = append(f.vms, platform.VM{ID: id, Addr: id})
+		f.vms = append(f.vms, port.VM{ID: id, Addr: id})
 		f.nodes[id] = &fleetNode{l: bufconn.Listen(pipeBuffer)}
 	}
 	for i, v := range f.vms {
@@ -64,7 +64,7 @@
 		},
 		Prober:    n.dialer,
 		VMs:       f,
-		PeerAddr:  func(v platform.VM) string { return v.Addr },
+		PeerAddr:  func(v port.VM) string { return v.Addr },
 		Now:       func() time.Duration { return time.Since(began) },
 		Period:    heartbeat,
 		DeadAfter: deadAfter,
--- a/bench/capacity/once.go
+++ b/bench/capacity/once.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"runtime"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/record"
 	"github.com/pomelospool/pomelospool/request/once"
 )
@@ -18,7 +18,7 @@
 		before := heap()
 		f := once.NewFold(1)
 		for i := range n {
-			f.Apply(platform.Record{Offset: int64(i + 1), Data: onceBatch(i)})
+			f.Apply(port.Record{Offset: int64(i + 1), Data: onceBatch(i)})
 		}
 		points = append(points, Point{float64(n), heap() - before})
 		runtime.KeepAlive(f)
--- a/bench/capacity/traffic.go
+++ b/bench/capacity/traffic.go
@@ -13,8 +13,8 @@
 
 	"github.com/pomelospool/pomelospool/connection/address"
 	"github.com/pomelospool/pomelospool/connection/pool"
-	"github.com/pomelospool/pomelospool/platform"
-	"github.com/pomelospool/pomelospool/platform/httpapi"
+	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/port/httpapi"
 	"github.com/pomelospool/pomelospool/process/burn"
 	"github.com/pomelospool/pomelospool/request/admission"
 	"github.com/pomelospool/pomelospool/request/entry"
@@ -66,7 +66,7 @@
 		targets[i] = routing.Target{
 			Name: fmt.Sprint(i), Addr: fmt.Sprint(i), Zone: fmt.Sprint("z", i%5), Model: "m", Role: roles[i%len(roles)],
 			Live: true, Limit: 64, InFlight: i % 7,
-			Load: platform.Load{Running: 8, QueuedPrefill: i * 37 % 9000, DecodeRemaining: 900, KVUsed: 40000, KVCapacity: 131072, PrefillRate: 9000, DecodeRate: 400},
+			Load: port.Load{Running: 8, QueuedPrefill: i * 37 % 9000, DecodeRemaining: 900, KVUsed: 40000, KVCapacity: 131072, PrefillRate: 9000, DecodeRate: 400},
 		}
 	}
 	return targets
@@ -112,8 +112,8 @@
 	for i := range targets {
 		targets[i].Live = i == 0
 	}
-	targets[0].Addr, targets[0].Limit, targets[0].Role = addr, 1<<20, platform.RoleMixed
-	targets[0].Load = platform.Load{KVCapacity: 1 << 30, PrefillRate: 1e7, DecodeRate: 1e6}
+	targets[0].Addr, targets[0].Limit, targets[0].Role = addr, 1<<20, port.RoleMixed
+	targets[0].Load = port.Load{KVCapacity: 1 << 30, PrefillRate: 1e7, DecodeRate: 1e6}
 	p := pool.New(pool.Options{})
 	e := entry.New(entry.Options{
 		View: holder, Pool: p, Router: routing.New(routing.Options{}), Targets: fixed(targets),
--- a/bench/policy/baseline.go
+++ b/bench/policy/baseline.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/planner"
 	"github.com/pomelospool/pomelospool/request/routing"
 )
@@ -29,7 +29,7 @@
 		return routing.Decision{}, code.New(code.NoTarget, "none")
 	}
 	d := routing.Decision{Target: usable[p].Name}
-	if usable[p].Role == platform.RolePrefill {
+	if usable[p].Role == port.RolePrefill {
 		i := c.choose(usable, true)
 		if i < 0 {
 			return routing.Decision{}, code.New(code.NoTarget, "none")
@@ -37,7 +37,7 @@
 		d.Decode = usable[i].Name
 	}
 	t := &usable[p]
-	if t.Role == platform.RoleMixed && full(c.m, t) {
+	if t.Role == port.RoleMixed && full(c.m, t) {
 		return routing.Decision{}, code.New(code.Overloaded, "full")
 	}
 	rate := t.Load.PrefillRate
@@ -60,9 +60,9 @@
 
 func able(t *routing.Target, decode bool) bool {
 	if decode {
-		return t.Role != platform.RolePrefill
+		return t.Role != port.RolePrefill
 	}
-	return t.Role != platform.RoleDecode
+	return t.Role != port.RoleDecode
 }
 
 // full keeps the baselines, too, from starting streams beyond the objective.
@@ -141,7 +141,7 @@
 	}
 	p.last = now
 	var queued, rate, streams, room float64
-	n := map[platform.Role]int{}
+	n := map[port.Role]int{}
 	away := 0
 	for _, e := range obs.Engines {
 		if e.Changing {
@@ -151,11 +151,11 @@
 			continue
 		}
 		n[e.Role]++
-		if e.Role != platform.RoleDecode {
+		if e.Role != port.RoleDecode {
 			queued += float64(e.Load.QueuedPrefill)
 			rate += p.m.prefillRate()
 		}
-		if e.Role != platform.RolePrefill {
+		if e.Role != port.RolePrefill {
 			streams += float64(e.Load.Running + e.Load.Waiting)
 			room += float64(p.m.Streams[e.Role])
 		}
@@ -166,15 +166,15 @@
 	waits, use := queued/rate, streams/room
 	switch {
 	case waits > prefillHigh && use < decodeHigh:
-		return change(obs, n, platform.RoleDecode, platform.RolePrefill)
+		return change(obs, n, port.RoleDecode, port.RolePrefill)
 	case use > decodeHigh && waits < prefillHigh, use > decodeLow && waits < prefillLow:
-		return change(obs, n, platform.RolePrefill, platform.RoleDecode)
+		return change(obs, n, port.RolePrefill, port.RoleDecode)
 	}
 	return nil
 }
 
 // change asks for the first engine of a role, if it isn't the last one.
-func change(obs planner.Observation, n map[platform.Role]int, from, to platform.Role) []planner.Change {
+func change(obs planner.Observation, n map[port.Role]int, from, to port.Role) []planner.Change {
 	if n[from] <= 1 {
 		return nil
 	}
--- a/bench/policy/bound.go
+++ b/bench/policy/bound.go
@@ -3,7 +3,7 @@
 import (
 	"math"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // Bound is the goodput, in engines, of the best plan of roles in hindsight, by
@@ -58,11 +58,11 @@
 	return b
 }
 
-func (c counts) plus(role platform.Role) counts {
+func (c counts) plus(role port.Role) counts {
 	switch role {
-	case platform.RolePrefill:
+	case port.RolePrefill:
 		c.p++
-	case platform.RoleDecode:
+	case port.RoleDecode:
 		c.d++
 	default:
 		c.m++
@@ -242,6 +242,6 @@
 const minCompute = 0.01
 
 func (b *bound) mixedDecodeRate() float64 {
-	n := float64(b.m.Streams[platform.RoleMixed])
+	n := float64(b.m.Streams[port.RoleMixed])
 	return n / (b.m.StepBase + n*b.m.StepPerStream)
 }
--- a/bench/policy/deployment.go
+++ b/bench/policy/deployment.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/version/document"
 )
 
@@ -12,8 +12,8 @@
 type Deployment struct {
 	Name     string
 	Zones    []string
-	Roles    []platform.Role // of the engines at the start
-	Deciders int             // entry processes
+	Roles    []port.Role // of the engines at the start
+	Deciders int         // entry processes
 	Doc      *document.Document
 }
 
@@ -36,11 +36,11 @@
 }
 
 func deployment(name string, zones []string, roles document.Roles) *Deployment {
-	const p, m, d = platform.RolePrefill, platform.RoleMixed, platform.RoleDecode
+	const p, m, d = port.RolePrefill, port.RoleMixed, port.RoleDecode
 	return &Deployment{
 		Name:     name,
 		Zones:    zones,
-		Roles:    []platform.Role{p, d, d, p, m, d, p, m, d},
+		Roles:    []port.Role{p, d, d, p, m, d, p, m, d},
 		Deciders: deciders,
 		Doc: &document.Document{
 			Service:    name,
--- a/bench/policy/engine.go
+++ b/bench/policy/engine.go
@@ -4,7 +4,7 @@
 	"container/heap"
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/routing"
 )
 
@@ -29,7 +29,7 @@
 	m        *Model
 	name     string
 	zone     string
-	role     platform.Role
+	role     port.Role
 	speed    float64
 	now      float64
 	steps    int64
@@ -42,10 +42,10 @@
 	expected int // streams that prefill engines will still hand over
 	cache    cache
 
-	to       platform.Role // role it changes to, or empty
-	inChange bool          // away for a change, not for a crash
-	worked   float64       // engine-seconds of work done
-	awayTill float64       // while > now, the engine does nothing
+	to       port.Role // role it changes to, or empty
+	inChange bool      // away for a change, not for a crash
+	worked   float64   // engine-seconds of work done
+	awayTill float64   // while > now, the engine does nothing
 	crashes  int
 	leaving  bool
 
@@ -161,9 +161,9 @@
 		return e.m.PrefillChunk
 	}
 	switch e.role {
-	case platform.RolePrefill:
+	case port.RolePrefill:
 		return e.m.PrefillChunk
-	case platform.RoleDecode:
+	case port.RoleDecode:
 		return e.m.SpillChunk
 	}
 	free := e.m.StepTarget*e.speed - e.m.StepBase - float64(n)*e.m.StepPerStream
@@ -236,12 +236,12 @@
 }
 
 // load is the engine's report.
-func (e *engine) load() platform.Load {
+func (e *engine) load() port.Load {
 	left := 0
 	for _, j := range e.running {
 		left += int(j.endStep - e.steps)
 	}
-	return platform.Load{
+	return port.Load{
 		Engine:          e.name,
 		Running:         len(e.running),
 		Waiting:         len(e.prompts) + len(e.waiting),
--- a/bench/policy/model.go
+++ b/bench/policy/model.go
@@ -7,7 +7,7 @@
 import (
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // Model holds the figures of one engine.
@@ -19,7 +19,7 @@
 	PrefillChunk  int     // prompt tokens in a step without streams
 	SpillChunk    int     // prompt tokens in a step of a decode engine
 	MinChunk      int     // prompt tokens in a step, at the least
-	Streams       map[platform.Role]int
+	Streams       map[port.Role]int
 	KVCapacity    int     // tokens
 	CacheTokens   int     // tokens of finished prompts that are kept
 	KVMoveRate    float64 // tokens/s between two engines
@@ -39,7 +39,7 @@
 		PrefillChunk:  4096,
 		SpillChunk:    64,
 		MinChunk:      32,
-		Streams:       map[platform.Role]int{platform.RolePrefill: 4, platform.RoleMixed: 64, platform.RoleDecode: 72},
+		Streams:       map[port.Role]int{port.RolePrefill: 4, port.RoleMixed: 64, port.RoleDecode: 72},
 		KVCapacity:    400_000,
 		CacheTokens:   100_000,
 		KVMoveRate:    100_000,
@@ -70,6 +70,6 @@
 // decodeRate is the output tokens/s of an engine that does nothing else and
 // keeps the objective between tokens.
 func (m *Model) decodeRate() float64 {
-	n := min((BetweenTokens.Seconds()-m.StepBase)/m.StepPerStream, float64(m.Streams[platform.RoleDecode]))
+	n := min((BetweenTokens.Seconds()-m.StepBase)/m.StepPerStream, float64(m.Streams[port.RoleDecode]))
 	return n / (m.StepBase + n*m.StepPerStream)
 }
--- a/bench/policy/policy_test.go
+++ b/bench/policy/policy_test.go
@@ -5,7 +5,7 @@
 	"reflect"
 	"testing"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // testLength keeps the runs of CI short; the tables in docs/design use whole traces.
@@ -92,7 +92,7 @@
 // TestEngineTimes checks single requests against sums made by hand from the model.
 func TestEngineTimes(t *testing.T) {
 	m := DefaultModel()
-	one := func(role platform.Role, prompt, out int) (first, end float64) {
+	one := func(role port.Role, prompt, out int) (first, end float64) {
 		e := &engine{m: &m, role: role, speed: 1}
 		j := &job{arrival: arrival{prompt: prompt, out: out}, prompt: prompt, left: out, decodeAt: e}
 		e.submit(j, 0)
@@ -108,7 +108,7 @@
 		{2500, 101, 0.018 + 0.1},
 		{8192, 11, 2 * (0.018 + 4096.0/25000)},
 	} {
-		first, end := one(platform.RoleMixed, c.prompt, c.out)
+		first, end := one(port.RoleMixed, c.prompt, c.out)
 		want := c.first + float64(c.out-1)*step
 		if math.Abs(first-c.first) > 1e-9 || math.Abs(end-want) > 1e-9 {
 			t.Errorf("%+v: first %v, end %v, want end %v", c, first, end, want)
@@ -119,19 +119,19 @@
 // TestChangeCutsNothing lets an engine change its role with streams running.
 func TestChangeCutsNothing(t *testing.T) {
 	m := DefaultModel()
-	e := &engine{m: &m, role: platform.RoleDecode, speed: 1}
+	e := &engine{m: &m, role: port.RoleDecode, speed: 1}
 	j := &job{arrival: arrival{prompt: 100, out: 200}, prompt: 100, left: 200, decodeAt: e}
 	ended := 0.0
 	done := func(_ *job, at float64) { ended = at }
 	e.submit(j, 0)
 	e.advance(1, done, nil)
-	e.to = platform.RolePrefill
+	e.to = port.RolePrefill
 	e.advance(2, done, nil)
-	if e.role != platform.RoleDecode {
+	if e.role != port.RoleDecode {
 		t.Fatal("changed with a stream running")
 	}
 	e.advance(60, done, nil)
-	if ended == 0 || e.role != platform.RolePrefill || e.awayTill < ended+m.ChangeTime {
+	if ended == 0 || e.role != port.RolePrefill || e.awayTill < ended+m.ChangeTime {
 		t.Errorf("ended %v, role %s, away till %v", ended, e.role, e.awayTill)
 	}
 }
--- a/bench/policy/run.go
+++ b/bench/policy/run.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"slices"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/planner"
 	"github.com/pomelospool/pomelospool/request/routing"
 )
@@ -41,7 +41,7 @@
 // order is a role change under way.
 type order struct {
 	e      *engine
-	to     platform.Role
+	to     port.Role
 	at     float64
 	worked float64
 }
@@ -284,9 +284,9 @@
 	r.window.At = r.now
 	for _, e := range r.engines {
 		switch e.role {
-		case platform.RolePrefill:
+		case port.RolePrefill:
 			r.window.Roles[0]++
-		case platform.RoleDecode:
+		case port.RoleDecode:
 			r.window.Roles[2]++
 		default:
 			r.window.Roles[1]++
--- a/bench/policy/view.go
+++ b/bench/policy/view.go
@@ -3,15 +3,15 @@
 import (
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/routing"
 )
 
 // report is what an engine told of itself at a time.
 type report struct {
 	at       float64
-	load     platform.Load
-	role     platform.Role
+	load     port.Load
+	role     port.Role
 	changing bool
 	live     bool
 }
--- a/cmd/pomelostandin/commands.go
+++ b/cmd/pomelostandin/commands.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/standin/engine"
 	"github.com/pomelospool/pomelospool/standin/logsvc"
 	"github.com/pomelospool/pomelospool/standin/plain"
@@ -40,7 +40,7 @@
 
 // Execute runs the VM list.
 func (c *vmsCmd) Execute([]string) error {
-	vms := make([]platform.VM, 0, len(c.VM))
+	vms := make([]port.VM, 0, len(c.VM))
 	for _, s := range c.VM {
 		vm, err := parseVM(s)
 		if err != nil {
@@ -51,13 +51,13 @@
 	return c.serve(vmlist.New(vmlist.Options{VMs: vms, Lag: c.Lag}))
 }
 
-func parseVM(s string) (platform.VM, error) {
+func parseVM(s string) (port.VM, error) {
 	id, rest, ok := strings.Cut(s, "=")
 	addr, zone, ok2 := strings.Cut(rest, "@")
 	if !ok || !ok2 || id == "" || addr == "" || zone == "" {
-		return platform.VM{}, fmt.Errorf("--vm %q: want ID=ADDR@ZONE", s)
+		return port.VM{}, fmt.Errorf("--vm %q: want ID=ADDR@ZONE", s)
 	}
-	return platform.VM{ID: id, Addr: addr, Zone: zone}, nil
+	return port.VM{ID: id, Addr: addr, Zone: zone}, nil
 }
 
 type weightsCmd struct {
@@ -98,8 +98,8 @@
 func (c *engineCmd) Execute([]string) error {
 	return c.serve(engine.New(engine.Options{
 		Name: c.Name,
-		Spec: platform.EngineSpec{
-			Role:    platform.Role(c.Role),
+		Spec: port.EngineSpec{
+			Role:    port.Role(c.Role),
 			Model:   c.Model,
 			Version: c.Version,
 			Adapter: c.Adapter,
--- a/connection/load/cache.go
+++ b/connection/load/cache.go
@@ -1,6 +1,6 @@
 package load
 
-import "github.com/pomelospool/pomelospool/platform"
+import "github.com/pomelospool/pomelospool/port"
 
 const (
 	maxBlocks   = 1 << 16 // hashes kept for one engine
@@ -16,7 +16,7 @@
 // apply takes events in. A gap in Seq may hide that blocks left the cache:
 // requests would be sent to an engine that has to compute their prefix anew.
 // So a gap, like a reset, empties the view; it fills again with later events.
-func (c *cacheView) apply(events []platform.CacheEvent) {
+func (c *cacheView) apply(events []port.CacheEvent) {
 	for _, e := range events {
 		if e.Seq <= c.seq {
 			continue
@@ -29,7 +29,7 @@
 	}
 }
 
-func (c *cacheView) change(e platform.CacheEvent) {
+func (c *cacheView) change(e port.CacheEvent) {
 	if c.blocks == nil {
 		c.blocks = make(map[uint64]struct{})
 	}
--- a/connection/load/engine.go
+++ b/connection/load/engine.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/connection/pool"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/routing"
 )
 
@@ -16,13 +16,13 @@
 type engine struct {
 	name string
 	addr string
-	api  platform.Engine
+	api  port.Engine
 	stop context.CancelFunc
 
 	mu     sync.RWMutex
-	load   platform.Load
+	load   port.Load
 	loadAt time.Time // on this process's clock
-	state  platform.EngineState
+	state  port.EngineState
 	known  bool // state was read
 	died   bool // the incarnation in load is known to be dead
 	cache  cacheView
@@ -61,7 +61,7 @@
 // Answered takes the load report on an answer of the target at addr, if there
 // is one. pool.Options.Answered calls it.
 func (w *Watcher) Answered(addr string, h http.Header) {
-	value := h.Get(platform.LoadHeader)
+	value := h.Get(port.LoadHeader)
 	if value == "" {
 		return
 	}
@@ -71,13 +71,13 @@
 	if e == nil {
 		return
 	}
-	if l, err := platform.ParseLoad(value, time.Now()); err == nil {
+	if l, err := port.ParseLoad(value, time.Now()); err == nil {
 		e.takeReport(l)
 	}
 }
 
 // takeReport stores the load that an answer reported.
-func (e *engine) takeReport(l platform.Load) {
+func (e *engine) takeReport(l port.Load) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	l.Engine, l.Incarnation = e.load.Engine, e.load.Incarnation
@@ -120,7 +120,7 @@
 // takeLoad stores a report and tells whether it shows a death that was not
 // known. The report is as old as the engine's clock says, within bounds, since
 // the two clocks need not agree.
-func (e *engine) takeLoad(l platform.Load, begun time.Time) bool {
+func (e *engine) takeLoad(l port.Load, begun time.Time) bool {
 	lag := min(max(begun.Sub(l.At), 0), maxLag)
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/connection/load/load_test.go
+++ b/connection/load/load_test.go
@@ -15,7 +15,7 @@
 	"github.com/apex/log"
 
 	"github.com/pomelospool/pomelospool/connection/pool"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/routing"
 	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/version/document"
@@ -31,11 +31,11 @@
 
 // fake is an engine's control side.
 type fake struct {
-	platform.Engine
+	port.Engine
 	mu     sync.Mutex
-	load   platform.Load
-	state  platform.EngineState
-	events []platform.CacheEvent
+	load   port.Load
+	state  port.EngineState
+	events []port.CacheEvent
 	lag    time.Duration
 	calls  int
 }
@@ -46,7 +46,7 @@
 	change(f)
 }
 
-func (f *fake) Load(context.Context) (platform.Load, error) {
+func (f *fake) Load(context.Context) (port.Load, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
@@ -55,18 +55,18 @@
 	return l, nil
 }
 
-func (f *fake) State(context.Context) (platform.EngineState, error) {
+func (f *fake) State(context.Context) (port.EngineState, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
 	return f.state, nil
 }
 
-func (f *fake) CacheEvents(_ context.Context, after int64) ([]platform.CacheEvent, error) {
+func (f *fake) CacheEvents(_ context.Context, after int64) ([]port.CacheEvent, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
-	var out []platform.CacheEvent
+	var out []port.CacheEvent
 	for _, e := range f.events {
 		if e.Seq > after {
 			out = append(out, e)
@@ -85,7 +85,7 @@
 		refuse := func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("no network") }
 		p := pool.New(pool.Options{Dial: refuse})
 		crashes := 0
-		w := New(Options{View: h, Pool: p, Engine: func(string) platform.Engine { return f }, Crashed: func(string) { crashes++ }})
+		w := New(Options{View: h, Pool: p, Engine: func(string) port.Engine { return f }, Crashed: func(string) { crashes++ }})
 		get := func() routing.Target {
 			advance(1200 * time.Millisecond) // a few polls, state included
 			synctest.Wait()
@@ -101,11 +101,11 @@
 // document's, and load with what was sent since the report.
 func TestTargetView(t *testing.T) {
 	f := &fake{lag: 500 * time.Millisecond}
-	f.load = platform.Load{Incarnation: "1", Running: 3}
-	f.state = platform.EngineState{Spec: platform.EngineSpec{Role: platform.RoleDecode, Model: "other"}}
+	f.load = port.Load{Incarnation: "1", Running: 3}
+	f.state = port.EngineState{Spec: port.EngineSpec{Role: port.RoleDecode, Model: "other"}}
 	watch(t, f, func(_ *Watcher, p *pool.Pool, get func() routing.Target, _ *int) {
 		got := get()
-		if got.Model != "other" || got.Role != platform.RoleDecode || got.Load.Running != 3 || !got.Live {
+		if got.Model != "other" || got.Role != port.RoleDecode || got.Load.Running != 3 || !got.Live {
 			t.Errorf("got %+v", got)
 		}
 		if got.LoadAge < f.lag || got.LoadAge > f.lag+defaultPoll {
@@ -167,7 +167,7 @@
 		{"partition", func(w *Watcher, _ *fake) { w.Down("e:1", syscall.ETIMEDOUT) }, 0},
 	}
 	for _, tc := range cases {
-		f := &fake{load: platform.Load{Incarnation: "1"}}
+		f := &fake{load: port.Load{Incarnation: "1"}}
 		watch(t, f, func(w *Watcher, _ *pool.Pool, get func() routing.Target, crashes *int) {
 			get()
 			tc.do(w, f)
@@ -182,22 +182,22 @@
 // TestCacheView: what is believed of a prefix cache after events, gaps and
 // resets. A gap may hide that blocks are gone.
 func TestCacheView(t *testing.T) {
-	add := func(seq int64, blocks ...uint64) platform.CacheEvent {
-		return platform.CacheEvent{Seq: seq, Added: blocks}
+	add := func(seq int64, blocks ...uint64) port.CacheEvent {
+		return port.CacheEvent{Seq: seq, Added: blocks}
 	}
-	gone := func(seq int64, blocks ...uint64) platform.CacheEvent {
-		return platform.CacheEvent{Seq: seq, Gone: blocks}
+	gone := func(seq int64, blocks ...uint64) port.CacheEvent {
+		return port.CacheEvent{Seq: seq, Gone: blocks}
 	}
 	cases := []struct {
 		name   string
-		events []platform.CacheEvent
+		events []port.CacheEvent
 		want   int
 	}{
-		{"in order", []platform.CacheEvent{add(1, 1, 2), add(2, 3)}, 3},
-		{"gone", []platform.CacheEvent{add(1, 1, 2, 3), gone(2, 2)}, 1},
-		{"gap", []platform.CacheEvent{add(1, 1, 2, 3), add(3, 1)}, 1},
-		{"repeated", []platform.CacheEvent{add(1, 1, 2), gone(2, 1), add(1, 1)}, 0},
-		{"reset", []platform.CacheEvent{add(1, 1, 2), {Seq: 2, Reset: true}}, 0},
+		{"in order", []port.CacheEvent{add(1, 1, 2), add(2, 3)}, 3},
+		{"gone", []port.CacheEvent{add(1, 1, 2, 3), gone(2, 2)}, 1},
+		{"gap", []port.CacheEvent{add(1, 1, 2, 3), add(3, 1)}, 1},
+		{"repeated", []port.CacheEvent{add(1, 1, 2), gone(2, 1), add(1, 1)}, 0},
+		{"reset", []port.CacheEvent{add(1, 1, 2), {Seq: 2, Reset: true}}, 0},
 	}
 	for _, tc := range cases {
 		var c cacheView
@@ -212,7 +212,7 @@
 		for j := range uint64(1000) {
 			many = append(many, uint64(i)*1000+j)
 		}
-		c.apply([]platform.CacheEvent{add(i+1, many...)})
+		c.apply([]port.CacheEvent{add(i+1, many...)})
 	}
 	if len(c.blocks) > maxBlocks {
 		t.Errorf("%d blocks kept", len(c.blocks))
@@ -277,9 +277,9 @@
 		h.Store(view.NewSnapshot(1, []*view.Service{svc}, nil))
 		f := &fake{}
 		p := pool.New(pool.Options{})
-		w := New(Options{View: h, Pool: p, Engine: func(string) platform.Engine { return f }, Reads: reads})
+		w := New(Options{View: h, Pool: p, Engine: func(string) port.Engine { return f }, Reads: reads})
 		<-time.After(seconds * time.Second)
-		w.Answered("e7:1", http.Header{platform.LoadHeader: {platform.FormatLoad(platform.Load{Running: 41})}})
+		w.Answered("e7:1", http.Header{port.LoadHeader: {port.FormatLoad(port.Load{Running: 41})}})
 		got := w.Targets(svc)[7]
 		if got.Load.Running != 41 || got.LoadAge != 0 {
 			t.Errorf("after an answer: %+v", got)
--- a/connection/load/verify_test.go
+++ b/connection/load/verify_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"github.com/pomelospool/pomelospool/connection/pool"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/routing"
 )
 
@@ -31,7 +31,7 @@
 		}},
 	}
 	for _, tc := range cases {
-		f := &fake{load: platform.Load{Incarnation: "1"}}
+		f := &fake{load: port.Load{Incarnation: "1"}}
 		watch(t, f, func(w *Watcher, _ *pool.Pool, get func() routing.Target, _ *int) {
 			get()
 			told := 0
--- a/connection/load/watcher.go
+++ b/connection/load/watcher.go
@@ -13,7 +13,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/pomelospool/pomelospool/connection/pool"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/routing"
 	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/version/document"
@@ -33,12 +33,12 @@
 type Options struct {
 	View    *view.Holder
 	Pool    *pool.Pool
-	Engine  func(addr string) platform.Engine // control side of an engine
-	Process string                            // names this process in hashed choices
-	Zone    string                            // its availability zone
-	Poll    time.Duration                     // between load reads of one engine; 250ms
-	Watch   int                               // targets watched in all, about; 64
-	Reads   float64                           // calls a second to all engines together; 250
+	Engine  func(addr string) port.Engine // control side of an engine
+	Process string                        // names this process in hashed choices
+	Zone    string                        // its availability zone
+	Poll    time.Duration                 // between load reads of one engine; 250ms
+	Watch   int                           // targets watched in all, about; 64
+	Reads   float64                       // calls a second to all engines together; 250
 	// Crashed is called once for each death of a target that was noticed.
 	Crashed func(target string)
 }
--- a/operator/ctl/load_test.go
+++ b/operator/ctl/load_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/pomelospool/pomelospool/operator/caller"
 	"github.com/pomelospool/pomelospool/operator/load"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/standin"
 	"github.com/pomelospool/pomelospool/standin/engine"
 )
@@ -21,7 +21,7 @@
 // next it swaps two with one another: the cut ones are repeated, the crossed
 // ones are known by their ids and repeated, and all are whole in the end.
 func TestLoadSeesCutAndCrossedAnswers(t *testing.T) {
-	e := engine.New(engine.Options{Spec: platform.EngineSpec{Model: "m", Version: "1"}})
+	e := engine.New(engine.Options{Spec: port.EngineSpec{Model: "m", Version: "1"}})
 	defer e.Close()
 	next := e.Handler()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/operator/ctl/log.go
+++ b/operator/ctl/log.go
@@ -1,7 +1,7 @@
 package ctl
 
 import (
-	"github.com/pomelospool/pomelospool/platform/httpapi"
+	"github.com/pomelospool/pomelospool/port/httpapi"
 )
 
 // log returns the log service named by --log. The caller closes it.
--- a/operator/ctl/publish.go
+++ b/operator/ctl/publish.go
@@ -13,7 +13,7 @@
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/internal/yamlcheck"
 	"github.com/pomelospool/pomelospool/operator/status"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/version/document"
 	"github.com/pomelospool/pomelospool/version/publish"
 )
@@ -79,7 +79,7 @@
 	return c.report(report, err)
 }
 
-func (c *publishCommand) publish(ctx context.Context, log platform.Log, service string, data []byte) (publishReport, error) {
+func (c *publishCommand) publish(ctx context.Context, log port.Log, service string, data []byte) (publishReport, error) {
 	p := &publish.Publisher{Log: log, Writer: "pomelosctl-" + uuid.NewString()}
 	base := c.Base
 	if base < 0 {
--- a/operator/status/status.go
+++ b/operator/status/status.go
@@ -7,7 +7,7 @@
 	"sort"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // Path is where daemons answer with a Status in JSON.
@@ -57,14 +57,14 @@
 
 // Target is a target as this daemon sees it.
 type Target struct {
-	Service  string        `json:"service"`
-	Name     string        `json:"name"`
-	Addr     string        `json:"addr"`
-	Zone     string        `json:"zone"`
-	Role     platform.Role `json:"role,omitempty"`
-	State    string        `json:"state"` // live, changing, suspect, leaving, unreachable
-	InFlight int           `json:"in_flight"`
-	LoadAge  int64         `json:"load_age_ms"` // -1 if no load was ever read
+	Service  string    `json:"service"`
+	Name     string    `json:"name"`
+	Addr     string    `json:"addr"`
+	Zone     string    `json:"zone"`
+	Role     port.Role `json:"role,omitempty"`
+	State    string    `json:"state"` // live, changing, suspect, leaving, unreachable
+	InFlight int       `json:"in_flight"`
+	LoadAge  int64     `json:"load_age_ms"` // -1 if no load was ever read
 }
 
 // Fleet is the view over all daemons that were asked.
--- a/platform/contract/engine_test.go
+++ b/port/contract/engine_test.go
@@ -4,8 +4,8 @@
 	"context"
 	"testing"
 
-	"github.com/pomelospool/pomelospool/platform"
-	"github.com/pomelospool/pomelospool/platform/httpapi"
+	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/port/httpapi"
 	"github.com/pomelospool/pomelospool/standin"
 	"github.com/pomelospool/pomelospool/standin/engine"
 )
@@ -13,24 +13,24 @@
 // The specs that the cases order. The change to next waits for the weights,
 // which come when the case releases them.
 var (
-	start = platform.EngineSpec{Role: platform.RoleMixed, Model: "m", Version: "1"}
-	role  = platform.EngineSpec{Role: platform.RoleDecode, Model: "m", Version: "1"}
-	next  = platform.EngineSpec{Role: platform.RoleMixed, Model: "m", Version: "2"}
+	start = port.EngineSpec{Role: port.RoleMixed, Model: "m", Version: "1"}
+	role  = port.EngineSpec{Role: port.RoleDecode, Model: "m", Version: "1"}
+	next  = port.EngineSpec{Role: port.RoleMixed, Model: "m", Version: "2"}
 )
 
 // engineEnv is one engine under contract and the levers of its stand-in.
 type engineEnv struct {
-	platform.Engine
+	port.Engine
 	svc     *engine.Engine
 	weights chan struct{}
 }
 
-func (e engineEnv) order(t *testing.T, id string, fence int64, spec platform.EngineSpec) error {
-	return e.Order(t.Context(), platform.Order{ID: id, Fence: fence, Spec: spec})
+func (e engineEnv) order(t *testing.T, id string, fence int64, spec port.EngineSpec) error {
+	return e.Order(t.Context(), port.Order{ID: id, Fence: fence, Spec: spec})
 }
 
 // settled waits until no change is under way.
-func (e engineEnv) settled(t *testing.T) platform.EngineState {
+func (e engineEnv) settled(t *testing.T) port.EngineState {
 	t.Helper()
 	for {
 		st, err := e.State(t.Context())
@@ -68,7 +68,7 @@
 	{name: "an old fencing number is refused", opts: engine.Options{ChecksFence: true}, run: func(t *testing.T, e engineEnv) {
 		wantErr(t, e.order(t, "new", 9, role), nil)
 		e.settled(t)
-		wantErr(t, e.order(t, "old", 8, start), platform.ErrFenced)
+		wantErr(t, e.order(t, "old", 8, start), port.ErrFenced)
 		want(t, "spec", e.settled(t).Spec, role)
 		want(t, "stale", e.svc.Record().Stale, 0)
 	}},
@@ -81,7 +81,7 @@
 	}},
 	{name: "busy with another order", run: func(t *testing.T, e engineEnv) {
 		wantErr(t, e.order(t, "o1", 1, next), nil)
-		wantErr(t, e.order(t, "o2", 1, role), platform.ErrBusy)
+		wantErr(t, e.order(t, "o2", 1, role), port.ErrBusy)
 		wantErr(t, e.order(t, "o1", 1, next), nil)
 		close(e.weights)
 		want(t, "spec", e.settled(t).Spec, next)
@@ -89,7 +89,7 @@
 	}},
 	{name: "answer to an order lost after it took effect", run: func(t *testing.T, e engineEnv) {
 		wantErr(t, e.svc.Apply(t.Context(), standin.Fault{Kind: "lose", Count: 1}), nil)
-		wantErr(t, e.order(t, "o1", 1, role), platform.ErrUnavailable)
+		wantErr(t, e.order(t, "o1", 1, role), port.ErrUnavailable)
 		want(t, "spec", e.settled(t).Spec, role)
 		wantErr(t, e.order(t, "o1", 1, role), nil)
 		want(t, "changes", e.svc.Record().RoleChanges, 1)
@@ -98,10 +98,10 @@
 		wantErr(t, e.order(t, "o1", 1, next), nil)
 		wantErr(t, e.svc.Apply(t.Context(), standin.Fault{Kind: "crash"}), nil)
 		_, err := e.State(t.Context())
-		wantErr(t, err, platform.ErrUnavailable)
+		wantErr(t, err, port.ErrUnavailable)
 		_, err = e.Load(t.Context())
-		wantErr(t, err, platform.ErrUnavailable)
-		wantErr(t, e.order(t, "o2", 1, role), platform.ErrUnavailable)
+		wantErr(t, err, port.ErrUnavailable)
+		wantErr(t, e.order(t, "o2", 1, role), port.ErrUnavailable)
 		want(t, "changes", e.svc.Record().RoleChanges, 0)
 	}},
 	{name: "kv cache moves between engines", run: func(t *testing.T, e engineEnv) {
@@ -148,14 +148,14 @@
 	{name: "caller gives up", run: func(t *testing.T, e engineEnv) {
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
-		err := e.Order(ctx, platform.Order{ID: "o1", Fence: 1, Spec: role})
-		wantErr(t, err, platform.ErrUnavailable)
+		err := e.Order(ctx, port.Order{ID: "o1", Fence: 1, Spec: role})
+		wantErr(t, err, port.ErrUnavailable)
 		wantErr(t, err, context.Canceled)
 	}},
 }
 
 // exported makes KV cache of some blocks in the form that engines export.
-func exported(t *testing.T, spec platform.EngineSpec, blocks []uint64) []byte {
+func exported(t *testing.T, spec port.EngineSpec, blocks []uint64) []byte {
 	t.Helper()
 	e := engine.New(engine.Options{Spec: spec})
 	defer e.Close()
--- a/platform/contract/lists_test.go
+++ b/port/contract/lists_test.go
@@ -4,13 +4,13 @@
 	"testing"
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
-	"github.com/pomelospool/pomelospool/platform/httpapi"
+	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/port/httpapi"
 	"github.com/pomelospool/pomelospool/standin/vmlist"
 	"github.com/pomelospool/pomelospool/standin/weights"
 )
 
-func ids(t *testing.T, vms platform.VMs) string {
+func ids(t *testing.T, vms port.VMs) string {
 	t.Helper()
 	list, err := vms.List(t.Context())
 	wantErr(t, err, nil)
@@ -30,24 +30,24 @@
 		t.Run(wire, func(t *testing.T) {
 			clk := &clock{}
 			svc := vmlist.New(vmlist.Options{
-				VMs: []platform.VM{{ID: "b", Zone: "2"}, {ID: "a", Zone: "1"}},
+				VMs: []port.VM{{ID: "b", Zone: "2"}, {ID: "a", Zone: "1"}},
 				Lag: time.Minute,
 				Now: clk.now,
 			})
-			var vms platform.VMs = svc
+			var vms port.VMs = svc
 			if wire == "http" {
 				serve(t, svc)
 				vms = httpapi.NewVMs(svc.URL(), httpapi.Options{})
 			}
-			svc.Put(platform.VM{ID: "c", Zone: "3"})
-			svc.Put(platform.VM{ID: "a", Zone: "1", Leaving: true})
+			svc.Put(port.VM{ID: "c", Zone: "3"})
+			svc.Put(port.VM{ID: "a", Zone: "1", Leaving: true})
 			svc.Delete("b")
 			want(t, "before the lag", ids(t, vms), "a@1 b@2 ")
 			clk.advance(time.Minute)
 			want(t, "after the lag", ids(t, vms), "a@1- c@3 ")
 			svc.SetDown(true)
 			_, err := vms.List(t.Context())
-			wantErr(t, err, platform.ErrUnavailable)
+			wantErr(t, err, port.ErrUnavailable)
 			svc.SetDown(false)
 			want(t, "after the outage", ids(t, vms), "a@1- c@3 ")
 		})
@@ -58,7 +58,7 @@
 	for _, wire := range []string{"in process", "http"} {
 		t.Run(wire, func(t *testing.T) {
 			svc := weights.New(weights.Options{Rate: 5e9, Size: 7, Sizes: map[string]int64{"m/v 2": 9}})
-			var store platform.WeightStore = svc
+			var store port.WeightStore = svc
 			if wire == "http" {
 				serve(t, svc)
 				store = httpapi.NewWeights(svc.URL(), httpapi.Options{})
@@ -73,9 +73,9 @@
 			want(t, "rate", rate, 5e9)
 			svc.SetDown(true)
 			_, err = store.Rate(t.Context())
-			wantErr(t, err, platform.ErrUnavailable)
+			wantErr(t, err, port.ErrUnavailable)
 			_, err = store.Size(t.Context(), "m", "v1")
-			wantErr(t, err, platform.ErrUnavailable)
+			wantErr(t, err, port.ErrUnavailable)
 		})
 	}
 }
--- a/platform/contract/log_test.go
+++ b/port/contract/log_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
-	"github.com/pomelospool/pomelospool/platform/httpapi"
+	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/port/httpapi"
 	"github.com/pomelospool/pomelospool/standin/logsvc"
 )
 
@@ -26,7 +26,7 @@
 
 // logEnv is one log under contract and the levers of its stand-in.
 type logEnv struct {
-	platform.Log
+	port.Log
 	svc   *logsvc.Log
 	clock *clock
 }
@@ -105,7 +105,7 @@
 	{name: "expired by count", opts: logsvc.Options{MaxRecords: 2}, run: func(t *testing.T, l logEnv) {
 		l.append(t, 5)
 		_, _, err := l.Read(t.Context(), "s", 3, 10, long)
-		wantErr(t, err, platform.ErrExpired)
+		wantErr(t, err, port.ErrExpired)
 		earliest, err := l.Earliest(t.Context(), "s")
 		wantErr(t, err, nil)
 		want(t, "earliest", earliest, 4)
@@ -115,7 +115,7 @@
 		l.clock.advance(2 * time.Minute)
 		l.append(t, 1)
 		_, _, err := l.Read(t.Context(), "s", 2, 10, 0)
-		wantErr(t, err, platform.ErrExpired)
+		wantErr(t, err, port.ErrExpired)
 		got, _, err := l.Read(t.Context(), "s", 3, 10, 0)
 		wantErr(t, err, nil)
 		want(t, "records", len(got), 1)
@@ -134,11 +134,11 @@
 		l.append(t, 1)
 		l.svc.SetOutage(logsvc.Refuse)
 		_, err := l.Append(t.Context(), "s", nil)
-		wantErr(t, err, platform.ErrUnavailable)
+		wantErr(t, err, port.ErrUnavailable)
 		_, _, err = l.Read(t.Context(), "s", 1, 1, 0)
-		wantErr(t, err, platform.ErrUnavailable)
+		wantErr(t, err, port.ErrUnavailable)
 		_, err = l.Earliest(t.Context(), "s")
-		wantErr(t, err, platform.ErrUnavailable)
+		wantErr(t, err, port.ErrUnavailable)
 		l.svc.SetOutage(logsvc.Up)
 		l.append(t, 1)
 		want(t, "appends", l.svc.Counters().Appends, 2)
@@ -150,14 +150,14 @@
 			done <- err
 		}()
 		l.svc.SetOutage(logsvc.Refuse)
-		wantErr(t, <-done, platform.ErrUnavailable)
+		wantErr(t, <-done, port.ErrUnavailable)
 	}},
 	{name: "hanging, given up by the caller", run: func(t *testing.T, l logEnv) {
 		l.svc.SetOutage(logsvc.Hang)
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 		defer cancel()
 		_, err := l.Append(ctx, "s", nil)
-		wantErr(t, err, platform.ErrUnavailable)
+		wantErr(t, err, port.ErrUnavailable)
 		wantErr(t, err, context.DeadlineExceeded)
 	}},
 	// A user sees one confirmation sent twice: the append of its record took
@@ -166,7 +166,7 @@
 	{name: "answer lost after the append", run: func(t *testing.T, l logEnv) {
 		l.svc.LoseAnswers(1)
 		_, err := l.Append(t.Context(), "s", []byte("once"))
-		wantErr(t, err, platform.ErrUnavailable)
+		wantErr(t, err, port.ErrUnavailable)
 		got, newest, err := l.Read(t.Context(), "s", 1, 10, long)
 		wantErr(t, err, nil)
 		want(t, "newest", newest, 1)
@@ -176,7 +176,7 @@
 	{name: "the append takes effect after its failure", run: func(t *testing.T, l logEnv) {
 		l.svc.DelayAppends(1, time.Millisecond)
 		_, err := l.Append(t.Context(), "s", []byte("late"))
-		wantErr(t, err, platform.ErrUnavailable)
+		wantErr(t, err, port.ErrUnavailable)
 		got, _, err := l.Read(t.Context(), "s", 1, 10, long)
 		wantErr(t, err, nil)
 		want(t, "data", string(got[0].Data), "late")
--- a/platform/httpapi/client.go
+++ b/port/httpapi/client.go
@@ -17,7 +17,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/internal/sock"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // The values that stand for a zero in Options.
@@ -98,7 +98,7 @@
 }
 
 // call sends one request and reads the whole answer. Its errors wrap
-// platform.ErrUnavailable; then the call may have had its effect.
+// port.ErrUnavailable; then the call may have had its effect.
 func (c *client) call(ctx context.Context, method, path string, body []byte, extra time.Duration) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout+extra)
 	defer cancel()
@@ -148,7 +148,7 @@
 }
 
 func (c *client) unavailable(err error) error {
-	return fmt.Errorf("%s: %w: %w", c.what, platform.ErrUnavailable, err)
+	return fmt.Errorf("%s: %w: %w", c.what, port.ErrUnavailable, err)
 }
 
 var errClosed = errors.New("adapter closed")
--- a/platform/httpapi/client_linux_test.go
+++ b/port/httpapi/client_linux_test.go
@@ -15,7 +15,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/lease"
 )
 
@@ -64,7 +64,7 @@
 	})
 	model := strings.Repeat("m", 48<<10)
 	done := make(chan error, 1)
-	go func() { done <- e.Order(ctx, platform.Order{ID: "old", Spec: platform.EngineSpec{Model: model}}) }()
+	go func() { done <- e.Order(ctx, port.Order{ID: "old", Spec: port.EngineSpec{Model: model}}) }()
 	conn, err := lis.Accept()
 	if err != nil {
 		t.Fatal(err)
@@ -72,7 +72,7 @@
 	defer conn.Close()
 	<-written
 	e.Close()
-	if err := <-done; !errors.Is(err, platform.ErrUnavailable) {
+	if err := <-done; !errors.Is(err, port.ErrUnavailable) {
 		t.Fatalf("order returned %v", err)
 	}
 	got, err := io.ReadAll(conn)
@@ -87,8 +87,8 @@
 	defer srv.Close()
 	e := NewEngine(srv.Listener.Addr().String(), Options{})
 	e.Close()
-	err := e.Order(t.Context(), platform.Order{ID: "o"})
-	if !errors.Is(err, platform.ErrUnavailable) || hits != 0 {
+	err := e.Order(t.Context(), port.Order{ID: "o"})
+	if !errors.Is(err, port.ErrUnavailable) || hits != 0 {
 		t.Fatalf("error %v, %d requests came", err, hits)
 	}
 }
@@ -164,7 +164,7 @@
 			w := NewWeights(srv.URL, Options{})
 			defer w.Close()
 			_, err := w.Size(t.Context(), "m", "1")
-			if err == nil || errors.Is(err, platform.ErrUnavailable) != c.unavailable {
+			if err == nil || errors.Is(err, port.ErrUnavailable) != c.unavailable {
 				t.Fatalf("error %v, unavailable should be %v", err, c.unavailable)
 			}
 		})
--- a/platform/httpapi/engine.go
+++ b/port/httpapi/engine.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"strconv"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // Engine is the adapter to the control side of one engine. Whoever sends
@@ -16,7 +16,7 @@
 // kernel, outlives the authority to give it.
 type Engine struct{ c *client }
 
-var _ platform.Engine = (*Engine)(nil)
+var _ port.Engine = (*Engine)(nil)
 
 // NewEngine returns an adapter to the engine at addr, host and port. It opens
 // no connection before the first call.
@@ -30,29 +30,29 @@
 }
 
 // State returns the engine's word about itself.
-func (e *Engine) State(ctx context.Context) (platform.EngineState, error) {
-	var s platform.EngineState
+func (e *Engine) State(ctx context.Context) (port.EngineState, error) {
+	var s port.EngineState
 	err := e.c.get(ctx, "/control/state", &s)
 	return s, err
 }
 
 // Load returns the engine's newest report.
-func (e *Engine) Load(ctx context.Context) (platform.Load, error) {
-	var l platform.Load
+func (e *Engine) Load(ctx context.Context) (port.Load, error) {
+	var l port.Load
 	err := e.c.get(ctx, "/control/load", &l)
 	return l, err
 }
 
 // CacheEvents returns the events after a sequence number.
-func (e *Engine) CacheEvents(ctx context.Context, after int64) ([]platform.CacheEvent, error) {
-	var events []platform.CacheEvent
+func (e *Engine) CacheEvents(ctx context.Context, after int64) ([]port.CacheEvent, error) {
+	var events []port.CacheEvent
 	err := e.c.get(ctx, "/control/cache?after="+strconv.FormatInt(after, 10), &events)
 	return events, err
 }
 
-// Order starts a change. On platform.ErrUnavailable the engine may have
+// Order starts a change. On port.ErrUnavailable the engine may have
 // accepted it.
-func (e *Engine) Order(ctx context.Context, o platform.Order) error {
+func (e *Engine) Order(ctx context.Context, o port.Order) error {
 	_, err := e.post(ctx, "/control/order", o)
 	return err
 }
@@ -111,9 +111,9 @@
 	}
 	switch body.Error {
 	case refusedFenced:
-		return fmt.Errorf("engine: %w", platform.ErrFenced)
+		return fmt.Errorf("engine: %w", port.ErrFenced)
 	case refusedBusy:
-		return fmt.Errorf("engine: %w", platform.ErrBusy)
+		return fmt.Errorf("engine: %w", port.ErrBusy)
 	default:
 		return e.c.statusError(a)
 	}
--- a/platform/httpapi/lists.go
+++ b/port/httpapi/lists.go
@@ -4,13 +4,13 @@
 	"context"
 	"net/url"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // VMs is the adapter to the VM list.
 type VMs struct{ c *client }
 
-var _ platform.VMs = (*VMs)(nil)
+var _ port.VMs = (*VMs)(nil)
 
 // NewVMs returns an adapter to the VM list at baseURL.
 func NewVMs(baseURL string, o Options) *VMs { return &VMs{newClient("vms", baseURL, o)} }
@@ -22,8 +22,8 @@
 }
 
 // List returns the VMs as the platform shows them.
-func (v *VMs) List(ctx context.Context) ([]platform.VM, error) {
-	var vms []platform.VM
+func (v *VMs) List(ctx context.Context) ([]port.VM, error) {
+	var vms []port.VM
 	err := v.c.get(ctx, "/vms", &vms)
 	return vms, err
 }
@@ -31,7 +31,7 @@
 // Weights is the adapter to the weight store.
 type Weights struct{ c *client }
 
-var _ platform.WeightStore = (*Weights)(nil)
+var _ port.WeightStore = (*Weights)(nil)
 
 // NewWeights returns an adapter to the weight store at baseURL.
 func NewWeights(baseURL string, o Options) *Weights {
--- a/platform/httpapi/log.go
+++ b/port/httpapi/log.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // Log is the adapter to the log service. Appends and reads have connections
@@ -18,7 +18,7 @@
 	reads   *client
 }
 
-var _ platform.Log = (*Log)(nil)
+var _ port.Log = (*Log)(nil)
 
 // NewLog returns an adapter to the log service at baseURL.
 func NewLog(baseURL string, o Options) *Log {
@@ -49,13 +49,13 @@
 
 // page is the answer to a read.
 type page struct {
-	Records  []platform.Record `json:"records"`
-	Newest   int64             `json:"newest"`
-	Earliest int64             `json:"earliest"`
+	Records  []port.Record `json:"records"`
+	Newest   int64         `json:"newest"`
+	Earliest int64         `json:"earliest"`
 }
 
 // Read returns records from an offset on.
-func (l *Log) Read(ctx context.Context, stream string, from int64, max int, wait time.Duration) ([]platform.Record, int64, error) {
+func (l *Log) Read(ctx context.Context, stream string, from int64, max int, wait time.Duration) ([]port.Record, int64, error) {
 	q := url.Values{}
 	q.Set("from", strconv.FormatInt(from, 10))
 	q.Set("max", strconv.Itoa(max))
@@ -78,7 +78,7 @@
 		return err
 	}
 	if a.status == http.StatusGone {
-		return fmt.Errorf("log: stream %s from %s: %w", stream, q.Get("from"), platform.ErrExpired)
+		return fmt.Errorf("log: stream %s from %s: %w", stream, q.Get("from"), port.ErrExpired)
 	}
 	return l.reads.decode(a, p)
 }
--- a/platform/loadheader.go
+++ b/port/loadheader.go
@@ -1,4 +1,4 @@
-package platform
+package port
 
 import (
 	"encoding/json"
--- a/platform/platform.go
+++ b/port/port.go
@@ -1,8 +1,8 @@
-// Package platform defines the ports to everything outside pomelospool: the
+// Package port defines the ports to everything outside pomelospool: the
 // log service, the VM list, the weight store and the targets. Each port is a
 // narrow interface with one contract test that every adapter and stand-in
 // passes, so that a new wire protocol is one new adapter.
-package platform
+package port
 
 import (
 	"context"
--- a/process/agreecheck/invariants_test.go
+++ b/process/agreecheck/invariants_test.go
@@ -1,7 +1,7 @@
 package agreecheck
 
 import (
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/fold"
 )
 
@@ -21,14 +21,14 @@
 func (w *world) deliver(x *write) {
 	e := w.engines[x.engine]
 	if x.incarnation != e.incarnation {
-		x.err = platform.ErrUnavailable
+		x.err = port.ErrUnavailable
 		return
 	}
 	x.answered = true
 	e.settle(w.now)
 	switch {
 	case e.state.ChecksFence && x.order.Fence < e.state.LastFence:
-		x.err = platform.ErrFenced
+		x.err = port.ErrFenced
 		w.stats.late++
 		return
 	case e.state.LastOrder == x.order.ID, w.kind.allIDs && e.ids[x.order.ID]:
--- a/process/agreecheck/proc_test.go
+++ b/process/agreecheck/proc_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/fold"
 	"github.com/pomelospool/pomelospool/process/follow"
 	"github.com/pomelospool/pomelospool/process/lease"
@@ -37,7 +37,7 @@
 // reading is a read of the tail under way.
 type reading struct {
 	began  time.Duration // on the process's clock
-	recs   []platform.Record
+	recs   []port.Record
 	newest int64
 }
 
@@ -46,13 +46,13 @@
 	group    string
 	versions int64
 	memory   reconcile.Memory
-	until    time.Duration         // end of what the state of the decision allows
-	stall    time.Duration         // the engine answers a read of its state only then
-	seen     *platform.EngineState // read, and not yet decided on
-	tail     *fold.State           // of the step that seen belongs to
-	order    platform.Order        // checked, not yet written
-	ready    bool                  // order is set
-	held     int                   // incarnation of the engine that the connection leads to
+	until    time.Duration     // end of what the state of the decision allows
+	stall    time.Duration     // the engine answers a read of its state only then
+	seen     *port.EngineState // read, and not yet decided on
+	tail     *fold.State       // of the step that seen belongs to
+	order    port.Order        // checked, not yet written
+	ready    bool              // order is set
+	held     int               // incarnation of the engine that the connection leads to
 	sentAt   time.Duration
 	write    *write // waits for its answer
 	ends     time.Duration
@@ -239,7 +239,7 @@
 	p.tracker.Observe(seen, p.tail.State)
 }
 
-func (p *proc) fold(recs []platform.Record) {
+func (p *proc) fold(recs []port.Record) {
 	for _, r := range recs {
 		data := r.Data
 		if p.w.plant == recomputeVerdict {
--- a/process/agreecheck/work_test.go
+++ b/process/agreecheck/work_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/fold"
 	"github.com/pomelospool/pomelospool/process/reconcile"
 	"github.com/pomelospool/pomelospool/process/record"
@@ -71,7 +71,7 @@
 		id := p.w.id("o")
 		p.w.send(id, record.KindOrder, record.Order{Group: k.group, Claim: a.Fence, Engine: engineID(i), Spec: d.Spec, After: s.LastDone(engineID(i)), Reason: "why-" + id})
 	case reconcile.Send:
-		k.order, k.ready = platform.Order{ID: open.ID, Fence: a.Fence, Spec: open.Spec}, true
+		k.order, k.ready = port.Order{ID: open.ID, Fence: a.Fence, Spec: open.Spec}, true
 	case reconcile.Reclaim:
 		if !p.w.chance(5) {
 			return
@@ -85,10 +85,10 @@
 }
 
 // want is the newest version, or now and then a role that a planner wishes.
-func (p *proc) want(s *fold.State) platform.EngineSpec {
-	spec := platform.EngineSpec{Version: fmt.Sprint(s.Services[service].Version)}
+func (p *proc) want(s *fold.State) port.EngineSpec {
+	spec := port.EngineSpec{Version: fmt.Sprint(s.Services[service].Version)}
 	if p.w.chance(5) {
-		spec.Role = platform.RoleDecode
+		spec.Role = port.RoleDecode
 	}
 	return spec
 }
@@ -118,13 +118,13 @@
 	k.ready, k.write, k.sentAt = false, x, p.clock()
 	k.ends = max(p.wakes, p.w.now) + p.w.ms(100, 2000)
 	if p.w.chance(6) {
-		x.err = platform.ErrUnavailable
+		x.err = port.ErrUnavailable
 	}
 }
 
 // await takes the answer, or gives up.
 func (p *proc) await(k *work) {
-	answered := k.write.answered && k.write.err != platform.ErrUnavailable
+	answered := k.write.answered && k.write.err != port.ErrUnavailable
 	if !answered && p.w.now < k.ends {
 		return
 	}
--- a/process/agreecheck/world_test.go
+++ b/process/agreecheck/world_test.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/fold"
 	"github.com/pomelospool/pomelospool/process/lease"
 	"github.com/pomelospool/pomelospool/process/record"
@@ -57,8 +57,8 @@
 	kind      kind
 	plant     plant
 	now       time.Duration
-	pace      int               // most milliseconds from one step to the next
-	recs      []platform.Record // all that ever stood, offset 1 first
+	pace      int           // most milliseconds from one step to the next
+	recs      []port.Record // all that ever stood, offset 1 first
 	earliest  int64
 	truth     *fold.State
 	states    []*fold.State     // truth at each offset
@@ -107,7 +107,7 @@
 	from        string // incarnation of the sender
 	engine      int
 	incarnation int // of the engine at the other end of the connection
-	order       platform.Order
+	order       port.Order
 	excused     bool // a pause or delay beyond what the guard covers
 	answered    bool
 	err         error
@@ -116,7 +116,7 @@
 // engine carries out whatever it doesn't refuse; it never says that it is busy.
 type engine struct {
 	incarnation int
-	state       platform.EngineState
+	state       port.EngineState
 	until       time.Duration
 	ids         map[string]bool
 }
@@ -131,7 +131,7 @@
 	w.suspected = map[string]bool{}
 	w.stats.histories = 1
 	for range 2 {
-		w.engines = append(w.engines, &engine{ids: map[string]bool{}, state: platform.EngineState{ChecksFence: k.fenced}})
+		w.engines = append(w.engines, &engine{ids: map[string]bool{}, state: port.EngineState{ChecksFence: k.fenced}})
 	}
 	for i := range w.draw(3, 5) {
 		w.procs = append(w.procs, newProc(w, i))
@@ -239,7 +239,7 @@
 // land appends a record to the log and folds the truth.
 func (w *world) land(data []byte) {
 	offset := int64(len(w.recs)) + 1
-	w.recs = append(w.recs, platform.Record{Offset: offset, Data: data})
+	w.recs = append(w.recs, port.Record{Offset: offset, Data: data})
 	before, claims := w.truth.Services[service].Version, w.truth.Leases
 	claimed := claims[groups[0]].Claim + claims[groups[1]].Claim
 	if err := w.truth.Apply(offset, data); err != nil {
@@ -272,7 +272,7 @@
 func (e *engine) restart() {
 	e.incarnation++
 	e.ids = map[string]bool{}
-	e.state = platform.EngineState{ChecksFence: e.state.ChecksFence, Spec: platform.EngineSpec{Version: "old"}}
+	e.state = port.EngineState{ChecksFence: e.state.ChecksFence, Spec: port.EngineSpec{Version: "old"}}
 }
 
 func engineID(i int) string { return fmt.Sprint("e", i) }
@@ -287,16 +287,16 @@
 
 // logView is the world's log as the real recovery reads it.
 type logView struct {
-	platform.Log
+	port.Log
 	w *world
 }
 
 func (l logView) Earliest(context.Context, string) (int64, error) { return l.w.earliest, nil }
 
-func (l logView) Read(_ context.Context, _ string, from int64, n int, _ time.Duration) ([]platform.Record, int64, error) {
+func (l logView) Read(_ context.Context, _ string, from int64, n int, _ time.Duration) ([]port.Record, int64, error) {
 	newest := int64(len(l.w.recs))
 	if from < l.w.earliest {
-		return nil, 0, platform.ErrExpired
+		return nil, 0, port.ErrExpired
 	}
 	i := min(from-1, newest)
 	return l.w.recs[i:min(i+int64(n), newest)], newest, nil
--- a/process/daemon/control.go
+++ b/process/daemon/control.go
@@ -11,7 +11,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/internal/yamlcheck"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/fold"
 	"github.com/pomelospool/pomelospool/process/reconcile"
 	"github.com/pomelospool/pomelospool/request/view"
@@ -147,7 +147,7 @@
 }
 
 // leavingVMs gives the VMs that membership has seen leaving in the VM list.
-func (d *Daemon) leavingVMs() []platform.VM { return d.members.LeavingVMs() }
+func (d *Daemon) leavingVMs() []port.VM { return d.members.LeavingVMs() }
 
 func (d *Daemon) groupNames() []string {
 	snap := d.view.Load()
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -25,8 +25,8 @@
 	"github.com/pomelospool/pomelospool/internal/sock"
 	"github.com/pomelospool/pomelospool/peer"
 	"github.com/pomelospool/pomelospool/peer/peerpb"
-	"github.com/pomelospool/pomelospool/platform"
-	"github.com/pomelospool/pomelospool/platform/httpapi"
+	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/port/httpapi"
 	"github.com/pomelospool/pomelospool/process/burn"
 	"github.com/pomelospool/pomelospool/process/clock"
 	"github.com/pomelospool/pomelospool/process/follow"
@@ -198,7 +198,7 @@
 
 // peerAddr guesses where a listed VM takes heartbeats: all copies are alike,
 // so on the same port as this one, until the VM itself says otherwise.
-func (d *Daemon) peerAddr(v platform.VM) string {
+func (d *Daemon) peerAddr(v port.VM) string {
 	_, port, err := net.SplitHostPort(d.s.Listen.Peers)
 	if err != nil {
 		return v.Addr
@@ -263,7 +263,7 @@
 )
 
 // connectEngine makes the adapter for orders of one lease term.
-func connectEngine(engine string, check lease.Check, userTimeout time.Duration) platform.Engine {
+func connectEngine(engine string, check lease.Check, userTimeout time.Duration) port.Engine {
 	return httpapi.NewEngine(engine, httpapi.Options{
 		Dial: lease.Dialer(check, userTimeout),
 	})
@@ -281,7 +281,7 @@
 	d.watcher = load.New(load.Options{
 		View:    d.view,
 		Pool:    d.pool,
-		Engine:  func(addr string) platform.Engine { return httpapi.NewEngine(addr, httpapi.Options{MaxConns: 2}) },
+		Engine:  func(addr string) port.Engine { return httpapi.NewEngine(addr, httpapi.Options{MaxConns: 2}) },
 		Process: d.s.VM,
 		Zone:    d.s.Zone,
 		Poll:    d.s.Control.LoadPoll,
--- a/process/daemon/fleet_test.go
+++ b/process/daemon/fleet_test.go
@@ -17,7 +17,7 @@
 	"github.com/apex/log"
 
 	"github.com/pomelospool/pomelospool/operator/status"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/settings"
 	"github.com/pomelospool/pomelospool/standin/engine"
 	"github.com/pomelospool/pomelospool/standin/logsvc"
@@ -118,9 +118,9 @@
 
 func newFleet(t *testing.T, n int, tls settings.TLS) *fleet {
 	f := &fleet{t: t, log: logsvc.New(logsvc.Options{}), tls: tls, daemons: make([]*Daemon, n)}
-	var vms []platform.VM
+	var vms []port.VM
 	for i := range n {
-		vms = append(vms, platform.VM{ID: fmt.Sprintf("vm-%d", i), Addr: hostOf(i), Zone: "z"})
+		vms = append(vms, port.VM{ID: fmt.Sprintf("vm-%d", i), Addr: hostOf(i), Zone: "z"})
 		f.gates = append(f.gates, newGate(t, f.log))
 	}
 	f.vms = vmlist.New(vmlist.Options{VMs: vms})
@@ -243,7 +243,7 @@
 	f.t.Helper()
 	e := engine.New(engine.Options{
 		Name:     "e",
-		Spec:     platform.EngineSpec{Role: platform.RoleMixed, Model: "m", Version: "1"},
+		Spec:     port.EngineSpec{Role: port.RoleMixed, Model: "m", Version: "1"},
 		StepBase: step,
 	})
 	f.run(e.Run, e.Close)
--- a/process/daemon/leaving_test.go
+++ b/process/daemon/leaving_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/settings"
 	"github.com/pomelospool/pomelospool/standin/plain"
 )
@@ -43,7 +43,7 @@
 		leave  func()
 	}{
 		{"the VM list shows its VM leaving", vm, func() {
-			f.vms.Put(platform.VM{ID: "vm-t", Addr: leavingHost, Zone: "z", Leaving: true})
+			f.vms.Put(port.VM{ID: "vm-t", Addr: leavingHost, Zone: "z", Leaving: true})
 		}},
 		{"the document drains it", drained, func() { publish(", drain: true") }},
 	}
--- a/process/daemon/order_test.go
+++ b/process/daemon/order_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/standin/engine"
 )
 
@@ -27,7 +27,7 @@
 		return code.New(code.LeaseLost, "taken over")
 	}, time.Second)
 	order := func(id string) error {
-		return api.Order(t.Context(), platform.Order{ID: id, Fence: 1, Spec: platform.EngineSpec{Role: platform.RoleMixed, Model: "m", Version: "1"}})
+		return api.Order(t.Context(), port.Order{ID: id, Fence: 1, Spec: port.EngineSpec{Role: port.RoleMixed, Model: "m", Version: "1"}})
 	}
 	if err := order("first"); err != nil {
 		t.Fatal(err)
--- a/process/daemon/peers.go
+++ b/process/daemon/peers.go
@@ -10,7 +10,7 @@
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/connection/address"
 	"github.com/pomelospool/pomelospool/peer/peerpb"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/follow"
 	"github.com/pomelospool/pomelospool/process/lease"
 	"github.com/pomelospool/pomelospool/process/membership"
@@ -63,7 +63,7 @@
 	}
 	b := follow.Batch{Applied: reply.Applied, Checkpoint: reply.Checkpoint, Covers: reply.Covers}
 	for _, r := range reply.Records {
-		b.Records = append(b.Records, platform.Record{Offset: r.Offset, Data: r.Data})
+		b.Records = append(b.Records, port.Record{Offset: r.Offset, Data: r.Data})
 	}
 	return b, nil
 }
--- a/process/daemon/plan.go
+++ b/process/daemon/plan.go
@@ -6,7 +6,7 @@
 
 	"github.com/apex/log"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/planner"
 	"github.com/pomelospool/pomelospool/process/reconcile"
 	"github.com/pomelospool/pomelospool/request/view"
@@ -51,7 +51,7 @@
 	states map[planKey]planner.State
 
 	mu     sync.Mutex
-	wishes map[string]platform.Role // by engine address
+	wishes map[string]port.Role // by engine address
 }
 
 // planKey names one plan: the engines of one model in one service.
@@ -63,12 +63,12 @@
 	return &rolePlanner{
 		d:      d,
 		states: make(map[planKey]planner.State),
-		wishes: make(map[string]platform.Role),
+		wishes: make(map[string]port.Role),
 	}
 }
 
 // wish implements reconcile.Wish.
-func (p *rolePlanner) wish(_, engine string) (platform.Role, bool) {
+func (p *rolePlanner) wish(_, engine string) (port.Role, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r, ok := p.wishes[engine]
--- a/process/fold/bench_test.go
+++ b/process/fold/bench_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/record"
 )
 
@@ -27,7 +27,7 @@
 				next(entry{name, record.Claim{Group: "g", Holder: "vm"}})
 			}
 			next(entry{"order-01234567-89ab-cdef-0123-" + name, record.Order{Group: "g", Claim: 1, Engine: fmt.Sprintf("10.0.%d.%d:8000", i/256, i%256), Addr: "10.0.0.1:8000",
-				Spec: platform.EngineSpec{Role: platform.RolePrefill, Model: "model-name", Version: "2026-07-01"}, Load: true, Reason: "engine differs"}})
+				Spec: port.EngineSpec{Role: port.RolePrefill, Model: "model-name", Version: "2026-07-01"}, Load: true, Reason: "engine differs"}})
 		}
 	}
 	return s
--- a/process/fold/fold_test.go
+++ b/process/fold/fold_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/record"
 )
 
@@ -104,7 +104,7 @@
 }
 
 func order(id string, claim, after int64) entry {
-	return entry{id, record.Order{Group: "s/z/0", Claim: claim, Engine: "e", After: after, Spec: platform.EngineSpec{Version: id}}}
+	return entry{id, record.Order{Group: "s/z/0", Claim: claim, Engine: "e", After: after, Spec: port.EngineSpec{Version: id}}}
 }
 
 func ended(order string, claim, changed int64) entry {
--- a/process/fold/state.go
+++ b/process/fold/state.go
@@ -10,7 +10,7 @@
 	"maps"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // Format numbers the layout of State in checkpoints. A change of the rules
@@ -89,22 +89,22 @@
 
 // Open is an order that was logged and has not ended. It is read-only.
 type Open struct {
-	ID     string              `json:"id"` // of the envelope, and of the order sent
-	Group  string              `json:"group"`
-	Claim  int64               `json:"claim"`
-	Offset int64               `json:"offset"`
-	Addr   string              `json:"addr"`
-	Spec   platform.EngineSpec `json:"spec"`
-	Load   bool                `json:"load,omitempty"` // reads from the weight store
-	Reason string              `json:"reason,omitempty"`
+	ID     string          `json:"id"` // of the envelope, and of the order sent
+	Group  string          `json:"group"`
+	Claim  int64           `json:"claim"`
+	Offset int64           `json:"offset"`
+	Addr   string          `json:"addr"`
+	Spec   port.EngineSpec `json:"spec"`
+	Load   bool            `json:"load,omitempty"` // reads from the weight store
+	Reason string          `json:"reason,omitempty"`
 }
 
 // Done is an order that ended. It is read-only.
 type Done struct {
-	ID     string              `json:"id"`
-	Offset int64               `json:"offset"` // of the record that ended it
-	Spec   platform.EngineSpec `json:"spec"`
-	Detail string              `json:"detail,omitempty"`
+	ID     string          `json:"id"`
+	Offset int64           `json:"offset"` // of the record that ended it
+	Spec   port.EngineSpec `json:"spec"`
+	Detail string          `json:"detail,omitempty"`
 }
 
 // Mark is the place of a checkpoint in the log.
--- a/process/follow/append.go
+++ b/process/follow/append.go
@@ -12,7 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/record"
 )
 
@@ -29,14 +29,14 @@
 
 // Appender writes control records that must count once.
 type Appender struct {
-	log   platform.Log
+	log   port.Log
 	mark  func() int64 // an offset after which a new record must stand
 	limit *rate.Limiter
 }
 
 // NewAppender returns an Appender. mark gives the offset up to which this
 // process knows the log; perSecond bounds its appends over any longer time.
-func NewAppender(log platform.Log, mark func() int64, perSecond float64) *Appender {
+func NewAppender(log port.Log, mark func() int64, perSecond float64) *Appender {
 	burst := max(1, int(perSecond))
 	return &Appender{log: log, mark: mark, limit: rate.NewLimiter(rate.Limit(perSecond), burst)}
 }
@@ -94,7 +94,7 @@
 func (a *Appender) find(ctx context.Context, from int64, id string) (int64, error) {
 	for {
 		recs, newest, err := a.read(ctx, from)
-		if errors.Is(err, platform.ErrExpired) {
+		if errors.Is(err, port.ErrExpired) {
 			from, err = a.log.Earliest(ctx, record.Control)
 			if err == nil {
 				continue
@@ -115,7 +115,7 @@
 	}
 }
 
-func (a *Appender) read(ctx context.Context, from int64) ([]platform.Record, int64, error) {
+func (a *Appender) read(ctx context.Context, from int64) ([]port.Record, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	return a.log.Read(ctx, record.Control, from, lookMax, 0)
--- a/process/follow/bench_test.go
+++ b/process/follow/bench_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/clock"
 	"github.com/pomelospool/pomelospool/process/internal/logtest"
 	"github.com/pomelospool/pomelospool/process/record"
@@ -26,7 +26,7 @@
 		}
 		data, _ := json.Marshal(e)
 		offset, _ := l.Append(context.Background(), record.Control, data)
-		if err := f.apply([]platform.Record{{Offset: offset, Data: data}}); err != nil {
+		if err := f.apply([]port.Record{{Offset: offset, Data: data}}); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/process/follow/follow_test.go
+++ b/process/follow/follow_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/clock"
 	"github.com/pomelospool/pomelospool/process/internal/logtest"
 	"github.com/pomelospool/pomelospool/process/record"
@@ -28,7 +28,7 @@
 	newest atomic.Int64
 }
 
-func (b *behind) Read(ctx context.Context, s string, from int64, n int, wait time.Duration) ([]platform.Record, int64, error) {
+func (b *behind) Read(ctx context.Context, s string, from int64, n int, wait time.Duration) ([]port.Record, int64, error) {
 	recs, newest, err := b.Log.Read(ctx, s, from, n, wait)
 	if n := b.newest.Load(); n > 0 && err == nil {
 		return nil, n, nil
@@ -43,7 +43,7 @@
 	return code.OK, ""
 }
 
-func start(t *testing.T, l platform.Log, o Options) *Follower {
+func start(t *testing.T, l port.Log, o Options) *Follower {
 	t.Helper()
 	o.Log, o.Clock = l, clock.NewRuntime()
 	if o.Validate == nil {
@@ -59,7 +59,7 @@
 	return f
 }
 
-func publish(t *testing.T, l platform.Log, yaml string, base int64) {
+func publish(t *testing.T, l port.Log, yaml string, base int64) {
 	t.Helper()
 	e, err := Envelope("doc-"+yaml, record.KindDocument, "operator", record.Document{Service: "s", Base: base, YAML: yaml})
 	if err == nil {
@@ -222,10 +222,10 @@
 		// A follower that lags behind the retention starts anew.
 		f := New(Options{Log: l, Clock: clock.NewRuntime(), Peers: peer{a}})
 		f.state, _ = Recover(context.Background(), &logtest.Log{})
-		if err := f.step(t.Context()); !errors.Is(err, platform.ErrExpired) {
+		if err := f.step(t.Context()); !errors.Is(err, port.ErrExpired) {
 			t.Errorf("reading expired records: %v", err)
 		}
-		f.failed(t.Context(), platform.ErrExpired)
+		f.failed(t.Context(), port.ErrExpired)
 		if version(f) != 1 || f.Applied() != a.Applied() {
 			t.Errorf("version %d at offset %d after a start from a peer", version(f), f.Applied())
 		}
--- a/process/follow/follower.go
+++ b/process/follow/follower.go
@@ -13,7 +13,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/clock"
 	"github.com/pomelospool/pomelospool/process/fold"
 	"github.com/pomelospool/pomelospool/process/lease"
@@ -22,10 +22,10 @@
 
 // Batch is what a peer gives to one that can't reach the log.
 type Batch struct {
-	Records    []platform.Record // from the offset that was asked for, or after Covers
-	Applied    int64             // of the peer
-	Checkpoint []byte            // encoded fold.State, when the records asked for are gone
-	Covers     int64             // offset that Checkpoint covers
+	Records    []port.Record // from the offset that was asked for, or after Covers
+	Applied    int64         // of the peer
+	Checkpoint []byte        // encoded fold.State, when the records asked for are gone
+	Covers     int64         // offset that Checkpoint covers
 }
 
 // Peers reaches other daemons.
@@ -41,7 +41,7 @@
 
 // Options of a Follower. Log, Clock, Self and Validate must be set.
 type Options struct {
-	Log      platform.Log
+	Log      port.Log
 	Clock    clock.Clock
 	Self     string     // incarnation of this process
 	Validate Validate   // judges documents
@@ -218,7 +218,7 @@
 var errLags = errors.New("follow: the log shows an older newest offset than before")
 
 // apply folds records that follow the state.
-func (f *Follower) apply(recs []platform.Record) error {
+func (f *Follower) apply(recs []port.Record) error {
 	for _, r := range recs {
 		if err := f.state.Apply(r.Offset, r.Data); err != nil {
 			return err
@@ -272,7 +272,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if errors.Is(err, platform.ErrExpired) || errors.Is(err, fold.ErrGap) {
+	if errors.Is(err, port.ErrExpired) || errors.Is(err, fold.ErrGap) {
 		log.WithError(err).Warn("follow: records gone, start anew")
 		f.state = nil
 	} else if !f.down.Swap(true) {
--- a/process/follow/recover.go
+++ b/process/follow/recover.go
@@ -8,7 +8,7 @@
 	"github.com/apex/log"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/fold"
 	"github.com/pomelospool/pomelospool/process/record"
 )
@@ -21,11 +21,11 @@
 // record. It looks for a checkpoint from the tail backwards, so its cost
 // depends on the distance of the newest checkpoint and not on the length of
 // the log. The error has code.RecordsExpired when neither exists.
-func Recover(ctx context.Context, l platform.Log) (*fold.State, error) {
+func Recover(ctx context.Context, l port.Log) (*fold.State, error) {
 	return recoverState(ctx, l)
 }
 
-func recoverState(ctx context.Context, l platform.Log) (*fold.State, error) {
+func recoverState(ctx context.Context, l port.Log) (*fold.State, error) {
 	earliest, newest, err := extent(ctx, l)
 	if err != nil {
 		return nil, err
@@ -46,7 +46,7 @@
 }
 
 // extent returns the earliest and the newest offset of the control stream.
-func extent(ctx context.Context, l platform.Log) (earliest, newest int64, err error) {
+func extent(ctx context.Context, l port.Log) (earliest, newest int64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	earliest, err = l.Earliest(ctx, record.Control)
@@ -62,7 +62,7 @@
 
 // newestCheckpoint returns the state of the trusted checkpoint in [from, to]
 // that covers most, or nil.
-func newestCheckpoint(ctx context.Context, l platform.Log, from, to, earliest int64) (*fold.State, error) {
+func newestCheckpoint(ctx context.Context, l port.Log, from, to, earliest int64) (*fold.State, error) {
 	var best *fold.State
 	for from <= to {
 		recs, err := readSome(ctx, l, from, to)
@@ -80,7 +80,7 @@
 	return best, nil
 }
 
-func readSome(ctx context.Context, l platform.Log, from, to int64) ([]platform.Record, error) {
+func readSome(ctx context.Context, l port.Log, from, to int64) ([]port.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	recs, _, err := l.Read(ctx, record.Control, from, int(min(readMax, to-from+1)), 0)
@@ -92,7 +92,7 @@
 
 // better returns the state of r if it is a trusted checkpoint that covers more
 // than best. One that can't be read is passed over.
-func better(best *fold.State, r platform.Record, earliest int64) *fold.State {
+func better(best *fold.State, r port.Record, earliest int64) *fold.State {
 	var e record.Envelope
 	if json.Unmarshal(r.Data, &e) != nil || e.Kind != record.KindCheckpoint {
 		return best
--- a/process/follow/serve.go
+++ b/process/follow/serve.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // Bounds of the records kept for peers.
@@ -15,13 +15,13 @@
 // recent keeps the newest records for peers that can't reach the log.
 type recent struct {
 	mu    sync.Mutex
-	recs  []platform.Record
+	recs  []port.Record
 	bytes int
 }
 
 // add appends r and drops the oldest beyond the bounds. A record that doesn't
 // follow the last one, after a start from a checkpoint, replaces them all.
-func (k *recent) add(r platform.Record) {
+func (k *recent) add(r port.Record) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if n := len(k.recs); n > 0 {
@@ -43,7 +43,7 @@
 
 // from returns up to n records from offset on up to offset last, and false
 // when records from there on are not kept.
-func (k *recent) from(offset, last int64, n int) ([]platform.Record, bool) {
+func (k *recent) from(offset, last int64, n int) ([]port.Record, bool) {
 	if offset > last {
 		return nil, true
 	}
@@ -54,7 +54,7 @@
 	}
 	i := min(int(offset-k.recs[0].Offset), len(k.recs))
 	j := min(i+n, int(last-k.recs[0].Offset)+1, len(k.recs))
-	return append([]platform.Record(nil), k.recs[i:max(i, j)]...), true
+	return append([]port.Record(nil), k.recs[i:max(i, j)]...), true
 }
 
 // Serve answers a peer that asks for records from offset from on: records, or
--- a/process/internal/logtest/log.go
+++ b/process/internal/logtest/log.go
@@ -8,13 +8,13 @@
 	"sync"
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
-// Log is a platform.Log. The zero value is empty and works.
+// Log is a port.Log. The zero value is empty and works.
 type Log struct {
 	mu       sync.Mutex
-	recs     []platform.Record
+	recs     []port.Record
 	dropped  int64 // records before the first kept
 	appends  int
 	reads    int
@@ -53,10 +53,10 @@
 }
 
 // Records returns all records that are kept.
-func (l *Log) Records() []platform.Record {
+func (l *Log) Records() []port.Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]platform.Record(nil), l.recs...)
+	return append([]port.Record(nil), l.recs...)
 }
 
 // Append adds data; the stream's name is not looked at.
@@ -65,23 +65,23 @@
 	defer l.mu.Unlock()
 	l.appends++
 	if l.down {
-		return 0, fmt.Errorf("append: %w", platform.ErrUnavailable)
+		return 0, fmt.Errorf("append: %w", port.ErrUnavailable)
 	}
 	offset := l.newest() + 1
-	l.recs = append(l.recs, platform.Record{Offset: offset, Data: data})
+	l.recs = append(l.recs, port.Record{Offset: offset, Data: data})
 	if l.appended != nil {
 		close(l.appended)
 		l.appended = nil
 	}
 	if l.lost > 0 {
 		l.lost--
-		return 0, fmt.Errorf("append: answer lost: %w", platform.ErrUnavailable)
+		return 0, fmt.Errorf("append: answer lost: %w", port.ErrUnavailable)
 	}
 	return offset, nil
 }
 
 // Read returns records from offset from on, after at most wait.
-func (l *Log) Read(ctx context.Context, _ string, from int64, n int, wait time.Duration) ([]platform.Record, int64, error) {
+func (l *Log) Read(ctx context.Context, _ string, from int64, n int, wait time.Duration) ([]port.Record, int64, error) {
 	if ch := l.waitFor(from); ch != nil && wait > 0 {
 		t := time.NewTimer(wait)
 		defer t.Stop()
@@ -96,13 +96,13 @@
 	l.reads++
 	switch {
 	case l.down || ctx.Err() != nil:
-		return nil, 0, fmt.Errorf("read: %w", platform.ErrUnavailable)
+		return nil, 0, fmt.Errorf("read: %w", port.ErrUnavailable)
 	case from <= l.dropped:
-		return nil, 0, fmt.Errorf("read %d: %w", from, platform.ErrExpired)
+		return nil, 0, fmt.Errorf("read %d: %w", from, port.ErrExpired)
 	}
 	i := min(from-1-l.dropped, int64(len(l.recs)))
 	j := min(i+int64(n), int64(len(l.recs)))
-	return append([]platform.Record(nil), l.recs[i:j]...), l.newest(), nil
+	return append([]port.Record(nil), l.recs[i:j]...), l.newest(), nil
 }
 
 // waitFor returns a channel that the next append closes, or nil when there is
@@ -124,7 +124,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return 0, fmt.Errorf("earliest: %w", platform.ErrUnavailable)
+		return 0, fmt.Errorf("earliest: %w", port.ErrUnavailable)
 	}
 	return l.dropped + 1, nil
 }
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -21,7 +21,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/pomelospool/pomelospool/peer/peerpb"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // Prober sends one heartbeat to the peer at addr and returns its reply.
@@ -42,18 +42,18 @@
 type Options struct {
 	Self        *peerpb.Member // id, incarnation, start, addresses, zone
 	Prober      Prober
-	VMs         platform.VMs             // may be nil
-	PeerAddr    func(platform.VM) string // where a listed VM takes heartbeats
-	IsTarget    func(host string) bool   // a document names the VM as a target; may be nil
-	Applied     func() int64             // control offset in force here
-	Convictions Convictions              // may be nil
-	Now         func() time.Duration     // local clock; never steps back
-	Period      time.Duration            // between probes
-	DeadAfter   time.Duration            // silence until a member is dead
-	ListPeriod  time.Duration            // between reads of the VM list; 1s
-	Seed        uint64                   // of the probe order
-	Log         log.Interface            // may be nil
-	OnChange    func(*peerpb.Member)     // called by the owner goroutine; may be nil
+	VMs         port.VMs               // may be nil
+	PeerAddr    func(port.VM) string   // where a listed VM takes heartbeats
+	IsTarget    func(host string) bool // a document names the VM as a target; may be nil
+	Applied     func() int64           // control offset in force here
+	Convictions Convictions            // may be nil
+	Now         func() time.Duration   // local clock; never steps back
+	Period      time.Duration          // between probes
+	DeadAfter   time.Duration          // silence until a member is dead
+	ListPeriod  time.Duration          // between reads of the VM list; 1s
+	Seed        uint64                 // of the probe order
+	Log         log.Interface          // may be nil
+	OnChange    func(*peerpb.Member)   // called by the owner goroutine; may be nil
 }
 
 // Membership runs the heartbeats of one process.
@@ -64,7 +64,7 @@
 	calls   chan func()
 	view    atomic.Pointer[View]
 	// leaving holds the VMs that the VM list shows as leaving.
-	leaving atomic.Pointer[[]platform.VM]
+	leaving atomic.Pointer[[]port.VM]
 
 	// Owned by the loop goroutine.
 	table    *table
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/peer/peerpb"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 const (
@@ -30,7 +30,7 @@
 	mu     sync.Mutex
 	nodes  map[string]*node
 	cut    map[[2]string]bool
-	vms    []platform.VM
+	vms    []port.VM
 	starts uint64
 	news   int // members carried by answers
 
@@ -56,7 +56,7 @@
 	var ids []string
 	for i := range n {
 		id := fmt.Sprintf("vm-%03d", i)
-		f.vms = append(f.vms, platform.VM{ID: id, Addr: id})
+		f.vms = append(f.vms, port.VM{ID: id, Addr: id})
 		ids = append(ids, id)
 	}
 	for _, id := range ids {
@@ -78,7 +78,7 @@
 		Prober:   &link{f: f, from: id},
 		VMs:      f,
 		IsTarget: func(host string) bool { return host == targetHost },
-		PeerAddr: func(v platform.VM) string { return v.Addr },
+		PeerAddr: func(v port.VM) string { return v.Addr },
 		Applied:  func() int64 { <-f.awakeOf(id); return 0 },
 		Now:      func() time.Duration { return time.Since(began) },
 		Period:   period, DeadAfter: deadAfter, Seed: seed,
@@ -96,8 +96,8 @@
 	return f.nodes[id].awake
 }
 
-// List implements platform.VMs.
-func (f *fleet) List(context.Context) ([]platform.VM, error) { return f.vms, nil }
+// List implements port.VMs.
+func (f *fleet) List(context.Context) ([]port.VM, error) { return f.vms, nil }
 
 func (f *fleet) set(from, to string, cut bool) {
 	f.mu.Lock()
@@ -369,7 +369,7 @@
 		f := newFleet(0)
 		defer f.stop()
 		for i := range 600 {
-			f.vms = append(f.vms, platform.VM{ID: fmt.Sprintf("target-%d", i), Addr: targetHost})
+			f.vms = append(f.vms, port.VM{ID: fmt.Sprintf("target-%d", i), Addr: targetHost})
 		}
 		f.grow(8)
 		within(30*time.Second, f.all("vm-001", peerpb.Member_LIVE, 7))
--- a/process/membership/view.go
+++ b/process/membership/view.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/peer/peerpb"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // View is an immutable picture of the members, self first, then by id.
@@ -107,7 +107,7 @@
 
 // LeavingVMs returns the VMs of any kind that the newest VM list shows as
 // leaving, the VMs of targets included.
-func (m *Membership) LeavingVMs() []platform.VM {
+func (m *Membership) LeavingVMs() []port.VM {
 	if p := m.leaving.Load(); p != nil {
 		return *p
 	}
--- a/process/membership/vmlist.go
+++ b/process/membership/vmlist.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/peer/peerpb"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // readList asks for the VM list off the loop, at most once a ListPeriod.
@@ -26,7 +26,7 @@
 				return
 			}
 			m.table.applyList(m.o.Now(), m.daemons(vms), m.o.PeerAddr)
-			leaving := slices.DeleteFunc(slices.Clone(vms), func(v platform.VM) bool { return !v.Leaving })
+			leaving := slices.DeleteFunc(slices.Clone(vms), func(v port.VM) bool { return !v.Leaving })
 			m.leaving.Store(&leaving)
 		})
 		return nil
@@ -36,15 +36,15 @@
 // daemons leaves out the VMs of targets. They never answer heartbeats: among
 // hundreds of them, daemons that all start at once would take minutes to find
 // each other.
-func (m *Membership) daemons(vms []platform.VM) []platform.VM {
-	return slices.DeleteFunc(slices.Clone(vms), func(v platform.VM) bool { return m.o.IsTarget(v.Addr) })
+func (m *Membership) daemons(vms []port.VM) []port.VM {
+	return slices.DeleteFunc(slices.Clone(vms), func(v port.VM) bool { return m.o.IsTarget(v.Addr) })
 }
 
 // applyList takes the VM list in. A VM that is new here becomes a member that
 // still has to answer; one that left the list is forgotten once it is dead.
 // The list lags, so it never ends a member that answers.
-func (t *table) applyList(now time.Duration, vms []platform.VM, addr func(platform.VM) string) {
-	listed := make(map[string]platform.VM, len(vms))
+func (t *table) applyList(now time.Duration, vms []port.VM, addr func(port.VM) string) {
+	listed := make(map[string]port.VM, len(vms))
 	for _, v := range vms {
 		listed[v.ID] = v
 		if v.ID == t.self.Id {
--- a/process/planner/capacity.go
+++ b/process/planner/capacity.go
@@ -1,16 +1,16 @@
 package planner
 
-import "github.com/pomelospool/pomelospool/platform"
+import "github.com/pomelospool/pomelospool/port"
 
 // fleet is the number of engines of each role.
 type fleet struct{ prefill, mixed, decode float64 }
 
 // with adds n engines of a role.
-func (f fleet) with(role platform.Role, n float64) fleet {
+func (f fleet) with(role port.Role, n float64) fleet {
 	switch role {
-	case platform.RolePrefill:
+	case port.RolePrefill:
 		f.prefill += n
-	case platform.RoleDecode:
+	case port.RoleDecode:
 		f.decode += n
 	default:
 		f.mixed += n
--- a/process/planner/limits.go
+++ b/process/planner/limits.go
@@ -1,7 +1,7 @@
 package planner
 
 import (
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/version/document"
 )
 
@@ -20,10 +20,10 @@
 		if !e.Live || e.Changing {
 			continue
 		}
-		if e.Role != platform.RoleDecode {
+		if e.Role != port.RoleDecode {
 			l.prefill++
 		}
-		if e.Role != platform.RolePrefill {
+		if e.Role != port.RolePrefill {
 			l.decode++
 		}
 	}
@@ -31,30 +31,30 @@
 }
 
 // mayLeave tells whether the service lives on while an engine of the role is away.
-func (l limits) mayLeave(role platform.Role) bool {
+func (l limits) mayLeave(role port.Role) bool {
 	prefill, decode := l.prefill, l.decode
-	if role != platform.RoleDecode {
+	if role != port.RoleDecode {
 		prefill--
 	}
-	if role != platform.RolePrefill {
+	if role != port.RolePrefill {
 		decode--
 	}
 	return prefill >= l.minPrefill && decode >= l.minDecode
 }
 
 // mayBecome tells whether it lives on after the change.
-func (l limits) mayBecome(from, to platform.Role) bool {
+func (l limits) mayBecome(from, to port.Role) bool {
 	prefill, decode := l.prefill, l.decode
-	if from != platform.RoleDecode {
+	if from != port.RoleDecode {
 		prefill--
 	}
-	if from != platform.RolePrefill {
+	if from != port.RolePrefill {
 		decode--
 	}
-	if to != platform.RoleDecode {
+	if to != port.RoleDecode {
 		prefill++
 	}
-	if to != platform.RolePrefill {
+	if to != port.RolePrefill {
 		decode++
 	}
 	return prefill >= l.minPrefill && decode >= l.minDecode
--- a/process/planner/plan.go
+++ b/process/planner/plan.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/version/document"
 )
 
@@ -100,7 +100,7 @@
 	return best, true
 }
 
-var roles = []platform.Role{platform.RolePrefill, platform.RoleMixed, platform.RoleDecode}
+var roles = []port.Role{port.RolePrefill, port.RoleMixed, port.RoleDecode}
 
 // changing counts the engines that are away for a change, of every group.
 func (s *State) changing(o *Observation) int {
@@ -127,7 +127,7 @@
 
 // candidate is the engine of a role that costs least to take away: the one
 // with the least work to finish first.
-func (s *State) candidate(now time.Duration, o *Observation, doc *document.Document, role platform.Role) *Engine {
+func (s *State) candidate(now time.Duration, o *Observation, doc *document.Document, role port.Role) *Engine {
 	dwell := defaultDwell
 	if doc.Roles.MinDwell > 0 {
 		dwell = doc.Roles.MinDwell
@@ -159,7 +159,7 @@
 // gain is the work on time, in engine-seconds, that a change adds: over the
 // trust horizon under the mix of now, then for a while under the usual mix
 // (the new role stays until another change pays), less what is lost while the engine is away.
-func (s *State) gain(now time.Duration, f fleet, e *Engine, to platform.Role) float64 {
+func (s *State) gain(now time.Duration, f fleet, e *Engine, to port.Role) float64 {
 	without := f.with(e.Role, -1)
 	after := without.with(to, 1)
 	r, fast, slow := &s.Rates, s.Demand.Fast, s.Demand.Slow
--- a/process/planner/plan_test.go
+++ b/process/planner/plan_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/version/document"
 )
 
@@ -26,7 +26,7 @@
 	states map[string]State // by group; "" plans all
 	does   outcome
 	away   map[string]int // seconds that an engine stays away
-	next   map[string]platform.Role
+	next   map[string]port.Role
 	now    time.Duration
 	log    []Change
 	least  [2]int // fewest engines able to prefill and to decode so far
@@ -47,19 +47,19 @@
 		},
 		states: map[string]State{"": {}},
 		away:   map[string]int{},
-		next:   map[string]platform.Role{},
+		next:   map[string]port.Role{},
 		least:  [2]int{99, 99},
 	}
 	for i := range prefill + mixed + decode {
-		role := platform.RoleDecode
+		role := port.RoleDecode
 		if i < prefill {
-			role = platform.RolePrefill
+			role = port.RolePrefill
 		} else if i < prefill+mixed {
-			role = platform.RoleMixed
+			role = port.RoleMixed
 		}
 		w.obs.Engines = append(w.obs.Engines, Engine{
 			Name: fmt.Sprintf("e%d", i), Group: fmt.Sprintf("g%d", i%3), Incarnation: "1", Role: role, Live: true,
-			Load: platform.Load{Running: 40, PrefillRate: testPrefill, DecodeRate: 40 / (assumedBase + 40*assumedPerStream), QueuedPrefill: 0, KVCapacity: 400_000},
+			Load: port.Load{Running: 40, PrefillRate: testPrefill, DecodeRate: 40 / (assumedBase + 40*assumedPerStream), QueuedPrefill: 0, KVCapacity: 400_000},
 		})
 	}
 	return w
@@ -130,8 +130,8 @@
 	w.most = max(w.most, len(w.away))
 }
 
-func (w *world) roles() map[platform.Role]int {
-	n := map[platform.Role]int{}
+func (w *world) roles() map[port.Role]int {
+	n := map[port.Role]int{}
 	for _, e := range w.obs.Engines {
 		n[e.Role]++
 	}
@@ -223,7 +223,7 @@
 		w.run(60, 2.5, 4.0)
 		w.run(200, 5.5, 2.0)
 	}
-	if one.roles()[platform.RolePrefill] == 3 {
+	if one.roles()[port.RolePrefill] == 3 {
 		t.Fatal("one planner changed nothing")
 	}
 	if !reflect.DeepEqual(one.roles(), three.roles()) || len(three.log) > len(one.log) || three.most > 1 {
@@ -288,7 +288,7 @@
 		l := &w.obs.Engines[i].Load
 		l.Running = 10 + 18*max(i-5, 0)
 		l.DecodeRate = float64(l.Running) / (0.030 + float64(l.Running)*0.0005)
-		if w.obs.Engines[i].Role == platform.RolePrefill {
+		if w.obs.Engines[i].Role == port.RolePrefill {
 			l.QueuedPrefill, l.PrefillRate = 20_000, 10_000
 		}
 	}
--- a/process/planner/rates.go
+++ b/process/planner/rates.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // Rates are the service rates of an engine of mean speed, learnt from load
@@ -89,7 +89,7 @@
 	if r.pressed(e) {
 		r.Prefill += rateWeight * (l.PrefillRate - r.Prefill)
 	}
-	pure := e.Role == platform.RoleDecode && l.QueuedPrefill == 0
+	pure := e.Role == port.RoleDecode && l.QueuedPrefill == 0
 	if pure && l.Running >= minFitStreams && l.DecodeRate > 0 {
 		n := float64(l.Running)
 		r.fit.decay()
@@ -104,7 +104,7 @@
 // which then have still less to do, until few are left to decode.
 func (r *Rates) pressed(e *Engine) bool {
 	waits := float64(e.Load.QueuedPrefill) > pressedSeconds*r.Prefill
-	return e.Role == platform.RolePrefill && e.Load.PrefillRate > 0 && waits
+	return e.Role == port.RolePrefill && e.Load.PrefillRate > 0 && waits
 }
 
 // pressedSeconds is the least work in the queue of a pressed engine.
--- a/process/planner/types.go
+++ b/process/planner/types.go
@@ -7,7 +7,7 @@
 import (
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // Engine is what is known of one engine of the service.
@@ -15,11 +15,11 @@
 	Name        string
 	Group       string // lease group: who may order it
 	Incarnation string
-	Role        platform.Role
+	Role        port.Role
 	Live        bool // reachable, and neither leaving nor drained
 	Changing    bool // carrying out an order
 	Pinned      bool // the document keeps its role
-	Load        platform.Load
+	Load        port.Load
 }
 
 // Observation is what one process knows of all engines of one model, in its
@@ -38,8 +38,8 @@
 // Change asks for an engine's new role.
 type Change struct {
 	Engine string
-	From   platform.Role
-	To     platform.Role
+	From   port.Role
+	To     port.Role
 	Reason string
 	Gain   float64 // expected, in engine-seconds of work on time
 }
@@ -62,7 +62,7 @@
 	Name        string
 	Incarnation string
 	Since       time.Duration
-	Pending     platform.Role // ordered and not seen yet, or empty
+	Pending     port.Role // ordered and not seen yet, or empty
 	Ordered     time.Duration
 	Failures    int
 	NotBefore   time.Duration // no order before, after a failed change
--- a/process/reconcile/decide.go
+++ b/process/reconcile/decide.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/fold"
 	"github.com/pomelospool/pomelospool/process/lease"
 )
@@ -36,7 +36,7 @@
 	Ending  bool          // its end was appended, perhaps without an answer
 
 	// orders that ended otherwise than asked, over several orders
-	Failed   platform.EngineSpec
+	Failed   port.EngineSpec
 	FailedAt time.Duration
 	Fails    int // in a row for the same spec
 }
@@ -51,12 +51,12 @@
 type Input struct {
 	Now     time.Duration
 	Rule    lease.Rule
-	Fence   int64               // of the lease
-	Applied int64               // offset of the state that the rest was taken from
-	Want    platform.EngineSpec // what the engine should be
-	Wanted  bool                // false: leave it alone
-	Open    *fold.Open          // its open order, or nil
-	Seen    platform.EngineState
+	Fence   int64           // of the lease
+	Applied int64           // offset of the state that the rest was taken from
+	Want    port.EngineSpec // what the engine should be
+	Wanted  bool            // false: leave it alone
+	Open    *fold.Open      // its open order, or nil
+	Seen    port.EngineState
 	Known   bool // Seen was read under this lease, after the last action
 	Memory  Memory
 	Ahead   int // open loads before its open order, or all of them without one
@@ -67,7 +67,7 @@
 type Decision struct {
 	Action Action
 	Why    string
-	Spec   platform.EngineSpec
+	Spec   port.EngineSpec
 	Load   bool
 }
 
@@ -202,6 +202,6 @@
 }
 
 // loads tells whether a change reads from the weight store.
-func loads(from, to platform.EngineSpec) bool {
+func loads(from, to port.EngineSpec) bool {
 	return from.Model != to.Model || from.Version != to.Version || from.Adapter != to.Adapter
 }
--- a/process/reconcile/decide_test.go
+++ b/process/reconcile/decide_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/fold"
 	"github.com/pomelospool/pomelospool/process/lease"
 	"github.com/pomelospool/pomelospool/request/view"
@@ -13,8 +13,8 @@
 )
 
 var (
-	oldSpec = platform.EngineSpec{Role: platform.RoleMixed, Model: "m", Version: "1"}
-	newSpec = platform.EngineSpec{Role: platform.RoleMixed, Model: "m", Version: "2"}
+	oldSpec = port.EngineSpec{Role: port.RoleMixed, Model: "m", Version: "1"}
+	newSpec = port.EngineSpec{Role: port.RoleMixed, Model: "m", Version: "2"}
 	open    = &fold.Open{ID: "o", Offset: 8, Spec: newSpec, Load: true}
 )
 
@@ -36,7 +36,7 @@
 		{"new in the group", nil, func(in *Input) { in.Memory.Since = in.Now - time.Second }, Wait},
 		{"copy of the last order on its way", nil, func(in *Input) { in.Memory.Quiet = in.Now + 1 }, Wait},
 		{"no slot for a load", nil, func(in *Input) { in.Ahead = 1 }, Wait},
-		{"no slot, role only", nil, func(in *Input) { in.Ahead = 1; in.Want = oldSpec; in.Want.Role = platform.RoleDecode }, Log},
+		{"no slot, role only", nil, func(in *Input) { in.Ahead = 1; in.Want = oldSpec; in.Want.Role = port.RoleDecode }, Log},
 		{"came after the claim", nil, func(in *Input) { in.Memory.Moved = 6 }, Reclaim},
 		{"fence behind", nil, func(in *Input) { in.Seen.LastFence = 9 }, Reclaim},
 		{"fence from nowhere", nil, func(in *Input) { in.Seen.LastFence = 1 << 40 }, Log},
@@ -57,7 +57,7 @@
 		in := Input{
 			Now: time.Minute, Rule: lease.Rule{}.WithDefaults(), Fence: 5, Applied: 20,
 			Want: newSpec, Wanted: true, Open: c.open, Known: true, Slots: 1,
-			Seen: platform.EngineState{Spec: oldSpec},
+			Seen: port.EngineState{Spec: oldSpec},
 		}
 		c.change(&in)
 		if d := Decide(in); d.Action != c.want {
@@ -96,7 +96,7 @@
 func TestLeaving(t *testing.T) {
 	d := &document.Document{Service: "s", Targets: []document.Target{{Addr: "a:1"}, {Addr: "b:1", Drain: true}, {Addr: "c:1"}, {Addr: "d:1"}}}
 	snap := view.NewSnapshot(1, []*view.Service{{Doc: d}}, nil)
-	got := Leaving(snap, []platform.VM{{Addr: "a"}, {Addr: "c", Leaving: true}}, map[string]bool{"d:1": true})
+	got := Leaving(snap, []port.VM{{Addr: "a"}, {Addr: "c", Leaving: true}}, map[string]bool{"d:1": true})
 	if fmt.Sprint(got) != "map[b:1:true c:1:true d:1:true]" {
 		t.Errorf("leaving %v", got)
 	}
--- a/process/reconcile/desired.go
+++ b/process/reconcile/desired.go
@@ -3,24 +3,24 @@
 import (
 	"net"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/version/document"
 )
 
 // Wish gives the role that the planner wants for an engine, and false when it
 // has no wish.
-type Wish func(service, engine string) (platform.Role, bool)
+type Wish func(service, engine string) (port.Role, bool)
 
 // Desired returns what an engine should be, and false when it should be left
 // alone: its target is drained, or names a model that its document lacks.
-func Desired(m Member, wish Wish) (platform.EngineSpec, bool) {
+func Desired(m Member, wish Wish) (port.EngineSpec, bool) {
 	t := m.Target
 	version, ok := modelVersion(m.Doc, t.Model)
 	if !ok || t.Drain {
-		return platform.EngineSpec{}, false
+		return port.EngineSpec{}, false
 	}
-	return platform.EngineSpec{
+	return port.EngineSpec{
 		Role:    role(m, wish),
 		Model:   t.Model,
 		Version: version,
@@ -37,7 +37,7 @@
 	return "", false
 }
 
-func role(m Member, wish Wish) platform.Role {
+func role(m Member, wish Wish) port.Role {
 	if !m.Target.Pinned && wish != nil {
 		if r, ok := wish(m.Doc.Service, m.Engine); ok {
 			return r
@@ -46,13 +46,13 @@
 	if m.Target.Role != "" {
 		return m.Target.Role
 	}
-	return platform.RoleMixed
+	return port.RoleMixed
 }
 
 // Leaving returns the addresses of targets that get no new work: drained by
 // their document, on a VM that the list shows as leaving, or leaving by their
 // own word.
-func Leaving(snap *view.Snapshot, vms []platform.VM, own map[string]bool) map[string]bool {
+func Leaving(snap *view.Snapshot, vms []port.VM, own map[string]bool) map[string]bool {
 	hosts := make(map[string]bool)
 	for _, vm := range vms {
 		if vm.Leaving {
--- a/process/reconcile/engine.go
+++ b/process/reconcile/engine.go
@@ -11,7 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/fold"
 	"github.com/pomelospool/pomelospool/process/lease"
 	"github.com/pomelospool/pomelospool/process/record"
@@ -22,7 +22,7 @@
 	id      string
 	group   string
 	fence   int64 // lease term of adapter
-	adapter platform.Engine
+	adapter port.Engine
 	check   lease.Check
 	until   atomic.Int64 // on the clock: end of what the step's state allows
 	memory  Memory
@@ -100,7 +100,7 @@
 	r.act(ctx, e, d, open, tail.State)
 }
 
-func (e *engine) state(ctx context.Context) (platform.EngineState, error) {
+func (e *engine) state(ctx context.Context) (port.EngineState, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return e.adapter.State(ctx)
@@ -161,7 +161,7 @@
 	at := r.o.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := e.adapter.Order(ctx, platform.Order{ID: open.ID, Fence: e.fence, Spec: open.Spec})
+	err := e.adapter.Order(ctx, port.Order{ID: open.ID, Fence: e.fence, Spec: open.Spec})
 	counts.Add("orders_sent", 1)
 	answered, refused := answer(err)
 	e.memory.Note(open.ID, at, r.o.Clock.Now(), answered, refused, r.o.Rule.Guard)
@@ -181,9 +181,9 @@
 // the corrected document could never be ordered.
 func answer(err error) (answered bool, refused string) {
 	switch {
-	case err == nil, errors.Is(err, platform.ErrBusy), errors.Is(err, platform.ErrFenced):
+	case err == nil, errors.Is(err, port.ErrBusy), errors.Is(err, port.ErrFenced):
 		return true, ""
-	case errors.Is(err, platform.ErrUnavailable), code.Of(err) == code.LeaseLost,
+	case errors.Is(err, port.ErrUnavailable), code.Of(err) == code.LeaseLost,
 		errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
 		return false, ""
 	}
--- a/process/reconcile/harness_test.go
+++ b/process/reconcile/harness_test.go
@@ -11,7 +11,7 @@
 	"gopkg.in/yaml.v3"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/clock"
 	"github.com/pomelospool/pomelospool/process/fold"
 	"github.com/pomelospool/pomelospool/process/follow"
@@ -26,16 +26,16 @@
 
 // fakeEngine carries orders out in changeTime and notes what it was sent.
 type fakeEngine struct {
-	platform.Engine
+	port.Engine
 	mu     sync.Mutex
-	state  platform.EngineState
+	state  port.EngineState
 	until  time.Time
-	orders []platform.Order // accepted, copies left out
-	lose   int              // answers to lose
-	deaf   bool             // orders don't arrive
+	orders []port.Order // accepted, copies left out
+	lose   int          // answers to lose
+	deaf   bool         // orders don't arrive
 }
 
-func (e *fakeEngine) State(context.Context) (platform.EngineState, error) {
+func (e *fakeEngine) State(context.Context) (port.EngineState, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.settle()
@@ -48,17 +48,17 @@
 	}
 }
 
-func (e *fakeEngine) Order(_ context.Context, o platform.Order) error {
+func (e *fakeEngine) Order(_ context.Context, o port.Order) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.settle()
 	switch {
 	case e.deaf:
-		return fmt.Errorf("order: %w", platform.ErrUnavailable)
+		return fmt.Errorf("order: %w", port.ErrUnavailable)
 	case e.state.ChecksFence && o.Fence < e.state.LastFence:
-		return platform.ErrFenced
+		return port.ErrFenced
 	case o.ID != e.state.LastOrder && e.state.Changing:
-		return platform.ErrBusy
+		return port.ErrBusy
 	case o.Spec.Version == "bad":
 		return errors.New("engine: status 400: no such version")
 	}
@@ -70,16 +70,16 @@
 	}
 	if e.lose > 0 {
 		e.lose--
-		return fmt.Errorf("order: %w", platform.ErrUnavailable)
+		return fmt.Errorf("order: %w", port.ErrUnavailable)
 	}
 	return nil
 }
 
 // restart makes the engine forget what it was told.
-func (e *fakeEngine) restart(spec platform.EngineSpec) {
+func (e *fakeEngine) restart(spec port.EngineSpec) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.state = platform.EngineState{Spec: spec, ChecksFence: e.state.ChecksFence}
+	e.state = port.EngineState{Spec: spec, ChecksFence: e.state.ChecksFence}
 }
 
 // set changes the engine under its lock.
@@ -143,7 +143,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.cut {
-		return fmt.Errorf("cut: %w", platform.ErrUnavailable)
+		return fmt.Errorf("cut: %w", port.ErrUnavailable)
 	}
 	return nil
 }
@@ -155,7 +155,7 @@
 	return l.Log.Append(ctx, s, data)
 }
 
-func (l *link) Read(ctx context.Context, s string, from int64, n int, wait time.Duration) ([]platform.Record, int64, error) {
+func (l *link) Read(ctx context.Context, s string, from int64, n int, wait time.Duration) ([]port.Record, int64, error) {
 	recs, newest, err := l.Log.Read(ctx, s, from, n, wait)
 	if e := l.err(); e != nil {
 		return nil, 0, e
@@ -293,7 +293,7 @@
 
 func (d *daemon) groups() []string { return Names(Groups(d.snapshot())) }
 
-func (d *daemon) connect(id string, check lease.Check, _ time.Duration) platform.Engine {
+func (d *daemon) connect(id string, check lease.Check, _ time.Duration) port.Engine {
 	return guarded{d.fleet.engines[id], check}
 }
 
@@ -303,7 +303,7 @@
 	check lease.Check
 }
 
-func (g guarded) Order(ctx context.Context, o platform.Order) error {
+func (g guarded) Order(ctx context.Context, o port.Order) error {
 	if err := g.check(); err != nil {
 		return err
 	}
--- a/process/reconcile/reconciler.go
+++ b/process/reconcile/reconciler.go
@@ -10,7 +10,7 @@
 	"golang.org/x/sync/errgroup"
 	"gopkg.in/tomb.v2"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/clock"
 	"github.com/pomelospool/pomelospool/process/fold"
 	"github.com/pomelospool/pomelospool/process/lease"
@@ -27,7 +27,7 @@
 // Connect makes the adapter of one engine for one lease term: with connections
 // of its own, made by lease.Dialer or one that checks before each write as
 // well. If the adapter is an io.Closer it is closed at the end of the term.
-type Connect func(engine string, check lease.Check, userTimeout time.Duration) platform.Engine
+type Connect func(engine string, check lease.Check, userTimeout time.Duration) port.Engine
 
 // Options of a Reconciler. All but Wish, Weights, and the numbers must be set.
 type Options struct {
@@ -38,7 +38,7 @@
 	Snapshot func() *view.Snapshot
 	Connect  Connect
 	Wish     Wish
-	Weights  platform.WeightStore
+	Weights  port.WeightStore
 	PerLoad  float64       // bytes a second that one load draws; 1e9
 	Every    time.Duration // between looks at an engine; 1s
 }
--- a/process/reconcile/reconciler_test.go
+++ b/process/reconcile/reconciler_test.go
@@ -7,7 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // A caller sees an engine go away in the middle of a change, or get changes in
@@ -31,7 +31,7 @@
 			f.kill(d)
 		}, "v1 v2 "},
 		{"holder dies between log and send", func(f *fleet) {
-			f.engines["e0"].restart(platform.EngineSpec{})
+			f.engines["e0"].restart(port.EngineSpec{})
 			f.engines["e0"].set(func(e *fakeEngine) { e.deaf = true })
 			advance(3 * time.Second)
 			f.kill(f.daemons[0])
@@ -57,7 +57,7 @@
 			f.add("c")
 		}, "v1 v2 "},
 		{"engine crashes in the middle of a change", func(f *fleet) {
-			f.engines["e0"].restart(platform.EngineSpec{})
+			f.engines["e0"].restart(port.EngineSpec{})
 			// Time to be brought back, so that the next version isn't already
 			// what the order after the crash asks for.
 			advance(10 * time.Second)
@@ -105,7 +105,7 @@
 		f.publish("v1")
 		advance(20 * time.Second)
 		for range 3 {
-			f.engines["e0"].restart(platform.EngineSpec{Model: "m", Version: "v0"})
+			f.engines["e0"].restart(port.EngineSpec{Model: "m", Version: "v0"})
 			advance(10 * time.Second)
 			if !f.engines["e0"].is("v1") {
 				t.Errorf("engine was not brought back: %+v", f.engines["e0"].state)
--- a/process/reconcile/term_test.go
+++ b/process/reconcile/term_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/clock"
 	"github.com/pomelospool/pomelospool/process/fold"
 	"github.com/pomelospool/pomelospool/process/lease"
@@ -59,7 +59,7 @@
 	r := New(Options{
 		Clock: now, Follower: s, Leases: s,
 		Snapshot: func() *view.Snapshot { return snap },
-		Connect: func(_ string, check lease.Check, _ time.Duration) platform.Engine {
+		Connect: func(_ string, check lease.Check, _ time.Duration) port.Engine {
 			s.opened++
 			s.check = check
 			return &stubAdapter{stub: s}
--- a/process/record/record.go
+++ b/process/record/record.go
@@ -8,7 +8,7 @@
 	"fmt"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // Control is the stream that every daemon folds.
@@ -77,14 +77,14 @@
 
 // Order is logged before it is sent to the engine.
 type Order struct {
-	Group  string              `json:"group"`
-	Claim  int64               `json:"claim"` // lease under which it was decided
-	Engine string              `json:"engine"`
-	Addr   string              `json:"addr"`
-	Spec   platform.EngineSpec `json:"spec"`
-	After  int64               `json:"after"`          // offset of the record that ended the engine's order before, 0 for none
-	Load   bool                `json:"load,omitempty"` // the engine reads from the weight store
-	Reason string              `json:"reason"`
+	Group  string          `json:"group"`
+	Claim  int64           `json:"claim"` // lease under which it was decided
+	Engine string          `json:"engine"`
+	Addr   string          `json:"addr"`
+	Spec   port.EngineSpec `json:"spec"`
+	After  int64           `json:"after"`          // offset of the record that ended the engine's order before, 0 for none
+	Load   bool            `json:"load,omitempty"` // the engine reads from the weight store
+	Reason string          `json:"reason"`
 }
 
 // OrderDone ends an order: carried out, refused, or overtaken by a restart.
--- a/request/admission/sim_test.go
+++ b/request/admission/sim_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/routing"
 	"github.com/pomelospool/pomelospool/version/document"
 )
@@ -149,7 +149,7 @@
 			InFlight:  d.inFlight[i],
 			SentCount: d.sent[i],
 			LoadAge:   s.now.Sub(s.targets[i].at),
-			Load:      platform.Load{Running: s.targets[i].reported},
+			Load:      port.Load{Running: s.targets[i].reported},
 		}
 	}
 	return out
--- a/request/entry/admit.go
+++ b/request/entry/admit.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/admission"
 	"github.com/pomelospool/pomelospool/request/attempt"
 	"github.com/pomelospool/pomelospool/request/routing"
@@ -85,7 +85,7 @@
 	idle := make([]routing.Target, len(targets))
 	for i, t := range targets {
 		t.InFlight, t.SentCount, t.SentPrefill, t.SentDecode, t.LoadAge = 0, 0, 0, 0, 0
-		t.Load = platform.Load{
+		t.Load = port.Load{
 			KVCapacity:  t.Load.KVCapacity,
 			PrefillRate: t.Load.PrefillRate,
 			DecodeRate:  t.Load.DecodeRate,
--- a/request/entry/entry_test.go
+++ b/request/entry/entry_test.go
@@ -3,14 +3,14 @@
 import (
 	"testing"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/standin/engine"
 	"github.com/pomelospool/pomelospool/standin/plain"
 )
 
 func startEngine(t testing.TB) *engine.Engine {
 	t.Helper()
-	e := engine.New(engine.Options{Spec: platform.EngineSpec{Model: testModel}, StepBase: 1, StepPer: 1})
+	e := engine.New(engine.Options{Spec: port.EngineSpec{Model: testModel}, StepBase: 1, StepPer: 1})
 	if err := e.Run("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
--- a/request/entry/fixture_test.go
+++ b/request/entry/fixture_test.go
@@ -16,7 +16,7 @@
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/connection/address"
 	"github.com/pomelospool/pomelospool/connection/pool"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/routing"
 	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/standin/token"
@@ -101,7 +101,7 @@
 	for _, t := range svc.Doc.Targets {
 		s := d.pool.Status(t.Addr)
 		out = append(out, routing.Target{
-			Name: t.Name, Addr: t.Addr, Zone: t.Zone, Model: t.Model, Role: platform.RoleMixed,
+			Name: t.Name, Addr: t.Addr, Zone: t.Zone, Model: t.Model, Role: port.RoleMixed,
 			Live: !s.Down && !t.Drain, Suspect: s.Suspect || s.Refusing, InFlight: s.InFlight, Limit: svc.Doc.Limits.QueuePerTarget,
 		})
 	}
--- a/request/entry/path_test.go
+++ b/request/entry/path_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/pomelospool/pomelospool/connection/load"
 	"github.com/pomelospool/pomelospool/connection/pool"
-	"github.com/pomelospool/pomelospool/platform"
-	"github.com/pomelospool/pomelospool/platform/httpapi"
+	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/port/httpapi"
 	"github.com/pomelospool/pomelospool/request/routing"
 	"github.com/pomelospool/pomelospool/standin"
 	"github.com/pomelospool/pomelospool/standin/engine"
@@ -24,7 +24,7 @@
 	w = load.New(load.Options{
 		View:    o.View,
 		Pool:    o.Pool,
-		Engine:  func(addr string) platform.Engine { return httpapi.NewEngine(addr, httpapi.Options{}) },
+		Engine:  func(addr string) port.Engine { return httpapi.NewEngine(addr, httpapi.Options{}) },
 		Process: "vm",
 		Poll:    20 * time.Millisecond,
 	})
--- a/request/once/fleet_test.go
+++ b/request/once/fleet_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/peer/peerpb"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/standin/logsvc"
 )
 
@@ -145,23 +145,23 @@
 	}
 }
 
-// Append implements platform.Log. A pause holds it before and after.
+// Append implements port.Log. A pause holds it before and after.
 func (n *node) Append(ctx context.Context, stream string, data []byte) (int64, error) {
 	if err := n.gate(context.Background()); err != nil {
-		return 0, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return 0, fmt.Errorf("%w: %w", port.ErrUnavailable, err)
 	}
 	offset, err := n.f.log.Append(ctx, stream, data)
 	_ = n.gate(context.Background())
 	return offset, err
 }
 
-// Read implements platform.Log.
-func (n *node) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) ([]platform.Record, int64, error) {
+// Read implements port.Log.
+func (n *node) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) ([]port.Record, int64, error) {
 	_ = n.gate(context.Background())
 	return n.f.log.Read(ctx, stream, from, limit, wait)
 }
 
-// Earliest implements platform.Log.
+// Earliest implements port.Log.
 func (n *node) Earliest(ctx context.Context, stream string) (int64, error) {
 	return n.f.log.Earliest(ctx, stream)
 }
--- a/request/once/fold.go
+++ b/request/once/fold.go
@@ -9,7 +9,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/peer/peerpb"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/record"
 )
 
@@ -104,7 +104,7 @@
 func (f *Fold) Len() int { return len(f.keys) }
 
 // Apply folds the next record of the stream.
-func (f *Fold) Apply(r platform.Record) {
+func (f *Fold) Apply(r port.Record) {
 	f.next = r.Offset + 1
 	f.now = max(f.now, r.Time.UnixMilli())
 	var b record.Batch
--- a/request/once/keeper.go
+++ b/request/once/keeper.go
@@ -11,7 +11,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/peer/peerpb"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/record"
 )
 
@@ -40,7 +40,7 @@
 // process works alone.
 type Options struct {
 	Self      string // incarnation of this process
-	Log       platform.Log
+	Log       port.Log
 	Members   func() []Member                              // the others, dead ones too
 	Client    func(addr string) (peerpb.PeerClient, error) // peer.Dialer.Client
 	Window    func(service string) time.Duration           // how long keys are remembered; DefaultWindow
--- a/request/once/rapid_test.go
+++ b/request/once/rapid_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/peer/peerpb"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/record"
 )
 
@@ -19,7 +19,7 @@
 // Begin and of the tickets; batchers read any prefix.
 type history struct {
 	t       *rapid.T
-	stream  []platform.Record
+	stream  []port.Record
 	late    [][]record.Envelope // appends on their way
 	readers []*Fold
 	tries   []*try
@@ -74,7 +74,7 @@
 func (h *history) append(envs ...record.Envelope) {
 	h.at = h.at.Add(time.Second)
 	data, _ := json.Marshal(record.Batch{Records: envs})
-	h.stream = append(h.stream, platform.Record{Offset: int64(len(h.stream) + 1), Time: h.at, Data: data})
+	h.stream = append(h.stream, port.Record{Offset: int64(len(h.stream) + 1), Time: h.at, Data: data})
 }
 
 func (h *history) arrive() {
--- a/request/once/shard.go
+++ b/request/once/shard.go
@@ -11,7 +11,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/pomelospool/pomelospool/peer/peerpb"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/record"
 )
 
@@ -64,7 +64,7 @@
 // at once: each answers by the log alone. One goroutine owns the state.
 type shard struct {
 	stream string
-	log    platform.Log
+	log    port.Log
 	limit  *rate.Limiter
 	health *health
 	in     chan *proposal
@@ -77,7 +77,7 @@
 	fails   int       // appends in a row that had no effect
 }
 
-func newShard(n int, l platform.Log, limit *rate.Limiter, h *health) *shard {
+func newShard(n int, l port.Log, limit *rate.Limiter, h *health) *shard {
 	return &shard{
 		stream: record.OnceStream(n),
 		log:    l,
--- a/request/once/shardanswer.go
+++ b/request/once/shardanswer.go
@@ -6,7 +6,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/peer/peerpb"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/record"
 )
 
@@ -30,7 +30,7 @@
 }
 
 // findResult returns the result of an attempt out of a batch.
-func findResult(r platform.Record, attempt string) []byte {
+func findResult(r port.Record, attempt string) []byte {
 	var b record.Batch
 	if json.Unmarshal(r.Data, &b) != nil {
 		return nil
--- a/request/once/shardread.go
+++ b/request/once/shardread.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // recover reads the whole stream when this process has no state of it.
@@ -38,7 +38,7 @@
 func (s *shard) catchUp(ctx context.Context, want int64) error {
 	for {
 		newest, err := s.readPage(ctx)
-		if errors.Is(err, platform.ErrExpired) {
+		if errors.Is(err, port.ErrExpired) {
 			s.fold = nil
 			return fmt.Errorf("once: %s: %w", s.stream, err)
 		}
--- a/request/routing/estimate.go
+++ b/request/routing/estimate.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // estimate is what serving a request on a target would take, in seconds.
@@ -57,7 +57,7 @@
 func meanSent(cands []candidate) float64 {
 	sent, n := 0, 0
 	for i := range cands {
-		if role(cands[i].t) != platform.RoleDecode {
+		if role(cands[i].t) != port.RoleDecode {
 			sent += cands[i].t.SentPrefill
 			n++
 		}
@@ -101,7 +101,7 @@
 func (e *environment) addDecode(est *estimate, t *Target) {
 	at := t
 	moved := 0.0
-	if role(t) == platform.RolePrefill && e.decoder != nil && e.decoder != t {
+	if role(t) == port.RolePrefill && e.decoder != nil && e.decoder != t {
 		at = e.decoder
 		est.decode = at.Name
 		moved = e.moveTime(e.r.PromptTokens)
@@ -109,7 +109,7 @@
 	est.step = e.stepTime(at, requestsAt(at)+1)
 	est.finish = est.first + moved + est.step*float64(e.r.OutputTokens) + e.memoryWait(at)
 	// The answer's first token comes from the prefill itself.
-	est.spill = role(t) == platform.RoleDecode || (role(t) == platform.RolePrefill && at == t)
+	est.spill = role(t) == port.RoleDecode || (role(t) == port.RolePrefill && at == t)
 	est.harm = e.harm(est, t)
 }
 
@@ -137,7 +137,7 @@
 func (e *environment) prefillQueue(t *Target, rate float64) float64 {
 	age := min(t.LoadAge, maxReportAge).Seconds()
 	q := float64(t.Load.QueuedPrefill+t.SentPrefill) - rate*age
-	if role(t) != platform.RoleDecode {
+	if role(t) != port.RoleDecode {
 		q += e.others
 	}
 	return max(q, 0)
@@ -186,7 +186,7 @@
 	out := float64(max(e.r.OutputTokens, 1))
 	cost := out*e.stepTime(t, n+1) + e.memoryWait(t)
 	cost += float64(n) * e.opts.StepPerStream.Seconds() * out
-	if role(t) == platform.RoleMixed {
+	if role(t) == port.RoleMixed {
 		cost *= mixedDecodeCost
 	}
 	return cost
--- a/request/routing/filter_pace.go
+++ b/request/routing/filter_pace.go
@@ -1,6 +1,6 @@
 package routing
 
-import "github.com/pomelospool/pomelospool/platform"
+import "github.com/pomelospool/pomelospool/port"
 
 // How much of the between-tokens objective a step may take before an engine
 // counts as full. A stream also waits for its KV cache and for a place in the
@@ -31,7 +31,7 @@
 		limit *= urgentExtra
 	}
 	limit -= move / float64(max(e.r.OutputTokens, 1))
-	if role(t) == platform.RoleMixed {
+	if role(t) == port.RoleMixed {
 		return e.assumedStep(n) > limit*mixedMargin
 	}
 	return e.stepTime(t, n) > limit
@@ -45,7 +45,7 @@
 	}
 	keep := cands[:0]
 	for _, c := range cands {
-		elsewhere := role(c.t) == platform.RolePrefill && e.opts.KVMoveRate > 0 && e.decodes
+		elsewhere := role(c.t) == port.RolePrefill && e.opts.KVMoveRate > 0 && e.decodes
 		if elsewhere && e.decoder == nil {
 			continue
 		}
--- a/request/routing/pick_decode.go
+++ b/request/routing/pick_decode.go
@@ -1,6 +1,6 @@
 package routing
 
-import "github.com/pomelospool/pomelospool/platform"
+import "github.com/pomelospool/pomelospool/port"
 
 // pickDecoder chooses the engine that decodes after a prefill engine, in the
 // way of choose. The streams that others start meanwhile are known from those that run:
@@ -15,7 +15,7 @@
 	move := env.moveTime(env.r.PromptTokens)
 	for i := range s.cands {
 		t := s.cands[i].t
-		if role(t) == platform.RolePrefill {
+		if role(t) == port.RolePrefill {
 			continue
 		}
 		env.decodes = true
--- a/request/routing/policy.go
+++ b/request/routing/policy.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // Options hold the rates that routing assumes until a target has measured its
@@ -160,9 +160,9 @@
 }
 
 // role gives the role a target serves in; one without a role serves all.
-func role(t *Target) platform.Role {
+func role(t *Target) port.Role {
 	if t.Role == "" {
-		return platform.RoleMixed
+		return port.RoleMixed
 	}
 	return t.Role
 }
--- a/request/routing/policy_test.go
+++ b/request/routing/policy_test.go
@@ -8,13 +8,13 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 const testRate = 8000
 
 func engine(name string, set ...func(*Target)) Target {
-	t := Target{Name: name, Zone: "a", Model: "m", Role: platform.RoleMixed, Live: true, Limit: 64}
+	t := Target{Name: name, Zone: "a", Model: "m", Role: port.RoleMixed, Live: true, Limit: 64}
 	t.Load.PrefillRate = testRate
 	for _, f := range set {
 		f(&t)
@@ -22,8 +22,8 @@
 	return t
 }
 
-func queued(n int) func(*Target)       { return func(t *Target) { t.Load.QueuedPrefill = n } }
-func as(r platform.Role) func(*Target) { return func(t *Target) { t.Role = r } }
+func queued(n int) func(*Target)   { return func(t *Target) { t.Load.QueuedPrefill = n } }
+func as(r port.Role) func(*Target) { return func(t *Target) { t.Role = r } }
 func cached(n int) func(*Target) {
 	return func(t *Target) { t.CachedTokens = func([]uint64) int { return n } }
 }
@@ -85,18 +85,18 @@
 			engine("a", with(func(t *Target) { t.Suspect = true })), engine("b", queued(8000))}},
 		{name: "suspect is all there is", want: Decision{Target: "a"}, targets: []Target{engine("a", with(func(t *Target) { t.Suspect = true }))}},
 		{name: "prefill, then decode", want: Decision{Target: "p", Decode: "d"}, targets: []Target{
-			engine("d", as(platform.RoleDecode), running(8)), engine("p", as(platform.RolePrefill))}},
+			engine("d", as(port.RoleDecode), running(8)), engine("p", as(port.RolePrefill))}},
 		{name: "spills when waiting costs more", want: Decision{Target: "d", Spilled: true}, targets: []Target{
-			engine("d", as(platform.RoleDecode), running(8)), engine("p", as(platform.RolePrefill), queued(40000))}},
+			engine("d", as(port.RoleDecode), running(8)), engine("p", as(port.RolePrefill), queued(40000))}},
 		{name: "waits when spilling costs more", want: Decision{Target: "p", Decode: "d"}, targets: []Target{
-			engine("d", as(platform.RoleDecode), running(40)), engine("p", as(platform.RolePrefill), queued(800))}},
-		{name: "only prefill engines left", want: Decision{Target: "p", Spilled: true}, targets: []Target{engine("p", as(platform.RolePrefill))}},
+			engine("d", as(port.RoleDecode), running(40)), engine("p", as(port.RolePrefill), queued(800))}},
+		{name: "only prefill engines left", want: Decision{Target: "p", Spilled: true}, targets: []Target{engine("p", as(port.RolePrefill))}},
 		{name: "room for one more stream", want: Decision{Target: "p", Decode: "e"}, targets: []Target{
-			engine("d", as(platform.RoleDecode), crowd(80)), engine("e", as(platform.RoleDecode), crowd(60)), engine("p", as(platform.RolePrefill))}},
+			engine("d", as(port.RoleDecode), crowd(80)), engine("e", as(port.RoleDecode), crowd(60)), engine("p", as(port.RolePrefill))}},
 		{name: "no room for one more stream", err: code.Overloaded, targets: []Target{
-			engine("d", as(platform.RoleDecode), crowd(80)), engine("p", as(platform.RolePrefill))}},
+			engine("d", as(port.RoleDecode), crowd(80)), engine("p", as(port.RolePrefill))}},
 		{name: "urgent", req: func(r *Request) { r.Priority = 1 }, want: Decision{Target: "p", Decode: "d"}, targets: []Target{
-			engine("d", as(platform.RoleDecode), crowd(72)), engine("p", as(platform.RolePrefill))}},
+			engine("d", as(port.RoleDecode), crowd(72)), engine("p", as(port.RolePrefill))}},
 		{name: "room by the service's own objective", req: func(r *Request) { r.BetweenTokens = 50 * time.Millisecond }, want: Decision{Target: "m"},
 			targets: []Target{engine("m", crowd(80))}},
 		{name: "no room on a mixed engine", err: code.Overloaded, targets: []Target{engine("m", crowd(80))}},
@@ -224,7 +224,7 @@
 		targets := make([]Target, n)
 		for i := range targets {
 			targets[i] = engine(fmt.Sprint(i), queued(i*37%9000), cached(i%1500))
-			targets[i].Role = []platform.Role{platform.RolePrefill, platform.RoleDecode, platform.RoleMixed}[i%3]
+			targets[i].Role = []port.Role{port.RolePrefill, port.RoleDecode, port.RoleMixed}[i%3]
 		}
 		o := kvOptions()
 		o.Deciders = 8
--- a/request/routing/types.go
+++ b/request/routing/types.go
@@ -7,7 +7,7 @@
 import (
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // Request is what routing knows of a request.
@@ -39,11 +39,11 @@
 	Zone         string
 	Model        string
 	Adapter      string
-	Role         platform.Role
+	Role         port.Role
 	Live         bool // reachable, and neither leaving nor drained
 	Changing     bool // carrying out an order
 	Suspect      bool // its connections made no progress lately
-	Load         platform.Load
+	Load         port.Load
 	LoadAge      time.Duration
 	SentPrefill  int                       // prompt tokens sent since Load was measured
 	SentDecode   int                       // output tokens asked for since then
--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/prefix"
 )
 
@@ -18,10 +18,10 @@
 
 // chunk is how many prompt tokens one step takes, by role: a decode engine
 // keeps its steps short.
-var chunk = map[platform.Role]int{
-	platform.RolePrefill: 4096,
-	platform.RoleMixed:   1024,
-	platform.RoleDecode:  256,
+var chunk = map[port.Role]int{
+	port.RolePrefill: 4096,
+	port.RoleMixed:   1024,
+	port.RoleDecode:  256,
 }
 
 // seq is one request in the batch.
@@ -68,7 +68,7 @@
 // batch is the continuous batching model. It belongs to one goroutine.
 type batch struct {
 	opts    Options
-	role    platform.Role
+	role    port.Role
 	cache   *cache
 	slow    float64 // factor on the time of a step
 	waiting []*seq  // the next one first
@@ -209,8 +209,8 @@
 }
 
 // load measures the batch.
-func (b *batch) load() platform.Load {
-	l := platform.Load{
+func (b *batch) load() port.Load {
+	l := port.Load{
 		Running:     len(b.running),
 		Waiting:     len(b.waiting),
 		KVCapacity:  b.opts.KVCapacity,
--- a/standin/engine/batch_test.go
+++ b/standin/engine/batch_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 var epoch = time.Unix(1e9, 0)
@@ -95,7 +95,7 @@
 	if got := b.step(epoch); got != mixed || a.made != 1 {
 		t.Fatalf("step with one chunk and one token took %v, made %d", got, a.made)
 	}
-	b.role = platform.RoleDecode
+	b.role = port.RoleDecode
 	if got := b.step(epoch); got != 256*time.Millisecond+11*time.Millisecond {
 		t.Fatalf("step of a decode engine took %v", got)
 	}
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -4,7 +4,7 @@
 	"container/list"
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // maxEvents bounds the events kept; older ones show as a gap.
@@ -53,14 +53,14 @@
 		gone = append(gone, h)
 	}
 	if len(added) > 0 || len(gone) > 0 {
-		c.events.add(now, platform.CacheEvent{Added: added, Gone: gone})
+		c.events.add(now, port.CacheEvent{Added: added, Gone: gone})
 	}
 }
 
 func (c *cache) reset(now time.Time) {
 	c.recent.Init()
 	clear(c.at)
-	c.events.add(now, platform.CacheEvent{Reset: true})
+	c.events.add(now, port.CacheEvent{Reset: true})
 }
 
 // events keeps cache events until their lag is over, and loses some.
@@ -74,10 +74,10 @@
 
 type timedEvent struct {
 	at time.Time
-	platform.CacheEvent
+	port.CacheEvent
 }
 
-func (e *events) add(now time.Time, ev platform.CacheEvent) {
+func (e *events) add(now time.Time, ev port.CacheEvent) {
 	e.seq++
 	if e.gap > 0 && e.seq%int64(e.gap) == 0 {
 		return
@@ -90,9 +90,9 @@
 }
 
 // after returns the events past a sequence number whose lag is over.
-func (e *events) after(now time.Time, seq int64) []platform.CacheEvent {
+func (e *events) after(now time.Time, seq int64) []port.CacheEvent {
 	due := now.Add(-e.lag)
-	list := []platform.CacheEvent{}
+	list := []port.CacheEvent{}
 	for _, ev := range e.kept {
 		if ev.Seq > seq && !ev.at.After(due) {
 			list = append(list, ev.CacheEvent)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -9,7 +9,7 @@
 	"github.com/google/uuid"
 	"gopkg.in/tomb.v2"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/standin"
 )
 
@@ -21,7 +21,7 @@
 
 var errStopped = errors.New("engine stopped")
 
-// Engine is the model engine. It implements platform.Engine in process.
+// Engine is the model engine. It implements port.Engine in process.
 type Engine struct {
 	standin.Host
 	t     tomb.Tomb
@@ -33,21 +33,21 @@
 
 	// Owned by the loop.
 	batch    *batch
-	state    platform.EngineState
+	state    port.EngineState
 	accepted map[string]bool // ids of orders
 	changing bool            // the change itself has begun
-	samples  []platform.Load // the oldest first
+	samples  []port.Load     // the oldest first
 	last     time.Time       // of the newest advance
 }
 
-var _ platform.Engine = (*Engine)(nil)
+var _ port.Engine = (*Engine)(nil)
 
 // New starts an engine, which works in process until Run serves it too.
 func New(o Options) *Engine {
 	o = o.withDefaults()
 	e := &Engine{opts: o, cmds: make(chan func()), batch: newBatch(o)}
 	e.accepted = make(map[string]bool)
-	e.state = platform.EngineState{
+	e.state = port.EngineState{
 		Engine:      o.Name,
 		Incarnation: uuid.NewString(),
 		Spec:        o.Spec,
@@ -130,7 +130,7 @@
 }
 
 func unavailable(err error) error {
-	return fmt.Errorf("engine: %w: %w", platform.ErrUnavailable, err)
+	return fmt.Errorf("engine: %w: %w", port.ErrUnavailable, err)
 }
 
 // sample keeps a load report until its lag is over.
@@ -145,7 +145,7 @@
 }
 
 // lagged drops the samples older than the one that shows now, and returns it.
-func (e *Engine) lagged(now time.Time) platform.Load {
+func (e *Engine) lagged(now time.Time) port.Load {
 	due := now.Add(-e.opts.LoadLag)
 	for len(e.samples) > 1 && !e.samples[1].At.After(due) {
 		e.samples = e.samples[1:]
@@ -158,19 +158,19 @@
 }
 
 // State returns the engine's word about itself.
-func (e *Engine) State(ctx context.Context) (s platform.EngineState, err error) {
+func (e *Engine) State(ctx context.Context) (s port.EngineState, err error) {
 	err = e.do(ctx, func() { s = e.state })
 	return s, err
 }
 
 // Load returns the load as it was before the lag.
-func (e *Engine) Load(ctx context.Context) (l platform.Load, err error) {
+func (e *Engine) Load(ctx context.Context) (l port.Load, err error) {
 	err = e.do(ctx, func() { l = e.lagged(time.Now()) })
 	return l, err
 }
 
 // CacheEvents returns the events after a sequence number, late and with gaps.
-func (e *Engine) CacheEvents(ctx context.Context, after int64) (list []platform.CacheEvent, err error) {
+func (e *Engine) CacheEvents(ctx context.Context, after int64) (list []port.CacheEvent, err error) {
 	err = e.do(ctx, func() { list = e.batch.cache.events.after(time.Now(), after) })
 	return list, err
 }
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -10,7 +10,7 @@
 
 	"github.com/uptrace/bunrouter"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/standin"
 )
 
@@ -60,11 +60,11 @@
 	switch {
 	case err == nil:
 		standin.JSON(w, http.StatusOK, v)
-	case errors.Is(err, platform.ErrFenced):
+	case errors.Is(err, port.ErrFenced):
 		standin.Error(w, http.StatusConflict, refusedFenced)
-	case errors.Is(err, platform.ErrBusy):
+	case errors.Is(err, port.ErrBusy):
 		standin.Error(w, http.StatusConflict, refusedBusy)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, port.ErrUnavailable):
 		standin.Error(w, http.StatusServiceUnavailable, err.Error())
 	default:
 		standin.Error(w, http.StatusBadRequest, err.Error())
@@ -108,7 +108,7 @@
 }
 
 func (e *Engine) serveOrder(w http.ResponseWriter, req bunrouter.Request) error {
-	var o platform.Order
+	var o port.Order
 	err := json.NewDecoder(req.Body).Decode(&o)
 	if err == nil {
 		err = e.Order(req.Context(), o)
--- a/standin/engine/options.go
+++ b/standin/engine/options.go
@@ -7,7 +7,7 @@
 	"context"
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // The values that stand for a zero in Options.
@@ -27,22 +27,22 @@
 // above, or for none.
 type Options struct {
 	Name        string
-	Spec        platform.EngineSpec // at the start
-	PrefillRate float64             // prompt tokens a second
-	StepBase    time.Duration       // of one decode step of the whole batch
-	StepPer     time.Duration       // added to a step for each sequence in it
-	MaxBatch    int                 // sequences that run at once
-	MaxWaiting  int                 // sequences that wait; 0 is without limit
-	KVCapacity  int                 // tokens of running sequences
-	CacheBlocks int                 // blocks of the prefix cache
-	RoleChange  time.Duration       // that a change takes, besides the weights
-	Load        LoadFunc            // loads weights; nil takes no time
-	CutOnChange bool                // a change cuts what runs instead of waiting for it
-	LoadLag     time.Duration       // of the load reports
-	EventLag    time.Duration       // of the cache events
-	EventGap    int                 // every so many-th cache event is lost; 0 is none
-	ChecksFence bool                // refuses an order with an old fencing number
-	Exit        func()              // ends the process at a crash; by default only the server
+	Spec        port.EngineSpec // at the start
+	PrefillRate float64         // prompt tokens a second
+	StepBase    time.Duration   // of one decode step of the whole batch
+	StepPer     time.Duration   // added to a step for each sequence in it
+	MaxBatch    int             // sequences that run at once
+	MaxWaiting  int             // sequences that wait; 0 is without limit
+	KVCapacity  int             // tokens of running sequences
+	CacheBlocks int             // blocks of the prefix cache
+	RoleChange  time.Duration   // that a change takes, besides the weights
+	Load        LoadFunc        // loads weights; nil takes no time
+	CutOnChange bool            // a change cuts what runs instead of waiting for it
+	LoadLag     time.Duration   // of the load reports
+	EventLag    time.Duration   // of the cache events
+	EventGap    int             // every so many-th cache event is lost; 0 is none
+	ChecksFence bool            // refuses an order with an old fencing number
+	Exit        func()          // ends the process at a crash; by default only the server
 }
 
 func (o Options) withDefaults() Options {
@@ -65,7 +65,7 @@
 		o.CacheBlocks = DefaultCacheBlocks
 	}
 	if o.Spec.Role == "" {
-		o.Spec.Role = platform.RoleMixed
+		o.Spec.Role = port.RoleMixed
 	}
 	return o
 }
--- a/standin/engine/order.go
+++ b/standin/engine/order.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/prefix"
 )
 
@@ -15,7 +15,7 @@
 const loadRetry = 100 * time.Millisecond
 
 // Order accepts or refuses a change. The same id again has no second effect.
-func (e *Engine) Order(ctx context.Context, o platform.Order) (refused error) {
+func (e *Engine) Order(ctx context.Context, o port.Order) (refused error) {
 	err := e.do(ctx, func() { refused = e.order(o) })
 	if err != nil {
 		return err
@@ -28,7 +28,7 @@
 
 var errLost = errors.New("answer lost")
 
-func (e *Engine) order(o platform.Order) error {
+func (e *Engine) order(o port.Order) error {
 	repeated := e.accepted[o.ID]
 	if e.state.Changing && !repeated {
 		e.rec.update(func(r *Record) { r.Overlapping++ })
@@ -41,10 +41,10 @@
 		return nil
 	case stale && e.opts.ChecksFence:
 		e.note(o, OrderFenced)
-		return fmt.Errorf("engine: %w", platform.ErrFenced)
+		return fmt.Errorf("engine: %w", port.ErrFenced)
 	case e.state.Changing:
 		e.note(o, OrderBusy)
-		return fmt.Errorf("engine: %w", platform.ErrBusy)
+		return fmt.Errorf("engine: %w", port.ErrBusy)
 	}
 	if stale {
 		e.rec.update(func(r *Record) { r.Stale++ })
@@ -54,7 +54,7 @@
 	return nil
 }
 
-func (e *Engine) accept(o platform.Order) {
+func (e *Engine) accept(o port.Order) {
 	e.accepted[o.ID] = true
 	e.state.LastOrder = o.ID
 	if o.Spec == e.state.Spec {
@@ -67,7 +67,7 @@
 	}
 }
 
-func (e *Engine) note(o platform.Order, outcome string) {
+func (e *Engine) note(o port.Order, outcome string) {
 	rec := OrderRecord{ID: o.ID, Fence: o.Fence, Spec: o.Spec, At: time.Now(), Outcome: outcome}
 	e.rec.update(func(r *Record) { r.Orders = append(r.Orders, rec) })
 }
@@ -93,7 +93,7 @@
 }
 
 // change takes its time outside the loop, then puts the new spec into force.
-func (e *Engine) change(from, to platform.EngineSpec) error {
+func (e *Engine) change(from, to port.EngineSpec) error {
 	ctx := e.t.Context(context.Background())
 	weights := from.Model != to.Model || from.Version != to.Version
 	if weights && e.opts.Load != nil {
@@ -110,9 +110,9 @@
 	return nil
 }
 
-func (e *Engine) finishChange(to platform.EngineSpec, weights bool) {
+func (e *Engine) finishChange(to port.EngineSpec, weights bool) {
 	e.state.Spec, e.batch.role = to, to.Role
-	e.state.Changing, e.state.Target = false, platform.EngineSpec{}
+	e.state.Changing, e.state.Target = false, port.EngineSpec{}
 	e.changing = false
 	if weights {
 		e.batch.cache.reset(time.Now())
--- a/standin/engine/record.go
+++ b/standin/engine/record.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // RequestRecord is what the engine saw of one request id.
@@ -26,12 +26,12 @@
 
 // OrderRecord is one order as it came.
 type OrderRecord struct {
-	ID      string              `json:"id"`
-	Fence   int64               `json:"fence"`
-	Spec    platform.EngineSpec `json:"spec"`
-	At      time.Time           `json:"at"`
-	Outcome string              `json:"outcome"`
-	Done    bool                `json:"done"` // carried out
+	ID      string          `json:"id"`
+	Fence   int64           `json:"fence"`
+	Spec    port.EngineSpec `json:"spec"`
+	At      time.Time       `json:"at"`
+	Outcome string          `json:"outcome"`
+	Done    bool            `json:"done"` // carried out
 }
 
 // Record is what the engine saw since its start.
--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/prefix"
 	"github.com/pomelospool/pomelospool/standin"
 	"github.com/pomelospool/pomelospool/standin/token"
@@ -131,9 +131,9 @@
 
 // reportLoad puts the load of this moment on the answer.
 func (c *call) reportLoad() {
-	var l platform.Load
+	var l port.Load
 	if err := c.e.do(c.r.Context(), func() { l = c.e.samples[len(c.e.samples)-1] }); err == nil {
-		c.w.Header().Set(platform.LoadHeader, platform.FormatLoad(l))
+		c.w.Header().Set(port.LoadHeader, port.FormatLoad(l))
 	}
 }
 
--- a/standin/engine/serve_test.go
+++ b/standin/engine/serve_test.go
@@ -11,7 +11,7 @@
 	"strings"
 	"testing"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/standin"
 	"github.com/pomelospool/pomelospool/standin/token"
 )
@@ -158,7 +158,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			e := start(t, Options{Spec: platform.EngineSpec{Model: "m"}, KVCapacity: 500})
+			e := start(t, Options{Spec: port.EngineSpec{Model: "m"}, KVCapacity: 500})
 			fault(t, e, c.fault)
 			resp, err := open(t.Context(), e, "r", c.req)
 			if err != nil {
@@ -304,7 +304,7 @@
 			done := make(chan got, 1)
 			go func() { done <- stream(t.Context(), e, "r", Request{Prompt: "p", MaxTokens: 200}) }()
 			await(t, e, true)
-			err := e.Order(t.Context(), platform.Order{ID: "o", Spec: platform.EngineSpec{Role: platform.RoleDecode}})
+			err := e.Order(t.Context(), port.Order{ID: "o", Spec: port.EngineSpec{Role: port.RoleDecode}})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/standin/logsvc/fault.go
+++ b/standin/logsvc/fault.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/internal/pause"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/standin"
 )
 
@@ -17,7 +17,7 @@
 )
 
 func unavailable(err error) error {
-	return fmt.Errorf("log: %w: %w", platform.ErrUnavailable, err)
+	return fmt.Errorf("log: %w: %w", port.ErrUnavailable, err)
 }
 
 // enter lets a call in after the latency, or fails it by the outage.
--- a/standin/logsvc/http.go
+++ b/standin/logsvc/http.go
@@ -9,7 +9,7 @@
 
 	"github.com/uptrace/bunrouter"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/standin"
 )
 
@@ -26,9 +26,9 @@
 
 // Page is the answer to a read.
 type Page struct {
-	Records  []platform.Record `json:"records"`
-	Newest   int64             `json:"newest"`
-	Earliest int64             `json:"earliest"`
+	Records  []port.Record `json:"records"`
+	Newest   int64         `json:"newest"`
+	Earliest int64         `json:"earliest"`
 }
 
 // Handler serves the log. A read with max=0 answers newest and earliest only.
@@ -75,7 +75,7 @@
 	records, newest, err := l.Read(req.Context(), name, from, limit, wait)
 	page := Page{Records: records, Newest: newest, Earliest: l.earliest(name)}
 	switch {
-	case errors.Is(err, platform.ErrExpired):
+	case errors.Is(err, port.ErrExpired):
 		standin.JSON(w, http.StatusGone, page)
 	case err != nil:
 		standin.Error(w, http.StatusServiceUnavailable, err.Error())
--- a/standin/logsvc/log.go
+++ b/standin/logsvc/log.go
@@ -1,6 +1,6 @@
 // Package logsvc is the stand-in for the log service: an append-only log in
 // memory with offsets, limited retention and faults that can be switched
-// while it runs. It implements platform.Log in process and over HTTP.
+// while it runs. It implements port.Log in process and over HTTP.
 package logsvc
 
 import (
@@ -11,7 +11,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/standin"
 )
 
@@ -64,7 +64,7 @@
 
 type stream struct {
 	first   int64 // offset of records[0]
-	records []platform.Record
+	records []port.Record
 }
 
 func (s *stream) newest() int64 { return s.first + int64(len(s.records)) - 1 }
@@ -142,7 +142,7 @@
 }
 
 // Read returns records from an offset on; an offset under 1 stands for 1.
-func (l *Log) Read(ctx context.Context, name string, from int64, limit int, wait time.Duration) ([]platform.Record, int64, error) {
+func (l *Log) Read(ctx context.Context, name string, from int64, limit int, wait time.Duration) ([]port.Record, int64, error) {
 	if err := l.enter(ctx, true); err != nil {
 		return nil, 0, err
 	}
@@ -175,7 +175,7 @@
 }
 
 // look reads once and returns the channel that tells of the next change.
-func (l *Log) look(name string, from int64, limit int) ([]platform.Record, int64, chan struct{}, error) {
+func (l *Log) look(name string, from int64, limit int) ([]port.Record, int64, chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.counters.Reads++
@@ -184,11 +184,11 @@
 	}
 	s := l.stream(name)
 	if from < s.first {
-		return nil, s.newest(), nil, fmt.Errorf("%w: %s before %d", platform.ErrExpired, name, s.first)
+		return nil, s.newest(), nil, fmt.Errorf("%w: %s before %d", port.ErrExpired, name, s.first)
 	}
 	skip := min(int(from-s.first), len(s.records))
 	n := min(limit, len(s.records)-skip)
-	records := append([]platform.Record(nil), s.records[skip:skip+n]...)
+	records := append([]port.Record(nil), s.records[skip:skip+n]...)
 	return records, s.newest(), l.changed, nil
 }
 
@@ -213,7 +213,7 @@
 		s = &stream{first: 1}
 		l.streams[name] = s
 	}
-	r := platform.Record{Offset: s.newest() + 1, Time: l.opts.Now()}
+	r := port.Record{Offset: s.newest() + 1, Time: l.opts.Now()}
 	r.Data = append([]byte(nil), data...)
 	s.records = append(s.records, r)
 	if l.opts.MaxRecords > 0 && len(s.records) > l.opts.MaxRecords {
--- a/standin/vmlist/vmlist.go
+++ b/standin/vmlist/vmlist.go
@@ -15,7 +15,7 @@
 
 	"github.com/uptrace/bunrouter"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/standin"
 )
 
@@ -23,7 +23,7 @@
 
 // Options are the settings of a List.
 type Options struct {
-	VMs []platform.VM    // shown from the start
+	VMs []port.VM        // shown from the start
 	Lag time.Duration    // until a change shows
 	Now func() time.Time // clock of the lag
 }
@@ -36,7 +36,7 @@
 	mu      sync.Mutex
 	lag     time.Duration
 	down    bool
-	shown   map[string]platform.VM
+	shown   map[string]port.VM
 	pending []change
 	lists   int
 }
@@ -55,13 +55,13 @@
 
 type change struct {
 	at   time.Time
-	vm   platform.VM
+	vm   port.VM
 	gone bool
 }
 
 // New returns a list.
 func New(o Options) *List {
-	l := &List{now: o.Now, lag: o.Lag, shown: make(map[string]platform.VM)}
+	l := &List{now: o.Now, lag: o.Lag, shown: make(map[string]port.VM)}
 	if l.now == nil {
 		l.now = time.Now
 	}
@@ -78,10 +78,10 @@
 func (l *List) Close() error { return l.Stop() }
 
 // Put adds or changes a VM; it shows after the lag.
-func (l *List) Put(vm platform.VM) { l.add(change{vm: vm}) }
+func (l *List) Put(vm port.VM) { l.add(change{vm: vm}) }
 
 // Delete takes a VM away; it shows after the lag.
-func (l *List) Delete(id string) { l.add(change{vm: platform.VM{ID: id}, gone: true}) }
+func (l *List) Delete(id string) { l.add(change{vm: port.VM{ID: id}, gone: true}) }
 
 // SetLag sets the lag, also of the changes that don't show yet.
 func (l *List) SetLag(d time.Duration) {
@@ -98,22 +98,22 @@
 }
 
 // List returns the VMs that show now, in the order of their ids.
-func (l *List) List(ctx context.Context) ([]platform.VM, error) {
+func (l *List) List(ctx context.Context) ([]port.VM, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return nil, fmt.Errorf("vms: %w: %w", platform.ErrUnavailable, errOutage)
+		return nil, fmt.Errorf("vms: %w: %w", port.ErrUnavailable, errOutage)
 	}
 	if err := ctx.Err(); err != nil {
-		return nil, fmt.Errorf("vms: %w: %w", platform.ErrUnavailable, err)
+		return nil, fmt.Errorf("vms: %w: %w", port.ErrUnavailable, err)
 	}
 	l.settle()
 	l.lists++
-	vms := make([]platform.VM, 0, len(l.shown))
+	vms := make([]port.VM, 0, len(l.shown))
 	for _, vm := range l.shown {
 		vms = append(vms, vm)
 	}
-	slices.SortFunc(vms, func(a, b platform.VM) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(vms, func(a, b port.VM) int { return cmp.Compare(a.ID, b.ID) })
 	return vms, nil
 }
 
@@ -182,7 +182,7 @@
 }
 
 func (l *List) servePut(w http.ResponseWriter, req bunrouter.Request) error {
-	var vm platform.VM
+	var vm port.VM
 	if err := json.NewDecoder(req.Body).Decode(&vm); err != nil {
 		standin.Error(w, http.StatusBadRequest, err.Error())
 		return nil
--- a/standin/weights/weights.go
+++ b/standin/weights/weights.go
@@ -14,7 +14,7 @@
 
 	"github.com/uptrace/bunrouter"
 
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/standin"
 )
 
@@ -125,7 +125,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return 0, fmt.Errorf("weights: %w: %w", platform.ErrUnavailable, errOutage)
+		return 0, fmt.Errorf("weights: %w: %w", port.ErrUnavailable, errOutage)
 	}
 	return s.rate, nil
 }
--- a/version/document/check.go
+++ b/version/document/check.go
@@ -10,7 +10,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/internal/yamlcheck"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // Bounds of values.
@@ -149,7 +149,7 @@
 	if d.Kind != KindModel || len(d.Models) == 0 {
 		return
 	}
-	f.OneOf(path+".role", string(t.Role), string(platform.RolePrefill), string(platform.RoleDecode), string(platform.RoleMixed))
+	f.OneOf(path+".role", string(t.Role), string(port.RolePrefill), string(port.RoleDecode), string(port.RoleMixed))
 	if t.Model == "" {
 		f.Report(path+".model", code.DocMissing, "is missing, and the service has several models", "name one of "+modelNames(d.Models))
 		return
@@ -183,10 +183,10 @@
 	}
 	prefill, decode := 0, 0
 	for _, t := range d.Targets {
-		if t.Role != platform.RoleDecode {
+		if t.Role != port.RoleDecode {
 			prefill++
 		}
-		if t.Role != platform.RolePrefill {
+		if t.Role != port.RolePrefill {
 			decode++
 		}
 	}
--- a/version/document/parse.go
+++ b/version/document/parse.go
@@ -7,7 +7,7 @@
 	"gopkg.in/yaml.v3"
 
 	"github.com/pomelospool/pomelospool/internal/yamlcheck"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // MaxBytes is the size of the largest document: it travels in one log record.
@@ -100,7 +100,7 @@
 	fill(f, "roles.min_dwell", &d.Roles.MinDwell, defaultMinDwell)
 	for i := range d.Targets {
 		path := fmt.Sprintf("targets[%d]", i)
-		fill(f, path+".role", &d.Targets[i].Role, platform.RoleMixed)
+		fill(f, path+".role", &d.Targets[i].Role, port.RoleMixed)
 		if len(d.Models) == 1 {
 			fill(f, path+".model", &d.Targets[i].Model, d.Models[0].Name)
 		}
--- a/version/publish/publish.go
+++ b/version/publish/publish.go
@@ -12,7 +12,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/internal/pause"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/record"
 )
 
@@ -42,7 +42,7 @@
 // Publisher appends documents and waits for their verdicts. It reads the log
 // with the same fold as the daemons, so it needs none of them.
 type Publisher struct {
-	Log    platform.Log
+	Log    port.Log
 	Writer string // unique to the publishing process
 }
 
@@ -53,7 +53,7 @@
 // code.PublishUnknown when ctx ended after an append began, and
 // code.LogUnavailable or code.RecordsExpired when nothing was appended. The
 // same file on the same base counts once.
-func Publish(ctx context.Context, log platform.Log, service string, base int64, yaml []byte) (Result, error) {
+func Publish(ctx context.Context, log port.Log, service string, base int64, yaml []byte) (Result, error) {
 	p := &Publisher{Log: log, Writer: "publish"}
 	return p.Publish(ctx, service, base, yaml)
 }
--- a/version/publish/publish_test.go
+++ b/version/publish/publish_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/fold"
 	"github.com/pomelospool/pomelospool/process/record"
 )
@@ -21,7 +21,7 @@
 
 // fakeLog is a log in memory with faults, on the bubble's clock.
 type fakeLog struct {
-	records   []platform.Record
+	records   []port.Record
 	earliest  int64
 	appends   int
 	failAfter int                        // appends that take effect but whose answer is lost
@@ -39,7 +39,7 @@
 
 func (l *fakeLog) put(data []byte) int64 {
 	at := int64(len(l.records) + 1)
-	l.records = append(l.records, platform.Record{Offset: at, Data: data})
+	l.records = append(l.records, port.Record{Offset: at, Data: data})
 	return at
 }
 
@@ -67,7 +67,7 @@
 	l.appends++
 	if l.failWith > 0 {
 		l.failWith--
-		return 0, platform.ErrUnavailable
+		return 0, port.ErrUnavailable
 	}
 	at := l.put(data)
 	if l.onAppend != nil {
@@ -80,13 +80,13 @@
 	return at, nil
 }
 
-func (l *fakeLog) Read(ctx context.Context, _ string, from int64, max int, wait time.Duration) ([]platform.Record, int64, error) {
+func (l *fakeLog) Read(ctx context.Context, _ string, from int64, max int, wait time.Duration) ([]port.Record, int64, error) {
 	if l.down {
-		return nil, 0, platform.ErrUnavailable
+		return nil, 0, port.ErrUnavailable
 	}
 	newest := int64(len(l.records))
 	if from < l.earliest {
-		return nil, 0, platform.ErrExpired
+		return nil, 0, port.ErrExpired
 	}
 	if from > newest {
 		select {
@@ -101,10 +101,10 @@
 func (l *fakeLog) Earliest(context.Context, string) (int64, error) {
 	if l.failReads > 0 {
 		l.failReads--
-		return 0, platform.ErrUnavailable
+		return 0, port.ErrUnavailable
 	}
 	if l.down {
-		return 0, platform.ErrUnavailable
+		return 0, port.ErrUnavailable
 	}
 	return l.earliest, nil
 }
--- a/version/publish/run.go
+++ b/version/publish/run.go
@@ -7,7 +7,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/internal/pause"
-	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/fold"
 	"github.com/pomelospool/pomelospool/process/follow"
 	"github.com/pomelospool/pomelospool/process/record"
@@ -15,7 +15,7 @@
 
 // tail folds the control stream up to its tail.
 type tail struct {
-	log     platform.Log
+	log     port.Log
 	state   *fold.State // nil before the first read
 	reached bool        // the last read came to the tail
 }
@@ -31,7 +31,7 @@
 		t.state = s
 	}
 	records, newest, err := t.log.Read(ctx, record.Control, t.state.Applied+1, readMax, wait)
-	if errors.Is(err, platform.ErrExpired) {
+	if errors.Is(err, port.ErrExpired) {
 		t.state = nil // begin again from a newer checkpoint
 		return nil
 	}
