--- /dev/null
+++ b/cmd/pomelospoold/front.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/process/daemon"
+	"github.com/pomelospool/pomelospool/process/front"
+	"github.com/pomelospool/pomelospool/process/settings"
+)
+
+// runFront runs the daemon of a platform with a store until a signal ends it.
+func runFront(o options, s *settings.Settings) error {
+	defer daemon.SetLog(s.Log, os.Stdout)()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	d, err := front.New(s)
+	if err != nil {
+		return err
+	}
+	d.Start()
+	for {
+		select {
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				reload(d, o.Settings)
+				continue
+			}
+			log.WithField("signal", sig.String()).Info("front: asked to stop")
+			return d.Shutdown()
+		case <-d.Dying():
+			return d.Wait()
+		}
+	}
+}
+
+// reload reads the settings again. With a wrong file the old ones stay.
+func reload(d *front.Daemon, path string) {
+	s, err := settings.Load(path)
+	if err != nil {
+		log.WithError(err).Error("front: settings not reloaded")
+		return
+	}
+	d.Reload(s)
+}
--- a/cmd/pomelospoold/main.go
+++ b/cmd/pomelospoold/main.go
@@ -53,6 +53,9 @@
 	if o.Check {
 		return nil
 	}
+	if s.HasStore() {
+		return runFront(o, s)
+	}
 	defer daemon.SetLog(s.Log, os.Stderr)()
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
--- a/code/table.go
+++ b/code/table.go
@@ -21,6 +21,7 @@
 	CrashConvicted   Code = 1013
 	NoConfiguration  Code = 1014
 	TooManyConns     Code = 1015
+	UnknownRoute     Code = 1016
 
 	NoTarget          Code = 2001
 	TargetUnreachable Code = 2002
@@ -80,6 +81,7 @@
 	{CrashConvicted, "CRASH_CONVICTED", http.StatusUnprocessableEntity, true, "The content crashed the targets that ran it and is refused for a time.", "Change the content, or come back after Retry-After."},
 	{NoConfiguration, "NO_CONFIGURATION", http.StatusServiceUnavailable, true, "The daemon has started but has not yet read what is in force.", "Use another address from the list, or come back after Retry-After."},
 	{TooManyConns, "TOO_MANY_CONNECTIONS", http.StatusServiceUnavailable, true, "The daemon has as many connections as it takes.", "Use another address from the list."},
+	{UnknownRoute, "UNKNOWN_ROUTE", http.StatusNotFound, true, "The configuration in force has no route for this host and path.", "Check the host and the path, or publish the route."},
 
 	{NoTarget, "NO_TARGET", http.StatusServiceUnavailable, true, "No live target can serve the request, or the target itself said that it didn't run it.", "Send it again after Retry-After; see status for the targets."},
 	{TargetUnreachable, "TARGET_UNREACHABLE", http.StatusBadGateway, true, "No target accepted a connection.", "Send it again after Retry-After."},
--- /dev/null
+++ b/connection/health/health.go
@@ -0,0 +1,124 @@
+// Package health judges targets by what became of the requests sent to them.
+// It asks nothing of the targets: their own word may be wrong either way, and
+// each question takes a place from a request.
+package health
+
+import (
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+)
+
+const (
+	// firstBench and maxBench are how long a target gets no requests after a
+	// failure to reach it; the time doubles with each failure in a row.
+	firstBench = 400 * time.Millisecond
+	maxBench   = 4 * time.Second
+	// smoothing is the weight of the newest outcome in the failure rate: about
+	// the last ten count.
+	smoothing = 0.1
+	// forgive halves the failure rate of a target that gets no requests, so
+	// that it is tried again.
+	forgive = 3 * time.Second
+)
+
+// Outcome is what became of a request at a target.
+type Outcome int
+
+// The outcomes.
+const (
+	OK          Outcome = iota
+	Failed              // it answered that it failed, or broke off, or answered nonsense
+	Unreachable         // no connection, or no sign of life in time
+)
+
+// Book is safe for concurrent use.
+type Book struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	targets map[string]*state
+}
+
+type state struct {
+	rate    float64 // of failures, smoothed
+	at      time.Time
+	row     int       // failures to reach it in a row
+	benched time.Time // gets no requests before
+}
+
+// New returns an empty Book.
+func New(now func() time.Time) *Book {
+	return &Book{now: now, targets: make(map[string]*state)}
+}
+
+// Note takes an outcome.
+func (b *Book) Note(target string, o Outcome) {
+	now := b.now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.targets[target]
+	if s == nil {
+		if o == OK {
+			return
+		}
+		s = &state{at: now}
+		b.targets[target] = s
+	}
+	s.decay(now)
+	bad := 0.0
+	if o != OK {
+		bad = 1
+	}
+	s.rate += smoothing * (bad - s.rate)
+	if o != Unreachable {
+		s.row = 0
+		return
+	}
+	s.row++
+	wait := min(firstBench<<min(s.row-1, 4), maxBench)
+	s.benched = now.Add(wait)
+	log.WithFields(log.Fields{"target": target, "in_a_row": s.row, "for_ms": wait.Milliseconds()}).Info("health: target benched")
+}
+
+func (s *state) decay(now time.Time) {
+	for now.Sub(s.at) > forgive {
+		s.rate /= 2
+		s.at = s.at.Add(forgive)
+		if s.rate < smoothing/2 {
+			s.at = now
+		}
+	}
+}
+
+// Benched tells whether the target gets no requests now while others can.
+func (b *Book) Benched(target string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.targets[target]
+	return s != nil && b.now().Before(s.benched)
+}
+
+// Rate is the smoothed share of the target's requests that failed.
+func (b *Book) Rate(target string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.targets[target]
+	if s == nil {
+		return 0
+	}
+	s.decay(b.now())
+	return s.rate
+}
+
+// Retain forgets the targets that keep doesn't name.
+func (b *Book) Retain(keep func(target string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for t := range b.targets {
+		if !keep(t) {
+			delete(b.targets, t)
+		}
+	}
+}
--- /dev/null
+++ b/port/store.go
@@ -0,0 +1,51 @@
+package port
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// ErrConflict means that a conditional write found another end than expected.
+var ErrConflict = errors.New("the topic has moved on")
+
+// Topic names a keyed topic of the store: the newest record of each key stays.
+type Topic int
+
+// The topics.
+const (
+	TopicConfig  Topic = iota // operators' configuration; read only
+	TopicTargets              // targets announce themselves; read only
+	TopicDaemons              // daemons announce themselves
+	TopicClaims               // claims to give orders, one key a service
+	TopicCrashes              // content that crashed targets, by fingerprint
+)
+
+// KeyedRecord is one record of a keyed topic.
+type KeyedRecord struct {
+	Key    string
+	Value  []byte // nil: the key is dropped
+	Offset int64
+}
+
+// KeyedPage is a part of a topic's newest records. Pages are no snapshot:
+// records may change between two of them.
+type KeyedPage struct {
+	Records []KeyedRecord
+	More    bool
+	End     int64 // offset after the newest record when the page was made
+}
+
+// Store keeps what must outlast every process. Its writes may have had an
+// effect although they returned an error, unless that is ErrConflict.
+type Store interface {
+	// Newest returns newest records whose keys come after the given one.
+	Newest(ctx context.Context, t Topic, after string) (KeyedPage, error)
+	// Read returns the records from an offset on, in order. With none to
+	// return it waits up to wait. ErrExpired: they are no longer kept.
+	Read(ctx context.Context, t Topic, from int64, wait time.Duration) ([]KeyedRecord, error)
+	// Put writes a record and returns its offset.
+	Put(ctx context.Context, t Topic, key string, value []byte) (int64, error)
+	// PutAt writes a record only if it gets this offset, else ErrConflict.
+	PutAt(ctx context.Context, t Topic, key string, value []byte, at int64) (int64, error)
+}
--- /dev/null
+++ b/process/discovery/registry.go
@@ -0,0 +1,215 @@
+// Package discovery knows the targets of all services from the entries that
+// they keep in the store, also while the store is away.
+package discovery
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/port"
+)
+
+// keepAfterReturn is how long entries stay that vanished while the store was
+// away. Entries of live targets are back within about two seconds of the
+// store's return; one that is still missing then is gone.
+const keepAfterReturn = 2200 * time.Millisecond
+
+// Snapshot is what is known at one moment. It is read-only.
+type Snapshot struct {
+	Targets map[string][]port.TargetEntry // by service, those that leave too
+	Whole   bool                          // the store was read whole at least once
+	Since   time.Time                     // when the newest target appeared
+}
+
+// Registry is the keyed.Sink of the targets' topic. Its snapshots may be read
+// by any goroutine.
+//
+// The failure it guards against: while the store is away the entries of live
+// targets lapse, and a daemon that believed that would drop every target at
+// once and refuse what they could serve. So what vanished in an outage is kept
+// until keepAfterReturn after its end; a target that really died meanwhile is
+// found by its connections.
+type Registry struct {
+	now    func() time.Time
+	after  func(d time.Duration, f func()) // time.AfterFunc
+	decode func(r port.KeyedRecord) (entry port.TargetEntry, present bool, err error)
+
+	mu      sync.Mutex
+	entries map[string]port.TargetEntry
+	offsets map[string]int64
+	lapsed  map[string]time.Time // entries that are gone from the store, and when they are dropped here
+	lost    bool
+	until   time.Time // vanished entries are kept until then
+	whole   bool
+	since   time.Time
+
+	snap atomic.Pointer[Snapshot]
+}
+
+// Options of a Registry.
+type Options struct {
+	Decode func(r port.KeyedRecord) (entry port.TargetEntry, present bool, err error)
+	Now    func() time.Time                // time.Now
+	After  func(d time.Duration, f func()) // time.AfterFunc
+}
+
+// New returns an empty Registry.
+func New(o Options) *Registry {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.After == nil {
+		o.After = func(d time.Duration, f func()) { time.AfterFunc(d, f) }
+	}
+	r := &Registry{
+		now:     o.Now,
+		after:   o.After,
+		decode:  o.Decode,
+		entries: make(map[string]port.TargetEntry),
+		offsets: make(map[string]int64),
+		lapsed:  make(map[string]time.Time),
+	}
+	r.snap.Store(&Snapshot{Targets: map[string][]port.TargetEntry{}})
+	return r
+}
+
+// Snapshot returns what is known now.
+func (r *Registry) Snapshot() *Snapshot { return r.snap.Load() }
+
+// Lookup returns the entry of a target.
+func (r *Registry) Lookup(id string) (port.TargetEntry, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.entries[id]
+	return e, ok
+}
+
+// Reset takes the whole topic.
+func (r *Registry) Reset(records []port.KeyedRecord) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	present := make(map[string]bool, len(records))
+	for _, rec := range records {
+		present[rec.Key] = true
+		r.take(rec)
+	}
+	for id := range r.entries {
+		if !present[id] {
+			r.vanish(id)
+		}
+	}
+	r.whole = true
+	r.publish()
+}
+
+// Apply takes records in order.
+func (r *Registry) Apply(records []port.KeyedRecord) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, rec := range records {
+		r.take(rec)
+	}
+	r.publish()
+}
+
+// Lost notes the begin of an outage.
+func (r *Registry) Lost(error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lost = true
+}
+
+// Back notes the end of an outage. What vanished in it was taken in by the
+// read that ended it, with the store still noted as lost.
+func (r *Registry) Back() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lost = false
+	r.until = r.now().Add(keepAfterReturn)
+	for id := range r.lapsed {
+		r.lapsed[id] = r.until
+	}
+	r.after(keepAfterReturn, r.expire)
+}
+
+// take applies one record. Records older than the one in force are left out.
+func (r *Registry) take(rec port.KeyedRecord) {
+	if at, ok := r.offsets[rec.Key]; ok && rec.Offset < at {
+		return
+	}
+	r.offsets[rec.Key] = rec.Offset
+	e, present, err := r.decode(rec)
+	if err != nil {
+		// The last entry that could be read stays in force.
+		log.WithError(err).WithField("target", rec.Key).Warn("discovery: entry can't be read")
+		return
+	}
+	if !present {
+		r.vanish(rec.Key)
+		return
+	}
+	old, known := r.entries[rec.Key]
+	delete(r.lapsed, rec.Key)
+	r.entries[rec.Key] = e
+	if !known {
+		r.since = r.now()
+	}
+	if !known || old.Leaving != e.Leaving || old.Role != e.Role {
+		log.WithFields(log.Fields{
+			"target": e.ID, "service": e.Service, "addr": e.Addr, "zone": e.Zone,
+			"role": e.Role, "leaving": e.Leaving, "offset": rec.Offset,
+		}).Info("discovery: target")
+	}
+}
+
+// vanish drops an entry, or keeps it for a while when the store was away.
+func (r *Registry) vanish(id string) {
+	e, ok := r.entries[id]
+	if !ok {
+		return
+	}
+	now := r.now()
+	if r.lost || now.Before(r.until) {
+		if _, waits := r.lapsed[id]; !waits {
+			r.lapsed[id] = r.until
+			log.WithField("target", id).Info("discovery: target's entry lapsed in an outage, kept for now")
+		}
+		return
+	}
+	r.drop(e)
+}
+
+func (r *Registry) drop(e port.TargetEntry) {
+	delete(r.entries, e.ID)
+	delete(r.lapsed, e.ID)
+	delete(r.offsets, e.ID)
+	log.WithFields(log.Fields{"target": e.ID, "service": e.Service, "addr": e.Addr}).Info("discovery: target gone")
+}
+
+// expire drops what is still missing some time after the store's return.
+func (r *Registry) expire() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	if r.lost || now.Before(r.until) {
+		return
+	}
+	for id := range r.lapsed {
+		r.drop(r.entries[id])
+	}
+	r.publish()
+}
+
+func (r *Registry) publish() {
+	s := &Snapshot{Targets: make(map[string][]port.TargetEntry), Whole: r.whole, Since: r.since}
+	for _, e := range r.entries {
+		s.Targets[e.Service] = append(s.Targets[e.Service], e)
+	}
+	for _, list := range s.Targets {
+		sortByID(list)
+	}
+	r.snap.Store(s)
+}
--- /dev/null
+++ b/process/front/front.go
@@ -0,0 +1,329 @@
+// Package front wires one daemon on a platform with a store: what it reads
+// from the store, what the daemons tell each other, the role planner, and the
+// request path. Every VM runs the same; none is set aside for control, and
+// nothing outlasts the process but what stands in the store.
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"gopkg.in/tomb.v2"
+
+	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/connection/h1"
+	"github.com/pomelospool/pomelospool/connection/health"
+	"github.com/pomelospool/pomelospool/internal/sock"
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/process/discovery"
+	"github.com/pomelospool/pomelospool/process/keyed"
+	"github.com/pomelospool/pomelospool/process/roles"
+	"github.com/pomelospool/pomelospool/process/roster"
+	"github.com/pomelospool/pomelospool/process/settings"
+	"github.com/pomelospool/pomelospool/request/dispatch"
+	"github.com/pomelospool/pomelospool/request/ingress"
+	"github.com/pomelospool/pomelospool/version/inforce"
+)
+
+const (
+	// addressTTL is how long callers keep an answer; some keep it three times
+	// as long, and a planned stop waits for that.
+	addressTTL = time.Second
+	// keptFactor is by how much some callers exceed it.
+	keptFactor = 3
+	// targetsPace is the least time between two reads of the targets. Each
+	// target writes every 1.2 s, so unpaced reads would return for each; a
+	// leaving target may get work for 2 s at most.
+	targetsPace = 400 * time.Millisecond
+	// configPace is the same for the configuration, which seldom changes.
+	configPace = 100 * time.Millisecond
+	// configWait is how long a read waits for a new configuration: a
+	// connection that went silent is found out after it, and a version must be
+	// in force within 2 s.
+	configWait = time.Second
+	// upkeepEvery is the time between two rounds of forgetting what is gone.
+	upkeepEvery = time.Second
+	// acceptedTimeout is how long bytes to a caller may stand unacknowledged.
+	acceptedTimeout = 10 * time.Second
+	// controlTimeout bounds a call to an engine that is no request.
+	controlTimeout = 800 * time.Millisecond
+)
+
+// Daemon is one entry process on a platform with a store.
+type Daemon struct {
+	s    *settings.Settings
+	tomb tomb.Tomb
+
+	store     *platform.Store
+	config    *inforce.Holder
+	registry  *discovery.Registry
+	followers []*keyed.Follower
+	storeAway atomic.Bool
+
+	pool    *h1.Pool
+	engines *engines.Book
+	health  *health.Book
+	budget  *dispatch.Budget
+	roster  *roster.Roster
+	planner *roles.Planner
+	ingress *ingress.Ingress
+	ready   atomic.Bool
+
+	servers []*server
+	callers *server
+	stop    sync.Once
+}
+
+// server is one HTTP port.
+type server struct {
+	name string
+	http *http.Server
+	l    net.Listener
+}
+
+// New opens the daemon's ports and wires its parts. Nothing runs yet.
+func New(s *settings.Settings) (*Daemon, error) {
+	d := &Daemon{
+		s:      s,
+		store:  platform.NewStore(s.Store.Addr),
+		config: inforce.New(platform.DecodeConfig),
+		pool:   h1.New(h1.Options{}),
+		health: health.New(time.Now),
+	}
+	d.registry = discovery.New(discovery.Options{Decode: platform.DecodeTarget})
+	d.engines = engines.New(time.Now, func() {
+		if d.roster != nil {
+			d.roster.News()
+		}
+	})
+	if err := d.wireRoster(); err != nil {
+		return nil, err
+	}
+	d.wireRequests()
+	d.wireStore()
+	if err := d.wireServers(); err != nil {
+		d.closeServers()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) wireRoster() error {
+	r, err := roster.New(roster.Options{
+		Self: roster.Member{
+			VM:          d.s.VM,
+			Incarnation: uint64(time.Now().UnixNano()),
+			CallerAddr:  d.s.Listen.Callers,
+			PeerAddr:    d.s.Listen.Peers,
+			Zone:        d.s.Zone,
+		},
+		Store:     d.store,
+		Book:      d.engines,
+		TTL:       min(addressTTL, d.s.Bounds.AddressTTL),
+		StoreAway: d.storeAway.Load,
+	})
+	if err != nil {
+		return fmt.Errorf("front: peers: %w", err)
+	}
+	d.roster = r
+	return nil
+}
+
+func (d *Daemon) wireRequests() {
+	control := &platform.Engines{Client: &http.Client{
+		Timeout:   controlTimeout,
+		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+	}}
+	d.budget = dispatch.NewBudget(dispatch.BudgetOptions{
+		Ratio:   d.s.Bounds.RetryRatio,
+		Slack:   d.s.Bounds.RetrySlack,
+		Window:  d.s.Bounds.RetryWindow,
+		Daemons: d.roster.Known,
+		Now:     time.Now,
+	})
+	runner := dispatch.New(dispatch.Options{
+		Wire:    platform.Wire{},
+		Pool:    d.pool,
+		Targets: targets{d.registry},
+		Engines: d.engines,
+		Health:  d.health,
+		Budget:  d.budget,
+		Control: control,
+		Zone:    d.s.Zone,
+	})
+	d.ingress = ingress.New(ingress.Options{Config: d.config, Wire: platform.Wire{}, Runner: runner})
+	d.planner = roles.New(roles.Options{
+		Self:    d.s.VM,
+		Store:   d.store,
+		Control: control,
+		Targets: d.registry,
+		Config:  d.config,
+		Roster:  d.roster,
+		Engines: d.engines,
+		Lease:   d.s.Bounds.Lease,
+	})
+}
+
+// targets gives dispatch the entries of a service.
+type targets struct{ r *discovery.Registry }
+
+func (t targets) Targets(service string) []port.TargetEntry {
+	return t.r.Snapshot().Targets[service]
+}
+
+func (d *Daemon) wireStore() {
+	d.followers = []*keyed.Follower{
+		keyed.New(keyed.Options{
+			Store: d.store, Topic: port.TopicConfig, Name: "config",
+			Sink: d.config, Pace: configPace, Wait: configWait,
+		}),
+		keyed.New(keyed.Options{
+			Store: d.store, Topic: port.TopicTargets, Name: "targets",
+			Sink: &watched{Sink: d.registry, away: &d.storeAway}, Pace: targetsPace,
+		}),
+	}
+}
+
+// watched notes whether the store can be read.
+type watched struct {
+	keyed.Sink
+	away *atomic.Bool
+}
+
+// Lost implements keyed.Sink.
+func (w *watched) Lost(err error) {
+	w.away.Store(true)
+	w.Sink.Lost(err)
+}
+
+// Back implements keyed.Sink.
+func (w *watched) Back() {
+	w.away.Store(false)
+	w.Sink.Back()
+}
+
+func (d *Daemon) wireServers() error {
+	listen := net.ListenConfig{Control: sock.UserTimeout(acceptedTimeout)}
+	add := func(name, addr string, s *http.Server) (*server, error) {
+		l, err := listen.Listen(context.Background(), "tcp", addr)
+		if err != nil {
+			return nil, fmt.Errorf("front: %s: %w", name, err)
+		}
+		one := &server{name: name, http: s, l: l}
+		d.servers = append(d.servers, one)
+		return one, nil
+	}
+	var err error
+	if d.callers, err = add("callers", d.s.Listen.Callers, ingress.NewServer(d.ingress)); err != nil {
+		return err
+	}
+	if _, err = add("ready", d.s.Listen.Ready, side(platform.ReadyHandler(d.roster))); err != nil {
+		return err
+	}
+	if _, err = add("addresses", d.s.Listen.Addresses, side(platform.AddressHandler(d.roster))); err != nil {
+		return err
+	}
+	_, err = add("operators", d.s.Listen.Operators, side(d.operatorRoutes()))
+	return err
+}
+
+// sideTimeout bounds the reading of a request on a port that isn't callers'.
+const sideTimeout = 5 * time.Second
+
+func side(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: sideTimeout}
+}
+
+// Start runs all parts and returns at once.
+func (d *Daemon) Start() {
+	log.WithFields(log.Fields{"vm": d.s.VM, "zone": d.s.Zone, "callers": d.s.Listen.Callers}).Info("front: starting")
+	d.tomb.Go(func() error {
+		for _, s := range d.servers {
+			d.tomb.Go(func() error { return d.serve(s) })
+		}
+		d.roster.Start()
+		for _, f := range d.followers {
+			f.Start()
+		}
+		d.planner.Start()
+		d.tomb.Go(d.upkeep)
+		return nil
+	})
+}
+
+func (d *Daemon) serve(s *server) error {
+	err := s.http.Serve(s.l)
+	if errors.Is(err, http.ErrServerClosed) || !d.tomb.Alive() {
+		return nil
+	}
+	log.WithError(err).WithField("port", s.name).Error("front: server failed")
+	return err
+}
+
+// Dying is closed when the daemon ends on its own, by a failed server.
+func (d *Daemon) Dying() <-chan struct{} { return d.tomb.Dying() }
+
+// Wait returns when the daemon has ended.
+func (d *Daemon) Wait() error { return d.tomb.Wait() }
+
+// readyEvery is the time between two looks whether the daemon can serve.
+const readyEvery = 20 * time.Millisecond
+
+// upkeep says when the daemon can serve, and forgets what is gone.
+func (d *Daemon) upkeep() error {
+	tick := time.NewTicker(readyEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-d.tomb.Dying():
+			return nil
+		case <-tick.C:
+		}
+		if !d.ready.Load() && d.config.Load() != nil && d.registry.Snapshot().Whole {
+			d.ready.Store(true)
+			d.roster.SetState(roster.Ready)
+			log.WithField("version", d.config.Load().Version).Info("front: ready")
+			tick.Reset(upkeepEvery)
+		}
+		if d.ready.Load() {
+			d.forget()
+		}
+	}
+}
+
+func (d *Daemon) forget() {
+	keep := make(map[string]bool)
+	hashes := make(map[uint64]bool)
+	ids := make(map[string]bool)
+	for _, list := range d.registry.Snapshot().Targets {
+		for _, e := range list {
+			keep[h1.Key(e.Addr, e.ID)] = true
+			hashes[engines.Hash(e.ID)] = true
+			ids[e.ID] = true
+		}
+	}
+	d.pool.Retain(func(key string) bool { return keep[key] })
+	d.engines.Retain(hashes)
+	d.health.Retain(func(id string) bool { return ids[id] })
+}
+
+// Reload takes new settings over where a running daemon can.
+func (d *Daemon) Reload(s *settings.Settings) {
+	d.budget.Set(s.Bounds.RetryRatio, s.Bounds.RetrySlack)
+	log.WithFields(log.Fields{"retry_ratio": s.Bounds.RetryRatio, "retry_slack": s.Bounds.RetrySlack}).Info("front: settings reloaded")
+}
+
+func (d *Daemon) closeServers() {
+	for _, s := range d.servers {
+		_ = s.http.Close()
+		_ = s.l.Close()
+	}
+}
--- /dev/null
+++ b/process/front/operators.go
@@ -0,0 +1,15 @@
+package front
+
+import (
+	"expvar"
+	"net/http"
+
+	"github.com/uptrace/bunrouter"
+)
+
+// operatorRoutes serve the operators' port.
+func (d *Daemon) operatorRoutes() http.Handler {
+	r := bunrouter.New()
+	r.GET("/debug/vars", bunrouter.HTTPHandler(expvar.Handler()))
+	return r
+}
--- /dev/null
+++ b/process/keyed/follower.go
@@ -0,0 +1,172 @@
+// Package keyed follows a keyed topic of the store: it hands every record over
+// in order, and the whole topic anew when the store no longer keeps the
+// records in between.
+package keyed
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/apex/log"
+	"gopkg.in/tomb.v2"
+
+	"github.com/pomelospool/pomelospool/internal/pause"
+	"github.com/pomelospool/pomelospool/port"
+)
+
+const (
+	// defaultWait is how long a read waits for records. The store allows 30 s;
+	// a connection that went silent is noticed only after this time.
+	defaultWait = 2 * time.Second
+	// firstBackoff and maxBackoff bound the wait after a failed call. The
+	// store counts refused calls too, and allows some hundreds a second.
+	firstBackoff = 150 * time.Millisecond
+	maxBackoff   = 600 * time.Millisecond
+	// maxPages bounds a listing: 500 records a page.
+	maxPages = 1000
+)
+
+// Sink takes what a Follower reads. It is called from one goroutine.
+type Sink interface {
+	// Reset replaces everything by the topic's newest records.
+	Reset(records []port.KeyedRecord)
+	// Apply takes records in their order.
+	Apply(records []port.KeyedRecord)
+	// Lost tells that the store can't be read, once for each outage.
+	Lost(err error)
+	// Back tells that the store was read again, after Reset or Apply.
+	Back()
+}
+
+// Options of a Follower.
+type Options struct {
+	Store port.Store
+	Topic port.Topic
+	Name  string // for log lines
+	Sink  Sink
+	Pace  time.Duration // least time between the begins of two reads; every call is paid for
+	Wait  time.Duration // longest wait of a read for records; 2s
+}
+
+// Follower reads one topic until Stop.
+type Follower struct {
+	o    Options
+	tomb tomb.Tomb
+
+	// of the reading goroutine
+	next   int64 // offset to read from
+	placed bool  // next is known
+	lost   bool
+	read   bool // some read succeeded
+}
+
+// New returns a Follower that doesn't run yet.
+func New(o Options) *Follower {
+	if o.Wait <= 0 {
+		o.Wait = defaultWait
+	}
+	return &Follower{o: o}
+}
+
+// Start begins to read.
+func (f *Follower) Start() { f.tomb.Go(f.loop) }
+
+// Stop ends the reading.
+func (f *Follower) Stop() error {
+	f.tomb.Kill(nil)
+	return f.tomb.Wait()
+}
+
+func (f *Follower) loop() error {
+	ctx := f.tomb.Context(context.Background())
+	backoff := firstBackoff
+	for f.tomb.Alive() {
+		begun := time.Now()
+		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		f.report(err)
+		wait := f.o.Pace - time.Since(begun)
+		if err != nil {
+			wait = backoff
+			backoff = min(2*backoff, maxBackoff)
+		} else {
+			backoff = firstBackoff
+		}
+		if pause.For(ctx, wait) != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+// step makes one listing or one read.
+func (f *Follower) step(ctx context.Context) error {
+	if !f.placed {
+		return f.list(ctx)
+	}
+	records, err := f.o.Store.Read(ctx, f.o.Topic, f.next, f.o.Wait)
+	if errors.Is(err, port.ErrExpired) {
+		log.WithFields(log.Fields{"topic": f.o.Name, "from": f.next}).Info("keyed: records expired, listing the topic")
+		f.placed = false
+		return f.list(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	if len(records) > 0 {
+		f.next += int64(len(records))
+		f.o.Sink.Apply(records)
+	}
+	return nil
+}
+
+// list reads the newest record of each key, and goes on from the end that the
+// first page names: a record that is written while later pages are read is
+// read again from the log.
+//
+// The guard is against a listing that is older than what was read before: it
+// would bring back targets that have left. The store's answer may be some
+// seconds behind, which shows in an end below the offset to read from.
+func (f *Follower) list(ctx context.Context) error {
+	var all []port.KeyedRecord
+	var end int64
+	after := ""
+	for n := range maxPages {
+		page, err := f.o.Store.Newest(ctx, f.o.Topic, after)
+		if err != nil {
+			return err
+		}
+		if n == 0 {
+			end = page.End
+		}
+		all = append(all, page.Records...)
+		if !page.More || len(page.Records) == 0 {
+			break
+		}
+		after = page.Records[len(page.Records)-1].Key
+	}
+	if end < f.next {
+		return errStale
+	}
+	f.next, f.placed = end, true
+	f.o.Sink.Reset(all)
+	return nil
+}
+
+var errStale = errors.New("keyed: the listing is older than what was read")
+
+func (f *Follower) report(err error) {
+	switch {
+	case err != nil && !f.lost:
+		f.lost = true
+		log.WithField("topic", f.o.Name).WithError(err).Warn("keyed: store lost")
+		f.o.Sink.Lost(err)
+	case err == nil && f.lost:
+		f.lost = false
+		log.WithFields(log.Fields{"topic": f.o.Name, "next": f.next}).Info("keyed: store is back")
+		f.o.Sink.Back()
+	}
+}
--- /dev/null
+++ b/process/roles/planner.go
@@ -0,0 +1,258 @@
+// Package roles gives each engine of a service its role: to read prompts or to
+// make answers. One daemon at a time gives the orders. The failure it guards
+// against is orders that contradict each other, from two daemons or from one
+// that was paused and doesn't know that another took over.
+package roles
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"gopkg.in/tomb.v2"
+
+	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/process/clock"
+	"github.com/pomelospool/pomelospool/process/discovery"
+	"github.com/pomelospool/pomelospool/process/roster"
+	"github.com/pomelospool/pomelospool/version/inforce"
+	"github.com/pomelospool/pomelospool/version/route"
+)
+
+const (
+	// lookEvery is the time between two looks at the engines.
+	lookEvery = 250 * time.Millisecond
+	// settled is how long no new target may have appeared before a plan is
+	// made: a plan on a list that still fills up orders what it takes back.
+	settled = 1200 * time.Millisecond
+	// orderLimit bounds one order.
+	orderLimit = 700 * time.Millisecond
+	// refusedFor is how long an engine that didn't take an order is left
+	// alone. Orders may be carried out up to 12 s after they got no answer.
+	refusedFor = 13 * time.Second
+	// switchGrace is added to the time that a change of role takes, before an
+	// engine that doesn't show the new role counts as unchanged.
+	switchGrace = 3 * time.Second
+	// peakSpan is how long the most streams at a time are remembered.
+	peakSpan = 4 * time.Second
+)
+
+// Options of a Planner. All are needed but Clock.
+type Options struct {
+	Self    string // this VM's name
+	Store   port.Store
+	Control port.EngineControl
+	Targets *discovery.Registry
+	Config  *inforce.Holder
+	Roster  *roster.Roster
+	Engines *engines.Book
+	Lease   time.Duration
+	Clock   clock.Clock // clock.Boot
+}
+
+// Planner gives orders while this daemon is the first of those that can.
+type Planner struct {
+	o      Options
+	tomb   tomb.Tomb
+	claims claims
+
+	mu       sync.Mutex
+	released bool
+
+	// of the planner's goroutine
+	changing map[string]change
+	refused  map[string]time.Duration // until
+	peaks    map[string]*peak
+}
+
+// change is an order that an engine carries out.
+type change struct {
+	role  port.Role
+	until time.Duration
+}
+
+// New returns a Planner that doesn't run yet.
+func New(o Options) *Planner {
+	if o.Clock == nil {
+		o.Clock = clock.Boot{}
+	}
+	return &Planner{
+		o: o,
+		claims: claims{
+			self: o.Self, store: o.Store, lease: o.Lease, now: o.Clock.Now,
+			held: make(map[string]claim), other: make(map[string]sighting),
+		},
+		changing: make(map[string]change),
+		refused:  make(map[string]time.Duration),
+		peaks:    make(map[string]*peak),
+	}
+}
+
+// Start begins to plan.
+func (p *Planner) Start() { p.tomb.Go(p.loop) }
+
+// Stop ends the planning.
+func (p *Planner) Stop() error {
+	p.tomb.Kill(nil)
+	return p.tomb.Wait()
+}
+
+// Release has this daemon give no further orders: it leaves.
+func (p *Planner) Release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.released = true
+}
+
+func (p *Planner) gone() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.released
+}
+
+func (p *Planner) loop() error {
+	ctx := p.tomb.Context(context.Background())
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-p.tomb.Dying():
+			return nil
+		case <-tick.C:
+		}
+		cfg := p.o.Config.Load()
+		if cfg == nil || p.gone() {
+			continue
+		}
+		for _, svc := range cfg.Services {
+			if svc.Engine != nil {
+				p.look(ctx, svc)
+			}
+		}
+	}
+}
+
+// look makes one plan for a service, and carries it out if this daemon is the
+// first of those that can.
+func (p *Planner) look(ctx context.Context, svc *route.Service) {
+	snap := p.o.Targets.Snapshot()
+	list := p.engines(snap.Targets[svc.Name])
+	demand := p.demand(svc.Name, list)
+	if !snap.Whole || time.Since(snap.Since) < settled || !p.o.Roster.Ready() || p.o.Roster.Rank() > 0 {
+		return
+	}
+	moves := Plan(list, demand)
+	if len(moves) == 0 {
+		return
+	}
+	held, err := p.claims.get(ctx, svc.Name)
+	if errors.Is(err, errNotYet) || errors.Is(err, port.ErrConflict) {
+		return
+	}
+	if err != nil {
+		log.WithError(err).WithField("service", svc.Name).Warn("roles: not claimed")
+		return
+	}
+	for _, m := range moves {
+		if p.o.Clock.Now() >= held.until || p.gone() {
+			return
+		}
+		p.carryOut(ctx, svc, m, held)
+	}
+}
+
+// engines joins the entries with what the daemons have there.
+func (p *Planner) engines(entries []port.TargetEntry) []Engine {
+	now := p.o.Clock.Now()
+	out := make([]Engine, 0, len(entries))
+	for _, e := range entries {
+		l := p.o.Engines.Load(e.ID, nil)
+		one := Engine{Entry: e, Streams: l.Streams, Changing: l.Changing, Refused: now < p.refused[e.ID]}
+		for _, n := range l.Ahead {
+			one.Ahead += n
+		}
+		if c, ok := p.changing[e.ID]; ok {
+			if e.Role == c.role || now >= c.until {
+				delete(p.changing, e.ID)
+				p.o.Engines.Changing(e.ID, false)
+			} else {
+				one.Entry.Role, one.Changing = c.role, true
+			}
+		}
+		out = append(out, one)
+	}
+	return out
+}
+
+// carryOut sends one order.
+func (p *Planner) carryOut(ctx context.Context, svc *route.Service, m Move, held claim) {
+	e, ok := p.o.Targets.Lookup(m.Target)
+	if !ok {
+		return
+	}
+	fields := log.Fields{"service": svc.Name, "target": e.ID, "role": m.Role, "fence": held.fence, "why": m.Why}
+	err := p.order(ctx, e, m.Role, held)
+	if err != nil {
+		log.WithFields(fields).WithError(err).Warn("roles: order not taken")
+		p.refused[e.ID] = p.o.Clock.Now() + refusedFor
+		if errors.Is(err, port.ErrFenced) {
+			p.claims.drop(svc.Name)
+		}
+		return
+	}
+	log.WithFields(fields).Info("roles: ordered")
+	p.changing[e.ID] = change{role: m.Role, until: p.o.Clock.Now() + svc.Engine.SwitchTime + switchGrace}
+	p.o.Engines.Changing(e.ID, true)
+}
+
+// order asks the engine for the orders that it accepted, and gives it the next
+// one on that condition: an order that is carried out late then has no effect
+// after a newer one.
+func (p *Planner) order(ctx context.Context, e port.TargetEntry, role port.Role, held claim) error {
+	ctx, cancel := context.WithTimeout(ctx, orderLimit)
+	defer cancel()
+	report, err := p.o.Control.Report(ctx, e.Addr, e.ID)
+	if err != nil {
+		return err
+	}
+	if report.Role == role && !report.Changing {
+		return nil
+	}
+	if report.Changing {
+		return port.ErrBusy
+	}
+	if p.o.Clock.Now() >= held.until {
+		return context.DeadlineExceeded
+	}
+	return p.o.Control.Order(ctx, port.RoleOrder{
+		Target: e.ID, Addr: e.Addr, Role: role,
+		Holder: p.o.Self, Fence: held.fence, Accepted: report.Accepted,
+	})
+}
+
+// peak remembers the most streams at a time over two spans.
+type peak struct {
+	now, before int
+	since       time.Duration
+}
+
+func (p *Planner) demand(service string, list []Engine) Demand {
+	streams := 0
+	for _, e := range list {
+		streams += e.Streams
+	}
+	now := p.o.Clock.Now()
+	k := p.peaks[service]
+	if k == nil {
+		k = &peak{since: now}
+		p.peaks[service] = k
+	}
+	if now-k.since >= peakSpan {
+		k.before, k.now, k.since = k.now, 0, now
+	}
+	k.now = max(k.now, streams)
+	return Demand{Streams: max(k.now, k.before)}
+}
--- /dev/null
+++ b/process/roster/roster.go
@@ -0,0 +1,439 @@
+// Package roster knows the other daemons: who is alive and takes requests, and
+// what work each has at the engines. Daemons tell each other in small
+// datagrams. A lost one does no harm, since each carries the sender's whole
+// state; grpc between the daemons would hold news back behind a packet that is
+// sent again.
+package roster
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+	"gopkg.in/tomb.v2"
+
+	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/internal/pause"
+	"github.com/pomelospool/pomelospool/port"
+)
+
+const (
+	// beatEvery is the time between beats without news.
+	beatEvery = 250 * time.Millisecond
+	// newsAfter is how long news waits for more before it is sent, per other
+	// daemon: with 5 others 10 ms, with 89 others some 180 ms.
+	newsAfter = 2 * time.Millisecond
+	// deadAfter is the silence after which a daemon counts as dead: four
+	// beats, so that lost datagrams alone hardly do it.
+	deadAfter = 1100 * time.Millisecond
+	// forgetAfter is how long a silent daemon is sent beats.
+	forgetAfter = 30 * time.Second
+	// peersEvery is the number of beats between two that name other daemons.
+	peersEvery = 8
+	// maxPeers bounds the daemons named in one beat.
+	maxPeers = 24
+	// maxDatagram is the largest datagram sent, below what links carry whole.
+	maxDatagram = 1400
+	// isolatedKeep is how long the last addresses are still given when every
+	// other daemon and the store fell silent at once.
+	isolatedKeep = 15 * time.Second
+	// listBackoff is the wait after a failed listing of the daemons.
+	listBackoff = 500 * time.Millisecond
+)
+
+// State says whether a daemon takes requests.
+type State uint8
+
+// The states.
+const (
+	Starting State = iota
+	Ready
+	Leaving
+)
+
+// Member is what a daemon says of itself.
+type Member struct {
+	_           struct{} `cbor:",toarray"`
+	VM          string
+	Incarnation uint64 // of its process, rising
+	CallerAddr  string
+	PeerAddr    string
+	Zone        string
+	State       State
+	StoreAway   bool // it can't read the store now
+}
+
+// beat is one datagram.
+type beat struct {
+	_      struct{} `cbor:",toarray"`
+	Member Member
+	Seq    uint64
+	Work   []engines.Work
+	Reads  []engines.Read
+	Peers  []string
+}
+
+type peer struct {
+	member Member
+	seq    uint64
+	heard  time.Time
+	addr   *net.UDPAddr
+}
+
+// Options of a Roster.
+type Options struct {
+	Self  Member
+	Store port.Store
+	Book  *engines.Book
+	TTL   time.Duration // how long callers keep addresses
+	// StoreAway tells whether the store can't be read now.
+	StoreAway func() bool
+}
+
+// Roster is safe for concurrent use.
+type Roster struct {
+	o    Options
+	conn *net.UDPConn
+	tomb tomb.Tomb
+	news chan struct{}
+
+	mu    sync.Mutex
+	self  Member
+	seq   uint64
+	peers map[string]*peer // by peer address
+
+	sockets sync.Once
+}
+
+// New opens the roster's socket.
+func New(o Options) (*Roster, error) {
+	addr, err := net.ResolveUDPAddr("udp4", o.Self.PeerAddr)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.ListenUDP("udp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	o.Self.PeerAddr = conn.LocalAddr().String()
+	return &Roster{
+		o:     o,
+		conn:  conn,
+		news:  make(chan struct{}, 1),
+		self:  o.Self,
+		peers: make(map[string]*peer),
+	}, nil
+}
+
+// Start announces this daemon and begins to send and hear beats.
+func (r *Roster) Start() {
+	r.tomb.Go(r.hear)
+	r.tomb.Go(r.tell)
+	r.tomb.Go(r.announce)
+}
+
+// Stop ends all.
+func (r *Roster) Stop() error {
+	r.tomb.Kill(nil)
+	r.close()
+	return r.tomb.Wait()
+}
+
+func (r *Roster) close() { r.sockets.Do(func() { _ = r.conn.Close() }) }
+
+// SetState changes what this daemon says of itself, and tells the others now.
+func (r *Roster) SetState(s State) {
+	r.mu.Lock()
+	r.self.State = s
+	r.mu.Unlock()
+	r.send()
+}
+
+// News asks for a beat soon, without waiting for it.
+func (r *Roster) News() {
+	select {
+	case r.news <- struct{}{}:
+	default:
+	}
+}
+
+// announce writes this daemon into the store and learns the others from it.
+// Two daemons that start at once find each other: whoever lists second sees
+// the first, and its beat tells the other.
+func (r *Roster) announce() error {
+	ctx := r.tomb.Context(context.Background())
+	value, err := json.Marshal(map[string]string{"addr": r.o.Self.PeerAddr})
+	if err != nil {
+		return err
+	}
+	written := false
+	for r.tomb.Alive() {
+		if !written {
+			_, err = r.o.Store.Put(ctx, port.TopicDaemons, r.o.Self.VM, value)
+			written = err == nil
+		}
+		if written {
+			err = r.list(ctx)
+		}
+		if err == nil {
+			return nil
+		}
+		log.WithError(err).Debug("roster: daemons not listed yet")
+		if pause.For(ctx, listBackoff) != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (r *Roster) list(ctx context.Context) error {
+	after := ""
+	for {
+		page, err := r.o.Store.Newest(ctx, port.TopicDaemons, after)
+		if err != nil {
+			return err
+		}
+		for _, rec := range page.Records {
+			var d struct{ Addr string }
+			if err := json.Unmarshal(rec.Value, &d); err != nil {
+				log.WithError(err).WithField("vm", rec.Key).Warn("roster: entry can't be read")
+				continue
+			}
+			r.learn(d.Addr)
+		}
+		if !page.More || len(page.Records) == 0 {
+			r.send()
+			return nil
+		}
+		after = page.Records[len(page.Records)-1].Key
+	}
+}
+
+// learn adds a daemon's address, of which nothing has been heard yet.
+func (r *Roster) learn(addr string) {
+	udp, err := net.ResolveUDPAddr("udp4", addr)
+	if err != nil {
+		log.WithError(err).WithField("addr", addr).Warn("roster: address can't be read")
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if addr == r.self.PeerAddr || r.peers[addr] != nil {
+		return
+	}
+	r.peers[addr] = &peer{addr: udp, heard: time.Now().Add(-deadAfter)}
+}
+
+// tell sends beats: at least every beatEvery, and soon after news.
+func (r *Roster) tell() error {
+	ctx := r.tomb.Context(context.Background())
+	tick := time.NewTimer(beatEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-r.tomb.Dying():
+			return nil
+		case <-tick.C:
+		case <-r.news:
+			if pause.For(ctx, r.newsWait()) != nil {
+				return nil
+			}
+		}
+		r.send()
+		tick.Reset(beatEvery + rand.N(beatEvery/10))
+	}
+}
+
+func (r *Roster) newsWait() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return newsAfter * time.Duration(max(len(r.peers), 1))
+}
+
+// send sends one beat to every daemon known.
+func (r *Roster) send() {
+	work, reads := r.o.Book.Own()
+	now := time.Now()
+	r.mu.Lock()
+	r.seq++
+	r.self.StoreAway = r.o.StoreAway()
+	b := beat{Member: r.self, Seq: r.seq, Work: work, Reads: reads}
+	var to []*net.UDPAddr
+	for addr, p := range r.peers {
+		if now.Sub(p.heard) > forgetAfter {
+			delete(r.peers, addr)
+			continue
+		}
+		to = append(to, p.addr)
+		if r.seq%peersEvery == 0 && len(b.Peers) < maxPeers && r.alive(p, now) {
+			b.Peers = append(b.Peers, addr)
+		}
+	}
+	r.mu.Unlock()
+	data, err := encode(&b)
+	if err != nil {
+		log.WithError(err).Error("roster: beat can't be encoded")
+		return
+	}
+	for _, addr := range to {
+		// A datagram that can't be sent is as good as lost on the way.
+		_, _ = r.conn.WriteToUDP(data, addr)
+	}
+}
+
+// encode leaves out what doesn't fit into one datagram: the news of reads
+// first, which only cost a prompt being read again.
+func encode(b *beat) ([]byte, error) {
+	data, err := cbor.Marshal(b)
+	if err != nil || len(data) <= maxDatagram {
+		return data, err
+	}
+	b.Reads, b.Peers = nil, nil
+	return cbor.Marshal(b)
+}
+
+// hear takes beats until the socket closes.
+func (r *Roster) hear() error {
+	buf := make([]byte, 64<<10)
+	for {
+		n, from, err := r.conn.ReadFromUDP(buf)
+		if !r.tomb.Alive() {
+			return nil
+		}
+		if err != nil {
+			log.WithError(err).Warn("roster: can't receive")
+			if pause.For(r.tomb.Context(context.Background()), beatEvery) != nil {
+				return nil
+			}
+			continue
+		}
+		var b beat
+		if err := cbor.Unmarshal(buf[:n], &b); err != nil {
+			log.WithError(err).WithField("from", from.String()).Warn("roster: beat can't be read")
+			continue
+		}
+		r.take(&b, from)
+	}
+}
+
+func (r *Roster) take(b *beat, from *net.UDPAddr) {
+	key := b.Member.PeerAddr
+	r.mu.Lock()
+	p := r.peers[key]
+	if key == r.self.PeerAddr {
+		r.mu.Unlock()
+		return
+	}
+	fresh := p == nil
+	if fresh {
+		p = &peer{addr: from}
+		r.peers[key] = p
+	}
+	// Datagrams overtake each other: an older one must not bring back a daemon
+	// that said it leaves.
+	if p.outdated(b, time.Now()) {
+		r.mu.Unlock()
+		return
+	}
+	if p.member.State != b.Member.State || p.member.Incarnation != b.Member.Incarnation {
+		log.WithFields(log.Fields{"vm": b.Member.VM, "addr": b.Member.CallerAddr, "state": b.Member.State, "incarnation": b.Member.Incarnation}).Info("roster: daemon")
+	}
+	p.member, p.seq, p.heard = b.Member, b.Seq, time.Now()
+	r.mu.Unlock()
+	r.o.Book.Hear(key, b.Work, b.Reads)
+	for _, addr := range b.Peers {
+		r.learn(addr)
+	}
+	if fresh {
+		r.News()
+	}
+}
+
+// outdated tells whether a beat is older than what was heard before. A daemon
+// that was started again while its clock stood further back has a lower
+// incarnation; it is believed once the earlier one is silent.
+func (p *peer) outdated(b *beat, now time.Time) bool {
+	if b.Member.Incarnation == p.member.Incarnation {
+		return b.Seq <= p.seq
+	}
+	return b.Member.Incarnation < p.member.Incarnation && now.Sub(p.heard) < deadAfter/2
+}
+
+func (r *Roster) alive(p *peer, now time.Time) bool {
+	return p.member.VM != "" && now.Sub(p.heard) < deadAfter
+}
+
+// Members returns the daemons that are alive, this one first, then by name.
+func (r *Roster) Members() []Member {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Member
+	for _, p := range r.peers {
+		if r.alive(p, now) {
+			out = append(out, p.member)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.VM, b.VM) })
+	return append([]Member{r.self}, out...)
+}
+
+// Known is the number of daemons that were heard of lately, dead ones and this
+// one included.
+func (r *Roster) Known() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return 1 + len(r.peers)
+}
+
+// Rank is this daemon's place by name among those alive that take requests and
+// can read the store: those that can take a duty.
+func (r *Roster) Rank() int {
+	rank := 0
+	for _, m := range r.Members()[1:] {
+		if m.State == Ready && !m.StoreAway && m.VM < r.o.Self.VM {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Ready tells whether this daemon takes requests.
+func (r *Roster) Ready() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.self.State == Ready
+}
+
+// Addresses returns the callers' addresses of the daemons that take requests.
+//
+// The guard is against a daemon that is cut off: it hears of no other and
+// would send all callers that ask it to itself alone. When the others and the
+// store fell silent together, the daemons heard lately still count.
+func (r *Roster) Addresses(string) ([]string, time.Duration) {
+	limit := time.Duration(deadAfter)
+	if len(r.Members()) == 1 && r.o.StoreAway() {
+		limit = isolatedKeep
+	}
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	if r.self.State == Ready {
+		out = append(out, r.self.CallerAddr)
+	}
+	for _, p := range r.peers {
+		if p.member.State == Ready && now.Sub(p.heard) < limit {
+			out = append(out, p.member.CallerAddr)
+		}
+	}
+	slices.Sort(out)
+	return out, r.o.TTL
+}
--- a/process/settings/load.go
+++ b/process/settings/load.go
@@ -64,6 +64,18 @@
 			ReadBody:    30 * time.Second,
 			BufferBytes: 256 << 10,
 		},
+		Store: Store{Reads: 2000, Writes: 400},
+		Bounds: Bounds{
+			Grace:       8 * time.Second,
+			Lease:       3 * time.Second,
+			AddressTTL:  5 * time.Second,
+			RetryRatio:  0.2,
+			RetrySlack:  50,
+			RetryWindow: 10 * time.Second,
+			ApplyConfig: 2 * time.Second,
+			Drain:       2 * time.Second,
+			Heartbeat:   1200 * time.Millisecond,
+		},
 		Log: Log{Level: "info", Format: "text"},
 	}
 }
@@ -97,7 +109,12 @@
 }
 
 func check(f *yamlcheck.File, s *Settings) {
-	f.Required("vm", "zone", "listen", "platform")
+	f.Required("vm", "zone", "listen")
+	if f.Has("store") {
+		checkStore(f, s)
+	} else {
+		f.Required("platform")
+	}
 	if f.Has("vm") {
 		f.Name("vm", s.VM, false)
 	}
--- /dev/null
+++ b/process/settings/store.go
@@ -0,0 +1,47 @@
+package settings
+
+import (
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/yamlcheck"
+)
+
+// Bounds of the values beside a store.
+const (
+	minCalls   = 1.0
+	maxCalls   = 1_000_000.0
+	maxRatio   = 10.0
+	maxSlack   = 1_000_000.0
+	noFraction = 0.0
+)
+
+// HasStore tells whether the platform keeps configuration and targets in one
+// store.
+func (s *Settings) HasStore() bool { return s.Store.Addr != "" }
+
+func checkStore(f *yamlcheck.File, s *Settings) {
+	f.Required("store.addr", "listen.ready", "listen.addresses")
+	if f.Has("platform") {
+		f.Report("platform", code.DocInconsistent, "stands beside store", "name one of the two")
+	}
+	for path, addr := range map[string]string{
+		"store.addr":       s.Store.Addr,
+		"listen.ready":     s.Listen.Ready,
+		"listen.addresses": s.Listen.Addresses,
+	} {
+		if f.Has(path) {
+			f.Addr(path, addr, true)
+		}
+	}
+	yamlcheck.Range(f, "store.reads", s.Store.Reads, minCalls, maxCalls)
+	yamlcheck.Range(f, "store.writes", s.Store.Writes, minCalls, maxCalls)
+	b := s.Bounds
+	f.Duration("bounds.grace", b.Grace, minTime, maxTime)
+	f.Duration("bounds.lease", b.Lease, minTime, maxTime)
+	f.Duration("bounds.address_ttl", b.AddressTTL, minTime, maxTime)
+	f.Duration("bounds.retry_window", b.RetryWindow, minTime, maxTime)
+	f.Duration("bounds.apply_config", b.ApplyConfig, minTime, maxTime)
+	f.Duration("bounds.drain", b.Drain, minTime, maxTime)
+	f.Duration("bounds.heartbeat", b.Heartbeat, minTime, maxTime)
+	yamlcheck.Range(f, "bounds.retry_ratio", b.RetryRatio, noFraction, maxRatio)
+	yamlcheck.Range(f, "bounds.retry_slack", b.RetrySlack, noFraction, maxSlack)
+}
--- a/process/settings/types.go
+++ b/process/settings/types.go
@@ -10,7 +10,11 @@
 	VM       string   `yaml:"vm"`   // id in the VM list
 	Zone     string   `yaml:"zone"` // availability zone
 	Listen   Listen   `yaml:"listen"`
-	Platform Platform `yaml:"platform"`
+	Platform Platform `yaml:"platform,omitempty"`
+	// Store is set where the platform keeps configuration and targets in one
+	// store; it takes the place of Platform.
+	Store    Store    `yaml:"store,omitempty"`
+	Bounds   Bounds   `yaml:"bounds,omitempty"`
 	Control  Control  `yaml:"control,omitempty"`
 	Limits   Limits   `yaml:"limits,omitempty"`
 	Log      Log      `yaml:"log,omitempty"`
@@ -22,6 +26,30 @@
 	Callers   string `yaml:"callers"`
 	Peers     string `yaml:"peers"`
 	Operators string `yaml:"operators"`
+	// Only with a store: the platform's question whether the daemon is ready,
+	// and callers' question which address to use.
+	Ready     string `yaml:"ready,omitempty"`
+	Addresses string `yaml:"addresses,omitempty"`
+}
+
+// Store is the platform's store, and its limits over all daemons together.
+type Store struct {
+	Addr   string  `yaml:"addr"`             // host:port
+	Reads  float64 `yaml:"reads,omitempty"`  // read calls a second; 2000
+	Writes float64 `yaml:"writes,omitempty"` // write calls a second; 400
+}
+
+// Bounds are what the operators promise and ask of all daemons together.
+type Bounds struct {
+	Grace       time.Duration `yaml:"grace,omitempty"`        // from SIGTERM to SIGKILL; 8s
+	Lease       time.Duration `yaml:"lease,omitempty"`        // no second holder of a duty within it; 3s
+	AddressTTL  time.Duration `yaml:"address_ttl,omitempty"`  // longest that callers keep addresses; 5s
+	RetryRatio  float64       `yaml:"retry_ratio,omitempty"`  // extra sends a request; 0.2
+	RetrySlack  float64       `yaml:"retry_slack,omitempty"`  // extra sends in a window on top; 50
+	RetryWindow time.Duration `yaml:"retry_window,omitempty"` // 10s
+	ApplyConfig time.Duration `yaml:"apply_config,omitempty"` // until a version is in force; 2s
+	Drain       time.Duration `yaml:"drain,omitempty"`        // until a leaving target gets no new work; 2s
+	Heartbeat   time.Duration `yaml:"heartbeat,omitempty"`    // between the entries of one target; 1.2s
 }
 
 // Platform holds the base URLs of the platform's services.
--- /dev/null
+++ b/request/dispatch/call.go
@@ -0,0 +1,120 @@
+// Package dispatch runs one request at its service's targets: it chooses them,
+// sends the request, repeats it where that is allowed, and passes the answer
+// on. A request that may run once at most goes to a second target only when
+// the first said itself that it ran nothing, or when no byte was written.
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/connection/h1"
+	"github.com/pomelospool/pomelospool/connection/health"
+	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/version/route"
+)
+
+// Call is one request of a caller, read and matched to its route.
+type Call struct {
+	Ask     port.Ask
+	Route   *route.Route
+	Service *route.Service
+	Version int64 // of the configuration
+	Arrived time.Time
+	Until   time.Time // the caller's deadline
+	GiveUp  time.Time // the earlier of Until and the end of the route's timeout
+	Method  string
+	URI     string // path and query as they came
+	Host    string
+	Header  http.Header // what goes on to a target
+	Body    []byte
+}
+
+// Answer is a target's whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Stream takes a streamed answer. It is used by one goroutine.
+type Stream interface {
+	// Begin passes on the status and the headers.
+	Begin(status int, h http.Header)
+	// Write passes on whole events. An error means that the caller is gone.
+	Write(events []byte) error
+}
+
+// Targets gives the entries of a service's targets.
+type Targets interface {
+	Targets(service string) []port.TargetEntry
+}
+
+// Options of a Runner. All are needed.
+type Options struct {
+	Wire    port.TargetWire
+	Pool    *h1.Pool
+	Targets Targets
+	Engines *engines.Book
+	Health  *health.Book
+	Budget  *Budget
+	Control port.EngineControl
+	Zone    string // availability zone of this process
+}
+
+// Runner runs calls. It is safe for concurrent use.
+type Runner struct {
+	opts   Options
+	models models
+}
+
+// New returns a Runner.
+func New(o Options) *Runner { return &Runner{opts: o} }
+
+// Plain runs a call whose answer is passed on whole. The error is a
+// *code.Error; a code that says that nothing ran is given only when that holds.
+func (r *Runner) Plain(ctx context.Context, c *Call) (*Answer, Trace, error) {
+	ctx, cancel := context.WithDeadlineCause(ctx, c.GiveUp, errTimeout)
+	defer cancel()
+	u := r.begin(c)
+	a, err := u.plain(ctx)
+	return a, u.trace, err
+}
+
+// Streamed runs a call that is answered by events.
+func (r *Runner) Streamed(ctx context.Context, c *Call, out Stream) (Trace, error) {
+	ctx, cancel := context.WithDeadlineCause(ctx, c.GiveUp, errTimeout)
+	defer cancel()
+	u := r.begin(c)
+	err := u.streamed(ctx, out)
+	return u.trace, err
+}
+
+// Trace says how a call went, for its log line.
+type Trace struct {
+	Sends    int      // requests sent to targets
+	Targets  []string // their ids, in order
+	Causes   []string // why those that failed did
+	Foreseen time.Duration
+	First    time.Duration // from the arrival to the first event
+	Begun    bool          // the caller got a part of the answer
+	MayRun   bool          // some target may have run it
+}
+
+func (r *Runner) begin(c *Call) *run {
+	r.opts.Budget.Request(c.Service.Name)
+	return &run{Runner: r, c: c}
+}
+
+// run is the state of one call over its sends. It belongs to one goroutine.
+type run struct {
+	*Runner
+	c       *Call
+	trace   Trace
+	ran    int      // targets that may have run it
+	avoid  []string // targets that failed it
+	last   *failure
+	lastID string // id of the last event that the caller got
+}
--- /dev/null
+++ b/request/dispatch/plain.go
@@ -0,0 +1,110 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/port"
+)
+
+const (
+	// patience is how many objectives an idempotent call waits for one target
+	// before it asks another: targets that hang would hold it for its deadline.
+	patience = 2
+	// minPatience is the least of these waits.
+	minPatience = 150 * time.Millisecond
+)
+
+// plain sends the call until it has an answer to pass on.
+func (u *run) plain(ctx context.Context) (*Answer, error) {
+	for {
+		to, ok := u.pickPlain()
+		if !ok {
+			return nil, u.noTarget(ctx)
+		}
+		a, f := u.plainAt(ctx, to)
+		if f == nil {
+			u.ok(to.ID)
+			return a, nil
+		}
+		u.note(f)
+		if !u.again(ctx, f) {
+			return u.lastWord(ctx, f)
+		}
+	}
+}
+
+func (u *run) plainAt(ctx context.Context, to port.TargetEntry) (*Answer, *failure) {
+	done := u.opts.Engines.Decode(to.ID, 0, nil)
+	defer done()
+	s := sending{to: to, state: port.Send{Priority: -1}}
+	if u.c.Route.Idempotent() && u.ran+1 < u.c.Route.Attempts {
+		s.silence = max(patience*u.c.Route.Objective, minPatience)
+	}
+	resp, v, end, f := u.send(ctx, s)
+	if f != nil {
+		return nil, f
+	}
+	defer end()
+	a, f := u.whole(ctx, to.ID, resp, v)
+	if f != nil {
+		return nil, f
+	}
+	return a, u.judge(to.ID, a, v)
+}
+
+// lastWord answers with the target's own failure where that is allowed.
+//
+// A status that promises "not run" isn't passed on from a target that ran the
+// request: the caller would send it again.
+func (u *run) lastWord(ctx context.Context, f *failure) (*Answer, error) {
+	if f.class == failed && !promises(f.answer.Status) {
+		return f.answer, nil
+	}
+	if f.class == notRun && f.answer != nil && f.answer.Status == http.StatusBadRequest && u.ran == 0 {
+		return f.answer, nil
+	}
+	return nil, u.finalError(ctx, f)
+}
+
+func (u *run) noTarget(ctx context.Context) error {
+	if u.last != nil {
+		return u.finalError(ctx, u.last)
+	}
+	return code.New(code.NoTarget, "service %q has no target", u.c.Service.Name).After(u.comeBack(nil))
+}
+
+// The weights of what speaks against a target, in shares of its places.
+const (
+	failWeight = 2.0  // for a failure rate of one
+	zoneWeight = 0.05 // for another availability zone: half a millisecond, and bytes that are paid for
+)
+
+// pickPlain chooses the target with the most free places.
+func (u *run) pickPlain() (port.TargetEntry, bool) {
+	var best port.TargetEntry
+	bestCost := -1.0
+	for _, e := range u.usable(nil) {
+		load := u.opts.Engines.Load(e.ID, nil)
+		cost := float64(load.Streams) / float64(max(e.Slots, 1))
+		cost += failWeight * u.opts.Health.Rate(e.ID)
+		if e.Zone != u.opts.Zone {
+			cost += zoneWeight
+		}
+		cost += zoneWeight / 2 * spread(u.c.Ask.ID, e.ID)
+		if bestCost < 0 || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	return best, bestCost >= 0
+}
+
+// spread is a number in [0,1) for a call and a target, so that targets that
+// are alike share the calls.
+func spread(id, target string) float64 {
+	const bits = 53
+	return float64((engines.Hash(id)^engines.Hash(target))>>(64-bits)) / (1 << bits)
+}
--- /dev/null
+++ b/request/dispatch/send.go
@@ -0,0 +1,181 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/connection/h1"
+	"github.com/pomelospool/pomelospool/connection/health"
+	"github.com/pomelospool/pomelospool/port"
+)
+
+// sending is one send: to whom, with what, and for how long.
+type sending struct {
+	to      port.TargetEntry
+	state   port.Send     // ID, Target and Left are filled in
+	silence time.Duration // longest wait for the header; 0: as long as the call may take
+}
+
+// send sends the call and reads the answer's header. With a nil failure the
+// response must be closed, and after it the context ended.
+func (u *run) send(ctx context.Context, s sending) (*h1.Response, port.Verdict, func(), *failure) {
+	u.trace.Sends++
+	u.trace.Targets = append(u.trace.Targets, s.to.ID)
+	sctx, cancel := context.WithCancelCause(ctx)
+	end := func() { cancel(nil) }
+	var quiet *time.Timer
+	if s.silence > 0 {
+		quiet = time.AfterFunc(s.silence, func() { cancel(errSilent) })
+	}
+	resp, err := u.opts.Pool.Do(sctx, u.request(s))
+	if quiet != nil {
+		quiet.Stop()
+	}
+	if err != nil {
+		end()
+		f := sendFailure(ctx, s.to.ID, err)
+		if f.class == silent {
+			u.opts.Pool.Forget(s.to.Addr, s.to.ID)
+		}
+		return nil, port.Verdict{}, nil, f
+	}
+	return resp, u.opts.Wire.Judge(resp.Status, resp.Header), end, nil
+}
+
+func (u *run) request(s sending) *h1.Request {
+	h := make(http.Header, len(u.c.Header)+len("stamp"))
+	for k, v := range u.c.Header {
+		h[k] = v
+	}
+	s.state.ID = u.c.Ask.ID
+	s.state.Target = s.to.ID
+	s.state.Left = time.Until(u.c.GiveUp)
+	u.opts.Wire.Stamp(h, s.state)
+	return &h1.Request{
+		Addr:   s.to.Addr,
+		Target: s.to.ID,
+		Method: u.c.Method,
+		URI:    u.c.URI,
+		Host:   u.c.Host,
+		Header: h,
+		Body:   u.c.Body,
+		Fresh:  !u.c.Route.Idempotent() && !s.state.Prefill,
+		Mine:   u.mine,
+	}
+}
+
+// mine tells whether an answer is to this call. A refusal or an error may lack
+// the id; a success must have it.
+func (u *run) mine(status int, h http.Header) bool {
+	id := u.opts.Wire.Judge(status, h).ID
+	return id == u.c.Ask.ID || id == "" && status >= http.StatusMultipleChoices
+}
+
+// maxAnswer bounds an answer that is passed on whole, in bytes.
+const maxAnswer = 8 << 20
+
+// whole reads an answer to its end and closes the response.
+func (u *run) whole(ctx context.Context, target string, resp *h1.Response, v port.Verdict) (*Answer, *failure) {
+	defer resp.Close(v.KeepAlive)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err == nil && len(body) > maxAnswer {
+		err = errTooLarge
+	}
+	if err != nil {
+		f := &failure{class: broken, target: target, err: err}
+		if errors.Is(context.Cause(ctx), errSilent) {
+			f.class = silent
+		}
+		f.stopped(ctx)
+		return nil, f
+	}
+	return &Answer{Status: resp.Status, Header: resp.Header, Body: body}, nil
+}
+
+// judge turns a whole answer into a failure, or nil if it may be passed on as
+// the call's answer.
+func (u *run) judge(target string, a *Answer, v port.Verdict) *failure {
+	switch {
+	case v.WrongOne:
+		return &failure{class: notRun, target: target, err: errWrongOne}
+	case v.NotRun:
+		return &failure{class: notRun, target: target, err: errSaysNoRun, after: v.RetryAfter, answer: a}
+	case !v.Signed:
+		return &failure{class: broken, target: target, err: errUnsigned}
+	case a.Status >= http.StatusInternalServerError || promises(a.Status):
+		return &failure{class: failed, target: target, answer: a}
+	}
+	return nil
+}
+
+// note keeps the books about a failed send.
+func (u *run) note(f *failure) {
+	u.last = f
+	u.avoid = append(u.avoid, f.target)
+	u.trace.Causes = append(u.trace.Causes, f.class.String()+": "+f.cause())
+	if f.mayHaveRun() {
+		u.ran++
+		u.trace.MayRun = true
+	}
+	if o, counts := f.outcome(); counts {
+		u.opts.Health.Note(f.target, o)
+	}
+	log.WithFields(log.Fields{
+		"request": u.c.Ask.ID, "target": f.target, "class": f.class.String(), "cause": f.cause(),
+		"send": u.trace.Sends, "left_ms": time.Until(u.c.GiveUp).Milliseconds(),
+	}).Info("dispatch: send failed")
+}
+
+// maxSends bounds the sends of one call, prefills and refused ones included.
+const maxSends = 6
+
+// again tells whether the call may be sent once more after f.
+func (u *run) again(ctx context.Context, f *failure) bool {
+	switch {
+	case ctx.Err() != nil || f.class == callerGone || f.class == late:
+		return false
+	case u.trace.Sends >= maxSends || u.ran >= u.c.Route.Attempts:
+		return false
+	case f.mayHaveRun() && !u.c.Route.Idempotent():
+		return false
+	case f.class == unreachable:
+		return true // no target saw it, so it is no send beyond the first
+	}
+	return u.opts.Budget.Take(u.c.Service.Name)
+}
+
+// usable returns the service's targets that stay, without those that failed
+// this call or are benched if others are left.
+func (u *run) usable(fits func(e port.TargetEntry) bool) []port.TargetEntry {
+	var good, tried []port.TargetEntry
+	for _, e := range u.opts.Targets.Targets(u.c.Service.Name) {
+		if e.Leaving || fits != nil && !fits(e) {
+			continue
+		}
+		if u.avoids(e.ID) || u.opts.Health.Benched(e.ID) {
+			tried = append(tried, e)
+			continue
+		}
+		good = append(good, e)
+	}
+	if len(good) == 0 {
+		return tried
+	}
+	return good
+}
+
+func (u *run) avoids(id string) bool {
+	for _, a := range u.avoid {
+		if a == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (u *run) ok(target string) { u.opts.Health.Note(target, health.OK) }
--- /dev/null
+++ b/request/ingress/ingress.go
@@ -0,0 +1,224 @@
+// Package ingress takes callers' requests over HTTP, finds their route in the
+// configuration in force, has them run and writes the answers. It gives every
+// answer of its own a numbered code.
+package ingress
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/request/dispatch"
+	"github.com/pomelospool/pomelospool/version/inforce"
+	"github.com/pomelospool/pomelospool/version/route"
+)
+
+// Options of an Ingress. All are needed.
+type Options struct {
+	Config  *inforce.Holder
+	Wire    port.TargetWire
+	Runner  *dispatch.Runner
+	Observe func(Observation) // called at the end of each request
+}
+
+// Observation is what a request's end shows.
+type Observation struct {
+	Route  string
+	Kind   route.Kind
+	Code   code.Code
+	Status int
+	Whole  time.Duration // from the arrival to the end of the answer
+	First  time.Duration // to the first event, 0: none
+}
+
+// Ingress is the callers' http.Handler. It is safe for concurrent use.
+type Ingress struct {
+	o       Options
+	open    atomic.Int64
+	leaving atomic.Bool
+}
+
+// New returns an Ingress.
+func New(o Options) *Ingress { return &Ingress{o: o} }
+
+// Open is the number of requests that are running.
+func (i *Ingress) Open() int { return int(i.open.Load()) }
+
+// Leave has every answer ask its caller to open no further request on the
+// connection.
+func (i *Ingress) Leave() { i.leaving.Store(true) }
+
+// defaultTimeout bounds requests of routes that state none.
+const defaultTimeout = 30 * time.Second
+
+// ServeHTTP answers one request of a caller.
+func (i *Ingress) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	i.open.Add(1)
+	defer i.open.Add(-1)
+	arrived := time.Now()
+	if i.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	x := &exchange{Ingress: i, w: w, req: req, arrived: arrived}
+	c, err := x.read()
+	if err == nil {
+		err = x.run(c)
+	}
+	if err != nil {
+		x.fail(err)
+	}
+	x.observe(c, err)
+	if x.begun && err != nil {
+		// A broken connection is HTTP's only way to say that an answer whose
+		// header went out isn't whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// exchange is one request and its answer.
+type exchange struct {
+	*Ingress
+	w       http.ResponseWriter
+	req     *http.Request
+	arrived time.Time
+	ask     port.Ask
+	trace   dispatch.Trace
+	status  int
+	begun   bool // the header of a target's answer went out
+}
+
+// read reads and checks the request.
+func (x *exchange) read() (*dispatch.Call, error) {
+	ask, err := x.o.Wire.Ask(x.req.Header)
+	x.ask = ask
+	if err != nil {
+		return nil, code.Wrap(code.BadRequest, err, "")
+	}
+	cfg := x.o.Config.Load()
+	if cfg == nil {
+		return nil, code.New(code.NoConfiguration, "").After(noConfigurationAfter)
+	}
+	uri := requestURI(x.req)
+	path, _, _ := strings.Cut(uri, "?")
+	r := cfg.Match(x.req.Host, path)
+	if r == nil {
+		return nil, code.New(code.UnknownRoute, "version %d", cfg.Version)
+	}
+	svc := cfg.Services[r.Service(route.Seed(ask.ID))]
+	if svc == nil {
+		return nil, code.New(code.NoTarget, "route %q names a service that the configuration lacks", r.Name).After(noConfigurationAfter)
+	}
+	body, err := readBody(x.w, x.req, cfg.Limits)
+	if err != nil {
+		return nil, err
+	}
+	c := &dispatch.Call{
+		Ask:     ask,
+		Route:   r,
+		Service: svc,
+		Version: cfg.Version,
+		Arrived: x.arrived,
+		Method:  x.req.Method,
+		URI:     uri,
+		Host:    x.req.Host,
+		Header:  x.o.Wire.Forward(x.req.Header),
+		Body:    body,
+	}
+	x.deadlines(c)
+	return c, nil
+}
+
+// noConfigurationAfter is when a caller may come back to a daemon that has
+// just started: it reads the configuration some milliseconds later.
+const noConfigurationAfter = 300 * time.Millisecond
+
+func (x *exchange) deadlines(c *dispatch.Call) {
+	timeout := c.Route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	c.GiveUp = x.arrived.Add(timeout)
+	c.Until = c.GiveUp
+	if c.Ask.Left > 0 {
+		c.Until = x.arrived.Add(c.Ask.Left)
+	}
+	if c.Until.Before(c.GiveUp) {
+		c.GiveUp = c.Until
+	}
+}
+
+// requestURI is path and query as the caller sent them.
+func requestURI(req *http.Request) string {
+	if strings.HasPrefix(req.RequestURI, "/") {
+		return req.RequestURI
+	}
+	return req.URL.RequestURI()
+}
+
+func (x *exchange) run(c *dispatch.Call) error {
+	ctx := x.req.Context()
+	if c.Route.Kind == route.Stream {
+		var err error
+		x.trace, err = x.o.Runner.Streamed(ctx, c, x)
+		return err
+	}
+	a, trace, err := x.o.Runner.Plain(ctx, c)
+	x.trace = trace
+	if err != nil {
+		return err
+	}
+	return x.writeWhole(a)
+}
+
+// observe writes the request's log line and counts it.
+func (x *exchange) observe(c *dispatch.Call, err error) {
+	whole := time.Since(x.arrived)
+	o := Observation{Code: code.Of(err), Status: x.status, Whole: whole, First: x.trace.First}
+	fields := log.Fields{
+		"request": x.ask.ID,
+		"code":    int(o.Code),
+		"status":  x.status,
+		"ms":      whole.Milliseconds(),
+		"sends":   x.trace.Sends,
+	}
+	if c != nil {
+		o.Route, o.Kind = c.Route.Name, c.Route.Kind
+		fields["route"] = c.Route.Name
+		fields["version"] = c.Version
+		fields["service"] = c.Service.Name
+		fields["targets"] = strings.Join(x.trace.Targets, " ")
+		fields["left_ms"] = c.Ask.Left.Milliseconds()
+	}
+	if x.trace.Foreseen > 0 {
+		fields["foreseen_ms"] = x.trace.Foreseen.Milliseconds()
+		fields["first_ms"] = x.trace.First.Milliseconds()
+	}
+	if len(x.trace.Causes) > 0 {
+		fields["causes"] = strings.Join(x.trace.Causes, "; ")
+	}
+	entry := log.WithFields(fields)
+	if err != nil {
+		entry = entry.WithField("error", detail(err))
+	}
+	entry.Info("ingress: request ended")
+	if x.o.Observe != nil {
+		x.o.Observe(o)
+	}
+}
+
+// detail is an error's code and detail, without the chain of what is wrapped,
+// which may quote what others sent.
+func detail(err error) string {
+	var e *code.Error
+	if !errors.As(err, &e) {
+		return "internal"
+	}
+	return e.Code.Info().Name + " " + e.Detail
+}
+
--- /dev/null
+++ b/request/placement/decode.go
@@ -0,0 +1,55 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/pomelospool/pomelospool/version/route"
+)
+
+const (
+	// zoneFactor is how much longer KV cache takes to another availability
+	// zone, and how much more it costs.
+	zoneFactor = 2
+	// fullCost is what a full engine costs, in time: a step with 64 requests
+	// takes some 5 ms more than one with none.
+	fullCost = 80 * time.Millisecond
+	// moveWeight counts the time of a move again, since moves are paid for.
+	moveWeight = 3
+)
+
+// Decode chooses the engine that makes the answer: few requests, and little
+// KV cache to move there. from is the availability zone of the engine that
+// keeps the cache, empty when there is none. It returns -1 without candidates.
+func Decode(p Prompt, cands []Candidate, e *route.Engine, from string) int {
+	best := -1
+	var bestCost time.Duration
+	for i := range cands {
+		c := &cands[i]
+		full := float64(c.Load.Streams) / float64(max(c.Entry.Slots, 1))
+		cost := time.Duration(full * full * float64(fullCost))
+		cost += time.Duration(c.Rate * float64(failPenalty))
+		if full >= 1 {
+			cost += time.Duration((full - 1) * float64(time.Second))
+		}
+		if from != "" {
+			cost += moveWeight * Move(e, max(p.Tokens-c.Load.Cached, 0), from == c.Entry.Zone)
+		}
+		cost += time.Duration(unit(p.Seed^uint64(i+1)) * float64(time.Millisecond))
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+// Move is the time to move the KV cache of that many tokens.
+func Move(e *route.Engine, tokens int, sameZone bool) time.Duration {
+	if e.LinkBytes <= 0 {
+		return 0
+	}
+	s := float64(tokens) * float64(e.KVTokenBytes) / e.LinkBytes
+	if !sameZone {
+		s *= zoneFactor
+	}
+	return time.Duration(s * float64(time.Second))
+}
