--- a/port/target.go
+++ b/port/target.go
@@ -16,7 +16,7 @@
 	Slots    int    // requests that it runs at a time
 	Leaving  bool   // takes no new work
 	Cold     time.Duration
-	Role     Role  // of an engine, else empty
+	Role     Role // of an engine, else empty
 }
 
 // PromptPart is a run of prompt tokens that other requests may begin with too.
--- a/process/keyed/follower.go
+++ b/process/keyed/follower.go
@@ -58,7 +58,6 @@
 	next   int64 // offset to read from
 	placed bool  // next is known
 	lost   bool
-	read   bool // some read succeeded
 }
 
 // New returns a Follower that doesn't run yet.
--- a/process/settings/types.go
+++ b/process/settings/types.go
@@ -13,12 +13,12 @@
 	Platform Platform `yaml:"platform,omitempty"`
 	// Store is set where the platform keeps configuration and targets in one
 	// store; it takes the place of Platform.
-	Store    Store    `yaml:"store,omitempty"`
-	Bounds   Bounds   `yaml:"bounds,omitempty"`
-	Control  Control  `yaml:"control,omitempty"`
-	Limits   Limits   `yaml:"limits,omitempty"`
-	Log      Log      `yaml:"log,omitempty"`
-	TLS      TLS      `yaml:"tls,omitempty"`
+	Store   Store   `yaml:"store,omitempty"`
+	Bounds  Bounds  `yaml:"bounds,omitempty"`
+	Control Control `yaml:"control,omitempty"`
+	Limits  Limits  `yaml:"limits,omitempty"`
+	Log     Log     `yaml:"log,omitempty"`
+	TLS     TLS     `yaml:"tls,omitempty"`
 }
 
 // Listen holds host:port addresses by IP number.
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -111,8 +111,8 @@
 // run is the state of one call over its sends. It belongs to one goroutine.
 type run struct {
 	*Runner
-	c       *Call
-	trace   Trace
+	c      *Call
+	trace  Trace
 	ran    int      // targets that may have run it
 	avoid  []string // targets that failed it
 	last   *failure
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -295,4 +295,3 @@
 	}
 	return u.relay(ctx, to.ID, resp, v, out, func() {})
 }
-
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -221,4 +221,3 @@
 	}
 	return e.Code.Info().Name + " " + e.Detail
 }
-
