Retries beyond the first counted as they reach engines; refusals seen before the prompt is read

One of two decoders crashed, the other's links were slow and it refused all; each refused call had its prompt read again, which is two arrivals and was charged as one. Change: a second round is charged two sends; none is made for a decoder that refuses others too; a call is refused before its prompt is read when no decoder takes requests; pace and refusals steer placement; the planner replaces impaired decoders at once and takes decoders back only after 8 s of calm. Ruled out: the daemons' shares of the budget (each spent under its own part).

--- a/cmd/pomelospoold/front.go
+++ b/cmd/pomelospoold/front.go
@@ -7,14 +7,13 @@
 
 	"github.com/apex/log"
 
-	"github.com/pomelospool/pomelospool/process/daemon"
 	"github.com/pomelospool/pomelospool/process/front"
 	"github.com/pomelospool/pomelospool/process/settings"
 )
 
 // runFront runs the daemon of a platform with a store until a signal ends it.
 func runFront(o options, s *settings.Settings) error {
-	defer daemon.SetLog(s.Log, os.Stdout)()
+	defer front.SetLog(s.Log, os.Stdout)()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	d, err := front.New(s)
--- a/connection/health/health.go
+++ b/connection/health/health.go
@@ -13,7 +13,7 @@
 const (
 	// firstBench and maxBench are how long a target gets no requests after a
 	// failure to reach it; the time doubles with each failure in a row.
-	firstBench = 400 * time.Millisecond
+	firstBench = 600 * time.Millisecond
 	maxBench   = 4 * time.Second
 	// smoothing is the weight of the newest outcome in the failure rate: about
 	// the last ten count.
@@ -31,6 +31,7 @@
 	OK          Outcome = iota
 	Failed              // it answered that it failed, or broke off, or answered nonsense
 	Unreachable         // no connection, or no sign of life in time
+	Refused             // it said that it ran nothing, though it looked free
 )
 
 // Book is safe for concurrent use.
@@ -46,6 +47,8 @@
 	at      time.Time
 	row     int       // failures to reach it in a row
 	benched time.Time // gets no requests before
+	pace    float64   // time taken over time foreseen, smoothed
+	paced   time.Time
 }
 
 // New returns an empty Book.
@@ -58,14 +61,7 @@
 	now := b.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.targets[target]
-	if s == nil {
-		if o == OK {
-			return
-		}
-		s = &state{at: now}
-		b.targets[target] = s
-	}
+	s := b.get(target, now)
 	s.decay(now)
 	bad := 0.0
 	if o != OK {
@@ -82,6 +78,72 @@
 	log.WithFields(log.Fields{"target": target, "in_a_row": s.row, "for_ms": wait.Milliseconds()}).Info("health: target benched")
 }
 
+// get returns the state of a target. Callers hold b.mu.
+func (b *Book) get(target string, now time.Time) *state {
+	s := b.targets[target]
+	if s == nil {
+		s = &state{at: now, paced: now, pace: 1}
+		b.targets[target] = s
+	}
+	return s
+}
+
+const (
+	// paceShare is the weight of the newest time in a target's pace.
+	paceShare = 0.25
+	// maxPace bounds one time's effect, so that a single one isn't remembered
+	// for long.
+	maxPace = 10.0
+)
+
+// NotePace notes that something took that many times as long as foreseen.
+func (b *Book) NotePace(target string, ratio float64) {
+	now := b.now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.get(target, now)
+	s.forgivePace(now)
+	s.pace += paceShare * (min(ratio, maxPace) - s.pace)
+	s.paced = now
+}
+
+// Pace is how many times longer than foreseen a target takes lately.
+func (b *Book) Pace(target string) float64 {
+	now := b.now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.targets[target]
+	if s == nil {
+		return 1
+	}
+	s.forgivePace(now)
+	return s.pace
+}
+
+// forgivePace halves what is over 1 for each span without news, so that a
+// target that gets no requests is tried again.
+func (s *state) forgivePace(now time.Time) {
+	for now.Sub(s.paced) > forgive {
+		s.pace = 1 + (s.pace-1)/2
+		s.paced = s.paced.Add(forgive)
+		if s.pace < 1.05 && s.pace > 0.95 {
+			s.paced = now
+		}
+	}
+}
+
+// Impaired tells whether a target serves so badly that others are needed in
+// its place.
+func (b *Book) Impaired(target string) bool {
+	return b.Benched(target) || b.Rate(target) > impairedRate || b.Pace(target) > impairedPace
+}
+
+// From this failure rate and from this pace on a target counts as impaired.
+const (
+	impairedRate = 0.5
+	impairedPace = 5.0
+)
+
 func (s *state) decay(now time.Time) {
 	for now.Sub(s.at) > forgive {
 		s.rate /= 2
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -168,6 +169,7 @@
 		Config:  d.config,
 		Roster:  d.roster,
 		Engines: d.engines,
+		Health:  d.health,
 		Lease:   d.s.Bounds.Lease,
 	})
 }
@@ -312,7 +314,7 @@
 	}
 	d.pool.Retain(func(key string) bool { return keep[key] })
 	d.engines.Retain(hashes)
-	d.health.Retain(func(id string) bool { return ids[id] })
+	d.health.Retain(func(id string) bool { return ids[strings.TrimSuffix(id, dispatch.KVSuffix)] })
 }
 
 // Reload takes new settings over where a running daemon can.
--- a/process/roles/plan.go
+++ b/process/roles/plan.go
@@ -15,6 +15,7 @@
 	Streams  int  // requests that decode there
 	Ahead    int  // prompt tokens still to be read there
 	Refused  bool // didn't take an order lately
+	Impaired bool // serves so badly that it can't be counted on
 }
 
 // Move is one order that the plan wants.
@@ -39,14 +40,15 @@
 
 // Demand is what the streams ask of the decoding engines.
 type Demand struct {
-	Streams int // most at a time lately
+	Streams int  // most at a time lately
+	Calm    bool // the roles and the targets have stood unchanged for a while
 }
 
 // Plan says which engines change their role. It is a pure function.
 func Plan(engines []Engine, d Demand) []Move {
 	var live []Engine
 	for _, e := range engines {
-		if !e.Entry.Leaving {
+		if !e.Entry.Leaving && !e.Impaired {
 			live = append(live, e)
 		}
 	}
@@ -54,8 +56,8 @@
 	want := wanted(len(live), slotsOf(live), d)
 	switch {
 	case len(decoders) < want:
-		return toDecode(readers, decoders, want-len(decoders), len(live))
-	case len(decoders) > want:
+		return toDecode(readers, decoders, want-len(decoders))
+	case len(decoders) > want && (d.Calm || len(decoders) >= 2*want):
 		return toPrefill(decoders, len(decoders)-want)
 	}
 	return nil
@@ -135,7 +137,7 @@
 
 // toDecode moves reading engines: to the availability zones with the fewest
 // decoders first, and the idlest first.
-func toDecode(readers, decoders []Engine, n, live int) []Move {
+func toDecode(readers, decoders []Engine, n int) []Move {
 	var out []Move
 	zones := perZone(decoders)
 	left := slices.Clone(readers)
--- a/process/roles/planner.go
+++ b/process/roles/planner.go
@@ -14,6 +14,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/connection/health"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/clock"
 	"github.com/pomelospool/pomelospool/process/discovery"
@@ -36,6 +37,10 @@
 	// switchGrace is added to the time that a change of role takes, before an
 	// engine that doesn't show the new role counts as unchanged.
 	switchGrace = 3 * time.Second
+	// calmAfter is how long nothing may have changed before an engine is taken
+	// back from decoding: a change of role costs some seconds of an engine, and
+	// taking back what a short burst or a crash asked for costs them twice.
+	calmAfter = 8 * time.Second
 	// peakSpan is how long the most streams at a time are remembered.
 	peakSpan = 4 * time.Second
 )
@@ -49,6 +54,7 @@
 	Config  *inforce.Holder
 	Roster  *roster.Roster
 	Engines *engines.Book
+	Health  *health.Book
 	Lease   time.Duration
 	Clock   clock.Clock // clock.Boot
 }
@@ -66,6 +72,13 @@
 	changing map[string]change
 	refused  map[string]time.Duration // until
 	peaks    map[string]*peak
+	shape    map[string]shape
+}
+
+// shape is a service's number of engines by role, and since when.
+type shape struct {
+	live, decoders int
+	since          time.Duration
 }
 
 // change is an order that an engine carries out.
@@ -88,6 +101,7 @@
 		changing: make(map[string]change),
 		refused:  make(map[string]time.Duration),
 		peaks:    make(map[string]*peak),
+		shape:    make(map[string]shape),
 	}
 }
 
@@ -141,7 +155,7 @@
 	snap := p.o.Targets.Snapshot()
 	list := p.engines(snap.Targets[svc.Name])
 	demand := p.demand(svc.Name, list)
-	if !snap.Whole || time.Since(snap.Since) < settled || !p.o.Roster.Ready() || p.o.Roster.Rank() > 0 {
+	if !snap.Whole || time.Since(snap.Since) < settled || !p.o.Roster.MayLead() {
 		return
 	}
 	moves := Plan(list, demand)
@@ -170,7 +184,7 @@
 	out := make([]Engine, 0, len(entries))
 	for _, e := range entries {
 		l := p.o.Engines.Load(e.ID, nil)
-		one := Engine{Entry: e, Streams: l.Streams, Changing: l.Changing, Refused: now < p.refused[e.ID]}
+		one := Engine{Entry: e, Streams: l.Streams, Changing: l.Changing, Refused: now < p.refused[e.ID], Impaired: p.o.Health.Impaired(e.ID)}
 		for _, n := range l.Ahead {
 			one.Ahead += n
 		}
@@ -254,5 +268,25 @@
 		k.before, k.now, k.since = k.now, 0, now
 	}
 	k.now = max(k.now, streams)
-	return Demand{Streams: max(k.now, k.before)}
+	return Demand{Streams: max(k.now, k.before), Calm: p.calm(service, list, now)}
+}
+
+// calm tells whether the engines and their roles have been the same for long.
+func (p *Planner) calm(service string, list []Engine, now time.Duration) bool {
+	next := shape{since: now}
+	for _, e := range list {
+		if e.Entry.Leaving || e.Impaired {
+			continue
+		}
+		next.live++
+		if e.Entry.Role == port.RoleDecode {
+			next.decoders++
+		}
+	}
+	old, ok := p.shape[service]
+	if ok && old.live == next.live && old.decoders == next.decoders {
+		return now-old.since >= calmAfter
+	}
+	p.shape[service] = next
+	return false
 }
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -393,16 +393,19 @@
 	return 1 + len(r.peers)
 }
 
-// Rank is this daemon's place by name among those alive that take requests and
-// can read the store: those that can take a duty.
-func (r *Roster) Rank() int {
-	rank := 0
+// MayLead tells whether this daemon takes the duties that one of them has:
+// whether it is the first by name of those that take requests and can read the
+// store. Two may think so for a while; claims keep them apart.
+func (r *Roster) MayLead() bool {
+	if !r.Ready() || r.o.StoreAway() {
+		return false
+	}
 	for _, m := range r.Members()[1:] {
 		if m.State == Ready && !m.StoreAway && m.VM < r.o.Self.VM {
-			rank++
+			return false
 		}
 	}
-	return rank
+	return true
 }
 
 // Ready tells whether this daemon takes requests.
--- a/request/dispatch/budget.go
+++ b/request/dispatch/budget.go
@@ -64,17 +64,17 @@
 	b.slot(service).requests++
 }
 
-// Take allows one send beyond the first, or not.
-func (b *Budget) Take(service string) bool {
+// Take allows n sends beyond the first, or not.
+func (b *Budget) Take(service string, n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.slot(service)
 	requests, extras := b.services[service].sum(s.number)
 	allowed := keep * (b.opts.Ratio*requests + b.opts.Slack/float64(max(b.opts.Daemons(), 1)))
-	if extras+1 > allowed {
+	if extras+float64(n) > allowed {
 		return false
 	}
-	s.extras++
+	s.extras += float64(n)
 	return true
 }
 
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -10,6 +10,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/connection/health"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/placement"
 )
@@ -25,8 +26,8 @@
 	// prefillPatience times the foreseen time, and prefillGrace on top, is how
 	// long an engine may take to read a prompt. A dark engine shows in nothing
 	// but silence.
-	prefillPatience = 2
-	prefillGrace    = 500 * time.Millisecond
+	prefillPatience = 3
+	prefillGrace    = 700 * time.Millisecond
 	// releaseLimit bounds the call that frees unused KV cache.
 	releaseLimit = 500 * time.Millisecond
 )
@@ -48,21 +49,46 @@
 	if err != nil {
 		return err
 	}
+	sends := 1
 	for {
 		p, f := u.prefill(ctx, prompt)
 		if f == nil {
+			if p.kv != nil {
+				sends = 2
+			}
 			f = u.decode(ctx, prompt, p, out)
 			if f == nil {
 				return nil
 			}
 		}
 		u.note(f)
-		if !u.again(ctx, f) {
+		if !u.worthAnother(prompt, p, f) || !u.again(ctx, f, sends) {
 			return u.finalError(ctx, f)
 		}
 	}
 }
 
+// worthAnother tells whether another round could end better.
+//
+// When a decoding engine refuses, either the KV cache was gone before it was
+// fetched, and another engine should read the prompt, or the decoding engine
+// can't take it. Reading the prompt again for an engine that refuses others
+// too fills the engines with work for nothing.
+func (u *run) worthAnother(p prompt, from prefilled, f *failure) bool {
+	if from.kv == nil || f.class != notRun {
+		return true
+	}
+	for _, c := range u.candidates(p, port.RoleDecode) {
+		if c.Rate < doubtful {
+			return true
+		}
+	}
+	return false
+}
+
+// doubtful is the failure rate from which on an engine isn't counted on.
+const doubtful = 0.4
+
 // prompt is the call as placement sees it.
 type prompt struct {
 	placement.Prompt
@@ -88,6 +114,9 @@
 // serving all of them earns less than refusing those that can't be on time.
 func (u *run) admit() (prompt, error) {
 	p := u.prompt()
+	if err := u.decodable(p); err != nil {
+		return p, err
+	}
 	m := u.models.load(u.c.Service.Name)
 	ch, _ := u.choosePrefill(p, m)
 	if ch.At < 0 {
@@ -109,8 +138,40 @@
 	return p, code.New(code.Overloaded, "the first event would take %v", u.trace.Foreseen.Round(time.Millisecond)).After(after)
 }
 
+// crowded is how full the decoding engines may be, in shares of their places.
+// Beyond, requests wait for the places of others.
+const crowded = 1.2
+
+// decodable refuses a call that no decoding engine would take, before its
+// prompt is read for nothing. Engines that refuse lately get one call in
+// some, so that their recovery shows.
+func (u *run) decodable(p prompt) error {
+	free, doubts := 0, 0
+	cands := u.candidates(p, port.RoleDecode)
+	for _, c := range cands {
+		switch {
+		case u.opts.Health.Benched(c.Entry.ID):
+		case float64(c.Load.Streams) > crowded*float64(max(c.Entry.Slots, 1)):
+		case c.Rate > doubtful:
+			doubts++
+		default:
+			free++
+		}
+	}
+	if free > 0 || doubts > 0 && spread(u.c.Ask.ID, "") < probeShare {
+		return nil
+	}
+	return code.New(code.NoTarget, "none of %d decoding engines takes requests", len(cands)).After(u.comeBack(nil))
+}
+
+// probeShare is the share of calls that engines get which refuse lately.
+const probeShare = 0.3
+
 func (u *run) choosePrefill(p prompt, m placement.Model) (placement.Choice, []placement.Candidate) {
 	cands := u.candidates(p, port.RolePrefill)
+	for i := range cands {
+		cands[i].Rate += u.opts.Health.Rate(kvOf(cands[i].Entry.ID))
+	}
 	return placement.Prefill(p.Prompt, cands, m), cands
 }
 
@@ -121,7 +182,12 @@
 		if load.Changing {
 			continue
 		}
-		out = append(out, placement.Candidate{Entry: e, Load: load, Rate: u.opts.Health.Rate(e.ID)})
+		out = append(out, placement.Candidate{
+			Entry: e,
+			Load:  load,
+			Rate:  u.opts.Health.Rate(e.ID),
+			Pace:  u.opts.Health.Pace(e.ID),
+		})
 	}
 	return out
 }
@@ -160,6 +226,7 @@
 		return prefilled{}, &failure{class: notRun, target: to.ID, err: err}
 	}
 	u.models.readIn(u.c.Service.Name, foreseen, time.Since(begun))
+	u.opts.Health.NotePace(to.ID, pace(foreseen, time.Since(begun)))
 	u.ok(to.ID)
 	return prefilled{kv: &port.KVSource{Addr: to.Addr, Handle: handle}, zone: to.Zone, at: to.ID}, nil
 }
@@ -174,6 +241,7 @@
 	if o, counts := f.outcome(); counts {
 		u.opts.Health.Note(f.target, o)
 	}
+	f.noted = true
 	if f.class != unreachable {
 		f.class = notRun
 	}
@@ -189,34 +257,46 @@
 			u.release(*from.kv)
 		}
 	}()
-	var last *failure
-	for {
+	for tries := 1; ; tries++ {
 		cands := u.candidates(p, port.RoleDecode)
 		at := placement.Decode(p.Prompt, cands, u.c.Service.Engine, from.zone)
-		if at < 0 || last != nil && u.avoids(cands[at].Entry.ID) {
-			return u.noDecoder(last, from)
+		if at < 0 {
+			return &failure{class: notRun, target: from.at, err: errNoDecoder}
 		}
-		f := u.events(ctx, cands[at].Entry, p, from, out)
+		to := cands[at].Entry
+		f := u.events(ctx, to, p, from, out)
 		if f == nil || f.mayHaveRun() {
 			taken = true
+			if f == nil && from.kv != nil {
+				u.opts.Health.Note(kvOf(from.at), health.OK)
+			}
 			return f
 		}
-		if last != nil || from.kv == nil || f.class == callerGone || f.class == late {
-			return f
+		if from.kv != nil && f.class == notRun {
+			u.opts.Health.Note(kvOf(from.at), health.Refused)
 		}
-		last = f
-		if !u.again(ctx, f) {
+		if tries > 1 || from.kv == nil || !u.others(cands, to.ID) || !u.again(ctx, f, 1) {
 			return f
 		}
 		u.note(f)
 	}
 }
 
-func (u *run) noDecoder(last *failure, from prefilled) *failure {
-	if last != nil {
-		return last
+// kvOf names an engine's KV cache where health is kept: whether what the engine
+// read can be fetched from it says nothing of its reading.
+func kvOf(id string) string { return id + KVSuffix }
+
+// KVSuffix ends the names of engines' KV caches where health is kept.
+const KVSuffix = "/kv"
+
+// others tells whether a candidate is left that hasn't failed this call.
+func (u *run) others(cands []placement.Candidate, but string) bool {
+	for _, c := range cands {
+		if c.Entry.ID != but && !u.avoids(c.Entry.ID) {
+			return true
+		}
 	}
-	return &failure{class: notRun, target: from.at, err: errNoDecoder}
+	return false
 }
 
 var errNoDecoder = errors.New("no engine decodes")
@@ -255,10 +335,27 @@
 		resp.Close(0)
 		return &failure{class: broken, target: to.ID, err: errUnsigned}
 	}
-	first := func() { u.models.firstIn(u.c.Service.Name, time.Since(begun)) }
+	foreseen := u.models.load(u.c.Service.Name).First
+	if from.kv != nil {
+		foreseen += placement.Move(u.c.Service.Engine, p.Tokens, from.zone == to.Zone)
+	}
+	first := func() {
+		seen := time.Since(begun)
+		u.models.firstIn(u.c.Service.Name, u.models.load(u.c.Service.Name).First+seen-foreseen)
+		u.opts.Health.NotePace(to.ID, pace(foreseen, seen))
+	}
 	return u.relay(ctx, to.ID, resp, v, out, first)
 }
 
+// pace is how many times longer than foreseen something took. Short times are
+// off by some tens of milliseconds for reasons that aren't the engine's.
+func pace(foreseen, seen time.Duration) float64 {
+	return float64(seen+paceSlack) / float64(foreseen+paceSlack)
+}
+
+// paceSlack is added to both times of a pace.
+const paceSlack = 100 * time.Millisecond
+
 // plainStream runs a streamed call at plain targets.
 func (u *run) plainStream(ctx context.Context, out Stream) error {
 	for {
@@ -272,7 +369,7 @@
 			return nil
 		}
 		u.note(f)
-		if !u.again(ctx, f) {
+		if !u.again(ctx, f, 1) {
 			return u.finalError(ctx, f)
 		}
 	}
--- a/request/dispatch/failure.go
+++ b/request/dispatch/failure.go
@@ -40,6 +40,7 @@
 	err    error
 	answer *Answer       // the target's own, if it gave one
 	after  time.Duration // the target said when to come back
+	noted  bool          // the target was judged already
 }
 
 // Error names the target, the class and the cause.
@@ -62,6 +63,8 @@
 		return health.Unreachable, true
 	case broken, failed:
 		return health.Failed, true
+	case notRun:
+		return health.Refused, true
 	}
 	return health.OK, false
 }
@@ -93,7 +96,7 @@
 	case errors.Is(f.err, h1.ErrConnect):
 		return h1.ErrConnect.Error()
 	}
-	for _, known := range []error{errUnsigned, errTooLarge, errSilent, errTimeout, errMissing, errWrongOne, errSaysNoRun, context.Canceled} {
+	for _, known := range []error{errUnsigned, errTooLarge, errSilent, errTimeout, errMissing, errWrongOne, errSaysNoRun, errNoDecoder, context.Canceled} {
 		if errors.Is(f.err, known) {
 			return known.Error()
 		}
--- a/request/dispatch/plain.go
+++ b/request/dispatch/plain.go
@@ -31,7 +31,7 @@
 			return a, nil
 		}
 		u.note(f)
-		if !u.again(ctx, f) {
+		if !u.again(ctx, f, 1) {
 			return u.lastWord(ctx, f)
 		}
 	}
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -122,7 +122,7 @@
 		u.ran++
 		u.trace.MayRun = true
 	}
-	if o, counts := f.outcome(); counts {
+	if o, counts := f.outcome(); counts && !f.noted {
 		u.opts.Health.Note(f.target, o)
 	}
 	log.WithFields(log.Fields{
@@ -134,8 +134,10 @@
 // maxSends bounds the sends of one call, prefills and refused ones included.
 const maxSends = 6
 
-// again tells whether the call may be sent once more after f.
-func (u *run) again(ctx context.Context, f *failure) bool {
+// again tells whether the call may be sent once more after f, which takes
+// that many sends. The first prefill that an engine accepted is no send beyond
+// the first; a second one is, and so is the request that goes on from it.
+func (u *run) again(ctx context.Context, f *failure, sends int) bool {
 	switch {
 	case ctx.Err() != nil || f.class == callerGone || f.class == late:
 		return false
@@ -146,7 +148,7 @@
 	case f.class == unreachable:
 		return true // no target saw it, so it is no send beyond the first
 	}
-	return u.opts.Budget.Take(u.c.Service.Name)
+	return u.opts.Budget.Take(u.c.Service.Name, sends)
 }
 
 // usable returns the service's targets that stay, without those that failed
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -186,6 +186,7 @@
 		"status":  x.status,
 		"ms":      whole.Milliseconds(),
 		"sends":   x.trace.Sends,
+		"failed":  err != nil || x.status >= http.StatusBadRequest || len(x.trace.Causes) > 0,
 	}
 	if c != nil {
 		o.Route, o.Kind = c.Route.Name, c.Route.Kind
--- a/request/placement/decode.go
+++ b/request/placement/decode.go
@@ -13,6 +13,8 @@
 	// fullCost is what a full engine costs, in time: a step with 64 requests
 	// takes some 5 ms more than one with none.
 	fullCost = 80 * time.Millisecond
+	// foreseenFirst is the time to the first event that a slow engine exceeds.
+	foreseenFirst = defaultFirst
 	// moveWeight counts the time of a move again, since moves are paid for.
 	moveWeight = 3
 )
@@ -34,6 +36,7 @@
 		if from != "" {
 			cost += moveWeight * Move(e, max(p.Tokens-c.Load.Cached, 0), from == c.Entry.Zone)
 		}
+		cost += c.slower(foreseenFirst) - foreseenFirst
 		cost += time.Duration(unit(p.Seed^uint64(i+1)) * float64(time.Millisecond))
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
--- a/request/placement/prefill.go
+++ b/request/placement/prefill.go
@@ -12,8 +12,21 @@
 	Entry port.TargetEntry
 	Load  engines.Load
 	Rate  float64 // share of its requests that failed lately
+	Pace  float64 // how often longer than foreseen it takes lately, 1: as foreseen
 }
 
+// slower gives the time that the candidate is likely to take for one foreseen.
+func (c *Candidate) slower(d time.Duration) time.Duration {
+	if c.Pace <= slowFrom {
+		return d
+	}
+	return time.Duration(float64(d) * c.Pace)
+}
+
+// slowFrom is the pace up to which a target counts as any other: foresight
+// alone is off by that much.
+const slowFrom = 2.5
+
 // Prompt is what placement knows of a request.
 type Prompt struct {
 	Tokens int
@@ -47,7 +60,12 @@
 	for i := range cands {
 		c := &cands[i]
 		missing := max(p.Tokens-c.Load.Cached, 1)
-		ch := Choice{At: i, Missing: missing, Wait: m.Wait(ahead(c.Load, p.Level)), Read: m.Read(p.Tokens, missing)}
+		ch := Choice{
+			At:      i,
+			Missing: missing,
+			Wait:    c.slower(m.Wait(ahead(c.Load, p.Level))),
+			Read:    c.slower(m.Read(p.Tokens, missing)),
+		}
 		cost := ch.Wait + ch.Read
 		cost += time.Duration(readAgain * float64(ch.Read))
 		cost += time.Duration(c.Rate * float64(failPenalty))
