--- /dev/null
+++ b/internal/pipenet/pipenet.go
@@ -0,0 +1,128 @@
+// Package pipenet is a network in memory for tests on virtual time: servers by
+// address, connections that are pipes.
+package pipenet
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+)
+
+// Net is safe for concurrent use. The zero value has no servers.
+type Net struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	servers   []*http.Server
+	dials     map[string]int
+}
+
+// Serve answers at an address until Close or Stop.
+func (n *Net) Serve(addr string, h http.Handler) {
+	l := &listener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	srv := &http.Server{Handler: h}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners == nil {
+		n.listeners = make(map[string]*listener)
+		n.dials = make(map[string]int)
+	}
+	n.listeners[addr] = l
+	n.servers = append(n.servers, srv)
+	go func() { _ = srv.Serve(l) }()
+}
+
+// Raw answers connections at an address by a function that owns them.
+func (n *Net) Raw(addr string, serve func(net.Conn)) {
+	l := &listener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.mu.Lock()
+	if n.listeners == nil {
+		n.listeners = make(map[string]*listener)
+		n.dials = make(map[string]int)
+	}
+	n.listeners[addr] = l
+	n.mu.Unlock()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+}
+
+// Dial connects to an address; without a server the connection is refused.
+func (n *Net) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[addr]
+	if l != nil {
+		n.dials[addr]++
+	}
+	n.mu.Unlock()
+	if l == nil {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+	}
+	ours, theirs := net.Pipe()
+	select {
+	case l.conns <- theirs:
+		return ours, nil
+	case <-l.closed:
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Dials is the number of connections made to an address.
+func (n *Net) Dials(addr string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dials[addr]
+}
+
+// Stop refuses connections to an address from now on.
+func (n *Net) Stop(addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if l := n.listeners[addr]; l != nil {
+		_ = l.Close()
+		delete(n.listeners, addr)
+	}
+}
+
+// Close ends all servers and their connections.
+func (n *Net) Close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.listeners {
+		_ = l.Close()
+	}
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
+}
+
+type listener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
--- /dev/null
+++ b/process/discovery/registry_test.go
@@ -0,0 +1,115 @@
+package discovery
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/port"
+)
+
+func TestMain(m *testing.M) {
+	log.SetLevel(log.FatalLevel)
+	m.Run()
+}
+
+// decode reads "service" or "service leaving" from a record's value.
+func decode(r port.KeyedRecord) (port.TargetEntry, bool, error) {
+	if r.Value == nil {
+		return port.TargetEntry{ID: r.Key}, false, nil
+	}
+	if string(r.Value) == "broken" {
+		return port.TargetEntry{ID: r.Key}, false, errors.New("broken")
+	}
+	service, state, _ := strings.Cut(string(r.Value), " ")
+	return port.TargetEntry{ID: r.Key, Service: service, Leaving: state == "leaving"}, true, nil
+}
+
+func rec(offset int64, key, value string) port.KeyedRecord {
+	r := port.KeyedRecord{Key: key, Offset: offset}
+	if value != "" {
+		r.Value = []byte(value)
+	}
+	return r
+}
+
+func ids(r *Registry, service string) []string {
+	var out []string
+	for _, e := range r.Snapshot().Targets[service] {
+		out = append(out, e.ID)
+	}
+	return out
+}
+
+func want(t *testing.T, r *Registry, service string, list ...string) {
+	t.Helper()
+	if got := ids(r, service); !slices.Equal(got, list) {
+		t.Errorf("targets of %s: %v, want %v", service, got, list)
+	}
+}
+
+// Every request of a service is refused although its targets are well.
+// The store was away, the targets' entries lapsed in it, and the daemon read
+// their removal when the store came back, before the targets had written anew.
+func TestEntriesThatLapsedInAnOutageAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New(Options{Decode: decode})
+		r.Reset([]port.KeyedRecord{rec(0, "a", "s"), rec(1, "b", "s")})
+		r.Lost(errors.New("away"))
+		r.Apply([]port.KeyedRecord{rec(2, "a", ""), rec(3, "b", "")})
+		r.Back()
+		want(t, r, "s", "a", "b")
+		time.Sleep(time.Second)
+		r.Apply([]port.KeyedRecord{rec(4, "a", "s")})
+		time.Sleep(keepAfterReturn)
+		synctest.Wait()
+		want(t, r, "s", "a")
+	})
+}
+
+// A listing after the outage that lacks an entry counts like its removal.
+func TestListingAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New(Options{Decode: decode})
+		r.Reset([]port.KeyedRecord{rec(0, "a", "s"), rec(1, "b", "s")})
+		r.Lost(errors.New("away"))
+		r.Reset([]port.KeyedRecord{rec(1, "b", "s")})
+		r.Back()
+		want(t, r, "s", "a", "b")
+		time.Sleep(keepAfterReturn)
+		synctest.Wait()
+		want(t, r, "s", "b")
+	})
+}
+
+func TestRemovalWithoutAnOutageCountsAtOnce(t *testing.T) {
+	r := New(Options{Decode: decode})
+	r.Reset([]port.KeyedRecord{rec(0, "a", "s"), rec(1, "b", "s")})
+	r.Apply([]port.KeyedRecord{rec(2, "a", "")})
+	want(t, r, "s", "b")
+}
+
+// A target that says it leaves gets no new work, also in an outage's wake.
+func TestLeavingCountsAtOnce(t *testing.T) {
+	r := New(Options{Decode: decode})
+	r.Reset([]port.KeyedRecord{rec(0, "a", "s")})
+	r.Lost(errors.New("away"))
+	r.Apply([]port.KeyedRecord{rec(1, "a", "s leaving")})
+	if e := r.Snapshot().Targets["s"][0]; !e.Leaving {
+		t.Error("the target doesn't count as leaving")
+	}
+}
+
+func TestOlderAndUnreadableRecords(t *testing.T) {
+	r := New(Options{Decode: decode})
+	r.Apply([]port.KeyedRecord{rec(5, "a", "s leaving")})
+	r.Apply([]port.KeyedRecord{rec(3, "a", "s"), rec(6, "a", "broken")})
+	if e := r.Snapshot().Targets["s"][0]; !e.Leaving {
+		t.Error("an older or unreadable record took the newer one's place")
+	}
+}
--- /dev/null
+++ b/process/keyed/follower_test.go
@@ -0,0 +1,212 @@
+package keyed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/port"
+)
+
+func TestMain(m *testing.M) {
+	log.SetLevel(log.FatalLevel)
+	m.Run()
+}
+
+// fakeStore keeps records in memory.
+type fakeStore struct {
+	mu      sync.Mutex
+	first   int64
+	records []port.KeyedRecord
+	down    bool
+	behind  int64 // listings show the topic without its last records
+	expired bool  // reads find their records dropped
+	reads   int
+	lists   int
+}
+
+func (s *fakeStore) add(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = append(s.records, port.KeyedRecord{Key: key, Value: []byte(value), Offset: s.first + int64(len(s.records))})
+}
+
+func (s *fakeStore) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+func (s *fakeStore) end() int64 { return s.first + int64(len(s.records)) }
+
+func (s *fakeStore) Newest(_ context.Context, _ port.Topic, _ string) (port.KeyedPage, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+	if s.down {
+		return port.KeyedPage{}, port.ErrUnavailable
+	}
+	shown := s.records[:int64(len(s.records))-s.behind]
+	return port.KeyedPage{Records: shown, End: s.end() - s.behind}, nil
+}
+
+func (s *fakeStore) Read(ctx context.Context, _ port.Topic, from int64, wait time.Duration) ([]port.KeyedRecord, error) {
+	deadline := time.Now().Add(wait)
+	for {
+		s.mu.Lock()
+		s.reads++
+		down, first, end := s.down, s.first, s.end()
+		expired := s.expired
+		var out []port.KeyedRecord
+		if from >= first && from <= end {
+			out = append(out, s.records[from-first:]...)
+		}
+		s.mu.Unlock()
+		switch {
+		case down:
+			return nil, port.ErrUnavailable
+		case expired || from < first:
+			return nil, port.ErrExpired
+		case len(out) > 0 || !time.Now().Before(deadline):
+			return out, nil
+		}
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (s *fakeStore) Put(context.Context, port.Topic, string, []byte) (int64, error) {
+	return 0, errors.New("not used")
+}
+
+func (s *fakeStore) PutAt(context.Context, port.Topic, string, []byte, int64) (int64, error) {
+	return 0, errors.New("not used")
+}
+
+// sink keeps what it gets as text.
+type sink struct {
+	mu  sync.Mutex
+	log []string
+}
+
+func (s *sink) note(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log = append(s.log, text)
+}
+
+func (s *sink) Reset(r []port.KeyedRecord) { s.note("reset " + keys(r)) }
+func (s *sink) Apply(r []port.KeyedRecord) { s.note("apply " + keys(r)) }
+func (s *sink) Lost(error)                 { s.note("lost") }
+func (s *sink) Back()                      { s.note("back") }
+
+func (s *sink) said() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprint(s.log)
+}
+
+func keys(records []port.KeyedRecord) string {
+	out := ""
+	for _, r := range records {
+		out += r.Key
+	}
+	return out
+}
+
+func run(t *testing.T, pace time.Duration, test func(s *fakeStore, k *sink)) {
+	synctest.Test(t, func(t *testing.T) {
+		s, k := &fakeStore{}, &sink{}
+		s.add("a", "1")
+		f := New(Options{Store: s, Name: "test", Sink: k, Pace: pace})
+		f.Start()
+		test(s, k)
+		_ = f.Stop()
+	})
+}
+
+func settle() {
+	time.Sleep(5 * time.Second)
+	synctest.Wait()
+}
+
+func check(t *testing.T, k *sink, want string) {
+	t.Helper()
+	if got := k.said(); got != want {
+		t.Errorf("sink saw %s, want %s", got, want)
+	}
+}
+
+func TestRecordsInOrder(t *testing.T) {
+	run(t, time.Second, func(s *fakeStore, k *sink) {
+		settle()
+		s.add("b", "1")
+		s.add("c", "1")
+		settle()
+		check(t, k, "[reset a apply bc]")
+	})
+}
+
+// A daemon misses every change from some moment on. The store dropped the
+// records that the daemon wanted next, and its reads failed for good.
+func TestExpiredRecordsAreListed(t *testing.T) {
+	run(t, time.Second, func(s *fakeStore, k *sink) {
+		settle()
+		s.set(func() { s.first, s.records = 7, nil })
+		s.add("z", "1")
+		settle()
+		check(t, k, "[reset a reset z]")
+	})
+}
+
+// Requests go to a target that left. The store forgot its log, and its listing
+// was behind what the daemon had read before.
+func TestListingThatIsBehindIsNotTaken(t *testing.T) {
+	run(t, 100*time.Millisecond, func(s *fakeStore, k *sink) {
+		settle()
+		s.add("b", "1")
+		settle()
+		s.set(func() { s.expired, s.behind = true, 1 })
+		settle()
+		check(t, k, "[reset a apply b lost]")
+		s.set(func() { s.expired, s.behind = false, 0 })
+		settle()
+		check(t, k, "[reset a apply b lost reset ab back]")
+	})
+}
+
+func TestOutageIsToldOnce(t *testing.T) {
+	run(t, time.Second, func(s *fakeStore, k *sink) {
+		settle()
+		s.set(func() { s.down = true })
+		settle()
+		s.add("b", "1")
+		s.set(func() { s.down = false })
+		settle()
+		check(t, k, "[reset a lost apply b back]")
+	})
+}
+
+// Every call to the store is paid for, and refused over its rate: with a
+// record every 10 ms an unpaced follower makes a hundred calls a second.
+func TestReadsArePaced(t *testing.T) {
+	run(t, 500*time.Millisecond, func(s *fakeStore, k *sink) {
+		for range 500 {
+			s.add("b", "1")
+			time.Sleep(10 * time.Millisecond)
+		}
+		synctest.Wait()
+		if s.reads > 12 {
+			t.Errorf("%d reads in 5 s, want 10 or so", s.reads)
+		}
+	})
+}
--- /dev/null
+++ b/version/inforce/inforce_test.go
@@ -0,0 +1,63 @@
+package inforce
+
+import (
+	"errors"
+	"strconv"
+	"testing"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/version/route"
+)
+
+func TestMain(m *testing.M) {
+	log.SetLevel(log.FatalLevel)
+	m.Run()
+}
+
+// decode reads a version from a record's value.
+func decode(r port.KeyedRecord) (*route.Config, bool, error) {
+	if r.Key != "config" {
+		return nil, false, nil
+	}
+	n, err := strconv.ParseInt(string(r.Value), 10, 64)
+	if err != nil {
+		return nil, true, errors.New("not a version")
+	}
+	return route.New(n, nil, nil, route.Limits{}), true, nil
+}
+
+func records(values ...string) []port.KeyedRecord {
+	var out []port.KeyedRecord
+	for i, v := range values {
+		out = append(out, port.KeyedRecord{Key: "config", Value: []byte(v), Offset: int64(i)})
+	}
+	return out
+}
+
+// A caller is answered by the new version and then by the old one again.
+// The store forgot its log, the daemon listed the topic, and the answer was
+// some seconds behind; or records were read twice.
+func TestVersionsOnlyRise(t *testing.T) {
+	h := New(decode)
+	if h.Load() != nil {
+		t.Fatal("a configuration before the first record")
+	}
+	h.Reset(records("5"))
+	h.Apply(records("9", "7"))
+	h.Reset(records("5"))
+	if v := h.Load().Version; v != 9 {
+		t.Errorf("version %d in force, want 9", v)
+	}
+}
+
+// An operator's record can't be read; callers must go on as before.
+func TestUnreadableRecordChangesNothing(t *testing.T) {
+	h := New(decode)
+	h.Apply(records("3", "nonsense"))
+	h.Apply([]port.KeyedRecord{{Key: "another", Value: []byte("8")}})
+	if v := h.Load().Version; v != 3 {
+		t.Errorf("version %d in force, want 3", v)
+	}
+}
