--- a/connection/engines/book.go
+++ b/connection/engines/book.go
@@ -84,11 +84,16 @@
 // Hash names an engine in the daemons' messages.
 func Hash(target string) uint64 { return xxhash.Sum64String(target) }
 
-// engine returns the state of a target. Callers hold b.mu.
+// assumedMemory is the memory of an engine of which only other daemons spoke
+// so far, in tokens: that of the smallest engines served here.
+const assumedMemory = 450_000
+
+// engine returns the state of a target with that much memory, 0: not known
+// here. Callers hold b.mu.
 func (b *Book) engine(target uint64, tokens int) *engine {
 	e := b.engines[target]
 	if e == nil {
-		e = &engine{own: Work{Target: target}, keeps: newPrefixes(tokens)}
+		e = &engine{own: Work{Target: target}, keeps: newPrefixes(assumedMemory)}
 		b.engines[target] = e
 	}
 	if tokens > 0 {
--- /dev/null
+++ b/connection/engines/engines_test.go
@@ -0,0 +1,117 @@
+package engines
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pomelospool/pomelospool/port"
+)
+
+func runs(ids ...uint64) []Run {
+	var parts []port.PromptPart
+	for _, id := range ids {
+		parts = append(parts, port.PromptPart{ID: id, Tokens: 100})
+	}
+	return Runs(parts)
+}
+
+// clock is a time that tests move.
+type clock struct{ t time.Time }
+
+func (c *clock) now() time.Time { return c.t }
+
+func book() (*Book, *clock) {
+	c := &clock{t: time.Unix(1000, 0)}
+	return New(c.now, func() {}), c
+}
+
+func TestPartsCountOnlyAfterThoseBeforeThem(t *testing.T) {
+	b, _ := book()
+	b.Prefill("e", 10_000, 0, runs(1, 2, 3), 300)()
+	for name, tc := range map[string]struct {
+		runs []Run
+		want int
+	}{
+		"all":               {runs(1, 2, 3), 300},
+		"another last part": {runs(1, 2, 9), 200},
+		"another first":     {runs(9, 2, 3), 0},
+		"none":              {nil, 0},
+	} {
+		if got := b.Load("e", tc.runs).Cached; got != tc.want {
+			t.Errorf("%s: %d tokens cached, want %d", name, got, tc.want)
+		}
+	}
+	if got := b.Load("other", runs(1)).Cached; got != 0 {
+		t.Errorf("an engine that read nothing keeps %d tokens", got)
+	}
+}
+
+func TestLeastRecentlyUsedPartsYield(t *testing.T) {
+	b, _ := book()
+	b.Prefill("e", 250, 0, runs(1), 100)()
+	b.Prefill("e", 250, 0, runs(2), 100)()
+	b.Prefill("e", 250, 0, runs(1), 0)()
+	b.Prefill("e", 250, 0, runs(3), 100)()
+	if b.Load("e", runs(2)).Cached != 0 || b.Load("e", runs(1)).Cached != 100 || b.Load("e", runs(3)).Cached != 100 {
+		t.Error("not the least recently used part yielded")
+	}
+}
+
+func TestLoadSumsAllDaemons(t *testing.T) {
+	b, c := book()
+	done := b.Prefill("e", 1000, 1, runs(1), 40)
+	end := b.Decode("e", 1000, runs(1))
+	b.Hear("peer", []Work{{Target: Hash("e"), Ahead: [Levels]uint32{5, 6, 0, 0}, Streams: 2}}, []Read{{Target: Hash("e"), Runs: runs(7)}})
+	l := b.Load("e", runs(7))
+	if l.Ahead != [Levels]int{5, 46, 0, 0} || l.Streams != 3 || l.Cached != 100 {
+		t.Errorf("load %+v", l)
+	}
+	done()
+	done()
+	end()
+	if l := b.Load("e", nil); l.Ahead != [Levels]int{5, 6, 0, 0} || l.Streams != 2 {
+		t.Errorf("load after the end %+v", l)
+	}
+	c.t = c.t.Add(believedFor + time.Millisecond)
+	if l := b.Load("e", nil); l.Streams != 0 {
+		t.Errorf("a silent daemon's work still counts: %+v", l)
+	}
+}
+
+func TestOwnTellsReadsOnce(t *testing.T) {
+	b, _ := book()
+	end := b.Decode("e", 1000, runs(1))
+	work, reads := b.Own()
+	if len(work) != 1 || work[0].Streams != 1 || len(reads) != 1 {
+		t.Errorf("work %+v, reads %+v", work, reads)
+	}
+	if _, reads := b.Own(); len(reads) != 0 {
+		t.Errorf("reads told twice: %+v", reads)
+	}
+	end()
+	if work, _ := b.Own(); len(work) != 0 {
+		t.Errorf("work that has ended: %+v", work)
+	}
+}
+
+func TestChangingIsHeard(t *testing.T) {
+	b, _ := book()
+	b.Changing("e", true)
+	work, _ := b.Own()
+	other, _ := book()
+	other.Hear("peer", work, nil)
+	if !other.Load("e", nil).Changing {
+		t.Error("the other daemon sends requests to an engine that carries out an order")
+	}
+}
+
+func TestRetainKeepsEnginesWithWork(t *testing.T) {
+	b, _ := book()
+	end := b.Decode("busy", 1000, runs(1))
+	b.Decode("idle", 1000, runs(1))()
+	b.Retain(map[uint64]bool{})
+	if b.Load("idle", runs(1)).Cached != 0 || b.Load("busy", runs(1)).Cached != 100 {
+		t.Error("the wrong engine was forgotten")
+	}
+	end()
+}
--- /dev/null
+++ b/connection/health/health_test.go
@@ -0,0 +1,103 @@
+package health
+
+import (
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+)
+
+func TestMain(m *testing.M) {
+	log.SetLevel(log.FatalLevel)
+	m.Run()
+}
+
+type clock struct{ t time.Time }
+
+func (c *clock) now() time.Time       { return c.t }
+func (c *clock) pass(d time.Duration) { c.t = c.t.Add(d) }
+func book() (*Book, *clock)           { c := &clock{time.Unix(1000, 0)}; return New(c.now), c }
+func note(b *Book, o Outcome, times int) {
+	for range times {
+		b.Note("t", o)
+	}
+}
+func pace(b *Book, r float64, times int) {
+	for range times {
+		b.NotePace("t", r)
+	}
+}
+
+// Every tenth request waits for nothing. A target went dark, and requests were
+// sent there as before.
+func TestUnreachableTargetsAreBenchedLongerEachTime(t *testing.T) {
+	b, c := book()
+	note(b, Unreachable, 1)
+	if !b.Benched("t") {
+		t.Fatal("not benched")
+	}
+	c.pass(firstBench)
+	if b.Benched("t") {
+		t.Error("benched for longer than the first time")
+	}
+	note(b, Unreachable, 1)
+	c.pass(firstBench)
+	if !b.Benched("t") {
+		t.Error("the second time is no longer than the first")
+	}
+	note(b, Unreachable, 20)
+	c.pass(maxBench)
+	if b.Benched("t") {
+		t.Error("benched beyond the longest time")
+	}
+	note(b, OK, 1)
+	note(b, Unreachable, 1)
+	c.pass(firstBench)
+	if b.Benched("t") {
+		t.Error("an answer in between doesn't count")
+	}
+}
+
+// A target fails part of its requests while its health check is good.
+func TestFailureRateRisesAndIsForgiven(t *testing.T) {
+	b, c := book()
+	note(b, Failed, 15)
+	if r := b.Rate("t"); r < 0.7 {
+		t.Errorf("rate %.2f after failures only", r)
+	}
+	if !b.Impaired("t") || b.Benched("t") {
+		t.Error("a failing target is impaired, not benched")
+	}
+	c.pass(4*forgive + time.Second)
+	if r := b.Rate("t"); r > 0.1 {
+		t.Errorf("rate %.2f long after the last request", r)
+	}
+	if b.Rate("unknown") != 0 || b.Pace("unknown") != 1 || b.Impaired("unknown") {
+		t.Error("an unknown target isn't sound")
+	}
+}
+
+func TestPace(t *testing.T) {
+	b, c := book()
+	pace(b, 100, 1)
+	if p := b.Pace("t"); p > 1+paceShare*maxPace {
+		t.Errorf("pace %.1f after a single slow one", p)
+	}
+	pace(b, 8, 20)
+	if p := b.Pace("t"); p < 7 || !b.Impaired("t") {
+		t.Errorf("pace %.1f of a slow target", p)
+	}
+	c.pass(6 * forgive)
+	if p := b.Pace("t"); p > 1.5 {
+		t.Errorf("pace %.1f long after", p)
+	}
+}
+
+func TestRetain(t *testing.T) {
+	b, _ := book()
+	note(b, Failed, 5)
+	b.Retain(func(string) bool { return false })
+	if b.Rate("t") != 0 {
+		t.Error("a target that is gone is remembered")
+	}
+}
--- /dev/null
+++ b/process/roles/roles_test.go
@@ -0,0 +1,247 @@
+package roles
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/port"
+)
+
+func TestMain(m *testing.M) {
+	log.SetLevel(log.FatalLevel)
+	m.Run()
+}
+
+// fleet makes engines by role, spread over three zones.
+func fleet(prefill, decode int) []Engine {
+	var out []Engine
+	for i := range prefill + decode {
+		role := port.RolePrefill
+		if i >= prefill {
+			role = port.RoleDecode
+		}
+		out = append(out, Engine{Entry: port.TargetEntry{
+			ID: fmt.Sprintf("e%03d", i), Zone: fmt.Sprint("z", i%3), Role: role, Slots: 64,
+		}})
+	}
+	return out
+}
+
+func TestPlan(t *testing.T) {
+	cases := []struct {
+		name    string
+		engines []Engine
+		demand  Demand
+		moves   int
+		to      port.Role
+	}{
+		{"as they start", fleet(3, 6), Demand{}, 4, port.RolePrefill},
+		{"as wanted", fleet(7, 2), Demand{Streams: 60, Calm: true}, 0, ""},
+		{"many streams", fleet(7, 2), Demand{Streams: 120}, 1, port.RoleDecode},
+		{"one too many, not calm", fleet(6, 3), Demand{}, 0, ""},
+		{"one too many, calm", fleet(6, 3), Demand{Calm: true}, 1, port.RolePrefill},
+		{"large", fleet(21, 39), Demand{}, 30, port.RolePrefill},
+		{"no decoder", fleet(5, 0), Demand{}, 2, port.RoleDecode},
+		{"two engines", fleet(0, 2), Demand{}, 1, port.RolePrefill},
+		{"one engine", fleet(0, 1), Demand{}, 0, ""},
+		{"none", nil, Demand{}, 0, ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			moves := Plan(tc.engines, tc.demand)
+			if len(moves) != tc.moves || tc.moves > 0 && moves[0].Role != tc.to {
+				t.Errorf("moves %+v", moves)
+			}
+		})
+	}
+}
+
+// Every answer stops for seconds when one engine dies, if the two that decode
+// stand in one zone, or if the one that is left isn't joined at once.
+func TestPlanAfterDeaths(t *testing.T) {
+	e := fleet(7, 2)
+	e[8].Impaired = true
+	if moves := Plan(e, Demand{}); len(moves) != 1 || moves[0].Role != port.RoleDecode {
+		t.Fatalf("an impaired decoder isn't replaced: %+v", moves)
+	}
+	e[8].Impaired = false
+	e[8].Entry.Leaving = true
+	moves := Plan(e, Demand{})
+	if len(moves) != 1 {
+		t.Fatalf("a leaving decoder isn't replaced: %+v", moves)
+	}
+	for _, one := range e {
+		if one.Entry.ID == moves[0].Target && one.Entry.Zone == e[7].Entry.Zone {
+			t.Error("the new decoder stands in the zone of the other one")
+		}
+	}
+}
+
+func TestPlanLeavesRefusingEnginesAlone(t *testing.T) {
+	e := fleet(5, 0)
+	for i := range e {
+		e[i].Refused = i != 3
+	}
+	if moves := Plan(e, Demand{}); len(moves) != 1 || moves[0].Target != "e003" {
+		t.Errorf("moves %+v", moves)
+	}
+}
+
+// claimStore is a store with the topic of claims only.
+type claimStore struct {
+	records []port.KeyedRecord
+	newest  map[string]port.KeyedRecord
+	lose    bool
+	between func() // called between a listing and the write after it
+}
+
+func (s *claimStore) Newest(context.Context, port.Topic, string) (port.KeyedPage, error) {
+	page := port.KeyedPage{End: int64(len(s.records))}
+	for _, r := range s.newest {
+		page.Records = append(page.Records, r)
+	}
+	return page, nil
+}
+
+func (s *claimStore) PutAt(_ context.Context, _ port.Topic, key string, value []byte, at int64) (int64, error) {
+	if s.between != nil {
+		s.between()
+	}
+	if at != int64(len(s.records)) {
+		return 0, port.ErrConflict
+	}
+	r := port.KeyedRecord{Key: key, Value: value, Offset: at}
+	s.records = append(s.records, r)
+	if s.newest == nil {
+		s.newest = make(map[string]port.KeyedRecord)
+	}
+	s.newest[key] = r
+	if s.lose {
+		return 0, port.ErrUnavailable
+	}
+	return at, nil
+}
+
+func (s *claimStore) Read(context.Context, port.Topic, int64, time.Duration) ([]port.KeyedRecord, error) {
+	return nil, errors.New("not used")
+}
+
+func (s *claimStore) Put(context.Context, port.Topic, string, []byte) (int64, error) {
+	return 0, errors.New("not used")
+}
+
+const lease = 3 * time.Second
+
+func claimer(self string, s port.Store, now *time.Duration) *claims {
+	return &claims{
+		self: self, store: s, lease: lease, now: func() time.Duration { return *now },
+		held: map[string]claim{}, other: map[string]sighting{},
+	}
+}
+
+// Two daemons give orders to the same engines in turn, and each undoes what the
+// other did. The second one claimed while the first one's lease still ran.
+func TestSecondHolderWaitsForTheLease(t *testing.T) {
+	s, now := &claimStore{}, time.Duration(0)
+	a, b := claimer("a", s, &now), claimer("b", s, &now)
+	first, err := a.get(t.Context(), "svc")
+	if err != nil || first.fence != 0 {
+		t.Fatal(first, err)
+	}
+	for ; now < lease; now += 250 * time.Millisecond {
+		if _, err := b.get(t.Context(), "svc"); !errors.Is(err, errNotYet) {
+			t.Fatalf("at %v: %v", now, err)
+		}
+	}
+	if now < first.until {
+		t.Fatal("the test ends before the claim does")
+	}
+	now += waitMargin
+	second, err := b.get(t.Context(), "svc")
+	if err != nil || second.fence <= first.fence {
+		t.Errorf("claim %+v, %v", second, err)
+	}
+	if _, err := a.get(t.Context(), "svc"); !errors.Is(err, errNotYet) {
+		t.Errorf("the first holder claims again at once: %v", err)
+	}
+}
+
+// A holder that goes on claiming keeps the others out.
+func TestWaitBeginsAnewWithEachClaim(t *testing.T) {
+	s, now := &claimStore{}, time.Duration(0)
+	a, b := claimer("a", s, &now), claimer("b", s, &now)
+	for ; now < 5*lease; now += lease / 2 {
+		if _, err := a.get(t.Context(), "svc"); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := b.get(t.Context(), "svc"); !errors.Is(err, errNotYet) {
+			t.Fatalf("at %v: %v", now, err)
+		}
+	}
+}
+
+// A holder is paused and wakes after its lease: it must claim anew before the
+// next order.
+func TestClaimEndsBeforeTheLease(t *testing.T) {
+	s, now := &claimStore{}, time.Duration(0)
+	a := claimer("a", s, &now)
+	first, err := a.get(t.Context(), "svc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if first.until >= lease {
+		t.Errorf("acts until %v of %v", first.until, lease)
+	}
+	now = first.until
+	second, err := a.get(t.Context(), "svc")
+	if err != nil || second.fence <= first.fence {
+		t.Errorf("claim %+v, %v", second, err)
+	}
+}
+
+// Two daemons read the same end of the topic; the other one's claim is written
+// first.
+func TestRaceHasOneWinner(t *testing.T) {
+	s, now := &claimStore{}, time.Duration(0)
+	a, b := claimer("a", s, &now), claimer("b", s, &now)
+	s.between = func() {
+		s.between = nil
+		if _, err := b.get(t.Context(), "svc"); err != nil {
+			t.Error(err)
+		}
+	}
+	if got, err := a.get(t.Context(), "svc"); !errors.Is(err, port.ErrConflict) {
+		t.Errorf("both won: %+v, %v", got, err)
+	}
+}
+
+// The store did the write and its answer was lost. Nothing is done under that
+// claim, and a new one takes its place.
+func TestLostAnswerGivesNoClaim(t *testing.T) {
+	s, now := &claimStore{lose: true}, time.Duration(0)
+	a := claimer("a", s, &now)
+	if _, err := a.get(t.Context(), "svc"); err == nil {
+		t.Fatal("a claim without an answer")
+	}
+	s.lose = false
+	got, err := a.get(t.Context(), "svc")
+	if err != nil || got.fence != 1 {
+		t.Errorf("claim %+v, %v", got, err)
+	}
+}
+
+func TestDropEndsAClaim(t *testing.T) {
+	s, now := &claimStore{}, time.Duration(0)
+	a := claimer("a", s, &now)
+	first, _ := a.get(t.Context(), "svc")
+	a.drop("svc")
+	second, err := a.get(t.Context(), "svc")
+	if err != nil || second.fence == first.fence {
+		t.Errorf("claim %+v, %v", second, err)
+	}
+}
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -84,7 +84,7 @@
 	member Member
 	seq    uint64
 	heard  time.Time
-	addr   *net.UDPAddr
+	addr   net.Addr
 }
 
 // Options of a Roster.
@@ -95,12 +95,14 @@
 	TTL   time.Duration // how long callers keep addresses
 	// StoreAway tells whether the store can't be read now.
 	StoreAway func() bool
+	// Conn replaces the UDP socket, in tests.
+	Conn net.PacketConn
 }
 
 // Roster is safe for concurrent use.
 type Roster struct {
 	o    Options
-	conn *net.UDPConn
+	conn net.PacketConn
 	tomb tomb.Tomb
 	news chan struct{}
 
@@ -114,15 +116,14 @@
 
 // New opens the roster's socket.
 func New(o Options) (*Roster, error) {
-	addr, err := net.ResolveUDPAddr("udp4", o.Self.PeerAddr)
-	if err != nil {
-		return nil, err
-	}
-	conn, err := net.ListenUDP("udp4", addr)
-	if err != nil {
-		return nil, err
+	conn := o.Conn
+	if conn == nil {
+		var err error
+		if conn, err = net.ListenPacket("udp4", o.Self.PeerAddr); err != nil {
+			return nil, err
+		}
+		o.Self.PeerAddr = conn.LocalAddr().String()
 	}
-	o.Self.PeerAddr = conn.LocalAddr().String()
 	return &Roster{
 		o:     o,
 		conn:  conn,
@@ -265,7 +266,7 @@
 	r.seq++
 	r.self.StoreAway = r.o.StoreAway()
 	b := beat{Member: r.self, Seq: r.seq, Work: work, Reads: reads}
-	var to []*net.UDPAddr
+	var to []net.Addr
 	for addr, p := range r.peers {
 		if now.Sub(p.heard) > forgetAfter {
 			delete(r.peers, addr)
@@ -284,7 +285,7 @@
 	}
 	for _, addr := range to {
 		// A datagram that can't be sent is as good as lost on the way.
-		_, _ = r.conn.WriteToUDP(data, addr)
+		_, _ = r.conn.WriteTo(data, addr)
 	}
 }
 
@@ -303,7 +304,7 @@
 func (r *Roster) hear() error {
 	buf := make([]byte, 64<<10)
 	for {
-		n, from, err := r.conn.ReadFromUDP(buf)
+		n, from, err := r.conn.ReadFrom(buf)
 		if !r.tomb.Alive() {
 			return nil
 		}
@@ -323,7 +324,7 @@
 	}
 }
 
-func (r *Roster) take(b *beat, from *net.UDPAddr) {
+func (r *Roster) take(b *beat, from net.Addr) {
 	key := b.Member.PeerAddr
 	r.mu.Lock()
 	p := r.peers[key]
--- /dev/null
+++ b/process/roster/roster_test.go
@@ -0,0 +1,292 @@
+package roster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/port"
+)
+
+func TestMain(m *testing.M) {
+	log.SetLevel(log.FatalLevel)
+	m.Run()
+}
+
+// wires is a network of datagrams in memory.
+type wires struct {
+	mu   sync.Mutex
+	ends map[string]*end
+	cut  map[string]bool // addresses that nothing reaches or leaves
+}
+
+type packet struct {
+	data []byte
+	from net.Addr
+}
+
+type end struct {
+	w    *wires
+	addr *net.UDPAddr
+	in   chan packet
+	done chan struct{}
+	once sync.Once
+}
+
+func (w *wires) end(addr string) *end {
+	udp, err := net.ResolveUDPAddr("udp4", addr)
+	if err != nil {
+		panic(err)
+	}
+	e := &end{w: w, addr: udp, in: make(chan packet, 1000), done: make(chan struct{})}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ends[addr] = e
+	return e
+}
+
+func (w *wires) setCut(addr string, on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[addr] = on
+}
+
+func (e *end) WriteTo(data []byte, to net.Addr) (int, error) {
+	e.w.mu.Lock()
+	defer e.w.mu.Unlock()
+	other := e.w.ends[to.String()]
+	if other == nil || e.w.cut[to.String()] || e.w.cut[e.addr.String()] {
+		return len(data), nil
+	}
+	select {
+	case other.in <- packet{slices.Clone(data), e.addr}:
+	default:
+	}
+	return len(data), nil
+}
+
+func (e *end) ReadFrom(b []byte) (int, net.Addr, error) {
+	select {
+	case p := <-e.in:
+		return copy(b, p.data), p.from, nil
+	case <-e.done:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+func (e *end) Close() error                     { e.once.Do(func() { close(e.done) }); return nil }
+func (e *end) LocalAddr() net.Addr              { return e.addr }
+func (e *end) SetDeadline(time.Time) error      { return nil }
+func (e *end) SetReadDeadline(time.Time) error  { return nil }
+func (e *end) SetWriteDeadline(time.Time) error { return nil }
+
+// list is a store that holds the daemons only.
+type list struct {
+	mu      sync.Mutex
+	records map[string]port.KeyedRecord
+}
+
+func (l *list) Newest(context.Context, port.Topic, string) (port.KeyedPage, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var page port.KeyedPage
+	for _, r := range l.records {
+		page.Records = append(page.Records, r)
+	}
+	return page, nil
+}
+
+func (l *list) Put(_ context.Context, _ port.Topic, key string, value []byte) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records[key] = port.KeyedRecord{Key: key, Value: value}
+	return 0, nil
+}
+
+func (l *list) Read(context.Context, port.Topic, int64, time.Duration) ([]port.KeyedRecord, error) {
+	return nil, errors.New("not used")
+}
+
+func (l *list) PutAt(context.Context, port.Topic, string, []byte, int64) (int64, error) {
+	return 0, errors.New("not used")
+}
+
+// daemons is a fleet of rosters.
+type daemons struct {
+	w     *wires
+	store *list
+	away  atomic.Bool
+	all   []*Roster
+	books []*engines.Book
+}
+
+func (d *daemons) add(vm int, incarnation uint64) *Roster {
+	addr := fmt.Sprintf("10.0.0.%d:7000", vm)
+	var r *Roster
+	book := engines.New(time.Now, func() {
+		if r != nil {
+			r.News()
+		}
+	})
+	r, err := New(Options{
+		Self: Member{
+			VM: fmt.Sprint("vm", vm), Incarnation: incarnation, Zone: "z",
+			CallerAddr: fmt.Sprintf("10.0.0.%d:80", vm), PeerAddr: addr,
+		},
+		Store: d.store, Book: book, TTL: time.Second, StoreAway: d.away.Load, Conn: d.w.end(addr),
+	})
+	if err != nil {
+		panic(err)
+	}
+	r.Start()
+	r.SetState(Ready)
+	d.all, d.books = append(d.all, r), append(d.books, book)
+	return r
+}
+
+func withFleet(t *testing.T, n int, test func(t *testing.T, d *daemons)) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &daemons{w: &wires{ends: map[string]*end{}, cut: map[string]bool{}}, store: &list{records: map[string]port.KeyedRecord{}}}
+		for i := range n {
+			d.add(i+1, 1)
+		}
+		time.Sleep(2 * time.Second)
+		test(t, d)
+		for _, r := range d.all {
+			_ = r.Stop()
+		}
+		synctest.Wait()
+	})
+}
+
+func addrs(r *Roster) int {
+	a, _ := r.Addresses("z")
+	return len(a)
+}
+
+func TestDaemonsFindEachOther(t *testing.T) {
+	withFleet(t, 5, func(t *testing.T, d *daemons) {
+		for i, r := range d.all {
+			if len(r.Members()) != 5 || addrs(r) != 5 {
+				t.Errorf("daemon %d knows %d members, %d addresses", i, len(r.Members()), addrs(r))
+			}
+		}
+		if !d.all[0].MayLead() || d.all[1].MayLead() {
+			t.Error("not the first by name leads")
+		}
+	})
+}
+
+// Callers open connections to a daemon that is stopping, and lose them.
+func TestLeavingDaemonIsOutOfTheAnswersAtOnce(t *testing.T) {
+	withFleet(t, 3, func(t *testing.T, d *daemons) {
+		d.all[2].SetState(Leaving)
+		synctest.Wait()
+		if addrs(d.all[0]) != 2 || addrs(d.all[2]) != 2 {
+			t.Errorf("%d and %d addresses, want 2", addrs(d.all[0]), addrs(d.all[2]))
+		}
+	})
+}
+
+// Callers are sent to a daemon that was killed, for seconds.
+func TestSilentDaemonIsOutSoon(t *testing.T) {
+	withFleet(t, 3, func(t *testing.T, d *daemons) {
+		d.w.setCut("10.0.0.3:7000", true)
+		time.Sleep(deadAfter + beatEvery)
+		if addrs(d.all[0]) != 2 {
+			t.Errorf("%d addresses, want 2", addrs(d.all[0]))
+		}
+		d.w.setCut("10.0.0.3:7000", false)
+		time.Sleep(2 * beatEvery)
+		if addrs(d.all[0]) != 3 {
+			t.Errorf("%d addresses after its return, want 3", addrs(d.all[0]))
+		}
+	})
+}
+
+// A daemon that is cut off sends all callers that ask it to itself alone.
+func TestCutOffDaemonStillNamesTheOthers(t *testing.T) {
+	withFleet(t, 3, func(t *testing.T, d *daemons) {
+		d.w.setCut("10.0.0.1:7000", true)
+		d.away.Store(true)
+		time.Sleep(5 * time.Second)
+		if addrs(d.all[0]) != 3 {
+			t.Errorf("%d addresses, want 3", addrs(d.all[0]))
+		}
+		d.away.Store(false)
+		if addrs(d.all[0]) != 1 {
+			t.Errorf("%d addresses though the store shows that the others are gone", addrs(d.all[0]))
+		}
+	})
+}
+
+// A daemon that was started again while its clock stood further back would
+// stay unknown to the others for good.
+func TestRestartWithAnEarlierClock(t *testing.T) {
+	withFleet(t, 2, func(t *testing.T, d *daemons) {
+		_ = d.all[1].Stop()
+		time.Sleep(time.Second)
+		d.add(2, 0)
+		time.Sleep(time.Second)
+		if addrs(d.all[0]) != 2 {
+			t.Errorf("%d addresses, want 2", addrs(d.all[0]))
+		}
+	})
+}
+
+// An old datagram arrives after a newer one: a daemon that said it leaves would
+// be back in the answers.
+func TestOlderBeatsAreLeftOut(t *testing.T) {
+	p := &peer{member: Member{VM: "a", Incarnation: 2}, seq: 7, heard: time.Unix(100, 0)}
+	now := time.Unix(100, 0).Add(beatEvery)
+	cases := []struct {
+		incarnation, seq uint64
+		want             bool
+	}{{2, 8, false}, {2, 7, true}, {2, 6, true}, {1, 9, true}, {3, 1, false}}
+	for _, tc := range cases {
+		b := &beat{Member: Member{Incarnation: tc.incarnation}, Seq: tc.seq}
+		if got := p.outdated(b, now); got != tc.want {
+			t.Errorf("incarnation %d, beat %d: outdated %v", tc.incarnation, tc.seq, got)
+		}
+	}
+}
+
+// Six daemons each send a long prompt to the engine that looks idle to all.
+func TestWorkIsKnownElsewhereSoon(t *testing.T) {
+	withFleet(t, 3, func(t *testing.T, d *daemons) {
+		parts := engines.Runs([]port.PromptPart{{ID: 1, Tokens: 500}})
+		done := d.books[0].Prefill("e", 10_000, 0, parts, 500)
+		time.Sleep(3 * newsAfter)
+		synctest.Wait()
+		if l := d.books[2].Load("e", parts); l.Ahead[0] != 500 || l.Cached != 500 {
+			t.Errorf("the other daemon knows %+v", l)
+		}
+		done()
+		time.Sleep(3 * newsAfter)
+		synctest.Wait()
+		if l := d.books[2].Load("e", nil); l.Ahead[0] != 0 {
+			t.Errorf("work that has ended still counts elsewhere: %+v", l)
+		}
+	})
+}
+
+func TestBeatsFitIntoADatagram(t *testing.T) {
+	b := &beat{Member: Member{VM: "a"}}
+	for i := range 60 {
+		b.Reads = append(b.Reads, engines.Read{Target: uint64(i) << 40, Runs: make([]engines.Run, 4)})
+	}
+	data, err := encode(b)
+	if err != nil || len(data) > maxDatagram {
+		t.Errorf("%d bytes, %v", len(data), err)
+	}
+}
--- a/request/dispatch/failure.go
+++ b/request/dispatch/failure.go
@@ -75,7 +75,6 @@
 	errTooLarge  = errors.New("the answer is too large")
 	errSilent    = errors.New("no answer in time")
 	errTimeout   = errors.New("the time for the request is over")
-	errMissing   = errors.New("an event is missing")
 	errWrongOne  = errors.New("another target has the address")
 	errSaysNoRun = errors.New("the target says that it ran nothing")
 )
@@ -96,7 +95,7 @@
 	case errors.Is(f.err, h1.ErrConnect):
 		return h1.ErrConnect.Error()
 	}
-	for _, known := range []error{errUnsigned, errTooLarge, errSilent, errTimeout, errMissing, errWrongOne, errSaysNoRun, errNoDecoder, context.Canceled} {
+	for _, known := range []error{errUnsigned, errTooLarge, errSilent, errTimeout, errWrongOne, errSaysNoRun, errNoDecoder, context.Canceled} {
 		if errors.Is(f.err, known) {
 			return known.Error()
 		}
--- /dev/null
+++ b/request/dispatch/plain_test.go
@@ -0,0 +1,212 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/platform/standin"
+	"github.com/pomelospool/pomelospool/version/route"
+)
+
+// ran is how often the targets ran anything.
+func ran(targets ...*standin.Target) int {
+	n := 0
+	for _, t := range targets {
+		n += len(t.Ran())
+	}
+	return n
+}
+
+// faults are ways in which a target fails a request, and whether it ran it.
+var faults = map[string]struct {
+	set func(b *standin.Behaviour)
+	ran bool
+}{
+	"refuses":          {func(b *standin.Behaviour) { b.Refuse = true }, false},
+	"fails":            {func(b *standin.Behaviour) { b.Fail = true }, true},
+	"never answers":    {func(b *standin.Behaviour) { b.Mute = true }, true},
+	"answers nonsense": {func(b *standin.Behaviour) { b.Garble = true }, true},
+}
+
+// A passenger's board shows two departures. A request that may run once ran at
+// a second target, after the first had run it and failed to say so.
+func TestUnsafeCallsRunOnce(t *testing.T) {
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			withRig(t, 100, func(t *testing.T, r *rig) {
+				a, b := r.add("app", ""), r.add("app", "")
+				a.Set(fault.set)
+				b.Set(fault.set)
+				_, _, err := r.runner.Plain(t.Context(), r.call(route.Unsafe, 3, time.Second))
+				want := 0
+				if fault.ran {
+					want = 1
+				}
+				if n := ran(a, b); n != want {
+					t.Errorf("ran %d times, want %d", n, want)
+				}
+				if notRun := code.Of(err).Info().NotRun && err != nil; notRun && fault.ran {
+					t.Errorf("%v says that nothing ran", err)
+				}
+			})
+		})
+	}
+}
+
+// "Not run" is the one promise after which callers send the request again.
+func TestRefusedCallsSayWhenToComeBack(t *testing.T) {
+	withRig(t, 100, func(t *testing.T, r *rig) {
+		r.add("app", "").Set(func(b *standin.Behaviour) { b.Refuse = true })
+		_, _, err := r.runner.Plain(t.Context(), r.call(route.Unsafe, 1, time.Second))
+		e, ok := err.(*code.Error)
+		if !ok || e.Code != code.NoTarget || e.RetryAfter <= 0 {
+			t.Errorf("error %v", err)
+		}
+	})
+}
+
+func TestSafeCallsGoOnElsewhere(t *testing.T) {
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			withRig(t, 100, func(t *testing.T, r *rig) {
+				a, b := r.add("app", ""), r.add("app", "")
+				a.Set(fault.set)
+				for range 5 {
+					got, _, err := r.runner.Plain(t.Context(), r.call(route.Safe, 2, 3*time.Second))
+					if err != nil || got.Status != 200 || string(got.Body) != "answer to req-1" {
+						t.Fatalf("answer %+v, %v", got, err)
+					}
+				}
+				if len(b.Ran()) != 5 {
+					t.Errorf("the sound target ran %d of 5", len(b.Ran()))
+				}
+			})
+		})
+	}
+}
+
+// A request must not run at more targets than its route allows.
+func TestAttemptsAreBounded(t *testing.T) {
+	withRig(t, 100, func(t *testing.T, r *rig) {
+		var all []*standin.Target
+		for range 5 {
+			one := r.add("app", "")
+			one.Set(func(b *standin.Behaviour) { b.Fail = true })
+			all = append(all, one)
+		}
+		got, _, err := r.runner.Plain(t.Context(), r.call(route.Safe, 2, time.Second))
+		if err != nil || got.Status != 500 || ran(all...) != 2 {
+			t.Errorf("%d runs, answer %+v, %v", ran(all...), got, err)
+		}
+	})
+}
+
+// A target that ran a request and answers 503 would have the caller send it
+// again.
+func TestPromiseOfATargetThatRanItIsNotPassedOn(t *testing.T) {
+	u := &run{ran: 1, c: &Call{Route: &route.Route{}}}
+	a, err := u.lastWord(context.Background(), &failure{class: failed, answer: &Answer{Status: 503}})
+	if a != nil || code.Of(err).Info().NotRun {
+		t.Errorf("answer %+v, %v", a, err)
+	}
+}
+
+func TestTargetsThatRefuseConnectionsAreNoAttempt(t *testing.T) {
+	withRig(t, 0, func(t *testing.T, r *rig) {
+		r.add("app", "")
+		r.net.Stop("app0")
+		b := r.add("app", "")
+		for range 3 {
+			if _, _, err := r.runner.Plain(t.Context(), r.call(route.Unsafe, 1, time.Second)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if len(b.Ran()) != 3 {
+			t.Errorf("%d of 3 ran", len(b.Ran()))
+		}
+	})
+}
+
+// With all targets failing, each retry adds load to what is failing already.
+func TestBudgetBoundsRetries(t *testing.T) {
+	withRig(t, 3, func(t *testing.T, r *rig) {
+		a, b := r.add("app", ""), r.add("app", "")
+		for _, one := range []*standin.Target{a, b} {
+			one.Set(func(b *standin.Behaviour) { b.Fail = true })
+		}
+		for range 20 {
+			_, _, _ = r.runner.Plain(t.Context(), r.call(route.Safe, 2, time.Second))
+		}
+		if n := ran(a, b); n != 23 {
+			t.Errorf("%d runs for 20 calls, want 23", n)
+		}
+		time.Sleep(11 * time.Second)
+		_, _, _ = r.runner.Plain(t.Context(), r.call(route.Safe, 2, time.Second))
+		if n := ran(a, b); n != 25 {
+			t.Errorf("%d runs, want 25: the window has passed", n)
+		}
+	})
+}
+
+// The caller is told at once when the route's time is over, and the target
+// stops working for it.
+func TestRouteTimeoutEndsTheCall(t *testing.T) {
+	withRig(t, 100, func(t *testing.T, r *rig) {
+		a := r.add("app", "")
+		a.Set(func(b *standin.Behaviour) { b.Mute = true })
+		begun := time.Now()
+		_, _, err := r.runner.Plain(t.Context(), r.call(route.Unsafe, 1, 700*time.Millisecond))
+		if code.Of(err) != code.DeadlinePassed || time.Since(begun) != 700*time.Millisecond {
+			t.Errorf("%v after %v", err, time.Since(begun))
+		}
+		if got := a.Arrivals()[0].Left; got != 700*time.Millisecond {
+			t.Errorf("the target may work for %v", got)
+		}
+	})
+}
+
+func TestNoTargets(t *testing.T) {
+	withRig(t, 100, func(t *testing.T, r *rig) {
+		_, _, err := r.runner.Plain(t.Context(), r.call(route.Safe, 1, time.Second))
+		if code.Of(err) != code.NoTarget {
+			t.Errorf("error %v", err)
+		}
+		r.add("app", "")
+		r.entries["app"][0].Leaving = true
+		if _, _, err := r.runner.Plain(t.Context(), r.call(route.Safe, 1, time.Second)); code.Of(err) != code.NoTarget {
+			t.Errorf("a leaving target got work: %v", err)
+		}
+	})
+}
+
+// An address is used again by a target of another service, which must not run
+// the request.
+func TestAnotherTargetAtTheAddress(t *testing.T) {
+	withRig(t, 100, func(t *testing.T, r *rig) {
+		a, b := r.add("app", ""), r.add("app", "")
+		r.entries["app"][0].ID = "gone"
+		for range 4 {
+			if _, _, err := r.runner.Plain(t.Context(), r.call(route.Unsafe, 1, time.Second)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if len(a.Ran()) != 0 || len(b.Ran()) != 4 {
+			t.Errorf("%d ran at the other target", len(a.Ran()))
+		}
+	})
+}
+
+func TestCallerThatLeavesStopsTheTarget(t *testing.T) {
+	withRig(t, 100, func(t *testing.T, r *rig) {
+		r.add("app", "").Set(func(b *standin.Behaviour) { b.Mute = true })
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(100*time.Millisecond, cancel)
+		begun := time.Now()
+		_, _, err := r.runner.Plain(ctx, r.call(route.Safe, 2, time.Second))
+		if code.Of(err) != code.CallerGone || time.Since(begun) != 100*time.Millisecond {
+			t.Errorf("%v after %v", err, time.Since(begun))
+		}
+	})
+}
--- a/request/dispatch/relay.go
+++ b/request/dispatch/relay.go
@@ -41,10 +41,7 @@
 
 // pass hands events to the caller, without those that it has already.
 func (u *run) pass(target string, resp *h1.Response, events []byte, out Stream, first func()) *failure {
-	fresh, last, err := after(events, u.lastID)
-	if err != nil {
-		return &failure{class: broken, target: target, err: err}
-	}
+	fresh, last := after(events, u.lastID)
 	if !u.trace.Begun {
 		u.trace.Begun = true
 		u.trace.First = time.Since(u.c.Arrived)
@@ -132,9 +129,8 @@
 }
 
 // after returns the events that come after the one with id last, and the id of
-// the newest event. Ids that are numbers must rise without a gap: a gap means
-// that an event was lost, and its stream isn't whole.
-func after(events []byte, last string) (fresh []byte, newest string, err error) {
+// the newest event. Ids that are numbers rise, by whatever step.
+func after(events []byte, last string) (fresh []byte, newest string) {
 	newest = last
 	had, known := number(last)
 	for rest := events; len(rest) > 0; {
@@ -145,16 +141,13 @@
 		if isNumber && known && n <= had {
 			continue
 		}
-		if isNumber && known && n > had+1 {
-			return nil, "", errMissing
-		}
 		fresh = append(fresh, one...)
 		if id != "" {
 			newest = id
 			had, known = n, isNumber
 		}
 	}
-	return fresh, newest, nil
+	return fresh, newest
 }
 
 func firstEventEnd(b []byte) int {
--- /dev/null
+++ b/request/ingress/ingress_test.go
@@ -0,0 +1,237 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/connection/h1"
+	"github.com/pomelospool/pomelospool/connection/health"
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/platform/standin"
+	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/request/dispatch"
+	"github.com/pomelospool/pomelospool/version/inforce"
+	"github.com/pomelospool/pomelospool/version/route"
+)
+
+func TestMain(m *testing.M) {
+	log.SetLevel(log.FatalLevel)
+	m.Run()
+}
+
+// rig is an Ingress on loopback before one plain and one decoding target.
+type rig struct {
+	*Ingress
+	srv     *httptest.Server
+	plain   *standin.Target
+	decode  *standin.Target
+	entries map[string][]port.TargetEntry
+	seen    chan Observation
+}
+
+// Targets implements dispatch.Targets.
+func (r *rig) Targets(service string) []port.TargetEntry { return r.entries[service] }
+
+// noControl is an engine control that is not used.
+type noControl struct{}
+
+func (noControl) Report(context.Context, string, string) (port.RoleReport, error) {
+	return port.RoleReport{}, nil
+}
+func (noControl) Order(context.Context, port.RoleOrder) error  { return nil }
+func (noControl) Release(context.Context, port.KVSource) error { return nil }
+
+func config(version int64) *route.Config {
+	routes := []*route.Route{
+		{Name: "plain", Host: "a.example", Prefix: "/p/", Kind: route.Unsafe, Attempts: 1, Timeout: time.Minute, Split: []route.Share{{Service: "app", Weight: 1}}},
+		{Name: "stream", Host: "a.example", Prefix: "/s/", Kind: route.Stream, Attempts: 1, Timeout: time.Minute, Split: []route.Share{{Service: "llm", Weight: 1}}},
+		{Name: "absent", Host: "a.example", Prefix: "/absent/", Attempts: 1, Split: []route.Share{{Service: "nothing", Weight: 1}}},
+	}
+	services := []*route.Service{{Name: "app"}, {Name: "llm", Engine: &route.Engine{Slots: 4, KVTokens: 1000}}}
+	return route.New(version, routes, services, route.Limits{BodyBytes: 1000})
+}
+
+func start(t *testing.T, configured bool) *rig {
+	r := &rig{
+		plain:  standin.NewTarget("i-plain", ""),
+		decode: standin.NewTarget("i-decode", "decode"),
+		seen:   make(chan Observation, 100),
+	}
+	addr := func(h http.Handler) string {
+		srv := httptest.NewServer(h)
+		t.Cleanup(srv.Close)
+		return strings.TrimPrefix(srv.URL, "http://")
+	}
+	r.entries = map[string][]port.TargetEntry{
+		"app": {{ID: "i-plain", Addr: addr(r.plain), Slots: 4}},
+		"llm": {{ID: "i-decode", Addr: addr(r.decode), Slots: 4, Role: port.RoleDecode}},
+	}
+	holder := inforce.New(func(port.KeyedRecord) (*route.Config, bool, error) { return config(7), true, nil })
+	if configured {
+		holder.Apply([]port.KeyedRecord{{}})
+	}
+	pool := h1.New(h1.Options{})
+	t.Cleanup(pool.Close)
+	r.Ingress = New(Options{
+		Config: holder, Wire: platform.Wire{}, Observe: func(o Observation) { r.seen <- o },
+		Runner: dispatch.New(dispatch.Options{
+			Wire: platform.Wire{}, Pool: pool, Targets: r, Control: noControl{},
+			Engines: engines.New(time.Now, func() {}), Health: health.New(time.Now),
+			Budget: dispatch.NewBudget(dispatch.BudgetOptions{Slack: 10, Window: 10 * time.Second, Daemons: func() int { return 1 }, Now: time.Now}),
+		}),
+	})
+	r.srv = httptest.NewServer(r.Ingress)
+	t.Cleanup(r.srv.Close)
+	return r
+}
+
+func (r *rig) do(t *testing.T, method, path, host string, h http.Header, body string) (*http.Response, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, r.srv.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host, req.Header = host, h
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(text)
+}
+
+func ask(id string) http.Header { return standin.CallerHeaders(id, 30*time.Second, "") }
+
+func TestAnswersArePassedOnUnchanged(t *testing.T) {
+	r := start(t, true)
+	resp, body := r.do(t, "POST", "/p/x?y=%20", "a.example", ask("r1"), "hello")
+	if resp.StatusCode != 200 || body != "answer to r1" || resp.Header.Get(headerCode) != "" {
+		t.Errorf("status %d, body %q", resp.StatusCode, body)
+	}
+	if o := <-r.seen; o.Route != "plain" || o.Code != code.OK {
+		t.Errorf("observed %+v", o)
+	}
+	resp, body = r.do(t, "POST", "/s/x", "a.example", standin.CallerHeaders("r2", 30*time.Second, "aa:10"), "")
+	if resp.StatusCode != 200 || !strings.HasSuffix(body, "data: piece 3\n\n") {
+		t.Errorf("status %d, body %q", resp.StatusCode, body)
+	}
+}
+
+// Each answer of our own has its number, says whether the request ran, and
+// names the request.
+func TestOwnAnswers(t *testing.T) {
+	cases := []struct {
+		name, path, host, body string
+		h                      http.Header
+		status                 int
+		code                   code.Code
+	}{
+		{"no route", "/z/", "a.example", "", ask("r1"), 404, code.UnknownRoute},
+		{"no host", "/p/", "b.example", "", ask("r1"), 404, code.UnknownRoute},
+		{"a route's service is absent", "/absent/", "a.example", "", ask("r1"), 503, code.NoTarget},
+		{"a header makes no sense", "/p/", "a.example", "", standin.CallerHeaders("r1", time.Second, "aa"), 400, code.BadRequest},
+		{"the body is too large", "/p/", "a.example", strings.Repeat("x", 1001), ask("r1"), 413, code.BodyTooLarge},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			r := start(t, true)
+			resp, body := r.do(t, "POST", tc.path, tc.host, tc.h, tc.body)
+			var e errorBody
+			if err := json.Unmarshal([]byte(body), &e); err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != tc.status || e.Code != int(tc.code) || !e.NotRun {
+				t.Errorf("status %d, %+v", resp.StatusCode, e)
+			}
+			if len(r.plain.Ran()) != 0 {
+				t.Error("it ran")
+			}
+		})
+	}
+}
+
+// A daemon that has just started answers "no such route" for what is there,
+// and callers take that for good.
+func TestWithoutConfigurationCallersComeBack(t *testing.T) {
+	r := start(t, false)
+	resp, _ := r.do(t, "POST", "/p/", "a.example", ask("r1"), "")
+	if resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, headers %v", resp.StatusCode, resp.Header)
+	}
+}
+
+func TestForgedHeadersStopHere(t *testing.T) {
+	r := start(t, true)
+	h := ask("r1")
+	standin.Forge(h)
+	if resp, _ := r.do(t, "POST", "/p/", "a.example", h, ""); resp.StatusCode != 200 {
+		t.Fatalf("status %d", resp.StatusCode)
+	}
+	a := r.plain.Arrivals()[0]
+	if a.KV != "" || a.Priority != "" || a.Prefill || a.Expect != "i-plain" || a.Left <= 0 || a.Left > 30*time.Second {
+		t.Errorf("the target saw %+v", a)
+	}
+}
+
+// A second request hidden in the first one's body must not run: the body goes
+// on with the length that was read here.
+func TestSmuggledRequestDoesNotRun(t *testing.T) {
+	r := start(t, true)
+	hidden := "POST /p/hidden HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n\r\n"
+	h := ask("r1")
+	if resp, _ := r.do(t, "POST", "/p/", "a.example", h, hidden); resp.StatusCode != 200 {
+		t.Fatalf("status %d", resp.StatusCode)
+	}
+	if ran := r.plain.Ran(); len(ran) != 1 {
+		t.Errorf("ran %v", ran)
+	}
+}
+
+// A stream that breaks off must not look whole to the caller.
+func TestCutStreamBreaksTheConnection(t *testing.T) {
+	r := start(t, true)
+	r.decode.Set(func(b *standin.Behaviour) { b.Cut = 2 })
+	conn, err := (&http.Transport{}).RoundTrip(mustRequest(t, r))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Body.Close()
+	text, err := io.ReadAll(bufio.NewReader(conn.Body))
+	if err == nil {
+		t.Errorf("a cut stream ended in order: %q", text)
+	}
+}
+
+func mustRequest(t *testing.T, r *rig) *http.Request {
+	req, err := http.NewRequestWithContext(t.Context(), "POST", r.srv.URL+"/s/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host, req.Header = "a.example", standin.CallerHeaders("r1", 30*time.Second, "aa:10")
+	return req
+}
+
+// While the daemon leaves, every answer asks its caller to go elsewhere.
+func TestLeavingAsksCallersToGo(t *testing.T) {
+	r := start(t, true)
+	r.Leave()
+	resp, _ := r.do(t, "POST", "/p/", "a.example", ask("r1"), "")
+	if resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("status %d, close %v", resp.StatusCode, resp.Close)
+	}
+}
--- /dev/null
+++ b/request/placement/placement_test.go
@@ -0,0 +1,111 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/version/route"
+)
+
+func cand(id, zone string, load engines.Load) Candidate {
+	return Candidate{Entry: port.TargetEntry{ID: id, Zone: zone, Slots: 64}, Load: load, Pace: 1}
+}
+
+func ahead0(n int) engines.Load { return engines.Load{Ahead: [engines.Levels]int{n}} }
+
+func TestPrefill(t *testing.T) {
+	m := DefaultModel()
+	prompt := Prompt{Tokens: 17_000, Level: 1}
+	cases := []struct {
+		name  string
+		p     Prompt
+		cands []Candidate
+		want  string
+	}{
+		{"the idle one", prompt, []Candidate{cand("busy", "", ahead0(20_000)), cand("idle", "", engines.Load{})}, "idle"},
+		{"the one that keeps the prompt", prompt, []Candidate{
+			cand("keeps", "", engines.Load{Cached: 13_000, Ahead: [engines.Levels]int{4000}}), cand("idle", "", engines.Load{})}, "keeps"},
+		{"not at any price", prompt, []Candidate{
+			cand("keeps", "", engines.Load{Cached: 13_000, Ahead: [engines.Levels]int{60_000}}), cand("idle", "", engines.Load{})}, "idle"},
+		{"less urgent work doesn't count", prompt, []Candidate{
+			cand("lazy", "", engines.Load{Ahead: [engines.Levels]int{0, 0, 90_000}}), cand("busy", "", ahead0(9000))}, "lazy"},
+		{"not the failing one", prompt, []Candidate{
+			{Entry: port.TargetEntry{ID: "grey"}, Rate: 0.9, Pace: 1}, cand("sound", "", ahead0(9000))}, "sound"},
+		{"not the slow one", prompt, []Candidate{
+			{Entry: port.TargetEntry{ID: "slow"}, Pace: 6}, cand("sound", "", ahead0(9000))}, "sound"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			got := Prefill(tc.p, tc.cands, m)
+			if id := tc.cands[got.At].Entry.ID; id != tc.want {
+				t.Errorf("chose %s", id)
+			}
+		})
+	}
+	if got := Prefill(prompt, nil, m); got.At != -1 {
+		t.Errorf("chose %d of none", got.At)
+	}
+}
+
+// Six daemons begin at once with equal prompts. Each must take the same engine,
+// or each engine reads what another keeps already.
+func TestEqualPromptsGoToOneEngine(t *testing.T) {
+	cands := []Candidate{cand("a", "", engines.Load{}), cand("b", "", engines.Load{}), cand("c", "", engines.Load{})}
+	reversed := []Candidate{cands[2], cands[1], cands[0]}
+	used := map[string]bool{}
+	for seed := range uint64(50) {
+		p := Prompt{Tokens: 5000, Seed: seed * 0x9e3779b97f4a7c15}
+		one := cands[Prefill(p, cands, DefaultModel()).At].Entry.ID
+		if other := reversed[Prefill(p, reversed, DefaultModel()).At].Entry.ID; other != one {
+			t.Fatalf("seed %d: %s and %s", seed, one, other)
+		}
+		used[one] = true
+	}
+	if len(used) != 3 {
+		t.Errorf("prompts spread over %v only", used)
+	}
+}
+
+func TestDecode(t *testing.T) {
+	e := &route.Engine{KVTokenBytes: 163_840, LinkBytes: 212e9}
+	p := Prompt{Tokens: 17_000}
+	streams := func(n int) engines.Load { return engines.Load{Streams: n} }
+	cases := []struct {
+		name  string
+		cands []Candidate
+		want  string
+	}{
+		{"the same zone", []Candidate{cand("far", "b", streams(0)), cand("near", "a", streams(10))}, "near"},
+		{"the one with places", []Candidate{cand("far", "b", streams(5)), cand("near", "a", streams(64))}, "far"},
+		{"the one that keeps the prompt", []Candidate{cand("far", "b", engines.Load{Cached: 17_000, Streams: 5}), cand("near", "a", streams(5))}, "far"},
+		{"not the failing one", []Candidate{{Entry: port.TargetEntry{ID: "grey", Zone: "a", Slots: 64}, Rate: 0.6, Pace: 1}, cand("far", "b", streams(20))}, "far"},
+		{"not the slow one", []Candidate{{Entry: port.TargetEntry{ID: "slow", Zone: "a", Slots: 64}, Pace: 5}, cand("far", "b", streams(20))}, "far"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			if id := tc.cands[Decode(p, tc.cands, e, "a")].Entry.ID; id != tc.want {
+				t.Errorf("chose %s", id)
+			}
+		})
+	}
+	if got := Decode(p, nil, e, "a"); got != -1 {
+		t.Errorf("chose %d of none", got)
+	}
+}
+
+func TestModelFollowsWhatIsSeen(t *testing.T) {
+	m := DefaultModel()
+	before := m.Read(10_000, 10_000)
+	for range 200 {
+		m.Seen(100*time.Millisecond, 180*time.Millisecond)
+	}
+	if after := m.Read(10_000, 10_000); after <= before || m.Pace > maxPace {
+		t.Errorf("pace %.2f, %v before and %v after", m.Pace, before, after)
+	}
+	m.Seen(0, time.Second)
+	if m.Read(10_000, 1000) >= m.Read(10_000, 10_000) {
+		t.Error("fewer tokens take no less time")
+	}
+}
