--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: help build test check generate demo chaos rolling capacity inforce
+.PHONY: help build test check generate demo chaos rolling capacity inforce kinds
 
 help: ## List the targets.
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -37,3 +37,6 @@
 
 inforce: build ## How long until a published version is in force on all of four daemons.
 	./scripts/inforce.sh
+
+kinds: ## Play a day of each kind of trouble, where the users' bench is present; JOBS=4 SITES= DAYS=.
+	./scripts/kinds.sh
