Engines that may obey an order count as if they did; daemons share whom they can't reach

Found from its own log lines (roles: order not taken, then ordered). Change: an engine that is busy, or gave no answer to an order away from decoding, counts as obeying for its switch time; a missing decoder is asked for elsewhere at once. Orders of one plan go out together. Ruled out: two holders (one claim, one daemon); lost datagrams. Test: TestBusyEnginesAreNotReplaced fails without the change.

--- a/connection/engines/book.go
+++ b/connection/engines/book.go
@@ -21,10 +21,11 @@
 	// Changing says that the engine carries out an order of this daemon's, and
 	// refuses requests meanwhile.
 	Changing bool
+	Down     bool // this daemon can't reach it
 }
 
 func (w *Work) idle() bool {
-	return w.Streams == 0 && w.Prompts == 0 && !w.Changing
+	return w.Streams == 0 && w.Prompts == 0 && !w.Changing && !w.Down
 }
 
 // Read says that an engine reads a prompt.
@@ -40,6 +41,7 @@
 	Cached  int // leading prompt tokens of the request that the engine keeps
 	// Changing says that the engine carries out an order.
 	Changing bool
+	Down     int // daemons that can't reach it, this one included
 }
 
 // Book is safe for concurrent use.
@@ -57,6 +59,7 @@
 	own   Work
 	keeps *prefixes
 	since time.Time // when it began with the prompt that it reads now, about
+	down  time.Time // this process couldn't reach it, until then
 }
 
 type peerWork struct {
@@ -155,6 +158,14 @@
 	b.changed()
 }
 
+// Down notes that this process can't reach a target, for some time.
+func (b *Book) Down(target string, until time.Time) {
+	b.mu.Lock()
+	b.engine(Hash(target), 0).down = until
+	b.mu.Unlock()
+	b.changed()
+}
+
 // Load sums what all daemons have at a target now.
 //
 // Engines read prompts in the order of their arrival, whatever their urgency:
@@ -166,7 +177,7 @@
 	defer b.mu.Unlock()
 	e := b.engines[hash]
 	w := b.sum(hash, e)
-	l := Load{Streams: int(w.Streams), Changing: w.Changing}
+	l := Load{Streams: int(w.Streams), Changing: w.Changing, Down: b.votes(hash, e)}
 	if e != nil {
 		l.Cached = e.keeps.cached(runs)
 	}
@@ -207,6 +218,26 @@
 	return w
 }
 
+// votes is the number of daemons that can't reach an engine. Callers hold b.mu.
+func (b *Book) votes(hash uint64, e *engine) int {
+	now := b.now()
+	n := 0
+	if e != nil && now.Before(e.down) {
+		n++
+	}
+	for _, p := range b.peers {
+		if now.Sub(p.at) > believedFor {
+			continue
+		}
+		for i := range p.work {
+			if p.work[i].Target == hash && p.work[i].Down {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (w *Work) add(o *Work) {
 	w.Reading += o.Reading
 	w.Prompts += o.Prompts
@@ -219,8 +250,10 @@
 func (b *Book) Own() ([]Work, []Read) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := b.now()
 	var out []Work
 	for _, e := range b.engines {
+		e.own.Down = now.Before(e.down)
 		if !e.own.idle() {
 			out = append(out, e.own)
 		}
--- a/connection/h1/pool.go
+++ b/connection/h1/pool.go
@@ -21,15 +21,15 @@
 	// defaultConnect is the longest wait for a connection: round trips take
 	// up to 3 ms, a target takes 1 ms to accept, and a lost packet is sent
 	// again after 200 ms or more.
-	defaultConnect = 400 * time.Millisecond
+	defaultConnect = 300 * time.Millisecond
 	// defaultUserTimeout is how long bytes may stand unacknowledged.
 	defaultUserTimeout = 1500 * time.Millisecond
 	// defaultIdle is how long an idle connection is used again when the
 	// target states no time.
 	defaultIdle = 4 * time.Second
 	// idleMargin is the part of a stated idle time that is made use of, so
-	// that a request doesn't cross the target's close.
-	idleMargin = 0.7
+	// that a request doesn't cross the target's close: of 10 s, one is left.
+	idleMargin = 0.9
 	// freshFor is how long after its last use a connection counts as fresh.
 	freshFor = time.Second
 	// maxIdle is the number of idle connections kept to one target.
--- a/connection/health/health.go
+++ b/connection/health/health.go
@@ -36,7 +36,8 @@
 
 // Book is safe for concurrent use.
 type Book struct {
-	now func() time.Time
+	now     func() time.Time
+	benched func(target string, until time.Time)
 
 	mu      sync.Mutex
 	targets map[string]*state
@@ -51,9 +52,13 @@
 	paced   time.Time
 }
 
-// New returns an empty Book.
-func New(now func() time.Time) *Book {
-	return &Book{now: now, targets: make(map[string]*state)}
+// New returns an empty Book. benched is called, with locks held, when a target
+// gets no requests for a while; it may be nil.
+func New(now func() time.Time, benched func(target string, until time.Time)) *Book {
+	if benched == nil {
+		benched = func(string, time.Time) {}
+	}
+	return &Book{now: now, benched: benched, targets: make(map[string]*state)}
 }
 
 // Note takes an outcome.
@@ -75,6 +80,7 @@
 	s.row++
 	wait := min(firstBench<<min(s.row-1, 4), maxBench)
 	s.benched = now.Add(wait)
+	b.benched(target, s.benched)
 	log.WithFields(log.Fields{"target": target, "in_a_row": s.row, "for_ms": wait.Milliseconds()}).Info("health: target benched")
 }
 
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -97,7 +97,6 @@
 		store:  platform.NewStore(s.Store.Addr),
 		config: inforce.New(platform.DecodeConfig),
 		pool:   h1.New(h1.Options{}),
-		health: health.New(time.Now),
 	}
 	d.registry = discovery.New(discovery.Options{Decode: platform.DecodeTarget})
 	d.engines = engines.New(time.Now, func() {
@@ -105,6 +104,7 @@
 			d.roster.News()
 		}
 	})
+	d.health = health.New(time.Now, d.engines.Down)
 	if err := d.wireRoster(); err != nil {
 		return nil, err
 	}
--- a/process/roles/planner.go
+++ b/process/roles/planner.go
@@ -25,7 +25,7 @@
 
 const (
 	// lookEvery is the time between two looks at the engines.
-	lookEvery = 250 * time.Millisecond
+	lookEvery = 100 * time.Millisecond
 	// settled is how long no new target may have appeared before a plan is
 	// made: a plan on a list that still fills up orders what it takes back.
 	settled = 1200 * time.Millisecond
@@ -37,6 +37,8 @@
 	// switchGrace is added to the time that a change of role takes, before an
 	// engine that doesn't show the new role counts as unchanged.
 	switchGrace = 3 * time.Second
+	// downVotes is the number of daemons whose word takes an engine out.
+	downVotes = 2
 	// calmAfter is how long nothing may have changed before an engine is taken
 	// back from decoding: a change of role costs some seconds of an engine, and
 	// taking back what a short burst or a crash asked for costs them twice.
@@ -170,12 +172,7 @@
 		log.WithError(err).WithField("service", svc.Name).Warn("roles: not claimed")
 		return
 	}
-	for _, m := range moves {
-		if p.o.Clock.Now() >= held.until || p.gone() {
-			return
-		}
-		p.carryOut(ctx, svc, m, held)
-	}
+	p.carryOut(ctx, svc, moves, held)
 }
 
 // engines joins the entries with what the daemons have there.
@@ -184,7 +181,7 @@
 	out := make([]Engine, 0, len(entries))
 	for _, e := range entries {
 		l := p.o.Engines.Load(e.ID, nil)
-		one := Engine{Entry: e, Streams: l.Streams, Wait: l.Wait, Changing: l.Changing, Refused: now < p.refused[e.ID], Impaired: p.o.Health.Impaired(e.ID)}
+		one := Engine{Entry: e, Streams: l.Streams, Wait: l.Wait, Changing: l.Changing, Refused: now < p.refused[e.ID], Impaired: l.Down >= downVotes || p.o.Health.Impaired(e.ID)}
 		if c, ok := p.changing[e.ID]; ok {
 			if e.Role == c.role || now >= c.until {
 				delete(p.changing, e.ID)
@@ -198,25 +195,59 @@
 	return out
 }
 
-// carryOut sends one order.
-func (p *Planner) carryOut(ctx context.Context, svc *route.Service, m Move, held claim) {
-	e, ok := p.o.Targets.Lookup(m.Target)
-	if !ok {
-		return
-	}
-	fields := log.Fields{"service": svc.Name, "target": e.ID, "role": m.Role, "fence": held.fence, "why": m.Why}
-	err := p.order(ctx, e, m.Role, held)
-	if err != nil {
-		log.WithFields(fields).WithError(err).Warn("roles: order not taken")
-		p.refused[e.ID] = p.o.Clock.Now() + refusedFor
-		if errors.Is(err, port.ErrFenced) {
-			p.claims.drop(svc.Name)
+// result is what became of one order.
+type result struct {
+	Move
+	err error
+}
+
+// carryOut sends the orders, all at once: one whose answer is lost would hold
+// up the others for its whole time.
+func (p *Planner) carryOut(ctx context.Context, svc *route.Service, moves []Move, held claim) {
+	results := make(chan result, len(moves))
+	for _, m := range moves {
+		e, ok := p.o.Targets.Lookup(m.Target)
+		if !ok {
+			results <- result{Move: m, err: errGone}
+			continue
 		}
+		go func() { results <- result{Move: m, err: p.order(ctx, e, m.Role, held)} }()
+	}
+	for range moves {
+		p.note(svc, <-results, held)
+	}
+}
+
+var errGone = errors.New("roles: the engine is gone")
+
+// note keeps the books about one order.
+//
+// The failure it stops is a service without a decoding engine. A daemon that
+// has just started doesn't know which engines carry out orders of before, and
+// one whose order got no answer doesn't know whether it will be carried out.
+// Ordering others in their place takes all of them away. So an engine that is
+// busy, or may have been taken from decoding, counts as if it had obeyed until
+// it shows the contrary. Only a missing decoding engine is asked for elsewhere
+// at once: one too many does no harm.
+func (p *Planner) note(svc *route.Service, r result, held claim) {
+	fields := log.Fields{"service": svc.Name, "target": r.Target, "role": r.Role, "fence": held.fence, "why": r.Why}
+	now := p.o.Clock.Now()
+	obeys := change{role: r.Role, until: now + svc.Engine.SwitchTime + switchGrace}
+	switch {
+	case r.err == nil:
+		log.WithFields(fields).Info("roles: ordered")
+		p.changing[r.Target] = obeys
+		p.o.Engines.Changing(r.Target, true)
 		return
+	case errors.Is(r.err, port.ErrFenced):
+		p.claims.drop(svc.Name)
+		p.refused[r.Target] = now + refusedFor
+	case errors.Is(r.err, port.ErrBusy), r.Role == port.RolePrefill:
+		p.changing[r.Target] = obeys
+	default:
+		p.refused[r.Target] = now + refusedFor
 	}
-	log.WithFields(fields).Info("roles: ordered")
-	p.changing[e.ID] = change{role: m.Role, until: p.o.Clock.Now() + svc.Engine.SwitchTime + switchGrace}
-	p.o.Engines.Changing(e.ID, true)
+	log.WithFields(fields).WithError(r.err).Warn("roles: order not taken")
 }
 
 // order asks the engine for the orders that it accepted, and gives it the next
--- a/process/roles/roles_test.go
+++ b/process/roles/roles_test.go
@@ -9,7 +9,10 @@
 
 	"github.com/apex/log"
 
+	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/connection/health"
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/version/route"
 )
 
 func TestMain(m *testing.M) {
@@ -245,3 +248,60 @@
 		t.Errorf("claim %+v, %v", second, err)
 	}
 }
+
+// All streams stop for seconds. A daemon starts while two of four decoding
+// engines carry out orders to read prompts, which the list of targets doesn't
+// show yet. It orders the same two, is told that they are busy, and orders the
+// other two in their place.
+func TestBusyEnginesAreNotReplaced(t *testing.T) {
+	for name, err := range map[string]error{"busy": port.ErrBusy, "no answer": context.DeadlineExceeded} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Duration(0)
+			book := engines.New(time.Now, func() {})
+			p := New(Options{Self: "a", Clock: fixed(func() time.Duration { return now }), Engines: book, Health: health.New(time.Now, nil)})
+			svc := &route.Service{Name: "s", Engine: &route.Engine{SwitchTime: 3 * time.Second}}
+			var entries []port.TargetEntry
+			for _, e := range fleet(4, 4) {
+				entries = append(entries, e.Entry)
+			}
+			moves := Plan(p.engines(entries), Demand{})
+			if len(moves) != 2 {
+				t.Fatalf("moves %+v", moves)
+			}
+			for _, m := range moves {
+				p.note(svc, result{Move: m, err: err}, claim{})
+			}
+			if again := Plan(p.engines(entries), Demand{}); len(again) != 0 {
+				t.Errorf("others are ordered in their place: %+v", again)
+			}
+			now += svc.Engine.SwitchTime + switchGrace
+			if again := Plan(p.engines(entries), Demand{}); len(again) != 2 {
+				t.Errorf("engines that never obeyed aren't ordered again: %+v", again)
+			}
+		})
+	}
+}
+
+// A missing decoding engine is asked for elsewhere when an order gets no
+// answer.
+func TestUnansweredOrderToDecodeGoesElsewhere(t *testing.T) {
+	now := time.Duration(0)
+	p := New(Options{Self: "a", Clock: fixed(func() time.Duration { return now }), Engines: engines.New(time.Now, func() {}), Health: health.New(time.Now, nil)})
+	svc := &route.Service{Name: "s", Engine: &route.Engine{SwitchTime: 3 * time.Second}}
+	var entries []port.TargetEntry
+	for _, e := range fleet(8, 1) {
+		entries = append(entries, e.Entry)
+	}
+	first := Plan(p.engines(entries), Demand{})
+	p.note(svc, result{Move: first[0], err: context.DeadlineExceeded}, claim{})
+	second := Plan(p.engines(entries), Demand{})
+	if len(second) != 1 || second[0].Target == first[0].Target {
+		t.Errorf("first %+v, then %+v", first, second)
+	}
+}
+
+// fixed is a clock that tests move.
+type fixed func() time.Duration
+
+// Now implements clock.Clock.
+func (f fixed) Now() time.Duration { return f() }
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -161,7 +161,7 @@
 	if free > 0 || doubts > 0 && spread(u.c.Ask.ID, "") < probeShare {
 		return nil
 	}
-	return code.New(code.NoTarget, "none of %d decoding engines takes requests", len(cands)).After(u.comeBack(nil))
+	return code.New(code.NoTarget, "none of %d decoding engines takes requests", len(cands)).After(u.c.Service.Engine.SwitchTime)
 }
 
 // probeShare is the share of calls that engines get which refuse lately.
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -159,7 +159,7 @@
 		if e.Leaving || fits != nil && !fits(e) {
 			continue
 		}
-		if u.avoids(e.ID) || u.opts.Health.Benched(e.ID) {
+		if u.avoids(e.ID) || u.opts.Health.Benched(e.ID) || u.opts.Engines.Load(e.ID, nil).Down >= downVotes {
 			tried = append(tried, e)
 			continue
 		}
@@ -171,6 +171,10 @@
 	return good
 }
 
+// downVotes is the number of daemons whose word takes a target out. One alone
+// may be cut off from a target that all others reach.
+const downVotes = 2
+
 func (u *run) avoids(id string) bool {
 	for _, a := range u.avoid {
 		if a == id {
