A daemon that starts asks the engines which prompt parts they keep

Ruled out: roles (unchanged over the restart), the store (there). Test: TestLearnTakesTheEnginesWord.

--- a/connection/engines/book.go
+++ b/connection/engines/book.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // Work is what one daemon has at one engine now.
@@ -31,7 +33,7 @@
 // Read says that an engine reads a prompt.
 type Read struct {
 	Target uint64
-	Runs   []Run
+	Parts  []port.PromptPart
 }
 
 // Load is what all daemons together have at one engine.
@@ -103,7 +105,7 @@
 
 // Prefill notes that a prompt is sent to an engine with that much memory, and
 // for how long it will read. Call the result once it has read it, or failed.
-func (b *Book) Prefill(target string, memory int, runs []Run, reading time.Duration) (done func()) {
+func (b *Book) Prefill(target string, memory int, parts []port.PromptPart, reading time.Duration) (done func()) {
 	hash := Hash(target)
 	cost := uint32(reading.Microseconds())
 	b.mu.Lock()
@@ -113,9 +115,9 @@
 	}
 	e.own.Reading += cost
 	e.own.Prompts++
-	e.keeps.add(runs)
+	e.keeps.add(parts)
 	if len(b.reads) < maxUntold {
-		b.reads = append(b.reads, Read{Target: hash, Runs: runs})
+		b.reads = append(b.reads, Read{Target: hash, Parts: parts})
 	}
 	b.mu.Unlock()
 	b.changed()
@@ -129,16 +131,23 @@
 	})
 }
 
+// Learn takes an engine's own word about what it keeps.
+func (b *Book) Learn(target string, memory int, parts []port.PromptPart) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.engine(Hash(target), memory).keeps.add(parts)
+}
+
 // Decode notes that a request goes to an engine to be decoded. Call the result
 // when it ended.
-func (b *Book) Decode(target string, memory int, runs []Run) (done func()) {
+func (b *Book) Decode(target string, memory int, parts []port.PromptPart) (done func()) {
 	hash := Hash(target)
 	b.mu.Lock()
 	e := b.engine(hash, memory)
 	e.own.Streams++
-	e.keeps.add(runs)
+	e.keeps.add(parts)
 	if len(b.reads) < maxUntold {
-		b.reads = append(b.reads, Read{Target: hash, Runs: runs})
+		b.reads = append(b.reads, Read{Target: hash, Parts: parts})
 	}
 	b.mu.Unlock()
 	b.changed()
@@ -171,7 +180,7 @@
 // Engines read prompts in the order of their arrival, whatever their urgency:
 // over 1,600 prompts that found others before them, this order foresaw the
 // time within 67 ms on the mean, sharing within 124 ms, urgency within 134 ms.
-func (b *Book) Load(target string, runs []Run) Load {
+func (b *Book) Load(target string, parts []port.PromptPart) Load {
 	hash := Hash(target)
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -179,7 +188,7 @@
 	w := b.sum(hash, e)
 	l := Load{Streams: int(w.Streams), Changing: w.Changing, Down: b.votes(hash, e)}
 	if e != nil {
-		l.Cached = e.keeps.cached(runs)
+		l.Cached = e.keeps.cached(parts)
 	}
 	if w.Prompts > 0 {
 		l.Wait = time.Duration(w.Reading) * time.Microsecond
@@ -279,7 +288,7 @@
 		b.ended(old.work, work)
 	}
 	for _, r := range reads {
-		b.engine(r.Target, 0).keeps.add(r.Runs)
+		b.engine(r.Target, 0).keeps.add(r.Parts)
 	}
 }
 
--- a/connection/engines/engines_test.go
+++ b/connection/engines/engines_test.go
@@ -7,12 +7,12 @@
 	"github.com/pomelospool/pomelospool/port"
 )
 
-func runs(ids ...uint64) []Run {
-	var parts []port.PromptPart
+func parts(ids ...uint64) []port.PromptPart {
+	var out []port.PromptPart
 	for _, id := range ids {
-		parts = append(parts, port.PromptPart{ID: id, Tokens: 100})
+		out = append(out, port.PromptPart{ID: id, Tokens: 100})
 	}
-	return Runs(parts)
+	return out
 }
 
 // clock is a time that tests move.
@@ -27,42 +27,42 @@
 
 func TestPartsCountOnlyAfterThoseBeforeThem(t *testing.T) {
 	b, _ := book()
-	b.Prefill("e", 10_000, runs(1, 2, 3), time.Second)()
+	b.Prefill("e", 10_000, parts(1, 2, 3), time.Second)()
 	for name, tc := range map[string]struct {
-		runs []Run
-		want int
+		parts []port.PromptPart
+		want  int
 	}{
-		"all":               {runs(1, 2, 3), 300},
-		"another last part": {runs(1, 2, 9), 200},
-		"another first":     {runs(9, 2, 3), 0},
+		"all":               {parts(1, 2, 3), 300},
+		"another last part": {parts(1, 2, 9), 200},
+		"another first":     {parts(9, 2, 3), 0},
 		"none":              {nil, 0},
 	} {
-		if got := b.Load("e", tc.runs).Cached; got != tc.want {
+		if got := b.Load("e", tc.parts).Cached; got != tc.want {
 			t.Errorf("%s: %d tokens cached, want %d", name, got, tc.want)
 		}
 	}
-	if got := b.Load("other", runs(1)).Cached; got != 0 {
+	if got := b.Load("other", parts(1)).Cached; got != 0 {
 		t.Errorf("an engine that read nothing keeps %d tokens", got)
 	}
 }
 
 func TestLeastRecentlyUsedPartsYield(t *testing.T) {
 	b, _ := book()
-	b.Prefill("e", 250, runs(1), time.Second)()
-	b.Prefill("e", 250, runs(2), time.Second)()
-	b.Prefill("e", 250, runs(1), time.Second)()
-	b.Prefill("e", 250, runs(3), time.Second)()
-	if b.Load("e", runs(2)).Cached != 0 || b.Load("e", runs(1)).Cached != 100 || b.Load("e", runs(3)).Cached != 100 {
+	b.Prefill("e", 250, parts(1), time.Second)()
+	b.Prefill("e", 250, parts(2), time.Second)()
+	b.Prefill("e", 250, parts(1), time.Second)()
+	b.Prefill("e", 250, parts(3), time.Second)()
+	if b.Load("e", parts(2)).Cached != 0 || b.Load("e", parts(1)).Cached != 100 || b.Load("e", parts(3)).Cached != 100 {
 		t.Error("not the least recently used part yielded")
 	}
 }
 
 func TestLoadSumsAllDaemons(t *testing.T) {
 	b, c := book()
-	done := b.Prefill("e", 1000, runs(1), 40*time.Millisecond)
-	end := b.Decode("e", 1000, runs(1))
-	b.Hear("peer", []Work{{Target: Hash("e"), Reading: 20_000, Prompts: 1, Streams: 2}}, []Read{{Target: Hash("e"), Runs: runs(7)}})
-	l := b.Load("e", runs(7))
+	done := b.Prefill("e", 1000, parts(1), 40*time.Millisecond)
+	end := b.Decode("e", 1000, parts(1))
+	b.Hear("peer", []Work{{Target: Hash("e"), Reading: 20_000, Prompts: 1, Streams: 2}}, []Read{{Target: Hash("e"), Parts: parts(7)}})
+	l := b.Load("e", parts(7))
 	if l.Wait != 60*time.Millisecond || l.Streams != 3 || l.Cached != 100 {
 		t.Errorf("load %+v", l)
 	}
@@ -82,8 +82,8 @@
 // and prompts go elsewhere, where they have to be read from their begin.
 func TestWaitShrinksWhileAnEngineReads(t *testing.T) {
 	b, c := book()
-	b.Prefill("e", 1000, runs(1), 100*time.Millisecond)
-	second := b.Prefill("e", 1000, runs(2), 300*time.Millisecond)
+	b.Prefill("e", 1000, parts(1), 100*time.Millisecond)
+	second := b.Prefill("e", 1000, parts(2), 300*time.Millisecond)
 	step := func(d time.Duration, want time.Duration) {
 		t.Helper()
 		c.t = c.t.Add(d)
@@ -123,7 +123,7 @@
 
 func TestOwnTellsReadsOnce(t *testing.T) {
 	b, _ := book()
-	end := b.Decode("e", 1000, runs(1))
+	end := b.Decode("e", 1000, parts(1))
 	work, reads := b.Own()
 	if len(work) != 1 || work[0].Streams != 1 || len(reads) != 1 {
 		t.Errorf("work %+v, reads %+v", work, reads)
@@ -150,11 +150,21 @@
 
 func TestRetainKeepsEnginesWithWork(t *testing.T) {
 	b, _ := book()
-	end := b.Decode("busy", 1000, runs(1))
-	b.Decode("idle", 1000, runs(1))()
+	end := b.Decode("busy", 1000, parts(1))
+	b.Decode("idle", 1000, parts(1))()
 	b.Retain(map[uint64]bool{})
-	if b.Load("idle", runs(1)).Cached != 0 || b.Load("busy", runs(1)).Cached != 100 {
+	if b.Load("idle", parts(1)).Cached != 0 || b.Load("busy", parts(1)).Cached != 100 {
 		t.Error("the wrong engine was forgotten")
 	}
 	end()
 }
+
+// A daemon that was started again believes that every prompt is new to all
+// engines, and refuses what they have read before.
+func TestLearnTakesTheEnginesWord(t *testing.T) {
+	b, _ := book()
+	b.Learn("e", 10_000, parts(1, 2))
+	if got := b.Load("e", parts(1, 2, 3)).Cached; got != 200 {
+		t.Errorf("%d tokens cached, want 200", got)
+	}
+}
--- a/port/target.go
+++ b/port/target.go
@@ -21,6 +21,7 @@
 
 // PromptPart is a run of prompt tokens that other requests may begin with too.
 type PromptPart struct {
+	_      struct{} `cbor:",toarray"`
 	ID     uint64
 	Tokens int
 }
@@ -107,6 +108,8 @@
 	// Order sends o. Nil: it is carried out or holds already. ErrFenced and
 	// ErrBusy are refusals; any other error says nothing about its effect.
 	Order(ctx context.Context, o RoleOrder) error
+	// Kept returns the prompt parts that the engine keeps, in no order.
+	Kept(ctx context.Context, addr, id string) ([]PromptPart, error)
 	// Release frees KV cache that will have no reader.
 	Release(ctx context.Context, s KVSource) error
 }
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -73,6 +73,7 @@
 	engines *engines.Book
 	health  *health.Book
 	budget  *dispatch.Budget
+	control port.EngineControl
 	roster  *roster.Roster
 	planner *roles.Planner
 	ingress *ingress.Ingress
@@ -139,7 +140,7 @@
 }
 
 func (d *Daemon) wireRequests() {
-	control := &platform.Engines{Client: &http.Client{
+	d.control = &platform.Engines{Client: &http.Client{
 		Timeout:   controlTimeout,
 		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
 	}}
@@ -157,14 +158,14 @@
 		Engines: d.engines,
 		Health:  d.health,
 		Budget:  d.budget,
-		Control: control,
+		Control: d.control,
 		Zone:    d.s.Zone,
 	})
 	d.ingress = ingress.New(ingress.Options{Config: d.config, Wire: platform.Wire{}, Runner: runner})
 	d.planner = roles.New(roles.Options{
 		Self:    d.s.VM,
 		Store:   d.store,
-		Control: control,
+		Control: d.control,
 		Targets: d.registry,
 		Config:  d.config,
 		Roster:  d.roster,
@@ -294,6 +295,7 @@
 			d.roster.SetState(roster.Ready)
 			log.WithField("version", d.config.Load().Version).Info("front: ready")
 			tick.Reset(upkeepEvery)
+			d.tomb.Go(d.warm)
 		}
 		if d.ready.Load() {
 			d.forget()
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -264,7 +264,7 @@
 // Six daemons each send a long prompt to the engine that looks idle to all.
 func TestWorkIsKnownElsewhereSoon(t *testing.T) {
 	withFleet(t, 3, func(t *testing.T, d *daemons) {
-		parts := engines.Runs([]port.PromptPart{{ID: 1, Tokens: 500}})
+		parts := []port.PromptPart{{ID: 1, Tokens: 500}}
 		done := d.books[0].Prefill("e", 10_000, parts, 500*time.Millisecond)
 		time.Sleep(3 * newsAfter)
 		synctest.Wait()
@@ -283,7 +283,7 @@
 func TestBeatsFitIntoADatagram(t *testing.T) {
 	b := &beat{Member: Member{VM: "a"}}
 	for i := range 60 {
-		b.Reads = append(b.Reads, engines.Read{Target: uint64(i) << 40, Runs: make([]engines.Run, 4)})
+		b.Reads = append(b.Reads, engines.Read{Target: uint64(i) << 40, Parts: make([]port.PromptPart, 4)})
 	}
 	data, err := encode(b)
 	if err != nil || len(data) > maxDatagram {
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -9,7 +9,6 @@
 	"github.com/apex/log"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/connection/engines"
 	"github.com/pomelospool/pomelospool/connection/health"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/placement"
@@ -91,19 +90,16 @@
 // prompt is the call as placement sees it.
 type prompt struct {
 	placement.Prompt
-	runs     []engines.Run
+	parts    []port.PromptPart
 	priority int
 }
 
 func (u *run) prompt() prompt {
-	p := prompt{runs: engines.Runs(u.c.Ask.Parts)}
+	p := prompt{parts: u.c.Ask.Parts}
 	p.Tokens = u.c.Ask.Prompt
 	p.priority = min(u.c.Route.Priority, latePriority-1)
-	if len(p.runs) > 0 {
-		p.Seed = p.runs[len(p.runs)-1].Key
-	}
-	if len(p.runs) > 1 {
-		p.Seed = p.runs[len(p.runs)-2].Key
+	if len(p.parts) > 0 {
+		p.Seed = p.parts[max(len(p.parts)-2, 0)].ID // the last part is the request's own
 	}
 	return p
 }
@@ -193,7 +189,7 @@
 func (u *run) candidates(p prompt, role port.Role) []placement.Candidate {
 	var out []placement.Candidate
 	for _, e := range u.usable(func(e port.TargetEntry) bool { return e.Role == role }) {
-		load := u.opts.Engines.Load(e.ID, p.runs)
+		load := u.opts.Engines.Load(e.ID, p.parts)
 		if load.Changing {
 			continue
 		}
@@ -216,7 +212,7 @@
 		return prefilled{}, nil
 	}
 	to := ch.to
-	done := u.opts.Engines.Prefill(to.ID, u.c.Service.Engine.KVTokens, p.runs, ch.Read)
+	done := u.opts.Engines.Prefill(to.ID, u.c.Service.Engine.KVTokens, p.parts, ch.Read)
 	defer done()
 	foreseen := m.Start + ch.Wait + ch.Read
 	u.trace.Prefill = Prefill{Prompt: p.Tokens, Missing: ch.Missing, Fetched: ch.Fetched, Wait: ch.Wait, Read: ch.Read}
@@ -333,7 +329,7 @@
 
 // events sends the call to a decoding engine and relays the answer.
 func (u *run) events(ctx context.Context, to port.TargetEntry, p prompt, from prefilled, out Stream) *failure {
-	done := u.opts.Engines.Decode(to.ID, u.c.Service.Engine.KVTokens, p.runs)
+	done := u.opts.Engines.Decode(to.ID, u.c.Service.Engine.KVTokens, p.parts)
 	defer done()
 	begun := time.Now()
 	s := sending{to: to, state: port.Send{Priority: p.priority, KV: from.kv, LastEvent: u.lastID}}
--- a/request/dispatch/rig_test.go
+++ b/request/dispatch/rig_test.go
@@ -44,6 +44,9 @@
 	return port.RoleReport{}, nil
 }
 func (c control) Order(context.Context, port.RoleOrder) error { return nil }
+func (control) Kept(context.Context, string, string) ([]port.PromptPart, error) {
+	return nil, nil
+}
 func (c control) Release(_ context.Context, s port.KVSource) error {
 	c.r.freed <- s
 	return nil
--- a/request/ingress/ingress_test.go
+++ b/request/ingress/ingress_test.go
@@ -49,6 +49,9 @@
 func (noControl) Report(context.Context, string, string) (port.RoleReport, error) {
 	return port.RoleReport{}, nil
 }
+func (noControl) Kept(context.Context, string, string) ([]port.PromptPart, error) {
+	return nil, nil
+}
 func (noControl) Order(context.Context, port.RoleOrder) error  { return nil }
 func (noControl) Release(context.Context, port.KVSource) error { return nil }
 
