Large fleets: fewer datagrams and store calls, near engines first; metrics as text

Change: beyond 16 others news goes to the daemon's own zone and beats come more seldom (700 ms at 90); the targets' pace grows with the fleet up to 45 % of the drain bound; reads of the configuration wait 4 s with probes that find silent connections; engines of the own zone first where it has 8 or more; equal prompts find each other by hash. Also /metrics: counters and histograms as text, on a fixed port.

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -41,15 +41,20 @@
 	// keptFactor is by how much some callers exceed it.
 	keptFactor = 3
 	// targetsPace is the least time between two reads of the targets. Each
-	// target writes every 1.2 s, so unpaced reads would return for each; a
-	// leaving target may get work for 2 s at most.
+	// target writes every 1.2 s, so unpaced reads would return for each.
 	targetsPace = 400 * time.Millisecond
+	// paceShare of the time after which a leaving target may get no new work is
+	// the longest pace of a large fleet.
+	paceShare = 0.45
+	// pacedDaemons is the size of the fleet up to which targetsPace holds. It
+	// grows with the fleet beyond, so that all daemons together make some 40
+	// reads a second.
+	pacedDaemons = 16
 	// configPace is the same for the configuration, which seldom changes.
 	configPace = 100 * time.Millisecond
-	// configWait is how long a read waits for a new configuration: a
-	// connection that went silent is found out after it, and a version must be
-	// in force within 2 s.
-	configWait = time.Second
+	// configWait is how long a read waits for a new configuration. A connection
+	// that goes silent meanwhile is found out by its probes.
+	configWait = 4 * time.Second
 	// upkeepEvery is the time between two rounds of forgetting what is gone.
 	upkeepEvery = time.Second
 	// acceptedTimeout is how long bytes to a caller may stand unacknowledged.
@@ -77,6 +82,7 @@
 	roster  *roster.Roster
 	planner *roles.Planner
 	ingress *ingress.Ingress
+	metrics *metrics
 	ready   atomic.Bool
 
 	servers []*server
@@ -161,7 +167,8 @@
 		Control: d.control,
 		Zone:    d.s.Zone,
 	})
-	d.ingress = ingress.New(ingress.Options{Config: d.config, Wire: platform.Wire{}, Runner: runner})
+	d.metrics = newMetrics(d)
+	d.ingress = ingress.New(ingress.Options{Config: d.config, Wire: platform.Wire{}, Runner: runner, Observe: d.metrics.observe})
 	d.planner = roles.New(roles.Options{
 		Self:    d.s.VM,
 		Store:   d.store,
@@ -186,15 +193,22 @@
 	d.followers = []*keyed.Follower{
 		keyed.New(keyed.Options{
 			Store: d.store, Topic: port.TopicConfig, Name: "config",
-			Sink: d.config, Pace: configPace, Wait: configWait,
+			Sink: d.config, Pace: func() time.Duration { return configPace }, Wait: configWait,
 		}),
 		keyed.New(keyed.Options{
 			Store: d.store, Topic: port.TopicTargets, Name: "targets",
-			Sink: &watched{Sink: d.registry, away: &d.storeAway}, Pace: targetsPace,
+			Sink: &watched{Sink: d.registry, away: &d.storeAway}, Pace: d.targetsPace,
 		}),
 	}
 }
 
+// targetsPace is the least time between two reads of the targets, by the size
+// of the fleet.
+func (d *Daemon) targetsPace() time.Duration {
+	pace := targetsPace * time.Duration(max(d.roster.Known(), pacedDaemons)) / pacedDaemons
+	return min(pace, max(time.Duration(paceShare*float64(d.s.Bounds.Drain)), targetsPace))
+}
+
 // watched notes whether the store can be read.
 type watched struct {
 	keyed.Sink
@@ -247,7 +261,7 @@
 
 // Start runs all parts and returns at once.
 func (d *Daemon) Start() {
-	log.WithFields(log.Fields{"vm": d.s.VM, "zone": d.s.Zone, "callers": d.s.Listen.Callers}).Info("front: starting")
+	log.WithFields(log.Fields{"vm": d.s.VM, "zone": d.s.Zone, "callers": d.s.Listen.Callers, "peers": d.s.Listen.Peers, "operators": d.s.Listen.Operators}).Info("front: starting")
 	d.tomb.Go(func() error {
 		for _, s := range d.servers {
 			d.tomb.Go(func() error { return d.serve(s) })
--- /dev/null
+++ b/process/front/metrics.go
@@ -0,0 +1,104 @@
+package front
+
+import (
+	"expvar"
+	"net/http"
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/pomelospool/pomelospool/request/ingress"
+)
+
+// secondsBuckets are the bounds of the latency histograms: from the fastest
+// plain answer to the longest deadline, finer where objectives lie.
+var secondsBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1, 1.5, 2, 4, 8}
+
+// metrics are the daemon's counters and histograms.
+type metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	whole    *prometheus.HistogramVec
+	first    prometheus.Histogram
+}
+
+func newMetrics(d *Daemon) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pomelospool_requests_total", Help: "Requests that ended, by kind of route, result code and status.",
+		}, []string{"kind", "code", "status"}),
+		whole: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "pomelospool_request_seconds", Help: "From a request's arrival to the end of its answer.", Buckets: secondsBuckets,
+		}, []string{"kind"}),
+		first: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "pomelospool_first_event_seconds", Help: "From a request's arrival to the first event of its answer.", Buckets: secondsBuckets,
+		}),
+	}
+	gauge := func(name, help string, f func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "pomelospool_" + name, Help: help}, f)
+	}
+	m.registry.MustRegister(
+		m.requests, m.whole, m.first, expvarCollector{},
+		gauge("open_requests", "Requests that run now.", func() float64 { return float64(d.ingress.Open()) }),
+		gauge("config_version", "Version of the configuration in force, 0: none.", d.configVersion),
+		gauge("daemons_alive", "Daemons that are heard, this one included.", func() float64 { return float64(len(d.roster.Members())) }),
+		gauge("store_away", "1 while the store can't be read.", func() float64 { return boolGauge(d.storeAway.Load()) }),
+		gauge("ready", "1 while the daemon takes requests.", func() float64 { return boolGauge(d.roster.Ready()) }),
+	)
+	return m
+}
+
+func (d *Daemon) configVersion() float64 {
+	if c := d.config.Load(); c != nil {
+		return float64(c.Version)
+	}
+	return 0
+}
+
+func boolGauge(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// observe counts one request that ended.
+func (m *metrics) observe(o ingress.Observation) {
+	kind := o.Kind.String()
+	m.requests.WithLabelValues(kind, strconv.Itoa(int(o.Code)), strconv.Itoa(o.Status)).Inc()
+	m.whole.WithLabelValues(kind).Observe(o.Whole.Seconds())
+	if o.First > 0 {
+		m.first.Observe(o.First.Seconds())
+	}
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// expvarCollector shows the integers of expvar's maps, which parts of the
+// product count in, under the map's name.
+type expvarCollector struct{}
+
+// Describe implements prometheus.Collector: the names are known at run time.
+func (expvarCollector) Describe(chan<- *prometheus.Desc) {}
+
+// Collect implements prometheus.Collector.
+func (expvarCollector) Collect(out chan<- prometheus.Metric) {
+	expvar.Do(func(kv expvar.KeyValue) {
+		group, ok := kv.Value.(*expvar.Map)
+		if !ok {
+			return
+		}
+		desc := prometheus.NewDesc("pomelospool_"+kv.Key+"_total", "Counts of part "+kv.Key+", see docs/METRICS.md.", []string{"what"}, nil)
+		group.Do(func(one expvar.KeyValue) {
+			n, ok := one.Value.(*expvar.Int)
+			if !ok {
+				return
+			}
+			out <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(n.Value()), one.Key)
+		})
+	})
+}
--- a/process/front/operators.go
+++ b/process/front/operators.go
@@ -10,6 +10,7 @@
 // operatorRoutes serve the operators' port.
 func (d *Daemon) operatorRoutes() http.Handler {
 	r := bunrouter.New()
+	r.GET("/metrics", bunrouter.HTTPHandler(d.metrics.handler()))
 	r.GET("/debug/vars", bunrouter.HTTPHandler(expvar.Handler()))
 	return r
 }
--- a/process/keyed/follower.go
+++ b/process/keyed/follower.go
@@ -22,7 +22,7 @@
 	// firstBackoff and maxBackoff bound the wait after a failed call. The
 	// store counts refused calls too, and allows some hundreds a second.
 	firstBackoff = 150 * time.Millisecond
-	maxBackoff   = 600 * time.Millisecond
+	maxBackoff   = 400 * time.Millisecond
 	// maxPages bounds a listing: 500 records a page.
 	maxPages = 1000
 )
@@ -45,8 +45,10 @@
 	Topic port.Topic
 	Name  string // for log lines
 	Sink  Sink
-	Pace  time.Duration // least time between the begins of two reads; every call is paid for
-	Wait  time.Duration // longest wait of a read for records; 2s
+	// Pace is the least time between the begins of two reads, since every call
+	// is paid for. It is asked before each read.
+	Pace func() time.Duration
+	Wait time.Duration // longest wait of a read for records; 2s
 }
 
 // Follower reads one topic until Stop.
@@ -87,7 +89,7 @@
 			return nil
 		}
 		f.report(err)
-		wait := f.o.Pace - time.Since(begun)
+		wait := f.o.Pace() - time.Since(begun)
 		if err != nil {
 			wait = backoff
 			backoff = min(2*backoff, maxBackoff)
--- a/process/keyed/follower_test.go
+++ b/process/keyed/follower_test.go
@@ -127,7 +127,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s, k := &fakeStore{}, &sink{}
 		s.add("a", "1")
-		f := New(Options{Store: s, Name: "test", Sink: k, Pace: pace})
+		f := New(Options{Store: s, Name: "test", Sink: k, Pace: func() time.Duration { return pace }})
 		f.Start()
 		test(s, k)
 		_ = f.Stop()
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -27,12 +27,25 @@
 const (
 	// beatEvery is the time between beats without news.
 	beatEvery = 250 * time.Millisecond
-	// newsAfter is how long news waits for more before it is sent, per other
-	// daemon: with 5 others 10 ms, with 89 others some 180 ms.
+	// newsAfter is how long news waits for more before it is sent, per daemon
+	// that it is sent to: with 5 others 10 ms.
 	newsAfter = 2 * time.Millisecond
+	// smallFleet is the number of other daemons up to which news goes to all.
+	// In a larger fleet it goes to those of the same availability zone, and to
+	// the others with the beats, which come more seldom: a daemon with a fifth
+	// of a core can't take 500 datagrams a second.
+	smallFleet = 16
+	// farEvery is the time between beats to all, per other daemon of a large
+	// fleet: with 89 others 700 ms.
+	farEvery = 8 * time.Millisecond
+	// nearAfter is the wait of news in a large fleet, per daemon of the zone:
+	// with 29 others 290 ms.
+	nearAfter = 10 * time.Millisecond
 	// deadAfter is the silence after which a daemon counts as dead: four
-	// beats, so that lost datagrams alone hardly do it.
+	// beats, so that lost datagrams alone hardly do it; deadBeats beats of a
+	// large fleet.
 	deadAfter = 1100 * time.Millisecond
+	deadBeats = 4
 	// forgetAfter is how long a silent daemon is sent beats.
 	forgetAfter = 30 * time.Second
 	// peersEvery is the number of beats between two that name other daemons.
@@ -154,7 +167,7 @@
 	r.mu.Lock()
 	r.self.State = s
 	r.mu.Unlock()
-	r.send()
+	r.send(false)
 }
 
 // News asks for a beat soon, without waiting for it.
@@ -210,7 +223,7 @@
 			r.learn(d.Addr)
 		}
 		if !page.More || len(page.Records) == 0 {
-			r.send()
+			r.send(false)
 			return nil
 		}
 		after = page.Records[len(page.Records)-1].Key
@@ -242,26 +255,55 @@
 		case <-r.tomb.Dying():
 			return nil
 		case <-tick.C:
+			r.send(false)
+			every := r.beatEvery()
+			tick.Reset(every + rand.N(every/10))
+			continue
 		case <-r.news:
-			if pause.For(ctx, r.newsWait()) != nil {
-				return nil
-			}
 		}
-		r.send()
-		tick.Reset(beatEvery + rand.N(beatEvery/10))
+		wait, near := r.newsWait()
+		if pause.For(ctx, wait) != nil {
+			return nil
+		}
+		r.send(near)
 	}
 }
 
-func (r *Roster) newsWait() time.Duration {
+// beatEvery is the time between two beats to all.
+func (r *Roster) beatEvery() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return newsAfter * time.Duration(max(len(r.peers), 1))
+	if len(r.peers) <= smallFleet {
+		return beatEvery
+	}
+	return max(beatEvery, farEvery*time.Duration(len(r.peers)))
 }
 
-// send sends one beat to every daemon known.
-func (r *Roster) send() {
+// deadAfter is the silence after which a daemon counts as dead.
+func (r *Roster) deadAfter() time.Duration { return max(deadAfter, deadBeats*r.beatEvery()) }
+
+// newsWait is how long news waits, and whether it goes to the daemons of the
+// same availability zone only.
+func (r *Roster) newsWait() (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.peers) <= smallFleet {
+		return newsAfter * time.Duration(max(len(r.peers), 1)), false
+	}
+	near := 0
+	for _, p := range r.peers {
+		if p.member.Zone == r.self.Zone {
+			near++
+		}
+	}
+	return nearAfter * time.Duration(near), true
+}
+
+// send sends one beat to every daemon known, or to those of the same
+// availability zone.
+func (r *Roster) send(near bool) {
 	work, reads := r.o.Book.Own()
-	now := time.Now()
+	now, dead := time.Now(), r.deadAfter()
 	r.mu.Lock()
 	r.seq++
 	r.self.StoreAway = r.o.StoreAway()
@@ -272,8 +314,11 @@
 			delete(r.peers, addr)
 			continue
 		}
+		if near && p.member.Zone != r.self.Zone {
+			continue
+		}
 		to = append(to, p.addr)
-		if r.seq%peersEvery == 0 && len(b.Peers) < maxPeers && r.alive(p, now) {
+		if r.seq%peersEvery == 0 && len(b.Peers) < maxPeers && p.alive(now, dead) {
 			b.Peers = append(b.Peers, addr)
 		}
 	}
@@ -367,18 +412,18 @@
 	return b.Member.Incarnation < p.member.Incarnation && now.Sub(p.heard) < deadAfter/2
 }
 
-func (r *Roster) alive(p *peer, now time.Time) bool {
-	return p.member.VM != "" && now.Sub(p.heard) < deadAfter
+func (p *peer) alive(now time.Time, dead time.Duration) bool {
+	return p.member.VM != "" && now.Sub(p.heard) < dead
 }
 
 // Members returns the daemons that are alive, this one first, then by name.
 func (r *Roster) Members() []Member {
-	now := time.Now()
+	now, dead := time.Now(), r.deadAfter()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []Member
 	for _, p := range r.peers {
-		if r.alive(p, now) {
+		if p.alive(now, dead) {
 			out = append(out, p.member)
 		}
 	}
@@ -422,7 +467,7 @@
 // would send all callers that ask it to itself alone. When the others and the
 // store fell silent together, the daemons heard lately still count.
 func (r *Roster) Addresses(string) ([]string, time.Duration) {
-	limit := time.Duration(deadAfter)
+	limit := r.deadAfter()
 	if len(r.Members()) == 1 && r.o.StoreAway() {
 		limit = isolatedKeep
 	}
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -97,6 +97,7 @@
 func (u *run) prompt() prompt {
 	p := prompt{parts: u.c.Ask.Parts}
 	p.Tokens = u.c.Ask.Prompt
+	p.Zone = u.opts.Zone
 	p.priority = min(u.c.Route.Priority, latePriority-1)
 	if len(p.parts) > 0 {
 		p.Seed = p.parts[max(len(p.parts)-2, 0)].ID // the last part is the request's own
--- a/request/placement/prefill.go
+++ b/request/placement/prefill.go
@@ -31,6 +31,7 @@
 // Prompt is what placement knows of a request.
 type Prompt struct {
 	Tokens int
+	Zone   string // availability zone of the deciding daemon
 	Seed   uint64 // of the prompt's first part: equal prompts go to one engine
 }
 
@@ -52,6 +53,11 @@
 	failPenalty = 800 * time.Millisecond
 	// tieSpread is the most that the prompt's hash adds to an engine's cost.
 	tieSpread = 4 * time.Millisecond
+	// manyEngines is the number of engines from which on the daemons know too
+	// little of each other's prompts, and equal prompts find each other by the
+	// hash alone, which then adds up to hashSpread.
+	manyEngines = 16
+	hashSpread  = 150 * time.Millisecond
 )
 
 const (
@@ -70,6 +76,11 @@
 	best := Choice{At: -1, Fetch: -1}
 	var bestCost time.Duration
 	keeper := keepsMost(sources)
+	near := inZone(cands, p.Zone)
+	spread := tieSpread
+	if len(cands) >= manyEngines {
+		spread = hashSpread
+	}
 	for i := range cands {
 		c := &cands[i]
 		ch := Choice{At: i, Fetch: -1, Wait: c.slower(c.Load.Wait)}
@@ -86,8 +97,11 @@
 		ch.Read = read + fetch
 		cost := ch.Wait + read + time.Duration(readAgain*float64(read))
 		cost += fetchWeight * fetch
+		if near >= manyNear && c.Entry.Zone != p.Zone {
+			cost += farCost
+		}
 		cost += time.Duration(c.Rate * float64(failPenalty))
-		cost += time.Duration(unit(p.Seed^engines.Hash(c.Entry.ID)) * float64(tieSpread))
+		cost += time.Duration(unit(p.Seed^engines.Hash(c.Entry.ID)) * float64(spread))
 		if best.At < 0 || cost < bestCost {
 			best, bestCost = ch, cost
 		}
@@ -95,6 +109,25 @@
 	return best
 }
 
+const (
+	// manyNear is the number of engines in the daemon's availability zone from
+	// which on it keeps to them: of these it knows the others' work sooner, and
+	// bytes between zones are paid for.
+	manyNear = 8
+	// farCost is what another zone's engine costs then.
+	farCost = 40 * time.Millisecond
+)
+
+func inZone(cands []Candidate, zone string) int {
+	n := 0
+	for i := range cands {
+		if cands[i].Entry.Zone == zone {
+			n++
+		}
+	}
+	return n
+}
+
 // keepsMost is the index of the source that keeps most of the prompt.
 func keepsMost(sources []Candidate) int {
 	best := -1
