--- a/connection/h1/h1_test.go
+++ b/connection/h1/h1_test.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/internal/pipenet"
 )
 
@@ -82,7 +83,7 @@
 		n.Raw("a:1", answer(func(i int, _ *http.Request) string { return ok(fmt.Sprint(i)) }))
 		mustGet(t, p, false, "1")
 		mustGet(t, p, false, "2")
-		time.Sleep(freshFor + time.Millisecond)
+		_ = pause.For(context.Background(), freshFor+time.Millisecond)
 		mustGet(t, p, true, "1")
 		if d := n.Dials("a:1"); d != 2 {
 			t.Errorf("%d connections, want 2", d)
@@ -101,7 +102,7 @@
 		}
 		_, _ = io.ReadAll(resp.Body)
 		resp.Close(2 * time.Second)
-		time.Sleep(1850 * time.Millisecond)
+		_ = pause.For(context.Background(), 1850*time.Millisecond)
 		mustGet(t, p, false, "1")
 		if d := n.Dials("a:1"); d != 2 {
 			t.Errorf("%d connections, want 2: the stated idle time was nearly over", d)
--- a/process/discovery/registry.go
+++ b/process/discovery/registry.go
@@ -24,7 +24,7 @@
 	Since   time.Time                     // when the newest target appeared
 }
 
-// Registry is the keyed.Sink of the targets' topic. Its snapshots may be read
+// Registry is the topic.Sink of the targets' topic. Its snapshots may be read
 // by any goroutine.
 //
 // The failure it guards against: while the store is away the entries of live
--- a/process/discovery/registry_test.go
+++ b/process/discovery/registry_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"context"
 	"errors"
 	"slices"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/port"
 )
 
@@ -64,9 +66,9 @@
 		r.Apply([]port.KeyedRecord{rec(2, "a", ""), rec(3, "b", "")})
 		r.Back()
 		want(t, r, "s", "a", "b")
-		time.Sleep(time.Second)
+		_ = pause.For(context.Background(), time.Second)
 		r.Apply([]port.KeyedRecord{rec(4, "a", "s")})
-		time.Sleep(keepAfterReturn)
+		_ = pause.For(context.Background(), keepAfterReturn)
 		synctest.Wait()
 		want(t, r, "s", "a")
 	})
@@ -81,7 +83,7 @@
 		r.Reset([]port.KeyedRecord{rec(1, "b", "s")})
 		r.Back()
 		want(t, r, "s", "a", "b")
-		time.Sleep(keepAfterReturn)
+		_ = pause.For(context.Background(), keepAfterReturn)
 		synctest.Wait()
 		want(t, r, "s", "b")
 	})
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -25,10 +25,10 @@
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/discovery"
-	"github.com/pomelospool/pomelospool/process/keyed"
 	"github.com/pomelospool/pomelospool/process/roles"
 	"github.com/pomelospool/pomelospool/process/roster"
 	"github.com/pomelospool/pomelospool/process/settings"
+	"github.com/pomelospool/pomelospool/process/topic"
 	"github.com/pomelospool/pomelospool/request/dispatch"
 	"github.com/pomelospool/pomelospool/request/ingress"
 	"github.com/pomelospool/pomelospool/version/inforce"
@@ -71,7 +71,7 @@
 	store     *platform.Store
 	config    *inforce.Holder
 	registry  *discovery.Registry
-	followers []*keyed.Follower
+	followers []*topic.Follower
 	storeAway atomic.Bool
 
 	pool    *h1.Pool
@@ -190,12 +190,12 @@
 }
 
 func (d *Daemon) wireStore() {
-	d.followers = []*keyed.Follower{
-		keyed.New(keyed.Options{
+	d.followers = []*topic.Follower{
+		topic.New(topic.Options{
 			Store: d.store, Topic: port.TopicConfig, Name: "config",
 			Sink: d.config, Pace: func() time.Duration { return configPace }, Wait: configWait,
 		}),
-		keyed.New(keyed.Options{
+		topic.New(topic.Options{
 			Store: d.store, Topic: port.TopicTargets, Name: "targets",
 			Sink: &watched{Sink: d.registry, away: &d.storeAway}, Pace: d.targetsPace,
 		}),
@@ -211,17 +211,17 @@
 
 // watched notes whether the store can be read.
 type watched struct {
-	keyed.Sink
+	topic.Sink
 	away *atomic.Bool
 }
 
-// Lost implements keyed.Sink.
+// Lost implements topic.Sink.
 func (w *watched) Lost(err error) {
 	w.away.Store(true)
 	w.Sink.Lost(err)
 }
 
-// Back implements keyed.Sink.
+// Back implements topic.Sink.
 func (w *watched) Back() {
 	w.away.Store(false)
 	w.Sink.Back()
--- a/process/planner/types.go
+++ b/process/planner/types.go
@@ -1,6 +1,6 @@
 // Package planner decides which engine has which role. Plan is a pure
 // function of time, observations, the document in force and its own previous
-// state: no clock, no I/O and no randomness, so that tests and the bench
+// state: no clock, no I/O and no randomness, so that tests and simulations
 // drive it with virtual time.
 package planner
 
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log"
 
 	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/port"
 )
 
@@ -160,7 +161,7 @@
 		for i := range n {
 			d.add(i+1, 1)
 		}
-		time.Sleep(2 * time.Second)
+		_ = pause.For(context.Background(), 2*time.Second)
 		test(t, d)
 		for _, r := range d.all {
 			_ = r.Stop()
@@ -202,12 +203,12 @@
 func TestSilentDaemonIsOutSoon(t *testing.T) {
 	withFleet(t, 3, func(t *testing.T, d *daemons) {
 		d.w.setCut("10.0.0.3:7000", true)
-		time.Sleep(deadAfter + beatEvery)
+		_ = pause.For(context.Background(), deadAfter+beatEvery)
 		if addrs(d.all[0]) != 2 {
 			t.Errorf("%d addresses, want 2", addrs(d.all[0]))
 		}
 		d.w.setCut("10.0.0.3:7000", false)
-		time.Sleep(2 * beatEvery)
+		_ = pause.For(context.Background(), 2*beatEvery)
 		if addrs(d.all[0]) != 3 {
 			t.Errorf("%d addresses after its return, want 3", addrs(d.all[0]))
 		}
@@ -219,7 +220,7 @@
 	withFleet(t, 3, func(t *testing.T, d *daemons) {
 		d.w.setCut("10.0.0.1:7000", true)
 		d.away.Store(true)
-		time.Sleep(5 * time.Second)
+		_ = pause.For(context.Background(), 5*time.Second)
 		if addrs(d.all[0]) != 3 {
 			t.Errorf("%d addresses, want 3", addrs(d.all[0]))
 		}
@@ -235,9 +236,9 @@
 func TestRestartWithAnEarlierClock(t *testing.T) {
 	withFleet(t, 2, func(t *testing.T, d *daemons) {
 		_ = d.all[1].Stop()
-		time.Sleep(time.Second)
+		_ = pause.For(context.Background(), time.Second)
 		d.add(2, 0)
-		time.Sleep(time.Second)
+		_ = pause.For(context.Background(), time.Second)
 		if addrs(d.all[0]) != 2 {
 			t.Errorf("%d addresses, want 2", addrs(d.all[0]))
 		}
@@ -266,13 +267,13 @@
 	withFleet(t, 3, func(t *testing.T, d *daemons) {
 		parts := []port.PromptPart{{ID: 1, Tokens: 500}}
 		done := d.books[0].Prefill("e", 10_000, parts, 500*time.Millisecond)
-		time.Sleep(3 * newsAfter)
+		_ = pause.For(context.Background(), 3*newsAfter)
 		synctest.Wait()
 		if l := d.books[2].Load("e", parts); l.Wait < 400*time.Millisecond || l.Cached != 500 {
 			t.Errorf("the other daemon knows %+v", l)
 		}
 		done()
-		time.Sleep(3 * newsAfter)
+		_ = pause.For(context.Background(), 3*newsAfter)
 		synctest.Wait()
 		if l := d.books[2].Load("e", nil); l.Wait != 0 {
 			t.Errorf("work that has ended still counts elsewhere: %+v", l)
--- a/process/keyed/follower.go
+++ b/process/topic/follower.go
@@ -1,7 +1,7 @@
-// Package keyed follows a keyed topic of the store: it hands every record over
+// Package topic follows a keyed topic of the store: it hands every record over
 // in order, and the whole topic anew when the store no longer keeps the
 // records in between.
-package keyed
+package topic
 
 import (
 	"context"
@@ -110,7 +110,7 @@
 	}
 	records, err := f.o.Store.Read(ctx, f.o.Topic, f.next, f.o.Wait)
 	if errors.Is(err, port.ErrExpired) {
-		log.WithFields(log.Fields{"topic": f.o.Name, "from": f.next}).Info("keyed: records expired, listing the topic")
+		log.WithFields(log.Fields{"topic": f.o.Name, "from": f.next}).Info("topic: records expired, listing the topic")
 		f.placed = false
 		return f.list(ctx)
 	}
@@ -157,17 +157,17 @@
 	return nil
 }
 
-var errStale = errors.New("keyed: the listing is older than what was read")
+var errStale = errors.New("topic: the listing is older than what was read")
 
 func (f *Follower) report(err error) {
 	switch {
 	case err != nil && !f.lost:
 		f.lost = true
-		log.WithField("topic", f.o.Name).WithError(err).Warn("keyed: store lost")
+		log.WithField("topic", f.o.Name).WithError(err).Warn("topic: store lost")
 		f.o.Sink.Lost(err)
 	case err == nil && f.lost:
 		f.lost = false
-		log.WithFields(log.Fields{"topic": f.o.Name, "next": f.next}).Info("keyed: store is back")
+		log.WithFields(log.Fields{"topic": f.o.Name, "next": f.next}).Info("topic: store is back")
 		f.o.Sink.Back()
 	}
 }
--- a/process/keyed/follower_test.go
+++ b/process/topic/follower_test.go
@@ -1,4 +1,4 @@
-package keyed
+package topic
 
 import (
 	"context"
@@ -11,6 +11,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/port"
 )
 
@@ -135,7 +136,7 @@
 }
 
 func settle() {
-	time.Sleep(5 * time.Second)
+	_ = pause.For(context.Background(), 5*time.Second)
 	synctest.Wait()
 }
 
@@ -202,7 +203,7 @@
 	run(t, 500*time.Millisecond, func(s *fakeStore, k *sink) {
 		for range 500 {
 			s.add("b", "1")
-			time.Sleep(10 * time.Millisecond)
+			_ = pause.For(context.Background(), 10*time.Millisecond)
 		}
 		synctest.Wait()
 		if s.reads > 12 {
--- a/request/dispatch/plain_test.go
+++ b/request/dispatch/plain_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/platform/standin"
 	"github.com/pomelospool/pomelospool/version/route"
 )
@@ -142,7 +143,7 @@
 		if n := ran(a, b); n != 23 {
 			t.Errorf("%d runs for 20 calls, want 23", n)
 		}
-		time.Sleep(11 * time.Second)
+		_ = pause.For(context.Background(), 11*time.Second)
 		_, _, _ = r.runner.Plain(t.Context(), r.call(route.Safe, 2, time.Second))
 		if n := ran(a, b); n != 25 {
 			t.Errorf("%d runs, want 25: the window has passed", n)
--- a/request/routing/types.go
+++ b/request/routing/types.go
@@ -1,6 +1,6 @@
 // Package routing decides which target serves a request. It is a pure
 // function of time, observations and the version in force: no clock and no
-// I/O, so that tests and the bench drive it with virtual time. The steps are
+// I/O, so that tests and simulations drive it with virtual time. The steps are
 // filter, score and pick, with one rule a file; scores lie in [0,1].
 package routing
 
--- a/version/inforce/inforce.go
+++ b/version/inforce/inforce.go
@@ -11,7 +11,7 @@
 	"github.com/pomelospool/pomelospool/version/route"
 )
 
-// Holder is the keyed.Sink of the configuration's topic. Any goroutine may
+// Holder is the topic.Sink of the configuration's topic. Any goroutine may
 // load the configuration.
 type Holder struct {
 	decode func(r port.KeyedRecord) (c *route.Config, present bool, err error)
