--- a/operator/ctl/app.go
+++ b/operator/ctl/app.go
@@ -67,6 +67,7 @@
 	add("load", "Send load and measure the answers", loadHelp, &loadCommand{app: a})
 	add("burn", "Say how fast the services spend their error budgets", burnHelp, &burnCommand{app: a})
 	add("explain", "Explain a numbered code", explainHelp, &explainCommand{app: a})
+	add("trace", "Print what the log says of a request", traceHelp, &traceCommand{app: a})
 	add("completion", "Print the shell's completion script", completionHelp, &completionCommand{app: a})
 	add("version", "Print the version", "Prints the version of this build.", &versionCommand{app: a})
 	return parser
--- a/operator/ctl/cli_test.go
+++ b/operator/ctl/cli_test.go
@@ -35,7 +35,7 @@
 COMP_WORDS=("$0" "$@"); COMP_CWORD=$#
 _pomelosctl; echo "${COMPREPLY[@]}"`
 	cases := []struct{ words, want string }{
-		{"", "address burn call check completion explain load publish status version"},
+		{"", "address burn call check completion explain load publish status trace version"},
 		{"st", "status"},
 		{"burn --h", "--help --html"},
 		{"explain 500", "5001 5002 5003 5004 5005 5006 5007"},
@@ -84,6 +84,7 @@
 		"burn --daemons " + gone:                                           ExitUnreachable,
 		"explain 5001":                                                     ExitOK,
 		"explain 77":                                                       ExitUsage,
+		"trace nobody":                                                     ExitUsage,
 		"completion bash":                                                  ExitOK,
 		"completion other":                                                 ExitUsage,
 		"version":                                                          ExitOK,
--- a/operator/ctl/clidoc.go
+++ b/operator/ctl/clidoc.go
@@ -24,6 +24,7 @@
 	"load":       {"pomelosctl load --callers 10.1.1.5:7000,10.1.2.5:7000 --model halen-briefings --rate 20 --duration 1m --plot load.svg"},
 	"burn":       {"pomelosctl burn --daemons 10.1.1.5:7002,10.1.2.5:7002 --html burn.html"},
 	"explain":    {"pomelosctl explain 5001"},
+	"trace":      {"pomelosctl trace 6be891a605324f4d"},
 	"completion": {"pomelosctl completion bash"},
 	"version":    {"pomelosctl version --json"},
 }
--- /dev/null
+++ b/operator/ctl/trace.go
@@ -0,0 +1,84 @@
+package ctl
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+const traceHelp = `Reads daemons' log lines (JSON) from standard input and prints what they say of one request, in order of time: which targets it was sent to, why a send failed, what was foreseen, and how it ended. Lines may bear anything before their JSON, as a collector's time and host.`
+
+type traceCommand struct {
+	app  *app
+	Args struct {
+		ID string `positional-arg-name:"ID" description:"The request's id" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// traced is one log line about the request.
+type traced struct {
+	Before    string         `json:"before,omitempty"` // what stood before the JSON
+	Timestamp time.Time      `json:"timestamp"`
+	Message   string         `json:"message"`
+	Fields    map[string]any `json:"fields"`
+}
+
+// maxLogLine bounds one line of a log, in bytes.
+const maxLogLine = 1 << 20
+
+// Execute prints the lines about the request.
+func (c *traceCommand) Execute([]string) error {
+	found, err := traceLines(c.app.in, c.Args.ID)
+	if err != nil {
+		return err
+	}
+	if len(found) == 0 {
+		return usageError("no line about request " + c.Args.ID)
+	}
+	if c.app.JSON {
+		return c.app.printJSON(found)
+	}
+	for _, t := range found {
+		c.app.printf("%s %s%s %s\n", t.Timestamp.Format(time.RFC3339Nano), t.Before, t.Message, fieldsText(t.Fields))
+	}
+	return nil
+}
+
+// traceLines returns the lines about a request in order of time.
+func traceLines(in io.Reader, id string) ([]traced, error) {
+	var out []traced
+	lines := bufio.NewScanner(in)
+	lines.Buffer(nil, maxLogLine)
+	for lines.Scan() {
+		before, rest, ok := strings.Cut(lines.Text(), "{")
+		if !ok || !strings.Contains(rest, id) {
+			continue
+		}
+		t := traced{Before: before}
+		if json.Unmarshal([]byte("{"+rest), &t) != nil || t.Fields["request"] != id {
+			continue
+		}
+		out = append(out, t)
+	}
+	if err := lines.Err(); err != nil {
+		return nil, fmt.Errorf("read the log: %w", err)
+	}
+	slices.SortStableFunc(out, func(a, b traced) int { return a.Timestamp.Compare(b.Timestamp) })
+	return out, nil
+}
+
+// fieldsText writes the fields in the order of their names.
+func fieldsText(fields map[string]any) string {
+	var parts []string
+	for k, v := range fields {
+		if k != "request" {
+			parts = append(parts, fmt.Sprintf("%s=%v", k, v))
+		}
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, " ")
+}
