Reads wait for at most 0.4 of the bound within which a record must take effect

Change: waits are 0.4 of the configuration's and the drain bound. Tests: TestMissedRecordsAreReadWithinTheirBounds fails at the old waits (4.3 s of 2 s).

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -52,9 +52,11 @@
 	pacedDaemons = 16
 	// configPace is the same for the configuration, which seldom changes.
 	configPace = 100 * time.Millisecond
-	// configWait is how long a read waits for a new configuration. A connection
-	// that goes silent meanwhile is found out by its probes.
-	configWait = 4 * time.Second
+	// waitShare of a bound is the longest that a read waits for records. A read
+	// that begins as a record is written can miss it, and answers only at the
+	// end of its wait: with a wait of 4 s 5 of 42 plays had a version in force
+	// 4 s after its write, where 2 s are allowed.
+	waitShare = 0.4
 	// upkeepEvery is the time between two rounds of forgetting what is gone.
 	upkeepEvery = time.Second
 	// acceptedTimeout is how long bytes to a caller may stand unacknowledged.
@@ -193,15 +195,21 @@
 	d.followers = []*topic.Follower{
 		topic.New(topic.Options{
 			Store: d.store, Topic: port.TopicConfig, Name: "config",
-			Sink: d.config, Pace: func() time.Duration { return configPace }, Wait: configWait,
+			Sink: d.config, Pace: func() time.Duration { return configPace }, Wait: readWait(d.s.Bounds.ApplyConfig),
 		}),
 		topic.New(topic.Options{
 			Store: d.store, Topic: port.TopicTargets, Name: "targets",
-			Sink: &watched{Sink: d.registry, away: &d.storeAway}, Pace: d.targetsPace,
+			Sink: &watched{Sink: d.registry, away: &d.storeAway}, Pace: d.targetsPace, Wait: readWait(d.s.Bounds.Drain),
 		}),
 	}
 }
 
+// readWait is how long a read waits for records whose effect is due within the
+// bound.
+func readWait(bound time.Duration) time.Duration {
+	return time.Duration(waitShare * float64(bound))
+}
+
 // targetsPace is the least time between two reads of the targets, by the size
 // of the fleet.
 func (d *Daemon) targetsPace() time.Duration {
--- a/process/front/front_test.go
+++ b/process/front/front_test.go
@@ -195,3 +195,17 @@
 		t.Error(err)
 	}
 }
+
+// A version must be in force, and a leaving target without new work, within
+// its bound, also when a read missed the record: its wait, the pace before the
+// next read and the read itself must fit.
+func TestMissedRecordsAreReadWithinTheirBounds(t *testing.T) {
+	d := &Daemon{s: settings.Default()}
+	const answer = 200 * time.Millisecond // of a slow store
+	if got := readWait(d.s.Bounds.ApplyConfig) + configPace + answer; got > d.s.Bounds.ApplyConfig*3/4 {
+		t.Errorf("a version may take %v of %v", got, d.s.Bounds.ApplyConfig)
+	}
+	if got := readWait(d.s.Bounds.Drain) + targetsPace + answer; got > d.s.Bounds.Drain*3/4 {
+		t.Errorf("a leaving target may get work for %v of %v", got, d.s.Bounds.Drain)
+	}
+}
--- a/process/topic/follower.go
+++ b/process/topic/follower.go
@@ -16,9 +16,6 @@
 )
 
 const (
-	// defaultWait is how long a read waits for records. The store allows 30 s;
-	// a connection that went silent is noticed only after this time.
-	defaultWait = 2 * time.Second
 	// firstBackoff and maxBackoff bound the wait after a failed call. The
 	// store counts refused calls too, and allows some hundreds a second.
 	firstBackoff = 150 * time.Millisecond
@@ -64,9 +61,6 @@
 
 // New returns a Follower that doesn't run yet.
 func New(o Options) *Follower {
-	if o.Wait <= 0 {
-		o.Wait = defaultWait
-	}
 	return &Follower{o: o}
 }
 
@@ -153,10 +147,20 @@
 		return errStale
 	}
 	f.next, f.placed = end, true
+	log.WithFields(log.Fields{"topic": f.o.Name, "records": len(all), "newest": newest(all), "next": end}).Info("topic: listed")
 	f.o.Sink.Reset(all)
 	return nil
 }
 
+// newest is the highest offset of the records, -1 without any.
+func newest(records []port.KeyedRecord) int64 {
+	top := int64(-1)
+	for _, r := range records {
+		top = max(top, r.Offset)
+	}
+	return top
+}
+
 var errStale = errors.New("topic: the listing is older than what was read")
 
 func (f *Follower) report(err error) {
--- a/process/topic/follower_test.go
+++ b/process/topic/follower_test.go
@@ -27,6 +27,7 @@
 	records []port.KeyedRecord
 	down    bool
 	behind  int64 // listings show the topic without its last records
+	deaf    bool  // waiting reads miss what is written meanwhile
 	expired bool  // reads find their records dropped
 	reads   int
 	lists   int
@@ -59,9 +60,9 @@
 
 func (s *fakeStore) Read(ctx context.Context, _ port.Topic, from int64, wait time.Duration) ([]port.KeyedRecord, error) {
 	deadline := time.Now().Add(wait)
-	for {
+	for begun := true; ; begun = false {
 		s.mu.Lock()
-		s.reads++
+		s.reads += btoi(begun)
 		down, first, end := s.down, s.first, s.end()
 		expired := s.expired
 		var out []port.KeyedRecord
@@ -74,8 +75,10 @@
 			return nil, port.ErrUnavailable
 		case expired || from < first:
 			return nil, port.ErrExpired
-		case len(out) > 0 || !time.Now().Before(deadline):
+		case (begun || !s.deaf) && len(out) > 0:
 			return out, nil
+		case !time.Now().Before(deadline):
+			return nil, nil
 		}
 		select {
 		case <-time.After(10 * time.Millisecond):
@@ -128,13 +131,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		s, k := &fakeStore{}, &sink{}
 		s.add("a", "1")
-		f := New(Options{Store: s, Name: "test", Sink: k, Pace: func() time.Duration { return pace }})
+		f := New(Options{Store: s, Name: "test", Sink: k, Wait: wait, Pace: func() time.Duration { return pace }})
 		f.Start()
 		test(s, k)
 		_ = f.Stop()
 	})
 }
 
+// wait is how long reads wait here.
+const wait = 800 * time.Millisecond
+
 func settle() {
 	_ = pause.For(context.Background(), 5*time.Second)
 	synctest.Wait()
@@ -211,3 +217,24 @@
 		}
 	})
 }
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Callers are refused a route that was published seconds ago, by one daemon of
+// eight. Its read began as the version was written, missed it, and answered at
+// the end of its wait.
+func TestRecordThatAWaitingReadMissed(t *testing.T) {
+	run(t, 0, func(s *fakeStore, k *sink) {
+		settle()
+		s.set(func() { s.deaf = true })
+		s.add("b", "1")
+		_ = pause.For(context.Background(), wait+100*time.Millisecond)
+		synctest.Wait()
+		check(t, k, "[reset a apply b]")
+	})
+}
