--- a/connection/engines/book.go
+++ b/connection/engines/book.go
@@ -115,10 +115,7 @@
 	}
 	e.own.Reading += cost
 	e.own.Prompts++
-	e.keeps.add(parts)
-	if len(b.reads) < maxUntold {
-		b.reads = append(b.reads, Read{Target: hash, Parts: parts})
-	}
+	b.reading(hash, e, parts)
 	b.mu.Unlock()
 	b.changed()
 	return sync.OnceFunc(func() {
@@ -131,6 +128,15 @@
 	})
 }
 
+// reading notes that an engine will keep a prompt, and that the other daemons
+// are to be told. Callers hold b.mu.
+func (b *Book) reading(hash uint64, e *engine, parts []port.PromptPart) {
+	e.keeps.add(parts)
+	if len(b.reads) < maxUntold {
+		b.reads = append(b.reads, Read{Target: hash, Parts: parts})
+	}
+}
+
 // Learn takes an engine's own word about what it keeps.
 func (b *Book) Learn(target string, memory int, parts []port.PromptPart) {
 	b.mu.Lock()
@@ -145,10 +151,7 @@
 	b.mu.Lock()
 	e := b.engine(hash, memory)
 	e.own.Streams++
-	e.keeps.add(parts)
-	if len(b.reads) < maxUntold {
-		b.reads = append(b.reads, Read{Target: hash, Parts: parts})
-	}
+	b.reading(hash, e, parts)
 	b.mu.Unlock()
 	b.changed()
 	return sync.OnceFunc(func() {
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -147,7 +147,7 @@
 	cands := u.candidates(p, port.RoleDecode)
 	for _, c := range cands {
 		switch {
-		case u.opts.Health.Benched(c.Entry.ID):
+		case u.opts.Health.Benched(c.Entry.ID), c.Load.Down >= downVotes:
 		case float64(c.Load.Streams) > crowded*float64(max(c.Entry.Slots, 1)):
 		case c.Rate > doubtful:
 			doubts++
--- a/request/dispatch/engine_test.go
+++ b/request/dispatch/engine_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/connection/engines"
 	"github.com/pomelospool/pomelospool/platform/standin"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/version/route"
@@ -270,3 +271,18 @@
 		})
 	}
 }
+
+// Prompts are read for an engine that the other daemons know to be dark.
+func TestDecoderThatOthersCantReachIsNotCountedOn(t *testing.T) {
+	withRig(t, 100, func(t *testing.T, r *rig) {
+		p := r.add("llm", port.RolePrefill)
+		r.add("llm", port.RoleDecode)
+		down := []engines.Work{{Target: engines.Hash("llm1"), Down: true}}
+		r.runner.opts.Engines.Hear("peer-1", down, nil)
+		r.runner.opts.Engines.Hear("peer-2", down, nil)
+		_, _, err := r.stream(t.Context(), false)
+		if code.Of(err) != code.NoTarget || len(p.Arrivals()) != 0 {
+			t.Errorf("%d prompts read, %v", len(p.Arrivals()), err)
+		}
+	})
+}
