Large fleets: two daemons of a zone read the store for the others

Change: process/relay: a reader holds the newest records of a topic and answers the others' reads from them, over the peers' port; whoever's reader can't say (lost the store, holds only newer ones) reads the store itself for 3 s. Small fleets read as before. Ruled out: seldomer reads by all (already at 45 % of the drain bound); records in datagrams (a lost one would need asking for). Tests: process/relay.

--- a/process/discovery/registry.go
+++ b/process/discovery/registry.go
@@ -88,7 +88,7 @@
 }
 
 // Reset takes the whole topic.
-func (r *Registry) Reset(records []port.KeyedRecord) {
+func (r *Registry) Reset(records []port.KeyedRecord, _ int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	present := make(map[string]bool, len(records))
--- a/process/discovery/registry_test.go
+++ b/process/discovery/registry_test.go
@@ -61,7 +61,7 @@
 func TestEntriesThatLapsedInAnOutageAreKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := New(Options{Decode: decode})
-		r.Reset([]port.KeyedRecord{rec(0, "a", "s"), rec(1, "b", "s")})
+		r.Reset([]port.KeyedRecord{rec(0, "a", "s"), rec(1, "b", "s")}, 0)
 		r.Lost(errors.New("away"))
 		r.Apply([]port.KeyedRecord{rec(2, "a", ""), rec(3, "b", "")})
 		r.Back()
@@ -78,9 +78,9 @@
 func TestListingAfterAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := New(Options{Decode: decode})
-		r.Reset([]port.KeyedRecord{rec(0, "a", "s"), rec(1, "b", "s")})
+		r.Reset([]port.KeyedRecord{rec(0, "a", "s"), rec(1, "b", "s")}, 0)
 		r.Lost(errors.New("away"))
-		r.Reset([]port.KeyedRecord{rec(1, "b", "s")})
+		r.Reset([]port.KeyedRecord{rec(1, "b", "s")}, 0)
 		r.Back()
 		want(t, r, "s", "a", "b")
 		_ = pause.For(context.Background(), keepAfterReturn)
@@ -91,7 +91,7 @@
 
 func TestRemovalWithoutAnOutageCountsAtOnce(t *testing.T) {
 	r := New(Options{Decode: decode})
-	r.Reset([]port.KeyedRecord{rec(0, "a", "s"), rec(1, "b", "s")})
+	r.Reset([]port.KeyedRecord{rec(0, "a", "s"), rec(1, "b", "s")}, 0)
 	r.Apply([]port.KeyedRecord{rec(2, "a", "")})
 	want(t, r, "s", "b")
 }
@@ -99,7 +99,7 @@
 // A target that says it leaves gets no new work, also in an outage's wake.
 func TestLeavingCountsAtOnce(t *testing.T) {
 	r := New(Options{Decode: decode})
-	r.Reset([]port.KeyedRecord{rec(0, "a", "s")})
+	r.Reset([]port.KeyedRecord{rec(0, "a", "s")}, 0)
 	r.Lost(errors.New("away"))
 	r.Apply([]port.KeyedRecord{rec(1, "a", "s leaving")})
 	if e := r.Snapshot().Targets["s"][0]; !e.Leaving {
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -25,6 +25,7 @@
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/discovery"
+	"github.com/pomelospool/pomelospool/process/relay"
 	"github.com/pomelospool/pomelospool/process/roles"
 	"github.com/pomelospool/pomelospool/process/roster"
 	"github.com/pomelospool/pomelospool/process/settings"
@@ -70,7 +71,8 @@
 	s    *settings.Settings
 	tomb tomb.Tomb
 
-	store     *platform.Store
+	store     *relay.Store
+	tails     map[port.Topic]*relay.Tail
 	config    *inforce.Holder
 	registry  *discovery.Registry
 	followers []*topic.Follower
@@ -103,7 +105,6 @@
 func New(s *settings.Settings) (*Daemon, error) {
 	d := &Daemon{
 		s:      s,
-		store:  platform.NewStore(s.Store.Addr),
 		config: inforce.New(platform.DecodeConfig),
 		pool:   h1.New(h1.Options{}),
 	}
@@ -114,6 +115,7 @@
 		}
 	})
 	d.health = health.New(time.Now, d.engines.Down)
+	d.store = relay.NewStore(platform.NewStore(s.Store.Addr), func() string { return d.roster.Reader() }, port.TopicConfig, port.TopicTargets)
 	if err := d.wireRoster(); err != nil {
 		return nil, err
 	}
@@ -192,14 +194,18 @@
 }
 
 func (d *Daemon) wireStore() {
+	d.tails = map[port.Topic]*relay.Tail{
+		port.TopicConfig:  relay.NewTail(d.config),
+		port.TopicTargets: relay.NewTail(&watched{Sink: d.registry, away: &d.storeAway}),
+	}
 	d.followers = []*topic.Follower{
 		topic.New(topic.Options{
 			Store: d.store, Topic: port.TopicConfig, Name: "config",
-			Sink: d.config, Pace: func() time.Duration { return configPace }, Wait: readWait(d.s.Bounds.ApplyConfig),
+			Sink: d.tails[port.TopicConfig], Pace: func() time.Duration { return configPace }, Wait: readWait(d.s.Bounds.ApplyConfig),
 		}),
 		topic.New(topic.Options{
 			Store: d.store, Topic: port.TopicTargets, Name: "targets",
-			Sink: &watched{Sink: d.registry, away: &d.storeAway}, Pace: d.targetsPace, Wait: readWait(d.s.Bounds.Drain),
+			Sink: d.tails[port.TopicTargets], Pace: d.targetsPace, Wait: readWait(d.s.Bounds.Drain),
 		}),
 	}
 }
@@ -210,9 +216,12 @@
 	return time.Duration(waitShare * float64(bound))
 }
 
-// targetsPace is the least time between two reads of the targets, by the size
-// of the fleet.
+// targetsPace is the least time between two reads of the targets. Daemons of a
+// large fleet whose readers fail read the store more seldom.
 func (d *Daemon) targetsPace() time.Duration {
+	if !d.store.Direct() {
+		return targetsPace
+	}
 	pace := targetsPace * time.Duration(max(d.roster.Known(), pacedDaemons)) / pacedDaemons
 	return min(pace, max(time.Duration(paceShare*float64(d.s.Bounds.Drain)), targetsPace))
 }
@@ -256,6 +265,9 @@
 	if _, err = add("addresses", d.s.Listen.Addresses, side(platform.AddressHandler(d.roster))); err != nil {
 		return err
 	}
+	if _, err = add("peers", d.roster.PeerAddr(), side(relay.Handler(d.tails))); err != nil {
+		return err
+	}
 	_, err = add("operators", d.s.Listen.Operators, side(d.operatorRoutes()))
 	return err
 }
--- /dev/null
+++ b/process/relay/relay.go
@@ -0,0 +1,230 @@
+// Package relay lets few daemons of a large fleet read the store and pass its
+// records on to the others. Every call to the store is paid for: at 90 daemons
+// reads were the dearest item, 0.05 of worth. A daemon whose reader fails reads
+// the store itself.
+package relay
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/uptrace/bunrouter"
+
+	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/process/topic"
+)
+
+const (
+	// keep is the number of records of a topic that a reader holds for others:
+	// some seconds of the targets' heartbeats. Whoever wants older ones reads
+	// the store.
+	keep = 2048
+	// hopTimeout is added to a read's wait for the way between daemons.
+	hopTimeout = 500 * time.Millisecond
+	// distrust is how long a daemon reads the store itself after its reader
+	// failed.
+	distrust = 3 * time.Second
+	// maxAnswer bounds a reader's answer, in bytes.
+	maxAnswer = 8 << 20
+)
+
+// Tail is the newest records of one topic as this daemon has read them. It is
+// the topic.Sink before another one, and safe for concurrent use.
+type Tail struct {
+	next topic.Sink
+
+	mu      sync.Mutex
+	records []port.KeyedRecord // without gaps
+	end     int64              // offset after the newest; -1: not known
+	changed chan struct{}
+	lost    bool
+}
+
+// NewTail returns a Tail that hands all on to next.
+func NewTail(next topic.Sink) *Tail {
+	return &Tail{next: next, end: -1, changed: make(chan struct{})}
+}
+
+// Reset implements topic.Sink. A listing lacks the records that newer ones of
+// their keys replaced, so only what follows it is held.
+func (t *Tail) Reset(records []port.KeyedRecord, next int64) {
+	t.mu.Lock()
+	t.records, t.end = nil, next
+	t.mu.Unlock()
+	t.next.Reset(records, next)
+}
+
+// Apply implements topic.Sink.
+func (t *Tail) Apply(records []port.KeyedRecord) {
+	t.next.Apply(records)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.end != records[0].Offset {
+		t.records = nil
+	}
+	t.records = append(t.records, records...)
+	if over := len(t.records) - keep; over > 0 {
+		t.records = append([]port.KeyedRecord(nil), t.records[over:]...)
+	}
+	t.end = records[len(records)-1].Offset + 1
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// Lost implements topic.Sink.
+func (t *Tail) Lost(err error) {
+	t.setLost(true)
+	t.next.Lost(err)
+}
+
+// Back implements topic.Sink.
+func (t *Tail) Back() {
+	t.setLost(false)
+	t.next.Back()
+}
+
+func (t *Tail) setLost(on bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lost = on
+}
+
+// read returns the records from an offset on, waiting for some; false when
+// this daemon can't say.
+func (t *Tail) read(ctx context.Context, from int64, wait time.Duration) ([]port.KeyedRecord, bool) {
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		t.mu.Lock()
+		changed, lost, end := t.changed, t.lost, t.end
+		first := end - int64(len(t.records))
+		var out []port.KeyedRecord
+		if from >= first && from < end {
+			out = append(out, t.records[from-first:]...)
+		}
+		t.mu.Unlock()
+		if lost || end < 0 || from < first || from > end {
+			return nil, false
+		}
+		if len(out) > 0 {
+			return out, true
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return nil, true
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+}
+
+// Handler answers the other daemons' reads.
+func Handler(tails map[port.Topic]*Tail) http.Handler {
+	r := bunrouter.New()
+	r.GET("/records", func(w http.ResponseWriter, req bunrouter.Request) error {
+		q := req.URL.Query()
+		name, err1 := strconv.Atoi(q.Get("topic"))
+		from, err2 := strconv.ParseInt(q.Get("from"), 10, 64)
+		wait, err3 := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
+		tail := tails[port.Topic(name)]
+		if err1 != nil || err2 != nil || err3 != nil || tail == nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return nil
+		}
+		records, ok := tail.read(req.Context(), from, time.Duration(wait)*time.Millisecond)
+		if !ok {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return nil
+		}
+		data, err := cbor.Marshal(records)
+		if err != nil {
+			return fmt.Errorf("relay: %w", err)
+		}
+		_, err = w.Write(data)
+		return err
+	})
+	return r
+}
+
+// Store is a port.Store whose reads of some topics go to a reader while there
+// is one.
+type Store struct {
+	port.Store
+	topics map[port.Topic]bool
+	reader func() string // address of this daemon's reader, empty: itself
+	client *http.Client
+	now    func() time.Time
+
+	mu    sync.Mutex
+	until time.Time // the store is read directly until then
+}
+
+// Direct tells whether reads go to the store although there is a reader.
+func (s *Store) Direct() bool { return s.reader() != "" && s.distrusted() }
+
+// NewStore returns a Store over s. reader names the daemon to ask for the
+// topics, empty for none.
+func NewStore(s port.Store, reader func() string, topics ...port.Topic) *Store {
+	out := &Store{Store: s, topics: make(map[port.Topic]bool), reader: reader, client: &http.Client{}, now: time.Now}
+	for _, t := range topics {
+		out.topics[t] = true
+	}
+	return out
+}
+
+// Read returns records from the reader, or from the store.
+func (s *Store) Read(ctx context.Context, t port.Topic, from int64, wait time.Duration) ([]port.KeyedRecord, error) {
+	addr := s.reader()
+	if addr == "" || !s.topics[t] || s.distrusted() {
+		return s.Store.Read(ctx, t, from, wait)
+	}
+	records, err := s.ask(ctx, addr, t, from, wait)
+	if err == nil {
+		return records, nil
+	}
+	s.mu.Lock()
+	s.until = s.now().Add(distrust)
+	s.mu.Unlock()
+	return s.Store.Read(ctx, t, from, 0)
+}
+
+func (s *Store) distrusted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now().Before(s.until)
+}
+
+func (s *Store) ask(ctx context.Context, addr string, t port.Topic, from int64, wait time.Duration) ([]port.KeyedRecord, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+hopTimeout)
+	defer cancel()
+	url := fmt.Sprintf("http://%s/records?topic=%d&from=%d&wait_ms=%d", addr, t, from, wait.Milliseconds())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, fmt.Errorf("relay: %w", err)
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("relay: %w", err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, fmt.Errorf("relay: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("relay: status %d", resp.StatusCode)
+	}
+	var out []port.KeyedRecord
+	if err := cbor.NewDecoder(bytes.NewReader(data)).Decode(&out); err != nil {
+		return nil, fmt.Errorf("relay: %w", err)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/process/relay/relay_test.go
@@ -0,0 +1,117 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pomelospool/pomelospool/port"
+)
+
+// direct is a store that counts its reads.
+type direct struct {
+	port.Store
+	reads int
+}
+
+func (d *direct) Read(context.Context, port.Topic, int64, time.Duration) ([]port.KeyedRecord, error) {
+	d.reads++
+	return []port.KeyedRecord{{Key: "from the store"}}, nil
+}
+
+// sink takes everything.
+type sink struct{ lost, back int }
+
+func (s *sink) Reset([]port.KeyedRecord, int64) {}
+func (s *sink) Apply([]port.KeyedRecord)        {}
+func (s *sink) Lost(error)                      { s.lost++ }
+func (s *sink) Back()                           { s.back++ }
+
+func record(offset int64, key string) port.KeyedRecord {
+	return port.KeyedRecord{Key: key, Value: []byte("v"), Offset: offset}
+}
+
+// pair is a reader's tail and another daemon's store before it.
+func pair(t *testing.T) (*Tail, *Store, *direct) {
+	tail := NewTail(&sink{})
+	srv := httptest.NewServer(Handler(map[port.Topic]*Tail{port.TopicTargets: tail}))
+	t.Cleanup(srv.Close)
+	d := &direct{}
+	return tail, NewStore(d, func() string { return strings.TrimPrefix(srv.URL, "http://") }, port.TopicTargets), d
+}
+
+func TestRecordsComeFromTheReader(t *testing.T) {
+	tail, s, d := pair(t)
+	tail.Reset([]port.KeyedRecord{record(3, "old")}, 5)
+	tail.Apply([]port.KeyedRecord{record(5, "a"), record(6, "b")})
+	tail.Apply([]port.KeyedRecord{record(7, "c")})
+	got, err := s.Read(t.Context(), port.TopicTargets, 6, 0)
+	if err != nil || len(got) != 2 || got[0].Key != "b" || got[1].Offset != 7 || d.reads != 0 {
+		t.Errorf("records %+v, %v, %d reads of the store", got, err, d.reads)
+	}
+	if got, err := s.Read(t.Context(), port.TopicTargets, 8, 0); err != nil || len(got) != 0 || d.reads != 0 {
+		t.Errorf("nothing new: %+v, %v", got, err)
+	}
+}
+
+// A daemon of a large fleet misses changes, because it asks a reader that
+// doesn't have them: the reader lost the store, has just listed the topic, or
+// holds only newer records.
+func TestStoreIsReadWhenTheReaderCantSay(t *testing.T) {
+	for name, spoil := range map[string]func(tail *Tail){
+		"just listed":      func(tail *Tail) { tail.Reset(nil, 9) },
+		"lost the store":   func(tail *Tail) { tail.Lost(errors.New("away")) },
+		"newer ones only":  func(tail *Tail) { tail.Apply([]port.KeyedRecord{record(90, "z")}) },
+		"behind the asker": func(tail *Tail) { tail.Reset(nil, 1); tail.Apply([]port.KeyedRecord{record(1, "y")}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			tail, s, d := pair(t)
+			tail.Apply([]port.KeyedRecord{record(5, "a")})
+			spoil(tail)
+			got, err := s.Read(t.Context(), port.TopicTargets, 5, 0)
+			if err != nil || d.reads != 1 || got[0].Key != "from the store" {
+				t.Errorf("records %+v, %v", got, err)
+			}
+			_, _ = s.Read(t.Context(), port.TopicTargets, 5, 0)
+			if d.reads != 2 {
+				t.Error("the reader is asked again at once")
+			}
+		})
+	}
+}
+
+// The configuration seldom changes: a reader that has listed it can say at once
+// that nothing is new.
+func TestReaderThatHasListedSaysThatNothingIsNew(t *testing.T) {
+	tail, s, d := pair(t)
+	tail.Reset([]port.KeyedRecord{record(3, "old")}, 4)
+	if got, err := s.Read(t.Context(), port.TopicTargets, 4, 0); err != nil || len(got) != 0 || d.reads != 0 {
+		t.Errorf("records %+v, %v, %d reads of the store", got, err, d.reads)
+	}
+}
+
+func TestOtherTopicsAndReadersThemselvesReadTheStore(t *testing.T) {
+	_, s, d := pair(t)
+	_, _ = s.Read(t.Context(), port.TopicClaims, 0, 0)
+	s.reader = func() string { return "" }
+	_, _ = s.Read(t.Context(), port.TopicTargets, 0, 0)
+	if d.reads != 2 {
+		t.Errorf("%d reads of the store", d.reads)
+	}
+}
+
+func TestTailHoldsABoundedNumber(t *testing.T) {
+	tail := NewTail(&sink{})
+	for i := range int64(keep + 100) {
+		tail.Apply([]port.KeyedRecord{record(i, "k")})
+	}
+	if len(tail.records) != keep || tail.end != keep+100 {
+		t.Errorf("%d records up to %d", len(tail.records), tail.end)
+	}
+	if got, ok := tail.read(t.Context(), 100, 0); !ok || len(got) != keep {
+		t.Errorf("%d records, %v", len(got), ok)
+	}
+}
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -275,6 +275,34 @@
 	return true
 }
 
+// readersPerZone is the number of daemons of an availability zone that read the
+// store for the others: with one dead the other goes on.
+const readersPerZone = 2
+
+// Reader returns the peer address of the daemon that reads the store for this
+// one, empty when this one reads it itself: in a small fleet, and as one of the
+// first of its zone by name.
+func (r *Roster) Reader() string {
+	members := r.Members()
+	if len(members) <= smallFleet+1 {
+		return ""
+	}
+	self := members[0]
+	var readers []Member
+	for _, m := range members[1:] {
+		if m.Zone == self.Zone && m.State == Ready && !m.StoreAway && m.VM < self.VM {
+			readers = append(readers, m)
+		}
+	}
+	if len(readers) < readersPerZone {
+		return ""
+	}
+	return readers[int(engines.Hash(self.VM)%readersPerZone)].PeerAddr
+}
+
+// PeerAddr is where this daemon hears the others.
+func (r *Roster) PeerAddr() string { return r.o.Self.PeerAddr }
+
 // Ready tells whether this daemon takes requests.
 func (r *Roster) Ready() bool {
 	r.mu.Lock()
--- a/process/topic/follower.go
+++ b/process/topic/follower.go
@@ -26,8 +26,9 @@
 
 // Sink takes what a Follower reads. It is called from one goroutine.
 type Sink interface {
-	// Reset replaces everything by the topic's newest records.
-	Reset(records []port.KeyedRecord)
+	// Reset replaces everything by the topic's newest records. next is the
+	// offset that is read next.
+	Reset(records []port.KeyedRecord, next int64)
 	// Apply takes records in their order.
 	Apply(records []port.KeyedRecord)
 	// Lost tells that the store can't be read, once for each outage.
@@ -148,7 +149,7 @@
 	}
 	f.next, f.placed = end, true
 	log.WithFields(log.Fields{"topic": f.o.Name, "records": len(all), "newest": newest(all), "next": end}).Info("topic: listed")
-	f.o.Sink.Reset(all)
+	f.o.Sink.Reset(all, end)
 	return nil
 }
 
--- a/process/topic/follower_test.go
+++ b/process/topic/follower_test.go
@@ -108,10 +108,10 @@
 	s.log = append(s.log, text)
 }
 
-func (s *sink) Reset(r []port.KeyedRecord) { s.note("reset " + keys(r)) }
-func (s *sink) Apply(r []port.KeyedRecord) { s.note("apply " + keys(r)) }
-func (s *sink) Lost(error)                 { s.note("lost") }
-func (s *sink) Back()                      { s.note("back") }
+func (s *sink) Reset(r []port.KeyedRecord, _ int64) { s.note("reset " + keys(r)) }
+func (s *sink) Apply(r []port.KeyedRecord)          { s.note("apply " + keys(r)) }
+func (s *sink) Lost(error)                          { s.note("lost") }
+func (s *sink) Back()                               { s.note("back") }
 
 func (s *sink) said() string {
 	s.mu.Lock()
--- a/version/inforce/inforce.go
+++ b/version/inforce/inforce.go
@@ -27,7 +27,7 @@
 func (h *Holder) Load() *route.Config { return h.p.Load() }
 
 // Reset takes the topic's newest records.
-func (h *Holder) Reset(records []port.KeyedRecord) { h.Apply(records) }
+func (h *Holder) Reset(records []port.KeyedRecord, _ int64) { h.Apply(records) }
 
 // Apply takes records in order.
 //
--- a/version/inforce/inforce_test.go
+++ b/version/inforce/inforce_test.go
@@ -44,9 +44,9 @@
 	if h.Load() != nil {
 		t.Fatal("a configuration before the first record")
 	}
-	h.Reset(records("5"))
+	h.Reset(records("5"), 0)
 	h.Apply(records("9", "7"))
-	h.Reset(records("5"))
+	h.Reset(records("5"), 0)
 	if v := h.Load().Version; v != 9 {
 		t.Errorf("version %d in force, want 9", v)
 	}
