What engines read is told to far daemons too; nearness and hashing weigh less

Change: reads are kept for the beats to all as well (some four a beat); engines of other zones cost 10 ms (40), equal prompts meet by 80 ms of hash (150). Ruled out: datagrams that are too large (reads fit). Small fleets send no near news, so nothing changes there.

--- a/connection/engines/book.go
+++ b/connection/engines/book.go
@@ -54,7 +54,8 @@
 	mu      sync.Mutex
 	engines map[uint64]*engine
 	peers   map[string]*peerWork
-	reads   []Read // of this process, not yet told
+	reads   []Read // of this process, not yet told to all daemons
+	news    []Read // of these, not yet told to the near ones
 }
 
 type engine struct {
@@ -132,8 +133,12 @@
 // are to be told. Callers hold b.mu.
 func (b *Book) reading(hash uint64, e *engine, parts []port.PromptPart) {
 	e.keeps.add(parts)
+	r := Read{Target: hash, Parts: parts}
 	if len(b.reads) < maxUntold {
-		b.reads = append(b.reads, Read{Target: hash, Parts: parts})
+		b.reads = append(b.reads, r)
+	}
+	if len(b.news) < maxUntold {
+		b.news = append(b.news, r)
 	}
 }
 
@@ -258,8 +263,8 @@
 }
 
 // Own returns what this process has at its engines, and what it had them read
-// since the last call.
-func (b *Book) Own() ([]Work, []Read) {
+// since the last call; near: since the last call of either kind.
+func (b *Book) Own(near bool) ([]Work, []Read) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
@@ -270,8 +275,11 @@
 			out = append(out, e.own)
 		}
 	}
-	reads := b.reads
-	b.reads = nil
+	reads := b.news
+	b.news = nil
+	if !near {
+		reads, b.reads = b.reads, nil
+	}
 	return out, reads
 }
 
--- a/process/roster/beat.go
+++ b/process/roster/beat.go
@@ -80,7 +80,7 @@
 // send sends one beat to every daemon known, or to those of the same
 // availability zone.
 func (r *Roster) send(near bool) {
-	work, reads := r.o.Book.Own()
+	work, reads := r.o.Book.Own(near)
 	now, dead := time.Now(), r.deadAfter()
 	r.mu.Lock()
 	r.seq++
--- a/request/placement/prefill.go
+++ b/request/placement/prefill.go
@@ -57,7 +57,7 @@
 	// little of each other's prompts, and equal prompts find each other by the
 	// hash alone, which then adds up to hashSpread.
 	manyEngines = 16
-	hashSpread  = 150 * time.Millisecond
+	hashSpread  = 80 * time.Millisecond
 )
 
 const (
@@ -115,7 +115,7 @@
 	// bytes between zones are paid for.
 	manyNear = 8
 	// farCost is what another zone's engine costs then.
-	farCost = 40 * time.Millisecond
+	farCost = 10 * time.Millisecond
 )
 
 func inZone(cands []Candidate, zone string) int {
