--- a/process/front/front.go
+++ b/process/front/front.go
@@ -91,6 +91,7 @@
 
 	servers []*server
 	callers *server
+	peers   net.Listener
 	stop    sync.Once
 }
 
@@ -128,13 +129,43 @@
 	return d, nil
 }
 
+// peerTries is how often a free port is looked for that is free for datagrams
+// and connections both, where the settings leave the port open.
+const peerTries = 20
+
+// wireRoster opens the peers' port, for datagrams and for connections.
 func (d *Daemon) wireRoster() error {
+	var err error
+	for range peerTries {
+		var l net.Listener
+		if l, err = listen(d.s.Listen.Peers); err != nil {
+			break
+		}
+		if err = d.newRoster(l.Addr().String()); err == nil {
+			d.peers = l
+			return nil
+		}
+		_ = l.Close()
+		if l.Addr().String() == d.s.Listen.Peers {
+			break
+		}
+	}
+	return fmt.Errorf("front: peers: %w", err)
+}
+
+// listen opens a port for connections.
+func listen(addr string) (net.Listener, error) {
+	c := net.ListenConfig{Control: sock.UserTimeout(acceptedTimeout)}
+	return c.Listen(context.Background(), "tcp", addr)
+}
+
+func (d *Daemon) newRoster(addr string) error {
 	r, err := roster.New(roster.Options{
 		Self: roster.Member{
 			VM:          d.s.VM,
 			Incarnation: uint64(time.Now().UnixNano()),
 			CallerAddr:  d.s.Listen.Callers,
-			PeerAddr:    d.s.Listen.Peers,
+			PeerAddr:    addr,
 			Zone:        d.s.Zone,
 		},
 		Store:     d.store,
@@ -143,7 +174,7 @@
 		StoreAway: d.storeAway.Load,
 	})
 	if err != nil {
-		return fmt.Errorf("front: peers: %w", err)
+		return err
 	}
 	d.roster = r
 	return nil
@@ -245,9 +276,9 @@
 }
 
 func (d *Daemon) wireServers() error {
-	listen := net.ListenConfig{Control: sock.UserTimeout(acceptedTimeout)}
+	d.servers = append(d.servers, &server{name: "peers", http: side(relay.Handler(d.tails)), l: d.peers})
 	add := func(name, addr string, s *http.Server) (*server, error) {
-		l, err := listen.Listen(context.Background(), "tcp", addr)
+		l, err := listen(addr)
 		if err != nil {
 			return nil, fmt.Errorf("front: %s: %w", name, err)
 		}
@@ -265,9 +296,6 @@
 	if _, err = add("addresses", d.s.Listen.Addresses, side(platform.AddressHandler(d.roster))); err != nil {
 		return err
 	}
-	if _, err = add("peers", d.roster.PeerAddr(), side(relay.Handler(d.tails))); err != nil {
-		return err
-	}
 	_, err = add("operators", d.s.Listen.Operators, side(d.operatorRoutes()))
 	return err
 }
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -300,9 +300,6 @@
 	return readers[int(engines.Hash(self.VM)%readersPerZone)].PeerAddr
 }
 
-// PeerAddr is where this daemon hears the others.
-func (r *Roster) PeerAddr() string { return r.o.Self.PeerAddr }
-
 // Ready tells whether this daemon takes requests.
 func (r *Roster) Ready() bool {
 	r.mu.Lock()
--- a/process/settings/store.go
+++ b/process/settings/store.go
@@ -23,13 +23,13 @@
 	if f.Has("platform") {
 		f.Report("platform", code.DocInconsistent, "stands beside store", "name one of the two")
 	}
-	for path, addr := range map[string]string{
-		"store.addr":       s.Store.Addr,
-		"listen.ready":     s.Listen.Ready,
-		"listen.addresses": s.Listen.Addresses,
+	for _, one := range []struct{ path, addr string }{
+		{"store.addr", s.Store.Addr},
+		{"listen.ready", s.Listen.Ready},
+		{"listen.addresses", s.Listen.Addresses},
 	} {
-		if f.Has(path) {
-			f.Addr(path, addr, true)
+		if f.Has(one.path) {
+			f.Addr(one.path, one.addr, true)
 		}
 	}
 	yamlcheck.Range(f, "store.reads", s.Store.Reads, minCalls, maxCalls)
