A target's answer that is no stream is passed on; a target's load is summed once

Cause, found by reading the whole change: a signed answer other than 200 to a streamed request (a 4xx of the engine's own) was read, judged fit to pass on, and dropped; the caller got an empty 200. Both paths of streams had the same lines. Change: one function takes answers that are no stream and passes on what is the target's own. Test: TestAnswerThatIsNoStreamIsPassedOn fails without it (status 0, no text). The same read: a request summed the load of each candidate twice, in two scans each, over all that the daemons say; now once, in one scan. The word of two daemons stands in one place (engines.Load.Unreachable) for requests and the role planner. Trace.MayRun, read by nobody, is gone. Ruled out: other ways to an empty success (plain answers are written whole or failed).

--- a/connection/engines/book.go
+++ b/connection/engines/book.go
@@ -46,6 +46,13 @@
 	Down     int // daemons that can't reach it, this one included
 }
 
+// downVotes is the number of daemons whose word takes a target out. One alone
+// may be cut off from a target that all others reach.
+const downVotes = 2
+
+// Unreachable tells whether enough daemons can't reach the target.
+func (l Load) Unreachable() bool { return l.Down >= downVotes }
+
 // Book is safe for concurrent use.
 type Book struct {
 	now     func() time.Time
@@ -111,7 +118,7 @@
 	cost := uint32(reading.Microseconds())
 	b.mu.Lock()
 	e := b.engine(hash, memory)
-	if b.sum(hash, e).Prompts == 0 {
+	if all, _ := b.sum(hash, e); all.Prompts == 0 {
 		e.since = b.now()
 	}
 	e.own.Reading += cost
@@ -193,8 +200,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.engines[hash]
-	w := b.sum(hash, e)
-	l := Load{Streams: int(w.Streams), Changing: w.Changing, Down: b.votes(hash, e)}
+	w, down := b.sum(hash, e)
+	l := Load{Streams: int(w.Streams), Changing: w.Changing, Down: down}
 	if e != nil {
 		l.Cached = e.keeps.cached(parts)
 	}
@@ -215,44 +222,31 @@
 	return min(max(b.now().Sub(e.since), 0), average)
 }
 
-// sum adds up what all daemons say of an engine. Callers hold b.mu.
-func (b *Book) sum(hash uint64, e *engine) Work {
-	var w Work
+// sum adds up what all daemons say of an engine, and counts those that can't
+// reach it. Callers hold b.mu.
+func (b *Book) sum(hash uint64, e *engine) (w Work, down int) {
+	now := b.now()
 	if e != nil {
 		w = e.own
-	}
-	now := b.now()
-	for _, p := range b.peers {
-		if now.Sub(p.at) > believedFor {
-			continue
+		if now.Before(e.down) {
+			down++
 		}
-		for i := range p.work {
-			if p.work[i].Target == hash {
-				w.add(&p.work[i])
-			}
-		}
-	}
-	return w
-}
-
-// votes is the number of daemons that can't reach an engine. Callers hold b.mu.
-func (b *Book) votes(hash uint64, e *engine) int {
-	now := b.now()
-	n := 0
-	if e != nil && now.Before(e.down) {
-		n++
 	}
 	for _, p := range b.peers {
 		if now.Sub(p.at) > believedFor {
 			continue
 		}
 		for i := range p.work {
-			if p.work[i].Target == hash && p.work[i].Down {
-				n++
+			if p.work[i].Target != hash {
+				continue
+			}
+			w.add(&p.work[i])
+			if p.work[i].Down {
+				down++
 			}
 		}
 	}
-	return n
+	return w, down
 }
 
 func (w *Work) add(o *Work) {
@@ -291,7 +285,10 @@
 	b.peers[peer] = &peerWork{at: b.now(), work: work}
 	for i := range work {
 		e := b.engine(work[i].Target, 0)
-		if before := old.prompts(work[i].Target); work[i].Prompts < before || before == 0 && work[i].Prompts > 0 && b.sum(work[i].Target, e).Prompts == work[i].Prompts {
+		before := old.prompts(work[i].Target)
+		all, _ := b.sum(work[i].Target, e)
+		begins := before == 0 && work[i].Prompts > 0 && all.Prompts == work[i].Prompts
+		if work[i].Prompts < before || begins {
 			e.since = b.now()
 		}
 	}
--- a/process/roles/planner.go
+++ b/process/roles/planner.go
@@ -37,8 +37,6 @@
 	// switchGrace is added to the time that a change of role takes, before an
 	// engine that doesn't show the new role counts as unchanged.
 	switchGrace = 3 * time.Second
-	// downVotes is the number of daemons whose word takes an engine out.
-	downVotes = 2
 	// calmAfter is how long nothing may have changed before an engine is taken
 	// back from decoding: a change of role costs some seconds of an engine, and
 	// taking back what a short burst or a crash asked for costs them twice.
@@ -181,7 +179,7 @@
 	out := make([]Engine, 0, len(entries))
 	for _, e := range entries {
 		l := p.o.Engines.Load(e.ID, nil)
-		one := Engine{Entry: e, Streams: l.Streams, Wait: l.Wait, Changing: l.Changing, Refused: now < p.refused[e.ID], Impaired: l.Down >= downVotes || p.o.Health.Impaired(e.ID)}
+		one := Engine{Entry: e, Streams: l.Streams, Wait: l.Wait, Changing: l.Changing, Refused: now < p.refused[e.ID], Impaired: l.Unreachable() || p.o.Health.Impaired(e.ID)}
 		if c, ok := p.changing[e.ID]; ok {
 			if e.Role == c.role || now >= c.until {
 				delete(p.changing, e.ID)
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -101,7 +101,6 @@
 	Prefill  Prefill       // the last one
 	First    time.Duration // from the arrival to the first event
 	Begun    bool          // the caller got a part of the answer
-	MayRun   bool          // some target may have run it
 }
 
 // Prefill says how the reading of a prompt was foreseen and went.
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/connection/health"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/placement"
@@ -147,7 +148,7 @@
 	cands := u.candidates(p, port.RoleDecode)
 	for _, c := range cands {
 		switch {
-		case u.opts.Health.Benched(c.Entry.ID), c.Load.Down >= downVotes:
+		case u.opts.Health.Benched(c.Entry.ID), c.Load.Unreachable():
 		case float64(c.Load.Streams) > crowded*float64(max(c.Entry.Slots, 1)):
 		case c.Rate > doubtful:
 			doubts++
@@ -189,16 +190,15 @@
 
 func (u *run) candidates(p prompt, role port.Role) []placement.Candidate {
 	var out []placement.Candidate
-	for _, e := range u.usable(func(e port.TargetEntry) bool { return e.Role == role }) {
-		load := u.opts.Engines.Load(e.ID, p.parts)
-		if load.Changing {
+	for _, t := range u.usable(p.parts, func(e port.TargetEntry) bool { return e.Role == role }) {
+		if t.load.Changing {
 			continue
 		}
 		out = append(out, placement.Candidate{
-			Entry: e,
-			Load:  load,
-			Rate:  u.opts.Health.Rate(e.ID),
-			Pace:  u.opts.Health.Pace(e.ID),
+			Entry: t.TargetEntry,
+			Load:  t.load,
+			Rate:  u.opts.Health.Rate(t.ID),
+			Pace:  u.opts.Health.Pace(t.ID),
 		})
 	}
 	return out
@@ -340,11 +340,7 @@
 	}
 	defer end()
 	if resp.Status != http.StatusOK || v.NotRun {
-		a, f := u.whole(ctx, to.ID, resp, v)
-		if f != nil {
-			return f
-		}
-		return u.judge(to.ID, a, v)
+		return u.noStream(ctx, to.ID, resp, v, out)
 	}
 	if !v.Signed {
 		resp.Close(0)
@@ -362,6 +358,27 @@
 	return u.relay(ctx, to.ID, resp, v, out, first)
 }
 
+// noStream takes an answer that is no stream: a refusal, a failure, or the
+// target's own answer, which is passed on.
+func (u *run) noStream(ctx context.Context, target string, resp *h1.Response, v port.Verdict, out Stream) *failure {
+	a, f := u.whole(ctx, target, resp, v)
+	if f != nil {
+		return f
+	}
+	if f := u.judge(target, a, v); f != nil {
+		return f
+	}
+	if u.trace.Begun {
+		return &failure{class: failed, target: target, answer: a}
+	}
+	u.trace.Begun = true
+	out.Begin(a.Status, a.Header)
+	if err := out.Write(a.Body); err != nil {
+		return &failure{class: callerGone, target: target, err: err}
+	}
+	return nil
+}
+
 // pace is how many times longer than foreseen something took. Short times are
 // off by some tens of milliseconds for reasons that aren't the engine's.
 func pace(foreseen, seen time.Duration) float64 {
@@ -399,11 +416,7 @@
 	}
 	defer end()
 	if resp.Status != http.StatusOK || v.NotRun || !v.Signed {
-		a, f := u.whole(ctx, to.ID, resp, v)
-		if f != nil {
-			return f
-		}
-		return u.judge(to.ID, a, v)
+		return u.noStream(ctx, to.ID, resp, v, out)
 	}
 	return u.relay(ctx, to.ID, resp, v, out, func() {})
 }
--- a/request/dispatch/engine_test.go
+++ b/request/dispatch/engine_test.go
@@ -286,3 +286,15 @@
 		}
 	})
 }
+
+// A caller gets an empty success. The engine answered a streamed request with
+// an answer of its own that is no stream, and nothing of it was passed on.
+func TestAnswerThatIsNoStreamIsPassedOn(t *testing.T) {
+	withRig(t, 0, func(t *testing.T, r *rig) {
+		r.add("llm", port.RoleDecode).Set(func(b *standin.Behaviour) { b.Reject = true })
+		out, _, err := r.stream(t.Context(), false)
+		if err != nil || out.status != 422 || out.text != "rejected" {
+			t.Errorf("status %d, text %q, %v", out.status, out.text, err)
+		}
+	})
+}
--- a/request/dispatch/plain.go
+++ b/request/dispatch/plain.go
@@ -87,16 +87,15 @@
 func (u *run) pickPlain() (port.TargetEntry, bool) {
 	var best port.TargetEntry
 	bestCost := -1.0
-	for _, e := range u.usable(nil) {
-		load := u.opts.Engines.Load(e.ID, nil)
-		cost := float64(load.Streams) / float64(max(e.Slots, 1))
+	for _, e := range u.usable(nil, nil) {
+		cost := float64(e.load.Streams) / float64(max(e.Slots, 1))
 		cost += failWeight * u.opts.Health.Rate(e.ID)
 		if e.Zone != u.opts.Zone {
 			cost += zoneWeight
 		}
 		cost += zoneWeight / 2 * spread(u.c.Ask.ID, e.ID)
 		if bestCost < 0 || cost < bestCost {
-			best, bestCost = e, cost
+			best, bestCost = e.TargetEntry, cost
 		}
 	}
 	return best, bestCost >= 0
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/pomelospool/pomelospool/connection/engines"
 	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/connection/health"
 	"github.com/pomelospool/pomelospool/port"
@@ -120,7 +121,6 @@
 	u.trace.Causes = append(u.trace.Causes, f.class.String()+": "+f.cause())
 	if f.mayHaveRun() {
 		u.ran++
-		u.trace.MayRun = true
 	}
 	if o, counts := f.outcome(); counts && !f.noted {
 		u.opts.Health.Note(f.target, o)
@@ -151,19 +151,26 @@
 	return u.opts.Budget.Take(u.c.Service.Name, sends)
 }
 
+// loaded is a target with its load.
+type loaded struct {
+	port.TargetEntry
+	load engines.Load
+}
+
 // usable returns the service's targets that stay, without those that failed
-// this call or are benched if others are left.
-func (u *run) usable(fits func(e port.TargetEntry) bool) []port.TargetEntry {
-	var good, tried []port.TargetEntry
+// this call or are benched if others are left. parts are the call's prompt.
+func (u *run) usable(parts []port.PromptPart, fits func(e port.TargetEntry) bool) []loaded {
+	var good, tried []loaded
 	for _, e := range u.opts.Targets.Targets(u.c.Service.Name) {
 		if e.Leaving || fits != nil && !fits(e) {
 			continue
 		}
-		if u.avoids(e.ID) || u.opts.Health.Benched(e.ID) || u.opts.Engines.Load(e.ID, nil).Down >= downVotes {
-			tried = append(tried, e)
+		t := loaded{TargetEntry: e, load: u.opts.Engines.Load(e.ID, parts)}
+		if u.avoids(e.ID) || u.opts.Health.Benched(e.ID) || t.load.Unreachable() {
+			tried = append(tried, t)
 			continue
 		}
-		good = append(good, e)
+		good = append(good, t)
 	}
 	if len(good) == 0 {
 		return tried
@@ -171,10 +178,6 @@
 	return good
 }
 
-// downVotes is the number of daemons whose word takes a target out. One alone
-// may be cut off from a target that all others reach.
-const downVotes = 2
-
 func (u *run) avoids(id string) bool {
 	for _, a := range u.avoid {
 		if a == id {
