quarantine: word of an ended claim replaces none of this process's own

Cause, read from the claims of all daemons at the failure: two daemons claim a target at once; the loser's word that it gave way arrives just after the winner gave its claim back and takes the place of the winner's ended claim. The winner then tells nobody of the end any more, so a peer that missed the broadcast refuses the target for two minutes. Content claims had the same line.

Ruled out: the schedule of the test (all clocks are virtual, the order of two goroutines alone differs); a lost heartbeat (peers tell their own claims only).

--- a/request/quarantine/news.go
+++ b/request/quarantine/news.go
@@ -135,11 +135,26 @@
 		c.claim.refresh(k)
 		return
 	}
-	if !now.Before(c.claim.until) || now.Before(k.until) && k.before(c.claim) {
+	if c.claim.yields(k, now) {
 		c.claim = k
 	}
 }
 
+// yields tells whether word of another process's claim replaces this one.
+//
+// Word of a claim that has ended replaces no claim of this process's own, not
+// even an ended one. The failure: two processes claim at once, the loser's word
+// that it gave way arrives just after the winner gave its claim back, and takes
+// its place. The winner then tells nobody of the end any more; a peer that
+// missed the broadcast refuses the content, or the target, for two minutes.
+func (k claim) yields(other claim, now time.Time) bool {
+	over := !now.Before(k.until)
+	if !now.Before(other.until) {
+		return over && !k.own
+	}
+	return over || other.before(k)
+}
+
 // refresh takes word of a claim of the same process: a newer one replaces it,
 // and the same one can only end sooner.
 func (k *claim) refresh(other claim) {
--- a/request/quarantine/target.go
+++ b/request/quarantine/target.go
@@ -119,7 +119,7 @@
 		return
 	case old.by == k.by:
 		old.refresh(k)
-	case !now.Before(old.until) || now.Before(k.until) && k.before(old.claim):
+	case old.yields(k, now):
 		old = targetClaim{claim: k}
 	}
 	b.claimed[n.Fingerprint] = old
--- a/request/quarantine/target_test.go
+++ b/request/quarantine/target_test.go
@@ -100,6 +100,44 @@
 	}
 }
 
+// TestEndedClaimIsStillTold: two daemons claim an engine, or a content, at once.
+// The first runs there and gives the claim back. Only then does it hear that
+// the second gave way. A peer that missed the broadcast of the end learns of
+// it from heartbeats, unless the late word took the end's place: then it
+// refuses for two minutes.
+func TestEndedClaimIsStillTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(Options{Self: "daemon-0", Broadcast: func(context.Context, []*peerpb.Conviction) {}})
+		b.Begin(bad, "engine")
+		b.Crashed("engine")
+		b.End(bad, "engine")
+		content, ok := b.Claim(t.Context(), bad)
+		if !ok {
+			t.Fatal("the content isn't claimed")
+		}
+		target, ok := b.ClaimTarget(t.Context(), bad, "engine")
+		if !ok {
+			t.Fatal("the target isn't claimed")
+		}
+		target(true)
+		content(false)
+		<-time.After(settleTime)
+		b.Incoming([]*peerpb.Conviction{
+			{Fingerprint: targetKey("engine"), Suspect: true, Target: targetMark + "daemon-1#1"},
+			{Fingerprint: bad, Suspect: true, Target: claimMark + "daemon-1#1"},
+		})
+		told := make(map[string]int64)
+		for _, n := range b.Outgoing() {
+			told[n.Target] = n.TtlMs
+		}
+		for _, claim := range []string{targetMark + "daemon-0#2", claimMark + "daemon-0#1"} {
+			if ttl, ok := told[claim]; !ok || ttl != 0 {
+				t.Errorf("%s is told with %d ms (%v), want its end; told: %v", claim, ttl, ok, told)
+			}
+		}
+	})
+}
+
 // TestAnsweredBeforeTheCrash: an innocent suspect is answered by an engine. The
 // guilty one runs there right after and crashes it, within the moment in which
 // an end may still turn out to be a crash. Only the guilty one is convicted;
