One HTTP client to targets: connection/pool sends over connection/h1

Two layers of connections to targets stood side by side: net/http transports with a sealing wrapper for the product's own protocol, and connection/h1 for platforms with a store. connection/pool keeps what is known of targets (requests there, down, suspect, probes) and sends over h1 now.

What moved: the watchdog over silent targets from request/attempt to h1 (its timer in request/dispatch goes); retiring of connections after a silence, busy ones included, so the platform path has this guard as well; the proof that nothing was written counts bytes that the kernel took, so a request whose write failed with none written is "not run" on both paths, which h1 didn't tell before. net/http's transport is used towards targets no more.

Ruled out: keeping the transports for the own protocol alone. They don't tell what came unasked on an idle connection, and needed httptrace and a seal to prove what was written.

Tests of the seal and of the socket options moved to h1 with the code; without the retiring guard TestSilenceRetiresBusyConnectionsToo and TestBusyConnectionIsRetiredToo fail.

--- a/connection/h1/exchange.go
+++ b/connection/h1/exchange.go
@@ -22,11 +22,27 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	Fresh  bool // over a connection that was used a moment ago, or a new one
+	Reuse  Reuse
+	// First is the longest wait for the answer's header, and for the first
+	// bytes of its body; 0: none. An engine sends the header when it takes a
+	// request and the first token when the prompt is read.
+	First time.Duration
+	// Between is the longest wait for further bytes of the body; 0: none.
+	Between time.Duration
 	// Mine tells whether an answer is the one to this request; nil: any is.
 	Mine func(status int, h http.Header) bool
 }
 
+// Reuse says which connections may carry a request.
+type Reuse int
+
+// The kinds of reuse.
+const (
+	Idle   Reuse = iota // one that is idle, or a new one
+	Recent              // one that was used a moment ago, or a new one
+	Never               // a new one, which is closed after the answer
+)
+
 // Response is an answer whose header was read. Close it.
 type Response struct {
 	Status int
@@ -53,55 +69,70 @@
 // exchange is a request and its answer on one connection.
 type exchange struct {
 	pool    *Pool
+	req     *Request
 	conn    *conn
+	ctx     context.Context
+	dog     *watchdog
 	stop    func() bool // ends the watch over the context
-	wrote   chan error  // holds the result of writing the request
+	wrote   chan written
 	resp    *http.Response
 	ended   atomic.Bool // the body was read to its end
 	closing sync.Once
 	stray   bool // an answer to another request came
 }
 
+// written is how the writing of a request ended.
+type written struct {
+	bytes int // that were handed to the kernel
+	err   error
+}
+
 // inlineBody is the size up to which a body is written before the answer is
 // read. A larger one is written beside, since a target may answer before it
 // has read all of it.
 const inlineBody = 4 << 10
 
 // Do sends r and reads the header of the answer. The connection is closed when
-// ctx ends, which tells most targets to stop. The error is an *Error.
+// ctx ends or the target makes no progress in time, which tells most targets
+// to stop. The error is an *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c, reused, err := p.take(ctx, r)
+	ctx, dog := newWatchdog(ctx, r)
+	c, err := p.take(ctx, r)
 	if err != nil {
+		err = endOf(ctx, err)
+		dog.end()
 		return nil, &Error{Err: err}
 	}
-	if reused {
-		counts.Add("reused", 1)
-	}
-	x := &exchange{pool: p, conn: c, wrote: make(chan error, 1)}
+	x := &exchange{pool: p, req: r, conn: c, ctx: ctx, dog: dog, wrote: make(chan written, 1)}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
-	x.write(r)
-	resp, err := x.read(r)
+	x.write()
+	resp, err := x.read()
 	if err != nil {
-		x.abort()
-		if ctx.Err() != nil {
-			err = context.Cause(ctx)
-		}
-		return nil, &Error{Err: err, Written: true}
+		return nil, x.abort(err)
 	}
+	dog.disarm()
 	return resp, nil
 }
 
-func (x *exchange) write(r *Request) {
-	head := encodeHead(r)
-	if len(r.Body) <= inlineBody {
-		_, err := x.conn.Write(append(head, r.Body...))
-		x.wrote <- err
+// endOf names why an exchange under ctx ended, where ctx knows better than err.
+func endOf(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return err
+}
+
+func (x *exchange) write() {
+	all := append(encodeHead(x.req), x.req.Body...)
+	send := func() {
+		n, err := x.conn.Write(all)
+		x.wrote <- written{bytes: n, err: err}
+	}
+	if len(x.req.Body) <= inlineBody {
+		send()
 		return
 	}
-	go func() {
-		_, err := x.conn.Write(append(head, r.Body...))
-		x.wrote <- err
-	}()
+	go send()
 }
 
 func encodeHead(r *Request) []byte {
@@ -130,8 +161,8 @@
 // The guard is against a target that answers an earlier request twice: the
 // second answer stands where the next one is expected, and a caller would get
 // what another asked. It is read past, and the connection isn't used again.
-func (x *exchange) read(r *Request) (*Response, error) {
-	strays := 0
+func (x *exchange) read() (*Response, error) {
+	r, strays := x.req, 0
 	for {
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
 		if err != nil {
@@ -174,20 +205,35 @@
 	return err
 }
 
-// body notes when its end was read.
+// body watches the progress of an answer and notes when its end was read.
 type body struct {
-	x   *exchange
-	src io.Reader
+	x     *exchange
+	src   io.Reader
+	begun bool
 }
 
 func (b *body) Read(p []byte) (int, error) {
+	b.x.dog.arm(b.patience())
 	n, err := b.src.Read(p)
-	if errors.Is(err, io.EOF) {
+	b.x.dog.disarm()
+	b.begun = b.begun || n > 0
+	switch {
+	case errors.Is(err, io.EOF):
 		b.x.ended.Store(true)
+	case err != nil:
+		err = endOf(b.x.ctx, err)
+		b.x.silenced(err)
 	}
 	return n, err
 }
 
+func (b *body) patience() time.Duration {
+	if b.begun {
+		return b.x.req.Between
+	}
+	return b.x.req.First
+}
+
 // Close keeps the connection if the answer was read to its marked end, the
 // request was written whole, and nothing follows the answer. Otherwise it
 // closes the connection: bytes that follow an answer belong to no request, and
@@ -196,13 +242,15 @@
 	x := r.x
 	x.closing.Do(func() {
 		alive := x.stop()
-		written := false
+		x.dog.end()
+		whole := false
 		select {
-		case err := <-x.wrote:
-			written = err == nil
+		case w := <-x.wrote:
+			whole = w.err == nil
 		default:
 		}
-		if alive && written && !x.stray && x.ended.Load() && r.Framed && !x.resp.Close && x.conn.reader.Buffered() == 0 {
+		clean := !x.stray && x.ended.Load() && r.Framed && x.conn.reader.Buffered() == 0
+		if alive && whole && clean && !x.resp.Close && x.req.Reuse != Never {
 			x.pool.put(x.conn, keepAlive)
 			return
 		}
@@ -210,9 +258,25 @@
 	})
 }
 
-func (x *exchange) abort() {
-	x.closing.Do(func() {
-		x.stop()
-		_ = x.conn.Close()
-	})
+// abort ends an exchange that got no answer, and tells whether the target may
+// have seen the request.
+//
+// The guard is against "not run" said of a request that ran: the connection is
+// closed and the write over before the bytes are counted, so that nothing of
+// the request is written later.
+func (x *exchange) abort(err error) *Error {
+	err = endOf(x.ctx, err)
+	x.silenced(err)
+	x.stop()
+	x.dog.end()
+	_ = x.conn.Close()
+	w := <-x.wrote
+	return &Error{Err: err, Written: w.bytes > 0}
+}
+
+// silenced retires the target's connections if err says that one is silent.
+func (x *exchange) silenced(err error) {
+	if errors.Is(err, ErrSilent) {
+		x.pool.Forget(x.req.Addr, x.req.Target)
+	}
 }
--- a/connection/pool/cancel.go
+++ b/connection/pool/cancel.go
@@ -1,13 +1,14 @@
 package pool
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
 	"time"
 
 	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/connection/h1"
 )
 
 const (
@@ -52,14 +53,18 @@
 	if err != nil {
 		return err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/cancel", bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := p.fresh.RoundTrip(req)
+	resp, err := p.wires.Do(ctx, &h1.Request{
+		Addr:   addr,
+		Method: http.MethodPost,
+		URI:    "/v1/cancel",
+		Host:   addr,
+		Header: http.Header{"Content-Type": {"application/json"}},
+		Body:   body,
+		Reuse:  h1.Never,
+	})
 	if err != nil {
 		return err
 	}
-	return resp.Body.Close()
+	resp.Close(0)
+	return nil
 }
--- a/connection/pool/probe.go
+++ b/connection/pool/probe.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/connection/h1"
 )
 
 const maxProbeBackoff = 5 // times ProbeEvery
@@ -50,16 +52,12 @@
 func (p *Pool) Probe(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, p.opts.ProbeWait)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodOptions, "http://"+addr, http.NoBody)
-	if err != nil {
-		return err
-	}
-	req.URL.Opaque = "*"
-	resp, err := p.fresh.RoundTrip(req)
+	resp, err := p.wires.Do(ctx, &h1.Request{Addr: addr, Method: http.MethodOptions, URI: "*", Host: addr, Reuse: h1.Never})
 	if err != nil {
 		return err
 	}
-	return resp.Body.Close()
+	resp.Close(0)
+	return nil
 }
 
 // Verify probes addr at once after a connection broke, and reports whether the
@@ -69,7 +67,7 @@
 	if err == nil || ctx.Err() != nil {
 		return false
 	}
-	if errors.Is(err, ErrConnect) {
+	if errors.Is(err, h1.ErrConnect) {
 		p.Unreachable(addr, err)
 		p.awaitTold(ctx, addr)
 		return true
--- a/request/attempt/attempt.go
+++ b/request/attempt/attempt.go
@@ -3,7 +3,6 @@
 package attempt
 
 import (
-	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -15,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pomelospool/pomelospool/connection/pool"
+	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/request/routing"
 )
 
@@ -80,27 +79,21 @@
 
 // try runs one attempt at t.
 func (r *Runner) try(ctx context.Context, q *Request, t routing.Target, p plan, recv Receiver) *Failure {
-	ctx, dog := newWatchdog(ctx, p.first)
-	defer dog.end()
 	end := r.opts.Pool.Begin(t.Addr, q.Route.PromptTokens, q.Route.OutputTokens)
 	defer end()
 
 	foreseen := r.refusedBefore(t.Addr, p.chosen)
 	id := newID(q.ID)
-	req, err := r.build(ctx, q, t, id, recv.Progress())
+	req := r.build(q, t, id, recv.Progress())
+	req.First, req.Between = p.first, r.opts.Between
+	resp, err := r.opts.Pool.Send(ctx, req)
 	if err != nil {
-		return &Failure{Class: NotWritten, Target: t.Name, Err: err}
-	}
-	x, err := r.opts.Pool.Send(req, q.mode())
-	if err != nil {
-		f := r.sendFailure(ctx, t, x, err)
+		f := r.sendFailure(ctx, t, err)
 		r.cancelSilent(f, q, t, id)
 		return f
 	}
-	defer x.Response.Body.Close()
-	dog.disarm()
-	body := &watchedBody{src: x.Response.Body, dog: dog, first: p.first, next: r.opts.Between}
-	err = receive(x.Response, id, t, q.Model, p.decode, body, recv)
+	defer resp.Close(0)
+	err = receive(resp, id, t, q.Model, p.decode, recv)
 	f := r.receiveFailure(ctx, t, err)
 	r.cancelSilent(f, q, t, id)
 	if f != nil && f.Class == Busy {
@@ -116,25 +109,23 @@
 	}
 }
 
-func (r *Runner) build(ctx context.Context, q *Request, t routing.Target, id string, resume int) (*http.Request, error) {
-	body := q.Body(resume)
-	req, err := http.NewRequestWithContext(ctx, q.Method, "http://"+t.Addr+q.Path, io.NopCloser(bytes.NewReader(body)))
-	if err != nil {
-		return nil, err
-	}
-	// The body has no GetBody on purpose: net/http repeats a request with an
-	// Idempotency-Key by itself when it can rewind it, past the budget.
-	req.ContentLength = int64(len(body))
-	if len(body) == 0 && q.Idempotent {
-		req.Body = http.NoBody
-	}
+func (r *Runner) build(q *Request, t routing.Target, id string, resume int) *h1.Request {
+	h := make(http.Header, len(q.Header)+len([]string{HeaderID, HeaderDeadline}))
 	for k, v := range q.Header {
-		req.Header[k] = v
+		h[k] = v
 	}
 	left := time.Until(q.Deadline).Milliseconds()
-	req.Header.Set(HeaderID, id)
-	req.Header.Set(HeaderDeadline, strconv.FormatInt(max(left, 1), 10))
-	return req, nil
+	h.Set(HeaderID, id)
+	h.Set(HeaderDeadline, strconv.FormatInt(max(left, 1), 10))
+	return &h1.Request{
+		Addr:   t.Addr,
+		Method: q.Method,
+		URI:    q.Path,
+		Host:   t.Addr,
+		Header: h,
+		Body:   q.Body(resume),
+		Reuse:  q.reuse(),
+	}
 }
 
 const errOtherID = Detail("answer has another id")
@@ -143,39 +134,37 @@
 // under another id can be that of an earlier request on the connection, or of
 // another caller: passing it on would give one caller what another asked. An
 // engine's refusal may lack the id: nothing of it but its status is passed on.
-func receive(resp *http.Response, id string, t routing.Target, model, decode bool, body io.Reader, recv Receiver) error {
+func receive(resp *h1.Response, id string, t routing.Target, model, decode bool, recv Receiver) error {
 	got := resp.Header.Get(HeaderID)
-	refusal := model && got == "" && resp.StatusCode >= http.StatusBadRequest
+	refusal := model && got == "" && resp.Status >= http.StatusBadRequest
 	if got != id && !refusal {
 		return &Failure{Class: Mismatch, Target: t.Name, Err: fmt.Errorf("%w: %.80q", errOtherID, got)}
 	}
 	return recv.Receive(Answer{
 		ID:     id,
 		Target: t.Name,
-		Status: resp.StatusCode,
+		Status: resp.Status,
 		Header: resp.Header,
-		Body:   body,
-		Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+		Body:   resp.Body,
+		Framed: resp.Framed,
 		Decode: decode,
 	})
 }
 
-func (r *Runner) sendFailure(ctx context.Context, t routing.Target, x *pool.Exchange, err error) *Failure {
+func (r *Runner) sendFailure(ctx context.Context, t routing.Target, err error) *Failure {
 	f := &Failure{Class: NoAnswer, Target: t.Name, Err: err}
-	written := x.Written()
-	if errors.Is(err, pool.ErrConnect) && ctx.Err() == nil {
+	if errors.Is(err, h1.ErrConnect) && ctx.Err() == nil {
 		r.opts.Pool.Unreachable(t.Addr, err)
 	}
-	if stopped := stoppedClass(ctx); stopped != nil {
-		f.Class = *stopped
-	}
+	f.settle(ctx)
 	if f.Class == Silent {
 		r.opts.Pool.Silent(t.Addr)
 	}
 	// A caller that left or a deadline that passed ends the request whether or
 	// not it was written; the outcome still says if it was.
-	f.notWritten = !written
-	if !written && (f.Class == NoAnswer || f.Class == Silent) {
+	var he *h1.Error
+	f.notWritten = errors.As(err, &he) && !he.Written
+	if f.notWritten && (f.Class == NoAnswer || f.Class == Silent) {
 		f.Class = NotWritten
 	}
 	return f
@@ -186,8 +175,8 @@
 		return nil
 	}
 	f := &Failure{Class: classOf(err, Cut), Target: t.Name, Err: err}
-	if stopped := stoppedClass(ctx); stopped != nil && f.Class == Cut {
-		f.Class = *stopped
+	if f.Class == Cut {
+		f.settle(ctx)
 	}
 	if f.Class == Silent {
 		r.opts.Pool.Silent(t.Addr)
@@ -195,18 +184,16 @@
 	return f
 }
 
-// stoppedClass tells why the attempt's context ended, nil if it did not.
-func stoppedClass(ctx context.Context) *Class {
-	if ctx.Err() == nil {
-		return nil
-	}
-	class := CallerGone
-	cause := context.Cause(ctx)
-	if errors.Is(cause, errSilent) {
-		class = Silent
-	}
-	if errors.Is(cause, context.DeadlineExceeded) {
-		class = Late
+// settle tells a target that went silent, a caller that left and the end of the
+// deadline from a connection that broke.
+func (f *Failure) settle(ctx context.Context) {
+	switch {
+	case errors.Is(f.Err, h1.ErrSilent):
+		f.Class = Silent
+	case ctx.Err() == nil:
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		f.Class = Late
+	default:
+		f.Class = CallerGone
 	}
-	return &class
 }
--- a/request/attempt/cause.go
+++ b/request/attempt/cause.go
@@ -8,7 +8,7 @@
 	"net"
 	"syscall"
 
-	"github.com/pomelospool/pomelospool/connection/pool"
+	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/request/stream"
 )
 
@@ -22,7 +22,7 @@
 // ownErrors are the errors whose text is known to hold nothing foreign, the
 // telling ones first.
 var ownErrors = []error{
-	pool.ErrConnect, errSilent,
+	h1.ErrConnect, h1.ErrSilent,
 	stream.ErrTarget, stream.ErrMalformed, stream.ErrTooLong, stream.ErrCaller,
 	context.Canceled, context.DeadlineExceeded,
 	io.ErrUnexpectedEOF, io.EOF,
--- a/request/attempt/runner.go
+++ b/request/attempt/runner.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/connection/pool"
 	"github.com/pomelospool/pomelospool/request/quarantine"
 	"github.com/pomelospool/pomelospool/request/routing"
@@ -69,13 +70,13 @@
 	Fingerprint uint64
 }
 
-// mode gives calls that can't be repeated a connection of their own: on an
+// reuse gives calls that can't be repeated a connection of their own: on an
 // idle one that has gone silent they would end as outcome unknown.
-func (q *Request) mode() pool.Mode {
+func (q *Request) reuse() h1.Reuse {
 	if q.Idempotent {
-		return pool.Reuse
+		return h1.Idle
 	}
-	return pool.Fresh
+	return h1.Never
 }
 
 // Result says how a request went.
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -218,7 +218,7 @@
 	foreseen := m.Start + ch.Wait + ch.Read
 	u.trace.Prefill = Prefill{Prompt: p.Tokens, Missing: ch.Missing, Fetched: ch.Fetched, Wait: ch.Wait, Read: ch.Read}
 	begun := time.Now()
-	resp, v, end, f := u.send(ctx, sending{
+	resp, v, f := u.send(ctx, sending{
 		to:      to,
 		state:   port.Send{Priority: p.priority, Prefill: true, FetchFrom: ch.from},
 		silence: prefillPatience*foreseen + prefillGrace,
@@ -226,7 +226,6 @@
 	if f != nil {
 		return prefilled{}, u.nothingRan(f)
 	}
-	defer end()
 	a, f := u.whole(ctx, to.ID, resp, v)
 	if f != nil {
 		return prefilled{}, u.nothingRan(f)
@@ -334,11 +333,10 @@
 	defer done()
 	begun := time.Now()
 	s := sending{to: to, state: port.Send{Priority: p.priority, KV: from.kv, LastEvent: u.lastID}}
-	resp, v, end, f := u.send(ctx, s)
+	resp, v, f := u.send(ctx, s)
 	if f != nil {
 		return f
 	}
-	defer end()
 	if resp.Status != http.StatusOK || v.NotRun {
 		return u.noStream(ctx, to.ID, resp, v, out)
 	}
@@ -410,11 +408,10 @@
 func (u *run) plainEvents(ctx context.Context, to port.TargetEntry, out Stream) *failure {
 	done := u.opts.Engines.Decode(to.ID, 0, nil)
 	defer done()
-	resp, v, end, f := u.send(ctx, sending{to: to, state: port.Send{Priority: -1, LastEvent: u.lastID}})
+	resp, v, f := u.send(ctx, sending{to: to, state: port.Send{Priority: -1, LastEvent: u.lastID}})
 	if f != nil {
 		return f
 	}
-	defer end()
 	if resp.Status != http.StatusOK || v.NotRun || !v.Signed {
 		return u.noStream(ctx, to.ID, resp, v, out)
 	}
--- a/request/dispatch/failure.go
+++ b/request/dispatch/failure.go
@@ -73,7 +73,6 @@
 var (
 	errUnsigned  = errors.New("the answer isn't the target's own")
 	errTooLarge  = errors.New("the answer is too large")
-	errSilent    = errors.New("no answer in time")
 	errTimeout   = errors.New("the time for the request is over")
 	errWrongOne  = errors.New("another target has the address")
 	errSaysNoRun = errors.New("the target says that it ran nothing")
@@ -95,7 +94,7 @@
 	case errors.Is(f.err, h1.ErrConnect):
 		return h1.ErrConnect.Error()
 	}
-	for _, known := range []error{errUnsigned, errTooLarge, errSilent, errTimeout, errWrongOne, errSaysNoRun, errNoDecoder, context.Canceled} {
+	for _, known := range []error{errUnsigned, errTooLarge, h1.ErrSilent, errTimeout, errWrongOne, errSaysNoRun, errNoDecoder, context.Canceled} {
 		if errors.Is(f.err, known) {
 			return known.Error()
 		}
@@ -111,7 +110,7 @@
 	if errors.As(err, &he) && !he.Written {
 		f.class = unreachable
 	}
-	if errors.Is(err, errSilent) && f.class == broken {
+	if errors.Is(err, h1.ErrSilent) && f.class == broken {
 		f.class = silent
 	}
 	f.stopped(ctx)
--- a/request/dispatch/plain.go
+++ b/request/dispatch/plain.go
@@ -44,11 +44,10 @@
 	if u.c.Route.Idempotent() && u.ran+1 < u.c.Route.Attempts {
 		s.silence = max(patience*u.c.Route.Objective, minPatience)
 	}
-	resp, v, end, f := u.send(ctx, s)
+	resp, v, f := u.send(ctx, s)
 	if f != nil {
 		return nil, f
 	}
-	defer end()
 	a, f := u.whole(ctx, to.ID, resp, v)
 	if f != nil {
 		return nil, f
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -19,33 +19,19 @@
 type sending struct {
 	to      port.TargetEntry
 	state   port.Send     // ID, Target and Left are filled in
-	silence time.Duration // longest wait for the header; 0: as long as the call may take
+	silence time.Duration // longest wait for the header and the body's first bytes; 0: as long as the call may take
 }
 
 // send sends the call and reads the answer's header. With a nil failure the
-// response must be closed, and after it the context ended.
-func (u *run) send(ctx context.Context, s sending) (*h1.Response, port.Verdict, func(), *failure) {
+// response must be closed.
+func (u *run) send(ctx context.Context, s sending) (*h1.Response, port.Verdict, *failure) {
 	u.trace.Sends++
 	u.trace.Targets = append(u.trace.Targets, s.to.ID)
-	sctx, cancel := context.WithCancelCause(ctx)
-	end := func() { cancel(nil) }
-	var quiet *time.Timer
-	if s.silence > 0 {
-		quiet = time.AfterFunc(s.silence, func() { cancel(errSilent) })
-	}
-	resp, err := u.opts.Pool.Do(sctx, u.request(s))
-	if quiet != nil {
-		quiet.Stop()
-	}
+	resp, err := u.opts.Pool.Do(ctx, u.request(s))
 	if err != nil {
-		end()
-		f := sendFailure(ctx, s.to.ID, err)
-		if f.class == silent {
-			u.opts.Pool.Forget(s.to.Addr, s.to.ID)
-		}
-		return nil, port.Verdict{}, nil, f
+		return nil, port.Verdict{}, sendFailure(ctx, s.to.ID, err)
 	}
-	return resp, u.opts.Wire.Judge(resp.Status, resp.Header), end, nil
+	return resp, u.opts.Wire.Judge(resp.Status, resp.Header), nil
 }
 
 func (u *run) request(s sending) *h1.Request {
@@ -65,11 +51,22 @@
 		Host:   u.c.Host,
 		Header: h,
 		Body:   u.c.Body,
-		Fresh:  !u.c.Route.Idempotent() && !s.state.Prefill,
+		Reuse:  u.reuse(s),
+		First:  s.silence,
 		Mine:   u.mine,
 	}
 }
 
+// reuse keeps calls that may run once at most off connections that were idle
+// for long: on one that the target has just closed they would end as "may have
+// run".
+func (u *run) reuse(s sending) h1.Reuse {
+	if u.c.Route.Idempotent() || s.state.Prefill {
+		return h1.Idle
+	}
+	return h1.Recent
+}
+
 // mine tells whether an answer is to this call. A refusal or an error may lack
 // the id; a success must have it.
 func (u *run) mine(status int, h http.Header) bool {
@@ -89,7 +86,7 @@
 	}
 	if err != nil {
 		f := &failure{class: broken, target: target, err: err}
-		if errors.Is(context.Cause(ctx), errSilent) {
+		if errors.Is(err, h1.ErrSilent) {
 			f.class = silent
 		}
 		f.stopped(ctx)
