--- a/port/target.go
+++ b/port/target.go
@@ -87,8 +87,9 @@
 	Stamp(h http.Header, s Send)
 	// Judge reads a target's answer.
 	Judge(status int, h http.Header) Verdict
-	// Answer states the request's id in an answer of the daemon's own.
-	Answer(h http.Header, id string)
+	// Answer states the request's id, and when to come back (0: not stated),
+	// in an answer of the daemon's own.
+	Answer(h http.Header, id string, after time.Duration)
 	// KVHandle reads the answer to a request that was sent with Prefill.
 	KVHandle(body []byte) (string, error)
 }
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -30,6 +30,7 @@
 	"github.com/pomelospool/pomelospool/process/roster"
 	"github.com/pomelospool/pomelospool/process/settings"
 	"github.com/pomelospool/pomelospool/process/topic"
+	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/dispatch"
 	"github.com/pomelospool/pomelospool/request/ingress"
 	"github.com/pomelospool/pomelospool/version/inforce"
@@ -81,7 +82,7 @@
 	pool    *h1.Pool
 	engines *engines.Book
 	health  *health.Book
-	budget  *dispatch.Budget
+	budget  *budget.Fleet
 	control port.EngineControl
 	roster  *roster.Roster
 	planner *roles.Planner
@@ -185,7 +186,7 @@
 		Timeout:   controlTimeout,
 		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
 	}}
-	d.budget = dispatch.NewBudget(dispatch.BudgetOptions{
+	d.budget = budget.NewFleet(budget.FleetOptions{
 		Ratio:   d.s.Bounds.RetryRatio,
 		Slack:   d.s.Bounds.RetrySlack,
 		Window:  d.s.Bounds.RetryWindow,
--- a/request/attempt/attempt.go
+++ b/request/attempt/attempt.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/connection/h1"
+	"github.com/pomelospool/pomelospool/request/failure"
 	"github.com/pomelospool/pomelospool/request/routing"
 )
 
@@ -37,7 +38,7 @@
 
 // Receiver takes answers. It is used by one goroutine.
 type Receiver interface {
-	// Receive takes the answer of one attempt. An error is a *Failure, or
+	// Receive takes the answer of one attempt. An error is a *failure.Failure, or
 	// counts as Cut.
 	Receive(a Answer) error
 	// Progress is the number of tokens passed on: where a resume starts.
@@ -77,8 +78,9 @@
 	return s.Refusing && s.RefusedAt.Before(chosen)
 }
 
-// try runs one attempt at t.
-func (r *Runner) try(ctx context.Context, q *Request, t routing.Target, p plan, recv Receiver) *Failure {
+// try runs one attempt at t. unforeseen tells of a refusal that nothing known
+// of the target announced.
+func (r *Runner) try(ctx context.Context, q *Request, t routing.Target, p plan, recv Receiver) (f *failure.Failure, unforeseen bool) {
 	end := r.opts.Pool.Begin(t.Addr, q.Route.PromptTokens, q.Route.OutputTokens)
 	defer end()
 
@@ -90,21 +92,29 @@
 	if err != nil {
 		f := r.sendFailure(ctx, t, err)
 		r.cancelSilent(f, q, t, id)
-		return f
+		return f, false
 	}
 	defer resp.Close(0)
-	err = receive(resp, id, t, q.Model, p.decode, recv)
-	f := r.receiveFailure(ctx, t, err)
-	r.cancelSilent(f, q, t, id)
-	if f != nil && f.Class == Busy {
+	if err := receive(resp, id, t, q.Model, p.decode, recv); err != nil {
+		f = failure.Read(ctx, t.Name, err)
+		r.noteSilent(f, t)
+		r.cancelSilent(f, q, t, id)
+	}
+	if f != nil && f.Class == failure.NotRun {
 		r.opts.Pool.Refused(t.Addr)
-		f.unforeseen = !foreseen
+		return f, !foreseen
+	}
+	return f, false
+}
+
+func (r *Runner) noteSilent(f *failure.Failure, t routing.Target) {
+	if f.Class == failure.Silent {
+		r.opts.Pool.Silent(t.Addr)
 	}
-	return f
 }
 
-func (r *Runner) cancelSilent(f *Failure, q *Request, t routing.Target, id string) {
-	if f != nil && f.Class == Silent && q.Model {
+func (r *Runner) cancelSilent(f *failure.Failure, q *Request, t routing.Target, id string) {
+	if f.Class == failure.Silent && q.Model {
 		r.opts.Pool.Cancel(t.Addr, id)
 	}
 }
@@ -128,7 +138,7 @@
 	}
 }
 
-const errOtherID = Detail("answer has another id")
+const errOtherID = failure.Detail("answer has another id")
 
 // receive checks whose answer it is and hands it to the receiver. An answer
 // under another id can be that of an earlier request on the connection, or of
@@ -138,7 +148,7 @@
 	got := resp.Header.Get(HeaderID)
 	refusal := model && got == "" && resp.Status >= http.StatusBadRequest
 	if got != id && !refusal {
-		return &Failure{Class: Mismatch, Target: t.Name, Err: fmt.Errorf("%w: %.80q", errOtherID, got)}
+		return &failure.Failure{Class: failure.Mismatch, Target: t.Name, Err: fmt.Errorf("%w: %.80q", errOtherID, got)}
 	}
 	return recv.Receive(Answer{
 		ID:     id,
@@ -151,49 +161,12 @@
 	})
 }
 
-func (r *Runner) sendFailure(ctx context.Context, t routing.Target, err error) *Failure {
-	f := &Failure{Class: NoAnswer, Target: t.Name, Err: err}
+func (r *Runner) sendFailure(ctx context.Context, t routing.Target, err error) *failure.Failure {
 	if errors.Is(err, h1.ErrConnect) && ctx.Err() == nil {
 		r.opts.Pool.Unreachable(t.Addr, err)
 	}
-	f.settle(ctx)
-	if f.Class == Silent {
-		r.opts.Pool.Silent(t.Addr)
-	}
-	// A caller that left or a deadline that passed ends the request whether or
-	// not it was written; the outcome still says if it was.
-	var he *h1.Error
-	f.notWritten = errors.As(err, &he) && !he.Written
-	if f.notWritten && (f.Class == NoAnswer || f.Class == Silent) {
-		f.Class = NotWritten
-	}
-	return f
-}
-
-func (r *Runner) receiveFailure(ctx context.Context, t routing.Target, err error) *Failure {
-	if err == nil {
-		return nil
-	}
-	f := &Failure{Class: classOf(err, Cut), Target: t.Name, Err: err}
-	if f.Class == Cut {
-		f.settle(ctx)
-	}
-	if f.Class == Silent {
+	if errors.Is(err, h1.ErrSilent) {
 		r.opts.Pool.Silent(t.Addr)
 	}
-	return f
-}
-
-// settle tells a target that went silent, a caller that left and the end of the
-// deadline from a connection that broke.
-func (f *Failure) settle(ctx context.Context) {
-	switch {
-	case errors.Is(f.Err, h1.ErrSilent):
-		f.Class = Silent
-	case ctx.Err() == nil:
-	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
-		f.Class = Late
-	default:
-		f.Class = CallerGone
-	}
+	return failure.Send(ctx, t.Name, err)
 }
--- a/request/attempt/place.go
+++ b/request/attempt/place.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/request/failure"
 	"github.com/pomelospool/pomelospool/request/quarantine"
 	"github.com/pomelospool/pomelospool/request/routing"
 )
@@ -44,10 +45,10 @@
 }
 
 // attemptAt makes one try, and gives the target back however it ends.
-func (u *run) attemptAt(ctx context.Context, p place) *Failure {
+func (u *run) attemptAt(ctx context.Context, p place) *failure.Failure {
 	finished := false
 	defer func() { p.release(finished) }()
-	failure := u.attempt(ctx, p.t, p.d)
-	finished = failure == nil
-	return failure
+	f := u.attempt(ctx, p.t, p.d)
+	finished = f == nil
+	return f
 }
--- a/request/attempt/run.go
+++ b/request/attempt/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/internal/pause"
+	"github.com/pomelospool/pomelospool/request/failure"
 	"github.com/pomelospool/pomelospool/request/quarantine"
 	"github.com/pomelospool/pomelospool/request/routing"
 )
@@ -20,13 +21,15 @@
 	route   routing.Request
 	next    *routing.Decision
 	result  Result
-	last    *Failure
+	last    *failure.Failure
 	zone    string              // of the last failed target
 	release func(finished bool) // of the claim on suspect content, or nil
 	suspect bool                // may run only with the claim of its target
 	held    []string            // targets that other suspect content has now
 	handed  bool                // over from a prefill to a decode engine
 	chosen  time.Time           // when the choice of the present target began
+
+	unforeseen bool // nothing known of the target announced its last refusal
 }
 
 func (u *run) loop(ctx context.Context) error {
@@ -47,16 +50,16 @@
 			return u.noTarget(err)
 		}
 		progress := u.recv.Progress()
-		failure := u.attemptAt(ctx, p)
-		if failure == nil {
+		f := u.attemptAt(ctx, p)
+		if f == nil {
 			return nil
 		}
-		if failure.Class == Handover {
+		if f.Class == failure.Handover {
 			u.handOver(ctx, p.d)
 			continue
 		}
-		u.note(failure, p.t)
-		if err := u.mayRepeat(ctx, failure, u.recv.Progress() > progress); err != nil {
+		u.note(f, p.t)
+		if err := u.mayRepeat(ctx, f, u.recv.Progress() > progress); err != nil {
 			return err
 		}
 	}
@@ -77,7 +80,7 @@
 // attempt makes one try and keeps the quarantine's books about it. When the
 // connection broke, the target is checked before the content is taken off the
 // books: what was in flight at a death must still stand there.
-func (u *run) attempt(ctx context.Context, t routing.Target, d routing.Decision) *Failure {
+func (u *run) attempt(ctx context.Context, t routing.Target, d routing.Decision) *failure.Failure {
 	u.result.Attempts++
 	tries.Add(1)
 	u.result.Target = t.Name
@@ -91,13 +94,14 @@
 		first:  max(u.opts.First, d.First*firstPatience),
 		decode: d.Decode != "" && d.Decode != t.Name && !u.handed,
 	}
-	failure := u.try(ctx, u.q, t, p, u.recv)
-	if failure != nil && failure.breaks() {
+	f, unforeseen := u.try(ctx, u.q, t, p, u.recv)
+	u.unforeseen = unforeseen
+	if f != nil && breaks(f) {
 		vctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), verifyLimit)
 		defer cancel()
 		u.opts.Verify(vctx, t)
 	}
-	return failure
+	return f
 }
 
 // handOver sends the rest of the answer to the engine that routing chose for
@@ -122,18 +126,18 @@
 	}
 }
 
-func (u *run) note(f *Failure, t routing.Target) {
-	failures.Add(f.Class.metric(), 1)
+func (u *run) note(f *failure.Failure, t routing.Target) {
+	failures.Add(f.Class.Metric(), 1)
 	u.last = f
 	u.zone = t.Zone
-	u.result.Written = u.result.Written || !f.notWritten && f.Class != NotWritten
+	u.result.Written = u.result.Written || !f.Unwritten
 	u.route.Exclude = append(u.route.Exclude[:len(u.route.Exclude):len(u.route.Exclude)], t.Name)
 	u.next = nil
 	log.WithFields(log.Fields{
 		"request": u.q.ID,
 		"target":  t.Name,
 		"class":   f.Class.String(),
-		"cause":   cause(f.Err),
+		"cause":   f.Cause(),
 	}).Info("attempt: failed")
 }
 
@@ -142,21 +146,21 @@
 // first refusal by a target that leaves or changes: it ran nothing, and the
 // requests on their way to it at that moment must not be lost for want of
 // budget. Once the refusal is known, going there again needs it.
-func (u *run) mayRepeat(ctx context.Context, f *Failure, progressed bool) error {
+func (u *run) mayRepeat(ctx context.Context, f *failure.Failure, progressed bool) error {
 	doc := u.q.Service.Doc
 	most := doc.Retry.Attempts
 	if most <= 0 {
 		most = defaultAttempts
 	}
-	if f.unforeseen {
+	if u.unforeseen {
 		u.budgets.Count(doc.Service)
 	}
 	switch {
-	case ctx.Err() != nil || !f.repeatable(u.q.Idempotent) || u.recv.Committed():
+	case ctx.Err() != nil || !repeatable(f, u.q.Idempotent) || u.recv.Committed():
 		return u.final(f)
 	case u.result.Attempts >= most:
 		return u.final(f)
-	case !progressed && !f.unforeseen && !u.budgets.Take(doc.Service, doc.Retry.Budget):
+	case !progressed && !u.unforeseen && !u.budgets.Take(doc.Service, doc.Retry.Budget):
 		if !u.result.Written {
 			return u.final(f)
 		}
@@ -168,7 +172,7 @@
 const retryAfter = time.Second
 
 // final turns the last failure into the request's error.
-func (u *run) final(f *Failure) error {
+func (u *run) final(f *failure.Failure) error {
 	c := classCodes[f.Class]
 	if c.Info().NotRun && u.result.Written {
 		c = code.TargetFailed
--- a/request/attempt/runner.go
+++ b/request/attempt/runner.go
@@ -8,6 +8,7 @@
 
 	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/connection/pool"
+	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/quarantine"
 	"github.com/pomelospool/pomelospool/request/routing"
 	"github.com/pomelospool/pomelospool/request/view"
@@ -32,7 +33,7 @@
 // Metrics of all runners of the process.
 var (
 	tries    = expvar.NewInt("attempt_tries")
-	failures = expvar.NewMap("attempt_failures") // by Class.metric
+	failures = expvar.NewMap("attempt_failures") // by failure.Class.Metric
 )
 
 // KV moves the KV cache of a prompt between two engines, by their names.
@@ -89,7 +90,7 @@
 // Runner runs requests. It is safe for concurrent use.
 type Runner struct {
 	opts    Options
-	budgets *Budgets
+	budgets *budget.Shares
 }
 
 // NewRunner returns a Runner.
@@ -107,7 +108,7 @@
 		p := o.Pool
 		o.Verify = func(ctx context.Context, t routing.Target) { p.Verify(ctx, t.Addr) }
 	}
-	return &Runner{opts: o, budgets: NewBudgets(o.Now)}
+	return &Runner{opts: o, budgets: budget.NewShares(o.Now)}
 }
 
 // Run runs q until it is answered, or may not be repeated. first is the
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -13,6 +13,7 @@
 	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/connection/health"
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/version/route"
 )
 
@@ -59,7 +60,7 @@
 	Targets Targets
 	Engines *engines.Book
 	Health  *health.Book
-	Budget  *Budget
+	Budget  *budget.Fleet
 	Control port.EngineControl
 	Zone    string // availability zone of this process
 }
@@ -76,7 +77,7 @@
 // Plain runs a call whose answer is passed on whole. The error is a
 // *code.Error; a code that says that nothing ran is given only when that holds.
 func (r *Runner) Plain(ctx context.Context, c *Call) (*Answer, Trace, error) {
-	ctx, cancel := context.WithDeadlineCause(ctx, c.GiveUp, errTimeout)
+	ctx, cancel := context.WithDeadline(ctx, c.GiveUp)
 	defer cancel()
 	u := r.begin(c)
 	a, err := u.plain(ctx)
@@ -85,7 +86,7 @@
 
 // Streamed runs a call that is answered by events.
 func (r *Runner) Streamed(ctx context.Context, c *Call, out Stream) (Trace, error) {
-	ctx, cancel := context.WithDeadlineCause(ctx, c.GiveUp, errTimeout)
+	ctx, cancel := context.WithDeadline(ctx, c.GiveUp)
 	defer cancel()
 	u := r.begin(c)
 	err := u.streamed(ctx, out)
@@ -125,6 +126,6 @@
 	trace  Trace
 	ran    int      // targets that may have run it
 	avoid  []string // targets that failed it
-	last   *failure
+	last   *failed
 	lastID string // id of the last event that the caller got
 }
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
@@ -12,6 +11,7 @@
 	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/connection/health"
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/request/failure"
 	"github.com/pomelospool/pomelospool/request/placement"
 )
 
@@ -62,7 +62,7 @@
 		}
 		u.note(f)
 		if !u.worthAnother(prompt, p, f) || !u.again(ctx, f, sends) {
-			return u.finalError(ctx, f)
+			return u.finalError(f)
 		}
 	}
 }
@@ -73,8 +73,8 @@
 // fetched, and another engine should read the prompt, or the decoding engine
 // can't take it. Reading the prompt again for an engine that refuses others
 // too fills the engines with work for nothing.
-func (u *run) worthAnother(p prompt, from prefilled, f *failure) bool {
-	if from.kv == nil || f.class != notRun {
+func (u *run) worthAnother(p prompt, from prefilled, f *failed) bool {
+	if from.kv == nil || f.Class != failure.NotRun {
 		return true
 	}
 	for _, c := range u.candidates(p, port.RoleDecode) {
@@ -206,7 +206,7 @@
 
 // prefill has the prompt read. Without an engine for that the decoding engine
 // reads it itself, at half the speed.
-func (u *run) prefill(ctx context.Context, p prompt) (prefilled, *failure) {
+func (u *run) prefill(ctx context.Context, p prompt) (prefilled, *failed) {
 	m := u.models.load(u.c.Service.Name)
 	ch := u.choosePrefill(p, m)
 	if ch.At < 0 {
@@ -231,11 +231,13 @@
 		return prefilled{}, u.nothingRan(f)
 	}
 	if v.NotRun || a.Status != http.StatusOK {
-		return prefilled{}, &failure{class: notRun, target: to.ID, err: errSaysNoRun, after: v.RetryAfter}
+		f := fail(failure.NotRun, to.ID, errSaysNoRun)
+		f.after = v.RetryAfter
+		return prefilled{}, f
 	}
 	handle, err := u.opts.Wire.KVHandle(a.Body)
 	if err != nil {
-		return prefilled{}, &failure{class: notRun, target: to.ID, err: err}
+		return prefilled{}, fail(failure.NotRun, to.ID, err)
 	}
 	took := time.Since(begun)
 	u.trace.Prefill.Took = took
@@ -248,23 +250,23 @@
 // nothingRan says of a failed prefill that the request did not run: reading a
 // prompt makes no answer and may be repeated. The target is judged by what it
 // did, the call by "not run".
-func (u *run) nothingRan(f *failure) *failure {
-	if f.class == callerGone || f.class == late {
+func (u *run) nothingRan(f *failed) *failed {
+	if f.Final() {
 		return f
 	}
 	if o, counts := f.outcome(); counts {
-		u.opts.Health.Note(f.target, o)
+		u.opts.Health.Note(f.Target, o)
 	}
 	f.noted = true
-	if f.class != unreachable {
-		f.class = notRun
+	if f.Class != failure.NotWritten {
+		f.Class = failure.NotRun
 	}
 	return f
 }
 
 // decode has the answer made from the KV cache. If the engine refuses, another
 // one is asked with the same cache: a full engine leaves it where it is.
-func (u *run) decode(ctx context.Context, p prompt, from prefilled, out Stream) *failure {
+func (u *run) decode(ctx context.Context, p prompt, from prefilled, out Stream) *failed {
 	taken := false
 	defer func() {
 		if from.kv != nil && !taken {
@@ -275,18 +277,18 @@
 		cands := u.candidates(p, port.RoleDecode)
 		at := placement.Decode(p.Prompt, cands, u.c.Service.Engine, from.zone)
 		if at < 0 {
-			return &failure{class: notRun, target: from.at, err: errNoDecoder}
+			return fail(failure.NotRun, from.at, errNoDecoder)
 		}
 		to := cands[at].Entry
 		f := u.events(ctx, to, p, from, out)
-		if f == nil || f.mayHaveRun() {
+		if f == nil || f.MayHaveRun() {
 			taken = true
 			if f == nil && from.kv != nil {
 				u.opts.Health.Note(kvOf(from.at), health.OK)
 			}
 			return f
 		}
-		if from.kv != nil && f.class == notRun {
+		if from.kv != nil && f.Class == failure.NotRun {
 			u.opts.Health.Note(kvOf(from.at), health.Refused)
 		}
 		if tries > 1 || from.kv == nil || !u.others(cands, to.ID) || !u.again(ctx, f, 1) {
@@ -313,8 +315,6 @@
 	return false
 }
 
-var errNoDecoder = errors.New("no engine decodes")
-
 // release frees KV cache that nobody will read, beside the call.
 func (u *run) release(kv port.KVSource) {
 	go func() {
@@ -328,7 +328,7 @@
 }
 
 // events sends the call to a decoding engine and relays the answer.
-func (u *run) events(ctx context.Context, to port.TargetEntry, p prompt, from prefilled, out Stream) *failure {
+func (u *run) events(ctx context.Context, to port.TargetEntry, p prompt, from prefilled, out Stream) *failed {
 	done := u.opts.Engines.Decode(to.ID, u.c.Service.Engine.KVTokens, p.parts)
 	defer done()
 	begun := time.Now()
@@ -342,7 +342,7 @@
 	}
 	if !v.Signed {
 		resp.Close(0)
-		return &failure{class: broken, target: to.ID, err: errUnsigned}
+		return fail(failure.Mismatch, to.ID, errUnsigned)
 	}
 	foreseen := u.models.load(u.c.Service.Name).First
 	if from.kv != nil {
@@ -358,7 +358,7 @@
 
 // noStream takes an answer that is no stream: a refusal, a failure, or the
 // target's own answer, which is passed on.
-func (u *run) noStream(ctx context.Context, target string, resp *h1.Response, v port.Verdict, out Stream) *failure {
+func (u *run) noStream(ctx context.Context, target string, resp *h1.Response, v port.Verdict, out Stream) *failed {
 	a, f := u.whole(ctx, target, resp, v)
 	if f != nil {
 		return f
@@ -367,12 +367,12 @@
 		return f
 	}
 	if u.trace.Begun {
-		return &failure{class: failed, target: target, answer: a}
+		return ownFailure(target, a)
 	}
 	u.trace.Begun = true
 	out.Begin(a.Status, a.Header)
 	if err := out.Write(a.Body); err != nil {
-		return &failure{class: callerGone, target: target, err: err}
+		return fail(failure.CallerGone, target, err)
 	}
 	return nil
 }
@@ -391,7 +391,7 @@
 	for {
 		to, ok := u.pickPlain()
 		if !ok {
-			return u.noTarget(ctx)
+			return u.noTarget()
 		}
 		f := u.plainEvents(ctx, to, out)
 		if f == nil {
@@ -400,12 +400,12 @@
 		}
 		u.note(f)
 		if !u.again(ctx, f, 1) {
-			return u.finalError(ctx, f)
+			return u.finalError(f)
 		}
 	}
 }
 
-func (u *run) plainEvents(ctx context.Context, to port.TargetEntry, out Stream) *failure {
+func (u *run) plainEvents(ctx context.Context, to port.TargetEntry, out Stream) *failed {
 	done := u.opts.Engines.Decode(to.ID, 0, nil)
 	defer done()
 	resp, v, f := u.send(ctx, sending{to: to, state: port.Send{Priority: -1, LastEvent: u.lastID}})
--- a/request/dispatch/plain.go
+++ b/request/dispatch/plain.go
@@ -8,6 +8,7 @@
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/connection/engines"
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/request/failure"
 )
 
 const (
@@ -23,7 +24,7 @@
 	for {
 		to, ok := u.pickPlain()
 		if !ok {
-			return nil, u.noTarget(ctx)
+			return nil, u.noTarget()
 		}
 		a, f := u.plainAt(ctx, to)
 		if f == nil {
@@ -32,12 +33,12 @@
 		}
 		u.note(f)
 		if !u.again(ctx, f, 1) {
-			return u.lastWord(ctx, f)
+			return u.lastWord(f)
 		}
 	}
 }
 
-func (u *run) plainAt(ctx context.Context, to port.TargetEntry) (*Answer, *failure) {
+func (u *run) plainAt(ctx context.Context, to port.TargetEntry) (*Answer, *failed) {
 	done := u.opts.Engines.Decode(to.ID, 0, nil)
 	defer done()
 	s := sending{to: to, state: port.Send{Priority: -1}}
@@ -59,19 +60,19 @@
 //
 // A status that promises "not run" isn't passed on from a target that ran the
 // request: the caller would send it again.
-func (u *run) lastWord(ctx context.Context, f *failure) (*Answer, error) {
-	if f.class == failed && !promises(f.answer.Status) {
+func (u *run) lastWord(f *failed) (*Answer, error) {
+	if f.Class == failure.Failed && !promises(f.answer.Status) {
 		return f.answer, nil
 	}
-	if f.class == notRun && f.answer != nil && f.answer.Status == http.StatusBadRequest && u.ran == 0 {
+	if f.Class == failure.NotRun && f.answer != nil && f.answer.Status == http.StatusBadRequest && u.ran == 0 {
 		return f.answer, nil
 	}
-	return nil, u.finalError(ctx, f)
+	return nil, u.finalError(f)
 }
 
-func (u *run) noTarget(ctx context.Context) error {
+func (u *run) noTarget() error {
 	if u.last != nil {
-		return u.finalError(ctx, u.last)
+		return u.finalError(u.last)
 	}
 	return code.New(code.NoTarget, "service %q has no target", u.c.Service.Name).After(u.comeBack(nil))
 }
--- a/request/dispatch/plain_test.go
+++ b/request/dispatch/plain_test.go
@@ -108,7 +108,7 @@
 // again.
 func TestPromiseOfATargetThatRanItIsNotPassedOn(t *testing.T) {
 	u := &run{ran: 1, c: &Call{Route: &route.Route{}}}
-	a, err := u.lastWord(context.Background(), &failure{class: failed, answer: &Answer{Status: 503}})
+	a, err := u.lastWord(ownFailure("t", &Answer{Status: 503}))
 	if a != nil || code.Of(err).Info().NotRun {
 		t.Errorf("answer %+v, %v", a, err)
 	}
--- a/request/dispatch/relay.go
+++ b/request/dispatch/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/request/failure"
 )
 
 // maxEvent bounds one event, in bytes.
@@ -18,7 +19,7 @@
 // relay passes events on as they come, each one whole. A stream that breaks
 // off in the middle of an event ends after the last whole one, so that a
 // resumed run can go on from there.
-func (u *run) relay(ctx context.Context, target string, resp *h1.Response, v port.Verdict, out Stream, first func()) *failure {
+func (u *run) relay(ctx context.Context, target string, resp *h1.Response, v port.Verdict, out Stream, first func()) *failed {
 	defer resp.Close(v.KeepAlive)
 	r := &eventReader{src: resp.Body}
 	for {
@@ -32,15 +33,13 @@
 			return u.ended(target, resp, r, out)
 		}
 		if err != nil {
-			f := &failure{class: broken, target: target, err: err}
-			f.stopped(ctx)
-			return f
+			return &failed{Failure: failure.Read(ctx, target, err)}
 		}
 	}
 }
 
 // pass hands events to the caller, without those that it has already.
-func (u *run) pass(target string, resp *h1.Response, events []byte, out Stream, first func()) *failure {
+func (u *run) pass(target string, resp *h1.Response, events []byte, out Stream, first func()) *failed {
 	fresh, last := after(events, u.lastID)
 	if !u.trace.Begun {
 		u.trace.Begun = true
@@ -52,7 +51,7 @@
 		return nil
 	}
 	if err := out.Write(fresh); err != nil {
-		return &failure{class: callerGone, target: target, err: err}
+		return fail(failure.CallerGone, target, err)
 	}
 	if last != "" {
 		u.lastID = last
@@ -62,9 +61,9 @@
 
 // ended tells whether the stream ended whole: at its marked end, or at the
 // connection's orderly end, and not within an event.
-func (u *run) ended(target string, resp *h1.Response, r *eventReader, out Stream) *failure {
+func (u *run) ended(target string, resp *h1.Response, r *eventReader, out Stream) *failed {
 	if len(r.rest()) > 0 {
-		return &failure{class: broken, target: target, err: io.ErrUnexpectedEOF}
+		return fail(failure.Cut, target, io.ErrUnexpectedEOF)
 	}
 	if !u.trace.Begun {
 		u.trace.Begun = true
--- a/request/dispatch/rig_test.go
+++ b/request/dispatch/rig_test.go
@@ -16,6 +16,7 @@
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/platform/standin"
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/version/route"
 )
 
@@ -29,7 +30,7 @@
 	t       *testing.T
 	net     *pipenet.Net
 	runner  *Runner
-	budget  *Budget
+	budget  *budget.Fleet
 	entries map[string][]port.TargetEntry
 	freed   chan port.KVSource
 }
@@ -56,8 +57,8 @@
 func withRig(t *testing.T, slack float64, test func(t *testing.T, r *rig)) {
 	synctest.Test(t, func(t *testing.T) {
 		r := &rig{t: t, net: &pipenet.Net{}, entries: map[string][]port.TargetEntry{}, freed: make(chan port.KVSource, 100)}
-		r.budget = NewBudget(BudgetOptions{
-			Slack: (slack + 0.1) / keep, Window: 10 * time.Second, Now: time.Now,
+		r.budget = budget.NewFleet(budget.FleetOptions{
+			Slack: (slack + 0.1) / budget.Spent, Window: 10 * time.Second, Now: time.Now,
 			Daemons: func() int { return 1 },
 		})
 		pool := h1.New(h1.Options{Dial: r.net.Dial})
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/connection/health"
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/request/failure"
 )
 
 // sending is one send: to whom, with what, and for how long.
@@ -24,12 +24,12 @@
 
 // send sends the call and reads the answer's header. With a nil failure the
 // response must be closed.
-func (u *run) send(ctx context.Context, s sending) (*h1.Response, port.Verdict, *failure) {
+func (u *run) send(ctx context.Context, s sending) (*h1.Response, port.Verdict, *failed) {
 	u.trace.Sends++
 	u.trace.Targets = append(u.trace.Targets, s.to.ID)
 	resp, err := u.opts.Pool.Do(ctx, u.request(s))
 	if err != nil {
-		return nil, port.Verdict{}, sendFailure(ctx, s.to.ID, err)
+		return nil, port.Verdict{}, &failed{Failure: failure.Send(ctx, s.to.ID, err)}
 	}
 	return resp, u.opts.Wire.Judge(resp.Status, resp.Header), nil
 }
@@ -78,52 +78,56 @@
 const maxAnswer = 8 << 20
 
 // whole reads an answer to its end and closes the response.
-func (u *run) whole(ctx context.Context, target string, resp *h1.Response, v port.Verdict) (*Answer, *failure) {
+func (u *run) whole(ctx context.Context, target string, resp *h1.Response, v port.Verdict) (*Answer, *failed) {
 	defer resp.Close(v.KeepAlive)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
 	if err == nil && len(body) > maxAnswer {
 		err = errTooLarge
 	}
 	if err != nil {
-		f := &failure{class: broken, target: target, err: err}
-		if errors.Is(err, h1.ErrSilent) {
-			f.class = silent
-		}
-		f.stopped(ctx)
-		return nil, f
+		return nil, &failed{Failure: failure.Read(ctx, target, err)}
 	}
 	return &Answer{Status: resp.Status, Header: resp.Header, Body: body}, nil
 }
 
 // judge turns a whole answer into a failure, or nil if it may be passed on as
 // the call's answer.
-func (u *run) judge(target string, a *Answer, v port.Verdict) *failure {
+func (u *run) judge(target string, a *Answer, v port.Verdict) *failed {
 	switch {
 	case v.WrongOne:
-		return &failure{class: notRun, target: target, err: errWrongOne}
+		return fail(failure.NotRun, target, errWrongOne)
 	case v.NotRun:
-		return &failure{class: notRun, target: target, err: errSaysNoRun, after: v.RetryAfter, answer: a}
+		f := fail(failure.NotRun, target, errSaysNoRun)
+		f.after, f.answer = v.RetryAfter, a
+		return f
 	case !v.Signed:
-		return &failure{class: broken, target: target, err: errUnsigned}
+		return fail(failure.Mismatch, target, errUnsigned)
 	case a.Status >= http.StatusInternalServerError || promises(a.Status):
-		return &failure{class: failed, target: target, answer: a}
+		return ownFailure(target, a)
 	}
 	return nil
 }
 
+// ownFailure is a target's own answer of failure.
+func ownFailure(target string, a *Answer) *failed {
+	f := fail(failure.Failed, target, errStatus(a.Status))
+	f.answer = a
+	return f
+}
+
 // note keeps the books about a failed send.
-func (u *run) note(f *failure) {
+func (u *run) note(f *failed) {
 	u.last = f
-	u.avoid = append(u.avoid, f.target)
-	u.trace.Causes = append(u.trace.Causes, f.class.String()+": "+f.cause())
-	if f.mayHaveRun() {
+	u.avoid = append(u.avoid, f.Target)
+	u.trace.Causes = append(u.trace.Causes, f.Class.String()+": "+f.Cause())
+	if f.MayHaveRun() {
 		u.ran++
 	}
 	if o, counts := f.outcome(); counts && !f.noted {
-		u.opts.Health.Note(f.target, o)
+		u.opts.Health.Note(f.Target, o)
 	}
 	log.WithFields(log.Fields{
-		"request": u.c.Ask.ID, "target": f.target, "class": f.class.String(), "cause": f.cause(),
+		"request": u.c.Ask.ID, "target": f.Target, "class": f.Class.String(), "cause": f.Cause(),
 		"send": u.trace.Sends, "left_ms": time.Until(u.c.GiveUp).Milliseconds(),
 	}).Info("dispatch: send failed")
 }
@@ -134,15 +138,15 @@
 // again tells whether the call may be sent once more after f, which takes
 // that many sends. The first prefill that an engine accepted is no send beyond
 // the first; a second one is, and so is the request that goes on from it.
-func (u *run) again(ctx context.Context, f *failure, sends int) bool {
+func (u *run) again(ctx context.Context, f *failed, sends int) bool {
 	switch {
-	case ctx.Err() != nil || f.class == callerGone || f.class == late:
+	case ctx.Err() != nil || f.Final():
 		return false
 	case u.trace.Sends >= maxSends || u.ran >= u.c.Route.Attempts:
 		return false
-	case f.mayHaveRun() && !u.c.Route.Idempotent():
+	case f.MayHaveRun() && !u.c.Route.Idempotent():
 		return false
-	case f.class == unreachable:
+	case f.Class == failure.NotWritten:
 		return true // no target saw it, so it is no send beyond the first
 	}
 	return u.opts.Budget.Take(u.c.Service.Name, sends)
--- a/request/entry/caller_test.go
+++ b/request/entry/caller_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/version/document"
 )
 
@@ -52,7 +53,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			r := f.do(tc.method, tc.path, tc.body, tc.header...)
-			if r.status != tc.status || r.code() != tc.code || r.header.Get(headerNotRun) != "true" {
+			if r.status != tc.status || r.code() != tc.code || r.header.Get(answer.HeaderNotRun) != "true" {
 				t.Errorf("got %d, code %s, body %s", r.status, r.code(), r.body)
 			}
 			if r.header.Get("X-Request-Id") == "" || !strings.Contains(r.body, `"code":`+tc.code) {
@@ -72,7 +73,7 @@
 	f := newFixture(t, []string{s.addr()}, nil, nil)
 	for _, want := range []string{"2002", "2001"} {
 		r := f.complete("p", 1)
-		if r.code() != want || r.header.Get(headerNotRun) != "true" || r.header.Get(headerRetry) == "" {
+		if r.code() != want || r.header.Get(answer.HeaderNotRun) != "true" || r.header.Get(answer.HeaderRetry) == "" {
 			t.Errorf("got %+v, want code %s", r, want)
 		}
 	}
@@ -124,7 +125,7 @@
 	}
 	second := f.rawConn("GET /v1/addresses HTTP/1.1\r\nHost: x\r\n\r\n")
 	resp, err := http.ReadResponse(bufio.NewReader(second), nil)
-	if err != nil || resp.Header.Get(headerCode) != "1015" || resp.Header.Get(headerNotRun) != "true" {
+	if err != nil || resp.Header.Get(answer.HeaderCode) != "1015" || resp.Header.Get(answer.HeaderNotRun) != "true" {
 		t.Fatal(resp, err)
 	}
 }
@@ -250,13 +251,13 @@
 	go func() { first <- f.complete("p", 2, "X-Request-Id", "mine") }()
 	<-started
 	g.closed.Store(true)
-	if r := f.complete("p", 1); r.code() != "1004" || r.header.Get(headerNotRun) != "true" {
+	if r := f.complete("p", 1); r.code() != "1004" || r.header.Get(answer.HeaderNotRun) != "true" {
 		t.Errorf("isolated: %+v", r)
 	}
 	drained := make(chan error)
 	go func() { drained <- f.entry.Drain(t.Context()) }()
 	await(t, f.entry.draining.Load)
-	if r := f.complete("p", 1); r.code() != "1005" || r.header.Get(headerNotRun) != "true" {
+	if r := f.complete("p", 1); r.code() != "1005" || r.header.Get(answer.HeaderNotRun) != "true" {
 		t.Errorf("draining: %+v", r)
 	}
 	select {
--- a/request/entry/fixture_test.go
+++ b/request/entry/fixture_test.go
@@ -17,6 +17,7 @@
 	"github.com/pomelospool/pomelospool/connection/address"
 	"github.com/pomelospool/pomelospool/connection/pool"
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/routing"
 	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/standin/token"
@@ -173,7 +174,7 @@
 	err    error // of reading the body
 }
 
-func (r reply) code() string { return r.header.Get(headerCode) }
+func (r reply) code() string { return r.header.Get(answer.HeaderCode) }
 
 func (f *fixture) do(method, path, body string, header ...string) reply {
 	f.t.Helper()
--- a/request/entry/fuzz_test.go
+++ b/request/entry/fuzz_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/connection/pool"
+	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/attempt"
 	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/version/document"
@@ -35,7 +36,7 @@
 		c, err := e.readModel(w, req, true)
 		if err != nil {
 			writeError(w, err)
-			if w.Header().Get(headerCode) == "" || w.Header().Get(headerCode) == "0" {
+			if w.Header().Get(answer.HeaderCode) == "" || w.Header().Get(answer.HeaderCode) == "0" {
 				t.Fatalf("refused without a code: %v", err)
 			}
 			return
--- a/request/entry/once.go
+++ b/request/entry/once.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/attempt"
+	"github.com/pomelospool/pomelospool/request/failure"
 	"github.com/pomelospool/pomelospool/request/once"
 )
 
@@ -98,8 +100,8 @@
 
 // settle closes the ticket by what is proven.
 func settle(ticket once.Ticket, recv *plainAnswer, result attempt.Result, err error) onceResult {
-	var f *attempt.Failure
-	failed := errors.As(err, &f) && f.Class == attempt.Failed && recv.status != 0
+	var f *failure.Failure
+	failed := errors.As(err, &f) && f.Class == failure.Failed && recv.status != 0
 	if (err == nil || failed) && recv.refusedUnrun() {
 		ticket.NotRun(code.NoTarget)
 		return onceResult{err: code.Wrap(code.NoTarget, err, "the target refused the call and didn't run it").After(retryAfter)}
@@ -124,7 +126,7 @@
 // call. Such a refusal is no answer to keep: recorded as one, it would be all
 // that the key ever gives, and the call would never run.
 func (r *plainAnswer) refusedUnrun() bool {
-	return r.status >= http.StatusInternalServerError && r.header.Get(headerNotRun) == "true"
+	return r.status >= http.StatusInternalServerError && r.header.Get(answer.HeaderNotRun) == "true"
 }
 
 // wholePlain takes an answer only as a whole: it has to be recorded.
@@ -133,11 +135,11 @@
 // Receive takes one attempt's answer and never passes it on as it comes.
 func (r *wholePlain) Receive(a attempt.Answer) error {
 	body, err := readLimited(a.Body, r.hold)
-	if err == nil && !a.Framed && hasBody(a.Status) {
+	if err == nil && !a.Framed && answer.HasBody(a.Status) {
 		err = errUnmarked
 	}
 	if err != nil {
-		return &attempt.Failure{Class: attempt.Cut, Target: a.Target, Err: err}
+		return &failure.Failure{Class: failure.Cut, Target: a.Target, Err: err}
 	}
 	r.status, r.header, r.held = a.Status, a.Header, body
 	return nil
--- a/request/entry/once_test.go
+++ b/request/entry/once_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/once"
 	"github.com/pomelospool/pomelospool/version/document"
 )
@@ -41,7 +42,7 @@
 // The hold reaches a target at most once, whatever happens; the caller is told
 // truly whether it ran, and the ticket is closed to match.
 func TestOnceFaults(t *testing.T) {
-	answer := func(c *call) { c.w.Header().Set("X-Request-Id", c.id); c.raw("held") }
+	answers := func(c *call) { c.w.Header().Set("X-Request-Id", c.id); c.raw("held") }
 	cases := []struct {
 		name   string
 		play   func(c *call) // nil: nothing listens there
@@ -50,7 +51,7 @@
 		notRun string
 		runs   int
 	}{
-		{"answered", answer, "0", "done held", "", 1},
+		{"answered", answers, "0", "done held", "", 1},
 		{"own failure", func(c *call) {
 			c.w.Header().Set("X-Request-Id", c.id)
 			c.w.WriteHeader(http.StatusConflict)
@@ -65,7 +66,7 @@
 			c.w.WriteHeader(http.StatusServiceUnavailable)
 		}, "2001", "not run", "true", 1},
 		{"answer lost", func(c *call) { c.reset() }, "3003", "unknown", "", 1},
-		{"answer cut", func(c *call) { c.w.Header().Set("Content-Length", "9"); answer(c); c.reset() }, "3003", "unknown", "", 1},
+		{"answer cut", func(c *call) { c.w.Header().Set("Content-Length", "9"); answers(c); c.reset() }, "3003", "unknown", "", 1},
 		{"another's answer", func(c *call) { c.w.Header().Set("X-Request-Id", "other"); c.raw("held") }, "3003", "unknown", "", 1},
 		{"silent", func(c *call) { c.hang() }, "3003", "unknown", "", 1},
 		{"unreachable", nil, "2002", "not run", "true", 0},
@@ -81,7 +82,7 @@
 			l := newLedger()
 			f := newFixture(t, nil, []string{a.addr(), b.addr()}, withLedger(l))
 			r := f.do("POST", "/s/app/holds/7", "seat", "Idempotency-Key", "k")
-			if r.code() != tc.code || r.header.Get(headerNotRun) != tc.notRun {
+			if r.code() != tc.code || r.header.Get(answer.HeaderNotRun) != tc.notRun {
 				t.Errorf("caller saw %+v", r)
 			}
 			if got := <-l.ended; got != tc.ticket {
--- a/request/entry/plain.go
+++ b/request/entry/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,7 +13,10 @@
 	"github.com/uptrace/bunrouter"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/hop"
+	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/attempt"
+	"github.com/pomelospool/pomelospool/request/failure"
 	"github.com/pomelospool/pomelospool/request/limit"
 	"github.com/pomelospool/pomelospool/request/routing"
 	"github.com/pomelospool/pomelospool/request/view"
@@ -135,36 +139,28 @@
 	}
 }
 
-// hopByHop are the headers that end with a connection, and those that this
-// process sets itself.
-var hopByHop = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
-	"Proxy-Authorization": true, "Proxy-Connection": true, "Te": true,
-	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Content-Length": true, "Expect": true,
-	attempt.HeaderID: true, attempt.HeaderDeadline: true,
-	headerCode: true, headerNotRun: true,
-}
+// ownHeaders are set by this process.
+var ownHeaders = []string{attempt.HeaderID, attempt.HeaderDeadline, answer.HeaderCode, answer.HeaderNotRun}
 
+// forwarded returns a copy of a caller's header without what ends at this
+// process.
 func forwarded(h http.Header) http.Header {
-	out := make(http.Header, len(h))
-	named := strings.Join(h.Values("Connection"), ",")
-	for k, v := range h {
-		if !hopByHop[k] && !listed(named, k) {
-			out[k] = v
-		}
+	out := without(h)
+	for _, k := range hop.Listed(h) {
+		out.Del(k)
 	}
 	return out
 }
 
-// listed tells whether a Connection header names the header k.
-func listed(named, k string) bool {
-	for _, n := range strings.Split(named, ",") {
-		if strings.EqualFold(strings.TrimSpace(n), k) {
-			return true
-		}
+// without returns a copy of h without the headers of connections and those
+// that this process sets itself.
+func without(h http.Header) http.Header {
+	out := maps.Clone(h)
+	hop.Strip(out)
+	for _, k := range ownHeaders {
+		out.Del(k)
 	}
-	return false
+	return out
 }
 
 func (e *Entry) runPlain(w http.ResponseWriter, req *http.Request, c *plainCall) {
@@ -200,7 +196,7 @@
 		return
 	}
 	r.writeHeader(code.Of(err))
-	if hasBody(r.status) {
+	if answer.HasBody(r.status) {
 		r.w.Header().Set("Content-Length", strconv.Itoa(len(r.held)))
 	}
 	r.w.WriteHeader(r.status)
@@ -210,6 +206,6 @@
 // passOn tells whether err is the target's own whole answer of failure, which
 // the caller of a plain service understands better than ours.
 func (r *plainAnswer) passOn(err error) bool {
-	var f *attempt.Failure
-	return errors.As(err, &f) && f.Class == attempt.Failed && r.status != 0
+	var f *failure.Failure
+	return errors.As(err, &f) && f.Class == failure.Failed && r.status != 0
 }
--- a/request/entry/plainanswer.go
+++ b/request/entry/plainanswer.go
@@ -3,12 +3,15 @@
 import (
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/attempt"
+	"github.com/pomelospool/pomelospool/request/failure"
 )
 
 // plainAnswer receives the answer of a plain service. It holds back up to
@@ -33,14 +36,14 @@
 	r.status = 0
 	held, err := io.ReadAll(io.LimitReader(a.Body, r.hold+1))
 	if err != nil {
-		return &attempt.Failure{Class: attempt.Cut, Target: a.Target, Err: err}
+		return &failure.Failure{Class: failure.Cut, Target: a.Target, Err: err}
 	}
-	if !a.Framed && hasBody(a.Status) {
-		return &attempt.Failure{Class: attempt.Cut, Target: a.Target, Err: errUnmarked}
+	if !a.Framed && answer.HasBody(a.Status) {
+		return &failure.Failure{Class: failure.Cut, Target: a.Target, Err: errUnmarked}
 	}
 	r.status, r.header, r.held = a.Status, a.Header, held
 	if a.Status >= http.StatusInternalServerError && int64(len(held)) <= r.hold {
-		return &attempt.Failure{Class: attempt.Failed, Target: a.Target, Err: statusDetail(a.Status)}
+		return &failure.Failure{Class: failure.Failed, Target: a.Target, Err: statusDetail(a.Status)}
 	}
 	if int64(len(held)) <= r.hold {
 		return nil
@@ -48,10 +51,6 @@
 	return r.passThrough(a)
 }
 
-func hasBody(status int) bool {
-	return status != http.StatusNoContent && status != http.StatusNotModified
-}
-
 func (r *plainAnswer) passThrough(a attempt.Answer) error {
 	r.committed = true
 	r.writeHeader(code.OK)
@@ -62,12 +61,12 @@
 	out := &stallWriter{dst: r.w, ctl: http.NewResponseController(r.w), stall: r.stall}
 	defer out.clear()
 	if _, err := out.Write(r.held); err != nil {
-		return &attempt.Failure{Class: attempt.CallerGone, Target: a.Target, Err: err}
+		return &failure.Failure{Class: failure.CallerGone, Target: a.Target, Err: err}
 	}
 	r.held = nil
 	_, err := io.Copy(out, a.Body)
 	if err != nil && errors.Is(err, out.err) {
-		return &attempt.Failure{Class: attempt.CallerGone, Target: a.Target, Err: err}
+		return &failure.Failure{Class: failure.CallerGone, Target: a.Target, Err: err}
 	}
 	return err
 }
@@ -76,12 +75,8 @@
 // connection.
 func (r *plainAnswer) writeHeader(c code.Code) {
 	h := r.w.Header()
-	for k, v := range r.header {
-		if !hopByHop[k] {
-			h[k] = v
-		}
-	}
-	h.Set(headerCode, strconv.Itoa(int(c)))
+	maps.Copy(h, without(r.header))
+	h.Set(answer.HeaderCode, strconv.Itoa(int(c)))
 }
 
 // stallWriter gives each write to a caller its own deadline.
--- a/request/entry/receive.go
+++ b/request/entry/receive.go
@@ -9,22 +9,24 @@
 	"net/http"
 	"strconv"
 
+	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/attempt"
+	"github.com/pomelospool/pomelospool/request/failure"
 	"github.com/pomelospool/pomelospool/request/stream"
 )
 
 const maxErrorDetail = 512 // bytes of a target's error that are kept
 
 const (
-	errTooLarge  = attempt.Detail("answer over the limit")
-	errUnmarked  = attempt.Detail("answer without an end marker")
-	errNotWhole  = attempt.Detail("answer isn't whole")
-	errOtherID   = attempt.Detail("answer names another id")
-	errNotStream = attempt.Detail("answer isn't an event stream")
+	errTooLarge  = failure.Detail("answer over the limit")
+	errUnmarked  = failure.Detail("answer without an end marker")
+	errNotWhole  = failure.Detail("answer isn't whole")
+	errOtherID   = failure.Detail("answer names another id")
+	errNotStream = failure.Detail("answer isn't an event stream")
 )
 
-func statusDetail(status int) attempt.Detail {
-	return attempt.Detail("status " + strconv.Itoa(status))
+func statusDetail(status int) failure.Detail {
+	return failure.Detail("status " + strconv.Itoa(status))
 }
 
 // modelFailure returns how an engine's status failed, nil for a good one.
@@ -33,17 +35,17 @@
 		return nil
 	}
 	detail, _ := io.ReadAll(io.LimitReader(a.Body, maxErrorDetail))
-	f := &attempt.Failure{Target: a.Target, Err: fmt.Errorf("%w: %s", statusDetail(a.Status), detail)}
-	notRun := a.Header.Get(headerNotRun) == "true"
+	f := &failure.Failure{Target: a.Target, Err: fmt.Errorf("%w: %s", statusDetail(a.Status), detail)}
+	notRun := a.Header.Get(answer.HeaderNotRun) == "true"
 	switch {
 	case a.Status == http.StatusBadRequest || a.Status == http.StatusRequestEntityTooLarge:
-		f.Class = attempt.Refused
+		f.Class = failure.Refused
 	case a.Status == http.StatusTooManyRequests || a.Status == http.StatusServiceUnavailable || notRun:
-		f.Class = attempt.Busy
+		f.Class = failure.NotRun
 	case a.Status >= http.StatusInternalServerError:
-		f.Class = attempt.Failed
+		f.Class = failure.Failed
 	default:
-		f.Class = attempt.Refused
+		f.Class = failure.Refused
 	}
 	return f
 }
@@ -75,14 +77,14 @@
 	}
 	body, err := readLimited(a.Body, r.max)
 	if err != nil {
-		return &attempt.Failure{Class: attempt.Cut, Target: a.Target, Err: err}
+		return &failure.Failure{Class: failure.Cut, Target: a.Target, Err: err}
 	}
 	var whole wholeAnswer
 	if err := json.Unmarshal(body, &whole); err != nil || whole.Usage == nil {
-		return &attempt.Failure{Class: attempt.Cut, Target: a.Target, Err: errNotWhole}
+		return &failure.Failure{Class: failure.Cut, Target: a.Target, Err: errNotWhole}
 	}
 	if whole.ID != a.ID {
-		return &attempt.Failure{Class: attempt.Mismatch, Target: a.Target, Err: fmt.Errorf("%w: %.80q", errOtherID, whole.ID)}
+		return &failure.Failure{Class: failure.Mismatch, Target: a.Target, Err: fmt.Errorf("%w: %.80q", errOtherID, whole.ID)}
 	}
 	r.body = stream.Rename(body, a.ID, r.id)
 	r.tokens = whole.Usage.CompletionTokens
@@ -117,7 +119,7 @@
 		return err
 	}
 	if t, _, _ := mime.ParseMediaType(a.Header.Get("Content-Type")); t != "text/event-stream" {
-		return &attempt.Failure{Class: attempt.Failed, Target: a.Target, Err: fmt.Errorf("%w: %.80q", errNotStream, t)}
+		return &failure.Failure{Class: failure.Failed, Target: a.Target, Err: fmt.Errorf("%w: %.80q", errNotStream, t)}
 	}
 	r.relay.HandOver(0)
 	if a.Decode {
@@ -125,10 +127,10 @@
 	}
 	err := r.relay.Run(a.Body, a.ID)
 	if errors.Is(err, stream.ErrHandover) {
-		return &attempt.Failure{Class: attempt.Handover, Target: a.Target, Err: err}
+		return &failure.Failure{Class: failure.Handover, Target: a.Target, Err: err}
 	}
 	if errors.Is(err, stream.ErrCaller) {
-		return &attempt.Failure{Class: attempt.CallerGone, Target: a.Target, Err: err}
+		return &failure.Failure{Class: failure.CallerGone, Target: a.Target, Err: err}
 	}
 	return err
 }
--- a/request/entry/streamout.go
+++ b/request/entry/streamout.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/stream"
 )
 
@@ -33,7 +34,7 @@
 	h := o.w.Header()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-cache")
-	h.Set(headerCode, strconv.Itoa(int(code.OK)))
+	h.Set(answer.HeaderCode, strconv.Itoa(int(code.OK)))
 	o.w.WriteHeader(http.StatusOK)
 	o.writer = stream.NewWriter(o.w, o.limit, o.timeout, o.gone)
 }
@@ -49,7 +50,7 @@
 		return err
 	}
 	if err != nil {
-		_ = o.writer.Event(marshalError(asError(err)))
+		_ = o.writer.Event(answer.Marshal(answer.Error(err)))
 	}
 	if werr := o.writer.Close(); werr != nil && err == nil {
 		return code.Wrap(code.CallerGone, werr, "")
--- a/request/attempt/cause.go
+++ b/request/failure/cause.go
@@ -1,4 +1,4 @@
-package attempt
+package failure
 
 import (
 	"context"
@@ -25,17 +25,18 @@
 	h1.ErrConnect, h1.ErrSilent,
 	stream.ErrTarget, stream.ErrMalformed, stream.ErrTooLong, stream.ErrCaller,
 	context.Canceled, context.DeadlineExceeded,
-	io.ErrUnexpectedEOF, io.EOF,
 	stream.ErrCut,
 }
 
-// cause describes err for a log line.
+const ended = "the connection ended"
+
+// Cause describes err for a log line.
 //
 // The guard is against content in the log: targets quote the prompt in their
 // errors, net/http quotes what it can't parse, and an URL holds the caller's
 // query. So no error's text is taken but those that are known; of any other
 // one the type is named.
-func cause(err error) string {
+func Cause(err error) string {
 	var own Detail
 	if errors.As(err, &own) {
 		return own.Error()
@@ -52,6 +53,8 @@
 	switch {
 	case errors.As(err, &errno):
 		return join(text, errno.Error())
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return join(text, ended)
 	case errors.As(err, &op):
 		return join(text, op.Op)
 	case text != "":
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/dispatch"
+	"github.com/pomelospool/pomelospool/request/limit"
 	"github.com/pomelospool/pomelospool/version/inforce"
 	"github.com/pomelospool/pomelospool/version/route"
 )
@@ -114,7 +115,7 @@
 	if svc == nil {
 		return nil, code.New(code.NoTarget, "route %q names a service that the configuration lacks", r.Name).After(noConfigurationAfter)
 	}
-	body, err := readBody(x.w, x.req, cfg.Limits)
+	body, err := limit.ReadBody(x.w, x.req, bodyBytes(cfg.Limits), bodyTime)
 	if err != nil {
 		return nil, err
 	}
@@ -134,6 +135,20 @@
 	return c, nil
 }
 
+const (
+	// bodyTime bounds the reading of a body.
+	bodyTime = 10 * time.Second
+	// defaultBody is the largest body while the configuration names none.
+	defaultBody = 8 << 20
+)
+
+func bodyBytes(l route.Limits) int64 {
+	if l.BodyBytes > 0 {
+		return l.BodyBytes
+	}
+	return defaultBody
+}
+
 // noConfigurationAfter is when a caller may come back to a daemon that has
 // just started: it reads the configuration some milliseconds later.
 const noConfigurationAfter = 300 * time.Millisecond
--- a/request/ingress/ingress_test.go
+++ b/request/ingress/ingress_test.go
@@ -20,6 +20,8 @@
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/platform/standin"
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/request/answer"
+	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/dispatch"
 	"github.com/pomelospool/pomelospool/version/inforce"
 	"github.com/pomelospool/pomelospool/version/route"
@@ -91,7 +93,7 @@
 		Runner: dispatch.New(dispatch.Options{
 			Wire: platform.Wire{}, Pool: pool, Targets: r, Control: noControl{},
 			Engines: engines.New(time.Now, func() {}), Health: health.New(time.Now, nil),
-			Budget: dispatch.NewBudget(dispatch.BudgetOptions{Slack: 10, Window: 10 * time.Second, Daemons: func() int { return 1 }, Now: time.Now}),
+			Budget: budget.NewFleet(budget.FleetOptions{Slack: 10, Window: 10 * time.Second, Daemons: func() int { return 1 }, Now: time.Now}),
 		}),
 	})
 	r.srv = httptest.NewServer(r.Ingress)
@@ -123,7 +125,7 @@
 func TestAnswersArePassedOnUnchanged(t *testing.T) {
 	r := start(t, true)
 	resp, body := r.do(t, "POST", "/p/x?y=%20", "a.example", ask("r1"), "hello")
-	if resp.StatusCode != 200 || body != "answer to r1" || resp.Header.Get(headerCode) != "" {
+	if resp.StatusCode != 200 || body != "answer to r1" || resp.Header.Get(answer.HeaderCode) != "" {
 		t.Errorf("status %d, body %q", resp.StatusCode, body)
 	}
 	if o := <-r.seen; o.Route != "plain" || o.Code != code.OK {
@@ -154,12 +156,17 @@
 		t.Run(tc.name, func(t *testing.T) {
 			r := start(t, true)
 			resp, body := r.do(t, "POST", tc.path, tc.host, tc.h, tc.body)
-			var e errorBody
+			var e struct {
+				Error struct {
+					Code   int  `json:"code"`
+					NotRun bool `json:"not_run"`
+				} `json:"error"`
+			}
 			if err := json.Unmarshal([]byte(body), &e); err != nil {
 				t.Fatal(err)
 			}
-			if resp.StatusCode != tc.status || e.Code != int(tc.code) || !e.NotRun {
-				t.Errorf("status %d, %+v", resp.StatusCode, e)
+			if resp.StatusCode != tc.status || e.Error.Code != int(tc.code) || !e.Error.NotRun {
+				t.Errorf("status %d, %s", resp.StatusCode, body)
 			}
 			if len(r.plain.Ran()) != 0 {
 				t.Error("it ran")
--- a/request/limit/limit.go
+++ b/request/limit/limit.go
@@ -50,9 +50,13 @@
 // for as long as it pleases; the read deadline covers the whole body, so
 // dripping bytes doesn't extend it.
 func ReadBody(w http.ResponseWriter, req *http.Request, max int64, wait time.Duration) ([]byte, error) {
+	if req.ContentLength == 0 && len(req.TransferEncoding) == 0 {
+		return nil, nil
+	}
 	if req.ContentLength > max {
 		return nil, code.New(code.BodyTooLarge, "%d bytes, at most %d", req.ContentLength, max)
 	}
+	// Deadlines fail on writers without a connection only, as in tests.
 	ctl := http.NewResponseController(w)
 	_ = ctl.SetReadDeadline(time.Now().Add(wait))
 	body, err := readAll(http.MaxBytesReader(w, req.Body, max), req.ContentLength)
