--- /dev/null
+++ b/bench/soak/planted_test.go
@@ -0,0 +1,124 @@
+package soak
+
+import (
+	"encoding/json"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+var planted = flag.Bool("soak.planted", false, "build daemons with planted faults and look whether each is found")
+
+// edit replaces a text of a source file, for one build.
+type edit struct{ file, old, new string }
+
+// A soak that finds nothing may be blind. Each of these faults is built into
+// the daemons, and must be found by what callers and targets see.
+func TestPlantedFaults(t *testing.T) {
+	if !*planted {
+		t.Log("not asked for: -soak.planted")
+		return
+	}
+	cases := []struct {
+		name  string
+		edits []edit
+		plan  []Event
+		want  string
+	}{
+		{"calls that may run once are repeated", []edit{
+			{"request/dispatch/send.go", "case f.MayHaveRun() && !u.c.Route.Idempotent():", "case false:"},
+			{"request/dispatch/send.go", "|| u.ran >= u.c.Route.Attempts", ""},
+		}, onAll(SpoilTarget, spoilFail), "ran twice"},
+		{"what ran is called not run", []edit{
+			{"request/dispatch/failure.go", "case u.ran > 0:", "case false:"},
+		}, onAll(SpoilTarget, spoilFail), "told that it didn't run"},
+		{"a cut stream ends as if whole", []edit{
+			{"request/ingress/ingress.go", "if x.begun && err != nil {", "if false {"},
+		}, onAll(SpoilTarget, spoilCut), "isn't whole"},
+		{"an answer is taken for whoever asks next", []edit{
+			{"request/dispatch/send.go", "Mine:   u.mine,", ""},
+		}, onAll(SpoilTarget, spoilExtra), "another's"},
+		{"a planned stop cuts", []edit{
+			{"process/front/stop.go", "_ = d.callers.http.Shutdown(ctx)", "_ = d.callers.http.Close()"},
+			{"process/front/stop.go", "_ = pause.For(ctx, min(keptFactor*addressTTL+newsTime, limit/2))", ""},
+		}, onAll(StopDaemon, 0), "cut, though"},
+		{"requests outlive their deadline", []edit{
+			{"request/dispatch/call.go", "ctx, cancel := context.WithDeadline(ctx, c.GiveUp)", "ctx, cancel := context.WithCancel(ctx)"},
+		}, onAll(SpoilTarget, spoilMute), "no end"},
+		{"the store is given up after a failure", []edit{
+			{"process/topic/follower.go", "f.o.Sink.Lost(err)", "f.o.Sink.Lost(err); <-f.tomb.Dying()"},
+		}, append([]Event{{At: 0, For: time.Second, Kind: FailStore, How: failReset}}, onAll(KillTarget, 0)...), "isn't well"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			program := build(t, t.TempDir(), plant(t, tc.edits))
+			faults, sums := soak(t, trial{seed: 1, program: program, plan: tc.plan, length: plantedLength, settle: plantedSettle, grace: plantedGrace})
+			if !strings.Contains(strings.Join(faults, "\n"), tc.want) {
+				t.Errorf("not found, %+v: %v", sums, faults)
+			}
+		})
+	}
+}
+
+const (
+	// plantedLength is the length of a trial: requests that never end are
+	// noticed patience and grace after they begin.
+	plantedLength = 9 * time.Second
+	plantedSettle = 5 * time.Second
+	plantedGrace  = 3 * time.Second
+)
+
+// onAll disturbs all daemons or targets for two seconds, after a second.
+func onAll(kind Kind, how int) (plan []Event) {
+	count := defaultTargets
+	if kind == StopDaemon {
+		count = defaultDaemons
+	}
+	for i := range count {
+		plan = append(plan, Event{At: time.Second, For: 2 * time.Second, Kind: kind, On: i, How: how})
+	}
+	return plan
+}
+
+// plant writes changed copies of source files and the overlay that names them.
+func plant(t *testing.T, edits []edit) string {
+	t.Helper()
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	replace := make(map[string]string)
+	for _, e := range edits {
+		path := filepath.Join(root, e.file)
+		from := path
+		if changed, ok := replace[path]; ok {
+			from = changed
+		}
+		text, err := os.ReadFile(from)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.Count(string(text), e.old) == 0 {
+			t.Fatalf("%s has no %q", e.file, e.old)
+		}
+		to := filepath.Join(dir, strings.ReplaceAll(e.file, "/", "_"))
+		if err := os.WriteFile(to, []byte(strings.ReplaceAll(string(text), e.old, e.new)), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		replace[path] = to
+	}
+	overlay := filepath.Join(dir, "overlay.json")
+	data, err := json.Marshal(map[string]any{"Replace": replace})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(overlay, data, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	return overlay
+}
