pomelosctl check reads the deploy file and the settings template

A wrong key in deploy/system.toml or a field that the platform doesn't have in the template shows only when the platform starts the daemons. check takes NAME.toml and NAME.tmpl now: unknown keys, roles without a program, shares that don't fit, two roles of a class that serve the same, nobody who tells addresses; the template is filled with example values and checked as settings.

--- a/operator/ctl/check.go
+++ b/operator/ctl/check.go
@@ -7,12 +7,15 @@
 	"gopkg.in/yaml.v3"
 
 	"github.com/pomelospool/pomelospool/internal/yamlcheck"
+	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/process/settings"
 	"github.com/pomelospool/pomelospool/version/document"
 )
 
 const checkHelp = `Checks files without a network. A file with one of the keys vm, listen or
-platform is taken for daemon settings, any other for a service document.
+platform is taken for daemon settings, any other for a service document; NAME.toml
+for the deploy file of a platform with a store, NAME.tmpl for the template of its
+settings, which is filled with example values.
 Each problem is one line: FILE:LINE:COLUMN: KEY: what is wrong; what would be
 right (code).`
 
@@ -26,7 +29,7 @@
 // checkReport is the JSON of check, one for each file.
 type checkReport struct {
 	File     string               `json:"file"`
-	Kind     string               `json:"kind"` // document or settings
+	Kind     string               `json:"kind"` // document, settings, deploy file or template
 	Problems []*yamlcheck.Problem `json:"problems"`
 }
 
@@ -74,16 +77,33 @@
 	}
 	r := checkReport{File: file, Kind: "document", Problems: []*yamlcheck.Problem{}}
 	var problems []*yamlcheck.Problem
-	if isSettings(data) {
+	switch {
+	case platform.IsDeploy(file):
+		r.Kind = "deploy file"
+		problems = platform.CheckDeploy(file, data)
+	case platform.IsTemplate(file):
+		r.Kind = "template"
+		problems = checkTemplate(file, data)
+	case isSettings(data):
 		r.Kind = "settings"
 		_, problems = settings.Parse(file, data)
-	} else {
+	default:
 		_, problems = document.Parse(file, data)
 	}
 	r.Problems = append(r.Problems, problems...)
 	return r, nil
 }
 
+// checkTemplate fills a template and checks the settings that come of it.
+func checkTemplate(file string, data []byte) []*yamlcheck.Problem {
+	filled, problems := platform.FillTemplate(file, data)
+	if len(problems) > 0 {
+		return problems
+	}
+	_, problems = settings.Parse(file, filled)
+	return problems
+}
+
 // isSettings tells settings from a document by their top keys. A file that
 // doesn't parse counts as a document, whose check then says why.
 func isSettings(data []byte) bool {
--- a/operator/ctl/ctl_test.go
+++ b/operator/ctl/ctl_test.go
@@ -89,6 +89,7 @@
 	}{
 		{"check ../../examples/halen-application.yaml ../../examples/pomelospoold.yaml", ExitOK, "valid document\n.*valid settings"},
 		{"check ../../process/settings/testdata/bad/missing.yaml", ExitFailed, `missing.yaml:1:1: zone: is missing; add the key \(code 4005\)`},
+		{"check ../../deploy/system.toml ../../deploy/settings.yaml.tmpl", ExitOK, "valid deploy file\n.*valid template"},
 		{"check none.yaml", ExitFailed, "no such file"},
 		{"publish ../../examples/halen-application.yaml --wait", ExitOK, "version 1 accepted on base 0\n.* in force on 1 of 1 daemons"},
 		{"publish ../../examples/halen-application.yaml", ExitOK, "in force already, version 1"},
