Settings and a topic that nothing read are gone

store.reads, store.writes, bounds.heartbeat and port.TopicCrashes were filled in or reserved and read by no code: an operator who set them would have believed in a bound that nothing kept. The template names them no more; a settings file that does is refused with the key and what is known there.

Ruled out: giving reads and writes a meaning.

--- a/port/store.go
+++ b/port/store.go
@@ -18,7 +18,6 @@
 	TopicTargets              // targets announce themselves; read only
 	TopicDaemons              // daemons announce themselves
 	TopicClaims               // claims to give orders, one key a service
-	TopicCrashes              // content that crashed targets, by fingerprint
 )
 
 // KeyedRecord is one record of a keyed topic.
--- a/process/settings/load.go
+++ b/process/settings/load.go
@@ -64,7 +64,6 @@
 			ReadBody:    30 * time.Second,
 			BufferBytes: 256 << 10,
 		},
-		Store: Store{Reads: 2000, Writes: 400},
 		Bounds: Bounds{
 			Grace:       8 * time.Second,
 			Lease:       3 * time.Second,
@@ -74,7 +73,6 @@
 			RetryWindow: 10 * time.Second,
 			ApplyConfig: 2 * time.Second,
 			Drain:       2 * time.Second,
-			Heartbeat:   1200 * time.Millisecond,
 		},
 		Log: Log{Level: "info", Format: "text"},
 	}
--- a/process/settings/store.go
+++ b/process/settings/store.go
@@ -7,8 +7,6 @@
 
 // Bounds of the values beside a store.
 const (
-	minCalls   = 1.0
-	maxCalls   = 1_000_000.0
 	maxRatio   = 10.0
 	maxSlack   = 1_000_000.0
 	noFraction = 0.0
@@ -32,8 +30,6 @@
 			f.Addr(one.path, one.addr, true)
 		}
 	}
-	yamlcheck.Range(f, "store.reads", s.Store.Reads, minCalls, maxCalls)
-	yamlcheck.Range(f, "store.writes", s.Store.Writes, minCalls, maxCalls)
 	b := s.Bounds
 	f.Duration("bounds.grace", b.Grace, minTime, maxTime)
 	f.Duration("bounds.lease", b.Lease, minTime, maxTime)
@@ -41,7 +37,6 @@
 	f.Duration("bounds.retry_window", b.RetryWindow, minTime, maxTime)
 	f.Duration("bounds.apply_config", b.ApplyConfig, minTime, maxTime)
 	f.Duration("bounds.drain", b.Drain, minTime, maxTime)
-	f.Duration("bounds.heartbeat", b.Heartbeat, minTime, maxTime)
 	yamlcheck.Range(f, "bounds.retry_ratio", b.RetryRatio, noFraction, maxRatio)
 	yamlcheck.Range(f, "bounds.retry_slack", b.RetrySlack, noFraction, maxSlack)
 }
--- a/process/settings/types.go
+++ b/process/settings/types.go
@@ -32,11 +32,9 @@
 	Addresses string `yaml:"addresses,omitempty"`
 }
 
-// Store is the platform's store, and its limits over all daemons together.
+// Store is the platform's store.
 type Store struct {
-	Addr   string  `yaml:"addr"`             // host:port
-	Reads  float64 `yaml:"reads,omitempty"`  // read calls a second; 2000
-	Writes float64 `yaml:"writes,omitempty"` // write calls a second; 400
+	Addr string `yaml:"addr"` // host:port
 }
 
 // Bounds are what the operators promise and ask of all daemons together.
@@ -49,7 +47,6 @@
 	RetryWindow time.Duration `yaml:"retry_window,omitempty"` // 10s
 	ApplyConfig time.Duration `yaml:"apply_config,omitempty"` // until a version is in force; 2s
 	Drain       time.Duration `yaml:"drain,omitempty"`        // until a leaving target gets no new work; 2s
-	Heartbeat   time.Duration `yaml:"heartbeat,omitempty"`    // between the entries of one target; 1.2s
 }
 
 // Platform holds the base URLs of the platform's services.
