Daemons that start while the store is away take its records from others

Each that comes back has no configuration and isn't ready until the store is, though those that run know both topics whole.

Change: relay.Tail keeps the newest record of each key; a listing that the store doesn't give is asked of up to two daemons that take requests. The topic stays noted as lost, so that the daemon doesn't try to lead, and reads go on from the listing's end. Claims are never taken from others.

Ruled out: reading records from others too while only this daemon is cut off from the store; it would count as in touch and keep the duty that it can't do.

Without the change TestStartBesideOthersWhileTheStoreIsAway never ends and TestListingOfAnotherDaemon fails.

--- a/port/store.go
+++ b/port/store.go
@@ -33,6 +33,7 @@
 	Records []KeyedRecord
 	More    bool
 	End     int64 // offset after the newest record when the page was made
+	Relayed bool  // another daemon gave it, since the store couldn't be read
 }
 
 // Store keeps what must outlast every process. Its writes may have had an
--- a/process/front/front_test.go
+++ b/process/front/front_test.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"github.com/pomelospool/pomelospool/platform/standin"
+	"github.com/pomelospool/pomelospool/process/relay"
 	"github.com/pomelospool/pomelospool/process/settings"
 )
 
@@ -58,8 +59,17 @@
 bounds: {grace: 2s}
 `
 
-func (s *site) start() *Daemon {
-	parsed, problems := settings.Parse("test", []byte(strings.ReplaceAll(settingsText, "STORE", s.addr)))
+func (s *site) start() *Daemon { return s.startWith(settingsText) }
+
+func (s *site) startWith(text string) *Daemon {
+	d := s.launch(text)
+	s.await(func() bool { return s.status(d, "ready", standin.ReadyPath) == http.StatusOK })
+	return d
+}
+
+// launch starts a daemon and doesn't wait for it.
+func (s *site) launch(text string) *Daemon {
+	parsed, problems := settings.Parse("test", []byte(strings.ReplaceAll(text, "STORE", s.addr)))
 	if len(problems) > 0 {
 		s.t.Fatal(problems)
 	}
@@ -69,7 +79,6 @@
 	}
 	d.Start()
 	s.t.Cleanup(d.close)
-	s.await(func() bool { return s.status(d, "ready", standin.ReadyPath) == http.StatusOK })
 	return d
 }
 
@@ -170,6 +179,28 @@
 	s.await(func() bool { status, _ := s.ask(d, "/p/x", "r2", ""); return status == 200 })
 }
 
+// Daemons are started again one after the other while the store is away. Each
+// takes configuration and targets from one that runs, and serves: else callers
+// find nobody until the store is back.
+func TestStartBesideOthersWhileTheStoreIsAway(t *testing.T) {
+	s := newSite(t)
+	s.start()
+	text := strings.Replace(settingsText, "vm: vm-1", "vm: vm-2", 1)
+	again := s.startWith(text)
+	s.await(func() bool { return len(again.roster.ReadyPeers()) == 1 })
+	text = strings.Replace(text, `peers: "127.0.0.1:0"`, `peers: "`+again.addr("peers")+`"`, 1)
+	again.close()
+	s.store.SetMode(standin.Busy)
+	d := s.launch(text)
+	s.await(func() bool { status, _ := s.ask(d, "/p/x", "r1", ""); return status == 200 })
+	if !d.storeAway.Load() {
+		t.Error("the store doesn't count as away: the daemon would try to lead")
+	}
+	s.store.SetMode(standin.Up)
+	s.store.Configure(2, "/q/")
+	s.await(func() bool { status, _ := s.ask(d, "/q/x", "r2", ""); return status == 200 })
+}
+
 // A planned stop cuts a stream that began before it.
 func TestPlannedStopCutsNothing(t *testing.T) {
 	s := newSite(t)
@@ -209,3 +240,27 @@
 		t.Errorf("a leaving target may get work for %v of %v", got, d.s.Bounds.Drain)
 	}
 }
+
+// Ninety daemons read the store as often as six and every call is paid for; or
+// they read it so seldom that a leaving target gets work beyond its time.
+func TestPaceOfReads(t *testing.T) {
+	cases := []struct {
+		name  string
+		from  relay.Source
+		known int
+		drain time.Duration
+		want  time.Duration
+	}{
+		{"a small fleet", relay.Own, 6, 2 * time.Second, targetsPace},
+		{"asks a reader", relay.Relayed, 90, 2 * time.Second, targetsPace},
+		{"a reader", relay.Own, 90, 3 * time.Second, readerPace},
+		{"a reader, short times", relay.Own, 90, time.Second, 450 * time.Millisecond},
+		{"its reader failed", relay.Fallback, 90, 3 * time.Second, 1350 * time.Millisecond},
+		{"its reader failed, thirty", relay.Fallback, 32, 3 * time.Second, 2 * targetsPace},
+	}
+	for _, tc := range cases {
+		if got := pace(tc.from, tc.known, tc.drain); got != tc.want {
+			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
--- a/process/relay/relay.go
+++ b/process/relay/relay.go
@@ -1,19 +1,21 @@
 // Package relay lets few daemons of a large fleet read the store and pass its
 // records on to the others. Every call to the store is paid for: at 90 daemons
 // reads were the dearest item, 0.05 of worth. A daemon whose reader fails reads
-// the store itself.
+// the store itself. A daemon that starts while the store is away takes from
+// another one what that has read.
 package relay
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/uptrace/bunrouter"
 
@@ -41,15 +43,16 @@
 	next topic.Sink
 
 	mu      sync.Mutex
-	records []port.KeyedRecord // without gaps
-	end     int64              // offset after the newest; -1: not known
+	newest  map[string]port.KeyedRecord // of each key
+	records []port.KeyedRecord          // without gaps
+	end     int64                       // offset after the newest; -1: not known
 	changed chan struct{}
 	lost    bool
 }
 
 // NewTail returns a Tail that hands all on to next.
 func NewTail(next topic.Sink) *Tail {
-	return &Tail{next: next, end: -1, changed: make(chan struct{})}
+	return &Tail{next: next, end: -1, changed: make(chan struct{}), newest: make(map[string]port.KeyedRecord)}
 }
 
 // Reset implements topic.Sink. A listing lacks the records that newer ones of
@@ -57,10 +60,34 @@
 func (t *Tail) Reset(records []port.KeyedRecord, next int64) {
 	t.mu.Lock()
 	t.records, t.end = nil, next
+	clear(t.newest)
+	t.note(records)
 	t.mu.Unlock()
 	t.next.Reset(records, next)
 }
 
+// note keeps the newest record of each key. Callers hold t.mu.
+func (t *Tail) note(records []port.KeyedRecord) {
+	for _, r := range records {
+		if r.Value == nil {
+			delete(t.newest, r.Key)
+			continue
+		}
+		t.newest[r.Key] = r
+	}
+}
+
+// listing is the topic as this daemon knows it; false: it never read it whole.
+func (t *Tail) listing() (port.KeyedPage, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	page := port.KeyedPage{End: t.end, Relayed: true}
+	for _, r := range t.newest {
+		page.Records = append(page.Records, r)
+	}
+	return page, t.end >= 0
+}
+
 // Apply implements topic.Sink.
 func (t *Tail) Apply(records []port.KeyedRecord) {
 	t.next.Apply(records)
@@ -69,6 +96,7 @@
 	if t.end != records[0].Offset {
 		t.records = nil
 	}
+	t.note(records)
 	t.records = append(t.records, records...)
 	if over := len(t.records) - keep; over > 0 {
 		t.records = append([]port.KeyedRecord(nil), t.records[over:]...)
@@ -129,6 +157,20 @@
 // Handler answers the other daemons' reads.
 func Handler(tails map[port.Topic]*Tail) http.Handler {
 	r := bunrouter.New()
+	r.GET("/listing", func(w http.ResponseWriter, req bunrouter.Request) error {
+		name, err := strconv.Atoi(req.URL.Query().Get("topic"))
+		tail := tails[port.Topic(name)]
+		if err != nil || tail == nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return nil
+		}
+		page, ok := tail.listing()
+		if !ok {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return nil
+		}
+		return writeCBOR(w, page)
+	})
 	r.GET("/records", func(w http.ResponseWriter, req bunrouter.Request) error {
 		q := req.URL.Query()
 		name, err1 := strconv.Atoi(q.Get("topic"))
@@ -144,22 +186,27 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return nil
 		}
-		data, err := cbor.Marshal(records)
-		if err != nil {
-			return fmt.Errorf("relay: %w", err)
-		}
-		_, err = w.Write(data)
-		return err
+		return writeCBOR(w, records)
 	})
 	return r
 }
 
+func writeCBOR(w http.ResponseWriter, v any) error {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("relay: %w", err)
+	}
+	_, err = w.Write(data)
+	return err
+}
+
 // Store is a port.Store whose reads of some topics go to a reader while there
 // is one.
 type Store struct {
 	port.Store
 	topics map[port.Topic]bool
-	reader func() string // address of this daemon's reader, empty: itself
+	reader func() string   // address of this daemon's reader, empty: itself
+	peers  func() []string // addresses of the other daemons that take requests
 	client *http.Client
 	now    func() time.Time
 
@@ -167,13 +214,31 @@
 	until time.Time // the store is read directly until then
 }
 
-// Direct tells whether reads go to the store although there is a reader.
-func (s *Store) Direct() bool { return s.reader() != "" && s.distrusted() }
+// Source is where reads go now.
+type Source int
+
+// The sources.
+const (
+	Own      Source = iota // the store: this daemon is a reader, or the fleet is small
+	Relayed                // another daemon
+	Fallback               // the store, since the reader failed
+)
+
+// Source tells where reads go now.
+func (s *Store) Source() Source {
+	switch {
+	case s.reader() == "":
+		return Own
+	case s.distrusted():
+		return Fallback
+	}
+	return Relayed
+}
 
 // NewStore returns a Store over s. reader names the daemon to ask for the
-// topics, empty for none.
-func NewStore(s port.Store, reader func() string, topics ...port.Topic) *Store {
-	out := &Store{Store: s, topics: make(map[port.Topic]bool), reader: reader, client: &http.Client{}, now: time.Now}
+// topics, empty for none; peers those that may be asked while the store is away.
+func NewStore(s port.Store, reader func() string, peers func() []string, topics ...port.Topic) *Store {
+	out := &Store{Store: s, topics: make(map[port.Topic]bool), reader: reader, peers: peers, client: &http.Client{}, now: time.Now}
 	for _, t := range topics {
 		out.topics[t] = true
 	}
@@ -196,6 +261,41 @@
 	return s.Store.Read(ctx, t, from, 0)
 }
 
+// maxAsked is the number of daemons that are asked for one listing.
+const maxAsked = 2
+
+// Newest returns newest records from the store, or from another daemon while
+// the store is away.
+//
+// The failure it stops: daemons are started again one after the other while
+// the store is away, and none of them serves until it is back. Those that run
+// know all that is needed.
+func (s *Store) Newest(ctx context.Context, t port.Topic, after string) (port.KeyedPage, error) {
+	page, err := s.Store.Newest(ctx, t, after)
+	if err == nil || !s.topics[t] || after != "" {
+		return page, err
+	}
+	peers := s.peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, addr := range peers[:min(len(peers), maxAsked)] {
+		other, perr := s.listing(ctx, addr, t)
+		if perr == nil {
+			log.WithFields(log.Fields{"topic": int(t), "from": addr, "next": other.End}).WithError(err).Info("relay: listed by another daemon")
+			return other, nil
+		}
+		log.WithError(perr).WithField("from", addr).Debug("relay: no listing")
+	}
+	return page, err
+}
+
+func (s *Store) listing(ctx context.Context, addr string, t port.Topic) (port.KeyedPage, error) {
+	ctx, cancel := context.WithTimeout(ctx, hopTimeout)
+	defer cancel()
+	var page port.KeyedPage
+	err := s.get(ctx, fmt.Sprintf("http://%s/listing?topic=%d", addr, t), &page)
+	return page, err
+}
+
 func (s *Store) distrusted() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -205,26 +305,27 @@
 func (s *Store) ask(ctx context.Context, addr string, t port.Topic, from int64, wait time.Duration) ([]port.KeyedRecord, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+hopTimeout)
 	defer cancel()
-	url := fmt.Sprintf("http://%s/records?topic=%d&from=%d&wait_ms=%d", addr, t, from, wait.Milliseconds())
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	var out []port.KeyedRecord
+	err := s.get(ctx, fmt.Sprintf("http://%s/records?topic=%d&from=%d&wait_ms=%d", addr, t, from, wait.Milliseconds()), &out)
+	return out, err
+}
+
+// get reads another daemon's answer into out.
+func (s *Store) get(ctx context.Context, url string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
-		return nil, fmt.Errorf("relay: %w", err)
+		return fmt.Errorf("relay: %w", err)
 	}
 	resp, err := s.client.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("relay: %w", err)
+		return fmt.Errorf("relay: %w", err)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
-	if err != nil {
-		return nil, fmt.Errorf("relay: %w", err)
-	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("relay: status %d", resp.StatusCode)
+		return fmt.Errorf("relay: status %d", resp.StatusCode)
 	}
-	var out []port.KeyedRecord
-	if err := cbor.NewDecoder(bytes.NewReader(data)).Decode(&out); err != nil {
-		return nil, fmt.Errorf("relay: %w", err)
+	if err := cbor.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(out); err != nil {
+		return fmt.Errorf("relay: %w", err)
 	}
-	return out, nil
+	return nil
 }
--- a/process/relay/relay_test.go
+++ b/process/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -15,6 +16,11 @@
 type direct struct {
 	port.Store
 	reads int
+	away  error // of listings
+}
+
+func (d *direct) Newest(context.Context, port.Topic, string) (port.KeyedPage, error) {
+	return port.KeyedPage{Records: []port.KeyedRecord{{Key: "from the store"}}}, d.away
 }
 
 func (d *direct) Read(context.Context, port.Topic, int64, time.Duration) ([]port.KeyedRecord, error) {
@@ -40,7 +46,40 @@
 	srv := httptest.NewServer(Handler(map[port.Topic]*Tail{port.TopicTargets: tail}))
 	t.Cleanup(srv.Close)
 	d := &direct{}
-	return tail, NewStore(d, func() string { return strings.TrimPrefix(srv.URL, "http://") }, port.TopicTargets), d
+	addr := strings.TrimPrefix(srv.URL, "http://")
+	nobody := "127.0.0.1:1"
+	return tail, NewStore(d, func() string { return addr }, func() []string { return []string{addr, nobody} }, port.TopicTargets), d
+}
+
+// All daemons are started again one after the other while the store is away.
+// None serves until it is back, though those that run know all it takes; or
+// one starts with a listing that lacks what changed, or knows what was dropped.
+func TestListingOfAnotherDaemon(t *testing.T) {
+	tail, s, d := pair(t)
+	away := errors.New("the store is away")
+	d.away = away
+	if _, err := s.Newest(t.Context(), port.TopicTargets, ""); !errors.Is(err, away) {
+		t.Errorf("a daemon that read nothing gave a listing: %v", err)
+	}
+	tail.Reset([]port.KeyedRecord{record(1, "stays"), record(2, "changes"), record(3, "goes")}, 5)
+	tail.Apply([]port.KeyedRecord{record(5, "changes"), {Key: "goes", Offset: 6}, record(7, "new")})
+	tail.Lost(away)
+	page, err := s.Newest(t.Context(), port.TopicTargets, "")
+	got := make(map[string]int64)
+	for _, r := range page.Records {
+		got[r.Key] = r.Offset
+	}
+	want := map[string]int64{"stays": 1, "changes": 5, "new": 7}
+	if err != nil || !page.Relayed || page.More || page.End != 8 || !maps.Equal(got, want) {
+		t.Errorf("%+v, %v", page, err)
+	}
+	if _, err := s.Newest(t.Context(), port.TopicClaims, ""); !errors.Is(err, away) {
+		t.Errorf("claims were listed by another daemon: %v", err)
+	}
+	d.away = nil
+	if page, err := s.Newest(t.Context(), port.TopicTargets, ""); err != nil || page.Relayed {
+		t.Errorf("with the store there: %+v, %v", page, err)
+	}
 }
 
 func TestRecordsComeFromTheReader(t *testing.T) {
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -252,6 +252,17 @@
 	return append([]Member{r.self}, out...)
 }
 
+// ReadyPeers returns the peer addresses of the other daemons that take requests.
+func (r *Roster) ReadyPeers() []string {
+	var out []string
+	for _, m := range r.Members()[1:] {
+		if m.State == Ready || m.State == Leaving {
+			out = append(out, m.PeerAddr)
+		}
+	}
+	return out
+}
+
 // Known is the number of daemons that were heard of lately, dead ones and this
 // one included.
 func (r *Roster) Known() int {
--- a/process/topic/follower.go
+++ b/process/topic/follower.go
@@ -129,6 +129,7 @@
 func (f *Follower) list(ctx context.Context) error {
 	var all []port.KeyedRecord
 	var end int64
+	relayed := false
 	after := ""
 	for n := range maxPages {
 		page, err := f.o.Store.Newest(ctx, f.o.Topic, after)
@@ -136,7 +137,7 @@
 			return err
 		}
 		if n == 0 {
-			end = page.End
+			end, relayed = page.End, page.Relayed
 		}
 		all = append(all, page.Records...)
 		if !page.More || len(page.Records) == 0 {
@@ -150,6 +151,9 @@
 	f.next, f.placed = end, true
 	log.WithFields(log.Fields{"topic": f.o.Name, "records": len(all), "newest": newest(all), "next": end}).Info("topic: listed")
 	f.o.Sink.Reset(all, end)
+	if relayed {
+		return errRelayed
+	}
 	return nil
 }
 
@@ -162,7 +166,12 @@
 	return top
 }
 
-var errStale = errors.New("topic: the listing is older than what was read")
+var (
+	errStale = errors.New("topic: the listing is older than what was read")
+	// errRelayed keeps the store noted as lost after a listing that another
+	// daemon gave.
+	errRelayed = errors.New("topic: listed by another daemon, the store can't be read")
+)
 
 func (f *Follower) report(err error) {
 	switch {
