Placement in large fleets: new prompts meet, idle connections are preferred

News of a read takes up to 0.7 s to all of 90 daemons; meanwhile each sends the part's next prompt to another engine. And 13,975 connections were opened for 44,778 requests: which engine has an idle connection counted for nothing.

Change: while nobody is known to keep a prompt's shared part, all daemons send it to the engine that its hash names, unless half of the time to read it is lost there by waiting; who goes elsewhere has the prompt fetched from there by guess (a fetch of nothing costs nothing). The old pull by hash, 80 ms for any prompt in a fleet of engines, goes. An engine without an idle connection costs 8 ms.

The request's line says shared_tokens and fetch_guessed, by which this was found.

--- a/connection/h1/h1_test.go
+++ b/connection/h1/h1_test.go
@@ -291,6 +291,24 @@
 	return err
 }
 
+// A target is preferred for a connection that it closes in the next moment.
+func TestWarm(t *testing.T) {
+	bubble(t, func(t *testing.T, n *pipenet.Net, p *Pool) {
+		n.Raw("a:1", answer(func(int, *http.Request) string { return ok("x") }))
+		if p.Warm("a:1", "t") {
+			t.Error("warm before the first request")
+		}
+		mustGet(t, p, false, "x")
+		if !p.Warm("a:1", "t") || p.Warm("a:1", "another") {
+			t.Error("an idle connection isn't known, or to whom it goes")
+		}
+		_ = pause.For(context.Background(), defaultIdle)
+		if p.Warm("a:1", "t") {
+			t.Error("warm with a connection that was idle for long")
+		}
+	})
+}
+
 // A caller that reads a long answer slowly is no silent target.
 func TestSlowReaderIsNoSilence(t *testing.T) {
 	bubble(t, func(t *testing.T, n *pipenet.Net, p *Pool) {
--- a/connection/h1/pool.go
+++ b/connection/h1/pool.go
@@ -135,15 +135,31 @@
 // came that answer nothing (they would be taken for the next answer), and it
 // is about to be closed by the target's idle timeout.
 func (c *conn) good(now time.Time, reuse Reuse) bool {
-	idle := now.Sub(c.used)
-	limit := c.limit
-	if limit == 0 {
-		limit = defaultIdle
+	return now.Sub(c.used) < c.idleLimit(reuse) && c.reader.Buffered() == 0 && quiet(c.Conn)
+}
+
+// idleLimit is how long the connection may have been idle.
+func (c *conn) idleLimit(reuse Reuse) time.Duration {
+	switch {
+	case c.limit > 0:
+		return c.limit
+	case reuse == Recent:
+		return freshFor
 	}
-	if reuse == Recent && c.limit == 0 {
-		limit = freshFor
+	return defaultIdle
+}
+
+// Warm tells whether a request to a target would find an idle connection.
+func (p *Pool) Warm(addr, target string) bool {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[Key(addr, target)]
+	if len(list) == 0 {
+		return false
 	}
-	return idle < limit && c.reader.Buffered() == 0 && quiet(c.Conn)
+	c := list[len(list)-1]
+	return now.Sub(c.used) < c.idleLimit(Idle)
 }
 
 // put keeps a connection whose exchange ended whole.
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -107,8 +107,10 @@
 // Prefill says how the reading of a prompt was foreseen and went.
 type Prefill struct {
 	Prompt  int           // tokens of the prompt
+	Shared  int           // of them, those that other prompts may begin with too
 	Missing int           // of them, those that the engine had to read
 	Fetched int           // of them, those that it fetched from another engine
+	Guessed bool          // it was to fetch from an engine that might keep more
 	Wait    time.Duration // foreseen until it begins to read them
 	Read    time.Duration // foreseen for reading them
 	Took    time.Duration // in all
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -100,6 +100,9 @@
 	p.Tokens = u.c.Ask.Prompt
 	p.Zone = u.opts.Zone
 	p.priority = min(u.c.Route.Priority, latePriority-1)
+	for _, part := range p.parts[:max(len(p.parts)-1, 0)] {
+		p.Shared += part.Tokens
+	}
 	if len(p.parts) > 0 {
 		p.Seed = p.parts[max(len(p.parts)-2, 0)].ID // the last part is the request's own
 	}
@@ -199,6 +202,7 @@
 			Load:  t.load,
 			Rate:  u.opts.Health.Rate(t.ID),
 			Pace:  u.opts.Health.Pace(t.ID),
+			Warm:  u.opts.Pool.Warm(t.Addr, t.ID),
 		})
 	}
 	return out
@@ -216,7 +220,7 @@
 	done := u.opts.Engines.Prefill(to.ID, u.c.Service.Engine.KVTokens, p.parts, ch.Read)
 	defer done()
 	foreseen := m.Start + ch.Wait + ch.Read
-	u.trace.Prefill = Prefill{Prompt: p.Tokens, Missing: ch.Missing, Fetched: ch.Fetched, Wait: ch.Wait, Read: ch.Read}
+	u.trace.Prefill = Prefill{Prompt: p.Tokens, Shared: p.Shared, Missing: ch.Missing, Fetched: ch.Fetched, Guessed: ch.Guessed, Wait: ch.Wait, Read: ch.Read}
 	begun := time.Now()
 	resp, v, f := u.send(ctx, sending{
 		to:      to,
@@ -241,8 +245,11 @@
 	}
 	took := time.Since(begun)
 	u.trace.Prefill.Took = took
-	u.models.readIn(u.c.Service.Name, foreseen, took)
-	u.opts.Health.NotePace(to.ID, pace(foreseen, took))
+	if !ch.Guessed {
+		// What a guess fetched was foreseen as read: it would teach a wrong pace.
+		u.models.readIn(u.c.Service.Name, foreseen, took)
+		u.opts.Health.NotePace(to.ID, pace(foreseen, took))
+	}
 	u.ok(to.ID)
 	return prefilled{kv: &port.KVSource{Addr: to.Addr, Handle: handle}, zone: to.Zone, at: to.ID}, nil
 }
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -217,8 +217,10 @@
 	}
 	if p := x.trace.Prefill; p.Took > 0 {
 		fields["prompt_tokens"] = p.Prompt
+		fields["shared_tokens"] = p.Shared
 		fields["missing_tokens"] = p.Missing
 		fields["fetched_tokens"] = p.Fetched
+		fields["fetch_guessed"] = p.Guessed
 		fields["foreseen_wait_ms"] = p.Wait.Milliseconds()
 		fields["foreseen_read_ms"] = p.Read.Milliseconds()
 		fields["prefill_ms"] = p.Took.Milliseconds()
--- a/request/placement/decode.go
+++ b/request/placement/decode.go
@@ -37,6 +37,7 @@
 			cost += moveWeight * Move(e, max(p.Tokens-c.Load.Cached, 0), from == c.Entry.Zone)
 		}
 		cost += c.slower(foreseenFirst) - foreseenFirst
+		cost += c.dial()
 		cost += time.Duration(unit(p.Seed^uint64(i+1)) * float64(time.Millisecond))
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
--- a/request/placement/prefill.go
+++ b/request/placement/prefill.go
@@ -14,6 +14,7 @@
 	Load  engines.Load
 	Rate  float64 // share of its requests that failed lately
 	Pace  float64 // how often longer than foreseen it takes lately, 1: as foreseen
+	Warm  bool    // this process has an idle connection to it
 }
 
 // slower gives the time that the candidate is likely to take for one foreseen.
@@ -31,6 +32,7 @@
 // Prompt is what placement knows of a request.
 type Prompt struct {
 	Tokens int
+	Shared int    // of these, the leading ones that other prompts may begin with too
 	Zone   string // availability zone of the deciding daemon
 	Seed   uint64 // of the prompt's first part: equal prompts go to one engine
 }
@@ -43,6 +45,7 @@
 	Read    time.Duration // the fetch included
 	Fetch   int           // index of the source to fetch from, -1: none
 	Fetched int           // prompt tokens that are fetched
+	Guessed bool          // nobody said that the source keeps more of the prompt
 }
 
 const (
@@ -53,11 +56,6 @@
 	failPenalty = 800 * time.Millisecond
 	// tieSpread is the most that the prompt's hash adds to an engine's cost.
 	tieSpread = 4 * time.Millisecond
-	// manyEngines is the number of engines from which on the daemons know too
-	// little of each other's prompts, and equal prompts find each other by the
-	// hash alone, which then adds up to hashSpread.
-	manyEngines = 16
-	hashSpread  = 80 * time.Millisecond
 )
 
 const (
@@ -77,10 +75,7 @@
 	var bestCost time.Duration
 	keeper := keepsMost(sources)
 	near := inZone(cands, p.Zone)
-	spread := tieSpread
-	if len(cands) >= manyEngines {
-		spread = hashSpread
-	}
+	at := newHome(p, cands, sources, keeper)
 	for i := range cands {
 		c := &cands[i]
 		ch := Choice{At: i, Fetch: -1, Wait: c.slower(c.Load.Wait)}
@@ -101,14 +96,28 @@
 			cost += farCost
 		}
 		cost += time.Duration(c.Rate * float64(failPenalty))
-		cost += time.Duration(unit(p.Seed^engines.Hash(c.Entry.ID)) * float64(spread))
+		cost += time.Duration(unit(p.Seed^engines.Hash(c.Entry.ID)) * float64(tieSpread))
+		cost += at.cost(i, m)
+		cost += c.dial()
 		if best.At < 0 || cost < bestCost {
 			best, bestCost = ch, cost
 		}
 	}
+	at.guess(&best)
 	return best
 }
 
+// dialCost is what a new connection costs: a round trip and the target's
+// acceptance take 3 ms, and connections are paid for.
+const dialCost = 8 * time.Millisecond
+
+func (c *Candidate) dial() time.Duration {
+	if c.Warm {
+		return 0
+	}
+	return dialCost
+}
+
 const (
 	// manyNear is the number of engines in the daemon's availability zone from
 	// which on it keeps to them: of these it knows the others' work sooner, and
