--- a/bench/capacity/traffic.go
+++ b/bench/capacity/traffic.go
@@ -19,10 +19,10 @@
 	"github.com/pomelospool/pomelospool/request/admission"
 	"github.com/pomelospool/pomelospool/request/entry"
 	"github.com/pomelospool/pomelospool/request/routing"
-	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/standin/engine"
 	"github.com/pomelospool/pomelospool/standin/logsvc"
 	"github.com/pomelospool/pomelospool/version/document"
+	"github.com/pomelospool/pomelospool/version/view"
 )
 
 // Traffic is what requests and the watch over targets cost a daemon.
--- a/connection/load/load_test.go
+++ b/connection/load/load_test.go
@@ -17,8 +17,8 @@
 	"github.com/pomelospool/pomelospool/connection/pool"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/routing"
-	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/version/document"
+	"github.com/pomelospool/pomelospool/version/view"
 )
 
 // advance lets virtual time pass, in a synctest bubble.
--- a/connection/load/watcher.go
+++ b/connection/load/watcher.go
@@ -15,8 +15,8 @@
 	"github.com/pomelospool/pomelospool/connection/pool"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/routing"
-	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/version/document"
+	"github.com/pomelospool/pomelospool/version/view"
 )
 
 const (
--- a/operator/burnview/burnview_test.go
+++ b/operator/burnview/burnview_test.go
@@ -13,8 +13,8 @@
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/operator/status"
 	"github.com/pomelospool/pomelospool/process/burn"
+	"github.com/pomelospool/pomelospool/process/status"
 	"github.com/pomelospool/pomelospool/version/document"
 )
 
--- a/operator/burnview/fetch.go
+++ b/operator/burnview/fetch.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/operator/status"
 	"github.com/pomelospool/pomelospool/process/burn"
+	"github.com/pomelospool/pomelospool/process/status"
 )
 
 // View is the merged burn with the daemons that it lacks.
--- a/operator/ctl/burn.go
+++ b/operator/ctl/burn.go
@@ -8,7 +8,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/pomelospool/pomelospool/operator/burnview"
-	"github.com/pomelospool/pomelospool/operator/status"
+	"github.com/pomelospool/pomelospool/process/status"
 )
 
 const burnHelp = `Merges the burn of all daemons named by --daemons: for each service and
--- a/operator/ctl/ctl_test.go
+++ b/operator/ctl/ctl_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/operator/caller"
-	"github.com/pomelospool/pomelospool/operator/status"
 	"github.com/pomelospool/pomelospool/process/clock"
 	"github.com/pomelospool/pomelospool/process/follow"
+	"github.com/pomelospool/pomelospool/process/status"
 	"github.com/pomelospool/pomelospool/standin/logsvc"
 	"github.com/pomelospool/pomelospool/version/document"
 )
--- a/operator/ctl/daemons.go
+++ b/operator/ctl/daemons.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/operator/status"
+	"github.com/pomelospool/pomelospool/process/status"
 )
 
 // askTimeout bounds one question to one daemon.
--- a/operator/ctl/publish.go
+++ b/operator/ctl/publish.go
@@ -12,8 +12,8 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/internal/yamlcheck"
-	"github.com/pomelospool/pomelospool/operator/status"
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/process/status"
 	"github.com/pomelospool/pomelospool/version/document"
 	"github.com/pomelospool/pomelospool/version/publish"
 )
--- a/operator/ctl/status.go
+++ b/operator/ctl/status.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"text/tabwriter"
 
-	"github.com/pomelospool/pomelospool/operator/status"
+	"github.com/pomelospool/pomelospool/process/status"
 )
 
 const statusHelp = `Asks every daemon named by --daemons. A daemon that doesn't answer is named
--- a/process/daemon/control.go
+++ b/process/daemon/control.go
@@ -14,8 +14,8 @@
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/fold"
 	"github.com/pomelospool/pomelospool/process/reconcile"
-	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/version/document"
+	"github.com/pomelospool/pomelospool/version/view"
 )
 
 // validate judges a document by the rules of this binary.
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -38,7 +38,7 @@
 	"github.com/pomelospool/pomelospool/request/once"
 	"github.com/pomelospool/pomelospool/request/quarantine"
 	"github.com/pomelospool/pomelospool/request/routing"
-	"github.com/pomelospool/pomelospool/request/view"
+	"github.com/pomelospool/pomelospool/version/view"
 )
 
 // Daemon is one entry process. Make it with New.
--- a/process/daemon/fleet_test.go
+++ b/process/daemon/fleet_test.go
@@ -16,9 +16,9 @@
 
 	"github.com/apex/log"
 
-	"github.com/pomelospool/pomelospool/operator/status"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/settings"
+	"github.com/pomelospool/pomelospool/process/status"
 	"github.com/pomelospool/pomelospool/standin/engine"
 	"github.com/pomelospool/pomelospool/standin/logsvc"
 	"github.com/pomelospool/pomelospool/standin/plain"
--- a/process/daemon/operators.go
+++ b/process/daemon/operators.go
@@ -9,12 +9,12 @@
 	"github.com/uptrace/bunrouter"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/operator/status"
 	"github.com/pomelospool/pomelospool/process/membership"
 	"github.com/pomelospool/pomelospool/process/reconcile"
+	"github.com/pomelospool/pomelospool/process/status"
 	"github.com/pomelospool/pomelospool/request/routing"
-	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/version/document"
+	"github.com/pomelospool/pomelospool/version/view"
 )
 
 // operatorRoutes are the paths of the operators' port.
--- a/process/daemon/plan.go
+++ b/process/daemon/plan.go
@@ -9,8 +9,8 @@
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/planner"
 	"github.com/pomelospool/pomelospool/process/reconcile"
-	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/version/document"
+	"github.com/pomelospool/pomelospool/version/view"
 )
 
 // demands counts what callers ask of this process, by model. It is safe for
--- a/process/reconcile/decide_test.go
+++ b/process/reconcile/decide_test.go
@@ -8,8 +8,8 @@
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/fold"
 	"github.com/pomelospool/pomelospool/process/lease"
-	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/version/document"
+	"github.com/pomelospool/pomelospool/version/view"
 )
 
 var (
--- a/process/reconcile/desired.go
+++ b/process/reconcile/desired.go
@@ -4,8 +4,8 @@
 	"net"
 
 	"github.com/pomelospool/pomelospool/port"
-	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/version/document"
+	"github.com/pomelospool/pomelospool/version/view"
 )
 
 // Wish gives the role that the planner wants for an engine, and false when it
--- a/process/reconcile/groups.go
+++ b/process/reconcile/groups.go
@@ -7,8 +7,8 @@
 	"fmt"
 	"slices"
 
-	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/version/document"
+	"github.com/pomelospool/pomelospool/version/view"
 )
 
 // MaxGroup is the most engines under one lease.
--- a/process/reconcile/harness_test.go
+++ b/process/reconcile/harness_test.go
@@ -18,8 +18,8 @@
 	"github.com/pomelospool/pomelospool/process/internal/logtest"
 	"github.com/pomelospool/pomelospool/process/lease"
 	"github.com/pomelospool/pomelospool/process/record"
-	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/version/document"
+	"github.com/pomelospool/pomelospool/version/view"
 )
 
 const changeTime = 5 * time.Second
--- a/process/reconcile/reconciler.go
+++ b/process/reconcile/reconciler.go
@@ -14,7 +14,7 @@
 	"github.com/pomelospool/pomelospool/process/clock"
 	"github.com/pomelospool/pomelospool/process/fold"
 	"github.com/pomelospool/pomelospool/process/lease"
-	"github.com/pomelospool/pomelospool/request/view"
+	"github.com/pomelospool/pomelospool/version/view"
 )
 
 // Leases tells what this process may act for. lease.Manager is one.
--- a/process/reconcile/term_test.go
+++ b/process/reconcile/term_test.go
@@ -10,8 +10,8 @@
 	"github.com/pomelospool/pomelospool/process/fold"
 	"github.com/pomelospool/pomelospool/process/lease"
 	"github.com/pomelospool/pomelospool/process/record"
-	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/version/document"
+	"github.com/pomelospool/pomelospool/version/view"
 )
 
 // stub is the control state of one daemon, set by hand.
--- a/request/attempt/attempt_test.go
+++ b/request/attempt/attempt_test.go
@@ -18,8 +18,8 @@
 	"github.com/pomelospool/pomelospool/internal/pipenet"
 	"github.com/pomelospool/pomelospool/request/quarantine"
 	"github.com/pomelospool/pomelospool/request/routing"
-	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/version/document"
+	"github.com/pomelospool/pomelospool/version/view"
 )
 
 func TestMain(m *testing.M) {
--- a/request/attempt/runner.go
+++ b/request/attempt/runner.go
@@ -11,7 +11,7 @@
 	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/quarantine"
 	"github.com/pomelospool/pomelospool/request/routing"
-	"github.com/pomelospool/pomelospool/request/view"
+	"github.com/pomelospool/pomelospool/version/view"
 )
 
 const (
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -22,7 +22,7 @@
 	"github.com/pomelospool/pomelospool/request/once"
 	"github.com/pomelospool/pomelospool/request/quarantine"
 	"github.com/pomelospool/pomelospool/request/routing"
-	"github.com/pomelospool/pomelospool/request/view"
+	"github.com/pomelospool/pomelospool/version/view"
 )
 
 // Options of an Entry. View, Pool, Router, Targets and Addresses are needed;
--- a/request/entry/fixture_test.go
+++ b/request/entry/fixture_test.go
@@ -19,9 +19,9 @@
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/routing"
-	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/standin/token"
 	"github.com/pomelospool/pomelospool/version/document"
+	"github.com/pomelospool/pomelospool/version/view"
 )
 
 // TestMain keeps the log lines of provoked faults out of the output.
--- a/request/entry/fuzz_test.go
+++ b/request/entry/fuzz_test.go
@@ -10,8 +10,8 @@
 	"github.com/pomelospool/pomelospool/connection/pool"
 	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/attempt"
-	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/version/document"
+	"github.com/pomelospool/pomelospool/version/view"
 )
 
 // FuzzModelBody: whatever a caller sends, it is refused with a code, or the
--- a/request/entry/info.go
+++ b/request/entry/info.go
@@ -9,7 +9,7 @@
 	"github.com/uptrace/bunrouter"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/request/view"
+	"github.com/pomelospool/pomelospool/version/view"
 )
 
 // addresses answers which daemons to use. The query may name the caller's
--- a/request/entry/model.go
+++ b/request/entry/model.go
@@ -16,8 +16,8 @@
 	"github.com/pomelospool/pomelospool/request/limit"
 	"github.com/pomelospool/pomelospool/request/prefix"
 	"github.com/pomelospool/pomelospool/request/routing"
-	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/version/document"
+	"github.com/pomelospool/pomelospool/version/view"
 )
 
 const (
--- a/request/entry/plain.go
+++ b/request/entry/plain.go
@@ -19,8 +19,8 @@
 	"github.com/pomelospool/pomelospool/request/failure"
 	"github.com/pomelospool/pomelospool/request/limit"
 	"github.com/pomelospool/pomelospool/request/routing"
-	"github.com/pomelospool/pomelospool/request/view"
 	"github.com/pomelospool/pomelospool/version/document"
+	"github.com/pomelospool/pomelospool/version/view"
 )
 
 // plainCall is one request to a plain service, read and checked.
