--- a/process/front/front.go
+++ b/process/front/front.go
@@ -45,9 +45,6 @@
 	// targetsPace is the least time between two reads of the targets. Each
 	// target writes every 1.2 s, so unpaced reads would return for each.
 	targetsPace = 400 * time.Millisecond
-	// readerPace is the same for the readers of a large fleet: at 90 daemons
-	// and 140 engines their reads each 0.4 s were 1,100 of 1,630 calls a day.
-	readerPace = time.Second
 	// paceShare of the time after which a leaving target may get no new work is
 	// the longest pace of a large fleet.
 	paceShare = 0.45
@@ -251,22 +248,14 @@
 	return time.Duration(waitShare * float64(bound))
 }
 
-// targetsPace is the least time between two reads of the targets. In a large
-// fleet the readers, and more so the many daemons whose reader failed, read the
-// store more seldom.
+// targetsPace is the least time between two reads of the targets. Daemons of a
+// large fleet whose readers fail read the store more seldom.
 func (d *Daemon) targetsPace() time.Duration {
-	return pace(d.store.Source(), d.roster.Known(), d.s.Bounds.Drain)
-}
-
-func pace(from relay.Source, known int, drain time.Duration) time.Duration {
-	most := max(time.Duration(paceShare*float64(drain)), targetsPace)
-	switch {
-	case known <= pacedDaemons || from == relay.Relayed:
+	if !d.store.Direct() {
 		return targetsPace
-	case from == relay.Own:
-		return min(readerPace, most)
 	}
-	return min(targetsPace*time.Duration(known)/pacedDaemons, most)
+	pace := targetsPace * time.Duration(max(d.roster.Known(), pacedDaemons)) / pacedDaemons
+	return min(pace, max(time.Duration(paceShare*float64(d.s.Bounds.Drain)), targetsPace))
 }
 
 // watched notes whether the store can be read.
--- a/process/front/front_test.go
+++ b/process/front/front_test.go
@@ -11,7 +11,6 @@
 	"github.com/apex/log"
 
 	"github.com/pomelospool/pomelospool/platform/standin"
-	"github.com/pomelospool/pomelospool/process/relay"
 	"github.com/pomelospool/pomelospool/process/settings"
 )
 
@@ -240,27 +239,3 @@
 		t.Errorf("a leaving target may get work for %v of %v", got, d.s.Bounds.Drain)
 	}
 }
-
-// Ninety daemons read the store as often as six and every call is paid for; or
-// they read it so seldom that a leaving target gets work beyond its time.
-func TestPaceOfReads(t *testing.T) {
-	cases := []struct {
-		name  string
-		from  relay.Source
-		known int
-		drain time.Duration
-		want  time.Duration
-	}{
-		{"a small fleet", relay.Own, 6, 2 * time.Second, targetsPace},
-		{"asks a reader", relay.Relayed, 90, 2 * time.Second, targetsPace},
-		{"a reader", relay.Own, 90, 3 * time.Second, readerPace},
-		{"a reader, short times", relay.Own, 90, time.Second, 450 * time.Millisecond},
-		{"its reader failed", relay.Fallback, 90, 3 * time.Second, 1350 * time.Millisecond},
-		{"its reader failed, thirty", relay.Fallback, 32, 3 * time.Second, 2 * targetsPace},
-	}
-	for _, tc := range cases {
-		if got := pace(tc.from, tc.known, tc.drain); got != tc.want {
-			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
-		}
-	}
-}
--- a/process/relay/relay.go
+++ b/process/relay/relay.go
@@ -214,26 +214,8 @@
 	until time.Time // the store is read directly until then
 }
 
-// Source is where reads go now.
-type Source int
-
-// The sources.
-const (
-	Own      Source = iota // the store: this daemon is a reader, or the fleet is small
-	Relayed                // another daemon
-	Fallback               // the store, since the reader failed
-)
-
-// Source tells where reads go now.
-func (s *Store) Source() Source {
-	switch {
-	case s.reader() == "":
-		return Own
-	case s.distrusted():
-		return Fallback
-	}
-	return Relayed
-}
+// Direct tells whether reads go to the store although there is a reader.
+func (s *Store) Direct() bool { return s.reader() != "" && s.distrusted() }
 
 // NewStore returns a Store over s. reader names the daemon to ask for the
 // topics, empty for none; peers those that may be asked while the store is away.
