Large fleets: fewer engines decode, news in a zone goes out sooner

News to the 29 others of a zone waited 290 ms. And 9 of 60 engines decode some 30 streams at a time, while two thirds of the reading engines' time is taken.

Change: news waits 2 ms a daemon of the zone (58 ms at 30 daemons, was 290); a tenth of the engines and one decode (was a seventh). Fleets of 9 and 12 engines keep their two decoders.

--- a/process/roles/plan.go
+++ b/process/roles/plan.go
@@ -28,9 +28,9 @@
 
 const (
 	// decodeShare is the part of the engines that decode while the demand asks
-	// for no more. On a model engine of the size served here one engine decodes
-	// what six or seven read.
-	decodeShare = 1.0 / 7
+	// for no more, beside one. One engine decodes what six or seven read, and
+	// more of them read when few prompts are new.
+	decodeShare = 1.0 / 10
 	// leastDecoders keeps the service up when one decoding engine dies: a
 	// change of role takes seconds.
 	leastDecoders = 2
@@ -66,7 +66,7 @@
 
 // wanted is the number of decoding engines.
 func wanted(live, slots int, d Demand) int {
-	base := max(int(math.Round(float64(live)*decodeShare)), leastDecoders)
+	base := max(1+int(math.Round(float64(live)*decodeShare)), leastDecoders)
 	if slots > 0 {
 		need := int(math.Ceil(float64(d.Streams) / (fullShare * float64(slots))))
 		base = max(base, need)
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -37,8 +37,8 @@
 	// fleet: with 89 others 700 ms.
 	farEvery = 8 * time.Millisecond
 	// nearAfter is the wait of news in a large fleet, per daemon of the zone:
-	// with 29 others 290 ms.
-	nearAfter = 10 * time.Millisecond
+	// with 29 others 58 ms.
+	nearAfter = 2 * time.Millisecond
 	// deadAfter is the silence after which a daemon counts as dead: four
 	// beats, so that lost datagrams alone hardly do it; deadBeats beats of a
 	// large fleet.
