Daemons tell each other how long claims have stood; a mute store is not waited for

The daemon that took the duty over saw the last claim, minutes old, for the first time at 28.8 s and waited 3.4 s for a lease that was long over. And a daemon that started while the store was mute waited 1.5 s for it before it asked the others.

Change: whoever begins to lead reads the claim at once; beats carry for how long the newest claim of each service has stood at least, and the wait counts from there. An age that is told can only be too short, also while its teller or its hearer is paused, so no second holder gets in earlier than the lease allows. Listings are asked of other daemons after 250 ms without the store's answer.

Ruled out: taking the time from the claim itself; clocks differ by up to 6 s. A holder that goes on without the store: others could claim when it is back for them first.

Without the change roles.TestAgeOfAClaimIsTold waits, TestClaimIsSightedEarly doesn't build and relay.TestListingOfAnotherDaemon never ends.

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -24,6 +24,7 @@
 	"github.com/pomelospool/pomelospool/internal/sock"
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/process/clock"
 	"github.com/pomelospool/pomelospool/process/discovery"
 	"github.com/pomelospool/pomelospool/process/relay"
 	"github.com/pomelospool/pomelospool/process/roles"
@@ -86,6 +87,7 @@
 	control port.EngineControl
 	roster  *roster.Roster
 	planner *roles.Planner
+	claims  *roles.Sightings
 	ingress *ingress.Ingress
 	metrics *metrics
 	ready   atomic.Bool
@@ -109,6 +111,7 @@
 		s:      s,
 		config: inforce.New(platform.DecodeConfig),
 		pool:   h1.New(h1.Options{}),
+		claims: roles.NewSightings(clock.Boot{}),
 	}
 	d.registry = discovery.New(discovery.Options{Decode: platform.DecodeTarget})
 	d.engines = engines.New(time.Now, func() {
@@ -171,6 +174,7 @@
 		},
 		Store:     d.store,
 		Book:      d.engines,
+		Claims:    d.claims,
 		TTL:       min(addressTTL, d.s.Bounds.AddressTTL),
 		StoreAway: d.storeAway.Load,
 	})
@@ -215,6 +219,7 @@
 		Engines: d.engines,
 		Health:  d.health,
 		Lease:   d.s.Bounds.Lease,
+		Seen:    d.claims,
 	})
 }
 
--- a/process/relay/relay.go
+++ b/process/relay/relay.go
@@ -243,8 +243,19 @@
 	return s.Store.Read(ctx, t, from, 0)
 }
 
-// maxAsked is the number of daemons that are asked for one listing.
-const maxAsked = 2
+const (
+	// maxAsked is the number of daemons that are asked for one listing.
+	maxAsked = 2
+	// askAfter is how long the store may take before others are asked too. It
+	// answers in 4 ms; a silent one is given up after 1.5 s.
+	askAfter = 250 * time.Millisecond
+)
+
+// listed is the result of a listing.
+type listed struct {
+	page port.KeyedPage
+	err  error
+}
 
 // Newest returns newest records from the store, or from another daemon while
 // the store is away.
@@ -253,21 +264,50 @@
 // the store is away, and none of them serves until it is back. Those that run
 // know all that is needed.
 func (s *Store) Newest(ctx context.Context, t port.Topic, after string) (port.KeyedPage, error) {
-	page, err := s.Store.Newest(ctx, t, after)
-	if err == nil || !s.topics[t] || after != "" {
-		return page, err
+	if !s.topics[t] || after != "" {
+		return s.Store.Newest(ctx, t, after)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answered := make(chan listed, 1)
+	go func() {
+		page, err := s.Store.Newest(ctx, t, after)
+		answered <- listed{page: page, err: err}
+	}()
+	patience := time.NewTimer(askAfter)
+	defer patience.Stop()
+	var fromStore *listed
+	select {
+	case l := <-answered:
+		if l.err == nil {
+			return l.page, nil
+		}
+		fromStore = &l
+	case <-patience.C:
+	}
+	if page, ok := s.askOthers(ctx, t); ok {
+		return page, nil
+	}
+	if fromStore == nil {
+		l := <-answered
+		fromStore = &l
 	}
+	return fromStore.page, fromStore.err
+}
+
+// askOthers asks some daemons for a topic's listing, one after the other.
+func (s *Store) askOthers(ctx context.Context, t port.Topic) (port.KeyedPage, bool) {
 	peers := s.peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, addr := range peers[:min(len(peers), maxAsked)] {
-		other, perr := s.listing(ctx, addr, t)
-		if perr == nil {
-			log.WithFields(log.Fields{"topic": int(t), "from": addr, "next": other.End}).WithError(err).Info("relay: listed by another daemon")
-			return other, nil
+		page, err := s.listing(ctx, addr, t)
+		if err == nil {
+			log.WithFields(log.Fields{"topic": int(t), "from": addr, "next": page.End}).Info("relay: listed by another daemon")
+			return page, true
 		}
-		log.WithError(perr).WithField("from", addr).Debug("relay: no listing")
+		log.WithError(err).WithField("from", addr).Debug("relay: no listing")
 	}
-	return page, err
+	return port.KeyedPage{}, false
 }
 
 func (s *Store) listing(ctx context.Context, addr string, t port.Topic) (port.KeyedPage, error) {
--- a/process/relay/relay_test.go
+++ b/process/relay/relay_test.go
@@ -17,9 +17,14 @@
 	port.Store
 	reads int
 	away  error // of listings
+	mute  bool  // listings get no answer
 }
 
-func (d *direct) Newest(context.Context, port.Topic, string) (port.KeyedPage, error) {
+func (d *direct) Newest(ctx context.Context, _ port.Topic, _ string) (port.KeyedPage, error) {
+	if d.mute {
+		<-ctx.Done()
+		return port.KeyedPage{}, ctx.Err()
+	}
 	return port.KeyedPage{Records: []port.KeyedRecord{{Key: "from the store"}}}, d.away
 }
 
@@ -73,6 +78,11 @@
 	if err != nil || !page.Relayed || page.More || page.End != 8 || !maps.Equal(got, want) {
 		t.Errorf("%+v, %v", page, err)
 	}
+	d.mute = true
+	if page, err := s.Newest(t.Context(), port.TopicTargets, ""); err != nil || !page.Relayed {
+		t.Errorf("a store without an answer: %+v, %v", page, err)
+	}
+	d.mute = false
 	if _, err := s.Newest(t.Context(), port.TopicClaims, ""); !errors.Is(err, away) {
 		t.Errorf("claims were listed by another daemon: %v", err)
 	}
--- a/process/roles/claim.go
+++ b/process/roles/claim.go
@@ -40,7 +40,7 @@
 // a higher offset than the one before, and is written only at the offset that
 // the topic was seen to end at, so that of two who race one fails. Whoever
 // finds another holder's claim waits until it has stood unchanged for the
-// lease. A holder acts only on the first part of its lease, counted from
+// lease, by what any daemon saw. A holder acts only on the first part of its lease, counted from
 // before its write.
 type claims struct {
 	self  string
@@ -48,14 +48,8 @@
 	lease time.Duration
 	now   func() time.Duration
 
-	held  map[string]claim
-	other map[string]sighting
-}
-
-// sighting is another holder's claim, and when it was first seen.
-type sighting struct {
-	offset int64
-	at     time.Duration
+	held map[string]claim
+	seen *Sightings
 }
 
 // errNotYet means that another holder's lease may still run.
@@ -83,6 +77,7 @@
 	if err != nil {
 		return claim{}, err
 	}
+	c.seen.age(service, fence)
 	taken := claim{fence: fence, until: begun + time.Duration(usableShare*float64(c.lease))}
 	c.held[service] = taken
 	log.WithFields(log.Fields{"service": service, "fence": fence, "lease_ms": c.lease.Milliseconds()}).Info("roles: claimed")
@@ -127,19 +122,25 @@
 
 // over tells whether no other holder can act any more.
 func (c *claims) over(service string, last lastClaim) error {
-	if !last.exists || last.holder == c.self {
+	if !last.exists {
 		return nil
 	}
-	seen, ok := c.other[service]
-	if !ok || seen.offset != last.offset {
-		c.other[service] = sighting{offset: last.offset, at: c.now()}
-		return errNotYet
-	}
-	if c.now()-seen.at < c.lease+waitMargin {
+	age := c.seen.age(service, last.offset)
+	if last.holder != c.self && age < c.lease+waitMargin {
 		return errNotYet
 	}
 	return nil
 }
 
+// sight reads the newest claim, so that its lease is over by the time that
+// orders are needed.
+func (c *claims) sight(ctx context.Context, service string) error {
+	last, _, err := c.last(ctx, service)
+	if err == nil && last.exists {
+		c.seen.age(service, last.offset)
+	}
+	return err
+}
+
 // drop gives a claim up, because an engine knows of a newer one.
 func (c *claims) drop(service string) { delete(c.held, service) }
--- a/process/roles/planner.go
+++ b/process/roles/planner.go
@@ -57,6 +57,7 @@
 	Health  *health.Book
 	Lease   time.Duration
 	Clock   clock.Clock // clock.Boot
+	Seen    *Sightings
 }
 
 // Planner gives orders while this daemon is the first of those that can.
@@ -69,6 +70,7 @@
 	released bool
 
 	// of the planner's goroutine
+	sighted  map[string]bool // services whose claim was read since this daemon may lead
 	changing map[string]change
 	refused  map[string]time.Duration // until
 	peaks    map[string]*peak
@@ -96,8 +98,9 @@
 		o: o,
 		claims: claims{
 			self: o.Self, store: o.Store, lease: o.Lease, now: o.Clock.Now,
-			held: make(map[string]claim), other: make(map[string]sighting),
+			held: make(map[string]claim), seen: o.Seen,
 		},
+		sighted:  make(map[string]bool),
 		changing: make(map[string]change),
 		refused:  make(map[string]time.Duration),
 		peaks:    make(map[string]*peak),
@@ -155,7 +158,12 @@
 	snap := p.o.Targets.Snapshot()
 	list := p.engines(snap.Targets[svc.Name])
 	demand := p.demand(svc.Name, list)
-	if !snap.Whole || time.Since(snap.Since) < settled || !p.o.Roster.MayLead() {
+	if !snap.Whole || !p.o.Roster.MayLead() {
+		p.sighted[svc.Name] = false
+		return
+	}
+	p.sight(ctx, svc.Name)
+	if time.Since(snap.Since) < settled {
 		return
 	}
 	moves := Plan(list, demand)
@@ -173,6 +181,17 @@
 	p.carryOut(ctx, svc, moves, held)
 }
 
+// sight reads a service's claim once each time that this daemon begins to lead.
+func (p *Planner) sight(ctx context.Context, service string) {
+	if p.sighted[service] {
+		return
+	}
+	p.sighted[service] = true
+	if err := p.claims.sight(ctx, service); err != nil {
+		log.WithError(err).WithField("service", service).Info("roles: claim not read, it is when orders are needed")
+	}
+}
+
 // engines joins the entries with what the daemons have there.
 func (p *Planner) engines(entries []port.TargetEntry) []Engine {
 	now := p.o.Clock.Now()
--- a/process/roles/roles_test.go
+++ b/process/roles/roles_test.go
@@ -12,6 +12,7 @@
 	"github.com/pomelospool/pomelospool/connection/engines"
 	"github.com/pomelospool/pomelospool/connection/health"
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/process/roster"
 	"github.com/pomelospool/pomelospool/version/route"
 )
 
@@ -143,7 +144,49 @@
 func claimer(self string, s port.Store, now *time.Duration) *claims {
 	return &claims{
 		self: self, store: s, lease: lease, now: func() time.Duration { return *now },
-		held: map[string]claim{}, other: map[string]sighting{},
+		held: map[string]claim{}, seen: &Sightings{now: func() time.Duration { return *now }, seen: map[string]sighting{}},
+	}
+}
+
+// All decoding engines are gone. The daemon that takes the duty over sees the
+// last claim for the first time, and waits for its lease, though it has stood
+// for minutes: the others know.
+func TestAgeOfAClaimIsTold(t *testing.T) {
+	s, now := &claimStore{}, time.Duration(0)
+	a, b := claimer("a", s, &now), claimer("b", s, &now)
+	if _, err := a.get(t.Context(), "svc"); err != nil {
+		t.Fatal(err)
+	}
+	now = lease
+	b.seen.Heard(a.seen.Told())
+	if _, err := b.get(t.Context(), "svc"); !errors.Is(err, errNotYet) {
+		t.Errorf("claims within the margin: %v", err)
+	}
+	now += waitMargin
+	if _, err := b.get(t.Context(), "svc"); err != nil {
+		t.Errorf("waits though the lease is over: %v", err)
+	}
+	// What was told of the claim before says nothing of the new one.
+	a.seen.Heard([]roster.Claim{{Service: "svc", Offset: 0, AgeMs: time.Hour.Milliseconds()}})
+	if _, err := a.get(t.Context(), "svc"); !errors.Is(err, errNotYet) {
+		t.Errorf("claims right after another holder: %v", err)
+	}
+}
+
+// The daemon that begins to lead reads the claim at once, not when it first
+// needs an order.
+func TestClaimIsSightedEarly(t *testing.T) {
+	s, now := &claimStore{}, time.Duration(0)
+	a, b := claimer("a", s, &now), claimer("b", s, &now)
+	if _, err := a.get(t.Context(), "svc"); err != nil {
+		t.Fatal(err)
+	}
+	if err := b.sight(t.Context(), "svc"); err != nil {
+		t.Fatal(err)
+	}
+	now = lease + waitMargin
+	if _, err := b.get(t.Context(), "svc"); err != nil {
+		t.Errorf("waits from its second sight: %v", err)
 	}
 }
 
--- a/process/roster/beat.go
+++ b/process/roster/beat.go
@@ -21,6 +21,21 @@
 	Work   []engines.Work
 	Reads  []engines.Read
 	Peers  []string
+	Claims []Claim
+}
+
+// Claim says for how long the newest claim for a service has stood at least.
+type Claim struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Offset  int64
+	AgeMs   int64
+}
+
+// Claims gives and takes what daemons know of claims.
+type Claims interface {
+	Told() []Claim
+	Heard(claims []Claim)
 }
 
 // tell sends beats: at least every beatEvery, and soon after news.
@@ -86,6 +101,9 @@
 	r.seq++
 	r.self.StoreAway = r.o.StoreAway()
 	b := beat{Member: r.self, Seq: r.seq, Work: work, Reads: reads}
+	if r.o.Claims != nil {
+		b.Claims = r.o.Claims.Told()
+	}
 	var to []net.Addr
 	for addr, p := range r.peers {
 		if now.Sub(p.heard) > forgetAfter {
@@ -172,6 +190,9 @@
 	p.member, p.seq, p.heard = b.Member, b.Seq, time.Now()
 	r.mu.Unlock()
 	r.o.Book.Hear(key, b.Work, b.Reads)
+	if r.o.Claims != nil {
+		r.o.Claims.Heard(b.Claims)
+	}
 	for _, addr := range b.Peers {
 		r.learn(addr)
 	}
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -93,7 +93,9 @@
 	Self  Member
 	Store port.Store
 	Book  *engines.Book
-	TTL   time.Duration // how long callers keep addresses
+	// Claims is what the daemons tell each other of claims; nil: nothing.
+	Claims Claims
+	TTL    time.Duration // how long callers keep addresses
 	// StoreAway tells whether the store can't be read now.
 	StoreAway func() bool
 	// Conn replaces the UDP socket, in tests.
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/pomelospool/pomelospool/connection/engines"
 	"github.com/pomelospool/pomelospool/internal/pause"
@@ -281,6 +282,32 @@
 	})
 }
 
+// claimBook notes what is heard of claims.
+type claimBook struct{ told, heard []Claim }
+
+func (c *claimBook) Told() []Claim    { return c.told }
+func (c *claimBook) Heard(cs []Claim) { c.heard = append(c.heard, cs...) }
+
+// What a daemon knows of claims gets lost between it and the others, and the
+// next holder waits for a lease that is long over.
+func TestClaimsTravelWithBeats(t *testing.T) {
+	want := Claim{Service: "svc", Offset: 7, AgeMs: 4000}
+	data, err := encode(&beat{Member: Member{VM: "a", PeerAddr: "10.0.0.1:1"}, Seq: 1, Claims: []Claim{want}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b beat
+	if err := cbor.Unmarshal(data, &b); err != nil {
+		t.Fatal(err)
+	}
+	book := &claimBook{}
+	r := &Roster{o: Options{Book: engines.New(time.Now, func() {}), Claims: book}, peers: map[string]*peer{}, news: make(chan struct{}, 1)}
+	r.take(&b, &net.UDPAddr{})
+	if len(book.heard) != 1 || book.heard[0] != want {
+		t.Errorf("heard %+v", book.heard)
+	}
+}
+
 func TestBeatsFitIntoADatagram(t *testing.T) {
 	b := &beat{Member: Member{VM: "a"}}
 	for i := range 60 {
