--- a/process/relay/relay.go
+++ b/process/relay/relay.go
@@ -274,25 +274,29 @@
 		page, err := s.Store.Newest(ctx, t, after)
 		answered <- listed{page: page, err: err}
 	}()
-	patience := time.NewTimer(askAfter)
-	defer patience.Stop()
-	var fromStore *listed
-	select {
-	case l := <-answered:
-		if l.err == nil {
-			return l.page, nil
-		}
-		fromStore = &l
-	case <-patience.C:
+	first, soon := within(askAfter, answered)
+	if soon && first.err == nil {
+		return first.page, nil
 	}
 	if page, ok := s.askOthers(ctx, t); ok {
 		return page, nil
 	}
-	if fromStore == nil {
-		l := <-answered
-		fromStore = &l
+	if !soon {
+		first = <-answered
+	}
+	return first.page, first.err
+}
+
+// within waits for a listing for so long at most.
+func within(d time.Duration, answered <-chan listed) (l listed, soon bool) {
+	patience := time.NewTimer(d)
+	defer patience.Stop()
+	select {
+	case l = <-answered:
+		return l, true
+	case <-patience.C:
+		return l, false
 	}
-	return fromStore.page, fromStore.err
 }
 
 // askOthers asks some daemons for a topic's listing, one after the other.
--- /dev/null
+++ b/request/dispatch/decode.go
@@ -0,0 +1,140 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/connection/h1"
+	"github.com/pomelospool/pomelospool/connection/health"
+	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/request/failure"
+	"github.com/pomelospool/pomelospool/request/placement"
+)
+
+// releaseLimit bounds the call that frees unused KV cache.
+const releaseLimit = 500 * time.Millisecond
+
+// decode has the answer made from the KV cache. If the engine refuses, another
+// one is asked with the same cache: a full engine leaves it where it is.
+func (u *run) decode(ctx context.Context, p prompt, from prefilled, out Stream) *failed {
+	taken := false
+	defer func() {
+		if from.kv != nil && !taken {
+			u.release(*from.kv)
+		}
+	}()
+	for tries := 1; ; tries++ {
+		cands := u.candidates(p, port.RoleDecode)
+		at := placement.Decode(p.Prompt, cands, u.c.Service.Engine, from.zone)
+		if at < 0 {
+			return fail(failure.NotRun, from.at, errNoDecoder)
+		}
+		to := cands[at].Entry
+		f := u.events(ctx, to, p, from, out)
+		if f == nil || f.MayHaveRun() {
+			taken = true
+			if f == nil && from.kv != nil {
+				u.opts.Health.Note(kvOf(from.at), health.OK)
+			}
+			return f
+		}
+		if from.kv != nil && f.Class == failure.NotRun {
+			u.opts.Health.Note(kvOf(from.at), health.Refused)
+		}
+		if tries > 1 || from.kv == nil || !u.others(cands, to.ID) || !u.again(ctx, f, 1) {
+			return f
+		}
+		u.note(f)
+	}
+}
+
+// kvOf names an engine's KV cache where health is kept: whether what the engine
+// read can be fetched from it says nothing of its reading.
+func kvOf(id string) string { return id + KVSuffix }
+
+// KVSuffix ends the names of engines' KV caches where health is kept.
+const KVSuffix = "/kv"
+
+// others tells whether a candidate is left that hasn't failed this call.
+func (u *run) others(cands []placement.Candidate, but string) bool {
+	for _, c := range cands {
+		if c.Entry.ID != but && !u.avoids(c.Entry.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// release frees KV cache that nobody will read, beside the call.
+func (u *run) release(kv port.KVSource) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseLimit)
+		defer cancel()
+		if err := u.opts.Control.Release(ctx, kv); err != nil {
+			// The engine frees it by itself some seconds later.
+			log.WithError(err).WithField("addr", kv.Addr).Debug("dispatch: KV cache not released")
+		}
+	}()
+}
+
+// events sends the call to a decoding engine and relays the answer.
+func (u *run) events(ctx context.Context, to port.TargetEntry, p prompt, from prefilled, out Stream) *failed {
+	done := u.opts.Engines.Decode(to.ID, u.c.Service.Engine.KVTokens, p.parts)
+	defer done()
+	begun := time.Now()
+	s := sending{to: to, state: port.Send{Priority: p.priority, KV: from.kv, LastEvent: u.lastID}}
+	resp, v, f := u.send(ctx, s)
+	if f != nil {
+		return f
+	}
+	if resp.Status != http.StatusOK || v.NotRun {
+		return u.noStream(ctx, to.ID, resp, v, out)
+	}
+	if !v.Signed {
+		resp.Close(0)
+		return fail(failure.Mismatch, to.ID, errUnsigned)
+	}
+	foreseen := u.models.load(u.c.Service.Name).First
+	if from.kv != nil {
+		foreseen += placement.Move(u.c.Service.Engine, p.Tokens, from.zone == to.Zone)
+	}
+	first := func() {
+		seen := time.Since(begun)
+		u.models.firstIn(u.c.Service.Name, u.models.load(u.c.Service.Name).First+seen-foreseen)
+		u.opts.Health.NotePace(to.ID, pace(foreseen, seen))
+	}
+	return u.relay(ctx, to.ID, resp, v, out, first)
+}
+
+// noStream takes an answer that is no stream: a refusal, a failure, or the
+// target's own answer, which is passed on.
+func (u *run) noStream(ctx context.Context, target string, resp *h1.Response, v port.Verdict, out Stream) *failed {
+	a, f := u.whole(ctx, target, resp, v)
+	if f != nil {
+		return f
+	}
+	if f := u.judge(target, a, v); f != nil {
+		return f
+	}
+	if u.trace.Begun {
+		return ownFailure(target, a)
+	}
+	u.trace.Begun = true
+	out.Begin(a.Status, a.Header)
+	if err := out.Write(a.Body); err != nil {
+		return fail(failure.CallerGone, target, err)
+	}
+	return nil
+}
+
+// pace is how many times longer than foreseen something took. Short times are
+// off by some tens of milliseconds for reasons that aren't the engine's.
+func pace(foreseen, seen time.Duration) float64 {
+	return float64(seen+paceSlack) / float64(foreseen+paceSlack)
+}
+
+// paceSlack is added to both times of a pace.
+const paceSlack = 100 * time.Millisecond
--- a/request/dispatch/plain.go
+++ b/request/dispatch/plain.go
@@ -107,3 +107,35 @@
 	const bits = 53
 	return float64((engines.Hash(id)^engines.Hash(target))>>(64-bits)) / (1 << bits)
 }
+
+// plainStream runs a streamed call at plain targets.
+func (u *run) plainStream(ctx context.Context, out Stream) error {
+	for {
+		to, ok := u.pickPlain()
+		if !ok {
+			return u.noTarget()
+		}
+		f := u.plainEvents(ctx, to, out)
+		if f == nil {
+			u.ok(to.ID)
+			return nil
+		}
+		u.note(f)
+		if !u.again(ctx, f, 1) {
+			return u.finalError(f)
+		}
+	}
+}
+
+func (u *run) plainEvents(ctx context.Context, to port.TargetEntry, out Stream) *failed {
+	done := u.opts.Engines.Decode(to.ID, 0, nil)
+	defer done()
+	resp, v, f := u.send(ctx, sending{to: to, state: port.Send{Priority: -1, LastEvent: u.lastID}})
+	if f != nil {
+		return f
+	}
+	if resp.Status != http.StatusOK || v.NotRun || !v.Signed {
+		return u.noStream(ctx, to.ID, resp, v, out)
+	}
+	return u.relay(ctx, to.ID, resp, v, out, func() {})
+}
--- /dev/null
+++ b/request/dispatch/prefill.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/request/failure"
+	"github.com/pomelospool/pomelospool/request/placement"
+)
+
+const (
+	// prefillPatience times the foreseen time, and prefillGrace on top, is how
+	// long an engine may take to read a prompt. A dark engine shows in nothing
+	// but silence.
+	prefillPatience = 3
+	prefillGrace    = 700 * time.Millisecond
+)
+
+// prefilled is a prompt that was read, or the decision to have it read by the
+// engine that decodes.
+type prefilled struct {
+	kv   *port.KVSource // nil: there is none
+	zone string         // of the engine that keeps it
+	at   string         // id of that engine
+}
+
+// reading is a choice of the engine that reads the prompt.
+type reading struct {
+	placement.Choice
+	to   port.TargetEntry
+	from string // address of the engine to fetch from, empty: none
+}
+
+func (u *run) choosePrefill(p prompt, m placement.Model) reading {
+	cands := u.candidates(p, port.RolePrefill)
+	for i := range cands {
+		cands[i].Rate += u.opts.Health.Rate(kvOf(cands[i].Entry.ID))
+	}
+	sources := append(u.candidates(p, port.RoleDecode), cands...)
+	ch := reading{Choice: placement.Prefill(p.Prompt, cands, sources, u.c.Service.Engine, m)}
+	if ch.At >= 0 {
+		ch.to = cands[ch.At].Entry
+	}
+	if ch.Fetch >= 0 {
+		ch.from = sources[ch.Fetch].Entry.Addr
+	}
+	return ch
+}
+
+func (u *run) candidates(p prompt, role port.Role) []placement.Candidate {
+	var out []placement.Candidate
+	for _, t := range u.usable(p.parts, func(e port.TargetEntry) bool { return e.Role == role }) {
+		if t.load.Changing {
+			continue
+		}
+		out = append(out, placement.Candidate{
+			Entry: t.TargetEntry,
+			Load:  t.load,
+			Rate:  u.opts.Health.Rate(t.ID),
+			Pace:  u.opts.Health.Pace(t.ID),
+			Warm:  u.opts.Pool.Warm(t.Addr, t.ID),
+		})
+	}
+	return out
+}
+
+// prefill has the prompt read. Without an engine for that the decoding engine
+// reads it itself, at half the speed.
+func (u *run) prefill(ctx context.Context, p prompt) (prefilled, *failed) {
+	m := u.models.load(u.c.Service.Name)
+	ch := u.choosePrefill(p, m)
+	if ch.At < 0 {
+		return prefilled{}, nil
+	}
+	to := ch.to
+	done := u.opts.Engines.Prefill(to.ID, u.c.Service.Engine.KVTokens, p.parts, ch.Read)
+	defer done()
+	foreseen := m.Start + ch.Wait + ch.Read
+	u.trace.Prefill = Prefill{Prompt: p.Tokens, Shared: p.Shared, Missing: ch.Missing, Fetched: ch.Fetched, Guessed: ch.Guessed, Wait: ch.Wait, Read: ch.Read}
+	begun := time.Now()
+	resp, v, f := u.send(ctx, sending{
+		to:      to,
+		state:   port.Send{Priority: p.priority, Prefill: true, FetchFrom: ch.from},
+		silence: prefillPatience*foreseen + prefillGrace,
+	})
+	if f != nil {
+		return prefilled{}, u.nothingRan(f)
+	}
+	a, f := u.whole(ctx, to.ID, resp, v)
+	if f != nil {
+		return prefilled{}, u.nothingRan(f)
+	}
+	if v.NotRun || a.Status != http.StatusOK {
+		f := fail(failure.NotRun, to.ID, errSaysNoRun)
+		f.after = v.RetryAfter
+		return prefilled{}, f
+	}
+	handle, err := u.opts.Wire.KVHandle(a.Body)
+	if err != nil {
+		return prefilled{}, fail(failure.NotRun, to.ID, err)
+	}
+	took := time.Since(begun)
+	u.trace.Prefill.Took = took
+	if !ch.Guessed {
+		// What a guess fetched was foreseen as read: it would teach a wrong pace.
+		u.models.readIn(u.c.Service.Name, foreseen, took)
+		u.opts.Health.NotePace(to.ID, pace(foreseen, took))
+	}
+	u.ok(to.ID)
+	return prefilled{kv: &port.KVSource{Addr: to.Addr, Handle: handle}, zone: to.Zone, at: to.ID}, nil
+}
+
+// nothingRan says of a failed prefill that the request did not run: reading a
+// prompt makes no answer and may be repeated. The target is judged by what it
+// did, the call by "not run".
+func (u *run) nothingRan(f *failed) *failed {
+	if f.Final() {
+		return f
+	}
+	if o, counts := f.outcome(); counts {
+		u.opts.Health.Note(f.Target, o)
+	}
+	f.noted = true
+	if f.Class != failure.NotWritten {
+		f.Class = failure.NotRun
+	}
+	return f
+}
