Read again: one name for a status, header copies and fields that nothing read

Found by reading the whole change once more. failure.Status stood twice, as dispatch.errStatus and entry.statusDetail; two sends copied headers by a loop, one sized by the length of a word, where entry calls maps.Clone already; avoids was slices.Contains. h1.Response.Length and dispatch.Call.Until were set and read by nobody; without Until the time a call may take is one min.

Behaviour stays as it is: the same headers, causes and deadlines.

--- a/connection/h1/exchange.go
+++ b/connection/h1/exchange.go
@@ -47,8 +47,7 @@
 type Response struct {
 	Status int
 	Header http.Header
-	Length int64 // of the body, -1: not stated
-	Framed bool  // the end of the body is marked; else the connection's end is its end
+	Framed bool // the end of the body is marked; else the connection's end is its end
 	Body   io.Reader
 
 	x *exchange
@@ -184,7 +183,6 @@
 		out := &Response{
 			Status: resp.StatusCode,
 			Header: resp.Header,
-			Length: resp.ContentLength,
 			Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
 			x:      x,
 		}
--- a/request/attempt/attempt.go
+++ b/request/attempt/attempt.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -120,10 +121,7 @@
 }
 
 func (r *Runner) build(q *Request, t routing.Target, id string, resume int) *h1.Request {
-	h := make(http.Header, len(q.Header)+len([]string{HeaderID, HeaderDeadline}))
-	for k, v := range q.Header {
-		h[k] = v
-	}
+	h := maps.Clone(q.Header)
 	left := time.Until(q.Deadline).Milliseconds()
 	h.Set(HeaderID, id)
 	h.Set(HeaderDeadline, strconv.FormatInt(max(left, 1), 10))
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -24,8 +24,7 @@
 	Service *route.Service
 	Version int64 // of the configuration
 	Arrived time.Time
-	Until   time.Time // the caller's deadline
-	GiveUp  time.Time // the earlier of Until and the end of the route's timeout
+	GiveUp  time.Time // the earlier of the caller's deadline and the end of the route's timeout
 	Method  string
 	URI     string // path and query as they came
 	Host    string
--- a/request/dispatch/failure.go
+++ b/request/dispatch/failure.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
@@ -45,9 +44,6 @@
 	errNoDecoder = failure.Detail("no engine decodes")
 )
 
-// errStatus names a target's own answer of failure.
-func errStatus(status int) error { return failure.Detail("status " + strconv.Itoa(status)) }
-
 // finalError turns the end of a call into its code. "Not run" must be true: it
 // is said only when every send was refused or never written.
 func (u *run) finalError(f *failed) error {
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -35,10 +37,7 @@
 }
 
 func (u *run) request(s sending) *h1.Request {
-	h := make(http.Header, len(u.c.Header)+len("stamp"))
-	for k, v := range u.c.Header {
-		h[k] = v
-	}
+	h := maps.Clone(u.c.Header)
 	s.state.ID = u.c.Ask.ID
 	s.state.Target = s.to.ID
 	s.state.Left = time.Until(u.c.GiveUp)
@@ -110,7 +109,7 @@
 
 // ownFailure is a target's own answer of failure.
 func ownFailure(target string, a *Answer) *failed {
-	f := fail(failure.Failed, target, errStatus(a.Status))
+	f := fail(failure.Failed, target, failure.Status(a.Status))
 	f.answer = a
 	return f
 }
@@ -180,12 +179,7 @@
 }
 
 func (u *run) avoids(id string) bool {
-	for _, a := range u.avoid {
-		if a == id {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(u.avoid, id)
 }
 
 func (u *run) ok(target string) { u.opts.Health.Note(target, health.OK) }
--- a/request/entry/plainanswer.go
+++ b/request/entry/plainanswer.go
@@ -43,7 +43,7 @@
 	}
 	r.status, r.header, r.held = a.Status, a.Header, held
 	if a.Status >= http.StatusInternalServerError && int64(len(held)) <= r.hold {
-		return &failure.Failure{Class: failure.Failed, Target: a.Target, Err: statusDetail(a.Status)}
+		return &failure.Failure{Class: failure.Failed, Target: a.Target, Err: failure.Status(a.Status)}
 	}
 	if int64(len(held)) <= r.hold {
 		return nil
--- a/request/entry/receive.go
+++ b/request/entry/receive.go
@@ -7,7 +7,6 @@
 	"io"
 	"mime"
 	"net/http"
-	"strconv"
 
 	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/attempt"
@@ -25,17 +24,13 @@
 	errNotStream = failure.Detail("answer isn't an event stream")
 )
 
-func statusDetail(status int) failure.Detail {
-	return failure.Detail("status " + strconv.Itoa(status))
-}
-
 // modelFailure returns how an engine's status failed, nil for a good one.
 func modelFailure(a attempt.Answer) error {
 	if a.Status == http.StatusOK {
 		return nil
 	}
 	detail, _ := io.ReadAll(io.LimitReader(a.Body, maxErrorDetail))
-	f := &failure.Failure{Target: a.Target, Err: fmt.Errorf("%w: %s", statusDetail(a.Status), detail)}
+	f := &failure.Failure{Target: a.Target, Err: fmt.Errorf("%w: %s", failure.Status(a.Status), detail)}
 	notRun := a.Header.Get(answer.HeaderNotRun) == "true"
 	switch {
 	case a.Status == http.StatusBadRequest || a.Status == http.StatusRequestEntityTooLarge:
--- a/request/failure/cause.go
+++ b/request/failure/cause.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"syscall"
 
 	"github.com/pomelospool/pomelospool/connection/h1"
@@ -19,6 +20,9 @@
 // Error returns the text.
 func (d Detail) Error() string { return string(d) }
 
+// Status names a target's own answer of failure.
+func Status(status int) Detail { return Detail("status " + strconv.Itoa(status)) }
+
 // ownErrors are the errors whose text is known to hold nothing foreign, the
 // telling ones first.
 var ownErrors = []error{
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -131,7 +131,7 @@
 		Header:  x.o.Wire.Forward(x.req.Header),
 		Body:    body,
 	}
-	x.deadlines(c)
+	c.GiveUp = x.arrived.Add(patience(c))
 	return c, nil
 }
 
@@ -153,19 +153,16 @@
 // just started: it reads the configuration some milliseconds later.
 const noConfigurationAfter = 300 * time.Millisecond
 
-func (x *exchange) deadlines(c *dispatch.Call) {
+// patience is how long a call may take, by its route and by its caller.
+func patience(c *dispatch.Call) time.Duration {
 	timeout := c.Route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	c.GiveUp = x.arrived.Add(timeout)
-	c.Until = c.GiveUp
 	if c.Ask.Left > 0 {
-		c.Until = x.arrived.Add(c.Ask.Left)
-	}
-	if c.Until.Before(c.GiveUp) {
-		c.GiveUp = c.Until
+		return min(timeout, c.Ask.Left)
 	}
+	return timeout
 }
 
 // requestURI is path and query as the caller sent them.
