Targets: a restart under the same name is another target; other writers' entries name none

Everything kept by target id (health, prompts kept, connections, orders under way, reads told by peers) outlived such a restart; an unknown state counted as ready; over a known key unreadable bytes left the earlier entry in force.

Reports and kept parts of another start are errors.

--- a/port/port.go
+++ b/port/port.go
@@ -19,6 +19,8 @@
 	ErrExpired = errors.New("records expired")
 	// ErrFenced means that an engine refused an order for its fencing number.
 	ErrFenced = errors.New("fencing number too old")
+	// ErrRestarted means that a target started anew since it was asked for.
+	ErrRestarted = errors.New("target restarted")
 	// ErrBusy means that an engine is still carrying out another order.
 	ErrBusy = errors.New("engine busy with another order")
 )
--- a/port/target.go
+++ b/port/target.go
@@ -9,6 +9,7 @@
 // TargetEntry is a target as it announces itself.
 type TargetEntry struct {
 	ID       string // of this start of the target; a restart has another one
+	Born     int64  // Unix milliseconds of the start; 0: not known
 	Service  string
 	Addr     string // host:port; used again by others after the target's end
 	Zone     string // availability zone
--- a/process/discovery/registry.go
+++ b/process/discovery/registry.go
@@ -38,9 +38,11 @@
 	decode func(r port.KeyedRecord) (entry port.TargetEntry, present bool, err error)
 
 	mu      sync.Mutex
-	entries map[string]port.TargetEntry
-	offsets map[string]int64
-	lapsed  map[string]time.Time // entries that are gone from the store, and when they are dropped here
+	entries map[string]port.TargetEntry // by key in the store; an entry's id names one start of the target
+	keys    map[string]string           // key of the entry with an id
+	offsets map[string]int64            // by key
+	born    map[string]int64            // by key, the newest start seen
+	lapsed  map[string]time.Time        // by key, entries that are gone from the store, and when they are dropped here
 	lost    bool
 	until   time.Time // vanished entries are kept until then
 	whole   bool
@@ -69,7 +71,9 @@
 		after:   o.After,
 		decode:  o.Decode,
 		entries: make(map[string]port.TargetEntry),
+		keys:    make(map[string]string),
 		offsets: make(map[string]int64),
+		born:    make(map[string]int64),
 		lapsed:  make(map[string]time.Time),
 	}
 	r.snap.Store(&Snapshot{Targets: map[string][]port.TargetEntry{}})
@@ -83,7 +87,7 @@
 func (r *Registry) Lookup(id string) (port.TargetEntry, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e, ok := r.entries[id]
+	e, ok := r.entries[r.keys[id]]
 	return e, ok
 }
 
@@ -96,9 +100,9 @@
 		present[rec.Key] = true
 		r.take(rec)
 	}
-	for id := range r.entries {
-		if !present[id] {
-			r.vanish(id)
+	for key := range r.entries {
+		if !present[key] {
+			r.vanish(key)
 		}
 	}
 	r.whole = true
@@ -129,8 +133,8 @@
 	defer r.mu.Unlock()
 	r.lost = false
 	r.until = r.now().Add(keepAfterReturn)
-	for id := range r.lapsed {
-		r.lapsed[id] = r.until
+	for key := range r.lapsed {
+		r.lapsed[key] = r.until
 	}
 	r.after(keepAfterReturn, r.expire)
 }
@@ -143,17 +147,32 @@
 	r.offsets[rec.Key] = rec.Offset
 	e, present, err := r.decode(rec)
 	if err != nil {
-		// The last entry that could be read stays in force.
-		log.WithError(err).WithField("target", rec.Key).Warn("discovery: entry can't be read")
+		// What another writer put there names no target, whatever stood
+		// there before. A live target writes its own entry again soon.
+		log.WithError(err).WithField("target", rec.Key).Warn("discovery: entry names no target")
+		if old, known := r.entries[rec.Key]; known {
+			r.drop(rec.Key, old)
+			r.offsets[rec.Key] = rec.Offset
+		}
 		return
 	}
 	if !present {
 		r.vanish(rec.Key)
 		return
 	}
+	if e.Born < r.born[rec.Key] {
+		log.WithFields(log.Fields{"target": e.ID, "offset": rec.Offset}).Info("discovery: entry of an earlier start, left out")
+		return
+	}
+	r.born[rec.Key] = e.Born
 	old, known := r.entries[rec.Key]
+	if known && old.ID != e.ID {
+		r.drop(rec.Key, old)
+		r.offsets[rec.Key] = rec.Offset
+		known = false
+	}
 	delete(r.lapsed, rec.Key)
-	r.entries[rec.Key] = e
+	r.entries[rec.Key], r.keys[e.ID] = e, rec.Key
 	if !known {
 		r.since = r.now()
 	}
@@ -166,26 +185,27 @@
 }
 
 // vanish drops an entry, or keeps it for a while when the store was away.
-func (r *Registry) vanish(id string) {
-	e, ok := r.entries[id]
+func (r *Registry) vanish(key string) {
+	e, ok := r.entries[key]
 	if !ok {
 		return
 	}
 	now := r.now()
 	if r.lost || now.Before(r.until) {
-		if _, waits := r.lapsed[id]; !waits {
-			r.lapsed[id] = r.until
-			log.WithField("target", id).Info("discovery: target's entry lapsed in an outage, kept for now")
+		if _, waits := r.lapsed[key]; !waits {
+			r.lapsed[key] = r.until
+			log.WithField("target", e.ID).Info("discovery: target's entry lapsed in an outage, kept for now")
 		}
 		return
 	}
-	r.drop(e)
+	r.drop(key, e)
 }
 
-func (r *Registry) drop(e port.TargetEntry) {
-	delete(r.entries, e.ID)
-	delete(r.lapsed, e.ID)
-	delete(r.offsets, e.ID)
+func (r *Registry) drop(key string, e port.TargetEntry) {
+	delete(r.entries, key)
+	delete(r.keys, e.ID)
+	delete(r.lapsed, key)
+	delete(r.offsets, key)
 	log.WithFields(log.Fields{"target": e.ID, "service": e.Service, "addr": e.Addr}).Info("discovery: target gone")
 }
 
@@ -197,8 +217,8 @@
 	if r.lost || now.Before(r.until) {
 		return
 	}
-	for id := range r.lapsed {
-		r.drop(r.entries[id])
+	for key := range r.lapsed {
+		r.drop(key, r.entries[key])
 	}
 	r.publish()
 }
