Planned stop: a request whose answer can't be whole before the end is refused

Daemons are stopped in turn; a caller with a kept connection sends a stream of 4 s at 3.2 s after SIGTERM, the daemon takes it, and cuts it at the end of its 8 s.

Ruled out: closing kept connections sooner (crossing requests would be lost); refusing all after 3 s (short answers can still be given).

The length of a route's answers is learnt by the output tokens that requests state. A leaving daemon answers 503 at once, not run, to what can't end in time.

--- a/request/ingress/answer.go
+++ b/request/ingress/answer.go
@@ -38,7 +38,7 @@
 	h["Content-Type"] = nil
 	maps.Copy(h, from)
 	hop.Strip(h)
-	if x.leaving.Load() {
+	if x.leaving.Load() != nil {
 		h.Set("Connection", "close")
 	}
 }
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -42,7 +42,8 @@
 type Ingress struct {
 	o       Options
 	open    atomic.Int64
-	leaving atomic.Bool
+	leaving atomic.Pointer[time.Time] // when the process ends; nil: it stays
+	lengths lengths
 }
 
 // New returns an Ingress.
@@ -51,9 +52,19 @@
 // Open is the number of requests that are running.
 func (i *Ingress) Open() int { return int(i.open.Load()) }
 
-// Leave has every answer ask its caller to open no further request on the
-// connection.
-func (i *Ingress) Leave() { i.leaving.Store(true) }
+// Leave says when the process ends. Until then every answer asks its caller to
+// open no further request on the connection, and a request whose answer can't
+// be whole by then is refused: another daemon can answer it.
+func (i *Ingress) Leave(end time.Time) { i.leaving.Store(&end) }
+
+// leavesBefore tells whether the process ends before the call is answered.
+func (i *Ingress) leavesBefore(c *dispatch.Call) bool {
+	end := i.leaving.Load()
+	return end != nil && c.Arrived.Add(i.lengths.foresee(c)).After(*end)
+}
+
+// elsewhereAfter is when a caller may come back that another daemon can serve.
+const elsewhereAfter = 20 * time.Millisecond
 
 // defaultTimeout bounds requests of routes that state none.
 const defaultTimeout = 30 * time.Second
@@ -63,7 +74,7 @@
 	i.open.Add(1)
 	defer i.open.Add(-1)
 	arrived := time.Now()
-	if i.leaving.Load() {
+	if i.leaving.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{Ingress: i, w: w, req: req, arrived: arrived}
@@ -132,6 +143,9 @@
 		Body:    body,
 	}
 	c.GiveUp = x.arrived.Add(patience(c))
+	if x.leavesBefore(c) {
+		return c, code.New(code.Draining, "the answer would take longer than this daemon stays").After(elsewhereAfter)
+	}
 	return c, nil
 }
 
@@ -230,6 +244,9 @@
 		entry = entry.WithField("error", detail(err))
 	}
 	entry.Info("ingress: request ended")
+	if err == nil && c != nil {
+		x.lengths.note(c.Route.Name, c.Ask.Output, x.trace.First, whole)
+	}
 	if x.o.Observe != nil {
 		x.o.Observe(o)
 	}
--- a/request/ingress/ingress_test.go
+++ b/request/ingress/ingress_test.go
@@ -239,9 +239,52 @@
 // While the daemon leaves, every answer asks its caller to go elsewhere.
 func TestLeavingAsksCallersToGo(t *testing.T) {
 	r := start(t, true)
-	r.Leave()
+	r.Leave(time.Now().Add(time.Hour))
 	resp, _ := r.do(t, "POST", "/p/", "a.example", ask("r1"), "")
 	if resp.StatusCode != 200 || !resp.Close {
 		t.Errorf("status %d, close %v", resp.StatusCode, resp.Close)
 	}
 }
+
+// A caller's stream is cut in the middle. Its daemon was told to stop, took the
+// request on a kept connection all the same, and ended before the answer did.
+// It refuses what can't be whole by then, truly not run; a short answer is
+// still given.
+func TestLeavingRefusesWhatItCannotEnd(t *testing.T) {
+	r := start(t, true)
+	for range 100 {
+		r.lengths.note("stream", 80, 50*time.Millisecond, 4*time.Second)
+		r.lengths.note("plain", 0, 0, 60*time.Millisecond)
+	}
+	r.Leave(time.Now().Add(2 * time.Second))
+	resp, _ := r.do(t, "POST", "/s/x", "a.example", standin.CallerHeaders("r1", 30*time.Second, "aa:10"), "")
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("long stream: status %d, headers %v", resp.StatusCode, resp.Header)
+	}
+	if ran := r.decode.Ran(); len(ran) > 0 {
+		t.Errorf("ran %v", ran)
+	}
+	if resp, _ := r.do(t, "POST", "/p/", "a.example", ask("r2"), ""); resp.StatusCode != http.StatusOK {
+		t.Errorf("short answer: status %d", resp.StatusCode)
+	}
+}
+
+// The length of an answer follows the output that it states; routes never seen
+// may take as long as they are allowed.
+func TestLengthsForesee(t *testing.T) {
+	var l lengths
+	call := func(name string, output int) *dispatch.Call {
+		return &dispatch.Call{Route: &route.Route{Name: name, Timeout: 15 * time.Second}, Ask: port.Ask{Output: output}}
+	}
+	if got := l.foresee(call("s", 10)); got != 15*time.Second {
+		t.Errorf("unseen: %v", got)
+	}
+	l.note("s", 100, 100*time.Millisecond, 5100*time.Millisecond)
+	for range 20 {
+		l.note("s", 10, 50*time.Millisecond, 450*time.Millisecond)
+	}
+	long, short := l.foresee(call("s", 200)), l.foresee(call("s", 10))
+	if long < 10*time.Second || long > 13*time.Second || short > time.Second {
+		t.Errorf("long %v, short %v", long, short)
+	}
+}
