Engine speed is learnt from nothing and shared between daemons

Cause: the figures by which prompts are foreseen were those of one kind of engine (23 us a token, 50 ms, 40 ms), corrected down to 0.3 at most and from reads of 100 ms and more only. The new site's engines take 4.2 us and a few ms, so nothing was ever learnt there; weights in milliseconds fitted objectives of half a second.

connection/speed fits start, tokens and pairs by least squares with fading weights, clipped and weighted by the wait; daemons tell each other their figures, so one that has just started foresees at once. Weights are shares of the route's objective; at 500 ms they are what they were. Foresight's error is a metric.

Kept: engines of other speeds are foreseen.

--- /dev/null
+++ b/connection/speed/fit.go
@@ -0,0 +1,114 @@
+package speed
+
+import "time"
+
+const (
+	// memory is what is left of a prompt's weight after the next one: about the
+	// last 150 count, so that engines that change are followed within them.
+	memory = 1 - 1.0/150
+	// queuedWeight is by how much a prompt counts less that waited, for each
+	// time that it waited as long as it was read: its wait was foreseen only.
+	queuedWeight = 2.0
+	// clip bounds the time of a prompt, in times of what was foreseen. Others'
+	// work that wasn't heard of makes single ones much longer.
+	clip = 1.7
+	// ridge holds the fit where prompts are alike, as a share of the weights.
+	ridge = 1e-4
+)
+
+// terms are the regressors: one, thousands of tokens, millions of pairs.
+const terms = 3
+
+// fit is a least squares fit of the time of prompts over their missing tokens
+// and pairs, with weights that fade. A term that comes out negative is left
+// out: no engine reads in less than no time.
+type fit struct {
+	xx    [terms][terms]float64
+	xy    [terms]float64
+	n     int
+	coeff [terms]float64 // milliseconds
+}
+
+func regressors(p Sample) [terms]float64 {
+	return [terms]float64{1, float64(p.Missing) / 1e3, pairs(p.Prompt, p.Missing) / 1e3}
+}
+
+func (f *fit) add(p Sample) {
+	x := regressors(p)
+	foreseen := f.coeff[0] + f.coeff[1]*x[1] + f.coeff[2]*x[2]
+	y := max(float64(p.Took-p.Before)/float64(time.Millisecond), 0)
+	weight := 1.0
+	if f.n >= knownFrom && foreseen > 0 {
+		y = min(y, clip*foreseen)
+		weight = 1 / (1 + queuedWeight*p.Before.Seconds()*1e3/foreseen)
+	}
+	for i := range terms {
+		for j := range terms {
+			f.xx[i][j] = memory*f.xx[i][j] + weight*x[i]*x[j]
+		}
+		f.xy[i] = memory*f.xy[i] + weight*x[i]*y
+	}
+	f.n++
+	f.solve()
+}
+
+// solve fits all terms, then without the ones that came out negative.
+func (f *fit) solve() {
+	use := [terms]bool{true, true, true}
+	for range terms {
+		c := f.solveWith(use)
+		worst := -1
+		for i := range terms {
+			if use[i] && c[i] < 0 && (worst < 0 || c[i] < c[worst]) {
+				worst = i
+			}
+		}
+		f.coeff = c
+		if worst < 0 {
+			return
+		}
+		use[worst], f.coeff[worst] = false, 0
+	}
+}
+
+// solveWith solves the normal equations by elimination over the terms in use.
+func (f *fit) solveWith(use [terms]bool) (c [terms]float64) {
+	a, b := f.xx, f.xy
+	for i := range terms {
+		a[i][i] += ridge * (a[i][i] + 1e-9)
+		if use[i] {
+			continue
+		}
+		for j := range terms {
+			a[i][j], a[j][i] = 0, 0
+		}
+		a[i][i], b[i] = 1, 0
+	}
+	for i := range terms {
+		for r := i + 1; r < terms; r++ {
+			m := a[r][i] / a[i][i]
+			for j := i; j < terms; j++ {
+				a[r][j] -= m * a[i][j]
+			}
+			b[r] -= m * b[i]
+		}
+	}
+	for i := terms - 1; i >= 0; i-- {
+		c[i] = b[i]
+		for j := i + 1; j < terms; j++ {
+			c[i] -= a[i][j] * c[j]
+		}
+		c[i] /= a[i][i]
+	}
+	return c
+}
+
+func (f *fit) figures() Figures {
+	const perMs = float64(time.Millisecond)
+	return Figures{
+		PerToken: f.coeff[1] * perMs / 1e3,
+		PerPair:  f.coeff[2] * perMs / 1e3,
+		Start:    time.Duration(f.coeff[0] * perMs),
+		Reads:    f.n,
+	}
+}
--- /dev/null
+++ b/connection/speed/speed.go
@@ -0,0 +1,205 @@
+// Package speed learns how fast a service's engines are from the requests that
+// they serve: how long a prompt takes to be read, and how long the first event
+// takes from there. It starts from nothing, so that engines of any speed are
+// foreseen alike well after some tens of prompts.
+package speed
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Figures foresee an engine's times. The zero value foresees nothing: it stands
+// for engines of which nothing was seen.
+type Figures struct {
+	PerToken float64       // nanoseconds to read one prompt token
+	PerPair  float64       // nanoseconds for a thousand pairs of a token and one before it
+	Start    time.Duration // of each prompt on top, network included; the engine reads others meanwhile
+	First    time.Duration // from the request to the decoding engine to its first event, without the move of KV cache
+	Reads    int           // prompts that these figures come from
+}
+
+// Known tells whether enough prompts were seen to foresee others.
+func (f Figures) Known() bool { return f.Reads >= knownFrom }
+
+// Read is the time that an engine takes to read the last missing tokens of a
+// prompt.
+func (f Figures) Read(prompt, missing int) time.Duration {
+	t := float64(missing)*f.PerToken + pairs(prompt, missing)*f.PerPair
+	return time.Duration(t)
+}
+
+// pairs is the number, in thousands, of pairs of a missing token and one of
+// the prompt before it: what attention computes.
+func pairs(prompt, missing int) float64 {
+	return float64(missing) * (float64(prompt) - float64(missing)/2) / 1e3
+}
+
+// Sample is one prompt that was read.
+type Sample struct {
+	Prompt  int           // its tokens
+	Missing int           // of these, those that had to be read
+	Before  time.Duration // foreseen until the engine began with it, fetches included
+	Took    time.Duration // from the request to its answer
+}
+
+const (
+	// knownFrom is the number of prompts from which on figures are used: twice
+	// and more the three that the fit finds.
+	knownFrom = 8
+	// ownFrom is the number of own prompts from which on a process trusts its
+	// own figures more than another's: with 30 the fit of prompts that are off
+	// by a fifth each is off by a tenth.
+	ownFrom = 30
+	// firstWeight is the least weight of the newest first event: the last 20.
+	firstWeight = 0.05
+)
+
+// Book learns the figures of each service. It is safe for concurrent use.
+type Book struct {
+	mu       sync.Mutex
+	services map[uint64]*service
+}
+
+type service struct {
+	fit    fit
+	first  time.Duration
+	firsts int
+	own    Figures // of this process's own prompts
+	told   Figures // another process's, of the most prompts
+	error  float64 // smoothed share by which the foresight is off
+}
+
+// NewBook returns an empty Book.
+func NewBook() *Book { return &Book{services: make(map[uint64]*service)} }
+
+// get returns what is known of a service. Callers hold b.mu.
+func (b *Book) get(key uint64) *service {
+	s := b.services[key]
+	if s == nil {
+		s = &service{}
+		b.services[key] = s
+	}
+	return s
+}
+
+func key(name string) uint64 { return xxhash.Sum64String(name) }
+
+// Figures returns what is known of a service's engines now.
+func (b *Book) Figures(name string) Figures {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.get(key(name)).figures()
+}
+
+// figures are the own ones once they come from enough prompts, else another
+// process's: a process that has just started foresees like the others at once.
+func (s *service) figures() Figures {
+	f := s.own
+	if s.own.Reads < ownFrom && s.told.Reads > s.own.Reads {
+		f = s.told
+		if s.firsts > 0 {
+			f.First = s.first
+		}
+	}
+	return f
+}
+
+// Read notes a prompt that was read.
+func (b *Book) Read(name string, p Sample) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.get(key(name))
+	s.fit.add(p)
+	s.off(p)
+	s.own = s.fit.figures()
+	s.own.First = s.first
+}
+
+const (
+	// errorWeight is the weight of the newest foresight in the error shown.
+	errorWeight = 0.05
+	// maxError bounds one foresight's error.
+	maxError = 5.0
+)
+
+// off notes by how much the foresight of a prompt was off.
+func (s *service) off(p Sample) {
+	f := s.figures()
+	if !f.Known() || p.Took <= 0 {
+		return
+	}
+	foreseen := p.Before + f.Start + f.Read(p.Prompt, p.Missing)
+	share := (foreseen - p.Took).Abs().Seconds() / p.Took.Seconds()
+	s.error += errorWeight * (min(share, maxError) - s.error)
+}
+
+// First notes the time to the first event, without the move of KV cache.
+func (b *Book) First(name string, seen time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.get(key(name))
+	s.firsts++
+	weight := max(1/float64(s.firsts), firstWeight)
+	s.first += time.Duration(weight * float64(max(seen, 0)-s.first))
+	s.own.First = s.first
+}
+
+// Word is what one process tells the others of a service's engines.
+type Word struct {
+	_        struct{} `cbor:",toarray"`
+	Service  uint64
+	PerToken float32
+	PerPair  float32
+	StartUs  uint32
+	FirstUs  uint32
+	Reads    uint32
+}
+
+// maxReads bounds the number told: of two processes that both know well, none
+// is preferred.
+const maxReads = 1000
+
+// Told returns the figures of this process's own prompts.
+func (b *Book) Told() []Word {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Word
+	for key, s := range b.services {
+		if !s.own.Known() {
+			continue
+		}
+		out = append(out, Word{
+			Service: key, PerToken: float32(s.own.PerToken), PerPair: float32(s.own.PerPair),
+			StartUs: uint32(s.own.Start.Microseconds()), FirstUs: uint32(s.own.First.Microseconds()),
+			Reads: uint32(min(s.own.Reads, maxReads)),
+		})
+	}
+	return out
+}
+
+// Heard takes another process's word.
+func (b *Book) Heard(words []Word) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, w := range words {
+		s := b.get(w.Service)
+		if int(w.Reads) < s.told.Reads {
+			continue
+		}
+		s.told = Figures{
+			PerToken: float64(w.PerToken), PerPair: float64(w.PerPair),
+			Start: time.Duration(w.StartUs) * time.Microsecond, First: time.Duration(w.FirstUs) * time.Microsecond,
+			Reads: int(w.Reads),
+		}
+	}
+}
+
+// Error is by which share the foresight of prompts is off lately, smoothed.
+func (b *Book) Error(name string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.get(key(name)).error
+}
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -21,6 +21,7 @@
 	"github.com/pomelospool/pomelospool/connection/engines"
 	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/connection/health"
+	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/internal/sock"
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/port"
@@ -83,6 +84,7 @@
 	pool    *h1.Pool
 	engines *engines.Book
 	health  *health.Book
+	speed   *speed.Book
 	budget  *budget.Fleet
 	control port.EngineControl
 	roster  *roster.Roster
@@ -112,6 +114,7 @@
 		config: inforce.New(platform.DecodeConfig),
 		pool:   h1.New(h1.Options{}),
 		claims: roles.NewSightings(clock.Boot{}),
+		speed:  speed.NewBook(),
 	}
 	d.registry = discovery.New(discovery.Options{Decode: platform.DecodeTarget})
 	d.engines = engines.New(time.Now, func() {
@@ -175,6 +178,7 @@
 		Store:     d.store,
 		Book:      d.engines,
 		Claims:    d.claims,
+		Speeds:    d.speed,
 		TTL:       min(addressTTL, d.s.Bounds.AddressTTL),
 		StoreAway: d.storeAway.Load,
 	})
@@ -203,6 +207,7 @@
 		Targets: targets{d.registry},
 		Engines: d.engines,
 		Health:  d.health,
+		Speed:   d.speed,
 		Budget:  d.budget,
 		Control: d.control,
 		Zone:    d.s.Zone,
@@ -367,6 +372,7 @@
 		}
 		if d.ready.Load() {
 			d.forget()
+			d.metrics.foresight(d.config.Load(), d.speed)
 		}
 	}
 }
--- a/process/front/metrics.go
+++ b/process/front/metrics.go
@@ -4,11 +4,14 @@
 	"expvar"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/request/ingress"
+	"github.com/pomelospool/pomelospool/version/route"
 )
 
 // secondsBuckets are the bounds of the latency histograms: from the fastest
@@ -21,6 +24,8 @@
 	requests *prometheus.CounterVec
 	whole    *prometheus.HistogramVec
 	first    prometheus.Histogram
+	perToken *prometheus.GaugeVec // by service
+	off      *prometheus.GaugeVec // by service
 }
 
 func newMetrics(d *Daemon) *metrics {
@@ -35,12 +40,18 @@
 		first: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "pomelospool_first_event_seconds", Help: "From a request's arrival to the first event of its answer.", Buckets: secondsBuckets,
 		}),
+		perToken: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "pomelospool_engine_read_seconds_per_token", Help: "Time that a service's engines take to read a prompt token, as learnt; 0: nothing learnt.",
+		}, []string{"service"}),
+		off: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "pomelospool_read_foresight_error_ratio", Help: "By which share the foreseen time of a prompt is off lately, smoothed.",
+		}, []string{"service"}),
 	}
 	gauge := func(name, help string, f func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "pomelospool_" + name, Help: help}, f)
 	}
 	m.registry.MustRegister(
-		m.requests, m.whole, m.first, expvarCollector{},
+		m.requests, m.whole, m.first, m.perToken, m.off, expvarCollector{},
 		gauge("open_requests", "Requests that run now.", func() float64 { return float64(d.ingress.Open()) }),
 		gauge("config_version", "Version of the configuration in force, 0: none.", d.configVersion),
 		gauge("daemons_alive", "Daemons that are heard, this one included.", func() float64 { return float64(len(d.roster.Members())) }),
@@ -64,6 +75,17 @@
 	return 0
 }
 
+// foresight shows what was learnt of engines, and how well it foresees.
+func (m *metrics) foresight(c *route.Config, b *speed.Book) {
+	for name, svc := range c.Services {
+		if svc.Engine == nil {
+			continue
+		}
+		m.perToken.WithLabelValues(name).Set(b.Figures(name).PerToken / float64(time.Second))
+		m.off.WithLabelValues(name).Set(b.Error(name))
+	}
+}
+
 // observe counts one request that ended.
 func (m *metrics) observe(o ingress.Observation) {
 	kind := o.Kind.String()
--- a/process/roster/beat.go
+++ b/process/roster/beat.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/internal/pause"
 )
 
@@ -22,6 +23,7 @@
 	Reads  []engines.Read
 	Peers  []string
 	Claims []Claim
+	Speeds []speed.Word
 }
 
 // Claim says for how long the newest claim for a service has stood at least.
@@ -38,6 +40,12 @@
 	Heard(claims []Claim)
 }
 
+// Speeds gives and takes what daemons have learnt of engines' speed.
+type Speeds interface {
+	Told() []speed.Word
+	Heard(words []speed.Word)
+}
+
 // tell sends beats: at least every beatEvery, and soon after news.
 func (r *Roster) tell() error {
 	ctx := r.tomb.Context(context.Background())
@@ -104,6 +112,9 @@
 	if r.o.Claims != nil {
 		b.Claims = r.o.Claims.Told()
 	}
+	if r.o.Speeds != nil && !near {
+		b.Speeds = r.o.Speeds.Told()
+	}
 	var to []net.Addr
 	for addr, p := range r.peers {
 		if now.Sub(p.heard) > forgetAfter {
@@ -193,6 +204,9 @@
 	if r.o.Claims != nil {
 		r.o.Claims.Heard(b.Claims)
 	}
+	if r.o.Speeds != nil {
+		r.o.Speeds.Heard(b.Speeds)
+	}
 	for _, addr := range b.Peers {
 		r.learn(addr)
 	}
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -96,6 +96,8 @@
 	Book  *engines.Book
 	// Claims is what the daemons tell each other of claims; nil: nothing.
 	Claims Claims
+	// Speeds is what they tell each other of engines' speed; nil: nothing.
+	Speeds Speeds
 	TTL    time.Duration // how long callers keep addresses
 	// StoreAway tells whether the store can't be read now.
 	StoreAway func() bool
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -12,6 +12,7 @@
 	"github.com/pomelospool/pomelospool/connection/engines"
 	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/connection/health"
+	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/version/route"
@@ -61,13 +62,13 @@
 	Health  *health.Book
 	Budget  *budget.Fleet
 	Control port.EngineControl
+	Speed   *speed.Book
 	Zone    string // availability zone of this process
 }
 
 // Runner runs calls. It is safe for concurrent use.
 type Runner struct {
-	opts   Options
-	models models
+	opts Options
 }
 
 // New returns a Runner.
--- a/request/dispatch/decode.go
+++ b/request/dispatch/decode.go
@@ -97,14 +97,17 @@
 		resp.Close(0)
 		return fail(failure.Mismatch, to.ID, errUnsigned)
 	}
-	foreseen := u.models.load(u.c.Service.Name).First
+	usual := u.opts.Speed.Figures(u.c.Service.Name).First
+	foreseen := usual
 	if from.kv != nil {
 		foreseen += placement.Move(u.c.Service.Engine, p.Tokens, from.zone == to.Zone)
 	}
 	first := func() {
 		seen := time.Since(begun)
-		u.models.firstIn(u.c.Service.Name, u.models.load(u.c.Service.Name).First+seen-foreseen)
-		u.opts.Health.NotePace(to.ID, pace(foreseen, seen))
+		u.opts.Speed.First(u.c.Service.Name, usual+seen-foreseen)
+		if usual > 0 {
+			u.opts.Health.NotePace(to.ID, u.pace(foreseen, seen))
+		}
 	}
 	return u.relay(ctx, to.ID, resp, v, out, first)
 }
@@ -132,9 +135,17 @@
 
 // pace is how many times longer than foreseen something took. Short times are
 // off by some tens of milliseconds for reasons that aren't the engine's.
-func pace(foreseen, seen time.Duration) float64 {
-	return float64(seen+paceSlack) / float64(foreseen+paceSlack)
+func (u *run) pace(foreseen, seen time.Duration) float64 {
+	slack := paceSlack
+	if o := u.c.Route.Objective; o > 0 {
+		slack = time.Duration(paceShare * float64(o))
+	}
+	return float64(seen+slack) / float64(foreseen+slack)
 }
 
-// paceSlack is added to both times of a pace.
-const paceSlack = 100 * time.Millisecond
+// What is added to both times of a pace: a share of the objective, or paceSlack
+// without one.
+const (
+	paceShare = 0.2
+	paceSlack = 100 * time.Millisecond
+)
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -13,10 +13,10 @@
 const (
 	// latePriority is the urgency of requests that can't make their objective.
 	latePriority = 9
-	// lateWait is the longest wait at an engine that such a request is taken
-	// for. Without a bound they would pile up; with none taken, the largest
-	// prompts would never be served.
-	lateWait = 120 * time.Millisecond
+	// lateWait is the longest wait at an engine, as a share of the objective,
+	// that such a request is taken for. Without a bound they would pile up;
+	// with none taken, the largest prompts would never be served.
+	lateWait = 0.24
 )
 
 // streamed runs a call at the service's engines, or at plain targets.
@@ -79,6 +79,7 @@
 	p := prompt{parts: u.c.Ask.Parts}
 	p.Tokens = u.c.Ask.Prompt
 	p.Zone = u.opts.Zone
+	p.Objective = u.c.Route.Objective
 	p.priority = min(u.c.Route.Priority, latePriority-1)
 	for _, part := range p.parts[:max(len(p.parts)-1, 0)] {
 		p.Shared += part.Tokens
@@ -98,19 +99,19 @@
 	if err := u.decodable(p); err != nil {
 		return p, err
 	}
-	m := u.models.load(u.c.Service.Name)
-	ch := u.choosePrefill(p, m)
+	f := u.opts.Speed.Figures(u.c.Service.Name)
+	ch := u.choosePrefill(p, f)
 	if ch.At < 0 {
 		return p, nil // decode engines may read it, or nothing can: not for here
 	}
-	alone := m.Start + ch.Read + m.First
+	alone := f.Start + ch.Read + f.First
 	u.trace.Foreseen = ch.Wait + alone
 	if u.c.Route.Objective <= 0 || u.trace.Foreseen <= u.c.Route.Objective {
 		return p, nil
 	}
 	if alone > u.c.Route.Objective {
 		p.priority = latePriority
-		if ch.Wait <= lateWait {
+		if ch.Wait <= time.Duration(lateWait*float64(u.c.Route.Objective)) {
 			return p, nil
 		}
 	}
--- a/request/dispatch/prefill.go
+++ b/request/dispatch/prefill.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/failure"
 	"github.com/pomelospool/pomelospool/request/placement"
@@ -13,9 +14,11 @@
 const (
 	// prefillPatience times the foreseen time, and prefillGrace on top, is how
 	// long an engine may take to read a prompt. A dark engine shows in nothing
-	// but silence.
+	// but silence. While nothing can be foreseen it may take unknownPatience of
+	// the time that the call has.
 	prefillPatience = 3
 	prefillGrace    = 700 * time.Millisecond
+	unknownPatience = 0.5
 )
 
 // prefilled is a prompt that was read, or the decision to have it read by the
@@ -33,13 +36,13 @@
 	from string // address of the engine to fetch from, empty: none
 }
 
-func (u *run) choosePrefill(p prompt, m placement.Model) reading {
+func (u *run) choosePrefill(p prompt, f speed.Figures) reading {
 	cands := u.candidates(p, port.RolePrefill)
 	for i := range cands {
 		cands[i].Rate += u.opts.Health.Rate(kvOf(cands[i].Entry.ID))
 	}
 	sources := append(u.candidates(p, port.RoleDecode), cands...)
-	ch := reading{Choice: placement.Prefill(p.Prompt, cands, sources, u.c.Service.Engine, m)}
+	ch := reading{Choice: placement.Prefill(p.Prompt, cands, sources, u.c.Service.Engine, f)}
 	if ch.At >= 0 {
 		ch.to = cands[ch.At].Entry
 	}
@@ -69,21 +72,21 @@
 // prefill has the prompt read. Without an engine for that the decoding engine
 // reads it itself, at half the speed.
 func (u *run) prefill(ctx context.Context, p prompt) (prefilled, *failed) {
-	m := u.models.load(u.c.Service.Name)
-	ch := u.choosePrefill(p, m)
+	figures := u.opts.Speed.Figures(u.c.Service.Name)
+	ch := u.choosePrefill(p, figures)
 	if ch.At < 0 {
 		return prefilled{}, nil
 	}
 	to := ch.to
 	done := u.opts.Engines.Prefill(to.ID, u.c.Service.Engine.KVTokens, p.parts, ch.Read)
 	defer done()
-	foreseen := m.Start + ch.Wait + ch.Read
+	foreseen := figures.Start + ch.Wait + ch.Read
 	u.trace.Prefill = Prefill{Prompt: p.Tokens, Shared: p.Shared, Missing: ch.Missing, Fetched: ch.Fetched, Guessed: ch.Guessed, Wait: ch.Wait, Read: ch.Read}
 	begun := time.Now()
 	resp, v, f := u.send(ctx, sending{
 		to:      to,
 		state:   port.Send{Priority: p.priority, Prefill: true, FetchFrom: ch.from},
-		silence: prefillPatience*foreseen + prefillGrace,
+		silence: u.prefillSilence(figures, foreseen),
 	})
 	if f != nil {
 		return prefilled{}, u.nothingRan(f)
@@ -105,13 +108,25 @@
 	u.trace.Prefill.Took = took
 	if !ch.Guessed {
 		// What a guess fetched was foreseen as read: it would teach a wrong pace.
-		u.models.readIn(u.c.Service.Name, foreseen, took)
-		u.opts.Health.NotePace(to.ID, pace(foreseen, took))
+		u.opts.Speed.Read(u.c.Service.Name, speed.Sample{
+			Prompt: p.Tokens, Missing: ch.Missing, Before: ch.Wait + ch.Moved, Took: took,
+		})
+		if figures.Known() {
+			u.opts.Health.NotePace(to.ID, u.pace(foreseen, took))
+		}
 	}
 	u.ok(to.ID)
 	return prefilled{kv: &port.KVSource{Addr: to.Addr, Handle: handle}, zone: to.Zone, at: to.ID}, nil
 }
 
+// prefillSilence is how long an engine may take to read a prompt.
+func (u *run) prefillSilence(f speed.Figures, foreseen time.Duration) time.Duration {
+	if !f.Known() {
+		return time.Duration(unknownPatience * float64(time.Until(u.c.GiveUp)))
+	}
+	return prefillPatience*foreseen + prefillGrace
+}
+
 // nothingRan says of a failed prefill that the request did not run: reading a
 // prompt makes no answer and may be repeated. The target is judged by what it
 // did, the call by "not run".
--- a/request/placement/decode.go
+++ b/request/placement/decode.go
@@ -10,11 +10,16 @@
 	// zoneFactor is how much longer KV cache takes to another availability
 	// zone, and how much more it costs.
 	zoneFactor = 2
-	// fullCost is what a full engine costs, in time: a step with 64 requests
-	// takes some 5 ms more than one with none.
-	fullCost = 80 * time.Millisecond
-	// foreseenFirst is the time to the first event that a slow engine exceeds.
-	foreseenFirst = defaultFirst
+	// fullCost is what a full engine costs: its steps take longer, and a prompt
+	// that is admitted as its last has no room to be late.
+	fullCost share = 0.16
+	// overCost is what each engine's worth of requests beyond its places costs.
+	overCost share = 2
+	// slowCost is what an engine costs for each time that it is slower.
+	slowCost share = 0.08
+	// mixCost is the most that the prompt's hash adds, so that engines that are
+	// alike share the prompts.
+	mixCost share = 0.002
 	// moveWeight counts the time of a move again, since moves are paid for.
 	moveWeight = 3
 )
@@ -28,17 +33,17 @@
 	for i := range cands {
 		c := &cands[i]
 		full := float64(c.Load.Streams) / float64(max(c.Entry.Slots, 1))
-		cost := time.Duration(full * full * float64(fullCost))
-		cost += time.Duration(c.Rate * float64(failPenalty))
+		cost := time.Duration(full * full * float64(fullCost.of(&p)))
+		cost += time.Duration(c.Rate * float64(failCost.of(&p)))
 		if full >= 1 {
-			cost += time.Duration((full - 1) * float64(time.Second))
+			cost += time.Duration((full - 1) * float64(overCost.of(&p)))
 		}
 		if from != "" {
 			cost += moveWeight * Move(e, max(p.Tokens-c.Load.Cached, 0), from == c.Entry.Zone)
 		}
-		cost += c.slower(foreseenFirst) - foreseenFirst
-		cost += c.dial()
-		cost += time.Duration(unit(p.Seed^uint64(i+1)) * float64(time.Millisecond))
+		cost += c.slower(slowCost.of(&p)) - slowCost.of(&p)
+		cost += c.dial(&p)
+		cost += time.Duration(unit(p.Seed^uint64(i+1)) * float64(mixCost.of(&p)))
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
--- a/request/placement/prefill.go
+++ b/request/placement/prefill.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/version/route"
 )
@@ -35,6 +36,8 @@
 	Shared int    // of these, the leading ones that other prompts may begin with too
 	Zone   string // availability zone of the deciding daemon
 	Seed   uint64 // of the prompt's first part: equal prompts go to one engine
+	// Objective is the time within which the caller wants the first event.
+	Objective time.Duration
 }
 
 // Choice is where a prompt is read.
@@ -43,6 +46,7 @@
 	Missing int // prompt tokens that the engine has to read
 	Wait    time.Duration
 	Read    time.Duration // the fetch included
+	Moved   time.Duration // of it, the fetch
 	Fetch   int           // index of the source to fetch from, -1: none
 	Fetched int           // prompt tokens that are fetched
 	Guessed bool          // nobody said that the source keeps more of the prompt
@@ -52,16 +56,16 @@
 	// readAgain is the weight of the time to read what another engine keeps
 	// already, on top of the time itself: it is taken from later requests.
 	readAgain = 0.9
-	// failPenalty is the time that a failure rate of one stands for.
-	failPenalty = 800 * time.Millisecond
-	// tieSpread is the most that the prompt's hash adds to an engine's cost.
-	tieSpread = 4 * time.Millisecond
+	// failCost is what a failure rate of one costs.
+	failCost share = 1.6
+	// tieCost is the most that the prompt's hash adds to an engine's cost.
+	tieCost share = 0.008
 )
 
 const (
-	// leastFetch is the number of prompt tokens that are worth a fetch: reading
-	// them takes some 10 ms.
-	leastFetch = 400
+	// leastFetch is the least time to read that a fetch is worth: it is a call
+	// between two engines, and paid for.
+	leastFetch share = 0.02
 	// fetchWeight counts the time of a fetch again, since moves are paid for.
 	fetchWeight = 2
 )
@@ -70,35 +74,35 @@
 // with what it has to read counted again in part. An engine that lacks what
 // another one keeps fetches it: 13,000 tokens take 10 to 20 ms to fetch and
 // 300 ms to read. sources are the engines that can be fetched from.
-func Prefill(p Prompt, cands, sources []Candidate, e *route.Engine, m Model) Choice {
+func Prefill(p Prompt, cands, sources []Candidate, e *route.Engine, f speed.Figures) Choice {
 	best := Choice{At: -1, Fetch: -1}
 	var bestCost time.Duration
 	keeper := keepsMost(sources)
 	near := inZone(cands, p.Zone)
-	at := newHome(p, cands, sources, keeper)
+	at := newHome(p, cands, sources, keeper, f)
 	for i := range cands {
 		c := &cands[i]
 		ch := Choice{At: i, Fetch: -1, Wait: c.slower(c.Load.Wait)}
 		kept := c.Load.Cached
 		var fetch time.Duration
-		if keeper >= 0 && sources[keeper].Load.Cached >= kept+leastFetch {
+		if keeper >= 0 && worthFetch(&p, f, kept, sources[keeper].Load.Cached) {
 			src := &sources[keeper]
 			ch.Fetch, ch.Fetched = keeper, src.Load.Cached-kept
 			kept = src.Load.Cached
 			fetch = Move(e, ch.Fetched, src.Entry.Zone == c.Entry.Zone)
 		}
 		ch.Missing = max(p.Tokens-kept, 1)
-		read := c.slower(m.Read(p.Tokens, ch.Missing))
-		ch.Read = read + fetch
+		read := c.slower(f.Read(p.Tokens, ch.Missing))
+		ch.Read, ch.Moved = read+fetch, fetch
 		cost := ch.Wait + read + time.Duration(readAgain*float64(read))
 		cost += fetchWeight * fetch
 		if near >= manyNear && c.Entry.Zone != p.Zone {
-			cost += farCost
+			cost += farCost.of(&p)
 		}
-		cost += time.Duration(c.Rate * float64(failPenalty))
-		cost += time.Duration(unit(p.Seed^engines.Hash(c.Entry.ID)) * float64(tieSpread))
-		cost += at.cost(i, m)
-		cost += c.dial()
+		cost += time.Duration(c.Rate * float64(failCost.of(&p)))
+		cost += time.Duration(unit(p.Seed^engines.Hash(c.Entry.ID)) * float64(tieCost.of(&p)))
+		cost += at.cost(i, f)
+		cost += c.dial(&p)
 		if best.At < 0 || cost < bestCost {
 			best, bestCost = ch, cost
 		}
@@ -110,13 +114,13 @@
 // dialCost is what a new connection costs: a round trip and the target's
 // acceptance take 3 ms, and connections are paid for. With it 90 daemons open
 // 7,508 connections for 44,778 requests, 13,975 without.
-const dialCost = 8 * time.Millisecond
+const dialCost share = 0.016
 
-func (c *Candidate) dial() time.Duration {
+func (c *Candidate) dial(p *Prompt) time.Duration {
 	if c.Warm {
 		return 0
 	}
-	return dialCost
+	return dialCost.of(p)
 }
 
 const (
@@ -125,7 +129,7 @@
 	// bytes between zones are paid for.
 	manyNear = 8
 	// farCost is what another zone's engine costs then.
-	farCost = 10 * time.Millisecond
+	farCost share = 0.02
 )
 
 func inZone(cands []Candidate, zone string) int {
@@ -138,6 +142,16 @@
 	return n
 }
 
+// worthFetch tells whether the tokens that another engine keeps on top are
+// worth being fetched.
+func worthFetch(p *Prompt, f speed.Figures, kept, elsewhere int) bool {
+	if elsewhere <= kept {
+		return false
+	}
+	saved := f.Read(p.Tokens, p.Tokens-kept) - f.Read(p.Tokens, p.Tokens-elsewhere)
+	return saved >= leastFetch.of(p)
+}
+
 // keepsMost is the index of the source that keeps most of the prompt.
 func keepsMost(sources []Candidate) int {
 	best := -1
