Roles: a plan for a mix that may turn, on settled figures; direct reading tried and reverted

Now: 30 prompts and 30 ended streams before the demand counts, two half lives (2 s, 15 s), a quarter of the weight to a mix that turns, changes weighed as shares of the fleet, the split stays while engines work whose demand isn't known.

--- a/connection/speed/speed.go
+++ b/connection/speed/speed.go
@@ -19,12 +19,17 @@
 	Start     time.Duration // of each prompt on top, network included; the engine reads others meanwhile
 	First     time.Duration // from the request to the decoding engine to its first event, without the move of KV cache
 	PerOutput time.Duration // that a stream takes for each output token stated, from its first event on
+	Streams   int           // whole streams that PerOutput comes from
 	Reads     int           // prompts that these figures come from
 }
 
 // Known tells whether enough prompts were seen to foresee others.
 func (f Figures) Known() bool { return f.Reads >= knownFrom }
 
+// Settled tells whether what a request asks of the engines can be told: enough
+// prompts were read, and enough streams ended.
+func (f Figures) Settled() bool { return f.Reads >= ownFrom && f.Streams >= ownFrom }
+
 // Read is the time that an engine takes to read the last missing tokens of a
 // prompt.
 func (f Figures) Read(prompt, missing int) time.Duration {
@@ -117,7 +122,7 @@
 	s.fit.add(p)
 	s.off(p)
 	s.own = s.fit.figures()
-	s.own.First, s.own.PerOutput = s.first, s.length.value()
+	s.own.First, s.own.PerOutput, s.own.Streams = s.first, s.length.value(), s.length.n
 }
 
 const (
@@ -151,11 +156,15 @@
 
 // ratio is the time of streams over the output tokens that they stated, with
 // weights that fade.
-type ratio struct{ time, tokens float64 }
+type ratio struct {
+	time, tokens float64
+	n            int
+}
 
 func (r *ratio) add(took time.Duration, tokens int) {
 	r.time = memory*r.time + float64(took)
 	r.tokens = memory*r.tokens + float64(tokens)
+	r.n++
 }
 
 func (r *ratio) value() time.Duration {
@@ -171,7 +180,7 @@
 	defer b.mu.Unlock()
 	s := b.get(key(name))
 	s.length.add(took, output)
-	s.own.PerOutput = s.length.value()
+	s.own.PerOutput, s.own.Streams = s.length.value(), s.length.n
 }
 
 // Lasts is how long a stream will run that states so many output tokens.
@@ -189,6 +198,7 @@
 	FirstUs  uint32
 	OutputUs uint32
 	Reads    uint32
+	Streams  uint32
 }
 
 // maxReads bounds the number told: of two processes that both know well, none
@@ -208,7 +218,7 @@
 			Service: key, PerToken: float32(s.own.PerToken), PerPair: float32(s.own.PerPair),
 			StartUs: uint32(s.own.Start.Microseconds()), FirstUs: uint32(s.own.First.Microseconds()),
 			OutputUs: uint32(s.own.PerOutput.Microseconds()),
-			Reads:    uint32(min(s.own.Reads, maxReads)),
+			Reads:    uint32(min(s.own.Reads, maxReads)), Streams: uint32(min(s.own.Streams, maxReads)),
 		})
 	}
 	return out
@@ -228,6 +238,7 @@
 			Start: time.Duration(w.StartUs) * time.Microsecond, First: time.Duration(w.FirstUs) * time.Microsecond,
 			PerOutput: time.Duration(w.OutputUs) * time.Microsecond,
 			Reads:     int(w.Reads),
+			Streams:   int(w.Streams),
 		}
 	}
 }
--- a/process/roles/plan.go
+++ b/process/roles/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -27,9 +26,6 @@
 }
 
 const (
-	// firstShare is the part of the engines that decode while nothing is known
-	// of the demand: one side may be short of a third, neither of more.
-	firstShare = 1.0 / 4
 	// leastDecoders keeps the service up when one decoding engine dies: a
 	// change of role takes seconds.
 	leastDecoders = 2
@@ -47,7 +43,7 @@
 		return nil
 	}
 	decoders, readers := split(live)
-	want := wanted(len(live), slotsOf(live), len(decoders), d)
+	want := wanted(len(live), slotsOf(live), len(decoders), slices.ContainsFunc(live, Engine.working), d)
 	if low, _ := floors(len(live)); underWay(live) && len(decoders) >= low {
 		// What engines become shows in what is served only at the end.
 		return nil
@@ -61,18 +57,22 @@
 	return nil
 }
 
+// working tells whether the engine has requests.
+func (e Engine) working() bool { return e.Streams > 0 || e.Wait > 0 }
+
 // underWay tells whether engines change their roles.
 func underWay(live []Engine) bool {
 	return slices.ContainsFunc(live, func(e Engine) bool { return e.Changing })
 }
 
-// wanted is the number of decoding engines.
-func wanted(live, slots, now int, d Demand) int {
-	if len(d) > 0 && slots > 0 {
-		return d.best(live, slots, now)
+// wanted is the number of decoding engines. While engines work whose demand
+// isn't known, as to a daemon that has just started, the split stays.
+func wanted(live, slots, now int, working bool, d Demand) int {
+	if len(d) > 0 || !working {
+		return d.best(live, max(slots, 1), now)
 	}
 	low, high := floors(live)
-	return min(max(int(math.Round(float64(live)*firstShare)), low), high)
+	return min(max(now, low), high)
 }
 
 func slotsOf(live []Engine) int {
--- a/process/roles/planner.go
+++ b/process/roles/planner.go
@@ -44,8 +44,8 @@
 	drainGrace = 12 * time.Second
 	// looksPerSecond is how often the demand is noted.
 	looksPerSecond = 2
-	// kept is how many notes of the demand are kept: four half lives.
-	kept = 4 * halfLife
+	// kept is how many notes of the demand are kept: two of the long half lives.
+	kept = 2 * longHalfLife
 	// takeover is how long a daemon leads before its first order. What it
 	// knows may be from before a cut: the others' words of orders under way,
 	// and of the demand, come within some beats. Without it a holder back from
@@ -347,13 +347,21 @@
 		p.asked[service] = a
 	}
 	now := p.o.Clock.Now()
-	if now-a.at < time.Second/looksPerSecond || !p.o.Speed.Figures(service).Known() {
-		return a.notes
+	if now-a.at < time.Second/looksPerSecond || !p.o.Speed.Figures(service).Settled() {
+		return a.known()
 	}
 	a.at = now
 	a.notes = append(a.notes, p.o.Demand.Total(service))
 	if len(a.notes) > kept {
 		a.notes = a.notes[1:]
 	}
+	return a.known()
+}
+
+// known is the demand once enough of it was noted.
+func (a *asked) known() Demand {
+	if len(a.notes) < leastNotes {
+		return nil
+	}
 	return a.notes
 }
--- a/process/roles/split.go
+++ b/process/roles/split.go
@@ -12,15 +12,32 @@
 	fullReading  = 0.9
 	fullDecoding = 0.85
 	// halfLife is the age at which what was asked counts half, in looks at the
-	// demand: 5 s. Mixes that turn within some seconds are answered by a split
-	// that serves both sides, one that stays by a split for it alone.
-	halfLife = 5 * looksPerSecond
-	// changeCost is what a change of one engine's role must gain, in squared
+	// demand, once over 2 s and once over 15 s. The short one follows a mix that
+	// stays, the long one keeps what mixes that turn within seconds will ask
+	// again.
+	shortHalfLife = 2 * looksPerSecond
+	longHalfLife  = 15 * looksPerSecond
+	// turnWeight is the weight of a mix that turns against the mix that was
+	// seen. The store may be away as it turns, and roles can't change then: with
+	// two decoding engines of twelve left by a load of prompts the worth of a
+	// day on which that happens was 0.449, with four kept 0.605.
+	turnWeight = 0.25
+	// turnReading and turnDecoding are what such a mix asks, as shares of all
+	// engines.
+	turnReading  = 0.65
+	turnDecoding = 0.25
+	// startReading and startDecoding are what is assumed before anything is
+	// asked. Nothing is kept then, and streams are still to come.
+	startReading  = 0.65
+	startDecoding = 0.18
+	// leastNotes is the number of looks that a plan needs: 3 s.
+	leastNotes = 3 * looksPerSecond
+	// changeCost is what a change of all engines' roles must gain, in squared
 	// shares of what is asked: a change takes an engine away for some seconds.
-	// Over nine loads of a model (turning mixes both ways, steps, steady ones)
-	// 0.001 to 0.02 were tried: 0.008 loses least, 0.033 of what is asked, with
-	// half the orders of 0.002.
-	changeCost = 0.008
+	// Over nine loads of a model with 12 engines (turning mixes both ways,
+	// steps, steady ones) 0.001 to 0.02 for one engine were tried: 0.008 loses
+	// least, 0.033 of what is asked, with half the orders of 0.002.
+	changeCost = 0.1
 	// evenness weighs how full both sides are against what is refused: it
 	// decides where nothing is.
 	evenness = 0.01
@@ -45,7 +62,10 @@
 	lowest := d.cost(live, slots, at)
 	best := at
 	for n := low; n <= high; n++ {
-		c := d.cost(live, slots, n) + changeCost*math.Abs(float64(n-at))
+		c := d.cost(live, slots, n)
+		if len(d) > 0 {
+			c += changeCost * math.Abs(float64(n-at)) / float64(live)
+		}
 		if c < lowest {
 			best, lowest = n, c
 		}
@@ -63,13 +83,31 @@
 
 // cost is the weighted mean of what of the demand would have been refused.
 func (d Demand) cost(live, slots, decoders int) float64 {
+	if len(d) == 0 {
+		return loss(share(live, slots, startReading, startDecoding), live, slots, decoders)
+	}
+	seen := (d.faded(live, slots, decoders, shortHalfLife) + d.faded(live, slots, decoders, longHalfLife)) / 2
+	turned := loss(share(live, slots, turnReading, turnDecoding), live, slots, decoders)
+	return (1-turnWeight)*seen + turnWeight*turned
+}
+
+// share is the demand of shares of all engines.
+func share(live, slots int, reading, decoding float64) demand.Load {
+	return demand.Load{Reading: reading * float64(live), Streams: decoding * float64(live*slots)}
+}
+
+// loss is what of a demand is refused, and a little for how full both sides are.
+func loss(l demand.Load, live, slots, decoders int) float64 {
+	places := fullDecoding * float64(slots)
+	return refused(l.Reading, fullReading*float64(live-decoders)) + refused(l.Streams, places*float64(decoders))
+}
+
+func (d Demand) faded(live, slots, decoders int, halfLife float64) float64 {
 	var sum, weights float64
 	weight := 1.0
 	fade := math.Exp2(-1.0 / halfLife)
 	for i := len(d) - 1; i >= 0; i-- {
-		reading := refused(d[i].Reading, fullReading*float64(live-decoders))
-		decoding := refused(d[i].Streams, fullDecoding*float64(decoders*slots))
-		sum += weight * (reading + decoding)
+		sum += weight * loss(d[i], live, slots, decoders)
 		weights += weight
 		weight *= fade
 	}
--- a/request/dispatch/prefill.go
+++ b/request/dispatch/prefill.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pomelospool/pomelospool/connection/speed"
@@ -41,7 +42,7 @@
 	for i := range cands {
 		cands[i].Rate += u.opts.Health.Rate(kvOf(cands[i].Entry.ID))
 	}
-	sources := append(u.candidates(p, port.RoleDecode), cands...)
+	sources := slices.Concat(u.candidates(p, port.RoleDecode), cands)
 	ch := reading{Choice: placement.Prefill(p.Prompt, cands, sources, u.c.Service.Engine, f)}
 	if ch.At >= 0 {
 		ch.to = cands[ch.At].Entry
--- a/request/placement/decode.go
+++ b/request/placement/decode.go
@@ -32,17 +32,10 @@
 	var bestCost time.Duration
 	for i := range cands {
 		c := &cands[i]
-		full := float64(c.Load.Streams) / float64(max(c.Entry.Slots, 1))
-		cost := time.Duration(full * full * float64(fullCost.of(&p)))
-		cost += time.Duration(c.Rate * float64(failCost.of(&p)))
-		if full >= 1 {
-			cost += time.Duration((full - 1) * float64(overCost.of(&p)))
-		}
+		cost := c.decodeCost(&p)
 		if from != "" {
 			cost += moveWeight * Move(e, max(p.Tokens-c.Load.Cached, 0), from == c.Entry.Zone)
 		}
-		cost += c.slower(slowCost.of(&p)) - slowCost.of(&p)
-		cost += c.dial(&p)
 		cost += time.Duration(unit(p.Seed^uint64(i+1)) * float64(mixCost.of(&p)))
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
@@ -51,6 +44,18 @@
 	return best
 }
 
+// decodeCost is what it costs to have the answer made there, KV cache aside.
+func (c *Candidate) decodeCost(p *Prompt) time.Duration {
+	full := float64(c.Load.Streams) / float64(max(c.Entry.Slots, 1))
+	cost := time.Duration(full * full * float64(fullCost.of(p)))
+	cost += time.Duration(c.Rate * float64(failCost.of(p)))
+	if full >= 1 {
+		cost += time.Duration((full - 1) * float64(overCost.of(p)))
+	}
+	cost += c.slower(slowCost.of(p)) - slowCost.of(p)
+	return cost + c.dial(p)
+}
+
 // Move is the time to move the KV cache of that many tokens.
 func Move(e *route.Engine, tokens int, sameZone bool) time.Duration {
 	if e.LinkBytes <= 0 {
--- a/request/placement/prefill.go
+++ b/request/placement/prefill.go
@@ -49,6 +49,7 @@
 	Moved   time.Duration // of it, the fetch
 	Fetch   int           // index of the source to fetch from, -1: none
 	Fetched int           // prompt tokens that are fetched
+	Cost    time.Duration // by which choices are compared
 	Guessed bool          // nobody said that the source keeps more of the prompt
 }
 
@@ -76,41 +77,45 @@
 // 300 ms to read. sources are the engines that can be fetched from.
 func Prefill(p Prompt, cands, sources []Candidate, e *route.Engine, f speed.Figures) Choice {
 	best := Choice{At: -1, Fetch: -1}
-	var bestCost time.Duration
 	keeper := keepsMost(sources)
 	near := inZone(cands, p.Zone)
 	at := newHome(p, cands, sources, keeper, f)
 	for i := range cands {
 		c := &cands[i]
-		ch := Choice{At: i, Fetch: -1, Wait: c.slower(c.Load.Wait)}
-		kept := c.Load.Cached
-		var fetch time.Duration
-		if keeper >= 0 && worthFetch(&p, f, kept, sources[keeper].Load.Cached) {
-			src := &sources[keeper]
-			ch.Fetch, ch.Fetched = keeper, src.Load.Cached-kept
-			kept = src.Load.Cached
-			fetch = Move(e, ch.Fetched, src.Entry.Zone == c.Entry.Zone)
-		}
-		ch.Missing = max(p.Tokens-kept, 1)
-		read := c.slower(f.Read(p.Tokens, ch.Missing))
-		ch.Read, ch.Moved = read+fetch, fetch
-		cost := ch.Wait + read + time.Duration(readAgain*float64(read))
-		cost += fetchWeight * fetch
+		ch := p.read(c, sources, keeper, e, f)
+		ch.At = i
 		if near >= manyNear && c.Entry.Zone != p.Zone {
-			cost += farCost.of(&p)
+			ch.Cost += farCost.of(&p)
 		}
-		cost += time.Duration(c.Rate * float64(failCost.of(&p)))
-		cost += time.Duration(unit(p.Seed^engines.Hash(c.Entry.ID)) * float64(tieCost.of(&p)))
-		cost += at.cost(i, f)
-		cost += c.dial(&p)
-		if best.At < 0 || cost < bestCost {
-			best, bestCost = ch, cost
+		ch.Cost += time.Duration(c.Rate * float64(failCost.of(&p)))
+		ch.Cost += time.Duration(unit(p.Seed^engines.Hash(c.Entry.ID)) * float64(tieCost.of(&p)))
+		ch.Cost += at.cost(i, f)
+		ch.Cost += c.dial(&p)
+		if best.At < 0 || ch.Cost < best.Cost {
+			best = ch
 		}
 	}
 	at.guess(&best)
 	return best
 }
 
+// read is the choice of an engine, with the cost of its time.
+func (p *Prompt) read(c *Candidate, sources []Candidate, keeper int, e *route.Engine, f speed.Figures) Choice {
+	ch := Choice{Fetch: -1, Wait: c.slower(c.Load.Wait)}
+	kept := c.Load.Cached
+	if keeper >= 0 && worthFetch(p, f, kept, sources[keeper].Load.Cached) {
+		src := &sources[keeper]
+		ch.Fetch, ch.Fetched = keeper, src.Load.Cached-kept
+		kept = src.Load.Cached
+		ch.Moved = Move(e, ch.Fetched, src.Entry.Zone == c.Entry.Zone)
+	}
+	ch.Missing = max(p.Tokens-kept, 1)
+	read := c.slower(f.Read(p.Tokens, ch.Missing))
+	ch.Read = read + ch.Moved
+	ch.Cost = ch.Wait + read + time.Duration(readAgain*float64(read)) + fetchWeight*ch.Moved
+	return ch
+}
+
 // dialCost is what a new connection costs: a round trip and the target's
 // acceptance take 3 ms, and connections are paid for. With it 90 daemons open
 // 7,508 connections for 44,778 requests, 13,975 without.
