Admission foresees the wait for a place, and keeps places for urgent requests

At the bound of the objective 45 in 100 accepted prompts were late: the foresight is exact at the median and off by 50 ms at the tenth.

placement.Room: the wait by the stay of streams, apart for those that aren't of the most urgent routes; a reserve by what the urgent routes ask, with its root. The time to the first event is learnt at engines with free places only. Waits count longer by 1.5 times the usual error. A plan of roles goes on while engines that leave decoding end their streams (17 to 31 s without one before).

--- a/connection/demand/demand.go
+++ b/connection/demand/demand.go
@@ -42,9 +42,9 @@
 
 // Offer is one request, as it is foreseen at its arrival.
 type Offer struct {
-	Reading time.Duration // that an engine will read its prompt
-	Lasts   time.Duration // that its stream will run
-	Urgent  bool          // no route of the service is more urgent
+	Reading  time.Duration // that an engine will read its prompt
+	Lasts    time.Duration // that its stream will run
+	Priority int           // of its route, 0 is the most urgent
 }
 
 // Book is safe for concurrent use.
@@ -81,6 +81,14 @@
 	r.add(now, o)
 }
 
+// MostUrgent tells whether no request of the service was more urgent so far.
+func (b *Book) MostUrgent(service string, priority int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.own[key(service)]
+	return r == nil || priority <= r.top
+}
+
 // Total is what all daemons together are asked.
 func (b *Book) Total(service string) Load {
 	now, k := b.now(), key(service)
--- a/connection/demand/ring.go
+++ b/connection/demand/ring.go
@@ -1,6 +1,9 @@
 package demand
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const spanSlots = int(span / slot)
 
@@ -8,6 +11,7 @@
 type ring struct {
 	at    int64 // number of the slot that now is in
 	begun int64
+	top   int // the most urgent priority asked for so far
 	sums  [spanSlots]sum
 }
 
@@ -20,7 +24,7 @@
 
 func newRing(now time.Time) *ring {
 	at := number(now)
-	return &ring{at: at, begun: at}
+	return &ring{at: at, begun: at, top: math.MaxInt}
 }
 
 func number(now time.Time) int64 { return now.UnixNano() / int64(slot) }
@@ -30,7 +34,14 @@
 	s := &r.sums[r.at%int64(spanSlots)]
 	s.reading += o.Reading
 	s.lasts += o.Lasts
-	if o.Urgent {
+	if o.Priority < r.top {
+		// What was noted as the most urgent isn't.
+		r.top = o.Priority
+		for i := range r.sums {
+			r.sums[i].urgent = 0
+		}
+	}
+	if o.Priority == r.top {
 		s.urgent += o.Lasts
 	}
 }
@@ -40,7 +51,7 @@
 	to := number(now)
 	if to-r.at > int64(spanSlots) || to < r.at {
 		// All of it is over, or the clock was set back.
-		*r = ring{at: to, begun: min(r.begun, to)}
+		*r = ring{at: to, begun: min(r.begun, to), top: r.top}
 		return
 	}
 	for r.at < to {
--- a/connection/speed/speed.go
+++ b/connection/speed/speed.go
@@ -19,6 +19,9 @@
 	Start     time.Duration // of each prompt on top, network included; the engine reads others meanwhile
 	First     time.Duration // from the request to the decoding engine to its first event, without the move of KV cache
 	PerOutput time.Duration // that a stream takes for each output token stated, from its first event on
+	Stay      time.Duration // that a stream holds its place, on the mean over streams
+	StayLess  time.Duration // the same of streams that aren't of the most urgent routes
+	Spread    time.Duration // by which the time of prompts that waited is off on the mean
 	Streams   int           // whole streams that PerOutput comes from
 	Reads     int           // prompts that these figures come from
 }
@@ -74,6 +77,9 @@
 	first  time.Duration
 	firsts int
 	length ratio
+	stay   mean
+	less   mean
+	spread time.Duration
 	own    Figures // of this process's own prompts
 	told   Figures // another process's, of the most prompts
 	error  float64 // smoothed share by which the foresight is off
@@ -105,8 +111,10 @@
 // process's: a process that has just started foresees like the others at once.
 func (s *service) figures() Figures {
 	f := s.own
+	f.Spread = s.spread
 	if s.own.Reads < ownFrom && s.told.Reads > s.own.Reads {
 		f = s.told
+		f.Spread = s.spread
 		if s.firsts > 0 {
 			f.First = s.first
 		}
@@ -123,6 +131,7 @@
 	s.off(p)
 	s.own = s.fit.figures()
 	s.own.First, s.own.PerOutput, s.own.Streams = s.first, s.length.value(), s.length.n
+	s.own.Stay, s.own.StayLess = s.stay.value, s.less.value
 }
 
 const (
@@ -139,6 +148,9 @@
 		return
 	}
 	foreseen := p.Before + f.Start + f.Read(p.Prompt, p.Missing)
+	if p.Before > 0 {
+		s.spread += time.Duration(errorWeight * float64((foreseen-p.Took).Abs()-s.spread))
+	}
 	share := (foreseen - p.Took).Abs().Seconds() / p.Took.Seconds()
 	s.error += errorWeight * (min(share, maxError) - s.error)
 }
@@ -174,13 +186,34 @@
 	return time.Duration(r.time / r.tokens)
 }
 
-// Stream notes how long a whole stream took from its first event on.
-func (b *Book) Stream(name string, output int, took time.Duration) {
+// stayWeight is the least weight of the newest stream's stay: the last 50.
+const stayWeight = 0.02
+
+// mean is a mean whose weights fade.
+type mean struct {
+	value time.Duration
+	n     int
+}
+
+func (m *mean) add(d time.Duration) {
+	m.n++
+	weight := max(1/float64(m.n), stayWeight)
+	m.value += time.Duration(weight * float64(d-m.value))
+}
+
+// Stream notes how long a whole stream took from its first event on, and how
+// long it held its place.
+func (b *Book) Stream(name string, output int, took, stay time.Duration, mostUrgent bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.get(key(name))
 	s.length.add(took, output)
+	s.stay.add(stay)
+	if !mostUrgent {
+		s.less.add(stay)
+	}
 	s.own.PerOutput, s.own.Streams = s.length.value(), s.length.n
+	s.own.Stay, s.own.StayLess = s.stay.value, s.less.value
 }
 
 // Lasts is how long a stream will run that states so many output tokens.
@@ -197,6 +230,8 @@
 	StartUs  uint32
 	FirstUs  uint32
 	OutputUs uint32
+	StayUs   uint32
+	LessUs   uint32
 	Reads    uint32
 	Streams  uint32
 }
@@ -217,8 +252,8 @@
 		out = append(out, Word{
 			Service: key, PerToken: float32(s.own.PerToken), PerPair: float32(s.own.PerPair),
 			StartUs: uint32(s.own.Start.Microseconds()), FirstUs: uint32(s.own.First.Microseconds()),
-			OutputUs: uint32(s.own.PerOutput.Microseconds()),
-			Reads:    uint32(min(s.own.Reads, maxReads)), Streams: uint32(min(s.own.Streams, maxReads)),
+			OutputUs: uint32(s.own.PerOutput.Microseconds()), StayUs: uint32(s.own.Stay.Microseconds()), LessUs: uint32(s.own.StayLess.Microseconds()),
+			Reads: uint32(min(s.own.Reads, maxReads)), Streams: uint32(min(s.own.Streams, maxReads)),
 		})
 	}
 	return out
@@ -236,9 +271,9 @@
 		s.told = Figures{
 			PerToken: float64(w.PerToken), PerPair: float64(w.PerPair),
 			Start: time.Duration(w.StartUs) * time.Microsecond, First: time.Duration(w.FirstUs) * time.Microsecond,
-			PerOutput: time.Duration(w.OutputUs) * time.Microsecond,
-			Reads:     int(w.Reads),
-			Streams:   int(w.Streams),
+			PerOutput: time.Duration(w.OutputUs) * time.Microsecond, Stay: time.Duration(w.StayUs) * time.Microsecond, StayLess: time.Duration(w.LessUs) * time.Microsecond,
+			Reads:   int(w.Reads),
+			Streams: int(w.Streams),
 		}
 	}
 }
--- a/process/roles/plan.go
+++ b/process/roles/plan.go
@@ -44,10 +44,6 @@
 	}
 	decoders, readers := split(live)
 	want := wanted(len(live), slotsOf(live), len(decoders), slices.ContainsFunc(live, Engine.working), d)
-	if low, _ := floors(len(live)); underWay(live) && len(decoders) >= low {
-		// What engines become shows in what is served only at the end.
-		return nil
-	}
 	switch {
 	case len(decoders) < want:
 		return toDecode(readers, decoders, want-len(decoders))
@@ -60,11 +56,6 @@
 // working tells whether the engine has requests.
 func (e Engine) working() bool { return e.Streams > 0 || e.Wait > 0 }
 
-// underWay tells whether engines change their roles.
-func underWay(live []Engine) bool {
-	return slices.ContainsFunc(live, func(e Engine) bool { return e.Changing })
-}
-
 // wanted is the number of decoding engines. While engines work whose demand
 // isn't known, as to a daemon that has just started, the split stays.
 func wanted(live, slots, now int, working bool, d Demand) int {
--- a/process/roles/planner.go
+++ b/process/roles/planner.go
@@ -86,6 +86,7 @@
 	changing map[string]change
 	refused  map[string]time.Duration // until
 	asked    map[string]*asked
+	ordered  map[string]time.Duration // when the last plan was carried out
 }
 
 // change is an order that an engine carries out.
@@ -109,6 +110,7 @@
 		changing: make(map[string]change),
 		refused:  make(map[string]time.Duration),
 		asked:    make(map[string]*asked),
+		ordered:  make(map[string]time.Duration),
 		leads:    -1,
 	}
 }
@@ -183,7 +185,7 @@
 		return
 	}
 	moves := Plan(list, demand)
-	if len(moves) == 0 {
+	if len(moves) == 0 || p.underWay(svc, list) {
 		return
 	}
 	held, err := p.claims.get(ctx, svc.Name)
@@ -194,10 +196,25 @@
 		log.WithError(err).WithField("service", svc.Name).Warn("roles: not claimed")
 		return
 	}
+	p.ordered[svc.Name] = p.o.Clock.Now()
 	p.logPlan(svc.Name, list, demand, moves)
 	p.carryOut(ctx, svc, moves, held)
 }
 
+// underWay tells whether the last plan's engines still change and enough others
+// decode: what engines become shows in what is served only at the end.
+func (p *Planner) underWay(svc *route.Service, list []Engine) bool {
+	decoders, _ := split(list)
+	sound := 0
+	for _, e := range decoders {
+		if !e.Impaired && !e.Entry.Leaving {
+			sound++
+		}
+	}
+	at, ordered := p.ordered[svc.Name]
+	return ordered && sound >= leastDecoders && p.o.Clock.Now()-at < svc.Engine.SwitchTime+settled
+}
+
 // logPlan writes what decided a plan.
 func (p *Planner) logPlan(service string, list []Engine, d Demand, moves []Move) {
 	fields := log.Fields{"service": service, "engines": len(list), "moves": len(moves), "notes": len(d)}
--- a/request/dispatch/decode.go
+++ b/request/dispatch/decode.go
@@ -33,7 +33,7 @@
 			return fail(failure.NotRun, from.at, errNoDecoder)
 		}
 		to := cands[at].Entry
-		f := u.events(ctx, to, p, from, out)
+		f := u.events(ctx, &cands[at], p, from, out)
 		if f == nil || f.MayHaveRun() {
 			taken = true
 			if f == nil && from.kv != nil {
@@ -81,7 +81,8 @@
 }
 
 // events sends the call to a decoding engine and relays the answer.
-func (u *run) events(ctx context.Context, to port.TargetEntry, p prompt, from prefilled, out Stream) *failed {
+func (u *run) events(ctx context.Context, cand *placement.Candidate, p prompt, from prefilled, out Stream) *failed {
+	to := cand.Entry
 	done := u.opts.Engines.Decode(to.ID, u.c.Service.Engine.KVTokens, p.parts)
 	defer done()
 	begun := time.Now()
@@ -106,14 +107,17 @@
 	first := func() {
 		firstAt = time.Now()
 		seen := firstAt.Sub(begun)
-		u.opts.Speed.First(u.c.Service.Name, usual+seen-foreseen)
+		if cand.Load.Streams < to.Slots {
+			// Beyond its places it would be the wait for one that is learnt.
+			u.opts.Speed.First(u.c.Service.Name, usual+seen-foreseen)
+		}
 		if usual > 0 {
 			u.opts.Health.NotePace(to.ID, u.pace(foreseen, seen))
 		}
 	}
 	f = u.relay(ctx, to.ID, resp, v, out, first)
 	if f == nil && u.c.Ask.Output > 0 {
-		u.opts.Speed.Stream(u.c.Service.Name, u.c.Ask.Output, time.Since(firstAt))
+		u.opts.Speed.Stream(u.c.Service.Name, u.c.Ask.Output, time.Since(firstAt), time.Since(begun), u.mostUrgent())
 	}
 	return f
 }
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -106,26 +106,39 @@
 }
 
 func (u *run) admitTo(p *prompt, f speed.Figures, ch reading) error {
-	if err := u.decodable(*p); err != nil {
+	queue, err := u.place(f, ch.decoders)
+	if err != nil {
 		return err
 	}
 	if ch.At < 0 {
 		return nil // decode engines may read it, or nothing can: not for here
 	}
 	alone := f.Start + ch.Read + f.First
-	u.trace.Foreseen = ch.Wait + alone
-	if u.c.Route.Objective <= 0 || u.trace.Foreseen <= u.c.Route.Objective {
+	wait := ch.Wait + min(ch.Wait, time.Duration(spreadMargin*float64(f.Spread))) + queue
+	u.trace.Foreseen = wait + alone
+	objective := u.c.Route.Objective
+	if objective <= 0 || u.trace.Foreseen <= objective {
 		return nil
 	}
-	if alone > u.c.Route.Objective {
+	if alone > objective {
 		p.priority = latePriority
-		if ch.Wait <= time.Duration(lateWait*float64(u.c.Route.Objective)) {
+		if wait <= time.Duration(lateWait*float64(objective)) {
 			return nil
 		}
 	}
-	over := u.trace.Foreseen - u.c.Route.Objective
+	return u.overloaded(u.trace.Foreseen)
+}
+
+// spreadMargin is how many times the usual error of foresight a wait is taken
+// for longer. A queue at the bound makes half of its requests late, one that
+// is shorter by the error keeps the engines as busy.
+const spreadMargin = 1.5
+
+// overloaded refuses a call whose first event would take that long.
+func (u *run) overloaded(foreseen time.Duration) error {
+	over := foreseen - u.c.Route.Objective
 	after := min(max(over, minComeBack), maxComeBack)
-	return code.New(code.Overloaded, "the first event would take %v", u.trace.Foreseen.Round(time.Millisecond)).After(after)
+	return code.New(code.Overloaded, "the first event would take %v", foreseen.Round(time.Millisecond)).After(after)
 }
 
 // refusedCount is how often a request that is refused is asked: its caller
@@ -135,7 +148,7 @@
 // offer notes what the call asks of the engines, whether it is taken or not:
 // the plan of their roles answers what is asked, not what was served.
 func (u *run) offer(p prompt, f speed.Figures, ch reading, refused bool) {
-	o := demand.Offer{Reading: ch.Read, Lasts: f.Lasts(u.c.Ask.Output), Urgent: u.c.Route.Priority == 0}
+	o := demand.Offer{Reading: ch.Read, Lasts: f.Lasts(u.c.Ask.Output), Priority: u.c.Route.Priority}
 	if ch.At < 0 {
 		o.Reading = f.Read(p.Tokens, p.Tokens)
 	}
@@ -145,30 +158,54 @@
 	u.opts.Demand.Note(u.c.Service.Name, o)
 }
 
-// crowded is how full the decoding engines may be, in shares of their places.
-// Beyond, requests wait for the places of others.
-const crowded = 1.2
-
-// decodable refuses a call that no decoding engine would take, before its
-// prompt is read for nothing. Engines that refuse lately get one call in
-// some, so that their recovery shows.
-func (u *run) decodable(p prompt) error {
-	free, doubts := 0, 0
-	cands := u.candidates(p, port.RoleDecode)
-	for _, c := range cands {
+// place foresees how long the call waits for a place at a decoding engine. It
+// refuses a call that none would take, before its prompt is read for nothing.
+// Engines that refuse lately get one call in some, so that their recovery shows.
+func (u *run) place(f speed.Figures, cands []placement.Candidate) (time.Duration, error) {
+	room := u.room(f, cands)
+	free, full, doubts := 0, 0, 0
+	least := maxComeBack
+	for i := range cands {
+		c := &cands[i]
 		switch {
 		case u.opts.Health.Benched(c.Entry.ID), c.Load.Unreachable():
-		case float64(c.Load.Streams) > crowded*float64(max(c.Entry.Slots, 1)):
+		case room.Full(c):
+			full++
+			least = min(least, room.Queue(c))
 		case c.Rate > doubtful:
 			doubts++
+			least = min(least, room.Queue(c))
 		default:
 			free++
+			least = min(least, room.Queue(c))
 		}
 	}
-	if free > 0 || doubts > 0 && spread(u.c.Ask.ID, "") < probeShare {
-		return nil
+	switch {
+	case free > 0, doubts > 0 && spread(u.c.Ask.ID, "") < probeShare:
+		return least, nil
+	case full > 0:
+		return 0, u.overloaded(u.c.Route.Objective + least)
+	}
+	return 0, code.New(code.NoTarget, "none of %d decoding engines takes requests", len(cands)).After(u.c.Service.Engine.SwitchTime)
+}
+
+// mostUrgent tells whether no call of the service is more urgent.
+func (u *run) mostUrgent() bool {
+	return u.opts.Demand.MostUrgent(u.c.Service.Name, u.c.Route.Priority)
+}
+
+// room is how the decoding engines' places are shared out to the call.
+func (u *run) room(f speed.Figures, cands []placement.Candidate) placement.Room {
+	r := placement.Room{Stay: f.Stay}
+	if len(cands) == 0 || u.mostUrgent() {
+		return r
 	}
-	return code.New(code.NoTarget, "none of %d decoding engines takes requests", len(cands)).After(u.c.Service.Engine.SwitchTime)
+	// The places that are freed meanwhile by more urgent requests are taken by
+	// others of them.
+	r.Stay = f.StayLess
+	urgent := u.opts.Demand.Total(u.c.Service.Name).Urgent
+	r.Reserved = placement.Reserve(urgent, len(cands), cands[0].Entry.Slots)
+	return r
 }
 
 // probeShare is the share of calls that engines get which refuse lately.
--- a/request/dispatch/prefill.go
+++ b/request/dispatch/prefill.go
@@ -35,6 +35,8 @@
 	placement.Choice
 	to   port.TargetEntry
 	from string // address of the engine to fetch from, empty: none
+
+	decoders []placement.Candidate // engines that may make the answer
 }
 
 func (u *run) choosePrefill(p prompt, f speed.Figures) reading {
@@ -42,8 +44,9 @@
 	for i := range cands {
 		cands[i].Rate += u.opts.Health.Rate(kvOf(cands[i].Entry.ID))
 	}
-	sources := slices.Concat(u.candidates(p, port.RoleDecode), cands)
-	ch := reading{Choice: placement.Prefill(p.Prompt, cands, sources, u.c.Service.Engine, f)}
+	decoders := u.candidates(p, port.RoleDecode)
+	sources := slices.Concat(decoders, cands)
+	ch := reading{decoders: decoders, Choice: placement.Prefill(p.Prompt, cands, sources, u.c.Service.Engine, f)}
 	if ch.At >= 0 {
 		ch.to = cands[ch.At].Entry
 	}
--- /dev/null
+++ b/request/placement/room.go
@@ -0,0 +1,53 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+// Room is how decoding engines' places are shared out.
+type Room struct {
+	Reserved int           // places of each engine that are kept for more urgent requests
+	Stay     time.Duration // that a stream holds its place, on the mean; 0: not known
+}
+
+// mostReserved is the largest part of the places that is kept free: less urgent
+// requests get half at least.
+const mostReserved = 0.5
+
+// Reserve is the number of places of each decoding engine that requests leave
+// free for more urgent ones, which ask for that many streams at a time over all
+// engines. Arrivals differ by about the root of their number.
+//
+// The load that it answers: long answers fill all places for seconds, and a
+// prompt with two tokens of answer, which needs a place for some milliseconds
+// and is more urgent, finds none at any engine. On a day of such turns up to
+// three in four of the urgent requests were refused for 8 s.
+func Reserve(urgent float64, engines, slots int) int {
+	if engines == 0 || urgent <= 0 {
+		return 0
+	}
+	each := urgent / float64(engines)
+	return int(min(math.Ceil(each+math.Sqrt(each)), mostReserved*float64(slots)))
+}
+
+// Queue is how long a request will wait for a place at the engine: those ahead
+// of it leave one after the other.
+func (r Room) Queue(c *Candidate) time.Duration {
+	slots := max(c.Entry.Slots, 1)
+	behind := c.Load.Streams + 1 - (slots - r.Reserved)
+	if behind <= 0 {
+		return 0
+	}
+	return time.Duration(behind) * r.Stay / time.Duration(slots)
+}
+
+// crowded is how full an engine may be, in shares of its places. Beyond, it
+// refuses requests, or keeps them until they are late.
+const crowded = 1.2
+
+// Full tells whether the engine takes no request more.
+func (r Room) Full(c *Candidate) bool {
+	slots := float64(max(c.Entry.Slots, 1))
+	return float64(c.Load.Streams+r.Reserved) > crowded*slots
+}
