Beats hold what they should again; a turn of the mix asks a fifth of the places

Work and reads are arrays now, 20 bytes an engine. A mix that turns counts with a fifth of the places: two decoders of nine, three of twelve.

--- a/connection/engines/book.go
+++ b/connection/engines/book.go
@@ -16,10 +16,11 @@
 
 // Work is what one daemon has at one engine now.
 type Work struct {
-	Target  uint64 // hash of the engine's id
-	Reading uint32 // microseconds that the engine needs for the prompts sent to it
-	Prompts uint32 // number of these
-	Streams uint32 // requests that decode there, or are about to
+	_       struct{} `cbor:",toarray"` // 20 bytes an engine in place of 65
+	Target  uint64   // hash of the engine's id
+	Reading uint32   // microseconds that the engine needs for the prompts sent to it
+	Prompts uint32   // number of these
+	Streams uint32   // requests that decode there, or are about to
 	// Becomes is the role that the engine takes by an order of this daemon's;
 	// it refuses requests meanwhile. Empty: it carries out none.
 	Becomes port.Role
@@ -32,6 +33,7 @@
 
 // Read says that an engine reads a prompt.
 type Read struct {
+	_      struct{} `cbor:",toarray"`
 	Target uint64
 	Parts  []port.PromptPart
 }
--- a/process/roles/split.go
+++ b/process/roles/split.go
@@ -25,7 +25,7 @@
 	// turnReading and turnDecoding are what such a mix asks, as shares of all
 	// engines.
 	turnReading  = 0.65
-	turnDecoding = 0.25
+	turnDecoding = 0.2
 	// startReading and startDecoding are what is assumed before anything is
 	// asked. Nothing is kept then, and streams are still to come.
 	startReading  = 0.65
