The margin of foresight counts in long queues only

Short queues of long prompts differ by more than the bound leaves, and the margin refused what would have been on time.

--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -114,12 +114,12 @@
 		return nil // decode engines may read it, or nothing can: not for here
 	}
 	alone := f.Start + ch.Read + f.First
-	wait := ch.Wait + min(ch.Wait, time.Duration(spreadMargin*float64(f.Spread))) + queue
+	wait := ch.Wait + queue
 	u.trace.Foreseen = wait + alone
 	objective := u.c.Route.Objective
 	usual := u.usual(u.c.Service.Name)
 	usual.Note(p.Tokens, ch.Read)
-	if objective <= 0 || usual.Counts(wait, p.Tokens, ch.Read)+alone <= objective {
+	if objective <= 0 || usual.Counts(wait, p.Tokens, ch.Read, f.Spread)+alone <= objective {
 		return nil
 	}
 	if alone > objective {
@@ -131,11 +131,6 @@
 	return u.overloaded(max(u.trace.Foreseen, objective))
 }
 
-// spreadMargin is how many times the usual error of foresight a wait is taken
-// for longer. A queue at the bound makes half of its requests late, one that
-// is shorter by the error keeps the engines as busy.
-const spreadMargin = 1.5
-
 // overloaded refuses a call whose first event would take that long.
 func (u *run) overloaded(foreseen time.Duration) error {
 	after := max(foreseen-u.c.Route.Objective, u.hedge())
--- a/request/placement/usual.go
+++ b/request/placement/usual.go
@@ -12,6 +12,12 @@
 	// longQueue is the number of usual prompts ahead from which on a queue is
 	// more than chance.
 	longQueue = 3
+	// offMargin is how many times the usual error of foresight a wait in a long
+	// queue counts longer. A queue at the bound makes half of its requests late,
+	// one that is shorter by the error keeps the engines as busy. In short
+	// queues it refuses what would be on time: with it there a site where
+	// reading binds earned 0.642 on its days with trouble, 0.659 without.
+	offMargin = 1.5
 	// leastYield is the least part of the queue that a prompt may wait in:
 	// large prompts are served half as often as others at least.
 	leastYield = 0.5
@@ -48,8 +54,9 @@
 }
 
 // Counts is how long a wait counts for a prompt in the decision whether it is
-// taken: in a long queue longer, the less it yields for its time.
-func (u *Usual) Counts(wait time.Duration, tokens int, read time.Duration) time.Duration {
+// taken: in a long queue longer, by the usual error of foresight and the less
+// the prompt yields for its time. off is that error.
+func (u *Usual) Counts(wait time.Duration, tokens int, read, off time.Duration) time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	over := wait - time.Duration(longQueue*u.read)
@@ -58,5 +65,6 @@
 	}
 	yield := float64(tokens) / float64(read) / u.yield
 	part := min(max(yield, leastYield), 1)
-	return wait + time.Duration(float64(over)*(1/part-1))
+	margin := min(over, time.Duration(offMargin*float64(off)))
+	return wait + margin + time.Duration(float64(over)*(1/part-1))
 }
--- a/request/placement/usual_test.go
+++ b/request/placement/usual_test.go
@@ -13,7 +13,7 @@
 // They yield in a long queue, by half at most, and not in a short one.
 func TestCostlyPromptsYield(t *testing.T) {
 	var u Usual
-	if got := u.Counts(100*ms, 9000, 20*ms); got != 100*ms {
+	if got := u.Counts(100*ms, 9000, 20*ms, 0); got != 100*ms {
 		t.Errorf("before anything is usual: %v", got)
 	}
 	for range 200 {
@@ -24,16 +24,19 @@
 		wait   time.Duration
 		tokens int
 		read   time.Duration
+		off    time.Duration
 		want   time.Duration
 	}{
-		{"usual", 145 * ms, 9000, 15 * ms, 145 * ms},
-		{"cheap", 145 * ms, 9000, 5 * ms, 145 * ms},
-		{"costly", 145 * ms, 9000, 60 * ms, 245 * ms},
-		{"a little more", 145 * ms, 9000, 20 * ms, 145*ms + 100*ms/3},
-		{"costly, short queue", 40 * ms, 9000, 60 * ms, 40 * ms},
-		{"nothing to read", 145 * ms, 9000, 0, 145 * ms},
+		{"usual", 145 * ms, 9000, 15 * ms, 0, 145 * ms},
+		{"cheap", 145 * ms, 9000, 5 * ms, 0, 145 * ms},
+		{"costly", 145 * ms, 9000, 60 * ms, 0, 245 * ms},
+		{"a little more", 145 * ms, 9000, 20 * ms, 0, 145*ms + 100*ms/3},
+		{"costly, short queue", 40 * ms, 9000, 60 * ms, 0, 40 * ms},
+		{"usual, foresight off by 20 ms", 145 * ms, 9000, 15 * ms, 20 * ms, 175 * ms},
+		{"the same in a short queue", 40 * ms, 9000, 15 * ms, 20 * ms, 40 * ms},
+		{"nothing to read", 145 * ms, 9000, 0, 0, 145 * ms},
 	} {
-		if got := u.Counts(tc.wait, tc.tokens, tc.read); (got - tc.want).Abs() > ms {
+		if got := u.Counts(tc.wait, tc.tokens, tc.read, tc.off); (got - tc.want).Abs() > ms {
 			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
 		}
 	}
@@ -62,7 +65,7 @@
 			u.Note(9000, read)
 			counts := wait
 			if yields {
-				counts = u.Counts(wait, 9000, read)
+				counts = u.Counts(wait, 9000, read, 0)
 			}
 			if counts+read > bound {
 				continue
