Read again: one put-together of learnt figures, one hash, one list of usable engines

Read over the whole change. speed.Book put its own figures together in three places (refresh now); demand and speed had a hash function each beside engines.Hash; the plan, the look whether one is under way and its log line each judged by hand which engines can be counted on (usable); place took the least queue in three branches. Seen and left: admission and the first prefill choose the reading engine one after the other.

--- a/connection/demand/demand.go
+++ b/connection/demand/demand.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/pomelospool/pomelospool/connection/engines"
 )
 
 const (
@@ -66,17 +66,15 @@
 	return &Book{now: now, own: make(map[uint64]*ring), peers: make(map[string]peer)}
 }
 
-func key(service string) uint64 { return xxhash.Sum64String(service) }
-
 // Note takes one request in.
 func (b *Book) Note(service string, o Offer) {
 	now := b.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.own[key(service)]
+	r := b.own[engines.Hash(service)]
 	if r == nil {
 		r = newRing(now)
-		b.own[key(service)] = r
+		b.own[engines.Hash(service)] = r
 	}
 	r.add(now, o)
 }
@@ -85,13 +83,13 @@
 func (b *Book) MostUrgent(service string, priority int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.own[key(service)]
+	r := b.own[engines.Hash(service)]
 	return r == nil || priority <= r.top
 }
 
 // Total is what all daemons together are asked.
 func (b *Book) Total(service string) Load {
-	now, k := b.now(), key(service)
+	now, k := b.now(), engines.Hash(service)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var sum Load
--- a/connection/speed/speed.go
+++ b/connection/speed/speed.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/pomelospool/pomelospool/connection/engines"
 )
 
 // Figures foresee an engine's times. The zero value foresees nothing: it stands
@@ -100,40 +100,43 @@
 	return s
 }
 
-func key(name string) uint64 { return xxhash.Sum64String(name) }
-
 // Figures returns what is known of a service's engines now.
 func (b *Book) Figures(name string) Figures {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.get(key(name)).figures()
+	return b.get(engines.Hash(name)).figures()
 }
 
 // figures are the own ones once they come from enough prompts, else another
 // process's: a process that has just started foresees like the others at once.
 func (s *service) figures() Figures {
 	f := s.own
-	f.Spread = s.spread
 	if s.own.Reads < ownFrom && s.told.Reads > s.own.Reads {
 		f = s.told
-		f.Spread = s.spread
 		if s.firsts > 0 {
 			f.First = s.first
 		}
 	}
+	f.Spread = s.spread
 	return f
 }
 
+// refresh puts the own figures together from what was learnt.
+func (s *service) refresh() {
+	s.own = s.fit.figures()
+	s.own.First = s.first
+	s.own.PerOutput, s.own.Streams = s.length.value(), s.length.n
+	s.own.Stay, s.own.StayLess = s.stay.value, s.less.value
+}
+
 // Read notes a prompt that was read.
 func (b *Book) Read(name string, p Sample) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.get(key(name))
+	s := b.get(engines.Hash(name))
 	s.fit.add(p)
 	s.off(p)
-	s.own = s.fit.figures()
-	s.own.First, s.own.PerOutput, s.own.Streams = s.first, s.length.value(), s.length.n
-	s.own.Stay, s.own.StayLess = s.stay.value, s.less.value
+	s.refresh()
 }
 
 const (
@@ -161,11 +164,11 @@
 func (b *Book) First(name string, seen time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.get(key(name))
+	s := b.get(engines.Hash(name))
 	s.firsts++
 	weight := max(1/float64(s.firsts), firstWeight)
 	s.first += time.Duration(weight * float64(max(seen, 0)-s.first))
-	s.own.First = s.first
+	s.refresh()
 }
 
 // ratio is the time of streams over the output tokens that they stated, with
@@ -208,14 +211,13 @@
 func (b *Book) Stream(name string, output int, took, stay time.Duration, mostUrgent bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.get(key(name))
+	s := b.get(engines.Hash(name))
 	s.length.add(took, output)
 	s.stay.add(stay)
 	if !mostUrgent {
 		s.less.add(stay)
 	}
-	s.own.PerOutput, s.own.Streams = s.length.value(), s.length.n
-	s.own.Stay, s.own.StayLess = s.stay.value, s.less.value
+	s.refresh()
 }
 
 // Lasts is how long a stream will run that states so many output tokens.
@@ -284,5 +286,5 @@
 func (b *Book) Error(name string) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.get(key(name)).error
+	return b.get(engines.Hash(name)).error
 }
--- a/process/roles/plan.go
+++ b/process/roles/plan.go
@@ -33,12 +33,7 @@
 
 // Plan says which engines change their role. It is a pure function.
 func Plan(engines []Engine, d Demand) []Move {
-	var live []Engine
-	for _, e := range engines {
-		if !e.Entry.Leaving && !e.Impaired {
-			live = append(live, e)
-		}
-	}
+	live := usable(engines)
 	if len(live) < 2 {
 		return nil
 	}
@@ -53,6 +48,17 @@
 	return nil
 }
 
+// usable returns the engines that stay and can be counted on.
+func usable(engines []Engine) []Engine {
+	var out []Engine
+	for _, e := range engines {
+		if !e.Entry.Leaving && !e.Impaired {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // working tells whether the engine has requests.
 func (e Engine) working() bool { return e.Streams > 0 || e.Wait > 0 }
 
--- a/process/roles/planner.go
+++ b/process/roles/planner.go
@@ -208,15 +208,9 @@
 // underWay tells whether the last plan's engines still change and enough others
 // decode: what engines become shows in what is served only at the end.
 func (p *Planner) underWay(svc *route.Service, list []Engine) bool {
-	decoders, _ := split(list)
-	sound := 0
-	for _, e := range decoders {
-		if !e.Impaired && !e.Entry.Leaving {
-			sound++
-		}
-	}
+	decoders, _ := split(usable(list))
 	at, ordered := p.ordered[svc.Name]
-	return ordered && sound >= leastDecoders && p.o.Clock.Now()-at < svc.Engine.SwitchTime+settled
+	return ordered && len(decoders) >= leastDecoders && p.o.Clock.Now()-at < svc.Engine.SwitchTime+settled
 }
 
 // logPlan writes what decided a plan.
@@ -224,10 +218,8 @@
 	fields := log.Fields{"service": service, "engines": len(list), "moves": len(moves), "notes": len(d)}
 	decoders, _ := split(list)
 	fields["decoders"] = len(decoders)
-	for _, e := range list {
-		if e.Impaired || e.Entry.Leaving {
-			fields["unusable"] = true
-		}
+	if len(usable(list)) < len(list) {
+		fields["unusable"] = true
 	}
 	if len(d) > 0 {
 		last := d[len(d)-1]
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -181,17 +181,17 @@
 	least := maxComeBack
 	for i := range cands {
 		c := &cands[i]
+		if u.opts.Health.Benched(c.Entry.ID) || c.Load.Unreachable() {
+			continue
+		}
+		least = min(least, room.Queue(c))
 		switch {
-		case u.opts.Health.Benched(c.Entry.ID), c.Load.Unreachable():
 		case room.Full(c):
 			full++
-			least = min(least, room.Queue(c))
 		case c.Rate > doubtful:
 			doubts++
-			least = min(least, room.Queue(c))
 		default:
 			free++
-			least = min(least, room.Queue(c))
 		}
 	}
 	switch {
