--- a/connection/speed/speed.go
+++ b/connection/speed/speed.go
@@ -29,9 +29,11 @@
 // Known tells whether enough prompts were seen to foresee others.
 func (f Figures) Known() bool { return f.Reads >= knownFrom }
 
-// Settled tells whether what a request asks of the engines can be told: enough
-// prompts were read, and enough streams ended.
-func (f Figures) Settled() bool { return f.Reads >= ownFrom && f.Streams >= ownFrom }
+// ReadsSettled tells whether what a prompt asks of the engines can be told.
+func (f Figures) ReadsSettled() bool { return f.Reads >= ownFrom }
+
+// StreamsSettled tells whether what an answer asks of them can be told, too.
+func (f Figures) StreamsSettled() bool { return f.Streams >= ownFrom }
 
 // Read is the time that an engine takes to read the last missing tokens of a
 // prompt.
--- a/process/roles/planner.go
+++ b/process/roles/planner.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -176,7 +177,7 @@
 func (p *Planner) look(ctx context.Context, svc *route.Service) {
 	snap := p.o.Targets.Snapshot()
 	list := p.engines(snap.Targets[svc.Name])
-	demand := p.demand(svc.Name)
+	demand := p.demand(svc.Name, list)
 	if !snap.Whole || p.leads < 0 {
 		return
 	}
@@ -185,6 +186,9 @@
 		return
 	}
 	moves := Plan(list, demand)
+	if len(demand) > 0 && !p.o.Speed.Figures(svc.Name).StreamsSettled() {
+		moves = onlyToDecode(moves)
+	}
 	if len(moves) == 0 || p.underWay(svc, list) {
 		return
 	}
@@ -355,20 +359,34 @@
 	at    time.Duration // of the newest one
 }
 
+// onlyToDecode leaves out the moves from decoding. Long streams end last: as
+// long as too few have ended, the demand for places is more than what is seen.
+func onlyToDecode(moves []Move) []Move {
+	return slices.DeleteFunc(moves, func(m Move) bool { return m.Role != port.RoleDecode })
+}
+
 // demand notes what is asked of a service, and returns what was lately. As
-// long as engines' speed isn't known, nothing is known of the demand.
-func (p *Planner) demand(service string) Demand {
+// long as the engines' reading isn't known, nothing is known of the demand. The
+// streams that run are asked for at least: with streams of seconds some ten
+// seconds pass until enough of them have ended to foresee others.
+func (p *Planner) demand(service string, list []Engine) Demand {
 	a := p.asked[service]
 	if a == nil {
 		a = &asked{at: -time.Second}
 		p.asked[service] = a
 	}
 	now := p.o.Clock.Now()
-	if now-a.at < time.Second/looksPerSecond || !p.o.Speed.Figures(service).Settled() {
+	if now-a.at < time.Second/looksPerSecond || !p.o.Speed.Figures(service).ReadsSettled() {
 		return a.known()
 	}
 	a.at = now
-	a.notes = append(a.notes, p.o.Demand.Total(service))
+	l := p.o.Demand.Total(service)
+	running := 0
+	for _, e := range list {
+		running += e.Streams
+	}
+	l.Streams = max(l.Streams, float64(running))
+	a.notes = append(a.notes, l)
 	if len(a.notes) > kept {
 		a.notes = a.notes[1:]
 	}
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -150,12 +150,14 @@
 const (
 	leastHedge = 0.12
 	mostHedge  = 0.24
+	// maxHedge bounds it for callers with much time: loads last some seconds.
+	maxHedge = 4 * time.Second
 )
 
 // hedge is the least time after which a refused caller is asked to come back.
 func (u *run) hedge() time.Duration {
 	part := leastHedge + (mostHedge-leastHedge)*spread(u.c.Ask.ID, "come back")
-	return max(time.Duration(part*float64(time.Until(u.c.GiveUp))), minComeBack)
+	return min(max(time.Duration(part*float64(time.Until(u.c.GiveUp))), minComeBack), maxHedge)
 }
 
 // refusedCount is how often a request that is refused is asked: its caller
--- a/scripts/kinds.sh
+++ b/scripts/kinds.sh
@@ -5,8 +5,8 @@
 set -u
 cd "$(dirname "$0")/.."
 kit=${KIT:-../given/kit/more/system}
-program=$kit/bin/fleetbench
-sites=${SITES:-"$kit/sites/jvr-feeds.toml $kit/sites/halen-dwfn.toml"}
+program=${PROGRAM:-$kit/more/bench-cc6490/bin/fleetbench}
+sites=${SITES:-"$kit/sites/jvr-feeds.toml $kit/sites/halen-dwfn.toml $kit/further/korovou-flow.toml"}
 [ -x "$program" ] || { echo "the bench isn't here: $program"; exit 2; }
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
