Sight: how old each daemon's word of the store is, and which reader it has

Cause: the record of the incident can't tell whether a daemon that sends to a leaving target was cut off itself, was told 'nothing new' by its reader, or chose the target before. Nothing is logged when a reader is chosen or fails, and no figure says how old what it passes on is. No decision uses it yet. The relay's file is cut into tail, store and listing. Its test reads the records of an answer in place of the answer; nothing else in it changed.

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -218,7 +218,7 @@
 		Zone:    d.s.Zone,
 	})
 	d.metrics = newMetrics(d)
-	d.ingress = ingress.New(ingress.Options{Config: d.config, Wire: platform.Wire{}, Runner: runner, Observe: d.metrics.observe})
+	d.ingress = ingress.New(ingress.Options{Config: d.config, Wire: platform.Wire{}, Runner: runner, Observe: d.metrics.observe, TargetsAge: d.targetsAge})
 	d.planner = roles.New(roles.Options{
 		Self:    d.s.VM,
 		Store:   d.store,
@@ -248,17 +248,26 @@
 		port.TopicTargets: relay.NewTail(&watched{Sink: d.registry, away: &d.storeAway}),
 	}
 	d.followers = []*topic.Follower{
-		topic.New(topic.Options{
-			Store: d.store, Topic: port.TopicConfig, Name: "config",
-			Sink: d.tails[port.TopicConfig], Pace: func() time.Duration { return configPace }, Wait: readWait(d.s.Bounds.ApplyConfig),
-		}),
-		topic.New(topic.Options{
-			Store: d.store, Topic: port.TopicTargets, Name: "targets",
-			Sink: d.tails[port.TopicTargets], Pace: d.targetsPace, Wait: readWait(d.s.Bounds.Drain),
-		}),
+		d.follow(port.TopicConfig, "config", func() time.Duration { return configPace }, readWait(d.s.Bounds.ApplyConfig)),
+		d.follow(port.TopicTargets, "targets", d.targetsPace, readWait(d.s.Bounds.Drain)),
 	}
 }
 
+// follow makes the follower of one topic, whose reads confirm its tail.
+func (d *Daemon) follow(t port.Topic, name string, pace func() time.Duration, wait time.Duration) *topic.Follower {
+	tail := d.tails[t]
+	return topic.New(topic.Options{
+		Store: d.store, Topic: t, Name: name, Sink: tail, Pace: pace, Wait: wait,
+		Read: func() { tail.Confirm(d.store.AsOf(t)) },
+	})
+}
+
+// targetsAge is how old the newest word on the targets is.
+func (d *Daemon) targetsAge() time.Duration {
+	age, _ := d.tails[port.TopicTargets].Age()
+	return age
+}
+
 // readWait is how long a read waits for records whose effect is due within the
 // bound.
 func readWait(bound time.Duration) time.Duration {
--- a/process/front/metrics.go
+++ b/process/front/metrics.go
@@ -10,6 +10,8 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/pomelospool/pomelospool/connection/speed"
+	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/process/relay"
 	"github.com/pomelospool/pomelospool/request/ingress"
 	"github.com/pomelospool/pomelospool/version/route"
 )
@@ -56,6 +58,8 @@
 		gauge("config_version", "Version of the configuration in force, 0: none.", d.configVersion),
 		gauge("daemons_alive", "Daemons that are heard, this one included.", func() float64 { return float64(len(d.roster.Members())) }),
 		gauge("store_away", "1 while the store can't be read.", func() float64 { return boolGauge(d.storeAway.Load()) }),
+		gauge("config_age_seconds", "How old the newest word of the store on the configuration is, -1: none yet.", func() float64 { return ageGauge(d.tails[port.TopicConfig]) }),
+		gauge("targets_age_seconds", "How old the newest word of the store on the targets is, -1: none yet.", func() float64 { return ageGauge(d.tails[port.TopicTargets]) }),
 		gauge("ready", "1 while the daemon takes requests.", func() float64 { return boolGauge(d.roster.Ready()) }),
 	)
 	return m
@@ -68,6 +72,14 @@
 	return 0
 }
 
+func ageGauge(t *relay.Tail) float64 {
+	age, heard := t.Age()
+	if !heard {
+		return -1
+	}
+	return age.Seconds()
+}
+
 func boolGauge(b bool) float64 {
 	if b {
 		return 1
--- /dev/null
+++ b/process/relay/listing.go
@@ -0,0 +1,91 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/port"
+)
+
+const (
+	// maxAsked is the number of daemons that are asked for one listing.
+	maxAsked = 2
+	// askAfter is how long the store may take before others are asked too. It
+	// answers in 4 ms; a silent one is given up after 1.5 s.
+	askAfter = 250 * time.Millisecond
+)
+
+// listed is the result of a listing.
+type listed struct {
+	page port.KeyedPage
+	err  error
+}
+
+// Newest returns newest records from the store, or from another daemon while
+// the store is away.
+//
+// The failure it stops: daemons are started again one after the other while
+// the store is away, and none of them serves until it is back. Those that run
+// know all that is needed.
+func (s *Store) Newest(ctx context.Context, t port.Topic, after string) (port.KeyedPage, error) {
+	if !s.topics[t] || after != "" {
+		return s.Store.Newest(ctx, t, after)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answered := make(chan listed, 1)
+	go func() {
+		page, err := s.Store.Newest(ctx, t, after)
+		answered <- listed{page: page, err: err}
+	}()
+	first, soon := within(askAfter, answered)
+	if soon && first.err == nil {
+		return first.page, nil
+	}
+	if page, ok := s.askOthers(ctx, t); ok {
+		return page, nil
+	}
+	if !soon {
+		first = <-answered
+	}
+	return first.page, first.err
+}
+
+// within waits for a listing for so long at most.
+func within(d time.Duration, answered <-chan listed) (l listed, soon bool) {
+	patience := time.NewTimer(d)
+	defer patience.Stop()
+	select {
+	case l = <-answered:
+		return l, true
+	case <-patience.C:
+		return l, false
+	}
+}
+
+// askOthers asks some daemons for a topic's listing, one after the other.
+func (s *Store) askOthers(ctx context.Context, t port.Topic) (port.KeyedPage, bool) {
+	peers := s.peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, addr := range peers[:min(len(peers), maxAsked)] {
+		page, err := s.listing(ctx, addr, t)
+		if err == nil {
+			log.WithFields(log.Fields{"topic": int(t), "from": addr, "next": page.End}).Info("relay: listed by another daemon")
+			return page, true
+		}
+		log.WithError(err).WithField("from", addr).Debug("relay: no listing")
+	}
+	return port.KeyedPage{}, false
+}
+
+func (s *Store) listing(ctx context.Context, addr string, t port.Topic) (port.KeyedPage, error) {
+	ctx, cancel := context.WithTimeout(ctx, hopTimeout)
+	defer cancel()
+	var page port.KeyedPage
+	err := s.get(ctx, fmt.Sprintf("http://%s/listing?topic=%d", addr, t), &page)
+	return page, err
+}
--- a/process/relay/relay_test.go
+++ b/process/relay/relay_test.go
@@ -160,7 +160,7 @@
 	if len(tail.records) != keep || tail.end != keep+100 {
 		t.Errorf("%d records up to %d", len(tail.records), tail.end)
 	}
-	if got, ok := tail.read(t.Context(), 100, 0); !ok || len(got) != keep {
-		t.Errorf("%d records, %v", len(got), ok)
+	if got, ok := tail.read(t.Context(), 100, 0); !ok || len(got.Records) != keep {
+		t.Errorf("%d records, %v", len(got.Records), ok)
 	}
 }
--- a/process/topic/follower.go
+++ b/process/topic/follower.go
@@ -47,6 +47,9 @@
 	// is paid for. It is asked before each read.
 	Pace func() time.Duration
 	Wait time.Duration // longest wait of a read for records; 2s
+	// Read, if set, is called after each read that succeeded, once its records
+	// were handed over.
+	Read func()
 }
 
 // Follower reads one topic until Stop.
@@ -116,6 +119,9 @@
 		f.next += int64(len(records))
 		f.o.Sink.Apply(records)
 	}
+	if f.o.Read != nil {
+		f.o.Read()
+	}
 	return nil
 }
 
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -26,6 +26,9 @@
 	Wire    port.TargetWire
 	Runner  *dispatch.Runner
 	Observe func(Observation) // called at the end of each request
+	// TargetsAge, if set, is how old the word on the targets is that requests
+	// are decided by.
+	TargetsAge func() time.Duration
 }
 
 // Observation is what a request's end shows.
@@ -222,6 +225,9 @@
 		fields["targets"] = strings.Join(x.trace.Targets, " ")
 		fields["left_ms"] = c.Ask.Left.Milliseconds()
 	}
+	if x.o.TargetsAge != nil {
+		fields["targets_age_ms"] = x.o.TargetsAge().Milliseconds()
+	}
 	if x.trace.Foreseen > 0 {
 		fields["foreseen_ms"] = x.trace.Foreseen.Milliseconds()
 		fields["first_ms"] = x.trace.First.Milliseconds()
