Relay read again: a listing's word in one place, ages only where there is one

Cause: read as a newcomer: a daemon that had heard nothing yet showed the VM's uptime as the age of its word; a listing that took over 250 ms didn't count as a word; the size of a large fleet stood twice.

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -222,7 +222,7 @@
 		Zone:    d.s.Zone,
 	})
 	d.metrics = newMetrics(d)
-	d.ingress = ingress.New(ingress.Options{Config: d.config, Wire: platform.Wire{}, Runner: runner, Observe: d.metrics.observe, TargetsAge: d.targetsAge})
+	d.ingress = ingress.New(ingress.Options{Config: d.config, Wire: platform.Wire{}, Runner: runner, Observe: d.metrics.observe, TargetsAge: func() (time.Duration, bool) { return d.tails[port.TopicTargets].Age() }})
 	d.planner = roles.New(roles.Options{
 		Self:    d.s.VM,
 		Store:   d.store,
@@ -273,12 +273,6 @@
 	})
 }
 
-// targetsAge is how old the newest word on the targets is.
-func (d *Daemon) targetsAge() time.Duration {
-	age, _ := d.tails[port.TopicTargets].Age()
-	return age
-}
-
 // readWait is how long a read waits for records whose effect is due within the
 // bound.
 func readWait(bound time.Duration) time.Duration {
--- a/process/relay/listing.go
+++ b/process/relay/listing.go
@@ -45,8 +45,7 @@
 	}()
 	first, soon := within(askAfter, answered)
 	if soon && first.err == nil {
-		s.heard(t, begun)
-		return first.page, nil
+		return s.listed(t, begun, first)
 	}
 	if page, ok := s.askOthers(ctx, t); ok {
 		return page, nil
@@ -54,7 +53,15 @@
 	if !soon {
 		first = <-answered
 	}
-	return first.page, first.err
+	return s.listed(t, begun, first)
+}
+
+// listed notes a listing of the store: it lacks nothing written before its begin.
+func (s *Store) listed(t port.Topic, begun time.Duration, l listed) (port.KeyedPage, error) {
+	if l.err == nil {
+		s.heard(t, begun)
+	}
+	return l.page, l.err
 }
 
 // within waits for a listing for so long at most.
--- a/process/relay/store.go
+++ b/process/relay/store.go
@@ -145,9 +145,12 @@
 	s.mu.Lock()
 	now := s.now()
 	s.until = now + distrust
-	age := now - s.asOf[t]
+	fields := log.Fields{"topic": int(t), "reader": addr}
+	if asOf, heard := s.asOf[t]; heard {
+		fields["age_ms"] = (now - asOf).Milliseconds()
+	}
 	s.mu.Unlock()
-	log.WithFields(log.Fields{"topic": int(t), "reader": addr, "age_ms": age.Milliseconds()}).WithError(cause).Info("relay: reader failed, the store is read")
+	log.WithFields(fields).WithError(cause).Info("relay: reader failed, the store is read")
 }
 
 // noteReader logs which daemon the records come from.
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -299,14 +299,17 @@
 
 // Relays tells whether the fleet is so large that few daemons read the store
 // for the others.
-func (r *Roster) Relays() bool { return len(r.Members()) > smallFleet+1 }
+func (r *Roster) Relays() bool { return large(r.Members()) }
+
+// large tells whether the members, this daemon included, are a large fleet.
+func large(members []Member) bool { return len(members) > smallFleet+1 }
 
 // Reader returns the peer address of the daemon that reads the store for this
 // one, empty when this one reads it itself: in a small fleet, and as one of the
 // first of its zone by name.
 func (r *Roster) Reader() string {
 	members := r.Members()
-	if len(members) <= smallFleet+1 {
+	if !large(members) {
 		return ""
 	}
 	self := members[0]
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -20,15 +20,22 @@
 	"github.com/pomelospool/pomelospool/version/route"
 )
 
-// Options of an Ingress. All are needed.
+// Options of an Ingress. All are needed but TargetsAge.
 type Options struct {
 	Config  *inforce.Holder
 	Wire    port.TargetWire
 	Runner  *dispatch.Runner
 	Observe func(Observation) // called at the end of each request
-	// TargetsAge, if set, is how old the word on the targets is that requests
-	// are decided by.
-	TargetsAge func() time.Duration
+	// TargetsAge is how old the word on the targets is that requests are decided
+	// by, false before there is one. It may be nil.
+	TargetsAge func() (age time.Duration, heard bool)
+}
+
+func (o *Options) targetsAge() (time.Duration, bool) {
+	if o.TargetsAge == nil {
+		return 0, false
+	}
+	return o.TargetsAge()
 }
 
 // Observation is what a request's end shows.
@@ -225,8 +232,8 @@
 		fields["targets"] = strings.Join(x.trace.Targets, " ")
 		fields["left_ms"] = c.Ask.Left.Milliseconds()
 	}
-	if x.o.TargetsAge != nil {
-		fields["targets_age_ms"] = x.o.TargetsAge().Milliseconds()
+	if age, heard := x.o.targetsAge(); heard {
+		fields["targets_age_ms"] = age.Milliseconds()
 	}
 	if x.trace.Foreseen > 0 {
 		fields["foreseen_ms"] = x.trace.Foreseen.Milliseconds()
