Read once more: one fading mean, one figure for a reader's rest, less state

Cause: the learnt time to the first event was smoothed by code of its own beside the mean that streams' stays use; a reader's rest of 0.4 s stood in process/relay and in process/front, which must agree for the age of a reader's word to hold; a tail kept a flag that its time already tells; a local variable and a constant had the same name as a constant and a method. Change: First uses the mean; front paces its reads by relay.ReaderPause; the tail's time is -1 before the first word; names. No figure and no decision changes, no test was touched.

--- a/connection/speed/speed.go
+++ b/connection/speed/speed.go
@@ -76,8 +76,7 @@
 
 type service struct {
 	fit    fit
-	first  time.Duration
-	firsts int
+	first  mean
 	length ratio
 	stay   mean
 	less   mean
@@ -113,8 +112,8 @@
 	f := s.own
 	if s.own.Reads < ownFrom && s.told.Reads > s.own.Reads {
 		f = s.told
-		if s.firsts > 0 {
-			f.First = s.first
+		if s.first.n > 0 {
+			f.First = s.first.value
 		}
 	}
 	f.Spread = s.spread
@@ -124,7 +123,7 @@
 // refresh puts the own figures together from what was learnt.
 func (s *service) refresh() {
 	s.own = s.fit.figures()
-	s.own.First = s.first
+	s.own.First = s.first.value
 	s.own.PerOutput, s.own.Streams = s.length.value(), s.length.n
 	s.own.Stay, s.own.StayLess = s.stay.value, s.less.value
 }
@@ -165,9 +164,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.get(engines.Hash(name))
-	s.firsts++
-	weight := max(1/float64(s.firsts), firstWeight)
-	s.first += time.Duration(weight * float64(max(seen, 0)-s.first))
+	s.first.add(max(seen, 0), firstWeight)
 	s.refresh()
 }
 
@@ -200,9 +197,10 @@
 	n     int
 }
 
-func (m *mean) add(d time.Duration) {
+// add takes in the newest value; its weight is least once there are 1/least.
+func (m *mean) add(d time.Duration, least float64) {
 	m.n++
-	weight := max(1/float64(m.n), stayWeight)
+	weight := max(1/float64(m.n), least)
 	m.value += time.Duration(weight * float64(d-m.value))
 }
 
@@ -213,9 +211,9 @@
 	defer b.mu.Unlock()
 	s := b.get(engines.Hash(name))
 	s.length.add(took, output)
-	s.stay.add(stay)
+	s.stay.add(stay, stayWeight)
 	if !mostUrgent {
-		s.less.add(stay)
+		s.less.add(stay, stayWeight)
 	}
 	s.refresh()
 }
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -47,7 +47,7 @@
 	keptFactor = 3
 	// targetsPace is the least time between two reads of the targets. Each
 	// target writes every 1.2 s, so unpaced reads would return for each.
-	targetsPace = 400 * time.Millisecond
+	targetsPace = relay.ReaderPause
 	// paceShare of the time after which a leaving target may get no new work is
 	// the longest pace of a large fleet.
 	paceShare = 0.45
--- a/process/relay/listing.go
+++ b/process/relay/listing.go
@@ -45,7 +45,7 @@
 	}()
 	first, soon := within(askAfter, answered)
 	if soon && first.err == nil {
-		return s.listed(t, begun, first)
+		return s.noteListing(t, begun, first)
 	}
 	if page, ok := s.askOthers(ctx, t); ok {
 		return page, nil
@@ -53,11 +53,11 @@
 	if !soon {
 		first = <-answered
 	}
-	return s.listed(t, begun, first)
+	return s.noteListing(t, begun, first)
 }
 
-// listed notes a listing of the store: it lacks nothing written before its begin.
-func (s *Store) listed(t port.Topic, begun time.Duration, l listed) (port.KeyedPage, error) {
+// noteListing notes a listing of the store: it lacks nothing written before its begin.
+func (s *Store) noteListing(t port.Topic, begun time.Duration, l listed) (port.KeyedPage, error) {
 	if l.err == nil {
 		s.heard(t, begun)
 	}
@@ -66,12 +66,12 @@
 
 // within waits for a listing for so long at most.
 func within(d time.Duration, answered <-chan listed) (l listed, soon bool) {
-	patience := time.NewTimer(d)
-	defer patience.Stop()
+	limit := time.NewTimer(d)
+	defer limit.Stop()
 	select {
 	case l = <-answered:
 		return l, true
-	case <-patience.C:
+	case <-limit.C:
 		return l, false
 	}
 }
--- a/process/relay/store.go
+++ b/process/relay/store.go
@@ -18,21 +18,23 @@
 const (
 	// hopTimeout is added to a read's wait for the way between daemons.
 	hopTimeout = 500 * time.Millisecond
-	// distrust is how long a daemon reads the store itself after its reader
+	// distrustFor is how long a daemon reads the store itself after its reader
 	// failed.
-	distrust = 3 * time.Second
+	distrustFor = 3 * time.Second
 	// patience is how long beyond a read's wait the store may be silent before
 	// it counts as lost: three times what it takes when it is slow (200 ms).
 	// With 1.5 s, daemons that read for others passed "nothing new" on for 2.7 s,
 	// and requests reached targets 3.0 to 3.3 s after they had said that they
 	// leave.
 	patience = 600 * time.Millisecond
-	// readerPause is the longest that a reader rests between two reads.
-	readerPause = 400 * time.Millisecond
 	// maxAnswer bounds a reader's answer, in bytes.
 	maxAnswer = 8 << 20
 )
 
+// ReaderPause is the longest that a reader rests between two reads. Whoever
+// paces the reads keeps to it: a reader's word counts for that much longer.
+const ReaderPause = 400 * time.Millisecond
+
 // Store is a port.Store whose reads of some topics go to a reader while there
 // is one.
 type Store struct {
@@ -100,7 +102,7 @@
 // MaxAge is how old a reader's word may be for a read that waits so long: a
 // sound reader heard from the store within its rest, its own read's wait and
 // the store's patience.
-func MaxAge(wait time.Duration) time.Duration { return readerPause + wait + patience }
+func MaxAge(wait time.Duration) time.Duration { return ReaderPause + wait + patience }
 
 // direct reads the store itself.
 //
@@ -144,7 +146,7 @@
 func (s *Store) distrust(addr string, t port.Topic, cause error) {
 	s.mu.Lock()
 	now := s.now()
-	s.until = now + distrust
+	s.until = now + distrustFor
 	fields := log.Fields{"topic": int(t), "reader": addr}
 	if asOf, heard := s.asOf[t]; heard {
 		fields["age_ms"] = (now - asOf).Milliseconds()
--- a/process/relay/tail.go
+++ b/process/relay/tail.go
@@ -27,13 +27,12 @@
 	end     int64                       // offset after the newest; -1: not known
 	changed chan struct{}
 	lost    bool
-	heard   bool
-	asOf    time.Duration // by now: the records are all that were written until then
+	asOf    time.Duration // by now: the records are all that were written until then; -1: nothing was heard
 }
 
 // NewTail returns a Tail that hands all on to next.
 func NewTail(next topic.Sink) *Tail {
-	return &Tail{next: next, now: clock.Boot{}.Now, end: -1, changed: make(chan struct{}), newest: make(map[string]port.KeyedRecord)}
+	return &Tail{next: next, now: clock.Boot{}.Now, end: -1, asOf: -1, changed: make(chan struct{}), newest: make(map[string]port.KeyedRecord)}
 }
 
 // Reset implements topic.Sink. A listing lacks the records that newer ones of
@@ -116,7 +115,6 @@
 func (t *Tail) Confirm(asOf time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.heard = true
 	t.asOf = max(t.asOf, asOf)
 }
 
@@ -124,7 +122,7 @@
 func (t *Tail) Age() (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.now() - t.asOf, t.heard
+	return t.now() - t.asOf, t.asOf >= 0
 }
 
 // read returns the records from an offset on, waiting for some; false when
@@ -168,7 +166,7 @@
 	defer t.mu.Unlock()
 	left = t.asOf + maxAge - t.now()
 	first := t.end - int64(len(t.records))
-	if t.lost || !t.heard || left <= 0 || t.end < 0 || from < first || from > t.end {
+	if t.lost || t.asOf < 0 || left <= 0 || t.end < 0 || from < first || from > t.end {
 		return batch{}, 0, nil, false
 	}
 	b = batch{Heard: t.asOf - asked}
