Callers spread over all daemons of a large fleet

Cause: callers read 64 addresses at most, and each answer began with the same ones: the first by text of 295, nearly all in one availability zone. 231 daemons had nothing to do, and 64 VMs with a fifth of a core each served 1,200 requests a second. Ruled out: a random choice for each answer, since callers leave the connections to addresses that a newer answer lacks. Change: the order that the product's own protocol has (connection/address): the caller's zone first, within it by a hash of caller and address; computed once for each member.

--- a/connection/address/address.go
+++ b/connection/address/address.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -48,32 +47,41 @@
 // different orders, so that callers spread; the same seed keeps its order
 // while members come and go, so that its connections stay in use.
 func (b *Book) Answer(zone string, seed uint64) Answer {
-	var stay []Member
+	var stay []ranked
 	for _, m := range b.members() {
 		if !m.Leaving {
-			stay = append(stay, m)
+			stay = append(stay, ranked{Entry: Entry{Addr: m.Addr, Zone: m.Zone}, rank: rank(seed, m.Addr)})
 		}
 	}
-	slices.SortFunc(stay, func(x, y Member) int {
-		return cmp.Or(
-			away(x, zone)-away(y, zone),
-			cmp.Compare(rank(seed, x.Addr), rank(seed, y.Addr)),
-		)
+	slices.SortFunc(stay, func(x, y ranked) int {
+		return cmp.Or(x.away(zone)-y.away(zone), cmp.Compare(x.rank, y.rank))
 	})
 	a := Answer{Addresses: make([]Entry, 0, len(stay)), TTLMs: b.ttl.Milliseconds()}
 	for _, m := range stay {
-		a.Addresses = append(a.Addresses, Entry{Addr: m.Addr, Zone: m.Zone})
+		a.Addresses = append(a.Addresses, m.Entry)
 	}
 	return a
 }
 
-func away(m Member, zone string) int {
-	if m.Zone == zone {
+// Seed is the seed of the caller with that name or address.
+func Seed(caller string) uint64 { return xxhash.Sum64String(caller) }
+
+// ranked is an entry with its place in one caller's order.
+type ranked struct {
+	Entry
+	rank uint64
+}
+
+func (r *ranked) away(zone string) int {
+	if r.Zone == zone {
 		return 0
 	}
 	return 1
 }
 
+// rank mixes the seed into the hash of an address, without a copy of either.
 func rank(seed uint64, addr string) uint64 {
-	return xxhash.Sum64String(strconv.FormatUint(seed, 16) + addr)
+	d := xxhash.NewWithSeed(seed)
+	_, _ = d.WriteString(addr) // never fails
+	return d.Sum64()
 }
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -17,6 +17,7 @@
 	"github.com/apex/log"
 	"gopkg.in/tomb.v2"
 
+	"github.com/pomelospool/pomelospool/connection/address"
 	"github.com/pomelospool/pomelospool/connection/engines"
 	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/port"
@@ -332,28 +333,46 @@
 	return r.self.State == Ready
 }
 
-// Addresses returns the callers' addresses of the daemons that take requests.
+// Addresses returns the callers' addresses of the daemons that take requests,
+// in the order of the caller with that address in an availability zone: each
+// has one of its own, since callers read no more than the first few of a large
+// fleet.
 //
 // The guard is against a daemon that is cut off: it hears of no other and
 // would send all callers that ask it to itself alone. When the others and the
 // store fell silent together, the daemons heard lately still count.
-func (r *Roster) Addresses(string) ([]string, time.Duration) {
+func (r *Roster) Addresses(zone, caller string) ([]string, time.Duration) {
 	limit := r.deadAfter()
 	if len(r.Members()) == 1 && r.o.StoreAway() {
 		limit = isolatedKeep
 	}
+	book := address.NewBook(func() []address.Member { return r.serving(limit) }, r.o.TTL)
+	entries := book.Answer(zone, address.Seed(caller)).Addresses
+	out := make([]string, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, e.Addr)
+	}
+	return out, r.o.TTL
+}
+
+// serving returns the daemons that take requests and were heard of within the
+// limit.
+func (r *Roster) serving(limit time.Duration) []address.Member {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []string
+	var out []address.Member
 	if r.self.State == Ready {
-		out = append(out, r.self.CallerAddr)
+		out = append(out, r.self.forCallers())
 	}
 	for _, p := range r.peers {
 		if p.member.State == Ready && now.Sub(p.heard) < limit {
-			out = append(out, p.member.CallerAddr)
+			out = append(out, p.member.forCallers())
 		}
 	}
-	slices.Sort(out)
-	return out, r.o.TTL
+	return out
+}
+
+func (m *Member) forCallers() address.Member {
+	return address.Member{Addr: m.CallerAddr, Zone: m.Zone}
 }
