--- a/connection/demand/demand.go
+++ b/connection/demand/demand.go
@@ -51,9 +51,10 @@
 type Book struct {
 	now func() time.Time
 
-	mu    sync.Mutex
-	own   map[uint64]*ring
-	peers map[string]peer
+	mu     sync.Mutex
+	own    map[uint64]*ring
+	peers  map[string]peer
+	oldest time.Time // no word in peers is older
 }
 
 type peer struct {
@@ -63,7 +64,7 @@
 
 // New returns an empty Book.
 func New(now func() time.Time) *Book {
-	return &Book{now: now, own: make(map[uint64]*ring), peers: make(map[string]peer)}
+	return &Book{now: now, own: make(map[uint64]*ring), peers: make(map[string]peer), oldest: now()}
 }
 
 // Note takes one request in.
@@ -92,48 +93,104 @@
 	now, k := b.now(), engines.Hash(service)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.expire(now)
 	var sum Load
 	if r := b.own[k]; r != nil {
 		sum = r.load(now)
 	}
 	for _, p := range b.peers {
-		if now.Sub(p.at) > believedFor {
-			continue
-		}
 		for _, w := range p.words {
 			if w.Service == k {
-				sum = sum.plus(Load{Reading: float64(w.Reading), Streams: float64(w.Streams), Urgent: float64(w.Urgent)})
+				sum = sum.plus(w.load())
 			}
 		}
 	}
 	return sum
 }
 
+func (w Word) load() Load {
+	return Load{Reading: float64(w.Reading), Streams: float64(w.Streams), Urgent: float64(w.Urgent)}
+}
+
+func word(service uint64, l Load) Word {
+	return Word{Service: service, Reading: float32(l.Reading), Streams: float32(l.Streams), Urgent: float32(l.Urgent)}
+}
+
 // Told returns what this process is asked.
-func (b *Book) Told() []Word {
+func (b *Book) Told() []Word { return b.SumOf(func(string) bool { return false }) }
+
+// SumOf is the sum of what this process is asked and of the words whose names
+// it is given.
+func (b *Book) SumOf(names func(name string) bool) []Word {
 	now := b.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := make([]Word, 0, len(b.own))
+	b.expire(now)
+	sums := make(map[uint64]Load, len(b.own))
 	for k, r := range b.own {
-		l := r.load(now)
-		if l == (Load{}) {
+		sums[k] = r.load(now)
+	}
+	for name, p := range b.peers {
+		if !names(name) {
 			continue
 		}
-		out = append(out, Word{Service: k, Reading: float32(l.Reading), Streams: float32(l.Streams), Urgent: float32(l.Urgent)})
+		for _, w := range p.words {
+			sums[w.Service] = sums[w.Service].plus(w.load())
+		}
+	}
+	out := make([]Word, 0, len(sums))
+	for k, l := range sums {
+		if l != (Load{}) {
+			out = append(out, word(k, l))
+		}
 	}
 	return out
 }
 
-// Heard takes another daemon's word.
+// Less is what is left of a sum without a part of it, which may have been told
+// a little earlier.
+func Less(sum, part []Word) []Word {
+	out := make([]Word, 0, len(sum))
+	for _, w := range sum {
+		for _, p := range part {
+			if p.Service == w.Service {
+				w.Reading, w.Streams, w.Urgent = max(w.Reading-p.Reading, 0), max(w.Streams-p.Streams, 0), max(w.Urgent-p.Urgent, 0)
+			}
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// Heard takes the word of another daemon, or of several in sum, in place of
+// the last one under that name.
 func (b *Book) Heard(from string, words []Word) {
 	now := b.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.peers[from] = peer{at: now, words: words}
+	b.expire(now)
+}
+
+// Forget takes out what all other daemons said.
+func (b *Book) Forget() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	clear(b.peers)
+}
+
+// expire takes out the words of daemons that have been silent for too long.
+// Callers hold b.mu.
+func (b *Book) expire(now time.Time) {
+	if now.Sub(b.oldest) <= believedFor {
+		return
+	}
+	b.oldest = now
 	for name, p := range b.peers {
 		if now.Sub(p.at) > believedFor {
 			delete(b.peers, name)
+		} else if p.at.Before(b.oldest) {
+			b.oldest = p.at
 		}
 	}
 }
--- /dev/null
+++ b/connection/engines/bench_test.go
@@ -0,0 +1,56 @@
+package engines
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// sizes are fleets of daemons and engines.
+var sizes = []struct{ daemons, engines int }{{6, 12}, {90, 60}, {295, 240}, {1000, 1000}}
+
+// worked is a book that heard of work of all daemons at a few engines each.
+func worked(daemons, engines int) (*Book, []string) {
+	b := New(func() time.Time { return time.Unix(1000, 0) }, func(Work) {})
+	var ids []string
+	for i := range engines {
+		ids = append(ids, fmt.Sprint("engine", i))
+	}
+	for d := range daemons {
+		b.Hear(fmt.Sprint("daemon", d), workOf(d, ids), nil)
+	}
+	return b, ids
+}
+
+func workOf(daemon int, ids []string) []Work {
+	var w []Work
+	for k := range 4 {
+		w = append(w, Work{Target: Hash(ids[(daemon*7+k)%len(ids)]), Reading: 300_000, Prompts: 1, Streams: 1})
+	}
+	return w
+}
+
+// BenchmarkLoad is what a request asks of each engine that may serve it.
+func BenchmarkLoad(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("daemons=%d/engines=%d", s.daemons, s.engines), func(b *testing.B) {
+			book, ids := worked(s.daemons, s.engines)
+			p := parts(1, 2, 3)
+			for i := 0; b.Loop(); i++ {
+				book.Load(ids[i%len(ids)], p)
+			}
+		})
+	}
+}
+
+// BenchmarkHear is one word of another daemon.
+func BenchmarkHear(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("daemons=%d/engines=%d", s.daemons, s.engines), func(b *testing.B) {
+			book, ids := worked(s.daemons, s.engines)
+			for i := 0; b.Loop(); i++ {
+				book.Hear(fmt.Sprint("daemon", i%s.daemons), workOf(i, ids), nil)
+			}
+		})
+	}
+}
--- a/connection/engines/book.go
+++ b/connection/engines/book.go
@@ -24,11 +24,12 @@
 	// Becomes is the role that the engine takes by an order of this daemon's;
 	// it refuses requests meanwhile. Empty: it carries out none.
 	Becomes port.Role
-	Down    bool // this daemon can't reach it
+	Down    uint16 // daemons that can't reach it: 0 or 1 in one daemon's word, their number in a sum
 }
 
-func (w *Work) idle() bool {
-	return w.Streams == 0 && w.Prompts == 0 && w.Becomes == "" && !w.Down
+// Idle tells whether there is nothing to be told of.
+func (w *Work) Idle() bool {
+	return w.Streams == 0 && w.Prompts == 0 && w.Becomes == "" && w.Down == 0
 }
 
 // Read says that an engine reads a prompt.
@@ -59,22 +60,26 @@
 // Book is safe for concurrent use.
 type Book struct {
 	now     func() time.Time
-	changed func() // called after own work changed
+	changed func(Work) // called with own work at an engine after it changed
 
 	mu      sync.Mutex
 	engines map[uint64]*engine
 	peers   map[string]*peerWork
-	reads   []Read // of this process, not yet told to all daemons
-	news    []Read // of these, not yet told to the near ones
+	oldest  time.Time // no word in peers is older
+	reads   []Read    // of this process, not yet told to all daemons
+	news    []Read    // of these, not yet told to the near ones
 }
 
 type engine struct {
-	own   Work
-	keeps *prefixes
-	since time.Time // when it began with the prompt that it reads now, about
-	down  time.Time // this process couldn't reach it, until then
+	own    Work
+	others tally // what the words in peers say of it
+	keeps  *prefixes
+	since  time.Time // when it began with the prompt that it reads now, about
+	down   time.Time // this process couldn't reach it, until then
+	before uint32    // prompts in the word that is being replaced
 }
 
+// peerWork is the newest word of one daemon.
 type peerWork struct {
 	at   time.Time
 	work []Work
@@ -87,10 +92,10 @@
 // maxUntold bounds the reads that wait to be told to the other daemons.
 const maxUntold = 64
 
-// New returns an empty Book. changed is called, without locks held, when the
-// process's own work changed.
-func New(now func() time.Time, changed func()) *Book {
-	return &Book{now: now, changed: changed, engines: make(map[uint64]*engine), peers: make(map[string]*peerWork)}
+// New returns an empty Book. changed is called, without locks held, with the
+// process's own work at an engine when it changed.
+func New(now func() time.Time, changed func(Work)) *Book {
+	return &Book{now: now, changed: changed, engines: make(map[uint64]*engine), peers: make(map[string]*peerWork), oldest: now()}
 }
 
 // Hash names an engine in the daemons' messages.
@@ -105,7 +110,7 @@
 func (b *Book) engine(target uint64, tokens int) *engine {
 	e := b.engines[target]
 	if e == nil {
-		e = &engine{own: Work{Target: target}, keeps: newPrefixes(assumedMemory)}
+		e = &engine{own: Work{Target: target}, others: tally{Work: Work{Target: target}}, keeps: newPrefixes(assumedMemory)}
 		b.engines[target] = e
 	}
 	if tokens > 0 {
@@ -121,34 +126,45 @@
 	cost := uint32(reading.Microseconds())
 	b.mu.Lock()
 	e := b.engine(hash, memory)
-	if all, _ := b.sum(hash, e); all.Prompts == 0 {
+	b.expire(b.now())
+	if e.own.Prompts+e.others.Prompts == 0 {
 		e.since = b.now()
 	}
 	e.own.Reading += cost
 	e.own.Prompts++
 	b.reading(hash, e, parts)
-	b.mu.Unlock()
-	b.changed()
+	b.unlockChanged(e)
 	return sync.OnceFunc(func() {
 		b.mu.Lock()
 		e.own.Reading -= cost
 		e.own.Prompts--
 		e.since = b.now()
-		b.mu.Unlock()
-		b.changed()
+		b.unlockChanged(e)
 	})
 }
 
+// unlockChanged ends a change of own work at an engine. Callers hold b.mu.
+func (b *Book) unlockChanged(e *engine) {
+	w := e.word(b.now())
+	b.mu.Unlock()
+	b.changed(w)
+}
+
+// word is what this process has at the engine.
+func (e *engine) word(now time.Time) Work {
+	w := e.own
+	if now.Before(e.down) {
+		w.Down = 1
+	}
+	return w
+}
+
 // reading notes that an engine will keep a prompt, and that the other daemons
 // are to be told. Callers hold b.mu.
 func (b *Book) reading(hash uint64, e *engine, parts []port.PromptPart) {
 	e.keeps.add(parts)
-	r := Read{Target: hash, Parts: parts}
 	if len(b.reads) < maxUntold {
-		b.reads = append(b.reads, r)
-	}
-	if len(b.news) < maxUntold {
-		b.news = append(b.news, r)
+		b.reads = append(b.reads, Read{Target: hash, Parts: parts})
 	}
 }
 
@@ -167,13 +183,11 @@
 	e := b.engine(hash, memory)
 	e.own.Streams++
 	b.reading(hash, e, parts)
-	b.mu.Unlock()
-	b.changed()
+	b.unlockChanged(e)
 	return sync.OnceFunc(func() {
 		b.mu.Lock()
 		e.own.Streams--
-		b.mu.Unlock()
-		b.changed()
+		b.unlockChanged(e)
 	})
 }
 
@@ -181,17 +195,17 @@
 // empty: none any more.
 func (b *Book) Changing(target string, becomes port.Role) {
 	b.mu.Lock()
-	b.engine(Hash(target), 0).own.Becomes = becomes
-	b.mu.Unlock()
-	b.changed()
+	e := b.engine(Hash(target), 0)
+	e.own.Becomes = becomes
+	b.unlockChanged(e)
 }
 
 // Down notes that this process can't reach a target, for some time.
 func (b *Book) Down(target string, until time.Time) {
 	b.mu.Lock()
-	b.engine(Hash(target), 0).down = until
-	b.mu.Unlock()
-	b.changed()
+	e := b.engine(Hash(target), 0)
+	e.down = until
+	b.unlockChanged(e)
 }
 
 // Load sums what all daemons have at a target now.
@@ -200,159 +214,262 @@
 // over 1,600 prompts that found others before them, this order foresaw the
 // time within 67 ms on the mean, sharing within 124 ms, urgency within 134 ms.
 func (b *Book) Load(target string, parts []port.PromptPart) Load {
-	hash := Hash(target)
+	return b.LoadOf(Hash(target), parts)
+}
+
+// LoadOf is the same for the engine with that hash.
+func (b *Book) LoadOf(hash uint64, parts []port.PromptPart) Load {
+	now := b.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.engines[hash]
-	w, down := b.sum(hash, e)
-	l := Load{Streams: int(w.Streams), Becomes: w.Becomes, Down: down}
-	if e != nil {
-		l.Cached = e.keeps.cached(parts)
+	if e == nil {
+		return Load{}
 	}
+	b.expire(now)
+	w := e.sum(now)
+	l := Load{Streams: int(w.Streams), Cached: e.keeps.cached(parts), Becomes: w.Becomes, Down: int(w.Down)}
 	if w.Prompts > 0 {
-		l.Wait = time.Duration(w.Reading) * time.Microsecond
-		l.Wait -= b.progress(e, &w)
+		l.Wait = time.Duration(w.Reading)*time.Microsecond - e.progress(now, &w)
 	}
 	return l
 }
 
 // progress is how much of the prompt that the engine reads now it has read. No
 // more than an average prompt counts: an engine that ends none makes none.
-func (b *Book) progress(e *engine, w *Work) time.Duration {
-	if e == nil {
-		return 0
-	}
+func (e *engine) progress(now time.Time, w *Work) time.Duration {
 	average := time.Duration(w.Reading/w.Prompts) * time.Microsecond
-	return min(max(b.now().Sub(e.since), 0), average)
+	return min(max(now.Sub(e.since), 0), average)
 }
 
-// sum adds up what all daemons say of an engine, and counts those that can't
-// reach it. Callers hold b.mu.
-func (b *Book) sum(hash uint64, e *engine) (w Work, down int) {
-	now := b.now()
-	if e != nil {
-		w = e.own
-		if now.Before(e.down) {
-			down++
-		}
+// sum adds up what all daemons say of the engine.
+func (e *engine) sum(now time.Time) Work {
+	w := e.others.Work
+	w.add(&e.own)
+	if e.own.Becomes != "" {
+		w.Becomes = e.own.Becomes
 	}
-	for _, p := range b.peers {
-		if now.Sub(p.at) > believedFor {
-			continue
-		}
-		for i := range p.work {
-			if p.work[i].Target != hash {
-				continue
-			}
-			w.add(&p.work[i])
-			if p.work[i].Down {
-				down++
-			}
-		}
-	}
-	return w, down
-}
-
-func (w *Work) add(o *Work) {
-	w.Reading += o.Reading
-	w.Prompts += o.Prompts
-	w.Streams += o.Streams
-	if w.Becomes == "" {
-		w.Becomes = o.Becomes
+	if now.Before(e.down) {
+		w.Down++
 	}
+	return w
 }
 
 // Own returns what this process has at its engines, and what it had them read
-// since the last call; near: since the last call of either kind.
-func (b *Book) Own(near bool) ([]Work, []Read) {
+// since the last call.
+func (b *Book) Own() ([]Work, []Read) { return b.own(true) }
+
+// own is the same; without told, the reads stay untold.
+func (b *Book) own(told bool) ([]Work, []Read) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
 	var out []Work
 	for _, e := range b.engines {
-		e.own.Down = now.Before(e.down)
-		if !e.own.idle() {
-			out = append(out, e.own)
+		if w := e.word(now); !w.Idle() {
+			out = append(out, w)
 		}
 	}
-	reads := b.news
-	b.news = nil
-	if !near {
-		reads, b.reads = b.reads, nil
+	if !told {
+		return out, nil
 	}
+	reads := b.reads
+	b.reads = nil
 	return out, reads
 }
 
-// Hear takes another daemon's word.
-func (b *Book) Hear(peer string, work []Work, reads []Read) {
+// Hear takes the word of another daemon, or of several in sum, in place of the
+// last one under that name. It returns the reads that tell something new.
+func (b *Book) Hear(peer string, work []Work, reads []Read) []Read {
+	now := b.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	old := b.peers[peer]
-	b.peers[peer] = &peerWork{at: b.now(), work: work}
+	b.expire(now)
+	var old []Work
+	if p := b.peers[peer]; p != nil {
+		old = p.work
+	}
+	b.peers[peer] = &peerWork{at: now, work: work}
+	for i := range old {
+		e := b.engine(old[i].Target, 0)
+		e.others.take(&old[i])
+		e.before = old[i].Prompts
+	}
 	for i := range work {
 		e := b.engine(work[i].Target, 0)
-		before := old.prompts(work[i].Target)
-		all, _ := b.sum(work[i].Target, e)
-		begins := before == 0 && work[i].Prompts > 0 && all.Prompts == work[i].Prompts
-		if work[i].Prompts < before || begins {
-			e.since = b.now()
+		e.others.put(&work[i])
+		begins := e.before == 0 && work[i].Prompts > 0 && e.own.Prompts+e.others.Prompts == work[i].Prompts
+		if work[i].Prompts < e.before || begins {
+			e.since = now
 		}
+		e.before = 0
 	}
-	if old != nil {
-		b.ended(old.work, work)
+	for i := range old {
+		// The daemon named prompts there before, and now names none.
+		if e := b.engine(old[i].Target, 0); e.before > 0 {
+			e.since, e.before = now, 0
+		}
 	}
+	return b.kept(reads)
+}
+
+// Learned takes reads of other daemons, and returns those that tell something
+// new.
+func (b *Book) Learned(reads []Read) []Read {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.kept(reads)
+}
+
+// kept does it. Callers hold b.mu.
+func (b *Book) kept(reads []Read) (fresh []Read) {
 	for _, r := range reads {
-		b.engine(r.Target, 0).keeps.add(r.Parts)
+		keeps := b.engine(r.Target, 0).keeps
+		if !keeps.has(shared(r.Parts)) {
+			fresh = append(fresh, r)
+		}
+		keeps.add(r.Parts)
 	}
+	return fresh
 }
 
-// ended notes the engines of which a daemon said before that they read, and
-// now says nothing. Callers hold b.mu.
-func (b *Book) ended(before, now []Work) {
-	for i := range before {
-		if before[i].Prompts == 0 || named(now, before[i].Target) {
-			continue
+// Known is the number of engines that are known of.
+func (b *Book) Known() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.engines)
+}
+
+// shared are the parts that other prompts may begin with too: all but the
+// last, which is mostly the request's own. A prompt of one part is taken whole.
+func shared(parts []port.PromptPart) []port.PromptPart {
+	return parts[:max(len(parts)-1, min(len(parts), 1))]
+}
+
+// Shared is the read of the parts that other prompts may begin with too.
+func (r Read) Shared() Read { return Read{Target: r.Target, Parts: shared(r.Parts)} }
+
+// Forget takes out what all other daemons said.
+func (b *Book) Forget() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name := range b.peers {
+		b.forget(name)
+	}
+}
+
+// forget takes out a daemon's word. Callers hold b.mu.
+func (b *Book) forget(name string) {
+	for i := range b.peers[name].work {
+		w := &b.peers[name].work[i]
+		b.engine(w.Target, 0).others.take(w)
+	}
+	delete(b.peers, name)
+}
+
+// Sum returns what all daemons together have at the engines.
+func (b *Book) Sum() []Work {
+	now := b.now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.expire(now)
+	var out []Work
+	for _, e := range b.engines {
+		if w := e.sum(now); !w.Idle() {
+			out = append(out, w)
 		}
-		b.engine(before[i].Target, 0).since = b.now()
 	}
+	return out
 }
 
-func named(work []Work, target uint64) bool {
-	for i := range work {
-		if work[i].Target == target {
-			return true
+// SumOf is the sum of this process's work and of the words whose names it is
+// given.
+func (b *Book) SumOf(names func(name string) bool) []Work {
+	own, _ := b.own(false)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.expire(b.now())
+	sums := make(map[uint64]*tally, len(own))
+	put := func(list []Work) {
+		for i := range list {
+			t := sums[list[i].Target]
+			if t == nil {
+				t = &tally{Work: Work{Target: list[i].Target}}
+				sums[list[i].Target] = t
+			}
+			t.put(&list[i])
+		}
+	}
+	put(own)
+	for name, p := range b.peers {
+		if names(name) {
+			put(p.work)
 		}
 	}
-	return false
+	out := make([]Work, 0, len(sums))
+	for _, t := range sums {
+		out = append(out, t.Work)
+	}
+	return out
 }
 
-// prompts is the number of prompts that a daemon said it has at an engine.
-func (p *peerWork) prompts(target uint64) uint32 {
-	if p == nil {
-		return 0
+// Less is what is left of a sum without a part of it, which may have been
+// told a little earlier.
+func Less(sum, part []Work) []Work {
+	taken := make(map[uint64]*Work, len(part))
+	for i := range part {
+		taken[part[i].Target] = &part[i]
 	}
-	for i := range p.work {
-		if p.work[i].Target == target {
-			return p.work[i].Prompts
+	out := make([]Work, 0, len(sum))
+	for _, w := range sum {
+		if t := taken[w.Target]; t != nil {
+			w.Reading -= min(w.Reading, t.Reading)
+			w.Prompts -= min(w.Prompts, t.Prompts)
+			w.Streams -= min(w.Streams, t.Streams)
+			w.Down -= min(w.Down, t.Down)
+			if t.Becomes != "" {
+				w.Becomes = ""
+			}
+		}
+		if !w.Idle() {
+			out = append(out, w)
 		}
 	}
-	return 0
+	return out
+}
+
+// expire takes out the words of daemons that have been silent for too long.
+// Callers hold b.mu.
+func (b *Book) expire(now time.Time) {
+	if now.Sub(b.oldest) <= believedFor {
+		return
+	}
+	b.oldest = now
+	for name, p := range b.peers {
+		if now.Sub(p.at) <= believedFor {
+			b.oldest = minTime(b.oldest, p.at)
+			continue
+		}
+		b.forget(name)
+	}
+}
+
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // Retain forgets the engines that keep doesn't name and that have no work of
 // this process.
 func (b *Book) Retain(keep map[uint64]bool) {
-	now := b.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.expire(b.now())
 	for hash, e := range b.engines {
-		if !keep[hash] && e.own.idle() {
+		if !keep[hash] && e.own.Idle() && e.others.Idle() {
 			delete(b.engines, hash)
 		}
 	}
-	for name, p := range b.peers {
-		if now.Sub(p.at) > believedFor {
-			delete(b.peers, name)
-		}
-	}
 }
--- a/connection/engines/cache.go
+++ b/connection/engines/cache.go
@@ -33,6 +33,16 @@
 	return n
 }
 
+// has tells whether all parts are kept.
+func (p *prefixes) has(parts []port.PromptPart) bool {
+	for _, part := range parts {
+		if p.byID[part.ID] == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // add notes that a prompt was read. Its first parts count as the most recently
 // used: they serve the most other prompts.
 func (p *prefixes) add(parts []port.PromptPart) {
--- a/connection/speed/speed.go
+++ b/connection/speed/speed.go
@@ -243,19 +243,32 @@
 const maxReads = 1000
 
 // Told returns the figures of this process's own prompts.
-func (b *Book) Told() []Word {
+func (b *Book) Told() []Word { return b.words(func(s *service) Figures { return s.own }) }
+
+// Best returns the figures of the most prompts that this process knows of.
+func (b *Book) Best() []Word {
+	return b.words(func(s *service) Figures {
+		if s.told.Reads > s.own.Reads {
+			return s.told
+		}
+		return s.own
+	})
+}
+
+func (b *Book) words(which func(s *service) Figures) []Word {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []Word
 	for key, s := range b.services {
-		if !s.own.Known() {
+		f := which(s)
+		if !f.Known() {
 			continue
 		}
 		out = append(out, Word{
-			Service: key, PerToken: float32(s.own.PerToken), PerPair: float32(s.own.PerPair),
-			StartUs: uint32(s.own.Start.Microseconds()), FirstUs: uint32(s.own.First.Microseconds()),
-			OutputUs: uint32(s.own.PerOutput.Microseconds()), StayUs: uint32(s.own.Stay.Microseconds()), LessUs: uint32(s.own.StayLess.Microseconds()),
-			Reads: uint32(min(s.own.Reads, maxReads)), Streams: uint32(min(s.own.Streams, maxReads)),
+			Service: key, PerToken: float32(f.PerToken), PerPair: float32(f.PerPair),
+			StartUs: uint32(f.Start.Microseconds()), FirstUs: uint32(f.First.Microseconds()),
+			OutputUs: uint32(f.PerOutput.Microseconds()), StayUs: uint32(f.Stay.Microseconds()), LessUs: uint32(f.StayLess.Microseconds()),
+			Reads: uint32(min(f.Reads, maxReads)), Streams: uint32(min(f.Streams, maxReads)),
 		})
 	}
 	return out
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -124,9 +124,9 @@
 		demand: demand.New(time.Now),
 	}
 	d.registry = discovery.New(discovery.Options{Decode: platform.DecodeTarget})
-	d.engines = engines.New(time.Now, func() {
+	d.engines = engines.New(time.Now, func(w engines.Work) {
 		if d.roster != nil {
-			d.roster.News()
+			d.roster.Changed(w)
 		}
 	})
 	d.health = health.New(time.Now, d.engines.Down)
--- /dev/null
+++ b/process/roster/aggregate_test.go
@@ -0,0 +1,216 @@
+package roster
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pomelospool/pomelospool/internal/pause"
+	"github.com/pomelospool/pomelospool/port"
+)
+
+// withLarge runs a test on a fleet of n daemons in zones, all started at once.
+func withLarge(t *testing.T, n, zones int, test func(t *testing.T, d *daemons)) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDaemons()
+		d.zones = zones
+		for i := range n {
+			d.add(i+1, 1)
+		}
+		defer d.stop()
+		rest(6 * time.Second)
+		test(t, d)
+	})
+}
+
+func (d *daemons) stop() {
+	for _, r := range d.all {
+		_ = r.Stop()
+	}
+	synctest.Wait()
+}
+
+func rest(d time.Duration) { _ = pause.For(context.Background(), d) }
+
+// expect checks that every daemon but those that are left out names so many
+// addresses.
+func (d *daemons) expect(t *testing.T, want int, what string, but map[int]bool) {
+	t.Helper()
+	for i, r := range d.all {
+		if n := addrs(r); !but[i+1] && n != want {
+			t.Errorf("%s: daemon %d names %d addresses, want %d", what, i+1, n, want)
+			return
+		}
+	}
+}
+
+// cut silences daemons.
+func (d *daemons) cut(vms map[int]bool, on bool) {
+	for vm := range vms {
+		d.w.setCut(peerAddr(vm), on)
+	}
+}
+
+// A VM with a fifth of a core takes the datagrams of 294 others, and has no
+// time left for requests: each told all others what it does.
+func TestWhatADaemonTakesDoesNotGrowWithTheFleet(t *testing.T) {
+	perSecond := map[int]int{}
+	for _, n := range []int{60, 300} {
+		withLarge(t, n, 5, func(t *testing.T, d *daemons) {
+			d.expect(t, n, fmt.Sprint("fleet of ", n), nil)
+			before := d.w.sent
+			rest(10 * time.Second)
+			perSecond[n] = (d.w.sent - before) / 10 / n
+		})
+	}
+	if perSecond[300] > 2*perSecond[60] || perSecond[300] > 60 {
+		t.Errorf("datagrams that a daemon takes in a second, by fleet: %v", perSecond)
+	}
+}
+
+// Callers are sent to a daemon of a large fleet that was killed, for nine
+// seconds: that many datagrams make their pause long, and four of them had to
+// be missing.
+func TestSilentDaemonOfALargeFleetIsOutSoon(t *testing.T) {
+	withLarge(t, 60, 3, func(t *testing.T, d *daemons) {
+		out := map[int]bool{40: true}
+		d.cut(out, true)
+		rest(2500 * time.Millisecond)
+		d.expect(t, 59, "silent", out)
+		d.cut(out, false)
+		rest(2 * time.Second)
+		d.expect(t, 60, "back", out)
+		rest(3 * time.Second)
+		d.expect(t, 60, "and knows the others", nil)
+	})
+}
+
+// Those that sum up a zone die together, and the zone's daemons hear nothing
+// of any other: the next ones by name take it over.
+func TestSummersThatDieTogetherAreReplaced(t *testing.T) {
+	withLarge(t, 60, 3, func(t *testing.T, d *daemons) {
+		out := map[int]bool{3: true, 6: true} // the first of the third zone
+		d.cut(out, true)
+		rest(6 * time.Second)
+		d.expect(t, 58, "dead", out)
+		d.cut(out, false)
+		rest(6 * time.Second)
+		d.expect(t, 60, "back", nil)
+	})
+}
+
+// More than half of all daemons lose power at the same moment.
+func TestHerdThatDies(t *testing.T) {
+	withLarge(t, 60, 3, func(t *testing.T, d *daemons) {
+		out := map[int]bool{}
+		for vm := 1; vm <= 33; vm++ {
+			out[vm] = true
+		}
+		d.cut(out, true)
+		rest(10 * time.Second)
+		d.expect(t, 27, "dead", out)
+		d.cut(out, false)
+		rest(8 * time.Second)
+		d.expect(t, 60, "back", nil)
+	})
+}
+
+// Callers open connections to a daemon that is stopping, and lose them.
+func TestLeavingDaemonOfALargeFleetIsOutAtOnce(t *testing.T) {
+	withLarge(t, 60, 3, func(t *testing.T, d *daemons) {
+		for _, vm := range []int{3, 50} {
+			d.all[vm-1].SetState(Leaving)
+			synctest.Wait()
+		}
+		d.expect(t, 58, "leaving", nil)
+	})
+}
+
+// A daemon that says it leaves must not be brought back by sums made before.
+func TestLeavingDaemonStaysOutUnderLoss(t *testing.T) {
+	withLarge(t, 60, 3, func(t *testing.T, d *daemons) {
+		d.w.lose = 0.1
+		d.all[49].SetState(Leaving)
+		rest(3 * time.Second)
+		for range 20 {
+			rest(100 * time.Millisecond)
+			d.expect(t, 59, "leaving", nil)
+		}
+	})
+}
+
+// Links lose datagrams: daemons that live must not be taken for dead.
+func TestLossDoesNotTakeDaemonsOut(t *testing.T) {
+	withLarge(t, 60, 3, func(t *testing.T, d *daemons) {
+		d.w.lose = 0.05
+		for range 100 {
+			rest(100 * time.Millisecond)
+			d.expect(t, 60, "one datagram in twenty is lost", nil)
+		}
+	})
+}
+
+// A daemon that comes later, or again, is known to all and knows all.
+func TestDaemonsThatComeLater(t *testing.T) {
+	withLarge(t, 40, 3, func(t *testing.T, d *daemons) {
+		_ = d.all[2].Stop()
+		d.all = append(d.all[:2], d.all[3:]...)
+		rest(time.Second)
+		d.add(3, 2)
+		d.add(41, 1)
+		rest(2 * time.Second)
+		d.expect(t, 41, "later", nil)
+	})
+}
+
+// A daemon counts the prompts that it sent twice, as its own and as a part of
+// the sum: the engine that it uses looks busier to it than to all others.
+func TestSumsLeaveOutWhatTheReceiverTold(t *testing.T) {
+	withLarge(t, 60, 3, func(t *testing.T, d *daemons) {
+		parts := []port.PromptPart{{ID: 1, Tokens: 500}, {ID: 2, Tokens: 50}}
+		for _, vm := range []int{10, 20, 33, 3} { // of several zones, one sums up
+			defer d.books[vm-1].Prefill("e", 10_000, parts, 100*time.Millisecond)()
+			defer d.books[vm-1].Decode("f", 10_000, parts)()
+		}
+		rest(3 * time.Second)
+		for i, b := range d.books {
+			if n := b.Load("f", nil).Streams; n != 4 {
+				t.Errorf("daemon %d counts %d streams, want 4", i+1, n)
+			}
+			if b.Load("e", parts).Cached < 500 {
+				t.Errorf("daemon %d doesn't know what was read", i+1)
+			}
+		}
+		d.books[19].Changing("g", port.RoleDecode)
+		d.books[20].Down("h", time.Now().Add(time.Minute))
+		d.books[21].Down("h", time.Now().Add(time.Minute))
+		rest(2 * time.Second)
+		for i, b := range d.books {
+			if b.Load("g", nil).Becomes != port.RoleDecode || !b.Load("h", nil).Unreachable() {
+				t.Errorf("daemon %d: %+v, %+v", i+1, b.Load("g", nil), b.Load("h", nil))
+			}
+		}
+	})
+}
+
+// A daemon that nobody hears finds all others silent, and says so to those
+// that hear it.
+func TestCutOffSummerTakesNobodyOut(t *testing.T) {
+	withLarge(t, 60, 3, func(t *testing.T, d *daemons) {
+		out := map[int]bool{3: true}
+		d.cut(out, true)
+		rest(5 * time.Second)
+		d.expect(t, 59, "cut off", out)
+		d.cut(out, false)
+		for range 30 {
+			rest(100 * time.Millisecond)
+			for i, r := range d.all {
+				if n := addrs(r); n < 59 && i != 2 {
+					t.Fatalf("daemon %d names %d addresses after the return of one", i+1, n)
+				}
+			}
+		}
+	})
+}
--- a/process/roster/beat.go
+++ b/process/roster/beat.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"time"
@@ -15,19 +17,29 @@
 	"github.com/pomelospool/pomelospool/internal/pause"
 )
 
-// beat is one datagram.
+// beat is what one daemon tells of itself in one datagram.
 type beat struct {
 	_      struct{} `cbor:",toarray"`
 	Member Member
 	Seq    uint64
 	Work   []engines.Work
 	Reads  []engines.Read
-	Peers  []string
+	Peers  []string // addresses of other daemons, in a small fleet
 	Claims []Claim
 	Speeds []speed.Word
 	Demand []demand.Word
 }
 
+// told is a beat of this daemon's, to be taken out of sums that hold it.
+type told struct {
+	seq    uint64
+	work   []engines.Work
+	demand []demand.Word
+}
+
+// keptTold is the number of own beats that are kept: those of some 5 s.
+const keptTold = 16
+
 // Claim says for how long the newest claim for a service has stood at least.
 type Claim struct {
 	_       struct{} `cbor:",toarray"`
@@ -45,16 +57,21 @@
 // Speeds gives and takes what daemons have learnt of engines' speed.
 type Speeds interface {
 	Told() []speed.Word
+	Best() []speed.Word
 	Heard(words []speed.Word)
 }
 
-// Demand gives and takes what callers ask of each daemon.
+// Demand gives and takes what callers ask of each daemon. The names are those
+// of words that were heard.
 type Demand interface {
 	Told() []demand.Word
+	SumOf(names func(name string) bool) []demand.Word
 	Heard(from string, words []demand.Word)
+	Forget()
 }
 
-// tell sends beats: at least every beatEvery, and soon after news.
+// tell sends beats: at least every beatEvery, and in a small fleet soon after
+// news.
 func (r *Roster) tell() error {
 	ctx := r.tomb.Context(context.Background())
 	tick := time.NewTimer(beatEvery)
@@ -65,105 +82,113 @@
 			return nil
 		case <-tick.C:
 			r.send(false)
-			every := r.beatEvery()
-			tick.Reset(every + rand.N(every/10))
+			tick.Reset(beatEvery + rand.N(beatEvery/10))
 			continue
 		case <-r.news:
 		}
-		wait, near := r.newsWait()
+		wait, soon := r.newsWait()
+		if !soon {
+			continue
+		}
 		if pause.For(ctx, wait) != nil {
 			return nil
 		}
-		r.send(near)
+		r.send(false)
 	}
 }
 
-// beatEvery is the time between two beats to all.
-func (r *Roster) beatEvery() time.Duration {
+// newsWait is how long news waits for more, and whether it is sent before the
+// next beat.
+func (r *Roster) newsWait() (wait time.Duration, soon bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.peers) <= smallFleet {
-		return beatEvery
-	}
-	return max(beatEvery, farEvery*time.Duration(len(r.peers)))
+	return newsAfter * time.Duration(max(len(r.peers), 1)), len(r.peers) <= smallFleet
 }
 
-// deadAfter is the silence after which a daemon counts as dead.
-func (r *Roster) deadAfter() time.Duration { return max(deadAfter, deadBeats*r.beatEvery()) }
-
-// newsWait is how long news waits, and whether it goes to the daemons of the
-// same availability zone only.
-func (r *Roster) newsWait() (time.Duration, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.peers) <= smallFleet {
-		return newsAfter * time.Duration(max(len(r.peers), 1)), false
-	}
-	near := 0
-	for _, p := range r.peers {
-		if p.member.Zone == r.self.Zone {
-			near++
-		}
-	}
-	return nearAfter * time.Duration(near), true
-}
-
-// send sends one beat to every daemon known, or to those of the same
-// availability zone.
-func (r *Roster) send(near bool) {
-	work, reads := r.o.Book.Own(near)
-	now, dead := time.Now(), r.deadAfter()
+// send sends one beat: in a small fleet, or with all, to every daemon known,
+// else to those that sum up.
+func (r *Roster) send(all bool) {
+	b := beat{Claims: r.o.Claims.Told(), Speeds: r.o.Speeds.Told(), Demand: r.o.Demand.Told()}
+	b.Work, b.Reads = r.o.Book.Own()
+	now := time.Now()
 	r.mu.Lock()
 	r.seq++
 	r.self.StoreAway = r.o.StoreAway()
-	b := beat{Member: r.self, Seq: r.seq, Work: work, Reads: reads}
-	if r.o.Claims != nil {
-		b.Claims = r.o.Claims.Told()
-	}
-	if r.o.Speeds != nil && !near {
-		b.Speeds = r.o.Speeds.Told()
-	}
-	if r.o.Demand != nil {
-		b.Demand = r.o.Demand.Told()
-	}
+	b.Member, b.Seq = r.self, r.seq
+	r.told = append(r.told, told{seq: r.seq, work: b.Work, demand: b.Demand})
+	r.told = r.told[max(len(r.told)-keptTold, 0):]
+	r.forget(now)
 	var to []net.Addr
-	for addr, p := range r.peers {
-		if now.Sub(p.heard) > forgetAfter {
-			delete(r.peers, addr)
-			continue
-		}
-		if near && p.member.Zone != r.self.Zone {
-			continue
-		}
-		to = append(to, p.addr)
-		if r.seq%peersEvery == 0 && len(b.Peers) < maxPeers && p.alive(now, dead) {
-			b.Peers = append(b.Peers, addr)
-		}
+	if all || len(r.peers) <= smallFleet {
+		to, b.Peers = r.everyone(now)
+	} else {
+		to = r.asked(now)
 	}
 	r.mu.Unlock()
+	r.pass(b.Reads, true)
 	data, err := encode(&b)
 	if err != nil {
 		log.WithError(err).Error("roster: beat can't be encoded")
 		return
 	}
 	for _, addr := range to {
-		// A datagram that can't be sent is as good as lost on the way.
-		_, _ = r.conn.WriteTo(data, addr)
+		r.write(data, addr)
+	}
+}
+
+// write sends a datagram. One that can't be sent is as good as lost on the way.
+func (r *Roster) write(data []byte, to net.Addr) { _, _ = r.conn.WriteTo(data, to) }
+
+// forget drops the daemons that were silent for long. Callers hold r.mu.
+func (r *Roster) forget(now time.Time) {
+	for addr, p := range r.peers {
+		if now.Sub(p.heard) > forgetAfter {
+			r.drop(addr)
+		}
+	}
+}
+
+// everyone returns all daemons known, and from time to time the addresses of
+// some that live. Callers hold r.mu.
+func (r *Roster) everyone(now time.Time) (to []net.Addr, named []string) {
+	for addr, p := range r.peers {
+		to = append(to, p.addr)
+		if r.seq%peersEvery == 0 && len(named) < maxPeers && p.alive(now, r.patience(p)) {
+			named = append(named, addr)
+		}
 	}
+	return to, named
 }
 
 // encode leaves out what doesn't fit into one datagram: the news of reads
 // first, which only cost a prompt being read again.
 func encode(b *beat) ([]byte, error) {
-	data, err := cbor.Marshal(b)
+	data, err := packed(kindBeat, b)
 	if err != nil || len(data) <= maxDatagram {
 		return data, err
 	}
 	b.Reads, b.Peers = nil, nil
-	return cbor.Marshal(b)
+	return packed(kindBeat, b)
 }
 
-// hear takes beats until the socket closes.
+// Kinds of datagrams, their first byte.
+const (
+	kindBeat   = 1
+	kindDigest = 2
+)
+
+var errShort = errors.New("roster: datagram is too short")
+
+// packed encodes a message behind its kind.
+func packed(kind byte, message any) ([]byte, error) {
+	data, err := cbor.Marshal(message)
+	if err != nil {
+		return nil, fmt.Errorf("roster: %w", err)
+	}
+	return append([]byte{kind}, data...), nil
+}
+
+// hear takes datagrams until the socket closes.
 func (r *Roster) hear() error {
 	buf := make([]byte, 64<<10)
 	for {
@@ -178,63 +203,81 @@
 			}
 			continue
 		}
+		if err := r.open(buf[:n], from); err != nil {
+			log.WithError(err).WithField("from", from.String()).Warn("roster: datagram can't be read")
+		}
+	}
+}
+
+// open decodes and takes one datagram.
+func (r *Roster) open(data []byte, from net.Addr) error {
+	if len(data) == 0 {
+		return errShort
+	}
+	switch data[0] {
+	case kindBeat:
 		var b beat
-		if err := cbor.Unmarshal(buf[:n], &b); err != nil {
-			log.WithError(err).WithField("from", from.String()).Warn("roster: beat can't be read")
-			continue
+		if err := cbor.Unmarshal(data[1:], &b); err != nil {
+			return fmt.Errorf("roster: beat: %w", err)
 		}
 		r.take(&b, from)
+	case kindDigest:
+		return r.openDigest(data)
+	default:
+		return errShort
 	}
+	return nil
 }
 
+// take takes a beat.
 func (r *Roster) take(b *beat, from net.Addr) {
 	key := b.Member.PeerAddr
+	now := time.Now()
 	r.mu.Lock()
-	p := r.peers[key]
 	if key == r.self.PeerAddr {
 		r.mu.Unlock()
 		return
 	}
-	fresh := p == nil
-	if fresh {
+	r.hears(now)
+	p := r.peers[key]
+	if p == nil {
 		p = &peer{addr: from}
 		r.peers[key] = p
 	}
+	fresh := !p.known || p.member.Incarnation != b.Member.Incarnation
 	// Datagrams overtake each other: an older one must not bring back a daemon
 	// that said it leaves.
-	if p.outdated(b, time.Now()) {
+	if p.known && p.outdated(b.Member.Incarnation, b.Seq, now) {
 		r.mu.Unlock()
 		return
 	}
-	if p.member.State != b.Member.State || p.member.Incarnation != b.Member.Incarnation {
-		log.WithFields(log.Fields{"vm": b.Member.VM, "addr": b.Member.CallerAddr, "state": b.Member.State, "incarnation": b.Member.Incarnation}).Info("roster: daemon")
+	changed := r.update(p, &b.Member, b.Seq, now)
+	p.beat, p.beatSeq, p.lost, p.asked = now, b.Seq, false, time.Time{}
+	small := len(r.peers) <= smallFleet
+	sums := !small && r.agg.on && b.Member.Zone == r.self.Zone
+	for _, addr := range b.Peers {
+		r.learn(Member{PeerAddr: addr})
 	}
-	p.member, p.seq, p.heard = b.Member, b.Seq, time.Now()
 	r.mu.Unlock()
-	r.o.Book.Hear(key, b.Work, b.Reads)
-	if r.o.Claims != nil {
-		r.o.Claims.Heard(b.Claims)
-	}
-	if r.o.Speeds != nil {
-		r.o.Speeds.Heard(b.Speeds)
-	}
-	if r.o.Demand != nil {
+	r.o.Claims.Heard(b.Claims)
+	r.o.Speeds.Heard(b.Speeds)
+	switch {
+	case small:
+		r.o.Book.Hear(key, b.Work, b.Reads)
 		r.o.Demand.Heard(key, b.Demand)
+		if fresh {
+			r.News()
+		}
+	case sums:
+		r.pass(r.o.Book.Hear(key, b.Work, b.Reads), true)
+		r.o.Demand.Heard(key, b.Demand)
+		if fresh {
+			r.welcome(from)
+		}
+		if changed {
+			r.agg.wake()
+		}
+	case b.Member.State != Leaving:
+		r.redirect(b.Member.Zone, from)
 	}
-	for _, addr := range b.Peers {
-		r.learn(addr)
-	}
-	if fresh {
-		r.News()
-	}
-}
-
-// outdated tells whether a beat is older than what was heard before. A daemon
-// that was started again while its clock stood further back has a lower
-// incarnation; it is believed once the earlier one is silent.
-func (p *peer) outdated(b *beat, now time.Time) bool {
-	if b.Member.Incarnation == p.member.Incarnation {
-		return b.Seq <= p.seq
-	}
-	return b.Member.Incarnation < p.member.Incarnation && now.Sub(p.heard) < deadAfter/2
 }
--- /dev/null
+++ b/process/roster/digest.go
@@ -0,0 +1,191 @@
+package roster
+
+import (
+	"encoding/binary"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/pomelospool/pomelospool/connection/demand"
+	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/connection/speed"
+)
+
+// digest is a part of what one that sums up tells: of its availability zone to
+// those of other zones, of all to the daemons of its own zone. Each datagram
+// holds by itself.
+type digest struct {
+	_      struct{} `cbor:",toarray"`
+	From   string   // peer address of the sender
+	Zone   string   // whose sums these are; empty: all daemons'
+	Rows   []row
+	Alive  []uint32 // tokens of daemons that live
+	Sums   bool     // Part, Parts and Work hold
+	Part   uint32   // of the engines, by their hash
+	Parts  uint32
+	Work   []engines.Work
+	Reads  []engines.Read
+	Claims []Claim
+	Speeds []speed.Word
+	Asked  bool // Demand holds
+	Demand []demand.Word
+}
+
+// row is what a daemon last said of itself, or that it is silent since.
+type row struct {
+	_      struct{} `cbor:",toarray"`
+	Member Member
+	Seq    uint64
+	Gone   bool
+}
+
+// A digest's datagram is the kind, the number of the receiver's newest beat
+// that the sums hold, 0 for none, and the message. So the message is encoded
+// once for all receivers.
+const digestHead = 1 + 8
+
+func (d *digest) encode() ([]byte, error) {
+	data, err := cbor.Marshal(d)
+	if err != nil {
+		return nil, fmt.Errorf("roster: digest: %w", err)
+	}
+	return append(make([]byte, digestHead, digestHead+len(data)), data...), nil
+}
+
+// head fills in the head for one receiver.
+func head(data []byte, seen uint64) {
+	data[0] = kindDigest
+	binary.BigEndian.PutUint64(data[1:], seen)
+}
+
+func (r *Roster) openDigest(data []byte) error {
+	if len(data) < digestHead {
+		return errShort
+	}
+	var d digest
+	if err := cbor.Unmarshal(data[digestHead:], &d); err != nil {
+		return fmt.Errorf("roster: digest: %w", err)
+	}
+	r.takeDigest(&d, binary.BigEndian.Uint64(data[1:]))
+	return nil
+}
+
+// takeDigest takes a digest that holds this daemon's beat of that number.
+func (r *Roster) takeDigest(d *digest, seen uint64) {
+	now := time.Now()
+	r.mu.Lock()
+	r.hears(now)
+	sender := r.learn(Member{PeerAddr: d.From})
+	if p := sender; p != nil {
+		p.asked = time.Time{}
+		if p.known {
+			p.lives(now)
+		}
+		switch {
+		case !d.Sums:
+		case d.Zone != "":
+			p.sums = now
+		default:
+			r.agg.heard = now
+		}
+	}
+	changed := false
+	for i := range d.Rows {
+		changed = r.takeRow(&d.Rows[i], now) || changed
+	}
+	for _, token := range d.Alive {
+		p := r.peers[r.tokens[token]]
+		// Two that sum up the same zone would keep a dead daemon of another one
+		// alive, each by the other's word.
+		echo := r.agg.on && d.Zone == "" && p != nil && p.member.Zone != r.self.Zone
+		if p != nil && !echo {
+			p.lives(now)
+		}
+	}
+	// What this daemon sums up itself it needn't be told.
+	mine := d.Zone == "" && !r.agg.on
+	others := d.Zone != "" && d.Zone != r.self.Zone && r.agg.on
+	var own told
+	for _, t := range r.told {
+		if mine && t.seq == seen {
+			own = t
+		}
+	}
+	on := r.agg.on
+	r.mu.Unlock()
+	if changed && on {
+		r.agg.wake()
+	}
+	if d.Sums && d.Part == 0 && d.Zone != "" && !on && sender != nil {
+		r.redirect(r.self.Zone, sender.addr)
+	}
+	r.o.Claims.Heard(d.Claims)
+	r.o.Speeds.Heard(d.Speeds)
+	if !mine && !others {
+		return
+	}
+	if d.Sums {
+		r.takeSums(d, &own)
+	}
+	if d.Asked {
+		r.o.Demand.Heard(sumName(d.Zone), demand.Less(d.Demand, own.demand))
+	}
+	if fresh := r.o.Book.Learned(d.Reads); others {
+		r.pass(fresh, false)
+	}
+}
+
+// takeRow takes what another daemon tells of one. It returns whether that is
+// news. Callers hold r.mu.
+func (r *Roster) takeRow(w *row, now time.Time) bool {
+	p := r.learn(w.Member)
+	if p == nil {
+		return false
+	}
+	if w.Gone {
+		direct := r.agg.on && p.member.Zone == r.self.Zone && now.Sub(p.beat) < silentAfter
+		switch {
+		case !p.known || p.gone || p.member.Incarnation != w.Member.Incarnation || p.seq > w.Seq:
+			return false
+		case direct:
+			p.repeat = tellings // it tells this daemon that it lives
+			return true
+		}
+		p.seq = max(p.seq, w.Seq)
+		p.silent("told by another daemon")
+		return true
+	}
+	if p.known && p.outdated(w.Member.Incarnation, w.Seq, now) {
+		return false
+	}
+	return r.update(p, &w.Member, w.Seq, now)
+}
+
+// sumName is the name under which a digest's sums are kept.
+func sumName(zone string) string { return "sum of " + zone }
+
+// partName is the same for a part of them.
+func partName(zone string, part uint32) string {
+	return fmt.Sprintf("%s, part %d", sumName(zone), part)
+}
+
+// takeSums takes a part of a digest's work, less what this daemon told itself.
+//
+// The number of parts changes with that of the engines. What an earlier number
+// left is taken out, or it would count twice until it is too old.
+func (r *Roster) takeSums(d *digest, own *told) {
+	r.mu.Lock()
+	before := r.agg.parts[d.Zone]
+	if r.agg.parts == nil {
+		r.agg.parts = make(map[string]uint32)
+	}
+	r.agg.parts[d.Zone] = d.Parts
+	r.mu.Unlock()
+	if before != d.Parts {
+		for part := range before {
+			r.o.Book.Hear(partName(d.Zone, part), nil, nil)
+		}
+	}
+	r.o.Book.Hear(partName(d.Zone, d.Part), engines.Less(d.Work, own.work), nil)
+}
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -1,25 +1,25 @@
 // Package roster knows the other daemons: who is alive and takes requests, and
-// what work each has at the engines. Daemons tell each other in small
-// datagrams. A lost one does no harm, since each carries the sender's whole
-// state; grpc between the daemons would hold news back behind a packet that is
-// sent again.
+// what work they have at the engines. Daemons tell each other in small
+// datagrams. A lost one does no harm, since each repeats what still holds; grpc
+// between the daemons would hold news back behind a packet that is sent again.
+//
+// In a small fleet each daemon tells all others. In a large one a few in each
+// availability zone sum up what its daemons tell, exchange the sums with other
+// zones' and tell the zone's daemons the whole: what a daemon sends and takes
+// grows with the engines' number, not with the daemons'.
 package roster
 
 import (
 	"cmp"
-	"context"
-	"encoding/json"
 	"net"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/apex/log"
 	"gopkg.in/tomb.v2"
 
 	"github.com/pomelospool/pomelospool/connection/address"
 	"github.com/pomelospool/pomelospool/connection/engines"
-	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/port"
 )
 
@@ -29,23 +29,16 @@
 	// newsAfter is how long news waits for more before it is sent, per daemon
 	// that it is sent to: with 5 others 10 ms.
 	newsAfter = 2 * time.Millisecond
-	// smallFleet is the number of other daemons up to which news goes to all.
-	// In a larger fleet it goes to those of the same availability zone, and to
-	// the others with the beats, which come more seldom: a daemon with a fifth
-	// of a core can't take 500 datagrams a second.
+	// smallFleet is the number of other daemons up to which each tells all
+	// others, and news goes out at once. In a larger fleet each tells the few
+	// daemons of its availability zone that sum up (see aggregate.go).
 	smallFleet = 16
-	// farEvery is the time between beats to all, per other daemon of a large
-	// fleet: with 89 others 700 ms.
-	farEvery = 8 * time.Millisecond
-	// nearAfter is the wait of news in a large fleet, per daemon of the zone:
-	// with 29 others 290 ms. At 2 ms a daemon 90 daemons use 195 s of processor
-	// time for 138 s a day, for 0.007 to 0.016 of its credit.
-	nearAfter = 10 * time.Millisecond
-	// deadAfter is the silence after which a daemon counts as dead: four
-	// beats, so that lost datagrams alone hardly do it; deadBeats beats of a
-	// large fleet.
+	// deadAfter is the silence after which a daemon that tells this one itself
+	// counts as dead: four beats, so that lost datagrams alone hardly do it.
 	deadAfter = 1100 * time.Millisecond
-	deadBeats = 4
+	// toldDeadAfter is the silence after which a daemon counts as dead of which
+	// others tell: they repeat it twice a second, and say at once when it is silent.
+	toldDeadAfter = 2500 * time.Millisecond
 	// forgetAfter is how long a silent daemon is sent beats.
 	forgetAfter = 30 * time.Second
 	// peersEvery is the number of beats between two that name other daemons.
@@ -57,8 +50,6 @@
 	// isolatedKeep is how long the last addresses are still given when every
 	// other daemon and the store fell silent at once.
 	isolatedKeep = 15 * time.Second
-	// listBackoff is the wait after a failed listing of the daemons.
-	listBackoff = 500 * time.Millisecond
 )
 
 // State says whether a daemon takes requests.
@@ -83,24 +74,14 @@
 	StoreAway   bool // it can't read the store now
 }
 
-type peer struct {
-	member Member
-	seq    uint64
-	heard  time.Time
-	addr   net.Addr
-}
-
 // Options of a Roster.
 type Options struct {
-	Self  Member
-	Store port.Store
-	Book  *engines.Book
-	// Claims is what the daemons tell each other of claims; nil: nothing.
-	Claims Claims
-	// Speeds is what they tell each other of engines' speed; nil: nothing.
-	Speeds Speeds
-	// Demand is what they tell each other of callers' demand; nil: nothing.
-	Demand Demand
+	Self   Member
+	Store  port.Store
+	Book   *engines.Book
+	Claims Claims        // what the daemons tell each other of claims
+	Speeds Speeds        // and of engines' speed
+	Demand Demand        // and of callers' demand
 	TTL    time.Duration // how long callers keep addresses
 	// StoreAway tells whether the store can't be read now.
 	StoreAway func() bool
@@ -115,10 +96,13 @@
 	tomb tomb.Tomb
 	news chan struct{}
 
-	mu    sync.Mutex
-	self  Member
-	seq   uint64
-	peers map[string]*peer // by peer address
+	mu     sync.Mutex
+	self   Member
+	seq    uint64
+	peers  map[string]*peer  // by peer address
+	tokens map[uint32]string // peer address by the token that stands for a daemon's process
+	told   []told            // own beats of lately, the newest last
+	agg    aggregation
 
 	sockets sync.Once
 }
@@ -134,11 +118,13 @@
 		o.Self.PeerAddr = conn.LocalAddr().String()
 	}
 	return &Roster{
-		o:     o,
-		conn:  conn,
-		news:  make(chan struct{}, 1),
-		self:  o.Self,
-		peers: make(map[string]*peer),
+		o:      o,
+		conn:   conn,
+		news:   make(chan struct{}, 1),
+		self:   o.Self,
+		peers:  make(map[string]*peer),
+		tokens: make(map[uint32]string),
+		agg:    aggregation{changed: make(chan struct{}, 1)},
 	}, nil
 }
 
@@ -147,6 +133,7 @@
 	r.tomb.Go(r.hear)
 	r.tomb.Go(r.tell)
 	r.tomb.Go(r.announce)
+	r.tomb.Go(r.aggregate)
 }
 
 // Stop ends all.
@@ -158,14 +145,18 @@
 
 func (r *Roster) close() { r.sockets.Do(func() { _ = r.conn.Close() }) }
 
-// SetState changes what this daemon says of itself, and tells the others now.
+// SetState changes what this daemon says of itself, and tells the others now:
+// all of them that it leaves, so that callers hear of it in time.
 func (r *Roster) SetState(s State) {
 	r.mu.Lock()
 	r.self.State = s
 	r.mu.Unlock()
-	r.send(false)
+	r.send(s == Leaving)
 }
 
+// Changed notes that this daemon's work at an engine changed.
+func (r *Roster) Changed(engines.Work) { r.News() }
+
 // News asks for a beat soon, without waiting for it.
 func (r *Roster) News() {
 	select {
@@ -174,85 +165,14 @@
 	}
 }
 
-// announce writes this daemon into the store and learns the others from it.
-// Two daemons that start at once find each other: whoever lists second sees
-// the first, and its beat tells the other.
-func (r *Roster) announce() error {
-	ctx := r.tomb.Context(context.Background())
-	value, err := json.Marshal(map[string]string{"addr": r.o.Self.PeerAddr})
-	if err != nil {
-		return err
-	}
-	written := false
-	for r.tomb.Alive() {
-		if !written {
-			_, err = r.o.Store.Put(ctx, port.TopicDaemons, r.o.Self.VM, value)
-			written = err == nil
-		}
-		if written {
-			err = r.list(ctx)
-		}
-		if err == nil {
-			return nil
-		}
-		log.WithError(err).Debug("roster: daemons not listed yet")
-		if pause.For(ctx, listBackoff) != nil {
-			return nil
-		}
-	}
-	return nil
-}
-
-func (r *Roster) list(ctx context.Context) error {
-	after := ""
-	for {
-		page, err := r.o.Store.Newest(ctx, port.TopicDaemons, after)
-		if err != nil {
-			return err
-		}
-		for _, rec := range page.Records {
-			var d struct{ Addr string }
-			if err := json.Unmarshal(rec.Value, &d); err != nil {
-				log.WithError(err).WithField("vm", rec.Key).Warn("roster: entry can't be read")
-				continue
-			}
-			r.learn(d.Addr)
-		}
-		if !page.More || len(page.Records) == 0 {
-			r.send(false)
-			return nil
-		}
-		after = page.Records[len(page.Records)-1].Key
-	}
-}
-
-// learn adds a daemon's address, of which nothing has been heard yet.
-func (r *Roster) learn(addr string) {
-	udp, err := net.ResolveUDPAddr("udp4", addr)
-	if err != nil {
-		log.WithError(err).WithField("addr", addr).Warn("roster: address can't be read")
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if addr == r.self.PeerAddr || r.peers[addr] != nil {
-		return
-	}
-	r.peers[addr] = &peer{addr: udp, heard: time.Now().Add(-deadAfter)}
-}
-
-func (p *peer) alive(now time.Time, dead time.Duration) bool {
-	return p.member.VM != "" && now.Sub(p.heard) < dead
-}
-
 // Members returns the daemons that are alive, this one first, then by name.
 func (r *Roster) Members() []Member {
-	now, dead := time.Now(), r.deadAfter()
+	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []Member
 	for _, p := range r.peers {
-		if p.alive(now, dead) {
+		if p.alive(now, r.patience(p)) {
 			out = append(out, p.member)
 		}
 	}
@@ -342,12 +262,11 @@
 // would send all callers that ask it to itself alone. When the others and the
 // store fell silent together, the daemons heard lately still count.
 func (r *Roster) Addresses(zone, caller string) ([]string, time.Duration) {
-	limit := r.deadAfter()
+	serving := r.serving
 	if len(r.Members()) == 1 && r.o.StoreAway() {
-		limit = isolatedKeep
+		serving = r.heardLately
 	}
-	book := address.NewBook(func() []address.Member { return r.serving(limit) }, r.o.TTL)
-	entries := book.Answer(zone, address.Seed(caller)).Addresses
+	entries := address.NewBook(serving, r.o.TTL).Answer(zone, address.Seed(caller)).Addresses
 	out := make([]string, 0, len(entries))
 	for _, e := range entries {
 		out = append(out, e.Addr)
@@ -355,24 +274,34 @@
 	return out, r.o.TTL
 }
 
-// serving returns the daemons that take requests and were heard of within the
-// limit.
-func (r *Roster) serving(limit time.Duration) []address.Member {
+// serving returns the daemons that take requests.
+func (r *Roster) serving() []address.Member {
 	now := time.Now()
+	return r.forCallers(func(p *peer) bool { return p.alive(now, r.patience(p)) })
+}
+
+// heardLately returns the same with those that have fallen silent since.
+func (r *Roster) heardLately() []address.Member {
+	now := time.Now()
+	return r.forCallers(func(p *peer) bool { return now.Sub(p.heard) < isolatedKeep })
+}
+
+// forCallers returns the daemons that take requests, this one included, of
+// those that there are.
+func (r *Roster) forCallers(there func(p *peer) bool) []address.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []address.Member
-	if r.self.State == Ready {
-		out = append(out, r.self.forCallers())
+	add := func(m *Member) {
+		if m.State == Ready {
+			out = append(out, address.Member{Addr: m.CallerAddr, Zone: m.Zone})
+		}
 	}
+	add(&r.self)
 	for _, p := range r.peers {
-		if p.member.State == Ready && now.Sub(p.heard) < limit {
-			out = append(out, p.member.forCallers())
+		if there(p) {
+			add(&p.member)
 		}
 	}
 	return out
 }
-
-func (m *Member) forCallers() address.Member {
-	return address.Member{Addr: m.CallerAddr, Zone: m.Zone}
-}
