Keepers know each engine's queue in a large fleet, and are asked

Each of 295 daemons knows one in 295 of an engine's work at once and the rest half a second late, when five prompts have come since. Ruled out: faster sums (each daemon would take hundreds of datagrams a second again), the engines' own reports (late, and paid for), shares of engines lent to daemons (a daemon's few engines queue though others idle). Change: one daemon keeps an engine's work, named by rendezvous hashing, and is told of each change as it happens. A request's shortlist, the best by the sums, the best were all idle, and the better of some drawn at random, is asked of the keepers in one round trip; who hasn't answered after 15 ms counts by the sums. Ten datagrams of 60 bytes a request, whatever the fleet's size. The choice at admission is used for the first read and not made twice.

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -219,6 +219,7 @@
 		Demand:  d.demand,
 		Budget:  d.budget,
 		Control: d.control,
+		Queues:  d.roster,
 		Zone:    d.s.Zone,
 	})
 	d.metrics = newMetrics(d)
--- a/process/roster/aggregate_test.go
+++ b/process/roster/aggregate_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pomelospool/pomelospool/connection/engines"
 	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/port"
 )
@@ -214,3 +215,81 @@
 		}
 	})
 }
+
+// Hundreds of daemons choose by news that is half a second old: all choose the
+// engine that was idle then, and prompts wait behind each other though other
+// engines are idle.
+func TestKeepersKnowQueuesAtOnce(t *testing.T) {
+	withLarge(t, 60, 3, func(t *testing.T, d *daemons) {
+		ids := []string{"e", "f", "g"}
+		ask := func(vm int, want ...time.Duration) {
+			t.Helper()
+			got := d.all[vm-1].Queues(context.Background(), ids)
+			for i := range want {
+				if got[i] != want[i] {
+					t.Errorf("daemon %d: waits %v, want %v", vm, got, want)
+					return
+				}
+			}
+		}
+		one := d.books[6].Prefill("e", 10_000, nil, 300*time.Millisecond)
+		two := d.books[41].Prefill("e", 10_000, nil, 300*time.Millisecond)
+		defer d.books[33].Prefill("f", 10_000, nil, 100*time.Millisecond)()
+		synctest.Wait()
+		for vm := 1; vm <= 60; vm++ {
+			ask(vm, 600*time.Millisecond, 100*time.Millisecond, 0)
+		}
+		one()
+		synctest.Wait()
+		ask(20, 300*time.Millisecond, 100*time.Millisecond, 0)
+		// Work that lasts is told again, also to a keeper that is new.
+		rest(5 * time.Second)
+		ask(20, 0, 0, 0) // as long as foreseen, and more
+		defer d.books[10].Prefill("e", 10_000, nil, 300*time.Millisecond)()
+		synctest.Wait()
+		ask(20, 300*time.Millisecond)
+		two()
+	})
+}
+
+// The keeper of an engine dies, and with it what it knew: what still holds is
+// told to the next one, and nobody waits for the dead one's answer.
+func TestKeepersThatDie(t *testing.T) {
+	withLarge(t, 60, 3, func(t *testing.T, d *daemons) {
+		defer d.books[6].Prefill("e", 10_000, nil, time.Hour)()
+		synctest.Wait()
+		r := d.all[19]
+		r.mu.Lock()
+		to := r.keeper(engines.Hash("e"), time.Now())
+		r.mu.Unlock()
+		if to == nil {
+			t.Fatal("the daemon that is asked keeps the engine")
+		}
+		d.w.setCut(to.String(), true)
+		begun := time.Now()
+		if got := r.Queues(context.Background(), []string{"e"}); got[0] != -1 || time.Since(begun) > askWithin {
+			t.Errorf("a dead keeper's answer: %v after %v", got, time.Since(begun))
+		}
+		rest(4 * time.Second)
+		if got := r.Queues(context.Background(), []string{"e"}); got[0] <= 0 {
+			t.Errorf("the next keeper's answer: %v", got)
+		}
+	})
+}
+
+// Notes overtake each other: an engine looks busy with a prompt that has long
+// been read.
+func TestNotesThatAreOvertakenAreLeftOut(t *testing.T) {
+	r := &Roster{keeping: newKeeping()}
+	now := time.Now()
+	busy := engines.Work{Target: 7, Prompts: 1, Reading: 500_000}
+	r.takeNote(&note{Seq: 2, Work: engines.Work{Target: 7}}, "a", now)
+	r.takeNote(&note{Seq: 1, Work: busy}, "a", now)
+	if w := r.keeping.book.LoadOf(7, nil).Wait; w != 0 {
+		t.Errorf("wait %v", w)
+	}
+	r.takeNote(&note{Seq: 1, Work: busy}, "a", now.Add(2*deadAfter)) // started again
+	if w := r.keeping.book.LoadOf(7, nil).Wait; w == 0 {
+		t.Error("a daemon that was started again isn't believed")
+	}
+}
--- a/process/roster/beat.go
+++ b/process/roster/beat.go
@@ -82,6 +82,7 @@
 			return nil
 		case <-tick.C:
 			r.send(false)
+			r.repeatNotes(time.Now())
 			tick.Reset(beatEvery + rand.N(beatEvery/10))
 			continue
 		case <-r.news:
@@ -173,8 +174,11 @@
 
 // Kinds of datagrams, their first byte.
 const (
-	kindBeat   = 1
-	kindDigest = 2
+	kindBeat     = 1
+	kindDigest   = 2
+	kindNote     = 3
+	kindQuestion = 4
+	kindAnswer   = 5
 )
 
 var errShort = errors.New("roster: datagram is too short")
@@ -224,7 +228,7 @@
 	case kindDigest:
 		return r.openDigest(data)
 	default:
-		return errShort
+		return r.openKeeping(data, from)
 	}
 	return nil
 }
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -104,6 +104,8 @@
 	told   []told            // own beats of lately, the newest last
 	agg    aggregation
 
+	keeping keeping
+
 	sockets sync.Once
 }
 
@@ -118,13 +120,14 @@
 		o.Self.PeerAddr = conn.LocalAddr().String()
 	}
 	return &Roster{
-		o:      o,
-		conn:   conn,
-		news:   make(chan struct{}, 1),
-		self:   o.Self,
-		peers:  make(map[string]*peer),
-		tokens: make(map[uint32]string),
-		agg:    aggregation{changed: make(chan struct{}, 1)},
+		o:       o,
+		conn:    conn,
+		news:    make(chan struct{}, 1),
+		self:    o.Self,
+		peers:   make(map[string]*peer),
+		tokens:  make(map[uint32]string),
+		agg:     aggregation{changed: make(chan struct{}, 1)},
+		keeping: newKeeping(),
 	}, nil
 }
 
@@ -154,9 +157,6 @@
 	r.send(s == Leaving)
 }
 
-// Changed notes that this daemon's work at an engine changed.
-func (r *Roster) Changed(engines.Work) { r.News() }
-
 // News asks for a beat soon, without waiting for it.
 func (r *Roster) News() {
 	select {
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -56,6 +56,16 @@
 	Targets(service string) []port.TargetEntry
 }
 
+// Queues knows engines' queues better than the books, which hear late in a
+// large fleet.
+type Queues interface {
+	// Queues returns how long a prompt will wait at each engine, -1 where that
+	// isn't known; nil if the books know as well.
+	Queues(ctx context.Context, targets []string) []time.Duration
+	// Asks tells whether there is anything to be asked.
+	Asks() bool
+}
+
 // Options of a Runner. All are needed.
 type Options struct {
 	Wire    port.TargetWire
@@ -65,6 +75,7 @@
 	Health  *health.Book
 	Budget  *budget.Fleet
 	Control port.EngineControl
+	Queues  Queues
 	Speed   *speed.Book
 	Demand  *demand.Book
 	Zone    string // availability zone of this process
@@ -149,6 +160,7 @@
 	trace  Trace
 	ran    int      // targets that may have run it
 	avoid  []string // targets that failed it
+	first  *reading // the choice at admission, until it is used
 	last   *failed
 	lastID string // id of the last event that the caller got
 }
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
@@ -26,7 +27,7 @@
 	if u.c.Service.Engine == nil {
 		return u.plainStream(ctx, out)
 	}
-	prompt, err := u.admit()
+	prompt, err := u.admit(ctx)
 	if err != nil {
 		return err
 	}
@@ -82,6 +83,7 @@
 	p.Tokens = u.c.Ask.Prompt
 	p.Zone = u.opts.Zone
 	p.Objective = u.c.Route.Objective
+	p.Draw = rand.Uint64()
 	p.priority = min(u.c.Route.Priority, latePriority-1)
 	for _, part := range p.parts[:max(len(p.parts)-1, 0)] {
 		p.Shared += part.Tokens
@@ -96,10 +98,11 @@
 //
 // Once a queue stands before the engines, every request behind it is late:
 // serving all of them earns less than refusing those that can't be on time.
-func (u *run) admit() (prompt, error) {
+func (u *run) admit(ctx context.Context) (prompt, error) {
 	p := u.prompt()
 	f := u.opts.Speed.Figures(u.c.Service.Name)
-	ch := u.choosePrefill(p, f)
+	ch := u.choosePrefill(ctx, p, f)
+	u.first = &ch
 	err := u.admitTo(&p, f, ch)
 	u.offer(p, f, ch, err != nil)
 	return p, err
--- a/request/dispatch/prefill.go
+++ b/request/dispatch/prefill.go
@@ -39,14 +39,24 @@
 	decoders []placement.Candidate // engines that may make the answer
 }
 
-func (u *run) choosePrefill(p prompt, f speed.Figures) reading {
+// reading returns the choice that the call was admitted with, or a new one for
+// another round.
+func (u *run) reading(ctx context.Context, p prompt, f speed.Figures) reading {
+	if ch := u.first; ch != nil {
+		u.first = nil
+		return *ch
+	}
+	return u.choosePrefill(ctx, p, f)
+}
+
+func (u *run) choosePrefill(ctx context.Context, p prompt, f speed.Figures) reading {
 	cands := u.candidates(p, port.RolePrefill)
 	for i := range cands {
 		cands[i].Rate += u.opts.Health.Rate(kvOf(cands[i].Entry.ID))
 	}
 	decoders := u.candidates(p, port.RoleDecode)
 	sources := slices.Concat(decoders, cands)
-	ch := reading{decoders: decoders, Choice: placement.Prefill(p.Prompt, cands, sources, u.c.Service.Engine, f)}
+	ch := reading{decoders: decoders, Choice: u.choose(ctx, p, cands, sources, f)}
 	if ch.At >= 0 {
 		ch.to = cands[ch.At].Entry
 	}
@@ -56,6 +66,25 @@
 	return ch
 }
 
+// choose chooses among the candidates by the books, or by the queues that
+// others know better.
+func (u *run) choose(ctx context.Context, p prompt, cands, sources []placement.Candidate, f speed.Figures) placement.Choice {
+	e := u.c.Service.Engine
+	if !u.opts.Queues.Asks() {
+		return placement.Prefill(p.Prompt, cands, sources, e, f)
+	}
+	list := placement.Shortlist(p.Prompt, cands, sources, e, f)
+	ids := make([]string, 0, len(list))
+	for _, ch := range list {
+		ids = append(ids, cands[ch.At].Entry.ID)
+	}
+	waits := u.opts.Queues.Queues(ctx, ids)
+	if waits == nil {
+		return placement.Prefill(p.Prompt, cands, sources, e, f)
+	}
+	return placement.Settle(list, cands, waits)
+}
+
 func (u *run) candidates(p prompt, role port.Role) []placement.Candidate {
 	var out []placement.Candidate
 	for _, t := range u.usable(p.parts, func(e port.TargetEntry) bool { return e.Role == role }) {
@@ -77,7 +106,7 @@
 // reads it itself, at half the speed.
 func (u *run) prefill(ctx context.Context, p prompt) (prefilled, *failed) {
 	figures := u.opts.Speed.Figures(u.c.Service.Name)
-	ch := u.choosePrefill(p, figures)
+	ch := u.reading(ctx, p, figures)
 	if ch.At < 0 {
 		return prefilled{}, nil
 	}
--- a/request/dispatch/rig_test.go
+++ b/request/dispatch/rig_test.go
@@ -70,7 +70,7 @@
 		r.runner = New(Options{
 			Wire: platform.Wire{}, Pool: pool, Targets: r,
 			Engines: engines.New(time.Now, func(engines.Work) {}), Health: health.New(time.Now, nil),
-			Budget: r.budget, Control: control{r}, Zone: "a", Speed: r.speed, Demand: demand.New(time.Now),
+			Budget: r.budget, Control: control{r}, Zone: "a", Speed: r.speed, Queues: noQueues{}, Demand: demand.New(time.Now),
 		})
 		test(t, r)
 		pool.Close()
@@ -137,3 +137,9 @@
 	}
 	return out
 }
+
+// noQueues stands for a small fleet, whose daemons hear of all work at once.
+type noQueues struct{}
+
+func (noQueues) Asks() bool                                       { return false }
+func (noQueues) Queues(context.Context, []string) []time.Duration { return nil }
--- a/request/ingress/ingress_test.go
+++ b/request/ingress/ingress_test.go
@@ -94,7 +94,7 @@
 		Config: holder, Wire: platform.Wire{}, Observe: func(o Observation) { r.seen <- o },
 		Runner: dispatch.New(dispatch.Options{
 			Wire: platform.Wire{}, Pool: pool, Targets: r, Control: noControl{},
-			Engines: engines.New(time.Now, func(engines.Work) {}), Health: health.New(time.Now, nil), Speed: speed.NewBook(), Demand: demand.New(time.Now),
+			Engines: engines.New(time.Now, func(engines.Work) {}), Health: health.New(time.Now, nil), Speed: speed.NewBook(), Queues: noQueues{}, Demand: demand.New(time.Now),
 			Budget: budget.NewFleet(budget.FleetOptions{Slack: 10, Window: 10 * time.Second, Daemons: func() int { return 1 }, Now: time.Now}),
 		}),
 	})
@@ -290,3 +290,9 @@
 		t.Errorf("long %v, short %v", long, short)
 	}
 }
+
+// noQueues stands for a small fleet, whose daemons hear of all work at once.
+type noQueues struct{}
+
+func (noQueues) Asks() bool                                       { return false }
+func (noQueues) Queues(context.Context, []string) []time.Duration { return nil }
--- a/request/placement/prefill.go
+++ b/request/placement/prefill.go
@@ -36,6 +36,7 @@
 	Shared int    // of these, the leading ones that other prompts may begin with too
 	Zone   string // availability zone of the deciding daemon
 	Seed   uint64 // of the prompt's first part: equal prompts go to one engine
+	Draw   uint64 // random, of the request
 	// Objective is the time within which the caller wants the first event.
 	Objective time.Duration
 }
@@ -76,29 +77,49 @@
 // another one keeps fetches it: 13,000 tokens take 10 to 20 ms to fetch and
 // 300 ms to read. sources are the engines that can be fetched from.
 func Prefill(p Prompt, cands, sources []Candidate, e *route.Engine, f speed.Figures) Choice {
+	o := newOutlook(p, cands, sources, e, f)
 	best := Choice{At: -1, Fetch: -1}
-	keeper := keepsMost(sources)
-	near := inZone(cands, p.Zone)
-	at := newHome(p, cands, sources, keeper, f)
 	for i := range cands {
-		c := &cands[i]
-		ch := p.read(c, sources, keeper, e, f)
-		ch.At = i
-		if near >= manyNear && c.Entry.Zone != p.Zone {
-			ch.Cost += farCost.of(&p)
-		}
-		ch.Cost += time.Duration(c.Rate * float64(failCost.of(&p)))
-		ch.Cost += time.Duration(unit(p.Seed^engines.Hash(c.Entry.ID)) * float64(tieCost.of(&p)))
-		ch.Cost += at.cost(i, f)
-		ch.Cost += c.dial(&p)
-		if best.At < 0 || ch.Cost < best.Cost {
+		if ch := o.choice(i); best.At < 0 || ch.Cost < best.Cost {
 			best = ch
 		}
 	}
-	at.guess(&best)
+	o.home.guess(&best)
 	return best
 }
 
+// outlook is what all choices of a prompt have in common.
+type outlook struct {
+	p              Prompt
+	cands, sources []Candidate
+	e              *route.Engine
+	f              speed.Figures
+	keeper         int // index of the source that keeps most, -1: none
+	near           int // candidates in the daemon's zone
+	home           home
+}
+
+func newOutlook(p Prompt, cands, sources []Candidate, e *route.Engine, f speed.Figures) *outlook {
+	o := &outlook{p: p, cands: cands, sources: sources, e: e, f: f, keeper: keepsMost(sources), near: inZone(cands, p.Zone)}
+	o.home = newHome(o.p, cands, sources, o.keeper, f)
+	return o
+}
+
+// choice is that of candidate i.
+func (o *outlook) choice(i int) Choice {
+	c := &o.cands[i]
+	ch := o.p.read(c, o.sources, o.keeper, o.e, o.f)
+	ch.At = i
+	if o.near >= manyNear && c.Entry.Zone != o.p.Zone {
+		ch.Cost += farCost.of(&o.p)
+	}
+	ch.Cost += time.Duration(c.Rate * float64(failCost.of(&o.p)))
+	ch.Cost += time.Duration(unit(o.p.Seed^engines.Hash(c.Entry.ID)) * float64(tieCost.of(&o.p)))
+	ch.Cost += o.home.cost(i, o.f)
+	ch.Cost += c.dial(&o.p)
+	return ch
+}
+
 // read is the choice of an engine, with the cost of its time.
 func (p *Prompt) read(c *Candidate, sources []Candidate, keeper int, e *route.Engine, f speed.Figures) Choice {
 	ch := Choice{Fetch: -1, Wait: c.slower(c.Load.Wait)}
