A reader of a large fleet that is about to read is waited for

Daemons that only start weren't taken as readers, so all 295 read the store until the configuration came; and whoever had read a record further than its reader took that for a reader that can't say, and read the store itself for 3 s. Change: a daemon that starts may be the reader; a reader that has read nothing, or not as far, may catch up within the asker's wait, and fails after it as before. The bound on a word's age is as it was. relay.TestReaderThatIsAboutToReadIsWaitedFor failed before.

--- a/process/relay/relay_test.go
+++ b/process/relay/relay_test.go
@@ -7,11 +7,13 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
 
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/process/clock"
 )
 
 func TestMain(m *testing.M) {
@@ -173,3 +175,31 @@
 		t.Errorf("%d records, %v", len(got.Records), ok)
 	}
 }
+
+// A fleet starts: each daemon has read a little further than the one that is to
+// read for it, or that has read nothing yet. All find that it can't say, and
+// read the store for themselves for seconds, each call paid for.
+func TestReaderThatIsAboutToReadIsWaitedFor(t *testing.T) {
+	const wait = 2 * time.Second
+	for name, begin := range map[string]func(tail *Tail){
+		"has read nothing":   func(*Tail) {},
+		"is a little behind": func(tail *Tail) { tail.Reset(nil, 5); tail.Confirm(0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tail := NewTail(&sink{})
+				tail.now = clock.NewRuntime().Now
+				begin(tail)
+				time.AfterFunc(300*time.Millisecond, func() { tail.Reset(nil, 7); tail.Confirm(tail.now()) })
+				time.AfterFunc(800*time.Millisecond, func() { tail.Apply([]port.KeyedRecord{record(7, "a")}) })
+				b, ok := tail.read(t.Context(), 7, wait, wait)
+				if !ok || len(b.Records) != 1 || tail.now() != 800*time.Millisecond {
+					t.Errorf("%+v, %v after %v", b, ok, tail.now())
+				}
+				if _, ok := tail.read(t.Context(), 9, wait, wait); ok {
+					t.Error("one that stays behind says that nothing is new")
+				}
+			})
+		})
+	}
+}
--- a/process/relay/tail.go
+++ b/process/relay/tail.go
@@ -42,6 +42,7 @@
 	t.records, t.end = nil, next
 	clear(t.newest)
 	t.note(records)
+	t.wake()
 	t.mu.Unlock()
 	t.next.Reset(records, next)
 }
@@ -115,7 +116,11 @@
 func (t *Tail) Confirm(asOf time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	first := t.asOf < 0
 	t.asOf = max(t.asOf, asOf)
+	if first {
+		t.wake()
+	}
 }
 
 // Age is how old the newest word of the store is; false before the first.
@@ -134,20 +139,25 @@
 // would send requests to targets that left seconds before. So the word of a
 // daemon that heard nothing for maxAge, or knows that it lost the store,
 // doesn't count, and who waits for it is told at once.
+//
+// One that hasn't read the topic yet, or not as far as the asker has, may still
+// do so within the wait: daemons that start together would otherwise all go on
+// to read the store for themselves.
 func (t *Tail) read(ctx context.Context, from int64, wait, maxAge time.Duration) (batch, bool) {
 	asked := t.now()
 	for {
-		b, left, changed, ok := t.look(from, asked, maxAge)
-		if !ok || len(b.Records) > 0 {
-			return b, ok
+		v := t.look(from, asked, maxAge)
+		if v.word == useless || len(v.batch.Records) > 0 {
+			return v.batch, v.word == counts
 		}
 		rest := asked + wait - t.now()
 		if rest <= 0 {
-			return b, true
+			return v.batch, v.word == counts
 		}
-		next := time.NewTimer(min(rest, left))
+		ok := true
+		next := time.NewTimer(min(rest, v.left))
 		select {
-		case <-changed:
+		case <-v.changed:
 		case <-next.C:
 		case <-ctx.Done():
 			ok = false
@@ -159,17 +169,44 @@
 	}
 }
 
-// look returns what is known from an offset on, for how long that counts, and
-// a channel that is closed at the next change.
-func (t *Tail) look(from int64, asked, maxAge time.Duration) (b batch, left time.Duration, changed <-chan struct{}, ok bool) {
+// word says what a daemon's word on records from an offset on is worth.
+type word int
+
+const (
+	useless word = iota // too old, or with a gap
+	notYet              // nothing was read so far, or not as far
+	counts
+)
+
+// view is what is known from an offset on.
+type view struct {
+	word    word
+	batch   batch
+	left    time.Duration   // for how long that holds at most
+	changed <-chan struct{} // closed at the next change
+}
+
+func (t *Tail) look(from int64, asked, maxAge time.Duration) view {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	left = t.asOf + maxAge - t.now()
+	v := view{left: maxAge, changed: t.changed}
+	if t.lost {
+		return v
+	}
+	if t.asOf < 0 || t.end < 0 {
+		v.word = notYet
+		return v
+	}
+	v.left = t.asOf + maxAge - t.now()
 	first := t.end - int64(len(t.records))
-	if t.lost || t.asOf < 0 || left <= 0 || t.end < 0 || from < first || from > t.end {
-		return batch{}, 0, nil, false
+	switch {
+	case v.left <= 0 || from < first:
+	case from > t.end:
+		v.word = notYet
+	default:
+		v.word = counts
+		v.batch = batch{Heard: t.asOf - asked}
+		v.batch.Records = append(v.batch.Records, t.records[from-first:]...)
 	}
-	b = batch{Heard: t.asOf - asked}
-	b.Records = append(b.Records, t.records[from-first:]...)
-	return b, left, t.changed, true
+	return v
 }
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -227,7 +227,8 @@
 
 // Reader returns the peer address of the daemon that reads the store for this
 // one, empty when this one reads it itself: in a small fleet, and as one of the
-// first of its zone by name.
+// first of its zone by name. One that only starts counts too: while a fleet
+// starts, none takes requests yet, and each would read the store for itself.
 func (r *Roster) Reader() string {
 	members := r.Members()
 	if !large(members) {
@@ -236,7 +237,7 @@
 	self := members[0]
 	var readers []Member
 	for _, m := range members[1:] {
-		if m.Zone == self.Zone && m.State == Ready && !m.StoreAway && m.VM < self.VM {
+		if m.Zone == self.Zone && m.State != Leaving && !m.StoreAway && m.VM < self.VM {
 			readers = append(readers, m)
 		}
 	}
