--- a/cmd/pomelospoold/front.go
+++ b/cmd/pomelospoold/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"os/signal"
 	"syscall"
 
 	"github.com/apex/log"
@@ -12,10 +11,9 @@
 )
 
 // runFront runs the daemon of a platform with a store until a signal ends it.
-func runFront(o options, s *settings.Settings) error {
+func runFront(o options, s *settings.Settings, signals <-chan os.Signal) error {
 	defer front.SetLog(s.Log, os.Stdout)()
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	log.WithField("vm", s.VM).Info("front: handles signals")
 	d, err := front.New(s)
 	if err != nil {
 		return err
--- a/cmd/pomelospoold/main.go
+++ b/cmd/pomelospoold/main.go
@@ -23,13 +23,16 @@
 }
 
 func main() {
+	// First of all: until then a signal to stop ends the process by itself.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	var o options
 	parser := flags.NewParser(&o, flags.Default)
 	parser.LongDescription = "Entry daemon of pomelospool. SIGTERM stops it in a planned way: no request is cut."
 	if _, err := parser.Parse(); err != nil {
 		os.Exit(usage(err))
 	}
-	if err := run(o); err != nil {
+	if err := run(o, signals); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
@@ -45,7 +48,7 @@
 	return exitUsage
 }
 
-func run(o options) error {
+func run(o options, signals <-chan os.Signal) error {
 	s, err := settings.Load(o.Settings)
 	if err != nil {
 		return err
@@ -54,23 +57,34 @@
 		return nil
 	}
 	if s.HasStore() {
-		return runFront(o, s)
+		return runFront(o, s, signals)
 	}
 	defer daemon.SetLog(s.Log, os.Stderr)()
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	d, err := daemon.New(s)
 	if err != nil {
 		return err
 	}
 	d.Start()
-	select {
-	case sig := <-stop:
-		log.WithField("signal", sig.String()).Info("daemon: asked to stop")
-	case <-d.Dying():
+	if !askedToStop(signals, d.Dying()) {
 		return d.Wait()
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), s.Control.DrainLimit)
 	defer cancel()
 	return d.Shutdown(ctx)
 }
+
+// askedToStop waits for a signal to stop; false: the daemon ended on its own. A
+// daemon without a store takes no settings over while it runs.
+func askedToStop(signals <-chan os.Signal, dying <-chan struct{}) bool {
+	for {
+		select {
+		case sig := <-signals:
+			log.WithField("signal", sig.String()).Info("daemon: signal")
+			if sig != syscall.SIGHUP {
+				return true
+			}
+		case <-dying:
+			return false
+		}
+	}
+}
