A store that is away is left alone by daemons that have a reader

While the store refuses or is silent no reader can say anything, and each of 285 daemons asked the store itself, for two topics, every 150 to 400 ms. Calls are paid for, refused ones too, and count against the rate of all as the store returns. Change: a daemon whose reader and store both failed asks its reader again at once, and the store after the pace that holds for daemons without a reader, 0.45 of the shortest bound at most, for both topics together. Who reads for others asks the store as before. relay.TestStoreThatIsAwayIsLeftAlone: 50 calls in 5 s before, 3 now.

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -131,6 +131,7 @@
 	})
 	d.health = health.New(time.Now, d.engines.Down)
 	d.store = relay.NewStore(platform.NewStore(s.Store.Addr), func() string { return d.roster.Reader() }, func() []string { return d.roster.ReadyPeers() }, port.TopicConfig, port.TopicTargets)
+	d.store.Retry = d.directPace
 	if err := d.wireRoster(); err != nil {
 		return nil, err
 	}
@@ -293,8 +294,15 @@
 	if !d.store.Direct() {
 		return targetsPace
 	}
+	return d.directPace()
+}
+
+// directPace is the least time between two calls to the store of a daemon whose
+// reader fails.
+func (d *Daemon) directPace() time.Duration {
 	pace := targetsPace * time.Duration(max(d.roster.Known(), pacedDaemons)) / pacedDaemons
-	return min(pace, max(time.Duration(paceShare*float64(d.s.Bounds.Drain)), targetsPace))
+	shortest := min(d.s.Bounds.Drain, d.s.Bounds.ApplyConfig)
+	return min(pace, max(time.Duration(paceShare*float64(shortest)), targetsPace))
 }
 
 // watched notes whether the store can be read.
--- a/process/relay/relay_test.go
+++ b/process/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -12,6 +13,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/clock"
 )
@@ -203,3 +205,46 @@
 		})
 	}
 }
+
+// refusing is a store that is away, and counts what it is asked.
+type refusing struct {
+	port.Store
+	asked int
+}
+
+func (r *refusing) Read(context.Context, port.Topic, int64, time.Duration) ([]port.KeyedRecord, error) {
+	r.asked++
+	return nil, port.ErrUnavailable
+}
+
+// The store is away for five seconds. No reader can say anything, and each of
+// hundreds of daemons asks the store again and again, 6,000 calls, each paid
+// for, and refused for their rate as it returns. The reader is asked instead,
+// and a daemon alone in hearing nothing still asks the store in time.
+func TestStoreThatIsAwayIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := clock.NewRuntime().Now
+		tail := NewTail(&sink{})
+		tail.now = now
+		d := &refusing{}
+		s := NewStore(d, func() string { return "reader" }, func() []string { return nil }, port.TopicTargets, port.TopicConfig)
+		s.now, s.client = now, &http.Client{Transport: inMemory{"reader": Handler(map[port.Topic]*Tail{port.TopicTargets: tail, port.TopicConfig: tail})}}
+		s.Retry = func() time.Duration { return 1800 * time.Millisecond }
+		for now() < 5*time.Second {
+			for _, topic := range []port.Topic{port.TopicTargets, port.TopicConfig} {
+				if _, err := s.Read(t.Context(), topic, 7, 0); err == nil {
+					t.Fatal("records from nowhere")
+				}
+			}
+			_ = pause.For(t.Context(), 200*time.Millisecond)
+		}
+		if d.asked != 3 {
+			t.Errorf("the store was asked %d times in 5 s, want 3", d.asked)
+		}
+		tail.Reset(nil, 7)
+		tail.Confirm(now())
+		if _, err := s.Read(t.Context(), port.TopicTargets, 7, 0); err != nil || d.asked != 3 {
+			t.Errorf("with the reader back: %v, the store was asked %d times", err, d.asked)
+		}
+	})
+}
--- a/process/relay/store.go
+++ b/process/relay/store.go
@@ -44,9 +44,13 @@
 	peers  func() []string // addresses of the other daemons that take requests
 	client *http.Client
 	now    func() time.Duration // CLOCK_BOOTTIME
+	// Retry is how long a daemon that has a reader leaves the store alone after
+	// that failed it too. It is set before the first call.
+	Retry func() time.Duration
 
 	mu    sync.Mutex
 	until time.Duration                // the store is read directly until then
+	dark  time.Duration                // the store is left alone until then
 	asOf  map[port.Topic]time.Duration // what the last read of a topic told was so until then
 	last  string                       // the reader that was asked last
 	slow  map[port.Topic]bool          // the store takes longer than patience
@@ -64,6 +68,7 @@
 		reader: reader,
 		peers:  peers,
 		client: &http.Client{},
+		Retry:  func() time.Duration { return 0 },
 		now:    clock.Boot{}.Now,
 		asOf:   make(map[port.Topic]time.Duration),
 		slow:   make(map[port.Topic]bool),
@@ -95,8 +100,34 @@
 		s.heard(t, begun+b.Heard)
 		return b.Records, nil
 	}
+	if s.isDark() {
+		return nil, err
+	}
 	s.distrust(addr, t, err)
-	return s.direct(ctx, t, from, 0)
+	records, err := s.direct(ctx, t, from, 0)
+	if err != nil {
+		s.leaveAlone()
+	}
+	return records, err
+}
+
+// leaveAlone has the reader asked again, and not the store for a while.
+//
+// The load that it answers: the store is away, each daemon's reader can't say,
+// and all of hundreds of daemons ask the store several times a second for each
+// topic. Calls are paid for, and refused ones count against the rate of all.
+// What the store says after its return the readers hear first.
+func (s *Store) leaveAlone() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.until = 0
+	s.dark = s.now() + s.Retry()
+}
+
+func (s *Store) isDark() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now() < s.dark
 }
 
 // MaxAge is how old a reader's word may be for a read that waits so long: a
