A plan of roles waits four seconds at most for a list that grows

Ruled out: no wait at all (a plan on 3 of 9 targets moved the wrong ones). Change: the wait has a bound of 4 s. roles.TestPlanDoesNotWaitForTheEndOfARelease.

--- a/process/roles/planner.go
+++ b/process/roles/planner.go
@@ -32,6 +32,9 @@
 	// settled is how long no new target may have appeared before a plan is
 	// made: a plan on a list that still fills up orders what it takes back.
 	settled = 1200 * time.Millisecond
+	// mostGrowing is how long a plan waits for that: a fleet that starts shows
+	// all its targets within some heartbeats.
+	mostGrowing = 4 * time.Second
 	// orderLimit bounds one order.
 	orderLimit = 700 * time.Millisecond
 	// refusedFor is how long an engine that didn't take an order is left
@@ -88,6 +91,7 @@
 	refused  map[string]time.Duration // until
 	asked    map[string]*asked
 	ordered  map[string]time.Duration // when the last plan was carried out
+	growing  map[string]time.Duration // since when targets appear without a pause, by service that waits for one
 }
 
 // change is an order that an engine carries out.
@@ -112,6 +116,7 @@
 		refused:  make(map[string]time.Duration),
 		asked:    make(map[string]*asked),
 		ordered:  make(map[string]time.Duration),
+		growing:  make(map[string]time.Duration),
 		leads:    -1,
 	}
 }
@@ -182,7 +187,7 @@
 		return
 	}
 	p.sight(ctx, svc.Name)
-	if time.Since(snap.Since) < settled || p.o.Clock.Now()-p.leads < takeover {
+	if !p.whole(svc.Name, time.Since(snap.Since)) || p.o.Clock.Now()-p.leads < takeover {
 		return
 	}
 	moves := Plan(list, demand)
@@ -205,6 +210,27 @@
 	p.carryOut(ctx, svc, moves, held)
 }
 
+// whole tells whether the list of targets is whole enough for a plan, the
+// newest target being that old. A list that still fills up isn't, so that few
+// targets aren't planned as if they were all.
+//
+// The guard on the guard: while targets are replaced one after the other a new
+// one appears each second, in the role that it starts in, and no plan was made
+// until all were: of 257 engines 89 decoded, where 30 had been enough before.
+func (p *Planner) whole(service string, newest time.Duration) bool {
+	if newest >= settled {
+		delete(p.growing, service)
+		return true
+	}
+	now := p.o.Clock.Now()
+	since, waits := p.growing[service]
+	if !waits {
+		p.growing[service] = now
+		return false
+	}
+	return now-since >= mostGrowing
+}
+
 // underWay tells whether the last plan's engines still change and enough others
 // decode: what engines become shows in what is served only at the end.
 func (p *Planner) underWay(svc *route.Service, list []Engine) bool {
--- a/process/roles/roles_test.go
+++ b/process/roles/roles_test.go
@@ -458,6 +458,28 @@
 	}
 }
 
+// Targets are replaced one after the other for ten seconds. Each new engine
+// starts in the role that its operator gave it, mostly to decode, and prompts
+// are late and refused for want of readers: the plan waited for a pause.
+func TestPlanDoesNotWaitForTheEndOfARelease(t *testing.T) {
+	now := time.Duration(0)
+	p := New(Options{Clock: fixed(func() time.Duration { return now })})
+	for ; now < mostGrowing; now += 500 * time.Millisecond {
+		if p.whole("s", 300*time.Millisecond) {
+			t.Fatalf("planned after %v on a list that fills up", now)
+		}
+	}
+	if !p.whole("s", 300*time.Millisecond) {
+		t.Errorf("still waits after %v", now)
+	}
+	if !p.whole("s", settled) {
+		t.Error("a list that has settled is waited for")
+	}
+	if p.whole("s", 0) {
+		t.Error("the next growth isn't waited for")
+	}
+}
+
 // fixed is a clock that tests move.
 type fixed func() time.Duration
 
