--- a/process/roster/aggregate_test.go
+++ b/process/roster/aggregate_test.go
@@ -88,9 +88,9 @@
 	})
 }
 
-// Those that sum up a zone die together, and the zone's daemons hear nothing
+// A zone's aggregators die together, and the zone's daemons hear nothing
 // of any other: the next ones by name take it over.
-func TestSummersThatDieTogetherAreReplaced(t *testing.T) {
+func TestAggregatorsThatDieTogetherAreReplaced(t *testing.T) {
 	withLarge(t, 60, 3, func(t *testing.T, d *daemons) {
 		out := map[int]bool{3: true, 6: true} // the first of the third zone
 		d.cut(out, true)
@@ -198,7 +198,7 @@
 
 // A daemon that nobody hears finds all others silent, and says so to those
 // that hear it.
-func TestCutOffSummerTakesNobodyOut(t *testing.T) {
+func TestCutOffAggregatorTakesNobodyOut(t *testing.T) {
 	withLarge(t, 60, 3, func(t *testing.T, d *daemons) {
 		out := map[int]bool{3: true}
 		d.cut(out, true)
--- a/process/roster/beat.go
+++ b/process/roster/beat.go
@@ -107,7 +107,7 @@
 }
 
 // send sends one beat: in a small fleet, or with all, to every daemon known,
-// else to those that sum up.
+// else to the aggregators.
 func (r *Roster) send(all bool) {
 	b := beat{Claims: r.o.Claims.Told(), Speeds: r.o.Speeds.Told(), Demand: r.o.Demand.Told()}
 	b.Work, b.Reads = r.o.Book.Own()
@@ -123,10 +123,10 @@
 	if all || len(r.peers) <= smallFleet {
 		to, b.Peers = r.everyone(now)
 	} else {
-		to = r.asked(now)
+		to = r.beatReceivers(now)
 	}
 	r.mu.Unlock()
-	r.pass(b.Reads, true)
+	r.passOn(b.Reads, true)
 	data, err := encode(&b)
 	if err != nil {
 		log.WithError(err).Error("roster: beat can't be encoded")
@@ -256,7 +256,7 @@
 		return
 	}
 	changed := r.update(p, &b.Member, b.Seq, now)
-	p.beat, p.beatSeq, p.lost, p.asked = now, b.Seq, false, time.Time{}
+	p.beat, p.beatSeq, p.foundSilent, p.asked = now, b.Seq, false, time.Time{}
 	small := len(r.peers) <= smallFleet
 	sums := !small && r.agg.on && b.Member.Zone == r.self.Zone
 	for _, addr := range b.Peers {
@@ -273,7 +273,7 @@
 			r.News()
 		}
 	case sums:
-		r.pass(r.o.Book.Hear(key, b.Work, b.Reads), true)
+		r.passOn(r.o.Book.Hear(key, b.Work, b.Reads), true)
 		r.o.Demand.Heard(key, b.Demand)
 		if fresh {
 			r.welcome(from)
--- a/process/roster/digest.go
+++ b/process/roster/digest.go
@@ -12,24 +12,24 @@
 	"github.com/pomelospool/pomelospool/connection/speed"
 )
 
-// digest is a part of what one that sums up tells: of its availability zone to
+// digest is a part of what an aggregator tells: of its availability zone to
 // those of other zones, of all to the daemons of its own zone. Each datagram
 // holds by itself.
 type digest struct {
-	_      struct{} `cbor:",toarray"`
-	From   string   // peer address of the sender
-	Zone   string   // whose sums these are; empty: all daemons'
-	Rows   []row
-	Alive  []uint32 // tokens of daemons that live
-	Sums   bool     // Part, Parts and Work hold
-	Part   uint32   // of the engines, by their hash
-	Parts  uint32
-	Work   []engines.Work
-	Reads  []engines.Read
-	Claims []Claim
-	Speeds []speed.Word
-	Asked  bool // Demand holds
-	Demand []demand.Word
+	_       struct{} `cbor:",toarray"`
+	From    string   // peer address of the sender
+	Zone    string   // whose sums these are; empty: all daemons'
+	Rows    []row
+	Alive   []uint32 // tokens of daemons that live
+	HasWork bool     // Part, Parts and Work hold
+	Part    uint32   // of the engines, by their hash
+	Parts   uint32
+	Work    []engines.Work
+	Reads   []engines.Read
+	Claims  []Claim
+	Speeds  []speed.Word
+	Asked   bool // Demand holds
+	Demand  []demand.Word
 }
 
 // row is what a daemon last said of itself, or that it is silent since.
@@ -83,9 +83,9 @@
 			p.lives(now)
 		}
 		switch {
-		case !d.Sums:
+		case !d.HasWork:
 		case d.Zone != "":
-			p.sums = now
+			p.digest = now
 		default:
 			r.agg.heard = now
 		}
@@ -96,7 +96,7 @@
 	}
 	for _, token := range d.Alive {
 		p := r.peers[r.tokens[token]]
-		// Two that sum up the same zone would keep a dead daemon of another one
+		// Two aggregators of the same zone would keep a dead daemon of another one
 		// alive, each by the other's word.
 		echo := r.agg.on && d.Zone == "" && p != nil && p.member.Zone != r.self.Zone
 		if p != nil && !echo {
@@ -117,7 +117,7 @@
 	if changed && on {
 		r.agg.wake()
 	}
-	if d.Sums && d.Part == 0 && d.Zone != "" && !on && sender != nil {
+	if d.HasWork && d.Part == 0 && d.Zone != "" && !on && sender != nil {
 		r.redirect(r.self.Zone, sender.addr)
 	}
 	r.o.Claims.Heard(d.Claims)
@@ -125,14 +125,14 @@
 	if !mine && !others {
 		return
 	}
-	if d.Sums {
+	if d.HasWork {
 		r.takeSums(d, &own)
 	}
 	if d.Asked {
 		r.o.Demand.Heard(sumName(d.Zone), demand.Less(d.Demand, own.demand))
 	}
 	if fresh := r.o.Book.Learned(d.Reads); others {
-		r.pass(fresh, false)
+		r.passOn(fresh, false)
 	}
 }
 
--- a/process/roster/keeper.go
+++ b/process/roster/keeper.go
@@ -64,12 +64,12 @@
 type keeping struct {
 	book *engines.Book // others' and own work at the engines kept here
 
-	mu   sync.Mutex
-	seq  uint64
-	last map[string]noted   // by name of the word in book
-	busy map[uint64]ownWork // own work that keepers were told of
-	next uint64
-	open map[uint64]*asking
+	mu      sync.Mutex
+	seq     uint64
+	last    map[string]noted   // by name of the word in book
+	busy    map[uint64]ownWork // own work that keepers were told of
+	next    uint64
+	pending map[uint64]*asking
 }
 
 type noted struct {
@@ -92,10 +92,10 @@
 
 func newKeeping() keeping {
 	return keeping{
-		book: engines.New(time.Now, func(engines.Work) {}),
-		last: make(map[string]noted),
-		busy: make(map[uint64]ownWork),
-		open: make(map[uint64]*asking),
+		book:    engines.New(time.Now, func(engines.Work) {}),
+		last:    make(map[string]noted),
+		busy:    make(map[uint64]ownWork),
+		pending: make(map[uint64]*asking),
 	}
 }
 
@@ -261,7 +261,7 @@
 	k.mu.Lock()
 	k.next++
 	id := k.next
-	k.open[id] = a
+	k.pending[id] = a
 	k.mu.Unlock()
 	for to, hashes := range asks {
 		r.tellOne(kindQuestion, &question{ID: id, Targets: hashes}, to)
@@ -274,7 +274,7 @@
 	case <-ctx.Done():
 	}
 	k.mu.Lock()
-	delete(k.open, id)
+	delete(k.pending, id)
 	k.mu.Unlock()
 }
 
@@ -293,7 +293,7 @@
 	k := &r.keeping
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	a := k.open[n.ID]
+	a := k.pending[n.ID]
 	if a == nil {
 		return
 	}
--- a/process/roster/peer.go
+++ b/process/roster/peer.go
@@ -11,19 +11,19 @@
 
 // peer is another daemon as this one knows it.
 type peer struct {
-	member  Member
-	known   bool      // it was heard of, not only listed in the store
-	gone    bool      // it is silent, says a daemon that it tells; a newer beat brings it back
-	goneAt  time.Time // when that was said
-	seq     uint64    // of its newest beat that is known here
-	heard   time.Time // when it was last known to be alive
-	beat    time.Time // when its last own beat came here
-	beatSeq uint64    // number of that beat
-	lost    bool      // no beat came since it was found silent here
-	asked   time.Time // since when it is told beats, as one that sums up, without an answer; zero: it answers
-	sums    time.Time // when its last digest of another zone came here
-	repeat  int       // digests that its state is still told in
-	addr    net.Addr
+	member      Member
+	known       bool      // it was heard of, not only listed in the store
+	gone        bool      // it is silent, says a daemon that it tells; a newer beat brings it back
+	goneAt      time.Time // when that was said
+	seq         uint64    // of its newest beat that is known here
+	heard       time.Time // when it was last known to be alive
+	beat        time.Time // when its last own beat came here
+	beatSeq     uint64    // number of that beat
+	foundSilent bool      // no beat came since it was found silent here
+	asked       time.Time // since when it is told beats, as an aggregator, without an answer; zero: it answers
+	digest      time.Time // when its last digest of another zone came here
+	repeat      int       // digests that its state is still told in
+	addr        net.Addr
 }
 
 func (p *peer) alive(now time.Time, patience time.Duration) bool {
--- /dev/null
+++ b/process/roster/publish.go
@@ -0,0 +1,255 @@
+package roster
+
+import (
+	"net"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/connection/engines"
+)
+
+// maxPassed bounds the reads that wait to be passed on, those of one digest.
+const maxPassed = 2 * readsPerDatagram
+
+// passOn notes reads that are news, to be told to the zone's daemons and, if
+// they are from here, to other zones.
+func (r *Roster) passOn(reads []engines.Read, here bool) {
+	if len(reads) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.agg.on {
+		return
+	}
+	for _, one := range reads {
+		if len(r.agg.fleet) < maxPassed {
+			r.agg.fleet = append(r.agg.fleet, one.Shared())
+		}
+		if here && len(r.agg.zone) < maxPassed {
+			r.agg.zone = append(r.agg.zone, one.Shared())
+		}
+	}
+}
+
+// receiver is a daemon that gets a digest, and its newest beat in the sums.
+type receiver struct {
+	addr net.Addr
+	seen uint64
+}
+
+// round is what one round sends.
+type round struct {
+	members, others []receiver
+	toMembers       digest // of all daemons
+	toOthers        digest // of the zone
+	memberRows      []row
+	otherRows       []row
+	local           map[string]bool // peer addresses of the zone's daemons
+}
+
+// publish sends digests if this daemon is an aggregator: whole ones, or only
+// changes of daemons.
+func (r *Roster) publish(whole bool) {
+	now := time.Now()
+	r.mu.Lock()
+	if !r.agg.on || len(r.peers) <= smallFleet {
+		r.mu.Unlock()
+		return
+	}
+	r.findSilent(now)
+	s := r.collect(now, whole)
+	r.mu.Unlock()
+	if whole {
+		r.fillSums(s)
+	}
+	r.sendTo(s.members, s.toMembers, s.memberRows, whole)
+	r.sendTo(s.others, s.toOthers, s.otherRows, whole)
+}
+
+// collect puts together whom this round goes to and what it says of daemons.
+// Callers hold r.mu.
+func (r *Roster) collect(now time.Time, whole bool) *round {
+	s := &round{
+		toMembers: digest{From: r.self.PeerAddr},
+		toOthers:  digest{From: r.self.PeerAddr, Zone: r.self.Zone},
+		local:     make(map[string]bool),
+	}
+	if whole {
+		r.agg.rotate++
+		s.toMembers.Reads, r.agg.fleet = retold(r.agg.fleet, now), nil
+		s.toOthers.Reads, r.agg.zone = retold(r.agg.zone, now), nil
+	}
+	zones := make(map[string]net.Addr) // any daemon of a zone, to find it again after a cut
+	own := row{Member: r.self, Seq: r.seq}
+	s.memberRows, s.otherRows = append(s.memberRows, own), append(s.otherRows, own)
+	for addr, p := range r.peers {
+		near := p.member.Zone == r.self.Zone
+		r.describe(s, p, near, now, whole)
+		switch {
+		case near:
+			s.local[addr] = true
+			s.members = append(s.members, receiver{addr: p.addr, seen: p.beatSeq})
+		case now.Sub(p.digest) < digestHeard:
+			s.others = append(s.others, receiver{addr: p.addr})
+		case p.member.Zone != "":
+			zones[p.member.Zone] = p.addr
+		}
+	}
+	for zone, any := range zones {
+		aggregators := r.aggregators(zone, now)
+		if len(aggregators) == 0 {
+			s.others = append(s.others, receiver{addr: any})
+		}
+		for _, addr := range aggregators {
+			if p := r.peers[addr]; now.Sub(p.digest) >= digestHeard {
+				s.others = append(s.others, receiver{addr: p.addr})
+			}
+		}
+	}
+	return s
+}
+
+// retold are reads as they are told at that time.
+func retold(reads []engines.Read, now time.Time) []engines.Read {
+	for i := range reads {
+		reads[i] = reads[i].At(now)
+	}
+	return reads
+}
+
+// describe adds what is to be told of one daemon. Callers hold r.mu.
+func (r *Roster) describe(s *round, p *peer, near bool, now time.Time, whole bool) {
+	if !p.known {
+		return
+	}
+	token := p.member.token()
+	turn := whole && int(token%rowRounds) == r.agg.rotate%rowRounds
+	if p.repeat > 0 || turn && !p.gone {
+		one := row{Member: p.member, Seq: p.seq, Gone: p.gone}
+		s.memberRows = append(s.memberRows, one)
+		if near {
+			s.otherRows = append(s.otherRows, one)
+		}
+		p.repeat = max(p.repeat-1, 0)
+	}
+	if !whole || p.gone {
+		return
+	}
+	since, limit := p.heard, passedAlive
+	if near {
+		since, limit = p.beat, silentAfter
+	}
+	if now.Sub(since) > limit {
+		return
+	}
+	s.toMembers.Alive = append(s.toMembers.Alive, token)
+	if near {
+		s.toOthers.Alive = append(s.toOthers.Alive, token)
+	}
+}
+
+// rowRounds is the number of digests over which all rows are told again, for
+// those who missed a change: 10 s.
+const rowRounds = 20
+
+// fillSums fills in what engines have to do and what callers ask.
+func (r *Roster) fillSums(s *round) {
+	local := func(name string) bool { return s.local[name] }
+	all := func(string) bool { return true }
+	s.toMembers.Work, s.toOthers.Work = r.o.Book.Sum(), r.o.Book.SumOf(local)
+	s.toMembers.Demand, s.toOthers.Demand = r.o.Demand.SumOf(all), r.o.Demand.SumOf(local)
+	claims, speeds := r.o.Claims.Told(), r.o.Speeds.Best()
+	s.toMembers.Claims, s.toOthers.Claims = claims, claims
+	s.toMembers.Speeds, s.toOthers.Speeds = speeds, speeds
+}
+
+// sendTo sends a digest, cut into datagrams.
+func (r *Roster) sendTo(to []receiver, d digest, rows []row, whole bool) {
+	if len(to) == 0 {
+		return
+	}
+	for _, one := range cut(d, rows, whole, r.o.Book.Known()) {
+		data, err := one.encode()
+		if err != nil {
+			log.WithError(err).Error("roster: digest can't be encoded")
+			return
+		}
+		for _, t := range to {
+			head(data, t.seen)
+			r.write(data, t.addr)
+		}
+	}
+}
+
+// cut makes datagrams of a digest. Engines are shared out to a number of parts
+// that follows from how many are known, so that each part is told whole.
+func cut(d digest, rows []row, whole bool, known int) []digest {
+	var out []digest
+	one := func() digest { return digest{From: d.From, Zone: d.Zone} }
+	for chunk := range slices.Chunk(rows, rowsPerDatagram) {
+		c := one()
+		c.Rows = chunk
+		out = append(out, c)
+	}
+	if !whole {
+		return out
+	}
+	for chunk := range slices.Chunk(d.Alive, aliveInHead) {
+		c := one()
+		c.Alive = chunk
+		out = append(out, c)
+	}
+	for chunk := range slices.Chunk(d.Reads, readsPerDatagram) {
+		c := one()
+		c.Reads = chunk
+		out = append(out, c)
+	}
+	parts := uint32(max((known+workPerDatagram-1)/workPerDatagram, 1))
+	for part := range parts {
+		c := one()
+		c.HasWork, c.Part, c.Parts = true, part, parts
+		for _, w := range d.Work {
+			if uint32(w.Target%uint64(parts)) == part {
+				c.Work = append(c.Work, w)
+			}
+		}
+		if part == 0 {
+			c.Claims, c.Speeds, c.Asked, c.Demand = d.Claims, d.Speeds, true, d.Demand
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// welcome tells a daemon that has just started of all others.
+func (r *Roster) welcome(to net.Addr) {
+	r.mu.Lock()
+	var rows []row
+	now := time.Now()
+	for _, p := range r.peers {
+		if p.alive(now, r.patience(p)) {
+			rows = append(rows, row{Member: p.member, Seq: p.seq})
+		}
+	}
+	d := digest{From: r.self.PeerAddr}
+	r.mu.Unlock()
+	r.sendTo([]receiver{{addr: to}}, d, rows, false)
+}
+
+// redirect tells a daemon who aggregates its zone.
+func (r *Roster) redirect(zone string, to net.Addr) {
+	now := time.Now()
+	r.mu.Lock()
+	var rows []row
+	for _, addr := range r.aggregators(zone, now) {
+		if p := r.peers[addr]; p != nil && p.known {
+			rows = append(rows, row{Member: p.member, Seq: p.seq})
+		}
+	}
+	d := digest{From: r.self.PeerAddr, Zone: r.self.Zone}
+	r.mu.Unlock()
+	r.sendTo([]receiver{{addr: to}}, d, rows, false)
+}
