--- a/Makefile
+++ b/Makefile
@@ -46,5 +46,5 @@
 	./scripts/kinds.sh
 
 soak: ## Real daemons under random faults on loopback; SEED=1 SEEDS=50 LENGTH=8s PARALLEL=6.
-	$(GO) test -count=1 -timeout 60m -parallel $(or $(PARALLEL),6) ./bench/soak -run 'TestSoak|TestPlantedFaults' -soak.planted \
+	$(GO) test -count=1 -timeout 60m -parallel $(or $(PARALLEL),6) ./bench/soak -run 'TestSoak$$|TestPlantedFaults' -soak.planted \
 	  -soak.seed $(or $(SEED),1) -soak.seeds $(or $(SEEDS),50) -soak.length $(or $(LENGTH),8s) -v
--- a/bench/soak/planted_test.go
+++ b/bench/soak/planted_test.go
@@ -56,7 +56,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			program := build(t, t.TempDir(), plant(t, tc.edits))
-			faults, sums := soak(t, trial{seed: 1, program: program, plan: tc.plan, length: plantedLength, settle: plantedSettle, grace: plantedGrace})
+			faults, sums := soak(t, trial{seed: 1, program: program, daemons: *daemons, plan: tc.plan, length: plantedLength, settle: plantedSettle, grace: plantedGrace})
 			if !strings.Contains(strings.Join(faults, "\n"), tc.want) {
 				t.Errorf("not found, %+v: %v", sums, faults)
 			}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -14,10 +14,11 @@
 	"github.com/pomelospool/pomelospool/platform/standin"
 )
 
-// The usual size of a fleet.
+// The usual size of a fleet, and the number of daemons of a large one.
 const (
 	defaultDaemons = 4
 	defaultTargets = 8
+	largeDaemons   = 20
 )
 
 var (
@@ -52,20 +53,35 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			size := Size{Daemons: *daemons, Targets: *targets, Length: *length}
-			faults, sums := soak(t, trial{seed: seed, program: program, plan: Plan(seed, size), length: *length, settle: settleLimit, grace: callerGrace})
-			t.Logf("seed %d: %+v", seed, sums)
-			for _, f := range faults {
-				t.Error(f)
-			}
+			playSeed(t, program, seed, *daemons)
 		})
 	}
 }
 
+// The same with so many daemons that few of them sum up for the others, keep
+// engines' queues and read the store, and are killed, paused and cut off in it.
+func TestSoakOfALargeFleet(t *testing.T) {
+	const seed = 2300
+	playSeed(t, build(t, t.TempDir(), ""), seed, largeDaemons)
+}
+
+func playSeed(t *testing.T, program string, seed uint64, daemons int) {
+	size := Size{Daemons: daemons, Targets: *targets, Length: *length}
+	faults, sums := soak(t, trial{
+		seed: seed, program: program, daemons: daemons, plan: Plan(seed, size),
+		length: *length, settle: settleLimit, grace: callerGrace,
+	})
+	t.Logf("seed %d: %+v", seed, sums)
+	for _, f := range faults {
+		t.Error(f)
+	}
+}
+
 // trial is one play.
 type trial struct {
 	seed    uint64
 	program string
+	daemons int
 	plan    []Event
 	length  time.Duration
 	settle  time.Duration // longest wait until all is well again
@@ -74,7 +90,7 @@
 
 // soak plays a trial and returns the broken promises.
 func soak(t *testing.T, tr trial) ([]string, Sums) {
-	w := newSite(t, tr.seed, tr.program, Size{Daemons: *daemons, Targets: *targets})
+	w := newSite(t, tr.seed, tr.program, Size{Daemons: tr.daemons, Targets: *targets})
 	defer w.close()
 	for i := range w.procs {
 		if !await(settleLimit, func() bool { return w.ready(i) }) {
