A dead daemon's row is no news of its life

Cause, from the code and the line of one daemon, which never heard that it is silent: an aggregator tells all rows again over 10 s, also of daemons that it hears nothing of any more. Its row has a newer beat than the zone's daemons know of the daemon, since those only hear that it lives, and a row with a newer beat counted as life, for 2.5 s. And the word that it is silent wasn't taken where a later beat had been heard of than by who says so. Ruled out: two aggregators that keep it alive by each other's word (that is guarded, and shows from the start and not after 9 s). Change: a row says how old its daemon's last sign of life is; rows are told by turns only of daemons that live; a word of silence counts unless the daemon was heard of within 1.1 s. roster.TestRowsOfADeadDaemonAreNoNewsOfItsLife failed in three checks before.

--- a/process/roster/aggregate_test.go
+++ b/process/roster/aggregate_test.go
@@ -102,6 +102,45 @@
 	})
 }
 
+// Callers are sent to a daemon that has been off for nine seconds. Its last words
+// reached other zones and not the aggregator of its own, whose word that it is
+// silent is older then and isn't taken. It is forgotten by its silence, until its
+// row is told again by turns, with a newer beat than the zone's daemons know,
+// who only hear that it lives: they took it for news of its life.
+func TestRowsOfADeadDaemonAreNoNewsOfItsLife(t *testing.T) {
+	now := time.Now()
+	member := Member{VM: "x", PeerAddr: "10.0.0.1:7000", Incarnation: 1, State: Ready}
+	roster := func(heard time.Time) (*Roster, *peer) {
+		p := &peer{member: member, known: true, seq: 40, heard: heard}
+		return &Roster{peers: map[string]*peer{member.PeerAddr: p}, tokens: map[uint32]string{}}, p
+	}
+	r, p := roster(now.Add(-9 * time.Second))
+	r.takeRow(&row{Member: member, Seq: 50, AgeMs: 9000}, now)
+	if p.alive(now, toldDeadAfter) {
+		t.Error("a row that is nine seconds old brings it back")
+	}
+	r.takeRow(&row{Member: member, Seq: 51, AgeMs: 200}, now)
+	if !p.alive(now, toldDeadAfter) {
+		t.Error("a row of now doesn't bring it back")
+	}
+	for heard, want := range map[time.Duration]bool{0: false, 2 * time.Second: true} {
+		r, p := roster(now.Add(-heard))
+		r.takeRow(&row{Member: member, Seq: 39, Gone: true}, now)
+		if p.gone != want {
+			t.Errorf("heard %v ago, and said to be silent since an earlier beat: gone %v", heard, p.gone)
+		}
+	}
+	_, p = roster(now.Add(-9 * time.Second))
+	s := &round{}
+	for rotate := range rowRounds {
+		r := &Roster{agg: aggregation{rotate: rotate}}
+		r.describe(s, p, false, now, true)
+	}
+	if len(s.memberRows) != 0 {
+		t.Errorf("rows told of it by turns: %+v", s.memberRows)
+	}
+}
+
 // More than half of all daemons lose power at the same moment.
 func TestHerdThatDies(t *testing.T) {
 	withLarge(t, 60, 3, func(t *testing.T, d *daemons) {
--- a/process/roster/digest.go
+++ b/process/roster/digest.go
@@ -38,6 +38,13 @@
 	Member Member
 	Seq    uint64
 	Gone   bool
+	AgeMs  uint32 // since it was last known to live
+}
+
+// rowOf is what is told of a daemon now.
+func rowOf(p *peer, now time.Time) row {
+	age := min(max(now.Sub(p.heard), 0), forgetAfter)
+	return row{Member: p.member, Seq: p.seq, Gone: p.gone, AgeMs: uint32(age.Milliseconds())}
 }
 
 // A digest's datagram is the kind, the number of the receiver's newest beat
@@ -145,8 +152,10 @@
 	}
 	if w.Gone {
 		direct := r.agg.on && p.member.Zone == r.self.Zone && now.Sub(p.beat) < silentAfter
+		// Its last beat may have reached this daemon and not the one that says so.
+		newer := p.seq > w.Seq && now.Sub(p.heard) < deadAfter
 		switch {
-		case !p.known || p.gone || p.member.Incarnation != w.Member.Incarnation || p.seq > w.Seq:
+		case !p.known || p.gone || p.member.Incarnation != w.Member.Incarnation || newer:
 			return false
 		case direct:
 			p.repeat = tellings // it tells this daemon that it lives
@@ -159,7 +168,7 @@
 	if p.known && p.outdated(w.Member.Incarnation, w.Seq, now) {
 		return false
 	}
-	return r.update(p, &w.Member, w.Seq, now)
+	return r.update(p, &w.Member, w.Seq, now.Add(-time.Duration(w.AgeMs)*time.Millisecond))
 }
 
 // sumName is the name under which a digest's sums are kept.
--- a/process/roster/publish.go
+++ b/process/roster/publish.go
@@ -127,8 +127,8 @@
 	}
 	token := p.member.token()
 	turn := whole && int(token%rowRounds) == r.agg.rotate%rowRounds
-	if p.repeat > 0 || turn && !p.gone {
-		one := row{Member: p.member, Seq: p.seq, Gone: p.gone}
+	if p.repeat > 0 || turn && p.alive(now, passedAlive) {
+		one := rowOf(p, now)
 		s.memberRows = append(s.memberRows, one)
 		if near {
 			s.otherRows = append(s.otherRows, one)
@@ -231,7 +231,7 @@
 	now := time.Now()
 	for _, p := range r.peers {
 		if p.alive(now, r.patience(p)) {
-			rows = append(rows, row{Member: p.member, Seq: p.seq})
+			rows = append(rows, rowOf(p, now))
 		}
 	}
 	d := digest{From: r.self.PeerAddr}
@@ -246,7 +246,7 @@
 	var rows []row
 	for _, addr := range r.aggregators(zone, now) {
 		if p := r.peers[addr]; p != nil && p.known {
-			rows = append(rows, row{Member: p.member, Seq: p.seq})
+			rows = append(rows, rowOf(p, now))
 		}
 	}
 	d := digest{From: r.self.PeerAddr, Zone: r.self.Zone}
