An aggregator that hears nobody finds nobody silent

Cause: an aggregator that is cut off sees its zone's beats stop at slightly different times (they come 250 ms apart). Those that stopped first were silent for 1.5 s while the others still counted as telling, so the guard against a zone that falls silent at once didn't hold.

Ruled out: the test's bound (no living daemon may be left out is the aim), and to forgive findings on return (they would have been told before, to whom the cut lets through).

The mend: findings need a datagram of anybody within two beats.

--- a/process/roster/aggregate.go
+++ b/process/roster/aggregate.go
@@ -32,6 +32,9 @@
 	// staleAfter is the time after which nothing arrives any more that says a
 	// daemon lives that was silent before.
 	staleAfter = silentAfter + passedAlive
+	// hearsWithin is the time within which an aggregator must have heard any
+	// daemon to find others silent: two beats, of which its zone alone sends many.
+	hearsWithin = 2 * beatEvery
 	// settled is how long a daemon must aggregate before it finds others
 	// silent: they have to notice that it does.
 	settled = answerWithin + 2*beatEvery
@@ -198,7 +201,7 @@
 // unanswered tells whether a daemon that was to aggregate says nothing, and nobody
 // says that it lives. Callers hold r.mu.
 func (r *Roster) unanswered(p *peer, now time.Time) bool {
-	return !p.asked.IsZero() && now.Sub(p.asked) > answerWithin && now.Sub(p.heard) > answerWithin && now.Sub(r.agg.any) < deadAfter
+	return !p.asked.IsZero() && now.Sub(p.asked) > answerWithin && now.Sub(p.heard) > answerWithin
 }
 
 // mostSilent is how many times as many daemons may fall silent together as
@@ -208,10 +211,15 @@
 // findSilent notes the daemons of the zone that told this one something and
 // tell nothing any more. Callers hold r.mu.
 //
-// The guard is against a daemon that is cut off, or that the others no longer
-// tell: it would say that the whole zone is dead. Where nearly all fall silent
-// at once they count as dead only once nobody tells of them.
+// The guards are against a daemon that is cut off, or that the others no longer
+// tell: it would say that the zone's daemons are dead, also once it is back, and
+// other zones, who know their last beats later, would believe it. One that hears
+// nobody finds nobody silent, whose beats stop at slightly different times. Where
+// nearly all fall silent at once they count as dead only once nobody tells of them.
 func (r *Roster) findSilent(now time.Time) {
+	if now.Sub(r.agg.any) > hearsWithin {
+		return
+	}
 	telling := 0
 	var silent []*peer
 	for _, p := range r.peers {
--- a/process/roster/aggregate_test.go
+++ b/process/roster/aggregate_test.go
@@ -255,6 +255,39 @@
 	})
 }
 
+// Callers of other zones lose five daemons that live. An aggregator is cut off;
+// the beats of its zone stop at slightly different times, and those that stopped
+// first are silent while the others still count as telling. It says so once it
+// is back, of beats that are newer than those which other zones know.
+func TestAggregatorThatHearsNobodyFindsNobodySilent(t *testing.T) {
+	now := time.Now()
+	zone := func(heardAny time.Duration) *Roster {
+		r := &Roster{self: Member{Zone: "z"}, peers: map[string]*peer{}}
+		r.agg.on, r.agg.since, r.agg.any = true, now.Add(-time.Minute), now.Add(-heardAny)
+		for i := range 19 {
+			last := silentAfter - 100*time.Millisecond
+			if i < 5 {
+				last = silentAfter + 100*time.Millisecond
+			}
+			addr := peerAddr(i + 1)
+			r.peers[addr] = &peer{member: Member{PeerAddr: addr, Zone: "z"}, known: true, beat: now.Add(-last), heard: now.Add(-last)}
+		}
+		r.findSilent(now)
+		return r
+	}
+	for heardAny, want := range map[time.Duration]int{silentAfter - 100*time.Millisecond: 0, beatEvery: 5} {
+		gone := 0
+		for _, p := range zone(heardAny).peers {
+			if p.gone {
+				gone++
+			}
+		}
+		if gone != want {
+			t.Errorf("%v after the last datagram of any daemon %d are found silent, want %d", heardAny, gone, want)
+		}
+	}
+}
+
 // Hundreds of daemons choose by news that is half a second old: all choose the
 // engine that was idle then, and prompts wait behind each other though other
 // engines are idle.
