Prompts are weighed by their tokens until a speed is known

Cause: in the first seconds of a fleet, and after all of it lost its power, no engine's speed is known. A prompt then counted as no work at all, for the choice of its engine and in what the daemons tell each other: engines looked alike whatever stood in them, some held 2.7 s of prompts while others were idle, and nothing was fetched that is kept elsewhere.

The mend: while nothing is known a token counts 10 us, for the choice and for what others are told of; nothing is refused, planned or learnt by it. dispatch.TestPromptsSpreadBeforeAnySpeedIsKnown fails without it (20, 0 and 10 of 30 prompts at three engines for 10 each).

--- a/connection/speed/speed.go
+++ b/connection/speed/speed.go
@@ -29,6 +29,20 @@
 // Known tells whether enough prompts were seen to foresee others.
 func (f Figures) Known() bool { return f.Reads >= knownFrom }
 
+// assumedPerToken is the time to read a prompt token, in nanoseconds, that is
+// assumed of engines that nothing is known of: what published figures of large
+// models on one or a few accelerators lie around, from 4 to 40 µs.
+const assumedPerToken = 10e3
+
+// OrAssumed returns the figures, or while they aren't known some that prompts
+// can be weighed against each other with. No time may be promised by these.
+func (f Figures) OrAssumed() Figures {
+	if !f.Known() {
+		f.PerToken, f.PerPair = assumedPerToken, 0
+	}
+	return f
+}
+
 // ReadsSettled tells whether what a prompt asks of the engines can be told.
 func (f Figures) ReadsSettled() bool { return f.Reads >= ownFrom }
 
--- a/request/dispatch/engine_test.go
+++ b/request/dispatch/engine_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/platform/standin"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/version/route"
@@ -236,6 +237,38 @@
 	})
 }
 
+// A fleet has just started, or all of it lost its power, and its first callers
+// wait for seconds at one engine while others are idle: no engine's speed is
+// known, so no prompt counted as work. Nor is any refused by a time that is
+// only assumed.
+func TestPromptsSpreadBeforeAnySpeedIsKnown(t *testing.T) {
+	withRig(t, 0, func(t *testing.T, r *rig) {
+		r.runner.opts.Speed = speed.NewBook()
+		var readers []*standin.Target
+		for range 3 {
+			p := r.add("llm", port.RolePrefill)
+			p.Set(func(b *standin.Behaviour) { b.Mute = true })
+			readers = append(readers, p)
+		}
+		r.add("llm", port.RoleDecode)
+		ctx, cancel := context.WithCancel(t.Context())
+		for i := range 30 {
+			c := r.call(route.Stream, 1, 3*time.Second)
+			c.Ask.Prompt = 14_600
+			c.Ask.Parts = []port.PromptPart{{ID: uint64(i), Tokens: 14_600}}
+			go func() { _, _ = r.runner.Streamed(ctx, c, &sheet{}) }()
+			synctest.Wait()
+		}
+		for i, p := range readers {
+			if n := len(p.Arrivals()); n != 10 {
+				t.Errorf("engine %d was given %d of 30 prompts", i, n)
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // A caller leaves; the engine must not work on for nobody.
 func TestCallerThatLeavesStopsTheEngine(t *testing.T) {
 	withRig(t, 0, func(t *testing.T, r *rig) {
--- a/request/dispatch/prefill.go
+++ b/request/dispatch/prefill.go
@@ -33,8 +33,10 @@
 // reading is a choice of the engine that reads the prompt.
 type reading struct {
 	placement.Choice
-	to   port.TargetEntry
-	from string // address of the engine to fetch from, empty: none
+	to    port.TargetEntry
+	from  string        // address of the engine to fetch from, empty: none
+	work  time.Duration // that others are told of, assumed while nothing can be foreseen
+	ahead time.Duration // of it, until the engine begins with it
 
 	decoders []placement.Candidate // engines that may make the answer
 }
@@ -49,6 +51,13 @@
 	return u.choosePrefill(ctx, p, f)
 }
 
+// choosePrefill chooses the engine that reads the prompt.
+//
+// While no engine's speed is known prompts are weighed by their tokens, for the
+// choice and for what the others are told, and for nothing else. Otherwise each
+// counts as no work at all: in the first seconds of a fleet, and after all of it
+// lost its power, engines look alike whatever waits there, some hold 2.7 s of
+// prompts and others are idle, and nothing is fetched that is kept elsewhere.
 func (u *run) choosePrefill(ctx context.Context, p prompt, f speed.Figures) reading {
 	cands := u.candidates(p, port.RolePrefill)
 	for i := range cands {
@@ -58,7 +67,11 @@
 	// Engines that read come first, of those that keep as much: requests that
 	// run fill the memory of those that decode, and push out what they keep.
 	sources := slices.Concat(cands, decoders)
-	ch := reading{decoders: decoders, Choice: u.choose(ctx, p, cands, sources, f)}
+	ch := reading{decoders: decoders, Choice: u.choose(ctx, p, cands, sources, f.OrAssumed())}
+	ch.work, ch.ahead = ch.Read, ch.Wait
+	if !f.Known() {
+		ch.Read, ch.Wait = 0, 0
+	}
 	if ch.At >= 0 {
 		ch.to = cands[ch.At].Entry
 	}
@@ -113,7 +126,7 @@
 		return prefilled{}, nil
 	}
 	to := ch.to
-	done := u.opts.Engines.Prefill(to.ID, u.c.Service.Engine.KVTokens, p.parts, figures.Start+ch.Wait, ch.Read)
+	done := u.opts.Engines.Prefill(to.ID, u.c.Service.Engine.KVTokens, p.parts, figures.Start+ch.ahead, ch.work)
 	defer done()
 	foreseen := figures.Start + ch.Wait + ch.Read
 	u.trace.Prefill = Prefill{Prompt: p.Tokens, Shared: p.Shared, Missing: ch.Missing, Fetched: ch.Fetched, Guessed: ch.Guessed, Wait: ch.Wait, Read: ch.Read}
