The first read waits for the names of readers

Cause: daemons that start together read both topics from the store as soon as they have listed them, before the store's list of daemons has told them who reads for them: 553 of the calls before traffic on the large site, and again at each start of many.

The mend: a first read waits 0.6 s at most for that list. What was listed is new, so nothing is known later than the bounds allow. relay.TestFirstReadWaitsForTheReadersNames fails without it.

Ruled out: to wait with the listing itself (hundreds that start together take 0.4 s to be named, and would serve that much later).

--- a/process/relay/listing.go
+++ b/process/relay/listing.go
@@ -19,10 +19,6 @@
 	askAfter = 250 * time.Millisecond
 	// listHop is added to it for the way between daemons.
 	listHop = 100 * time.Millisecond
-	// namedWithin is how long a daemon that starts waits for the store to name
-	// the others: it writes itself and lists them, in 10 ms. Hundreds that start
-	// together take 400 ms for it, and don't wait that long.
-	namedWithin = 50 * time.Millisecond
 	// startWait is how long a reader may take to read a topic for the first
 	// time. Daemons that start together list the daemons first, in 10 ms.
 	startWait = 250 * time.Millisecond
@@ -44,7 +40,7 @@
 	if !s.topics[t] || after != "" {
 		return s.Store.Newest(ctx, t, after)
 	}
-	s.awaitReaders(ctx)
+	s.awaitReaders(ctx, namedWithin)
 	if page, ok := s.fromReader(ctx, t); ok {
 		return page, nil
 	}
@@ -69,20 +65,6 @@
 	return s.noteListing(t, begun, first)
 }
 
-// awaitReaders waits until the readers can be named.
-func (s *Store) awaitReaders(ctx context.Context) {
-	if s.Listed == nil {
-		return
-	}
-	limit := time.NewTimer(namedWithin)
-	defer limit.Stop()
-	select {
-	case <-s.Listed:
-	case <-limit.C:
-	case <-ctx.Done():
-	}
-}
-
 // fromReader returns the listing of this daemon's reader, if it has one whose
 // word counts.
 //
--- a/process/relay/relay_test.go
+++ b/process/relay/relay_test.go
@@ -236,6 +236,30 @@
 	}
 }
 
+// Hundreds of daemons start together, and each reads both topics from the store
+// before it can know who reads them for it: 553 calls of 295 daemons.
+func TestFirstReadWaitsForTheReadersNames(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tail := NewTail(&sink{})
+		tail.now = clock.NewRuntime().Now
+		tail.Reset(nil, 5)
+		tail.Confirm(0)
+		d, listed := &direct{}, make(chan struct{})
+		s := NewStore(d, func() []string { return []string{"reader", "other"} }, func() []string { return nil }, port.TopicTargets)
+		s.now, s.Listed = tail.now, listed
+		s.client = &http.Client{Transport: inMemory{"reader": Handler(map[port.Topic]*Tail{port.TopicTargets: tail})}}
+		time.AfterFunc(400*time.Millisecond, func() { close(listed) })
+		if _, err := s.Read(t.Context(), port.TopicTargets, 5, 0); err != nil || d.reads != 0 || tail.now() != 400*time.Millisecond {
+			t.Errorf("%d reads of the store after %v, %v", d.reads, tail.now(), err)
+		}
+		s.Listed = make(chan struct{}) // the store is away: nobody is named
+		s.readers = func() []string { return nil }
+		if _, err := s.Read(t.Context(), port.TopicTargets, 5, 0); err != nil || d.reads != 1 {
+			t.Errorf("%d reads of the store without names, %v", d.reads, err)
+		}
+	})
+}
+
 // The store is silent for a zone's first reader, and the 29 daemons that read
 // from it all read the store themselves for three seconds, 280 calls, though the
 // zone's other reader reads it, too.
--- a/process/relay/store.go
+++ b/process/relay/store.go
@@ -26,6 +26,13 @@
 	// one to be asked, and within which that must answer. Together they leave a
 	// read of the store its time, which comes after.
 	soonFailed = 150 * time.Millisecond
+	// namedWithin is how long a daemon that starts waits for the store to name
+	// the others before it lists a topic: it writes itself and lists them, in
+	// 10 ms. Hundreds that start together take 400 ms, and don't wait that long.
+	namedWithin = 50 * time.Millisecond
+	// namedLate is the same before its first read, which needn't come sooner:
+	// what it has listed is new.
+	namedLate = 600 * time.Millisecond
 	// patience is how long beyond a read's wait the store may be silent before
 	// it counts as lost: three times what it takes when it is slow (200 ms).
 	// With 1.5 s, daemons that read for others passed "nothing new" on for 2.7 s,
@@ -98,6 +105,9 @@
 
 // Read returns records from a reader, or from the store.
 func (s *Store) Read(ctx context.Context, t port.Topic, from int64, wait time.Duration) ([]port.KeyedRecord, error) {
+	if s.topics[t] {
+		s.awaitReaders(ctx, namedLate)
+	}
 	readers := s.readers()
 	if len(readers) == 0 || !s.topics[t] || s.distrusted() {
 		return s.direct(ctx, t, from, wait)
@@ -128,6 +138,20 @@
 	return records, err
 }
 
+// awaitReaders waits until the readers can be named, for so long at most.
+func (s *Store) awaitReaders(ctx context.Context, most time.Duration) {
+	if s.Listed == nil {
+		return
+	}
+	limit := time.NewTimer(most)
+	defer limit.Stop()
+	select {
+	case <-s.Listed:
+	case <-limit.C:
+	case <-ctx.Done():
+	}
+}
+
 // askAnother asks another reader, which answers with what it knows.
 //
 // The load that it answers: the store is silent for a zone's first reader, and
