--- a/process/relay/store.go
+++ b/process/relay/store.go
@@ -154,9 +154,9 @@
 
 // askAnother asks another reader, which answers with what it knows.
 //
-// The load that it answers: the store is silent for a zone's first reader, and
-// half of the zone's daemons go on to read the store themselves for seconds. The
-// other reader has noticed before them, and reads it.
+// The load that it answers: the store is silent for one of a zone's readers, or
+// that has just died, and half of the zone's daemons go on to read the store
+// themselves for seconds, though the other one hears it.
 func (s *Store) askAnother(ctx context.Context, addr string, t port.Topic, from int64) (batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, soonFailed)
 	defer cancel()
