--- a/process/roster/publish.go
+++ b/process/roster/publish.go
@@ -23,10 +23,10 @@
 // they are from here, to other zones.
 //
 // The zone's aggregators hear of the same reads, and each tells its share of
-// them. The load that it answers: 890 prompts a second are read by one engine
-// and decoded by another, and a digest that held the first 44 of some 300 reads
-// left seven in eight unsaid. Two thirds of the tokens of shared parts were read
-// again though an engine kept them.
+// them. The load that it answers: 890 prompts a second, each read by one engine
+// and decoded by another, and a digest that held the first 44 reads of half a
+// second, the same from both aggregators. On a day of 36 s 46 million tokens of
+// shared parts were read again, 38 million so.
 func (r *Roster) passOn(reads []engines.Read, here bool) {
 	if len(reads) == 0 {
 		return
