The most of two turns is taken back

The engines that decode for nobody are memory for the streams that pile up: the plan counts places, not memory.

--- a/process/roles/split.go
+++ b/process/roles/split.go
@@ -54,9 +54,6 @@
 	// on the loads known. Without the bound 17 of 60 engines decode for 55
 	// streams all day, and the prompts that the others read are late.
 	turnFactor = 2
-	// apart is the time between two looks, in looks, from which on they are of
-	// different turns: 5 s, more than the 3 s over which demand is averaged.
-	apart = 5 * looksPerSecond
 )
 
 // Demand is what was asked of the engines lately, the newest last; empty:
@@ -116,40 +113,19 @@
 // streams than some times the most seen.
 func (d Demand) turned(live, slots int) demand.Load {
 	l := share(live, slots, turnReading, turnDecoding)
-	var reading, weighty float64
+	var most, reading, weighty float64
 	for _, one := range d {
+		most = max(most, one.Streams)
 		reading += one.Reading
 		weighty += one.Weighty
 	}
-	l.Streams = min(l.Streams, turnFactor*d.most())
+	l.Streams = min(l.Streams, turnFactor*most)
 	if reading > 0 {
 		l.Weighty = l.Reading * weighty / reading
 	}
 	return l
 }
 
-// most is the most streams that were asked for in two different turns, or at
-// all as long as there can't have been two.
-//
-// The load that it answers: the first seconds of a fleet, in which nothing is
-// kept and answers wait, ask for twice the streams of the rest of the day. Taken
-// for a mix that will come again they held 54 of 240 engines for 590 streams for
-// half a minute, while the others read more prompts than they can.
-func (d Demand) most() float64 {
-	var most, before, twice float64
-	for i, one := range d {
-		most = max(most, one.Streams)
-		if i >= apart {
-			before = max(before, d[i-apart].Streams)
-			twice = max(twice, min(one.Streams, before))
-		}
-	}
-	if len(d) <= apart {
-		return most
-	}
-	return twice
-}
-
 // loss is what of a demand is refused or late.
 func loss(l demand.Load, live, slots, decoders int) float64 {
 	slow := 0.0
