--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -291,26 +291,28 @@
 // which refuse and are late, while the others have nothing to do: a caller
 // reads no more than some tens of addresses, and each got the same ones first.
 func TestCallersSpreadOverALargeFleet(t *testing.T) {
-	const daemons, callers, read = 295, 549, 64
-	zones := []string{"a", "b", "c", "d", "e"}
-	r := &Roster{o: Options{TTL: time.Second}, self: Member{State: Starting}, peers: map[string]*peer{}}
-	for i := range daemons {
-		addr := fmt.Sprintf("10.%d.0.%d:80", i%len(zones), i)
-		r.peers[addr] = &peer{known: true, heard: time.Now(), member: Member{VM: addr, CallerAddr: addr, Zone: zones[i%len(zones)], State: Ready}}
-	}
-	got := map[string]int{}
-	for i := range callers {
-		addrs, _ := r.Addresses(zones[i%len(zones)], fmt.Sprintf("100.64.%d.%d", i/250, i%250))
-		for _, a := range addrs[:read] {
-			got[a]++
+	synctest.Test(t, func(t *testing.T) { // the daemons were heard just now, however long this takes
+		const daemons, callers, read = 295, 549, 64
+		zones := []string{"a", "b", "c", "d", "e"}
+		r := &Roster{o: Options{TTL: time.Second}, self: Member{State: Starting}, peers: map[string]*peer{}}
+		for i := range daemons {
+			addr := fmt.Sprintf("10.%d.0.%d:80", i%len(zones), i)
+			r.peers[addr] = &peer{known: true, heard: time.Now(), member: Member{VM: addr, CallerAddr: addr, Zone: zones[i%len(zones)], State: Ready}}
 		}
-	}
-	mean := callers * read / daemons
-	for addr := range r.peers {
-		if n := got[addr]; n < mean/2 || n > mean*2 {
-			t.Errorf("%s is read by %d callers, %d on the mean", addr, n, mean)
+		got := map[string]int{}
+		for i := range callers {
+			addrs, _ := r.Addresses(zones[i%len(zones)], fmt.Sprintf("100.64.%d.%d", i/250, i%250))
+			for _, a := range addrs[:read] {
+				got[a]++
+			}
 		}
-	}
+		mean := callers * read / daemons
+		for addr := range r.peers {
+			if n := got[addr]; n < mean/2 || n > mean*2 {
+				t.Errorf("%s is read by %d callers, %d on the mean", addr, n, mean)
+			}
+		}
+	})
 }
 
 // Six daemons each send a long prompt to the engine that looks idle to all.
