ingress, relay: log the stated output, the foreseen stream, Retry-After and own reads

The lines of a request couldn't tell whether a long stream was admitted that couldn't end in time or came back too late from a rejection: neither the stated output nor the Retry-After was in them. A daemon of a large fleet that reads the store itself left no line. No change of behaviour.

--- a/process/relay/store.go
+++ b/process/relay/store.go
@@ -67,7 +67,7 @@
 	until time.Duration                // the store is read directly until then
 	dark  time.Duration                // the store is left alone until then
 	asOf  map[port.Topic]time.Duration // what the last read of a topic told was so until then
-	last  string                       // the reader that was asked last
+	last  string                       // the reader that was asked last, ownReads: none
 	slow  map[port.Topic]bool          // the store takes longer than patience
 }
 
@@ -108,8 +108,15 @@
 	if s.topics[t] {
 		s.awaitReaders(ctx, namedLate)
 	}
+	if !s.topics[t] {
+		return s.direct(ctx, t, from, wait)
+	}
 	readers := s.readers()
-	if len(readers) == 0 || !s.topics[t] || s.distrusted() {
+	if len(readers) == 0 {
+		s.noteReader(ownReads)
+		return s.direct(ctx, t, from, wait)
+	}
+	if s.distrusted() {
 		return s.direct(ctx, t, from, wait)
 	}
 	addr := readers[0]
@@ -237,6 +244,9 @@
 	log.WithFields(fields).WithError(cause).Info("relay: reader failed, the store is read")
 }
 
+// ownReads stands for a reader's address where a daemon reads the store itself.
+const ownReads = "none"
+
 // noteReader logs which daemon the records come from.
 func (s *Store) noteReader(addr string) {
 	s.mu.Lock()
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -131,6 +131,7 @@
 	Targets  []string      // their ids, in order
 	Causes   []string      // why those that failed did
 	Foreseen time.Duration // time to the first event, when the call was taken
+	Lasts    time.Duration // from the decoding engine's first work to the last event, foreseen from the stated output
 	Prefill  Prefill       // the last one
 	First    time.Duration // from the arrival to the first event
 	Begun    bool          // the caller got a part of the answer
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -104,6 +104,7 @@
 	f := u.opts.Speed.Figures(u.c.Service.Name)
 	ch := u.choosePrefill(ctx, p, f)
 	u.first = &ch
+	u.trace.Lasts = f.Lasts(u.c.Ask.Output)
 	err := u.admitTo(&p, f, ch)
 	u.offer(p, f, ch, err != nil)
 	return p, err
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -14,6 +14,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/dispatch"
 	"github.com/pomelospool/pomelospool/request/limit"
 	"github.com/pomelospool/pomelospool/version/inforce"
@@ -231,6 +232,11 @@
 		fields["service"] = c.Service.Name
 		fields["targets"] = strings.Join(x.trace.Targets, " ")
 		fields["left_ms"] = c.Ask.Left.Milliseconds()
+		fields["timeout_ms"] = c.Route.Timeout.Milliseconds()
+		if c.Ask.Output > 0 {
+			fields["output_tokens"] = c.Ask.Output
+			fields["foreseen_stream_ms"] = x.trace.Lasts.Milliseconds()
+		}
 	}
 	if age, heard := x.o.targetsAge(); heard {
 		fields["targets_age_ms"] = age.Milliseconds()
@@ -255,6 +261,9 @@
 	entry := log.WithFields(fields)
 	if err != nil {
 		entry = entry.WithField("error", detail(err))
+		if after := answer.Error(err).RetryAfter; after > 0 {
+			entry = entry.WithField("retry_after_ms", after.Milliseconds())
+		}
 	}
 	entry.Info("ingress: request ended")
 	if err == nil && c != nil {
