--- a/process/relay/silence_test.go
+++ b/process/relay/silence_test.go
@@ -118,6 +118,7 @@
 	away  atomic.Bool
 	mu    sync.Mutex
 	known map[string]bool
+	store *Store
 	*topic.Follower
 }
 
@@ -153,6 +154,7 @@
 	store := NewStore(viewOf{s: s, vm: vm}, readers, func() []string { return nil }, port.TopicTargets)
 	store.now = now
 	store.client = &http.Client{Transport: net}
+	f.store = store
 	net[vm] = Handler(map[port.Topic]*Tail{port.TopicTargets: tail})
 	f.Follower = topic.New(topic.Options{
 		Store: store, Topic: port.TopicTargets, Name: vm, Sink: tail,
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -135,6 +135,8 @@
 	Prefill  Prefill       // the last one
 	First    time.Duration // from the arrival to the first event
 	Begun    bool          // the caller got a part of the answer
+	// LastEvent is the id of the last event that the caller got, empty for none.
+	LastEvent string
 }
 
 // Prefill says how the reading of a prompt was foreseen and went.
--- /dev/null
+++ b/request/dispatch/pace_test.go
@@ -0,0 +1,136 @@
+package dispatch
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/platform/standin"
+	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/version/route"
+)
+
+// A load of streams of one route whose longest take 9 s on an idle engine and
+// 16 s on a full one, of the 13.4 s that they have.
+const (
+	paceGap      = 172 * time.Millisecond // between events of a stream alone
+	paceSlowing  = 2 * time.Millisecond   // for each stream more
+	paceLongest  = 52                     // events
+	paceMean     = 22
+	paceSpread   = 0.84 // of the logarithm of a stream's length
+	paceTimeout  = 13400 * time.Millisecond
+	paceSlots    = 64
+	paceArrivals = 40 * time.Millisecond // between two
+	paceLasts    = 40 * time.Second
+)
+
+// paced is one caller's request and how it ended.
+type paced struct {
+	id     string
+	events int
+	served bool
+	cut    bool
+}
+
+// play runs the load with callers that come back once after a rejection.
+func (r *rig) play(ctx context.Context, seed uint64) []*paced {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	lengths := make(map[string]int)
+	reader := r.add("llm", port.RolePrefill)
+	reader.Set(func(b *standin.Behaviour) { b.Gap = time.Millisecond })
+	for range 2 {
+		r.add("llm", port.RoleDecode).Set(func(b *standin.Behaviour) {
+			b.Gap, b.Slowing = paceGap, paceSlowing
+			b.Length = func(id string) int { return lengths[id] }
+		})
+	}
+	for i := range r.entries["llm"] {
+		r.entries["llm"][i].Slots = paceSlots
+	}
+	var all []*paced
+	for at := time.Duration(0); at < paceLasts; at += paceArrivals {
+		one := &paced{id: fmt.Sprint("p", len(all))}
+		length := paceMean * math.Exp(paceSpread*rnd.NormFloat64()-paceSpread*paceSpread/2)
+		one.events = min(max(int(length), 1), paceLongest)
+		lengths[one.id] = one.events
+		all = append(all, one)
+	}
+	var callers sync.WaitGroup
+	for _, one := range all {
+		callers.Go(func() { r.caller(ctx, one) })
+		time.Sleep(paceArrivals)
+	}
+	callers.Wait()
+	return all
+}
+
+// caller sends a request, and once more after a rejection.
+func (r *rig) caller(ctx context.Context, one *paced) {
+	end := time.Now().Add(paceTimeout)
+	for range 2 {
+		_, err := r.runner.Streamed(ctx, r.pacedCall(one.id, end), &sheet{})
+		var e *code.Error
+		if !errors.As(err, &e) {
+			one.served = err == nil
+			return
+		}
+		one.cut = e.Code == code.DeadlinePassed
+		if e.Code != code.Overloaded {
+			return
+		}
+		time.Sleep(e.RetryAfter)
+	}
+}
+
+func (r *rig) pacedCall(id string, end time.Time) *Call {
+	c := r.call(route.Stream, 1, time.Until(end))
+	h := standin.CallerHeaders(id, time.Until(end), "cc:50,dd:40")
+	ask, err := platform.Wire{}.Ask(h)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	ask.Prompt = 90
+	c.Ask, c.Header, c.GiveUp = ask, platform.Wire{}.Forward(h), end
+	c.Service.Engine.Slots = paceSlots
+	c.Route.Priority = 1
+	return c
+}
+
+func share(of []*paced, is func(*paced) bool) float64 {
+	n := 0
+	for _, one := range of {
+		if is(one) {
+			n++
+		}
+	}
+	return float64(n) / float64(len(of))
+}
+
+// Guards against engines so full that the longest answers never end in time,
+// while the shorter ones do.
+func TestLongAnswersEndInTime(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			withRig(t, 1000, func(t *testing.T, r *rig) {
+				all := r.play(t.Context(), seed)
+				slices.SortFunc(all, func(a, b *paced) int { return cmp.Compare(b.events, a.events) })
+				served := func(p *paced) bool { return p.served }
+				largest, whole := share(all[:len(all)/10], served), share(all, served)
+				cut := share(all, func(p *paced) bool { return p.cut })
+				t.Logf("served %.2f of the largest tenth, %.2f of all; %.3f were cut", largest, whole, cut)
+				if largest < whole/2 {
+					t.Errorf("served %.2f of the largest tenth, %.2f of all", largest, whole)
+				}
+			})
+		})
+	}
+}
--- a/request/dispatch/relay.go
+++ b/request/dispatch/relay.go
@@ -54,7 +54,7 @@
 		return fail(failure.CallerGone, target, err)
 	}
 	if last != "" {
-		u.lastID = last
+		u.lastID, u.trace.LastEvent = last, last
 	}
 	return nil
 }
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -235,6 +235,8 @@
 		fields["timeout_ms"] = c.Route.Timeout.Milliseconds()
 		if c.Ask.Output > 0 {
 			fields["output_tokens"] = c.Ask.Output
+			fields["hint_tokens"] = c.Ask.Hint
+			fields["last_event"] = x.trace.LastEvent
 			fields["foreseen_stream_ms"] = x.trace.Lasts.Milliseconds()
 		}
 	}
