relay: a daemon that loses the store reads from peers that hear it

What callers saw: for up to 9 s some daemons handled requests by a configuration, and sent them to targets, that all others had replaced.

Cause: the few daemons of a large fleet that read the store for the others have no reader of their own, and no daemon of a small fleet has one. When the store fails such a daemon it asked nobody, though it hears all its peers. Class: a daemon with a role of its own falls out of the fallback that the others have.

Now such a daemon reads from a peer that reports that it can read the store, for 3 s at a time, and tries the store in between without a wait. It reports that it can't read the store, so no other daemon chooses it as its reader and it takes no duty.

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -132,6 +132,7 @@
 	d.health = health.New(time.Now, d.engines.Down)
 	d.store = relay.NewStore(platform.NewStore(s.Store.Addr), func() []string { return d.roster.Readers() }, func() []string { return d.roster.ReadyPeers() }, port.TopicConfig, port.TopicTargets)
 	d.store.Retry = d.directPace
+	d.store.Hearing = func() []string { return d.roster.HearingPeers() }
 	if err := d.wireRoster(); err != nil {
 		return nil, err
 	}
@@ -190,7 +191,7 @@
 		Speeds:    d.speed,
 		Demand:    d.demand,
 		TTL:       min(addressTTL, d.s.Bounds.AddressTTL),
-		StoreAway: d.storeAway.Load,
+		StoreAway: func() bool { return d.storeAway.Load() || d.store.Cut() },
 	})
 	if err != nil {
 		return err
--- a/process/relay/cutoff_test.go
+++ b/process/relay/cutoff_test.go
@@ -19,7 +19,7 @@
 		net, now := inMemory{}, clock.NewRuntime().Now
 		noReader := func() string { return "" }
 		cut := newFollower("cut", s, net, now, noReader)
-		cut.store.peers = func() []string { return []string{"sound"} }
+		cut.store.Hearing = func() []string { return []string{"sound"} }
 		sound := newFollower("sound", s, net, now, noReader)
 		ctx, stop := context.WithCancel(t.Context())
 		go func() {
--- /dev/null
+++ b/process/relay/standin.go
@@ -0,0 +1,108 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/port"
+)
+
+// standIn is a peer that is read instead of the store.
+type standIn struct {
+	addr  string
+	until time.Duration // by Store.now; then the store is tried again
+}
+
+// standInFor is how long a peer is read before the store is tried again.
+const standInFor = 3 * time.Second
+
+// Cut tells whether the store fails this daemon and a peer stands in for it.
+func (s *Store) Cut() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.standIns) > 0
+}
+
+// readOwn reads a topic for a daemon that has no reader: from the store, or
+// while that fails from a peer that can read it.
+func (s *Store) readOwn(ctx context.Context, t port.Topic, from int64, wait time.Duration) ([]port.KeyedRecord, error) {
+	s.noteReader(ownReads)
+	in, cut := s.standIn(t)
+	if cut && s.now() < in.until {
+		records, err := s.readPeer(ctx, in.addr, t, from, wait)
+		if err == nil || errors.Is(err, port.ErrExpired) {
+			return records, err
+		}
+	}
+	if cut {
+		wait = 0 // a probe, which must not hold up the peer's records
+	}
+	records, err := s.direct(ctx, t, from, wait)
+	if err == nil || ctx.Err() != nil || errors.Is(err, port.ErrExpired) {
+		s.setStandIn(t, "")
+		return records, err
+	}
+	for _, addr := range s.somePeers() {
+		asked, cancel := context.WithTimeout(ctx, soonFailed)
+		records, peerErr := s.readPeer(asked, addr, t, from, 0)
+		cancel()
+		if peerErr == nil || errors.Is(peerErr, port.ErrExpired) {
+			s.setStandIn(t, addr)
+			return records, peerErr
+		}
+		log.WithError(peerErr).WithField("peer", addr).Debug("relay: peer can't stand in for the store")
+	}
+	s.setStandIn(t, "")
+	return nil, err
+}
+
+// readPeer reads records from a peer's copy of the topic.
+func (s *Store) readPeer(ctx context.Context, addr string, t port.Topic, from int64, wait time.Duration) ([]port.KeyedRecord, error) {
+	begun := s.now()
+	b, err := s.ask(ctx, addr, t, from, wait)
+	if errors.Is(err, errGap) {
+		return nil, fmt.Errorf("relay: %w", port.ErrExpired)
+	}
+	if err != nil {
+		return nil, err
+	}
+	s.heard(t, begun+b.heard)
+	return b.records, nil
+}
+
+// somePeers picks peers that can read the store.
+func (s *Store) somePeers() []string {
+	if s.Hearing == nil {
+		return nil
+	}
+	peers := s.Hearing()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(len(peers), maxAsked)]
+}
+
+func (s *Store) standIn(t port.Topic) (standIn, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	in, ok := s.standIns[t]
+	return in, ok
+}
+
+// setStandIn notes the peer to read a topic from; empty: the store.
+func (s *Store) setStandIn(t port.Topic, addr string) {
+	s.mu.Lock()
+	before := s.standIns[t].addr
+	if addr == "" {
+		delete(s.standIns, t)
+	} else {
+		s.standIns[t] = standIn{addr: addr, until: s.now() + standInFor}
+	}
+	s.mu.Unlock()
+	if before != addr {
+		log.WithFields(log.Fields{"topic": int(t), "peer": addr}).Info("relay: peer read instead of the store")
+	}
+}
--- a/process/relay/store.go
+++ b/process/relay/store.go
@@ -59,6 +59,10 @@
 	// Listed is closed once the readers can be named. It is set before the first
 	// call; nil: they can.
 	Listed <-chan struct{}
+	// Hearing names the peers that can read the store: one of them stands in for
+	// it where this daemon can't and has no reader. It is set before the first
+	// call; nil: there are none.
+	Hearing func() []string
 	// Retry is how long a daemon that has a reader leaves the store alone after
 	// that failed it too. It is set before the first call.
 	Retry func() time.Duration
@@ -69,6 +73,8 @@
 	asOf  map[port.Topic]time.Duration // what the last read of a topic told was so until then
 	last  string                       // the reader that was asked last, ownReads: none
 	slow  map[port.Topic]bool          // the store takes longer than patience
+
+	standIns map[port.Topic]standIn // peers that are read instead of the store
 }
 
 // Direct tells whether reads go to the store although there is a reader.
@@ -88,6 +94,8 @@
 		now:     clock.Boot{}.Now,
 		asOf:    make(map[port.Topic]time.Duration),
 		slow:    make(map[port.Topic]bool),
+
+		standIns: make(map[port.Topic]standIn),
 	}
 	for _, t := range topics {
 		out.topics[t] = true
@@ -113,9 +121,9 @@
 	}
 	readers := s.readers()
 	if len(readers) == 0 {
-		s.noteReader(ownReads)
-		return s.direct(ctx, t, from, wait)
+		return s.readOwn(ctx, t, from, wait)
 	}
+	s.setStandIn(t, "")
 	if s.distrusted() {
 		return s.direct(ctx, t, from, wait)
 	}
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -195,6 +195,18 @@
 	return out
 }
 
+// HearingPeers returns the peer addresses of the other daemons that take
+// requests and can read the store.
+func (r *Roster) HearingPeers() []string {
+	var out []string
+	for _, m := range r.Members()[1:] {
+		if m.State == Ready && !m.StoreAway {
+			out = append(out, m.PeerAddr)
+		}
+	}
+	return out
+}
+
 // Known is the number of daemons that were heard of lately, dead ones and this
 // one included.
 func (r *Roster) Known() int {
