relay: a peer that stands in for the store may be as old as a reader

Cause: the peer was asked for a word of at most 1.0 s, the age that belongs to a read without a wait. A peer that has a reader is up to 2.2 s old between two records, so both peers that were asked often refused, and the daemon went on alone for a cycle of some 3 s (front-nadi-9: no peer at 3.71 s and 8.10 s).

--- a/process/relay/standin.go
+++ b/process/relay/standin.go
@@ -32,9 +32,10 @@
 // while that fails from a peer that can read it.
 func (s *Store) readOwn(ctx context.Context, t port.Topic, from int64, wait time.Duration) ([]port.KeyedRecord, error) {
 	s.noteReader(ownReads)
+	maxAge := MaxAge(wait)
 	in, cut := s.standIn(t)
 	if cut && s.now() < in.until {
-		records, err := s.readPeer(ctx, in.addr, t, from, wait)
+		records, err := s.readPeer(ctx, in.addr, t, from, wait, maxAge)
 		if err == nil || errors.Is(err, port.ErrExpired) {
 			return records, err
 		}
@@ -49,7 +50,7 @@
 	}
 	for _, addr := range s.somePeers() {
 		asked, cancel := context.WithTimeout(ctx, soonFailed)
-		records, peerErr := s.readPeer(asked, addr, t, from, 0)
+		records, peerErr := s.readPeer(asked, addr, t, from, 0, maxAge)
 		cancel()
 		if peerErr == nil || errors.Is(peerErr, port.ErrExpired) {
 			s.setStandIn(t, addr)
@@ -62,9 +63,9 @@
 }
 
 // readPeer reads records from a peer's copy of the topic.
-func (s *Store) readPeer(ctx context.Context, addr string, t port.Topic, from int64, wait time.Duration) ([]port.KeyedRecord, error) {
+func (s *Store) readPeer(ctx context.Context, addr string, t port.Topic, from int64, wait, maxAge time.Duration) ([]port.KeyedRecord, error) {
 	begun := s.now()
-	b, err := s.ask(ctx, addr, t, from, wait)
+	b, err := s.ask(ctx, addr, t, from, wait, maxAge)
 	if errors.Is(err, errGap) {
 		return nil, fmt.Errorf("relay: %w", port.ErrExpired)
 	}
--- a/process/relay/store.go
+++ b/process/relay/store.go
@@ -130,7 +130,7 @@
 	addr := readers[0]
 	s.noteReader(addr)
 	begun := s.now()
-	b, err := s.ask(ctx, addr, t, from, wait)
+	b, err := s.ask(ctx, addr, t, from, wait, MaxAge(wait))
 	if spent := s.now() - begun; err != nil && !errors.Is(err, errGap) && spent < soonFailed && len(readers) > 1 {
 		begun = s.now()
 		b, err = s.askAnother(ctx, readers[1], t, from)
@@ -174,7 +174,7 @@
 func (s *Store) askAnother(ctx context.Context, addr string, t port.Topic, from int64) (batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, soonFailed)
 	defer cancel()
-	return s.ask(ctx, addr, t, from, 0)
+	return s.ask(ctx, addr, t, from, 0, MaxAge(0))
 }
 
 // leaveAlone has the reader asked again, and not the store for a while.
@@ -272,11 +272,12 @@
 	return s.now() < s.until
 }
 
-func (s *Store) ask(ctx context.Context, addr string, t port.Topic, from int64, wait time.Duration) (batch, error) {
+// ask reads records from another daemon whose word isn't older than maxAge.
+func (s *Store) ask(ctx context.Context, addr string, t port.Topic, from int64, wait, maxAge time.Duration) (batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+hopTimeout)
 	defer cancel()
 	var a answer
-	err := s.get(ctx, fmt.Sprintf("http://%s/records?topic=%d&from=%d&wait_ms=%d&max_age_ms=%d", addr, t, from, wait.Milliseconds(), MaxAge(wait).Milliseconds()), &a)
+	err := s.get(ctx, fmt.Sprintf("http://%s/records?topic=%d&from=%d&wait_ms=%d&max_age_ms=%d", addr, t, from, wait.Milliseconds(), maxAge.Milliseconds()), &a)
 	if err != nil {
 		return batch{}, err
 	}
