dispatch: bound an engine's streams by the pace that the longest answers need

Cause: admission foresees the first event and counts places. An engine makes the events of all its streams together: 36 ms apart with few, 75 to 85 ms with all 64 places taken. An answer of 211 events takes 8 s on the first and 16 s on the second, of 13.4 s. So every full engine cuts just the longest, after 13 s of work, and their callers, rejected once, come back with too little time. Class: a limit on concurrency that knows places and not the time that work needs.

Now each daemon learns the pace of a service's engines by their streams (a line, and each engine's deviation), how long a route's longest answers are (from the callers' hints until some had time to end), and rejects calls where an engine would be slower than these need. A third of the bound is left to calls with no time to come back, and a rejected caller is asked back within what its answer leaves.

The longest are served in place of shorter ones, which earn more for an engine's time; that is the price.

--- /dev/null
+++ b/connection/speed/pace.go
@@ -0,0 +1,133 @@
+package speed
+
+import (
+	"maps"
+	"time"
+
+	"github.com/pomelospool/pomelospool/connection/engines"
+)
+
+// Pace foresees the time between two events of a stream: an engine makes the
+// events of all its streams together, the more the slower. The zero value
+// foresees nothing.
+type Pace struct {
+	Alone   time.Duration // of an engine without streams
+	Each    time.Duration // for each stream
+	Samples int
+}
+
+const (
+	// paceKnownFrom is the number of samples from which on a pace is used.
+	paceKnownFrom = 40
+	// paceMemory is what is left of a sample's weight after the next one.
+	paceMemory = 1 - 1.0/3000
+	// paceClip bounds a sample, in times of what was foreseen: a stream that was
+	// preempted says nothing of the others.
+	paceClip = 2.0
+	// engineWeight is the least weight of the newest sample in an engine's own
+	// slowness: the last 50.
+	engineWeight = 0.02
+	// ratioKnownFrom is the number of samples from which on it counts.
+	ratioKnownFrom = 10
+	// maxSlowness bounds it.
+	maxSlowness = 4.0
+	// forgetEngine is how long an engine that gives no samples is remembered.
+	forgetEngine = time.Minute
+)
+
+// Known tells whether enough was seen, and more streams were slower.
+func (p Pace) Known() bool { return p.Samples >= paceKnownFrom && p.Each > 0 }
+
+// Gap is the time between two events while an engine runs that many streams.
+func (p Pace) Gap(streams int) time.Duration { return p.Alone + time.Duration(streams)*p.Each }
+
+// Streams is the largest number of streams whose events come at most that far
+// apart, one at least.
+func (p Pace) Streams(gap time.Duration) int { return max(int((gap-p.Alone)/p.Each), 1) }
+
+// paceFit is a least squares line of gaps over streams, with weights that fade,
+// and by how much each engine is slower.
+type paceFit struct {
+	w, x, y, xx, xy float64
+	n               int
+	pace            Pace
+	engines         map[string]*slowness
+}
+
+// slowness is how many times slower than the service's line an engine is.
+type slowness struct {
+	times float64
+	n     int
+	seen  time.Time
+}
+
+// noteEngine takes in a sample of one engine.
+func (f *paceFit) noteEngine(target string, streams float64, gap time.Duration) {
+	foreseen := float64(f.pace.Alone) + streams*float64(f.pace.Each)
+	if !f.pace.Known() || foreseen <= 0 {
+		return
+	}
+	now := time.Now()
+	e := f.engines[target]
+	if e == nil {
+		maps.DeleteFunc(f.engines, func(_ string, o *slowness) bool { return now.Sub(o.seen) > forgetEngine })
+		e = &slowness{}
+		f.engines[target] = e
+	}
+	e.n++
+	e.seen = now
+	weight := max(1/float64(e.n), engineWeight)
+	e.times += weight * (min(float64(gap)/foreseen, maxSlowness) - e.times)
+}
+
+// of returns the pace of one engine.
+func (f *paceFit) of(target string) Pace {
+	p := f.pace
+	if e := f.engines[target]; e != nil && e.n >= ratioKnownFrom {
+		p.Alone = time.Duration(e.times * float64(p.Alone))
+		p.Each = time.Duration(e.times * float64(p.Each))
+	}
+	return p
+}
+
+func (f *paceFit) add(streams float64, gap time.Duration) {
+	y := float64(gap)
+	if f.pace.Known() {
+		y = min(y, paceClip*(float64(f.pace.Alone)+streams*float64(f.pace.Each)))
+	}
+	f.w = paceMemory*f.w + 1
+	f.x = paceMemory*f.x + streams
+	f.y = paceMemory*f.y + y
+	f.xx = paceMemory*f.xx + streams*streams
+	f.xy = paceMemory*f.xy + streams*y
+	f.n++
+	f.pace = f.solve()
+}
+
+// solve returns the line. Loads that are all alike give none.
+func (f *paceFit) solve() Pace {
+	spread := f.w*f.xx - f.x*f.x
+	if spread < ridge*f.w*f.xx {
+		return Pace{Samples: f.n}
+	}
+	each := (f.w*f.xy - f.x*f.y) / spread
+	alone := (f.y - each*f.x) / f.w
+	return Pace{Alone: time.Duration(max(alone, 0)), Each: time.Duration(max(each, 0)), Samples: f.n}
+}
+
+// Gap notes the mean time between events of a stream while its engine ran that
+// many streams.
+func (b *Book) Gap(name, target string, streams float64, gap time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f := &b.get(engines.Hash(name)).pace
+	f.noteEngine(target, streams, gap)
+	f.add(streams, gap)
+}
+
+// Pace returns how fast an engine of a service makes events.
+func (b *Book) Pace(name, target string) Pace {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.get(engines.Hash(name)).pace.of(target)
+}
--- a/connection/speed/speed.go
+++ b/connection/speed/speed.go
@@ -92,6 +92,7 @@
 	fit    fit
 	first  mean
 	length ratio
+	pace   paceFit
 	stay   mean
 	less   mean
 	spread time.Duration
@@ -107,7 +108,7 @@
 func (b *Book) get(key uint64) *service {
 	s := b.services[key]
 	if s == nil {
-		s = &service{}
+		s = &service{pace: paceFit{engines: make(map[string]*slowness)}}
 		b.services[key] = s
 	}
 	return s
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -101,6 +101,7 @@
 // serving all of them earns less than refusing those that can't be on time.
 func (u *run) admit(ctx context.Context) (prompt, error) {
 	p := u.prompt()
+	u.longest(u.c.Route.Name).arrived(u.c.Ask.Hint, u.c.Ask.Output, time.Until(u.c.GiveUp))
 	f := u.opts.Speed.Figures(u.c.Service.Name)
 	ch := u.choosePrefill(ctx, p, f)
 	u.first = &ch
@@ -133,13 +134,14 @@
 			return nil
 		}
 	}
-	return u.overloaded(max(u.trace.Foreseen, objective))
+	foreseen := max(u.trace.Foreseen, objective)
+	return u.overloaded(ch.decoders, foreseen-objective, "the first event would take %v", foreseen.Round(time.Millisecond))
 }
 
-// overloaded refuses a call whose first event would take that long.
-func (u *run) overloaded(foreseen time.Duration) error {
-	after := max(foreseen-u.c.Route.Objective, u.hedge())
-	return code.New(code.Overloaded, "the first event would take %v", foreseen.Round(time.Millisecond)).After(after)
+// overloaded rejects a call that is too late by that much at these engines.
+func (u *run) overloaded(decoders []placement.Candidate, late time.Duration, format string, args ...any) error {
+	after := max(late, u.hedge())
+	return code.New(code.Overloaded, format, args...).After(u.soonEnough(after, decoders))
 }
 
 // What part of its time a refused caller waits before it comes back: a random
@@ -213,7 +215,7 @@
 	case free > 0, doubts > 0 && spread(u.c.Ask.ID, "") < probeShare:
 		return least, nil
 	case full > 0:
-		return 0, u.overloaded(u.c.Route.Objective + least)
+		return 0, u.overloaded(cands, least, "%d of %d decoding engines are full", full, len(cands))
 	}
 	return 0, code.New(code.NoTarget, "none of %d decoding engines takes requests", len(cands)).After(u.c.Service.Engine.SwitchTime)
 }
@@ -225,7 +227,7 @@
 
 // room is how the decoding engines' places are shared out to the call.
 func (u *run) room(f speed.Figures, cands []placement.Candidate) placement.Room {
-	r := placement.Room{Stay: f.Stay}
+	r := placement.Room{Stay: f.Stay, Patient: u.patient(cands)}
 	if len(cands) == 0 || u.mostUrgent() {
 		return r
 	}
--- a/request/dispatch/pace_test.go
+++ b/request/dispatch/pace_test.go
@@ -22,21 +22,24 @@
 // A load of streams of one route whose longest take 9 s on an idle engine and
 // 16 s on a full one, of the 13.4 s that they have.
 const (
-	paceGap      = 172 * time.Millisecond // between events of a stream alone
-	paceSlowing  = 2 * time.Millisecond   // for each stream more
-	paceLongest  = 52                     // events
-	paceMean     = 22
-	paceSpread   = 0.84 // of the logarithm of a stream's length
-	paceTimeout  = 13400 * time.Millisecond
-	paceSlots    = 64
-	paceArrivals = 40 * time.Millisecond // between two
-	paceLasts    = 40 * time.Second
+	paceGap        = 172 * time.Millisecond // between events of a stream alone
+	paceSlowing    = 2 * time.Millisecond   // for each stream more
+	paceLongest    = 52                     // events
+	paceMean       = 22
+	paceSpread     = 0.84 // of the logarithm of a stream's length
+	paceTokens     = 200  // of an event
+	paceHintSpread = 0.5  // of the logarithm of a hint
+	paceTimeout    = 13400 * time.Millisecond
+	paceSlots      = 64
+	paceArrivals   = 40 * time.Millisecond // between two
+	paceLasts      = 40 * time.Second
 )
 
 // paced is one caller's request and how it ended.
 type paced struct {
 	id     string
 	events int
+	hint   int // tokens, right at the median only
 	served bool
 	cut    bool
 }
@@ -61,6 +64,7 @@
 		one := &paced{id: fmt.Sprint("p", len(all))}
 		length := paceMean * math.Exp(paceSpread*rnd.NormFloat64()-paceSpread*paceSpread/2)
 		one.events = min(max(int(length), 1), paceLongest)
+		one.hint = int(paceTokens * float64(one.events) * math.Exp(paceHintSpread*rnd.NormFloat64()))
 		lengths[one.id] = one.events
 		all = append(all, one)
 	}
@@ -77,7 +81,7 @@
 func (r *rig) caller(ctx context.Context, one *paced) {
 	end := time.Now().Add(paceTimeout)
 	for range 2 {
-		_, err := r.runner.Streamed(ctx, r.pacedCall(one.id, end), &sheet{})
+		_, err := r.runner.Streamed(ctx, r.pacedCall(one, end), &sheet{})
 		var e *code.Error
 		if !errors.As(err, &e) {
 			one.served = err == nil
@@ -91,14 +95,14 @@
 	}
 }
 
-func (r *rig) pacedCall(id string, end time.Time) *Call {
+func (r *rig) pacedCall(one *paced, end time.Time) *Call {
 	c := r.call(route.Stream, 1, time.Until(end))
-	h := standin.CallerHeaders(id, time.Until(end), "cc:50,dd:40")
+	h := standin.CallerHeaders(one.id, time.Until(end), "cc:50,dd:40")
 	ask, err := platform.Wire{}.Ask(h)
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	ask.Prompt = 90
+	ask.Prompt, ask.Output, ask.Hint = 90, paceLongest*paceTokens, one.hint
 	c.Ask, c.Header, c.GiveUp = ask, platform.Wire{}.Forward(h), end
 	c.Service.Engine.Slots = paceSlots
 	c.Route.Priority = 1
--- a/request/dispatch/prefill.go
+++ b/request/dispatch/prefill.go
@@ -63,7 +63,7 @@
 	for i := range cands {
 		cands[i].Rate += u.opts.Health.Rate(kvOf(cands[i].Entry.ID))
 	}
-	decoders := u.candidates(p, port.RoleDecode)
+	decoders := u.decoders(p)
 	// Engines that read come first, of those that keep as much: requests that
 	// run fill the memory of those that decode, and push out what they keep.
 	sources := slices.Concat(cands, decoders)
@@ -100,6 +100,13 @@
 	return placement.Settle(list, cands, waits)
 }
 
+// decoders are the engines that may make the answer.
+func (u *run) decoders(p prompt) []placement.Candidate {
+	out := u.candidates(p, port.RoleDecode)
+	u.bound(out)
+	return out
+}
+
 func (u *run) candidates(p prompt, role port.Role) []placement.Candidate {
 	var out []placement.Candidate
 	for _, t := range u.usable(p.parts, func(e port.TargetEntry) bool { return e.Role == role }) {
--- a/request/dispatch/relay.go
+++ b/request/dispatch/relay.go
@@ -22,14 +22,19 @@
 func (u *run) relay(ctx context.Context, target string, resp *h1.Response, v port.Verdict, out Stream, first func()) *failed {
 	defer resp.Close(v.KeepAlive)
 	r := &eventReader{src: resp.Body}
+	g := &gauge{run: u, target: target}
+	whole := false
+	defer func() { g.ended(whole) }()
 	for {
 		events, err := r.next()
 		if len(events) > 0 {
+			g.passed(countEvents(events))
 			if f := u.pass(target, resp, events, out, first); f != nil {
 				return f
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			whole = true
 			return u.ended(target, resp, r, out)
 		}
 		if err != nil {
@@ -127,6 +132,15 @@
 	return end
 }
 
+// countEvents is the number of whole events.
+func countEvents(events []byte) int {
+	n := 0
+	for rest := events; len(rest) > 0; n++ {
+		rest = rest[firstEventEnd(rest):]
+	}
+	return n
+}
+
 // after returns the events that come after the one with id last, and the id of
 // the newest event. Ids that are numbers rise, by whatever step.
 func after(events []byte, last string) (fresh []byte, newest string) {
--- a/request/placement/decode.go
+++ b/request/placement/decode.go
@@ -46,7 +46,7 @@
 
 // decodeCost is what it costs to have the answer made there, KV cache aside.
 func (c *Candidate) decodeCost(p *Prompt) time.Duration {
-	full := float64(c.Load.Streams) / float64(max(c.Entry.Slots, 1))
+	full := float64(c.Load.Streams) / float64(c.Places())
 	cost := time.Duration(full * full * float64(fullCost.of(p)))
 	cost += time.Duration(c.Rate * float64(failCost.of(p)))
 	if full >= 1 {
--- a/request/placement/room.go
+++ b/request/placement/room.go
@@ -9,6 +9,7 @@
 type Room struct {
 	Reserved int           // places of each engine that are kept for more urgent requests
 	Stay     time.Duration // that a stream holds its place, on the mean; 0: not known
+	Patient  bool          // the request has time to come back if it is rejected
 }
 
 // mostReserved is the largest part of the places that is kept free: less urgent
@@ -46,8 +47,33 @@
 // refuses requests, or keeps them until they are late.
 const crowded = 1.2
 
+// Places is the number of streams that the engine takes: its places, or fewer
+// where the longest answers need them to end in time.
+func (c *Candidate) Places() int {
+	places := max(c.Entry.Slots, 1)
+	if c.Most > 0 {
+		places = min(places, c.Most)
+	}
+	return places
+}
+
+// keptForOneTry is the share of an engine's bound that is left to requests with
+// no time to come back. The longest answers have none; without it they would be
+// served less often than the others, which have two tries.
+const keptForOneTry = 0.3
+
+// most is the number of streams up to which the engine takes the request.
+func (r Room) most(c *Candidate) int {
+	if !r.Patient {
+		return c.Most
+	}
+	return max(int((1-keptForOneTry)*float64(c.Most)), 1)
+}
+
 // Full tells whether the engine takes no request more.
 func (r Room) Full(c *Candidate) bool {
-	slots := float64(max(c.Entry.Slots, 1))
-	return float64(c.Load.Streams+r.Reserved) > crowded*slots
+	if c.Most > 0 && c.Load.Streams >= r.most(c) {
+		return true
+	}
+	return float64(c.Load.Streams+r.Reserved) > crowded*float64(max(c.Entry.Slots, 1))
 }
--- a/request/placement/room_test.go
+++ b/request/placement/room_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/version/route"
 )
 
 // Callers of short urgent requests are refused for seconds while long answers
@@ -48,3 +49,31 @@
 		}
 	}
 }
+
+// Guards against engines so full that the longest answers end too late, and
+// against answers with one try only that are rejected as often as the others.
+func TestBoundOfAnEngine(t *testing.T) {
+	for _, tc := range []struct {
+		streams, most int
+		patient, full bool
+	}{
+		{27, 40, true, false}, {28, 40, true, true}, {39, 40, false, false}, {40, 40, false, true},
+		{76, 0, true, false}, {76, 200, true, false}, {77, 200, false, true}, {0, 1, true, false}, {1, 1, true, true},
+	} {
+		c := cand("e", "", engines.Load{Streams: tc.streams})
+		c.Most = tc.most
+		if got := (Room{Patient: tc.patient}).Full(&c); got != tc.full {
+			t.Errorf("%+v: full %v", tc, got)
+		}
+	}
+}
+
+// Guards against a slow engine that is filled like a quick one.
+func TestBoundsShareTheStreams(t *testing.T) {
+	p := Prompt{Tokens: 100, Objective: 150 * time.Millisecond}
+	quick, slow := cand("quick", "", engines.Load{Streams: 25}), cand("slow", "", engines.Load{Streams: 20})
+	quick.Most, slow.Most = 50, 25
+	if got := Decode(p, []Candidate{slow, quick}, &route.Engine{}, ""); got != 1 {
+		t.Errorf("engine %d, want the one that is half empty", got)
+	}
+}
