--- a/process/front/front.go
+++ b/process/front/front.go
@@ -132,7 +132,7 @@
 	d.health = health.New(time.Now, d.engines.Down)
 	d.store = relay.NewStore(platform.NewStore(s.Store.Addr), func() []string { return d.roster.Readers() }, func() []string { return d.roster.ReadyPeers() }, port.TopicConfig, port.TopicTargets)
 	d.store.Retry = d.directPace
-	d.store.Hearing = func() []string { return d.roster.HearingPeers() }
+	d.store.Sources = func() []string { return d.roster.PeersWithStore() }
 	if err := d.wireRoster(); err != nil {
 		return nil, err
 	}
--- a/process/relay/standin.go
+++ b/process/relay/fallback.go
@@ -12,20 +12,20 @@
 	"github.com/pomelospool/pomelospool/port"
 )
 
-// standIn is a peer that is read instead of the store.
-type standIn struct {
+// fallback is a peer that is read instead of the store.
+type fallback struct {
 	addr  string
 	until time.Duration // by Store.now; then the store is tried again
 }
 
-// standInFor is how long a peer is read before the store is tried again.
-const standInFor = 3 * time.Second
+// fallbackFor is how long a peer is read before the store is tried again.
+const fallbackFor = 3 * time.Second
 
-// Cut tells whether the store fails this daemon and a peer stands in for it.
+// Cut tells whether the store fails this daemon and a peer is read instead.
 func (s *Store) Cut() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.standIns) > 0
+	return len(s.fallbacks) > 0
 }
 
 // readOwn reads a topic for a daemon that has no reader: from the store, or
@@ -33,9 +33,9 @@
 func (s *Store) readOwn(ctx context.Context, t port.Topic, from int64, wait time.Duration) ([]port.KeyedRecord, error) {
 	s.noteReader(ownReads)
 	maxAge := MaxAge(wait)
-	in, cut := s.standIn(t)
-	if cut && s.now() < in.until {
-		records, err := s.readPeer(ctx, in.addr, t, from, wait, maxAge)
+	peer, cut := s.fallback(t)
+	if cut && s.now() < peer.until {
+		records, err := s.readPeer(ctx, peer.addr, t, from, wait, maxAge)
 		if err == nil || errors.Is(err, port.ErrExpired) {
 			return records, err
 		}
@@ -45,7 +45,7 @@
 	}
 	records, err := s.direct(ctx, t, from, wait)
 	if err == nil || ctx.Err() != nil || errors.Is(err, port.ErrExpired) {
-		s.setStandIn(t, "")
+		s.setFallback(t, "")
 		return records, err
 	}
 	for _, addr := range s.somePeers() {
@@ -53,12 +53,12 @@
 		records, peerErr := s.readPeer(asked, addr, t, from, 0, maxAge)
 		cancel()
 		if peerErr == nil || errors.Is(peerErr, port.ErrExpired) {
-			s.setStandIn(t, addr)
+			s.setFallback(t, addr)
 			return records, peerErr
 		}
-		log.WithError(peerErr).WithField("peer", addr).Debug("relay: peer can't stand in for the store")
+		log.WithError(peerErr).WithField("peer", addr).Debug("relay: peer can't be read instead of the store")
 	}
-	s.setStandIn(t, "")
+	s.setFallback(t, "")
 	return nil, err
 }
 
@@ -78,29 +78,29 @@
 
 // somePeers picks peers that can read the store.
 func (s *Store) somePeers() []string {
-	if s.Hearing == nil {
+	if s.Sources == nil {
 		return nil
 	}
-	peers := s.Hearing()
+	peers := s.Sources()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	return peers[:min(len(peers), maxAsked)]
 }
 
-func (s *Store) standIn(t port.Topic) (standIn, bool) {
+func (s *Store) fallback(t port.Topic) (fallback, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	in, ok := s.standIns[t]
-	return in, ok
+	peer, ok := s.fallbacks[t]
+	return peer, ok
 }
 
-// setStandIn notes the peer to read a topic from; empty: the store.
-func (s *Store) setStandIn(t port.Topic, addr string) {
+// setFallback notes the peer to read a topic from; empty: the store.
+func (s *Store) setFallback(t port.Topic, addr string) {
 	s.mu.Lock()
-	before := s.standIns[t].addr
+	before := s.fallbacks[t].addr
 	if addr == "" {
-		delete(s.standIns, t)
+		delete(s.fallbacks, t)
 	} else {
-		s.standIns[t] = standIn{addr: addr, until: s.now() + standInFor}
+		s.fallbacks[t] = fallback{addr: addr, until: s.now() + fallbackFor}
 	}
 	s.mu.Unlock()
 	if before != addr {
--- a/process/relay/store.go
+++ b/process/relay/store.go
@@ -59,10 +59,10 @@
 	// Listed is closed once the readers can be named. It is set before the first
 	// call; nil: they can.
 	Listed <-chan struct{}
-	// Hearing names the peers that can read the store: one of them stands in for
-	// it where this daemon can't and has no reader. It is set before the first
-	// call; nil: there are none.
-	Hearing func() []string
+	// Sources returns the addresses of the peers that can read the store: one of
+	// them is read where this daemon can't and has no reader. It is set before
+	// the first call; nil: there are none.
+	Sources func() []string
 	// Retry is how long a daemon that has a reader leaves the store alone after
 	// that failed it too. It is set before the first call.
 	Retry func() time.Duration
@@ -74,7 +74,7 @@
 	last  string                       // the reader that was asked last, ownReads: none
 	slow  map[port.Topic]bool          // the store takes longer than patience
 
-	standIns map[port.Topic]standIn // peers that are read instead of the store
+	fallbacks map[port.Topic]fallback // peers that are read instead of the store
 }
 
 // Direct tells whether reads go to the store although there is a reader.
@@ -95,7 +95,7 @@
 		asOf:    make(map[port.Topic]time.Duration),
 		slow:    make(map[port.Topic]bool),
 
-		standIns: make(map[port.Topic]standIn),
+		fallbacks: make(map[port.Topic]fallback),
 	}
 	for _, t := range topics {
 		out.topics[t] = true
@@ -123,7 +123,7 @@
 	if len(readers) == 0 {
 		return s.readOwn(ctx, t, from, wait)
 	}
-	s.setStandIn(t, "")
+	s.setFallback(t, "")
 	if s.distrusted() {
 		return s.direct(ctx, t, from, wait)
 	}
@@ -272,7 +272,7 @@
 	return s.now() < s.until
 }
 
-// ask reads records from another daemon whose word isn't older than maxAge.
+// ask reads records from another daemon if it read the store within maxAge.
 func (s *Store) ask(ctx context.Context, addr string, t port.Topic, from int64, wait, maxAge time.Duration) (batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+hopTimeout)
 	defer cancel()
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -195,9 +195,9 @@
 	return out
 }
 
-// HearingPeers returns the peer addresses of the other daemons that take
+// PeersWithStore returns the peer addresses of the other daemons that take
 // requests and can read the store.
-func (r *Roster) HearingPeers() []string {
+func (r *Roster) PeersWithStore() []string {
 	var out []string
 	for _, m := range r.Members()[1:] {
 		if m.State == Ready && !m.StoreAway {
--- a/request/dispatch/longest.go
+++ b/request/dispatch/answer_length.go
@@ -24,26 +24,25 @@
 	paceMargin = 0.95
 )
 
-// longest learns how long a route's longest answers are, in events, and how
-// much time they have. It is safe for concurrent use.
+// answerLength learns how long a route's longest answers are, in events, and
+// how much time they have. It is safe for concurrent use.
 //
 // Streams that have ended show it, but not before some of the longest had time
-// to end.
-// Until then it comes from the callers' hints, in tokens, and
-// from how many of these an event of the streams that have ended stands for.
-type longest struct {
+// to end. Until then it comes from the callers' hints, in tokens, and from the
+// number of tokens that an event of the ended streams stands for.
+type answerLength struct {
 	mu     sync.Mutex
-	since  time.Time // of the first call
-	left   time.Duration
-	events float64 // of the longest streams lately
-	output int     // tokens, the most that the last call allows
+	since  time.Time     // of the first call
+	left   time.Duration // the most time that a call has
+	events float64       // of the longest streams lately
+	output int           // tokens, the most that the last call allows
 	hints  ring
 	ratios ring // hinted tokens for each event
 }
 
 // arrived notes a call: its hint and the most output that it allows, in tokens,
 // 0 for none, and the time it has.
-func (l *longest) arrived(hint, output int, left time.Duration) {
+func (l *answerLength) arrived(hint, output int, left time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.since.IsZero() {
@@ -57,7 +56,7 @@
 }
 
 // ended notes the events of a stream; whole tells that it wasn't cut.
-func (l *longest) ended(hint, events int, whole bool) {
+func (l *answerLength) ended(hint, events int, whole bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := float64(events)
@@ -69,7 +68,7 @@
 
 // length is the number of events of the longest answers, 0 while it isn't
 // known.
-func (l *longest) length() float64 {
+func (l *answerLength) length() float64 {
 	if !l.since.IsZero() && time.Since(l.since) > 2*l.left {
 		return l.events
 	}
@@ -82,7 +81,7 @@
 
 // foreseen is the number of events that a hint stands for, 0 while that isn't
 // known.
-func (l *longest) foreseen(hint float64) float64 {
+func (l *answerLength) foreseen(hint float64) float64 {
 	if l.ratios.len() < ratiosKnown {
 		return 0
 	}
@@ -91,7 +90,7 @@
 
 // gap is the time between events at which the longest answers end in time, 0
 // while it isn't known.
-func (l *longest) gap() time.Duration {
+func (l *answerLength) gap() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := l.length()
@@ -103,7 +102,7 @@
 
 // lasts is how long a stream with that hint takes with events that far apart, 0
 // while it isn't known.
-func (l *longest) lasts(hint int, gap time.Duration) time.Duration {
+func (l *answerLength) lasts(hint int, gap time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return time.Duration(min(l.foreseen(float64(hint)), l.length()) * float64(gap))
--- a/request/dispatch/longest_test.go
+++ b/request/dispatch/answer_length_test.go
@@ -7,7 +7,7 @@
 )
 
 // hinted feeds calls of 10 to 200 events of 50 tokens whose hints are right.
-func hinted(l *longest, left time.Duration) {
+func hinted(l *answerLength, left time.Duration) {
 	for n := 10; n <= 200; n += 10 {
 		l.arrived(50*n, 10_000, left)
 	}
@@ -18,7 +18,7 @@
 func TestLongestIsForeseenFromHints(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const left = 15 * time.Second
-		var l longest
+		var l answerLength
 		hinted(&l, left)
 		if g := l.gap(); g != 0 {
 			t.Errorf("a gap of %v before any stream ended", g)
@@ -41,7 +41,7 @@
 // protects, are rejected or cut and so don't show their length.
 func TestLongestFadesSlowly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var l longest
+		var l answerLength
 		l.arrived(0, 0, time.Second)
 		l.ended(0, 200, true)
 		time.Sleep(3 * time.Second)
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -85,14 +85,14 @@
 type Runner struct {
 	opts Options
 
-	mu       sync.Mutex
-	usuals   map[string]*placement.Usual // by service
-	longests map[string]*longest         // by route
+	mu      sync.Mutex
+	usuals  map[string]*placement.Usual // by service
+	lengths map[string]*answerLength    // by route
 }
 
 // New returns a Runner.
 func New(o Options) *Runner {
-	return &Runner{opts: o, usuals: make(map[string]*placement.Usual), longests: make(map[string]*longest)}
+	return &Runner{opts: o, usuals: make(map[string]*placement.Usual), lengths: make(map[string]*answerLength)}
 }
 
 // usual returns what is usual for a service's prompts.
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -101,7 +101,7 @@
 // serving all of them earns less than refusing those that can't be on time.
 func (u *run) admit(ctx context.Context) (prompt, error) {
 	p := u.prompt()
-	u.longest(u.c.Route.Name).arrived(u.c.Ask.Hint, u.c.Ask.Output, time.Until(u.c.GiveUp))
+	u.answerLength(u.c.Route.Name).arrived(u.c.Ask.Hint, u.c.Ask.Output, time.Until(u.c.GiveUp))
 	f := u.opts.Speed.Figures(u.c.Service.Name)
 	ch := u.choosePrefill(ctx, p, f)
 	u.first = &ch
@@ -227,7 +227,7 @@
 
 // room is how the decoding engines' places are shared out to the call.
 func (u *run) room(f speed.Figures, cands []placement.Candidate) placement.Room {
-	r := placement.Room{Stay: f.Stay, Patient: u.patient(cands)}
+	r := placement.Room{Stay: f.Stay, CanRetry: u.canRetry(cands)}
 	if len(cands) == 0 || u.mostUrgent() {
 		return r
 	}
--- a/request/dispatch/pace.go
+++ b/request/dispatch/pace.go
@@ -13,14 +13,15 @@
 	gapEvents = 4
 )
 
-// longest returns what is known of the call's route.
-func (r *Runner) longest(route string) *longest {
+// answerLength returns what is known of a route's answers. Routes come from the
+// configuration, so the map stays as small as their number.
+func (r *Runner) answerLength(route string) *answerLength {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	l := r.longests[route]
+	l := r.lengths[route]
 	if l == nil {
-		l = &longest{}
-		r.longests[route] = l
+		l = &answerLength{}
+		r.lengths[route] = l
 	}
 	return l
 }
@@ -28,7 +29,7 @@
 // bound sets for each engine how many streams it may run for the longest
 // answers of the call's route to end in time.
 func (u *run) bound(decoders []placement.Candidate) {
-	gap := u.longest(u.c.Route.Name).gap()
+	gap := u.answerLength(u.c.Route.Name).gap()
 	if gap <= 0 {
 		return
 	}
@@ -51,12 +52,12 @@
 	if !pace.Known() {
 		return 0, false
 	}
-	lasts := u.longest(u.c.Route.Name).lasts(u.c.Ask.Hint, pace.Gap(c.Places()))
+	lasts := u.answerLength(u.c.Route.Name).lasts(u.c.Ask.Hint, pace.Gap(c.Places()))
 	return time.Until(u.c.GiveUp) - lasts, true
 }
 
-// patient tells whether the call has time to come back if it is rejected.
-func (u *run) patient(decoders []placement.Candidate) bool {
+// canRetry tells whether the call has time to come back if it is rejected.
+func (u *run) canRetry(decoders []placement.Candidate) bool {
 	spare, known := u.spare(decoders)
 	return known && spare > time.Duration(leastHedge*float64(time.Until(u.c.GiveUp)))
 }
@@ -71,8 +72,8 @@
 	return max(min(after, spare), minComeBack)
 }
 
-// gauge measures the pace of one stream's engine.
-type gauge struct {
+// paceMeter measures the pace of one stream's engine.
+type paceMeter struct {
 	run     *run
 	target  string
 	events  int // of the whole stream
@@ -82,28 +83,28 @@
 }
 
 // passed notes events that came.
-func (g *gauge) passed(events int) {
-	g.events += events
+func (m *paceMeter) passed(events int) {
+	m.events += events
 	now := time.Now()
-	if g.begun.IsZero() {
-		g.restart(now)
+	if m.begun.IsZero() {
+		m.restart(now)
 		return
 	}
-	span, n := now.Sub(g.begun), g.events-g.before
+	span, n := now.Sub(m.begun), m.events-m.before
 	if span < gapSpan || n < gapEvents {
 		return
 	}
-	streams := g.streams
-	g.restart(now)
-	g.run.opts.Speed.Gap(g.run.c.Service.Name, g.target, float64(streams+g.streams)/2, span/time.Duration(n))
+	streams := m.streams
+	m.restart(now)
+	m.run.opts.Speed.Gap(m.run.c.Service.Name, m.target, float64(streams+m.streams)/2, span/time.Duration(n))
 }
 
-func (g *gauge) restart(now time.Time) {
-	g.begun, g.before = now, g.events
-	g.streams = g.run.opts.Engines.Load(g.target, nil).Streams
+func (m *paceMeter) restart(now time.Time) {
+	m.begun, m.before = now, m.events
+	m.streams = m.run.opts.Engines.Load(m.target, nil).Streams
 }
 
 // ended notes the end of the stream.
-func (g *gauge) ended(whole bool) {
-	g.run.longest(g.run.c.Route.Name).ended(g.run.c.Ask.Hint, g.events, whole)
+func (m *paceMeter) ended(whole bool) {
+	m.run.answerLength(m.run.c.Route.Name).ended(m.run.c.Ask.Hint, m.events, whole)
 }
--- a/request/dispatch/relay.go
+++ b/request/dispatch/relay.go
@@ -22,13 +22,13 @@
 func (u *run) relay(ctx context.Context, target string, resp *h1.Response, v port.Verdict, out Stream, first func()) *failed {
 	defer resp.Close(v.KeepAlive)
 	r := &eventReader{src: resp.Body}
-	g := &gauge{run: u, target: target}
+	m := &paceMeter{run: u, target: target}
 	whole := false
-	defer func() { g.ended(whole) }()
+	defer func() { m.ended(whole) }()
 	for {
 		events, err := r.next()
 		if len(events) > 0 {
-			g.passed(countEvents(events))
+			m.passed(countEvents(events))
 			if f := u.pass(target, resp, events, out, first); f != nil {
 				return f
 			}
--- a/request/placement/room.go
+++ b/request/placement/room.go
@@ -9,7 +9,7 @@
 type Room struct {
 	Reserved int           // places of each engine that are kept for more urgent requests
 	Stay     time.Duration // that a stream holds its place, on the mean; 0: not known
-	Patient  bool          // the request has time to come back if it is rejected
+	CanRetry bool          // the request has time to come back if it is rejected
 }
 
 // mostReserved is the largest part of the places that is kept free: less urgent
@@ -64,7 +64,7 @@
 
 // most is the number of streams up to which the engine takes the request.
 func (r Room) most(c *Candidate) int {
-	if !r.Patient {
+	if !r.CanRetry {
 		return c.Most
 	}
 	return max(int((1-keptForOneTry)*float64(c.Most)), 1)
--- a/request/placement/room_test.go
+++ b/request/placement/room_test.go
@@ -54,15 +54,15 @@
 // against answers with one try only that are rejected as often as the others.
 func TestBoundOfAnEngine(t *testing.T) {
 	for _, tc := range []struct {
-		streams, most int
-		patient, full bool
+		streams, most  int
+		canRetry, full bool
 	}{
 		{27, 40, true, false}, {28, 40, true, true}, {39, 40, false, false}, {40, 40, false, true},
 		{76, 0, true, false}, {76, 200, true, false}, {77, 200, false, true}, {0, 1, true, false}, {1, 1, true, true},
 	} {
 		c := cand("e", "", engines.Load{Streams: tc.streams})
 		c.Most = tc.most
-		if got := (Room{Patient: tc.patient}).Full(&c); got != tc.full {
+		if got := (Room{CanRetry: tc.canRetry}).Full(&c); got != tc.full {
 			t.Errorf("%+v: full %v", tc, got)
 		}
 	}
