dispatch: the rest of a resumed stream isn't taken for a short answer

Seen by reading: after an engine is lost, the run that goes on elsewhere counts only its own events, so the length of answers and the tokens that an event stands for came out wrong, and the bound on an engine's streams too loose. TestResumedStreamIsNoShortAnswer fails without the check (99.8 events and 2 ratios for 100 and 1).

--- a/request/dispatch/answer_length_test.go
+++ b/request/dispatch/answer_length_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/pomelospool/pomelospool/version/route"
 )
 
 // hinted feeds calls of 10 to 200 events of 50 tokens whose hints are right.
@@ -53,3 +55,18 @@
 		}
 	})
 }
+
+// Guards against the rest of a resumed stream that is taken for a whole short
+// answer.
+func TestResumedStreamIsNoShortAnswer(t *testing.T) {
+	r := New(Options{})
+	u := &run{Runner: r, c: &Call{Route: &route.Route{Name: "r"}}}
+	u.c.Ask.Hint = 5000
+	m := &paceMeter{run: u, events: 100}
+	m.ended(true)
+	m = &paceMeter{run: u, events: 1, resumed: true}
+	m.ended(true)
+	if l := r.answerLength("r"); l.events != 100 || l.ratios.len() != 1 {
+		t.Errorf("%.0f events, %d ratios of hints, want 100 and 1", l.events, l.ratios.len())
+	}
+}
--- a/request/dispatch/pace.go
+++ b/request/dispatch/pace.go
@@ -80,6 +80,7 @@
 	begun   time.Time
 	before  int // events at that time
 	streams int // at the engine at that time
+	resumed bool
 }
 
 // passed notes events that came.
@@ -104,7 +105,11 @@
 	m.streams = m.run.opts.Engines.Load(m.target, nil).Streams
 }
 
-// ended notes the end of the stream.
+// ended notes the end of the stream. One that was resumed shows a part of its
+// length only.
 func (m *paceMeter) ended(whole bool) {
+	if m.resumed {
+		return
+	}
 	m.run.answerLength(m.run.c.Route.Name).ended(m.run.c.Ask.Hint, m.events, whole)
 }
--- a/request/dispatch/relay.go
+++ b/request/dispatch/relay.go
@@ -22,7 +22,7 @@
 func (u *run) relay(ctx context.Context, target string, resp *h1.Response, v port.Verdict, out Stream, first func()) *failed {
 	defer resp.Close(v.KeepAlive)
 	r := &eventReader{src: resp.Body}
-	m := &paceMeter{run: u, target: target}
+	m := &paceMeter{run: u, target: target, resumed: u.lastID != ""}
 	whole := false
 	defer func() { m.ended(whole) }()
 	for {
