--- a/request/dispatch/longest_test.go
+++ b/request/dispatch/answer_length_test.go
@@ -4,10 +4,12 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/pomelospool/pomelospool/version/route"
 )
 
 // hinted feeds calls of 10 to 200 events of 50 tokens whose hints are right.
-func hinted(l *longest, left time.Duration) {
+func hinted(l *answerLength, left time.Duration) {
 	for n := 10; n <= 200; n += 10 {
 		l.arrived(50*n, 10_000, left)
 	}
@@ -18,7 +20,7 @@
 func TestLongestIsForeseenFromHints(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const left = 15 * time.Second
-		var l longest
+		var l answerLength
 		hinted(&l, left)
 		if g := l.gap(); g != 0 {
 			t.Errorf("a gap of %v before any stream ended", g)
@@ -41,7 +43,7 @@
 // protects, are rejected or cut and so don't show their length.
 func TestLongestFadesSlowly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var l longest
+		var l answerLength
 		l.arrived(0, 0, time.Second)
 		l.ended(0, 200, true)
 		time.Sleep(3 * time.Second)
@@ -53,3 +55,18 @@
 		}
 	})
 }
+
+// Guards against the rest of a resumed stream that is taken for a whole short
+// answer.
+func TestResumedStreamIsNoShortAnswer(t *testing.T) {
+	r := New(Options{})
+	u := &run{Runner: r, c: &Call{Route: &route.Route{Name: "r"}}}
+	u.c.Ask.Hint = 5000
+	m := &paceMeter{run: u, events: 100}
+	m.ended(true)
+	m = &paceMeter{run: u, events: 1, resumed: true}
+	m.ended(true)
+	if l := r.answerLength("r"); l.events != 100 || l.ratios.len() != 1 {
+		t.Errorf("%.0f events, %d ratios of hints, want 100 and 1", l.events, l.ratios.len())
+	}
+}
