--- a/bench/audit/judge.go
+++ b/bench/audit/judge.go
@@ -58,7 +58,7 @@
 	Lost, Doubled, Crossed, Cut, Untrue   int
 }
 
-// Good tells whether nothing happened that must not.
+// Good reports whether nothing happened that must not.
 func (r Row) Good() bool { return r.Lost+r.Doubled+r.Crossed+r.Cut+r.Untrue == 0 }
 
 // Report is the judgement of a run.
@@ -71,7 +71,7 @@
 	Bad         []string
 }
 
-// Good tells whether the run showed no fault.
+// Good reports whether the run showed no fault.
 func (r *Report) Good() bool {
 	for _, row := range r.Rows {
 		if !row.Good() {
@@ -81,7 +81,7 @@
 	return r.Conflicting == 0
 }
 
-// Untouched tells whether no attempt was cut and none ended in doubt, which is
+// Untouched reports whether no attempt was cut and none ended in doubt, which is
 // what planned changes owe to callers beyond Good.
 func (r *Report) Untouched() bool {
 	t := r.total()
--- a/bench/audit/outcome.go
+++ b/bench/audit/outcome.go
@@ -112,10 +112,10 @@
 	code.OutcomeUnknown:   true, // refused in the end, after an attempt that may have run
 }
 
-// short tells whether an answer that was taken as whole is not.
+// short reports whether an answer that was taken as whole is not.
 func (o *Outcome) short() bool { return o.Kind == KindStream && o.Tokens != o.Asked }
 
-// crossed tells whether anything of another request reached the caller.
+// crossed reports whether anything of another request reached the caller.
 func (o *Outcome) crossed() bool {
 	plain := o.Kind != KindStream
 	return o.Faults.Crossed+o.Faults.Wrong > 0 || plain && o.end() == endAnswered && !o.OwnBody
--- a/bench/policy/bound.go
+++ b/bench/policy/bound.go
@@ -220,7 +220,7 @@
 	return top
 }
 
-// fits tells whether the engines can serve the shares x and y of the two kinds.
+// fits reports whether the engines can serve the shares x and y of the two kinds.
 func (b *bound) fits(c counts, long, short kindLoad, x, y float64) bool {
 	m := b.m
 	prefill := x*long.prefill + y*short.prefill
--- a/bench/policy/run.go
+++ b/bench/policy/run.go
@@ -106,7 +106,7 @@
 	return r.res
 }
 
-// every tells whether a period begins with tick i.
+// every reports whether a period begins with tick i.
 func every(i int, period, offset float64) bool {
 	n := int(period/tick + 0.5)
 	return i%n == int(offset/tick+0.5)
@@ -141,7 +141,7 @@
 	}
 }
 
-// coming tells whether the engine is away for a role change, not for a crash.
+// coming reports whether the engine is away for a role change, not for a crash.
 func (e *engine) coming() bool { return e.awayTill > e.now && e.inChange }
 
 func (r *run) plan() {
--- a/bench/soak/client.go
+++ b/bench/soak/client.go
@@ -181,7 +181,7 @@
 	}
 }
 
-// exchange sends one request and reads the answer; reuse tells whether the
+// exchange sends one request and reads the answer; reuse reports whether the
 // connection may carry another one.
 func (c *caller) exchange(o *Outcome, prompt string) (reuse bool, err error) {
 	body := "body of " + o.ID
--- a/bench/soak/fleet_test.go
+++ b/bench/soak/fleet_test.go
@@ -74,7 +74,7 @@
 	close(ended)
 }
 
-// endedBeforeItBegan tells whether a process that was asked to stop ended by
+// endedBeforeItBegan reports whether a process that was asked to stop ended by
 // the signal before it could handle one. It handles signals before it opens a
 // port, and says that it starts right after: without a line it had no port
 // open, and no caller could have seen it. Traced: the signal came 3.6 to 5.2 ms
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -132,7 +132,7 @@
 	return faults
 }
 
-// killedSince tells whether the daemon was killed while the connection was open:
+// killedSince reports whether the daemon was killed while the connection was open:
 // a caller learns of it by its next request only.
 func (j *Judge) killedSince(o Outcome) bool {
 	for _, k := range j.killed[o.Daemon] {
--- a/bench/soak/site_test.go
+++ b/bench/soak/site_test.go
@@ -219,7 +219,7 @@
 	return l
 }
 
-// ready tells whether a daemon takes requests.
+// ready reports whether a daemon takes requests.
 func (w *site) ready(i int) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
@@ -236,7 +236,7 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// answers tells whether a daemon answers a request of each class well.
+// answers reports whether a daemon answers a request of each class well.
 func (w *site) answers(i, try int) bool {
 	paths := []string{"/p/x", "/i/x", "/s/x"}
 	for class, path := range paths {
--- a/code/code.go
+++ b/code/code.go
@@ -85,7 +85,7 @@
 	return byCode[Internal]
 }
 
-// Known tells whether c stands in the table.
+// Known reports whether c stands in the table.
 func Known(c Code) bool {
 	_, ok := byCode[c]
 	return ok
--- a/connection/demand/demand.go
+++ b/connection/demand/demand.go
@@ -92,7 +92,7 @@
 	r.add(now, o)
 }
 
-// MostUrgent tells whether no request of the service was more urgent so far.
+// MostUrgent reports whether no request of the service was more urgent so far.
 func (b *Book) MostUrgent(service string, priority int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/connection/engines/book.go
+++ b/connection/engines/book.go
@@ -27,7 +27,7 @@
 	Down    uint16 // daemons that can't reach it: 0 or 1 in one daemon's word, their number in a sum
 }
 
-// Idle tells whether there is nothing to be told of.
+// Idle reports whether there is nothing to be told of.
 func (w *Work) Idle() bool {
 	return w.Streams == 0 && w.Prompts == 0 && w.Becomes == "" && w.Down == 0
 }
@@ -82,7 +82,7 @@
 // may be cut off from a target that all others reach.
 const downVotes = 2
 
-// Unreachable tells whether enough daemons can't reach the target.
+// Unreachable reports whether enough daemons can't reach the target.
 func (l Load) Unreachable() bool { return l.Down >= downVotes }
 
 // Book is safe for concurrent use.
--- a/connection/engines/cache.go
+++ b/connection/engines/cache.go
@@ -50,7 +50,7 @@
 	return all, ready
 }
 
-// has tells whether all parts are kept.
+// has reports whether all parts are kept.
 func (p *prefixes) has(parts []port.PromptPart) bool {
 	for _, part := range parts {
 		if p.byID[part.ID] == nil {
--- a/connection/h1/exchange.go
+++ b/connection/h1/exchange.go
@@ -29,7 +29,7 @@
 	First time.Duration
 	// Between is the longest wait for further bytes of the body; 0: none.
 	Between time.Duration
-	// Mine tells whether an answer is the one to this request; nil: any is.
+	// Mine reports whether an answer is the one to this request; nil: any is.
 	Mine func(status int, h http.Header) bool
 }
 
@@ -256,7 +256,7 @@
 	})
 }
 
-// abort ends an exchange that got no answer, and tells whether the target may
+// abort ends an exchange that got no answer, and reports whether the target may
 // have seen the request.
 //
 // The guard is against "not run" said of a request that ran: the connection is
--- a/connection/h1/pool.go
+++ b/connection/h1/pool.go
@@ -128,7 +128,7 @@
 	return c
 }
 
-// good tells whether the connection may carry a request.
+// good reports whether the connection may carry a request.
 //
 // The guard is against three faults of idle connections: the target closed it
 // (a request would be lost, and one that may not be repeated with it), bytes
@@ -149,7 +149,7 @@
 	return defaultIdle
 }
 
-// Warm tells whether a request to a target would find an idle connection.
+// Warm reports whether a request to a target would find an idle connection.
 func (p *Pool) Warm(addr, target string) bool {
 	now := time.Now()
 	p.mu.Lock()
--- a/connection/h1/quiet.go
+++ b/connection/h1/quiet.go
@@ -7,7 +7,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// quiet tells whether an idle connection is open with nothing to read: no
+// quiet reports whether an idle connection is open with nothing to read: no
 // close of the other end, and no bytes that answer nothing. Connections
 // without a descriptor, as in tests, count as quiet.
 func quiet(c net.Conn) bool {
--- a/connection/health/health.go
+++ b/connection/health/health.go
@@ -138,7 +138,7 @@
 	}
 }
 
-// Impaired tells whether a target serves so badly that others are needed in
+// Impaired reports whether a target serves so badly that others are needed in
 // its place.
 func (b *Book) Impaired(target string) bool {
 	return b.Benched(target) || b.Rate(target) > impairedRate || b.Pace(target) > impairedPace
@@ -160,7 +160,7 @@
 	}
 }
 
-// Benched tells whether the target gets no requests now while others can.
+// Benched reports whether the target gets no requests now while others can.
 func (b *Book) Benched(target string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/connection/load/engine.go
+++ b/connection/load/engine.go
@@ -104,7 +104,7 @@
 	}
 }
 
-// readLoad reads the load and tells whether the engine answered.
+// readLoad reads the load and reports whether the engine answered.
 func (w *Watcher) readLoad(ctx context.Context, e *engine) bool {
 	begun := time.Now()
 	l, err := e.api.Load(ctx)
@@ -117,7 +117,7 @@
 	return true
 }
 
-// takeLoad stores a report and tells whether it shows a death that was not
+// takeLoad stores a report and reports whether it shows a death that was not
 // known. The report is as old as the engine's clock says, within bounds, since
 // the two clocks need not agree.
 func (e *engine) takeLoad(l port.Load, begun time.Time) bool {
@@ -135,7 +135,7 @@
 	return unknown
 }
 
-// noteDeath tells whether the death of the present incarnation was news.
+// noteDeath reports whether the death of the present incarnation was news.
 func (e *engine) noteDeath() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/connection/pool/probe.go
+++ b/connection/pool/probe.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// settle notes a probe's result and tells whether probing is over.
+// settle notes a probe's result and reports whether probing is over.
 func (p *Pool) settle(addr string, t *target, err error) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/connection/speed/pace.go
+++ b/connection/speed/pace.go
@@ -35,7 +35,7 @@
 	forgetEngine = time.Minute
 )
 
-// Known tells whether enough was seen, and more streams were slower.
+// Known reports whether enough was seen, and more streams were slower.
 func (p Pace) Known() bool { return p.Samples >= paceKnownFrom && p.Each > 0 }
 
 // Gap is the time between two events while an engine runs that many streams.
--- a/connection/speed/speed.go
+++ b/connection/speed/speed.go
@@ -26,7 +26,7 @@
 	Reads     int           // prompts that these figures come from
 }
 
-// Known tells whether enough prompts were seen to foresee others.
+// Known reports whether enough prompts were seen to foresee others.
 func (f Figures) Known() bool { return f.Reads >= knownFrom }
 
 // assumedPerToken is the time to read a prompt token, in nanoseconds, that is
@@ -43,10 +43,10 @@
 	return f
 }
 
-// ReadsSettled tells whether what a prompt asks of the engines can be told.
+// ReadsSettled reports whether what a prompt asks of the engines can be told.
 func (f Figures) ReadsSettled() bool { return f.Reads >= ownFrom }
 
-// StreamsSettled tells whether what an answer asks of them can be told, too.
+// StreamsSettled reports whether what an answer asks of them can be told, too.
 func (f Figures) StreamsSettled() bool { return f.Streams >= ownFrom }
 
 // Read is the time that an engine takes to read the last missing tokens of a
--- a/internal/yamlcheck/decode.go
+++ b/internal/yamlcheck/decode.go
@@ -88,7 +88,7 @@
 }
 
 // enter notes the position of a key and reports one that isn't plain text or
-// stands twice. It tells whether the value should be read.
+// stands twice. It reports whether the value should be read.
 func (f *File) enter(full string, key *yaml.Node, seen map[string]bool) bool {
 	if key.Kind != yaml.ScalarNode || key.Anchor != "" {
 		f.at[full] = position{key.Line, key.Column}
--- a/internal/yamlcheck/file.go
+++ b/internal/yamlcheck/file.go
@@ -44,7 +44,7 @@
 	return f
 }
 
-// Has tells whether the file has the key at path, as targets[2].addr.
+// Has reports whether the file has the key at path, as targets[2].addr.
 func (f *File) Has(path string) bool {
 	_, ok := f.at[path]
 	return ok
@@ -65,7 +65,7 @@
 	})
 }
 
-// Failed tells whether any problem was found.
+// Failed reports whether any problem was found.
 func (f *File) Failed() bool { return len(f.problems) > 0 }
 
 // Problems returns the problems in the order of their place in the file.
--- a/operator/caller/caller.go
+++ b/operator/caller/caller.go
@@ -108,7 +108,7 @@
 	// Token takes each token of a stream in order; may be nil. With a token
 	// of index 0 after others, the answer begins anew.
 	Token func(t Token)
-	// Verify tells whether the text of token i is right; may be nil.
+	// Verify reports whether the text of token i is right; may be nil.
 	Verify func(i int, text string) bool
 }
 
@@ -126,7 +126,7 @@
 	Wrong   int `json:"wrong"`   // tokens that Verify refused
 }
 
-// Any tells whether there was any fault.
+// Any reports whether there was any fault.
 func (f Faults) Any() bool { return f != Faults{} }
 
 // Answer is what became of a request.
--- a/operator/ctl/info.go
+++ b/operator/ctl/info.go
@@ -39,7 +39,7 @@
 	return out
 }
 
-// names tells whether n stands for the code; empty stands for all.
+// names reports whether n stands for the code; empty stands for all.
 func (n codeName) names(i code.Info) bool {
 	return n == "" || string(n) == strconv.Itoa(int(i.Code)) || strings.EqualFold(string(n), i.Name)
 }
--- a/operator/ctl/publish.go
+++ b/operator/ctl/publish.go
@@ -139,7 +139,7 @@
 	})
 }
 
-// done tells whether a daemon has the result in force.
+// done reports whether a daemon has the result in force.
 func (c *publishCommand) done(s *status.Status, r publish.Result) bool {
 	if c.Remove {
 		return s.VersionOf(r.Service) == 0
--- a/operator/load/summary.go
+++ b/operator/load/summary.go
@@ -159,7 +159,7 @@
 	return all
 }
 
-// Good tells whether every planned request was sent and answered whole or
+// Good reports whether every planned request was sent and answered whole or
 // truly refused, without a fault.
 func (s *Summary) Good() bool {
 	return s.Failed == 0 && s.Sent == s.Planned && !s.Faults.Any()
--- a/process/agreecheck/proc_test.go
+++ b/process/agreecheck/proc_test.go
@@ -88,10 +88,10 @@
 	return t - p.lagging
 }
 
-// cut tells whether the process can't reach the log now.
+// cut reports whether the process can't reach the log now.
 func (p *proc) cut() bool { return p.w.now < p.cutUntil }
 
-// mayOrder tells whether the process would write to the engine if it decided
+// mayOrder reports whether the process would write to the engine if it decided
 // and wrote now.
 func (p *proc) mayOrder(i int) bool {
 	k := p.works[i]
@@ -122,7 +122,7 @@
 	return p.tracker.Authority(p.clock(), tail, group)
 }
 
-// confirmed tells whether most processes know of no later claim. It is the way
+// confirmed reports whether most processes know of no later claim. It is the way
 // that was weighed and not taken: peers read the log late, as holders do.
 func (p *proc) confirmed(group string) bool {
 	n := 0
--- a/process/burn/histogram.go
+++ b/process/burn/histogram.go
@@ -125,7 +125,7 @@
 	return time.Duration(h.open().ValueAtQuantile(q*percent)) * h.Unit
 }
 
-// valid tells whether the scale is one that this package makes.
+// valid reports whether the scale is one that this package makes.
 func (h Histogram) valid() bool { return h.scale == serviceScale || h.scale == orgScale }
 
 // mergeHistograms adds b to a. The scales are the same for every daemon of one
--- a/process/burn/judge.go
+++ b/process/burn/judge.go
@@ -64,7 +64,7 @@
 	return bad
 }
 
-// callersDoing tells whether a code is the caller's own doing.
+// callersDoing reports whether a code is the caller's own doing.
 func callersDoing(c code.Code) bool {
 	switch c {
 	case code.BadRequest, code.HeaderTooLarge, code.BodyTooLarge, code.PromptTooLong, code.TooManyStreams,
--- a/process/daemon/control.go
+++ b/process/daemon/control.go
@@ -173,7 +173,7 @@
 	return nil
 }
 
-// isolated tells whether this process may be the only one that doesn't know
+// isolated reports whether this process may be the only one that doesn't know
 // what is in force. With the log it knows. Without it, peers that are at
 // least half of the fleet would have told it. Otherwise it may be cut off
 // while operators drain a target or publish, and would send work where none
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -206,7 +206,7 @@
 	return net.JoinHostPort(v.Addr, port)
 }
 
-// isTargetHost tells whether a document in force names a target on the host.
+// isTargetHost reports whether a document in force names a target on the host.
 func (d *Daemon) isTargetHost(host string) bool {
 	snap := d.view.Load()
 	return snap != nil && snap.TargetHosts[host]
--- a/process/daemon/peers.go
+++ b/process/daemon/peers.go
@@ -71,7 +71,7 @@
 // leaseView shows membership to the lease manager.
 type leaseView struct{ d *Daemon }
 
-// Gone tells whether the incarnation can be taken over from. One that was
+// Gone reports whether the incarnation can be taken over from. One that was
 // never heard of counts as gone only after this process has been up for long
 // enough to hear of all that live: after a restart of every VM at once nobody
 // ever hears of the old holders.
--- a/process/daemon/stop_test.go
+++ b/process/daemon/stop_test.go
@@ -20,7 +20,7 @@
 	return stopped
 }
 
-// named tells whether daemon i names the daemon of an address to callers.
+// named reports whether daemon i names the daemon of an address to callers.
 func (f *fleet) named(i int, addr string) bool {
 	f.t.Helper()
 	_, list := get(f.t, http.DefaultClient, "http://"+f.daemons[i].Listen().Callers+caller.PathAddresses)
--- a/process/fold/checkpoint.go
+++ b/process/fold/checkpoint.go
@@ -19,7 +19,7 @@
 	s.Checkpoint = Mark{At: offset, Covers: covers}
 }
 
-// Trusted tells whether a starting reader may begin with the checkpoint at
+// Trusted reports whether a starting reader may begin with the checkpoint at
 // offset at, when earliest is the lowest offset still kept.
 //
 // The guard is against a late checkpoint of a stale process: a reader that
--- a/process/fold/documents.go
+++ b/process/fold/documents.go
@@ -27,7 +27,7 @@
 	s.Services[d.Service] = svc
 }
 
-// known tells whether the id is that of a document which waits or has its
+// known reports whether the id is that of a document which waits or has its
 // outcome.
 //
 // The guard is against a refused document that stands twice, which would be
--- a/process/follow/follower.go
+++ b/process/follow/follower.go
@@ -143,7 +143,7 @@
 	return t.Began, t.Fresh
 }
 
-// LogDown tells whether the last read of the log failed.
+// LogDown reports whether the last read of the log failed.
 func (f *Follower) LogDown() bool { return f.down.Load() }
 
 // Ready is closed once the state has been read to the tail for the first time,
--- a/process/follow/offer.go
+++ b/process/follow/offer.go
@@ -111,7 +111,7 @@
 	return due
 }
 
-// checkpointDue tells whether a checkpoint should be written. It is due after
+// checkpointDue reports whether a checkpoint should be written. It is due after
 // enough records, after maxAge of a quiet log, and when the newest one lies in
 // the older half of what the log keeps.
 //
@@ -174,7 +174,7 @@
 	}
 }
 
-// write appends a verdict or checkpoint and tells whether it stands.
+// write appends a verdict or checkpoint and reports whether it stands.
 func (f *Follower) write(ctx context.Context, id string, kind record.Kind, body any) bool {
 	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
 	defer cancel()
--- a/process/lease/conn.go
+++ b/process/lease/conn.go
@@ -8,7 +8,7 @@
 	"github.com/pomelospool/pomelospool/internal/sock"
 )
 
-// Check tells whether a write may be made now: nil, or an error with
+// Check reports whether a write may be made now: nil, or an error with
 // code.LeaseLost.
 type Check func() error
 
--- a/process/lease/rank.go
+++ b/process/lease/rank.go
@@ -34,7 +34,7 @@
 	return rank, rank < MaxCandidates
 }
 
-// before tells whether a precedes b among the candidates for the group.
+// before reports whether a precedes b among the candidates for the group.
 func before(group, zone string, a, b Candidate) bool {
 	if (a.Zone == zone) != (b.Zone == zone) {
 		return a.Zone == zone
--- a/process/lease/tracker.go
+++ b/process/lease/tracker.go
@@ -15,7 +15,7 @@
 
 // View is what membership knows, as far as leases need it.
 type View interface {
-	// Gone tells whether the incarnation is dead or has left.
+	// Gone reports whether the incarnation is dead or has left.
 	Gone(incarnation string) bool
 	// Rank gives this process's place among the candidates for a group, 0
 	// first, and false when it should not claim.
@@ -67,7 +67,7 @@
 	}
 }
 
-// Authority tells whether the process may act for the group now. The answer
+// Authority reports whether the process may act for the group now. The answer
 // holds for one write, and only until Until; it must be asked again before the
 // next.
 func (t *Tracker) Authority(now time.Duration, tail Tail, group string) (Authority, bool) {
@@ -112,7 +112,7 @@
 	return claims
 }
 
-// open tells whether nobody who lives holds the lease.
+// open reports whether nobody who lives holds the lease.
 func (t *Tracker) open(l fold.Lease, view View) bool {
 	switch {
 	case l.Claim == 0 || l.Released:
@@ -123,7 +123,7 @@
 	return view.Gone(l.Holder)
 }
 
-// turn tells whether the process's time to claim the vacant group has come.
+// turn reports whether the process's time to claim the vacant group has come.
 func (t *Tracker) turn(now time.Duration, group string, view View) bool {
 	since, ok := t.vacant[group]
 	if !ok {
--- a/process/membership/exchange.go
+++ b/process/membership/exchange.go
@@ -95,7 +95,7 @@
 	return reply, true
 }
 
-// askThrough tells whether any relay reached the member.
+// askThrough reports whether any relay reached the member.
 func (m *Membership) askThrough(via []*peerpb.Member, req *peerpb.HeartbeatRequest) bool {
 	answers := make(chan bool, len(via))
 	for _, relay := range via {
@@ -190,7 +190,7 @@
 	}
 }
 
-// wantFull tells whether the next heartbeat asks for all members: at the
+// wantFull reports whether the next heartbeat asks for all members: at the
 // start, then at intervals that double, since the peers that answer first may
 // have started just now themselves. A process that has just started knows
 // only the VM list; without the full answer it would hold members for gone
--- a/process/membership/table.go
+++ b/process/membership/table.go
@@ -19,10 +19,10 @@
 	confirming bool // a last check before death is under way
 }
 
-// known tells whether the member was ever heard of.
+// known reports whether the member was ever heard of.
 func (e *entry) known() bool { return e.m.StartedMs != 0 }
 
-// talks tells whether the member is expected to answer.
+// talks reports whether the member is expected to answer.
 func (e *entry) talks() bool { return e.known() && e.m.State != peerpb.Member_DEAD }
 
 // table holds the members by VM id. It is owned by one goroutine; every
@@ -46,7 +46,7 @@
 	return &table{self: self, members: make(map[string]*entry), news: newNewsQueue(), limits: l}
 }
 
-// supersedes tells whether news a replaces b about the same VM: a later start
+// supersedes reports whether news a replaces b about the same VM: a later start
 // first, then a higher beat, then the worse state.
 func supersedes(a, b *peerpb.Member) bool {
 	if a.StartedMs != b.StartedMs {
@@ -72,7 +72,7 @@
 	}
 }
 
-// merge takes one piece of news in and tells whether it was new.
+// merge takes one piece of news in and reports whether it was new.
 func (t *table) merge(now time.Duration, m *peerpb.Member) bool {
 	if m.GetId() == "" {
 		return false
@@ -103,7 +103,7 @@
 	return true
 }
 
-// takeFull takes a peer's answer with all members in and tells whether it
+// takeFull takes a peer's answer with all members in and reports whether it
 // brought anything new. It isn't spread further as news: everyone asks for
 // such answers, and hundreds of old news would hold up the few that matter.
 func (t *table) takeFull(now time.Duration, all []*peerpb.Member) bool {
--- a/process/membership/view.go
+++ b/process/membership/view.go
@@ -22,7 +22,7 @@
 	Listed  bool // stands in the VM list
 }
 
-// Usable tells whether the member is there to work with.
+// Usable reports whether the member is there to work with.
 func (s Seen) Usable() bool { return s.Member.State == peerpb.Member_LIVE && !s.Leaving }
 
 // View returns the newest picture.
@@ -51,7 +51,7 @@
 	Gone                    // dead, or its VM runs a later incarnation
 )
 
-// Standing tells whether the incarnation, of the VM with the given id, may
+// Standing reports whether the incarnation, of the VM with the given id, may
 // still act.
 func (v *View) Standing(vm, incarnation string) Standing {
 	if v.Self.Id == vm {
--- a/process/planner/capacity.go
+++ b/process/planner/capacity.go
@@ -18,7 +18,7 @@
 	return f
 }
 
-// fits tells whether the fleet can serve the mix. Prompts that the prefill
+// fits reports whether the fleet can serve the mix. Prompts that the prefill
 // engines can't take go to mixed and, a few, to decode engines, where they
 // take time from the streams.
 func (r *Rates) fits(f fleet, m Mix) bool {
--- a/process/planner/limits.go
+++ b/process/planner/limits.go
@@ -30,7 +30,7 @@
 	return l
 }
 
-// mayLeave tells whether the service lives on while an engine of the role is away.
+// mayLeave reports whether the service lives on while an engine of the role is away.
 func (l limits) mayLeave(role port.Role) bool {
 	prefill, decode := l.prefill, l.decode
 	if role != port.RoleDecode {
@@ -42,7 +42,7 @@
 	return prefill >= l.minPrefill && decode >= l.minDecode
 }
 
-// mayBecome tells whether it lives on after the change.
+// mayBecome reports whether it lives on after the change.
 func (l limits) mayBecome(from, to port.Role) bool {
 	prefill, decode := l.prefill, l.decode
 	if from != port.RoleDecode {
--- a/process/planner/plan.go
+++ b/process/planner/plan.go
@@ -57,7 +57,7 @@
 	return defaultChange
 }
 
-// mayOrder tells whether the engine is in a group of this process.
+// mayOrder reports whether the engine is in a group of this process.
 func mayOrder(o *Observation, engine string) bool {
 	if o.Groups == nil && o.Group == "" {
 		return true
--- a/process/planner/rates.go
+++ b/process/planner/rates.go
@@ -97,7 +97,7 @@
 	}
 }
 
-// pressed tells whether an engine's prefill rate shows what it can do.
+// pressed reports whether an engine's prefill rate shows what it can do.
 //
 // The failure it stops: an engine with little to do takes small steps and reports
 // a low rate. Taken for its capacity, that calls for more prefill engines,
--- a/process/reconcile/decide.go
+++ b/process/reconcile/decide.go
@@ -201,7 +201,7 @@
 	return Decision{Action: Log, Why: "engine differs", Spec: in.Want, Load: load}
 }
 
-// loads tells whether a change reads from the weight store.
+// loads reports whether a change reads from the weight store.
 func loads(from, to port.EngineSpec) bool {
 	return from.Model != to.Model || from.Version != to.Version || from.Adapter != to.Adapter
 }
--- a/process/relay/fallback.go
+++ b/process/relay/fallback.go
@@ -21,7 +21,7 @@
 // fallbackFor is how long a peer is read before the store is tried again.
 const fallbackFor = 3 * time.Second
 
-// Cut tells whether the store fails this daemon and a peer is read instead.
+// Cut reports whether the store fails this daemon and a peer is read instead.
 func (s *Store) Cut() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/process/relay/store.go
+++ b/process/relay/store.go
@@ -77,7 +77,7 @@
 	fallbacks map[port.Topic]fallback // peers that are read instead of the store
 }
 
-// Direct tells whether reads go to the store although there is a reader.
+// Direct reports whether reads go to the store although there is a reader.
 func (s *Store) Direct() bool { return len(s.readers()) > 0 && s.distrusted() }
 
 // NewStore returns a Store over s. readers names the daemons to ask for the
--- a/process/roles/claim.go
+++ b/process/roles/claim.go
@@ -120,7 +120,7 @@
 	}
 }
 
-// over tells whether no other holder can act any more.
+// over reports whether no other holder can act any more.
 func (c *claims) over(service string, last lastClaim) error {
 	if !last.exists {
 		return nil
--- a/process/roles/plan.go
+++ b/process/roles/plan.go
@@ -59,7 +59,7 @@
 	return out
 }
 
-// working tells whether the engine has requests.
+// working reports whether the engine has requests.
 func (e Engine) working() bool { return e.Streams > 0 || e.Wait > 0 }
 
 // wanted is the number of decoding engines. While engines work whose demand
--- a/process/roles/planner.go
+++ b/process/roles/planner.go
@@ -210,7 +210,7 @@
 	p.carryOut(ctx, svc, moves, held)
 }
 
-// whole tells whether the list of targets is whole enough for a plan, the
+// whole reports whether the list of targets is whole enough for a plan, the
 // newest target being that old. A list that still fills up isn't, so that few
 // targets aren't planned as if they were all.
 //
@@ -231,7 +231,7 @@
 	return now-since >= mostGrowing
 }
 
-// underWay tells whether the last plan's engines still change and enough others
+// underWay reports whether the last plan's engines still change and enough others
 // decode: what engines become shows in what is served only at the end.
 func (p *Planner) underWay(svc *route.Service, list []Engine) bool {
 	decoders, _ := split(usable(list))
--- a/process/roster/aggregate.go
+++ b/process/roster/aggregate.go
@@ -139,7 +139,7 @@
 	return out
 }
 
-// mayAggregate tells whether a daemon may be an aggregator. One that is only
+// mayAggregate reports whether a daemon may be an aggregator. One that is only
 // listed in the store may, until it doesn't answer. Callers hold r.mu.
 func (r *Roster) mayAggregate(p *peer, now time.Time) bool {
 	switch {
@@ -203,7 +203,7 @@
 	log.WithFields(log.Fields{"zone": r.self.Zone, "on": on, "daemons": 1 + len(r.peers)}).Info("roster: aggregates its zone")
 }
 
-// unanswered tells whether a daemon that was to aggregate says nothing, and nobody
+// unanswered reports whether a daemon that was to aggregate says nothing, and nobody
 // says that it lives. Callers hold r.mu.
 func (r *Roster) unanswered(p *peer, now time.Time) bool {
 	return !p.asked.IsZero() && now.Sub(p.asked) > answerWithin && now.Sub(p.heard) > answerWithin
--- a/process/roster/keeper.go
+++ b/process/roster/keeper.go
@@ -204,7 +204,7 @@
 	k.book.Hear(name, []engines.Work{n.Work}, nil)
 }
 
-// Asks tells whether keepers are asked: in a small fleet each daemon hears of
+// Asks reports whether keepers are asked: in a small fleet each daemon hears of
 // all work at once.
 func (r *Roster) Asks() bool {
 	r.mu.Lock()
--- a/process/roster/peer.go
+++ b/process/roster/peer.go
@@ -30,7 +30,7 @@
 	return p.known && !p.gone && now.Sub(p.heard) < patience
 }
 
-// small tells whether each daemon tells all others. Callers hold r.mu.
+// small reports whether each daemon tells all others. Callers hold r.mu.
 func (r *Roster) small() bool { return len(r.peers) <= smallFleet }
 
 // patience is the silence after which a daemon counts as dead. Callers hold r.mu.
@@ -41,7 +41,7 @@
 	return toldDeadAfter
 }
 
-// outdated tells whether a word of a daemon's process, at that beat, is older
+// outdated reports whether a word of a daemon's process, at that beat, is older
 // than what is known. A daemon that was started again while its clock stood
 // further back has a lower incarnation; it is believed once the earlier one is
 // silent.
--- a/process/roster/readers.go
+++ b/process/roster/readers.go
@@ -12,7 +12,7 @@
 // store for the others: with one dead the other goes on.
 const readersPerZone = 2
 
-// Relays tells whether the fleet is so large that few daemons read the store
+// Relays reports whether the fleet is so large that few daemons read the store
 // for the others.
 func (r *Roster) Relays() bool { return len(r.Members()) > smallFleet+1 }
 
@@ -54,7 +54,7 @@
 // only found there: by then it hears of those that live.
 const startFor = time.Second
 
-// mayRead tells whether a daemon may read the store for others. Callers hold r.mu.
+// mayRead reports whether a daemon may read the store for others. Callers hold r.mu.
 func (r *Roster) mayRead(p *peer, now time.Time) bool {
 	return p.alive(now, r.patience()) || !p.known && now.Sub(r.listedAt) < startFor
 }
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -83,7 +83,7 @@
 	Speeds Speeds        // and of engines' speed
 	Demand Demand        // and of callers' demand
 	TTL    time.Duration // how long callers keep addresses
-	// StoreAway tells whether the store can't be read now.
+	// StoreAway reports whether the store can't be read now.
 	StoreAway func() bool
 	// Conn replaces the UDP socket, in tests.
 	Conn net.PacketConn
@@ -215,7 +215,7 @@
 	return 1 + len(r.peers)
 }
 
-// MayLead tells whether this daemon takes the duties that one of them has:
+// MayLead reports whether this daemon takes the duties that one of them has:
 // whether it is the first by name of those that take requests and can read the
 // store. Two may think so for a while; claims keep them apart.
 func (r *Roster) MayLead() bool {
@@ -230,7 +230,7 @@
 	return true
 }
 
-// Ready tells whether this daemon takes requests.
+// Ready reports whether this daemon takes requests.
 func (r *Roster) Ready() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/process/settings/load.go
+++ b/process/settings/load.go
@@ -213,7 +213,7 @@
 	}
 }
 
-// anyPort tells whether addr asks for a free port, as tests do.
+// anyPort reports whether addr asks for a free port, as tests do.
 func anyPort(addr string) bool {
 	_, port, err := net.SplitHostPort(addr)
 	return err == nil && port == "0"
--- a/process/settings/store.go
+++ b/process/settings/store.go
@@ -12,7 +12,7 @@
 	noFraction = 0.0
 )
 
-// HasStore tells whether the platform keeps configuration and targets in one
+// HasStore reports whether the platform keeps configuration and targets in one
 // store.
 func (s *Settings) HasStore() bool { return s.Store.Addr != "" }
 
--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -135,7 +135,7 @@
 // take, since it is some way too low on the whole.
 const firstMargin = 0.9
 
-// startsLate tells whether the backlog alone makes the first token miss the
+// startsLate reports whether the backlog alone makes the first token miss the
 // objective, and how long until it wouldn't. Without it a queue grows at every
 // target until deadlines refuse: the same number of requests is answered, but
 // each of them late. High priority goes by its deadline, and so does a prompt
--- a/request/admission/share.go
+++ b/request/admission/share.go
@@ -97,7 +97,7 @@
 	s.rate = s.rate*keep + 1/window
 }
 
-// overShare tells whether the organisation uses more than its fair share of
+// overShare reports whether the organisation uses more than its fair share of
 // the usage at contention, which is part of the present usage.
 //
 // One organisation's flood would otherwise take every place that comes free,
--- a/request/answer/answer.go
+++ b/request/answer/answer.go
@@ -93,7 +93,7 @@
 	return int64((d + time.Second - 1) / time.Second)
 }
 
-// HasBody tells whether answers with the status may have a body.
+// HasBody reports whether answers with the status may have a body.
 func HasBody(status int) bool {
 	return status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/request/attempt/attempt.go
+++ b/request/attempt/attempt.go
@@ -72,7 +72,7 @@
 	chosen time.Time     // when the choice of the target began
 }
 
-// refusedBefore tells whether the target at addr was known to refuse when the
+// refusedBefore reports whether the target at addr was known to refuse when the
 // choice began. A refusal that came between choice and sending wasn't.
 func (r *Runner) refusedBefore(addr string, chosen time.Time) bool {
 	s := r.opts.Pool.Status(addr)
--- a/request/attempt/failure.go
+++ b/request/attempt/failure.go
@@ -20,7 +20,7 @@
 	failure.Handover:   code.TargetFailed,
 }
 
-// repeatable tells whether another attempt is allowed. Without proof that the
+// repeatable reports whether another attempt is allowed. Without proof that the
 // target ran nothing, a second attempt could run a call twice: a doubled
 // confirmation. So only idempotent requests go on after a byte was written.
 func repeatable(f *failure.Failure, idempotent bool) bool {
@@ -30,7 +30,7 @@
 	return idempotent || !f.MayHaveRun()
 }
 
-// breaks tells whether the failure may mean that the target died.
+// breaks reports whether the failure may mean that the target died.
 func breaks(f *failure.Failure) bool {
 	return f.Class == failure.NoAnswer || f.Class == failure.Cut
 }
--- a/request/attempt/run.go
+++ b/request/attempt/run.go
@@ -65,7 +65,7 @@
 	}
 }
 
-// shouldWait tells whether to wait for room. A request that was accepted and
+// shouldWait reports whether to wait for room. A request that was accepted and
 // lost its target must not be refused because the targets left are full for a
 // moment, or because it was in flight at a crash and has to run alone now; one
 // that has not been tried is refused at once.
--- a/request/dispatch/answer_length.go
+++ b/request/dispatch/answer_length.go
@@ -55,7 +55,7 @@
 	}
 }
 
-// ended notes the events of a stream; whole tells that it wasn't cut.
+// ended notes the events of a stream; whole means that it was not cut.
 func (l *answerLength) ended(hint, events int, whole bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/request/dispatch/answer_length_test.go
+++ b/request/dispatch/answer_length_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/version/route"
 )
 
@@ -46,7 +47,7 @@
 		var l answerLength
 		l.arrived(0, 0, time.Second)
 		l.ended(0, 200, true)
-		time.Sleep(3 * time.Second)
+		_ = pause.For(t.Context(), 3*time.Second)
 		for range 100 {
 			l.ended(0, 20, true)
 		}
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -62,7 +62,7 @@
 	// Queues returns how long a prompt will wait at each engine, -1 where that
 	// isn't known; nil if the books know as well.
 	Queues(ctx context.Context, targets []string) []time.Duration
-	// Asks tells whether there is anything to be asked.
+	// Asks reports whether there is anything to be asked.
 	Asks() bool
 }
 
--- a/request/dispatch/decode.go
+++ b/request/dispatch/decode.go
@@ -58,7 +58,7 @@
 // KVSuffix ends the names of engines' KV caches where health is kept.
 const KVSuffix = "/kv"
 
-// others tells whether a candidate is left that hasn't failed this call.
+// others reports whether a candidate is left that hasn't failed this call.
 func (u *run) others(cands []placement.Candidate, but string) bool {
 	for _, c := range cands {
 		if c.Entry.ID != but && !u.avoids(c.Entry.ID) {
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -51,7 +51,7 @@
 	}
 }
 
-// worthAnother tells whether another round could end better.
+// worthAnother reports whether another round could end better.
 //
 // When a decoding engine refuses, either the KV cache was gone before it was
 // fetched, and another engine should read the prompt, or the decoding engine
@@ -220,7 +220,7 @@
 	return 0, code.New(code.NoTarget, "none of %d decoding engines takes requests", len(cands)).After(u.c.Service.Engine.SwitchTime)
 }
 
-// mostUrgent tells whether no call of the service is more urgent.
+// mostUrgent reports whether no call of the service is more urgent.
 func (u *run) mostUrgent() bool {
 	return u.opts.Demand.MostUrgent(u.c.Service.Name, u.c.Route.Priority)
 }
--- a/request/dispatch/failure.go
+++ b/request/dispatch/failure.go
@@ -72,7 +72,7 @@
 	return min(max(d, minComeBack), maxComeBack)
 }
 
-// promises tells whether a status says that the request didn't run.
+// promises reports whether a status says that the request didn't run.
 func promises(status int) bool {
 	switch status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable,
--- a/request/dispatch/pace.go
+++ b/request/dispatch/pace.go
@@ -56,7 +56,7 @@
 	return time.Until(u.c.GiveUp) - lasts, true
 }
 
-// canRetry tells whether the call has time to come back if it is rejected.
+// canRetry reports whether the call has time to come back if it is rejected.
 func (u *run) canRetry(decoders []placement.Candidate) bool {
 	spare, known := u.spare(decoders)
 	return known && spare > time.Duration(leastHedge*float64(time.Until(u.c.GiveUp)))
--- a/request/dispatch/pace_test.go
+++ b/request/dispatch/pace_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/platform/standin"
 	"github.com/pomelospool/pomelospool/port"
@@ -71,7 +72,7 @@
 	var callers sync.WaitGroup
 	for _, one := range all {
 		callers.Go(func() { r.caller(ctx, one) })
-		time.Sleep(paceArrivals)
+		_ = pause.For(ctx, paceArrivals)
 	}
 	callers.Wait()
 	return all
@@ -91,7 +92,7 @@
 		if e.Code != code.Overloaded {
 			return
 		}
-		time.Sleep(e.RetryAfter)
+		_ = pause.For(ctx, e.RetryAfter)
 	}
 }
 
--- a/request/dispatch/relay.go
+++ b/request/dispatch/relay.go
@@ -64,7 +64,7 @@
 	return nil
 }
 
-// ended tells whether the stream ended whole: at its marked end, or at the
+// ended reports whether the stream ended whole: at its marked end, or at the
 // connection's orderly end, and not within an event.
 func (u *run) ended(target string, resp *h1.Response, r *eventReader, out Stream) *failed {
 	if len(r.rest()) > 0 {
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -66,7 +66,7 @@
 	return h1.Recent
 }
 
-// mine tells whether an answer is to this call. A refusal or an error may lack
+// mine reports whether an answer is to this call. A refusal or an error may lack
 // the id; a success must have it.
 func (u *run) mine(status int, h http.Header) bool {
 	id := u.opts.Wire.Judge(status, h).ID
@@ -134,7 +134,7 @@
 // maxSends bounds the sends of one call, prefills and refused ones included.
 const maxSends = 6
 
-// again tells whether the call may be sent once more after f, which takes
+// again reports whether the call may be sent once more after f, which takes
 // that many sends. The first prefill that an engine accepted is no send beyond
 // the first; a second one is, and so is the request that goes on from it.
 func (u *run) again(ctx context.Context, f *failed, sends int) bool {
--- a/request/entry/once.go
+++ b/request/entry/once.go
@@ -122,7 +122,7 @@
 	return onceResult{err: code.Wrap(code.OutcomeUnknown, err, "")}
 }
 
-// refusedUnrun tells whether the target itself says that it didn't run the
+// refusedUnrun reports whether the target itself says that it didn't run the
 // call. Such a refusal is no answer to keep: recorded as one, it would be all
 // that the key ever gives, and the call would never run.
 func (r *plainAnswer) refusedUnrun() bool {
--- a/request/entry/plain.go
+++ b/request/entry/plain.go
@@ -203,7 +203,7 @@
 	_, _ = r.w.Write(r.held)
 }
 
-// passOn tells whether err is the target's own whole answer of failure, which
+// passOn reports whether err is the target's own whole answer of failure, which
 // the caller of a plain service understands better than ours.
 func (r *plainAnswer) passOn(err error) bool {
 	var f *failure.Failure
--- a/request/failure/failure.go
+++ b/request/failure/failure.go
@@ -59,12 +59,12 @@
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.Err }
 
-// MayHaveRun tells whether the target may have run the request.
+// MayHaveRun reports whether the target may have run the request.
 func (f *Failure) MayHaveRun() bool {
 	return !f.Unwritten && f.Class != NotWritten && f.Class != NotRun
 }
 
-// Final tells whether nobody waits for another attempt.
+// Final reports whether nobody waits for another attempt.
 func (f *Failure) Final() bool { return f.Class == CallerGone || f.Class == Late }
 
 // Cause describes the error for a log line.
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -68,7 +68,7 @@
 // be whole by then is refused: another daemon can answer it.
 func (i *Ingress) Leave(end time.Time) { i.leaving.Store(&end) }
 
-// leavesBefore tells whether the process ends before the call is answered.
+// leavesBefore reports whether the process ends before the call is answered.
 func (i *Ingress) leavesBefore(c *dispatch.Call) bool {
 	end := i.leaving.Load()
 	return end != nil && c.Arrived.Add(i.lengths.foresee(c)).After(*end)
--- a/request/once/fold.go
+++ b/request/once/fold.go
@@ -289,7 +289,7 @@
 	return d, true
 }
 
-// recorded tells whether the entry shows all that r would change.
+// recorded reports whether the entry shows all that r would change.
 func recorded(e *entry, r *record.Result) bool {
 	if e.state == done || slices.Contains(e.dead, r.Attempt) {
 		return true
--- a/request/once/health.go
+++ b/request/once/health.go
@@ -24,14 +24,14 @@
 	readable bool // again, since it failed
 }
 
-// ok tells whether the log may be used now.
+// ok reports whether the log may be used now.
 func (h *health) ok() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return !h.failed || h.readable
 }
 
-// down notes a failure and tells whether the log was up before.
+// down notes a failure and reports whether the log was up before.
 func (h *health) down() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/request/once/resolve.go
+++ b/request/once/resolve.go
@@ -89,7 +89,7 @@
 	return answer, false, err
 }
 
-// mayLive tells whether the process of an incarnation may still be running.
+// mayLive reports whether the process of an incarnation may still be running.
 // One that no member list knows is of the past, but right after the start the
 // list isn't whole.
 func (l *Log) mayLive(incarnation string) bool {
--- a/request/placement/prefill.go
+++ b/request/placement/prefill.go
@@ -169,7 +169,7 @@
 	return n
 }
 
-// worthFetch tells whether the tokens that another engine keeps on top are
+// worthFetch reports whether the tokens that another engine keeps on top are
 // worth being fetched.
 func worthFetch(p *Prompt, f speed.Figures, kept, elsewhere int) bool {
 	if elsewhere <= kept {
--- a/request/placement/room.go
+++ b/request/placement/room.go
@@ -70,7 +70,7 @@
 	return max(int((1-keptForOneTry)*float64(c.Most)), 1)
 }
 
-// Full tells whether the engine takes no request more.
+// Full reports whether the engine takes no request more.
 func (r Room) Full(c *Candidate) bool {
 	if c.Most > 0 && c.Load.Streams >= r.most(c) {
 		return true
--- a/request/quarantine/content.go
+++ b/request/quarantine/content.go
@@ -74,7 +74,7 @@
 	return slices.ContainsFunc(c.crashes, func(k crash) bool { return k.local && !k.forgiven })
 }
 
-// add notes a crash and tells whether it is a new one. Several daemons report
+// add notes a crash and reports whether it is a new one. Several daemons report
 // the same death; counting it twice would convict innocents at one crash.
 func (c *content) add(k crash) bool {
 	for i, old := range c.crashes {
@@ -98,12 +98,12 @@
 	}
 }
 
-// alone tells whether this process has the right to run the content alone.
+// alone reports whether this process has the right to run the content alone.
 func (c *content) alone(now time.Time) bool {
 	return c.claim.own && !c.claim.running && now.Before(c.claim.until)
 }
 
-// blame notes a death that this process saw and tells whether it is new. One
+// blame notes a death that this process saw and reports whether it is new. One
 // of the content's run alone always is, even at a target that died with it a
 // moment ago and was restarted.
 func (c *content) blame(d death) bool {
--- a/request/quarantine/news.go
+++ b/request/quarantine/news.go
@@ -140,7 +140,7 @@
 	}
 }
 
-// yields tells whether word of another process's claim replaces this one.
+// yields reports whether word of another process's claim replaces this one.
 //
 // Word of a claim that has ended replaces no claim of this process's own, not
 // even an ended one. The failure: two processes claim at once, the loser's word
--- a/request/quarantine/outage.go
+++ b/request/quarantine/outage.go
@@ -11,7 +11,7 @@
 	b.burst = append(kept, d)
 }
 
-// isOutage tells whether so many targets died at once that no content is the
+// isOutage reports whether so many targets died at once that no content is the
 // cause.
 //
 // The guard is against an availability zone that fails, or is cut off: all
--- a/request/quarantine/rig_test.go
+++ b/request/quarantine/rig_test.go
@@ -166,7 +166,7 @@
 	close(done)
 }
 
-// isDead tells whether the engine died since.
+// isDead reports whether the engine died since.
 func (r *rig) isDead(engine string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -228,7 +228,7 @@
 	return 0, !finished
 }
 
-// serve tells whether the engine lived to answer.
+// serve reports whether the engine lived to answer.
 func (r *rig) serve(engine string, fp uint64) bool {
 	<-time.After(crashTime)
 	if r.poison[fp] {
--- a/request/quarantine/target.go
+++ b/request/quarantine/target.go
@@ -153,7 +153,7 @@
 	return n
 }
 
-// outlived tells whether the content left the target, and other suspect
+// outlived reports whether the content left the target, and other suspect
 // content has the claim of it since. The later one explains a death better:
 // an innocent that was just answered there isn't convicted by it.
 func (b *Book) outlived(fp uint64, d death) bool {
--- a/request/quarantine/tracker.go
+++ b/request/quarantine/tracker.go
@@ -251,7 +251,7 @@
 	return b.newsOf(changed, d.at)
 }
 
-// proven tells whether two crashes convict. A content that ran alone at the
+// proven reports whether two crashes convict. A content that ran alone at the
 // second has no other explanation. One that was beside others is let off when
 // it ended well somewhere lately: an hourly report that runs everywhere is in
 // flight at the crash of any two targets.
--- a/request/routing/filter_pace.go
+++ b/request/routing/filter_pace.go
@@ -12,7 +12,7 @@
 	urgentExtra = 1.1
 )
 
-// breaksPace tells whether n streams on t would miss the between-tokens
+// breaksPace reports whether n streams on t would miss the between-tokens
 // objective, with the seconds that moving the KV cache adds to the first gap.
 //
 // The failure it stops: one stream too many makes all the streams beside it
--- a/request/stream/reader.go
+++ b/request/stream/reader.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// field takes one line into the event and tells whether it was data.
+// field takes one line into the event and reports whether it was data.
 func (r *Reader) field(line []byte, lines int) (bool, error) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	switch string(name) {
--- a/request/stream/relay.go
+++ b/request/stream/relay.go
@@ -48,7 +48,7 @@
 // Next is the index of the next token: where another attempt resumes.
 func (r *Relay) Next() int { return r.next }
 
-// Finished tells whether the last token was passed on.
+// Finished reports whether the last token was passed on.
 func (r *Relay) Finished() bool { return r.finished }
 
 // Dropped counts the chunks that were doubled or belonged to other requests.
@@ -89,7 +89,7 @@
 	}
 }
 
-// take passes on one chunk and tells whether it was the attempt's own.
+// take passes on one chunk and reports whether it was the attempt's own.
 //
 // Engines and what lies before them can cross streams, repeat a chunk, or send
 // one late: the caller would read another's tokens, or a token twice. A chunk
--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -96,7 +96,7 @@
 	b.waiting = slices.Insert(b.waiting, i, s)
 }
 
-// end takes a sequence out; it tells whether it was there.
+// end takes a sequence out; it reports whether it was there.
 func (b *batch) end(s *seq, reason string) bool {
 	if i := slices.Index(b.waiting, s); i >= 0 {
 		b.waiting = slices.Delete(b.waiting, i, i+1)
--- a/standin/engine/fault.go
+++ b/standin/engine/fault.go
@@ -42,7 +42,7 @@
 	return p
 }
 
-// loseOrder tells whether the answer to an order is to be lost.
+// loseOrder reports whether the answer to an order is to be lost.
 func (f *faults) loseOrder() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -91,7 +91,7 @@
 	return answer(w, Cancelled{found}, err)
 }
 
-// CancelID ends the request with an id and tells whether it ran here.
+// CancelID ends the request with an id and reports whether it ran here.
 func (e *Engine) CancelID(ctx context.Context, id string) (found bool, err error) {
 	err = e.do(ctx, func() {
 		if s := e.batch.find(id); s != nil {
--- a/standin/engine/order.go
+++ b/standin/engine/order.go
@@ -121,7 +121,7 @@
 	e.carriedOut(e.state.LastOrder)
 }
 
-// pause waits and tells whether the engine still lives.
+// pause waits and reports whether the engine still lives.
 func (e *Engine) pause(d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/standin/engine/serve_test.go
+++ b/standin/engine/serve_test.go
@@ -93,7 +93,7 @@
 	}
 }
 
-// whole tells whether g is the answer to prompt from token from up to max.
+// whole reports whether g is the answer to prompt from token from up to max.
 func (g got) whole(prompt string, from, max int) bool {
 	return g.err == nil && g.done && g.end == endLength && g.text == token.Text(token.Hash(prompt), from, max)
 }
--- a/version/publish/run.go
+++ b/version/publish/run.go
@@ -85,7 +85,7 @@
 }
 
 // step does one read, and one append if the document isn't found up to the
-// tail. It tells whether the outcome stands, with its error.
+// tail. It reports whether the outcome stands, with its error.
 func (r *run) step(ctx context.Context) (bool, error) {
 	if err := ctx.Err(); err != nil {
 		return false, err
@@ -114,7 +114,7 @@
 
 func (r *run) stands() bool { return r.result.Version > 0 || r.appended > 0 }
 
-// look finds the document in the folded state. It tells whether its outcome
+// look finds the document in the folded state. It reports whether its outcome
 // stands, with its error.
 func (r *run) look() (bool, error) {
 	if r.state == nil {
--- a/version/route/route.go
+++ b/version/route/route.go
@@ -47,7 +47,7 @@
 	Weight  int
 }
 
-// Idempotent tells whether a request may run again after it may have run.
+// Idempotent reports whether a request may run again after it may have run.
 func (r *Route) Idempotent() bool {
 	return r.Kind == Safe || r.Kind == Stream && r.Resumable
 }
--- a/version/view/view.go
+++ b/version/view/view.go
@@ -59,7 +59,7 @@
 // Store replaces the snapshot. Only the control goroutine calls it.
 func (h *Holder) Store(s *Snapshot) { h.p.Store(s) }
 
-// Gate tells whether the process may take a new request now. It returns an
+// Gate reports whether the process may take a new request now. It returns an
 // error with code.Isolated, code.Draining or code.NoConfiguration, or nil.
 type Gate interface {
 	Admit() error
