relay, roster, front: one piece for what the fallback wrote again

The fallback had its own copy of askAnother's bounded question and of what Read does with an answer; both call one now (take). PeersWithStore and ReadyPeers share their loop, the metric and the heartbeat one predicate, and Read looks at the topic once. No change of behaviour.

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -191,7 +191,7 @@
 		Speeds:    d.speed,
 		Demand:    d.demand,
 		TTL:       min(addressTTL, d.s.Bounds.AddressTTL),
-		StoreAway: func() bool { return d.storeAway.Load() || d.store.Cut() },
+		StoreAway: d.withoutStore,
 	})
 	if err != nil {
 		return err
@@ -307,6 +307,9 @@
 	return min(pace, max(time.Duration(paceShare*float64(shortest)), targetsPace))
 }
 
+// withoutStore reports whether this daemon can't read the store itself.
+func (d *Daemon) withoutStore() bool { return d.storeAway.Load() || d.store.Cut() }
+
 // watched notes whether the store can be read.
 type watched struct {
 	topic.Sink
--- a/process/front/metrics.go
+++ b/process/front/metrics.go
@@ -57,7 +57,7 @@
 		gauge("open_requests", "Requests that run now.", func() float64 { return float64(d.ingress.Open()) }),
 		gauge("config_version", "Version of the configuration in force, 0: none.", d.configVersion),
 		gauge("daemons_alive", "Daemons that are heard, this one included.", func() float64 { return float64(len(d.roster.Members())) }),
-		gauge("store_away", "1 while the store can't be read.", func() float64 { return boolGauge(d.storeAway.Load() || d.store.Cut()) }),
+		gauge("store_away", "1 while the store can't be read.", func() float64 { return boolGauge(d.withoutStore()) }),
 		gauge("config_age_seconds", "How old the newest word of the store on the configuration is, -1: none yet.", func() float64 { return ageGauge(d.tails[port.TopicConfig]) }),
 		gauge("targets_age_seconds", "How old the newest word of the store on the targets is, -1: none yet.", func() float64 { return ageGauge(d.tails[port.TopicTargets]) }),
 		gauge("ready", "1 while the daemon takes requests.", func() float64 { return boolGauge(d.roster.Ready()) }),
--- a/process/relay/fallback.go
+++ b/process/relay/fallback.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -35,7 +34,9 @@
 	maxAge := MaxAge(wait)
 	peer, cut := s.fallback(t)
 	if cut && s.now() < peer.until {
-		records, err := s.readPeer(ctx, peer.addr, t, from, wait, maxAge)
+		begun := s.now()
+		b, err := s.ask(ctx, peer.addr, t, from, wait, maxAge)
+		records, err := s.take(t, begun, b, err)
 		if err == nil || errors.Is(err, port.ErrExpired) {
 			return records, err
 		}
@@ -49,9 +50,9 @@
 		return records, err
 	}
 	for _, addr := range s.somePeers() {
-		asked, cancel := context.WithTimeout(ctx, soonFailed)
-		records, peerErr := s.readPeer(asked, addr, t, from, 0, maxAge)
-		cancel()
+		begun := s.now()
+		b, peerErr := s.askAnother(ctx, addr, t, from, maxAge)
+		records, peerErr := s.take(t, begun, b, peerErr)
 		if peerErr == nil || errors.Is(peerErr, port.ErrExpired) {
 			s.setFallback(t, addr)
 			return records, peerErr
@@ -62,20 +63,6 @@
 	return nil, err
 }
 
-// readPeer reads records from a peer's copy of the topic.
-func (s *Store) readPeer(ctx context.Context, addr string, t port.Topic, from int64, wait, maxAge time.Duration) ([]port.KeyedRecord, error) {
-	begun := s.now()
-	b, err := s.ask(ctx, addr, t, from, wait, maxAge)
-	if errors.Is(err, errGap) {
-		return nil, fmt.Errorf("relay: %w", port.ErrExpired)
-	}
-	if err != nil {
-		return nil, err
-	}
-	s.heard(t, begun+b.heard)
-	return b.records, nil
-}
-
 // somePeers picks peers that can read the store.
 func (s *Store) somePeers() []string {
 	if s.Sources == nil {
--- a/process/relay/store.go
+++ b/process/relay/store.go
@@ -113,12 +113,10 @@
 
 // Read returns records from a reader, or from the store.
 func (s *Store) Read(ctx context.Context, t port.Topic, from int64, wait time.Duration) ([]port.KeyedRecord, error) {
-	if s.topics[t] {
-		s.awaitReaders(ctx, namedLate)
-	}
 	if !s.topics[t] {
 		return s.direct(ctx, t, from, wait)
 	}
+	s.awaitReaders(ctx, namedLate)
 	readers := s.readers()
 	if len(readers) == 0 {
 		return s.readOwn(ctx, t, from, wait)
@@ -133,20 +131,17 @@
 	b, err := s.ask(ctx, addr, t, from, wait, MaxAge(wait))
 	if spent := s.now() - begun; err != nil && !errors.Is(err, errGap) && spent < soonFailed && len(readers) > 1 {
 		begun = s.now()
-		b, err = s.askAnother(ctx, readers[1], t, from)
+		b, err = s.askAnother(ctx, readers[1], t, from, MaxAge(0))
 	}
-	if err == nil {
-		s.heard(t, begun+b.heard)
-		return b.records, nil
-	}
-	if errors.Is(err, errGap) {
-		return nil, fmt.Errorf("relay: %w", port.ErrExpired)
+	records, err := s.take(t, begun, b, err)
+	if err == nil || errors.Is(err, port.ErrExpired) {
+		return records, err
 	}
 	if s.isDark() {
 		return nil, err
 	}
 	s.distrust(addr, t, err)
-	records, err := s.direct(ctx, t, from, 0)
+	records, err = s.direct(ctx, t, from, 0)
 	if err != nil {
 		s.leaveAlone()
 	}
@@ -166,15 +161,28 @@
 	}
 }
 
-// askAnother asks another reader, which answers with what it knows.
+// take takes what another daemon answered to a question of that moment: its
+// records, or that it doesn't hold them any more.
+func (s *Store) take(t port.Topic, asked time.Duration, b batch, err error) ([]port.KeyedRecord, error) {
+	if errors.Is(err, errGap) {
+		return nil, fmt.Errorf("relay: %w", port.ErrExpired)
+	}
+	if err != nil {
+		return nil, err
+	}
+	s.heard(t, asked+b.heard)
+	return b.records, nil
+}
+
+// askAnother asks another daemon, which answers with what it knows.
 //
 // The load that it answers: the store is silent for one of a zone's readers, or
 // that has just died, and half of the zone's daemons go on to read the store
 // themselves for seconds, though the other one hears it.
-func (s *Store) askAnother(ctx context.Context, addr string, t port.Topic, from int64) (batch, error) {
+func (s *Store) askAnother(ctx context.Context, addr string, t port.Topic, from int64, maxAge time.Duration) (batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, soonFailed)
 	defer cancel()
-	return s.ask(ctx, addr, t, from, 0, MaxAge(0))
+	return s.ask(ctx, addr, t, from, 0, maxAge)
 }
 
 // leaveAlone has the reader asked again, and not the store for a while.
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -186,21 +186,20 @@
 
 // ReadyPeers returns the peer addresses of the other daemons that take requests.
 func (r *Roster) ReadyPeers() []string {
-	var out []string
-	for _, m := range r.Members()[1:] {
-		if m.State == Ready || m.State == Leaving {
-			out = append(out, m.PeerAddr)
-		}
-	}
-	return out
+	return r.peerAddrs(func(m *Member) bool { return m.State == Ready || m.State == Leaving })
 }
 
 // PeersWithStore returns the peer addresses of the other daemons that take
 // requests and can read the store.
 func (r *Roster) PeersWithStore() []string {
+	return r.peerAddrs(func(m *Member) bool { return m.State == Ready && !m.StoreAway })
+}
+
+// peerAddrs returns the peer addresses of the other daemons that fit.
+func (r *Roster) peerAddrs(fits func(m *Member) bool) []string {
 	var out []string
 	for _, m := range r.Members()[1:] {
-		if m.State == Ready && !m.StoreAway {
+		if fits(&m) {
 			out = append(out, m.PeerAddr)
 		}
 	}
