dispatch: events are walked once, and only engines' streams measure a pace

relay counted a batch's events and after walked them again; after returns the count now. The pace meter ran for plain services' streams too, where nothing reads it; it stands with the decoding engine's call. The last event of a line is copied once, at the end. One thing changes: a stream whose connection ends in the middle of an event no longer counts as a whole answer in the length of answers, as the run's own verdict has it.

--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -123,6 +123,7 @@
 	defer cancel()
 	u := r.begin(c)
 	err := u.streamed(ctx, out)
+	u.trace.LastEvent = u.lastID
 	return u.trace, err
 }
 
--- a/request/dispatch/decode.go
+++ b/request/dispatch/decode.go
@@ -115,7 +115,9 @@
 			u.opts.Health.NotePace(to.ID, u.pace(foreseen, seen))
 		}
 	}
-	f = u.relay(ctx, to.ID, resp, v, out, first)
+	m := &paceMeter{run: u, target: to.ID, resumed: u.lastID != ""}
+	f = u.relay(ctx, to.ID, resp, v, out, watch{first: first, batch: m.passed})
+	m.ended(f == nil)
 	if f == nil && u.c.Ask.Output > 0 {
 		u.opts.Speed.Stream(u.c.Service.Name, u.c.Ask.Output, time.Since(firstAt), time.Since(begun), u.mostUrgent())
 	}
--- a/request/dispatch/engine_test.go
+++ b/request/dispatch/engine_test.go
@@ -297,9 +297,9 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			fresh, newest := after([]byte(tc.events), tc.last)
-			if string(fresh) != tc.fresh || newest != tc.newest {
-				t.Errorf("fresh %q, newest %q", fresh, newest)
+			fresh, newest, n := after([]byte(tc.events), tc.last)
+			if string(fresh) != tc.fresh || newest != tc.newest || n != strings.Count(tc.events, "data:") {
+				t.Errorf("fresh %q, newest %q, %d events", fresh, newest, n)
 			}
 		})
 	}
--- a/request/dispatch/plain.go
+++ b/request/dispatch/plain.go
@@ -137,5 +137,5 @@
 	if resp.Status != http.StatusOK || v.NotRun || !v.Signed {
 		return u.noStream(ctx, to.ID, resp, v, out)
 	}
-	return u.relay(ctx, to.ID, resp, v, out, func() {})
+	return u.relay(ctx, to.ID, resp, v, out, watch{first: func() {}, batch: func(int) {}})
 }
--- a/request/dispatch/relay.go
+++ b/request/dispatch/relay.go
@@ -16,25 +16,26 @@
 // maxEvent bounds one event, in bytes.
 const maxEvent = 1 << 20
 
+// watch is called as a stream's events come.
+type watch struct {
+	first func()      // before the first one of the answer
+	batch func(n int) // with the number of events in each batch
+}
+
 // relay passes events on as they come, each one whole. A stream that breaks
 // off in the middle of an event ends after the last whole one, so that a
 // resumed run can go on from there.
-func (u *run) relay(ctx context.Context, target string, resp *h1.Response, v port.Verdict, out Stream, first func()) *failed {
+func (u *run) relay(ctx context.Context, target string, resp *h1.Response, v port.Verdict, out Stream, w watch) *failed {
 	defer resp.Close(v.KeepAlive)
 	r := &eventReader{src: resp.Body}
-	m := &paceMeter{run: u, target: target, resumed: u.lastID != ""}
-	whole := false
-	defer func() { m.ended(whole) }()
 	for {
 		events, err := r.next()
 		if len(events) > 0 {
-			m.passed(countEvents(events))
-			if f := u.pass(target, resp, events, out, first); f != nil {
+			if f := u.pass(target, resp, events, out, w); f != nil {
 				return f
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			whole = true
 			return u.ended(target, resp, r, out)
 		}
 		if err != nil {
@@ -44,13 +45,14 @@
 }
 
 // pass hands events to the caller, without those that it has already.
-func (u *run) pass(target string, resp *h1.Response, events []byte, out Stream, first func()) *failed {
-	fresh, last := after(events, u.lastID)
+func (u *run) pass(target string, resp *h1.Response, events []byte, out Stream, w watch) *failed {
+	fresh, last, n := after(events, u.lastID)
+	w.batch(n)
 	if !u.trace.Begun {
 		u.trace.Begun = true
 		u.trace.First = time.Since(u.c.Arrived)
 		out.Begin(resp.Status, resp.Header)
-		first()
+		w.first()
 	}
 	if len(fresh) == 0 {
 		return nil
@@ -59,7 +61,7 @@
 		return fail(failure.CallerGone, target, err)
 	}
 	if last != "" {
-		u.lastID, u.trace.LastEvent = last, last
+		u.lastID = last
 	}
 	return nil
 }
@@ -132,35 +134,28 @@
 	return end
 }
 
-// countEvents is the number of whole events.
-func countEvents(events []byte) int {
-	n := 0
-	for rest := events; len(rest) > 0; n++ {
-		rest = rest[firstEventEnd(rest):]
-	}
-	return n
-}
-
-// after returns the events that come after the one with id last, and the id of
-// the newest event. Ids that are numbers rise, by whatever step.
-func after(events []byte, last string) (fresh []byte, newest string) {
+// after returns the events that come after the one with id last, the id of the
+// newest event, and the number of all events. Ids that are numbers rise, by
+// whatever step.
+func after(events []byte, last string) (fresh []byte, newest string, n int) {
 	newest = last
 	had, known := number(last)
 	for rest := events; len(rest) > 0; {
 		one := rest[:firstEventEnd(rest)]
 		rest = rest[len(one):]
+		n++
 		id := eventID(one)
-		n, isNumber := number(id)
-		if isNumber && known && n <= had {
+		at, isNumber := number(id)
+		if isNumber && known && at <= had {
 			continue
 		}
 		fresh = append(fresh, one...)
 		if id != "" {
 			newest = id
-			had, known = n, isNumber
+			had, known = at, isNumber
 		}
 	}
-	return fresh, newest
+	return fresh, newest, n
 }
 
 func firstEventEnd(b []byte) int {
