dispatch, speed: quantiles once a value, one fading mean, one map of what is learnt

A quantile of 64 hints and ratios was sorted anew two to five times a call; it is kept now when a value comes in. An engine's slowness was a second fading mean, the pace's line was written three times, the fading maximum twice, and the map of usual prompts and of answer lengths were one function twice. No change of behaviour.

--- a/connection/speed/pace.go
+++ b/connection/speed/pace.go
@@ -39,7 +39,10 @@
 func (p Pace) Known() bool { return p.Samples >= paceKnownFrom && p.Each > 0 }
 
 // Gap is the time between two events while an engine runs that many streams.
-func (p Pace) Gap(streams int) time.Duration { return p.Alone + time.Duration(streams)*p.Each }
+func (p Pace) Gap(streams int) time.Duration { return time.Duration(p.at(float64(streams))) }
+
+// at is the same for a mean number of streams, in nanoseconds.
+func (p Pace) at(streams float64) float64 { return float64(p.Alone) + streams*float64(p.Each) }
 
 // Streams is the largest number of streams whose events come at most that far
 // apart, one at least.
@@ -56,14 +59,13 @@
 
 // slowness is how many times slower than the service's line an engine is.
 type slowness struct {
-	times float64
-	n     int
-	seen  time.Time
+	mean[float64]
+	seen time.Time
 }
 
 // noteEngine takes in a sample of one engine.
 func (f *paceFit) noteEngine(target string, streams float64, gap time.Duration) {
-	foreseen := float64(f.pace.Alone) + streams*float64(f.pace.Each)
+	foreseen := f.pace.at(streams)
 	if !f.pace.Known() || foreseen <= 0 {
 		return
 	}
@@ -74,18 +76,16 @@
 		e = &slowness{}
 		f.engines[target] = e
 	}
-	e.n++
 	e.seen = now
-	weight := max(1/float64(e.n), engineWeight)
-	e.times += weight * (min(float64(gap)/foreseen, maxSlowness) - e.times)
+	e.add(min(float64(gap)/foreseen, maxSlowness), engineWeight)
 }
 
 // of returns the pace of one engine.
 func (f *paceFit) of(target string) Pace {
 	p := f.pace
 	if e := f.engines[target]; e != nil && e.n >= ratioKnownFrom {
-		p.Alone = time.Duration(e.times * float64(p.Alone))
-		p.Each = time.Duration(e.times * float64(p.Each))
+		p.Alone = time.Duration(e.value * float64(p.Alone))
+		p.Each = time.Duration(e.value * float64(p.Each))
 	}
 	return p
 }
@@ -93,7 +93,7 @@
 func (f *paceFit) add(streams float64, gap time.Duration) {
 	y := float64(gap)
 	if f.pace.Known() {
-		y = min(y, paceClip*(float64(f.pace.Alone)+streams*float64(f.pace.Each)))
+		y = min(y, paceClip*f.pace.at(streams))
 	}
 	f.w = paceMemory*f.w + 1
 	f.x = paceMemory*f.x + streams
--- a/connection/speed/speed.go
+++ b/connection/speed/speed.go
@@ -43,10 +43,10 @@
 	return f
 }
 
-// ReadsSettled reports whether what a prompt asks of the engines can be told.
+// ReadsSettled reports whether what a prompt asks of the engines is known.
 func (f Figures) ReadsSettled() bool { return f.Reads >= ownFrom }
 
-// StreamsSettled reports whether what an answer asks of them can be told, too.
+// StreamsSettled reports whether what an answer asks of them is known, too.
 func (f Figures) StreamsSettled() bool { return f.Streams >= ownFrom }
 
 // Read is the time that an engine takes to read the last missing tokens of a
@@ -90,11 +90,11 @@
 
 type service struct {
 	fit    fit
-	first  mean
+	first  mean[time.Duration]
 	length ratio
 	pace   paceFit
-	stay   mean
-	less   mean
+	stay   mean[time.Duration]
+	less   mean[time.Duration]
 	spread time.Duration
 	own    Figures // of this process's own prompts
 	told   Figures // another process's, of the most prompts
@@ -207,16 +207,16 @@
 const stayWeight = 0.02
 
 // mean is a mean whose weights fade.
-type mean struct {
-	value time.Duration
+type mean[T time.Duration | float64] struct {
+	value T
 	n     int
 }
 
 // add takes in the newest value; its weight is least once there are 1/least.
-func (m *mean) add(d time.Duration, least float64) {
+func (m *mean[T]) add(v T, least float64) {
 	m.n++
 	weight := max(1/float64(m.n), least)
-	m.value += time.Duration(weight * float64(d-m.value))
+	m.value += T(weight * float64(v-m.value))
 }
 
 // Stream notes how long a whole stream took from its first event on, and how
--- a/request/dispatch/answer_length.go
+++ b/request/dispatch/answer_length.go
@@ -20,6 +20,7 @@
 	// longHint is the share of hints that are shorter than what counts as the
 	// longest answer.
 	longHint = 0.9
+	median   = 0.5
 	// paceMargin is the part of a stream's time in which it is planned to end.
 	paceMargin = 0.95
 )
@@ -36,8 +37,13 @@
 	left   time.Duration // the most time that a call has
 	events float64       // of the longest streams lately
 	output int           // tokens, the most that the last call allows
-	hints  ring
-	ratios ring // hinted tokens for each event
+	hints  ring          // longHint of these are shorter
+	ratios ring          // hinted tokens for each event; the median
+}
+
+// fading is the largest value lately, which fades with each smaller one.
+func fading[T time.Duration | float64](old, seen T) T {
+	return max(seen, old-T(longestDecay*float64(old-seen)))
 }
 
 // arrived notes a call: its hint and the most output that it allows, in tokens,
@@ -48,10 +54,10 @@
 	if l.since.IsZero() {
 		l.since = time.Now()
 	}
-	l.left = max(left, l.left-time.Duration(longestDecay*float64(l.left-left)))
+	l.left = fading(l.left, left)
 	l.output = output
 	if hint > 0 {
-		l.hints.add(float64(hint), hintsKept)
+		l.hints.add(float64(hint), hintsKept, longHint)
 	}
 }
 
@@ -60,9 +66,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := float64(events)
-	l.events = max(n, l.events-longestDecay*(l.events-n))
+	l.events = fading(l.events, n)
 	if whole && hint > 0 && events > 0 {
-		l.ratios.add(float64(hint)/n, ratiosKept)
+		l.ratios.add(float64(hint)/n, ratiosKept, median)
 	}
 }
 
@@ -72,7 +78,7 @@
 	if !l.since.IsZero() && time.Since(l.since) > 2*l.left {
 		return l.events
 	}
-	hint := l.hints.quantile(longHint)
+	hint := l.hints.quantile
 	if l.output > 0 {
 		hint = min(hint, float64(l.output))
 	}
@@ -85,7 +91,7 @@
 	if l.ratios.len() < ratiosKnown {
 		return 0
 	}
-	return hint / l.ratios.quantile(0.5)
+	return hint / l.ratios.quantile
 }
 
 // gap is the time between events at which the longest answers end in time, 0
@@ -108,28 +114,24 @@
 	return time.Duration(min(l.foreseen(float64(hint)), l.length()) * float64(gap))
 }
 
-// ring is the newest values of something.
+// ring is the newest values of something, and a quantile of them.
 type ring struct {
-	values []float64
-	next   int
+	values   []float64
+	next     int
+	quantile float64
 }
 
 func (r *ring) len() int { return len(r.values) }
 
-func (r *ring) add(v float64, most int) {
+// add takes in a value in place of the oldest of that many, and looks for the
+// quantile q anew: it is read more often than values come.
+func (r *ring) add(v float64, most int, q float64) {
 	if len(r.values) < most {
 		r.values = append(r.values, v)
-		return
-	}
-	r.values[r.next] = v
-	r.next = (r.next + 1) % most
-}
-
-// quantile returns 0 without values.
-func (r *ring) quantile(q float64) float64 {
-	if len(r.values) == 0 {
-		return 0
+	} else {
+		r.values[r.next] = v
+		r.next = (r.next + 1) % most
 	}
 	sorted := slices.Sorted(slices.Values(r.values))
-	return sorted[int(q*float64(len(sorted)-1))]
+	r.quantile = sorted[int(q*float64(len(sorted)-1))]
 }
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -97,14 +97,20 @@
 
 // usual returns what is usual for a service's prompts.
 func (r *Runner) usual(service string) *placement.Usual {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	u := r.usuals[service]
-	if u == nil {
-		u = &placement.Usual{}
-		r.usuals[service] = u
+	return learnt(&r.mu, r.usuals, service)
+}
+
+// learnt returns what is kept under a name, an empty one at first. Names come
+// from the configuration, so the map stays as small as their number.
+func learnt[T any](mu *sync.Mutex, kept map[string]*T, name string) *T {
+	mu.Lock()
+	defer mu.Unlock()
+	one := kept[name]
+	if one == nil {
+		one = new(T)
+		kept[name] = one
 	}
-	return u
+	return one
 }
 
 // Plain runs a call whose answer is passed on whole. The error is a
--- a/request/dispatch/pace.go
+++ b/request/dispatch/pace.go
@@ -13,17 +13,9 @@
 	gapEvents = 4
 )
 
-// answerLength returns what is known of a route's answers. Routes come from the
-// configuration, so the map stays as small as their number.
+// answerLength returns what is known of a route's answers.
 func (r *Runner) answerLength(route string) *answerLength {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	l := r.lengths[route]
-	if l == nil {
-		l = &answerLength{}
-		r.lengths[route] = l
-	}
-	return l
+	return learnt(&r.mu, r.lengths, route)
 }
 
 // bound sets for each engine how many streams it may run for the longest
