--- a/connection/engines/book.go
+++ b/connection/engines/book.go
@@ -27,7 +27,7 @@
 	Down    uint16 // daemons that can't reach it: 0 or 1 in one daemon's word, their number in a sum
 }
 
-// Idle reports whether there is nothing to be told of.
+// Idle reports whether there is nothing to report.
 func (w *Work) Idle() bool {
 	return w.Streams == 0 && w.Prompts == 0 && w.Becomes == "" && w.Down == 0
 }
--- a/connection/load/engine.go
+++ b/connection/load/engine.go
@@ -135,7 +135,7 @@
 	return unknown
 }
 
-// noteDeath reports whether the death of the present incarnation was news.
+// noteDeath reports whether the death of the present incarnation wasn't known.
 func (e *engine) noteDeath() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/process/membership/table.go
+++ b/process/membership/table.go
@@ -46,7 +46,7 @@
 	return &table{self: self, members: make(map[string]*entry), news: newNewsQueue(), limits: l}
 }
 
-// supersedes reports whether news a replaces b about the same VM: a later start
+// supersedes reports whether update a replaces b about the same VM: a later start
 // first, then a higher beat, then the worse state.
 func supersedes(a, b *peerpb.Member) bool {
 	if a.StartedMs != b.StartedMs {
@@ -72,7 +72,7 @@
 	}
 }
 
-// merge takes one piece of news in and reports whether it was new.
+// merge takes one update in and reports whether it was new.
 func (t *table) merge(now time.Duration, m *peerpb.Member) bool {
 	if m.GetId() == "" {
 		return false
