--- a/process/daemon/daemon_test.go
+++ b/process/daemon/daemon_test.go
@@ -44,9 +44,7 @@
 // publish; the drained target must get no work from that VM either. It reads
 // the records from its peers, and serves on, also when it is started anew.
 func TestCutOffFromTheLogOnly(t *testing.T) {
-	// Longer than a machine under load stalls the process, peers and all.
-	const isolation = 3 * time.Second
-	f := newFleetIsolated(t, 3, settings.TLS{}, isolation)
+	f := newFleet(t, 3, settings.TLS{})
 	p := f.plain()
 	f.inForce("feed", f.publish("feed", plainYAML(p.Addr(), time.Second)))
 	f.gates[0].cut()
--- a/process/daemon/fleet_test.go
+++ b/process/daemon/fleet_test.go
@@ -106,14 +106,8 @@
 	daemons []*Daemon
 	peers   string // port, the same on all
 	tls     settings.TLS
-
-	isolation time.Duration
 }
 
-// shortIsolation is the isolation time of a fleet whose daemons are to become
-// isolated. A process that is stalled for longer is isolated rightly.
-const shortIsolation = 400 * time.Millisecond
-
 // hostOf gives the IP number of daemon i, on loopback. Each test process has
 // numbers of its own: a daemon that starts again takes its old port, which
 // another run on the machine could have got meanwhile.
@@ -123,12 +117,7 @@
 }
 
 func newFleet(t *testing.T, n int, tls settings.TLS) *fleet {
-	return newFleetIsolated(t, n, tls, shortIsolation)
-}
-
-// newFleetIsolated is newFleet with daemons that are isolated after that time.
-func newFleetIsolated(t *testing.T, n int, tls settings.TLS, isolation time.Duration) *fleet {
-	f := &fleet{t: t, log: logsvc.New(logsvc.Options{}), tls: tls, daemons: make([]*Daemon, n), isolation: isolation}
+	f := &fleet{t: t, log: logsvc.New(logsvc.Options{}), tls: tls, daemons: make([]*Daemon, n)}
 	var vms []port.VM
 	for i := range n {
 		vms = append(vms, port.VM{ID: fmt.Sprintf("vm-%d", i), Addr: hostOf(i), Zone: "z"})
@@ -174,7 +163,7 @@
 	s.Platform = settings.Platform{Log: f.gates[i].url, VMs: f.vms.URL(), Weights: f.weights.URL()}
 	s.Control.Heartbeat = 40 * time.Millisecond
 	s.Control.DeadAfter = 250 * time.Millisecond
-	s.Control.Isolation = f.isolation
+	s.Control.Isolation = 400 * time.Millisecond
 	s.Control.Lease, s.Control.Drift = 500*time.Millisecond, 100*time.Millisecond
 	s.Control.AddressTTL, s.Control.LoadPoll = 150*time.Millisecond, 40*time.Millisecond
 	d, err := New(s)
--- a/request/entry/path_test.go
+++ b/request/entry/path_test.go
@@ -72,9 +72,6 @@
 	}
 }
 
-// stallPatience is a target's time for progress where silence is caused.
-const stallPatience = 3 * time.Second
-
 // underLoad loses the first two engines while callers check their answers.
 func underLoad(t *testing.T, engines []*engine.Engine, budget float64, lose func(*testing.T, *fixture, *load.Watcher, *engine.Engine, int)) {
 	var addrs []string
@@ -84,10 +81,6 @@
 	var w *load.Watcher
 	f := newFixture(t, addrs, nil, func(o *Options, d *document.Document) {
 		d.Retry.Budget = budget
-		// A machine under load stalls this process, engines and all: with a
-		// shorter time all answers would end as silent at once, and spend the
-		// budget.
-		o.First, o.Between, o.Write = stallPatience, stallPatience, stallPatience
 		if w == nil {
 			w = real(t, o)
 		}
