--- a/connection/h1/exchange.go
+++ b/connection/h1/exchange.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pomelospool/pomelospool/internal/watchdog"
 )
 
 // Request is one request to one target.
@@ -71,8 +73,9 @@
 	req     *Request
 	conn    *conn
 	ctx     context.Context
-	dog     *watchdog
-	stop    func() bool // ends the watch over the context
+	dog     *watchdog.Watchdog
+	cancel  context.CancelCauseFunc // of ctx
+	stop    func() bool             // ends the watch over the context
 	wrote   chan written
 	resp    *http.Response
 	ended   atomic.Bool // the body was read to its end
@@ -95,21 +98,22 @@
 // ctx ends or the target makes no progress in time, which tells most targets
 // to stop. The error is an *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	ctx, dog := newWatchdog(ctx, r)
+	ctx, dog, cancel := newWatchdog(ctx, r)
 	c, err := p.take(ctx, r)
 	if err != nil {
 		err = endOf(ctx, err)
-		dog.end()
+		dog.Disarm()
+		cancel(nil)
 		return nil, &Error{Err: err}
 	}
-	x := &exchange{pool: p, req: r, conn: c, ctx: ctx, dog: dog, wrote: make(chan written, 1)}
+	x := &exchange{pool: p, req: r, conn: c, ctx: ctx, dog: dog, cancel: cancel, wrote: make(chan written, 1)}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	x.write()
 	resp, err := x.read()
 	if err != nil {
 		return nil, x.abort(err)
 	}
-	dog.disarm()
+	dog.Disarm()
 	return resp, nil
 }
 
@@ -211,9 +215,9 @@
 }
 
 func (b *body) Read(p []byte) (int, error) {
-	b.x.dog.arm(b.patience())
+	b.x.dog.Arm(b.patience())
 	n, err := b.src.Read(p)
-	b.x.dog.disarm()
+	b.x.dog.Disarm()
 	b.begun = b.begun || n > 0
 	switch {
 	case errors.Is(err, io.EOF):
@@ -240,7 +244,7 @@
 	x := r.x
 	x.closing.Do(func() {
 		alive := x.stop()
-		x.dog.end()
+		x.release()
 		whole := false
 		select {
 		case w := <-x.wrote:
@@ -266,12 +270,18 @@
 	err = endOf(x.ctx, err)
 	x.silenced(err)
 	x.stop()
-	x.dog.end()
+	x.release()
 	_ = x.conn.Close()
 	w := <-x.wrote
 	return &Error{Err: err, Written: w.bytes > 0}
 }
 
+// release frees the watchdog and the context.
+func (x *exchange) release() {
+	x.dog.Disarm()
+	x.cancel(nil)
+}
+
 // silenced retires the target's connections if err says that one is silent.
 func (x *exchange) silenced(err error) {
 	if errors.Is(err, ErrSilent) {
--- a/connection/h1/pool.go
+++ b/connection/h1/pool.go
@@ -81,10 +81,7 @@
 		o.MaxIdle = defaultMaxIdle
 	}
 	if o.Dial == nil {
-		d := net.Dialer{Timeout: o.Connect, KeepAliveConfig: o.KeepAlive, Control: sock.UserTimeout(o.UserTimeout)}
-		o.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
-			return d.DialContext(ctx, "tcp", addr)
-		}
+		o.Dial = dialWithin(&net.Dialer{KeepAliveConfig: o.KeepAlive, Control: sock.UserTimeout(o.UserTimeout)}, o.Connect)
 	}
 	return &Pool{opts: o, idle: make(map[string][]*conn), retired: make(map[string]time.Time)}
 }
--- a/connection/h1/watchdog.go
+++ b/connection/h1/watchdog.go
@@ -3,50 +3,45 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"time"
+
+	"github.com/pomelospool/pomelospool/internal/watchdog"
 )
 
 // ErrSilent is the error of an exchange whose target made no progress in time.
 var ErrSilent = errors.New("no answer in time")
 
-// watchdog ends an exchange that makes no progress.
+// newWatchdog returns a context that is cancelled with ErrSilent when a wait of
+// the exchange exceeds its limit, and the watchdog, armed with r.First.
 //
 // An open connection can go silent for good while new ones work; the request
 // on it would wait for its whole deadline. The watchdog runs only while the
 // exchange waits for the target, so that a slow caller is not taken for a
 // silent target.
-type watchdog struct {
-	timer  *time.Timer // nil: none is asked for
-	cancel context.CancelCauseFunc
-}
-
-func newWatchdog(ctx context.Context, r *Request) (context.Context, *watchdog) {
+func newWatchdog(ctx context.Context, r *Request) (context.Context, *watchdog.Watchdog, context.CancelCauseFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	w := &watchdog{cancel: cancel}
-	if longest := max(r.First, r.Between); longest > 0 {
-		w.timer = time.AfterFunc(longest, func() { cancel(ErrSilent) })
-		w.arm(r.First)
-	}
-	if r.First <= 0 {
-		w.disarm()
-	}
-	return ctx, w
+	dog := watchdog.New(func() { cancel(ErrSilent) })
+	dog.Arm(r.First)
+	return ctx, dog, cancel
 }
 
-func (w *watchdog) arm(d time.Duration) {
-	if d > 0 {
-		w.timer.Reset(d)
-	}
-}
+// errConnectTimeout ends a dial that got no answer in time.
+var errConnectTimeout = errors.New("connect timeout")
 
-func (w *watchdog) disarm() {
-	if w.timer != nil {
-		w.timer.Stop()
+// dialWithin returns a dial function that ends after limit. The dialer's own
+// timeout would also end a dial that was answered while this process was
+// paused.
+func dialWithin(d *net.Dialer, limit time.Duration) func(ctx context.Context, addr string) (net.Conn, error) {
+	return func(ctx context.Context, addr string) (net.Conn, error) {
+		ctx, cancel := context.WithCancelCause(ctx)
+		dog := watchdog.New(func() { cancel(errConnectTimeout) })
+		dog.Arm(limit)
+		c, err := d.DialContext(ctx, "tcp", addr)
+		if dog.Disarm() && err != nil {
+			err = errConnectTimeout
+		}
+		cancel(nil)
+		return c, err
 	}
 }
-
-// end frees what the watchdog holds.
-func (w *watchdog) end() {
-	w.disarm()
-	w.cancel(nil)
-}
--- /dev/null
+++ b/internal/watchdog/watchdog.go
@@ -0,0 +1,133 @@
+// Package watchdog limits waits for a peer without counting the time in which
+// this process was paused.
+//
+// All timers of a process that was stopped, or that a busy machine didn't run,
+// expire at once when it continues, before it has read what its peers sent in
+// the meantime. Without the correction it takes its own pause for the silence
+// of everyone else.
+package watchdog
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// slices is the number of parts in which a limit is measured. A pause counts
+	// as one part at most.
+	slices = 4
+	// minLeft is the number of parts left after a pause, so that what arrived
+	// during the pause is read before the limit is reached.
+	minLeft = 2
+)
+
+// Watchdog calls a function when one wait exceeds its limit. It is safe for
+// concurrent use.
+type Watchdog struct {
+	expire func()
+
+	mu    sync.Mutex
+	timer *time.Timer // nil before the first wait
+	wait  wait
+}
+
+// New returns a Watchdog without a wait. expire is called with a lock held and
+// must not call the Watchdog.
+func New(expire func()) *Watchdog { return &Watchdog{expire: expire} }
+
+// Arm begins a wait of at most limit in place of the present one. A limit of 0
+// or less is none.
+func (w *Watchdog) Arm(limit time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.wait = newWait(limit, time.Now())
+	switch {
+	case limit <= 0:
+		w.stop()
+	case w.timer == nil:
+		w.timer = time.AfterFunc(w.wait.slice, w.fired)
+	default:
+		w.timer.Reset(w.wait.slice)
+	}
+}
+
+// Disarm ends the wait. It reports whether the limit was exceeded.
+func (w *Watchdog) Disarm() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stop()
+	expired := w.wait.expired
+	w.wait = wait{}
+	return expired
+}
+
+// stop stops the timer. Callers hold w.mu.
+func (w *Watchdog) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+func (w *Watchdog) fired() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if !w.wait.running(now) {
+		return
+	}
+	if w.wait.next(now) {
+		w.expire()
+		return
+	}
+	w.timer.Reset(w.wait.due.Sub(now))
+}
+
+// wait is one wait, measured in slices.
+type wait struct {
+	slice   time.Duration
+	due     time.Time // end of the present slice
+	left    int       // slices after the present one
+	expired bool
+}
+
+func newWait(limit time.Duration, now time.Time) wait {
+	if limit <= 0 {
+		return wait{}
+	}
+	slice := max(limit/slices, 1)
+	return wait{slice: slice, due: now.Add(slice), left: slices - 1}
+}
+
+// running reports whether a slice of the wait ended by now. A timer that fired
+// as the wait ended or another began finds none.
+func (w *wait) running(now time.Time) bool {
+	return w.slice > 0 && !w.expired && !now.Before(w.due)
+}
+
+// next begins the slice after one that ended by now. It reports whether the
+// limit is exceeded instead.
+func (w *wait) next(now time.Time) bool {
+	if paused := now.Sub(w.due) > w.slice/2; paused {
+		w.left = max(w.left, minLeft)
+	}
+	if w.left == 0 {
+		w.expired = true
+		return true
+	}
+	w.left--
+	w.due = now.Add(w.slice)
+	return false
+}
+
+// WithTimeout returns a context that is cancelled with the cause
+// context.DeadlineExceeded once this process ran for limit.
+func WithTimeout(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	w := New(func() { cancel(context.DeadlineExceeded) })
+	w.Arm(limit)
+	return ctx, func() {
+		w.Disarm()
+		cancel(nil)
+	}
+}
