--- a/request/entry/plainanswer.go
+++ b/request/entry/plainanswer.go
@@ -12,6 +12,7 @@
 	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/attempt"
 	"github.com/pomelospool/pomelospool/request/failure"
+	"github.com/pomelospool/pomelospool/request/limit"
 )
 
 // plainAnswer receives the answer of a plain service. It holds back up to
@@ -58,14 +59,13 @@
 		r.w.Header().Set("Content-Length", n)
 	}
 	r.w.WriteHeader(r.status)
-	out := &stallWriter{dst: r.w, ctl: http.NewResponseController(r.w), stall: r.stall}
-	defer out.clear()
+	out := limit.NewWriter(r.w, r.stall)
 	if _, err := out.Write(r.held); err != nil {
 		return &failure.Failure{Class: failure.CallerGone, Target: a.Target, Err: err}
 	}
 	r.held = nil
 	_, err := io.Copy(out, a.Body)
-	if err != nil && errors.Is(err, out.err) {
+	if err != nil && errors.Is(err, out.Err()) {
 		return &failure.Failure{Class: failure.CallerGone, Target: a.Target, Err: err}
 	}
 	return err
@@ -78,20 +78,3 @@
 	maps.Copy(h, without(r.header))
 	h.Set(answer.HeaderCode, strconv.Itoa(int(c)))
 }
-
-// stallWriter gives each write to a caller its own deadline.
-type stallWriter struct {
-	dst   io.Writer
-	ctl   *http.ResponseController
-	stall time.Duration
-	err   error
-}
-
-func (s *stallWriter) Write(p []byte) (int, error) {
-	_ = s.ctl.SetWriteDeadline(time.Now().Add(s.stall))
-	n, err := s.dst.Write(p)
-	s.err = err
-	return n, err
-}
-
-func (s *stallWriter) clear() { _ = s.ctl.SetWriteDeadline(time.Time{}) }
--- a/request/ingress/answer.go
+++ b/request/ingress/answer.go
@@ -10,6 +10,7 @@
 	"github.com/pomelospool/pomelospool/internal/hop"
 	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/dispatch"
+	"github.com/pomelospool/pomelospool/request/limit"
 )
 
 // writeStall is how long a caller may take no byte of a stream. Callers give a
@@ -53,14 +54,10 @@
 
 // Write implements dispatch.Stream.
 func (x *exchange) Write(events []byte) error {
-	ctl := http.NewResponseController(x.w)
-	if err := ctl.SetWriteDeadline(time.Now().Add(writeStall)); err != nil {
-		return err
+	if x.out == nil {
+		x.out = limit.NewWriter(x.w, writeStall)
 	}
-	if _, err := x.w.Write(events); err != nil {
-		return err
-	}
-	return ctl.Flush()
+	return x.out.Send(events)
 }
 
 // fail answers with an error's code, if no header went out yet.
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -113,7 +113,8 @@
 	ask     port.Ask
 	trace   dispatch.Trace
 	status  int
-	begun   bool // the header of a target's answer went out
+	begun   bool          // the header of a target's answer went out
+	out     *limit.Writer // of a stream's events; nil before the first
 }
 
 // read reads and checks the request.
--- a/request/limit/limit.go
+++ b/request/limit/limit.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/watchdog"
 )
 
 // Streams counts the open requests of each caller. The map holds callers with
@@ -47,8 +48,8 @@
 // ReadBody reads the whole body of req within max bytes and wait.
 //
 // A caller that sends its body a byte at a time holds a connection and memory
-// for as long as it pleases; the read deadline covers the whole body, so
-// dripping bytes doesn't extend it.
+// for as long as it pleases; the limit covers the whole body, so dripping bytes
+// doesn't extend it. A pause of this process doesn't count.
 func ReadBody(w http.ResponseWriter, req *http.Request, max int64, wait time.Duration) ([]byte, error) {
 	if req.ContentLength == 0 && len(req.TransferEncoding) == 0 {
 		return nil, nil
@@ -58,8 +59,10 @@
 	}
 	// Deadlines fail on writers without a connection only, as in tests.
 	ctl := http.NewResponseController(w)
-	_ = ctl.SetReadDeadline(time.Now().Add(wait))
+	dog := watchdog.New(func() { _ = ctl.SetReadDeadline(past) })
+	dog.Arm(wait)
 	body, err := readAll(http.MaxBytesReader(w, req.Body, max), req.ContentLength)
+	expired := dog.Disarm()
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, code.New(code.BodyTooLarge, "at most %d bytes", max)
@@ -67,7 +70,9 @@
 	if err != nil {
 		return nil, code.Wrap(code.BadRequest, err, "the body ended early")
 	}
-	_ = ctl.SetReadDeadline(time.Time{})
+	if expired {
+		_ = ctl.SetReadDeadline(time.Time{})
+	}
 	return body, nil
 }
 
--- a/request/stream/writer.go
+++ b/request/stream/writer.go
@@ -5,11 +5,13 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/pomelospool/pomelospool/request/limit"
 )
 
 var errClosed = errors.New("stream writer closed")
 
-// Writer writes events to a caller. It holds at most about limit bytes, then
+// Writer writes events to a caller. It holds at most about maxBytes bytes, then
 // makes the target wait; a caller that takes nothing for the write timeout is
 // cut off.
 //
@@ -18,10 +20,8 @@
 // read. Two buffers of half the limit swap places: one fills while the other
 // is written, so the bound holds whatever the caller does.
 type Writer struct {
-	dst     http.ResponseWriter
-	ctl     *http.ResponseController
+	dst     *limit.Writer
 	limit   int
-	timeout time.Duration
 	gone    func(error)
 	stopped chan struct{}
 
@@ -34,12 +34,10 @@
 
 // NewWriter returns a Writer to dst, whose header is already set. It calls
 // gone once when the caller can't be written to.
-func NewWriter(dst http.ResponseWriter, limit int, timeout time.Duration, gone func(error)) *Writer {
+func NewWriter(dst http.ResponseWriter, maxBytes int, timeout time.Duration, gone func(error)) *Writer {
 	w := &Writer{
-		dst:     dst,
-		ctl:     http.NewResponseController(dst),
-		limit:   limit / 2,
-		timeout: timeout,
+		dst:     limit.NewWriter(dst, timeout),
+		limit:   maxBytes / 2,
 		gone:    gone,
 		stopped: make(chan struct{}),
 	}
@@ -85,11 +83,9 @@
 	for {
 		buf := w.swap(spare)
 		if buf == nil {
-			// net/http keeps the deadline for the connection's next request.
-			_ = w.ctl.SetWriteDeadline(time.Time{})
 			return
 		}
-		if err := w.write(buf); err != nil {
+		if err := w.dst.Send(buf); err != nil {
 			w.fail(err)
 			return
 		}
@@ -113,15 +109,6 @@
 	return buf
 }
 
-func (w *Writer) write(buf []byte) error {
-	// A ResponseWriter without deadlines, as in tests, has no slow caller.
-	_ = w.ctl.SetWriteDeadline(time.Now().Add(w.timeout))
-	if _, err := w.dst.Write(buf); err != nil {
-		return err
-	}
-	return w.ctl.Flush()
-}
-
 func (w *Writer) fail(err error) {
 	w.mu.Lock()
 	w.err = err
