--- a/process/daemon/control.go
+++ b/process/daemon/control.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"errors"
 	"maps"
 	"math"
@@ -177,8 +178,18 @@
 // what is in force. With the log it knows. Without it, peers that are at
 // least half of the fleet would have told it. Otherwise it may be cut off
 // while operators drain a target or publish, and would send work where none
-// may go; it refuses, and callers have other addresses.
+// may go; it rejects, and callers have other addresses. A daemon that was
+// paused waits for its peers first.
 func (d *Daemon) isolated() bool {
+	if !d.outOfContact() {
+		return false
+	}
+	d.members.AwaitContact(d.tomb.Context(context.Background()))
+	return d.outOfContact()
+}
+
+// outOfContact is isolated as known at this moment.
+func (d *Daemon) outOfContact() bool {
 	if d.logAge() < d.s.Control.Isolation {
 		return false
 	}
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -70,6 +70,7 @@
 	table    *table
 	schedule *schedule
 	lastTick time.Duration
+	resumed  time.Duration // first round after the last pause, 0 before one
 
 	lastList time.Duration
 	nextFull time.Duration // when all members are asked for
@@ -168,11 +169,11 @@
 // round advances the table and sends one probe.
 func (m *Membership) round() {
 	now := m.o.Now()
-	paused := now-m.lastTick > 2*m.o.Period+m.o.DeadAfter/2
-	m.lastTick = now
-	if paused {
-		m.o.Log.Warn("membership: paused")
+	if m.pausedBetween(m.lastTick, now) {
+		m.resumed = now
+		m.o.Log.WithField("ms", (now - m.lastTick).Milliseconds()).Warn("membership: paused")
 	}
+	m.lastTick = now
 	for _, e := range m.table.tick(now) {
 		m.confirm(e)
 	}
@@ -188,6 +189,3 @@
 func (m *Membership) Leave() {
 	m.do(m.table.leave)
 }
-
-// PeerAge returns how long ago any peer last answered or asked.
-func (m *Membership) PeerAge() time.Duration { return m.o.Now() - m.view.Load().PeerContact }
--- a/process/membership/view.go
+++ b/process/membership/view.go
@@ -12,7 +12,9 @@
 type View struct {
 	Self        *peerpb.Member
 	Members     []Seen
-	PeerContact time.Duration // local time of the last word from any peer
+	PeerContact time.Duration // local time of the last message from any peer
+	Round       time.Duration // local time of the last round
+	Resumed     time.Duration // local time of the first round after a pause of this process, 0 before one
 }
 
 // Seen is one other member.
@@ -29,7 +31,7 @@
 func (m *Membership) View() *View { return m.view.Load() }
 
 func (m *Membership) publish() {
-	v := &View{Self: cloneMember(m.table.self), PeerContact: m.peers.last}
+	v := &View{Self: cloneMember(m.table.self), PeerContact: m.peers.last, Round: m.lastTick, Resumed: m.resumed}
 	for _, e := range m.table.members {
 		v.Members = append(v.Members, Seen{
 			Member:  cloneMember(e.m),
