--- a/process/front/front.go
+++ b/process/front/front.go
@@ -184,6 +184,7 @@
 			CallerAddr:  d.s.Listen.Callers,
 			PeerAddr:    addr,
 			Zone:        d.s.Zone,
+			LinkMbps:    uint32(d.s.LinkMbps),
 		},
 		Store:     d.store,
 		Book:      d.engines,
--- a/process/roster/aggregate.go
+++ b/process/roster/aggregate.go
@@ -114,13 +114,17 @@
 }
 
 // aggregators returns the addresses of the aggregators of a zone, as far as
-// this one knows: the first ones by name. Callers hold r.mu.
+// this one knows. Callers hold r.mu.
 func (r *Roster) aggregators(zone string, now time.Time) []string {
 	return r.firstOf(zone, aggregatorsPerZone, now)
 }
 
-// firstOf returns the first daemons of a zone by name that may aggregate. Callers
-// hold r.mu.
+// firstOf returns the first daemons of a zone that may aggregate: those with the
+// widest links, then by name. Callers hold r.mu.
+//
+// Digests to the daemons of a zone of 70 fill a link of 20 Mbit/s while many
+// daemons change their state. A daemon behind it reads neither the store nor its
+// peers in time, and goes on sending requests to targets that have left.
 func (r *Roster) firstOf(zone string, n int, now time.Time) []string {
 	var found []*Member
 	for _, p := range r.peers {
@@ -131,7 +135,9 @@
 	if zone == r.self.Zone && r.self.State != Leaving {
 		found = append(found, &r.self)
 	}
-	slices.SortFunc(found, func(a, b *Member) int { return cmp.Compare(a.VM, b.VM) })
+	slices.SortFunc(found, func(a, b *Member) int {
+		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(a.VM, b.VM))
+	})
 	var out []string
 	for _, m := range found[:min(len(found), n)] {
 		out = append(out, m.PeerAddr)
--- a/process/roster/aggregate_test.go
+++ b/process/roster/aggregate_test.go
@@ -453,3 +453,30 @@
 		t.Error("a daemon that was started again isn't believed")
 	}
 }
+
+// TestDaemonsBehindWideLinksAggregate guards against a daemon whose own reads
+// starve behind the digests that it sends over a narrow link.
+func TestDaemonsBehindWideLinksAggregate(t *testing.T) {
+	const narrow, wide = 20, 200
+	synctest.Test(t, func(t *testing.T) {
+		d := newDaemons()
+		defer d.stop()
+		for vm := 1; vm <= 30; vm++ {
+			link := uint32(narrow)
+			if vm >= 20 {
+				link = wide
+			}
+			d.addBehind(vm, 1, link)
+		}
+		rest(6 * time.Second)
+		for i, r := range d.all {
+			r.mu.Lock()
+			on := r.agg.on
+			r.mu.Unlock()
+			if want := i+1 == 20 || i+1 == 21; on != want {
+				t.Errorf("daemon %d aggregates: %v", i+1, on)
+			}
+		}
+		d.expect(t, len(d.all), "fleet with two kinds of links", nil)
+	})
+}
--- a/process/roster/announce.go
+++ b/process/roster/announce.go
@@ -17,8 +17,9 @@
 
 // entry is what a daemon writes of itself into the store, under its VM's name.
 type entry struct {
-	Addr string `json:"addr"` // for the other daemons
-	Zone string `json:"zone"`
+	Addr     string `json:"addr"` // for the other daemons
+	Zone     string `json:"zone"`
+	LinkMbps uint32 `json:"link_mbps,omitempty"`
 }
 
 // announce writes this daemon into the store and learns the others from it.
@@ -26,7 +27,7 @@
 // the first, and its beat tells the other.
 func (r *Roster) announce() error {
 	ctx := r.tomb.Context(context.Background())
-	value, err := json.Marshal(entry{Addr: r.o.Self.PeerAddr, Zone: r.o.Self.Zone})
+	value, err := json.Marshal(entry{Addr: r.o.Self.PeerAddr, Zone: r.o.Self.Zone, LinkMbps: r.o.Self.LinkMbps})
 	if err != nil {
 		return fmt.Errorf("roster: own entry: %w", err)
 	}
@@ -64,7 +65,7 @@
 				log.WithError(err).WithField("vm", rec.Key).Warn("roster: entry can't be read")
 				continue
 			}
-			r.learn(Member{VM: rec.Key, PeerAddr: e.Addr, Zone: e.Zone})
+			r.learn(Member{VM: rec.Key, PeerAddr: e.Addr, Zone: e.Zone, LinkMbps: e.LinkMbps})
 		}
 		r.mu.Unlock()
 		if !page.More || len(page.Records) == 0 {
--- a/process/roster/readers.go
+++ b/process/roster/readers.go
@@ -18,10 +18,9 @@
 
 // Readers returns the peer addresses of the daemons that read the store for
 // this one, the one to ask first, and another. There are none in a small fleet,
-// and for the last two daemons of a zone by name, which read the store. The
-// first two are the zone's aggregators: while a fleet starts, what they tell
-// fills a link of 20 Mbit a second for seconds, and readers that share it answer
-// late.
+// and for the last two daemons of a zone by name, which read the store.
+// Aggregators come first by name among those with the widest links: what they
+// send fills a narrow link for seconds, and readers that share it answer late.
 //
 // One that only starts counts too, and while this one starts any that is listed
 // in the store. Otherwise, while a fleet starts, each daemon would list and read
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -71,7 +71,8 @@
 	PeerAddr    string
 	Zone        string
 	State       State
-	StoreAway   bool // it can't read the store now
+	StoreAway   bool   // it can't read the store now
+	LinkMbps    uint32 // bandwidth of its VM's link in Mbit/s, 0: not known
 }
 
 // Options of a Roster.
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -153,6 +153,11 @@
 func (d *daemons) zone(vm int) string { return fmt.Sprint("z", vm%max(d.zones, 1)) }
 
 func (d *daemons) add(vm int, incarnation uint64) *Roster {
+	return d.addBehind(vm, incarnation, 0)
+}
+
+// addBehind adds a daemon behind a link of that bandwidth.
+func (d *daemons) addBehind(vm int, incarnation uint64, linkMbps uint32) *Roster {
 	addr := peerAddr(vm)
 	var r *Roster
 	book := engines.New(time.Now, func(w engines.Work) {
@@ -163,7 +168,7 @@
 	r, err := New(Options{
 		Self: Member{
 			VM: fmt.Sprintf("vm%03d", vm), Incarnation: incarnation, Zone: d.zone(vm),
-			CallerAddr: fmt.Sprintf("10.0.%d.%d:80", vm/250, vm%250), PeerAddr: addr,
+			CallerAddr: fmt.Sprintf("10.0.%d.%d:80", vm/250, vm%250), PeerAddr: addr, LinkMbps: linkMbps,
 		},
 		Claims: &claimBook{}, Speeds: speed.NewBook(), Demand: demand.New(time.Now),
 		Store: d.store, Book: book, TTL: time.Second, StoreAway: d.away.Load, Conn: d.w.end(addr),
--- a/process/settings/load.go
+++ b/process/settings/load.go
@@ -31,6 +31,7 @@
 	maxConnections = 1 << 20
 	minBufferBytes = 4 << 10
 	maxBufferBytes = 64 << 20
+	maxLinkMbps    = 1_000_000.0
 )
 
 // heartbeatsToDead is how many heartbeats must at least fit into dead_after:
@@ -119,6 +120,7 @@
 	if f.Has("zone") {
 		f.Name("zone", s.Zone, false)
 	}
+	yamlcheck.Range(f, "link_mbps", s.LinkMbps, 0, maxLinkMbps)
 	if f.Has("listen") {
 		checkListen(f, s.Listen)
 	}
--- a/process/settings/types.go
+++ b/process/settings/types.go
@@ -7,8 +7,11 @@
 // Settings of one daemon. A process learns its addresses and availability
 // zone from here.
 type Settings struct {
-	VM       string   `yaml:"vm"`   // id in the VM list
-	Zone     string   `yaml:"zone"` // availability zone
+	VM   string `yaml:"vm"`   // id in the VM list
+	Zone string `yaml:"zone"` // availability zone
+	// LinkMbps is the bandwidth of the VM's link in Mbit/s; 0: not known. The
+	// daemons with the widest links sum up what the others report.
+	LinkMbps float64  `yaml:"link_mbps,omitempty"`
 	Listen   Listen   `yaml:"listen"`
 	Platform Platform `yaml:"platform,omitempty"`
 	// Store is set where the platform keeps configuration and targets in one
