--- a/process/roster/beat.go
+++ b/process/roster/beat.go
@@ -113,6 +113,7 @@
 	b.Work, b.Reads = r.o.Book.Own()
 	now := time.Now()
 	r.mu.Lock()
+	r.paused.tick(now)
 	r.seq++
 	r.self.StoreAway = r.o.StoreAway()
 	b.Member, b.Seq = r.self, r.seq
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -104,6 +104,7 @@
 	tokens map[uint32]string // peer address by the token that stands for a daemon's process
 	told   []told            // own beats of lately, the newest last
 	agg    aggregation
+	paused pauses
 	// listedAt is when the store's list of daemons was read, zero before.
 	listedAt time.Time
 
@@ -177,7 +178,7 @@
 	defer r.mu.Unlock()
 	var out []Member
 	for _, p := range r.peers {
-		if p.alive(now, r.patience()) {
+		if r.lives(p, now) {
 			out = append(out, p.member)
 		}
 	}
@@ -261,7 +262,7 @@
 // serving returns the daemons that take requests.
 func (r *Roster) serving() []address.Member {
 	now := time.Now()
-	return r.forCallers(func(p *peer) bool { return p.alive(now, r.patience()) })
+	return r.forCallers(func(p *peer) bool { return r.lives(p, now) })
 }
 
 // heardLately returns the same with those that have fallen silent since.
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -140,12 +140,13 @@
 
 // daemons is a fleet of rosters.
 type daemons struct {
-	w     *wires
-	store *list
-	away  atomic.Bool
-	zones int // availability zones, 0: one
-	all   []*Roster
-	books []*engines.Book
+	w      *wires
+	store  *list
+	away   atomic.Bool
+	zones  int // availability zones, 0: one
+	all    []*Roster
+	books  []*engines.Book
+	claims []*claimBook
 }
 
 func peerAddr(vm int) string { return fmt.Sprintf("10.0.%d.%d:7000", vm/250, vm%250) }
@@ -165,12 +166,13 @@
 			r.Changed(w)
 		}
 	})
+	claims := &claimBook{}
 	r, err := New(Options{
 		Self: Member{
 			VM: fmt.Sprintf("vm%03d", vm), Incarnation: incarnation, Zone: d.zone(vm),
 			CallerAddr: fmt.Sprintf("10.0.%d.%d:80", vm/250, vm%250), PeerAddr: addr, LinkMbps: linkMbps,
 		},
-		Claims: &claimBook{}, Speeds: speed.NewBook(), Demand: demand.New(time.Now),
+		Claims: claims, Speeds: speed.NewBook(), Demand: demand.New(time.Now),
 		Store: d.store, Book: book, TTL: time.Second, StoreAway: d.away.Load, Conn: d.w.end(addr),
 	})
 	if err != nil {
@@ -178,7 +180,7 @@
 	}
 	r.Start()
 	r.SetState(Ready)
-	d.all, d.books = append(d.all, r), append(d.books, book)
+	d.all, d.books, d.claims = append(d.all, r), append(d.books, book), append(d.claims, claims)
 	return r
 }
 
@@ -262,6 +264,41 @@
 	})
 }
 
+// pause stops a daemon for that long: it sends and receives nothing.
+func (d *daemons) pause(vm int, long time.Duration) {
+	asleep := make(chan struct{})
+	d.claims[vm-1].asleep.Store(&asleep)
+	d.w.setCut(peerAddr(vm), true)
+	_ = pause.For(context.Background(), long)
+	d.w.setCut(peerAddr(vm), false)
+	d.claims[vm-1].asleep.Store(nil)
+	close(asleep)
+}
+
+// TestPausedDaemonStillNamesTheOthers guards against callers that are all sent
+// to one daemon because it heard of no other while it was paused itself.
+func TestPausedDaemonStillNamesTheOthers(t *testing.T) {
+	for _, n := range []int{3, 30} {
+		withFleet(t, n, func(t *testing.T, d *daemons) {
+			_ = pause.For(context.Background(), 4*time.Second)
+			d.pause(n, 5*time.Second)
+			if got := addrs(d.all[n-1]); got != n {
+				t.Errorf("%d of %d addresses after the pause", got, n)
+			}
+			_ = pause.For(context.Background(), 2*settleAfterPause)
+			if got := addrs(d.all[n-1]); got != n {
+				t.Errorf("%d of %d addresses some time later", got, n)
+			}
+			d.w.setCut(peerAddr(1), true)
+			d.pause(n, 5*time.Second)
+			_ = pause.For(context.Background(), settleAfterPause+beatEvery)
+			if got := addrs(d.all[n-1]); got != n-1 {
+				t.Errorf("%d of %d addresses though one died during the pause", got, n)
+			}
+		})
+	}
+}
+
 // A daemon that was started again while its clock stood further back would
 // stay unknown to the others for good.
 func TestRestartWithAnEarlierClock(t *testing.T) {
@@ -340,9 +377,18 @@
 }
 
 // claimBook notes what is heard of claims.
-type claimBook struct{ told, heard []Claim }
+type claimBook struct {
+	told, heard []Claim
+	asleep      atomic.Pointer[chan struct{}] // nil: awake
+}
 
-func (c *claimBook) Told() []Claim    { return c.told }
+// Told blocks while the daemon sleeps, so that it sends nothing.
+func (c *claimBook) Told() []Claim {
+	if asleep := c.asleep.Load(); asleep != nil {
+		<-*asleep
+	}
+	return c.told
+}
 func (c *claimBook) Heard(cs []Claim) { c.heard = append(c.heard, cs...) }
 
 // What a daemon knows of claims gets lost between it and the others, and the
