--- a/request/dispatch/failure.go
+++ b/request/dispatch/failure.go
@@ -22,15 +22,16 @@
 	return &failed{Failure: &failure.Failure{Class: class, Target: target, Err: err}}
 }
 
-// outcome is what the failure says of the target.
+// outcome is what the failure says of the target. It reports false if the call
+// ended on the caller's side: by its leaving or by its deadline.
 func (f *failed) outcome() (health.Outcome, bool) {
 	switch {
+	case f.Final():
+		return health.OK, false
 	case f.Unwritten || f.Class == failure.Silent:
 		return health.Unreachable, true
 	case f.Class == failure.NotRun:
 		return health.Refused, true
-	case f.Final():
-		return health.OK, false
 	}
 	return health.Failed, true
 }
--- a/request/dispatch/plain_test.go
+++ b/request/dispatch/plain_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/platform/standin"
 	"github.com/pomelospool/pomelospool/version/route"
@@ -211,3 +213,36 @@
 		}
 	})
 }
+
+// TestCallerThatLeavesDoesNotEjectTheTarget guards against sound targets that get
+// no requests because callers left while a connection was being opened.
+func TestCallerThatLeavesDoesNotEjectTheTarget(t *testing.T) {
+	for name, end := range map[string]struct {
+		leaves  time.Duration // 0: the caller stays
+		timeout time.Duration
+	}{
+		"leaves":   {leaves: 10 * time.Millisecond, timeout: time.Second},
+		"deadline": {timeout: 10 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withRig(t, 100, func(t *testing.T, r *rig) {
+				r.add("app", "")
+				r.runner.opts.Pool = h1.New(h1.Options{Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if end.leaves > 0 {
+					time.AfterFunc(end.leaves, cancel)
+				}
+				if _, _, err := r.runner.Plain(ctx, r.call(route.Safe, 2, end.timeout)); err == nil {
+					t.Fatal("answered")
+				}
+				if r.runner.opts.Health.Benched("app0") {
+					t.Error("the target is ejected")
+				}
+			})
+		})
+	}
+}
