--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -378,8 +378,8 @@
 
 // claimBook notes what is heard of claims.
 type claimBook struct {
-	told, heard []Claim
-	asleep      atomic.Pointer[chan struct{}] // nil: awake
+	own, received []Claim
+	asleep        atomic.Pointer[chan struct{}] // nil: awake
 }
 
 // Told blocks while the daemon sleeps, so that it sends nothing.
@@ -387,9 +387,9 @@
 	if asleep := c.asleep.Load(); asleep != nil {
 		<-*asleep
 	}
-	return c.told
+	return c.own
 }
-func (c *claimBook) Heard(cs []Claim) { c.heard = append(c.heard, cs...) }
+func (c *claimBook) Heard(cs []Claim) { c.received = append(c.received, cs...) }
 
 // What a daemon knows of claims gets lost between it and the others, and the
 // next holder waits for a lease that is long over.
@@ -407,8 +407,8 @@
 	if err := r.open(data, &net.UDPAddr{}); err != nil {
 		t.Fatal(err)
 	}
-	if len(book.heard) != 1 || book.heard[0] != want {
-		t.Errorf("heard %+v", book.heard)
+	if len(book.received) != 1 || book.received[0] != want {
+		t.Errorf("heard %+v", book.received)
 	}
 }
 
