--- a/process/roster/paused.go
+++ b/process/roster/paused.go
@@ -1,6 +1,10 @@
 package roster
 
-import "time"
+import (
+	"time"
+
+	"github.com/apex/log"
+)
 
 const (
 	// pausedAfter is the time without a beat of its own after which a daemon was
@@ -25,6 +29,7 @@
 func (p *pauses) tick(now time.Time) {
 	if p.pausing(now) {
 		p.began, p.ended = p.running, now
+		log.WithField("ms", now.Sub(p.began).Milliseconds()).Warn("roster: paused")
 	}
 	p.running = now
 }
