--- a/connection/h1/watchdog.go
+++ b/connection/h1/watchdog.go
@@ -26,22 +26,17 @@
 	return ctx, dog, cancel
 }
 
-// errConnectTimeout ends a dial that got no answer in time.
-var errConnectTimeout = errors.New("connect timeout")
-
 // dialWithin returns a dial function that ends after limit. The dialer's own
 // timeout would also end a dial that was answered while this process was
 // paused.
 func dialWithin(d *net.Dialer, limit time.Duration) func(ctx context.Context, addr string) (net.Conn, error) {
 	return func(ctx context.Context, addr string) (net.Conn, error) {
-		ctx, cancel := context.WithCancelCause(ctx)
-		dog := watchdog.New(func() { cancel(errConnectTimeout) })
-		dog.Arm(limit)
+		ctx, cancel := watchdog.WithTimeout(ctx, limit)
+		defer cancel()
 		c, err := d.DialContext(ctx, "tcp", addr)
-		if dog.Disarm() && err != nil {
-			err = errConnectTimeout
+		if err != nil {
+			err = endOf(ctx, err)
 		}
-		cancel(nil)
 		return c, err
 	}
 }
--- a/internal/watchdog/watchdog.go
+++ b/internal/watchdog/watchdog.go
@@ -41,15 +41,17 @@
 func (w *Watchdog) Arm(limit time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.wait = newWait(limit, time.Now())
-	switch {
-	case limit <= 0:
+	if limit <= 0 {
 		w.stop()
-	case w.timer == nil:
+		w.wait = wait{}
+		return
+	}
+	w.wait = newWait(limit, time.Now())
+	if w.timer == nil {
 		w.timer = time.AfterFunc(w.wait.slice, w.fired)
-	default:
-		w.timer.Reset(w.wait.slice)
+		return
 	}
+	w.timer.Reset(w.wait.slice)
 }
 
 // Disarm ends the wait. It reports whether the limit was exceeded.
@@ -92,9 +94,6 @@
 }
 
 func newWait(limit time.Duration, now time.Time) wait {
-	if limit <= 0 {
-		return wait{}
-	}
 	slice := max(limit/slices, 1)
 	return wait{slice: slice, due: now.Add(slice), left: slices - 1}
 }
