ingress: check callers' API keys and name their organisation to targets

Cause: the configuration's organisations and keys weren't read at all.

A request on a route that isn't public needs exactly one bearer token of an organisation; it is checked before the body is read and answered with 401 and WWW-Authenticate otherwise. The target gets the organisation's name, never the key, and a name that the caller sent is dropped on every route. The organisation's priority goes before the route's. A daemon whose configuration wasn't confirmed within the bound for a new version answers 503 to an unknown key: callers take a 401 for final, and the key may be newer than what this daemon knows.

Ruled out: a second look-up of the store before a 401. The long poll confirms the version all the time, and a flood of false keys would cost calls.

--- a/code/table.go
+++ b/code/table.go
@@ -22,6 +22,9 @@
 	NoConfiguration  Code = 1014
 	TooManyConns     Code = 1015
 	UnknownRoute     Code = 1016
+	Unauthorized     Code = 1017
+
+	StaleConfiguration Code = 1018
 
 	NoTarget          Code = 2001
 	TargetUnreachable Code = 2002
@@ -82,6 +85,8 @@
 	{NoConfiguration, "NO_CONFIGURATION", http.StatusServiceUnavailable, true, "The daemon has started but has not yet read what is in force.", "Use another address from the list, or come back after Retry-After."},
 	{TooManyConns, "TOO_MANY_CONNECTIONS", http.StatusServiceUnavailable, true, "The daemon has as many connections as it takes.", "Use another address from the list."},
 	{UnknownRoute, "UNKNOWN_ROUTE", http.StatusNotFound, true, "The configuration in force has no route for this host and path.", "Check the host and the path, or publish the route."},
+	{Unauthorized, "UNAUTHORIZED", http.StatusUnauthorized, true, "The route needs an API key, and the configuration in force has no organisation with the one that was sent.", "Send one key of an organisation as a bearer token."},
+	{StaleConfiguration, "STALE_CONFIGURATION", http.StatusServiceUnavailable, true, "The API key is unknown to this daemon, which can't read the newest configuration.", "Use another address from the list, or come back after Retry-After."},
 
 	{NoTarget, "NO_TARGET", http.StatusServiceUnavailable, true, "No live target can serve the request, or the target itself said that it didn't run it.", "Send it again after Retry-After; see status for the targets."},
 	{TargetUnreachable, "TARGET_UNREACHABLE", http.StatusBadGateway, true, "No target accepted a connection.", "Send it again after Retry-After."},
--- a/port/target.go
+++ b/port/target.go
@@ -37,6 +37,7 @@
 	Hint      int          // the caller's guess of its output tokens; 0: none
 	Parts     []PromptPart // of the prompt, in order
 	LastEvent string       // id of the last event that the caller has
+	Key       string       // the caller's API key; empty: none that can be read
 }
 
 // KVSource is KV cache that an engine keeps for its reader.
@@ -55,6 +56,8 @@
 	KV        *KVSource     // go on from this cache
 	FetchFrom string        // address of an engine that keeps more of the prompt
 	LastEvent string        // go on after this event; empty: as the caller stated it
+	// Organisation holds the caller's key; empty: not stated.
+	Organisation string
 }
 
 // Verdict is what a target's answer says beside its status and body.
@@ -82,8 +85,9 @@
 type TargetWire interface {
 	// Ask reads what a caller states. The error says which header is wrong.
 	Ask(h http.Header) (Ask, error)
-	// Forward returns the headers that go on to a target as they came.
-	Forward(h http.Header) http.Header
+	// Forward returns the headers that go on to a target as they came, without
+	// the caller's key if callers have keys.
+	Forward(h http.Header, keyed bool) http.Header
 	// Stamp adds what the daemon states to headers that Forward returned.
 	Stamp(h http.Header, s Send)
 	// Judge reads a target's answer.
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -227,7 +227,9 @@
 		Zone:    d.s.Zone,
 	})
 	d.metrics = newMetrics(d)
-	d.ingress = ingress.New(ingress.Options{Config: d.config, Wire: platform.Wire{}, Runner: runner, Observe: d.metrics.observe, TargetsAge: func() (time.Duration, bool) { return d.tails[port.TopicTargets].Age() }})
+	d.ingress = ingress.New(ingress.Options{Config: d.config, Wire: platform.Wire{}, Runner: runner, Observe: d.metrics.observe,
+		TargetsAge: func() (time.Duration, bool) { return d.tails[port.TopicTargets].Age() },
+		ConfigAge:  func() (time.Duration, bool) { return d.tails[port.TopicConfig].Age() }, MaxConfigAge: d.s.Bounds.ApplyConfig})
 	d.planner = roles.New(roles.Options{
 		Self:    d.s.VM,
 		Store:   d.store,
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -34,6 +34,9 @@
 	Host    string
 	Header  http.Header // what goes on to a target
 	Body    []byte
+	// Organisation holds the caller's key; empty: the route is public.
+	Organisation string
+	Priority     int // of the organisation or the route, 0 is the most urgent
 }
 
 // Answer is a target's whole answer.
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -85,7 +85,7 @@
 	p.Zone = u.opts.Zone
 	p.Objective = u.c.Route.Objective
 	p.Draw = rand.Uint64()
-	p.priority = min(u.c.Route.Priority, latePriority-1)
+	p.priority = min(u.c.Priority, latePriority-1)
 	for _, part := range p.parts[:max(len(p.parts)-1, 0)] {
 		p.Shared += part.Tokens
 	}
@@ -171,7 +171,7 @@
 func (u *run) offer(p prompt, f speed.Figures, ch reading, refused bool) {
 	o := demand.Offer{
 		Reading: ch.Read, Lasts: f.Lasts(u.c.Ask.Output), Moving: u.moving(p, ch),
-		Objective: u.c.Route.Objective, Priority: u.c.Route.Priority,
+		Objective: u.c.Route.Objective, Priority: u.c.Priority,
 	}
 	if ch.At < 0 {
 		o.Reading = f.Read(p.Tokens, p.Tokens)
@@ -222,7 +222,7 @@
 
 // mostUrgent reports whether no call of the service is more urgent.
 func (u *run) mostUrgent() bool {
-	return u.opts.Demand.MostUrgent(u.c.Service.Name, u.c.Route.Priority)
+	return u.opts.Demand.MostUrgent(u.c.Service.Name, u.c.Priority)
 }
 
 // room is how the decoding engines' places are shared out to the call.
--- a/request/dispatch/pace_test.go
+++ b/request/dispatch/pace_test.go
@@ -104,9 +104,9 @@
 		r.t.Fatal(err)
 	}
 	ask.Prompt, ask.Output, ask.Hint = 90, paceLongest*paceTokens, one.hint
-	c.Ask, c.Header, c.GiveUp = ask, platform.Wire{}.Forward(h), end
+	c.Ask, c.Header, c.GiveUp = ask, platform.Wire{}.Forward(h, false), end
 	c.Service.Engine.Slots = paceSlots
-	c.Route.Priority = 1
+	c.Priority = 1
 	return c
 }
 
--- a/request/dispatch/rig_test.go
+++ b/request/dispatch/rig_test.go
@@ -105,7 +105,7 @@
 	now := time.Now()
 	c := &Call{
 		Ask: ask, Service: svc, Arrived: now, GiveUp: now.Add(min(timeout, ask.Left)),
-		Method: "POST", URI: "/p/x?y=1", Host: "a.example", Header: platform.Wire{}.Forward(h), Body: []byte("body"),
+		Method: "POST", URI: "/p/x?y=1", Host: "a.example", Header: platform.Wire{}.Forward(h, false), Body: []byte("body"),
 		Route: &route.Route{Name: "r", Kind: kind, Attempts: attempts, Objective: 500 * time.Millisecond, Timeout: timeout},
 	}
 	return c
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -40,6 +40,7 @@
 	h := maps.Clone(u.c.Header)
 	s.state.ID = u.c.Ask.ID
 	s.state.Target = s.to.ID
+	s.state.Organisation = u.c.Organisation
 	s.state.Left = time.Until(u.c.GiveUp)
 	u.opts.Wire.Stamp(h, s.state)
 	return &h1.Request{
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -21,7 +21,7 @@
 	"github.com/pomelospool/pomelospool/version/route"
 )
 
-// Options of an Ingress. All are needed but TargetsAge.
+// Options of an Ingress. All are needed but TargetsAge and ConfigAge.
 type Options struct {
 	Config  *inforce.Holder
 	Wire    port.TargetWire
@@ -30,6 +30,17 @@
 	// TargetsAge is how old the word on the targets is that requests are decided
 	// by, false before there is one. It may be nil.
 	TargetsAge func() (age time.Duration, heard bool)
+	// ConfigAge is the same for the configuration. It may be nil.
+	ConfigAge func() (age time.Duration, heard bool)
+	// MaxConfigAge is the age from which on the configuration may be outdated.
+	MaxConfigAge time.Duration
+}
+
+func (o *Options) configAge() (time.Duration, bool) {
+	if o.ConfigAge == nil {
+		return 0, false
+	}
+	return o.ConfigAge()
 }
 
 func (o *Options) targetsAge() (time.Duration, bool) {
@@ -134,6 +145,10 @@
 	if r == nil {
 		return nil, code.New(code.UnknownRoute, "version %d", cfg.Version)
 	}
+	org := cfg.Organisation(ask.Key)
+	if org == nil && cfg.Keyed() && !r.Public {
+		return nil, x.unknownKey(cfg)
+	}
 	svc := cfg.Services[r.Service(route.Seed(ask.ID))]
 	if svc == nil {
 		return nil, code.New(code.NoTarget, "route %q names a service that the configuration lacks", r.Name).After(noConfigurationAfter)
@@ -151,8 +166,16 @@
 		Method:  x.req.Method,
 		URI:     uri,
 		Host:    x.req.Host,
-		Header:  x.o.Wire.Forward(x.req.Header),
+		Header:  x.o.Wire.Forward(x.req.Header, cfg.Keyed()),
 		Body:    body,
+
+		Priority: r.Priority,
+	}
+	if org != nil {
+		c.Organisation = org.Name
+		if org.Priority != nil {
+			c.Priority = *org.Priority
+		}
 	}
 	c.GiveUp = x.arrived.Add(patience(c))
 	if x.leavesBefore(c) {
@@ -161,6 +184,16 @@
 	return c, nil
 }
 
+// unknownKey rejects a caller whose key the configuration doesn't hold. A
+// daemon that may have missed a newer one doesn't know: callers take a 401 for
+// final.
+func (x *exchange) unknownKey(cfg *route.Config) error {
+	if age, heard := x.o.configAge(); heard && age > x.o.MaxConfigAge {
+		return code.New(code.StaleConfiguration, "version %d was confirmed %v ago", cfg.Version, age.Round(time.Millisecond)).After(noConfigurationAfter)
+	}
+	return code.New(code.Unauthorized, "version %d", cfg.Version)
+}
+
 const (
 	// bodyTime bounds the reading of a body.
 	bodyTime = 10 * time.Second
@@ -231,6 +264,7 @@
 		fields["route"] = c.Route.Name
 		fields["version"] = c.Version
 		fields["service"] = c.Service.Name
+		fields["organisation"] = c.Organisation
 		fields["targets"] = strings.Join(x.trace.Targets, " ")
 		fields["left_ms"] = c.Ask.Left.Milliseconds()
 		fields["timeout_ms"] = c.Route.Timeout.Milliseconds()
--- a/request/ingress/ingress_test.go
+++ b/request/ingress/ingress_test.go
@@ -59,17 +59,29 @@
 func (noControl) Order(context.Context, port.RoleOrder) error  { return nil }
 func (noControl) Release(context.Context, port.KVSource) error { return nil }
 
-func config(version int64) *route.Config {
+func config(version int64) *route.Config { return keyedConfig(version, nil) }
+
+// keyedConfig has one more route, which is public.
+func keyedConfig(version int64, keys *route.Keys) *route.Config {
 	routes := []*route.Route{
 		{Name: "plain", Host: "a.example", Prefix: "/p/", Kind: route.Unsafe, Attempts: 1, Timeout: time.Minute, Split: []route.Share{{Service: "app", Weight: 1}}},
-		{Name: "stream", Host: "a.example", Prefix: "/s/", Kind: route.Stream, Attempts: 1, Timeout: time.Minute, Split: []route.Share{{Service: "llm", Weight: 1}}},
+		{Name: "stream", Host: "a.example", Prefix: "/s/", Kind: route.Stream, Priority: 3, Attempts: 1, Timeout: time.Minute, Split: []route.Share{{Service: "llm", Weight: 1}}},
+		{Name: "public", Host: "a.example", Prefix: "/public/", Kind: route.Unsafe, Attempts: 1, Timeout: time.Minute, Public: true, Split: []route.Share{{Service: "app", Weight: 1}}},
 		{Name: "absent", Host: "a.example", Prefix: "/absent/", Attempts: 1, Split: []route.Share{{Service: "nothing", Weight: 1}}},
 	}
 	services := []*route.Service{{Name: "app"}, {Name: "llm", Engine: &route.Engine{Slots: 4, KVTokens: 1000}}}
-	return route.New(version, routes, services, route.Limits{BodyBytes: 1000})
+	return route.New(version, routes, services, route.Limits{BodyBytes: 1000}, keys)
 }
 
 func start(t *testing.T, configured bool) *rig {
+	if !configured {
+		return startWith(t, nil)
+	}
+	return startWith(t, config(7))
+}
+
+// startWith starts a rig with a configuration, nil: none yet.
+func startWith(t *testing.T, cfg *route.Config) *rig {
 	r := &rig{
 		plain:  standin.NewTarget("i-plain", ""),
 		decode: standin.NewTarget("i-decode", "decode"),
@@ -84,8 +96,8 @@
 		"app": {{ID: "i-plain", Addr: addr(r.plain), Slots: 4}},
 		"llm": {{ID: "i-decode", Addr: addr(r.decode), Slots: 4, Role: port.RoleDecode}},
 	}
-	holder := inforce.New(func(port.KeyedRecord) (*route.Config, bool, error) { return config(7), true, nil })
-	if configured {
+	holder := inforce.New(func(port.KeyedRecord) (*route.Config, bool, error) { return cfg, true, nil })
+	if cfg != nil {
 		holder.Apply([]port.KeyedRecord{{}})
 	}
 	pool := h1.New(h1.Options{})
@@ -195,7 +207,7 @@
 		t.Fatalf("status %d", resp.StatusCode)
 	}
 	a := r.plain.Arrivals()[0]
-	if a.KV != "" || a.Priority != "" || a.Prefill || a.Expect != "i-plain" || a.Left <= 0 || a.Left > 30*time.Second {
+	if a.KV != "" || a.Priority != "" || a.Prefill || a.Expect != "i-plain" || a.Organisation != "" || a.Left <= 0 || a.Left > 30*time.Second {
 		t.Errorf("the target saw %+v", a)
 	}
 }
--- /dev/null
+++ b/request/ingress/key_test.go
@@ -0,0 +1,106 @@
+package ingress
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/platform/standin"
+	"github.com/pomelospool/pomelospool/version/route"
+)
+
+// keyed starts a rig whose organisation o1 holds k1, with a priority.
+func keyed(t *testing.T, priority *int) *rig {
+	keys := route.NewKeys()
+	keys.Add("k1", &route.Organisation{Name: "o1", Priority: priority})
+	return startWith(t, keyedConfig(7, keys))
+}
+
+func askWith(id, key string) http.Header {
+	h := ask(id)
+	if key != "" {
+		standin.SetKey(h, key)
+	}
+	return h
+}
+
+// Guards against a target that runs a request without a valid key, or that
+// learns the key.
+func TestKeys(t *testing.T) {
+	for name, tc := range map[string]struct {
+		path, key    string
+		status       int
+		organisation string
+	}{
+		"known key":               {"/p/x", "k1", 200, "o1"},
+		"unknown key":             {"/p/x", "k2", 401, ""},
+		"no key":                  {"/p/x", "", 401, ""},
+		"public route":            {"/public/x", "", 200, ""},
+		"public route, known key": {"/public/x", "k1", 200, "o1"},
+		"public route, unknown":   {"/public/x", "k2", 200, ""},
+		"no route":                {"/none/x", "k2", 404, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := keyed(t, nil)
+			h := askWith("r1", tc.key)
+			standin.Forge(h)
+			resp, _ := r.do(t, "POST", tc.path, "a.example", h, "")
+			if resp.StatusCode != tc.status {
+				t.Fatalf("status %d", resp.StatusCode)
+			}
+			if asks := resp.Header.Get("WWW-Authenticate"); (asks != "") != (tc.status == 401) {
+				t.Errorf("WWW-Authenticate %q", asks)
+			}
+			if tc.status != 200 {
+				if n := len(r.plain.Arrivals()); n > 0 {
+					t.Errorf("%d requests reached the target", n)
+				}
+				return
+			}
+			if a := r.plain.Arrivals()[0]; a.Organisation != tc.organisation || a.Key != "" {
+				t.Errorf("the target saw %+v", a)
+			}
+		})
+	}
+}
+
+func TestPriorityOfOrganisation(t *testing.T) {
+	urgent := 0
+	for name, tc := range map[string]struct {
+		priority *int
+		want     string
+	}{
+		"the organisation's": {&urgent, "0"},
+		"the route's":        {nil, "3"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := keyed(t, tc.priority)
+			h := standin.CallerHeaders("r1", 30*time.Second, "aa:10")
+			standin.SetKey(h, "k1")
+			if resp, _ := r.do(t, "POST", "/s/x", "a.example", h, ""); resp.StatusCode != 200 {
+				t.Fatalf("status %d", resp.StatusCode)
+			}
+			if got := r.decode.Arrivals()[0].Priority; got != tc.want {
+				t.Errorf("priority %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against a caller that gives up for good because a daemon that is cut
+// off doesn't know its new key yet.
+func TestUnknownKeyAtStaleDaemon(t *testing.T) {
+	age := 3 * time.Second
+	r := keyed(t, nil)
+	r.o.ConfigAge = func() (time.Duration, bool) { return age, true }
+	r.o.MaxConfigAge = 2 * time.Second
+	resp, _ := r.do(t, "POST", "/p/x", "a.example", askWith("r1", "k2"), "")
+	if o := <-r.seen; resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" || o.Code != code.StaleConfiguration {
+		t.Errorf("stale: status %d, code %d", resp.StatusCode, o.Code)
+	}
+	age = time.Second
+	if resp, _ := r.do(t, "POST", "/p/x", "a.example", askWith("r2", "k2"), ""); resp.StatusCode != 401 {
+		t.Errorf("current: status %d", resp.StatusCode)
+	}
+}
--- a/version/inforce/inforce.go
+++ b/version/inforce/inforce.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		h.p.Store(c)
-		log.WithFields(log.Fields{"version": c.Version, "routes": c.Routes(), "services": len(c.Services), "offset": r.Offset}).Info("config: in force")
+		log.WithFields(log.Fields{"version": c.Version, "routes": c.Routes(), "services": len(c.Services), "keys": c.KeyCount(), "offset": r.Offset}).Info("config: in force")
 	}
 }
 
--- a/version/inforce/inforce_test.go
+++ b/version/inforce/inforce_test.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return nil, true, errors.New("not a version")
 	}
-	return route.New(n, nil, nil, route.Limits{}), true, nil
+	return route.New(n, nil, nil, route.Limits{}, nil), true, nil
 }
 
 func records(values ...string) []port.KeyedRecord {
--- a/version/route/route.go
+++ b/version/route/route.go
@@ -38,6 +38,7 @@
 	Priority  int           // 0 is the most urgent
 	Attempts  int           // targets that may run one request, 1 or more
 	Prompted  bool          // requests state their token counts and prompt parts
+	Public    bool          // callers need no key
 	Split     []Share       // one or more
 }
 
@@ -106,14 +107,16 @@
 	Services map[string]*Service
 	Limits   Limits
 
+	keys   *Keys
 	byHost map[string][]*Route // longest prefix first
 	routes int
 }
 
-// New returns a Config over routes.
-func New(version int64, routes []*Route, services []*Service, limits Limits) *Config {
+// New returns a Config over routes. Without keys every route is public.
+func New(version int64, routes []*Route, services []*Service, limits Limits, keys *Keys) *Config {
 	c := &Config{
 		Version:  version,
+		keys:     keys,
 		Services: make(map[string]*Service, len(services)),
 		Limits:   limits,
 		byHost:   make(map[string][]*Route),
--- a/version/route/route_test.go
+++ b/version/route/route_test.go
@@ -10,7 +10,7 @@
 		{Name: "short", Host: "a.example", Prefix: "/x/"},
 		{Name: "long", Host: "A.example", Prefix: "/x/y/"},
 		{Name: "other", Host: "b.example", Prefix: "/x/"},
-	}, nil, Limits{})
+	}, nil, Limits{}, nil)
 	cases := []struct{ name, host, path, want string }{
 		{"longest prefix", "a.example", "/x/y/z", "long"},
 		{"shorter prefix", "a.example", "/x/z", "short"},
