claim: move the claims out of roles, for subjects of any kind

Claims of the right to give orders were part of the role planner. The duties of the whole fleet (usage reports, scaling) need the same right, so it is a package of its own with subjects in place of services.

--- a/process/roles/sightings.go
+++ b/process/claim/sightings.go
@@ -1,4 +1,4 @@
-package roles
+package claim
 
 import (
 	"sync"
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -26,6 +26,7 @@
 	"github.com/pomelospool/pomelospool/internal/sock"
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/process/claim"
 	"github.com/pomelospool/pomelospool/process/clock"
 	"github.com/pomelospool/pomelospool/process/discovery"
 	"github.com/pomelospool/pomelospool/process/relay"
@@ -95,7 +96,7 @@
 	control port.EngineControl
 	roster  *roster.Roster
 	planner *roles.Planner
-	claims  *roles.Sightings
+	claims  *claim.Sightings
 	ingress *ingress.Ingress
 	metrics *metrics
 	ready   atomic.Bool
@@ -119,7 +120,7 @@
 		s:      s,
 		config: inforce.New(platform.DecodeConfig),
 		pool:   h1.New(h1.Options{}),
-		claims: roles.NewSightings(clock.Boot{}),
+		claims: claim.NewSightings(clock.Boot{}),
 		speed:  speed.NewBook(),
 		demand: demand.New(time.Now),
 	}
--- a/process/roles/planner.go
+++ b/process/roles/planner.go
@@ -19,6 +19,7 @@
 	"github.com/pomelospool/pomelospool/connection/health"
 	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/process/claim"
 	"github.com/pomelospool/pomelospool/process/clock"
 	"github.com/pomelospool/pomelospool/process/discovery"
 	"github.com/pomelospool/pomelospool/process/roster"
@@ -72,14 +73,14 @@
 	Speed   *speed.Book
 	Lease   time.Duration
 	Clock   clock.Clock // clock.Boot
-	Seen    *Sightings
+	Seen    *claim.Sightings
 }
 
 // Planner gives orders while this daemon is the first of those that can.
 type Planner struct {
 	o      Options
 	tomb   tomb.Tomb
-	claims claims
+	claims *claim.Claims
 
 	mu       sync.Mutex
 	released bool
@@ -106,11 +107,8 @@
 		o.Clock = clock.Boot{}
 	}
 	return &Planner{
-		o: o,
-		claims: claims{
-			self: o.Self, store: o.Store, lease: o.Lease, now: o.Clock.Now,
-			held: make(map[string]claim), seen: o.Seen,
-		},
+		o:        o,
+		claims:   claim.New(claim.Options{Self: o.Self, Store: o.Store, Lease: o.Lease, Clock: o.Clock, Seen: o.Seen}),
 		sighted:  make(map[string]bool),
 		changing: make(map[string]change),
 		refused:  make(map[string]time.Duration),
@@ -197,8 +195,8 @@
 	if len(moves) == 0 || p.underWay(svc, list) {
 		return
 	}
-	held, err := p.claims.get(ctx, svc.Name)
-	if errors.Is(err, errNotYet) || errors.Is(err, port.ErrConflict) {
+	held, err := p.claims.Get(ctx, svc.Name)
+	if errors.Is(err, claim.ErrHeld) || errors.Is(err, port.ErrConflict) {
 		return
 	}
 	if err != nil {
@@ -260,7 +258,7 @@
 		return
 	}
 	p.sighted[service] = true
-	if err := p.claims.sight(ctx, service); err != nil {
+	if err := p.claims.Sight(ctx, service); err != nil {
 		log.WithError(err).WithField("service", service).Info("roles: claim not read, it is when orders are needed")
 	}
 }
@@ -296,7 +294,7 @@
 
 // carryOut sends the orders, all at once: one whose answer is lost would hold
 // up the others for its whole time.
-func (p *Planner) carryOut(ctx context.Context, svc *route.Service, moves []Move, held claim) {
+func (p *Planner) carryOut(ctx context.Context, svc *route.Service, moves []Move, held claim.Claim) {
 	results := make(chan result, len(moves))
 	for _, m := range moves {
 		e, ok := p.o.Targets.Lookup(m.Target)
@@ -322,8 +320,8 @@
 // busy, or may have been taken from decoding, counts as if it had obeyed until
 // it shows the contrary. Only a missing decoding engine is asked for elsewhere
 // at once: one too many does no harm.
-func (p *Planner) note(svc *route.Service, r result, held claim) {
-	fields := log.Fields{"service": svc.Name, "target": r.Target, "role": r.Role, "fence": held.fence, "why": r.Why}
+func (p *Planner) note(svc *route.Service, r result, held claim.Claim) {
+	fields := log.Fields{"service": svc.Name, "target": r.Target, "role": r.Role, "fence": held.Fence, "why": r.Why}
 	now := p.o.Clock.Now()
 	obeys := change{role: r.Role, until: now + svc.Engine.SwitchTime + switchGrace}
 	switch {
@@ -336,7 +334,7 @@
 		p.o.Engines.Changing(r.Target, r.Role)
 		return
 	case errors.Is(r.err, port.ErrFenced):
-		p.claims.drop(svc.Name)
+		p.claims.Drop(svc.Name)
 		p.refused[r.Target] = now + refusedFor
 	case errors.Is(r.err, port.ErrBusy), r.Role == port.RolePrefill:
 		p.changing[r.Target] = obeys
@@ -349,7 +347,7 @@
 // order asks the engine for the orders that it accepted, and gives it the next
 // one on that condition: an order that is carried out late then has no effect
 // after a newer one.
-func (p *Planner) order(ctx context.Context, e port.TargetEntry, role port.Role, held claim) error {
+func (p *Planner) order(ctx context.Context, e port.TargetEntry, role port.Role, held claim.Claim) error {
 	ctx, cancel := context.WithTimeout(ctx, orderLimit)
 	defer cancel()
 	report, err := p.o.Control.Report(ctx, e.Addr, e.ID)
@@ -362,12 +360,12 @@
 	if report.Changing {
 		return port.ErrBusy
 	}
-	if p.o.Clock.Now() >= held.until {
+	if p.o.Clock.Now() >= held.Until {
 		return context.DeadlineExceeded
 	}
 	return p.o.Control.Order(ctx, port.RoleOrder{
 		Target: e.ID, Addr: e.Addr, Role: role,
-		Holder: p.o.Self, Fence: held.fence, Accepted: report.Accepted,
+		Holder: p.o.Self, Fence: held.Fence, Accepted: report.Accepted,
 	})
 }
 
--- a/process/roles/roles_test.go
+++ b/process/roles/roles_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math"
 	"testing"
@@ -14,7 +13,7 @@
 	"github.com/pomelospool/pomelospool/connection/engines"
 	"github.com/pomelospool/pomelospool/connection/health"
 	"github.com/pomelospool/pomelospool/port"
-	"github.com/pomelospool/pomelospool/process/roster"
+	"github.com/pomelospool/pomelospool/process/claim"
 	"github.com/pomelospool/pomelospool/version/route"
 )
 
@@ -211,202 +210,6 @@
 	}
 }
 
-// claimStore is a store with the topic of claims only.
-type claimStore struct {
-	records []port.KeyedRecord
-	newest  map[string]port.KeyedRecord
-	lose    bool
-	between func() // called between a listing and the write after it
-}
-
-func (s *claimStore) Newest(context.Context, port.Topic, string) (port.KeyedPage, error) {
-	page := port.KeyedPage{End: int64(len(s.records))}
-	for _, r := range s.newest {
-		page.Records = append(page.Records, r)
-	}
-	return page, nil
-}
-
-func (s *claimStore) PutAt(_ context.Context, _ port.Topic, key string, value []byte, at int64) (int64, error) {
-	if s.between != nil {
-		s.between()
-	}
-	if at != int64(len(s.records)) {
-		return 0, port.ErrConflict
-	}
-	r := port.KeyedRecord{Key: key, Value: value, Offset: at}
-	s.records = append(s.records, r)
-	if s.newest == nil {
-		s.newest = make(map[string]port.KeyedRecord)
-	}
-	s.newest[key] = r
-	if s.lose {
-		return 0, port.ErrUnavailable
-	}
-	return at, nil
-}
-
-func (s *claimStore) Read(context.Context, port.Topic, int64, time.Duration) ([]port.KeyedRecord, error) {
-	return nil, errors.New("not used")
-}
-
-func (s *claimStore) Put(context.Context, port.Topic, string, []byte) (int64, error) {
-	return 0, errors.New("not used")
-}
-
-const lease = 3 * time.Second
-
-func claimer(self string, s port.Store, now *time.Duration) *claims {
-	return &claims{
-		self: self, store: s, lease: lease, now: func() time.Duration { return *now },
-		held: map[string]claim{}, seen: &Sightings{now: func() time.Duration { return *now }, seen: map[string]sighting{}},
-	}
-}
-
-// All decoding engines are gone. The daemon that takes the duty over sees the
-// last claim for the first time, and waits for its lease, though it has stood
-// for minutes: the others know.
-func TestAgeOfAClaimIsTold(t *testing.T) {
-	s, now := &claimStore{}, time.Duration(0)
-	a, b := claimer("a", s, &now), claimer("b", s, &now)
-	if _, err := a.get(t.Context(), "svc"); err != nil {
-		t.Fatal(err)
-	}
-	now = lease
-	b.seen.Heard(a.seen.Told())
-	if _, err := b.get(t.Context(), "svc"); !errors.Is(err, errNotYet) {
-		t.Errorf("claims within the margin: %v", err)
-	}
-	now += waitMargin
-	if _, err := b.get(t.Context(), "svc"); err != nil {
-		t.Errorf("waits though the lease is over: %v", err)
-	}
-	// What was told of the claim before says nothing of the new one.
-	a.seen.Heard([]roster.Claim{{Service: "svc", Offset: 0, AgeMs: time.Hour.Milliseconds()}})
-	if _, err := a.get(t.Context(), "svc"); !errors.Is(err, errNotYet) {
-		t.Errorf("claims right after another holder: %v", err)
-	}
-}
-
-// The daemon that begins to lead reads the claim at once, not when it first
-// needs an order.
-func TestClaimIsSightedEarly(t *testing.T) {
-	s, now := &claimStore{}, time.Duration(0)
-	a, b := claimer("a", s, &now), claimer("b", s, &now)
-	if _, err := a.get(t.Context(), "svc"); err != nil {
-		t.Fatal(err)
-	}
-	if err := b.sight(t.Context(), "svc"); err != nil {
-		t.Fatal(err)
-	}
-	now = lease + waitMargin
-	if _, err := b.get(t.Context(), "svc"); err != nil {
-		t.Errorf("waits from its second sight: %v", err)
-	}
-}
-
-// Two daemons give orders to the same engines in turn, and each undoes what the
-// other did. The second one claimed while the first one's lease still ran.
-func TestSecondHolderWaitsForTheLease(t *testing.T) {
-	s, now := &claimStore{}, time.Duration(0)
-	a, b := claimer("a", s, &now), claimer("b", s, &now)
-	first, err := a.get(t.Context(), "svc")
-	if err != nil || first.fence != 0 {
-		t.Fatal(first, err)
-	}
-	for ; now < lease; now += 250 * time.Millisecond {
-		if _, err := b.get(t.Context(), "svc"); !errors.Is(err, errNotYet) {
-			t.Fatalf("at %v: %v", now, err)
-		}
-	}
-	if now < first.until {
-		t.Fatal("the test ends before the claim does")
-	}
-	now += waitMargin
-	second, err := b.get(t.Context(), "svc")
-	if err != nil || second.fence <= first.fence {
-		t.Errorf("claim %+v, %v", second, err)
-	}
-	if _, err := a.get(t.Context(), "svc"); !errors.Is(err, errNotYet) {
-		t.Errorf("the first holder claims again at once: %v", err)
-	}
-}
-
-// A holder that goes on claiming keeps the others out.
-func TestWaitBeginsAnewWithEachClaim(t *testing.T) {
-	s, now := &claimStore{}, time.Duration(0)
-	a, b := claimer("a", s, &now), claimer("b", s, &now)
-	for ; now < 5*lease; now += lease / 2 {
-		if _, err := a.get(t.Context(), "svc"); err != nil {
-			t.Fatal(err)
-		}
-		if _, err := b.get(t.Context(), "svc"); !errors.Is(err, errNotYet) {
-			t.Fatalf("at %v: %v", now, err)
-		}
-	}
-}
-
-// A holder is paused and wakes after its lease: it must claim anew before the
-// next order.
-func TestClaimEndsBeforeTheLease(t *testing.T) {
-	s, now := &claimStore{}, time.Duration(0)
-	a := claimer("a", s, &now)
-	first, err := a.get(t.Context(), "svc")
-	if err != nil {
-		t.Fatal(err)
-	}
-	if first.until >= lease {
-		t.Errorf("acts until %v of %v", first.until, lease)
-	}
-	now = first.until
-	second, err := a.get(t.Context(), "svc")
-	if err != nil || second.fence <= first.fence {
-		t.Errorf("claim %+v, %v", second, err)
-	}
-}
-
-// Two daemons read the same end of the topic; the other one's claim is written
-// first.
-func TestRaceHasOneWinner(t *testing.T) {
-	s, now := &claimStore{}, time.Duration(0)
-	a, b := claimer("a", s, &now), claimer("b", s, &now)
-	s.between = func() {
-		s.between = nil
-		if _, err := b.get(t.Context(), "svc"); err != nil {
-			t.Error(err)
-		}
-	}
-	if got, err := a.get(t.Context(), "svc"); !errors.Is(err, port.ErrConflict) {
-		t.Errorf("both won: %+v, %v", got, err)
-	}
-}
-
-// The store did the write and its answer was lost. Nothing is done under that
-// claim, and a new one takes its place.
-func TestLostAnswerGivesNoClaim(t *testing.T) {
-	s, now := &claimStore{lose: true}, time.Duration(0)
-	a := claimer("a", s, &now)
-	if _, err := a.get(t.Context(), "svc"); err == nil {
-		t.Fatal("a claim without an answer")
-	}
-	s.lose = false
-	got, err := a.get(t.Context(), "svc")
-	if err != nil || got.fence != 1 {
-		t.Errorf("claim %+v, %v", got, err)
-	}
-}
-
-func TestDropEndsAClaim(t *testing.T) {
-	s, now := &claimStore{}, time.Duration(0)
-	a := claimer("a", s, &now)
-	first, _ := a.get(t.Context(), "svc")
-	a.drop("svc")
-	second, err := a.get(t.Context(), "svc")
-	if err != nil || second.fence == first.fence {
-		t.Errorf("claim %+v, %v", second, err)
-	}
-}
-
 // All streams stop for seconds. A daemon starts while two of four decoding
 // engines carry out orders to read prompts, which the list of targets doesn't
 // show yet. It orders the same two, is told that they are busy, and orders the
@@ -427,7 +230,7 @@
 				t.Fatalf("moves %+v", moves)
 			}
 			for _, m := range moves {
-				p.note(svc, result{Move: m, err: err}, claim{})
+				p.note(svc, result{Move: m, err: err}, claim.Claim{})
 			}
 			if again := Plan(p.engines(entries), nil); len(again) != 0 {
 				t.Errorf("others are ordered in their place: %+v", again)
@@ -451,7 +254,7 @@
 		entries = append(entries, e.Entry)
 	}
 	first := Plan(p.engines(entries), nil)
-	p.note(svc, result{Move: first[0], err: context.DeadlineExceeded}, claim{})
+	p.note(svc, result{Move: first[0], err: context.DeadlineExceeded}, claim.Claim{})
 	second := Plan(p.engines(entries), nil)
 	if len(second) != 1 || second[0].Target == first[0].Target {
 		t.Errorf("first %+v, then %+v", first, second)
