usage: report each organisation's requests once for each window of time

What callers saw: nothing; the platform got no usage.

Each daemon counts the requests that its targets began to run, by organisation and window, and sends changes four times a second to three collectors, the first of those that may lead. The leader saves what it has collected to the store each second, writes a window's counts there under a condition once all daemons have stated theirs, and only then reports them: a later leader repeats the agreed counts. Counts are grow-only per process, so that reports may be lost, repeated and reordered. Windows are of the median clock of all daemons (clock.Fleet), so that stepped clocks don't count.

Evidence: usage.TestLeaderIsKilled (14 moments of a window), TestAllAreKilled, TestOutages, TestSplitLeaders, TestFencedLeaderClaimsAgain; with a leader that ignores what was agreed TestSplitLeaders fails (125 and 88 for one window). clock.TestSteppedClocksAreOutvoted.

Ruled out: counts in the store by each daemon (81 writes a second, priced as calls); a report by the daemon that counted most of a window (no one body per window); the VM's own clock (steps of 2.4 s move requests between windows).

--- a/port/store.go
+++ b/port/store.go
@@ -17,7 +17,8 @@
 	TopicConfig  Topic = iota // operators' configuration; read only
 	TopicTargets              // targets announce themselves; read only
 	TopicDaemons              // daemons announce themselves
-	TopicClaims               // claims to give orders, one key a service
+	TopicClaims               // claims to act, one key a subject
+	TopicUsage                // what is reported of organisations' use
 )
 
 // KeyedRecord is one record of a keyed topic.
--- /dev/null
+++ b/process/front/duties.go
@@ -0,0 +1,44 @@
+package front
+
+import (
+	"time"
+
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/process/claim"
+	"github.com/pomelospool/pomelospool/process/clock"
+	"github.com/pomelospool/pomelospool/process/usage"
+)
+
+// wireDuties makes the parts that call the platform for the whole fleet.
+func (d *Daemon) wireDuties() {
+	if d.s.Duties.Addr == "" || d.s.Duties.UsageWindow == 0 {
+		return
+	}
+	d.usage = usage.New(usage.Options{
+		Self:   usage.Source{VM: d.s.VM, Incarnation: d.incarnation},
+		Period: d.s.Duties.UsageWindow,
+		Late:   d.s.Duties.UsageLate,
+		Clock:  d.clock,
+		Roster: d.roster,
+		Store:  d.store,
+		Duties: platform.NewDuties(d.s.Duties.Addr),
+		Claims: claim.New(claim.Options{
+			Self: d.s.VM, Store: d.store, Lease: d.s.Bounds.Lease, Clock: clock.Boot{}, Seen: d.claims,
+		}),
+	})
+}
+
+// countUsage counts a request of an organisation that began to run.
+func (d *Daemon) countUsage(organisation string, ago time.Duration) {
+	if d.usage != nil {
+		d.usage.Add(organisation, ago)
+	}
+}
+
+// receiveUsage takes another daemon's counts.
+func (d *Daemon) receiveUsage(data []byte) error {
+	if d.usage == nil {
+		return nil
+	}
+	return d.usage.Receive(data)
+}
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -34,6 +34,7 @@
 	"github.com/pomelospool/pomelospool/process/roster"
 	"github.com/pomelospool/pomelospool/process/settings"
 	"github.com/pomelospool/pomelospool/process/topic"
+	"github.com/pomelospool/pomelospool/process/usage"
 	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/dispatch"
 	"github.com/pomelospool/pomelospool/request/ingress"
@@ -87,19 +88,22 @@
 	followers []*topic.Follower
 	storeAway atomic.Bool
 
-	pool    *h1.Pool
-	engines *engines.Book
-	health  *health.Book
-	speed   *speed.Book
-	demand  *demand.Book
-	budget  *budget.Fleet
-	control port.EngineControl
-	roster  *roster.Roster
-	planner *roles.Planner
-	claims  *claim.Sightings
-	ingress *ingress.Ingress
-	metrics *metrics
-	ready   atomic.Bool
+	pool        *h1.Pool
+	engines     *engines.Book
+	health      *health.Book
+	speed       *speed.Book
+	demand      *demand.Book
+	budget      *budget.Fleet
+	control     port.EngineControl
+	roster      *roster.Roster
+	planner     *roles.Planner
+	clock       *clock.Fleet
+	incarnation uint64          // of this process
+	usage       *usage.Reporter // nil: nothing is reported
+	claims      *claim.Sightings
+	ingress     *ingress.Ingress
+	metrics     *metrics
+	ready       atomic.Bool
 
 	servers []*server
 	callers *server
@@ -124,6 +128,8 @@
 		speed:  speed.NewBook(),
 		demand: demand.New(time.Now),
 	}
+	d.incarnation = uint64(time.Now().UnixNano())
+	d.clock = clock.NewFleet(clock.Boot{}, time.Now)
 	d.registry = discovery.New(discovery.Options{Decode: platform.DecodeTarget})
 	d.engines = engines.New(time.Now, func(w engines.Work) {
 		if d.roster != nil {
@@ -138,6 +144,7 @@
 		return nil, err
 	}
 	d.store.Listed = d.roster.Listed()
+	d.wireDuties()
 	d.wireRequests()
 	d.wireStore()
 	if err := d.wireServers(); err != nil {
@@ -181,7 +188,7 @@
 	r, err := roster.New(roster.Options{
 		Self: roster.Member{
 			VM:          d.s.VM,
-			Incarnation: uint64(time.Now().UnixNano()),
+			Incarnation: d.incarnation,
 			CallerAddr:  d.s.Listen.Callers,
 			PeerAddr:    addr,
 			Zone:        d.s.Zone,
@@ -194,6 +201,8 @@
 		Demand:    d.demand,
 		TTL:       min(addressTTL, d.s.Bounds.AddressTTL),
 		StoreAway: d.withoutStore,
+		Clock:     d.clock,
+		Usage:     d.receiveUsage,
 	})
 	if err != nil {
 		return err
@@ -230,7 +239,7 @@
 	d.metrics = newMetrics(d)
 	d.ingress = ingress.New(ingress.Options{Config: d.config, Wire: platform.Wire{}, Runner: runner, Observe: d.metrics.observe,
 		TargetsAge: func() (time.Duration, bool) { return d.tails[port.TopicTargets].Age() },
-		ConfigAge:  func() (time.Duration, bool) { return d.tails[port.TopicConfig].Age() }, MaxConfigAge: d.s.Bounds.ApplyConfig})
+		ConfigAge:  func() (time.Duration, bool) { return d.tails[port.TopicConfig].Age() }, MaxConfigAge: d.s.Bounds.ApplyConfig, Started: d.countUsage})
 	d.planner = roles.New(roles.Options{
 		Self:    d.s.VM,
 		Store:   d.store,
@@ -376,6 +385,9 @@
 			f.Start()
 		}
 		d.planner.Start()
+		if d.usage != nil {
+			d.usage.Start()
+		}
 		d.tomb.Go(d.upkeep)
 		return nil
 	})
--- a/process/front/stop.go
+++ b/process/front/stop.go
@@ -37,6 +37,9 @@
 	_ = d.callers.http.Shutdown(ctx)
 	for d.ingress.Open() > 0 && pause.For(ctx, stopPoll) == nil {
 	}
+	if d.usage != nil {
+		d.usage.Flush()
+	}
 	if n := d.ingress.Open(); n > 0 {
 		log.WithField("open", n).Warn("front: requests cut at the end of the grace time")
 	}
@@ -51,6 +54,9 @@
 		d.tomb.Kill(nil)
 		d.closeServers()
 		_ = d.planner.Stop()
+		if d.usage != nil {
+			_ = d.usage.Stop()
+		}
 		for _, f := range d.followers {
 			_ = f.Stop()
 		}
--- a/process/roster/beat.go
+++ b/process/roster/beat.go
@@ -28,6 +28,7 @@
 	Claims []Claim
 	Speeds []speed.Word
 	Demand []demand.Word
+	Clock  int64 // time of day of the sender's VM, microseconds since 1970
 }
 
 // told is a beat of this daemon's, to be taken out of sums that hold it.
@@ -109,7 +110,7 @@
 // send sends one beat: in a small fleet, or with all, to every daemon known,
 // else to the aggregators.
 func (r *Roster) send(all bool) {
-	b := beat{Claims: r.o.Claims.Told(), Speeds: r.o.Speeds.Told(), Demand: r.o.Demand.Told()}
+	b := beat{Claims: r.o.Claims.Told(), Speeds: r.o.Speeds.Told(), Demand: r.o.Demand.Told(), Clock: r.ownClock()}
 	b.Work, b.Reads = r.o.Book.Own()
 	now := time.Now()
 	r.mu.Lock()
@@ -180,6 +181,7 @@
 	kindNote     = 3
 	kindQuestion = 4
 	kindAnswer   = 5
+	kindUsage    = 6
 )
 
 var errShort = errors.New("roster: datagram is too short")
@@ -228,6 +230,11 @@
 		r.take(&b, from)
 	case kindDigest:
 		return r.openDigest(data)
+	case kindUsage:
+		if r.o.Usage == nil {
+			return nil
+		}
+		return r.o.Usage(data[1:])
 	default:
 		return r.openKeeping(data, from)
 	}
@@ -237,6 +244,9 @@
 // take takes a beat.
 func (r *Roster) take(b *beat, from net.Addr) {
 	key := b.Member.PeerAddr
+	if key != r.o.Self.PeerAddr {
+		r.observeClock(key, b.Clock)
+	}
 	now := time.Now()
 	r.mu.Lock()
 	if key == r.self.PeerAddr {
--- a/process/roster/digest.go
+++ b/process/roster/digest.go
@@ -30,6 +30,7 @@
 	Speeds  []speed.Word
 	Asked   bool // Demand holds
 	Demand  []demand.Word
+	Clock   int64 // the sender's estimate of the time, microseconds since 1970; 0: not stated
 }
 
 // row is what a daemon last said of itself, or that it is silent since.
@@ -81,6 +82,7 @@
 // takeDigest takes a digest that holds this daemon's beat of that number.
 func (r *Roster) takeDigest(d *digest, seen uint64) {
 	now := time.Now()
+	r.observeClock("digest of "+d.From, d.Clock)
 	r.mu.Lock()
 	r.hears(now)
 	sender := r.learn(Member{PeerAddr: d.From})
--- /dev/null
+++ b/process/roster/duties.go
@@ -0,0 +1,72 @@
+package roster
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+)
+
+// MayLead reports whether this daemon takes the duties that one of them has:
+// whether it is the first of Leaders. Two may think so for a while; claims keep
+// them apart.
+func (r *Roster) MayLead() bool {
+	if !r.Ready() || r.o.StoreAway() {
+		return false
+	}
+	first := r.Leaders(1)
+	return len(first) == 1 && first[0].VM == r.o.Self.VM
+}
+
+// Leaders returns the first n daemons that may lead, the one that does first:
+// of those that take requests and can read the store the ones with the widest
+// links, then by name.
+func (r *Roster) Leaders(n int) []Member {
+	fit := slices.DeleteFunc(r.Members(), func(m Member) bool { return m.State != Ready || m.StoreAway })
+	slices.SortFunc(fit, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(a.VM, b.VM))
+	})
+	return fit[:min(len(fit), n)]
+}
+
+// SendUsage sends a report of usage to a daemon's peer address. It may be lost.
+func (r *Roster) SendUsage(data []byte, to string) {
+	addr, err := net.ResolveUDPAddr("udp4", to)
+	if err != nil {
+		log.WithError(err).WithField("addr", to).Warn("roster: address can't be read")
+		return
+	}
+	r.write(append([]byte{kindUsage}, data...), addr)
+}
+
+// FleetClock estimates the time of day from the clocks of all daemons.
+type FleetClock interface {
+	Wall() time.Time // of this VM
+	Now() time.Time  // the estimate
+	Observe(sender string, wall time.Time)
+}
+
+// observeClock takes a sender's time of day in microseconds; 0: not stated.
+func (r *Roster) observeClock(sender string, micros int64) {
+	if r.o.Clock != nil && micros != 0 {
+		r.o.Clock.Observe(sender, time.UnixMicro(micros))
+	}
+}
+
+// ownClock is this VM's time of day in microseconds, 0 if it isn't observed.
+func (r *Roster) ownClock() int64 {
+	if r.o.Clock == nil {
+		return 0
+	}
+	return r.o.Clock.Wall().UnixMicro()
+}
+
+// fleetClock is the same for the estimate.
+func (r *Roster) fleetClock() int64 {
+	if r.o.Clock == nil {
+		return 0
+	}
+	return r.o.Clock.Now().UnixMicro()
+}
--- a/process/roster/publish.go
+++ b/process/roster/publish.go
@@ -178,6 +178,7 @@
 	claims, speeds := r.o.Claims.Told(), r.o.Speeds.Best()
 	s.toMembers.Claims, s.toOthers.Claims = claims, claims
 	s.toMembers.Speeds, s.toOthers.Speeds = speeds, speeds
+	s.toMembers.Clock, s.toOthers.Clock = r.fleetClock(), r.fleetClock()
 }
 
 // sendTo sends a digest, cut into datagrams.
@@ -231,7 +232,7 @@
 			}
 		}
 		if part == 0 {
-			c.Claims, c.Speeds, c.Asked, c.Demand = d.Claims, d.Speeds, true, d.Demand
+			c.Claims, c.Speeds, c.Asked, c.Demand, c.Clock = d.Claims, d.Speeds, true, d.Demand, d.Clock
 		}
 		out = append(out, c)
 	}
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -86,6 +86,10 @@
 	TTL    time.Duration // how long callers keep addresses
 	// StoreAway reports whether the store can't be read now.
 	StoreAway func() bool
+	// Clock gets the other daemons' clocks; nil: none.
+	Clock FleetClock
+	// Usage takes other daemons' reports of usage; nil: there are none.
+	Usage func(data []byte) error
 	// Conn replaces the UDP socket, in tests.
 	Conn net.PacketConn
 }
@@ -216,21 +220,6 @@
 	return 1 + len(r.peers)
 }
 
-// MayLead reports whether this daemon takes the duties that one of them has:
-// whether it is the first by name of those that take requests and can read the
-// store. Two may think so for a while; claims keep them apart.
-func (r *Roster) MayLead() bool {
-	if !r.Ready() || r.o.StoreAway() {
-		return false
-	}
-	for _, m := range r.Members()[1:] {
-		if m.State == Ready && !m.StoreAway && m.VM < r.o.Self.VM {
-			return false
-		}
-	}
-	return true
-}
-
 // Ready reports whether this daemon takes requests.
 func (r *Roster) Ready() bool {
 	r.mu.Lock()
--- a/process/settings/store.go
+++ b/process/settings/store.go
@@ -1,6 +1,8 @@
 package settings
 
 import (
+	"time"
+
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/internal/yamlcheck"
 )
@@ -30,6 +32,7 @@
 			f.Addr(one.path, one.addr, true)
 		}
 	}
+	checkDuties(f, s.Duties)
 	b := s.Bounds
 	f.Duration("bounds.grace", b.Grace, minTime, maxTime)
 	f.Duration("bounds.lease", b.Lease, minTime, maxTime)
@@ -40,3 +43,24 @@
 	yamlcheck.Range(f, "bounds.retry_ratio", b.RetryRatio, noFraction, maxRatio)
 	yamlcheck.Range(f, "bounds.retry_slack", b.RetrySlack, noFraction, maxSlack)
 }
+
+func checkDuties(f *yamlcheck.File, d Duties) {
+	if !f.Has("duties") {
+		return
+	}
+	f.Required("duties.addr")
+	if f.Has("duties.addr") {
+		f.Addr("duties.addr", d.Addr, true)
+	}
+	for _, one := range []struct {
+		path string
+		d    time.Duration
+	}{{"duties.usage_window", d.UsageWindow}, {"duties.usage_late", d.UsageLate}} {
+		if f.Has(one.path) {
+			f.Duration(one.path, one.d, minTime, maxTime)
+		}
+	}
+	if f.Has("duties.usage_window") {
+		f.Required("duties.usage_late")
+	}
+}
--- a/process/settings/types.go
+++ b/process/settings/types.go
@@ -17,6 +17,7 @@
 	// Store is set where the platform keeps configuration and targets in one
 	// store; it takes the place of Platform.
 	Store   Store   `yaml:"store,omitempty"`
+	Duties  Duties  `yaml:"duties,omitempty"`
 	Bounds  Bounds  `yaml:"bounds,omitempty"`
 	Control Control `yaml:"control,omitempty"`
 	Limits  Limits  `yaml:"limits,omitempty"`
@@ -40,6 +41,16 @@
 	Addr string `yaml:"addr"` // host:port
 }
 
+// Duties are calls to the platform that one daemon at a time makes for the whole
+// fleet. Without an address there are none.
+type Duties struct {
+	Addr string `yaml:"addr"` // host:port
+	// Usage of the organisations is reported for windows of this length, and due
+	// that long after a window's end; 0: it isn't reported.
+	UsageWindow time.Duration `yaml:"usage_window,omitempty"`
+	UsageLate   time.Duration `yaml:"usage_late,omitempty"`
+}
+
 // Bounds are what the operators promise and ask of all daemons together.
 type Bounds struct {
 	Grace       time.Duration `yaml:"grace,omitempty"`        // from SIGTERM to SIGKILL; 8s
--- /dev/null
+++ b/process/usage/usage_test.go
@@ -0,0 +1,437 @@
+package usage
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/process/claim"
+	"github.com/pomelospool/pomelospool/process/clock"
+	"github.com/pomelospool/pomelospool/process/roster"
+)
+
+func TestMain(m *testing.M) {
+	log.SetLevel(log.FatalLevel)
+	m.Run()
+}
+
+const (
+	period = 5 * time.Second
+	late   = 10 * time.Second
+	lease  = 3 * time.Second
+)
+
+// fleet is some daemons before a store and a platform in memory.
+type fleet struct {
+	t       *testing.T
+	steady  clock.Runtime
+	store   *store
+	duties  *duties
+	mu      sync.Mutex
+	daemons map[string]*daemon
+}
+
+// daemon is one process that counts.
+type daemon struct {
+	*Reporter
+	f     *fleet
+	name  string
+	born  uint64
+	alive bool // it takes part in the fleet
+	cut   bool // it doesn't reach the others
+}
+
+func withFleet(t *testing.T, n int, test func(f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{t: t, steady: clock.NewRuntime(), store: &store{}, duties: &duties{}, daemons: make(map[string]*daemon)}
+		// Windows begin with the test.
+		time.Sleep(time.Until(time.Now().Truncate(period).Add(period)))
+		for i := range n {
+			f.start(fmt.Sprint("vm-", i))
+		}
+		test(f)
+		for _, d := range f.daemons {
+			_ = d.Stop()
+		}
+	})
+}
+
+// start starts a daemon, in place of an earlier one of that name.
+func (f *fleet) start(name string) *daemon {
+	d := &daemon{f: f, name: name, born: uint64(time.Now().UnixNano()), alive: true}
+	d.Reporter = New(Options{
+		Self: Source{VM: name, Incarnation: d.born}, Period: period, Late: late,
+		Clock: clock.NewFleet(f.steady, time.Now), Roster: d, Store: f.store, Duties: f.duties,
+		Claims: claim.New(claim.Options{Self: name, Store: f.store, Lease: lease, Clock: f.steady, Seen: claim.NewSightings(f.steady)}),
+	})
+	f.mu.Lock()
+	f.daemons[name] = d
+	f.mu.Unlock()
+	d.Start()
+	return d
+}
+
+// kill ends a daemon without a last report.
+func (f *fleet) kill(name string) {
+	f.mu.Lock()
+	d := f.daemons[name]
+	d.alive = false
+	f.mu.Unlock()
+	_ = d.Stop()
+}
+
+func (d *daemon) MayLead() bool {
+	l := d.Leaders(1)
+	return len(l) == 1 && l[0].VM == d.name
+}
+
+func (d *daemon) Leaders(n int) []roster.Member {
+	m := d.Members()
+	return m[:min(n, len(m))]
+}
+
+func (d *daemon) Members() []roster.Member {
+	d.f.mu.Lock()
+	defer d.f.mu.Unlock()
+	var out []roster.Member
+	for _, name := range slices.Sorted(maps.Keys(d.f.daemons)) {
+		if one := d.f.daemons[name]; one.alive && (!one.cut || one == d) && (!d.cut || one == d) {
+			out = append(out, roster.Member{VM: name, PeerAddr: name, Incarnation: one.born})
+		}
+	}
+	return out
+}
+
+func (d *daemon) SendUsage(data []byte, to string) {
+	d.f.mu.Lock()
+	other := d.f.daemons[to]
+	lost := other == nil || !other.alive || other.cut || d.cut || !d.alive
+	d.f.mu.Unlock()
+	if lost {
+		return
+	}
+	if err := other.Receive(data); err != nil {
+		d.f.t.Error(err)
+	}
+}
+
+// run counts requests of each daemon for some time, 10 a second and daemon, for
+// two organisations in turn. It returns how many.
+func (f *fleet) run(d time.Duration) int {
+	n := 0
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for _, one := range f.daemons {
+			if one.alive {
+				one.Add(fmt.Sprint("o", n%2), 0)
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// store holds the topics in memory.
+type store struct {
+	mu     sync.Mutex
+	topics map[port.Topic][]port.KeyedRecord
+	away   bool
+	lose   bool // writes are done and not answered
+}
+
+func (s *store) Newest(_ context.Context, t port.Topic, _ string) (port.KeyedPage, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return port.KeyedPage{}, port.ErrUnavailable
+	}
+	newest := make(map[string]port.KeyedRecord)
+	for _, r := range s.topics[t] {
+		newest[r.Key] = r
+	}
+	return port.KeyedPage{End: int64(len(s.topics[t])), Records: slices.Collect(maps.Values(newest))}, nil
+}
+
+func (s *store) PutAt(_ context.Context, t port.Topic, key string, value []byte, at int64) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return 0, port.ErrUnavailable
+	}
+	if at != int64(len(s.topics[t])) {
+		return 0, port.ErrConflict
+	}
+	if s.topics == nil {
+		s.topics = make(map[port.Topic][]port.KeyedRecord)
+	}
+	s.topics[t] = append(s.topics[t], port.KeyedRecord{Key: key, Value: value, Offset: at})
+	if s.lose {
+		return 0, port.ErrUnavailable
+	}
+	return at, nil
+}
+
+func (s *store) Put(context.Context, port.Topic, string, []byte) (int64, error) {
+	return 0, errors.New("not used")
+}
+
+func (s *store) Read(context.Context, port.Topic, int64, time.Duration) ([]port.KeyedRecord, error) {
+	return nil, errors.New("not used")
+}
+
+// duties is the platform that takes reports.
+type duties struct {
+	mu       sync.Mutex
+	fence    int64
+	reports  map[int64]Counts
+	at       map[int64]time.Time
+	differ   []string // windows that were reported with two counts
+	fail     error
+	calls    int
+	accepted bool // calls that fail are carried out
+}
+
+func (d *duties) ReportUsage(_ context.Context, c port.DutyCall, window int64, counts map[string]uint32) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.calls++
+	if d.fail != nil && !d.accepted {
+		return d.fail
+	}
+	if c.Fence < d.fence {
+		return port.ErrFenced
+	}
+	d.fence = c.Fence
+	if d.reports == nil {
+		d.reports, d.at = make(map[int64]Counts), make(map[int64]time.Time)
+	}
+	if old, known := d.reports[window]; known && !maps.Equal(old, counts) {
+		d.differ = append(d.differ, fmt.Sprint(window, ": ", old, " and ", counts))
+	} else if !known {
+		d.reports[window], d.at[window] = maps.Clone(counts), time.Now()
+	}
+	return d.fail
+}
+
+// total is the number of requests reported.
+func (d *duties) total() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, c := range d.reports {
+		n += int(c.total())
+	}
+	return n
+}
+
+// check fails the test if a window was reported twice with other counts, or
+// later than it was due.
+func (f *fleet) check() {
+	f.t.Helper()
+	f.duties.mu.Lock()
+	defer f.duties.mu.Unlock()
+	if len(f.duties.differ) > 0 {
+		f.t.Errorf("windows with two counts: %v", f.duties.differ)
+	}
+	for window, at := range f.duties.at {
+		if after := at.Sub(time.Unix(0, (window+1)*int64(period))); after > late {
+			f.t.Errorf("window %d was reported after %v", window, after)
+		}
+	}
+}
+
+func TestEachRequestIsReportedOnce(t *testing.T) {
+	withFleet(t, 5, func(f *fleet) {
+		want := f.run(4 * period)
+		time.Sleep(period)
+		f.check()
+		if got := f.duties.total(); got != want {
+			t.Errorf("reported %d of %d", got, want)
+		}
+	})
+}
+
+// Guards against counts that are lost, or reported twice with other figures,
+// when the daemon that reports is killed at any moment of a window.
+func TestLeaderIsKilled(t *testing.T) {
+	for after := time.Duration(0); after < period; after += 370 * time.Millisecond {
+		t.Run(after.String(), func(t *testing.T) {
+			withFleet(t, 5, func(f *fleet) {
+				want := f.run(2*period + after)
+				f.kill("vm-0")
+				want += f.run(2*period - after)
+				time.Sleep(late)
+				f.check()
+				// What it counted since its last report is lost.
+				if got := f.duties.total(); got > want || want-got > 3 {
+					t.Errorf("reported %d of %d", got, want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a loss of all counts of a window when all daemons are killed.
+func TestAllAreKilled(t *testing.T) {
+	withFleet(t, 5, func(f *fleet) {
+		want := f.run(2*period + 4*time.Second)
+		for name := range f.daemons {
+			f.kill(name)
+		}
+		time.Sleep(500 * time.Millisecond)
+		for name := range f.daemons {
+			f.start(name)
+		}
+		want += f.run(2 * period)
+		time.Sleep(late)
+		f.check()
+		// The last save is a second old at most.
+		if got := f.duties.total(); got > want || want-got > 5*10*5/4 {
+			t.Errorf("reported %d of %d", got, want)
+		}
+	})
+}
+
+// Guards against windows that are dropped because the store or the platform was
+// away as they ended.
+func TestOutages(t *testing.T) {
+	for name, set := range map[string]func(f *fleet, on bool){
+		"store":               func(f *fleet, on bool) { f.store.away = on },
+		"writes not answered": func(f *fleet, on bool) { f.store.lose = on },
+		"platform":            func(f *fleet, on bool) { f.duties.fail = onError(on) },
+		"platform, carried out": func(f *fleet, on bool) {
+			f.duties.fail, f.duties.accepted = onError(on), true
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, 5, func(f *fleet) {
+				change := func(on bool) {
+					f.store.mu.Lock()
+					f.duties.mu.Lock()
+					set(f, on)
+					f.duties.mu.Unlock()
+					f.store.mu.Unlock()
+				}
+				want := f.run(2*period - time.Second)
+				change(true)
+				want += f.run(4 * time.Second)
+				change(false)
+				want += f.run(period - 3*time.Second)
+				time.Sleep(late)
+				f.check()
+				if got := f.duties.total(); got != want {
+					t.Errorf("reported %d of %d", got, want)
+				}
+			})
+		})
+	}
+}
+
+func onError(on bool) error {
+	if on {
+		return port.ErrUnavailable
+	}
+	return nil
+}
+
+// Guards against two daemons that both believe to lead, of which one is cut
+// off, and report different counts of a window.
+func TestSplitLeaders(t *testing.T) {
+	for after := time.Duration(0); after < period; after += 630 * time.Millisecond {
+		t.Run(after.String(), func(t *testing.T) {
+			withFleet(t, 5, func(f *fleet) {
+				f.run(period + after)
+				setCut := func(on bool) {
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					f.daemons["vm-0"].cut = on
+				}
+				setCut(true)
+				f.run(2 * period)
+				setCut(false)
+				f.run(period)
+				time.Sleep(late)
+				f.check()
+			})
+		})
+	}
+}
+
+// Guards against a report that is repeated for ever with a fencing token that
+// the platform has refused.
+func TestFencedLeaderClaimsAgain(t *testing.T) {
+	withFleet(t, 1, func(f *fleet) {
+		want := f.run(period / 2)
+		f.duties.mu.Lock()
+		f.duties.fence = 2
+		f.duties.mu.Unlock()
+		want += f.run(period / 2)
+		time.Sleep(2 * period)
+		if got := f.duties.total(); got != want {
+			t.Errorf("reported %d of %d", got, want)
+		}
+		if f.duties.calls > 8 {
+			t.Errorf("%d calls", f.duties.calls)
+		}
+	})
+}
+
+func TestMessagesFitIntoDatagrams(t *testing.T) {
+	u := &update{Source: Source{VM: "vm-1", Incarnation: 3}, First: 5, Window: 7, Closed: true, Counts: make(Counts)}
+	for i := range 500 {
+		u.Counts[fmt.Sprintf("organisation-%03d", i)] = uint32(i + 1)
+		u.Total += uint32(i + 1)
+	}
+	messages, err := encode(u)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newLedger()
+	for _, data := range messages {
+		if len(data) > 1400 {
+			t.Errorf("%d bytes", len(data))
+		}
+		if _, missing := l.missing(7, []Source{u.Source}); !missing {
+			t.Error("a part of the counts counts as all")
+		}
+		got, err := decode(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.merge(got)
+	}
+	if _, missing := l.missing(7, []Source{u.Source}); missing || !maps.Equal(l.sum(7), u.Counts) {
+		t.Errorf("%d counts", len(l.sum(7)))
+	}
+}
+
+func TestRowsAreReadAsWritten(t *testing.T) {
+	l := newLedger()
+	for i := range 3 {
+		l.merge(&update{Source: Source{VM: fmt.Sprint(i)}, Window: 4, Counts: Counts{"o1": uint32(i), "o2": 5}, Closed: i == 0, Total: 5})
+	}
+	rows, _ := l.rows(4)
+	data, err := encodeRows(rows)
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, err := decodeRows(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := newLedger()
+	for i := range back {
+		other.merge(&back[i])
+	}
+	if !maps.Equal(other.sum(4), Counts{"o1": 3, "o2": 15}) {
+		t.Errorf("read %v", other.sum(4))
+	}
+}
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -17,6 +17,7 @@
 	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/budget"
+	"github.com/pomelospool/pomelospool/request/failure"
 	"github.com/pomelospool/pomelospool/request/placement"
 	"github.com/pomelospool/pomelospool/version/route"
 )
@@ -37,6 +38,9 @@
 	// Organisation holds the caller's key; empty: the route is public.
 	Organisation string
 	Priority     int // of the organisation or the route, 0 is the most urgent
+	// OnStart is called once, when the first target is known to run the call:
+	// that long ago. It may be nil.
+	OnStart func(ago time.Duration)
 }
 
 // Answer is a target's whole answer.
@@ -177,4 +181,28 @@
 	first  *reading // the choice at admission, until it is used
 	last   *failed
 	lastID string // id of the last event that the caller got
+
+	started bool // Call.OnStart was called
+}
+
+// start notes that a target runs the call, since that long ago.
+func (u *run) start(ago time.Duration) {
+	if u.started {
+		return
+	}
+	u.started = true
+	if u.c.OnStart != nil {
+		u.c.OnStart(ago)
+	}
+}
+
+// startedBy reports whether a send that failed shows that the target ran the
+// call. A caller that left, or a target that is silent, shows nothing: the call
+// may still have waited.
+func startedBy(f *failed) bool {
+	switch f.Class {
+	case failure.NoAnswer, failure.Cut, failure.Mismatch, failure.Failed:
+		return true
+	}
+	return false
 }
--- a/request/dispatch/decode.go
+++ b/request/dispatch/decode.go
@@ -134,6 +134,7 @@
 	if f := u.judge(target, a, v); f != nil {
 		return f
 	}
+	u.start(0)
 	if u.trace.Begun {
 		return ownFailure(target, a)
 	}
--- a/request/dispatch/plain.go
+++ b/request/dispatch/plain.go
@@ -45,10 +45,14 @@
 	if u.c.Route.Idempotent() && u.ran+1 < u.c.Route.Attempts {
 		s.silence = max(patience*u.c.Route.Objective, minPatience)
 	}
+	sent := time.Now()
 	resp, v, f := u.send(ctx, s)
 	if f != nil {
 		return nil, f
 	}
+	if !v.NotRun {
+		u.start(time.Since(sent))
+	}
 	a, f := u.whole(ctx, to.ID, resp, v)
 	if f != nil {
 		return nil, f
--- a/request/dispatch/relay.go
+++ b/request/dispatch/relay.go
@@ -48,6 +48,7 @@
 func (u *run) pass(target string, resp *h1.Response, events []byte, out Stream, w watch) *failed {
 	fresh, last, n := after(events, u.lastID)
 	w.batch(n)
+	u.start(0)
 	if !u.trace.Begun {
 		u.trace.Begun = true
 		u.trace.First = time.Since(u.c.Arrived)
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -123,6 +123,9 @@
 	if f.MayHaveRun() {
 		u.ran++
 	}
+	if startedBy(f) {
+		u.start(0)
+	}
 	if o, counts := f.outcome(); counts && !f.noted {
 		u.opts.Health.Note(f.Target, o)
 	}
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -32,6 +32,9 @@
 	TargetsAge func() (age time.Duration, heard bool)
 	// ConfigAge is the same for the configuration. It may be nil.
 	ConfigAge func() (age time.Duration, heard bool)
+	// Started counts a request of an organisation that a target began to run
+	// that long ago. It may be nil.
+	Started func(organisation string, ago time.Duration)
 	// MaxConfigAge is the age from which on the configuration may be outdated.
 	MaxConfigAge time.Duration
 }
@@ -173,6 +176,9 @@
 	}
 	if org != nil {
 		c.Organisation = org.Name
+		if x.o.Started != nil {
+			c.OnStart = func(ago time.Duration) { x.o.Started(org.Name, ago) }
+		}
 		if org.Priority != nil {
 			c.Priority = *org.Priority
 		}
