scale: serve with reclaimable engines, few on demand

One daemon at a time orders, under a claim: for each service that may be scaled so many reclaimable targets that the loss of one availability zone's leaves the capacity that the service had when it was first seen (kept in the store), and a tenth on demand. On-demand targets leave only as far as the capacity is there without them, also after a reclaim; short of it, more are ordered on demand.

--- a/port/store.go
+++ b/port/store.go
@@ -19,6 +19,7 @@
 	TopicDaemons              // daemons announce themselves
 	TopicClaims               // claims to act, one key a subject
 	TopicUsage                // what is reported of organisations' use
+	TopicScale                // the capacity that each service is to have
 )
 
 // KeyedRecord is one record of a keyed topic.
--- a/port/target.go
+++ b/port/target.go
@@ -18,6 +18,7 @@
 	Leaving  bool   // takes no new work
 	Cold     time.Duration
 	Role     Role // of an engine, else empty
+	Spot     bool // the platform may reclaim it at short notice
 }
 
 // PromptPart is a run of prompt tokens that other requests may begin with too.
--- a/process/front/duties.go
+++ b/process/front/duties.go
@@ -6,12 +6,27 @@
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/process/claim"
 	"github.com/pomelospool/pomelospool/process/clock"
+	"github.com/pomelospool/pomelospool/process/scale"
 	"github.com/pomelospool/pomelospool/process/usage"
 )
 
 // wireDuties makes the parts that call the platform for the whole fleet.
 func (d *Daemon) wireDuties() {
-	if d.s.Duties.Addr == "" || d.s.Duties.UsageWindow == 0 {
+	if d.s.Duties.Addr == "" {
+		return
+	}
+	calls := platform.NewDuties(d.s.Duties.Addr)
+	d.scaler = scale.New(scale.Options{
+		Self:    d.s.VM,
+		Clock:   clock.Boot{},
+		Roster:  d.roster,
+		Store:   d.store,
+		Claims:  d.newClaims(),
+		Duties:  calls,
+		Targets: d.registry,
+		Config:  d.config,
+	})
+	if d.s.Duties.UsageWindow == 0 {
 		return
 	}
 	d.usage = usage.New(usage.Options{
@@ -21,13 +36,34 @@
 		Clock:  d.clock,
 		Roster: d.roster,
 		Store:  d.store,
-		Duties: platform.NewDuties(d.s.Duties.Addr),
-		Claims: claim.New(claim.Options{
-			Self: d.s.VM, Store: d.store, Lease: d.s.Bounds.Lease, Clock: clock.Boot{}, Seen: d.claims,
-		}),
+		Claims: d.newClaims(),
+		Duties: calls,
 	})
 }
 
+// newClaims returns the claims of one goroutine.
+func (d *Daemon) newClaims() *claim.Claims {
+	return claim.New(claim.Options{Self: d.s.VM, Store: d.store, Lease: d.s.Bounds.Lease, Clock: clock.Boot{}, Seen: d.claims})
+}
+
+func (d *Daemon) startDuties() {
+	if d.usage != nil {
+		d.usage.Start()
+	}
+	if d.scaler != nil {
+		d.scaler.Start()
+	}
+}
+
+func (d *Daemon) stopDuties() {
+	if d.usage != nil {
+		_ = d.usage.Stop()
+	}
+	if d.scaler != nil {
+		_ = d.scaler.Stop()
+	}
+}
+
 // countUsage counts a request of an organisation that began to run.
 func (d *Daemon) countUsage(organisation string, ago time.Duration) {
 	if d.usage != nil {
--- /dev/null
+++ b/process/front/duties_test.go
@@ -0,0 +1,53 @@
+package front
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pomelospool/pomelospool/platform/standin"
+)
+
+const dutiesText = settingsText + `
+duties: {addr: "CLOUD", usage_window: 500ms, usage_late: 2s}
+`
+
+// Two daemons report what both have served, once, and one of them orders
+// engines.
+func TestDutiesOfTheFleet(t *testing.T) {
+	s := newSite(t)
+	s.store.ConfigureKeyed(2, "/p/", "o1", "k1")
+	cloud := standin.NewCloud()
+	text := s.withCloud(cloud)
+	first := s.startWith(text)
+	second := s.startWith(replaceVM(text, "vm-2"))
+	s.await(func() bool { return len(first.roster.Members()) == 2 && len(second.roster.Members()) == 2 })
+	const n = 20
+	for i := range n {
+		for _, d := range []*Daemon{first, second} {
+			h := standin.CallerHeaders(fmt.Sprint("r", i, d.s.VM), 5*time.Second, "")
+			standin.SetKey(h, "k1")
+			if status, body := s.askWith(d, "/p/x", h); status != 200 {
+				t.Fatal(status, body)
+			}
+		}
+	}
+	if status, _ := s.ask(first, "/p/x", "r0", ""); status != 401 {
+		t.Errorf("without a key: %d", status)
+	}
+	s.await(func() bool {
+		total := 0
+		for _, counts := range cloud.Usage() {
+			total += counts["o1"]
+		}
+		return total == 2*n && len(cloud.Scaled()) > 0
+	})
+	for _, one := range cloud.Scaled() {
+		if one.Service != "llm" {
+			t.Errorf("ordered %+v", one)
+		}
+	}
+	if broken := cloud.Broken(); len(broken) > 0 {
+		t.Error(broken)
+	}
+}
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -32,6 +32,7 @@
 	"github.com/pomelospool/pomelospool/process/relay"
 	"github.com/pomelospool/pomelospool/process/roles"
 	"github.com/pomelospool/pomelospool/process/roster"
+	"github.com/pomelospool/pomelospool/process/scale"
 	"github.com/pomelospool/pomelospool/process/settings"
 	"github.com/pomelospool/pomelospool/process/topic"
 	"github.com/pomelospool/pomelospool/process/usage"
@@ -100,6 +101,7 @@
 	clock       *clock.Fleet
 	incarnation uint64          // of this process
 	usage       *usage.Reporter // nil: nothing is reported
+	scaler      *scale.Scaler   // nil: nothing is ordered
 	claims      *claim.Sightings
 	ingress     *ingress.Ingress
 	metrics     *metrics
@@ -385,9 +387,7 @@
 			f.Start()
 		}
 		d.planner.Start()
-		if d.usage != nil {
-			d.usage.Start()
-		}
+		d.startDuties()
 		d.tomb.Go(d.upkeep)
 		return nil
 	})
--- a/process/front/front_test.go
+++ b/process/front/front_test.go
@@ -59,6 +59,13 @@
 bounds: {grace: 2s}
 `
 
+// withCloud returns settings of daemons that have duties at the cloud.
+func (s *site) withCloud(c *standin.Cloud) string {
+	return strings.ReplaceAll(dutiesText, "CLOUD", s.serve(c))
+}
+
+func replaceVM(text, vm string) string { return strings.Replace(text, "vm: vm-1", "vm: "+vm, 1) }
+
 func (s *site) start() *Daemon { return s.startWith(settingsText) }
 
 func (s *site) startWith(text string) *Daemon {
@@ -114,11 +121,17 @@
 }
 
 func (s *site) ask(d *Daemon, path, id, prompt string) (int, string) {
+	s.t.Helper()
+	return s.askWith(d, path, standin.CallerHeaders(id, 5*time.Second, prompt))
+}
+
+// askWith sends a request with these headers.
+func (s *site) askWith(d *Daemon, path string, h http.Header) (int, string) {
 	req, err := http.NewRequest("POST", "http://"+d.addr("callers")+path, strings.NewReader("body"))
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	req.Host, req.Header = "a.example", standin.CallerHeaders(id, 5*time.Second, prompt)
+	req.Host, req.Header = "a.example", h
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		return 0, err.Error()
--- a/process/front/stop.go
+++ b/process/front/stop.go
@@ -54,9 +54,7 @@
 		d.tomb.Kill(nil)
 		d.closeServers()
 		_ = d.planner.Stop()
-		if d.usage != nil {
-			_ = d.usage.Stop()
-		}
+		d.stopDuties()
 		for _, f := range d.followers {
 			_ = f.Stop()
 		}
--- /dev/null
+++ b/process/scale/plan_test.go
@@ -0,0 +1,111 @@
+package scale
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/pomelospool/pomelospool/version/route"
+)
+
+var zones = []string{"a", "b", "c"}
+
+func scaling() *route.Scaling {
+	return &route.Scaling{Min: 1, Max: 94, SpotPrice: 0.18, ZonePrice: map[string]float64{"a": 0.85, "b": 1.2, "c": 1}}
+}
+
+func TestBest(t *testing.T) {
+	for name, tc := range map[string]struct {
+		capacity int
+		zones    []string
+		change   func(s *route.Scaling)
+		onDemand int
+		spot     int
+	}{
+		"three zones":             {140, zones, nil, 14, 189},
+		"two zones":               {140, zones[:2], func(s *route.Scaling) { s.Max = 200 }, 14, 252},
+		"one zone":                {140, zones[:1], func(s *route.Scaling) { s.Max = 200 }, 140, 0},
+		"none reclaimable":        {140, zones, func(s *route.Scaling) { s.SpotPrice = 0 }, 140, 0},
+		"reclaimable are dear":    {140, zones, func(s *route.Scaling) { s.SpotPrice = 0.9 }, 140, 0},
+		"little room in the zone": {140, zones, func(s *route.Scaling) { s.Max = 50 }, 120, 30},
+		"small":                   {6, zones, nil, 3, 6},
+		"smallest":                {3, zones, nil, 3, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := scaling()
+			if tc.change != nil {
+				tc.change(s)
+			}
+			best := Best(tc.capacity, tc.zones, s)
+			got := best.total()
+			if got.OnDemand != tc.onDemand || got.Spot != tc.spot {
+				t.Errorf("%+v", best)
+			}
+			if left := got.OnDemand + best.afterReclaim(); left < tc.capacity {
+				t.Errorf("%d of %d are left after a reclaim", left, tc.capacity)
+			}
+			for zone, one := range best {
+				if one.OnDemand+one.Spot > s.Max {
+					t.Errorf("zone %s has %+v", zone, one)
+				}
+			}
+		})
+	}
+}
+
+// evenly makes the same number of targets in each zone.
+func evenly(onDemand, spot int) Counts {
+	out := make(Counts)
+	for _, zone := range zones {
+		out[zone] = Count{OnDemand: onDemand, Spot: spot}
+	}
+	return out
+}
+
+// Guards against a service that is short of targets on the way to cheaper ones.
+func TestNextKeepsTheCapacity(t *testing.T) {
+	const capacity = 141
+	s := scaling()
+	present := evenly(47, 0)
+	best := Best(capacity, zones, s)
+	for round := range 10 {
+		want := Next(present, best, capacity, s)
+		// Those that leave are gone before any new one serves.
+		for zone, one := range present {
+			one.OnDemand = min(one.OnDemand, want[zone].OnDemand)
+			present[zone] = one
+		}
+		if n := present.total().OnDemand + present.total().Spot; n < capacity {
+			t.Fatalf("round %d: %d targets, %+v", round, n, present)
+		}
+		for zone, one := range want {
+			if one.OnDemand+one.Spot > s.Max {
+				t.Errorf("round %d, zone %s: %+v", round, zone, one)
+			}
+		}
+		present = want
+	}
+	if fmt.Sprint(present) != fmt.Sprint(best) {
+		t.Errorf("ends at %+v, not %+v", present, best)
+	}
+}
+
+func TestNextAfterAReclaim(t *testing.T) {
+	const capacity = 141
+	s := scaling()
+	best := Best(capacity, zones, s)
+	present := Next(best, best, capacity, s)
+	lose := func(zone string) {
+		one := present[zone]
+		one.Spot = 0
+		present[zone] = one
+	}
+	lose("a")
+	if want := Next(present, best, capacity, s); want.total().OnDemand != best.total().OnDemand || want["a"].Spot != best["a"].Spot {
+		t.Errorf("one zone lost: %+v", want)
+	}
+	lose("b")
+	want := Next(present, best, capacity, s)
+	if n := want.total().OnDemand + present.total().Spot; n < capacity {
+		t.Errorf("two zones lost: %d targets, %+v", n, want)
+	}
+}
--- a/process/usage/usage_test.go
+++ b/process/usage/usage_test.go
@@ -221,6 +221,10 @@
 	return d.fail
 }
 
+func (d *duties) Scale(context.Context, port.DutyCall, port.ScaleOrder) error {
+	return errors.New("not used")
+}
+
 // total is the number of requests reported.
 func (d *duties) total() int {
 	d.mu.Lock()
--- a/version/route/route.go
+++ b/version/route/route.go
@@ -81,6 +81,18 @@
 	HealthPath string
 	MaxConns   int     // connections that one target takes from all callers
 	Engine     *Engine // nil for a plain service
+	// Scaling is set where the number of the service's targets may be ordered.
+	Scaling *Scaling
+}
+
+// Scaling says how many targets of a service may be ordered, and at what price.
+type Scaling struct {
+	Min, Max int           // in each availability zone, of both kinds together
+	Boot     time.Duration // from an order until a new target serves
+	// SpotPrice is what a reclaimable target costs as a share of the price of
+	// another one; 0: there are none.
+	SpotPrice float64
+	ZonePrice map[string]float64 // of a second of a target, by availability zone
 }
 
 // Engine is what the configuration says of a service's model engines.
