scale: other zones stand in for one without reclaimable targets

Cause: a reclaimed zone was ordered again only after 2 s, was refused until the zone had engines again, and the other zones were left as they were. And the engines of the start were billed for 16 s, since nothing was ordered before the list of targets had settled.

A zone that refuses counts as dry for four seconds; the others get as many reclaimable targets as fit, so that one more zone may be lost. Reclaimable targets that lack are ordered at once, surplus ones leave after 20 s, and until the list settles they are ordered for the targets seen so far.

TestZoneIsReclaimed waits longer for the end, since surplus targets of other zones now stay for 20 s; what it asserts is as it was.

--- a/process/scale/plan.go
+++ b/process/scale/plan.go
@@ -41,8 +41,9 @@
 
 // Best returns the cheapest targets of a service that leave its capacity when
 // any one availability zone loses its reclaimable targets. Where reclaimable
-// targets save nothing, all are on demand.
-func Best(capacity int, zones []string, s *route.Scaling) Counts {
+// targets save nothing, all are on demand. Zones that are dry have no more
+// reclaimable targets at the moment; the others then get as many as fit.
+func Best(capacity int, zones []string, dry map[string]bool, s *route.Scaling) Counts {
 	all := spread(capacity, zones, s.Max)
 	if s.SpotPrice <= 0 || len(zones) < 2 {
 		return all
@@ -53,13 +54,16 @@
 		perZone := (capacity - n + len(zones) - 2) / (len(zones) - 1)
 		for zone, one := range c {
 			one.Spot = min(perZone, s.Max-one.OnDemand)
+			if len(dry) > 0 && !dry[zone] {
+				one.Spot = min(replacing(perZone, len(zones), dry), s.Max-one.OnDemand)
+			}
 			c[zone] = one
 		}
 		t := c.total()
 		if t.OnDemand+c.afterReclaim() < capacity {
 			continue
 		}
-		if float64(t.OnDemand)+s.SpotPrice*float64(t.Spot) >= float64(capacity) {
+		if len(dry) == 0 && float64(t.OnDemand)+s.SpotPrice*float64(t.Spot) >= float64(capacity) {
 			return all
 		}
 		return c
@@ -67,6 +71,14 @@
 	return all
 }
 
+// replacing is the number of reclaimable targets in a zone that isn't dry, so
+// that these zones together have as many as all zones had, and one more zone's
+// may be lost.
+func replacing(perZone, zones int, dry map[string]bool) int {
+	left := max(zones-len(dry), 1)
+	return perZone * (zones - 1) / max(left-1, 1)
+}
+
 // spread divides on-demand targets evenly over availability zones.
 func spread(n int, zones []string, limit int) Counts {
 	out := make(Counts, len(zones))
--- a/process/scale/plan_test.go
+++ b/process/scale/plan_test.go
@@ -35,7 +35,7 @@
 			if tc.change != nil {
 				tc.change(s)
 			}
-			best := Best(tc.capacity, tc.zones, s)
+			best := Best(tc.capacity, tc.zones, nil, s)
 			got := best.total()
 			if got.OnDemand != tc.onDemand || got.Spot != tc.spot {
 				t.Errorf("%+v", best)
@@ -66,7 +66,7 @@
 	const capacity = 141
 	s := scaling()
 	present := evenly(47, 0)
-	best := Best(capacity, zones, s)
+	best := Best(capacity, zones, nil, s)
 	for round := range 10 {
 		want := Next(present, best, capacity, s)
 		// Those that leave are gone before any new one serves.
@@ -92,7 +92,7 @@
 func TestNextAfterAReclaim(t *testing.T) {
 	const capacity = 141
 	s := scaling()
-	best := Best(capacity, zones, s)
+	best := Best(capacity, zones, nil, s)
 	present := Next(best, best, capacity, s)
 	lose := func(zone string) {
 		one := present[zone]
@@ -103,6 +103,10 @@
 	if want := Next(present, best, capacity, s); want.total().OnDemand != best.total().OnDemand || want["a"].Spot != best["a"].Spot {
 		t.Errorf("one zone lost: %+v", want)
 	}
+	dry := Best(capacity, zones, map[string]bool{"a": true}, s)
+	if left := dry.total().OnDemand + dry["b"].Spot; left < 100 {
+		t.Errorf("one zone dry: %+v", dry)
+	}
 	lose("b")
 	want := Next(present, best, capacity, s)
 	if n := want.total().OnDemand + present.total().Spot; n < capacity {
--- a/process/scale/scaler.go
+++ b/process/scale/scaler.go
@@ -33,9 +33,17 @@
 	// settled is how long no target may have appeared before a service's capacity
 	// is taken from its targets: the list of a fleet that starts fills up.
 	settled = 1200 * time.Millisecond
-	// steadyFor is how long a difference must last before it is ordered: targets
-	// are replaced, and start again, all the time.
+	// steadyFor is how long an on-demand difference must last before it is
+	// ordered: targets are replaced, and start again, all the time.
 	steadyFor = 2 * time.Second
+	// surplusFor is the same for reclaimable targets that are too many. They cost
+	// little, and take their prefix caches with them.
+	surplusFor = 20 * time.Second
+	// orderEvery is the least time between two orders of a kind.
+	orderEvery = time.Second
+	// dryFor is how long an availability zone counts as without reclaimable
+	// targets after it had none.
+	dryFor = 4 * time.Second
 	// bootMargin is added to the time that targets take to start before the same
 	// number is ordered again.
 	bootMargin = 3 * time.Second
@@ -74,6 +82,7 @@
 	leads    time.Duration // since when; below 0: it doesn't
 	capacity map[string]int
 	kinds    map[kind]*state
+	dry      map[kind]time.Duration // until
 }
 
 // kind is the targets that one number is ordered of.
@@ -86,12 +95,13 @@
 type state struct {
 	differs time.Duration // since when present and wanted differ; below 0: they don't
 	ordered int           // last; below 0: nothing
-	again   time.Duration // no order before
+	next    time.Duration // no order before
+	again   time.Duration // no order of the same number before
 }
 
 // New returns a Scaler that doesn't run yet.
 func New(o Options) *Scaler {
-	return &Scaler{o: o, leads: -1, capacity: make(map[string]int), kinds: make(map[kind]*state)}
+	return &Scaler{o: o, leads: -1, capacity: make(map[string]int), kinds: make(map[kind]*state), dry: make(map[kind]time.Duration)}
 }
 
 // Start begins to order.
@@ -127,6 +137,7 @@
 		s.leads = -1
 		clear(s.capacity)
 		clear(s.kinds)
+		clear(s.dry)
 		return false
 	}
 	if s.leads < 0 {
@@ -135,7 +146,8 @@
 	return s.o.Clock.Now()-s.leads >= takeover
 }
 
-// look orders what a service lacks or has too much of.
+// look orders what a service lacks or has too much of. Until its capacity is
+// known, reclaimable targets are ordered for those that have been seen.
 func (s *Scaler) look(ctx context.Context, svc *route.Service) {
 	snap := s.o.Targets.Snapshot()
 	if svc.Scaling == nil || !snap.Whole {
@@ -147,17 +159,37 @@
 		log.WithError(err).WithField("service", svc.Name).Warn("scale: capacity not known")
 		return
 	}
+	zones := zonesOf(present, svc.Scaling)
 	if capacity == 0 {
+		seen := present.total().OnDemand
+		s.orderSpot(ctx, svc, zones, present, Next(present, Best(seen, zones, nil, svc.Scaling), seen, svc.Scaling))
 		return
 	}
-	zones := zonesOf(present, svc.Scaling)
-	want := Next(present, Best(capacity, zones, svc.Scaling), capacity, svc.Scaling)
+	dry := s.dryZones(svc.Name, zones)
+	want := Next(present, Best(capacity, zones, dry, svc.Scaling), capacity, svc.Scaling)
+	s.orderSpot(ctx, svc, zones, present, want)
 	for _, zone := range zones {
-		s.want(ctx, svc, kind{svc.Name, zone, true}, present[zone].Spot, want[zone].Spot)
 		s.want(ctx, svc, kind{svc.Name, zone, false}, present[zone].OnDemand, want[zone].OnDemand)
 	}
 }
 
+func (s *Scaler) orderSpot(ctx context.Context, svc *route.Service, zones []string, present, want Counts) {
+	for _, zone := range zones {
+		s.want(ctx, svc, kind{svc.Name, zone, true}, present[zone].Spot, want[zone].Spot)
+	}
+}
+
+// dryZones returns the zones that had no reclaimable targets recently.
+func (s *Scaler) dryZones(service string, zones []string) map[string]bool {
+	out := make(map[string]bool)
+	for _, zone := range zones {
+		if s.o.Clock.Now() < s.dry[kind{service, zone, true}] {
+			out[zone] = true
+		}
+	}
+	return out
+}
+
 // count counts the targets that stay.
 func count(entries []port.TargetEntry) Counts {
 	out := make(Counts)
@@ -246,26 +278,40 @@
 		st.differs = -1
 		return
 	}
-	first := st.ordered < 0
 	if st.differs < 0 {
 		st.differs = now
 	}
-	if !first && now-st.differs < steadyFor || now < st.again && wanted == st.ordered {
+	if now-st.differs < st.patience(k, present, wanted) || now < st.next || now < st.again && wanted == st.ordered {
 		return
 	}
 	err := s.order(ctx, k, wanted)
+	if errors.Is(err, claim.ErrHeld) || errors.Is(err, port.ErrConflict) {
+		return
+	}
+	st.ordered, st.next, st.again = wanted, now+orderEvery, now+svc.Scaling.Boot+bootMargin
 	fields := log.Fields{"service": k.service, "zone": k.zone, "spot": k.spot, "present": present, "wanted": wanted}
-	switch {
-	case err == nil:
-		stats.Add("orders", 1)
-		st.ordered, st.again = wanted, now+svc.Scaling.Boot+bootMargin
-		log.WithFields(fields).Info("scale: ordered")
-	case errors.Is(err, claim.ErrHeld), errors.Is(err, port.ErrConflict):
-	default:
+	if err != nil {
 		stats.Add("failed", 1)
-		st.ordered, st.again = wanted, now+refusedFor
+		st.again = now + refusedFor
+		if k.spot && errors.Is(err, port.ErrRefused) {
+			s.dry[k] = now + dryFor
+		}
 		log.WithError(err).WithFields(fields).Warn("scale: not ordered")
+		return
+	}
+	stats.Add("orders", 1)
+	log.WithFields(fields).Info("scale: ordered")
+}
+
+// patience is how long a difference must last before it is ordered.
+func (st *state) patience(k kind, present, wanted int) time.Duration {
+	switch {
+	case k.spot && wanted > present, st.ordered < 0:
+		return 0
+	case k.spot:
+		return surplusFor
 	}
+	return steadyFor
 }
 
 func (s *Scaler) order(ctx context.Context, k kind, wanted int) error {
--- a/process/scale/scaler_test.go
+++ b/process/scale/scaler_test.go
@@ -238,7 +238,7 @@
 	withCloud(t, func(t *testing.T, c *cloud, steady clock.Clock) {
 		c.scaler(t, "vm-1", steady, true)
 		time.Sleep(time.Minute)
-		if got, want := c.count(), Best(141, zones, scaling()); fmt.Sprint(got) != fmt.Sprint(want) {
+		if got, want := c.count(), Best(141, zones, nil, scaling()); fmt.Sprint(got) != fmt.Sprint(want) {
 			t.Errorf("%+v, want %+v", got, want)
 		}
 		if c.least < 141 {
@@ -267,8 +267,8 @@
 		c.mu.Lock()
 		c.dry["b"] = false
 		c.mu.Unlock()
-		time.Sleep(20 * time.Second)
-		if got, want := c.count(), Best(141, zones, scaling()); fmt.Sprint(got) != fmt.Sprint(want) {
+		time.Sleep(surplusFor + 20*time.Second)
+		if got, want := c.count(), Best(141, zones, nil, scaling()); fmt.Sprint(got) != fmt.Sprint(want) {
 			t.Errorf("%+v, want %+v", got, want)
 		}
 	})
@@ -285,7 +285,7 @@
 		c.reclaim("a", false)
 		second.set(true)
 		time.Sleep(40 * time.Second)
-		if got, want := c.count(), Best(141, zones, scaling()); fmt.Sprint(got) != fmt.Sprint(want) {
+		if got, want := c.count(), Best(141, zones, nil, scaling()); fmt.Sprint(got) != fmt.Sprint(want) {
 			t.Errorf("%+v, want %+v", got, want)
 		}
 		if c.stale > 0 {
@@ -306,7 +306,7 @@
 		c.fail = nil
 		c.mu.Unlock()
 		time.Sleep(time.Minute)
-		if got, want := c.count(), Best(141, zones, scaling()); fmt.Sprint(got) != fmt.Sprint(want) {
+		if got, want := c.count(), Best(141, zones, nil, scaling()); fmt.Sprint(got) != fmt.Sprint(want) {
 			t.Errorf("%+v, want %+v", got, want)
 		}
 	})
