scale: a new leader keeps surplus reclaimable targets

Cause: the first order of a kind was sent without waiting for the difference to last, also to lower it. TestNewLeaderKeepsStandIns failed before (128 reclaimable targets after 179).

--- a/process/scale/scaler.go
+++ b/process/scale/scaler.go
@@ -39,6 +39,9 @@
 	// surplusFor is the same for reclaimable targets that are too many. They cost
 	// little, and take their prefix caches with them.
 	surplusFor = 20 * time.Second
+	// transition is the share of the on-demand targets below which a lower number
+	// is no fluctuation.
+	transition = 0.8
 	// orderEvery is the least time between two orders of a kind.
 	orderEvery = time.Second
 	// dryFor is how long an availability zone counts as without reclaimable
@@ -306,10 +309,12 @@
 // patience is how long a difference must last before it is ordered.
 func (st *state) patience(k kind, present, wanted int) time.Duration {
 	switch {
-	case k.spot && wanted > present, st.ordered < 0:
+	case k.spot && wanted > present:
 		return 0
 	case k.spot:
 		return surplusFor
+	case st.ordered < 0, float64(wanted) < transition*float64(present):
+		return 0
 	}
 	return steadyFor
 }
--- a/process/scale/scaler_test.go
+++ b/process/scale/scaler_test.go
@@ -294,6 +294,24 @@
 	})
 }
 
+// Guards against a new leader that takes away what stands in for a dry zone.
+func TestNewLeaderKeepsStandIns(t *testing.T) {
+	withCloud(t, func(t *testing.T, c *cloud, steady clock.Clock) {
+		first := c.scaler(t, "vm-1", steady, true)
+		second := c.scaler(t, "vm-2", steady, false)
+		time.Sleep(time.Minute)
+		c.reclaim("a", true)
+		time.Sleep(2 * boot)
+		before := c.count().total()
+		first.set(false)
+		second.set(true)
+		time.Sleep(2 * boot)
+		if now := c.count().total(); now.Spot < before.Spot {
+			t.Errorf("%d reclaimable targets after %d", now.Spot, before.Spot)
+		}
+	})
+}
+
 func TestOutageOfThePlatform(t *testing.T) {
 	withCloud(t, func(t *testing.T, c *cloud, steady clock.Clock) {
 		c.fail = port.ErrUnavailable
