relay: a leader that alone is cut off from the store gives up its duties

Cause: in a large fleet the leader reads the store by way of other daemons, so nothing showed it that its own calls got no answer, and it went on to lead.

Its calls for duties are watched: after one without an answer the store is probed, and while probes fail the daemon states that it is without the store. A lost answer to a write alone changes nothing. relay.TestDaemonThatIsCutOffIsAway and TestLostAnswersAlone.

--- a/process/front/duties.go
+++ b/process/front/duties.go
@@ -20,7 +20,7 @@
 		Self:    d.s.VM,
 		Clock:   clock.Boot{},
 		Roster:  d.roster,
-		Store:   d.store,
+		Store:   d.reach,
 		Claims:  d.newClaims(),
 		Duties:  calls,
 		Targets: d.registry,
@@ -35,7 +35,7 @@
 		Late:   d.s.Duties.UsageLate,
 		Clock:  d.clock,
 		Roster: d.roster,
-		Store:  d.store,
+		Store:  d.reach,
 		Claims: d.newClaims(),
 		Duties: calls,
 	})
@@ -43,7 +43,7 @@
 
 // newClaims returns the claims of one goroutine.
 func (d *Daemon) newClaims() *claim.Claims {
-	return claim.New(claim.Options{Self: d.s.VM, Store: d.store, Lease: d.s.Bounds.Lease, Clock: clock.Boot{}, Seen: d.claims})
+	return claim.New(claim.Options{Self: d.s.VM, Store: d.reach, Lease: d.s.Bounds.Lease, Clock: clock.Boot{}, Seen: d.claims})
 }
 
 func (d *Daemon) startDuties() {
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -83,6 +83,7 @@
 	tomb tomb.Tomb
 
 	store     *relay.Store
+	reach     *relay.Reach // store, for what is claimed and agreed there
 	tails     map[port.Topic]*relay.Tail
 	config    *inforce.Holder
 	registry  *discovery.Registry
@@ -140,6 +141,7 @@
 	})
 	d.health = health.New(time.Now, d.engines.Down)
 	d.store = relay.NewStore(platform.NewStore(s.Store.Addr), func() []string { return d.roster.Readers() }, func() []string { return d.roster.ReadyPeers() }, port.TopicConfig, port.TopicTargets)
+	d.reach = relay.NewReach(d.store)
 	d.store.Retry = d.directPace
 	d.store.Sources = func() []string { return d.roster.PeersWithStore() }
 	if err := d.wireRoster(); err != nil {
@@ -244,7 +246,7 @@
 		ConfigAge:  func() (time.Duration, bool) { return d.tails[port.TopicConfig].Age() }, MaxConfigAge: d.s.Bounds.ApplyConfig, Started: d.countUsage})
 	d.planner = roles.New(roles.Options{
 		Self:    d.s.VM,
-		Store:   d.store,
+		Store:   d.reach,
 		Control: d.control,
 		Targets: d.registry,
 		Config:  d.config,
@@ -323,7 +325,9 @@
 }
 
 // withoutStore reports whether this daemon can't read the store itself.
-func (d *Daemon) withoutStore() bool { return d.storeAway.Load() || d.store.Cut() }
+func (d *Daemon) withoutStore() bool {
+	return d.storeAway.Load() || d.store.Cut() || d.reach.Away()
+}
 
 // watched notes whether the store can be read.
 type watched struct {
@@ -388,6 +392,10 @@
 		}
 		d.planner.Start()
 		d.startDuties()
+		d.tomb.Go(func() error {
+			d.reach.Run(d.tomb.Context(context.Background()))
+			return nil
+		})
 		d.tomb.Go(d.upkeep)
 		return nil
 	})
--- /dev/null
+++ b/process/relay/reach_test.go
@@ -0,0 +1,108 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pomelospool/pomelospool/port"
+)
+
+// flaky is a store that answers or not.
+type flaky struct {
+	port.Store
+	mu     sync.Mutex
+	silent bool
+	lose   bool // answers to writes are lost
+	calls  int
+}
+
+func (f *flaky) set(silent, lose bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent, f.lose = silent, lose
+}
+
+func (f *flaky) answer(ctx context.Context, write bool) error {
+	f.mu.Lock()
+	f.calls++
+	silent, lost := f.silent, f.lose && write
+	f.mu.Unlock()
+	if !silent && !lost {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(1500 * time.Millisecond):
+	}
+	return port.ErrUnavailable
+}
+
+func (f *flaky) Newest(ctx context.Context, _ port.Topic, _ string) (port.KeyedPage, error) {
+	return port.KeyedPage{}, f.answer(ctx, false)
+}
+
+func (f *flaky) PutAt(ctx context.Context, _ port.Topic, _ string, _ []byte, _ int64) (int64, error) {
+	return 0, f.answer(ctx, true)
+}
+
+func withReach(t *testing.T, test func(t *testing.T, r *Reach, f *flaky)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &flaky{}
+		r := NewReach(f)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); r.Run(ctx) }()
+		test(t, r, f)
+		cancel()
+		<-done
+	})
+}
+
+// Guards against a daemon that leads for as long as it alone is cut off from
+// the store, and claims nothing.
+func TestDaemonThatIsCutOffIsAway(t *testing.T) {
+	withReach(t, func(t *testing.T, r *Reach, f *flaky) {
+		f.set(true, false)
+		time.Sleep(10 * time.Second)
+		if r.Away() {
+			t.Error("away without a call")
+		}
+		if _, err := r.PutAt(t.Context(), port.TopicClaims, "k", nil, 0); err == nil {
+			t.Fatal("answered")
+		}
+		time.Sleep(probeTimeout + time.Millisecond)
+		if !r.Away() {
+			t.Error("not away after a call and a probe without an answer")
+		}
+		f.set(false, false)
+		time.Sleep(probeTimeout + probeEvery + time.Millisecond)
+		if r.Away() {
+			t.Error("still away after the store's return")
+		}
+		calls := f.calls
+		time.Sleep(time.Minute)
+		if f.calls != calls {
+			t.Errorf("%d probes of a store that answers", f.calls-calls)
+		}
+	})
+}
+
+// Guards against duties that change hands, and wait for a lease, with each
+// answer that is lost.
+func TestLostAnswersAlone(t *testing.T) {
+	withReach(t, func(t *testing.T, r *Reach, f *flaky) {
+		f.set(false, true)
+		for range 5 {
+			if _, err := r.PutAt(t.Context(), port.TopicClaims, "k", nil, 0); err == nil {
+				t.Fatal("answered")
+			}
+			time.Sleep(probeTimeout)
+			if r.Away() {
+				t.Fatal("away")
+			}
+		}
+	})
+}
