--- a/connection/demand/demand.go
+++ b/connection/demand/demand.go
@@ -134,8 +134,8 @@
 	}
 }
 
-// Told returns what this process is asked.
-func (b *Book) Told() []Word { return b.SumOf(func(string) bool { return false }) }
+// Report returns what this process is asked.
+func (b *Book) Report() []Word { return b.SumOf(func(string) bool { return false }) }
 
 // SumOf is the sum of what this process is asked and of the words whose names
 // it is given.
@@ -181,9 +181,9 @@
 	return out
 }
 
-// Heard takes the word of another daemon, or of several in sum, in place of
+// Merge takes the word of another daemon, or of several in sum, in place of
 // the last one under that name.
-func (b *Book) Heard(from string, words []Word) {
+func (b *Book) Merge(from string, words []Word) {
 	now := b.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/connection/demand/demand_test.go
+++ b/connection/demand/demand_test.go
@@ -46,7 +46,7 @@
 	b.Note("llm", Offer{Lasts: 10 * time.Second})
 	c.pass(span - slot/2)
 	one := b.Total("llm").Streams
-	b.Heard("a", a.Told())
+	b.Merge("a", a.Report())
 	if l := b.Total("llm"); !near(l.Streams, 2*one, 0.01) {
 		t.Errorf("sum %+v", l)
 	}
--- a/connection/engines/bench_test.go
+++ b/connection/engines/bench_test.go
@@ -17,7 +17,7 @@
 		ids = append(ids, fmt.Sprint("engine", i))
 	}
 	for d := range daemons {
-		b.Hear(fmt.Sprint("daemon", d), workOf(d, ids), nil)
+		b.Merge(fmt.Sprint("daemon", d), workOf(d, ids), nil)
 	}
 	return b, ids
 }
@@ -43,13 +43,13 @@
 	}
 }
 
-// BenchmarkHear is one word of another daemon.
-func BenchmarkHear(b *testing.B) {
+// BenchmarkMerge is one report of another daemon.
+func BenchmarkMerge(b *testing.B) {
 	for _, s := range sizes {
 		b.Run(fmt.Sprintf("daemons=%d/engines=%d", s.daemons, s.engines), func(b *testing.B) {
 			book, ids := worked(s.daemons, s.engines)
 			for i := 0; b.Loop(); i++ {
-				book.Hear(fmt.Sprint("daemon", i%s.daemons), workOf(i, ids), nil)
+				book.Merge(fmt.Sprint("daemon", i%s.daemons), workOf(i, ids), nil)
 			}
 		})
 	}
--- a/connection/engines/engines_test.go
+++ b/connection/engines/engines_test.go
@@ -61,7 +61,7 @@
 	b, c := book()
 	done := b.Prefill("e", 1000, parts(1), 0, 40*time.Millisecond)
 	end := b.Decode("e", 1000, parts(1), 0)
-	b.Hear("peer", []Work{{Target: Hash("e"), Reading: 20_000, Prompts: 1, Streams: 2}}, []Read{{Target: Hash("e"), Parts: parts(7)}})
+	b.Merge("peer", []Work{{Target: Hash("e"), Reading: 20_000, Prompts: 1, Streams: 2}}, []Read{{Target: Hash("e"), Parts: parts(7)}})
 	l := b.Load("e", parts(7))
 	if l.Wait != 60*time.Millisecond || l.Streams != 3 || l.Cached != 100 {
 		t.Errorf("load %+v", l)
@@ -104,7 +104,7 @@
 func TestProgressOfAnotherDaemonsPrompts(t *testing.T) {
 	b, c := book()
 	tell := func(prompts, reading uint32) {
-		b.Hear("peer", []Work{{Target: Hash("e"), Prompts: prompts, Reading: reading}}, nil)
+		b.Merge("peer", []Work{{Target: Hash("e"), Prompts: prompts, Reading: reading}}, nil)
 	}
 	tell(2, 200_000)
 	c.t = c.t.Add(60 * time.Millisecond)
@@ -115,7 +115,7 @@
 	if got := b.Load("e", nil).Wait; got != 100*time.Millisecond {
 		t.Errorf("wait %v after one was read", got)
 	}
-	b.Hear("peer", nil, nil)
+	b.Merge("peer", nil, nil)
 	if got := b.Load("e", nil).Wait; got != 0 {
 		t.Errorf("wait %v after all were read", got)
 	}
@@ -142,7 +142,7 @@
 	b.Changing("e", port.RoleDecode)
 	work, _ := b.Own()
 	other, _ := book()
-	other.Hear("peer", work, nil)
+	other.Merge("peer", work, nil)
 	if other.Load("e", nil).Becomes != port.RoleDecode {
 		t.Error("the other daemon sends requests to an engine that carries out an order")
 	}
@@ -188,7 +188,7 @@
 	if len(reads) != 1 || reads[0].LeftMs != 250 {
 		t.Errorf("told %+v", reads)
 	}
-	fresh := other.Hear("peer", nil, reads)
+	fresh := other.Merge("peer", nil, reads)
 	look(other, 200, 0)
 	oc.t = oc.t.Add(100 * time.Millisecond)
 	if again := fresh[0].At(oc.t); again.LeftMs != 150 {
--- a/connection/engines/tally_test.go
+++ b/connection/engines/tally_test.go
@@ -28,7 +28,7 @@
 			c.t = c.t.Add(time.Duration(rapid.IntRange(0, 900).Draw(rt, "ms")) * time.Millisecond)
 			name := fmt.Sprint("d", rapid.IntRange(0, 4).Draw(rt, "daemon"))
 			work := drawWork(rt)
-			b.Hear(name, work, nil)
+			b.Merge(name, work, nil)
 			words[name] = spoken{at: c.t, work: work}
 			if rapid.IntRange(0, 9).Draw(rt, "forget") == 0 {
 				b.Retain(map[uint64]bool{})
--- a/connection/engines/words.go
+++ b/connection/engines/words.go
@@ -36,9 +36,9 @@
 	return out
 }
 
-// Hear takes the word of another daemon, or of several in sum, in place of the
+// Merge takes the word of another daemon, or of several in sum, in place of the
 // last one under that name. It returns the reads that tell something new.
-func (b *Book) Hear(peer string, work []Work, reads []Read) []Read {
+func (b *Book) Merge(peer string, work []Work, reads []Read) []Read {
 	now := b.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -71,9 +71,9 @@
 	return b.kept(reads)
 }
 
-// Learned takes reads of other daemons, and returns those that tell something
+// MergeReads takes reads of other daemons, and returns those that tell something
 // new.
-func (b *Book) Learned(reads []Read) []Read {
+func (b *Book) MergeReads(reads []Read) []Read {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.kept(reads)
--- a/connection/speed/speed.go
+++ b/connection/speed/speed.go
@@ -257,8 +257,8 @@
 // is preferred.
 const maxReads = 1000
 
-// Told returns the figures of this process's own prompts.
-func (b *Book) Told() []Word { return b.words(func(s *service) Figures { return s.own }) }
+// Report returns the figures of this process's own prompts.
+func (b *Book) Report() []Word { return b.words(func(s *service) Figures { return s.own }) }
 
 // Best returns the figures of the most prompts that this process knows of.
 func (b *Book) Best() []Word {
@@ -289,8 +289,8 @@
 	return out
 }
 
-// Heard takes another process's word.
-func (b *Book) Heard(words []Word) {
+// Merge takes another process's word.
+func (b *Book) Merge(words []Word) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, w := range words {
--- a/connection/speed/speed_test.go
+++ b/connection/speed/speed_test.go
@@ -96,12 +96,12 @@
 	old, fresh := NewBook(), NewBook()
 	prompts(old, e, rand.New(rand.NewPCG(3, 1)), 200)
 	old.First("llm", 40*time.Millisecond)
-	fresh.Heard(old.Told())
+	fresh.Merge(old.Report())
 	f := fresh.Figures("llm")
 	if !f.Known() || off(f, e) > 0.25 || f.First.Round(time.Millisecond) != 40*time.Millisecond {
 		t.Errorf("heard %+v", f)
 	}
-	if told := fresh.Told(); len(told) != 0 {
+	if told := fresh.Report(); len(told) != 0 {
 		t.Errorf("passes on what it heard: %+v", told)
 	}
 	other := engine{perToken: 0.1, start: 1}
--- a/process/claim/claim_test.go
+++ b/process/claim/claim_test.go
@@ -83,7 +83,7 @@
 		t.Fatal(err)
 	}
 	now = lease
-	b.o.Seen.Heard(a.o.Seen.Told())
+	b.o.Seen.Merge(a.o.Seen.Report())
 	if _, err := b.Get(t.Context(), "svc"); !errors.Is(err, ErrHeld) {
 		t.Errorf("claims within the margin: %v", err)
 	}
@@ -92,7 +92,7 @@
 		t.Errorf("waits though the lease is over: %v", err)
 	}
 	// What was told of the claim before says nothing of the new one.
-	a.o.Seen.Heard([]roster.Claim{{Service: "svc", Offset: 0, AgeMs: time.Hour.Milliseconds()}})
+	a.o.Seen.Merge([]roster.Claim{{Subject: "svc", Offset: 0, AgeMs: time.Hour.Milliseconds()}})
 	if _, err := a.Get(t.Context(), "svc"); !errors.Is(err, ErrHeld) {
 		t.Errorf("claims right after another holder: %v", err)
 	}
--- a/process/claim/sightings.go
+++ b/process/claim/sightings.go
@@ -8,20 +8,15 @@
 	"github.com/pomelospool/pomelospool/process/roster"
 )
 
-// Sightings knows for how long the newest claim for each service has stood at
-// least. The daemons tell each other in their beats.
-//
-// The failure it stops: a daemon that takes the duty over waits for the lease
-// from its own first sight of the claim, though others saw it long ago. With
-// all decoding engines gone nothing was answered for 3.4 s more.
-//
-// It holds since an age that is told can only be too short: time passes
-// between the sight, the beat and its arrival, also while either is paused.
+// Sightings knows for how long the newest claim on each subject has stood at
+// least. The daemons exchange it in their heartbeats, so that one that takes a
+// duty over needn't wait for the whole lease from its own first look. An age
+// that another daemon reports can only be too short: time passes on the way.
 type Sightings struct {
 	now func() time.Duration
 
 	mu   sync.Mutex
-	seen map[string]sighting // by service
+	seen map[string]sighting // by subject
 }
 
 // sighting is a claim, and when it was first seen by any daemon, or later.
@@ -36,43 +31,43 @@
 	return &Sightings{now: c.Now, seen: make(map[string]sighting)}
 }
 
-// age notes that the store holds this claim as the newest one, and returns for
+// age records that the store holds this claim as the newest one, and returns for
 // how long it has stood at least.
-func (s *Sightings) age(service string, offset int64) time.Duration {
+func (s *Sightings) age(subject string, offset int64) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	old, known := s.seen[service]
+	old, known := s.seen[subject]
 	if !known || old.offset != offset {
-		s.seen[service] = sighting{offset: offset, at: now}
+		s.seen[subject] = sighting{offset: offset, at: now}
 		return 0
 	}
 	return now - old.at
 }
 
-// Told implements roster.Claims.
-func (s *Sightings) Told() []roster.Claim {
+// Report implements roster.Claims.
+func (s *Sightings) Report() []roster.Claim {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
 	out := make([]roster.Claim, 0, len(s.seen))
-	for service, one := range s.seen {
-		out = append(out, roster.Claim{Service: service, Offset: one.offset, AgeMs: (now - one.at).Milliseconds()})
+	for subject, one := range s.seen {
+		out = append(out, roster.Claim{Subject: subject, Offset: one.offset, AgeMs: (now - one.at).Milliseconds()})
 	}
 	return out
 }
 
-// Heard implements roster.Claims.
-func (s *Sightings) Heard(claims []roster.Claim) {
+// Merge implements roster.Claims.
+func (s *Sightings) Merge(claims []roster.Claim) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
 	for _, c := range claims {
-		told := sighting{offset: c.Offset, at: now - time.Duration(c.AgeMs)*time.Millisecond}
-		old, known := s.seen[c.Service]
-		newer := !known || told.offset > old.offset
-		if newer || told.offset == old.offset && told.at < old.at {
-			s.seen[c.Service] = told
+		reported := sighting{offset: c.Offset, at: now - time.Duration(c.AgeMs)*time.Millisecond}
+		old, known := s.seen[c.Subject]
+		newer := !known || reported.offset > old.offset
+		if newer || reported.offset == old.offset && reported.at < old.at {
+			s.seen[c.Subject] = reported
 		}
 	}
 }
--- a/process/roles/roles_test.go
+++ b/process/roles/roles_test.go
@@ -168,7 +168,7 @@
 	for _, e := range fleet(4, 6) {
 		entries = append(entries, e.Entry)
 	}
-	book.Hear("peer", []engines.Work{
+	book.Merge("peer", []engines.Work{
 		{Target: engines.Hash("e004"), Becomes: port.RolePrefill}, {Target: engines.Hash("e005"), Becomes: port.RolePrefill},
 		{Target: engines.Hash("e006"), Becomes: port.RolePrefill}, {Target: engines.Hash("e007"), Becomes: port.RolePrefill},
 	}, nil)
--- a/process/roster/aggregate.go
+++ b/process/roster/aggregate.go
@@ -16,44 +16,44 @@
 
 const (
 	// aggregatorsPerZone is the number of daemons of an availability zone that
-	// sum up what the zone's daemons tell: with one dead the other goes on. Both
-	// tell all.
+	// aggregate the work of the zone's daemons: with one dead the other goes on. Both
+	// sendHeartbeats all.
 	aggregatorsPerZone = 2
 	// digestEvery is the time between two digests of one of them.
 	digestEvery = 500 * time.Millisecond
 	// changeAfter is how long a daemon's change of state waits for others.
 	changeAfter = 50 * time.Millisecond
-	// answerWithin is the silence after which one that is told beats counts as
+	// replyTimeout is the silence after which one that is sent heartbeats counts as
 	// no aggregator: three digests.
-	answerWithin = 3 * digestEvery
-	// silentAfter is the silence after which an aggregator finds a daemon
-	// silent: six beats.
-	silentAfter = 6 * beatEvery
+	replyTimeout = 3 * digestEvery
+	// unresponsiveAfter is the silence after which an aggregator finds a daemon
+	// unresponsive: six heartbeats.
+	unresponsiveAfter = 6 * heartbeatInterval
 	// staleAfter is the time after which nothing arrives any more that says a
-	// daemon lives that was silent before.
-	staleAfter = silentAfter + passedAlive
-	// hearsWithin is the time within which an aggregator must have heard any
-	// daemon to find others silent: two beats, of which its zone alone sends many.
-	hearsWithin = 2 * beatEvery
+	// daemon is alive that was unresponsive before.
+	staleAfter = unresponsiveAfter + relayedAliveAge
+	// contactWithin is the time within which an aggregator must have received a datagram of any
+	// daemon to find others unresponsive: two heartbeats, of which its zone alone sends many.
+	contactWithin = 2 * heartbeatInterval
 	// settled is how long a daemon must aggregate before it finds others
-	// silent: they have to notice that it does.
-	settled = answerWithin + 2*beatEvery
-	// tellings is the number of digests that tell a change, so that lost
+	// unresponsive: they have to notice that it does.
+	settled = replyTimeout + 2*heartbeatInterval
+	// changeRepeats is the number of digests that repeat a change, so that lost
 	// datagrams hardly hide it.
-	tellings = 3
-	// digestHeard is how long a daemon that sent another zone's digest gets this
+	changeRepeats = 3
+	// digestTTL is how long a daemon that sent another zone's digest gets this
 	// one's: it aggregates, whatever this one believes of its zone.
-	digestHeard = answerWithin
-	// widerAsked is the number of the zone's daemons that one without digests
-	// tells beats, so that of a herd that died all are found silent at once and
+	digestTTL = replyTimeout
+	// fallbackReceivers is the number of the zone's daemons that one without digests
+	// sends heartbeats to, so that of a herd that died all are found unresponsive at once and
 	// not two after two. Those that live say who aggregates.
-	widerAsked = 16
-	// randomAsked is the number of any daemons that it tells beats, too, for
+	fallbackReceivers = 16
+	// randomReceivers is the number of any daemons that it sends heartbeats to in addition, for
 	// what it doesn't know.
-	randomAsked = 2
-	// passedAlive is the age up to which others' word that a daemon lives is
-	// passed on.
-	passedAlive = 3 * digestEvery
+	randomReceivers = 2
+	// relayedAliveAge is the age up to which others' reports that a daemon is alive are
+	// relayed.
+	relayedAliveAge = 3 * digestEvery
 )
 
 // What fits into one datagram: an entry of work takes 20 bytes, a row 85, a
@@ -71,19 +71,19 @@
 // 65,000 datagrams a second and take 220 each, and a daemon's death shows after
 // 9 s. Summed up, each takes some 40, of whatever number of daemons.
 type aggregation struct {
-	on      bool
-	at, of  int               // which of its zone's aggregators it is, of how many
-	since   time.Time         // on, or off, since then
-	heard   time.Time         // the last digest of all daemons
-	any     time.Time         // the last datagram of any daemon
-	rotate  int               // number of digests sent
-	fleet   []engines.Read    // reads to be passed on to the zone's daemons
-	zone    []engines.Read    // and to the aggregators of other zones
-	parts   map[string]uint32 // of the last digest, by its zone
-	changed chan struct{}
+	on          bool
+	at, of      int               // which of its zone's aggregators it is, of how many
+	since       time.Time         // on, or off, since then
+	lastDigest  time.Time         // the last digest of all daemons
+	lastContact time.Time         // the last datagram of any daemon
+	rotate      int               // number of digests sent
+	fleet       []engines.Read    // reads to be passed on to the zone's daemons
+	zone        []engines.Read    // and to the aggregators of other zones
+	parts       map[string]uint32 // of the last digest, by its zone
+	changed     chan struct{}
 }
 
-// wake has changes told soon.
+// wake has changes sent soon.
 func (a *aggregation) wake() {
 	select {
 	case a.changed <- struct{}{}:
@@ -149,27 +149,27 @@
 // listed in the store may, until it doesn't answer. Callers hold r.mu.
 func (r *Roster) mayAggregate(p *peer, now time.Time) bool {
 	switch {
-	case p.member.State == Leaving || p.gone:
+	case p.member.State == Leaving || p.dead:
 		return false
-	case !p.asked.IsZero() && now.Sub(p.asked) > answerWithin:
+	case !p.asked.IsZero() && now.Sub(p.asked) > replyTimeout:
 		return false
 	}
 	return !p.known || p.alive(now, r.patience())
 }
 
-// beatReceivers returns the daemons that a beat goes to in a large fleet: the
+// heartbeatReceivers returns the daemons that a heartbeat goes to in a large fleet: the
 // own zone's aggregators, and without digests some others, which say who they
 // are. Callers hold r.mu.
-func (r *Roster) beatReceivers(now time.Time) []net.Addr {
+func (r *Roster) heartbeatReceivers(now time.Time) []net.Addr {
 	all := r.aggregators(r.self.Zone, now)
 	at := slices.Index(all, r.self.PeerAddr)
 	on := at >= 0
 	r.switchTo(on, now)
 	r.agg.at, r.agg.of = max(at, 0), max(len(all), 1)
-	blind := !on && now.Sub(r.agg.heard) > answerWithin
+	blind := !on && now.Sub(r.agg.lastDigest) > replyTimeout
 	n := aggregatorsPerZone
 	if blind {
-		n = widerAsked
+		n = fallbackReceivers
 		all = r.firstOf(r.self.Zone, n, now)
 	}
 	var to []net.Addr
@@ -184,7 +184,7 @@
 		to = append(to, p.addr)
 	}
 	for _, p := range r.peers {
-		if !blind || len(to) >= n+randomAsked {
+		if !blind || len(to) >= n+randomReceivers {
 			break
 		}
 		to = append(to, p.addr)
@@ -192,8 +192,8 @@
 	return to
 }
 
-// switchTo begins or ends to aggregate. What was heard before is part of other
-// sums from then on. Callers hold r.mu.
+// switchTo begins or ends to aggregate. What was received before is part of other
+// aggregates from then on. Callers hold r.mu.
 func (r *Roster) switchTo(on bool, now time.Time) {
 	if r.agg.on == on {
 		return
@@ -201,8 +201,8 @@
 	r.agg.on, r.agg.since = on, now
 	r.agg.fleet, r.agg.zone = nil, nil
 	for _, p := range r.peers {
-		// Who aggregated before may not have told what changed last.
-		p.repeat = tellings
+		// An earlier aggregator may not have sent the last changes.
+		p.repeat = changeRepeats
 	}
 	r.o.Book.Forget()
 	r.o.Demand.Forget()
@@ -212,23 +212,23 @@
 // unanswered reports whether a daemon that was to aggregate says nothing, and nobody
 // says that it lives. Callers hold r.mu.
 func (r *Roster) unanswered(p *peer, now time.Time) bool {
-	return !p.asked.IsZero() && now.Sub(p.asked) > answerWithin && now.Sub(p.heard) > answerWithin
+	return !p.asked.IsZero() && now.Sub(p.asked) > replyTimeout && now.Sub(p.lastSeen) > replyTimeout
 }
 
-// mostSilent is how many times as many daemons may fall silent together as
-// still tell something.
-const mostSilent = 3
+// maxUnresponsiveRatio is how many times as many daemons may become unresponsive together as
+// still send something.
+const maxUnresponsiveRatio = 3
 
-// findSilent notes the daemons of the zone that told this one something and
-// tell nothing any more. Callers hold r.mu.
+// detectUnresponsive notes the daemons of the zone that sent this one heartbeats and
+// sendHeartbeats nothing any more. Callers hold r.mu.
 //
 // The guards are against a daemon that is cut off, or that the others no longer
-// tell: it would say that the zone's daemons are dead, also once it is back, and
-// other zones, who know their last beats later, would believe it. One that hears
-// nobody finds nobody silent, whose beats stop at slightly different times. Where
-// nearly all fall silent at once they count as dead only once nobody tells of them.
-func (r *Roster) findSilent(now time.Time) {
-	if now.Sub(r.agg.any) > hearsWithin {
+// sendHeartbeats: it would say that the zone's daemons are dead, also once it is back, and
+// other zones, who learn of their last heartbeats later, would believe it. One that receives
+// nothing finds nobody unresponsive, since heartbeats stop at slightly different times. Where
+// nearly all become unresponsive at once they count as dead only once nobody reports them alive.
+func (r *Roster) detectUnresponsive(now time.Time) {
+	if now.Sub(r.agg.lastContact) > contactWithin {
 		return
 	}
 	telling := 0
@@ -236,36 +236,36 @@
 	for _, p := range r.peers {
 		switch {
 		case p.member.Zone != r.self.Zone || !p.known:
-		case !p.gone && r.unanswered(p, now):
-			p.silent("no answer")
-		case now.Sub(r.agg.since) < settled || p.beat.Before(r.agg.since):
-		case now.Sub(p.beat) < silentAfter:
+		case !p.dead && r.unanswered(p, now):
+			p.markUnresponsive("no answer")
+		case now.Sub(r.agg.since) < settled || p.heartbeat.Before(r.agg.since):
+		case now.Sub(p.heartbeat) < unresponsiveAfter:
 			telling++
-		case !p.gone && !p.foundSilent:
+		case !p.dead && !p.unresponsive:
 			silent = append(silent, p)
 		}
 	}
-	if telling*mostSilent < len(silent) && len(silent) > mostSilent {
+	if telling*maxUnresponsiveRatio < len(silent) && len(silent) > maxUnresponsiveRatio {
 		return
 	}
 	for _, p := range silent {
-		p.foundSilent = true
-		p.silent("no beat")
+		p.unresponsive = true
+		p.markUnresponsive("no beat")
 	}
 }
 
-// hears notes that another daemon is heard. After a time in which none was,
+// observeContact records a datagram of another daemon. After a time without any,
 // this one was cut off, and the others' silence meanwhile was its own. Callers
 // hold r.mu.
-func (r *Roster) hears(now time.Time) {
-	if now.Sub(r.agg.any) > deadAfter {
+func (r *Roster) observeContact(now time.Time) {
+	if now.Sub(r.agg.lastContact) > deadAfter {
 		r.agg.since = now
 		for _, p := range r.peers {
-			p.repeat = tellings
+			p.repeat = changeRepeats
 			if !p.asked.IsZero() {
 				p.asked = now
 			}
 		}
 	}
-	r.agg.any = now
+	r.agg.lastContact = now
 }
--- a/process/roster/aggregate_test.go
+++ b/process/roster/aggregate_test.go
@@ -56,10 +56,10 @@
 
 // dieAndReturn silences daemons, and lets them be heard again: all others must
 // name neither too many nor too few within these times.
-func (d *daemons) dieAndReturn(t *testing.T, out map[int]bool, gone, back time.Duration) {
+func (d *daemons) dieAndReturn(t *testing.T, out map[int]bool, dead, back time.Duration) {
 	t.Helper()
 	d.cut(out, true)
-	rest(gone)
+	rest(dead)
 	d.expect(t, len(d.all)-len(out), "dead", out)
 	d.cut(out, false)
 	rest(back)
@@ -112,29 +112,29 @@
 // Callers are sent to a daemon that has been off for nine seconds. Its last words
 // reached other zones and not the aggregator of its own, whose word that it is
 // silent is older then and isn't taken. It is forgotten by its silence, until its
-// row is told again by turns, with a newer beat than the zone's daemons know,
+// row is told again by turns, with a newer heartbeat than the zone's daemons know,
 // who only hear that it lives: they took it for news of its life.
 func TestRowsOfADeadDaemonAreNoNewsOfItsLife(t *testing.T) {
 	now := time.Now()
 	member := Member{VM: "x", PeerAddr: "10.0.0.1:7000", Incarnation: 1, State: Ready}
 	roster := func(heard time.Time) (*Roster, *peer) {
-		p := &peer{member: member, known: true, seq: 40, heard: heard}
+		p := &peer{member: member, known: true, seq: 40, lastSeen: heard}
 		return &Roster{peers: map[string]*peer{member.PeerAddr: p}, tokens: map[uint32]string{}}, p
 	}
 	r, p := roster(now.Add(-9 * time.Second))
-	r.takeRow(&row{Member: member, Seq: 50, AgeMs: 9000}, now)
-	if p.alive(now, toldDeadAfter) {
+	r.mergeRow(&row{Member: member, Seq: 50, AgeMs: 9000}, now)
+	if p.alive(now, relayedDeadAfter) {
 		t.Error("a row that is nine seconds old brings it back")
 	}
-	r.takeRow(&row{Member: member, Seq: 51, AgeMs: 200}, now)
-	if !p.alive(now, toldDeadAfter) {
+	r.mergeRow(&row{Member: member, Seq: 51, AgeMs: 200}, now)
+	if !p.alive(now, relayedDeadAfter) {
 		t.Error("a row of now doesn't bring it back")
 	}
 	for heard, want := range map[time.Duration]bool{0: false, 2 * time.Second: true} {
 		r, p := roster(now.Add(-heard))
-		r.takeRow(&row{Member: member, Seq: 39, Gone: true}, now)
-		if p.gone != want {
-			t.Errorf("heard %v ago, and said to be silent since an earlier beat: gone %v", heard, p.gone)
+		r.mergeRow(&row{Member: member, Seq: 39, Dead: true}, now)
+		if p.dead != want {
+			t.Errorf("heard %v ago, and said to be silent since an earlier beat: gone %v", heard, p.dead)
 		}
 	}
 	_, p = roster(now.Add(-9 * time.Second))
@@ -170,7 +170,7 @@
 	})
 }
 
-// A daemon that says it leaves must not be brought back by sums made before.
+// A daemon that says it leaves must not be brought back by aggregates made before.
 func TestLeavingDaemonStaysOutUnderLoss(t *testing.T) {
 	withLarge(t, 60, 3, func(t *testing.T, d *daemons) {
 		d.w.setLoss(0.1)
@@ -212,7 +212,7 @@
 func TestSumsLeaveOutWhatTheReceiverTold(t *testing.T) {
 	withLarge(t, 60, 3, func(t *testing.T, d *daemons) {
 		parts := []port.PromptPart{{ID: 1, Tokens: 500}, {ID: 2, Tokens: 50}}
-		for _, vm := range []int{10, 20, 33, 3} { // of several zones, one sums up
+		for _, vm := range []int{10, 20, 33, 3} { // of several zones, one aggregates up
 			defer d.books[vm-1].Prefill("e", 10_000, parts, 0, 100*time.Millisecond)()
 			defer d.books[vm-1].Decode("f", 10_000, parts, 0)()
 		}
@@ -258,34 +258,34 @@
 }
 
 // Callers of other zones lose five daemons that live. An aggregator is cut off;
-// the beats of its zone stop at slightly different times, and those that stopped
+// the heartbeats of its zone stop at slightly different times, and those that stopped
 // first are silent while the others still count as telling. It says so once it
-// is back, of beats that are newer than those which other zones know.
+// is back, of heartbeats that are newer than those which other zones know.
 func TestAggregatorThatHearsNobodyFindsNobodySilent(t *testing.T) {
 	now := time.Now()
 	zone := func(heardAny time.Duration) *Roster {
 		r := &Roster{self: Member{Zone: "z"}, peers: map[string]*peer{}}
-		r.agg.on, r.agg.since, r.agg.any = true, now.Add(-time.Minute), now.Add(-heardAny)
+		r.agg.on, r.agg.since, r.agg.lastContact = true, now.Add(-time.Minute), now.Add(-heardAny)
 		for i := range 19 {
-			last := silentAfter - 100*time.Millisecond
+			last := unresponsiveAfter - 100*time.Millisecond
 			if i < 5 {
-				last = silentAfter + 100*time.Millisecond
+				last = unresponsiveAfter + 100*time.Millisecond
 			}
 			addr := peerAddr(i + 1)
-			r.peers[addr] = &peer{member: Member{PeerAddr: addr, Zone: "z"}, known: true, beat: now.Add(-last), heard: now.Add(-last)}
+			r.peers[addr] = &peer{member: Member{PeerAddr: addr, Zone: "z"}, known: true, heartbeat: now.Add(-last), lastSeen: now.Add(-last)}
 		}
-		r.findSilent(now)
+		r.detectUnresponsive(now)
 		return r
 	}
-	for heardAny, want := range map[time.Duration]int{silentAfter - 100*time.Millisecond: 0, beatEvery: 5} {
-		gone := 0
+	for heardAny, want := range map[time.Duration]int{unresponsiveAfter - 100*time.Millisecond: 0, heartbeatInterval: 5} {
+		dead := 0
 		for _, p := range zone(heardAny).peers {
-			if p.gone {
-				gone++
+			if p.dead {
+				dead++
 			}
 		}
-		if gone != want {
-			t.Errorf("%v after the last datagram of any daemon %d are found silent, want %d", heardAny, gone, want)
+		if dead != want {
+			t.Errorf("%v after the last datagram of any daemon %d are found silent, want %d", heardAny, dead, want)
 		}
 	}
 }
@@ -402,7 +402,7 @@
 		one()
 		synctest.Wait()
 		ask(20, 300*time.Millisecond, 100*time.Millisecond, 0)
-		// Work that lasts is told again, also to a keeper that is new.
+		// Work that lasts is told again, also to a owner that is new.
 		rest(5 * time.Second)
 		ask(20, 0, 0, 0) // as long as foreseen, and more
 		defer d.books[10].Prefill("e", 10_000, nil, 0, 300*time.Millisecond)()
@@ -412,22 +412,22 @@
 	})
 }
 
-// The keeper of an engine dies, and with it what it knew: what still holds is
-// told to the next one, and nobody waits for the dead one's answer.
+// The owner of an engine dies, and with it what it knew: what still holds is
+// sentHeartbeat to the next one, and nobody waits for the dead one's answer.
 func TestKeepersThatDie(t *testing.T) {
 	withLarge(t, 60, 3, func(t *testing.T, d *daemons) {
 		defer d.books[6].Prefill("e", 10_000, nil, 0, time.Hour)()
 		synctest.Wait()
 		r := d.all[19]
 		r.mu.Lock()
-		to := r.keeper(engines.Hash("e"), time.Now())
+		to := r.owner(engines.Hash("e"), time.Now())
 		r.mu.Unlock()
 		if to == nil {
 			t.Fatal("the daemon that is asked keeps the engine")
 		}
 		d.w.setCut(to.String(), true)
 		begun := time.Now()
-		if got := r.Queues(context.Background(), []string{"e"}); got[0] != -1 || time.Since(begun) > askWithin {
+		if got := r.Queues(context.Background(), []string{"e"}); got[0] != -1 || time.Since(begun) > queryTimeout {
 			t.Errorf("a dead keeper's answer: %v after %v", got, time.Since(begun))
 		}
 		rest(4 * time.Second)
@@ -440,16 +440,16 @@
 // Notes overtake each other: an engine looks busy with a prompt that has long
 // been read.
 func TestNotesThatAreOvertakenAreLeftOut(t *testing.T) {
-	r := &Roster{keeping: newKeeping()}
+	r := &Roster{ownership: newOwnership()}
 	now := time.Now()
 	busy := engines.Work{Target: 7, Prompts: 1, Reading: 500_000}
-	r.takeNote(&note{Seq: 2, Work: engines.Work{Target: 7}}, "a", now)
-	r.takeNote(&note{Seq: 1, Work: busy}, "a", now)
-	if w := r.keeping.book.LoadOf(7, nil).Wait; w != 0 {
+	r.handleWorkReport(&workReport{Seq: 2, Work: engines.Work{Target: 7}}, "a", now)
+	r.handleWorkReport(&workReport{Seq: 1, Work: busy}, "a", now)
+	if w := r.ownership.book.LoadOf(7, nil).Wait; w != 0 {
 		t.Errorf("wait %v", w)
 	}
-	r.takeNote(&note{Seq: 1, Work: busy}, "a", now.Add(2*deadAfter)) // started again
-	if w := r.keeping.book.LoadOf(7, nil).Wait; w == 0 {
+	r.handleWorkReport(&workReport{Seq: 1, Work: busy}, "a", now.Add(2*deadAfter)) // started again
+	if w := r.ownership.book.LoadOf(7, nil).Wait; w == 0 {
 		t.Error("a daemon that was started again isn't believed")
 	}
 }
--- a/process/roster/announce.go
+++ b/process/roster/announce.go
@@ -24,7 +24,7 @@
 
 // announce writes this daemon into the store and learns the others from it.
 // Two daemons that start at once find each other: whoever lists second sees
-// the first, and its beat tells the other.
+// the first, and its heartbeat reaches the other.
 func (r *Roster) announce() error {
 	ctx := r.tomb.Context(context.Background())
 	value, err := json.Marshal(entry{Addr: r.o.Self.PeerAddr, Zone: r.o.Self.Zone, LinkMbps: r.o.Self.LinkMbps})
@@ -65,7 +65,7 @@
 				log.WithError(err).WithField("vm", rec.Key).Warn("roster: entry can't be read")
 				continue
 			}
-			r.learn(Member{VM: rec.Key, PeerAddr: e.Addr, Zone: e.Zone, LinkMbps: e.LinkMbps})
+			r.addPeer(Member{VM: rec.Key, PeerAddr: e.Addr, Zone: e.Zone, LinkMbps: e.LinkMbps})
 		}
 		r.mu.Unlock()
 		if !page.More || len(page.Records) == 0 {
--- a/process/roster/digest.go
+++ b/process/roster/digest.go
@@ -12,13 +12,13 @@
 	"github.com/pomelospool/pomelospool/connection/speed"
 )
 
-// digest is a part of what an aggregator tells: of its availability zone to
+// digest is a part of what an aggregator sends: of its availability zone to
 // those of other zones, of all to the daemons of its own zone. Each datagram
 // holds by itself.
 type digest struct {
 	_       struct{} `cbor:",toarray"`
 	From    string   // peer address of the sender
-	Zone    string   // whose sums these are; empty: all daemons'
+	Zone    string   // whose aggregates these are; empty: all daemons'
 	Rows    []row
 	Alive   []uint32 // tokens of daemons that live
 	HasWork bool     // Part, Parts and Work hold
@@ -33,23 +33,23 @@
 	Clock   int64 // the sender's estimate of the time, microseconds since 1970; 0: not stated
 }
 
-// row is what a daemon last said of itself, or that it is silent since.
+// row is a daemon's last state, or that it has been unresponsive since.
 type row struct {
 	_      struct{} `cbor:",toarray"`
 	Member Member
 	Seq    uint64
-	Gone   bool
+	Dead   bool
 	AgeMs  uint32 // since it was last known to live
 }
 
-// rowOf is what is told of a daemon now.
+// rowOf is what is sent of a daemon now.
 func rowOf(p *peer, now time.Time) row {
-	age := min(max(now.Sub(p.heard), 0), forgetAfter)
-	return row{Member: p.member, Seq: p.seq, Gone: p.gone, AgeMs: uint32(age.Milliseconds())}
+	age := min(max(now.Sub(p.lastSeen), 0), forgetAfter)
+	return row{Member: p.member, Seq: p.seq, Dead: p.dead, AgeMs: uint32(age.Milliseconds())}
 }
 
-// A digest's datagram is the kind, the number of the receiver's newest beat
-// that the sums hold, 0 for none, and the message. So the message is encoded
+// A digest's datagram is the kind, the number of the receiver's newest heartbeat
+// that the aggregates hold, 0 for none, and the message. So the message is encoded
 // once for all receivers.
 const digestHead = 1 + 8
 
@@ -67,7 +67,7 @@
 	binary.BigEndian.PutUint64(data[1:], seen)
 }
 
-func (r *Roster) openDigest(data []byte) error {
+func (r *Roster) handleDigest(data []byte) error {
 	if len(data) < digestHead {
 		return errShort
 	}
@@ -75,48 +75,48 @@
 	if err := cbor.Unmarshal(data[digestHead:], &d); err != nil {
 		return fmt.Errorf("roster: digest: %w", err)
 	}
-	r.takeDigest(&d, binary.BigEndian.Uint64(data[1:]))
+	r.mergeDigest(&d, binary.BigEndian.Uint64(data[1:]))
 	return nil
 }
 
-// takeDigest takes a digest that holds this daemon's beat of that number.
-func (r *Roster) takeDigest(d *digest, seen uint64) {
+// mergeDigest takes a digest that holds this daemon's heartbeat of that number.
+func (r *Roster) mergeDigest(d *digest, seen uint64) {
 	now := time.Now()
 	r.observeClock("digest of "+d.From, d.Clock)
 	r.mu.Lock()
-	r.hears(now)
-	sender := r.learn(Member{PeerAddr: d.From})
+	r.observeContact(now)
+	sender := r.addPeer(Member{PeerAddr: d.From})
 	if p := sender; p != nil {
 		p.asked = time.Time{}
 		if p.known {
-			p.lives(now)
+			p.confirmAlive(now)
 		}
 		switch {
 		case !d.HasWork:
 		case d.Zone != "":
 			p.digest = now
 		default:
-			r.agg.heard = now
+			r.agg.lastDigest = now
 		}
 	}
 	changed := false
 	for i := range d.Rows {
-		changed = r.takeRow(&d.Rows[i], now) || changed
+		changed = r.mergeRow(&d.Rows[i], now) || changed
 	}
 	for _, token := range d.Alive {
 		p := r.peers[r.tokens[token]]
 		// Two aggregators of the same zone would keep a dead daemon of another one
-		// alive, each by the other's word.
+		// alive, each by the other's report.
 		echo := r.agg.on && d.Zone == "" && p != nil && p.member.Zone != r.self.Zone
 		if p != nil && !echo {
-			p.lives(now)
+			p.confirmAlive(now)
 		}
 	}
-	// What this daemon sums up itself it needn't be told.
+	// This daemon needn't receive what it aggregates itself.
 	mine := d.Zone == "" && !r.agg.on
 	others := d.Zone != "" && d.Zone != r.self.Zone && r.agg.on
-	var own told
-	for _, t := range r.told {
+	var own sentHeartbeat
+	for _, t := range r.sent {
 		if mine && t.seq == seen {
 			own = t
 		}
@@ -129,42 +129,42 @@
 	if d.HasWork && d.Part == 0 && d.Zone != "" && !on && sender != nil {
 		r.redirect(r.self.Zone, sender.addr)
 	}
-	r.o.Claims.Heard(d.Claims)
-	r.o.Speeds.Heard(d.Speeds)
+	r.o.Claims.Merge(d.Claims)
+	r.o.Speeds.Merge(d.Speeds)
 	if !mine && !others {
 		return
 	}
 	if d.HasWork {
-		r.takeSums(d, &own)
+		r.mergeLoads(d, &own)
 	}
 	if d.Asked {
-		r.o.Demand.Heard(sumName(d.Zone), demand.Less(d.Demand, own.demand))
+		r.o.Demand.Merge(summaryName(d.Zone), demand.Less(d.Demand, own.demand))
 	}
-	if fresh := r.o.Book.Learned(d.Reads); others {
-		r.passOn(fresh, false)
+	if fresh := r.o.Book.MergeReads(d.Reads); others {
+		r.relayReads(fresh, false)
 	}
 }
 
-// takeRow takes what another daemon tells of one. It returns whether that is
-// news. Callers hold r.mu.
-func (r *Roster) takeRow(w *row, now time.Time) bool {
-	p := r.learn(w.Member)
+// mergeRow takes what another daemon reports of one. It returns whether that is
+// updates. Callers hold r.mu.
+func (r *Roster) mergeRow(w *row, now time.Time) bool {
+	p := r.addPeer(w.Member)
 	if p == nil {
 		return false
 	}
-	if w.Gone {
-		direct := r.agg.on && p.member.Zone == r.self.Zone && now.Sub(p.beat) < silentAfter
-		// Its last beat may have reached this daemon and not the one that says so.
-		newer := p.seq > w.Seq && now.Sub(p.heard) < deadAfter
+	if w.Dead {
+		direct := r.agg.on && p.member.Zone == r.self.Zone && now.Sub(p.heartbeat) < unresponsiveAfter
+		// Its last heartbeat may have reached this daemon and not the one that reports it.
+		newer := p.seq > w.Seq && now.Sub(p.lastSeen) < deadAfter
 		switch {
-		case !p.known || p.gone || p.member.Incarnation != w.Member.Incarnation || newer:
+		case !p.known || p.dead || p.member.Incarnation != w.Member.Incarnation || newer:
 			return false
 		case direct:
-			p.repeat = tellings // it tells this daemon that it lives
+			p.repeat = changeRepeats // it sends this daemon heartbeats
 			return true
 		}
 		p.seq = max(p.seq, w.Seq)
-		p.silent("told by another daemon")
+		p.markUnresponsive("reported by another daemon")
 		return true
 	}
 	if p.known && p.outdated(w.Member.Incarnation, w.Seq, now) {
@@ -173,19 +173,19 @@
 	return r.update(p, &w.Member, w.Seq, now.Add(-time.Duration(w.AgeMs)*time.Millisecond))
 }
 
-// sumName is the name under which a digest's sums are kept.
-func sumName(zone string) string { return "sum of " + zone }
+// summaryName is the name under which a digest's aggregates are kept.
+func summaryName(zone string) string { return "sum of " + zone }
 
 // partName is the same for a part of them.
 func partName(zone string, part uint32) string {
-	return fmt.Sprintf("%s, part %d", sumName(zone), part)
+	return fmt.Sprintf("%s, part %d", summaryName(zone), part)
 }
 
-// takeSums takes a part of a digest's work, less what this daemon told itself.
+// mergeLoads takes a part of a digest's work, less what this daemon sent itself.
 //
 // The number of parts changes with that of the engines. What an earlier number
 // left is taken out, or it would count twice until it is too old.
-func (r *Roster) takeSums(d *digest, own *told) {
+func (r *Roster) mergeLoads(d *digest, own *sentHeartbeat) {
 	r.mu.Lock()
 	before := r.agg.parts[d.Zone]
 	if r.agg.parts == nil {
@@ -195,8 +195,8 @@
 	r.mu.Unlock()
 	if before != d.Parts {
 		for part := range before {
-			r.o.Book.Hear(partName(d.Zone, part), nil, nil)
+			r.o.Book.Merge(partName(d.Zone, part), nil, nil)
 		}
 	}
-	r.o.Book.Hear(partName(d.Zone, d.Part), engines.Less(d.Work, own.work), nil)
+	r.o.Book.Merge(partName(d.Zone, d.Part), engines.Less(d.Work, own.work), nil)
 }
--- a/process/roster/beat.go
+++ b/process/roster/heartbeat.go
@@ -17,8 +17,8 @@
 	"github.com/pomelospool/pomelospool/internal/pause"
 )
 
-// beat is what one daemon tells of itself in one datagram.
-type beat struct {
+// heartbeat is what one daemon sends of itself in one datagram.
+type heartbeat struct {
 	_      struct{} `cbor:",toarray"`
 	Member Member
 	Seq    uint64
@@ -31,51 +31,51 @@
 	Clock  int64 // time of day of the sender's VM, microseconds since 1970
 }
 
-// told is a beat of this daemon's, to be taken out of sums that hold it.
-type told struct {
+// sentHeartbeat is a heartbeat of this daemon's, to be taken out of aggregates that hold it.
+type sentHeartbeat struct {
 	seq    uint64
 	work   []engines.Work
 	demand []demand.Word
 }
 
-// keptTold is the number of own beats that are kept: those of some 5 s.
-const keptTold = 16
+// maxSent is the number of own heartbeats that are kept: those of some 5 s.
+const maxSent = 16
 
-// Claim says for how long the newest claim for a service has stood at least.
+// Claim says for how long the newest claim on a subject has stood at least.
 type Claim struct {
 	_       struct{} `cbor:",toarray"`
-	Service string
+	Subject string
 	Offset  int64
 	AgeMs   int64
 }
 
 // Claims gives and takes what daemons know of claims.
 type Claims interface {
-	Told() []Claim
-	Heard(claims []Claim)
+	Report() []Claim
+	Merge(claims []Claim)
 }
 
 // Speeds gives and takes what daemons have learnt of engines' speed.
 type Speeds interface {
-	Told() []speed.Word
+	Report() []speed.Word
 	Best() []speed.Word
-	Heard(words []speed.Word)
+	Merge(words []speed.Word)
 }
 
 // Demand gives and takes what callers ask of each daemon. The names are those
-// of words that were heard.
+// of reports that were received.
 type Demand interface {
-	Told() []demand.Word
+	Report() []demand.Word
 	SumOf(names func(name string) bool) []demand.Word
-	Heard(from string, words []demand.Word)
+	Merge(from string, words []demand.Word)
 	Forget()
 }
 
-// tell sends beats: at least every beatEvery, and in a small fleet soon after
-// news.
-func (r *Roster) tell() error {
+// sendHeartbeats sends heartbeats: at least every heartbeatInterval, and in a small fleet soon after
+// updates.
+func (r *Roster) sendHeartbeats() error {
 	ctx := r.tomb.Context(context.Background())
-	tick := time.NewTimer(beatEvery)
+	tick := time.NewTimer(heartbeatInterval)
 	defer tick.Stop()
 	for {
 		select {
@@ -83,12 +83,12 @@
 			return nil
 		case <-tick.C:
 			r.send(false)
-			r.repeatNotes(time.Now())
-			tick.Reset(beatEvery + rand.N(beatEvery/10))
+			r.repeatWorkReports(time.Now())
+			tick.Reset(heartbeatInterval + rand.N(heartbeatInterval/10))
 			continue
-		case <-r.news:
+		case <-r.updates:
 		}
-		wait, soon := r.newsWait()
+		wait, soon := r.batchWait()
 		if !soon {
 			continue
 		}
@@ -99,18 +99,18 @@
 	}
 }
 
-// newsWait is how long news waits for more, and whether it is sent before the
-// next beat.
-func (r *Roster) newsWait() (wait time.Duration, soon bool) {
+// batchWait is how long a change waits for more, and whether it is sent before the
+// next heartbeat.
+func (r *Roster) batchWait() (wait time.Duration, soon bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return newsAfter * time.Duration(max(len(r.peers), 1)), r.small()
+	return batchDelay * time.Duration(max(len(r.peers), 1)), r.small()
 }
 
-// send sends one beat: in a small fleet, or with all, to every daemon known,
+// send sends one heartbeat: in a small fleet, or with all, to every daemon known,
 // else to the aggregators.
 func (r *Roster) send(all bool) {
-	b := beat{Claims: r.o.Claims.Told(), Speeds: r.o.Speeds.Told(), Demand: r.o.Demand.Told(), Clock: r.ownClock()}
+	b := heartbeat{Claims: r.o.Claims.Report(), Speeds: r.o.Speeds.Report(), Demand: r.o.Demand.Report(), Clock: r.ownClock()}
 	b.Work, b.Reads = r.o.Book.Own()
 	now := time.Now()
 	r.mu.Lock()
@@ -118,17 +118,17 @@
 	r.seq++
 	r.self.StoreAway = r.o.StoreAway()
 	b.Member, b.Seq = r.self, r.seq
-	r.told = append(r.told, told{seq: r.seq, work: b.Work, demand: b.Demand})
-	r.told = r.told[max(len(r.told)-keptTold, 0):]
+	r.sent = append(r.sent, sentHeartbeat{seq: r.seq, work: b.Work, demand: b.Demand})
+	r.sent = r.sent[max(len(r.sent)-maxSent, 0):]
 	r.forget(now)
 	var to []net.Addr
 	if all || r.small() {
 		to, b.Peers = r.everyone(now)
 	} else {
-		to = r.beatReceivers(now)
+		to = r.heartbeatReceivers(now)
 	}
 	r.mu.Unlock()
-	r.passOn(b.Reads, true)
+	r.relayReads(b.Reads, true)
 	data, err := encode(&b)
 	if err != nil {
 		log.WithError(err).Error("roster: beat can't be encoded")
@@ -142,10 +142,10 @@
 // write sends a datagram. One that can't be sent is as good as lost on the way.
 func (r *Roster) write(data []byte, to net.Addr) { _, _ = r.conn.WriteTo(data, to) }
 
-// forget drops the daemons that were silent for long. Callers hold r.mu.
+// forget drops the daemons that were unresponsive for long. Callers hold r.mu.
 func (r *Roster) forget(now time.Time) {
 	for addr, p := range r.peers {
-		if now.Sub(p.heard) > forgetAfter {
+		if now.Sub(p.lastSeen) > forgetAfter {
 			r.drop(addr)
 		}
 	}
@@ -163,25 +163,25 @@
 	return to, named
 }
 
-// encode leaves out what doesn't fit into one datagram: the news of reads
+// encode leaves out what doesn't fit into one datagram: the reads
 // first, which only cost a prompt being read again.
-func encode(b *beat) ([]byte, error) {
-	data, err := packed(kindBeat, b)
+func encode(b *heartbeat) ([]byte, error) {
+	data, err := packed(kindHeartbeat, b)
 	if err != nil || len(data) <= maxDatagram {
 		return data, err
 	}
 	b.Reads, b.Peers = nil, nil
-	return packed(kindBeat, b)
+	return packed(kindHeartbeat, b)
 }
 
 // Kinds of datagrams, their first byte.
 const (
-	kindBeat     = 1
-	kindDigest   = 2
-	kindNote     = 3
-	kindQuestion = 4
-	kindAnswer   = 5
-	kindUsage    = 6
+	kindHeartbeat  = 1
+	kindDigest     = 2
+	kindWorkReport = 3
+	kindQueueQuery = 4
+	kindQueueReply = 5
+	kindUsage      = 6
 )
 
 var errShort = errors.New("roster: datagram is too short")
@@ -195,8 +195,8 @@
 	return append([]byte{kind}, data...), nil
 }
 
-// hear takes datagrams until the socket closes.
-func (r *Roster) hear() error {
+// receiveDatagrams takes datagrams until the socket closes.
+func (r *Roster) receiveDatagrams() error {
 	buf := make([]byte, 64<<10)
 	for {
 		n, from, err := r.conn.ReadFrom(buf)
@@ -205,44 +205,44 @@
 		}
 		if err != nil {
 			log.WithError(err).Warn("roster: can't receive")
-			if pause.For(r.tomb.Context(context.Background()), beatEvery) != nil {
+			if pause.For(r.tomb.Context(context.Background()), heartbeatInterval) != nil {
 				return nil
 			}
 			continue
 		}
-		if err := r.open(buf[:n], from); err != nil {
+		if err := r.handleDatagram(buf[:n], from); err != nil {
 			log.WithError(err).WithField("from", from.String()).Warn("roster: datagram can't be read")
 		}
 	}
 }
 
 // open decodes and takes one datagram.
-func (r *Roster) open(data []byte, from net.Addr) error {
+func (r *Roster) handleDatagram(data []byte, from net.Addr) error {
 	if len(data) == 0 {
 		return errShort
 	}
 	switch data[0] {
-	case kindBeat:
-		var b beat
+	case kindHeartbeat:
+		var b heartbeat
 		if err := cbor.Unmarshal(data[1:], &b); err != nil {
 			return fmt.Errorf("roster: beat: %w", err)
 		}
-		r.take(&b, from)
+		r.handleHeartbeat(&b, from)
 	case kindDigest:
-		return r.openDigest(data)
+		return r.handleDigest(data)
 	case kindUsage:
 		if r.o.Usage == nil {
 			return nil
 		}
 		return r.o.Usage(data[1:])
 	default:
-		return r.openKeeping(data, from)
+		return r.handleOwnerMessage(data, from)
 	}
 	return nil
 }
 
-// take takes a beat.
-func (r *Roster) take(b *beat, from net.Addr) {
+// handleHeartbeat merges a heartbeat.
+func (r *Roster) handleHeartbeat(b *heartbeat, from net.Addr) {
 	key := b.Member.PeerAddr
 	if key != r.o.Self.PeerAddr {
 		r.observeClock(key, b.Clock)
@@ -253,7 +253,7 @@
 		r.mu.Unlock()
 		return
 	}
-	r.hears(now)
+	r.observeContact(now)
 	p := r.peers[key]
 	if p == nil {
 		p = &peer{addr: from}
@@ -267,27 +267,27 @@
 		return
 	}
 	changed := r.update(p, &b.Member, b.Seq, now)
-	p.beat, p.beatSeq, p.foundSilent, p.asked = now, b.Seq, false, time.Time{}
+	p.heartbeat, p.heartbeatSeq, p.unresponsive, p.asked = now, b.Seq, false, time.Time{}
 	small := r.small()
 	sums := !small && r.agg.on && b.Member.Zone == r.self.Zone
 	for _, addr := range b.Peers {
-		r.learn(Member{PeerAddr: addr})
+		r.addPeer(Member{PeerAddr: addr})
 	}
 	r.mu.Unlock()
-	r.o.Claims.Heard(b.Claims)
-	r.o.Speeds.Heard(b.Speeds)
+	r.o.Claims.Merge(b.Claims)
+	r.o.Speeds.Merge(b.Speeds)
 	switch {
 	case small:
-		r.o.Book.Hear(key, b.Work, b.Reads)
-		r.o.Demand.Heard(key, b.Demand)
+		r.o.Book.Merge(key, b.Work, b.Reads)
+		r.o.Demand.Merge(key, b.Demand)
 		if fresh {
-			r.News()
+			r.Notify()
 		}
 	case sums:
-		r.passOn(r.o.Book.Hear(key, b.Work, b.Reads), true)
-		r.o.Demand.Heard(key, b.Demand)
+		r.relayReads(r.o.Book.Merge(key, b.Work, b.Reads), true)
+		r.o.Demand.Merge(key, b.Demand)
 		if fresh {
-			r.welcome(from)
+			r.sendMembers(from)
 		}
 		if changed {
 			r.agg.wake()
--- a/process/roster/keeper.go
+++ b/process/roster/owner.go
@@ -15,33 +15,33 @@
 )
 
 const (
-	// askWithin is how long a question may take: some times the way between two
+	// queryTimeout is how long a question may take: some times the way between two
 	// zones there and back, and what a busy VM needs to answer. Whoever has not
-	// answered then is foreseen by the sums.
-	askWithin = 15 * time.Millisecond
-	// repeatNote is how long a note that says of work counts before it is told
-	// again: words count for three times as long.
-	repeatNote = 500 * time.Millisecond
-	// maxNotes is the number of notes kept from which on old ones are dropped.
-	maxNotes = 4096
+	// answered then is estimated from the aggregates.
+	queryTimeout = 15 * time.Millisecond
+	// workReportInterval is how long a report of work counts before it is sent
+	// again: reports count for three times as long.
+	workReportInterval = 500 * time.Millisecond
+	// maxReports is the number of reports kept from which on old ones are dropped.
+	maxReports = 4096
 )
 
-// note is what one daemon has at one engine now, told to the engine's keeper.
-type note struct {
+// workReport is what one daemon has at one engine now, sent to the engine's owner.
+type workReport struct {
 	_    struct{} `cbor:",toarray"`
-	Seq  uint64   // rises over a daemon's notes
+	Seq  uint64   // rises over a daemon's reports
 	Work engines.Work
 }
 
-// question asks an engines' keeper for their queues.
-type question struct {
+// queueQuery asks an engines' owner for their queues.
+type queueQuery struct {
 	_       struct{} `cbor:",toarray"`
 	ID      uint64
 	Targets []uint64
 }
 
-// answer is a keeper's answer, in the order of the question.
-type answer struct {
+// queueReply is an owner's reply, in the order of the query.
+type queueReply struct {
 	_      struct{} `cbor:",toarray"`
 	ID     uint64
 	Queues []queue
@@ -53,71 +53,71 @@
 	WaitUs uint32
 }
 
-// keeping is what daemons of a large fleet tell each engine's keeper, and the
+// ownership is what daemons of a large fleet send each engine's owner, and the
 // questions that are open.
 //
 // The load that it answers: hundreds of daemons choose among hundreds of
-// engines, and each sees one in hundreds of an engine's work. By sums that are
+// engines, and each sees one in hundreds of an engine's work. By aggregates that are
 // half a second old all choose the same engine at once, and a prompt that takes
-// 45 ms waits 450. One daemon keeps the work of each engine, told of each
-// change as it happens; whoever is about to choose asks the keepers of a few.
-type keeping struct {
+// 45 ms waits 450. One daemon owns each engine's queue and receives each
+// change as it happens; a daemon that is about to choose asks the owners of a few.
+type ownership struct {
 	book *engines.Book // others' and own work at the engines kept here
 
 	mu      sync.Mutex
 	seq     uint64
-	last    map[string]noted   // by name of the word in book
-	busy    map[uint64]ownWork // own work that keepers were told of
+	last    map[string]receivedReport // by name of the report in the book
+	busy    map[uint64]ownWork        // own work that owners have received
 	next    uint64
-	pending map[uint64]*asking
+	pending map[uint64]*pendingQuery
 }
 
-type noted struct {
+type receivedReport struct {
 	seq uint64
 	at  time.Time
 }
 
-// ownWork is when a keeper was last told of own work.
+// ownWork is when own work was last sent to an owner.
 type ownWork struct {
 	work engines.Work
 	at   time.Time
 }
 
-// asking is an open question.
-type asking struct {
-	left  int // keepers that haven't answered
+// pendingQuery is an open question.
+type pendingQuery struct {
+	left  int // owners that haven't answered
 	waits map[uint64]time.Duration
 	done  chan struct{}
 }
 
-func newKeeping() keeping {
-	return keeping{
+func newOwnership() ownership {
+	return ownership{
 		book:    engines.New(time.Now, func(engines.Work) {}),
-		last:    make(map[string]noted),
+		last:    make(map[string]receivedReport),
 		busy:    make(map[uint64]ownWork),
-		pending: make(map[uint64]*asking),
+		pending: make(map[uint64]*pendingQuery),
 	}
 }
 
-// Changed notes that this daemon's work at an engine changed, and tells who
+// Changed records that this daemon's work at an engine changed, and reports it to the daemon that
 // has to know.
 func (r *Roster) Changed(w engines.Work) {
 	r.mu.Lock()
 	small := r.small()
 	r.mu.Unlock()
 	if small {
-		r.News()
+		r.Notify()
 		return
 	}
-	r.note(w, time.Now())
+	r.workReport(w, time.Now())
 }
 
-// note tells an engine's keeper of this daemon's work there.
-func (r *Roster) note(w engines.Work, now time.Time) {
-	k := &r.keeping
+// reportWork sends an engine's owner this daemon's work there.
+func (r *Roster) workReport(w engines.Work, now time.Time) {
+	k := &r.ownership
 	k.mu.Lock()
 	k.seq++
-	n := note{Seq: k.seq, Work: w}
+	n := workReport{Seq: k.seq, Work: w}
 	if w.Idle() {
 		delete(k.busy, w.Target)
 	} else {
@@ -125,35 +125,35 @@
 	}
 	k.mu.Unlock()
 	r.mu.Lock()
-	to := r.keeper(w.Target, now)
+	to := r.owner(w.Target, now)
 	r.mu.Unlock()
 	if to == nil {
-		r.takeNote(&n, r.o.Self.PeerAddr, now)
+		r.handleWorkReport(&n, r.o.Self.PeerAddr, now)
 		return
 	}
-	r.tellOne(kindNote, &n, to)
+	r.sendMessage(kindWorkReport, &n, to)
 }
 
-// repeatNotes tells again what still holds, for keepers that are new and for
-// notes that were lost.
-func (r *Roster) repeatNotes(now time.Time) {
+// repeatWorkReports sends again what still holds, for new owners and for
+// reports that were lost.
+func (r *Roster) repeatWorkReports(now time.Time) {
 	var again []engines.Work
-	r.keeping.mu.Lock()
-	for _, t := range r.keeping.busy {
-		if now.Sub(t.at) >= repeatNote {
+	r.ownership.mu.Lock()
+	for _, t := range r.ownership.busy {
+		if now.Sub(t.at) >= workReportInterval {
 			again = append(again, t.work)
 		}
 	}
-	r.keeping.mu.Unlock()
+	r.ownership.mu.Unlock()
 	for _, w := range again {
-		r.note(w, now)
+		r.workReport(w, now)
 	}
 }
 
-// keeper returns the address of the daemon that keeps an engine's work, nil
+// owner returns the address of the daemon that owns an engine's queue, nil
 // for this one: the one that the hash of both names, so that each daemon finds
-// the same without a word. Callers hold r.mu.
-func (r *Roster) keeper(target uint64, now time.Time) net.Addr {
+// the same without talking. Callers hold r.mu.
+func (r *Roster) owner(target uint64, now time.Time) net.Addr {
 	var to net.Addr
 	best := address.Rank(target, r.self.PeerAddr)
 	if r.self.State == Leaving {
@@ -170,8 +170,8 @@
 	return to
 }
 
-// tellOne sends a message to one daemon.
-func (r *Roster) tellOne(kind byte, message any, to net.Addr) {
+// sendMessage sends a message to one daemon.
+func (r *Roster) sendMessage(kind byte, message any, to net.Addr) {
 	data, err := packed(kind, message)
 	if err != nil {
 		// Messages of numbers always encode.
@@ -180,31 +180,31 @@
 	r.write(data, to)
 }
 
-// takeNote takes a daemon's note. An older one that was overtaken is left out.
-func (r *Roster) takeNote(n *note, from string, now time.Time) {
+// handleWorkReport merges a daemon's report. An older one that was overtaken is left out.
+func (r *Roster) handleWorkReport(n *workReport, from string, now time.Time) {
 	name := fmt.Sprintf("%s at %x", from, n.Work.Target)
-	k := &r.keeping
+	k := &r.ownership
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if old, ok := k.last[name]; ok && n.Seq <= old.seq && now.Sub(old.at) < deadAfter {
 		return
 	}
-	if len(k.last) >= maxNotes {
+	if len(k.last) >= maxReports {
 		for other, l := range k.last {
 			if now.Sub(l.at) > deadAfter {
 				delete(k.last, other)
 			}
 		}
 	}
-	k.last[name] = noted{seq: n.Seq, at: now}
+	k.last[name] = receivedReport{seq: n.Seq, at: now}
 	if n.Work.Idle() {
-		k.book.Hear(name, nil, nil)
+		k.book.Merge(name, nil, nil)
 		return
 	}
-	k.book.Hear(name, []engines.Work{n.Work}, nil)
+	k.book.Merge(name, []engines.Work{n.Work}, nil)
 }
 
-// Asks reports whether keepers are asked: in a small fleet each daemon hears of
+// Asks reports whether owners are asked: in a small fleet each daemon receives
 // all work at once.
 func (r *Roster) Asks() bool {
 	r.mu.Lock()
@@ -213,8 +213,8 @@
 }
 
 // Queues returns how long a prompt will wait at engines that are about to be
-// chosen from, as far as their keepers say: -1 where they don't. It returns nil
-// in a small fleet, where each daemon hears of all work at once.
+// chosen from, as far as their owners answer: -1 where they don't. It returns nil
+// in a small fleet, where each daemon receives all work at once.
 func (r *Roster) Queues(ctx context.Context, targets []string) []time.Duration {
 	now := time.Now()
 	asks := make(map[net.Addr][]uint64)
@@ -226,10 +226,10 @@
 	}
 	for _, t := range targets {
 		hash := engines.Hash(t)
-		if to := r.keeper(hash, now); to != nil {
+		if to := r.owner(hash, now); to != nil {
 			asks[to] = append(asks[to], hash)
 		} else {
-			waits[hash] = r.keeping.book.LoadOf(hash, nil).Wait
+			waits[hash] = r.ownership.book.LoadOf(hash, nil).Wait
 		}
 	}
 	r.mu.Unlock()
@@ -245,22 +245,22 @@
 	return out
 }
 
-// ask adds what keepers answer in time to waits.
+// ask adds what owners answer in time to waits.
 func (r *Roster) ask(ctx context.Context, asks map[net.Addr][]uint64, waits map[uint64]time.Duration) {
 	if len(asks) == 0 {
 		return
 	}
-	k := &r.keeping
-	a := &asking{left: len(asks), waits: waits, done: make(chan struct{})}
+	k := &r.ownership
+	a := &pendingQuery{left: len(asks), waits: waits, done: make(chan struct{})}
 	k.mu.Lock()
 	k.next++
 	id := k.next
 	k.pending[id] = a
 	k.mu.Unlock()
 	for to, hashes := range asks {
-		r.tellOne(kindQuestion, &question{ID: id, Targets: hashes}, to)
+		r.sendMessage(kindQueueQuery, &queueQuery{ID: id, Targets: hashes}, to)
 	}
-	limit := time.NewTimer(askWithin)
+	limit := time.NewTimer(queryTimeout)
 	defer limit.Stop()
 	select {
 	case <-a.done:
@@ -272,19 +272,19 @@
 	k.mu.Unlock()
 }
 
-// takeQuestion answers a question.
-func (r *Roster) takeQuestion(q *question, from net.Addr) {
-	out := answer{ID: q.ID}
+// handleQueueQuery answers a question.
+func (r *Roster) handleQueueQuery(q *queueQuery, from net.Addr) {
+	out := queueReply{ID: q.ID}
 	for _, t := range q.Targets {
-		wait := r.keeping.book.LoadOf(t, nil).Wait
+		wait := r.ownership.book.LoadOf(t, nil).Wait
 		out.Queues = append(out.Queues, queue{Target: t, WaitUs: uint32(wait.Microseconds())})
 	}
-	r.tellOne(kindAnswer, &out, from)
+	r.sendMessage(kindQueueReply, &out, from)
 }
 
-// takeAnswer takes an answer. One that comes too late finds no question.
-func (r *Roster) takeAnswer(n *answer) {
-	k := &r.keeping
+// handleQueueReply takes an answer. One that comes too late finds no question.
+func (r *Roster) handleQueueReply(n *queueReply) {
+	k := &r.ownership
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	a := k.pending[n.ID]
@@ -299,24 +299,24 @@
 	}
 }
 
-// openKeeping takes a datagram that a keeper gets or sends.
-func (r *Roster) openKeeping(data []byte, from net.Addr) error {
+// handleOwnerMessage handles a datagram to or from an owner.
+func (r *Roster) handleOwnerMessage(data []byte, from net.Addr) error {
 	var err error
 	switch data[0] {
-	case kindNote:
-		var n note
+	case kindWorkReport:
+		var n workReport
 		if err = cbor.Unmarshal(data[1:], &n); err == nil {
-			r.takeNote(&n, from.String(), time.Now())
+			r.handleWorkReport(&n, from.String(), time.Now())
 		}
-	case kindQuestion:
-		var q question
+	case kindQueueQuery:
+		var q queueQuery
 		if err = cbor.Unmarshal(data[1:], &q); err == nil {
-			r.takeQuestion(&q, from)
+			r.handleQueueQuery(&q, from)
 		}
-	case kindAnswer:
-		var a answer
+	case kindQueueReply:
+		var a queueReply
 		if err = cbor.Unmarshal(data[1:], &a); err == nil {
-			r.takeAnswer(&a)
+			r.handleQueueReply(&a)
 		}
 	default:
 		err = errors.New("unknown kind")
--- a/process/roster/paused.go
+++ b/process/roster/paused.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// pausedAfter is the time without a beat of its own after which a daemon was
-	// paused: three beats.
-	pausedAfter = 3 * beatEvery
+	// pausedAfter is the time without a heartbeat of its own after which a daemon was
+	// paused: three heartbeats.
+	pausedAfter = 3 * heartbeatInterval
 	// settleAfterPause is how long after a pause those count as alive that did
 	// before it: what they sent meanwhile is read, and they send again.
 	settleAfterPause = 2 * digestEvery
@@ -17,15 +17,15 @@
 
 // pauses knows the last pause of this process, guarded by Roster.mu.
 //
-// A daemon that was paused for a second has heard nobody for that long. It would
-// answer the callers that asked in the meantime with its own address alone.
+// A daemon that was paused for a second has received nothing for that long. It would
+// queueReply the callers that asked in the meantime with its own address alone.
 type pauses struct {
 	running time.Time // the last sign that this process ran
 	began   time.Time // of the last pause: the last sign before it
 	ended   time.Time
 }
 
-// tick notes that this process runs.
+// tick records that this process runs.
 func (p *pauses) tick(now time.Time) {
 	if p.pausing(now) {
 		p.began, p.ended = p.running, now
@@ -52,7 +52,7 @@
 
 // lives reports whether a daemon counts as alive here: by what was received
 // recently, or before a pause of this process. Callers hold r.mu.
-func (r *Roster) lives(p *peer, now time.Time) bool {
+func (r *Roster) isAlive(p *peer, now time.Time) bool {
 	if p.alive(now, r.patience()) {
 		return true
 	}
--- a/process/roster/peer.go
+++ b/process/roster/peer.go
@@ -11,26 +11,26 @@
 
 // peer is another daemon as this one knows it.
 type peer struct {
-	member      Member
-	known       bool      // it was heard of, not only listed in the store
-	gone        bool      // it is silent, says a daemon that it tells; a newer beat brings it back
-	goneAt      time.Time // when that was said
-	seq         uint64    // of its newest beat that is known here
-	heard       time.Time // when it was last known to be alive
-	beat        time.Time // when its last own beat came here
-	beatSeq     uint64    // number of that beat
-	foundSilent bool      // no beat came since it was found silent here
-	asked       time.Time // since when it is told beats, as an aggregator, without an answer; zero: it answers
-	digest      time.Time // when its last digest of another zone came here
-	repeat      int       // digests that its state is still told in
-	addr        net.Addr
+	member       Member
+	known        bool      // it was seen, not only listed in the store
+	dead         bool      // unresponsive to a daemon that it sends heartbeats to; a newer heartbeat revives it
+	deadSince    time.Time // when that was said
+	seq          uint64    // of its newest heartbeat that is known here
+	lastSeen     time.Time // when it was last known to be alive
+	heartbeat    time.Time // when its last own heartbeat came here
+	heartbeatSeq uint64    // number of that heartbeat
+	unresponsive bool      // no heartbeat came since it was found unresponsive here
+	asked        time.Time // since when it is sent heartbeats, as an aggregator, without an answer; zero: it answers
+	digest       time.Time // when its last digest of another zone came here
+	repeat       int       // digests that its state is still sent in
+	addr         net.Addr
 }
 
 func (p *peer) alive(now time.Time, patience time.Duration) bool {
-	return p.known && !p.gone && now.Sub(p.heard) < patience
+	return p.known && !p.dead && now.Sub(p.lastSeen) < patience
 }
 
-// small reports whether each daemon tells all others. Callers hold r.mu.
+// small reports whether each daemon sends to all others. Callers hold r.mu.
 func (r *Roster) small() bool { return len(r.peers) <= smallFleet }
 
 // patience is the silence after which a daemon counts as dead. Callers hold r.mu.
@@ -38,55 +38,55 @@
 	if r.small() {
 		return deadAfter
 	}
-	return toldDeadAfter
+	return relayedDeadAfter
 }
 
-// outdated reports whether a word of a daemon's process, at that beat, is older
+// outdated reports whether a report of a daemon's process, at that heartbeat, is older
 // than what is known. A daemon that was started again while its clock stood
 // further back has a lower incarnation; it is believed once the earlier one is
-// silent.
+// unresponsive.
 func (p *peer) outdated(incarnation, seq uint64, now time.Time) bool {
 	if incarnation == p.member.Incarnation {
 		return seq <= p.seq
 	}
-	return incarnation < p.member.Incarnation && now.Sub(p.heard) < deadAfter/2
+	return incarnation < p.member.Incarnation && now.Sub(p.lastSeen) < deadAfter/2
 }
 
-// update takes what a daemon said of itself at a beat. It returns whether that
+// update takes a daemon's state at a heartbeat. It returns whether that
 // is more than that it lives. Callers hold r.mu.
 func (r *Roster) update(p *peer, m *Member, seq uint64, at time.Time) bool {
-	changed := !p.known || p.gone || p.member.Incarnation != m.Incarnation || p.member.State != m.State || p.member.StoreAway != m.StoreAway
+	changed := !p.known || p.dead || p.member.Incarnation != m.Incarnation || p.member.State != m.State || p.member.StoreAway != m.StoreAway
 	if changed {
 		log.WithFields(log.Fields{"vm": m.VM, "addr": m.CallerAddr, "state": m.State, "incarnation": m.Incarnation}).Info("roster: daemon")
-		p.repeat = tellings
+		p.repeat = changeRepeats
 	}
 	delete(r.tokens, p.member.token())
-	p.member, p.known, p.gone, p.seq = *m, true, false, seq
+	p.member, p.known, p.dead, p.seq = *m, true, false, seq
 	r.tokens[m.token()] = m.PeerAddr
-	if at.After(p.heard) {
-		p.heard = at
+	if at.After(p.lastSeen) {
+		p.lastSeen = at
 	}
 	return changed
 }
 
-// lives notes that another daemon says that this one lives. Of one that was
-// found silent that counts only once what was said before can't arrive any
+// confirmAlive records that another daemon reports this one alive. Of one that was
+// found unresponsive that counts only once earlier reports can't arrive any
 // more.
-func (p *peer) lives(now time.Time) {
-	if p.gone && now.Sub(p.goneAt) < staleAfter {
+func (p *peer) confirmAlive(now time.Time) {
+	if p.dead && now.Sub(p.deadSince) < staleAfter {
 		return
 	}
-	if p.gone {
-		p.gone = false
-		log.WithFields(log.Fields{"vm": p.member.VM, "addr": p.member.CallerAddr, "incarnation": p.member.Incarnation}).Info("roster: daemon isn't silent")
+	if p.dead {
+		p.dead = false
+		log.WithFields(log.Fields{"vm": p.member.VM, "addr": p.member.CallerAddr, "incarnation": p.member.Incarnation}).Info("roster: daemon responsive again")
 	}
-	p.heard = now
+	p.lastSeen = now
 }
 
-// silent notes that a daemon is gone. Callers hold r.mu.
-func (p *peer) silent(why string) {
-	p.gone, p.goneAt, p.repeat = true, time.Now(), tellings
-	log.WithFields(log.Fields{"vm": p.member.VM, "addr": p.member.CallerAddr, "incarnation": p.member.Incarnation, "why": why}).Info("roster: daemon is silent")
+// markUnresponsive records that a daemon is dead. Callers hold r.mu.
+func (p *peer) markUnresponsive(why string) {
+	p.dead, p.deadSince, p.repeat = true, time.Now(), changeRepeats
+	log.WithFields(log.Fields{"vm": p.member.VM, "addr": p.member.CallerAddr, "incarnation": p.member.Incarnation, "why": why}).Info("roster: daemon unresponsive")
 }
 
 // token stands for one process of a daemon in lists of those that live.
@@ -99,8 +99,8 @@
 	return uint32(d.Sum64())
 }
 
-// learn adds a daemon of which nothing was heard yet. Callers hold r.mu.
-func (r *Roster) learn(m Member) *peer {
+// addPeer adds a daemon that hasn't been seen yet. Callers hold r.mu.
+func (r *Roster) addPeer(m Member) *peer {
 	if p := r.peers[m.PeerAddr]; p != nil {
 		if !p.known && m.VM != "" {
 			p.member = m
@@ -115,7 +115,7 @@
 		log.WithError(err).WithField("addr", m.PeerAddr).Warn("roster: address can't be read")
 		return nil
 	}
-	p := &peer{member: m, addr: udp, heard: time.Now().Add(-deadAfter)}
+	p := &peer{member: m, addr: udp, lastSeen: time.Now().Add(-deadAfter)}
 	r.peers[m.PeerAddr] = p
 	return p
 }
--- a/process/roster/publish.go
+++ b/process/roster/publish.go
@@ -12,22 +12,22 @@
 )
 
 const (
-	// maxPassed bounds the reads of one digest: 7 kB to each receiver, twice a
+	// maxRelayed bounds the reads of one digest: 7 kB to each receiver, twice a
 	// second.
-	maxPassed = 6 * readsPerDatagram
-	// maxWaiting bounds those that wait for it.
-	maxWaiting = 1024
+	maxRelayed = 6 * readsPerDatagram
+	// maxPendingReads bounds those that wait for it.
+	maxPendingReads = 1024
 )
 
-// passOn notes reads that are news, to be told to the zone's daemons and, if
+// relayReads queues new reads, to be sent to the zone's daemons and, if
 // they are from here, to other zones.
 //
-// The zone's aggregators hear of the same reads, and each tells its share of
+// The zone's aggregators receive the same reads, and each relays its share of
 // them. The load that it answers: 890 prompts a second, each read by one engine
 // and decoded by another, and a digest that held the first 44 reads of half a
 // second, the same from both aggregators. On a day of 36 s 46 million tokens of
 // shared parts were read again, 38 million so.
-func (r *Roster) passOn(reads []engines.Read, here bool) {
+func (r *Roster) relayReads(reads []engines.Read, here bool) {
 	if len(reads) == 0 {
 		return
 	}
@@ -40,23 +40,23 @@
 		if int(one.Key()%uint64(r.agg.of)) != r.agg.at {
 			continue
 		}
-		if len(r.agg.fleet) < maxWaiting {
+		if len(r.agg.fleet) < maxPendingReads {
 			r.agg.fleet = append(r.agg.fleet, one.Shared())
 		}
-		if here && len(r.agg.zone) < maxWaiting {
+		if here && len(r.agg.zone) < maxPendingReads {
 			r.agg.zone = append(r.agg.zone, one.Shared())
 		}
 	}
 }
 
-// weightiest are the reads that are told: those of the most tokens, which it
+// costliest are the reads that are sent: those of the most tokens, which it
 // costs most to read again.
-func weightiest(reads []engines.Read) []engines.Read {
+func costliest(reads []engines.Read) []engines.Read {
 	slices.SortStableFunc(reads, func(a, b engines.Read) int { return cmp.Compare(b.Tokens(), a.Tokens()) })
-	return reads[:min(len(reads), maxPassed)]
+	return reads[:min(len(reads), maxRelayed)]
 }
 
-// receiver is a daemon that gets a digest, and its newest beat in the sums.
+// receiver is a daemon that gets a digest, and its newest heartbeat in the aggregates.
 type receiver struct {
 	addr net.Addr
 	seen uint64
@@ -81,11 +81,11 @@
 		r.mu.Unlock()
 		return
 	}
-	r.findSilent(now)
+	r.detectUnresponsive(now)
 	s := r.collect(now, whole)
 	r.mu.Unlock()
 	if whole {
-		r.fillSums(s)
+		r.fillSummaries(s)
 	}
 	r.sendTo(s.members, s.toMembers, s.memberRows, whole)
 	r.sendTo(s.others, s.toOthers, s.otherRows, whole)
@@ -101,8 +101,8 @@
 	}
 	if whole {
 		r.agg.rotate++
-		s.toMembers.Reads, r.agg.fleet = engines.Retold(weightiest(r.agg.fleet), now), nil
-		s.toOthers.Reads, r.agg.zone = engines.Retold(weightiest(r.agg.zone), now), nil
+		s.toMembers.Reads, r.agg.fleet = engines.Retold(costliest(r.agg.fleet), now), nil
+		s.toOthers.Reads, r.agg.zone = engines.Retold(costliest(r.agg.zone), now), nil
 	}
 	zones := make(map[string]net.Addr) // any daemon of a zone, to find it again after a cut
 	own := row{Member: r.self, Seq: r.seq}
@@ -113,8 +113,8 @@
 		switch {
 		case near:
 			s.local[addr] = true
-			s.members = append(s.members, receiver{addr: p.addr, seen: p.beatSeq})
-		case now.Sub(p.digest) < digestHeard:
+			s.members = append(s.members, receiver{addr: p.addr, seen: p.heartbeatSeq})
+		case now.Sub(p.digest) < digestTTL:
 			s.others = append(s.others, receiver{addr: p.addr})
 		case p.member.Zone != "":
 			zones[p.member.Zone] = p.addr
@@ -126,7 +126,7 @@
 			s.others = append(s.others, receiver{addr: any})
 		}
 		for _, addr := range aggregators {
-			if p := r.peers[addr]; now.Sub(p.digest) >= digestHeard {
+			if p := r.peers[addr]; now.Sub(p.digest) >= digestTTL {
 				s.others = append(s.others, receiver{addr: p.addr})
 			}
 		}
@@ -134,14 +134,14 @@
 	return s
 }
 
-// describe adds what is to be told of one daemon. Callers hold r.mu.
+// describe adds what is to be sent of one daemon. Callers hold r.mu.
 func (r *Roster) describe(s *round, p *peer, near bool, now time.Time, whole bool) {
 	if !p.known {
 		return
 	}
 	token := p.member.token()
 	turn := whole && int(token%rowRounds) == r.agg.rotate%rowRounds
-	if p.repeat > 0 || turn && p.alive(now, passedAlive) {
+	if p.repeat > 0 || turn && p.alive(now, relayedAliveAge) {
 		one := rowOf(p, now)
 		s.memberRows = append(s.memberRows, one)
 		if near {
@@ -149,12 +149,12 @@
 		}
 		p.repeat = max(p.repeat-1, 0)
 	}
-	if !whole || p.gone {
+	if !whole || p.dead {
 		return
 	}
-	since, limit := p.heard, passedAlive
+	since, limit := p.lastSeen, relayedAliveAge
 	if near {
-		since, limit = p.beat, silentAfter
+		since, limit = p.heartbeat, unresponsiveAfter
 	}
 	if now.Sub(since) > limit {
 		return
@@ -165,17 +165,17 @@
 	}
 }
 
-// rowRounds is the number of digests over which all rows are told again, for
+// rowRounds is the number of digests over which all rows are sent again, for
 // those who missed a change: 10 s.
 const rowRounds = 20
 
-// fillSums fills in what engines have to do and what callers ask.
-func (r *Roster) fillSums(s *round) {
+// fillSummaries fills in what engines have to do and what callers ask.
+func (r *Roster) fillSummaries(s *round) {
 	local := func(name string) bool { return s.local[name] }
 	all := func(string) bool { return true }
 	s.toMembers.Work, s.toOthers.Work = r.o.Book.Sum(), r.o.Book.SumOf(local)
 	s.toMembers.Demand, s.toOthers.Demand = r.o.Demand.SumOf(all), r.o.Demand.SumOf(local)
-	claims, speeds := r.o.Claims.Told(), r.o.Speeds.Best()
+	claims, speeds := r.o.Claims.Report(), r.o.Speeds.Best()
 	s.toMembers.Claims, s.toOthers.Claims = claims, claims
 	s.toMembers.Speeds, s.toOthers.Speeds = speeds, speeds
 	s.toMembers.Clock, s.toOthers.Clock = r.fleetClock(), r.fleetClock()
@@ -200,7 +200,7 @@
 }
 
 // cut makes datagrams of a digest. Engines are shared out to a number of parts
-// that follows from how many are known, so that each part is told whole.
+// that follows from how many are known, so that each part is sent whole.
 func cut(d digest, rows []row, whole bool, known int) []digest {
 	var out []digest
 	one := func() digest { return digest{From: d.From, Zone: d.Zone} }
@@ -239,8 +239,8 @@
 	return out
 }
 
-// welcome tells a daemon that has just started of all others.
-func (r *Roster) welcome(to net.Addr) {
+// sendMembers sends a daemon that has just started all others.
+func (r *Roster) sendMembers(to net.Addr) {
 	r.mu.Lock()
 	var rows []row
 	now := time.Now()
@@ -254,7 +254,7 @@
 	r.sendTo([]receiver{{addr: to}}, d, rows, false)
 }
 
-// redirect tells a daemon who aggregates its zone.
+// redirect sends a daemon the aggregators of its zone.
 func (r *Roster) redirect(zone string, to net.Addr) {
 	now := time.Now()
 	r.mu.Lock()
--- a/process/roster/readers.go
+++ b/process/roster/readers.go
@@ -50,7 +50,7 @@
 }
 
 // startFor is how long after its first listing a daemon asks others that it has
-// only found there: by then it hears of those that live.
+// only found there: by then it knows those that live.
 const startFor = time.Second
 
 // mayRead reports whether a daemon may read the store for others. Callers hold r.mu.
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -1,11 +1,11 @@
 // Package roster knows the other daemons: who is alive and takes requests, and
-// what work they have at the engines. Daemons tell each other in small
+// what work they have at the engines. Daemons exchange small
 // datagrams. A lost one does no harm, since each repeats what still holds; grpc
-// between the daemons would hold news back behind a packet that is sent again.
+// between the daemons would hold updates back behind a packet that is sent again.
 //
-// In a small fleet each daemon tells all others. In a large one a few in each
-// availability zone sum up what its daemons tell, exchange the sums with other
-// zones' and tell the zone's daemons the whole: what a daemon sends and takes
+// In a small fleet each daemon sends to all others. In a large one a few in each
+// availability zone aggregate what its daemons send, exchange the aggregates with other
+// zones' and send the zone's daemons the whole: what a daemon sends and receives
 // grows with the engines' number, not with the daemons'.
 package roster
 
@@ -24,31 +24,31 @@
 )
 
 const (
-	// beatEvery is the time between beats without news.
-	beatEvery = 250 * time.Millisecond
-	// newsAfter is how long news waits for more before it is sent, per daemon
+	// heartbeatInterval is the time between heartbeats without changes.
+	heartbeatInterval = 250 * time.Millisecond
+	// batchDelay is how long a change waits for more before it is sent, per daemon
 	// that it is sent to: with 5 others 10 ms.
-	newsAfter = 2 * time.Millisecond
-	// smallFleet is the number of other daemons up to which each tells all
-	// others, and news goes out at once. In a larger fleet each tells the few
-	// daemons of its availability zone that sum up (see aggregate.go).
+	batchDelay = 2 * time.Millisecond
+	// smallFleet is the number of other daemons up to which each sends to all
+	// others, and changes go out at once. In a larger fleet each sends to the few
+	// daemons of its availability zone that aggregate (see aggregate.go).
 	smallFleet = 16
-	// deadAfter is the silence after which a daemon that tells this one itself
-	// counts as dead: four beats, so that lost datagrams alone hardly do it.
+	// deadAfter is the silence after which a daemon that sends heartbeats to this one
+	// counts as dead: four heartbeats, so that lost datagrams alone hardly do it.
 	deadAfter = 1100 * time.Millisecond
-	// toldDeadAfter is the silence after which a daemon counts as dead of which
-	// others tell: they repeat it twice a second, and say at once when it is silent.
-	toldDeadAfter = 2500 * time.Millisecond
-	// forgetAfter is how long a silent daemon is sent beats.
+	// relayedDeadAfter is the silence after which a daemon counts as dead of which
+	// others report: they repeat it twice a second, and report at once when it is unresponsive.
+	relayedDeadAfter = 2500 * time.Millisecond
+	// forgetAfter is how long an unresponsive daemon is sent heartbeats.
 	forgetAfter = 30 * time.Second
-	// peersEvery is the number of beats between two that name other daemons.
+	// peersEvery is the number of heartbeats between two that name other daemons.
 	peersEvery = 8
-	// maxPeers bounds the daemons named in one beat.
+	// maxPeers bounds the daemons named in one heartbeat.
 	maxPeers = 24
 	// maxDatagram is the largest datagram sent, below what links carry whole.
 	maxDatagram = 1400
 	// isolatedKeep is how long the last addresses are still given when every
-	// other daemon and the store fell silent at once.
+	// other daemon and the store became unresponsive at once.
 	isolatedKeep = 15 * time.Second
 )
 
@@ -80,7 +80,7 @@
 	Self   Member
 	Store  port.Store
 	Book   *engines.Book
-	Claims Claims        // what the daemons tell each other of claims
+	Claims Claims        // what the daemons exchange of claims
 	Speeds Speeds        // and of engines' speed
 	Demand Demand        // and of callers' demand
 	TTL    time.Duration // how long callers keep addresses
@@ -96,24 +96,24 @@
 
 // Roster is safe for concurrent use.
 type Roster struct {
-	o    Options
-	conn net.PacketConn
-	tomb tomb.Tomb
-	news chan struct{}
+	o       Options
+	conn    net.PacketConn
+	tomb    tomb.Tomb
+	updates chan struct{}
 
 	mu     sync.Mutex
 	self   Member
 	seq    uint64
 	peers  map[string]*peer  // by peer address
 	tokens map[uint32]string // peer address by the token that stands for a daemon's process
-	told   []told            // own beats of lately, the newest last
+	sent   []sentHeartbeat   // recent own heartbeats, the newest last
 	agg    aggregation
 	paused pauses
 	// listedAt is when the store's list of daemons was read, zero before.
 	listedAt time.Time
 
-	keeping keeping
-	listed  chan struct{} // closed once listedAt is set
+	ownership ownership
+	listed    chan struct{} // closed once listedAt is set
 
 	sockets sync.Once
 }
@@ -129,22 +129,22 @@
 		o.Self.PeerAddr = conn.LocalAddr().String()
 	}
 	return &Roster{
-		o:       o,
-		conn:    conn,
-		news:    make(chan struct{}, 1),
-		self:    o.Self,
-		peers:   make(map[string]*peer),
-		tokens:  make(map[uint32]string),
-		agg:     aggregation{changed: make(chan struct{}, 1)},
-		keeping: newKeeping(),
-		listed:  make(chan struct{}),
+		o:         o,
+		conn:      conn,
+		updates:   make(chan struct{}, 1),
+		self:      o.Self,
+		peers:     make(map[string]*peer),
+		tokens:    make(map[uint32]string),
+		agg:       aggregation{changed: make(chan struct{}, 1)},
+		ownership: newOwnership(),
+		listed:    make(chan struct{}),
 	}, nil
 }
 
-// Start announces this daemon and begins to send and hear beats.
+// Start announces this daemon and begins to send and receive heartbeats.
 func (r *Roster) Start() {
-	r.tomb.Go(r.hear)
-	r.tomb.Go(r.tell)
+	r.tomb.Go(r.receiveDatagrams)
+	r.tomb.Go(r.sendHeartbeats)
 	r.tomb.Go(r.announce)
 	r.tomb.Go(r.aggregate)
 }
@@ -158,8 +158,8 @@
 
 func (r *Roster) close() { r.sockets.Do(func() { _ = r.conn.Close() }) }
 
-// SetState changes what this daemon says of itself, and tells the others now:
-// all of them that it leaves, so that callers hear of it in time.
+// SetState changes what this daemon says of itself, and broadcasts it now:
+// to all of them that it leaves, so that callers learn it in time.
 func (r *Roster) SetState(s State) {
 	r.mu.Lock()
 	r.self.State = s
@@ -167,10 +167,10 @@
 	r.send(s == Leaving)
 }
 
-// News asks for a beat soon, without waiting for it.
-func (r *Roster) News() {
+// Notify asks for a heartbeat soon, without waiting for it.
+func (r *Roster) Notify() {
 	select {
-	case r.news <- struct{}{}:
+	case r.updates <- struct{}{}:
 	default:
 	}
 }
@@ -182,7 +182,7 @@
 	defer r.mu.Unlock()
 	var out []Member
 	for _, p := range r.peers {
-		if r.lives(p, now) {
+		if r.isAlive(p, now) {
 			out = append(out, p.member)
 		}
 	}
@@ -212,7 +212,7 @@
 	return out
 }
 
-// Known is the number of daemons that were heard of lately, dead ones and this
+// Known is the number of daemons that were seen recently, dead ones and this
 // one included.
 func (r *Roster) Known() int {
 	r.mu.Lock()
@@ -232,13 +232,13 @@
 // has one of its own, since callers read no more than the first few of a large
 // fleet.
 //
-// The guard is against a daemon that is cut off: it hears of no other and
+// The guard is against a daemon that is cut off: it sees no other and
 // would send all callers that ask it to itself alone. When the others and the
-// store fell silent together, the daemons heard lately still count.
+// store became unresponsive together, the daemons seen recently still count.
 func (r *Roster) Addresses(zone, caller string) ([]string, time.Duration) {
 	serving := r.serving
 	if len(r.Members()) == 1 && r.o.StoreAway() {
-		serving = r.heardLately
+		serving = r.recentlySeen
 	}
 	entries := address.NewBook(serving, r.o.TTL).Answer(zone, address.Seed(caller)).Addresses
 	out := make([]string, 0, len(entries))
@@ -251,13 +251,13 @@
 // serving returns the daemons that take requests.
 func (r *Roster) serving() []address.Member {
 	now := time.Now()
-	return r.forCallers(func(p *peer) bool { return r.lives(p, now) })
+	return r.forCallers(func(p *peer) bool { return r.isAlive(p, now) })
 }
 
-// heardLately returns the same with those that have fallen silent since.
-func (r *Roster) heardLately() []address.Member {
+// recentlySeen returns the same with those that have become unresponsive since.
+func (r *Roster) recentlySeen() []address.Member {
 	now := time.Now()
-	return r.forCallers(func(p *peer) bool { return now.Sub(p.heard) < isolatedKeep })
+	return r.forCallers(func(p *peer) bool { return now.Sub(p.lastSeen) < isolatedKeep })
 }
 
 // forCallers returns the daemons that take requests, this one included, of
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -236,12 +236,12 @@
 func TestSilentDaemonIsOutSoon(t *testing.T) {
 	withFleet(t, 3, func(t *testing.T, d *daemons) {
 		d.w.setCut("10.0.0.3:7000", true)
-		_ = pause.For(context.Background(), deadAfter+beatEvery)
+		_ = pause.For(context.Background(), deadAfter+heartbeatInterval)
 		if addrs(d.all[0]) != 2 {
 			t.Errorf("%d addresses, want 2", addrs(d.all[0]))
 		}
 		d.w.setCut("10.0.0.3:7000", false)
-		_ = pause.For(context.Background(), 2*beatEvery)
+		_ = pause.For(context.Background(), 2*heartbeatInterval)
 		if addrs(d.all[0]) != 3 {
 			t.Errorf("%d addresses after its return, want 3", addrs(d.all[0]))
 		}
@@ -291,7 +291,7 @@
 			}
 			d.w.setCut(peerAddr(1), true)
 			d.pause(n, 5*time.Second)
-			_ = pause.For(context.Background(), settleAfterPause+beatEvery)
+			_ = pause.For(context.Background(), settleAfterPause+heartbeatInterval)
 			if got := addrs(d.all[n-1]); got != n-1 {
 				t.Errorf("%d of %d addresses though one died during the pause", got, n)
 			}
@@ -316,8 +316,8 @@
 // An old datagram arrives after a newer one: a daemon that said it leaves would
 // be back in the answers.
 func TestOlderBeatsAreLeftOut(t *testing.T) {
-	p := &peer{member: Member{VM: "a", Incarnation: 2}, seq: 7, heard: time.Unix(100, 0)}
-	now := time.Unix(100, 0).Add(beatEvery)
+	p := &peer{member: Member{VM: "a", Incarnation: 2}, seq: 7, lastSeen: time.Unix(100, 0)}
+	now := time.Unix(100, 0).Add(heartbeatInterval)
 	cases := []struct {
 		incarnation, seq uint64
 		want             bool
@@ -339,7 +339,7 @@
 		r := &Roster{o: Options{TTL: time.Second}, self: Member{State: Starting}, peers: map[string]*peer{}}
 		for i := range daemons {
 			addr := fmt.Sprintf("10.%d.0.%d:80", i%len(zones), i)
-			r.peers[addr] = &peer{known: true, heard: time.Now(), member: Member{VM: addr, CallerAddr: addr, Zone: zones[i%len(zones)], State: Ready}}
+			r.peers[addr] = &peer{known: true, lastSeen: time.Now(), member: Member{VM: addr, CallerAddr: addr, Zone: zones[i%len(zones)], State: Ready}}
 		}
 		got := map[string]int{}
 		for i := range callers {
@@ -362,13 +362,13 @@
 	withFleet(t, 3, func(t *testing.T, d *daemons) {
 		parts := []port.PromptPart{{ID: 1, Tokens: 500}}
 		done := d.books[0].Prefill("e", 10_000, parts, 0, 500*time.Millisecond)
-		_ = pause.For(context.Background(), 3*newsAfter)
+		_ = pause.For(context.Background(), 3*batchDelay)
 		synctest.Wait()
 		if l := d.books[2].Load("e", parts); l.Wait < 400*time.Millisecond || l.Cached != 500 {
 			t.Errorf("the other daemon knows %+v", l)
 		}
 		done()
-		_ = pause.For(context.Background(), 3*newsAfter)
+		_ = pause.For(context.Background(), 3*batchDelay)
 		synctest.Wait()
 		if l := d.books[2].Load("e", nil); l.Wait != 0 {
 			t.Errorf("work that has ended still counts elsewhere: %+v", l)
@@ -382,29 +382,29 @@
 	asleep        atomic.Pointer[chan struct{}] // nil: awake
 }
 
-// Told blocks while the daemon sleeps, so that it sends nothing.
-func (c *claimBook) Told() []Claim {
+// Report blocks while the daemon sleeps, so that it sends nothing.
+func (c *claimBook) Report() []Claim {
 	if asleep := c.asleep.Load(); asleep != nil {
 		<-*asleep
 	}
 	return c.own
 }
-func (c *claimBook) Heard(cs []Claim) { c.received = append(c.received, cs...) }
+func (c *claimBook) Merge(cs []Claim) { c.received = append(c.received, cs...) }
 
 // What a daemon knows of claims gets lost between it and the others, and the
 // next holder waits for a lease that is long over.
 func TestClaimsTravelWithBeats(t *testing.T) {
-	want := Claim{Service: "svc", Offset: 7, AgeMs: 4000}
-	data, err := encode(&beat{Member: Member{VM: "a", PeerAddr: "10.0.0.1:1"}, Seq: 1, Claims: []Claim{want}})
+	want := Claim{Subject: "svc", Offset: 7, AgeMs: 4000}
+	data, err := encode(&heartbeat{Member: Member{VM: "a", PeerAddr: "10.0.0.1:1"}, Seq: 1, Claims: []Claim{want}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	book := &claimBook{}
 	r := &Roster{
 		o:     Options{Book: engines.New(time.Now, func(engines.Work) {}), Claims: book, Speeds: speed.NewBook(), Demand: demand.New(time.Now)},
-		peers: map[string]*peer{}, tokens: map[uint32]string{}, news: make(chan struct{}, 1),
+		peers: map[string]*peer{}, tokens: map[uint32]string{}, updates: make(chan struct{}, 1),
 	}
-	if err := r.open(data, &net.UDPAddr{}); err != nil {
+	if err := r.handleDatagram(data, &net.UDPAddr{}); err != nil {
 		t.Fatal(err)
 	}
 	if len(book.received) != 1 || book.received[0] != want {
@@ -413,7 +413,7 @@
 }
 
 func TestBeatsFitIntoADatagram(t *testing.T) {
-	b := &beat{Member: Member{VM: "a"}}
+	b := &heartbeat{Member: Member{VM: "a"}}
 	for i := range 60 {
 		b.Reads = append(b.Reads, engines.Read{Target: uint64(i) << 40, Parts: make([]port.PromptPart, 4)})
 	}
--- a/request/dispatch/engine_test.go
+++ b/request/dispatch/engine_test.go
@@ -311,8 +311,8 @@
 		p := r.add("llm", port.RolePrefill)
 		r.add("llm", port.RoleDecode)
 		down := []engines.Work{{Target: engines.Hash("llm1"), Down: 1}}
-		r.runner.opts.Engines.Hear("peer-1", down, nil)
-		r.runner.opts.Engines.Hear("peer-2", down, nil)
+		r.runner.opts.Engines.Merge("peer-1", down, nil)
+		r.runner.opts.Engines.Merge("peer-2", down, nil)
 		_, _, err := r.stream(t.Context(), false)
 		if code.Of(err) != code.NoTarget || len(p.Arrivals()) != 0 {
 			t.Errorf("%d prompts read, %v", len(p.Arrivals()), err)
