soak: callers have keys, and daemons report usage

Daemons of the soak have an organisation with a key and duties at a stand-in of the cloud interface, which fails in its own ways beside the store. Checked: no target sees a key or a request without its organisation, no window has two counts, no two holders use one fencing number, and usage is reported. A planted daemon that passes keys on is found.

--- a/bench/soak/fleet_test.go
+++ b/bench/soak/fleet_test.go
@@ -135,14 +135,15 @@
 zone: "%[2]s"
 listen: {callers: "%[3]s:17000", ready: "%[3]s:17001", addresses: "%[3]s:17002", peers: "%[3]s:17003", operators: "%[3]s:17004"}
 store: {addr: "%[4]s"}
+duties: {addr: "%[5]s", usage_window: 1s, usage_late: 3s}
 bounds: {grace: 8s, lease: 1s, address_ttl: 1s, retry_ratio: 0.2, retry_slack: 50, retry_window: 10s, apply_config: 2s, drain: 2s}
 log: {level: info, format: json}
 `
 
 // settings writes the settings of a daemon.
-func settings(dir string, index int, ip, store string) (string, error) {
+func settings(dir string, index int, ip, store, cloud string) (string, error) {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, settingsForm, index, []string{"a", "b"}[index%2], ip, store)
+	fmt.Fprintf(&b, settingsForm, index, []string{"a", "b"}[index%2], ip, store, cloud)
 	path := filepath.Join(dir, fmt.Sprintf("daemon-%d.yaml", index))
 	return path, os.WriteFile(path, b.Bytes(), 0o644)
 }
--- a/bench/soak/planted_test.go
+++ b/bench/soak/planted_test.go
@@ -48,6 +48,9 @@
 		{"requests outlive their deadline", []edit{
 			{"request/dispatch/call.go", "ctx, cancel := context.WithDeadline(ctx, c.GiveUp)", "ctx, cancel := context.WithCancel(ctx)"},
 		}, onAll(SpoilTarget, spoilMute), "no end"},
+		{"targets learn the callers' keys", []edit{
+			{"platform/headers.go", "if keyed {", "if false {"},
+		}, nil, "with key"},
 		{"the store is given up after a failure", []edit{
 			{"process/topic/follower.go", "f.o.Sink.Lost(err)", "f.o.Sink.Lost(err); <-f.tomb.Dying()"},
 		}, append([]Event{{At: 0, For: time.Second, Kind: FailStore, How: failReset}}, onAll(KillTarget, 0)...), "isn't well"},
--- a/bench/soak/site_test.go
+++ b/bench/soak/site_test.go
@@ -41,6 +41,8 @@
 	judge *Judge
 	store *standin.Store
 	front *http.Server // of the store
+	cloud *standin.Cloud
+	side  *http.Server // of the cloud
 	wires []*Proxy     // to the store, one a daemon
 	procs []*process
 
@@ -62,9 +64,9 @@
 			t.Fatal(err)
 		}
 	}
-	w := &site{t: t, dir: dir, judge: NewJudge(), store: standin.NewStore()}
+	w := &site{t: t, dir: dir, judge: NewJudge(), store: standin.NewStore(), cloud: standin.NewCloud()}
 	w.base = freeNet(t)
-	storeAddr := w.serve(w.store, &w.front)
+	storeAddr, cloudAddr := w.serve(w.store, &w.front), w.serve(w.cloud, &w.side)
 	for i := range s.Targets {
 		w.addSpot(i)
 	}
@@ -78,7 +80,7 @@
 			t.Fatal(err)
 		}
 		w.wires = append(w.wires, wire)
-		file, err := settings(dir, i, w.ip(i), wire.Addr())
+		file, err := settings(dir, i, w.ip(i), wire.Addr(), cloudAddr)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -185,7 +187,42 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version++
-	w.store.Configure(w.version, "/p/")
+	w.store.ConfigureKeyed(w.version, "/p/", organisation, key)
+}
+
+// The organisation of all callers, and its key.
+const (
+	organisation = "o1"
+	key          = "k1"
+)
+
+func callerHeaders(id string, left time.Duration, prompt string) http.Header {
+	h := standin.CallerHeaders(id, left, prompt)
+	standin.SetKey(h, key)
+	return h
+}
+
+// checkDuties reports what the targets and the cloud must not have seen: a
+// caller's key, a request without its organisation, two counts of a window, two
+// holders with one fencing number.
+func (w *site) checkDuties() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, p := range w.spots {
+		for _, t := range p.all {
+			for _, a := range t.Arrivals() {
+				if a.Key != "" || a.Organisation != organisation {
+					w.judge.Fault("target %s saw a request of organisation %q with key %q", t.ID, a.Organisation, a.Key)
+				}
+			}
+		}
+	}
+	for _, broken := range w.cloud.Broken() {
+		w.judge.Fault("cloud: %s", broken)
+	}
+	if len(w.cloud.Usage()) == 0 {
+		w.judge.Fault("no usage was reported")
+	}
 }
 
 // ran counts the runs of each attempt over all targets.
@@ -205,7 +242,7 @@
 
 func (w *site) load(seed uint64, callers int) *Load {
 	l := &Load{Seed: seed, Callers: callers, Judge: w.judge, Wire: Wire{
-		Headers:   standin.CallerHeaders,
+		Headers:   callerHeaders,
 		Addresses: standin.AskAddresses,
 		NotRun:    standin.SaysNotRun,
 		Paths:     [...]string{"/p/x", "/i/x", "/s/x"},
@@ -251,7 +288,7 @@
 			cancel()
 			return false
 		}
-		req.Host, req.Header, req.Close = standin.Host, standin.CallerHeaders(id, patience, prompt), true
+		req.Host, req.Header, req.Close = standin.Host, callerHeaders(id, patience, prompt), true
 		resp, err := http.DefaultTransport.RoundTrip(req)
 		if err != nil {
 			cancel()
@@ -298,4 +335,5 @@
 		p.proxy.Close()
 	}
 	_ = w.front.Close()
+	_ = w.side.Close()
 }
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -107,6 +107,7 @@
 	all.Wait()
 	w.settle(tr.settle)
 	w.stopAll()
+	w.checkDuties()
 	return w.judge.Verdict(w.ran())
 }
 
@@ -191,8 +192,10 @@
 func (w *site) failStore(how int, over func()) {
 	modes := [variants]standin.Mode{standin.Busy, standin.Many, failReset: standin.Reset, standin.Silent, standin.Slow, standin.Late}
 	w.store.SetMode(modes[how])
+	w.cloud.SetMode(modes[variants-1-how])
 	over()
 	w.store.SetMode(standin.Up)
+	w.cloud.SetMode(standin.Up)
 }
 
 // The variants of SpoilTarget.
