demand, speed, engines, front: use the field's terms

Word, words.go and sums.go are Update, reports.go and aggregate.go; comments and the help of four metrics say report, estimate and age. Two log lines of the start are 'front: prefix cache of an engine listed' and '... not listed'. Wire formats and behaviour are as they were.

--- a/connection/demand/demand.go
+++ b/connection/demand/demand.go
@@ -1,6 +1,6 @@
 // Package demand measures what callers ask of a service's engines, whether it
 // is served or refused: reading of prompts, and places for streams. Daemons
-// tell each other, so that whoever plans sees all of it.
+// exchange it, so that the daemon that plans sees all of it.
 package demand
 
 import (
@@ -16,7 +16,7 @@
 	// span is the time over which demand is averaged: about that of a change of
 	// role, since what is over sooner can't be answered by one.
 	span = 30 * slot
-	// believedFor is how long another daemon's word counts without news.
+	// believedFor is how long another daemon's update counts.
 	believedFor = 2 * time.Second
 )
 
@@ -38,8 +38,8 @@
 	}
 }
 
-// Word is what one daemon tells the others of one service.
-type Word struct {
+// Update is what one daemon sends the others of one service.
+type Update struct {
 	_       struct{} `cbor:",toarray"`
 	Service uint64   // hash of its name
 	Reading float32
@@ -49,9 +49,9 @@
 	Moving  float32
 }
 
-// Offer is one request, as it is foreseen at its arrival.
+// Offer is one request, as it is estimated at its arrival.
 type Offer struct {
-	Reading time.Duration // that an engine will read its prompt
+	Reading time.Duration // of an engine's prefill
 	Lasts   time.Duration // that its stream will run
 	Moving  time.Duration // that its KV cache takes to the engine that decodes
 	// Objective is the time in which the caller wants the first event, 0: none.
@@ -66,12 +66,12 @@
 	mu     sync.Mutex
 	own    map[uint64]*ring
 	peers  map[string]peer
-	oldest time.Time // no word in peers is older
+	oldest time.Time // no update in peers is older
 }
 
 type peer struct {
-	at    time.Time
-	words []Word
+	at      time.Time
+	updates []Update
 }
 
 // New returns an empty Book.
@@ -111,7 +111,7 @@
 		sum = r.load(now)
 	}
 	for _, p := range b.peers {
-		for _, w := range p.words {
+		for _, w := range p.updates {
 			if w.Service == k {
 				sum = sum.plus(w.load())
 			}
@@ -120,26 +120,26 @@
 	return sum
 }
 
-func (w Word) load() Load {
+func (w Update) load() Load {
 	return Load{
 		Reading: float64(w.Reading), Streams: float64(w.Streams), Urgent: float64(w.Urgent),
 		Weighty: float64(w.Weighty), Moving: float64(w.Moving),
 	}
 }
 
-func word(service uint64, l Load) Word {
-	return Word{
+func newUpdate(service uint64, l Load) Update {
+	return Update{
 		Service: service, Reading: float32(l.Reading), Streams: float32(l.Streams), Urgent: float32(l.Urgent),
 		Weighty: float32(l.Weighty), Moving: float32(l.Moving),
 	}
 }
 
 // Report returns what this process is asked.
-func (b *Book) Report() []Word { return b.SumOf(func(string) bool { return false }) }
+func (b *Book) Report() []Update { return b.SumOf(func(string) bool { return false }) }
 
-// SumOf is the sum of what this process is asked and of the words whose names
+// SumOf is the sum of what this process is asked and of the updates whose names
 // it is given.
-func (b *Book) SumOf(names func(name string) bool) []Word {
+func (b *Book) SumOf(names func(name string) bool) []Update {
 	now := b.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -152,23 +152,23 @@
 		if !names(name) {
 			continue
 		}
-		for _, w := range p.words {
+		for _, w := range p.updates {
 			sums[w.Service] = sums[w.Service].plus(w.load())
 		}
 	}
-	out := make([]Word, 0, len(sums))
+	out := make([]Update, 0, len(sums))
 	for k, l := range sums {
 		if l != (Load{}) {
-			out = append(out, word(k, l))
+			out = append(out, newUpdate(k, l))
 		}
 	}
 	return out
 }
 
-// Less is what is left of a sum without a part of it, which may have been told
+// Less is what is left of a sum without a part of it, which may have been sent
 // a little earlier.
-func Less(sum, part []Word) []Word {
-	out := make([]Word, 0, len(sum))
+func Less(sum, part []Update) []Update {
+	out := make([]Update, 0, len(sum))
 	for _, w := range sum {
 		for _, p := range part {
 			if p.Service == w.Service {
@@ -181,13 +181,13 @@
 	return out
 }
 
-// Merge takes the word of another daemon, or of several in sum, in place of
+// Merge takes the update of another daemon, or of several in sum, in place of
 // the last one under that name.
-func (b *Book) Merge(from string, words []Word) {
+func (b *Book) Merge(from string, updates []Update) {
 	now := b.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peers[from] = peer{at: now, words: words}
+	b.peers[from] = peer{at: now, updates: updates}
 	b.expire(now)
 }
 
@@ -198,7 +198,7 @@
 	clear(b.peers)
 }
 
-// expire takes out the words of daemons that have been silent for too long.
+// expire takes out the updates of unresponsive daemons.
 // Callers hold b.mu.
 func (b *Book) expire(now time.Time) {
 	if now.Sub(b.oldest) <= believedFor {
--- a/connection/engines/sums.go
+++ b/connection/engines/aggregate.go
@@ -22,7 +22,7 @@
 	return out
 }
 
-// SumOf is the sum of this process's work and of the words whose names it is
+// SumOf is the sum of this process's work and of the reports whose names it is
 // given.
 func (b *Book) SumOf(names func(name string) bool) []Work {
 	now := b.now()
--- a/connection/engines/book.go
+++ b/connection/engines/book.go
@@ -1,7 +1,7 @@
 // Package engines keeps what this process knows of the model engines' work:
 // what it sent itself, what the other daemons say they sent, and which prompt
 // prefixes each engine has read. Engines' own reports lag by some hundred
-// milliseconds and are paid for; a daemon's own word reaches the others in a
+// milliseconds and are paid for; a daemon's own report reaches the others in a
 // few.
 package engines
 
@@ -24,7 +24,7 @@
 	// Becomes is the role that the engine takes by an order of this daemon's;
 	// it refuses requests meanwhile. Empty: it carries out none.
 	Becomes port.Role
-	Down    uint16 // daemons that can't reach it: 0 or 1 in one daemon's word, their number in a sum
+	Down    uint16 // daemons that can't reach it: 0 or 1 in one daemon's report, their number in a sum
 }
 
 // Idle reports whether there is nothing to report.
@@ -78,7 +78,7 @@
 	Down    int // daemons that can't reach it, this one included
 }
 
-// downVotes is the number of daemons whose word takes a target out. One alone
+// downVotes is the number of daemons whose report takes a target out. One alone
 // may be cut off from a target that all others reach.
 const downVotes = 2
 
@@ -93,26 +93,26 @@
 	mu      sync.Mutex
 	engines map[uint64]*engine
 	peers   map[string]*peerWork
-	oldest  time.Time // no word in peers is older
+	oldest  time.Time // no report in peers is older
 	reads   []Read    // of this process, not yet told to all daemons
 }
 
 type engine struct {
 	own    Work
-	others tally // what the words in peers say of it
+	others tally // what the reports in peers say of it
 	keeps  *prefixes
 	since  time.Time // when it began with the prompt that it reads now, about
 	down   time.Time // this process couldn't reach it, until then
-	before uint32    // prompts in the word that is being replaced
+	before uint32    // prompts in the report that is being replaced
 }
 
-// peerWork is the newest word of one daemon.
+// peerWork is the newest report of one daemon.
 type peerWork struct {
 	at   time.Time
 	work []Work
 }
 
-// believedFor is how long a peer's word about its work counts without news:
+// believedFor is how long a peer's report of its work counts:
 // it is repeated every 250 ms, and a prompt is read in well under 2 s.
 const believedFor = 1500 * time.Millisecond
 
@@ -174,13 +174,13 @@
 
 // unlockChanged ends a change of own work at an engine. Callers hold b.mu.
 func (b *Book) unlockChanged(e *engine) {
-	w := e.word(b.now())
+	w := e.report(b.now())
 	b.mu.Unlock()
 	b.changed(w)
 }
 
-// word is what this process has at the engine.
-func (e *engine) word(now time.Time) Work {
+// report is what this process has at the engine.
+func (e *engine) report(now time.Time) Work {
 	w := e.own
 	if now.Before(e.down) {
 		w.Down = 1
@@ -197,7 +197,7 @@
 	}
 }
 
-// Learn takes an engine's own word about what it keeps.
+// Learn takes an engine's own report of what it keeps.
 func (b *Book) Learn(target string, memory int, parts []port.PromptPart) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/connection/engines/words.go
+++ b/connection/engines/reports.go
@@ -29,14 +29,14 @@
 func (b *Book) work(now time.Time) []Work {
 	var out []Work
 	for _, e := range b.engines {
-		if w := e.word(now); !w.Idle() {
+		if w := e.report(now); !w.Idle() {
 			out = append(out, w)
 		}
 	}
 	return out
 }
 
-// Merge takes the word of another daemon, or of several in sum, in place of the
+// Merge takes the report of another daemon, or of several in sum, in place of the
 // last one under that name. It returns the reads that tell something new.
 func (b *Book) Merge(peer string, work []Work, reads []Read) []Read {
 	now := b.now()
@@ -113,7 +113,7 @@
 	}
 }
 
-// forget takes out a daemon's word. Callers hold b.mu.
+// forget takes out a daemon's report. Callers hold b.mu.
 func (b *Book) forget(name string) {
 	for i := range b.peers[name].work {
 		w := &b.peers[name].work[i]
@@ -122,7 +122,7 @@
 	delete(b.peers, name)
 }
 
-// expire takes out the words of daemons that have been silent for too long.
+// expire takes out the reports of unresponsive daemons.
 // Callers hold b.mu.
 func (b *Book) expire(now time.Time) {
 	if now.Sub(b.oldest) <= believedFor {
--- a/connection/engines/tally.go
+++ b/connection/engines/tally.go
@@ -2,11 +2,11 @@
 
 import "github.com/pomelospool/pomelospool/port"
 
-// tally is the sum of several daemons' words about one engine, kept up to date
-// as words come and go.
+// tally is the sum of several daemons' reports of one engine, kept up to date
+// as reports come and go.
 //
 // The load that it answers: each request looks at each engine several times.
-// Summed up at each look over the words of 295 daemons, one look took 5.1 µs
+// Summed up at each look over the reports of 295 daemons, one look took 5.1 µs
 // and a request 6 ms of a VM with a fifth of a core; kept up to date, a look
 // takes the same with 6 daemons and with 1,000.
 type tally struct {
--- a/connection/engines/tally_test.go
+++ b/connection/engines/tally_test.go
@@ -10,7 +10,7 @@
 	"github.com/pomelospool/pomelospool/port"
 )
 
-// spoken is a word as a summing up at each look would hold it.
+// spoken is a report as a summing up at each look would hold it.
 type spoken struct {
 	at   time.Time
 	work []Work
@@ -19,23 +19,23 @@
 // A sum that is kept up to date drifts from what the daemons said: an engine
 // looks busy, or is left out as unreachable, for as long as the process runs.
 // Whatever is said, repeated, left out or expires, it must equal the sum over
-// the words that count.
+// the reports that count.
 func TestSumsEqualTheWordsThatCount(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		b, c := book()
-		words := map[string]spoken{}
+		reports := map[string]spoken{}
 		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
 			c.t = c.t.Add(time.Duration(rapid.IntRange(0, 900).Draw(rt, "ms")) * time.Millisecond)
 			name := fmt.Sprint("d", rapid.IntRange(0, 4).Draw(rt, "daemon"))
 			work := drawWork(rt)
 			b.Merge(name, work, nil)
-			words[name] = spoken{at: c.t, work: work}
+			reports[name] = spoken{at: c.t, work: work}
 			if rapid.IntRange(0, 9).Draw(rt, "forget") == 0 {
 				b.Retain(map[uint64]bool{})
 			}
 			for e := range uint64(4) {
 				want := Load{}
-				for _, w := range words {
+				for _, w := range reports {
 					want.count(e, w, c.t)
 				}
 				got := b.LoadOf(e, nil)
--- a/connection/speed/speed.go
+++ b/connection/speed/speed.go
@@ -238,8 +238,8 @@
 	return f.First + f.PerOutput*time.Duration(output)
 }
 
-// Word is what one process tells the others of a service's engines.
-type Word struct {
+// Update is what one process sends the others of a service's engines.
+type Update struct {
 	_        struct{} `cbor:",toarray"`
 	Service  uint64
 	PerToken float32
@@ -258,11 +258,11 @@
 const maxReads = 1000
 
 // Report returns the figures of this process's own prompts.
-func (b *Book) Report() []Word { return b.words(func(s *service) Figures { return s.own }) }
+func (b *Book) Report() []Update { return b.updates(func(s *service) Figures { return s.own }) }
 
 // Best returns the figures of the most prompts that this process knows of.
-func (b *Book) Best() []Word {
-	return b.words(func(s *service) Figures {
+func (b *Book) Best() []Update {
+	return b.updates(func(s *service) Figures {
 		if s.told.Reads > s.own.Reads {
 			return s.told
 		}
@@ -270,16 +270,16 @@
 	})
 }
 
-func (b *Book) words(which func(s *service) Figures) []Word {
+func (b *Book) updates(which func(s *service) Figures) []Update {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var out []Word
+	var out []Update
 	for key, s := range b.services {
 		f := which(s)
 		if !f.Known() {
 			continue
 		}
-		out = append(out, Word{
+		out = append(out, Update{
 			Service: key, PerToken: float32(f.PerToken), PerPair: float32(f.PerPair),
 			StartUs: uint32(f.Start.Microseconds()), FirstUs: uint32(f.First.Microseconds()),
 			OutputUs: uint32(f.PerOutput.Microseconds()), StayUs: uint32(f.Stay.Microseconds()), LessUs: uint32(f.StayLess.Microseconds()),
@@ -289,11 +289,11 @@
 	return out
 }
 
-// Merge takes another process's word.
-func (b *Book) Merge(words []Word) {
+// Merge takes another process's update.
+func (b *Book) Merge(updates []Update) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, w := range words {
+	for _, w := range updates {
 		s := b.get(w.Service)
 		if int(w.Reads) < s.told.Reads {
 			continue
--- a/connection/speed/speed_test.go
+++ b/connection/speed/speed_test.go
@@ -89,7 +89,7 @@
 }
 
 // A daemon that has just started refuses nothing and places by nothing, or
-// waits for its own sights. It takes the others' word at once, and its own once
+// waits for its own sights. It takes the others' update at once, and its own once
 // that rests on enough.
 func TestFiguresAreShared(t *testing.T) {
 	e := engine{perToken: 0.02, perPairM: 0.25, start: 30}
@@ -101,8 +101,8 @@
 	if !f.Known() || off(f, e) > 0.25 || f.First.Round(time.Millisecond) != 40*time.Millisecond {
 		t.Errorf("heard %+v", f)
 	}
-	if told := fresh.Report(); len(told) != 0 {
-		t.Errorf("passes on what it heard: %+v", told)
+	if report := fresh.Report(); len(report) != 0 {
+		t.Errorf("passes on what it heard: %+v", report)
 	}
 	other := engine{perToken: 0.1, start: 1}
 	prompts(fresh, other, rand.New(rand.NewPCG(4, 1)), 200)
--- a/process/claim/claim_test.go
+++ b/process/claim/claim_test.go
@@ -76,7 +76,7 @@
 // All decoding engines are gone. The daemon that takes the duty over sees the
 // last claim for the first time, and waits for its lease, though it has stood
 // for minutes: the others know.
-func TestAgeOfAClaimIsTold(t *testing.T) {
+func TestAgeOfAClaimIsReported(t *testing.T) {
 	s, now := &claimStore{}, time.Duration(0)
 	a, b := claimer("a", s, &now), claimer("b", s, &now)
 	if _, err := a.Get(t.Context(), "svc"); err != nil {
@@ -91,7 +91,7 @@
 	if _, err := b.Get(t.Context(), "svc"); err != nil {
 		t.Errorf("waits though the lease is over: %v", err)
 	}
-	// What was told of the claim before says nothing of the new one.
+	// An age reported of the claim before says nothing of the new one.
 	a.o.Seen.Merge([]roster.Claim{{Subject: "svc", Offset: 0, AgeMs: time.Hour.Milliseconds()}})
 	if _, err := a.Get(t.Context(), "svc"); !errors.Is(err, ErrHeld) {
 		t.Errorf("claims right after another holder: %v", err)
@@ -156,7 +156,7 @@
 	}
 }
 
-// A holder is paused and wakes after its lease: it must claim anew before the
+// A holder is paused and wakes after its lease: it must claim again before the
 // next order.
 func TestClaimEndsBeforeTheLease(t *testing.T) {
 	s, now := &claimStore{}, time.Duration(0)
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -1,5 +1,5 @@
 // Package front wires one daemon on a platform with a store: what it reads
-// from the store, what the daemons tell each other, the role planner, and the
+// from the store, what the daemons exchange, the role planner, and the
 // request path. Every VM runs the same; none is set aside for control, and
 // nothing outlasts the process but what stands in the store.
 package front
@@ -302,7 +302,7 @@
 
 // relayedWait is the same where daemons read for others. Those may ask a reader
 // that is about to be given up, rest, and then read the store themselves: the
-// reader's word and these two must fit into the bound.
+// reader's answer and these two must fit into the bound.
 func relayedWait(bound time.Duration) time.Duration {
 	return max(min(readWait(bound), bound-relay.MaxAge(0)-targetsPace-slowAnswer), leastWait)
 }
@@ -438,7 +438,7 @@
 		}
 		if d.ready.Load() {
 			d.forget()
-			d.metrics.foresight(d.config.Load(), d.speed)
+			d.metrics.estimates(d.config.Load(), d.speed)
 		}
 	}
 }
--- a/process/front/metrics.go
+++ b/process/front/metrics.go
@@ -43,10 +43,10 @@
 			Name: "pomelospool_first_event_seconds", Help: "From a request's arrival to the first event of its answer.", Buckets: secondsBuckets,
 		}),
 		perToken: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "pomelospool_engine_read_seconds_per_token", Help: "Time that a service's engines take to read a prompt token, as learnt; 0: nothing learnt.",
+			Name: "pomelospool_engine_read_seconds_per_token", Help: "Time that a service's engines take to read a prompt token, as estimated; 0: no estimate yet.",
 		}, []string{"service"}),
 		off: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "pomelospool_read_foresight_error_ratio", Help: "By which share the foreseen time of a prompt is off lately, smoothed.",
+			Name: "pomelospool_read_foresight_error_ratio", Help: "Relative error of the estimated time of a prompt, smoothed.",
 		}, []string{"service"}),
 	}
 	gauge := func(name, help string, f func() float64) prometheus.Collector {
@@ -56,10 +56,10 @@
 		m.requests, m.whole, m.first, m.perToken, m.off, expvarCollector{},
 		gauge("open_requests", "Requests that run now.", func() float64 { return float64(d.ingress.Open()) }),
 		gauge("config_version", "Version of the configuration in force, 0: none.", d.configVersion),
-		gauge("daemons_alive", "Daemons that are heard, this one included.", func() float64 { return float64(len(d.roster.Members())) }),
+		gauge("daemons_alive", "Daemons that are alive, this one included.", func() float64 { return float64(len(d.roster.Members())) }),
 		gauge("store_away", "1 while the store can't be read.", func() float64 { return boolGauge(d.withoutStore()) }),
-		gauge("config_age_seconds", "How old the newest word of the store on the configuration is, -1: none yet.", func() float64 { return ageGauge(d.tails[port.TopicConfig]) }),
-		gauge("targets_age_seconds", "How old the newest word of the store on the targets is, -1: none yet.", func() float64 { return ageGauge(d.tails[port.TopicTargets]) }),
+		gauge("config_age_seconds", "Age of the newest answer of the store on the configuration, -1: none yet.", func() float64 { return ageGauge(d.tails[port.TopicConfig]) }),
+		gauge("targets_age_seconds", "Age of the newest answer of the store on the targets, -1: none yet.", func() float64 { return ageGauge(d.tails[port.TopicTargets]) }),
 		gauge("ready", "1 while the daemon takes requests.", func() float64 { return boolGauge(d.roster.Ready()) }),
 	)
 	return m
@@ -73,8 +73,8 @@
 }
 
 func ageGauge(t *relay.Tail) float64 {
-	age, heard := t.Age()
-	if !heard {
+	age, known := t.Age()
+	if !known {
 		return -1
 	}
 	return age.Seconds()
@@ -87,8 +87,8 @@
 	return 0
 }
 
-// foresight shows what was learnt of engines, and how well it foresees.
-func (m *metrics) foresight(c *route.Config, b *speed.Book) {
+// estimates shows what is estimated of engines, and the error.
+func (m *metrics) estimates(c *route.Config, b *speed.Book) {
 	for name, svc := range c.Services {
 		if svc.Engine == nil {
 			continue
--- a/process/front/stop.go
+++ b/process/front/stop.go
@@ -13,9 +13,9 @@
 const (
 	// stopMargin is kept free before SIGKILL, for slow machines.
 	stopMargin = 700 * time.Millisecond
-	// newsTime is how long the other daemons may take to hear that this one
+	// broadcastTime is how long the other daemons may take to learn that this one
 	// leaves, a lost datagram included.
-	newsTime = 600 * time.Millisecond
+	broadcastTime = 600 * time.Millisecond
 	// stopPoll is the time between two looks at the open requests.
 	stopPoll = 20 * time.Millisecond
 )
@@ -33,7 +33,7 @@
 	d.planner.Release()
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	_ = pause.For(ctx, min(keptFactor*addressTTL+newsTime, limit/2))
+	_ = pause.For(ctx, min(keptFactor*addressTTL+broadcastTime, limit/2))
 	_ = d.callers.http.Shutdown(ctx)
 	for d.ingress.Open() > 0 && pause.For(ctx, stopPoll) == nil {
 	}
--- a/process/front/warm.go
+++ b/process/front/warm.go
@@ -15,7 +15,7 @@
 const (
 	// askAtStart is the most engines that a daemon asks at its start what they
 	// keep. The question delays an engine's work a little; with more engines
-	// each daemon asks some, and learns of the others from the daemons' words.
+	// each daemon asks some, and learns of the others from the daemons' reports.
 	askAtStart = 16
 	// askSpread is the time over which the questions are spread.
 	askSpread = 300 * time.Millisecond
@@ -51,9 +51,9 @@
 	}
 	parts, err := d.control.Kept(ctx, e.Addr, e.ID)
 	if err != nil {
-		log.WithError(err).WithField("target", e.ID).Info("front: engine didn't say what it keeps")
+		log.WithError(err).WithField("target", e.ID).Info("front: prefix cache of an engine not listed")
 		return
 	}
 	d.engines.Learn(e.ID, svc.Engine.KVTokens, parts)
-	log.WithFields(log.Fields{"target": e.ID, "parts": len(parts)}).Info("front: engine says what it keeps")
+	log.WithFields(log.Fields{"target": e.ID, "parts": len(parts)}).Info("front: prefix cache of an engine listed")
 }
--- a/process/roster/aggregate_test.go
+++ b/process/roster/aggregate_test.go
@@ -112,7 +112,7 @@
 // Callers are sent to a daemon that has been off for nine seconds. Its last words
 // reached other zones and not the aggregator of its own, whose word that it is
 // silent is older then and isn't taken. It is forgotten by its silence, until its
-// row is told again by turns, with a newer heartbeat than the zone's daemons know,
+// row is sent again by turns, with a newer heartbeat than the zone's daemons know,
 // who only hear that it lives: they took it for news of its life.
 func TestRowsOfADeadDaemonAreNoNewsOfItsLife(t *testing.T) {
 	now := time.Now()
@@ -402,7 +402,7 @@
 		one()
 		synctest.Wait()
 		ask(20, 300*time.Millisecond, 100*time.Millisecond, 0)
-		// Work that lasts is told again, also to a owner that is new.
+		// Work that lasts is sent again, also to an owner that is new.
 		rest(5 * time.Second)
 		ask(20, 0, 0, 0) // as long as foreseen, and more
 		defer d.books[10].Prefill("e", 10_000, nil, 0, 300*time.Millisecond)()
--- a/process/roster/digest.go
+++ b/process/roster/digest.go
@@ -27,9 +27,9 @@
 	Work    []engines.Work
 	Reads   []engines.Read
 	Claims  []Claim
-	Speeds  []speed.Word
+	Speeds  []speed.Update
 	Asked   bool // Demand holds
-	Demand  []demand.Word
+	Demand  []demand.Update
 	Clock   int64 // the sender's estimate of the time, microseconds since 1970; 0: not stated
 }
 
--- a/process/roster/heartbeat.go
+++ b/process/roster/heartbeat.go
@@ -26,8 +26,8 @@
 	Reads  []engines.Read
 	Peers  []string // addresses of other daemons, in a small fleet
 	Claims []Claim
-	Speeds []speed.Word
-	Demand []demand.Word
+	Speeds []speed.Update
+	Demand []demand.Update
 	Clock  int64 // time of day of the sender's VM, microseconds since 1970
 }
 
@@ -35,7 +35,7 @@
 type sentHeartbeat struct {
 	seq    uint64
 	work   []engines.Work
-	demand []demand.Word
+	demand []demand.Update
 }
 
 // maxSent is the number of own heartbeats that are kept: those of some 5 s.
@@ -57,17 +57,17 @@
 
 // Speeds gives and takes what daemons have learnt of engines' speed.
 type Speeds interface {
-	Report() []speed.Word
-	Best() []speed.Word
-	Merge(words []speed.Word)
+	Report() []speed.Update
+	Best() []speed.Update
+	Merge(words []speed.Update)
 }
 
 // Demand gives and takes what callers ask of each daemon. The names are those
 // of reports that were received.
 type Demand interface {
-	Report() []demand.Word
-	SumOf(names func(name string) bool) []demand.Word
-	Merge(from string, words []demand.Word)
+	Report() []demand.Update
+	SumOf(names func(name string) bool) []demand.Update
+	Merge(from string, words []demand.Update)
 	Forget()
 }
 
--- a/process/usage/ledger.go
+++ b/process/usage/ledger.go
@@ -102,7 +102,7 @@
 }
 
 // missing returns a process whose row of the window isn't whole: one of the
-// living, or one that was heard of and not replaced by a later process of its
+// living, or one that has reported and was not replaced by a later process of its
 // VM.
 func (l *ledger) missing(window int64, living []Source) (Source, bool) {
 	l.mu.Lock()
--- a/process/usage/reporter.go
+++ b/process/usage/reporter.go
@@ -2,8 +2,8 @@
 // the platform, once for each window of time. Every daemon counts what its
 // targets began to run and sends the counts to a few collectors, the daemons
 // that may lead. The one that leads saves what it has collected to the store,
-// agrees on a window's counts there, and only then reports them: whoever
-// reports the window again states the same counts.
+// agrees on a window's counts there, and only then reports them: any
+// later report of the window states the same counts.
 package usage
 
 import (
--- a/request/dispatch/rig_test.go
+++ b/request/dispatch/rig_test.go
@@ -61,7 +61,7 @@
 func withRig(t *testing.T, slack float64, test func(t *testing.T, r *rig)) {
 	synctest.Test(t, func(t *testing.T) {
 		r := &rig{t: t, net: &pipenet.Net{}, entries: map[string][]port.TargetEntry{}, freed: make(chan port.KVSource, 100), speed: speed.NewBook()}
-		r.speed.Merge([]speed.Word{{Service: xxhash.Sum64String("llm"), PerToken: 23e3, PerPair: 257, StartUs: 50_000, FirstUs: 40_000, Reads: 1000}})
+		r.speed.Merge([]speed.Update{{Service: xxhash.Sum64String("llm"), PerToken: 23e3, PerPair: 257, StartUs: 50_000, FirstUs: 40_000, Reads: 1000}})
 		r.budget = budget.NewFleet(budget.FleetOptions{
 			Slack: (slack + 0.1) / budget.Spent, Window: 10 * time.Second, Now: time.Now,
 			Daemons: func() int { return 1 },
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -27,11 +27,11 @@
 	Wire    port.TargetWire
 	Runner  *dispatch.Runner
 	Observe func(Observation) // called at the end of each request
-	// TargetsAge is how old the word on the targets is that requests are decided
-	// by, false before there is one. It may be nil.
-	TargetsAge func() (age time.Duration, heard bool)
+	// TargetsAge is the age of the newest answer on the targets, by which requests
+	// are decided; false before there is one. It may be nil.
+	TargetsAge func() (age time.Duration, known bool)
 	// ConfigAge is the same for the configuration. It may be nil.
-	ConfigAge func() (age time.Duration, heard bool)
+	ConfigAge func() (age time.Duration, known bool)
 	// Started counts a request of an organisation that a target began to run
 	// that long ago. It may be nil.
 	Started func(organisation string, ago time.Duration)
@@ -194,7 +194,7 @@
 // daemon that may have missed a newer one doesn't know: callers take a 401 for
 // final.
 func (x *exchange) unknownKey(cfg *route.Config) error {
-	if age, heard := x.o.configAge(); heard && age > x.o.MaxConfigAge {
+	if age, known := x.o.configAge(); known && age > x.o.MaxConfigAge {
 		return code.New(code.StaleConfiguration, "version %d was confirmed %v ago", cfg.Version, age.Round(time.Millisecond)).After(noConfigurationAfter)
 	}
 	return code.New(code.Unauthorized, "version %d", cfg.Version)
@@ -281,7 +281,7 @@
 			fields["foreseen_stream_ms"] = x.trace.Lasts.Milliseconds()
 		}
 	}
-	if age, heard := x.o.targetsAge(); heard {
+	if age, known := x.o.targetsAge(); known {
 		fields["targets_age_ms"] = age.Milliseconds()
 	}
 	if x.trace.Foreseen > 0 {
