soak: usage is reported again after the last disturbance

Replaced by a stricter one: after the last disturbance windows that end from then on must be reported within 8 s (lease, takeover and due time).

--- a/bench/soak/site_test.go
+++ b/bench/soak/site_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -220,8 +222,22 @@
 	for _, broken := range w.cloud.Broken() {
 		w.judge.Fault("cloud: %s", broken)
 	}
-	if len(w.cloud.Usage()) == 0 {
-		w.judge.Fault("no usage was reported")
+}
+
+// usageLimit is how long after the last disturbance a window that ends then may
+// wait for its report: for the lease of a holder that is gone, and until the
+// report is due.
+const usageLimit = 8 * time.Second
+
+// reportsUsage checks that windows that end from now on are reported.
+func (w *site) reportsUsage() {
+	newest := func() int64 {
+		windows := slices.Collect(maps.Keys(w.cloud.Usage()))
+		return slices.Max(append(windows, 0))
+	}
+	now := time.Now().Unix() // windows are a second long
+	if !await(usageLimit, func() bool { return newest() > now }) {
+		w.judge.Fault("no window that ended after %d was reported within %v: the newest is %d", now, usageLimit, newest())
 	}
 }
 
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -106,6 +106,7 @@
 	w.play(ctx, tr.plan, &all)
 	all.Wait()
 	w.settle(tr.settle)
+	w.reportsUsage()
 	w.stopAll()
 	w.checkDuties()
 	return w.judge.Verdict(w.ran())
