roles: a plan goes on past engines that don't obey

Where an engine doesn't obey, the next plan is made at once and asks others. roles.TestPlanGoesOnPastDeadEngines failed before (round 2 waits).

--- a/process/roles/planner.go
+++ b/process/roles/planner.go
@@ -203,7 +203,6 @@
 		log.WithError(err).WithField("service", svc.Name).Warn("roles: not claimed")
 		return
 	}
-	p.ordered[svc.Name] = p.o.Clock.Now()
 	p.logPlan(svc.Name, list, demand, moves)
 	p.carryOut(ctx, svc, moves, held)
 }
@@ -293,8 +292,10 @@
 }
 
 // carryOut sends the orders, all at once: one whose answer is lost would hold
-// up the others for its whole time.
+// up the others for its whole time. Where engines don't obey, the next plan isn't
+// held up by this one: it asks others in their place.
 func (p *Planner) carryOut(ctx context.Context, svc *route.Service, moves []Move, held claim.Claim) {
+	begun := p.o.Clock.Now()
 	results := make(chan result, len(moves))
 	for _, m := range moves {
 		e, ok := p.o.Targets.Lookup(m.Target)
@@ -304,14 +305,21 @@
 		}
 		go func() { results <- result{Move: m, err: p.order(ctx, e, m.Role, held)} }()
 	}
+	all := true
 	for range moves {
-		p.note(svc, <-results, held)
+		all = p.note(svc, <-results, held) && all
+	}
+	if all {
+		p.ordered[svc.Name] = begun
+	} else {
+		delete(p.ordered, svc.Name)
 	}
 }
 
 var errGone = errors.New("roles: the engine is gone")
 
-// note keeps the books about one order.
+// note records the result of one order. It reports whether the engine counts as
+// if it obeyed.
 //
 // The failure it stops is a service without a decoding engine. A daemon that
 // has just started doesn't know which engines carry out orders of before, and
@@ -320,10 +328,11 @@
 // busy, or may have been taken from decoding, counts as if it had obeyed until
 // it shows the contrary. Only a missing decoding engine is asked for elsewhere
 // at once: one too many does no harm.
-func (p *Planner) note(svc *route.Service, r result, held claim.Claim) {
+func (p *Planner) note(svc *route.Service, r result, held claim.Claim) bool {
 	fields := log.Fields{"service": svc.Name, "target": r.Target, "role": r.Role, "fence": held.Fence, "why": r.Why}
 	now := p.o.Clock.Now()
 	obeys := change{role: r.Role, until: now + svc.Engine.SwitchTime + switchGrace}
+	obeyed := false
 	switch {
 	case r.err == nil:
 		log.WithFields(fields).Info("roles: ordered")
@@ -332,16 +341,18 @@
 		}
 		p.changing[r.Target] = obeys
 		p.o.Engines.Changing(r.Target, r.Role)
-		return
+		return true
 	case errors.Is(r.err, port.ErrFenced):
 		p.claims.Drop(svc.Name)
 		p.refused[r.Target] = now + refusedFor
 	case errors.Is(r.err, port.ErrBusy), r.Role == port.RolePrefill:
 		p.changing[r.Target] = obeys
+		obeyed = true
 	default:
 		p.refused[r.Target] = now + refusedFor
 	}
 	log.WithFields(fields).WithError(r.err).Warn("roles: order not taken")
+	return obeyed
 }
 
 // order asks the engine for the orders that it accepted, and gives it the next
--- a/process/roles/roles_test.go
+++ b/process/roles/roles_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"testing"
@@ -14,6 +15,7 @@
 	"github.com/pomelospool/pomelospool/connection/health"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/claim"
+	"github.com/pomelospool/pomelospool/process/discovery"
 	"github.com/pomelospool/pomelospool/version/route"
 )
 
@@ -243,6 +245,62 @@
 	}
 }
 
+// deadEngines is an engine control that some engines don't answer.
+type deadEngines struct {
+	port.EngineControl
+	dead func(id string) bool
+}
+
+func (c deadEngines) Report(_ context.Context, _, id string) (port.RoleReport, error) {
+	if c.dead(id) {
+		return port.RoleReport{}, errors.New("connection refused")
+	}
+	return port.RoleReport{Role: port.RolePrefill}, nil
+}
+
+func (c deadEngines) Order(context.Context, port.RoleOrder) error { return nil }
+
+// Guards against seconds without decoding engines after an outage of the store:
+// the plan chose engines that had died in it, which look idle, and waited for
+// them to change.
+func TestPlanGoesOnPastDeadEngines(t *testing.T) {
+	now := time.Duration(0)
+	registry := discovery.New(discovery.Options{Decode: func(r port.KeyedRecord) (port.TargetEntry, bool, error) {
+		return port.TargetEntry{ID: r.Key, Service: "s", Addr: "10.0.0.1:1", Slots: 64}, true, nil
+	}})
+	var records []port.KeyedRecord
+	var entries []port.TargetEntry
+	for _, e := range fleet(12, 2) {
+		records = append(records, port.KeyedRecord{Key: e.Entry.ID})
+		entries = append(entries, e.Entry)
+	}
+	registry.Reset(records, 0)
+	p := New(Options{
+		Self: "a", Clock: fixed(func() time.Duration { return now }), Targets: registry,
+		Engines: engines.New(time.Now, func(engines.Work) {}), Health: health.New(time.Now, nil),
+		Control: deadEngines{dead: func(id string) bool { return id < "e006" }},
+	})
+	svc := &route.Service{Name: "s", Engine: &route.Engine{SwitchTime: 3 * time.Second}}
+	for round := 1; ; round++ {
+		list := p.engines(entries)
+		moves := Plan(list, steady(1, 400))
+		if len(moves) == 0 {
+			break
+		}
+		if p.underWay(svc, list) || round > 6 {
+			t.Fatalf("round %d waits for dead engines", round)
+		}
+		p.ordered[svc.Name] = now
+		p.carryOut(t.Context(), svc, moves, claim.Claim{Until: time.Hour})
+	}
+	decoders, _ := split(p.engines(entries))
+	for _, e := range decoders {
+		if e.Entry.ID < "e006" {
+			t.Errorf("%s counts as decoding", e.Entry.ID)
+		}
+	}
+}
+
 // A missing decoding engine is asked for elsewhere when an order gets no
 // answer.
 func TestUnansweredOrderToDecodeGoesElsewhere(t *testing.T) {
