usage: forget processes whose windows are over

The ledger kept an entry of every process of a daemon that it had ever seen, and looked through them for each row that wasn't whole. TestLedgerForgetsProcesses failed before (100 processes kept of 11 with rows).

--- a/process/usage/ledger.go
+++ b/process/usage/ledger.go
@@ -161,14 +161,23 @@
 	return slices.Min(slices.Collect(maps.Keys(l.windows))), true
 }
 
-// forget drops the windows before one.
+// forget drops the windows before one, and the processes that counted only there.
 func (l *ledger) forget(before int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.floor = max(l.floor, before)
-	for window := range l.windows {
+	if before <= l.floor {
+		return
+	}
+	l.floor = before
+	present := make(map[Source]bool)
+	for window, rows := range l.windows {
 		if window < before {
 			delete(l.windows, window)
+			continue
+		}
+		for s := range rows {
+			present[s] = true
 		}
 	}
+	maps.DeleteFunc(l.first, func(s Source, first int64) bool { return !present[s] && first < before })
 }
--- a/process/usage/usage_test.go
+++ b/process/usage/usage_test.go
@@ -417,6 +417,18 @@
 	}
 }
 
+// Guards against a ledger that grows with each restart of a daemon.
+func TestLedgerForgetsProcesses(t *testing.T) {
+	l := newLedger()
+	for i := range int64(100) {
+		l.merge(&update{Source: Source{VM: "vm-1", Incarnation: uint64(i)}, First: i, Window: i, Counts: Counts{"o1": 1}})
+		l.forget(i - 10)
+	}
+	if len(l.first) > 11 || len(l.windows) > 11 {
+		t.Errorf("%d processes, %d windows", len(l.first), len(l.windows))
+	}
+}
+
 func TestRowsAreReadAsWritten(t *testing.T) {
 	l := newLedger()
 	for i := range 3 {
