scale: a zone that takes an order is no longer dry

Cause: a zone counted as dry for four seconds after its last refusal, also once it had taken an order (15.04 s). At 15.28 s the other zones were ordered 89 reclaimable engines each in its stead, and at 15.7 s one of them lost all 89.

TestZoneThatIsNoLongerDry failed before (89 and 90 for 64).

--- a/process/scale/scaler.go
+++ b/process/scale/scaler.go
@@ -302,6 +302,9 @@
 		log.WithError(err).WithFields(fields).Warn("scale: not ordered")
 		return
 	}
+	if wanted > present {
+		delete(s.dry, k)
+	}
 	stats.Add("orders", 1)
 	log.WithFields(fields).Info("scale: ordered")
 }
--- a/process/scale/scaler_test.go
+++ b/process/scale/scaler_test.go
@@ -312,6 +312,30 @@
 	})
 }
 
+// Guards against stand-ins that are ordered when the dry zone has targets again:
+// the zone with the most is the worst one to lose next.
+func TestZoneThatIsNoLongerDry(t *testing.T) {
+	withCloud(t, func(t *testing.T, c *cloud, steady clock.Clock) {
+		c.scaler(t, "vm-1", steady, true)
+		time.Sleep(time.Minute)
+		for _, zone := range zones {
+			c.dry[zone] = true
+		}
+		c.reclaim("a", true)
+		time.Sleep(3 * time.Second)
+		c.mu.Lock()
+		clear(c.dry)
+		c.mu.Unlock()
+		time.Sleep(2*refusedFor + boot)
+		best := Best(141, zones, nil, scaling())
+		for zone, one := range c.count() {
+			if one.Spot > best[zone].Spot {
+				t.Errorf("zone %s: %+v, want %+v", zone, one, best[zone])
+			}
+		}
+	})
+}
+
 func TestOutageOfThePlatform(t *testing.T) {
 	withCloud(t, func(t *testing.T, c *cloud, steady clock.Clock) {
 		c.fail = port.ErrUnavailable
