scale: other zones stand in only right after a zone's refusal

A zone's refusal counts only within the look that made it: the zones are asked in the same look, the lacking one first, and nothing about dry zones is remembered.

--- a/process/scale/scaler.go
+++ b/process/scale/scaler.go
@@ -44,9 +44,6 @@
 	transition = 0.8
 	// orderEvery is the least time between two orders of a kind.
 	orderEvery = time.Second
-	// dryFor is how long an availability zone counts as without reclaimable
-	// targets after it had none.
-	dryFor = 4 * time.Second
 	// bootMargin is added to the time that targets take to start before the same
 	// number is ordered again.
 	bootMargin = 3 * time.Second
@@ -85,7 +82,6 @@
 	leads    time.Duration // since when; below 0: it doesn't
 	capacity map[string]int
 	kinds    map[kind]*state
-	dry      map[kind]time.Duration // until
 }
 
 // kind is the targets that one number is ordered of.
@@ -104,7 +100,7 @@
 
 // New returns a Scaler that doesn't run yet.
 func New(o Options) *Scaler {
-	return &Scaler{o: o, leads: -1, capacity: make(map[string]int), kinds: make(map[kind]*state), dry: make(map[kind]time.Duration)}
+	return &Scaler{o: o, leads: -1, capacity: make(map[string]int), kinds: make(map[kind]*state)}
 }
 
 // Start begins to order.
@@ -140,7 +136,6 @@
 		s.leads = -1
 		clear(s.capacity)
 		clear(s.kinds)
-		clear(s.dry)
 		return false
 	}
 	if s.leads < 0 {
@@ -168,29 +163,25 @@
 		s.orderSpot(ctx, svc, zones, present, Next(present, Best(seen, zones, nil, svc.Scaling), seen, svc.Scaling))
 		return
 	}
-	dry := s.dryZones(svc.Name, zones)
-	want := Next(present, Best(capacity, zones, dry, svc.Scaling), capacity, svc.Scaling)
-	s.orderSpot(ctx, svc, zones, present, want)
-	for _, zone := range zones {
-		s.want(ctx, svc, kind{svc.Name, zone, false}, present[zone].OnDemand, want[zone].OnDemand)
+	want := Next(present, Best(capacity, zones, nil, svc.Scaling), capacity, svc.Scaling)
+	if dry := s.orderSpot(ctx, svc, zones, present, want); len(dry) > 0 {
+		want = Next(present, Best(capacity, zones, dry, svc.Scaling), capacity, svc.Scaling)
+		s.orderSpot(ctx, svc, zones, present, want)
 	}
-}
-
-func (s *Scaler) orderSpot(ctx context.Context, svc *route.Service, zones []string, present, want Counts) {
 	for _, zone := range zones {
-		s.want(ctx, svc, kind{svc.Name, zone, true}, present[zone].Spot, want[zone].Spot)
+		s.want(ctx, svc, kind{svc.Name, zone, false}, present[zone].OnDemand, want[zone].OnDemand)
 	}
 }
 
-// dryZones returns the zones that had no reclaimable targets recently.
-func (s *Scaler) dryZones(service string, zones []string) map[string]bool {
-	out := make(map[string]bool)
+// orderSpot orders reclaimable targets, and returns the zones that have none.
+func (s *Scaler) orderSpot(ctx context.Context, svc *route.Service, zones []string, present, want Counts) map[string]bool {
+	dry := make(map[string]bool)
 	for _, zone := range zones {
-		if s.o.Clock.Now() < s.dry[kind{service, zone, true}] {
-			out[zone] = true
+		if s.want(ctx, svc, kind{svc.Name, zone, true}, present[zone].Spot, want[zone].Spot) {
+			dry[zone] = true
 		}
 	}
-	return out
+	return dry
 }
 
 // count counts the targets that stay.
@@ -269,8 +260,8 @@
 }
 
 // want orders a number of targets if it differs from what is present for long
-// enough.
-func (s *Scaler) want(ctx context.Context, svc *route.Service, k kind, present, wanted int) {
+// enough. It reports whether the order was refused.
+func (s *Scaler) want(ctx context.Context, svc *route.Service, k kind, present, wanted int) bool {
 	st := s.kinds[k]
 	if st == nil {
 		st = &state{differs: -1, ordered: -1}
@@ -279,34 +270,29 @@
 	now := s.o.Clock.Now()
 	if present == wanted {
 		st.differs = -1
-		return
+		return false
 	}
 	if st.differs < 0 {
 		st.differs = now
 	}
 	if now-st.differs < st.patience(k, present, wanted) || now < st.next || now < st.again && wanted == st.ordered {
-		return
+		return false
 	}
 	err := s.order(ctx, k, wanted)
 	if errors.Is(err, claim.ErrHeld) || errors.Is(err, port.ErrConflict) {
-		return
+		return false
 	}
 	st.ordered, st.next, st.again = wanted, now+orderEvery, now+svc.Scaling.Boot+bootMargin
 	fields := log.Fields{"service": k.service, "zone": k.zone, "spot": k.spot, "present": present, "wanted": wanted}
 	if err != nil {
 		stats.Add("failed", 1)
 		st.again = now + refusedFor
-		if k.spot && errors.Is(err, port.ErrRefused) {
-			s.dry[k] = now + dryFor
-		}
 		log.WithError(err).WithFields(fields).Warn("scale: not ordered")
-		return
-	}
-	if wanted > present {
-		delete(s.dry, k)
+		return errors.Is(err, port.ErrRefused)
 	}
 	stats.Add("orders", 1)
 	log.WithFields(fields).Info("scale: ordered")
+	return false
 }
 
 // patience is how long a difference must last before it is ordered.
