--- a/process/scale/plan.go
+++ b/process/scale/plan.go
@@ -97,7 +97,7 @@
 // capacity is there without them, also after a reclaim. Short of the capacity,
 // more are ordered on demand.
 func Next(present, best Counts, capacity int, s *route.Scaling) Counts {
-	out := maps.Clone(best)
+	out := make(Counts, len(best))
 	have := present.total()
 	least := max(best.total().OnDemand, capacity-present.afterReclaim())
 	onDemand := have.OnDemand
--- a/process/scale/scaler_test.go
+++ b/process/scale/scaler_test.go
@@ -18,6 +18,7 @@
 	"github.com/pomelospool/pomelospool/process/claim"
 	"github.com/pomelospool/pomelospool/process/clock"
 	"github.com/pomelospool/pomelospool/process/discovery"
+	"github.com/pomelospool/pomelospool/process/internal/storetest"
 	"github.com/pomelospool/pomelospool/version/inforce"
 	"github.com/pomelospool/pomelospool/version/route"
 )
@@ -36,10 +37,10 @@
 // cloud is a platform that starts and stops the targets of a service, and the
 // store that lists them.
 type cloud struct {
+	storetest.Store
 	mu       sync.Mutex
 	registry *discovery.Registry
 	targets  map[string]port.TargetEntry
-	topics   map[port.Topic][]port.KeyedRecord
 	next     int
 	fence    int64
 	stale    int // orders with an old fencing number
@@ -50,7 +51,7 @@
 }
 
 func newCloud() *cloud {
-	c := &cloud{targets: make(map[string]port.TargetEntry), topics: make(map[port.Topic][]port.KeyedRecord), dry: make(map[string]bool), least: 1 << 30}
+	c := &cloud{targets: make(map[string]port.TargetEntry), dry: make(map[string]bool), least: 1 << 30}
 	c.registry = discovery.New(discovery.Options{Decode: decodeEntry})
 	return c
 }
@@ -158,34 +159,6 @@
 	}
 }
 
-func (c *cloud) Newest(_ context.Context, t port.Topic, _ string) (port.KeyedPage, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	newest := make(map[string]port.KeyedRecord)
-	for _, r := range c.topics[t] {
-		newest[r.Key] = r
-	}
-	return port.KeyedPage{End: int64(len(c.topics[t])), Records: slices.Collect(maps.Values(newest))}, nil
-}
-
-func (c *cloud) PutAt(_ context.Context, t port.Topic, key string, value []byte, at int64) (int64, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if at != int64(len(c.topics[t])) {
-		return 0, port.ErrConflict
-	}
-	c.topics[t] = append(c.topics[t], port.KeyedRecord{Key: key, Value: value, Offset: at})
-	return at, nil
-}
-
-func (c *cloud) Put(context.Context, port.Topic, string, []byte) (int64, error) {
-	return 0, errors.New("not used")
-}
-
-func (c *cloud) Read(context.Context, port.Topic, int64, time.Duration) ([]port.KeyedRecord, error) {
-	return nil, errors.New("not used")
-}
-
 // leader leads or not.
 type leader struct {
 	mu sync.Mutex
--- a/process/usage/usage_test.go
+++ b/process/usage/usage_test.go
@@ -16,6 +16,7 @@
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/claim"
 	"github.com/pomelospool/pomelospool/process/clock"
+	"github.com/pomelospool/pomelospool/process/internal/storetest"
 	"github.com/pomelospool/pomelospool/process/roster"
 )
 
@@ -34,7 +35,7 @@
 type fleet struct {
 	t       *testing.T
 	steady  clock.Runtime
-	store   *store
+	store   *storetest.Store
 	duties  *duties
 	mu      sync.Mutex
 	daemons map[string]*daemon
@@ -52,7 +53,7 @@
 
 func withFleet(t *testing.T, n int, test func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{t: t, steady: clock.NewRuntime(), store: &store{}, duties: &duties{}, daemons: make(map[string]*daemon)}
+		f := &fleet{t: t, steady: clock.NewRuntime(), store: &storetest.Store{}, duties: &duties{}, daemons: make(map[string]*daemon)}
 		// Windows begin with the test.
 		time.Sleep(time.Until(time.Now().Truncate(period).Add(period)))
 		for i := range n {
@@ -139,54 +140,6 @@
 	return n
 }
 
-// store holds the topics in memory.
-type store struct {
-	mu     sync.Mutex
-	topics map[port.Topic][]port.KeyedRecord
-	away   bool
-	lose   bool // writes are done and not answered
-}
-
-func (s *store) Newest(_ context.Context, t port.Topic, _ string) (port.KeyedPage, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.away {
-		return port.KeyedPage{}, port.ErrUnavailable
-	}
-	newest := make(map[string]port.KeyedRecord)
-	for _, r := range s.topics[t] {
-		newest[r.Key] = r
-	}
-	return port.KeyedPage{End: int64(len(s.topics[t])), Records: slices.Collect(maps.Values(newest))}, nil
-}
-
-func (s *store) PutAt(_ context.Context, t port.Topic, key string, value []byte, at int64) (int64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.away {
-		return 0, port.ErrUnavailable
-	}
-	if at != int64(len(s.topics[t])) {
-		return 0, port.ErrConflict
-	}
-	if s.topics == nil {
-		s.topics = make(map[port.Topic][]port.KeyedRecord)
-	}
-	s.topics[t] = append(s.topics[t], port.KeyedRecord{Key: key, Value: value, Offset: at})
-	if s.lose {
-		return 0, port.ErrUnavailable
-	}
-	return at, nil
-}
-
-func (s *store) Put(context.Context, port.Topic, string, []byte) (int64, error) {
-	return 0, errors.New("not used")
-}
-
-func (s *store) Read(context.Context, port.Topic, int64, time.Duration) ([]port.KeyedRecord, error) {
-	return nil, errors.New("not used")
-}
-
 // duties is the platform that takes reports.
 type duties struct {
 	mu       sync.Mutex
@@ -308,8 +261,8 @@
 // away as they ended.
 func TestOutages(t *testing.T) {
 	for name, set := range map[string]func(f *fleet, on bool){
-		"store":               func(f *fleet, on bool) { f.store.away = on },
-		"writes not answered": func(f *fleet, on bool) { f.store.lose = on },
+		"store":               func(f *fleet, on bool) { f.store.SetAway(on) },
+		"writes not answered": func(f *fleet, on bool) { f.store.LoseAnswers(on) },
 		"platform":            func(f *fleet, on bool) { f.duties.fail = onError(on) },
 		"platform, carried out": func(f *fleet, on bool) {
 			f.duties.fail, f.duties.accepted = onError(on), true
@@ -318,11 +271,9 @@
 		t.Run(name, func(t *testing.T) {
 			withFleet(t, 5, func(f *fleet) {
 				change := func(on bool) {
-					f.store.mu.Lock()
 					f.duties.mu.Lock()
 					set(f, on)
 					f.duties.mu.Unlock()
-					f.store.mu.Unlock()
 				}
 				want := f.run(2*period - time.Second)
 				change(true)
