--- a/connection/engines/book.go
+++ b/connection/engines/book.go
@@ -285,14 +285,14 @@
 	return w
 }
 
-// Retain forgets the engines that keep doesn't name and that have no work of
-// this process.
-func (b *Book) Retain(keep map[uint64]bool) {
+// Retain forgets the engines that keep doesn't want kept, by the hash of their
+// id, and that have no work.
+func (b *Book) Retain(keep func(hash uint64) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expire(b.now())
 	for hash, e := range b.engines {
-		if !keep[hash] && e.own.Idle() && e.others.Idle() {
+		if !keep(hash) && e.own.Idle() && e.others.Idle() {
 			delete(b.engines, hash)
 		}
 	}
--- a/connection/engines/engines_test.go
+++ b/connection/engines/engines_test.go
@@ -152,7 +152,7 @@
 	b, _ := book()
 	end := b.Decode("busy", 1000, parts(1), 0)
 	b.Decode("idle", 1000, parts(1), 0)()
-	b.Retain(map[uint64]bool{})
+	b.Retain(func(uint64) bool { return false })
 	if b.Load("idle", parts(1)).Cached != 0 || b.Load("busy", parts(1)).Cached != 100 {
 		t.Error("the wrong engine was forgotten")
 	}
--- a/connection/engines/tally_test.go
+++ b/connection/engines/tally_test.go
@@ -31,7 +31,7 @@
 			b.Merge(name, work, nil)
 			reports[name] = spoken{at: c.t, work: work}
 			if rapid.IntRange(0, 9).Draw(rt, "forget") == 0 {
-				b.Retain(map[uint64]bool{})
+				b.Retain(func(uint64) bool { return false })
 			}
 			for e := range uint64(4) {
 				want := Load{}
--- a/connection/h1/pool.go
+++ b/connection/h1/pool.go
@@ -11,6 +11,7 @@
 	"expvar"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -229,6 +230,12 @@
 // Key names a target as Retain does.
 func Key(addr, target string) string { return addr + "/" + target }
 
+// SplitKey undoes Key: addresses hold no slash.
+func SplitKey(key string) (addr, target string) {
+	addr, target, _ = strings.Cut(key, "/")
+	return addr, target
+}
+
 // Close closes the idle connections.
 func (p *Pool) Close() {
 	p.Retain(func(string) bool { return false })
--- /dev/null
+++ b/connection/targets/targets.go
@@ -0,0 +1,189 @@
+// Package targets holds the targets of a service in an order that all daemons
+// agree on, and finds a few of many without looking at each.
+package targets
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pomelospool/pomelospool/port"
+)
+
+// List is targets in the order of their ids' hashes. It is read-only. A nil List
+// is empty.
+type List struct {
+	entries []*port.TargetEntry
+	hashes  []uint64
+}
+
+// Len is the number of targets.
+func (l *List) Len() int {
+	if l == nil {
+		return 0
+	}
+	return len(l.entries)
+}
+
+// All returns the targets, which must not be changed.
+func (l *List) All() []*port.TargetEntry {
+	if l == nil {
+		return nil
+	}
+	return l.entries
+}
+
+// After returns the first n targets at or after a point of the hashes' circle:
+// for the same point the same ones on each daemon, but for targets that come or
+// go right there.
+func (l *List) After(point uint64, n int) []*port.TargetEntry {
+	n = min(n, l.Len())
+	if n <= 0 {
+		return nil
+	}
+	at := sort.Search(len(l.hashes), func(i int) bool { return l.hashes[i] >= point })
+	out := make([]*port.TargetEntry, 0, n)
+	for i := range n {
+		out = append(out, l.entries[(at+i)%len(l.entries)])
+	}
+	return out
+}
+
+// find is where a target with that id and hash stands, or would.
+func (l *List) find(hash uint64, id string) (at int, found bool) {
+	at = sort.Search(l.Len(), func(i int) bool {
+		return l.hashes[i] > hash || l.hashes[i] == hash && l.entries[i].ID >= id
+	})
+	return at, at < l.Len() && l.entries[at].ID == id
+}
+
+// with returns the list after changes, which are in its order.
+func (l *List) with(changes []change) *List {
+	next := &List{
+		entries: make([]*port.TargetEntry, 0, l.Len()+len(changes)),
+		hashes:  make([]uint64, 0, l.Len()+len(changes)),
+	}
+	done := 0
+	for _, c := range changes {
+		at, found := l.find(c.hash, c.id)
+		next.copy(l, done, at)
+		if c.entry != nil {
+			next.entries, next.hashes = append(next.entries, c.entry), append(next.hashes, c.hash)
+		}
+		done = at
+		if found {
+			done++
+		}
+	}
+	next.copy(l, done, l.Len())
+	return next
+}
+
+// copy appends a part of another list.
+func (l *List) copy(from *List, begin, end int) {
+	if begin < end {
+		l.entries, l.hashes = append(l.entries, from.entries[begin:end]...), append(l.hashes, from.hashes[begin:end]...)
+	}
+}
+
+// change is a target's new entry, nil if it is gone.
+type change struct {
+	id    string
+	hash  uint64
+	entry *port.TargetEntry
+}
+
+// group is the targets of a role that stay; zone empty: of all availability zones.
+type group struct {
+	role port.Role
+	zone string
+}
+
+// Set is the targets of one service. It is read-only. A nil Set is empty.
+type Set struct {
+	all    *List
+	groups map[group]*List
+}
+
+// NewSet returns a Set of these targets.
+func NewSet(entries []port.TargetEntry) *Set {
+	changes := make(map[string]*port.TargetEntry, len(entries))
+	for i := range entries {
+		changes[entries[i].ID] = &entries[i]
+	}
+	return (*Set)(nil).With(changes)
+}
+
+// All is all targets, those that leave too.
+func (s *Set) All() *List {
+	if s == nil {
+		return nil
+	}
+	return s.all
+}
+
+// Of is the targets of a role that stay; zone empty: of all availability zones.
+func (s *Set) Of(role port.Role, zone string) *List {
+	if s == nil {
+		return nil
+	}
+	return s.groups[group{role: role, zone: zone}]
+}
+
+// With returns the Set after changes: entries by id, nil for a target that is gone.
+func (s *Set) With(changes map[string]*port.TargetEntry) *Set {
+	ordered := make([]change, 0, len(changes))
+	for id, e := range changes {
+		ordered = append(ordered, change{id: id, hash: xxhash.Sum64String(id), entry: e})
+	}
+	slices.SortFunc(ordered, func(a, b change) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id))
+	})
+	old := s.All()
+	next := &Set{all: old.with(ordered), groups: make(map[group]*List)}
+	if s != nil {
+		maps.Copy(next.groups, s.groups)
+	}
+	for key, list := range byGroup(old, ordered) {
+		next.groups[key] = s.Of(key.role, key.zone).with(list)
+	}
+	return next
+}
+
+// byGroup returns what changes of each group.
+func byGroup(old *List, changes []change) map[group][]change {
+	out := make(map[group][]change)
+	for _, c := range changes {
+		if at, found := old.find(c.hash, c.id); found {
+			for _, key := range groupsOf(old.entries[at]) {
+				out[key] = append(out[key], change{id: c.id, hash: c.hash})
+			}
+		}
+		if c.entry == nil {
+			continue
+		}
+		for _, key := range groupsOf(c.entry) {
+			list := out[key]
+			if n := len(list); n > 0 && list[n-1].id == c.id {
+				list[n-1].entry = c.entry
+				continue
+			}
+			out[key] = append(list, c)
+		}
+	}
+	return out
+}
+
+// groupsOf are the groups that a target is in.
+func groupsOf(e *port.TargetEntry) []group {
+	switch {
+	case e.Leaving:
+		return nil
+	case e.Zone == "":
+		return []group{{role: e.Role}}
+	}
+	return []group{{role: e.Role}, {role: e.Role, zone: e.Zone}}
+}
--- a/port/store.go
+++ b/port/store.go
@@ -38,14 +38,20 @@
 	Relayed bool  // another daemon gave it, since the store couldn't be read
 }
 
+// KeyedBatch is what a read of a topic returns.
+type KeyedBatch struct {
+	Records []KeyedRecord // by rising offset; records that change nothing may be left out
+	Next    int64         // offset to read from next
+}
+
 // Store keeps what must outlast every process. Its writes may have had an
 // effect although they returned an error, unless that is ErrConflict.
 type Store interface {
 	// Newest returns newest records whose keys come after the given one.
 	Newest(ctx context.Context, t Topic, after string) (KeyedPage, error)
-	// Read returns the records from an offset on, in order. With none to
-	// return it waits up to wait. ErrExpired: they are no longer kept.
-	Read(ctx context.Context, t Topic, from int64, wait time.Duration) ([]KeyedRecord, error)
+	// Read returns the records from an offset on. With none to return it waits
+	// up to wait. ErrExpired: they are no longer kept.
+	Read(ctx context.Context, t Topic, from int64, wait time.Duration) (KeyedBatch, error)
 	// Put writes a record and returns its offset.
 	Put(ctx context.Context, t Topic, key string, value []byte) (int64, error)
 	// PutAt writes a record only if it gets this offset, else ErrConflict.
--- a/process/claim/claim_test.go
+++ b/process/claim/claim_test.go
@@ -52,8 +52,8 @@
 	return at, nil
 }
 
-func (s *claimStore) Read(context.Context, port.Topic, int64, time.Duration) ([]port.KeyedRecord, error) {
-	return nil, errors.New("not used")
+func (s *claimStore) Read(context.Context, port.Topic, int64, time.Duration) (port.KeyedBatch, error) {
+	return port.KeyedBatch{}, errors.New("not used")
 }
 
 func (s *claimStore) Put(context.Context, port.Topic, string, []byte) (int64, error) {
--- a/process/discovery/registry.go
+++ b/process/discovery/registry.go
@@ -3,12 +3,15 @@
 package discovery
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 
+	"github.com/pomelospool/pomelospool/connection/targets"
 	"github.com/pomelospool/pomelospool/port"
 )
 
@@ -19,9 +22,9 @@
 
 // Snapshot is what is known at one moment. It is read-only.
 type Snapshot struct {
-	Targets map[string][]port.TargetEntry // by service, those that leave too
-	Whole   bool                          // the store was read whole at least once
-	Since   time.Time                     // when the newest target appeared
+	Targets map[string]*targets.Set // by service
+	Whole   bool                    // the store was read whole at least once
+	Since   time.Time               // when the newest target appeared
 }
 
 // Registry is the topic.Sink of the targets' topic. Its snapshots may be read
@@ -40,9 +43,11 @@
 	mu      sync.Mutex
 	entries map[string]port.TargetEntry // by key in the store; an entry's id names one start of the target
 	keys    map[string]string           // key of the entry with an id
+	hashes  map[uint64]string           // key of the entry whose id has a hash
 	offsets map[string]int64            // by key
 	born    map[string]int64            // by key, the newest start seen
 	lapsed  map[string]time.Time        // by key, entries that are gone from the store, and when they are dropped here
+	changed map[string]changes          // by service, since the last snapshot
 	lost    bool
 	until   time.Time // vanished entries are kept until then
 	whole   bool
@@ -51,6 +56,9 @@
 	snap atomic.Pointer[Snapshot]
 }
 
+// changes are entries by id, nil for a target that is gone.
+type changes map[string]*port.TargetEntry
+
 // Options of a Registry.
 type Options struct {
 	Decode func(r port.KeyedRecord) (entry port.TargetEntry, present bool, err error)
@@ -72,11 +80,13 @@
 		decode:  o.Decode,
 		entries: make(map[string]port.TargetEntry),
 		keys:    make(map[string]string),
+		hashes:  make(map[uint64]string),
 		offsets: make(map[string]int64),
 		born:    make(map[string]int64),
 		lapsed:  make(map[string]time.Time),
+		changed: make(map[string]changes),
 	}
-	r.snap.Store(&Snapshot{Targets: map[string][]port.TargetEntry{}})
+	r.snap.Store(&Snapshot{Targets: map[string]*targets.Set{}})
 	return r
 }
 
@@ -91,6 +101,29 @@
 	return e, ok
 }
 
+// HasHash reports whether there is a target whose id has that hash.
+func (r *Registry) HasHash(hash uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, has := r.hashes[hash]
+	return has
+}
+
+// Same reports whether two records of a key say the same of their target: they
+// differ in what heartbeats change.
+func (r *Registry) Same(a, b port.KeyedRecord) bool {
+	old, known, err := r.decode(a)
+	if err != nil || !known {
+		return false
+	}
+	e, present, err := r.decode(b)
+	if err != nil || !present {
+		return false
+	}
+	old.Cold, e.Cold = 0, 0
+	return old == e
+}
+
 // Reset takes the whole topic.
 func (r *Registry) Reset(records []port.KeyedRecord, _ int64) {
 	r.mu.Lock()
@@ -105,6 +138,9 @@
 			r.vanish(key)
 		}
 	}
+	if !r.whole {
+		log.WithField("targets", len(r.entries)).Info("discovery: targets listed")
+	}
 	r.whole = true
 	r.publish()
 }
@@ -166,17 +202,18 @@
 	}
 	r.born[rec.Key] = e.Born
 	old, known := r.entries[rec.Key]
-	if known && old.ID != e.ID {
+	if known && (old.ID != e.ID || old.Service != e.Service) {
 		r.drop(rec.Key, old)
 		r.offsets[rec.Key] = rec.Offset
 		known = false
 	}
 	delete(r.lapsed, rec.Key)
-	r.entries[rec.Key], r.keys[e.ID] = e, rec.Key
+	r.entries[rec.Key], r.keys[e.ID], r.hashes[xxhash.Sum64String(e.ID)] = e, rec.Key, rec.Key
+	r.note(e.Service, e.ID, &e)
 	if !known {
 		r.since = r.now()
 	}
-	if !known || old.Leaving != e.Leaving || old.Role != e.Role {
+	if r.whole && (!known || old.Leaving != e.Leaving || old.Role != e.Role) {
 		log.WithFields(log.Fields{
 			"target": e.ID, "service": e.Service, "addr": e.Addr, "zone": e.Zone,
 			"role": e.Role, "leaving": e.Leaving, "offset": rec.Offset,
@@ -204,6 +241,8 @@
 func (r *Registry) drop(key string, e port.TargetEntry) {
 	delete(r.entries, key)
 	delete(r.keys, e.ID)
+	delete(r.hashes, xxhash.Sum64String(e.ID))
+	r.note(e.Service, e.ID, nil)
 	delete(r.lapsed, key)
 	delete(r.offsets, key)
 	log.WithFields(log.Fields{"target": e.ID, "service": e.Service, "addr": e.Addr}).Info("discovery: target gone")
@@ -223,13 +262,20 @@
 	r.publish()
 }
 
-func (r *Registry) publish() {
-	s := &Snapshot{Targets: make(map[string][]port.TargetEntry), Whole: r.whole, Since: r.since}
-	for _, e := range r.entries {
-		s.Targets[e.Service] = append(s.Targets[e.Service], e)
+// note has a change go into the next snapshot. Callers hold r.mu.
+func (r *Registry) note(service, id string, e *port.TargetEntry) {
+	if r.changed[service] == nil {
+		r.changed[service] = make(changes)
 	}
-	for _, list := range s.Targets {
-		sortByID(list)
+	r.changed[service][id] = e
+}
+
+func (r *Registry) publish() {
+	old := r.snap.Load()
+	s := &Snapshot{Targets: maps.Clone(old.Targets), Whole: r.whole, Since: r.since}
+	for service, changed := range r.changed {
+		s.Targets[service] = s.Targets[service].With(changed)
 	}
+	clear(r.changed)
 	r.snap.Store(s)
 }
--- a/process/discovery/registry_test.go
+++ b/process/discovery/registry_test.go
@@ -43,9 +43,10 @@
 
 func ids(r *Registry, service string) []string {
 	var out []string
-	for _, e := range r.Snapshot().Targets[service] {
+	for _, e := range r.Snapshot().Targets[service].All().All() {
 		out = append(out, e.ID)
 	}
+	slices.Sort(out)
 	return out
 }
 
@@ -103,7 +104,7 @@
 	r.Reset([]port.KeyedRecord{rec(0, "a", "s")}, 0)
 	r.Lost(errors.New("away"))
 	r.Apply([]port.KeyedRecord{rec(1, "a", "s leaving")})
-	if e := r.Snapshot().Targets["s"][0]; !e.Leaving {
+	if e := r.Snapshot().Targets["s"].All().All()[0]; !e.Leaving {
 		t.Error("the target doesn't count as leaving")
 	}
 }
@@ -112,7 +113,7 @@
 	r := New(Options{Decode: decode})
 	r.Apply([]port.KeyedRecord{rec(5, "a", "s leaving")})
 	r.Apply([]port.KeyedRecord{rec(3, "a", "s")})
-	if e := r.Snapshot().Targets["s"][0]; !e.Leaving {
+	if e := r.Snapshot().Targets["s"].All().All()[0]; !e.Leaving {
 		t.Error("an older record took the newer one's place")
 	}
 }
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -23,6 +23,7 @@
 	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/connection/health"
 	"github.com/pomelospool/pomelospool/connection/speed"
+	"github.com/pomelospool/pomelospool/connection/targets"
 	"github.com/pomelospool/pomelospool/internal/sock"
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/port"
@@ -230,7 +231,7 @@
 	runner := dispatch.New(dispatch.Options{
 		Wire:    platform.Wire{},
 		Pool:    d.pool,
-		Targets: targets{d.registry},
+		Targets: directory{d.registry},
 		Engines: d.engines,
 		Health:  d.health,
 		Speed:   d.speed,
@@ -260,17 +261,17 @@
 	})
 }
 
-// targets gives dispatch the entries of a service.
-type targets struct{ r *discovery.Registry }
+// directory gives dispatch the targets of a service.
+type directory struct{ r *discovery.Registry }
 
-func (t targets) Targets(service string) []port.TargetEntry {
-	return t.r.Snapshot().Targets[service]
+func (d directory) Targets(service string) *targets.Set {
+	return d.r.Snapshot().Targets[service]
 }
 
 func (d *Daemon) wireStore() {
 	d.tails = map[port.Topic]*relay.Tail{
-		port.TopicConfig:  relay.NewTail(d.config),
-		port.TopicTargets: relay.NewTail(&watched{Sink: d.registry, away: &d.storeAway}),
+		port.TopicConfig:  relay.NewTail(d.config, nil),
+		port.TopicTargets: relay.NewTail(&watched{Sink: d.registry, away: &d.storeAway}, d.registry.Same),
 	}
 	d.followers = []*topic.Follower{
 		d.follow(port.TopicConfig, "config", func() time.Duration { return configPace }, d.s.Bounds.ApplyConfig),
@@ -290,7 +291,7 @@
 			}
 			return readWait(bound)
 		},
-		Current: func() { tail.Confirm(d.store.AsOf(t)) },
+		Current: func(next int64) { tail.Confirm(d.store.AsOf(t), next) },
 	})
 }
 
@@ -444,19 +445,16 @@
 }
 
 func (d *Daemon) forget() {
-	keep := make(map[string]bool)
-	hashes := make(map[uint64]bool)
-	ids := make(map[string]bool)
-	for _, list := range d.registry.Snapshot().Targets {
-		for _, e := range list {
-			keep[h1.Key(e.Addr, e.ID)] = true
-			hashes[engines.Hash(e.ID)] = true
-			ids[e.ID] = true
-		}
-	}
-	d.pool.Retain(func(key string) bool { return keep[key] })
-	d.engines.Retain(hashes)
-	d.health.Retain(func(id string) bool { return ids[strings.TrimSuffix(id, dispatch.KVSuffix)] })
+	d.pool.Retain(func(key string) bool {
+		addr, id := h1.SplitKey(key)
+		e, known := d.registry.Lookup(id)
+		return known && e.Addr == addr
+	})
+	d.engines.Retain(d.registry.HasHash)
+	d.health.Retain(func(id string) bool {
+		_, known := d.registry.Lookup(strings.TrimSuffix(id, dispatch.KVSuffix))
+		return known
+	})
 }
 
 // Reload takes new settings over where a running daemon can.
--- a/process/front/warm.go
+++ b/process/front/warm.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -33,7 +34,7 @@
 		if svc.Engine == nil {
 			continue
 		}
-		entries := append([]port.TargetEntry(nil), d.registry.Snapshot().Targets[svc.Name]...)
+		entries := slices.Clone(d.registry.Snapshot().Targets[svc.Name].All().All())
 		rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
 		for _, e := range entries[:min(len(entries), askAtStart)] {
 			d.tomb.Go(func() error {
@@ -45,7 +46,7 @@
 	return nil
 }
 
-func (d *Daemon) ask(ctx context.Context, svc *route.Service, e port.TargetEntry) {
+func (d *Daemon) ask(ctx context.Context, svc *route.Service, e *port.TargetEntry) {
 	if pause.For(ctx, rand.N(askSpread)) != nil {
 		return
 	}
--- a/process/internal/storetest/store.go
+++ b/process/internal/storetest/store.go
@@ -78,6 +78,6 @@
 }
 
 // Read implements port.Store. It isn't used.
-func (s *Store) Read(context.Context, port.Topic, int64, time.Duration) ([]port.KeyedRecord, error) {
-	return nil, errNotUsed
+func (s *Store) Read(context.Context, port.Topic, int64, time.Duration) (port.KeyedBatch, error) {
+	return port.KeyedBatch{}, errNotUsed
 }
--- a/process/relay/fallback.go
+++ b/process/relay/fallback.go
@@ -29,38 +29,38 @@
 
 // readOwn reads a topic for a daemon that has no reader: from the store, or
 // while that fails from a peer that can read it.
-func (s *Store) readOwn(ctx context.Context, t port.Topic, from int64, wait time.Duration) ([]port.KeyedRecord, error) {
+func (s *Store) readOwn(ctx context.Context, t port.Topic, from int64, wait time.Duration) (port.KeyedBatch, error) {
 	s.noteReader(ownReads)
 	maxAge := MaxAge(wait)
 	peer, cut := s.fallback(t)
 	if cut && s.now() < peer.until {
 		begun := s.now()
 		b, err := s.ask(ctx, peer.addr, t, from, wait, maxAge)
-		records, err := s.take(t, begun, b, err)
+		batch, err := s.take(t, begun, b, err)
 		if err == nil || errors.Is(err, port.ErrExpired) {
-			return records, err
+			return batch, err
 		}
 	}
 	if cut {
 		wait = 0 // a probe, which must not hold up the peer's records
 	}
-	records, err := s.direct(ctx, t, from, wait)
+	batch, err := s.direct(ctx, t, from, wait)
 	if err == nil || ctx.Err() != nil || errors.Is(err, port.ErrExpired) {
 		s.setFallback(t, "")
-		return records, err
+		return batch, err
 	}
 	for _, addr := range s.somePeers() {
 		begun := s.now()
 		b, peerErr := s.askAnother(ctx, addr, t, from, maxAge)
-		records, peerErr := s.take(t, begun, b, peerErr)
+		batch, peerErr := s.take(t, begun, b, peerErr)
 		if peerErr == nil || errors.Is(peerErr, port.ErrExpired) {
 			s.setFallback(t, addr)
-			return records, peerErr
+			return batch, peerErr
 		}
 		log.WithError(peerErr).WithField("peer", addr).Debug("relay: peer can't be read instead of the store")
 	}
 	s.setFallback(t, "")
-	return nil, err
+	return port.KeyedBatch{}, err
 }
 
 // somePeers picks peers that can read the store.
--- a/process/relay/listing.go
+++ b/process/relay/listing.go
@@ -24,8 +24,8 @@
 	listHop = 100 * time.Millisecond
 )
 
-// listed is the result of a listing.
-type listed struct {
+// storeListing is the result of a listing.
+type storeListing struct {
 	page port.KeyedPage
 	err  error
 }
@@ -47,10 +47,10 @@
 	begun := s.now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answered := make(chan listed, 1)
+	answered := make(chan storeListing, 1)
 	go func() {
 		page, err := s.Store.Newest(ctx, t, after)
-		answered <- listed{page: page, err: err}
+		answered <- storeListing{page: page, err: err}
 	}()
 	first, soon := within(askAfter, answered)
 	if soon && first.err == nil {
@@ -96,7 +96,7 @@
 }
 
 // noteListing notes a listing of the store: it lacks nothing written before its begin.
-func (s *Store) noteListing(t port.Topic, begun time.Duration, l listed) (port.KeyedPage, error) {
+func (s *Store) noteListing(t port.Topic, begun time.Duration, l storeListing) (port.KeyedPage, error) {
 	if l.err == nil {
 		s.heard(t, begun)
 	}
@@ -104,7 +104,7 @@
 }
 
 // within waits for a listing for so long at most.
-func within(d time.Duration, answered <-chan listed) (l listed, soon bool) {
+func within(d time.Duration, answered <-chan storeListing) (l storeListing, soon bool) {
 	limit := time.NewTimer(d)
 	defer limit.Stop()
 	select {
--- a/process/relay/pack.go
+++ b/process/relay/pack.go
@@ -64,8 +64,18 @@
 
 // packKey tells a topic's packs apart.
 type packKey struct {
-	whole     bool  // the newest record of each key, else all from an offset on
-	from, end int64 // offsets
+	whole bool  // a listing, else changes
+	first int64 // offset of the first change
+	last  int64 // offset of the last change, or version of the listing
+	n     int   // number of changes
+}
+
+// key is that of the changes' pack.
+func (b *batch) key() packKey {
+	if len(b.changes) == 0 {
+		return packKey{}
+	}
+	return packKey{first: b.changes[0].at, last: b.changes[len(b.changes)-1].at, n: len(b.changes)}
 }
 
 // pack returns the records' pack. Those under an equal key must be equal.
--- a/process/relay/relay.go
+++ b/process/relay/relay.go
@@ -22,7 +22,7 @@
 // taken for the store's.
 type answer struct {
 	Pack pack
-	// End is the offset after the newest record of a listing.
+	// End is the offset after the newest record that the reader has read.
 	End int64
 	// Heard is when the reader last heard from the store, counted from the
 	// moment at which it was asked: negative for before. Clocks of two daemons
@@ -40,12 +40,12 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return nil
 		}
-		page, ok := tail.listing()
-		if !ok {
+		page, version, known := tail.listing()
+		if !known {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return nil
 		}
-		return tail.write(w, packKey{whole: true, end: page.End}, page.Records, answer{End: page.End})
+		return tail.write(w, packKey{whole: true, last: version}, page.Records, answer{End: page.End})
 	})
 	r.GET("/current", func(w http.ResponseWriter, req bunrouter.Request) error {
 		p := params{values: req.URL.Query()}
@@ -55,12 +55,12 @@
 			return nil
 		}
 		tail.await(req.Context(), wait)
-		page, heard, ok := tail.current(maxAge)
-		if !ok {
+		l, fresh := tail.current(maxAge)
+		if !fresh {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return nil
 		}
-		return tail.write(w, packKey{whole: true, end: page.End}, page.Records, answer{End: page.End, Heard: heard})
+		return tail.write(w, packKey{whole: true, last: l.version}, l.page.Records, answer{End: l.page.End, Heard: l.heard})
 	})
 	r.GET("/records", func(w http.ResponseWriter, req bunrouter.Request) error {
 		p := params{values: req.URL.Query()}
@@ -69,11 +69,10 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return nil
 		}
-		b, worth := tail.read(req.Context(), from, wait, maxAge)
-		switch worth {
-		case counts:
-			key := packKey{from: from, end: from + int64(len(b.records))}
-			return tail.write(w, key, b.records, answer{Heard: b.heard})
+		b, status := tail.read(req.Context(), from, wait, maxAge)
+		switch status {
+		case ok:
+			return tail.write(w, b.key(), b.records(), answer{End: b.next, Heard: b.heard})
 		case gap:
 			w.WriteHeader(http.StatusGone)
 		default:
--- a/process/relay/relay_test.go
+++ b/process/relay/relay_test.go
@@ -41,16 +41,16 @@
 	return port.KeyedPage{Records: []port.KeyedRecord{{Key: "from the store"}}}, d.away
 }
 
-func (d *direct) Read(context.Context, port.Topic, int64, time.Duration) ([]port.KeyedRecord, error) {
+func (d *direct) Read(context.Context, port.Topic, int64, time.Duration) (port.KeyedBatch, error) {
 	d.reads++
-	return []port.KeyedRecord{{Key: "from the store"}}, nil
+	return port.KeyedBatch{Records: []port.KeyedRecord{{Key: "from the store"}}}, nil
 }
 
 // sink takes everything.
-type sink struct{ lost, back int }
+type sink struct{ applied, lost, back int }
 
 func (s *sink) Reset([]port.KeyedRecord, int64) {}
-func (s *sink) Apply([]port.KeyedRecord)        {}
+func (s *sink) Apply(r []port.KeyedRecord)      { s.applied += len(r) }
 func (s *sink) Lost(error)                      { s.lost++ }
 func (s *sink) Back()                           { s.back++ }
 
@@ -60,8 +60,8 @@
 
 // pair is a reader's tail and another daemon's store before it.
 func pair(t *testing.T) (*Tail, *Store, *direct) {
-	tail := NewTail(&sink{})
-	tail.Confirm(tail.now())
+	tail := NewTail(&sink{}, nil)
+	tail.Confirm(tail.now(), 0)
 	srv := httptest.NewServer(Handler(map[port.Topic]*Tail{port.TopicTargets: tail}))
 	t.Cleanup(srv.Close)
 	d := &direct{}
@@ -111,11 +111,12 @@
 	tail.Reset([]port.KeyedRecord{record(3, "old")}, 5)
 	tail.Apply([]port.KeyedRecord{record(5, "a"), record(6, "b")})
 	tail.Apply([]port.KeyedRecord{record(7, "c")})
-	got, err := s.Read(t.Context(), port.TopicTargets, 6, 0)
-	if err != nil || len(got) != 2 || got[0].Key != "b" || got[1].Offset != 7 || d.reads != 0 {
-		t.Errorf("records %+v, %v, %d reads of the store", got, err, d.reads)
+	batch, err := s.Read(t.Context(), port.TopicTargets, 6, 0)
+	got := batch.Records
+	if err != nil || len(got) != 2 || batch.Next != 8 || got[0].Key != "b" || got[1].Offset != 7 || d.reads != 0 {
+		t.Errorf("records %+v, %v, %d reads of the store", batch, err, d.reads)
 	}
-	if got, err := s.Read(t.Context(), port.TopicTargets, 8, 0); err != nil || len(got) != 0 || d.reads != 0 {
+	if got, err := s.Read(t.Context(), port.TopicTargets, 8, 0); err != nil || len(got.Records) != 0 || got.Next != 8 || d.reads != 0 {
 		t.Errorf("nothing new: %+v, %v", got, err)
 	}
 }
@@ -132,7 +133,7 @@
 			tail.Apply([]port.KeyedRecord{record(5, "a")})
 			spoil(tail)
 			got, err := s.Read(t.Context(), port.TopicTargets, 5, 0)
-			if err != nil || d.reads != 1 || got[0].Key != "from the store" {
+			if err != nil || d.reads != 1 || got.Records[0].Key != "from the store" {
 				t.Errorf("records %+v, %v", got, err)
 			}
 			_, _ = s.Read(t.Context(), port.TopicTargets, 5, 0)
@@ -143,13 +144,20 @@
 	}
 }
 
-// The same, and the reader has just listed the topic, or holds only newer
-// records: whatever the records in between said, the topic has to be listed, and
-// the listing holds what they said.
+// The same, and the reader has begun to read later, or dropped the changes in
+// between: whatever they said, the topic has to be listed, and the listing holds
+// what they said.
 func TestTopicIsListedWhenTheReaderHasAGap(t *testing.T) {
 	for name, spoil := range map[string]func(tail *Tail){
-		"just listed":     func(tail *Tail) { tail.Reset([]port.KeyedRecord{record(8, "new")}, 9) },
-		"newer ones only": func(tail *Tail) { tail.Apply([]port.KeyedRecord{record(90, "new")}) },
+		"began later": func(tail *Tail) {
+			tail.end = -1
+			tail.Reset([]port.KeyedRecord{record(8, "new")}, 9)
+		},
+		"dropped some": func(tail *Tail) {
+			for at := int64(6); at < 6+2*leastChanges; at++ {
+				tail.Apply([]port.KeyedRecord{record(at, "new")})
+			}
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			tail, s, d := pair(t)
@@ -179,7 +187,7 @@
 func TestReaderThatHasListedSaysThatNothingIsNew(t *testing.T) {
 	tail, s, d := pair(t)
 	tail.Reset([]port.KeyedRecord{record(3, "old")}, 4)
-	if got, err := s.Read(t.Context(), port.TopicTargets, 4, 0); err != nil || len(got) != 0 || d.reads != 0 {
+	if got, err := s.Read(t.Context(), port.TopicTargets, 4, 0); err != nil || len(got.Records) != 0 || d.reads != 0 {
 		t.Errorf("records %+v, %v, %d reads of the store", got, err, d.reads)
 	}
 }
@@ -195,16 +203,70 @@
 }
 
 func TestTailHoldsABoundedNumber(t *testing.T) {
-	tail := NewTail(&sink{})
-	for i := range int64(keep + 100) {
-		tail.Apply([]port.KeyedRecord{record(i, "k")})
+	for _, keys := range []int64{1, 10 * leastChanges} {
+		tail := NewTail(&sink{}, nil)
+		const written = 100 * leastChanges
+		for i := range int64(written) {
+			tail.Apply([]port.KeyedRecord{record(i, fmt.Sprint("k", i%keys))})
+		}
+		held := max(leastChanges, int(keys))
+		if len(tail.changes) != held || tail.end != written {
+			t.Errorf("%d changes up to %d, want %d", len(tail.changes), tail.end, held)
+		}
+		tail.Confirm(tail.now(), 0)
+		if _, status := tail.read(t.Context(), written-int64(held)-1, 0, time.Minute); status != gap {
+			t.Errorf("status %v for a change that was dropped", status)
+		}
+		if got, status := tail.read(t.Context(), written-int64(held), 0, time.Minute); status != ok || len(got.changes) != held {
+			t.Errorf("%d changes, %v", len(got.changes), status)
+		}
+	}
+}
+
+// Guards against heartbeats that are relayed to, and applied by, each daemon of a
+// fleet: 2,000 a second of 10,000 targets, of which none changes anything.
+func TestHeartbeatsEndAtTheirReader(t *testing.T) {
+	next := &sink{}
+	tail := NewTail(next, func(a, b port.KeyedRecord) bool { return string(a.Value) == string(b.Value) })
+	tail.Reset([]port.KeyedRecord{record(1, "a"), record(2, "b")}, 3)
+	for at := int64(3); at < 100; at += 2 {
+		tail.Apply([]port.KeyedRecord{record(at, "a"), record(at+1, "b")})
 	}
-	if len(tail.records) != keep || tail.end != keep+100 {
-		t.Errorf("%d records up to %d", len(tail.records), tail.end)
+	tail.Confirm(tail.now(), 101)
+	if b, status := tail.read(t.Context(), 3, 0, time.Minute); status != ok || len(b.changes) != 0 || b.next != 101 || next.applied != 0 {
+		t.Errorf("%+v, %v, %d records applied", b, status, next.applied)
+	}
+	leaves := port.KeyedRecord{Key: "a", Value: []byte("leaves"), Offset: 101}
+	back := port.KeyedRecord{Key: "a", Value: []byte("v"), Offset: 102}
+	tail.Apply([]port.KeyedRecord{leaves, back, {Key: "b", Offset: 103}, record(104, "b")})
+	if b, status := tail.read(t.Context(), 3, 0, time.Minute); status != ok || len(b.changes) != 4 || b.next != 105 || next.applied != 4 {
+		t.Errorf("%+v, %v, %d records applied", b, status, next.applied)
+	}
+}
+
+// Guards against a whole listing for each daemon whenever the store has forgotten
+// its history: whoever reads from one that listed anew gets what differs.
+func TestReaderThatListedAnewGivesTheDifference(t *testing.T) {
+	tail, s, d := pair(t)
+	tail.same = func(a, b port.KeyedRecord) bool { return string(a.Value) == string(b.Value) }
+	tail.Reset([]port.KeyedRecord{record(1, "stays"), record(2, "changes"), record(3, "goes")}, 5)
+	tail.Reset([]port.KeyedRecord{record(90, "stays"), {Key: "changes", Value: []byte("w"), Offset: 91}, record(80, "new")}, 95)
+	for _, from := range []int64{5, 95} {
+		batch, err := s.Read(t.Context(), port.TopicTargets, from, 0)
+		got := make(map[string]bool)
+		for _, r := range batch.Records {
+			got[r.Key] = r.Value != nil
+		}
+		want := map[string]bool{"new": true, "changes": true, "goes": false}
+		if from == 95 {
+			want = map[string]bool{}
+		}
+		if err != nil || batch.Next != 95 || !maps.Equal(got, want) || d.reads != 0 {
+			t.Errorf("from %d: %+v, %v, %d reads of the store", from, batch, err, d.reads)
+		}
 	}
-	tail.Confirm(tail.now())
-	if got, w := tail.read(t.Context(), 100, 0, time.Minute); w != counts || len(got.records) != keep {
-		t.Errorf("%d records, %v", len(got.records), w)
+	if _, err := s.Read(t.Context(), port.TopicTargets, 4, 0); !errors.Is(err, port.ErrExpired) {
+		t.Errorf("changes from before the first listing: %v", err)
 	}
 }
 
@@ -215,20 +277,20 @@
 	const wait = 2 * time.Second
 	for name, begin := range map[string]func(tail *Tail){
 		"has read nothing":   func(*Tail) {},
-		"is a little behind": func(tail *Tail) { tail.Reset(nil, 5); tail.Confirm(0) },
+		"is a little behind": func(tail *Tail) { tail.Reset(nil, 5); tail.Confirm(0, 0) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				tail := NewTail(&sink{})
+				tail := NewTail(&sink{}, nil)
 				tail.now = clock.NewRuntime().Now
 				begin(tail)
-				time.AfterFunc(300*time.Millisecond, func() { tail.Reset(nil, 7); tail.Confirm(tail.now()) })
+				time.AfterFunc(300*time.Millisecond, func() { tail.Reset(nil, 7); tail.Confirm(tail.now(), 0) })
 				time.AfterFunc(800*time.Millisecond, func() { tail.Apply([]port.KeyedRecord{record(7, "a")}) })
 				b, w := tail.read(t.Context(), 7, wait, wait)
-				if w != counts || len(b.records) != 1 || tail.now() != 800*time.Millisecond {
+				if w != ok || len(b.changes) != 1 || tail.now() != 800*time.Millisecond {
 					t.Errorf("%+v, %v after %v", b, w, tail.now())
 				}
-				if _, w := tail.read(t.Context(), 9, wait, wait); w == counts {
+				if _, w := tail.read(t.Context(), 9, wait, wait); w == ok {
 					t.Error("one that stays behind says that nothing is new")
 				}
 			})
@@ -240,10 +302,10 @@
 // before it can know who reads them for it: 553 calls of 295 daemons.
 func TestFirstReadWaitsForTheReadersNames(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tail := NewTail(&sink{})
+		tail := NewTail(&sink{}, nil)
 		tail.now = clock.NewRuntime().Now
 		tail.Reset(nil, 5)
-		tail.Confirm(0)
+		tail.Confirm(0, 0)
 		d, listed := &direct{}, make(chan struct{})
 		s := NewStore(d, func() []string { return []string{"reader", "other"} }, func() []string { return nil }, port.TopicTargets)
 		s.now, s.Listed = tail.now, listed
@@ -264,10 +326,10 @@
 // from it all read the store themselves for three seconds, 280 calls, though the
 // zone's other reader reads it, too.
 func TestAnotherReaderIsAskedFirst(t *testing.T) {
-	first, second := NewTail(&sink{}), NewTail(&sink{})
+	first, second := NewTail(&sink{}, nil), NewTail(&sink{}, nil)
 	for _, tail := range []*Tail{first, second} {
 		tail.Reset(nil, 5)
-		tail.Confirm(tail.now())
+		tail.Confirm(tail.now(), 0)
 	}
 	first.Lost(errors.New("the store is away"))
 	second.Apply([]port.KeyedRecord{record(5, "a")})
@@ -278,7 +340,7 @@
 		"second": Handler(map[port.Topic]*Tail{port.TopicTargets: second}),
 	}}
 	got, err := s.Read(t.Context(), port.TopicTargets, 5, 0)
-	if err != nil || len(got) != 1 || got[0].Key != "a" || d.reads != 0 || s.distrusted() {
+	if err != nil || len(got.Records) != 1 || got.Records[0].Key != "a" || d.reads != 0 || s.distrusted() {
 		t.Errorf("records %+v, %v, %d reads of the store", got, err, d.reads)
 	}
 	second.Lost(errors.New("the store is away"))
@@ -292,7 +354,7 @@
 // second, or they read the store themselves.
 func TestRecordsOfAWholeFleetFitThroughASlowLink(t *testing.T) {
 	const targets, daemons, link = 248, 30, 20e6 / 8 // bytes a second
-	tail := NewTail(&sink{})
+	tail := NewTail(&sink{}, nil)
 	var all []port.KeyedRecord
 	for i := range int64(targets) {
 		id := fmt.Sprintf("i-%010x", uint64(i+1)*0x9e3779b97f4a7c15>>24)
@@ -302,7 +364,7 @@
 	}
 	tail.Reset(nil, 0)
 	tail.Apply(all)
-	tail.Confirm(tail.now())
+	tail.Confirm(tail.now(), 0)
 	h := Handler(map[port.Topic]*Tail{port.TopicTargets: tail})
 	sent := 0
 	for _, path := range []string{"/records?topic=1&from=0&wait_ms=0&max_age_ms=1000", "/current?topic=1&max_age_ms=1000&wait_ms=0"} {
@@ -329,9 +391,9 @@
 	asked int
 }
 
-func (r *refusing) Read(context.Context, port.Topic, int64, time.Duration) ([]port.KeyedRecord, error) {
+func (r *refusing) Read(context.Context, port.Topic, int64, time.Duration) (port.KeyedBatch, error) {
 	r.asked++
-	return nil, port.ErrUnavailable
+	return port.KeyedBatch{}, port.ErrUnavailable
 }
 
 // The store is away for five seconds. No reader can say anything, and each of
@@ -341,7 +403,7 @@
 func TestStoreThatIsAwayIsLeftAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		now := clock.NewRuntime().Now
-		tail := NewTail(&sink{})
+		tail := NewTail(&sink{}, nil)
 		tail.now = now
 		d := &refusing{}
 		s := NewStore(d, func() []string { return []string{"reader"} }, func() []string { return nil }, port.TopicTargets, port.TopicConfig)
@@ -359,7 +421,7 @@
 			t.Errorf("the store was asked %d times in 5 s, want 3", d.asked)
 		}
 		tail.Reset(nil, 7)
-		tail.Confirm(now())
+		tail.Confirm(now(), 0)
 		if _, err := s.Read(t.Context(), port.TopicTargets, 7, 0); err != nil || d.asked != 3 {
 			t.Errorf("with the reader back: %v, the store was asked %d times", err, d.asked)
 		}
@@ -374,7 +436,7 @@
 	tail.Reset([]port.KeyedRecord{record(3, "old")}, 5)
 	tail.Apply([]port.KeyedRecord{record(5, "a")})
 	tail.Reset([]port.KeyedRecord{record(8, "a"), record(9, "b")}, 10)
-	if _, err := s.Read(t.Context(), port.TopicTargets, 6, 0); !errors.Is(err, port.ErrExpired) {
+	if _, err := s.Read(t.Context(), port.TopicTargets, 4, 0); !errors.Is(err, port.ErrExpired) {
 		t.Errorf("records that the reader doesn't hold: %v", err)
 	}
 	page, err := s.Newest(t.Context(), port.TopicTargets, "")
--- a/process/relay/silence_test.go
+++ b/process/relay/silence_test.go
@@ -60,11 +60,11 @@
 }
 
 func (v viewOf) Newest(ctx context.Context, t port.Topic, _ string) (port.KeyedPage, error) {
-	records, err := v.Read(ctx, t, 0, 0)
-	return port.KeyedPage{Records: records, End: int64(len(records))}, err
+	batch, err := v.Read(ctx, t, 0, 0)
+	return port.KeyedPage{Records: batch.Records, End: batch.Next}, err
 }
 
-func (v viewOf) Read(ctx context.Context, _ port.Topic, from int64, wait time.Duration) ([]port.KeyedRecord, error) {
+func (v viewOf) Read(ctx context.Context, _ port.Topic, from int64, wait time.Duration) (port.KeyedBatch, error) {
 	limit := time.NewTimer(wait + clientPatience)
 	defer limit.Stop()
 	waited := time.NewTimer(wait)
@@ -78,19 +78,19 @@
 		if silent {
 			end = nil
 		} else if len(out) > 0 {
-			return out, nil
+			return port.KeyedBatch{Records: out, Next: from + int64(len(out))}, nil
 		}
 		select {
 		case <-changed:
 		case <-end:
 			end = nil
 			if !silent {
-				return nil, nil
+				return port.KeyedBatch{Next: from}, nil
 			}
 		case <-limit.C:
-			return nil, port.ErrUnavailable
+			return port.KeyedBatch{}, port.ErrUnavailable
 		case <-ctx.Done():
-			return nil, ctx.Err()
+			return port.KeyedBatch{}, ctx.Err()
 		}
 	}
 }
@@ -143,7 +143,7 @@
 // newFollower adds a daemon to the zone. reader names the one it asks.
 func newFollower(vm string, s *sharedStore, net inMemory, now func() time.Duration, reader func() string) *follower {
 	f := &follower{known: make(map[string]bool)}
-	tail := NewTail(f)
+	tail := NewTail(f, nil)
 	tail.now = now
 	readers := func() []string {
 		if addr := reader(); addr != "" {
@@ -160,7 +160,7 @@
 		Store: store, Topic: port.TopicTargets, Name: vm, Sink: tail,
 		Wait:    func() time.Duration { return readWait },
 		Pace:    func() time.Duration { return readPace },
-		Current: func() { tail.Confirm(store.AsOf(port.TopicTargets)) },
+		Current: func(next int64) { tail.Confirm(store.AsOf(port.TopicTargets), next) },
 	})
 	return f
 }
@@ -234,16 +234,16 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				tail := NewTail(&sink{})
+				tail := NewTail(&sink{}, nil)
 				tail.now = clock.NewRuntime().Now
 				tail.Reset(nil, 7)
-				tail.Confirm(0)
+				tail.Confirm(0, 0)
 				loss := time.AfterFunc(c.lostAfter, func() { tail.Lost(port.ErrUnavailable) })
 				defer loss.Stop()
-				if _, w := tail.read(t.Context(), 7, wait, maxAge); w == counts || tail.now() != c.want {
+				if _, w := tail.read(t.Context(), 7, wait, maxAge); w == ok || tail.now() != c.want {
 					t.Errorf("told %v after %v, want after %v", w, tail.now(), c.want)
 				}
-				if _, w := tail.read(t.Context(), 7, wait, maxAge); w == counts || tail.now() != c.want {
+				if _, w := tail.read(t.Context(), 7, wait, maxAge); w == ok || tail.now() != c.want {
 					t.Errorf("asked again: %v after %v", w, tail.now())
 				}
 			})
@@ -257,8 +257,8 @@
 	takes time.Duration
 }
 
-func (s *slowStore) Read(ctx context.Context, _ port.Topic, _ int64, _ time.Duration) ([]port.KeyedRecord, error) {
-	return nil, pause.For(ctx, s.takes)
+func (s *slowStore) Read(ctx context.Context, _ port.Topic, _ int64, _ time.Duration) (port.KeyedBatch, error) {
+	return port.KeyedBatch{}, pause.For(ctx, s.takes)
 }
 
 // Nothing changes any more although the store answers: it takes longer than
--- a/process/relay/store.go
+++ b/process/relay/store.go
@@ -112,7 +112,7 @@
 }
 
 // Read returns records from a reader, or from the store.
-func (s *Store) Read(ctx context.Context, t port.Topic, from int64, wait time.Duration) ([]port.KeyedRecord, error) {
+func (s *Store) Read(ctx context.Context, t port.Topic, from int64, wait time.Duration) (port.KeyedBatch, error) {
 	if !s.topics[t] {
 		return s.direct(ctx, t, from, wait)
 	}
@@ -133,19 +133,19 @@
 		begun = s.now()
 		b, err = s.askAnother(ctx, readers[1], t, from, MaxAge(0))
 	}
-	records, err := s.take(t, begun, b, err)
+	batch, err := s.take(t, begun, b, err)
 	if err == nil || errors.Is(err, port.ErrExpired) {
-		return records, err
+		return batch, err
 	}
 	if s.isDark() {
-		return nil, err
+		return port.KeyedBatch{}, err
 	}
 	s.distrust(addr, t, err)
-	records, err = s.direct(ctx, t, from, 0)
+	batch, err = s.direct(ctx, t, from, 0)
 	if err != nil {
 		s.leaveAlone()
 	}
-	return records, err
+	return batch, err
 }
 
 // awaitReaders waits until the readers can be named, for so long at most.
@@ -163,15 +163,21 @@
 
 // take takes what another daemon answered to a question of that moment: its
 // records, or that it doesn't hold them any more.
-func (s *Store) take(t port.Topic, asked time.Duration, b batch, err error) ([]port.KeyedRecord, error) {
+func (s *Store) take(t port.Topic, asked time.Duration, r reply, err error) (port.KeyedBatch, error) {
 	if errors.Is(err, errGap) {
-		return nil, fmt.Errorf("relay: %w", port.ErrExpired)
+		return port.KeyedBatch{}, fmt.Errorf("relay: %w", port.ErrExpired)
 	}
 	if err != nil {
-		return nil, err
+		return port.KeyedBatch{}, err
 	}
-	s.heard(t, asked+b.heard)
-	return b.records, nil
+	s.heard(t, asked+r.heard)
+	return r.KeyedBatch, nil
+}
+
+// reply is what another daemon answered to a read.
+type reply struct {
+	port.KeyedBatch
+	heard time.Duration // when the store was read, from the moment of the question on
 }
 
 // askAnother asks another daemon, which answers with what it knows.
@@ -179,7 +185,7 @@
 // The load that it answers: the store is silent for one of a zone's readers, or
 // that has just died, and half of the zone's daemons go on to read the store
 // themselves for seconds, though the other one hears it.
-func (s *Store) askAnother(ctx context.Context, addr string, t port.Topic, from int64, maxAge time.Duration) (batch, error) {
+func (s *Store) askAnother(ctx context.Context, addr string, t port.Topic, from int64, maxAge time.Duration) (reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, soonFailed)
 	defer cancel()
 	return s.ask(ctx, addr, t, from, 0, maxAge)
@@ -215,11 +221,11 @@
 // learn of it in time. From then on reads get all the time that the store's
 // client gives them, until one is answered soon: a store that is that slow, and
 // not silent, is still read.
-func (s *Store) direct(ctx context.Context, t port.Topic, from int64, wait time.Duration) ([]port.KeyedRecord, error) {
+func (s *Store) direct(ctx context.Context, t port.Topic, from int64, wait time.Duration) (port.KeyedBatch, error) {
 	begun := s.now()
 	ctx, cancel := s.limit(ctx, t, wait+patience)
 	defer cancel()
-	records, err := s.Store.Read(ctx, t, from, wait)
+	batch, err := s.Store.Read(ctx, t, from, wait)
 	now := s.now()
 	s.mu.Lock()
 	s.slow[t] = now-begun >= wait+patience
@@ -227,7 +233,7 @@
 	if err == nil {
 		s.heard(t, now)
 	}
-	return records, err
+	return batch, err
 }
 
 // limit bounds a read of a topic, unless the store is slow.
@@ -281,16 +287,16 @@
 }
 
 // ask reads records from another daemon if it read the store within maxAge.
-func (s *Store) ask(ctx context.Context, addr string, t port.Topic, from int64, wait, maxAge time.Duration) (batch, error) {
+func (s *Store) ask(ctx context.Context, addr string, t port.Topic, from int64, wait, maxAge time.Duration) (reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+hopTimeout)
 	defer cancel()
 	var a answer
 	err := s.get(ctx, fmt.Sprintf("http://%s/records?topic=%d&from=%d&wait_ms=%d&max_age_ms=%d", addr, t, from, wait.Milliseconds(), maxAge.Milliseconds()), &a)
 	if err != nil {
-		return batch{}, err
+		return reply{}, err
 	}
 	records, err := a.Pack.records()
-	return batch{records: records, heard: a.Heard}, err
+	return reply{KeyedBatch: port.KeyedBatch{Records: records, Next: a.End}, heard: a.Heard}, err
 }
 
 // errGap is a reader's word that it doesn't hold the records any more.
--- a/process/relay/tail.go
+++ b/process/relay/tail.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,80 +12,183 @@
 	"github.com/pomelospool/pomelospool/process/topic"
 )
 
-// keep is the number of records of a topic that a reader holds for others:
-// some seconds of the targets' heartbeats. Whoever wants older ones reads the
-// store.
-const keep = 2048
+// leastChanges is the number of changes of a topic that are always kept. Above
+// it, no more are kept than there are keys: a listing is smaller.
+const leastChanges = 64
 
-// Tail is the newest records of one topic as this daemon has read them. It is
-// the topic.Sink before another one, and safe for concurrent use.
+// Tail is one topic as this daemon has read it: the newest record of each key and
+// the latest changes. Records that repeat what their key said before, as
+// heartbeats do, end here, so that neither next nor the daemons that read from
+// this one spend anything on them. It is safe for concurrent use.
 type Tail struct {
 	next   topic.Sink
+	same   func(a, b port.KeyedRecord) bool
 	now    func() time.Duration
 	packer packer
 
-	mu      sync.Mutex
-	newest  map[string]port.KeyedRecord // of each key
-	records []port.KeyedRecord          // without gaps
-	end     int64                       // offset after the newest; -1: not known
-	changed chan struct{}
-	lost    bool
-	asOf    time.Duration // by now: the records are all that were written until then; -1: nothing was heard
+	mu       sync.Mutex
+	newest   map[string]port.KeyedRecord // by key, as of its last change
+	changes  []change                    // by rising offset
+	complete int64                       // all changes from this offset on are in changes
+	end      int64                       // offset after the newest record; -1: not known
+	version  int64                       // rises with each change
+	changed  chan struct{}
+	lost     bool
+	asOf     time.Duration // by now: all records that were written until then are in; -1: none was read
 }
 
-// NewTail returns a Tail that hands all on to next.
-func NewTail(next topic.Sink) *Tail {
-	return &Tail{next: next, now: clock.Boot{}.Now, end: -1, asOf: -1, changed: make(chan struct{}), newest: make(map[string]port.KeyedRecord)}
+// change is a record that changed something, at an offset at or after its own.
+type change struct {
+	at     int64
+	record port.KeyedRecord
 }
 
-// Reset implements topic.Sink. A listing lacks the records that newer ones of
-// their keys replaced, so only what follows it is held.
+// NewTail returns a Tail that hands changes on to next. same reports whether two
+// records of a key say the same; nil: no two do.
+func NewTail(next topic.Sink, same func(a, b port.KeyedRecord) bool) *Tail {
+	if same == nil {
+		same = func(a, b port.KeyedRecord) bool { return a.Offset == b.Offset }
+	}
+	return &Tail{
+		next: next, same: same, now: clock.Boot{}.Now,
+		newest: make(map[string]port.KeyedRecord), end: -1, asOf: -1, changed: make(chan struct{}),
+	}
+}
+
+// Reset implements topic.Sink. Daemons that read from this one get what differs
+// from before, so that they needn't list the topic too.
 func (t *Tail) Reset(records []port.KeyedRecord, next int64) {
 	t.mu.Lock()
-	t.records, t.end = nil, next
+	changes := t.difference(records, next)
+	if t.end < 0 || next < t.end || next == t.end && len(changes) > 0 {
+		t.changes, t.complete = nil, next
+	} else {
+		t.changes = append(t.changes, changes...)
+	}
 	clear(t.newest)
-	t.note(records)
+	for _, r := range records {
+		if r.Value != nil {
+			t.newest[r.Key] = r
+		}
+	}
+	t.version++
+	t.end = next
+	t.trim()
 	t.wake()
 	t.mu.Unlock()
 	t.next.Reset(records, next)
 }
 
-// note keeps the newest record of each key. Callers hold t.mu.
-func (t *Tail) note(records []port.KeyedRecord) {
+// difference returns what a listing that ends at next changes. Callers hold t.mu.
+func (t *Tail) difference(records []port.KeyedRecord, next int64) []change {
+	var out []change
+	present := make(map[string]bool, len(records))
 	for _, r := range records {
+		if r.Value == nil {
+			continue
+		}
+		present[r.Key] = true
+		if old, known := t.newest[r.Key]; !known || !t.same(old, r) {
+			out = append(out, change{at: max(r.Offset, t.end), record: r})
+		}
+	}
+	for key := range t.newest {
+		if !present[key] {
+			out = append(out, change{at: next - 1, record: port.KeyedRecord{Key: key, Offset: next - 1}})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b change) int { return cmp.Compare(a.at, b.at) })
+	return out
+}
+
+// Apply implements topic.Sink.
+func (t *Tail) Apply(records []port.KeyedRecord) {
+	changed := t.changedBy(records)
+	if len(changed) > 0 {
+		t.next.Apply(changed)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.end < 0 {
+		t.complete = records[0].Offset
+	}
+	for _, r := range changed {
+		t.changes = append(t.changes, change{at: r.Offset, record: r})
 		if r.Value == nil {
 			delete(t.newest, r.Key)
+		} else {
+			t.newest[r.Key] = r
+		}
+	}
+	t.version += int64(len(changed))
+	t.end = max(t.end, records[len(records)-1].Offset+1)
+	t.trim()
+	t.wake()
+}
+
+// changedBy returns the records that change something.
+func (t *Tail) changedBy(records []port.KeyedRecord) []port.KeyedRecord {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []port.KeyedRecord
+	latest := make(map[string]port.KeyedRecord)
+	for _, r := range records {
+		old, known := latest[r.Key]
+		if !known {
+			old, known = t.newest[r.Key]
+		}
+		if known && old.Value != nil && r.Value != nil && t.same(old, r) {
 			continue
 		}
-		t.newest[r.Key] = r
+		latest[r.Key] = r
+		out = append(out, r)
 	}
+	return out
 }
 
-// listing is the topic as this daemon knows it; false: it never read it whole.
-func (t *Tail) listing() (port.KeyedPage, bool) {
+// trim drops the oldest changes. Callers hold t.mu.
+func (t *Tail) trim() {
+	over := len(t.changes) - max(len(t.newest), leastChanges)
+	if over <= 0 {
+		return
+	}
+	t.complete = t.changes[over-1].at + 1
+	t.changes = slices.Clone(t.changes[over:])
+}
+
+// listing is the topic as this daemon knows it, and its version; false: it never
+// read it whole.
+func (t *Tail) listing() (port.KeyedPage, int64, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.page()
 }
 
 // page does it. Callers hold t.mu.
-func (t *Tail) page() (port.KeyedPage, bool) {
-	page := port.KeyedPage{End: t.end, Relayed: true}
+func (t *Tail) page() (port.KeyedPage, int64, bool) {
+	page := port.KeyedPage{End: t.end, Relayed: true, Records: make([]port.KeyedRecord, 0, len(t.newest))}
 	for _, r := range t.newest {
 		page.Records = append(page.Records, r)
 	}
-	return page, t.end >= 0
+	return page, t.version, t.end >= 0
 }
 
-// current is the same for others to take as the store's, with how long ago the
-// store was heard; false: that is too long ago, or the store is lost.
-func (t *Tail) current(maxAge time.Duration) (page port.KeyedPage, heard time.Duration, ok bool) {
+// listed is a listing that may be taken for the store's.
+type listed struct {
+	page    port.KeyedPage
+	version int64
+	heard   time.Duration // when the store was read, from now on: negative
+}
+
+// current is the topic's listing; false: what this daemon knows is older than
+// maxAge, or it has lost the store.
+func (t *Tail) current(maxAge time.Duration) (listed, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	page, ok = t.page()
+	page, version, ok := t.page()
 	page.Relayed = false
-	heard = t.asOf - t.now()
-	return page, heard, ok && !t.lost && t.asOf >= 0 && -heard < maxAge
+	heard := t.asOf - t.now()
+	return listed{page: page, version: version, heard: heard}, ok && !t.lost && t.asOf >= 0 && -heard < maxAge
 }
 
 // await waits until this daemon has read the topic: it may only start.
@@ -105,23 +210,6 @@
 	}
 }
 
-// Apply implements topic.Sink.
-func (t *Tail) Apply(records []port.KeyedRecord) {
-	t.next.Apply(records)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.end != records[0].Offset {
-		t.records = nil
-	}
-	t.note(records)
-	t.records = append(t.records, records...)
-	if over := len(t.records) - keep; over > 0 {
-		t.records = append([]port.KeyedRecord(nil), t.records[over:]...)
-	}
-	t.end = records[len(records)-1].Offset + 1
-	t.wake()
-}
-
 // wake has all who wait look again. Callers hold t.mu.
 func (t *Tail) wake() {
 	close(t.changed)
@@ -147,48 +235,50 @@
 	t.wake()
 }
 
-// Confirm notes that all records written until asOf, by CLOCK_BOOTTIME, were
-// handed over.
-func (t *Tail) Confirm(asOf time.Duration) {
+// Confirm notes that all records before the offset next were handed over, among
+// them all that were written until asOf, by CLOCK_BOOTTIME.
+func (t *Tail) Confirm(asOf time.Duration, next int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	first := t.asOf < 0
+	wakes := t.asOf < 0 || t.end >= 0 && next > t.end
 	t.asOf = max(t.asOf, asOf)
-	if first {
+	if t.end >= 0 {
+		t.end = max(t.end, next)
+	}
+	if wakes {
 		t.wake()
 	}
 }
 
-// Age is how old the newest word of the store is; false before the first.
+// Age is how old what is known of the store is; false before the first read.
 func (t *Tail) Age() (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.now() - t.asOf, t.asOf >= 0
 }
 
-// read returns the records from an offset on, waiting for some; false when
-// this daemon can't say.
+// read returns the changes from an offset on, waiting for some; ok only if what
+// this daemon knows is fresh enough.
 //
-// The guard is against silence taken for no news: while the store doesn't
-// answer this daemon, it knows nothing of what is written, and neither does
-// one that has just begun to read for others. Told "nothing new", the others
-// would send requests to targets that left seconds before. So the word of a
-// daemon that heard nothing for maxAge, or knows that it lost the store,
-// doesn't count, and who waits for it is told at once.
+// The guard is against silence taken for no change: while the store doesn't
+// answer this daemon, it knows nothing of what is written, and neither does one
+// that has just begun to read. Told "nothing new", the others would send
+// requests to targets that left seconds before. So nothing is answered that is
+// older than maxAge, or after the store was lost, and who waits is told at once.
 //
 // One that hasn't read the topic yet, or not as far as the asker has, may still
 // do so within the wait: daemons that start together would otherwise all go on
 // to read the store for themselves.
-func (t *Tail) read(ctx context.Context, from int64, wait, maxAge time.Duration) (batch, word) {
+func (t *Tail) read(ctx context.Context, from int64, wait, maxAge time.Duration) (batch, status) {
 	asked := t.now()
 	for {
 		v := t.look(from, asked, maxAge)
-		if v.word == useless || v.word == gap || len(v.batch.records) > 0 {
-			return v.batch, v.word
+		if v.status == stale || v.status == gap || len(v.batch.changes) > 0 {
+			return v.batch, v.status
 		}
 		rest := asked + wait - t.now()
 		if rest <= 0 {
-			return v.batch, v.word
+			return v.batch, v.status
 		}
 		ok := true
 		next := time.NewTimer(min(rest, v.left))
@@ -200,30 +290,39 @@
 		}
 		next.Stop()
 		if !ok {
-			return batch{}, useless
+			return batch{}, stale
 		}
 	}
 }
 
-// batch is the records from an offset on, and when the store was heard.
+// batch is the changes from an offset on, up to next, and when the store was read.
 type batch struct {
-	records []port.KeyedRecord
+	changes []change
+	next    int64
 	heard   time.Duration // from the moment of the question on
 }
 
-// word says what a daemon's word on records from an offset on is worth.
-type word int
+func (b *batch) records() []port.KeyedRecord {
+	out := make([]port.KeyedRecord, 0, len(b.changes))
+	for i := range b.changes {
+		out = append(out, b.changes[i].record)
+	}
+	return out
+}
+
+// status says whether a daemon can answer for records from an offset on.
+type status int
 
 const (
-	useless word = iota // too old
-	notYet              // nothing was read so far, or not as far
-	gap                 // records in between aren't held any more
-	counts
+	stale  status = iota // what it knows is too old
+	behind               // it hasn't read so far
+	gap                  // it doesn't hold all changes since any more
+	ok
 )
 
 // view is what is known from an offset on.
 type view struct {
-	word    word
+	status  status
 	batch   batch
 	left    time.Duration   // for how long that holds at most
 	changed <-chan struct{} // closed at the next change
@@ -237,21 +336,20 @@
 		return v
 	}
 	if t.asOf < 0 || t.end < 0 {
-		v.word = notYet
+		v.status = behind
 		return v
 	}
 	v.left = t.asOf + maxAge - t.now()
-	first := t.end - int64(len(t.records))
 	switch {
 	case v.left <= 0:
-	case from < first:
-		v.word = gap
+	case from < t.complete:
+		v.status = gap
 	case from > t.end:
-		v.word = notYet
+		v.status = behind
 	default:
-		v.word = counts
-		v.batch = batch{heard: t.asOf - asked}
-		v.batch.records = append(v.batch.records, t.records[from-first:]...)
+		v.status = ok
+		first, _ := slices.BinarySearchFunc(t.changes, from, func(c change, from int64) int { return cmp.Compare(c.at, from) })
+		v.batch = batch{changes: t.changes[first:len(t.changes):len(t.changes)], next: t.end, heard: t.asOf - asked}
 	}
 	return v
 }
--- a/process/roles/planner.go
+++ b/process/roles/planner.go
@@ -179,7 +179,7 @@
 // first of those that can.
 func (p *Planner) look(ctx context.Context, svc *route.Service) {
 	snap := p.o.Targets.Snapshot()
-	list := p.engines(snap.Targets[svc.Name])
+	list := p.engines(snap.Targets[svc.Name].All().All())
 	demand := p.demand(svc.Name, list)
 	if !snap.Whole || p.leads < 0 {
 		return
@@ -263,12 +263,12 @@
 }
 
 // engines joins the entries with what the daemons have there.
-func (p *Planner) engines(entries []port.TargetEntry) []Engine {
+func (p *Planner) engines(entries []*port.TargetEntry) []Engine {
 	now := p.o.Clock.Now()
 	out := make([]Engine, 0, len(entries))
 	for _, e := range entries {
 		l := p.o.Engines.Load(e.ID, nil)
-		one := Engine{Entry: e, Streams: l.Streams, Wait: l.Wait, Refused: now < p.refused[e.ID], Impaired: l.Unreachable() || p.o.Health.Impaired(e.ID)}
+		one := Engine{Entry: *e, Streams: l.Streams, Wait: l.Wait, Refused: now < p.refused[e.ID], Impaired: l.Unreachable() || p.o.Health.Impaired(e.ID)}
 		if c, ok := p.changing[e.ID]; ok {
 			if e.Role == c.role || now >= c.until {
 				delete(p.changing, e.ID)
--- a/process/roles/roles_test.go
+++ b/process/roles/roles_test.go
@@ -174,7 +174,7 @@
 		{Target: engines.Hash("e004"), Becomes: port.RolePrefill}, {Target: engines.Hash("e005"), Becomes: port.RolePrefill},
 		{Target: engines.Hash("e006"), Becomes: port.RolePrefill}, {Target: engines.Hash("e007"), Becomes: port.RolePrefill},
 	}, nil)
-	for _, m := range Plan(p.engines(entries), nil) {
+	for _, m := range Plan(p.engines(pointers(entries)), nil) {
 		if m.Role == port.RolePrefill {
 			t.Errorf("takes more engines from decoding: %+v", m)
 		}
@@ -227,18 +227,18 @@
 			for _, e := range fleet(4, 4) {
 				entries = append(entries, e.Entry)
 			}
-			moves := Plan(p.engines(entries), nil)
+			moves := Plan(p.engines(pointers(entries)), nil)
 			if len(moves) != 2 {
 				t.Fatalf("moves %+v", moves)
 			}
 			for _, m := range moves {
 				p.note(svc, result{Move: m, err: err}, claim.Claim{})
 			}
-			if again := Plan(p.engines(entries), nil); len(again) != 0 {
+			if again := Plan(p.engines(pointers(entries)), nil); len(again) != 0 {
 				t.Errorf("others are ordered in their place: %+v", again)
 			}
 			now += svc.Engine.SwitchTime + switchGrace
-			if again := Plan(p.engines(entries), nil); len(again) != 2 {
+			if again := Plan(p.engines(pointers(entries)), nil); len(again) != 2 {
 				t.Errorf("engines that never obeyed aren't ordered again: %+v", again)
 			}
 		})
@@ -282,7 +282,7 @@
 	})
 	svc := &route.Service{Name: "s", Engine: &route.Engine{SwitchTime: 3 * time.Second}}
 	for round := 1; ; round++ {
-		list := p.engines(entries)
+		list := p.engines(pointers(entries))
 		moves := Plan(list, steady(1, 400))
 		if len(moves) == 0 {
 			break
@@ -293,7 +293,7 @@
 		p.ordered[svc.Name] = now
 		p.carryOut(t.Context(), svc, moves, claim.Claim{Until: time.Hour})
 	}
-	decoders, _ := split(p.engines(entries))
+	decoders, _ := split(p.engines(pointers(entries)))
 	for _, e := range decoders {
 		if e.Entry.ID < "e006" {
 			t.Errorf("%s counts as decoding", e.Entry.ID)
@@ -311,9 +311,9 @@
 	for _, e := range fleet(8, 1) {
 		entries = append(entries, e.Entry)
 	}
-	first := Plan(p.engines(entries), nil)
+	first := Plan(p.engines(pointers(entries)), nil)
 	p.note(svc, result{Move: first[0], err: context.DeadlineExceeded}, claim.Claim{})
-	second := Plan(p.engines(entries), nil)
+	second := Plan(p.engines(pointers(entries)), nil)
 	if len(second) != 1 || second[0].Target == first[0].Target {
 		t.Errorf("first %+v, then %+v", first, second)
 	}
@@ -355,3 +355,11 @@
 	full := min(asked/max(there, math.SmallestNonzeroFloat64), 1)
 	return over*over + evenness*full*full
 }
+
+func pointers(entries []port.TargetEntry) []*port.TargetEntry {
+	var out []*port.TargetEntry
+	for i := range entries {
+		out = append(out, &entries[i])
+	}
+	return out
+}
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -130,8 +130,8 @@
 	return 0, nil
 }
 
-func (l *list) Read(context.Context, port.Topic, int64, time.Duration) ([]port.KeyedRecord, error) {
-	return nil, errors.New("not used")
+func (l *list) Read(context.Context, port.Topic, int64, time.Duration) (port.KeyedBatch, error) {
+	return port.KeyedBatch{}, errors.New("not used")
 }
 
 func (l *list) PutAt(context.Context, port.Topic, string, []byte, int64) (int64, error) {
--- a/process/scale/scaler.go
+++ b/process/scale/scaler.go
@@ -151,7 +151,7 @@
 	if svc.Scaling == nil || !snap.Whole {
 		return
 	}
-	present := count(snap.Targets[svc.Name])
+	present := count(snap.Targets[svc.Name].All().All())
 	capacity, err := s.capacityOf(ctx, svc.Name, present, time.Since(snap.Since))
 	if err != nil {
 		log.WithError(err).WithField("service", svc.Name).Warn("scale: capacity not known")
@@ -185,7 +185,7 @@
 }
 
 // count counts the targets that stay.
-func count(entries []port.TargetEntry) Counts {
+func count(entries []*port.TargetEntry) Counts {
 	out := make(Counts)
 	for _, e := range entries {
 		if e.Leaving {
--- a/process/scale/scaler_test.go
+++ b/process/scale/scaler_test.go
@@ -102,7 +102,11 @@
 func (c *cloud) count() Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return count(slices.Collect(maps.Values(c.targets)))
+	var entries []*port.TargetEntry
+	for _, e := range c.targets {
+		entries = append(entries, &e)
+	}
+	return count(entries)
 }
 
 func (c *cloud) ReportUsage(context.Context, port.DutyCall, int64, map[string]uint32) error {
--- a/process/topic/follower.go
+++ b/process/topic/follower.go
@@ -49,8 +49,9 @@
 	// Wait is the longest wait of a read for records. It is asked before each.
 	Wait func() time.Duration
 	// Current, if set, is called after each listing of the store or read that
-	// succeeded, once its records were handed over.
-	Current func()
+	// succeeded, once its records were handed over: all records before the
+	// offset next were.
+	Current func(next int64)
 }
 
 // Follower reads one topic until Stop.
@@ -107,7 +108,7 @@
 	if !f.placed {
 		return f.list(ctx)
 	}
-	records, err := f.o.Store.Read(ctx, f.o.Topic, f.next, f.o.Wait())
+	batch, err := f.o.Store.Read(ctx, f.o.Topic, f.next, f.o.Wait())
 	if errors.Is(err, port.ErrExpired) {
 		log.WithFields(log.Fields{"topic": f.o.Name, "from": f.next}).Info("topic: records expired, listing the topic")
 		f.placed = false
@@ -116,9 +117,9 @@
 	if err != nil {
 		return err
 	}
-	if len(records) > 0 {
-		f.next += int64(len(records))
-		f.o.Sink.Apply(records)
+	f.next = max(f.next, batch.Next)
+	if len(batch.Records) > 0 {
+		f.o.Sink.Apply(batch.Records)
 	}
 	f.current()
 	return nil
@@ -126,7 +127,7 @@
 
 func (f *Follower) current() {
 	if f.o.Current != nil {
-		f.o.Current()
+		f.o.Current(f.next)
 	}
 }
 
--- a/process/topic/follower_test.go
+++ b/process/topic/follower_test.go
@@ -58,7 +58,7 @@
 	return port.KeyedPage{Records: shown, End: s.end() - s.behind}, nil
 }
 
-func (s *fakeStore) Read(ctx context.Context, _ port.Topic, from int64, wait time.Duration) ([]port.KeyedRecord, error) {
+func (s *fakeStore) Read(ctx context.Context, _ port.Topic, from int64, wait time.Duration) (port.KeyedBatch, error) {
 	deadline := time.Now().Add(wait)
 	for begun := true; ; begun = false {
 		s.mu.Lock()
@@ -72,18 +72,18 @@
 		s.mu.Unlock()
 		switch {
 		case down:
-			return nil, port.ErrUnavailable
+			return port.KeyedBatch{}, port.ErrUnavailable
 		case expired || from < first:
-			return nil, port.ErrExpired
+			return port.KeyedBatch{}, port.ErrExpired
 		case (begun || !s.deaf) && len(out) > 0:
-			return out, nil
+			return port.KeyedBatch{Records: out, Next: end}, nil
 		case !time.Now().Before(deadline):
-			return nil, nil
+			return port.KeyedBatch{Next: from}, nil
 		}
 		select {
 		case <-time.After(10 * time.Millisecond):
 		case <-ctx.Done():
-			return nil, ctx.Err()
+			return port.KeyedBatch{}, ctx.Err()
 		}
 	}
 }
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -15,6 +15,7 @@
 	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/connection/health"
 	"github.com/pomelospool/pomelospool/connection/speed"
+	"github.com/pomelospool/pomelospool/connection/targets"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/failure"
@@ -60,7 +61,7 @@
 
 // Targets gives the entries of a service's targets.
 type Targets interface {
-	Targets(service string) []port.TargetEntry
+	Targets(service string) *targets.Set
 }
 
 // Queues knows engines' queues better than the books, which hear late in a
--- a/request/dispatch/rig_test.go
+++ b/request/dispatch/rig_test.go
@@ -15,6 +15,7 @@
 	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/connection/health"
 	"github.com/pomelospool/pomelospool/connection/speed"
+	"github.com/pomelospool/pomelospool/connection/targets"
 	"github.com/pomelospool/pomelospool/internal/pipenet"
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/platform/standin"
@@ -40,7 +41,7 @@
 }
 
 // Targets implements Targets.
-func (r *rig) Targets(service string) []port.TargetEntry { return r.entries[service] }
+func (r *rig) Targets(service string) *targets.Set { return targets.NewSet(r.entries[service]) }
 
 // control notes what is released.
 type control struct{ r *rig }
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -165,11 +165,11 @@
 // this call or are benched if others are left. parts are the call's prompt.
 func (u *run) usable(parts []port.PromptPart, fits func(e port.TargetEntry) bool) []loaded {
 	var good, tried []loaded
-	for _, e := range u.opts.Targets.Targets(u.c.Service.Name) {
-		if e.Leaving || fits != nil && !fits(e) {
+	for _, e := range u.opts.Targets.Targets(u.c.Service.Name).All().All() {
+		if e.Leaving || fits != nil && !fits(*e) {
 			continue
 		}
-		t := loaded{TargetEntry: e, load: u.opts.Engines.Load(e.ID, parts)}
+		t := loaded{TargetEntry: *e, load: u.opts.Engines.Load(e.ID, parts)}
 		if u.avoids(e.ID) || u.opts.Health.Benched(e.ID) || t.load.Unreachable() {
 			tried = append(tried, t)
 			continue
--- a/request/ingress/ingress_test.go
+++ b/request/ingress/ingress_test.go
@@ -19,6 +19,7 @@
 	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/connection/health"
 	"github.com/pomelospool/pomelospool/connection/speed"
+	"github.com/pomelospool/pomelospool/connection/targets"
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/platform/standin"
 	"github.com/pomelospool/pomelospool/port"
@@ -45,7 +46,7 @@
 }
 
 // Targets implements dispatch.Targets.
-func (r *rig) Targets(service string) []port.TargetEntry { return r.entries[service] }
+func (r *rig) Targets(service string) *targets.Set { return targets.NewSet(r.entries[service]) }
 
 // noControl is an engine control that is not used.
 type noControl struct{}
