relay, roster: one daemon reads the store for a large fleet, the others in a tree

Cause: ten daemons read the store, the last two of each zone by name, whatever their links. A daemon whose reader couldn't answer said of itself that it was without the store, and such daemons were nobody's readers: once all were short of processor time nobody had a reader, and each read the store every 0.4 s. A daemon that starts waited 50 ms for the names of the others, and then listed the targets itself, in 20 calls; 985 daemons need 2 s to write themselves.

Now each daemon finds its place in a tree by the daemons' links: the root reads the store where the bounds leave time for another hop, two heads of each zone read from it, the others from these, over as many levels as the links need for a listing. Readers are passed over only while their own calls fail. Readers that answer that they know nothing are believed: calls to the store then take turns over the whole fleet. Daemons that start wait for the names.

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -68,6 +68,9 @@
 	waitShare = 0.4
 	// slowAnswer is what an answer of a slow store takes.
 	slowAnswer = 200 * time.Millisecond
+	// rootedWait is the least wait at which a fleet has one daemon read the store:
+	// with shorter ones daemons ask each other all the time.
+	rootedWait = 400 * time.Millisecond
 	// leastWait bounds the reads of the store where bounds are short.
 	leastWait = 100 * time.Millisecond
 	// upkeepEvery is the time between two rounds of forgetting what is gone.
@@ -141,9 +144,11 @@
 		}
 	})
 	d.health = health.New(time.Now, d.engines.Down)
-	d.store = relay.NewStore(platform.NewStore(s.Store.Addr), func() []string { return d.roster.Readers() }, func() []string { return d.roster.ReadyPeers() }, port.TopicConfig, port.TopicTargets)
+	d.store = relay.NewStore(platform.NewStore(s.Store.Addr), func() []string { return d.roster.Upstream().Peers }, func() []string { return d.roster.ReadyPeers() }, port.TopicConfig, port.TopicTargets)
 	d.reach = relay.NewReach(d.store)
-	d.store.Retry = d.directPace
+	d.store.Retry = d.callPace
+	d.store.Suspect = d.reach.Suspect
+	d.store.Depth = func() int { return d.roster.Upstream().Depth }
 	d.store.Sources = func() []string { return d.roster.PeersWithStore() }
 	if err := d.wireRoster(); err != nil {
 		return nil, err
@@ -199,15 +204,17 @@
 			Zone:        d.s.Zone,
 			LinkMbps:    uint32(d.s.LinkMbps),
 		},
-		Store:     d.store,
-		Book:      d.engines,
-		Claims:    d.claims,
-		Speeds:    d.speed,
-		Demand:    d.demand,
-		TTL:       min(addressTTL, d.s.Bounds.AddressTTL),
-		StoreAway: d.withoutStore,
-		Clock:     d.clock,
-		Usage:     d.receiveUsage,
+		Store:      d.store,
+		Book:       d.engines,
+		Claims:     d.claims,
+		Speeds:     d.speed,
+		Demand:     d.demand,
+		TTL:        min(addressTTL, d.s.Bounds.AddressTTL),
+		StoreAway:  d.withoutStore,
+		StoreFails: d.storeFails,
+		Rooted:     rooted(min(d.s.Bounds.Drain, d.s.Bounds.ApplyConfig)),
+		Clock:      d.clock,
+		Usage:      d.receiveUsage,
 	})
 	if err != nil {
 		return err
@@ -286,8 +293,8 @@
 	return topic.New(topic.Options{
 		Store: d.store, Topic: t, Name: name, Sink: tail, Pace: pace,
 		Wait: func() time.Duration {
-			if d.roster.Relays() {
-				return relayedWait(bound)
+			if depth := d.roster.Upstream().Depth; depth > 0 {
+				return relayedWait(bound, depth)
 			}
 			return readWait(bound)
 		},
@@ -301,13 +308,22 @@
 	return time.Duration(waitShare * float64(bound))
 }
 
-// relayedWait is the same where daemons read for others. Those may ask a reader
-// that is about to be given up, rest, and then read the store themselves: the
-// reader's answer and these two must fit into the bound.
-func relayedWait(bound time.Duration) time.Duration {
-	return max(min(readWait(bound), bound-relay.MaxAge(0)-targetsPace-slowAnswer), leastWait)
+// relayedWait is the same where daemons read for others, over that many of them
+// one behind the other. A daemon may ask a reader that is about to be given up,
+// rest, and then read the store itself: the reader's answer and these two must fit
+// into the bound. Where readers read from others, a wait for each must.
+func relayedWait(bound time.Duration, depth int) time.Duration {
+	wait := bound - relay.MaxAge(0, 1) - targetsPace - slowAnswer
+	if depth > 1 {
+		wait = (bound-relay.MaxAge(0, 1))/time.Duration(depth+1) - targetsPace
+	}
+	return max(min(readWait(bound), wait), leastWait)
 }
 
+// rooted reports whether a bound leaves time for a daemon between the store and
+// those that read for an availability zone.
+func rooted(bound time.Duration) bool { return relayedWait(bound, 2) >= rootedWait }
+
 // targetsPace is the least time between two reads of the targets. Daemons of a
 // large fleet whose readers fail read the store more seldom.
 func (d *Daemon) targetsPace() time.Duration {
@@ -325,11 +341,26 @@
 	return min(pace, max(time.Duration(paceShare*float64(shortest)), targetsPace))
 }
 
-// withoutStore reports whether this daemon can't read the store itself.
+// callPace is the time between two calls to the store of a daemon whose readers
+// fail. Where they answer, and know nothing, they read the store first: all
+// daemons together make no more calls than a small fleet.
+func (d *Daemon) callPace(readersAnswer bool) time.Duration {
+	if readersAnswer {
+		return targetsPace * time.Duration(max(d.roster.Known(), pacedDaemons)) / pacedDaemons
+	}
+	return d.directPace()
+}
+
+// withoutStore reports whether this daemon doesn't know what the store says now.
 func (d *Daemon) withoutStore() bool {
 	return d.storeAway.Load() || d.store.Cut() || d.reach.Away()
 }
 
+// storeFails reports whether the store fails this daemon's own calls.
+func (d *Daemon) storeFails() bool {
+	return d.storeAway.Load() && d.store.ReadsItself() || d.store.Cut() || d.reach.Away()
+}
+
 // watched notes whether the store can be read.
 type watched struct {
 	topic.Sink
--- a/process/relay/fallback.go
+++ b/process/relay/fallback.go
@@ -31,7 +31,7 @@
 // while that fails from a peer that can read it.
 func (s *Store) readOwn(ctx context.Context, t port.Topic, from int64, wait time.Duration) (port.KeyedBatch, error) {
 	s.noteReader(ownReads)
-	maxAge := MaxAge(wait)
+	maxAge := s.maxAge(wait)
 	peer, cut := s.fallback(t)
 	if cut && s.now() < peer.until {
 		begun := s.now()
--- a/process/relay/listing.go
+++ b/process/relay/listing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -17,11 +18,12 @@
 	// askAfter is how long the store may take before others are asked too. It
 	// answers in 4 ms; a silent one is given up after 1.5 s.
 	askAfter = 250 * time.Millisecond
-	// startWait is how long a reader may take to read a topic for the first
-	// time. Daemons that start together list the daemons first, in 10 ms.
+	// startWait is how long a question waits at a reader that has yet to read a
+	// topic for the first time.
 	startWait = 250 * time.Millisecond
-	// listHop is added to it for the way between daemons.
-	listHop = 100 * time.Millisecond
+	// listHop is added to it for the way between daemons: a reader's link is filled
+	// for a second by the listings of all that read from it.
+	listHop = 2 * time.Second
 )
 
 // storeListing is the result of a listing.
@@ -40,9 +42,18 @@
 	if !s.topics[t] || after != "" {
 		return s.Store.Newest(ctx, t, after)
 	}
-	s.awaitReaders(ctx, namedWithin)
-	if page, ok := s.fromReader(ctx, t); ok {
-		return page, nil
+	s.awaitReaders(ctx)
+	if readers := s.readers(); len(readers) > 0 && !s.distrusted() {
+		page, err := s.listFrom(ctx, readers, t)
+		if err == nil {
+			return page, nil
+		}
+		if answered := errors.Is(err, errKnowsNothing); ctx.Err() != nil || !s.mayCall(answered) {
+			if page, known := s.askOthers(ctx, t); known {
+				return page, nil
+			}
+			return port.KeyedPage{}, err
+		}
 	}
 	begun := s.now()
 	ctx, cancel := context.WithCancel(ctx)
@@ -65,34 +76,39 @@
 	return s.noteListing(t, begun, first)
 }
 
-// fromReader returns the listing of this daemon's reader, if it has one whose
-// word counts.
+// listFrom returns the listing of the first of this daemon's readers that has one
+// that is fresh enough.
 //
-// The load that it answers: the store forgets its history, and each of hundreds
-// of daemons lists both topics, each time anew. On a day of that 8,672 calls with
-// it and 9,318 without, one play each.
-func (s *Store) fromReader(ctx context.Context, t port.Topic) (port.KeyedPage, bool) {
-	readers := s.readers()
-	if len(readers) == 0 || s.distrusted() {
-		return port.KeyedPage{}, false
+// The load that it answers: the store forgets its history, or hundreds of daemons
+// start together, and each lists both topics from the store.
+func (s *Store) listFrom(ctx context.Context, readers []string, t port.Topic) (port.KeyedPage, error) {
+	var failures []error
+	for _, addr := range readers {
+		page, err := s.listFromOne(ctx, addr, t)
+		if err == nil {
+			s.noteAnswer()
+			return page, nil
+		}
+		failures = append(failures, fmt.Errorf("reader %s: %w", addr, err))
 	}
-	addr := readers[0]
+	return port.KeyedPage{}, errors.Join(failures...)
+}
+
+func (s *Store) listFromOne(ctx context.Context, addr string, t port.Topic) (port.KeyedPage, error) {
 	begun := s.now()
 	ctx, cancel := context.WithTimeout(ctx, startWait+listHop)
 	defer cancel()
 	var a answer
-	url := fmt.Sprintf("http://%s/current?topic=%d&max_age_ms=%d&wait_ms=%d", addr, t, MaxAge(0).Milliseconds(), startWait.Milliseconds())
-	err := s.get(ctx, url, &a)
-	page := port.KeyedPage{End: a.End}
-	if err == nil {
-		page.Records, err = a.Pack.records()
+	url := fmt.Sprintf("http://%s/current?topic=%d&max_age_ms=%d&wait_ms=%d", addr, t, s.maxAge(0).Milliseconds(), startWait.Milliseconds())
+	if err := s.get(ctx, url, &a); err != nil {
+		return port.KeyedPage{}, err
 	}
+	records, err := a.Pack.records()
 	if err != nil {
-		log.WithFields(log.Fields{"topic": int(t), "reader": addr}).WithError(err).Debug("relay: no listing from the reader")
-		return port.KeyedPage{}, false
+		return port.KeyedPage{}, err
 	}
 	s.heard(t, begun+a.Heard)
-	return page, true
+	return port.KeyedPage{Records: records, End: a.End}, nil
 }
 
 // noteListing notes a listing of the store: it lacks nothing written before its begin.
--- a/process/relay/reach.go
+++ b/process/relay/reach.go
@@ -46,20 +46,20 @@
 // Newest implements port.Store.
 func (r *Reach) Newest(ctx context.Context, t port.Topic, after string) (port.KeyedPage, error) {
 	page, err := r.Store.Newest(ctx, t, after)
-	r.observe(ctx, err)
+	r.Suspect(ctx, err)
 	return page, err
 }
 
 // PutAt implements port.Store.
 func (r *Reach) PutAt(ctx context.Context, t port.Topic, key string, value []byte, at int64) (int64, error) {
 	offset, err := r.Store.PutAt(ctx, t, key, value, at)
-	r.observe(ctx, err)
+	r.Suspect(ctx, err)
 	return offset, err
 }
 
-// observe has the store probed after a call that it didn't answer. The call
+// Suspect has the store probed after a call that it didn't answer. The call
 // alone shows little: answers to writes may be lost.
-func (r *Reach) observe(ctx context.Context, err error) {
+func (r *Reach) Suspect(ctx context.Context, err error) {
 	if ctx.Err() != nil || !errors.Is(err, port.ErrUnavailable) {
 		return
 	}
--- a/process/relay/store.go
+++ b/process/relay/store.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -26,13 +27,10 @@
 	// one to be asked, and within which that must answer. Together they leave a
 	// read of the store its time, which comes after.
 	soonFailed = 150 * time.Millisecond
-	// namedWithin is how long a daemon that starts waits for the store to name
-	// the others before it lists a topic: it writes itself and lists them, in
-	// 10 ms. Hundreds that start together take 400 ms, and don't wait that long.
-	namedWithin = 50 * time.Millisecond
-	// namedLate is the same before its first read, which needn't come sooner:
-	// what it has listed is new.
-	namedLate = 600 * time.Millisecond
+	// namedWithin is the longest that a daemon that starts waits for the store to
+	// name the others before it reads: a thousand that write themselves at the
+	// same moment, at 2 ms each, and a slow answer.
+	namedWithin = 4 * time.Second
 	// patience is how long beyond a read's wait the store may be silent before
 	// it counts as lost: three times what it takes when it is slow (200 ms).
 	// With 1.5 s, daemons that read for others passed "nothing new" on for 2.7 s,
@@ -64,12 +62,20 @@
 	// the first call; nil: there are none.
 	Sources func() []string
 	// Retry is how long a daemon that has a reader leaves the store alone after
-	// that failed it too. It is set before the first call.
-	Retry func() time.Duration
+	// that failed it too, or, where readers answer that they know nothing, before
+	// it calls the store at all. It is set before the first call.
+	Retry func(readersAnswer bool) time.Duration
+	// Depth is the most daemons between the store and a daemon. It is set before
+	// the first call; nil: one.
+	Depth func() int
+	// Suspect is called after a read of the store failed. It is set before the
+	// first call; nil: nothing is.
+	Suspect func(ctx context.Context, err error)
 
 	mu    sync.Mutex
 	until time.Duration                // the store is read directly until then
-	dark  time.Duration                // the store is left alone until then
+	spare time.Duration                // the store is left alone until then
+	mute  bool                         // readers answered last that they know nothing
 	asOf  map[port.Topic]time.Duration // what the last read of a topic told was so until then
 	last  string                       // the reader that was asked last, ownReads: none
 	slow  map[port.Topic]bool          // the store takes longer than patience
@@ -77,6 +83,13 @@
 	fallbacks map[port.Topic]fallback // peers that are read instead of the store
 }
 
+// ReadsItself reports whether this daemon reads the store, since it has no reader.
+func (s *Store) ReadsItself() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.last == ownReads
+}
+
 // Direct reports whether reads go to the store although there is a reader.
 func (s *Store) Direct() bool { return len(s.readers()) > 0 && s.distrusted() }
 
@@ -90,7 +103,7 @@
 		readers: readers,
 		peers:   peers,
 		client:  &http.Client{},
-		Retry:   func() time.Duration { return 0 },
+		Retry:   func(bool) time.Duration { return 0 },
 		now:     clock.Boot{}.Now,
 		asOf:    make(map[port.Topic]time.Duration),
 		slow:    make(map[port.Topic]bool),
@@ -116,7 +129,7 @@
 	if !s.topics[t] {
 		return s.direct(ctx, t, from, wait)
 	}
-	s.awaitReaders(ctx, namedLate)
+	s.awaitReaders(ctx)
 	readers := s.readers()
 	if len(readers) == 0 {
 		return s.readOwn(ctx, t, from, wait)
@@ -125,35 +138,81 @@
 	if s.distrusted() {
 		return s.direct(ctx, t, from, wait)
 	}
-	addr := readers[0]
-	s.noteReader(addr)
-	begun := s.now()
-	b, err := s.ask(ctx, addr, t, from, wait, MaxAge(wait))
-	if spent := s.now() - begun; err != nil && !errors.Is(err, errGap) && spent < soonFailed && len(readers) > 1 {
-		begun = s.now()
-		b, err = s.askAnother(ctx, readers[1], t, from, MaxAge(0))
-	}
-	batch, err := s.take(t, begun, b, err)
+	batch, err := s.readFrom(ctx, readers, t, from, wait)
 	if err == nil || errors.Is(err, port.ErrExpired) {
 		return batch, err
 	}
-	if s.isDark() {
+	answered := errors.Is(err, errKnowsNothing)
+	if ctx.Err() != nil || !s.mayCall(answered) {
 		return port.KeyedBatch{}, err
 	}
-	s.distrust(addr, t, err)
+	s.distrust(readers[0], t, err)
 	batch, err = s.direct(ctx, t, from, 0)
 	if err != nil {
-		s.leaveAlone()
+		s.leaveAlone(answered)
 	}
 	return batch, err
 }
 
-// awaitReaders waits until the readers can be named, for so long at most.
-func (s *Store) awaitReaders(ctx context.Context, most time.Duration) {
+// readFrom reads from the first reader that can answer. One that took long to fail
+// leaves no time for others where the bounds are short.
+func (s *Store) readFrom(ctx context.Context, readers []string, t port.Topic, from int64, wait time.Duration) (port.KeyedBatch, error) {
+	s.noteReader(readers[0])
+	var failures []error
+	for i, addr := range readers {
+		begun := s.now()
+		var r reply
+		var err error
+		if i == 0 {
+			r, err = s.ask(ctx, addr, t, from, wait, s.maxAge(wait))
+		} else {
+			r, err = s.askAnother(ctx, addr, t, from, s.maxAge(0))
+		}
+		batch, err := s.take(t, begun, r, err)
+		if err == nil || errors.Is(err, port.ErrExpired) {
+			s.noteAnswer()
+			return batch, err
+		}
+		failures = append(failures, fmt.Errorf("reader %s: %w", addr, err))
+		if s.now()-begun >= soonFailed && s.depth() < 2 {
+			break
+		}
+	}
+	return port.KeyedBatch{}, errors.Join(failures...)
+}
+
+// noteAnswer notes that a reader answered with what it knows.
+func (s *Store) noteAnswer() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mute = false
+}
+
+// mayCall reports whether the store may be called where readers failed.
+//
+// The load that it answers: the store is away, readers can't say, and all of
+// hundreds of daemons ask the store several times a second for each topic. Calls
+// are paid for, and refused ones count against the rate of all. Readers that
+// answer know of the store's return first.
+func (s *Store) mayCall(readersAnswer bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	if readersAnswer && !s.mute {
+		// Half of the time at least, so that not all call at once.
+		pace := s.Retry(true)
+		s.spare = max(s.spare, now+pace/2+rand.N(pace/2+1))
+	}
+	s.mute = readersAnswer
+	return now >= s.spare
+}
+
+// awaitReaders waits until the readers can be named, for namedWithin at most.
+func (s *Store) awaitReaders(ctx context.Context) {
 	if s.Listed == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, most)
+	ctx, cancel := context.WithTimeout(ctx, namedWithin)
 	defer cancel()
 	select {
 	case <-s.Listed:
@@ -191,29 +250,30 @@
 	return s.ask(ctx, addr, t, from, 0, maxAge)
 }
 
-// leaveAlone has the reader asked again, and not the store for a while.
-//
-// The load that it answers: the store is away, each daemon's reader can't say,
-// and all of hundreds of daemons ask the store several times a second for each
-// topic. Calls are paid for, and refused ones count against the rate of all.
-// What the store says after its return the readers hear first.
-func (s *Store) leaveAlone() {
+// leaveAlone has the readers asked again, and not the store for a while.
+func (s *Store) leaveAlone(readersAnswer bool) {
+	pace := s.Retry(readersAnswer)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.until = 0
-	s.dark = s.now() + s.Retry()
+	s.spare = s.now() + pace
 }
 
-func (s *Store) isDark() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.now() < s.dark
+// MaxAge is how old what a reader knows may be for a read that waits so long, over
+// that many readers one behind the other: each read the store, or the one before,
+// within its rest and its own read's wait.
+func MaxAge(wait time.Duration, depth int) time.Duration {
+	return time.Duration(depth)*(ReaderPause+wait) + patience
 }
 
-// MaxAge is how old a reader's word may be for a read that waits so long: a
-// sound reader heard from the store within its rest, its own read's wait and
-// the store's patience.
-func MaxAge(wait time.Duration) time.Duration { return ReaderPause + wait + patience }
+func (s *Store) maxAge(wait time.Duration) time.Duration { return MaxAge(wait, s.depth()) }
+
+func (s *Store) depth() int {
+	if s.Depth == nil {
+		return 1
+	}
+	return max(s.Depth(), 1)
+}
 
 // direct reads the store itself.
 //
@@ -222,7 +282,7 @@
 // client gives them, until one is answered soon: a store that is that slow, and
 // not silent, is still read.
 func (s *Store) direct(ctx context.Context, t port.Topic, from int64, wait time.Duration) (port.KeyedBatch, error) {
-	begun := s.now()
+	begun, outer := s.now(), ctx
 	ctx, cancel := s.limit(ctx, t, wait+patience)
 	defer cancel()
 	batch, err := s.Store.Read(ctx, t, from, wait)
@@ -232,6 +292,8 @@
 	s.mu.Unlock()
 	if err == nil {
 		s.heard(t, now)
+	} else if s.Suspect != nil {
+		s.Suspect(outer, err)
 	}
 	return batch, err
 }
@@ -299,8 +361,12 @@
 	return reply{KeyedBatch: port.KeyedBatch{Records: records, Next: a.End}, heard: a.Heard}, err
 }
 
-// errGap is a reader's word that it doesn't hold the records any more.
-var errGap = errors.New("relay: the reader doesn't hold these records any more")
+var (
+	// errGap means that a reader doesn't hold the records any more.
+	errGap = errors.New("relay: the reader doesn't hold these records any more")
+	// errKnowsNothing means that a reader lost the store, or has yet to read it.
+	errKnowsNothing = errors.New("relay: the reader doesn't know what the store says")
+)
 
 // get reads another daemon's answer into out.
 func (s *Store) get(ctx context.Context, url string, out any) error {
@@ -313,8 +379,11 @@
 		return fmt.Errorf("relay: %w", err)
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode == http.StatusGone {
+	switch resp.StatusCode {
+	case http.StatusGone:
 		return errGap
+	case http.StatusServiceUnavailable:
+		return errKnowsNothing
 	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("relay: status %d", resp.StatusCode)
--- a/process/roster/announce.go
+++ b/process/roster/announce.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return fmt.Errorf("roster: own entry: %w", err)
 	}
-	written := false
+	written, failed := false, 0
 	for r.tomb.Alive() {
 		if !written {
 			_, err = r.o.Store.Put(ctx, port.TopicDaemons, r.o.Self.VM, value)
@@ -40,9 +40,13 @@
 		if written {
 			err = r.list(ctx)
 		}
+		if failed > 0 || err == nil {
+			r.listedOne.Do(func() { close(r.listed) })
+		}
 		if err == nil {
 			return nil
 		}
+		failed++
 		log.WithError(err).Debug("roster: daemons not listed yet")
 		if pause.For(ctx, listBackoff) != nil {
 			return nil
@@ -72,7 +76,6 @@
 			r.mu.Lock()
 			r.listedAt = time.Now()
 			r.mu.Unlock()
-			close(r.listed)
 			r.send(false)
 			return nil
 		}
--- a/process/roster/heartbeat.go
+++ b/process/roster/heartbeat.go
@@ -116,7 +116,7 @@
 	r.mu.Lock()
 	r.paused.tick(now)
 	r.seq++
-	r.self.StoreAway = r.o.StoreAway()
+	r.self.StoreAway = r.storeFails()
 	b.Member, b.Seq = r.self, r.seq
 	r.sent = append(r.sent, sentHeartbeat{seq: r.seq, work: b.Work, demand: b.Demand})
 	r.sent = r.sent[max(len(r.sent)-maxSent, 0):]
@@ -139,6 +139,13 @@
 	}
 }
 
+func (r *Roster) storeFails() bool {
+	if r.o.StoreFails == nil {
+		return r.o.StoreAway()
+	}
+	return r.o.StoreFails()
+}
+
 // write sends a datagram. One that can't be sent is as good as lost on the way.
 func (r *Roster) write(data []byte, to net.Addr) { _, _ = r.conn.WriteTo(data, to) }
 
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -71,7 +71,7 @@
 	PeerAddr    string
 	Zone        string
 	State       State
-	StoreAway   bool   // it can't read the store now
+	StoreAway   bool   // its own calls to the store fail
 	LinkMbps    uint32 // bandwidth of its VM's link in Mbit/s, 0: not known
 }
 
@@ -84,8 +84,13 @@
 	Speeds Speeds        // and of engines' speed
 	Demand Demand        // and of callers' demand
 	TTL    time.Duration // how long callers keep addresses
-	// StoreAway reports whether the store can't be read now.
+	// StoreAway reports whether this daemon doesn't know what the store says now.
 	StoreAway func() bool
+	// StoreFails reports whether its own calls to the store fail; nil: StoreAway.
+	StoreFails func() bool
+	// Rooted has one daemon read the store for the whole fleet: the bounds leave
+	// time for another hop.
+	Rooted bool
 	// Clock gets the other daemons' clocks; nil: none.
 	Clock FleetClock
 	// Usage takes other daemons' reports of usage; nil: there are none.
@@ -111,9 +116,13 @@
 	paused pauses
 	// listedAt is when the store's list of daemons was read, zero before.
 	listedAt time.Time
+	// upstream was found at upstreamAt.
+	upstream   Upstream
+	upstreamAt time.Time
 
 	ownership ownership
-	listed    chan struct{} // closed once listedAt is set
+	listed    chan struct{} // closed once the daemons were listed, or that failed twice
+	listedOne sync.Once
 
 	sockets sync.Once
 }
--- /dev/null
+++ b/process/roster/tree_test.go
@@ -0,0 +1,99 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+)
+
+// fleetOf is a fleet of that many daemons in five availability zones. Of each
+// zone the first wide ones have links of 1,000 Mbit/s, the others of 20.
+func fleetOf(size, wide int) []*node {
+	var out []*node
+	for i := range size {
+		n := &node{addr: fmt.Sprint("addr", i), vm: fmt.Sprintf("vm%05d", i), zone: fmt.Sprint("z", i%5), link: 20}
+		if i/5 < wide {
+			n.link = 1000
+		}
+		out = append(out, n)
+	}
+	return out
+}
+
+// Guards against store readers, and daemons that read from one, that grow in
+// number with the fleet, and against readers that read from each other in a circle.
+func TestTreeIsBoundedAtAnySize(t *testing.T) {
+	for _, c := range []struct{ size, wide, depth int }{
+		{100, 2, 2}, {300, 2, 2}, {985, 10, 2}, {2000, 20, 3}, {985, 0, 4}, {2000, 0, 5},
+	} {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
+			fleet := fleetOf(c.size, c.wide)
+			places := make(map[string]Upstream)
+			byAddr := make(map[string]*node)
+			readers := make(map[string]int)
+			direct := 0
+			for _, n := range fleet {
+				up := upstreamOf(n, fleet, true)
+				places[n.addr], byAddr[n.addr] = up, n
+				if len(up.Peers) == 0 {
+					direct++
+					continue
+				}
+				readers[up.Peers[0]]++
+			}
+			if direct != 1 {
+				t.Errorf("%d daemons read the store", direct)
+			}
+			for addr, count := range readers {
+				// The heads' readers choose one of two by hash; the root has other heads too.
+				if most := byAddr[addr].readers(c.size)*13/10 + headsPerZone*5; count > most {
+					t.Errorf("%d read from %s with a link of %d, want %d", count, addr, byAddr[addr].link, most)
+				}
+			}
+			for addr, up := range places {
+				hops := 0
+				for up := up; len(up.Peers) > 0; up = places[up.Peers[0]] {
+					hops++
+					if hops > up.Depth {
+						t.Fatalf("%s is %d hops from the store, want %d", addr, hops, up.Depth)
+					}
+				}
+				if up.Depth > c.depth {
+					t.Fatalf("depth %d, want %d", up.Depth, c.depth)
+				}
+				if len(up.Peers) > 1 && up.Peers[0] == up.Peers[1] {
+					t.Errorf("%s reads from %v", addr, up.Peers)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a fleet that reads nothing while its root alone can't reach the
+// store, and against daemons that all go to the store while it is away for all.
+func TestTreePassesOverADaemonWithoutTheStore(t *testing.T) {
+	fleet := fleetOf(100, 2)
+	var root *node
+	for _, n := range fleet {
+		if len(upstreamOf(n, fleet, true).Peers) == 0 {
+			root = n
+		}
+	}
+	root.away = true
+	if up := upstreamOf(root, fleet, true); len(up.Peers) == 0 {
+		t.Error("it still reads the store")
+	}
+	for _, all := range []bool{false, true} {
+		direct := 0
+		for _, n := range fleet {
+			n.away = n.away || all
+		}
+		for _, n := range fleet {
+			if len(upstreamOf(n, fleet, true).Peers) == 0 {
+				direct++
+			}
+		}
+		if direct != 1 {
+			t.Errorf("away for all: %v, %d daemons read the store", all, direct)
+		}
+	}
+}
