dispatch, roles: no daemon looks at each engine

Cause: a prompt was weighed for all 9,675 engines (1.9 ms, five times that on most daemons), and ten times a second each daemon joined all engines with all work for a plan of roles that only one of them carries out. The owner of an engine's queue was found by a hash of each of 985 daemons, each time.

Now a prompt looks at some sixty engines: where its parts are kept, where equal prompts meet, connected ones, a few that this daemon prefers, and some at random. Of up to 256 engines of a role all are looked at as before. Only the daemon that leads joins the engines. Digests hold the 256 busiest engines.

--- a/connection/engines/aggregate.go
+++ b/connection/engines/aggregate.go
@@ -1,5 +1,10 @@
 package engines
 
+import (
+	"cmp"
+	"slices"
+)
+
 // Known is the number of engines that are known of.
 func (b *Book) Known() int {
 	b.mu.Lock()
@@ -22,6 +27,42 @@
 	return out
 }
 
+// Streams is the number of requests that decode at the engines whose ids' hashes
+// fit.
+func (b *Book) Streams(fits func(hash uint64) bool) int {
+	n := 0
+	for _, w := range b.Sum() {
+		if w.Streams > 0 && fits(w.Target) {
+			n += int(w.Streams)
+		}
+	}
+	return n
+}
+
+// Busiest are the n entries that say most: engines that are down or change their
+// role, then those with the most work.
+func Busiest(work []Work, n int) []Work {
+	if len(work) <= n {
+		return work
+	}
+	slices.SortFunc(work, func(a, b Work) int {
+		return cmp.Or(
+			cmp.Compare(b.special(), a.special()),
+			cmp.Compare(b.Reading, a.Reading), cmp.Compare(b.Streams, a.Streams), cmp.Compare(a.Target, b.Target),
+		)
+	})
+	return work[:n]
+}
+
+// special counts what is said of an engine that isn't work.
+func (w *Work) special() int {
+	n := int(w.Down)
+	if w.Becomes != "" {
+		n++
+	}
+	return n
+}
+
 // SumOf is the sum of this process's work and of the reports whose names it is
 // given.
 func (b *Book) SumOf(names func(name string) bool) []Work {
--- a/connection/engines/book.go
+++ b/connection/engines/book.go
@@ -92,6 +92,7 @@
 
 	mu      sync.Mutex
 	engines map[uint64]*engine
+	keepers map[uint64][]uint64 // by id of a prompt part, the last engines that read it
 	peers   map[string]*peerWork
 	oldest  time.Time // no report in peers is older
 	reads   []Read    // of this process, not yet told to all daemons
@@ -122,7 +123,7 @@
 // New returns an empty Book. changed is called, without locks held, with the
 // process's own work at an engine when it changed.
 func New(now func() time.Time, changed func(Work)) *Book {
-	return &Book{now: now, changed: changed, engines: make(map[uint64]*engine), peers: make(map[string]*peerWork), oldest: now()}
+	return &Book{now: now, changed: changed, engines: make(map[uint64]*engine), keepers: make(map[uint64][]uint64), peers: make(map[string]*peerWork), oldest: now()}
 }
 
 // Hash names an engine in the daemons' messages.
@@ -192,6 +193,7 @@
 // are to be told. Callers hold b.mu.
 func (b *Book) reading(hash uint64, e *engine, parts []port.PromptPart, ready time.Time) {
 	e.keeps.add(parts, ready)
+	b.noteKeeper(hash, parts)
 	if len(b.reads) < maxUntold {
 		b.reads = append(b.reads, Read{Target: hash, Parts: parts, ready: ready})
 	}
@@ -202,6 +204,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.engine(Hash(target), memory).keeps.add(parts, b.now())
+	b.noteKeeper(Hash(target), parts)
 }
 
 // Decode notes that a request goes to an engine to be decoded, which has its KV
--- a/connection/engines/reports.go
+++ b/connection/engines/reports.go
@@ -88,6 +88,7 @@
 			fresh = append(fresh, r)
 		}
 		keeps.add(r.Parts, r.ready)
+		b.noteKeeper(r.Target, r.Parts)
 	}
 	return fresh
 }
--- a/connection/h1/pool.go
+++ b/connection/h1/pool.go
@@ -160,6 +160,19 @@
 	return now.Sub(c.used) < c.idleLimit(Idle)
 }
 
+// IdleKeys returns the keys of the targets that there are idle connections to.
+func (p *Pool) IdleKeys() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]string, 0, len(p.idle))
+	for key, list := range p.idle {
+		if len(list) > 0 {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
 // put keeps a connection whose exchange ended whole.
 func (p *Pool) put(c *conn, keepAlive time.Duration) {
 	c.used = time.Now()
--- a/process/discovery/registry.go
+++ b/process/discovery/registry.go
@@ -102,11 +102,14 @@
 }
 
 // HasHash reports whether there is a target whose id has that hash.
-func (r *Registry) HasHash(hash uint64) bool {
+func (r *Registry) HasHash(hash uint64) bool { return r.ServiceOf(hash) != "" }
+
+// ServiceOf returns the service of the target whose id has that hash, empty if
+// there is none.
+func (r *Registry) ServiceOf(hash uint64) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, has := r.hashes[hash]
-	return has
+	return r.entries[r.hashes[hash]].Service
 }
 
 // Same reports whether two records of a key say the same of their target: they
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -247,6 +247,7 @@
 		Control: d.control,
 		Queues:  d.roster,
 		Zone:    d.s.Zone,
+		Self:    d.s.VM,
 	})
 	d.metrics = newMetrics(d)
 	d.ingress = ingress.New(ingress.Options{Config: d.config, Wire: platform.Wire{}, Runner: runner, Observe: d.metrics.observe,
--- a/process/front/warm.go
+++ b/process/front/warm.go
@@ -15,9 +15,13 @@
 
 const (
 	// askAtStart is the most engines that a daemon asks at its start what they
-	// keep. The question delays an engine's work a little; with more engines
-	// each daemon asks some, and learns of the others from the daemons' reports.
+	// keep. The question delays an engine's work a little, and takes a connection;
+	// with more engines each daemon asks some, and learns of the others from the
+	// daemons' reports.
 	askAtStart = 16
+	// askShare is the least share of the engines that is worth asking: prompts meet
+	// at engines that their parts name, whether this daemon has asked those or not.
+	askShare = 0.05
 	// askSpread is the time over which the questions are spread.
 	askSpread = 300 * time.Millisecond
 )
@@ -36,6 +40,9 @@
 		}
 		entries := slices.Clone(d.registry.Snapshot().Targets[svc.Name].All().All())
 		rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
+		if float64(askAtStart) < askShare*float64(len(entries)) {
+			continue
+		}
 		for _, e := range entries[:min(len(entries), askAtStart)] {
 			d.tomb.Go(func() error {
 				d.ask(ctx, svc, e)
--- a/process/roles/planner.go
+++ b/process/roles/planner.go
@@ -179,8 +179,11 @@
 // first of those that can.
 func (p *Planner) look(ctx context.Context, svc *route.Service) {
 	snap := p.o.Targets.Snapshot()
+	demand := p.demand(svc.Name)
+	if p.leads < 0 && len(p.changing) == 0 {
+		return // thousands of engines concern the one that leads
+	}
 	list := p.engines(snap.Targets[svc.Name].All().All())
-	demand := p.demand(svc.Name, list)
 	if !snap.Whole || p.leads < 0 {
 		return
 	}
@@ -396,7 +399,7 @@
 // long as the engines' reading isn't known, nothing is known of the demand. The
 // streams that run are asked for at least: with streams of seconds some ten
 // seconds pass until enough of them have ended to foresee others.
-func (p *Planner) demand(service string, list []Engine) Demand {
+func (p *Planner) demand(service string) Demand {
 	a := p.asked[service]
 	if a == nil {
 		a = &asked{at: -time.Second}
@@ -408,10 +411,7 @@
 	}
 	a.at = now
 	l := p.o.Demand.Total(service)
-	running := 0
-	for _, e := range list {
-		running += e.Streams
-	}
+	running := p.o.Engines.Streams(func(hash uint64) bool { return p.o.Targets.ServiceOf(hash) == service })
 	l.Streams = max(l.Streams, float64(running))
 	a.notes = append(a.notes, l)
 	if len(a.notes) > kept {
--- a/process/roster/duties.go
+++ b/process/roster/duties.go
@@ -16,18 +16,30 @@
 	if !r.Ready() || r.o.StoreAway() {
 		return false
 	}
-	first := r.Leaders(1)
-	return len(first) == 1 && first[0].VM == r.o.Self.VM
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.peers {
+		if mayLead(&p.member) && leadsBefore(&p.member, &r.self) < 0 && r.isAlive(p, now) {
+			return false
+		}
+	}
+	return mayLead(&r.self)
+}
+
+func mayLead(m *Member) bool { return m.State == Ready && !m.StoreAway }
+
+// leadsBefore orders the daemons that may lead.
+func leadsBefore(a, b *Member) int {
+	return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(a.VM, b.VM))
 }
 
 // Leaders returns the first n daemons that may lead, the one that does first:
 // of those that take requests and can read the store the ones with the widest
 // links, then by name.
 func (r *Roster) Leaders(n int) []Member {
-	fit := slices.DeleteFunc(r.Members(), func(m Member) bool { return m.State != Ready || m.StoreAway })
-	slices.SortFunc(fit, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(a.VM, b.VM))
-	})
+	fit := slices.DeleteFunc(r.Members(), func(m Member) bool { return !mayLead(&m) })
+	slices.SortFunc(fit, func(a, b Member) int { return leadsBefore(&a, &b) })
 	return fit[:min(len(fit), n)]
 }
 
--- a/process/roster/owner.go
+++ b/process/roster/owner.go
@@ -10,7 +10,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/pomelospool/pomelospool/connection/address"
 	"github.com/pomelospool/pomelospool/connection/engines"
 )
 
@@ -150,26 +149,62 @@
 	}
 }
 
+// owners are the daemons that own engines' queues, as of a moment.
+type owners struct {
+	at   time.Time
+	list []ownerPoint
+}
+
+// ownerPoint is a daemon by the hash of its peer address; addr nil: this one.
+type ownerPoint struct {
+	hash uint64
+	addr net.Addr
+}
+
+// ownersFor is how long the list of owners is used.
+const ownersFor = heartbeatInterval
+
+// ownerList returns the daemons that may own queues. Callers hold r.mu.
+func (r *Roster) ownerList(now time.Time) []ownerPoint {
+	k := &r.owners
+	if !k.at.IsZero() && now.Sub(k.at) < ownersFor {
+		return k.list
+	}
+	k.at, k.list = now, k.list[:0]
+	if r.self.State != Leaving {
+		k.list = append(k.list, ownerPoint{hash: engines.Hash(r.self.PeerAddr)})
+	}
+	for addr, p := range r.peers {
+		if p.member.State != Leaving && p.alive(now, r.patience()) {
+			k.list = append(k.list, ownerPoint{hash: engines.Hash(addr), addr: p.addr})
+		}
+	}
+	return k.list
+}
+
 // owner returns the address of the daemon that owns an engine's queue, nil
 // for this one: the one that the hash of both names, so that each daemon finds
 // the same without talking. Callers hold r.mu.
 func (r *Roster) owner(target uint64, now time.Time) net.Addr {
 	var to net.Addr
-	best := address.Rank(target, r.self.PeerAddr)
-	if r.self.State == Leaving {
-		best = 0
-	}
-	for addr, p := range r.peers {
-		if p.member.State == Leaving || !p.alive(now, r.patience()) {
-			continue
-		}
-		if rank := address.Rank(target, addr); rank > best {
-			best, to = rank, p.addr
+	var best uint64
+	for _, o := range r.ownerList(now) {
+		if rank := mix(target ^ o.hash); rank >= best {
+			best, to = rank, o.addr
 		}
 	}
 	return to
 }
 
+// mix spreads the bits of a hash: the finalizer of MurmurHash3.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
 // sendMessage sends a message to one daemon.
 func (r *Roster) sendMessage(kind byte, message any, to net.Addr) {
 	data, err := packed(kind, message)
--- a/process/roster/peer.go
+++ b/process/roster/peer.go
@@ -59,6 +59,7 @@
 	if changed {
 		log.WithFields(log.Fields{"vm": m.VM, "addr": m.CallerAddr, "state": m.State, "incarnation": m.Incarnation}).Info("roster: daemon")
 		p.repeat = changeRepeats
+		r.owners.at = time.Time{}
 	}
 	delete(r.tokens, p.member.token())
 	p.member, p.known, p.dead, p.seq = *m, true, false, seq
--- a/process/roster/publish.go
+++ b/process/roster/publish.go
@@ -15,6 +15,10 @@
 	// maxRelayed bounds the reads of one digest: 7 kB to each receiver, twice a
 	// second.
 	maxRelayed = 6 * readsPerDatagram
+	// maxWork bounds the engines in one digest: 5 kB to each receiver, twice a
+	// second. Those with less work are as good as idle to whoever chooses, who asks
+	// the owners of their queues in any case.
+	maxWork = 256
 	// maxPendingReads bounds those that wait for it.
 	maxPendingReads = 1024
 )
@@ -173,7 +177,8 @@
 func (r *Roster) fillSummaries(s *round) {
 	local := func(name string) bool { return s.local[name] }
 	all := func(string) bool { return true }
-	s.toMembers.Work, s.toOthers.Work = r.o.Book.Sum(), r.o.Book.SumOf(local)
+	s.toMembers.Work = engines.Busiest(r.o.Book.Sum(), maxWork)
+	s.toOthers.Work = engines.Busiest(r.o.Book.SumOf(local), maxWork)
 	s.toMembers.Demand, s.toOthers.Demand = r.o.Demand.SumOf(all), r.o.Demand.SumOf(local)
 	claims, speeds := r.o.Claims.Report(), r.o.Speeds.Best()
 	s.toMembers.Claims, s.toOthers.Claims = claims, claims
@@ -186,7 +191,7 @@
 	if len(to) == 0 {
 		return
 	}
-	for _, one := range cut(d, rows, whole, r.o.Book.Known()) {
+	for _, one := range cut(d, rows, whole, min(r.o.Book.Known(), maxWork)) {
 		data, err := one.encode()
 		if err != nil {
 			log.WithError(err).Error("roster: digest can't be encoded")
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -121,6 +121,7 @@
 	upstreamAt time.Time
 
 	ownership ownership
+	owners    owners        // guarded by mu
 	listed    chan struct{} // closed once the daemons were listed, or that failed twice
 	listedOne sync.Once
 
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -87,6 +87,7 @@
 	Speed   *speed.Book
 	Demand  *demand.Book
 	Zone    string // availability zone of this process
+	Self    string // name of this process's VM: the targets that it prefers follow from it
 }
 
 // Runner runs calls. It is safe for concurrent use.
--- a/request/dispatch/decode.go
+++ b/request/dispatch/decode.go
@@ -27,7 +27,7 @@
 		}
 	}()
 	for tries := 1; ; tries++ {
-		cands := u.decoders(p)
+		cands := u.decoders(p, from.zone)
 		at := placement.Decode(p.Prompt, cands, u.c.Service.Engine, from.zone)
 		if at < 0 {
 			return fail(failure.NotRun, from.at, errNoDecoder)
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -61,7 +61,7 @@
 	if from.kv == nil || f.Class != failure.NotRun {
 		return true
 	}
-	for _, c := range u.candidates(p, port.RoleDecode) {
+	for _, c := range u.candidates(p, port.RoleDecode, from.zone) {
 		if c.Rate < doubtful {
 			return true
 		}
@@ -235,9 +235,17 @@
 	// others of them.
 	r.Stay = f.StayLess
 	urgent := u.opts.Demand.Total(u.c.Service.Name).Urgent
-	r.Reserved = placement.Reserve(urgent, len(cands), cands[0].Entry.Slots)
+	r.Reserved = placement.Reserve(urgent, u.decoding(cands), cands[0].Entry.Slots)
 	return r
 }
 
+// decoding is the number of engines that decode, of which cands are looked at.
+func (u *run) decoding(cands []placement.Candidate) int {
+	if of := u.opts.Targets.Targets(u.c.Service.Name).Of(port.RoleDecode, "").Len(); of > lookAtAll {
+		return of
+	}
+	return len(cands)
+}
+
 // probeShare is the share of calls that engines get which refuse lately.
 const probeShare = 0.3
--- a/request/dispatch/plain.go
+++ b/request/dispatch/plain.go
@@ -85,21 +85,25 @@
 const (
 	failWeight = 2.0  // for a failure rate of one
 	zoneWeight = 0.05 // for another availability zone: half a millisecond, and bytes that are paid for
+	dialWeight = 0.05 // for a new connection: a round trip, and it is paid for
 )
 
 // pickPlain chooses the target with the most free places.
 func (u *run) pickPlain() (port.TargetEntry, bool) {
 	var best port.TargetEntry
 	bestCost := -1.0
-	for _, e := range u.usable(nil, nil) {
+	for _, e := range u.usable(u.consider("", nil, u.opts.Zone), nil) {
 		cost := float64(e.load.Streams) / float64(max(e.Slots, 1))
 		cost += failWeight * u.opts.Health.Rate(e.ID)
 		if e.Zone != u.opts.Zone {
 			cost += zoneWeight
 		}
+		if !u.opts.Pool.Warm(e.Addr, e.ID) {
+			cost += dialWeight
+		}
 		cost += zoneWeight / 2 * spread(u.c.Ask.ID, e.ID)
 		if bestCost < 0 || cost < bestCost {
-			best, bestCost = e.TargetEntry, cost
+			best, bestCost = *e.TargetEntry, cost
 		}
 	}
 	return best, bestCost >= 0
--- a/request/dispatch/prefill.go
+++ b/request/dispatch/prefill.go
@@ -59,11 +59,11 @@
 // lost its power, engines look alike whatever waits there, some hold 2.7 s of
 // prompts and others are idle, and nothing is fetched that is kept elsewhere.
 func (u *run) choosePrefill(ctx context.Context, p prompt, f speed.Figures) reading {
-	cands := u.candidates(p, port.RolePrefill)
+	cands := u.candidates(p, port.RolePrefill, u.opts.Zone)
 	for i := range cands {
 		cands[i].Rate += u.opts.Health.Rate(kvOf(cands[i].Entry.ID))
 	}
-	decoders := u.decoders(p)
+	decoders := u.decoders(p, u.opts.Zone)
 	// Engines that read come first, of those that keep as much: requests that
 	// run fill the memory of those that decode, and push out what they keep.
 	sources := slices.Concat(cands, decoders)
@@ -100,25 +100,29 @@
 	return placement.Settle(list, cands, waits)
 }
 
-// decoders are the engines that may make the answer.
-func (u *run) decoders(p prompt) []placement.Candidate {
-	out := u.candidates(p, port.RoleDecode)
+// decoders are the engines that may make the answer, some of the zone among them.
+func (u *run) decoders(p prompt, zone string) []placement.Candidate {
+	out := u.candidates(p, port.RoleDecode, zone)
 	u.bound(out)
 	return out
 }
 
-func (u *run) candidates(p prompt, role port.Role) []placement.Candidate {
+// candidates are the engines of a role that are looked at. They are of any zone,
+// some of the given one among them.
+func (u *run) candidates(p prompt, role port.Role, zone string) []placement.Candidate {
 	var out []placement.Candidate
-	for _, t := range u.usable(p.parts, func(e port.TargetEntry) bool { return e.Role == role }) {
+	c := u.consider(role, &p, zone)
+	for _, t := range u.usable(c, p.parts) {
 		if t.load.Becomes != "" {
 			continue
 		}
 		out = append(out, placement.Candidate{
-			Entry: t.TargetEntry,
-			Load:  t.load,
-			Rate:  u.opts.Health.Rate(t.ID),
-			Pace:  u.opts.Health.Pace(t.ID),
-			Warm:  u.opts.Pool.Warm(t.Addr, t.ID),
+			Entry:   *t.TargetEntry,
+			Load:    t.load,
+			Rate:    u.opts.Health.Rate(t.ID),
+			Pace:    u.opts.Health.Pace(t.ID),
+			Warm:    u.opts.Pool.Warm(t.Addr, t.ID),
+			Private: t.private,
 		})
 	}
 	return out
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -157,19 +157,17 @@
 
 // loaded is a target with its load.
 type loaded struct {
-	port.TargetEntry
-	load engines.Load
+	*port.TargetEntry
+	load    engines.Load
+	private bool // only this daemon considers it
 }
 
-// usable returns the service's targets that stay, without those that failed
-// this call or are benched if others are left. parts are the call's prompt.
-func (u *run) usable(parts []port.PromptPart, fits func(e port.TargetEntry) bool) []loaded {
+// usable returns the considered targets without those that failed this call or are
+// ejected if others are left. parts are the call's prompt.
+func (u *run) usable(c *considered, parts []port.PromptPart) []loaded {
 	var good, tried []loaded
-	for _, e := range u.opts.Targets.Targets(u.c.Service.Name).All().All() {
-		if e.Leaving || fits != nil && !fits(*e) {
-			continue
-		}
-		t := loaded{TargetEntry: *e, load: u.opts.Engines.Load(e.ID, parts)}
+	for i, e := range c.entries {
+		t := loaded{TargetEntry: e, load: u.opts.Engines.Load(e.ID, parts), private: i >= c.shared}
 		if u.avoids(e.ID) || u.opts.Health.Benched(e.ID) || t.load.Unreachable() {
 			tried = append(tried, t)
 			continue
--- a/request/placement/home.go
+++ b/request/placement/home.go
@@ -42,7 +42,7 @@
 	least := 0.0
 	for i := range cands {
 		c := &cands[i]
-		if c.Rate >= soundRate || c.Pace > slowFrom {
+		if c.Private || c.Rate >= soundRate || c.Pace > slowFrom {
 			continue
 		}
 		if u := unit(p.Seed ^ engines.Hash(c.Entry.ID)); h.at < 0 || u < least {
--- a/request/placement/prefill.go
+++ b/request/placement/prefill.go
@@ -16,7 +16,9 @@
 	Rate  float64 // share of its requests that failed lately
 	Pace  float64 // how often longer than foreseen it takes lately, 1: as foreseen
 	Warm  bool    // this process has an idle connection to it
-	Most  int     // streams at which the longest answers of the route still end in time; 0: not known
+	// Private says that other daemons don't look at it: prompts don't meet there.
+	Private bool
+	Most    int // streams at which the longest answers of the route still end in time; 0: not known
 }
 
 // slower gives the time that the candidate is likely to take for one foreseen.
