--- a/process/relay/relay_test.go
+++ b/process/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -459,3 +460,9 @@
 		t.Errorf("a listing without the store was taken: %+v, %v", page, err)
 	}
 }
+
+// firstKeys returns the first n keys in order.
+func firstKeys(keys []string, n int) []string {
+	slices.Sort(keys)
+	return keys[:min(len(keys), n)]
+}
--- a/process/roles/roles_test.go
+++ b/process/roles/roles_test.go
@@ -13,6 +13,7 @@
 	"github.com/pomelospool/pomelospool/connection/demand"
 	"github.com/pomelospool/pomelospool/connection/engines"
 	"github.com/pomelospool/pomelospool/connection/health"
+	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/claim"
 	"github.com/pomelospool/pomelospool/process/discovery"
@@ -363,3 +364,24 @@
 	}
 	return out
 }
+
+// Guards against a daemon that joins thousands of engines with what is known of
+// each, ten times a second, though another one gives the orders.
+func TestOnlyTheLeaderLooksAtEachEngine(t *testing.T) {
+	registry := discovery.New(discovery.Options{Decode: func(r port.KeyedRecord) (port.TargetEntry, bool, error) {
+		return port.TargetEntry{ID: r.Key, Service: "llm", Role: port.RolePrefill, Slots: 64}, true, nil
+	}})
+	var records []port.KeyedRecord
+	for i := range int64(10_000) {
+		records = append(records, port.KeyedRecord{Key: fmt.Sprint("e", i), Value: []byte("v"), Offset: i})
+	}
+	registry.Reset(records, int64(len(records)))
+	p := New(Options{
+		Self: "a", Clock: fixed(func() time.Duration { return time.Minute }), Targets: registry, Speed: speed.NewBook(),
+		Engines: engines.New(time.Now, func(engines.Work) {}), Health: health.New(time.Now, nil), Demand: demand.New(time.Now),
+	})
+	svc := &route.Service{Name: "llm", Engine: &route.Engine{}}
+	if n := testing.AllocsPerRun(10, func() { p.look(t.Context(), svc) }); n > 10 {
+		t.Errorf("%v allocations for a look", n)
+	}
+}
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,6 +16,7 @@
 	"github.com/pomelospool/pomelospool/connection/demand"
 	"github.com/pomelospool/pomelospool/connection/engines"
 	"github.com/pomelospool/pomelospool/connection/speed"
+	"github.com/pomelospool/pomelospool/internal/packetnet"
 	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/port"
 )
@@ -27,86 +26,6 @@
 	m.Run()
 }
 
-// wires is a network of datagrams in memory.
-type wires struct {
-	mu   sync.Mutex
-	ends map[string]*end
-	cut  map[string]bool // addresses that nothing reaches or leaves
-	sent int             // datagrams
-	lose float64         // share of datagrams that is lost
-	luck *rand.Rand
-}
-
-type packet struct {
-	data []byte
-	from net.Addr
-}
-
-type end struct {
-	w    *wires
-	addr *net.UDPAddr
-	in   chan packet
-	done chan struct{}
-	once sync.Once
-}
-
-func (w *wires) end(addr string) *end {
-	udp, err := net.ResolveUDPAddr("udp4", addr)
-	if err != nil {
-		panic(err)
-	}
-	e := &end{w: w, addr: udp, in: make(chan packet, 1000), done: make(chan struct{})}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.ends[addr] = e
-	return e
-}
-
-func (w *wires) setCut(addr string, on bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.cut[addr] = on
-}
-
-func (w *wires) setLoss(share float64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.lose = share
-}
-
-func (e *end) WriteTo(data []byte, to net.Addr) (int, error) {
-	e.w.mu.Lock()
-	defer e.w.mu.Unlock()
-	other := e.w.ends[to.String()]
-	e.w.sent++
-	if e.w.luck.Float64() < e.w.lose {
-		return len(data), nil
-	}
-	if other == nil || e.w.cut[to.String()] || e.w.cut[e.addr.String()] {
-		return len(data), nil
-	}
-	select {
-	case other.in <- packet{slices.Clone(data), e.addr}:
-	default:
-	}
-	return len(data), nil
-}
-
-func (e *end) ReadFrom(b []byte) (int, net.Addr, error) {
-	select {
-	case p := <-e.in:
-		return copy(b, p.data), p.from, nil
-	case <-e.done:
-		return 0, nil, net.ErrClosed
-	}
-}
-
-func (e *end) Close() error                     { e.once.Do(func() { close(e.done) }); return nil }
-func (e *end) LocalAddr() net.Addr              { return e.addr }
-func (e *end) SetDeadline(time.Time) error      { return nil }
-func (e *end) SetReadDeadline(time.Time) error  { return nil }
-func (e *end) SetWriteDeadline(time.Time) error { return nil }
-
 // list is a store that holds the daemons only.
 type list struct {
 	mu      sync.Mutex
@@ -144,7 +63,7 @@
 
 // daemons is a fleet of rosters.
 type daemons struct {
-	w      *wires
+	w      *packetnet.Net
 	store  *list
 	away   atomic.Bool
 	zones  int // availability zones, 0: one
@@ -177,7 +96,7 @@
 			CallerAddr: fmt.Sprintf("10.0.%d.%d:80", vm/250, vm%250), PeerAddr: addr, LinkMbps: linkMbps,
 		},
 		Claims: claims, Speeds: speed.NewBook(), Demand: demand.New(time.Now),
-		Store: d.store, Book: book, TTL: time.Second, StoreAway: d.away.Load, Conn: d.w.end(addr),
+		Store: d.store, Book: book, TTL: time.Second, StoreAway: d.away.Load, Conn: d.w.Open(addr),
 	})
 	if err != nil {
 		panic(err)
@@ -189,7 +108,7 @@
 }
 
 func newDaemons() *daemons {
-	return &daemons{w: &wires{ends: map[string]*end{}, cut: map[string]bool{}, luck: rand.New(rand.NewPCG(1, 2))}, store: &list{records: map[string]port.KeyedRecord{}}}
+	return &daemons{w: packetnet.New(2), store: &list{records: map[string]port.KeyedRecord{}}}
 }
 
 func withFleet(t *testing.T, n int, test func(t *testing.T, d *daemons)) {
@@ -239,12 +158,12 @@
 // Callers are sent to a daemon that was killed, for seconds.
 func TestSilentDaemonIsOutSoon(t *testing.T) {
 	withFleet(t, 3, func(t *testing.T, d *daemons) {
-		d.w.setCut("10.0.0.3:7000", true)
+		d.w.SetCut("10.0.0.3:7000", true)
 		_ = pause.For(context.Background(), deadAfter+heartbeatInterval)
 		if addrs(d.all[0]) != 2 {
 			t.Errorf("%d addresses, want 2", addrs(d.all[0]))
 		}
-		d.w.setCut("10.0.0.3:7000", false)
+		d.w.SetCut("10.0.0.3:7000", false)
 		_ = pause.For(context.Background(), 2*heartbeatInterval)
 		if addrs(d.all[0]) != 3 {
 			t.Errorf("%d addresses after its return, want 3", addrs(d.all[0]))
@@ -255,7 +174,7 @@
 // A daemon that is cut off sends all callers that ask it to itself alone.
 func TestCutOffDaemonStillNamesTheOthers(t *testing.T) {
 	withFleet(t, 3, func(t *testing.T, d *daemons) {
-		d.w.setCut("10.0.0.1:7000", true)
+		d.w.SetCut("10.0.0.1:7000", true)
 		d.away.Store(true)
 		_ = pause.For(context.Background(), 5*time.Second)
 		if addrs(d.all[0]) != 3 {
@@ -272,9 +191,9 @@
 func (d *daemons) pause(vm int, long time.Duration) {
 	asleep := make(chan struct{})
 	d.claims[vm-1].asleep.Store(&asleep)
-	d.w.setCut(peerAddr(vm), true)
+	d.w.SetCut(peerAddr(vm), true)
 	_ = pause.For(context.Background(), long)
-	d.w.setCut(peerAddr(vm), false)
+	d.w.SetCut(peerAddr(vm), false)
 	d.claims[vm-1].asleep.Store(nil)
 	close(asleep)
 }
@@ -293,7 +212,7 @@
 			if got := addrs(d.all[n-1]); got != n {
 				t.Errorf("%d of %d addresses some time later", got, n)
 			}
-			d.w.setCut(peerAddr(1), true)
+			d.w.SetCut(peerAddr(1), true)
 			d.pause(n, 5*time.Second)
 			_ = pause.For(context.Background(), settleAfterPause+heartbeatInterval)
 			if got := addrs(d.all[n-1]); got != n-1 {
@@ -428,8 +347,3 @@
 }
 
 // count is the number of datagrams sent so far.
-func (w *wires) count() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.sent
-}
--- a/request/dispatch/rig_test.go
+++ b/request/dispatch/rig_test.go
@@ -36,12 +36,18 @@
 	runner  *Runner
 	budget  *budget.Fleet
 	entries map[string][]port.TargetEntry
+	set     *targets.Set // in place of entries, if there are many
 	freed   chan port.KVSource
 	speed   *speed.Book // knows the engines of service llm
 }
 
 // Targets implements Targets.
-func (r *rig) Targets(service string) *targets.Set { return targets.NewSet(r.entries[service]) }
+func (r *rig) Targets(service string) *targets.Set {
+	if r.set != nil {
+		return r.set
+	}
+	return targets.NewSet(r.entries[service])
+}
 
 // control notes what is released.
 type control struct{ r *rig }
@@ -61,25 +67,31 @@
 // withRig runs a test on virtual time. slack is what the budget allows.
 func withRig(t *testing.T, slack float64, test func(t *testing.T, r *rig)) {
 	synctest.Test(t, func(t *testing.T) {
-		r := &rig{t: t, net: &pipenet.Net{}, entries: map[string][]port.TargetEntry{}, freed: make(chan port.KVSource, 100), speed: speed.NewBook()}
-		r.speed.Merge([]speed.Update{{Service: xxhash.Sum64String("llm"), PerToken: 23e3, PerPair: 257, StartUs: 50_000, FirstUs: 40_000, Reads: 1000}})
-		r.budget = budget.NewFleet(budget.FleetOptions{
-			Slack: (slack + 0.1) / budget.Spent, Window: 10 * time.Second, Now: time.Now,
-			Daemons: func() int { return 1 },
-		})
-		pool := h1.New(h1.Options{Dial: r.net.Dial})
-		r.runner = New(Options{
-			Wire: platform.Wire{}, Pool: pool, Targets: r,
-			Engines: engines.New(time.Now, func(engines.Work) {}), Health: health.New(time.Now, nil),
-			Budget: r.budget, Control: control{r}, Zone: "a", Speed: r.speed, Queues: noQueues{}, Demand: demand.New(time.Now),
-		})
+		r := newRig(slack)
+		r.t = t
 		test(t, r)
-		pool.Close()
+		r.runner.opts.Pool.Close()
 		r.net.Close()
 		synctest.Wait()
 	})
 }
 
+func newRig(slack float64) *rig {
+	r := &rig{net: &pipenet.Net{}, entries: map[string][]port.TargetEntry{}, freed: make(chan port.KVSource, 100), speed: speed.NewBook()}
+	r.speed.Merge([]speed.Update{{Service: xxhash.Sum64String("llm"), PerToken: 23e3, PerPair: 257, StartUs: 50_000, FirstUs: 40_000, Reads: 1000}})
+	r.budget = budget.NewFleet(budget.FleetOptions{
+		Slack: (slack + 0.1) / budget.Spent, Window: 10 * time.Second, Now: time.Now,
+		Daemons: func() int { return 1 },
+	})
+	pool := h1.New(h1.Options{Dial: r.net.Dial})
+	r.runner = New(Options{
+		Wire: platform.Wire{}, Pool: pool, Targets: r,
+		Engines: engines.New(time.Now, func(engines.Work) {}), Health: health.New(time.Now, nil),
+		Budget: r.budget, Control: control{r}, Zone: "a", Speed: r.speed, Queues: noQueues{}, Demand: demand.New(time.Now),
+	})
+	return r
+}
+
 // add serves a target. Its address is its id.
 func (r *rig) add(service string, role port.Role) *standin.Target {
 	id := service + string(rune('0'+len(r.entries[service])))
