roster: callers are sent to the fastest daemons that suffice

Cause: callers were spread over all daemons alike.

Now daemons report their processor and the rate of their requests, and a caller is named some of the fastest of its zone: as many as the zone's requests take with five times the processor, a quarter of the zone's processors at least, each by its weight.

--- a/connection/address/address.go
+++ b/connection/address/address.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -12,9 +13,10 @@
 
 // Member is one daemon as the membership sees it.
 type Member struct {
-	Addr    string // host:port for callers
-	Zone    string // availability zone
-	Leaving bool   // stops soon: callers must be elsewhere by then
+	Addr    string  // host:port for callers
+	Zone    string  // availability zone
+	Leaving bool    // stops soon: callers must be elsewhere by then
+	Weight  float64 // its share of the callers against others'; 0: 1
 }
 
 // Entry is one address of an answer.
@@ -43,14 +45,15 @@
 }
 
 // Answer orders the members that stay: the caller's availability zone first,
-// and within a zone by a hash of seed and address. Different seeds give
-// different orders, so that callers spread; the same seed keeps its order
-// while members come and go, so that its connections stay in use.
+// and within a zone by a hash of seed and address, the ones of more weight first
+// more often. Different seeds give different orders, so that callers spread; the
+// same seed keeps its order while members come and go, so that its connections
+// stay in use.
 func (b *Book) Answer(zone string, seed uint64) Answer {
 	var stay []ranked
 	for _, m := range b.members() {
 		if !m.Leaving {
-			stay = append(stay, ranked{Entry: Entry{Addr: m.Addr, Zone: m.Zone}, rank: Rank(seed, m.Addr)})
+			stay = append(stay, ranked{Entry: Entry{Addr: m.Addr, Zone: m.Zone}, rank: weighted(Rank(seed, m.Addr), m.Weight)})
 		}
 	}
 	slices.SortFunc(stay, func(x, y ranked) int {
@@ -69,7 +72,7 @@
 // ranked is an entry with its place in one caller's order.
 type ranked struct {
 	Entry
-	rank uint64
+	rank float64
 }
 
 func (r *ranked) away(zone string) int {
@@ -79,6 +82,17 @@
 	return 1
 }
 
+// weighted turns a rank into a draw of an exponential distribution of that rate:
+// the least of several is each one's with the chance of its weight.
+func weighted(rank uint64, weight float64) float64 {
+	if weight <= 0 {
+		weight = 1
+	}
+	const bits = 53
+	unit := float64(rank>>(64-bits)) / (1 << bits)
+	return -math.Log1p(-unit) / weight
+}
+
 // Rank is the place of an address in the order of a seed: it mixes the seed into
 // the hash of the address, without a copy of either.
 func Rank(seed uint64, addr string) uint64 {
--- a/connection/address/address_test.go
+++ b/connection/address/address_test.go
@@ -6,6 +6,28 @@
 	"time"
 )
 
+// Guards against a slow daemon that gets as many callers as one with eight times
+// its processor.
+func TestCallersFollowTheWeights(t *testing.T) {
+	weights := []float64{1, 1, 2, 4, 8}
+	var members []Member
+	for i, w := range weights {
+		members = append(members, Member{Addr: fmt.Sprint("10.0.0.", i), Weight: w})
+	}
+	b := NewBook(func() []Member { return members }, time.Second)
+	first := make(map[string]int)
+	const callers = 16_000
+	for seed := range uint64(callers) {
+		first[b.Answer("", seed).Addresses[0].Addr]++
+	}
+	for i, w := range weights {
+		want := callers * w / 16
+		if got := float64(first[members[i].Addr]); got < 0.9*want || got > 1.1*want {
+			t.Errorf("weight %v: first for %v of %d callers, want %v", w, got, callers, want)
+		}
+	}
+}
+
 // TestAnswer: callers get the members that stay, their own zone first, and
 // spread over them.
 func TestAnswer(t *testing.T) {
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -110,6 +110,7 @@
 	claims      *claim.Sightings
 	ingress     *ingress.Ingress
 	metrics     *metrics
+	rate        *rateMeter // of callers' requests
 	ready       atomic.Bool
 
 	servers []*server
@@ -134,6 +135,7 @@
 		claims: claim.NewSightings(clock.Boot{}),
 		speed:  speed.NewBook(),
 		demand: demand.New(time.Now),
+		rate:   newRateMeter(time.Now),
 	}
 	d.incarnation = uint64(time.Now().UnixNano())
 	d.clock = clock.NewFleet(clock.Boot{}, time.Now)
@@ -203,6 +205,7 @@
 			PeerAddr:    addr,
 			Zone:        d.s.Zone,
 			LinkMbps:    uint32(d.s.LinkMbps),
+			Millicores:  d.s.Processor.Millicores(),
 		},
 		Store:      d.store,
 		Book:       d.engines,
@@ -215,6 +218,7 @@
 		Rooted:     rooted(min(d.s.Bounds.Drain, d.s.Bounds.ApplyConfig)),
 		Clock:      d.clock,
 		Usage:      d.receiveUsage,
+		Rate:       d.rate.perSecond,
 	})
 	if err != nil {
 		return err
@@ -250,7 +254,7 @@
 		Self:    d.s.VM,
 	})
 	d.metrics = newMetrics(d)
-	d.ingress = ingress.New(ingress.Options{Config: d.config, Wire: platform.Wire{}, Runner: runner, Observe: d.metrics.observe,
+	d.ingress = ingress.New(ingress.Options{Config: d.config, Wire: platform.Wire{}, Runner: runner, Observe: d.observe,
 		TargetsAge: func() (time.Duration, bool) { return d.tails[port.TopicTargets].Age() },
 		ConfigAge:  func() (time.Duration, bool) { return d.tails[port.TopicConfig].Age() }, MaxConfigAge: d.s.Bounds.ApplyConfig, Started: d.countUsage})
 	d.planner = roles.New(roles.Options{
--- a/process/roster/heartbeat.go
+++ b/process/roster/heartbeat.go
@@ -117,6 +117,9 @@
 	r.paused.tick(now)
 	r.seq++
 	r.self.StoreAway = r.storeFails()
+	if r.o.Rate != nil {
+		r.self.RateLevel = rateLevel(r.o.Rate())
+	}
 	b.Member, b.Seq = r.self, r.seq
 	r.sent = append(r.sent, sentHeartbeat{seq: r.seq, work: b.Work, demand: b.Demand})
 	r.sent = r.sent[max(len(r.sent)-maxSent, 0):]
--- a/process/roster/peer.go
+++ b/process/roster/peer.go
@@ -62,6 +62,9 @@
 // is more than that it lives. Callers hold r.mu.
 func (r *Roster) update(p *peer, m *Member, seq uint64, at time.Time) bool {
 	changed := !p.known || p.dead || p.member.Incarnation != m.Incarnation || p.member.State != m.State || p.member.StoreAway != m.StoreAway
+	if p.member.RateLevel != m.RateLevel {
+		p.repeat = changeRepeats
+	}
 	if changed {
 		log.WithFields(log.Fields{"vm": m.VM, "addr": m.CallerAddr, "state": m.State, "incarnation": m.Incarnation}).Info("roster: daemon")
 		p.repeat = changeRepeats
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -73,6 +73,8 @@
 	State       State
 	StoreAway   bool   // its own calls to the store fail
 	LinkMbps    uint32 // bandwidth of its VM's link in Mbit/s, 0: not known
+	Millicores  uint32 // processor of its VM in thousandths of a core, 0: not known
+	RateLevel   uint8  // callers' requests a second, see rateLevel
 }
 
 // Options of a Roster.
@@ -95,6 +97,8 @@
 	Clock FleetClock
 	// Usage takes other daemons' reports of usage; nil: there are none.
 	Usage func(data []byte) error
+	// Rate is the number of callers' requests a second lately; nil: not counted.
+	Rate func() float64
 	// Conn replaces the UDP socket, in tests.
 	Conn net.PacketConn
 }
@@ -252,35 +256,40 @@
 	if len(r.Members()) == 1 && r.o.StoreAway() {
 		serving = r.recentlySeen
 	}
-	entries := address.NewBook(serving, r.o.TTL).Answer(zone, address.Seed(caller)).Addresses
+	all := serving()
+	list, named := active(all, zone)
+	entries := address.NewBook(func() []address.Member { return list }, r.o.TTL).Answer(zone, address.Seed(caller)).Addresses
 	out := make([]string, 0, len(entries))
-	for _, e := range entries {
+	for _, e := range entries[:min(len(entries), named)] {
 		out = append(out, e.Addr)
 	}
 	return out, r.o.TTL
 }
 
 // serving returns the daemons that take requests.
-func (r *Roster) serving() []address.Member {
+func (r *Roster) serving() []candidate {
 	now := time.Now()
 	return r.forCallers(func(p *peer) bool { return r.isAlive(p, now) })
 }
 
 // recentlySeen returns the same with those that have become unresponsive since.
-func (r *Roster) recentlySeen() []address.Member {
+func (r *Roster) recentlySeen() []candidate {
 	now := time.Now()
 	return r.forCallers(func(p *peer) bool { return now.Sub(p.lastSeen) < isolatedKeep })
 }
 
 // forCallers returns the daemons that take requests, this one included, of
 // those that there are.
-func (r *Roster) forCallers(there func(p *peer) bool) []address.Member {
+func (r *Roster) forCallers(there func(p *peer) bool) []candidate {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []address.Member
+	var out []candidate
 	add := func(m *Member) {
 		if m.State == Ready {
-			out = append(out, address.Member{Addr: m.CallerAddr, Zone: m.Zone})
+			out = append(out, candidate{
+				Member: address.Member{Addr: m.CallerAddr, Zone: m.Zone, Weight: m.millicores() / 1000},
+				rate:   m.rate(),
+			})
 		}
 	}
 	add(&r.self)
--- a/process/settings/load.go
+++ b/process/settings/load.go
@@ -32,6 +32,7 @@
 	minBufferBytes = 4 << 10
 	maxBufferBytes = 64 << 20
 	maxLinkMbps    = 1_000_000.0
+	maxCores       = 10_000.0
 )
 
 // heartbeatsToDead is how many heartbeats must at least fit into dead_after:
@@ -121,6 +122,8 @@
 		f.Name("zone", s.Zone, false)
 	}
 	yamlcheck.Range(f, "link_mbps", s.LinkMbps, 0, maxLinkMbps)
+	yamlcheck.Range(f, "processor.share", s.Processor.Share, 0, maxCores)
+	yamlcheck.Range(f, "processor.speed", s.Processor.Speed, 0, maxCores)
 	if f.Has("listen") {
 		checkListen(f, s.Listen)
 	}
--- a/process/settings/types.go
+++ b/process/settings/types.go
@@ -11,9 +11,11 @@
 	Zone string `yaml:"zone"` // availability zone
 	// LinkMbps is the bandwidth of the VM's link in Mbit/s; 0: not known. The
 	// daemons with the widest links sum up what the others report.
-	LinkMbps float64  `yaml:"link_mbps,omitempty"`
-	Listen   Listen   `yaml:"listen"`
-	Platform Platform `yaml:"platform,omitempty"`
+	LinkMbps float64 `yaml:"link_mbps,omitempty"`
+	// Processor is the VM's processor. Callers are sent to fast ones first.
+	Processor Processor `yaml:"processor,omitempty"`
+	Listen    Listen    `yaml:"listen"`
+	Platform  Platform  `yaml:"platform,omitempty"`
 	// Store is set where the platform keeps configuration and targets in one
 	// store; it takes the place of Platform.
 	Store   Store   `yaml:"store,omitempty"`
@@ -25,6 +27,21 @@
 	TLS     TLS     `yaml:"tls,omitempty"`
 }
 
+// Processor is what a VM has of processors.
+type Processor struct {
+	Share float64 `yaml:"share"` // of a core; 0: not known
+	Speed float64 `yaml:"speed"` // how many times as fast as a core; 0: 1
+}
+
+// Millicores is the processor in thousandths of a core, 0 if it isn't known.
+func (p *Processor) Millicores() uint32 {
+	speed := p.Speed
+	if speed == 0 {
+		speed = 1
+	}
+	return uint32(1000 * p.Share * speed)
+}
+
 // Listen holds host:port addresses by IP number.
 type Listen struct {
 	Callers   string `yaml:"callers"`
