--- a/connection/engines/aggregate.go
+++ b/connection/engines/aggregate.go
@@ -96,7 +96,7 @@
 }
 
 // Less is what is left of a sum without a part of it, which may have been
-// told a little earlier.
+// reported a little earlier.
 func Less(sum, part []Work) []Work {
 	taken := make(map[uint64]*Work, len(part))
 	for i := range part {
--- a/connection/engines/book.go
+++ b/connection/engines/book.go
@@ -37,7 +37,7 @@
 	_      struct{} `cbor:",toarray"`
 	Target uint64
 	Parts  []port.PromptPart
-	LeftMs uint32 // until it has read it, about, from when this is told
+	LeftMs uint32 // until it has read it, about, from when this is sent
 
 	ready time.Time // the same by this process's clock
 }
@@ -60,7 +60,7 @@
 	return key ^ key>>32
 }
 
-// At is the read as it is told at that time.
+// At is the read as it is reported at that time.
 func (r Read) At(now time.Time) Read {
 	r.LeftMs = uint32(max(r.ready.Sub(now), 0).Milliseconds())
 	return r
@@ -92,10 +92,10 @@
 
 	mu      sync.Mutex
 	engines map[uint64]*engine
-	keepers map[uint64][]uint64 // by id of a prompt part, the last engines that read it
+	holders map[uint64][]uint64 // by id of a prompt part, the last engines that read it
 	peers   map[string]*peerWork
 	oldest  time.Time // no report in peers is older
-	reads   []Read    // of this process, not yet told to all daemons
+	reads   []Read    // of this process, not yet reported
 }
 
 type engine struct {
@@ -113,17 +113,17 @@
 	work []Work
 }
 
-// believedFor is how long a peer's report of its work counts:
+// reportTTL is how long a peer's report of its work counts:
 // it is repeated every 250 ms, and a prompt is read in well under 2 s.
-const believedFor = 1500 * time.Millisecond
+const reportTTL = 1500 * time.Millisecond
 
-// maxUntold bounds the reads that wait to be told to the other daemons.
-const maxUntold = 64
+// maxUnsent bounds the reads that wait to be reported.
+const maxUnsent = 64
 
 // New returns an empty Book. changed is called, without locks held, with the
 // process's own work at an engine when it changed.
 func New(now func() time.Time, changed func(Work)) *Book {
-	return &Book{now: now, changed: changed, engines: make(map[uint64]*engine), keepers: make(map[uint64][]uint64), peers: make(map[string]*peerWork), oldest: now()}
+	return &Book{now: now, changed: changed, engines: make(map[uint64]*engine), holders: make(map[uint64][]uint64), peers: make(map[string]*peerWork), oldest: now()}
 }
 
 // Hash names an engine in the daemons' messages.
@@ -190,11 +190,11 @@
 }
 
 // reading notes that an engine will keep a prompt, and that the other daemons
-// are to be told. Callers hold b.mu.
+// get a report. Callers hold b.mu.
 func (b *Book) reading(hash uint64, e *engine, parts []port.PromptPart, ready time.Time) {
 	e.keeps.add(parts, ready)
-	b.noteKeeper(hash, parts)
-	if len(b.reads) < maxUntold {
+	b.noteHolder(hash, parts)
+	if len(b.reads) < maxUnsent {
 		b.reads = append(b.reads, Read{Target: hash, Parts: parts, ready: ready})
 	}
 }
@@ -204,7 +204,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.engine(Hash(target), memory).keeps.add(parts, b.now())
-	b.noteKeeper(Hash(target), parts)
+	b.noteHolder(Hash(target), parts)
 }
 
 // Decode notes that a request goes to an engine to be decoded, which has its KV
@@ -243,7 +243,7 @@
 // Load sums what all daemons have at a target now.
 //
 // Engines read prompts in the order of their arrival, whatever their urgency:
-// over 1,600 prompts that found others before them, this order foresaw the
+// over 1,600 prompts that found others before them, this order predicted the
 // time within 67 ms on the mean, sharing within 124 ms, urgency within 134 ms.
 func (b *Book) Load(target string, parts []port.PromptPart) Load {
 	return b.LoadOf(Hash(target), parts)
--- a/connection/engines/cache.go
+++ b/connection/engines/cache.go
@@ -33,7 +33,7 @@
 //
 // The failure that the second number stops: an engine is asked for a part that
 // it only begins to read, has nothing to give, and the asker reads it again: of
-// 78 prompts that were to fetch a part, half took 120 ms longer than foreseen
+// 78 prompts that were to fetch a part, half took 120 ms longer than predicted
 // and a quarter 347.
 func (p *prefixes) cached(parts []port.PromptPart, now time.Time) (all, ready int) {
 	there := true
@@ -84,7 +84,7 @@
 	}
 }
 
-// arrived notes that parts are there sooner than was foreseen.
+// arrived notes that parts are there sooner than was predicted.
 func (p *prefixes) arrived(parts []port.PromptPart, now time.Time) {
 	for _, part := range parts {
 		if e := p.byID[part.ID]; e != nil {
--- a/connection/engines/engines_test.go
+++ b/connection/engines/engines_test.go
@@ -72,7 +72,7 @@
 	if l := b.Load("e", nil); l.Wait != 20*time.Millisecond || l.Streams != 2 {
 		t.Errorf("load after the end %+v", l)
 	}
-	c.t = c.t.Add(believedFor + time.Millisecond)
+	c.t = c.t.Add(reportTTL + time.Millisecond)
 	if l := b.Load("e", nil); l.Streams != 0 || l.Wait != 0 {
 		t.Errorf("a silent daemon's work still counts: %+v", l)
 	}
--- a/connection/engines/reports.go
+++ b/connection/engines/reports.go
@@ -14,11 +14,11 @@
 	now := b.now()
 	reads := b.reads
 	b.reads = nil
-	return b.work(now), Retold(reads, now)
+	return b.work(now), AsOf(reads, now)
 }
 
-// Retold are reads as they are told at that time.
-func Retold(reads []Read, now time.Time) []Read {
+// AsOf are reads as they are reported at that time.
+func AsOf(reads []Read, now time.Time) []Read {
 	for i := range reads {
 		reads[i] = reads[i].At(now)
 	}
@@ -37,7 +37,7 @@
 }
 
 // Merge takes the report of another daemon, or of several in sum, in place of the
-// last one under that name. It returns the reads that tell something new.
+// last one under that name. It returns the reads that were not known.
 func (b *Book) Merge(peer string, work []Work, reads []Read) []Read {
 	now := b.now()
 	b.mu.Lock()
@@ -71,8 +71,7 @@
 	return b.kept(reads)
 }
 
-// MergeReads takes reads of other daemons, and returns those that tell something
-// new.
+// MergeReads takes reads of other daemons, and returns those that were not known.
 func (b *Book) MergeReads(reads []Read) []Read {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -88,7 +87,7 @@
 			fresh = append(fresh, r)
 		}
 		keeps.add(r.Parts, r.ready)
-		b.noteKeeper(r.Target, r.Parts)
+		b.noteHolder(r.Target, r.Parts)
 	}
 	return fresh
 }
@@ -126,12 +125,12 @@
 // expire takes out the reports of unresponsive daemons.
 // Callers hold b.mu.
 func (b *Book) expire(now time.Time) {
-	if now.Sub(b.oldest) <= believedFor {
+	if now.Sub(b.oldest) <= reportTTL {
 		return
 	}
 	b.oldest = now
 	for name, p := range b.peers {
-		if now.Sub(p.at) <= believedFor {
+		if now.Sub(p.at) <= reportTTL {
 			b.oldest = minTime(b.oldest, p.at)
 			continue
 		}
--- a/connection/engines/tally_test.go
+++ b/connection/engines/tally_test.go
@@ -62,7 +62,7 @@
 }
 
 func (l *Load) count(engine uint64, s spoken, now time.Time) {
-	if now.Sub(s.at) > believedFor {
+	if now.Sub(s.at) > reportTTL {
 		return
 	}
 	for _, w := range s.work {
--- a/connection/health/health.go
+++ b/connection/health/health.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// firstBench and maxBench are how long a target gets no requests after a
+	// firstEjection and maxEjection are how long a target gets no requests after a
 	// failure to reach it; the time doubles with each failure in a row.
-	firstBench = 600 * time.Millisecond
-	maxBench   = 4 * time.Second
+	firstEjection = 600 * time.Millisecond
+	maxEjection   = 4 * time.Second
 	// smoothing is the weight of the newest outcome in the failure rate: about
 	// the last ten count.
 	smoothing = 0.1
@@ -37,7 +37,7 @@
 // Book is safe for concurrent use.
 type Book struct {
 	now     func() time.Time
-	benched func(target string, until time.Time)
+	ejected func(target string, until time.Time)
 
 	mu      sync.Mutex
 	targets map[string]*state
@@ -47,18 +47,18 @@
 	rate    float64 // of failures, smoothed
 	at      time.Time
 	row     int       // failures to reach it in a row
-	benched time.Time // gets no requests before
-	pace    float64   // time taken over time foreseen, smoothed
+	ejected time.Time // gets no requests before
+	pace    float64   // time taken over time predicted, smoothed
 	paced   time.Time
 }
 
-// New returns an empty Book. benched is called, with locks held, when a target
+// New returns an empty Book. ejected is called, with locks held, when a target
 // gets no requests for a while; it may be nil.
-func New(now func() time.Time, benched func(target string, until time.Time)) *Book {
-	if benched == nil {
-		benched = func(string, time.Time) {}
+func New(now func() time.Time, ejected func(target string, until time.Time)) *Book {
+	if ejected == nil {
+		ejected = func(string, time.Time) {}
 	}
-	return &Book{now: now, benched: benched, targets: make(map[string]*state)}
+	return &Book{now: now, ejected: ejected, targets: make(map[string]*state)}
 }
 
 // Note takes an outcome.
@@ -78,10 +78,10 @@
 		return
 	}
 	s.row++
-	wait := min(firstBench<<min(s.row-1, 4), maxBench)
-	s.benched = now.Add(wait)
-	b.benched(target, s.benched)
-	log.WithFields(log.Fields{"target": target, "in_a_row": s.row, "for_ms": wait.Milliseconds()}).Info("health: target benched")
+	wait := min(firstEjection<<min(s.row-1, 4), maxEjection)
+	s.ejected = now.Add(wait)
+	b.ejected(target, s.ejected)
+	log.WithFields(log.Fields{"target": target, "in_a_row": s.row, "for_ms": wait.Milliseconds()}).Info("health: target ejected")
 }
 
 // get returns the state of a target. Callers hold b.mu.
@@ -102,7 +102,7 @@
 	maxPace = 10.0
 )
 
-// NotePace notes that something took that many times as long as foreseen.
+// NotePace notes that something took that many times as long as predicted.
 func (b *Book) NotePace(target string, ratio float64) {
 	now := b.now()
 	b.mu.Lock()
@@ -113,7 +113,7 @@
 	s.paced = now
 }
 
-// Pace is how many times longer than foreseen a target takes lately.
+// Pace is how many times longer than predicted a target takes lately.
 func (b *Book) Pace(target string) float64 {
 	now := b.now()
 	b.mu.Lock()
@@ -141,7 +141,7 @@
 // Impaired reports whether a target serves so badly that others are needed in
 // its place.
 func (b *Book) Impaired(target string) bool {
-	return b.Benched(target) || b.Rate(target) > impairedRate || b.Pace(target) > impairedPace
+	return b.Ejected(target) || b.Rate(target) > impairedRate || b.Pace(target) > impairedPace
 }
 
 // From this failure rate and from this pace on a target counts as impaired.
@@ -160,12 +160,12 @@
 	}
 }
 
-// Benched reports whether the target gets no requests now while others can.
-func (b *Book) Benched(target string) bool {
+// Ejected reports whether the target gets no requests now while others can.
+func (b *Book) Ejected(target string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.targets[target]
-	return s != nil && b.now().Before(s.benched)
+	return s != nil && b.now().Before(s.ejected)
 }
 
 // Rate is the smoothed share of the target's requests that failed.
--- a/connection/health/health_test.go
+++ b/connection/health/health_test.go
@@ -33,27 +33,27 @@
 func TestUnreachableTargetsAreBenchedLongerEachTime(t *testing.T) {
 	b, c := book()
 	note(b, Unreachable, 1)
-	if !b.Benched("t") {
-		t.Fatal("not benched")
+	if !b.Ejected("t") {
+		t.Fatal("not ejected")
 	}
-	c.pass(firstBench)
-	if b.Benched("t") {
-		t.Error("benched for longer than the first time")
+	c.pass(firstEjection)
+	if b.Ejected("t") {
+		t.Error("ejected for longer than the first time")
 	}
 	note(b, Unreachable, 1)
-	c.pass(firstBench)
-	if !b.Benched("t") {
+	c.pass(firstEjection)
+	if !b.Ejected("t") {
 		t.Error("the second time is no longer than the first")
 	}
 	note(b, Unreachable, 20)
-	c.pass(maxBench)
-	if b.Benched("t") {
-		t.Error("benched beyond the longest time")
+	c.pass(maxEjection)
+	if b.Ejected("t") {
+		t.Error("ejected beyond the longest time")
 	}
 	note(b, OK, 1)
 	note(b, Unreachable, 1)
-	c.pass(firstBench)
-	if b.Benched("t") {
+	c.pass(firstEjection)
+	if b.Ejected("t") {
 		t.Error("an answer in between doesn't count")
 	}
 }
@@ -65,8 +65,8 @@
 	if r := b.Rate("t"); r < 0.7 {
 		t.Errorf("rate %.2f after failures only", r)
 	}
-	if !b.Impaired("t") || b.Benched("t") {
-		t.Error("a failing target is impaired, not benched")
+	if !b.Impaired("t") || b.Ejected("t") {
+		t.Error("a failing target is impaired, not ejected")
 	}
 	c.pass(4*forgive + time.Second)
 	if r := b.Rate("t"); r > 0.1 {
--- a/connection/speed/fit.go
+++ b/connection/speed/fit.go
@@ -7,9 +7,9 @@
 	// last 150 count, so that engines that change are followed within them.
 	memory = 1 - 1.0/150
 	// queuedWeight is by how much a prompt counts less that waited, for each
-	// time that it waited as long as it was read: its wait was foreseen only.
+	// time that it waited as long as it was read: its wait was predicted only.
 	queuedWeight = 2.0
-	// clip bounds the time of a prompt, in times of what was foreseen. Others'
+	// clip bounds the time of a prompt, in times of what was predicted. Others'
 	// work that wasn't heard of makes single ones much longer.
 	clip = 1.7
 	// ridge holds the fit where prompts are alike, as a share of the weights.
@@ -35,12 +35,12 @@
 
 func (f *fit) add(p Sample) {
 	x := regressors(p)
-	foreseen := f.coeff[0] + f.coeff[1]*x[1] + f.coeff[2]*x[2]
+	predicted := f.coeff[0] + f.coeff[1]*x[1] + f.coeff[2]*x[2]
 	y := max(float64(p.Took-p.Before)/float64(time.Millisecond), 0)
 	weight := 1.0
-	if f.n >= knownFrom && foreseen > 0 {
-		y = min(y, clip*foreseen)
-		weight = 1 / (1 + queuedWeight*p.Before.Seconds()*1e3/foreseen)
+	if f.n >= knownFrom && predicted > 0 {
+		y = min(y, clip*predicted)
+		weight = 1 / (1 + queuedWeight*p.Before.Seconds()*1e3/predicted)
 	}
 	for i := range terms {
 		for j := range terms {
--- a/connection/speed/pace.go
+++ b/connection/speed/pace.go
@@ -7,9 +7,9 @@
 	"github.com/pomelospool/pomelospool/connection/engines"
 )
 
-// Pace foresees the time between two events of a stream: an engine makes the
+// Pace predicts the time between two events of a stream: an engine makes the
 // events of all its streams together, the more the slower. The zero value
-// foresees nothing.
+// predicts nothing.
 type Pace struct {
 	Alone   time.Duration // of an engine without streams
 	Each    time.Duration // for each stream
@@ -21,7 +21,7 @@
 	paceKnownFrom = 40
 	// paceMemory is what is left of a sample's weight after the next one.
 	paceMemory = 1 - 1.0/3000
-	// paceClip bounds a sample, in times of what was foreseen: a stream that was
+	// paceClip bounds a sample, in times of what was predicted: a stream that was
 	// preempted says nothing of the others.
 	paceClip = 2.0
 	// engineWeight is the least weight of the newest sample in an engine's own
@@ -65,8 +65,8 @@
 
 // noteEngine takes in a sample of one engine.
 func (f *paceFit) noteEngine(target string, streams float64, gap time.Duration) {
-	foreseen := f.pace.at(streams)
-	if !f.pace.Known() || foreseen <= 0 {
+	predicted := f.pace.at(streams)
+	if !f.pace.Known() || predicted <= 0 {
 		return
 	}
 	now := time.Now()
@@ -77,7 +77,7 @@
 		f.engines[target] = e
 	}
 	e.seen = now
-	e.add(min(float64(gap)/foreseen, maxSlowness), engineWeight)
+	e.add(min(float64(gap)/predicted, maxSlowness), engineWeight)
 }
 
 // of returns the pace of one engine.
--- a/connection/speed/speed.go
+++ b/connection/speed/speed.go
@@ -1,7 +1,7 @@
 // Package speed learns how fast a service's engines are from the requests that
 // they serve: how long a prompt takes to be read, and how long the first event
 // takes from there. It starts from nothing, so that engines of any speed are
-// foreseen alike well after some tens of prompts.
+// predicted alike well after some tens of prompts.
 package speed
 
 import (
@@ -11,7 +11,7 @@
 	"github.com/pomelospool/pomelospool/connection/engines"
 )
 
-// Figures foresee an engine's times. The zero value foresees nothing: it stands
+// Figures predict an engine's times. The zero value predicts nothing: it stands
 // for engines of which nothing was seen.
 type Figures struct {
 	PerToken  float64       // nanoseconds to read one prompt token
@@ -26,7 +26,7 @@
 	Reads     int           // prompts that these figures come from
 }
 
-// Known reports whether enough prompts were seen to foresee others.
+// Known reports whether enough prompts were seen to predict others.
 func (f Figures) Known() bool { return f.Reads >= knownFrom }
 
 // assumedPerToken is the time to read a prompt token, in nanoseconds, that is
@@ -66,7 +66,7 @@
 type Sample struct {
 	Prompt  int           // its tokens
 	Missing int           // of these, those that had to be read
-	Before  time.Duration // foreseen until the engine began with it, fetches included
+	Before  time.Duration // predicted until the engine began with it, fetches included
 	Took    time.Duration // from the request to its answer
 }
 
@@ -98,7 +98,7 @@
 	spread time.Duration
 	own    Figures // of this process's own prompts
 	told   Figures // another process's, of the most prompts
-	error  float64 // smoothed share by which the foresight is off
+	error  float64 // smoothed share by which the prediction is off
 }
 
 // NewBook returns an empty Book.
@@ -122,7 +122,7 @@
 }
 
 // figures are the own ones once they come from enough prompts, else another
-// process's: a process that has just started foresees like the others at once.
+// process's: a process that has just started predicts like the others at once.
 func (s *service) figures() Figures {
 	f := s.own
 	if s.own.Reads < ownFrom && s.told.Reads > s.own.Reads {
@@ -154,23 +154,23 @@
 }
 
 const (
-	// errorWeight is the weight of the newest foresight in the error shown.
+	// errorWeight is the weight of the newest prediction in the error shown.
 	errorWeight = 0.05
-	// maxError bounds one foresight's error.
+	// maxError bounds one prediction's error.
 	maxError = 5.0
 )
 
-// off notes by how much the foresight of a prompt was off.
+// off notes by how much the prediction of a prompt was off.
 func (s *service) off(p Sample) {
 	f := s.figures()
 	if !f.Known() || p.Took <= 0 {
 		return
 	}
-	foreseen := p.Before + f.Start + f.Read(p.Prompt, p.Missing)
+	predicted := p.Before + f.Start + f.Read(p.Prompt, p.Missing)
 	if p.Before > 0 {
-		s.spread += time.Duration(errorWeight * float64((foreseen-p.Took).Abs()-s.spread))
+		s.spread += time.Duration(errorWeight * float64((predicted-p.Took).Abs()-s.spread))
 	}
-	share := (foreseen - p.Took).Abs().Seconds() / p.Took.Seconds()
+	share := (predicted - p.Took).Abs().Seconds() / p.Took.Seconds()
 	s.error += errorWeight * (min(share, maxError) - s.error)
 }
 
@@ -308,7 +308,7 @@
 	}
 }
 
-// Error is by which share the foresight of prompts is off lately, smoothed.
+// Error is by which share the prediction of prompts is off lately, smoothed.
 func (b *Book) Error(name string) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/connection/speed/speed_test.go
+++ b/connection/speed/speed_test.go
@@ -40,8 +40,8 @@
 }
 
 // Prompts of a service with engines of a speed that nobody stated are refused
-// or given up, since their times are foreseen by another engine's figures.
-// Engines from a fifth of one's time to ten times it are foreseen within a
+// or given up, since their times are predicted by another engine's figures.
+// Engines from a fifth of one's time to ten times it are predicted within a
 // quarter after 40 prompts.
 func TestAnySpeedIsLearnt(t *testing.T) {
 	for _, x := range []float64{0.2, 1, 3, 10} {
--- a/operator/ctl/trace.go
+++ b/operator/ctl/trace.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-const traceHelp = `Reads daemons' log lines (JSON) from standard input and prints what they say of one request, in order of time: which targets it was sent to, why a send failed, what was foreseen, and how it ended. Lines may bear anything before their JSON, as a collector's time and host.`
+const traceHelp = `Reads daemons' log lines (JSON) from standard input and prints what they say of one request, in order of time: which targets it was sent to, why a send failed, what was predicted, and how it ended. Lines may bear anything before their JSON, as a collector's time and host.`
 
 type traceCommand struct {
 	app  *app
--- a/process/front/metrics.go
+++ b/process/front/metrics.go
@@ -46,7 +46,7 @@
 			Name: "pomelospool_engine_read_seconds_per_token", Help: "Time that a service's engines take to read a prompt token, as estimated; 0: no estimate yet.",
 		}, []string{"service"}),
 		off: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "pomelospool_read_foresight_error_ratio", Help: "Relative error of the estimated time of a prompt, smoothed.",
+			Name: "pomelospool_read_prediction_error_ratio", Help: "Relative error of the estimated time of a prompt, smoothed.",
 		}, []string{"service"}),
 	}
 	gauge := func(name, help string, f func() float64) prometheus.Collector {
--- a/process/logging/bench_test.go
+++ b/process/logging/bench_test.go
@@ -24,7 +24,7 @@
 	fields := log.Fields{
 		"request": "0aa5c44340d12a2f", "route": "r-xxm9ghy", "service": "llm-desk", "version": 12,
 		"code": 1001, "status": 429, "ms": 0, "sends": 0, "targets": "", "failed": true,
-		"left_ms": 7850, "foreseen_ms": 430, "first_ms": 0, "error": "OVERLOADED the first event would take 430ms",
+		"left_ms": 7850, "predicted_ms": 430, "first_ms": 0, "error": "OVERLOADED the first event would take 430ms",
 	}
 	b.ReportAllocs()
 	for b.Loop() {
--- a/process/relay/listing.go
+++ b/process/relay/listing.go
@@ -107,14 +107,14 @@
 	if err != nil {
 		return port.KeyedPage{}, err
 	}
-	s.heard(t, begun+a.Heard)
+	s.noteFresh(t, begun+a.ReadAt)
 	return port.KeyedPage{Records: records, End: a.End}, nil
 }
 
 // noteListing notes a listing of the store: it lacks nothing written before its begin.
 func (s *Store) noteListing(t port.Topic, begun time.Duration, l storeListing) (port.KeyedPage, error) {
 	if l.err == nil {
-		s.heard(t, begun)
+		s.noteFresh(t, begun)
 	}
 	return l.page, l.err
 }
--- a/process/relay/relay.go
+++ b/process/relay/relay.go
@@ -24,10 +24,10 @@
 	Pack pack
 	// End is the offset after the newest record that the reader has read.
 	End int64
-	// Heard is when the reader last heard from the store, counted from the
+	// ReadAt is when the reader last read the store, counted from the
 	// moment at which it was asked: negative for before. Clocks of two daemons
 	// don't compare, spans do.
-	Heard time.Duration
+	ReadAt time.Duration
 }
 
 // Handler answers the other daemons' reads.
@@ -60,7 +60,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return nil
 		}
-		return tail.write(w, packKey{whole: true, last: l.version}, l.page.Records, answer{End: l.page.End, Heard: l.heard})
+		return tail.write(w, packKey{whole: true, last: l.version}, l.page.Records, answer{End: l.page.End, ReadAt: l.readAt})
 	})
 	r.GET("/records", func(w http.ResponseWriter, req bunrouter.Request) error {
 		p := params{values: req.URL.Query()}
@@ -72,7 +72,7 @@
 		b, status := tail.read(req.Context(), from, wait, maxAge)
 		switch status {
 		case ok:
-			return tail.write(w, b.key(), b.records(), answer{End: b.next, Heard: b.heard})
+			return tail.write(w, b.key(), b.records(), answer{End: b.next, ReadAt: b.readAt})
 		case gap:
 			w.WriteHeader(http.StatusGone)
 		default:
--- a/process/relay/store.go
+++ b/process/relay/store.go
@@ -42,7 +42,7 @@
 )
 
 // ReaderPause is the longest that a reader rests between two reads. Whoever
-// paces the reads keeps to it: a reader's word counts for that much longer.
+// paces the reads keeps to it: what a reader knows counts for that much longer.
 const ReaderPause = 400 * time.Millisecond
 
 // Store is a port.Store whose reads of some topics go to a reader while there
@@ -76,7 +76,7 @@
 	until time.Duration                // the store is read directly until then
 	spare time.Duration                // the store is left alone until then
 	mute  bool                         // readers answered last that they know nothing
-	asOf  map[port.Topic]time.Duration // what the last read of a topic told was so until then
+	asOf  map[port.Topic]time.Duration // up to when the last read of a topic is whole
 	last  string                       // the reader that was asked last, ownReads: none
 	slow  map[port.Topic]bool          // the store takes longer than patience
 
@@ -116,7 +116,7 @@
 	return out
 }
 
-// AsOf tells up to when what the last read of a topic gave is whole: nothing
+// AsOf is up to when what the last read of a topic gave is whole: nothing
 // written before, by CLOCK_BOOTTIME, is missing.
 func (s *Store) AsOf(t port.Topic) time.Duration {
 	s.mu.Lock()
@@ -229,21 +229,21 @@
 	if err != nil {
 		return port.KeyedBatch{}, err
 	}
-	s.heard(t, asked+r.heard)
+	s.noteFresh(t, asked+r.readAt)
 	return r.KeyedBatch, nil
 }
 
 // reply is what another daemon answered to a read.
 type reply struct {
 	port.KeyedBatch
-	heard time.Duration // when the store was read, from the moment of the question on
+	readAt time.Duration // when the store was read, from the moment of the question on
 }
 
 // askAnother asks another daemon, which answers with what it knows.
 //
 // The load that it answers: the store is silent for one of a zone's readers, or
 // that has just died, and half of the zone's daemons go on to read the store
-// themselves for seconds, though the other one hears it.
+// themselves for seconds, though the other one reaches it.
 func (s *Store) askAnother(ctx context.Context, addr string, t port.Topic, from int64, maxAge time.Duration) (reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, soonFailed)
 	defer cancel()
@@ -291,7 +291,7 @@
 	s.slow[t] = now-begun >= wait+patience
 	s.mu.Unlock()
 	if err == nil {
-		s.heard(t, now)
+		s.noteFresh(t, now)
 	} else if s.Suspect != nil {
 		s.Suspect(outer, err)
 	}
@@ -308,8 +308,8 @@
 	return context.WithTimeout(ctx, d)
 }
 
-// heard notes up to when a topic is known.
-func (s *Store) heard(t port.Topic, asOf time.Duration) {
+// noteFresh notes up to when a topic is known.
+func (s *Store) noteFresh(t port.Topic, asOf time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.asOf[t] = max(s.asOf[t], asOf)
@@ -321,7 +321,7 @@
 	now := s.now()
 	s.until = now + distrustFor
 	fields := log.Fields{"topic": int(t), "reader": addr}
-	if asOf, heard := s.asOf[t]; heard {
+	if asOf, known := s.asOf[t]; known {
 		fields["age_ms"] = (now - asOf).Milliseconds()
 	}
 	s.mu.Unlock()
@@ -358,7 +358,7 @@
 		return reply{}, err
 	}
 	records, err := a.Pack.records()
-	return reply{KeyedBatch: port.KeyedBatch{Records: records, Next: a.End}, heard: a.Heard}, err
+	return reply{KeyedBatch: port.KeyedBatch{Records: records, Next: a.End}, readAt: a.ReadAt}, err
 }
 
 var (
--- a/process/relay/tail.go
+++ b/process/relay/tail.go
@@ -177,7 +177,7 @@
 type listed struct {
 	page    port.KeyedPage
 	version int64
-	heard   time.Duration // when the store was read, from now on: negative
+	readAt  time.Duration // when the store was read, from now on: negative
 }
 
 // current is the topic's listing; false: what this daemon knows is older than
@@ -187,8 +187,8 @@
 	defer t.mu.Unlock()
 	page, version, ok := t.page()
 	page.Relayed = false
-	heard := t.asOf - t.now()
-	return listed{page: page, version: version, heard: heard}, ok && !t.lost && t.asOf >= 0 && -heard < maxAge
+	readAt := t.asOf - t.now()
+	return listed{page: page, version: version, readAt: readAt}, ok && !t.lost && t.asOf >= 0 && -readAt < maxAge
 }
 
 // await waits until this daemon has read the topic: it may only start.
@@ -262,9 +262,9 @@
 //
 // The guard is against silence taken for no change: while the store doesn't
 // answer this daemon, it knows nothing of what is written, and neither does one
-// that has just begun to read. Told "nothing new", the others would send
+// that has just begun to read. If it answered "nothing new", others would send
 // requests to targets that left seconds before. So nothing is answered that is
-// older than maxAge, or after the store was lost, and who waits is told at once.
+// older than maxAge, or after the store was lost, and who waits gets an error at once.
 //
 // One that hasn't read the topic yet, or not as far as the asker has, may still
 // do so within the wait: daemons that start together would otherwise all go on
@@ -299,7 +299,7 @@
 type batch struct {
 	changes []change
 	next    int64
-	heard   time.Duration // from the moment of the question on
+	readAt  time.Duration // from the moment of the question on
 }
 
 func (b *batch) records() []port.KeyedRecord {
@@ -349,7 +349,7 @@
 	default:
 		v.status = ok
 		first, _ := slices.BinarySearchFunc(t.changes, from, func(c change, from int64) int { return cmp.Compare(c.at, from) })
-		v.batch = batch{changes: t.changes[first:len(t.changes):len(t.changes)], next: t.end, heard: t.asOf - asked}
+		v.batch = batch{changes: t.changes[first:len(t.changes):len(t.changes)], next: t.end, readAt: t.asOf - asked}
 	}
 	return v
 }
--- a/process/roles/planner.go
+++ b/process/roles/planner.go
@@ -398,7 +398,7 @@
 // demand notes what is asked of a service, and returns what was lately. As
 // long as the engines' reading isn't known, nothing is known of the demand. The
 // streams that run are asked for at least: with streams of seconds some ten
-// seconds pass until enough of them have ended to foresee others.
+// seconds pass until enough of them have ended to predict others.
 func (p *Planner) demand(service string) Demand {
 	a := p.asked[service]
 	if a == nil {
--- a/process/roster/aggregate_test.go
+++ b/process/roster/aggregate_test.go
@@ -404,7 +404,7 @@
 		ask(20, 300*time.Millisecond, 100*time.Millisecond, 0)
 		// Work that lasts is sent again, also to an owner that is new.
 		rest(5 * time.Second)
-		ask(20, 0, 0, 0) // as long as foreseen, and more
+		ask(20, 0, 0, 0) // as long as predicted, and more
 		defer d.books[10].Prefill("e", 10_000, nil, 0, 300*time.Millisecond)()
 		synctest.Wait()
 		ask(20, 300*time.Millisecond)
--- a/process/roster/announce.go
+++ b/process/roster/announce.go
@@ -66,7 +66,7 @@
 		if pause.For(ctx, unheardAfter) != nil {
 			return nil
 		}
-		if r.heardAny(time.Now()) {
+		if r.contacted(time.Now()) {
 			continue
 		}
 		if err := r.becomeContact(ctx); err != nil {
@@ -135,8 +135,8 @@
 	return total >= leastContacts && near >= zoneContacts
 }
 
-// heardAny reports whether any other daemon was heard of lately.
-func (r *Roster) heardAny(now time.Time) bool {
+// contacted reports whether any other daemon was heard of lately.
+func (r *Roster) contacted(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return now.Sub(r.agg.lastContact) < unheardAfter
--- a/process/roster/publish.go
+++ b/process/roster/publish.go
@@ -105,8 +105,8 @@
 	}
 	if whole {
 		r.agg.rotate++
-		s.toMembers.Reads, r.agg.fleet = engines.Retold(costliest(r.agg.fleet), now), nil
-		s.toOthers.Reads, r.agg.zone = engines.Retold(costliest(r.agg.zone), now), nil
+		s.toMembers.Reads, r.agg.fleet = engines.AsOf(costliest(r.agg.fleet), now), nil
+		s.toOthers.Reads, r.agg.zone = engines.AsOf(costliest(r.agg.zone), now), nil
 	}
 	zones := make(map[string]net.Addr) // any daemon of a zone, to find it again after a cut
 	own := row{Member: r.self, Seq: r.seq}
--- a/process/topic/follower.go
+++ b/process/topic/follower.go
@@ -31,9 +31,9 @@
 	Reset(records []port.KeyedRecord, next int64)
 	// Apply takes records in their order.
 	Apply(records []port.KeyedRecord)
-	// Lost tells that the store can't be read, once for each outage.
+	// Lost says that the store can't be read, once for each outage.
 	Lost(err error)
-	// Back tells that the store was read again, after Reset or Apply.
+	// Back says that the store was read again, after Reset or Apply.
 	Back()
 }
 
--- a/request/attempt/attempt.go
+++ b/request/attempt/attempt.go
@@ -79,13 +79,13 @@
 	return s.Refusing && s.RefusedAt.Before(chosen)
 }
 
-// try runs one attempt at t. unforeseen tells of a refusal that nothing known
+// try runs one attempt at t. unpredicted tells of a refusal that nothing known
 // of the target announced.
-func (r *Runner) try(ctx context.Context, q *Request, t routing.Target, p plan, recv Receiver) (f *failure.Failure, unforeseen bool) {
+func (r *Runner) try(ctx context.Context, q *Request, t routing.Target, p plan, recv Receiver) (f *failure.Failure, unpredicted bool) {
 	end := r.opts.Pool.Begin(t.Addr, q.Route.PromptTokens, q.Route.OutputTokens)
 	defer end()
 
-	foreseen := r.refusedBefore(t.Addr, p.chosen)
+	predicted := r.refusedBefore(t.Addr, p.chosen)
 	id := newID(q.ID)
 	req := r.build(q, t, id, recv.Progress())
 	req.First, req.Between = p.first, r.opts.Between
@@ -103,7 +103,7 @@
 	}
 	if f != nil && f.Class == failure.NotRun {
 		r.opts.Pool.Refused(t.Addr)
-		return f, !foreseen
+		return f, !predicted
 	}
 	return f, false
 }
--- a/request/attempt/run.go
+++ b/request/attempt/run.go
@@ -29,7 +29,7 @@
 	handed  bool                // over from a prefill to a decode engine
 	chosen  time.Time           // when the choice of the present target began
 
-	unforeseen bool // nothing known of the target announced its last refusal
+	unpredicted bool // nothing known of the target announced its last refusal
 }
 
 func (u *run) loop(ctx context.Context) error {
@@ -94,8 +94,8 @@
 		first:  max(u.opts.First, d.First*firstPatience),
 		decode: d.Decode != "" && d.Decode != t.Name && !u.handed,
 	}
-	f, unforeseen := u.try(ctx, u.q, t, p, u.recv)
-	u.unforeseen = unforeseen
+	f, unpredicted := u.try(ctx, u.q, t, p, u.recv)
+	u.unpredicted = unpredicted
 	if f != nil && breaks(f) {
 		vctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), verifyLimit)
 		defer cancel()
@@ -152,7 +152,7 @@
 	if most <= 0 {
 		most = defaultAttempts
 	}
-	if u.unforeseen {
+	if u.unpredicted {
 		u.budgets.Count(doc.Service)
 	}
 	switch {
@@ -160,7 +160,7 @@
 		return u.final(f)
 	case u.result.Attempts >= most:
 		return u.final(f)
-	case !progressed && !u.unforeseen && !u.budgets.Take(doc.Service, doc.Retry.Budget):
+	case !progressed && !u.unpredicted && !u.budgets.Take(doc.Service, doc.Retry.Budget):
 		if !u.result.Written {
 			return u.final(f)
 		}
--- a/request/dispatch/answer_length.go
+++ b/request/dispatch/answer_length.go
@@ -82,12 +82,12 @@
 	if l.output > 0 {
 		hint = min(hint, float64(l.output))
 	}
-	return max(l.events, l.foreseen(hint))
+	return max(l.events, l.predicted(hint))
 }
 
-// foreseen is the number of events that a hint stands for, 0 while that isn't
+// predicted is the number of events that a hint stands for, 0 while that isn't
 // known.
-func (l *answerLength) foreseen(hint float64) float64 {
+func (l *answerLength) predicted(hint float64) float64 {
 	if l.ratios.len() < ratiosKnown {
 		return 0
 	}
@@ -111,7 +111,7 @@
 func (l *answerLength) lasts(hint int, gap time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return time.Duration(min(l.foreseen(float64(hint)), l.length()) * float64(gap))
+	return time.Duration(min(l.predicted(float64(hint)), l.length()) * float64(gap))
 }
 
 // ring is the newest values of something, and a quantile of them.
--- a/request/dispatch/answer_length_test.go
+++ b/request/dispatch/answer_length_test.go
@@ -18,7 +18,7 @@
 
 // Guards against a bound that is too loose until the first of the longest
 // answers had time to end.
-func TestLongestIsForeseenFromHints(t *testing.T) {
+func TestLongestIsPredictedFromHints(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const left = 15 * time.Second
 		var l answerLength
@@ -35,7 +35,7 @@
 			t.Errorf("a gap of %v, want %v for nine in ten hints", g, want)
 		}
 		if d := l.lasts(50*100, 60*time.Millisecond); d != 6*time.Second {
-			t.Errorf("100 events at 60 ms are foreseen to last %v", d)
+			t.Errorf("100 events at 60 ms are predicted to last %v", d)
 		}
 	})
 }
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -64,7 +64,7 @@
 	Targets(service string) *targets.Set
 }
 
-// Queues knows engines' queues better than the books, which hear late in a
+// Queues knows engines' queues better than the books, which get reports late in a
 // large fleet.
 type Queues interface {
 	// Queues returns how long a prompt will wait at each engine, -1 where that
@@ -144,27 +144,27 @@
 
 // Trace says how a call went, for its log line.
 type Trace struct {
-	Sends    int           // requests sent to targets
-	Targets  []string      // their ids, in order
-	Causes   []string      // why those that failed did
-	Foreseen time.Duration // time to the first event, when the call was taken
-	Lasts    time.Duration // from the decoding engine's first work to the last event, foreseen from the stated output
-	Prefill  Prefill       // the last one
-	First    time.Duration // from the arrival to the first event
-	Begun    bool          // the caller got a part of the answer
+	Sends     int           // requests sent to targets
+	Targets   []string      // their ids, in order
+	Causes    []string      // why those that failed did
+	Predicted time.Duration // time to the first event, when the call was taken
+	Lasts     time.Duration // from the decoding engine's first work to the last event, predicted from the stated output
+	Prefill   Prefill       // the last one
+	First     time.Duration // from the arrival to the first event
+	Begun     bool          // the caller got a part of the answer
 	// LastEvent is the id of the last event that the caller got, empty for none.
 	LastEvent string
 }
 
-// Prefill says how the reading of a prompt was foreseen and went.
+// Prefill says how the reading of a prompt was predicted and went.
 type Prefill struct {
 	Prompt  int           // tokens of the prompt
 	Shared  int           // of them, those that other prompts may begin with too
 	Missing int           // of them, those that the engine had to read
 	Fetched int           // of them, those that it fetched from another engine
 	Guessed bool          // it was to fetch from an engine that might keep more
-	Wait    time.Duration // foreseen until it begins to read them
-	Read    time.Duration // foreseen for reading them
+	Wait    time.Duration // predicted until it begins to read them
+	Read    time.Duration // predicted for reading them
 	Took    time.Duration // in all
 }
 
--- a/request/dispatch/consider.go
+++ b/request/dispatch/consider.go
@@ -54,7 +54,7 @@
 	}
 	c.shared = len(c.entries)
 	if p != nil {
-		for _, hash := range u.opts.Engines.Keepers(p.parts) {
+		for _, hash := range u.opts.Engines.Holders(p.parts) {
 			c.add(c.find(all, hash))
 		}
 	}
--- a/request/dispatch/decode.go
+++ b/request/dispatch/decode.go
@@ -84,11 +84,11 @@
 func (u *run) events(ctx context.Context, cand *placement.Candidate, p prompt, from prefilled, out Stream) *failed {
 	to := cand.Entry
 	usual := u.opts.Speed.Figures(u.c.Service.Name).First
-	foreseen := usual
+	predicted := usual
 	if from.kv != nil {
-		foreseen += placement.Move(u.c.Service.Engine, p.Tokens, from.zone == to.Zone)
+		predicted += placement.Move(u.c.Service.Engine, p.Tokens, from.zone == to.Zone)
 	}
-	done := u.opts.Engines.Decode(to.ID, u.c.Service.Engine.KVTokens, p.parts, foreseen)
+	done := u.opts.Engines.Decode(to.ID, u.c.Service.Engine.KVTokens, p.parts, predicted)
 	defer done()
 	begun := time.Now()
 	s := sending{to: to, state: port.Send{Priority: p.priority, KV: from.kv, LastEvent: u.lastID}}
@@ -109,10 +109,10 @@
 		seen := firstAt.Sub(begun)
 		if cand.Load.Streams < to.Slots {
 			// Beyond its places it would be the wait for one that is learnt.
-			u.opts.Speed.First(u.c.Service.Name, usual+seen-foreseen)
+			u.opts.Speed.First(u.c.Service.Name, usual+seen-predicted)
 		}
 		if usual > 0 {
-			u.opts.Health.NotePace(to.ID, u.pace(foreseen, seen))
+			u.opts.Health.NotePace(to.ID, u.pace(predicted, seen))
 		}
 	}
 	m := &paceMeter{run: u, target: to.ID, resumed: u.lastID != ""}
@@ -146,14 +146,14 @@
 	return nil
 }
 
-// pace is how many times longer than foreseen something took. Short times are
+// pace is how many times longer than predicted something took. Short times are
 // off by some tens of milliseconds for reasons that aren't the engine's.
-func (u *run) pace(foreseen, seen time.Duration) float64 {
+func (u *run) pace(predicted, seen time.Duration) float64 {
 	slack := paceSlack
 	if o := u.c.Route.Objective; o > 0 {
 		slack = time.Duration(paceShare * float64(o))
 	}
-	return float64(seen+slack) / float64(foreseen+slack)
+	return float64(seen+slack) / float64(predicted+slack)
 }
 
 // What is added to both times of a pace: a share of the objective, or paceSlack
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -121,7 +121,7 @@
 	}
 	alone := f.Start + ch.Read + f.First
 	wait := ch.Wait + queue
-	u.trace.Foreseen = wait + alone
+	u.trace.Predicted = wait + alone
 	objective := u.c.Route.Objective
 	usual := u.usual(u.c.Service.Name)
 	usual.Note(p.Tokens, ch.Read)
@@ -134,8 +134,8 @@
 			return nil
 		}
 	}
-	foreseen := max(u.trace.Foreseen, objective)
-	return u.overloaded(ch.decoders, foreseen-objective, "the first event would take %v", foreseen.Round(time.Millisecond))
+	predicted := max(u.trace.Predicted, objective)
+	return u.overloaded(ch.decoders, predicted-objective, "the first event would take %v", predicted.Round(time.Millisecond))
 }
 
 // overloaded rejects a call that is too late by that much at these engines.
@@ -189,7 +189,7 @@
 	return placement.Move(u.c.Service.Engine, p.Tokens, near)
 }
 
-// place foresees how long the call waits for a place at a decoding engine. It
+// place predicts how long the call waits for a place at a decoding engine. It
 // refuses a call that none would take, before its prompt is read for nothing.
 // Engines that refuse lately get one call in some, so that their recovery shows.
 func (u *run) place(f speed.Figures, cands []placement.Candidate) (time.Duration, error) {
@@ -198,7 +198,7 @@
 	least := maxComeBack
 	for i := range cands {
 		c := &cands[i]
-		if u.opts.Health.Benched(c.Entry.ID) || c.Load.Unreachable() {
+		if u.opts.Health.Ejected(c.Entry.ID) || c.Load.Unreachable() {
 			continue
 		}
 		least = min(least, room.Queue(c))
--- a/request/dispatch/plain_test.go
+++ b/request/dispatch/plain_test.go
@@ -239,7 +239,7 @@
 				if _, _, err := r.runner.Plain(ctx, r.call(route.Safe, 2, end.timeout)); err == nil {
 					t.Fatal("answered")
 				}
-				if r.runner.opts.Health.Benched("app0") {
+				if r.runner.opts.Health.Ejected("app0") {
 					t.Error("the target is ejected")
 				}
 			})
--- a/request/dispatch/prefill.go
+++ b/request/dispatch/prefill.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// prefillPatience times the foreseen time, and prefillGrace on top, is how
+	// prefillPatience times the predicted time, and prefillGrace on top, is how
 	// long an engine may take to read a prompt. A dark engine shows in nothing
-	// but silence. While nothing can be foreseen it may take unknownPatience of
+	// but silence. While nothing can be predicted it may take unknownPatience of
 	// the time that the call has.
 	prefillPatience = 3
 	prefillGrace    = 700 * time.Millisecond
@@ -35,7 +35,7 @@
 	placement.Choice
 	to    port.TargetEntry
 	from  string        // address of the engine to fetch from, empty: none
-	work  time.Duration // that others are told of, assumed while nothing can be foreseen
+	work  time.Duration // that is reported, assumed while nothing can be predicted
 	ahead time.Duration // of it, until the engine begins with it
 
 	decoders []placement.Candidate // engines that may make the answer
@@ -54,7 +54,7 @@
 // choosePrefill chooses the engine that reads the prompt.
 //
 // While no engine's speed is known prompts are weighed by their tokens, for the
-// choice and for what the others are told, and for nothing else. Otherwise each
+// choice and for what is reported, and for nothing else. Otherwise each
 // counts as no work at all: in the first seconds of a fleet, and after all of it
 // lost its power, engines look alike whatever waits there, some hold 2.7 s of
 // prompts and others are idle, and nothing is fetched that is kept elsewhere.
@@ -139,13 +139,13 @@
 	to := ch.to
 	done := u.opts.Engines.Prefill(to.ID, u.c.Service.Engine.KVTokens, p.parts, figures.Start+ch.ahead, ch.work)
 	defer done()
-	foreseen := figures.Start + ch.Wait + ch.Read
+	predicted := figures.Start + ch.Wait + ch.Read
 	u.trace.Prefill = Prefill{Prompt: p.Tokens, Shared: p.Shared, Missing: ch.Missing, Fetched: ch.Fetched, Guessed: ch.Guessed, Wait: ch.Wait, Read: ch.Read}
 	begun := time.Now()
 	resp, v, f := u.send(ctx, sending{
 		to:      to,
 		state:   port.Send{Priority: p.priority, Prefill: true, FetchFrom: ch.from},
-		silence: u.prefillSilence(figures, foreseen),
+		silence: u.prefillSilence(figures, predicted),
 	})
 	if f != nil {
 		return prefilled{}, u.nothingRan(f)
@@ -166,12 +166,12 @@
 	took := time.Since(begun)
 	u.trace.Prefill.Took = took
 	if !ch.Guessed {
-		// What a guess fetched was foreseen as read: it would teach a wrong pace.
+		// What a guess fetched was predicted as read: it would teach a wrong pace.
 		u.opts.Speed.Read(u.c.Service.Name, speed.Sample{
 			Prompt: p.Tokens, Missing: ch.Missing, Before: ch.Wait + ch.Moved, Took: took,
 		})
 		if figures.Known() {
-			u.opts.Health.NotePace(to.ID, u.pace(foreseen, took))
+			u.opts.Health.NotePace(to.ID, u.pace(predicted, took))
 		}
 	}
 	u.ok(to.ID)
@@ -179,11 +179,11 @@
 }
 
 // prefillSilence is how long an engine may take to read a prompt.
-func (u *run) prefillSilence(f speed.Figures, foreseen time.Duration) time.Duration {
+func (u *run) prefillSilence(f speed.Figures, predicted time.Duration) time.Duration {
 	if !f.Known() {
 		return time.Duration(unknownPatience * float64(time.Until(u.c.GiveUp)))
 	}
-	return prefillPatience*foreseen + prefillGrace
+	return prefillPatience*predicted + prefillGrace
 }
 
 // nothingRan says of a failed prefill that the request did not run: reading a
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -168,7 +168,7 @@
 	var good, tried []loaded
 	for i, e := range c.entries {
 		t := loaded{TargetEntry: e, load: u.opts.Engines.Load(e.ID, parts), private: i >= c.shared}
-		if u.avoids(e.ID) || u.opts.Health.Benched(e.ID) || t.load.Unreachable() {
+		if u.avoids(e.ID) || u.opts.Health.Ejected(e.ID) || t.load.Unreachable() {
 			tried = append(tried, t)
 			continue
 		}
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -85,7 +85,7 @@
 // leavesBefore reports whether the process ends before the call is answered.
 func (i *Ingress) leavesBefore(c *dispatch.Call) bool {
 	end := i.leaving.Load()
-	return end != nil && c.Arrived.Add(i.lengths.foresee(c)).After(*end)
+	return end != nil && c.Arrived.Add(i.lengths.predict(c)).After(*end)
 }
 
 // elsewhereAfter is when a caller may come back that another daemon can serve.
@@ -278,14 +278,14 @@
 			fields["output_tokens"] = c.Ask.Output
 			fields["hint_tokens"] = c.Ask.Hint
 			fields["last_event"] = x.trace.LastEvent
-			fields["foreseen_stream_ms"] = x.trace.Lasts.Milliseconds()
+			fields["predicted_stream_ms"] = x.trace.Lasts.Milliseconds()
 		}
 	}
 	if age, known := x.o.targetsAge(); known {
 		fields["targets_age_ms"] = age.Milliseconds()
 	}
-	if x.trace.Foreseen > 0 {
-		fields["foreseen_ms"] = x.trace.Foreseen.Milliseconds()
+	if x.trace.Predicted > 0 {
+		fields["predicted_ms"] = x.trace.Predicted.Milliseconds()
 		fields["first_ms"] = x.trace.First.Milliseconds()
 	}
 	if p := x.trace.Prefill; p.Took > 0 {
@@ -294,8 +294,8 @@
 		fields["missing_tokens"] = p.Missing
 		fields["fetched_tokens"] = p.Fetched
 		fields["fetch_guessed"] = p.Guessed
-		fields["foreseen_wait_ms"] = p.Wait.Milliseconds()
-		fields["foreseen_read_ms"] = p.Read.Milliseconds()
+		fields["predicted_wait_ms"] = p.Wait.Milliseconds()
+		fields["predicted_read_ms"] = p.Read.Milliseconds()
 		fields["prefill_ms"] = p.Took.Milliseconds()
 	}
 	if len(x.trace.Causes) > 0 {
--- a/request/ingress/ingress_test.go
+++ b/request/ingress/ingress_test.go
@@ -291,14 +291,14 @@
 	call := func(name string, output int) *dispatch.Call {
 		return &dispatch.Call{Route: &route.Route{Name: name, Timeout: 15 * time.Second}, Ask: port.Ask{Output: output}}
 	}
-	if got := l.foresee(call("s", 10)); got != 15*time.Second {
+	if got := l.predict(call("s", 10)); got != 15*time.Second {
 		t.Errorf("unseen: %v", got)
 	}
 	l.note("s", 100, 100*time.Millisecond, 5100*time.Millisecond)
 	for range 20 {
 		l.note("s", 10, 50*time.Millisecond, 450*time.Millisecond)
 	}
-	long, short := l.foresee(call("s", 200)), l.foresee(call("s", 10))
+	long, short := l.predict(call("s", 200)), l.predict(call("s", 10))
 	if long < 10*time.Second || long > 13*time.Second || short > time.Second {
 		t.Errorf("long %v, short %v", long, short)
 	}
--- a/request/ingress/length.go
+++ b/request/ingress/length.go
@@ -11,7 +11,7 @@
 	// lengthDecay is the part of a length that is given up with each answer
 	// that was shorter: half of it after some 35 answers.
 	lengthDecay = 0.02
-	// lengthMargin is how much longer than foreseen a stream may take. Steps of
+	// lengthMargin is how much longer than predicted a stream may take. Steps of
 	// an engine with all places taken are some fifth longer than with half.
 	lengthMargin = 1.25
 )
@@ -58,9 +58,9 @@
 	return max(seen, old-time.Duration(lengthDecay*float64(old-seen)))
 }
 
-// foresee is how long the call will take at most, by what was seen; without a
+// predict is how long the call will take at most, by what was seen; without a
 // sight of its route, as long as it may.
-func (l *lengths) foresee(c *dispatch.Call) time.Duration {
+func (l *lengths) predict(c *dispatch.Call) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	one := l.byRoute[c.Route.Name]
--- a/request/placement/home.go
+++ b/request/placement/home.go
@@ -9,7 +9,7 @@
 
 const (
 	// manyEngines is the number of engines from which on the daemons know too
-	// little of each other's prompts: news takes some 0.7 s to all of 90 daemons.
+	// little of each other's prompts: reports take some 0.7 s to all of 90 daemons.
 	manyEngines = 16
 	// awayShare is the part of the time to read what nobody is known to keep
 	// that an engine other than the home costs on top.
@@ -18,10 +18,10 @@
 
 // home is where prompts with equal leading parts meet while nobody is known to
 // keep those parts: the engine that their hash names. Each daemon names the
-// same one without a word from the others.
+// same one without a message.
 //
 // The failure it stops: the first prompts with a new part come to several
-// daemons within the time that news takes, and each has another engine read
+// daemons within the time that reports take, and each has another engine read
 // it. Of 85 million prompt tokens read on a day of 90 daemons and 140 engines
 // 24 million were read so again.
 type home struct {
@@ -31,10 +31,10 @@
 	unknown int // shared prompt tokens that nobody is known to keep
 }
 
-func newHome(p Prompt, cands, sources []Candidate, keeper int, f speed.Figures) home {
+func newHome(p Prompt, cands, sources []Candidate, holder int, f speed.Figures) home {
 	h := home{p: &p, at: -1, source: -1, unknown: p.Shared}
-	if keeper >= 0 {
-		h.unknown -= sources[keeper].Load.Ready
+	if holder >= 0 {
+		h.unknown -= sources[holder].Load.Ready
 	}
 	if len(cands) < manyEngines || f.Read(p.Tokens, h.unknown) < leastFetch.of(&p) {
 		return h
--- a/request/placement/placement_test.go
+++ b/request/placement/placement_test.go
@@ -68,7 +68,7 @@
 	}
 	keeps.Rate = 0.9
 	// What it only begins to read it can't give yet: it would give nothing, and
-	// the other engine would read it again unforeseen.
+	// the other engine would read it again unpredicted.
 	begins := cand("begins", "a", engines.Load{Cached: 13_000, Wait: 200 * time.Millisecond})
 	if got := Prefill(p, []Candidate{begins, idle}, []Candidate{idle, begins}, e, figures); got.Fetch != -1 {
 		t.Errorf("fetches what isn't there yet: %+v", got)
--- a/request/placement/prefill.go
+++ b/request/placement/prefill.go
@@ -14,14 +14,14 @@
 	Entry port.TargetEntry
 	Load  engines.Load
 	Rate  float64 // share of its requests that failed lately
-	Pace  float64 // how often longer than foreseen it takes lately, 1: as foreseen
+	Pace  float64 // how often longer than predicted it takes lately, 1: as predicted
 	Warm  bool    // this process has an idle connection to it
 	// Private says that other daemons don't look at it: prompts don't meet there.
 	Private bool
 	Most    int // streams at which the longest answers of the route still end in time; 0: not known
 }
 
-// slower gives the time that the candidate is likely to take for one foreseen.
+// slower gives the time that the candidate is likely to take for one predicted.
 func (c *Candidate) slower(d time.Duration) time.Duration {
 	if c.Pace <= slowFrom {
 		return d
@@ -29,7 +29,7 @@
 	return time.Duration(float64(d) * c.Pace)
 }
 
-// slowFrom is the pace up to which a target counts as any other: foresight
+// slowFrom is the pace up to which a target counts as any other: prediction
 // alone is off by that much.
 const slowFrom = 2.5
 
@@ -97,21 +97,21 @@
 	cands, sources []Candidate
 	e              *route.Engine
 	f              speed.Figures
-	keeper         int // index of the source that keeps most, -1: none
+	holder         int // index of the source that keeps most, -1: none
 	near           int // candidates in the daemon's zone
 	home           home
 }
 
 func newOutlook(p Prompt, cands, sources []Candidate, e *route.Engine, f speed.Figures) *outlook {
-	o := &outlook{p: p, cands: cands, sources: sources, e: e, f: f, keeper: keepsMost(sources), near: inZone(cands, p.Zone)}
-	o.home = newHome(o.p, cands, sources, o.keeper, f)
+	o := &outlook{p: p, cands: cands, sources: sources, e: e, f: f, holder: holdsMost(sources), near: inZone(cands, p.Zone)}
+	o.home = newHome(o.p, cands, sources, o.holder, f)
 	return o
 }
 
 // choice is that of candidate i.
 func (o *outlook) choice(i int) Choice {
 	c := &o.cands[i]
-	ch := o.p.read(c, o.sources, o.keeper, o.e, o.f)
+	ch := o.p.read(c, o.sources, o.holder, o.e, o.f)
 	ch.At = i
 	if o.near >= manyNear && c.Entry.Zone != o.p.Zone {
 		ch.Cost += farCost.of(&o.p)
@@ -124,12 +124,12 @@
 }
 
 // read is the choice of an engine, with the cost of its time.
-func (p *Prompt) read(c *Candidate, sources []Candidate, keeper int, e *route.Engine, f speed.Figures) Choice {
+func (p *Prompt) read(c *Candidate, sources []Candidate, holder int, e *route.Engine, f speed.Figures) Choice {
 	ch := Choice{Fetch: -1, Wait: c.slower(c.Load.Wait)}
 	kept := c.Load.Cached
-	if keeper >= 0 && worthFetch(p, f, kept, sources[keeper].Load.Ready) {
-		src := &sources[keeper]
-		ch.Fetch, ch.Fetched = keeper, src.Load.Ready-kept
+	if holder >= 0 && worthFetch(p, f, kept, sources[holder].Load.Ready) {
+		src := &sources[holder]
+		ch.Fetch, ch.Fetched = holder, src.Load.Ready-kept
 		kept = src.Load.Ready
 		ch.Moved = Move(e, ch.Fetched, src.Entry.Zone == c.Entry.Zone)
 	}
@@ -181,8 +181,8 @@
 	return saved >= leastFetch.of(p)
 }
 
-// keepsMost is the index of the source that can give most of the prompt now.
-func keepsMost(sources []Candidate) int {
+// holdsMost is the index of the source that can give most of the prompt now.
+func holdsMost(sources []Candidate) int {
 	best := -1
 	for i := range sources {
 		s := &sources[i]
--- a/request/placement/shortlist_test.go
+++ b/request/placement/shortlist_test.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// A keeper that doesn't answer must not make its engine look idle or full: what
+// A holder that doesn't answer must not make its engine look idle or full: what
 // is known of it by the sums holds.
 func TestSettleKeepsWhatIsKnownWithoutAnAnswer(t *testing.T) {
 	cands := []Candidate{cand("a", "", busy(300)), cand("b", "", busy(100)), cand("c", "", busy(0))}
--- a/request/placement/usual.go
+++ b/request/placement/usual.go
@@ -12,7 +12,7 @@
 	// longQueue is the number of usual prompts ahead from which on a queue is
 	// more than chance.
 	longQueue = 3
-	// offMargin is how many times the usual error of foresight a wait in a long
+	// offMargin is how many times the usual error of prediction a wait in a long
 	// queue counts longer. A queue at the bound makes half of its requests late,
 	// one that is shorter by the error keeps the engines as busy. In short
 	// queues it refuses what would be on time: with it there a site where
@@ -54,7 +54,7 @@
 }
 
 // Counts is how long a wait counts for a prompt in the decision whether it is
-// taken: in a long queue longer, by the usual error of foresight and the less
+// taken: in a long queue longer, by the usual error of prediction and the less
 // the prompt yields for its time. off is that error.
 func (u *Usual) Counts(wait time.Duration, tokens int, read, off time.Duration) time.Duration {
 	u.mu.Lock()
--- a/request/placement/usual_test.go
+++ b/request/placement/usual_test.go
@@ -32,7 +32,7 @@
 		{"costly", 145 * ms, 9000, 60 * ms, 0, 245 * ms},
 		{"a little more", 145 * ms, 9000, 20 * ms, 0, 145*ms + 100*ms/3},
 		{"costly, short queue", 40 * ms, 9000, 60 * ms, 0, 40 * ms},
-		{"usual, foresight off by 20 ms", 145 * ms, 9000, 15 * ms, 20 * ms, 175 * ms},
+		{"usual, prediction off by 20 ms", 145 * ms, 9000, 15 * ms, 20 * ms, 175 * ms},
 		{"the same in a short queue", 40 * ms, 9000, 15 * ms, 20 * ms, 40 * ms},
 		{"nothing to read", 145 * ms, 9000, 0, 0, 145 * ms},
 	} {
