roster: digests without work for daemons that get no requests

Cause: each daemon got the work of all engines, the reads of all prompts and a list of all that live, 16 datagrams from each of two aggregators twice a second, whether it chose engines or not.

Now those without requests get the head and the living only, and a list of the living that takes more than one datagram is a sum, with the list each two seconds.

Evidence: roster.TestIdleDaemonsReceiveLittle: under 10 kB a second at 400 daemons.

--- a/process/roster/active.go
+++ b/process/roster/active.go
@@ -30,17 +30,25 @@
 	unknownProcessor = 1000
 )
 
-// rateLevel is a rate of requests as daemons report it: the least n for which 2^n
-// a second are no fewer, so that only changes that matter are reported.
+// rateLevel is a rate of requests as daemons report it, so that only changes that
+// matter are reported: 0 for none, else the least n for which 2^(n-1) a second are
+// no fewer.
 func rateLevel(perSecond float64) uint8 {
-	if perSecond <= 1 {
+	switch {
+	case perSecond <= 0:
 		return 0
+	case perSecond <= 1:
+		return 1
 	}
-	return uint8(math.Ceil(math.Log2(perSecond)))
+	return 1 + uint8(math.Ceil(math.Log2(perSecond)))
 }
 
-// rate is what a reported level stands for at most, in requests a second.
-func (m *Member) rate() float64 { return math.Exp2(float64(m.RateLevel)) }
+// rate is what a reported level stands for at most, in requests a second. Who gets
+// none may get one.
+func (m *Member) rate() float64 { return math.Exp2(float64(max(m.RateLevel, 1) - 1)) }
+
+// idle reports whether a daemon gets no requests.
+func (m *Member) idle() bool { return m.RateLevel == 0 }
 
 func (m *Member) millicores() float64 {
 	if m.Millicores == 0 {
--- a/process/roster/digest.go
+++ b/process/roster/digest.go
@@ -30,7 +30,10 @@
 	Speeds  []speed.Update
 	Asked   bool // Demand holds
 	Demand  []demand.Update
-	Clock   int64 // the sender's estimate of the time, microseconds since 1970; 0: not stated
+	// AliveSum is the sum of the tokens of all that live, the sender and the
+	// receiver among them; 0: not stated.
+	AliveSum uint64
+	Clock    int64 // the sender's estimate of the time, microseconds since 1970; 0: not stated
 }
 
 // row is a daemon's last state, or that it has been unresponsive since.
@@ -112,6 +115,9 @@
 			p.confirmAlive(now)
 		}
 	}
+	if d.AliveSum != 0 && !r.agg.on {
+		r.confirmSum(d.AliveSum, now)
+	}
 	// This daemon needn't receive what it aggregates itself.
 	mine := d.Zone == "" && !r.agg.on
 	others := d.Zone != "" && d.Zone != r.self.Zone && r.agg.on
@@ -145,6 +151,25 @@
 	}
 }
 
+// confirmSum notes that those live that count as alive here, if their sum is that of
+// an aggregator. Callers hold r.mu.
+func (r *Roster) confirmSum(sum uint64, now time.Time) {
+	own := uint64(r.self.token())
+	var living []*peer
+	for _, p := range r.peers {
+		if p.alive(now, r.patience()) {
+			own += uint64(p.member.token())
+			living = append(living, p)
+		}
+	}
+	if own != sum {
+		return // a list follows
+	}
+	for _, p := range living {
+		p.confirmAlive(now)
+	}
+}
+
 // mergeRow takes what another daemon reports of one. It returns whether that is
 // updates. Callers hold r.mu.
 func (r *Roster) mergeRow(w *row, now time.Time) bool {
--- a/process/roster/duties.go
+++ b/process/roster/duties.go
@@ -16,15 +16,27 @@
 	if !r.Ready() || r.o.StoreAway() {
 		return false
 	}
-	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.leader(time.Now()) == r.self.PeerAddr
+}
+
+// leader returns the peer address of the daemon that is the first of those that may
+// lead, empty if none may. Callers hold r.mu.
+func (r *Roster) leader(now time.Time) string {
+	var first *Member
+	if mayLead(&r.self) {
+		first = &r.self
+	}
 	for _, p := range r.peers {
-		if mayLead(&p.member) && leadsBefore(&p.member, &r.self) < 0 && r.isAlive(p, now) {
-			return false
+		if mayLead(&p.member) && (first == nil || leadsBefore(&p.member, first) < 0) && r.isAlive(p, now) {
+			first = &p.member
 		}
 	}
-	return mayLead(&r.self)
+	if first == nil {
+		return ""
+	}
+	return first.PeerAddr
 }
 
 func mayLead(m *Member) bool { return m.State == Ready && !m.StoreAway }
--- a/process/roster/heartbeat.go
+++ b/process/roster/heartbeat.go
@@ -117,9 +117,7 @@
 	r.paused.tick(now)
 	r.seq++
 	r.self.StoreAway = r.storeFails()
-	if r.o.Rate != nil {
-		r.self.RateLevel = rateLevel(r.o.Rate())
-	}
+	r.self.RateLevel = r.ownRate()
 	b.Member, b.Seq = r.self, r.seq
 	r.sent = append(r.sent, sentHeartbeat{seq: r.seq, work: b.Work, demand: b.Demand})
 	r.sent = r.sent[max(len(r.sent)-maxSent, 0):]
@@ -142,6 +140,13 @@
 	}
 }
 
+func (r *Roster) ownRate() uint8 {
+	if r.o.Rate == nil {
+		return 1
+	}
+	return rateLevel(r.o.Rate())
+}
+
 func (r *Roster) storeFails() bool {
 	if r.o.StoreFails == nil {
 		return r.o.StoreAway()
--- a/process/roster/publish.go
+++ b/process/roster/publish.go
@@ -68,12 +68,14 @@
 
 // round is what one round sends.
 type round struct {
-	members, others []receiver
-	toMembers       digest // of all daemons
-	toOthers        digest // of the zone
-	memberRows      []row
-	otherRows       []row
-	local           map[string]bool // peer addresses of the zone's daemons
+	members    []receiver // of the zone
+	idle       []receiver // of the zone, those that choose no engines
+	others     []receiver // aggregators of other zones
+	toMembers  digest     // of all daemons
+	toOthers   digest     // of the zone
+	memberRows []row
+	otherRows  []row
+	local      map[string]bool // peer addresses of the zone's daemons
 }
 
 // publish sends digests if this daemon is an aggregator: whole ones, or only
@@ -92,6 +94,7 @@
 		r.fillSummaries(s)
 	}
 	r.sendTo(s.members, s.toMembers, s.memberRows, whole)
+	r.sendTo(s.idle, s.toMembers.withoutWork(), s.memberRows, whole)
 	r.sendTo(s.others, s.toOthers, s.otherRows, whole)
 }
 
@@ -108,6 +111,7 @@
 		s.toMembers.Reads, r.agg.fleet = engines.AsOf(costliest(r.agg.fleet), now), nil
 		s.toOthers.Reads, r.agg.zone = engines.AsOf(costliest(r.agg.zone), now), nil
 	}
+	leader := r.leader(now)
 	zones := make(map[string]net.Addr) // any daemon of a zone, to find it again after a cut
 	own := row{Member: r.self, Seq: r.seq}
 	s.memberRows, s.otherRows = append(s.memberRows, own), append(s.otherRows, own)
@@ -117,7 +121,11 @@
 		switch {
 		case near:
 			s.local[addr] = true
-			s.members = append(s.members, receiver{addr: p.addr, seen: p.heartbeatSeq})
+			to := &s.members
+			if p.member.idle() && addr != leader {
+				to = &s.idle
+			}
+			*to = append(*to, receiver{addr: p.addr, seen: p.heartbeatSeq})
 		case now.Sub(p.digest) < digestTTL:
 			s.others = append(s.others, receiver{addr: p.addr})
 		case p.member.Zone != "":
@@ -135,6 +143,7 @@
 			}
 		}
 	}
+	s.toMembers.sumAlive(r.self.token(), whole && r.agg.rotate%aliveRounds == 0)
 	return s
 }
 
@@ -169,6 +178,31 @@
 	}
 }
 
+// aliveRounds is the number of digests over which a list of the living that takes
+// more than one datagram is sent again; the others hold its sum.
+const aliveRounds = 4
+
+// sumAlive has a long list of the living stand as its sum, or beside it.
+func (d *digest) sumAlive(self uint32, list bool) {
+	if len(d.Alive) <= aliveInHead {
+		return
+	}
+	d.AliveSum = uint64(self)
+	for _, token := range d.Alive {
+		d.AliveSum += uint64(token)
+	}
+	if !list {
+		d.Alive = nil
+	}
+}
+
+// withoutWork is the digest for daemons that choose no engines. What these receive
+// doesn't grow with the requests of others.
+func (d digest) withoutWork() digest {
+	d.Work, d.Reads = nil, nil
+	return d
+}
+
 // rowRounds is the number of digests over which all rows are sent again, for
 // those who missed a change: 10 s.
 const rowRounds = 20
@@ -227,7 +261,10 @@
 		c.Reads = chunk
 		out = append(out, c)
 	}
-	parts := uint32(max((known+workPerDatagram-1)/workPerDatagram, 1))
+	parts := uint32(1)
+	if len(d.Work) > 0 {
+		parts = uint32(max((known+workPerDatagram-1)/workPerDatagram, 1))
+	}
 	for part := range parts {
 		c := one()
 		c.HasWork, c.Part, c.Parts = true, part, parts
@@ -237,7 +274,7 @@
 			}
 		}
 		if part == 0 {
-			c.Claims, c.Speeds, c.Asked, c.Demand, c.Clock = d.Claims, d.Speeds, true, d.Demand, d.Clock
+			c.Claims, c.Speeds, c.Asked, c.Demand, c.Clock, c.AliveSum = d.Claims, d.Speeds, true, d.Demand, d.Clock, d.AliveSum
 		}
 		out = append(out, c)
 	}
