--- a/process/front/metrics.go
+++ b/process/front/metrics.go
@@ -60,6 +60,8 @@
 		gauge("store_away", "1 while the store can't be read.", func() float64 { return boolGauge(d.withoutStore()) }),
 		gauge("config_age_seconds", "Age of the newest answer of the store on the configuration, -1: none yet.", func() float64 { return ageGauge(d.tails[port.TopicConfig]) }),
 		gauge("targets_age_seconds", "Age of the newest answer of the store on the targets, -1: none yet.", func() float64 { return ageGauge(d.tails[port.TopicTargets]) }),
+		gauge("relay_depth", "Daemons between the store and the daemon farthest from it, 0 in a small fleet.", func() float64 { return float64(d.roster.Upstream().Depth) }),
+		gauge("request_rate", "Callers' requests in the busiest of the last seconds.", d.rate.perSecond),
 		gauge("ready", "1 while the daemon takes requests.", func() float64 { return boolGauge(d.roster.Ready()) }),
 	)
 	return m
--- a/process/relay/listing.go
+++ b/process/relay/listing.go
@@ -58,6 +58,7 @@
 	begun := s.now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	counts.Add("store_listings", 1)
 	answered := make(chan storeListing, 1)
 	go func() {
 		page, err := s.Store.Newest(ctx, t, after)
--- a/process/relay/relay.go
+++ b/process/relay/relay.go
@@ -6,6 +6,7 @@
 package relay
 
 import (
+	"expvar"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -18,6 +19,9 @@
 	"github.com/pomelospool/pomelospool/port"
 )
 
+// counts are of what daemons read from each other and from the store.
+var counts = expvar.NewMap("relay")
+
 // answer is a reader's answer to a read, or its listing of a topic that may be
 // taken for the store's.
 type answer struct {
@@ -60,6 +64,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return nil
 		}
+		counts.Add("listings_served", 1)
 		return tail.write(w, packKey{whole: true, last: l.version}, l.page.Records, answer{End: l.page.End, ReadAt: l.readAt})
 	})
 	r.GET("/records", func(w http.ResponseWriter, req bunrouter.Request) error {
@@ -72,10 +77,12 @@
 		b, status := tail.read(req.Context(), from, wait, maxAge)
 		switch status {
 		case ok:
+			counts.Add("reads_served", 1)
 			return tail.write(w, b.key(), b.records(), answer{End: b.next, ReadAt: b.readAt})
 		case gap:
 			w.WriteHeader(http.StatusGone)
 		default:
+			counts.Add("reads_stale", 1)
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return nil
--- a/process/relay/store.go
+++ b/process/relay/store.go
@@ -146,6 +146,7 @@
 	if ctx.Err() != nil || !s.mayCall(answered) {
 		return port.KeyedBatch{}, err
 	}
+	counts.Add("readers_failed", 1)
 	s.distrust(readers[0], t, err)
 	batch, err = s.direct(ctx, t, from, 0)
 	if err != nil {
@@ -285,6 +286,7 @@
 	begun, outer := s.now(), ctx
 	ctx, cancel := s.limit(ctx, t, wait+patience)
 	defer cancel()
+	counts.Add("store_reads", 1)
 	batch, err := s.Store.Read(ctx, t, from, wait)
 	now := s.now()
 	s.mu.Lock()
