roles: an idle fleet's engines are left in their roles

Cause: the plan guards against a mix that turns, which asks 0.65 of all engines for reading. Of 9,675 engines 100 were busy, and 5,800 were ordered to read for a mix sixty times what was asked. Streams were bounded by what was asked lately, reading wasn't. Before anything is asked a like share is assumed.

Now reading is bounded as streams are, by twice the engines that all that was asked takes; and before anything is asked a fleet with as many engines of each role as daemons is left as it is.

Evidence: roles.TestIdleFleetIsLeftAsItIs (fails without the bound). Ruled out: the evenness term and lateness, which weigh nothing at these loads; a bound by reading alone, with which engines overloaded by streams alone get no readers (TestPlan).

--- a/process/roles/plan.go
+++ b/process/roles/plan.go
@@ -79,6 +79,14 @@
 	return live[0].Entry.Slots
 }
 
+// plenty reports whether there are as many engines of each role as daemons. Nothing
+// that is asked first then waits for a change of roles, and orders for what may
+// never be asked are paid for.
+func plenty(list []Engine, daemons int) bool {
+	decoders, readers := split(usable(list))
+	return len(decoders) >= daemons && len(readers) >= daemons
+}
+
 func split(live []Engine) (decoders, readers []Engine) {
 	for _, e := range live {
 		if e.Entry.Role == port.RoleDecode {
--- a/process/roles/planner.go
+++ b/process/roles/planner.go
@@ -191,6 +191,9 @@
 	if !p.whole(svc.Name, time.Since(snap.Since)) || p.o.Clock.Now()-p.leads < takeover {
 		return
 	}
+	if len(demand) == 0 && plenty(list, len(p.o.Roster.Members())) {
+		return
+	}
 	moves := Plan(list, demand)
 	if len(demand) > 0 && !p.o.Speed.Figures(svc.Name).StreamsSettled() {
 		moves = onlyToDecode(moves)
--- a/process/roles/roles_test.go
+++ b/process/roles/roles_test.go
@@ -385,3 +385,21 @@
 		t.Errorf("%v allocations for a look", n)
 	}
 }
+
+// Guards against thousands of orders in a fleet whose engines have next to nothing
+// to do, for a mix that nobody asks for.
+func TestIdleFleetIsLeftAsItIs(t *testing.T) {
+	list := fleet(4000, 5675)
+	var d Demand
+	for range 20 {
+		d = append(d, demand.Load{Reading: 95, Weighty: 30, Streams: 140, Moving: 10})
+	}
+	if moves := Plan(list, d); len(moves) != 0 {
+		t.Errorf("%d moves", len(moves))
+	}
+	for daemons, want := range map[int]bool{985: true, 4001: false} {
+		if got := plenty(list, daemons); got != want {
+			t.Errorf("%d daemons: plenty is %v", daemons, got)
+		}
+	}
+}
--- a/process/roles/split.go
+++ b/process/roles/split.go
@@ -49,10 +49,11 @@
 	// fullMoving is the share of the links' time that can be used without long
 	// waits: moves come in crowds, too.
 	fullMoving = 0.6
-	// turnFactor bounds the streams that a mix that turns asks for, against the
-	// most that were asked for lately. Mixes turn by up to 3.4 times their mean
-	// on the loads known. Without the bound 17 of 60 engines decode for 55
-	// streams all day, and the prompts that the others read are late.
+	// turnFactor bounds what a mix that turns asks for, against the most that was
+	// asked for lately. Mixes turn by up to 3.4 times their mean on the loads known.
+	// Without the bound 17 of 60 engines decode for 55 streams all day, and the
+	// prompts that the others read are late; and of 9,675 engines 5,800 change
+	// their role for prompts that 100 can read.
 	turnFactor = 2
 )
 
@@ -109,17 +110,19 @@
 	return demand.Load{Reading: reading * float64(live), Streams: decoding * float64(live*slots)}
 }
 
-// turned is the demand of a mix that turns: shares of all engines, but no more
-// streams than some times the most seen.
+// turned is the demand of a mix that turns: shares of all engines, but no more than
+// some times the most seen.
 func (d Demand) turned(live, slots int) demand.Load {
 	l := share(live, slots, turnReading, turnDecoding)
-	var most, reading, weighty float64
+	var most, mostReading, reading, weighty float64
 	for _, one := range d {
 		most = max(most, one.Streams)
+		mostReading = max(mostReading, one.Reading)
 		reading += one.Reading
 		weighty += one.Weighty
 	}
 	l.Streams = min(l.Streams, turnFactor*most)
+	l.Reading = min(l.Reading, turnFactor*(mostReading+most/float64(slots)))
 	if reading > 0 {
 		l.Weighty = l.Reading * weighty / reading
 	}
