h1, dispatch: a connection counts as warm only for requests that may use it

Cause: requests that may run once at most don't use connections that were idle for over a second, but the choice of a target took these for connected, and a daemon with many connections looked at any 24 of them.

Now the choice asks for the reuse that the request has, and looks at the connections used last.

--- a/connection/h1/h1_test.go
+++ b/connection/h1/h1_test.go
@@ -295,15 +295,15 @@
 func TestWarm(t *testing.T) {
 	bubble(t, func(t *testing.T, n *pipenet.Net, p *Pool) {
 		n.Raw("a:1", answer(func(int, *http.Request) string { return ok("x") }))
-		if p.Warm("a:1", "t") {
+		if p.Warm("a:1", "t", Idle) {
 			t.Error("warm before the first request")
 		}
 		mustGet(t, p, false, "x")
-		if !p.Warm("a:1", "t") || p.Warm("a:1", "another") {
+		if !p.Warm("a:1", "t", Idle) || p.Warm("a:1", "another", Idle) {
 			t.Error("an idle connection isn't known, or to whom it goes")
 		}
 		_ = pause.For(context.Background(), defaultIdle)
-		if p.Warm("a:1", "t") {
+		if p.Warm("a:1", "t", Idle) {
 			t.Error("warm with a connection that was idle for long")
 		}
 	})
--- a/connection/h1/pool.go
+++ b/connection/h1/pool.go
@@ -11,6 +11,7 @@
 	"expvar"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -147,8 +148,9 @@
 	return defaultIdle
 }
 
-// Warm reports whether a request to a target would find an idle connection.
-func (p *Pool) Warm(addr, target string) bool {
+// Warm reports whether a request to a target would find an idle connection that it
+// may use.
+func (p *Pool) Warm(addr, target string, reuse Reuse) bool {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -157,10 +159,11 @@
 		return false
 	}
 	c := list[len(list)-1]
-	return now.Sub(c.used) < c.idleLimit(Idle)
+	return now.Sub(c.used) < c.idleLimit(reuse)
 }
 
-// IdleKeys returns the keys of the targets that there are idle connections to.
+// IdleKeys returns the keys of the targets that there are idle connections to, the
+// ones used last first.
 func (p *Pool) IdleKeys() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -170,6 +173,11 @@
 			out = append(out, key)
 		}
 	}
+	used := func(key string) time.Time {
+		list := p.idle[key]
+		return list[len(list)-1].used
+	}
+	slices.SortFunc(out, func(a, b string) int { return used(b).Compare(used(a)) })
 	return out
 }
 
--- a/request/dispatch/plain.go
+++ b/request/dispatch/plain.go
@@ -92,13 +92,14 @@
 func (u *run) pickPlain() (port.TargetEntry, bool) {
 	var best port.TargetEntry
 	bestCost := -1.0
+	reuse := u.reuse(sending{})
 	for _, e := range u.usable(u.consider("", nil, u.opts.Zone), nil) {
 		cost := float64(e.load.Streams) / float64(max(e.Slots, 1))
 		cost += failWeight * u.opts.Health.Rate(e.ID)
 		if e.Zone != u.opts.Zone {
 			cost += zoneWeight
 		}
-		if !u.opts.Pool.Warm(e.Addr, e.ID) {
+		if !u.opts.Pool.Warm(e.Addr, e.ID, reuse) {
 			cost += dialWeight
 		}
 		cost += zoneWeight / 2 * spread(u.c.Ask.ID, e.ID)
--- a/request/dispatch/prefill.go
+++ b/request/dispatch/prefill.go
@@ -112,6 +112,7 @@
 func (u *run) candidates(p prompt, role port.Role, zone string) []placement.Candidate {
 	var out []placement.Candidate
 	c := u.consider(role, &p, zone)
+	reuse := u.reuse(sending{state: port.Send{Prefill: role == port.RolePrefill}})
 	for _, t := range u.usable(c, p.parts) {
 		if t.load.Becomes != "" {
 			continue
@@ -121,7 +122,7 @@
 			Load:    t.load,
 			Rate:    u.opts.Health.Rate(t.ID),
 			Pace:    u.opts.Health.Pace(t.ID),
-			Warm:    u.opts.Pool.Warm(t.Addr, t.ID),
+			Warm:    u.opts.Pool.Warm(t.Addr, t.ID, reuse),
 			Private: t.private,
 		})
 	}
