--- a/connection/health/health.go
+++ b/connection/health/health.go
@@ -113,7 +113,7 @@
 	s.paced = now
 }
 
-// Pace is how many times longer than predicted a target takes lately.
+// Pace is how many times longer than predicted a target takes at present.
 func (b *Book) Pace(target string) float64 {
 	now := b.now()
 	b.mu.Lock()
--- a/connection/speed/speed.go
+++ b/connection/speed/speed.go
@@ -308,7 +308,7 @@
 	}
 }
 
-// Error is by which share the prediction of prompts is off lately, smoothed.
+// Error is by which share the prediction of prompts has been off, smoothed.
 func (b *Book) Error(name string) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/process/relay/relay_test.go
+++ b/process/relay/relay_test.go
@@ -246,7 +246,7 @@
 }
 
 // Guards against a whole listing for each daemon whenever the store has forgotten
-// its history: whoever reads from one that listed anew gets what differs.
+// its history: a daemon that reads from one that listed again gets what differs.
 func TestReaderThatListedAnewGivesTheDifference(t *testing.T) {
 	tail, s, d := pair(t)
 	tail.same = func(a, b port.KeyedRecord) bool { return string(a.Value) == string(b.Value) }
--- a/process/roles/split.go
+++ b/process/roles/split.go
@@ -50,7 +50,7 @@
 	// waits: moves come in crowds, too.
 	fullMoving = 0.6
 	// turnFactor bounds what a mix that turns asks for, against the most that was
-	// asked for lately. Mixes turn by up to 3.4 times their mean on the loads known.
+	// asked for in the last seconds. Mixes turn by up to 3.4 times their mean on the loads known.
 	// Without the bound 17 of 60 engines decode for 55 streams all day, and the
 	// prompts that the others read are late; and of 9,675 engines 5,800 change
 	// their role for prompts that 100 can read.
--- a/process/roster/announce.go
+++ b/process/roster/announce.go
@@ -45,8 +45,8 @@
 // of a thousand daemons writes itself at its start and lists all, 3,000 calls and
 // 136 MB, which are paid for.
 //
-// Two daemons that start at once find each other: of two contacts, whoever lists
-// second sees the first, and its heartbeat reaches the other.
+// Two daemons that start at once find each other: of two contacts, the one
+// that lists second sees the first, and its heartbeat reaches the other.
 func (r *Roster) announce() error {
 	ctx := r.tomb.Context(context.Background())
 	for failed := 0; ; failed++ {
@@ -135,7 +135,7 @@
 	return total >= leastContacts && near >= zoneContacts
 }
 
-// contacted reports whether any other daemon was heard of lately.
+// contacted reports whether a datagram of any other daemon came recently.
 func (r *Roster) contacted(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/process/roster/publish.go
+++ b/process/roster/publish.go
@@ -16,8 +16,8 @@
 	// second.
 	maxRelayed = 6 * readsPerDatagram
 	// maxWork bounds the engines in one digest: 5 kB to each receiver, twice a
-	// second. Those with less work are as good as idle to whoever chooses, who asks
-	// the owners of their queues in any case.
+	// second. Those with less work are as good as idle to a daemon that chooses: it
+	// asks the owners of their queues in any case.
 	maxWork = 256
 	// maxPendingReads bounds those that wait for it.
 	maxPendingReads = 1024
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -97,7 +97,7 @@
 	Clock FleetClock
 	// Usage takes other daemons' reports of usage; nil: there are none.
 	Usage func(data []byte) error
-	// Rate is the number of callers' requests a second lately; nil: some, not counted.
+	// Rate is the number of callers' requests in the last seconds, per second; nil: some, not counted.
 	Rate func() float64
 	// Conn replaces the UDP socket, in tests.
 	Conn net.PacketConn
--- a/process/roster/tree.go
+++ b/process/roster/tree.go
@@ -147,7 +147,7 @@
 	return out
 }
 
-// upstreamFor is how long a place in the tree is kept before it is found anew.
+// upstreamFor is how long a place in the tree is kept before it is computed again.
 const upstreamFor = heartbeatInterval
 
 // Upstream returns where this daemon reads what the store says.
--- a/request/placement/prefill.go
+++ b/request/placement/prefill.go
@@ -14,7 +14,7 @@
 	Entry port.TargetEntry
 	Load  engines.Load
 	Rate  float64 // share of its requests that failed lately
-	Pace  float64 // how often longer than predicted it takes lately, 1: as predicted
+	Pace  float64 // how many times longer than predicted it takes, 1: as predicted
 	Warm  bool    // this process has an idle connection to it
 	// Private says that other daemons don't look at it: prompts don't meet there.
 	Private bool
