--- a/bench/soak/planted_test.go
+++ b/bench/soak/planted_test.go
@@ -43,7 +43,7 @@
 		}, onAll(SpoilTarget, spoilExtra), "another's"},
 		{"a planned stop cuts", []edit{
 			{"process/front/stop.go", "_ = d.callers.http.Shutdown(ctx)", "_ = d.callers.http.Close()"},
-			{"process/front/stop.go", "_ = pause.For(ctx, min(keptFactor*addressTTL+newsTime, limit/2))", ""},
+			{"process/front/stop.go", "_ = pause.For(ctx, min(keptFactor*addressTTL+broadcastTime, limit/2))", ""},
 		}, onAll(StopDaemon, 0), "cut, though"},
 		{"requests outlive their deadline", []edit{
 			{"request/dispatch/call.go", "ctx, cancel := context.WithDeadline(ctx, c.GiveUp)", "ctx, cancel := context.WithCancel(ctx)"},
@@ -53,7 +53,7 @@
 		}, nil, "with key"},
 		{"the store is given up after a failure", []edit{
 			{"process/topic/follower.go", "f.o.Sink.Lost(err)", "f.o.Sink.Lost(err); <-f.tomb.Dying()"},
-		}, append([]Event{{At: 0, For: time.Second, Kind: FailStore, How: failReset}}, onAll(KillTarget, 0)...), "isn't well"},
+		}, append([]Event{{At: 0, For: 3 * time.Second, Kind: FailStore, How: failReset}}, onAll(KillTarget, 0)...), "isn't well"},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
