relay: the pace is asked for outside of the store's lock

Cause: found by reading the diff. A daemon whose readers fail computed its pace from the size of the membership while it held the store's lock; the membership asks the store, under its own lock, whether it is cut off, for each heartbeat. Met at the same moment the two wait for each other for good: the daemon sends no heartbeats and reads nothing.

Evidence: relay.TestPaceIsAskedWithoutTheLock, hangs without the change. Ruled out elsewhere: nothing else under the store's lock calls the membership.

--- a/process/relay/relay_test.go
+++ b/process/relay/relay_test.go
@@ -430,6 +430,30 @@
 	})
 }
 
+// Guards against a deadlock: the pace follows from the membership, which asks the
+// Store under its own lock whether it is cut off.
+func TestPaceIsAskedWithoutTheLock(t *testing.T) {
+	tail, s, d := pair(t)
+	tail.Lost(errors.New("away"))
+	s.Retry = func(bool) time.Duration {
+		s.Cut()
+		return 0
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = s.Read(t.Context(), port.TopicTargets, 5, 0)
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("a read waits for a lock that it holds")
+	}
+	if d.reads != 1 {
+		t.Errorf("%d reads of the store", d.reads)
+	}
+}
+
 // The store forgets its history again and again. Each time the daemon that reads
 // it for others lists the topics anew, and all others, whose records it no
 // longer holds, list them too, each with calls that are paid for.
--- a/process/relay/store.go
+++ b/process/relay/store.go
@@ -196,12 +196,12 @@
 // are paid for, and refused ones count against the rate of all. Readers that
 // answer know of the store's return first.
 func (s *Store) mayCall(readersAnswer bool) bool {
+	pace := s.Retry(true) // outside of the lock: the membership reads this store under its own
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
 	if readersAnswer && !s.mute {
 		// Half of the time at least, so that not all call at once.
-		pace := s.Retry(true)
 		s.spare = max(s.spare, now+pace/2+rand.N(pace/2+1))
 	}
 	s.mute = readersAnswer
