roster: one order by link, members in the tree, contacts not kept

The tree copied each member into a node of its own; the order by link and name stood twice, for aggregators and for leaders; the addresses of members were collected in two loops; contacts were kept in the roster though only the listing's caller reads them. Comments that an earlier renaming had garbled (sendHeartbeats, queueReply, reportWork) say again what they mean. Behaviour is the same; tests keep their assertions.

--- a/process/roster/aggregate.go
+++ b/process/roster/aggregate.go
@@ -1,7 +1,6 @@
 package roster
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -17,7 +16,7 @@
 const (
 	// aggregatorsPerZone is the number of daemons of an availability zone that
 	// aggregate the work of the zone's daemons: with one dead the other goes on. Both
-	// sendHeartbeats all.
+	// receive the heartbeats of all.
 	aggregatorsPerZone = 2
 	// digestEvery is the time between two digests of one of them.
 	digestEvery = 500 * time.Millisecond
@@ -135,14 +134,8 @@
 	if zone == r.self.Zone && r.self.State != Leaving {
 		found = append(found, &r.self)
 	}
-	slices.SortFunc(found, func(a, b *Member) int {
-		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(a.VM, b.VM))
-	})
-	var out []string
-	for _, m := range found[:min(len(found), n)] {
-		out = append(out, m.PeerAddr)
-	}
-	return out
+	slices.SortFunc(found, widestFirst)
+	return peerAddrsOf(found[:min(len(found), n)])
 }
 
 // mayAggregate reports whether a daemon may be an aggregator. One that is only
@@ -219,14 +212,15 @@
 // still send something.
 const maxUnresponsiveRatio = 3
 
-// detectUnresponsive notes the daemons of the zone that sent this one heartbeats and
-// sendHeartbeats nothing any more. Callers hold r.mu.
+// detectUnresponsive marks the daemons of the zone that sent this one heartbeats and
+// send none any more. Callers hold r.mu.
 //
-// The guards are against a daemon that is cut off, or that the others no longer
-// sendHeartbeats: it would say that the zone's daemons are dead, also once it is back, and
-// other zones, who learn of their last heartbeats later, would believe it. One that receives
-// nothing finds nobody unresponsive, since heartbeats stop at slightly different times. Where
-// nearly all become unresponsive at once they count as dead only once nobody reports them alive.
+// The guards are against a daemon that is cut off, or that the others no longer send
+// heartbeats to: it would say that the zone's daemons are dead, also once it is back,
+// and other zones, which learn of their last heartbeats later, would believe it. One
+// that receives nothing finds nobody unresponsive, since heartbeats stop at slightly
+// different times. Where nearly all become unresponsive at once they count as dead
+// only once nobody reports them alive.
 func (r *Roster) detectUnresponsive(now time.Time) {
 	if now.Sub(r.agg.lastContact) > contactWithin {
 		return
--- a/process/roster/announce.go
+++ b/process/roster/announce.go
@@ -78,16 +78,14 @@
 
 // join lists the contacts, and has this daemon become one if more are needed.
 func (r *Roster) join(ctx context.Context) error {
-	if r.written {
-		return r.list(ctx)
-	}
-	if err := r.list(ctx); err != nil || r.enoughContacts() {
+	contacts, err := r.list(ctx)
+	if err != nil || r.written || r.enoughContacts(contacts) {
 		return err
 	}
 	if err := pause.For(ctx, r.delay()); err != nil {
 		return err
 	}
-	if err := r.list(ctx); err != nil || r.enoughContacts() {
+	if contacts, err = r.list(ctx); err != nil || r.enoughContacts(contacts) {
 		return err
 	}
 	return r.becomeContact(ctx)
@@ -105,24 +103,21 @@
 		return err
 	}
 	r.written = true
-	return r.list(ctx)
+	_, err = r.list(ctx)
+	return err
 }
 
 // delay is how long this daemon leaves others precedence: those with wide links
 // are the better contacts.
 func (r *Roster) delay() time.Duration {
-	link := r.o.Self.LinkMbps
-	if link == 0 {
-		link = unknownLink
-	}
-	return rand.N(min(contactDelay/time.Duration(link), maxContactDelay))
+	return rand.N(min(contactDelay/time.Duration(r.o.Self.link()), maxContactDelay))
 }
 
 // enoughContacts reports whether this daemon needn't be one too. It is one already
 // if it finds itself.
-func (r *Roster) enoughContacts() bool {
+func (r *Roster) enoughContacts(contacts map[string]entry) bool {
 	total, near := 0, 0
-	for vm, e := range r.contacts {
+	for vm, e := range contacts {
 		if vm == r.o.Self.VM && e.Addr == r.o.Self.PeerAddr {
 			r.written = true
 			return true
@@ -142,14 +137,14 @@
 	return now.Sub(r.agg.lastContact) < unheardAfter
 }
 
-// list reads the contacts.
-func (r *Roster) list(ctx context.Context) error {
+// list reads the contacts, by VM.
+func (r *Roster) list(ctx context.Context) (map[string]entry, error) {
 	contacts := make(map[string]entry)
 	after := ""
 	for {
 		page, err := r.o.Store.Newest(ctx, port.TopicDaemons, after)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		for _, rec := range page.Records {
 			var e entry
@@ -164,7 +159,6 @@
 		}
 		after = page.Records[len(page.Records)-1].Key
 	}
-	r.contacts = contacts
 	r.mu.Lock()
 	for vm, e := range contacts {
 		r.addPeer(Member{VM: vm, PeerAddr: e.Addr, Zone: e.Zone, LinkMbps: e.LinkMbps})
@@ -175,5 +169,5 @@
 	r.upstreamAt = time.Time{}
 	r.mu.Unlock()
 	r.send(false)
-	return nil
+	return contacts, nil
 }
--- a/process/roster/duties.go
+++ b/process/roster/duties.go
@@ -29,7 +29,7 @@
 		first = &r.self
 	}
 	for _, p := range r.peers {
-		if mayLead(&p.member) && (first == nil || leadsBefore(&p.member, first) < 0) && r.isAlive(p, now) {
+		if mayLead(&p.member) && (first == nil || widestFirst(&p.member, first) < 0) && r.isAlive(p, now) {
 			first = &p.member
 		}
 	}
@@ -41,8 +41,9 @@
 
 func mayLead(m *Member) bool { return m.State == Ready && !m.StoreAway }
 
-// leadsBefore orders the daemons that may lead.
-func leadsBefore(a, b *Member) int {
+// widestFirst orders daemons by their links, then by name: the first ones aggregate
+// their zone, and the first one leads.
+func widestFirst(a, b *Member) int {
 	return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(a.VM, b.VM))
 }
 
@@ -51,7 +52,7 @@
 // links, then by name.
 func (r *Roster) Leaders(n int) []Member {
 	fit := slices.DeleteFunc(r.Members(), func(m Member) bool { return !mayLead(&m) })
-	slices.SortFunc(fit, func(a, b Member) int { return leadsBefore(&a, &b) })
+	slices.SortFunc(fit, func(a, b Member) int { return widestFirst(&a, &b) })
 	return fit[:min(len(fit), n)]
 }
 
--- a/process/roster/heartbeat.go
+++ b/process/roster/heartbeat.go
@@ -231,7 +231,7 @@
 	}
 }
 
-// open decodes and takes one datagram.
+// handleDatagram decodes and handles one datagram.
 func (r *Roster) handleDatagram(data []byte, from net.Addr) error {
 	if len(data) == 0 {
 		return errShort
--- a/process/roster/owner.go
+++ b/process/roster/owner.go
@@ -111,7 +111,7 @@
 	r.workReport(w, time.Now())
 }
 
-// reportWork sends an engine's owner this daemon's work there.
+// workReport sends an engine's owner this daemon's work there.
 func (r *Roster) workReport(w engines.Work, now time.Time) {
 	k := &r.ownership
 	k.mu.Lock()
--- a/process/roster/paused.go
+++ b/process/roster/paused.go
@@ -18,7 +18,7 @@
 // pauses knows the last pause of this process, guarded by Roster.mu.
 //
 // A daemon that was paused for a second has received nothing for that long. It would
-// queueReply the callers that asked in the meantime with its own address alone.
+// answer the callers that asked in the meantime with its own address alone.
 type pauses struct {
 	running time.Time // the last sign that this process ran
 	began   time.Time // of the last pause: the last sign before it
@@ -50,7 +50,7 @@
 	return time.Time{}, false
 }
 
-// lives reports whether a daemon counts as alive here: by what was received
+// isAlive reports whether a daemon counts as alive here: by what was received
 // recently, or before a pause of this process. Callers hold r.mu.
 func (r *Roster) isAlive(p *peer, now time.Time) bool {
 	if p.alive(now, r.patience()) {
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -110,16 +110,15 @@
 	tomb    tomb.Tomb
 	updates chan struct{}
 
-	mu       sync.Mutex
-	self     Member
-	seq      uint64
-	peers    map[string]*peer  // by peer address
-	tokens   map[uint32]string // peer address by the token that stands for a daemon's process
-	sent     []sentHeartbeat   // recent own heartbeats, the newest last
-	agg      aggregation
-	paused   pauses
-	contacts map[string]entry // by VM, as they were listed; of announce
-	written  bool             // this daemon is a contact; of announce
+	mu      sync.Mutex
+	self    Member
+	seq     uint64
+	peers   map[string]*peer  // by peer address
+	tokens  map[uint32]string // peer address by the token that stands for a daemon's process
+	sent    []sentHeartbeat   // recent own heartbeats, the newest last
+	agg     aggregation
+	paused  pauses
+	written bool // this daemon is a contact; of announce
 	// listedAt is when the contacts were read, zero before.
 	listedAt time.Time
 	// upstream was found at upstreamAt.
--- a/process/roster/tree.go
+++ b/process/roster/tree.go
@@ -32,38 +32,35 @@
 	leastReaders = 4
 )
 
-// node is a daemon's place in the order in which daemons relay.
-type node struct {
-	addr, vm, zone string
-	link           uint32
-	away           bool // its calls to the store fail
-}
-
-// before orders the daemons that relay: those that reach the store, then those
+// relaysBefore orders the daemons that relay: those that reach the store, then those
 // with the widest links, and from the end by name. The first ones by name
 // aggregate, and what they send fills a narrow link for seconds.
-func (n *node) before(o *node) int {
+func relaysBefore(a, b *Member) int {
 	away := 0
-	if n.away != o.away {
+	if a.StoreAway != b.StoreAway {
 		away = -1
-		if n.away {
+		if a.StoreAway {
 			away = 1
 		}
 	}
-	return cmp.Or(away, cmp.Compare(o.link, n.link), cmp.Compare(o.vm, n.vm))
+	return cmp.Or(away, cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(b.VM, a.VM))
 }
 
-// readers is the number of daemons that may read from one, in a fleet of that
+// readersOf is the number of daemons that may read from one, in a fleet of that
 // many.
-func (n *node) readers(fleet int) int {
-	link := n.link
-	if link == 0 {
-		link = unknownLink
-	}
-	bytes := float64(link) * 1e6 / 8 * listingTime.Seconds()
+func readersOf(m *Member, fleet int) int {
+	bytes := float64(m.link()) * 1e6 / 8 * listingTime.Seconds()
 	return max(int(bytes/float64(fleet*usualTargets*listedBytes)), leastReaders)
 }
 
+// link is the bandwidth of the VM's link in Mbit/s, or what is assumed of it.
+func (m *Member) link() uint32 {
+	if m.LinkMbps == 0 {
+		return unknownLink
+	}
+	return m.LinkMbps
+}
+
 // upstreamOf finds a daemon's place in the tree of those that relay the store's
 // records. The first two of each availability zone are its heads. In a rooted
 // fleet one daemon reads the store, and the heads read from it; else the heads
@@ -73,25 +70,25 @@
 // The load that it answers: two heads a zone that all read the store take ten
 // times its bytes, each of which is paid for; and heads behind narrow links send
 // a listing of thousands of targets to a hundred daemons for minutes.
-func upstreamOf(self *node, fleet []*node, rooted bool) Upstream {
-	zones := make(map[string][]*node)
+func upstreamOf(self *Member, fleet []*Member, rooted bool) Upstream {
+	zones := make(map[string][]*Member)
 	for _, n := range fleet {
-		zones[n.zone] = append(zones[n.zone], n)
+		zones[n.Zone] = append(zones[n.Zone], n)
 	}
 	depth := 0
-	var heads []*node
+	var heads []*Member
 	for _, list := range zones {
-		slices.SortFunc(list, (*node).before)
+		slices.SortFunc(list, relaysBefore)
 		heads = append(heads, list[:min(len(list), headsPerZone)]...)
 		depth = max(depth, len(levels(list, len(fleet)))-1)
 	}
-	slices.SortFunc(heads, (*node).before)
+	slices.SortFunc(heads, relaysBefore)
 	root := heads[0]
 	up := Upstream{Depth: max(depth, 1)}
 	if rooted {
 		up.Depth = depth + 1
 	}
-	zone := zones[self.zone]
+	zone := zones[self.Zone]
 	tree := levels(zone, len(fleet))
 	for i, level := range tree {
 		at := slices.Index(level, self)
@@ -104,45 +101,45 @@
 			up.Peers = peerAddrsOf(heads[:min(at, headsPerZone)])
 		}
 	}
-	if rooted && len(up.Peers) > 0 && !slices.Contains(up.Peers, root.addr) {
-		up.Peers = append(up.Peers, root.addr)
+	if rooted && len(up.Peers) > 0 && !slices.Contains(up.Peers, root.PeerAddr) {
+		up.Peers = append(up.Peers, root.PeerAddr)
 	}
 	return up
 }
 
 // levels cuts a zone's daemons into levels, of which each reads from the one
 // before.
-func levels(zone []*node, fleet int) [][]*node {
-	var out [][]*node
+func levels(zone []*Member, fleet int) [][]*Member {
+	var out [][]*Member
 	size := headsPerZone
 	for len(zone) > 0 {
 		level := zone[:min(size, len(zone))]
 		out, zone = append(out, level), zone[len(level):]
 		size = 0
 		for _, n := range level {
-			size += n.readers(fleet)
+			size += readersOf(n, fleet)
 		}
 	}
 	return out
 }
 
 // readFrom returns the daemons of a level that one of the next level reads from.
-func readFrom(self *node, level []*node, at int) []string {
+func readFrom(self *Member, level []*Member, at int) []string {
 	if len(level) == headsPerZone {
-		at = int(engines.Hash(self.vm) % headsPerZone)
+		at = int(engines.Hash(self.VM) % headsPerZone)
 	}
 	first := level[at%len(level)]
 	second := level[(at+1)%len(level)]
 	if first == second {
-		return []string{first.addr}
+		return []string{first.PeerAddr}
 	}
-	return []string{first.addr, second.addr}
+	return []string{first.PeerAddr, second.PeerAddr}
 }
 
-func peerAddrsOf(nodes []*node) []string {
+func peerAddrsOf(members []*Member) []string {
 	var out []string
-	for _, n := range nodes {
-		out = append(out, n.addr)
+	for _, n := range members {
+		out = append(out, n.PeerAddr)
 	}
 	return out
 }
@@ -162,25 +159,20 @@
 	if !r.upstreamAt.IsZero() && now.Sub(r.upstreamAt) < upstreamFor {
 		return r.upstream
 	}
-	self := nodeOf(&r.self)
-	fleet := []*node{self}
+	fleet := []*Member{&r.self}
 	for _, p := range r.peers {
 		if r.mayRelay(p, now) {
-			fleet = append(fleet, nodeOf(&p.member))
+			fleet = append(fleet, &p.member)
 		}
 	}
 	r.upstream = Upstream{}
 	if len(fleet) > smallFleet+1 {
-		r.upstream = upstreamOf(self, fleet, r.o.Rooted)
+		r.upstream = upstreamOf(&r.self, fleet, r.o.Rooted)
 	}
 	r.upstreamAt = now
 	return r.upstream
 }
 
-func nodeOf(m *Member) *node {
-	return &node{addr: m.PeerAddr, vm: m.VM, zone: m.Zone, link: m.LinkMbps, away: m.StoreAway}
-}
-
 // startFor is how long after its first listing a daemon asks others that it has
 // only found there: by then it knows those that live.
 const startFor = 2 * relayedDeadAfter
--- a/process/roster/tree_test.go
+++ b/process/roster/tree_test.go
@@ -7,12 +7,12 @@
 
 // fleetOf is a fleet of that many daemons in five availability zones. Of each
 // zone the first wide ones have links of 1,000 Mbit/s, the others of 20.
-func fleetOf(size, wide int) []*node {
-	var out []*node
+func fleetOf(size, wide int) []*Member {
+	var out []*Member
 	for i := range size {
-		n := &node{addr: fmt.Sprint("addr", i), vm: fmt.Sprintf("vm%05d", i), zone: fmt.Sprint("z", i%5), link: 20}
+		n := &Member{PeerAddr: fmt.Sprint("addr", i), VM: fmt.Sprintf("vm%05d", i), Zone: fmt.Sprint("z", i%5), LinkMbps: 20}
 		if i/5 < wide {
-			n.link = 1000
+			n.LinkMbps = 1000
 		}
 		out = append(out, n)
 	}
@@ -28,12 +28,12 @@
 		t.Run(fmt.Sprint(c), func(t *testing.T) {
 			fleet := fleetOf(c.size, c.wide)
 			places := make(map[string]Upstream)
-			byAddr := make(map[string]*node)
+			byAddr := make(map[string]*Member)
 			readers := make(map[string]int)
 			direct := 0
 			for _, n := range fleet {
 				up := upstreamOf(n, fleet, true)
-				places[n.addr], byAddr[n.addr] = up, n
+				places[n.PeerAddr], byAddr[n.PeerAddr] = up, n
 				if len(up.Peers) == 0 {
 					direct++
 					continue
@@ -45,8 +45,8 @@
 			}
 			for addr, count := range readers {
 				// The heads' readers choose one of two by hash; the root has other heads too.
-				if most := byAddr[addr].readers(c.size)*13/10 + headsPerZone*5; count > most {
-					t.Errorf("%d read from %s with a link of %d, want %d", count, addr, byAddr[addr].link, most)
+				if most := readersOf(byAddr[addr], c.size)*13/10 + headsPerZone*5; count > most {
+					t.Errorf("%d read from %s with a link of %d, want %d", count, addr, byAddr[addr].LinkMbps, most)
 				}
 			}
 			for addr, up := range places {
@@ -72,20 +72,20 @@
 // store, and against daemons that all go to the store while it is away for all.
 func TestTreePassesOverADaemonWithoutTheStore(t *testing.T) {
 	fleet := fleetOf(100, 2)
-	var root *node
+	var root *Member
 	for _, n := range fleet {
 		if len(upstreamOf(n, fleet, true).Peers) == 0 {
 			root = n
 		}
 	}
-	root.away = true
+	root.StoreAway = true
 	if up := upstreamOf(root, fleet, true); len(up.Peers) == 0 {
 		t.Error("it still reads the store")
 	}
 	for _, all := range []bool{false, true} {
 		direct := 0
 		for _, n := range fleet {
-			n.away = n.away || all
+			n.StoreAway = n.StoreAway || all
 		}
 		for _, n := range fleet {
 			if len(upstreamOf(n, fleet, true).Peers) == 0 {
