discovery, targets, engines: one hash and one look-up of a target

What an engine keeps was noted in two calls, side by side in three places. Behaviour is the same; tests keep their assertions.

--- a/connection/engines/book.go
+++ b/connection/engines/book.go
@@ -192,8 +192,7 @@
 // reading notes that an engine will keep a prompt, and that the other daemons
 // get a report. Callers hold b.mu.
 func (b *Book) reading(hash uint64, e *engine, parts []port.PromptPart, ready time.Time) {
-	e.keeps.add(parts, ready)
-	b.noteHolder(hash, parts)
+	b.keep(hash, e, parts, ready)
 	if len(b.reads) < maxUnsent {
 		b.reads = append(b.reads, Read{Target: hash, Parts: parts, ready: ready})
 	}
@@ -203,8 +202,8 @@
 func (b *Book) Learn(target string, memory int, parts []port.PromptPart) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.engine(Hash(target), memory).keeps.add(parts, b.now())
-	b.noteHolder(Hash(target), parts)
+	hash := Hash(target)
+	b.keep(hash, b.engine(hash, memory), parts, b.now())
 }
 
 // Decode notes that a request goes to an engine to be decoded, which has its KV
--- a/connection/engines/holders.go
+++ b/connection/engines/holders.go
@@ -1,6 +1,10 @@
 package engines
 
-import "github.com/pomelospool/pomelospool/port"
+import (
+	"time"
+
+	"github.com/pomelospool/pomelospool/port"
+)
 
 const (
 	// holdersPerPart is the number of engines noted for one prompt part.
@@ -9,9 +13,10 @@
 	maxParts = 16_384
 )
 
-// noteHolder notes that an engine keeps the parts that other prompts may begin
-// with too. Callers hold b.mu.
-func (b *Book) noteHolder(hash uint64, parts []port.PromptPart) {
+// keep notes that an engine keeps a prompt from some time on, and that it holds the
+// parts that other prompts may begin with too. Callers hold b.mu.
+func (b *Book) keep(hash uint64, e *engine, parts []port.PromptPart, ready time.Time) {
+	e.keeps.add(parts, ready)
 	for _, part := range shared(parts) {
 		list := b.holders[part.ID]
 		if list == nil && len(b.holders) >= maxParts {
--- a/connection/engines/reports.go
+++ b/connection/engines/reports.go
@@ -81,13 +81,12 @@
 // kept does it. Callers hold b.mu.
 func (b *Book) kept(reads []Read) (fresh []Read) {
 	for _, r := range reads {
-		keeps := b.engine(r.Target, 0).keeps
+		e := b.engine(r.Target, 0)
 		r.ready = b.now().Add(time.Duration(r.LeftMs) * time.Millisecond)
-		if !keeps.has(shared(r.Parts)) {
+		if !e.keeps.has(shared(r.Parts)) {
 			fresh = append(fresh, r)
 		}
-		keeps.add(r.Parts, r.ready)
-		b.noteHolder(r.Target, r.Parts)
+		b.keep(r.Target, e, r.Parts, r.ready)
 	}
 	return fresh
 }
--- a/connection/targets/targets.go
+++ b/connection/targets/targets.go
@@ -8,13 +8,12 @@
 	"slices"
 	"sort"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/pomelospool/pomelospool/connection/engines"
 	"github.com/pomelospool/pomelospool/port"
 )
 
-// List is targets in the order of their ids' hashes. It is read-only. A nil List
-// is empty.
+// List is targets in the order of engines.Hash of their ids. It is read-only. A nil
+// List is empty.
 type List struct {
 	entries []*port.TargetEntry
 	hashes  []uint64
@@ -52,6 +51,15 @@
 	return out
 }
 
+// Lookup returns the target whose id has that hash, nil if there is none.
+func (l *List) Lookup(hash uint64) *port.TargetEntry {
+	at, _ := l.find(hash, "")
+	if at < l.Len() && l.hashes[at] == hash {
+		return l.entries[at]
+	}
+	return nil
+}
+
 // find is where a target with that id and hash stands, or would.
 func (l *List) find(hash uint64, id string) (at int, found bool) {
 	at = sort.Search(l.Len(), func(i int) bool {
@@ -137,7 +145,7 @@
 func (s *Set) With(changes map[string]*port.TargetEntry) *Set {
 	ordered := make([]change, 0, len(changes))
 	for id, e := range changes {
-		ordered = append(ordered, change{id: id, hash: xxhash.Sum64String(id), entry: e})
+		ordered = append(ordered, change{id: id, hash: engines.Hash(id), entry: e})
 	}
 	slices.SortFunc(ordered, func(a, b change) int {
 		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id))
--- a/process/discovery/registry.go
+++ b/process/discovery/registry.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cespare/xxhash/v2"
 
+	"github.com/pomelospool/pomelospool/connection/engines"
 	"github.com/pomelospool/pomelospool/connection/targets"
 	"github.com/pomelospool/pomelospool/port"
 )
@@ -42,8 +42,6 @@
 
 	mu      sync.Mutex
 	entries map[string]port.TargetEntry // by key in the store; an entry's id names one start of the target
-	keys    map[string]string           // key of the entry with an id
-	hashes  map[uint64]string           // key of the entry whose id has a hash
 	offsets map[string]int64            // by key
 	born    map[string]int64            // by key, the newest start seen
 	lapsed  map[string]time.Time        // by key, entries that are gone from the store, and when they are dropped here
@@ -79,8 +77,6 @@
 		after:   o.After,
 		decode:  o.Decode,
 		entries: make(map[string]port.TargetEntry),
-		keys:    make(map[string]string),
-		hashes:  make(map[uint64]string),
 		offsets: make(map[string]int64),
 		born:    make(map[string]int64),
 		lapsed:  make(map[string]time.Time),
@@ -95,21 +91,22 @@
 
 // Lookup returns the entry of a target.
 func (r *Registry) Lookup(id string) (port.TargetEntry, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	e, ok := r.entries[r.keys[id]]
-	return e, ok
+	for _, set := range r.Snapshot().Targets {
+		if e := set.All().Lookup(engines.Hash(id)); e != nil && e.ID == id {
+			return *e, true
+		}
+	}
+	return port.TargetEntry{}, false
 }
 
-// HasHash reports whether there is a target whose id has that hash.
-func (r *Registry) HasHash(hash uint64) bool { return r.ServiceOf(hash) != "" }
-
-// ServiceOf returns the service of the target whose id has that hash, empty if
-// there is none.
-func (r *Registry) ServiceOf(hash uint64) string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.entries[r.hashes[hash]].Service
+// HasHash reports whether there is a target whose id has that engines.Hash.
+func (r *Registry) HasHash(hash uint64) bool {
+	for _, set := range r.Snapshot().Targets {
+		if set.All().Lookup(hash) != nil {
+			return true
+		}
+	}
+	return false
 }
 
 // Same reports whether two records of a key say the same of their target: they
@@ -211,7 +208,7 @@
 		known = false
 	}
 	delete(r.lapsed, rec.Key)
-	r.entries[rec.Key], r.keys[e.ID], r.hashes[xxhash.Sum64String(e.ID)] = e, rec.Key, rec.Key
+	r.entries[rec.Key] = e
 	r.note(e.Service, e.ID, &e)
 	if !known {
 		r.since = r.now()
@@ -243,8 +240,6 @@
 
 func (r *Registry) drop(key string, e port.TargetEntry) {
 	delete(r.entries, key)
-	delete(r.keys, e.ID)
-	delete(r.hashes, xxhash.Sum64String(e.ID))
 	r.note(e.Service, e.ID, nil)
 	delete(r.lapsed, key)
 	delete(r.offsets, key)
--- a/process/roles/planner.go
+++ b/process/roles/planner.go
@@ -414,7 +414,8 @@
 	}
 	a.at = now
 	l := p.o.Demand.Total(service)
-	running := p.o.Engines.Streams(func(hash uint64) bool { return p.o.Targets.ServiceOf(hash) == service })
+	all := p.o.Targets.Snapshot().Targets[service].All()
+	running := p.o.Engines.Streams(func(hash uint64) bool { return all.Lookup(hash) != nil })
 	l.Streams = max(l.Streams, float64(running))
 	a.notes = append(a.notes, l)
 	if len(a.notes) > kept {
--- a/request/dispatch/consider.go
+++ b/request/dispatch/consider.go
@@ -5,7 +5,6 @@
 
 	"github.com/pomelospool/pomelospool/connection/engines"
 	"github.com/pomelospool/pomelospool/connection/h1"
-	"github.com/pomelospool/pomelospool/connection/targets"
 	"github.com/pomelospool/pomelospool/port"
 )
 
@@ -28,12 +27,9 @@
 
 // considered is the targets that a call looks at.
 type considered struct {
-	set     *targets.Set
-	role    port.Role
 	entries []*port.TargetEntry
 	seen    map[*port.TargetEntry]bool
 	shared  int // the first so many are considered by all daemons alike
-	of      int // targets of the role that there are
 }
 
 // consider returns the targets of a role that a call looks at: all, or of many
@@ -43,54 +39,43 @@
 func (u *run) consider(role port.Role, p *prompt, zone string) *considered {
 	set := u.opts.Targets.Targets(u.c.Service.Name)
 	all := set.Of(role, "")
-	c := &considered{set: set, role: role, of: all.Len()}
 	if all.Len() <= lookAtAll {
-		c.entries, c.shared = all.All(), all.Len()
-		return c
+		return &considered{entries: all.All(), shared: all.Len()}
 	}
-	c.seen = make(map[*port.TargetEntry]bool)
+	c := &considered{seen: make(map[*port.TargetEntry]bool)}
 	if p != nil {
-		c.add(all.After(p.Seed, meetingPlaces))
+		c.add(all.After(p.Seed, meetingPlaces)...)
 	}
 	c.shared = len(c.entries)
 	if p != nil {
 		for _, hash := range u.opts.Engines.Holders(p.parts) {
-			c.add(c.find(all, hash))
+			c.add(all.Lookup(hash))
 		}
 	}
 	own := engines.Hash(u.opts.Self)
 	near := set.Of(role, u.opts.Zone)
-	c.add(near.After(own, regulars))
+	c.add(near.After(own, regulars)...)
 	if zone != u.opts.Zone {
-		c.add(set.Of(role, zone).After(own, regulars))
+		c.add(set.Of(role, zone).After(own, regulars)...)
 	}
-	for i, key := range u.opts.Pool.IdleKeys() {
-		if i >= maxConnected {
-			break
-		}
+	connected := u.opts.Pool.IdleKeys()
+	for _, key := range connected[:min(len(connected), maxConnected)] {
 		_, id := h1.SplitKey(key)
-		c.add(c.find(all, engines.Hash(id)))
+		c.add(all.Lookup(engines.Hash(id)))
 	}
 	for range drawnNear {
-		c.add(near.After(rand.Uint64(), 1))
+		c.add(near.After(rand.Uint64(), 1)...)
 	}
 	for range drawnFar {
-		c.add(all.After(rand.Uint64(), 1))
+		c.add(all.After(rand.Uint64(), 1)...)
 	}
 	return c
 }
 
-// find returns the target whose id has that hash.
-func (c *considered) find(all *targets.List, hash uint64) []*port.TargetEntry {
-	if found := all.After(hash, 1); len(found) > 0 && engines.Hash(found[0].ID) == hash {
-		return found
-	}
-	return nil
-}
-
-func (c *considered) add(entries []*port.TargetEntry) {
+// add adds targets that aren't there yet; nil is none.
+func (c *considered) add(entries ...*port.TargetEntry) {
 	for _, e := range entries {
-		if !c.seen[e] {
+		if e != nil && !c.seen[e] {
 			c.seen[e] = true
 			c.entries = append(c.entries, e)
 		}
