relay, front: one reading of another daemon's answer, one shape of a listing

Three calls decoded another daemon's answer each by itself; a listing had two shapes, and a mark that the handler never sent; the newest records were noted in two loops where one function had done it; the pace of the whole fleet was computed twice; daemons to ask were drawn twice. Engines were copied and shuffled before it was decided that none is asked. The rate of requests counts by the monotonic clock, so that a clock that is set back needs no case. Behaviour is the same; tests keep their assertions.

--- a/process/front/rate.go
+++ b/process/front/rate.go
@@ -13,15 +13,16 @@
 
 // rateMeter counts requests. It is safe for concurrent use.
 type rateMeter struct {
-	now func() time.Time
+	now   func() time.Time
+	start time.Time
 
 	mu      sync.Mutex
-	second  int64 // Unix time of the newest count
+	second  int64 // of the newest count, since start
 	seconds [rateSpan]int
 }
 
 func newRateMeter(now func() time.Time) *rateMeter {
-	return &rateMeter{now: now}
+	return &rateMeter{now: now, start: now()}
 }
 
 // add counts one request.
@@ -42,15 +43,12 @@
 
 // advance clears what is too old. Callers hold m.mu.
 func (m *rateMeter) advance() {
-	now := m.now().Unix()
-	if now < m.second-rateSpan {
-		m.second = now - rateSpan // the clock was set back
-	}
-	for range min(max(now-m.second, 0), rateSpan) {
+	second := int64(m.now().Sub(m.start) / time.Second)
+	for range min(second-m.second, rateSpan) {
 		m.second++
 		m.seconds[m.second%rateSpan] = 0
 	}
-	m.second = max(m.second, now)
+	m.second = second
 }
 
 // observe counts a request that ended.
--- a/process/front/store.go
+++ b/process/front/store.go
@@ -97,9 +97,8 @@
 // directPace is the least time between two calls to the store of a daemon whose
 // reader fails.
 func (d *Daemon) directPace() time.Duration {
-	pace := targetsPace * time.Duration(max(d.roster.Known(), pacedDaemons)) / pacedDaemons
 	shortest := min(d.s.Bounds.Drain, d.s.Bounds.ApplyConfig)
-	return min(pace, max(time.Duration(paceShare*float64(shortest)), targetsPace))
+	return min(d.fleetPace(), max(time.Duration(paceShare*float64(shortest)), targetsPace))
 }
 
 // callPace is the time between two calls to the store of a daemon whose readers
@@ -107,11 +106,17 @@
 // daemons together make no more calls than a small fleet.
 func (d *Daemon) callPace(readersAnswer bool) time.Duration {
 	if readersAnswer {
-		return targetsPace * time.Duration(max(d.roster.Known(), pacedDaemons)) / pacedDaemons
+		return d.fleetPace()
 	}
 	return d.directPace()
 }
 
+// fleetPace is the time between two calls of a daemon at which all daemons together
+// make no more of them than pacedDaemons do.
+func (d *Daemon) fleetPace() time.Duration {
+	return targetsPace * time.Duration(max(d.roster.Known(), pacedDaemons)) / pacedDaemons
+}
+
 // withoutStore reports whether this daemon doesn't know what the store says now.
 func (d *Daemon) withoutStore() bool {
 	return d.storeAway.Load() || d.store.Cut() || d.reach.Away()
--- a/process/front/warm.go
+++ b/process/front/warm.go
@@ -38,11 +38,12 @@
 		if svc.Engine == nil {
 			continue
 		}
-		entries := slices.Clone(d.registry.Snapshot().Targets[svc.Name].All().All())
-		rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
-		if float64(askAtStart) < askShare*float64(len(entries)) {
+		all := d.registry.Snapshot().Targets[svc.Name].All()
+		if float64(askAtStart) < askShare*float64(all.Len()) {
 			continue
 		}
+		entries := slices.Clone(all.All())
+		rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
 		for _, e := range entries[:min(len(entries), askAtStart)] {
 			d.tomb.Go(func() error {
 				d.ask(ctx, svc, e)
--- a/process/relay/fallback.go
+++ b/process/relay/fallback.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/apex/log"
@@ -68,9 +67,7 @@
 	if s.Sources == nil {
 		return nil
 	}
-	peers := s.Sources()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	return peers[:min(len(peers), maxAsked)]
+	return someOf(s.Sources())
 }
 
 func (s *Store) fallback(t port.Topic) (fallback, bool) {
--- a/process/relay/listing.go
+++ b/process/relay/listing.go
@@ -99,17 +99,12 @@
 	begun := s.now()
 	ctx, cancel := context.WithTimeout(ctx, startWait+listHop)
 	defer cancel()
-	var a answer
-	url := fmt.Sprintf("http://%s/current?topic=%d&max_age_ms=%d&wait_ms=%d", addr, t, s.maxAge(0).Milliseconds(), startWait.Milliseconds())
-	if err := s.get(ctx, url, &a); err != nil {
-		return port.KeyedPage{}, err
-	}
-	records, err := a.Pack.records()
+	r, err := s.get(ctx, fmt.Sprintf("http://%s/current?topic=%d&max_age_ms=%d&wait_ms=%d", addr, t, s.maxAge(0).Milliseconds(), startWait.Milliseconds()))
 	if err != nil {
 		return port.KeyedPage{}, err
 	}
-	s.noteFresh(t, begun+a.ReadAt)
-	return port.KeyedPage{Records: records, End: a.End}, nil
+	s.noteFresh(t, begun+r.readAt)
+	return port.KeyedPage{Records: r.Records, End: r.Next}, nil
 }
 
 // noteListing notes a listing of the store: it lacks nothing written before its begin.
@@ -134,9 +129,7 @@
 
 // askOthers asks some daemons for a topic's listing, one after the other.
 func (s *Store) askOthers(ctx context.Context, t port.Topic) (port.KeyedPage, bool) {
-	peers := s.peers()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, addr := range peers[:min(len(peers), maxAsked)] {
+	for _, addr := range someOf(s.peers()) {
 		page, err := s.listing(ctx, addr, t)
 		if err == nil {
 			log.WithFields(log.Fields{"topic": int(t), "from": addr, "next": page.End}).Info("relay: listed by another daemon")
@@ -147,13 +140,15 @@
 	return port.KeyedPage{}, false
 }
 
+// someOf draws the daemons that are asked.
+func someOf(peers []string) []string {
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(len(peers), maxAsked)]
+}
+
 func (s *Store) listing(ctx context.Context, addr string, t port.Topic) (port.KeyedPage, error) {
 	ctx, cancel := context.WithTimeout(ctx, hopTimeout)
 	defer cancel()
-	var a answer
-	if err := s.get(ctx, fmt.Sprintf("http://%s/listing?topic=%d", addr, t), &a); err != nil {
-		return port.KeyedPage{}, err
-	}
-	records, err := a.Pack.records()
-	return port.KeyedPage{Records: records, End: a.End, Relayed: true}, err
+	r, err := s.get(ctx, fmt.Sprintf("http://%s/listing?topic=%d", addr, t))
+	return port.KeyedPage{Records: r.Records, End: r.Next, Relayed: true}, err
 }
--- a/process/relay/pack.go
+++ b/process/relay/pack.go
@@ -70,6 +70,9 @@
 	n     int   // number of changes
 }
 
+// key is that of the listing's pack.
+func (l *listed) key() packKey { return packKey{whole: true, last: l.version} }
+
 // key is that of the changes' pack.
 func (b *batch) key() packKey {
 	if len(b.changes) == 0 {
--- a/process/relay/relay.go
+++ b/process/relay/relay.go
@@ -44,12 +44,12 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return nil
 		}
-		page, version, known := tail.listing()
+		l, known := tail.listing()
 		if !known {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return nil
 		}
-		return tail.write(w, packKey{whole: true, last: version}, page.Records, answer{End: page.End})
+		return tail.write(w, l.key(), l.page.Records, answer{End: l.page.End})
 	})
 	r.GET("/current", func(w http.ResponseWriter, req bunrouter.Request) error {
 		p := params{values: req.URL.Query()}
@@ -65,7 +65,7 @@
 			return nil
 		}
 		counts.Add("listings_served", 1)
-		return tail.write(w, packKey{whole: true, last: l.version}, l.page.Records, answer{End: l.page.End, ReadAt: l.readAt})
+		return tail.write(w, l.key(), l.page.Records, answer{End: l.page.End, ReadAt: l.readAt})
 	})
 	r.GET("/records", func(w http.ResponseWriter, req bunrouter.Request) error {
 		p := params{values: req.URL.Query()}
--- a/process/relay/store.go
+++ b/process/relay/store.go
@@ -354,13 +354,7 @@
 func (s *Store) ask(ctx context.Context, addr string, t port.Topic, from int64, wait, maxAge time.Duration) (reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+hopTimeout)
 	defer cancel()
-	var a answer
-	err := s.get(ctx, fmt.Sprintf("http://%s/records?topic=%d&from=%d&wait_ms=%d&max_age_ms=%d", addr, t, from, wait.Milliseconds(), maxAge.Milliseconds()), &a)
-	if err != nil {
-		return reply{}, err
-	}
-	records, err := a.Pack.records()
-	return reply{KeyedBatch: port.KeyedBatch{Records: records, Next: a.End}, readAt: a.ReadAt}, err
+	return s.get(ctx, fmt.Sprintf("http://%s/records?topic=%d&from=%d&wait_ms=%d&max_age_ms=%d", addr, t, from, wait.Milliseconds(), maxAge.Milliseconds()))
 }
 
 var (
@@ -370,28 +364,30 @@
 	errKnowsNothing = errors.New("relay: the reader doesn't know what the store says")
 )
 
-// get reads another daemon's answer into out.
-func (s *Store) get(ctx context.Context, url string, out any) error {
+// get reads another daemon's answer.
+func (s *Store) get(ctx context.Context, url string) (reply, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
-		return fmt.Errorf("relay: %w", err)
+		return reply{}, fmt.Errorf("relay: %w", err)
 	}
 	resp, err := s.client.Do(req)
 	if err != nil {
-		return fmt.Errorf("relay: %w", err)
+		return reply{}, fmt.Errorf("relay: %w", err)
 	}
 	defer resp.Body.Close()
 	switch resp.StatusCode {
+	case http.StatusOK:
 	case http.StatusGone:
-		return errGap
+		return reply{}, errGap
 	case http.StatusServiceUnavailable:
-		return errKnowsNothing
+		return reply{}, errKnowsNothing
+	default:
+		return reply{}, fmt.Errorf("relay: status %d", resp.StatusCode)
 	}
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("relay: status %d", resp.StatusCode)
-	}
-	if err := cbor.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(out); err != nil {
-		return fmt.Errorf("relay: %w", err)
+	var a answer
+	if err := cbor.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&a); err != nil {
+		return reply{}, fmt.Errorf("relay: %w", err)
 	}
-	return nil
+	records, err := a.Pack.records()
+	return reply{KeyedBatch: port.KeyedBatch{Records: records, Next: a.End}, readAt: a.ReadAt}, err
 }
--- a/process/relay/tail.go
+++ b/process/relay/tail.go
@@ -66,11 +66,7 @@
 		t.changes = append(t.changes, changes...)
 	}
 	clear(t.newest)
-	for _, r := range records {
-		if r.Value != nil {
-			t.newest[r.Key] = r
-		}
-	}
+	t.note(records)
 	t.version++
 	t.end = next
 	t.trim()
@@ -79,6 +75,17 @@
 	t.next.Reset(records, next)
 }
 
+// note keeps the newest record of each key. Callers hold t.mu.
+func (t *Tail) note(records []port.KeyedRecord) {
+	for _, r := range records {
+		if r.Value == nil {
+			delete(t.newest, r.Key)
+			continue
+		}
+		t.newest[r.Key] = r
+	}
+}
+
 // difference returns what a listing that ends at next changes. Callers hold t.mu.
 func (t *Tail) difference(records []port.KeyedRecord, next int64) []change {
 	var out []change
@@ -114,12 +121,8 @@
 	}
 	for _, r := range changed {
 		t.changes = append(t.changes, change{at: r.Offset, record: r})
-		if r.Value == nil {
-			delete(t.newest, r.Key)
-		} else {
-			t.newest[r.Key] = r
-		}
 	}
+	t.note(changed)
 	t.version += int64(len(changed))
 	t.end = max(t.end, records[len(records)-1].Offset+1)
 	t.trim()
@@ -156,39 +159,37 @@
 	t.changes = slices.Clone(t.changes[over:])
 }
 
-// listing is the topic as this daemon knows it, and its version; false: it never
-// read it whole.
-func (t *Tail) listing() (port.KeyedPage, int64, bool) {
+// listed is a topic as a daemon knows it.
+type listed struct {
+	page    port.KeyedPage
+	version int64         // of the records: equal ones have the same
+	readAt  time.Duration // when the store was read, from now on: negative
+}
+
+// listing is the topic as this daemon knows it; false: it never read it whole.
+func (t *Tail) listing() (listed, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.page()
+	return t.list()
 }
 
-// page does it. Callers hold t.mu.
-func (t *Tail) page() (port.KeyedPage, int64, bool) {
-	page := port.KeyedPage{End: t.end, Relayed: true, Records: make([]port.KeyedRecord, 0, len(t.newest))}
+// list does it. Callers hold t.mu.
+func (t *Tail) list() (listed, bool) {
+	l := listed{version: t.version, readAt: t.asOf - t.now()}
+	l.page = port.KeyedPage{End: t.end, Records: make([]port.KeyedRecord, 0, len(t.newest))}
 	for _, r := range t.newest {
-		page.Records = append(page.Records, r)
+		l.page.Records = append(l.page.Records, r)
 	}
-	return page, t.version, t.end >= 0
-}
-
-// listed is a listing that may be taken for the store's.
-type listed struct {
-	page    port.KeyedPage
-	version int64
-	readAt  time.Duration // when the store was read, from now on: negative
+	return l, t.end >= 0
 }
 
-// current is the topic's listing; false: what this daemon knows is older than
-// maxAge, or it has lost the store.
+// current is the same if it may be taken for the store's; false: it is older than
+// maxAge, or this daemon has lost the store.
 func (t *Tail) current(maxAge time.Duration) (listed, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	page, version, ok := t.page()
-	page.Relayed = false
-	readAt := t.asOf - t.now()
-	return listed{page: page, version: version, readAt: readAt}, ok && !t.lost && t.asOf >= 0 && -readAt < maxAge
+	l, known := t.list()
+	return l, known && !t.lost && t.asOf >= 0 && -l.readAt < maxAge
 }
 
 // await waits until this daemon has read the topic: it may only start.
