--- a/connection/address/address.go
+++ b/connection/address/address.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/pomelospool/pomelospool/internal/fraction"
 )
 
 // Member is one daemon as the membership sees it.
@@ -88,9 +90,7 @@
 	if weight <= 0 {
 		weight = 1
 	}
-	const bits = 53
-	unit := float64(rank>>(64-bits)) / (1 << bits)
-	return -math.Log1p(-unit) / weight
+	return -math.Log1p(-fraction.Of(rank)) / weight
 }
 
 // Rank is the place of an address in the order of a seed: it mixes the seed into
--- a/request/attempt/attempt.go
+++ b/request/attempt/attempt.go
@@ -79,7 +79,7 @@
 	return s.Refusing && s.RefusedAt.Before(chosen)
 }
 
-// try runs one attempt at t. unpredicted tells of a refusal that nothing known
+// try runs one attempt at t. unpredicted reports a refusal that nothing known
 // of the target announced.
 func (r *Runner) try(ctx context.Context, q *Request, t routing.Target, p plan, recv Receiver) (f *failure.Failure, unpredicted bool) {
 	end := r.opts.Pool.Begin(t.Addr, q.Route.PromptTokens, q.Route.OutputTokens)
--- a/request/dispatch/plain.go
+++ b/request/dispatch/plain.go
@@ -7,6 +7,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/internal/fraction"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/failure"
 )
@@ -113,8 +114,7 @@
 // spread is a number in [0,1) for a call and a target, so that targets that
 // are alike share the calls.
 func spread(id, target string) float64 {
-	const bits = 53
-	return float64((engines.Hash(id)^engines.Hash(target))>>(64-bits)) / (1 << bits)
+	return fraction.Of(engines.Hash(id) ^ engines.Hash(target))
 }
 
 // plainStream runs a streamed call at plain targets.
--- a/request/placement/prefill.go
+++ b/request/placement/prefill.go
@@ -5,6 +5,7 @@
 
 	"github.com/pomelospool/pomelospool/connection/engines"
 	"github.com/pomelospool/pomelospool/connection/speed"
+	"github.com/pomelospool/pomelospool/internal/fraction"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/version/route"
 )
@@ -202,5 +203,5 @@
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
-	return float64(x>>11) / (1 << 53)
+	return fraction.Of(x)
 }
--- a/request/routing/pick.go
+++ b/request/routing/pick.go
@@ -4,6 +4,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/pomelospool/pomelospool/internal/fraction"
 )
 
 // choose picks among the candidates by their costs in seconds.
@@ -28,7 +30,7 @@
 			best = c
 		}
 	}
-	x := unit(hash) * total
+	x := fraction.Of(hash) * total
 	for i := range cands {
 		c := &cands[i]
 		x -= c.weight
@@ -92,9 +94,6 @@
 	return x ^ x>>31
 }
 
-// unit maps a hash to [0,1).
-func unit(x uint64) float64 { return float64(x>>11) / (1 << 53) }
-
 // decision puts the choice into the form that callers of Route take.
 func (e *environment) decision(c *candidate) Decision {
 	return Decision{
