dispatch: log and count each decision on a retry

Cause: "dispatch: send failed" shows a failure, but nothing shows whether the retry that follows was charged to the budget, what the window held, how many daemons shared the allowance and how old the process was.

Adds the line "dispatch: retry decided", counters of charged, uncharged and denied retries, and gauges of each service's budget. No decision changes.

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -354,6 +354,7 @@
 		if d.ready.Load() {
 			d.removeStale()
 			d.metrics.setEstimates(d.config.Load(), d.speed)
+			d.metrics.setRetryBudgets(d.config.Load(), d.budget)
 		}
 	}
 }
--- a/process/front/metrics.go
+++ b/process/front/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/relay"
+	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/ingress"
 	"github.com/pomelospool/pomelospool/version/route"
 )
@@ -29,6 +30,8 @@
 	firstEvent      prometheus.Histogram
 	perToken        *prometheus.GaugeVec // by service
 	predictionError *prometheus.GaugeVec // by service
+	retriesSpent    *prometheus.GaugeVec // by service
+	retriesLimit    *prometheus.GaugeVec // by service
 }
 
 func newMetrics(d *Daemon) *metrics {
@@ -50,11 +53,17 @@
 			Name: "pomelospool_read_prediction_error_ratio", Help: "Relative error of the estimated time of a prompt, smoothed.",
 		}, []string{"service"}),
 	}
+	m.retriesSpent = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "pomelospool_retry_sends_spent", Help: "Sends charged to a service's retry budget in its window, at this daemon.",
+	}, []string{"service"})
+	m.retriesLimit = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "pomelospool_retry_sends_limit", Help: "Sends that this daemon may charge to a service's retry budget in its window.",
+	}, []string{"service"})
 	gauge := func(name, help string, f func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "pomelospool_" + name, Help: help}, f)
 	}
 	m.registry.MustRegister(
-		m.requests, m.duration, m.firstEvent, m.perToken, m.predictionError, expvarCollector{},
+		m.requests, m.duration, m.firstEvent, m.perToken, m.predictionError, m.retriesSpent, m.retriesLimit, expvarCollector{},
 		gauge("open_requests", "Requests that run now.", func() float64 { return float64(d.ingress.Open()) }),
 		gauge("config_version", "Version of the configuration in force, 0: none.", d.configVersion),
 		gauge("daemons_alive", "Daemons that are alive, this one included.", func() float64 { return float64(len(d.roster.Members())) }),
@@ -62,6 +71,7 @@
 		gauge("config_age_seconds", "Age of the newest answer of the store on the configuration, -1: none yet.", func() float64 { return ageGauge(d.caches[port.TopicConfig]) }),
 		gauge("targets_age_seconds", "Age of the newest answer of the store on the targets, -1: none yet.", func() float64 { return ageGauge(d.caches[port.TopicTargets]) }),
 		gauge("relay_depth", "Daemons between the store and the daemon farthest from it, 0 in a small fleet.", func() float64 { return float64(d.roster.Upstream().Depth) }),
+		gauge("daemons_known", "Daemons that share the retry budgets, this one included.", func() float64 { return float64(d.roster.KnownDaemons()) }),
 		gauge("request_rate", "Callers' requests in the busiest of the last seconds.", d.rate.perSecond),
 		gauge("ready", "1 while the daemon takes requests.", func() float64 { return boolGauge(d.roster.Ready()) }),
 	)
@@ -102,6 +112,15 @@
 	}
 }
 
+// setRetryBudgets exports the state of each service's retry budget.
+func (m *metrics) setRetryBudgets(c *route.Config, b *budget.Fleet) {
+	for name := range c.Services {
+		s := b.State(name)
+		m.retriesSpent.WithLabelValues(name).Set(s.Spent)
+		m.retriesLimit.WithLabelValues(name).Set(s.Limit)
+	}
+}
+
 // observe records a finished request.
 func (m *metrics) observe(o ingress.Observation) {
 	kind := o.Kind.String()
--- a/request/budget/fleet.go
+++ b/request/budget/fleet.go
@@ -12,6 +12,8 @@
 	w       *windows
 	daemons func() int
 
+	started time.Time
+
 	mu    sync.Mutex
 	ratio float64
 	slack float64
@@ -32,7 +34,7 @@
 const SpendableShare = 0.7
 
 func NewFleet(o FleetOptions) *Fleet {
-	return &Fleet{w: newWindows(o.Window, o.Now), daemons: o.Daemons, ratio: o.Ratio, slack: o.Slack}
+	return &Fleet{w: newWindows(o.Window, o.Now), daemons: o.Daemons, started: time.Now(), ratio: o.Ratio, slack: o.Slack}
 }
 
 // Set changes the ratio and the slack.
@@ -45,12 +47,41 @@
 // Request counts a request of the service.
 func (f *Fleet) Request(service string) { f.w.request(service) }
 
-// Take reports whether n extra sends are allowed and counts them if so.
-func (f *Fleet) Take(service string, n int) bool {
+// State is the state of a service's limit at this daemon.
+type State struct {
+	Requests float64       // counted in the window
+	Spent    float64       // extra sends in the window
+	Limit    float64       // allowed extra sends in the window
+	Daemons  int           // daemons that share the allowance
+	Uptime   time.Duration // since the limit was created
+}
+
+// Take reports whether n extra sends are allowed and counts them if so. It
+// returns the state that decided this, without the n sends.
+func (f *Fleet) Take(service string, n int) (bool, State) {
+	s := f.newState()
+	ok := f.w.take(service, n, f.limit(&s), &s)
+	return ok, s
+}
+
+// State returns the present state of a service's limit.
+func (f *Fleet) State(service string) State {
+	s := f.newState()
+	f.w.take(service, 0, f.limit(&s), &s)
+	return s
+}
+
+func (f *Fleet) newState() State {
+	return State{Daemons: max(f.daemons(), 1), Uptime: time.Since(f.started)}
+}
+
+// limit returns the allowed number of extra sends as a function of the number
+// of requests.
+func (f *Fleet) limit(s *State) func(requests float64) float64 {
 	f.mu.Lock()
 	ratio, slack := f.ratio, f.slack
 	f.mu.Unlock()
-	return f.w.take(service, n, func(requests float64) float64 {
-		return SpendableShare * (ratio*requests + slack/float64(max(f.daemons(), 1)))
-	})
+	return func(requests float64) float64 {
+		return SpendableShare * (ratio*requests + slack/float64(s.Daemons))
+	}
 }
--- a/request/budget/share.go
+++ b/request/budget/share.go
@@ -31,5 +31,5 @@
 func (s *Shares) Take(service string, share float64) bool {
 	return s.w.take(service, 1, func(requests float64) float64 {
 		return max(share*requests, shareReserve)
-	})
+	}, &State{})
 }
--- a/request/budget/window.go
+++ b/request/budget/window.go
@@ -52,13 +52,15 @@
 }
 
 // take counts n extra sends if the total stays within the result of allowed
-// for the requests in the window. It reports whether it does.
-func (w *windows) take(service string, n int, allowed func(requests float64) float64) bool {
+// for the requests in the window. It reports whether it does, and sets the
+// counts in state.
+func (w *windows) take(service string, n int, allowed func(requests float64) float64, state *State) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.slot(service)
-	requests, extras := w.services[service].sum(s.number)
-	if extras+float64(n) > allowed(requests) {
+	state.Requests, state.Spent = w.services[service].sum(s.number)
+	state.Limit = allowed(state.Requests)
+	if state.Spent+float64(n) > state.Limit {
 		return false
 	}
 	s.extraSends += float64(n)
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"io"
 	"maps"
 	"net/http"
@@ -14,9 +15,13 @@
 	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/connection/health"
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/failure"
 )
 
+// counts are the counters of this package.
+var counts = expvar.NewMap("dispatch")
+
 // outgoing describes one send of a call.
 type outgoing struct {
 	target        port.TargetEntry
@@ -153,9 +158,35 @@
 	case f.MayHaveRun() && !x.call.Route.Idempotent():
 		return false
 	case f.Class == failure.NotWritten:
-		return true // no target received it, so it isn't charged as a retry
+		sends = 0 // no target received it, so it isn't charged as a retry
+	}
+	return x.chargeRetry(sends)
+}
+
+// chargeRetry takes the sends of a retry from the budget and reports whether
+// it may be made.
+func (x *execution) chargeRetry(sends int) bool {
+	if sends == 0 {
+		counts.Add("retries_uncharged", 1)
+		x.logRetry(true, 0, x.opts.Budget.State(x.call.Service.Name))
+		return true
 	}
-	return x.opts.Budget.Take(x.call.Service.Name, sends)
+	allowed, state := x.opts.Budget.Take(x.call.Service.Name, sends)
+	if allowed {
+		counts.Add("retries_charged", 1)
+		counts.Add("sends_charged", int64(sends))
+	} else {
+		counts.Add("retries_denied", 1)
+	}
+	x.logRetry(allowed, sends, state)
+	return allowed
+}
+
+func (x *execution) logRetry(allowed bool, sends int, s budget.State) {
+	log.WithFields(log.Fields{
+		"request": x.call.Meta.RequestID, "service": x.call.Service.Name, "allowed": allowed, "charged": sends,
+		"spent": s.Spent, "limit": s.Limit, "requests": s.Requests, "daemons": s.Daemons, "uptime_ms": s.Uptime.Milliseconds(),
+	}).Info("dispatch: retry decided")
 }
 
 // loadedTarget is a target together with its load.
