--- /dev/null
+++ b/request/budget/fleet_test.go
@@ -0,0 +1,119 @@
+package budget
+
+import (
+	"testing"
+	"time"
+)
+
+const (
+	testRatio  = 0.2
+	testSlack  = 52.0
+	testWindow = 10 * time.Second
+	// testStep is the time between two rounds of requests.
+	testStep = 50 * time.Millisecond
+	// testWarmup is a time after which a daemon may spend its full share.
+	testWarmup = 40 * time.Second
+)
+
+// testFleet is a number of daemons that each get one request a round.
+type testFleet struct {
+	now      time.Time
+	daemons  []*Fleet
+	requests []time.Time
+	extras   []time.Time
+}
+
+func newTestFleet(daemons int) *testFleet {
+	f := &testFleet{now: time.Unix(1_700_000_000, 0), daemons: make([]*Fleet, daemons)}
+	for i := range f.daemons {
+		f.restart(i)
+	}
+	f.run(testWarmup, 0)
+	return f
+}
+
+// restart replaces a daemon by a new process.
+func (f *testFleet) restart(i int) {
+	f.daemons[i] = NewFleet(FleetOptions{
+		Ratio: testRatio, Slack: testSlack, Window: testWindow,
+		Daemons: func() int { return len(f.daemons) },
+		Now:     func() time.Time { return f.now },
+	})
+}
+
+// run lets time pass. Each request is followed by attempts to send it again.
+func (f *testFleet) run(d time.Duration, retries int) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(testStep) {
+		for _, daemon := range f.daemons {
+			daemon.Request("s")
+			f.requests = append(f.requests, f.now)
+			for range retries {
+				if ok, _ := daemon.Take("s", 1); ok {
+					f.extras = append(f.extras, f.now)
+				}
+			}
+		}
+	}
+}
+
+// check fails the test if the extra sends of any window exceed the limit for
+// the requests of that window.
+func (f *testFleet) check(t *testing.T) {
+	t.Helper()
+	for _, from := range f.extras {
+		extras := countIn(f.extras, from)
+		allowed := testRatio*float64(countIn(f.requests, from)) + testSlack
+		if float64(extras) > allowed {
+			t.Fatalf("%d extra sends in the window from %v, %.0f allowed", extras, from.Sub(f.requests[0]), allowed)
+		}
+	}
+}
+
+func countIn(times []time.Time, from time.Time) int {
+	n := 0
+	for _, at := range times {
+		if !at.Before(from) && at.Sub(from) < testWindow {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against daemons that are restarted in series spending their share of
+// the slack in each process.
+func TestRestartedDaemonsKeepTheBudget(t *testing.T) {
+	f := newTestFleet(6)
+	for range 6 {
+		for i := range f.daemons {
+			f.restart(i)
+		}
+		f.run(2*time.Second, 5)
+	}
+	f.check(t)
+}
+
+// Guards against extra sends being forgotten before the window has passed, so
+// that two bursts within one window both spend the whole limit.
+func TestBurstsWithinAWindowKeepTheBudget(t *testing.T) {
+	for phase := time.Duration(0); phase < time.Second; phase += testStep {
+		f := newTestFleet(6)
+		f.run(phase, 0)
+		f.run(300*time.Millisecond, 50)
+		f.run(testWindow-time.Second, 0)
+		f.run(700*time.Millisecond, 50)
+		f.check(t)
+	}
+}
+
+// Guards against a limit that keeps the budget by forbidding retries: while
+// requests fail for long, at least half of the allowed sends are made.
+func TestFailingRequestsAreRetriedWithinTheBudget(t *testing.T) {
+	f := newTestFleet(6)
+	f.run(testWindow, 0)
+	f.run(4*testWindow, 5)
+	f.check(t)
+	allowed := 4 * (testRatio*float64(countIn(f.requests, f.requests[0])) + testSlack)
+	if len(f.extras) < int(allowed/2) {
+		t.Errorf("%d extra sends, %.0f allowed", len(f.extras), allowed)
+	}
+}
--- a/request/dispatch/engine_test.go
+++ b/request/dispatch/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -172,6 +173,26 @@
 	})
 }
 
+// Guards against repeated prefills for free while decoding engines can't be
+// reached: the prefill reached an engine even if the decode didn't.
+func TestRepeatedPrefillIsChargedIfTheDecodeWasNotSent(t *testing.T) {
+	withHarness(t, 10, func(t *testing.T, h *harness) {
+		p := h.addTarget("llm", port.RolePrefill)
+		for _, id := range []string{"gone1", "gone2", "gone3"} {
+			h.entries["llm"] = append(h.entries["llm"], port.TargetEntry{ID: id, Service: "llm", Addr: id, Zone: "a", Slots: 4, Role: port.RoleDecode})
+		}
+		const calls = 30
+		var wg sync.WaitGroup
+		for range calls {
+			wg.Go(func() { _, _, _ = h.runStream(t.Context(), true) })
+		}
+		wg.Wait()
+		if extra := len(p.ReceivedRequests()) - calls; extra > 10 {
+			t.Errorf("%d prefills beyond the first of a call, 10 allowed", extra)
+		}
+	})
+}
+
 // Guards against prefilling a prompt when no engine decodes.
 func TestCallWithoutDecoderIsRejectedBeforePrefill(t *testing.T) {
 	withHarness(t, 100, func(t *testing.T, h *harness) {
