soak: stepped clocks, restarts in series, and the retry budget as targets see it

- Daemons are built with a time of day that can be stepped (build overlay of time.Now; the monotonic clock stays).
- New kinds of events: step clock, reject all, restart series.
- Targets record arrivals; the sum over all daemons is held against the settings' limit in any window, as the rule counts it.
- A wait for an exit now belongs to the process that was signalled.

No logic changes.

--- a/bench/soak/fleet_test.go
+++ b/bench/soak/fleet_test.go
@@ -19,7 +19,8 @@
 	program        string
 	settingsPath   string
 	logPath        string
-	logSizeAtStart int64 // size of the log when cmd was started
+	clockPath      string // file with the step of its time of day, see clock_test.go
+	logSizeAtStart int64  // size of the log when cmd was started
 	judge          *Judge
 
 	mu            sync.Mutex
@@ -48,6 +49,7 @@
 	p.logSizeAtStart = info.Size()
 	cmd := exec.Command(p.program, "--settings", p.settingsPath)
 	cmd.Stdout, cmd.Stderr = out, out
+	cmd.Env = append(os.Environ(), clockEnv+"="+p.clockPath)
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -88,12 +90,15 @@
 	return err == nil && info.Size() == p.logSizeAtStart
 }
 
-// signal sends a signal to the process if it is running.
-func (p *process) signal(s syscall.Signal) {
+// signal sends a signal to the process if it is running. The channel is closed
+// when that process has exited.
+func (p *process) signal(s syscall.Signal) (exited <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd == nil {
-		return
+		none := make(chan struct{})
+		close(none)
+		return none
 	}
 	switch s {
 	case syscall.SIGKILL:
@@ -104,28 +109,15 @@
 	if err := p.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		p.judge.ReportFault("daemon %d: %v", p.index, err)
 	}
+	return p.exited
 }
 
-// waitExited waits until the process has exited.
-func (p *process) waitExited() {
-	p.mu.Lock()
-	exited, running := p.exited, p.cmd != nil
-	p.mu.Unlock()
-	if running {
-		<-exited
-	}
-}
-
-// buildDaemon builds the daemon and returns the path of the program. overlay is
-// the path of a build overlay, or empty.
-func buildDaemon(t *testing.T, dir string, overlay string) string {
+// buildDaemon builds the daemon with a clock that can be stepped and with the
+// edits, and returns the path of the program.
+func buildDaemon(t *testing.T, dir string, edits []edit) string {
 	t.Helper()
 	program := filepath.Join(dir, "pomelospoold")
-	args := []string{"build", "-o", program}
-	if overlay != "" {
-		args = append(args, "-overlay", overlay)
-	}
-	cmd := exec.Command("go", append(args, "github.com/pomelospool/pomelospool/cmd/pomelospoold")...)
+	cmd := exec.Command("go", "build", "-o", program, "-overlay", writeOverlay(t, edits), "github.com/pomelospool/pomelospool/cmd/pomelospoold")
 	if text, err := cmd.CombinedOutput(); err != nil {
 		t.Fatalf("go build: %v\n%s", err, text)
 	}
@@ -137,14 +129,20 @@
 listen: {callers: "%[3]s:17000", ready: "%[3]s:17001", addresses: "%[3]s:17002", peers: "%[3]s:17003", operators: "%[3]s:17004"}
 store: {addr: "%[4]s"}
 duties: {addr: "%[5]s", usage_window: 1s, usage_late: 3s}
-bounds: {grace: 8s, lease: 1s, address_ttl: 1s, retry_ratio: 0.2, retry_slack: 50, retry_window: 10s, apply_config: 2s, drain: 2s}
+bounds: {grace: 8s, lease: 1s, address_ttl: 1s, retry_ratio: %[6]g, retry_slack: %[7]g, retry_window: %[8]v, apply_config: 2s, drain: 2s}
 log: {level: info, format: json}
 `
 
+// retryBudget is the limit in the daemons' settings. Its slack is large in
+// comparison to the share of the requests, so that a slack that is spent twice
+// exceeds the limit.
+var retryBudget = Budget{Ratio: 0.05, Slack: 150, Window: 10 * time.Second}
+
 // writeSettings writes the settings of a daemon and returns their path.
 func writeSettings(dir string, index int, ip, store, cloud string) (string, error) {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, settingsTemplate, index, []string{"a", "b"}[index%2], ip, store, cloud)
+	fmt.Fprintf(&b, settingsTemplate, index, []string{"a", "b"}[index%2], ip, store, cloud,
+		retryBudget.Ratio, retryBudget.Slack, retryBudget.Window)
 	path := filepath.Join(dir, fmt.Sprintf("daemon-%d.yaml", index))
 	return path, os.WriteFile(path, b.Bytes(), 0o644)
 }
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -61,6 +61,18 @@
 	j.outcomes = append(j.outcomes, o)
 }
 
+// SentTimes returns when callers sent the requests of the selected classes.
+func (j *Judge) SentTimes(of func(Class) bool) (out []time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, o := range j.outcomes {
+		if of(o.Class) {
+			out = append(out, o.Started)
+		}
+	}
+	return out
+}
+
 // RecordKill records that a daemon was killed at from and had exited at to.
 // The requests that were open on it are lost.
 func (j *Judge) RecordKill(daemon int, from, to time.Time) {
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -23,12 +23,16 @@
 	KillTarget                // a target is removed; at the end a new one gets its address
 	DrainTarget               // a target announces that it leaves, and withdraws that at the end
 	Publish                   // a new version of the configuration is published
+	StepClock                 // the time of day of a daemon's VM is stepped; it is right again at the end
+	RejectAll                 // all targets of a service reject
+	RestartSeries             // all daemons are killed and started again, several times
 	kindCount
 )
 
 var kindNames = [...]string{
 	"kill daemon", "stop daemon", "pause daemon", "reload daemon", "cut store", "fail store",
 	"cut target", "spoil target", "kill target", "drain target", "publish",
+	"step clock", "reject all", "restart series",
 }
 
 // String returns the name of the kind in plans.
@@ -41,7 +45,7 @@
 	Kind Kind
 	On   int  // index of the daemon or target that it affects
 	Mode Mode // of the proxy, for CutStore and CutTarget
-	How  int  // variant, for FailStore and DegradeTarget
+	How  int  // variant, for FailStore, DegradeTarget, StepClock and RejectAll
 }
 
 // String returns the event as one line.
@@ -71,10 +75,18 @@
 	burstShare = 0.08
 	// longDelay is the delay of each chunk in the mode Delay.
 	longDelay = 40 * time.Millisecond
-	// variantCount is the number of variants of FailStore and of DegradeTarget.
+	// variantCount is the number of variants of FailStore, of DegradeTarget and
+	// of StepClock.
 	variantCount = 6
+	// seriesLength is the duration of a series of restarts. It is also the time
+	// for which targets reject, so that the two overlap.
+	seriesLength = 3 * time.Second
 )
 
+// clockSteps are the variants of StepClock: by how much the time of day is
+// stepped.
+var clockSteps = [variantCount]time.Duration{-time.Minute, -12 * time.Second, -time.Second, time.Second, 12 * time.Second, time.Minute}
+
 // Plan returns the events of a seed, ordered by time. The same seed gives the
 // same plan.
 func Plan(seed uint64, s Size) []Event {
@@ -107,6 +119,9 @@
 		count = s.Targets
 	case FailStore, Publish:
 		return []Event{e}
+	case RejectAll, RestartSeries:
+		e.For = min(seriesLength, s.Length-at)
+		return []Event{e}
 	}
 	if r.Float64() >= burstShare {
 		e.On = r.IntN(count)
--- a/bench/soak/planted_test.go
+++ b/bench/soak/planted_test.go
@@ -1,10 +1,7 @@
 package soak
 
 import (
-	"encoding/json"
 	"flag"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -12,9 +9,6 @@
 
 var planted = flag.Bool("soak.planted", false, "build daemons with planted faults and look whether each is found")
 
-// edit replaces a text of a source file for one build.
-type edit struct{ file, old, new string }
-
 // TestPlantedFaults checks that the soak detects faults. Each case builds
 // daemons with a known fault and expects the soak to report it.
 func TestPlantedFaults(t *testing.T) {
@@ -58,7 +52,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			program := buildDaemon(t, t.TempDir(), plant(t, tc.edits))
+			program := buildDaemon(t, t.TempDir(), tc.edits)
 			faults, totals := runTrial(t, trial{seed: 1, program: program, daemons: *daemons, plan: tc.plan, length: plantedLength, recoveryLimit: plantedRecovery, grace: plantedGrace})
 			if !strings.Contains(strings.Join(faults, "\n"), tc.want) {
 				t.Errorf("not found, %+v: %v", totals, faults)
@@ -87,43 +81,3 @@
 	}
 	return plan
 }
-
-// plant writes edited copies of source files and a build overlay that refers
-// to them. It returns the path of the overlay.
-func plant(t *testing.T, edits []edit) string {
-	t.Helper()
-	root, err := filepath.Abs("../..")
-	if err != nil {
-		t.Fatal(err)
-	}
-	dir := t.TempDir()
-	replace := make(map[string]string)
-	for _, e := range edits {
-		path := filepath.Join(root, e.file)
-		from := path
-		if changed, ok := replace[path]; ok {
-			from = changed
-		}
-		text, err := os.ReadFile(from)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if strings.Count(string(text), e.old) == 0 {
-			t.Fatalf("%s has no %q", e.file, e.old)
-		}
-		to := filepath.Join(dir, strings.ReplaceAll(e.file, "/", "_"))
-		if err := os.WriteFile(to, []byte(strings.ReplaceAll(string(text), e.old, e.new)), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		replace[path] = to
-	}
-	overlay := filepath.Join(dir, "overlay.json")
-	data, err := json.Marshal(map[string]any{"Replace": replace})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := os.WriteFile(overlay, data, 0o644); err != nil {
-		t.Fatal(err)
-	}
-	return overlay
-}
--- a/bench/soak/site_test.go
+++ b/bench/soak/site_test.go
@@ -86,7 +86,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		p := &process{index: i, program: program, settingsPath: path, judge: env.judge, logPath: filepath.Join(dir, fmt.Sprintf("daemon-%d.log", i))}
+		p := &process{index: i, program: program, settingsPath: path, judge: env.judge, logPath: filepath.Join(dir, fmt.Sprintf("daemon-%d.log", i)), clockPath: filepath.Join(dir, fmt.Sprintf("clock-%d", i))}
 		env.daemons = append(env.daemons, p)
 		if err := p.start(); err != nil {
 			t.Fatal(err)
@@ -225,6 +225,25 @@
 	}
 }
 
+// checkBudgets reports a service that received more extra sends than the
+// settings allow.
+func (env *environment) checkBudgets() {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	arrivals := make(map[bool][]standin.Arrival) // by whether the service has engines
+	for _, slot := range env.slots {
+		for _, t := range slot.targets {
+			arrivals[slot.stage != ""] = append(arrivals[slot.stage != ""], t.Arrivals()...)
+		}
+	}
+	for engines, list := range arrivals {
+		sent := env.judge.SentTimes(func(c Class) bool { return (c == Stream) == engines })
+		if broken := retryBudget.Check(sent, list); broken != "" {
+			env.judge.ReportFault("retry budget, service with engines %v: %s", engines, broken)
+		}
+	}
+}
+
 // maxReportDelay is the longest time until a window that ends after the last
 // fault is reported. It covers the lease of a holder that has exited and the
 // time until the report is due.
@@ -342,8 +361,7 @@
 	env.cancel()
 	env.background.Wait()
 	for _, p := range env.daemons {
-		p.signal(syscall.SIGKILL)
-		p.waitExited()
+		<-p.signal(syscall.SIGKILL)
 	}
 	for _, proxy := range env.storeProxies {
 		proxy.Close()
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -41,11 +41,15 @@
 	callerGrace   = 20 * time.Second // after the deadline of a request
 )
 
+// warmup is the time that daemons get to find each other and to gain their
+// share of the retry budget's slack.
+var warmup = 3 * retryBudget.Window / 2
+
 // TestSoak runs load while daemons, targets, the store and the connections
 // between them fail one after another and at the same time. It fails if a
 // guarantee that the package comment lists is violated.
 func TestSoak(t *testing.T) {
-	program := buildDaemon(t, t.TempDir(), "")
+	program := buildDaemon(t, t.TempDir(), nil)
 	seeds := append([]uint64(nil), regressions...)
 	for i := range *seedCount {
 		seeds = append(seeds, *firstSeed+uint64(i))
@@ -58,12 +62,47 @@
 	}
 }
 
+// TestRetryBudgetOverAllDaemons guards against daemons that together retry more
+// than the budget allows, because a restart or a step of the time of day makes
+// them forget what was spent.
+func TestRetryBudgetOverAllDaemons(t *testing.T) {
+	const length = 7 * time.Second
+	reject := Event{At: 500 * time.Millisecond, For: length - time.Second, Kind: RejectAll}
+	var steps []Event
+	for n, at := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, 5 * time.Second} {
+		for on := range defaultDaemons {
+			steps = append(steps, Event{At: at, For: 500 * time.Millisecond, Kind: StepClock, On: on, How: 1 + n})
+		}
+	}
+	cases := []struct {
+		name string
+		plan []Event
+	}{
+		{"restarts in series", []Event{reject, {At: time.Second, For: 4 * time.Second, Kind: RestartSeries}}},
+		{"steps of the time of day", append([]Event{reject}, steps...)},
+	}
+	program := buildDaemon(t, t.TempDir(), nil)
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			faults, totals := runTrial(t, trial{
+				seed: 1, program: program, daemons: defaultDaemons, plan: tc.plan,
+				length: length, recoveryLimit: recoveryLimit, grace: callerGrace,
+			})
+			t.Logf("%+v", totals)
+			for _, f := range faults {
+				t.Error(f)
+			}
+		})
+	}
+}
+
 // TestSoakOfALargeFleet runs the same with so many daemons that only a few of
 // them aggregate for the others, own engines' queues and read the store. These
 // are killed, paused and disconnected too.
 func TestSoakOfALargeFleet(t *testing.T) {
 	const seed = 2300
-	runSeed(t, buildDaemon(t, t.TempDir(), ""), seed, largeDaemons)
+	runSeed(t, buildDaemon(t, t.TempDir(), nil), seed, largeDaemons)
 }
 
 func runSeed(t *testing.T, program string, seed uint64, daemons int) {
@@ -98,6 +137,7 @@
 			t.Fatalf("daemon %d isn't ready", i)
 		}
 	}
+	wait(nil, warmup)
 	ctx, cancel := context.WithTimeout(context.Background(), tr.length)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -106,6 +146,7 @@
 	wg.Go(func() { load.Run(ctx) })
 	env.runPlan(ctx, tr.plan, &wg)
 	wg.Wait()
+	env.checkBudgets()
 	env.waitRecovered(tr.recoveryLimit)
 	env.checkUsageReported()
 	env.stopAll()
@@ -141,14 +182,12 @@
 	switch e.Kind {
 	case KillDaemon:
 		p := env.daemons[e.On]
-		p.signal(syscall.SIGKILL)
-		p.waitExited()
+		<-p.signal(syscall.SIGKILL)
 		waitEnd()
 		env.restart(p)
 	case StopDaemon:
 		p := env.daemons[e.On]
-		p.signal(syscall.SIGTERM)
-		p.waitExited()
+		<-p.signal(syscall.SIGTERM)
 		env.restart(p)
 	case PauseDaemon:
 		env.daemons[e.On].signal(syscall.SIGSTOP)
@@ -179,6 +218,52 @@
 		env.drain(e, waitEnd)
 	case Publish:
 		env.publish()
+	case StepClock:
+		env.daemons[e.On].stepClock(clockSteps[e.How])
+		waitEnd()
+		env.daemons[e.On].stepClock(0)
+	case RejectAll:
+		env.rejectAll(e, waitEnd)
+	case RestartSeries:
+		env.restartInSeries(ctx, e.For)
+	}
+}
+
+// rejectAll makes all targets of a service reject while the event lasts. Even
+// variants affect the plain targets, odd ones the engines.
+func (env *environment) rejectAll(e Event, waitEnd func()) {
+	var affected []*standin.Target
+	for _, slot := range env.slots {
+		if (slot.stage == "") == (e.How%2 == 0) {
+			affected = append(affected, slot.current.Load())
+		}
+	}
+	set := func(on bool) {
+		for _, t := range affected {
+			t.Set(func(b *standin.Behaviour) { b.Refuse = on })
+		}
+	}
+	set(true)
+	waitEnd()
+	set(false)
+}
+
+// seriesGap is the time between two restarts of a series.
+const seriesGap = 700 * time.Millisecond
+
+// restartInSeries kills all daemons and starts them again, until the series
+// has lasted for the given time.
+func (env *environment) restartInSeries(ctx context.Context, length time.Duration) {
+	for end := time.Now().Add(length); time.Now().Before(end) && ctx.Err() == nil; {
+		exits := make([]<-chan struct{}, len(env.daemons))
+		for i, p := range env.daemons {
+			exits[i] = p.signal(syscall.SIGKILL)
+		}
+		for i, p := range env.daemons {
+			<-exits[i]
+			env.restart(p)
+		}
+		wait(ctx.Done(), seriesGap)
 	}
 }
 
