budget: count an extra send for the whole window

What targets saw: a service whose targets reject for a second, and again 8.5 to 9.5 s later, received up to 1.4 times the extra sends that its budget allows. Neither restarts nor stepped clocks are needed.

Cause: a window of ten slots covers between 9 and 10 s of the past. What was spent at the end of a slot was allowed again 9 s later.

Why it works: an extra send now counts until its whole slot is older than the window, a request until the beginning of its slot is. Both errors are on the safe side. Slots are half as long, so they cost half a second of the window.

--- a/request/budget/window.go
+++ b/request/budget/window.go
@@ -11,9 +11,10 @@
 )
 
 // windows counts requests and extra sends of each service over a sliding
-// window. A window is divided into slots, so that old counts expire in small
-// steps. Services come from the active configuration, which bounds the size
-// of the map.
+// window. Time is divided into slots, and old counts expire by the slot. A
+// request expires early, by up to the length of a slot, and an extra send
+// late, so that the limit holds in any window. Services come from the active
+// configuration, which bounds the size of the map.
 type windows struct {
 	span time.Duration
 	now  func() time.Time
@@ -22,11 +23,11 @@
 	services map[string]*window
 }
 
-type window [windowSlots]slot
+// window holds the slots that overlap the present window.
+type window [windowSlots + 1]slot
 
-// windowSlots is the number of slots in a window: a tenth of the window
-// expires at a time.
-const windowSlots = 10
+// windowSlots is the number of slots that a window is divided into.
+const windowSlots = 20
 
 type slot struct {
 	number     int64
@@ -71,6 +72,8 @@
 	for _, s := range w {
 		if s.number > now-windowSlots {
 			requests += s.requests
+		}
+		if s.number >= now-windowSlots {
 			extras += s.extraSends
 		}
 	}
@@ -85,7 +88,7 @@
 		w.services[service] = win
 	}
 	number := w.now().UnixNano() / int64(w.span/windowSlots)
-	s := &win[number%windowSlots]
+	s := &win[number%int64(len(win))]
 	if s.number != number {
 		*s = slot{number: number}
 	}
