budget: measure the window by a clock that isn't stepped

What targets saw: while targets reject, a service received more extra sends than allowed after the time of day had jumped, ahead or back, on all daemons.

Cause: slots were numbered by the time of day. A step ahead expired all of them. A step back left slots with future numbers, which were overwritten out of order.

Real processes: TestRetryBudgetOverAllDaemons, case of the steps, 513 extra sends for 294 before, passes now. Its other case stays red.

Ruled out: restarts, which these cases have none of; the process of every send charged in them is older than the window (log line).

Why it works: the limit takes a function that returns the time since an arbitrary start, CLOCK_BOOTTIME in the daemon, so no caller can pass a time of day. The limit of the product's own protocol uses differences of time.Now, which leave steps out.

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -215,7 +215,7 @@
 		Slack:   d.s.Bounds.RetrySlack,
 		Window:  d.s.Bounds.RetryWindow,
 		Daemons: d.roster.KnownDaemons,
-		Now:     time.Now,
+		Clock:   clock.Boot{}.Now,
 	})
 	runner := dispatch.New(dispatch.Options{
 		Protocol: platform.TargetProtocol{},
--- a/request/attempt/runner.go
+++ b/request/attempt/runner.go
@@ -110,7 +110,11 @@
 		p := o.Pool
 		o.Verify = func(ctx context.Context, t routing.Target) { p.Verify(ctx, t.Addr) }
 	}
-	return &Runner{opts: o, budgets: budget.NewShares(o.Now)}
+	start := o.Now()
+	// The difference of two readings of time.Now doesn't include steps of the
+	// time of day.
+	elapsed := func() time.Duration { return o.Now().Sub(start) }
+	return &Runner{opts: o, budgets: budget.NewShares(elapsed)}
 }
 
 // Run makes attempts at q until one succeeds or no other is allowed. first is the
--- a/request/budget/budget_test.go
+++ b/request/budget/budget_test.go
@@ -8,8 +8,8 @@
 // TestSharesBoundRetries checks that retries stay within the greater of the
 // reserve and the share, and that old requests expire.
 func TestSharesBoundRetries(t *testing.T) {
-	now := time.Unix(0, 0)
-	b := NewShares(func() time.Time { return now })
+	now := time.Duration(0)
+	b := NewShares(func() time.Duration { return now })
 	taken := func(requests int) int {
 		n := 0
 		for range requests {
@@ -23,7 +23,7 @@
 	if n := taken(1000); n != 100 {
 		t.Errorf("%d retries for 1000 requests", n)
 	}
-	now = now.Add(time.Hour)
+	now += time.Hour
 	if n := taken(20); n != shareReserve {
 		t.Errorf("%d retries after a pause", n)
 	}
--- a/request/budget/fleet.go
+++ b/request/budget/fleet.go
@@ -12,7 +12,8 @@
 	w       *windows
 	daemons func() int
 
-	started time.Time
+	clock   Clock
+	started time.Duration // by clock
 
 	mu    sync.Mutex
 	ratio float64
@@ -25,7 +26,7 @@
 	Slack   float64       // additional extra sends of all daemons in a window
 	Window  time.Duration // time over which the limit holds
 	Daemons func() int    // upper bound of the present number of daemons
-	Now     func() time.Time
+	Clock   Clock
 }
 
 // SpendableShare is the fraction of the limit that daemons spend. The rest
@@ -34,7 +35,7 @@
 const SpendableShare = 0.7
 
 func NewFleet(o FleetOptions) *Fleet {
-	return &Fleet{w: newWindows(o.Window, o.Now), daemons: o.Daemons, started: time.Now(), ratio: o.Ratio, slack: o.Slack}
+	return &Fleet{w: newWindows(o.Window, o.Clock), daemons: o.Daemons, clock: o.Clock, started: o.Clock(), ratio: o.Ratio, slack: o.Slack}
 }
 
 // Set changes the ratio and the slack.
@@ -72,7 +73,7 @@
 }
 
 func (f *Fleet) newState() State {
-	return State{Daemons: max(f.daemons(), 1), Uptime: time.Since(f.started)}
+	return State{Daemons: max(f.daemons(), 1), Uptime: f.clock() - f.started}
 }
 
 // limit returns the allowed number of extra sends as a function of the number
--- a/request/budget/fleet_test.go
+++ b/request/budget/fleet_test.go
@@ -17,14 +17,14 @@
 
 // testFleet is a number of daemons that each get one request a round.
 type testFleet struct {
-	now      time.Time
+	now      time.Duration
 	daemons  []*Fleet
-	requests []time.Time
-	extras   []time.Time
+	requests []time.Duration
+	extras   []time.Duration
 }
 
 func newTestFleet(daemons int) *testFleet {
-	f := &testFleet{now: time.Unix(1_700_000_000, 0), daemons: make([]*Fleet, daemons)}
+	f := &testFleet{daemons: make([]*Fleet, daemons)}
 	for i := range f.daemons {
 		f.restart(i)
 	}
@@ -37,13 +37,13 @@
 	f.daemons[i] = NewFleet(FleetOptions{
 		Ratio: testRatio, Slack: testSlack, Window: testWindow,
 		Daemons: func() int { return len(f.daemons) },
-		Now:     func() time.Time { return f.now },
+		Clock:   func() time.Duration { return f.now },
 	})
 }
 
 // run lets time pass. Each request is followed by attempts to send it again.
 func (f *testFleet) run(d time.Duration, retries int) {
-	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(testStep) {
+	for end := f.now + d; f.now < end; f.now += testStep {
 		for _, daemon := range f.daemons {
 			daemon.Request("s")
 			f.requests = append(f.requests, f.now)
@@ -64,15 +64,15 @@
 		extras := countIn(f.extras, from)
 		allowed := testRatio*float64(countIn(f.requests, from)) + testSlack
 		if float64(extras) > allowed {
-			t.Fatalf("%d extra sends in the window from %v, %.0f allowed", extras, from.Sub(f.requests[0]), allowed)
+			t.Fatalf("%d extra sends in the window from %v, %.0f allowed", extras, from, allowed)
 		}
 	}
 }
 
-func countIn(times []time.Time, from time.Time) int {
+func countIn(times []time.Duration, from time.Duration) int {
 	n := 0
 	for _, at := range times {
-		if !at.Before(from) && at.Sub(from) < testWindow {
+		if at >= from && at-from < testWindow {
 			n++
 		}
 	}
--- a/request/budget/share.go
+++ b/request/budget/share.go
@@ -14,9 +14,9 @@
 // so that the number of attempts stays within 1+share times the requests.
 type Shares struct{ w *windows }
 
-// NewShares returns a Shares that reads the time from now.
-func NewShares(now func() time.Time) *Shares {
-	return &Shares{w: newWindows(shareWindow, now)}
+// NewShares returns a Shares.
+func NewShares(clock Clock) *Shares {
+	return &Shares{w: newWindows(shareWindow, clock)}
 }
 
 // Request counts a request of the service.
--- a/request/budget/window.go
+++ b/request/budget/window.go
@@ -16,8 +16,8 @@
 // late, so that the limit holds in any window. Services come from the active
 // configuration, which bounds the size of the map.
 type windows struct {
-	span time.Duration
-	now  func() time.Time
+	span  time.Duration
+	clock Clock
 
 	mu       sync.Mutex
 	services map[string]*window
@@ -29,14 +29,18 @@
 // windowSlots is the number of slots that a window is divided into.
 const windowSlots = 20
 
+// Clock returns the time since an arbitrary start. It never goes back and
+// isn't affected by steps of the time of day.
+type Clock func() time.Duration
+
 type slot struct {
-	number     int64
+	number     int64 // counted from 1
 	requests   float64
 	extraSends float64
 }
 
-func newWindows(span time.Duration, now func() time.Time) *windows {
-	return &windows{span: span, now: now, services: make(map[string]*window)}
+func newWindows(span time.Duration, clock Clock) *windows {
+	return &windows{span: span, clock: clock, services: make(map[string]*window)}
 }
 
 func (w *windows) request(service string) {
@@ -87,7 +91,7 @@
 		win = &window{}
 		w.services[service] = win
 	}
-	number := w.now().UnixNano() / int64(w.span/windowSlots)
+	number := int64(w.clock()/(w.span/windowSlots)) + 1
 	s := &win[number%int64(len(win))]
 	if s.number != number {
 		*s = slot{number: number}
--- a/request/dispatch/harness_test.go
+++ b/request/dispatch/harness_test.go
@@ -80,8 +80,10 @@
 func newHarness(slack float64) *harness {
 	h := &harness{net: &pipenet.Net{}, entries: map[string][]port.TargetEntry{}, released: make(chan port.KVSource, 100), speed: speed.NewTracker()}
 	h.speed.Merge([]speed.Update{{Service: xxhash.Sum64String("llm"), PerToken: 23e3, PerPair: 257, PromptOverheadUs: 50_000, FirstEventUs: 40_000, Prompts: 1000}})
+	start := time.Now()
 	h.budget = budget.NewFleet(budget.FleetOptions{
-		Slack: (slack + 0.1) / budget.SpendableShare, Window: 10 * time.Second, Now: time.Now,
+		Slack: (slack + 0.1) / budget.SpendableShare, Window: 10 * time.Second,
+		Clock:   func() time.Duration { return time.Since(start) },
 		Daemons: func() int { return 1 },
 	})
 	pool := h1.New(h1.Options{Dial: h.net.Dial})
--- a/request/ingress/ingress_test.go
+++ b/request/ingress/ingress_test.go
@@ -23,6 +23,7 @@
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/platform/standin"
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/process/clock"
 	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/dispatch"
@@ -108,7 +109,7 @@
 		Runner: dispatch.New(dispatch.Options{
 			Protocol: platform.TargetProtocol{}, Pool: pool, Targets: f, Control: noControl{},
 			Engines: engines.New(time.Now, func(engines.Work) {}), Health: health.New(time.Now, nil), Speed: speed.NewTracker(), Queues: noQueues{}, Demand: demand.New(time.Now),
-			Budget: budget.NewFleet(budget.FleetOptions{Slack: 10, Window: 10 * time.Second, Daemons: func() int { return 1 }, Now: time.Now}),
+			Budget: budget.NewFleet(budget.FleetOptions{Slack: 10, Window: 10 * time.Second, Daemons: func() int { return 1 }, Clock: clock.NewRuntime().Now}),
 		}),
 	})
 	f.srv = httptest.NewServer(f.Ingress)
