budget: a new process has no part of the slack for a window and a half

What targets saw: with all daemons killed and started again every 2 s while targets reject, a service received more extra sends than its budget allows.

Cause: counts live in the process. A new one had spent nothing and spent its part of the slack again, while its predecessor's sends were still in the window. Nobody charged it with these.

Why it works: what a predecessor spent has left the window after one window, whenever it died. The half window more gives daemons time to learn of each other. The share of own requests stays, since the requests of both processes count. A memory in peers or in the store was weighed: all can die at once, and the store may be silent.

--- a/request/budget/fleet.go
+++ b/request/budget/fleet.go
@@ -6,10 +6,11 @@
 )
 
 // Fleet limits the extra sends of all daemons together without communication
-// between them. Each daemon may spend a share of its own requests and its
-// part of a common allowance.
+// between them. Each daemon may spend a share of its own requests and, unless
+// it has just started, its part of a common allowance.
 type Fleet struct {
 	w       *windows
+	warmup  time.Duration
 	daemons func() int
 
 	clock   Clock
@@ -29,13 +30,19 @@
 	Clock   Clock
 }
 
+// warmupWindows is the number of windows for which a new process has no part of
+// the common allowance. In the first one the sends of the process that it
+// replaces still count. In the rest the daemons learn of each other.
+const warmupWindows = 1.5
+
 // SpendableShare is the fraction of the limit that daemons spend. The rest
 // is a margin, since windows of daemons aren't aligned and a request may end
 // at another daemon than it began at.
 const SpendableShare = 0.7
 
 func NewFleet(o FleetOptions) *Fleet {
-	return &Fleet{w: newWindows(o.Window, o.Clock), daemons: o.Daemons, clock: o.Clock, started: o.Clock(), ratio: o.Ratio, slack: o.Slack}
+	warmup := time.Duration(warmupWindows * float64(o.Window))
+	return &Fleet{w: newWindows(o.Window, o.Clock), warmup: warmup, daemons: o.Daemons, clock: o.Clock, started: o.Clock(), ratio: o.Ratio, slack: o.Slack}
 }
 
 // Set changes the ratio and the slack.
@@ -82,6 +89,9 @@
 	f.mu.Lock()
 	ratio, slack := f.ratio, f.slack
 	f.mu.Unlock()
+	if s.Uptime < f.warmup {
+		slack = 0
+	}
 	return func(requests float64) float64 {
 		return SpendableShare * (ratio*requests + slack/float64(s.Daemons))
 	}
--- a/request/dispatch/harness_test.go
+++ b/request/dispatch/harness_test.go
@@ -80,12 +80,13 @@
 func newHarness(slack float64) *harness {
 	h := &harness{net: &pipenet.Net{}, entries: map[string][]port.TargetEntry{}, released: make(chan port.KVSource, 100), speed: speed.NewTracker()}
 	h.speed.Merge([]speed.Update{{Service: xxhash.Sum64String("llm"), PerToken: 23e3, PerPair: 257, PromptOverheadUs: 50_000, FirstEventUs: 40_000, Prompts: 1000}})
-	start := time.Now()
+	start, uptime := time.Now(), time.Duration(0)
 	h.budget = budget.NewFleet(budget.FleetOptions{
 		Slack: (slack + 0.1) / budget.SpendableShare, Window: 10 * time.Second,
-		Clock:   func() time.Duration { return time.Since(start) },
+		Clock:   func() time.Duration { return time.Since(start) + uptime },
 		Daemons: func() int { return 1 },
 	})
+	uptime = time.Hour // a process that has just started may not spend the slack
 	pool := h1.New(h1.Options{Dial: h.net.Dial})
 	h.runner = New(Options{
 		Protocol: platform.TargetProtocol{}, Pool: pool, Targets: h,
