roster: find daemons again after a cut or a pause of over 30 s

What callers saw: after daemons had been cut off from each other, or paused, for longer than 30 s, each side named only its own members in its address answers, until its processes were started again. Queues, demand, claims and reads weren't exchanged either.

Cause: a silent daemon is removed after 30 s and then gets no heartbeats. Daemons are discovered from the store's contacts at the start only. In a small fleet all are contacts, so nobody looked again.

Ruled out: that heartbeats of the other side bring them back. Both sides have removed each other.

Why it works: a daemon that fell silent without leaving stays on a list of addresses. Every 2 s a heartbeat goes to up to four of these; who receives it answers with all members, as to a daemon that is new.

--- a/process/roster/heartbeat.go
+++ b/process/roster/heartbeat.go
@@ -129,6 +129,9 @@
 	} else {
 		to = r.heartbeatReceivers(now)
 	}
+	if r.seq%heartbeatsPerProbe == 0 {
+		to = append(to, r.silentDaemons(maxProbes)...)
+	}
 	r.mu.Unlock()
 	r.relayReads(hb.Reads, true)
 	data, err := encodeHeartbeat(&hb)
@@ -165,10 +168,38 @@
 // r.mu.
 func (r *Roster) expirePeers(now time.Time) {
 	for addr, p := range r.peers {
-		if now.Sub(p.lastSeen) > peerExpiry {
-			r.removePeer(addr)
+		if now.Sub(p.lastSeen) <= peerExpiry {
+			continue
+		}
+		if r.maybeRunning(p, now) {
+			r.silent[p.member.VM] = p.addr
+		}
+		r.removePeer(addr)
+	}
+}
+
+// silentDaemons returns the addresses of up to limit daemons that were removed. Without a
+// heartbeat to them, daemons that were cut off from each other for longer than peerExpiry
+// would never find each other again. Callers hold r.mu.
+func (r *Roster) silentDaemons(limit int) []net.Addr {
+	var out []net.Addr
+	for _, addr := range r.silent { // in random order
+		if len(out) == limit {
+			break
 		}
+		out = append(out, addr)
+	}
+	return out
+}
+
+// maybeRunning reports whether a silent daemon may still run. The contact record of a
+// daemon that was never seen can be outdated, unless this daemon receives nothing at all.
+// Callers hold r.mu.
+func (r *Roster) maybeRunning(p *peer, now time.Time) bool {
+	if p.known {
+		return p.member.State != Leaving
 	}
+	return p.member.VM != "" && now.Sub(r.agg.lastContact) >= noContactTimeout
 }
 
 // allPeers returns all known daemons and, in every heartbeatsPerPeerList-th heartbeat, the
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -47,6 +47,11 @@
 	peerExpiry = 30 * time.Second
 	// heartbeatsPerPeerList is the number of heartbeats of which one lists other daemons.
 	heartbeatsPerPeerList = 8
+	// heartbeatsPerProbe is the number of heartbeats of which one also goes to daemons that
+	// were removed. maxProbes bounds their number, since there can be hundreds in a large
+	// fleet. One that answers names the others.
+	heartbeatsPerProbe = 8
+	maxProbes          = 4
 	// maxListedPeers bounds the number of daemons listed in one heartbeat.
 	maxListedPeers = 24
 	// maxDatagramSize is the largest payload sent. It is below the MTU of common links, so
@@ -119,9 +124,10 @@
 	mu        sync.Mutex
 	self      Member
 	seq       uint64
-	peers     map[string]*peer  // by peer address
-	tokens    map[uint32]string // peer address by the token of a daemon's process
-	sent      []sentHeartbeat   // recent own heartbeats, the newest last
+	peers     map[string]*peer    // by peer address
+	tokens    map[uint32]string   // peer address by the token of a daemon's process
+	silent    map[string]net.Addr // by VM, daemons that were removed from peers without having left
+	sent      []sentHeartbeat     // recent own heartbeats, the newest last
 	agg       aggregation
 	paused    pauses
 	isContact bool // whether this daemon is a contact; used by announce only
@@ -156,6 +162,7 @@
 		self:      o.Self,
 		peers:     make(map[string]*peer),
 		tokens:    make(map[uint32]string),
+		silent:    make(map[string]net.Addr),
 		agg:       aggregation{changed: make(chan struct{}, 1)},
 		ownership: newOwnership(),
 		listed:    make(chan struct{}),
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -231,6 +231,29 @@
 	}
 }
 
+// Guards against daemons that never find each other again after a cut or a pause that is
+// longer than they remember each other.
+func TestDaemonsFindEachOtherAfterALongCut(t *testing.T) {
+	for _, n := range []int{3, 30} {
+		withFleet(t, n, func(t *testing.T, f *testFleet) {
+			_ = pause.For(context.Background(), 4*time.Second)
+			for _, vm := range []int{1, 2} {
+				f.net.SetUnreachable(peerAddr(vm), true)
+			}
+			_ = pause.For(context.Background(), peerExpiry+4*time.Second)
+			for _, vm := range []int{1, 2} {
+				f.net.SetUnreachable(peerAddr(vm), false)
+			}
+			_ = pause.For(context.Background(), 8*time.Second)
+			for i, r := range f.all {
+				if got := addrs(r); got != n {
+					t.Errorf("daemon %d names %d of %d addresses after the cut", i+1, got, n)
+				}
+			}
+		})
+	}
+}
+
 // Guards against ignoring a daemon forever that restarted with its clock set back.
 func TestRestartWithAnEarlierClock(t *testing.T) {
 	withFleet(t, 2, func(t *testing.T, f *testFleet) {
