roster, budget: silent daemons keep their part of the retry budget's slack

What targets would see: while daemons are cut off from each other for over 30 s, up to twice the slack (up to n times, if all are), since each side divides it among its own members.

Cause: the divisor was one plus the peers known. Its comment and FleetOptions called it an upper bound, but it's a lower one: daemons that fell silent were left out after 30 s, and a daemon that starts cut off has only itself.

Evidence: TestDaemonsThatAreCutOffShareTheBudget; with the old figure the daemons of a fleet of four to five share with 2, 2, 1, 1 and 1.

Why it works: a daemon counts until it announces that it leaves, or this process ends. TestDaemonsThatLeftHaveNoPartOfTheBudget guards the other side. A daemon that is gone for good without a word keeps its part until then: 1/n of the slack.

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -214,7 +214,7 @@
 		Ratio:   d.s.Bounds.RetryRatio,
 		Slack:   d.s.Bounds.RetrySlack,
 		Window:  d.s.Bounds.RetryWindow,
-		Daemons: d.roster.KnownDaemons,
+		Daemons: d.roster.FleetSize,
 		Clock:   clock.Boot{}.Now,
 	})
 	runner := dispatch.New(dispatch.Options{
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -249,6 +249,15 @@
 	return 1 + len(r.peers)
 }
 
+// FleetSize returns an upper bound of the number of daemons, including this one. A silent
+// daemon may be cut off from this one only, so it counts until it leaves or this process
+// ends.
+func (r *Roster) FleetSize() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return 1 + len(r.peers) + len(r.silent)
+}
+
 // Ready reports whether this daemon takes requests.
 func (r *Roster) Ready() bool {
 	r.mu.Lock()
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -254,6 +254,45 @@
 	}
 }
 
+// Guards against daemons that are cut off from each other for so long that each side
+// divides the retry budget's slack among its own members only.
+func TestDaemonsThatAreCutOffShareTheBudget(t *testing.T) {
+	withFleet(t, 4, func(t *testing.T, f *testFleet) {
+		_ = pause.For(context.Background(), 4*time.Second)
+		for _, vm := range []int{3, 4} {
+			f.net.SetUnreachable(peerAddr(vm), true)
+		}
+		f.net.SetUnreachable(peerAddr(5), true)
+		f.add(5, 1)
+		_ = pause.For(context.Background(), peerExpiry+time.Second)
+		for i, r := range f.all {
+			if n := r.FleetSize(); n < 4 {
+				t.Errorf("daemon %d shares with %d daemons in all, at least 4 run", i+1, n)
+			}
+		}
+	})
+}
+
+// Guards against daemons that have left keeping their part of the retry budget's slack.
+func TestDaemonsThatLeftHaveNoPartOfTheBudget(t *testing.T) {
+	withFleet(t, 3, func(t *testing.T, f *testFleet) {
+		_ = pause.For(context.Background(), 4*time.Second)
+		f.net.SetUnreachable(peerAddr(2), true)
+		_ = pause.For(context.Background(), peerExpiry+time.Second)
+		f.net.SetUnreachable(peerAddr(2), false)
+		_ = pause.For(context.Background(), 4*time.Second)
+		if n := f.all[0].FleetSize(); n != 3 {
+			t.Errorf("%d daemons after the return of one, want 3", n)
+		}
+		f.all[1].SetState(Leaving)
+		_ = f.all[1].Stop()
+		_ = pause.For(context.Background(), peerExpiry+time.Second)
+		if n := f.all[0].FleetSize(); n != 2 {
+			t.Errorf("%d daemons after one left, want 2", n)
+		}
+	})
+}
+
 // Guards against ignoring a daemon forever that restarted with its clock set back.
 func TestRestartWithAnEarlierClock(t *testing.T) {
 	withFleet(t, 2, func(t *testing.T, f *testFleet) {
