demand: measure by a clock that isn't stepped

What callers saw: nothing that was traced to it. After a step of the time of day a daemon forgets the demand of the last 3 s, so the plan of roles sees a lull that isn't there.

Cause: buckets were numbered by the time of day, as the retry budget's slots were.

Evidence: TestDemandIsKeptAcrossClockSteps: 200 streams before a step, 0 after it; kept now. A Go test can't step its clock, so the soak runs this one with its build overlay (TestClockSteps). It also imports the daemons' packages now: go test would reuse results of an older program otherwise.

Why it works: steady.Clock returns the time of day at the start plus the monotonic time since.

--- a/bench/soak/fleet_test.go
+++ b/bench/soak/fleet_test.go
@@ -11,6 +11,12 @@
 	"syscall"
 	"testing"
 	"time"
+
+	// The tests build and run programs of these packages. Without the imports,
+	// go test would reuse results of older programs.
+	_ "github.com/pomelospool/pomelospool/connection/pool"
+	_ "github.com/pomelospool/pomelospool/process/daemon"
+	_ "github.com/pomelospool/pomelospool/process/front"
 )
 
 // process is one daemon across restarts.
--- a/connection/demand/demand.go
+++ b/connection/demand/demand.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/internal/steady"
 )
 
 const (
@@ -77,6 +78,7 @@
 
 // New returns an empty Tracker.
 func New(now func() time.Time) *Tracker {
+	now = steady.Clock(now)
 	return &Tracker{now: now, local: make(map[uint64]*ring), peers: make(map[string]peer), oldest: now()}
 }
 
