pool: count sent requests by a clock that isn't stepped

What callers saw: nothing that was traced to it. After a step of the time of day a daemon of the product's own protocol forgets what it sent to a target since its last report, and takes it for less loaded.

Cause: buckets were numbered by the time of day, as the retry budget's slots were.

Evidence: TestSentRequestsAreKeptAcrossClockSteps (run by the soak's TestClockSteps): 0 requests since the report after a step, 2 now.

--- a/bench/soak/clock_test.go
+++ b/bench/soak/clock_test.go
@@ -87,7 +87,7 @@
 // TestClockSteps runs the tests that step the clock themselves. Their build tag
 // excludes them elsewhere, since only the overlay has the function.
 func TestClockSteps(t *testing.T) {
-	for _, pkg := range []string{"connection/demand"} {
+	for _, pkg := range []string{"connection/demand", "connection/pool"} {
 		cmd := exec.Command("go", "test", "-overlay", writeOverlay(t, nil), "-tags", "steppedclock", "-run", "ClockSteps$", "github.com/pomelospool/pomelospool/"+pkg)
 		if text, err := cmd.CombinedOutput(); err != nil {
 			t.Errorf("%s: %v\n%s", pkg, err, text)
--- a/connection/pool/pool.go
+++ b/connection/pool/pool.go
@@ -18,6 +18,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/pomelospool/pomelospool/connection/h1"
+	"github.com/pomelospool/pomelospool/internal/steady"
 )
 
 const (
@@ -65,6 +66,7 @@
 	opts  Options
 	conns *h1.Pool
 	tomb  tomb.Tomb
+	now   func() time.Time // time of day at the start plus the time since
 
 	cancels chan struct{} // semaphore of the cancel calls in flight
 
@@ -98,7 +100,7 @@
 // New returns a Pool. The caller must close it.
 func New(o Options) *Pool {
 	o = o.withDefaults()
-	p := &Pool{opts: o, targets: make(map[string]*target)}
+	p := &Pool{opts: o, now: steady.Clock(time.Now), targets: make(map[string]*target)}
 	p.cancels = make(chan struct{}, maxCancels)
 	p.conns = h1.New(h1.Options{
 		ConnectTimeout: o.ConnectTimeout,
@@ -178,7 +180,7 @@
 	p.mu.Lock()
 	t := p.target(addr)
 	t.inFlight++
-	t.sent.add(time.Now(), Sent{Count: 1, Prefill: prefill, Decode: decode})
+	t.sent.add(p.now(), Sent{Count: 1, Prefill: prefill, Decode: decode})
 	p.mu.Unlock()
 	return func() {
 		p.mu.Lock()
@@ -196,7 +198,8 @@
 	if !ok {
 		return Sent{}
 	}
-	return t.sent.since(since, time.Now())
+	now := p.now()
+	return t.sent.since(now.Add(-time.Since(since)), now)
 }
 
 // Retain removes the targets that are not in keep and have no requests in flight.
