scale: count the orders of TestReclaimOfAZone between two checks

The test failed now and then (2 of 60 runs, 7 of 60, 6 of 40 beside load): 13 orders in 20 s, 12 allowed. Traced by printing the orders of failing runs: the reclaim and both ends of the 20 s fall on a check of the scaler. If the check at the reclaim runs after it, and the one at the end before the count, the closed span holds eleven refused orders, one each 2 s from 0 to 20 s, and two for the other zones. The backoff of 2 s was kept in all of them.

The test is wrong, not the scaler: the order of goroutines at one virtual instant decided what was counted. The span now begins and ends between two checks. No change of behaviour.

--- a/process/scale/scaler_test.go
+++ b/process/scale/scaler_test.go
@@ -234,7 +234,9 @@
 func TestReclaimOfAZone(t *testing.T) {
 	withPlatform(t, func(t *testing.T, p *fakePlatform, steady clock.Clock) {
 		p.startScaler(t, "vm-1", steady, true)
-		time.Sleep(time.Minute)
+		// Both ends of the 20 s are between two checks of the scaler, so that it
+		// is certain which orders are counted.
+		time.Sleep(time.Minute + scaleInterval/2)
 		calls := p.calls
 		p.reclaim("b", true)
 		time.Sleep(20 * time.Second)
