--- a/bench/soak/planted_test.go
+++ b/bench/soak/planted_test.go
@@ -45,6 +45,12 @@
 		{"targets learn the callers' keys", []edit{
 			{"platform/headers.go", "if dropAPIKey {", "if false {"},
 		}, nil, "with key"},
+		{"a new process spends the slack again", []edit{
+			{"request/budget/fleet.go", "if s.Uptime < f.warmup {", "if false {"},
+		}, []Event{rejectPlain, {At: time.Second, For: 4 * time.Second, Kind: RestartSeries}}, "retry budget"},
+		{"the budget follows the time of day", []edit{
+			{"process/front/front.go", "clock.Boot{}.Now,", "func() time.Duration { return time.Duration(time.Now().UnixNano()) },"},
+		}, append([]Event{rejectPlain}, stepsOnAll(2, 3, 4, 5)...), "retry budget"},
 		{"the store is given up after a failure", []edit{
 			{"process/topic/follower.go", "f.o.Sink.StoreLost(err)", "f.o.Sink.StoreLost(err); <-f.tomb.Dying()"},
 		}, append([]Event{{At: 0, For: 3 * time.Second, Kind: FailStore, How: storeReset}}, onAll(KillTarget, 0)...), "hasn't recovered"},
@@ -61,6 +67,20 @@
 	}
 }
 
+// rejectPlain makes all plain targets reject for six seconds.
+var rejectPlain = Event{At: 500 * time.Millisecond, For: 6 * time.Second, Kind: RejectAll}
+
+// stepsOnAll returns steps of the time of day of all daemons at the given
+// seconds, each with another variant.
+func stepsOnAll(seconds ...int) (plan []Event) {
+	for n, s := range seconds {
+		for on := range defaultDaemons {
+			plan = append(plan, Event{At: time.Duration(s) * time.Second, For: 500 * time.Millisecond, Kind: StepClock, On: on, How: 1 + n})
+		}
+	}
+	return plan
+}
+
 const (
 	// plantedLength is the length of the load of a trial. A request that never
 	// ends is detected after requestTimeout and plantedGrace.
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -78,19 +78,12 @@
 // them forget what was spent.
 func TestRetryBudgetOverAllDaemons(t *testing.T) {
 	const length = 7 * time.Second
-	reject := Event{At: 500 * time.Millisecond, For: length - time.Second, Kind: RejectAll}
-	var steps []Event
-	for n, at := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, 5 * time.Second} {
-		for on := range defaultDaemons {
-			steps = append(steps, Event{At: at, For: 500 * time.Millisecond, Kind: StepClock, On: on, How: 1 + n})
-		}
-	}
 	cases := []struct {
 		name string
 		plan []Event
 	}{
-		{"restarts in series", []Event{reject, {At: time.Second, For: 4 * time.Second, Kind: RestartSeries}}},
-		{"steps of the time of day", append([]Event{reject}, steps...)},
+		{"restarts in series", []Event{rejectPlain, {At: time.Second, For: 4 * time.Second, Kind: RestartSeries}}},
+		{"steps of the time of day", append([]Event{rejectPlain}, stepsOnAll(2, 3, 4, 5)...)},
 	}
 	program := buildDaemon(t, t.TempDir(), nil)
 	for _, tc := range cases {
