caller: read a refusal with the stall timer

What callers of pomelosctl and the load tool saw: a refusal whose body arrives slowly was aborted after the read timeout, although data arrived, and lost its code and its Retry-After.

Cause: readRefusal read the response's own body, past the reader that resets the timer (listed in docs/design/16-wording.md).

--- a/operator/caller/send.go
+++ b/operator/caller/send.go
@@ -167,7 +167,7 @@
 		return code.New(code.AnswerMismatch, "%s answered request %s", addr, id)
 	}
 	if resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(HeaderCode) != codeAnsweredByTarget {
-		return at.readRefusal(resp)
+		return at.readRefusal(resp, content)
 	}
 	if at.r.Stream && strings.HasPrefix(at.a.ContentType, "text/event-stream") {
 		return at.readStream(content)
@@ -236,8 +236,8 @@
 
 // readRefusal decodes a refusal. The request counts as not run only if the header
 // says so and the body doesn't contradict it.
-func (at *attempt) readRefusal(resp *http.Response) error {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxEvent))
+func (at *attempt) readRefusal(resp *http.Response, content io.Reader) error {
+	data, err := io.ReadAll(io.LimitReader(content, maxEvent))
 	at.a.Body = data
 	at.a.NotRun = resp.Header.Get(HeaderNotRun) == "true"
 	var body errorBody
--- a/operator/caller/silence_test.go
+++ b/operator/caller/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -68,3 +69,16 @@
 		})
 	}
 }
+
+// Guards against a slow refusal that is aborted although data arrives: its reads
+// must reset the stall timer.
+func TestRefusalIsReadWithStallTimer(t *testing.T) {
+	body := `{"error":{"code":1005,"message":"no","not_run":true}}`
+	resp := &http.Response{
+		StatusCode: http.StatusServiceUnavailable, Header: http.Header{HeaderNotRun: {"true"}}, Body: http.NoBody,
+	}
+	at := &attempt{r: &Request{}, a: &Answer{}}
+	if err := at.readAnswer(resp, strings.NewReader(body), "a"); code.Of(err) != code.Draining {
+		t.Errorf("error %v", err)
+	}
+}
