caller: an answer over 64 MiB isn't complete

What callers of pomelosctl and the load tool saw: an answer over 64 MiB was truncated and counted as complete, with exit code 0.

Cause: the reader was limited to the largest size, so a larger answer ended like one of that size (listed in docs/design/16-wording.md).

Evidence: TestTooLargeAnswerIsNotComplete failed before. It is reported as 2006, STREAM_CUT.

--- a/operator/caller/caller.go
+++ b/operator/caller/caller.go
@@ -38,8 +38,8 @@
 	idleTimeout     = 30 * time.Second
 	maxIdlePerHost  = 256
 	deadlineGrace   = time.Second // lets the daemon's own refusal arrive before the client gives up
-	maxBody         = 64 << 20
-	maxEvent        = 1 << 20 // bytes of one event of a stream
+	maxBody         = 64 << 20    // bytes of an answer that is no stream
+	maxEvent        = 1 << 20     // bytes of one event of a stream
 )
 
 // Options configures a Client.
--- a/operator/caller/caller_test.go
+++ b/operator/caller/caller_test.go
@@ -288,3 +288,14 @@
 		t.Errorf("after a daemon that serves the pause is doubled %d times", n)
 	}
 }
+
+// Guards against a truncated answer that counts as complete.
+func TestTooLargeAnswerIsNotComplete(t *testing.T) {
+	for size, complete := range map[int]bool{maxBody: true, maxBody + 1: false} {
+		f := newTestFleet(t, 1, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, size)) })
+		a, err := f.client().Do(t.Context(), Request{Path: "/s/app/holds", Body: []byte("{}")})
+		if a.Complete != complete || (err == nil) != complete {
+			t.Errorf("%d bytes: complete %v, error %v", size, a.Complete, err)
+		}
+	}
+}
--- a/operator/caller/send.go
+++ b/operator/caller/send.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -131,6 +132,8 @@
 
 const maxBackoffDoublings = 5
 
+var errAnswerTooLarge = fmt.Errorf("the answer is larger than %d bytes", maxBody)
+
 // attempt sends a request once to one daemon.
 type attempt struct {
 	c         *Client
@@ -172,7 +175,10 @@
 	if at.r.Stream && strings.HasPrefix(at.a.ContentType, "text/event-stream") {
 		return at.readStream(content)
 	}
-	body, err := io.ReadAll(io.LimitReader(content, maxBody))
+	body, err := io.ReadAll(io.LimitReader(content, maxBody+1))
+	if err == nil && len(body) > maxBody {
+		err = errAnswerTooLarge
+	}
 	if err != nil {
 		at.a.CutAttempts++
 		return code.Wrap(code.StreamCut, err, "%s", addr)
