--- a/process/front/metrics.go
+++ b/process/front/metrics.go
@@ -71,7 +71,7 @@
 		gauge("config_age_seconds", "Age of the newest answer of the store on the configuration, -1: none yet.", func() float64 { return ageGauge(d.caches[port.TopicConfig]) }),
 		gauge("targets_age_seconds", "Age of the newest answer of the store on the targets, -1: none yet.", func() float64 { return ageGauge(d.caches[port.TopicTargets]) }),
 		gauge("relay_depth", "Daemons between the store and the daemon farthest from it, 0 in a small fleet.", func() float64 { return float64(d.roster.Upstream().Depth) }),
-		gauge("daemons_known", "Daemons that share the retry budgets, silent ones and this one included.", func() float64 { return float64(d.roster.FleetSize()) }),
+		gauge("daemons_known", "Daemons that share the retry budgets, unresponsive ones and this one included.", func() float64 { return float64(d.roster.FleetSize()) }),
 		gauge("request_rate", "Callers' requests in the busiest of the last seconds.", d.rate.perSecond),
 		gauge("ready", "1 while the daemon takes requests.", func() float64 { return boolGauge(d.roster.Ready()) }),
 	)
--- a/process/roster/heartbeat.go
+++ b/process/roster/heartbeat.go
@@ -130,7 +130,7 @@
 		to = r.heartbeatReceivers(now)
 	}
 	if r.seq%heartbeatsPerProbe == 0 {
-		to = append(to, r.silentDaemons(maxProbes)...)
+		to = append(to, r.probeAddrs(maxProbes)...)
 	}
 	r.mu.Unlock()
 	r.relayReads(hb.Reads, true)
@@ -172,18 +172,18 @@
 			continue
 		}
 		if r.maybeRunning(p, now) {
-			r.silent[p.member.VM] = p.addr
+			r.removed[p.member.VM] = p.addr
 		}
 		r.removePeer(addr)
 	}
 }
 
-// silentDaemons returns the addresses of up to limit daemons that were removed. Without a
+// probeAddrs returns the addresses of up to limit daemons that were removed. Without a
 // heartbeat to them, daemons that were cut off from each other for longer than peerExpiry
 // would never find each other again. Callers hold r.mu.
-func (r *Roster) silentDaemons(limit int) []net.Addr {
+func (r *Roster) probeAddrs(limit int) []net.Addr {
 	var out []net.Addr
-	for _, addr := range r.silent { // in random order
+	for _, addr := range r.removed { // in random order
 		if len(out) == limit {
 			break
 		}
@@ -192,7 +192,7 @@
 	return out
 }
 
-// maybeRunning reports whether a silent daemon may still run. The contact record of a
+// maybeRunning reports whether an unresponsive daemon may still run. The contact record of a
 // daemon that was never seen can be outdated, unless this daemon receives nothing at all.
 // Callers hold r.mu.
 func (r *Roster) maybeRunning(p *peer, now time.Time) bool {
--- a/process/roster/peer.go
+++ b/process/roster/peer.go
@@ -74,7 +74,7 @@
 	if !p.known || p.member.Incarnation != m.Incarnation {
 		p.firstSeen = time.Now()
 	}
-	delete(r.silent, m.VM)
+	delete(r.removed, m.VM)
 	delete(r.tokens, p.member.token())
 	p.member, p.known, p.dead, p.seq = *m, true, false, seq
 	r.tokens[m.token()] = m.PeerAddr
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -126,7 +126,7 @@
 	seq       uint64
 	peers     map[string]*peer    // by peer address
 	tokens    map[uint32]string   // peer address by the token of a daemon's process
-	silent    map[string]net.Addr // by VM, daemons that were removed from peers without having left
+	removed   map[string]net.Addr // by VM, daemons that were removed from peers without having left
 	sent      []sentHeartbeat     // recent own heartbeats, the newest last
 	agg       aggregation
 	paused    pauses
@@ -162,7 +162,7 @@
 		self:      o.Self,
 		peers:     make(map[string]*peer),
 		tokens:    make(map[uint32]string),
-		silent:    make(map[string]net.Addr),
+		removed:   make(map[string]net.Addr),
 		agg:       aggregation{changed: make(chan struct{}, 1)},
 		ownership: newOwnership(),
 		listed:    make(chan struct{}),
@@ -249,13 +249,13 @@
 	return 1 + len(r.peers)
 }
 
-// FleetSize returns an upper bound of the number of daemons, including this one. A silent
+// FleetSize returns an upper bound of the number of daemons, including this one. An unresponsive
 // daemon may be cut off from this one only, so it counts until it leaves or this process
 // ends.
 func (r *Roster) FleetSize() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return 1 + len(r.peers) + len(r.silent)
+	return 1 + len(r.peers) + len(r.removed)
 }
 
 // Ready reports whether this daemon takes requests.
