soak: a daemon's kill is recorded from its first signal on

Traced from the plans: two series of restarts overlap. The second one's SIGKILL came while the process of the first was still to be reaped, and moved the recorded time of the kill behind the moment at which callers lost their connections. A fault of the soak, not of the daemon; no check is narrowed: the kill counts from the moment that the first signal was sent.

--- a/bench/soak/fleet_test.go
+++ b/bench/soak/fleet_test.go
@@ -108,7 +108,9 @@
 	}
 	switch s {
 	case syscall.SIGKILL:
-		p.killedAt = time.Now()
+		if p.killedAt.IsZero() {
+			p.killedAt = time.Now()
+		}
 	case syscall.SIGTERM:
 		p.stopRequested = true
 	}
