soak: a connection counts from the connect call on, not from Dial's return

Cause, a fault of the soak: the caller read the time of opening after Dial had returned. The kernel completes the handshake before, the daemon accepts, is killed and exits, and only then the caller's goroutine runs again. The connection seems younger than the kill that ended it. Each of the callers does so as a restarted daemon is killed by the second of two overlapping series.

The check is not narrowed: a SYN reaches the daemon within the connect call on loopback, so a connection still belongs to the process that was listening then.

--- a/bench/soak/client.go
+++ b/bench/soak/client.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -75,7 +76,7 @@
 	requests   int
 	conn       net.Conn
 	reader     *bufio.Reader
-	connOpened time.Time // when conn was opened
+	connOpened time.Time // when the connect of conn began
 	daemon     int       // index of the daemon that conn leads to
 	resolved   []int     // indexes of the daemons in the last address answer
 	expires    time.Time // when resolved expires
@@ -115,13 +116,18 @@
 		return false
 	}
 	c.daemon = c.resolved[c.rand.IntN(len(c.resolved))]
-	d := net.Dialer{Timeout: time.Second}
+	// Dial may return long after the daemon has accepted the connection, even
+	// after the daemon has exited.
+	d := net.Dialer{Timeout: time.Second, Control: func(string, string, syscall.RawConn) error {
+		c.connOpened = time.Now()
+		return nil
+	}}
 	conn, err := d.DialContext(ctx, "tcp", c.Daemons[c.daemon].Callers)
 	if err != nil {
 		c.resolved = nil
 		return false
 	}
-	c.conn, c.reader, c.connOpened = conn, bufio.NewReader(conn), time.Now()
+	c.conn, c.reader = conn, bufio.NewReader(conn)
 	return true
 }
 
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -27,7 +27,7 @@
 	ID         string
 	Class      Class
 	Daemon     int
-	ConnOpened time.Time // when the connection was opened
+	ConnOpened time.Time // when the connect of the connection began
 	Started    time.Time
 	Ended      time.Time
 	Status     int  // 0 if no header was received
