--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -142,11 +143,25 @@
 		faults = append(faults, "answered, but no target ran it")
 	}
 	if !o.Complete && !o.Canceled && o.Class != Stream && !j.killedWhileOpen(o) {
-		faults = append(faults, "cut, though its daemon wasn't killed")
+		faults = append(faults, "cut, though its daemon wasn't killed; "+j.connectionTimes(o))
 	}
 	return faults
 }
 
+// timeFormat has the precision at which kills and connections are compared.
+const timeFormat = "15:04:05.000000"
+
+// connectionTimes describes the lifetime of the connection of a request and
+// when its daemon was killed.
+func (j *Judge) connectionTimes(o Outcome) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "connected %s, sent %s, ended %s, kills", o.ConnOpened.Format(timeFormat), o.Started.Format(timeFormat), o.Ended.Format(timeFormat))
+	for _, k := range j.killed[o.Daemon] {
+		fmt.Fprintf(&b, " %s to %s", k.from.Format(timeFormat), k.to.Format(timeFormat))
+	}
+	return b.String()
+}
+
 // killedWhileOpen reports whether the daemon was killed while the connection
 // was open. The whole lifetime of the connection counts, because a caller
 // notices the loss of an idle connection only at its next request.
