dispatch: say by whose finding no engine takes requests

An error that no decoding engine takes requests didn't say whether this daemon had ejected the engines or took others' reports. The detail now counts the engines that only reports rule out. Nothing else changes.

--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -212,11 +212,15 @@
 // recovery is noticed.
 func (x *execution) predictSlotWait(est speed.Estimates, cands []placement.Candidate) (time.Duration, error) {
 	policy := x.slotPolicy(est, cands)
-	free, full, doubtful := 0, 0, 0
+	free, full, doubtful, reported := 0, 0, 0, 0
 	minWait := maxRetryDelay
 	for i := range cands {
 		c := &cands[i]
-		if x.opts.Health.Ejected(c.Entry.ID) || c.Load.Unreachable() {
+		if x.opts.Health.Ejected(c.Entry.ID) {
+			continue
+		}
+		if c.Load.Unreachable() {
+			reported++
 			continue
 		}
 		minWait = min(minWait, policy.SlotWait(c))
@@ -235,7 +239,7 @@
 	case full > 0:
 		return 0, x.overloaded(cands, minWait, "%d of %d decoding engines are full", full, len(cands))
 	}
-	return 0, code.New(code.NoTarget, "none of %d decoding engines takes requests", len(cands)).WithRetryAfter(x.call.Service.Engine.RoleChangeTime)
+	return 0, code.New(code.NoTarget, "none of %d decoding engines takes requests, %d of them by reports of other daemons", len(cands), reported).WithRetryAfter(x.call.Service.Engine.RoleChangeTime)
 }
 
 // mostUrgent reports whether no call of the service has a higher priority.
