--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -52,6 +52,7 @@
 
 	platform platformClients
 	dialer   *peer.Dialer
+	dial     func(ctx context.Context, addr string) (net.Conn, error) // to targets; nil: TCP
 
 	follower   *follow.Follower
 	members    *membership.Membership
@@ -91,10 +92,14 @@
 
 // New opens the daemon's ports and wires its parts. It starts nothing. With
 // port 0 in the settings the system chooses a port; Listen returns the result.
-func New(s *settings.Settings) (*Daemon, error) {
+func New(s *settings.Settings) (*Daemon, error) { return newDaemon(s, nil) }
+
+// newDaemon is New with a function that connects to targets, or nil for TCP.
+func newDaemon(s *settings.Settings, dial func(ctx context.Context, addr string) (net.Conn, error)) (*Daemon, error) {
 	own := *s
 	d := &Daemon{
 		s:     &own,
+		dial:  dial,
 		self:  s.VM + "/" + uuid.NewString(),
 		clock: clock.Boot{},
 		view:  &view.Holder{},
@@ -272,6 +277,15 @@
 	})
 }
 
+// dialTarget returns a dial function for the engines' control interface, or nil
+// for TCP.
+func (d *Daemon) dialTarget() func(ctx context.Context, network, addr string) (net.Conn, error) {
+	if d.dial == nil {
+		return nil
+	}
+	return func(ctx context.Context, _, addr string) (net.Conn, error) { return d.dial(ctx, addr) }
+}
+
 // kvTransferRate is the assumed rate of KV cache transfers between engines, in
 // tokens a second, from docs/ENGINE-MODEL.md.
 const kvTransferRate = 100_000
@@ -280,11 +294,14 @@
 	d.pool = pool.New(pool.Options{
 		OnDown:     func(addr string, err error) { d.watcher.HandleDown(addr, err) },
 		OnResponse: func(addr string, h http.Header) { d.watcher.HandleResponse(addr, h) },
+		Dial:       d.dial,
 	})
 	d.watcher = load.New(load.Options{
-		View:         d.view,
-		Pool:         d.pool,
-		Engine:       func(addr string) port.Engine { return httpapi.NewEngine(addr, httpapi.Options{MaxConns: 2}) },
+		View: d.view,
+		Pool: d.pool,
+		Engine: func(addr string) port.Engine {
+			return httpapi.NewEngine(addr, httpapi.Options{MaxConns: 2, Dial: d.dialTarget()})
+		},
 		Process:      d.s.VM,
 		Zone:         d.s.Zone,
 		PollInterval: d.s.Control.LoadPoll,
--- a/process/daemon/fleet_test.go
+++ b/process/daemon/fleet_test.go
@@ -106,6 +106,7 @@
 	daemons    []*Daemon
 	peers      string // port, the same on all
 	tls        settings.TLS
+	dial       map[int]func(ctx context.Context, addr string) (net.Conn, error) // how a daemon connects to targets; nil: TCP
 }
 
 // daemonIP returns the IP address of daemon i on loopback. Each test process
@@ -116,8 +117,10 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+id>>8%200, id&0xff, i+1)
 }
 
-func newFleet(t *testing.T, n int, tls settings.TLS) *fleet {
-	f := &fleet{t: t, log: logsvc.New(logsvc.Options{}), tls: tls, daemons: make([]*Daemon, n)}
+func newFleet(t *testing.T, n int, tls settings.TLS) *fleet { return newFleetWithDial(t, n, tls, nil) }
+
+func newFleetWithDial(t *testing.T, n int, tls settings.TLS, dial map[int]func(ctx context.Context, addr string) (net.Conn, error)) *fleet {
+	f := &fleet{t: t, log: logsvc.New(logsvc.Options{}), tls: tls, dial: dial, daemons: make([]*Daemon, n)}
 	var vms []port.VM
 	for i := range n {
 		vms = append(vms, port.VM{ID: fmt.Sprintf("vm-%d", i), Addr: daemonIP(i), Zone: "z"})
@@ -166,7 +169,7 @@
 	s.Control.Isolation = 400 * time.Millisecond
 	s.Control.Lease, s.Control.Drift = 500*time.Millisecond, 100*time.Millisecond
 	s.Control.AddressTTL, s.Control.LoadPoll = 150*time.Millisecond, 40*time.Millisecond
-	d, err := New(s)
+	d, err := newDaemon(s, f.dial[i])
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -105,11 +105,14 @@
 }
 
 // New opens the daemon's ports and wires its parts. It starts nothing.
-func New(s *settings.Settings) (*Daemon, error) {
+func New(s *settings.Settings) (*Daemon, error) { return newDaemon(s, nil) }
+
+// newDaemon is New with a function that connects to targets, or nil for TCP.
+func newDaemon(s *settings.Settings, dial func(ctx context.Context, addr string) (net.Conn, error)) (*Daemon, error) {
 	d := &Daemon{
 		s:         s,
 		config:    inforce.New(platform.DecodeConfig),
-		pool:      h1.New(h1.Options{}),
+		pool:      h1.New(h1.Options{Dial: dial}),
 		claimAges: claim.NewAgeTracker(clock.Boot{}),
 		speed:     speed.NewTracker(),
 		demand:    demand.New(time.Now),
--- a/process/front/front_test.go
+++ b/process/front/front_test.go
@@ -1,7 +1,9 @@
 package front
 
 import (
+	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -76,12 +78,15 @@
 }
 
 // launch starts a daemon without waiting for it to be ready.
-func (p *testPlatform) launch(text string) *Daemon {
+func (p *testPlatform) launch(text string) *Daemon { return p.launchWithDial(text, nil) }
+
+// launchWithDial is like launch. The daemon connects to targets with dial.
+func (p *testPlatform) launchWithDial(text string, dial func(ctx context.Context, addr string) (net.Conn, error)) *Daemon {
 	parsed, problems := settings.Parse("test", []byte(strings.ReplaceAll(text, "STORE", p.addr)))
 	if len(problems) > 0 {
 		p.t.Fatal(problems)
 	}
-	d, err := New(parsed)
+	d, err := newDaemon(parsed, dial)
 	if err != nil {
 		p.t.Fatal(err)
 	}
