engines: own answers outweigh others' reports that a target is down

Callers saw: with three or four of eight daemons cut off from all targets, the others rejected requests too, with engines that they reached.

Cause: two reports made a target unreachable for every daemon, whatever it knew itself. Daemons without links report all targets, so two of them took all targets from the fleet, and the leader planned roles with no usable engine.

Now a report counts only until the target answers this process, and if all engines of a role are reported that this daemon hasn't ejected itself, it uses them: that says more about the reporters.

--- a/connection/engines/reports.go
+++ b/connection/engines/reports.go
@@ -63,6 +63,11 @@
 		}
 		e.oldPrompts = 0
 	}
+	for _, list := range [][]Work{old, work} {
+		for i := range list {
+			t.engine(list[i].Target, 0).updateReportedDown(now)
+		}
+	}
 	for i := range old {
 		// The previous report had prompts at this engine, the new one doesn't.
 		if e := t.engine(old[i].Target, 0); e.oldPrompts > 0 {
@@ -120,7 +125,9 @@
 func (t *Tracker) removePeer(name string) {
 	for i := range t.peers[name].work {
 		w := &t.peers[name].work[i]
-		t.engine(w.Target, 0).peers.exclude(w)
+		e := t.engine(w.Target, 0)
+		e.peers.exclude(w)
+		e.updateReportedDown(t.now())
 	}
 	delete(t.peers, name)
 }
--- a/connection/engines/tracker.go
+++ b/connection/engines/tracker.go
@@ -76,6 +76,9 @@
 	// daemon, or empty.
 	Becomes port.Role
 	Down    int // number of daemons that can't reach the engine, including this one
+	// Reached reports that the engine has answered this process since others
+	// began to report it as down.
+	Reached bool
 }
 
 // minDownReports is the number of daemons that have to report a target as down
@@ -83,8 +86,9 @@
 // others reach.
 const minDownReports = 2
 
-// Unreachable reports whether the target is down according to enough daemons.
-func (l Load) Unreachable() bool { return l.Down >= minDownReports }
+// Unreachable reports whether the target is down according to enough daemons,
+// and hasn't answered this process meanwhile.
+func (l Load) Unreachable() bool { return l.Down >= minDownReports && !l.Reached }
 
 // Tracker tracks the load and the caches of engines. It is safe for concurrent use.
 type Tracker struct {
@@ -105,6 +109,8 @@
 	cache        *prefixCache
 	prefillSince time.Time // estimated start of the current prefill
 	downUntil    time.Time // this process considers it down until then
+	reportedDown time.Time // since when other daemons report it as down; zero: they don't
+	reachedAt    time.Time // when it last answered this process
 	oldPrompts   uint32    // prompts in the report that is being replaced
 }
 
@@ -243,6 +249,24 @@
 	t.unlockChanged(e)
 }
 
+// MarkReached records that a target has answered this process.
+func (t *Tracker) MarkReached(target string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.engine(Hash(target), 0)
+	e.reachedAt, e.downUntil = t.now(), time.Time{}
+}
+
+// updateReportedDown updates since when other daemons report the engine as down.
+func (e *engine) updateReportedDown(now time.Time) {
+	switch {
+	case e.peers.Down == 0:
+		e.reportedDown = time.Time{}
+	case e.reportedDown.IsZero():
+		e.reportedDown = now
+	}
+}
+
 // Load returns the load of a target by all daemons, for a request with the given
 // prompt parts.
 //
@@ -266,6 +290,7 @@
 	t.expire(now)
 	w := e.sum(now)
 	l := Load{Streams: int(w.Streams), Becomes: w.Becomes, Down: int(w.Down)}
+	l.Reached = !e.reportedDown.IsZero() && e.reachedAt.After(e.reportedDown)
 	l.Cached, l.Ready = e.cache.cached(parts, now)
 	if w.Prompts > 0 {
 		l.Wait = time.Duration(w.Reading)*time.Microsecond - e.progress(now, &w)
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -214,12 +214,13 @@
 	policy := x.slotPolicy(est, cands)
 	free, full, doubtful, reported := 0, 0, 0, 0
 	minWait := maxRetryDelay
+	trustReports := !x.allReported(cands)
 	for i := range cands {
 		c := &cands[i]
 		if x.opts.Health.Ejected(c.Entry.ID) {
 			continue
 		}
-		if c.Load.Unreachable() {
+		if trustReports && c.Load.Unreachable() {
 			reported++
 			continue
 		}
@@ -242,6 +243,21 @@
 	return 0, code.New(code.NoTarget, "none of %d decoding engines takes requests, %d of them by reports of other daemons", len(cands), reported).WithRetryAfter(x.call.Service.Engine.RoleChangeTime)
 }
 
+// allReported reports whether other daemons can't reach any of the decoding
+// engines that this daemon hasn't ejected. If the service has several, it is
+// more likely that those daemons have lost their links.
+func (x *execution) allReported(cands []placement.Candidate) bool {
+	if x.opts.Targets.Targets(x.call.Service.Name).ByRole(port.RoleDecode, "").Len() < 2 {
+		return false
+	}
+	for i := range cands {
+		if c := &cands[i]; !c.Load.Unreachable() && !x.opts.Health.Ejected(c.Entry.ID) {
+			return false
+		}
+	}
+	return true
+}
+
 // mostUrgent reports whether no call of the service has a higher priority.
 func (x *execution) mostUrgent() bool {
 	return x.opts.Demand.MostUrgent(x.call.Service.Name, x.call.Priority)
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -38,6 +38,7 @@
 	if err != nil {
 		return nil, port.ResponseMeta{}, &sendFailure{Failure: failure.ClassifySend(ctx, s.target.ID, err)}
 	}
+	x.opts.Engines.MarkReached(s.target.ID)
 	return resp, x.opts.Protocol.ParseResponse(resp.Status, resp.Header), nil
 }
 
@@ -195,26 +196,36 @@
 }
 
 // usable returns the sampled targets except those that failed this call, are
-// ejected or are unreachable. If no others are left, it returns those. parts
-// are the parts of the call's prompt.
+// ejected or are unreachable. If no others are left, it returns those that only
+// other daemons can't reach, and then the rest. parts are the parts of the
+// call's prompt.
 func (x *execution) usable(s *targetSample, parts []port.PromptPart) []loadedTarget {
-	var good, excluded []loadedTarget
+	var good, reported, excluded []loadedTarget
 	for i, e := range s.entries {
 		t := loadedTarget{TargetEntry: e, load: x.opts.Engines.Load(e.ID, parts), localOnly: i >= s.shared}
-		if x.hasFailed(e.ID) || x.opts.Health.Ejected(e.ID) || t.load.Unreachable() {
+		switch {
+		case x.hasFailed(e.ID) || x.opts.Health.Ejected(e.ID):
 			excluded = append(excluded, t)
-			continue
+		case t.load.Unreachable():
+			reported = append(reported, t)
+		default:
+			good = append(good, t)
 		}
-		good = append(good, t)
 	}
-	if len(good) == 0 {
-		return excluded
+	switch {
+	case len(good) > 0:
+		return good
+	case len(reported) > 0:
+		return reported
 	}
-	return good
+	return excluded
 }
 
 func (x *execution) hasFailed(id string) bool {
 	return slices.Contains(x.failedTargets, id)
 }
 
-func (x *execution) recordSuccess(target string) { x.opts.Health.Observe(target, health.OK) }
+func (x *execution) recordSuccess(target string) {
+	x.opts.Health.Observe(target, health.OK)
+	x.opts.Engines.MarkReached(target)
+}
