dispatch: serve callers through a peer while the links to targets are lost

Cause: only a daemon's own links count for a request. It tries four to six targets in turn, each for 300 ms, and can't tell lost links from targets that are down, so it ejects all of them for up to 4 s and reports them to others.

Now connection/links takes two targets in a row that can't be reached, with no answer of any other, for a suspicion and dials three others. One that connects ends it; else the links are lost until one does, looked at four times a second. Meanwhile request/forward sends each call to a daemon of the same zone, or another, with the time left, the version that matched it and the number of runs so far, on the peers' port. One hop at most: a daemon that got a call so runs or refuses it. A refusal of a daemon that has no links either is offered elsewhere, to three at most; what a daemon may have run is offered nowhere. A call is counted for the retry budget once. What the cut daemon had reported and ejected is taken back.

--- a/connection/h1/pool.go
+++ b/connection/h1/pool.go
@@ -119,6 +119,16 @@
 	return &conn{Conn: raw, key: key, reader: bufio.NewReader(raw), dialed: dialed}, nil
 }
 
+// Probe connects to an address and closes the connection.
+func (p *Pool) Probe(ctx context.Context, addr string) error {
+	counts.Add("probes", 1)
+	c, err := p.opts.Dial(ctx, addr)
+	if err != nil {
+		return fmt.Errorf("h1: %w: %w", ErrConnect, err)
+	}
+	return c.Close()
+}
+
 func (p *Pool) popIdle(key string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/connection/health/health.go
+++ b/connection/health/health.go
@@ -85,6 +85,19 @@
 	log.WithFields(log.Fields{"target": target, "in_a_row": s.failuresInRow, "for_ms": wait.Milliseconds()}).Info("health: target ejected")
 }
 
+// Forgive ends the ejections of the targets for which match returns true, and
+// forgets that they couldn't be reached: the failures weren't theirs.
+func (t *Tracker) Forgive(match func(target string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for target, s := range t.targets {
+		if s.failuresInRow > 0 && match(target) {
+			s.failuresInRow, s.ejectedUntil, s.rate = 0, time.Time{}, 0
+			t.ejected(target, time.Time{})
+		}
+	}
+}
+
 // get returns the state of a target and creates it if needed. Callers hold t.mu.
 func (t *Tracker) get(target string, now time.Time) *state {
 	s := t.targets[target]
--- a/connection/health/health_test.go
+++ b/connection/health/health_test.go
@@ -103,3 +103,18 @@
 		t.Error("the state of a removed target is retained")
 	}
 }
+
+// Guards against ejections that outlast lost links of this process: targets that
+// were well all the time would get no requests for seconds.
+func TestForgiveEndsEjections(t *testing.T) {
+	tr, _ := newTracker()
+	observe(tr, Unreachable, 5)
+	tr.Forgive(func(string) bool { return false })
+	if !tr.Ejected("t") {
+		t.Error("forgiven though it doesn't match")
+	}
+	tr.Forgive(func(target string) bool { return target == "t" })
+	if tr.Ejected("t") || tr.FailureRate("t") != 0 {
+		t.Errorf("ejected %v, rate %v", tr.Ejected("t"), tr.FailureRate("t"))
+	}
+}
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -22,6 +22,7 @@
 	"github.com/pomelospool/pomelospool/connection/engines"
 	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/connection/health"
+	"github.com/pomelospool/pomelospool/connection/links"
 	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/connection/targets"
 	"github.com/pomelospool/pomelospool/internal/sock"
@@ -39,6 +40,7 @@
 	"github.com/pomelospool/pomelospool/process/usage"
 	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/dispatch"
+	"github.com/pomelospool/pomelospool/request/forward"
 	"github.com/pomelospool/pomelospool/request/ingress"
 	"github.com/pomelospool/pomelospool/version/inforce"
 )
@@ -78,6 +80,8 @@
 	speed       *speed.Tracker
 	demand      *demand.Tracker
 	budget      *budget.Fleet
+	links       *links.Tracker
+	forwarder   *forward.Forwarder
 	control     port.EngineControl
 	roster      *roster.Roster
 	planner     *roles.Planner
@@ -138,9 +142,11 @@
 	}
 	d.store.ReadersKnown = d.roster.ContactsListed()
 	d.wireDuties()
+	d.wireLinks()
 	d.wireRequests()
 	d.wireStore()
 	if err := d.wireServers(); err != nil {
+		_ = d.links.Stop()
 		d.closeServers()
 		return nil, err
 	}
@@ -233,6 +239,8 @@
 		Queues:   d.roster,
 		Zone:     d.s.Zone,
 		Self:     d.s.VM,
+		Links:    d.links,
+		Peers:    d.forwarder,
 	})
 	d.metrics = newMetrics(d)
 	d.ingress = ingress.New(ingress.Options{Config: d.config, Protocol: platform.TargetProtocol{}, Runner: runner, Observe: d.observe,
@@ -262,7 +270,7 @@
 }
 
 func (d *Daemon) wireServers() error {
-	d.servers = append(d.servers, &server{name: "peers", http: newInternalServer(relay.Handler(d.caches)), l: d.peers})
+	d.servers = append(d.servers, &server{name: "peers", http: newInternalServer(d.peersHandler(relay.Handler(d.caches))), l: d.peers})
 	add := func(name, addr string, s *http.Server) (*server, error) {
 		l, err := listen(addr)
 		if err != nil {
@@ -368,6 +376,7 @@
 		e, known := d.registry.Lookup(id)
 		return known && e.Addr == addr
 	})
+	d.forwarder.Trim()
 	d.engines.Retain(d.registry.HasHash)
 	d.health.Retain(func(id string) bool {
 		_, known := d.registry.Lookup(strings.TrimSuffix(id, dispatch.KVSuffix))
--- a/process/front/stop.go
+++ b/process/front/stop.go
@@ -56,6 +56,8 @@
 		d.tomb.Kill(nil)
 		d.closeServers()
 		_ = d.planner.Stop()
+		_ = d.links.Stop()
+		d.forwarder.Close()
 		d.stopDuties()
 		for _, f := range d.followers {
 			_ = f.Stop()
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -37,6 +37,13 @@
 	Host     string
 	Header   http.Header // forwarded to the target
 	Body     []byte
+	// CallerHeader is sent to another daemon that the call is forwarded to.
+	CallerHeader http.Header
+	// Forwarded reports that another daemon has forwarded the call to this one.
+	Forwarded bool
+	// PriorRuns is the number of targets that may have run the call before it
+	// was forwarded.
+	PriorRuns int
 	// Organisation is the one that the caller's API key belongs to; empty if
 	// the route is public.
 	Organisation string
@@ -77,7 +84,7 @@
 	CanQueryQueues() bool
 }
 
-// Options configures a Runner. All fields are required.
+// Options configures a Runner. All fields but Links and Peers are required.
 type Options struct {
 	Protocol port.TargetProtocol
 	Pool     *h1.Pool
@@ -91,6 +98,8 @@
 	Demand   *demand.Tracker
 	Zone     string // availability zone of this process
 	Self     string // name of this process's VM, which determines its preferred targets
+	Links    Links  // nil: links are never lost
+	Peers    Peers  // nil: calls aren't forwarded
 }
 
 // Runner executes calls. It is safe for concurrent use.
@@ -103,6 +112,9 @@
 }
 
 func New(o Options) *Runner {
+	if o.Links == nil {
+		o.Links = intactLinks{}
+	}
 	return &Runner{opts: o, promptStatsByService: make(map[string]*placement.PromptStats), answerLengths: make(map[string]*answerLength)}
 }
 
@@ -154,6 +166,7 @@
 	Prefill           Prefill       // of the last prefill
 	TimeToFirst       time.Duration // from the arrival to the first event
 	AnswerStarted     bool          // the caller received a part of the answer
+	ForwardedTo       string        // VM of the daemon that answered in place of this one
 	// LastEvent is the id of the last event that the caller received; empty if
 	// there is none.
 	LastEvent string
@@ -171,9 +184,13 @@
 	Duration         time.Duration // measured, from send to answer
 }
 
+// newExecution returns the state of a call. A forwarded call has been counted
+// for the budget by the daemon that forwarded it.
 func (r *Runner) newExecution(c *Call) *execution {
-	r.opts.Budget.Request(c.Service.Name)
-	return &execution{Runner: r, call: c}
+	if !c.Forwarded {
+		r.opts.Budget.Request(c.Service.Name)
+	}
+	return &execution{Runner: r, call: c, possibleRuns: c.PriorRuns}
 }
 
 // execution is the state of one call across its sends. It is used by a
--- a/request/dispatch/decode.go
+++ b/request/dispatch/decode.go
@@ -45,7 +45,7 @@
 		if from.kv != nil && f.Class == failure.NotRun {
 			x.opts.Health.Observe(kvHealthKey(from.engineID), health.Refused)
 		}
-		if attempt > 1 || from.kv == nil || !x.hasAlternative(cands, to.ID) || !x.mayRetry(ctx, f, f.sendCost()) {
+		if attempt > 1 || from.kv == nil || x.linksLost() || !x.hasAlternative(cands, to.ID) || !x.mayRetry(ctx, f, f.sendCost()) {
 			return f
 		}
 		x.recordFailure(f)
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -31,12 +31,24 @@
 	if x.call.Service.Engine == nil {
 		return x.runPlainStream(ctx, out)
 	}
+	if x.viaPeer() {
+		return x.streamAtPeer(ctx, out)
+	}
+	if err := x.refuseForwarded(); err != nil {
+		return err
+	}
 	prompt, err := x.admit(ctx)
 	if err != nil {
 		return err
 	}
 	sends := 1
 	for {
+		if err := x.refuseForwarded(); err != nil {
+			return err
+		}
+		if x.viaPeer() {
+			return x.streamAtPeer(ctx, out)
+		}
 		p, f := x.prefill(ctx, prompt)
 		if f == nil {
 			if p.kv != nil {
@@ -65,7 +77,7 @@
 // prompt, or because it can't take the call. Another prefill for an engine
 // that rejects other calls too loads the engines with useless work.
 func (x *execution) worthRetry(p prompt, from prefilled, f *sendFailure) bool {
-	if from.kv == nil || f.Class != failure.NotRun {
+	if from.kv == nil || f.Class != failure.NotRun || x.viaPeer() {
 		return true
 	}
 	for _, c := range x.candidates(p, port.RoleDecode, from.zone) {
--- a/request/dispatch/plain.go
+++ b/request/dispatch/plain.go
@@ -24,6 +24,12 @@
 // runPlain sends the call until there is an answer to relay.
 func (x *execution) runPlain(ctx context.Context) (*Answer, error) {
 	for {
+		if err := x.refuseForwarded(); err != nil {
+			return nil, err
+		}
+		if x.viaPeer() {
+			return x.plainAtPeer(ctx)
+		}
 		to, ok := x.pickPlain()
 		if !ok {
 			return nil, x.noTargetError()
@@ -122,6 +128,12 @@
 // runPlainStream executes a streamed call at plain targets.
 func (x *execution) runPlainStream(ctx context.Context, out Stream) error {
 	for {
+		if err := x.refuseForwarded(); err != nil {
+			return err
+		}
+		if x.viaPeer() {
+			return x.streamAtPeer(ctx, out)
+		}
 		to, ok := x.pickPlain()
 		if !ok {
 			return x.noTargetError()
--- a/request/dispatch/prefill.go
+++ b/request/dispatch/prefill.go
@@ -197,10 +197,7 @@
 	if f.Final() {
 		return f
 	}
-	if o, known := f.healthOutcome(); known {
-		x.opts.Health.Observe(f.Target, o)
-	}
-	f.healthRecorded = true
+	x.recordHealth(f)
 	if f.Class != failure.NotWritten {
 		f.Class = failure.NotRun
 	}
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"io"
 	"maps"
 	"net/http"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -38,7 +40,7 @@
 	if err != nil {
 		return nil, port.ResponseMeta{}, &sendFailure{Failure: failure.ClassifySend(ctx, s.target.ID, err)}
 	}
-	x.opts.Engines.MarkReached(s.target.ID)
+	x.recordReached(s.target.ID)
 	return resp, x.opts.Protocol.ParseResponse(resp.Status, resp.Header), nil
 }
 
@@ -133,15 +135,30 @@
 	if provesStart(f) {
 		x.markStarted(0)
 	}
-	if o, known := f.healthOutcome(); known && !f.healthRecorded {
-		x.opts.Health.Observe(f.Target, o)
-	}
+	x.recordHealth(f)
 	log.WithFields(log.Fields{
 		"request": x.call.Meta.RequestID, "target": f.Target, "class": f.Class.String(), "cause": f.Cause(),
 		"send": x.trace.Sends, "left_ms": time.Until(x.call.Deadline).Milliseconds(),
 	}).Info("dispatch: send failed")
 }
 
+// recordHealth updates the health of the target of a failed send, once. While
+// this process has lost its links, the failure says nothing about the target.
+func (x *execution) recordHealth(f *sendFailure) {
+	o, known := f.healthOutcome()
+	if !known || f.healthRecorded {
+		return
+	}
+	f.healthRecorded = true
+	if o == health.Unreachable || errors.Is(f.Err, syscall.ETIMEDOUT) {
+		x.opts.Links.Failed(x.call.Service.Name, f.Target)
+		if x.opts.Links.Confirmed(x.call.Service.Name) {
+			return
+		}
+	}
+	x.opts.Health.Observe(f.Target, o)
+}
+
 // maxSends bounds the sends of one call, including prefills and rejected
 // sends.
 const maxSends = 6
@@ -227,5 +244,11 @@
 
 func (x *execution) recordSuccess(target string) {
 	x.opts.Health.Observe(target, health.OK)
+	x.recordReached(target)
+}
+
+// recordReached records that a target has answered this process.
+func (x *execution) recordReached(target string) {
 	x.opts.Engines.MarkReached(target)
+	x.opts.Links.Reached(x.call.Service.Name)
 }
--- /dev/null
+++ b/request/forward/forwarder.go
@@ -0,0 +1,178 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/connection/h1"
+)
+
+const (
+	// maxPeers is the number of daemons that one request is offered to.
+	maxPeers = 3
+	// refusalTTL is the time for which a daemon that refused a service's request
+	// isn't sent another one.
+	refusalTTL = time.Second
+	// maxRefusals is the number of daemons with a current refusal at which a
+	// service's requests aren't forwarded: most likely its targets are down.
+	maxRefusals = 8
+)
+
+var counts = expvar.NewMap("forward")
+
+// Peer is a daemon that requests may be forwarded to.
+type Peer struct {
+	VM   string
+	Addr string // host:port of its server for other daemons
+}
+
+// Request is a request to forward.
+type Request struct {
+	ID       string
+	Service  string
+	Method   string
+	URI      string // path and query as received
+	Host     string
+	Header   http.Header // of the caller, without hop-by-hop headers
+	Body     []byte
+	Envelope Envelope // without From and Timeout, which Forwarder sets
+	Deadline time.Time
+}
+
+// Response is an answer of a target, relayed by the daemon VM. The caller must
+// close it.
+type Response struct {
+	*h1.Response
+	VM string
+}
+
+// Forwarder forwards requests. It is safe for concurrent use.
+type Forwarder struct {
+	self  string
+	peers func() []Peer
+	pool  *h1.Pool
+
+	mu      sync.Mutex
+	refused map[refusal]time.Time
+}
+
+// refusal identifies a daemon that refused a request for a service.
+type refusal struct{ vm, service string }
+
+// New returns a Forwarder. peers returns the daemons that requests may be
+// forwarded to, in the order in which to try them for one request.
+func New(self string, peers func() []Peer) *Forwarder {
+	return &Forwarder{self: self, peers: peers, pool: h1.New(h1.Options{}), refused: make(map[refusal]time.Time)}
+}
+
+// Trim closes the connections to other daemons that are no longer used.
+func (f *Forwarder) Trim() { f.pool.Retain(func(string) bool { return true }) }
+
+// Close closes all idle connections.
+func (f *Forwarder) Close() { f.pool.Close() }
+
+// Do offers the request to daemons until one accepts it, and returns its answer.
+// A request that a daemon may have run isn't offered to another one, since that
+// daemon may have used all attempts that the route allows. The error is a
+// *code.Error. Its code states that nothing ran only if that is certain.
+func (f *Forwarder) Do(ctx context.Context, r *Request) (*Response, error) {
+	err := code.New(code.NoTarget, "no daemon reaches the targets of service %q", r.Service)
+	tried := 0
+	for _, p := range f.peers() {
+		if tried == maxPeers || f.skip(p.VM, r.Service) {
+			continue
+		}
+		tried++
+		resp, failed := f.offer(ctx, p, r)
+		if failed == nil {
+			counts.Add("forwarded", 1)
+			return resp, nil
+		}
+		log.WithFields(log.Fields{"request": r.ID, "service": r.Service, "peer": p.VM, "code": int(failed.Code)}).Info("forward: request not accepted")
+		err = failed
+		if ctx.Err() != nil || !canServeElsewhere(failed.Code) {
+			break
+		}
+	}
+	counts.Add("not_forwarded", 1)
+	return nil, err
+}
+
+// offer sends the request to one daemon.
+func (f *Forwarder) offer(ctx context.Context, p Peer, r *Request) (*Response, *code.Error) {
+	e := r.Envelope
+	e.From, e.Timeout = f.self, time.Until(r.Deadline)
+	h := maps.Clone(r.Header)
+	e.addTo(h)
+	resp, err := f.pool.Do(ctx, &h1.Request{Addr: p.Addr, Target: p.VM, Method: r.Method, URI: r.URI, Host: r.Host, Header: h, Body: r.Body, Reuse: h1.ReuseRecent})
+	if err != nil {
+		return nil, f.sendError(ctx, p, r, err)
+	}
+	failed := resultOf(resp.Header, p.VM)
+	if failed == nil {
+		return &Response{Response: resp, VM: p.VM}, nil
+	}
+	resp.Close(0)
+	if canServeElsewhere(failed.Code) {
+		f.recordRefusal(p.VM, r.Service)
+	}
+	return nil, failed
+}
+
+// sendError returns the error of a request that wasn't answered.
+func (f *Forwarder) sendError(ctx context.Context, p Peer, r *Request, err error) *code.Error {
+	var he *h1.Error
+	unwritten := errors.As(err, &he) && !he.Written
+	cause := context.Cause(ctx)
+	switch {
+	case ctx.Err() != nil && !errors.Is(cause, context.DeadlineExceeded):
+		return code.Wrap(code.CallerGone, err, "")
+	case ctx.Err() != nil && !unwritten:
+		return code.Wrap(code.DeadlinePassed, err, "at daemon %s", p.VM)
+	case unwritten:
+		f.recordRefusal(p.VM, r.Service)
+		return code.Wrap(code.NoTarget, err, "daemon %s accepted no connection", p.VM)
+	}
+	return code.Wrap(code.PeerUnreachable, err, "daemon %s didn't answer", p.VM)
+}
+
+// canServeElsewhere reports whether a refusal concerns only the daemon that
+// refused. Nothing has run then.
+func canServeElsewhere(c code.Code) bool {
+	switch c {
+	case code.NoTarget, code.Draining, code.Isolated, code.NoConfiguration, code.StaleConfiguration, code.TooManyConns:
+		return true
+	}
+	return false
+}
+
+func (f *Forwarder) recordRefusal(vm, service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refused[refusal{vm, service}] = time.Now()
+}
+
+// skip reports whether a request for the service isn't offered to the daemon.
+func (f *Forwarder) skip(vm, service string) bool {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	current := 0
+	for r, at := range f.refused {
+		if now.Sub(at) >= refusalTTL {
+			delete(f.refused, r)
+		} else if r.service == service {
+			current++
+		}
+	}
+	_, refused := f.refused[refusal{vm, service}]
+	return refused || current >= maxRefusals
+}
--- a/request/ingress/answer.go
+++ b/request/ingress/answer.go
@@ -10,6 +10,7 @@
 	"github.com/pomelospool/pomelospool/internal/hop"
 	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/dispatch"
+	"github.com/pomelospool/pomelospool/request/forward"
 	"github.com/pomelospool/pomelospool/request/limit"
 )
 
@@ -40,6 +41,7 @@
 	h["Content-Type"] = nil
 	maps.Copy(h, from)
 	hop.Strip(h)
+	forward.ClearResult(h)
 	if x.stopAt.Load() != nil {
 		h.Set("Connection", "close")
 	}
@@ -70,6 +72,9 @@
 	x.status = e.Code.Info().Status
 	answer.Write(x.w, e, func(h http.Header) {
 		x.o.Protocol.SetAnswerHeaders(h, x.meta.RequestID, e.RetryAfter)
+		if x.envelope != nil {
+			forward.SetResult(h, e)
+		}
 		if e.Code == code.Unauthorized {
 			h.Set("WWW-Authenticate", "Bearer")
 		}
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -17,6 +17,7 @@
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/dispatch"
+	"github.com/pomelospool/pomelospool/request/forward"
 	"github.com/pomelospool/pomelospool/request/limit"
 	"github.com/pomelospool/pomelospool/version/inforce"
 	"github.com/pomelospool/pomelospool/version/route"
@@ -101,14 +102,29 @@
 const defaultTimeout = 30 * time.Second
 
 // ServeHTTP implements http.Handler.
-func (i *Ingress) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+func (i *Ingress) ServeHTTP(w http.ResponseWriter, req *http.Request) { i.serve(w, req, nil) }
+
+// ServeForwarded serves a request that another daemon has forwarded.
+func (i *Ingress) ServeForwarded(w http.ResponseWriter, req *http.Request) {
+	e, err := forward.TakeEnvelope(req.Header)
+	if err != nil {
+		log.WithError(err).Warn("ingress: can't read a forwarded request")
+		forward.SetResult(w.Header(), code.New(code.BadRequest, ""))
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	i.serve(w, req, &e)
+}
+
+// serve serves a request. envelope is nil for a request of a caller.
+func (i *Ingress) serve(w http.ResponseWriter, req *http.Request, envelope *forward.Envelope) {
 	i.open.Add(1)
 	defer i.open.Add(-1)
 	arrived := time.Now()
 	if i.stopAt.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{Ingress: i, w: w, req: req, arrived: arrived}
+	x := &exchange{Ingress: i, w: w, req: req, arrived: arrived, envelope: envelope}
 	c, err := x.read()
 	if err == nil {
 		err = x.run(c)
@@ -130,6 +146,7 @@
 	w          http.ResponseWriter
 	req        *http.Request
 	arrived    time.Time
+	envelope   *forward.Envelope // of a forwarded request; nil: it came from a caller
 	meta       port.RequestMeta
 	trace      dispatch.Trace
 	status     int
@@ -148,6 +165,12 @@
 	if cfg == nil {
 		return nil, code.New(code.NoConfiguration, "").WithRetryAfter(noConfigurationRetryAfter)
 	}
+	if x.envelope != nil {
+		x.meta.Timeout = x.envelope.Timeout
+		if cfg.Version < x.envelope.Version {
+			return nil, code.New(code.StaleConfiguration, "version %d, the request was matched by version %d", cfg.Version, x.envelope.Version).WithRetryAfter(noConfigurationRetryAfter)
+		}
+	}
 	uri := requestURI(x.req)
 	path, _, _ := strings.Cut(uri, "?")
 	r := cfg.Match(x.req.Host, path)
@@ -167,7 +190,7 @@
 		return nil, err
 	}
 	c := &dispatch.Call{
-		Meta:    meta,
+		Meta:    x.meta,
 		Route:   r,
 		Service: svc,
 		Version: cfg.Version,
@@ -178,8 +201,13 @@
 		Header:  x.o.Protocol.ForwardHeaders(x.req.Header, cfg.RequiresKeys()),
 		Body:    body,
 
+		CallerHeader: x.o.Protocol.ForwardHeaders(x.req.Header, false),
+
 		Priority: r.Priority,
 	}
+	if x.envelope != nil {
+		c.Forwarded, c.PriorRuns = true, x.envelope.Runs
+	}
 	if org != nil {
 		c.Organisation = org.Name
 		if x.o.OnStart != nil {
@@ -290,6 +318,12 @@
 			fields["predicted_stream_ms"] = x.trace.PredictedDuration.Milliseconds()
 		}
 	}
+	if x.trace.ForwardedTo != "" {
+		fields["forwarded_to"] = x.trace.ForwardedTo
+	}
+	if x.envelope != nil {
+		fields["forwarded_by"] = x.envelope.From
+	}
 	if age, known := x.o.targetsAge(); known {
 		fields["targets_age_ms"] = age.Milliseconds()
 	}
@@ -318,6 +352,9 @@
 		}
 	}
 	entry.Info("ingress: request ended")
+	if x.envelope != nil {
+		return // the daemon that the caller called observes it
+	}
 	if err == nil && c != nil {
 		x.durations.observe(c.Route.Name, c.Meta.MaxOutputTokens, x.trace.TimeToFirst, duration)
 	}
