roster: daemons without links leave the addresses and don't lead

Callers saw: new connections led to daemons without links all the time, and in a cut of the leader the roles of engines were planned by a daemon that could reach none, with orders that couldn't arrive.

Cause: a daemon reported itself ready whatever it reached. Now it reports the state Unlinked while links to a service are lost. Such daemons are left out of the addresses unless they are most, lead only if all are, and get no forwarded calls; where they outnumber the others in a zone, calls go to all zones. They still read the store for others, and answer the readiness check. Processes of earlier builds take the new state for one that isn't ready.

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -206,6 +206,7 @@
 		Clock:            d.clock,
 		Usage:            d.receiveUsage,
 		Rate:             d.rate.perSecond,
+		Unlinked:         func() bool { return d.links != nil && d.links.AnyLost() },
 	})
 	if err != nil {
 		return err
--- a/process/front/links.go
+++ b/process/front/links.go
@@ -51,7 +51,7 @@
 }
 
 // linksChanged withdraws what this daemon has reported of the targets of a
-// service.
+// service, and reports its own state.
 func (d *Daemon) linksChanged(service string, _ bool) {
 	set := d.registry.Snapshot().Targets[service].All()
 	d.health.Forgive(func(id string) bool {
@@ -83,17 +83,24 @@
 	mu        sync.Mutex
 	listed    time.Time
 	near, far []forward.Peer // in this daemon's availability zone, and in others
+	useFar    bool           // the zone has lost so many daemons that the rest can't take all requests
 }
 
 // list returns the daemons in a random order, those of this daemon's
-// availability zone first.
+// availability zone first if they are enough.
 func (f *forwardPeers) list() []forward.Peer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if time.Since(f.listed) >= forwardPeersTTL {
 		f.refresh()
 	}
-	return append(shuffled(f.near), shuffled(f.far)...)
+	var out []forward.Peer
+	if f.useFar {
+		out = shuffled(append(append(out, f.near...), f.far...))
+	} else {
+		out = append(shuffled(f.near), shuffled(f.far)...)
+	}
+	return out
 }
 
 // refresh reads the members. Callers hold f.mu.
@@ -101,10 +108,13 @@
 	all := f.members()
 	self := all[0]
 	f.near, f.far, f.listed = nil, nil, time.Now()
+	unlinked := 1
 	for _, m := range all[1:] {
 		near := m.Zone == self.Zone
 		p := forward.Peer{VM: m.VM, Addr: m.PeerAddr}
 		switch {
+		case m.State == roster.Unlinked && near:
+			unlinked++
 		case m.State != roster.Ready:
 		case near:
 			f.near = append(f.near, p)
@@ -112,6 +122,7 @@
 			f.far = append(f.far, p)
 		}
 	}
+	f.useFar = len(f.near) < unlinked
 }
 
 func shuffled(list []forward.Peer) []forward.Peer {
--- a/process/roster/duties.go
+++ b/process/roster/duties.go
@@ -24,12 +24,13 @@
 // leader returns the peer address of the leader, or an empty string if no daemon may lead.
 // Callers hold r.mu.
 func (r *Roster) leader(now time.Time) string {
+	self := r.reportedSelf()
 	var first *Member
-	if canLead(&r.self) {
-		first = &r.self
+	if canLead(&self) {
+		first = &self
 	}
 	for _, p := range r.peers {
-		if canLead(&p.member) && (first == nil || widestFirst(&p.member, first) < 0) && r.isAlive(p, now) {
+		if canLead(&p.member) && (first == nil || leadsBefore(&p.member, first) < 0) && r.isAlive(p, now) {
 			first = &p.member
 		}
 	}
@@ -40,7 +41,13 @@
 }
 
 // canLead reports whether a daemon takes requests and can read the store.
-func canLead(m *Member) bool { return m.State == Ready && !m.StoreFails }
+func canLead(m *Member) bool { return m.serving() && !m.StoreFails }
+
+// leadsBefore orders daemons that can lead: those without links come last, since their
+// orders wouldn't arrive.
+func leadsBefore(a, b *Member) int {
+	return cmp.Or(cmp.Compare(a.State, b.State), widestFirst(a, b))
+}
 
 // widestFirst orders daemons by descending link bandwidth, then by VM name. The first ones
 // of a zone aggregate, and the first one of the fleet leads.
@@ -53,7 +60,7 @@
 // bandwidth, then of VM names.
 func (r *Roster) Leaders(n int) []Member {
 	fit := slices.DeleteFunc(r.Members(), func(m Member) bool { return !canLead(&m) })
-	slices.SortFunc(fit, func(a, b Member) int { return widestFirst(&a, &b) })
+	slices.SortFunc(fit, func(a, b Member) int { return leadsBefore(&a, &b) })
 	return fit[:min(len(fit), n)]
 }
 
--- a/process/roster/heartbeat.go
+++ b/process/roster/heartbeat.go
@@ -119,7 +119,7 @@
 	r.seq++
 	r.self.StoreFails = r.storeFails()
 	r.self.RateLevel = r.ownRate()
-	hb.Member, hb.Seq = r.self, r.seq
+	hb.Member, hb.Seq = r.reportedSelf(), r.seq
 	r.sent = append(r.sent, sentHeartbeat{seq: r.seq, work: hb.Work, demand: hb.Demand})
 	r.sent = r.sent[max(len(r.sent)-maxSentHeartbeats, 0):]
 	r.expirePeers(now)
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -69,8 +69,14 @@
 	Starting State = iota
 	Ready
 	Leaving
+	// Unlinked is Ready without links to the targets of some service. Only
+	// heartbeats have it; the state of the daemon itself stays Ready.
+	Unlinked
 )
 
+// serving reports whether the daemon takes requests.
+func (m *Member) serving() bool { return m.State == Ready || m.State == Unlinked }
+
 // Member is what a daemon reports about itself.
 type Member struct {
 	_           struct{} `cbor:",toarray"`
@@ -110,6 +116,9 @@
 	// Rate returns the recent number of requests from callers per second. If nil, the
 	// daemon reports that it gets requests without a measured rate.
 	Rate func() float64
+	// Unlinked reports whether this daemon has lost its links to the targets of
+	// some service. If nil, it never has.
+	Unlinked func() bool
 	// Conn replaces the UDP socket, in tests.
 	Conn net.PacketConn
 }
@@ -215,19 +224,19 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.VM, b.VM) })
-	return append([]Member{r.self}, out...)
+	return append([]Member{r.reportedSelf()}, out...)
 }
 
 // ReadyPeers returns the peer addresses of the other daemons that take requests, including
 // those that are leaving.
 func (r *Roster) ReadyPeers() []string {
-	return r.peerAddrs(func(m *Member) bool { return m.State == Ready || m.State == Leaving })
+	return r.peerAddrs(func(m *Member) bool { return m.serving() || m.State == Leaving })
 }
 
 // PeersWithStore returns the peer addresses of the other daemons that take
 // requests and can read the store.
 func (r *Roster) PeersWithStore() []string {
-	return r.peerAddrs(func(m *Member) bool { return m.State == Ready && !m.StoreFails })
+	return r.peerAddrs(func(m *Member) bool { return m.serving() && !m.StoreFails })
 }
 
 // peerAddrs returns the peer addresses of the other daemons that match.
@@ -301,23 +310,46 @@
 }
 
 // candidates returns this daemon and the included others, as far as they take requests.
+// Daemons without links are left out unless they are most of them: the others couldn't
+// take all callers.
 func (r *Roster) candidates(include func(p *peer) bool) []candidate {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []candidate
+	var linked, unlinked []candidate
 	add := func(m *Member) {
-		if m.State == Ready {
-			out = append(out, candidate{
-				Member: address.Member{Addr: m.CallerAddr, Zone: m.Zone, Weight: m.millicores() / 1000},
-				rate:   m.rate(),
-			})
+		c := candidate{
+			Member: address.Member{Addr: m.CallerAddr, Zone: m.Zone, Weight: m.millicores() / 1000},
+			rate:   m.rate(),
+		}
+		switch {
+		case !m.serving():
+		case m.State == Unlinked:
+			unlinked = append(unlinked, c)
+		default:
+			linked = append(linked, c)
 		}
 	}
-	add(&r.self)
+	self := r.reportedSelf()
+	add(&self)
 	for _, p := range r.peers {
 		if include(p) {
 			add(&p.member)
 		}
 	}
-	return out
+	if len(linked) < len(unlinked) {
+		linked = append(linked, unlinked...)
+	}
+	return linked
 }
+
+// reportedSelf returns this daemon as heartbeats report it. Callers hold r.mu.
+func (r *Roster) reportedSelf() Member {
+	m := r.self
+	if m.State == Ready && r.unlinked() {
+		m.State = Unlinked
+	}
+	return m
+}
+
+// unlinked reports whether this daemon has lost its links to some targets.
+func (r *Roster) unlinked() bool { return r.o.Unlinked != nil && r.o.Unlinked() }
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -68,6 +68,7 @@
 	storeUnavailable atomic.Bool
 	zones            int                  // number of availability zones, 0: one
 	rate             func(vm int) float64 // requests per second of each daemon, nil: not counted
+	unlinked         [20]atomic.Bool      // by VM, whether the daemon has lost its links
 	all              []*Roster
 	trackers         []*engines.Tracker
 	ends             []*packetnet.Conn
@@ -106,6 +107,7 @@
 		},
 		Claims: claims, Speeds: speed.NewTracker(), Demand: demand.New(time.Now),
 		Store: f.store, Engines: tracker, TTL: time.Second, StoreUnavailable: f.storeUnavailable.Load, Conn: end,
+		Unlinked: func() bool { return vm < len(f.unlinked) && f.unlinked[vm].Load() },
 	})
 	if err != nil {
 		panic(err)
