soak: cut daemons from all targets and check how their callers are served

Daemons are now built to connect to targets over links that follow a file. A seed's plan gets cuts of one daemon, of two, or of all but one of a zone, silent, reset or refused, for 4 to 7 s, beside its other faults; regressions keep their plans. The judge checks each cut by the users' rule: from 3 s on, requests at cut daemons succeed at least two thirds as often as at the others, or at most 10 + 1 in 50 of all fail there. Orders to engines go over the same links.

With forwarding taken out (planted) the check fires.

--- a/bench/soak/clock_test.go
+++ b/bench/soak/clock_test.go
@@ -115,6 +115,8 @@
 	o.edit(std, clockEdit)
 	o.write(filepath.Join(std, "time", "soak_clock.go"), clockShift)
 	o.write(filepath.Join(root, "cmd", "pomelospoold", "soak_clock.go"), clockReader)
+	o.edit(root, linksEdit)
+	o.write(filepath.Join(root, "process", "front", "soak_links.go"), linksReader)
 	for _, e := range edits {
 		o.edit(root, e)
 	}
--- a/bench/soak/doc.go
+++ b/bench/soak/doc.go
@@ -7,6 +7,8 @@
 //     target.
 //   - A planned stop cuts no request.
 //   - Every request ends.
+//   - Callers of daemons without links to targets are served beside those of the
+//     others.
 //   - The system recovers once the faults are over.
 //
 // The tests start the daemons as processes that use the store, the cloud and
--- a/bench/soak/fleet_test.go
+++ b/bench/soak/fleet_test.go
@@ -26,6 +26,7 @@
 	settingsPath   string
 	logPath        string
 	clockPath      string // file with the step of its time of day, see clock_test.go
+	linksPath      string // file with the state of its links to targets, see links_test.go
 	logSizeAtStart int64  // size of the log when cmd was started
 	judge          *Judge
 
@@ -56,7 +57,7 @@
 	p.logSizeAtStart = info.Size()
 	cmd := exec.Command(p.program, "--settings", p.settingsPath)
 	cmd.Stdout, cmd.Stderr = out, out
-	cmd.Env = append(os.Environ(), clockEnv+"="+p.clockPath)
+	cmd.Env = append(os.Environ(), clockEnv+"="+p.clockPath, linksEnv+"="+p.linksPath)
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -162,7 +163,7 @@
 // writeSettings writes the settings of a daemon and returns their path.
 func writeSettings(dir string, index int, ip, store, cloud string) (string, error) {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, settingsTemplate, index, []string{"a", "b"}[index%2], ip, store, cloud,
+	fmt.Fprintf(&b, settingsTemplate, index, [zoneCount]string{"a", "b"}[index%zoneCount], ip, store, cloud,
 		retryBudget.Ratio, retryBudget.Slack, retryBudget.Window)
 	path := filepath.Join(dir, fmt.Sprintf("daemon-%d.yaml", index))
 	return path, os.WriteFile(path, b.Bytes(), 0o644)
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -46,6 +46,8 @@
 	mu       sync.Mutex
 	outcomes []Outcome
 	killed   map[int][]killSpan // by index of the daemon
+	outages  map[int][]span     // by index of the daemon, the times at which it may serve nobody
+	cuts     []cut
 	faults   []string
 }
 
@@ -53,7 +55,9 @@
 type killSpan struct{ from, to time.Time }
 
 // NewJudge returns an empty Judge.
-func NewJudge() *Judge { return &Judge{killed: make(map[int][]killSpan)} }
+func NewJudge() *Judge {
+	return &Judge{killed: make(map[int][]killSpan), outages: make(map[int][]span)}
+}
 
 // Record records the outcome of a request.
 func (j *Judge) Record(o Outcome) {
@@ -102,6 +106,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	faults = append(faults, j.faults...)
+	faults = append(faults, j.checkCuts()...)
 	for _, o := range j.outcomes {
 		totals.add(o)
 		for _, f := range j.check(o, ran[o.ID]) {
--- a/bench/soak/judge_test.go
+++ b/bench/soak/judge_test.go
@@ -68,3 +68,42 @@
 		t.Errorf("%d kinds drawn, want %d", len(seen), kindCount)
 	}
 }
+
+// A cut counts only from stableWindow on, for daemons that run, and beside
+// others that serve.
+func TestCheckCuts(t *testing.T) {
+	start := time.Now()
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	for name, tc := range map[string]struct {
+		cutGood, otherGood int // of 100 requests
+		from               float64
+		killed, want       bool
+	}{
+		"nothing served":       {cutGood: 0, otherGood: 100, from: 4, want: true},
+		"half served":          {cutGood: 50, otherGood: 100, from: 4, want: true},
+		"as the others":        {cutGood: 30, otherGood: 40, from: 4},
+		"in the first seconds": {cutGood: 0, otherGood: 100, from: 1},
+		"while it is killed":   {cutGood: 0, otherGood: 100, from: 4, killed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			j := NewJudge()
+			j.RecordCut(0, start, at(8))
+			if tc.killed {
+				j.RecordKill(0, at(3.5), at(7))
+			}
+			for i := range 100 {
+				sent := at(tc.from + float64(i)/100)
+				for daemon, good := range []int{tc.cutGood, tc.otherGood} {
+					o := Outcome{Daemon: daemon, Started: sent, Ended: sent, Complete: true, Status: 503}
+					if i < good {
+						o.Status = 200
+					}
+					j.Record(o)
+				}
+			}
+			if got := len(j.checkCuts()) > 0; got != tc.want {
+				t.Errorf("broken %v, want %v: %v", got, tc.want, j.checkCuts())
+			}
+		})
+	}
+}
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sort"
 	"time"
+
+	"github.com/pomelospool/pomelospool/internal/linkfault"
 )
 
 // Kind is the kind of a fault or of a planned change.
@@ -12,27 +14,28 @@
 
 // The kinds. An event with a duration is undone at its end.
 const (
-	KillDaemon    Kind = iota // SIGKILL; restart at the end
-	StopDaemon                // SIGTERM; restart once the process has exited
-	PauseDaemon               // SIGSTOP; SIGCONT at the end
-	ReloadDaemon              // SIGHUP
-	CutStore                  // network fault between a daemon and the store
-	FailStore                 // the store and the cloud return errors or hang
-	CutTarget                 // network fault between the daemons and a target
-	DegradeTarget             // a target answers incorrectly
-	KillTarget                // a target is removed; at the end a new one gets its address
-	DrainTarget               // a target announces that it leaves, and withdraws that at the end
-	Publish                   // a new version of the configuration is published
-	StepClock                 // the time of day of a daemon's VM is stepped; it is right again at the end
-	RejectAll                 // all targets of a service reject
-	RestartSeries             // all daemons are killed and started again, several times
-	kindCount
+	KillDaemon    Kind        = iota // SIGKILL; restart at the end
+	StopDaemon                       // SIGTERM; restart once the process has exited
+	PauseDaemon                      // SIGSTOP; SIGCONT at the end
+	ReloadDaemon                     // SIGHUP
+	CutStore                         // network fault between a daemon and the store
+	FailStore                        // the store and the cloud return errors or hang
+	CutTarget                        // network fault between the daemons and a target
+	DegradeTarget                    // a target answers incorrectly
+	KillTarget                       // a target is removed; at the end a new one gets its address
+	DrainTarget                      // a target announces that it leaves, and withdraws that at the end
+	Publish                          // a new version of the configuration is published
+	StepClock                        // the time of day of a daemon's VM is stepped; it is right again at the end
+	RejectAll                        // all targets of a service reject
+	RestartSeries                    // all daemons are killed and started again, several times
+	kindCount                        // of the kinds that are drawn alike
+	CutLinks      = kindCount        // a daemon loses its links to all targets
 )
 
 var kindNames = [...]string{
 	"kill daemon", "stop daemon", "pause daemon", "reload daemon", "cut store", "fail store",
 	"cut target", "spoil target", "kill target", "drain target", "publish",
-	"step clock", "reject all", "restart series",
+	"step clock", "reject all", "restart series", "cut links",
 }
 
 // String returns the name of the kind in plans.
@@ -45,7 +48,7 @@
 	Kind Kind
 	On   int  // index of the daemon or target that it affects
 	Mode Mode // of the proxy, for CutStore and CutTarget
-	How  int  // variant, for FailStore, DegradeTarget, StepClock and RejectAll
+	How  int  // variant, for FailStore, DegradeTarget, StepClock, RejectAll and CutLinks
 }
 
 // String returns the event as one line.
@@ -58,6 +61,8 @@
 	Daemons int
 	Targets int
 	Length  time.Duration
+	// Cuts adds cuts of daemons from all targets to the plan.
+	Cuts bool
 }
 
 const (
@@ -100,6 +105,9 @@
 		}
 		out = append(out, randomEvents(r, s, at)...)
 	}
+	if s.Cuts {
+		out = append(out, cutPlan(seed, s)...)
+	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
@@ -139,3 +147,40 @@
 func randomDuration(r *rand.Rand, limit time.Duration) time.Duration {
 	return time.Duration(r.Int64N(int64(limit)))
 }
+
+// zoneCount is the number of availability zones of the daemons.
+const zoneCount = 2
+
+// cutModes are the variants of CutLinks.
+var cutModes = [...]linkfault.Mode{linkfault.Silent, linkfault.Reset, linkfault.Refuse}
+
+const (
+	// minCut and maxCut bound the duration of a cut. Callers have to be served
+	// from stableWindow after its begin.
+	minCut = stableWindow + time.Second
+	maxCut = stableWindow + 4*time.Second
+	// meanCutGap is the mean time between two cuts, so that some overlap.
+	meanCutGap = 3 * time.Second
+)
+
+// cutPlan returns cuts of one daemon, of two, or of all but one of an
+// availability zone.
+func cutPlan(seed uint64, s Size) (out []Event) {
+	r := rand.New(rand.NewPCG(seed, 2))
+	for at := time.Second; at < s.Length-minCut; at += time.Duration(r.ExpFloat64() * float64(meanCutGap)) {
+		e := Event{At: at, For: min(minCut+randomDuration(r, maxCut-minCut), s.Length-at), Kind: CutLinks, How: r.IntN(len(cutModes)), On: r.IntN(s.Daemons)}
+		on := []int{e.On}
+		switch r.IntN(3) {
+		case 1:
+			on = append(on, (e.On+1)%s.Daemons)
+		case 2:
+			for i := e.On + zoneCount; i < s.Daemons-zoneCount; i += zoneCount {
+				on = append(on, i)
+			}
+		}
+		for _, e.On = range on {
+			out = append(out, e)
+		}
+	}
+	return out
+}
--- a/bench/soak/planted_test.go
+++ b/bench/soak/planted_test.go
@@ -51,6 +51,9 @@
 		{"the budget follows the time of day", []edit{
 			{"process/front/front.go", "clock.Boot{}.Now,", "func() time.Duration { return time.Duration(time.Now().UnixNano()) },"},
 		}, append([]Event{rejectPlain}, stepsOnAll(4, 5, 4, 5)...), "retry budget"},
+		{"nothing goes through peers", []edit{
+			{"request/dispatch/peers.go", "return x.opts.Peers != nil &&", "return false &&"},
+		}, cutsOn(0, 1, 2), "without links"},
 		{"the store is given up after a failure", []edit{
 			{"process/topic/follower.go", "f.o.Sink.StoreLost(err)", "f.o.Sink.StoreLost(err); <-f.tomb.Dying()"},
 		}, append([]Event{{At: 0, For: 3 * time.Second, Kind: FailStore, How: storeReset}}, onAll(KillTarget, 0)...), "hasn't recovered"},
@@ -81,6 +84,14 @@
 	return plan
 }
 
+// cutsOn returns silent cuts of daemons from all targets.
+func cutsOn(daemons ...int) (plan []Event) {
+	for _, on := range daemons {
+		plan = append(plan, Event{At: 500 * time.Millisecond, For: 8 * time.Second, Kind: CutLinks, On: on})
+	}
+	return plan
+}
+
 const (
 	// plantedLength is the length of the load of a trial. A request that never
 	// ends is detected after requestTimeout and plantedGrace.
--- a/bench/soak/site_test.go
+++ b/bench/soak/site_test.go
@@ -86,7 +86,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		p := &process{index: i, program: program, settingsPath: path, judge: env.judge, logPath: filepath.Join(dir, fmt.Sprintf("daemon-%d.log", i)), clockPath: filepath.Join(dir, fmt.Sprintf("clock-%d", i))}
+		p := &process{index: i, program: program, settingsPath: path, judge: env.judge, logPath: filepath.Join(dir, fmt.Sprintf("daemon-%d.log", i)), clockPath: filepath.Join(dir, fmt.Sprintf("clock-%d", i)), linksPath: filepath.Join(dir, fmt.Sprintf("links-%d", i))}
 		env.daemons = append(env.daemons, p)
 		if err := p.start(); err != nil {
 			t.Fatal(err)
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -61,14 +61,14 @@
 	for _, r := range regressions {
 		t.Run(fmt.Sprintf("regression %d", r.seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, program, r.seed, defaultDaemons, r.length)
+			runSeed(t, program, r.seed, defaultDaemons, r.length, false)
 		})
 	}
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, program, seed, *daemons, *length)
+			runSeed(t, program, seed, *daemons, *length, true)
 		})
 	}
 }
@@ -106,11 +106,11 @@
 // are killed, paused and disconnected too.
 func TestSoakOfALargeFleet(t *testing.T) {
 	const seed = 2300
-	runSeed(t, buildDaemon(t, t.TempDir(), nil), seed, largeDaemons, *length)
+	runSeed(t, buildDaemon(t, t.TempDir(), nil), seed, largeDaemons, *length, true)
 }
 
-func runSeed(t *testing.T, program string, seed uint64, daemons int, length time.Duration) {
-	size := Size{Daemons: daemons, Targets: *targets, Length: length}
+func runSeed(t *testing.T, program string, seed uint64, daemons int, length time.Duration, cuts bool) {
+	size := Size{Daemons: daemons, Targets: *targets, Length: length, Cuts: cuts}
 	faults, totals := runTrial(t, trial{
 		seed: seed, program: program, daemons: daemons, plan: Plan(seed, size),
 		length: length, recoveryLimit: recoveryLimit, grace: callerGrace,
@@ -190,10 +190,12 @@
 		waitEnd()
 		env.restart(p)
 	case StopDaemon:
+		defer env.judge.BeginOutage(e.On)()
 		p := env.daemons[e.On]
 		<-p.signal(syscall.SIGTERM)
 		env.restart(p)
 	case PauseDaemon:
+		defer env.judge.BeginOutage(e.On)()
 		env.daemons[e.On].signal(syscall.SIGSTOP)
 		waitEnd()
 		env.daemons[e.On].signal(syscall.SIGCONT)
@@ -230,6 +232,8 @@
 		env.rejectAll(e, waitEnd)
 	case RestartSeries:
 		env.restartInSeries(ctx, e.For)
+	case CutLinks:
+		env.cutLinks(e, waitEnd)
 	}
 }
 
--- a/internal/linkfault/linkfault.go
+++ b/internal/linkfault/linkfault.go
@@ -14,6 +14,21 @@
 // Mode is the state of the links.
 type Mode int
 
+// ParseMode returns the mode with the given name, or Pass for another name.
+func ParseMode(name string) Mode {
+	for m, n := range modeNames {
+		if n == name {
+			return Mode(m)
+		}
+	}
+	return Pass
+}
+
+var modeNames = [...]string{"pass", "silent", "reset", "refuse"}
+
+// String returns the name of the mode.
+func (m Mode) String() string { return modeNames[m] }
+
 // The modes.
 const (
 	Pass   Mode = iota
@@ -80,8 +95,7 @@
 	return c, nil
 }
 
-// conn is a connection whose data can be held back. It hides the methods of
-// net.TCPConn that would bypass that.
+// conn is a connection whose data can be held back.
 type conn struct {
 	*net.TCPConn
 	links  *Links
@@ -150,6 +164,3 @@
 	c.links.mu.Unlock()
 	return c.TCPConn.Close()
 }
-
-// SyscallConn hides the file descriptor, whose state shows no cut.
-func (c *conn) SyscallConn() {}
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -74,6 +74,7 @@
 	followers []*topic.Follower
 	storeLost atomic.Bool
 
+	dial        func(ctx context.Context, addr string) (net.Conn, error) // to targets; nil: TCP
 	pool        *h1.Pool
 	engines     *engines.Tracker
 	health      *health.Tracker
@@ -116,6 +117,7 @@
 	d := &Daemon{
 		s:         s,
 		config:    inforce.New(platform.DecodeConfig),
+		dial:      dial,
 		pool:      h1.New(h1.Options{Dial: dial}),
 		claimAges: claim.NewAgeTracker(clock.Boot{}),
 		speed:     speed.NewTracker(),
@@ -216,10 +218,11 @@
 }
 
 func (d *Daemon) wireRequests() {
-	d.control = &platform.Engines{Client: &http.Client{
-		Timeout:   controlTimeout,
-		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
-	}}
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	if d.dial != nil {
+		transport.DialContext = func(ctx context.Context, _, addr string) (net.Conn, error) { return d.dial(ctx, addr) }
+	}
+	d.control = &platform.Engines{Client: &http.Client{Timeout: controlTimeout, Transport: transport}}
 	d.budget = budget.NewFleet(budget.FleetOptions{
 		Ratio:   d.s.Bounds.RetryRatio,
 		Slack:   d.s.Bounds.RetrySlack,
