links: two failures of one target suffice for a suspicion

Callers saw: 503 after six sends in a row to the only prefill engine, at a daemon without links whose connections were refused at once. Once in three runs of TestCallersOfDaemonWithoutLinksAreServed/refused, if its stream came first.

Cause: a suspicion needed two different targets. A role with one engine fails again and again with the same one, and no other target is tried. Failures count now, whichever target they are of; the probe, which dials others first, decides.

Evidence: TestFailuresOfOneTargetSuffice failed before; the test above passed six times in a row since.

--- a/connection/links/links.go
+++ b/connection/links/links.go
@@ -17,10 +17,9 @@
 )
 
 const (
-	// minFailed is the number of targets that have to fail in a row, without an
-	// answer of any other one, for the links to be suspected. A service with
-	// fewer targets needs all of them.
-	minFailed = 2
+	// minFailures is the number of failures in a row, without an answer of any
+	// target, for the links to be suspected. It is 1 for a single target.
+	minFailures = 2
 	// probeCount is the number of targets that one probe dials.
 	probeCount = 3
 	// probeInterval is the interval between two probes.
@@ -61,7 +60,8 @@
 // service is the state of the links to one service.
 type service struct {
 	failed    map[string]bool // targets that weren't reached since one was
-	suspected bool            // enough targets have failed; a probe is running
+	failures  int             // failures since a target was reached
+	suspected bool            // a probe is running
 	lost      bool            // a probe has confirmed it
 }
 
@@ -90,6 +90,7 @@
 		return
 	}
 	clear(s.failed)
+	s.failures = 0
 	wasLost := s.lost
 	if s.suspected {
 		t.suspected.Add(-1)
@@ -104,7 +105,7 @@
 
 // Failed records that a target of the service couldn't be reached.
 func (t *Tracker) Failed(name, target string) {
-	needed := min(minFailed, len(t.o.Targets(name)))
+	needed := min(minFailures, len(t.o.Targets(name)))
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.services[name]
@@ -113,7 +114,8 @@
 		t.services[name] = s
 	}
 	s.failed[target] = true
-	if s.suspected || len(s.failed) < needed || !t.tomb.Alive() {
+	s.failures++
+	if s.suspected || s.failures < needed || !t.tomb.Alive() {
 		return
 	}
 	s.suspected = true
--- a/connection/links/links_test.go
+++ b/connection/links/links_test.go
@@ -130,6 +130,22 @@
 	})
 }
 
+// Guards against calls that try the only engine of a role again and again: the
+// links are suspected by failures of one target, too.
+func TestFailuresOfOneTargetSuffice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(9)
+		tr := n.tracker()
+		n.setDown(true, "a")
+		tr.Failed("a", "a0")
+		tr.Failed("a", "a0")
+		if !tr.Lost("a") {
+			t.Error("not suspected")
+		}
+		_ = tr.Stop()
+	})
+}
+
 // An answer between two failures shows that the links work.
 func TestAnswerEndsTheSuspicion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
