attempt: content that a target didn't receive isn't suspected of its crash

Callers saw: 503 CRASH_SUSPECT for a harmless request, at a daemon that has lost its links to the targets by refused connections.

Cause: an attempt counts as in flight before the connection is made. If that is refused, the target is reported as crashed, and the content of the very attempt that couldn't be sent is suspected, on all daemons.

Such a run is now withdrawn before the target is reported. Content on open connections to the target is suspected as before.

--- a/request/attempt/attempt.go
+++ b/request/attempt/attempt.go
@@ -73,6 +73,7 @@
 	headerTimeout time.Duration // for the header, and for the first token
 	handover      bool          // another engine decodes after the first token
 	chosenAt      time.Time     // when the selection of the target began
+	notReceived   func()        // called before a target that accepted no connection is reported
 }
 
 // refusedBefore reports whether the target at addr was known to refuse requests
@@ -95,7 +96,7 @@
 	req.FirstByteTimeout, req.ReadTimeout = p.headerTimeout, r.opts.ReadTimeout
 	resp, err := r.opts.Pool.Send(ctx, req)
 	if err != nil {
-		f := r.sendFailure(ctx, t, err)
+		f := r.sendFailure(ctx, t, err, p.notReceived)
 		r.cancelStalled(f, q, t, id)
 		return f, false
 	}
@@ -163,8 +164,12 @@
 	})
 }
 
-func (r *Runner) sendFailure(ctx context.Context, t routing.Target, err error) *failure.Failure {
+// sendFailure reports and classifies the error of a send. Content that the
+// target didn't receive can't have crashed it, so notReceived takes it out of
+// suspicion before the target is reported.
+func (r *Runner) sendFailure(ctx context.Context, t routing.Target, err error, notReceived func()) *failure.Failure {
 	if errors.Is(err, h1.ErrConnect) && ctx.Err() == nil {
+		notReceived()
 		r.opts.Pool.ReportUnreachable(t.Addr, err)
 	}
 	if errors.Is(err, h1.ErrNoProgress) {
--- a/request/attempt/run.go
+++ b/request/attempt/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -85,15 +86,21 @@
 	r.result.Attempts++
 	attemptCount.Add(1)
 	r.result.Target = t.Name
-	if r.opts.Quarantine != nil && r.q.Fingerprint != 0 {
-		r.opts.Quarantine.Begin(r.q.Fingerprint, t.Name)
-		defer r.opts.Quarantine.End(r.q.Fingerprint, t.Name)
+	notReceived := func() {}
+	if q := r.opts.Quarantine; q != nil && r.q.Fingerprint != 0 {
+		q.Begin(r.q.Fingerprint, t.Name)
+		var once sync.Once
+		defer once.Do(func() { q.End(r.q.Fingerprint, t.Name) })
+		if d, ok := q.(quarantine.Withdrawer); ok {
+			notReceived = func() { once.Do(func() { d.NotReceived(r.q.Fingerprint, t.Name) }) }
+		}
 	}
 	r.moveKV(ctx, d.KVSource, t.Name)
 	p := attemptPlan{
 		chosenAt:      r.chosenAt,
 		headerTimeout: max(r.opts.MinHeaderTimeout, d.TimeToFirstToken*headerTimeoutFactor),
 		handover:      d.DecodeTarget != "" && d.DecodeTarget != t.Name && !r.handedOver,
+		notReceived:   notReceived,
 	}
 	f, unpredicted := r.send(ctx, r.q, t, p, r.recv)
 	r.unpredicted = unpredicted
--- a/request/quarantine/quarantine_test.go
+++ b/request/quarantine/quarantine_test.go
@@ -304,3 +304,22 @@
 		}
 	}
 }
+
+// Guards against content that is taken for the cause of a crash by a daemon whose
+// connection to the target was refused: the target never received it.
+func TestContentThatWasNotReceivedIsNotSuspected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		defer h.stop()
+		tr := h.trackers[0]
+		tr.Begin(1, "e")
+		tr.Begin(2, "e")
+		tr.NotReceived(1, "e")
+		tr.Crashed("e")
+		h.expectVerdict(0, 1, Clear)
+		if v, _ := tr.Check(2); v == Clear {
+			t.Error("content in flight at the crash isn't suspected")
+		}
+		tr.End(2, "e")
+	})
+}
--- a/request/quarantine/tracker.go
+++ b/request/quarantine/tracker.go
@@ -165,9 +165,25 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.tick()
+	if t.leave(fp, target, now) {
+		t.ended.add(endedRun{fp, target, now})
+	}
+}
+
+// NotReceived ends a run like End. The target has accepted no connection, so the
+// content isn't suspected of its crash.
+func (t *CrashTracker) NotReceived(fp uint64, target string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leave(fp, target, t.tick())
+}
+
+// leave removes a run of the content at the target and reports whether there
+// was one. Callers hold t.mu.
+func (t *CrashTracker) leave(fp uint64, target string, now time.Time) bool {
 	m := t.targets[target]
 	if m[fp] == 0 {
-		return
+		return false
 	}
 	m[fp]--
 	if m[fp] == 0 {
@@ -176,8 +192,8 @@
 	if len(m) == 0 {
 		delete(t.targets, target)
 	}
-	t.ended.add(endedRun{fp, target, now})
 	t.endRunningClaim(fp, now)
+	return true
 }
 
 // tick settles ended runs, clears finished contents and returns the current
--- a/request/quarantine/types.go
+++ b/request/quarantine/types.go
@@ -32,6 +32,13 @@
 	Crashed(target string)
 }
 
+// Withdrawer is a Tracker that can be told that a target received nothing.
+type Withdrawer interface {
+	// NotReceived is called in place of End, and before the target is reported,
+	// if the target accepted no connection.
+	NotReceived(fingerprint uint64, target string)
+}
+
 // Claimer is a Tracker that also grants the right to run suspect content. It is
 // used if Check returned Suspect or SuspectShared, before the content is sent to a
 // target.
