entry: serve callers through a peer on the product's own protocol too

Callers saw: TARGET_UNREACHABLE and NO_TARGET at a daemon that had lost its links to all targets, as on the platform's protocol.

Only the daemon's own links count, and targets that it can't connect to stay down for it until its own probes reach them.

Now attempts feed the same connection/links, and entry forwards calls, at-most-once calls and model requests over a new call between daemons, Forward, with a streamed reply: before admission while the links are lost, or after an attempt that wrote nothing. The peer serves it as if its caller had called it, but for limits, which count for the caller's address, and refuses it if its version of the service is older or its links are lost too. At-most-once calls claim their key there, so that a lost reply is no second run. Daemons of earlier builds answer Unimplemented and are passed over.

request/forward gets a Transport, of which HTTP is one.

Evidence: TestDaemonWithoutLinksServesThroughPeers (silent, reset, refused; call, at-most-once call, stream) failed before.

--- a/connection/pool/probe.go
+++ b/connection/pool/probe.go
@@ -69,6 +69,19 @@
 	return nil
 }
 
+// Recheck probes addr. If it responds, it counts as healthy from then on.
+func (p *Pool) Recheck(ctx context.Context, addr string) error {
+	if err := p.Probe(ctx, addr); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t := p.targets[addr]; t != nil {
+		t.suspect, t.down, t.exited = false, false, false
+	}
+	return nil
+}
+
 // Verify probes addr immediately after a connection broke and reports whether the
 // target accepts no connections. Such a target is marked as down, and the call of
 // OnDown has returned, before Verify returns.
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -9,9 +9,11 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	"github.com/pomelospool/pomelospool/peer/peerpb"
 )
@@ -110,6 +112,23 @@
 	return reply, nil
 }
 
+// Forward sends a caller's request to the peer at addr. unsent reports of an
+// error that the peer can't have received the request.
+func (d *Dialer) Forward(ctx context.Context, addr string, r *peerpb.ForwardRequest) (stream grpc.ServerStreamingClient[peerpb.ForwardReply], first *peerpb.ForwardReply, unsent bool, err error) {
+	c, err := d.Client(addr)
+	if err != nil {
+		return nil, nil, true, err
+	}
+	if stream, err = c.Forward(ctx, r); err == nil {
+		first, err = stream.Recv()
+	}
+	if err != nil {
+		s := status.Code(err)
+		return nil, nil, s == codes.Unimplemented, fmt.Errorf("forward to %s: %w", addr, err)
+	}
+	return stream, first, false, nil
+}
+
 // Drop closes the connection to addr. The next call dials a new one.
 func (d *Dialer) Drop(addr string) {
 	d.mu.Lock()
--- a/peer/server.go
+++ b/peer/server.go
@@ -7,6 +7,7 @@
 	"net"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
@@ -22,6 +23,7 @@
 	Propose   func(context.Context, *peerpb.ProposeRequest) (*peerpb.ProposeReply, error)
 	Lookup    func(context.Context, *peerpb.LookupRequest) (*peerpb.LookupReply, error)
 	Burn      func(context.Context, *peerpb.BurnRequest) (*peerpb.BurnReply, error)
+	Forward   func(context.Context, *peerpb.ForwardRequest, func(*peerpb.ForwardReply) error) error
 }
 
 // Server serves the calls from peers. Use NewServer to create one.
@@ -81,6 +83,17 @@
 	return handle(ctx, s.handlers.Burn, r, s.UnimplementedPeerServer.Burn)
 }
 
+// Forward implements peerpb.PeerServer.
+func (s *Server) Forward(r *peerpb.ForwardRequest, stream grpc.ServerStreamingServer[peerpb.ForwardReply]) error {
+	if s.handlers.Forward == nil {
+		return s.UnimplementedPeerServer.Forward(r, stream)
+	}
+	if err := s.handlers.Forward(stream.Context(), r, stream.Send); err != nil {
+		return status.Error(codes.Aborted, err.Error())
+	}
+	return nil
+}
+
 // handle calls h, or unimplemented if h is nil. It converts context errors to
 // gRPC statuses.
 func handle[Q, P any](ctx context.Context, h func(context.Context, Q) (P, error), r Q, unimplemented func(context.Context, Q) (P, error)) (P, error) {
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/pomelospool/pomelospool/connection/address"
+	"github.com/pomelospool/pomelospool/connection/links"
 	"github.com/pomelospool/pomelospool/connection/load"
 	"github.com/pomelospool/pomelospool/connection/pool"
 	"github.com/pomelospool/pomelospool/internal/sock"
@@ -36,6 +37,7 @@
 	"github.com/pomelospool/pomelospool/process/reconcile"
 	"github.com/pomelospool/pomelospool/process/settings"
 	"github.com/pomelospool/pomelospool/request/entry"
+	"github.com/pomelospool/pomelospool/request/forward"
 	"github.com/pomelospool/pomelospool/request/once"
 	"github.com/pomelospool/pomelospool/request/quarantine"
 	"github.com/pomelospool/pomelospool/request/routing"
@@ -70,6 +72,9 @@
 	crashes *quarantine.CrashTracker
 	entry   *entry.Entry
 
+	links     *links.Tracker
+	forwarder *forward.Forwarder
+
 	docs      documents
 	listeners listeners
 	callers   *http.Server
@@ -309,6 +314,7 @@
 		CallRate:     d.s.Control.LoadReadRate,
 		OnCrash:      d.crashes.Crashed,
 	})
+	d.wireLinks()
 	d.router = routing.New(routing.Options{KVTransferRate: kvTransferRate})
 	d.burn = burn.New(burn.Options{Daemon: d.s.VM, Objectives: d.objectives})
 	d.once = d.newOnceLog()
@@ -325,6 +331,8 @@
 		Burn:           d.burn,
 		Verify:         d.watcher.Verify,
 		KV:             d.watcher,
+		Links:          d.links,
+		Peers:          d.forwarder,
 		Limits:         d.s.Limits,
 		Zone:           d.s.Zone,
 	})
--- a/process/daemon/run.go
+++ b/process/daemon/run.go
@@ -41,6 +41,7 @@
 		Propose:   d.once.HandlePropose,
 		Lookup:    d.once.HandleLookup,
 		Burn:      d.handleBurn,
+		Forward:   d.handleForward,
 	}, keys.peerServer())
 }
 
@@ -176,6 +177,7 @@
 	_ = d.once.Stop()
 	_ = d.follower.Stop()
 	_ = d.watcher.Close()
+	_ = d.links.Stop()
 	_ = d.crashes.Stop()
 	_ = d.pool.Close()
 	d.dialer.Close()
--- a/process/front/links.go
+++ b/process/front/links.go
@@ -24,7 +24,7 @@
 		Changed:  d.linksChanged,
 	})
 	peers := &forwardPeers{members: func() []roster.Member { return d.roster.Members() }}
-	d.forwarder = forward.New(d.s.VM, peers.list)
+	d.forwarder = forward.New(forward.NewHTTP(d.s.VM), peers.list)
 }
 
 func (d *Daemon) serviceNames() []string {
--- a/request/attempt/attempt.go
+++ b/request/attempt/attempt.go
@@ -97,10 +97,14 @@
 	resp, err := r.opts.Pool.Send(ctx, req)
 	if err != nil {
 		f := r.sendFailure(ctx, t, err, p.notReceived)
+		if !f.Final() && (f.Unwritten || f.Class == failure.Stalled) {
+			r.opts.Links.Failed(q.Service.Doc.Service, t.Name)
+		}
 		r.cancelStalled(f, q, t, id)
 		return f, false
 	}
 	defer resp.Close(0)
+	r.opts.Links.Reached(q.Service.Doc.Service)
 	if err := receive(resp, id, t, q.ToEngine, p.handover, recv); err != nil {
 		f = failure.ClassifyRead(ctx, t.Name, err)
 		r.reportStall(f, t)
--- a/request/attempt/run.go
+++ b/request/attempt/run.go
@@ -169,6 +169,8 @@
 	switch {
 	case ctx.Err() != nil || !repeatable(f, r.q.Idempotent) || r.recv.Committed():
 		return r.finalError(f)
+	case !r.result.Written && r.opts.Links.Lost(doc.Service):
+		return r.finalError(f) // the caller of Run can forward it at once
 	case r.result.Attempts >= maxAttempts:
 		return r.finalError(f)
 	case !progressed && !r.unpredicted && !r.budgets.Take(doc.Service, doc.Retry.Budget):
--- a/request/attempt/runner.go
+++ b/request/attempt/runner.go
@@ -54,9 +54,25 @@
 	KV               KV            // if nil, KV caches are computed instead of transferred
 	MinHeaderTimeout time.Duration // minimum timeout for an answer's header; default 2s
 	ReadTimeout      time.Duration // timeout for each read of an answer's body; default 2s
+	Links            Links         // may be nil
 	Now              func() time.Time
 }
 
+// Links tracks whether this process reaches the targets of a service.
+type Links interface {
+	Reached(service string)
+	Failed(service, target string)
+	// Lost reports whether requests should be sent through another daemon.
+	Lost(service string) bool
+}
+
+// intactLinks are links that are never lost.
+type intactLinks struct{}
+
+func (intactLinks) Reached(string)        {}
+func (intactLinks) Failed(string, string) {}
+func (intactLinks) Lost(string) bool      { return false }
+
 // Request is one request of a caller.
 type Request struct {
 	ID          string
@@ -69,6 +85,7 @@
 	Body        func(resume int) []byte // returns the body that resumes after so many tokens
 	Idempotent  bool
 	ToEngine    bool // the targets are model engines
+	Forwarded   bool // another daemon has forwarded the request and counted it for the budget
 	Fingerprint uint64
 }
 
@@ -106,6 +123,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Links == nil {
+		o.Links = intactLinks{}
+	}
 	if o.Verify == nil {
 		p := o.Pool
 		o.Verify = func(ctx context.Context, t routing.Target) { p.Verify(ctx, t.Addr) }
@@ -122,7 +142,9 @@
 // says that nothing ran only if nothing was written to a target.
 func (r *Runner) Run(ctx context.Context, q *Request, first *routing.Decision, recv Receiver) (Result, error) {
 	run := &run{Runner: r, q: q, recv: recv, route: q.Route, nextDecision: first}
-	r.budgets.Request(q.Service.Doc.Service)
+	if !q.Forwarded {
+		r.budgets.Request(q.Service.Doc.Service)
+	}
 	err := run.loop(ctx)
 	run.releaseClaim(err == nil)
 	return run.result, err
--- a/request/dispatch/peers.go
+++ b/request/dispatch/peers.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer resp.Close(0)
+	defer resp.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
 	if err == nil && len(body) > maxAnswer {
 		err = errTooLarge
@@ -107,7 +107,7 @@
 	if err != nil {
 		return err
 	}
-	defer resp.Close(0)
+	defer resp.Close()
 	x.trace.AnswerStarted = true
 	out.Begin(resp.Status, resp.Header)
 	buf := make([]byte, readSize)
--- a/request/dispatch/peers_test.go
+++ b/request/dispatch/peers_test.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &forward.Response{Response: resp, VM: "vm-2"}, nil
+	return &forward.Response{Status: resp.Status, Header: resp.Header, Body: resp.Body, VM: "vm-2", Close: func() { resp.Close(0) }}, nil
 }
 
 // cutOff makes dials fail and sets the links and the peers.
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -40,6 +40,8 @@
 	Burn             burn.Observer
 	Verify           func(ctx context.Context, t routing.Target) // see attempt.Options
 	KV               attempt.KV                                  // see attempt.Options
+	Links            attempt.Links                               // may be nil
+	Peers            Peers                                       // nil: requests aren't forwarded
 	Limits           settings.Limits
 	Zone             string        // availability zone of this process
 	MinHeaderTimeout time.Duration // see attempt.Options
@@ -89,6 +91,7 @@
 			Quarantine:       o.Quarantine,
 			Verify:           o.Verify,
 			KV:               o.KV,
+			Links:            o.Links,
 			MinHeaderTimeout: o.MinHeaderTimeout,
 			ReadTimeout:      o.ReadTimeout,
 		}),
--- a/request/entry/model.go
+++ b/request/entry/model.go
@@ -60,6 +60,10 @@
 			writeError(w, err)
 			return nil
 		}
+		if e.viaPeer(req.Request, c.svc, nil) {
+			e.forward(w, req.Request, c.svc, c.params, c.raw)
+			return nil
+		}
 		e.runModel(w, req.Request, c)
 		return nil
 	}
@@ -88,6 +92,9 @@
 	if c.params, err = readParams(req, c.svc.Doc, time.Now()); err != nil {
 		return nil, err
 	}
+	if err := e.checkEnvelope(req, c.svc); err != nil {
+		return nil, err
+	}
 	return c, c.estimateAndCheck(req, chat)
 }
 
@@ -199,12 +206,17 @@
 func (e *Entry) runModel(w http.ResponseWriter, req *http.Request, c *modelCall) {
 	id := w.Header().Get(attempt.HeaderID)
 	q := c.request(id, req.URL.Path, e)
+	q.Forwarded = envelopeOf(req) != nil
 	obs := newObservation(e.opts.Burn, c.svc.Doc.Service, c.params.org)
 	if e.opts.OnModelRequest != nil {
 		e.opts.OnModelRequest(c.body.Model, c.promptTokens, c.outputTokens)
 	}
 	cost := float64(c.promptTokens + outputTokenCost*c.outputTokens)
 	p, err := e.admit(q, c.params, cost)
+	if err != nil && e.viaPeer(req, c.svc, err) {
+		e.forward(w, req, c.svc, c.params, c.raw)
+		return
+	}
 	if err != nil {
 		obs.finish(err, 0)
 		writeError(w, err)
@@ -214,11 +226,19 @@
 	ctx, cancel := context.WithDeadline(req.Context(), c.params.deadline)
 	defer cancel()
 	if c.body.Stream {
-		e.runStream(ctx, w, q, c, p, obs)
+		if e.runStream(ctx, w, req, q, c, p, obs) != nil {
+			p.release()
+			e.forward(w, req, c.svc, c.params, c.raw)
+		}
 		return
 	}
 	recv := &unstreamedReceiver{id: id, max: int64(e.opts.Limits.BodyBytes)}
 	_, err = e.runner.Run(ctx, q, &p.decision, recv)
+	if err != nil && e.viaPeer(req, c.svc, err) {
+		p.release()
+		e.forward(w, req, c.svc, c.params, c.raw)
+		return
+	}
 	obs.finish(err, recv.tokens)
 	if err != nil {
 		writeError(w, err)
@@ -227,12 +247,19 @@
 	writeAnswer(w, http.StatusOK, "application/json", recv.body)
 }
 
-func (e *Entry) runStream(ctx context.Context, w http.ResponseWriter, q *attempt.Request, c *modelCall, p *permit, obs *observation) {
+// runStream runs a request whose answer is streamed and writes the answer. An
+// error with which the request can be forwarded is returned, and no answer
+// written.
+func (e *Entry) runStream(ctx context.Context, w http.ResponseWriter, req *http.Request, q *attempt.Request, c *modelCall, p *permit, obs *observation) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	out := &streamSink{w: w, bufferBytes: e.opts.Limits.BufferBytes, writeTimeout: e.opts.WriteTimeout, cancel: cancel, obs: obs}
 	recv := newStreamReceiver(q.ID, c.firstToken(), out)
 	_, err := e.runner.Run(ctx, q, &p.decision, recv)
+	if err != nil && out.writer == nil && e.viaPeer(req, c.svc, err) {
+		return err
+	}
 	err = out.close(err)
 	obs.finish(err, recv.relay.Next()-c.firstToken())
+	return nil
 }
--- a/request/entry/plain.go
+++ b/request/entry/plain.go
@@ -39,6 +39,10 @@
 		writeError(w, err)
 		return nil
 	}
+	if e.viaPeer(req.Request, c.svc, nil) {
+		e.forward(w, req.Request, c.svc, c.params, c.body)
+		return nil
+	}
 	if c.atMostOnce {
 		e.runOnce(w, req.Request, c)
 		return nil
@@ -66,6 +70,9 @@
 	if err := c.readPath(req.Request, name); err != nil {
 		return nil, err
 	}
+	if err := e.checkEnvelope(req.Request, c.svc); err != nil {
+		return nil, err
+	}
 	c.body, err = limit.ReadBody(w, req.Request, e.bodyLimit(c.svc.Doc), e.opts.Limits.ReadBody)
 	return c, err
 }
@@ -136,6 +143,7 @@
 		Header:      forwardedHeaders(req.Header),
 		Body:        func(int) []byte { return c.body },
 		Idempotent:  !c.atMostOnce,
+		Forwarded:   envelopeOf(req) != nil,
 		Fingerprint: c.fingerprint(req.Method),
 	}
 }
@@ -167,6 +175,10 @@
 	q := c.request(w.Header().Get(attempt.HeaderID), req, e)
 	obs := newObservation(e.opts.Burn, c.svc.Doc.Service, c.params.org)
 	p, err := e.admit(q, c.params, 1)
+	if err != nil && e.viaPeer(req, c.svc, err) {
+		e.forward(w, req, c.svc, c.params, c.body)
+		return
+	}
 	if err != nil {
 		obs.finish(err, 0)
 		writeError(w, err)
@@ -177,6 +189,11 @@
 	defer cancel()
 	recv := &plainReceiver{w: w, maxBuffered: int64(e.opts.Limits.BufferBytes), writeTimeout: e.opts.WriteTimeout}
 	_, err = e.runner.Run(ctx, q, &p.decision, recv)
+	if !recv.committed && e.viaPeer(req, c.svc, err) && err != nil {
+		p.release()
+		e.forward(w, req, c.svc, c.params, c.body)
+		return
+	}
 	obs.finish(err, 0)
 	recv.finish(err)
 }
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -58,8 +58,7 @@
 				serve(name, w, req)
 			}))
 		}
-		d.f = New("self", func() []Peer { return d.peers })
-		d.f.pool = h1.New(h1.Options{Dial: d.net.Dial})
+		d.f = New(&HTTP{self: "self", pool: h1.New(h1.Options{Dial: d.net.Dial})}, func() []Peer { return d.peers })
 		test(t, d)
 		d.f.Close()
 		d.net.Close()
@@ -96,7 +95,7 @@
 			return
 		}
 		body, _ := io.ReadAll(resp.Body)
-		resp.Close(0)
+		resp.Close()
 		if resp.VM != "vm-0" || string(body) != "answer" {
 			t.Errorf("%s answered %q", resp.VM, body)
 		}
@@ -116,7 +115,7 @@
 				t.Error(err)
 				return
 			}
-			resp.Close(0)
+			resp.Close()
 		}
 		if calls := d.counted(); calls["vm-0"] != 1 || calls["vm-2"] != 3 {
 			t.Errorf("calls %v: a daemon that refused was asked again at once", calls)
@@ -181,6 +180,6 @@
 			t.Error(err)
 			return
 		}
-		resp.Close(0)
+		resp.Close()
 	})
 }
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"expvar"
-	"maps"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -12,7 +12,6 @@
 	"github.com/apex/log"
 
 	"github.com/pomelospool/pomelospool/code"
-	"github.com/pomelospool/pomelospool/connection/h1"
 )
 
 const (
@@ -43,22 +42,35 @@
 	Host     string
 	Header   http.Header // of the caller, without hop-by-hop headers
 	Body     []byte
-	Envelope Envelope // without From and Timeout, which Forwarder sets
+	Envelope Envelope // without From and Timeout, which the transport sets
+	Caller   string   // address of the caller
 	Deadline time.Time
 }
 
-// Response is an answer of a target, relayed by the daemon VM. The caller must
-// close it.
+// Response is the answer of a daemon. The caller must close it.
 type Response struct {
-	*h1.Response
-	VM string
+	Status int
+	Header http.Header
+	Body   io.Reader
+	VM     string // that answered
+	// Refusal is the error of that daemon itself; nil if a target answered.
+	Refusal *code.Error
+	Close   func()
+}
+
+// Transport sends a request to one daemon. unsent reports of an error that the
+// daemon can't have run the request.
+type Transport interface {
+	Send(ctx context.Context, p Peer, r *Request) (resp *Response, unsent bool, err error)
+	// Trim closes the connections that are no longer used, Close all idle ones.
+	Trim()
+	Close()
 }
 
 // Forwarder forwards requests. It is safe for concurrent use.
 type Forwarder struct {
-	self  string
-	peers func() []Peer
-	pool  *h1.Pool
+	transport Transport
+	peers     func() []Peer
 
 	mu      sync.Mutex
 	refused map[refusal]time.Time
@@ -69,15 +81,15 @@
 
 // New returns a Forwarder. peers returns the daemons that requests may be
 // forwarded to, in the order in which to try them for one request.
-func New(self string, peers func() []Peer) *Forwarder {
-	return &Forwarder{self: self, peers: peers, pool: h1.New(h1.Options{}), refused: make(map[refusal]time.Time)}
+func New(t Transport, peers func() []Peer) *Forwarder {
+	return &Forwarder{transport: t, peers: peers, refused: make(map[refusal]time.Time)}
 }
 
 // Trim closes the connections to other daemons that are no longer used.
-func (f *Forwarder) Trim() { f.pool.Retain(func(string) bool { return true }) }
+func (f *Forwarder) Trim() { f.transport.Trim() }
 
 // Close closes all idle connections.
-func (f *Forwarder) Close() { f.pool.Close() }
+func (f *Forwarder) Close() { f.transport.Close() }
 
 // Do offers the request to daemons until one accepts it, and returns its answer.
 // A request that a daemon may have run isn't offered to another one, since that
@@ -108,36 +120,28 @@
 
 // offer sends the request to one daemon.
 func (f *Forwarder) offer(ctx context.Context, p Peer, r *Request) (*Response, *code.Error) {
-	e := r.Envelope
-	e.From, e.Timeout = f.self, time.Until(r.Deadline)
-	h := maps.Clone(r.Header)
-	e.addTo(h)
-	resp, err := f.pool.Do(ctx, &h1.Request{Addr: p.Addr, Target: p.VM, Method: r.Method, URI: r.URI, Host: r.Host, Header: h, Body: r.Body, Reuse: h1.ReuseRecent})
+	resp, unsent, err := f.transport.Send(ctx, p, r)
 	if err != nil {
-		return nil, f.sendError(ctx, p, r, err)
+		return nil, f.sendError(ctx, p, r, unsent, err)
 	}
-	failed := resultOf(resp.Header, p.VM)
-	if failed == nil {
-		return &Response{Response: resp, VM: p.VM}, nil
+	if resp.Refusal == nil {
+		return resp, nil
 	}
-	resp.Close(0)
-	if canServeElsewhere(failed.Code) {
+	resp.Close()
+	if canServeElsewhere(resp.Refusal.Code) {
 		f.recordRefusal(p.VM, r.Service)
 	}
-	return nil, failed
+	return nil, resp.Refusal
 }
 
 // sendError returns the error of a request that wasn't answered.
-func (f *Forwarder) sendError(ctx context.Context, p Peer, r *Request, err error) *code.Error {
-	var he *h1.Error
-	unwritten := errors.As(err, &he) && !he.Written
-	cause := context.Cause(ctx)
+func (f *Forwarder) sendError(ctx context.Context, p Peer, r *Request, unsent bool, err error) *code.Error {
 	switch {
-	case ctx.Err() != nil && !errors.Is(cause, context.DeadlineExceeded):
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return code.Wrap(code.CallerGone, err, "")
-	case ctx.Err() != nil && !unwritten:
+	case ctx.Err() != nil && !unsent:
 		return code.Wrap(code.DeadlinePassed, err, "at daemon %s", p.VM)
-	case unwritten:
+	case unsent:
 		f.recordRefusal(p.VM, r.Service)
 		return code.Wrap(code.NoTarget, err, "daemon %s accepted no connection", p.VM)
 	}
--- /dev/null
+++ b/request/forward/http.go
@@ -0,0 +1,43 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"time"
+
+	"github.com/pomelospool/pomelospool/connection/h1"
+)
+
+// HTTP is a Transport over HTTP/1.1. The daemon that receives a request reads
+// its envelope with TakeEnvelope.
+type HTTP struct {
+	self string
+	pool *h1.Pool
+}
+
+// NewHTTP returns a Transport of the daemon on the VM self.
+func NewHTTP(self string) *HTTP { return &HTTP{self: self, pool: h1.New(h1.Options{})} }
+
+// Send implements Transport.
+func (t *HTTP) Send(ctx context.Context, p Peer, r *Request) (resp *Response, unsent bool, err error) {
+	e := r.Envelope
+	e.From, e.Timeout = t.self, time.Until(r.Deadline)
+	h := maps.Clone(r.Header)
+	e.addTo(h)
+	got, err := t.pool.Do(ctx, &h1.Request{Addr: p.Addr, Target: p.VM, Method: r.Method, URI: r.URI, Host: r.Host, Header: h, Body: r.Body, Reuse: h1.ReuseRecent})
+	if err != nil {
+		var he *h1.Error
+		return nil, errors.As(err, &he) && !he.Written, err
+	}
+	return &Response{
+		Status: got.Status, Header: got.Header, Body: got.Body, VM: p.VM, Refusal: resultOf(got.Header, p.VM),
+		Close: func() { got.Close(0) },
+	}, false, nil
+}
+
+// Trim implements Transport.
+func (t *HTTP) Trim() { t.pool.Retain(func(string) bool { return true }) }
+
+// Close implements Transport.
+func (t *HTTP) Close() { t.pool.Close() }
--- a/request/ingress/forwarded_test.go
+++ b/request/ingress/forwarded_test.go
@@ -16,7 +16,7 @@
 func (f *fixture) forwardTo(t *testing.T) *forward.Forwarder {
 	srv := httptest.NewServer(http.HandlerFunc(f.ServeForwarded))
 	t.Cleanup(srv.Close)
-	out := forward.New("vm-1", func() []forward.Peer {
+	out := forward.New(forward.NewHTTP("vm-1"), func() []forward.Peer {
 		return []forward.Peer{{VM: "vm-2", Addr: strings.TrimPrefix(srv.URL, "http://")}}
 	})
 	t.Cleanup(out.Close)
@@ -38,7 +38,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer resp.Close(0)
+	defer resp.Close()
 	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "answer to r1" {
 		t.Errorf("%q, %v", body, err)
 	}
