forward: pass over daemons of an earlier build

Seen by reading: a daemon of the build before gets a forwarded request on its port for peers, knows no such path and answers 404. The forwarding daemon would relay that as the answer of a target, and callers don't retry a 404.

Now a daemon marks the answers to forwarded requests, a target's as well as its own; an answer without the mark is a refusal, and the request goes to the next daemon. Evidence: TestDaemonOfEarlierBuildIsPassedOver failed before.

--- a/request/forward/envelope.go
+++ b/request/forward/envelope.go
@@ -69,7 +69,15 @@
 	h.Set(headerRetryAfter, strconv.FormatInt(e.RetryAfter.Milliseconds(), 10))
 }
 
-// ClearResult removes the mark from the headers of a target's answer.
+// SetServed marks an answer as a target's, relayed by a daemon that understands
+// the envelope. An earlier build answers a forwarded request as an unknown one
+// of its own.
+func SetServed(h http.Header) {
+	h.Set(headerResult, strconv.Itoa(int(code.OK)))
+	h.Del(headerRetryAfter)
+}
+
+// ClearResult removes the marks.
 func ClearResult(h http.Header) {
 	h.Del(headerResult)
 	h.Del(headerRetryAfter)
@@ -79,11 +87,13 @@
 // target's.
 func resultOf(h http.Header, peer string) *code.Error {
 	v := h.Get(headerResult)
-	if v == "" {
-		return nil
-	}
 	n, err := strconv.Atoi(v)
-	if err != nil || !code.Known(code.Code(n)) || n == int(code.OK) {
+	switch {
+	case v == "":
+		return code.New(code.NoTarget, "daemon %s doesn't take forwarded requests", peer)
+	case err == nil && n == int(code.OK):
+		return nil
+	case err != nil || !code.Known(code.Code(n)):
 		return code.New(code.PeerUnreachable, "daemon %s answered with the unknown code %.20q", peer, v)
 	}
 	e := code.New(code.Code(n), "at daemon %s", peer)
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -87,6 +87,7 @@
 		if IsForwarded(req.Header) || req.Header.Get("X-A") != "1" || req.Host != "a.example" || req.RequestURI != "/x?y=1" || string(body) != "body" {
 			t.Errorf("%s %s %v %q", req.Host, req.RequestURI, req.Header, body)
 		}
+		SetServed(w.Header())
 		_, _ = w.Write([]byte("answer"))
 	}, func(t *testing.T, d *daemons) {
 		resp, err := d.do(t.Context())
@@ -105,6 +106,7 @@
 // Guards against requests that end at a daemon which has lost its links too.
 func TestRefusedRequestIsOfferedToOthers(t *testing.T) {
 	withDaemons(t, 5, func(name string, w http.ResponseWriter, req *http.Request) {
+		SetServed(w.Header())
 		if name != "vm-2" {
 			refuse(code.NoTarget)(name, w, req)
 		}
@@ -173,7 +175,7 @@
 
 // Guards against requests that wait for a daemon which accepts no connections.
 func TestUnreachableDaemonIsPassedOver(t *testing.T) {
-	withDaemons(t, 2, func(string, http.ResponseWriter, *http.Request) {}, func(t *testing.T, d *daemons) {
+	withDaemons(t, 2, func(_ string, w http.ResponseWriter, _ *http.Request) { SetServed(w.Header()) }, func(t *testing.T, d *daemons) {
 		d.net.Stop("vm-0")
 		resp, err := d.do(t.Context())
 		if err != nil || resp.VM != "vm-1" {
@@ -183,3 +185,22 @@
 		resp.Close()
 	})
 }
+
+// Guards against a daemon of an earlier build whose 404 for a path that it
+// doesn't know is taken for the answer of a target.
+func TestDaemonOfEarlierBuildIsPassedOver(t *testing.T) {
+	withDaemons(t, 2, func(name string, w http.ResponseWriter, _ *http.Request) {
+		if name == "vm-0" {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		SetServed(w.Header())
+	}, func(t *testing.T, d *daemons) {
+		resp, err := d.do(t.Context())
+		if err != nil || resp.VM != "vm-1" {
+			t.Error(err)
+			return
+		}
+		resp.Close()
+	})
+}
--- a/request/ingress/answer.go
+++ b/request/ingress/answer.go
@@ -42,6 +42,9 @@
 	maps.Copy(h, from)
 	hop.Strip(h)
 	forward.ClearResult(h)
+	if x.envelope != nil {
+		forward.SetServed(h)
+	}
 	if x.stopAt.Load() != nil {
 		h.Set("Connection", "close")
 	}
--- a/request/ingress/forwarded_test.go
+++ b/request/ingress/forwarded_test.go
@@ -39,8 +39,8 @@
 		t.Fatal(err)
 	}
 	defer resp.Close()
-	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "answer to r1" {
-		t.Errorf("%q, %v", body, err)
+	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "answer to r1" || resp.Status != http.StatusOK {
+		t.Errorf("status %d, %q, %v", resp.Status, body, err)
 	}
 	got := f.plain.RequestHeaders()[0]
 	meta, err := f.o.Protocol.ParseRequest(got)
