forward: remember only refusals for lost links

Cause: a daemon that refuses a forwarded request isn't asked again for a second, whatever the refusal. With all targets leaving, every daemon refused, so that nobody was left to ask when they had returned.

The refusal of a daemon without links has a code of its own now, LINKS_LOST (2010). Others that concern only that daemon (draining, no configuration) are remembered too; NO_TARGET of a daemon that has links is the answer.

--- a/code/table.go
+++ b/code/table.go
@@ -35,6 +35,7 @@
 	AnswerMismatch    Code = 2007
 	CallerGone        Code = 2008
 	TargetRefused     Code = 2009
+	LinksLost         Code = 2010
 
 	KeyMissing      Code = 3001
 	KeyBusy         Code = 3002
@@ -97,6 +98,7 @@
 	{AnswerMismatch, "ANSWER_MISMATCH", statusUnknown, false, "A target answered with another request's id; the answer was dropped.", "An idempotent request may be sent again."},
 	{CallerGone, "CALLER_GONE", 499, false, "The caller closed the connection; the target was told to cancel.", "Nothing."},
 	{TargetRefused, "TARGET_REFUSED", http.StatusBadGateway, false, "The target refused the request itself.", "See the detail."},
+	{LinksLost, "LINKS_LOST", http.StatusServiceUnavailable, true, "The daemon reaches no target of the service, and no other daemon took the request.", "Use another address from the list, or come back after Retry-After."},
 
 	{KeyMissing, "KEY_MISSING", http.StatusBadRequest, true, "A non-idempotent request came without an Idempotency-Key.", "Send it with a key."},
 	{KeyBusy, "KEY_BUSY", http.StatusConflict, false, "A request with this key is running now.", "Ask again with the same key after Retry-After."},
--- a/process/daemon/forward.go
+++ b/process/daemon/forward.go
@@ -113,7 +113,7 @@
 		}
 		return e
 	}
-	return code.New(code.NoTarget, "daemon %s refused with the unknown code %.20q", vm, h.Get(answer.HeaderCode))
+	return code.New(code.LinksLost, "daemon %s refused with the unknown code %.20q", vm, h.Get(answer.HeaderCode))
 }
 
 // replyBody reads the body from the replies of a daemon.
--- a/request/dispatch/peers.go
+++ b/request/dispatch/peers.go
@@ -50,7 +50,7 @@
 	if !x.call.Forwarded || x.possibleRuns > x.call.PriorRuns || !x.linksLost() {
 		return nil
 	}
-	return code.New(code.NoTarget, "no target of service %q can be reached", x.call.Service.Name).WithRetryAfter(x.retryDelay(nil))
+	return code.New(code.LinksLost, "no target of service %q can be reached", x.call.Service.Name).WithRetryAfter(x.retryDelay(nil))
 }
 
 // askPeer forwards the call.
--- a/request/entry/forward.go
+++ b/request/entry/forward.go
@@ -59,7 +59,7 @@
 	case svc.Version < envelope.Version:
 		return code.New(code.StaleConfiguration, "version %d, the request was matched by version %d", svc.Version, envelope.Version).WithRetryAfter(retryAfter)
 	case e.linksLost(svc):
-		return code.New(code.NoTarget, "no target of service %q can be reached", svc.Doc.Service).WithRetryAfter(retryAfter)
+		return code.New(code.LinksLost, "no target of service %q can be reached", svc.Doc.Service).WithRetryAfter(retryAfter)
 	}
 	return nil
 }
--- a/request/forward/envelope.go
+++ b/request/forward/envelope.go
@@ -90,7 +90,7 @@
 	n, err := strconv.Atoi(v)
 	switch {
 	case v == "":
-		return code.New(code.NoTarget, "daemon %s doesn't take forwarded requests", peer)
+		return code.New(code.LinksLost, "daemon %s doesn't take forwarded requests", peer)
 	case err == nil && n == int(code.OK):
 		return nil
 	case err != nil || !code.Known(code.Code(n)):
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -96,7 +96,7 @@
 // daemon may have used all attempts that the route allows. The error is a
 // *code.Error. Its code states that nothing ran only if that is certain.
 func (f *Forwarder) Do(ctx context.Context, r *Request) (*Response, error) {
-	err := code.New(code.NoTarget, "no daemon reaches the targets of service %q", r.Service)
+	err := code.New(code.LinksLost, "no daemon reaches the targets of service %q", r.Service)
 	tried := 0
 	for _, p := range f.peers() {
 		if tried == maxPeers || f.skip(p.VM, r.Service) {
@@ -143,7 +143,7 @@
 		return code.Wrap(code.DeadlinePassed, err, "at daemon %s", p.VM)
 	case unsent:
 		f.recordRefusal(p.VM, r.Service)
-		return code.Wrap(code.NoTarget, err, "daemon %s accepted no connection", p.VM)
+		return code.Wrap(code.LinksLost, err, "daemon %s accepted no connection", p.VM)
 	}
 	return code.Wrap(code.PeerUnreachable, err, "daemon %s didn't answer", p.VM)
 }
@@ -152,7 +152,7 @@
 // refused. Nothing has run then.
 func canServeElsewhere(c code.Code) bool {
 	switch c {
-	case code.NoTarget, code.Draining, code.Isolated, code.NoConfiguration, code.StaleConfiguration, code.TooManyConns:
+	case code.LinksLost, code.TargetUnreachable, code.Draining, code.Isolated, code.NoConfiguration, code.StaleConfiguration, code.TooManyConns:
 		return true
 	}
 	return false
