forward, links: one shuffle and one stand-in for both protocols

Read through: the order of peers was made twice, and so was the stand-in for links that are never lost. Both now stand in the package that they belong to. TestForwardPeers checks which daemons requests are forwarded to. Nothing changes in behaviour.

--- a/connection/links/links.go
+++ b/connection/links/links.go
@@ -253,3 +253,18 @@
 		t.o.Changed(name, true)
 	}
 }
+
+// Intact stands in for a Tracker where links are never lost.
+type Intact struct{}
+
+// Reached does nothing.
+func (Intact) Reached(string) {}
+
+// Failed does nothing.
+func (Intact) Failed(string, string) {}
+
+// Lost returns false.
+func (Intact) Lost(string) bool { return false }
+
+// Confirmed returns false.
+func (Intact) Confirmed(string) bool { return false }
--- a/process/daemon/forward.go
+++ b/process/daemon/forward.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -70,10 +69,7 @@
 			far = append(far, p)
 		}
 	}
-	for _, list := range [][]forward.Peer{near, far} {
-		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	}
-	return append(near, far...)
+	return forward.Shuffled(near, far)
 }
 
 // peerTransport is a forward.Transport over the protocol between daemons.
--- a/process/front/links.go
+++ b/process/front/links.go
@@ -1,8 +1,8 @@
 package front
 
 import (
-	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -94,13 +94,10 @@
 	if time.Since(f.listed) >= forwardPeersTTL {
 		f.refresh()
 	}
-	var out []forward.Peer
 	if f.useFar {
-		out = shuffled(append(append(out, f.near...), f.far...))
-	} else {
-		out = append(shuffled(f.near), shuffled(f.far)...)
+		return forward.Shuffled(slices.Concat(f.near, f.far))
 	}
-	return out
+	return forward.Shuffled(f.near, f.far)
 }
 
 // refresh reads the members. Callers hold f.mu.
@@ -124,9 +121,3 @@
 	}
 	f.useFar = len(f.near) < unlinked
 }
-
-func shuffled(list []forward.Peer) []forward.Peer {
-	out := append([]forward.Peer(nil), list...)
-	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out
-}
--- a/process/front/links_test.go
+++ b/process/front/links_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"strings"
 	"testing"
 
 	"github.com/pomelospool/pomelospool/internal/linkfault"
 	"github.com/pomelospool/pomelospool/platform/standin"
+	"github.com/pomelospool/pomelospool/process/roster"
 )
 
 // cutModes are the ways in which a daemon loses its links to the targets.
@@ -61,3 +63,40 @@
 		}
 	}
 }
+
+// Guards against requests that are forwarded to daemons that have no links or
+// are leaving, and against a zone whose last daemons get those of all others.
+func TestForwardPeers(t *testing.T) {
+	member := func(vm, zone string, s roster.State) roster.Member {
+		return roster.Member{VM: vm, Zone: zone, State: s}
+	}
+	self := member("self", "a", roster.Unlinked)
+	far := member("far", "b", roster.Ready)
+	for name, tc := range map[string]struct {
+		others []roster.Member
+		first  map[string]bool // that may come first
+		count  int
+	}{
+		"near ones first": {[]roster.Member{member("n1", "a", roster.Ready), member("n2", "a", roster.Ready), far}, map[string]bool{"n1": true, "n2": true}, 3},
+		"most of the zone without links": {[]roster.Member{member("n1", "a", roster.Ready), member("n2", "a", roster.Unlinked), far},
+			map[string]bool{"n1": true, "far": true}, 2},
+		"none but leaving ones": {[]roster.Member{member("n1", "a", roster.Leaving), member("n2", "a", roster.Starting)}, nil, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := &forwardPeers{members: func() []roster.Member { return append([]roster.Member{self}, tc.others...) }}
+			seen := make(map[string]bool)
+			for range 100 {
+				list := p.list()
+				if len(list) != tc.count {
+					t.Fatalf("%d peers, want %d", len(list), tc.count)
+				}
+				if len(list) > 0 {
+					seen[list[0].VM] = true
+				}
+			}
+			if !maps.Equal(seen, tc.first) && len(tc.first)+len(seen) > 0 {
+				t.Errorf("first ones %v, want %v", seen, tc.first)
+			}
+		})
+	}
+}
--- a/request/attempt/runner.go
+++ b/request/attempt/runner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/connection/h1"
+	"github.com/pomelospool/pomelospool/connection/links"
 	"github.com/pomelospool/pomelospool/connection/pool"
 	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/quarantine"
@@ -66,13 +67,6 @@
 	Lost(service string) bool
 }
 
-// intactLinks are links that are never lost.
-type intactLinks struct{}
-
-func (intactLinks) Reached(string)        {}
-func (intactLinks) Failed(string, string) {}
-func (intactLinks) Lost(string) bool      { return false }
-
 // Request is one request of a caller.
 type Request struct {
 	ID          string
@@ -124,7 +118,7 @@
 		o.Now = time.Now
 	}
 	if o.Links == nil {
-		o.Links = intactLinks{}
+		o.Links = links.Intact{}
 	}
 	if o.Verify == nil {
 		p := o.Pool
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -15,6 +15,7 @@
 	"github.com/pomelospool/pomelospool/connection/engines"
 	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/connection/health"
+	"github.com/pomelospool/pomelospool/connection/links"
 	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/connection/targets"
 	"github.com/pomelospool/pomelospool/port"
@@ -113,7 +114,7 @@
 
 func New(o Options) *Runner {
 	if o.Links == nil {
-		o.Links = intactLinks{}
+		o.Links = links.Intact{}
 	}
 	return &Runner{opts: o, promptStatsByService: make(map[string]*placement.PromptStats), answerLengths: make(map[string]*answerLength)}
 }
--- a/request/dispatch/peers.go
+++ b/request/dispatch/peers.go
@@ -25,14 +25,6 @@
 	Do(ctx context.Context, r *forward.Request) (*forward.Response, error)
 }
 
-// intactLinks are links that are never lost.
-type intactLinks struct{}
-
-func (intactLinks) Reached(string)        {}
-func (intactLinks) Failed(string, string) {}
-func (intactLinks) Lost(string) bool      { return false }
-func (intactLinks) Confirmed(string) bool { return false }
-
 // linksLost reports whether this process has lost its links to the targets of
 // the call's service.
 func (x *execution) linksLost() bool { return x.opts.Links.Lost(x.call.Service.Name) }
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -5,6 +5,7 @@
 	"errors"
 	"expvar"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -33,6 +34,18 @@
 	Addr string // host:port of its server for other daemons
 }
 
+// Shuffled returns the peers of the lists in a random order, those of an earlier
+// list first.
+func Shuffled(lists ...[]Peer) []Peer {
+	var out []Peer
+	for _, list := range lists {
+		from := len(out)
+		out = append(out, list...)
+		rand.Shuffle(len(list), func(i, j int) { out[from+i], out[from+j] = out[from+j], out[from+i] })
+	}
+	return out
+}
+
 // Request is a request to forward.
 type Request struct {
 	ID       string
--- a/request/quarantine/types.go
+++ b/request/quarantine/types.go
@@ -32,7 +32,7 @@
 	Crashed(target string)
 }
 
-// Withdrawer is a Tracker that can be told that a target received nothing.
+// Withdrawer is a Tracker from which a run can be withdrawn that never began.
 type Withdrawer interface {
 	// NotReceived is called in place of End, and before the target is reported,
 	// if the target accepted no connection.
