reconcile: the repeated end of an order keeps its reason

What operators saw: an order that an engine refused or lost, recorded as a success or without "refused:", if the first append of its end wasn't confirmed.

Cause: the repeat took the engine's refusal as its reason, which is empty when the engine accepted the order and shows something else.

The reason is now kept with the end. Evidence: TestRepeatedEndKeepsItsReason failed before ("again {Action:3 Reason: …}").

--- a/process/reconcile/decide.go
+++ b/process/reconcile/decide.go
@@ -35,6 +35,7 @@
 	InFlightUntil time.Duration // until then a copy of this or the previous order may be in flight
 	RefusedReason string        // why the engine rejected it permanently, or empty
 	EndAppended   bool          // its end was appended, perhaps without confirmation
+	EndReason     string        // the reason in that end
 
 	// Failures of orders. They are kept from order to order.
 	FailedSpec port.EngineSpec
@@ -111,7 +112,7 @@
 	accepted := in.Observed.LastOrder == in.Open.ID
 	switch {
 	case in.Progress.EndAppended:
-		return Decision{Action: EndOrder, Reason: in.Progress.RefusedReason}
+		return Decision{Action: EndOrder, Reason: in.Progress.EndReason}
 	case accepted && in.Observed.Changing:
 		return wait("order is being carried out")
 	case in.Now < in.Progress.InFlightUntil && (accepted || in.Progress.RefusedReason != ""):
@@ -153,7 +154,7 @@
 // failure for the same spec doubles the delay.
 func (p *Progress) RecordEnd(open *fold.OpenOrder, reason string, now time.Duration) {
 	again := p.OrderID == open.ID && p.EndAppended
-	p.OrderID, p.EndAppended = open.ID, true
+	p.OrderID, p.EndAppended, p.EndReason = open.ID, true, reason
 	switch {
 	case again:
 	case reason == "":
--- a/process/reconcile/decide_test.go
+++ b/process/reconcile/decide_test.go
@@ -102,3 +102,24 @@
 		t.Errorf("leaving %v", got)
 	}
 }
+
+// Guards against a failed order that stands in the log as a success: the first
+// append of its end was lost, and the repeated one had no reason.
+func TestRepeatedEndKeepsItsReason(t *testing.T) {
+	open := &fold.OpenOrder{ID: "o", Spec: port.EngineSpec{Model: "m", Version: "2"}}
+	for name, change := range map[string]func(in *Input){
+		"refused":        func(in *Input) { in.Progress.RefusedReason = "no" },
+		"another spec":   func(in *Input) { in.Observed.LastOrder, in.Observed.Spec.Version = "o", "3" },
+		"it carried out": func(in *Input) { in.Observed.LastOrder, in.Observed.Spec = "o", open.Spec },
+	} {
+		t.Run(name, func(t *testing.T) {
+			in := Input{Now: time.Minute, Rule: lease.Rule{}.WithDefaults(), Fence: 5, Applied: 20, Open: open, ObservedKnown: true, Slots: 1}
+			change(&in)
+			first := Decide(in)
+			in.Progress.RecordEnd(open, first.Reason, in.Now)
+			if again := Decide(in); first.Action != EndOrder || again != first {
+				t.Errorf("first %+v, again %+v", first, again)
+			}
+		})
+	}
+}
