--- a/operator/ctl/address.go
+++ b/operator/ctl/address.go
@@ -19,7 +19,7 @@
 
 // Execute queries one daemon for addresses and prints them.
 func (c *addressCommand) Execute([]string) error {
-	client, err := c.app.callerClient(0)
+	client, err := c.app.callerClient(caller.Options{})
 	if err != nil {
 		return err
 	}
@@ -44,8 +44,9 @@
 	return nil
 }
 
-// callerClient returns a client for the daemons named by --callers.
-func (a *app) callerClient(seed uint64) (*caller.Client, error) {
+// callerClient returns a client for the daemons named by --callers, with the
+// addresses and TLS of the command line in place of those of o.
+func (a *app) callerClient(o caller.Options) (*caller.Client, error) {
 	daemons, err := a.callers()
 	if err != nil {
 		return nil, err
@@ -54,5 +55,6 @@
 	if err != nil {
 		return nil, err
 	}
-	return caller.New(caller.Options{Daemons: daemons, Zone: a.Zone, TLS: conf, Seed: seed}), nil
+	o.Daemons, o.Zone, o.TLS = daemons, a.Zone, conf
+	return caller.New(o), nil
 }
--- a/operator/ctl/call.go
+++ b/operator/ctl/call.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	client, err := c.app.callerClient(rand.Uint64())
+	client, err := c.app.callerClient(caller.Options{Seed: rand.Uint64()})
 	if err != nil {
 		return err
 	}
--- a/operator/ctl/load.go
+++ b/operator/ctl/load.go
@@ -65,10 +65,7 @@
 }
 
 func (c *loadCommand) client() (*caller.Client, error) {
-	if !c.Direct {
-		return c.app.callerClient(c.Seed)
-	}
-	return caller.New(caller.Options{Daemons: c.app.Callers, SkipDiscovery: true, Seed: c.Seed}), nil
+	return c.app.callerClient(caller.Options{Seed: c.Seed, SkipDiscovery: c.Direct})
 }
 
 func (c *loadCommand) options() (load.Options, error) {
