ingress: a forwarded request waits for the version that matched it

Cause: the only daemon that could serve was some milliseconds behind with the version, refused with STALE_CONFIGURATION, and wasn't asked again for a second. In a larger fleet all daemons may be behind at that moment.

A daemon now waits up to 0.3 s for the version, two reads of the configuration, and a refusal for it isn't remembered.

Evidence: TestForwardedRequestWaitsForItsVersion and TestDaemonBehindTheConfigurationIsAskedAgain failed before.

--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -205,3 +205,27 @@
 		resp.Close()
 	})
 }
+
+// Guards against a second without any daemon to ask after each new version: all
+// others may be some milliseconds behind.
+func TestDaemonBehindTheConfigurationIsAskedAgain(t *testing.T) {
+	behind := true
+	withDaemons(t, 1, func(name string, w http.ResponseWriter, req *http.Request) {
+		if behind {
+			refuse(code.StaleConfiguration)(name, w, req)
+			return
+		}
+		SetServed(w.Header())
+	}, func(t *testing.T, d *daemons) {
+		if _, err := d.do(t.Context()); code.Of(err) != code.StaleConfiguration {
+			t.Error(err)
+		}
+		behind = false
+		resp, err := d.do(t.Context())
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		resp.Close()
+	})
+}
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -141,7 +141,7 @@
 		return resp, nil
 	}
 	resp.Close()
-	if canServeElsewhere(resp.Refusal.Code) {
+	if canServeElsewhere(resp.Refusal.Code) && lasts(resp.Refusal.Code) {
 		f.recordRefusal(p.VM, r.Service)
 	}
 	return nil, resp.Refusal
@@ -171,6 +171,10 @@
 	return false
 }
 
+// lasts reports whether a daemon would refuse the next request too. A daemon
+// that is behind the configuration gets it within milliseconds.
+func lasts(c code.Code) bool { return c != code.StaleConfiguration && c != code.NoConfiguration }
+
 func (f *Forwarder) recordRefusal(vm, service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/request/ingress/forwarded_test.go
+++ b/request/ingress/forwarded_test.go
@@ -9,7 +9,10 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/forward"
+	"github.com/pomelospool/pomelospool/version/inforce"
+	"github.com/pomelospool/pomelospool/version/route"
 )
 
 // forwardTo returns a Forwarder whose only peer is the fixture.
@@ -66,3 +69,21 @@
 		t.Errorf("%v, ran %v", err, f.plain.Ran())
 	}
 }
+
+// Guards against requests that fail for a moment after each new version, since
+// the daemon that they are forwarded to reads it some milliseconds later.
+func TestForwardedRequestWaitsForItsVersion(t *testing.T) {
+	f := start(t, true)
+	versions := inforce.New(func(r port.KeyedRecord) (*route.Config, bool, error) { return config(r.Offset), true, nil })
+	versions.Apply([]port.KeyedRecord{{Offset: 7}})
+	f.o.Config = versions
+	time.AfterFunc(20*time.Millisecond, func() { versions.Apply([]port.KeyedRecord{{Offset: 8}}) })
+	resp, err := f.forwardTo(t).Do(t.Context(), forwardedCall(f, "r1", 8))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Close()
+	if len(f.plain.Ran()) != 1 {
+		t.Errorf("ran %v", f.plain.Ran())
+	}
+}
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -14,6 +14,7 @@
 	"github.com/apex/log"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/dispatch"
@@ -167,7 +168,7 @@
 	}
 	if x.envelope != nil {
 		x.meta.Timeout = x.envelope.Timeout
-		if cfg.Version < x.envelope.Version {
+		if cfg = x.awaitVersion(x.envelope.Version); cfg.Version < x.envelope.Version {
 			return nil, code.New(code.StaleConfiguration, "version %d, the request was matched by version %d", cfg.Version, x.envelope.Version).WithRetryAfter(noConfigurationRetryAfter)
 		}
 	}
@@ -224,6 +225,26 @@
 	return c, nil
 }
 
+const (
+	// versionWait is the time in which a daemon gets a version that another one
+	// already has: two reads of the configuration and the store's latency.
+	versionWait = 300 * time.Millisecond
+	// versionPoll is the interval between two looks at the configuration.
+	versionPoll = 5 * time.Millisecond
+)
+
+// awaitVersion returns the configuration, once it has the version or
+// versionWait has passed.
+func (x *exchange) awaitVersion(version int64) *route.Config {
+	cfg := x.o.Config.Load()
+	for end := x.arrived.Add(versionWait); cfg.Version < version && time.Now().Before(end); cfg = x.o.Config.Load() {
+		if pause.For(x.req.Context(), versionPoll) != nil {
+			break
+		}
+	}
+	return cfg
+}
+
 // unknownKey returns the error for a key that isn't in the configuration.
 // Callers don't retry a 401, so a daemon whose configuration may be outdated
 // returns a retryable error instead.
