forward: no bound on the daemons that have refused

Seen by reading: a daemon stopped forwarding for a second once eight others had refused. In a fleet of hundreds of which most of a zone has lost its links at once, that many refuse before their state is known everywhere, and hundreds that have links aren't asked.

--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -5,6 +5,7 @@
 	"errors"
 	"expvar"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -21,9 +22,6 @@
 	// refusalTTL is the time for which a daemon that refused a service's request
 	// isn't sent another one.
 	refusalTTL = time.Second
-	// maxRefusals is the number of daemons with a current refusal at which a
-	// service's requests aren't forwarded: most likely its targets are down.
-	maxRefusals = 8
 )
 
 var counts = expvar.NewMap("forward")
@@ -98,8 +96,14 @@
 	return &Forwarder{transport: t, peers: peers, refused: make(map[refusal]time.Time)}
 }
 
-// Trim closes the connections to other daemons that are no longer used.
-func (f *Forwarder) Trim() { f.transport.Trim() }
+// Trim closes the connections to other daemons that are no longer used, and
+// forgets refusals that have expired.
+func (f *Forwarder) Trim() {
+	f.transport.Trim()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	maps.DeleteFunc(f.refused, func(_ refusal, at time.Time) bool { return time.Since(at) >= refusalTTL })
+}
 
 // Close closes all idle connections.
 func (f *Forwarder) Close() { f.transport.Close() }
@@ -112,10 +116,9 @@
 	err := code.New(code.LinksLost, "no daemon reaches the targets of service %q", r.Service)
 	tried := 0
 	for _, p := range f.peers() {
-		if tried == maxPeers || f.skip(p.VM, r.Service) {
+		if f.hasRefused(p.VM, r.Service) {
 			continue
 		}
-		tried++
 		resp, failed := f.offer(ctx, p, r)
 		if failed == nil {
 			counts.Add("forwarded", 1)
@@ -123,7 +126,7 @@
 		}
 		log.WithFields(log.Fields{"request": r.ID, "service": r.Service, "peer": p.VM, "code": int(failed.Code)}).Info("forward: request not accepted")
 		err = failed
-		if ctx.Err() != nil || !canServeElsewhere(failed.Code) {
+		if tried++; tried == maxPeers || ctx.Err() != nil || !canServeElsewhere(failed.Code) {
 			break
 		}
 	}
@@ -181,19 +184,11 @@
 	f.refused[refusal{vm, service}] = time.Now()
 }
 
-// skip reports whether a request for the service isn't offered to the daemon.
-func (f *Forwarder) skip(vm, service string) bool {
-	now := time.Now()
+// hasRefused reports whether the daemon has refused a request for the service
+// within refusalTTL.
+func (f *Forwarder) hasRefused(vm, service string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	current := 0
-	for r, at := range f.refused {
-		if now.Sub(at) >= refusalTTL {
-			delete(f.refused, r)
-		} else if r.service == service {
-			current++
-		}
-	}
-	_, refused := f.refused[refusal{vm, service}]
-	return refused || current >= maxRefusals
+	at, ok := f.refused[refusal{vm, service}]
+	return ok && time.Since(at) < refusalTTL
 }
