--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -38,8 +38,9 @@
 	Host     string
 	Header   http.Header // forwarded to the target
 	Body     []byte
-	// CallerHeader is sent to another daemon that the call is forwarded to.
-	CallerHeader http.Header
+	// CallerHeader returns the header for another daemon that the call is
+	// forwarded to.
+	CallerHeader func() http.Header
 	// Forwarded reports that another daemon has forwarded the call to this one.
 	Forwarded bool
 	// PriorRuns is the number of targets that may have run the call before it
--- a/request/dispatch/peers.go
+++ b/request/dispatch/peers.go
@@ -49,7 +49,7 @@
 func (x *execution) askPeer(ctx context.Context) (*forward.Response, error) {
 	resp, err := x.opts.Peers.Do(ctx, &forward.Request{
 		ID: x.call.Meta.RequestID, Service: x.call.Service.Name,
-		Method: x.call.Method, URI: x.call.URI, Host: x.call.Host, Header: x.call.CallerHeader, Body: x.call.Body,
+		Method: x.call.Method, URI: x.call.URI, Host: x.call.Host, Header: x.call.CallerHeader(), Body: x.call.Body,
 		Deadline: x.call.Deadline, Envelope: forward.Envelope{Version: x.call.Version, Runs: x.possibleRuns},
 	})
 	if err != nil {
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -202,7 +202,7 @@
 		Header:  x.o.Protocol.ForwardHeaders(x.req.Header, cfg.RequiresKeys()),
 		Body:    body,
 
-		CallerHeader: x.o.Protocol.ForwardHeaders(x.req.Header, false),
+		CallerHeader: func() http.Header { return x.o.Protocol.ForwardHeaders(x.req.Header, false) },
 
 		Priority: r.Priority,
 	}
