--- a/request/dispatch/harness_test.go
+++ b/request/dispatch/harness_test.go
@@ -124,7 +124,7 @@
 		Meta: meta, Service: svc, Arrived: now, Deadline: now.Add(min(timeout, meta.Timeout)),
 		Method: "POST", URI: "/p/x?y=1", Host: "a.example", Header: platform.TargetProtocol{}.ForwardHeaders(header, false), Body: []byte("body"),
 		CallerHeader: func() http.Header { return header },
-		Route: &route.Route{Name: "r", Kind: kind, Attempts: attempts, Objective: 500 * time.Millisecond, Timeout: timeout},
+		Route:        &route.Route{Name: "r", Kind: kind, Attempts: attempts, Objective: 500 * time.Millisecond, Timeout: timeout},
 	}
 	return c
 }
