--- a/request/entry/forward.go
+++ b/request/entry/forward.go
@@ -68,15 +68,17 @@
 	return e.opts.Links != nil && e.opts.Links.Lost(svc.Doc.Service)
 }
 
-// viaPeer reports whether a request goes through another daemon. err is the
-// error with which it failed here, or nil. A request that was forwarded to this
-// daemon isn't forwarded again, nor one that may have run.
-func (e *Entry) viaPeer(req *http.Request, svc *view.Service, err error) bool {
-	if e.opts.Peers == nil || envelopeOf(req) != nil || !e.linksLost(svc) {
-		return false
-	}
+// viaPeer reports whether a request goes through another daemon. A request that
+// was forwarded to this daemon isn't forwarded again.
+func (e *Entry) viaPeer(req *http.Request, svc *view.Service) bool {
+	return e.opts.Peers != nil && envelopeOf(req) == nil && e.linksLost(svc)
+}
+
+// retryViaPeer reports whether a request that failed here with err, without
+// being sent to a target, goes through another daemon.
+func (e *Entry) retryViaPeer(req *http.Request, svc *view.Service, err error) bool {
 	c := code.Of(err)
-	return err == nil || c == code.NoTarget || c == code.TargetUnreachable
+	return (c == code.NoTarget || c == code.TargetUnreachable) && e.viaPeer(req, svc)
 }
 
 // forward sends a request through another daemon and writes the answer.
--- a/request/entry/model.go
+++ b/request/entry/model.go
@@ -60,7 +60,7 @@
 			writeError(w, err)
 			return nil
 		}
-		if e.viaPeer(req.Request, c.svc, nil) {
+		if e.viaPeer(req.Request, c.svc) {
 			e.forward(w, req.Request, c.svc, c.params, c.raw)
 			return nil
 		}
@@ -213,7 +213,7 @@
 	}
 	cost := float64(c.promptTokens + outputTokenCost*c.outputTokens)
 	p, err := e.admit(q, c.params, cost)
-	if err != nil && e.viaPeer(req, c.svc, err) {
+	if e.retryViaPeer(req, c.svc, err) {
 		e.forward(w, req, c.svc, c.params, c.raw)
 		return
 	}
@@ -234,7 +234,7 @@
 	}
 	recv := &unstreamedReceiver{id: id, max: int64(e.opts.Limits.BodyBytes)}
 	_, err = e.runner.Run(ctx, q, &p.decision, recv)
-	if err != nil && e.viaPeer(req, c.svc, err) {
+	if e.retryViaPeer(req, c.svc, err) {
 		p.release()
 		e.forward(w, req, c.svc, c.params, c.raw)
 		return
@@ -256,7 +256,7 @@
 	out := &streamSink{w: w, bufferBytes: e.opts.Limits.BufferBytes, writeTimeout: e.opts.WriteTimeout, cancel: cancel, obs: obs}
 	recv := newStreamReceiver(q.ID, c.firstToken(), out)
 	_, err := e.runner.Run(ctx, q, &p.decision, recv)
-	if err != nil && out.writer == nil && e.viaPeer(req, c.svc, err) {
+	if out.writer == nil && e.retryViaPeer(req, c.svc, err) {
 		return err
 	}
 	err = out.close(err)
--- a/request/entry/once.go
+++ b/request/entry/once.go
@@ -38,7 +38,7 @@
 	case <-req.Context().Done():
 		r.err = code.New(code.CallerGone, "")
 	}
-	if r.err != nil && e.viaPeer(req, c.svc, r.err) {
+	if e.retryViaPeer(req, c.svc, r.err) {
 		e.forward(w, req, c.svc, c.params, c.body)
 		return
 	}
--- a/request/entry/plain.go
+++ b/request/entry/plain.go
@@ -39,7 +39,7 @@
 		writeError(w, err)
 		return nil
 	}
-	if e.viaPeer(req.Request, c.svc, nil) {
+	if e.viaPeer(req.Request, c.svc) {
 		e.forward(w, req.Request, c.svc, c.params, c.body)
 		return nil
 	}
@@ -175,7 +175,7 @@
 	q := c.request(w.Header().Get(attempt.HeaderID), req, e)
 	obs := newObservation(e.opts.Burn, c.svc.Doc.Service, c.params.org)
 	p, err := e.admit(q, c.params, 1)
-	if err != nil && e.viaPeer(req, c.svc, err) {
+	if e.retryViaPeer(req, c.svc, err) {
 		e.forward(w, req, c.svc, c.params, c.body)
 		return
 	}
@@ -189,7 +189,7 @@
 	defer cancel()
 	recv := &plainReceiver{w: w, maxBuffered: int64(e.opts.Limits.BufferBytes), writeTimeout: e.opts.WriteTimeout}
 	_, err = e.runner.Run(ctx, q, &p.decision, recv)
-	if !recv.committed && e.viaPeer(req, c.svc, err) && err != nil {
+	if !recv.committed && e.retryViaPeer(req, c.svc, err) {
 		p.release()
 		e.forward(w, req, c.svc, c.params, c.body)
 		return
