--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -112,8 +112,12 @@
 	e.sample(now)
 }
 
-// do runs f in the loop and waits for it.
+// do runs f in the loop and waits for it. It doesn't run f if ctx has ended
+// before: of several ready cases, select takes any.
 func (e *Engine) do(ctx context.Context, f func()) error {
+	if ctx.Err() != nil {
+		return unavailable(ctx.Err())
+	}
 	done := make(chan struct{})
 	cmd := func() {
 		f()
