front: daemons without links to some service are asked too, last

Four of six daemons had lost the engines and the other two, and one of the four, the plain targets.

Cause: a daemon that has lost its links to any service got no forwarded calls, so that with each daemon cut from one service or the other nobody was asked, though for each service some daemon had links.

--- a/process/front/links.go
+++ b/process/front/links.go
@@ -83,11 +83,13 @@
 	mu        sync.Mutex
 	listed    time.Time
 	near, far []forward.Peer // in this daemon's availability zone, and in others
+	unlinked  []forward.Peer // that have lost their links to some service, maybe another one
 	useFar    bool           // the zone has lost so many daemons that the rest can't take all requests
 }
 
 // list returns the daemons in a random order, those of this daemon's
-// availability zone first if they are enough.
+// availability zone first if they are enough, and those without links to some
+// service last.
 func (f *forwardPeers) list() []forward.Peer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -95,23 +97,26 @@
 		f.refresh()
 	}
 	if f.useFar {
-		return forward.Shuffled(slices.Concat(f.near, f.far))
+		return forward.Shuffled(slices.Concat(f.near, f.far), f.unlinked)
 	}
-	return forward.Shuffled(f.near, f.far)
+	return forward.Shuffled(f.near, f.far, f.unlinked)
 }
 
 // refresh reads the members. Callers hold f.mu.
 func (f *forwardPeers) refresh() {
 	all := f.members()
 	self := all[0]
-	f.near, f.far, f.listed = nil, nil, time.Now()
-	unlinked := 1
+	f.near, f.far, f.unlinked, f.listed = nil, nil, nil, time.Now()
+	nearUnlinked := 1
 	for _, m := range all[1:] {
 		near := m.Zone == self.Zone
 		p := forward.Peer{VM: m.VM, Addr: m.PeerAddr}
 		switch {
-		case m.State == roster.Unlinked && near:
-			unlinked++
+		case m.State == roster.Unlinked:
+			f.unlinked = append(f.unlinked, p)
+			if near {
+				nearUnlinked++
+			}
 		case m.State != roster.Ready:
 		case near:
 			f.near = append(f.near, p)
@@ -119,5 +124,5 @@
 			f.far = append(f.far, p)
 		}
 	}
-	f.useFar = len(f.near) < unlinked
+	f.useFar = len(f.near) < nearUnlinked
 }
