soak: stopped and starved processes; a decision's class in the log

The soak could stop daemons, not targets, and ran for less than a window. A target behind a gate reads nothing while its kernel accepts and acknowledges, as a process that is stopped. Daemons take the users' ratio and slack. Arrivals in the busiest window are related to the decisions in the daemons' logs, by class of failure and daemon; 'retry decided' states the class and the failed target. No decision of a daemon changes.

--- a/bench/soak/budget_test.go
+++ b/bench/soak/budget_test.go
@@ -40,8 +40,8 @@
 		{"a second prefill is", many(0, 0), append(arrivals("a", true, at(0), at(0.5)), arrivals("a", false, many(6, 1)...)...), true},
 	}
 	for _, tc := range cases {
-		if got := b.Check(tc.requests, tc.arrivals); (got != "") != tc.broken {
-			t.Errorf("%s: %q", tc.name, got)
+		if got := b.Busiest(tc.requests, tc.arrivals); got.Exceeded() != tc.broken {
+			t.Errorf("%s: %v", tc.name, got)
 		}
 	}
 }
--- a/bench/soak/client.go
+++ b/bench/soak/client.go
@@ -42,12 +42,14 @@
 	// Grace is how long callers wait after the deadline of a request. A request
 	// that hasn't ended by then is reported as a fault of its daemon.
 	Grace time.Duration
+	// Think is the longest pause of a caller between two requests.
+	Think time.Duration
 }
 
 const (
 	// requestTimeout is the time until the deadline of a request.
 	requestTimeout = 3 * time.Second
-	// maxThinkTime is the longest pause of a caller between two requests.
+	// maxThinkTime is the default of Load.Think.
 	maxThinkTime = 60 * time.Millisecond
 	// cancelShare is the share of requests that their callers cancel.
 	cancelShare = 0.03
@@ -95,7 +97,7 @@
 }
 
 func (c *caller) pause(ctx context.Context) {
-	t := time.NewTimer(time.Duration(c.rand.Int64N(int64(maxThinkTime))))
+	t := time.NewTimer(time.Duration(c.rand.Int64N(int64(c.Think))))
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
--- a/bench/soak/client_test.go
+++ b/bench/soak/client_test.go
@@ -31,7 +31,7 @@
 		close(accepted)
 	}()
 	c := &caller{
-		Load:     &Load{Daemons: []Daemon{{Callers: l.Addr().String()}}},
+		Load:     &Load{Think: maxThinkTime, Daemons: []Daemon{{Callers: l.Addr().String()}}},
 		rand:     rand.New(rand.NewPCG(1, 1)),
 		resolved: []int{0},
 		expires:  time.Now().Add(time.Hour),
--- a/bench/soak/fleet_test.go
+++ b/bench/soak/fleet_test.go
@@ -160,11 +160,14 @@
 // exceeds the limit.
 var retryBudget = Budget{Ratio: 0.05, Slack: 150, Window: 10 * time.Second}
 
+// siteBudget is the limit of one of the users' deployments.
+var siteBudget = Budget{Ratio: 0.2, Slack: 52, Window: 10 * time.Second}
+
 // writeSettings writes the settings of a daemon and returns their path.
-func writeSettings(dir string, index int, ip, store, cloud string) (string, error) {
+func writeSettings(dir string, index int, ip, store, cloud string, budget Budget) (string, error) {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, settingsTemplate, index, [zoneCount]string{"a", "b"}[index%zoneCount], ip, store, cloud,
-		retryBudget.Ratio, retryBudget.Slack, retryBudget.Window)
+		budget.Ratio, budget.Slack, budget.Window)
 	path := filepath.Join(dir, fmt.Sprintf("daemon-%d.yaml", index))
 	return path, os.WriteFile(path, b.Bytes(), 0o644)
 }
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -14,28 +14,36 @@
 
 // The kinds. An event with a duration is undone at its end.
 const (
-	KillDaemon    Kind        = iota // SIGKILL; restart at the end
-	StopDaemon                       // SIGTERM; restart once the process has exited
-	PauseDaemon                      // SIGSTOP; SIGCONT at the end
-	ReloadDaemon                     // SIGHUP
-	CutStore                         // network fault between a daemon and the store
-	FailStore                        // the store and the cloud return errors or hang
-	CutTarget                        // network fault between the daemons and a target
-	DegradeTarget                    // a target answers incorrectly
-	KillTarget                       // a target is removed; at the end a new one gets its address
-	DrainTarget                      // a target announces that it leaves, and withdraws that at the end
-	Publish                          // a new version of the configuration is published
-	StepClock                        // the time of day of a daemon's VM is stepped; it is right again at the end
-	RejectAll                        // all targets of a service reject
-	RestartSeries                    // all daemons are killed and started again, several times
-	kindCount                        // of the kinds that are drawn alike
-	CutLinks      = kindCount        // a daemon loses its links to all targets
+	KillDaemon    Kind = iota // SIGKILL; restart at the end
+	StopDaemon                // SIGTERM; restart once the process has exited
+	PauseDaemon               // SIGSTOP; SIGCONT at the end
+	ReloadDaemon              // SIGHUP
+	CutStore                  // network fault between a daemon and the store
+	FailStore                 // the store and the cloud return errors or hang
+	CutTarget                 // network fault between the daemons and a target
+	DegradeTarget             // a target answers incorrectly
+	KillTarget                // a target is removed; at the end a new one gets its address
+	DrainTarget               // a target announces that it leaves, and withdraws that at the end
+	Publish                   // a new version of the configuration is published
+	StepClock                 // the time of day of a daemon's VM is stepped; it is right again at the end
+	RejectAll                 // all targets of a service reject
+	RestartSeries             // all daemons are killed and started again, several times
+	kindCount                 // of the kinds that are drawn alike
+)
+
+// The kinds that have plans of their own.
+const (
+	CutLinks     = kindCount + iota // a daemon loses its links to all targets
+	StopTarget                      // a target's process is stopped; it continues at the end
+	StarveTarget                    // a target's process gets starvedShare of the time
+	StarveDaemon                    // a daemon's process gets starvedShare of the time
 )
 
 var kindNames = [...]string{
 	"kill daemon", "stop daemon", "pause daemon", "reload daemon", "cut store", "fail store",
 	"cut target", "spoil target", "kill target", "drain target", "publish",
 	"step clock", "reject all", "restart series", "cut links",
+	"stop target", "starve target", "starve daemon",
 }
 
 // String returns the name of the kind in plans.
@@ -63,6 +71,18 @@
 	Length  time.Duration
 	// Cuts adds cuts of daemons from all targets to the plan.
 	Cuts bool
+	// Stalls makes all targets of a service reject for most of the load, and
+	// adds stopped and starved targets and daemons to the plan.
+	Stalls bool
+	// Budget is the daemons' retry budget; nil: retryBudget.
+	Budget *Budget
+}
+
+func (s Size) budget() Budget {
+	if s.Budget != nil {
+		return *s.Budget
+	}
+	return retryBudget
 }
 
 const (
@@ -108,6 +128,9 @@
 	if s.Cuts {
 		out = append(out, cutPlan(seed, s)...)
 	}
+	if s.Stalls {
+		out = append(out, stallPlan(seed, s)...)
+	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
@@ -184,3 +207,39 @@
 	}
 	return out
 }
+
+const (
+	// starvePeriod is the time in which a starved process runs once, for
+	// starvedShare of it.
+	starvePeriod = 250 * time.Millisecond
+	starvedShare = 0.08
+	// minStall and maxStall bound the duration of a stall. The longest ones
+	// exceed the window of the budget.
+	minStall = time.Second
+	maxStall = 13 * time.Second
+	// meanStallGap is the mean time between two stalls, so that some overlap.
+	meanStallGap = 4 * time.Second
+	// stallLead is the time for which targets reject before the first stall, so
+	// that the budget is spent.
+	stallLead = 3 * time.Second
+)
+
+// stallPlan returns stalls of one process, of half of them, or of all, while
+// all targets of a service reject.
+func stallPlan(seed uint64, s Size) (out []Event) {
+	r := rand.New(rand.NewPCG(seed, 3))
+	out = append(out, Event{At: time.Second, For: s.Length - time.Second, Kind: RejectAll, How: r.IntN(variantCount)})
+	for at := stallLead; at < s.Length-minStall; at += time.Duration(r.ExpFloat64() * float64(meanStallGap)) {
+		e := Event{At: at, For: min(minStall+randomDuration(r, maxStall-minStall), s.Length-at), Kind: StopTarget + Kind(r.IntN(int(StarveDaemon-StopTarget)+1))}
+		count := s.Targets
+		if e.Kind == StarveDaemon {
+			count = s.Daemons
+		}
+		first, step := r.IntN(count), []int{count, 2, 1}[r.IntN(3)]
+		for i := 0; i < count; i += step {
+			e.On = (first + i) % count
+			out = append(out, e)
+		}
+	}
+	return out
+}
--- a/bench/soak/site_test.go
+++ b/bench/soak/site_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -31,6 +32,7 @@
 	generation atomic.Int32
 	name       string
 	proxy      *Proxy
+	gate       gate
 	srv        *http.Server
 	targets    []*standin.Target // guarded by environment.mu
 }
@@ -45,6 +47,7 @@
 	storeServer  *http.Server // serves store
 	cloud        *standin.Cloud
 	cloudServer  *http.Server // serves cloud
+	budget       Budget       // of the daemons
 	storeProxies []*Proxy     // to the store, one for each daemon
 	daemons      []*process
 
@@ -61,12 +64,12 @@
 	t.Helper()
 	dir := t.TempDir()
 	if keep := os.Getenv("SOAK_DIR"); keep != "" {
-		dir = filepath.Join(keep, fmt.Sprintf("seed-%d", seed))
+		dir = filepath.Join(keep, strings.ReplaceAll(t.Name(), "/", "_"))
 		if err := os.MkdirAll(dir, 0o755); err != nil {
 			t.Fatal(err)
 		}
 	}
-	env := &environment{t: t, dir: dir, judge: NewJudge(), store: standin.NewStore(), cloud: standin.NewCloud()}
+	env := &environment{t: t, dir: dir, judge: NewJudge(), budget: s.budget(), store: standin.NewStore(), cloud: standin.NewCloud()}
 	env.addrPrefix = reserveRange(t)
 	storeAddr, cloudAddr := env.startServer(env.store, &env.storeServer), env.startServer(env.cloud, &env.cloudServer)
 	for i := range s.Targets {
@@ -82,7 +85,7 @@
 			t.Fatal(err)
 		}
 		env.storeProxies = append(env.storeProxies, proxy)
-		path, err := writeSettings(dir, i, env.ip(i), proxy.Addr(), cloudAddr)
+		path, err := writeSettings(dir, i, env.ip(i), proxy.Addr(), cloudAddr, s.budget())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -121,20 +124,29 @@
 
 // startServer starts a server on a free port and returns its address.
 func (env *environment) startServer(h http.Handler, srv **http.Server) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		env.t.Fatal(err)
-	}
+	l := listen(env.t)
 	*srv = &http.Server{Handler: h}
 	go func() { _ = (*srv).Serve(l) }()
 	return l.Addr().String()
 }
 
+// listen listens on a free port.
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
 func (env *environment) addSlot(i int) {
 	slot := &targetSlot{stage: []string{"", "prefill", "decode", ""}[i%4], name: fmt.Sprintf("i-%d", i)}
-	addr := env.startServer(http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) { slot.current.Load().ServeHTTP(rw, req) }), &slot.srv)
+	l := &gatedListener{listen(env.t), &slot.gate}
+	slot.srv = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) { slot.current.Load().ServeHTTP(rw, req) })}
+	go func() { _ = slot.srv.Serve(l) }()
 	var err error
-	if slot.proxy, err = NewProxy("127.0.0.1:0", addr); err != nil {
+	if slot.proxy, err = NewProxy("127.0.0.1:0", l.Addr().String()); err != nil {
 		env.t.Fatal(err)
 	}
 	env.slots = append(env.slots, slot)
@@ -230,6 +242,14 @@
 func (env *environment) checkBudgets() {
 	env.mu.Lock()
 	defer env.mu.Unlock()
+	var decisions []decision
+	for _, p := range env.daemons {
+		list, err := readDecisions(p.logPath, p.index)
+		if err != nil {
+			env.t.Log(err)
+		}
+		decisions = append(decisions, list...)
+	}
 	arrivals := make(map[bool][]standin.Arrival) // by whether the service has engines
 	for _, slot := range env.slots {
 		for _, t := range slot.targets {
@@ -238,8 +258,11 @@
 	}
 	for engines, list := range arrivals {
 		sent := env.judge.SentTimes(func(c Class) bool { return (c == Stream) == engines })
-		if broken := retryBudget.Check(sent, list); broken != "" {
-			env.judge.ReportFault("retry budget, service with engines %v: %s", engines, broken)
+		use := env.budget.Busiest(sent, list)
+		text := fmt.Sprintf("retry budget, service with engines %v: %v; %v", engines, use, explain(use, list, decisions))
+		env.t.Log(text)
+		if use.Exceeded() {
+			env.judge.ReportFault("%s", text)
 		}
 	}
 }
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -131,13 +132,16 @@
 	daemons       int
 	plan          []Event
 	length        time.Duration
+	budget        *Budget       // see Size
+	callers       int           // 0: the flag's number
+	think         time.Duration // longest pause of a caller between two requests; 0: maxThinkTime
 	recoveryLimit time.Duration // limit for the recovery after the load
 	grace         time.Duration // Load.Grace
 }
 
 // runTrial runs a trial and returns the violations.
 func runTrial(t *testing.T, tr trial) ([]string, Totals) {
-	env := newEnvironment(t, tr.seed, tr.program, Size{Daemons: tr.daemons, Targets: *targets})
+	env := newEnvironment(t, tr.seed, tr.program, Size{Daemons: tr.daemons, Targets: *targets, Budget: tr.budget})
 	defer env.close()
 	for i := range env.daemons {
 		if !eventually(recoveryLimit, func() bool { return env.ready(i) }) {
@@ -148,8 +152,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), tr.length)
 	defer cancel()
 	var wg sync.WaitGroup
-	load := env.newLoad(tr.seed, *callers)
-	load.Grace = tr.grace
+	load := env.newLoad(tr.seed, cmp.Or(tr.callers, *callers))
+	load.Grace, load.Think = tr.grace, cmp.Or(tr.think, maxThinkTime)
 	wg.Go(func() { load.Run(ctx) })
 	env.runPlan(ctx, tr.plan, &wg)
 	wg.Wait()
@@ -237,6 +241,31 @@
 		env.restartInSeries(ctx, e.For)
 	case CutLinks:
 		env.cutLinks(e, waitEnd)
+	case StopTarget:
+		resume := env.slots[e.On].gate.stop()
+		waitEnd()
+		resume()
+	case StarveTarget:
+		env.starve(ctx, e, func() (resume func()) { return env.slots[e.On].gate.stop() })
+	case StarveDaemon:
+		defer env.judge.BeginOutage(e.On)()
+		p := env.daemons[e.On]
+		env.starve(ctx, e, func() (resume func()) {
+			p.signal(syscall.SIGSTOP)
+			return func() { p.signal(syscall.SIGCONT) }
+		})
+	}
+}
+
+// starve lets a process run for starvedShare of each starvePeriod while the event
+// lasts.
+func (env *environment) starve(ctx context.Context, e Event, stop func() (resume func())) {
+	running := time.Duration(starvedShare * float64(starvePeriod))
+	for end := time.Now().Add(e.For); time.Now().Before(end) && ctx.Err() == nil; {
+		resume := stop()
+		wait(ctx.Done(), starvePeriod-running)
+		resume()
+		wait(ctx.Done(), running)
 	}
 }
 
--- /dev/null
+++ b/bench/soak/stall_test.go
@@ -0,0 +1,70 @@
+package soak
+
+import (
+	"testing"
+	"time"
+)
+
+// The load of a trial with stalls. Callers pause for so long that few of them
+// wait for an answer at a time, and requests go on while targets are stopped.
+const (
+	stallLength  = 26 * time.Second
+	stallDaemons = 6
+	stallCallers = 300
+	stallThink   = 4 * time.Second
+)
+
+// TestRetryBudgetWhileProcessesStall guards against retries that targets receive
+// long after they were decided, together with later ones.
+func TestRetryBudgetWhileProcessesStall(t *testing.T) {
+	reject := Event{At: time.Second, For: 24 * time.Second, Kind: RejectAll}
+	cases := []struct {
+		name string
+		plan []Event
+	}{
+		{"nothing stalls", []Event{reject}},
+		{"all targets are stopped", append(onPlain(StopTarget, 6, 9), reject)},
+		{"half of the targets are stopped", append(onPlain(StopTarget, 6, 9)[:2], reject)},
+		{"all targets are stopped three times", append(append(append(onPlain(StopTarget, 5, 3), onPlain(StopTarget, 9, 3)...), onPlain(StopTarget, 13, 3)...), reject)},
+		{"all targets are starved", append(onPlain(StarveTarget, 5, 9), reject)},
+		{"all targets are stopped, then reject", append(onPlain(StopTarget, 3, 8), Event{At: 11 * time.Second, For: 14 * time.Second, Kind: RejectAll})},
+		{"all daemons are starved", append(onDaemons(StarveDaemon, 5, 9), reject)},
+		{"all daemons are stopped", append(onDaemons(PauseDaemon, 6, 6), reject)},
+	}
+	program := buildDaemon(t, t.TempDir(), nil)
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			runStallTrial(t, program, 1, tc.plan)
+		})
+	}
+}
+
+func runStallTrial(t *testing.T, program string, seed uint64, plan []Event) {
+	faults, totals := runTrial(t, trial{
+		seed: seed, program: program, daemons: stallDaemons, plan: plan, length: stallLength,
+		budget: &siteBudget, callers: stallCallers, think: stallThink, recoveryLimit: recoveryLimit, grace: callerGrace,
+	})
+	t.Logf("%+v", totals)
+	for _, f := range faults {
+		t.Error(f)
+	}
+}
+
+// onPlain returns events at all plain targets, from and length in seconds.
+func onPlain(kind Kind, from, length time.Duration) (plan []Event) {
+	for on := range defaultTargets {
+		if on%4 == 0 || on%4 == 3 {
+			plan = append(plan, Event{At: from * time.Second, For: length * time.Second, Kind: kind, On: on})
+		}
+	}
+	return plan
+}
+
+// onDaemons returns events at all daemons, from and length in seconds.
+func onDaemons(kind Kind, from, length time.Duration) (plan []Event) {
+	for on := range stallDaemons {
+		plan = append(plan, Event{At: from * time.Second, For: length * time.Second, Kind: kind, On: on})
+	}
+	return plan
+}
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -176,15 +176,15 @@
 	case f.MayHaveRun() && !x.call.Route.Idempotent():
 		return false
 	}
-	return x.chargeRetry(sends)
+	return x.chargeRetry(f, sends)
 }
 
 // chargeRetry takes the sends of a retry from the budget and reports whether
 // it may be made.
-func (x *execution) chargeRetry(sends int) bool {
+func (x *execution) chargeRetry(f *sendFailure, sends int) bool {
 	if sends == 0 {
 		counts.Add("retries_uncharged", 1)
-		x.logRetry(true, 0, x.opts.Budget.State(x.call.Service.Name))
+		x.logRetry(f, true, 0, x.opts.Budget.State(x.call.Service.Name))
 		return true
 	}
 	allowed, state := x.opts.Budget.Take(x.call.Service.Name, sends)
@@ -194,13 +194,14 @@
 	} else {
 		counts.Add("retries_denied", 1)
 	}
-	x.logRetry(allowed, sends, state)
+	x.logRetry(f, allowed, sends, state)
 	return allowed
 }
 
-func (x *execution) logRetry(allowed bool, sends int, s budget.State) {
+func (x *execution) logRetry(f *sendFailure, allowed bool, sends int, s budget.State) {
 	log.WithFields(log.Fields{
 		"request": x.call.Meta.RequestID, "service": x.call.Service.Name, "allowed": allowed, "charged": sends,
+		"class": f.Class.String(), "failed_target": f.Target,
 		"spent": s.Spent, "limit": s.Limit, "requests": s.Requests, "daemons": s.Daemons, "uptime_ms": s.Uptime.Milliseconds(),
 	}).Info("dispatch: retry decided")
 }
