--- a/bench/soak/stall_test.go
+++ b/bench/soak/stall_test.go
@@ -27,7 +27,7 @@
 		{"half of the targets are stopped", append(onPlain(StopTarget, 6, 9)[:2], reject)},
 		{"all targets are stopped three times", append(append(append(onPlain(StopTarget, 5, 3), onPlain(StopTarget, 9, 3)...), onPlain(StopTarget, 13, 3)...), reject)},
 		{"all targets are starved", append(onPlain(StarveTarget, 5, 9), reject)},
-		{"all targets are stopped, then reject", append(onPlain(StopTarget, 3, 8), Event{At: 11 * time.Second, For: 14 * time.Second, Kind: RejectAll})},
+		{"targets are stopped and then reject", append(onPlain(StopTarget, 3, 8), Event{At: 11 * time.Second, For: 14 * time.Second, Kind: RejectAll})},
 		{"all daemons are starved", append(onDaemons(StarveDaemon, 5, 9), reject)},
 		{"all daemons are stopped", append(onDaemons(PauseDaemon, 6, 6), reject)},
 	}
--- a/request/budget/fleet_test.go
+++ b/request/budget/fleet_test.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -19,6 +20,7 @@
 // testFleet is a number of daemons that each get one request a round.
 type testFleet struct {
 	now      time.Duration
+	known    int // daemons that each one knows of; 0: all
 	daemons  []*Fleet
 	requests []time.Duration
 	extras   []time.Duration
@@ -37,7 +39,7 @@
 func (f *testFleet) restart(i int) {
 	f.daemons[i] = NewFleet(FleetOptions{
 		Ratio: testRatio, Slack: testSlack, Window: testWindow,
-		Daemons: func() int { return len(f.daemons) },
+		Daemons: func() int { return cmp.Or(f.known, len(f.daemons)) },
 		Clock:   func() time.Duration { return f.now },
 	})
 }
@@ -138,6 +140,31 @@
 // idle lets time pass without requests.
 func (f *testFleet) idle(d time.Duration) { f.now += d }
 
+// Guards against daemons that divide the slack by those that are left, while the
+// sends of others that have just left still count.
+func TestDaemonsThatLeaveKeepTheBudget(t *testing.T) {
+	f := newTestFleet(6)
+	f.idle(2 * testWindow)
+	f.run(300*time.Millisecond, 50)
+	f.daemons = f.daemons[:2]
+	f.run(300*time.Millisecond, 50)
+	f.check(t)
+}
+
+// Guards against daemons that have waited for the store, without requests, and
+// spend their part of the slack before they know each other.
+func TestDaemonsThatFindEachOtherLateKeepTheBudget(t *testing.T) {
+	f := &testFleet{daemons: make([]*Fleet, 6), known: 1}
+	for i := range f.daemons {
+		f.restart(i)
+	}
+	f.idle(time.Minute)
+	f.run(time.Second, 5)
+	f.known = 0
+	f.run(time.Second, 5)
+	f.check(t)
+}
+
 // Guards against any order of busy periods, lulls, rejections and restarts in
 // which the daemons together exceed the limit.
 func TestRandomTrafficKeepsTheBudget(t *testing.T) {
