budget: an extra send counts until targets have received it

What callers saw: rule BUDGET broken on real processes. Targets that stand still (stopped, swapping, starved) receive on continuing what daemons sent during the whole pause, then what is sent afterwards: 300 extra sends in 10 s for 244, 290 for 249 (plain targets), 202 for 155 and 191 for 147 (engines).

Cause: a daemon counted a retry at its decision, for a window and half a second. The rule counts arrivals. A stopped process's kernel acknowledges, so neither TCP_USER_TIMEOUT nor a reset shows it, and the bytes of closed connections are read too. The first send of a request may also arrive last, as the extra one: 68 of 225 late sends in a run with half of the targets stopped followed rejections.

Change: a call's extra sends count from the decision until a window after it is known what became of all of its sends: answered, closed by the target, never acknowledged (the connection is then reset, so that the kernel stops sending), or followed by an answer of the same address to a later send. Open sends are also bounded by the requests of the last half window, so that those that arrive after the load has ended are paid for. A charge that was never sent is given back.

--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -74,15 +74,6 @@
 	// Stalls makes all targets of a service reject for most of the load, and
 	// adds stopped and starved targets and daemons to the plan.
 	Stalls bool
-	// Budget is the daemons' retry budget; nil: retryBudget.
-	Budget *Budget
-}
-
-func (s Size) budget() Budget {
-	if s.Budget != nil {
-		return *s.Budget
-	}
-	return retryBudget
 }
 
 const (
--- a/bench/soak/planted_test.go
+++ b/bench/soak/planted_test.go
@@ -46,7 +46,7 @@
 			{"platform/headers.go", "if dropAPIKey {", "if false {"},
 		}, nil, "with key"},
 		{"a new process spends the slack again", []edit{
-			{"request/budget/fleet.go", "if s.Uptime < f.warmup {", "if false {"},
+			{"request/budget/fleet.go", "if s.Serving < f.warmup {", "if false {"},
 		}, []Event{rejectPlain, {At: time.Second, For: 4 * time.Second, Kind: RestartSeries}}, "retry budget"},
 		{"the budget follows the time of day", []edit{
 			{"process/front/front.go", "clock.Boot{}.Now,", "func() time.Duration { return time.Duration(time.Now().UnixNano()) },"},
--- a/bench/soak/site_test.go
+++ b/bench/soak/site_test.go
@@ -60,7 +60,7 @@
 }
 
 // newEnvironment starts the store, the cloud, the targets and the daemons.
-func newEnvironment(t *testing.T, seed uint64, program string, s Size) *environment {
+func newEnvironment(t *testing.T, seed uint64, program string, s Size, budget Budget) *environment {
 	t.Helper()
 	dir := t.TempDir()
 	if keep := os.Getenv("SOAK_DIR"); keep != "" {
@@ -69,7 +69,7 @@
 			t.Fatal(err)
 		}
 	}
-	env := &environment{t: t, dir: dir, judge: NewJudge(), budget: s.budget(), store: standin.NewStore(), cloud: standin.NewCloud()}
+	env := &environment{t: t, dir: dir, judge: NewJudge(), budget: budget, store: standin.NewStore(), cloud: standin.NewCloud()}
 	env.addrPrefix = reserveRange(t)
 	storeAddr, cloudAddr := env.startServer(env.store, &env.storeServer), env.startServer(env.cloud, &env.cloudServer)
 	for i := range s.Targets {
@@ -85,7 +85,7 @@
 			t.Fatal(err)
 		}
 		env.storeProxies = append(env.storeProxies, proxy)
-		path, err := writeSettings(dir, i, env.ip(i), proxy.Addr(), cloudAddr, s.budget())
+		path, err := writeSettings(dir, i, env.ip(i), proxy.Addr(), cloudAddr, budget)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -140,8 +140,11 @@
 	return l
 }
 
+// firstStage returns the stage of the first target of a slot.
+func firstStage(slot int) string { return [...]string{"", "prefill", "decode", ""}[slot%4] }
+
 func (env *environment) addSlot(i int) {
-	slot := &targetSlot{stage: []string{"", "prefill", "decode", ""}[i%4], name: fmt.Sprintf("i-%d", i)}
+	slot := &targetSlot{stage: firstStage(i), name: fmt.Sprintf("i-%d", i)}
 	l := &gatedListener{listen(env.t), &slot.gate}
 	slot.srv = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) { slot.current.Load().ServeHTTP(rw, req) })}
 	go func() { _ = slot.srv.Serve(l) }()
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -132,7 +132,7 @@
 	daemons       int
 	plan          []Event
 	length        time.Duration
-	budget        *Budget       // see Size
+	budget        Budget        // zero: retryBudget
 	callers       int           // 0: the flag's number
 	think         time.Duration // longest pause of a caller between two requests; 0: maxThinkTime
 	recoveryLimit time.Duration // limit for the recovery after the load
@@ -141,7 +141,7 @@
 
 // runTrial runs a trial and returns the violations.
 func runTrial(t *testing.T, tr trial) ([]string, Totals) {
-	env := newEnvironment(t, tr.seed, tr.program, Size{Daemons: tr.daemons, Targets: *targets, Budget: tr.budget})
+	env := newEnvironment(t, tr.seed, tr.program, Size{Daemons: tr.daemons, Targets: *targets}, cmp.Or(tr.budget, retryBudget))
 	defer env.close()
 	for i := range env.daemons {
 		if !eventually(recoveryLimit, func() bool { return env.ready(i) }) {
--- a/bench/soak/stall_test.go
+++ b/bench/soak/stall_test.go
@@ -18,6 +18,8 @@
 // long after they were decided, together with later ones.
 func TestRetryBudgetWhileProcessesStall(t *testing.T) {
 	reject := Event{At: time.Second, For: 24 * time.Second, Kind: RejectAll}
+	rejectEngines := reject
+	rejectEngines.How = 1
 	cases := []struct {
 		name string
 		plan []Event
@@ -28,6 +30,8 @@
 		{"all targets are stopped three times", append(append(append(onPlain(StopTarget, 5, 3), onPlain(StopTarget, 9, 3)...), onPlain(StopTarget, 13, 3)...), reject)},
 		{"all targets are starved", append(onPlain(StarveTarget, 5, 9), reject)},
 		{"targets are stopped and then reject", append(onPlain(StopTarget, 3, 8), Event{At: 11 * time.Second, For: 14 * time.Second, Kind: RejectAll})},
+		{"all engines are stopped", append(onEngines(StopTarget, 6, 9), rejectEngines)},
+		{"engines are stopped and then reject", append(onEngines(StopTarget, 3, 8), Event{At: 11 * time.Second, For: 14 * time.Second, Kind: RejectAll, How: 1})},
 		{"all daemons are starved", append(onDaemons(StarveDaemon, 5, 9), reject)},
 		{"all daemons are stopped", append(onDaemons(PauseDaemon, 6, 6), reject)},
 	}
@@ -43,7 +47,7 @@
 func runStallTrial(t *testing.T, program string, seed uint64, plan []Event) {
 	faults, totals := runTrial(t, trial{
 		seed: seed, program: program, daemons: stallDaemons, plan: plan, length: stallLength,
-		budget: &siteBudget, callers: stallCallers, think: stallThink, recoveryLimit: recoveryLimit, grace: callerGrace,
+		budget: siteBudget, callers: stallCallers, think: stallThink, recoveryLimit: recoveryLimit, grace: callerGrace,
 	})
 	t.Logf("%+v", totals)
 	for _, f := range faults {
@@ -52,9 +56,18 @@
 }
 
 // onPlain returns events at all plain targets, from and length in seconds.
-func onPlain(kind Kind, from, length time.Duration) (plan []Event) {
+func onPlain(kind Kind, from, length time.Duration) []Event {
+	return onTargets(func(stage string) bool { return stage == "" }, kind, from, length)
+}
+
+// onEngines returns events at all engines, from and length in seconds.
+func onEngines(kind Kind, from, length time.Duration) []Event {
+	return onTargets(func(stage string) bool { return stage != "" }, kind, from, length)
+}
+
+func onTargets(selected func(stage string) bool, kind Kind, from, length time.Duration) (plan []Event) {
 	for on := range defaultTargets {
-		if on%4 == 0 || on%4 == 3 {
+		if selected(firstStage(on)) {
 			plan = append(plan, Event{At: from * time.Second, For: length * time.Second, Kind: kind, On: on})
 		}
 	}
--- a/connection/h1/exchange.go
+++ b/connection/h1/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -62,6 +63,10 @@
 type Error struct {
 	Err     error
 	Written bool // some byte of the request may have reached the target
+	// Unacknowledged reports that the target's kernel acknowledged no byte of the
+	// request before the connection was reset. The target won't receive the
+	// request any more.
+	Unacknowledged bool
 }
 
 // Error returns the message of the cause.
@@ -84,6 +89,8 @@
 	bodyEnded atomic.Bool // the body was read to EOF
 	closeOnce sync.Once
 	stray     bool // a response to another request arrived
+	giveUp    sync.Once
+	unacked   int // bytes that were unacknowledged when the exchange was given up
 }
 
 // writeResult is the result of writing a request.
@@ -110,7 +117,7 @@
 		return nil, &Error{Err: err}
 	}
 	x := &exchange{pool: p, req: r, conn: c, ctx: ctx, watchdog: wd, cancel: cancel, writeDone: make(chan writeResult, 1)}
-	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	x.stop = context.AfterFunc(ctx, x.closeConn)
 	x.write()
 	resp, err := x.read()
 	if err != nil {
@@ -278,9 +285,22 @@
 	x.retireIfStalled(err)
 	x.stop()
 	x.release()
-	_ = x.conn.Close()
+	x.closeConn()
 	w := <-x.writeDone
-	return &Error{Err: err, Written: w.bytes > 0}
+	return &Error{Err: err, Written: w.bytes > 0, Unacknowledged: w.bytes > 0 && x.unacked >= w.bytes}
+}
+
+// closeConn closes the connection. If bytes are unacknowledged, it resets the
+// connection, so that the kernel doesn't go on sending them.
+func (x *exchange) closeConn() {
+	x.giveUp.Do(func() {
+		if x.unacked = unacknowledged(x.conn.Conn); x.unacked > 0 {
+			if t, ok := x.conn.Conn.(*net.TCPConn); ok {
+				_ = t.SetLinger(0)
+			}
+		}
+		_ = x.conn.Close()
+	})
 }
 
 // release disarms the watchdog and cancels the context.
--- a/connection/h1/quiet.go
+++ b/connection/h1/quiet.go
@@ -28,3 +28,26 @@
 	})
 	return err == nil && open
 }
+
+// unacknowledged returns the number of sent bytes that the peer's kernel hasn't
+// acknowledged. It returns 0 if that isn't known.
+func unacknowledged(c net.Conn) int {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		if queued, err := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ); err == nil {
+			n = queued
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- a/request/budget/fleet.go
+++ b/request/budget/fleet.go
@@ -6,19 +6,21 @@
 )
 
 // Fleet limits the extra sends of all daemons together without communication
-// between them. Each daemon may spend a share of its own requests and, unless
-// it has just started, its part of a common allowance.
+// between them, as targets receive them. Each daemon may spend a share of its
+// own requests and, unless it has just begun to serve, its part of a common
+// allowance.
 type Fleet struct {
 	w       *windows
 	warmup  time.Duration
 	daemons func() int
-
 	clock   Clock
-	started time.Duration // by clock
 
-	mu    sync.Mutex
-	ratio float64
-	slack float64
+	mu          sync.Mutex
+	ratio       float64
+	slack       float64
+	started     time.Duration      // by clock
+	lost        map[string][]*Send // by the target's address, sends that were given up and may yet be received
+	lostInOrder []*Send            // the same, and some that are known by now
 }
 
 // FleetOptions configures a Fleet. All fields are required.
@@ -36,13 +38,15 @@
 const warmupWindows = 1.5
 
 // SpendableShare is the fraction of the limit that daemons spend. The rest is a
-// margin, since traffic shifts between daemons and a send may take longer to
-// its target than another.
+// margin, since traffic shifts between daemons.
 const SpendableShare = 0.8
 
 func NewFleet(o FleetOptions) *Fleet {
 	warmup := time.Duration(warmupWindows * float64(o.Window))
-	return &Fleet{w: newWindows(o.Window, o.Clock, (*window).requestsOfAnyWindow), warmup: warmup, daemons: o.Daemons, clock: o.Clock, started: o.Clock(), ratio: o.Ratio, slack: o.Slack}
+	return &Fleet{
+		w: newWindows(o.Window, o.Clock, (*window).requestsOfAnyWindow), warmup: warmup, daemons: o.Daemons, clock: o.Clock,
+		ratio: o.Ratio, slack: o.Slack, started: o.Clock(), lost: make(map[string][]*Send),
+	}
 }
 
 // Set changes the ratio and the slack.
@@ -52,47 +56,41 @@
 	f.ratio, f.slack = ratio, slack
 }
 
-// Request counts a request of the service.
-func (f *Fleet) Request(service string) { f.w.request(service) }
-
 // State is the state of a service's limit at this daemon.
 type State struct {
 	Requests float64       // counted in the window
-	Spent    float64       // extra sends in the window
+	Spent    float64       // extra sends in the window, with the open ones
+	Open     float64       // extra sends that targets may yet receive
 	Limit    float64       // allowed extra sends in the window
 	Daemons  int           // daemons that share the allowance
-	Uptime   time.Duration // since the limit was created
-}
-
-// Take reports whether n extra sends are allowed and counts them if so. It
-// returns the state that decided this, without the n sends.
-func (f *Fleet) Take(service string, n int) (bool, State) {
-	s := f.newState()
-	ok := f.w.take(service, n, f.limit(&s), &s)
-	return ok, s
+	Serving  time.Duration // since the limit was created
 }
 
 // State returns the present state of a service's limit.
 func (f *Fleet) State(service string) State {
-	s := f.newState()
-	f.w.take(service, 0, f.limit(&s), &s)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, _ := f.take(service, f.ratio, 0, f.clock())
 	return s
 }
 
-func (f *Fleet) newState() State {
-	return State{Daemons: max(f.daemons(), 1), Uptime: f.clock() - f.started}
+// request counts a request of the service.
+func (f *Fleet) request(service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.w.request(service)
 }
 
-// limit returns the allowed number of extra sends as a function of the number
-// of requests.
-func (f *Fleet) limit(s *State) func(requests float64) float64 {
-	f.mu.Lock()
-	ratio, slack := f.ratio, f.slack
-	f.mu.Unlock()
-	if s.Uptime < f.warmup {
+// take opens n extra sends of the service if they are allowed. The caller must
+// hold f.mu.
+func (f *Fleet) take(service string, ratio float64, n int, now time.Duration) (State, bool) {
+	s := State{Daemons: max(f.daemons(), 1), Serving: now - f.started}
+	slack := f.slack
+	if s.Serving < f.warmup {
 		slack = 0
 	}
-	return func(requests float64) float64 {
+	ok := f.w.open(service, n, func(requests float64) float64 {
 		return SpendableShare * (ratio*requests + slack/float64(s.Daemons))
-	}
+	}, &s)
+	return s, ok
 }
--- a/request/budget/fleet_test.go
+++ b/request/budget/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -48,13 +49,16 @@
 func (f *testFleet) run(d time.Duration, retries int) {
 	for end := f.now + d; f.now < end; f.now += testStep {
 		for _, daemon := range f.daemons {
-			daemon.Request("s")
+			c := daemon.NewCall("s")
 			f.requests = append(f.requests, f.now)
+			c.Begin("t").Answered()
 			for range retries {
-				if ok, _ := daemon.Take("s", 1); ok {
+				if ok, _ := c.Take(1); ok {
 					f.extras = append(f.extras, f.now)
+					c.Begin("t").Answered()
 				}
 			}
+			c.SentAll()
 		}
 	}
 }
@@ -64,25 +68,27 @@
 // window before it, whichever has most.
 func (f *testFleet) check(t *testing.T) {
 	t.Helper()
-	for _, from := range f.extras {
-		extras, requests := countIn(f.extras, from), 0
+	checkBudget(t, f.requests, f.extras)
+}
+
+// checkBudget checks sorted times.
+func checkBudget(t *testing.T, requests, extras []time.Duration) {
+	t.Helper()
+	for _, from := range extras {
+		count, sent := countIn(extras, from), 0
 		for _, shift := range []time.Duration{0, testWindow / 2, testWindow} {
-			requests = max(requests, countIn(f.requests, from-shift))
+			sent = max(sent, countIn(requests, from-shift))
 		}
-		if allowed := testRatio*float64(requests) + testSlack; float64(extras) > allowed {
-			t.Fatalf("%d extra sends in the window from %v, %.0f allowed", extras, from, allowed)
+		if allowed := testRatio*float64(sent) + testSlack; float64(count) > allowed {
+			t.Fatalf("%d extra sends in the window from %v, %.0f allowed", count, from, allowed)
 		}
 	}
 }
 
-func countIn(times []time.Duration, from time.Duration) int {
-	n := 0
-	for _, at := range times {
-		if at >= from && at-from < testWindow {
-			n++
-		}
-	}
-	return n
+func countIn(sorted []time.Duration, from time.Duration) int {
+	first, _ := slices.BinarySearch(sorted, from)
+	end, _ := slices.BinarySearch(sorted, from+testWindow)
+	return end - first
 }
 
 // Guards against daemons that are restarted in series spending their share of
--- a/request/budget/window.go
+++ b/request/budget/window.go
@@ -21,7 +21,13 @@
 	countRequests func(w *window, now int64) float64
 
 	mu       sync.Mutex
-	services map[string]*window
+	services map[string]*ledger
+}
+
+// ledger holds the counts of one service.
+type ledger struct {
+	window
+	open float64 // extra sends that targets may yet receive; they don't expire
 }
 
 // window holds the slots of the present window and those before it in which
@@ -47,7 +53,7 @@
 }
 
 func newWindows(span time.Duration, clock Clock, countRequests func(w *window, now int64) float64) *windows {
-	return &windows{span: span, clock: clock, countRequests: countRequests, services: make(map[string]*window)}
+	return &windows{span: span, clock: clock, countRequests: countRequests, services: make(map[string]*ledger)}
 }
 
 func (w *windows) request(service string) {
@@ -70,7 +76,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.slot(service)
-	win := w.services[service]
+	win := &w.services[service].window
 	state.Requests, state.Spent = w.countRequests(win, s.number), win.extraSends(s.number)
 	state.Limit = allowed(state.Requests)
 	if state.Spent+float64(n) > state.Limit {
@@ -80,6 +86,38 @@
 	return true
 }
 
+// open counts n extra sends until settle is called, if the total stays within
+// the result of allowed for the requests in the window, and the open ones within
+// its result for those in the last half of the window. It sets the counts in
+// state.
+//
+// The first limit holds for windows that contain the present. Targets may receive
+// all open sends in one that begins later, for which the older requests don't
+// count any more.
+func (w *windows) open(service string, n int, allowed func(requests float64) float64, state *State) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.slot(service).number
+	l := w.services[service]
+	state.Requests, state.Open = w.countRequests(&l.window, now), l.open
+	state.Spent = l.extraSends(now) + l.open
+	state.Limit = allowed(state.Requests)
+	if state.Spent+float64(n) > state.Limit || l.open+float64(n) > allowed(l.requestsSince(now-windowSlots/2)) {
+		return false
+	}
+	l.open += float64(n)
+	return true
+}
+
+// settle ends the count of n open extra sends. Targets have received sent of
+// them, which count for a window from now on.
+func (w *windows) settle(service string, n, sent int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.slot(service).extraSends += float64(sent)
+	w.services[service].open -= float64(n)
+}
+
 // extraSends returns the number of extra sends that still count.
 func (w *window) extraSends(now int64) (n float64) {
 	for _, s := range w {
@@ -91,9 +129,12 @@
 }
 
 // requests returns the number of requests in the last window.
-func (w *window) requests(now int64) (n float64) {
+func (w *window) requests(now int64) (n float64) { return w.requestsSince(now - windowSlots) }
+
+// requestsSince returns the number of requests after a slot.
+func (w *window) requestsSince(number int64) (n float64) {
 	for _, s := range w {
-		if s.number > now-windowSlots {
+		if s.number > number {
 			n += s.requests
 		}
 	}
@@ -131,11 +172,12 @@
 
 // slot returns the slot for the present time. The caller must hold w.mu.
 func (w *windows) slot(service string) *slot {
-	win := w.services[service]
-	if win == nil {
-		win = &window{}
-		w.services[service] = win
+	l := w.services[service]
+	if l == nil {
+		l = &ledger{}
+		w.services[service] = l
 	}
+	win := &l.window
 	number := int64(w.clock()/(w.span/windowSlots)) + int64(len(win)) // beyond the zero value's
 	s := &win[number%int64(len(win))]
 	if s.number != number {
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -144,6 +144,7 @@
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	x := r.newExecution(c)
+	defer x.budget.SentAll()
 	a, err := x.runPlain(ctx)
 	return a, x.trace, err
 }
@@ -153,6 +154,7 @@
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	x := r.newExecution(c)
+	defer x.budget.SentAll()
 	err := x.runStream(ctx, out)
 	x.trace.LastEvent = x.lastID
 	return x.trace, err
@@ -189,10 +191,13 @@
 // newExecution returns the state of a call. A forwarded call has been counted
 // for the budget by the daemon that forwarded it.
 func (r *Runner) newExecution(c *Call) *execution {
-	if !c.Forwarded {
-		r.opts.Budget.Request(c.Service.Name)
+	x := &execution{Runner: r, call: c, possibleRuns: c.PriorRuns}
+	if c.Forwarded {
+		x.budget = r.opts.Budget.NewForwardedCall(c.Service.Name)
+	} else {
+		x.budget = r.opts.Budget.NewCall(c.Service.Name)
 	}
-	return &execution{Runner: r, call: c, possibleRuns: c.PriorRuns}
+	return x
 }
 
 // execution is the state of one call across its sends. It is used by a
@@ -200,6 +205,7 @@
 type execution struct {
 	*Runner
 	call          *Call
+	budget        *budget.Call
 	trace         Trace
 	possibleRuns  int            // number of targets that may have run the call
 	failedTargets []string       // ids of the targets whose send failed
--- a/request/dispatch/decode.go
+++ b/request/dispatch/decode.go
@@ -120,6 +120,7 @@
 		}
 	}
 	m := &paceMeter{exec: x, target: to.ID, resumed: x.lastID != ""}
+	x.budget.SentAll()
 	f = x.relay(ctx, to.ID, resp, v, out, streamHooks{first: first, batch: m.addEvents})
 	m.finish(f == nil)
 	if f == nil && x.call.Meta.MaxOutputTokens > 0 {
--- a/request/dispatch/harness_test.go
+++ b/request/dispatch/harness_test.go
@@ -86,7 +86,8 @@
 		Clock:   func() time.Duration { return time.Since(start) + uptime },
 		Daemons: func() int { return 1 },
 	})
-	uptime = time.Hour // a process that has just started may not spend the slack
+	h.budget.NewCall("earlier")
+	uptime = time.Hour // a process that has just begun to serve may not spend the slack
 	pool := h1.New(h1.Options{Dial: h.net.Dial})
 	h.runner = New(Options{
 		Protocol: platform.TargetProtocol{}, Pool: pool, Targets: h,
--- a/request/dispatch/peers.go
+++ b/request/dispatch/peers.go
@@ -47,11 +47,20 @@
 
 // askPeer forwards the call.
 func (x *execution) askPeer(ctx context.Context) (*forward.Response, error) {
+	counted := x.budget.Begin("")
 	resp, err := x.opts.Peers.Do(ctx, &forward.Request{
 		ID: x.call.Meta.RequestID, Service: x.call.Service.Name,
 		Method: x.call.Method, URI: x.call.URI, Host: x.call.Host, Header: x.call.CallerHeader(), Body: x.call.Body,
 		Deadline: x.call.Deadline, Envelope: forward.Envelope{Version: x.call.Version, Runs: x.possibleRuns},
 	})
+	switch {
+	case err == nil:
+		counted.Received()
+	case code.Of(err) == code.LinksLost:
+		counted.NotWritten()
+	default:
+		counted.Lost()
+	}
 	if err != nil {
 		return nil, x.peerError(err)
 	}
--- a/request/dispatch/plain.go
+++ b/request/dispatch/plain.go
@@ -160,5 +160,6 @@
 	if resp.Status != http.StatusOK || v.NotRun || !v.Signed {
 		return x.relayNonStream(ctx, to.ID, resp, v, out)
 	}
+	x.budget.SentAll()
 	return x.relay(ctx, to.ID, resp, v, out, streamHooks{first: func() {}, batch: func(int) {}})
 }
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -36,14 +36,30 @@
 func (x *execution) send(ctx context.Context, s outgoing) (*h1.Response, port.ResponseMeta, *sendFailure) {
 	x.trace.Sends++
 	x.trace.Targets = append(x.trace.Targets, s.target.ID)
+	counted := x.budget.Begin(s.target.Addr)
 	resp, err := x.opts.Pool.Do(ctx, x.request(s))
 	if err != nil {
-		return nil, port.ResponseMeta{}, &sendFailure{Failure: failure.ClassifySend(ctx, s.target.ID, err)}
+		f := failure.ClassifySend(ctx, s.target.ID, err)
+		countFailed(counted, f)
+		return nil, port.ResponseMeta{}, &sendFailure{Failure: f}
 	}
+	counted.Answered()
 	x.recordReached(s.target.ID)
 	return resp, x.opts.Protocol.ParseResponse(resp.Status, resp.Header), nil
 }
 
+// countFailed reports a failed send to the budget.
+func countFailed(s *budget.Send, f *failure.Failure) {
+	switch {
+	case f.Unwritten:
+		s.NotWritten()
+	case f.Settled():
+		s.Received()
+	default:
+		s.Lost()
+	}
+}
+
 func (x *execution) request(s outgoing) *h1.Request {
 	h := maps.Clone(x.call.Header)
 	s.state.RequestID = x.call.Meta.RequestID
@@ -187,7 +203,7 @@
 		x.logRetry(f, true, 0, x.opts.Budget.State(x.call.Service.Name))
 		return true
 	}
-	allowed, state := x.opts.Budget.Take(x.call.Service.Name, sends)
+	allowed, state := x.budget.Take(sends)
 	if allowed {
 		counts.Add("retries_charged", 1)
 		counts.Add("sends_charged", int64(sends))
@@ -202,7 +218,7 @@
 	log.WithFields(log.Fields{
 		"request": x.call.Meta.RequestID, "service": x.call.Service.Name, "allowed": allowed, "charged": sends,
 		"class": f.Class.String(), "failed_target": f.Target,
-		"spent": s.Spent, "limit": s.Limit, "requests": s.Requests, "daemons": s.Daemons, "uptime_ms": s.Uptime.Milliseconds(),
+		"spent": s.Spent, "open": s.Open, "limit": s.Limit, "requests": s.Requests, "daemons": s.Daemons, "serving_ms": s.Serving.Milliseconds(),
 	}).Info("dispatch: retry decided")
 }
 
--- a/request/failure/failure.go
+++ b/request/failure/failure.go
@@ -7,7 +7,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"strings"
+	"syscall"
 
 	"github.com/pomelospool/pomelospool/connection/h1"
 )
@@ -64,6 +66,16 @@
 	return !f.Unwritten && f.Class != NotWritten && f.Class != NotRun
 }
 
+// Settled reports whether the target won't receive the request any more. It has
+// then closed the connection, or its kernel hasn't received the request.
+func (f *Failure) Settled() bool {
+	var he *h1.Error
+	if errors.As(f.Err, &he) && he.Unacknowledged {
+		return true
+	}
+	return errors.Is(f.Err, io.EOF) || errors.Is(f.Err, io.ErrUnexpectedEOF) || errors.Is(f.Err, syscall.ECONNRESET) || errors.Is(f.Err, syscall.EPIPE)
+}
+
 // Final reports whether another attempt is pointless because the caller has
 // disconnected or the deadline has passed.
 func (f *Failure) Final() bool { return f.Class == CallerGone || f.Class == Late }
--- a/request/failure/failure_test.go
+++ b/request/failure/failure_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"syscall"
 	"testing"
 
@@ -73,3 +74,24 @@
 		}
 	}
 }
+
+// Guards against a send that a stopped target may yet receive counting as
+// received, and against one that never will be counting for long.
+func TestSettled(t *testing.T) {
+	cases := []struct {
+		name    string
+		err     error
+		settled bool
+	}{
+		{"no answer in time", &h1.Error{Err: h1.ErrNoProgress, Written: true}, false},
+		{"the deadline passed", &h1.Error{Err: context.DeadlineExceeded, Written: true}, false},
+		{"not acknowledged", &h1.Error{Err: h1.ErrNoProgress, Written: true, Unacknowledged: true}, true},
+		{"closed by the target", &h1.Error{Err: fmt.Errorf("no answer: %w", io.EOF), Written: true}, true},
+		{"reset by the target", &h1.Error{Err: &net.OpError{Op: "read", Err: syscall.ECONNRESET}, Written: true}, true},
+	}
+	for _, tc := range cases {
+		if f := ClassifySend(context.Background(), "t", tc.err); f.Settled() != tc.settled {
+			t.Errorf("%s: %v", tc.name, f.Settled())
+		}
+	}
+}
