budget: daemons that have left share the slack while their sends count

What callers saw: nothing yet; targets received more extra sends than allowed in a test. A daemon that leaves in good order is out of the divisor of the slack at once, while what it sent counts for another window, so that the others spend its part again.

The divisor is the largest number of daemons of the last window and a half. It is sampled with each request, and a lower number holds from when it was first seen, since the departure may be as late as that.

--- a/request/budget/fleet.go
+++ b/request/budget/fleet.go
@@ -19,6 +19,7 @@
 	ratio       float64
 	slack       float64
 	started     time.Duration      // by clock
+	size        fleetSize          // daemons that share the allowance
 	lost        map[string][]*Send // by the target's address, sends that were given up and may yet be received
 	lostInOrder []*Send            // the same, and some that are known by now
 }
@@ -45,7 +46,7 @@
 	warmup := time.Duration(warmupWindows * float64(o.Window))
 	return &Fleet{
 		w: newWindows(o.Window, o.Clock, (*window).requestsOfAnyWindow), warmup: warmup, daemons: o.Daemons, clock: o.Clock,
-		ratio: o.Ratio, slack: o.Slack, started: o.Clock(), lost: make(map[string][]*Send),
+		ratio: o.Ratio, slack: o.Slack, started: o.Clock(), size: fleetSize{hold: warmup}, lost: make(map[string][]*Send),
 	}
 }
 
@@ -78,13 +79,15 @@
 func (f *Fleet) request(service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.size.observe(f.daemons(), f.clock())
 	f.w.request(service)
 }
 
 // take opens n extra sends of the service if they are allowed. The caller must
 // hold f.mu.
 func (f *Fleet) take(service string, ratio float64, n int, now time.Duration) (State, bool) {
-	s := State{Daemons: max(f.daemons(), 1), Serving: now - f.started}
+	f.size.observe(f.daemons(), now)
+	s := State{Daemons: f.size.most, Serving: now - f.started}
 	slack := f.slack
 	if s.Serving < f.warmup {
 		slack = 0
@@ -94,3 +97,30 @@
 	}, &s)
 	return s, ok
 }
+
+// fleetSize is the largest number of daemons whose sends may still count.
+type fleetSize struct {
+	hold time.Duration // for which the sends of a daemon that has left count
+
+	most  int
+	next  int           // the largest number since fewer were seen
+	since time.Duration // when fewer were seen first; valid if next isn't 0
+}
+
+// observe records the present number of daemons.
+func (s *fleetSize) observe(n int, now time.Duration) {
+	n = max(n, 1)
+	switch {
+	case n >= s.most:
+		s.most, s.next = n, 0
+	case s.next == 0:
+		s.next, s.since = n, now
+	case now-s.since < s.hold:
+		s.next = max(s.next, n)
+	default:
+		s.most, s.next = max(s.next, n), 0
+		if n < s.most {
+			s.next, s.since = n, now
+		}
+	}
+}
