budget: a process earns its part of the slack by serving, not by waiting

What callers saw: nothing yet; targets received more extra sends than allowed in a test. A process has no part of the slack for a window and a half after its start, in which the daemons find each other. Daemons that wait for the store at their start find nobody in that time. They serve as soon as it is there, and each of them divides the slack by itself until the first heartbeats arrive.

The time runs from the first request now. A daemon gets requests only once it knows the configuration, which it reads from where it finds the others.

--- a/request/budget/fleet.go
+++ b/request/budget/fleet.go
@@ -18,7 +18,8 @@
 	mu          sync.Mutex
 	ratio       float64
 	slack       float64
-	started     time.Duration      // by clock
+	served      bool               // a request has been counted
+	firstServed time.Duration      // by clock
 	size        fleetSize          // daemons that share the allowance
 	lost        map[string][]*Send // by the target's address, sends that were given up and may yet be received
 	lostInOrder []*Send            // the same, and some that are known by now
@@ -33,9 +34,10 @@
 	Clock   Clock
 }
 
-// warmupWindows is the number of windows for which a new process has no part of
-// the common allowance. In the first one the sends of the process that it
-// replaces still count. In the rest the daemons learn of each other.
+// warmupWindows is the number of windows after its first request for which a
+// process has no part of the common allowance. In the first one the sends of the
+// process that it replaces still count. In the rest the daemons learn of each
+// other.
 const warmupWindows = 1.5
 
 // SpendableShare is the fraction of the limit that daemons spend. The rest is a
@@ -46,7 +48,7 @@
 	warmup := time.Duration(warmupWindows * float64(o.Window))
 	return &Fleet{
 		w: newWindows(o.Window, o.Clock, (*window).requestsOfAnyWindow), warmup: warmup, daemons: o.Daemons, clock: o.Clock,
-		ratio: o.Ratio, slack: o.Slack, started: o.Clock(), size: fleetSize{hold: warmup}, lost: make(map[string][]*Send),
+		ratio: o.Ratio, slack: o.Slack, size: fleetSize{hold: warmup}, lost: make(map[string][]*Send),
 	}
 }
 
@@ -64,7 +66,7 @@
 	Open     float64       // extra sends that targets may yet receive
 	Limit    float64       // allowed extra sends in the window
 	Daemons  int           // daemons that share the allowance
-	Serving  time.Duration // since the limit was created
+	Serving  time.Duration // since the first request
 }
 
 // State returns the present state of a service's limit.
@@ -79,7 +81,11 @@
 func (f *Fleet) request(service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.size.observe(f.daemons(), f.clock())
+	now := f.clock()
+	if !f.served {
+		f.served, f.firstServed = true, now
+	}
+	f.size.observe(f.daemons(), now)
 	f.w.request(service)
 }
 
@@ -87,7 +93,10 @@
 // hold f.mu.
 func (f *Fleet) take(service string, ratio float64, n int, now time.Duration) (State, bool) {
 	f.size.observe(f.daemons(), now)
-	s := State{Daemons: f.size.most, Serving: now - f.started}
+	s := State{Daemons: f.size.most}
+	if f.served {
+		s.Serving = now - f.firstServed
+	}
 	slack := f.slack
 	if s.Serving < f.warmup {
 		slack = 0
