dispatch: a forwarded call that was sent isn't refused for another daemon

What callers saw: nothing yet; found by reading. A daemon that accepts a forwarded call, has its send rejected and then loses its links refuses the call with LINKS_LOST. The daemon that forwarded it offers it to the next one, which sends it as its first: an extra send that no daemon counts. The envelope carries the runs, not the sends.

Such a call ends with the error of its last send. It states 'not run' only if that is certain, as before.

Evidence: dispatch.TestForwardedCallThatWasSentIsNotRefused answered 2010 after one send before. On the product's own protocol a request is forwarded only if nothing was written.

--- a/request/dispatch/peers.go
+++ b/request/dispatch/peers.go
@@ -42,6 +42,9 @@
 	if !x.call.Forwarded || x.possibleRuns > x.call.PriorRuns || !x.linksLost() {
 		return nil
 	}
+	if x.budget.MayHaveSent() {
+		return x.finalError(x.lastFailure) // another daemon would send it as its first
+	}
 	return code.New(code.LinksLost, "no target of service %q can be reached", x.call.Service.Name).WithRetryAfter(x.retryDelay(nil))
 }
 
--- a/request/dispatch/peers_test.go
+++ b/request/dispatch/peers_test.go
@@ -12,6 +12,7 @@
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/internal/pipenet"
+	"github.com/pomelospool/pomelospool/platform/standin"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/forward"
 	"github.com/pomelospool/pomelospool/version/route"
@@ -129,3 +130,27 @@
 		}
 	})
 }
+
+// linksUntilSend are links that are lost once the target has received a request.
+type linksUntilSend struct {
+	lostLinks
+	target *standin.Target
+}
+
+func (l *linksUntilSend) Lost(string) bool { return len(l.target.Arrivals()) > 0 }
+
+// Guards against a forwarded call that one daemon has sent and refuses, so that
+// the next one sends it as its first, uncounted.
+func TestForwardedCallThatWasSentIsNotRefused(t *testing.T) {
+	withHarness(t, 10, func(t *testing.T, h *harness) {
+		target := h.addTarget("app", "")
+		target.Set(func(b *standin.Behaviour) { b.Refuse = true })
+		h.runner.opts.Links = &linksUntilSend{target: target}
+		c := h.newCall(route.Safe, 3, time.Second)
+		c.Forwarded = true
+		_, trace, err := h.runner.Plain(t.Context(), c)
+		if code.Of(err) == code.LinksLost || !code.Of(err).Info().NotRun {
+			t.Errorf("%v after %d sends", err, trace.Sends)
+		}
+	})
+}
