attempt: one retry budget for all daemons, on the product's own protocol too

What callers saw: nothing reported; the promise differed. Each daemon allowed the greater of a share of its own requests and 10 retries in 30 s, so that a large fleet retried without bound; an attempt after one that had passed tokens on wasn't counted at all, one after an unannounced refusal was counted but never denied, and all counted at their decision.

Cause: the bound was one of each daemon. Its sum over daemons was nobody's.

Change: the Runner uses the same budget as the platform's path. The limit is the greater of the share and of the daemon's part of bounds.retry_slack, which all daemons have together; their sum over daemons stays within ratio x requests + slack. Sends count until targets have received them. Attempts after progress or an unannounced refusal use what others leave (these stop at 0.6 of the limit, all at 0.8), but are bounded too.

What it costs: a process that has served for less than 15 s has only its share, and an engine that is lost with more streams than the limit has has some of them cut.

--- a/bench/soak/judge_test.go
+++ b/bench/soak/judge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -107,3 +108,26 @@
 		})
 	}
 }
+
+// The same for stalls, all kinds of which are drawn.
+func TestStallPlan(t *testing.T) {
+	size := Size{Daemons: 6, Targets: 8, Length: 26 * time.Second, Stalls: true}
+	seen := make(map[Kind]bool)
+	for seed := range uint64(50) {
+		plan := stallPlan(seed, size)
+		if !slices.Equal(plan, stallPlan(seed, size)) {
+			t.Fatalf("seed %d: two plans", seed)
+		}
+		for _, e := range plan {
+			seen[e.Kind] = true
+			if e.At+e.For > size.Length || e.For < 0 {
+				t.Errorf("seed %d: %v outlasts the load", seed, e)
+			}
+		}
+	}
+	for _, kind := range []Kind{RejectAll, StopTarget, StarveTarget, StarveDaemon} {
+		if !seen[kind] {
+			t.Errorf("no %v", kind)
+		}
+	}
+}
--- a/bench/soak/stall_test.go
+++ b/bench/soak/stall_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"flag"
+	"fmt"
 	"testing"
 	"time"
 )
@@ -81,3 +83,18 @@
 	}
 	return plan
 }
+
+var stallSeeds = flag.Int("soak.stalls", 1, "number of seeds with stalls")
+
+// TestSoakWithStalls runs random faults while targets reject and processes are
+// stopped and starved, some for longer than a window of the retry budget.
+func TestSoakWithStalls(t *testing.T) {
+	program := buildDaemon(t, t.TempDir(), nil)
+	for i := range *stallSeeds {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runStallTrial(t, program, seed, Plan(seed, Size{Daemons: stallDaemons, Targets: defaultTargets, Length: stallLength, Stalls: true}))
+		})
+	}
+}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -36,6 +36,8 @@
 	"github.com/pomelospool/pomelospool/process/membership"
 	"github.com/pomelospool/pomelospool/process/reconcile"
 	"github.com/pomelospool/pomelospool/process/settings"
+	"github.com/pomelospool/pomelospool/request/attempt"
+	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/entry"
 	"github.com/pomelospool/pomelospool/request/forward"
 	"github.com/pomelospool/pomelospool/request/once"
@@ -332,8 +334,19 @@
 		Verify:         d.watcher.Verify,
 		KV:             d.watcher,
 		Links:          d.links,
+		Budget:         d.newRetryBudget(),
 		Peers:          d.forwarder,
 		Limits:         d.s.Limits,
 		Zone:           d.s.Zone,
 	})
 }
+
+// newRetryBudget returns the limit on the retries of all daemons.
+func (d *Daemon) newRetryBudget() *budget.Fleet {
+	return attempt.NewBudget(budget.FleetOptions{
+		Slack:   d.s.Bounds.RetrySlack,
+		Window:  d.s.Bounds.RetryWindow,
+		Daemons: func() int { return 1 + len(d.members.View().Members) },
+		Clock:   clock.Boot{}.Now,
+	})
+}
--- a/process/settings/load.go
+++ b/process/settings/load.go
@@ -114,6 +114,7 @@
 		checkStore(f, s)
 	} else {
 		f.Required("platform")
+		checkBounds(f, s.Bounds)
 	}
 	if f.Has("vm") {
 		f.Name("vm", s.VM, false)
--- a/process/settings/store.go
+++ b/process/settings/store.go
@@ -7,7 +7,7 @@
 	"github.com/pomelospool/pomelospool/internal/yamlcheck"
 )
 
-// Bounds of values that apply only with a store.
+// Bounds of the settings of the retry budget.
 const (
 	maxRetryRatio  = 10.0
 	maxRetrySlack  = 1_000_000.0
@@ -33,7 +33,10 @@
 		}
 	}
 	checkDuties(f, s.Duties)
-	b := s.Bounds
+	checkBounds(f, s.Bounds)
+}
+
+func checkBounds(f *yamlcheck.File, b Bounds) {
 	f.Duration("bounds.grace", b.Grace, minTime, maxTime)
 	f.Duration("bounds.lease", b.Lease, minTime, maxTime)
 	f.Duration("bounds.address_ttl", b.AddressTTL, minTime, maxTime)
--- a/process/settings/types.go
+++ b/process/settings/types.go
@@ -71,12 +71,13 @@
 }
 
 // Bounds are the limits that operators guarantee to the fleet or require of it.
+// Without a store, only RetrySlack and RetryWindow apply.
 type Bounds struct {
 	Grace       time.Duration `yaml:"grace,omitempty"`        // from SIGTERM to SIGKILL; 8s
 	Lease       time.Duration `yaml:"lease,omitempty"`        // minimum time before a duty can have a second holder; 3s
 	AddressTTL  time.Duration `yaml:"address_ttl,omitempty"`  // maximum time that callers keep addresses; 5s
-	RetryRatio  float64       `yaml:"retry_ratio,omitempty"`  // retries per request; 0.2
-	RetrySlack  float64       `yaml:"retry_slack,omitempty"`  // additional retries in a window; 50
+	RetryRatio  float64       `yaml:"retry_ratio,omitempty"`  // retries per request; 0.2. Without a store, each service's document states it
+	RetrySlack  float64       `yaml:"retry_slack,omitempty"`  // additional retries of all daemons in a window, per service; 50
 	RetryWindow time.Duration `yaml:"retry_window,omitempty"` // window of the retry budget; 10s
 	ApplyConfig time.Duration `yaml:"apply_config,omitempty"` // maximum time until a version is in force; 2s
 	Drain       time.Duration `yaml:"drain,omitempty"`        // maximum time until a leaving target gets no new work; 2s
--- a/request/attempt/attempt.go
+++ b/request/attempt/attempt.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/connection/h1"
+	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/failure"
 	"github.com/pomelospool/pomelospool/request/routing"
 )
@@ -86,7 +87,7 @@
 
 // send runs one attempt at t. unpredicted reports a refusal by a target that was
 // not known to refuse requests when it was selected.
-func (r *Runner) send(ctx context.Context, q *Request, t routing.Target, p attemptPlan, recv Receiver) (f *failure.Failure, unpredicted bool) {
+func (r *Runner) send(ctx context.Context, q *Request, t routing.Target, p attemptPlan, call *budget.Call, recv Receiver) (f *failure.Failure, unpredicted bool) {
 	end := r.opts.Pool.Begin(t.Addr, q.Route.PromptTokens, q.Route.OutputTokens)
 	defer end()
 
@@ -94,9 +95,11 @@
 	id := newAttemptID(q.ID)
 	req := r.build(q, t, id, recv.Progress())
 	req.FirstByteTimeout, req.ReadTimeout = p.headerTimeout, r.opts.ReadTimeout
+	counted := call.Begin(t.Addr)
 	resp, err := r.opts.Pool.Send(ctx, req)
 	if err != nil {
 		f := r.sendFailure(ctx, t, err, p.notReceived)
+		counted.Failed(f.Unwritten, f.Settled())
 		if !f.Final() && (f.Unwritten || f.Class == failure.Stalled) {
 			r.opts.Links.Failed(q.Service.Doc.Service, t.Name)
 		}
@@ -104,6 +107,7 @@
 		return f, false
 	}
 	defer resp.Close(0)
+	counted.Answered()
 	r.opts.Links.Reached(q.Service.Doc.Service)
 	if err := receive(resp, id, t, q.ToEngine, p.handover, recv); err != nil {
 		f = failure.ClassifyRead(ctx, t.Name, err)
--- a/request/attempt/run.go
+++ b/request/attempt/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/internal/pause"
+	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/failure"
 	"github.com/pomelospool/pomelospool/request/quarantine"
 	"github.com/pomelospool/pomelospool/request/routing"
@@ -19,6 +20,7 @@
 	*Runner
 	q                *Request
 	recv             Receiver
+	budget           *budget.Call
 	route            routing.Request
 	nextDecision     *routing.Decision
 	result           Result
@@ -102,7 +104,7 @@
 		handover:      d.DecodeTarget != "" && d.DecodeTarget != t.Name && !r.handedOver,
 		notReceived:   notReceived,
 	}
-	f, unpredicted := r.send(ctx, r.q, t, p, r.recv)
+	f, unpredicted := r.send(ctx, r.q, t, p, r.budget, r.recv)
 	r.unpredicted = unpredicted
 	if f != nil && mayHaveCrashed(f) {
 		vctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), verifyTimeout)
@@ -151,21 +153,13 @@
 }
 
 // mayRepeat returns nil if another attempt is allowed, and the request's error
-// otherwise. Two kinds of failed attempts don't use up the retry budget. One
-// passed tokens to the caller, so its work is kept. The other was refused by a
-// target that was not known to refuse requests, for example because it has just
-// begun to leave or reconfigure: nothing ran, and requests on their way to such
-// a target must not fail for lack of budget. Once the refusal is known, further
-// refused attempts use up the budget.
+// otherwise.
 func (r *run) mayRepeat(ctx context.Context, f *failure.Failure, progressed bool) error {
 	doc := r.q.Service.Doc
 	maxAttempts := doc.Retry.Attempts
 	if maxAttempts <= 0 {
 		maxAttempts = defaultAttempts
 	}
-	if r.unpredicted {
-		r.budgets.Count(doc.Service)
-	}
 	switch {
 	case ctx.Err() != nil || !repeatable(f, r.q.Idempotent) || r.recv.Committed():
 		return r.finalError(f)
@@ -173,7 +167,7 @@
 		return r.finalError(f) // the caller of Run can forward it at once
 	case r.result.Attempts >= maxAttempts:
 		return r.finalError(f)
-	case !progressed && !r.unpredicted && !r.budgets.Take(doc.Service, doc.Retry.Budget):
+	case !r.chargeRepeat(f, progressed):
 		if !r.result.Written {
 			return r.finalError(f)
 		}
@@ -182,6 +176,25 @@
 	return nil
 }
 
+// chargeRepeat takes another attempt from the retry budget and reports whether it
+// may be made. A part of the budget is left to two kinds of attempts. One follows
+// an attempt that passed tokens to the caller, so its work is kept. The other
+// follows a refusal by a target that was not known to refuse requests, for example
+// because it has just begun to leave or reconfigure: requests on their way to such
+// a target fail last. Once the refusal is known, further refused attempts compete
+// with all others.
+func (r *run) chargeRepeat(f *failure.Failure, progressed bool) bool {
+	if f.Unwritten {
+		return true
+	}
+	take := r.budget.TakeDeferrable
+	if progressed || r.unpredicted {
+		take = r.budget.Take
+	}
+	allowed, _ := take(1)
+	return allowed
+}
+
 const retryAfter = time.Second
 
 // finalError returns the request's error for its last failure.
--- a/request/attempt/runner.go
+++ b/request/attempt/runner.go
@@ -24,6 +24,9 @@
 	capacityRetryDelay   = 20 * time.Millisecond
 	claimRetryDelay      = 250 * time.Millisecond
 	kvMoveTimeout        = 500 * time.Millisecond
+	// The slack and the window of the budget of a process that is the only daemon.
+	defaultSlack  = 50
+	defaultWindow = 10 * time.Second
 )
 
 // Targets returns the current view of a service's targets.
@@ -56,6 +59,7 @@
 	MinHeaderTimeout time.Duration // minimum timeout for an answer's header; default 2s
 	ReadTimeout      time.Duration // timeout for each read of an answer's body; default 2s
 	Links            Links         // may be nil
+	Budget           *budget.Fleet // limits repeated sends; if nil, this process is the only daemon
 	Now              func() time.Time
 }
 
@@ -102,8 +106,8 @@
 
 // Runner runs requests. It is safe for concurrent use.
 type Runner struct {
-	opts    Options
-	budgets *budget.Shares
+	opts   Options
+	budget *budget.Fleet
 }
 
 // NewRunner returns a Runner.
@@ -124,11 +128,24 @@
 		p := o.Pool
 		o.Verify = func(ctx context.Context, t routing.Target) { p.Verify(ctx, t.Addr) }
 	}
-	start := o.Now()
-	// The difference of two readings of time.Now doesn't include steps of the
-	// time of day.
-	elapsed := func() time.Duration { return o.Now().Sub(start) }
-	return &Runner{opts: o, budgets: budget.NewShares(elapsed)}
+	if o.Budget == nil {
+		start := o.Now()
+		o.Budget = NewBudget(budget.FleetOptions{
+			Slack: defaultSlack, Window: defaultWindow, Daemons: func() int { return 1 }, Alone: true,
+			// The difference of two readings of time.Now doesn't include steps of
+			// the time of day.
+			Clock: func() time.Duration { return o.Now().Sub(start) },
+		})
+	}
+	return &Runner{opts: o, budget: o.Budget}
+}
+
+// NewBudget returns a budget for a Runner. Each service's document has its ratio.
+// The limit is the greater of the share and the part of the slack, not their sum,
+// so that the number of attempts stays within 1+share times the requests.
+func NewBudget(o budget.FleetOptions) *budget.Fleet {
+	o.Combine = func(share, slack float64) float64 { return max(share, slack) }
+	return budget.NewFleet(o)
 }
 
 // Run makes attempts at q until one succeeds or no other is allowed. first is the
@@ -136,9 +153,13 @@
 // says that nothing ran only if nothing was written to a target.
 func (r *Runner) Run(ctx context.Context, q *Request, first *routing.Decision, recv Receiver) (Result, error) {
 	run := &run{Runner: r, q: q, recv: recv, route: q.Route, nextDecision: first}
-	if !q.Forwarded {
-		r.budgets.Request(q.Service.Doc.Service)
+	if q.Forwarded {
+		run.budget = r.budget.NewForwardedCall(q.Service.Doc.Service)
+	} else {
+		run.budget = r.budget.NewCall(q.Service.Doc.Service)
 	}
+	run.budget.SetRatio(q.Service.Doc.Retry.Budget)
+	defer run.budget.SentAll()
 	err := run.loop(ctx)
 	run.releaseClaim(err == nil)
 	return run.result, err
--- a/request/budget/call.go
+++ b/request/budget/call.go
@@ -13,7 +13,6 @@
 	fleet   *Fleet
 	service string
 	ratio   float64
-	ended   bool
 
 	// The fields below are guarded by Fleet.mu.
 	charges int     // extra sends that the call may make, or has made
@@ -53,13 +52,18 @@
 
 // Take reports whether the call may make n extra sends, and charges them if so.
 // It returns the state that decided this, without the n sends.
-func (c *Call) Take(n int) (bool, State) {
+func (c *Call) Take(n int) (bool, State) { return c.takeShare(n, SpendableShare) }
+
+// TakeDeferrable is like Take for sends that leave a part of the limit to others.
+func (c *Call) TakeDeferrable(n int) (bool, State) { return c.takeShare(n, deferrableShare) }
+
+func (c *Call) takeShare(n int, share float64) (bool, State) {
 	f := c.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock()
 	f.expireLost(now)
-	s, ok := f.take(c.service, c.ratio, n, now)
+	s, ok := f.take(c.service, c.ratio, share, n, now)
 	if !ok {
 		return false, s
 	}
@@ -119,6 +123,19 @@
 	f.resolveBefore(s.addr, s.began)
 }
 
+// Failed reports that the send got no answer. settled states that the target won't
+// receive it any more.
+func (s *Send) Failed(unwritten, settled bool) {
+	switch {
+	case unwritten:
+		s.NotWritten()
+	case settled:
+		s.Received()
+	default:
+		s.Lost()
+	}
+}
+
 // NotWritten reports that nothing was sent.
 func (s *Send) NotWritten() {
 	f := s.call.fleet
--- a/request/budget/fleet.go
+++ b/request/budget/fleet.go
@@ -10,9 +10,10 @@
 // own requests and, unless it has just begun to serve, its part of a common
 // allowance.
 type Fleet struct {
-	w       *windows
+	w       *windows // guarded by mu
 	warmup  time.Duration
 	daemons func() int
+	combine func(share, slack float64) float64
 	clock   Clock
 
 	mu          sync.Mutex
@@ -25,13 +26,19 @@
 	lostInOrder []*Send            // the same, and some that are known by now
 }
 
-// FleetOptions configures a Fleet. All fields are required.
+// FleetOptions configures a Fleet. All fields but the last two are required.
 type FleetOptions struct {
 	Ratio   float64       // extra sends for each request
 	Slack   float64       // additional extra sends of all daemons in a window
 	Window  time.Duration // time over which the limit holds
 	Daemons func() int    // upper bound of the present number of daemons
 	Clock   Clock
+	// Combine returns the limit from the share of the requests and the part of
+	// the slack. It must not exceed their sum, which is the default.
+	Combine func(share, slack float64) float64
+	// Alone states that the process replaces no other one and shares the slack
+	// with none, so that it has it from the beginning.
+	Alone bool
 }
 
 // warmupWindows is the number of windows after its first request for which a
@@ -44,10 +51,20 @@
 // margin, since traffic shifts between daemons.
 const SpendableShare = 0.8
 
+// deferrableShare is the fraction that TakeDeferrable spends.
+const deferrableShare = 0.6
+
 func NewFleet(o FleetOptions) *Fleet {
 	warmup := time.Duration(warmupWindows * float64(o.Window))
+	if o.Alone {
+		warmup = 0
+	}
+	if o.Combine == nil {
+		o.Combine = func(share, slack float64) float64 { return share + slack }
+	}
 	return &Fleet{
-		w: newWindows(o.Window, o.Clock, (*window).requestsOfAnyWindow), warmup: warmup, daemons: o.Daemons, clock: o.Clock,
+		combine: o.Combine,
+		w:       newWindows(o.Window, o.Clock), warmup: warmup, daemons: o.Daemons, clock: o.Clock,
 		ratio: o.Ratio, slack: o.Slack, size: fleetSize{hold: warmup}, lost: make(map[string][]*Send),
 	}
 }
@@ -73,7 +90,7 @@
 func (f *Fleet) State(service string) State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s, _ := f.take(service, f.ratio, 0, f.clock())
+	s, _ := f.take(service, f.ratio, SpendableShare, 0, f.clock())
 	return s
 }
 
@@ -91,7 +108,7 @@
 
 // take opens n extra sends of the service if they are allowed. The caller must
 // hold f.mu.
-func (f *Fleet) take(service string, ratio float64, n int, now time.Duration) (State, bool) {
+func (f *Fleet) take(service string, ratio, share float64, n int, now time.Duration) (State, bool) {
 	f.size.observe(f.daemons(), now)
 	s := State{Daemons: f.size.most}
 	if f.served {
@@ -102,7 +119,7 @@
 		slack = 0
 	}
 	ok := f.w.open(service, n, func(requests float64) float64 {
-		return SpendableShare * (ratio*requests + slack/float64(s.Daemons))
+		return share * f.combine(ratio*requests, slack/float64(s.Daemons))
 	}, &s)
 	return s, ok
 }
--- a/request/budget/window.go
+++ b/request/budget/window.go
@@ -5,10 +5,7 @@
 // overload persists after its cause is gone.
 package budget
 
-import (
-	"sync"
-	"time"
-)
+import "time"
 
 // windows counts requests and extra sends of each service over a sliding
 // window. Time is divided into slots, and old counts expire by the slot: a
@@ -16,11 +13,9 @@
 // Services come from the active configuration, which bounds the size of the
 // map.
 type windows struct {
-	span          time.Duration
-	clock         Clock
-	countRequests func(w *window, now int64) float64
+	span  time.Duration
+	clock Clock
 
-	mu       sync.Mutex
 	services map[string]*ledger
 }
 
@@ -52,40 +47,14 @@
 	extraSends float64
 }
 
-func newWindows(span time.Duration, clock Clock, countRequests func(w *window, now int64) float64) *windows {
-	return &windows{span: span, clock: clock, countRequests: countRequests, services: make(map[string]*ledger)}
+func newWindows(span time.Duration, clock Clock) *windows {
+	return &windows{span: span, clock: clock, services: make(map[string]*ledger)}
 }
 
 func (w *windows) request(service string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.slot(service).requests++
 }
 
-// count counts n extra sends.
-func (w *windows) count(service string, n int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.slot(service).extraSends += float64(n)
-}
-
-// take counts n extra sends if the total stays within the result of allowed
-// for the requests in the window. It reports whether it does, and sets the
-// counts in state.
-func (w *windows) take(service string, n int, allowed func(requests float64) float64, state *State) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	s := w.slot(service)
-	win := &w.services[service].window
-	state.Requests, state.Spent = w.countRequests(win, s.number), win.extraSends(s.number)
-	state.Limit = allowed(state.Requests)
-	if state.Spent+float64(n) > state.Limit {
-		return false
-	}
-	s.extraSends += float64(n)
-	return true
-}
-
 // open counts n extra sends until settle is called, if the total stays within
 // the result of allowed for the requests in the window, and the open ones within
 // its result for those in the last half of the window. It sets the counts in
@@ -95,11 +64,9 @@
 // all open sends in one that begins later, for which the older requests don't
 // count any more.
 func (w *windows) open(service string, n int, allowed func(requests float64) float64, state *State) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	now := w.slot(service).number
 	l := w.services[service]
-	state.Requests, state.Open = w.countRequests(&l.window, now), l.open
+	state.Requests, state.Open = l.requestsOfAnyWindow(now), l.open
 	state.Spent = l.extraSends(now) + l.open
 	state.Limit = allowed(state.Requests)
 	if state.Spent+float64(n) > state.Limit || l.open+float64(n) > allowed(l.requestsSince(now-windowSlots/2)) {
@@ -112,8 +79,6 @@
 // settle ends the count of n open extra sends. Targets have received sent of
 // them, which count for a window from now on.
 func (w *windows) settle(service string, n, sent int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.slot(service).extraSends += float64(sent)
 	w.services[service].open -= float64(n)
 }
@@ -128,9 +93,6 @@
 	return n
 }
 
-// requests returns the number of requests in the last window.
-func (w *window) requests(now int64) (n float64) { return w.requestsSince(now - windowSlots) }
-
 // requestsSince returns the number of requests after a slot.
 func (w *window) requestsSince(number int64) (n float64) {
 	for _, s := range w {
@@ -170,7 +132,7 @@
 	return least
 }
 
-// slot returns the slot for the present time. The caller must hold w.mu.
+// slot returns the slot for the present time.
 func (w *windows) slot(service string) *slot {
 	l := w.services[service]
 	if l == nil {
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -40,7 +40,7 @@
 	resp, err := x.opts.Pool.Do(ctx, x.request(s))
 	if err != nil {
 		f := failure.ClassifySend(ctx, s.target.ID, err)
-		countFailed(counted, f)
+		counted.Failed(f.Unwritten, f.Settled())
 		return nil, port.ResponseMeta{}, &sendFailure{Failure: f}
 	}
 	counted.Answered()
@@ -48,18 +48,6 @@
 	return resp, x.opts.Protocol.ParseResponse(resp.Status, resp.Header), nil
 }
 
-// countFailed reports a failed send to the budget.
-func countFailed(s *budget.Send, f *failure.Failure) {
-	switch {
-	case f.Unwritten:
-		s.NotWritten()
-	case f.Settled():
-		s.Received()
-	default:
-		s.Lost()
-	}
-}
-
 func (x *execution) request(s outgoing) *h1.Request {
 	h := maps.Clone(x.call.Header)
 	s.state.RequestID = x.call.Meta.RequestID
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/pomelospool/pomelospool/process/settings"
 	"github.com/pomelospool/pomelospool/request/admission"
 	"github.com/pomelospool/pomelospool/request/attempt"
+	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/limit"
 	"github.com/pomelospool/pomelospool/request/once"
 	"github.com/pomelospool/pomelospool/request/quarantine"
@@ -41,6 +42,7 @@
 	Verify           func(ctx context.Context, t routing.Target) // see attempt.Options
 	KV               attempt.KV                                  // see attempt.Options
 	Links            attempt.Links                               // may be nil
+	Budget           *budget.Fleet                               // see attempt.Options
 	Peers            Peers                                       // nil: requests aren't forwarded
 	Limits           settings.Limits
 	Zone             string        // availability zone of this process
@@ -92,6 +94,7 @@
 			Verify:           o.Verify,
 			KV:               o.KV,
 			Links:            o.Links,
+			Budget:           o.Budget,
 			MinHeaderTimeout: o.MinHeaderTimeout,
 			ReadTimeout:      o.ReadTimeout,
 		}),
