forward: daemons that owe an answer are asked last

Cause: a daemon that stands still accepts connections and counts as alive until its heartbeats are missed. Only refusals were remembered, so that each request chose among all daemons anew.

Change: a daemon that has owed an answer for 300 ms, or that left a request without one in the last 2 s, is asked after the others.

--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -253,3 +253,64 @@
 		resp.Close()
 	})
 }
+
+// Guards against requests that follow others to a daemon that accepts them and
+// doesn't answer.
+func TestUnresponsiveDaemonIsAskedLast(t *testing.T) {
+	withDaemons(t, 3, func(name string, w http.ResponseWriter, _ *http.Request) {
+		if name == "vm-0" {
+			time.Sleep(3 * answerPatience)
+		}
+		SetServed(w.Header())
+	}, func(t *testing.T, d *daemons) {
+		var wg sync.WaitGroup
+		ask := func() {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			if resp, err := d.do(ctx); err == nil {
+				resp.Close()
+			}
+		}
+		wg.Go(ask)
+		time.Sleep(answerPatience)
+		for range 5 {
+			ask()
+		}
+		if got := d.counted(); got["vm-0"] != 1 || got["vm-1"] != 5 {
+			t.Errorf("asked %v", got)
+		}
+		wg.Wait()
+		ask()
+		if got := d.counted(); got["vm-0"] != 2 {
+			t.Errorf("asked %v after it has answered", got)
+		}
+	})
+}
+
+// Guards against a daemon that left a request without an answer being asked again
+// at once.
+func TestDaemonThatDidNotAnswerIsAskedLast(t *testing.T) {
+	withDaemons(t, 2, func(name string, w http.ResponseWriter, _ *http.Request) {
+		if name == "vm-0" {
+			panic(http.ErrAbortHandler)
+		}
+		SetServed(w.Header())
+	}, func(t *testing.T, d *daemons) {
+		if _, err := d.do(t.Context()); code.Of(err) != code.PeerUnreachable {
+			t.Error(err)
+		}
+		for range 3 {
+			resp, err := d.do(t.Context())
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			resp.Close()
+		}
+		time.Sleep(unansweredTTL)
+		_, _ = d.do(t.Context())
+		if got := d.counted(); got["vm-0"] != 2 || got["vm-1"] != 3 {
+			t.Errorf("asked %v", got)
+		}
+	})
+}
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -83,8 +83,9 @@
 	transport Transport
 	peers     func() []Peer
 
-	mu      sync.Mutex
-	refused map[refusal]time.Time
+	mu       sync.Mutex
+	refused  map[refusal]time.Time
+	contacts map[string]*contact // by VM
 }
 
 // refusal identifies a daemon that refused a request for a service.
@@ -93,7 +94,7 @@
 // New returns a Forwarder. peers returns the daemons that requests may be
 // forwarded to, in the order in which to try them for one request.
 func New(t Transport, peers func() []Peer) *Forwarder {
-	return &Forwarder{transport: t, peers: peers, refused: make(map[refusal]time.Time)}
+	return &Forwarder{transport: t, peers: peers, refused: make(map[refusal]time.Time), contacts: make(map[string]*contact)}
 }
 
 // Trim closes the connections to other daemons that are no longer used, and
@@ -103,6 +104,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	maps.DeleteFunc(f.refused, func(_ refusal, at time.Time) bool { return time.Since(at) >= refusalTTL })
+	maps.DeleteFunc(f.contacts, func(_ string, c *contact) bool { return c.waiting == 0 && !c.unresponsive() })
 }
 
 // Close closes all idle connections.
@@ -115,7 +117,7 @@
 func (f *Forwarder) Do(ctx context.Context, r *Request) (*Response, error) {
 	err := code.New(code.LinksLost, "no daemon reaches the targets of service %q", r.Service)
 	tried := 0
-	for _, p := range f.peers() {
+	for _, p := range f.responsiveFirst(f.peers()) {
 		if f.hasRefused(p.VM, r.Service) {
 			continue
 		}
@@ -136,7 +138,9 @@
 
 // offer sends the request to one daemon.
 func (f *Forwarder) offer(ctx context.Context, p Peer, r *Request) (*Response, *code.Error) {
+	f.beginWait(p.VM)
 	resp, unsent, err := f.transport.Send(ctx, p, r)
+	f.endWait(p.VM, err == nil)
 	if err != nil {
 		return nil, f.sendError(ctx, p, r, unsent, err)
 	}
