--- a/bench/soak/client.go
+++ b/bench/soak/client.go
@@ -51,6 +51,10 @@
 	requestTimeout = 3 * time.Second
 	// maxThinkTime is the default of Load.Think.
 	maxThinkTime = 60 * time.Millisecond
+	// maxIdleTime is the longest pause after which a connection is used again. A
+	// daemon that stops as planned answers with Connection: close for longer than
+	// that before it closes idle connections.
+	maxIdleTime = time.Second
 	// cancelShare is the share of requests that their callers cancel.
 	cancelShare = 0.03
 	// maxCancelDelay is the longest time until a caller cancels. A target
@@ -79,6 +83,7 @@
 	conn       net.Conn
 	reader     *bufio.Reader
 	connOpened time.Time // when the connect of conn began
+	lastUsed   time.Time // end of the last exchange on conn
 	daemon     int       // index of the daemon that conn leads to
 	resolved   []int     // indexes of the daemons in the last address answer
 	expires    time.Time // when resolved expires
@@ -108,6 +113,9 @@
 // connect opens a connection to one of the resolved daemons unless one is
 // open. It reports whether a connection is open.
 func (c *caller) connect(ctx context.Context) bool {
+	if time.Since(c.lastUsed) > maxIdleTime {
+		c.closeConn()
+	}
 	if c.conn != nil {
 		return true
 	}
@@ -130,6 +138,7 @@
 		return false
 	}
 	c.conn, c.reader = conn, bufio.NewReader(conn)
+	c.lastUsed = time.Now()
 	return true
 }
 
@@ -176,6 +185,7 @@
 	_ = c.conn.SetDeadline(o.Started.Add(limit))
 	reuse, err := c.exchange(&o, prompt)
 	o.Ended = time.Now()
+	c.lastUsed = o.Ended
 	o.Err = err
 	var ne net.Error
 	if errors.As(err, &ne) && ne.Timeout() && !o.Canceled {
--- a/bench/soak/judge_test.go
+++ b/bench/soak/judge_test.go
@@ -131,3 +131,23 @@
 		}
 	}
 }
+
+// A request that a planned stop cuts is excused by a stop of the process during
+// the request, and only then.
+func TestPausedDuring(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	for name, o := range map[string]Outcome{
+		"before":           {Daemon: 1, Started: at(0), Ended: at(90)},
+		"another daemon's": {Daemon: 2, Started: at(110), Ended: at(190)},
+		"afterwards":       {Daemon: 1, Started: at(210), Ended: at(300)},
+		"":                 {Daemon: 1, Started: at(190), Ended: at(300)},
+	} {
+		j := NewJudge()
+		j.paused[1] = []span{{at(100), at(200)}}
+		j.Record(o)
+		if faults, _ := j.Verdict(nil); (len(faults) > 0) != (name != "") {
+			t.Errorf("%q: %v", name, faults)
+		}
+	}
+}
