forward: daemons that have all refused are asked again soon

Cause: from the logs, all four daemons had no links to service 'app' at 43.6 s and refused each other's requests. Daemon 2's links were back at 44.399, daemon 1's at 44.576. Daemons 0 and 3 didn't ask them before 44.6 and 44.9, when the memory of their refusals, one second, had expired; 103 and 134 requests were refused without asking anybody. A refusal is remembered so that requests don't pay a hop for nothing while others serve; when all have refused, there is no such other.

Change: if all daemons have refused, each is asked again after 100 ms.

Also: NewFleet's literal in lines.

--- a/bench/soak/stall_test.go
+++ b/bench/soak/stall_test.go
@@ -88,7 +88,6 @@
 	return plan
 }
 
-
 // TestSoakWithStalls runs random faults while targets reject and processes are
 // stopped and starved, some for longer than a window of the retry budget.
 func TestSoakWithStalls(t *testing.T) {
--- a/request/budget/fleet.go
+++ b/request/budget/fleet.go
@@ -26,7 +26,7 @@
 	lostInOrder []*Send            // the same, and some that are known by now
 }
 
-// FleetOptions configures a Fleet. All fields but the last two are required.
+// FleetOptions configures a Fleet. All fields but Combine and Alone are required.
 type FleetOptions struct {
 	Ratio   float64       // extra sends for each request
 	Slack   float64       // additional extra sends of all daemons in a window
@@ -54,6 +54,7 @@
 // deferrableShare is the fraction that TakeDeferrable spends.
 const deferrableShare = 0.6
 
+// NewFleet returns a Fleet.
 func NewFleet(o FleetOptions) *Fleet {
 	warmup := time.Duration(warmupWindows * float64(o.Window))
 	if o.Alone {
@@ -63,9 +64,15 @@
 		o.Combine = func(share, slack float64) float64 { return share + slack }
 	}
 	return &Fleet{
+		w:       newWindows(o.Window, o.Clock),
+		warmup:  warmup,
+		daemons: o.Daemons,
 		combine: o.Combine,
-		w:       newWindows(o.Window, o.Clock), warmup: warmup, daemons: o.Daemons, clock: o.Clock,
-		ratio: o.Ratio, slack: o.Slack, size: fleetSize{hold: warmup}, lost: make(map[string][]*Send),
+		clock:   o.Clock,
+		ratio:   o.Ratio,
+		slack:   o.Slack,
+		size:    fleetSize{hold: warmup},
+		lost:    make(map[string][]*Send),
 	}
 }
 
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -314,3 +314,32 @@
 		}
 	})
 }
+
+// Guards against requests that are refused for a second after all daemons have
+// refused one, though the links of one of them are back.
+func TestDaemonWhoseLinksAreBackIsAskedSoon(t *testing.T) {
+	start := time.Time{}
+	withDaemons(t, 3, func(name string, w http.ResponseWriter, req *http.Request) {
+		SetServed(w.Header())
+		if name != "vm-2" || time.Since(start) < recheckInterval {
+			refuse(code.LinksLost)(name, w, req)
+		}
+	}, func(t *testing.T, d *daemons) {
+		start = time.Now()
+		for range 20 {
+			if _, err := d.do(t.Context()); code.Of(err) != code.LinksLost {
+				t.Error(err)
+			}
+		}
+		if got := d.counted(); got["vm-2"] != 1 {
+			t.Errorf("asked %v at once", got)
+		}
+		time.Sleep(recheckInterval)
+		resp, err := d.do(t.Context())
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		resp.Close()
+	})
+}
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -20,8 +20,11 @@
 	// maxPeers is the number of daemons that one request is offered to.
 	maxPeers = 3
 	// refusalTTL is the time for which a daemon that refused a service's request
-	// isn't sent another one.
+	// isn't sent another one, if there are others.
 	refusalTTL = time.Second
+	// recheckInterval is the same if all have refused, since the first one whose
+	// links are back can serve the requests of all.
+	recheckInterval = 100 * time.Millisecond
 )
 
 var counts = expvar.NewMap("forward")
@@ -117,10 +120,7 @@
 func (f *Forwarder) Do(ctx context.Context, r *Request) (*Response, error) {
 	err := code.New(code.LinksLost, "no daemon reaches the targets of service %q", r.Service)
 	tried := 0
-	for _, p := range f.responsiveFirst(f.peers()) {
-		if f.hasRefused(p.VM, r.Service) {
-			continue
-		}
+	for _, p := range f.candidates(r.Service) {
 		resp, failed := f.offer(ctx, p, r)
 		if failed == nil {
 			counts.Add("forwarded", 1)
@@ -188,11 +188,24 @@
 	f.refused[refusal{vm, service}] = time.Now()
 }
 
-// hasRefused reports whether the daemon has refused a request for the service
-// within refusalTTL.
-func (f *Forwarder) hasRefused(vm, service string) bool {
+// candidates returns the daemons to ask, in order.
+func (f *Forwarder) candidates(service string) []Peer {
+	all := f.responsiveFirst(f.peers())
+	if out := f.notRefusedFor(refusalTTL, service, all); len(out) > 0 {
+		return out
+	}
+	return f.notRefusedFor(recheckInterval, service, all)
+}
+
+// notRefusedFor returns the daemons that haven't refused a request for the service
+// for the given time.
+func (f *Forwarder) notRefusedFor(d time.Duration, service string, peers []Peer) (out []Peer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	at, ok := f.refused[refusal{vm, service}]
-	return ok && time.Since(at) < refusalTTL
+	for _, p := range peers {
+		if at, ok := f.refused[refusal{p.VM, service}]; !ok || time.Since(at) >= d {
+			out = append(out, p)
+		}
+	}
+	return out
 }
