attempt, budget: the same formula on both protocols

The product's own protocol had the greater of share and slack, after the old max(10, share), since their sum let 1000 requests make more than 1100 attempts. As 0.6 of the limit is left to retries that can be deferred, the sum makes 1090 (TestRetryAmplification, all four cases).

FleetOptions.Combine and attempt.NewBudget are gone. Figures of TestSharesBoundRetries follow the formula, exact as before. Nothing changes on the platform's path.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -36,7 +36,6 @@
 	"github.com/pomelospool/pomelospool/process/membership"
 	"github.com/pomelospool/pomelospool/process/reconcile"
 	"github.com/pomelospool/pomelospool/process/settings"
-	"github.com/pomelospool/pomelospool/request/attempt"
 	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/entry"
 	"github.com/pomelospool/pomelospool/request/forward"
@@ -343,7 +342,7 @@
 
 // newRetryBudget returns the limit on the retries of all daemons.
 func (d *Daemon) newRetryBudget() *budget.Fleet {
-	return attempt.NewBudget(budget.FleetOptions{
+	return budget.NewFleet(budget.FleetOptions{
 		Slack:   d.s.Bounds.RetrySlack,
 		Window:  d.s.Bounds.RetryWindow,
 		Daemons: func() int { return 1 + len(d.members.View().Members) },
--- a/request/attempt/runner.go
+++ b/request/attempt/runner.go
@@ -59,7 +59,7 @@
 	MinHeaderTimeout time.Duration // minimum timeout for an answer's header; default 2s
 	ReadTimeout      time.Duration // timeout for each read of an answer's body; default 2s
 	Links            Links         // may be nil
-	Budget           *budget.Fleet // limits repeated sends; if nil, this process is the only daemon
+	Budget           *budget.Fleet // limits repeated sends, with the ratio of each service's document; if nil, this process is the only daemon
 	Now              func() time.Time
 }
 
@@ -130,7 +130,7 @@
 	}
 	if o.Budget == nil {
 		start := o.Now()
-		o.Budget = NewBudget(budget.FleetOptions{
+		o.Budget = budget.NewFleet(budget.FleetOptions{
 			Slack: defaultSlack, Window: defaultWindow, Daemons: func() int { return 1 }, Alone: true,
 			// The difference of two readings of time.Now doesn't include steps of
 			// the time of day.
@@ -140,14 +140,6 @@
 	return &Runner{opts: o, budget: o.Budget}
 }
 
-// NewBudget returns a budget for a Runner. Each service's document has its ratio.
-// The limit is the greater of the share and the part of the slack, not their sum,
-// so that the number of attempts stays within 1+share times the requests.
-func NewBudget(o budget.FleetOptions) *budget.Fleet {
-	o.Combine = func(share, slack float64) float64 { return max(share, slack) }
-	return budget.NewFleet(o)
-}
-
 // Run makes attempts at q until one succeeds or no other is allowed. first is the
 // decision that q was admitted with, or nil. The error is a *code.Error. Its code
 // says that nothing ran only if nothing was written to a target.
--- a/request/budget/fleet.go
+++ b/request/budget/fleet.go
@@ -13,7 +13,6 @@
 	w       *windows // guarded by mu
 	warmup  time.Duration
 	daemons func() int
-	combine func(share, slack float64) float64
 	clock   Clock
 
 	mu          sync.Mutex
@@ -26,16 +25,14 @@
 	lostInOrder []*Send            // the same, and some that are known by now
 }
 
-// FleetOptions configures a Fleet. All fields but Combine and Alone are required.
+// FleetOptions configures a Fleet. All fields but Alone are required; Ratio
+// may be set for each call instead.
 type FleetOptions struct {
 	Ratio   float64       // extra sends for each request
 	Slack   float64       // additional extra sends of all daemons in a window
 	Window  time.Duration // time over which the limit holds
 	Daemons func() int    // upper bound of the present number of daemons
 	Clock   Clock
-	// Combine returns the limit from the share of the requests and the part of
-	// the slack. It must not exceed their sum, which is the default.
-	Combine func(share, slack float64) float64
 	// Alone states that the process replaces no other one and shares the slack
 	// with none, so that it has it from the beginning.
 	Alone bool
@@ -60,14 +57,10 @@
 	if o.Alone {
 		warmup = 0
 	}
-	if o.Combine == nil {
-		o.Combine = func(share, slack float64) float64 { return share + slack }
-	}
 	return &Fleet{
 		w:       newWindows(o.Window, o.Clock),
 		warmup:  warmup,
 		daemons: o.Daemons,
-		combine: o.Combine,
 		clock:   o.Clock,
 		ratio:   o.Ratio,
 		slack:   o.Slack,
@@ -126,7 +119,7 @@
 		slack = 0
 	}
 	ok := f.w.open(service, n, func(requests float64) float64 {
-		return share * f.combine(ratio*requests, slack/float64(s.Daemons))
+		return share * (ratio*requests + slack/float64(s.Daemons))
 	}, &s)
 	return s, ok
 }
