quarantine: fingerprints that nobody can make alike, with the caller

What callers would see: an organisation whose content crashes targets could make it hash like another organisation's content, known or guessed, and have that refused for minutes. The fingerprint was 64 bits of xxhash without a key, and on the product's own protocol left out who asks.

Messages between daemons carry it as bytes in a new field; a daemon of an earlier build takes no notice of them, and they of its, until all are replaced. TestFingerprint has cases for two organisations; before, they had the same fingerprint by construction.

--- a/request/attempt/attempt_test.go
+++ b/request/attempt/attempt_test.go
@@ -63,7 +63,7 @@
 	return &Request{
 		ID: "r", Service: &view.Service{Doc: doc}, Deadline: time.Now().Add(time.Hour),
 		Method: "POST", Path: "/", Header: http.Header{}, Body: func(int) []byte { return []byte("body") },
-		Idempotent: idempotent, Fingerprint: 7,
+		Idempotent: idempotent, Fingerprint: quarantine.Fingerprint{7},
 	}
 }
 
@@ -113,14 +113,14 @@
 	events   []string
 }
 
-func (tr *fakeTracker) Check(uint64) (quarantine.Verdict, time.Duration) {
+func (tr *fakeTracker) Check(quarantine.Fingerprint) (quarantine.Verdict, time.Duration) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	return tr.verdict, time.Minute
 }
-func (tr *fakeTracker) Begin(uint64, string) { tr.record(1, "begin") }
-func (tr *fakeTracker) End(uint64, string)   { tr.record(-1, "end") }
-func (tr *fakeTracker) Crashed(string)       { tr.record(0, "crashed") }
+func (tr *fakeTracker) Begin(quarantine.Fingerprint, string) { tr.record(1, "begin") }
+func (tr *fakeTracker) End(quarantine.Fingerprint, string)   { tr.record(-1, "end") }
+func (tr *fakeTracker) Crashed(string)                       { tr.record(0, "crashed") }
 
 func (tr *fakeTracker) set(v quarantine.Verdict) {
 	tr.mu.Lock()
@@ -221,9 +221,11 @@
 	refused int
 }
 
-func (c *targetClaimer) Claim(context.Context, uint64) (func(bool), bool) { return func(bool) {}, true }
+func (c *targetClaimer) Claim(context.Context, quarantine.Fingerprint) (func(bool), bool) {
+	return func(bool) {}, true
+}
 
-func (c *targetClaimer) ClaimTarget(_ context.Context, _ uint64, target string) (func(bool), bool) {
+func (c *targetClaimer) ClaimTarget(_ context.Context, _ quarantine.Fingerprint, target string) (func(bool), bool) {
 	if c.taken[target] {
 		c.refused++
 		c.taken["b"] = c.taken["b"] && c.refused < 3
--- a/request/attempt/claim_test.go
+++ b/request/attempt/claim_test.go
@@ -23,7 +23,7 @@
 	refuse int
 }
 
-func (c *contentClaimer) Claim(context.Context, uint64) (func(bool), bool) {
+func (c *contentClaimer) Claim(context.Context, quarantine.Fingerprint) (func(bool), bool) {
 	c.record(0, "claim")
 	if c.refuse > 0 {
 		c.refuse--
@@ -32,7 +32,7 @@
 	return func(finished bool) { c.record(0, fmt.Sprint("release ", finished)) }, true
 }
 
-func (c *contentClaimer) ClaimTarget(context.Context, uint64, string) (func(bool), bool) {
+func (c *contentClaimer) ClaimTarget(context.Context, quarantine.Fingerprint, string) (func(bool), bool) {
 	return func(bool) {}, true
 }
 
--- a/request/attempt/run.go
+++ b/request/attempt/run.go
@@ -89,7 +89,7 @@
 	attemptCount.Add(1)
 	r.result.Target = t.Name
 	notReceived := func() {}
-	if q := r.opts.Quarantine; q != nil && r.q.Fingerprint != 0 {
+	if q := r.opts.Quarantine; q != nil && r.q.Fingerprint != (quarantine.Fingerprint{}) {
 		q.Begin(r.q.Fingerprint, t.Name)
 		var once sync.Once
 		defer once.Do(func() { q.End(r.q.Fingerprint, t.Name) })
@@ -223,7 +223,7 @@
 // checkQuarantine refuses convicted content and claims suspect content, which may
 // run only once at a time in the whole fleet.
 func (r *run) checkQuarantine(ctx context.Context) error {
-	if r.opts.Quarantine == nil || r.q.Fingerprint == 0 {
+	if r.opts.Quarantine == nil || r.q.Fingerprint == (quarantine.Fingerprint{}) {
 		return nil
 	}
 	verdict, left := r.opts.Quarantine.Check(r.q.Fingerprint)
--- a/request/attempt/runner.go
+++ b/request/attempt/runner.go
@@ -84,7 +84,7 @@
 	Idempotent  bool
 	ToEngine    bool // the targets are model engines
 	Forwarded   bool // another daemon has forwarded the request and counted it for the budget
-	Fingerprint uint64
+	Fingerprint quarantine.Fingerprint
 }
 
 // reuse returns the connection reuse for the request. Calls that can't be
--- a/request/dispatch/crash_test.go
+++ b/request/dispatch/crash_test.go
@@ -134,4 +134,3 @@
 		})
 	}
 }
-
--- a/request/entry/model.go
+++ b/request/entry/model.go
@@ -15,6 +15,7 @@
 	"github.com/pomelospool/pomelospool/request/attempt"
 	"github.com/pomelospool/pomelospool/request/limit"
 	"github.com/pomelospool/pomelospool/request/prefix"
+	"github.com/pomelospool/pomelospool/request/quarantine"
 	"github.com/pomelospool/pomelospool/request/routing"
 	"github.com/pomelospool/pomelospool/version/document"
 	"github.com/pomelospool/pomelospool/version/view"
@@ -193,14 +194,15 @@
 		Body:        c.payload,
 		Idempotent:  true,
 		ToEngine:    true,
-		Fingerprint: fingerprint(c.body.Model, c.prompt),
+		Fingerprint: fingerprint(c.params.org, c.body.Model, c.prompt),
 	}
 }
 
 // fingerprint identifies a request's content independently of its id and
 // idempotency key.
-func fingerprint(model, prompt string) uint64 {
-	return xxhash.Sum64String(model + "\x00" + prompt)
+func fingerprint(org, model, prompt string) quarantine.Fingerprint {
+	r := quarantine.Request{Caller: org, Scope: model, Body: []byte(prompt)}
+	return r.Fingerprint()
 }
 
 func (e *Entry) runModel(w http.ResponseWriter, req *http.Request, c *modelCall) {
--- a/request/entry/plain.go
+++ b/request/entry/plain.go
@@ -18,6 +18,7 @@
 	"github.com/pomelospool/pomelospool/request/attempt"
 	"github.com/pomelospool/pomelospool/request/failure"
 	"github.com/pomelospool/pomelospool/request/limit"
+	"github.com/pomelospool/pomelospool/request/quarantine"
 	"github.com/pomelospool/pomelospool/request/routing"
 	"github.com/pomelospool/pomelospool/version/document"
 	"github.com/pomelospool/pomelospool/version/view"
@@ -114,14 +115,15 @@
 	return d.Sum64()
 }
 
-// fingerprint identifies the call's content. It is 0 for a call without a body:
-// too many unrelated calls would share one fingerprint for a target's crash to
-// be attributed to it.
-func (c *plainCall) fingerprint(method string) uint64 {
+// fingerprint identifies the call's content. It is zero for a call without a
+// body: too many unrelated calls would share one fingerprint for a target's
+// crash to be attributed to it.
+func (c *plainCall) fingerprint(method string) quarantine.Fingerprint {
 	if len(c.body) == 0 {
-		return 0
+		return quarantine.Fingerprint{}
 	}
-	return c.digest(method)
+	r := quarantine.Request{Caller: c.params.org, Scope: c.svc.Doc.Service, Method: method, Path: c.path, Body: c.body}
+	return r.Fingerprint()
 }
 
 func (c *plainCall) request(id string, req *http.Request, e *Entry) *attempt.Request {
--- a/request/quarantine/claim.go
+++ b/request/quarantine/claim.go
@@ -36,7 +36,7 @@
 // precedence. Two processes that claim at the same time learn of each other
 // before either runs the content, by the broadcast or by the replies to it, and
 // the higher incarnation withdraws.
-func (t *CrashTracker) Claim(ctx context.Context, fp uint64) (func(finished bool), bool) {
+func (t *CrashTracker) Claim(ctx context.Context, fp Fingerprint) (func(finished bool), bool) {
 	updates, shared, ok := t.propose(fp)
 	if !ok {
 		counts.Add("claims_refused", 1)
@@ -70,7 +70,7 @@
 	return true
 }
 
-func (t *CrashTracker) isRunning(fp uint64) bool {
+func (t *CrashTracker) isRunning(fp Fingerprint) bool {
 	for _, m := range t.targets {
 		if m[fp] > 0 {
 			return true
@@ -81,7 +81,7 @@
 
 // endRunningClaim ends the claim of a content that was in flight and no longer
 // is.
-func (t *CrashTracker) endRunningClaim(fp uint64, now time.Time) {
+func (t *CrashTracker) endRunningClaim(fp Fingerprint, now time.Time) {
 	c := t.contents[fp]
 	if c == nil || !c.claim.running || t.isRunning(fp) {
 		return
@@ -111,7 +111,7 @@
 // propose adds a claim and returns the update about it. It returns no update and
 // true if the content needs no claim. shared is true if the content runs beside
 // other requests.
-func (t *CrashTracker) propose(fp uint64) (updates []*peerpb.Conviction, shared, ok bool) {
+func (t *CrashTracker) propose(fp Fingerprint) (updates []*peerpb.Conviction, shared, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.tick()
@@ -141,7 +141,7 @@
 	return []*peerpb.Conviction{claimUpdate(c, now)}, verdict == SuspectShared, true
 }
 
-func (t *CrashTracker) confirm(fp uint64) bool {
+func (t *CrashTracker) confirm(fp Fingerprint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.tick()
@@ -158,7 +158,7 @@
 
 // release ends a claim after settleTime, in which a crash may still be noticed,
 // and informs the peers.
-func (t *CrashTracker) release(fp uint64, shared, finished bool) {
+func (t *CrashTracker) release(fp Fingerprint, shared, finished bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.tick()
--- a/request/quarantine/content.go
+++ b/request/quarantine/content.go
@@ -36,7 +36,7 @@
 
 // content is the state of one fingerprint.
 type content struct {
-	fp             uint64
+	fp             Fingerprint
 	crashes        []crash
 	claim          claim
 	convictedUntil time.Time
--- a/request/quarantine/ending.go
+++ b/request/quarantine/ending.go
@@ -10,7 +10,7 @@
 
 // endedRun is a run of a content that left its target.
 type endedRun struct {
-	fp     uint64
+	fp     Fingerprint
 	target string
 	at     time.Time
 }
@@ -19,8 +19,8 @@
 // that have completed a run.
 type endedRuns struct {
 	recent         []endedRun // oldest first
-	completed      map[uint64]struct{}
-	completedOrder []uint64 // keys of completed, oldest first
+	completed      map[Fingerprint]struct{}
+	completedOrder []Fingerprint // keys of completed, oldest first
 }
 
 func (e *endedRuns) add(x endedRun) {
@@ -39,7 +39,7 @@
 	}
 }
 
-func (e *endedRuns) markCompleted(fp uint64) {
+func (e *endedRuns) markCompleted(fp Fingerprint) {
 	if _, ok := e.completed[fp]; ok {
 		return
 	}
@@ -53,8 +53,8 @@
 
 // removeRecent removes the recently ended runs on a target and returns their
 // fingerprints.
-func (e *endedRuns) removeRecent(target string) []uint64 {
-	var fps []uint64
+func (e *endedRuns) removeRecent(target string) []Fingerprint {
+	var fps []Fingerprint
 	kept := make([]endedRun, 0, len(e.recent))
 	for _, x := range e.recent {
 		if x.target == target {
@@ -67,7 +67,7 @@
 	return fps
 }
 
-func (e *endedRuns) hasCompleted(fp uint64) bool {
+func (e *endedRuns) hasCompleted(fp Fingerprint) bool {
 	_, ok := e.completed[fp]
 	return ok
 }
--- a/request/quarantine/harness_test.go
+++ b/request/quarantine/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"strconv"
 	"sync"
@@ -34,7 +35,7 @@
 type harness struct {
 	t        *testing.T
 	trackers []*CrashTracker
-	poison   map[uint64]bool
+	poison   map[Fingerprint]bool
 
 	mu             sync.Mutex
 	dropBroadcasts bool                     // broadcasts are lost, heartbeats are not
@@ -42,11 +43,17 @@
 	noticed        map[string]chan struct{} // by daemon, engine and crash
 	inFlight       map[string]int
 	enginesLost    int
-	refused        map[uint64]int // answers with code 1012 or 1013, by content
+	refused        map[Fingerprint]int // answers with code 1012 or 1013, by content
 }
 
-func newHarness(t *testing.T, poison ...uint64) *harness {
-	h := &harness{t: t, poison: map[uint64]bool{}, dead: map[string]time.Time{}, noticed: map[string]chan struct{}{}, inFlight: map[string]int{}, refused: map[uint64]int{}}
+// contentNumber returns a fingerprint for tests.
+func contentNumber(n uint64) (fp Fingerprint) {
+	binary.BigEndian.PutUint64(fp[:], n)
+	return fp
+}
+
+func newHarness(t *testing.T, poison ...Fingerprint) *harness {
+	h := &harness{t: t, poison: map[Fingerprint]bool{}, dead: map[string]time.Time{}, noticed: map[string]chan struct{}{}, inFlight: map[string]int{}, refused: map[Fingerprint]int{}}
 	for _, fp := range poison {
 		h.poison[fp] = true
 	}
@@ -116,12 +123,12 @@
 
 // pick returns the live engine with the fewest requests in flight. If exclusive
 // is set, it considers only idle engines.
-func (h *harness) pick(fp uint64, exclusive bool) string {
+func (h *harness) pick(fp Fingerprint, exclusive bool) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	best := ""
 	for i := range engines {
-		e := fmt.Sprintf("engine-%d", (int(fp)+i)%engines)
+		e := fmt.Sprintf("engine-%d", (int(binary.BigEndian.Uint64(fp[:]))+i)%engines)
 		if time.Now().Before(h.dead[e]) || exclusive && h.inFlight[e] > 0 {
 			continue
 		}
@@ -178,7 +185,7 @@
 
 // send handles a request as request/entry does, with retries, and returns the
 // result code that the caller receives, 0 for an answer.
-func (h *harness) send(daemon int, fp uint64) int {
+func (h *harness) send(daemon int, fp Fingerprint) int {
 	for range 3 {
 		code, again := h.try(h.trackers[daemon], fp)
 		if !again {
@@ -188,7 +195,7 @@
 	return 2003
 }
 
-func (h *harness) countRefusal(fp uint64, code int) int {
+func (h *harness) countRefusal(fp Fingerprint, code int) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if code != 0 {
@@ -197,7 +204,7 @@
 	return code
 }
 
-func (h *harness) try(tr *CrashTracker, fp uint64) (code int, again bool) {
+func (h *harness) try(tr *CrashTracker, fp Fingerprint) (code int, again bool) {
 	verdict, _ := tr.Check(fp)
 	finished := false
 	switch verdict {
@@ -232,7 +239,7 @@
 }
 
 // serve runs the content and reports whether the engine answered.
-func (h *harness) serve(engine string, fp uint64) bool {
+func (h *harness) serve(engine string, fp Fingerprint) bool {
 	<-time.After(crashTime)
 	if h.poison[fp] {
 		h.crash(engine)
@@ -259,9 +266,9 @@
 	}
 }
 
-func (h *harness) expectVerdict(daemon int, fp uint64, want Verdict) {
+func (h *harness) expectVerdict(daemon int, fp Fingerprint, want Verdict) {
 	h.t.Helper()
 	if got, _ := h.trackers[daemon].Check(fp); got != want {
-		h.t.Errorf("daemon %d: verdict %d for content %d, want %d", daemon, got, fp, want)
+		h.t.Errorf("daemon %d: verdict %d for content %v, want %d", daemon, got, fp, want)
 	}
 }
--- a/request/quarantine/outage.go
+++ b/request/quarantine/outage.go
@@ -27,7 +27,7 @@
 }
 
 // recentCrashesOf returns the number of recent crashes with the content in flight.
-func (t *CrashTracker) recentCrashesOf(fp uint64) int {
+func (t *CrashTracker) recentCrashesOf(fp Fingerprint) int {
 	n := 0
 	for _, tc := range t.recentCrashes {
 		for _, f := range tc.fps {
--- a/request/quarantine/quarantine_test.go
+++ b/request/quarantine/quarantine_test.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-const bad = uint64(1000)
+var bad = contentNumber(1000)
 
 // TestEnginesLost sends a request that crashes every engine that runs it, again
 // and again under new keys. Each daemon that does not know about it would lose
@@ -15,61 +15,61 @@
 func TestEnginesLost(t *testing.T) {
 	cases := []struct {
 		name       string
-		poison     []uint64
+		poison     []Fingerprint
 		maxCrashes int
 		want       Verdict
 		play       func(h *harness)
 	}{
-		{"to one daemon after another", []uint64{bad}, 2, Convicted, func(h *harness) {
+		{"to one daemon after another", []Fingerprint{bad}, 2, Convicted, func(h *harness) {
 			for i := range 4 * daemons {
 				h.send(i%daemons, bad)
 			}
 		}},
-		{"to all daemons at once after the first crash", []uint64{bad}, 2, Convicted, func(h *harness) {
+		{"to all daemons at once after the first crash", []Fingerprint{bad}, 2, Convicted, func(h *harness) {
 			h.try(h.trackers[0], bad)
 			h.concurrently(daemons, func(i int) { h.send(i, bad) })
 			h.concurrently(daemons, func(i int) { h.send(i, bad) })
 		}},
-		{"again before the first is answered", []uint64{bad}, 2, Convicted, func(h *harness) {
+		{"again before the first is answered", []Fingerprint{bad}, 2, Convicted, func(h *harness) {
 			h.concurrently(2, func(i int) {
 				<-time.After(time.Duration(i) * (crashTime + 5*hopDelay))
 				h.send(i, bad)
 			})
 			h.concurrently(daemons, func(i int) { h.send(i, bad) })
 		}},
-		{"to two daemons at once, never seen before", []uint64{bad}, 2, Convicted, func(h *harness) {
+		{"to two daemons at once, never seen before", []Fingerprint{bad}, 2, Convicted, func(h *harness) {
 			h.concurrently(2, func(i int) { h.send(i, bad) })
 			h.concurrently(daemons, func(i int) { h.send(i, bad) })
 		}},
-		{"in flight elsewhere when the first engine dies", []uint64{bad}, 2, Convicted, func(h *harness) {
+		{"in flight elsewhere when the first engine dies", []Fingerprint{bad}, 2, Convicted, func(h *harness) {
 			h.concurrently(2, func(i int) {
 				<-time.After(time.Duration(i) * crashTime * 3 / 4)
 				h.send(i, bad)
 			})
 			h.concurrently(daemons, func(i int) { h.send(i, bad) })
 		}},
-		{"two such contents at once", []uint64{bad, bad + 1}, 4, Convicted, func(h *harness) {
+		{"two such contents at once", []Fingerprint{bad, contentNumber(1001)}, 4, Convicted, func(h *harness) {
 			for range 4 {
 				h.concurrently(2*daemons, func(i int) {
 					if i < 2 {
-						h.send(i, bad+uint64(i))
+						h.send(i, contentNumber(1000+uint64(i)))
 					}
 				})
 			}
 		}},
-		{"beside a hundred innocents", []uint64{bad}, 2, Convicted, func(h *harness) {
+		{"beside a hundred innocents", []Fingerprint{bad}, 2, Convicted, func(h *harness) {
 			for range 12 { // no engine is idle, so after exclusiveWait it runs beside others
 				h.concurrently(101, func(i int) {
 					if i == 0 {
 						h.send(0, bad)
 						return
 					}
-					h.send(i%daemons, uint64(i))
+					h.send(i%daemons, contentNumber(uint64(i)))
 				})
 				<-time.After(time.Second)
 			}
 		}},
-		{"broadcasts lost, heartbeats not", []uint64{bad}, 2, Convicted, func(h *harness) {
+		{"broadcasts lost, heartbeats not", []Fingerprint{bad}, 2, Convicted, func(h *harness) {
 			h.dropBroadcasts = true
 			h.try(h.trackers[0], bad)
 			h.heartbeats(5 * time.Second)
@@ -105,14 +105,14 @@
 		began := time.Now()
 		longest := time.Duration(0)
 		for i := range harmless {
-			h.trackers[0].Begin(uint64(i+1), "engine-4")
+			h.trackers[0].Begin(contentNumber(uint64(i+1)), "engine-4")
 		}
 		h.send(0, bad) // pick prefers engine-4 for it
 		for i := range harmless {
-			h.trackers[0].End(uint64(i+1), "engine-4")
+			h.trackers[0].End(contentNumber(uint64(i+1)), "engine-4")
 		}
 		h.concurrently(harmless, func(i int) {
-			for h.send(i%daemons, uint64(i+1)) != 0 {
+			for h.send(i%daemons, contentNumber(uint64(i+1))) != 0 {
 				<-time.After(time.Second)
 			}
 			h.mu.Lock()
@@ -131,7 +131,7 @@
 		}
 		h.heartbeats(10 * time.Second)
 		for i := range harmless {
-			h.expectVerdict(i%daemons, uint64(i+1), Clear)
+			h.expectVerdict(i%daemons, contentNumber(uint64(i+1)), Clear)
 		}
 		h.expectMaxCrashes(2)
 	})
@@ -140,7 +140,7 @@
 // TestNotConvicted covers events that resemble content that crashes targets, but
 // must not lead to a conviction.
 func TestNotConvicted(t *testing.T) {
-	const fp = 7
+	fp, other := contentNumber(7), contentNumber(8)
 	cases := []struct {
 		name string
 		want Verdict
@@ -183,7 +183,7 @@
 		{"an availability zone fails", Clear, func(tr *CrashTracker) {
 			tr.Begin(fp, "a")
 			for _, target := range []string{"a", "b", "c"} {
-				tr.Begin(fp+1, target)
+				tr.Begin(other, target)
 				tr.Crashed(target)
 			}
 		}},
@@ -233,11 +233,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		tr := New(Options{Self: "d"})
 		for i := range uint64(2 * maxContents) {
-			tr.Begin(i+1, "a")
+			tr.Begin(contentNumber(i+1), "a")
 			if i%maxSuspects == maxSuspects-1 {
 				tr.Crashed("a")
 				for k := range uint64(maxSuspects) {
-					tr.End(i+1-k, "a")
+					tr.End(contentNumber(i+1-k), "a")
 				}
 				<-time.After(2 * sameCrashWindow)
 			}
@@ -287,19 +287,25 @@
 
 // TestFingerprint checks which differences change the fingerprint of a content.
 func TestFingerprint(t *testing.T) {
-	base := Fingerprint("s", "/v1/completions", []byte(`{"model":"m","prompt":"p","user":"a"}`))
+	of := func(caller, scope, path, body string) Fingerprint {
+		r := Request{Caller: caller, Scope: scope, Path: path, Body: NormalizeJSON([]byte(body))}
+		return r.Fingerprint()
+	}
+	base := of("o", "s", "/v1/completions", `{"model":"m","prompt":"p","user":"a"}`)
 	cases := []struct {
-		service, path, body string
-		same                bool
+		caller, service, path, body string
+		same                        bool
 	}{
-		{"s", "/v1/completions", `{ "prompt":"p", "model":"m", "stream":true, "id":"9" }`, true},
-		{"s", "/v1/completions", `{"model":"m","prompt":"q"}`, false},
-		{"t", "/v1/completions", `{"model":"m","prompt":"p"}`, false},
-		{"s", "/v1/chat/completions", `{"model":"m","prompt":"p"}`, false},
-		{"s", "/v1/completions", `{"model":"m","prompt":"p"`, false},
+		{"o", "s", "/v1/completions", `{ "prompt":"p", "model":"m", "stream":true, "id":"9" }`, true},
+		{"o", "s", "/v1/completions", `{"model":"m","prompt":"q"}`, false},
+		{"o", "t", "/v1/completions", `{"model":"m","prompt":"p"}`, false},
+		{"o", "s", "/v1/chat/completions", `{"model":"m","prompt":"p"}`, false},
+		{"o", "s", "/v1/completions", `{"model":"m","prompt":"p"`, false},
+		{"another", "s", "/v1/completions", `{"model":"m","prompt":"p"}`, false},
+		{"os", "", "/v1/completions", `{"model":"m","prompt":"p"}`, false},
 	}
 	for _, tc := range cases {
-		if got := Fingerprint(tc.service, tc.path, []byte(tc.body)) == base; got != tc.same {
+		if got := of(tc.caller, tc.service, tc.path, tc.body) == base; got != tc.same {
 			t.Errorf("%+v: same is %v", tc, got)
 		}
 	}
@@ -312,14 +318,14 @@
 		h := newHarness(t)
 		defer h.stop()
 		tr := h.trackers[0]
-		tr.Begin(1, "e")
-		tr.Begin(2, "e")
-		tr.NotReceived(1, "e")
+		tr.Begin(contentNumber(1), "e")
+		tr.Begin(contentNumber(2), "e")
+		tr.NotReceived(contentNumber(1), "e")
 		tr.Crashed("e")
-		h.expectVerdict(0, 1, Clear)
-		if v, _ := tr.Check(2); v == Clear {
+		h.expectVerdict(0, contentNumber(1), Clear)
+		if v, _ := tr.Check(contentNumber(2)); v == Clear {
 			t.Error("content in flight at the crash isn't suspected")
 		}
-		tr.End(2, "e")
+		tr.End(contentNumber(2), "e")
 	})
 }
--- a/request/quarantine/target.go
+++ b/request/quarantine/target.go
@@ -20,11 +20,14 @@
 // targetClaim is the right to run suspect content on a target.
 type targetClaim struct {
 	claim
-	fp uint64 // content that runs, if the claim was made by this process
+	fp Fingerprint // content that runs, if the claim was made by this process
 }
 
 // targetKey returns the key that identifies a target in updates about claims.
-func targetKey(target string) uint64 { return Fingerprint(claimPrefix, target, nil) }
+func targetKey(target string) Fingerprint {
+	r := Request{Scope: claimPrefix, Path: target}
+	return r.Fingerprint()
+}
 
 // ClaimTarget implements Claimer.
 //
@@ -35,7 +38,7 @@
 // minutes. Two processes that claim at once learn of each other as described at
 // Claim. Only the owner sends updates about a claim of a target, so that no
 // other process can restore an old one.
-func (t *CrashTracker) ClaimTarget(ctx context.Context, fp uint64, target string) (func(finished bool), bool) {
+func (t *CrashTracker) ClaimTarget(ctx context.Context, fp Fingerprint, target string) (func(finished bool), bool) {
 	key := targetKey(target)
 	cl, ok := t.proposeTarget(key, fp)
 	if !ok {
@@ -58,7 +61,7 @@
 	}, true
 }
 
-func (t *CrashTracker) proposeTarget(key, fp uint64) (targetClaim, bool) {
+func (t *CrashTracker) proposeTarget(key, fp Fingerprint) (targetClaim, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.tick()
@@ -73,7 +76,7 @@
 	return cl, true
 }
 
-func (t *CrashTracker) confirmTarget(key uint64, cl targetClaim) bool {
+func (t *CrashTracker) confirmTarget(key Fingerprint, cl targetClaim) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	held := t.targetClaims[key]
@@ -88,7 +91,7 @@
 // releaseTarget ends a claim and informs the peers. It also does so for a claim
 // that lost to one of a peer, because other peers may have received it before
 // the winning one.
-func (t *CrashTracker) releaseTarget(key uint64, cl targetClaim, hold time.Duration) {
+func (t *CrashTracker) releaseTarget(key Fingerprint, cl targetClaim, hold time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.tick()
@@ -115,7 +118,8 @@
 	if len(t.targetClaims) >= maxTargetClaims {
 		t.sweepTargets(now)
 	}
-	old, known := t.targetClaims[u.Fingerprint]
+	key := parseFingerprint(u.Fingerprint)
+	old, known := t.targetClaims[key]
 	switch {
 	case !known && len(t.targetClaims) >= maxTargetClaims:
 		counts.Add("book_full", 1)
@@ -125,7 +129,7 @@
 	case old.replacedBy(cl, now):
 		old = targetClaim{claim: cl}
 	}
-	t.targetClaims[u.Fingerprint] = old
+	t.targetClaims[key] = old
 }
 
 // sweepTargets removes ended claims after maxUpdateDelay, because an update that
@@ -151,7 +155,7 @@
 	return out
 }
 
-func (cl targetClaim) update(key uint64, now time.Time) *peerpb.Conviction {
+func (cl targetClaim) update(key Fingerprint, now time.Time) *peerpb.Conviction {
 	u := claimUpdate(&content{fp: key, claim: cl.claim}, now)
 	u.Target = claimPrefix + u.Target
 	return u
@@ -161,7 +165,7 @@
 // suspect content has claimed the target since. The later content explains a
 // crash better, so harmless content that was just answered there is not
 // convicted.
-func (t *CrashTracker) explainedByOther(fp uint64, tc targetCrash) bool {
+func (t *CrashTracker) explainedByOther(fp Fingerprint, tc targetCrash) bool {
 	cl := t.targetClaims[targetKey(tc.target)]
 	return t.targets[tc.target][fp] == 0 && tc.at.Before(cl.until) && !(cl.local && cl.fp == fp)
 }
--- a/request/quarantine/target_test.go
+++ b/request/quarantine/target_test.go
@@ -17,7 +17,7 @@
 	var mu sync.Mutex
 	granted := make(map[int]func(bool))
 	h.concurrently(len(who), func(i int) {
-		release, ok := h.trackers[who[i]].ClaimTarget(h.t.Context(), uint64(who[i]+1), engine)
+		release, ok := h.trackers[who[i]].ClaimTarget(h.t.Context(), contentNumber(uint64(who[i]+1)), engine)
 		mu.Lock()
 		defer mu.Unlock()
 		if ok {
@@ -123,9 +123,10 @@
 		target(true)
 		content(false)
 		<-time.After(settleTime)
+		engineKey := targetKey("engine")
 		tr.Incoming([]*peerpb.Conviction{
-			{Fingerprint: targetKey("engine"), Suspect: true, Target: targetClaimPrefix + "daemon-1#1"},
-			{Fingerprint: bad, Suspect: true, Target: claimPrefix + "daemon-1#1"},
+			{Fingerprint: engineKey[:], Suspect: true, Target: targetClaimPrefix + "daemon-1#1"},
+			{Fingerprint: bad[:], Suspect: true, Target: claimPrefix + "daemon-1#1"},
 		})
 		ttls := make(map[string]int64)
 		for _, u := range tr.Outgoing() {
@@ -145,7 +146,7 @@
 // other content is convicted. Without other content there, the first one is
 // convicted.
 func TestAnsweredBeforeTheCrash(t *testing.T) {
-	const first = uint64(7)
+	first := contentNumber(7)
 	for _, next := range []int{-1, 0, 1} { // daemon that sends the crashing content, -1 for none
 		synctest.Test(t, func(t *testing.T) {
 			h := newHarness(t)
@@ -176,15 +177,15 @@
 }
 
 // begin lets a daemon run suspect content on an engine.
-func (h *harness) begin(daemon int, fp uint64, engine string) (release func(bool)) {
+func (h *harness) begin(daemon int, fp Fingerprint, engine string) (release func(bool)) {
 	h.t.Helper()
 	tr := h.trackers[daemon]
 	if _, ok := tr.Claim(h.t.Context(), fp); !ok {
-		h.t.Fatalf("content %d isn't claimed", fp)
+		h.t.Fatalf("content %v isn't claimed", fp)
 	}
 	release, ok := tr.ClaimTarget(h.t.Context(), fp, engine)
 	if !ok {
-		h.t.Fatalf("engine isn't claimed for content %d", fp)
+		h.t.Fatalf("engine isn't claimed for content %v", fp)
 	}
 	tr.Begin(fp, engine)
 	return release
@@ -196,16 +197,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		tr := New(Options{Self: "d"})
 		for i := range uint64(2 * maxTargetClaims) {
-			tr.Incoming([]*peerpb.Conviction{{Fingerprint: i + 1, Suspect: true, Target: fmt.Sprintf("%speer#%d", targetClaimPrefix, i), TtlMs: 1000}})
+			key := contentNumber(i + 1)
+			tr.Incoming([]*peerpb.Conviction{{Fingerprint: key[:], Suspect: true, Target: fmt.Sprintf("%speer#%d", targetClaimPrefix, i), TtlMs: 1000}})
 		}
 		if n := len(tr.targetClaims); n != maxTargetClaims {
 			t.Errorf("%d claims held", n)
 		}
-		if _, ok := tr.ClaimTarget(context.Background(), 1, "e"); ok {
+		if _, ok := tr.ClaimTarget(context.Background(), contentNumber(1), "e"); ok {
 			t.Error("claimed, though the claims of peers aren't all known")
 		}
 		<-time.After(time.Second + maxUpdateDelay + time.Millisecond)
-		if _, ok := tr.ClaimTarget(context.Background(), 1, "e"); !ok || len(tr.targetClaims) != 1 {
+		if _, ok := tr.ClaimTarget(context.Background(), contentNumber(1), "e"); !ok || len(tr.targetClaims) != 1 {
 			t.Errorf("claimed: %v; %d claims held", ok, len(tr.targetClaims))
 		}
 	})
--- a/request/quarantine/tracker.go
+++ b/request/quarantine/tracker.go
@@ -49,21 +49,21 @@
 	updates chan []*peerpb.Conviction // sent in the background
 
 	mu            sync.Mutex
-	contents      map[uint64]*content
-	targets       map[string]map[uint64]int // contents in flight, by target
+	contents      map[Fingerprint]*content
+	targets       map[string]map[Fingerprint]int // contents in flight, by target
 	ended         endedRuns
 	recentCrashes []targetCrash
-	claimSeq      uint64                 // sequence number of the last claim of this process
-	targetClaims  map[uint64]targetClaim // by targetKey
-	sharedRuns    int                    // SuspectShared contents that this process is running
-	pendingClears []uint64               // contents whose exclusive run has finished, cleared after settleTime
+	claimSeq      uint64                      // sequence number of the last claim of this process
+	targetClaims  map[Fingerprint]targetClaim // by targetKey
+	sharedRuns    int                         // SuspectShared contents that this process is running
+	pendingClears []Fingerprint               // contents whose exclusive run has finished, cleared after settleTime
 }
 
 // targetCrash is a crash of a target that this process saw.
 type targetCrash struct {
 	target string
 	at     time.Time
-	fps    []uint64
+	fps    []Fingerprint
 }
 
 var _ Claimer = (*CrashTracker)(nil)
@@ -84,11 +84,11 @@
 	}
 	return &CrashTracker{
 		o:            o,
-		contents:     make(map[uint64]*content),
-		targets:      make(map[string]map[uint64]int),
-		targetClaims: make(map[uint64]targetClaim),
+		contents:     make(map[Fingerprint]*content),
+		targets:      make(map[string]map[Fingerprint]int),
+		targetClaims: make(map[Fingerprint]targetClaim),
 		updates:      make(chan []*peerpb.Conviction, updateQueue),
-		ended:        endedRuns{completed: make(map[uint64]struct{})},
+		ended:        endedRuns{completed: make(map[Fingerprint]struct{})},
 	}
 }
 
@@ -129,7 +129,7 @@
 }
 
 // Check implements Tracker.
-func (t *CrashTracker) Check(fp uint64) (Verdict, time.Duration) {
+func (t *CrashTracker) Check(fp Fingerprint) (Verdict, time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.tick()
@@ -145,12 +145,12 @@
 }
 
 // Begin implements Tracker.
-func (t *CrashTracker) Begin(fp uint64, target string) {
+func (t *CrashTracker) Begin(fp Fingerprint, target string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := t.targets[target]
 	if m == nil {
-		m = make(map[uint64]int)
+		m = make(map[Fingerprint]int)
 		t.targets[target] = m
 	}
 	if len(m) < maxAtTarget || m[fp] > 0 {
@@ -161,7 +161,7 @@
 // End implements Tracker. Whether the content did harm is known only settleTime
 // later, because a crash may be noticed after the connections to the target
 // broke.
-func (t *CrashTracker) End(fp uint64, target string) {
+func (t *CrashTracker) End(fp Fingerprint, target string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.tick()
@@ -172,7 +172,7 @@
 
 // NotReceived ends a run like End. The target has accepted no connection, so the
 // content isn't suspected of its crash.
-func (t *CrashTracker) NotReceived(fp uint64, target string) {
+func (t *CrashTracker) NotReceived(fp Fingerprint, target string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.leave(fp, target, t.tick())
@@ -180,7 +180,7 @@
 
 // leave removes a run of the content at the target and reports whether there
 // was one. Callers hold t.mu.
-func (t *CrashTracker) leave(fp uint64, target string, now time.Time) bool {
+func (t *CrashTracker) leave(fp Fingerprint, target string, now time.Time) bool {
 	m := t.targets[target]
 	if m[fp] == 0 {
 		return false
@@ -230,10 +230,10 @@
 
 // inFlight returns the contents that may have crashed the target: those in
 // flight there and those whose runs there have ended recently.
-func (t *CrashTracker) inFlight(target string) []uint64 {
-	seen := make(map[uint64]bool)
-	var fps []uint64
-	add := func(fp uint64) {
+func (t *CrashTracker) inFlight(target string) []Fingerprint {
+	seen := make(map[Fingerprint]bool)
+	var fps []Fingerprint
+	add := func(fp Fingerprint) {
 		if !seen[fp] && len(fps) < maxSuspects {
 			seen[fp] = true
 			fps = append(fps, fp)
@@ -292,13 +292,13 @@
 			c.convict(now, t.o.Conviction)
 		}
 		counts.Add("convicted", 1)
-		log.WithField("fingerprint", c.fp).Warn("quarantine: content convicted")
+		log.WithField("fingerprint", c.fp.String()).Warn("quarantine: content convicted")
 	}
 }
 
 // getOrCreate returns the entry of a fingerprint and creates it if needed. It
 // returns nil if the limit is reached and no entry can be evicted.
-func (t *CrashTracker) getOrCreate(fp uint64, now time.Time) *content {
+func (t *CrashTracker) getOrCreate(fp Fingerprint, now time.Time) *content {
 	c := t.contents[fp]
 	if c != nil {
 		return c
--- a/request/quarantine/types.go
+++ b/request/quarantine/types.go
@@ -22,11 +22,11 @@
 // safe for concurrent use.
 type Tracker interface {
 	// Check returns the verdict on a fingerprint and how long it lasts.
-	Check(fingerprint uint64) (Verdict, time.Duration)
+	Check(fingerprint Fingerprint) (Verdict, time.Duration)
 	// Begin records that the content was sent to a target.
-	Begin(fingerprint uint64, target string)
+	Begin(fingerprint Fingerprint, target string)
 	// End records that the content is no longer in flight at the target.
-	End(fingerprint uint64, target string)
+	End(fingerprint Fingerprint, target string)
 	// Crashed records that a target crashed. Content in flight there becomes
 	// suspect.
 	Crashed(target string)
@@ -36,7 +36,7 @@
 type Withdrawer interface {
 	// NotReceived is called in place of End, and before the target is reported,
 	// if the target accepted no connection.
-	NotReceived(fingerprint uint64, target string)
+	NotReceived(fingerprint Fingerprint, target string)
 }
 
 // Claimer is a Tracker that also grants the right to run suspect content. It is
@@ -49,12 +49,12 @@
 	// must be called once, after End; finished means that a target returned the
 	// complete answer, which clears the content. Claim may wait for the peers
 	// for a short time.
-	Claim(ctx context.Context, fingerprint uint64) (release func(finished bool), ok bool)
+	Claim(ctx context.Context, fingerprint Fingerprint) (release func(finished bool), ok bool)
 	// ClaimTarget acquires the exclusive right in the fleet to run suspect
 	// content on a target. It is called after Claim, once the target is chosen.
 	// ok is false while other suspect content runs there; release is nil then.
 	// release must be called once, after End; finished means that the target
 	// returned the complete answer, which releases the target at once.
 	// ClaimTarget may wait for the peers for a short time.
-	ClaimTarget(ctx context.Context, fingerprint uint64, target string) (release func(finished bool), ok bool)
+	ClaimTarget(ctx context.Context, fingerprint Fingerprint, target string) (release func(finished bool), ok bool)
 }
--- a/request/quarantine/updates.go
+++ b/request/quarantine/updates.go
@@ -33,7 +33,7 @@
 	}
 	if now.Before(c.convictedUntil) {
 		return []*peerpb.Conviction{{
-			Fingerprint: c.fp,
+			Fingerprint: c.fp[:],
 			Crashes:     uint32(c.convictions + 1),
 			TtlMs:       c.convictedUntil.Sub(now).Milliseconds(),
 			Target:      last,
@@ -41,7 +41,7 @@
 	}
 	var out []*peerpb.Conviction
 	for _, cr := range c.crashes {
-		u := &peerpb.Conviction{Fingerprint: c.fp, Suspect: true, Crashes: 1, Target: cr.target}
+		u := &peerpb.Conviction{Fingerprint: c.fp[:], Suspect: true, Crashes: 1, Target: cr.target}
 		u.TtlMs = cr.at.Add(suspectTTL).Sub(now).Milliseconds()
 		if cr.dismissed {
 			u.Crashes = 0
@@ -57,7 +57,7 @@
 // claimUpdate returns the update about a claim. Its Crashes field is 1 once the
 // claim is confirmed, and its TtlMs field is 0 after the claim was released.
 func claimUpdate(c *content, now time.Time) *peerpb.Conviction {
-	u := &peerpb.Conviction{Fingerprint: c.fp, Suspect: true, Target: c.claim.encode()}
+	u := &peerpb.Conviction{Fingerprint: c.fp[:], Suspect: true, Target: c.claim.encode()}
 	u.TtlMs = max(0, c.claim.until.Sub(now).Milliseconds())
 	if c.claim.confirmed {
 		u.Crashes = 1
@@ -93,7 +93,11 @@
 			t.mergeTarget(u, now)
 			continue
 		}
-		c := t.getOrCreate(u.Fingerprint, now)
+		fp := parseFingerprint(u.Fingerprint)
+		if fp == (Fingerprint{}) {
+			continue // of an earlier build
+		}
+		c := t.getOrCreate(fp, now)
 		if c == nil {
 			continue
 		}
