dispatch, front, roster: content that crashes targets is refused on the platform

Cause: request/quarantine was asked by request/attempt only, the product's own protocol. The platform's path had nothing that learns; README and PROOFS said so. It was a promise that wasn't kept, listed as work to come.

Change: the same tracker serves both protocols. On the platform content may crash two targets before it is refused, since what runs beside it is in flight at one or two of its crashes too and should be retried; nobody has to hear of a suspicion before a request runs, so no message goes to every peer for each. Three crashes without an answer in between convict it, unless other content explains them. Daemons exchange crashes, convictions and their end in datagrams beside the heartbeats, in a large fleet over the aggregators, three times each and in turn from then on, for daemons that start or were cut off.

Before, each end of a conviction cost another target for good.

Ruled out: claims as on the own protocol, a message to all peers for each suspicion and each run of it; the outage rule there, since one content that ends four targets in 250 ms looks like an outage.

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -42,6 +42,7 @@
 	"github.com/pomelospool/pomelospool/request/dispatch"
 	"github.com/pomelospool/pomelospool/request/forward"
 	"github.com/pomelospool/pomelospool/request/ingress"
+	"github.com/pomelospool/pomelospool/request/quarantine"
 	"github.com/pomelospool/pomelospool/version/inforce"
 )
 
@@ -87,7 +88,8 @@
 	roster      *roster.Roster
 	planner     *roles.Planner
 	clock       *clock.Estimator
-	incarnation uint64          // of this process
+	incarnation uint64 // of this process
+	crashes     *quarantine.CrashTracker
 	usage       *usage.Reporter // nil: usage isn't reported
 	scaler      *scale.Scaler   // nil: engines aren't ordered
 	claimAges   *claim.AgeTracker
@@ -133,6 +135,9 @@
 		}
 	})
 	d.health = health.New(time.Now, d.engines.MarkDown)
+	d.crashes = quarantine.New(quarantine.Options{
+		Self: s.VM, ToleratedCrashes: toleratedCrashes, Tries: d.triesContent, Changed: d.notifyPeers,
+	})
 	d.store = relay.NewStore(platform.NewStore(s.Store.Addr), func() []string { return d.roster.Upstream().Peers }, func() []string { return d.roster.ReadyPeers() }, port.TopicConfig, port.TopicTargets)
 	d.monitored = relay.NewMonitoredStore(d.store)
 	d.store.RetryDelay = d.retryDelay
@@ -209,6 +214,7 @@
 		Usage:            d.receiveUsage,
 		Rate:             d.rate.perSecond,
 		Unlinked:         func() bool { return d.links != nil && d.links.AnyLost() },
+		Convictions:      d.crashes,
 	})
 	if err != nil {
 		return err
@@ -245,6 +251,8 @@
 		Self:     d.s.VM,
 		Links:    d.links,
 		Peers:    d.forwarder,
+
+		Quarantine: d.crashes,
 	})
 	d.metrics = newMetrics(d)
 	d.ingress = ingress.New(ingress.Options{Config: d.config, Protocol: platform.TargetProtocol{}, Runner: runner, Observe: d.observe,
--- a/process/roster/heartbeat.go
+++ b/process/roster/heartbeat.go
@@ -132,8 +132,12 @@
 	if r.seq%heartbeatsPerProbe == 0 {
 		to = append(to, r.probeAddrs(maxProbes)...)
 	}
+	aggregates := r.agg.on && !r.small()
 	r.mu.Unlock()
 	r.relayReads(hb.Reads, true)
+	if !aggregates {
+		r.sendConvictions(to)
+	}
 	data, err := encodeHeartbeat(&hb)
 	if err != nil {
 		log.WithError(err).Error("roster: can't encode heartbeat")
@@ -227,12 +231,13 @@
 
 // Kinds of datagrams, sent as the first byte.
 const (
-	kindHeartbeat  = 1
-	kindDigest     = 2
-	kindWorkReport = 3
-	kindQueueQuery = 4
-	kindQueueReply = 5
-	kindUsage      = 6
+	kindHeartbeat   = 1
+	kindDigest      = 2
+	kindWorkReport  = 3
+	kindQueueQuery  = 4
+	kindQueueReply  = 5
+	kindUsage       = 6
+	kindConvictions = 7
 )
 
 var errShortDatagram = errors.New("roster: datagram is too short")
@@ -286,6 +291,8 @@
 			return nil
 		}
 		return r.o.Usage(data[1:])
+	case kindConvictions:
+		return r.handleConvictions(data[1:])
 	default:
 		return r.handleOwnerMessage(data, from)
 	}
--- a/process/roster/publish.go
+++ b/process/roster/publish.go
@@ -97,6 +97,20 @@
 	r.sendTo(s.members, s.toMembers, s.memberRows, whole)
 	r.sendTo(s.idle, s.toMembers.withoutWork(), s.memberRows, whole)
 	r.sendTo(s.others, s.toOthers, s.otherRows, whole)
+	if whole {
+		r.sendConvictions(s.addrs())
+	}
+}
+
+// addrs returns the addresses of all receivers.
+func (s *round) addrs() []net.Addr {
+	var out []net.Addr
+	for _, list := range [...][]receiver{s.members, s.idle, s.others} {
+		for _, to := range list {
+			out = append(out, to.addr)
+		}
+	}
+	return out
 }
 
 // collect determines the receivers of this round and the rows that it contains. Callers
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -119,6 +119,9 @@
 	// Unlinked reports whether this daemon has lost its links to the targets of
 	// some service. If nil, it never has.
 	Unlinked func() bool
+	// Convictions exchanges what daemons know of content that crashes targets. It
+	// may be nil.
+	Convictions Convictions
 	// Conn replaces the UDP socket, in tests.
 	Conn net.PacketConn
 }
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -22,6 +22,7 @@
 	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/failure"
 	"github.com/pomelospool/pomelospool/request/placement"
+	"github.com/pomelospool/pomelospool/request/quarantine"
 	"github.com/pomelospool/pomelospool/version/route"
 )
 
@@ -102,6 +103,8 @@
 	Self     string // name of this process's VM, which determines its preferred targets
 	Links    Links  // nil: links are never lost
 	Peers    Peers  // nil: calls aren't forwarded
+	// Quarantine refuses content that crashes targets. It may be nil.
+	Quarantine Quarantine
 }
 
 // Runner executes calls. It is safe for concurrent use.
@@ -111,13 +114,14 @@
 	mu                   sync.Mutex
 	promptStatsByService map[string]*placement.PromptStats
 	answerLengths        map[string]*answerLength // by route
+	verifying            map[string]bool          // targets that are being verified, by id
 }
 
 func New(o Options) *Runner {
 	if o.Links == nil {
 		o.Links = links.Intact{}
 	}
-	return &Runner{opts: o, promptStatsByService: make(map[string]*placement.PromptStats), answerLengths: make(map[string]*answerLength)}
+	return &Runner{opts: o, promptStatsByService: make(map[string]*placement.PromptStats), answerLengths: make(map[string]*answerLength), verifying: make(map[string]bool)}
 }
 
 // promptStats returns the statistics of a service's prompts.
@@ -145,6 +149,7 @@
 	defer cancel()
 	x := r.newExecution(c)
 	defer x.budget.SentAll()
+	defer x.leaveRun()
 	a, err := x.runPlain(ctx)
 	return a, x.trace, err
 }
@@ -155,6 +160,7 @@
 	defer cancel()
 	x := r.newExecution(c)
 	defer x.budget.SentAll()
+	defer x.leaveRun()
 	err := x.runStream(ctx, out)
 	x.trace.LastEvent = x.lastID
 	return x.trace, err
@@ -191,7 +197,7 @@
 // newExecution returns the state of a call. A forwarded call has been counted
 // for the budget by the daemon that forwarded it.
 func (r *Runner) newExecution(c *Call) *execution {
-	x := &execution{Runner: r, call: c, possibleRuns: c.PriorRuns}
+	x := &execution{Runner: r, call: c, possibleRuns: c.PriorRuns, content: r.fingerprint(c)}
 	if c.Forwarded {
 		x.budget = r.opts.Budget.NewForwardedCall(c.Service.Name)
 	} else {
@@ -213,6 +219,9 @@
 	lastFailure   *sendFailure
 	lastID        string // id of the last event that the caller received
 
+	content quarantine.Fingerprint
+	running *port.TargetEntry // target of the send that goes on; nil: none
+
 	started bool // Call.OnStart has been called
 }
 
--- a/request/dispatch/decode.go
+++ b/request/dispatch/decode.go
@@ -140,6 +140,7 @@
 		return f
 	}
 	x.markStarted(0)
+	x.completeRun()
 	if x.trace.AnswerStarted {
 		return targetError(target, a)
 	}
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -31,6 +31,9 @@
 	if x.call.Service.Engine == nil {
 		return x.runPlainStream(ctx, out)
 	}
+	if err := x.checkContent(); err != nil {
+		return err
+	}
 	if x.viaPeer() {
 		return x.streamAtPeer(ctx, out)
 	}
@@ -43,6 +46,9 @@
 	}
 	sends := 1
 	for {
+		if err := x.checkContent(); err != nil {
+			return err
+		}
 		if err := x.refuseForwarded(); err != nil {
 			return err
 		}
--- a/request/dispatch/harness_test.go
+++ b/request/dispatch/harness_test.go
@@ -21,6 +21,7 @@
 	"github.com/pomelospool/pomelospool/platform/standin"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/budget"
+	"github.com/pomelospool/pomelospool/request/quarantine"
 	"github.com/pomelospool/pomelospool/version/route"
 )
 
@@ -93,6 +94,7 @@
 		Protocol: platform.TargetProtocol{}, Pool: pool, Targets: h,
 		Engines: engines.New(time.Now, func(engines.Work) {}), Health: health.New(time.Now, nil),
 		Budget: h.budget, Control: recordingControl{h}, Zone: "a", Speed: h.speed, Queues: noQueues{}, Demand: demand.New(time.Now),
+		Quarantine: quarantine.New(quarantine.Options{Self: "vm", ToleratedCrashes: 2}),
 	})
 	return h
 }
--- a/request/dispatch/plain.go
+++ b/request/dispatch/plain.go
@@ -24,6 +24,9 @@
 // runPlain sends the call until there is an answer to relay.
 func (x *execution) runPlain(ctx context.Context) (*Answer, error) {
 	for {
+		if err := x.checkContent(); err != nil {
+			return nil, err
+		}
 		if err := x.refuseForwarded(); err != nil {
 			return nil, err
 		}
@@ -36,6 +39,7 @@
 		}
 		a, f := x.sendPlain(ctx, to)
 		if f == nil {
+			x.completeRun()
 			x.recordSuccess(to.ID)
 			return a, nil
 		}
@@ -128,6 +132,9 @@
 // runPlainStream executes a streamed call at plain targets.
 func (x *execution) runPlainStream(ctx context.Context, out Stream) error {
 	for {
+		if err := x.checkContent(); err != nil {
+			return err
+		}
 		if err := x.refuseForwarded(); err != nil {
 			return err
 		}
--- a/request/dispatch/prefill.go
+++ b/request/dispatch/prefill.go
@@ -178,6 +178,7 @@
 			x.opts.Health.ObservePace(to.ID, x.slowdown(predicted, took))
 		}
 	}
+	x.leaveRun()
 	x.recordSuccess(to.ID)
 	return prefilled{kv: &port.KVSource{Addr: to.Addr, Handle: handle}, zone: to.Zone, engineID: to.ID}, nil
 }
--- a/request/dispatch/relay.go
+++ b/request/dispatch/relay.go
@@ -77,6 +77,7 @@
 		x.trace.AnswerStarted = true
 		out.Begin(resp.Status, resp.Header)
 	}
+	x.completeRun()
 	x.recordSuccess(target)
 	return nil
 }
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -36,6 +36,7 @@
 func (x *execution) send(ctx context.Context, s outgoing) (*h1.Response, port.ResponseMeta, *sendFailure) {
 	x.trace.Sends++
 	x.trace.Targets = append(x.trace.Targets, s.target.ID)
+	x.beginRun(s.target)
 	counted := x.budget.Begin(s.target.Addr)
 	resp, err := x.opts.Pool.Do(ctx, x.request(s))
 	if err != nil {
@@ -131,6 +132,7 @@
 // and in the log.
 func (x *execution) recordFailure(f *sendFailure) {
 	x.lastFailure = f
+	x.failRun(f)
 	x.failedTargets = append(x.failedTargets, f.Target)
 	x.trace.Causes = append(x.trace.Causes, f.Class.String()+": "+f.Cause())
 	if f.MayHaveRun() {
@@ -142,7 +144,7 @@
 	x.recordHealth(f)
 	log.WithFields(log.Fields{
 		"request": x.call.Meta.RequestID, "target": f.Target, "class": f.Class.String(), "cause": f.Cause(),
-		"send": x.trace.Sends, "left_ms": time.Until(x.call.Deadline).Milliseconds(),
+		"send": x.trace.Sends, "left_ms": time.Until(x.call.Deadline).Milliseconds(), "content": x.content.String(),
 	}).Info("dispatch: send failed")
 }
 
--- a/request/quarantine/content.go
+++ b/request/quarantine/content.go
@@ -7,10 +7,14 @@
 
 const (
 	sameCrashWindow = 10 * time.Second // reports about one target within this time are about the same crash
-	maxCrashes      = 4                // kept per content
-	suspectTTL      = 30 * time.Minute // after a crash, unless a run finishes
-	exclusiveWait   = 5 * time.Second  // how long suspect content waits for an idle target, from its first try
-	maxConviction   = 4 * time.Hour
+	// maxCrashes is the number of crashes from which on a conviction has no end.
+	// It is also the number that is kept per content.
+	maxCrashes    = 5
+	suspectTTL    = 30 * time.Minute // after a crash, unless a run finishes
+	releasedTTL   = 24 * time.Hour   // after a conviction, unless a run finishes
+	exclusiveWait = 5 * time.Second  // how long suspect content waits for an idle target, from its first try
+	// endless is the duration of a conviction without an end.
+	endless = 10 * 365 * 24 * time.Hour
 	// shortConviction applies if several contents may have caused the same
 	// crash, because some of them are harmless.
 	shortConviction = 2 * time.Minute
@@ -44,6 +48,7 @@
 	convictions    int
 	firstTry       time.Time // first try as a suspect, zero for none
 	clearAt        time.Time // when the content is cleared, zero for never
+	tryUntil       time.Time // until when a try of released content is expected to begin
 }
 
 // verdict returns the verdict on the content and the time when it ends.
@@ -129,16 +134,20 @@
 }
 
 // convict refuses the content for a time that doubles with each conviction.
-// Afterwards the content is suspect again and runs alone.
+// Afterwards the content is suspect again and runs alone. Each such run may cost
+// a target, so after maxCrashes the content isn't released any more.
 func (c *content) convict(now time.Time, base time.Duration) {
-	d := min(base<<min(c.convictions, 10), maxConviction)
+	d := base << min(c.convictions, maxCrashes)
+	if c.crashCount() >= maxCrashes {
+		d = endless
+	}
 	c.convictions++
 	c.refuseFor(now, d)
 }
 
 func (c *content) refuseFor(now time.Time, d time.Duration) {
 	c.convictedUntil = now.Add(d)
-	c.suspectUntil = c.convictedUntil.Add(suspectTTL)
+	c.suspectUntil = c.convictedUntil.Add(releasedTTL)
 	c.firstTry = time.Time{}
 	c.claim = claim{}
 }
--- a/request/quarantine/ending.go
+++ b/request/quarantine/ending.go
@@ -10,17 +10,18 @@
 
 // endedRun is a run of a content that left its target.
 type endedRun struct {
-	fp     Fingerprint
-	target string
-	at     time.Time
+	fp       Fingerprint
+	target   string
+	at       time.Time
+	answered bool // it wasn't broken off
 }
 
 // endedRuns holds the runs that ended less than settleTime ago, and the contents
 // that have completed a run.
 type endedRuns struct {
-	recent         []endedRun // oldest first
-	completed      map[Fingerprint]struct{}
-	completedOrder []Fingerprint // keys of completed, oldest first
+	recent         []endedRun                // oldest first
+	completed      map[Fingerprint]time.Time // end of the last run
+	completedOrder []Fingerprint             // keys of completed, oldest first
 }
 
 func (e *endedRuns) add(x endedRun) {
@@ -31,23 +32,27 @@
 }
 
 // settle marks a content as completed if its target has survived the end of the
-// run by settleTime.
-func (e *endedRuns) settle(now time.Time) {
+// run by settleTime, and calls completed for it.
+func (e *endedRuns) settle(now time.Time, completed func(fp Fingerprint, at time.Time)) {
 	for len(e.recent) > 0 && now.Sub(e.recent[0].at) >= settleTime {
-		e.markCompleted(e.recent[0].fp)
+		if x := e.recent[0]; x.answered {
+			e.markCompleted(x.fp, x.at)
+			completed(x.fp, x.at)
+		}
 		e.recent = e.recent[1:]
 	}
 }
 
-func (e *endedRuns) markCompleted(fp Fingerprint) {
+func (e *endedRuns) markCompleted(fp Fingerprint, at time.Time) {
 	if _, ok := e.completed[fp]; ok {
+		e.completed[fp] = at
 		return
 	}
 	if len(e.completedOrder) >= maxCompleted {
 		delete(e.completed, e.completedOrder[0])
 		e.completedOrder = e.completedOrder[1:]
 	}
-	e.completed[fp] = struct{}{}
+	e.completed[fp] = at
 	e.completedOrder = append(e.completedOrder, fp)
 }
 
--- /dev/null
+++ b/request/quarantine/pending.go
@@ -0,0 +1,88 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/pomelospool/pomelospool/peer/peerpb"
+)
+
+const (
+	// transmissions is the number of messages in which a change is sent, since
+	// messages may be lost.
+	transmissions = 3
+	// maxPending bounds the changes that wait to be sent.
+	maxPending = 256
+	// repeatedContents is the number of contents in each message that are repeated
+	// in turn, for processes that have just started or were cut off.
+	repeatedContents = 4
+)
+
+// publish sends what is known of a content in the next messages, the first one
+// soon.
+func (t *CrashTracker) publish(c *content) {
+	if !t.tolerates() {
+		return
+	}
+	t.relay(c)
+	if t.o.Changed != nil {
+		t.o.Changed()
+	}
+}
+
+// relay sends what is known of a content in the next messages.
+func (t *CrashTracker) relay(c *content) {
+	if t.tolerates() && (len(t.pending) < maxPending || c.crashCount() > 1) {
+		t.pending[c.fp] = transmissions
+	}
+}
+
+// Pending returns the updates for the next message to peers: those about the
+// contents that changed, most crashes first, and those about a few others that are
+// or may soon be convicted. It is used with Options.ToleratedCrashes.
+func (t *CrashTracker) Pending() []*peerpb.Conviction {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.contents) == 0 {
+		return nil
+	}
+	now := t.tick()
+	var changed []*content
+	for fp := range t.pending {
+		if c := t.contents[fp]; c != nil {
+			changed = append(changed, c)
+		} else {
+			delete(t.pending, fp)
+		}
+	}
+	slices.SortFunc(changed, func(a, b *content) int { return cmp.Compare(b.crashCount(), a.crashCount()) })
+	changed = changed[:min(len(changed), maxContentUpdates)]
+	for _, c := range changed {
+		if t.pending[c.fp]--; t.pending[c.fp] <= 0 {
+			delete(t.pending, c.fp)
+		}
+	}
+	return t.updatesOf(append(changed, t.nextRepeated(now)...), now)
+}
+
+// nextRepeated returns the next contents of the rotation.
+func (t *CrashTracker) nextRepeated(now time.Time) (out []*content) {
+	if len(t.rotation) == 0 {
+		for fp, c := range t.contents {
+			if c.expiresAt().Before(now) {
+				delete(t.contents, fp)
+			} else if c.crashCount() > 1 || c.convictions > 0 {
+				t.rotation = append(t.rotation, fp)
+			}
+		}
+	}
+	next := t.rotation[:min(len(t.rotation), repeatedContents)]
+	t.rotation = t.rotation[len(next):]
+	for _, fp := range next {
+		if c := t.contents[fp]; c != nil {
+			out = append(out, c)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/request/quarantine/tolerant.go
@@ -0,0 +1,181 @@
+package quarantine
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+)
+
+// tryTime is the time within which a try of released content begins, and the
+// delay after which a caller is asked to come back meanwhile.
+const tryTime = 2 * time.Second
+
+// tolerates reports whether suspect content runs like any other until it is
+// convicted. No process then has to hear of a suspicion before the content runs
+// again, so the number of messages doesn't grow with the suspicions times the
+// processes.
+func (t *CrashTracker) tolerates() bool { return t.o.ToleratedCrashes > 0 }
+
+// tolerantVerdict returns the verdict on content that isn't claimed. Released
+// content runs at one process at a time.
+func (t *CrashTracker) tolerantVerdict(c *content, now time.Time) (Verdict, time.Duration) {
+	switch {
+	case c.convictions == 0 || c.crashCount() == 0 || !now.Before(c.expiresAt()):
+		return Clear, 0
+	case now.Before(c.convictedUntil):
+		return Convicted, c.convictedUntil.Sub(now)
+	case t.o.Tries != nil && !t.o.Tries(c.fp), now.Before(c.tryUntil), t.isRunning(c.fp):
+		return Convicted, tryTime
+	}
+	c.tryUntil = now.Add(tryTime)
+	return Clear, 0
+}
+
+// recordTolerated adds a crash to the contents that were in flight.
+func (t *CrashTracker) recordTolerated(tc targetCrash) {
+	for _, fp := range tc.fps {
+		c := t.getOrCreate(fp, tc.at)
+		if c == nil || !c.addCrash(crash{target: tc.target, at: tc.at, local: true}) {
+			continue
+		}
+		t.publish(c)
+		t.evaluate(c, tc.at)
+	}
+}
+
+// evaluate convicts content with more crashes than are tolerated, and released
+// content with another crash, unless it was answered since the first one or other
+// content explains its crashes.
+func (t *CrashTracker) evaluate(c *content, now time.Time) {
+	defer t.clearExplained(c, now)
+	if now.Before(c.convictedUntil) || c.convictions == 0 && c.crashCount() <= t.o.ToleratedCrashes {
+		return
+	}
+	if at, ok := t.ended.completed[c.fp]; ok && !at.Before(c.firstCrash()) {
+		t.clear(c)
+		return
+	}
+	if t.isExplained(c) {
+		return
+	}
+	if t.hasTwin(c) {
+		c.convictions++
+		c.refuseFor(now, shortConviction)
+	} else {
+		c.convict(now, t.o.Conviction)
+	}
+	counts.Add("convicted", 1)
+	logConviction(c, now)
+	t.publish(c)
+}
+
+// isExplained reports whether some content was in flight at all crashes of this
+// one and at more.
+func (t *CrashTracker) isExplained(c *content) bool {
+	n := c.crashCount()
+	for _, other := range t.contents {
+		if other.crashCount() > n && other.covers(c) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasTwin reports whether other content was in flight at the same crashes.
+func (t *CrashTracker) hasTwin(c *content) bool {
+	for _, other := range t.contents {
+		if other != c && other.covers(c) {
+			return true
+		}
+	}
+	return false
+}
+
+// clearExplained clears the contents that were convicted for crashes which c, with
+// more of them, explains.
+func (t *CrashTracker) clearExplained(c *content, now time.Time) {
+	n := c.crashCount()
+	if n <= t.o.ToleratedCrashes {
+		return
+	}
+	for _, other := range t.contents {
+		if other.convictions > 0 && now.Before(other.convictedUntil) && other.crashCount() < n && c.covers(other) {
+			t.clear(other)
+		}
+	}
+}
+
+// clearCompleted dismisses the crashes of content before its run that ended at
+// that time with an answer. Content that crashes its targets isn't answered.
+func (t *CrashTracker) clearCompleted(fp Fingerprint, at time.Time) {
+	c := t.contents[fp]
+	if c == nil || !t.tolerates() {
+		return
+	}
+	changed := false
+	for i := range c.crashes {
+		if cr := &c.crashes[i]; !cr.dismissed && !cr.at.After(at) {
+			cr.dismissed, changed = true, true
+		}
+	}
+	if changed {
+		t.liftIfCleared(c)
+		t.publish(c)
+	}
+}
+
+func (t *CrashTracker) clear(c *content) {
+	c.dismissCrashes()
+	t.liftIfCleared(c)
+	t.publish(c)
+}
+
+// liftIfCleared ends a conviction without crashes behind it.
+func (t *CrashTracker) liftIfCleared(c *content) {
+	if c.convictions == 0 || c.crashCount() > 0 {
+		return
+	}
+	c.convictions, c.convictedUntil = 0, time.Time{}
+	counts.Add("cleared", 1)
+	log.WithField("fingerprint", c.fp.String()).Info("quarantine: content cleared")
+}
+
+// covers reports whether the content was in flight at all crashes of other. Only
+// crashes that haven't been dismissed count.
+func (c *content) covers(other *content) bool {
+	for _, cr := range other.crashes {
+		if !cr.dismissed && !slices.ContainsFunc(c.crashes, func(own crash) bool { return own.target == cr.target && !own.dismissed }) {
+			return false
+		}
+	}
+	return other.crashCount() > 0
+}
+
+// hasDismissed reports whether a crash of the target was dismissed.
+func (c *content) hasDismissed(target string) bool {
+	return slices.ContainsFunc(c.crashes, func(cr crash) bool { return cr.target == target && cr.dismissed })
+}
+
+// firstCrash returns the time of the first crash that hasn't been dismissed.
+func (c *content) firstCrash() (first time.Time) {
+	for _, cr := range c.crashes {
+		if !cr.dismissed && (first.IsZero() || cr.at.Before(first)) {
+			first = cr.at
+		}
+	}
+	return first
+}
+
+func logConviction(c *content, now time.Time) {
+	var crashed []string
+	for _, cr := range c.crashes {
+		if !cr.dismissed {
+			crashed = append(crashed, cr.target)
+		}
+	}
+	log.WithFields(log.Fields{
+		"fingerprint": c.fp.String(), "targets": strings.Join(crashed, " "), "for_ms": c.convictedUntil.Sub(now).Milliseconds(),
+	}).Warn("quarantine: content convicted")
+}
--- a/request/quarantine/tracker.go
+++ b/request/quarantine/tracker.go
@@ -1,9 +1,11 @@
 package quarantine
 
 import (
+	"cmp"
 	"context"
 	"expvar"
-	"sort"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +41,18 @@
 	Wait       time.Duration // longest wait for a broadcast; 200ms
 	Conviction time.Duration // duration of the first conviction; 10m
 	Now        func() time.Time
+	// ToleratedCrashes is the number of crashes up to which suspect content runs
+	// like any other. Content that causes one more without a complete answer in
+	// between is convicted. 0: suspect content runs alone, under a claim that is
+	// broadcast to every peer, and is convicted at its second crash.
+	ToleratedCrashes int
+	// Tries reports whether this process is the one that runs released content for
+	// the first time. It is used with ToleratedCrashes, in place of claims. If it
+	// is nil, every process does.
+	Tries func(Fingerprint) bool
+	// Changed is called with locks held when there are updates for Pending. It may
+	// be nil.
+	Changed func()
 }
 
 // CrashTracker implements Claimer for one process. It also implements
@@ -57,6 +71,8 @@
 	targetClaims  map[Fingerprint]targetClaim // by targetKey
 	sharedRuns    int                         // SuspectShared contents that this process is running
 	pendingClears []Fingerprint               // contents whose exclusive run has finished, cleared after settleTime
+	pending       map[Fingerprint]int         // transmissions left of the contents that changed
+	rotation      []Fingerprint               // contents that Pending still repeats in this round
 }
 
 // targetCrash is a crash of a target that this process saw.
@@ -88,7 +104,8 @@
 		targets:      make(map[string]map[Fingerprint]int),
 		targetClaims: make(map[Fingerprint]targetClaim),
 		updates:      make(chan []*peerpb.Conviction, updateQueue),
-		ended:        endedRuns{completed: make(map[Fingerprint]struct{})},
+		ended:        endedRuns{completed: make(map[Fingerprint]time.Time)},
+		pending:      make(map[Fingerprint]int),
 	}
 }
 
@@ -137,6 +154,9 @@
 	if c == nil {
 		return Clear, 0
 	}
+	if t.tolerates() {
+		return t.tolerantVerdict(c, now)
+	}
 	v, until := c.verdict(now)
 	if v == Suspect && c.firstTry.IsZero() {
 		c.firstTry = now
@@ -166,7 +186,18 @@
 	defer t.mu.Unlock()
 	now := t.tick()
 	if t.leave(fp, target, now) {
-		t.ended.add(endedRun{fp, target, now})
+		t.ended.add(endedRun{fp: fp, target: target, at: now, answered: true})
+	}
+}
+
+// Broken ends a run like End. The content wasn't answered, which is no sign that
+// it is harmless.
+func (t *CrashTracker) Broken(fp Fingerprint, target string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.tick()
+	if t.leave(fp, target, now) {
+		t.ended.add(endedRun{fp: fp, target: target, at: now})
 	}
 }
 
@@ -200,7 +231,7 @@
 // time.
 func (t *CrashTracker) tick() time.Time {
 	now := t.o.Now()
-	t.ended.settle(now)
+	t.ended.settle(now, t.clearCompleted)
 	t.clearFinished(now)
 	return now
 }
@@ -212,12 +243,16 @@
 	t.mu.Lock()
 	now := t.tick()
 	tc := targetCrash{target: target, at: now, fps: t.inFlight(target)}
+	if t.tolerates() && len(tc.fps) == 0 {
+		t.mu.Unlock()
+		return
+	}
 	t.addRecentCrash(tc)
 	updates := t.recordCrash(tc)
 	t.mu.Unlock()
 	counts.Add("crashes", 1)
 	log.WithFields(log.Fields{"target": target, "contents": len(tc.fps)}).Warn("quarantine: target crashed")
-	if len(updates) > 0 {
+	if len(updates) > 0 && !t.tolerates() {
 		t.broadcast(updates)
 	}
 }
@@ -251,6 +286,10 @@
 // recordCrash adds a crash to the state of the contents that were in flight, and
 // returns the updates about it.
 func (t *CrashTracker) recordCrash(tc targetCrash) []*peerpb.Conviction {
+	if t.tolerates() {
+		t.recordTolerated(tc)
+		return nil
+	}
 	outage := t.isOutage()
 	var convicted, changed []*content
 	for _, fp := range tc.fps {
@@ -292,7 +331,7 @@
 			c.convict(now, t.o.Conviction)
 		}
 		counts.Add("convicted", 1)
-		log.WithField("fingerprint", c.fp.String()).Warn("quarantine: content convicted")
+		logConviction(c, now)
 	}
 }
 
@@ -313,8 +352,9 @@
 }
 
 // evict removes expired entries. If that is not enough it removes the suspects
-// that expire first, an eighth of the limit at a time, so that a flood of
-// contents does not cause a search for each one.
+// with the fewest crashes, of these the ones that expire first, or convicted
+// contents if there are no suspects. It removes an eighth of the limit at a time,
+// so that a flood of contents does not cause a search for each one.
 func (t *CrashTracker) evict(now time.Time) bool {
 	var suspects []*content
 	for fp, c := range t.contents {
@@ -328,9 +368,15 @@
 	if len(t.contents) < maxContents {
 		return true
 	}
-	sort.Slice(suspects, func(i, j int) bool { return suspects[i].expiresAt().Before(suspects[j].expiresAt()) })
-	for _, c := range suspects[:min(len(suspects), maxContents/8)] {
+	evictable := suspects
+	if len(evictable) == 0 {
+		evictable = slices.Collect(maps.Values(t.contents))
+	}
+	slices.SortFunc(evictable, func(a, b *content) int {
+		return cmp.Or(cmp.Compare(a.crashCount(), b.crashCount()), a.expiresAt().Compare(b.expiresAt()))
+	})
+	for _, c := range evictable[:min(len(evictable), maxContents/8)] {
 		delete(t.contents, c.fp)
 	}
-	return len(suspects) > 0
+	return true
 }
--- a/request/quarantine/updates.go
+++ b/request/quarantine/updates.go
@@ -109,7 +109,7 @@
 	ttl := time.Duration(u.TtlMs) * time.Millisecond
 	switch {
 	case !u.Suspect:
-		c.mergeConviction(u, now, min(ttl, maxConviction))
+		t.mergeConviction(c, u, now, min(ttl, endless))
 	case strings.HasPrefix(u.Target, claimPrefix):
 		cl, ok := parseClaim(u.Target)
 		cl.until = now.Add(min(ttl, claimTTL))
@@ -118,7 +118,7 @@
 			c.mergeClaim(cl, now)
 		}
 	case u.Crashes == 0:
-		c.mergeDismissed(u.Target, now.Add(ttl-suspectTTL))
+		t.mergeDismissed(c, u.Target, now.Add(ttl-suspectTTL))
 	default:
 		t.mergeCrash(c, crash{target: u.Target, at: now.Add(min(ttl, suspectTTL) - suspectTTL)}, now)
 	}
@@ -126,12 +126,21 @@
 
 // mergeConviction applies a peer's conviction. The number of convictions is
 // included so that the next conviction doubles on whichever daemon makes it.
-func (c *content) mergeConviction(u *peerpb.Conviction, now time.Time, ttl time.Duration) {
-	c.convictions = max(c.convictions, int(u.Crashes)-1)
+func (t *CrashTracker) mergeConviction(c *content, u *peerpb.Conviction, now time.Time, ttl time.Duration) {
+	if t.tolerates() && c.hasDismissed(u.Target) {
+		return // of a daemon that doesn't know yet that the content was cleared
+	}
+	changed := false
+	if n := int(u.Crashes) - 1; n > c.convictions {
+		c.convictions, changed = n, true
+	}
 	if now.Add(ttl).After(c.convictedUntil.Add(maxUpdateDelay)) {
 		c.refuseFor(now, ttl)
+		changed = true
+	}
+	if c.addCrash(crash{target: u.Target, at: now}) || changed {
+		t.relay(c)
 	}
-	c.addCrash(crash{target: u.Target, at: now})
 }
 
 // mergeClaim applies a peer's update about a claim. A released claim is kept
@@ -177,19 +186,31 @@
 }
 
 // mergeDismissed applies an update that a crash has been dismissed.
-func (c *content) mergeDismissed(target string, at time.Time) {
-	c.addCrash(crash{target: target, at: at, dismissed: true})
+func (t *CrashTracker) mergeDismissed(c *content, target string, at time.Time) {
+	changed := c.addCrash(crash{target: target, at: at, dismissed: true})
 	for i, cr := range c.crashes {
-		if cr.target == target && cr.at.Sub(at).Abs() < sameCrashWindow {
+		if cr.target == target && cr.at.Sub(at).Abs() < sameCrashWindow && !cr.dismissed {
 			c.crashes[i].dismissed = true
+			changed = true
 		}
 	}
+	if changed && t.tolerates() {
+		t.liftIfCleared(c)
+		t.relay(c)
+	}
 }
 
 // mergeCrash applies a crash that a peer saw. It leads to a conviction only
 // together with a crash that this process saw, because only then does this
 // process know whether the content has completed in the meantime.
 func (t *CrashTracker) mergeCrash(c *content, cr crash, now time.Time) {
+	if t.tolerates() {
+		if c.addCrash(cr) {
+			t.relay(c)
+			t.evaluate(c, now)
+		}
+		return
+	}
 	if !c.addCrash(cr) || now.Before(c.convictedUntil) {
 		return
 	}
