--- a/request/quarantine/tolerant.go
+++ b/request/quarantine/tolerant.go
@@ -35,16 +35,32 @@
 
 // recordTolerated adds a crash to the contents that were in flight.
 func (t *CrashTracker) recordTolerated(tc targetCrash) {
+	var changed []*content
 	for _, fp := range tc.fps {
 		c := t.getOrCreate(fp, tc.at)
-		if c == nil || !c.addCrash(crash{target: tc.target, at: tc.at, local: true}) {
-			continue
+		if c != nil && t.addCrash(c, crash{target: tc.target, at: tc.at, local: true}) {
+			changed = append(changed, c)
+			t.publish(c)
 		}
-		t.publish(c)
+	}
+	for _, c := range changed {
 		t.evaluate(c, tc.at)
 	}
 }
 
+// addCrash records a crash and reports whether it is new. With tolerated crashes,
+// targets are incarnations, which crash once.
+func (t *CrashTracker) addCrash(c *content, cr crash) bool {
+	if !t.tolerates() {
+		return c.addCrash(cr)
+	}
+	known := slices.ContainsFunc(c.crashes, func(old crash) bool { return old.target == cr.target })
+	if !known {
+		c.appendCrash(cr)
+	}
+	return !known
+}
+
 // evaluate convicts content with more crashes than are tolerated, and released
 // content with another crash, unless it was answered since the first one or other
 // content explains its crashes.
--- a/request/quarantine/tracker.go
+++ b/request/quarantine/tracker.go
@@ -27,6 +27,7 @@
 	maxContents       = 4096
 	maxAtTarget       = 1024 // contents tracked per target
 	maxSuspects       = 256  // per crash
+	maxIdleTargets    = 256  // targets without runs whose space is kept
 	burstWindow       = 2 * time.Second
 	burstTargets      = 3 // crashed targets within burstWindow that indicate an outage
 )
@@ -220,7 +221,7 @@
 	if m[fp] == 0 {
 		delete(m, fp)
 	}
-	if len(m) == 0 {
+	if len(m) == 0 && len(t.targets) > maxIdleTargets {
 		delete(t.targets, target)
 	}
 	t.endRunningClaim(fp, now)
--- a/request/quarantine/updates.go
+++ b/request/quarantine/updates.go
@@ -16,8 +16,9 @@
 	claimPrefix = "@"
 )
 
-// updatesOf returns the updates about contents: one message per crash, or one
-// for a conviction. A dismissed crash is sent with 0 crashes.
+// updatesOf returns the updates about contents: one message for a conviction, or
+// one per crash. With tolerated crashes, both are sent. A dismissed crash is sent
+// with 0 crashes.
 func (t *CrashTracker) updatesOf(cs []*content, now time.Time) []*peerpb.Conviction {
 	var out []*peerpb.Conviction
 	for _, c := range cs {
@@ -31,15 +32,18 @@
 	if n := len(c.crashes); n > 0 {
 		last = c.crashes[n-1].target
 	}
+	var out []*peerpb.Conviction
 	if now.Before(c.convictedUntil) {
-		return []*peerpb.Conviction{{
+		out = []*peerpb.Conviction{{
 			Fingerprint: c.fp[:],
 			Crashes:     uint32(c.convictions + 1),
 			TtlMs:       c.convictedUntil.Sub(now).Milliseconds(),
 			Target:      last,
 		}}
+		if !t.tolerates() {
+			return out
+		}
 	}
-	var out []*peerpb.Conviction
 	for _, cr := range c.crashes {
 		u := &peerpb.Conviction{Fingerprint: c.fp[:], Suspect: true, Crashes: 1, Target: cr.target}
 		u.TtlMs = cr.at.Add(suspectTTL).Sub(now).Milliseconds()
@@ -138,7 +142,7 @@
 		c.refuseFor(now, ttl)
 		changed = true
 	}
-	if c.addCrash(crash{target: u.Target, at: now}) || changed {
+	if t.addCrash(c, crash{target: u.Target, at: now}) || changed {
 		t.relay(c)
 	}
 }
@@ -187,9 +191,10 @@
 
 // mergeDismissed applies an update that a crash has been dismissed.
 func (t *CrashTracker) mergeDismissed(c *content, target string, at time.Time) {
-	changed := c.addCrash(crash{target: target, at: at, dismissed: true})
+	changed := t.addCrash(c, crash{target: target, at: at, dismissed: true})
 	for i, cr := range c.crashes {
-		if cr.target == target && cr.at.Sub(at).Abs() < sameCrashWindow && !cr.dismissed {
+		same := t.tolerates() || cr.at.Sub(at).Abs() < sameCrashWindow
+		if cr.target == target && same && !cr.dismissed {
 			c.crashes[i].dismissed = true
 			changed = true
 		}
@@ -205,7 +210,7 @@
 // process know whether the content has completed in the meantime.
 func (t *CrashTracker) mergeCrash(c *content, cr crash, now time.Time) {
 	if t.tolerates() {
-		if c.addCrash(cr) {
+		if t.addCrash(c, cr) {
 			t.relay(c)
 			t.evaluate(c, now)
 		}
