roster, quarantine: tests of the exchange; single suspicions are bounded

TestAllDaemonsLearnOfCrashes: three daemons see one crash each, and all of 2, 8, 60 and 295 refuse the content within 3 s, with one datagram of twenty lost too. TestDaemonsThatComeLaterLearnOfCrashes: a daemon that starts 20 s later and two that were cut off refuse it.

--- /dev/null
+++ b/process/roster/convictions_test.go
@@ -0,0 +1,122 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pomelospool/pomelospool/peer/peerpb"
+	"github.com/pomelospool/pomelospool/request/quarantine"
+)
+
+// crashContent makes three daemons see one crash each of the same content.
+func (f *testFleet) crashContent(content quarantine.Fingerprint, vms [3]int) {
+	for i, vm := range vms {
+		target := fmt.Sprint("target", i)
+		f.crashes[vm].Begin(content, target)
+		f.crashes[vm].Crashed(target)
+	}
+}
+
+// refusing returns the number of daemons that refuse the content.
+func (f *testFleet) refusing(content quarantine.Fingerprint) (n int) {
+	for _, tracker := range f.crashes {
+		if v, _ := tracker.Check(content); v == quarantine.Convicted {
+			n++
+		}
+	}
+	return n
+}
+
+// stableWindow is the time within which all daemons have to refuse content.
+const stableWindow = 3 * time.Second
+
+// Guards against daemons that go on sending content that crashed targets of
+// others, in a fleet of any size and with lost datagrams.
+func TestAllDaemonsLearnOfCrashes(t *testing.T) {
+	for _, size := range []int{2, 8, 60, 295} {
+		for _, loss := range []float64{0, 0.05} {
+			withLargeFleet(t, size, 3, func(t *testing.T, f *testFleet) {
+				f.net.SetLossRate(loss)
+				content := quarantine.Fingerprint{1}
+				f.crashContent(content, [3]int{0, size / 2, size - 1})
+				sleep(stableWindow)
+				if n := f.refusing(content); n != size {
+					t.Errorf("%d daemons, loss %v: %d refuse the content after %v", size, loss, n, stableWindow)
+				}
+			})
+		}
+	}
+}
+
+// Guards against daemons that have just started, or were cut off, and send content
+// that the others refuse.
+func TestDaemonsThatComeLaterLearnOfCrashes(t *testing.T) {
+	for _, size := range []int{6, 60} {
+		withLargeFleet(t, size, 3, func(t *testing.T, f *testFleet) {
+			content := quarantine.Fingerprint{1}
+			cut := map[int]bool{4: true, 5: true}
+			f.setCut(cut, true)
+			f.crashContent(content, [3]int{0, 1, 2})
+			sleep(20 * time.Second)
+			f.setCut(cut, false)
+			f.add(size+1, 1)
+			sleep(stableWindow)
+			if n := f.refusing(content); n != size+1 {
+				t.Errorf("%d of %d daemons refuse the content", n, size+1)
+			}
+		})
+	}
+}
+
+// Guards against datagrams that are fragmented, or that grow with the number of
+// suspicions when an availability zone fails.
+func TestConvictionsFitIntoDatagrams(t *testing.T) {
+	var updates []*peerpb.Conviction
+	for i := range 500 {
+		updates = append(updates, &peerpb.Conviction{Fingerprint: make([]byte, 16), Crashes: 1, TtlMs: 600_000, Suspect: true, Target: fmt.Sprintf("i-%032d", i)})
+	}
+	total := 0
+	for _, part := range splitConvictions(updates) {
+		total += len(part.Convictions)
+		if n := 1 + proto.Size(part); n > maxDatagramSize {
+			t.Errorf("a datagram has %d bytes", n)
+		}
+	}
+	if total != len(updates) {
+		t.Errorf("%d of %d updates are sent", total, len(updates))
+	}
+}
+
+// Guards against traffic that grows with the square of the fleet when an
+// availability zone fails and each daemon has suspicions of its own.
+func TestFailureOfAZoneCostsLittleTraffic(t *testing.T) {
+	const (
+		size       = 150
+		span       = 5 * time.Second
+		narrowLink = 20e6 / 8 // bytes a second
+		maxShare   = 0.05
+	)
+	withLargeFleet(t, size, 3, func(t *testing.T, f *testFleet) {
+		before := f.received()
+		for vm, tracker := range f.crashes {
+			for i := range 40 {
+				content := quarantine.Fingerprint{byte(vm), byte(i), 1}
+				target := fmt.Sprint("target", (vm+i)%100)
+				tracker.Begin(content, target)
+				tracker.Crashed(target)
+			}
+		}
+		sleep(span)
+		most := 0
+		for vm, n := range f.received() {
+			most = max(most, (n-before[vm])/int(span/time.Second))
+		}
+		t.Logf("at most %d bytes a second", most)
+		if float64(most) > maxShare*narrowLink {
+			t.Errorf("a daemon receives %d bytes a second", most)
+		}
+	})
+}
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -19,6 +19,7 @@
 	"github.com/pomelospool/pomelospool/internal/packetnet"
 	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/request/quarantine"
 )
 
 func TestMain(m *testing.M) {
@@ -73,6 +74,7 @@
 	trackers         []*engines.Tracker
 	ends             []*packetnet.Conn
 	claims           []*fakeClaims
+	crashes          []*quarantine.CrashTracker
 }
 
 func peerAddr(vm int) string { return fmt.Sprintf("10.0.%d.%d:7000", vm/250, vm%250) }
@@ -99,8 +101,9 @@
 	if f.rate != nil {
 		rate = func() float64 { return f.rate(vm) }
 	}
+	crashes := quarantine.New(quarantine.Options{ToleratedCrashes: 2, Changed: func() { r.Notify() }})
 	r, err := New(Options{
-		Rate: rate,
+		Rate: rate, Convictions: crashes,
 		Self: Member{
 			VM: fmt.Sprintf("vm%03d", vm), Incarnation: incarnation, Zone: f.zone(vm),
 			CallerAddr: fmt.Sprintf("10.0.%d.%d:80", vm/250, vm%250), PeerAddr: addr, LinkMbps: linkMbps,
@@ -115,6 +118,7 @@
 	r.Start()
 	r.SetState(Ready)
 	f.all, f.trackers, f.claims = append(f.all, r), append(f.trackers, tracker), append(f.claims, claims)
+	f.crashes = append(f.crashes, crashes)
 	return r
 }
 
--- a/request/quarantine/pending.go
+++ b/request/quarantine/pending.go
@@ -14,6 +14,10 @@
 	transmissions = 3
 	// maxPending bounds the changes that wait to be sent.
 	maxPending = 256
+	// maxSingles bounds the contents with a single crash in each message. Hundreds
+	// of daemons have many of them when an availability zone fails, and one daemon
+	// receives them all.
+	maxSingles = 8
 	// repeatedContents is the number of contents in each message that are repeated
 	// in turn, for processes that have just started or were cut off.
 	repeatedContents = 4
@@ -39,8 +43,8 @@
 }
 
 // Pending returns the updates for the next message to peers: those about the
-// contents that changed, most crashes first, and those about a few others that are
-// or may soon be convicted. It is used with Options.ToleratedCrashes.
+// contents that changed, and those about a few others that are or may soon be
+// convicted. It is used with Options.ToleratedCrashes.
 func (t *CrashTracker) Pending() []*peerpb.Conviction {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -48,6 +52,12 @@
 		return nil
 	}
 	now := t.tick()
+	return t.updatesOf(append(t.nextChanged(), t.nextRepeated(now)...), now)
+}
+
+// nextChanged returns the changed contents for the next message: those with the
+// most crashes first, of these the newest.
+func (t *CrashTracker) nextChanged() []*content {
 	var changed []*content
 	for fp := range t.pending {
 		if c := t.contents[fp]; c != nil {
@@ -56,14 +66,20 @@
 			delete(t.pending, fp)
 		}
 	}
-	slices.SortFunc(changed, func(a, b *content) int { return cmp.Compare(b.crashCount(), a.crashCount()) })
+	slices.SortFunc(changed, func(a, b *content) int {
+		return cmp.Or(cmp.Compare(b.crashCount(), a.crashCount()), b.lastCrash().Compare(a.lastCrash()))
+	})
+	single := slices.IndexFunc(changed, func(c *content) bool { return c.crashCount() <= 1 })
+	if single >= 0 {
+		changed = changed[:min(len(changed), single+maxSingles)]
+	}
 	changed = changed[:min(len(changed), maxContentUpdates)]
 	for _, c := range changed {
 		if t.pending[c.fp]--; t.pending[c.fp] <= 0 {
 			delete(t.pending, c.fp)
 		}
 	}
-	return t.updatesOf(append(changed, t.nextRepeated(now)...), now)
+	return changed
 }
 
 // nextRepeated returns the next contents of the rotation.
--- a/request/quarantine/tolerant.go
+++ b/request/quarantine/tolerant.go
@@ -184,6 +184,15 @@
 	return first
 }
 
+func (c *content) lastCrash() (last time.Time) {
+	for _, cr := range c.crashes {
+		if cr.at.After(last) {
+			last = cr.at
+		}
+	}
+	return last
+}
+
 func logConviction(c *content, now time.Time) {
 	var crashed []string
 	for _, cr := range c.crashes {
