soak: requests that crash their targets; popular content stays clear

An answer counted as a sign of harmlessness only a second later, when all had ended.

An answer clears content at once now: what crashes its targets isn't answered. Content that was in flight at the same crashes as other content is refused for 5 s; then one daemon tries each, and the one that crashes another target is the cause.

The stand-in's targets end when they run a certain body, reset all connections, refuse new ones for 2 s and come back as new incarnations. The load asks for the same content in a quarter of its requests. The judge counts sends of such a request later than 3 s after the third crash by daemons in touch, and harmless content in quarantine. Two planted faults are found.

Without the quarantine (planted) the judge reports "a request that crashes its targets was sent on".

--- a/bench/soak/client.go
+++ b/bench/soak/client.go
@@ -57,6 +57,9 @@
 	maxIdleTime = time.Second
 	// cancelShare is the share of requests that their callers cancel.
 	cancelShare = 0.03
+	// popularEvery is the number of requests of a caller of which one has the same
+	// body as others. Such content is in flight at most crashes of targets.
+	popularEvery = 4
 	// maxCancelDelay is the longest time until a caller cancels. A target
 	// answers within some milliseconds.
 	maxCancelDelay = 8 * time.Millisecond
@@ -204,6 +207,9 @@
 // connection may be used for another request.
 func (c *caller) exchange(o *Outcome, prompt string) (reuse bool, err error) {
 	body := "body of " + o.ID
+	if c.requests%popularEvery == 0 {
+		body = "what many callers ask for"
+	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n", c.Protocol.Paths[o.Class], c.Protocol.Host, len(body))
 	h := c.Protocol.Headers(o.ID, requestTimeout, prompt)
--- a/bench/soak/doc.go
+++ b/bench/soak/doc.go
@@ -9,6 +9,8 @@
 //   - Every request ends.
 //   - Callers of daemons without links to targets are served beside those of the
 //     others.
+//   - A request that crashes the targets that run it reaches few of them, and
+//     harmless content isn't refused.
 //   - The system recovers once the faults are over.
 //
 // The tests start the daemons as processes that use the store, the cloud and
--- a/bench/soak/fleet_test.go
+++ b/bench/soak/fleet_test.go
@@ -134,11 +134,13 @@
 	return p.exited
 }
 
+func daemonPath(dir string) string { return filepath.Join(dir, "pomelospoold") }
+
 // buildDaemon builds the daemon with a clock that can be stepped and with the
 // edits, and returns the path of the program.
 func buildDaemon(t *testing.T, dir string, edits []edit) string {
 	t.Helper()
-	program := filepath.Join(dir, "pomelospoold")
+	program := daemonPath(dir)
 	cmd := exec.Command("go", "build", "-o", program, "-overlay", writeOverlay(t, edits), "github.com/pomelospool/pomelospool/cmd/pomelospoold")
 	if text, err := cmd.CombinedOutput(); err != nil {
 		t.Fatalf("go build: %v\n%s", err, text)
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -5,6 +5,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/pomelospool/pomelospool/platform/standin"
 )
 
 // Class is the kind of a request. It determines how the request is answered and
@@ -38,6 +40,7 @@
 	WantBody   string // expected body of a complete success
 	Err        error  // why the answer is incomplete
 	Canceled   bool   // the caller canceled the request
+	Crashing   bool   // the request crashes the targets that run it
 }
 
 // Judge checks what callers observed against what targets recorded. It is
@@ -49,6 +52,8 @@
 	paused   map[int][]span     // by index of the daemon
 	outages  map[int][]span     // by index of the daemon, the times at which it may serve nobody
 	cuts     []cut
+	crashes  map[string][]time.Time       // of targets, by the body that caused them
+	crashing map[string][]standin.Arrival // of requests with that body
 	faults   []string
 }
 
@@ -57,7 +62,7 @@
 
 // NewJudge returns an empty Judge.
 func NewJudge() *Judge {
-	return &Judge{killed: make(map[int][]killSpan), paused: make(map[int][]span), outages: make(map[int][]span)}
+	return &Judge{killed: make(map[int][]killSpan), paused: make(map[int][]span), outages: make(map[int][]span), crashes: make(map[string][]time.Time)}
 }
 
 // Record records the outcome of a request.
@@ -108,6 +113,7 @@
 	defer j.mu.Unlock()
 	faults = append(faults, j.faults...)
 	faults = append(faults, j.checkCuts()...)
+	faults = append(faults, j.checkCrashes()...)
 	for _, o := range j.outcomes {
 		totals.add(o)
 		for _, f := range j.check(o, ran[o.ID]) {
@@ -148,6 +154,9 @@
 	if o.Complete && o.Status == 200 && runs == 0 {
 		faults = append(faults, "answered, but no target ran it")
 	}
+	if o.Complete && !o.Crashing && strings.Contains(o.Body, quarantined) {
+		faults = append(faults, "harmless content is in quarantine")
+	}
 	if !o.Complete && !o.Canceled && o.Class != Stream && !j.killedWhileOpen(o) && !j.pausedDuring(o) {
 		faults = append(faults, "cut, though its daemon wasn't killed; "+j.connectionTimes(o))
 	}
--- a/bench/soak/links_test.go
+++ b/bench/soak/links_test.go
@@ -77,8 +77,9 @@
 // TestCallersOfDaemonsWithoutLinks guards against daemons that have lost their
 // links to all targets and fail their callers, or those of the others.
 func TestCallersOfDaemonsWithoutLinks(t *testing.T) {
+	t.Parallel()
 	const length = 8 * time.Second
-	program := buildDaemon(t, t.TempDir(), nil)
+	program := sharedDaemon(t)
 	for name, on := range map[string][]int{"one daemon": {1}, "two daemons": {0, 3}, "three of four": {0, 1, 2}} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- /dev/null
+++ b/bench/soak/main_test.go
@@ -0,0 +1,46 @@
+package soak
+
+import (
+	"flag"
+	"log"
+	"os"
+	"runtime"
+	"strconv"
+	"sync"
+	"testing"
+)
+
+// trialsPerCore is the number of trials that run at a time on a core. A trial
+// spends most of its time waiting.
+const trialsPerCore = 2
+
+// sharedDir holds what all tests use.
+var sharedDir string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if !isFlagSet("test.parallel") {
+		_ = flag.Set("test.parallel", strconv.Itoa(trialsPerCore*runtime.GOMAXPROCS(0))) // the flag exists
+	}
+	var err error
+	if sharedDir, err = os.MkdirTemp("", "soak"); err != nil {
+		log.Fatal(err)
+	}
+	status := m.Run()
+	_ = os.RemoveAll(sharedDir)
+	os.Exit(status)
+}
+
+func isFlagSet(name string) (set bool) {
+	flag.Visit(func(f *flag.Flag) { set = set || f.Name == name })
+	return set
+}
+
+var buildOnce sync.Once
+
+// sharedDaemon returns the path of the daemon that all tests without edits run.
+func sharedDaemon(t *testing.T) string {
+	t.Helper()
+	buildOnce.Do(func() { buildDaemon(t, sharedDir, nil) })
+	return daemonPath(sharedDir)
+}
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -37,13 +37,14 @@
 	StopTarget                      // a target's process is stopped; it continues at the end
 	StarveTarget                    // a target's process gets starvedShare of the time
 	StarveDaemon                    // a daemon's process gets starvedShare of the time
+	CrashContent                    // a request that crashes its targets is sent again and again
 )
 
 var kindNames = [...]string{
 	"kill daemon", "stop daemon", "pause daemon", "reload daemon", "cut store", "fail store",
 	"cut target", "spoil target", "kill target", "drain target", "publish",
 	"step clock", "reject all", "restart series", "cut links",
-	"stop target", "starve target", "starve daemon",
+	"stop target", "starve target", "starve daemon", "crash content",
 }
 
 // String returns the name of the kind in plans.
@@ -56,7 +57,7 @@
 	Kind Kind
 	On   int  // index of the daemon or target that it affects
 	Mode Mode // of the proxy, for CutStore and CutTarget
-	How  int  // variant, for FailStore, DegradeTarget, StepClock, RejectAll and CutLinks
+	How  int  // variant, for FailStore, DegradeTarget, StepClock, RejectAll, CutLinks and CrashContent
 }
 
 // String returns the event as one line.
@@ -74,6 +75,8 @@
 	// Stalls makes all targets of a service reject for most of the load, and
 	// adds stopped and starved targets and daemons to the plan.
 	Stalls bool
+	// Crashes adds requests that crash their targets to the plan.
+	Crashes bool
 }
 
 const (
@@ -122,6 +125,9 @@
 	if s.Stalls {
 		out = append(out, stallPlan(seed, s)...)
 	}
+	if s.Crashes {
+		out = append(out, crashPlan(seed, s)...)
+	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
--- a/bench/soak/planted_test.go
+++ b/bench/soak/planted_test.go
@@ -54,6 +54,14 @@
 		{"nothing goes through peers", []edit{
 			{"request/dispatch/peers.go", "return x.opts.Peers != nil &&", "return false &&"},
 		}, cutsOn(0, 1, 2), "without links"},
+		{"content that crashes targets is sent on", []edit{
+			{"request/dispatch/crash.go", "case verdict != quarantine.Convicted:", "case verdict >= 0:"},
+		}, []Event{{For: plantedLength, Kind: CrashContent, How: int(Safe)}}, "a request that crashes its targets"},
+		{"what runs beside a crash is blamed", []edit{
+			{"request/dispatch/crash.go", "x.opts.Quarantine.End(x.content, target.ID)", "x.opts.Quarantine.Broken(x.content, target.ID)"},
+			{"request/quarantine/tolerant.go", "if t.isExplained(c) {", "if false {"},
+			{"request/quarantine/tolerant.go", "	defer t.clearExplained(c, now)\n", ""},
+		}, []Event{{At: 2 * time.Second, For: plantedLength, Kind: CrashContent, How: int(Safe)}}, "harmless content"},
 		{"the store is given up after a failure", []edit{
 			{"process/topic/follower.go", "f.o.Sink.StoreLost(err)", "f.o.Sink.StoreLost(err); <-f.tomb.Dying()"},
 		}, append([]Event{{At: 0, For: 3 * time.Second, Kind: FailStore, How: storeReset}}, onAll(KillTarget, 0)...), "hasn't recovered"},
--- a/bench/soak/proxy.go
+++ b/bench/soak/proxy.go
@@ -30,16 +30,17 @@
 // Proxy forwards TCP connections to one address and applies network faults to
 // them. It is safe for concurrent use.
 type Proxy struct {
-	server   string
-	listener net.Listener
+	server string
+	addr   string // at which it listens
 
-	mu      sync.Mutex
-	mode    Mode
-	delay   time.Duration
-	changed chan struct{} // closed when the mode changes
-	conns   map[net.Conn]bool
-	closed  bool
-	wg      sync.WaitGroup
+	mu       sync.Mutex
+	listener net.Listener // nil: connections are refused
+	mode     Mode
+	delay    time.Duration
+	changed  chan struct{} // closed when the mode changes
+	conns    map[net.Conn]bool
+	closed   bool
+	wg       sync.WaitGroup
 }
 
 // NewProxy returns a Proxy that listens at addr and forwards connections to
@@ -49,13 +50,13 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{server: server, listener: l, changed: make(chan struct{}), conns: make(map[net.Conn]bool)}
-	p.wg.Go(p.accept)
+	p := &Proxy{server: server, addr: l.Addr().String(), listener: l, changed: make(chan struct{}), conns: make(map[net.Conn]bool)}
+	p.wg.Go(func() { p.accept(l) })
 	return p, nil
 }
 
 // Addr returns the address at which the proxy listens.
-func (p *Proxy) Addr() string { return p.listener.Addr().String() }
+func (p *Proxy) Addr() string { return p.addr }
 
 // Set changes the mode. delay is used by the mode Delay only.
 func (p *Proxy) Set(m Mode, delay time.Duration) {
@@ -71,11 +72,45 @@
 	}
 }
 
+// Crash resets all connections and refuses new ones, like a process that has
+// ended. It returns false if the proxy already refuses them.
+func (p *Proxy) Crash() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener == nil {
+		return false
+	}
+	_ = p.listener.Close()
+	p.listener = nil
+	for c := range p.conns {
+		reset(c)
+	}
+	return true
+}
+
+// Restart accepts connections again after Crash.
+func (p *Proxy) Restart() error {
+	l, err := net.Listen("tcp", p.addr)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return l.Close()
+	}
+	p.listener = l
+	p.wg.Go(func() { p.accept(l) })
+	return nil
+}
+
 // Close closes the listener and all connections.
 func (p *Proxy) Close() {
 	p.mu.Lock()
 	p.closed = true
-	_ = p.listener.Close()
+	if p.listener != nil {
+		_ = p.listener.Close()
+	}
 	for c := range p.conns {
 		_ = c.Close()
 	}
@@ -93,9 +128,9 @@
 	_ = c.Close()
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
--- a/bench/soak/site_test.go
+++ b/bench/soak/site_test.go
@@ -164,7 +164,10 @@
 		env.store.Withdraw(old.ID)
 	}
 	t := standin.NewTarget(fmt.Sprintf("%s-%d", slot.name, slot.generation.Add(1)), slot.stage)
-	t.Set(func(b *standin.Behaviour) { b.Events, b.Gap = events, 2*time.Millisecond })
+	t.Set(func(b *standin.Behaviour) {
+		b.Events, b.Gap = events, 2*time.Millisecond
+		b.CrashBody, b.OnCrash = crashBody, func() { env.crashTarget(slot, t) }
+	})
 	slot.current.Store(t)
 	slot.targets = append(slot.targets, t)
 	slot.leaving, slot.removed = false, false
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -61,18 +61,19 @@
 // between them fail one after another and at the same time. It fails if a
 // guarantee that the package comment lists is violated.
 func TestSoak(t *testing.T) {
-	program := buildDaemon(t, t.TempDir(), nil)
+	t.Parallel()
+	program := sharedDaemon(t)
 	for _, r := range regressions {
 		t.Run(fmt.Sprintf("regression %d", r.seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, program, r.seed, defaultDaemons, r.length, r.cuts)
+			runSeed(t, program, r.seed, Size{Daemons: defaultDaemons, Length: r.length, Cuts: r.cuts})
 		})
 	}
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, program, seed, *daemons, *length, true)
+			runSeed(t, program, seed, Size{Daemons: *daemons, Length: *length, Cuts: true, Crashes: true})
 		})
 	}
 }
@@ -81,6 +82,7 @@
 // than the budget allows, because a restart or a step of the time of day makes
 // them forget what was spent.
 func TestRetryBudgetOverAllDaemons(t *testing.T) {
+	t.Parallel()
 	const length = 7 * time.Second
 	cases := []struct {
 		name string
@@ -89,7 +91,7 @@
 		{"restarts in series", []Event{rejectPlain, {At: time.Second, For: 4 * time.Second, Kind: RestartSeries}}},
 		{"steps of the time of day", append([]Event{rejectPlain}, stepsOnAll(1, 2, 3, 4)...)},
 	}
-	program := buildDaemon(t, t.TempDir(), nil)
+	program := sharedDaemon(t)
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
@@ -109,15 +111,16 @@
 // them aggregate for the others, own engines' queues and read the store. These
 // are killed, paused and disconnected too.
 func TestSoakOfALargeFleet(t *testing.T) {
+	t.Parallel()
 	const seed = 2300
-	runSeed(t, buildDaemon(t, t.TempDir(), nil), seed, largeDaemons, *length, true)
+	runSeed(t, sharedDaemon(t), seed, Size{Daemons: largeDaemons, Length: *length, Cuts: true, Crashes: true})
 }
 
-func runSeed(t *testing.T, program string, seed uint64, daemons int, length time.Duration, cuts bool) {
-	size := Size{Daemons: daemons, Targets: *targets, Length: length, Cuts: cuts}
+func runSeed(t *testing.T, program string, seed uint64, size Size) {
+	size.Targets = *targets
 	faults, totals := runTrial(t, trial{
-		seed: seed, program: program, daemons: daemons, plan: Plan(seed, size),
-		length: length, recoveryLimit: recoveryLimit, grace: callerGrace,
+		seed: seed, program: program, daemons: size.Daemons, plan: Plan(seed, size),
+		length: size.Length, recoveryLimit: recoveryLimit, grace: callerGrace,
 	})
 	t.Logf("seed %d: %+v", seed, totals)
 	for _, f := range faults {
@@ -137,6 +140,7 @@
 	think         time.Duration // longest pause of a caller between two requests; 0: maxThinkTime
 	recoveryLimit time.Duration // limit for the recovery after the load
 	grace         time.Duration // Load.Grace
+	warmup        time.Duration // 0: warmup
 }
 
 // runTrial runs a trial and returns the violations.
@@ -148,7 +152,7 @@
 			t.Fatalf("daemon %d isn't ready", i)
 		}
 	}
-	wait(nil, warmup)
+	wait(nil, cmp.Or(tr.warmup, warmup))
 	ctx, cancel := context.WithTimeout(context.Background(), tr.length)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -162,6 +166,7 @@
 	env.checkUsageReported()
 	env.stopAll()
 	env.checkDuties()
+	env.collectCrashing()
 	return env.judge.Verdict(env.runCounts())
 }
 
@@ -247,6 +252,8 @@
 		resume()
 	case StarveTarget:
 		env.starve(ctx, e, func() (resume func()) { return env.slots[e.On].gate.stop() })
+	case CrashContent:
+		env.sendCrashing(ctx, e)
 	case StarveDaemon:
 		defer env.judge.BeginOutage(e.On)()
 		env.starve(ctx, e, func() (resume func()) { return env.pause(e.On) })
--- a/bench/soak/stall_test.go
+++ b/bench/soak/stall_test.go
@@ -23,6 +23,7 @@
 // TestRetryBudgetWhileProcessesStall guards against retries that targets receive
 // long after they were decided, together with later ones.
 func TestRetryBudgetWhileProcessesStall(t *testing.T) {
+	t.Parallel()
 	reject := Event{At: time.Second, For: 24 * time.Second, Kind: RejectAll}
 	rejectEngines := reject
 	rejectEngines.How = 1
@@ -41,7 +42,7 @@
 		{"all daemons are starved", append(onDaemons(StarveDaemon, 5, 9), reject)},
 		{"all daemons are stopped", append(onDaemons(PauseDaemon, 6, 6), reject)},
 	}
-	program := buildDaemon(t, t.TempDir(), nil)
+	program := sharedDaemon(t)
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
@@ -91,7 +92,8 @@
 // TestSoakWithStalls runs random faults while targets reject and processes are
 // stopped and starved, some for longer than a window of the retry budget.
 func TestSoakWithStalls(t *testing.T) {
-	program := buildDaemon(t, t.TempDir(), nil)
+	t.Parallel()
+	program := sharedDaemon(t)
 	for i := range *stallSeeds {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/request/quarantine/ending.go
+++ b/request/quarantine/ending.go
@@ -32,12 +32,11 @@
 }
 
 // settle marks a content as completed if its target has survived the end of the
-// run by settleTime, and calls completed for it.
-func (e *endedRuns) settle(now time.Time, completed func(fp Fingerprint, at time.Time)) {
+// run by settleTime.
+func (e *endedRuns) settle(now time.Time) {
 	for len(e.recent) > 0 && now.Sub(e.recent[0].at) >= settleTime {
 		if x := e.recent[0]; x.answered {
 			e.markCompleted(x.fp, x.at)
-			completed(x.fp, x.at)
 		}
 		e.recent = e.recent[1:]
 	}
--- a/request/quarantine/tolerant.go
+++ b/request/quarantine/tolerant.go
@@ -12,6 +12,10 @@
 // delay after which a caller is asked to come back meanwhile.
 const tryTime = 2 * time.Second
 
+// twinConviction is the duration of a conviction while other content was in flight
+// at the same crashes. A try of each then shows which one is the cause.
+const twinConviction = 5 * time.Second
+
 // tolerates reports whether suspect content runs like any other until it is
 // convicted. No process then has to hear of a suspicion before the content runs
 // again, so the number of messages doesn't grow with the suspicions times the
@@ -76,9 +80,9 @@
 	if t.isExplained(c) {
 		return
 	}
-	if t.hasTwin(c) {
+	if t.hasTwin(c) && c.crashCount() < maxCrashes {
 		c.convictions++
-		c.refuseFor(now, shortConviction)
+		c.refuseFor(now, twinConviction)
 	} else {
 		c.convict(now, t.o.Conviction)
 	}
--- a/request/quarantine/tracker.go
+++ b/request/quarantine/tracker.go
@@ -181,14 +181,21 @@
 
 // End implements Tracker. Whether the content did harm is known only settleTime
 // later, because a crash may be noticed after the connections to the target
-// broke.
+// broke. With tolerated crashes, only runs with an answer end this way, and others
+// by Broken.
 func (t *CrashTracker) End(fp Fingerprint, target string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.tick()
-	if t.leave(fp, target, now) {
-		t.ended.add(endedRun{fp: fp, target: target, at: now, answered: true})
+	if !t.leave(fp, target, now) {
+		return
+	}
+	if t.tolerates() {
+		t.ended.markCompleted(fp, now)
+		t.clearCompleted(fp, now)
+		return
 	}
+	t.ended.add(endedRun{fp: fp, target: target, at: now, answered: true})
 }
 
 // Broken ends a run like End. The content wasn't answered, which is no sign that
@@ -232,7 +239,7 @@
 // time.
 func (t *CrashTracker) tick() time.Time {
 	now := t.o.Now()
-	t.ended.settle(now, t.clearCompleted)
+	t.ended.settle(now)
 	t.clearFinished(now)
 	return now
 }
