dispatch, quarantine: a cut that refuses connections is no crash

Cause: a daemon whose own network refuses connections took each target for crashed, five within 40 ms. Content that was in flight at three of them at once had no time to be answered in between, and after its conviction nobody ran it.

A crash counts only if the daemon reaches some other target meanwhile, and the target still refuses afterwards; until then what was in flight is held for 10 s at most. Where other content was in flight at the same crashes, the conviction waits 300 ms for an answer. TestCutWithRefusalsIsNoCrash failed without the look at other targets (1019 for a request that does nothing wrong).

Ruled out: not to count crashes while the links are suspected to be lost: a request that ends all targets of a service looks like that.

--- a/process/front/crashes.go
+++ b/process/front/crashes.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"math/rand/v2"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/pomelospool/pomelospool/process/roster"
@@ -15,6 +17,21 @@
 // notifyPeers requests a heartbeat soon.
 func (d *Daemon) notifyPeers() { d.roster.Notify() }
 
+// maxTargetAddrs bounds the targets of each service that targetAddrs returns.
+const maxTargetAddrs = 16
+
+// targetAddrs returns addresses of some targets of each service.
+func (d *Daemon) targetAddrs() (addrs []string) {
+	for _, set := range d.registry.Snapshot().Targets {
+		for _, e := range set.All().After(rand.Uint64(), maxTargetAddrs) {
+			if !e.Leaving {
+				addrs = append(addrs, e.Addr)
+			}
+		}
+	}
+	return addrs
+}
+
 // triesContent reports whether this daemon runs released content first. All
 // daemons that know the same members agree on one of them.
 func (d *Daemon) triesContent(fp quarantine.Fingerprint) bool {
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -90,6 +90,7 @@
 	clock       *clock.Estimator
 	incarnation uint64 // of this process
 	crashes     *quarantine.CrashTracker
+	runner      *dispatch.Runner
 	usage       *usage.Reporter // nil: usage isn't reported
 	scaler      *scale.Scaler   // nil: engines aren't ordered
 	claimAges   *claim.AgeTracker
@@ -236,7 +237,7 @@
 		Daemons: d.roster.FleetSize,
 		Clock:   clock.Boot{}.Now,
 	})
-	runner := dispatch.New(dispatch.Options{
+	d.runner = dispatch.New(dispatch.Options{
 		Protocol: platform.TargetProtocol{},
 		Pool:     d.pool,
 		Targets:  directory{d.registry},
@@ -252,10 +253,11 @@
 		Links:    d.links,
 		Peers:    d.forwarder,
 
-		Quarantine: d.crashes,
+		Quarantine:  d.crashes,
+		TargetAddrs: d.targetAddrs,
 	})
 	d.metrics = newMetrics(d)
-	d.ingress = ingress.New(ingress.Options{Config: d.config, Protocol: platform.TargetProtocol{}, Runner: runner, Observe: d.observe,
+	d.ingress = ingress.New(ingress.Options{Config: d.config, Protocol: platform.TargetProtocol{}, Runner: d.runner, Observe: d.observe,
 		TargetsAge: func() (time.Duration, bool) { return d.caches[port.TopicTargets].Age() },
 		ConfigAge:  func() (time.Duration, bool) { return d.caches[port.TopicConfig].Age() }, MaxConfigAge: d.s.Bounds.ApplyConfig, OnStart: d.countUsage})
 	d.planner = roles.New(roles.Options{
--- a/process/front/stop.go
+++ b/process/front/stop.go
@@ -63,6 +63,7 @@
 			_ = f.Stop()
 		}
 		_ = d.roster.Stop()
+		d.runner.Stop()
 		d.pool.Close()
 	})
 }
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -105,6 +105,9 @@
 	Peers    Peers  // nil: calls aren't forwarded
 	// Quarantine refuses content that crashes targets. It may be nil.
 	Quarantine Quarantine
+	// TargetAddrs returns addresses of targets of any service. If it is nil, those
+	// of a call's own service are used.
+	TargetAddrs func() []string
 }
 
 // Runner executes calls. It is safe for concurrent use.
@@ -115,13 +118,27 @@
 	promptStatsByService map[string]*placement.PromptStats
 	answerLengths        map[string]*answerLength // by route
 	verifying            map[string]bool          // targets that are being verified, by id
+
+	ctx        context.Context // of the verifications
+	cancel     context.CancelFunc
+	background sync.WaitGroup
 }
 
 func New(o Options) *Runner {
 	if o.Links == nil {
 		o.Links = links.Intact{}
 	}
-	return &Runner{opts: o, promptStatsByService: make(map[string]*placement.PromptStats), answerLengths: make(map[string]*answerLength), verifying: make(map[string]bool)}
+	r := &Runner{opts: o, promptStatsByService: make(map[string]*placement.PromptStats), answerLengths: make(map[string]*answerLength), verifying: make(map[string]bool)}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	return r
+}
+
+// Stop ends what goes on in the background. Calls may still run.
+func (r *Runner) Stop() {
+	r.mu.Lock()
+	r.cancel()
+	r.mu.Unlock()
+	r.background.Wait()
 }
 
 // promptStats returns the statistics of a service's prompts.
--- a/request/dispatch/crash.go
+++ b/request/dispatch/crash.go
@@ -1,13 +1,14 @@
 package dispatch
 
 import (
-	"context"
 	"errors"
+	"math/rand/v2"
 	"syscall"
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/failure"
 	"github.com/pomelospool/pomelospool/request/quarantine"
@@ -24,8 +25,9 @@
 	End(content quarantine.Fingerprint, target string) // answered
 	Broken(content quarantine.Fingerprint, target string)
 	NotReceived(content quarantine.Fingerprint, target string)
-	// Crashed records that the target's process has ended.
-	Crashed(target string)
+	// Hold returns a function that records a crash of the target with the content
+	// in flight there now.
+	Hold(target string) (confirm func())
 }
 
 // maxQuarantineRetry bounds the delay after which callers of quarantined content
@@ -98,35 +100,100 @@
 	case f.Class == failure.NotRun || f.Unwritten:
 		x.opts.Quarantine.NotReceived(x.content, target.ID)
 		if errors.Is(f.Err, syscall.ECONNREFUSED) {
-			x.targetEnded(target)
+			x.verify(target)
 		}
 	default:
 		x.opts.Quarantine.Broken(x.content, target.ID)
 		if f.Class == failure.NoAnswer || f.Class == failure.Cut {
-			go x.verify(target)
+			x.verify(target)
 		}
 	}
 }
 
-// verify looks whether a target that broke a connection off accepts new ones. One
-// that refuses them has ended: a cut of the network drops them.
+const (
+	// verifyInterval is the interval between two attempts to tell a crash from a
+	// cut, and maxVerifyTime the time until the attempts end.
+	verifyInterval = 250 * time.Millisecond
+	maxVerifyTime  = 10 * time.Second
+	// otherTargets is the number of other targets that an attempt dials.
+	otherTargets = 3
+)
+
+// verify finds out in the background whether a target that broke a connection off,
+// or refused one, has ended. Its VM then refuses connections while this process
+// reaches other targets. If it reaches none, its own network may refuse them.
 func (x *execution) verify(target *port.TargetEntry) {
 	if !x.startVerify(target.ID) {
 		return
 	}
-	defer x.endVerify(target.ID)
-	if err := x.opts.Pool.Probe(context.Background(), target.Addr); errors.Is(err, syscall.ECONNREFUSED) {
-		x.targetEnded(target)
+	confirm := x.opts.Quarantine.Hold(target.ID)
+	go func() {
+		defer x.endVerify(target.ID)
+		x.awaitCrash(target, confirm)
+	}()
+}
+
+func (x *execution) awaitCrash(target *port.TargetEntry, confirm func()) {
+	for end := time.Now().Add(maxVerifyTime); time.Now().Before(end); {
+		switch {
+		case !x.refuses(target.Addr) || x.isLeaving(target):
+			return
+		case x.reachesOther(target.Addr) && x.refuses(target.Addr):
+			confirm()
+			return
+		}
+		if pause.For(x.ctx, verifyInterval) != nil {
+			return
+		}
+	}
+}
+
+func (x *execution) refuses(addr string) bool {
+	return errors.Is(x.opts.Pool.Probe(x.ctx, addr), syscall.ECONNREFUSED)
+}
+
+// reachesOther reports whether some other target accepts a connection.
+func (x *execution) reachesOther(except string) bool {
+	addrs := x.otherAddrs()
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	dialed := 0
+	for _, addr := range addrs {
+		if addr == except {
+			continue
+		}
+		if x.opts.Pool.Probe(x.ctx, addr) == nil {
+			return true
+		}
+		if dialed++; dialed == otherTargets {
+			break
+		}
+	}
+	return false
+}
+
+func (x *execution) otherAddrs() (addrs []string) {
+	if x.opts.TargetAddrs != nil {
+		return x.opts.TargetAddrs()
+	}
+	for _, e := range x.opts.Targets.Targets(x.call.Service.Name).All().All() {
+		addrs = append(addrs, e.Addr)
 	}
+	return addrs
+}
+
+func (x *execution) isLeaving(target *port.TargetEntry) bool {
+	e := x.opts.Targets.Targets(x.call.Service.Name).All().Lookup(engines.Hash(target.ID))
+	return e != nil && e.Leaving
 }
 
 func (r *Runner) startVerify(target string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.verifying[target] {
+	if r.verifying[target] || r.ctx.Err() != nil {
 		return false
 	}
 	r.verifying[target] = true
+	r.background.Add(1)
 	return true
 }
 
@@ -134,15 +201,5 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.verifying, target)
-}
-
-// targetEnded reports a crash, unless the target was about to leave or this
-// process has lost its links to all targets.
-func (x *execution) targetEnded(target *port.TargetEntry) {
-	service := x.call.Service.Name
-	e := x.opts.Targets.Targets(service).All().Lookup(engines.Hash(target.ID))
-	if e != nil && e.Leaving || x.opts.Links.Confirmed(service) {
-		return
-	}
-	x.opts.Quarantine.Crashed(target.ID)
+	r.background.Done()
 }
--- a/request/dispatch/crash_test.go
+++ b/request/dispatch/crash_test.go
@@ -134,3 +134,50 @@
 		})
 	}
 }
+
+// Guards against harmless content that is blamed by a daemon whose network refuses
+// the connections to all targets for a while.
+func TestCutWithRefusalsIsNoCrash(t *testing.T) {
+	withHarness(t, 1000, func(t *testing.T, h *harness) {
+		const targets, cutTime = 3, time.Second
+		cut := make(chan struct{})
+		serve := func(h *harness, cut <-chan struct{}) {
+			for i := range targets {
+				id := fmt.Sprint("app", i)
+				target := standin.NewTarget(id, "")
+				h.net.Serve(id, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+					select {
+					case <-cut:
+						panic(http.ErrAbortHandler)
+					case <-time.After(crashTime):
+						target.ServeHTTP(w, req)
+					}
+				}))
+			}
+		}
+		for i := range targets {
+			id := fmt.Sprint("app", i)
+			h.entries["app"] = append(h.entries["app"], port.TargetEntry{ID: id, Service: "app", Addr: id, Zone: "a", Slots: 4})
+		}
+		serve(h, cut)
+		for range 4 {
+			var calls sync.WaitGroup
+			for range 2 * targets {
+				calls.Go(func() { _, _, _ = h.runner.Plain(t.Context(), h.newCall(route.Safe, 3, time.Second)) })
+			}
+			time.Sleep(crashTime / 2)
+			for i := range targets {
+				h.net.Stop(fmt.Sprint("app", i))
+			}
+			close(cut)
+			calls.Wait()
+			time.Sleep(cutTime)
+			cut = make(chan struct{})
+			serve(h, cut)
+			time.Sleep(5 * time.Second) // until no target is ejected
+		}
+		if _, _, err := h.runner.Plain(t.Context(), h.newCall(route.Safe, 3, time.Second)); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/request/dispatch/harness_test.go
+++ b/request/dispatch/harness_test.go
@@ -72,6 +72,7 @@
 		h := newHarness(slack)
 		h.t = t
 		test(t, h)
+		h.runner.Stop()
 		h.runner.opts.Pool.Close()
 		h.net.Close()
 		synctest.Wait()
--- a/request/quarantine/tolerant.go
+++ b/request/quarantine/tolerant.go
@@ -12,9 +12,14 @@
 // delay after which a caller is asked to come back meanwhile.
 const tryTime = 2 * time.Second
 
-// twinConviction is the duration of a conviction while other content was in flight
-// at the same crashes. A try of each then shows which one is the cause.
-const twinConviction = 5 * time.Second
+const (
+	// twinDelay is how long a conviction waits while other content was in flight at
+	// the same crashes. Harmless content that is sent often is answered meanwhile.
+	twinDelay = 300 * time.Millisecond
+	// twinConviction is the duration of a conviction after that. A try of each
+	// content then shows which one is the cause.
+	twinConviction = 5 * time.Second
+)
 
 // tolerates reports whether suspect content runs like any other until it is
 // convicted. No process then has to hear of a suspicion before the content runs
@@ -25,6 +30,9 @@
 // tolerantVerdict returns the verdict on content that isn't claimed. Released
 // content runs at one process at a time.
 func (t *CrashTracker) tolerantVerdict(c *content, now time.Time) (Verdict, time.Duration) {
+	if !c.undecidedSince.IsZero() {
+		t.evaluate(c, now)
+	}
 	switch {
 	case c.convictions == 0 || c.crashCount() == 0 || !now.Before(c.expiresAt()):
 		return Clear, 0
@@ -37,6 +45,24 @@
 	return Clear, 0
 }
 
+// Hold returns a function that records the crash of a target with the contents
+// that are in flight there now. It is called once the crash is certain.
+func (t *CrashTracker) Hold(target string) (confirm func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tc := targetCrash{target: target, at: t.tick(), fps: t.inFlight(target)}
+	return func() {
+		if len(tc.fps) == 0 {
+			return
+		}
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.recordTolerated(tc)
+		counts.Add("crashes", 1)
+		log.WithFields(log.Fields{"target": target, "contents": len(tc.fps)}).Warn("quarantine: target crashed")
+	}
+}
+
 // recordTolerated adds a crash to the contents that were in flight.
 func (t *CrashTracker) recordTolerated(tc targetCrash) {
 	var changed []*content
@@ -80,12 +106,20 @@
 	if t.isExplained(c) {
 		return
 	}
-	if t.hasTwin(c) && c.crashCount() < maxCrashes {
+	twin := c.crashCount() < maxCrashes && t.hasTwin(c)
+	if twin && c.undecidedSince.IsZero() {
+		c.undecidedSince = now
+	}
+	switch {
+	case twin && now.Sub(c.undecidedSince) < twinDelay:
+		return
+	case twin:
 		c.convictions++
 		c.refuseFor(now, twinConviction)
-	} else {
+	default:
 		c.convict(now, t.o.Conviction)
 	}
+	c.undecidedSince = time.Time{}
 	counts.Add("convicted", 1)
 	logConviction(c, now)
 	t.publish(c)
@@ -141,6 +175,7 @@
 		}
 	}
 	if changed {
+		c.undecidedSince = time.Time{}
 		t.liftIfCleared(c)
 		t.publish(c)
 	}
@@ -148,6 +183,7 @@
 
 func (t *CrashTracker) clear(c *content) {
 	c.dismissCrashes()
+	c.undecidedSince = time.Time{}
 	t.liftIfCleared(c)
 	t.publish(c)
 }
--- a/request/quarantine/tracker.go
+++ b/request/quarantine/tracker.go
@@ -251,16 +251,12 @@
 	t.mu.Lock()
 	now := t.tick()
 	tc := targetCrash{target: target, at: now, fps: t.inFlight(target)}
-	if t.tolerates() && len(tc.fps) == 0 {
-		t.mu.Unlock()
-		return
-	}
 	t.addRecentCrash(tc)
 	updates := t.recordCrash(tc)
 	t.mu.Unlock()
 	counts.Add("crashes", 1)
 	log.WithFields(log.Fields{"target": target, "contents": len(tc.fps)}).Warn("quarantine: target crashed")
-	if len(updates) > 0 && !t.tolerates() {
+	if len(updates) > 0 {
 		t.broadcast(updates)
 	}
 }
