roster, quarantine: a daemon that starts gets all convictions at once

What callers would see: a daemon that starts sends content that the others refuse until it has heard of it, and updates repeat four contents in each message: 200 convictions take 12 s and more in a fleet of three. Found by reading; TestStartingDaemonLearnsOfManyConvictions holds it for 3 and 40 daemons.

The daemons that answer a new one's first heartbeat send it all contents that are or may soon be convicted. A message repeats eight now, for daemons that were cut off. A refused connection to a target without anything in flight isn't looked into: no probes for it.

--- a/process/roster/convictions.go
+++ b/process/roster/convictions.go
@@ -16,15 +16,27 @@
 type Convictions interface {
 	// Pending returns the updates for the next message.
 	Pending() []*peerpb.Conviction
+	// Repeated returns all updates that a daemon needs that has just started.
+	Repeated() []*peerpb.Conviction
 	Incoming(updates []*peerpb.Conviction)
 }
 
 // sendConvictions sends pending updates, split into datagrams.
 func (r *Roster) sendConvictions(to []net.Addr) {
-	if r.o.Convictions == nil || len(to) == 0 {
-		return
+	if r.o.Convictions != nil && len(to) > 0 {
+		r.writeConvictions(r.o.Convictions.Pending(), to...)
 	}
-	for _, part := range splitConvictions(r.o.Convictions.Pending()) {
+}
+
+// repeatConvictions sends a daemon that has just started what it can't know.
+func (r *Roster) repeatConvictions(to net.Addr) {
+	if r.o.Convictions != nil {
+		r.writeConvictions(r.o.Convictions.Repeated(), to)
+	}
+}
+
+func (r *Roster) writeConvictions(updates []*peerpb.Conviction, to ...net.Addr) {
+	for _, part := range splitConvictions(updates) {
 		data, err := proto.Marshal(part)
 		if err != nil {
 			log.WithError(err).Error("roster: can't encode convictions")
--- a/process/roster/convictions_test.go
+++ b/process/roster/convictions_test.go
@@ -14,9 +14,9 @@
 // crashContent makes three daemons see one crash each of the same content.
 func (f *testFleet) crashContent(content quarantine.Fingerprint, vms [3]int) {
 	for i, vm := range vms {
-		target := fmt.Sprint("target", i)
+		target := fmt.Sprintf("target %x %d", content[:2], i)
 		f.crashes[vm].Begin(content, target)
-		f.crashes[vm].Crashed(target)
+		f.crashes[vm].Hold(target)()
 	}
 }
 
@@ -71,6 +71,31 @@
 	}
 }
 
+// Guards against a daemon that learns of many convictions too slowly after its
+// start.
+func TestStartingDaemonLearnsOfManyConvictions(t *testing.T) {
+	const contents = 200
+	for _, size := range []int{3, 40} {
+		withLargeFleet(t, size, 3, func(t *testing.T, f *testFleet) {
+			for i := range contents {
+				f.crashContent(quarantine.Fingerprint{1, byte(i)}, [3]int{0, 1, 2})
+			}
+			sleep(time.Minute)
+			f.add(size+1, 1)
+			sleep(stableWindow)
+			known := 0
+			for i := range contents {
+				if v, _ := f.crashes[size].Check(quarantine.Fingerprint{1, byte(i)}); v == quarantine.Convicted {
+					known++
+				}
+			}
+			if known != contents {
+				t.Errorf("%d daemons: a new one refuses %d of %d contents", size, known, contents)
+			}
+		})
+	}
+}
+
 // Guards against datagrams that are fragmented, or that grow with the number of
 // suspicions when an availability zone fails.
 func TestConvictionsFitIntoDatagrams(t *testing.T) {
@@ -106,7 +131,7 @@
 				content := quarantine.Fingerprint{byte(vm), byte(i), 1}
 				target := fmt.Sprint("target", (vm+i)%100)
 				tracker.Begin(content, target)
-				tracker.Crashed(target)
+				tracker.Hold(target)()
 			}
 		}
 		sleep(span)
--- a/process/roster/heartbeat.go
+++ b/process/roster/heartbeat.go
@@ -343,12 +343,14 @@
 		r.o.Demand.Merge(key, hb.Demand)
 		if fresh {
 			r.Notify()
+			r.repeatConvictions(from)
 		}
 	case aggregates:
 		r.relayReads(r.o.Engines.Merge(key, hb.Work, hb.Reads), true)
 		r.o.Demand.Merge(key, hb.Demand)
 		if fresh {
 			r.sendMembers(from)
+			r.repeatConvictions(from)
 		}
 		if changed {
 			r.agg.notifyChange()
--- a/request/dispatch/crash.go
+++ b/request/dispatch/crash.go
@@ -26,7 +26,7 @@
 	Broken(content quarantine.Fingerprint, target string)
 	NotReceived(content quarantine.Fingerprint, target string)
 	// Hold returns a function that records a crash of the target with the content
-	// in flight there now.
+	// in flight there now, or nil if there is none.
 	Hold(target string) (confirm func())
 }
 
@@ -127,6 +127,10 @@
 		return
 	}
 	confirm := x.opts.Quarantine.Hold(target.ID)
+	if confirm == nil {
+		x.endVerify(target.ID)
+		return
+	}
 	go func() {
 		defer x.endVerify(target.ID)
 		x.awaitCrash(target, confirm)
--- a/request/quarantine/pending.go
+++ b/request/quarantine/pending.go
@@ -20,7 +20,7 @@
 	maxSingles = 8
 	// repeatedContents is the number of contents in each message that are repeated
 	// in turn, for processes that have just started or were cut off.
-	repeatedContents = 4
+	repeatedContents = 8
 )
 
 // publish sends what is known of a content in the next messages, the first one
@@ -82,16 +82,36 @@
 	return changed
 }
 
+// Repeated returns the updates about all contents that are or may soon be
+// convicted, for a process that has just started.
+func (t *CrashTracker) Repeated() []*peerpb.Conviction {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.tick()
+	var cs []*content
+	for _, fp := range t.repeated(now) {
+		cs = append(cs, t.contents[fp])
+	}
+	return t.updatesOf(cs, now)
+}
+
+// repeated returns the contents that are or may soon be convicted, and drops those
+// that have expired.
+func (t *CrashTracker) repeated(now time.Time) (fps []Fingerprint) {
+	for fp, c := range t.contents {
+		if c.expiresAt().Before(now) {
+			delete(t.contents, fp)
+		} else if c.crashCount() > 1 || c.convictions > 0 && c.crashCount() > 0 {
+			fps = append(fps, fp)
+		}
+	}
+	return fps
+}
+
 // nextRepeated returns the next contents of the rotation.
 func (t *CrashTracker) nextRepeated(now time.Time) (out []*content) {
 	if len(t.rotation) == 0 {
-		for fp, c := range t.contents {
-			if c.expiresAt().Before(now) {
-				delete(t.contents, fp)
-			} else if c.crashCount() > 1 || c.convictions > 0 {
-				t.rotation = append(t.rotation, fp)
-			}
-		}
+		t.rotation = t.repeated(now)
 	}
 	next := t.rotation[:min(len(t.rotation), repeatedContents)]
 	t.rotation = t.rotation[len(next):]
--- a/request/quarantine/tolerant.go
+++ b/request/quarantine/tolerant.go
@@ -46,15 +46,16 @@
 }
 
 // Hold returns a function that records the crash of a target with the contents
-// that are in flight there now. It is called once the crash is certain.
+// that are in flight there now, or nil if there are none. It is called once the
+// crash is certain.
 func (t *CrashTracker) Hold(target string) (confirm func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	tc := targetCrash{target: target, at: t.tick(), fps: t.inFlight(target)}
+	if len(tc.fps) == 0 {
+		return nil
+	}
 	return func() {
-		if len(tc.fps) == 0 {
-			return
-		}
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.recordTolerated(tc)
--- a/request/quarantine/tolerant_test.go
+++ b/request/quarantine/tolerant_test.go
@@ -63,7 +63,9 @@
 		tr.Begin(fp, target)
 		tr.Broken(fp, target)
 	}
-	tr.Crashed(target)
+	if confirm := tr.Hold(target); confirm != nil {
+		confirm()
+	}
 }
 
 // answer lets a process run the content to its end.
@@ -213,7 +215,9 @@
 				target := fmt.Sprint("t", i)
 				f.trackers[0].Begin(innocent, target)
 				f.trackers[0].NotReceived(innocent, target)
-				f.trackers[0].Crashed(target)
+				if f.trackers[0].Hold(target) != nil {
+					t.Error("a request that wasn't received is held")
+				}
 			}
 		}},
 		{"one crash that all processes see", func(f *tolerantFleet) {
