--- a/request/dispatch/crash_test.go
+++ b/request/dispatch/crash_test.go
@@ -75,8 +75,8 @@
 			target.ServeHTTP(w, req)
 		}
 	}))
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.h.mu.Lock()
+	defer c.h.mu.Unlock()
 	c.h.entries[c.service][i] = port.TargetEntry{ID: id, Service: c.service, Addr: addr, Zone: "a", Slots: 4}
 }
 
--- a/request/dispatch/harness_test.go
+++ b/request/dispatch/harness_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,6 +38,7 @@
 	net      *pipenet.Net
 	runner   *Runner
 	budget   *budget.Fleet
+	mu       sync.Mutex // guards entries of targets that restart
 	entries  map[string][]port.TargetEntry
 	set      *targets.Set // used in place of entries if it isn't nil
 	released chan port.KVSource
@@ -47,7 +50,9 @@
 	if h.set != nil {
 		return h.set
 	}
-	return targets.NewSet(h.entries[service])
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return targets.NewSet(slices.Clone(h.entries[service]))
 }
 
 // recordingControl records the KV caches that are released.
