soak: callers send during the warm-up, so that the slack can be spent

Since a process earns its part of the slack by serving, and the trials' load began after the warm-up: no daemon had any slack within them, and TestRetryBudgetOverAllDaemons could hardly fail.

The load runs during the warm-up now.

--- a/bench/soak/crash_test.go
+++ b/bench/soak/crash_test.go
@@ -46,7 +46,7 @@
 	if class == Stream {
 		prompt = "aa:800,bb:660"
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout+callerGrace)
 	defer cancel()
 	// Without a connection nothing was cut.
 	o.Canceled = true
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -53,8 +53,8 @@
 	callerGrace   = 20 * time.Second // after the deadline of a request
 )
 
-// warmup is the time that daemons get to find each other and to gain their
-// share of the retry budget's slack.
+// warmup is the time under load that daemons get to find each other and to gain
+// their share of the retry budget's slack.
 var warmup = 3 * retryBudget.Window / 2
 
 // TestSoak runs load while daemons, targets, the store and the connections
@@ -152,13 +152,14 @@
 			t.Fatalf("daemon %d isn't ready", i)
 		}
 	}
-	wait(nil, cmp.Or(tr.warmup, warmup))
-	ctx, cancel := context.WithTimeout(context.Background(), tr.length)
+	warm := cmp.Or(tr.warmup, warmup)
+	ctx, cancel := context.WithTimeout(context.Background(), warm+tr.length)
 	defer cancel()
 	var wg sync.WaitGroup
 	load := env.newLoad(tr.seed, cmp.Or(tr.callers, *callers))
 	load.Grace, load.Think = tr.grace, cmp.Or(tr.think, maxThinkTime)
 	wg.Go(func() { load.Run(ctx) })
+	wait(nil, warm)
 	env.runPlan(ctx, tr.plan, &wg)
 	wg.Wait()
 	env.checkBudgets()
