quarantine: crashes in the instant of a zone's failure are red

All its crashes are of one instant of virtual time, a message carries eight contents with a single crash, and among equals the order is that of a map.

--- a/request/quarantine/tolerant_test.go
+++ b/request/quarantine/tolerant_test.go
@@ -139,12 +139,9 @@
 			f.cut = nil
 			f.exchange(time.Second)
 		}},
-		{"beside hundreds of suspects", func(f *tolerantFleet) {
-			for target := range 10 {
-				for i := range uint64(50) {
-					f.crash(target%len(f.trackers), fmt.Sprint("zone", target), contentNumber(uint64(target)*50+i+1))
-				}
-			}
+		{"after hundreds of suspects", func(f *tolerantFleet) {
+			f.failZone()
+			<-time.After(time.Millisecond)
 			for i := range 3 {
 				f.crash(i, fmt.Sprint("t", i), bad)
 			}
@@ -159,6 +156,28 @@
 	}
 }
 
+// failZone lets ten targets crash with fifty contents each.
+func (f *tolerantFleet) failZone() {
+	for target := range 10 {
+		for i := range uint64(50) {
+			f.crash(target%len(f.trackers), fmt.Sprint("zone", target), contentNumber(uint64(target)*50+i+1))
+		}
+	}
+}
+
+// Guards against content whose crashes are told late, since they happen at the same
+// moment as those of a whole availability zone.
+func TestCrashesWhileAZoneFails(t *testing.T) {
+	withTolerantFleet(t, 6, func(_ *testing.T, f *tolerantFleet) {
+		f.failZone()
+		for i := range 3 {
+			f.crash(i, fmt.Sprint("t", i), bad)
+		}
+		f.exchange(2500 * time.Millisecond)
+		f.expect("beside hundreds of suspects", Convicted, bad)
+	})
+}
+
 // Guards against requests that are refused although something else crashed their
 // targets.
 func TestHarmlessContentIsNotRefused(t *testing.T) {
