quarantine, soak: less state and one pass, after a read-through

Behaviour stays as it is. The judge's maps are made in one place, and a plan of one event is one event.

--- a/bench/soak/crash.go
+++ b/bench/soak/crash.go
@@ -24,10 +24,10 @@
 
 // crashPlan returns an event that sends a request of a random class that crashes
 // its targets.
-func crashPlan(seed uint64, s Size) (out []Event) {
+func crashPlan(seed uint64, s Size) Event {
 	r := rand.New(rand.NewPCG(seed, 4))
 	at := randomDuration(r, time.Second)
-	return append(out, Event{At: at, For: s.Length - quietPeriod - at, Kind: CrashContent, How: r.IntN(len(classNames))})
+	return Event{At: at, For: s.Length - quietPeriod - at, Kind: CrashContent, How: r.IntN(len(classNames))}
 }
 
 // RecordCrash records that a request crashed a target.
@@ -41,9 +41,6 @@
 func (j *Judge) RecordCrashing(body string, arrivals []standin.Arrival) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.crashing == nil {
-		j.crashing = make(map[string][]standin.Arrival)
-	}
 	j.crashing[body] = append(j.crashing[body], arrivals...)
 }
 
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -62,7 +62,7 @@
 
 // NewJudge returns an empty Judge.
 func NewJudge() *Judge {
-	return &Judge{killed: make(map[int][]killSpan), paused: make(map[int][]span), outages: make(map[int][]span), crashes: make(map[string][]time.Time)}
+	return &Judge{killed: make(map[int][]killSpan), paused: make(map[int][]span), outages: make(map[int][]span), crashes: make(map[string][]time.Time), crashing: make(map[string][]standin.Arrival)}
 }
 
 // Record records the outcome of a request.
--- a/request/quarantine/tolerant.go
+++ b/request/quarantine/tolerant.go
@@ -69,7 +69,7 @@
 	var changed []*content
 	for _, fp := range tc.fps {
 		c := t.getOrCreate(fp, tc.at)
-		if c != nil && t.addCrash(c, crash{target: tc.target, at: tc.at, local: true}) {
+		if t.addCrash(c, crash{target: tc.target, at: tc.at, local: true}) {
 			changed = append(changed, c)
 			t.publish(c)
 		}
@@ -104,10 +104,11 @@
 		t.clear(c)
 		return
 	}
-	if t.isExplained(c) {
+	explained, twin := t.otherCauses(c)
+	if explained {
 		return
 	}
-	twin := c.crashCount() < maxCrashes && t.hasTwin(c)
+	twin = twin && c.crashCount() < maxCrashes
 	if twin && c.undecidedSince.IsZero() {
 		c.undecidedSince = now
 	}
@@ -126,26 +127,17 @@
 	t.publish(c)
 }
 
-// isExplained reports whether some content was in flight at all crashes of this
-// one and at more.
-func (t *CrashTracker) isExplained(c *content) bool {
+// otherCauses reports whether some other content was in flight at all crashes of
+// this one and at more, and whether some was at just these.
+func (t *CrashTracker) otherCauses(c *content) (explained, twin bool) {
 	n := c.crashCount()
-	for _, other := range t.contents {
-		if other.crashCount() > n && other.covers(c) {
-			return true
-		}
-	}
-	return false
-}
-
-// hasTwin reports whether other content was in flight at the same crashes.
-func (t *CrashTracker) hasTwin(c *content) bool {
 	for _, other := range t.contents {
 		if other != c && other.covers(c) {
-			return true
+			explained = explained || other.crashCount() > n
+			twin = true
 		}
 	}
-	return false
+	return explained, twin
 }
 
 // clearExplained clears the contents that were convicted for crashes which c, with
--- a/request/quarantine/tracker.go
+++ b/request/quarantine/tracker.go
@@ -290,15 +290,11 @@
 // recordCrash adds a crash to the state of the contents that were in flight, and
 // returns the updates about it.
 func (t *CrashTracker) recordCrash(tc targetCrash) []*peerpb.Conviction {
-	if t.tolerates() {
-		t.recordTolerated(tc)
-		return nil
-	}
 	outage := t.isOutage()
 	var convicted, changed []*content
 	for _, fp := range tc.fps {
 		c := t.getOrCreate(fp, tc.at)
-		if c == nil || outage && t.recentCrashesOf(fp) < 2 && !c.runsExclusively(tc.at) {
+		if outage && t.recentCrashesOf(fp) < 2 && !c.runsExclusively(tc.at) {
 			continue
 		}
 		if !c.addLocalCrash(tc) {
@@ -339,16 +335,15 @@
 	}
 }
 
-// getOrCreate returns the entry of a fingerprint and creates it if needed. It
-// returns nil if the limit is reached and no entry can be evicted.
+// getOrCreate returns the entry of a fingerprint and creates it if needed. At the
+// limit it evicts others.
 func (t *CrashTracker) getOrCreate(fp Fingerprint, now time.Time) *content {
 	c := t.contents[fp]
 	if c != nil {
 		return c
 	}
-	if len(t.contents) >= maxContents && !t.evict(now) {
-		counts.Add("book_full", 1)
-		return nil
+	if len(t.contents) >= maxContents {
+		t.evict(now)
 	}
 	c = &content{fp: fp}
 	t.contents[fp] = c
@@ -359,7 +354,7 @@
 // with the fewest crashes, of these the ones that expire first, or convicted
 // contents if there are no suspects. It removes an eighth of the limit at a time,
 // so that a flood of contents does not cause a search for each one.
-func (t *CrashTracker) evict(now time.Time) bool {
+func (t *CrashTracker) evict(now time.Time) {
 	var suspects []*content
 	for fp, c := range t.contents {
 		switch {
@@ -370,7 +365,7 @@
 		}
 	}
 	if len(t.contents) < maxContents {
-		return true
+		return
 	}
 	evictable := suspects
 	if len(evictable) == 0 {
@@ -382,5 +377,4 @@
 	for _, c := range evictable[:min(len(evictable), maxContents/8)] {
 		delete(t.contents, c.fp)
 	}
-	return true
 }
--- a/request/quarantine/updates.go
+++ b/request/quarantine/updates.go
@@ -101,11 +101,7 @@
 		if fp == (Fingerprint{}) {
 			continue // of an earlier build
 		}
-		c := t.getOrCreate(fp, now)
-		if c == nil {
-			continue
-		}
-		t.merge(c, u, now)
+		t.merge(t.getOrCreate(fp, now), u, now)
 	}
 }
 
