--- a/port/target.go
+++ b/port/target.go
@@ -39,6 +39,7 @@
 	OutputHint      int          // the caller's estimate of the output tokens; 0: none
 	PromptParts     []PromptPart // parts of the prompt, in order
 	LastEventID     string       // of the last event that the caller has received
+	Resumes         string       // id of the caller's earlier request that brought the stream's first event; empty: none
 	APIKey          string       // empty: missing or unreadable
 }
 
--- a/process/discovery/registry.go
+++ b/process/discovery/registry.go
@@ -221,7 +221,7 @@
 	if r.listed && (!known || old.Leaving != e.Leaving || old.Role != e.Role) {
 		log.WithFields(log.Fields{
 			"target": e.ID, "service": e.Service, "addr": e.Addr, "zone": e.Zone,
-			"role": e.Role, "leaving": e.Leaving, "offset": rec.Offset,
+			"role": e.Role, "leaving": e.Leaving, "software": e.Software, "offset": rec.Offset,
 		}).Info("discovery: target added or changed")
 	}
 }
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -56,6 +56,10 @@
 	OnStart func(ago time.Duration)
 }
 
+// TakesUp reports whether the call goes on with a stream that an earlier request of
+// its caller began.
+func (c *Call) TakesUp() bool { return c.Meta.LastEventID != "" || c.Meta.Resumes != "" }
+
 // Answer is the complete answer of a target.
 type Answer struct {
 	Status int
@@ -187,6 +191,7 @@
 type Trace struct {
 	Sends             int           // requests sent to targets
 	Targets           []string      // ids of the targets, in order of the sends
+	Software          []string      // software versions of these targets
 	Causes            []string      // one for each failed send
 	PredictedFirst    time.Duration // time to the first event, predicted at admission
 	PredictedDuration time.Duration // from the start of decoding to the last event, predicted from the stated output
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -36,6 +36,7 @@
 func (x *execution) send(ctx context.Context, s outgoing) (*h1.Response, port.ResponseMeta, *sendFailure) {
 	x.trace.Sends++
 	x.trace.Targets = append(x.trace.Targets, s.target.ID)
+	x.trace.Software = append(x.trace.Software, s.target.Software)
 	x.beginRun(s.target)
 	counted := x.budget.Begin(s.target.Addr)
 	resp, err := x.opts.Pool.Do(ctx, x.request(s))
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -330,6 +330,7 @@
 		fields["service"] = c.Service.Name
 		fields["organisation"] = c.Organisation
 		fields["targets"] = strings.Join(x.trace.Targets, " ")
+		fields["software"] = strings.Join(x.trace.Software, " ")
 		fields["left_ms"] = c.Meta.Timeout.Milliseconds()
 		fields["timeout_ms"] = c.Route.Timeout.Milliseconds()
 		if c.Meta.MaxOutputTokens > 0 {
@@ -339,6 +340,9 @@
 			fields["predicted_stream_ms"] = x.trace.PredictedDuration.Milliseconds()
 		}
 	}
+	if c != nil && c.TakesUp() {
+		fields["resumes"], fields["after_event"] = c.Meta.Resumes, c.Meta.LastEventID
+	}
 	if x.trace.ForwardedTo != "" {
 		fields["forwarded_to"] = x.trace.ForwardedTo
 	}
