origin, dispatch, roster, versions: a stream goes on only at the version that began it

What callers saw: streams went on, within their answer and over their tries, at another software version than the one that made their first event.

Cause: the version in a target's entry was read from the store and used nowhere. Class: a property of a target that another program relies on is read and never asked for.

Change: a stream is bound to the version of its first event. connection/origin says which one that is when a caller takes the stream up: - while targets of a service have had one version for longer than streams last, it is that one, and nothing is sent. A daemon that can't know (just started, list outdated, paused) asks others; after the loss of all daemons the one that leads reads it from the store (process/versions, a call when versions change). - else by records, which each daemon sends to three others in as many zones, by rendezvous hashing, before the caller has the first event. Without an answer the request is refused at once, not run (2011); so is one of a version that no target serves any more (2012). A stream that is taken up was admitted before: it isn't refused for its objective or full engines. New streams begin at versions that all daemons know, where there are any.

Records outlive their daemon at 2, 5 and 60 daemons, a cut between zones and restarts in series (origin, roster tests).

--- /dev/null
+++ b/connection/origin/origin_test.go
@@ -0,0 +1,218 @@
+package origin
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// fleet connects the trackers of daemons. Each one's records go to its keepers, and
+// its queries to all reachable daemons.
+type fleet struct {
+	daemons []*testDaemon
+}
+
+type testDaemon struct {
+	*Tracker
+	fleet   *fleet
+	history *History
+	cutOff  bool // from all other daemons
+	shared  int  // records sent
+	age     time.Duration
+}
+
+func newFleet(n int, complete bool) *fleet {
+	f := &fleet{}
+	for range n {
+		f.daemons = append(f.daemons, f.newDaemon(complete))
+	}
+	return f
+}
+
+func (f *fleet) newDaemon(complete bool) *testDaemon {
+	d := &testDaemon{fleet: f}
+	start := time.Now()
+	d.history = NewHistory(HistoryOptions{
+		Now:    func() time.Duration { return time.Since(start) },
+		Age:    func() (time.Duration, bool) { return d.age, true },
+		MaxAge: 2 * time.Second, Complete: complete,
+	})
+	d.Tracker = New(Options{History: d.history, Peers: d})
+	return d
+}
+
+func (d *testDaemon) others() []*testDaemon {
+	return slices.DeleteFunc(slices.Clone(d.fleet.daemons), func(o *testDaemon) bool { return o == d || o.cutOff || d.cutOff })
+}
+
+func (d *testDaemon) ShareOrigins(records []Record) {
+	d.shared += len(records)
+	for _, o := range d.others() {
+		o.Store(records)
+	}
+}
+
+func (d *testDaemon) AskOrigins(ctx context.Context, q Query, handle func(Reply) bool) {
+	if d.cutOff {
+		<-ctx.Done()
+	}
+	for _, o := range d.others() {
+		if handle(o.Answer(q)) {
+			return
+		}
+	}
+}
+
+func (d *testDaemon) AskVersions(ctx context.Context, q Query, handle func(Reply) bool) {
+	d.AskOrigins(ctx, q, handle)
+}
+
+// observe gives the listed daemons the same list of targets.
+func (f *fleet) observe(software ...string) {
+	for _, d := range f.daemons {
+		d.Observe(map[string][]string{"s": software})
+	}
+}
+
+// run lets time pass.
+func (f *fleet) run(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(time.Second)
+		for _, d := range f.daemons {
+			d.Tick(context.Background())
+		}
+	}
+}
+
+func (d *testDaemon) find(request string) string {
+	software, from := d.Find(context.Background(), Stream{Service: "s", Request: request})
+	if from == Unknown {
+		return "unknown"
+	}
+	return software
+}
+
+var stream = Stream{Service: "s", Request: "r1"}
+
+// Guards against streams that can't go on, or go on at another version, after the
+// daemon at which they began has died.
+func TestStreamOutlivesItsDaemon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(4, true)
+		f.observe("v1", "v2")
+		f.daemons[0].Begin(stream, "v2")
+		f.daemons[0].cutOff = true
+		for i, d := range f.daemons[1:] {
+			if got := d.find("r1"); got != "v2" {
+				t.Errorf("daemon %d: %s", i+1, got)
+			}
+			if got := d.find("another"); got != "unknown" {
+				t.Errorf("daemon %d: %s for a stream without a record", i+1, got)
+			}
+		}
+		restarted := f.newDaemon(false)
+		f.daemons = append(f.daemons, restarted)
+		restarted.Observe(map[string][]string{"s": {"v1", "v2"}})
+		if got := restarted.find("r1"); got != "v2" {
+			t.Errorf("a daemon that has just started: %s", got)
+		}
+	})
+}
+
+// Guards against streams that begin while a service has one version and whose records
+// are lost with their daemon once there are two.
+func TestStreamsBeforeARolloutAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3, true)
+		f.observe("v1")
+		f.daemons[0].Begin(stream, "v1")
+		f.daemons[0].Begin(Stream{Service: "s", Request: "ended"}, "v1")
+		f.daemons[0].Complete(Stream{Service: "s", Request: "ended"})
+		if f.daemons[0].shared != 0 {
+			t.Errorf("%d records sent while there is one version", f.daemons[0].shared)
+		}
+		f.observe("v1", "v2")
+		f.daemons[0].cutOff = true
+		if got := f.daemons[1].find("r1"); got != "v1" || f.daemons[0].shared != 1 {
+			t.Errorf("%s, %d records sent", got, f.daemons[0].shared)
+		}
+	})
+}
+
+// Guards against rejected streams while only one version is in use: at daemons that
+// have just started, that are cut off, or after the loss of the stream's daemon.
+func TestOnlyVersionNeedsNoRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3, true)
+		f.observe("v1")
+		f.daemons[0].Begin(stream, "v1")
+		f.daemons[0].cutOff = true
+		if got := f.daemons[1].find("r1"); got != "v1" {
+			t.Errorf("after the loss of its daemon: %s", got)
+		}
+		restarted := f.newDaemon(false)
+		f.daemons = append(f.daemons, restarted)
+		restarted.Observe(map[string][]string{"s": {"v1"}})
+		if got := restarted.find("r1"); got != "v1" {
+			t.Errorf("at a daemon that has just started: %s", got)
+		}
+		f.run(2 * time.Second)
+		restarted.cutOff = true
+		if got := restarted.find("r1"); got != "v1" {
+			t.Errorf("at a daemon that was cut off after its start: %s", got)
+		}
+	})
+}
+
+// Guards against streams that go on at another version at a daemon that doesn't know
+// where they began: it is cut off from the store or all others, or has just started.
+func TestUnknownOriginIsNotGuessed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3, true)
+		f.observe("v1")
+		f.run(time.Minute)
+		behind := f.daemons[2]
+		for _, d := range f.daemons[:2] {
+			d.Observe(map[string][]string{"s": {"v1", "v2"}})
+		}
+		f.daemons[0].Begin(stream, "v2")
+		if got := behind.find("r1"); got != "v2" {
+			t.Errorf("at a daemon with an outdated list: %s", got)
+		}
+		if got := behind.find("another"); got != "unknown" {
+			t.Errorf("at a daemon with an outdated list, without a record: %s", got)
+		}
+		behind.cutOff, behind.age = true, 3*time.Second
+		if got := behind.find("another"); got != "unknown" {
+			t.Errorf("at a daemon that is cut off from all others and the store: %s", got)
+		}
+		restarted := f.newDaemon(false)
+		restarted.Observe(map[string][]string{"s": {"v2"}})
+		if got := restarted.find("another"); got != "unknown" {
+			t.Errorf("at a daemon that has just started, after the loss of all: %s", got)
+		}
+	})
+}
+
+// Guards against records that are lost in restarts of all daemons in series while a
+// stream goes on.
+func TestRecordsOutliveRestartsInSeries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3, true)
+		f.observe("v1", "v2")
+		f.daemons[0].Begin(stream, "v2")
+		for i := 1; i < 3; i++ {
+			f.daemons[i] = f.newDaemon(false)
+			f.daemons[i].Observe(map[string][]string{"s": {"v1", "v2"}})
+			f.run(4 * time.Second)
+		}
+		f.daemons[0].cutOff = true
+		for i, d := range f.daemons[1:] {
+			if got := d.find("r1"); got != "v2" {
+				t.Errorf("daemon %d: %s", i+1, got)
+			}
+		}
+	})
+}
--- a/connection/targets/targets.go
+++ b/connection/targets/targets.go
@@ -116,8 +116,9 @@
 
 // Set holds the targets of one service. It is read-only. A nil Set is empty.
 type Set struct {
-	all    *List
-	groups map[group]*List
+	all      *List
+	groups   map[group]*List
+	software map[string]int // number of targets by software version
 }
 
 // NewSet returns a Set of the given targets.
@@ -146,6 +147,24 @@
 	return s.groups[group{role: role, zone: zone}]
 }
 
+// Software returns the software versions of the targets, including those that are
+// leaving, in no order.
+func (s *Set) Software() []string {
+	if s == nil {
+		return nil
+	}
+	return slices.Collect(maps.Keys(s.software))
+}
+
+// VersionOf returns the software version of a target as streams may be bound to it.
+// A target that states none, among others that do, has one of its own.
+func (s *Set) VersionOf(e *port.TargetEntry) string {
+	if e.Software == "" && s != nil && len(s.software) > 1 {
+		return "unstated, " + e.ID
+	}
+	return e.Software
+}
+
 // With returns the Set after changes, which are entries by ID, or nil for a
 // target that is gone.
 func (s *Set) With(changes map[string]*port.TargetEntry) *Set {
@@ -157,16 +176,33 @@
 		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id))
 	})
 	old := s.All()
-	next := &Set{all: old.apply(ordered), groups: make(map[group]*List)}
+	next := &Set{all: old.apply(ordered), groups: make(map[group]*List), software: make(map[string]int)}
 	if s != nil {
 		maps.Copy(next.groups, s.groups)
+		maps.Copy(next.software, s.software)
 	}
+	next.countSoftware(old, ordered)
 	for key, list := range byGroup(old, ordered) {
 		next.groups[key] = s.ByRole(key.role, key.zone).apply(list)
 	}
 	return next
 }
 
+// countSoftware updates the number of targets of each software version.
+func (s *Set) countSoftware(old *List, changes []change) {
+	for _, c := range changes {
+		if at, found := old.find(c.hash, c.id); found {
+			was := old.entries[at].Software
+			if s.software[was]--; s.software[was] == 0 {
+				delete(s.software, was)
+			}
+		}
+		if c.entry != nil {
+			s.software[c.entry.Software]++
+		}
+	}
+}
+
 // byGroup returns the changes of each group.
 func byGroup(old *List, changes []change) map[group][]change {
 	out := make(map[group][]change)
--- a/port/store.go
+++ b/port/store.go
@@ -16,12 +16,13 @@
 
 // The topics.
 const (
-	TopicConfig  Topic = iota // operators' configuration; read only
-	TopicTargets              // entries of the targets; read only
-	TopicDaemons              // entries of the daemons
-	TopicClaims               // claims to act on a subject, keyed by subject
-	TopicUsage                // organisations' usage as reported
-	TopicScale                // desired capacity of each service
+	TopicConfig   Topic = iota // operators' configuration; read only
+	TopicTargets               // entries of the targets; read only
+	TopicDaemons               // entries of the daemons
+	TopicClaims                // claims to act on a subject, keyed by subject
+	TopicUsage                 // organisations' usage as reported
+	TopicScale                 // desired capacity of each service
+	TopicVersions              // software versions that each service's targets have had lately
 )
 
 // KeyedRecord is one record of a keyed topic.
--- a/process/discovery/registry.go
+++ b/process/discovery/registry.go
@@ -38,9 +38,10 @@
 // kept for lapsedGracePeriod after its end. Failed connections reveal a target
 // that really died meanwhile.
 type Registry struct {
-	now    func() time.Time
-	after  func(d time.Duration, f func()) // time.AfterFunc
-	decode func(r port.KeyedRecord) (entry port.TargetEntry, present bool, err error)
+	now     func() time.Time
+	after   func(d time.Duration, f func()) // time.AfterFunc
+	decode  func(r port.KeyedRecord) (entry port.TargetEntry, present bool, err error)
+	observe func(software map[string][]string)
 
 	mu        sync.Mutex
 	entries   map[string]port.TargetEntry // by key in the store; the ID of an entry differs for each start of the target
@@ -64,6 +65,9 @@
 	Decode func(r port.KeyedRecord) (entry port.TargetEntry, present bool, err error)
 	Now    func() time.Time                // default: time.Now
 	After  func(d time.Duration, f func()) // default: time.AfterFunc
+	// Observe is called with the software versions of the targets of changed services,
+	// before a snapshot with the changes can be read. It may be nil.
+	Observe func(software map[string][]string)
 }
 
 // New returns an empty Registry.
@@ -74,8 +78,12 @@
 	if o.After == nil {
 		o.After = func(d time.Duration, f func()) { time.AfterFunc(d, f) }
 	}
+	if o.Observe == nil {
+		o.Observe = func(map[string][]string) {}
+	}
 	r := &Registry{
 		now:       o.Now,
+		observe:   o.Observe,
 		after:     o.After,
 		decode:    o.Decode,
 		entries:   make(map[string]port.TargetEntry),
@@ -278,9 +286,14 @@
 func (r *Registry) publish() {
 	old := r.snap.Load()
 	s := &Snapshot{Targets: maps.Clone(old.Targets), Listed: r.listed, LastAdded: r.lastAdded}
+	software := make(map[string][]string, len(r.changed))
 	for service, changed := range r.changed {
 		s.Targets[service] = s.Targets[service].With(changed)
+		software[service] = s.Targets[service].Software()
 	}
 	clear(r.changed)
+	if r.listed {
+		r.observe(software)
+	}
 	r.snap.Store(s)
 }
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -23,6 +23,7 @@
 	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/connection/health"
 	"github.com/pomelospool/pomelospool/connection/links"
+	"github.com/pomelospool/pomelospool/connection/origin"
 	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/connection/targets"
 	"github.com/pomelospool/pomelospool/internal/sock"
@@ -38,6 +39,7 @@
 	"github.com/pomelospool/pomelospool/process/settings"
 	"github.com/pomelospool/pomelospool/process/topic"
 	"github.com/pomelospool/pomelospool/process/usage"
+	"github.com/pomelospool/pomelospool/process/versions"
 	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/dispatch"
 	"github.com/pomelospool/pomelospool/request/forward"
@@ -90,6 +92,8 @@
 	clock       *clock.Estimator
 	incarnation uint64 // of this process
 	crashes     *quarantine.CrashTracker
+	origins     *origin.Tracker // of streams
+	versions    *versions.Keeper
 	runner      *dispatch.Runner
 	usage       *usage.Reporter // nil: usage isn't reported
 	scaler      *scale.Scaler   // nil: engines aren't ordered
@@ -129,7 +133,10 @@
 	}
 	d.incarnation = uint64(time.Now().UnixNano())
 	d.clock = clock.NewEstimator(clock.Boot{}, time.Now)
-	d.registry = discovery.New(discovery.Options{Decode: platform.DecodeTarget})
+	d.registry = discovery.New(discovery.Options{
+		Decode:  platform.DecodeTarget,
+		Observe: func(software map[string][]string) { d.origins.Observe(software) },
+	})
 	d.engines = engines.New(time.Now, func(w engines.Work) {
 		if d.roster != nil {
 			d.roster.WorkChanged(w)
@@ -145,6 +152,7 @@
 	d.store.OnReadError = d.monitored.ReportError
 	d.store.Depth = func() int { return d.roster.Upstream().Depth }
 	d.store.PeersWithStore = func() []string { return d.roster.PeersWithStore() }
+	d.wireOrigins()
 	if err := d.wireRoster(); err != nil {
 		return nil, err
 	}
@@ -216,6 +224,7 @@
 		Rate:             d.rate.perSecond,
 		Unlinked:         func() bool { return d.links != nil && d.links.AnyLost() },
 		Convictions:      d.crashes,
+		Origins:          d.origins,
 	})
 	if err != nil {
 		return err
@@ -254,6 +263,7 @@
 		Peers:    d.forwarder,
 
 		Quarantine:  d.crashes,
+		Origins:     d.origins,
 		TargetAddrs: d.targetAddrs,
 	})
 	d.metrics = newMetrics(d)
@@ -318,7 +328,7 @@
 
 // Start starts all parts and returns immediately.
 func (d *Daemon) Start() {
-	log.WithFields(log.Fields{"vm": d.s.VM, "zone": d.s.Zone, "callers": d.s.Listen.Callers, "peers": d.s.Listen.Peers, "operators": d.s.Listen.Operators}).Info("front: starting")
+	log.WithFields(log.Fields{"vm": d.s.VM, "zone": d.s.Zone, "callers": d.s.Listen.Callers, "peers": d.s.Listen.Peers, "operators": d.s.Listen.Operators, "bootstrap": d.s.Bootstrap}).Info("front: starting")
 	d.tomb.Go(func() error {
 		for _, s := range d.servers {
 			d.tomb.Go(func() error { return d.serve(s) })
@@ -334,6 +344,7 @@
 			return nil
 		})
 		d.tomb.Go(d.upkeep)
+		d.tomb.Go(d.trackOrigins)
 		return nil
 	})
 }
--- a/process/roster/heartbeat.go
+++ b/process/roster/heartbeat.go
@@ -238,6 +238,9 @@
 	kindQueueReply  = 5
 	kindUsage       = 6
 	kindConvictions = 7
+	kindOrigins     = 8
+	kindOriginQuery = 9
+	kindOriginReply = 10
 )
 
 var errShortDatagram = errors.New("roster: datagram is too short")
@@ -293,6 +296,8 @@
 		return r.o.Usage(data[1:])
 	case kindConvictions:
 		return r.handleConvictions(data[1:])
+	case kindOrigins, kindOriginQuery, kindOriginReply:
+		return r.handleOriginMessage(data, from)
 	default:
 		return r.handleOwnerMessage(data, from)
 	}
--- a/process/roster/owner.go
+++ b/process/roster/owner.go
@@ -157,10 +157,11 @@
 	list []ownerPoint
 }
 
-// ownerPoint is a daemon that may own queues, with the hash of its peer address. addr is
-// nil for this daemon.
+// ownerPoint is a daemon that may own queues, with the hash of its peer address and its
+// availability zone. addr is nil for this daemon.
 type ownerPoint struct {
 	hash uint64
+	zone string
 	addr net.Addr
 }
 
@@ -175,11 +176,11 @@
 	}
 	cache.at, cache.list = now, cache.list[:0]
 	if r.self.State != Leaving {
-		cache.list = append(cache.list, ownerPoint{hash: engines.Hash(r.self.PeerAddr)})
+		cache.list = append(cache.list, ownerPoint{hash: engines.Hash(r.self.PeerAddr), zone: r.self.Zone})
 	}
 	for addr, p := range r.peers {
 		if p.member.State != Leaving && p.alive(now, r.deadTimeout()) {
-			cache.list = append(cache.list, ownerPoint{hash: engines.Hash(addr), addr: p.addr})
+			cache.list = append(cache.list, ownerPoint{hash: engines.Hash(addr), zone: p.member.Zone, addr: p.addr})
 		}
 	}
 	return cache.list
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -122,6 +122,8 @@
 	// Convictions exchanges what daemons know of content that crashes targets. It
 	// may be nil.
 	Convictions Convictions
+	// Origins keeps where streams began. It may be nil.
+	Origins Origins
 	// Conn replaces the UDP socket, in tests.
 	Conn net.PacketConn
 }
@@ -150,6 +152,7 @@
 	upstreamAt time.Time
 
 	ownership  ownership
+	origins    originQueries
 	owners     owners        // guarded by mu
 	listed     chan struct{} // closed once the contacts were listed, or two attempts failed
 	listedOnce sync.Once
@@ -177,6 +180,7 @@
 		removed:   make(map[string]net.Addr),
 		agg:       aggregation{changed: make(chan struct{}, 1)},
 		ownership: newOwnership(),
+		origins:   originQueries{pending: make(map[uint64]chan receivedOrigin)},
 		listed:    make(chan struct{}),
 	}, nil
 }
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/pomelospool/pomelospool/connection/demand"
 	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/connection/origin"
 	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/internal/packetnet"
 	"github.com/pomelospool/pomelospool/internal/pause"
@@ -75,6 +76,7 @@
 	ends             []*packetnet.Conn
 	claims           []*fakeClaims
 	crashes          []*quarantine.CrashTracker
+	origins          []*origin.Tracker
 }
 
 func peerAddr(vm int) string { return fmt.Sprintf("10.0.%d.%d:7000", vm/250, vm%250) }
@@ -102,8 +104,10 @@
 		rate = func() float64 { return f.rate(vm) }
 	}
 	crashes := quarantine.New(quarantine.Options{ToleratedCrashes: 2, Changed: func() { r.Notify() }})
+	peers := &originPeers{}
+	origins := origin.New(origin.Options{Peers: peers})
 	r, err := New(Options{
-		Rate: rate, Convictions: crashes,
+		Rate: rate, Convictions: crashes, Origins: origins,
 		Self: Member{
 			VM: fmt.Sprintf("vm%03d", vm), Incarnation: incarnation, Zone: f.zone(vm),
 			CallerAddr: fmt.Sprintf("10.0.%d.%d:80", vm/250, vm%250), PeerAddr: addr, LinkMbps: linkMbps,
@@ -115,10 +119,11 @@
 	if err != nil {
 		panic(err)
 	}
+	peers.Roster = r
 	r.Start()
 	r.SetState(Ready)
 	f.all, f.trackers, f.claims = append(f.all, r), append(f.trackers, tracker), append(f.claims, claims)
-	f.crashes = append(f.crashes, crashes)
+	f.crashes, f.origins = append(f.crashes, crashes), append(f.origins, origins)
 	return r
 }
 
--- a/process/settings/types.go
+++ b/process/settings/types.go
@@ -14,8 +14,11 @@
 	// Processor describes the VM's processor. Callers are directed to VMs with
 	// faster processors first.
 	Processor Processor `yaml:"processor,omitempty"`
-	Listen    Listen    `yaml:"listen"`
-	Platform  Platform  `yaml:"platform,omitempty"`
+	// Bootstrap is set if nothing of the fleet or its targets existed before this
+	// start of the process.
+	Bootstrap bool     `yaml:"bootstrap,omitempty"`
+	Listen    Listen   `yaml:"listen"`
+	Platform  Platform `yaml:"platform,omitempty"`
 	// Store is set if the platform keeps configuration and targets in one store.
 	// It replaces Platform.
 	Store   Store   `yaml:"store,omitempty"`
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -16,6 +16,7 @@
 	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/connection/health"
 	"github.com/pomelospool/pomelospool/connection/links"
+	"github.com/pomelospool/pomelospool/connection/origin"
 	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/connection/targets"
 	"github.com/pomelospool/pomelospool/port"
@@ -109,6 +110,9 @@
 	Peers    Peers  // nil: calls aren't forwarded
 	// Quarantine refuses content that crashes targets. It may be nil.
 	Quarantine Quarantine
+	// Origins tracks at which software version streams began. If it is nil, only those
+	// that began at this Runner are known.
+	Origins Origins
 	// TargetAddrs returns addresses of targets of any service. If it is nil, those
 	// of a call's own service are used.
 	TargetAddrs func() []string
@@ -132,6 +136,9 @@
 	if o.Links == nil {
 		o.Links = links.Intact{}
 	}
+	if o.Origins == nil {
+		o.Origins = origin.New(origin.Options{})
+	}
 	r := &Runner{opts: o, promptStatsByService: make(map[string]*placement.PromptStats), answerLengths: make(map[string]*answerLength), verifying: make(map[string]bool)}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	return r
@@ -183,6 +190,9 @@
 	defer x.budget.SentAll()
 	defer x.leaveRun()
 	err := x.runStream(ctx, out)
+	if err == nil {
+		x.recordComplete()
+	}
 	x.trace.LastEvent = x.lastID
 	return x.trace, err
 }
@@ -192,6 +202,7 @@
 	Sends             int           // requests sent to targets
 	Targets           []string      // ids of the targets, in order of the sends
 	Software          []string      // software versions of these targets
+	OriginSource      origin.Source // how the origin of a stream that the call takes up was found
 	Causes            []string      // one for each failed send
 	PredictedFirst    time.Duration // time to the first event, predicted at admission
 	PredictedDuration time.Duration // from the start of decoding to the last event, predicted from the stated output
@@ -245,6 +256,10 @@
 	running *port.TargetEntry // target of the send that goes on; nil: none
 
 	started bool // Call.OnStart has been called
+
+	sendingTo string  // software version of the target of the last send
+	began     bool    // the caller was sent events of this call
+	origin    *string // software version at which the stream began; nil: it hasn't begun
 }
 
 // markStarted records that a target started the call that long ago.
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -40,6 +40,12 @@
 	if err := x.refuseForwarded(); err != nil {
 		return err
 	}
+	if err := x.findOrigin(ctx); err != nil {
+		return err
+	}
+	if err := x.checkOriginServed(port.RoleDecode); err != nil {
+		return err
+	}
 	prompt, err := x.admit(ctx)
 	if err != nil {
 		return err
@@ -55,6 +61,9 @@
 		if x.viaPeer() {
 			return x.streamAtPeer(ctx, out)
 		}
+		if err := x.checkOriginServed(port.RoleDecode); err != nil {
+			return err
+		}
 		p, f := x.prefill(ctx, prompt)
 		if f == nil {
 			if p.kv != nil {
@@ -146,6 +155,9 @@
 	if err != nil {
 		return err
 	}
+	if x.call.TakesUp() {
+		return nil // the stream was admitted before, and its caller has a part of it
+	}
 	if ch.Index < 0 {
 		return nil // a decoding engine prefills it, or none can; that is decided later
 	}
@@ -253,6 +265,8 @@
 		}
 	}
 	switch {
+	case full > 0 && x.call.TakesUp():
+		return minWait, nil // the engine itself decides whether it can queue the call
 	case free > 0, doubtful > 0 && hashFraction(x.call.Meta.RequestID, "") < probeShare:
 		return minWait, nil
 	case full > 0:
@@ -265,7 +279,7 @@
 // engines that this daemon hasn't ejected. If the service has several, it is
 // more likely that those daemons have lost their links.
 func (x *execution) allReported(cands []placement.Candidate) bool {
-	if x.opts.Targets.Targets(x.call.Service.Name).ByRole(port.RoleDecode, "").Len() < 2 {
+	if x.targets().ByRole(port.RoleDecode, "").Len() < 2 {
 		return false
 	}
 	for i := range cands {
@@ -299,7 +313,7 @@
 // decoderCount returns the number of the service's decoding engines, of
 // which cands may be a sample.
 func (x *execution) decoderCount(cands []placement.Candidate) int {
-	if n := x.opts.Targets.Targets(x.call.Service.Name).ByRole(port.RoleDecode, "").Len(); n > sampleThreshold {
+	if n := x.targets().ByRole(port.RoleDecode, "").Len(); n > sampleThreshold {
 		return n
 	}
 	return len(cands)
--- a/request/dispatch/plain.go
+++ b/request/dispatch/plain.go
@@ -106,7 +106,7 @@
 	var best port.TargetEntry
 	bestCost := -1.0
 	reuse := x.connReuse(outgoing{})
-	for _, e := range x.usable(x.sampleTargets("", nil, x.opts.Zone), nil) {
+	for _, e := range x.preferSettled(x.usable(x.sampleTargets("", nil, x.opts.Zone), nil)) {
 		cost := float64(e.load.Streams) / float64(max(e.Slots, 1))
 		cost += failWeight * x.opts.Health.FailureRate(e.ID)
 		if e.Zone != x.opts.Zone {
@@ -131,7 +131,7 @@
 
 // runPlainStream executes a streamed call at plain targets.
 func (x *execution) runPlainStream(ctx context.Context, out Stream) error {
-	for {
+	for first := true; ; first = false {
 		if err := x.checkContent(); err != nil {
 			return err
 		}
@@ -141,6 +141,14 @@
 		if x.viaPeer() {
 			return x.streamAtPeer(ctx, out)
 		}
+		if first {
+			if err := x.findOrigin(ctx); err != nil {
+				return err
+			}
+		}
+		if err := x.checkOriginServed(""); err != nil {
+			return err
+		}
 		to, ok := x.pickPlain()
 		if !ok {
 			return x.noTargetError()
--- a/request/dispatch/prefill.go
+++ b/request/dispatch/prefill.go
@@ -115,7 +115,11 @@
 	var out []placement.Candidate
 	sample := x.sampleTargets(role, &p, zone)
 	reuse := x.connReuse(outgoing{state: port.DispatchMeta{Prefill: role == port.RolePrefill}})
-	for _, t := range x.usable(sample, p.parts) {
+	usable := x.usable(sample, p.parts)
+	if role == port.RoleDecode {
+		usable = x.preferSettled(usable)
+	}
+	for _, t := range usable {
 		if t.load.Becomes != "" {
 			continue
 		}
--- a/request/dispatch/relay.go
+++ b/request/dispatch/relay.go
@@ -58,6 +58,7 @@
 	if len(fresh) == 0 {
 		return nil
 	}
+	x.recordOrigin()
 	if err := out.Write(fresh); err != nil {
 		return newFailure(failure.CallerGone, target, err)
 	}
--- a/request/dispatch/sample.go
+++ b/request/dispatch/sample.go
@@ -41,8 +41,11 @@
 // and some random ones. The cost of a call thus doesn't grow with the number
 // of targets.
 func (x *execution) sampleTargets(role port.Role, p *prompt, zone string) *targetSample {
-	set := x.opts.Targets.Targets(x.call.Service.Name)
+	set := x.targets()
 	all := set.ByRole(role, "")
+	if x.origin != nil && role != port.RolePrefill {
+		return x.sampleVersion(set, role)
+	}
 	if all.Len() <= sampleThreshold {
 		return &targetSample{entries: all.All(), shared: all.Len()}
 	}
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -36,7 +36,8 @@
 func (x *execution) send(ctx context.Context, s outgoing) (*h1.Response, port.ResponseMeta, *sendFailure) {
 	x.trace.Sends++
 	x.trace.Targets = append(x.trace.Targets, s.target.ID)
-	x.trace.Software = append(x.trace.Software, s.target.Software)
+	x.sendingTo = x.targets().VersionOf(&s.target)
+	x.trace.Software = append(x.trace.Software, x.sendingTo)
 	x.beginRun(s.target)
 	counted := x.budget.Begin(s.target.Addr)
 	resp, err := x.opts.Pool.Do(ctx, x.request(s))
@@ -144,7 +145,7 @@
 	}
 	x.recordHealth(f)
 	log.WithFields(log.Fields{
-		"request": x.call.Meta.RequestID, "target": f.Target, "class": f.Class.String(), "cause": f.Cause(),
+		"request": x.call.Meta.RequestID, "target": f.Target, "software": x.sendingTo, "class": f.Class.String(), "cause": f.Cause(),
 		"send": x.trace.Sends, "left_ms": time.Until(x.call.Deadline).Milliseconds(), "content": x.content.String(),
 	}).Info("dispatch: send failed")
 }
--- a/request/dispatch/versions_test.go
+++ b/request/dispatch/versions_test.go
@@ -210,3 +210,141 @@
 		}
 	})
 }
+
+// resume takes up a stream of the harness's engines after its first event.
+func (h *harness) resume(id, resumes string) (*recorder, Trace, error) {
+	out := &recorder{}
+	trace, err := h.runner.Streamed(h.t.Context(), h.streamCall("llm", id, resumes, "1"), out)
+	return out, trace, err
+}
+
+// Guards against a stream that goes on at any version if the one at which it began
+// isn't known, against a prefill for it, and against an answer that makes its caller
+// wait or says that it may have run.
+func TestStreamOfUnknownOriginIsRejected(t *testing.T) {
+	withHarness(t, 10, func(t *testing.T, h *harness) {
+		targets := []*standin.Target{h.addTarget("llm", port.RolePrefill)}
+		targets = append(targets, h.addVersion("llm", port.RoleDecode, "v1", 8)...)
+		targets = append(targets, h.addVersion("llm", port.RoleDecode, "v2", 8)...)
+		for _, resumes := range []string{"", "unknown"} {
+			c := h.streamCall("llm", "r1", resumes, "1")
+			c.Meta.LastEventID = "1"
+			_, err := h.runner.Streamed(t.Context(), c, &recorder{})
+			e, ok := err.(*code.Error)
+			if !ok || e.Code != code.OriginUnknown || !e.Code.Info().NotRun || e.RetryAfter <= 0 {
+				t.Errorf("stream of request %q: %v", resumes, err)
+			}
+		}
+		for _, target := range targets {
+			if n := len(target.Arrivals()); n > 0 {
+				t.Errorf("%s received %d requests", target.ID, n)
+			}
+		}
+	})
+}
+
+// Guards against a prefill for a stream whose version isn't served any more.
+func TestStreamOfVersionThatIsGoneIsRejected(t *testing.T) {
+	withHarness(t, 10, func(t *testing.T, h *harness) {
+		p := h.addTarget("llm", port.RolePrefill)
+		h.addVersion("llm", port.RoleDecode, "v1", 8)
+		out := &leavingRecorder{after: 1}
+		_, _ = h.runner.Streamed(t.Context(), h.streamCall("llm", "r1", "", ""), out)
+		for i := range h.entries["llm"] {
+			if h.entries["llm"][i].Role == port.RoleDecode {
+				h.entries["llm"][i].Leaving = true
+			}
+		}
+		h.addVersion("llm", port.RoleDecode, "v2", 8)
+		_, trace, err := h.resume("r2", "r1")
+		if e, ok := err.(*code.Error); !ok || e.Code != code.OriginGone || e.RetryAfter <= 0 || trace.Sends != 0 || len(p.Arrivals()) != 1 {
+			t.Errorf("%d sends, %v", trace.Sends, err)
+		}
+	})
+}
+
+// Guards against a cut stream without another target of its version: its answer must
+// look cut, with no events of another version and no useless prefill.
+func TestCutStreamWithoutItsVersionIsCut(t *testing.T) {
+	withHarness(t, 10, func(t *testing.T, h *harness) {
+		p := h.addTarget("llm", port.RolePrefill)
+		first := h.addTarget("llm", port.RoleDecode)
+		first.Set(func(b *standin.Behaviour) { b.CutAfter = 2 })
+		out := &repairingRecorder{after: 2, repair: func() {
+			h.entries["llm"] = h.entries["llm"][:1]
+			h.addVersion("llm", port.RoleDecode, "v2", 8)
+		}}
+		_, err := h.runner.Streamed(t.Context(), h.streamCall("llm", "r1", "", ""), out)
+		if code.Of(err) != code.TargetFailed || out.text != eventText(1, 2) || len(p.Arrivals()) != 1 {
+			t.Errorf("%q after %d prefills, %v", out.text, len(p.Arrivals()), err)
+		}
+	})
+}
+
+// Guards against streams that are admitted once and rejected when their callers take
+// them up, because new ones have taken all slots of their version's targets.
+func TestStreamIsTakenUpAtFullTargets(t *testing.T) {
+	withHarness(t, 10, func(t *testing.T, h *harness) {
+		h.addTarget("llm", port.RolePrefill)
+		list := h.addVersion("llm", port.RoleDecode, "v1", 4)
+		_, _ = h.runner.Streamed(t.Context(), h.streamCall("llm", "r1", "", ""), &leavingRecorder{after: 1})
+		defer h.occupy(list)()
+		if _, _, err := h.runStream(t.Context(), true); code.Of(err) != code.Overloaded {
+			t.Fatalf("a new stream: %v", err)
+		}
+		out, _, err := h.resume("r2", "r1")
+		if err != nil || out.text != eventText(2, 3) {
+			t.Errorf("%q, %v", out.text, err)
+		}
+	})
+}
+
+// Guards against streams of another organisation that can be taken up, or whose
+// version can be found out.
+func TestStreamOfAnotherOrganisationIsUnknown(t *testing.T) {
+	withHarness(t, 10, func(t *testing.T, h *harness) {
+		h.addVersion("llm", port.RoleDecode, "v1", 8)
+		h.addVersion("llm", port.RoleDecode, "v2", 8)
+		own := h.streamCall("llm", "r1", "", "")
+		own.Organisation = "a"
+		_, _ = h.runner.Streamed(t.Context(), own, &leavingRecorder{after: 1})
+		for organisation, want := range map[string]code.Code{"a": 0, "b": code.OriginUnknown, "": code.OriginUnknown} {
+			c := h.streamCall("llm", "r2 of "+organisation, "r1", "1")
+			c.Organisation = organisation
+			if _, err := h.runner.Streamed(t.Context(), c, &recorder{}); code.Of(err) != want {
+				t.Errorf("organisation %q: %v", organisation, err)
+			}
+		}
+	})
+}
+
+// unsettledVersion is Origins of which one version isn't known to all daemons.
+type unsettledVersion struct {
+	Origins
+	version string
+}
+
+func (u unsettledVersion) Settled(_, software string) bool { return software != u.version }
+
+// Guards against streams that begin at a version that another daemon doesn't know,
+// while targets of a known one take requests.
+func TestNewStreamsPreferSettledVersions(t *testing.T) {
+	withVersions(t, func(t *testing.T, h *harness, service string, targets map[string][]*standin.Target) {
+		h.runner.opts.Origins = unsettledVersion{h.runner.opts.Origins, "v2"}
+		for i := range versionedStreams {
+			if _, err := h.runner.Streamed(t.Context(), h.streamCall(service, fmt.Sprint(i), "", ""), &recorder{}); err != nil {
+				t.Fatal(err)
+			}
+			if v := versionsOf(targets, fmt.Sprint(i)); v != "v1" {
+				t.Errorf("stream %d began at %s", i, v)
+			}
+		}
+		h.runner.opts.Origins = unsettledVersion{h.runner.opts.Origins, "v1"}
+		for _, target := range targets["v2"] {
+			target.Set(func(b *standin.Behaviour) { b.Refuse = true })
+		}
+		if _, err := h.runner.Streamed(t.Context(), h.streamCall(service, "last", "", ""), &recorder{}); err != nil {
+			t.Errorf("without another target: %v", err)
+		}
+	})
+}
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -99,9 +99,6 @@
 // because the process stops. It is short since other daemons can serve them.
 const stoppingRetryAfter = 20 * time.Millisecond
 
-// defaultTimeout applies to routes without a timeout.
-const defaultTimeout = 30 * time.Second
-
 // ServeHTTP implements http.Handler.
 func (i *Ingress) ServeHTTP(w http.ResponseWriter, req *http.Request) { i.serve(w, req, nil) }
 
@@ -277,10 +274,7 @@
 // callTimeout returns the time that a call may take: the route's timeout, or
 // the caller's remaining time if that is shorter.
 func callTimeout(c *dispatch.Call) time.Duration {
-	timeout := c.Route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
+	timeout := c.Route.MaxDuration()
 	if c.Meta.Timeout > 0 {
 		return min(timeout, c.Meta.Timeout)
 	}
@@ -341,7 +335,7 @@
 		}
 	}
 	if c != nil && c.TakesUp() {
-		fields["resumes"], fields["after_event"] = c.Meta.Resumes, c.Meta.LastEventID
+		fields["resumes"], fields["after_event"], fields["origin_source"] = c.Meta.Resumes, c.Meta.LastEventID, string(x.trace.OriginSource)
 	}
 	if x.trace.ForwardedTo != "" {
 		fields["forwarded_to"] = x.trace.ForwardedTo
--- a/version/route/route.go
+++ b/version/route/route.go
@@ -123,6 +123,8 @@
 	keys   *Keys
 	byHost map[string][]*Route // longest prefix first
 	routes int
+	// resumable holds the longest timeout of each service's resumable routes.
+	resumable map[string]time.Duration
 }
 
 // New returns a Config with the routes and services. If keys is nil, every
@@ -135,6 +137,8 @@
 		Limits:   limits,
 		byHost:   make(map[string][]*Route),
 		routes:   len(routes),
+
+		resumable: make(map[string]time.Duration),
 	}
 	for _, s := range services {
 		c.Services[s.Name] = s
@@ -142,6 +146,11 @@
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
+		for _, s := range r.Split {
+			if r.Resumable {
+				c.resumable[s.Service] = max(c.resumable[s.Service], r.MaxDuration())
+			}
+		}
 	}
 	for _, list := range c.byHost {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -149,6 +158,21 @@
 	return c
 }
 
+// defaultTimeout applies to routes without a timeout.
+const defaultTimeout = 30 * time.Second
+
+// MaxDuration returns the maximum time until the complete answer.
+func (r *Route) MaxDuration() time.Duration {
+	if r.Timeout <= 0 {
+		return defaultTimeout
+	}
+	return r.Timeout
+}
+
+// StreamTimeout returns the longest timeout of the routes on which streams of a
+// service may be taken up, or 0 if there are none.
+func (c *Config) StreamTimeout(service string) time.Duration { return c.resumable[service] }
+
 // Routes returns the number of routes.
 func (c *Config) Routes() int { return c.routes }
 
