soak: targets of two software versions, streams that callers take up

The soak's callers break streams off and take them up at the next daemon; events name the version that made them. The judge checks that at most two streams hold events of two versions, at all daemons, and that of those taken up at daemons in touch at least half as many go on as new ones begin.

The retry budget counts the streams' requests too.

--- a/bench/soak/client.go
+++ b/bench/soak/client.go
@@ -32,6 +32,9 @@
 	Events           string                 // expected body from an engine
 }
 
+// events is the number of events in a stream.
+const events = 5
+
 // Load runs callers that send requests until they are stopped.
 type Load struct {
 	Seed     uint64
--- a/bench/soak/crash.go
+++ b/bench/soak/crash.go
@@ -68,7 +68,7 @@
 func (j *Judge) inTouch(id string, at time.Time) bool {
 	for _, o := range j.outcomes {
 		if o.ID == id {
-			return !j.isDown(o.Daemon, span{at.Add(-stableWindow), at}) && !j.isCutAtAll(o.Daemon, span{at.Add(-stableWindow), at})
+			return j.inTouchAt(o.Daemon, at)
 		}
 	}
 	return true
--- a/bench/soak/doc.go
+++ b/bench/soak/doc.go
@@ -11,6 +11,8 @@
 //     others.
 //   - A request that crashes the targets that run it reaches few of them, and
 //     harmless content isn't refused.
+//   - A stream goes on only at the software version of the targets that began it,
+//     and streams that callers take up seldom fail where new ones begin.
 //   - The system recovers once the faults are over.
 //
 // The tests start the daemons as processes that use the store, the cloud and
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -54,6 +54,7 @@
 	cuts     []cut
 	crashes  []time.Time       // of targets, by crashBody
 	crashing []standin.Arrival // of requests with that body
+	streams  []streamOutcome
 	faults   []string
 }
 
@@ -81,6 +82,13 @@
 			out = append(out, o.Started)
 		}
 	}
+	for _, o := range j.streams {
+		for _, try := range o.Tries {
+			if of(Stream) {
+				out = append(out, try.At)
+			}
+		}
+	}
 	return out
 }
 
@@ -103,6 +111,9 @@
 // is incomplete, and as Left if its caller canceled the request.
 type Totals struct {
 	Attempts, Good, Refused, Failed, Broken, Left int
+	// Streams of the resumable route, those that callers received whole, the requests
+	// that took one up and those of them that brought more of it.
+	Streams, Whole, TakenUp, WentOn int
 }
 
 // Verdict returns the violations and the totals. ran is the number of runs of
@@ -114,6 +125,10 @@
 	faults = append(faults, j.faults...)
 	faults = append(faults, j.checkCuts()...)
 	faults = append(faults, j.checkCrashes()...)
+	faults = append(faults, j.checkStreams()...)
+	for _, o := range j.streams {
+		totals.addStream(o)
+	}
 	for _, o := range j.outcomes {
 		totals.add(o)
 		for _, f := range j.check(o, ran[o.ID]) {
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -77,6 +77,8 @@
 	Stalls bool
 	// Crashes adds requests that crash their targets to the plan.
 	Crashes bool
+	// Versions is the number of software versions of the targets; 0: one.
+	Versions int
 }
 
 const (
--- a/bench/soak/site_test.go
+++ b/bench/soak/site_test.go
@@ -20,9 +20,6 @@
 	"github.com/pomelospool/pomelospool/platform/standin"
 )
 
-// events is the number of events in a stream.
-const events = 5
-
 // targetSlot is one target address. Successive targets use it.
 type targetSlot struct {
 	stage      string // stage of new targets
@@ -30,6 +27,7 @@
 	removed    bool   // guarded by environment.mu
 	current    atomic.Pointer[standin.Target]
 	generation atomic.Int32
+	versions   int // number of software versions, which follow each other
 	name       string
 	proxy      *Proxy
 	gate       gate
@@ -73,7 +71,7 @@
 	env.addrPrefix = reserveRange(t)
 	storeAddr, cloudAddr := env.startServer(env.store, &env.storeServer), env.startServer(env.cloud, &env.cloudServer)
 	for i := range s.Targets {
-		env.addSlot(i)
+		env.addSlot(i, s.Versions)
 	}
 	env.publish()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -143,8 +141,12 @@
 // firstStage returns the stage of the first target of a slot.
 func firstStage(slot int) string { return [...]string{"", "prefill", "decode", ""}[slot%4] }
 
-func (env *environment) addSlot(i int) {
-	slot := &targetSlot{stage: firstStage(i), name: fmt.Sprintf("i-%d", i)}
+func (env *environment) addSlot(i, versions int) {
+	slot := &targetSlot{stage: firstStage(i), name: fmt.Sprintf("i-%d", i), versions: max(versions, 1)}
+	if versions > 1 && slot.stage == "" && i%4 == 3 {
+		slot.stage = "decode"
+	}
+	slot.generation.Store(int32(i / 4))
 	l := &gatedListener{listen(env.t), &slot.gate}
 	slot.srv = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) { slot.current.Load().ServeHTTP(rw, req) })}
 	go func() { _ = slot.srv.Serve(l) }()
@@ -163,7 +165,9 @@
 	if old := slot.current.Load(); old != nil {
 		env.store.Withdraw(old.ID)
 	}
-	t := standin.NewTarget(fmt.Sprintf("%s-%d", slot.name, slot.generation.Add(1)), slot.stage)
+	generation := slot.generation.Add(1)
+	t := standin.NewTarget(fmt.Sprintf("%s-%d", slot.name, generation), slot.stage)
+	t.Software = fmt.Sprint("v", int(generation)%slot.versions)
 	t.Set(func(b *standin.Behaviour) {
 		b.Events, b.Gap = events, 2*time.Millisecond
 		b.CrashBody, b.OnCrash = crashBody, func() { env.crashTarget(slot, t) }
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -76,7 +76,7 @@
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, program, seed, Size{Daemons: *daemons, Length: *length, Cuts: true, Crashes: true})
+			runSeed(t, program, seed, Size{Daemons: *daemons, Length: *length, Cuts: true, Crashes: true, Versions: 2})
 		})
 	}
 }
@@ -116,14 +116,14 @@
 func TestSoakOfALargeFleet(t *testing.T) {
 	t.Parallel()
 	const seed = 2300
-	runSeed(t, sharedDaemon(t), seed, Size{Daemons: largeDaemons, Length: *length, Cuts: true, Crashes: true})
+	runSeed(t, sharedDaemon(t), seed, Size{Daemons: largeDaemons, Length: *length, Cuts: true, Crashes: true, Versions: 2})
 }
 
 func runSeed(t *testing.T, program string, seed uint64, size Size) {
 	size.Targets = *targets
 	faults, totals := runTrial(t, trial{
 		seed: seed, program: program, daemons: size.Daemons, plan: Plan(seed, size),
-		length: size.Length, recoveryLimit: recoveryLimit, grace: callerGrace,
+		length: size.Length, recoveryLimit: recoveryLimit, grace: callerGrace, versions: size.Versions, resumers: size.Versions,
 	})
 	t.Logf("seed %d: %+v", seed, totals)
 	for _, f := range faults {
@@ -139,16 +139,19 @@
 	plan          []Event
 	length        time.Duration
 	budget        Budget        // zero: retryBudget
+	targets       int           // 0: the flag's number
 	callers       int           // 0: the flag's number
 	think         time.Duration // longest pause of a caller between two requests; 0: maxThinkTime
 	recoveryLimit time.Duration // limit for the recovery after the load
 	grace         time.Duration // Load.Grace
 	warmup        time.Duration // under load, before the plan and the length
+	versions      int           // number of software versions; 0: one
+	resumers      int           // number of callers that take streams up
 }
 
 // runTrial runs a trial and returns the violations.
 func runTrial(t *testing.T, tr trial) ([]string, Totals) {
-	env := newEnvironment(t, tr.seed, tr.program, Size{Daemons: tr.daemons, Targets: *targets}, cmp.Or(tr.budget, retryBudget))
+	env := newEnvironment(t, tr.seed, tr.program, Size{Daemons: tr.daemons, Targets: max(*targets, tr.targets), Versions: tr.versions}, cmp.Or(tr.budget, retryBudget))
 	defer env.close()
 	for i := range env.daemons {
 		if !eventually(recoveryLimit, func() bool { return env.ready(i) }) {
@@ -162,6 +165,9 @@
 	load := env.newLoad(tr.seed, cmp.Or(tr.callers, *callers))
 	load.Grace, load.Think = tr.grace, cmp.Or(tr.think, maxThinkTime)
 	wg.Go(func() { load.Run(ctx) })
+	for i := range tr.resumers {
+		wg.Go(func() { env.newResumer(tr.seed, i).run(ctx) })
+	}
 	wait(nil, tr.warmup)
 	env.runPlan(ctx, tr.plan, &wg)
 	wg.Wait()
