attempt: an answer goes on only at the model version that began it

A cut answer, a handover from prefill to decode and a caller's resume by tokens went on at any engine of the model, so that an answer held tokens of two model versions during a roll-out.

A request is bound to the version of the engine that made its first token. The protocol has no software versions.

Left: an engine that has just changed its version serves for up to one read of its state under the old one; requests don't name the version that they expect.

--- a/connection/load/engine.go
+++ b/connection/load/engine.go
@@ -188,7 +188,7 @@
 	r.Changing = e.state.Changing
 	r.Live = r.Live && !e.state.Leaving
 	if spec := e.state.Spec; spec.Model != "" {
-		r.Model, r.Adapter, r.Role = spec.Model, spec.Adapter, spec.Role
+		r.Model, r.Adapter, r.Version, r.Role = spec.Model, spec.Adapter, spec.Version, spec.Role
 	}
 }
 
--- a/request/attempt/choose.go
+++ b/request/attempt/choose.go
@@ -11,6 +11,11 @@
 // Choose returns the routing decision for q and the targets that it is based on.
 func (r *Runner) Choose(q *Request) (routing.Decision, []routing.Target, error) {
 	targets := r.opts.Targets.Targets(q.Service)
+	if q.Resumes {
+		if _, err := resumedVersion(q, targets); err != nil {
+			return routing.Decision{}, targets, err
+		}
+	}
 	d, err := r.opts.Router.Route(q.Route, targets)
 	return d, targets, err
 }
@@ -21,7 +26,7 @@
 // are left out; while there are such targets, choose returns an error, so that
 // the caller waits for them, rather than fall back to a failed one.
 func (r *run) choose() (routing.Target, routing.Decision, error) {
-	targets := without(r.opts.Targets.Targets(r.q.Service), r.claimedElsewhere)
+	targets := ofVersion(without(r.opts.Targets.Targets(r.q.Service), r.claimedElsewhere), r.version)
 	if r.nextDecision != nil && !r.route.Exclusive {
 		if t, ok := find(targets, r.nextDecision.Target); ok && t.Live {
 			return t, *r.nextDecision, nil
--- a/request/attempt/run.go
+++ b/request/attempt/run.go
@@ -32,10 +32,19 @@
 	handedOver       bool                // the prefill engine has handed over to the decode engine
 	chosenAt         time.Time           // when the selection of the current target began
 
+	version *string // model version that made the caller's first token; nil: it has none
+
 	unpredicted bool // the last target refused, but was not known to refuse requests
 }
 
 func (r *run) loop(ctx context.Context) error {
+	if r.q.Resumes {
+		version, err := resumedVersion(r.q, r.opts.Targets.Targets(r.q.Service))
+		if err != nil {
+			return err
+		}
+		r.bindVersion(version)
+	}
 	for {
 		err := r.checkQuarantine(ctx)
 		if r.shouldWait(err) && pause.For(ctx, claimRetryDelay) == nil {
@@ -57,6 +66,9 @@
 		if f == nil {
 			return nil
 		}
+		if r.recv.Progress() > progress {
+			r.bindVersion(p.target.Version)
+		}
 		if f.Class == failure.Handover {
 			r.handOver(ctx, p.decision)
 			continue
--- a/request/attempt/runner.go
+++ b/request/attempt/runner.go
@@ -83,6 +83,7 @@
 	Body        func(resume int) []byte // returns the body that resumes after so many tokens
 	Idempotent  bool
 	ToEngine    bool // the targets are model engines
+	Resumes     bool // the caller has the first tokens from an earlier request
 	Forwarded   bool // another daemon has forwarded the request and counted it for the budget
 	Fingerprint quarantine.Fingerprint
 }
--- /dev/null
+++ b/request/attempt/version.go
@@ -0,0 +1,46 @@
+package attempt
+
+import (
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/request/routing"
+)
+
+// resumedVersion returns the model version of the answer that a request goes on with.
+// The request doesn't state it, so it is known only if all engines of the model have
+// the same one.
+func resumedVersion(q *Request, targets []routing.Target) (version string, err error) {
+	first := true
+	for i := range targets {
+		t := &targets[i]
+		if t.Model != q.Route.Model || t.Adapter != q.Route.Adapter {
+			continue
+		}
+		if !first && t.Version != version {
+			return "", code.New(code.OriginUnknown, "versions %q and %q of model %q are served", version, t.Version, q.Route.Model).WithRetryAfter(retryAfter)
+		}
+		version, first = t.Version, false
+	}
+	return version, nil
+}
+
+// bindVersion binds the rest of the request to the model version of the target that
+// made the tokens the caller has.
+func (r *run) bindVersion(version string) {
+	if r.version == nil {
+		r.version = &version
+	}
+}
+
+// ofVersion returns the targets with the model version, or all if it is nil.
+func ofVersion(targets []routing.Target, version *string) []routing.Target {
+	if version == nil {
+		return targets
+	}
+	var out []routing.Target
+	for i := range targets {
+		if targets[i].Version == *version {
+			out = append(out, targets[i])
+		}
+	}
+	return out
+}
--- a/request/entry/model.go
+++ b/request/entry/model.go
@@ -194,6 +194,7 @@
 		Body:        c.payload,
 		Idempotent:  true,
 		ToEngine:    true,
+		Resumes:     c.firstToken() > 0,
 		Fingerprint: fingerprint(c.params.org, c.body.Model, c.prompt),
 	}
 }
--- a/request/routing/types.go
+++ b/request/routing/types.go
@@ -40,6 +40,7 @@
 	Zone         string
 	Model        string
 	Adapter      string
+	Version      string // of the model; empty: unknown
 	Role         port.Role
 	Live         bool // reachable, and neither leaving nor drained
 	Changing     bool // reconfiguring, for example to another role
