roles: decoding engines of a software version come in pairs

What callers would see: a stream whose engine is lost can't go on, although other engines of its version are there, since the planner gave all decoding to others: it chose by zone and wait alone.

A version of which one engine decodes gets the next decoder, the first two are of the most common one, and pairs are the last to be moved back. With one version nothing changes.

Evidence: roles.TestDecodersOfAVersionHavePartners, three cases, failed before.

--- a/process/roles/plan.go
+++ b/process/roles/plan.go
@@ -99,20 +99,21 @@
 	return decoders, prefillers
 }
 
-// movesToPrefill returns moves of up to n decoding engines to prefill. It takes
+// movesToPrefill returns moves of up to n decoding engines to prefill. It leaves each
+// software version that decodes two engines if it can. Among the others it takes
 // engines from the availability zone with the most decoding engines first, and
 // there the one with the fewest streams.
 func movesToPrefill(decoders []Engine, n int) []Move {
 	var out []Move
 	left := slices.Clone(decoders)
 	for range n {
-		zones := countByZone(left)
+		zones, versions := countByZone(left), countByVersion(left)
 		best := -1
 		for i, e := range left {
 			if e.Changing || e.Refused {
 				continue
 			}
-			if best < 0 || preferToMove(e, left[best], zones) {
+			if best < 0 || preferToMove(e, left[best], zones, versions) {
 				best = i
 			}
 		}
@@ -126,7 +127,10 @@
 }
 
 // preferToMove reports whether a is to be moved to prefill rather than b.
-func preferToMove(a, b Engine, zones map[string]int) bool {
+func preferToMove(a, b Engine, zones, versions map[string]int) bool {
+	if pa, pb := versions[a.Entry.Software] == versionDecoders, versions[b.Entry.Software] == versionDecoders; pa != pb {
+		return pb
+	}
 	if za, zb := zones[a.Entry.Zone], zones[b.Entry.Zone]; za != zb {
 		return za > zb
 	}
@@ -136,6 +140,19 @@
 	return a.Entry.ID < b.Entry.ID
 }
 
+// versionDecoders is the number of decoding engines that a software version should
+// have. A stream goes on only at the version that began it, so without a second one
+// its streams are lost with their engine.
+const versionDecoders = 2
+
+func countByVersion(engines []Engine) map[string]int {
+	versions := make(map[string]int)
+	for _, e := range engines {
+		versions[e.Entry.Software]++
+	}
+	return versions
+}
+
 func countByZone(engines []Engine) map[string]int {
 	zones := make(map[string]int)
 	for _, e := range engines {
@@ -145,11 +162,13 @@
 }
 
 // movesToDecode returns moves of up to n prefill engines to decoding. It takes
-// engines from the availability zone with the fewest decoding engines first, and
-// there the one with the shortest wait.
+// engines of a software version of which one engine decodes first, then those of
+// the most common version while none decodes. Among these it takes engines from the
+// availability zone with the fewest decoding engines first, and there the one with
+// the shortest wait.
 func movesToDecode(prefillers, decoders []Engine, n int) []Move {
 	var out []Move
-	zones := countByZone(decoders)
+	zones, versions, common := countByZone(decoders), countByVersion(decoders), countByVersion(prefillers)
 	left := slices.Clone(prefillers)
 	for range n {
 		left = slices.DeleteFunc(left, func(e Engine) bool { return e.Changing || e.Refused })
@@ -158,14 +177,31 @@
 		}
 		e := slices.MinFunc(left, func(a, b Engine) int {
 			return cmp.Or(
+				preferVersion(a, b, versions, common),
 				cmp.Compare(zones[a.Entry.Zone], zones[b.Entry.Zone]),
 				cmp.Compare(a.Wait, b.Wait),
 				cmp.Compare(a.Entry.ID, b.Entry.ID),
 			)
 		})
 		zones[e.Entry.Zone]++
+		versions[e.Entry.Software]++
 		out = append(out, Move{Target: e.Entry.ID, Role: port.RoleDecode, Reason: "the streams ask for more engines that decode"})
 		left = slices.DeleteFunc(left, func(x Engine) bool { return x.Entry.ID == e.Entry.ID })
 	}
 	return out
 }
+
+// preferVersion compares two engines by their software versions as the next one that
+// decodes. decoding and common are numbers of engines by version.
+func preferVersion(a, b Engine, decoding, common map[string]int) int {
+	if len(decoding) == 0 {
+		return cmp.Compare(common[b.Entry.Software], common[a.Entry.Software])
+	}
+	lacking := func(e Engine) int {
+		if n := decoding[e.Entry.Software]; n > 0 && n < versionDecoders {
+			return versionDecoders - n
+		}
+		return 0
+	}
+	return cmp.Compare(lacking(b), lacking(a))
+}
--- a/process/roles/roles_test.go
+++ b/process/roles/roles_test.go
@@ -82,6 +82,43 @@
 	}
 }
 
+// withSoftware sets the software versions of engines, by index.
+func withSoftware(list []Engine, versions ...string) []Engine {
+	for i, v := range versions {
+		list[i].Entry.Software = v
+	}
+	return list
+}
+
+// Guards against streams that can't go on after the loss of an engine, although
+// others of their software version are there, since none of them decodes.
+func TestDecodersOfAVersionHavePartners(t *testing.T) {
+	cases := []struct {
+		name    string
+		engines []Engine
+		want    []string // versions of the moved engines
+	}{
+		{"a partner for the decoder", withSoftware(newFleet(6, 1), "v2", "v2", "v2", "v2", "v1", "v2", "v1"), []string{"v1"}},
+		{"no decoder", withSoftware(newFleet(7, 0), "v2", "v2", "v1", "v1", "v1", "v1", "v2"), []string{"v1", "v1"}},
+		{"pairs are left", withSoftware(newFleet(4, 5), "v1", "v1", "v2", "v2", "v1", "v1", "v2", "v2", "v2"), []string{"v2"}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			moves := Plan(tc.engines, nil)
+			if len(moves) < len(tc.want) {
+				t.Fatalf("%d moves", len(moves))
+			}
+			for i, want := range tc.want {
+				for _, e := range tc.engines {
+					if e.Entry.ID == moves[i].Target && e.Entry.Software != want {
+						t.Errorf("move %d takes an engine of %s, want %s", i, e.Entry.Software, want)
+					}
+				}
+			}
+		})
+	}
+}
+
 // Guards against plans that follow each phase of a workload that alternates between
 // prompts and long answers, each at twice its mean for 3 s. Such plans sent 21 orders
 // a day, engines were changing or in the wrong role most of the time, and up to nine in
