--- a/connection/origin/history.go
+++ b/connection/origin/history.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/apex/log"
 )
 
 // maxTickGap is the longest time between two calls of History.Tick. A longer one
@@ -24,6 +26,7 @@
 	since    time.Duration // no change was missed since then, by now
 	listed   bool          // the targets have been listed
 	gaps     int           // number of times that changes may have been missed
+	inGap    bool          // the last Tick found such a time
 	lastTick time.Duration
 	services map[string]*versions
 }
@@ -121,19 +124,28 @@
 	if !h.listed {
 		return
 	}
-	if !known || age > h.maxAge || now-h.lastTick > maxTickGap {
-		h.complete, h.since = false, now
-		h.gaps++
-		for _, v := range h.services {
-			v.inherited = nil
-		}
+	gap := !known || age > h.maxAge || now-h.lastTick > maxTickGap
+	if gap {
+		h.forget(now)
 	}
-	h.lastTick = now
+	if gap && !h.inGap {
+		log.WithFields(log.Fields{"age_ms": age.Milliseconds(), "unchecked_ms": (now - h.lastTick).Milliseconds()}).Info("origin: changes of targets may have been missed")
+	}
+	h.inGap, h.lastTick = gap, now
 	for _, v := range h.services {
 		maps.DeleteFunc(v.gone, func(_ string, at time.Duration) bool { return now-at > MaxLifetime })
 	}
 }
 
+// forget records that changes before now may have been missed. Callers hold h.mu.
+func (h *History) forget(now time.Duration) {
+	h.complete, h.since = false, now
+	h.gaps++
+	for _, v := range h.services {
+		v.inherited = nil
+	}
+}
+
 // Sole returns the only software version that targets of a service have had in the
 // last span, up to now. It returns false if there were several, or if this daemon
 // can't know.
