--- a/request/dispatch/crash_test.go
+++ b/request/dispatch/crash_test.go
@@ -1,13 +1,17 @@
 package dispatch
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/platform/standin"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/version/route"
@@ -26,17 +30,30 @@
 type crashes struct {
 	h       *harness
 	service string
-	stage   string // of the targets
+	stage   string   // of the targets
+	down    downMode // how an address behaves while its target is down
 
 	mu      sync.Mutex
+	silent  map[string]bool // addresses that don't answer
 	started int
 	times   []time.Time // of the crashes
 	late    int         // runs later than stableWindow after the third crash
 }
 
+// downMode is how the address of a target behaves between two incarnations.
+type downMode int
+
+const (
+	downRefuses downMode = iota // connections are refused
+	downSilent                  // nothing is answered, on open connections either
+	downResets                  // connections are accepted and reset
+)
+
 // addCrashing serves n targets of a service.
-func (h *harness) addCrashing(service, stage string, n int) *crashes {
-	c := &crashes{h: h, service: service, stage: stage}
+func (h *harness) addCrashing(service, stage string, n int, down downMode) *crashes {
+	c := &crashes{h: h, service: service, stage: stage, down: down, silent: make(map[string]bool)}
+	h.runner.opts.Pool.Close()
+	h.runner.opts.Pool = h1.New(h1.Options{Dial: c.dial})
 	for i := range n {
 		h.entries[service] = append(h.entries[service], port.TargetEntry{})
 		c.start(i)
@@ -44,6 +61,46 @@
 	return c
 }
 
+// dialTimeout is the time after which a connect to a silent address fails.
+const dialTimeout = 300 * time.Millisecond
+
+func (c *crashes) dial(ctx context.Context, addr string) (net.Conn, error) {
+	c.mu.Lock()
+	silent := c.silent[addr]
+	c.mu.Unlock()
+	if silent {
+		time.Sleep(dialTimeout)
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ETIMEDOUT}
+	}
+	return c.h.net.Dial(ctx, addr)
+}
+
+// stop makes an address behave as without a target. It returns once the requests
+// that were open end.
+func (c *crashes) stop(addr string) {
+	c.h.net.Stop(addr)
+	switch c.down {
+	case downSilent:
+		c.setSilent(addr, true)
+	case downResets:
+		c.h.net.Serve(addr, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	}
+}
+
+func (c *crashes) setSilent(addr string, on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent[addr] = on
+}
+
+// fall ends a request that was open when its target crashed.
+func (c *crashes) fall(req *http.Request) {
+	if c.down == downSilent {
+		<-req.Context().Done()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // start serves the next incarnation of a target.
 func (c *crashes) start(i int) {
 	c.mu.Lock()
@@ -52,6 +109,8 @@
 	c.mu.Unlock()
 	target, crashed := standin.NewTarget(id, c.stage), make(chan struct{})
 	var once sync.Once
+	c.h.net.Stop(addr)
+	c.setSilent(addr, false)
 	c.h.net.Serve(addr, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		body, _ := io.ReadAll(req.Body)
 		if string(body) == crashingBody {
@@ -61,16 +120,16 @@
 			case <-crashed:
 			}
 			once.Do(func() {
-				c.h.net.Stop(addr)
+				c.stop(addr)
 				close(crashed)
 				c.recordCrash()
 				time.AfterFunc(restartTime, func() { c.start(i) })
 			})
-			panic(http.ErrAbortHandler)
+			c.fall(req)
 		}
 		select {
 		case <-crashed:
-			panic(http.ErrAbortHandler)
+			c.fall(req)
 		default:
 			target.ServeHTTP(w, req)
 		}
@@ -117,11 +176,16 @@
 	cases := []struct {
 		name, stage string
 		kind        route.Kind
-	}{{"unsafe", "", route.Unsafe}, {"safe", "", route.Safe}, {"stream", "decode", route.Stream}}
+		down        downMode
+	}{
+		{"unsafe", "", route.Unsafe, downRefuses}, {"safe", "", route.Safe, downRefuses}, {"stream", "decode", route.Stream, downRefuses},
+		{"unsafe, silent", "", route.Unsafe, downSilent}, {"safe, silent", "", route.Safe, downSilent}, {"stream, silent", "decode", route.Stream, downSilent},
+		{"unsafe, reset", "", route.Unsafe, downResets}, {"safe, reset", "", route.Safe, downResets}, {"stream, reset", "decode", route.Stream, downResets},
+	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			withHarness(t, 1000, func(t *testing.T, h *harness) {
-				c := h.addCrashing("app", tc.stage, 4)
+				c := h.addCrashing("app", tc.stage, 4, tc.down)
 				err := c.sendAgain(t, tc.kind, crashingBody, 60, 250*time.Millisecond)
 				if c.late > maxLateRuns {
 					t.Errorf("%d targets ended, %d runs later than %v after the third, %d allowed; the last error: %v", len(c.times), c.late, stableWindow, maxLateRuns, err)
@@ -181,3 +245,32 @@
 		}
 	})
 }
+
+// Guards against harmless content that is blamed for the crash of a target that lives:
+// its callers leave, or it answers them late.
+func TestSlowTargetIsNoCrash(t *testing.T) {
+	withHarness(t, 1000, func(t *testing.T, h *harness) {
+		target := h.addTarget("app", "")
+		target.Set(func(b *standin.Behaviour) { b.NoAnswer = true })
+		h.runner.opts.Quarantine = crashRecorder{h.runner.opts.Quarantine, func() { t.Error("a crash was recorded") }}
+		for range 5 {
+			_, _, _ = h.runner.Plain(t.Context(), h.newCall(route.Safe, 1, 200*time.Millisecond))
+		}
+		target.Set(func(b *standin.Behaviour) { b.NoAnswer = false })
+		_, _, _ = h.runner.Plain(t.Context(), h.newCall(route.Safe, 1, time.Second))
+		time.Sleep(2 * maxVerifyTime)
+	})
+}
+
+// crashRecorder calls crashed for each recorded crash.
+type crashRecorder struct {
+	Quarantine
+	crashed func()
+}
+
+func (c crashRecorder) Hold(target string) func() {
+	if c.Quarantine.Hold(target) == nil {
+		return nil
+	}
+	return c.crashed
+}
