drain, front, daemon: a planned stop answers every request that it reads

Cause, by reading: net/http returns without an answer if it reads a request's header after the call of Shutdown, on connections accepted just before as well as on kept ones. Now the listener is closed first, kept connections end with their answers, and Shutdown follows once no connection is new or in use. The product's own protocol had the same.

--- a/bench/soak/planted_test.go
+++ b/bench/soak/planted_test.go
@@ -38,7 +38,7 @@
 			{"request/dispatch/send.go", "Matches:          x.answersCall,", ""},
 		}, onAll(DegradeTarget, degradeRepeat), "another request's", 0},
 		{"a planned stop cuts", []edit{
-			{"process/front/stop.go", "_ = d.callers.http.Shutdown(ctx)", "_ = d.callers.http.Close()"},
+			{"process/front/stop.go", "_ = d.callers.drain.Shutdown(ctx, d.callers.l)", "_ = d.callers.http.Close()"},
 			{"process/front/stop.go", "_ = pause.For(ctx, min(addressCacheFactor*addressTTL+broadcastTime, limit/2))", ""},
 		}, onAll(StopDaemon, 0), "cut, though", 0},
 		{"requests outlive their deadline", []edit{
--- a/connection/targets/targets.go
+++ b/connection/targets/targets.go
@@ -156,10 +156,13 @@
 	return slices.Collect(maps.Keys(s.software))
 }
 
+// Mixed reports whether targets have several software versions.
+func (s *Set) Mixed() bool { return s != nil && len(s.software) > 1 }
+
 // VersionOf returns the software version of a target as streams may be bound to it.
 // A target that states none, among others that do, has one of its own.
 func (s *Set) VersionOf(e *port.TargetEntry) string {
-	if e.Software == "" && s != nil && len(s.software) > 1 {
+	if e.Software == "" && s.Mixed() {
 		return "unstated, " + e.ID
 	}
 	return e.Software
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/pomelospool/pomelospool/connection/links"
 	"github.com/pomelospool/pomelospool/connection/load"
 	"github.com/pomelospool/pomelospool/connection/pool"
+	"github.com/pomelospool/pomelospool/internal/drain"
 	"github.com/pomelospool/pomelospool/internal/sock"
 	"github.com/pomelospool/pomelospool/peer"
 	"github.com/pomelospool/pomelospool/peer/peerpb"
@@ -79,6 +80,7 @@
 	docs      documents
 	listeners listeners
 	callers   *http.Server
+	drain     *drain.Tracker // of callers
 	operators *http.Server
 	peers     *peer.Server
 	stopOnce  sync.Once
--- a/process/daemon/run.go
+++ b/process/daemon/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/pomelospool/pomelospool/internal/drain"
 	"github.com/pomelospool/pomelospool/peer"
 	"github.com/pomelospool/pomelospool/process/burn"
 	"github.com/pomelospool/pomelospool/request/entry"
@@ -30,6 +31,7 @@
 func (d *Daemon) wireServers(keys *keys) {
 	d.callers = entry.NewServer(d.s.Limits, d.entry)
 	d.callers.TLSConfig = keys.serverTLS()
+	d.drain = drain.Track(d.callers)
 	d.operators = &http.Server{
 		Handler:           keys.guardOperators(d.operatorRoutes()),
 		ReadHeaderTimeout: operatorTimeout,
@@ -80,7 +82,7 @@
 func (d *Daemon) serve(name string, f func() error) {
 	d.tomb.Go(func() error {
 		err := f()
-		if err == nil || errors.Is(err, http.ErrServerClosed) || !d.tomb.Alive() || d.phase() == phaseDraining {
+		if err == nil || errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) || !d.tomb.Alive() || d.phase() == phaseDraining {
 			return nil
 		}
 		log.WithError(err).WithField("port", name).Error("daemon: server failed")
@@ -142,7 +144,7 @@
 func (d *Daemon) closeIdle() {
 	end, cancel := context.WithTimeout(context.Background(), idleTimeout)
 	defer cancel()
-	_ = d.callers.Shutdown(end)
+	_ = d.drain.Shutdown(end, d.listeners.callers)
 	_ = d.entry.Close()
 }
 
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -26,6 +26,7 @@
 	"github.com/pomelospool/pomelospool/connection/origin"
 	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/connection/targets"
+	"github.com/pomelospool/pomelospool/internal/drain"
 	"github.com/pomelospool/pomelospool/internal/sock"
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/port"
@@ -111,9 +112,10 @@
 
 // server is an HTTP server and its listener.
 type server struct {
-	name string
-	http *http.Server
-	l    net.Listener
+	name  string
+	http  *http.Server
+	l     net.Listener
+	drain *drain.Tracker // of the callers' server
 }
 
 // New opens the daemon's ports and wires its parts. It starts nothing.
@@ -300,7 +302,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("front: %s: %w", name, err)
 		}
-		srv := &server{name: name, http: s, l: l}
+		srv := &server{name: name, http: s, l: l, drain: drain.Track(s)}
 		d.servers = append(d.servers, srv)
 		return srv, nil
 	}
@@ -351,7 +353,7 @@
 
 func (d *Daemon) serve(s *server) error {
 	err := s.http.Serve(s.l)
-	if errors.Is(err, http.ErrServerClosed) || !d.tomb.Alive() {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) || !d.tomb.Alive() {
 		return nil
 	}
 	log.WithError(err).WithField("port", s.name).Error("front: server failed")
--- a/process/front/stop.go
+++ b/process/front/stop.go
@@ -36,7 +36,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	_ = pause.For(ctx, min(addressCacheFactor*addressTTL+broadcastTime, limit/2))
-	_ = d.callers.http.Shutdown(ctx)
+	_ = d.callers.drain.Shutdown(ctx, d.callers.l)
 	for d.ingress.Open() > 0 && pause.For(ctx, stopPoll) == nil {
 	}
 	if d.usage != nil {
--- a/request/dispatch/origin.go
+++ b/request/dispatch/origin.go
@@ -88,7 +88,7 @@
 		return list
 	}
 	set := x.targets()
-	if len(set.Software()) < 2 {
+	if !set.Mixed() {
 		return list
 	}
 	settled := slices.DeleteFunc(slices.Clone(list), func(t loadedTarget) bool {
