ingress, origin: a stream is taken up at its service

On a route that splits its requests over services, each request's own id chose the service, so that a caller's next request for a stream went to another one: refused there, or gone on with by other targets. The id of the request that began the stream chooses it now. A service whose streams aren't to be taken up had no span for which its only version must have stood; it is the minimum now.

--- a/connection/origin/origin.go
+++ b/connection/origin/origin.go
@@ -201,7 +201,7 @@
 	if software, known := t.records.get(key); named && known {
 		return software, FromRecord
 	}
-	span := t.o.Lifetime(s.Service)
+	span := max(t.o.Lifetime(s.Service), minLifetime)
 	own, sole := t.o.History.Sole(s.Service, span)
 	found := t.ask(ctx, Query{Key: key, Service: s.Service, SpanMs: uint32(span.Milliseconds())}, sole)
 	switch {
--- a/port/store.go
+++ b/port/store.go
@@ -22,7 +22,7 @@
 	TopicClaims                // claims to act on a subject, keyed by subject
 	TopicUsage                 // organisations' usage as reported
 	TopicScale                 // desired capacity of each service
-	TopicVersions              // software versions that each service's targets have had lately
+	TopicVersions              // software versions that each service's targets have had recently
 )
 
 // KeyedRecord is one record of a keyed topic.
--- a/process/versions/keeper.go
+++ b/process/versions/keeper.go
@@ -1,5 +1,5 @@
 // Package versions keeps in the store which software versions the targets of each
-// service have had lately. Daemons that start ask each other for them; the store
+// service have had recently. Daemons that start ask each other for them; the store
 // answers when all daemons were lost at once. Without it none would know at which
 // version the streams of that moment began, although there was only one.
 package versions
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -179,7 +179,7 @@
 	if org == nil && cfg.RequiresKeys() && !r.Public {
 		return nil, x.unknownKey(cfg)
 	}
-	svc := cfg.Services[r.Service(route.Seed(meta.RequestID))]
+	svc := cfg.Services[r.Service(splitSeed(r, &meta))]
 	if svc == nil {
 		return nil, code.New(code.NoTarget, "route %q names a service that the configuration lacks", r.Name).WithRetryAfter(noConfigurationRetryAfter)
 	}
@@ -222,6 +222,15 @@
 	return c, nil
 }
 
+// splitSeed returns the seed by which a route's service is selected. A request that
+// takes a stream up goes to the service of the request that began it.
+func splitSeed(r *route.Route, m *port.RequestMeta) uint64 {
+	if r.Resumable && m.Resumes != "" {
+		return route.Seed(m.Resumes)
+	}
+	return route.Seed(m.RequestID)
+}
+
 const (
 	// versionWait is the time in which a daemon gets a version that another one
 	// already has: two reads of the configuration and the store's latency.
