--- a/request/dispatch/plain.go
+++ b/request/dispatch/plain.go
@@ -131,7 +131,7 @@
 
 // runPlainStream executes a streamed call at plain targets.
 func (x *execution) runPlainStream(ctx context.Context, out Stream) error {
-	for first := true; ; first = false {
+	for {
 		if err := x.checkContent(); err != nil {
 			return err
 		}
@@ -141,10 +141,8 @@
 		if x.viaPeer() {
 			return x.streamAtPeer(ctx, out)
 		}
-		if first {
-			if err := x.findOrigin(ctx); err != nil {
-				return err
-			}
+		if err := x.findOrigin(ctx); err != nil {
+			return err
 		}
 		if err := x.checkOriginServed(""); err != nil {
 			return err
