dispatch: replaced targets aren't blamed on content that may not have arrived

What callers would see: harmless requests refused as content that crashes targets (1019), at daemons that had lost their links while a target ended.

Cause: since a successor's entry proves a crash, a send that was left without an answer because the daemon's own links were cut was blamed for it. A daemon that has lost its links draws no conclusion now, and a request that the target's kernel didn't receive isn't followed up.

--- a/request/dispatch/crash.go
+++ b/request/dispatch/crash.go
@@ -108,7 +108,9 @@
 		case failure.NoAnswer, failure.Cut:
 			x.verify(target, true)
 		case failure.Stalled, failure.Late, failure.CallerGone:
-			x.verify(target, false)
+			if !f.Unacknowledged() {
+				x.verify(target, false)
+			}
 		}
 	}
 }
@@ -152,6 +154,8 @@
 		switch {
 		case x.isLeaving(target) || x.opts.Engines.ReachedSince(target.ID, begun.Add(verifyInterval)):
 			return
+		case x.lostLinks():
+			return // the request may not have arrived
 		case x.isReplaced(target):
 			confirm()
 			return
@@ -202,6 +206,12 @@
 	return addrs
 }
 
+// lostLinks reports whether this process has lost its links to the targets. What it
+// then sees of them says nothing about them.
+func (x *execution) lostLinks() bool {
+	return x.linksLost() || x.opts.Links.Confirmed(x.call.Service.Name)
+}
+
 // isReplaced reports whether another target has the address.
 func (x *execution) isReplaced(target *port.TargetEntry) bool {
 	x.mu.Lock()
