--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -47,13 +47,13 @@
 	}
 }
 
-// open reports whether there are connections with an open request or, if new is set,
-// without a request yet.
-func (t *Tracker) open(new bool) bool {
+// open reports whether there are connections with an open request or, if withNew is
+// set, without a request yet.
+func (t *Tracker) open(withNew bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, state := range t.states {
-		if state == http.StateActive || new {
+		if state == http.StateActive || withNew {
 			return true
 		}
 	}
