dispatch: crashes by a successor's entry are taken back

What callers would see: when all targets of a service end at once, requests with popular content are refused as if they crashed targets (1019), for minutes.

Cause: take the entry of a successor as proof of a crash. A refused connection counts only while other targets accept connections; a successor's entry has no such check, and what stands before targets that reset connections accepts them. Popular content was in flight at three of the targets.

--- a/connection/engines/tracker.go
+++ b/connection/engines/tracker.go
@@ -257,14 +257,6 @@
 	e.reachedAt, e.downUntil = t.now(), time.Time{}
 }
 
-// ReachedSince reports whether a target has answered this process since a time.
-func (t *Tracker) ReachedSince(target string, since time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.engines[Hash(target)]
-	return e != nil && e.reachedAt.After(since)
-}
-
 // updateReportedDown updates since when other daemons report the engine as down.
 func (e *engine) updateReportedDown(now time.Time) {
 	switch {
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -125,7 +125,7 @@
 	mu                   sync.Mutex
 	promptStatsByService map[string]*placement.PromptStats
 	answerLengths        map[string]*answerLength // by route
-	verifying            map[string]*verification // by the target's id
+	verifying            map[string]bool          // targets that are being verified, by id
 
 	ctx        context.Context // of the verifications
 	cancel     context.CancelFunc
@@ -139,7 +139,7 @@
 	if o.Origins == nil {
 		o.Origins = origin.New(origin.Options{})
 	}
-	r := &Runner{opts: o, promptStatsByService: make(map[string]*placement.PromptStats), answerLengths: make(map[string]*answerLength), verifying: make(map[string]*verification)}
+	r := &Runner{opts: o, promptStatsByService: make(map[string]*placement.PromptStats), answerLengths: make(map[string]*answerLength), verifying: make(map[string]bool)}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	return r
 }
--- a/request/dispatch/crash.go
+++ b/request/dispatch/crash.go
@@ -100,26 +100,16 @@
 	case f.Class == failure.NotRun || f.Unwritten:
 		x.opts.Quarantine.NotReceived(x.content, target.ID)
 		if errors.Is(f.Err, syscall.ECONNREFUSED) {
-			x.verify(target, true)
+			x.verify(target)
 		}
 	default:
 		x.opts.Quarantine.Broken(x.content, target.ID)
-		switch f.Class {
-		case failure.NoAnswer, failure.Cut:
-			x.verify(target, true)
-		case failure.Stalled, failure.Late, failure.CallerGone:
-			if !f.Unacknowledged() {
-				x.verify(target, false)
-			}
+		if f.Class == failure.NoAnswer || f.Class == failure.Cut {
+			x.verify(target)
 		}
 	}
 }
 
-// verification is the state of finding out whether a target has ended.
-type verification struct {
-	replaced bool // another target answered at its address
-}
-
 const (
 	// verifyInterval is the interval between two attempts to tell a crash from a
 	// cut, and maxVerifyTime the time until the attempts end.
@@ -129,11 +119,10 @@
 	otherTargets = 3
 )
 
-// verify finds out in the background whether a target that left a request without an
-// answer has ended. It has if another target has its address, or if its VM refuses
-// connections while this process reaches other targets. If it reaches none, its own
-// network may refuse them. probe allows connections to find that out.
-func (x *execution) verify(target *port.TargetEntry, probe bool) {
+// verify finds out in the background whether a target that broke a connection off,
+// or refused one, has ended. Its VM then refuses connections while this process
+// reaches other targets. If it reaches none, its own network may refuse them.
+func (x *execution) verify(target *port.TargetEntry) {
 	if !x.startVerify(target.ID) {
 		return
 	}
@@ -144,25 +133,15 @@
 	}
 	go func() {
 		defer x.endVerify(target.ID)
-		x.awaitCrash(target, confirm, probe)
+		x.awaitCrash(target, confirm)
 	}()
 }
 
-func (x *execution) awaitCrash(target *port.TargetEntry, confirm func(), probe bool) {
-	begun := time.Now()
-	for end := begun.Add(maxVerifyTime); time.Now().Before(end); {
+func (x *execution) awaitCrash(target *port.TargetEntry, confirm func()) {
+	for end := time.Now().Add(maxVerifyTime); time.Now().Before(end); {
 		switch {
-		case x.isLeaving(target) || x.opts.Engines.ReachedSince(target.ID, begun.Add(verifyInterval)):
+		case !x.refuses(target.Addr) || x.isLeaving(target):
 			return
-		case x.lostLinks():
-			return // the request may not have arrived
-		case x.isReplaced(target):
-			confirm()
-			return
-		case !probe:
-		case !x.refuses(target.Addr):
-			// It lives, its VM is silent, or what stands before it accepts connections.
-			probe = false
 		case x.reachesOther(target.Addr) && x.refuses(target.Addr):
 			confirm()
 			return
@@ -200,55 +179,24 @@
 	if x.opts.TargetAddrs != nil {
 		return x.opts.TargetAddrs()
 	}
-	for _, e := range x.targets().All().All() {
+	for _, e := range x.opts.Targets.Targets(x.call.Service.Name).All().All() {
 		addrs = append(addrs, e.Addr)
 	}
 	return addrs
 }
 
-// lostLinks reports whether this process has lost its links to the targets. What it
-// then sees of them says nothing about them.
-func (x *execution) lostLinks() bool {
-	return x.linksLost() || x.opts.Links.Confirmed(x.call.Service.Name)
-}
-
-// isReplaced reports whether another target has the address.
-func (x *execution) isReplaced(target *port.TargetEntry) bool {
-	x.mu.Lock()
-	replaced := x.verifying[target.ID].replaced
-	x.mu.Unlock()
-	if replaced {
-		return true
-	}
-	for _, e := range x.targets().All().All() {
-		if e.Addr == target.Addr && e.ID != target.ID {
-			return true
-		}
-	}
-	return false
-}
-
-// recordReplaced records that another target answered at the address.
-func (r *Runner) recordReplaced(target string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if v := r.verifying[target]; v != nil {
-		v.replaced = true
-	}
-}
-
 func (x *execution) isLeaving(target *port.TargetEntry) bool {
-	e := x.targets().All().Lookup(engines.Hash(target.ID))
+	e := x.opts.Targets.Targets(x.call.Service.Name).All().Lookup(engines.Hash(target.ID))
 	return e != nil && e.Leaving
 }
 
 func (r *Runner) startVerify(target string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.verifying[target] != nil || r.ctx.Err() != nil {
+	if r.verifying[target] || r.ctx.Err() != nil {
 		return false
 	}
-	r.verifying[target] = &verification{}
+	r.verifying[target] = true
 	r.background.Add(1)
 	return true
 }
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -47,15 +47,8 @@
 		return nil, port.ResponseMeta{}, &sendFailure{Failure: f}
 	}
 	counted.Answered()
-	v := x.opts.Protocol.ParseResponse(resp.Status, resp.Header)
-	if v.Misdirected && x.call.Service.Engine == nil {
-		x.recordReplaced(s.target.ID)
-		x.opts.Links.Reached(x.call.Service.Name)
-	} else {
-		// An engine also answers so to a request that its role doesn't serve.
-		x.recordReached(s.target.ID)
-	}
-	return resp, v, nil
+	x.recordReached(s.target.ID)
+	return resp, x.opts.Protocol.ParseResponse(resp.Status, resp.Header), nil
 }
 
 func (x *execution) request(s outgoing) *h1.Request {
--- a/request/failure/failure.go
+++ b/request/failure/failure.go
@@ -69,13 +69,11 @@
 // Settled reports whether the target won't receive the request any more. It has
 // then closed the connection, or its kernel hasn't received the request.
 func (f *Failure) Settled() bool {
-	return f.Unacknowledged() || errors.Is(f.Err, io.EOF) || errors.Is(f.Err, io.ErrUnexpectedEOF) || errors.Is(f.Err, syscall.ECONNRESET) || errors.Is(f.Err, syscall.EPIPE)
-}
-
-// Unacknowledged reports that the target's kernel hasn't received the request.
-func (f *Failure) Unacknowledged() bool {
 	var he *h1.Error
-	return errors.As(f.Err, &he) && he.Unacknowledged
+	if errors.As(f.Err, &he) && he.Unacknowledged {
+		return true
+	}
+	return errors.Is(f.Err, io.EOF) || errors.Is(f.Err, io.ErrUnexpectedEOF) || errors.Is(f.Err, syscall.ECONNRESET) || errors.Is(f.Err, syscall.EPIPE)
 }
 
 // Final reports whether another attempt is pointless because the caller has
