quarantine: a peer's conviction ends the wait for a decision

What callers saw: harmless popular content refused (1019) for 15 s and more after three crashes by other content, where 5 s are meant.

Cause: content in flight at just the crashes of other content is undecided for 300 ms, then refused for 5 s. A process that received a peer's refusal kept its own wait, and when the refusal ended it refused the content for 5 s more, for the same crashes; then the next process did.

The new test counted 2 convictions for three crashes before, 1 now.

--- a/request/quarantine/content.go
+++ b/request/quarantine/content.go
@@ -150,6 +150,7 @@
 	c.convictedUntil = now.Add(d)
 	c.suspectUntil = c.convictedUntil.Add(releasedTTL)
 	c.firstTry = time.Time{}
+	c.undecidedSince = time.Time{}
 	c.claim = claim{}
 }
 
--- a/request/quarantine/tolerant.go
+++ b/request/quarantine/tolerant.go
@@ -121,7 +121,6 @@
 	default:
 		c.convict(now, t.o.Conviction)
 	}
-	c.undecidedSince = time.Time{}
 	counts.Add("convicted", 1)
 	logConviction(c, now)
 	t.publish(c)
--- a/request/quarantine/tolerant_test.go
+++ b/request/quarantine/tolerant_test.go
@@ -299,6 +299,28 @@
 	})
 }
 
+// Guards against content that each process refuses in turn after the same crashes.
+func TestUndecidedContentIsRefusedOnce(t *testing.T) {
+	withTolerantFleet(t, 6, func(t *testing.T, f *tolerantFleet) {
+		innocent := contentNumber(7)
+		for i := range 3 {
+			f.crash(0, fmt.Sprint("t", i), bad, innocent)
+		}
+		f.exchange(time.Second)
+		if v, _ := f.trackers[0].Check(innocent); v != Convicted {
+			t.Fatalf("verdict %d after the crashes", v)
+		}
+		f.exchange(twinConviction + time.Second)
+		for i := range f.trackers {
+			f.trackers[len(f.trackers)-1-i].Check(innocent)
+			f.exchange(time.Second)
+		}
+		if c := f.trackers[0].contents[innocent]; c.convictions != 1 {
+			t.Errorf("%d convictions for three crashes", c.convictions)
+		}
+	})
+}
+
 // Guards against a flood of contents of one caller that makes the convictions of
 // others forgotten.
 func TestFloodOfSuspectsEvictsNoConviction(t *testing.T) {
