quarantine: a crash has the time at which any process noticed it first

Cause: a run that breaks after the search for its target's end has begun is found by the next search, up to a second later, and a run whose connection breaks late by its own. The crash then had the time of that search, and answers since the crash counted as answers before it. An incarnation crashes once, so the earliest report about it, of any process and any content, tells when.

Both new cases of TestHarmlessContentIsNotRefused failed before ("verdict 2"), each run alone, since a bubble's failure ends the test.

Ruled out: a date that is too early doesn't acquit the cause, which isn't answered; it only lets an answer count that really followed the first report.

--- a/request/quarantine/tolerant.go
+++ b/request/quarantine/tolerant.go
@@ -66,6 +66,7 @@
 
 // recordTolerated adds a crash to the contents that were in flight.
 func (t *CrashTracker) recordTolerated(tc targetCrash) {
+	t.crashTimes.record(tc.target, tc.at)
 	var changed []*content
 	for _, fp := range tc.fps {
 		c := t.getOrCreate(fp, tc.at)
@@ -100,7 +101,7 @@
 	if now.Before(c.convictedUntil) || c.convictions == 0 && c.crashCount() <= t.o.ToleratedCrashes {
 		return
 	}
-	if at, ok := t.ended.completed[c.fp]; ok && !at.Before(c.firstCrash()) {
+	if at, ok := t.ended.completed[c.fp]; ok && !at.Before(t.firstCrash(c)) {
 		t.clear(c)
 		return
 	}
@@ -162,7 +163,7 @@
 	}
 	changed := false
 	for i := range c.crashes {
-		if cr := &c.crashes[i]; !cr.dismissed && !cr.at.After(at) {
+		if cr := &c.crashes[i]; !cr.dismissed && !t.crashTimes.earliest(*cr).After(at) {
 			cr.dismissed, changed = true, true
 		}
 	}
@@ -207,10 +208,10 @@
 }
 
 // firstCrash returns the time of the first crash that hasn't been dismissed.
-func (c *content) firstCrash() (first time.Time) {
+func (t *CrashTracker) firstCrash(c *content) (first time.Time) {
 	for _, cr := range c.crashes {
-		if !cr.dismissed && (first.IsZero() || cr.at.Before(first)) {
-			first = cr.at
+		if at := t.crashTimes.earliest(cr); !cr.dismissed && (first.IsZero() || at.Before(first)) {
+			first = at
 		}
 	}
 	return first
--- a/request/quarantine/tolerant_test.go
+++ b/request/quarantine/tolerant_test.go
@@ -222,6 +222,25 @@
 			f.trackers[4].End(innocent, "alive")
 			f.exchange(settleTime)
 		}},
+		{"answered after a crash that this process finds late", func(f *tolerantFleet) {
+			f.crash(1, "t0", bad)
+			f.trackers[1].Begin(innocent, "t0")
+			f.exchange(time.Second)
+			f.answer(1, innocent)
+			<-time.After(time.Millisecond)
+			f.crash(1, "t0", innocent)
+			f.crash(1, "t1", bad, innocent)
+			f.crash(1, "t2", innocent)
+		}},
+		{"answered after a crash that another process finds first", func(f *tolerantFleet) {
+			f.crash(0, "t0", bad)
+			f.exchange(time.Second)
+			f.answer(1, innocent)
+			<-time.After(time.Millisecond)
+			f.crash(1, "t0", innocent)
+			f.crash(1, "t1", bad, innocent)
+			f.crash(1, "t2", innocent)
+		}},
 		{"connections that break at targets that live", func(f *tolerantFleet) {
 			for i := range 5 {
 				target := fmt.Sprint("t", i)
--- a/request/quarantine/tracker.go
+++ b/request/quarantine/tracker.go
@@ -67,6 +67,7 @@
 	contents      map[Fingerprint]*content
 	targets       map[string]map[Fingerprint]int // contents in flight, by target
 	ended         endedRuns
+	crashTimes    crashTimes // with tolerated crashes
 	recentCrashes []targetCrash
 	claimSeq      uint64                      // sequence number of the last claim of this process
 	targetClaims  map[Fingerprint]targetClaim // by targetKey
