quarantine: an answer counts at all processes, whenever a crash is reported

What callers saw: harmless popular content refused (1019) for up to ten minutes by all daemons, though one of them had had it answered between its crashes.

Cause: each process held crashes against the answers that it had seen itself, and only when it was about to convict. One that had had the content answered didn't object to a peer's conviction, nor did it dismiss a crash that it heard of after the answer; and a conviction stood until all of its crashes were dismissed, where two are tolerated.

Now a crash that precedes an answer is dismissed as soon as the process knows of both, and all peers are informed. A first conviction ends when no more crashes than are tolerated are left. A process that knows better passes a peer's conviction over and sends what it knows; if it learns of enough crashes it convicts by itself. Dismissed crashes stand last in a message, so that a process that has just started doesn't clear content halfway through.

--- a/request/quarantine/tolerant.go
+++ b/request/quarantine/tolerant.go
@@ -93,18 +93,15 @@
 	return !known
 }
 
-// evaluate convicts content with more crashes than are tolerated, and released
-// content with another crash, unless it was answered since the first one or other
-// content explains its crashes.
+// evaluate convicts content with more crashes than are tolerated since its last
+// answer, and released content with another crash, unless other content explains
+// its crashes.
 func (t *CrashTracker) evaluate(c *content, now time.Time) {
+	t.dismissAnswered(c)
 	defer t.clearExplained(c, now)
 	if now.Before(c.convictedUntil) || c.convictions == 0 && c.crashCount() <= t.o.ToleratedCrashes {
 		return
 	}
-	if at, ok := t.ended.completed[c.fp]; ok && !at.Before(t.firstCrash(c)) {
-		t.clear(c)
-		return
-	}
 	explained, twin := t.otherCauses(c)
 	if explained {
 		return
@@ -174,6 +171,14 @@
 	}
 }
 
+// dismissAnswered dismisses the crashes of content before its last answer by this
+// process, which may learn of them afterwards.
+func (t *CrashTracker) dismissAnswered(c *content) {
+	if at, ok := t.ended.completed[c.fp]; ok {
+		t.clearCompleted(c.fp, at)
+	}
+}
+
 func (t *CrashTracker) clear(c *content) {
 	c.dismissCrashes()
 	c.undecidedSince = time.Time{}
@@ -181,9 +186,11 @@
 	t.publish(c)
 }
 
-// liftIfCleared ends a conviction without crashes behind it.
+// liftIfCleared ends a first conviction if no more crashes than are tolerated are
+// left, and another one if none are.
 func (t *CrashTracker) liftIfCleared(c *content) {
-	if c.convictions == 0 || c.crashCount() > 0 {
+	left := c.crashCount()
+	if c.convictions == 0 || c.convictions == 1 && left > t.o.ToleratedCrashes || c.convictions > 1 && left > 0 {
 		return
 	}
 	c.convictions, c.convictedUntil = 0, time.Time{}
@@ -202,19 +209,23 @@
 	return other.crashCount() > 0
 }
 
-// hasDismissed reports whether a crash of the target was dismissed.
-func (c *content) hasDismissed(target string) bool {
-	return slices.ContainsFunc(c.crashes, func(cr crash) bool { return cr.target == target && cr.dismissed })
-}
-
-// firstCrash returns the time of the first crash that hasn't been dismissed.
-func (t *CrashTracker) firstCrash(c *content) (first time.Time) {
+// contradicts reports whether this process knows that a crash behind a peer's
+// first conviction was dismissed, and of too few others. If it learns of more, it
+// convicts the content by itself. The target is that of the last crash.
+func (t *CrashTracker) contradicts(c *content, target string) bool {
+	dismissed, known := false, false
 	for _, cr := range c.crashes {
-		if at := t.crashTimes.earliest(cr); !cr.dismissed && (first.IsZero() || at.Before(first)) {
-			first = at
+		if cr.dismissed && cr.target == target {
+			return true
 		}
+		dismissed = dismissed || cr.dismissed
+		known = known || cr.target == target
+	}
+	others := c.crashCount()
+	if !known {
+		others++
 	}
-	return first
+	return dismissed && c.convictions == 0 && others <= t.o.ToleratedCrashes
 }
 
 func (c *content) lastCrash() (last time.Time) {
--- a/request/quarantine/tolerant_test.go
+++ b/request/quarantine/tolerant_test.go
@@ -241,6 +241,25 @@
 			f.crash(1, "t1", bad, innocent)
 			f.crash(1, "t2", innocent)
 		}},
+		{"answered elsewhere between the crashes", func(f *tolerantFleet) {
+			f.crash(0, "t0", innocent)
+			<-time.After(100 * time.Millisecond)
+			f.answer(4, innocent)
+			<-time.After(100 * time.Millisecond)
+			f.crash(0, "t1", innocent)
+			f.crash(0, "t2", innocent)
+		}},
+		{"answered elsewhere after a crash that is found late", func(f *tolerantFleet) {
+			f.crash(0, "t0", bad)
+			f.exchange(time.Second)
+			f.answer(4, innocent)
+			<-time.After(100 * time.Millisecond)
+			f.crash(0, "t0", innocent)
+			f.crash(0, "t1", innocent)
+			f.exchange(time.Second)
+			f.crash(0, "t2", innocent)
+			f.expect("at the third crash", Clear, innocent)
+		}},
 		{"connections that break at targets that live", func(f *tolerantFleet) {
 			for i := range 5 {
 				target := fmt.Sprint("t", i)
--- a/request/quarantine/updates.go
+++ b/request/quarantine/updates.go
@@ -44,14 +44,20 @@
 			return out
 		}
 	}
+	var dismissed []*peerpb.Conviction
 	for _, cr := range c.crashes {
 		u := &peerpb.Conviction{Fingerprint: c.fp[:], Suspect: true, Crashes: 1, Target: cr.target}
 		u.TtlMs = cr.at.Add(suspectTTL).Sub(now).Milliseconds()
 		if cr.dismissed {
 			u.Crashes = 0
+			dismissed = append(dismissed, u)
+			continue
 		}
 		out = append(out, u)
 	}
+	// A process that knows nothing of the content would otherwise take it for
+	// cleared before it has read the other crashes.
+	out = append(out, dismissed...)
 	if c.claim.by != "" {
 		out = append(out, claimUpdate(c, now))
 	}
@@ -127,8 +133,9 @@
 // mergeConviction applies a peer's conviction. The number of convictions is
 // included so that the next conviction doubles on whichever daemon makes it.
 func (t *CrashTracker) mergeConviction(c *content, u *peerpb.Conviction, now time.Time, ttl time.Duration) {
-	if t.tolerates() && c.hasDismissed(u.Target) {
-		return // of a daemon that doesn't know yet that the content was cleared
+	if t.tolerates() && t.contradicts(c, u.Target) {
+		t.relay(c)
+		return
 	}
 	changed := false
 	if n := int(u.Crashes) - 1; n > c.convictions {
@@ -207,10 +214,12 @@
 func (t *CrashTracker) mergeCrash(c *content, cr crash, now time.Time) {
 	if t.tolerates() {
 		t.crashTimes.record(cr.target, cr.at)
-		if t.addCrash(c, cr) {
-			t.relay(c)
-			t.evaluate(c, now)
+		if !t.addCrash(c, cr) {
+			t.dismissAnswered(c)
+			return
 		}
+		t.relay(c)
+		t.evaluate(c, now)
 		return
 	}
 	if !c.addCrash(cr) || now.Before(c.convictedUntil) {
