quarantine: content that was answered before is given 300 ms to be answered again

Cause: content in flight at the same three crashes as the cause waits 300 ms for an answer before it is convicted, but only if the process already knows that the cause was at all three. If the report of the last one arrived some milliseconds later, the content was convicted at once, and for ten minutes in place of 5 s.

Content that the process has had answered before now waits in any case. A cause that never was answered is convicted as fast as before.

The new case failed before ("verdict 2 at process 1").

Ruled out: a longer wait for all content (the cause would take another target meanwhile).

--- a/request/quarantine/content.go
+++ b/request/quarantine/content.go
@@ -49,7 +49,7 @@
 	firstTry       time.Time // first try as a suspect, zero for none
 	clearAt        time.Time // when the content is cleared, zero for never
 	tryUntil       time.Time // until when a try of released content is expected to begin
-	undecidedSince time.Time // since when other content was in flight at the same crashes, zero for never
+	undecidedSince time.Time // since when a conviction waits for an answer, zero for never
 }
 
 // verdict returns the verdict on the content and the time when it ends.
--- a/request/quarantine/tolerant.go
+++ b/request/quarantine/tolerant.go
@@ -13,9 +13,11 @@
 const tryTime = 2 * time.Second
 
 const (
-	// twinDelay is how long a conviction waits while other content was in flight at
-	// the same crashes. Harmless content that is sent often is answered meanwhile.
-	twinDelay = 300 * time.Millisecond
+	// answerDelay is how long a conviction waits for an answer if other content was
+	// in flight at the same crashes, or if the content was answered before its
+	// crashes. Harmless content that is sent often is answered meanwhile, and the
+	// crashes of the cause are reported.
+	answerDelay = 300 * time.Millisecond
 	// twinConviction is the duration of a conviction after that. A try of each
 	// content then shows which one is the cause.
 	twinConviction = 5 * time.Second
@@ -107,11 +109,11 @@
 		return
 	}
 	twin = twin && c.crashCount() < maxCrashes
-	if twin && c.undecidedSince.IsZero() {
+	if (twin || t.mayBeAnswered(c)) && c.undecidedSince.IsZero() {
 		c.undecidedSince = now
 	}
 	switch {
-	case twin && now.Sub(c.undecidedSince) < twinDelay:
+	case now.Sub(c.undecidedSince) < answerDelay:
 		return
 	case twin:
 		c.convictions++
@@ -124,6 +126,11 @@
 	t.publish(c)
 }
 
+// mayBeAnswered reports whether the content was answered before it was suspected.
+func (t *CrashTracker) mayBeAnswered(c *content) bool {
+	return c.convictions == 0 && c.crashCount() < maxCrashes && t.ended.hasCompleted(c.fp)
+}
+
 // otherCauses reports whether some other content was in flight at all crashes of
 // this one and at more, and whether some was at just these.
 func (t *CrashTracker) otherCauses(c *content) (explained, twin bool) {
--- a/request/quarantine/tolerant_test.go
+++ b/request/quarantine/tolerant_test.go
@@ -260,6 +260,17 @@
 			f.crash(0, "t2", innocent)
 			f.expect("at the third crash", Clear, innocent)
 		}},
+		{"answered again before the cause's last crash is known", func(f *tolerantFleet) {
+			f.answer(1, innocent)
+			f.exchange(time.Second)
+			f.crash(1, "t0", bad, innocent)
+			f.crash(1, "t1", bad, innocent)
+			f.crash(1, "t2", innocent)
+			f.expect("at the third crash", Clear, innocent)
+			<-time.After(100 * time.Millisecond)
+			f.answer(1, innocent)
+			f.crash(0, "t2", bad)
+		}},
 		{"connections that break at targets that live", func(f *tolerantFleet) {
 			for i := range 5 {
 				target := fmt.Sprint("t", i)
