quarantine: a crash that few contents share is reported first

What callers saw: content that crashes its targets at the moment at which a zone fails may be refused later than 2.5 s after its third crash.

Cause: of the contents with one crash, eight go into a message. Those of a failed zone are hundreds, of the same instant, and the order among them was random.

A crash says the more about a content the fewer others were in flight at it, so those go first: a zone's targets have dozens each.

Ruled out: sending each of them once before any of them again (100 contents in messages of eight take 3.2 s); more of them in a message (76 kB a second at an aggregator as it is).

--- a/request/quarantine/pending.go
+++ b/request/quarantine/pending.go
@@ -53,7 +53,8 @@
 }
 
 // nextChanged returns the changed contents for the next message: those with the
-// most crashes first, of these the newest.
+// most crashes first, of these the ones that share a crash with the fewest others,
+// then the newest.
 func (t *CrashTracker) nextChanged() []*content {
 	var changed []*content
 	for fp := range t.pending {
@@ -63,8 +64,9 @@
 			delete(t.pending, fp)
 		}
 	}
+	suspects := countSuspects(changed)
 	slices.SortFunc(changed, func(a, b *content) int {
-		return cmp.Or(cmp.Compare(b.crashCount(), a.crashCount()), b.lastCrash().Compare(a.lastCrash()))
+		return cmp.Or(cmp.Compare(b.crashCount(), a.crashCount()), cmp.Compare(suspects[a.fp], suspects[b.fp]), b.lastCrash().Compare(a.lastCrash()))
 	})
 	single := slices.IndexFunc(changed, func(c *content) bool { return c.crashCount() <= 1 })
 	if single >= 0 {
@@ -79,6 +81,25 @@
 	return changed
 }
 
+// countSuspects returns the number of contents at the crash of each content that
+// the fewest of them share.
+func countSuspects(contents []*content) map[Fingerprint]int {
+	atTarget := make(map[string]int)
+	for _, c := range contents {
+		for _, cr := range c.crashes {
+			atTarget[cr.target]++
+		}
+	}
+	fewest := make(map[Fingerprint]int, len(contents))
+	for _, c := range contents {
+		fewest[c.fp] = len(contents)
+		for _, cr := range c.crashes {
+			fewest[c.fp] = min(fewest[c.fp], atTarget[cr.target])
+		}
+	}
+	return fewest
+}
+
 // Repeated returns the updates about all contents that are or may soon be
 // convicted, for a process that has just started.
 func (t *CrashTracker) Repeated() []*peerpb.Conviction {
