soak: requests sent while no daemon has links aren't held against the cut ones

Cause: a fault of the judge. Two daemons were cut, one was killed, and the last one left as planned at 39.737. The judge compares slices of 250 ms. In the slice of 39.638 to 39.888 it counted the last daemon's requests up to 39.737, 22 of 25 served, and those of the cut daemons up to 39.888; from 39.737 on no daemon had links (the logs say "no daemon reaches the targets", and the cut ones served 20 and 14 in the 100 ms before).

Requests at cut daemons now count only while another daemon, not cut, runs. The check is as strict otherwise: new cases of TestCheckCuts hold it to a third daemon that runs on and to the time before the stop; "until no other runs" failed before.

--- a/bench/soak/cuts.go
+++ b/bench/soak/cuts.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -57,20 +59,24 @@
 const cutSlice = 250 * time.Millisecond
 
 // checkCuts checks for each cut that the requests sent later than stableWindow
-// after its begin were served at the cut daemons beside the others. Callers hold
-// j.mu.
+// after its begin were served at the cut daemons beside the others. Those that are
+// sent while no other daemon runs don't count. Callers hold j.mu.
 func (j *Judge) checkCuts() (faults []string) {
+	daemons := j.daemons()
 	for _, c := range j.cuts {
 		window := span{c.from.Add(stableWindow), c.to}
 		at, others := make(map[int]*served), make(map[int]*served)
 		for _, o := range j.outcomes {
-			if o.Canceled || o.Started.Before(window.from) || !o.Started.Before(window.to) || j.isDown(o.Daemon, span{o.Started, o.Ended}) {
+			period := span{o.Started, o.Ended}
+			if o.Canceled || o.Started.Before(window.from) || !o.Started.Before(window.to) || j.isDown(o.Daemon, period) {
 				continue
 			}
 			slice := int(o.Started.Sub(window.from) / cutSlice)
 			switch {
 			case j.isCut(o.Daemon, o.Started):
-				add(at, slice, o)
+				if slices.ContainsFunc(daemons, func(d int) bool { return !j.isCutAtAll(d, window) && !j.isDown(d, period) }) {
+					add(at, slice, o)
+				}
 			case !j.isCutAtAll(o.Daemon, window):
 				add(others, slice, o)
 			}
@@ -136,6 +142,15 @@
 	return false
 }
 
+// daemons returns the indexes of the daemons that requests were sent to.
+func (j *Judge) daemons() []int {
+	seen := make(map[int]bool)
+	for _, o := range j.outcomes {
+		seen[o.Daemon] = true
+	}
+	return slices.Collect(maps.Keys(seen))
+}
+
 // isDown reports whether the daemon was killed or had another outage in the
 // period, or shortly before it.
 func (j *Judge) isDown(daemon int, s span) bool {
--- a/bench/soak/judge_test.go
+++ b/bench/soak/judge_test.go
@@ -79,12 +79,17 @@
 		cutGood, otherGood int // of 100 requests
 		from               float64
 		killed, want       bool
+		stopped            float64 // when the other daemon stops, 0 for never
+		third              bool    // a third daemon serves all
 	}{
 		"nothing served":       {cutGood: 0, otherGood: 100, from: 4, want: true},
 		"half served":          {cutGood: 50, otherGood: 100, from: 4, want: true},
 		"as the others":        {cutGood: 30, otherGood: 40, from: 4},
 		"in the first seconds": {cutGood: 0, otherGood: 100, from: 1},
 		"while it is killed":   {cutGood: 0, otherGood: 100, from: 4, killed: true},
+		"until no other runs":  {cutGood: 10, otherGood: 100, from: 4, stopped: 4.1},
+		"while a third runs":   {cutGood: 10, otherGood: 100, from: 4, stopped: 4.1, third: true, want: true},
+		"before no other runs": {cutGood: 0, otherGood: 100, from: 4, stopped: 4.5, want: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			j := NewJudge()
@@ -92,9 +97,16 @@
 			if tc.killed {
 				j.RecordKill(0, at(3.5), at(7))
 			}
+			if tc.stopped > 0 {
+				j.outages[1] = []span{{at(tc.stopped), at(7)}}
+			}
+			served := []int{tc.cutGood, tc.otherGood}
+			if tc.third {
+				served = append(served, 100)
+			}
 			for i := range 100 {
 				sent := at(tc.from + float64(i)/100)
-				for daemon, good := range []int{tc.cutGood, tc.otherGood} {
+				for daemon, good := range served {
 					o := Outcome{Daemon: daemon, Started: sent, Ended: sent, Complete: true, Status: 503}
 					if i < good {
 						o.Status = 200
