dispatch: calls that only an engine ejected by this daemon takes go through peers

What callers saw: daemons whose links refuse new connections while open ones work answered 2001 ("none of 1 decoding engines takes requests") to their own callers and to daemons without links, although another daemon served the same calls all along.

Cause: one refused connection ejects an engine for 600 ms. If it is the only one that decodes, no second failure follows, which the search for lost links needs, and answers over the open connections end the suspicion anyway. The daemon then refused on its own finding alone, and forwarded calls with it.

If a call is refused because engines are ejected that other daemons don't report as unreachable, the links are suspected until a probe decides, and the call goes through a peer; a forwarded one is refused with 2010, so that the sender asks another daemon.

TestCallsThatOnlyAnEjectedEngineTakesGoThroughPeers failed before with 2001.

Ruled out: an ejection that an answer ends (each new connection would be refused again). An engine that is dead is reported by other daemons too, and then nothing is suspected.

--- a/connection/links/links.go
+++ b/connection/links/links.go
@@ -85,7 +85,7 @@
 func (t *Tracker) Reached(name string) {
 	t.mu.Lock()
 	s := t.services[name]
-	if s == nil || len(s.failed) == 0 {
+	if s == nil || len(s.failed) == 0 && !s.suspected {
 		t.mu.Unlock()
 		return
 	}
@@ -108,14 +108,36 @@
 	needed := min(minFailures, len(t.o.Targets(name)))
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	s := t.get(name)
+	s.failed[target] = true
+	s.failures++
+	if s.failures >= needed {
+		t.suspect(name, s)
+	}
+}
+
+// Suspect suspects the links to the service until a probe decides. It is called if
+// calls are refused because this process alone doesn't reach the targets that take
+// them: no other failure follows then.
+func (t *Tracker) Suspect(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.suspect(name, t.get(name))
+}
+
+// get returns the state of a service and creates it if needed. Callers hold t.mu.
+func (t *Tracker) get(name string) *service {
 	s := t.services[name]
 	if s == nil {
 		s = &service{failed: make(map[string]bool)}
 		t.services[name] = s
 	}
-	s.failed[target] = true
-	s.failures++
-	if s.suspected || s.failures < needed || !t.tomb.Alive() {
+	return s
+}
+
+// suspect starts a probe unless one is running. Callers hold t.mu.
+func (t *Tracker) suspect(name string, s *service) {
+	if s.suspected || !t.tomb.Alive() {
 		return
 	}
 	s.suspected = true
@@ -263,6 +285,9 @@
 // Failed does nothing.
 func (Intact) Failed(string, string) {}
 
+// Suspect does nothing.
+func (Intact) Suspect(string) {}
+
 // Lost returns false.
 func (Intact) Lost(string) bool { return false }
 
--- a/connection/links/links_test.go
+++ b/connection/links/links_test.go
@@ -146,6 +146,30 @@
 	})
 }
 
+// Guards against a suspicion of the only engine of a role that no probe decides.
+func TestProbeDecidesASuspicion(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			n := newNetwork(9)
+			tr := n.tracker()
+			n.setDown(down, "a")
+			tr.Suspect("a")
+			if !tr.Lost("a") {
+				t.Error("not suspected")
+			}
+			time.Sleep(2 * probeInterval)
+			if tr.Confirmed("a") != down || tr.Lost("a") != down {
+				t.Errorf("down %v: lost %v", down, tr.Lost("a"))
+			}
+			tr.Reached("a")
+			if tr.Lost("a") {
+				t.Error("lost after an answer")
+			}
+			_ = tr.Stop()
+		})
+	}
+}
+
 // An answer between two failures shows that the links work.
 func TestAnswerEndsTheSuspicion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -48,7 +48,7 @@
 	}
 	prompt, err := x.admit(ctx)
 	if err != nil {
-		return err
+		return x.refuseOrForward(ctx, out, err)
 	}
 	sends := 1
 	for {
@@ -242,12 +242,15 @@
 // recovery is noticed.
 func (x *execution) predictSlotWait(est speed.Estimates, cands []placement.Candidate) (time.Duration, error) {
 	policy := x.slotPolicy(est, cands)
-	free, full, doubtful, reported := 0, 0, 0, 0
+	free, full, doubtful, reported, onlyOwn := 0, 0, 0, 0, 0
 	minWait := maxRetryDelay
 	trustReports := !x.allReported(cands)
 	for i := range cands {
 		c := &cands[i]
 		if x.opts.Health.Ejected(c.Entry.ID) {
+			if !c.Load.Unreachable() {
+				onlyOwn++
+			}
 			continue
 		}
 		if trustReports && c.Load.Unreachable() {
@@ -272,6 +275,9 @@
 	case full > 0:
 		return 0, x.overloaded(cands, minWait, "%d of %d decoding engines are full", full, len(cands))
 	}
+	if onlyOwn > 0 {
+		x.opts.Links.Suspect(x.call.Service.Name)
+	}
 	return 0, code.New(code.NoTarget, "none of %d decoding engines takes requests, %d of them by reports of other daemons", len(cands), reported).WithRetryAfter(x.call.Service.Engine.RoleChangeTime)
 }
 
--- a/request/dispatch/peers.go
+++ b/request/dispatch/peers.go
@@ -14,6 +14,9 @@
 type Links interface {
 	Reached(service string)
 	Failed(service, target string)
+	// Suspect is called when calls are refused because this process alone doesn't
+	// reach the targets that take them.
+	Suspect(service string)
 	// Lost reports whether calls should be sent through another daemon.
 	Lost(service string) bool
 	// Confirmed reports whether failures say nothing about the targets.
@@ -48,6 +51,18 @@
 	return code.New(code.LinksLost, "no target of service %q can be reached", x.call.Service.Name).WithRetryAfter(x.retryDelay(nil))
 }
 
+// refuseOrForward ends a call that isn't admitted. If the links are suspected for
+// that reason, other daemons may reach the engines.
+func (x *execution) refuseOrForward(ctx context.Context, out Stream, refusal error) error {
+	if err := x.refuseForwarded(); err != nil {
+		return err
+	}
+	if code.Of(refusal) == code.NoTarget && x.viaPeer() {
+		return x.streamAtPeer(ctx, out)
+	}
+	return refusal
+}
+
 // askPeer forwards the call.
 func (x *execution) askPeer(ctx context.Context) (*forward.Response, error) {
 	counted := x.budget.Begin("")
--- a/request/dispatch/peers_test.go
+++ b/request/dispatch/peers_test.go
@@ -6,11 +6,14 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/connection/h1"
+	"github.com/pomelospool/pomelospool/connection/health"
+	"github.com/pomelospool/pomelospool/connection/links"
 	"github.com/pomelospool/pomelospool/internal/pipenet"
 	"github.com/pomelospool/pomelospool/platform/standin"
 	"github.com/pomelospool/pomelospool/port"
@@ -23,6 +26,7 @@
 
 func (l *lostLinks) Reached(string)        {}
 func (l *lostLinks) Failed(string, string) { l.after-- }
+func (l *lostLinks) Suspect(string)        {}
 func (l *lostLinks) Lost(string) bool      { return l.after <= 0 }
 func (l *lostLinks) Confirmed(string) bool { return false }
 
@@ -96,6 +100,37 @@
 	}
 }
 
+// Guards against callers who are refused because this daemon has failed once to
+// reach the only engine that decodes, which other daemons reach.
+func TestCallsThatOnlyAnEjectedEngineTakesGoThroughPeers(t *testing.T) {
+	withHarness(t, 0, func(t *testing.T, h *harness) {
+		for range 3 {
+			h.addTarget("llm", port.RolePrefill)
+		}
+		h.addTarget("llm", port.RoleDecode)
+		refuse := func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+		pool := h1.New(h1.Options{Dial: refuse})
+		tracker := links.New(links.Options{
+			Services: func() []string { return []string{"llm"} },
+			Targets: func(service string) (out []links.Target) {
+				for _, e := range h.Targets(service).All().All() {
+					out = append(out, links.Target{ID: e.ID, Addr: e.Addr})
+				}
+				return out
+			},
+			Probe: pool.Probe, Changed: func(string, bool) {},
+		})
+		defer func() { _ = tracker.Stop() }()
+		peers := &recordingPeers{status: 200, body: "whole"}
+		h.runner.opts.Links, h.runner.opts.Peers, h.runner.opts.Pool = tracker, peers, pool
+		h.runner.opts.Health.Observe("llm3", health.Unreachable)
+		out, trace, err := h.runStream(t.Context(), false)
+		if err != nil || out.text != "whole" || trace.ForwardedTo != "vm-2" {
+			t.Errorf("%q, %+v, %v", out.text, trace, err)
+		}
+	})
+}
+
 // Guards against two daemons without links that send a call back and forth, and
 // against a refusal that says "not run" of a call that ran before.
 func TestForwardedCallIsNotForwardedAgain(t *testing.T) {
