--- a/connection/origin/table.go
+++ b/connection/origin/table.go
@@ -156,10 +156,3 @@
 		delete(t.byOwner, owner)
 	}
 }
-
-// len returns the number of records.
-func (t *table) len() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.byKey)
-}
--- a/connection/origin/table_test.go
+++ b/connection/origin/table_test.go
@@ -89,3 +89,10 @@
 		seen[k] = true
 	}
 }
+
+// len returns the number of records.
+func (t *table) len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.byKey)
+}
