--- a/request/dispatch/crash_test.go
+++ b/request/dispatch/crash_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/platform/standin"
 	"github.com/pomelospool/pomelospool/port"
@@ -32,9 +34,12 @@
 	service string
 	stage   string   // of the targets
 	down    downMode // how an address behaves while its target is down
+	// serveTime is the time that an answer to other content takes.
+	serveTime time.Duration
 
 	mu      sync.Mutex
 	silent  map[string]bool // addresses that don't answer
+	ends    []func()        // end the target of each address, in the same way
 	started int
 	times   []time.Time // of the crashes
 	late    int         // runs later than stableWindow after the third crash
@@ -56,6 +61,7 @@
 	h.runner.opts.Pool = h1.New(h1.Options{Dial: c.dial})
 	for i := range n {
 		h.entries[service] = append(h.entries[service], port.TargetEntry{})
+		c.ends = append(c.ends, nil)
 		c.start(i)
 	}
 	return c
@@ -109,6 +115,17 @@
 	c.mu.Unlock()
 	target, crashed := standin.NewTarget(id, c.stage), make(chan struct{})
 	var once sync.Once
+	end := func(ended func()) {
+		once.Do(func() {
+			c.stop(addr)
+			close(crashed)
+			ended()
+			time.AfterFunc(restartTime, func() { c.start(i) })
+		})
+	}
+	c.mu.Lock()
+	c.ends[i] = func() { end(func() {}) }
+	c.mu.Unlock()
 	c.h.net.Stop(addr)
 	c.setSilent(addr, false)
 	c.h.net.Serve(addr, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
@@ -119,18 +136,13 @@
 			case <-time.After(crashTime):
 			case <-crashed:
 			}
-			once.Do(func() {
-				c.stop(addr)
-				close(crashed)
-				c.recordCrash()
-				time.AfterFunc(restartTime, func() { c.start(i) })
-			})
+			end(c.recordCrash)
 			c.fall(req)
 		}
 		select {
 		case <-crashed:
 			c.fall(req)
-		default:
+		case <-time.After(c.serveTime):
 			target.ServeHTTP(w, req)
 		}
 	}))
@@ -199,6 +211,49 @@
 	}
 }
 
+// endAll ends all targets at once.
+func (c *crashes) endAll() {
+	c.mu.Lock()
+	ends := slices.Clone(c.ends)
+	c.mu.Unlock()
+	for _, end := range ends {
+		end()
+	}
+}
+
+// Guards against content that many callers ask for and that is refused after all
+// targets of its service ended at once.
+func TestEndOfAllTargetsIsNoCrash(t *testing.T) {
+	for _, down := range []downMode{downRefuses, downSilent, downResets} {
+		for _, kind := range []route.Kind{route.Unsafe, route.Safe} {
+			withHarness(t, 1000, func(t *testing.T, h *harness) {
+				c := h.addCrashing("app", "", 4, down)
+				c.serveTime = 40 * time.Millisecond
+				var wg sync.WaitGroup
+				for n := range 100 {
+					wg.Go(func() {
+						call := h.newCall(kind, 2, time.Second)
+						call.Meta.RequestID, call.Body, call.Service = fmt.Sprint("popular ", n), []byte("popular"), &route.Service{Name: "app"}
+						call.Header = standin.CallerHeaders(call.Meta.RequestID, time.Second, "")
+						if _, _, err := h.runner.Plain(t.Context(), call); code.Of(err) == code.ContentQuarantined {
+							t.Errorf("down %d, kind %v, call %d: %v", down, kind, n, err)
+						}
+					})
+					if n == 20 {
+						time.AfterFunc(30*time.Millisecond, c.endAll)
+					}
+					time.Sleep(25 * time.Millisecond)
+				}
+				wg.Wait()
+				time.Sleep(2 * restartTime)
+				if err := c.sendAgain(t, kind, "popular", 3, 50*time.Millisecond); err != nil {
+					t.Errorf("down %d, kind %v, afterwards: %v", down, kind, err)
+				}
+			})
+		}
+	}
+}
+
 // Guards against harmless content that is blamed by a daemon whose network refuses
 // the connections to all targets for a while.
 func TestCutWithRefusalsIsNoCrash(t *testing.T) {
