quarantine: only runs that began after a crash show that content is harmless

Cause: an answer dismissed all crashes before its end, also if the run had begun before the first of them. Content that many ask for has such runs in flight when it begins to crash its targets, and while they are answered one after the other its crashes never add up to three. Besides, a content keeps five crashes, and dismissed ones that peers repeat took the place of those that count.

Now an answer counts from the begin of its run (of several runs at a target, the oldest), and dismissed crashes make room for others.

Ruled out: convictions that don't spread (with no answers 3 targets end on each code).

--- a/request/quarantine/claim.go
+++ b/request/quarantine/claim.go
@@ -72,7 +72,7 @@
 
 func (t *CrashTracker) isRunning(fp Fingerprint) bool {
 	for _, m := range t.targets {
-		if m[fp] > 0 {
+		if len(m[fp]) > 0 {
 			return true
 		}
 	}
--- a/request/quarantine/ending.go
+++ b/request/quarantine/ending.go
@@ -20,7 +20,7 @@
 // that have completed a run.
 type endedRuns struct {
 	recent         []endedRun                // oldest first
-	completed      map[Fingerprint]time.Time // end of the last run
+	completed      map[Fingerprint]time.Time // end of the last run; its begin with tolerated crashes
 	completedOrder []Fingerprint             // keys of completed, oldest first
 }
 
@@ -43,8 +43,10 @@
 }
 
 func (e *endedRuns) markCompleted(fp Fingerprint, at time.Time) {
-	if _, ok := e.completed[fp]; ok {
-		e.completed[fp] = at
+	if known, ok := e.completed[fp]; ok {
+		if at.After(known) {
+			e.completed[fp] = at
+		}
 		return
 	}
 	if len(e.completedOrder) >= maxCompleted {
--- a/request/quarantine/target.go
+++ b/request/quarantine/target.go
@@ -167,5 +167,5 @@
 // convicted.
 func (t *CrashTracker) explainedByOther(fp Fingerprint, tc targetCrash) bool {
 	cl := t.targetClaims[targetKey(tc.target)]
-	return t.targets[tc.target][fp] == 0 && tc.at.Before(cl.until) && !(cl.local && cl.fp == fp)
+	return len(t.targets[tc.target][fp]) == 0 && tc.at.Before(cl.until) && !(cl.local && cl.fp == fp)
 }
--- a/request/quarantine/tolerant.go
+++ b/request/quarantine/tolerant.go
@@ -89,10 +89,26 @@
 		return c.addCrash(cr)
 	}
 	known := slices.ContainsFunc(c.crashes, func(old crash) bool { return old.target == cr.target })
-	if !known {
-		c.appendCrash(cr)
+	if known || !c.makeRoom(cr) {
+		return false
+	}
+	c.appendCrash(cr)
+	return true
+}
+
+// makeRoom removes a dismissed crash if there are as many as are kept. It reports
+// false if the new one is dismissed too, which would replace one that counts.
+func (c *content) makeRoom(cr crash) bool {
+	if len(c.crashes) < maxCrashes {
+		return true
+	}
+	if cr.dismissed {
+		return false
+	}
+	if i := slices.IndexFunc(c.crashes, func(old crash) bool { return old.dismissed }); i >= 0 {
+		c.crashes = slices.Delete(c.crashes, i, i+1)
 	}
-	return !known
+	return true
 }
 
 // evaluate convicts content with more crashes than are tolerated since its last
@@ -158,16 +174,17 @@
 	}
 }
 
-// clearCompleted dismisses the crashes of content before its run that ended at
-// that time with an answer. Content that crashes its targets isn't answered.
-func (t *CrashTracker) clearCompleted(fp Fingerprint, at time.Time) {
+// clearCompleted dismisses the crashes of content before a run that began at that
+// time and was answered. Content that crashes its targets isn't answered; a run
+// that began before may be older than the cause, such as a change of the targets.
+func (t *CrashTracker) clearCompleted(fp Fingerprint, began time.Time) {
 	c := t.contents[fp]
 	if c == nil || !t.tolerates() {
 		return
 	}
 	changed := false
 	for i := range c.crashes {
-		if cr := &c.crashes[i]; !cr.dismissed && !t.crashTimes.earliest(*cr).After(at) {
+		if cr := &c.crashes[i]; !cr.dismissed && !t.crashTimes.earliest(*cr).After(began) {
 			cr.dismissed, changed = true, true
 		}
 	}
@@ -178,8 +195,8 @@
 	}
 }
 
-// dismissAnswered dismisses the crashes of content before its last answer by this
-// process, which may learn of them afterwards.
+// dismissAnswered dismisses the crashes of content before the last run that this
+// process has had answered. It may learn of them afterwards.
 func (t *CrashTracker) dismissAnswered(c *content) {
 	if at, ok := t.ended.completed[c.fp]; ok {
 		t.clearCompleted(c.fp, at)
--- a/request/quarantine/tolerant_test.go
+++ b/request/quarantine/tolerant_test.go
@@ -44,14 +44,19 @@
 // exchange lets the processes exchange updates for a time.
 func (f *tolerantFleet) exchange(d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); <-time.After(exchangeInterval) {
-		for i, from := range f.trackers {
-			updates := from.Pending()
-			for j, to := range f.trackers {
-				if i == j || f.cut[i] || f.cut[j] || f.rng.Float64() < f.loss {
-					continue
-				}
-				to.Incoming(updates)
+		f.exchangeOnce()
+	}
+}
+
+// exchangeOnce sends one message of each process.
+func (f *tolerantFleet) exchangeOnce() {
+	for i, from := range f.trackers {
+		updates := from.Pending()
+		for j, to := range f.trackers {
+			if i == j || f.cut[i] || f.cut[j] || f.rng.Float64() < f.loss {
+				continue
 			}
+			to.Incoming(updates)
 		}
 	}
 }
@@ -348,6 +353,45 @@
 	})
 }
 
+// Guards against content that goes on crashing targets while runs of it that began
+// before are answered.
+func TestEarlierRunsDontClearContent(t *testing.T) {
+	const runs, sendInterval, stableWindow, allowed = 40, 100 * time.Millisecond, 3 * time.Second, 3
+	for _, answerInterval := range []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, time.Second} {
+		withTolerantFleet(t, 12, func(t *testing.T, f *tolerantFleet) {
+			for i := range runs {
+				f.trackers[3+i%9].Begin(bad, fmt.Sprint("alive", i))
+			}
+			<-time.After(sendInterval)
+			var crashes []time.Time
+			answers, late := 0, 0
+			begin, lastAnswer, lastExchange := time.Now(), time.Now(), time.Now()
+			for n := 0; time.Since(begin) < 8*time.Second; n++ {
+				if time.Since(lastAnswer) >= answerInterval && answers < runs {
+					f.trackers[3+answers%9].End(bad, fmt.Sprint("alive", answers))
+					answers, lastAnswer = answers+1, time.Now()
+				}
+				i := n % len(f.trackers)
+				if v, _ := f.trackers[i].Check(bad); v == Clear {
+					f.crash(i, fmt.Sprint("t", n), bad)
+					crashes = append(crashes, time.Now())
+					if len(crashes) > 3 && time.Since(crashes[2]) > stableWindow {
+						late++
+					}
+				}
+				if time.Since(lastExchange) >= exchangeInterval {
+					f.exchangeOnce()
+					lastExchange = time.Now()
+				}
+				<-time.After(sendInterval)
+			}
+			if late > allowed {
+				t.Errorf("an answer each %v: %d targets ended, %d later than %v after the third, %d allowed", answerInterval, len(crashes), late, stableWindow, allowed)
+			}
+		})
+	}
+}
+
 // Guards against content that each process refuses in turn after the same crashes.
 func TestUndecidedContentIsRefusedOnce(t *testing.T) {
 	withTolerantFleet(t, 6, func(t *testing.T, f *tolerantFleet) {
--- a/request/quarantine/tracker.go
+++ b/request/quarantine/tracker.go
@@ -65,7 +65,7 @@
 
 	mu            sync.Mutex
 	contents      map[Fingerprint]*content
-	targets       map[string]map[Fingerprint]int // contents in flight, by target
+	targets       map[string]map[Fingerprint][]time.Time // begins of the runs in flight, oldest first, by target
 	ended         endedRuns
 	crashTimes    crashTimes // with tolerated crashes
 	recentCrashes []targetCrash
@@ -103,7 +103,7 @@
 	return &CrashTracker{
 		o:            o,
 		contents:     make(map[Fingerprint]*content),
-		targets:      make(map[string]map[Fingerprint]int),
+		targets:      make(map[string]map[Fingerprint][]time.Time),
 		targetClaims: make(map[Fingerprint]targetClaim),
 		updates:      make(chan []*peerpb.Conviction, updateQueue),
 		ended:        endedRuns{completed: make(map[Fingerprint]time.Time)},
@@ -172,11 +172,11 @@
 	defer t.mu.Unlock()
 	m := t.targets[target]
 	if m == nil {
-		m = make(map[Fingerprint]int)
+		m = make(map[Fingerprint][]time.Time)
 		t.targets[target] = m
 	}
-	if len(m) < maxAtTarget || m[fp] > 0 {
-		m[fp]++
+	if len(m) < maxAtTarget || len(m[fp]) > 0 {
+		m[fp] = append(m[fp], t.o.Now())
 	}
 }
 
@@ -188,12 +188,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.tick()
-	if !t.leave(fp, target, now) {
+	began, ok := t.leave(fp, target, now)
+	if !ok {
 		return
 	}
 	if t.tolerates() {
-		t.ended.markCompleted(fp, now)
-		t.clearCompleted(fp, now)
+		t.ended.markCompleted(fp, began)
+		t.clearCompleted(fp, began)
 		return
 	}
 	t.ended.add(endedRun{fp: fp, target: target, at: now, answered: true})
@@ -205,7 +206,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.tick()
-	if t.leave(fp, target, now) {
+	if _, ok := t.leave(fp, target, now); ok {
 		t.ended.add(endedRun{fp: fp, target: target, at: now})
 	}
 }
@@ -215,25 +216,25 @@
 func (t *CrashTracker) NotReceived(fp Fingerprint, target string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.leave(fp, target, t.tick())
+	_, _ = t.leave(fp, target, t.tick())
 }
 
-// leave removes a run of the content at the target and reports whether there
-// was one. Callers hold t.mu.
-func (t *CrashTracker) leave(fp Fingerprint, target string, now time.Time) bool {
+// leave removes a run of the content at the target and reports when it began, and
+// whether there was one. Of several runs it takes the oldest. Callers hold t.mu.
+func (t *CrashTracker) leave(fp Fingerprint, target string, now time.Time) (began time.Time, ok bool) {
 	m := t.targets[target]
-	if m[fp] == 0 {
-		return false
+	if len(m[fp]) == 0 {
+		return time.Time{}, false
 	}
-	m[fp]--
-	if m[fp] == 0 {
+	began, m[fp] = m[fp][0], m[fp][1:]
+	if len(m[fp]) == 0 {
 		delete(m, fp)
 	}
 	if len(m) == 0 && len(t.targets) > maxIdleTargets {
 		delete(t.targets, target)
 	}
 	t.endRunningClaim(fp, now)
-	return true
+	return began, true
 }
 
 // tick settles ended runs, clears finished contents and returns the current
