quarantine: similar content waits like content of the same crashes

What callers saw: harmless popular content refused (1019) for ten minutes beside content that crashes its targets, by a daemon that hadn't had it answered yet.

Cause: it was convicted some milliseconds before the report arrived that the cause was at its last crash too. Only content that the process had had answered waited for that.

Content that shares a crash with other content, which missed only crashes of the last 300 ms, now waits 300 ms too.

The new case of TestHarmlessContentIsNotRefused failed before.

--- a/request/quarantine/tolerant.go
+++ b/request/quarantine/tolerant.go
@@ -13,9 +13,9 @@
 const tryTime = 2 * time.Second
 
 const (
-	// answerDelay is how long a conviction waits for an answer if other content was
-	// in flight at the same crashes, or if the content was answered before its
-	// crashes. Harmless content that is sent often is answered meanwhile, and the
+	// answerDelay is how long a conviction waits for an answer if other content may
+	// have been in flight at the same crashes, or if the content was answered before
+	// its crashes. Harmless content that is sent often is answered meanwhile, and the
 	// crashes of the cause are reported.
 	answerDelay = 300 * time.Millisecond
 	// twinConviction is the duration of a conviction after that. A try of each
@@ -120,12 +120,13 @@
 	if now.Before(c.convictedUntil) || c.convictions == 0 && c.crashCount() <= t.o.ToleratedCrashes {
 		return
 	}
-	explained, twin := t.otherCauses(c)
+	explained, twin, similar := t.otherCauses(c, now)
 	if explained {
 		return
 	}
-	twin = twin && c.crashCount() < maxCrashes
-	if (twin || t.mayBeAnswered(c)) && c.undecidedSince.IsZero() {
+	few := c.crashCount() < maxCrashes
+	twin = twin && few
+	if few && (similar || t.mayBeAnswered(c)) && c.undecidedSince.IsZero() {
 		c.undecidedSince = now
 	}
 	switch {
@@ -144,20 +145,25 @@
 
 // mayBeAnswered reports whether the content was answered before it was suspected.
 func (t *CrashTracker) mayBeAnswered(c *content) bool {
-	return c.convictions == 0 && c.crashCount() < maxCrashes && t.ended.hasCompleted(c.fp)
+	return c.convictions == 0 && t.ended.hasCompleted(c.fp)
 }
 
 // otherCauses reports whether some other content was in flight at all crashes of
-// this one and at more, and whether some was at just these.
-func (t *CrashTracker) otherCauses(c *content) (explained, twin bool) {
+// this one and at more, whether some was at just these, and whether some was at
+// these as far as reports have arrived.
+func (t *CrashTracker) otherCauses(c *content, now time.Time) (explained, twin, similar bool) {
 	n := c.crashCount()
 	for _, other := range t.contents {
-		if other != c && other.covers(c) {
+		if other == c {
+			continue
+		}
+		if other.covers(c) {
 			explained = explained || other.crashCount() > n
 			twin = true
 		}
+		similar = similar || other.coversBefore(c, now.Add(-answerDelay))
 	}
-	return explained, twin
+	return explained, twin, similar
 }
 
 // clearExplained clears the contents that were convicted for crashes which c, with
@@ -233,6 +239,22 @@
 	return other.crashCount() > 0
 }
 
+// coversBefore reports whether the content was in flight at a crash of other, and at
+// all of them that are older than a time. Reports of newer ones may not have arrived.
+func (c *content) coversBefore(other *content, limit time.Time) bool {
+	shared := false
+	for _, cr := range other.crashes {
+		switch {
+		case cr.dismissed:
+		case slices.ContainsFunc(c.crashes, func(own crash) bool { return own.target == cr.target && !own.dismissed }):
+			shared = true
+		case cr.at.Before(limit):
+			return false
+		}
+	}
+	return shared
+}
+
 // contradicts reports whether this process knows that a crash behind a peer's
 // first conviction was dismissed, and of too few others. If it learns of more, it
 // convicts the content by itself. The target is that of the last crash.
--- a/request/quarantine/tolerant_test.go
+++ b/request/quarantine/tolerant_test.go
@@ -276,6 +276,15 @@
 			f.answer(1, innocent)
 			f.crash(0, "t2", bad)
 		}},
+		{"answered before the cause's last crash is known elsewhere", func(f *tolerantFleet) {
+			f.crash(1, "t0", bad, innocent)
+			f.crash(1, "t1", bad, innocent)
+			f.crash(1, "t2", innocent)
+			f.expect("at the third crash", Clear, innocent)
+			<-time.After(100 * time.Millisecond)
+			f.answer(2, innocent)
+			f.crash(0, "t2", bad)
+		}},
 		{"connections that break at targets that live", func(f *tolerantFleet) {
 			for i := range 5 {
 				target := fmt.Sprint("t", i)
