soak: a crashed target waits for its port

Cause: a fault of the soak. A crashed target gives its port up for 2 s; it is one of those that the system gives to outgoing connections, and one of some process on the machine had it.

The proxy tries again for up to 5 s, and reports the fault after that. TestRestartWaitsForThePort: an address in use ended Restart at once before.

--- a/bench/soak/crash_test.go
+++ b/bench/soak/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http/httptrace"
 	"testing"
 	"time"
@@ -104,6 +105,32 @@
 	}
 }
 
+// Guards against a trial that fails because a connection of another process has the
+// port of a crashed target for a moment.
+func TestRestartWaitsForThePort(t *testing.T) {
+	p, err := NewProxy("127.0.0.1:0", "127.0.0.1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	p.Crash()
+	other, err := net.Listen("tcp", p.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	restarted := make(chan error, 1)
+	go func() { restarted <- p.Restart() }()
+	select {
+	case err := <-restarted:
+		t.Fatalf("restarted while the port was in use: %v", err)
+	case <-time.After(2 * portRetryInterval):
+	}
+	_ = other.Close()
+	if err := <-restarted; err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against a judge that misses content that is sent too often.
 func TestCheckCrashes(t *testing.T) {
 	at := func(s float64) time.Time { return time.Unix(1000, 0).Add(time.Duration(s * float64(time.Second))) }
--- a/bench/soak/proxy.go
+++ b/bench/soak/proxy.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -90,7 +91,7 @@
 
 // Restart accepts connections again after Crash.
 func (p *Proxy) Restart() error {
-	l, err := net.Listen("tcp", p.addr)
+	l, err := p.listenAgain()
 	if err != nil {
 		return err
 	}
@@ -104,6 +105,22 @@
 	return nil
 }
 
+const (
+	portWait          = 5 * time.Second
+	portRetryInterval = 20 * time.Millisecond
+)
+
+// listenAgain listens at the address of before. Meanwhile its port may serve as
+// that of a connection of any process on the machine.
+func (p *Proxy) listenAgain() (l net.Listener, err error) {
+	for end := time.Now().Add(portWait); ; time.Sleep(portRetryInterval) {
+		l, err = net.Listen("tcp", p.addr)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return l, err
+		}
+	}
+}
+
 // Close closes the listener and all connections.
 func (p *Proxy) Close() {
 	p.mu.Lock()
