soak: a crashed target keeps its port

A crashed target gave its port up for 2 s. The system gives it to others meanwhile, also to targets of another trial, which then get the requests of this one.

A bound socket that doesn't listen holds the port now, and refuses connections as before. TestCrashedTargetKeepsItsPort: another socket got the address before. The wait for the port is gone with its test.

--- a/bench/soak/crash_test.go
+++ b/bench/soak/crash_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http/httptrace"
+	"syscall"
 	"testing"
 	"time"
 
@@ -105,30 +106,48 @@
 	}
 }
 
-// Guards against a trial that fails because a connection of another process has the
-// port of a crashed target for a moment.
-func TestRestartWaitsForThePort(t *testing.T) {
-	p, err := NewProxy("127.0.0.1:0", "127.0.0.1:1")
+// Guards against a trial whose targets get the requests of another one, since they
+// listen at the port of a target that has crashed there.
+func TestCrashedTargetKeepsItsPort(t *testing.T) {
+	p, err := NewProxy("127.0.0.1:0", listen(t).Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer p.Close()
-	p.Crash()
-	other, err := net.Listen("tcp", p.Addr())
+	for range 3 {
+		p.Crash()
+		if c, err := net.Dial("tcp", p.Addr()); err == nil {
+			_ = c.Close()
+			t.Fatal("a crashed target accepts connections")
+		}
+		if fd, err := bindOnly(p.Addr()); err == nil {
+			_ = syscall.Close(fd)
+			t.Fatal("another socket got the address")
+		}
+		if err := p.Restart(); err != nil {
+			t.Fatal(err)
+		}
+		c, err := net.Dial("tcp", p.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.Close()
+	}
+}
+
+// bindOnly binds a socket as an outgoing connection does.
+func bindOnly(addr string) (fd int, err error) {
+	tcp, err := net.ResolveTCPAddr("tcp4", addr)
 	if err != nil {
-		t.Fatal(err)
+		return 0, err
 	}
-	restarted := make(chan error, 1)
-	go func() { restarted <- p.Restart() }()
-	select {
-	case err := <-restarted:
-		t.Fatalf("restarted while the port was in use: %v", err)
-	case <-time.After(2 * portRetryInterval):
+	if fd, err = syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0); err != nil {
+		return 0, err
 	}
-	_ = other.Close()
-	if err := <-restarted; err != nil {
-		t.Error(err)
+	if err = syscall.Bind(fd, &syscall.SockaddrInet4{Port: tcp.Port, Addr: [4]byte(tcp.IP.To4())}); err != nil {
+		_ = syscall.Close(fd)
 	}
+	return fd, err
 }
 
 // Guards against a judge that misses content that is sent too often.
--- a/bench/soak/proxy.go
+++ b/bench/soak/proxy.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -36,6 +37,7 @@
 
 	mu       sync.Mutex
 	listener net.Listener // nil: connections are refused
+	reserved *os.File     // holds the port after a crash
 	mode     Mode
 	delay    time.Duration
 	changed  chan struct{} // closed when the mode changes
@@ -83,42 +85,62 @@
 	}
 	_ = p.listener.Close()
 	p.listener = nil
+	p.reserved = reservePort(p.addr)
 	for c := range p.conns {
 		reset(c)
 	}
 	return true
 }
 
-// Restart accepts connections again after Crash.
-func (p *Proxy) Restart() error {
-	l, err := p.listenAgain()
+// reservePort binds a socket to the address, which goes on refusing connections.
+// Otherwise another trial could listen there, and get the requests of this one. It
+// returns nil if that fails.
+func reservePort(addr string) *os.File {
+	tcp, err := net.ResolveTCPAddr("tcp4", addr)
 	if err != nil {
-		return err
+		return nil
+	}
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil
 	}
+	f := os.NewFile(uintptr(fd), addr)
+	if syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1) != nil ||
+		syscall.Bind(fd, &syscall.SockaddrInet4{Port: tcp.Port, Addr: [4]byte(tcp.IP.To4())}) != nil {
+		_ = f.Close()
+		return nil
+	}
+	return f
+}
+
+// Restart accepts connections again after Crash.
+func (p *Proxy) Restart() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
-		return l.Close()
+		return nil
+	}
+	l, err := p.listenAgain()
+	if err != nil {
+		return err
 	}
 	p.listener = l
 	p.wg.Go(func() { p.accept(l) })
 	return nil
 }
 
-const (
-	portWait          = 5 * time.Second
-	portRetryInterval = 20 * time.Millisecond
-)
-
-// listenAgain listens at the address of before. Meanwhile its port may serve as
-// that of a connection of any process on the machine.
-func (p *Proxy) listenAgain() (l net.Listener, err error) {
-	for end := time.Now().Add(portWait); ; time.Sleep(portRetryInterval) {
-		l, err = net.Listen("tcp", p.addr)
-		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
-			return l, err
-		}
+// listenAgain listens at the address of before. Callers hold p.mu.
+func (p *Proxy) listenAgain() (net.Listener, error) {
+	f := p.reserved
+	p.reserved = nil
+	if f == nil {
+		return net.Listen("tcp", p.addr)
 	}
+	defer func() { _ = f.Close() }()
+	if err := syscall.Listen(int(f.Fd()), syscall.SOMAXCONN); err != nil {
+		return nil, err
+	}
+	return net.FileListener(f)
 }
 
 // Close closes the listener and all connections.
@@ -128,6 +150,9 @@
 	if p.listener != nil {
 		_ = p.listener.Close()
 	}
+	if p.reserved != nil {
+		_ = p.reserved.Close()
+	}
 	for c := range p.conns {
 		_ = c.Close()
 	}
