One piece of code for what the change had twice

From reading the whole change again; behaviour stays as it is.

- quarantine: the times of crashes and of answers are one bounded table (times); the two comparisons of contents are one (compare), which passes over the crashes once; what follows a dismissal is written once; the rule for lifted convictions is a limit.
- dispatch: a stream that is taken up no longer collects all targets of its version twice; the check ends at the first.
- roles: counts of engines by zone and by version are one function.
- soak: one counter of served requests; origin: keys by maps.Keys.

All tests keep their assertions. Checked by changing the code back: without the reserved port TestCrashedTargetKeepsItsPort fails, without the earliest time of a crash TestHarmlessContentIsNotRefused.

Left: roster keeps two tables of pending queries (queues and origins), of different replies and waits.

--- a/bench/soak/crash_test.go
+++ b/bench/soak/crash_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http/httptrace"
-	"syscall"
 	"testing"
 	"time"
 
@@ -109,20 +108,26 @@
 // Guards against a trial whose targets get the requests of another one, since they
 // listen at the port of a target that has crashed there.
 func TestCrashedTargetKeepsItsPort(t *testing.T) {
-	p, err := NewProxy("127.0.0.1:0", listen(t).Addr().String())
+	backend := listen(t).Addr().String()
+	p, err := NewProxy("127.0.0.1:0", backend)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer p.Close()
+	local, err := net.ResolveTCPAddr("tcp", p.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := net.Dialer{LocalAddr: local}
 	for range 3 {
 		p.Crash()
 		if c, err := net.Dial("tcp", p.Addr()); err == nil {
 			_ = c.Close()
 			t.Fatal("a crashed target accepts connections")
 		}
-		if fd, err := bindOnly(p.Addr()); err == nil {
-			_ = syscall.Close(fd)
-			t.Fatal("another socket got the address")
+		if c, err := other.Dial("tcp", backend); err == nil {
+			_ = c.Close()
+			t.Fatal("a connection got the port")
 		}
 		if err := p.Restart(); err != nil {
 			t.Fatal(err)
@@ -135,21 +140,6 @@
 	}
 }
 
-// bindOnly binds a socket as an outgoing connection does.
-func bindOnly(addr string) (fd int, err error) {
-	tcp, err := net.ResolveTCPAddr("tcp4", addr)
-	if err != nil {
-		return 0, err
-	}
-	if fd, err = syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0); err != nil {
-		return 0, err
-	}
-	if err = syscall.Bind(fd, &syscall.SockaddrInet4{Port: tcp.Port, Addr: [4]byte(tcp.IP.To4())}); err != nil {
-		_ = syscall.Close(fd)
-	}
-	return fd, err
-}
-
 // Guards against a judge that misses content that is sent too often.
 func TestCheckCrashes(t *testing.T) {
 	at := func(s float64) time.Time { return time.Unix(1000, 0).Add(time.Duration(s * float64(time.Second))) }
--- a/bench/soak/cuts.go
+++ b/bench/soak/cuts.go
@@ -115,9 +115,11 @@
 	return fmt.Sprintf("daemons without links to targets served %d of %d requests, the others %d of %d", cut.good, cut.all, rest.good, rest.all)
 }
 
-func (s *served) add(o Outcome) {
+func (s *served) add(o Outcome) { s.count(o.Complete && o.Status == 200) }
+
+func (s *served) count(good bool) {
 	s.all++
-	if o.Complete && o.Status == 200 {
+	if good {
 		s.good++
 	}
 }
--- a/bench/soak/resume.go
+++ b/bench/soak/resume.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -164,12 +165,9 @@
 		return fmt.Errorf("soak: %s", o.Fault)
 	}
 	o.LastID = id
-	for _, s := range o.Software {
-		if s == software {
-			return nil
-		}
+	if !slices.Contains(o.Software, software) {
+		o.Software = append(o.Software, software)
 	}
-	o.Software = append(o.Software, software)
 	return nil
 }
 
@@ -214,13 +212,6 @@
 	return faults
 }
 
-func (s *served) count(good bool) {
-	s.all++
-	if good {
-		s.good++
-	}
-}
-
 // inTouchAt reports whether the daemon had no disruption in the stableWindow before.
 // Callers hold j.mu.
 func (j *Judge) inTouchAt(daemon int, at time.Time) bool {
--- a/connection/origin/history.go
+++ b/connection/origin/history.go
@@ -259,9 +259,5 @@
 func (h *History) Services() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	out := make([]string, 0, len(h.services))
-	for name := range h.services {
-		out = append(out, name)
-	}
-	return out
+	return slices.Collect(maps.Keys(h.services))
 }
--- a/connection/origin/origin_test.go
+++ b/connection/origin/origin_test.go
@@ -94,6 +94,14 @@
 	return software
 }
 
+// restart adds a daemon that has just started and lists the versions.
+func (f *fleet) restart(software ...string) *testDaemon {
+	d := f.newDaemon(false)
+	f.daemons = append(f.daemons, d)
+	d.Observe(map[string][]string{"s": software})
+	return d
+}
+
 var stream = Stream{Service: "s", Request: "r1"}
 
 // Guards against streams that can't go on, or go on at another version, after the
@@ -112,9 +120,7 @@
 				t.Errorf("daemon %d: %s for a stream without a record", i+1, got)
 			}
 		}
-		restarted := f.newDaemon(false)
-		f.daemons = append(f.daemons, restarted)
-		restarted.Observe(map[string][]string{"s": {"v1", "v2"}})
+		restarted := f.restart("v1", "v2")
 		if got := restarted.find("r1"); got != "v2" {
 			t.Errorf("a daemon that has just started: %s", got)
 		}
@@ -152,9 +158,7 @@
 		if got := f.daemons[1].find("r1"); got != "v1" {
 			t.Errorf("after the loss of its daemon: %s", got)
 		}
-		restarted := f.newDaemon(false)
-		f.daemons = append(f.daemons, restarted)
-		restarted.Observe(map[string][]string{"s": {"v1"}})
+		restarted := f.restart("v1")
 		if got := restarted.find("r1"); got != "v1" {
 			t.Errorf("at a daemon that has just started: %s", got)
 		}
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -3,47 +3,27 @@
 import (
 	"bufio"
 	"io"
-	"net"
 	"net/http"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
-)
-
-// pipeListener accepts the ends of pipes.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
 
-func (*pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+	"github.com/pomelospool/pomelospool/internal/pipenet"
+)
 
 // Guards against requests that a planned stop reads and doesn't answer, since their
 // connections were accepted just before it.
 func TestRequestOfNewConnectionIsAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		network := &pipenet.Net{}
+		l := network.Listen("server")
 		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })}
 		tracker := Track(server)
 		go func() { _ = server.Serve(l) }()
-		caller, end := net.Pipe()
-		l.conns <- end
+		caller, err := network.Dial(t.Context(), "server")
+		if err != nil {
+			t.Fatal(err)
+		}
 		synctest.Wait()
 		stopped := make(chan error, 1)
 		go func() { stopped <- tracker.Shutdown(t.Context(), l) }()
@@ -65,12 +45,15 @@
 // Guards against a stop that waits for callers that connect and send nothing.
 func TestSilentConnectionEndsTheWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		network := &pipenet.Net{}
+		l := network.Listen("server")
 		server := &http.Server{}
 		tracker := Track(server)
 		go func() { _ = server.Serve(l) }()
-		caller, end := net.Pipe()
-		l.conns <- end
+		caller, err := network.Dial(t.Context(), "server")
+		if err != nil {
+			t.Fatal(err)
+		}
 		begun := time.Now()
 		_ = tracker.Shutdown(t.Context(), l)
 		// Shutdown itself waits for up to 7 s for a connection without a request.
--- a/internal/pipenet/pipenet.go
+++ b/internal/pipenet/pipenet.go
@@ -22,30 +22,31 @@
 
 // Serve serves HTTP requests at an address until Close or Stop is called.
 func (n *Net) Serve(addr string, h http.Handler) {
-	l := &listener{conns: make(chan net.Conn), closed: make(chan struct{})}
-	srv := &http.Server{Handler: h}
+	l, srv := n.Listen(addr), &http.Server{Handler: h}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.listeners == nil {
-		n.listeners = make(map[string]*listener)
-		n.dialCounts = make(map[string]int)
-	}
-	n.listeners[addr] = l
 	n.servers = append(n.servers, srv)
 	go func() { _ = srv.Serve(l) }()
 }
 
-// ServeConn calls serve, which owns the connection, for each connection to an
-// address.
-func (n *Net) ServeConn(addr string, serve func(net.Conn)) {
+// Listen returns a listener for the connections to an address, until Close or Stop
+// is called.
+func (n *Net) Listen(addr string) net.Listener {
 	l := &listener{conns: make(chan net.Conn), closed: make(chan struct{})}
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	if n.listeners == nil {
 		n.listeners = make(map[string]*listener)
 		n.dialCounts = make(map[string]int)
 	}
 	n.listeners[addr] = l
-	n.mu.Unlock()
+	return l
+}
+
+// ServeConn calls serve, which owns the connection, for each connection to an
+// address.
+func (n *Net) ServeConn(addr string, serve func(net.Conn)) {
+	l := n.Listen(addr)
 	go func() {
 		for {
 			c, err := l.Accept()
--- a/process/roles/plan.go
+++ b/process/roles/plan.go
@@ -107,7 +107,7 @@
 	var out []Move
 	left := slices.Clone(decoders)
 	for range n {
-		zones, versions := countByZone(left), countByVersion(left)
+		zones, versions := countBy(left, zoneOf), countBy(left, versionOf)
 		best := -1
 		for i, e := range left {
 			if e.Changing || e.Refused {
@@ -145,21 +145,18 @@
 // its streams are lost with their engine.
 const versionDecoders = 2
 
-func countByVersion(engines []Engine) map[string]int {
-	versions := make(map[string]int)
+// countBy returns the numbers of engines by a property.
+func countBy(engines []Engine, of func(Engine) string) map[string]int {
+	counts := make(map[string]int)
 	for _, e := range engines {
-		versions[e.Entry.Software]++
+		counts[of(e)]++
 	}
-	return versions
+	return counts
 }
 
-func countByZone(engines []Engine) map[string]int {
-	zones := make(map[string]int)
-	for _, e := range engines {
-		zones[e.Entry.Zone]++
-	}
-	return zones
-}
+func zoneOf(e Engine) string { return e.Entry.Zone }
+
+func versionOf(e Engine) string { return e.Entry.Software }
 
 // movesToDecode returns moves of up to n prefill engines to decoding. It takes
 // engines of a software version of which one engine decodes first, then those of
@@ -168,7 +165,7 @@
 // the shortest wait.
 func movesToDecode(prefillers, decoders []Engine, n int) []Move {
 	var out []Move
-	zones, versions, common := countByZone(decoders), countByVersion(decoders), countByVersion(prefillers)
+	zones, versions, common := countBy(decoders, zoneOf), countBy(decoders, versionOf), countBy(prefillers, versionOf)
 	left := slices.Clone(prefillers)
 	for range n {
 		left = slices.DeleteFunc(left, func(e Engine) bool { return e.Changing || e.Refused })
--- a/request/dispatch/origin.go
+++ b/request/dispatch/origin.go
@@ -46,7 +46,8 @@
 // checkOriginServed returns an error if no target of the stream's software version
 // takes requests.
 func (x *execution) checkOriginServed(role port.Role) error {
-	if x.origin == nil || len(x.originTargets(x.targets(), role)) > 0 {
+	set := x.targets()
+	if x.origin == nil || slices.ContainsFunc(set.ByRole(role, "").All(), func(e *port.TargetEntry) bool { return set.VersionOf(e) == *x.origin }) {
 		return nil
 	}
 	counts.Add("origin_gone", 1)
@@ -56,19 +57,15 @@
 	return code.New(code.OriginGone, "software version %.40q", *x.origin).WithRetryAfter(x.retryDelay(nil))
 }
 
-func (x *execution) originTargets(set *targets.Set, role port.Role) (out []*port.TargetEntry) {
+// sampleVersion is sampleTargets for a stream that has begun. Few calls need it, so
+// it passes over all targets of the role.
+func (x *execution) sampleVersion(set *targets.Set, role port.Role) *targetSample {
+	var entries []*port.TargetEntry
 	for _, e := range set.ByRole(role, "").All() {
 		if set.VersionOf(e) == *x.origin {
-			out = append(out, e)
+			entries = append(entries, e)
 		}
 	}
-	return out
-}
-
-// sampleVersion is sampleTargets for a stream that has begun. Few calls need it, so
-// it passes over all targets of the role.
-func (x *execution) sampleVersion(set *targets.Set, role port.Role) *targetSample {
-	entries := x.originTargets(set, role)
 	if n := len(entries); n > sampleThreshold {
 		// The first ones of a random order.
 		for i := range sampleThreshold {
--- a/request/quarantine/ending.go
+++ b/request/quarantine/ending.go
@@ -19,9 +19,8 @@
 // endedRuns holds the runs that ended less than settleTime ago, and the contents
 // that have completed a run.
 type endedRuns struct {
-	recent         []endedRun                // oldest first
-	completed      map[Fingerprint]time.Time // end of the last run; its begin with tolerated crashes
-	completedOrder []Fingerprint             // keys of completed, oldest first
+	recent    []endedRun         // oldest first
+	completed times[Fingerprint] // end of the last run; its begin with tolerated crashes
 }
 
 func (e *endedRuns) add(x endedRun) {
@@ -43,18 +42,9 @@
 }
 
 func (e *endedRuns) markCompleted(fp Fingerprint, at time.Time) {
-	if known, ok := e.completed[fp]; ok {
-		if at.After(known) {
-			e.completed[fp] = at
-		}
-		return
-	}
-	if len(e.completedOrder) >= maxCompleted {
-		delete(e.completed, e.completedOrder[0])
-		e.completedOrder = e.completedOrder[1:]
+	if known, ok := e.completed.get(fp); !ok || at.After(known) {
+		e.completed.set(fp, at)
 	}
-	e.completed[fp] = at
-	e.completedOrder = append(e.completedOrder, fp)
 }
 
 // removeRecent removes the recently ended runs on a target and returns their
@@ -74,6 +64,6 @@
 }
 
 func (e *endedRuns) hasCompleted(fp Fingerprint) bool {
-	_, ok := e.completed[fp]
+	_, ok := e.completed.get(fp)
 	return ok
 }
--- a/request/quarantine/tolerant.go
+++ b/request/quarantine/tolerant.go
@@ -68,7 +68,7 @@
 
 // recordTolerated adds a crash to the contents that were in flight.
 func (t *CrashTracker) recordTolerated(tc targetCrash) {
-	t.crashTimes.record(tc.target, tc.at)
+	t.recordCrashTime(tc.target, tc.at)
 	var changed []*content
 	for _, fp := range tc.fps {
 		c := t.getOrCreate(fp, tc.at)
@@ -82,6 +82,23 @@
 	}
 }
 
+// recordCrashTime records when a target was noticed to have crashed, by any process
+// and for any content. A run at the target may break later, or be found by a later
+// search, and still have ended with it.
+func (t *CrashTracker) recordCrashTime(target string, at time.Time) {
+	if known, ok := t.crashTimes.get(target); !ok || at.Before(known) {
+		t.crashTimes.set(target, at)
+	}
+}
+
+// crashTime returns when the target of a crash was first noticed to have crashed.
+func (t *CrashTracker) crashTime(cr crash) time.Time {
+	if at, ok := t.crashTimes.get(cr.target); ok && at.Before(cr.at) {
+		return at
+	}
+	return cr.at
+}
+
 // addCrash records a crash and reports whether it is new. With tolerated crashes,
 // targets are incarnations, which crash once.
 func (t *CrashTracker) addCrash(c *content, cr crash) bool {
@@ -157,11 +174,15 @@
 		if other == c {
 			continue
 		}
-		if other.covers(c) {
+		shared, missed := other.compare(c)
+		switch {
+		case shared == 0:
+		case missed.IsZero():
 			explained = explained || other.crashCount() > n
-			twin = true
+			twin, similar = true, true
+		case now.Sub(missed) <= answerDelay:
+			similar = true // reports of newer crashes may not have arrived
 		}
-		similar = similar || other.coversBefore(c, now.Add(-answerDelay))
 	}
 	return explained, twin, similar
 }
@@ -190,27 +211,30 @@
 	}
 	changed := false
 	for i := range c.crashes {
-		if cr := &c.crashes[i]; !cr.dismissed && !t.crashTimes.earliest(*cr).After(began) {
+		if cr := &c.crashes[i]; !cr.dismissed && !t.crashTime(*cr).After(began) {
 			cr.dismissed, changed = true, true
 		}
 	}
 	if changed {
-		c.undecidedSince = time.Time{}
-		t.liftIfCleared(c)
-		t.publish(c)
+		t.crashesDismissed(c)
 	}
 }
 
 // dismissAnswered dismisses the crashes of content before the last run that this
 // process has had answered. It may learn of them afterwards.
 func (t *CrashTracker) dismissAnswered(c *content) {
-	if at, ok := t.ended.completed[c.fp]; ok {
+	if at, ok := t.ended.completed.get(c.fp); ok {
 		t.clearCompleted(c.fp, at)
 	}
 }
 
 func (t *CrashTracker) clear(c *content) {
 	c.dismissCrashes()
+	t.crashesDismissed(c)
+}
+
+// crashesDismissed updates the verdict on content of which crashes were dismissed.
+func (t *CrashTracker) crashesDismissed(c *content) {
 	c.undecidedSince = time.Time{}
 	t.liftIfCleared(c)
 	t.publish(c)
@@ -219,8 +243,11 @@
 // liftIfCleared ends a first conviction if no more crashes than are tolerated are
 // left, and another one if none are.
 func (t *CrashTracker) liftIfCleared(c *content) {
-	left := c.crashCount()
-	if c.convictions == 0 || c.convictions == 1 && left > t.o.ToleratedCrashes || c.convictions > 1 && left > 0 {
+	allowed := 0
+	if c.convictions == 1 {
+		allowed = t.o.ToleratedCrashes
+	}
+	if c.convictions == 0 || c.crashCount() > allowed {
 		return
 	}
 	c.convictions, c.convictedUntil = 0, time.Time{}
@@ -228,31 +255,26 @@
 	log.WithField("fingerprint", c.fp.String()).Info("quarantine: content cleared")
 }
 
-// covers reports whether the content was in flight at all crashes of other. Only
-// crashes that haven't been dismissed count.
+// covers reports whether the content was in flight at all crashes of other.
 func (c *content) covers(other *content) bool {
-	for _, cr := range other.crashes {
-		if !cr.dismissed && !slices.ContainsFunc(c.crashes, func(own crash) bool { return own.target == cr.target && !own.dismissed }) {
-			return false
-		}
-	}
-	return other.crashCount() > 0
+	shared, missed := c.compare(other)
+	return shared > 0 && missed.IsZero()
 }
 
-// coversBefore reports whether the content was in flight at a crash of other, and at
-// all of them that are older than a time. Reports of newer ones may not have arrived.
-func (c *content) coversBefore(other *content, limit time.Time) bool {
-	shared := false
+// compare returns the number of crashes of other at which the content was in flight
+// too, and the time of the oldest one at which it wasn't, zero for none. Only crashes
+// that haven't been dismissed count.
+func (c *content) compare(other *content) (shared int, missed time.Time) {
 	for _, cr := range other.crashes {
 		switch {
 		case cr.dismissed:
 		case slices.ContainsFunc(c.crashes, func(own crash) bool { return own.target == cr.target && !own.dismissed }):
-			shared = true
-		case cr.at.Before(limit):
-			return false
+			shared++
+		case missed.IsZero() || cr.at.Before(missed):
+			missed = cr.at
 		}
 	}
-	return shared
+	return shared, missed
 }
 
 // contradicts reports whether this process knows that a crash behind a peer's
--- a/request/quarantine/tolerant_test.go
+++ b/request/quarantine/tolerant_test.go
@@ -79,6 +79,19 @@
 	f.trackers[i].End(fp, "alive")
 }
 
+// answerBeforeLateRun lets a process find a crash, and process 1 find later that the
+// content was in flight there, which it has had answered meanwhile.
+func (f *tolerantFleet) answerBeforeLateRun(finder int, innocent Fingerprint) {
+	f.crash(finder, "t0", bad)
+	f.trackers[1].Begin(innocent, "t0")
+	f.exchange(time.Second)
+	f.answer(1, innocent)
+	<-time.After(time.Millisecond)
+	f.crash(1, "t0", innocent)
+	f.crash(1, "t1", bad, innocent)
+	f.crash(1, "t2", innocent)
+}
+
 func (f *tolerantFleet) expect(name string, want Verdict, fp Fingerprint) {
 	f.t.Helper()
 	for i, tr := range f.trackers {
@@ -170,7 +183,7 @@
 	}
 }
 
-// Guards against content whose crashes are told late, since they happen at the same
+// Guards against content whose crashes are reported late, since they happen at the same
 // moment as those of a whole availability zone.
 func TestCrashesWhileAZoneFails(t *testing.T) {
 	withTolerantFleet(t, 6, func(_ *testing.T, f *tolerantFleet) {
@@ -227,25 +240,8 @@
 			f.trackers[4].End(innocent, "alive")
 			f.exchange(settleTime)
 		}},
-		{"answered after a crash that this process finds late", func(f *tolerantFleet) {
-			f.crash(1, "t0", bad)
-			f.trackers[1].Begin(innocent, "t0")
-			f.exchange(time.Second)
-			f.answer(1, innocent)
-			<-time.After(time.Millisecond)
-			f.crash(1, "t0", innocent)
-			f.crash(1, "t1", bad, innocent)
-			f.crash(1, "t2", innocent)
-		}},
-		{"answered after a crash that another process finds first", func(f *tolerantFleet) {
-			f.crash(0, "t0", bad)
-			f.exchange(time.Second)
-			f.answer(1, innocent)
-			<-time.After(time.Millisecond)
-			f.crash(1, "t0", innocent)
-			f.crash(1, "t1", bad, innocent)
-			f.crash(1, "t2", innocent)
-		}},
+		{"answered after a crash that this process finds late", func(f *tolerantFleet) { f.answerBeforeLateRun(1, innocent) }},
+		{"answered after a crash that another process finds first", func(f *tolerantFleet) { f.answerBeforeLateRun(0, innocent) }},
 		{"answered elsewhere between the crashes", func(f *tolerantFleet) {
 			f.crash(0, "t0", innocent)
 			<-time.After(100 * time.Millisecond)
--- a/request/quarantine/tracker.go
+++ b/request/quarantine/tracker.go
@@ -28,6 +28,7 @@
 	maxAtTarget       = 1024 // contents tracked per target
 	maxSuspects       = 256  // per crash
 	maxIdleTargets    = 256  // targets without runs whose space is kept
+	maxCrashTimes     = 4096 // targets whose crashes are remembered
 	burstWindow       = 2 * time.Second
 	burstTargets      = 3 // crashed targets within burstWindow that indicate an outage
 )
@@ -67,7 +68,7 @@
 	contents      map[Fingerprint]*content
 	targets       map[string]map[Fingerprint][]time.Time // begins of the runs in flight, oldest first, by target
 	ended         endedRuns
-	crashTimes    crashTimes // with tolerated crashes
+	crashTimes    times[string] // when the crash of each target was noticed first, with tolerated crashes
 	recentCrashes []targetCrash
 	claimSeq      uint64                      // sequence number of the last claim of this process
 	targetClaims  map[Fingerprint]targetClaim // by targetKey
@@ -106,7 +107,8 @@
 		targets:      make(map[string]map[Fingerprint][]time.Time),
 		targetClaims: make(map[Fingerprint]targetClaim),
 		updates:      make(chan []*peerpb.Conviction, updateQueue),
-		ended:        endedRuns{completed: make(map[Fingerprint]time.Time)},
+		ended:        endedRuns{completed: newTimes[Fingerprint](maxCompleted)},
+		crashTimes:   newTimes[string](maxCrashTimes),
 		pending:      make(map[Fingerprint]int),
 	}
 }
@@ -216,7 +218,7 @@
 func (t *CrashTracker) NotReceived(fp Fingerprint, target string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	_, _ = t.leave(fp, target, t.tick())
+	t.leave(fp, target, t.tick())
 }
 
 // leave removes a run of the content at the target and reports when it began, and
--- a/request/quarantine/updates.go
+++ b/request/quarantine/updates.go
@@ -213,7 +213,7 @@
 // process know whether the content has completed in the meantime.
 func (t *CrashTracker) mergeCrash(c *content, cr crash, now time.Time) {
 	if t.tolerates() {
-		t.crashTimes.record(cr.target, cr.at)
+		t.recordCrashTime(cr.target, cr.at)
 		if !t.addCrash(c, cr) {
 			t.dismissAnswered(c)
 			return
