standin: a crashed server keeps its port

Cause, suspected: engines that crash in process/daemon's tests gave their ports up, a target of the soak listened at one, and got what the daemons of the other test sent to their engine, which in turn seemed to answer. Of the first failure suspected the soak's own crashed targets; since they keep their ports it came again, so that wasn't it, or not all.

sock.Reserve holds an address that refuses connections; it is the code that the soak's proxy had, which calls it now and listens again by net.Listen. A crashed stand-in server holds its port until Close.

The two failures weren't reproduced by hand.

--- a/bench/soak/proxy.go
+++ b/bench/soak/proxy.go
@@ -7,8 +7,11 @@
 	"net"
 	"os"
 	"sync"
-	"syscall"
 	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/internal/sock"
 )
 
 // Mode is the network fault that a Proxy applies to its connections.
@@ -85,34 +88,17 @@
 	}
 	_ = p.listener.Close()
 	p.listener = nil
-	p.reserved = reservePort(p.addr)
+	// Otherwise another trial could listen there, and get the requests of this one.
+	var err error
+	if p.reserved, err = sock.Reserve(p.addr); err != nil {
+		log.WithError(err).Warn("soak: can't keep the port of a crashed target")
+	}
 	for c := range p.conns {
 		reset(c)
 	}
 	return true
 }
 
-// reservePort binds a socket to the address, which goes on refusing connections.
-// Otherwise another trial could listen there, and get the requests of this one. It
-// returns nil if that fails.
-func reservePort(addr string) *os.File {
-	tcp, err := net.ResolveTCPAddr("tcp4", addr)
-	if err != nil {
-		return nil
-	}
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return nil
-	}
-	f := os.NewFile(uintptr(fd), addr)
-	if syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1) != nil ||
-		syscall.Bind(fd, &syscall.SockaddrInet4{Port: tcp.Port, Addr: [4]byte(tcp.IP.To4())}) != nil {
-		_ = f.Close()
-		return nil
-	}
-	return f
-}
-
 // Restart accepts connections again after Crash.
 func (p *Proxy) Restart() error {
 	p.mu.Lock()
@@ -120,27 +106,22 @@
 	if p.closed {
 		return nil
 	}
-	l, err := p.listenAgain()
+	l, err := net.Listen("tcp", p.addr)
 	if err != nil {
 		return err
 	}
+	p.release()
 	p.listener = l
 	p.wg.Go(func() { p.accept(l) })
 	return nil
 }
 
-// listenAgain listens at the address of before. Callers hold p.mu.
-func (p *Proxy) listenAgain() (net.Listener, error) {
-	f := p.reserved
-	p.reserved = nil
-	if f == nil {
-		return net.Listen("tcp", p.addr)
-	}
-	defer func() { _ = f.Close() }()
-	if err := syscall.Listen(int(f.Fd()), syscall.SOMAXCONN); err != nil {
-		return nil, err
+// release ends the reservation of the port. Callers hold p.mu.
+func (p *Proxy) release() {
+	if p.reserved != nil {
+		_ = p.reserved.Close()
+		p.reserved = nil
 	}
-	return net.FileListener(f)
 }
 
 // Close closes the listener and all connections.
@@ -150,9 +131,7 @@
 	if p.listener != nil {
 		_ = p.listener.Close()
 	}
-	if p.reserved != nil {
-		_ = p.reserved.Close()
-	}
+	p.release()
 	for c := range p.conns {
 		_ = c.Close()
 	}
--- a/internal/sock/sock_linux.go
+++ b/internal/sock/sock_linux.go
@@ -1,8 +1,10 @@
-// Package sock sets socket options that package net doesn't provide.
+// Package sock does with sockets what package net doesn't provide.
 package sock
 
 import (
 	"fmt"
+	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -31,3 +33,27 @@
 		return nil
 	}
 }
+
+// Reserve keeps a TCP address, which refuses connections, until the file is closed.
+// The kernel gives its port to no other socket, but the address can be listened on
+// again.
+func Reserve(addr string) (*os.File, error) {
+	tcp, err := net.ResolveTCPAddr("tcp4", addr)
+	if err != nil {
+		return nil, fmt.Errorf("sock: reserve: %w", err)
+	}
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("sock: reserve: %w", err)
+	}
+	f := os.NewFile(uintptr(fd), addr)
+	err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err == nil {
+		err = unix.Bind(fd, &unix.SockaddrInet4{Port: tcp.Port, Addr: [4]byte(tcp.IP.To4())})
+	}
+	if err != nil {
+		_ = f.Close()
+		return nil, fmt.Errorf("sock: reserve: %w", err)
+	}
+	return f, nil
+}
--- a/internal/sock/sock_other.go
+++ b/internal/sock/sock_other.go
@@ -1,9 +1,11 @@
 //go:build !linux
 
-// Package sock sets socket options that package net doesn't provide.
+// Package sock does with sockets what package net doesn't provide.
 package sock
 
 import (
+	"errors"
+	"os"
 	"syscall"
 	"time"
 )
@@ -13,3 +15,6 @@
 
 // UserTimeout returns nil, since only Linux has TCP_USER_TIMEOUT.
 func UserTimeout(time.Duration) Control { return nil }
+
+// Reserve returns an error, since it isn't implemented on this system.
+func Reserve(string) (*os.File, error) { return nil, errors.ErrUnsupported }
--- a/standin/server.go
+++ b/standin/server.go
@@ -13,7 +13,10 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"gopkg.in/tomb.v2"
+
+	"github.com/pomelospool/pomelospool/internal/sock"
 )
 
 // headerTimeout bounds how long a client may take to send a request header.
@@ -25,8 +28,9 @@
 	http *http.Server
 	lis  net.Listener
 
-	mu    sync.Mutex
-	conns map[*conn]bool
+	mu       sync.Mutex
+	conns    map[*conn]bool
+	reserved *os.File // holds the port after a crash
 }
 
 // Serve listens on addr and serves h until Close or Crash. Port 0 selects a
@@ -48,6 +52,7 @@
 // Close stops the server and closes its connections.
 func (s *Server) Close() error {
 	s.t.Kill(nil)
+	s.releasePort()
 	err := s.http.Close()
 	for _, c := range s.openConns() {
 		c.Close()
@@ -57,16 +62,39 @@
 }
 
 // Crash resets every connection and stops listening, as the kernel does after a
-// process has crashed. It doesn't wait for the handlers.
+// process has crashed. It doesn't wait for the handlers. No other server gets the
+// port until Close: it would receive what clients still send to this one.
 func (s *Server) Crash() {
 	s.t.Kill(nil)
 	s.lis.Close()
+	s.keepPort()
 	for _, c := range s.openConns() {
 		c.reset()
 	}
 	s.http.Close()
 }
 
+func (s *Server) keepPort() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reserved != nil {
+		return
+	}
+	var err error
+	if s.reserved, err = sock.Reserve(s.Addr()); err != nil {
+		log.WithError(err).Warn("standin: can't keep the port of a crashed server")
+	}
+}
+
+func (s *Server) releasePort() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reserved != nil {
+		_ = s.reserved.Close()
+		s.reserved = nil
+	}
+}
+
 // Stall permanently stalls every open connection except the one of the request
 // in ctx, and returns their number. A stalled connection stays open but
 // delivers and sends no more data. New connections work normally.
