dispatch, quarantine: log lines name the parts of a prompt

Each 'dispatch: send failed' has the fingerprints of all parts but the last now, at most 16, over the organisation, the service and the part's id. Nothing decides by them.

--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -230,7 +230,7 @@
 // newExecution returns the state of a call. A forwarded call has been counted
 // for the budget by the daemon that forwarded it.
 func (r *Runner) newExecution(c *Call) *execution {
-	x := &execution{Runner: r, call: c, possibleRuns: c.PriorRuns, content: r.fingerprint(c)}
+	x := &execution{Runner: r, call: c, possibleRuns: c.PriorRuns, content: r.fingerprint(c), parts: r.partFingerprints(c)}
 	if c.Forwarded {
 		x.budget = r.opts.Budget.NewForwardedCall(c.Service.Name)
 	} else {
@@ -253,7 +253,8 @@
 	lastID        string // id of the last event that the caller received
 
 	content quarantine.Fingerprint
-	running *port.TargetEntry // target of the send that goes on; nil: none
+	parts   []quarantine.Fingerprint // of the prompt, in order
+	running *port.TargetEntry        // target of the send that goes on; nil: none
 
 	started bool // Call.OnStart has been called
 
--- a/request/dispatch/crash.go
+++ b/request/dispatch/crash.go
@@ -42,6 +42,26 @@
 	return content.Fingerprint()
 }
 
+// maxTrackedParts bounds the parts of a prompt that are tracked. Callers choose how
+// many they state.
+const maxTrackedParts = 16
+
+// partFingerprints returns the fingerprints of the parts that a prompt may share with
+// others: all but the last, which belongs to the request or its session.
+func (r *Runner) partFingerprints(c *Call) []quarantine.Fingerprint {
+	parts := c.Meta.PromptParts
+	if r.opts.Quarantine == nil || len(parts) < 2 {
+		return nil
+	}
+	parts = parts[:min(len(parts)-1, maxTrackedParts)]
+	out := make([]quarantine.Fingerprint, len(parts))
+	for i, part := range parts {
+		p := quarantine.Part{Caller: c.Organisation, Service: c.Service.Name, ID: part.ID}
+		out[i] = p.Fingerprint()
+	}
+	return out
+}
+
 // checkContent returns the error of a call whose content crashes targets, or nil.
 func (x *execution) checkContent() error {
 	if x.opts.Quarantine == nil {
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -19,6 +19,7 @@
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/failure"
+	"github.com/pomelospool/pomelospool/request/quarantine"
 )
 
 // counts are the counters of this package.
@@ -146,7 +147,7 @@
 	x.recordHealth(f)
 	log.WithFields(log.Fields{
 		"request": x.call.Meta.RequestID, "target": f.Target, "software": x.sendingTo, "class": f.Class.String(), "cause": f.Cause(),
-		"send": x.trace.Sends, "left_ms": time.Until(x.call.Deadline).Milliseconds(), "content": x.content.String(),
+		"send": x.trace.Sends, "left_ms": time.Until(x.call.Deadline).Milliseconds(), "content": x.content.String(), "parts": quarantine.Join(x.parts),
 	}).Info("dispatch: send failed")
 }
 
--- a/request/quarantine/fingerprint.go
+++ b/request/quarantine/fingerprint.go
@@ -2,9 +2,11 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
 	"hash"
+	"strings"
 	"sync"
 )
 
@@ -16,6 +18,15 @@
 // String returns the fingerprint in hexadecimal, as in log lines.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// Join returns the fingerprints separated by spaces, as in log lines.
+func Join(fps []Fingerprint) string {
+	names := make([]string, len(fps))
+	for i, fp := range fps {
+		names[i] = fp.String()
+	}
+	return strings.Join(names, " ")
+}
+
 // parseFingerprint returns the fingerprint in a message, or the zero value if the
 // length is wrong.
 func parseFingerprint(b []byte) (f Fingerprint) {
@@ -59,6 +70,24 @@
 	return f
 }
 
+// Part holds what identifies a part of a prompt, which many requests may share.
+type Part struct {
+	Caller  string // organisation; empty if it is unknown
+	Service string
+	ID      uint64
+}
+
+// Fingerprint returns the fingerprint of the part.
+func (p *Part) Fingerprint() Fingerprint {
+	id := binary.BigEndian.AppendUint64(nil, p.ID)
+	r := Request{Caller: p.Caller, Scope: p.Service, Method: partMethod, Body: id}
+	return r.Fingerprint()
+}
+
+// partMethod is no method of a request, so that a part and a request never have
+// the same fingerprint.
+const partMethod = "part of a prompt"
+
 // volatileMembers are the members of a JSON body that identify one submission or
 // describe how the answer is delivered. They are not part of the content.
 var volatileMembers = []string{
