dispatch: failing test of a part that crashes its targets

One daemon in virtual time, 4, 6 or 40 engines that end 60 ms after a request with one part begins, no two such requests alike, beside sound ones that share the other parts. Nine cases by how a target is down and where the part stands. Crashes are noticed where the port refuses, and still nothing is convicted, so that the identity is at fault and not only the notice of crashes.

Stand-in targets crash on a part of the prompt, too.

--- a/request/dispatch/crash_test.go
+++ b/request/dispatch/crash_test.go
@@ -36,13 +36,18 @@
 	down    downMode // how an address behaves while its target is down
 	// serveTime is the time that an answer to other content takes.
 	serveTime time.Duration
+	part      string        // crashes the targets, too, if it is a part of a prompt; empty: none
+	restart   time.Duration // from a crash to the next incarnation
+	head      bool          // the status line is sent before the crash
+	limit     int           // number of the crash from which on runs are limited
+	offset    int           // of the targets among the service's entries
 
 	mu      sync.Mutex
 	silent  map[string]bool // addresses that don't answer
 	ends    []func()        // end the target of each address, in the same way
 	started int
 	times   []time.Time // of the crashes
-	late    int         // runs later than stableWindow after the third crash
+	late    int         // runs later than stableWindow after the crash number limit
 }
 
 // downMode is how the address of a target behaves between two incarnations.
@@ -56,7 +61,7 @@
 
 // addCrashing serves n targets of a service.
 func (h *harness) addCrashing(service, stage string, n int, down downMode) *crashes {
-	c := &crashes{h: h, service: service, stage: stage, down: down, silent: make(map[string]bool)}
+	c := &crashes{h: h, service: service, stage: stage, down: down, silent: make(map[string]bool), limit: 3, restart: restartTime, offset: len(h.entries[service])}
 	h.runner.opts.Pool.Close()
 	h.runner.opts.Pool = h1.New(h1.Options{Dial: c.dial})
 	for i := range n {
@@ -120,7 +125,7 @@
 			c.stop(addr)
 			close(crashed)
 			ended()
-			time.AfterFunc(restartTime, func() { c.start(i) })
+			time.AfterFunc(c.restart, func() { c.start(i) })
 		})
 	}
 	c.mu.Lock()
@@ -130,8 +135,11 @@
 	c.setSilent(addr, false)
 	c.h.net.Serve(addr, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		body, _ := io.ReadAll(req.Body)
-		if string(body) == crashingBody {
+		if string(body) == crashingBody || c.part != "" && standin.HasPart(req.Header, c.part) {
 			c.recordRun()
+			if c.head {
+				target.SendStatus(w, req)
+			}
 			select {
 			case <-time.After(crashTime):
 			case <-crashed:
@@ -148,13 +156,21 @@
 	}))
 	c.h.mu.Lock()
 	defer c.h.mu.Unlock()
-	c.h.entries[c.service][i] = port.TargetEntry{ID: id, Service: c.service, Addr: addr, Zone: "a", Slots: 4}
+	c.h.entries[c.service][c.offset+i] = port.TargetEntry{ID: id, Service: c.service, Addr: addr, Zone: "a", Slots: 4, Role: c.role()}
+}
+
+// role returns the role of the targets: none if the service has no engines.
+func (c *crashes) role() port.Role {
+	if c.offset == 0 {
+		return ""
+	}
+	return port.RoleDecode
 }
 
 func (c *crashes) recordRun() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.times) >= 3 && time.Since(c.times[2]) > stableWindow {
+	if len(c.times) >= c.limit && time.Since(c.times[c.limit-1]) > stableWindow {
 		c.late++
 	}
 }
