dispatch, quarantine: a target that can't be reached, or has a successor, has ended

Cause: a crash was known only by a refused connection. A silent target was noticed at the deadline of the request, if at all, and its request counted as late.

A target whose connection broke, that can't be dialed, that rejects a request since it is another one, or whose first event is overdue while nothing else comes from it is asked for its health (the path was in the configuration, and nothing read it). Three kinds of evidence: certain, if its VM refuses connections; presumed, if it is gone or replaced while another target of its role answers within a second; alone, if none is known to answer.

--- a/request/dispatch/crash.go
+++ b/request/dispatch/crash.go
@@ -152,7 +152,22 @@
 	} else {
 		r.Broken()
 	}
-	if f.Class == failure.NoAnswer || f.Class == failure.Cut || errors.Is(f.Err, syscall.ECONNREFUSED) {
+	if x.mayHaveCrashed(f, r) {
 		x.verify(&r.target)
 	}
 }
+
+// mayHaveCrashed reports whether a failed send is a sign that the target has ended.
+func (x *execution) mayHaveCrashed(f *sendFailure, r *run) bool {
+	switch {
+	case f.Class == failure.NotRun:
+		return errors.Is(f.Err, errWrongTarget)
+	case f.Unwritten:
+		return f.Class == failure.NotWritten
+	case f.Class == failure.NoAnswer || f.Class == failure.Cut:
+		return true
+	case f.Class == failure.Late || f.Class == failure.CallerGone || f.Class == failure.Stalled:
+		return !x.trace.AnswerStarted && !x.opts.Engines.ReachedSince(r.target.ID, r.began)
+	}
+	return false
+}
--- a/request/dispatch/decode.go
+++ b/request/dispatch/decode.go
@@ -108,7 +108,10 @@
 		return newFailure(failure.Mismatch, to.ID, errUnsigned)
 	}
 	firstAt := start
+	overdue := x.verifyIfOverdue(&to, predicted)
+	defer overdue.Stop()
 	first := func() {
+		overdue.Stop()
 		firstAt = time.Now()
 		took := firstAt.Sub(start)
 		if cand.Load.Streams < to.Slots {
--- a/request/dispatch/verify.go
+++ b/request/dispatch/verify.go
@@ -2,11 +2,15 @@
 
 import (
 	"errors"
+	"io"
 	"math/rand/v2"
+	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
 	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/quarantine"
@@ -17,8 +21,17 @@
 	// cut, and maxVerifyTime the time until the attempts end.
 	verifyInterval = 250 * time.Millisecond
 	maxVerifyTime  = 10 * time.Second
+	// maxPresumeTime is the time in which a target that neither refuses connections
+	// nor answers is presumed to have crashed. Later it may have ended with all others,
+	// before the request was sent.
+	maxPresumeTime = time.Second
+	// probeTimeout is the time in which a target answers a health check.
+	probeTimeout = 300 * time.Millisecond
 	// otherTargets is the number of other targets that an attempt asks.
 	otherTargets = 3
+	// otherAnswerTargets is the number of other targets that are asked at once whether
+	// they answer. Most may have crashed, too.
+	otherAnswerTargets = 8
 )
 
 // verify finds out in the background whether a target that broke a connection off,
@@ -39,14 +52,47 @@
 	}()
 }
 
+// The first event of an answer is overdue after firstEventFactor times its predicted
+// time, but not before minOverdue: waits for a slot aren't predicted.
+const (
+	firstEventFactor = 3
+	minOverdue       = time.Second
+)
+
+// verifyIfOverdue verifies the target if the first event is overdue and nothing else
+// has been received from it lately. Its VM may have fallen silent.
+func (x *execution) verifyIfOverdue(target *port.TargetEntry, predicted time.Duration) *time.Timer {
+	limit := max(firstEventFactor*predicted, minOverdue)
+	return time.AfterFunc(limit, func() {
+		if x.opts.Quarantine != nil && !x.opts.Engines.ReachedSince(target.ID, time.Now().Add(-limit/2)) {
+			x.verify(target)
+		}
+	})
+}
+
+// awaitCrash records a crash once it is certain that the target has ended: its VM
+// refuses connections. A target that has a successor, or that resets connections or
+// isn't reached, is presumed to have crashed if another target of its role answers
+// at that time. All of them may be behind the same fault otherwise.
 func (x *execution) awaitCrash(target *port.TargetEntry, confirm func(quarantine.Evidence)) {
-	for end := time.Now().Add(maxVerifyTime); time.Now().Before(end); {
+	begin := time.Now()
+	for time.Since(begin) < maxVerifyTime {
+		state := x.probe(target)
 		switch {
-		case !x.refuses(target.Addr) || x.isLeaving(target):
+		case state == alive || x.isLeaving(target):
 			return
-		case x.reachesOther(target.Addr) && x.refuses(target.Addr):
+		case state == refusing && x.reachesOther(target.Addr) && x.refuses(target.Addr):
 			confirm(quarantine.Certain)
 			return
+		case state == replaced && time.Since(begin) < maxPresumeTime:
+			confirm(quarantine.Presumed)
+			return
+		case state == gone && time.Since(begin) < maxPresumeTime && !x.linksLost():
+			confirm(quarantine.Alone)
+			if x.otherAnswers(target) && x.probe(target) == gone {
+				confirm(quarantine.Presumed)
+				return
+			}
 		}
 		if pause.For(x.ctx, verifyInterval) != nil {
 			return
@@ -54,6 +100,69 @@
 	}
 }
 
+// targetState is what a probe of a target finds.
+type targetState int
+
+const (
+	undecided targetState = iota // it accepts connections and doesn't answer
+	alive                        // it answers
+	refusing                     // its VM refuses connections
+	replaced                     // another target answers at its address
+	gone                         // it can't be reached, or resets connections
+)
+
+// probe asks a target for its health. The answer itself doesn't matter: a target
+// rejects the check while it is full or leaving. Without a path for it a target that
+// accepts a connection is taken for alive.
+func (x *execution) probe(target *port.TargetEntry) targetState {
+	err := x.opts.Pool.Probe(x.ctx, target.Addr)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return refusing
+	case err != nil:
+		return gone
+	case x.call.Service.HealthPath == "":
+		return alive
+	}
+	h := http.Header{}
+	x.opts.Protocol.AddDispatchHeaders(h, port.DispatchMeta{TargetID: target.ID, Timeout: probeTimeout, Priority: -1})
+	resp, err := x.opts.Pool.Do(x.ctx, &h1.Request{
+		Addr: target.Addr, Target: target.ID, Method: http.MethodGet, URI: x.call.Service.HealthPath, Host: target.Addr,
+		Header: h, Reuse: h1.ReuseNever, FirstByteTimeout: probeTimeout,
+	})
+	switch {
+	case err == nil:
+		defer resp.Close(0)
+		if x.opts.Protocol.ParseResponse(resp.Status, resp.Header).Misdirected {
+			return replaced
+		}
+		return alive
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return gone
+	}
+	return undecided
+}
+
+// otherAnswers reports whether another target of the call's service and of the same
+// role answers now.
+func (x *execution) otherAnswers(target *port.TargetEntry) bool {
+	others := slices.DeleteFunc(slices.Clone(x.targets().ByRole(target.Role, "").All()), func(e *port.TargetEntry) bool {
+		return e.ID == target.ID || e.Addr == target.Addr
+	})
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others = others[:min(len(others), otherAnswerTargets)]
+	answers := make(chan bool, len(others))
+	for _, e := range others {
+		go func() { answers <- x.probe(e) == alive }()
+	}
+	for range others {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
 func (x *execution) refuses(addr string) bool {
 	return errors.Is(x.opts.Pool.Probe(x.ctx, addr), syscall.ECONNREFUSED)
 }
