soak: parts of prompts that crash their targets

The judge checks both promises by what targets received and callers saw: at most three requests later than 3 s after the fifth crash, and sound requests with the same first part at their first attempt, from 6 s after it, at least half as often as before. The edits of two older planted faults follow the code they replace.

--- a/bench/soak/client.go
+++ b/bench/soak/client.go
@@ -181,7 +181,8 @@
 	prompt := ""
 	if class == Stream {
 		o.WantBody = c.Protocol.Events
-		prompt = fmt.Sprintf("%x:800,%x:660", c.rand.IntN(4), c.requests)
+		o.Head = fmt.Sprintf("%x", c.rand.IntN(4))
+		prompt = fmt.Sprintf("%s:800,%x:660", o.Head, c.requests)
 	}
 	o.Canceled = c.rand.Float64() < cancelShare
 	limit := requestTimeout + c.Grace
--- a/bench/soak/crash_test.go
+++ b/bench/soak/crash_test.go
@@ -15,11 +15,18 @@
 const restartTime = 2 * time.Second
 
 // crashTarget ends a target. A new one gets its address later.
-func (env *environment) crashTarget(slot *targetSlot, t *standin.Target) {
-	if slot.current.Load() != t || !slot.proxy.Crash() {
+func (env *environment) crashTarget(slot *targetSlot, t *standin.Target, part bool) {
+	if slot.current.Load() != t {
 		return
 	}
-	env.judge.RecordCrash(time.Now())
+	if mode := Mode(env.crashMode.Load()); mode != Pass {
+		env.darkenTarget(slot, mode, part)
+		return
+	}
+	if !slot.proxy.Crash() {
+		return
+	}
+	env.recordCrash(part)
 	time.AfterFunc(restartTime, func() {
 		env.replaceTarget(slot)
 		if err := slot.proxy.Restart(); err != nil {
@@ -63,6 +70,9 @@
 				if a.Crash {
 					env.judge.RecordCrashing(a)
 				}
+				if a.Part {
+					env.judge.RecordPart(a)
+				}
 			}
 		}
 	}
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -41,6 +41,7 @@
 	Err        error  // why the answer is incomplete
 	Canceled   bool   // the caller canceled the request
 	Crashing   bool   // the request crashes the targets that run it
+	Head       string // first part of the prompt
 }
 
 // Judge checks what callers observed against what targets recorded. It is
@@ -54,6 +55,7 @@
 	cuts     []cut
 	crashes  []time.Time       // of targets, by crashBody
 	crashing []standin.Arrival // of requests with that body
+	parts    partRecords
 	streams  []streamOutcome
 	faults   []string
 }
@@ -125,6 +127,7 @@
 	faults = append(faults, j.faults...)
 	faults = append(faults, j.checkCuts()...)
 	faults = append(faults, j.checkCrashes()...)
+	faults = append(faults, j.checkParts(ran)...)
 	faults = append(faults, j.checkStreams()...)
 	for _, o := range j.streams {
 		totals.addStream(o)
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -38,13 +38,14 @@
 	StarveTarget                    // a target's process gets starvedShare of the time
 	StarveDaemon                    // a daemon's process gets starvedShare of the time
 	CrashContent                    // a request that crashes its targets is sent again and again
+	CrashPart                       // requests with a part that crashes its targets are sent, no two alike
 )
 
 var kindNames = [...]string{
 	"kill daemon", "stop daemon", "pause daemon", "reload daemon", "cut store", "fail store",
 	"cut target", "spoil target", "kill target", "drain target", "publish",
 	"step clock", "reject all", "restart series", "cut links",
-	"stop target", "starve target", "starve daemon", "crash content",
+	"stop target", "starve target", "starve daemon", "crash content", "crash part",
 }
 
 // String returns the name of the kind in plans.
@@ -57,7 +58,7 @@
 	Kind Kind
 	On   int  // index of the daemon or target that it affects
 	Mode Mode // of the proxy, for CutStore and CutTarget
-	How  int  // variant, for FailStore, DegradeTarget, StepClock, RejectAll, CutLinks and CrashContent
+	How  int  // variant, for FailStore, DegradeTarget, StepClock, RejectAll, CutLinks, CrashContent and CrashPart
 }
 
 // String returns the event as one line.
--- a/bench/soak/planted_test.go
+++ b/bench/soak/planted_test.go
@@ -57,13 +57,21 @@
 			{"request/dispatch/peers.go", "return x.opts.Peers != nil &&", "return false &&"},
 		}, cutsOn(0, 1, 2), "without links", 0},
 		{"content that crashes targets is sent on", []edit{
-			{"request/dispatch/crash.go", "case verdict != quarantine.Convicted:", "case verdict >= 0:"},
+			{"request/dispatch/crash.go", "if ruling.Verdict != quarantine.Convicted {", "if ruling.Verdict >= 0 {"},
 		}, []Event{{For: plantedLength, Kind: CrashContent, How: int(Safe)}}, "a request that crashes its targets", 0},
 		{"what runs beside a crash is blamed", []edit{
-			{"request/dispatch/crash.go", "x.opts.Quarantine.End(x.content, target.ID)", "x.opts.Quarantine.Broken(x.content, target.ID)"},
+			{"request/dispatch/crash.go", "r.End()", "r.Broken()"},
 			{"request/quarantine/tolerant.go", "if explained {", "if explained = false; explained {"},
 			{"request/quarantine/tolerant.go", "	defer t.clearExplained(c, now)\n", ""},
 		}, []Event{{At: 2 * time.Second, For: plantedLength, Kind: CrashContent, How: int(Safe)}}, "harmless content", 0},
+		{"a part that crashes targets is sent on", []edit{
+			{"request/quarantine/causes.go", "return controlled || left >= uncontrolledCrashes", "return false"},
+		}, []Event{{At: time.Second, For: plantedLength, Kind: CrashPart}}, "requests with a part that crashes its targets", 0},
+		{"the first part is blamed for another one", []edit{
+			{"request/quarantine/causes.go", "return c.part > 0 && (other.part == 0 || c.part < other.part)", "return other.part > 0 && (c.part == 0 || other.part < c.part)"},
+			{"request/quarantine/causes.go", "return other.answered && !c.answered", "return false"},
+			{"request/quarantine/run.go", "r.t.ended.markCompleted(fp, r.began)\n\t\tr.t.clearCompleted(fp, r.began)", ""},
+		}, []Event{{At: time.Second, For: plantedLength, Kind: CrashPart}}, "harmless content", 0},
 		{"the store is given up after a failure", []edit{
 			{"process/topic/follower.go", "f.o.Sink.StoreLost(err)", "f.o.Sink.StoreLost(err); <-f.tomb.Dying()"},
 		}, append([]Event{{At: 0, For: 3 * time.Second, Kind: FailStore, How: storeReset}}, onAll(KillTarget, 0)...), "hasn't recovered", 0},
--- a/bench/soak/site_test.go
+++ b/bench/soak/site_test.go
@@ -27,7 +27,8 @@
 	removed    bool   // guarded by environment.mu
 	current    atomic.Pointer[standin.Target]
 	generation atomic.Int32
-	versions   int // number of software versions, which follow each other
+	dark       atomic.Bool // its target has ended, and the proxy has a mode for that
+	versions   int         // number of software versions, which follow each other
 	name       string
 	proxy      *Proxy
 	gate       gate
@@ -49,6 +50,8 @@
 	storeProxies []*Proxy     // to the store, one for each daemon
 	daemons      []*process
 
+	crashMode atomic.Int32 // Mode of the proxy of a target that a part has crashed; Pass: it refuses connections
+
 	mu            sync.Mutex
 	slots         []*targetSlot
 	configVersion int
@@ -167,7 +170,8 @@
 	t.Software = fmt.Sprint("v", int(generation)%slot.versions)
 	t.Set(func(b *standin.Behaviour) {
 		b.Events, b.Gap = events, 2*time.Millisecond
-		b.CrashBody, b.OnCrash = crashBody, func() { env.crashTarget(slot, t) }
+		b.CrashBody, b.CrashPart = crashBody, crashPart
+		b.OnCrash = func(part bool) { env.crashTarget(slot, t, part) }
 	})
 	slot.current.Store(t)
 	slot.targets = append(slot.targets, t)
@@ -349,6 +353,10 @@
 	if class == Stream {
 		prompt = "aa:800,bb:660"
 	}
+	return env.postPrompt(ctx, daemon, class, id, body, prompt)
+}
+
+func (env *environment) postPrompt(ctx context.Context, daemon int, class Class, id, body, prompt string) (resp *http.Response, text string, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+env.ip(daemon)+":17000"+classPaths[class], strings.NewReader(body))
 	if err != nil {
 		return nil, "", err
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -177,6 +177,7 @@
 	env.stopAll()
 	env.checkDuties()
 	env.collectCrashing()
+	t.Log(env.judge.PartSummary())
 	return env.judge.Verdict(env.runCounts())
 }
 
@@ -262,6 +263,8 @@
 		resume()
 	case StarveTarget:
 		env.starve(ctx, e, func() (resume func()) { return env.slots[e.On].gate.stop() })
+	case CrashPart:
+		env.sendParts(ctx, e)
 	case CrashContent:
 		env.sendCrashing(ctx, e)
 	case StarveDaemon:
--- a/port/target.go
+++ b/port/target.go
@@ -97,6 +97,9 @@
 	AddDispatchHeaders(h http.Header, m DispatchMeta)
 	// ParseResponse reads the metadata of a target's answer.
 	ParseResponse(status int, h http.Header) ResponseMeta
+	// ProbePath returns the path of a request that a target answers without running
+	// anything; empty if there is none. healthPath is that of its service.
+	ProbePath(engine bool, healthPath string) string
 	// SetAnswerHeaders sets the headers of an answer that the daemon itself
 	// produces: the request's id, and the time after which to retry (0: not
 	// stated).
--- a/request/dispatch/crash.go
+++ b/request/dispatch/crash.go
@@ -135,11 +135,20 @@
 		return
 	}
 	ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-	if e.Dialed || ended {
+	switch {
+	case x.running == nil:
+	case ended && time.Since(x.running.began) >= minRunTime:
+		x.running.accepted()
+	case e.Dialed || ended:
 		x.running.received()
 	}
 }
 
+// minRunTime is the least time after which the reset of a connection shows that the
+// target had accepted the request. A VM without the target's process, and what stands
+// before it, resets connections sooner.
+const minRunTime = 30 * time.Millisecond
+
 // failRun records the end of a failed run. A run that ends without an answer, or a
 // target that can't be reached, may mean that the target crashed.
 func (x *execution) failRun(f *sendFailure) {
--- a/request/dispatch/verify.go
+++ b/request/dispatch/verify.go
@@ -73,11 +73,15 @@
 // awaitCrash records a crash once it is certain that the target has ended: its VM
 // refuses connections. A target that has a successor, or that resets connections or
 // isn't reached, is presumed to have crashed if another target of its role answers
-// at that time. All of them may be behind the same fault otherwise.
+// at that time. All of them may be behind the same fault otherwise. So is an engine
+// that leaves two probes unanswered; a plain service that is full does so, too.
 func (x *execution) awaitCrash(target *port.TargetEntry, confirm func(quarantine.Evidence)) {
 	begin := time.Now()
 	for time.Since(begin) < maxVerifyTime {
 		state := x.probe(target)
+		if state == silent && target.Role != "" && x.probe(target) == silent {
+			state = gone
+		}
 		switch {
 		case state == alive || x.isLeaving(target):
 			return
@@ -89,7 +93,7 @@
 			return
 		case state == gone && time.Since(begin) < maxPresumeTime && !x.linksLost():
 			confirm(quarantine.Alone)
-			if x.otherAnswers(target) && x.probe(target) == gone {
+			if again := x.probe(target); x.otherAnswers(target) && (again == gone || again == silent) {
 				confirm(quarantine.Presumed)
 				return
 			}
@@ -104,30 +108,31 @@
 type targetState int
 
 const (
-	undecided targetState = iota // it accepts connections and doesn't answer
-	alive                        // it answers
-	refusing                     // its VM refuses connections
-	replaced                     // another target answers at its address
-	gone                         // it can't be reached, or resets connections
+	silent   targetState = iota // it accepts connections and doesn't answer
+	alive                       // it answers
+	refusing                    // its VM refuses connections
+	replaced                    // another target answers at its address
+	gone                        // it can't be reached, or resets connections
 )
 
-// probe asks a target for its health. The answer itself doesn't matter: a target
-// rejects the check while it is full or leaving. Without a path for it a target that
-// accepts a connection is taken for alive.
+// probe asks a target for a sign of life. The answer itself doesn't matter: a target
+// rejects a health check while it is full or leaving. Without a path for it a target
+// that accepts a connection is taken for alive.
 func (x *execution) probe(target *port.TargetEntry) targetState {
+	path := x.opts.Protocol.ProbePath(target.Role != "", x.call.Service.HealthPath)
 	err := x.opts.Pool.Probe(x.ctx, target.Addr)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return refusing
 	case err != nil:
 		return gone
-	case x.call.Service.HealthPath == "":
+	case path == "":
 		return alive
 	}
 	h := http.Header{}
 	x.opts.Protocol.AddDispatchHeaders(h, port.DispatchMeta{TargetID: target.ID, Timeout: probeTimeout, Priority: -1})
 	resp, err := x.opts.Pool.Do(x.ctx, &h1.Request{
-		Addr: target.Addr, Target: target.ID, Method: http.MethodGet, URI: x.call.Service.HealthPath, Host: target.Addr,
+		Addr: target.Addr, Target: target.ID, Method: http.MethodGet, URI: path, Host: target.Addr,
 		Header: h, Reuse: h1.ReuseNever, FirstByteTimeout: probeTimeout,
 	})
 	switch {
@@ -140,7 +145,7 @@
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
 		return gone
 	}
-	return undecided
+	return silent
 }
 
 // otherAnswers reports whether another target of the call's service and of the same
