quarantine, roster: parts are reported in few bytes

As a zone of 150 daemons fails with 40 streams of four parts each, a daemon received 1.9 MB a second: parts have several crashes at once, and only contents with a single one were bounded.

--- a/process/roster/convictions_test.go
+++ b/process/roster/convictions_test.go
@@ -145,3 +145,88 @@
 		}
 	})
 }
+
+// Guards against daemons that go on sending a part of a prompt that crashed targets of
+// others, in requests that are all different, in a fleet of any size and with lost
+// datagrams. A part that all these requests share with sound ones stays clear.
+func TestAllDaemonsLearnOfCrashingParts(t *testing.T) {
+	const crashes = 5
+	for _, size := range []int{2, 8, 60, 295} {
+		for _, loss := range []float64{0, 0.05} {
+			withLargeFleet(t, size, 3, func(t *testing.T, f *testFleet) {
+				f.net.SetLossRate(loss)
+				head, part := quarantine.Fingerprint{1}, quarantine.Fingerprint{2}
+				for i := range crashes {
+					vm := i * (size - 1) / (crashes - 1)
+					f.answer(head, (vm+1)%size, i)
+					target := fmt.Sprint("target ", i)
+					content := quarantine.Content{Service: "llm", Request: quarantine.Fingerprint{3, byte(i)}, Parts: []quarantine.Fingerprint{head, part}}
+					run := f.crashes[vm].BeginRun(content, target)
+					sleep(100 * time.Millisecond)
+					confirm := f.crashes[vm].Hold(target)
+					run.Broken()
+					confirm(quarantine.Certain)
+					sleep(50 * time.Millisecond)
+				}
+				f.answer(head, 0, crashes)
+				sleep(stableWindow)
+				convicted, sound := 0, 0
+				for i, tracker := range f.crashes {
+					next := quarantine.Content{Request: quarantine.Fingerprint{4, byte(i)}, Parts: []quarantine.Fingerprint{head, part}}
+					if r := tracker.CheckContent(next); r.Verdict == quarantine.Convicted && r.Fingerprint == part {
+						convicted++
+					}
+					next.Parts = next.Parts[:1]
+					if tracker.CheckContent(next).Verdict != quarantine.Convicted {
+						sound++
+					}
+				}
+				if convicted != size || sound != size {
+					t.Errorf("%d daemons, loss %v: %d refuse the part after %v, %d send sound requests", size, loss, convicted, stableWindow, sound)
+				}
+			})
+		}
+	}
+}
+
+// answer has a sound request with a part answered at a daemon.
+func (f *testFleet) answer(part quarantine.Fingerprint, vm, n int) {
+	content := quarantine.Content{Service: "llm", Request: quarantine.Fingerprint{5, byte(vm), byte(n)}, Parts: []quarantine.Fingerprint{part}}
+	run := f.crashes[vm].BeginRun(content, "another target")
+	run.Wrote()
+	run.End()
+}
+
+// Guards against traffic that grows with the parts of prompts when an availability
+// zone fails, with 40 streams of each daemon.
+func TestFailureOfAZoneWithPartsCostsLittleTraffic(t *testing.T) {
+	const (
+		size       = 150
+		span       = 5 * time.Second
+		narrowLink = 20e6 / 8 // bytes a second
+		maxShare   = 0.05
+	)
+	withLargeFleet(t, size, 3, func(t *testing.T, f *testFleet) {
+		before := f.received()
+		for vm, tracker := range f.crashes {
+			for i := range 40 {
+				content := quarantine.Content{Service: "llm", Request: quarantine.Fingerprint{byte(vm), byte(i), 1}}
+				for part := range 4 {
+					content.Parts = append(content.Parts, quarantine.Fingerprint{byte(i >> part), byte(part), 2})
+				}
+				target := fmt.Sprint("target", (vm+i)%100)
+				tracker.BeginRun(content, target)
+				tracker.Hold(target)(quarantine.Certain)
+			}
+		}
+		sleep(span)
+		most := 0
+		for vm, n := range f.received() {
+			most = max(most, (n-before[vm])/int(span/time.Second))
+		}
+		t.Logf("at most %d bytes a second", most)
+		if float64(most) > maxShare*narrowLink {
+			t.Errorf("a daemon receives %d bytes a second", most)
+		}
+	})
+}
--- a/request/quarantine/pending.go
+++ b/request/quarantine/pending.go
@@ -14,7 +14,8 @@
 	transmissions = 3
 	// maxPending bounds the changes that wait to be sent.
 	maxPending = 256
-	// maxSingles bounds the contents with a single crash in each message. Hundreds
+	// maxSingles bounds the crashes in each message of contents that aren't urgent, such
+	// as those with a single crash. Hundreds
 	// of daemons have many of them when an availability zone fails, and one daemon
 	// receives them all.
 	maxSingles = 8
@@ -66,12 +67,9 @@
 	}
 	suspects := countSuspects(changed)
 	slices.SortFunc(changed, func(a, b *content) int {
-		return cmp.Or(cmp.Compare(b.crashCount(), a.crashCount()), cmp.Compare(suspects[a.fp], suspects[b.fp]), b.lastCrash().Compare(a.lastCrash()))
+		return cmp.Or(compareUrgent(a, b), cmp.Compare(b.crashCount(), a.crashCount()), cmp.Compare(suspects[a.fp], suspects[b.fp]), b.lastCrash().Compare(a.lastCrash()))
 	})
-	single := slices.IndexFunc(changed, func(c *content) bool { return c.crashCount() <= 1 })
-	if single >= 0 {
-		changed = changed[:min(len(changed), single+maxSingles)]
-	}
+	changed = limitUpdates(changed)
 	changed = changed[:min(len(changed), maxContentUpdates)]
 	for _, c := range changed {
 		if t.pending[c.fp]--; t.pending[c.fp] <= 0 {
@@ -81,6 +79,37 @@
 	return changed
 }
 
+// isUrgent reports whether all daemons have to learn of a content soon. The parts of
+// the prompts of targets that end together may have many crashes and aren't.
+func (c *content) isUrgent() bool {
+	return c.convictions > 0 || c.crashCount() > 1 && (c.part == 0 || c.isSpread())
+}
+
+func compareUrgent(a, b *content) int {
+	switch {
+	case a.isUrgent() == b.isUrgent():
+		return 0
+	case a.isUrgent():
+		return -1
+	}
+	return 1
+}
+
+// limitUpdates returns the urgent contents, which come first, and so many of the others
+// that their updates don't exceed maxSingles.
+func limitUpdates(contents []*content) []*content {
+	updates := 0
+	for n, c := range contents {
+		if c.isUrgent() {
+			continue
+		}
+		if updates += len(c.crashes); updates > maxSingles && updates > len(c.crashes) {
+			return contents[:n]
+		}
+	}
+	return contents
+}
+
 // countSuspects returns the number of contents at the crash of each content that
 // the fewest of them share.
 func countSuspects(contents []*content) map[Fingerprint]int {
@@ -119,7 +148,7 @@
 	for fp, c := range t.contents {
 		if c.expiresAt().Before(now) {
 			delete(t.contents, fp)
-		} else if c.crashCount() > 1 || c.convictions > 0 && c.crashCount() > 0 {
+		} else if c.crashCount() > 0 && c.isUrgent() {
 			fps = append(fps, fp)
 		}
 	}
--- a/request/quarantine/tolerant.go
+++ b/request/quarantine/tolerant.go
@@ -131,8 +131,13 @@
 	return true
 }
 
+// fullTime is the time for which a part that has as many crashes as are kept gets no
+// others. Many daemons would report the end of many targets again and again.
+const fullTime = 30 * time.Second
+
 // makeRoom removes a dismissed crash if there are as many as are kept. It reports
-// false if the new one is dismissed too, which would replace one that counts.
+// false if the new one is dismissed too, which would replace one that counts, or if
+// it adds nothing.
 func (c *content) makeRoom(cr crash) bool {
 	if len(c.crashes) < keptCrashes {
 		return true
@@ -142,8 +147,9 @@
 	}
 	if i := slices.IndexFunc(c.crashes, func(old crash) bool { return old.dismissed }); i >= 0 {
 		c.crashes = slices.Delete(c.crashes, i, i+1)
+		return true
 	}
-	return true
+	return c.part == 0 || cr.at.Sub(c.crashes[0].at) >= fullTime
 }
 
 // evaluate convicts content with enough crashes since its last answer, and released
