quarantine, attempt, daemon: parts of prompts on the product's own protocol

The same cause: a chat's fingerprint is that of the whole prompt, so that a message that crashes engines is sent on in chats that are otherwise different.

The parts of a chat are its messages but the last; of a prompt without messages, prefixes by blocks, each twice as long as the one before. They are tracked by the same mechanism as on the platform, beside the claims of whole requests, and travel on the same heartbeats, told apart by the part's position.

--- a/process/daemon/crash_test.go
+++ b/process/daemon/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"strings"
@@ -142,3 +143,45 @@
 		}
 	}
 }
+
+// Guards against a message that crashes each engine that answers a chat with it and is
+// sent to engines again and again, in chats that are otherwise all different.
+func TestCrashingMessageLosesFewEngines(t *testing.T) {
+	const daemons, engines, rounds, maxLost = 2, 9, 12, 5
+	f := newFleet(t, daemons, settings.TLS{})
+	all := f.startCrashingEngines(engines)
+	f.waitForMembership()
+	chat := func(i, n int, system string) *caller.Answer {
+		c := caller.New(caller.Options{Daemons: []string{f.daemons[i].Listen().Callers}, SkipDiscovery: true, MaxAttempts: 3})
+		defer c.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		r := caller.Chat("m", "", 20)
+		body, err := json.Marshal(map[string]any{"model": "m", "max_tokens": 20, "stream": true, "messages": []map[string]string{
+			{"role": "system", "content": system}, {"role": "user", "content": fmt.Sprintf("question %d", n)},
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Body = body
+		a, _ := c.Do(ctx, r)
+		return a
+	}
+	last := code.OK
+	for n := range rounds {
+		if a := chat(n%daemons, n, "be brief"); !a.Complete {
+			t.Errorf("unrelated chat %d: code %d after %d attempts", n, a.Code, a.Attempts)
+		}
+		a := chat(n%daemons, rounds+n, "the "+marker)
+		last = a.Code
+		if a.Complete {
+			t.Fatal("the crashing message was answered")
+		}
+	}
+	if n := countUnreachable(all); n > maxLost {
+		t.Errorf("%d engines lost, at most %d allowed", n, maxLost)
+	}
+	if last != code.CrashConvicted {
+		t.Errorf("the last answer was %d, want %d", last, code.CrashConvicted)
+	}
+}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -71,7 +71,7 @@
 	demands demandCounters
 	burn    *burn.Tracker
 	once    *once.LogDeduplicator
-	crashes *quarantine.CrashTracker
+	crashes *quarantine.PartTracker
 	entry   *entry.Entry
 
 	links     *links.Tracker
--- a/process/daemon/parts.go
+++ b/process/daemon/parts.go
@@ -46,21 +46,25 @@
 	return snap.Services[service].Doc.Once.Window
 }
 
+// toleratedPartCrashes is the number of targets that a part of prompts may crash
+// before it is refused.
+const toleratedPartCrashes = 2
+
 // newCrashTracker returns the quarantine. A crash is reported to all live peers
 // immediately, before the caller has its answer and can send the request again.
-func (d *Daemon) newCrashTracker() *quarantine.CrashTracker {
+func (d *Daemon) newCrashTracker() *quarantine.PartTracker {
 	broadcaster := &quarantine.Broadcaster{
 		Self:   func() *peerpb.Member { return d.members.View().Self },
 		Addrs:  d.livePeers,
 		Client: d.dialer.Client,
 	}
-	var tracker *quarantine.CrashTracker
-	tracker = quarantine.New(quarantine.Options{
+	var tracker *quarantine.PartTracker
+	tracker = quarantine.NewPartTracker(quarantine.Options{
 		Self: d.self,
 		Broadcast: func(ctx context.Context, convictions []*peerpb.Conviction) {
 			broadcaster.Broadcast(ctx, convictions, tracker.Incoming)
 		},
-	})
+	}, toleratedPartCrashes)
 	return tracker
 }
 
--- a/request/attempt/run.go
+++ b/request/attempt/run.go
@@ -109,6 +109,7 @@
 			notReceived = func() { once.Do(func() { d.NotReceived(r.q.Fingerprint, t.Name) }) }
 		}
 	}
+	parts := r.beginParts(t.Name)
 	r.moveKV(ctx, d.KVSource, t.Name)
 	p := attemptPlan{
 		chosenAt:      r.chosenAt,
@@ -118,6 +119,7 @@
 	}
 	f, unpredicted := r.send(ctx, r.q, t, p, r.budget, r.recv)
 	r.unpredicted = unpredicted
+	parts.end(f)
 	if f != nil && mayHaveCrashed(f) {
 		vctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), verifyTimeout)
 		defer cancel()
@@ -238,6 +240,9 @@
 	if r.opts.Quarantine == nil || r.q.Fingerprint == (quarantine.Fingerprint{}) {
 		return nil
 	}
+	if err := r.checkParts(); err != nil {
+		return err
+	}
 	verdict, left := r.opts.Quarantine.Check(r.q.Fingerprint)
 	r.route.Exclusive = verdict == quarantine.Suspect
 	r.suspect = r.route.Exclusive || verdict == quarantine.SuspectShared
--- a/request/attempt/runner.go
+++ b/request/attempt/runner.go
@@ -86,6 +86,7 @@
 	Resumes     bool // the caller has the first tokens from an earlier request
 	Forwarded   bool // another daemon has forwarded the request and counted it for the budget
 	Fingerprint quarantine.Fingerprint
+	Parts       []quarantine.Fingerprint // of the prompt that other requests may share, in order
 }
 
 // reuse returns the connection reuse for the request. Calls that can't be
--- a/request/dispatch/crash.go
+++ b/request/dispatch/crash.go
@@ -29,10 +29,6 @@
 // are asked to retry.
 const maxQuarantineRetry = 10 * time.Minute
 
-// maxTrackedParts bounds the parts of a prompt that are tracked. Callers choose how
-// many they state.
-const maxTrackedParts = 16
-
 // content returns what may crash the targets of a call: the call as a whole and the
 // parts that its prompt may share with others, which are all but the last one.
 func (r *Runner) content(c *Call) quarantine.Content {
@@ -42,7 +38,7 @@
 	request := quarantine.Request{Caller: c.Organisation, Scope: c.Host, Method: c.Method, Path: c.URI, Body: c.Body}
 	out := quarantine.Content{Service: c.Service.Name, Request: request.Fingerprint()}
 	parts := c.Meta.PromptParts
-	for _, part := range parts[:min(max(len(parts)-1, 0), maxTrackedParts)] {
+	for _, part := range parts[:min(max(len(parts)-1, 0), quarantine.MaxParts)] {
 		p := quarantine.Part{Caller: c.Organisation, Service: c.Service.Name, ID: part.ID}
 		out.Parts = append(out.Parts, p.Fingerprint())
 	}
--- a/request/entry/model.go
+++ b/request/entry/model.go
@@ -196,9 +196,23 @@
 		ToEngine:    true,
 		Resumes:     c.firstToken() > 0,
 		Fingerprint: fingerprint(c.params.org, c.body.Model, c.prompt),
+		Parts:       c.parts(),
 	}
 }
 
+// parts returns the parts of the prompt that other requests may share: the messages of
+// a chat but the last, or prefixes of the prompt.
+func (c *modelCall) parts() []quarantine.Fingerprint {
+	if len(c.body.Messages) == 0 {
+		return quarantine.PrefixesOf(c.params.org, c.body.Model, prefix.Blocks(c.prompt))
+	}
+	var parts []string
+	for _, m := range c.body.Messages[:len(c.body.Messages)-1] {
+		parts = append(parts, m.Role+": "+m.Content)
+	}
+	return quarantine.PartsOf(c.params.org, c.body.Model, parts)
+}
+
 // fingerprint identifies a request's content independently of its id and
 // idempotency key.
 func fingerprint(org, model, prompt string) quarantine.Fingerprint {
--- a/request/quarantine/run.go
+++ b/request/quarantine/run.go
@@ -61,7 +61,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := &Run{t: t, content: content, target: target, began: t.tick()}
-	t.begin(content.Request, target, inFlightRun{began: r.began})
+	if content.Request != (Fingerprint{}) {
+		t.begin(content.Request, target, inFlightRun{began: r.began})
+	}
 	for i, fp := range content.Parts {
 		t.begin(fp, target, inFlightRun{run: r, part: i + 1, began: r.began})
 	}
@@ -94,8 +96,10 @@
 		r.clearParts()
 	}
 	r.leave(now, false)
-	r.t.ended.markCompleted(r.content.Request, r.began)
-	r.t.clearCompleted(r.content.Request, r.began)
+	if r.content.Request != (Fingerprint{}) {
+		r.t.ended.markCompleted(r.content.Request, r.began)
+		r.t.clearCompleted(r.content.Request, r.began)
+	}
 }
 
 // Broken ends the run. The content wasn't answered, which is no sign that it is
