quarantine: a part waits for reports of others, however many crashes it has

From a test of two processes: the first part of all prompts was refused together with the cause. Reports of one crash arrive one by one, and the broader part's came first; from five crashes on nothing waited for the other.

Convictions that come from another daemon are logged.

--- a/request/quarantine/tolerant.go
+++ b/request/quarantine/tolerant.go
@@ -166,7 +166,7 @@
 	}
 	few := c.crashCount() < maxCrashes
 	twin = twin && few
-	if few && (similar || t.mayBeAnswered(c)) && c.undecidedSince.IsZero() {
+	if (few || c.part > 0) && (similar || t.mayBeAnswered(c)) && c.undecidedSince.IsZero() {
 		c.undecidedSince = now
 	}
 	switch {
--- a/request/quarantine/updates.go
+++ b/request/quarantine/updates.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/pomelospool/pomelospool/peer/peerpb"
 )
 
@@ -157,6 +159,9 @@
 	if now.Add(ttl).After(c.convictedUntil.Add(maxUpdateDelay)) {
 		c.refuseFor(now, ttl)
 		changed = true
+		log.WithFields(log.Fields{
+			"fingerprint": c.fp.String(), "part": c.part, "target": u.Target, "for_ms": ttl.Milliseconds(),
+		}).Info("quarantine: conviction received")
 	}
 	if t.addCrash(c, crash{target: u.Target, began: now, at: now}) || changed {
 		t.relay(c)
