quarantine: contents with few crashes aren't compared with all others

Each crash evaluated up to 256 contents, and each of these went through all known ones before its own crashes were counted. Verdicts stay as they are; the comments of the change use the terms of the field.

--- a/request/dispatch/crash.go
+++ b/request/dispatch/crash.go
@@ -124,7 +124,7 @@
 
 // recordReceipt records whether the target received a request that wasn't answered.
 // It did if it ended the connection, or if the connection was new. A target that
-// fell silent before can't be told from one that did so later by other connections.
+// was unreachable before looks the same on a kept connection as one that crashes now.
 func (x *execution) recordReceipt(err error) {
 	var e *h1.Error
 	if !errors.As(err, &e) || !e.Written || e.Unacknowledged {
--- a/request/dispatch/verify.go
+++ b/request/dispatch/verify.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// verifyInterval is the interval between two attempts to tell a crash from a
-	// cut, and maxVerifyTime the time until the attempts end.
+	// verifyInterval is the interval between two attempts to distinguish a crash from
+	// a cut, and maxVerifyTime the time until the attempts end.
 	verifyInterval = 250 * time.Millisecond
 	maxVerifyTime  = 10 * time.Second
 	// maxPresumeTime is the time in which a target that neither refuses connections
@@ -60,7 +60,7 @@
 )
 
 // verifyIfOverdue verifies the target if the first event is overdue and nothing else
-// has been received from it lately. Its VM may have fallen silent.
+// has been received from it recently. Its VM may be unreachable.
 func (x *execution) verifyIfOverdue(target *port.TargetEntry, predicted time.Duration) *time.Timer {
 	limit := max(firstEventFactor*predicted, minOverdue)
 	return time.AfterFunc(limit, func() {
--- a/request/quarantine/causes.go
+++ b/request/quarantine/causes.go
@@ -31,6 +31,9 @@
 // isSuspicious reports whether the crashes of a content that wasn't convicted yet
 // suffice for a conviction.
 func (t *CrashTracker) isSuspicious(c *content, now time.Time) bool {
+	if c.crashCount() <= t.o.ToleratedCrashes {
+		return false
+	}
 	explained := 0
 	if c.part > 0 || c.answered {
 		explained = t.explainedCrashes(c, now)
@@ -39,7 +42,7 @@
 	if c.part == 0 {
 		return c.certainCrashes()-explained > t.o.ToleratedCrashes || left > t.o.ToleratedCrashes && c.isSpread()
 	}
-	if c.crashCount() <= t.o.ToleratedCrashes || !c.isSpread() {
+	if !c.isSpread() {
 		return false
 	}
 	controlled := t.isControlled(c)
@@ -179,7 +182,7 @@
 }
 
 // isLikelierThan reports whether other was answered before and this content never
-// was. It tells parts of prompts apart, which many requests share; a request that
+// was. It compares parts of prompts, which many requests share; a request that
 // was answered may still begin to crash its targets.
 func (c *content) isLikelierThan(other *content) bool {
 	return other.answered && !c.answered && (c.part > 0 || other.part > 0)
