dispatch, attempt, forward: log lines name each send's connection and answer

What callers saw: nothing; the log couldn't tell by which answer, on which connection, a send counted as not run. 'request ended' and 'send failed' now have, for each send, this end of the connection, the number of requests that it had carried, the bytes written, strays, and the answer's status, id and marks. Forwarded requests and attempts on the product's own protocol have the same.

--- a/connection/h1/exchange.go
+++ b/connection/h1/exchange.go
@@ -55,10 +55,31 @@
 	Header http.Header
 	Framed bool // the body's end is marked by its length or chunks; otherwise the close of the connection ends it
 	Body   io.Reader
+	Use    ConnUse
 
 	x *exchange
 }
 
+// ConnUse describes for log lines how an exchange used its connection.
+type ConnUse struct {
+	Local   string // address of this end of the connection; empty if none was opened
+	Earlier int    // requests that the connection carried before
+	Written int    // bytes of the request that the kernel has accepted
+	Strays  int    // responses to other requests that were discarded
+}
+
+// String describes the use for a log line.
+func (u ConnUse) String() string {
+	if u.Local == "" {
+		return "no connection"
+	}
+	text := fmt.Sprintf("via %s after %d, %d bytes", u.Local, u.Earlier, u.Written)
+	if u.Strays > 0 {
+		text += fmt.Sprintf(", %d strays", u.Strays)
+	}
+	return text
+}
+
 // Error is the error of a failed exchange.
 type Error struct {
 	Err     error
@@ -70,6 +91,7 @@
 	// Dialed reports that the connection was opened for the request, so that the
 	// target's kernel lived after the request had begun.
 	Dialed bool
+	Use    ConnUse
 }
 
 // Error returns the message of the cause.
@@ -91,7 +113,8 @@
 	resp      *http.Response
 	bodyEnded atomic.Bool // the body was read to EOF
 	closeOnce sync.Once
-	stray     bool // a response to another request arrived
+	written   atomic.Int64 // bytes of the request that the kernel has accepted
+	strays    int          // responses to other requests that arrived
 	giveUp    sync.Once
 	unacked   int // bytes that were unacknowledged when the exchange was given up
 }
@@ -121,6 +144,7 @@
 	}
 	x := &exchange{pool: p, req: r, conn: c, ctx: ctx, watchdog: wd, cancel: cancel, writeDone: make(chan writeResult, 1)}
 	x.stop = context.AfterFunc(ctx, x.closeConn)
+	c.requests++
 	x.write()
 	resp, err := x.read()
 	if err != nil {
@@ -142,6 +166,7 @@
 	all := append(encodeHead(x.req), x.req.Body...)
 	send := func() {
 		n, err := x.conn.Write(all)
+		x.written.Store(int64(n))
 		x.writeDone <- writeResult{bytes: n, err: err}
 	}
 	if len(x.req.Body) <= inlineBody {
@@ -179,7 +204,7 @@
 // request twice would otherwise have its second response delivered to the next
 // caller on the connection. A connection with a stray response isn't reused.
 func (x *exchange) read() (*Response, error) {
-	r, strays := x.req, 0
+	r := x.req
 	x.conn.head.begin()
 	for {
 		x.conn.head.body = false
@@ -192,10 +217,9 @@
 			continue
 		}
 		if r.Matches != nil && !r.Matches(resp.StatusCode, resp.Header) {
-			strays++
+			x.strays++
 			counts.Add("strays", 1)
-			x.stray = true
-			if err := discard(resp); err != nil || strays > maxStrays {
+			if err := discard(resp); err != nil || x.strays > maxStrays {
 				return nil, errStray
 			}
 			continue
@@ -205,6 +229,7 @@
 			Status: resp.StatusCode,
 			Header: resp.Header,
 			Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+			Use:    x.use(),
 			x:      x,
 		}
 		out.Body = &body{x: x, src: resp.Body}
@@ -212,6 +237,11 @@
 	}
 }
 
+// use describes the use of the connection so far.
+func (x *exchange) use() ConnUse {
+	return ConnUse{Local: x.conn.local, Earlier: x.conn.requests - 1, Written: int(x.written.Load()), Strays: x.strays}
+}
+
 // discard reads a framed response to its end. It fails if the response isn't
 // framed or is too large.
 func discard(resp *http.Response) error {
@@ -271,7 +301,7 @@
 			fullyWritten = w.err == nil
 		default:
 		}
-		clean := !x.stray && x.bodyEnded.Load() && r.Framed && x.conn.reader.Buffered() == 0
+		clean := x.strays == 0 && x.bodyEnded.Load() && r.Framed && x.conn.reader.Buffered() == 0
 		if alive && fullyWritten && clean && !x.resp.Close && x.req.Reuse != ReuseNever {
 			x.pool.putIdle(x.conn, keepAlive)
 			return
@@ -293,7 +323,7 @@
 	x.release()
 	x.closeConn()
 	w := <-x.writeDone
-	return &Error{Err: err, Written: w.bytes > 0, Unacknowledged: w.bytes > 0 && x.unacked >= w.bytes, Dialed: x.conn.lastUsed.IsZero()}
+	return &Error{Err: err, Written: w.bytes > 0, Unacknowledged: w.bytes > 0 && x.unacked >= w.bytes, Dialed: x.conn.lastUsed.IsZero(), Use: x.use()}
 }
 
 // closeConn closes the connection. If bytes are unacknowledged, it resets the
--- a/connection/h1/pool.go
+++ b/connection/h1/pool.go
@@ -68,6 +68,8 @@
 type conn struct {
 	net.Conn
 	key         string
+	local       string      // address of this end, for log lines
+	requests    int         // that it has carried
 	head        *headReader // source of reader
 	reader      *bufio.Reader
 	dialed      time.Time
@@ -118,7 +120,7 @@
 		return nil, fmt.Errorf("h1: %w: %w", ErrConnect, err)
 	}
 	head := &headReader{src: raw}
-	return &conn{Conn: raw, key: key, head: head, reader: bufio.NewReader(head), dialed: dialed}, nil
+	return &conn{Conn: raw, key: key, local: raw.LocalAddr().String(), head: head, reader: bufio.NewReader(head), dialed: dialed}, nil
 }
 
 // Probe connects to an address and closes the connection.
--- a/request/attempt/attempt.go
+++ b/request/attempt/attempt.go
@@ -16,7 +16,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/pomelospool/pomelospool/connection/h1"
+	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/failure"
 	"github.com/pomelospool/pomelospool/request/routing"
@@ -97,6 +100,7 @@
 	req.FirstByteTimeout, req.ReadTimeout = p.headerTimeout, r.opts.ReadTimeout
 	counted := call.Begin(t.Addr)
 	resp, err := r.opts.Pool.Send(ctx, req)
+	logExchange(q.ID, t.Name, id, resp, err)
 	if err != nil {
 		f := r.sendFailure(ctx, t, err, p.notReceived)
 		counted.Failed(f.Unwritten, f.Settled())
@@ -121,6 +125,25 @@
 	return f, false
 }
 
+// logExchange logs one send: its connection and the answer that decides its outcome.
+func logExchange(request, target, id string, resp *h1.Response, err error) {
+	fields := log.Fields{"request": request, "target": target, "attempt": id}
+	var he *h1.Error
+	switch {
+	case resp != nil:
+		got := resp.Header.Get(HeaderID)
+		fields["exchange"], fields["status"], fields["named"] = resp.Use.String(), resp.Status, got == id
+		fields["not_run"] = resp.Header.Get(answer.HeaderNotRun)
+	case errors.As(err, &he):
+		fields["exchange"] = he.Use.String()
+	}
+	if resp != nil && resp.Status < http.StatusBadRequest {
+		log.WithFields(fields).Debug("attempt: answered")
+		return
+	}
+	log.WithFields(fields).Info("attempt: rejected or not answered")
+}
+
 func (r *Runner) reportStall(f *failure.Failure, t routing.Target) {
 	if f.Class == failure.Stalled {
 		r.opts.Pool.ReportStall(t.Addr)
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -204,6 +204,7 @@
 	Software          []string      // software versions of these targets
 	OriginSource      origin.Source // how the origin of a stream that the call takes up was found
 	Causes            []string      // one for each failed send
+	Exchanges         []Exchange    // one for each send
 	PredictedFirst    time.Duration // time to the first event, predicted at admission
 	PredictedDuration time.Duration // from the start of decoding to the last event, predicted from the stated output
 	Prefill           Prefill       // of the last prefill
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -43,6 +43,7 @@
 	counted := x.budget.Begin(s.target.Addr)
 	resp, err := x.opts.Pool.Do(ctx, x.request(s))
 	if err != nil {
+		x.recordExchange(s, nil, port.ResponseMeta{}, err)
 		f := failure.ClassifySend(ctx, s.target.ID, err)
 		x.recordReceipt(err)
 		counted.Failed(f.Unwritten, f.Settled())
@@ -51,7 +52,9 @@
 	counted.Answered()
 	x.running.accepted()
 	x.recordReached(s.target.ID)
-	return resp, x.opts.Protocol.ParseResponse(resp.Status, resp.Header), nil
+	v := x.opts.Protocol.ParseResponse(resp.Status, resp.Header)
+	x.recordExchange(s, resp, v, nil)
+	return resp, v, nil
 }
 
 func (x *execution) request(s outgoing) *h1.Request {
@@ -147,7 +150,7 @@
 		x.markStarted(0)
 	}
 	x.recordHealth(f)
-	log.WithFields(log.Fields{
+	log.WithFields(x.lastExchange()).WithFields(log.Fields{
 		"request": x.call.Meta.RequestID, "target": f.Target, "software": x.sendingTo, "class": f.Class.String(), "cause": f.Cause(),
 		"send": x.trace.Sends, "left_ms": time.Until(x.call.Deadline).Milliseconds(), "content": x.content.Request.String(), "parts": quarantine.Join(x.content.Parts),
 	}).Info("dispatch: send failed")
--- a/request/forward/http.go
+++ b/request/forward/http.go
@@ -6,6 +6,8 @@
 	"maps"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/pomelospool/pomelospool/connection/h1"
 )
 
@@ -28,14 +30,24 @@
 	got, err := t.pool.Do(ctx, &h1.Request{Addr: p.Addr, Target: p.VM, Method: r.Method, URI: r.URI, Host: r.Host, Header: h, Body: r.Body, Reuse: h1.ReuseRecent})
 	if err != nil {
 		var he *h1.Error
-		return nil, errors.As(err, &he) && !he.Written, err
+		unsent := errors.As(err, &he) && !he.Written
+		if he != nil {
+			logExchange(p, r, he.Use, log.Fields{"unsent": unsent})
+		}
+		return nil, unsent, err
 	}
+	logExchange(p, r, got.Use, log.Fields{"status": got.Status, "result": got.Header.Get(headerResult)})
 	return &Response{
 		Status: got.Status, Header: got.Header, Body: got.Body, VM: p.VM, Refusal: resultOf(got.Header, p.VM),
 		Close: func() { got.Close(0) },
 	}, false, nil
 }
 
+// logExchange logs one send to a daemon: its connection and its outcome.
+func logExchange(p Peer, r *Request, use h1.ConnUse, outcome log.Fields) {
+	log.WithFields(outcome).WithFields(log.Fields{"request": r.ID, "peer": p.VM, "exchange": use.String()}).Info("forward: exchange")
+}
+
 // Trim implements Transport.
 func (t *HTTP) Trim() { t.pool.Retain(func(string) bool { return true }) }
 
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -372,6 +372,9 @@
 	if q := x.trace.Quarantined; q != nil {
 		fields["quarantined"], fields["quarantined_part"] = q.Fingerprint.String(), q.Part
 	}
+	if len(x.trace.Exchanges) > 0 {
+		fields["exchanges"] = x.trace.ExchangeList()
+	}
 	if len(x.trace.Causes) > 0 {
 		fields["causes"] = strings.Join(x.trace.Causes, "; ")
 	}
