dispatch, soak: failing tests of answers that targets repeat

What callers saw: a request that was refused with 503 ran, and requests that may run once ran twice (users' report, no record). The stand-in repeats an answer late, on a connection that stays open, with or without the request id, and rejects chosen requests. The soak's judge holds each request that may run once against TWICE; streams of its route may not be resumed, and it let them run twice.

--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -17,7 +17,7 @@
 const (
 	Unsafe Class = iota // not idempotent: runs at most once
 	Safe                // idempotent: may run more than once
-	Stream              // answered by a stream of events; may run more than once
+	Stream              // answered by a stream of events that may not be resumed: runs at most once
 )
 
 var classNames = [...]string{"unsafe", "safe", "stream"}
@@ -160,7 +160,7 @@
 
 // check returns the violations that the outcome of one request shows.
 func (j *Judge) check(o Outcome, runs int) (faults []string) {
-	if o.Class == Unsafe && runs > 1 {
+	if o.Class != Safe && runs > 1 {
 		faults = append(faults, "ran twice")
 	}
 	if o.Complete && o.NotRun && runs > 0 {
--- a/bench/soak/judge_test.go
+++ b/bench/soak/judge_test.go
@@ -21,6 +21,7 @@
 	}{
 		{"good", func(*Outcome) {}, 1, ""},
 		{"twice", func(*Outcome) {}, 2, "ran twice"},
+		{"stream twice", func(o *Outcome) { o.Class = Stream }, 2, "ran twice"},
 		{"safe twice", func(o *Outcome) { o.Class = Safe }, 2, ""},
 		{"refused", func(o *Outcome) { o.Status, o.NotRun = 503, true }, 0, ""},
 		{"refused and run", func(o *Outcome) { o.Status, o.NotRun = 503, true }, 1, "reported as not run"},
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -33,19 +33,20 @@
 
 // The kinds that have plans of their own.
 const (
-	CutLinks     = kindCount + iota // a daemon loses its links to all targets
-	StopTarget                      // a target's process is stopped; it continues at the end
-	StarveTarget                    // a target's process gets starvedShare of the time
-	StarveDaemon                    // a daemon's process gets starvedShare of the time
-	CrashContent                    // a request that crashes its targets is sent again and again
-	CrashPart                       // requests with a part that crashes its targets are sent, no two alike
+	CutLinks      = kindCount + iota // a daemon loses its links to all targets
+	StopTarget                       // a target's process is stopped; it continues at the end
+	StarveTarget                     // a target's process gets starvedShare of the time
+	StarveDaemon                     // a daemon's process gets starvedShare of the time
+	CrashContent                     // a request that crashes its targets is sent again and again
+	CrashPart                        // requests with a part that crashes its targets are sent, no two alike
+	RepeatAnswers                    // targets reject some requests and send answers once more, late
 )
 
 var kindNames = [...]string{
 	"kill daemon", "stop daemon", "pause daemon", "reload daemon", "cut store", "fail store",
 	"cut target", "spoil target", "kill target", "drain target", "publish",
 	"step clock", "reject all", "restart series", "cut links",
-	"stop target", "starve target", "starve daemon", "crash content", "crash part",
+	"stop target", "starve target", "starve daemon", "crash content", "crash part", "repeat answers",
 }
 
 // String returns the name of the kind in plans.
@@ -58,7 +59,7 @@
 	Kind Kind
 	On   int  // index of the daemon or target that it affects
 	Mode Mode // of the proxy, for CutStore and CutTarget
-	How  int  // variant, for FailStore, DegradeTarget, StepClock, RejectAll, CutLinks, CrashContent and CrashPart
+	How  int  // variant, for FailStore, DegradeTarget, StepClock, RejectAll, CutLinks, CrashContent, CrashPart and RepeatAnswers
 }
 
 // String returns the event as one line.
@@ -82,6 +83,8 @@
 	Parts bool
 	// Versions is the number of software versions of the targets; 0: one.
 	Versions int
+	// Copies adds targets that repeat answers to the plan.
+	Copies bool
 }
 
 const (
@@ -136,6 +139,9 @@
 	if s.Parts {
 		out = append(out, partPlan(seed, s))
 	}
+	if s.Copies {
+		out = append(out, copyPlan(seed, s))
+	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
--- a/bench/soak/site_test.go
+++ b/bench/soak/site_test.go
@@ -54,6 +54,7 @@
 
 	mu            sync.Mutex
 	slots         []*targetSlot
+	changed       func(*standin.Behaviour) // of all targets; nil: nothing
 	configVersion int
 
 	cancel     context.CancelFunc // stops the background goroutines
@@ -148,7 +149,7 @@
 	slot := &targetSlot{stage: firstStage(i), name: fmt.Sprintf("i-%d", i), versions: max(versions, 1)}
 	slot.generation.Store(int32(i / 4))
 	l := &gatedListener{listen(env.t), &slot.gate}
-	slot.srv = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) { slot.current.Load().ServeHTTP(rw, req) })}
+	slot.srv = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) { slot.current.Load().ServeHTTP(rw, req) }), ConnContext: standin.ConnContext}
 	go func() { _ = slot.srv.Serve(l) }()
 	var err error
 	if slot.proxy, err = NewProxy("127.0.0.1:0", l.Addr().String()); err != nil {
@@ -174,6 +175,9 @@
 		b.CrashBody, b.CrashPart = crashBody, crashPart
 		b.OnCrash = func(part bool) { env.crashTarget(slot, t, part) }
 	})
+	if env.changed != nil {
+		t.Set(env.changed)
+	}
 	slot.current.Store(t)
 	slot.targets = append(slot.targets, t)
 	slot.leaving, slot.removed = false, false
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -152,7 +152,7 @@
 
 // runTrial runs a trial and returns the violations.
 func runTrial(t *testing.T, tr trial) ([]string, Totals) {
-	env := newEnvironment(t, tr.seed, tr.program, Size{Daemons: tr.daemons, Targets: max(*targets, tr.targets), Versions: tr.versions}, cmp.Or(tr.budget, retryBudget))
+	env := newEnvironment(t, tr.seed, tr.program, Size{Daemons: tr.daemons, Targets: cmp.Or(tr.targets, *targets), Versions: tr.versions}, cmp.Or(tr.budget, retryBudget))
 	defer env.close()
 	for i := range env.daemons {
 		if !eventually(recoveryLimit, func() bool { return env.ready(i) }) {
@@ -264,6 +264,8 @@
 		resume()
 	case StarveTarget:
 		env.starve(ctx, e, func() (resume func()) { return env.slots[e.On].gate.stop() })
+	case RepeatAnswers:
+		env.repeatAnswers(e, waitEnd)
 	case CrashPart:
 		env.sendParts(ctx, e)
 	case CrashContent:
--- a/internal/pipenet/pipenet.go
+++ b/internal/pipenet/pipenet.go
@@ -20,9 +20,17 @@
 	refusals   map[string]int // further connections that are refused, by address
 }
 
+// connContexter is implemented by handlers that need the connection of a request.
+type connContexter interface {
+	ConnContext(context.Context, net.Conn) context.Context
+}
+
 // Serve serves HTTP requests at an address until Close or Stop is called.
 func (n *Net) Serve(addr string, h http.Handler) {
 	l, srv := n.Listen(addr), &http.Server{Handler: h}
+	if c, ok := h.(connContexter); ok {
+		srv.ConnContext = c.ConnContext
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.servers = append(n.servers, srv)
--- /dev/null
+++ b/request/dispatch/copies_test.go
@@ -0,0 +1,118 @@
+package dispatch
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/pause"
+	"github.com/pomelospool/pomelospool/platform/standin"
+	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/version/route"
+)
+
+// newNamedCall is newCall with a request id.
+func (h *harness) newNamedCall(kind route.Kind, id string) *Call {
+	c := h.newCall(kind, 3, 3*time.Second)
+	c.Meta.RequestID = id
+	c.Header.Set("X-Pomelospool-Request-Id", id)
+	return c
+}
+
+// execute runs a call of either kind.
+func (h *harness) execute(c *Call) (status int, err error) {
+	if c.Route.Kind == route.Stream {
+		out := &recorder{}
+		_, err = h.runner.Streamed(h.t.Context(), c, out)
+		return out.status, err
+	}
+	a, _, err := h.runner.Plain(h.t.Context(), c)
+	if a != nil {
+		status = a.Status
+	}
+	return status, err
+}
+
+// runsOf returns how often the targets ran each request.
+func runsOf(targets []*standin.Target) map[string]int {
+	out := make(map[string]int)
+	for _, t := range targets {
+		for _, id := range t.Ran() {
+			out[id]++
+		}
+	}
+	return out
+}
+
+func isRejection(status int) bool { return status == http.StatusServiceUnavailable }
+
+// copyCases are targets that send answers once more, late. Each request may run once
+// unless it is safe.
+var copyCases = map[string]struct {
+	kind   route.Kind
+	count  int // of the targets that run requests
+	copies standin.Copies
+}{
+	"unsafe, one target":                 {kind: route.Unsafe, count: 1, copies: standin.Copies{Times: 2}},
+	"unsafe, two targets":                {kind: route.Unsafe, count: 2},
+	"unsafe, three targets":              {kind: route.Unsafe, count: 3},
+	"unsafe, two targets, late":          {kind: route.Unsafe, count: 2, copies: standin.Copies{After: 2}},
+	"unsafe, two targets, without id":    {kind: route.Unsafe, count: 2, copies: standin.Copies{Unnamed: true}},
+	"stream, one decoder":                {kind: route.Stream, count: 1, copies: standin.Copies{Times: 2}},
+	"stream, two decoders":               {kind: route.Stream, count: 2},
+	"stream, two decoders, late":         {kind: route.Stream, count: 2, copies: standin.Copies{After: 2}},
+	"stream, one decoder, without id":    {kind: route.Stream, count: 1, copies: standin.Copies{Unnamed: true, Times: 2}},
+	"stream, two decoders, without id":   {kind: route.Stream, count: 2, copies: standin.Copies{Unnamed: true, After: 2}},
+	"safe, one target":                   {kind: route.Safe, count: 1, copies: standin.Copies{Times: 2}},
+	"safe, two targets, late without id": {kind: route.Safe, count: 2, copies: standin.Copies{Unnamed: true, After: 2}},
+}
+
+// Guards against a late copy of a rejection that is taken for the answer to another
+// send, so that a request is refused though it runs, or runs at a second target.
+func TestRepeatedRejectionsAreNoAnswers(t *testing.T) {
+	for name, tc := range copyCases {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, 1000, func(t *testing.T, h *harness) {
+				const requests = 20
+				tc.copies.Of = isRejection
+				var targets []*standin.Target
+				service, role := "app", port.Role("")
+				if tc.kind == route.Stream {
+					h.addTarget("llm", port.RolePrefill)
+					service, role = "llm", port.RoleDecode
+				}
+				for range tc.count {
+					target := h.addTarget(service, role)
+					target.Set(func(b *standin.Behaviour) {
+						b.Shed = func(n int) bool { return n == 1 }
+						b.Copies = &tc.copies
+						b.Gap = time.Millisecond
+					})
+					targets = append(targets, target)
+				}
+				refused := make(map[string]bool)
+				for i := range requests {
+					id := fmt.Sprint("r", i)
+					_, err := h.execute(h.newNamedCall(tc.kind, id))
+					refused[id] = err != nil && code.Of(err).Info().NotRun
+				}
+				h.runner.opts.Pool.Close()
+				_ = pause.For(t.Context(), time.Second) // runs that go on
+				untrue, twice := 0, 0
+				for id, n := range runsOf(targets) {
+					if refused[id] {
+						untrue++
+					}
+					if n > 1 && tc.kind != route.Safe {
+						twice++
+					}
+				}
+				if untrue+twice > 0 {
+					t.Errorf("of %d requests %d were refused though they ran, %d ran twice", requests, untrue, twice)
+				}
+			})
+		})
+	}
+}
