soak, daemon: addresses and ports of one test aren't another's

Suspected, not shown by a run: all packages share 127.0.0.1, where a crashed engine's port goes to the next listener, and daemons of a fleet shared a port that the system could assign to another fleet meanwhile. The soak's targets, proxies and stores now listen at the trial's own addresses, the shared port lies below the system's range, and a failed start is reported. The soak also counts the connections that targets accept.

--- a/bench/soak/crash_test.go
+++ b/bench/soak/crash_test.go
@@ -118,7 +118,11 @@
 // Guards against a trial whose targets get the requests of another one, since they
 // listen at the port of a target that has crashed there.
 func TestCrashedTargetKeepsItsPort(t *testing.T) {
-	backend := listen(t).Addr().String()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	backend := l.Addr().String()
 	p, err := NewProxy("127.0.0.1:0", backend)
 	if err != nil {
 		t.Fatal(err)
--- a/bench/soak/site_test.go
+++ b/bench/soak/site_test.go
@@ -50,6 +50,8 @@
 	storeProxies []*Proxy     // to the store, one for each daemon
 	daemons      []*process
 
+	connections atomic.Int64 // that targets accepted
+
 	crashMode atomic.Int32 // Mode of the proxy of a target that a part has crashed; Pass: it refuses connections
 
 	mu            sync.Mutex
@@ -82,7 +84,7 @@
 	env.cancel = cancel
 	env.background.Go(func() { env.announceAll(ctx) })
 	for i := range s.Daemons {
-		proxy, err := NewProxy("127.0.0.1:0", storeAddr)
+		proxy, err := NewProxy(env.anyPort(), storeAddr)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -126,18 +128,22 @@
 
 // startServer starts a server on a free port and returns its address.
 func (env *environment) startServer(h http.Handler, srv **http.Server) string {
-	l := listen(env.t)
+	l := env.listen()
 	*srv = &http.Server{Handler: h}
 	go func() { _ = (*srv).Serve(l) }()
 	return l.Addr().String()
 }
 
+// anyPort is an address with a free port for the store, the cloud, the targets and their
+// proxies. No other test sends requests to it, also not to a port that was its own.
+func (env *environment) anyPort() string { return env.addrPrefix + ".200:0" }
+
 // listen listens on a free port.
-func listen(t *testing.T) net.Listener {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func (env *environment) listen() net.Listener {
+	env.t.Helper()
+	l, err := net.Listen("tcp", env.anyPort())
 	if err != nil {
-		t.Fatal(err)
+		env.t.Fatal(err)
 	}
 	return l
 }
@@ -148,11 +154,15 @@
 func (env *environment) addSlot(i, versions int) {
 	slot := &targetSlot{stage: firstStage(i), name: fmt.Sprintf("i-%d", i), versions: max(versions, 1)}
 	slot.generation.Store(int32(i / 4))
-	l := &gatedListener{listen(env.t), &slot.gate}
-	slot.srv = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) { slot.current.Load().ServeHTTP(rw, req) }), ConnContext: standin.ConnContext}
+	l := &gatedListener{env.listen(), &slot.gate}
+	slot.srv = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) { slot.current.Load().ServeHTTP(rw, req) })}
+	slot.srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		env.connections.Add(1)
+		return standin.ConnContext(ctx, c)
+	}
 	go func() { _ = slot.srv.Serve(l) }()
 	var err error
-	if slot.proxy, err = NewProxy("127.0.0.1:0", l.Addr().String()); err != nil {
+	if slot.proxy, err = NewProxy(env.anyPort(), l.Addr().String()); err != nil {
 		env.t.Fatal(err)
 	}
 	env.slots = append(env.slots, slot)
--- a/process/daemon/fleet_test.go
+++ b/process/daemon/fleet_test.go
@@ -9,8 +9,10 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -146,15 +148,29 @@
 	f.t.Cleanup(func() { _ = stop() })
 }
 
+// Ports that daemons of a fleet share lie below those that the system assigns, which
+// another fleet of the process could get meanwhile.
+const (
+	firstPeersPort = 20_000
+	peersPorts     = 10_000
+)
+
+var peersPortsUsed atomic.Int32
+
+// freePort returns a port that is free at the addresses of this process.
 func freePort(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", daemonIP(0)+":0")
-	if err != nil {
-		t.Fatal(err)
+	for range peersPorts {
+		port := strconv.Itoa(firstPeersPort + int(peersPortsUsed.Add(1))%peersPorts)
+		l, err := net.Listen("tcp", daemonIP(0)+":"+port)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return port
 	}
-	defer l.Close()
-	_, port, _ := net.SplitHostPort(l.Addr().String())
-	return port
+	t.Fatal("no free port")
+	return ""
 }
 
 // start starts daemon i with short timeouts.
@@ -180,7 +196,9 @@
 func (f *fleet) kill() {
 	var all sync.WaitGroup
 	for _, d := range f.daemons {
-		all.Go(d.Kill)
+		if d != nil { // it couldn't be started otherwise
+			all.Go(d.Kill)
+		}
 	}
 	all.Wait()
 }
