h1, dispatch: an answer is bound to the send that it answers

What callers saw: a request that was refused with 503 ran, or a request that may run once ran twice.

Cause: all sends of a request bear the caller's id. A rejected request could be sent to the same target on the connection that its rejection had come on; a late copy of that rejection then counted as the answer to the new send, which ran. A rejection without an id counted as the answer on any kept connection.

Now a connection never carries a request id twice, and a response without an id counts only if no response on the connection had its status before; after one, the connection isn't reused. Other responses are discarded, and the exchange reads on for its own. Requests without an id get connections of their own. So a response proves by the connection's history which send it answers, for requests that may be repeated too.

The soak compares both; planted faults: sends that share connections, a copy without id, streams that run twice, a forwarded request refused though it ran, safety by new connections or by refusing.

Ruled out: a response for a send of its own by a header (the id must go as the client sent it); a new connection for each send that may run once (connections are priced); 502 at a doubtful rejection (the true answer follows).

--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -116,6 +116,8 @@
 	// Streams of the resumable route, those that callers received whole, the requests
 	// that took one up and those of them that brought more of it.
 	Streams, Whole, TakenUp, WentOn int
+	// Connections that targets accepted, and answers that they sent once more.
+	Connections, Copies int
 }
 
 // Verdict returns the violations and the totals. ran is the number of runs of
--- a/bench/soak/planted_test.go
+++ b/bench/soak/planted_test.go
@@ -29,6 +29,19 @@
 			{"request/dispatch/send.go", "case f.MayHaveRun() && !x.call.Route.Idempotent():", "case false:"},
 			{"request/dispatch/send.go", "|| x.possibleRuns >= x.call.Route.Attempts", ""},
 		}, onAll(DegradeTarget, degradeFail), "ran twice", 0, 0},
+		{"streams that may not be resumed are", []edit{
+			{"version/route/route.go", "r.Kind == Stream && r.Resumable", "r.Kind == Stream"},
+			{"request/dispatch/send.go", "|| x.possibleRuns >= x.call.Route.Attempts", ""},
+		}, onAll(DegradeTarget, degradeCut), "ran twice", 0, 0},
+		{"sends of a request share connections", []edit{
+			{"request/dispatch/send.go", "Name:             x.call.Meta.RequestID,", ""},
+		}, []Event{repeatAll(repeatRejections)}, "reported as not run", 0, copyTargets},
+		{"a copy without id is an answer", []edit{
+			{"connection/h1/relation.go", "r == Unnamed && !seen", "r == Unnamed"},
+		}, []Event{repeatAll(repeatUnnamed)}, "reported as not run", 0, copyTargets},
+		{"a forwarded request that ran is refused", []edit{
+			{"request/ingress/answer.go", "forward.SetServed(h)", "forward.SetResult(h, code.New(code.NoTarget, \"\"))"},
+		}, cutsOn(0, 1, 2), "reported as not run", 0, 0},
 		{"what ran is called not run", []edit{
 			{"request/dispatch/failure.go", "case x.possibleRuns > 0:", "case false:"},
 		}, onAll(DegradeTarget, degradeFail), "reported as not run", 0, 0},
@@ -36,7 +49,7 @@
 			{"request/ingress/ingress.go", "if x.headerSent && err != nil {", "if false {"},
 		}, onAll(DegradeTarget, degradeCut), "is incomplete", 0, 0},
 		{"an answer is taken for whoever asks next", []edit{
-			{"request/dispatch/send.go", "Matches:          x.answersCall,", ""},
+			{"request/dispatch/send.go", "Relate:           x.relate,", ""},
 		}, onAll(DegradeTarget, degradeRepeat), "another request's", 0, 0},
 		{"a planned stop cuts", []edit{
 			{"process/front/stop.go", "_ = d.callers.drain.Shutdown(ctx, d.callers.l)", "_ = d.callers.http.Close()"},
@@ -100,6 +113,38 @@
 	}
 }
 
+// TestPlantedFaultsAtTheCallersCost checks that the soak notices safety that callers or
+// targets pay for.
+func TestPlantedFaultsAtTheCallersCost(t *testing.T) {
+	if !*planted {
+		t.Log("not run without -soak.planted")
+		return
+	}
+	cases := []struct {
+		name  string
+		edits []edit
+		want  string
+	}{
+		{"each send opens a connection", []edit{
+			{"request/dispatch/send.go", "	return h1.ReuseRecent\n", "	return h1.ReuseNever\n"},
+			{"request/dispatch/send.go", "		return h1.ReuseIdle\n", "		return h1.ReuseNever\n"},
+		}, "connections to targets"},
+		{"a rejection is final for a request that may run once", []edit{
+			{"request/dispatch/send.go", "case f.MayHaveRun() && !x.call.Route.Idempotent():", "case !x.call.Route.Idempotent():"},
+		}, "of the requests served"},
+	}
+	_, without := runCopyTrial(t, sharedDaemon(t), []Event{repeatAll(repeatNothing)})
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			_, with := runCopyTrial(t, buildDaemon(t, t.TempDir(), tc.edits), []Event{repeatAll(repeatRejections)})
+			if faults := compareServed(without, with); !strings.Contains(strings.Join(faults, "\n"), tc.want) {
+				t.Errorf("not found, %+v and %+v: %v", without, with, faults)
+			}
+		})
+	}
+}
+
 // rejectPlain makes all plain targets reject for six seconds.
 var rejectPlain = Event{At: 500 * time.Millisecond, For: 6 * time.Second, Kind: RejectAll}
 
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -77,7 +77,7 @@
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, program, seed, Size{Daemons: *daemons, Length: *length, Cuts: true, Crashes: true, Parts: *parts, Versions: 2})
+			runSeed(t, program, seed, Size{Daemons: *daemons, Length: *length, Cuts: true, Crashes: true, Parts: *parts, Copies: true, Versions: 2})
 		})
 	}
 }
@@ -179,7 +179,9 @@
 	env.checkDuties()
 	env.collectCrashing()
 	t.Log(env.judge.PartSummary())
-	return env.judge.Verdict(env.runCounts())
+	faults, totals := env.judge.Verdict(env.runCounts())
+	totals.Connections, totals.Copies = int(env.connections.Load()), env.sentCopies()
+	return faults, totals
 }
 
 // runPlan applies the events of the plan at their times.
--- a/connection/h1/exchange.go
+++ b/connection/h1/exchange.go
@@ -34,9 +34,12 @@
 	// ReadTimeout limits each wait for further bytes of the body. 0 means no
 	// limit.
 	ReadTimeout time.Duration
-	// Matches reports whether a response belongs to this request. If it is
-	// nil, every response does.
-	Matches func(status int, h http.Header) bool
+	// Name identifies the request in responses. Several sends may share it; each of
+	// them gets a connection that hasn't carried it. It may be empty.
+	Name string
+	// Relate returns how a response relates to the request by the names in it. If it
+	// is nil, every response is the request's own.
+	Relate func(status int, h http.Header) Relation
 }
 
 // Reuse selects the connections that may carry a request.
@@ -144,7 +147,7 @@
 	}
 	x := &exchange{pool: p, req: r, conn: c, ctx: ctx, watchdog: wd, cancel: cancel, writeDone: make(chan writeResult, 1)}
 	x.stop = context.AfterFunc(ctx, x.closeConn)
-	c.requests++
+	c.history.begin(r.Name)
 	x.write()
 	resp, err := x.read()
 	if err != nil {
@@ -216,7 +219,7 @@
 		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.Matches != nil && !r.Matches(resp.StatusCode, resp.Header) {
+		if !x.conn.history.answers(resp.StatusCode, r.relation(resp)) {
 			x.strays++
 			counts.Add("strays", 1)
 			if err := discard(resp); err != nil || x.strays > maxStrays {
@@ -239,7 +242,7 @@
 
 // use describes the use of the connection so far.
 func (x *exchange) use() ConnUse {
-	return ConnUse{Local: x.conn.local, Earlier: x.conn.requests - 1, Written: int(x.written.Load()), Strays: x.strays}
+	return ConnUse{Local: x.conn.local, Earlier: x.conn.history.requests - 1, Written: int(x.written.Load()), Strays: x.strays}
 }
 
 // discard reads a framed response to its end. It fails if the response isn't
@@ -286,9 +289,10 @@
 }
 
 // Close returns the connection to the pool if the framed response was read to
-// its end, the request was fully written, and no bytes follow the response.
-// Otherwise it closes the connection: bytes that follow a response belong to no
-// request and would be taken for the response to the next one. keepAlive is the
+// its end, the request was fully written, no bytes follow the response, and copies
+// of it can be told from later responses. Otherwise it closes the connection: bytes
+// that follow a response belong to no request and would be taken for the response to
+// the next one. keepAlive is the
 // idle timeout that the target stated; 0 means none.
 func (r *Response) Close(keepAlive time.Duration) {
 	x := r.x
@@ -301,7 +305,7 @@
 			fullyWritten = w.err == nil
 		default:
 		}
-		clean := x.strays == 0 && x.bodyEnded.Load() && r.Framed && x.conn.reader.Buffered() == 0
+		clean := x.strays == 0 && x.conn.history.reusable() && x.bodyEnded.Load() && r.Framed && x.conn.reader.Buffered() == 0
 		if alive && fullyWritten && clean && !x.resp.Close && x.req.Reuse != ReuseNever {
 			x.pool.putIdle(x.conn, keepAlive)
 			return
--- a/connection/h1/h1_test.go
+++ b/connection/h1/h1_test.go
@@ -127,7 +127,7 @@
 		n.ServeConn("a:1", serveResponses(func(int, *http.Request) string { return stray + matching }))
 		resp, err := p.Do(t.Context(), &Request{
 			Addr: "a:1", Target: "t", Method: "GET", URI: "/", Host: "h",
-			Matches: func(_ int, h http.Header) bool { return h.Get("Id") == "new" },
+			Name: "new", Relate: relateTo("new"),
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -149,7 +149,7 @@
 		n.ServeConn("a:1", serveResponses(func(int, *http.Request) string { return strings.Repeat(ok("x"), 10) }))
 		_, err := p.Do(t.Context(), &Request{
 			Addr: "a:1", Target: "t", Method: "GET", URI: "/", Host: "h",
-			Matches: func(int, http.Header) bool { return false },
+			Relate: func(int, http.Header) Relation { return Foreign },
 		})
 		if !errors.Is(err, errStray) {
 			t.Errorf("error %v", err)
--- a/connection/h1/head_test.go
+++ b/connection/h1/head_test.go
@@ -58,7 +58,12 @@
 				})
 				_, err := p.Do(context.Background(), &Request{
 					Addr: "a:1", Target: "t", Method: "GET", URI: "/x", Host: "h",
-					Matches: func(_ int, h http.Header) bool { return h.Get("X-Stray") == "" },
+					Relate: func(_ int, h http.Header) Relation {
+						if h.Get("X-Stray") != "" {
+							return Foreign
+						}
+						return Own
+					},
 				})
 				if !errors.Is(err, ErrHeadTooLarge) {
 					// net/http finds some of them malformed before the limit.
--- a/connection/h1/pool.go
+++ b/connection/h1/pool.go
@@ -68,8 +68,8 @@
 type conn struct {
 	net.Conn
 	key         string
-	local       string      // address of this end, for log lines
-	requests    int         // that it has carried
+	local       string // address of this end, for log lines
+	history     history
 	head        *headReader // source of reader
 	reader      *bufio.Reader
 	dialed      time.Time
@@ -103,7 +103,7 @@
 func (p *Pool) acquire(ctx context.Context, r *Request) (*conn, error) {
 	key := Key(r.Addr, r.Target)
 	for r.Reuse != ReuseNever {
-		c := p.popIdle(key)
+		c := p.popIdle(key, r.Name)
 		if c == nil {
 			break
 		}
@@ -133,16 +133,19 @@
 	return c.Close()
 }
 
-func (p *Pool) popIdle(key string) *conn {
+// popIdle removes and returns the most recently used idle connection that hasn't
+// carried a request of that name, or nil.
+func (p *Pool) popIdle(key, name string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[key]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; !c.history.carried(name) {
+			p.idle[key] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[key] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // usable reports whether an idle connection may carry a request. It rejects a
--- a/request/dispatch/copies_test.go
+++ b/request/dispatch/copies_test.go
@@ -116,3 +116,55 @@
 		})
 	}
 }
+
+// Guards against safety at the callers' cost: requests that targets reject are served by
+// the next send, and few connections are opened for them.
+func TestRejectedCallsAreServedOverFewConnections(t *testing.T) {
+	cases := map[string]struct {
+		kind    route.Kind
+		copies  *standin.Copies
+		unnamed bool // rejections
+	}{
+		"unsafe":                        {kind: route.Unsafe},
+		"unsafe, copies":                {kind: route.Unsafe, copies: &standin.Copies{Of: isRejection}},
+		"unsafe, rejections without id": {kind: route.Unsafe, unnamed: true},
+		"safe, copies":                  {kind: route.Safe, copies: &standin.Copies{Of: isRejection}},
+		"stream":                        {kind: route.Stream},
+		"stream, copies":                {kind: route.Stream, copies: &standin.Copies{Of: isRejection}},
+		"stream, rejections without id": {kind: route.Stream, unnamed: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, 1000, func(t *testing.T, h *harness) {
+				const requests = 20
+				service, role := "app", port.Role("")
+				if tc.kind == route.Stream {
+					h.addTarget("llm", port.RolePrefill)
+					service, role = "llm", port.RoleDecode
+				}
+				target, received := h.addTarget(service, role), 0
+				target.Set(func(b *standin.Behaviour) {
+					b.Copies, b.Unnamed = tc.copies, tc.unnamed
+					b.Shed = func(int) bool { received++; return received%4 == 1 }
+				})
+				for i := range requests {
+					if status, err := h.execute(h.newNamedCall(tc.kind, fmt.Sprint("r", i))); err != nil || status != http.StatusOK {
+						t.Errorf("request %d: status %d, %v", i, status, err)
+					}
+				}
+				// Two sends of a request need two connections. A copy spoils its own, and
+				// so does a rejection that names no request.
+				allowed := 2 + target.SentCopies()
+				if tc.unnamed {
+					allowed += requests
+				}
+				addr := h.entries[service][len(h.entries[service])-1].Addr
+				if d := h.net.DialCount(addr); d > allowed || len(target.Ran()) != requests {
+					t.Errorf("%d connections, at most %d allowed; %d of %d requests ran", d, allowed, len(target.Ran()), requests)
+				}
+				h.runner.opts.Pool.Close()
+				_ = pause.For(t.Context(), time.Second)
+			})
+		})
+	}
+}
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -74,25 +74,36 @@
 		Body:             x.call.Body,
 		Reuse:            x.connReuse(s),
 		FirstByteTimeout: s.headerTimeout,
-		Matches:          x.answersCall,
+		Name:             x.call.Meta.RequestID,
+		Relate:           x.relate,
 	}
 }
 
 // connReuse excludes connections with a long idle time for calls that aren't
 // idempotent. If the target had just closed such a connection, the call
-// would fail as one that may have run.
+// would fail as one that may have run. The answers to calls without an id can't be
+// told apart on one connection.
 func (x *execution) connReuse(s outgoing) h1.Reuse {
-	if x.call.Route.Idempotent() || s.state.Prefill {
+	switch {
+	case x.call.Meta.RequestID == "":
+		return h1.ReuseNever
+	case x.call.Route.Idempotent() || s.state.Prefill:
 		return h1.ReuseIdle
 	}
 	return h1.ReuseRecent
 }
 
-// answersCall reports whether an answer belongs to this call. A success must
-// carry the call's id; a rejection or an error may lack it.
-func (x *execution) answersCall(status int, h http.Header) bool {
+// relate returns how an answer relates to this call. A success must carry the call's
+// id; a rejection or an error may lack it.
+func (x *execution) relate(status int, h http.Header) h1.Relation {
 	id := x.opts.Protocol.ParseResponse(status, h).RequestID
-	return id == x.call.Meta.RequestID || id == "" && status >= http.StatusMultipleChoices
+	switch {
+	case id == x.call.Meta.RequestID:
+		return h1.Own
+	case id == "" && status >= http.StatusMultipleChoices:
+		return h1.Unnamed
+	}
+	return h1.Foreign
 }
 
 // maxAnswer is the largest answer, in bytes, that is relayed as a whole.
