forward: an answer is bound to the send; an unmarked one promises nothing

Answers between daemons bore no id, so that a repeated answer on a kept connection went to the next forwarded request (another request's answer). An answer without the mark of a daemon was read as 'not run' and the request offered to another daemon; whatever had got the daemon's port may have run it.

An unmarked answer is an unknown outcome (6001, 502), and its sender isn't asked for a second.

Cost: where such an early build runs beside this one, one forwarded request a second fails with 502 that another daemon would have taken.

--- a/bench/soak/planted_test.go
+++ b/bench/soak/planted_test.go
@@ -40,7 +40,7 @@
 			{"connection/h1/relation.go", "r == Unnamed && !seen", "r == Unnamed"},
 		}, []Event{repeatAll(repeatUnnamed)}, "reported as not run", 0, copyTargets},
 		{"a forwarded request that ran is refused", []edit{
-			{"request/ingress/answer.go", "forward.SetServed(h)", "forward.SetResult(h, code.New(code.NoTarget, \"\"))"},
+			{"request/ingress/answer.go", "x.envelope.SetServed(h)", "x.envelope.SetResult(h, code.New(code.NoTarget, \"\"))"},
 		}, cutsOn(0, 1, 2), "reported as not run", 0, 0},
 		{"what ran is called not run", []edit{
 			{"request/dispatch/failure.go", "case x.possibleRuns > 0:", "case false:"},
--- a/request/forward/envelope.go
+++ b/request/forward/envelope.go
@@ -19,6 +19,7 @@
 	headerTimeout    = "Pomelospool-Forward-Timeout-Ms"
 	headerVersion    = "Pomelospool-Forward-Version"
 	headerRuns       = "Pomelospool-Forward-Runs"
+	headerSend       = "Pomelospool-Forward-Id" // of this send, in the request and in its answer
 	headerResult     = "Pomelospool-Forward-Result"
 	headerRetryAfter = "Pomelospool-Forward-Retry-Ms"
 )
@@ -29,6 +30,7 @@
 	Timeout time.Duration // time left for the request
 	Version int64         // of the configuration that it was matched by
 	Runs    int           // targets that may have run the request
+	Send    string        // id of this send; empty if an earlier build sent it
 }
 
 // addTo adds the envelope to the headers of a forwarded request.
@@ -37,6 +39,7 @@
 	h.Set(headerTimeout, strconv.FormatInt(max(e.Timeout.Milliseconds(), 1), 10))
 	h.Set(headerVersion, strconv.FormatInt(e.Version, 10))
 	h.Set(headerRuns, strconv.Itoa(e.Runs))
+	h.Set(headerSend, e.Send)
 }
 
 // IsForwarded reports whether the request has an envelope.
@@ -44,7 +47,7 @@
 
 // TakeEnvelope reads the envelope of a forwarded request and removes it.
 func TakeEnvelope(h http.Header) (Envelope, error) {
-	e := Envelope{From: h.Get(headerFrom)}
+	e := Envelope{From: h.Get(headerFrom), Send: h.Get(headerSend)}
 	ms, err := strconv.ParseInt(h.Get(headerTimeout), 10, 64)
 	if err == nil {
 		e.Timeout = time.Duration(ms) * time.Millisecond
@@ -53,7 +56,7 @@
 	if err == nil {
 		e.Runs, err = strconv.Atoi(h.Get(headerRuns))
 	}
-	for _, k := range []string{headerFrom, headerTimeout, headerVersion, headerRuns} {
+	for _, k := range []string{headerFrom, headerTimeout, headerVersion, headerRuns, headerSend} {
 		h.Del(k)
 	}
 	if err != nil || e.Runs < 0 {
@@ -62,35 +65,44 @@
 	return e, nil
 }
 
-// SetResult marks an answer as an error of the daemon that received a forwarded
-// request, as opposed to an answer of a target.
-func SetResult(h http.Header, e *code.Error) {
-	h.Set(headerResult, strconv.Itoa(int(e.Code)))
-	h.Set(headerRetryAfter, strconv.FormatInt(e.RetryAfter.Milliseconds(), 10))
+// SetResult marks the answer to a forwarded request as an error of the daemon that
+// received it, as opposed to an answer of a target.
+func (e *Envelope) SetResult(h http.Header, err *code.Error) {
+	h.Set(headerResult, strconv.Itoa(int(err.Code)))
+	h.Set(headerRetryAfter, strconv.FormatInt(err.RetryAfter.Milliseconds(), 10))
+	e.setSend(h)
 }
 
 // SetServed marks an answer as a target's, relayed by a daemon that understands
-// the envelope. An earlier build answers a forwarded request as an unknown one
-// of its own.
-func SetServed(h http.Header) {
+// the envelope.
+func (e *Envelope) SetServed(h http.Header) {
 	h.Set(headerResult, strconv.Itoa(int(code.OK)))
 	h.Del(headerRetryAfter)
+	e.setSend(h)
+}
+
+func (e *Envelope) setSend(h http.Header) {
+	if e.Send != "" {
+		h.Set(headerSend, e.Send)
+	}
 }
 
 // ClearResult removes the marks.
 func ClearResult(h http.Header) {
+	h.Del(headerSend)
 	h.Del(headerResult)
 	h.Del(headerRetryAfter)
 }
 
 // resultOf returns the error that SetResult marked, or nil if the answer is a
-// target's.
+// target's. An answer without a mark may be that of another program, which may have
+// run the request.
 func resultOf(h http.Header, peer string) *code.Error {
 	v := h.Get(headerResult)
 	n, err := strconv.Atoi(v)
 	switch {
 	case v == "":
-		return code.New(code.LinksLost, "daemon %s doesn't take forwarded requests", peer)
+		return code.New(code.PeerUnreachable, "the answer from the address of daemon %s isn't marked", peer)
 	case err == nil && n == int(code.OK):
 		return nil
 	case err != nil || !code.Known(code.Code(n)):
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -71,23 +71,30 @@
 }
 
 func refuse(c code.Code) func(string, http.ResponseWriter, *http.Request) {
-	return func(_ string, w http.ResponseWriter, _ *http.Request) {
-		SetResult(w.Header(), code.New(c, "").WithRetryAfter(300*time.Millisecond))
+	return func(_ string, w http.ResponseWriter, req *http.Request) {
+		e := Envelope{Send: req.Header.Get(headerSend)}
+		e.SetResult(w.Header(), code.New(c, "").WithRetryAfter(300*time.Millisecond))
 		w.WriteHeader(c.Info().Status)
 	}
 }
 
+// serveMarked marks the answer to a forwarded request as a target's.
+func serveMarked(w http.ResponseWriter, req *http.Request) {
+	e := Envelope{Send: req.Header.Get(headerSend)}
+	e.SetServed(w.Header())
+}
+
 func TestForwardedRequestIsWhole(t *testing.T) {
 	withDaemons(t, 1, func(_ string, w http.ResponseWriter, req *http.Request) {
 		body, _ := io.ReadAll(req.Body)
 		e, err := TakeEnvelope(req.Header)
-		if err != nil || e != (Envelope{From: "self", Timeout: time.Second, Version: 7, Runs: 1}) {
+		if err != nil || e.Send == "" || e != (Envelope{From: "self", Timeout: time.Second, Version: 7, Runs: 1, Send: e.Send}) {
 			t.Errorf("envelope %+v, %v", e, err)
 		}
 		if IsForwarded(req.Header) || req.Header.Get("X-A") != "1" || req.Host != "a.example" || req.RequestURI != "/x?y=1" || string(body) != "body" {
 			t.Errorf("%s %s %v %q", req.Host, req.RequestURI, req.Header, body)
 		}
-		SetServed(w.Header())
+		e.SetServed(w.Header())
 		_, _ = w.Write([]byte("answer"))
 	}, func(t *testing.T, d *daemons) {
 		resp, err := d.do(t.Context())
@@ -106,7 +113,7 @@
 // Guards against requests that end at a daemon which has lost its links too.
 func TestRefusedRequestIsOfferedToOthers(t *testing.T) {
 	withDaemons(t, 5, func(name string, w http.ResponseWriter, req *http.Request) {
-		SetServed(w.Header())
+		serveMarked(w, req)
 		if name != "vm-2" {
 			refuse(code.LinksLost)(name, w, req)
 		}
@@ -131,7 +138,7 @@
 	const unlinked = 60
 	withDaemons(t, unlinked+1, func(name string, w http.ResponseWriter, req *http.Request) {
 		if name == fmt.Sprint("vm-", unlinked) {
-			SetServed(w.Header())
+			serveMarked(w, req)
 			return
 		}
 		refuse(code.LinksLost)(name, w, req)
@@ -200,7 +207,7 @@
 
 // Guards against requests that wait for a daemon which accepts no connections.
 func TestUnreachableDaemonIsPassedOver(t *testing.T) {
-	withDaemons(t, 2, func(_ string, w http.ResponseWriter, _ *http.Request) { SetServed(w.Header()) }, func(t *testing.T, d *daemons) {
+	withDaemons(t, 2, func(_ string, w http.ResponseWriter, req *http.Request) { serveMarked(w, req) }, func(t *testing.T, d *daemons) {
 		d.net.Stop("vm-0")
 		resp, err := d.do(t.Context())
 		if err != nil || resp.VM != "vm-1" {
@@ -211,23 +218,32 @@
 	})
 }
 
-// Guards against a daemon of an earlier build whose 404 for a path that it
-// doesn't know is taken for the answer of a target.
-func TestDaemonOfEarlierBuildIsPassedOver(t *testing.T) {
-	withDaemons(t, 2, func(name string, w http.ResponseWriter, _ *http.Request) {
-		if name == "vm-0" {
-			w.WriteHeader(http.StatusNotFound)
-			return
-		}
-		SetServed(w.Header())
-	}, func(t *testing.T, d *daemons) {
-		resp, err := d.do(t.Context())
-		if err != nil || resp.VM != "vm-1" {
-			t.Error(err)
-			return
-		}
-		resp.Close()
-	})
+// Guards against the answer of another program at a daemon's address that is taken for a
+// refusal, or for the answer of a target: that program may have run the request.
+func TestUnmarkedAnswerPromisesNothing(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusNotFound, http.StatusServiceUnavailable} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			withDaemons(t, 2, func(name string, w http.ResponseWriter, req *http.Request) {
+				if name == "vm-0" {
+					w.WriteHeader(status)
+					return
+				}
+				serveMarked(w, req)
+			}, func(t *testing.T, d *daemons) {
+				if _, err := d.do(t.Context()); code.Of(err) != code.PeerUnreachable || d.counted()["vm-1"] != 0 {
+					t.Errorf("%v, asked %v", err, d.counted())
+				}
+				for range 3 {
+					resp, err := d.do(t.Context())
+					if err != nil || resp.VM != "vm-1" {
+						t.Error(err)
+						return
+					}
+					resp.Close()
+				}
+			})
+		})
+	}
 }
 
 // Guards against a second without any daemon to ask after each new version: all
@@ -239,7 +255,7 @@
 			refuse(code.StaleConfiguration)(name, w, req)
 			return
 		}
-		SetServed(w.Header())
+		serveMarked(w, req)
 	}, func(t *testing.T, d *daemons) {
 		if _, err := d.do(t.Context()); code.Of(err) != code.StaleConfiguration {
 			t.Error(err)
@@ -257,11 +273,11 @@
 // Guards against requests that follow others to a daemon that accepts them and
 // doesn't answer.
 func TestUnresponsiveDaemonIsAskedLast(t *testing.T) {
-	withDaemons(t, 3, func(name string, w http.ResponseWriter, _ *http.Request) {
+	withDaemons(t, 3, func(name string, w http.ResponseWriter, req *http.Request) {
 		if name == "vm-0" {
 			time.Sleep(3 * answerPatience)
 		}
-		SetServed(w.Header())
+		serveMarked(w, req)
 	}, func(t *testing.T, d *daemons) {
 		var wg sync.WaitGroup
 		ask := func() {
@@ -290,11 +306,11 @@
 // Guards against a daemon that left a request without an answer being asked again
 // at once.
 func TestDaemonThatDidNotAnswerIsAskedLast(t *testing.T) {
-	withDaemons(t, 2, func(name string, w http.ResponseWriter, _ *http.Request) {
+	withDaemons(t, 2, func(name string, w http.ResponseWriter, req *http.Request) {
 		if name == "vm-0" {
 			panic(http.ErrAbortHandler)
 		}
-		SetServed(w.Header())
+		serveMarked(w, req)
 	}, func(t *testing.T, d *daemons) {
 		if _, err := d.do(t.Context()); code.Of(err) != code.PeerUnreachable {
 			t.Error(err)
@@ -320,7 +336,7 @@
 func TestDaemonWhoseLinksAreBackIsAskedSoon(t *testing.T) {
 	start := time.Time{}
 	withDaemons(t, 3, func(name string, w http.ResponseWriter, req *http.Request) {
-		SetServed(w.Header())
+		serveMarked(w, req)
 		if name != "vm-2" || time.Since(start) < recheckInterval {
 			refuse(code.LinksLost)(name, w, req)
 		}
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -148,7 +148,8 @@
 		return resp, nil
 	}
 	resp.Close()
-	if canServeElsewhere(resp.Refusal.Code) && lasts(resp.Refusal.Code) {
+	c := resp.Refusal.Code
+	if c == code.PeerUnreachable || canServeElsewhere(c) && lasts(c) {
 		f.recordRefusal(p.VM, r.Service)
 	}
 	return nil, resp.Refusal
--- a/request/ingress/answer.go
+++ b/request/ingress/answer.go
@@ -43,7 +43,7 @@
 	hop.Strip(h)
 	forward.ClearResult(h)
 	if x.envelope != nil {
-		forward.SetServed(h)
+		x.envelope.SetServed(h)
 	}
 	if x.stopAt.Load() != nil {
 		h.Set("Connection", "close")
@@ -76,7 +76,7 @@
 	answer.Write(x.w, e, func(h http.Header) {
 		x.o.Protocol.SetAnswerHeaders(h, x.meta.RequestID, e.RetryAfter)
 		if x.envelope != nil {
-			forward.SetResult(h, e)
+			x.envelope.SetResult(h, e)
 		}
 		if e.Code == code.Unauthorized {
 			h.Set("WWW-Authenticate", "Bearer")
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -107,7 +107,7 @@
 	e, err := forward.TakeEnvelope(req.Header)
 	if err != nil {
 		log.WithError(err).Warn("ingress: can't read a forwarded request")
-		forward.SetResult(w.Header(), code.New(code.BadRequest, ""))
+		e.SetResult(w.Header(), code.New(code.BadRequest, ""))
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
