attempt: a refusal without an id is bound to its send

What callers saw: nothing; work was done twice on the product's own protocol. An engine's refusal may lack the attempt's id, and counted on any kept connection, so that a late copy of it sent a request to a second engine while the first ran it. It counts by the connection's history now, as on the platform's path.

Every 429 or 503 of an engine means 'not run' to the retries there, without the engine saying so. It is never told to callers: requests to engines may be repeated, and their error is TARGET_FAILED; entry.TestBusyEnginesDontMakeARequest NotRun holds that (it passes on the old code, too).

--- a/request/attempt/attempt.go
+++ b/request/attempt/attempt.go
@@ -113,7 +113,7 @@
 	defer resp.Close(0)
 	counted.Answered()
 	r.opts.Links.Reached(q.Service.Doc.Service)
-	if err := receive(resp, id, t, q.ToEngine, p.handover, recv); err != nil {
+	if err := receive(resp, q, id, t, p.handover, recv); err != nil {
 		f = failure.ClassifyRead(ctx, t.Name, err)
 		r.reportStall(f, t)
 		r.cancelStalled(f, q, t, id)
@@ -169,19 +169,32 @@
 		Header: h,
 		Body:   q.Body(resume),
 		Reuse:  q.reuse(),
+		Relate: q.relate,
 	}
 }
 
+// relate returns how an answer relates to an attempt. Only refusals of engines may lack
+// its id; receive checks the others.
+func (q *Request) relate(status int, h http.Header) h1.Relation {
+	if q.isUnnamedRefusal(status, h) {
+		return h1.Unnamed
+	}
+	return h1.Own
+}
+
+func (q *Request) isUnnamedRefusal(status int, h http.Header) bool {
+	return q.ToEngine && h.Get(HeaderID) == "" && status >= http.StatusBadRequest
+}
+
 const errIDMismatch = failure.Detail("answer has another id")
 
 // receive checks the id of the answer and passes the answer to recv. An answer
 // with a different id may belong to an earlier request on the connection or to
 // another caller, and must not reach this caller. A refusal by an engine may
 // lack the id, as only its status is passed on.
-func receive(resp *h1.Response, id string, t routing.Target, toEngine, handover bool, recv Receiver) error {
+func receive(resp *h1.Response, q *Request, id string, t routing.Target, handover bool, recv Receiver) error {
 	got := resp.Header.Get(HeaderID)
-	refusal := toEngine && got == "" && resp.Status >= http.StatusBadRequest
-	if got != id && !refusal {
+	if got != id && !q.isUnnamedRefusal(resp.Status, resp.Header) {
 		return &failure.Failure{Class: failure.Mismatch, Target: t.Name, Err: fmt.Errorf("%w: %.80q", errIDMismatch, got)}
 	}
 	return recv.Receive(Answer{
--- a/request/entry/fault_test.go
+++ b/request/entry/fault_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
 
+	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/routing"
 	"github.com/pomelospool/pomelospool/standin"
 	"github.com/pomelospool/pomelospool/version/document"
@@ -232,3 +234,22 @@
 	m.moved += from + ">" + to
 	return nil
 }
+
+// Guards against "not run" on the word of a status: an engine that answers 429 or 503
+// hasn't said that it ran nothing, and may repeat the answer to an earlier request.
+func TestBusyEnginesDontMakeARequestNotRun(t *testing.T) {
+	for _, status := range []int{http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for name, stream := range map[string]bool{"stream": true, "whole": false} {
+			t.Run(fmt.Sprint(name, " ", status), func(t *testing.T) {
+				t.Parallel()
+				play := func(c *call) { c.w.Header().Set("X-Request-Id", c.id); c.w.WriteHeader(status) }
+				a, b := newScriptedTarget(t, play), newScriptedTarget(t, play)
+				f := newFixture(t, []string{a.addr(), b.addr()}, nil, nil)
+				r := f.do(http.MethodPost, "/v1/completions", modelRequest("p", 1, stream))
+				if r.header.Get(answer.HeaderNotRun) != "" || r.code() == "0" || a.count()+b.count() == 0 {
+					t.Errorf("status %d, code %s, not run %q after %d sends", r.status, r.code(), r.header.Get(answer.HeaderNotRun), a.count()+b.count())
+				}
+			})
+		}
+	}
+}
