httpapi, daemon: each order to an engine has a connection of its own

A late copy of an engine's rejection of one order counted as the answer to the next, which the engine carried out: a permanent rejection ended the order's record, so that the next order could conflict with it.

--- a/port/httpapi/client.go
+++ b/port/httpapi/client.go
@@ -43,6 +43,9 @@
 	// UserTimeout bounds how long sent bytes may stay unacknowledged before
 	// the kernel closes the connection (TCP_USER_TIMEOUT).
 	UserTimeout time.Duration
+	// SingleUse makes each call open a connection of its own. The service may send the
+	// answer to a call twice, the copy before the answer to a later call.
+	SingleUse bool
 	// Dial replaces the TCP dialer, for example by lease.Dialer, whose
 	// connections check the lease before each write. UserTimeout doesn't apply
 	// to it.
@@ -89,6 +92,7 @@
 		MaxConnsPerHost:     c.opts.MaxConns,
 		MaxIdleConnsPerHost: c.opts.MaxConns,
 		IdleConnTimeout:     idleTimeout,
+		DisableKeepAlives:   c.opts.SingleUse,
 	}}
 	return c
 }
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -281,7 +281,8 @@
 // connectEngine returns the adapter for orders of one lease term.
 func connectEngine(engine string, check lease.Check, userTimeout time.Duration) port.Engine {
 	return httpapi.NewEngine(engine, httpapi.Options{
-		Dial: lease.Dialer(check, userTimeout),
+		SingleUse: true,
+		Dial:      lease.Dialer(check, userTimeout),
 	})
 }
 
