platform: the client of control calls is made where its answers are read

No behaviour changes: calls to engines opened a connection each already, set far from the code that relies on it. platform.TestRepeatedAnswersToControlCalls holds it: with kept connections an order that the engine carries out counts as refused by a copy of an earlier 409 (shown by enabling them).

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -236,11 +236,7 @@
 }
 
 func (d *Daemon) wireRequests() {
-	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: platform.MaxResponseHeader}
-	if d.dial != nil {
-		transport.DialContext = func(ctx context.Context, _, addr string) (net.Conn, error) { return d.dial(ctx, addr) }
-	}
-	d.control = &platform.Engines{Client: &http.Client{Timeout: controlTimeout, Transport: transport}}
+	d.control = platform.NewEngines(controlTimeout, d.dial)
 	d.budget = budget.NewFleet(budget.FleetOptions{
 		Ratio:   d.s.Bounds.RetryRatio,
 		Slack:   d.s.Bounds.RetrySlack,
