--- a/request/dispatch/copies_test.go
+++ b/request/dispatch/copies_test.go
@@ -168,3 +168,49 @@
 		})
 	}
 }
+
+// Guards against a copy of a prefill's answer that is taken for that of the call's next
+// prefill, so that a decoding engine is sent to KV cache that is gone.
+func TestRepeatedPrefillAnswersAreDiscarded(t *testing.T) {
+	withHarness(t, 1000, func(t *testing.T, h *harness) {
+		h.addTarget("llm", port.RolePrefill).Set(func(b *standin.Behaviour) { b.Copies = &standin.Copies{} })
+		d, received := h.addTarget("llm", port.RoleDecode), 0
+		d.Set(func(b *standin.Behaviour) { b.Shed = func(int) bool { received++; return received%3 == 0 } })
+		for i := range 12 {
+			if status, err := h.execute(h.newNamedCall(route.Stream, fmt.Sprint("r", i))); err != nil || status != http.StatusOK {
+				t.Errorf("request %d: status %d, %v", i, status, err)
+			}
+		}
+		used := make(map[string]bool)
+		for _, r := range d.ReceivedRequests() {
+			if used[r.KV] {
+				t.Errorf("the KV cache %s was used twice", r.KV)
+			}
+			used[r.KV] = true
+		}
+		if received <= 12 {
+			t.Errorf("%d sends for 12 requests: none was rejected", received)
+		}
+		h.runner.opts.Pool.Close()
+		_ = pause.For(t.Context(), time.Second)
+	})
+}
+
+// Guards against a copy of a failure that ends a request which may be repeated, while its
+// next send runs.
+func TestRepeatedFailuresEndNoOtherSend(t *testing.T) {
+	withHarness(t, 1000, func(t *testing.T, h *harness) {
+		target := h.addTarget("app", "")
+		target.Set(func(b *standin.Behaviour) { b.Copies, b.Fail = &standin.Copies{Times: 2}, true })
+		for i := range 10 {
+			c := h.newNamedCall(route.Safe, fmt.Sprint("r", i))
+			c.OnStart = func(time.Duration) { target.Set(func(b *standin.Behaviour) { b.Fail = false }) }
+			if status, err := h.execute(c); err != nil || status != http.StatusOK {
+				t.Errorf("request %d: status %d, %v", i, status, err)
+			}
+			target.Set(func(b *standin.Behaviour) { b.Fail = true })
+		}
+		h.runner.opts.Pool.Close()
+		_ = pause.For(t.Context(), time.Second)
+	})
+}
