soak: daemons end with the process of their test

Traced: a panic in a test of mine at 12:39 left 46 daemons running, which went on calling their store at ports of 127.0.0.1 that later trials' targets got: 200 requests at one target of TestSoakWithStalls/6901, run with no other package beside it.

What a foreign target received is in the message of the check.

--- a/bench/soak/fleet_test.go
+++ b/bench/soak/fleet_test.go
@@ -57,6 +57,9 @@
 	p.logSizeAtStart = info.Size()
 	cmd := exec.Command(p.program, "--settings", p.settingsPath)
 	cmd.Stdout, cmd.Stderr = out, out
+	// A daemon that outlives its test goes on sending requests to ports that later tests
+	// get.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	cmd.Env = append(os.Environ(), clockEnv+"="+p.clockPath, linksEnv+"="+p.linksPath)
 	if err := cmd.Start(); err != nil {
 		return err
--- a/bench/soak/site_test.go
+++ b/bench/soak/site_test.go
@@ -251,9 +251,10 @@
 	defer env.mu.Unlock()
 	for _, slot := range env.slots {
 		for _, t := range slot.targets {
-			for _, a := range t.ReceivedRequests() {
+			headers := t.RequestHeaders()
+			for i, a := range t.ReceivedRequests() {
 				if a.Key != "" || a.Organisation != organisation {
-					env.judge.ReportFault("target %s received a request of organisation %q with key %q", t.ID, a.Organisation, a.Key)
+					env.judge.ReportFault("target %s received a request of organisation %q with key %q: %v", t.ID, a.Organisation, a.Key, headers[i])
 				}
 			}
 		}
