failure, quarantine: one function for ended connections and first crashes

The errors by which a target has ended a connection were listed three times, the search for a content's first crash stood twice, and a run's 'completed' said that it had ended.

--- a/request/dispatch/crash.go
+++ b/request/dispatch/crash.go
@@ -2,8 +2,6 @@
 
 import (
 	"errors"
-	"io"
-	"syscall"
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
@@ -130,7 +128,7 @@
 	if !errors.As(err, &e) || !e.Written || e.Unacknowledged {
 		return
 	}
-	ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	ended := failure.EndedByTarget(err)
 	switch {
 	case x.running == nil:
 	case ended && time.Since(x.running.began) >= minRunTime:
--- a/request/dispatch/verify.go
+++ b/request/dispatch/verify.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -13,6 +12,7 @@
 	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/request/failure"
 	"github.com/pomelospool/pomelospool/request/quarantine"
 )
 
@@ -142,7 +142,7 @@
 			return replaced
 		}
 		return alive
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+	case failure.EndedByTarget(err):
 		return gone
 	}
 	return silent
--- a/request/failure/failure.go
+++ b/request/failure/failure.go
@@ -73,7 +73,12 @@
 	if errors.As(f.Err, &he) && he.Unacknowledged {
 		return true
 	}
-	return errors.Is(f.Err, io.EOF) || errors.Is(f.Err, io.ErrUnexpectedEOF) || errors.Is(f.Err, syscall.ECONNRESET) || errors.Is(f.Err, syscall.EPIPE)
+	return EndedByTarget(f.Err)
+}
+
+// EndedByTarget reports whether err says that the target closed or reset the connection.
+func EndedByTarget(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 // Final reports whether another attempt is pointless because the caller has
--- a/request/quarantine/causes.go
+++ b/request/quarantine/causes.go
@@ -72,13 +72,7 @@
 // that began after the first crash of the content. If none are, the targets may end
 // for a reason that lies in none of them.
 func (t *CrashTracker) isControlled(c *content) bool {
-	var first time.Time
-	for _, cr := range c.crashes {
-		if !cr.dismissed && (first.IsZero() || cr.at.Before(first)) {
-			first = cr.at
-		}
-	}
-	n := 0
+	n, first := 0, c.firstCrash()
 	for _, run := range t.controls {
 		if run.began.After(first) && !slices.Contains(run.content.Parts, c.fp) && (c.service == "" || run.content.Service == c.service) {
 			n++
@@ -101,19 +95,23 @@
 // isSpread reports whether some run began minSpread after the first crash and
 // crashed its target, too.
 func (c *content) isSpread() bool {
-	var first, began time.Time
+	var began time.Time
 	for _, cr := range c.crashes {
-		if cr.dismissed {
-			continue
+		if !cr.dismissed && cr.began.After(began) {
+			began = cr.began
 		}
-		if first.IsZero() || cr.at.Before(first) {
+	}
+	return began.Sub(c.firstCrash()) > minSpread
+}
+
+// firstCrash returns the time of the first crash that wasn't dismissed; zero for none.
+func (c *content) firstCrash() (first time.Time) {
+	for _, cr := range c.crashes {
+		if !cr.dismissed && (first.IsZero() || cr.at.Before(first)) {
 			first = cr.at
 		}
-		if cr.began.After(began) {
-			began = cr.began
-		}
 	}
-	return began.Sub(first) > minSpread
+	return first
 }
 
 // explainedCrashes returns the number of crashes of a content at which other content
--- a/request/quarantine/run.go
+++ b/request/quarantine/run.go
@@ -13,14 +13,14 @@
 // Run is a run of a request at a target. Exactly one of End, Broken and NotReceived
 // is called for it.
 type Run struct {
-	t         *CrashTracker
-	content   Content
-	target    string
-	began     time.Time
-	wroteAt   time.Time // first event; zero for none
-	accepted  bool      // the target has sent the status line
-	harmless  bool      // the parts have survived the first event
-	completed bool
+	t        *CrashTracker
+	content  Content
+	target   string
+	began    time.Time
+	wroteAt  time.Time // first event; zero for none
+	accepted bool      // the target has sent the status line
+	harmless bool      // the parts have survived the first event
+	ended    bool
 }
 
 // suspect is content that may have crashed a target.
@@ -121,7 +121,7 @@
 // leave removes the run from those in flight. A crash of the target that is noticed
 // soon afterwards still counts for a run that was broken off.
 func (r *Run) leave(now time.Time, broken bool) {
-	r.completed = true
+	r.ended = true
 	r.leaveOne(r.content.Request, 0, now, broken)
 	if r.harmless {
 		return
@@ -155,7 +155,7 @@
 // first event.
 func (t *CrashTracker) settleWriting(now time.Time) {
 	for len(t.writing) > 0 && now.Sub(t.writing[0].wroteAt) >= writeSettleTime {
-		if r := t.writing[0]; !r.completed {
+		if r := t.writing[0]; !r.ended {
 			r.clearParts()
 		}
 		t.writing = t.writing[1:]
