--- a/request/quarantine/target_test.go
+++ b/request/quarantine/target_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"sync"
 	"testing"
@@ -212,3 +213,22 @@
 		}
 	})
 }
+
+// Guards against a crash that is counted again once its evidence is better.
+func TestCrashWithBetterEvidenceIsCountedOnce(t *testing.T) {
+	crashes := func() int64 {
+		n, _ := counts.Get("crashes").(*expvar.Int)
+		if n == nil {
+			return 0
+		}
+		return n.Value()
+	}
+	tr := New(Options{Self: "vm", ToleratedCrashes: 2})
+	tr.BeginRun(Content{Service: "s", Request: Fingerprint{7}}, "a")
+	before, confirm := crashes(), tr.Hold("a")
+	confirm(Alone)
+	confirm(Presumed)
+	if n := crashes() - before; n != 1 {
+		t.Errorf("counted %d times", n)
+	}
+}
--- a/request/quarantine/tolerant.go
+++ b/request/quarantine/tolerant.go
@@ -56,13 +56,20 @@
 	if len(tc.suspects) == 0 {
 		return nil
 	}
+	recorded := false
 	return func(e Evidence) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		tc.evidence = e
 		t.recordTolerated(tc)
+		fields := log.Fields{"target": target, "contents": len(tc.suspects), "parts": Join(tc.parts()), "evidence": e.String()}
+		if recorded {
+			log.WithFields(fields).Info("quarantine: better evidence of a crash")
+			return
+		}
+		recorded = true
 		counts.Add("crashes", 1)
-		log.WithFields(log.Fields{"target": target, "contents": len(tc.suspects), "parts": Join(tc.parts()), "evidence": e.String()}).Warn("quarantine: target crashed")
+		log.WithFields(fields).Warn("quarantine: target crashed")
 	}
 }
 
