--- a/request/dispatch/verify.go
+++ b/request/dispatch/verify.go
@@ -120,14 +120,8 @@
 // that accepts a connection is taken for alive.
 func (x *execution) probe(target *port.TargetEntry) targetState {
 	path := x.opts.Protocol.ProbePath(target.Role != "", x.call.Service.HealthPath)
-	err := x.opts.Pool.Probe(x.ctx, target.Addr)
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return refusing
-	case err != nil:
-		return gone
-	case path == "":
-		return alive
+	if path == "" {
+		return stateOf(x.opts.Pool.Probe(x.ctx, target.Addr))
 	}
 	h := http.Header{}
 	x.opts.Protocol.AddDispatchHeaders(h, port.DispatchMeta{TargetID: target.ID, Timeout: probeTimeout, Priority: -1})
@@ -135,14 +129,26 @@
 		Addr: target.Addr, Target: target.ID, Method: http.MethodGet, URI: path, Host: target.Addr,
 		Header: h, Reuse: h1.ReuseNever, FirstByteTimeout: probeTimeout,
 	})
+	if err != nil {
+		return stateOf(err)
+	}
+	defer resp.Close(0)
+	if x.opts.Protocol.ParseResponse(resp.Status, resp.Header).Misdirected {
+		return replaced
+	}
+	return alive
+}
+
+// stateOf returns what the error of a probe shows. A probe that wasn't written got no
+// connection.
+func stateOf(err error) targetState {
+	var e *h1.Error
 	switch {
 	case err == nil:
-		defer resp.Close(0)
-		if x.opts.Protocol.ParseResponse(resp.Status, resp.Header).Misdirected {
-			return replaced
-		}
 		return alive
-	case failure.EndedByTarget(err):
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return refusing
+	case errors.Is(err, h1.ErrConnect), errors.As(err, &e) && !e.Written, failure.EndedByTarget(err):
 		return gone
 	}
 	return silent
