--- a/bench/audit/judge.go
+++ b/bench/audit/judge.go
@@ -21,8 +21,8 @@
 //
 // A request is doubled if targets ran its key more than once, or if a token was
 // received twice. It is crossed if anything of another request reached the
-// caller. It is untrue if it was refused as not run although a target counted a
-// run. Orders to an engine conflict if one arrived while another was running,
+// caller. It is untrue if it was refused as not run although a target, plain or an
+// engine, counted a run. Orders to an engine conflict if one arrived while another was running,
 // or if one took effect under a fencing number lower than the highest that the
 // engine had received.
 package audit
@@ -45,9 +45,15 @@
 // EngineRecord is the part of an engine stand-in's record that the judge uses.
 // An engine that crashed has one record for each incarnation.
 type EngineRecord struct {
-	Engine      string `json:"engine"`
-	Overlapping int    `json:"overlapping"` // orders that arrived while another was running
-	Stale       int    `json:"stale"`       // orders with a lower fencing number that took effect
+	Engine      string                `json:"engine"`
+	Requests    map[string]EngineRuns `json:"requests"`    // by X-Request-Id
+	Overlapping int                   `json:"overlapping"` // orders that arrived while another was running
+	Stale       int                   `json:"stale"`       // orders with a lower fencing number that took effect
+}
+
+// EngineRuns counts the runs of one attempt at an engine.
+type EngineRuns struct {
+	Starts int `json:"starts"`
 }
 
 // Records holds the records of all targets of a run.
@@ -124,13 +130,23 @@
 			sum[key] += n
 		}
 		for attempt, n := range p.Requests {
-			id, _, _ := strings.Cut(attempt, ".")
-			sum[id] += n
+			sum[requestOf(attempt)] += n
+		}
+	}
+	for _, e := range rec.Engines {
+		for attempt, runs := range e.Requests {
+			sum[requestOf(attempt)] += runs.Starts
 		}
 	}
 	return sum
 }
 
+// requestOf returns the caller's request id of an attempt.
+func requestOf(attempt string) string {
+	id, _, _ := strings.Cut(attempt, ".")
+	return id
+}
+
 // groupByRequest groups the outcomes of one kind by request, in the order of
 // the first send.
 func groupByRequest(outcomes []Outcome, kind Kind) [][]Outcome {
@@ -165,9 +181,7 @@
 	for _, sends := range requests {
 		r.count(&row, sends)
 		r.checkContent(&row, sends)
-		if kind != KindStream {
-			r.checkRuns(&row, sends, runs[sends[0].recordKey()])
-		}
+		r.checkRuns(&row, sends, runs[sends[0].recordKey()])
 	}
 	return row
 }
@@ -233,7 +247,7 @@
 func (r *Report) checkRuns(row *Row, sends []Outcome, runs int) {
 	res, o := finalResult(sends), &sends[0]
 	switch {
-	case res == resultAnswered && runs == 0:
+	case res == resultAnswered && runs == 0 && row.Kind != KindStream: // the tokens of a stream prove its run
 		row.Lost++
 		r.addFinding("answered, but never ran: %s", o.describe())
 	case res == resultNotRun && runs > 0:
--- a/bench/audit/judge_test.go
+++ b/bench/audit/judge_test.go
@@ -34,6 +34,8 @@
 	}{
 		{"stream whole", []Outcome{stream(complete)}, 0, Row{Answered: 1}},
 		{"stream refused", []Outcome{stream(refused)}, 0, Row{NotRun: 1}},
+		{"stream said not run, but ran", []Outcome{stream(refused)}, 1, Row{NotRun: 1, Untrue: 1}},
+		{"stream run again after a fault", []Outcome{stream(complete)}, 2, Row{Answered: 1}},
 		{"stream too short", []Outcome{stream(with(complete, func(o *Outcome) { o.Tokens = 8 }))}, 0, Row{Answered: 1, Cut: 1}},
 		{"stream with a gap", []Outcome{stream(with(complete, func(o *Outcome) { o.Faults.Lost = 1 }))}, 0, Row{Answered: 1, Cut: 1}},
 		{"stream with a token twice", []Outcome{stream(with(complete, func(o *Outcome) { o.Faults.Duplicated = 1 }))}, 0, Row{Answered: 1, Doubled: 1}},
@@ -71,7 +73,8 @@
 			if kind == KindFeed {
 				p = PlainRecord{Requests: map[string]int{"r.1": c.runs}}
 			}
-			rep := Judge(c.outcomes, Records{Plain: []PlainRecord{p}})
+			e := EngineRecord{Requests: map[string]EngineRuns{"s.1": {Starts: c.runs}}}
+			rep := Judge(c.outcomes, Records{Plain: []PlainRecord{p}, Engines: []EngineRecord{{}, e}})
 			c.want.Kind, c.want.Sent = kind, 1
 			for _, row := range rep.Rows {
 				if row.Kind == kind && row != c.want {
