--- a/bench/audit/judge.go
+++ b/bench/audit/judge.go
@@ -22,9 +22,9 @@
 // A request is doubled if targets ran its key more than once, or if a token was
 // received twice. It is crossed if anything of another request reached the
 // caller. It is untrue if it was refused as not run although a target, plain or an
-// engine, counted a run. Orders to an engine conflict if one arrived while another was running,
-// or if one took effect under a fencing number lower than the highest that the
-// engine had received.
+// engine, counted a run. Orders to an engine conflict if one arrived while another
+// was running, or if one took effect under a fencing number lower than the highest
+// that the engine had received.
 package audit
 
 import (
--- a/connection/h1/exchange.go
+++ b/connection/h1/exchange.go
@@ -292,8 +292,7 @@
 // its end, the request was fully written, no bytes follow the response, and copies
 // of it can be told from later responses. Otherwise it closes the connection: bytes
 // that follow a response belong to no request and would be taken for the response to
-// the next one. keepAlive is the
-// idle timeout that the target stated; 0 means none.
+// the next one. keepAlive is the idle timeout that the target stated; 0 means none.
 func (r *Response) Close(keepAlive time.Duration) {
 	x := r.x
 	x.closeOnce.Do(func() {
--- a/request/attempt/attempt.go
+++ b/request/attempt/attempt.go
@@ -125,22 +125,21 @@
 	return f, false
 }
 
-// logExchange logs one send: its connection and the answer that decides its outcome.
+// logExchange logs a send that was rejected or not answered: its connection and the
+// answer that decides its outcome.
 func logExchange(request, target, id string, resp *h1.Response, err error) {
+	if resp != nil && resp.Status < http.StatusBadRequest {
+		return
+	}
 	fields := log.Fields{"request": request, "target": target, "attempt": id}
 	var he *h1.Error
 	switch {
 	case resp != nil:
-		got := resp.Header.Get(HeaderID)
-		fields["exchange"], fields["status"], fields["named"] = resp.Use.String(), resp.Status, got == id
-		fields["not_run"] = resp.Header.Get(answer.HeaderNotRun)
+		fields["exchange"], fields["status"] = resp.Use.String(), resp.Status
+		fields["named"], fields["not_run"] = resp.Header.Get(HeaderID) == id, resp.Header.Get(answer.HeaderNotRun)
 	case errors.As(err, &he):
 		fields["exchange"] = he.Use.String()
 	}
-	if resp != nil && resp.Status < http.StatusBadRequest {
-		log.WithFields(fields).Debug("attempt: answered")
-		return
-	}
 	log.WithFields(fields).Info("attempt: rejected or not answered")
 }
 
