--- a/process/roster/convictions_test.go
+++ b/process/roster/convictions_test.go
@@ -118,6 +118,14 @@
 // Guards against traffic that grows with the square of the fleet when an
 // availability zone fails and each daemon has suspicions of its own.
 func TestFailureOfAZoneCostsLittleTraffic(t *testing.T) {
+	testFailureOfAZone(t, func(tracker *quarantine.CrashTracker, vm, i int, target string) {
+		tracker.Begin(quarantine.Fingerprint{byte(vm), byte(i), 1}, target)
+	})
+}
+
+// testFailureOfAZone measures what a daemon receives while all of them see 40 crashes
+// each. begin begins the ith run at a daemon.
+func testFailureOfAZone(t *testing.T, begin func(tracker *quarantine.CrashTracker, vm, i int, target string)) {
 	const (
 		size       = 150
 		span       = 5 * time.Second
@@ -128,9 +136,8 @@
 		before := f.received()
 		for vm, tracker := range f.crashes {
 			for i := range 40 {
-				content := quarantine.Fingerprint{byte(vm), byte(i), 1}
 				target := fmt.Sprint("target", (vm+i)%100)
-				tracker.Begin(content, target)
+				begin(tracker, vm, i, target)
 				tracker.Hold(target)(quarantine.Certain)
 			}
 		}
@@ -200,33 +207,11 @@
 // Guards against traffic that grows with the parts of prompts when an availability
 // zone fails, with 40 streams of each daemon.
 func TestFailureOfAZoneWithPartsCostsLittleTraffic(t *testing.T) {
-	const (
-		size       = 150
-		span       = 5 * time.Second
-		narrowLink = 20e6 / 8 // bytes a second
-		maxShare   = 0.05
-	)
-	withLargeFleet(t, size, 3, func(t *testing.T, f *testFleet) {
-		before := f.received()
-		for vm, tracker := range f.crashes {
-			for i := range 40 {
-				content := quarantine.Content{Service: "llm", Request: quarantine.Fingerprint{byte(vm), byte(i), 1}}
-				for part := range 4 {
-					content.Parts = append(content.Parts, quarantine.Fingerprint{byte(i >> part), byte(part), 2})
-				}
-				target := fmt.Sprint("target", (vm+i)%100)
-				tracker.BeginRun(content, target)
-				tracker.Hold(target)(quarantine.Certain)
-			}
-		}
-		sleep(span)
-		most := 0
-		for vm, n := range f.received() {
-			most = max(most, (n-before[vm])/int(span/time.Second))
-		}
-		t.Logf("at most %d bytes a second", most)
-		if float64(most) > maxShare*narrowLink {
-			t.Errorf("a daemon receives %d bytes a second", most)
+	testFailureOfAZone(t, func(tracker *quarantine.CrashTracker, vm, i int, target string) {
+		content := quarantine.Content{Service: "llm", Request: quarantine.Fingerprint{byte(vm), byte(i), 1}}
+		for part := range 4 {
+			content.Parts = append(content.Parts, quarantine.Fingerprint{byte(i >> part), byte(part), 2})
 		}
+		tracker.BeginRun(content, target)
 	})
 }
