--- a/connection/h1/exchange.go
+++ b/connection/h1/exchange.go
@@ -290,7 +290,7 @@
 
 // Close returns the connection to the pool if the framed response was read to
 // its end, the request was fully written, no bytes follow the response, and copies
-// of it can be told from later responses. Otherwise it closes the connection: bytes
+// of it can be distinguished from later responses. Otherwise it closes the connection: bytes
 // that follow a response belong to no request and would be taken for the response to
 // the next one. keepAlive is the idle timeout that the target stated; 0 means none.
 func (r *Response) Close(keepAlive time.Duration) {
--- a/connection/h1/relation.go
+++ b/connection/h1/relation.go
@@ -57,8 +57,8 @@
 	return r == Own || r == Unnamed && !seen
 }
 
-// reusable reports whether a later response on the connection can be told from copies
-// of those so far.
+// reusable reports whether later responses on the connection can be distinguished from
+// copies of those so far.
 func (h *history) reusable() bool { return !h.unnamed && h.requests < maxConnRequests }
 
 // relation returns how a response relates to the request.
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -82,7 +82,7 @@
 // connReuse excludes connections with a long idle time for calls that aren't
 // idempotent. If the target had just closed such a connection, the call
 // would fail as one that may have run. The answers to calls without an id can't be
-// told apart on one connection.
+// distinguished on one connection.
 func (x *execution) connReuse(s outgoing) h1.Reuse {
 	switch {
 	case x.call.Meta.RequestID == "":
--- a/request/entry/fault_test.go
+++ b/request/entry/fault_test.go
@@ -235,7 +235,7 @@
 	return nil
 }
 
-// Guards against "not run" on the word of a status: an engine that answers 429 or 503
+// Guards against "not run" inferred from a status alone: an engine that answers 429 or 503
 // hasn't said that it ran nothing, and may repeat the answer to an earlier request.
 func TestBusyEnginesDontMakeARequestNotRun(t *testing.T) {
 	for _, status := range []int{http.StatusTooManyRequests, http.StatusServiceUnavailable} {
