design, summary, roster: parts for hard load, and tables that daemons exchange as sums

Cause: organisations' use and engines' speed are state of the whole fleet, and nobody keeps them; the new deployments need both. Change: docs/design/18-hard-load.md says what was measured, what is missing, the parts and their interfaces. connection/summary holds a table as the sum of the daemons' parts; process/roster sends them each second over the aggregators, as a new kind of datagram that an earlier daemon drops. Settings for the parts, all off. Measured: TestSummariesReachAllDaemons with 2, 8 and 60 daemons, TestPartitionedZoneKeepsItsSum; nothing uses the tables yet, so callers are served as before.

--- a/process/roster/heartbeat.go
+++ b/process/roster/heartbeat.go
@@ -133,6 +133,7 @@
 		to = append(to, r.probeAddrs(maxProbes)...)
 	}
 	aggregates := r.agg.on && !r.small()
+	summaries := r.seq%heartbeatsPerSummary == 0
 	r.mu.Unlock()
 	r.relayReads(hb.Reads, true)
 	if !aggregates {
@@ -146,6 +147,9 @@
 	for _, addr := range to {
 		r.write(data, addr)
 	}
+	if summaries {
+		r.sendOwnSummaries(to)
+	}
 }
 
 // ownRate returns the rate level of this daemon.
@@ -241,6 +245,7 @@
 	kindOrigins     = 8
 	kindOriginQuery = 9
 	kindOriginReply = 10
+	kindSummary     = 11
 )
 
 var errShortDatagram = errors.New("roster: datagram is too short")
@@ -296,6 +301,8 @@
 		return r.o.Usage(data[1:])
 	case kindConvictions:
 		return r.handleConvictions(data[1:])
+	case kindSummary:
+		return r.handleSummary(data[1:])
 	case kindOrigins, kindOriginQuery, kindOriginReply:
 		return r.handleOriginMessage(data, from)
 	default:
--- a/process/roster/publish.go
+++ b/process/roster/publish.go
@@ -77,6 +77,7 @@
 	memberRows []row
 	otherRows  []row
 	local      map[string]bool // peer addresses of the zone's daemons
+	summaries  bool            // summaries are sent in this round
 }
 
 // publish sends digests if this daemon is an aggregator: whole ones, or only the rows of
@@ -100,15 +101,24 @@
 	if whole {
 		r.sendConvictions(s.addrs())
 	}
+	if whole && s.summaries {
+		r.sendAggregatedSummaries(s)
+	}
 }
 
 // addrs returns the addresses of all receivers.
 func (s *round) addrs() []net.Addr {
 	var out []net.Addr
 	for _, list := range [...][]receiver{s.members, s.idle, s.others} {
-		for _, to := range list {
-			out = append(out, to.addr)
-		}
+		out = append(out, addrsOf(list)...)
+	}
+	return out
+}
+
+func addrsOf(list []receiver) []net.Addr {
+	out := make([]net.Addr, 0, len(list))
+	for _, to := range list {
+		out = append(out, to.addr)
 	}
 	return out
 }
@@ -123,6 +133,7 @@
 	}
 	if whole {
 		r.agg.digestCount++
+		s.summaries = r.agg.digestCount%digestsPerSummary == 0
 		s.toMembers.Reads, r.agg.fleetReads = engines.AsOf(costliest(r.agg.fleetReads), now), nil
 		s.toOthers.Reads, r.agg.zoneReads = engines.AsOf(costliest(r.agg.zoneReads), now), nil
 	}
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -124,6 +124,8 @@
 	Convictions Convictions
 	// Origins keeps where streams began. It may be nil.
 	Origins Origins
+	// Summaries holds the tables that daemons exchange, by topic.
+	Summaries map[uint8]Summary
 	// Conn replaces the UDP socket, in tests.
 	Conn net.PacketConn
 }
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -17,6 +17,7 @@
 	"github.com/pomelospool/pomelospool/connection/engines"
 	"github.com/pomelospool/pomelospool/connection/origin"
 	"github.com/pomelospool/pomelospool/connection/speed"
+	"github.com/pomelospool/pomelospool/connection/summary"
 	"github.com/pomelospool/pomelospool/internal/packetnet"
 	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/port"
@@ -77,6 +78,7 @@
 	claims           []*fakeClaims
 	crashes          []*quarantine.CrashTracker
 	origins          []*origin.Tracker
+	tables           []*summary.Table[tableRow]
 }
 
 func peerAddr(vm int) string { return fmt.Sprintf("10.0.%d.%d:7000", vm/250, vm%250) }
@@ -106,8 +108,10 @@
 	crashes := quarantine.New(quarantine.Options{ToleratedCrashes: 2, Changed: func() { r.Notify() }})
 	peers := &originPeers{}
 	origins := origin.New(origin.Options{Peers: peers})
+	table := newTable(vm)
 	r, err := New(Options{
-		Rate: rate, Convictions: crashes, Origins: origins,
+		Summaries: map[uint8]Summary{TopicShares: table},
+		Rate:      rate, Convictions: crashes, Origins: origins,
 		Self: Member{
 			VM: fmt.Sprintf("vm%03d", vm), Incarnation: incarnation, Zone: f.zone(vm),
 			CallerAddr: fmt.Sprintf("10.0.%d.%d:80", vm/250, vm%250), PeerAddr: addr, LinkMbps: linkMbps,
@@ -124,6 +128,7 @@
 	r.SetState(Ready)
 	f.all, f.trackers, f.claims = append(f.all, r), append(f.trackers, tracker), append(f.claims, claims)
 	f.crashes, f.origins = append(f.crashes, crashes), append(f.origins, origins)
+	f.tables = append(f.tables, table)
 	return r
 }
 
--- a/process/settings/types.go
+++ b/process/settings/types.go
@@ -26,8 +26,10 @@
 	Bounds  Bounds  `yaml:"bounds,omitempty"`
 	Control Control `yaml:"control,omitempty"`
 	Limits  Limits  `yaml:"limits,omitempty"`
-	Log     Log     `yaml:"log,omitempty"`
-	TLS     TLS     `yaml:"tls,omitempty"`
+	// Scheduling switches on optional decisions under load.
+	Scheduling Scheduling `yaml:"scheduling,omitempty"`
+	Log        Log        `yaml:"log,omitempty"`
+	TLS        TLS        `yaml:"tls,omitempty"`
 }
 
 // Processor describes the processing power of a VM.
@@ -110,6 +112,22 @@
 	OnceAppendRate      float64       `yaml:"once_appends,omitempty"` // at-most-once appends a second of this daemon; 30
 }
 
+// Scheduling switches on decisions under load that are off by default. See
+// docs/design/18-hard-load.md.
+type Scheduling struct {
+	// FairShares rejects calls of organisations over their fair share first when
+	// calls wait. It needs a configuration that names organisations.
+	FairShares bool `yaml:"fair_shares,omitempty"`
+	// ShedEarly rejects calls whose first event would come after their callers
+	// have left, and reserves engines for short prompts while long ones wait.
+	ShedEarly bool `yaml:"shed_early,omitempty"`
+	// SpreadLoad allows for the work that other daemons have sent since their
+	// last reports.
+	SpreadLoad bool `yaml:"spread_load,omitempty"`
+	// EngineSpeeds estimates the speed of each engine over all daemons.
+	EngineSpeeds bool `yaml:"engine_speeds,omitempty"`
+}
+
 // Limits bound the requests that the daemon accepts from callers.
 type Limits struct {
 	HeaderBytes int           `yaml:"header_bytes,omitempty"` // 32768
