relay, discovery: a removed target isn't kept because a reader was cut off

Cause, two faults. A daemon that only changed the daemon it reads from kept removed entries for the grace period that is meant for an outage of the store. And the daemons of a zone whose readers were all cut off read nothing for 1.7 s, though daemons elsewhere could read the store. Change: each answer between daemons says for how long the store is known to have been available; entries that are missing after an outage of the own reads only are removed at once. If no reader is current, a peer that can read the store is read before the store is called. Ruled out: judging by the growth of the topic.

--- a/process/discovery/registry.go
+++ b/process/discovery/registry.go
@@ -50,6 +50,7 @@
 	lapsed    map[string]time.Time        // by key; entries that are missing in the store, with the time at which they are removed here
 	changed   map[string]changes          // by service, since the last snapshot
 	lost      bool
+	available bool      // the store was available during the present outage of this process's reads
 	keepUntil time.Time // lapsed entries are kept until then
 	listed    bool
 	lastAdded time.Time
@@ -170,7 +171,18 @@
 func (r *Registry) StoreLost(error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lost = true
+	r.lost, r.available = true, false
+}
+
+// StoreAvailable reports that the store was available during the present outage,
+// so only this process couldn't read it. Entries that are missing in the next read
+// were removed by their targets and haven't lapsed. If they were kept, requests
+// would reach targets up to 3.6 s after these have announced that they leave, when
+// a daemon only changes the daemon that it reads from.
+func (r *Registry) StoreAvailable() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.available = true
 }
 
 // StoreRecovered implements topic.Sink. The read that ended the outage was
@@ -180,6 +192,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lost = false
+	if r.available && len(r.lapsed) == 0 {
+		return
+	}
 	r.keepUntil = r.now().Add(lapsedGracePeriod)
 	for key := range r.lapsed {
 		r.lapsed[key] = r.keepUntil
@@ -242,7 +257,7 @@
 		return
 	}
 	now := r.now()
-	if r.lost || now.Before(r.keepUntil) {
+	if r.lost && !r.available || now.Before(r.keepUntil) {
 		if _, waits := r.lapsed[key]; !waits {
 			r.lapsed[key] = r.keepUntil
 			log.WithField("target", e.ID).Info("discovery: target's entry lapsed in an outage; keeping it for now")
--- a/process/discovery/registry_test.go
+++ b/process/discovery/registry_test.go
@@ -77,6 +77,33 @@
 	})
 }
 
+// Guards against requests to targets that left while this daemon changed the
+// daemon that it reads from: the store was available, so a missing entry was
+// removed by its target. In a later part of the outage entries may lapse.
+func TestEntriesRemovedWhileTheStoreWasAvailable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New(Options{Decode: decode})
+		r.Reset([]port.KeyedRecord{rec(0, "a", "s"), rec(1, "b", "s"), rec(2, "c", "s")}, 0)
+		r.StoreLost(errors.New("the reader's data isn't current"))
+		r.StoreAvailable()
+		r.Reset([]port.KeyedRecord{rec(1, "b", "s"), rec(2, "c", "s")}, 0)
+		want(t, r, "s", "b", "c")
+		r.StoreLost(errors.New("listed from another daemon"))
+		r.Apply([]port.KeyedRecord{rec(3, "b", "")})
+		want(t, r, "s", "b", "c")
+		r.StoreRecovered()
+		_ = pause.For(context.Background(), lapsedGracePeriod)
+		synctest.Wait()
+		want(t, r, "s", "c")
+		r.StoreLost(errors.New("the reader's data isn't current"))
+		r.StoreAvailable()
+		r.StoreRecovered()
+		_ = pause.For(context.Background(), lapsedGracePeriod)
+		r.Apply([]port.KeyedRecord{rec(4, "c", "")})
+		want(t, r, "s")
+	})
+}
+
 // An entry that is missing in a listing after an outage is treated like a
 // removed one.
 func TestListingAfterAnOutage(t *testing.T) {
--- a/process/front/store.go
+++ b/process/front/store.go
@@ -56,7 +56,7 @@
 // cache. Records must take effect within the bound.
 func (d *Daemon) follow(t port.Topic, name string, interval func() time.Duration, bound time.Duration) *topic.Follower {
 	cache := d.caches[t]
-	return topic.New(topic.Options{
+	o := topic.Options{
 		Store: d.store, Topic: t, Name: name, Sink: cache, ReadInterval: interval,
 		Wait: func() time.Duration {
 			if depth := d.roster.Upstream().Depth; depth > 0 {
@@ -64,8 +64,13 @@
 			}
 			return readWait(bound)
 		},
-		OnCurrent: func(next int64) { cache.Confirm(d.store.AsOf(t), next) },
-	})
+		OnCurrent: func(next int64) { cache.Confirm(d.store.AsOf(t), d.store.AvailableSince(t), next) },
+	}
+	if t == port.TopicTargets {
+		o.StoreWasAvailable = func() bool { return cache.CoveredSince(d.store.AvailableSince(t)) }
+		o.OnAvailable = d.registry.StoreAvailable
+	}
+	return topic.New(o)
 }
 
 // readWait returns how long a read waits for records that must take effect
--- a/process/relay/fleet_test.go
+++ b/process/relay/fleet_test.go
@@ -291,7 +291,7 @@
 	d.follower = topic.New(topic.Options{
 		Store: s, Topic: port.TopicTargets, Name: "targets", Sink: cache,
 		Wait: func() time.Duration { return fleetWait }, ReadInterval: func() time.Duration { return fleetReadInterval },
-		OnCurrent: func(next int64) { cache.Confirm(s.AsOf(port.TopicTargets), next) },
+		OnCurrent: func(next int64) { cache.Confirm(s.AsOf(port.TopicTargets), s.AsOf(port.TopicTargets), next) },
 	})
 	f.http.mu.Lock()
 	f.http.to[d.addr] = Handler(map[port.Topic]*TopicCache{port.TopicTargets: cache})
--- a/process/relay/listing.go
+++ b/process/relay/listing.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		return port.KeyedPage{}, err
 	}
-	s.advanceAsOf(t, begun+r.readAt)
+	s.advanceAsOf(t, begun+r.readAt, r.availableFor)
 	return port.KeyedPage{Records: r.Records, End: r.Next}, nil
 }
 
@@ -114,7 +114,7 @@
 // everything that was written before the call began.
 func (s *Store) recordListing(t port.Topic, begun time.Duration, l storeListing) (port.KeyedPage, error) {
 	if l.err == nil {
-		s.advanceAsOf(t, begun)
+		s.advanceAsOf(t, begun, 0)
 	}
 	return l.page, l.err
 }
--- a/process/relay/relay.go
+++ b/process/relay/relay.go
@@ -33,6 +33,9 @@
 	// the request; negative means before it. It is relative because the clocks
 	// of two daemons can't be compared.
 	ReadAt time.Duration
+	// AvailableFor is how long the store is known to have been available up to
+	// ReadAt. It is 0 in answers of an earlier version.
+	AvailableFor time.Duration
 }
 
 // Handler serves the reads of other daemons.
@@ -66,7 +69,7 @@
 			return nil
 		}
 		metrics.Add("listings_served", 1)
-		return cache.write(w, l.key(), l.page.Records, answer{End: l.page.End, ReadAt: l.readAt})
+		return cache.write(w, l.key(), l.page.Records, answer{End: l.page.End, ReadAt: l.readAt, AvailableFor: cache.availableFor()})
 	})
 	r.GET("/records", func(w http.ResponseWriter, req bunrouter.Request) error {
 		p := params{values: req.URL.Query()}
@@ -79,7 +82,7 @@
 		switch status {
 		case ok:
 			metrics.Add("reads_served", 1)
-			return cache.write(w, b.key(), b.records(), answer{End: b.next, ReadAt: b.readAt})
+			return cache.write(w, b.key(), b.records(), answer{End: b.next, ReadAt: b.readAt, AvailableFor: cache.availableFor()})
 		case gap:
 			w.WriteHeader(http.StatusGone)
 		default:
--- a/process/relay/relay_test.go
+++ b/process/relay/relay_test.go
@@ -63,7 +63,7 @@
 // daemon that reads from it.
 func newReaderAndStore(t *testing.T) (*TopicCache, *Store, *countingStore) {
 	cache := NewTopicCache(&sink{}, nil)
-	cache.Confirm(cache.now(), 0)
+	cache.Confirm(cache.now(), cache.now(), 0)
 	srv := httptest.NewServer(Handler(map[port.Topic]*TopicCache{port.TopicTargets: cache}))
 	t.Cleanup(srv.Close)
 	d := &countingStore{}
@@ -216,7 +216,7 @@
 		if len(cache.changes) != held || cache.end != written {
 			t.Errorf("%d changes up to %d, want %d", len(cache.changes), cache.end, held)
 		}
-		cache.Confirm(cache.now(), 0)
+		cache.Confirm(cache.now(), cache.now(), 0)
 		if _, status := cache.read(t.Context(), written-int64(held)-1, 0, time.Minute); status != gap {
 			t.Errorf("status %v for a change that was dropped", status)
 		}
@@ -236,7 +236,7 @@
 	for at := int64(3); at < 100; at += 2 {
 		cache.Apply([]port.KeyedRecord{record(at, "a"), record(at+1, "b")})
 	}
-	cache.Confirm(cache.now(), 101)
+	cache.Confirm(cache.now(), cache.now(), 101)
 	if b, status := cache.read(t.Context(), 3, 0, time.Minute); status != ok || len(b.changes) != 0 || b.next != 101 || next.applied != 0 {
 		t.Errorf("%+v, %v, %d records applied", b, status, next.applied)
 	}
@@ -282,14 +282,14 @@
 	const wait = 2 * time.Second
 	for name, begin := range map[string]func(cache *TopicCache){
 		"has read nothing":   func(*TopicCache) {},
-		"is a little behind": func(cache *TopicCache) { cache.Reset(nil, 5); cache.Confirm(0, 0) },
+		"is a little behind": func(cache *TopicCache) { cache.Reset(nil, 5); cache.Confirm(0, 0, 0) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				cache := NewTopicCache(&sink{}, nil)
 				cache.now = clock.NewRuntime().Now
 				begin(cache)
-				time.AfterFunc(300*time.Millisecond, func() { cache.Reset(nil, 7); cache.Confirm(cache.now(), 0) })
+				time.AfterFunc(300*time.Millisecond, func() { cache.Reset(nil, 7); cache.Confirm(cache.now(), cache.now(), 0) })
 				time.AfterFunc(800*time.Millisecond, func() { cache.Apply([]port.KeyedRecord{record(7, "a")}) })
 				b, w := cache.read(t.Context(), 7, wait, wait)
 				if w != ok || len(b.changes) != 1 || cache.now() != 800*time.Millisecond {
@@ -310,7 +310,7 @@
 		cache := NewTopicCache(&sink{}, nil)
 		cache.now = clock.NewRuntime().Now
 		cache.Reset(nil, 5)
-		cache.Confirm(0, 0)
+		cache.Confirm(0, 0, 0)
 		d, listed := &countingStore{}, make(chan struct{})
 		s := NewStore(d, func() []string { return []string{"reader", "other"} }, func() []string { return nil }, port.TopicTargets)
 		s.now, s.ReadersKnown = cache.now, listed
@@ -334,7 +334,7 @@
 	first, second := NewTopicCache(&sink{}, nil), NewTopicCache(&sink{}, nil)
 	for _, cache := range []*TopicCache{first, second} {
 		cache.Reset(nil, 5)
-		cache.Confirm(cache.now(), 0)
+		cache.Confirm(cache.now(), cache.now(), 0)
 	}
 	first.StoreLost(errors.New("the store is unavailable"))
 	second.Apply([]port.KeyedRecord{record(5, "a")})
@@ -370,7 +370,7 @@
 	}
 	cache.Reset(nil, 0)
 	cache.Apply(all)
-	cache.Confirm(cache.now(), 0)
+	cache.Confirm(cache.now(), cache.now(), 0)
 	h := Handler(map[port.Topic]*TopicCache{port.TopicTargets: cache})
 	sent := 0
 	for _, path := range []string{"/records?topic=1&from=0&wait_ms=0&max_age_ms=1000", "/current?topic=1&max_age_ms=1000&wait_ms=0"} {
@@ -429,7 +429,7 @@
 		}
 		before := d.reads
 		cache.Reset(nil, 7)
-		cache.Confirm(now(), 0)
+		cache.Confirm(now(), now(), 0)
 		if _, err := s.Read(t.Context(), port.TopicTargets, 7, 0); err != nil || d.reads != before {
 			t.Errorf("with the reader back: %v, the store was read %d times", err, d.reads)
 		}
--- a/process/relay/silence_test.go
+++ b/process/relay/silence_test.go
@@ -163,7 +163,7 @@
 		Store: store, Topic: port.TopicTargets, Name: vm, Sink: cache,
 		Wait:         func() time.Duration { return readWait },
 		ReadInterval: func() time.Duration { return readInterval },
-		OnCurrent:    func(next int64) { cache.Confirm(store.AsOf(port.TopicTargets), next) },
+		OnCurrent:    func(next int64) { cache.Confirm(store.AsOf(port.TopicTargets), store.AsOf(port.TopicTargets), next) },
 	})
 	return f
 }
@@ -238,7 +238,7 @@
 				cache := NewTopicCache(&sink{}, nil)
 				cache.now = clock.NewRuntime().Now
 				cache.Reset(nil, 7)
-				cache.Confirm(0, 0)
+				cache.Confirm(0, 0, 0)
 				loss := time.AfterFunc(c.lostAfter, func() { cache.StoreLost(port.ErrUnavailable) })
 				defer loss.Stop()
 				if _, w := cache.read(t.Context(), 7, wait, maxAge); w == ok || cache.now() != c.want {
--- a/process/relay/store.go
+++ b/process/relay/store.go
@@ -81,6 +81,7 @@
 	nextStoreCall     time.Duration                // no calls to the store until then
 	readersNotCurrent bool                         // the readers answered last that their data isn't current
 	asOf              map[port.Topic]time.Duration // the data of a topic is complete up to then
+	available         map[port.Topic]period        // when the store is known to have been available
 	lastReader        string                       // the reader that was asked last, or noReader
 	slowTopics        map[port.Topic]bool          // topics whose last read took longer than its wait plus readGrace
 
@@ -112,6 +113,7 @@
 		RetryDelay: func(bool) time.Duration { return 0 },
 		now:        clock.Boot{}.Now,
 		asOf:       make(map[port.Topic]time.Duration),
+		available:  make(map[port.Topic]period),
 		slowTopics: make(map[port.Topic]bool),
 
 		fallbacks: make(map[port.Topic]fallback),
@@ -149,6 +151,12 @@
 		return batch, err
 	}
 	answered := errors.Is(err, errNotCurrent)
+	if answered && ctx.Err() == nil {
+		if addr, b, peerErr := s.readFromStorePeers(ctx, t, from, s.maxAge(wait)); addr != "" {
+			metrics.Add("peers_read", 1)
+			return b, peerErr
+		}
+	}
 	if ctx.Err() != nil || !s.mayCallStore(answered) {
 		return port.KeyedBatch{}, err
 	}
@@ -239,7 +247,7 @@
 	if err != nil {
 		return port.KeyedBatch{}, err
 	}
-	s.advanceAsOf(t, start+r.readAt)
+	s.advanceAsOf(t, start+r.readAt, r.availableFor)
 	return r.KeyedBatch, nil
 }
 
@@ -247,6 +255,9 @@
 type reply struct {
 	port.KeyedBatch
 	readAt time.Duration // when the store was read, relative to the request
+	// availableFor is how long the store is known to have been available up to
+	// readAt.
+	availableFor time.Duration
 }
 
 // askOtherReader reads from another daemon without waiting for new records.
@@ -304,7 +315,7 @@
 	s.slowTopics[t] = now-begun >= wait+readGrace
 	s.mu.Unlock()
 	if err == nil {
-		s.advanceAsOf(t, now)
+		s.advanceAsOf(t, now, 0)
 	} else if s.OnReadError != nil {
 		s.OnReadError(outer, err)
 	}
@@ -322,11 +333,13 @@
 	return context.WithTimeout(ctx, d)
 }
 
-// advanceAsOf records the time up to which the data of a topic is complete.
-func (s *Store) advanceAsOf(t port.Topic, asOf time.Duration) {
+// advanceAsOf records the time up to which the data of a topic is complete, and how
+// long the store is known to have been available up to then.
+func (s *Store) advanceAsOf(t port.Topic, asOf, availableFor time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.asOf[t] = max(s.asOf[t], asOf)
+	s.available[t] = s.available[t].join(period{since: asOf - availableFor, until: asOf})
 }
 
 // bypassReaders makes reads go to the store for readerBypassDuration.
@@ -403,5 +416,5 @@
 		return reply{}, fmt.Errorf("relay: %w", err)
 	}
 	records, err := a.Pack.records()
-	return reply{KeyedBatch: port.KeyedBatch{Records: records, Next: a.End}, readAt: a.ReadAt}, err
+	return reply{KeyedBatch: port.KeyedBatch{Records: records, Next: a.End}, readAt: a.ReadAt, availableFor: a.AvailableFor}, err
 }
--- a/process/relay/topic_cache.go
+++ b/process/relay/topic_cache.go
@@ -36,6 +36,7 @@
 	changed       chan struct{}
 	lost          bool
 	asOf          time.Duration // all records written up to then, by now, are included; -1 before the first read
+	available     time.Duration // the store is known to have been available from then to asOf
 }
 
 // change is a record that changed its key's content. Its offset is that of the
@@ -245,12 +246,13 @@
 }
 
 // Confirm records that all records before the offset next were passed to this
-// TopicCache, including all that were written up to asOf, by CLOCK_BOOTTIME.
-func (t *TopicCache) Confirm(asOf time.Duration, next int64) {
+// TopicCache, including all that were written up to asOf, by CLOCK_BOOTTIME, and
+// that the store was available from availableSince to asOf.
+func (t *TopicCache) Confirm(asOf, availableSince time.Duration, next int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	wakes := t.asOf < 0 || t.end >= 0 && next > t.end
-	t.asOf = max(t.asOf, asOf)
+	t.asOf, t.available = max(t.asOf, asOf), availableSince
 	if t.end >= 0 {
 		t.end = max(t.end, next)
 	}
@@ -259,6 +261,21 @@
 	}
 }
 
+// CoveredSince reports whether a time is before the end of the cached data.
+func (t *TopicCache) CoveredSince(at time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.asOf >= 0 && at <= t.asOf
+}
+
+// availableFor returns how long, up to the end of the cached data, the store is
+// known to have been available.
+func (t *TopicCache) availableFor() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(t.asOf-t.available, 0)
+}
+
 // Age returns the age of the cached data. The result is false before the first
 // read.
 func (t *TopicCache) Age() (time.Duration, bool) {
--- a/process/topic/follower.go
+++ b/process/topic/follower.go
@@ -33,7 +33,8 @@
 	Reset(records []port.KeyedRecord, next int64)
 	// Apply applies records in order.
 	Apply(records []port.KeyedRecord)
-	// StoreLost reports, once for each outage, that the store can't be read.
+	// StoreLost reports that the store can't be read, once for each outage and
+	// after each listing from another daemon in it.
 	StoreLost(err error)
 	// StoreRecovered reports the end of an outage, after the Reset or Apply of
 	// the read that succeeded.
@@ -56,6 +57,14 @@
 	// from the store, once the records were passed to Sink. All records before
 	// the offset next have been passed on.
 	OnCurrent func(next int64)
+	// StoreWasAvailable, if set, reports whether the store is known to have been
+	// available since the last successful read. It is called after each read
+	// that follows an outage.
+	StoreWasAvailable func() bool
+	// OnAvailable is called before the Reset or Apply that follows an outage in
+	// which the store was available: only this process couldn't read it, and
+	// what is missing in it was removed by its writers.
+	OnAvailable func()
 }
 
 // Follower reads one topic until Stop is called.
@@ -122,6 +131,7 @@
 		return err
 	}
 	f.next = max(f.next, batch.Next)
+	f.reportAvailable()
 	if len(batch.Records) > 0 {
 		f.o.Sink.Apply(batch.Records)
 	}
@@ -129,6 +139,16 @@
 	return nil
 }
 
+// reportAvailable calls OnAvailable if this read follows an outage in which the
+// store was available.
+func (f *Follower) reportAvailable() {
+	if !f.lost || f.o.StoreWasAvailable == nil || !f.o.StoreWasAvailable() {
+		return
+	}
+	log.WithFields(log.Fields{"topic": f.o.Name, "next": f.next}).Info("topic: the store was available during the outage")
+	f.o.OnAvailable()
+}
+
 func (f *Follower) reportProgress() {
 	if f.o.OnCurrent != nil {
 		f.o.OnCurrent(f.next)
@@ -166,8 +186,11 @@
 	}
 	f.next, f.nextKnown = end, true
 	log.WithFields(log.Fields{"topic": f.o.Name, "records": len(all), "newest": maxOffset(all), "next": end}).Info("topic: listed")
+	f.reportAvailable()
 	f.o.Sink.Reset(all, end)
 	if relayed {
+		// The store may be unavailable from here on.
+		f.o.Sink.StoreLost(errRelayed)
 		return errRelayed
 	}
 	f.reportProgress()
