fairshare: the max-min fair core of admission as a package of its own

Cause: the platform's path is to decide by fair shares too, and the core was private to request/admission. Change: request/fairshare holds the averaged usage, the level and the eviction.

--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/request/fairshare"
 	"github.com/pomelospool/pomelospool/request/routing"
 	"github.com/pomelospool/pomelospool/version/document"
 )
@@ -74,7 +75,7 @@
 		return nil, code.New(code.Overloaded, "%.0f%% of the room is taken", full.share*100).
 			WithRetryAfter(s.retryAfter(over, slotCount(a.Targets)))
 	}
-	if over := full.excess - 1; over >= 0 && a.Priority <= 0 && s.overShare(a, 1/full.excess, c.now()) {
+	if over := full.excess - 1; over >= 0 && a.Priority <= 0 && s.shares.OverShare(a.Org, 1/full.excess, c.now()) {
 		return nil, code.New(code.OrgOverShare, "organisation %.80q", a.Org).
 			WithRetryAfter(s.retryAfter(over, slotCount(a.Targets)))
 	}
@@ -105,7 +106,7 @@
 func (c *Controller) service(name string) *service {
 	s, ok := c.services[name]
 	if !ok {
-		s = &service{orgs: make(map[string]*usage)}
+		s = &service{shares: fairshare.NewLedger()}
 		c.services[name] = s
 	}
 	return s
