shares: usage of targets by organisation, over the fleet

Cause: while capacity is insufficient, an organisation that sends ten times as much as others takes capacity from them in proportion, and no component tracks organisations' usage on the platform's path. Change: connection/shares averages for each organisation what its calls ask for and what the admitted ones use, exchanges the sums as a summary, and decides which calls are rejected in contention. It logs the begin and end of it.

--- /dev/null
+++ b/connection/shares/shares_test.go
@@ -0,0 +1,93 @@
+package shares
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+)
+
+// newTracker returns a Tracker with a clock that the test sets.
+func newTracker() (*Tracker, *time.Time) {
+	now := time.Unix(1000, 0)
+	return New(func() time.Time { return now }), &now
+}
+
+// Guards against rejections of organisations that nobody competes with: a lone
+// one, and several with equal usage, may use the whole of the waiting time.
+func TestEqualOrganisationsAreWithinTheirShares(t *testing.T) {
+	for _, orgs := range []int{1, 5} {
+		tr, now := newTracker()
+		for i := range 2000 {
+			*now = now.Add(10 * time.Millisecond)
+			for org := range orgs {
+				name := fmt.Sprint("org", org)
+				if tr.Rejects("s", name, 0.99) {
+					t.Fatalf("%d organisations: rejected", orgs)
+				}
+				tr.Record("s", name, time.Second, i%2 == 0) // half are rejected for another reason
+			}
+		}
+	}
+}
+
+// Guards against a table that grows with the organisations, and against usage
+// that is lost when it is cut: a cut sum has the same totals.
+func TestSentTableIsBounded(t *testing.T) {
+	a, _ := newTracker()
+	b, _ := newTracker()
+	for i := range 300 {
+		a.Record("s", fmt.Sprint("org", i), time.Duration(i+100)*time.Millisecond, true)
+	}
+	pieces, err := a.table.Report(func(string) bool { return false }, 1<<20)
+	if err != nil || len(pieces) != 1 || len(pieces[0]) > 2000 {
+		t.Fatalf("%d pieces of %d bytes, %v", len(pieces), len(pieces[0]), err)
+	}
+	if err := b.table.Merge("a", 0, 1, pieces[0]); err != nil {
+		t.Fatal(err)
+	}
+	rows, used, orgs := b.table.Sum(), 0.0, uint32(0)
+	for _, r := range rows {
+		used += float64(r.Used)
+		orgs += r.Orgs
+	}
+	if want := (300*299/2 + 300*100) * 0.001 / 8; len(rows) != maxRows+1 || orgs != 300 || math.Abs(used-want) > 1e-3 {
+		t.Errorf("%d rows of %d organisations with usage %g, want %g", len(rows), orgs, used, want)
+	}
+}
+
+// Guards against a level that is not a number because of a row from the network.
+func TestDamagedRows(t *testing.T) {
+	bad := float32(math.NaN())
+	v := newView(1, []Row{{Service: 1, Org: 2, Orgs: 1, Asked: bad, Used: bad}, {Service: 1, Org: 3, Asked: -1}, {Service: 1, Org: 4, Orgs: 1, Asked: 1, Used: 1}}, 1)
+	if v.over(2) || v.over(4) || !(v.level > 0) {
+		t.Errorf("%+v", v)
+	}
+}
+
+// Guards against a log line for each rejection, and against periods of contention
+// that don't end.
+func TestContentionIsLoggedOnce(t *testing.T) {
+	h := memory.New()
+	log.SetHandler(h)
+	log.SetLevel(log.InfoLevel)
+	defer log.SetLevel(log.FatalLevel)
+	tr, now := newTracker()
+	for range 1000 {
+		*now = now.Add(10 * time.Millisecond)
+		tr.Record("s", "small", 2*time.Millisecond, true)
+		tr.Record("s", "flood", 50*time.Millisecond, !tr.Rejects("s", "flood", 0.9))
+	}
+	st := tr.Update()
+	if len(st) != 1 || st[0].Rejected == 0 || !st[0].Contention || st[0].Over != 1 || len(h.Entries) != 1 {
+		t.Errorf("%+v, %d lines", st, len(h.Entries))
+	}
+	*now = now.Add(quietTime)
+	st = tr.Update()
+	if st[0].Contention || len(h.Entries) != 2 || h.Entries[1].Fields["rejected"] != st[0].Rejected {
+		t.Errorf("%+v, %d lines", st, len(h.Entries))
+	}
+}
