dispatch: calls of organisations over their share are rejected first

Cause: in contention, waiting time and slots go to whoever sends most. Change: on both kinds of targets a new call of an organisation over its share is rejected with 1003 and a Retry-After, once its predicted wait takes 0.75 of the time that it could wait and be on time, or 0.75 of the slots of the considered plain targets are in use. Only the first send of a call is decided, so that nothing of a rejected call has been sent. Streams that are taken up, calls without an organisation and forwarded calls are not rejected. Options.Shares is nil unless it is set, and calls are then served as before. Measured: TestCallsOverShare passes, and fails for streams and plain calls with the decision replaced by none.

--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -113,6 +113,9 @@
 	// Origins tracks at which software version streams began. If it is nil, only those
 	// that began at this Runner are known.
 	Origins Origins
+	// Shares limits organisations to their fair shares in contention. If it is nil,
+	// they aren't limited.
+	Shares Shares
 	// TargetAddrs returns addresses of targets of any service. If it is nil, those
 	// of a call's own service are used.
 	TargetAddrs func() []string
@@ -126,6 +129,7 @@
 	promptStatsByService map[string]*placement.PromptStats
 	answerLengths        map[string]*answerLength // by route
 	verifying            map[string]bool          // targets that are being verified, by id
+	plainTimes           plainTimes
 
 	ctx        context.Context // of the verifications
 	cancel     context.CancelFunc
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -148,7 +148,7 @@
 	ch := x.choosePrefill(ctx, p, est)
 	x.admitted = &ch
 	x.trace.PredictedDuration = est.StreamDuration(x.call.Meta.MaxOutputTokens)
-	err := x.checkObjective(&p, est, ch)
+	err := x.enforceShare(p, est, ch, x.checkObjective(&p, est, ch))
 	x.recordDemand(p, est, ch, err != nil)
 	return p, err
 }
--- a/request/dispatch/plain.go
+++ b/request/dispatch/plain.go
@@ -33,6 +33,9 @@
 		if x.viaPeer() {
 			return x.plainAtPeer(ctx)
 		}
+		if err := x.enforcePlainShare(); err != nil {
+			return nil, err
+		}
 		to, ok := x.pickPlain()
 		if !ok {
 			return nil, x.noTargetError()
@@ -72,7 +75,10 @@
 	if f != nil {
 		return nil, f
 	}
-	return a, x.answerFailure(to.ID, a, v)
+	if f = x.answerFailure(to.ID, a, v); f == nil {
+		x.plainTimes.observe(x.call.Route.Name, time.Since(sent))
+	}
+	return a, f
 }
 
 // finalAnswer returns the target's own error answer if that is allowed.
@@ -150,6 +156,9 @@
 		if err := x.checkOriginServed(""); err != nil {
 			return err
 		}
+		if err := x.enforcePlainShare(); err != nil {
+			return err
+		}
 		to, ok := x.pickPlain()
 		if !ok {
 			return x.noTargetError()
--- /dev/null
+++ b/request/dispatch/share_test.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/connection/origin"
+	"github.com/pomelospool/pomelospool/connection/shares"
+	"github.com/pomelospool/pomelospool/platform/standin"
+	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/version/route"
+)
+
+// withFlood makes the runner limit organisations, of which "flood" is over its
+// share of both services.
+func (h *harness) withFlood() {
+	tr := shares.New(time.Now)
+	for _, service := range []string{"llm", "app"} {
+		tr.Record(service, "flood", 10*time.Second, true)
+		tr.Record(service, "flood", 100*time.Second, false)
+		tr.Record(service, "small", time.Second, true)
+		tr.Record(service, "small", time.Second, false)
+	}
+	h.runner.opts.Shares, h.runner.opts.Origins = tr, knownOrigin{h.runner.opts.Origins}
+}
+
+// knownOrigin is Origins in which all streams began at targets without a version.
+type knownOrigin struct{ Origins }
+
+func (knownOrigin) Find(context.Context, origin.Stream) (string, origin.Source) {
+	return "", origin.FromOnlyVersion
+}
+
+// shareCases are calls of which only those of an organisation over its share may
+// be rejected, and only if they are new and this daemon has not been handed them.
+var shareCases = []struct {
+	name string
+	full bool
+	set  func(c *Call)
+	want code.Code
+}{
+	{"over its share", true, func(c *Call) { c.Organisation = "flood" }, code.OrgOverShare},
+	{"over its share, room", false, func(c *Call) { c.Organisation = "flood" }, code.OK},
+	{"within its share", true, func(c *Call) { c.Organisation = "small" }, code.OK},
+	{"new organisation", true, func(c *Call) { c.Organisation = "new" }, code.OK},
+	{"no organisation", true, func(*Call) {}, code.OK},
+	{"takes up a stream", true, func(c *Call) { c.Organisation, c.Meta.LastEventID = "flood", "1" }, code.OK},
+	{"forwarded", true, func(c *Call) { c.Organisation, c.Forwarded = "flood", true }, code.OK},
+}
+
+// Guards against a flood that takes the waiting time or the slots that
+// organisations within their share need, against rejections of any other call, and
+// against a rejection that isn't truthful or doesn't state when to come back.
+func TestCallsOverShare(t *testing.T) {
+	for _, tc := range shareCases {
+		withHarness(t, 0, func(t *testing.T, h *harness) {
+			targets := []*standin.Target{h.addTarget("llm", port.RolePrefill), h.addTarget("llm", port.RoleDecode), h.addTarget("app", ""), h.addTarget("app", "")}
+			h.withFlood()
+			wait, inUse := 200*time.Millisecond, 5 // of 376 ms in which the call would be on time, and of 8 slots
+			if tc.full {
+				wait, inUse = 330*time.Millisecond, 6
+			}
+			h.runner.opts.Engines.Prefill("llm0", 1000, nil, 0, wait)
+			for range inUse {
+				h.runner.opts.Engines.Decode("app0", 0, nil, 0)
+			}
+			stream, plain := h.newCall(route.Stream, 2, 3*time.Second), h.newCall(route.Safe, 2, 3*time.Second)
+			tc.set(stream)
+			tc.set(plain)
+			_, err := h.runner.Streamed(t.Context(), stream, &recorder{})
+			_, _, plainErr := h.runner.Plain(t.Context(), plain)
+			received := 0
+			for _, target := range targets {
+				received += len(target.ReceivedRequests())
+			}
+			for _, err := range []error{err, plainErr} {
+				if code.Of(err) != tc.want {
+					t.Errorf("%s: %v", tc.name, err)
+				}
+				if e, ok := err.(*code.Error); ok && (!e.Code.Info().NotRun || e.RetryAfter < minRetryDelay || received != 0) {
+					t.Errorf("%s: %v, %d requests received, retry after %v", tc.name, err, received, e.RetryAfter)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a rejection for a share after a target has received the call:
+// the slots fill up while the call is at the first target.
+func TestNoShareRejectionAfterASend(t *testing.T) {
+	withHarness(t, 100, func(t *testing.T, h *harness) {
+		a := h.addTarget("app", "")
+		a.Set(func(b *standin.Behaviour) { b.Fail, b.Gap = true, 100*time.Millisecond })
+		h.withFlood()
+		time.AfterFunc(50*time.Millisecond, func() {
+			for range 8 {
+				h.runner.opts.Engines.Decode("app0", 0, nil, 0)
+			}
+		})
+		c := h.newCall(route.Safe, 2, 3*time.Second)
+		c.Organisation = "flood"
+		got, _, err := h.runner.Plain(t.Context(), c)
+		if err != nil || got.Status != 500 || len(a.Ran()) != 2 {
+			t.Errorf("%d runs, answer %+v, %v", len(a.Ran()), got, err)
+		}
+	})
+}
+
+// Guards against usage that isn't recorded: rejected calls count as demand, and
+// plain calls by the time that their targets took before.
+func TestUsageIsRecorded(t *testing.T) {
+	withHarness(t, 0, func(t *testing.T, h *harness) {
+		h.addTarget("app", "").Set(func(b *standin.Behaviour) { b.Gap = 200 * time.Millisecond })
+		tr := shares.New(time.Now)
+		h.runner.opts.Shares = tr
+		for range 2 {
+			c := h.newCall(route.Safe, 1, 3*time.Second)
+			c.Organisation = "a"
+			if _, _, err := h.runner.Plain(t.Context(), c); err != nil {
+				t.Fatal(err)
+			}
+		}
+		rows := tr.Summary().Sum()
+		if len(rows) != 1 || rows[0].Used != rows[0].Asked || rows[0].Used < 0.029 || rows[0].Used > 0.032 {
+			t.Errorf("usage %+v, want 50 and 200 ms in 8 s", rows)
+		}
+	})
+}
