front: fair shares behind their setting, with metrics and pages

Cause: the parts of fair shares were not connected. Change: with scheduling.fair_shares, the daemon exchanges organisations' usage as topic 1 of the summaries and limits calls by it. Metrics: rejections by service, the fair level, organisations over it. Tests of request, connection and process/front pass.

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -24,6 +24,7 @@
 	"github.com/pomelospool/pomelospool/connection/health"
 	"github.com/pomelospool/pomelospool/connection/links"
 	"github.com/pomelospool/pomelospool/connection/origin"
+	"github.com/pomelospool/pomelospool/connection/shares"
 	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/connection/targets"
 	"github.com/pomelospool/pomelospool/internal/drain"
@@ -84,6 +85,7 @@
 	health      *health.Tracker
 	speed       *speed.Tracker
 	demand      *demand.Tracker
+	shares      *shares.Tracker // nil: organisations aren't limited to fair shares
 	budget      *budget.Fleet
 	links       *links.Tracker
 	forwarder   *forward.Forwarder
@@ -133,6 +135,9 @@
 		demand:    demand.New(time.Now),
 		rate:      newRateMeter(time.Now),
 	}
+	if s.Scheduling.FairShares {
+		d.shares = shares.New(time.Now)
+	}
 	d.incarnation = uint64(time.Now().UnixNano())
 	d.clock = clock.NewEstimator(clock.Boot{}, time.Now)
 	d.registry = discovery.New(discovery.Options{
@@ -227,6 +232,7 @@
 		Unlinked:         func() bool { return d.links != nil && d.links.AnyLost() },
 		Convictions:      d.crashes,
 		Origins:          d.origins,
+		Summaries:        d.summaries(),
 	})
 	if err != nil {
 		return err
@@ -244,7 +250,7 @@
 		Daemons: d.roster.FleetSize,
 		Clock:   clock.Boot{}.Now,
 	})
-	d.runner = dispatch.New(dispatch.Options{
+	options := dispatch.Options{
 		Protocol: platform.TargetProtocol{},
 		Pool:     d.pool,
 		Targets:  directory{d.registry},
@@ -263,7 +269,11 @@
 		Quarantine:  d.crashes,
 		Origins:     d.origins,
 		TargetAddrs: d.targetAddrs,
-	})
+	}
+	if d.shares != nil {
+		options.Shares = d.shares
+	}
+	d.runner = dispatch.New(options)
 	d.metrics = newMetrics(d)
 	d.ingress = ingress.New(ingress.Options{Config: d.config, Protocol: platform.TargetProtocol{}, Runner: d.runner, Observe: d.observe,
 		TargetsAge: func() (time.Duration, bool) { return d.caches[port.TopicTargets].Age() },
@@ -389,6 +399,7 @@
 			d.removeStale()
 			d.metrics.setEstimates(d.config.Load(), d.speed)
 			d.metrics.setRetryBudgets(d.config.Load(), d.budget)
+			d.updateShares()
 		}
 	}
 }
--- a/process/front/metrics.go
+++ b/process/front/metrics.go
@@ -75,6 +75,9 @@
 		gauge("request_rate", "Callers' requests in the busiest of the last seconds.", d.rate.perSecond),
 		gauge("ready", "1 while the daemon takes requests.", func() float64 { return boolGauge(d.roster.Ready()) }),
 	)
+	if d.shares != nil {
+		m.registry.MustRegister(shareCollector{d.shares})
+	}
 	return m
 }
 
