dispatch: a test of rejections after a send that fails without its guard

Cause: in TestNoShareRejectionAfterASend the slots filled up only after the second attempt, so that it passed with the guard removed. Change: the first target fills the slots when it receives the call, and rejects it; the second one must run it.

--- a/request/dispatch/share_test.go
+++ b/request/dispatch/share_test.go
@@ -88,22 +88,27 @@
 }
 
 // Guards against a rejection for a share after a target has received the call:
-// the slots fill up while the call is at the first target.
+// the slots fill up while the call is at the first target, which rejects it.
 func TestNoShareRejectionAfterASend(t *testing.T) {
 	withHarness(t, 100, func(t *testing.T, h *harness) {
-		a := h.addTarget("app", "")
-		a.Set(func(b *standin.Behaviour) { b.Fail, b.Gap = true, 100*time.Millisecond })
+		a, b := h.addTarget("app", ""), h.addTarget("app", "")
 		h.withFlood()
-		time.AfterFunc(50*time.Millisecond, func() {
+		sheds := 0
+		shed := func(int) bool {
 			for range 8 {
 				h.runner.opts.Engines.Decode("app0", 0, nil, 0)
 			}
-		})
+			sheds++
+			return sheds == 1
+		}
+		for _, target := range []*standin.Target{a, b} {
+			target.Set(func(b *standin.Behaviour) { b.Shed = shed })
+		}
 		c := h.newCall(route.Safe, 2, 3*time.Second)
 		c.Organisation = "flood"
-		got, _, err := h.runner.Plain(t.Context(), c)
-		if err != nil || got.Status != 500 || len(a.Ran()) != 2 {
-			t.Errorf("%d runs, answer %+v, %v", len(a.Ran()), got, err)
+		got, trace, err := h.runner.Plain(t.Context(), c)
+		if err != nil || got.Status != 200 || trace.Sends != 2 || runCount(a, b) != 1 {
+			t.Errorf("%d sends, %d runs, answer %+v, %v", trace.Sends, runCount(a, b), got, err)
 		}
 	})
 }
