balance: share the choice under stale reports

The water-filling choice was part of the routing of the project's own protocol. The platform's path chooses the cheapest candidate and breaks ties by a hash of the content, so that all daemons choose the same engine while their reports are old.

request/balance now holds the choice as a pure function, which routing uses. The arithmetic and its order are unchanged, and so are the tests of request/routing, which pass.

--- a/request/routing/pick.go
+++ b/request/routing/pick.go
@@ -1,63 +1,19 @@
 package routing
 
 import (
-	"slices"
-
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/pomelospool/pomelospool/internal/fraction"
 )
 
-// choose picks a candidate at random, weighted by its cost in seconds.
-//
-// It prevents herding: many processes read the same reports, each sends to the
-// target with the lowest cost, and all of them overload that target until the
-// next report while others idle. So choose accounts for the unreported work
-// that other processes send meanwhile. It distributes this work by
-// water-filling, lowest cost first, and weights each target by its share of
-// it. With fresh reports or a single process the cheapest candidate is chosen;
-// the older the reports, the wider the spread. See Dahlin, Interpreting Stale
-// Load Information, 1999.
+// choose picks a candidate at random, weighted by its cost in seconds, given the
+// seconds of work that other processes have sent since their reports.
 func choose(s *scratch, cands []candidate, unreported float64, hash uint64) *candidate {
-	level := s.waterLevel(cands, unreported)
-	total := 0.0
-	best := &cands[0]
-	for i := range cands {
-		c := &cands[i]
-		c.weight = max(level-c.cost, 0)
-		total += c.weight
-		if c.cost < best.cost {
-			best = c
-		}
-	}
-	x := fraction.Of(hash) * total
+	s.costs = s.costs[:0]
 	for i := range cands {
-		c := &cands[i]
-		x -= c.weight
-		if x < 0 {
-			return c
-		}
-	}
-	return best
-}
-
-// waterLevel returns the cost that the candidates reach when work seconds of
-// work are distributed over them, lowest cost first.
-func (s *scratch) waterLevel(cands []candidate, work float64) float64 {
-	s.levels = s.levels[:0]
-	for i := range cands {
-		s.levels = append(s.levels, cands[i].cost)
-	}
-	slices.Sort(s.levels)
-	sum := 0.0
-	for i, l := range s.levels {
-		sum += l
-		level := (sum + work) / float64(i+1)
-		if i+1 == len(s.levels) || level <= s.levels[i+1] {
-			return level
-		}
+		s.costs = append(s.costs, cands[i].cost)
 	}
-	return 0
+	return &cands[s.chooser.Choose(s.costs, unreported, fraction.Of(hash))]
 }
 
 // unreportedWork estimates the seconds of work that other processes sent to the
--- a/request/routing/policy.go
+++ b/request/routing/policy.go
@@ -7,6 +7,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/request/balance"
 )
 
 // Options holds the rates that routing assumes for targets that have not
@@ -94,13 +95,13 @@
 	est    estimate
 	score  float64
 	cost   float64 // the score as an equivalent finish time in seconds
-	weight float64
 }
 
 type scratch struct {
 	cands    []candidate
 	decoders []candidate
-	levels   []float64
+	costs    []float64 // of the candidates of a choice
+	chooser  balance.Chooser
 }
 
 // Route implements Router.
