placement: account for work sent since the reports

With old reports all daemons chose the engine that was cheapest in them, and broke ties by a hash of the content. An engine whose queue owner was silent counted with its tracked wait and so looked idle to all.

Prefill and Decode now take the unreported work. Each daemon prefers a few engines of its own, twice its share of the requests, as long as their cost isn't above the level that the others reach with the unreported work; otherwise it chooses at random by water-filling. Occupancy, not cost, is levelled for decodes, as their cost isn't proportional to the number of streams. While reports are old, ties are broken by the request's random number where engines can fetch KV cache. Without unreported work all choices are as before.

--- a/request/balance/balance.go
+++ b/request/balance/balance.go
@@ -62,3 +62,23 @@
 	}
 	return 0
 }
+
+// ChoosePreferred is like Choose, but takes the cheapest of the preferred
+// candidates if its cost isn't above the level that the others reach with the
+// unreported work.
+//
+// If each process prefers a few candidates of its own, it knows most of the
+// work at them without a report, and the arrivals at each candidate vary less
+// than those of a random choice.
+func (c *Chooser) ChoosePreferred(costs []float64, preferred []int, unreported, random float64) int {
+	best := -1
+	for _, i := range preferred {
+		if best < 0 || costs[i] < costs[best] {
+			best = i
+		}
+	}
+	if best >= 0 && costs[best] <= c.Level(costs, unreported) {
+		return best
+	}
+	return c.Choose(costs, unreported, random)
+}
--- a/request/balance/balance_test.go
+++ b/request/balance/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 )
 
@@ -42,3 +43,36 @@
 		t.Errorf("chosen %v times", counts)
 	}
 }
+
+// Guards against a process that stays at its own candidates while others are
+// better, or that leaves them although others fill up before its work arrives.
+func TestPreferredUpToTheLevel(t *testing.T) {
+	var c Chooser
+	costs := []float64{0, 2, 4, 9}
+	for _, work := range []float64{0, 3, 5.9} {
+		if got := c.ChoosePreferred(costs, []int{2, 3}, work, 0); got != 0 {
+			t.Errorf("work %v: chose %d", work, got)
+		}
+	}
+	if got := c.ChoosePreferred(costs, []int{2, 3}, 7, 0); got != 2 {
+		t.Errorf("chose %d although the others reach %v", got, c.Level(costs, 7))
+	}
+}
+
+// Guards against candidates that more processes prefer than others.
+func TestPreferredCoverCandidatesEvenly(t *testing.T) {
+	counts := make([]int, 140)
+	for i := range 70 {
+		for _, p := range (Share{From: float64(i) / 70, To: float64(i+1) / 70}).Preferred(140) {
+			counts[p]++
+		}
+	}
+	if slices.Min(counts) != 2 || slices.Max(counts) != 2 {
+		t.Errorf("preferred by %v", counts)
+	}
+	for _, s := range []Share{{}, {From: 0.5, To: 0.501}} {
+		if got := s.Preferred(140); got != nil {
+			t.Errorf("%v prefers %v", s, got)
+		}
+	}
+}
--- a/request/placement/decode.go
+++ b/request/placement/decode.go
@@ -32,20 +32,32 @@
 // that holds the KV cache, or empty if there is none. Decode returns -1 if
 // there are no candidates.
 func Decode(p Prompt, cands []Candidate, e *route.Engine, from string) int {
+	at, _ := ChooseDecode(p, cands, e, from)
+	return at
+}
+
+// ChooseDecode is like Decode, and reports whether the engine is the cheapest
+// one. While reports are stale it may not be.
+func ChooseDecode(p Prompt, cands []Candidate, e *route.Engine, from string) (at int, isCheapest bool) {
+	stale := p.Unreported.streamsStale()
 	best := -1
-	var bestCost time.Duration
+	costs := make([]time.Duration, len(cands))
 	for i := range cands {
 		c := &cands[i]
 		cost := c.decodeCost(&p)
 		if from != "" {
 			cost += transferWeight * TransferTime(e, max(p.Tokens-c.Load.Cached, 0), from == c.Entry.Zone)
 		}
-		cost += time.Duration(hashFraction(p.Seed^uint64(i+1)) * float64(decodeTieCost.duration(&p)))
-		if best < 0 || cost < bestCost {
-			best, bestCost = i, cost
+		cost += time.Duration(hashFraction(p.tieSeed(stale)^uint64(i+1)) * float64(decodeTieCost.duration(&p)))
+		costs[i] = cost
+		if best < 0 || cost < costs[best] {
+			best = i
 		}
 	}
-	return best
+	if stale && best >= 0 {
+		return spreadDecode(&p, cands, costs)
+	}
+	return best, true
 }
 
 // decodeCost returns the cost of a decode at the candidate, without the
--- a/request/placement/prefill.go
+++ b/request/placement/prefill.go
@@ -44,6 +44,8 @@
 	RandomSeed   uint64 // random number of the request
 	// Objective is the time within which the caller wants the first event.
 	Objective time.Duration
+	// Unreported is the work that other daemons have sent since their reports.
+	Unreported Unreported
 }
 
 // Choice is an engine for the prefill and its prediction.
@@ -57,6 +59,7 @@
 	FetchedTokens int           // prompt tokens whose KV cache is fetched
 	Cost          time.Duration // choices with a lower cost are better
 	Speculative   bool          // the source isn't known to hold more of the prompt
+	NotCheapest   bool          // chosen over a cheaper one because of unreported work
 }
 
 const (
@@ -92,6 +95,9 @@
 			best = ch
 		}
 	}
+	if p.Unreported.prefillStale() && len(cands) > 0 {
+		best = ev.spread()
+	}
 	ev.home.addSpeculativeFetch(&best)
 	return best
 }
@@ -122,7 +128,7 @@
 		ch.Cost += otherZoneCost.duration(&ev.p)
 	}
 	ch.Cost += time.Duration(c.FailureRate * float64(failureCost.duration(&ev.p)))
-	ch.Cost += time.Duration(hashFraction(ev.p.Seed^engines.Hash(c.Entry.ID)) * float64(prefillTieCost.duration(&ev.p)))
+	ch.Cost += time.Duration(hashFraction(ev.p.tieSeed(ev.p.Unreported.prefillStale() && canFetch(ev.engine))^engines.Hash(c.Entry.ID)) * float64(prefillTieCost.duration(&ev.p)))
 	ch.Cost += ev.home.cost(i, ev.estimates)
 	ch.Cost += c.connCost(&ev.p)
 	return ch
