dispatch, front: spread load where the settings ask for it

The platform's path had no estimate of what other daemons send between their reports. With scheduling.spread_load, dispatch now gives placement the demand at all other daemons times the age of the reports, and this daemon's share of the requests by processor; plain calls use the daemon's own rate divided by its share, since a further field in demand.Update would make older daemons reject the message. In a small fleet, and with the setting off, the unreported work is zero and choices are as before.

An owner that doesn't reply gets the median of the replies; if none replies, the prompt is placed by the tracked load.

Metrics: report_age_seconds, unreported_work by service and kind, and counts of choices that weren't the cheapest.

--- a/connection/demand/demand.go
+++ b/connection/demand/demand.go
@@ -114,6 +114,21 @@
 	if r := t.local[k]; r != nil {
 		sum = r.load(now)
 	}
+	return t.addOthers(sum, k)
+}
+
+// Others returns the demand at all other daemons.
+func (t *Tracker) Others(service string) Load {
+	now := t.now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	return t.addOthers(Load{}, engines.Hash(service))
+}
+
+// addOthers returns sum plus the updates of all other daemons for a service.
+// Callers hold t.mu.
+func (t *Tracker) addOthers(sum Load, k uint64) Load {
 	for _, p := range t.peers {
 		for _, u := range p.updates {
 			if u.Service == k {
--- a/connection/engines/reports.go
+++ b/connection/engines/reports.go
@@ -147,6 +147,23 @@
 	}
 }
 
+// ReportAge returns the mean time since the known reports of other daemons were
+// received. Without any report it is the time after which reports expire.
+func (t *Tracker) ReportAge() time.Duration {
+	now := t.now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	if len(t.peers) == 0 {
+		return reportTTL
+	}
+	var sum time.Duration
+	for _, p := range t.peers {
+		sum += max(now.Sub(p.receivedAt), 0)
+	}
+	return sum / time.Duration(len(t.peers))
+}
+
 func minTime(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -259,6 +259,7 @@
 		Self:     d.s.VM,
 		Links:    d.links,
 		Peers:    d.forwarder,
+		Reports:  d.reports(),
 
 		Quarantine:  d.crashes,
 		Origins:     d.origins,
@@ -389,6 +390,7 @@
 			d.removeStale()
 			d.metrics.setEstimates(d.config.Load(), d.speed)
 			d.metrics.setRetryBudgets(d.config.Load(), d.budget)
+			d.metrics.setUnreported(d.config.Load(), d.runner)
 		}
 	}
 }
--- a/process/front/metrics.go
+++ b/process/front/metrics.go
@@ -32,6 +32,7 @@
 	predictionError *prometheus.GaugeVec // by service
 	retriesSpent    *prometheus.GaugeVec // by service
 	retriesLimit    *prometheus.GaugeVec // by service
+	unreported      *prometheus.GaugeVec // by service and kind of work
 }
 
 func newMetrics(d *Daemon) *metrics {
@@ -59,11 +60,12 @@
 	m.retriesLimit = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "pomelospool_retry_sends_limit", Help: "Sends that this daemon may charge to a service's retry budget in its window.",
 	}, []string{"service"})
+	m.unreported = newUnreportedGauge()
 	gauge := func(name, help string, f func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "pomelospool_" + name, Help: help}, f)
 	}
 	m.registry.MustRegister(
-		m.requests, m.duration, m.firstEvent, m.perToken, m.predictionError, m.retriesSpent, m.retriesLimit, expvarCollector{},
+		m.requests, m.duration, m.firstEvent, m.perToken, m.predictionError, m.retriesSpent, m.retriesLimit, m.unreported, expvarCollector{},
 		gauge("open_requests", "Requests that run now.", func() float64 { return float64(d.ingress.Open()) }),
 		gauge("config_version", "Version of the configuration in force, 0: none.", d.configVersion),
 		gauge("daemons_alive", "Daemons that are alive, this one included.", func() float64 { return float64(len(d.roster.Members())) }),
@@ -73,6 +75,7 @@
 		gauge("relay_depth", "Daemons between the store and the daemon farthest from it, 0 in a small fleet.", func() float64 { return float64(d.roster.Upstream().Depth) }),
 		gauge("daemons_known", "Daemons that share the retry budgets, unresponsive ones and this one included.", func() float64 { return float64(d.roster.FleetSize()) }),
 		gauge("request_rate", "Callers' requests in the busiest of the last seconds.", d.rate.perSecond),
+		gauge("report_age_seconds", "How long ago the known loads of other daemons were true, 0: they count as fresh.", func() float64 { return d.runner.ReportAge().Seconds() }),
 		gauge("ready", "1 while the daemon takes requests.", func() float64 { return boolGauge(d.roster.Ready()) }),
 	)
 	return m
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -156,6 +156,7 @@
 	ownership  ownership
 	origins    originQueries
 	owners     owners        // guarded by mu
+	share      cachedShare   // guarded by mu
 	listed     chan struct{} // closed once the contacts were listed, or two attempts failed
 	listedOnce sync.Once
 
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -107,7 +107,10 @@
 	Zone     string // availability zone of this process
 	Self     string // name of this process's VM, which determines its preferred targets
 	Links    Links  // nil: links are never lost
-	Peers    Peers  // nil: calls aren't forwarded
+	// Reports enables choices that account for the work that other daemons have
+	// sent since their reports. It may be nil.
+	Reports Reports
+	Peers   Peers // nil: calls aren't forwarded
 	// Quarantine refuses content that crashes targets. It may be nil.
 	Quarantine Quarantine
 	// Origins tracks at which software version streams began. If it is nil, only those
@@ -126,6 +129,7 @@
 	promptStatsByService map[string]*placement.PromptStats
 	answerLengths        map[string]*answerLength // by route
 	verifying            map[string]bool          // targets that are being verified, by id
+	plainRates           map[string]*decayingRate // of this daemon's plain calls, by service
 
 	ctx        context.Context // of the verifications
 	cancel     context.CancelFunc
@@ -139,7 +143,7 @@
 	if o.Origins == nil {
 		o.Origins = origin.New(origin.Options{})
 	}
-	r := &Runner{opts: o, promptStatsByService: make(map[string]*placement.PromptStats), answerLengths: make(map[string]*answerLength), verifying: make(map[string]bool)}
+	r := &Runner{opts: o, promptStatsByService: make(map[string]*placement.PromptStats), answerLengths: make(map[string]*answerLength), verifying: make(map[string]bool), plainRates: make(map[string]*decayingRate)}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	return r
 }
--- a/request/dispatch/decode.go
+++ b/request/dispatch/decode.go
@@ -29,10 +29,13 @@
 	}()
 	for attempt := 1; ; attempt++ {
 		cands := x.decoders(p, from.zone)
-		at := placement.Decode(p.Prompt, cands, x.call.Service.Engine, from.zone)
+		at, isCheapest := placement.ChooseDecode(p.Prompt, cands, x.call.Service.Engine, from.zone)
 		if at < 0 {
 			return newFailure(failure.NotRun, from.engineID, errNoDecoder)
 		}
+		if !isCheapest {
+			counts.Add("decode_not_cheapest", 1)
+		}
 		to := cands[at].Entry
 		f := x.streamFrom(ctx, &cands[at], p, from, out)
 		if f == nil || f.MayHaveRun() {
--- a/request/dispatch/plain.go
+++ b/request/dispatch/plain.go
@@ -106,10 +106,11 @@
 // pickPlain chooses the target with the least cost: the fraction of its
 // slots in use and its weighted disadvantages.
 func (x *execution) pickPlain() (port.TargetEntry, bool) {
-	var best port.TargetEntry
-	bestCost := -1.0
+	best := -1
 	reuse := x.connReuse(outgoing{})
-	for _, e := range x.preferSettled(x.usable(x.sampleTargets("", nil, x.opts.Zone), nil)) {
+	list := x.preferSettled(x.usable(x.sampleTargets("", nil, x.opts.Zone), nil))
+	costs := make([]float64, len(list))
+	for i, e := range list {
 		cost := float64(e.load.Streams) / float64(max(e.Slots, 1))
 		cost += failWeight * x.opts.Health.FailureRate(e.ID)
 		if e.Zone != x.opts.Zone {
@@ -119,11 +120,15 @@
 			cost += dialWeight
 		}
 		cost += zoneWeight / 2 * hashFraction(x.call.Meta.RequestID, e.ID)
-		if bestCost < 0 || cost < bestCost {
-			best, bestCost = *e.TargetEntry, cost
+		costs[i] = cost
+		if best < 0 || cost < costs[best] {
+			best = i
 		}
 	}
-	return best, bestCost >= 0
+	if best < 0 {
+		return port.TargetEntry{}, false
+	}
+	return x.spreadPlain(list, costs, best), true
 }
 
 // hashFraction maps a call and a target to a number in [0,1), so that
--- a/request/dispatch/prefill.go
+++ b/request/dispatch/prefill.go
@@ -95,7 +95,7 @@
 		ids = append(ids, cands[ch.Index].Entry.ID)
 	}
 	waits := x.opts.Queues.Queues(ctx, ids)
-	if waits == nil {
+	if !x.assumeWaits(shortlist, cands, waits) {
 		return placement.Prefill(p.Prompt, cands, sources, e, est)
 	}
 	return placement.SelectByWait(shortlist, cands, waits)
@@ -144,6 +144,9 @@
 		return prefilled{}, nil
 	}
 	to := ch.engine
+	if ch.NotCheapest {
+		counts.Add("prefill_not_cheapest", 1)
+	}
 	done := x.opts.Engines.Prefill(to.ID, x.call.Service.Engine.KVTokens, p.parts, est.PromptOverhead+ch.reportedWait, ch.reportedPrefill)
 	defer done()
 	predicted := est.PromptOverhead + ch.PredictedWait + ch.PrefillTime
