--- a/request/placement/stale_test.go
+++ b/request/placement/stale_test.go
@@ -33,6 +33,7 @@
 	slots   int           // jobs that an engine runs at a time
 	took    time.Duration // by a job
 	popular int           // number of contents; 0: all are new
+	big     int           // number of daemons with four times the requests of the others
 	rnd     *rand.Rand
 	free    [][]time.Duration // when each slot of each engine is free
 	jobs    [][]job           // of each engine, those that may still be known
@@ -106,7 +107,7 @@
 		if f.popular > 0 {
 			p.Seed = engines.Hash(fmt.Sprint("content", f.rnd.IntN(f.popular)))
 		}
-		daemon := f.rnd.IntN(staleDaemons)
+		daemon := f.daemon(f.rnd.IntN(staleDaemons + 3*f.big))
 		cands := make([]Candidate, len(f.ids))
 		for i, id := range f.ids {
 			cands[i] = Candidate{Entry: port.TargetEntry{ID: id, Slots: f.slots}, Slowdown: 1, HasIdleConn: true, Load: f.load(i, daemon, now, f.lag)}
@@ -147,10 +148,28 @@
 func (f *fleet) unreported(p Prompt, daemon int) Prompt {
 	streams := f.rate() * f.lag.Seconds() * (staleDaemons - 1) / staleDaemons
 	p.Unreported = Unreported{Prefill: time.Duration(streams * float64(f.took)), Streams: streams}
-	p.Unreported.Share = balance.Share{From: float64(daemon) / staleDaemons, To: float64(daemon+1) / staleDaemons}
+	p.Unreported.Share = f.share(daemon)
 	return p
 }
 
+// daemon returns the daemon that gets the n-th part of the requests.
+func (f *fleet) daemon(n int) int {
+	if n < 4*f.big {
+		return n / 4
+	}
+	return n - 3*f.big
+}
+
+// share returns the daemon's share of the requests.
+func (f *fleet) share(daemon int) balance.Share {
+	from, parts := daemon+3*f.big, 1
+	if daemon < f.big {
+		from, parts = 4*daemon, 4
+	}
+	total := float64(staleDaemons + 3*f.big)
+	return balance.Share{From: float64(from) / total, To: float64(from+parts) / total}
+}
+
 // ownersQueried returns a picker that queries queue owners, whose replies are
 // 3 ms old when the prompt arrives at the engine. Every silent-th owner doesn't
 // reply; 0: all do.
@@ -199,6 +218,26 @@
 	}
 }
 
+// Guards against engines that wait behind a daemon with many requests. Its share
+// has to be known: with equal shares the 99th percentile is about twice as long.
+func TestUnequalDaemonsSpreadByShare(t *testing.T) {
+	p99 := func(pick picker) time.Duration {
+		f := newFleet(200*time.Millisecond, promptTime, 1, 0)
+		f.big = 6
+		return f.p99(5*time.Second, pick)
+	}
+	random, known := p99(pickRandom), p99(prefillSpread)
+	equal := p99(func(f *fleet, _ time.Duration, daemon int, p Prompt, cands []Candidate) int {
+		p = f.unreported(p, daemon)
+		p.Unreported.Share = balance.Share{From: float64(daemon) / staleDaemons, To: float64(daemon+1) / staleDaemons}
+		return Prefill(p, cands, nil, nil, estimates).Index
+	})
+	t.Logf("random %v, by share %v, by equal shares %v", random, known, equal)
+	if known >= random/2 || equal >= random {
+		t.Errorf("by share %v, by equal shares %v, random %v", known, equal, random)
+	}
+}
+
 // Guards against full engines while others have slots free. All daemons chose
 // the engine with the fewest streams in their reports.
 func TestStaleReportsLeaveNoStreamWaiting(t *testing.T) {
