--- a/process/front/front.go
+++ b/process/front/front.go
@@ -265,6 +265,7 @@
 		Self:     d.s.VM,
 		Links:    d.links,
 		Peers:    d.forwarder,
+		Reports:  d.reports(),
 
 		Quarantine:  d.crashes,
 		Origins:     d.origins,
@@ -400,6 +401,7 @@
 			d.metrics.setEstimates(d.config.Load(), d.speed)
 			d.metrics.setRetryBudgets(d.config.Load(), d.budget)
 			d.updateShares()
+			d.metrics.setUnreported(d.config.Load(), d.runner)
 		}
 	}
 }
