dispatch: reject and cancel streams whose callers will have left

Cause: a stream was rejected only for its objective, and a prefill had three times its predicted time plus 0.7 s, so that a call could be prefilled, and prefilled again, after its caller had left. During a burst of long prompts short ones were crowded out, since the objectives of long ones allow for longer queues.

Change: request/overload decides, without clock or I/O, until when a first event is of use, which calls are rejected, which engines are reserved for short prompts while prompts wait, and when rejected callers return. request/dispatch uses it with Options.ShedEarly. A prefill that is cancelled because its caller would have left lowers the engine's health as a failed one, but doesn't eject it. Decisions without the option are unchanged.

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -263,6 +263,7 @@
 		Quarantine:  d.crashes,
 		Origins:     d.origins,
 		TargetAddrs: d.targetAddrs,
+		ShedEarly:   d.s.Scheduling.ShedEarly,
 	})
 	d.metrics = newMetrics(d)
 	d.ingress = ingress.New(ingress.Options{Config: d.config, Protocol: platform.TargetProtocol{}, Runner: d.runner, Observe: d.observe,
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -22,6 +22,7 @@
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/failure"
+	"github.com/pomelospool/pomelospool/request/overload"
 	"github.com/pomelospool/pomelospool/request/placement"
 	"github.com/pomelospool/pomelospool/request/quarantine"
 	"github.com/pomelospool/pomelospool/version/route"
@@ -116,6 +117,10 @@
 	// TargetAddrs returns addresses of targets of any service. If it is nil, those
 	// of a call's own service are used.
 	TargetAddrs func() []string
+	// ShedEarly rejects and cancels streams whose first event would come after
+	// their callers have left, and reserves engines for short prompts while
+	// prompts wait.
+	ShedEarly bool
 }
 
 // Runner executes calls. It is safe for concurrent use.
@@ -124,6 +129,7 @@
 
 	mu                   sync.Mutex
 	promptStatsByService map[string]*placement.PromptStats
+	mixes                map[string]*overload.Mix // by service
 	answerLengths        map[string]*answerLength // by route
 	verifying            map[string]bool          // targets that are being verified, by id
 
@@ -139,7 +145,7 @@
 	if o.Origins == nil {
 		o.Origins = origin.New(origin.Options{})
 	}
-	r := &Runner{opts: o, promptStatsByService: make(map[string]*placement.PromptStats), answerLengths: make(map[string]*answerLength), verifying: make(map[string]bool)}
+	r := &Runner{opts: o, promptStatsByService: make(map[string]*placement.PromptStats), mixes: make(map[string]*overload.Mix), answerLengths: make(map[string]*answerLength), verifying: make(map[string]bool)}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	return r
 }
@@ -208,6 +214,9 @@
 	PredictedFirst    time.Duration // time to the first event, predicted at admission
 	PredictedDuration time.Duration // from the start of decoding to the last event, predicted from the stated output
 	Prefill           Prefill       // of the last prefill
+	UsefulFor         time.Duration // from the arrival until a first event is of no use to the caller; 0: not considered
+	Reserved          int           // prefill engines that were reserved for shorter prompts at the last choice
+	PredictedWait     time.Duration // part of PredictedFirst: the wait for the prefill and for a slot
 	TimeToFirst       time.Duration // from the arrival to the first event
 	AnswerStarted     bool          // the caller received a part of the answer
 	ForwardedTo       string        // VM of the daemon that answered in place of this one
--- a/request/dispatch/decode.go
+++ b/request/dispatch/decode.go
@@ -155,13 +155,18 @@
 	return nil
 }
 
+// slowdown returns the ratio of a measured time to its prediction.
+func (x *execution) slowdown(predicted, took time.Duration) float64 {
+	return slowdown(x.call.Route.Objective, predicted, took)
+}
+
 // slowdown returns the ratio of a measured time to its prediction. Slack is
 // added to both because short times deviate by some tens of milliseconds for
 // reasons outside the engine.
-func (x *execution) slowdown(predicted, took time.Duration) float64 {
+func slowdown(objective, predicted, took time.Duration) float64 {
 	slack := defaultSlack
-	if o := x.call.Route.Objective; o > 0 {
-		slack = time.Duration(slackShare * float64(o))
+	if objective > 0 {
+		slack = time.Duration(slackShare * float64(objective))
 	}
 	return float64(took+slack) / float64(predicted+slack)
 }
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -11,19 +11,12 @@
 	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/failure"
+	"github.com/pomelospool/pomelospool/request/overload"
 	"github.com/pomelospool/pomelospool/request/placement"
 )
 
-const (
-	// latePriority is the priority of requests that can't meet their
-	// objective.
-	latePriority = 9
-	// maxLateWait is the longest wait at an engine, as a fraction of the
-	// objective, with which such a request is admitted. Without a bound
-	// these requests would pile up. If none were admitted, the largest
-	// prompts would never be served.
-	maxLateWait = 0.24
-)
+// latePriority is the priority of requests that can't meet their objective.
+const latePriority = 9
 
 // runStream executes a streamed call at the service's engines, or at plain
 // targets if it has no engines.
@@ -85,7 +78,7 @@
 		if p.kv != nil {
 			cost = 1 + f.sendCost() // the prefill was received in any case
 		}
-		if !x.worthRetry(prompt, p, f) || !x.mayRetry(ctx, f, cost) {
+		if !x.worthRetry(prompt, p, f) || !x.retryInTime(ctx, prompt) || !x.mayRetry(ctx, f, cost) {
 			return x.finalError(f)
 		}
 	}
@@ -169,20 +162,27 @@
 	}
 	unqueuedTime := est.PromptOverhead + ch.PrefillTime + est.FirstEvent
 	wait := ch.PredictedWait + slotWait
-	x.trace.PredictedFirst = wait + unqueuedTime
+	x.trace.PredictedFirst, x.trace.PredictedWait = wait+unqueuedTime, wait
 	objective := x.call.Route.Objective
 	stats := x.promptStats(x.call.Service.Name)
 	stats.Record(p.Tokens, ch.PrefillTime)
-	if objective <= 0 || stats.EffectiveWait(wait, p.Tokens, ch.PrefillTime, est.QueuedError)+unqueuedTime <= objective {
-		return nil
-	}
-	if unqueuedTime > objective {
+	if objective > 0 && unqueuedTime > objective {
 		p.priority = latePriority
-		if wait <= time.Duration(maxLateWait*float64(objective)) {
-			return nil
-		}
+	}
+	verdict := overload.FirstEvent{
+		Wait: wait, EffectiveWait: stats.EffectiveWait(wait, p.Tokens, ch.PrefillTime, est.QueuedError),
+		Unqueued: unqueuedTime, Objective: objective, Left: x.usefulFor(),
+	}.Decide()
+	switch verdict {
+	case overload.Admit, overload.AdmitLate:
+		return nil
+	case overload.TooLate:
+		counts.Add("rejected_too_late", 1)
 	}
 	predicted := max(x.trace.PredictedFirst, objective)
+	if x.opts.ShedEarly {
+		return x.rejected(ch, unqueuedTime, predicted)
+	}
 	return x.overloaded(ch.decoders, predicted-objective, "the first event would take %v", predicted.Round(time.Millisecond))
 }
 
--- a/request/dispatch/failure.go
+++ b/request/dispatch/failure.go
@@ -15,6 +15,7 @@
 	answer         *Answer       // the target's answer, if there was one
 	retryAfter     time.Duration // stated by the target; 0 if it wasn't
 	healthRecorded bool          // the target's health has been updated
+	cancelled      bool          // the prefill ended only because its answer was of no use any more
 }
 
 func newFailure(class failure.Class, target string, err error) *sendFailure {
@@ -37,6 +38,8 @@
 	switch {
 	case f.Final():
 		return health.OK, false
+	case f.cancelled:
+		return health.Failed, true // the engine may only have a long queue, so it isn't ejected
 	case f.Unwritten || f.Class == failure.Stalled:
 		return health.Unreachable, true
 	case f.Class == failure.NotRun:
--- a/request/dispatch/prefill.go
+++ b/request/dispatch/prefill.go
@@ -38,6 +38,7 @@
 	fetchAddr       string        // address of the engine to fetch KV cache from; empty if there is none
 	reportedPrefill time.Duration // reported to other daemons; an assumption while nothing can be predicted
 	reportedWait    time.Duration // reported time in the engine's queue, assumed likewise
+	backlog         time.Duration // queued work divided by the engines
 
 	decoders []placement.Candidate // engines that may decode
 }
@@ -64,11 +65,12 @@
 	for i := range cands {
 		cands[i].FailureRate += x.opts.Health.FailureRate(kvHealthKey(cands[i].Entry.ID))
 	}
+	x.reserve(p, cands, est)
 	decoders := x.decoders(p, x.opts.Zone)
 	// Among engines that hold equally much, prefill engines come first: running
 	// requests fill the memory of decoding engines, which evicts cached prefixes.
 	sources := slices.Concat(cands, decoders)
-	ch := prefillChoice{decoders: decoders, Choice: x.choose(ctx, p, cands, sources, est.OrDefault())}
+	ch := prefillChoice{decoders: decoders, backlog: backlog(cands), Choice: x.choose(ctx, p, cands, sources, est.OrDefault())}
 	ch.reportedPrefill, ch.reportedWait = ch.PrefillTime, ch.PredictedWait
 	if !est.Known() {
 		ch.PrefillTime, ch.PredictedWait = 0, 0
@@ -149,17 +151,18 @@
 	predicted := est.PromptOverhead + ch.PredictedWait + ch.PrefillTime
 	x.trace.Prefill = Prefill{PromptTokens: p.Tokens, SharedTokens: p.SharedTokens, MissingTokens: ch.MissingTokens, FetchedTokens: ch.FetchedTokens, Speculative: ch.Speculative, PredictedWait: ch.PredictedWait, PredictedPrefill: ch.PrefillTime}
 	start := time.Now()
+	timeout, shortened := x.limitToUseful(x.prefillTimeout(est, predicted), est.FirstEvent)
 	resp, v, f := x.send(ctx, outgoing{
 		target:        to,
 		state:         port.DispatchMeta{Priority: p.priority, Prefill: true, FetchFrom: ch.fetchAddr},
-		headerTimeout: x.prefillTimeout(est, predicted),
+		headerTimeout: timeout,
 	})
 	if f != nil {
-		return prefilled{}, x.asNotRun(f)
+		return prefilled{}, x.asNotRun(markCancelled(f, shortened))
 	}
 	a, f := x.readAnswer(ctx, to.ID, resp, v)
 	if f != nil {
-		return prefilled{}, x.asNotRun(f)
+		return prefilled{}, x.asNotRun(markCancelled(f, shortened))
 	}
 	if v.NotRun || a.Status != http.StatusOK {
 		f := newFailure(failure.NotRun, to.ID, errNotRun)
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -196,6 +196,8 @@
 	switch {
 	case ctx.Err() != nil || f.Final():
 		return false
+	case x.firstEventLate(x.opts.Speed.Estimates(x.call.Service.Name).FirstEvent):
+		return false
 	case x.trace.Sends >= maxSends || x.possibleRuns >= x.call.Route.Attempts:
 		return false
 	case f.MayHaveRun() && !x.call.Route.Idempotent():
--- /dev/null
+++ b/request/dispatch/shed_test.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/platform/standin"
+	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/version/route"
+)
+
+// longCall returns a call whose prompt takes about 0.8 s of prefill, with a deadline of
+// 8 s. Its caller leaves after 2 s.
+func (h *harness) longCall() *Call {
+	c := h.newCall(route.Stream, 2, 8*time.Second)
+	c.Deadline = c.Arrived.Add(8 * time.Second)
+	c.Meta.PromptTokens = 26_000
+	return c
+}
+
+// Guards against a call that waits for an engine that never answers until after its
+// caller has left, and against another prefill for it. A rejection must be certain: a
+// prefill is no run.
+func TestPrefillIsCancelledWhenItIsOfNoUse(t *testing.T) {
+	for _, on := range []bool{true, false} {
+		withHarness(t, 100, func(t *testing.T, h *harness) {
+			h.runner.opts.ShedEarly = on
+			a, b := h.addTarget("llm", port.RolePrefill), h.addTarget("llm", port.RolePrefill)
+			h.addTarget("llm", port.RoleDecode)
+			for _, p := range []*standin.Target{a, b} {
+				p.Set(func(b *standin.Behaviour) { b.NoAnswer = true })
+			}
+			c := h.longCall()
+			trace, err := h.runner.Streamed(t.Context(), c, &recorder{})
+			took := time.Since(c.Arrived)
+			if inTime := took <= 2*time.Second && trace.Sends == 1; inTime != on {
+				t.Errorf("shed early %v: ended after %v and %d sends: %v", on, took, trace.Sends, err)
+			}
+			if on && code.Of(err) != code.NoTarget {
+				t.Errorf("shed early %v: %v", on, err)
+			}
+			if cancelled := trace.Targets[0]; on && (h.runner.opts.Health.Ejected(cancelled) || h.runner.opts.Health.FailureRate(cancelled) == 0) {
+				t.Error("the engine must get fewer prompts, but may only have a long queue")
+			}
+		})
+	}
+}
+
+// Guards against a queue at the engines in which a call without an objective waits
+// until its caller has left, and against the refusal of a stream that a caller has a
+// part of.
+func TestCallIsRejectedIfItsCallerWillHaveLeft(t *testing.T) {
+	for _, on := range []bool{true, false} {
+		withHarness(t, 0, func(t *testing.T, h *harness) {
+			h.runner.opts.ShedEarly = on
+			h.addTarget("llm", port.RolePrefill)
+			h.addTarget("llm", port.RoleDecode)
+			h.runner.opts.Engines.Prefill("llm0", 1000, nil, 0, 2500*time.Millisecond)
+			c := h.longCall()
+			c.Route.Objective = 0
+			trace, err := h.runner.Streamed(t.Context(), c, &recorder{})
+			if rejected := code.Of(err) == code.Overloaded && trace.Sends == 0; rejected != on {
+				t.Errorf("shed early %v: %d sends, %v", on, trace.Sends, err)
+			}
+			c = h.longCall()
+			c.Meta.LastEventID, c.Route.Resumable = "1", true
+			if trace, err := h.runner.Streamed(t.Context(), c, &recorder{}); code.Of(err) == code.Overloaded {
+				t.Errorf("shed early %v: a stream that goes on: %d sends, %v", on, trace.Sends, err)
+			}
+		})
+	}
+}
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -359,6 +359,11 @@
 		fields["predicted_ms"] = x.trace.PredictedFirst.Milliseconds()
 		fields["first_ms"] = x.trace.TimeToFirst.Milliseconds()
 	}
+	if x.trace.UsefulFor > 0 {
+		fields["useful_ms"] = x.trace.UsefulFor.Milliseconds()
+		fields["queued_ms"] = x.trace.PredictedWait.Milliseconds()
+		fields["reserved_engines"] = x.trace.Reserved
+	}
 	if p := x.trace.Prefill; p.Duration > 0 {
 		fields["prompt_tokens"] = p.PromptTokens
 		fields["shared_tokens"] = p.SharedTokens
--- a/request/placement/prefill.go
+++ b/request/placement/prefill.go
@@ -19,7 +19,9 @@
 	HasIdleConn bool    // this process has an idle connection to it
 	// LocalOnly means that other daemons may not consider the engine, so it
 	// can't be the home of a prompt.
-	LocalOnly  bool
+	LocalOnly bool
+	// Reserved means that the engine is reserved for shorter prompts.
+	Reserved   bool
 	MaxStreams int // number of streams up to which the longest answers of the route end in time; 0: unknown
 }
 
@@ -124,7 +126,7 @@
 	ch.Cost += time.Duration(c.FailureRate * float64(failureCost.duration(&ev.p)))
 	ch.Cost += time.Duration(hashFraction(ev.p.Seed^engines.Hash(c.Entry.ID)) * float64(prefillTieCost.duration(&ev.p)))
 	ch.Cost += ev.home.cost(i, ev.estimates)
-	ch.Cost += c.connCost(&ev.p)
+	ch.Cost += c.connCost(&ev.p) + c.reservedCost(&ev.p)
 	return ch
 }
 
