--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -340,6 +340,7 @@
 		Peers:          d.forwarder,
 		Limits:         d.s.Limits,
 		Zone:           d.s.Zone,
+		ShedEarly:      d.s.Scheduling.ShedEarly,
 	})
 }
 
--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -4,14 +4,19 @@
 package admission
 
 import (
+	"expvar"
 	"sync"
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/request/overload"
 	"github.com/pomelospool/pomelospool/request/routing"
 	"github.com/pomelospool/pomelospool/version/document"
 )
 
+// counts are the counters of this package.
+var counts = expvar.NewMap("admission")
+
 // Thresholds of the fullness of the targets from which on requests are rejected.
 // The capacity above normalPriorityFull is reserved for high priority.
 const (
@@ -34,8 +39,11 @@
 	Priority int           // -1, 0, 1
 	Cost     float64       // work, in any unit that is common to all requests
 	TimeLeft time.Duration // until the deadline
-	Decision routing.Decision
-	Targets  []routing.Target
+	// UsefulFor is the time for which a first token is of use to the caller; 0: not
+	// considered.
+	UsefulFor time.Duration
+	Decision  routing.Decision
+	Targets   []routing.Target
 	// IdleFinish returns the expected finish if all targets were idle. It is
 	// only called if the request may be rejected.
 	IdleFinish func() (time.Duration, bool)
@@ -66,6 +74,11 @@
 	if a.Decision.TimeToCompletion > a.TimeLeft {
 		return nil, deadlineError(a)
 	}
+	if (overload.FirstEvent{Wait: a.Decision.TimeToFirstToken, Left: a.UsefulFor}).Decide() == overload.TooLate {
+		counts.Add("rejected_too_late", 1)
+		return nil, code.New(code.Overloaded, "the first token would take about %v, and its caller will have left", a.Decision.TimeToFirstToken.Round(time.Millisecond)).
+			WithRetryAfter(clamp(a.Decision.TimeToFirstToken - a.UsefulFor))
+	}
 	if wait, late := missesFirstToken(a); late {
 		return nil, code.New(code.Overloaded, "the first token would take about %v", a.Decision.TimeToFirstToken.Round(time.Millisecond)).WithRetryAfter(wait)
 	}
--- a/request/admission/admission_test.go
+++ b/request/admission/admission_test.go
@@ -163,3 +163,19 @@
 		})
 	}
 }
+
+// Guards against a request, of any priority, that is answered after its caller has left.
+func TestFirstTokenAfterCallerHasLeft(t *testing.T) {
+	for first, want := range map[time.Duration]code.Code{3 * time.Second: code.OK, 4 * time.Second: code.Overloaded} {
+		for useful, want := range map[time.Duration]code.Code{0: code.OK, 3500 * time.Millisecond: want} {
+			_, err := New(time.Now).Admit(Request{
+				Doc: &document.Document{Service: "s"}, Priority: 1, TimeLeft: time.Minute, UsefulFor: useful,
+				Decision: routing.Decision{TimeToFirstToken: first, TimeToCompletion: 5 * time.Second},
+				Targets:  []routing.Target{{Live: true, Limit: 100}},
+			})
+			if code.Of(err) != want {
+				t.Errorf("first token after %v, of use for %v: %v, want %d", first, useful, err, want)
+			}
+		}
+	}
+}
--- a/request/dispatch/shed_test.go
+++ b/request/dispatch/shed_test.go
@@ -63,6 +63,9 @@
 			if rejected := code.Of(err) == code.Overloaded && trace.Sends == 0; rejected != on {
 				t.Errorf("shed early %v: %d sends, %v", on, trace.Sends, err)
 			}
+			if on && (trace.UsefulFor != 2*time.Second || trace.PredictedWait < 2*time.Second) {
+				t.Errorf("inputs for the log: %+v", trace)
+			}
 			c = h.longCall()
 			c.Meta.LastEventID, c.Route.Resumable = "1", true
 			if trace, err := h.runner.Streamed(t.Context(), c, &recorder{}); code.Of(err) == code.Overloaded {
--- a/request/entry/admit.go
+++ b/request/entry/admit.go
@@ -9,6 +9,7 @@
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/admission"
 	"github.com/pomelospool/pomelospool/request/attempt"
+	"github.com/pomelospool/pomelospool/request/overload"
 	"github.com/pomelospool/pomelospool/request/routing"
 )
 
@@ -57,6 +58,7 @@
 		Priority:   params.priority,
 		Cost:       cost,
 		TimeLeft:   time.Until(params.deadline),
+		UsefulFor:  e.usefulFor(q, params),
 		Decision:   d,
 		Targets:    targets,
 		IdleFinish: func() (time.Duration, bool) { return e.idleCompletionTime(q, targets) },
@@ -67,6 +69,18 @@
 	return &permit{decision: d, release: release}, nil
 }
 
+// usefulFor returns the time for which the first token of a stream that has just been
+// requested is of use to its caller, or 0 if that isn't considered: the setting is off,
+// the service has no objective for it, or the caller has a part of the answer.
+func (e *Entry) usefulFor(q *attempt.Request, params requestParams) time.Duration {
+	o := q.Service.Doc.Objectives
+	if !e.opts.ShedEarly || !params.stream || q.Resumes || o.FirstToken <= 0 {
+		return 0
+	}
+	now := time.Now()
+	return overload.UsefulUntil(overload.Caller{Arrived: now, Deadline: params.deadline, Objective: o.FirstToken, LongestPause: o.BetweenTokens}).Sub(now)
+}
+
 // withRetryAfter adds a Retry-After time to a routing error that has none.
 func (e *Entry) withRetryAfter(err error, q *attempt.Request, targets []routing.Target) error {
 	var ce *code.Error
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -52,6 +52,9 @@
 	// those that are refused later, with the estimated tokens. It may be nil.
 	OnModelRequest func(model string, prompt, output int)
 	WriteTimeout   time.Duration // longest time a caller may stop reading a stream; default 10s
+	// ShedEarly rejects model requests whose first token would come after their
+	// callers have left.
+	ShedEarly bool
 }
 
 // Entry is the HTTP handler for callers. It is safe for concurrent use.
--- a/request/entry/header.go
+++ b/request/entry/header.go
@@ -90,6 +90,7 @@
 	priority int
 	deadline time.Time
 	caller   string // key of the limits per caller
+	stream   bool   // the caller wants a streamed answer
 }
 
 func readParams(req *http.Request, doc *document.Document, now time.Time) (requestParams, error) {
--- a/request/entry/model.go
+++ b/request/entry/model.go
@@ -228,6 +228,7 @@
 	if e.opts.OnModelRequest != nil {
 		e.opts.OnModelRequest(c.body.Model, c.promptTokens, c.outputTokens)
 	}
+	c.params.stream = c.body.Stream
 	cost := float64(c.promptTokens + outputTokenCost*c.outputTokens)
 	p, err := e.admit(q, c.params, cost)
 	if e.retryViaPeer(req, c.svc, err) {
