dispatch: the replay of a burst compares with the setting off

Cause: the bound of goodput is met without the change as well, so the test didn't fail without it, and each test ran the same replays again.

Change: a replay runs once for each variant, and TestBurst requires more answers in time than with the setting off. In the replay with the setting off, prefills end when their callers leave, not before.

--- a/request/dispatch/replay_test.go
+++ b/request/dispatch/replay_test.go
@@ -243,8 +243,10 @@
 	e.queue = append(e.queue, j)
 	timeout := prefillTimeoutFactor*j.predicted + prefillTimeoutExtra
 	left := useful.Sub(r.now)
-	cancelled := left-r.est.FirstEvent < timeout
-	r.in(min(timeout, left), func() { r.cancel(j, i, cancelled) })
+	if r.shed {
+		left -= r.est.FirstEvent
+	}
+	r.in(min(timeout, left), func() { r.cancel(j, i, left < timeout) })
 	r.next(i)
 }
 
@@ -333,27 +335,34 @@
 	maxWaste   = 0.02
 )
 
-// replayed returns a finished replay with everything on, and changes it before by
-// change.
-func replayed(t *testing.T, change func(*replay)) *replay {
-	r := &replay{seed: 1, burst: true, shed: true, reserve: true, retry: true}
-	change(r)
-	r.run()
-	t.Logf("burst %v, frozen %v, shed %v, reserve %v, retry %v: in time %v of %v, wasted %.4f, rejected %d, cancelled %d, retries %d",
-		r.burst, r.frozen, r.shed, r.reserve, r.retry, r.goodTotal, r.sent, r.wasted/r.tokens, r.rejected, r.cancelled, r.retries)
+// variant is one way to run the replay. The zero value is a burst with everything on.
+type variant struct{ off, noBurst, frozen, noReserve, noRetry bool }
+
+// replays holds the finished replays.
+var replays = map[variant]*replay{}
+
+// replayed returns the finished replay of a variant.
+func replayed(t *testing.T, v variant) *replay {
+	r := replays[v]
+	if r == nil {
+		r = (&replay{seed: 1, burst: !v.noBurst, frozen: v.frozen, shed: !v.off, reserve: !v.off && !v.noReserve, retry: !v.off && !v.noRetry}).run()
+		replays[v] = r
+	}
+	t.Logf("%+v: in time %v of %v, wasted %.4f, rejected %d, cancelled %d, retries %d", v, r.goodTotal, r.sent, r.wasted/r.tokens, r.rejected, r.cancelled, r.retries)
 	return r
 }
 
 // Guards against queues during a burst in which most answers are late, and against
 // prefills for callers that have left.
 func TestBurst(t *testing.T) {
-	base := replayed(t, func(r *replay) { r.burst = false })
+	base := replayed(t, variant{noBurst: true})
 	for name, frozen := range map[string]bool{"answering": false, "frozen": true} {
 		t.Run(name, func(t *testing.T) {
-			r := replayed(t, func(r *replay) { r.frozen = frozen })
+			r := replayed(t, variant{frozen: frozen})
+			off := replayed(t, variant{off: true, frozen: frozen})
 			t.Run("goodput", func(t *testing.T) {
-				if got := float64(r.good()) / float64(base.good()); got < minGoodput {
-					t.Errorf("%.3f of the answers in time without the burst", got)
+				if got := float64(r.good()) / float64(base.good()); got < minGoodput || r.good() <= off.good() {
+					t.Errorf("%.3f of the answers in time without the burst: %d, %d with the setting off", got, r.good(), off.good())
 				}
 			})
 			t.Run("waste", func(t *testing.T) {
@@ -368,9 +377,9 @@
 // Guards against short prompts that are crowded out by long ones, whose objectives
 // allow for longer queues.
 func TestBurstOfLongPromptsLeavesRoomForShortOnes(t *testing.T) {
-	base := replayed(t, func(r *replay) { r.burst = false })
-	got := replayed(t, func(*replay) {})
-	without := replayed(t, func(r *replay) { r.reserve = false })
+	base := replayed(t, variant{noBurst: true})
+	got := replayed(t, variant{})
+	without := replayed(t, variant{noReserve: true})
 	if float64(got.goodTotal[2]) < minGoodput*float64(base.goodTotal[2]) || got.good() < without.good() {
 		t.Errorf("%d short prompts in time, %d without the burst; of all %d, %d without reserved engines", got.goodTotal[2], base.goodTotal[2], got.good(), without.good())
 	}
@@ -378,7 +387,7 @@
 
 // Guards against rejected callers that return to the same queues.
 func TestReturnsFindCapacity(t *testing.T) {
-	got, before := replayed(t, func(*replay) {}), replayed(t, func(r *replay) { r.retry = false })
+	got, before := replayed(t, variant{}), replayed(t, variant{noRetry: true})
 	if got.good() <= before.good() {
 		t.Errorf("%d in time, %d with returns after a part of the time left", got.good(), before.good())
 	}
