--- a/request/dispatch/shed_test.go
+++ b/request/dispatch/shed_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -63,6 +64,10 @@
 			if rejected := code.Of(err) == code.Overloaded && trace.Sends == 0; rejected != on {
 				t.Errorf("shed early %v: %d sends, %v", on, trace.Sends, err)
 			}
+			var e *code.Error
+			if errors.As(err, &e); on && e.RetryAfter < 500*time.Millisecond {
+				t.Errorf("returns after %v to the same queue", e.RetryAfter)
+			}
 			if on && (trace.UsefulFor != 2*time.Second || trace.PredictedWait < 2*time.Second) {
 				t.Errorf("inputs for the log: %+v", trace)
 			}
