--- a/process/front/front.go
+++ b/process/front/front.go
@@ -270,6 +270,7 @@
 		Quarantine:  d.crashes,
 		Origins:     d.origins,
 		TargetAddrs: d.targetAddrs,
+		ShedEarly:   d.s.Scheduling.ShedEarly,
 	}
 	if d.shares != nil {
 		options.Shares = d.shares
--- a/request/dispatch/share.go
+++ b/request/dispatch/share.go
@@ -6,6 +6,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/connection/speed"
+	"github.com/pomelospool/pomelospool/request/overload"
 	"github.com/pomelospool/pomelospool/request/placement"
 )
 
@@ -59,7 +60,7 @@
 		return 0
 	}
 	if unqueued >= objective {
-		return float64(wait) / (maxLateWait * float64(objective))
+		return float64(wait) / (overload.MaxLateWait * float64(objective))
 	}
 	wait = x.promptStats(x.call.Service.Name).EffectiveWait(wait, p.Tokens, ch.PrefillTime, est.QueuedError)
 	return float64(wait) / float64(objective-unqueued)
