dispatch: the replay of a burst takes silent owners' queues as the daemon does

Cause: the replay passed unknown waits of frozen owners to SelectByWait, where the daemon now replaces them by the longer of the tracked wait and the median reply; its bound on wasted prefill was missed for a path that no longer exists. Change: the replay calls placement.AssumeWaits as request/dispatch does.

--- a/request/dispatch/replay_test.go
+++ b/request/dispatch/replay_test.go
@@ -180,6 +180,9 @@
 			waits[n] = -1
 		}
 	}
+	if !placement.AssumeWaits(list, cands, waits) {
+		return placement.Prefill(p, cands, cands, &engine, r.est)
+	}
 	return placement.SelectByWait(list, cands, waits)
 }
 
