speed, placement, dispatch: factors of single engines over the whole fleet

Cause: predictions use one estimate per service, fitted over all engines. Where a fifth of the engines takes twice as long, long prompts are late there, and a daemon sees too few prompts of one engine to learn it alone. Change: connection/speed/factors.go keeps for each engine the logarithm of the ratio of measured to estimated prefill time, summed over the daemons by connection/summary (topic 2). Placement uses it in the predicted prefill time and in the choice of homes, and adds a cost to engines at which a prompt would be late. Only with scheduling.engine_speeds; otherwise nothing changes. Measured: 70 daemons learn the ratio of an engine of twice the prefill time to within a fifth from 30 prompts per engine (TestFactorsAreSharedByAllDaemons).

--- /dev/null
+++ b/connection/speed/factors_test.go
@@ -0,0 +1,178 @@
+package speed
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/pomelospool/pomelospool/connection/engines"
+)
+
+// knownEstimates are those of a service with a prefill time of 20 ms per 1,000 tokens.
+var knownEstimates = Estimates{PerToken: 20e3, PromptOverhead: 10 * time.Millisecond, Prompts: 100}
+
+// sampleAt returns a prompt of 5,000 tokens that took ratio times the estimate.
+func sampleAt(ratio float64) Sample {
+	return Sample{Prompt: 5000, Missing: 5000, Duration: 10*time.Millisecond + time.Duration(ratio*100)*time.Millisecond}
+}
+
+// factorFleet holds the factors of several daemons in virtual time. Daemon 0
+// aggregates.
+type factorFleet struct {
+	t       *testing.T
+	now     time.Time
+	daemons []*Factors
+	missing map[uint64]bool // engines that no longer exist
+}
+
+func newFactorFleet(t *testing.T, daemons int) *factorFleet {
+	f := &factorFleet{t: t, now: time.Unix(1000, 0), missing: make(map[uint64]bool)}
+	for range daemons {
+		f.daemons = append(f.daemons, NewFactors(FactorOptions{Now: func() time.Time { return f.now }, Service: func(hash uint64) (string, bool) { return "llm", !f.missing[hash] }}))
+	}
+	return f
+}
+
+// exchange sends the parts of the given daemons, and the sum to these.
+func (f *factorFleet) exchange(daemons []*Factors) {
+	hub := f.daemons[0].Table()
+	send := func(from *Factors, include bool, merge func(piece, pieces int, data []byte) error) {
+		pieces, err := from.Table().Report(func(string) bool { return include }, 1300)
+		for i, p := range pieces {
+			if err == nil {
+				err = merge(i, len(pieces), p)
+			}
+		}
+		if err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	for i, d := range daemons[1:] {
+		send(d, false, func(piece, pieces int, data []byte) error { return hub.Merge(fmt.Sprint(i), piece, pieces, data) })
+	}
+	for _, d := range daemons {
+		send(f.daemons[0], true, d.Table().MergeFleet)
+	}
+}
+
+// pass lets time pass in steps of a second with an exchange after each.
+func (f *factorFleet) pass(seconds int) {
+	for range seconds {
+		f.now = f.now.Add(time.Second)
+		f.exchange(f.daemons)
+	}
+}
+
+// feed gives random daemons n prompts at each of the engines, over the given seconds.
+// speeds are the engines' factors.
+func (f *factorFleet) feed(r *rand.Rand, seconds, perSecond int, speeds []float64) {
+	for range seconds {
+		for range perSecond {
+			for i, s := range speeds {
+				f.daemons[r.IntN(len(f.daemons))].Observe(engineID(i), sampleAt(s), knownEstimates)
+			}
+		}
+		f.pass(1)
+	}
+}
+
+func engineID(i int) string { return fmt.Sprint("e", i) }
+
+// within reports whether x is between low and high.
+func within(x, low, high float64) bool { return x >= low && x <= high }
+
+// Guards against daemons that each see too few prompts of an engine to learn its
+// speed, and against an own sample that counts only after the exchange. After 30 prompts
+// of each engine, the ratio must be within a fifth of the true one.
+func TestFactorsAreSharedByAllDaemons(t *testing.T) {
+	f := newFactorFleet(t, 70)
+	f.feed(rand.New(rand.NewPCG(1, 1)), 10, 3, []float64{1, 1, 1, 1, 2})
+	for i, d := range f.daemons {
+		if slow, normal := d.Factor(engineID(4)), d.Factor(engineID(0)); !within(slow/normal, 1.6, 2.2) {
+			t.Fatalf("daemon %d: %.2f and %.2f", i, slow, normal)
+		}
+	}
+	if got := f.daemons[0].Factor("other"); got != 0 {
+		t.Errorf("factor %.2f without samples", got)
+	}
+	d := f.daemons[7]
+	before, others := d.Factor(engineID(0)), f.daemons[8].Factor(engineID(0))
+	for range 10 {
+		d.Observe(engineID(0), sampleAt(2), knownEstimates)
+	}
+	if d.Factor(engineID(0)) <= before || f.daemons[8].Factor(engineID(0)) != others {
+		t.Errorf("own samples don't count at once, or count elsewhere")
+	}
+	f.pass(3)
+	if a, b := d.Factor(engineID(0)), f.daemons[8].Factor(engineID(0)); !within(a/b, 0.99, 1.01) {
+		t.Errorf("own samples count twice: %.3f, elsewhere %.3f", a, b)
+	}
+}
+
+// Guards against daemons that forget all speeds when the aggregator or their links
+// fail, and against speeds that are kept for long without samples.
+func TestFactorsOutliveTheFleetSum(t *testing.T) {
+	f := newFactorFleet(t, 30)
+	f.feed(rand.New(rand.NewPCG(1, 1)), 20, 3, []float64{1, 1, 1, 1, 2})
+	cut := f.daemons[9]
+	before := cut.Factor(engineID(4))
+	for range 20 { // alone, with samples of one engine
+		f.now = f.now.Add(time.Second)
+		cut.Observe(engineID(0), sampleAt(1), knownEstimates)
+	}
+	if after := cut.Factor(engineID(4)); !within(after, 1+(before-1)*0.8, before) {
+		t.Errorf("factor %.2f before, %.2f after 20 s", before, after)
+	}
+	f.now = f.now.Add(3 * time.Minute)
+	if after := cut.Factor(engineID(4)); after != 0 {
+		t.Errorf("factor %.2f after 3 minutes without samples", after)
+	}
+}
+
+// Guards against factors of engines that no longer exist, which would take the place of
+// others in the exchanged table, and against a new engine that is taken for its
+// predecessor.
+func TestFactorsOfReplacedEngines(t *testing.T) {
+	f := newFactorFleet(t, 10)
+	f.feed(rand.New(rand.NewPCG(1, 1)), 10, 3, []float64{1, 1, 2})
+	f.missing[engines.Hash(engineID(2))] = true
+	f.pass(5)
+	for _, d := range f.daemons {
+		if got := d.Factor(engineID(2)); got != 0 {
+			t.Errorf("factor %.2f of an engine that doesn't exist", got)
+		}
+		if n := len(d.ownRows()); n > 2 {
+			t.Errorf("reports %d engines", n)
+		}
+		if got := d.Factor("successor"); got != 0 {
+			t.Errorf("factor %.2f of a new engine", got)
+		}
+	}
+}
+
+// Guards against an engine that counts as slow after a handful of samples that were
+// slow by chance, as one in seven are.
+func TestFewSamplesDontBrand(t *testing.T) {
+	f := newFactorFleet(t, 2)
+	f.feed(rand.New(rand.NewPCG(1, 1)), 5, 3, []float64{1, 1, 1, 1, 1, 1, 1, 1})
+	for range 5 {
+		f.daemons[0].Observe("new", sampleAt(2.5), knownEstimates)
+	}
+	if got := f.daemons[0].Factor("new"); got > 1.25 {
+		t.Errorf("factor %.2f", got)
+	}
+}
+
+// Guards against prompts that count although most of their time was a predicted wait.
+func TestPromptsThatWaitedDontCount(t *testing.T) {
+	f := newFactorFleet(t, 1)
+	s := sampleAt(4)
+	s.PredictedWait = 60 * time.Millisecond
+	for range 50 {
+		f.daemons[0].Observe("a", s, knownEstimates)
+	}
+	if got := f.daemons[0].Factor("a"); got != 0 {
+		t.Errorf("factor %.2f", got)
+	}
+}
--- a/connection/speed/fit.go
+++ b/connection/speed/fit.go
@@ -40,6 +40,7 @@
 	x := regressors(p)
 	predicted := f.coeff[0] + f.coeff[1]*x[1] + f.coeff[2]*x[2]
 	y := max(float64(p.Duration-p.PredictedWait)/float64(time.Millisecond), 0)
+	y = p.atService(y, f.coeff[0])
 	weight := 1.0
 	if f.n >= minPrompts && predicted > 0 {
 		y = min(y, outlierFactor*predicted)
--- a/connection/speed/speed.go
+++ b/connection/speed/speed.go
@@ -70,6 +70,7 @@
 	Missing       int           // tokens that weren't cached
 	PredictedWait time.Duration // predicted time until its prefill began, fetches of KV cache included
 	Duration      time.Duration // time from the request to its answer
+	Factor        float64       // ratio of the engine's prefill time to that of its service; 0: unknown
 }
 
 const (
@@ -171,7 +172,7 @@
 	if !est.Known() || p.Duration <= 0 {
 		return
 	}
-	predicted := p.PredictedWait + est.PromptOverhead + est.PrefillTime(p.Prompt, p.Missing)
+	predicted := p.PredictedWait + est.PromptOverhead + p.atEngine(est.PrefillTime(p.Prompt, p.Missing))
 	if p.PredictedWait > 0 {
 		s.queuedError += time.Duration(errorWeight * float64((predicted-p.Duration).Abs()-s.queuedError))
 	}
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -83,6 +83,7 @@
 	engines     *engines.Tracker
 	health      *health.Tracker
 	speed       *speed.Tracker
+	factors     *speed.Factors // of engines; nil: the setting is off
 	demand      *demand.Tracker
 	budget      *budget.Fleet
 	links       *links.Tracker
@@ -145,6 +146,7 @@
 		}
 	})
 	d.health = health.New(time.Now, d.engines.MarkDown)
+	d.newFactors()
 	d.crashes = quarantine.New(quarantine.Options{
 		Self: s.VM, ToleratedCrashes: toleratedCrashes, Tries: d.triesContent, Changed: d.notifyPeers,
 	})
@@ -227,6 +229,7 @@
 		Unlinked:         func() bool { return d.links != nil && d.links.AnyLost() },
 		Convictions:      d.crashes,
 		Origins:          d.origins,
+		Summaries:        d.summaries(),
 	})
 	if err != nil {
 		return err
@@ -252,6 +255,7 @@
 		Health:   d.health,
 		Speed:    d.speed,
 		Demand:   d.demand,
+		Factors:  d.factors,
 		Budget:   d.budget,
 		Control:  d.control,
 		Queues:   d.roster,
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -92,7 +92,7 @@
 	CanQueryQueues() bool
 }
 
-// Options configures a Runner. All fields but Links and Peers are required.
+// Options configures a Runner. All fields but Factors, Links and Peers are required.
 type Options struct {
 	Protocol port.TargetProtocol
 	Pool     *h1.Pool
@@ -104,10 +104,11 @@
 	Queues   Queues
 	Speed    *speed.Tracker
 	Demand   *demand.Tracker
-	Zone     string // availability zone of this process
-	Self     string // name of this process's VM, which determines its preferred targets
-	Links    Links  // nil: links are never lost
-	Peers    Peers  // nil: calls aren't forwarded
+	Factors  *speed.Factors // nil: engines of a service count as equally fast
+	Zone     string         // availability zone of this process
+	Self     string         // name of this process's VM, which determines its preferred targets
+	Links    Links          // nil: links are never lost
+	Peers    Peers          // nil: calls aren't forwarded
 	// Quarantine refuses content that crashes targets. It may be nil.
 	Quarantine Quarantine
 	// Origins tracks at which software version streams began. If it is nil, only those
--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -126,6 +126,7 @@
 	p.Zone = x.opts.Zone
 	p.Objective = x.call.Route.Objective
 	p.RandomSeed = rand.Uint64()
+	p.AvoidLate = x.opts.Factors != nil
 	p.priority = min(x.call.Priority, latePriority-1)
 	for _, part := range p.parts[:max(len(p.parts)-1, 0)] {
 		p.SharedTokens += part.Tokens
--- a/request/dispatch/prefill.go
+++ b/request/dispatch/prefill.go
@@ -63,6 +63,7 @@
 	cands := x.candidates(p, port.RolePrefill, x.opts.Zone)
 	for i := range cands {
 		cands[i].FailureRate += x.opts.Health.FailureRate(kvHealthKey(cands[i].Entry.ID))
+		cands[i].Speed = x.opts.Factors.Factor(cands[i].Entry.ID)
 	}
 	decoders := x.decoders(p, x.opts.Zone)
 	// Among engines that hold equally much, prefill engines come first: running
@@ -175,9 +176,12 @@
 	if !ch.Speculative {
 		// A speculative fetch was predicted as a full prefill, so its time would
 		// distort the measured speed.
-		x.opts.Speed.ObservePrompt(x.call.Service.Name, speed.Sample{
+		s := speed.Sample{
 			Prompt: p.Tokens, Missing: ch.MissingTokens, PredictedWait: ch.PredictedWait + ch.FetchTime, Duration: took,
-		})
+			Factor: x.opts.Factors.Factor(to.ID),
+		}
+		x.opts.Speed.ObservePrompt(x.call.Service.Name, s)
+		x.opts.Factors.Observe(to.ID, s, est)
 		if est.Known() {
 			x.opts.Health.ObservePace(to.ID, x.slowdown(predicted, took))
 		}
--- a/request/placement/prefill.go
+++ b/request/placement/prefill.go
@@ -16,6 +16,7 @@
 	Load        engines.Load
 	FailureRate float64 // fraction of its recent requests that failed
 	Slowdown    float64 // ratio of measured to predicted time
+	Speed       float64 // ratio of its prefill time to that of its service, see speed.Factors; 0: unknown
 	HasIdleConn bool    // this process has an idle connection to it
 	// LocalOnly means that other daemons may not consider the engine, so it
 	// can't be the home of a prompt.
@@ -44,6 +45,9 @@
 	RandomSeed   uint64 // random number of the request
 	// Objective is the time within which the caller wants the first event.
 	Objective time.Duration
+	// AvoidLate adds a cost to engines at which the prompt would miss its
+	// objective.
+	AvoidLate bool
 }
 
 // Choice is an engine for the prefill and its prediction.
@@ -57,6 +61,7 @@
 	FetchedTokens int           // prompt tokens whose KV cache is fetched
 	Cost          time.Duration // choices with a lower cost are better
 	Speculative   bool          // the source isn't known to hold more of the prompt
+	lateness      lateness
 }
 
 const (
@@ -125,6 +130,7 @@
 	ch.Cost += time.Duration(hashFraction(ev.p.Seed^engines.Hash(c.Entry.ID)) * float64(prefillTieCost.duration(&ev.p)))
 	ch.Cost += ev.home.cost(i, ev.estimates)
 	ch.Cost += c.connCost(&ev.p)
+	ch.addLateness(&ev.p, ev.estimates)
 	return ch
 }
 
@@ -140,7 +146,7 @@
 		ch.FetchTime = TransferTime(e, ch.FetchedTokens, src.Entry.Zone == c.Entry.Zone)
 	}
 	ch.MissingTokens = max(p.Tokens-cached, 1)
-	prefill := c.adjusted(est.PrefillTime(p.Tokens, ch.MissingTokens))
+	prefill := c.prefillTime(p, ch.MissingTokens, est)
 	ch.PrefillTime = prefill + ch.FetchTime
 	ch.Cost = ch.PredictedWait + prefill + time.Duration(recomputeWeight*float64(prefill)) + fetchWeight*ch.FetchTime
 	return ch
--- a/request/placement/shortlist.go
+++ b/request/placement/shortlist.go
@@ -92,9 +92,7 @@
 	best := Choice{Index: -1, Source: -1}
 	for i, ch := range list {
 		if waits[i] >= 0 {
-			wait := cands[ch.Index].adjusted(waits[i])
-			ch.Cost += wait - ch.PredictedWait
-			ch.PredictedWait = wait
+			ch.setWait(cands[ch.Index].adjusted(waits[i]))
 		}
 		if best.Index < 0 || ch.Cost < best.Cost {
 			best = ch
