--- a/connection/speed/factors_test.go
+++ b/connection/speed/factors_test.go
@@ -176,3 +176,37 @@
 		t.Errorf("factor %.2f", got)
 	}
 }
+
+// Guards against a drift of factors and the service's estimate. The estimate is fitted to
+// the prompts of the engines in use; their product must stay that of each engine when
+// slow engines get fewer and smaller prompts.
+func TestFactorsAndEstimateDontDrift(t *testing.T) {
+	usual := engine{perToken: 0.02, start: 10}
+	f, tr, r := newFactorFleet(t, 1), NewTracker(), rand.New(rand.NewPCG(1, 1))
+	d := f.daemons[0]
+	for step := range 300 * 40 { // 300 s with 40 prompts a second
+		i := r.IntN(10)
+		slow := i < 2
+		tokens := 1000 + r.IntN(16_000)
+		if late := step > 60*40; late && slow && r.IntN(3) > 0 {
+			i, slow = 2+r.IntN(8), false
+		} else if late && slow {
+			tokens = 1000 + r.IntN(3000)
+		}
+		e := usual
+		if slow {
+			e.perToken *= 2
+		}
+		s := Sample{Prompt: tokens, Missing: tokens, Duration: e.prefillTime(tokens, tokens), Factor: d.Factor(engineID(i))}
+		est := tr.Estimates("llm")
+		tr.ObservePrompt("llm", s)
+		d.Observe(engineID(i), s, est)
+		f.now = f.now.Add(25 * time.Millisecond)
+	}
+	est := tr.Estimates("llm")
+	for i, perToken := range []float64{40e3, 40e3, 20e3, 20e3} {
+		if got := est.PerToken * d.Factor(engineID(i)) / perToken; !within(got, 0.8, 1.1) {
+			t.Errorf("engine %d: predicted at %.2f times its time, factor %.2f", i, got, d.Factor(engineID(i)))
+		}
+	}
+}
--- a/request/placement/prefill.go
+++ b/request/placement/prefill.go
@@ -130,7 +130,7 @@
 	ch.Cost += time.Duration(hashFraction(ev.p.Seed^engines.Hash(c.Entry.ID)) * float64(prefillTieCost.duration(&ev.p)))
 	ch.Cost += ev.home.cost(i, ev.estimates)
 	ch.Cost += c.connCost(&ev.p)
-	ch.addLateness(&ev.p, ev.estimates)
+	ch.addLateness(&ev.p, c, ev.estimates)
 	return ch
 }
 
--- a/request/placement/speed.go
+++ b/request/placement/speed.go
@@ -26,19 +26,23 @@
 }
 
 // lateness is the cost of a choice with which the first event misses the objective.
-// Large prompts thereby go to engines that are fast enough for them even if these have
-// a queue, and smaller ones, for which others are fast enough, go where the queue is
-// shorter.
 type lateness struct {
 	cost    time.Duration // 0: none
 	maxWait time.Duration // the longest wait with which the first event is on time
 }
 
-// addLateness sets the lateness of a choice and adds its cost.
-func (ch *Choice) addLateness(p *Prompt, est speed.Estimates) {
+// addLateness adds the cost of a late first event. In exchange, a fast engine counts as
+// no better than a usual one for a prompt that is on time at both: large prompts thereby
+// go to engines that are fast enough for them even if these have a queue, and smaller
+// ones leave these free.
+func (ch *Choice) addLateness(p *Prompt, c *Candidate, est speed.Estimates) {
 	if !p.AvoidLate || p.Objective <= 0 || !est.Known() {
 		return
 	}
+	if c.Speed > 0 && c.Speed < 1 {
+		saved := float64(ch.PrefillTime-ch.FetchTime) * (1/c.Speed - 1)
+		ch.Cost += time.Duration((1 + recomputeWeight) * saved)
+	}
 	ch.lateness = lateness{lateCost.duration(p), p.Objective - est.PromptOverhead - ch.PrefillTime - est.FirstEvent}
 	ch.Cost += ch.lateness.after(ch.PredictedWait)
 }
