roles, front: slow engines decode; metrics and log lines of engines' speeds

Cause: a slow engine that prefills while a fast one decodes wastes the fast one, and operators don't see which engines are slow. Change: among engines of the same version and availability zone, a plan takes slow ones to decode first and fast ones to prefill first. Gauges count the slow and fast engines; a line names an engine that becomes slow, fast or usual, at most two a second, with a distance between the two thresholds. Measured: TestSlowEnginesDecode fails without the comparison (moves the fastest to decode).

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -283,6 +283,7 @@
 		Health:  d.health,
 		Demand:  d.demand,
 		Speed:   d.speed,
+		Factors: d.factors,
 		Lease:   d.s.Bounds.Lease,
 		Ages:    d.claimAges,
 	})
@@ -393,6 +394,7 @@
 			d.removeStale()
 			d.metrics.setEstimates(d.config.Load(), d.speed)
 			d.metrics.setRetryBudgets(d.config.Load(), d.budget)
+			d.updateSpeeds()
 		}
 	}
 }
--- a/process/front/metrics.go
+++ b/process/front/metrics.go
@@ -32,6 +32,7 @@
 	predictionError *prometheus.GaugeVec // by service
 	retriesSpent    *prometheus.GaugeVec // by service
 	retriesLimit    *prometheus.GaugeVec // by service
+	speeds          *speedMeter
 }
 
 func newMetrics(d *Daemon) *metrics {
@@ -59,11 +60,12 @@
 	m.retriesLimit = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "pomelospool_retry_sends_limit", Help: "Sends that this daemon may charge to a service's retry budget in its window.",
 	}, []string{"service"})
+	m.speeds = newSpeedMeter()
 	gauge := func(name, help string, f func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "pomelospool_" + name, Help: help}, f)
 	}
 	m.registry.MustRegister(
-		m.requests, m.duration, m.firstEvent, m.perToken, m.predictionError, m.retriesSpent, m.retriesLimit, expvarCollector{},
+		m.requests, m.duration, m.firstEvent, m.perToken, m.predictionError, m.retriesSpent, m.retriesLimit, m.speeds.engines, m.speeds.largest, expvarCollector{},
 		gauge("open_requests", "Requests that run now.", func() float64 { return float64(d.ingress.Open()) }),
 		gauge("config_version", "Version of the configuration in force, 0: none.", d.configVersion),
 		gauge("daemons_alive", "Daemons that are alive, this one included.", func() float64 { return float64(len(d.roster.Members())) }),
--- a/process/roles/plan.go
+++ b/process/roles/plan.go
@@ -16,6 +16,7 @@
 	Wait     time.Duration // until it has done the prefill of the prompts sent to it
 	Refused  bool          // rejected or didn't answer a recent order
 	Impaired bool          // is unreachable or unhealthy
+	Speed    float64       // ratio of its prefill time to that of its service; 0: unknown
 }
 
 // Move is a change of one engine's role that the plan asks for.
@@ -102,7 +103,7 @@
 // movesToPrefill returns moves of up to n decoding engines to prefill. It leaves each
 // software version that decodes two engines if it can. Among the others it takes
 // engines from the availability zone with the most decoding engines first, and
-// there the one with the fewest streams.
+// there fast engines, then the one with the fewest streams.
 func movesToPrefill(decoders []Engine, n int) []Move {
 	var out []Move
 	left := slices.Clone(decoders)
@@ -134,6 +135,9 @@
 	if za, zb := zones[a.Entry.Zone], zones[b.Entry.Zone]; za != zb {
 		return za > zb
 	}
+	if c := compareForDecoding(a, b); c != 0 {
+		return c > 0
+	}
 	if a.Streams != b.Streams {
 		return a.Streams < b.Streams
 	}
@@ -161,8 +165,8 @@
 // movesToDecode returns moves of up to n prefill engines to decoding. It takes
 // engines of a software version of which one engine decodes first, then those of
 // the most common version while none decodes. Among these it takes engines from the
-// availability zone with the fewest decoding engines first, and there the one with
-// the shortest wait.
+// availability zone with the fewest decoding engines first, and there slow engines,
+// then the one with the shortest wait.
 func movesToDecode(prefillers, decoders []Engine, n int) []Move {
 	var out []Move
 	zones, versions, common := countBy(decoders, zoneOf), countBy(decoders, versionOf), countBy(prefillers, versionOf)
@@ -176,6 +180,7 @@
 			return cmp.Or(
 				preferVersion(a, b, versions, common),
 				cmp.Compare(zones[a.Entry.Zone], zones[b.Entry.Zone]),
+				compareForDecoding(a, b),
 				cmp.Compare(a.Wait, b.Wait),
 				cmp.Compare(a.Entry.ID, b.Entry.ID),
 			)
--- a/process/roles/planner.go
+++ b/process/roles/planner.go
@@ -62,7 +62,7 @@
 	takeoverDelay = 1500 * time.Millisecond
 )
 
-// Options configures a Planner. All fields but Clock are required.
+// Options configures a Planner. All fields but Clock and Factors are required.
 type Options struct {
 	Self    string // this VM's name
 	Store   port.Store
@@ -74,6 +74,7 @@
 	Health  *health.Tracker
 	Demand  *demand.Tracker
 	Speed   *speed.Tracker
+	Factors *speed.Factors // nil: engines of a service count as equally fast
 	Lease   time.Duration
 	Clock   clock.Clock // default: clock.Boot
 	Ages    *claim.AgeTracker
@@ -278,7 +279,7 @@
 	out := make([]Engine, 0, len(entries))
 	for _, e := range entries {
 		l := p.o.Engines.Load(e.ID, nil)
-		engine := Engine{Entry: *e, Streams: l.Streams, Wait: l.Wait, Refused: now < p.refusedUntil[e.ID], Impaired: l.Unreachable() || p.o.Health.Impaired(e.ID)}
+		engine := Engine{Entry: *e, Streams: l.Streams, Wait: l.Wait, Refused: now < p.refusedUntil[e.ID], Impaired: l.Unreachable() || p.o.Health.Impaired(e.ID), Speed: p.o.Factors.Factor(e.ID)}
 		if c, ok := p.changing[e.ID]; ok {
 			if e.Role == c.role || now >= c.until {
 				delete(p.changing, e.ID)
