speed: tests of a daemon's own samples, and of one that is cut off

Cause: no test failed when own samples counted twice in a small fleet, or not at all between two sums, or when a daemon that is cut off learned nothing.

--- a/connection/speed/factors_test.go
+++ b/connection/speed/factors_test.go
@@ -104,14 +104,35 @@
 	if d.Factor(engineID(0)) <= before || f.daemons[8].Factor(engineID(0)) != others {
 		t.Errorf("own samples don't count at once, or count elsewhere")
 	}
+	f.now = f.now.Add(300 * time.Millisecond)
+	if got := d.Factor(engineID(0)); got <= before {
+		t.Errorf("own samples don't count until the fleet's sum includes them: %.2f, before %.2f", got, before)
+	}
 	f.pass(3)
 	if a, b := d.Factor(engineID(0)), f.daemons[8].Factor(engineID(0)); !within(a/b, 0.99, 1.01) {
 		t.Errorf("own samples count twice: %.3f, elsewhere %.3f", a, b)
 	}
 }
 
+// Guards against own samples that count twice where no sum of the fleet is received, as in
+// a small fleet.
+func TestOwnSamplesCountOnceInASmallFleet(t *testing.T) {
+	f := newFactorFleet(t, 1)
+	d := f.daemons[0]
+	for i := range 10 {
+		d.Observe(engineID(i%2), sampleAt(1+float64(i%2)), knownEstimates)
+	}
+	f.now = f.now.Add(300 * time.Millisecond)
+	d.refresh()
+	hash := engines.Hash(engineID(1))
+	if own, all := d.own[hash].decayed(f.now).weight, d.fleet[hash].decayed(f.now).weight; !within(all, 0.99*own, 1.01*own) {
+		t.Errorf("own samples of weight %.2f count as %.2f", own, all)
+	}
+}
+
 // Guards against daemons that forget all speeds when the aggregator or their links
-// fail, and against speeds that are kept for long without samples.
+// fail, that learn nothing more then, and against speeds that are kept for long without
+// samples.
 func TestFactorsOutliveTheFleetSum(t *testing.T) {
 	f := newFactorFleet(t, 30)
 	f.feed(rand.New(rand.NewPCG(1, 1)), 20, 3, []float64{1, 1, 1, 1, 2})
@@ -124,6 +145,14 @@
 	if after := cut.Factor(engineID(4)); !within(after, 1+(before-1)*0.8, before) {
 		t.Errorf("factor %.2f before, %.2f after 20 s", before, after)
 	}
+	usual := cut.Factor(engineID(1))
+	for range 20 {
+		f.now = f.now.Add(time.Second)
+		cut.Observe(engineID(1), sampleAt(3), knownEstimates)
+	}
+	if after := cut.Factor(engineID(1)); after < 1.25*usual {
+		t.Errorf("a daemon that is cut off doesn't learn: factor %.2f, before %.2f", after, usual)
+	}
 	f.now = f.now.Add(3 * time.Minute)
 	if after := cut.Factor(engineID(4)); after != 0 {
 		t.Errorf("factor %.2f after 3 minutes without samples", after)
