speed: small differences between engines don't count in decisions

Cause: after 10 s the factors of equal engines vary by a tenth by chance. All daemons see the same factors and the shortlist holds the fastest engines drawn, so half of the engines went unused. Change: a factor within a quarter of 1 counts as 1 in decisions and in the fit; factors are relative to a service's usual engines, so that a few slow engines don't make the others count as fast. The simulation also gives trackers the time of the first event, which predictions lacked.

--- a/connection/speed/factors.go
+++ b/connection/speed/factors.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -11,6 +12,12 @@
 	"github.com/pomelospool/pomelospool/connection/summary"
 )
 
+// Margin is the factor by which an engine's prefill time has to differ from that of its
+// service to count as slow or fast. Smaller differences are mostly chance: after 10 s,
+// factors of equal engines vary by a tenth, and if choices follow that, all daemons send
+// their prompts to the same half of the engines.
+const Margin = 1.25
+
 const (
 	// minRatio and maxRatio bound the ratio of one prompt's prefill time to the
 	// service's estimate.
@@ -70,8 +77,8 @@
 }
 
 // Factors estimates for each engine the ratio of its prefill time to that of its
-// service, from the prompts of all daemons. The factors of a service have a mean of
-// 1, so that they and the service's estimate, which is fitted to durations divided
+// service, from the prompts of all daemons. The factors of a service's usual engines
+// have a mean of 1, so that they and the service's estimate, which is fitted to durations divided
 // by the factor, can't drift together. It is safe for concurrent use; a nil *Factors
 // knows no factor.
 type Factors struct {
@@ -164,18 +171,23 @@
 	return min(max(ratio, minRatio), maxRatio), float64(prefill) / float64(prefill+other)
 }
 
-// Factor returns the ratio of an engine's prefill time to that of its service, or 0
-// if it is unknown.
+// Factor returns the ratio of an engine's prefill time to that of its service, 1 if
+// they differ by less than Margin, and 0 if it is unknown.
 func (f *Factors) Factor(engine string) float64 {
-	if f == nil {
-		return 0
+	factor := f.measured(engine)
+	if factor > 1/Margin && factor < Margin {
+		return 1
 	}
-	return f.FactorOf(engines.Hash(engine))
+	return factor
 }
 
-// FactorOf is like Factor, for the engine with the given engines.Hash.
-func (f *Factors) FactorOf(hash uint64) float64 {
+// measured is like Factor, also for smaller differences.
+func (f *Factors) measured(engine string) float64 {
+	if f == nil {
+		return 0
+	}
 	f.refresh()
+	hash := engines.Hash(engine)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if _, known := f.fleet[hash]; !known {
@@ -267,20 +279,34 @@
 	}
 }
 
-// updateMeans computes the mean of each service's engines. Engines with many samples
-// count alike, so that the mean doesn't follow the choice of engines. Callers hold
-// f.mu.
+// updateMeans computes the mean of each service's usual engines: a mean over all engines,
+// then one over those near it, so that a few very slow ones don't make the others look
+// fast. Callers hold f.mu.
 func (f *Factors) updateMeans(now time.Time) {
+	clear(f.means)
+	f.means = f.meansWithin(math.Inf(1), now)
+	f.means = f.meansWithin(2*math.Log(Margin), now)
+}
+
+// meansWithin returns the means of the engines whose logarithm is within distance of the
+// present mean. Engines with many samples count alike, so that the mean doesn't follow
+// the choice of engines. Callers hold f.mu.
+func (f *Factors) meansWithin(distance float64, now time.Time) map[string]float64 {
 	sums, weights := make(map[string]float64), make(map[string]float64)
 	for hash, w := range f.fleet {
 		w = w.decayed(now)
-		sums[f.services[hash]] += w.sum / (w.weight + priorWeight)
-		weights[f.services[hash]] += w.weight / (w.weight + priorWeight)
+		service, value := f.services[hash], w.sum/w.weight
+		if math.Abs(value-f.means[service]) <= distance {
+			share := w.weight / (w.weight + priorWeight)
+			sums[service] += share * value
+			weights[service] += share
+		}
 	}
-	clear(f.means)
+	means := maps.Clone(f.means)
 	for service, weight := range weights {
-		f.means[service] = sums[service] / weight
+		means[service] = sums[service] / weight
 	}
+	return means
 }
 
 // ownRows returns this daemon's samples.
--- a/connection/speed/factors_test.go
+++ b/connection/speed/factors_test.go
@@ -89,27 +89,27 @@
 	f := newFactorFleet(t, 70)
 	f.feed(rand.New(rand.NewPCG(1, 1)), 10, 3, []float64{1, 1, 1, 1, 2})
 	for i, d := range f.daemons {
-		if slow, normal := d.Factor(engineID(4)), d.Factor(engineID(0)); !within(slow/normal, 1.6, 2.2) {
+		if slow, normal := d.measured(engineID(4)), d.measured(engineID(0)); !within(slow/normal, 1.6, 2.2) {
 			t.Fatalf("daemon %d: %.2f and %.2f", i, slow, normal)
 		}
 	}
-	if got := f.daemons[0].Factor("other"); got != 0 {
+	if got := f.daemons[0].measured("other"); got != 0 {
 		t.Errorf("factor %.2f without samples", got)
 	}
 	d := f.daemons[7]
-	before, others := d.Factor(engineID(0)), f.daemons[8].Factor(engineID(0))
+	before, others := d.measured(engineID(0)), f.daemons[8].measured(engineID(0))
 	for range 10 {
 		d.Observe(engineID(0), sampleAt(2), knownEstimates)
 	}
-	if d.Factor(engineID(0)) <= before || f.daemons[8].Factor(engineID(0)) != others {
+	if d.measured(engineID(0)) <= before || f.daemons[8].measured(engineID(0)) != others {
 		t.Errorf("own samples don't count at once, or count elsewhere")
 	}
 	f.now = f.now.Add(300 * time.Millisecond)
-	if got := d.Factor(engineID(0)); got <= before {
+	if got := d.measured(engineID(0)); got <= before {
 		t.Errorf("own samples don't count until the fleet's sum includes them: %.2f, before %.2f", got, before)
 	}
 	f.pass(3)
-	if a, b := d.Factor(engineID(0)), f.daemons[8].Factor(engineID(0)); !within(a/b, 0.99, 1.01) {
+	if a, b := d.measured(engineID(0)), f.daemons[8].measured(engineID(0)); !within(a/b, 0.99, 1.01) {
 		t.Errorf("own samples count twice: %.3f, elsewhere %.3f", a, b)
 	}
 }
@@ -137,24 +137,24 @@
 	f := newFactorFleet(t, 30)
 	f.feed(rand.New(rand.NewPCG(1, 1)), 20, 3, []float64{1, 1, 1, 1, 2})
 	cut := f.daemons[9]
-	before := cut.Factor(engineID(4))
+	before := cut.measured(engineID(4))
 	for range 20 { // alone, with samples of one engine
 		f.now = f.now.Add(time.Second)
 		cut.Observe(engineID(0), sampleAt(1), knownEstimates)
 	}
-	if after := cut.Factor(engineID(4)); !within(after, 1+(before-1)*0.8, before) {
+	if after := cut.measured(engineID(4)); !within(after, 1+(before-1)*0.8, before) {
 		t.Errorf("factor %.2f before, %.2f after 20 s", before, after)
 	}
-	usual := cut.Factor(engineID(1))
+	usual := cut.measured(engineID(1))
 	for range 20 {
 		f.now = f.now.Add(time.Second)
 		cut.Observe(engineID(1), sampleAt(3), knownEstimates)
 	}
-	if after := cut.Factor(engineID(1)); after < 1.25*usual {
+	if after := cut.measured(engineID(1)); after < 1.25*usual {
 		t.Errorf("a daemon that is cut off doesn't learn: factor %.2f, before %.2f", after, usual)
 	}
 	f.now = f.now.Add(3 * time.Minute)
-	if after := cut.Factor(engineID(4)); after != 0 {
+	if after := cut.measured(engineID(4)); after != 0 {
 		t.Errorf("factor %.2f after 3 minutes without samples", after)
 	}
 }
@@ -168,13 +168,13 @@
 	f.missing[engines.Hash(engineID(2))] = true
 	f.pass(5)
 	for _, d := range f.daemons {
-		if got := d.Factor(engineID(2)); got != 0 {
+		if got := d.measured(engineID(2)); got != 0 {
 			t.Errorf("factor %.2f of an engine that doesn't exist", got)
 		}
 		if n := len(d.ownRows()); n > 2 {
 			t.Errorf("reports %d engines", n)
 		}
-		if got := d.Factor("successor"); got != 0 {
+		if got := d.measured("successor"); got != 0 {
 			t.Errorf("factor %.2f of a new engine", got)
 		}
 	}
@@ -188,7 +188,7 @@
 	for range 5 {
 		f.daemons[0].Observe("new", sampleAt(2.5), knownEstimates)
 	}
-	if got := f.daemons[0].Factor("new"); got > 1.25 {
+	if got := f.daemons[0].measured("new"); got > 1.25 {
 		t.Errorf("factor %.2f", got)
 	}
 }
@@ -201,7 +201,7 @@
 	for range 50 {
 		f.daemons[0].Observe("a", s, knownEstimates)
 	}
-	if got := f.daemons[0].Factor("a"); got != 0 {
+	if got := f.daemons[0].measured("a"); got != 0 {
 		t.Errorf("factor %.2f", got)
 	}
 }
@@ -235,7 +235,7 @@
 	est := tr.Estimates("llm")
 	for i, perToken := range []float64{40e3, 40e3, 20e3, 20e3} {
 		if got := est.PerToken * d.Factor(engineID(i)) / perToken; !within(got, 0.8, 1.1) {
-			t.Errorf("engine %d: predicted at %.2f times its time, factor %.2f", i, got, d.Factor(engineID(i)))
+			t.Errorf("engine %d: predicted at %.2f times its time, factor %.2f", i, got, d.measured(engineID(i)))
 		}
 	}
 }
--- a/process/front/speeds.go
+++ b/process/front/speeds.go
@@ -38,11 +38,8 @@
 }
 
 const (
-	// speedMargin is the factor by which an engine's prefill time has to differ from
-	// that of its service to count as slow or fast.
-	speedMargin = 1.25
-	// returnMargin is the factor under which it counts as usual again. Without the
-	// distance an engine near speedMargin would be logged at each sample.
+	// returnMargin is the factor under which a slow engine counts as usual again.
+	// Without the distance an engine near speed.Margin would be logged at each sample.
 	returnMargin = 1.15
 	// maxSpeedLines is the number of lines on changes of engines' speeds per second;
 	// further changes are logged in the next seconds.
@@ -107,9 +104,9 @@
 // leaves its previous class only at returnMargin.
 func speedClass(factor float64, previous int) int {
 	switch {
-	case factor >= speedMargin, previous > 0 && factor >= returnMargin:
+	case factor >= speed.Margin, previous > 0 && factor >= returnMargin:
 		return 1
-	case factor <= 1/speedMargin, previous < 0 && factor <= 1/returnMargin:
+	case factor <= 1/speed.Margin, previous < 0 && factor <= 1/returnMargin:
 		return -1
 	}
 	return 0
--- a/process/roles/speed.go
+++ b/process/roles/speed.go
@@ -1,19 +1,19 @@
 package roles
 
-import "cmp"
+import (
+	"cmp"
 
-// speedMargin is the factor by which an engine's prefill time has to differ from that of
-// its service to count as slow or fast in a plan. Smaller differences are within the
-// error of the estimates, and would decide over streams and waits.
-const speedMargin = 1.25
+	"github.com/pomelospool/pomelospool/connection/speed"
+)
 
 // speedClass returns 1 for a slow engine, -1 for a fast one, and 0 for others and those
-// of unknown speed.
+// of unknown speed. Smaller differences are within the error of the estimates, and would
+// decide over streams and waits.
 func (e Engine) speedClass() int {
 	switch {
-	case e.Speed >= speedMargin:
+	case e.Speed >= speed.Margin:
 		return 1
-	case e.Speed > 0 && e.Speed <= 1/speedMargin:
+	case e.Speed > 0 && e.Speed <= 1/speed.Margin:
 		return -1
 	}
 	return 0
--- a/request/placement/home.go
+++ b/request/placement/home.go
@@ -44,7 +44,7 @@
 	minHash := 0.0
 	for i := range cands {
 		c := &cands[i]
-		if c.LocalOnly || c.FailureRate >= maxSourceFailureRate || c.Slowdown > slowdownThreshold || c.Speed > slowSpeed {
+		if c.LocalOnly || c.FailureRate >= maxSourceFailureRate || c.Slowdown > slowdownThreshold || c.Speed >= slowSpeed {
 			continue
 		}
 		if u := hashFraction(p.Seed ^ engines.Hash(c.Entry.ID)); h.index < 0 || u < minHash {
--- a/request/placement/speed.go
+++ b/request/placement/speed.go
@@ -8,7 +8,7 @@
 
 const (
 	// slowSpeed is the factor from which on an engine is no home of prompts.
-	slowSpeed = 1.25
+	slowSpeed = speed.Margin
 	// lateCost is the cost of an engine at which the prompt would miss its
 	// objective.
 	lateCost objectiveShare = 0.5
--- a/request/placement/speed_test.go
+++ b/request/placement/speed_test.go
@@ -14,7 +14,6 @@
 	simDaemons, simEngines = 70, 140
 	simLearning            = 10 * time.Second
 	simEnd                 = 25 * time.Second
-	simLoad                = 0.5 // of the engines' capacity
 	simReportInterval      = 200 * time.Millisecond
 )
 
@@ -46,6 +45,7 @@
 // their load as of the last report, and ask the engines of the shortlist.
 type simFleet struct {
 	r        *rand.Rand
+	load     float64 // asked, of the engines' capacity
 	kinds    []simKind
 	now      time.Duration
 	speeds   []float64 // ratios of the engines' prefill times
@@ -61,7 +61,7 @@
 
 // newSimFleet returns a fleet of which every fifth engine has the given factor.
 func newSimFleet(seed uint64, factor float64, kinds []simKind) *simFleet {
-	f := &simFleet{r: rand.New(rand.NewPCG(seed, 1)), kinds: kinds, queues: make([][]simPrompt, simEngines)}
+	f := &simFleet{load: 0.5, r: rand.New(rand.NewPCG(seed, 1)), kinds: kinds, queues: make([][]simPrompt, simEngines)}
 	hashes := make(map[uint64]bool)
 	for i := range simEngines {
 		f.speeds = append(f.speeds, 1)
@@ -71,9 +71,11 @@
 		f.cands = append(f.cands, newCandidate(fmt.Sprint("e", i), "a", engines.Load{}))
 		hashes[engines.Hash(f.cands[i].Entry.ID)] = true
 	}
+	f.speedOf = func(int, int) float64 { return 0 }
 	for range simDaemons {
 		tr := speed.NewTracker()
 		tr.Merge([]speed.Update{{Service: engines.Hash("llm"), PerToken: 25e3, PerPair: 280, PromptOverheadUs: 50_000, FirstEventUs: 40_000, Prompts: 1000}})
+		tr.ObserveFirstEvent("llm", estimates.FirstEvent)
 		f.trackers = append(f.trackers, tr)
 		f.factors = append(f.factors, speed.NewFactors(speed.FactorOptions{
 			Now:     func() time.Time { return time.Unix(1000, 0).Add(f.now) },
@@ -181,7 +183,7 @@
 	for _, k := range f.kinds {
 		work += estimates.PrefillTime(k.tokens, k.tokens)
 	}
-	interval := float64(work) / float64(len(f.kinds)) / (simLoad * capacity)
+	interval := float64(work) / float64(len(f.kinds)) / (f.load * capacity)
 	nextReport, nextExchange := time.Duration(0), time.Second
 	for ; f.now < simEnd; f.now += time.Duration(f.r.ExpFloat64() * interval) {
 		f.finish()
@@ -228,9 +230,7 @@
 	for seed := range uint64(3) {
 		known += newSimFleet(seed, 2, longKinds).knowsAll().avoidsLate().run(t) / 3
 		learned += newSimFleet(seed, 2, longKinds).learns().avoidsLate().run(t) / 3
-		without := newSimFleet(seed, 2, longKinds)
-		without.speedOf = func(int, int) float64 { return 0 }
-		unknown += without.run(t) / 3
+		unknown += newSimFleet(seed, 2, longKinds).run(t) / 3
 	}
 	t.Logf("goodput with known speeds %.3f, learned %.3f, unknown %.3f", known, learned, unknown)
 	if learned < 0.9*known {
@@ -241,6 +241,18 @@
 	}
 }
 
+// Guards against daemons that all follow chance differences of equal engines, and leave
+// half of them unused.
+func TestEqualEnginesAreUsedAlike(t *testing.T) {
+	learned, unknown := newSimFleet(1, 1, longKinds).learns().avoidsLate(), newSimFleet(1, 1, longKinds)
+	learned.load, unknown.load = 0.85, 0.85
+	got, without := learned.run(t), unknown.run(t)
+	t.Logf("goodput with learned speeds %.3f, unknown %.3f", got, without)
+	if got < without {
+		t.Errorf("goodput %.3f with learned speeds, %.3f without", got, without)
+	}
+}
+
 // Guards against fast engines that are busy with short prompts while the long ones, which
 // are on time only there, go elsewhere.
 func TestLargePromptsGoToFastEngines(t *testing.T) {
