--- a/process/front/front.go
+++ b/process/front/front.go
@@ -84,6 +84,7 @@
 	engines     *engines.Tracker
 	health      *health.Tracker
 	speed       *speed.Tracker
+	factors     *speed.Factors // of engines; nil: the setting is off
 	demand      *demand.Tracker
 	shares      *shares.Tracker // nil: organisations aren't limited to fair shares
 	budget      *budget.Fleet
@@ -150,6 +151,7 @@
 		}
 	})
 	d.health = health.New(time.Now, d.engines.MarkDown)
+	d.newFactors()
 	d.crashes = quarantine.New(quarantine.Options{
 		Self: s.VM, ToleratedCrashes: toleratedCrashes, Tries: d.triesContent, Changed: d.notifyPeers,
 	})
@@ -258,6 +260,7 @@
 		Health:   d.health,
 		Speed:    d.speed,
 		Demand:   d.demand,
+		Factors:  d.factors,
 		Budget:   d.budget,
 		Control:  d.control,
 		Queues:   d.roster,
@@ -291,6 +294,7 @@
 		Health:  d.health,
 		Demand:  d.demand,
 		Speed:   d.speed,
+		Factors: d.factors,
 		Lease:   d.s.Bounds.Lease,
 		Ages:    d.claimAges,
 	})
@@ -403,6 +407,7 @@
 			d.metrics.setRetryBudgets(d.config.Load(), d.budget)
 			d.updateShares()
 			d.metrics.setUnreported(d.config.Load(), d.runner)
+			d.updateSpeeds()
 		}
 	}
 }
--- a/process/front/shares.go
+++ b/process/front/shares.go
@@ -4,18 +4,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/pomelospool/pomelospool/connection/shares"
-	"github.com/pomelospool/pomelospool/process/roster"
 )
 
-// summaries returns the tables that the settings make daemons exchange.
-func (d *Daemon) summaries() map[uint8]roster.Summary {
-	out := make(map[uint8]roster.Summary)
-	if d.shares != nil {
-		out[roster.TopicShares] = d.shares.Summary()
-	}
-	return out
-}
-
 // updateShares ends the periods of contention that are over.
 func (d *Daemon) updateShares() {
 	if d.shares != nil {
--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -93,7 +93,7 @@
 	CanQueryQueues() bool
 }
 
-// Options configures a Runner. All fields but Links and Peers are required.
+// Options configures a Runner. All fields but Factors, Links and Peers are required.
 type Options struct {
 	Protocol port.TargetProtocol
 	Pool     *h1.Pool
@@ -105,9 +105,10 @@
 	Queues   Queues
 	Speed    *speed.Tracker
 	Demand   *demand.Tracker
-	Zone     string // availability zone of this process
-	Self     string // name of this process's VM, which determines its preferred targets
-	Links    Links  // nil: links are never lost
+	Factors  *speed.Factors // nil: engines of a service count as equally fast
+	Zone     string         // availability zone of this process
+	Self     string         // name of this process's VM, which determines its preferred targets
+	Links    Links          // nil: links are never lost
 	// Reports enables choices that account for the work that other daemons have
 	// sent since their reports. It may be nil.
 	Reports Reports
--- a/request/placement/prefill.go
+++ b/request/placement/prefill.go
@@ -16,6 +16,7 @@
 	Load        engines.Load
 	FailureRate float64 // fraction of its recent requests that failed
 	Slowdown    float64 // ratio of measured to predicted time
+	Speed       float64 // ratio of its prefill time to that of its service, see speed.Factors; 0: unknown
 	HasIdleConn bool    // this process has an idle connection to it
 	// LocalOnly means that other daemons may not consider the engine, so it
 	// can't be the home of a prompt.
@@ -48,6 +49,9 @@
 	Objective time.Duration
 	// Unreported is the work that other daemons have sent since their reports.
 	Unreported Unreported
+	// AvoidLate adds a cost to engines at which the prompt would miss its
+	// objective.
+	AvoidLate bool
 }
 
 // Choice is an engine for the prefill and its prediction.
@@ -62,6 +66,7 @@
 	Cost          time.Duration // choices with a lower cost are better
 	Speculative   bool          // the source isn't known to hold more of the prompt
 	NotCheapest   bool          // chosen over a cheaper one because of unreported work
+	lateness      lateness
 }
 
 const (
@@ -133,6 +138,7 @@
 	ch.Cost += time.Duration(hashFraction(ev.p.tieSeed(ev.p.Unreported.prefillStale() && canFetch(ev.engine))^engines.Hash(c.Entry.ID)) * float64(prefillTieCost.duration(&ev.p)))
 	ch.Cost += ev.home.cost(i, ev.estimates)
 	ch.Cost += c.connCost(&ev.p) + c.reservedCost(&ev.p)
+	ch.addLateness(&ev.p, c, ev.estimates)
 	return ch
 }
 
@@ -148,7 +154,7 @@
 		ch.FetchTime = TransferTime(e, ch.FetchedTokens, src.Entry.Zone == c.Entry.Zone)
 	}
 	ch.MissingTokens = max(p.Tokens-cached, 1)
-	prefill := c.adjusted(est.PrefillTime(p.Tokens, ch.MissingTokens))
+	prefill := c.prefillTime(p, ch.MissingTokens, est)
 	ch.PrefillTime = prefill + ch.FetchTime
 	ch.Cost = ch.PredictedWait + prefill + time.Duration(recomputeWeight*float64(prefill)) + fetchWeight*ch.FetchTime
 	return ch
