topic: a relayed listing doesn't show that the store was available

Cause: a listing from another daemon carries no time, and the period for which the store is known to have been available ends before the outage. It was compared with data of before the outage, so each such listing counted as evidence. Targets that were missing in the listing, because they had lapsed in the outage, were then removed at once instead of being kept. If no read had failed before the listing, the store didn't count as lost at all while it was applied.

Change: before a listing from another daemon is applied, the sink is told that the store is lost, and OnAvailable isn't called.

--- a/process/topic/follower.go
+++ b/process/topic/follower.go
@@ -34,7 +34,7 @@
 	// Apply applies records in order.
 	Apply(records []port.KeyedRecord)
 	// StoreLost reports that the store can't be read, once for each outage and
-	// after each listing from another daemon in it.
+	// before the Reset with each listing from another daemon.
 	StoreLost(err error)
 	// StoreRecovered reports the end of an outage, after the Reset or Apply of
 	// the read that succeeded.
@@ -59,7 +59,7 @@
 	OnCurrent func(next int64)
 	// StoreWasAvailable, if set, reports whether the store is known to have been
 	// available since the last successful read. It is called after each read
-	// that follows an outage.
+	// that follows an outage, but not after a listing from another daemon.
 	StoreWasAvailable func() bool
 	// OnAvailable is called before the Reset or Apply that follows an outage in
 	// which the store was available: only this process couldn't read it, and
@@ -186,13 +186,15 @@
 	}
 	f.next, f.nextKnown = end, true
 	log.WithFields(log.Fields{"topic": f.o.Name, "records": len(all), "newest": maxOffset(all), "next": end}).Info("topic: listed")
-	f.reportAvailable()
-	f.o.Sink.Reset(all, end)
 	if relayed {
-		// The store may be unavailable from here on.
+		// The time of this listing is unknown, so reads before the outage don't show
+		// that the store was available until then.
 		f.o.Sink.StoreLost(errRelayed)
+		f.o.Sink.Reset(all, end)
 		return errRelayed
 	}
+	f.reportAvailable()
+	f.o.Sink.Reset(all, end)
 	f.reportProgress()
 	return nil
 }
--- a/process/topic/follower_test.go
+++ b/process/topic/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -29,6 +30,7 @@
 	behind  int64 // number of the newest records that listings lack
 	missNew bool  // waiting reads miss records written meanwhile
 	expired bool  // reads return port.ErrExpired
+	relayed bool  // listings come from another daemon
 	reads   int
 	lists   int
 }
@@ -55,7 +57,7 @@
 		return port.KeyedPage{}, port.ErrUnavailable
 	}
 	shown := s.records[:int64(len(s.records))-s.behind]
-	return port.KeyedPage{Records: shown, End: s.end() - s.behind}, nil
+	return port.KeyedPage{Records: shown, End: s.end() - s.behind, Relayed: s.relayed}, nil
 }
 
 func (s *fakeStore) Read(ctx context.Context, _ port.Topic, from int64, wait time.Duration) (port.KeyedBatch, error) {
@@ -239,3 +241,38 @@
 		check(t, k, "[reset a apply b]")
 	})
 }
+
+// Guards against targets that are dropped because another daemon's listing, whose
+// time is unknown, lacks them: the store may be unavailable, and they may only have
+// lapsed. It must count as lost before such a listing is applied.
+func TestRelayedListingIsNoEvidenceOfAnAvailableStore(t *testing.T) {
+	for name, down := range map[string]bool{"after failed reads": true, "at once": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, k := &fakeStore{}, &sink{}
+				s.add("a", "1")
+				f := New(Options{
+					Store: s, Sink: k, Wait: func() time.Duration { return time.Second }, ReadInterval: func() time.Duration { return 0 },
+					StoreWasAvailable: func() bool { return true }, // by reads before the outage
+					OnAvailable:       func() { k.record("available") },
+				})
+				f.Start()
+				settle()
+				want := "[reset a lost reset a"
+				if down {
+					s.set(func() { s.down = true })
+					_ = pause.For(t.Context(), 5*time.Second)
+					want = "[reset a lost lost reset a"
+				}
+				s.set(func() { s.down, s.expired, s.relayed = false, true, true })
+				_ = pause.For(t.Context(), 3*time.Second)
+				if got := k.calls(); !strings.HasPrefix(got, want) || strings.Contains(got, "available") {
+					t.Errorf("%s, want %s", got, want)
+				}
+				if err := f.Stop(); err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
