relay: an answer's availability is that of the same read

Cause: an answer to another daemon took the time of its data and the duration for which the store was available up to then under two locks. If this daemon read the store in between, the duration was that of the later read, so the other daemon took the store for available up to one read interval and wait before it was. An outage of up to about twice the allowed gap between reads, in which entries lapse, could then count as none.

Change: both are taken under one lock, as fields of the cached listing and of the batch.

Result: TestAvailabilityIsOfTheAnsweredRead failed with "read at 3.782µs, available for 3.799µs" and passes; the other tests of process/relay pass.

--- a/process/relay/available_test.go
+++ b/process/relay/available_test.go
@@ -84,3 +84,38 @@
 		})
 	}
 }
+
+// Guards against an answer that combines the time of one read of the store with the
+// availability up to a later one, which would claim that the store was available
+// before it was.
+func TestAvailabilityIsOfTheAnsweredRead(t *testing.T) {
+	cache := newMemoryCache(func() time.Duration { return 0 })
+	cache.Reset(nil, 5)
+	cache.Confirm(0, 0, 5)
+	stop, done := make(chan struct{}), make(chan struct{})
+	defer func() {
+		close(stop)
+		<-done
+	}()
+	go func() {
+		defer close(done)
+		for at := time.Duration(1); ; at++ {
+			select {
+			case <-stop:
+				return
+			default:
+				cache.Confirm(at, 0, 5)
+			}
+		}
+	}()
+	store := NewStore(&countingStore{}, func() []string { return []string{"reader"} }, nil, port.TopicTargets)
+	store.client = &http.Client{Transport: memoryTransport{"reader": Handler(map[port.Topic]*TopicCache{port.TopicTargets: cache})}}
+	for range 500 {
+		for _, path := range []string{"current?topic=1", "records?topic=1&from=5"} {
+			r, err := store.fetch(t.Context(), "http://reader/"+path+"&wait_ms=0&max_age_ms=1000")
+			if err != nil || r.availableFor != r.readAt {
+				t.Fatalf("%s: read at %v, available for %v, %v", path, r.readAt, r.availableFor, err)
+			}
+		}
+	}
+}
--- a/process/relay/relay.go
+++ b/process/relay/relay.go
@@ -69,7 +69,7 @@
 			return nil
 		}
 		metrics.Add("listings_served", 1)
-		return cache.write(w, l.key(), l.page.Records, answer{End: l.page.End, ReadAt: l.readAt, AvailableFor: cache.availableFor()})
+		return cache.write(w, l.key(), l.page.Records, answer{End: l.page.End, ReadAt: l.readAt, AvailableFor: l.availableFor})
 	})
 	r.GET("/records", func(w http.ResponseWriter, req bunrouter.Request) error {
 		p := params{values: req.URL.Query()}
@@ -82,7 +82,7 @@
 		switch status {
 		case ok:
 			metrics.Add("reads_served", 1)
-			return cache.write(w, b.key(), b.records(), answer{End: b.next, ReadAt: b.readAt, AvailableFor: cache.availableFor()})
+			return cache.write(w, b.key(), b.records(), answer{End: b.next, ReadAt: b.readAt, AvailableFor: b.availableFor})
 		case gap:
 			w.WriteHeader(http.StatusGone)
 		default:
--- a/process/relay/topic_cache.go
+++ b/process/relay/topic_cache.go
@@ -167,9 +167,10 @@
 
 // cachedListing is the content of a topic as cached by a daemon.
 type cachedListing struct {
-	page    port.KeyedPage
-	version int64         // of the records; the same version means the same records
-	readAt  time.Duration // when the store was read, relative to now (negative)
+	page         port.KeyedPage
+	version      int64         // of the records; the same version means the same records
+	readAt       time.Duration // when the store was read, relative to now (negative)
+	availableFor time.Duration // how long the store is known to have been available up to then
 }
 
 // listing returns the cached topic. The result is false if this daemon never
@@ -182,7 +183,7 @@
 
 // listLocked is listing for callers that hold t.mu.
 func (t *TopicCache) listLocked() (cachedListing, bool) {
-	l := cachedListing{version: t.version, readAt: t.asOf - t.now()}
+	l := cachedListing{version: t.version, readAt: t.asOf - t.now(), availableFor: t.availableFor()}
 	l.page = port.KeyedPage{End: t.end, Records: make([]port.KeyedRecord, 0, len(t.newest))}
 	for _, r := range t.newest {
 		l.page.Records = append(l.page.Records, r)
@@ -269,10 +270,8 @@
 }
 
 // availableFor returns how long, up to the end of the cached data, the store is
-// known to have been available.
+// known to have been available. Callers hold t.mu.
 func (t *TopicCache) availableFor() time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	return max(t.asOf-t.available, 0)
 }
 
@@ -328,6 +327,9 @@
 	changes []change
 	next    int64
 	readAt  time.Duration // when the store was read, relative to the request
+	// availableFor is how long the store is known to have been available up to
+	// readAt.
+	availableFor time.Duration
 }
 
 func (b *batch) records() []port.KeyedRecord {
@@ -377,7 +379,7 @@
 	default:
 		v.status = ok
 		first, _ := slices.BinarySearchFunc(t.changes, from, func(c change, from int64) int { return cmp.Compare(c.at, from) })
-		v.batch = batch{changes: t.changes[first:len(t.changes):len(t.changes)], next: t.end, readAt: t.asOf - start}
+		v.batch = batch{changes: t.changes[first:len(t.changes):len(t.changes)], next: t.end, readAt: t.asOf - start, availableFor: t.availableFor()}
 	}
 	return v
 }
