fairshare: the level stays a number after hours without requests

Cause: when the level is computed after all organisations have been idle until their mean usage is exactly 0, which takes under two hours, they are all evicted, and 0 divided by 0 made the level NaN. It is averaged with its previous value, so it stayed NaN, and no usage is greater: shares weren't enforced from then on. A daemon of the project's own protocol that is idle itself but learns from reports that the targets are full reaches this state.

Change: without claims the level is 0.

Result: TestLevelAfterIdleTime failed with "level NaN" and passes; the tests of request/admission pass.

--- a/request/fairshare/fairshare.go
+++ b/request/fairshare/fairshare.go
@@ -39,6 +39,9 @@
 	for _, c := range claims {
 		weights += c.Weight
 	}
+	if weights == 0 {
+		return 0
+	}
 	level := allowed / weights
 	for range levelPasses {
 		remaining, above := allowed, 0.0
--- a/request/fairshare/fairshare_test.go
+++ b/request/fairshare/fairshare_test.go
@@ -53,3 +53,25 @@
 		t.Errorf("%d organisations after the others were idle", n)
 	}
 }
+
+// Guards against a level that isn't a number, which no usage would exceed from then
+// on: the level is computed after all organisations were idle for hours.
+func TestLevelAfterIdleTime(t *testing.T) {
+	l, now := NewLedger(), time.Unix(0, 0)
+	l.Begin("a", 1, 1, now)
+	now = now.Add(time.Second)
+	l.End("a", 1, now)
+	now = now.Add(3 * time.Hour)
+	if l.OverShare("a", 0.5, now) {
+		t.Error("an idle organisation is over its share")
+	}
+	l.Begin("small", 1, 1, now)
+	l.Begin("flood", 1, 20, now)
+	for range 300 {
+		now = now.Add(levelInterval)
+		l.OverShare("flood", 0.5, now)
+	}
+	if !l.OverShare("flood", 0.5, now) || l.OverShare("small", 0.5, now) {
+		t.Errorf("level %g", l.level)
+	}
+}
