shares: a row with unusable numbers doesn't spoil the sum

Cause: received rows were checked only when a daemon decided by the sum. An aggregator added a row that isn't a number to the others of its organisation, or to those of all organisations that aren't sent one by one. The sum was then left out at all daemons, so these organisations were never over their shares.

Result: TestDamagedRowsAreNotSummed failed with sums of NaN and +Inf and passes; the other tests of connection/shares and connection/summary pass.

--- a/connection/shares/row.go
+++ b/connection/shares/row.go
@@ -34,8 +34,15 @@
 func (r Row) Key() uint64 { return r.Service*31 + r.Org }
 
 // Add implements summary.Entry. The rest of several daemons is mostly the same
-// organisations, so their numbers aren't added up.
+// organisations, so their numbers aren't added up. A row with unusable numbers is
+// left out, since the sum would be unusable for all daemons.
 func (r Row) Add(o Row) Row {
+	if !o.valid() {
+		return r
+	}
+	if !r.valid() {
+		return o
+	}
 	r.Asked += o.Asked
 	r.Used += o.Used
 	r.Orgs = max(r.Orgs, o.Orgs)
@@ -77,8 +84,9 @@
 }
 
 // limit keeps the maxRows organisations with the highest demand of each service,
-// and adds up the others.
+// and adds up the others. It drops rows with unusable numbers.
 func limit(rows []Row) []Row {
+	rows = slices.DeleteFunc(rows, func(r Row) bool { return !r.valid() })
 	slices.SortFunc(rows, func(a, b Row) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(b.rank(), a.rank()), cmp.Compare(a.Org, b.Org))
 	})
--- a/connection/shares/shares_test.go
+++ b/connection/shares/shares_test.go
@@ -91,3 +91,24 @@
 		t.Errorf("%+v, %d lines", st, len(h.Entries))
 	}
 }
+
+// Guards against a row from the network that spoils the sum of its organisation, and
+// of the rest, for all daemons.
+func TestDamagedRowsAreNotSummed(t *testing.T) {
+	bad := float32(math.NaN())
+	good := Row{Service: 1, Org: 2, Orgs: 1, Asked: 2, Used: 1}
+	for _, damaged := range []Row{{Service: 1, Org: 2, Orgs: 1, Asked: bad, Used: 1}, {Service: 1, Org: 2, Orgs: 1, Asked: 2, Used: float32(math.Inf(1))}} {
+		if a, b := good.Add(damaged), damaged.Add(good); a != good || b != good {
+			t.Errorf("sums %+v and %+v, want %+v", a, b, good)
+		}
+	}
+	rows := []Row{{Service: 1, Org: 7, Orgs: 1, Asked: bad, Used: bad}}
+	for org := range uint64(maxRows + 2) {
+		rows = append(rows, Row{Service: 1, Org: org + 100, Orgs: 1, Asked: 1, Used: 1})
+	}
+	for _, r := range limit(rows) {
+		if !r.valid() {
+			t.Errorf("%+v", r)
+		}
+	}
+}
