dispatch: a plain call for which there is no target isn't usage

Cause: the usage of a plain call's organisation was recorded before a target was chosen. A call rejected because there is no target counted as admitted, so the service seemed to have capacity that it hadn't, and for some 8 s after the targets' return the level was too high.

Change: the share is checked and the usage recorded once a target is chosen.

Result: TestCallWithoutTargetUsesNothing failed with a usage of 0.00625 targets (50 ms in 8 s) and passes; the other tests of request/dispatch pass.

--- a/request/dispatch/plain.go
+++ b/request/dispatch/plain.go
@@ -33,13 +33,13 @@
 		if x.viaPeer() {
 			return x.plainAtPeer(ctx)
 		}
-		if err := x.enforcePlainShare(); err != nil {
-			return nil, err
-		}
 		to, ok := x.pickPlain()
 		if !ok {
 			return nil, x.noTargetError()
 		}
+		if err := x.enforcePlainShare(); err != nil {
+			return nil, err
+		}
 		a, f := x.sendPlain(ctx, to)
 		if f == nil {
 			if a.Status < http.StatusMultipleChoices {
@@ -156,13 +156,13 @@
 		if err := x.checkOriginServed(""); err != nil {
 			return err
 		}
-		if err := x.enforcePlainShare(); err != nil {
-			return err
-		}
 		to, ok := x.pickPlain()
 		if !ok {
 			return x.noTargetError()
 		}
+		if err := x.enforcePlainShare(); err != nil {
+			return err
+		}
 		f := x.streamPlain(ctx, to, out)
 		if f == nil {
 			x.recordSuccess(to.ID)
--- a/request/dispatch/share.go
+++ b/request/dispatch/share.go
@@ -77,8 +77,8 @@
 }
 
 // enforcePlainShare rejects a call of an organisation over its share because of
-// the slots in use at the plain targets that the call considers. Only the first
-// send of a call is checked and recorded.
+// the slots in use at the plain targets that the call considers, of which there is
+// one at least. Only the first send of a call is checked and recorded.
 func (x *execution) enforcePlainShare() error {
 	if x.opts.Shares == nil || x.call.Organisation == "" || x.trace.Sends > 0 || x.lastFailure != nil {
 		return nil
--- a/request/dispatch/share_test.go
+++ b/request/dispatch/share_test.go
@@ -133,3 +133,20 @@
 		}
 	})
 }
+
+// Guards against usage of calls for which there was no target: the level would be
+// too high once there are targets again.
+func TestCallWithoutTargetUsesNothing(t *testing.T) {
+	withHarness(t, 0, func(t *testing.T, h *harness) {
+		tr := shares.New(time.Now)
+		h.runner.opts.Shares = tr
+		c := h.newCall(route.Safe, 1, 3*time.Second)
+		c.Organisation = "a"
+		if _, _, err := h.runner.Plain(t.Context(), c); code.Of(err) != code.NoTarget {
+			t.Fatal(err)
+		}
+		if rows := tr.Summary().Sum(); len(rows) > 0 && rows[0].Used != 0 {
+			t.Errorf("usage %+v", rows)
+		}
+	})
+}
