dispatch: streams of plain targets count with their time

Cause: only calls with a whole answer were observed. A stream of a service without engines counted with the assumed 50 ms, however long it held a slot, so an organisation with long streams seemed to use next to nothing.

Change: the time of complete streams is observed. Those that are taken up are left out, since they contain only a part.

Result: TestUsageOfPlainStreamsIsTheirTime failed with a usage of 0.011 for a second stream of 600 ms, of 0.081 that were used, and passes; the other tests of request/dispatch pass.

--- a/request/dispatch/plain.go
+++ b/request/dispatch/plain.go
@@ -178,6 +178,7 @@
 func (x *execution) streamPlain(ctx context.Context, to port.TargetEntry, out Stream) *sendFailure {
 	done := x.opts.Engines.Decode(to.ID, 0, nil, 0)
 	defer done()
+	sent := time.Now()
 	resp, v, f := x.send(ctx, outgoing{target: to, state: port.DispatchMeta{Priority: -1, LastEventID: x.lastID}})
 	if f != nil {
 		return f
@@ -186,5 +187,10 @@
 		return x.relayNonStream(ctx, to.ID, resp, v, out)
 	}
 	x.budget.SentAll()
-	return x.relay(ctx, to.ID, resp, v, out, streamHooks{first: func() {}, batch: func(int) {}})
+	whole := x.lastID == ""
+	f = x.relay(ctx, to.ID, resp, v, out, streamHooks{first: func() {}, batch: func(int) {}})
+	if f == nil && whole {
+		x.plainTimes.observe(x.call.Route.Name, time.Since(sent))
+	}
+	return f
 }
--- a/request/dispatch/share.go
+++ b/request/dispatch/share.go
@@ -118,7 +118,7 @@
 	means map[string]time.Duration
 }
 
-// observe adds the time from the send of a call to its complete answer.
+// observe adds the time from the send of a call to its complete answer or stream.
 func (t *plainTimes) observe(route string, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/request/dispatch/share_test.go
+++ b/request/dispatch/share_test.go
@@ -134,6 +134,31 @@
 	})
 }
 
+// Guards against streams of plain targets that count with the assumed time of a
+// call, however long they take: one organisation's streams would hold the targets
+// of the others.
+func TestUsageOfPlainStreamsIsTheirTime(t *testing.T) {
+	withHarness(t, 0, func(t *testing.T, h *harness) {
+		h.addTarget("app", "").Set(func(b *standin.Behaviour) { b.Gap, b.Streamed, b.Events = 200*time.Millisecond, true, 3 })
+		tr := shares.New(time.Now)
+		h.runner.opts.Shares, h.runner.opts.Origins = tr, knownOrigin{h.runner.opts.Origins}
+		var took time.Duration
+		for range 2 {
+			c := h.newCall(route.Stream, 1, 3*time.Second)
+			c.Service, c.Organisation = h.newCall(route.Safe, 1, time.Second).Service, "a"
+			begun := time.Now()
+			if _, err := h.runner.Streamed(t.Context(), c, &recorder{}); err != nil {
+				t.Fatal(err)
+			}
+			took = time.Since(begun)
+		}
+		rows, want := tr.Summary().Sum(), (defaultPlainTime+took).Seconds()/8
+		if len(rows) != 1 || took < 600*time.Millisecond || float64(rows[0].Used) < 0.8*want || float64(rows[0].Used) > 1.1*want {
+			t.Errorf("usage %+v, want %v and %v in 8 s", rows, defaultPlainTime, took)
+		}
+	})
+}
+
 // Guards against usage of calls for which there was no target: the level would be
 // too high once there are targets again.
 func TestCallWithoutTargetUsesNothing(t *testing.T) {
