topic, discovery, dispatch: tests of outages and shares that fail without their code

Cause: by trial, these could be removed with no test failing: the report that the store was available before the read or the listing that ends an outage; the rule that entries aren't kept after an outage of this daemon's reads alone, and its exception for entries that lapsed before; the fullness of calls that would be late at an idle engine; the engine time of streams, and that rejected ones aren't usage.

Change: tests for each.

--- a/process/discovery/registry_test.go
+++ b/process/discovery/registry_test.go
@@ -104,6 +104,33 @@
 	})
 }
 
+// Guards against entries that are kept after an outage of this daemon's reads alone,
+// and against entries that lapsed in an outage before it and are kept for ever.
+func TestReadOutageAfterAnOutageOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New(Options{Decode: decode})
+		r.Reset([]port.KeyedRecord{rec(0, "a", "s"), rec(1, "b", "s"), rec(2, "c", "s")}, 0)
+		readOutage := func() {
+			r.StoreLost(errors.New("the reader's data isn't current"))
+			_ = pause.For(context.Background(), lapsedGracePeriod)
+			synctest.Wait()
+			r.StoreAvailable()
+			r.StoreRecovered()
+		}
+		readOutage()
+		r.Apply([]port.KeyedRecord{rec(3, "a", "")})
+		want(t, r, "s", "b", "c")
+		r.StoreLost(errors.New("store unavailable"))
+		r.Apply([]port.KeyedRecord{rec(4, "b", "")})
+		r.StoreRecovered()
+		readOutage()
+		want(t, r, "s", "b", "c")
+		_ = pause.For(context.Background(), lapsedGracePeriod)
+		synctest.Wait()
+		want(t, r, "s", "c")
+	})
+}
+
 // An entry that is missing in a listing after an outage is treated like a
 // removed one.
 func TestListingAfterAnOutage(t *testing.T) {
--- a/process/topic/follower_test.go
+++ b/process/topic/follower_test.go
@@ -276,3 +276,35 @@
 		})
 	}
 }
+
+// Guards against entries that are kept though their targets removed them: the sink
+// must learn before each read that ends an outage that the store was available, and
+// only then.
+func TestAvailableStoreIsReportedBeforeTheRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, k := &fakeStore{}, &sink{}
+		s.add("a", "1")
+		available := false
+		f := New(Options{
+			Store: s, Sink: k, Wait: func() time.Duration { return wait }, ReadInterval: func() time.Duration { return time.Second },
+			StoreWasAvailable: func() bool { return available },
+			OnAvailable:       func() { k.record("available") },
+		})
+		f.Start()
+		settle()
+		outage := func(change func()) {
+			s.set(func() { s.down = true })
+			settle()
+			change()
+			settle()
+		}
+		outage(func() { s.add("b", "1"); s.set(func() { s.down = false }) })
+		available = true
+		outage(func() { s.add("c", "1"); s.set(func() { s.down = false }) })
+		outage(func() { s.set(func() { s.down, s.first = false, 9 }) })
+		check(t, k, "[reset a lost apply b back lost available apply c back lost available reset abc back]")
+		if err := f.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/request/dispatch/share_test.go
+++ b/request/dispatch/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 	"time"
 
@@ -175,3 +176,52 @@
 		}
 	})
 }
+
+// Guards against streams that aren't recorded with their engine time, and against
+// rejected streams that count as usage.
+func TestUsageOfStreams(t *testing.T) {
+	withHarness(t, 0, func(t *testing.T, h *harness) {
+		h.addTarget("llm", port.RolePrefill)
+		h.addTarget("llm", port.RoleDecode)
+		tr := shares.New(time.Now)
+		h.runner.opts.Shares, h.runner.opts.Origins = tr, knownOrigin{h.runner.opts.Origins}
+		est := h.runner.opts.Speed.Estimates("llm")
+		call := func() (time.Duration, error) {
+			c := h.newCall(route.Stream, 1, 3*time.Second)
+			c.Organisation = "a"
+			_, err := h.runner.Streamed(t.Context(), c, &recorder{})
+			return est.PrefillTime(1460, 1460) + est.StreamDuration(c.Meta.MaxOutputTokens)/4, err
+		}
+		h.runner.opts.Engines.Prefill("llm0", 1000, nil, 0, time.Minute)
+		cost, err := call()
+		if code.Of(err) != code.Overloaded {
+			t.Fatal(err)
+		}
+		rows, want := tr.Summary().Sum(), cost.Seconds()/8
+		if len(rows) != 1 || math.Abs(float64(rows[0].Asked)-want) > 1e-4 || rows[0].Used != 0 {
+			t.Errorf("usage %+v of a rejected stream, want %g asked", rows, want)
+		}
+	})
+}
+
+// Guards against calls that would be late at an idle engine too: their bound on the
+// wait is another one, and their organisations must not pass it unlimited.
+func TestLateCallsOverShare(t *testing.T) {
+	for _, tc := range []struct {
+		org  string
+		wait time.Duration // of 24 ms with which the call is admitted
+		want code.Code
+	}{{"flood", 22 * time.Millisecond, code.OrgOverShare}, {"flood", 12 * time.Millisecond, code.OK}, {"small", 22 * time.Millisecond, code.OK}} {
+		withHarness(t, 0, func(t *testing.T, h *harness) {
+			h.addTarget("llm", port.RolePrefill)
+			h.addTarget("llm", port.RoleDecode)
+			h.withFlood()
+			h.runner.opts.Engines.Prefill("llm0", 1000, nil, 0, tc.wait)
+			c := h.newCall(route.Stream, 2, 3*time.Second)
+			c.Organisation, c.Route.Objective = tc.org, 100*time.Millisecond
+			if _, err := h.runner.Streamed(t.Context(), c, &recorder{}); code.Of(err) != tc.want {
+				t.Errorf("%s, %v: %v, want %v", tc.org, tc.wait, err, tc.want)
+			}
+		})
+	}
+}
