shares: a table of many services fits into the accepted pieces

Cause: 49 rows of each service were sent however many services there are. Receivers accept tables of up to 64 pieces, which are full with some 40 services of 48 or more organisations. From there on, every piece was rejected and each daemon decided by its own ledger alone.

Change: with more than 30 services fewer organisations of each are sent one by one, and the others in the row of the rest.

Result: TestTableOfManyServicesIsReceived, with 60 services of 77 organisations, failed with "piece 0 of 97" and passes; the other tests of connection/shares and connection/summary pass.

--- a/connection/shares/row.go
+++ b/connection/shares/row.go
@@ -12,6 +12,10 @@
 	// maxRows is the number of organisations of a service that are sent one by
 	// one, which bounds the size of a table to about 1.5 kB for each service.
 	maxRows = 48
+	// maxTableRows is the number of rows of all services up to which each may have
+	// maxRows. It bounds a table to about 45 kB: with 60 services of 77 organisations
+	// it took 97 pieces, of which receivers accept 64.
+	maxTableRows = 1500
 	// restOrg stands for the organisations that aren't sent one by one.
 	restOrg = 0
 	// minUsage is the demand, as a number of targets, below which an
@@ -83,13 +87,21 @@
 	return out
 }
 
-// limit keeps the maxRows organisations with the highest demand of each service,
-// and adds up the others. It drops rows with unusable numbers.
+// limit keeps the organisations with the highest demand of each service, maxRows or
+// fewer if there are many services, and adds up the others. It drops rows with
+// unusable numbers.
 func limit(rows []Row) []Row {
 	rows = slices.DeleteFunc(rows, func(r Row) bool { return !r.valid() })
 	slices.SortFunc(rows, func(a, b Row) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(b.rank(), a.rank()), cmp.Compare(a.Org, b.Org))
 	})
+	services := 1
+	for i := range rows[min(1, len(rows)):] {
+		if rows[i].Service != rows[i+1].Service {
+			services++
+		}
+	}
+	most := min(maxRows, max(maxTableRows/services-1, 0)) // apart from the row of the rest
 	var out []Row
 	kept, rest := 0, -1 // of the present service: rows kept, and the index of the row of the rest
 	for i, r := range rows {
@@ -97,7 +109,7 @@
 			kept, rest = 0, -1
 		}
 		switch {
-		case r.Org != restOrg && kept < maxRows:
+		case r.Org != restOrg && kept < most:
 			kept++
 			out = append(out, r)
 		case rest < 0:
--- a/connection/shares/shares_test.go
+++ b/connection/shares/shares_test.go
@@ -59,6 +59,40 @@
 	}
 }
 
+// Guards against a table of many services that takes more pieces than receivers
+// accept, so that no usage is exchanged at all.
+func TestTableOfManyServicesIsReceived(t *testing.T) {
+	const services, orgs = 60, 77
+	a, _ := newTracker()
+	b, _ := newTracker()
+	for service := range services {
+		for org := range orgs {
+			a.Record(fmt.Sprint("s", service), fmt.Sprint("org", org), time.Duration(org+100)*time.Millisecond, true)
+		}
+	}
+	pieces, err := a.table.Report(func(string) bool { return false }, 1300)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, p := range pieces {
+		if err := b.table.Merge("a", i, len(pieces), p); err != nil {
+			t.Fatal(err)
+		}
+	}
+	known := make(map[uint64]uint32)
+	for _, r := range b.table.Sum() {
+		known[r.Service] += r.Orgs
+	}
+	for service, n := range known {
+		if n != orgs {
+			t.Errorf("service %x has %d organisations", service, n)
+		}
+	}
+	if len(known) != services {
+		t.Errorf("%d services", len(known))
+	}
+}
+
 // Guards against a level that is not a number because of a row from the network.
 func TestDamagedRows(t *testing.T) {
 	bad := float32(math.NaN())
