relay: a test that a listing states the availability of the store

Cause: no test failed when the duration was left out of a reader's listing.

Change: a test for it.

Result: it passes, and fails without the duration.

--- a/process/relay/available_test.go
+++ b/process/relay/available_test.go
@@ -119,3 +119,18 @@
 		}
 	}
 }
+
+// Guards against entries that are kept though their targets removed them, after a
+// listing from a reader that knows that the store was available.
+func TestListingStatesAvailability(t *testing.T) {
+	const at = time.Hour
+	now := func() time.Duration { return at }
+	reader := newMemoryCache(now)
+	fill(reader, time.Minute)
+	store := NewStore(&countingStore{}, func() []string { return []string{"reader"} }, nil, port.TopicTargets)
+	store.now = now
+	store.client = &http.Client{Transport: memoryTransport{"reader": Handler(map[port.Topic]*TopicCache{port.TopicTargets: reader})}}
+	if _, err := store.Newest(t.Context(), port.TopicTargets, ""); err != nil || store.AvailableSince(port.TopicTargets) != at-time.Minute {
+		t.Errorf("available since %v, %v", store.AvailableSince(port.TopicTargets), err)
+	}
+}
