front: a test that a target which leaves while the store isn't read isn't kept

Cause: no test failed when the registry wasn't told that the store was available.

Change: a test over the daemon: its reads fail for a moment, in which a target withdraws its entry.

--- a/process/front/front_test.go
+++ b/process/front/front_test.go
@@ -12,7 +12,9 @@
 
 	"github.com/apex/log"
 
+	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/platform/standin"
+	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/relay"
 	"github.com/pomelospool/pomelospool/process/settings"
 )
@@ -222,6 +224,36 @@
 	s.waitFor(func() bool { status, _ := s.post(d, "/q/x", "r2", ""); return status == 200 })
 }
 
+// Guards against requests to a target that left while this daemon couldn't read the
+// store for a moment, too short for an entry to lapse: it must not be kept.
+func TestTargetThatLeavesWhileTheStoreIsNotRead(t *testing.T) {
+	s := newTestPlatform(t)
+	d := s.start()
+	checked := false
+	for _, target := range []*standin.Target{s.prefill, s.decode, s.plain} {
+		s.waitFor(func() bool { _, known := d.registry.Lookup(target.ID); return known })
+		before := d.store.AsOf(port.TopicTargets)
+		s.store.SetMode(standin.Unavailable)
+		s.waitFor(d.storeLost.Load)
+		s.store.Withdraw(target.ID)
+		s.store.SetMode(standin.Up)
+		s.waitFor(func() bool { return !d.storeLost.Load() })
+		if d.store.AvailableSince(port.TopicTargets) > before {
+			// The test's process was stopped for seconds, in which entries may lapse.
+			// Until its end, the grace period after that keeps other entries too.
+			_ = pause.For(t.Context(), 3*time.Second)
+			continue
+		}
+		checked = true
+		if _, known := d.registry.Lookup(target.ID); known {
+			t.Errorf("target %s is kept", target.ID)
+		}
+	}
+	if !checked {
+		t.Error("the store counted as unavailable in each case")
+	}
+}
+
 // Guards against a planned stop that cuts a stream which began before it.
 func TestShutdownCompletesOpenStream(t *testing.T) {
 	s := newTestPlatform(t)
