--- a/connection/shares/shares_test.go
+++ b/connection/shares/shares_test.go
@@ -59,6 +59,40 @@
 	}
 }
 
+// Guards against a table of many services that takes more pieces than receivers
+// accept, so that no usage is exchanged at all.
+func TestTableOfManyServicesIsReceived(t *testing.T) {
+	const services, orgs = 60, 77
+	a, _ := newTracker()
+	b, _ := newTracker()
+	for service := range services {
+		for org := range orgs {
+			a.Record(fmt.Sprint("s", service), fmt.Sprint("org", org), time.Duration(org+100)*time.Millisecond, true)
+		}
+	}
+	pieces, err := a.table.Report(func(string) bool { return false }, 1300)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, p := range pieces {
+		if err := b.table.Merge("a", i, len(pieces), p); err != nil {
+			t.Fatal(err)
+		}
+	}
+	known := make(map[uint64]uint32)
+	for _, r := range b.table.Sum() {
+		known[r.Service] += r.Orgs
+	}
+	for service, n := range known {
+		if n != orgs {
+			t.Errorf("service %x has %d organisations", service, n)
+		}
+	}
+	if len(known) != services {
+		t.Errorf("%d services", len(known))
+	}
+}
+
 // Guards against a level that is not a number because of a row from the network.
 func TestDamagedRows(t *testing.T) {
 	bad := float32(math.NaN())
@@ -91,3 +125,24 @@
 		t.Errorf("%+v, %d lines", st, len(h.Entries))
 	}
 }
+
+// Guards against a row from the network that spoils the sum of its organisation, and
+// of the rest, for all daemons.
+func TestDamagedRowsAreNotSummed(t *testing.T) {
+	bad := float32(math.NaN())
+	good := Row{Service: 1, Org: 2, Orgs: 1, Asked: 2, Used: 1}
+	for _, damaged := range []Row{{Service: 1, Org: 2, Orgs: 1, Asked: bad, Used: 1}, {Service: 1, Org: 2, Orgs: 1, Asked: 2, Used: float32(math.Inf(1))}} {
+		if a, b := good.Add(damaged), damaged.Add(good); a != good || b != good {
+			t.Errorf("sums %+v and %+v, want %+v", a, b, good)
+		}
+	}
+	rows := []Row{{Service: 1, Org: 7, Orgs: 1, Asked: bad, Used: bad}}
+	for org := range uint64(maxRows + 2) {
+		rows = append(rows, Row{Service: 1, Org: org + 100, Orgs: 1, Asked: 1, Used: 1})
+	}
+	for _, r := range limit(rows) {
+		if !r.valid() {
+			t.Errorf("%+v", r)
+		}
+	}
+}
--- a/request/dispatch/plain.go
+++ b/request/dispatch/plain.go
@@ -33,13 +33,13 @@
 		if x.viaPeer() {
 			return x.plainAtPeer(ctx)
 		}
-		if err := x.enforcePlainShare(); err != nil {
-			return nil, err
-		}
 		to, ok := x.pickPlain()
 		if !ok {
 			return nil, x.noTargetError()
 		}
+		if err := x.enforcePlainShare(); err != nil {
+			return nil, err
+		}
 		a, f := x.sendPlain(ctx, to)
 		if f == nil {
 			if a.Status < http.StatusMultipleChoices {
@@ -161,13 +161,13 @@
 		if err := x.checkOriginServed(""); err != nil {
 			return err
 		}
-		if err := x.enforcePlainShare(); err != nil {
-			return err
-		}
 		to, ok := x.pickPlain()
 		if !ok {
 			return x.noTargetError()
 		}
+		if err := x.enforcePlainShare(); err != nil {
+			return err
+		}
 		f := x.streamPlain(ctx, to, out)
 		if f == nil {
 			x.recordSuccess(to.ID)
@@ -183,6 +183,7 @@
 func (x *execution) streamPlain(ctx context.Context, to port.TargetEntry, out Stream) *sendFailure {
 	done := x.opts.Engines.Decode(to.ID, 0, nil, 0)
 	defer done()
+	sent := time.Now()
 	resp, v, f := x.send(ctx, outgoing{target: to, state: port.DispatchMeta{Priority: -1, LastEventID: x.lastID}})
 	if f != nil {
 		return f
@@ -191,5 +192,10 @@
 		return x.relayNonStream(ctx, to.ID, resp, v, out)
 	}
 	x.budget.SentAll()
-	return x.relay(ctx, to.ID, resp, v, out, streamHooks{first: func() {}, batch: func(int) {}})
+	whole := x.lastID == ""
+	f = x.relay(ctx, to.ID, resp, v, out, streamHooks{first: func() {}, batch: func(int) {}})
+	if f == nil && whole {
+		x.plainTimes.observe(x.call.Route.Name, time.Since(sent))
+	}
+	return f
 }
--- a/request/dispatch/share_test.go
+++ b/request/dispatch/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 	"time"
 
@@ -133,3 +134,94 @@
 		}
 	})
 }
+
+// Guards against streams of plain targets that count with the assumed time of a
+// call, however long they take: one organisation's streams would hold the targets
+// of the others.
+func TestUsageOfPlainStreamsIsTheirTime(t *testing.T) {
+	withHarness(t, 0, func(t *testing.T, h *harness) {
+		h.addTarget("app", "").Set(func(b *standin.Behaviour) { b.Gap, b.Streamed, b.Events = 200*time.Millisecond, true, 3 })
+		tr := shares.New(time.Now)
+		h.runner.opts.Shares, h.runner.opts.Origins = tr, knownOrigin{h.runner.opts.Origins}
+		var took time.Duration
+		for range 2 {
+			c := h.newCall(route.Stream, 1, 3*time.Second)
+			c.Service, c.Organisation = h.newCall(route.Safe, 1, time.Second).Service, "a"
+			begun := time.Now()
+			if _, err := h.runner.Streamed(t.Context(), c, &recorder{}); err != nil {
+				t.Fatal(err)
+			}
+			took = time.Since(begun)
+		}
+		rows, want := tr.Summary().Sum(), (defaultPlainTime+took).Seconds()/8
+		if len(rows) != 1 || took < 600*time.Millisecond || float64(rows[0].Used) < 0.8*want || float64(rows[0].Used) > 1.1*want {
+			t.Errorf("usage %+v, want %v and %v in 8 s", rows, defaultPlainTime, took)
+		}
+	})
+}
+
+// Guards against usage of calls for which there was no target: the level would be
+// too high once there are targets again.
+func TestCallWithoutTargetUsesNothing(t *testing.T) {
+	withHarness(t, 0, func(t *testing.T, h *harness) {
+		tr := shares.New(time.Now)
+		h.runner.opts.Shares = tr
+		c := h.newCall(route.Safe, 1, 3*time.Second)
+		c.Organisation = "a"
+		if _, _, err := h.runner.Plain(t.Context(), c); code.Of(err) != code.NoTarget {
+			t.Fatal(err)
+		}
+		if rows := tr.Summary().Sum(); len(rows) > 0 && rows[0].Used != 0 {
+			t.Errorf("usage %+v", rows)
+		}
+	})
+}
+
+// Guards against streams that aren't recorded with their engine time, and against
+// rejected streams that count as usage.
+func TestUsageOfStreams(t *testing.T) {
+	withHarness(t, 0, func(t *testing.T, h *harness) {
+		h.addTarget("llm", port.RolePrefill)
+		h.addTarget("llm", port.RoleDecode)
+		tr := shares.New(time.Now)
+		h.runner.opts.Shares, h.runner.opts.Origins = tr, knownOrigin{h.runner.opts.Origins}
+		est := h.runner.opts.Speed.Estimates("llm")
+		call := func() (time.Duration, error) {
+			c := h.newCall(route.Stream, 1, 3*time.Second)
+			c.Organisation = "a"
+			_, err := h.runner.Streamed(t.Context(), c, &recorder{})
+			return est.PrefillTime(1460, 1460) + est.StreamDuration(c.Meta.MaxOutputTokens)/4, err
+		}
+		h.runner.opts.Engines.Prefill("llm0", 1000, nil, 0, time.Minute)
+		cost, err := call()
+		if code.Of(err) != code.Overloaded {
+			t.Fatal(err)
+		}
+		rows, want := tr.Summary().Sum(), cost.Seconds()/8
+		if len(rows) != 1 || math.Abs(float64(rows[0].Asked)-want) > 1e-4 || rows[0].Used != 0 {
+			t.Errorf("usage %+v of a rejected stream, want %g asked", rows, want)
+		}
+	})
+}
+
+// Guards against calls that would be late at an idle engine too: their bound on the
+// wait is another one, and their organisations must not pass it unlimited.
+func TestLateCallsOverShare(t *testing.T) {
+	for _, tc := range []struct {
+		org  string
+		wait time.Duration // of 24 ms with which the call is admitted
+		want code.Code
+	}{{"flood", 22 * time.Millisecond, code.OrgOverShare}, {"flood", 12 * time.Millisecond, code.OK}, {"small", 22 * time.Millisecond, code.OK}} {
+		withHarness(t, 0, func(t *testing.T, h *harness) {
+			h.addTarget("llm", port.RolePrefill)
+			h.addTarget("llm", port.RoleDecode)
+			h.withFlood()
+			h.runner.opts.Engines.Prefill("llm0", 1000, nil, 0, tc.wait)
+			c := h.newCall(route.Stream, 2, 3*time.Second)
+			c.Organisation, c.Route.Objective = tc.org, 100*time.Millisecond
+			if _, err := h.runner.Streamed(t.Context(), c, &recorder{}); code.Of(err) != tc.want {
+				t.Errorf("%s, %v: %v, want %v", tc.org, tc.wait, err, tc.want)
+			}
+		})
+	}
+}
