dispatch: unreported work that is done meanwhile doesn't count

Cause: work sent since the reports was the rate times their age. Streams of 100 ms and reports that are 0.7 s old make seven times the streams that there are, so that choices hardly depended on transfers and connections. Change: no more than the mean number of streams, and twice the mean prefill time of prompts, counts as unreported.

--- a/request/dispatch/spread.go
+++ b/request/dispatch/spread.go
@@ -34,23 +34,36 @@
 }
 
 // Unreported returns the work that other daemons have sent to the service's
-// engines since their reports. It is zero if the reports are fresh.
+// engines since their reports, as far as it isn't done yet. It is zero if the
+// reports are fresh.
+//
+// Work that is shorter than the reports are old is done before they arrive. If all
+// of it counted, streams of 100 ms by reports that are 0.7 s old would count seven
+// times, and choices would hardly depend on KV transfers and connections.
 func (r *Runner) Unreported(service string) placement.Unreported {
-	age := r.ReportAge().Seconds()
+	age := r.ReportAge()
 	if age == 0 {
 		return placement.Unreported{}
 	}
 	others := r.opts.Demand.Others(service)
+	prefillAge := age
+	if mean := r.promptStats(service).MeanPrefill(); mean > 0 {
+		prefillAge = min(age, sojournFactor*mean)
+	}
 	u := placement.Unreported{
-		Prefill: time.Duration(others.Prefill * age * float64(time.Second)),
+		Prefill: time.Duration(others.Prefill * float64(prefillAge)),
 		Share:   r.opts.Reports.RequestShare(),
 	}
 	if slotTime := r.opts.Speed.Estimates(service).SlotTime; slotTime > 0 {
-		u.Streams = others.Streams / slotTime.Seconds() * age
+		u.Streams = others.Streams * min(age.Seconds()/slotTime.Seconds(), 1)
 	}
 	return u
 }
 
+// sojournFactor is the assumed ratio of the time that a prompt spends at an engine,
+// in its queue and in prefill, to its prefill time.
+const sojournFactor = 2
+
 // UnreportedPlain returns the number of plain calls of the service that other
 // daemons have sent since their reports. It assumes that the daemons' rates are
 // in the ratio of their shares of all requests.
--- a/request/placement/prompt_stats.go
+++ b/request/placement/prompt_stats.go
@@ -54,6 +54,14 @@
 	s.meanYield += sampleWeight * (yield - s.meanYield)
 }
 
+// MeanPrefill returns the mean predicted prefill time of recent prompts, 0 if there
+// are none.
+func (s *PromptStats) MeanPrefill() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.meanPrefill)
+}
+
 // EffectiveWait returns the wait to assume for a prompt in the admission
 // decision. In a long queue it exceeds the predicted wait: by a multiple of
 // the prediction error predictionError, and by more the fewer tokens the
