placement: decoding engines are spread only where a herd would fill one

Cause: an even spread brings all engines at once to the number of streams at which the longest answers would be late, needs transfers between availability zones and new connections, and gains nothing while a herd of unreported streams is smaller than one engine. Change: the choice of a decoding engine accounts for unreported streams only from twice the slots of one engine on.

--- a/request/placement/decode.go
+++ b/request/placement/decode.go
@@ -54,7 +54,7 @@
 			best = i
 		}
 	}
-	if stale && best >= 0 {
+	if stale && best >= 0 && p.Unreported.fillEngine(cands) {
 		return spreadDecode(&p, cands, costs)
 	}
 	return best, true
--- a/request/placement/spread.go
+++ b/request/placement/spread.go
@@ -25,6 +25,19 @@
 func (u *Unreported) prefillStale() bool { return u.Prefill > 0 }
 func (u *Unreported) streamsStale() bool { return u.Streams > 0 }
 
+// herdFactor is the ratio of unreported streams to the slots of one engine from
+// which on the choice of a decoding engine accounts for them. If all of them went
+// to the same engine, they would fill it and its queue. Fewer streams don't fill an
+// engine, while an even spread needs more transfers between availability zones and
+// new connections, and brings all engines at once to the number of streams at which
+// the longest answers would be late: calls were rejected although slots were free.
+const herdFactor = 2
+
+// fillEngine reports whether the unreported streams would fill one of the engines.
+func (u *Unreported) fillEngine(cands []Candidate) bool {
+	return u.Streams >= herdFactor*float64(max(cands[0].Entry.Slots, 1))
+}
+
 // tieSeed returns the seed that breaks ties between candidates. If all
 // daemons broke them by the content while reports are stale, they would send
 // a popular prompt to the same engine until they learn of each other's
