dispatch: plain calls that are done meanwhile aren't unreported

Cause: the plain calls sent since the reports were the rate times their age; calls of 60 ms and reports that are 0.7 s old made ten times those that are open, so that a failing target was chosen as often as the others. Change: no more than the calls that are open on the mean count. A test for streams, prompts and calls that are shorter than the reports are old.

--- a/request/dispatch/call.go
+++ b/request/dispatch/call.go
@@ -139,7 +139,8 @@
 	mixes                map[string]*overload.Mix // by service
 	answerLengths        map[string]*answerLength // by route
 	verifying            map[string]bool          // targets that are being verified, by id
-	plainTimes           plainTimes
+	plainTimes           plainTimes               // by route
+	plainServiceTimes    plainTimes               // by service
 	plainRates           map[string]*decayingRate // of this daemon's plain calls, by service
 
 	ctx        context.Context // of the verifications
--- a/request/dispatch/plain.go
+++ b/request/dispatch/plain.go
@@ -76,7 +76,7 @@
 		return nil, f
 	}
 	if f = x.answerFailure(to.ID, a, v); f == nil {
-		x.plainTimes.observe(x.call.Route.Name, time.Since(sent))
+		x.observePlainTime(time.Since(sent))
 	}
 	return a, f
 }
@@ -195,7 +195,7 @@
 	whole := x.lastID == ""
 	f = x.relay(ctx, to.ID, resp, v, out, streamHooks{first: func() {}, batch: func(int) {}})
 	if f == nil && whole {
-		x.plainTimes.observe(x.call.Route.Name, time.Since(sent))
+		x.observePlainTime(time.Since(sent))
 	}
 	return f
 }
--- a/request/dispatch/share.go
+++ b/request/dispatch/share.go
@@ -112,7 +112,14 @@
 	plainTimeWeight = 0.02
 )
 
-// plainTimes holds the mean time of plain calls by route. The zero value is
+// observePlainTime records the time from the send of a plain call to its complete
+// answer.
+func (x *execution) observePlainTime(took time.Duration) {
+	x.plainTimes.observe(x.call.Route.Name, took)
+	x.plainServiceTimes.observe(x.call.Service.Name, took)
+}
+
+// plainTimes holds the mean time of plain calls by name. The zero value is
 // empty. It is safe for concurrent use.
 type plainTimes struct {
 	mu    sync.Mutex
@@ -120,25 +127,25 @@
 }
 
 // observe adds the time from the send of a call to its complete answer or stream.
-func (t *plainTimes) observe(route string, took time.Duration) {
+func (t *plainTimes) observe(name string, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	mean, known := t.means[route]
+	mean, known := t.means[name]
 	switch {
 	case t.means == nil:
-		t.means = map[string]time.Duration{route: took}
+		t.means = map[string]time.Duration{name: took}
 	case !known:
-		t.means[route] = took
+		t.means[name] = took
 	default:
-		t.means[route] = mean + time.Duration(plainTimeWeight*float64(took-mean))
+		t.means[name] = mean + time.Duration(plainTimeWeight*float64(took-mean))
 	}
 }
 
 // expected returns the expected time of a call.
-func (t *plainTimes) expected(route string) time.Duration {
+func (t *plainTimes) expected(name string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if mean := t.means[route]; mean > 0 {
+	if mean := t.means[name]; mean > 0 {
 		return mean
 	}
 	return defaultPlainTime
--- a/request/dispatch/spread.go
+++ b/request/dispatch/spread.go
@@ -65,19 +65,20 @@
 const sojournFactor = 2
 
 // UnreportedPlain returns the number of plain calls of the service that other
-// daemons have sent since their reports. It assumes that the daemons' rates are
-// in the ratio of their shares of all requests.
+// daemons have sent since their reports, as far as they aren't done yet. It assumes
+// that the daemons' rates are in the ratio of their shares of all requests.
 func (r *Runner) UnreportedPlain(service string) float64 {
-	age := r.ReportAge().Seconds()
+	age := r.ReportAge()
 	if age == 0 {
 		return 0
 	}
+	age = min(age, r.plainServiceTimes.expected(service))
 	share := r.opts.Reports.RequestShare()
 	own := share.To - share.From
 	if own <= 0 {
 		return 0
 	}
-	return r.plainRate(service).perSecond(time.Now()) * (1 - own) / own * age
+	return r.plainRate(service).perSecond(time.Now()) * (1 - own) / own * age.Seconds()
 }
 
 func (r *Runner) plainRate(service string) *decayingRate {
--- a/request/dispatch/spread_test.go
+++ b/request/dispatch/spread_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/pomelospool/pomelospool/connection/demand"
 	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/request/balance"
 	"github.com/pomelospool/pomelospool/request/placement"
 	"github.com/pomelospool/pomelospool/version/route"
@@ -49,6 +50,30 @@
 	})
 }
 
+// Guards against work that counts as unreported although it is done before the
+// reports arrive: streams and calls that are much shorter than the reports are old.
+func TestShortWorkIsNotUnreported(t *testing.T) {
+	withHarness(t, 100, func(t *testing.T, h *harness) {
+		r := h.runner
+		r.opts.Reports = oldReports{time.Second, 10}
+		r.opts.Engines.Merge("peer", nil, nil)
+		r.opts.Demand.Merge("peer", []demand.Update{{Service: engines.Hash("llm"), Prefill: 30, Streams: 60}})
+		r.opts.Speed.Merge([]speed.Update{{Service: engines.Hash("llm"), PerToken: 20e3, SlotTimeUs: 100_000, Prompts: 1000}})
+		r.promptStats("llm").Record(1000, 50*time.Millisecond)
+		if u := r.Unreported("llm"); u.Streams != 60 || u.Prefill != sojournFactor*30*50*time.Millisecond {
+			t.Errorf("%v", u)
+		}
+		for range 100 {
+			r.plainRate("app").add(time.Now())
+			time.Sleep(10 * time.Millisecond)
+		}
+		r.plainServiceTimes.observe("app", 20*time.Millisecond)
+		if got := r.UnreportedPlain("app"); got < 15 || got > 20 {
+			t.Errorf("%v plain calls of some 900 a second and 20 ms each", got)
+		}
+	})
+}
+
 // Guards against engines of silent queue owners that look idle, and against a
 // choice among a few of them by their old waits if no owner replies.
 func TestUnknownWaitsAreAssumed(t *testing.T) {
