dispatch: callers rejected for the wait for a slot return when it ends

Cause: with shed_early, the Retry-After of a rejected call followed only from the queues of the prefill engines. Where the decoding engines were the bottleneck these are empty, so callers returned to full slots.

Change: the backlog is the longer of the prefill engines' queues and the predicted wait for a slot. Nothing changes while the setting is off.

TestBurst has no slot waits.

--- a/request/dispatch/engine.go
+++ b/request/dispatch/engine.go
@@ -183,7 +183,7 @@
 	}
 	predicted := max(x.trace.PredictedFirst, objective)
 	if x.opts.ShedEarly && unqueuedTime <= objective { // otherwise the end of the backlog doesn't help
-		return x.rejected(ch, unqueuedTime, predicted)
+		return x.rejected(ch, slotWait, unqueuedTime, predicted)
 	}
 	return x.overloaded(ch.decoders, predicted-objective, "the first event would take %v", predicted.Round(time.Millisecond))
 }
--- a/request/dispatch/shed.go
+++ b/request/dispatch/shed.go
@@ -29,10 +29,11 @@
 }
 
 // rejected returns the rejection of a call whose first event would take that long,
-// with the time after which its caller finds capacity.
-func (x *execution) rejected(ch prefillChoice, unqueued, predicted time.Duration) error {
+// with the time after which its caller finds capacity: that at which both the prefill
+// engines' queues and the wait for a slot at a decoding engine end.
+func (x *execution) rejected(ch prefillChoice, slotWait, unqueued, predicted time.Duration) error {
 	u := hashFraction(x.call.Meta.RequestID, "come back")
-	after := max(overload.RetryAfter(ch.backlog, time.Until(x.call.Deadline), unqueued, u), minRetryDelay)
+	after := max(overload.RetryAfter(max(ch.backlog, slotWait), time.Until(x.call.Deadline), unqueued, u), minRetryDelay)
 	return code.New(code.Overloaded, "the first event would take %v", predicted.Round(time.Millisecond)).
 		WithRetryAfter(x.capRetryDelay(after, ch.decoders))
 }
--- a/request/dispatch/shed_test.go
+++ b/request/dispatch/shed_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"errors"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/platform/standin"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/version/route"
@@ -92,3 +95,26 @@
 		}
 	})
 }
+
+// Guards against a caller that returns before a decoding engine has a free slot, since
+// nothing is queued at the prefill engines.
+func TestRejectedCallReturnsWhenSlotsAreFree(t *testing.T) {
+	withHarness(t, 0, func(t *testing.T, h *harness) {
+		h.runner.opts.ShedEarly = true
+		h.addTarget("llm", port.RolePrefill)
+		h.addTarget("llm", port.RoleDecode)
+		h.speed.Merge([]speed.Update{{Service: engines.Hash("llm"), PerToken: 23e3, SlotTimeUs: 4_000_000, Prompts: 1000}})
+		for range 4 {
+			h.runner.opts.Engines.Decode("llm1", 0, nil, 0)
+		}
+		for i := range 20 {
+			c := h.newCall(route.Stream, 1, 3*time.Second)
+			c.Meta.RequestID = strconv.Itoa(i)
+			trace, err := h.runner.Streamed(t.Context(), c, &recorder{})
+			e := &code.Error{}
+			if !errors.As(err, &e) || e.Code != code.Overloaded || e.RetryAfter < time.Second {
+				t.Errorf("%v, returns after %v, predicted wait %v", err, e.RetryAfter, trace.PredictedWait)
+			}
+		}
+	})
+}
