--- a/request/overload/overload_test.go
+++ b/request/overload/overload_test.go
@@ -70,3 +70,22 @@
 		t.Errorf("%v long after the last short prompt", s)
 	}
 }
+
+// Guards against callers that return before the backlog ends, all at once, or without
+// the time for an answer.
+func TestRetryAfter(t *testing.T) {
+	for _, c := range []struct {
+		backlog, left, need time.Duration
+		u                   float64
+		want                time.Duration
+	}{
+		{300 * ms, 2 * time.Second, 100 * ms, 0, 300 * ms},
+		{300 * ms, 2 * time.Second, 100 * ms, 0.5, 700 * ms},
+		{300 * ms, time.Minute, 100 * ms, 0.5, 2300 * ms},
+		{300 * ms, 350 * ms, 100 * ms, 0.9, 300 * ms},
+	} {
+		if got := RetryAfter(c.backlog, c.left, c.need, c.u); got != c.want {
+			t.Errorf("%+v: %v", c, got)
+		}
+	}
+}
