balance: halves are rounded alike at all ends of preferred candidates

Cause: math.Round rounds halves away from zero, and an interval's ends that are halves had rounding errors. So processes with equal shares preferred different numbers of candidates, and some candidates were preferred more often.

Change: halves are rounded up at both ends, with a margin for rounding errors.

Measured: of 70 candidates and 70 equal processes, each candidate is preferred by 2 processes; by 1 to 3 before (TestPreferredCoverCandidatesEvenly). 140 candidates are covered as before.

--- a/request/balance/balance_test.go
+++ b/request/balance/balance_test.go
@@ -61,14 +61,16 @@
 
 // Guards against candidates that more processes prefer than others.
 func TestPreferredCoverCandidatesEvenly(t *testing.T) {
-	counts := make([]int, 140)
-	for i := range 70 {
-		for _, p := range (Share{From: float64(i) / 70, To: float64(i+1) / 70}).Preferred(140) {
-			counts[p]++
+	for _, n := range []int{70, 140} {
+		counts := make([]int, n)
+		for i := range 70 {
+			for _, p := range (Share{From: float64(i) / 70, To: float64(i+1) / 70}).Preferred(n) {
+				counts[p]++
+			}
+		}
+		if slices.Min(counts) != 2 || slices.Max(counts) != 2 {
+			t.Errorf("preferred by %v", counts)
 		}
-	}
-	if slices.Min(counts) != 2 || slices.Max(counts) != 2 {
-		t.Errorf("preferred by %v", counts)
 	}
 	for _, s := range []Share{{}, {From: 0.5, To: 0.501}} {
 		if got := s.Preferred(140); got != nil {
--- a/request/balance/share.go
+++ b/request/balance/share.go
@@ -26,10 +26,15 @@
 		return nil
 	}
 	middle := (s.From + s.To) / 2 * float64(n)
-	first, end := int(math.Round(middle-width/2)), int(math.Round(middle+width/2))
+	first, end := nearest(middle-width/2), nearest(middle+width/2)
 	out := make([]int, 0, n)
 	for i := first; i < min(end, first+n); i++ {
 		out = append(out, (i%n+n)%n)
 	}
 	return out
 }
+
+// nearest returns the integer nearest to x. Halves are rounded up, also where they have
+// rounding errors or are negative. Otherwise, some of 70 equal processes would prefer 3
+// and some 1 of 70 candidates.
+func nearest(x float64) int { return int(math.Floor(x + 0.5 + 1e-9)) }
