--- a/request/overload/useful.go
+++ b/request/overload/useful.go
@@ -8,9 +8,9 @@
 // A caller abandons a stream, even before its first event, after the longest of
 // these times.
 const (
-	minPatience       = 2 * time.Second
-	objectivePatience = 4 // times the objective of the first event
-	pausePatience     = 8 // times the longest pause between events
+	minLeaveTime    = 2 * time.Second
+	objectiveFactor = 4 // times the objective of the first event
+	pauseFactor     = 8 // times the longest pause between events
 )
 
 // Caller is what is known about how long a caller waits for a first event.
@@ -24,7 +24,7 @@
 // UsefulUntil returns the time by which a stream's first event is still of use
 // to its caller. It is never after the deadline.
 func UsefulUntil(c Caller) time.Time {
-	leaves := c.Arrived.Add(max(minPatience, objectivePatience*c.Objective, pausePatience*c.LongestPause))
+	leaves := c.Arrived.Add(max(minLeaveTime, objectiveFactor*c.Objective, pauseFactor*c.LongestPause))
 	if leaves.After(c.Deadline) {
 		return c.Deadline
 	}
