dispatch: test of sends that are of no use

Cause: nothing failed without the check of retries, the time from prefill to first event in a prefill's time limit, or the exception for streams of which callers have a part. Change: TestSendsThatAreOfNoUse.

--- a/request/dispatch/shed_test.go
+++ b/request/dispatch/shed_test.go
@@ -11,6 +11,7 @@
 	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/platform/standin"
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/request/failure"
 	"github.com/pomelospool/pomelospool/request/overload"
 	"github.com/pomelospool/pomelospool/version/route"
 )
@@ -176,3 +177,37 @@
 		}
 	})
 }
+
+// Guards against a send after which the first event is of no use, against a prefill that
+// is cancelled only after its caller has left, and against the end of streams of which
+// callers have a part.
+func TestSendsThatAreOfNoUse(t *testing.T) {
+	for _, on := range []bool{true, false} {
+		withHarness(t, 100, func(t *testing.T, h *harness) {
+			h.runner.opts.ShedEarly = on
+			h.addTarget("llm", port.RoleDecode)
+			f := newFailure(failure.NotRun, "llm0", errNotRun)
+			x := h.runner.newExecution(h.longCall())
+			timeout, shortened := x.limitToUseful(5*time.Second, 40*time.Millisecond)
+			if want := 1960 * time.Millisecond; shortened != on || on && timeout != want {
+				t.Errorf("shed early %v: timeout %v, shortened %v", on, timeout, shortened)
+			}
+			time.Sleep(1950 * time.Millisecond)
+			if !x.mayRetry(t.Context(), f, 1) {
+				t.Errorf("shed early %v: no retry in time", on)
+			}
+			time.Sleep(30 * time.Millisecond)
+			if x.mayRetry(t.Context(), f, 1) == on {
+				t.Errorf("shed early %v: retry %v", on, !on)
+			}
+			x.trace.AnswerStarted = true
+			if !x.mayRetry(t.Context(), f, 1) {
+				t.Errorf("shed early %v: a stream of which the caller has a part ends", on)
+			}
+			x.trace.AnswerStarted, x.began = false, true
+			if !x.mayRetry(t.Context(), f, 1) {
+				t.Errorf("shed early %v: a stream that has begun ends", on)
+			}
+		})
+	}
+}
