entry: test that only streams are rejected for their first token

Cause: nothing failed when request/entry took streams for unstreamed requests. Change: TestOnlyStreamsAreRejectedForTheirFirstToken, over HTTP, with the setting on and off. Measured: passes; fails without the line that sets requestParams.stream.

--- a/request/entry/admit_test.go
+++ b/request/entry/admit_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/request/attempt"
+	"github.com/pomelospool/pomelospool/request/routing"
 	"github.com/pomelospool/pomelospool/version/document"
 	"github.com/pomelospool/pomelospool/version/view"
 )
@@ -35,3 +36,30 @@
 		}
 	}
 }
+
+// lateRouter predicts that the first token takes 5 s.
+type lateRouter struct{ leastLoaded }
+
+func (l lateRouter) Route(r routing.Request, targets []routing.Target) (routing.Decision, error) {
+	d, err := l.leastLoaded.Route(r, targets)
+	d.TimeToFirstToken = 5 * time.Second
+	return d, err
+}
+
+// Guards against streams that count as unstreamed requests, which have no time of use,
+// and the reverse.
+func TestOnlyStreamsAreRejectedForTheirFirstToken(t *testing.T) {
+	e := startEngine(t)
+	for _, on := range []bool{true, false} {
+		f := newFixture(t, []string{e.Addr()}, nil, func(o *Options, d *document.Document) {
+			o.Router, o.ShedEarly = lateRouter{leastLoaded{6 * time.Second}}, on
+			d.Objectives.FirstToken = 500 * time.Millisecond
+		})
+		for _, stream := range []bool{true, false} {
+			r := f.do("POST", "/v1/completions", modelRequest("hello", 5, stream), "X-Priority", "1")
+			if rejected := r.status == 429; rejected != (on && stream) {
+				t.Errorf("shed early %v, stream %v: %d %s", on, stream, r.status, r.code())
+			}
+		}
+	}
+}
