--- /dev/null
+++ b/request/entry/admit_test.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pomelospool/pomelospool/request/attempt"
+	"github.com/pomelospool/pomelospool/request/routing"
+	"github.com/pomelospool/pomelospool/version/document"
+	"github.com/pomelospool/pomelospool/version/view"
+)
+
+// Guards against a rejection for the time of the first token while the setting is off,
+// and of requests that have no such time: unstreamed ones, streams of which the caller
+// has a part, and those of services without an objective for it.
+func TestTimeOfUse(t *testing.T) {
+	const objective = 800 * time.Millisecond
+	for _, c := range []struct {
+		on, stream, resumes bool
+		objective           time.Duration
+		want                time.Duration
+	}{
+		{true, true, false, objective, 4 * objective},
+		{false, true, false, objective, 0},
+		{true, false, false, objective, 0},
+		{true, true, true, objective, 0},
+		{true, true, false, 0, 0},
+	} {
+		e := &Entry{opts: Options{ShedEarly: c.on}}
+		doc := &document.Document{}
+		doc.Objectives.FirstToken = c.objective
+		q := &attempt.Request{Service: &view.Service{Doc: doc}, Resumes: c.resumes}
+		got := e.usefulFor(q, requestParams{deadline: time.Now().Add(time.Minute), stream: c.stream})
+		if got != c.want {
+			t.Errorf("%+v: %v", c, got)
+		}
+	}
+}
+
+// lateRouter predicts that the first token takes 5 s.
+type lateRouter struct{ leastLoaded }
+
+func (l lateRouter) Route(r routing.Request, targets []routing.Target) (routing.Decision, error) {
+	d, err := l.leastLoaded.Route(r, targets)
+	d.TimeToFirstToken = 5 * time.Second
+	return d, err
+}
+
+// Guards against streams that count as unstreamed requests, which have no time of use,
+// and the reverse.
+func TestOnlyStreamsAreRejectedForTheirFirstToken(t *testing.T) {
+	e := startEngine(t)
+	for _, on := range []bool{true, false} {
+		f := newFixture(t, []string{e.Addr()}, nil, func(o *Options, d *document.Document) {
+			o.Router, o.ShedEarly = lateRouter{leastLoaded{6 * time.Second}}, on
+			d.Objectives.FirstToken = 500 * time.Millisecond
+		})
+		for _, stream := range []bool{true, false} {
+			r := f.do("POST", "/v1/completions", modelRequest("hello", 5, stream), "X-Priority", "1")
+			if rejected := r.status == 429; rejected != (on && stream) {
+				t.Errorf("shed early %v, stream %v: %d %s", on, stream, r.status, r.code())
+			}
+		}
+	}
+}
