speed: a row with unusable numbers doesn't spoil the factors

Cause: rows of engines' speeds from the network weren't checked. A weight or a sum that isn't finite made the mean of its service, and with it the factors of all its engines, unusable (NaN). A daemon's next sample then got into its own rows as NaN, which it sent to all others and which didn't decay. A weight of 1e30 replaced all samples of its engine for about 25 minutes.

Change: sums, the rows to send and the factors leave out rows that aren't numbers, that weigh more than 1e6 samples, or whose mean is outside of what samples can have.

Result: TestDamagedFactorRows failed with factors of NaN, 20.09 and 0.05 and passes; the other tests of connection/speed and connection/summary pass.

--- a/connection/speed/factors.go
+++ b/connection/speed/factors.go
@@ -48,6 +48,13 @@
 	// sum replaces the known one. A sum with less lacks the parts of many daemons,
 	// as that of a new aggregator or of a daemon that is cut off.
 	replaceShare = 0.5
+	// maxRowWeight is the largest weight of a valid row. It is that of 46,000 prompts
+	// a second at one engine. A larger one would replace all samples of the engine, and
+	// halve only every factorHalfLife.
+	maxRowWeight = 1e6
+	// maxRowMean bounds the mean logarithm of a valid row, which is at most that of
+	// maxRatio, with a reserve for rounding.
+	maxRowMean = 1.5
 )
 
 // FactorRow holds the samples of one engine, as daemons exchange them.
@@ -61,13 +68,26 @@
 // Key implements summary.Entry.
 func (r FactorRow) Key() uint64 { return r.Engine }
 
-// Add implements summary.Entry.
+// Add implements summary.Entry. A row with unusable numbers is left out, since the sum
+// would be unusable for all daemons.
 func (r FactorRow) Add(o FactorRow) FactorRow {
+	if !o.valid() {
+		return r
+	}
+	if !r.valid() {
+		return o
+	}
 	r.Weight += o.Weight
 	r.Sum += o.Sum
 	return r
 }
 
+// valid reports whether a row can come from samples. Rows that are no numbers aren't
+// valid.
+func (r FactorRow) valid() bool {
+	return r.Weight >= 0 && r.Weight <= maxRowWeight && max(r.Sum, -r.Sum) <= maxRowMean*r.Weight
+}
+
 // FactorOptions configures Factors. All fields are required.
 type FactorOptions struct {
 	Now func() time.Time
@@ -239,11 +259,15 @@
 }
 
 // merge replaces the samples of the engines in rows, and drops engines that no longer
-// exist. Engines whose rows are missing or incomplete keep their decaying samples.
+// exist. Engines whose rows are missing, incomplete or unusable keep their decaying
+// samples.
 // Callers hold f.mu.
 func (f *Factors) merge(rows []FactorRow, addOwn bool, now time.Time) {
 	f.recent = slices.DeleteFunc(f.recent, func(s ownSample) bool { return now.Sub(s.at) > ownDelay })
 	for _, r := range rows {
+		if !r.valid() {
+			continue
+		}
 		w := weighted{float64(r.Weight), float64(r.Sum), now}
 		if addOwn {
 			for _, s := range f.recent {
@@ -323,8 +347,9 @@
 }
 
 // limitRows keeps the engines with the most samples, those that differ from their
-// service first.
+// service first. It drops rows with unusable numbers.
 func limitRows(rows []FactorRow) []FactorRow {
+	rows = slices.DeleteFunc(rows, func(r FactorRow) bool { return !r.valid() })
 	if len(rows) <= maxReportedEngines {
 		return rows
 	}
--- a/connection/speed/factors_test.go
+++ b/connection/speed/factors_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -239,3 +240,34 @@
 		}
 	}
 }
+
+// Guards against a row from the network that makes the factors of all engines of its
+// service unusable, or those of one engine for minutes: a mean that isn't a number gets
+// into a daemon's own samples, which it then sends to all others.
+func TestDamagedFactorRows(t *testing.T) {
+	nan, inf := float32(math.NaN()), float32(math.Inf(1))
+	hash := engines.Hash(engineID(0))
+	for _, damaged := range []FactorRow{{Engine: hash, Weight: 9, Sum: nan}, {Engine: hash, Weight: inf}, {Engine: hash, Weight: 9, Sum: inf}, {Engine: hash, Weight: 1e30, Sum: 1e30}, {Engine: hash, Weight: 9, Sum: 90}, {Engine: hash, Weight: nan}} {
+		good := FactorRow{Engine: hash, Weight: 9}
+		if a, b := good.Add(damaged), damaged.Add(good); a != good || b != good {
+			t.Errorf("%+v: sums %+v and %+v", damaged, a, b)
+		}
+		f := newFactorFleet(t, 1)
+		d := f.daemons[0]
+		d.mu.Lock()
+		d.merge([]FactorRow{damaged, {Engine: engines.Hash(engineID(1)), Weight: 9}}, false, f.now)
+		d.mu.Unlock()
+		d.Observe(engineID(1), sampleAt(1), knownEstimates)
+		if got := d.measured(engineID(0)); got != 0 {
+			t.Errorf("%+v: factor %.2f", damaged, got)
+		}
+		if got := d.measured(engineID(1)); !within(got, 0.99, 1.01) {
+			t.Errorf("%+v: factor %.2f of another engine", damaged, got)
+		}
+		for _, r := range limitRows(append(d.ownRows(), damaged)) {
+			if !r.valid() {
+				t.Errorf("%+v is sent", r)
+			}
+		}
+	}
+}
