speed: tests of the bounds of samples and reports

Cause: the tests passed without the bound of a report, the order in which a report keeps engines, the bounds of a prompt's ratio, the wait that is subtracted from its time, the equal weights of engines in the mean, or the factor in the prediction error.

Change: tests of these.

--- a/connection/speed/factors_test.go
+++ b/connection/speed/factors_test.go
@@ -271,3 +271,81 @@
 		}
 	}
 }
+
+// Guards against reports that grow with the fleet, and against slow and fast engines that
+// are left out in favour of usual ones with more samples.
+func TestReportsAreBounded(t *testing.T) {
+	f := newFactorFleet(t, 1)
+	d := f.daemons[0]
+	for i := range uint64(3 * maxReportedEngines) {
+		row := weighted{weight: 50}
+		if i%30 == 0 {
+			row = weighted{weight: 10, sum: 7 - 14*float64(i/30%2)}
+		}
+		d.own[engines.Hash(engineID(int(i)))] = row
+	}
+	rows := limitRows(d.ownRows())
+	deviating := 0
+	for _, r := range rows {
+		if r.Sum != 0 {
+			deviating++
+		}
+	}
+	if len(rows) != maxReportedEngines || deviating != maxReportedEngines/10 {
+		t.Errorf("%d rows, %d of engines that deviate", len(rows), deviating)
+	}
+	pieces, err := d.Table().Report(func(string) bool { return true }, 1300)
+	if err != nil || len(pieces) > 6 {
+		t.Errorf("%d pieces, error %v", len(pieces), err)
+	}
+	for _, p := range pieces {
+		if len(p) > 1300 {
+			t.Errorf("piece of %d bytes", len(p))
+		}
+	}
+}
+
+// Guards against one prompt that counts as hundreds do, and against a predicted wait that
+// counts as a part of the prefill.
+func TestRatioOfOnePrompt(t *testing.T) {
+	for ratio, want := range map[float64]float64{0.01: minRatio, 0.5: 0.5, 2: 2, 50: maxRatio} {
+		s := sampleAt(ratio)
+		s.PredictedWait = 20 * time.Millisecond
+		s.Duration += s.PredictedWait
+		if got, weight := factorSample(s, knownEstimates); !within(got, 0.99*want, 1.01*want) || weight <= 0 {
+			t.Errorf("ratio %v: %.2f with weight %.2f, want %v", ratio, got, weight, want)
+		}
+	}
+}
+
+// Guards against a mean that follows the engines with the most prompts: if daemons prefer
+// the fastest ones, all others would count as slow.
+func TestMeanDoesNotFollowTraffic(t *testing.T) {
+	f := newFactorFleet(t, 1)
+	d := f.daemons[0]
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.merge([]FactorRow{
+		{Engine: engines.Hash(engineID(0)), Weight: 600, Sum: -0.15 * 600},
+		{Engine: engines.Hash(engineID(1)), Weight: 30, Sum: 0.15 * 30},
+	}, false, f.now)
+	if got := d.means["llm"]; !within(got, -0.05, 0.05) {
+		t.Errorf("mean logarithm %.3f", got)
+	}
+}
+
+// Guards against a reported prediction error that ignores the engine's factor, by which
+// the prompt's time was predicted.
+func TestPredictionErrorIncludesTheFactor(t *testing.T) {
+	tr := NewTracker()
+	tr.Merge([]Update{{Service: engines.Hash("llm"), PerToken: 20e3, PromptOverheadUs: 10_000, Prompts: 1000}})
+	s := sampleAt(2)
+	s.Factor, s.PredictedWait = 2, time.Millisecond
+	s.Duration += s.PredictedWait
+	for range 5 {
+		tr.ObservePrompt("llm", s)
+	}
+	if got, queued := tr.PredictionError("llm"), tr.Estimates("llm").QueuedError; got > 0.01 || queued > time.Millisecond {
+		t.Errorf("relative error %.3f, error of prompts that waited %v", got, queued)
+	}
+}
