dispatch, roles: tests of the uses of engines' speeds

Cause: the tests passed when the planner didn't pass factors to the plan, when prompts were observed without the engine's factor, and with the cost of lateness always on or off.

Change: TestPlannerKnowsSpeeds and TestLatenessCountsWithFactors; TestKnownSlowEngine also checks that prompts at a slow engine don't change the service's estimate.

--- a/process/roles/speed_test.go
+++ b/process/roles/speed_test.go
@@ -4,6 +4,9 @@
 	"testing"
 	"time"
 
+	"github.com/pomelospool/pomelospool/connection/engines"
+	"github.com/pomelospool/pomelospool/connection/health"
+	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/port"
 )
 
@@ -48,3 +51,36 @@
 		t.Errorf("%d moves with unknown speeds, %d with known ones", len(moves), len(got))
 	}
 }
+
+// Guards against a planner that doesn't give the factors of engines to the plan.
+func TestPlannerKnowsSpeeds(t *testing.T) {
+	factors := speed.NewFactors(speed.FactorOptions{Now: time.Now, Service: func(uint64) (string, bool) { return "llm", true }})
+	var entries []port.TargetEntry
+	for _, e := range newFleet(5, 0) {
+		entries = append(entries, e.Entry)
+	}
+	for range 30 {
+		for i, e := range entries {
+			took := 100 * time.Millisecond
+			if i == 0 {
+				took *= 2
+			}
+			factors.Observe(e.ID, speed.Sample{Prompt: 5000, Missing: 5000, Duration: took}, speed.Estimates{PerToken: 20e3, Prompts: 100})
+		}
+	}
+	for _, known := range []*speed.Factors{nil, factors} {
+		p := New(Options{
+			Self: "a", Clock: fakeClock(func() time.Duration { return time.Minute }), Factors: known,
+			Engines: engines.New(time.Now, func(engines.Work) {}), Health: health.New(time.Now, nil),
+		})
+		for i, e := range p.engines(entryPointers(entries)) {
+			want := 0
+			if known != nil && i == 0 {
+				want = 1
+			}
+			if got := e.speedClass(); got != want {
+				t.Errorf("factors known: %v: engine %s: class %d, want %d", known != nil, e.Entry.ID, got, want)
+			}
+		}
+	}
+}
--- a/request/dispatch/speed_test.go
+++ b/request/dispatch/speed_test.go
@@ -63,6 +63,15 @@
 		if got := h.runner.opts.Health.Pace("llm0"); got < 0.9 || got > 1.1 {
 			t.Errorf("pace %.2f of a known slow engine", got)
 		}
+		for range 60 {
+			if _, err := h.runNewPrompt(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		before, after := est.PromptOverhead+est.PrefillTime(1460, 1460), h.speed.Estimates("llm")
+		if now := after.PromptOverhead + after.PrefillTime(1460, 1460); now > before*6/5 {
+			t.Errorf("prompts at the slow engine change the service's estimate from %v to %v", before, now)
+		}
 		seen := len(p.ReceivedRequests())
 		h.addTarget("llm", port.RolePrefill)
 		for range 6 {
@@ -78,3 +87,17 @@
 		}
 	})
 }
+
+// Guards against prompts that avoid engines at which they would be late, although engines'
+// speeds aren't estimated, and against those that don't with the estimates.
+func TestLatenessCountsWithFactors(t *testing.T) {
+	withHarness(t, 0, func(t *testing.T, h *harness) {
+		if h.newExecution("a").prompt().AvoidLate {
+			t.Error("prompts avoid lateness without factors")
+		}
+		h.learnFactors("llm0")
+		if !h.newExecution("a").prompt().AvoidLate {
+			t.Error("prompts don't avoid lateness with factors")
+		}
+	})
+}
