--- a/connection/speed/factors_test.go
+++ b/connection/speed/factors_test.go
@@ -183,7 +183,7 @@
 
 // Guards against an engine that counts as slow after a handful of samples that were
 // slow by chance, as one in seven are.
-func TestFewSamplesDontBrand(t *testing.T) {
+func TestFewSamplesDontMakeSlow(t *testing.T) {
 	f := newFactorFleet(t, 2)
 	f.feed(rand.New(rand.NewPCG(1, 1)), 5, 3, []float64{1, 1, 1, 1, 1, 1, 1, 1})
 	for range 5 {
