front: one look-up of targets by hash for engines' speeds

Cause: the service and the id of an engine were looked up by the same loop twice in process/front/speeds.go.

Change: targetByHash serves both.

Result: TestSpeedLinesAreBounded and TestEngineSpeedsNeedTheirSetting pass; no test covers the look-up itself.

--- a/process/front/speeds.go
+++ b/process/front/speeds.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/pomelospool/pomelospool/connection/speed"
+	"github.com/pomelospool/pomelospool/port"
 )
 
 // newFactors creates the factors of engines if the setting is on.
@@ -17,14 +18,21 @@
 	}
 }
 
-// serviceOf returns the service of the target whose ID has the given hash.
+// serviceOf returns the service of the target whose ID has the given engines.Hash.
 func (d *Daemon) serviceOf(hash uint64) (string, bool) {
+	service, e := d.targetByHash(hash)
+	return service, e != nil
+}
+
+// targetByHash returns the target whose ID has the given engines.Hash, and its service,
+// or nil if there is no such target.
+func (d *Daemon) targetByHash(hash uint64) (service string, e *port.TargetEntry) {
 	for name, set := range d.registry.Snapshot().Targets {
-		if set.All().Lookup(hash) != nil {
-			return name, true
+		if e := set.All().Lookup(hash); e != nil {
+			return name, e
 		}
 	}
-	return "", false
+	return "", nil
 }
 
 const (
@@ -108,10 +116,8 @@
 		return
 	}
 	d.metrics.speeds.update(d.factors.All(), func(hash uint64) string {
-		for _, set := range d.registry.Snapshot().Targets {
-			if e := set.All().Lookup(hash); e != nil {
-				return e.ID
-			}
+		if _, e := d.targetByHash(hash); e != nil {
+			return e.ID
 		}
 		return ""
 	})
