--- a/process/front/speeds_test.go
+++ b/process/front/speeds_test.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log/handlers/memory"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/pomelospool/pomelospool/connection/engines"
 	"github.com/pomelospool/pomelospool/process/roster"
 )
 
@@ -69,3 +70,23 @@
 		}
 	}
 }
+
+// Guards against a look-up that doesn't find the service or the id of a target, without
+// which no prompt counts and lines name no engine.
+func TestTargetByHash(t *testing.T) {
+	d := newTestPlatform(t).startWith(settingsText + "scheduling: {engine_speeds: true}\n")
+	found := 0
+	for name, set := range d.registry.Snapshot().Targets {
+		for _, want := range set.All().All() {
+			found++
+			hash := engines.Hash(want.ID)
+			service, known := d.serviceOf(hash)
+			if _, e := d.targetByHash(hash); !known || service != name || e == nil || e.ID != want.ID {
+				t.Errorf("target %s of %s: service %q, known %v", want.ID, name, service, known)
+			}
+		}
+	}
+	if _, known := d.serviceOf(engines.Hash("missing")); known || found == 0 {
+		t.Errorf("%d targets, unknown one found: %v", found, known)
+	}
+}
