front: a test that prompts reach the factors of engines

Cause: the tests passed when the daemon didn't give the factors to its runner.

Change: TestDaemonLearnsSpeeds.

--- a/process/front/speeds_test.go
+++ b/process/front/speeds_test.go
@@ -90,3 +90,16 @@
 		t.Errorf("%d targets, unknown one found: %v", found, known)
 	}
 }
+
+// Guards against factors that no prompt reaches, because the runner doesn't have them or
+// no service is found for the engine.
+func TestDaemonLearnsSpeeds(t *testing.T) {
+	p := newTestPlatform(t)
+	d := p.startWith(settingsText + "scheduling: {engine_speeds: true}\n")
+	for n := 0; len(d.factors.All()) == 0; n++ {
+		if n == 300 {
+			t.Fatal("no factor after 300 prompts")
+		}
+		p.post(d, "/s/x", fmt.Sprint("call", n), fmt.Sprintf("%x:3000", 1000+n))
+	}
+}
