--- a/request/placement/speed_test.go
+++ b/request/placement/speed_test.go
@@ -23,14 +23,14 @@
 	objective time.Duration
 }
 
-const simMs = time.Millisecond
+const simMillisecond = time.Millisecond
 
 // longKinds are kinds of which all but the shortest are late at an engine of half the
 // speed, and on time at others. fastKinds contain one that is on time only at an engine
 // of twice the usual speed.
 var (
-	longKinds = []simKind{{1460, 500 * simMs}, {9200, 500 * simMs}, {10_000, 500 * simMs}, {11_000, 500 * simMs}, {13_000, 600 * simMs}, {15_000, 700 * simMs}, {17_000, 800 * simMs}}
-	fastKinds = []simKind{{1460, 500 * simMs}, {9200, 500 * simMs}, {17_000, 500 * simMs}}
+	longKinds = []simKind{{1460, 500 * simMillisecond}, {9200, 500 * simMillisecond}, {10_000, 500 * simMillisecond}, {11_000, 500 * simMillisecond}, {13_000, 600 * simMillisecond}, {15_000, 700 * simMillisecond}, {17_000, 800 * simMillisecond}}
+	fastKinds = []simKind{{1460, 500 * simMillisecond}, {9200, 500 * simMillisecond}, {17_000, 500 * simMillisecond}}
 )
 
 // simPrompt is a prompt at an engine.
@@ -271,8 +271,8 @@
 // Guards against a queried wait that makes a prompt late or on time without a change of
 // the cost.
 func TestQueriedWaitChangesLateness(t *testing.T) {
-	ch := Choice{Cost: 100 * simMs, lateness: lateness{cost: 250 * simMs, maxWait: 90 * simMs}}
-	for wait, want := range map[time.Duration]time.Duration{0: 100 * simMs, 90 * simMs: 190 * simMs, 91 * simMs: 441 * simMs} {
+	ch := Choice{Cost: 100 * simMillisecond, lateness: lateness{cost: 250 * simMillisecond, maxWait: 90 * simMillisecond}}
+	for wait, want := range map[time.Duration]time.Duration{0: 100 * simMillisecond, 90 * simMillisecond: 190 * simMillisecond, 91 * simMillisecond: 441 * simMillisecond} {
 		if ch.setWait(wait); ch.Cost != want || ch.PredictedWait != wait {
 			t.Errorf("wait %v: cost %v, want %v", wait, ch.Cost, want)
 		}
