soak: two events may step one clock at the same time

Cause: each step wrote the same temporary file; the first rename took the second's file. The links' state had the same fault and its own fix. Change: one function with a temporary file of its own for each write, for both.

--- a/bench/soak/clock_test.go
+++ b/bench/soak/clock_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -74,14 +76,38 @@
 // stepClock sets the difference between the time of day of the daemon's VM and
 // the right one.
 func (p *process) stepClock(by time.Duration) {
-	next := p.clockPath + ".next"
-	err := os.WriteFile(next, []byte(fmt.Sprint(by.Milliseconds())), 0o644)
-	if err == nil {
-		err = os.Rename(next, p.clockPath)
+	if err := replaceFile(p.clockPath, fmt.Sprint(by.Milliseconds())); err != nil {
+		p.judge.ReportFault("daemon %d: can't step the clock: %v", p.index, err)
 	}
+}
+
+// replaceFile replaces a file at once. Several events may step the same clock, or
+// change the same links, at the same time: with one name for the new file, the second
+// rename failed.
+func replaceFile(path, content string) error {
+	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
 	if err != nil {
-		p.judge.ReportFault("daemon %d: can't step the clock: %v", p.index, err)
+		return err
+	}
+	_, err = f.WriteString(content)
+	if err := errors.Join(err, f.Close()); err != nil {
+		return err
+	}
+	return os.Rename(f.Name(), path)
+}
+
+// Guards against a trial that fails since two events step one clock at the same time.
+func TestConcurrentClockSteps(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "clock-0")
+	var steps sync.WaitGroup
+	for i := range 50 {
+		steps.Go(func() {
+			if err := replaceFile(path, fmt.Sprint(i)); err != nil {
+				t.Error(err)
+			}
+		})
 	}
+	steps.Wait()
 }
 
 // TestClockSteps runs the tests that step the clock themselves. Their build tag
--- a/bench/soak/links_test.go
+++ b/bench/soak/links_test.go
@@ -1,9 +1,6 @@
 package soak
 
 import (
-	"fmt"
-	"os"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -58,18 +55,9 @@
 	p.setLinks(linkfault.Pass)
 }
 
-// linksWrites counts the calls of setLinks.
-var linksWrites atomic.Int64
-
 // setLinks sets the state of the daemon's links, also for the next process.
 func (p *process) setLinks(m linkfault.Mode) {
-	// Two cuts of a daemon may end at the same time.
-	next := fmt.Sprintf("%s.%d", p.linksPath, linksWrites.Add(1))
-	err := os.WriteFile(next, []byte(m.String()), 0o644)
-	if err == nil {
-		err = os.Rename(next, p.linksPath)
-	}
-	if err != nil {
+	if err := replaceFile(p.linksPath, m.String()); err != nil {
 		p.judge.ReportFault("daemon %d: can't set its links: %v", p.index, err)
 	}
 }
