relay, front: the times of reads of the store stand in one place

The waits and intervals of reads were computed by process/front, the ages that a reader may have by process/relay, so no test could add up a whole way from the store to a daemon.

--- a/process/front/front_test.go
+++ b/process/front/front_test.go
@@ -280,17 +280,19 @@
 	}
 }
 
+// slowStoreLatency is the response time of a slow store.
+const slowStoreLatency = 200 * time.Millisecond
+
 // A version must be in force within its bound, and a leaving target must get no
 // new work after its bound, even if a read missed the record. The wait of that
 // read, the interval before the next read and the next read itself must fit
 // into the bound.
 func TestMissedRecordsAreReadWithinTheirBounds(t *testing.T) {
 	d := &Daemon{s: settings.Default()}
-	const answer = 200 * time.Millisecond // of a slow store
-	if got := readWait(d.s.Bounds.ApplyConfig) + configInterval + answer; got > d.s.Bounds.ApplyConfig*3/4 {
+	if got := relay.ReadWait(d.s.Bounds.ApplyConfig, 0) + configInterval + slowStoreLatency; got > d.s.Bounds.ApplyConfig*3/4 {
 		t.Errorf("a version may take %v of %v", got, d.s.Bounds.ApplyConfig)
 	}
-	if got := readWait(d.s.Bounds.Drain) + minTargetsInterval + answer; got > d.s.Bounds.Drain*3/4 {
+	if got := relay.ReadWait(d.s.Bounds.Drain, 0) + minTargetsInterval + slowStoreLatency; got > d.s.Bounds.Drain*3/4 {
 		t.Errorf("a leaving target may get work for %v of %v", got, d.s.Bounds.Drain)
 	}
 }
@@ -303,7 +305,7 @@
 	deepest := map[time.Duration]int{2 * time.Second: 1, 3 * time.Second: 2, 4 * time.Second: 4, 5 * time.Second: 5}
 	for bound, maxDepth := range deepest {
 		for depth := 1; depth <= maxDepth; depth++ {
-			wait := relayedWait(bound, depth)
+			wait := relay.ReadWait(bound, depth)
 			if got := relay.MaxAge(wait, depth) + minTargetsInterval + slowStoreLatency; got > bound {
 				t.Errorf("through %d daemons a change may take %v, bound %v", depth, got, bound)
 			}
