relay: two reads 2.4 s apart show that the store was available

A target that never announces that it leaves only has its entry removed. A daemon that lost its reader and then read the store itself kept such an entry for 2.2 s, as if it had lapsed in an outage: up to 4.6 s after the removal.

Cause: two reads counted as evidence of an available store only if they were at most 2 s apart; a daemon whose data reaches its limit reads again after 2.2 to 2.4 s, with a bound of 4 s after 3 s. An entry lapses after three heartbeat intervals of 1.2 s, of which one may have passed before the gap, so 2.4 s are safe.

Change: the gap is 2.4 s, and the store is called within it where the others had the time to answer before.

Result: TestOwnCallShowsThatTheStoreWasAvailable failed for bounds of 3 and 4 s and passes. With a bound of 5 s it still takes 2.8 s, so such an entry is kept; open.

--- a/process/relay/available.go
+++ b/process/relay/available.go
@@ -7,9 +7,9 @@
 )
 
 // maxReadGap is the longest time between two successful reads of the store for it
-// to count as available in between. It covers the interval, wait and grace of a
-// read. An entry lapses after three missed heartbeats, which takes longer.
-const maxReadGap = 2 * time.Second
+// to count as available in between. An entry lapses after three heartbeat intervals of
+// 1.2 s without a heartbeat, the first of which may have passed before the gap.
+const maxReadGap = 2400 * time.Millisecond
 
 // period is a time in which the store is known to have been available: a daemon
 // read it without a gap over maxReadGap. Times are by CLOCK_BOOTTIME of this
--- a/process/relay/leaving_test.go
+++ b/process/relay/leaving_test.go
@@ -202,6 +202,38 @@
 	})
 }
 
+// Guards against a removed target that is kept as if its entry had lapsed in an outage,
+// and gets requests for seconds: a daemon that alone can read the store, and calls it
+// only as its data gets too old, must know that the store was available meanwhile.
+func TestOwnCallShowsThatTheStoreWasAvailable(t *testing.T) {
+	for _, bound := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second} {
+		t.Run(bound.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &leavingFleet{
+					bound: bound, daemons: 90, net: stallingTransport{memoryTransport: memoryTransport{}, stalled: &sync.Map{}}, now: clock.NewRuntime().Now,
+					store: &sharedStore{changed: make(chan struct{}), silent: make(map[string]bool)},
+				}
+				f.addReader("first")
+				own := f.add("own", []string{"first"}, nil)
+				for _, d := range f.all {
+					d.Start()
+				}
+				_ = pause.For(t.Context(), 5*time.Second)
+				lost := f.now()
+				f.silence("first")
+				f.store.add("leaves")
+				_ = pause.For(t.Context(), bound*4/5)
+				if since := own.store.AvailableSince(port.TopicTargets); !own.hasKey("leaves") || since >= lost {
+					t.Errorf("known: %v; the store counts as available since %v, the reader lost it at %v", own.hasKey("leaves"), since, lost)
+				}
+				for _, d := range f.all {
+					_ = d.Stop()
+				}
+			})
+		})
+	}
+}
+
 func configureTiming(s *Store, bound time.Duration, daemons int) {
 	s.Bound = func(port.Topic) time.Duration { return bound }
 	s.Daemons = func() int { return daemons }
--- a/process/relay/timing.go
+++ b/process/relay/timing.go
@@ -57,9 +57,12 @@
 func askAge(bound time.Duration) time.Duration { return bound / 2 }
 
 // callAge returns the age of the data at which a daemon that gets none elsewhere
-// calls the store, so that the answer of a slow store leaves spareShare of the bound.
+// calls the store. The answer of a slow store leaves spareShare of the bound then and,
+// if the others have the time to answer before, shows that the store was available
+// since the read before.
 func callAge(bound time.Duration) time.Duration {
-	return time.Duration((1-spareShare)*float64(bound)) - slowStoreLatency
+	age := time.Duration((1-spareShare)*float64(bound)) - slowStoreLatency
+	return min(age, max(askAge(bound)+2*transferTimeout(bound), maxReadGap-slowStoreLatency))
 }
 
 // transferTimeout returns the time within which another daemon must answer a request
