soak: a version's targets have gone as all daemons are killed

A report from a system like ours: after the loss of all daemons, streams of a version whose targets had just left went on at the other one. The soak killed all daemons only while both versions served, with six streams open.

Change: a case replaces the targets of one version and kills all daemons 50 ms after the last has gone, with 80 streams open; one kills them all again. Callers of streams don't count a request that no daemon received. A planted fault, daemons that trust their first list of targets, is found by that case.

Not found, so not kept: a planted fault that trusts one of several stored versions; the leader reads them only after the callers have given up.

--- a/bench/soak/planted_test.go
+++ b/bench/soak/planted_test.go
@@ -97,6 +97,9 @@
 			{"connection/origin/origin.go", "t.o.Peers.ShareOrigins([]Record{r.withTimeLeft(lifetime)})", ""},
 			{"connection/origin/table.go", "return e.record.Software, !e.conflict && t.now() < e.expires", "return e.record.Software, e == nil"},
 		}, nil, "hold events of two software versions", 2, 0},
+		{"a daemon that starts trusts its first list", []edit{
+			{"connection/origin/history.go", "h.listed, h.since, h.lastTick = true, now, now", "h.listed, h.complete, h.since, h.lastTick = true, true, now, now"},
+		}, goneVersion(2 * time.Second), "hold events of two software versions", 2, 0},
 		{"streams that are taken up are rejected", []edit{
 			{"request/dispatch/origin.go", "if from == origin.Unknown {", "if from != \"\" {"},
 		}, nil, "that were taken up went on", 2, 0},
@@ -105,7 +108,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			program := buildDaemon(t, t.TempDir(), tc.edits)
-			faults, totals := runTrial(t, trial{seed: 1, program: program, daemons: *daemons, plan: tc.plan, versions: tc.versions, targets: max(8*tc.versions, tc.targets), resumers: 2 * tc.versions, warmup: warmup, length: plantedLength, recoveryLimit: plantedRecovery, grace: plantedGrace})
+			faults, totals := runTrial(t, trial{seed: 1, program: program, daemons: *daemons, plan: tc.plan, versions: tc.versions, targets: max(8*tc.versions, tc.targets), resumers: tc.versions * manyResumers / 2, warmup: warmup, length: plantedLength, recoveryLimit: plantedRecovery, grace: plantedGrace})
 			if !strings.Contains(strings.Join(faults, "\n"), tc.want) {
 				t.Errorf("not found, %+v: %v", totals, faults)
 			}
--- a/bench/soak/resume.go
+++ b/bench/soak/resume.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -75,7 +77,7 @@
 	deadline := time.Now().Add(requestTimeout)
 	daemon := r.rand.IntN(len(r.urls))
 	first := "" // id of the request that brought the first event
-	for n := range maxTries {
+	for n, sent := 0, 0; sent < maxTries && ctx.Err() == nil; n++ {
 		try := streamTry{ID: fmt.Sprintf("%s-%d", name, n), Daemon: daemon, At: time.Now(), TakesUp: first != ""}
 		if try.TakesUp {
 			try.Served = r.served(o.Software[0])
@@ -86,6 +88,13 @@
 		}
 		before := o.LastID
 		whole, err := r.send(ctx, &o, daemon, h)
+		if isDialError(err) {
+			// Nobody has received the request: the daemon is down.
+			wait(ctx.Done(), takeUpDelay)
+			daemon = (daemon + 1) % len(r.urls)
+			continue
+		}
+		sent++
 		try.Answered = whole || o.LastID > before
 		o.Tries = append(o.Tries, try)
 		if first == "" && o.LastID > 0 {
@@ -103,6 +112,12 @@
 	return o
 }
 
+// isDialError reports whether no connection could be opened.
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // send sends one request and reads its events, maybe not all.
 func (r *resumer) send(ctx context.Context, o *streamOutcome, daemon int, h http.Header) (whole bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/bench/soak/resume_test.go
+++ b/bench/soak/resume_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -37,6 +38,29 @@
 	return n >= 2
 }
 
+// goneVersion has targets of the first of two versions replaced by those of the other
+// one, and kills all daemons just after the last of them has gone.
+func goneVersion(at time.Duration) (plan []Event) {
+	const replaced = 200 * time.Millisecond
+	for i := range resumedTargets {
+		if generation := i/4 + 1; generation%2 == 1 {
+			plan = append(plan, Event{At: at, For: replaced, Kind: KillTarget, On: i})
+		}
+	}
+	for i := range defaultDaemons {
+		plan = append(plan, Event{At: at + 50*time.Millisecond, For: 300 * time.Millisecond, Kind: KillDaemon, On: i})
+	}
+	return plan
+}
+
+const (
+	// resumedTargets is the number of targets of trials with software versions.
+	resumedTargets = 16
+	// manyResumers have enough streams open at one moment for a fault of that moment
+	// to exceed maxMixedStreams.
+	manyResumers = 80
+)
+
 // TestStreamsGoOnAtTheirVersion guards against streams that go on at another software
 // version than they began at, and against rejecting them instead.
 func TestStreamsGoOnAtTheirVersion(t *testing.T) {
@@ -53,24 +77,27 @@
 		name     string
 		versions int
 		plan     []Event
+		resumers int // 0: six
 	}{
-		{"calm", 2, nil},
-		{"the store is away", 2, []Event{{At: at(1), For: at(6), Kind: FailStore, How: storeReset}}},
-		{"daemons restart in series", 2, []Event{{At: at(1), Kind: StopDaemon, On: 0}, {At: at(2.5), Kind: StopDaemon, On: 1}, {At: at(4), Kind: StopDaemon, On: 2}, {At: at(5.5), Kind: StopDaemon, On: 3}}},
-		{"two daemons are killed", 2, []Event{{At: at(2), For: at(1), Kind: KillDaemon, On: 0}, {At: at(4), For: at(1), Kind: KillDaemon, On: 1}}},
-		{"all daemons are killed", 2, killAll(2)},
-		{"all daemons are killed, one version", 1, killAll(2)},
-		{"daemons are cut from targets", 2, []Event{{At: at(1), For: at(5), Kind: CutLinks, On: 1}, {At: at(2), For: at(5), Kind: CutLinks, On: 2, How: 2}}},
-		{"targets cut streams", 2, []Event{{At: at(1), For: at(6), Kind: DegradeTarget, On: 2, How: degradeCut}, {At: at(1), For: at(6), Kind: DegradeTarget, On: 6, How: degradeCut}, {At: at(2), For: at(4), Kind: DegradeTarget, On: 3, How: degradeCut}}},
-		{"targets are replaced by the next version", 2, []Event{{At: at(1), For: at(1), Kind: KillTarget, On: 2}, {At: at(3), For: at(1), Kind: KillTarget, On: 6}, {At: at(5), For: at(1), Kind: KillTarget, On: 3}}},
+		{"calm", 2, nil, 0},
+		{"the store is away", 2, []Event{{At: at(1), For: at(6), Kind: FailStore, How: storeReset}}, 0},
+		{"daemons restart in series", 2, []Event{{At: at(1), Kind: StopDaemon, On: 0}, {At: at(2.5), Kind: StopDaemon, On: 1}, {At: at(4), Kind: StopDaemon, On: 2}, {At: at(5.5), Kind: StopDaemon, On: 3}}, 0},
+		{"two daemons are killed", 2, []Event{{At: at(2), For: at(1), Kind: KillDaemon, On: 0}, {At: at(4), For: at(1), Kind: KillDaemon, On: 1}}, 0},
+		{"all daemons are killed", 2, killAll(2), 0},
+		{"all daemons are killed, one version", 1, killAll(2), 0},
+		{"a version goes and all daemons are killed", 2, goneVersion(at(3)), manyResumers},
+		{"a version goes and all daemons are killed twice", 2, append(goneVersion(at(3)), killAll(5)...), manyResumers},
+		{"daemons are cut from targets", 2, []Event{{At: at(1), For: at(5), Kind: CutLinks, On: 1}, {At: at(2), For: at(5), Kind: CutLinks, On: 2, How: 2}}, 0},
+		{"targets cut streams", 2, []Event{{At: at(1), For: at(6), Kind: DegradeTarget, On: 2, How: degradeCut}, {At: at(1), For: at(6), Kind: DegradeTarget, On: 6, How: degradeCut}, {At: at(2), For: at(4), Kind: DegradeTarget, On: 3, How: degradeCut}}, 0},
+		{"targets are replaced by the next version", 2, []Event{{At: at(1), For: at(1), Kind: KillTarget, On: 2}, {At: at(3), For: at(1), Kind: KillTarget, On: 6}, {At: at(5), For: at(1), Kind: KillTarget, On: 3}}, 0},
 	}
 	program := sharedDaemon(t)
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			faults, totals := runTrial(t, trial{
-				seed: 1, program: program, daemons: defaultDaemons, plan: tc.plan, budget: siteBudget, versions: tc.versions, resumers: 6,
-				targets: 16, callers: 6, length: length, recoveryLimit: recoveryLimit, grace: callerGrace,
+				seed: 1, program: program, daemons: defaultDaemons, plan: tc.plan, budget: siteBudget, versions: tc.versions, resumers: cmp.Or(tc.resumers, 6),
+				targets: resumedTargets, callers: 6, length: length, recoveryLimit: recoveryLimit, grace: callerGrace,
 			})
 			t.Logf("%+v", totals)
 			for _, f := range faults {
