entry, attempt: callers state the model version of a stream that they resume

A stream on the product's own protocol went on at another model version once the engines of its version had left, and nothing in the answer showed it.

Cause: a request to resume didn't state the version; that of all engines in service was taken for it, which is right only as long as no version has been replaced. Change: a streamed answer names its version in X-Model-Version, a resume may repeat it (resume.version), and then runs at no other version: 2012 if no engine has it. A resume without it is served as before, and shows its version.

Nothing is stored, so it holds after the loss of all daemons. Callers that state no version aren't protected; open.

--- a/request/attempt/attempt.go
+++ b/request/attempt/attempt.go
@@ -35,6 +35,7 @@
 type Answer struct {
 	ID       string // of the attempt
 	Target   string
+	Version  string // model version of the target
 	Status   int
 	Header   http.Header
 	Body     io.Reader // reads fail when the target makes no progress
@@ -199,6 +200,7 @@
 	return recv.Receive(Answer{
 		ID:       id,
 		Target:   t.Name,
+		Version:  t.Version,
 		Status:   resp.Status,
 		Header:   resp.Header,
 		Body:     resp.Body,
--- a/request/attempt/runner.go
+++ b/request/attempt/runner.go
@@ -73,20 +73,23 @@
 
 // Request is one request of a caller.
 type Request struct {
-	ID          string
-	Service     *view.Service
-	Route       routing.Request
-	Deadline    time.Time
-	Method      string
-	Path        string // with the query
-	Header      http.Header
-	Body        func(resume int) []byte // returns the body that resumes after so many tokens
-	Idempotent  bool
-	ToEngine    bool // the targets are model engines
-	Resumes     bool // the caller has the first tokens from an earlier request
-	Forwarded   bool // another daemon has forwarded the request and counted it for the budget
-	Fingerprint quarantine.Fingerprint
-	Parts       []quarantine.Fingerprint // of the prompt that other requests may share, in order
+	ID         string
+	Service    *view.Service
+	Route      routing.Request
+	Deadline   time.Time
+	Method     string
+	Path       string // with the query
+	Header     http.Header
+	Body       func(resume int) []byte // returns the body that resumes after so many tokens
+	Idempotent bool
+	ToEngine   bool // the targets are model engines
+	Resumes    bool // the caller has the first tokens from an earlier request
+	// ResumedVersion is the model version of the tokens that the caller has, nil if it
+	// doesn't state it.
+	ResumedVersion *string
+	Forwarded      bool // another daemon has forwarded the request and counted it for the budget
+	Fingerprint    quarantine.Fingerprint
+	Parts          []quarantine.Fingerprint // of the prompt that other requests may share, in order
 }
 
 // reuse returns the connection reuse for the request. Calls that can't be
--- a/request/attempt/version.go
+++ b/request/attempt/version.go
@@ -6,9 +6,12 @@
 )
 
 // resumedVersion returns the model version of the answer that a request goes on with.
-// The request doesn't state it, so it is known only if all engines of the model have
+// If the request doesn't state it, it is known only if all engines of the model have
 // the same one.
 func resumedVersion(q *Request, targets []routing.Target) (version string, err error) {
+	if q.ResumedVersion != nil {
+		return statedVersion(q, targets)
+	}
 	first := true
 	for i := range targets {
 		t := &targets[i]
@@ -23,6 +26,19 @@
 	return version, nil
 }
 
+// statedVersion returns the version that the request states, if an engine of the model
+// has it.
+func statedVersion(q *Request, targets []routing.Target) (string, error) {
+	stated := *q.ResumedVersion
+	for i := range targets {
+		t := &targets[i]
+		if t.Model == q.Route.Model && t.Adapter == q.Route.Adapter && t.Version == stated {
+			return stated, nil
+		}
+	}
+	return "", code.New(code.OriginGone, "version %q of model %q isn't served", stated, q.Route.Model).WithRetryAfter(retryAfter)
+}
+
 // bindVersion binds the rest of the request to the model version of the target that
 // made the tokens the caller has.
 func (r *run) bindVersion(version string) {
--- a/request/attempt/version_test.go
+++ b/request/attempt/version_test.go
@@ -89,3 +89,24 @@
 		}
 	}
 }
+
+// Guards against a request that goes on with an earlier answer at another model version
+// after the engines of the answer's version have left: the request states the version.
+func TestStatedModelVersionIsKept(t *testing.T) {
+	stated := "1"
+	for _, c := range []struct {
+		versions []string
+		want     code.Code
+		from     []string
+	}{
+		{[]string{"2", "2"}, code.OriginGone, nil},
+		{[]string{"2", "1"}, 0, []string{"b", "b"}},
+	} {
+		q := request(true)
+		q.Resumes, q.ResumedVersion = true, &stated
+		recv, err := versionTrial(t, q, c.versions...)
+		if code.Of(err) != c.want || !slices.Equal(recv.from, c.from) {
+			t.Errorf("versions %v: tokens from %v, %v", c.versions, recv.from, err)
+		}
+	}
+}
--- a/request/entry/header.go
+++ b/request/entry/header.go
@@ -22,6 +22,10 @@
 	headerKey      = "Idempotency-Key"
 )
 
+// headerModelVersion is the header of a streamed answer with the model version that makes
+// it. A caller that resumes the stream states it.
+const headerModelVersion = "X-Model-Version"
+
 const (
 	maxIDBytes      = 128 // of an id, an idempotency key or an organisation's name
 	defaultDeadline = 30 * time.Second
--- a/request/entry/model.go
+++ b/request/entry/model.go
@@ -40,7 +40,8 @@
 }
 
 type resumeBody struct {
-	Tokens int `json:"tokens"`
+	Tokens  int     `json:"tokens"`
+	Version *string `json:"version"` // the X-Model-Version of the answer that the tokens are from
 }
 
 // modelCall is a parsed and validated model request.
@@ -147,6 +148,15 @@
 	return c.body.Resume.Tokens
 }
 
+// resumedVersion returns the model version of the tokens that the caller has, or nil
+// if it isn't stated.
+func (c *modelCall) resumedVersion() *string {
+	if c.firstToken() == 0 {
+		return nil
+	}
+	return c.body.Resume.Version
+}
+
 // payload returns the body of an attempt that resumes after the given number of
 // tokens. The added fields come after those of the caller, since JSON parsers
 // use the last of several fields with the same name.
@@ -184,19 +194,20 @@
 
 func (c *modelCall) request(id, path string, e *Entry) *attempt.Request {
 	return &attempt.Request{
-		ID:          id,
-		Service:     c.svc,
-		Route:       c.route(id, e),
-		Deadline:    c.params.deadline,
-		Method:      http.MethodPost,
-		Path:        path,
-		Header:      http.Header{"Content-Type": {"application/json"}},
-		Body:        c.payload,
-		Idempotent:  true,
-		ToEngine:    true,
-		Resumes:     c.firstToken() > 0,
-		Fingerprint: fingerprint(c.params.org, c.body.Model, c.prompt),
-		Parts:       c.parts(),
+		ID:             id,
+		Service:        c.svc,
+		Route:          c.route(id, e),
+		Deadline:       c.params.deadline,
+		Method:         http.MethodPost,
+		Path:           path,
+		Header:         http.Header{"Content-Type": {"application/json"}},
+		Body:           c.payload,
+		Idempotent:     true,
+		ToEngine:       true,
+		Resumes:        c.firstToken() > 0,
+		ResumedVersion: c.resumedVersion(),
+		Fingerprint:    fingerprint(c.params.org, c.body.Model, c.prompt),
+		Parts:          c.parts(),
 	}
 }
 
--- a/request/entry/receive.go
+++ b/request/entry/receive.go
@@ -101,10 +101,11 @@
 // streamReceiver receives a streamed answer over one or more attempts.
 type streamReceiver struct {
 	relay *stream.Relay
+	out   *streamSink
 }
 
-func newStreamReceiver(id string, start int, out stream.Sink) *streamReceiver {
-	return &streamReceiver{relay: stream.NewRelay(id, start, out)}
+func newStreamReceiver(id string, start int, out *streamSink) *streamReceiver {
+	return &streamReceiver{relay: stream.NewRelay(id, start, out), out: out}
 }
 
 func (r *streamReceiver) Progress() int   { return r.relay.Next() }
@@ -117,6 +118,7 @@
 	if t, _, _ := mime.ParseMediaType(a.Header.Get("Content-Type")); t != "text/event-stream" {
 		return &failure.Failure{Class: failure.Failed, Target: a.Target, Err: fmt.Errorf("%w: %.80q", errNotEventStream, t)}
 	}
+	r.out.version = a.Version
 	r.relay.HandOver(0)
 	if a.Handover {
 		r.relay.HandOver(1)
--- a/request/entry/streamout.go
+++ b/request/entry/streamout.go
@@ -18,6 +18,7 @@
 	writeTimeout time.Duration
 	cancel       func(error)
 	obs          *observation
+	version      string // model version of the target that is read
 	writer       *stream.Writer
 }
 
@@ -35,6 +36,9 @@
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-cache")
 	h.Set(answer.HeaderCode, strconv.Itoa(int(code.OK)))
+	if s.version != "" {
+		h.Set(headerModelVersion, s.version)
+	}
 	s.w.WriteHeader(http.StatusOK)
 	s.writer = stream.NewWriter(s.w, s.bufferBytes, s.writeTimeout, s.cancel)
 }
