soak: the verdict doesn't depend on an ignored SIGHUP

Under nohup both reloaded cases of TestExitsByASignal failed after 60 s: an ignored SIGHUP is inherited by the programs that the tests start. TestMain catches SIGHUP if it is ignored, so programs get the default. Under nohup: failed before, passes now.

--- a/bench/soak/main_test.go
+++ b/bench/soak/main_test.go
@@ -4,9 +4,11 @@
 	"flag"
 	"log"
 	"os"
+	"os/signal"
 	"runtime"
 	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 )
 
@@ -22,6 +24,10 @@
 	if !isFlagSet("test.parallel") {
 		_ = flag.Set("test.parallel", strconv.Itoa(int(trialsPerCore*float64(runtime.GOMAXPROCS(0))))) // the flag exists
 	}
+	if signal.Ignored(syscall.SIGHUP) {
+		// Processes would inherit that, as under nohup, and ignore a reload too.
+		signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+	}
 	var err error
 	if sharedDir, err = os.MkdirTemp("", "soak"); err != nil {
 		log.Fatal(err)
