relay: an error names the last round of other daemons only

A daemon that asks others again and again joined the errors of all rounds into one log line. The last round is enough, since it has the reader too. A call to the store that succeeds also ends the state after a failed one.

--- a/process/relay/store.go
+++ b/process/relay/store.go
@@ -171,8 +171,12 @@
 	batch, err = s.readStore(ctx, t, from, 0)
 	if err != nil {
 		s.deferStoreCalls(answered)
+		return batch, err
 	}
-	return batch, err
+	s.mu.Lock()
+	s.callFailed = false
+	s.mu.Unlock()
+	return batch, nil
 }
 
 // errStoreCallDue means that no daemon could be read and that this one may call the
@@ -190,14 +194,14 @@
 func (s *Store) readRelayed(ctx context.Context, readers []string, t port.Topic, from int64, wait time.Duration) (port.KeyedBatch, error) {
 	s.setReader(readers[0])
 	bound := s.bound(t)
-	failed := fmt.Errorf("reader %s wasn't asked", readers[0])
+	var readerErr error
 	if age, known := s.age(t); !known || age < askAge(bound) {
 		batch, err := s.askReader(ctx, readers[0], t, from, wait)
 		if err == nil || errors.Is(err, port.ErrExpired) {
 			s.recordAnswer()
 			return batch, err
 		}
-		failed = fmt.Errorf("reader %s: %w", readers[0], err)
+		readerErr = fmt.Errorf("reader %s: %w", readers[0], err)
 		readers = readers[1:]
 	}
 	for {
@@ -209,7 +213,7 @@
 			s.recordAnswer()
 			return batch, err
 		}
-		failed = errors.Join(failed, err)
+		failed := errors.Join(readerErr, err)
 		age, known := s.age(t)
 		switch {
 		case ctx.Err() != nil:
@@ -223,6 +227,7 @@
 		if readers = s.readers(); len(readers) == 0 {
 			return port.KeyedBatch{}, failed
 		}
+		readerErr = nil // the reader is asked again with the others
 	}
 }
 
