relay: a call in time takes the place of the next one

Cause: a daemon whose data gets too old calls the store before the turn that the fleet's rate gives it; the next turn was counted from that call, so the call came on top. Change: the next turn is counted from the one that the call anticipated.

Result: TestCallInTimeTakesThePlaceOfTheNext fails without the change (3 s for 5 s).

--- a/process/relay/leaving_test.go
+++ b/process/relay/leaving_test.go
@@ -234,6 +234,22 @@
 	}
 }
 
+// Guards against more calls to a store that is away: a call before its turn must take the
+// place of the next one.
+func TestCallInTimeTakesThePlaceOfTheNext(t *testing.T) {
+	const turn, delay = 3 * time.Second, 2 * time.Second
+	for called, want := range map[time.Duration]time.Duration{time.Second: turn + delay, 2 * turn: 2*turn + delay} {
+		s := NewStore(nil, nil, nil, port.TopicTargets)
+		s.now = func() time.Duration { return called }
+		s.RetryDelay = func(bool) time.Duration { return delay }
+		s.nextStoreCall = turn
+		s.deferStoreCalls(true)
+		if s.nextStoreCall != want {
+			t.Errorf("after a failed call at %v the next one is at %v, want %v", called, s.nextStoreCall, want)
+		}
+	}
+}
+
 func configureTiming(s *Store, bound time.Duration, daemons int) {
 	s.Bound = func(port.Topic) time.Duration { return bound }
 	s.Daemons = func() int { return daemons }
--- a/process/relay/store.go
+++ b/process/relay/store.go
@@ -386,13 +386,14 @@
 }
 
 // deferStoreCalls makes reads go to the readers again and delays the next call
-// to the store.
+// to the store. A call that was made in time, before its turn, counts as that of its
+// turn, so that the fleet makes no more calls to a store that is away.
 func (s *Store) deferStoreCalls(readersAnswer bool) {
 	delay := s.RetryDelay(readersAnswer)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.bypassUntil, s.callFailed = 0, true
-	s.nextStoreCall = s.now() + delay
+	s.nextStoreCall = max(s.now(), s.nextStoreCall) + delay
 }
 
 // MaxAge returns the largest acceptable age of a reader's data for a read with
