--- a/process/relay/leaving_test.go
+++ b/process/relay/leaving_test.go
@@ -63,11 +63,12 @@
 }
 
 func (s stallingTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := s.memoryTransport.RoundTrip(req)
 	if _, stalled := s.stalled.Load(req.URL.Host); stalled {
 		<-req.Context().Done()
 		return nil, req.Context().Err()
 	}
-	return s.memoryTransport.RoundTrip(req)
+	return resp, err
 }
 
 func (f *leavingFleet) silence(vms ...string) {
