--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pomelospool/pomelospool/platform/standin"
@@ -20,7 +21,7 @@
 	t := standin.NewTarget(fmt.Sprintf("i-%08x", 0x2d9e0000+n), stage)
 	t.Software = "v1"
 	srv := &http.Server{Handler: t, ConnContext: t.ConnContext, ReadHeaderTimeout: time.Minute}
-	f.engines = append(f.engines, srv)
+	f.engines, f.targets = append(f.engines, srv), append(f.targets, t)
 	go func() { _ = srv.Serve(l) }()
 	announce := func(seq int) {
 		f.put("keyed.servers", t.ID, map[string]any{
@@ -43,3 +44,11 @@
 	})
 	return t, nil
 }
+
+// recordRuns records the requests that the engines ran.
+func (f *fleet) recordRuns() {
+	for _, t := range f.targets {
+		ran := t.Ran()
+		f.record.add("engine %s ran %d requests: %s", t.ID, len(ran), strings.Join(ran, " "))
+	}
+}
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -67,6 +68,7 @@
 	daemons []*daemon
 	servers []*server
 	engines []*http.Server
+	targets []*standin.Target // of engines
 
 	stop chan struct{}
 	wg   sync.WaitGroup
@@ -178,6 +180,15 @@
 	return nil
 }
 
+// dropBootstrap changes the settings to those of a later start of the daemon.
+func (d *daemon) dropBootstrap() error {
+	text, err := os.ReadFile(d.settings)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(d.settings, bytes.Replace(text, []byte("bootstrap: true\n"), nil, 1), 0o600)
+}
+
 // signal sends a signal to the process.
 func (d *daemon) signal(s syscall.Signal) {
 	d.mu.Lock()
--- a/review/harness/idle.go
+++ b/review/harness/idle.go
@@ -178,6 +178,7 @@
 // judgeIdle applies the rule CONFIG: of the requests that are still unanswered at their
 // route's timeout_ms, more than half have no answer half a second later.
 func (f *fleet) judgeIdle(users []*user) (int, error) {
+	f.recordRuns()
 	unanswered, never, answered := 0, 0, 0
 	for _, u := range users {
 		if u.sent.IsZero() || u.c.name != "rework-book" {
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -16,6 +16,7 @@
 
 var cases = map[string]func(f *fleet, trouble bool) (int, error){
 	"idle": idleCase,
+	"stop": stopCase,
 }
 
 func main() {
