--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -x target/pomelospoold ] && [ -x target/review-harness ] || exit 2
-exec target/review-harness idle "$here"
+exec target/review-harness reset "$here"
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -69,9 +70,12 @@
 	servers []*server
 	engines []*http.Server
 	targets []*standin.Target // of engines
+	raw     []*rawServer
 
-	stop chan struct{}
-	wg   sync.WaitGroup
+	ctx    context.Context // ends with the case
+	cancel context.CancelFunc
+	stop   chan struct{}
+	wg     sync.WaitGroup
 }
 
 // daemon is one process of the system.
@@ -100,6 +104,7 @@
 
 func newFleet(dir string, record *recorder) (*fleet, error) {
 	f := &fleet{dir: dir, record: record, store: standin.NewStore(), stop: make(chan struct{})}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
 	l, err := net.Listen("tcp", "127.0.0.2:0")
 	if err != nil {
 		return nil, err
@@ -268,6 +273,7 @@
 // close ends all that the fleet has started.
 func (f *fleet) close() {
 	close(f.stop)
+	f.cancel()
 	for _, d := range f.daemons {
 		if d.exited == nil {
 			continue
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -15,8 +15,9 @@
 )
 
 var cases = map[string]func(f *fleet, trouble bool) (int, error){
-	"idle": idleCase,
-	"stop": stopCase,
+	"idle":  idleCase,
+	"stop":  stopCase,
+	"reset": resetCase,
 }
 
 func main() {
