h1: an answer whose connection broke isn't taken for whole

Callers got a complete 200 with half of a target's answer.

Cause: Linux reports a reset to the first call that asks. Here that was the blocked write, whose error nobody looked at; the read after it returned EOF, as after an orderly close, and body.Read took that for the end of the answer.

Change: body.Read, the one place through which all callers read, returns EOF for an answer that ends with its connection only once the write has ended without a failure. A write that is still blocked is ended, since the target has answered without the rest; it isn't waited for. Answers with a length or chunks are read as before, so a target may still answer early, keep the connection and read on.

--- a/connection/h1/exchange.go
+++ b/connection/h1/exchange.go
@@ -1,14 +1,12 @@
 package h1
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -112,27 +110,15 @@
 	watchdog  *watchdog.Watchdog
 	cancel    context.CancelCauseFunc // of ctx
 	stop      func() bool             // stops the callback that closes conn when ctx ends
-	writeDone chan writeResult
+	write     requestWrite
 	resp      *http.Response
 	bodyEnded atomic.Bool // the body was read to EOF
 	closeOnce sync.Once
-	written   atomic.Int64 // bytes of the request that the kernel has accepted
-	strays    int          // responses to other requests that arrived
+	strays    int // responses to other requests that arrived
 	giveUp    sync.Once
 	unacked   int // bytes that were unacknowledged when the exchange was given up
 }
 
-// writeResult is the result of writing a request.
-type writeResult struct {
-	bytes int // bytes that the kernel accepted
-	err   error
-}
-
-// inlineBody is the largest body, in bytes, that is written before the response
-// is read. A larger body is written concurrently, since a target may respond
-// before it has read the whole body.
-const inlineBody = 4 << 10
-
 // Do sends r and reads the response header. It closes the connection when ctx
 // ends or when the target makes no progress in time; most targets then stop
 // processing the request. The error is an *Error.
@@ -145,10 +131,10 @@
 		cancel(nil)
 		return nil, &Error{Err: err}
 	}
-	x := &exchange{pool: p, req: r, conn: c, ctx: ctx, watchdog: wd, cancel: cancel, writeDone: make(chan writeResult, 1)}
+	x := &exchange{pool: p, req: r, conn: c, ctx: ctx, watchdog: wd, cancel: cancel}
 	x.stop = context.AfterFunc(ctx, x.closeConn)
 	c.history.begin(r.Name)
-	x.write()
+	x.startWrite()
 	resp, err := x.read()
 	if err != nil {
 		return nil, x.abort(err)
@@ -165,32 +151,6 @@
 	return err
 }
 
-func (x *exchange) write() {
-	all := append(encodeHead(x.req), x.req.Body...)
-	send := func() {
-		n, err := x.conn.Write(all)
-		x.written.Store(int64(n))
-		x.writeDone <- writeResult{bytes: n, err: err}
-	}
-	if len(x.req.Body) <= inlineBody {
-		send()
-		return
-	}
-	go send()
-}
-
-func encodeHead(r *Request) []byte {
-	var b bytes.Buffer
-	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	// Writing to a bytes.Buffer can't fail.
-	_ = r.Header.Write(&b)
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	return b.Bytes()
-}
-
 // maxStrays is the number of stray responses, which belong to other requests,
 // that are discarded before the response to this one. maxStrayBytes limits the
 // body of a stray response.
@@ -235,14 +195,14 @@
 			Use:    x.use(),
 			x:      x,
 		}
-		out.Body = &body{x: x, src: resp.Body}
+		out.Body = &body{x: x, src: resp.Body, untilClose: !out.Framed && resp.Body != http.NoBody}
 		return out, nil
 	}
 }
 
 // use describes the use of the connection so far.
 func (x *exchange) use() ConnUse {
-	return ConnUse{Local: x.conn.local, Earlier: x.conn.history.requests - 1, Written: int(x.written.Load()), Strays: x.strays}
+	return ConnUse{Local: x.conn.local, Earlier: x.conn.history.requests - 1, Written: x.write.written(), Strays: x.strays}
 }
 
 // discard reads a framed response to its end. It fails if the response isn't
@@ -261,9 +221,10 @@
 // body applies the read timeouts to a response body and records when its end
 // was read.
 type body struct {
-	x       *exchange
-	src     io.Reader
-	started bool
+	x          *exchange
+	src        io.Reader
+	started    bool
+	untilClose bool // the close of the connection marks the end
 }
 
 func (b *body) Read(p []byte) (int, error) {
@@ -271,6 +232,9 @@
 	n, err := b.src.Read(p)
 	b.x.watchdog.Disarm()
 	b.started = b.started || n > 0
+	if b.untilClose && errors.Is(err, io.EOF) {
+		err = b.x.checkClose()
+	}
 	switch {
 	case errors.Is(err, io.EOF):
 		b.x.bodyEnded.Store(true)
@@ -298,14 +262,8 @@
 	x.closeOnce.Do(func() {
 		alive := x.stop()
 		x.release()
-		fullyWritten := false
-		select {
-		case w := <-x.writeDone:
-			fullyWritten = w.err == nil
-		default:
-		}
 		clean := x.strays == 0 && x.conn.history.reusable() && x.bodyEnded.Load() && r.Framed && x.conn.reader.Buffered() == 0
-		if alive && fullyWritten && clean && !x.resp.Close && x.req.Reuse != ReuseNever {
+		if alive && x.write.complete() && clean && !x.resp.Close && x.req.Reuse != ReuseNever {
 			x.pool.putIdle(x.conn, keepAlive)
 			return
 		}
@@ -325,8 +283,9 @@
 	x.stop()
 	x.release()
 	x.closeConn()
-	w := <-x.writeDone
-	return &Error{Err: err, Written: w.bytes > 0, Unacknowledged: w.bytes > 0 && x.unacked >= w.bytes, Dialed: x.conn.lastUsed.IsZero(), Use: x.use()}
+	<-x.write.ended
+	sent := x.write.bytes
+	return &Error{Err: err, Written: sent > 0, Unacknowledged: sent > 0 && x.unacked >= sent, Dialed: x.conn.lastUsed.IsZero(), Use: x.use()}
 }
 
 // closeConn closes the connection. If bytes are unacknowledged, it resets the
--- a/request/dispatch/unframed_test.go
+++ b/request/dispatch/unframed_test.go
@@ -1,6 +1,10 @@
 package dispatch
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -55,3 +59,34 @@
 		})
 	}
 }
+
+// Guards against an answer that is taken for whole although its connection broke while
+// the call's body was being written.
+func TestUnframedAnswerWhoseConnectionBreaksDuringTheWrite(t *testing.T) {
+	withHarness(t, 1000, func(t *testing.T, h *harness) {
+		h.addTarget("llm", port.RolePrefill)
+		for service, role := range map[string]port.Role{"app": "", "llm": port.RoleDecode} {
+			id := h.addTarget(service, role).ID
+			h.net.Stop(id)
+			h.net.ServeConn(id, func(c net.Conn) {
+				defer c.Close()
+				req, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, standin.RawAnswer(req, standin.UntilClose, "text/event-stream", eventText(1, 2)))
+			})
+		}
+		large := make([]byte, 1<<20)
+		plain := h.newCall(route.Unsafe, 1, time.Second)
+		plain.Body = large
+		if a, _, err := h.runner.Plain(t.Context(), plain); err == nil {
+			t.Errorf("plain answer %v", a)
+		}
+		stream, out := h.newCall(route.Stream, 1, time.Second), &recorder{}
+		stream.Body = large
+		if _, err := h.runner.Streamed(t.Context(), stream, out); err == nil || out.text != eventText(1, 2) {
+			t.Errorf("stream %q, error %v", out.text, err)
+		}
+	})
+}
