--- a/request/ingress/ingress_test.go
+++ b/request/ingress/ingress_test.go
@@ -84,10 +84,15 @@
 
 // startWith starts a fixture with a configuration; nil means none.
 func startWith(t *testing.T, cfg *route.Config) *fixture {
+	return startChanged(t, cfg, func(*dispatch.Options) {})
+}
+
+// startChanged is like startWith. change modifies the options of the runner.
+func startChanged(t *testing.T, cfg *route.Config, change func(*dispatch.Options)) *fixture {
 	f := &fixture{
 		plain:        standin.NewTarget("i-plain", ""),
 		decode:       standin.NewTarget("i-decode", "decode"),
-		observations: make(chan Observation, 100),
+		observations: make(chan Observation, 10_000),
 	}
 	addr := func(h http.Handler) string {
 		srv := httptest.NewServer(h)
@@ -104,13 +109,15 @@
 	}
 	pool := h1.New(h1.Options{})
 	t.Cleanup(pool.Close)
+	o := dispatch.Options{
+		Protocol: platform.TargetProtocol{}, Pool: pool, Targets: f, Control: noControl{},
+		Engines: engines.New(time.Now, func(engines.Work) {}), Health: health.New(time.Now, nil), Speed: speed.NewTracker(), Queues: noQueues{}, Demand: demand.New(time.Now),
+		Budget: budget.NewFleet(budget.FleetOptions{Slack: 10, Window: 10 * time.Second, Daemons: func() int { return 1 }, Clock: clock.NewRuntime().Now}),
+	}
+	change(&o)
 	f.Ingress = New(Options{
 		Config: holder, Protocol: platform.TargetProtocol{}, Observe: func(o Observation) { f.observations <- o },
-		Runner: dispatch.New(dispatch.Options{
-			Protocol: platform.TargetProtocol{}, Pool: pool, Targets: f, Control: noControl{},
-			Engines: engines.New(time.Now, func(engines.Work) {}), Health: health.New(time.Now, nil), Speed: speed.NewTracker(), Queues: noQueues{}, Demand: demand.New(time.Now),
-			Budget: budget.NewFleet(budget.FleetOptions{Slack: 10, Window: 10 * time.Second, Daemons: func() int { return 1 }, Clock: clock.NewRuntime().Now}),
-		}),
+		Runner: dispatch.New(o),
 	})
 	f.srv = httptest.NewServer(f.Ingress)
 	t.Cleanup(f.srv.Close)
