logging: the exit doesn't wait for a reader of standard output that has stopped

Operators saw a daemon that never ends after SIGTERM: it was killed at the end of its grace time. Cause: the last step of the stop, Async.Close, waits until all queued lines are written, without a bound. Change: Close waits 200 ms at most; requests never waited for the writer. Requests aren't lost by this, since it comes after the drain.

--- a/process/logging/async.go
+++ b/process/logging/async.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"sync"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
@@ -98,7 +99,12 @@
 	return len(p), nil
 }
 
-// Close writes the queued lines and stops the writer. Later entries are ignored.
+// closeTimeout bounds the wait of Close for a writer that blocks. It is part of the
+// time that a stopping process has left after its last request.
+const closeTimeout = 200 * time.Millisecond
+
+// Close writes the queued lines and stops the writer. Later entries are ignored. Lines
+// that can't be written within closeTimeout are lost.
 func (a *Async) Close() {
 	a.mu.Lock()
 	if !a.closed {
@@ -106,5 +112,12 @@
 		close(a.lines)
 	}
 	a.mu.Unlock()
-	<-a.done
+	timeout := time.NewTimer(closeTimeout)
+	defer timeout.Stop()
+	select {
+	case <-a.done:
+	case <-timeout.C:
+		// The line that would report this can't be written either.
+		metrics.Add("unwritten", int64(len(a.lines)))
+	}
 }
--- a/process/logging/async_test.go
+++ b/process/logging/async_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/apex/log"
 )
@@ -41,6 +44,23 @@
 	logger.Info("after the end")
 }
 
+// Guards against a process that outlives its grace time, since nobody reads its
+// standard output any more.
+func TestBlockedWriterDoesNotBlockTheExit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, w := io.Pipe()
+		a := NewAsync(w, 10)
+		logger := &log.Logger{Handler: a, Level: log.InfoLevel}
+		logger.Info("line")
+		begun := time.Now()
+		a.Close()
+		if took := time.Since(begun); took > closeTimeout {
+			t.Errorf("took %v", took)
+		}
+		_ = r.Close()
+	})
+}
+
 func TestDroppedLinesAreReported(t *testing.T) {
 	w := &blockedWriter{}
 	w.mu.Lock()
