pomelospoold: the end of its output's reader doesn't end the daemon

A daemon whose standard output is a pipe ended with SIGPIPE, with all requests that it held, as soon as the reader of its log ended and the next line was written. Cause: the Go runtime ends a program that gets SIGPIPE by a write to descriptor 1 or 2 and neither handles nor ignores the signal. The test failed before. Change: SIGPIPE is ignored; writes to connections return EPIPE as before.

--- a/cmd/pomelospoold/signals.go
+++ b/cmd/pomelospoold/signals.go
@@ -13,11 +13,13 @@
 	stop, reload chan os.Signal
 }
 
-// watchSignals starts to receive signals.
+// watchSignals starts to receive signals. SIGPIPE is ignored from then on.
 func watchSignals() *signals {
 	s := &signals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
 	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.reload, syscall.SIGHUP)
+	// Otherwise a log line ends the process once nobody reads its output any more.
+	signal.Ignore(syscall.SIGPIPE)
 	return s
 }
 
--- a/cmd/pomelospoold/signals_test.go
+++ b/cmd/pomelospoold/signals_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"os/signal"
 	"runtime"
 	"syscall"
 	"testing"
@@ -26,3 +27,13 @@
 		t.Errorf("got %v", got)
 	}
 }
+
+// Guards against a daemon that ends with all its requests when the reader of its
+// standard output ends.
+func TestClosedOutputDoesNotEndTheProcess(t *testing.T) {
+	s := watchSignals()
+	defer s.close()
+	if !signal.Ignored(syscall.SIGPIPE) {
+		t.Error("SIGPIPE isn't ignored")
+	}
+}
