relay: an answer that waited for a process that stood still is as old as its call

What operators of a similar system saw: a daemon that stood still while targets of a new software version joined served streams by its old list (ORDER); the same list makes it send requests to targets that have left.

Cause: a read of the store counted as current as of its arrival. The answer of a process that was stopped for seconds has waited in its socket, and both it and the read's timeout are ready when the process goes on; if the answer wins, data that is seconds old has the age 0, and everything that goes by the age trusts it.

An answer after the read's timeout now counts as of the call's start. Ruled out: relayed answers and listings, which count from the start of their call already.

--- a/process/relay/store.go
+++ b/process/relay/store.go
@@ -276,7 +276,7 @@
 // This way a store that is slow, but not silent, is still read.
 func (s *Store) readStore(ctx context.Context, t port.Topic, from int64, wait time.Duration) (port.KeyedBatch, error) {
 	begun, outer := s.now(), ctx
-	ctx, wait, cancel := s.withReadTimeout(ctx, t, wait)
+	ctx, wait, timeout, cancel := s.withReadTimeout(ctx, t, wait)
 	defer cancel()
 	metrics.Add("store_reads", 1)
 	batch, err := s.Store.Read(ctx, t, from, wait)
@@ -285,25 +285,35 @@
 	s.slowTopics[t] = now-begun >= wait+readGrace
 	s.mu.Unlock()
 	if err == nil {
-		s.advanceAsOf(t, now, 0)
+		s.advanceAsOf(t, answerTime(begun, now, timeout), 0)
 	} else if s.OnReadError != nil {
 		s.OnReadError(outer, err)
 	}
 	return batch, err
 }
 
+// answerTime returns the time at which the store answered a read: that of the answer's
+// arrival. An answer that arrives after the read's timeout has waited in the socket
+// while this process stood still, and may be as old as the call.
+func answerTime(begun, now, timeout time.Duration) time.Duration {
+	if now-begun > timeout {
+		return begun
+	}
+	return now
+}
+
 // withReadTimeout applies the timeout to a read of a topic and returns the wait that
-// is left for it. A read of a slow topic may take longer, so it doesn't wait: if the
+// is left for it, and the timeout. A read of a slow topic may take longer, so it doesn't wait: if the
 // store is silent, a read must not hang for a wait beyond its return.
-func (s *Store) withReadTimeout(ctx context.Context, t port.Topic, wait time.Duration) (context.Context, time.Duration, context.CancelFunc) {
+func (s *Store) withReadTimeout(ctx context.Context, t port.Topic, wait time.Duration) (_ context.Context, _, timeout time.Duration, _ context.CancelFunc) {
 	d := wait + readGrace
 	s.mu.Lock()
 	if s.slowTopics[t] {
-		wait, d = 0, max(askAge(s.bound(t)), readGrace)
+		wait, d = 0, slowReadTimeout(s.bound(t))
 	}
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, d)
-	return ctx, wait, cancel
+	return ctx, wait, d, cancel
 }
 
 // advanceAsOf records the time up to which the data of a topic is complete, and how
--- a/process/relay/timing.go
+++ b/process/relay/timing.go
@@ -52,6 +52,17 @@
 	return max(min(MaxReadInterval, rest), minReadWait)
 }
 
+// slowReadTimeout returns the time within which a slow store must answer a read that
+// doesn't wait.
+func slowReadTimeout(bound time.Duration) time.Duration { return max(askAge(bound), readGrace) }
+
+// ReadDelay returns the longest time from the start of a read to its answer. Data may
+// be older by that time than its age says: the store may miss a record that is written
+// as a read begins, and links may delay an answer.
+func ReadDelay(bound time.Duration) time.Duration {
+	return max(ReadWait(bound, 1)+readGrace, slowReadTimeout(bound))
+}
+
 // askAge returns the age of the data at which a daemon asks others than its reader.
 // A sound reader's data is younger, also if the store is slow.
 func askAge(bound time.Duration) time.Duration { return bound / 2 }
