origin: a daemon that reaches no other one confirms its list before it trusts it

Cause, two ways: (1) a version counts as known to all daemons once it was registered for as long as a list counts as current. A list may be older than its age says: a read may miss a record that is written as it begins, and an answer may be under way until the read's timeout. (2) streams begin at a version that isn't settled if no other one has usable targets; a daemon with a current list that lacks this version, and that no other daemon answers within 20 ms, took the stream for one of its only version.

Change: (1) a version settles after the read's longest duration on top. A daemon that is cut off from the others alone still serves, as before.

Evidence: TestNewVersionIsUnknownToADaemonThatIsCutOff failed before with "a stream of v2: v1", TestNewVersionsSettle with "a version settles though ...". Not shown on real processes. The product's own protocol isn't touched.

--- a/connection/origin/history.go
+++ b/connection/origin/history.go
@@ -20,6 +20,7 @@
 	now    func() time.Duration // must also advance while the VM is suspended
 	age    func() (time.Duration, bool)
 	maxAge time.Duration
+	settle time.Duration
 
 	mu       sync.Mutex
 	complete bool          // no change was missed, since nothing existed before this daemon
@@ -48,9 +49,12 @@
 	// Age returns the age of the list of targets, or false before the first list. If
 	// it is nil, the list is always current.
 	Age func() (time.Duration, bool)
-	// MaxAge is the age up to which a list is current. A version that was registered
-	// for longer is in every current list.
+	// MaxAge is the age up to which a list is current.
 	MaxAge time.Duration
+	// ReadDelay is the time by which a list may be older than its age says. A version
+	// that was registered for longer than MaxAge and ReadDelay is in every current
+	// list.
+	ReadDelay time.Duration
 	// Complete reports that no target existed before this daemon started.
 	Complete bool
 }
@@ -64,7 +68,7 @@
 	if o.Age == nil {
 		o.Age = func() (time.Duration, bool) { return 0, true }
 	}
-	return &History{now: o.Now, age: o.Age, maxAge: o.MaxAge, complete: o.Complete, services: make(map[string]*versions)}
+	return &History{now: o.Now, age: o.Age, maxAge: o.MaxAge, settle: o.MaxAge + o.ReadDelay, complete: o.Complete, services: make(map[string]*versions)}
 }
 
 // Observe records the software versions of the registered targets of some services,
@@ -252,7 +256,7 @@
 	}
 	first, present := v.present[software]
 	// Versions of the first list may be of any age.
-	return !present || first == h.since || h.now()-first > h.maxAge
+	return !present || first == h.since || h.now()-first > h.settle
 }
 
 // Services returns the names of the known services.
--- a/connection/origin/history_test.go
+++ b/connection/origin/history_test.go
@@ -12,7 +12,7 @@
 	return NewHistory(HistoryOptions{
 		Now:    func() time.Duration { return c.now },
 		Age:    func() (time.Duration, bool) { return c.age, true },
-		MaxAge: 2 * time.Second, Complete: complete,
+		MaxAge: 2 * time.Second, ReadDelay: time.Second, Complete: complete,
 	})
 }
 
@@ -108,6 +108,10 @@
 		t.Error("a version settles at once")
 	}
 	c.pass(h, 3*time.Second)
+	if h.Settled("s", "v3") {
+		t.Error("a version settles though another daemon's current list, whose answer was under way for a second, may lack it")
+	}
+	c.pass(h, time.Second)
 	if !h.Settled("s", "v3") {
 		t.Error("a version never settles")
 	}
--- a/connection/origin/origin.go
+++ b/connection/origin/origin.go
@@ -34,8 +34,8 @@
 	// askTimeout bounds the wait for the answers of other daemons. It covers a
 	// repetition after a lost datagram.
 	askTimeout = 120 * time.Millisecond
-	// vetoTimeout bounds the wait for an objection if this daemon knows the origin by
-	// the service's only version.
+	// vetoTimeout bounds the wait for objections if this daemon knows the origin by the
+	// service's only version and another daemon has answered.
 	vetoTimeout = 20 * time.Millisecond
 )
 
@@ -135,6 +135,9 @@
 	// Lifetime returns how long streams of a service last, see the function Lifetime,
 	// or 0 if they aren't taken up. If it is nil, that is the minimum.
 	Lifetime func(service string) time.Duration
+	// Confirm reports whether the list of targets is complete as of now. It is called
+	// if no other daemon answers. If it is nil, the list is always complete.
+	Confirm func(ctx context.Context) bool
 	// Now is the clock of the records. By default it is that of package time.
 	Now func() time.Duration
 }
@@ -203,8 +206,12 @@
 	}
 	span := max(t.o.Lifetime(s.Service), minLifetime)
 	own, sole := t.o.History.Sole(s.Service, span)
-	found := t.ask(ctx, Query{Key: key, Service: s.Service, SpanMs: uint32(span.Milliseconds())}, sole)
+	found, answered := t.ask(ctx, Query{Key: key, Service: s.Service, SpanMs: uint32(span.Milliseconds())}, sole)
 	switch {
+	case !answered && sole && t.o.Confirm != nil && !t.o.Confirm(ctx):
+		// A daemon that reaches no other one may lack a version that is so new that
+		// only the others know it.
+		return "", Unknown
 	case found.Known && named:
 		return found.Software, FromPeer
 	case found.Mixed || t.o.History.Mixed(s.Service, span):
@@ -219,17 +226,30 @@
 }
 
 // ask combines the replies of other daemons. One that has the record ends the query.
-func (t *Tracker) ask(ctx context.Context, q Query, sole bool) (found Reply) {
+// answered is false if there are other daemons and none replied.
+func (t *Tracker) ask(ctx context.Context, q Query, sole bool) (found Reply, answered bool) {
 	if t.o.Peers == nil {
-		return Reply{}
-	}
-	limit := askTimeout
-	if sole {
-		limit = vetoTimeout
+		return Reply{}, true
 	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
+	if !sole {
+		return t.askOnce(ctx, q, func(Reply) bool { return false })
+	}
+	veto, cancelVeto := context.WithTimeout(ctx, vetoTimeout)
+	found, answered = t.askOnce(veto, q, func(Reply) bool { return false })
+	cancelVeto()
+	if answered {
+		return found, true
+	}
+	return t.askOnce(ctx, q, func(Reply) bool { return true })
+}
+
+// askOnce queries other daemons until enough returns true for a reply, all have
+// replied or ctx is done.
+func (t *Tracker) askOnce(ctx context.Context, q Query, enough func(Reply) bool) (found Reply, answered bool) {
 	t.o.Peers.AskOrigins(ctx, q, func(r Reply) bool {
+		answered = true
 		switch {
 		case r.Known:
 			found = r
@@ -239,9 +259,10 @@
 		case r.Sole && !found.Mixed:
 			found = r
 		}
-		return false
+		return enough(r)
 	})
-	return found
+	// A query that ends before its context had nobody to ask.
+	return found, answered || ctx.Err() == nil
 }
 
 // Store stores the records of another daemon.
--- a/connection/origin/origin_test.go
+++ b/connection/origin/origin_test.go
@@ -21,6 +21,7 @@
 	cutOff  bool // from all other daemons
 	shared  int  // records sent
 	age     time.Duration
+	behind  bool // the store has a change that this daemon lacks
 }
 
 func newFleet(n int, complete bool) *fleet {
@@ -39,7 +40,7 @@
 		Age:    func() (time.Duration, bool) { return d.age, true },
 		MaxAge: 2 * time.Second, Complete: complete,
 	})
-	d.Tracker = New(Options{History: d.history, Peers: d})
+	d.Tracker = New(Options{History: d.history, Peers: d, Confirm: func(context.Context) bool { return !d.behind }})
 	return d
 }
 
@@ -200,6 +201,56 @@
 	})
 }
 
+// Guards against a stream that goes on at another version, at a daemon that other
+// daemons don't reach while a version is so new that its list, though current, lacks it.
+func TestNewVersionIsUnknownToADaemonThatIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3, true)
+		f.observe("v1")
+		f.run(time.Minute)
+		cutOff := f.daemons[2]
+		cutOff.cutOff, cutOff.behind, cutOff.age = true, true, time.Second
+		for _, d := range f.daemons[:2] {
+			d.Observe(map[string][]string{"s": {"v1", "v2"}})
+		}
+		f.daemons[0].Begin(stream, "v2")
+		if got := cutOff.find("r1"); got != "unknown" {
+			t.Errorf("a stream of v2: %s", got)
+		}
+		cutOff.behind = false
+		if got := cutOff.find("another"); got != "v1" {
+			t.Errorf("a stream of v1, while there is no other version: %s", got)
+		}
+	})
+}
+
+// Guards against rejected streams at a daemon that other daemons answer late.
+func TestLateRepliesOfOtherDaemonsCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2, true)
+		f.observe("v1")
+		late := latePeers{Peers: f.daemons[0], delay: 2 * vetoTimeout}
+		tracker := New(Options{History: f.daemons[0].history, Peers: late, Confirm: func(context.Context) bool { return false }})
+		if software, from := tracker.Find(t.Context(), stream); software != "v1" || from != FromOnlyVersion {
+			t.Errorf("%q, %s", software, from)
+		}
+	})
+}
+
+// latePeers passes replies on after a delay.
+type latePeers struct {
+	Peers
+	delay time.Duration
+}
+
+func (p latePeers) AskOrigins(ctx context.Context, q Query, handle func(Reply) bool) {
+	select {
+	case <-time.After(p.delay):
+		p.Peers.AskOrigins(ctx, q, handle)
+	case <-ctx.Done():
+	}
+}
+
 // Guards against records that are lost in restarts of all daemons in series while a
 // stream goes on.
 func TestRecordsOutliveRestartsInSeries(t *testing.T) {
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -97,15 +97,18 @@
 	incarnation uint64 // of this process
 	crashes     *quarantine.CrashTracker
 	origins     *origin.Tracker // of streams
-	versions    *versions.Keeper
-	runner      *dispatch.Runner
-	usage       *usage.Reporter // nil: usage isn't reported
-	scaler      *scale.Scaler   // nil: engines aren't ordered
-	claimAges   *claim.AgeTracker
-	ingress     *ingress.Ingress
-	metrics     *metrics
-	rate        *rateMeter // of callers' requests
-	ready       atomic.Bool
+
+	targetsConfirmed *relay.Confirmation
+
+	versions  *versions.Keeper
+	runner    *dispatch.Runner
+	usage     *usage.Reporter // nil: usage isn't reported
+	scaler    *scale.Scaler   // nil: engines aren't ordered
+	claimAges *claim.AgeTracker
+	ingress   *ingress.Ingress
+	metrics   *metrics
+	rate      *rateMeter // of callers' requests
+	ready     atomic.Bool
 
 	servers  []*server
 	callers  *server
--- a/process/front/origins.go
+++ b/process/front/origins.go
@@ -8,6 +8,7 @@
 	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/clock"
+	"github.com/pomelospool/pomelospool/process/relay"
 	"github.com/pomelospool/pomelospool/process/versions"
 )
 
@@ -21,11 +22,18 @@
 		Age:      func() (time.Duration, bool) { return d.caches[port.TopicTargets].Age() },
 		MaxAge:   d.s.Bounds.Drain,
 		Complete: d.s.Bootstrap,
+
+		ReadDelay: relay.ReadDelay(d.s.Bounds.Drain),
 	})
 	d.versions = versions.New(versions.Options{Store: d.monitored, History: history, Lifetime: d.streamLifetime, MayLead: func() bool { return d.roster.MayLead() }})
-	d.origins = origin.New(origin.Options{History: history, Peers: originPeers{d}, Lifetime: d.streamLifetime, Now: clock.Boot{}.Now})
+	d.origins = origin.New(origin.Options{History: history, Peers: originPeers{d}, Lifetime: d.streamLifetime, Now: clock.Boot{}.Now,
+		Confirm: d.confirmTargets})
 }
 
+// confirmTargets reports whether the store has no change of the targets that this
+// daemon lacks.
+func (d *Daemon) confirmTargets(ctx context.Context) bool { return d.targetsConfirmed.Check(ctx) }
+
 // streamLifetime returns how long streams of a service are assumed to last, or 0 if
 // they aren't taken up.
 func (d *Daemon) streamLifetime(service string) time.Duration {
--- a/process/front/store.go
+++ b/process/front/store.go
@@ -27,6 +27,7 @@
 		port.TopicConfig:  relay.NewTopicCache(d.config, nil),
 		port.TopicTargets: relay.NewTopicCache(&storeLossSink{Sink: d.registry, lost: &d.storeLost}, d.registry.Same),
 	}
+	d.targetsConfirmed = relay.NewConfirmation(d.store.Store, port.TopicTargets, d.caches[port.TopicTargets])
 	d.followers = []*topic.Follower{
 		d.follow(port.TopicConfig, "config", func() time.Duration { return configInterval }, bounds[port.TopicConfig]),
 		d.follow(port.TopicTargets, "targets", d.targetsInterval, bounds[port.TopicTargets]),
--- a/process/relay/topic_cache.go
+++ b/process/relay/topic_cache.go
@@ -272,6 +272,13 @@
 	return max(t.asOf-t.available, 0)
 }
 
+// nextOffset returns the offset after the newest record, or false before the first listing.
+func (t *TopicCache) nextOffset() (int64, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.end, t.end >= 0
+}
+
 // Age returns the age of the cached data. The result is false before the first
 // read.
 func (t *TopicCache) Age() (time.Duration, bool) {
