ingress: predict durations from answers that were followed long enough

What callers saw: a daemon that had started some seconds ago accepted streams 3 s and more after its SIGTERM, and cut them in the middle at the end of its grace time (an incomplete 200).

Cause: the prediction rested on complete answers only. A process that has run for 4 s has completed no answer of 6 s: its sample is censored. The first short answer replaced the route's timeout as the estimate.

Change: answers are counted in cohorts by the time at which they began. Whether answers outlast the time that is left is read only from the cohorts that began at least that time ago, complete, open or cut. With fewer than 100 such answers, or if younger ones already take longer, the prediction is the timeout. Daemons exchange the counts as a summary, so that a young daemon accepts what others know to be short. The maximum of output tokens divides answers into classes by its bit length instead of scaling a time per token.

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -85,6 +85,7 @@
 	health      *health.Tracker
 	speed       *speed.Tracker
 	factors     *speed.Factors // of engines; nil: the setting is off
+	durations   *ingress.Durations
 	demand      *demand.Tracker
 	shares      *shares.Tracker // nil: organisations aren't limited to fair shares
 	budget      *budget.Fleet
@@ -152,6 +153,7 @@
 	})
 	d.health = health.New(time.Now, d.engines.MarkDown)
 	d.newFactors()
+	d.durations = ingress.NewDurations(s.Bounds.Grace)
 	d.crashes = quarantine.New(quarantine.Options{
 		Self: s.VM, ToleratedCrashes: toleratedCrashes, Tries: d.triesContent, Changed: d.notifyPeers,
 	})
@@ -282,7 +284,7 @@
 	d.metrics = newMetrics(d)
 	d.ingress = ingress.New(ingress.Options{Config: d.config, Protocol: platform.TargetProtocol{}, Runner: d.runner, Observe: d.observe,
 		TargetsAge: func() (time.Duration, bool) { return d.caches[port.TopicTargets].Age() },
-		ConfigAge:  func() (time.Duration, bool) { return d.caches[port.TopicConfig].Age() }, MaxConfigAge: d.s.Bounds.ApplyConfig, OnStart: d.countUsage})
+		ConfigAge:  func() (time.Duration, bool) { return d.caches[port.TopicConfig].Age() }, MaxConfigAge: d.s.Bounds.ApplyConfig, OnStart: d.countUsage, Durations: d.durations})
 	d.planner = roles.New(roles.Options{
 		Self:    d.s.VM,
 		Store:   d.monitored,
--- a/process/front/summaries.go
+++ b/process/front/summaries.go
@@ -2,7 +2,7 @@
 
 import "github.com/pomelospool/pomelospool/process/roster"
 
-// summaries returns the tables that the settings make daemons exchange, by topic.
+// summaries returns the tables that daemons exchange, by topic.
 func (d *Daemon) summaries() map[uint8]roster.Summary {
 	tables := make(map[uint8]roster.Summary)
 	if d.shares != nil {
@@ -11,5 +11,8 @@
 	if d.factors != nil {
 		tables[roster.TopicSpeeds] = d.factors.Table()
 	}
+	if d.durations != nil {
+		tables[roster.TopicDurations] = d.durations.Table()
+	}
 	return tables
 }
--- a/process/roster/summary.go
+++ b/process/roster/summary.go
@@ -22,8 +22,9 @@
 
 // Topics of summaries.
 const (
-	TopicShares = 1 // use of engines by organisation
-	TopicSpeeds = 2 // speed by engine
+	TopicShares    = 1 // use of engines by organisation
+	TopicSpeeds    = 2 // speed by engine
+	TopicDurations = 3 // durations of answers by route
 )
 
 // summaryScope states what a summary message is the sum of.
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -25,7 +25,7 @@
 )
 
 // Options configures an Ingress. All fields are required except TargetsAge,
-// ConfigAge and OnStart.
+// ConfigAge, OnStart and Durations.
 type Options struct {
 	Config   *inforce.Holder
 	Protocol port.TargetProtocol
@@ -41,6 +41,9 @@
 	// OnStart counts a request of an organisation that a target started to run
 	// the given time ago. It may be nil.
 	OnStart func(organisation string, ago time.Duration)
+	// Durations predicts which answers outlast a planned stop. If it is nil, the
+	// Ingress has its own.
+	Durations *Durations
 	// MaxConfigAge is the age above which the configuration may be outdated.
 	MaxConfigAge time.Duration
 }
@@ -71,14 +74,18 @@
 
 // Ingress is the HTTP handler for callers. It is safe for concurrent use.
 type Ingress struct {
-	o         Options
-	open      atomic.Int64
-	stopAt    atomic.Pointer[time.Time] // when the process stops; nil: no stop is planned
-	durations durationPredictor
+	o      Options
+	open   atomic.Int64
+	stopAt atomic.Pointer[time.Time] // when the process stops; nil: no stop is planned
 }
 
 // New returns an Ingress.
-func New(o Options) *Ingress { return &Ingress{o: o} }
+func New(o Options) *Ingress {
+	if o.Durations == nil {
+		o.Durations = NewDurations(0)
+	}
+	return &Ingress{o: o}
+}
 
 // Open returns the number of open requests.
 func (i *Ingress) Open() int { return int(i.open.Load()) }
@@ -92,7 +99,11 @@
 // expected to be complete.
 func (i *Ingress) stopsBefore(c *dispatch.Call) bool {
 	end := i.stopAt.Load()
-	return end != nil && c.Arrived.Add(i.durations.predict(c)).After(*end)
+	if end == nil {
+		return false
+	}
+	left := end.Sub(c.Arrived)
+	return i.o.Durations.predict(c, left) > left
 }
 
 // stoppingRetryAfter is the Retry-After time of requests that are refused
@@ -298,7 +309,20 @@
 	return req.URL.RequestURI()
 }
 
+// run runs the call and writes its answer, whose duration is recorded by the daemon
+// that the caller called.
 func (x *exchange) run(c *dispatch.Call) error {
+	if x.envelope != nil {
+		return x.answer(c)
+	}
+	end, complete := x.o.Durations.begin(c), false
+	defer func() { end(complete) }()
+	err := x.answer(c)
+	complete = err == nil
+	return err
+}
+
+func (x *exchange) answer(c *dispatch.Call) error {
 	ctx := x.req.Context()
 	if c.Route.Kind == route.Stream {
 		var err error
@@ -313,8 +337,7 @@
 	return x.writeAnswer(a)
 }
 
-// observe logs the request, updates the duration estimates and reports the
-// Observation.
+// observe logs the request and reports the Observation.
 func (x *exchange) observe(c *dispatch.Call, err error) {
 	duration := time.Since(x.arrived)
 	o := Observation{Code: code.Of(err), Status: x.status, Duration: duration, TimeToFirst: x.trace.TimeToFirst}
@@ -391,13 +414,7 @@
 		}
 	}
 	entry.Info("ingress: request ended")
-	if x.envelope != nil {
-		return // the daemon that the caller called observes it
-	}
-	if err == nil && c != nil {
-		x.durations.observe(c.Route.Name, c.Meta.MaxOutputTokens, x.trace.TimeToFirst, duration)
-	}
-	if x.o.Observe != nil {
+	if x.envelope == nil && x.o.Observe != nil { // the daemon that the caller called observes it
 		x.o.Observe(o)
 	}
 }
