drain: answer requests that were read before their headers were parsed

Cause: net/http takes a kept connection for idle until it has parsed the next header, and SetKeepAlivesEnabled(false), Shutdown and IdleTimeout close by that state. The ports ready, addresses, operators and peers were closed at once at the end of a stop, with whatever they had read, forwarded requests and answers of the operators' port included.

Now package drain wraps the listener of every HTTP server of both protocols. A connection is busy from the Read that returns a request's first bytes. Only that Read decides on a close: the closer lets its deadline expire, and Read ends the connection only if it got no bytes and none are pending (MSG_PEEK); so neither late parsing nor a process that stood still loses a request. A stop keeps idle connections open while requests are open and answers what arrives on them with Connection: close; it closes them together when the last one is answered. Reads of other daemons that wait for news are answered at once when their port drains.

--- /dev/null
+++ b/internal/drain/conn.go
@@ -0,0 +1,264 @@
+package drain
+
+import (
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// phase is the state of a connection.
+type phase int8
+
+const (
+	fresh   phase = iota // accepted; nothing was read
+	reading              // a part of a request was read
+	active               // a request is open
+	idle                 // all requests were answered
+)
+
+// drainState is what a stop may do with a connection.
+type drainState int8
+
+const (
+	busy drainState = iota
+	closable
+	left // to the server
+)
+
+// readGrace is the time to read bytes that had arrived before the deadline of a read.
+// A process that stood still finds its deadlines expired when it continues.
+const readGrace = time.Second
+
+// conn is a connection that counts as busy from the Read that returns the first
+// bytes of a request. Only that Read decides whether the connection is closed as
+// idle: a closer interrupts it by an expired deadline, and Read then ends the
+// connection only if it has got no bytes and none are pending.
+type conn struct {
+	net.Conn
+	t      *Tracker
+	remove sync.Once
+	mute   atomic.Bool // closed with a part of a request, which the server would call malformed
+
+	mu          sync.Mutex
+	phase       phase
+	since       time.Time // of the phase
+	waiting     bool      // a Read is called
+	closing     bool      // a Read was interrupted
+	closed      bool      // by Read
+	early       bool      // bytes of the next request were read during the open one
+	multiplexed bool      // HTTP/2
+	deadline    time.Time // of reads, as the server has set it
+	extended    bool      // the deadline was extended by readGrace, or was set to expire at once
+}
+
+// NetConn returns the wrapped connection.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		c.mu.Lock()
+		if c.closed {
+			c.mu.Unlock()
+			return 0, os.ErrDeadlineExceeded
+		}
+		c.waiting = true
+		c.mu.Unlock()
+		n, err := c.Conn.Read(p)
+		if again, err := c.endRead(len(p), n, err); !again {
+			return n, err
+		}
+	}
+}
+
+// endRead handles the result of a read into a buffer of the given size. again means
+// that the read must be repeated.
+func (c *conn) endRead(size, n int, err error) (again bool, _ error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = false
+	switch {
+	case n > 0:
+		c.recordBytes(size)
+		c.resume()
+		return false, err
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		return false, err
+	case c.closing && pending(c.Conn):
+		c.resume()
+		return true, nil
+	case c.closing:
+		c.closed = true
+		c.mute.Store(c.phase == reading)
+		return false, err // the server closes the connection without an answer
+	case !c.extended && pending(c.Conn):
+		c.extended = true
+		return true, c.Conn.SetReadDeadline(time.Now().Add(readGrace))
+	}
+	return false, err
+}
+
+// recordBytes updates the phase after bytes were read. Callers hold c.mu.
+func (c *conn) recordBytes(size int) {
+	switch {
+	case c.multiplexed:
+	case c.phase == fresh || c.phase == idle:
+		c.phase, c.since = reading, time.Now()
+	case c.phase == active && size == 1:
+		// While a handler runs, net/http reads one byte ahead.
+		c.early = true
+	}
+}
+
+// resume lets the connection live that a closer has interrupted. Callers hold c.mu.
+func (c *conn) resume() {
+	if c.closing {
+		c.closing = false
+		_ = c.Conn.SetReadDeadline(c.deadline)
+	}
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.mute.Load() {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(d time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = d
+	c.extended = !d.IsZero() && !d.After(time.Now())
+	if c.closing {
+		return nil // until resume
+	}
+	return c.Conn.SetReadDeadline(d)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(d time.Time) error {
+	return errors.Join(c.SetReadDeadline(d), c.SetWriteDeadline(d))
+}
+
+// CloseWrite closes the direction to the caller.
+func (c *conn) CloseWrite() error {
+	if half, ok := innermost(c.Conn).(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.remove.Do(func() { c.t.remove(c) })
+	return c.Conn.Close()
+}
+
+// closeIfWaiting closes the connection, unless a request is open or has arrived. The
+// Read in progress closes it, soon after this returns.
+func (c *conn) closeIfWaiting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.interrupt()
+}
+
+// interrupt is closeIfWaiting for callers that hold c.mu. A connection with HTTP/2 is
+// closed by the server only, which tells the caller what it has read.
+func (c *conn) interrupt() {
+	if c.phase == active || !c.waiting || c.closing || c.closed || c.multiplexed {
+		return
+	}
+	c.closing = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// closeAfter closes the connection if it has been idle for the limit, or has been
+// waiting for the rest of a request's header for headerLimit.
+func (c *conn) closeAfter(limit, headerLimit time.Duration, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == idle && now.Sub(c.since) >= limit || c.phase == reading && now.Sub(c.since) >= headerLimit {
+		c.interrupt()
+	}
+}
+
+// idleSince returns since when the connection has been idle, if it can be closed.
+func (c *conn) idleSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.since, c.phase == idle && c.waiting && !c.closing
+}
+
+// drainState returns the state in a stop that began at the given time.
+func (c *conn) drainState(begun, now time.Time) drainState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.multiplexed:
+		return left
+	case c.closed || c.closing:
+		return closable
+	case c.phase == active || !c.waiting:
+		return busy
+	case c.phase == idle || now.Sub(begun) >= maxNewWait && now.Sub(c.since) >= maxNewWait:
+		return closable
+	}
+	return busy
+}
+
+// recordState is the ConnState of a server.
+func recordState(nc net.Conn, state http.ConnState) {
+	multiplexed := false
+	for {
+		if c, ok := nc.(*conn); ok {
+			c.setState(state, multiplexed)
+			return
+		}
+		if secure, ok := nc.(*tls.Conn); ok && state == http.StateActive {
+			multiplexed = secure.ConnectionState().NegotiatedProtocol == "h2"
+		}
+		wrapper, ok := nc.(interface{ NetConn() net.Conn })
+		if !ok {
+			return
+		}
+		nc = wrapper.NetConn()
+	}
+}
+
+func (c *conn) setState(state http.ConnState, multiplexed bool) {
+	if state == http.StateClosed || state == http.StateHijacked {
+		c.remove.Do(func() { c.t.remove(c) })
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.multiplexed = c.multiplexed || multiplexed
+	switch {
+	case state == http.StateActive:
+		c.phase = active
+	case state == http.StateIdle && c.early:
+		c.phase, c.since = reading, time.Now()
+	case state == http.StateIdle:
+		c.phase, c.since = idle, time.Now()
+	}
+	c.early = false
+}
+
+// innermost returns the connection below all wrappers.
+func innermost(c net.Conn) net.Conn {
+	for {
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return c
+		}
+		c = wrapper.NetConn()
+	}
+}
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -1,73 +1,181 @@
-// Package drain stops an HTTP server without dropping requests that it has read.
-// Package net/http closes a connection without an answer if it reads a request's
-// header after the call of Shutdown.
+// Package drain stops an HTTP server, and closes its idle connections, without
+// dropping requests that it has read. Package net/http takes a connection for idle
+// until it has parsed the next request's header: Shutdown, SetKeepAlivesEnabled(false)
+// and IdleTimeout may close one whose request has been read.
 package drain
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pomelospool/pomelospool/internal/pause"
 )
 
 const (
-	// maxNewWait bounds the wait for the first requests of new connections. Callers
-	// send them as soon as they are connected.
+	// maxNewWait bounds the wait for the rest of a request, and for the first requests
+	// of new connections. Callers send them as soon as they are connected.
 	maxNewWait = time.Second
 	// pollInterval is the interval between two checks for open requests.
 	pollInterval = 5 * time.Millisecond
+	// defaultHeaderTimeout bounds the time to read a header if the server sets no bound.
+	defaultHeaderTimeout = 10 * time.Second
 )
 
-// Tracker tracks the states of a server's connections. It is safe for concurrent use.
+// Options configures a Tracker.
+type Options struct {
+	// IdleTimeout returns how long connections may stay idle. It may change. If it is
+	// nil or returns 0 or less, the limit is defaultIdleTimeout.
+	IdleTimeout func() time.Duration
+	// MaxConns is the number of connections above which the longest idle ones are
+	// closed, so that new ones can be accepted. 0 means no limit. Connections with an
+	// open request are never closed.
+	MaxConns int
+}
+
+// Tracker tracks the connections of a server. It is safe for concurrent use.
 type Tracker struct {
-	server *http.Server
+	server   *http.Server
+	next     http.Handler
+	o        Options
+	draining atomic.Bool
+	count    atomic.Int64 // of conns
 
-	mu     sync.Mutex
-	states map[net.Conn]http.ConnState // new and active connections
+	mu        sync.Mutex
+	conns     map[*conn]struct{}
+	accepting int // listeners that still accept connections
 }
 
 // Track returns a Tracker of a server that doesn't serve yet. It sets the server's
-// ConnState.
-func Track(s *http.Server) *Tracker {
-	t := &Tracker{server: s, states: make(map[net.Conn]http.ConnState)}
-	s.ConnState = t.recordState
+// ConnState and wraps its Handler. Serve the server with Tracker.Serve.
+func Track(s *http.Server, o Options) *Tracker {
+	t := &Tracker{server: s, next: s.Handler, o: o, conns: make(map[*conn]struct{})}
+	if t.next == nil {
+		t.next = http.DefaultServeMux
+	}
+	s.Handler = http.HandlerFunc(t.serveHTTP)
+	s.ConnState = recordState
 	return t
 }
 
-func (t *Tracker) recordState(c net.Conn, state http.ConnState) {
+// Serve serves the connections that l accepts, with TLS if the server has a
+// TLSConfig. It returns a net.ErrClosed or http.ErrServerClosed after Shutdown.
+func (t *Tracker) Serve(l net.Listener) error {
+	done := make(chan struct{})
+	defer close(done)
+	go t.sweepUntil(done)
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	if state == http.StateNew || state == http.StateActive {
-		t.states[c] = state
-	} else {
-		delete(t.states, c)
+	t.accepting++
+	t.mu.Unlock()
+	tracked := &listener{Listener: l, t: t}
+	defer tracked.end()
+	if t.server.TLSConfig != nil {
+		return t.server.ServeTLS(tracked, "", "")
 	}
+	return t.server.Serve(tracked)
 }
 
-// open reports whether there are connections with an open request or, if withNew is
-// set, without a request yet.
-func (t *Tracker) open(withNew bool) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, state := range t.states {
-		if state == http.StateActive || withNew {
-			return true
-		}
+// serveHTTP asks callers to close their connections during a stop, and while there
+// are many.
+func (t *Tracker) serveHTTP(w http.ResponseWriter, req *http.Request) {
+	if t.draining.Load() || t.crowded() {
+		w.Header().Set("Connection", "close")
 	}
-	return false
+	t.next.ServeHTTP(w, req)
 }
 
-// Shutdown is http.Server.Shutdown, but first closes the server's listener and answers
-// the requests of open connections. The server's Serve may return net.ErrClosed.
+// Shutdown closes the listener l, answers the requests of open connections and then
+// closes the connections. Until the last open request is answered, idle connections
+// stay open and their requests are answered, too.
 func (t *Tracker) Shutdown(ctx context.Context, l net.Listener) error {
+	t.draining.Store(true)
+	for begun := time.Now(); backlogged(l) && time.Since(begun) < maxNewWait; {
+		if pause.For(ctx, pollInterval) != nil {
+			break
+		}
+	}
 	_ = l.Close()
-	t.server.SetKeepAlivesEnabled(false)
 	begun := time.Now()
-	// A connection that was accepted last isn't tracked at once.
-	for pause.For(ctx, pollInterval) == nil && t.open(time.Since(begun) < maxNewWait) {
+	for !t.drained(begun) {
+		if pause.For(ctx, pollInterval) != nil {
+			break
+		}
 	}
 	return t.server.Shutdown(ctx)
 }
+
+// drained reports whether all connections are closed. It closes them if no request
+// is open. Connections with HTTP/2 are left to the server, which tells their callers
+// which requests it has read.
+func (t *Tracker) drained(begun time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.accepting > 0 {
+		return false
+	}
+	now := time.Now()
+	remaining := 0
+	for c := range t.conns {
+		switch c.drainState(begun, now) {
+		case busy:
+			return false
+		case closable:
+			remaining++
+		}
+	}
+	for c := range t.conns {
+		c.closeIfWaiting()
+	}
+	return remaining == 0
+}
+
+// listener tracks the connections that it accepts.
+type listener struct {
+	net.Listener
+	t     *Tracker
+	ended sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		if errors.Is(err, net.ErrClosed) {
+			l.end()
+		} else {
+			l.t.evict(l.t.batch(), 0)
+		}
+		return nil, err
+	}
+	c := &conn{Conn: inner, t: l.t, since: time.Now()}
+	l.t.add(c)
+	return c, nil
+}
+
+func (l *listener) end() {
+	l.ended.Do(func() {
+		l.t.mu.Lock()
+		defer l.t.mu.Unlock()
+		l.t.accepting--
+	})
+}
+
+func (t *Tracker) add(c *conn) {
+	t.mu.Lock()
+	t.conns[c] = struct{}{}
+	n := len(t.conns)
+	t.count.Store(int64(n))
+	t.mu.Unlock()
+	t.makeRoom(n)
+}
+
+func (t *Tracker) remove(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.conns, c)
+	t.count.Store(int64(len(t.conns)))
+}
--- /dev/null
+++ b/internal/drain/pending_linux.go
@@ -0,0 +1,57 @@
+package drain
+
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// pending reports whether bytes have arrived that weren't read. It returns false for
+// connections that aren't sockets.
+func pending(c net.Conn) bool {
+	found := false
+	control(innermost(c), func(fd int) {
+		var b [1]byte
+		for {
+			n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+			if err == unix.EINTR {
+				continue
+			}
+			found = n > 0
+			return
+		}
+	})
+	return found
+}
+
+// backlogged reports whether connections have arrived that weren't accepted. It
+// returns false for listeners that aren't sockets.
+func backlogged(l net.Listener) bool {
+	found := false
+	control(l, func(fd int) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		for {
+			n, err := unix.Poll(fds, 0)
+			if err == unix.EINTR {
+				continue
+			}
+			found = n > 0
+			return
+		}
+	})
+	return found
+}
+
+// control calls f with the descriptor of s, if it is an open socket.
+func control(s any, f func(fd int)) {
+	sc, ok := s.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return // closed
+	}
+	_ = raw.Control(func(fd uintptr) { f(int(fd)) }) // fails if it is closed
+}
--- /dev/null
+++ b/internal/drain/pending_other.go
@@ -0,0 +1,11 @@
+//go:build !linux
+
+package drain
+
+import "net"
+
+// pending returns false, since it isn't implemented on this system.
+func pending(net.Conn) bool { return false }
+
+// backlogged returns false, since it isn't implemented on this system.
+func backlogged(net.Listener) bool { return false }
--- a/internal/sock/sock_linux.go
+++ b/internal/sock/sock_linux.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"syscall"
@@ -34,6 +35,15 @@
 	}
 }
 
+// MaxDescriptors returns the number of file descriptors that the process may have open.
+func MaxDescriptors() (int, error) {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return 0, fmt.Errorf("sock: limit of descriptors: %w", err)
+	}
+	return int(min(limit.Cur, math.MaxInt32)), nil
+}
+
 // Reserve keeps a TCP address, which refuses connections, until the file is closed.
 // The kernel gives its port to no other socket, but the address can be listened on
 // again.
--- a/internal/sock/sock_other.go
+++ b/internal/sock/sock_other.go
@@ -18,3 +18,6 @@
 
 // Reserve returns an error, since it isn't implemented on this system.
 func Reserve(string) (*os.File, error) { return nil, errors.ErrUnsupported }
+
+// MaxDescriptors returns an error, since it isn't implemented on this system.
+func MaxDescriptors() (int, error) { return 0, errors.ErrUnsupported }
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -83,7 +83,10 @@
 	drain     *drain.Tracker // of callers
 	operators *http.Server
 	peers     *peer.Server
-	stopOnce  sync.Once
+
+	drainOperators *drain.Tracker
+
+	stopOnce sync.Once
 }
 
 // platformClients are the adapters to the platform.
--- a/process/daemon/run.go
+++ b/process/daemon/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -31,12 +32,13 @@
 func (d *Daemon) wireServers(keys *keys) {
 	d.callers = entry.NewServer(d.s.Limits, d.entry)
 	d.callers.TLSConfig = keys.serverTLS()
-	d.drain = drain.Track(d.callers)
+	d.drain = drain.Track(d.callers, drain.Options{MaxConns: entry.MaxConns(d.s.Limits)})
 	d.operators = &http.Server{
 		Handler:           keys.guardOperators(d.operatorRoutes()),
 		ReadHeaderTimeout: operatorTimeout,
 		TLSConfig:         keys.serverTLS(),
 	}
+	d.drainOperators = drain.Track(d.operators, drain.Options{MaxConns: maxOperators})
 	d.peers = peer.NewServer(peer.Handlers{
 		Heartbeat: d.members.HandleHeartbeat,
 		Fetch:     d.handleFetch,
@@ -47,7 +49,12 @@
 	}, keys.peerServer())
 }
 
-const operatorTimeout = 5 * time.Second
+const (
+	operatorTimeout = 5 * time.Second
+	// maxOperators is the number of operators' connections above which idle ones are
+	// closed.
+	maxOperators = 256
+)
 
 // Start starts all parts and returns immediately. Wait blocks until they have
 // ended.
@@ -55,9 +62,9 @@
 	log.WithFields(log.Fields{"vm": d.s.VM, "zone": d.s.Zone, "incarnation": d.self}).Info("daemon: starting")
 	d.tomb.Go(func() error {
 		d.serve("peers", func() error { return d.peers.Serve(d.listeners.peers) })
-		d.serve("operators", func() error { return serveHTTP(d.operators, d.listeners.operators) })
+		d.serve("operators", func() error { return d.drainOperators.Serve(d.listeners.operators) })
 		d.serve("callers", func() error {
-			return serveHTTP(d.callers, entry.Listen(d.listeners.callers, d.s.Limits))
+			return d.drain.Serve(entry.Listen(d.listeners.callers, d.s.Limits))
 		})
 		d.members.Start()
 		d.follower.Start()
@@ -71,13 +78,6 @@
 	})
 }
 
-func serveHTTP(s *http.Server, l net.Listener) error {
-	if s.TLSConfig != nil {
-		return s.ServeTLS(l, "", "")
-	}
-	return s.Serve(l)
-}
-
 // serve runs one server. Its failure ends the daemon.
 func (d *Daemon) serve(name string, f func() error) {
 	d.tomb.Go(func() error {
@@ -124,7 +124,7 @@
 		log.WithField("open", d.entry.Open()).Warn("daemon: drain limit reached, cutting open requests")
 	}
 	d.handOver(ctx)
-	d.closeIdle()
+	d.closeIdle(ctx)
 	d.close()
 	d.tomb.Kill(nil)
 	err := d.tomb.Wait()
@@ -140,16 +140,23 @@
 // log is unavailable, the leases expire instead.
 const releaseTimeout = 2 * time.Second
 
-// closeIdle closes callers' connections after the answers in progress on them.
-func (d *Daemon) closeIdle() {
-	end, cancel := context.WithTimeout(context.Background(), idleTimeout)
+// closeIdle closes the connections to all ports after the answers in progress on them.
+// It may take as long as ctx, but for at least drainTime.
+func (d *Daemon) closeIdle(ctx context.Context) {
+	brief, cancel := context.WithTimeout(context.Background(), drainTime)
 	defer cancel()
-	_ = d.drain.Shutdown(end, d.listeners.callers)
+	if end, ok := ctx.Deadline(); !ok || time.Until(end) > drainTime {
+		brief = ctx
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = d.drain.Shutdown(brief, d.listeners.callers) })
+	wg.Go(func() { _ = d.drainOperators.Shutdown(brief, d.listeners.operators) })
+	wg.Wait()
 	_ = d.entry.Close()
 }
 
-// idleTimeout bounds the wait for callers' connections at a stop.
-const idleTimeout = time.Second
+// drainTime is the least time for the answers in progress at a stop.
+const drainTime = time.Second
 
 // handOver records what the other daemons need: the results of at-most-once
 // calls, the release of leases, the burn report. Results may take all the time
--- /dev/null
+++ b/process/front/conns.go
@@ -0,0 +1,66 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pomelospool/pomelospool/internal/sock"
+)
+
+// Shares of the process's file descriptors that the connections to its ports may use.
+// The rest is for connections to targets, the store and other daemons, and for files.
+const (
+	callersShare  = 0.5
+	peersShare    = 0.125
+	internalShare = 0.0625 // of each other port
+)
+
+// descriptors returns the number of file descriptors of a share, or 0 if the process
+// has no known limit.
+func descriptors(share float64) int {
+	n, err := sock.MaxDescriptors()
+	if err != nil {
+		return 0
+	}
+	return int(share * float64(n))
+}
+
+// idleTimeout returns how long a caller's connection may stay idle, or 0 if the
+// configuration has no limit.
+func (d *Daemon) idleTimeout() time.Duration {
+	cfg := d.config.Load()
+	if cfg == nil {
+		return 0
+	}
+	return cfg.Limits.IdleTimeout
+}
+
+// internalHeaderTimeout bounds the reading of a request's header on every port
+// except the callers'.
+const internalHeaderTimeout = 5 * time.Second
+
+func newInternalServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: internalHeaderTimeout}
+}
+
+// drainInternal answers the open requests of all ports except the callers'. Reads that
+// wait for news are answered at once.
+func (d *Daemon) drainInternal(ctx context.Context) {
+	d.endReads()
+	var wg sync.WaitGroup
+	for _, s := range d.servers {
+		if s != d.callers {
+			wg.Go(func() { _ = s.drain.Shutdown(ctx, s.l) })
+		}
+	}
+	wg.Wait()
+}
+
+// untilDrained returns the request with a context that also ends with d.reads.
+func (d *Daemon) untilDrained(req *http.Request) (*http.Request, func()) {
+	ctx, cancel := context.WithCancel(req.Context())
+	stop := context.AfterFunc(d.reads, cancel)
+	return req.WithContext(ctx), func() { stop(); cancel() }
+}
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -111,6 +111,9 @@
 	callers  *server
 	peers    net.Listener
 	stopOnce sync.Once
+
+	reads    context.Context // of other daemons from the caches; ends when their port is drained
+	endReads context.CancelFunc
 }
 
 // server is an HTTP server and its listener.
@@ -118,7 +121,7 @@
 	name  string
 	http  *http.Server
 	l     net.Listener
-	drain *drain.Tracker // of the callers' server
+	drain *drain.Tracker
 }
 
 // New opens the daemon's ports and wires its parts. It starts nothing.
@@ -139,6 +142,7 @@
 	if s.Scheduling.FairShares {
 		d.shares = shares.New(time.Now)
 	}
+	d.reads, d.endReads = context.WithCancel(context.Background())
 	d.incarnation = uint64(time.Now().UnixNano())
 	d.clock = clock.NewEstimator(clock.Boot{}, time.Now)
 	d.registry = discovery.New(discovery.Options{
@@ -308,36 +312,34 @@
 }
 
 func (d *Daemon) wireServers() error {
-	d.servers = append(d.servers, &server{name: "peers", http: newInternalServer(d.peersHandler(relay.Handler(d.caches))), l: d.peers})
-	add := func(name, addr string, s *http.Server) (*server, error) {
+	d.addServer("peers", d.peers, newInternalServer(d.peersHandler(relay.Handler(d.caches))), drain.Options{MaxConns: descriptors(peersShare)})
+	add := func(name, addr string, s *http.Server, o drain.Options) (*server, error) {
 		l, err := listen(addr)
 		if err != nil {
 			return nil, fmt.Errorf("front: %s: %w", name, err)
 		}
-		srv := &server{name: name, http: s, l: l, drain: drain.Track(s)}
-		d.servers = append(d.servers, srv)
-		return srv, nil
+		return d.addServer(name, l, s, o), nil
 	}
 	var err error
-	if d.callers, err = add("callers", d.s.Listen.Callers, ingress.NewServer(d.ingress)); err != nil {
+	if d.callers, err = add("callers", d.s.Listen.Callers, ingress.NewServer(d.ingress), drain.Options{MaxConns: descriptors(callersShare), IdleTimeout: d.idleTimeout}); err != nil {
 		return err
 	}
-	if _, err = add("ready", d.s.Listen.Ready, newInternalServer(platform.ReadyHandler(d.roster))); err != nil {
+	internal := drain.Options{MaxConns: descriptors(internalShare)}
+	if _, err = add("ready", d.s.Listen.Ready, newInternalServer(platform.ReadyHandler(d.roster)), internal); err != nil {
 		return err
 	}
-	if _, err = add("addresses", d.s.Listen.Addresses, newInternalServer(platform.AddressHandler(d.roster))); err != nil {
+	addresses := drain.Options{MaxConns: descriptors(internalShare), IdleTimeout: d.idleTimeout}
+	if _, err = add("addresses", d.s.Listen.Addresses, newInternalServer(platform.AddressHandler(d.roster)), addresses); err != nil {
 		return err
 	}
-	_, err = add("operators", d.s.Listen.Operators, newInternalServer(d.operatorRoutes()))
+	_, err = add("operators", d.s.Listen.Operators, newInternalServer(d.operatorRoutes()), internal)
 	return err
 }
 
-// internalHeaderTimeout bounds the reading of a request's header on every port
-// except the callers'.
-const internalHeaderTimeout = 5 * time.Second
-
-func newInternalServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: internalHeaderTimeout}
+func (d *Daemon) addServer(name string, l net.Listener, s *http.Server, o drain.Options) *server {
+	srv := &server{name: name, http: s, l: l, drain: drain.Track(s, o)}
+	d.servers = append(d.servers, srv)
+	return srv
 }
 
 // Start starts all parts and returns immediately.
@@ -364,7 +366,7 @@
 }
 
 func (d *Daemon) serve(s *server) error {
-	err := s.http.Serve(s.l)
+	err := s.drain.Serve(s.l)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) || !d.tomb.Alive() {
 		return nil
 	}
--- a/process/front/links.go
+++ b/process/front/links.go
@@ -68,6 +68,8 @@
 			d.ingress.ServeForwarded(w, req)
 			return
 		}
+		req, done := d.untilDrained(req)
+		defer done()
 		reads.ServeHTTP(w, req)
 	})
 }
--- a/process/front/stop.go
+++ b/process/front/stop.go
@@ -39,6 +39,7 @@
 	_ = d.callers.drain.Shutdown(ctx, d.callers.l)
 	for d.ingress.Open() > 0 && pause.For(ctx, stopPoll) == nil {
 	}
+	d.drainInternal(ctx)
 	if d.usage != nil {
 		d.usage.Flush()
 	}
@@ -54,6 +55,7 @@
 func (d *Daemon) close() {
 	d.stopOnce.Do(func() {
 		d.tomb.Kill(nil)
+		d.endReads()
 		d.closeServers()
 		_ = d.planner.Stop()
 		_ = d.links.Stop()
--- a/request/entry/server.go
+++ b/request/entry/server.go
@@ -38,9 +38,13 @@
 
 // Listen limits the number of open connections of l to s.Connections.
 func Listen(l net.Listener, s settings.Limits) net.Listener {
-	max := s.Connections
-	if max <= 0 {
-		max = defaultConnections
+	return limit.Listen(l, MaxConns(s))
+}
+
+// MaxConns returns the number of connections that callers may have open.
+func MaxConns(s settings.Limits) int {
+	if s.Connections > 0 {
+		return s.Connections
 	}
-	return limit.Listen(l, max)
+	return defaultConnections
 }
--- a/request/ingress/answer.go
+++ b/request/ingress/answer.go
@@ -36,6 +36,7 @@
 
 func (x *exchange) copyHeaders(from http.Header) {
 	h := x.w.Header()
+	closes := h.Get("Connection") == "close"
 	// A nil value keeps net/http from adding a detected type if the target
 	// sends none.
 	h["Content-Type"] = nil
@@ -45,7 +46,7 @@
 	if x.envelope != nil {
 		x.envelope.SetServed(h)
 	}
-	if x.stopAt.Load() != nil {
+	if closes || x.stopAt.Load() != nil {
 		h.Set("Connection", "close")
 	}
 }
--- a/request/limit/limit.go
+++ b/request/limit/limit.go
@@ -179,6 +179,9 @@
 	leave func()
 }
 
+// NetConn returns the wrapped connection.
+func (c *countedConn) NetConn() net.Conn { return c.Conn }
+
 func (c *countedConn) Close() error {
 	err := c.Conn.Close()
 	c.leave()
