peer: answer open calls in a planned stop

A request that a daemon without links had forwarded over the own protocol was cut if the daemon that ran it was stopped as planned: the port was closed by grpc's Stop, which cancels the open calls. Cause by reading; TestShutdownAnswersOpenCalls fails with Stop in place of Shutdown (the open call ends with an error) and passes now, as does one for a call without an end. The stop now refuses new calls so that their callers know that they weren't run, and waits for the open ones for as long as the stop may take.

--- a/peer/server.go
+++ b/peer/server.go
@@ -55,6 +55,14 @@
 // Serve accepts connections on l until Stop is called.
 func (s *Server) Serve(l net.Listener) error { return s.grpc.Serve(l) }
 
+// Shutdown refuses new calls, so that callers know that they weren't run, and waits for
+// the open ones. Calls that are open at the end of ctx are cut.
+func (s *Server) Shutdown(ctx context.Context) {
+	stop := context.AfterFunc(ctx, s.grpc.Stop)
+	defer stop()
+	s.grpc.GracefulStop()
+}
+
 // Stop closes all connections immediately.
 func (s *Server) Stop() { s.grpc.Stop() }
 
--- /dev/null
+++ b/peer/server_test.go
@@ -0,0 +1,74 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/pomelospool/pomelospool/peer/peerpb"
+)
+
+// Guards against requests that a daemon forwarded to one that is stopped as planned,
+// which run there and whose answers are cut.
+func TestShutdownAnswersOpenCalls(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	running, finish := make(chan struct{}), make(chan struct{})
+	s := NewServer(Handlers{Forward: func(_ context.Context, _ *peerpb.ForwardRequest, send func(*peerpb.ForwardReply) error) error {
+		close(running)
+		<-finish
+		return send(&peerpb.ForwardReply{Status: 200})
+	}}, nil)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	d := NewDialer(DialerOptions{})
+	defer d.Close()
+	answered := make(chan error, 1)
+	go func() {
+		_, _, _, err := d.Forward(t.Context(), l.Addr().String(), &peerpb.ForwardRequest{})
+		answered <- err
+	}()
+	<-running
+	stopped := make(chan struct{})
+	go func() {
+		s.Shutdown(t.Context())
+		close(stopped)
+	}()
+	<-served // no new connection is accepted
+	close(finish)
+	if err := <-answered; err != nil {
+		t.Errorf("the open call: %v", err)
+	}
+	<-stopped
+}
+
+// Guards against a stop that waits for a call without an end.
+func TestShutdownEndsWithItsContext(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	running := make(chan struct{})
+	s := NewServer(Handlers{Forward: func(ctx context.Context, _ *peerpb.ForwardRequest, _ func(*peerpb.ForwardReply) error) error {
+		close(running)
+		<-ctx.Done()
+		return ctx.Err()
+	}}, nil)
+	go func() { _ = s.Serve(l) }()
+	d := NewDialer(DialerOptions{})
+	defer d.Close()
+	answered := make(chan error, 1)
+	go func() {
+		_, _, _, err := d.Forward(t.Context(), l.Addr().String(), &peerpb.ForwardRequest{})
+		answered <- err
+	}()
+	<-running
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	s.Shutdown(ctx)
+	if err := <-answered; err == nil {
+		t.Error("a call without an answer succeeded")
+	}
+}
--- a/process/daemon/run.go
+++ b/process/daemon/run.go
@@ -151,6 +151,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = d.drain.Shutdown(brief, d.listeners.callers) })
 	wg.Go(func() { _ = d.drainOperators.Shutdown(brief, d.listeners.operators) })
+	wg.Go(func() { d.peers.Shutdown(brief) })
 	wg.Wait()
 	_ = d.entry.Close()
 }
