--- a/process/front/close.go
+++ b/process/front/close.go
@@ -25,6 +25,7 @@
 func (d *Daemon) closeParts(steps *shutdown.Sequence) {
 	d.stopOnce.Do(func() {
 		d.tomb.Kill(nil)
+		d.endReads()
 		steps.Step("servers", d.closeServers)
 		steps.Step("planner", func() { _ = d.planner.Stop() })
 		steps.Step("links", func() { _ = d.links.Stop() })
--- a/process/front/stop.go
+++ b/process/front/stop.go
@@ -43,6 +43,7 @@
 		_ = d.callers.drain.Shutdown(ctx, d.callers.l)
 		for d.ingress.Open() > 0 && pause.For(ctx, stopPoll) == nil {
 		}
+		d.drainInternal(ctx)
 	})
 	steps.Step("usage", d.flushUsage)
 	if n := d.ingress.Open(); n > 0 {
