ingress: each cut in the test of forwarded answers asks a daemon that didn't refuse

What was seen: TestAnswerOfDaemonCutAtEachByte failed in 2 of 6 runs on a busy machine with "no whole answer within 1 bytes, but no cut". Cause, in the test: a connection that is reset as soon as it is accepted may count as one that the other daemon didn't accept, and such a daemon isn't asked again for a while; the next cut then had nobody to ask.

--- a/request/ingress/cut_test.go
+++ b/request/ingress/cut_test.go
@@ -184,7 +184,14 @@
 				srv := httptest.NewServer(http.HandlerFunc(other.ServeForwarded))
 				t.Cleanup(srv.Close)
 				p := cutting(t, srv.Listener.Addr().String())
-				peers := forward.New(forward.NewHTTP("vm-1"), func() []forward.Peer { return []forward.Peer{{VM: "vm-2", Addr: p.Addr()}} })
+				// A name of its own for each request: a daemon that accepted no connection
+				// isn't asked again for a while, and a connection that is reset at once may
+				// count as such.
+				requests := 0
+				peers := forward.New(forward.NewHTTP("vm-1"), func() []forward.Peer {
+					requests++
+					return []forward.Peer{{VM: fmt.Sprintf("vm-%d", 1+requests), Addr: p.Addr()}}
+				})
 				t.Cleanup(peers.Close)
 				f := startChanged(t, config(7), func(o *dispatch.Options) { o.Links, o.Peers = noLinks{}, peers })
 				checkCuts(t, p, reset, always, kind.body, func() received { return f.post(t, kind.path) })
