--- a/peer/server_test.go
+++ b/peer/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 
@@ -21,13 +22,17 @@
 		<-finish
 		return send(&peerpb.ForwardReply{Status: 200})
 	}}, nil)
-	served := make(chan error, 1)
-	go func() { served <- s.Serve(l) }()
+	go func() { _ = s.Serve(l) }()
 	d := NewDialer(DialerOptions{})
 	defer d.Close()
 	answered := make(chan error, 1)
 	go func() {
-		_, _, _, err := d.Forward(t.Context(), l.Addr().String(), &peerpb.ForwardRequest{})
+		stream, _, _, err := d.Forward(t.Context(), l.Addr().String(), &peerpb.ForwardRequest{})
+		if err == nil {
+			if _, err = stream.Recv(); err == io.EOF {
+				err = nil
+			}
+		}
 		answered <- err
 	}()
 	<-running
@@ -36,7 +41,12 @@
 		s.Shutdown(t.Context())
 		close(stopped)
 	}()
-	<-served // no new connection is accepted
+	for refused := false; !refused; { // the stop has begun
+		c, err := net.Dial("tcp", l.Addr().String())
+		if refused = err != nil; !refused {
+			_ = c.Close()
+		}
+	}
 	close(finish)
 	if err := <-answered; err != nil {
 		t.Errorf("the open call: %v", err)
