peer: the test of a stop sees that the stop has reached the connection

TestShutdownAnswersOpenCalls ended the open call as soon as connections were refused, and so passed with grpc's Stop in one of two runs. It now waits until calls on the connection are refused.

--- a/peer/server_test.go
+++ b/peer/server_test.go
@@ -6,6 +6,9 @@
 	"net"
 	"testing"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"github.com/pomelospool/pomelospool/peer/peerpb"
 )
 
@@ -41,11 +44,13 @@
 		s.Shutdown(t.Context())
 		close(stopped)
 	}()
-	for refused := false; !refused; { // the stop has begun
-		c, err := net.Dial("tcp", l.Addr().String())
-		if refused = err != nil; !refused {
-			_ = c.Close()
-		}
+	c, err := d.Client(l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for refused := false; !refused; { // until the stop has reached the connection
+		_, err = c.Lookup(t.Context(), &peerpb.LookupRequest{})
+		refused = status.Code(err) == codes.Unavailable
 	}
 	close(finish)
 	if err := <-answered; err != nil {
