front: test that a planned stop answers what each port has read

Guards the fix of package drain for the five ports of a daemon: the Read of a kept connection holds back a request until the stop has closed the port's listener.

--- a/process/front/front_test.go
+++ b/process/front/front_test.go
@@ -84,6 +84,23 @@
 
 // launchWithDial is like launch. The daemon connects to targets with dial.
 func (p *testPlatform) launchWithDial(text string, dial func(ctx context.Context, addr string) (net.Conn, error)) *Daemon {
+	d := p.create(text, dial)
+	d.Start()
+	return d
+}
+
+// launchWrapped is like launch. The daemon's ports use the listeners that wrap returns.
+func (p *testPlatform) launchWrapped(text string, wrap func(name string, l net.Listener) net.Listener) *Daemon {
+	d := p.create(text, nil)
+	for _, s := range d.servers {
+		s.l = wrap(s.name, s.l)
+	}
+	d.Start()
+	return d
+}
+
+// create returns a daemon that isn't started.
+func (p *testPlatform) create(text string, dial func(ctx context.Context, addr string) (net.Conn, error)) *Daemon {
 	parsed, problems := settings.Parse("test", []byte(strings.ReplaceAll(text, "STORE", p.addr)))
 	if len(problems) > 0 {
 		p.t.Fatal(problems)
@@ -92,7 +109,6 @@
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	d.Start()
 	p.t.Cleanup(d.close)
 	return d
 }
