pomelospoold: keep a stop signal that arrives while reloads are handled

A SIGTERM could be lost: SIGTERM, SIGINT and SIGHUP shared a channel that holds one signal, and os/signal drops what doesn't fit. A daemon that got two SIGHUPs while it read its settings, and then a SIGTERM, went on and was killed at the end of its grace time with its open requests. Found by reading. Stop and reload have a channel each now; within a kind a dropped signal changes nothing.

--- a/cmd/pomelospoold/front.go
+++ b/cmd/pomelospoold/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"syscall"
 
 	"github.com/apex/log"
 
@@ -11,7 +10,7 @@
 )
 
 // runFront runs the daemon of a platform with a store until a stop signal.
-func runFront(o options, s *settings.Settings, signals <-chan os.Signal) error {
+func runFront(o options, s *settings.Settings, received signals) error {
 	defer front.SetLog(s.Log, os.Stdout)()
 	log.WithField("vm", s.VM).Info("front: signal handlers registered")
 	d, err := front.New(s)
@@ -21,11 +20,9 @@
 	d.Start()
 	for {
 		select {
-		case sig := <-signals:
-			if sig == syscall.SIGHUP {
-				reload(d, o.Settings)
-				continue
-			}
+		case <-received.reload:
+			reload(d, o.Settings)
+		case sig := <-received.stop:
 			log.WithField("signal", sig.String()).Info("front: received signal, stopping")
 			return d.Shutdown()
 		case <-d.Dying():
--- a/cmd/pomelospoold/main.go
+++ b/cmd/pomelospoold/main.go
@@ -23,18 +23,31 @@
 	Check    bool   `long:"check" description:"Check the settings and exit"`
 }
 
+// signals are the signals that the process has received. A signal is dropped if the
+// channel of its kind holds one already, so each kind has a channel.
+type signals struct {
+	stop   <-chan os.Signal
+	reload <-chan os.Signal
+}
+
+func notifySignals() signals {
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reload, syscall.SIGHUP)
+	return signals{stop, reload}
+}
+
 func main() {
 	// Signals are registered first, because before that a stop signal kills the
 	// process without a planned stop.
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	received := notifySignals()
 	var o options
 	parser := flags.NewParser(&o, flags.Default)
 	parser.LongDescription = "Entry daemon of pomelospool. SIGTERM stops it in a planned way: no request is cut."
 	if _, err := parser.Parse(); err != nil {
 		os.Exit(usage(err))
 	}
-	if err := run(o, signals); err != nil {
+	if err := run(o, received); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
@@ -50,7 +63,7 @@
 	return exitUsage
 }
 
-func run(o options, signals <-chan os.Signal) error {
+func run(o options, received signals) error {
 	s, err := settings.Load(o.Settings)
 	if err != nil {
 		return err
@@ -59,7 +72,7 @@
 		return nil
 	}
 	if s.HasStore() {
-		return runFront(o, s, signals)
+		return runFront(o, s, received)
 	}
 	defer daemon.SetLog(s.Log, os.Stderr)()
 	d, err := daemon.New(s)
@@ -67,7 +80,7 @@
 		return err
 	}
 	d.Start()
-	if !waitForStop(signals, d.Dying()) {
+	if !waitForStop(received, d.Dying()) {
 		return d.Wait()
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), s.Control.DrainLimit)
@@ -78,14 +91,14 @@
 // waitForStop waits for a signal to stop and returns true, or false if the
 // daemon ends by itself. SIGHUP is ignored: a daemon without a store can't
 // reload its settings.
-func waitForStop(signals <-chan os.Signal, dying <-chan struct{}) bool {
+func waitForStop(received signals, dying <-chan struct{}) bool {
 	for {
 		select {
-		case sig := <-signals:
+		case sig := <-received.stop:
+			log.WithField("signal", sig.String()).Info("daemon: received signal")
+			return true
+		case sig := <-received.reload:
 			log.WithField("signal", sig.String()).Info("daemon: received signal")
-			if sig != syscall.SIGHUP {
-				return true
-			}
 		case <-dying:
 			return false
 		}
