--- a/peer/server_test.go
+++ b/peer/server_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"github.com/pomelospool/pomelospool/peer/peerpb"
 )
 
@@ -21,13 +25,17 @@
 		<-finish
 		return send(&peerpb.ForwardReply{Status: 200})
 	}}, nil)
-	served := make(chan error, 1)
-	go func() { served <- s.Serve(l) }()
+	go func() { _ = s.Serve(l) }()
 	d := NewDialer(DialerOptions{})
 	defer d.Close()
 	answered := make(chan error, 1)
 	go func() {
-		_, _, _, err := d.Forward(t.Context(), l.Addr().String(), &peerpb.ForwardRequest{})
+		stream, _, _, err := d.Forward(t.Context(), l.Addr().String(), &peerpb.ForwardRequest{})
+		if err == nil {
+			if _, err = stream.Recv(); err == io.EOF {
+				err = nil
+			}
+		}
 		answered <- err
 	}()
 	<-running
@@ -36,7 +44,14 @@
 		s.Shutdown(t.Context())
 		close(stopped)
 	}()
-	<-served // no new connection is accepted
+	c, err := d.Client(l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for refused := false; !refused; { // until the stop has reached the connection
+		_, err = c.Lookup(t.Context(), &peerpb.LookupRequest{})
+		refused = status.Code(err) == codes.Unavailable
+	}
 	close(finish)
 	if err := <-answered; err != nil {
 		t.Errorf("the open call: %v", err)
