request/duration: package of its own for the durations of answers

Callers see no difference: the code moves out of request/ingress, where only the platform's path could use it. The daemon's own protocol needs the same prediction at its stops. A request that arrived before the tracker was made no longer reaches an index with a negative time (found by reading, TestAnswersOfAnyAge).

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -44,6 +44,7 @@
 	"github.com/pomelospool/pomelospool/process/versions"
 	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/dispatch"
+	"github.com/pomelospool/pomelospool/request/duration"
 	"github.com/pomelospool/pomelospool/request/forward"
 	"github.com/pomelospool/pomelospool/request/ingress"
 	"github.com/pomelospool/pomelospool/request/quarantine"
@@ -85,7 +86,7 @@
 	health      *health.Tracker
 	speed       *speed.Tracker
 	factors     *speed.Factors // of engines; nil: the setting is off
-	durations   *ingress.Durations
+	durations   *duration.Tracker
 	demand      *demand.Tracker
 	shares      *shares.Tracker // nil: organisations aren't limited to fair shares
 	budget      *budget.Fleet
@@ -153,7 +154,7 @@
 	})
 	d.health = health.New(time.Now, d.engines.MarkDown)
 	d.newFactors()
-	d.durations = ingress.NewDurations(s.Bounds.Grace)
+	d.durations = duration.New(s.Bounds.Grace)
 	d.crashes = quarantine.New(quarantine.Options{
 		Self: s.VM, ToleratedCrashes: toleratedCrashes, Tries: d.triesContent, Changed: d.notifyPeers,
 	})
--- a/request/ingress/fleet.go
+++ b/request/duration/fleet.go
@@ -1,4 +1,4 @@
-package ingress
+package duration
 
 import (
 	"cmp"
@@ -9,19 +9,19 @@
 )
 
 const (
-	// maxDurationRows is the number of rows in a report.
-	maxDurationRows = 200
-	// durationRefresh is the interval at which received rows are taken over.
-	durationRefresh = 250 * time.Millisecond
+	// maxRows is the number of rows in a report.
+	maxRows = 200
+	// refreshInterval is the interval at which received rows are taken over.
+	refreshInterval = 250 * time.Millisecond
 	// replaceShare is the least number of answers, as a share of the known number,
 	// with which a sum replaces the known one. A sum with fewer lacks the parts of
 	// many daemons.
 	replaceShare = 0.5
 )
 
-// DurationRow holds the answers of a route that state about the same maximum
+// Row holds the answers of a route that state about the same maximum
 // output, as daemons exchange them.
-type DurationRow struct {
+type Row struct {
 	_       struct{} `cbor:",toarray"`
 	ID      uint64
 	Count   uint32 // complete answers that were followed for the whole horizon
@@ -30,41 +30,41 @@
 }
 
 // Key implements summary.Entry.
-func (r DurationRow) Key() uint64 { return r.ID }
+func (r Row) Key() uint64 { return r.ID }
 
 // Add implements summary.Entry.
-func (r DurationRow) Add(o DurationRow) DurationRow {
+func (r Row) Add(o Row) Row {
 	r.Count += min(o.Count, math.MaxUint32-r.Count)
 	r.Longest, r.Recent = max(r.Longest, o.Longest), max(r.Recent, o.Recent)
 	return r
 }
 
 // hash returns the ID of the key's row.
-func (k durationKey) hash() uint64 {
+func (k group) hash() uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(k.route))
-	_, _ = h.Write([]byte{0, byte(k.class)})
+	_, _ = h.Write([]byte{0, byte(k.size)})
 	return h.Sum64()
 }
 
-// fleetDurations is what was received of a key.
-type fleetDurations struct {
-	durationSample
+// fleetSample is what was received of a key.
+type fleetSample struct {
+	sample
 	recent time.Duration
 	at     time.Time
 }
 
 // rows returns this daemon's rows.
-func (d *Durations) rows() []DurationRow {
+func (d *Tracker) rows() []Row {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.sweep()
 	now := time.Since(d.origin)
-	out := make([]DurationRow, 0, len(d.byKey))
+	out := make([]Row, 0, len(d.byKey))
 	for key, h := range d.byKey {
-		s, recent := h.sample(now, d.horizon)
+		s, recent := h.look(now, d.horizon)
 		if s.count > 0 || s.longest > 0 || recent > 0 {
-			out = append(out, DurationRow{ID: key.hash(), Count: uint32(s.count), Longest: milliseconds(s.longest), Recent: milliseconds(recent)})
+			out = append(out, Row{ID: key.hash(), Count: uint32(s.count), Longest: milliseconds(s.longest), Recent: milliseconds(recent)})
 		}
 	}
 	return out
@@ -74,20 +74,20 @@
 	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
 }
 
-// limitDurationRows returns the rows with the most answers.
-func limitDurationRows(rows []DurationRow) []DurationRow {
-	slices.SortFunc(rows, func(a, b DurationRow) int {
+// limitRows returns the rows with the most answers.
+func limitRows(rows []Row) []Row {
+	slices.SortFunc(rows, func(a, b Row) int {
 		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.ID, b.ID))
 	})
-	return rows[:min(len(rows), maxDurationRows)]
+	return rows[:min(len(rows), maxRows)]
 }
 
 // refresh takes over the received rows when it is time. What was received of
 // daemons that have ended counts for a period.
-func (d *Durations) refresh() {
+func (d *Tracker) refresh() {
 	now := time.Now()
 	d.mu.Lock()
-	due := now.Sub(d.checked) >= durationRefresh
+	due := now.Sub(d.checked) >= refreshInterval
 	if due {
 		d.checked = now
 	}
@@ -99,10 +99,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, r := range rows {
-		f := fleetDurations{
-			durationSample: durationSample{int(r.Count), time.Duration(r.Longest) * time.Millisecond},
-			recent:         time.Duration(r.Recent) * time.Millisecond,
-			at:             now,
+		f := fleetSample{
+			sample: sample{int(r.Count), time.Duration(r.Longest) * time.Millisecond},
+			recent: time.Duration(r.Recent) * time.Millisecond,
+			at:     now,
 		}
 		if old := d.fleet[r.ID]; float64(f.count) < replaceShare*float64(old.count) {
 			f.count, f.at = old.count, old.at
@@ -111,7 +111,7 @@
 		d.fleet[r.ID] = f
 	}
 	for id, f := range d.fleet {
-		if now.Sub(f.at) > durationPeriod {
+		if now.Sub(f.at) > period {
 			delete(d.fleet, id)
 		}
 	}
--- a/request/ingress/history.go
+++ b/request/duration/history.go
@@ -1,4 +1,4 @@
-package ingress
+package duration
 
 import "time"
 
@@ -7,30 +7,30 @@
 const cohorts = 17
 
 // history holds the durations of the answers of one key. Times are since the
-// origin of Durations.
+// origin of Tracker.
 type history struct {
 	width   time.Duration // length of the time in which a cohort's answers begin
 	recent  [cohorts]cohort
 	overdue int // answers that have been open for longer than all cohorts last
 	period  int64
-	older   [2]durationSample // of the present and of the previous period
+	older   [2]sample // of the present and of the previous period
 }
 
 // cohort is the answers that began within the same short time.
 type cohort struct {
 	index    int64 // time at which it begins, in widths
 	open     int
-	complete durationSample
+	complete sample
 }
 
-// durationSample is a number of complete answers, and the longest duration among
+// sample is a number of complete answers, and the longest duration among
 // these and others that were cut or are still open.
-type durationSample struct {
+type sample struct {
 	count   int
 	longest time.Duration
 }
 
-func (s *durationSample) add(o durationSample) {
+func (s *sample) add(o sample) {
 	s.count += o.count
 	s.longest = max(s.longest, o.longest)
 }
@@ -49,7 +49,7 @@
 // have taken at least as long.
 func (h *history) end(began, now time.Duration, complete bool) {
 	h.advance(now)
-	s := durationSample{longest: now - began}
+	s := sample{longest: now - began}
 	if complete {
 		s.count = 1
 	}
@@ -65,8 +65,11 @@
 // cohortOf returns the cohort of answers that began at the given time, or nil if
 // that was too long ago.
 func (h *history) cohortOf(began time.Duration) *cohort {
+	if began < 0 {
+		return nil
+	}
 	i := int64(began / h.width)
-	if c := &h.recent[i%cohorts]; began >= 0 && c.index == i {
+	if c := &h.recent[i%cohorts]; c.index == i {
 		return c
 	}
 	return nil
@@ -83,18 +86,18 @@
 			*c = cohort{index: i}
 		}
 	}
-	if p := int64(now / durationPeriod); p != h.period {
-		h.older[1], h.older[0] = h.older[0], durationSample{}
+	if p := int64(now / period); p != h.period {
+		h.older[1], h.older[0] = h.older[0], sample{}
 		if p != h.period+1 {
-			h.older[1] = durationSample{}
+			h.older[1] = sample{}
 		}
 		h.period = p
 	}
 }
 
-// sample returns the answers that began at least age ago, and the longest time that
+// look returns the answers that began at least age ago, and the longest time that
 // the others have taken until now.
-func (h *history) sample(now, age time.Duration) (known durationSample, recent time.Duration) {
+func (h *history) look(now, age time.Duration) (known sample, recent time.Duration) {
 	h.advance(now)
 	known.add(h.older[0])
 	known.add(h.older[1])
@@ -112,17 +115,17 @@
 			recent = max(recent, longest)
 			continue
 		}
-		known.add(durationSample{c.complete.count, longest})
+		known.add(sample{c.complete.count, longest})
 	}
 	return known, recent
 }
 
 // unused reports whether the history holds no answers.
 func (h *history) unused(now time.Duration) bool {
-	known, recent := h.sample(now, 0)
+	known, recent := h.look(now, 0)
 	open := h.overdue
 	for i := range h.recent {
 		open += h.recent[i].open
 	}
-	return known == durationSample{} && recent == 0 && open == 0
+	return known == sample{} && recent == 0 && open == 0
 }
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -18,6 +18,7 @@
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/dispatch"
+	"github.com/pomelospool/pomelospool/request/duration"
 	"github.com/pomelospool/pomelospool/request/forward"
 	"github.com/pomelospool/pomelospool/request/limit"
 	"github.com/pomelospool/pomelospool/version/inforce"
@@ -43,7 +44,7 @@
 	OnStart func(organisation string, ago time.Duration)
 	// Durations predicts which answers outlast a planned stop. If it is nil, the
 	// Ingress has its own.
-	Durations *Durations
+	Durations *duration.Tracker
 	// MaxConfigAge is the age above which the configuration may be outdated.
 	MaxConfigAge time.Duration
 }
@@ -82,7 +83,7 @@
 // New returns an Ingress.
 func New(o Options) *Ingress {
 	if o.Durations == nil {
-		o.Durations = NewDurations(0)
+		o.Durations = duration.New(0)
 	}
 	return &Ingress{o: o}
 }
@@ -99,11 +100,11 @@
 // expected to be complete.
 func (i *Ingress) stopsBefore(c *dispatch.Call) bool {
 	end := i.stopAt.Load()
-	if end == nil {
-		return false
-	}
-	left := end.Sub(c.Arrived)
-	return i.o.Durations.predict(c, left) > left
+	return end != nil && i.o.Durations.Outlasts(durationCall(c), *end)
+}
+
+func durationCall(c *dispatch.Call) duration.Call {
+	return duration.Call{Route: c.Route.Name, Output: c.Meta.MaxOutputTokens, Arrived: c.Arrived, Timeout: callTimeout(c)}
 }
 
 // stoppingRetryAfter is the Retry-After time of requests that are refused
@@ -315,7 +316,7 @@
 	if x.envelope != nil {
 		return x.answer(c)
 	}
-	end, complete := x.o.Durations.begin(c), false
+	end, complete := x.o.Durations.Begin(durationCall(c)), false
 	defer func() { end(complete) }()
 	err := x.answer(c)
 	complete = err == nil
