request/entry: refuse requests that may outlast the drain limit

What callers saw: a daemon without a store (the own protocol) that was being stopped accepted a stream while callers still had its address, and cut it at the drain limit: status 200, code 2006, 495 of 1,000 tokens.

Until it drains, a stopping daemon admitted all requests, whatever time was left; with a drain limit near the address TTL that is every stream of some seconds.

Evidence: TestPlannedStopRefusesWhatOutlastsIt failed before (without the line in run.go: the stream cut after 5.02 s, and the stop 'context deadline exceeded'). Ruled out for the defaults: 60 s less 7 s are left then, more than the default deadline of 30 s, so that nothing is refused there.

Change: Shutdown tells the entry when open requests are cut. Until then a request is refused as not run (Draining, Retry-After 20 ms) if its deadline is later and its service's answers aren't known to end in time, see request/duration. At-most-once calls are followed, too.

--- a/process/daemon/run.go
+++ b/process/daemon/run.go
@@ -110,6 +110,9 @@
 
 func (d *Daemon) shutdown(ctx context.Context) error {
 	log.Info("daemon: leaving")
+	if end, limited := ctx.Deadline(); limited {
+		d.entry.StopAt(end)
+	}
 	d.setPhase(phaseLeaving)
 	d.members.Leave()
 	wait := d.s.Control.AddressTTL + leaveHeartbeats*d.s.Control.Heartbeat
--- a/process/daemon/stop_test.go
+++ b/process/daemon/stop_test.go
@@ -116,3 +116,34 @@
 		t.Errorf("first %+v, then %+v: taken over without a release", first, l)
 	}
 }
+
+// Guards against a stream that is accepted by a daemon that is being stopped, though
+// it may last beyond the drain limit, and is cut there. It must be refused as not run
+// while the daemon still serves what ends in time.
+func TestPlannedStopRefusesWhatOutlastsIt(t *testing.T) {
+	f := newFleet(t, 2, settings.TLS{})
+	e := f.startEngine(10 * time.Millisecond)
+	f.waitForVersion("language", f.publish("language", modelYAML(e.Addr())))
+	eventually(t, "the engine is live", func() bool { return len(f.status(0).Targets) == 1 && f.status(0).Targets[0].State == "live" })
+	old := f.daemons[0]
+	old.s.Control.AddressTTL = time.Minute // until the limit, callers may have the address
+	c := caller.New(caller.Options{Daemons: []string{old.Listen().Callers}, SkipDiscovery: true, MaxAttempts: 1})
+	defer c.Close()
+	const limit = 4 * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- old.Shutdown(ctx) }()
+	eventually(t, "leaves", func() bool { return old.phase() == phaseLeaving })
+	if a, _ := c.Do(t.Context(), caller.Chat("m", "long", 1000)); a.Code != code.Draining || !a.NotRun {
+		t.Errorf("a stream that would be cut: %+v", a)
+	}
+	brief := caller.Chat("m", "short", 1)
+	brief.Deadline = limit / 4
+	if a, _ := c.Do(t.Context(), brief); !a.Complete || a.Code != code.OK {
+		t.Errorf("a request that ends in time: %+v", a)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("the stop: %v", err)
+	}
+}
--- a/request/entry/admit_test.go
+++ b/request/entry/admit_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/attempt"
 	"github.com/pomelospool/pomelospool/request/routing"
 	"github.com/pomelospool/pomelospool/version/document"
@@ -63,3 +64,21 @@
 		}
 	}
 }
+
+// Guards against answers that are cut since their daemon stops: those that may last
+// longer must be refused as not run, and those known to be short served.
+func TestStoppingRefusesLongAnswers(t *testing.T) {
+	s := newScriptedTarget(t, func(c *call) { c.head().tokens(0); c.finish(1) })
+	f := newFixture(t, []string{s.addr()}, nil, nil)
+	f.entry.StopAt(time.Now().Add(5 * time.Second))
+	r := f.complete("p", 1) // its deadline is 10 s
+	if r.code() != "1005" || r.header.Get(answer.HeaderNotRun) != "true" || r.header.Get("Retry-After") == "" || s.runs != 0 {
+		t.Errorf("of unknown duration: %+v, %d runs", r, s.runs)
+	}
+	if r := f.complete("p", 1, "X-Deadline-Ms", "2000"); r.code() != "0" || s.runs != 1 {
+		t.Errorf("with a short deadline: %+v, %d runs", r, s.runs)
+	}
+	if open := f.entry.Open(); open != 0 {
+		t.Errorf("%d requests count as open", open)
+	}
+}
--- a/request/entry/once.go
+++ b/request/entry/once.go
@@ -69,7 +69,9 @@
 	ctx := context.WithoutCancel(req.Context())
 	e.tomb.Go(func() error {
 		defer p.release()
-		res <- e.executeOnce(ctx, q, p, call)
+		r := e.executeOnce(ctx, q, p, call)
+		p.complete = r.err == nil
+		res <- r
 		return nil
 	})
 	return res
