ingress: a longer Retry-After while all daemons are being stopped

What callers saw: a stream refused by a stopping daemon was sent to another one 20 ms later. While all daemons stop or start it is refused there, too, and the caller's tries are used up within a tenth of a second.

Cause: the Retry-After of 20 ms assumes that another daemon serves.

Change: a daemon that knows of no other one that takes requests and isn't leaving asks for 1 s.

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -285,7 +285,7 @@
 	d.metrics = newMetrics(d)
 	d.ingress = ingress.New(ingress.Options{Config: d.config, Protocol: platform.TargetProtocol{}, Runner: d.runner, Observe: d.observe,
 		TargetsAge: func() (time.Duration, bool) { return d.caches[port.TopicTargets].Age() },
-		ConfigAge:  func() (time.Duration, bool) { return d.caches[port.TopicConfig].Age() }, MaxConfigAge: d.s.Bounds.ApplyConfig, OnStart: d.countUsage, Durations: d.durations})
+		ConfigAge:  func() (time.Duration, bool) { return d.caches[port.TopicConfig].Age() }, MaxConfigAge: d.s.Bounds.ApplyConfig, OnStart: d.countUsage, Durations: d.durations, OthersServe: d.othersServe})
 	d.planner = roles.New(roles.Options{
 		Self:    d.s.VM,
 		Store:   d.monitored,
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -26,7 +26,7 @@
 )
 
 // Options configures an Ingress. All fields are required except TargetsAge,
-// ConfigAge, OnStart and Durations.
+// ConfigAge, OnStart, Durations and OthersServe.
 type Options struct {
 	Config   *inforce.Holder
 	Protocol port.TargetProtocol
@@ -45,6 +45,9 @@
 	// Durations predicts which answers outlast a planned stop. If it is nil, the
 	// Ingress has its own.
 	Durations *duration.Tracker
+	// OthersServe reports whether another daemon takes requests and isn't being
+	// stopped. If it is nil, one is assumed to.
+	OthersServe func() bool
 	// MaxConfigAge is the age above which the configuration may be outdated.
 	MaxConfigAge time.Duration
 }
@@ -107,9 +110,24 @@
 	return duration.Call{Route: c.Route.Name, Output: c.Meta.MaxOutputTokens, Arrived: c.Arrived, Timeout: callTimeout(c)}
 }
 
-// stoppingRetryAfter is the Retry-After time of requests that are refused
-// because the process stops. It is short since other daemons can serve them.
-const stoppingRetryAfter = 20 * time.Millisecond
+const (
+	// stoppingRetryAfter is the Retry-After time of requests that are refused
+	// because the process stops. It is short since other daemons can serve them.
+	stoppingRetryAfter = 20 * time.Millisecond
+	// allStoppingRetryAfter is used while all daemons are being stopped. The others
+	// would refuse the request, too, and its caller might not try a third time.
+	// Daemons start again within about that time.
+	allStoppingRetryAfter = time.Second
+)
+
+// refuse returns the error for a call whose answer would outlast the process.
+func (i *Ingress) refuse() error {
+	after := stoppingRetryAfter
+	if i.o.OthersServe != nil && !i.o.OthersServe() {
+		after = allStoppingRetryAfter
+	}
+	return code.New(code.Draining, "the answer would take longer than this daemon stays").WithRetryAfter(after)
+}
 
 // ServeHTTP implements http.Handler.
 func (i *Ingress) ServeHTTP(w http.ResponseWriter, req *http.Request) { i.serve(w, req, nil) }
@@ -229,7 +247,7 @@
 	}
 	c.Deadline = x.arrived.Add(callTimeout(c))
 	if x.stopsBefore(c) {
-		return c, code.New(code.Draining, "the answer would take longer than this daemon stays").WithRetryAfter(stoppingRetryAfter)
+		return c, x.refuse()
 	}
 	return c, nil
 }
--- a/request/ingress/length_test.go
+++ b/request/ingress/length_test.go
@@ -71,3 +71,18 @@
 		t.Errorf("short answer: status %d", resp.StatusCode)
 	}
 }
+
+// Guards against callers that use up their tries within milliseconds while all daemons
+// are being stopped, and start again a second later.
+func TestRetryAfterWhileAllDaemonsStop(t *testing.T) {
+	for _, others := range []bool{true, false} {
+		f := start(t, true)
+		f.o.OthersServe = func() bool { return others }
+		f.StopAt(time.Now().Add(4 * time.Second))
+		resp, _ := f.do(t, "POST", "/s/x", "a.example", standin.CallerHeaders("r1", 30*time.Second, "aa:10"), "")
+		wait, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		if resp.StatusCode != http.StatusServiceUnavailable || err != nil || wait > 1 || others != (wait < 0.1) {
+			t.Errorf("others serve: %v: status %d, headers %v", others, resp.StatusCode, resp.Header)
+		}
+	}
+}
