--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -18,6 +18,7 @@
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/dispatch"
+	"github.com/pomelospool/pomelospool/request/duration"
 	"github.com/pomelospool/pomelospool/request/forward"
 	"github.com/pomelospool/pomelospool/request/limit"
 	"github.com/pomelospool/pomelospool/version/inforce"
@@ -25,7 +26,7 @@
 )
 
 // Options configures an Ingress. All fields are required except TargetsAge,
-// ConfigAge, OnStart and Durations.
+// ConfigAge, OnStart, Durations and OthersServe.
 type Options struct {
 	Config   *inforce.Holder
 	Protocol port.TargetProtocol
@@ -43,7 +44,10 @@
 	OnStart func(organisation string, ago time.Duration)
 	// Durations predicts which answers outlast a planned stop. If it is nil, the
 	// Ingress has its own.
-	Durations *Durations
+	Durations *duration.Tracker
+	// OthersServe reports whether another daemon takes requests and isn't being
+	// stopped. If it is nil, one is assumed to.
+	OthersServe func() bool
 	// MaxConfigAge is the age above which the configuration may be outdated.
 	MaxConfigAge time.Duration
 }
@@ -82,7 +86,7 @@
 // New returns an Ingress.
 func New(o Options) *Ingress {
 	if o.Durations == nil {
-		o.Durations = NewDurations(0)
+		o.Durations = duration.New(0)
 	}
 	return &Ingress{o: o}
 }
@@ -99,16 +103,31 @@
 // expected to be complete.
 func (i *Ingress) stopsBefore(c *dispatch.Call) bool {
 	end := i.stopAt.Load()
-	if end == nil {
-		return false
-	}
-	left := end.Sub(c.Arrived)
-	return i.o.Durations.predict(c, left) > left
+	return end != nil && i.o.Durations.Outlasts(durationCall(c), *end)
+}
+
+func durationCall(c *dispatch.Call) duration.Call {
+	return duration.Call{Route: c.Route.Name, Output: c.Meta.MaxOutputTokens, Arrived: c.Arrived, Timeout: callTimeout(c)}
 }
 
-// stoppingRetryAfter is the Retry-After time of requests that are refused
-// because the process stops. It is short since other daemons can serve them.
-const stoppingRetryAfter = 20 * time.Millisecond
+const (
+	// stoppingRetryAfter is the Retry-After time of requests that are refused
+	// because the process stops. It is short since other daemons can serve them.
+	stoppingRetryAfter = 20 * time.Millisecond
+	// allStoppingRetryAfter is used while all daemons are being stopped. The others
+	// would refuse the request, too, and its caller might not try a third time.
+	// Daemons start again within about that time.
+	allStoppingRetryAfter = time.Second
+)
+
+// refuse returns the error for a call whose answer would outlast the process.
+func (i *Ingress) refuse() error {
+	after := stoppingRetryAfter
+	if i.o.OthersServe != nil && !i.o.OthersServe() {
+		after = allStoppingRetryAfter
+	}
+	return code.New(code.Draining, "the answer would take longer than this daemon stays").WithRetryAfter(after)
+}
 
 // ServeHTTP implements http.Handler.
 func (i *Ingress) ServeHTTP(w http.ResponseWriter, req *http.Request) { i.serve(w, req, nil) }
@@ -228,7 +247,7 @@
 	}
 	c.Deadline = x.arrived.Add(callTimeout(c))
 	if x.stopsBefore(c) {
-		return c, code.New(code.Draining, "the answer would take longer than this daemon stays").WithRetryAfter(stoppingRetryAfter)
+		return c, x.refuse()
 	}
 	return c, nil
 }
@@ -315,7 +334,7 @@
 	if x.envelope != nil {
 		return x.answer(c)
 	}
-	end, complete := x.o.Durations.begin(c), false
+	end, complete := x.o.Durations.Begin(durationCall(c)), false
 	defer func() { end(complete) }()
 	err := x.answer(c)
 	complete = err == nil
