request/duration: keep what was received while no stop is planned

Callers of a daemon that is stopped after the daemons that knew a route were replaced were refused though their answers are known to be short: rows were taken over only by predictions, which begin with the stop, and expire after 3 s. TestKnowledgeOutlivesItsDaemon failed before ('refused after 30 s'). Rows are now taken over at each report, once a second.

--- a/request/duration/duration_test.go
+++ b/request/duration/duration_test.go
@@ -286,3 +286,33 @@
 		t.Errorf("%d rows, the first %+v", len(got), got[0])
 	}
 }
+
+// Guards against daemons that forget what they were told when its senders are replaced
+// one after the other, as by a release: all that are left are young then.
+func TestKnowledgeOutlivesItsDaemon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		old, young := New(8*time.Second), New(8*time.Second)
+		play(old, "r", 10, 30*time.Second, 50*time.Millisecond, constant(500*time.Millisecond))
+		time.Sleep(10 * time.Second)
+		exchangeRows(t, old, young)
+		for range 30 {
+			time.Sleep(time.Second)
+			exchangeRows(t, young)
+		}
+		if !accepts(young, callOf("r", 10), 4*time.Second) {
+			t.Error("refused after 30 s")
+		}
+		time.Sleep(2 * period)
+		if accepts(young, callOf("r", 10), 4*time.Second) {
+			t.Error("accepted after two periods")
+		}
+	})
+}
+
+// BenchmarkFollow measures what following an answer costs each request.
+func BenchmarkFollow(b *testing.B) {
+	d := New(8 * time.Second)
+	for b.Loop() {
+		d.Begin(callOf("r", 10))(true)
+	}
+}
--- a/request/duration/fleet.go
+++ b/request/duration/fleet.go
@@ -54,8 +54,10 @@
 	at     time.Time
 }
 
-// rows returns this daemon's rows.
+// rows returns this daemon's rows. It is called for each report, and takes over what
+// was received before it expires.
 func (d *Tracker) rows() []Row {
+	d.refresh()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.sweep()
