--- a/internal/drain/sweep_test.go
+++ b/internal/drain/sweep_test.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,13 +38,14 @@
 // Guards against the new idle timeout of a later configuration being ignored.
 func TestIdleTimeoutMayChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		limit := time.Minute
-		f := newFixture(t, Options{IdleTimeout: func() time.Duration { return limit }})
+		var limit atomic.Int64
+		limit.Store(int64(time.Minute))
+		f := newFixture(t, Options{IdleTimeout: func() time.Duration { return time.Duration(limit.Load()) }})
 		c := f.dial()
 		c.send(fastRequest)
 		c.receive()
 		time.Sleep(10 * time.Second)
-		limit = 5 * time.Second
+		limit.Store(int64(5 * time.Second))
 		time.Sleep(2 * maxSweepInterval)
 		if c.isOpen() {
 			t.Error("still open")
