--- a/process/daemon/fleet_test.go
+++ b/process/daemon/fleet_test.go
@@ -109,6 +109,7 @@
 	peers      string // port, the same on all
 	tls        settings.TLS
 	dial       map[int]func(ctx context.Context, addr string) (net.Conn, error) // how a daemon connects to targets; nil: TCP
+	wrap       func(l *listeners)                                               // changes the ports of daemons that are started; nil: doesn't
 }
 
 // daemonIP returns the IP address of daemon i on loopback. Each test process
@@ -189,6 +190,9 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	if f.wrap != nil {
+		f.wrap(&d.listeners)
+	}
 	d.Start()
 	f.daemons[i] = d
 }
--- a/process/front/drain_test.go
+++ b/process/front/drain_test.go
@@ -7,54 +7,13 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
+	"github.com/pomelospool/pomelospool/internal/linkfault"
 	"github.com/pomelospool/pomelospool/platform/standin"
 )
 
-// gatedListener accepts connections whose Read holds back what it has read while the
-// gate is closed, as that of a process which gets its processor late.
-type gatedListener struct {
-	net.Listener
-	mu   sync.Mutex
-	gate chan struct{} // nil: open
-	held chan struct{} // gets a value for each Read that holds back bytes
-}
-
-func (l *gatedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	return &gatedConn{c, l}, err
-}
-
-func (l *gatedListener) shut() chan struct{} {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.gate = make(chan struct{})
-	return l.gate
-}
-
-type gatedConn struct {
-	net.Conn
-	l *gatedListener
-}
-
-// NetConn returns the wrapped connection.
-func (c *gatedConn) NetConn() net.Conn { return c.Conn }
-
-func (c *gatedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.l.mu.Lock()
-	gate := c.l.gate
-	c.l.mu.Unlock()
-	if n > 0 && gate != nil {
-		c.l.held <- struct{}{}
-		<-gate
-	}
-	return n, err
-}
-
 // requestText returns a request to a port, as it is written to a connection.
 func requestText(port, id string) string {
 	switch port {
@@ -89,9 +48,9 @@
 		t.Run(port, func(t *testing.T) {
 			t.Parallel()
 			p := newTestPlatform(t)
-			var gated *gatedListener
+			var gated *linkfault.Gate
 			d := p.launchWrapped(strings.Replace(settingsText, "grace: 2s", "grace: 4s", 1), func(name string, l net.Listener) net.Listener {
-				g := &gatedListener{Listener: l, held: make(chan struct{}, 1)}
+				g := linkfault.NewGate(l)
 				if name == port {
 					gated = g
 				}
@@ -109,9 +68,10 @@
 			if err := exchange(r); err != nil {
 				t.Fatal(err)
 			}
-			gate := gated.shut()
+			open := gated.Shut()
+			defer open()
 			_, _ = io.WriteString(c, requestText(port, "r2"))
-			<-gated.held
+			<-gated.Held
 			stopped := make(chan error, 1)
 			go func() { stopped <- d.Shutdown() }()
 			p.waitFor(func() bool { // until the port is being closed
@@ -121,7 +81,7 @@
 				}
 				return err != nil
 			})
-			close(gate)
+			open()
 			if err := exchange(r); err != nil {
 				t.Errorf("the request that was read wasn't answered: %v", err)
 			}
