front: accept late in a drain only what can't last until the stop

Idle connections stay open during a drain, so requests arrive on them that met a closed connection before. From the beginning of the drain a request is now accepted only if its deadline lies before the stop, else refused as not run; its caller's address list has expired, so it knows other daemons.

--- a/internal/drain/sweep.go
+++ b/internal/drain/sweep.go
@@ -70,11 +70,20 @@
 	}
 	n := len(t.conns)
 	t.mu.Unlock()
-	if full := int(fullShare * float64(t.o.MaxConns)); t.o.MaxConns > 0 && n >= full {
+	if t.o.MaxConns <= 0 {
+		return
+	}
+	if n >= t.o.MaxConns {
+		t.evict(n-t.o.MaxConns+t.batch(), 0)
+	} else if full := t.full(); n >= full {
 		t.evict(n-full+t.batch(), t.reuseTime())
 	}
 }
 
+// full returns the number of connections from which on those are closed that callers
+// don't use again.
+func (t *Tracker) full() int { return int(fullShare * float64(t.o.MaxConns)) }
+
 // reuseTime returns the idle time after which callers don't use a connection again.
 func (t *Tracker) reuseTime() time.Duration {
 	return time.Duration(reuseShare * float64(t.idleTimeout()))
@@ -90,13 +99,13 @@
 // makeRoom closes idle connections if the n-th connection exceeds a limit. It does so
 // for one connection of a batch.
 func (t *Tracker) makeRoom(n int) {
-	if t.o.MaxConns <= 0 || n%t.batch() != 0 {
+	if t.o.MaxConns <= 0 {
 		return
 	}
-	if n >= t.o.MaxConns {
-		t.evict(n-t.o.MaxConns+t.batch(), 0)
-	} else if n >= int(fullShare*float64(t.o.MaxConns)) {
-		t.evict(t.batch(), t.reuseTime())
+	if over := n - t.o.MaxConns; over >= 0 && over%t.batch() == 0 {
+		t.evict(over+t.batch(), 0)
+	} else if over := n - t.full(); over >= 0 && over%t.batch() == 0 {
+		t.evict(over+t.batch(), t.reuseTime())
 	}
 }
 
--- a/internal/drain/sweep_test.go
+++ b/internal/drain/sweep_test.go
@@ -171,3 +171,31 @@
 		_ = f.tracker.server.Close()
 	})
 }
+
+// Guards against new callers that are refused at the limit of connections while others
+// are idle.
+func TestConnectionsAtTheLimitAreClosedForNewOnes(t *testing.T) {
+	for _, maxConns := range []int{1, 7, 100} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, Options{MaxConns: maxConns})
+			var all []*caller
+			for range maxConns {
+				c := f.dial()
+				synctest.Wait()
+				all = append(all, c)
+			}
+			for _, c := range all {
+				c.send(fastRequest)
+			}
+			for _, c := range all {
+				c.receive()
+			}
+			f.dial()
+			time.Sleep(2 * maxSweepInterval)
+			if n := f.tracker.count.Load(); n > int64(maxConns) {
+				t.Errorf("%d of %d connections are open", n, maxConns)
+			}
+			_ = f.tracker.server.Close()
+		})
+	}
+}
--- a/process/front/stop.go
+++ b/process/front/stop.go
@@ -36,6 +36,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	_ = pause.For(ctx, min(addressCacheFactor*addressTTL+broadcastTime, limit/2))
+	d.ingress.Drain()
 	_ = d.callers.drain.Shutdown(ctx, d.callers.l)
 	for d.ingress.Open() > 0 && pause.For(ctx, stopPoll) == nil {
 	}
--- a/request/entry/server.go
+++ b/request/entry/server.go
@@ -10,6 +10,9 @@
 )
 
 const (
+	// idleTimeout applies to HTTP/2, too, whose connections package drain leaves to
+	// net/http. Package drain keeps net/http from closing a connection on which a
+	// request has arrived.
 	idleTimeout = 2 * time.Minute
 	// headerLimitFactor is the ratio of net/http's header limit to the
 	// configured one. Headers slightly over the configured limit then get an
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -74,6 +74,7 @@
 	o         Options
 	open      atomic.Int64
 	stopAt    atomic.Pointer[time.Time] // when the process stops; nil: no stop is planned
+	draining  atomic.Bool
 	durations durationPredictor
 }
 
@@ -216,7 +217,7 @@
 		}
 	}
 	c.Deadline = x.arrived.Add(callTimeout(c))
-	if x.stopsBefore(c) {
+	if x.stopsBefore(c) || x.mayBeCut(c) {
 		return c, code.New(code.Draining, "the answer would take longer than this daemon stays").WithRetryAfter(stoppingRetryAfter)
 	}
 	return c, nil
