--- a/internal/drain/sweep_test.go
+++ b/internal/drain/sweep_test.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,13 +38,14 @@
 // Guards against the new idle timeout of a later configuration being ignored.
 func TestIdleTimeoutMayChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		limit := time.Minute
-		f := newFixture(t, Options{IdleTimeout: func() time.Duration { return limit }})
+		var limit atomic.Int64
+		limit.Store(int64(time.Minute))
+		f := newFixture(t, Options{IdleTimeout: func() time.Duration { return time.Duration(limit.Load()) }})
 		c := f.dial()
 		c.send(fastRequest)
 		c.receive()
 		time.Sleep(10 * time.Second)
-		limit = 5 * time.Second
+		limit.Store(int64(5 * time.Second))
 		time.Sleep(2 * maxSweepInterval)
 		if c.isOpen() {
 			t.Error("still open")
@@ -169,3 +171,31 @@
 		_ = f.tracker.server.Close()
 	})
 }
+
+// Guards against new callers that are refused at the limit of connections while others
+// are idle.
+func TestConnectionsAtTheLimitAreClosedForNewOnes(t *testing.T) {
+	for _, maxConns := range []int{1, 7, 100} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, Options{MaxConns: maxConns})
+			var all []*caller
+			for range maxConns {
+				c := f.dial()
+				synctest.Wait()
+				all = append(all, c)
+			}
+			for _, c := range all {
+				c.send(fastRequest)
+			}
+			for _, c := range all {
+				c.receive()
+			}
+			f.dial()
+			time.Sleep(2 * maxSweepInterval)
+			if n := f.tracker.count.Load(); n > int64(maxConns) {
+				t.Errorf("%d of %d connections are open", n, maxConns)
+			}
+			_ = f.tracker.server.Close()
+		})
+	}
+}
