discovery: a false start time doesn't hide a target for good

Requests of a service were no longer sent to a sound target after another writer had left an entry with a later start time under its key. Cause: the registry ignored all entries of an earlier start, for ever, so the target's own heartbeats no longer counted. They are now ignored only for 10 s after the last entry that states the later start; late writes of an earlier start arrive within seconds.

An invalid entry is logged once, not with each listing that repeats it.

TestTargetReturnsAfterAnEntryWithAFalseStart and TestOddEntryIsLoggedOnce fail without the change.

--- a/process/discovery/registry.go
+++ b/process/discovery/registry.go
@@ -46,7 +46,7 @@
 	mu        sync.Mutex
 	entries   map[string]port.TargetEntry // by key in the store; the ID of an entry differs for each start of the target
 	offsets   map[string]int64            // by key
-	lastStart map[string]int64            // by key; the newest start time seen
+	lastStart map[string]start            // by key; the newest one seen
 	lapsed    map[string]time.Time        // by key; entries that are missing in the store, with the time at which they are removed here
 	changed   map[string]changes          // by service, since the last snapshot
 	lost      bool
@@ -58,6 +58,17 @@
 	snap atomic.Pointer[Snapshot]
 }
 
+// start is a start of a target that an entry stated.
+type start struct {
+	ms   int64     // start time
+	seen time.Time // when the last entry that states it was applied
+}
+
+// earlierStartTTL is the time for which entries of an earlier start are ignored. They are
+// written late, within seconds of the restart. One that is still written afterwards is that
+// of the target itself, and the later start was stated by another writer.
+const earlierStartTTL = 10 * time.Second
+
 // changes are entries by ID; nil means that the target is gone.
 type changes map[string]*port.TargetEntry
 
@@ -89,7 +100,7 @@
 		decode:    o.Decode,
 		entries:   make(map[string]port.TargetEntry),
 		offsets:   make(map[string]int64),
-		lastStart: make(map[string]int64),
+		lastStart: make(map[string]start),
 		lapsed:    make(map[string]time.Time),
 		changed:   make(map[string]changes),
 	}
@@ -205,7 +216,8 @@
 // applyRecord applies one record. It ignores records that are older than the
 // current one.
 func (r *Registry) applyRecord(rec port.KeyedRecord) {
-	if at, ok := r.offsets[rec.Key]; ok && rec.Offset < at {
+	at, seen := r.offsets[rec.Key]
+	if seen && rec.Offset < at {
 		return
 	}
 	r.offsets[rec.Key] = rec.Offset
@@ -213,7 +225,9 @@
 	if err != nil {
 		// Another writer overwrote the entry, so it no longer describes a
 		// target. A live target soon writes its entry again.
-		log.WithError(err).WithField("target", rec.Key).Warn("discovery: invalid target entry")
+		if !seen || rec.Offset > at { // listings repeat the record
+			log.WithError(err).WithField("target", rec.Key).Warn("discovery: invalid target entry")
+		}
 		if old, known := r.entries[rec.Key]; known {
 			r.remove(rec.Key, old)
 			r.offsets[rec.Key] = rec.Offset
@@ -224,11 +238,11 @@
 		r.removeOrKeep(rec.Key)
 		return
 	}
-	if e.StartMs < r.lastStart[rec.Key] {
+	if last := r.lastStart[rec.Key]; e.StartMs < last.ms && r.now().Sub(last.seen) < earlierStartTTL {
 		log.WithFields(log.Fields{"target": e.ID, "offset": rec.Offset}).Info("discovery: entry of an earlier start ignored")
 		return
 	}
-	r.lastStart[rec.Key] = e.StartMs
+	r.lastStart[rec.Key] = start{ms: e.StartMs, seen: r.now()}
 	old, known := r.entries[rec.Key]
 	if known && (old.ID != e.ID || old.Service != e.Service) {
 		r.remove(rec.Key, old)
