versions: a page that can't be decoded is passed over

The daemon that keeps the software versions asked the store for the same page again and again, until its call timed out, and kept nothing for the fleet: no record of the page could be decoded, and only decoded ones moved the place from which the next page is asked for. Each record moves it now.

TestPageThatCannotBeDecodedIsPassedOver failed before with 2,000 reads in the 2 s of one call, and nothing stored; now 4 reads for 4 pages.

--- a/process/versions/keeper.go
+++ b/process/versions/keeper.go
@@ -75,12 +75,13 @@
 			return err
 		}
 		for _, r := range page.Records {
+			after = r.Key
 			var software []string
 			if err := json.Unmarshal(r.Value, &software); err != nil {
 				log.WithError(err).WithField("service", r.Key).Warn("versions: can't decode stored software versions")
 				continue
 			}
-			stored[r.Key], after = software, r.Key
+			stored[r.Key] = software
 		}
 		more = page.More && len(page.Records) > 0
 	}
