claim: a claim that can't be decoded expires

Nobody reported usage, ordered capacity or changed roles any more after another writer had left a claim on the subject that can't be decoded: each daemon's read of the claims failed, for ever, since only a new claim replaces it and none could be made. It now counts as a claim of an unknown holder: it expires after the lease like any other, so that a daemon whose claim it replaced can't act beside the next holder. It is logged once.

TestClaimThatCannotBeDecodedExpires failed before, at once and at each later time, with "claim at offset 0: invalid character".

--- a/process/claim/claim.go
+++ b/process/claim/claim.go
@@ -58,6 +58,9 @@
 type Claims struct {
 	o    Options
 	held map[string]Claim
+	// invalidAt is the offset after the last claim that couldn't be decoded, which is
+	// logged once.
+	invalidAt int64
 }
 
 // New returns Claims without any claim held.
@@ -124,11 +127,7 @@
 			if r.Key != subject {
 				continue
 			}
-			var rec claimRecord
-			if err := json.Unmarshal(r.Value, &rec); err != nil {
-				return newestClaim{}, 0, fmt.Errorf("claim: claim at offset %d: %w", r.Offset, err)
-			}
-			return newestClaim{holder: rec.Holder, offset: r.Offset, exists: true}, end, nil
+			return newestClaim{holder: c.holderOf(r), offset: r.Offset, exists: true}, end, nil
 		}
 		if !page.More || len(page.Records) == 0 {
 			return newestClaim{}, end, nil
@@ -137,6 +136,21 @@
 	}
 }
 
+// holderOf returns the holder that a claim names. It is unknown, and empty, if another
+// writer has replaced the claim by bytes that can't be decoded. That one expires like any
+// claim, since its fencing number is higher than those before it.
+func (c *Claims) holderOf(r port.KeyedRecord) string {
+	var rec claimRecord
+	if err := json.Unmarshal(r.Value, &rec); err != nil {
+		if c.invalidAt != r.Offset+1 {
+			c.invalidAt = r.Offset + 1
+			log.WithError(err).WithFields(log.Fields{"subject": r.Key, "offset": r.Offset}).Warn("claim: can't decode a claim; its holder is unknown")
+		}
+		return ""
+	}
+	return rec.Holder
+}
+
 // checkExpired returns ErrHeld if another holder may still act under last.
 func (c *Claims) checkExpired(subject string, last newestClaim) error {
 	if !last.exists {
--- a/process/claim/claim_test.go
+++ b/process/claim/claim_test.go
@@ -215,3 +215,24 @@
 		t.Errorf("claim %+v, %v", second, err)
 	}
 }
+
+// Guards against a subject that nobody acts on any more, since another writer has left a
+// claim that can't be decoded.
+func TestClaimThatCannotBeDecodedExpires(t *testing.T) {
+	for name, value := range map[string]string{"nonsense": "\xff{", "list": `["b"]`, "number": `{"holder":1e400}`} {
+		t.Run(name, func(t *testing.T) {
+			s, now := &claimStore{}, time.Duration(0)
+			a := newClaims("a", s, &now)
+			odd := port.KeyedRecord{Key: "svc", Value: []byte(value), Offset: 0}
+			s.records, s.newest = []port.KeyedRecord{odd}, map[string]port.KeyedRecord{"svc": odd}
+			for ; now < lease+waitMargin; now += 100 * time.Millisecond {
+				if _, err := a.Get(t.Context(), "svc"); !errors.Is(err, ErrHeld) {
+					t.Fatalf("at %v: %v", now, err)
+				}
+			}
+			if got, err := a.Get(t.Context(), "svc"); err != nil || got.Fence != 1 {
+				t.Errorf("claim %+v, %v", got, err)
+			}
+		})
+	}
+}
