usage: one odd record doesn't end the reports

After another writer had left one odd record among the stored counts, no usage was reported any more: each daemon that came to lead failed to load the topic, and nobody wrote the key again.

Now an odd record is logged and passed over. If the final counts are lost, the leader goes on from those that it knows, and otherwise from the windows whose reports aren't overdue. Windows more than maxBacklog away count as odd; clocks differ by less. The first window to report lies at most maxBacklog back also when no final counts are stored.

An earlier window is reported with the same counts as before.

--- a/process/usage/reporter.go
+++ b/process/usage/reporter.go
@@ -259,23 +259,14 @@
 	if err := r.opts.Claims.Observe(ctx, subject); err != nil {
 		return err
 	}
+	previous := r.final
 	r.end, r.final = page.End, nil
 	for _, rec := range page.Records {
 		switch rec.Key {
 		case keyFinal:
-			var f finalRecord
-			if err := cbor.Unmarshal(rec.Value, &f); err != nil {
-				return fmt.Errorf("usage: final counts at offset %d: %w", rec.Offset, err)
-			}
-			r.final = &f
+			r.final = r.decodeFinal(rec, previous)
 		case keyRows:
-			rows, err := decodeRows(rec.Value)
-			if err != nil {
-				return fmt.Errorf("at offset %d: %w", rec.Offset, err)
-			}
-			for i := range rows {
-				r.ledger.merge(&rows[i])
-			}
+			r.mergeRows(rec)
 		}
 	}
 	r.loaded = true
@@ -283,6 +274,41 @@
 	return nil
 }
 
+// decodeFinal returns the newest final counts. If another writer has replaced them, it
+// returns the previous ones of this daemon, but not the windows whose reports are overdue:
+// these have been reported, or can't be in time.
+func (r *Reporter) decodeFinal(rec port.KeyedRecord, previous *finalRecord) *finalRecord {
+	now := r.opts.Clock.Now()
+	var f finalRecord
+	err := cbor.Unmarshal(rec.Value, &f)
+	if err == nil && f.Window <= r.counter.window(now)+maxBacklog { // clocks differ
+		return &f
+	}
+	log.WithError(err).WithFields(log.Fields{"offset": rec.Offset, "window": f.Window}).Warn("usage: the stored final counts are invalid")
+	overdue := r.counter.window(now.Add(-r.opts.ReportDeadline)) - 1
+	if previous != nil && previous.Window >= overdue {
+		return previous
+	}
+	r.acked = max(r.acked, overdue)
+	return &finalRecord{Window: overdue}
+}
+
+// mergeRows adds the stored rows to the ledger, except those of windows that no daemon
+// counts in now, which another writer stored.
+func (r *Reporter) mergeRows(rec port.KeyedRecord) {
+	rows, err := decodeRows(rec.Value)
+	if err != nil {
+		log.WithError(err).WithField("offset", rec.Offset).Warn("usage: the stored rows are invalid")
+		return
+	}
+	current := r.counter.window(r.opts.Clock.Now())
+	for i := range rows {
+		if w := rows[i].Window; w >= current-maxBacklog && w <= current+maxBacklog {
+			r.ledger.merge(&rows[i])
+		}
+	}
+}
+
 // nextWindow returns the first window whose counts aren't final, at most
 // maxBacklog windows back after a final one.
 func (r *Reporter) nextWindow(now time.Time) int64 {
@@ -291,7 +317,7 @@
 		return max(r.final.Window+1, current-maxBacklog)
 	}
 	if oldest, found := r.ledger.oldest(); found {
-		return min(oldest, current)
+		return min(max(oldest, current-maxBacklog), current)
 	}
 	return current
 }
