scale: an odd stored capacity is taken anew

A service's targets weren't ordered any more after another writer had replaced its stored capacity by one that can't be decoded; a number that no service has was taken at its word, and orders of a negative or enormous number of targets followed. The capacity counts only if it can be decoded and lies in 1 to 100,000; otherwise the leader logs it and takes it from the targets present, as the first leader does, and stores it over the odd one.

TestOddCapacityIsTakenAnew, before: "nonsense" and "over 64 bits" got no order in 3 minutes, "negative" ordered less than none, and "too large" didn't end within 30 s, since the stand-in starts what is ordered.

--- a/process/scale/scaler.go
+++ b/process/scale/scaler.go
@@ -221,6 +221,10 @@
 	return out
 }
 
+// maxCapacity is the largest capacity of a service, in targets. A larger one was stored by
+// another writer.
+const maxCapacity = 100_000
+
 // capacityRecord is the stored form of a service's capacity, in targets.
 type capacityRecord struct {
 	Capacity int `json:"capacity"`
@@ -242,11 +246,12 @@
 			continue
 		}
 		var rec capacityRecord
-		if err := json.Unmarshal(r.Value, &rec); err != nil {
-			return 0, fmt.Errorf("scale: capacity at offset %d: %w", r.Offset, err)
+		err := json.Unmarshal(r.Value, &rec)
+		if err == nil && rec.Capacity > 0 && rec.Capacity <= maxCapacity {
+			s.capacity[service] = rec.Capacity
+			return rec.Capacity, nil
 		}
-		s.capacity[service] = rec.Capacity
-		return rec.Capacity, nil
+		log.WithError(err).WithFields(log.Fields{"service": service, "offset": r.Offset, "capacity": rec.Capacity}).Warn("scale: the stored capacity is invalid; taking it anew")
 	}
 	t := present.total()
 	if newestAge < settleTime || t.OnDemand+t.Spot == 0 {
