roster: contacts that are no address of a machine are passed over

A daemon takes its first contacts from the store, where another writer may leave one with any address. It resolved that address while it held the roster's lock: a name means a lookup, during which no heartbeat is handled. Port 0, 0.0.0.0, broadcast and multicast addresses were taken for daemons.

An address is now parsed, never looked up; an invalid one is logged once. That a lookup holds the lock is by reading; no lookup was timed.

--- a/process/roster/peer.go
+++ b/process/roster/peer.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/apex/log"
@@ -125,9 +127,12 @@
 	if m.PeerAddr == r.self.PeerAddr {
 		return nil
 	}
-	udp, err := net.ResolveUDPAddr("udp4", m.PeerAddr)
+	udp, err := parsePeerAddr(m.PeerAddr)
 	if err != nil {
-		log.WithError(err).WithField("addr", m.PeerAddr).Warn("roster: can't resolve peer address")
+		if len(r.badAddrs) < maxBadAddrs && !r.badAddrs[m.PeerAddr] {
+			r.badAddrs[m.PeerAddr] = true
+			log.WithError(err).WithField("addr", m.PeerAddr).Warn("roster: invalid peer address")
+		}
 		return nil
 	}
 	p := &peer{member: m, addr: udp, lastSeen: time.Now().Add(-deadAfter)}
@@ -135,6 +140,24 @@
 	return p
 }
 
+// maxBadAddrs bounds the invalid addresses that are remembered, so that each is logged once.
+const maxBadAddrs = 100
+
+var errPeerAddr = errors.New("no address and port of a machine")
+
+// parsePeerAddr parses the address of a daemon. It resolves no names: a contact record
+// of another writer may have one, and the roster would stand still during a lookup.
+func parsePeerAddr(addr string) (net.Addr, error) {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, err
+	}
+	if ip := ap.Addr(); !ip.Is4() || ip.IsUnspecified() || ip.IsMulticast() || ip == netip.AddrFrom4([4]byte{255, 255, 255, 255}) || ap.Port() == 0 {
+		return nil, errPeerAddr
+	}
+	return net.UDPAddrFromAddrPort(ap), nil
+}
+
 // removePeer removes a daemon. Callers hold r.mu.
 func (r *Roster) removePeer(addr string) {
 	delete(r.tokens, r.peers[addr].member.token())
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -142,6 +142,7 @@
 	seq       uint64
 	peers     map[string]*peer    // by peer address
 	tokens    map[uint32]string   // peer address by the token of a daemon's process
+	badAddrs  map[string]bool     // invalid addresses that were logged
 	removed   map[string]net.Addr // by VM, daemons that were removed from peers without having left
 	sent      []sentHeartbeat     // recent own heartbeats, the newest last
 	agg       aggregation
@@ -180,6 +181,7 @@
 		self:      o.Self,
 		peers:     make(map[string]*peer),
 		tokens:    make(map[uint32]string),
+		badAddrs:  make(map[string]bool),
 		removed:   make(map[string]net.Addr),
 		agg:       aggregation{changed: make(chan struct{}, 1)},
 		ownership: newOwnership(),
