soak: find requests that planned work cuts

Cause, in the soak: the judge excused every cut while a daemon's process stood still and every cut stream; callers used a connection again after 1 s at most; streams ended within a second; daemons ran long between two stops.

Now: counted is each connection that ends without a complete answer and without a kill, if a target received the request, paused or not, and if none received it but it was open for longer than loss_slack_ms. Not counted, by the rule's text: a request that no target received and that crosses the close of a stop (within the slack, or while the process stands still, since it is then unread); one sent up to 3 s after SIGTERM and open in the last sixth of the grace time; streams at their deadline, or with an unplanned disruption from stable_window_ms before them to their end, as targets and links break streams off. A pause is an unplanned disruption and would excuse any cut by the rule; the judge excuses a request that a target received only if the process stood still into the last second of the grace time, since the rule of requests cut at any time counts the others.

Callers stay idle for up to 12 s, often 3 to 5 s, respect Keep-Alive, see closed connections, keep address answers for up to three times their time, and drop connections to addresses missing from new ones. A daemon that outlives its grace time is a fault.

--- a/bench/soak/clock_test.go
+++ b/bench/soak/clock_test.go
@@ -140,6 +140,8 @@
 	std := filepath.Join(strings.TrimSpace(string(goroot)), "src")
 	o.edit(std, clockEdit)
 	o.write(filepath.Join(std, "time", "soak_clock.go"), clockShift)
+	o.edit(std, lateEdit)
+	o.write(filepath.Join(std, "net", "soak_late.go"), lateReads)
 	o.write(filepath.Join(root, "cmd", "pomelospoold", "soak_clock.go"), clockReader)
 	o.edit(root, linksEdit)
 	o.write(filepath.Join(root, "process", "front", "soak_links.go"), linksReader)
--- a/bench/soak/fleet_test.go
+++ b/bench/soak/fleet_test.go
@@ -29,11 +29,12 @@
 	linksPath      string // file with the state of its links to targets, see links_test.go
 	logSizeAtStart int64  // size of the log when cmd was started
 	judge          *Judge
+	late           bool // its callers' connections return late what they have read, see late_test.go
 
 	mu              sync.Mutex
 	cmd             *exec.Cmd
 	exited          chan struct{} // closed when cmd has exited
-	stopRequested   bool          // SIGTERM was sent to cmd
+	stoppedAt       time.Time     // when SIGTERM was first sent to cmd; zero if it wasn't
 	reloadRequested bool          // SIGHUP was sent to cmd
 	killedAt        time.Time     // when SIGKILL was sent to cmd; zero if it wasn't
 }
@@ -60,12 +61,12 @@
 	// A daemon that outlives its test goes on sending requests to ports that later tests
 	// get.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	cmd.Env = append(os.Environ(), clockEnv+"="+p.clockPath, linksEnv+"="+p.linksPath)
+	cmd.Env = append(os.Environ(), clockEnv+"="+p.clockPath, linksEnv+"="+p.linksPath, fmt.Sprint(lateEnv, "=", p.late))
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	p.cmd, p.killedAt, p.exited = cmd, time.Time{}, make(chan struct{})
-	p.stopRequested, p.reloadRequested = false, false
+	p.cmd, p.killedAt, p.stoppedAt, p.exited = cmd, time.Time{}, time.Time{}, make(chan struct{})
+	p.reloadRequested = false
 	go p.waitExit(cmd, p.exited)
 	return nil
 }
@@ -76,11 +77,14 @@
 	err := cmd.Wait()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.stoppedAt.IsZero() {
+		p.judge.RecordStop(p.index, p.stoppedAt, time.Now())
+	}
 	switch {
 	case !p.killedAt.IsZero():
 		p.judge.RecordKill(p.index, p.killedAt, time.Now())
 	case p.endedBeforeStart(cmd):
-	case !p.stopRequested:
+	case p.stoppedAt.IsZero():
 		p.judge.ReportFault("daemon %d exited unexpectedly: %v", p.index, err)
 	case err != nil:
 		p.judge.ReportFault("daemon %d: planned stop ended with %v", p.index, err)
@@ -101,7 +105,7 @@
 	}
 	switch status.Signal() {
 	case syscall.SIGTERM:
-		ok = p.stopRequested
+		ok = !p.stoppedAt.IsZero()
 	case syscall.SIGHUP:
 		ok = p.reloadRequested
 	default:
@@ -127,7 +131,9 @@
 			p.killedAt = time.Now()
 		}
 	case syscall.SIGTERM:
-		p.stopRequested = true
+		if p.stoppedAt.IsZero() {
+			p.stoppedAt = time.Now()
+		}
 	case syscall.SIGHUP:
 		p.reloadRequested = true
 	}
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -30,7 +30,8 @@
 	ID         string
 	Class      Class
 	Daemon     int
-	ConnOpened time.Time // when the connect of the connection began
+	ConnOpened time.Time     // when the connect of the connection began
+	Timeout    time.Duration // until the deadline
 	Started    time.Time
 	Ended      time.Time
 	Status     int  // 0 if no header was received
@@ -47,17 +48,20 @@
 // Judge checks what callers observed against what targets recorded. It is
 // safe for concurrent use.
 type Judge struct {
-	mu       sync.Mutex
-	outcomes []Outcome
-	killed   map[int][]killSpan // by index of the daemon
-	paused   map[int][]span     // by index of the daemon
-	outages  map[int][]span     // by index of the daemon, the times at which it may serve nobody
-	cuts     []cut
-	crashes  []time.Time       // of targets, by crashBody
-	crashing []standin.Arrival // of requests with that body
-	parts    partRecords
-	streams  []streamOutcome
-	faults   []string
+	mu          sync.Mutex
+	outcomes    []Outcome
+	killed      map[int][]killSpan // by index of the daemon
+	paused      map[int][]span     // by index of the daemon
+	stops       map[int][]span     // by index of the daemon
+	passedOn    map[string]bool    // ids of requests that targets received
+	disruptions []span             // that aren't planned work
+	outages     map[int][]span     // by index of the daemon, the times at which it may serve nobody
+	cuts        []cut
+	crashes     []time.Time       // of targets, by crashBody
+	crashing    []standin.Arrival // of requests with that body
+	parts       partRecords
+	streams     []streamOutcome
+	faults      []string
 }
 
 // killSpan is the time from a kill signal to the exit of the process.
@@ -65,7 +69,10 @@
 
 // NewJudge returns an empty Judge.
 func NewJudge() *Judge {
-	return &Judge{killed: make(map[int][]killSpan), paused: make(map[int][]span), outages: make(map[int][]span)}
+	return &Judge{
+		killed: make(map[int][]killSpan), paused: make(map[int][]span), outages: make(map[int][]span),
+		stops: make(map[int][]span), passedOn: make(map[string]bool),
+	}
 }
 
 // Record records the outcome of a request.
@@ -118,6 +125,7 @@
 	Streams, Whole, TakenUp, WentOn int
 	// Connections that targets accepted, and answers that they sent once more.
 	Connections, Copies int
+	Excused             map[Excuse]int // incomplete answers that are no fault
 }
 
 // Verdict returns the violations and the totals. ran is the number of runs of
@@ -131,11 +139,15 @@
 	faults = append(faults, j.checkCrashes()...)
 	faults = append(faults, j.checkParts(ran)...)
 	faults = append(faults, j.checkStreams()...)
+	totals.Excused = make(map[Excuse]int)
 	for _, o := range j.streams {
 		totals.addStream(o)
 	}
 	for _, o := range j.outcomes {
 		totals.add(o)
+		if e := j.excuse(o, ran[o.ID]); !o.Complete && !o.Canceled && e != None {
+			totals.Excused[e]++
+		}
 		for _, f := range j.check(o, ran[o.ID]) {
 			faults = append(faults, fmt.Sprintf("%s %s at daemon %d after %d ms, status %d, %d runs, %v: %s",
 				o.Class, o.ID, o.Daemon, o.Ended.Sub(o.Started).Milliseconds(), o.Status, ran[o.ID], o.Err, f))
@@ -177,35 +189,12 @@
 	if o.Complete && !o.Crashing && strings.Contains(o.Body, quarantined) {
 		faults = append(faults, "harmless content is in quarantine")
 	}
-	if !o.Complete && !o.Canceled && o.Class != Stream && !j.killedWhileOpen(o) && !j.pausedDuring(o) {
+	if !o.Complete && !o.Canceled && j.excuse(o, runs) == None {
 		faults = append(faults, "cut, though its daemon wasn't killed; "+j.connectionTimes(o))
 	}
 	return faults
 }
 
-// BeginPause records that a daemon's process is stopped until the returned function
-// is called.
-func (j *Judge) BeginPause(daemon int) (end func()) {
-	from := time.Now()
-	return func() {
-		j.mu.Lock()
-		defer j.mu.Unlock()
-		j.paused[daemon] = append(j.paused[daemon], span{from, time.Now()})
-	}
-}
-
-// pausedDuring reports whether the daemon's process was stopped during the
-// request. If it is stopping as planned, it may then close a connection whose
-// request has arrived unseen.
-func (j *Judge) pausedDuring(o Outcome) bool {
-	for _, s := range j.paused[o.Daemon] {
-		if s.overlaps(span{o.Started, o.Ended}) {
-			return true
-		}
-	}
-	return false
-}
-
 // timeFormat has the precision at which kills and connections are compared.
 const timeFormat = "15:04:05.000000"
 
@@ -217,6 +206,14 @@
 	for _, k := range j.killed[o.Daemon] {
 		fmt.Fprintf(&b, " %s to %s", k.from.Format(timeFormat), k.to.Format(timeFormat))
 	}
+	for _, s := range j.stops[o.Daemon] {
+		if s.overlaps(span{o.ConnOpened, o.Ended}) {
+			fmt.Fprintf(&b, ", stop %s to %s", s.from.Format(timeFormat), s.to.Format(timeFormat))
+		}
+	}
+	if j.passedOn[o.ID] {
+		b.WriteString(", passed on")
+	}
 	return b.String()
 }
 
--- a/bench/soak/judge_test.go
+++ b/bench/soak/judge_test.go
@@ -12,7 +12,7 @@
 // pass whatever the system does.
 func TestJudge(t *testing.T) {
 	at := func(ms int) time.Time { return time.Unix(0, 0).Add(time.Duration(ms) * time.Millisecond) }
-	good := Outcome{ID: "r", Class: Unsafe, ConnOpened: at(0), Started: at(5), Ended: at(10), Status: 200, Complete: true, Body: "b", WantBody: "b"}
+	good := Outcome{ID: "r", Class: Unsafe, Timeout: time.Second, ConnOpened: at(0), Started: at(5), Ended: at(10), Status: 200, Complete: true, Body: "b", WantBody: "b"}
 	cases := []struct {
 		name   string
 		change func(o *Outcome)
@@ -31,7 +31,7 @@
 		{"cut, the caller left", func(o *Outcome) { o.Complete, o.Canceled = false, true }, 1, ""},
 		{"cut by a kill", func(o *Outcome) { o.Complete, o.Daemon = false, 1 }, 1, ""},
 		{"cut after the kill", func(o *Outcome) { o.Complete, o.Daemon, o.ConnOpened = false, 1, at(9) }, 1, "cut"},
-		{"a stream that was cut", func(o *Outcome) { o.Complete, o.Class = false, Stream }, 1, ""},
+		{"a stream that was cut", func(o *Outcome) { o.Complete, o.Class = false, Stream }, 1, "cut"},
 	}
 	for _, tc := range cases {
 		j := NewJudge()
@@ -145,22 +145,79 @@
 	}
 }
 
-// A request that a planned stop cuts is excused by a stop of the process during
-// the request, and only then.
-func TestPausedDuring(t *testing.T) {
+// Guards against a judge that excuses a request which a target received and a planned
+// stop cut, or that blames a daemon for what the rules leave out.
+func TestCutByAPlannedStop(t *testing.T) {
 	start := time.Now()
-	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
-	for name, o := range map[string]Outcome{
-		"before":           {Daemon: 1, Started: at(0), Ended: at(90)},
-		"another daemon's": {Daemon: 2, Started: at(110), Ended: at(190)},
-		"afterwards":       {Daemon: 1, Started: at(210), Ended: at(300)},
-		"":                 {Daemon: 1, Started: at(190), Ended: at(300)},
-	} {
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	cases := []struct {
+		name       string
+		class      Class
+		sent, ends float64 // SIGTERM comes at 0, and the daemon exits at 7.4
+		runs       int
+		rejected   bool // by a target
+		paused     span
+		disrupted  span
+		want       Excuse
+	}{
+		{name: "crosses the close", sent: 3.6, ends: 3.61, want: Crossed},
+		{name: "crosses the close, ran", sent: 3.6, ends: 3.61, runs: 1},
+		{name: "crosses the close, passed on", sent: 3.6, ends: 3.61, rejected: true},
+		{name: "safe, ran", class: Safe, sent: 3.6, ends: 3.61, runs: 1},
+		{name: "was read, and isn't answered", sent: 3.6, ends: 3.9},
+		{name: "unseen while the process stands still", sent: 3.6, ends: 3.9, paused: span{at(3.5), at(3.8)}, want: Crossed},
+		{name: "ran, and the process stands still", sent: 3.6, ends: 3.9, runs: 1, paused: span{at(3.5), at(3.8)}},
+		{name: "paused before", sent: 3.6, ends: 3.9, paused: span{at(3), at(3.5)}},
+		{name: "stands still until the end", sent: 5, ends: 7.2, runs: 1, paused: span{at(5), at(7.1)}, want: StoodStill},
+		{name: "open until the end", sent: 5, ends: 7.2, runs: 1},
+		{name: "before the stop", sent: -1, ends: -0.9},
+		{name: "after the stop", sent: 7.5, ends: 7.6},
+		{name: "stream sent early", class: Stream, sent: 2.9, ends: 7.3, runs: 1, want: Outlasting},
+		{name: "stream sent early, cut early", class: Stream, sent: 2.9, ends: 6, runs: 1},
+		{name: "stream sent late", class: Stream, sent: 3.1, ends: 7.3, runs: 1},
+		{name: "stream at its deadline", class: Stream, sent: 1, ends: 6.1, runs: 1, want: OutOfTime},
+		{name: "stream before any stop", class: Stream, sent: -3, ends: -2, runs: 1},
+		{name: "stream beside another disruption", class: Stream, sent: 3.1, ends: 7.3, runs: 1, disrupted: span{at(0), at(1)}, want: Disrupted},
+		{name: "stream long after it", class: Stream, sent: 4.1, ends: 7.3, runs: 1, disrupted: span{at(0), at(1)}},
+		{name: "unsafe beside another disruption", sent: 3.1, ends: 7.2, runs: 1, disrupted: span{at(0), at(1)}},
+	}
+	for _, tc := range cases {
 		j := NewJudge()
-		j.paused[1] = []span{{at(100), at(200)}}
+		j.RecordStop(1, at(0), at(7.4))
+		j.paused[1] = []span{tc.paused}
+		j.disruptions = []span{tc.disrupted}
+		o := Outcome{ID: "r", Class: tc.class, Daemon: 1, ConnOpened: at(-5), Started: at(tc.sent), Ended: at(tc.ends), Timeout: 5 * time.Second}
 		j.Record(o)
-		if faults, _ := j.Verdict(nil); (len(faults) > 0) != (name != "") {
-			t.Errorf("%q: %v", name, faults)
+		if tc.rejected {
+			j.RecordPassedOn(o.ID)
+		}
+		faults, totals := j.Verdict(map[string]int{"r": tc.runs})
+		if got := j.excuse(o, tc.runs); got != tc.want || (len(faults) > 0) != (tc.want == None) || totals.Broken != 1 {
+			t.Errorf("%s: excuse %q, want %q: %v", tc.name, got, tc.want, faults)
+		}
+	}
+}
+
+// Guards against plans of planned work that don't stop each daemon, or that a seed
+// doesn't determine.
+func TestPlannedWorkPlan(t *testing.T) {
+	size := Size{Daemons: 4, Length: 20 * time.Second}
+	for seed := range uint64(50) {
+		plan := PlannedWork(seed, size)
+		if !slices.Equal(plan, PlannedWork(seed, size)) {
+			t.Fatalf("seed %d: two plans", seed)
+		}
+		stops := make(map[int]bool)
+		for _, e := range plan {
+			if !e.Kind.isPlanned() || e.At+e.For > size.Length {
+				t.Errorf("seed %d: %v", seed, e)
+			}
+			if e.Kind == StopSeries {
+				stops[e.On] = true
+			}
+		}
+		if len(stops) != size.Daemons {
+			t.Errorf("seed %d: %d of %d daemons stop", seed, len(stops), size.Daemons)
 		}
 	}
 }
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -39,6 +39,8 @@
 	StarveDaemon                     // a daemon's process gets starvedShare of the time
 	CrashContent                     // a request that crashes its targets is sent again and again
 	CrashPart                        // requests with a part that crashes its targets are sent, no two alike
+	StopSeries                       // SIGTERM and restart again and again, with SIGHUPs beside it
+	PublishSeries                    // a new version of the configuration again and again
 	RepeatAnswers                    // targets reject some requests and send answers once more, late
 )
 
@@ -46,12 +48,21 @@
 	"kill daemon", "stop daemon", "pause daemon", "reload daemon", "cut store", "fail store",
 	"cut target", "spoil target", "kill target", "drain target", "publish",
 	"step clock", "reject all", "restart series", "cut links",
-	"stop target", "starve target", "starve daemon", "crash content", "crash part", "repeat answers",
+	"stop target", "starve target", "starve daemon", "crash content", "crash part", "stop series", "publish series", "repeat answers",
 }
 
 // String returns the name of the kind in plans.
 func (k Kind) String() string { return kindNames[k] }
 
+// isPlanned reports whether the kind is planned work, during which no request may be cut.
+func (k Kind) isPlanned() bool {
+	switch k {
+	case StopDaemon, ReloadDaemon, DrainTarget, Publish, StopSeries, PublishSeries:
+		return true
+	}
+	return false
+}
+
 // Event is one fault or planned change of a plan.
 type Event struct {
 	At   time.Duration // since the start of the load
@@ -83,6 +94,10 @@
 	Parts bool
 	// Versions is the number of software versions of the targets; 0: one.
 	Versions int
+	// SlowTargets is the number of targets of the slow service.
+	SlowTargets int
+	// Late makes the daemons' callers' connections return late what they have read.
+	Late bool
 	// Copies adds targets that repeat answers to the plan.
 	Copies bool
 }
@@ -142,10 +157,14 @@
 	if s.Copies {
 		out = append(out, copyPlan(seed, s))
 	}
-	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
+	sortEvents(out)
 	return out
 }
 
+func sortEvents(plan []Event) {
+	sort.SliceStable(plan, func(i, j int) bool { return plan[i].At < plan[j].At })
+}
+
 func randomEvents(r *rand.Rand, s Size, at time.Duration) []Event {
 	e := Event{
 		At:   at,
--- a/bench/soak/site_test.go
+++ b/bench/soak/site_test.go
@@ -28,6 +28,7 @@
 	current    atomic.Pointer[standin.Target]
 	generation atomic.Int32
 	dark       atomic.Bool // its target has ended, and the proxy has a mode for that
+	service    string      // see standin.Target
 	versions   int         // number of software versions, which follow each other
 	name       string
 	proxy      *Proxy
@@ -50,7 +51,9 @@
 	storeProxies []*Proxy     // to the store, one for each daemon
 	daemons      []*process
 
-	connections atomic.Int64 // that targets accepted
+	load        *Load         // of the trial
+	stopLimit   time.Duration // for the time from SIGTERM to the exit of a daemon
+	connections atomic.Int64  // that targets accepted
 
 	crashMode atomic.Int32 // Mode of the proxy of a target that a part has crashed; Pass: it refuses connections
 
@@ -73,11 +76,14 @@
 			t.Fatal(err)
 		}
 	}
-	env := &environment{t: t, dir: dir, judge: NewJudge(), budget: budget, store: standin.NewStore(), cloud: standin.NewCloud()}
+	env := &environment{t: t, dir: dir, judge: NewJudge(), budget: budget, store: standin.NewStore(), cloud: standin.NewCloud(), stopLimit: maxStopTime}
 	env.addrPrefix = reserveRange(t)
 	storeAddr, cloudAddr := env.startServer(env.store, &env.storeServer), env.startServer(env.cloud, &env.cloudServer)
 	for i := range s.Targets {
-		env.addSlot(i, s.Versions)
+		env.addSlot(&targetSlot{stage: firstStage(i)}, i, s.Versions)
+	}
+	for i := range s.SlowTargets {
+		env.addSlot(&targetSlot{service: standin.SlowService}, s.Targets+i, s.Versions)
 	}
 	env.publish()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -93,7 +99,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		p := &process{index: i, program: program, settingsPath: path, judge: env.judge, logPath: filepath.Join(dir, fmt.Sprintf("daemon-%d.log", i)), clockPath: filepath.Join(dir, fmt.Sprintf("clock-%d", i)), linksPath: filepath.Join(dir, fmt.Sprintf("links-%d", i))}
+		p := &process{index: i, program: program, settingsPath: path, judge: env.judge, logPath: filepath.Join(dir, fmt.Sprintf("daemon-%d.log", i)), clockPath: filepath.Join(dir, fmt.Sprintf("clock-%d", i)), linksPath: filepath.Join(dir, fmt.Sprintf("links-%d", i)), late: s.Late}
 		env.daemons = append(env.daemons, p)
 		if err := p.start(); err != nil {
 			t.Fatal(err)
@@ -151,8 +157,8 @@
 // firstStage returns the stage of the first target of a slot.
 func firstStage(slot int) string { return [...]string{"", "prefill", "decode", ""}[slot%4] }
 
-func (env *environment) addSlot(i, versions int) {
-	slot := &targetSlot{stage: firstStage(i), name: fmt.Sprintf("i-%d", i), versions: max(versions, 1)}
+func (env *environment) addSlot(slot *targetSlot, i, versions int) {
+	slot.name, slot.versions = fmt.Sprintf("i-%d", i), max(versions, 1)
 	slot.generation.Store(int32(i / 4))
 	l := &gatedListener{env.listen(), &slot.gate}
 	slot.srv = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) { slot.current.Load().ServeHTTP(rw, req) })}
@@ -178,10 +184,14 @@
 	}
 	generation := slot.generation.Add(1)
 	t := standin.NewTarget(fmt.Sprintf("%s-%d", slot.name, generation), slot.stage)
+	t.Service = slot.service
 	t.Software = fmt.Sprint("v", int(generation)%slot.versions)
 	t.Set(func(b *standin.Behaviour) {
 		b.Events, b.Gap = events, 2*time.Millisecond
 		b.Unframed = generation%3 == 0
+		if slot.service == standin.SlowService {
+			b.GapOf = slowGap
+		}
 		b.CrashBody, b.CrashPart = crashBody, crashPart
 		b.OnCrash = func(part bool) { env.crashTarget(slot, t, part) }
 	})
@@ -311,7 +321,8 @@
 	}
 }
 
-// runCounts returns the number of runs of each request over all targets.
+// runCounts returns the number of runs of each request over all targets, and tells the
+// judge which requests targets received.
 func (env *environment) runCounts() map[string]int {
 	env.mu.Lock()
 	defer env.mu.Unlock()
@@ -321,6 +332,9 @@
 			for _, id := range t.Ran() {
 				out[id]++
 			}
+			for _, a := range t.Arrivals() {
+				env.judge.RecordPassedOn(a.ID)
+			}
 		}
 	}
 	return out
@@ -332,6 +346,7 @@
 		ResolveAddresses: standin.QueryAddresses,
 		NotRun:           standin.ReportsNotRun,
 		Paths:            classPaths,
+		SlowPaths:        [...]string{standin.SlowUnsafePrefix, standin.SlowSafePrefix, standin.SlowStreamPrefix},
 		Host:             standin.Host,
 		Answer:           standin.Answer,
 		Events:           standin.EventStream(events),
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -124,7 +124,7 @@
 	size.Targets = *targets
 	faults, totals := runTrial(t, trial{
 		seed: seed, program: program, daemons: size.Daemons, plan: Plan(seed, size),
-		length: size.Length, recoveryLimit: recoveryLimit, grace: callerGrace, versions: size.Versions, resumers: size.Versions,
+		length: size.Length, recoveryLimit: recoveryLimit, grace: callerGrace, versions: size.Versions, resumers: size.Versions, idle: idleCallers,
 	})
 	t.Logf("seed %d: %+v", seed, totals)
 	for _, f := range faults {
@@ -148,11 +148,15 @@
 	warmup        time.Duration // under load, before the plan and the length
 	versions      int           // number of software versions; 0: one
 	resumers      int           // number of callers that take streams up
+	idle          int           // Load.Idle
+	slowTargets   int           // that idle callers ask
+	late          bool          // see process
+	stopLimit     time.Duration // 0: maxStopTime
 }
 
 // runTrial runs a trial and returns the violations.
 func runTrial(t *testing.T, tr trial) ([]string, Totals) {
-	env := newEnvironment(t, tr.seed, tr.program, Size{Daemons: tr.daemons, Targets: cmp.Or(tr.targets, *targets), Versions: tr.versions}, cmp.Or(tr.budget, retryBudget))
+	env := newEnvironment(t, tr.seed, tr.program, Size{Daemons: tr.daemons, Targets: cmp.Or(tr.targets, *targets), Versions: tr.versions, SlowTargets: tr.slowTargets, Late: tr.late}, cmp.Or(tr.budget, retryBudget))
 	defer env.close()
 	for i := range env.daemons {
 		if !eventually(recoveryLimit, func() bool { return env.ready(i) }) {
@@ -165,6 +169,8 @@
 	var wg sync.WaitGroup
 	load := env.newLoad(tr.seed, cmp.Or(tr.callers, *callers))
 	load.Grace, load.Think = tr.grace, cmp.Or(tr.think, maxThinkTime)
+	load.Idle, load.Slow = tr.idle, tr.slowTargets > 0
+	env.load, env.stopLimit = load, cmp.Or(tr.stopLimit, maxStopTime)
 	wg.Go(func() { load.Run(ctx) })
 	for i := range tr.resumers {
 		wg.Go(func() { env.newResumer(tr.seed, i).run(ctx) })
@@ -208,6 +214,9 @@
 
 // apply applies one event and, if it has a duration, undoes it at its end.
 func (env *environment) apply(ctx context.Context, e Event) {
+	if !e.Kind.isPlanned() {
+		defer env.judge.BeginDisruption()()
+	}
 	waitEnd := func() { wait(ctx.Done(), e.For) }
 	switch e.Kind {
 	case KillDaemon:
@@ -216,15 +225,16 @@
 		waitEnd()
 		env.restart(p)
 	case StopDaemon:
-		defer env.judge.BeginOutage(e.On)()
-		p := env.daemons[e.On]
-		<-p.signal(syscall.SIGTERM)
-		env.restart(p)
+		env.stop(e.On)
 	case PauseDaemon:
 		defer env.judge.BeginOutage(e.On)()
 		resume := env.pause(e.On)
 		waitEnd()
 		resume()
+	case StopSeries:
+		env.stopInSeries(ctx, e)
+	case PublishSeries:
+		env.publishInSeries(ctx, e)
 	case ReloadDaemon:
 		env.daemons[e.On].signal(syscall.SIGHUP)
 	case CutStore:
