--- a/process/usage/odd_test.go
+++ b/process/usage/odd_test.go
@@ -11,8 +11,8 @@
 	"github.com/pomelospool/pomelospool/port"
 )
 
-// leave writes a record into the topic of the usage as another writer would.
-func (f *fleet) leave(key string, value []byte) {
+// writeOdd writes a record into the topic of the usage as another writer would.
+func (f *fleet) writeOdd(key string, value []byte) {
 	f.t.Helper()
 	page, err := f.store.Newest(f.t.Context(), port.TopicUsage, "")
 	if err != nil {
@@ -56,7 +56,7 @@
 					if !early {
 						want += f.run(2 * period)
 					}
-					f.leave(odd.key, odd.value)
+					f.writeOdd(odd.key, odd.value)
 					want += f.run(3 * period)
 					time.Sleep(2 * period)
 					f.check()
