daemon: a planned stop keeps time to hand over, and ends at its limit

A daemon of the project's own protocol whose open streams lasted until control.drain_limit released no lease and recorded no outstanding result, and ended over a second after the limit. Cause: one context bounded the wait for open requests and all that follows, so the hand-over began with a context that was over, while the close of callers' connections had a second of its own on top and the ends of the parts no bound. Evidence: the test with a stream that stays open failed before (a limit of 6 s: the lease was taken over without a release, and the stop wasn't over at its limit); the orders of that engine group stop until the lease expires. Change: the last quarter of the time, 4 s at most, is kept for the release of leases, results and the end; the whole stop runs under internal/shutdown, so the process exits at the limit whatever the log does. Callers' part: with 60 s, streams that are still open are cut 56 s after the signal in place of 60 s.

--- a/process/daemon/run.go
+++ b/process/daemon/run.go
@@ -101,10 +101,10 @@
 // address answers of all daemons, and it keeps serving until the answers that
 // callers have cached expire. Then it refuses new requests as not run and waits
 // for the open ones. Leases are released last, when no work of its own needs
-// them. ctx bounds the wait; requests that are still open at its end are cut.
+// them. ctx bounds the stop; requests that are still open shortly before its end are cut.
 func (d *Daemon) Shutdown(ctx context.Context) error {
 	var err error
-	d.stopOnce.Do(func() { err = d.shutdown(ctx) })
+	d.stopOnce.Do(func() { err = stopWithin(ctx, d.shutdown) })
 	return err
 }
 
@@ -112,14 +112,16 @@
 	log.Info("daemon: leaving")
 	d.setPhase(phaseLeaving)
 	d.members.Leave()
+	drain, cancel := withTimeToEnd(ctx)
+	defer cancel()
 	wait := d.s.Control.AddressTTL + leaveHeartbeats*d.s.Control.Heartbeat
 	select {
 	case <-time.After(wait):
-	case <-ctx.Done():
+	case <-drain.Done():
 	}
 	d.setPhase(phaseDraining)
 	log.Info("daemon: draining")
-	drained := d.entry.Drain(ctx)
+	drained := d.entry.Drain(drain)
 	if drained != nil {
 		log.WithField("open", d.entry.Open()).Warn("daemon: drain limit reached, cutting open requests")
 	}
