--- a/process/daemon/run.go
+++ b/process/daemon/run.go
@@ -101,16 +101,18 @@
 // address answers of all daemons, and it keeps serving until the answers that
 // callers have cached expire. Then it refuses new requests as not run and waits
 // for the open ones. Leases are released last, when no work of its own needs
-// them. ctx bounds the wait; requests that are still open at its end are cut.
+// them. ctx bounds the stop; requests that are still open shortly before its end are cut.
 func (d *Daemon) Shutdown(ctx context.Context) error {
 	var err error
-	d.stopOnce.Do(func() { err = d.shutdown(ctx) })
+	d.stopOnce.Do(func() { err = stopWithin(ctx, d.shutdown) })
 	return err
 }
 
 func (d *Daemon) shutdown(ctx context.Context) error {
 	log.Info("daemon: leaving")
-	if end, limited := ctx.Deadline(); limited {
+	drain, cancel := withTimeToEnd(ctx)
+	defer cancel()
+	if end, limited := drain.Deadline(); limited {
 		d.entry.StopAt(end)
 	}
 	d.setPhase(phaseLeaving)
@@ -118,11 +120,11 @@
 	wait := d.s.Control.AddressTTL + leaveHeartbeats*d.s.Control.Heartbeat
 	select {
 	case <-time.After(wait):
-	case <-ctx.Done():
+	case <-drain.Done():
 	}
 	d.setPhase(phaseDraining)
 	log.Info("daemon: draining")
-	drained := d.entry.Drain(ctx)
+	drained := d.entry.Drain(drain)
 	if drained != nil {
 		log.WithField("open", d.entry.Open()).Warn("daemon: drain limit reached, cutting open requests")
 	}
@@ -144,23 +146,24 @@
 const releaseTimeout = 2 * time.Second
 
 // closeIdle closes the connections to all ports after the answers in progress on them.
-// It may take as long as ctx, but for at least drainTime.
+// It leaves closeTime of ctx for what follows, or half if there is less left.
 func (d *Daemon) closeIdle(ctx context.Context) {
-	brief, cancel := context.WithTimeout(context.Background(), drainTime)
-	defer cancel()
-	if end, ok := ctx.Deadline(); !ok || time.Until(end) > drainTime {
-		brief = ctx
+	if end, limited := ctx.Deadline(); limited {
+		left := time.Until(end)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, max(left-closeTime, left/2))
+		defer cancel()
 	}
 	var wg sync.WaitGroup
-	wg.Go(func() { _ = d.drain.Shutdown(brief, d.listeners.callers) })
-	wg.Go(func() { _ = d.drainOperators.Shutdown(brief, d.listeners.operators) })
-	wg.Go(func() { d.peers.Shutdown(brief) })
+	wg.Go(func() { _ = d.drain.Shutdown(ctx, d.listeners.callers) })
+	wg.Go(func() { _ = d.drainOperators.Shutdown(ctx, d.listeners.operators) })
+	wg.Go(func() { d.peers.Shutdown(ctx) })
 	wg.Wait()
 	_ = d.entry.Close()
 }
 
-// drainTime is the least time for the answers in progress at a stop.
-const drainTime = time.Second
+// closeTime is the time in which all parts end after the last answer.
+const closeTime = time.Second
 
 // handOver records what the other daemons need: the results of at-most-once
 // calls, the release of leases, the burn report. Results may take all the time
