--- a/bench/soak/idle.go
+++ b/bench/soak/idle.go
@@ -43,7 +43,7 @@
 	maxShortSlow    = 700 * time.Millisecond
 )
 
-// stopNotices tells callers when daemons begin to stop, so that requests arrive at the
+// stopNotices informs callers of planned stops, so that requests arrive at the
 // times at which a stop can go wrong.
 type stopNotices struct {
 	mu      sync.Mutex
--- a/bench/soak/site_test.go
+++ b/bench/soak/site_test.go
@@ -321,8 +321,8 @@
 	}
 }
 
-// runCounts returns the number of runs of each request over all targets, and tells the
-// judge which requests targets received.
+// runCounts returns the number of runs of each request over all targets and
+// records with the judge which requests targets received.
 func (env *environment) runCounts() map[string]int {
 	env.mu.Lock()
 	defer env.mu.Unlock()
--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -171,7 +171,7 @@
 }
 
 // interrupt is closeIfWaiting for callers that hold c.mu. A connection with HTTP/2 is
-// closed by the server only, which tells the caller what it has read.
+// closed by the server only, whose GOAWAY states what it has read.
 func (c *conn) interrupt() {
 	if c.phase == active || !c.waiting || c.closing || c.closed || c.multiplexed {
 		return
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -109,7 +109,7 @@
 }
 
 // drained reports whether all connections are closed. It closes them if no request
-// is open. Connections with HTTP/2 are left to the server, which tells their callers
+// is open. Connections with HTTP/2 are left to the server, whose GOAWAY states
 // which requests it has read.
 func (t *Tracker) drained(begun time.Time) bool {
 	t.mu.Lock()
--- a/process/front/conns.go
+++ b/process/front/conns.go
@@ -46,7 +46,7 @@
 }
 
 // drainInternal answers the open requests of all ports except the callers'. Reads that
-// wait for news are answered at once.
+// wait for records are answered at once.
 func (d *Daemon) drainInternal(ctx context.Context) {
 	d.endReads()
 	var wg sync.WaitGroup
--- a/process/scale/scaler.go
+++ b/process/scale/scaler.go
@@ -251,7 +251,7 @@
 			s.capacity[service] = rec.Capacity
 			return rec.Capacity, nil
 		}
-		log.WithError(err).WithFields(log.Fields{"service": service, "offset": r.Offset, "capacity": rec.Capacity}).Warn("scale: the stored capacity is invalid; taking it anew")
+		log.WithError(err).WithFields(log.Fields{"service": service, "offset": r.Offset, "capacity": rec.Capacity}).Warn("scale: the stored capacity is invalid; replacing it")
 	}
 	t := present.total()
 	if newestAge < settleTime || t.OnDemand+t.Spot == 0 {
--- a/request/duration/duration_test.go
+++ b/request/duration/duration_test.go
@@ -287,7 +287,7 @@
 	}
 }
 
-// Guards against daemons that forget what they were told when its senders are replaced
+// Guards against daemons that forget received rows when their senders are replaced
 // one after the other, as by a release: all that are left are young then.
 func TestKnowledgeOutlivesItsDaemon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/request/ingress/length_test.go
+++ b/request/ingress/length_test.go
@@ -35,7 +35,7 @@
 
 // Guards against a stream that is cut because the daemon stops: a daemon that has
 // served only short streams accepted a long one 3.2 s after the signal. A refused
-// request must not have run, and its caller is told to try another daemon at once.
+// request must not have run, and the answer must send its caller to another daemon at once.
 func TestStoppingRefusesLongAnswers(t *testing.T) {
 	f := start(t, true)
 	f.decode.Set(func(b *standin.Behaviour) { b.Gap = time.Millisecond })
