soak: planted faults of planned stops

What callers saw: nothing; the trials of planned work find three faults again that planned stops had, and these builds show that they still would.

--- a/bench/soak/planned_work_test.go
+++ b/bench/soak/planned_work_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -106,3 +107,37 @@
 		env.publish()
 	}
 }
+
+// TestPlantedFaultsInPlannedWork checks that trials of planned work detect faults.
+func TestPlantedFaultsInPlannedWork(t *testing.T) {
+	if !*planted {
+		t.Log("not run without -soak.planted")
+		return
+	}
+	cases := []struct {
+		name, want string
+		edits      []edit
+	}{
+		{"a connection is closed as idle whose request was read", "1 runs, unexpected EOF: cut, though", []edit{
+			{"internal/drain/drain.go", "		case busy:\n			return false\n", "		case busy:\n			remaining++\n"},
+			{"internal/drain/conn.go", "if c.phase == active ||", "if c.phase == active && time.Since(c.since) > 500*time.Millisecond ||"},
+			{"internal/drain/conn.go", "	c.closing = true\n	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))", "	c.closing = true\n	_ = c.Conn.Close()"},
+		}},
+		{"a daemon that stops accepts streams that outlast it", "status 200, 1 runs, unexpected EOF: cut, though", []edit{
+			{"request/duration/duration.go", "return c.Timeout > left && d.predict(c, left) > left", "return c.Timeout > left && d.predict(c, left) < 0"},
+		}},
+		{"a signal is lost", "after SIGTERM", []edit{
+			{"cmd/pomelospoold/front.go", "import (\n", "import (\n	\"time\"\n"},
+			{"cmd/pomelospoold/front.go", "reload(d, o.Settings)\n		case", "reload(d, o.Settings)\n			select {\n			case <-received.stop:\n			case <-time.After(10 * time.Millisecond):\n			}\n		case"},
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			faults, totals := runTrial(t, plannedTrial(1, buildDaemon(t, t.TempDir(), tc.edits)))
+			if !strings.Contains(strings.Join(faults, "\n"), tc.want) {
+				t.Errorf("not found, %+v: %v", totals, faults)
+			}
+		})
+	}
+}
