entry: the test of calls that may run once has a network of its own

Seen: TestOnceFaults, "2 runs, want 1", once under load with -race. No request ran twice: the second run was the request of another case. The case "unreachable" closes its targets' listeners; the kernel gave one of the ports to a target of "refused by the target unrun", which runs in parallel, before "unreachable" had sent. The target counted both requests.

Read as well: a call with a key gets a connection of its own, and only an attempt of which the kernel took no byte, or whose target says so, is followed by another.

The cases run in virtual time on an in-memory network each.

--- a/request/entry/fixture_test.go
+++ b/request/entry/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -16,6 +18,7 @@
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/connection/address"
 	"github.com/pomelospool/pomelospool/connection/pool"
+	"github.com/pomelospool/pomelospool/internal/pipenet"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/routing"
@@ -109,21 +112,40 @@
 	return out
 }
 
-// fixture is an Entry that serves on a real listener, with targets on real
-// listeners.
+// fixture is an Entry that serves on a listener, with targets on listeners of the
+// same network.
 type fixture struct {
-	t     testing.TB
-	entry *Entry
-	pool  *pool.Pool
-	url   string
-	addr  string
+	t      testing.TB
+	entry  *Entry
+	pool   *pool.Pool
+	client *http.Client
+	url    string
+	addr   string
+}
+
+const entryAddr = "entry:80" // of a fixture on an in-memory network
+
+// runInBubble runs a test in virtual time, on an in-memory network of its own. No
+// other process can reach its servers, and a busy machine ends none of its waits.
+func runInBubble(t *testing.T, test func(t *testing.T, n *pipenet.Net)) {
+	synctest.Test(t, func(t *testing.T) { test(t, &pipenet.Net{}) })
 }
 
 // newFixture serves models at the addresses of engines and the service "app" at
 // those of plains. change may modify the options and documents.
 func newFixture(t testing.TB, engines, plains []string, change func(*Options, *document.Document)) *fixture {
 	t.Helper()
-	p := pool.New(pool.Options{ProbeInterval: 10 * time.Millisecond, ProbeTimeout: progressTimeout})
+	return newFixtureOn(t, nil, engines, plains, change)
+}
+
+// newFixtureOn is newFixture on an in-memory network, or on TCP if n is nil.
+func newFixtureOn(t testing.TB, n *pipenet.Net, engines, plains []string, change func(*Options, *document.Document)) *fixture {
+	t.Helper()
+	po := pool.Options{ProbeInterval: 10 * time.Millisecond, ProbeTimeout: progressTimeout}
+	if n != nil {
+		po.Dial = n.Dial
+	}
+	p := pool.New(po)
 	llm := &document.Document{Service: "llm", Kind: document.KindModel, Models: []document.Model{{Name: testModel}}, Targets: targets("e", engines)}
 	app := &document.Document{Service: "app", Kind: document.KindPlain, Targets: targets("p", plains), Once: document.Once{Paths: []string{"/holds"}}}
 	o := Options{View: &view.Holder{}, Pool: p, Router: leastLoaded{}, MinHeaderTimeout: progressTimeout, ReadTimeout: progressTimeout, WriteTimeout: progressTimeout}
@@ -138,21 +160,34 @@
 		}
 	}
 	o.View.Store(view.NewSnapshot(1, []*view.Service{{Doc: llm, Version: 1}, {Doc: app, Version: 1}}, nil))
-	f := &fixture{t: t, entry: New(o), pool: p}
-	f.serve(o)
+	f := &fixture{t: t, entry: New(o), pool: p, client: http.DefaultClient}
+	f.serve(o, f.listen(n))
 	return f
 }
 
-func (f *fixture) serve(o Options) {
+// listen returns the listener for callers and selects the client that reaches it.
+func (f *fixture) listen(n *pipenet.Net) net.Listener {
+	if n != nil {
+		f.addr = entryAddr
+		f.client = &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return n.Dial(ctx, addr)
+		}}}
+		return n.Listen(entryAddr)
+	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	f.addr = l.Addr().String()
+	return l
+}
+
+func (f *fixture) serve(o Options, l net.Listener) {
 	srv := NewServer(o.Limits, f.entry)
 	go srv.Serve(Listen(l, o.Limits))
-	f.addr = l.Addr().String()
 	f.url = "http://" + f.addr
 	f.t.Cleanup(func() {
+		f.client.CloseIdleConnections()
 		srv.Close()
 		f.entry.Close()
 		f.pool.Close()
@@ -186,7 +221,7 @@
 	for i := 0; i < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := f.client.Do(req)
 	if err != nil {
 		return reply{err: err, header: http.Header{}}
 	}
--- a/request/entry/once_test.go
+++ b/request/entry/once_test.go
@@ -5,9 +5,11 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/pipenet"
 	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/once"
 	"github.com/pomelospool/pomelospool/version/document"
@@ -77,23 +79,27 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			a, b := newScriptedTarget(t, tc.play), newScriptedTarget(t, tc.play)
-			if tc.play == nil {
-				a.Close()
-				b.Close()
-			}
-			dedup := newFakeDeduplicator()
-			f := newFixture(t, nil, []string{a.addr(), b.addr()}, withDeduplicator(dedup))
-			r := f.do("POST", "/s/app/holds/7", "seat", "Idempotency-Key", "k")
-			if r.code() != tc.code || r.header.Get(answer.HeaderNotRun) != tc.notRun {
-				t.Errorf("caller saw %+v", r)
-			}
-			if got := <-dedup.outcomes; got != tc.ticket {
-				t.Errorf("ticket: %s, want %s", got, tc.ticket)
-			}
-			if n := a.count() + b.count(); n != tc.runs {
-				t.Errorf("%d runs, want %d", n, tc.runs)
-			}
+			runInBubble(t, func(t *testing.T, n *pipenet.Net) {
+				defer n.Close()
+				runs := func() int { return 0 }
+				if tc.play != nil {
+					a, b := serveScriptedTarget(n, "a:80", tc.play), serveScriptedTarget(n, "b:80", tc.play)
+					runs = func() int { return a.count() + b.count() }
+				}
+				dedup := newFakeDeduplicator()
+				f := newFixtureOn(t, n, nil, []string{"a:80", "b:80"}, withDeduplicator(dedup))
+				r := f.do("POST", "/s/app/holds/7", "seat", "Idempotency-Key", "k")
+				if r.code() != tc.code || r.header.Get(answer.HeaderNotRun) != tc.notRun {
+					t.Errorf("caller saw %+v", r)
+				}
+				if got := <-dedup.outcomes; got != tc.ticket {
+					t.Errorf("ticket: %s, want %s", got, tc.ticket)
+				}
+				synctest.Wait()
+				if n := runs(); n != tc.runs {
+					t.Errorf("%d runs, want %d", n, tc.runs)
+				}
+			})
 		})
 	}
 }
--- a/request/entry/script_test.go
+++ b/request/entry/script_test.go
@@ -10,12 +10,15 @@
 	"sync"
 	"testing"
 
+	"github.com/pomelospool/pomelospool/internal/pipenet"
 	"github.com/pomelospool/pomelospool/standin/token"
 )
 
 // scriptedTarget is a target whose behaviour is set by a test.
 type scriptedTarget struct {
-	*httptest.Server
+	*httptest.Server // nil on an in-memory network
+	play             func(c *call)
+
 	mu      sync.Mutex
 	runs    int
 	ids     []string
@@ -33,25 +36,8 @@
 
 func newScriptedTarget(t testing.TB, play func(c *call)) *scriptedTarget {
 	t.Helper()
-	s := &scriptedTarget{cancels: make(chan string, 100)}
-	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, _ := io.ReadAll(r.Body)
-		var b struct {
-			Prompt string
-			Resume struct{ Tokens int }
-			ID     string
-		}
-		_ = json.Unmarshal(body, &b)
-		if r.URL.Path == "/v1/cancel" {
-			s.cancels <- b.ID
-			return
-		}
-		s.mu.Lock()
-		s.runs++
-		s.ids = append(s.ids, r.Header.Get("X-Request-Id"))
-		s.mu.Unlock()
-		play(&call{w: w, ctx: r.Context().Done(), id: r.Header.Get("X-Request-Id"), prompt: b.Prompt, resume: b.Resume.Tokens})
-	}))
+	s := &scriptedTarget{play: play, cancels: make(chan string, 100)}
+	s.Server = httptest.NewServer(s)
 	t.Cleanup(func() {
 		s.CloseClientConnections()
 		s.Close()
@@ -59,6 +45,33 @@
 	return s
 }
 
+// serveScriptedTarget serves a target on an in-memory network, until the network is closed.
+func serveScriptedTarget(n *pipenet.Net, addr string, play func(c *call)) *scriptedTarget {
+	s := &scriptedTarget{play: play, cancels: make(chan string, 100)}
+	n.Serve(addr, s)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *scriptedTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	var b struct {
+		Prompt string
+		Resume struct{ Tokens int }
+		ID     string
+	}
+	_ = json.Unmarshal(body, &b)
+	if r.URL.Path == "/v1/cancel" {
+		s.cancels <- b.ID
+		return
+	}
+	s.mu.Lock()
+	s.runs++
+	s.ids = append(s.ids, r.Header.Get("X-Request-Id"))
+	s.mu.Unlock()
+	s.play(&call{w: w, ctx: r.Context().Done(), id: r.Header.Get("X-Request-Id"), prompt: b.Prompt, resume: b.Resume.Tokens})
+}
+
 func (s *scriptedTarget) addr() string { return s.Listener.Addr().String() }
 
 func (s *scriptedTarget) count() int {
