ingress: accept early in a stop what no other daemon can serve

While all daemons stop or start, a caller that can't know of the stop yet is refused here, and everywhere else.

Cause: a request that may outlast the stop is refused on the ground that another daemon serves it. For some 1.8 of each 9 s there was none.

Change: while callers can't know of the stop, and no other daemon takes requests, what may outlast the stop is accepted. Later, or beside another daemon, it is refused as before.

TestCallersWithNowhereElseToGoAreServed fails without the change (503).

--- a/process/front/stop.go
+++ b/process/front/stop.go
@@ -31,7 +31,7 @@
 	begun := time.Now()
 	limit := d.s.Bounds.Grace - stopMargin
 	log.WithField("limit_ms", limit.Milliseconds()).Info("front: leaving")
-	d.ingress.StopAt(begun.Add(limit))
+	d.ingress.StopAt(begun.Add(limit), begun.Add(min(addressCacheFactor*addressTTL, limit/2)))
 	steps.Step("leaving", func() {
 		d.roster.SetState(roster.Leaving)
 		d.planner.Release()
--- a/request/ingress/answer.go
+++ b/request/ingress/answer.go
@@ -46,7 +46,7 @@
 	if x.envelope != nil {
 		x.envelope.SetServed(h)
 	}
-	if closes || x.stopAt.Load() != nil {
+	if closes || x.stop.Load() != nil {
 		h.Set("Connection", "close")
 	}
 }
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -78,9 +78,9 @@
 
 // Ingress is the HTTP handler for callers. It is safe for concurrent use.
 type Ingress struct {
-	o      Options
-	open   atomic.Int64
-	stopAt atomic.Pointer[time.Time] // when the process stops; nil: no stop is planned
+	o    Options
+	open atomic.Int64
+	stop atomic.Pointer[plannedStop] // nil: no stop is planned
 }
 
 // New returns an Ingress.
@@ -91,21 +91,38 @@
 	return &Ingress{o: o}
 }
 
+// plannedStop holds the times of a planned stop.
+type plannedStop struct {
+	end         time.Time // when the process stops
+	lastArrival time.Time // until when callers can't know of the stop
+}
+
 // Open returns the number of open requests.
 func (i *Ingress) Open() int { return int(i.open.Load()) }
 
 // StopAt announces that the process stops at end. Until then every answer asks
 // its caller to close the connection, and a request whose answer can't be
 // complete by then is refused, so that another daemon can answer it.
-func (i *Ingress) StopAt(end time.Time) { i.stopAt.Store(&end) }
+//
+// Callers that send before lastArrival can't know of the stop. While no other daemon
+// serves, their requests are accepted even if the answers may be cut: a refused caller
+// has nowhere else to go.
+func (i *Ingress) StopAt(end, lastArrival time.Time) {
+	i.stop.Store(&plannedStop{end: end, lastArrival: lastArrival})
+}
 
-// stopsBefore reports whether the process stops before the call's answer is
-// expected to be complete.
+// stopsBefore reports whether a call is refused because the process stops before its
+// answer is expected to be complete.
 func (i *Ingress) stopsBefore(c *dispatch.Call) bool {
-	end := i.stopAt.Load()
-	return end != nil && i.o.Durations.Outlasts(durationCall(c), *end)
+	stop := i.stop.Load()
+	if stop == nil || !i.o.Durations.Outlasts(durationCall(c), stop.end) {
+		return false
+	}
+	return i.othersServe() || c.Arrived.After(stop.lastArrival)
 }
 
+func (i *Ingress) othersServe() bool { return i.o.OthersServe == nil || i.o.OthersServe() }
+
 func durationCall(c *dispatch.Call) duration.Call {
 	return duration.Call{Route: c.Route.Name, Output: c.Meta.MaxOutputTokens, Arrived: c.Arrived, Timeout: callTimeout(c)}
 }
@@ -123,7 +140,7 @@
 // refuse returns the error for a call whose answer would outlast the process.
 func (i *Ingress) refuse() error {
 	after := stoppingRetryAfter
-	if i.o.OthersServe != nil && !i.o.OthersServe() {
+	if !i.othersServe() {
 		after = allStoppingRetryAfter
 	}
 	return code.New(code.Draining, "the answer would take longer than this daemon stays").WithRetryAfter(after)
@@ -149,7 +166,7 @@
 	i.open.Add(1)
 	defer i.open.Add(-1)
 	arrived := time.Now()
-	if i.stopAt.Load() != nil {
+	if i.stop.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{Ingress: i, w: w, req: req, arrived: arrived, envelope: envelope}
--- a/request/ingress/ingress_test.go
+++ b/request/ingress/ingress_test.go
@@ -263,7 +263,7 @@
 // While the daemon stops, every answer asks its caller to close the connection.
 func TestStoppingClosesCallerConnections(t *testing.T) {
 	f := start(t, true)
-	f.StopAt(time.Now().Add(time.Hour))
+	f.StopAt(time.Now().Add(time.Hour), time.Now())
 	resp, _ := f.do(t, "POST", "/p/", "a.example", headers("r1"), "")
 	if resp.StatusCode != 200 || !resp.Close {
 		t.Errorf("status %d, close %v", resp.StatusCode, resp.Close)
--- a/request/ingress/length_test.go
+++ b/request/ingress/length_test.go
@@ -49,7 +49,7 @@
 		}
 	}
 	ran := len(f.decode.Ran())
-	f.StopAt(time.Now().Add(4 * time.Second))
+	f.StopAt(time.Now().Add(4*time.Second), time.Now())
 	resp, body := f.do(t, "POST", "/s/x", "a.example", standin.CallerHeaders("r1", 30*time.Second, "aa:10"), "")
 	var e struct {
 		Error struct {
@@ -72,13 +72,41 @@
 	}
 }
 
+// Guards against callers that are refused though no daemon would accept them: they can't
+// know yet that this daemon stops, and no other one serves.
+func TestCallersWithNowhereElseToGoAreServed(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		others, early bool
+		want          int
+	}{
+		{"no other daemon serves", false, true, http.StatusOK},
+		{"another daemon serves", true, true, http.StatusServiceUnavailable},
+		{"no other daemon serves, and callers know of the stop", false, false, http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := start(t, true)
+			f.o.OthersServe = func() bool { return c.others }
+			lastArrival := time.Now()
+			if c.early {
+				lastArrival = lastArrival.Add(time.Minute)
+			}
+			f.StopAt(time.Now().Add(4*time.Second), lastArrival)
+			resp, _ := f.do(t, "POST", "/s/x", "a.example", standin.CallerHeaders("r1", 30*time.Second, "aa:10"), "")
+			if resp.StatusCode != c.want {
+				t.Errorf("status %d, want %d", resp.StatusCode, c.want)
+			}
+		})
+	}
+}
+
 // Guards against callers that use up their tries within milliseconds while all daemons
 // are being stopped, and start again a second later.
 func TestRetryAfterWhileAllDaemonsStop(t *testing.T) {
 	for _, others := range []bool{true, false} {
 		f := start(t, true)
 		f.o.OthersServe = func() bool { return others }
-		f.StopAt(time.Now().Add(4 * time.Second))
+		f.StopAt(time.Now().Add(4*time.Second), time.Now())
 		resp, _ := f.do(t, "POST", "/s/x", "a.example", standin.CallerHeaders("r1", 30*time.Second, "aa:10"), "")
 		wait, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 		if resp.StatusCode != http.StatusServiceUnavailable || err != nil || wait > 1 || others != (wait < 0.1) {
