relay: a caller that leaves doesn't fail the checks of others

A stream that was taken up at a daemon which reaches no other one was refused although the store answered in time, because the caller of another stream had just left. Checks share their calls to the store, and the call used the context of the request that made it: when that caller left, all checks that shared the call got its failure. The call now ends by its own timeout only.

--- a/process/relay/confirm.go
+++ b/process/relay/confirm.go
@@ -51,7 +51,8 @@
 	if !known {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	// Checks of other requests share the call, so it goes on if this one's caller leaves.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), confirmTimeout)
 	defer cancel()
 	batch, err := c.store.Read(ctx, c.topic, from, 0)
 	if err != nil {
--- a/process/relay/confirm_test.go
+++ b/process/relay/confirm_test.go
@@ -1,10 +1,12 @@
 package relay
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/clock"
 )
@@ -63,3 +65,42 @@
 		}
 	})
 }
+
+// cancelledStore is a lateStore whose reads fail if they are cancelled.
+type cancelledStore struct{ lateStore }
+
+func (s *cancelledStore) Read(ctx context.Context, _ port.Topic, _ int64, _ time.Duration) (port.KeyedBatch, error) {
+	return s.batch, pause.For(ctx, s.delay)
+}
+
+// Guards against streams that aren't taken up, since their check shared the call of a
+// caller that left.
+func TestCallerThatLeavesFailsNoOtherCheck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cache := NewTopicCache(&sink{}, nil)
+		cache.now = clock.NewRuntime().Now
+		cache.Reset(nil, 0)
+		store := &cancelledStore{lateStore{delay: 50 * time.Millisecond}}
+		c := NewConfirmation(store, port.TopicTargets, cache)
+		check := func(ctx context.Context) chan bool {
+			done := make(chan bool, 1)
+			go func() { done <- c.Check(ctx) }()
+			time.Sleep(time.Millisecond)
+			return done
+		}
+		first := check(t.Context())
+		ctx, leave := context.WithCancel(t.Context())
+		leaving, others := check(ctx), []chan bool{check(t.Context()), check(t.Context())}
+		if !<-first {
+			t.Error("the first check failed")
+		}
+		time.Sleep(store.delay / 2)
+		leave()
+		<-leaving
+		for i, other := range others {
+			if !<-other {
+				t.Errorf("check %d failed", i)
+			}
+		}
+	})
+}
