drain: test of a pipelined request that has arrived in part

A planned stop may close a connection as idle although the first byte of the caller's next request was read during the open one; its caller is in doubt whether the request ran. The drain prevents that by conn.early, but no test failed without it: the whole of package drain passed with the field never set.

--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -238,6 +238,30 @@
 	}
 }
 
+// Guards against a pipelined request of which only a part has arrived when the answer to
+// the one before it ends: the connection counts as idle, and is closed.
+func TestPartOfAPipelinedRequestKeepsItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, Options{})
+		c := f.dial()
+		c.send(slowRequest)
+		time.Sleep(slow / 2)
+		const part = 1 // byte, as much as net/http reads ahead
+		c.send(fastRequest[:part])
+		time.Sleep(2 * lateBy)
+		f.stop()
+		if ok, _ := c.receive(); !ok {
+			t.Error("the first request wasn't answered")
+		}
+		time.Sleep(maxNewWait / 2)
+		go c.send(fastRequest[part:])
+		if ok, closes := c.receive(); !ok || !closes {
+			t.Errorf("the second request: answered: %v, connection closed: %v", ok, closes)
+		}
+		<-f.stopped
+	})
+}
+
 // Guards against requests that are cut when a stop's time is over though they were the
 // only ones, and against a stop that doesn't end.
 func TestStopEndsWithItsContext(t *testing.T) {
