roster: a daemon that is cut off isn't taken for the only one

A daemon that was cut off from all others for over 1.1 s took streams up at the only version of its own list without having it confirmed by the store, so a stream that had begun elsewhere at a newer version could go on at another one (ORDER). By then all others count as dead; the query for a stream's origin had no receivers and returned at once, which the tracker reads as a fleet of one daemon that needs no confirmation. The tests of the confirmation used a fake that waits for replies, so they didn't show it. If no daemon is live, the query now goes to up to three that seem dead and haven't left. So it either gets a reply or ends with its context, and the store is asked. A daemon whose peers have left as planned still asks nobody, which has a test, too.

--- a/process/roster/origins.go
+++ b/process/roster/origins.go
@@ -170,8 +170,22 @@
 	return out
 }
 
+// unresponsive returns the other daemons that seem dead and haven't left. Callers hold r.mu.
+func (r *Roster) unresponsive() (out []rankedPoint) {
+	for _, p := range r.peers {
+		if p.known && p.member.State != Leaving {
+			out = append(out, rankedPoint{ownerPoint: ownerPoint{addr: p.addr}})
+		}
+	}
+	for _, addr := range r.probeAddrs(originKeepers) {
+		out = append(out, rankedPoint{ownerPoint: ownerPoint{addr: addr}})
+	}
+	return out[:min(len(out), originKeepers)]
+}
+
 // AskOrigins implements origin.Peers. In a small fleet it queries all daemons, since the
-// one at which the stream began has its record in any case.
+// one at which the stream began has its record in any case. If all others seem dead, this
+// daemon may be the one that is cut off, so it doesn't go without their replies.
 func (r *Roster) AskOrigins(ctx context.Context, q origin.Query, handle func(origin.Reply) (done bool)) {
 	now := time.Now()
 	r.mu.Lock()
@@ -179,6 +193,9 @@
 	if !r.small() {
 		ranked = slices.Concat(firstOfZones(ranked, askedPerZone), ranked[:min(len(ranked), originKeepers)])
 	}
+	if len(ranked) == 0 {
+		ranked = r.unresponsive()
+	}
 	r.mu.Unlock()
 	r.askOrigins(ctx, q, ranked, handle)
 }
--- a/process/roster/origins_test.go
+++ b/process/roster/origins_test.go
@@ -107,3 +107,45 @@
 		})
 	}
 }
+
+// Guards against a daemon that takes its list of targets for complete since nobody objects:
+// it is cut off and holds all other daemons for dead, and streams go on at another version.
+func TestDaemonThatIsCutOffHasNoAnswers(t *testing.T) {
+	for _, cut := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 2 * peerExpiry} {
+		t.Run(cut.String(), func(t *testing.T) {
+			withFleet(t, 4, func(t *testing.T, f *testFleet) {
+				f.net.SetUnreachable(peerAddr(1), true)
+				_ = pause.For(context.Background(), cut)
+				ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+				defer cancel()
+				f.all[0].AskOrigins(ctx, origin.Query{Service: "llm"}, func(origin.Reply) bool {
+					t.Error("a reply")
+					return true
+				})
+				if ctx.Err() == nil {
+					t.Error("the query ended as in a fleet of one daemon")
+				}
+			})
+		})
+	}
+}
+
+// Guards against a daemon that waits for the answers of others that have left.
+func TestLastDaemonAsksNobody(t *testing.T) {
+	withFleet(t, 3, func(t *testing.T, f *testFleet) {
+		for _, r := range f.all[1:] {
+			r.SetState(Leaving)
+		}
+		_ = pause.For(context.Background(), time.Second)
+		for _, r := range f.all[1:] {
+			_ = r.Stop()
+		}
+		_ = pause.For(context.Background(), 2*peerExpiry)
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		f.all[0].AskOrigins(ctx, origin.Query{Service: "llm"}, func(origin.Reply) bool { return true })
+		if ctx.Err() != nil {
+			t.Error("the query waited")
+		}
+	})
+}
