roster: a daemon that becomes ready in its stop stays leaving

A daemon that got its stop signal before it had read the configuration and the targets was published to callers during its stop, and to its end: they were sent to a daemon that closes its listener and ends. The upkeep sets the state Ready whenever the daemon becomes able to serve, also after the stop has set Leaving, and the others take the newer state. Leaving is now final, in the one place that sets the state.

--- a/process/front/close_test.go
+++ b/process/front/close_test.go
@@ -9,6 +9,7 @@
 	"github.com/pomelospool/pomelospool/internal/shutdown"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/discovery"
+	"github.com/pomelospool/pomelospool/process/roster"
 	"github.com/pomelospool/pomelospool/process/topic"
 )
 
@@ -45,3 +46,20 @@
 		t.Errorf("the stop: %v", err)
 	}
 }
+
+// Guards against a daemon that is published to callers while it stops, since it became
+// ready after the signal.
+func TestDaemonThatBecomesReadyInItsStopStaysLeaving(t *testing.T) {
+	p := newTestPlatform(t)
+	d := p.create(settingsText, nil)
+	d.Start()
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.Shutdown() }()
+	p.waitFor(d.ready.Load)
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	if s := d.roster.Members()[0].State; s != roster.Leaving {
+		t.Errorf("state %v at the end of the stop", s)
+	}
+}
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -208,9 +208,12 @@
 func (r *Roster) close() { r.closeOnce.Do(func() { _ = r.conn.Close() }) }
 
 // SetState changes the state of this daemon and sends it at once. Leaving goes to all
-// known daemons, so that they stop naming this one to callers in time.
+// known daemons, so that they stop naming this one to callers in time. It is final.
 func (r *Roster) SetState(s State) {
 	r.mu.Lock()
+	if r.self.State == Leaving {
+		s = Leaving // a daemon may become ready while it stops
+	}
 	r.self.State = s
 	r.mu.Unlock()
 	r.sendHeartbeat(s == Leaving)
