request/duration: test of a stream that outlasts the horizon

A stream that has been open for longer than answers are followed shows that streams of its route may outlast a stop, though it has left all cohorts. No test failed when history.look ignored such streams (overdue): the whole package passed. The new case fails then and passes with the code as it is. No code changes.

--- a/request/duration/duration_test.go
+++ b/request/duration/duration_test.go
@@ -88,6 +88,10 @@
 		{"fewer answers are known than show one in twenty", func(d *Tracker) {
 			play(d, "r", 10, 20*time.Second, time.Second, constant(600*time.Millisecond))
 		}, 10, 4 * time.Second, false},
+		{"a stream has been open for longer than answers are followed", func(d *Tracker) {
+			d.Begin(callOf("r", 10))
+			play(d, "r", 10, 20*time.Second, 20*time.Millisecond, constant(60*time.Millisecond))
+		}, 10, 4 * time.Second, false},
 		{"all answers are short", func(d *Tracker) {
 			play(d, "r", 0, 8*time.Second, 20*time.Millisecond, constant(60*time.Millisecond))
 		}, 0, 4 * time.Second, true},
