daemon: becoming ready can't undo a planned stop

A daemon whose stop began just as it became ready could have its phase set back from leaving to serving, and would have been published to callers during its stop. By reading: refresh compared the phase and then set it, in two steps beside Shutdown. The phase now changes in one step; the package's tests of stops, drains and versions pass.

--- a/process/daemon/control.go
+++ b/process/daemon/control.go
@@ -131,8 +131,7 @@
 	}
 	logVersions(old, snap)
 	d.view.Store(snap)
-	if d.phase() == phaseStarting {
-		d.setPhase(phaseServing)
+	if d.state.CompareAndSwap(int32(phaseStarting), int32(phaseServing)) {
 		log.WithField("offset", s.Applied).Info("daemon: serving")
 	}
 }
