entry: the test of lost engines runs in virtual time

No engine stalled: the progress limit of 300 ms by the real clock passed while the test's process, engines included, got too little processor time.

The engines, the daemon's entry, its load polls and the callers now meet on an in-memory network in a bubble of testing/synctest, whose clock stands while any of them can run. All bounds and counts are as before. For that the stand-ins serve on any listener, and the in-memory network's listeners state their address.

--- a/internal/pipenet/pipenet.go
+++ b/internal/pipenet/pipenet.go
@@ -40,7 +40,7 @@
 // Listen returns a listener for the connections to an address, until Close or Stop
 // is called.
 func (n *Net) Listen(addr string) net.Listener {
-	l := &listener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	l := &listener{addr: netAddr(addr), conns: make(chan net.Conn), closed: make(chan struct{})}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.listeners == nil {
@@ -131,7 +131,13 @@
 	}
 }
 
+type netAddr string
+
+func (netAddr) Network() string  { return "pipe" }
+func (a netAddr) String() string { return string(a) }
+
 type listener struct {
+	addr   netAddr
 	conns  chan net.Conn
 	closed chan struct{}
 	once   sync.Once
@@ -151,4 +157,4 @@
 	return nil
 }
 
-func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
+func (l *listener) Addr() net.Addr { return l.addr }
--- a/request/entry/entry_test.go
+++ b/request/entry/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/pomelospool/pomelospool/internal/pipenet"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/standin/engine"
 	"github.com/pomelospool/pomelospool/standin/plain"
@@ -10,10 +11,25 @@
 
 func startEngine(t testing.TB) *engine.Engine {
 	t.Helper()
-	e := engine.New(engine.Options{Spec: port.EngineSpec{Model: testModel}, StepBase: 1, StepPerSequence: 1})
+	e := newEngine(t)
 	if err := e.Run("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
+	return e
+}
+
+// startEngineOn starts an engine on an in-memory network.
+func startEngineOn(t testing.TB, n *pipenet.Net, addr string) *engine.Engine {
+	t.Helper()
+	e := newEngine(t)
+	if err := e.RunListener(n.Listen(addr)); err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+func newEngine(t testing.TB) *engine.Engine {
+	e := engine.New(engine.Options{Spec: port.EngineSpec{Model: testModel}, StepBase: 1, StepPerSequence: 1})
 	t.Cleanup(func() { e.Close() })
 	return e
 }
--- a/request/entry/path_test.go
+++ b/request/entry/path_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -9,6 +11,7 @@
 
 	"github.com/pomelospool/pomelospool/connection/load"
 	"github.com/pomelospool/pomelospool/connection/pool"
+	"github.com/pomelospool/pomelospool/internal/pipenet"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/port/httpapi"
 	"github.com/pomelospool/pomelospool/request/routing"
@@ -19,13 +22,14 @@
 
 // useRealRouting replaces the fixture's fakes by the real router and load
 // watcher.
-func useRealRouting(t testing.TB, o *Options) *load.Watcher {
+func useRealRouting(t testing.TB, n *pipenet.Net, o *Options) *load.Watcher {
 	var w *load.Watcher
-	o.Pool = pool.New(pool.Options{OnDown: func(addr string, err error) { w.HandleDown(addr, err) }})
+	dial := func(ctx context.Context, _, addr string) (net.Conn, error) { return n.Dial(ctx, addr) }
+	o.Pool = pool.New(pool.Options{Dial: n.Dial, OnDown: func(addr string, err error) { w.HandleDown(addr, err) }})
 	w = load.New(load.Options{
 		View:         o.View,
 		Pool:         o.Pool,
-		Engine:       func(addr string) port.Engine { return httpapi.NewEngine(addr, httpapi.Options{}) },
+		Engine:       func(addr string) port.Engine { return httpapi.NewEngine(addr, httpapi.Options{Dial: dial}) },
 		Process:      "vm",
 		PollInterval: 20 * time.Millisecond,
 	})
@@ -60,31 +64,33 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			engines := []*engine.Engine{startEngine(t), startEngine(t), startEngine(t)}
-			loseEnginesUnderLoad(t, engines, tc.budget, tc.lose)
-			for i, e := range engines {
-				for id, q := range e.Record().Requests {
-					if q.Starts > 1 || tc.name == "leaves" && q.Cut+q.Cancelled > 0 {
-						t.Errorf("engine %d: %s: %+v", i, id, q)
+			runInBubble(t, func(t *testing.T, n *pipenet.Net) {
+				engines := []*engine.Engine{startEngineOn(t, n, "a:80"), startEngineOn(t, n, "b:80"), startEngineOn(t, n, "c:80")}
+				loseEnginesUnderLoad(t, n, engines, tc.budget, tc.lose)
+				for i, e := range engines {
+					for id, q := range e.Record().Requests {
+						if q.Starts > 1 || tc.name == "leaves" && q.Cut+q.Cancelled > 0 {
+							t.Errorf("engine %d: %s: %+v", i, id, q)
+						}
 					}
 				}
-			}
+			})
 		})
 	}
 }
 
 // loseEnginesUnderLoad loses the first two engines while callers check their
 // answers.
-func loseEnginesUnderLoad(t *testing.T, engines []*engine.Engine, budget float64, lose func(*testing.T, *fixture, *load.Watcher, *engine.Engine, int)) {
+func loseEnginesUnderLoad(t *testing.T, n *pipenet.Net, engines []*engine.Engine, budget float64, lose func(*testing.T, *fixture, *load.Watcher, *engine.Engine, int)) {
 	var addrs []string
 	for _, e := range engines {
 		addrs = append(addrs, e.Addr())
 	}
 	var w *load.Watcher
-	f := newFixture(t, addrs, nil, func(o *Options, d *document.Document) {
+	f := newFixtureOn(t, n, addrs, nil, func(o *Options, d *document.Document) {
 		d.Retry.Budget = budget
 		if w == nil {
-			w = useRealRouting(t, o)
+			w = useRealRouting(t, n, o)
 		}
 	})
 	const callers, answersBetweenLosses = 32, 300
@@ -104,8 +110,8 @@
 		})
 	}
 	for i := range 3 {
-		n := answered.Load()
-		await(t, func() bool { return answered.Load() >= n+answersBetweenLosses })
+		before := answered.Load()
+		await(t, func() bool { return answered.Load() >= before+answersBetweenLosses })
 		if i < 2 {
 			lose(t, f, w, engines[i], i)
 		}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/google/uuid"
@@ -66,6 +67,9 @@
 // Run serves the engine over HTTP on addr.
 func (e *Engine) Run(addr string) error { return e.Start(e.Handler(), addr) }
 
+// RunListener is Run on a listener, which the engine closes.
+func (e *Engine) RunListener(lis net.Listener) error { return e.StartListener(e.Handler(), lis) }
+
 // Close stops the engine and its server. The record remains available.
 func (e *Engine) Close() error {
 	e.t.Kill(nil)
--- a/standin/host.go
+++ b/standin/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 	"sync"
 )
@@ -20,12 +21,21 @@
 
 // Start serves h on addr.
 func (h *Host) Start(handler http.Handler, addr string) error {
+	return h.start(func() (*Server, error) { return Serve(handler, addr) })
+}
+
+// StartListener is Start on a listener, which the server closes.
+func (h *Host) StartListener(handler http.Handler, lis net.Listener) error {
+	return h.start(func() (*Server, error) { return ServeListener(handler, lis), nil })
+}
+
+func (h *Host) start(serve func() (*Server, error)) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.srv != nil {
 		return errors.New("standin: already running")
 	}
-	srv, err := Serve(handler, addr)
+	srv, err := serve()
 	if err != nil {
 		return err
 	}
--- a/standin/server.go
+++ b/standin/server.go
@@ -40,10 +40,15 @@
 	if err != nil {
 		return nil, err
 	}
+	return ServeListener(h, lis), nil
+}
+
+// ServeListener is Serve on a listener, which the server closes.
+func ServeListener(h http.Handler, lis net.Listener) *Server {
 	s := &Server{lis: lis, conns: make(map[*conn]bool)}
 	s.http = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ConnContext: withConn}
 	s.t.Go(s.serve)
-	return s, nil
+	return s
 }
 
 // Addr returns the listener's host and port.
@@ -77,7 +82,7 @@
 func (s *Server) keepPort() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.reserved != nil {
+	if _, ok := s.lis.(*net.TCPListener); !ok || s.reserved != nil {
 		return
 	}
 	var err error
