--- a/process/front/durations_test.go
+++ b/process/front/durations_test.go
@@ -34,7 +34,7 @@
 	p.waitFor(a.othersServe)
 	stopped := make(chan error, 1)
 	go func() { stopped <- b.Shutdown() }()
-	p.waitFor(func() bool { return !a.othersServe() })
+	p.waitFor(func() bool { return len(a.roster.Members()) == 2 && !a.othersServe() })
 	if err := <-stopped; err != nil {
 		t.Error(err)
 	}
