quarantine: an answer makes daemons reconsider the parts it had explained

Seen: TestAllDaemonsLearnOfCrashingParts, with 5 of 100 datagrams lost, 57 to 59 of 60 and 207 of 295 daemons refuse the part after 3 s. No report was missing: the daemons that didn't refuse knew all five crashes of the part and that the head of the prompt was answered.

Cause: if the head's fifth crash arrives first, the head is undecided and explains the crashes of the part, so the part's fifth crash leads to nothing. When the head's answer is reported afterwards, nobody evaluated the part again: that happened only at its next crash, or if it was undecided itself. Callers' requests with the part went on to crash targets at such a daemon until another daemon's conviction reached it.

Now a content that is found to be answered, here or by a peer, has the contents in flight at its crashes evaluated again. They are convicted by the same rules as before, after the same delay.

Evidence: the new test fails before (no verdict) and passes after, in virtual time without losses. Lost datagrams only change the order, so the bound of 3 s stays. Tests of quarantine, attempt, dispatch and roster pass.

--- a/request/quarantine/part_test.go
+++ b/request/quarantine/part_test.go
@@ -195,6 +195,37 @@
 	}
 }
 
+// Guards against a part that stays clear because the part that seemed to explain its
+// crashes was found to be answered only after the last of them was reported.
+func TestAnswerAfterTheLastCrash(t *testing.T) {
+	withPartFleet(t, func(f *partFleet) {
+		head, part := headPart, badPart
+		observer, late := f.trackers[0], New(Options{Self: "late", ToleratedCrashes: 2})
+		for range uncontrolledCrashes {
+			f.crash(0, Certain, head, part)
+		}
+		about := func(fp Fingerprint) (out []*peerpb.Conviction) {
+			for _, u := range observer.Outgoing() {
+				if parseFingerprint(u.Fingerprint) == fp {
+					out = append(out, u)
+				}
+			}
+			return out
+		}
+		late.Incoming(about(head))
+		late.Incoming(about(part))
+		f.answer(0, head)
+		late.Incoming(about(head))
+		time.Sleep(answerDelay)
+		if r := late.CheckContent(f.content(head, part)); r.Verdict != Convicted || r.Fingerprint != part {
+			t.Errorf("the verdict is %v on %v", r.Verdict, r.Fingerprint)
+		}
+		if r := late.CheckContent(f.content(head)); r.Verdict == Convicted {
+			t.Errorf("the answered part is convicted")
+		}
+	})
+}
+
 // Guards against an organisation that has another one's parts refused, and against
 // parts that are taken for requests.
 func TestPartFingerprint(t *testing.T) {
--- a/request/quarantine/tolerant.go
+++ b/request/quarantine/tolerant.go
@@ -213,9 +213,28 @@
 	}
 	if changed {
 		t.crashesDismissed(c)
+		t.reconsider(c, t.o.Now())
 	}
 }
 
+// reconsider evaluates the contents that were in flight at crashes of c. They were
+// explained by c until it was known that c was answered.
+func (t *CrashTracker) reconsider(c *content, now time.Time) {
+	for _, other := range t.contents {
+		if other != c && other.undecidedSince.IsZero() && c.sharesTarget(other) {
+			t.evaluate(other, now)
+		}
+	}
+}
+
+// sharesTarget reports whether the content was in flight at a crash of other that
+// wasn't dismissed.
+func (c *content) sharesTarget(other *content) bool {
+	return slices.ContainsFunc(other.crashes, func(cr crash) bool {
+		return !cr.dismissed && slices.ContainsFunc(c.crashes, func(own crash) bool { return own.target == cr.target })
+	})
+}
+
 // dismissAnswered dismisses the crashes of content before the last run that this
 // process has had answered. It may learn of them afterwards.
 func (t *CrashTracker) dismissAnswered(c *content) {
--- a/request/quarantine/updates.go
+++ b/request/quarantine/updates.go
@@ -116,8 +116,12 @@
 		}
 		c := t.getOrCreate(fp, now)
 		c.part = max(c.part, int(min(u.Part, maxPart)))
+		news := u.Answered && !c.answered
 		c.answered = c.answered || u.Answered
 		t.merge(c, u, now)
+		if news && t.tolerates() {
+			t.reconsider(c, now)
+		}
 	}
 }
 
@@ -223,6 +227,7 @@
 	if changed && t.tolerates() {
 		t.liftIfCleared(c)
 		t.relay(c)
+		t.reconsider(c, t.o.Now())
 	}
 }
 
