drain: a connection on which a part of a request has just arrived isn't closed

What callers would see: a closed connection without an answer, for a request of which the first packet arrives within microseconds of the end of a stop or of an eviction. Nothing has run then.

Cause: connections are selected as idle under one lock and closed under another; in between a Read may have returned the first part of a request.

Change: the close looks at the phase again. The new test failed before ("the Read of the rest is interrupted").

--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -167,11 +167,16 @@
 func (c *conn) closeIfWaiting() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// The first part of a request may have arrived since the connection was selected.
+	if c.phase == reading && time.Since(c.since) < maxNewWait {
+		return
+	}
 	c.interrupt()
 }
 
-// interrupt is closeIfWaiting for callers that hold c.mu. A connection with HTTP/2 is
-// closed by the server only, whose GOAWAY states what it has read.
+// interrupt ends the Read in progress, unless a request is open. Callers hold c.mu. A
+// connection with HTTP/2 is closed by the server only, whose GOAWAY states what it has
+// read.
 func (c *conn) interrupt() {
 	if c.phase == active || !c.waiting || c.closing || c.closed || c.multiplexed {
 		return
--- a/internal/drain/conn_linux_test.go
+++ b/internal/drain/conn_linux_test.go
@@ -29,8 +29,6 @@
 	}
 	t.Cleanup(func() { _ = caller.Close(); _ = inner.Close() })
 	_, _ = io.WriteString(caller, arrived)
-	for range 1 {
-	}
 	return &conn{Conn: inner, t: Track(&http.Server{}, Options{})}, caller
 }
 
@@ -112,3 +110,18 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// Guards against a request whose first part arrives between the selection of its
+// connection as idle and the close, and whose rest is still under way.
+func TestPartOfARequestThatArrivedMeanwhileIsKept(t *testing.T) {
+	c, _ := socketPair(t, "GET")
+	c.phase = idle
+	if text, err := readText(c); text != "GET" || err != nil {
+		t.Fatalf("%q, %v", text, err)
+	}
+	c.waiting = true // as by the Read of the rest
+	c.closeIfWaiting()
+	if c.closing {
+		t.Error("the Read of the rest is interrupted")
+	}
+}
