duration, front: comments state reasons, not history

The doc comment of duration.Tracker told of an observation; it says now what would go wrong without the rule. A field of the front's daemon says what it confirms. No behaviour changes.

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -100,7 +100,7 @@
 	crashes     *quarantine.CrashTracker
 	origins     *origin.Tracker // of streams
 
-	targetsConfirmed *relay.Confirmation
+	targetsConfirmed *relay.Confirmation // that the list of targets is complete
 
 	versions  *versions.Keeper
 	runner    *dispatch.Runner
--- a/request/duration/duration.go
+++ b/request/duration/duration.go
@@ -35,10 +35,8 @@
 // answers outlast a time is therefore read only from the answers that began at
 // least that time ago, whether they have ended or not.
 //
-// It prevents this failure: a daemon that is being stopped accepts a request
-// whose answer can't end before the stop, and the caller's stream is cut. This
-// was observed with streams of 4 s that began 3.2 s after the signal, with 8 s
-// from the signal to the stop, at daemons that had run for 5 s.
+// Otherwise a daemon that has run for a few seconds, and has seen only short
+// answers end, would accept a long one shortly before its stop and cut it.
 type Tracker struct {
 	horizon time.Duration
 	origin  time.Time
