drain: an answer of HTTP/1.0 that ends early is reset

What callers saw: a part of a stream that looked complete. Callers of HTTP/1.0 take the end of their connection for the end of an answer without a length, and an aborted answer, or one that a stop cut, ended its connection in order.

Cause: net/http can't use chunks with HTTP/1.0, and closes the connection of an aborted answer as it closes any other.

Evidence: TestAbortedAnswerOfHTTP10IsReset and TestCutAnswerOfHTTP10IsReset failed before, with a part of the answer that "ended with <nil>".

Change: while a request of HTTP/1.0 is open, a close of its connection resets it (SO_LINGER 0). Only after the handler has returned is it closed in order. The kernel does it, so it holds for a process that is killed, too. All ports of both protocols are served through internal/drain.

Ruled out: the ways by which answers reach callers of HTTP/1.1. They have a length or chunks on each leg after the target's, also between daemons.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -51,7 +51,7 @@
 }
 
 // Track returns a Tracker of a server that doesn't serve yet. It sets the server's
-// ConnState and wraps its Handler. Serve the server with Tracker.Serve.
+// ConnState and wraps its Handler and ConnContext. Serve the server with Tracker.Serve.
 func Track(s *http.Server, o Options) *Tracker {
 	t := &Tracker{server: s, next: s.Handler, o: o, conns: make(map[*conn]struct{})}
 	if t.next == nil {
@@ -59,6 +59,7 @@
 	}
 	s.Handler = http.HandlerFunc(t.serveHTTP)
 	s.ConnState = recordState
+	passConn(s)
 	return t
 }
 
@@ -85,7 +86,11 @@
 	if t.draining.Load() || t.crowded() {
 		w.Header().Set("Connection", "close")
 	}
-	t.next.ServeHTTP(w, req)
+	if req.ProtoAtLeast(1, 1) {
+		t.next.ServeHTTP(w, req)
+		return
+	}
+	serveUnframed(t.next, w, req)
 }
 
 // Shutdown closes the listener l, answers the requests of open connections and then
