entry: a stopping daemon of the own protocol accepts by deadlines

What callers saw: streams that a daemon accepts in a planned stop and cuts at its drain limit, although the daemon had refused what it expected to outlast it.

Cause: the expectation came from answers that had ended. It is no bound: lengths grow when the mix turns, engines slow down, and rare kinds aren't in the sample. A request that goes through another daemon wasn't checked at all.

Evidence: entry.TestStoppingIsBoundedByDeadlines failed before: after 1,000 short streams one with a deadline of 10 s was accepted 5 s before the stop (1,001 runs). TestStoppingDoesNotForwardLongAnswers failed before, too: the request was forwarded.

Change: from the signal on, a request is accepted only if its deadline passes before the drain limit; forwarded ones are checked, too. Entry no longer follows durations.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -344,7 +344,6 @@
 		Limits:         d.s.Limits,
 		Zone:           d.s.Zone,
 		ShedEarly:      d.s.Scheduling.ShedEarly,
-		StopTime:       d.s.Control.DrainLimit,
 	})
 }
 
--- a/request/entry/admit.go
+++ b/request/entry/admit.go
@@ -9,34 +9,22 @@
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/admission"
 	"github.com/pomelospool/pomelospool/request/attempt"
-	"github.com/pomelospool/pomelospool/request/duration"
 	"github.com/pomelospool/pomelospool/request/overload"
 	"github.com/pomelospool/pomelospool/request/routing"
 )
 
-// stoppingRetryAfter is the Retry-After time of requests that are refused because
-// their answers would take longer than the daemon stays. It is short since other
-// daemons can serve them.
-const stoppingRetryAfter = 20 * time.Millisecond
-
 // permit allows one request to run.
 type permit struct {
 	decision routing.Decision
 	release  func() // must be called when the request has ended; later calls do nothing
-	complete bool   // the answer is complete; to be set before release
 }
 
 // admit decides, without queueing, whether q may run, and chooses its first
 // target.
 func (e *Entry) admit(q *attempt.Request, params requestParams, cost float64) (*permit, error) {
-	if err := e.begin(); err != nil {
+	if err := e.begin(params.deadline); err != nil {
 		return nil, err
 	}
-	d := duration.Call{Route: q.Service.Doc.Service, Output: q.Route.OutputTokens, Arrived: time.Now(), Timeout: time.Until(params.deadline)}
-	if end := e.stopAt.Load(); end != nil && e.durations.Outlasts(d, *end) {
-		e.finish()
-		return nil, code.New(code.Draining, "the answer would take longer than this daemon stays").WithRetryAfter(stoppingRetryAfter)
-	}
 	closeStream, err := e.streams.Enter(params.caller, q.Service.Doc.Limits.StreamsPerCaller)
 	if err != nil {
 		e.finish()
@@ -48,10 +36,9 @@
 		e.finish()
 		return nil, err
 	}
-	release, ended := p.release, e.durations.Begin(d)
+	release := p.release
 	p.release = sync.OnceFunc(func() {
 		release()
-		ended(p.complete)
 		closeStream()
 		e.finish()
 	})
--- a/request/entry/admit_test.go
+++ b/request/entry/admit_test.go
@@ -1,11 +1,15 @@
 package entry
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/pipenet"
 	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/attempt"
+	"github.com/pomelospool/pomelospool/request/forward"
 	"github.com/pomelospool/pomelospool/request/routing"
 	"github.com/pomelospool/pomelospool/version/document"
 	"github.com/pomelospool/pomelospool/version/view"
@@ -82,3 +86,49 @@
 		t.Errorf("%d requests count as open", open)
 	}
 }
+
+// Guards against streams that are cut since lengths grow during a stop: short answers
+// before are no bound for the next one.
+func TestStoppingIsBoundedByDeadlines(t *testing.T) {
+	runInBubble(t, func(t *testing.T, n *pipenet.Net) {
+		defer n.Close()
+		s := serveScriptedTarget(n, "a:80", func(c *call) { c.head().tokens(0); c.finish(1) })
+		f := newFixtureOn(t, n, []string{"a:80"}, nil, nil)
+		const known = 1000
+		for range known {
+			f.complete("p", 1)
+			time.Sleep(100 * time.Millisecond)
+		}
+		f.entry.StopAt(time.Now().Add(5 * time.Second))
+		if r := f.complete("p", 1); r.code() != "1005" || s.count() != known { // its deadline is 10 s
+			t.Errorf("%+v, %d runs", r, s.count())
+		}
+	})
+}
+
+// lostLinks are links that are lost.
+type lostLinks struct{ attempt.Links }
+
+func (lostLinks) Lost(string) bool { return true }
+
+// refusingPeers counts the requests that are forwarded.
+type refusingPeers struct{ count int }
+
+func (p *refusingPeers) Do(context.Context, *forward.Request) (*forward.Response, error) {
+	p.count++
+	return nil, code.New(code.LinksLost, "")
+}
+
+// Guards against streams that a stopping daemon forwards and cuts when it stops, since only
+// those that it ran itself were checked.
+func TestStoppingDoesNotForwardLongAnswers(t *testing.T) {
+	peers := &refusingPeers{}
+	f := newFixture(t, []string{"127.0.0.1:1"}, nil, func(o *Options, _ *document.Document) { o.Links, o.Peers = lostLinks{}, peers })
+	f.entry.StopAt(time.Now().Add(5 * time.Second))
+	if r := f.complete("p", 1); r.code() != "1005" || peers.count != 0 { // its deadline is 10 s
+		t.Errorf("%+v, %d forwarded", r, peers.count)
+	}
+	if r := f.complete("p", 1, "X-Deadline-Ms", "2000"); r.code() != "2010" || peers.count != 1 {
+		t.Errorf("with a short deadline: %+v, %d forwarded", r, peers.count)
+	}
+}
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -20,7 +20,6 @@
 	"github.com/pomelospool/pomelospool/request/admission"
 	"github.com/pomelospool/pomelospool/request/attempt"
 	"github.com/pomelospool/pomelospool/request/budget"
-	"github.com/pomelospool/pomelospool/request/duration"
 	"github.com/pomelospool/pomelospool/request/limit"
 	"github.com/pomelospool/pomelospool/request/once"
 	"github.com/pomelospool/pomelospool/request/quarantine"
@@ -52,7 +51,6 @@
 	// OnModelRequest is called once for each valid model request, including
 	// those that are refused later, with the estimated tokens. It may be nil.
 	OnModelRequest func(model string, prompt, output int)
-	StopTime       time.Duration // longest time from StopAt to the stop
 	WriteTimeout   time.Duration // longest time a caller may stop reading a stream; default 10s
 	// ShedEarly rejects model requests whose first token would come after their
 	// callers have left.
@@ -69,7 +67,6 @@
 	tomb      tomb.Tomb
 	open      atomic.Int64
 	draining  atomic.Bool
-	durations *duration.Tracker
 	stopAt    atomic.Pointer[time.Time] // when open requests are cut; nil: no stop is planned
 }
 
@@ -93,7 +90,6 @@
 		opts:      o,
 		admission: admission.New(time.Now),
 		streams:   limit.NewStreams(),
-		durations: duration.New(o.StopTime),
 		runner: attempt.NewRunner(attempt.Options{
 			Pool:             o.Pool,
 			Router:           o.Router,
@@ -177,18 +173,6 @@
 	e.router.ServeHTTP(w, req)
 }
 
-// begin counts a request as open, or refuses it. The count is incremented
-// before the draining flag is read, so that Drain can't miss a request that
-// passed the check.
-func (e *Entry) begin() error {
-	e.open.Add(1)
-	err := e.checkAccepting()
-	if err != nil {
-		e.open.Add(-1)
-	}
-	return err
-}
-
 func (e *Entry) finish() { e.open.Add(-1) }
 
 // checkAccepting returns an error if the daemon doesn't accept requests.
@@ -205,11 +189,6 @@
 // Open returns the number of open requests.
 func (e *Entry) Open() int { return int(e.open.Load()) }
 
-// StopAt announces that open requests are cut at end. Until Drain, requests whose
-// answers can't be complete by then are refused, so that another daemon can serve
-// them.
-func (e *Entry) StopAt(end time.Time) { e.stopAt.Store(&end) }
-
 const drainPollInterval = 20 * time.Millisecond
 
 // Drain refuses new requests from now on and waits until the open ones have
--- a/request/entry/forward.go
+++ b/request/entry/forward.go
@@ -83,7 +83,7 @@
 
 // forward sends a request through another daemon and writes the answer.
 func (e *Entry) forward(w http.ResponseWriter, req *http.Request, svc *view.Service, params requestParams, body []byte) {
-	if err := e.begin(); err != nil {
+	if err := e.begin(params.deadline); err != nil {
 		writeError(w, err)
 		return
 	}
--- a/request/entry/model.go
+++ b/request/entry/model.go
@@ -263,7 +263,6 @@
 	}
 	recv := &unstreamedReceiver{id: id, max: int64(e.opts.Limits.BodyBytes)}
 	_, err = e.runner.Run(ctx, q, &p.decision, recv)
-	p.complete = err == nil
 	if e.retryViaPeer(req, c.svc, err) {
 		p.release()
 		e.forward(w, req, c.svc, c.params, c.raw)
@@ -290,7 +289,6 @@
 		return err
 	}
 	err = out.close(err)
-	p.complete = err == nil
 	obs.finish(err, recv.relay.Next()-c.firstToken())
 	return nil
 }
--- a/request/entry/once.go
+++ b/request/entry/once.go
@@ -70,7 +70,6 @@
 	e.tomb.Go(func() error {
 		defer p.release()
 		r := e.executeOnce(ctx, q, p, call)
-		p.complete = r.err == nil
 		res <- r
 		return nil
 	})
--- a/request/entry/plain.go
+++ b/request/entry/plain.go
@@ -191,7 +191,6 @@
 	defer cancel()
 	recv := &plainReceiver{w: w, maxBuffered: int64(e.opts.Limits.BufferBytes), writeTimeout: e.opts.WriteTimeout}
 	_, err = e.runner.Run(ctx, q, &p.decision, recv)
-	p.complete = err == nil
 	if !recv.committed && e.retryViaPeer(req, c.svc, err) {
 		p.release()
 		e.forward(w, req, c.svc, c.params, c.body)
