ingress: a planned stop answers the calls that wait for their targets

What callers saw: a closed connection without any answer, 0.7 s before the end of the grace time, where a target hadn't answered yet. Nothing told them what had become of their request.

Cause: calls that are still open at the end of a stop were cut by closing their connections, whether a part of an answer had been sent or not.

Evidence: TestStopAnswersWaitingCalls hung before, for plain calls and streams; on a daemon such calls ended with the connection.

Streams that have begun go on, since they may still be complete in time.

--- a/code/table.go
+++ b/code/table.go
@@ -39,6 +39,7 @@
 	LinksLost         Code = 2010
 	OriginUnknown     Code = 2011
 	OriginGone        Code = 2012
+	Stopped           Code = 2013
 
 	KeyMissing      Code = 3001
 	KeyBusy         Code = 3002
@@ -105,6 +106,7 @@
 	{LinksLost, "LINKS_LOST", http.StatusServiceUnavailable, true, "The daemon reaches no target of the service, and no other daemon took the request.", "Use another address from the list, or come back after Retry-After."},
 	{OriginUnknown, "ORIGIN_UNKNOWN", http.StatusServiceUnavailable, true, "It isn't known at which software version the stream began, and it may go on only there.", "Use another address from the list, or begin the stream again without Last-Event-Id."},
 	{OriginGone, "ORIGIN_GONE", http.StatusServiceUnavailable, true, "No target of the software version at which the stream began takes requests.", "Come back after Retry-After, or begin the stream again without Last-Event-Id."},
+	{Stopped, "STOPPED", http.StatusGatewayTimeout, false, "The daemon stopped as planned before the target had answered.", "An idempotent request may be sent again."},
 
 	{KeyMissing, "KEY_MISSING", http.StatusBadRequest, true, "A non-idempotent request came without an Idempotency-Key.", "Send it with a key."},
 	{KeyBusy, "KEY_BUSY", http.StatusConflict, false, "A request with this key is running now.", "Ask again with the same key after Retry-After."},
--- a/request/ingress/answer.go
+++ b/request/ingress/answer.go
@@ -28,7 +28,7 @@
 	x.status = a.Status
 	x.w.WriteHeader(a.Status)
 	if _, err := x.w.Write(a.Body); err != nil && answer.HasBody(a.Status) {
-		x.headerSent = true
+		x.headerSent.Store(true)
 		return code.Wrap(code.CallerGone, err, "")
 	}
 	return nil
@@ -53,7 +53,7 @@
 
 // Begin implements dispatch.Stream.
 func (x *exchange) Begin(status int, h http.Header) {
-	x.headerSent = true
+	x.headerSent.Store(true)
 	x.status = status
 	x.copyHeaders(h)
 	x.w.WriteHeader(status)
@@ -69,7 +69,7 @@
 
 // writeError writes an error answer, unless a header was already sent.
 func (x *exchange) writeError(err error) {
-	if x.headerSent {
+	if x.headerSent.Load() {
 		return
 	}
 	e := answer.Error(err)
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -5,6 +5,7 @@
 package ingress
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"strings"
@@ -81,6 +82,9 @@
 	o    Options
 	open atomic.Int64
 	stop atomic.Pointer[plannedStop] // nil: no stop is planned
+
+	waiting    context.Context // of calls without an answer
+	endWaiting context.CancelFunc
 }
 
 // New returns an Ingress.
@@ -88,64 +92,14 @@
 	if o.Durations == nil {
 		o.Durations = duration.New(0)
 	}
-	return &Ingress{o: o}
-}
-
-// plannedStop holds the times of a planned stop.
-type plannedStop struct {
-	end         time.Time // when the process stops
-	lastArrival time.Time // until when callers can't know of the stop
+	i := &Ingress{o: o}
+	i.waiting, i.endWaiting = context.WithCancel(context.Background())
+	return i
 }
 
 // Open returns the number of open requests.
 func (i *Ingress) Open() int { return int(i.open.Load()) }
 
-// StopAt announces that the process stops at end. Until then every answer asks
-// its caller to close the connection, and a request whose answer can't be
-// complete by then is refused, so that another daemon can answer it.
-//
-// Callers that send before lastArrival can't know of the stop. While no other daemon
-// serves, their requests are accepted even if the answers may be cut: a refused caller
-// has nowhere else to go.
-func (i *Ingress) StopAt(end, lastArrival time.Time) {
-	i.stop.Store(&plannedStop{end: end, lastArrival: lastArrival})
-}
-
-// stopsBefore reports whether a call is refused because the process stops before its
-// answer is expected to be complete.
-func (i *Ingress) stopsBefore(c *dispatch.Call) bool {
-	stop := i.stop.Load()
-	if stop == nil || !i.o.Durations.Outlasts(durationCall(c), stop.end) {
-		return false
-	}
-	return i.othersServe() || c.Arrived.After(stop.lastArrival)
-}
-
-func (i *Ingress) othersServe() bool { return i.o.OthersServe == nil || i.o.OthersServe() }
-
-func durationCall(c *dispatch.Call) duration.Call {
-	return duration.Call{Route: c.Route.Name, Output: c.Meta.MaxOutputTokens, Arrived: c.Arrived, Timeout: callTimeout(c)}
-}
-
-const (
-	// stoppingRetryAfter is the Retry-After time of requests that are refused
-	// because the process stops. It is short since other daemons can serve them.
-	stoppingRetryAfter = 20 * time.Millisecond
-	// allStoppingRetryAfter is used while all daemons are being stopped. The others
-	// would refuse the request, too, and its caller might not try a third time.
-	// Daemons start again within about that time.
-	allStoppingRetryAfter = time.Second
-)
-
-// refuse returns the error for a call whose answer would outlast the process.
-func (i *Ingress) refuse() error {
-	after := stoppingRetryAfter
-	if !i.othersServe() {
-		after = allStoppingRetryAfter
-	}
-	return code.New(code.Draining, "the answer would take longer than this daemon stays").WithRetryAfter(after)
-}
-
 // ServeHTTP implements http.Handler.
 func (i *Ingress) ServeHTTP(w http.ResponseWriter, req *http.Request) { i.serve(w, req, nil) }
 
@@ -178,7 +132,7 @@
 		x.writeError(err)
 	}
 	x.observe(c, err)
-	if x.headerSent && err != nil {
+	if x.headerSent.Load() && err != nil {
 		// Once the header is sent, aborting the connection is the only way in
 		// HTTP to signal that the answer is incomplete.
 		panic(http.ErrAbortHandler)
@@ -195,7 +149,7 @@
 	meta       port.RequestMeta
 	trace      dispatch.Trace
 	status     int
-	headerSent bool          // the header of a target's answer was sent
+	headerSent atomic.Bool   // the header of a target's answer was sent
 	out        *limit.Writer // writes a stream's events; nil before the first one
 }
 
@@ -359,16 +313,16 @@
 }
 
 func (x *exchange) answer(c *dispatch.Call) error {
-	ctx := x.req.Context()
+	ctx, release := x.untilStop(x.req.Context())
+	defer release()
+	var err error
 	if c.Route.Kind == route.Stream {
-		var err error
 		x.trace, err = x.o.Runner.Streamed(ctx, c, x)
-		return err
+		return x.stopError(ctx, err)
 	}
-	a, trace, err := x.o.Runner.Plain(ctx, c)
-	x.trace = trace
-	if err != nil {
-		return err
+	var a *dispatch.Answer
+	if a, x.trace, err = x.o.Runner.Plain(ctx, c); err != nil {
+		return x.stopError(ctx, err)
 	}
 	return x.writeAnswer(a)
 }
