ingress: a stopping daemon accepts by deadlines, not by an estimate

Cause: from 3 s on, a daemon accepted what it expected to end in time, from the answers that it and other daemons had followed. That is an estimate, however carefully the sample is taken; the mix turns within minutes.

Change: a call whose deadline (the caller's and the route's) passes before the stop is accepted, as it ends by then anyway. Any other call is left to the daemons that serve. While there are none, a plain call is accepted, since it gets an answer in any case, unless less time is left than its route's objective; a stream only from callers that can't know of the stop, which the rule excuses. The 3 s are counted from 200 ms before the stop begins, as a signal may be handled late. Nothing is learned any more, so a young daemon decides as any other; request/duration and its table between daemons (topic 3, which is ignored if an earlier build sends it) are gone, with their tests.

Tests: one check was wrong by the new rule, that a plain call with a deadline beyond the stop is served while another daemon serves because such answers were short. TestWhoIsRefusedInAStop states the outcome for each state, kind and deadline in its place, and what was refused must not have run. What the tests of request/duration guarded against (young daemons, failed, old or few answers in the sample) can't occur without a sample. The soak's planted fault now takes the new check out, and is found.

Who pays: where others serve, callers with deadlines beyond the stop pay a round trip; where none does, late ones wait.

--- a/bench/soak/planned_work_test.go
+++ b/bench/soak/planned_work_test.go
@@ -124,7 +124,7 @@
 			{"internal/drain/conn.go", "	c.closing = true\n	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))", "	c.closing = true\n	_ = c.Conn.Close()"},
 		}},
 		{"a daemon that stops accepts streams that outlast it", "status 200, 1 runs, unexpected EOF: cut, though", []edit{
-			{"request/duration/duration.go", "return c.Timeout > left && d.predict(c, left) > left", "return c.Timeout > left && d.predict(c, left) < 0"},
+			{"request/ingress/stop.go", "case stop == nil || !c.Deadline.After(stop.lastAnswer()):", "case true:"},
 		}},
 		{"a signal is lost", "after SIGTERM", []edit{
 			{"cmd/pomelospoold/front.go", "import (\n", "import (\n	\"time\"\n"},
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -44,7 +44,6 @@
 	"github.com/pomelospool/pomelospool/process/versions"
 	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/dispatch"
-	"github.com/pomelospool/pomelospool/request/duration"
 	"github.com/pomelospool/pomelospool/request/forward"
 	"github.com/pomelospool/pomelospool/request/ingress"
 	"github.com/pomelospool/pomelospool/request/quarantine"
@@ -86,7 +85,6 @@
 	health      *health.Tracker
 	speed       *speed.Tracker
 	factors     *speed.Factors // of engines; nil: the setting is off
-	durations   *duration.Tracker
 	demand      *demand.Tracker
 	shares      *shares.Tracker // nil: organisations aren't limited to fair shares
 	budget      *budget.Fleet
@@ -161,7 +159,6 @@
 	})
 	d.health = health.New(time.Now, d.engines.MarkDown)
 	d.newFactors()
-	d.durations = duration.New(s.Bounds.Grace)
 	d.crashes = quarantine.New(quarantine.Options{
 		Self: s.VM, ToleratedCrashes: toleratedCrashes, Tries: d.triesContent, Changed: d.notifyPeers,
 	})
@@ -292,7 +289,7 @@
 	d.metrics = newMetrics(d)
 	d.ingress = ingress.New(ingress.Options{Config: d.config, Protocol: platform.TargetProtocol{}, Runner: d.runner, Observe: d.observe,
 		TargetsAge: func() (time.Duration, bool) { return d.caches[port.TopicTargets].Age() },
-		ConfigAge:  func() (time.Duration, bool) { return d.caches[port.TopicConfig].Age() }, MaxConfigAge: d.s.Bounds.ApplyConfig, OnStart: d.countUsage, Durations: d.durations, OthersServe: d.othersServe})
+		ConfigAge:  func() (time.Duration, bool) { return d.caches[port.TopicConfig].Age() }, MaxConfigAge: d.s.Bounds.ApplyConfig, OnStart: d.countUsage, OthersServe: d.othersServe})
 	d.planner = roles.New(roles.Options{
 		Self:    d.s.VM,
 		Store:   d.monitored,
--- a/process/front/stop.go
+++ b/process/front/stop.go
@@ -17,11 +17,18 @@
 	// broadcastTime is the time in which the other daemons learn that this one
 	// is leaving, including the loss of one datagram.
 	broadcastTime = 600 * time.Millisecond
+	// signalDelay is how much earlier than the stop begins its signal may have been sent.
+	signalDelay = 200 * time.Millisecond
 	// stopPoll is the interval between two checks of the number of open
 	// requests.
 	stopPoll = 20 * time.Millisecond
 )
 
+// lastArrival returns until when requests may come from callers that can't know of a stop.
+func lastArrival(begun time.Time, limit time.Duration) time.Time {
+	return begun.Add(min(addressCacheFactor*addressTTL, limit/2) - signalDelay)
+}
+
 // shutdown runs the steps of a planned stop. The daemon is removed from address
 // answers and keeps serving until the answers that callers have cached expire.
 // Meanwhile each answer asks its caller to close the connection. Then it
@@ -31,7 +38,7 @@
 	begun := time.Now()
 	limit := d.s.Bounds.Grace - stopMargin
 	log.WithField("limit_ms", limit.Milliseconds()).Info("front: leaving")
-	d.ingress.StopAt(begun.Add(limit), begun.Add(min(addressCacheFactor*addressTTL, limit/2)))
+	d.ingress.StopAt(begun.Add(limit), lastArrival(begun, limit))
 	steps.Step("leaving", func() {
 		d.roster.SetState(roster.Leaving)
 		d.planner.Release()
--- a/process/front/summaries.go
+++ b/process/front/summaries.go
@@ -11,8 +11,5 @@
 	if d.factors != nil {
 		tables[roster.TopicSpeeds] = d.factors.Table()
 	}
-	if d.durations != nil {
-		tables[roster.TopicDurations] = d.durations.Table()
-	}
 	return tables
 }
--- a/process/roster/summary.go
+++ b/process/roster/summary.go
@@ -20,11 +20,10 @@
 	MergeFleet(piece, pieces int, data []byte) error
 }
 
-// Topics of summaries.
+// Topics of summaries. Earlier builds send 3, which isn't received any more.
 const (
-	TopicShares    = 1 // use of engines by organisation
-	TopicSpeeds    = 2 // speed by engine
-	TopicDurations = 3 // durations of answers by route
+	TopicShares = 1 // use of engines by organisation
+	TopicSpeeds = 2 // speed by engine
 )
 
 // summaryScope states what a summary message is the sum of.
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -19,7 +19,6 @@
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/dispatch"
-	"github.com/pomelospool/pomelospool/request/duration"
 	"github.com/pomelospool/pomelospool/request/forward"
 	"github.com/pomelospool/pomelospool/request/limit"
 	"github.com/pomelospool/pomelospool/version/inforce"
@@ -27,7 +26,7 @@
 )
 
 // Options configures an Ingress. All fields are required except TargetsAge,
-// ConfigAge, OnStart, Durations and OthersServe.
+// ConfigAge, OnStart and OthersServe.
 type Options struct {
 	Config   *inforce.Holder
 	Protocol port.TargetProtocol
@@ -43,9 +42,6 @@
 	// OnStart counts a request of an organisation that a target started to run
 	// the given time ago. It may be nil.
 	OnStart func(organisation string, ago time.Duration)
-	// Durations predicts which answers outlast a planned stop. If it is nil, the
-	// Ingress has its own.
-	Durations *duration.Tracker
 	// OthersServe reports whether another daemon takes requests and isn't being
 	// stopped. If it is nil, one is assumed to.
 	OthersServe func() bool
@@ -89,9 +85,6 @@
 
 // New returns an Ingress.
 func New(o Options) *Ingress {
-	if o.Durations == nil {
-		o.Durations = duration.New(0)
-	}
 	i := &Ingress{o: o}
 	i.waiting, i.endWaiting = context.WithCancel(context.Background())
 	return i
@@ -217,7 +210,7 @@
 		}
 	}
 	c.Deadline = x.arrived.Add(callTimeout(c))
-	if x.stopsBefore(c) {
+	if x.mustRefuse(c) {
 		return c, x.refuse()
 	}
 	return c, nil
@@ -299,20 +292,8 @@
 	return req.URL.RequestURI()
 }
 
-// run runs the call and writes its answer, whose duration is recorded by the daemon
-// that the caller called.
+// run runs the call and writes its answer.
 func (x *exchange) run(c *dispatch.Call) error {
-	if x.envelope != nil {
-		return x.answer(c)
-	}
-	end, complete := x.o.Durations.Begin(durationCall(c)), false
-	defer func() { end(complete) }()
-	err := x.answer(c)
-	complete = err == nil
-	return err
-}
-
-func (x *exchange) answer(c *dispatch.Call) error {
 	ctx, release := x.untilStop(x.req.Context())
 	defer release()
 	var err error
--- a/request/ingress/stop.go
+++ b/request/ingress/stop.go
@@ -8,7 +8,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/request/dispatch"
-	"github.com/pomelospool/pomelospool/request/duration"
+	"github.com/pomelospool/pomelospool/version/route"
 )
 
 const (
@@ -30,21 +30,25 @@
 	lastArrival time.Time // until when callers can't know of the stop
 }
 
+// lastAnswer returns when calls without an answer get an error.
+func (s *plannedStop) lastAnswer() time.Time { return s.end.Add(-lastAnswerTime) }
+
 // errStopping ends calls that have no answer when the process stops. It is a
 // DeadlineExceeded, since the call's time is over.
 var errStopping = fmt.Errorf("the daemon stops: %w", context.DeadlineExceeded)
 
 // StopAt announces that the process closes its connections at end. Until then every
-// answer asks its caller to close the connection, and calls that are expected to last
-// longer are refused, so that another daemon can answer them. Calls that have no answer shortly
+// answer asks its caller to close the connection, and calls that may last longer are
+// refused, so that another daemon can answer them. Calls that have no answer shortly
 // before end are answered with an error.
 //
 // Callers that send before lastArrival can't know of the stop. While no other daemon
 // serves, their requests are accepted even if the answers may be cut: a refused caller
 // has nowhere else to go.
 func (i *Ingress) StopAt(end, lastArrival time.Time) {
-	i.stop.Store(&plannedStop{end: end, lastArrival: lastArrival})
-	time.AfterFunc(time.Until(end)-lastAnswerTime, i.endWaiting)
+	stop := &plannedStop{end: end, lastArrival: lastArrival}
+	i.stop.Store(stop)
+	time.AfterFunc(time.Until(stop.lastAnswer()), i.endWaiting)
 }
 
 // untilStop returns a context for the call's run that ends shortly before a planned
@@ -70,22 +74,28 @@
 	return err
 }
 
-// stopsBefore reports whether a call is refused because the process stops before its
-// answer is expected to be complete.
-func (i *Ingress) stopsBefore(c *dispatch.Call) bool {
+// mustRefuse reports whether a call is refused because of a planned stop.
+//
+// A call whose deadline passes before the stop ends by then, whatever its target does.
+// An estimate from other answers is no such bound: the mix of lengths may change during
+// the stop. Any other call is left to daemons that stay. While there are none, it is
+// accepted if it can be answered: a plain call gets an error answer at last, but a stream
+// can only be cut, which callers that may know of the stop needn't accept.
+func (i *Ingress) mustRefuse(c *dispatch.Call) bool {
 	stop := i.stop.Load()
-	if stop == nil || !i.o.Durations.Outlasts(durationCall(c), stop.end) {
+	switch {
+	case stop == nil || !c.Deadline.After(stop.lastAnswer()):
 		return false
+	case c.Forwarded || i.othersServe():
+		return true
+	case c.Route.Kind == route.Stream:
+		return c.Arrived.After(stop.lastArrival)
 	}
-	return i.othersServe() || c.Arrived.After(stop.lastArrival)
+	return time.Until(stop.lastAnswer()) < c.Route.Objective
 }
 
 func (i *Ingress) othersServe() bool { return i.o.OthersServe == nil || i.o.OthersServe() }
 
-func durationCall(c *dispatch.Call) duration.Call {
-	return duration.Call{Route: c.Route.Name, Output: c.Meta.MaxOutputTokens, Arrived: c.Arrived, Timeout: callTimeout(c)}
-}
-
 // refuse returns the error for a call whose answer may outlast the process.
 func (i *Ingress) refuse() error {
 	after := stoppingRetryAfter
