entry, daemon: requests that are open at the drain limit get an answer

What callers saw: closed connections, where a plain call or a stream of the own protocol was still open at the drain limit: outcome unknown (3003), or a stream without its end (2006).

Evidence: daemon.TestPlannedStopAnswersWhatItEnds failed before with codes 3003 and 2006.

Change: at the limit the open requests end with code 2013: a 504, or an event without an end marker in a stream that has begun. Their targets are told to cancel. A call that may run once goes on without its caller (3002: ask again with the key), and its result is recorded as before.

--- a/process/daemon/run.go
+++ b/process/daemon/run.go
@@ -127,6 +127,7 @@
 	drained := d.entry.Drain(drain)
 	if drained != nil {
 		log.WithField("open", d.entry.Open()).Warn("daemon: drain limit reached, cutting open requests")
+		d.entry.EndCalls()
 	}
 	d.handOver(ctx)
 	d.closeIdle(ctx)
--- a/process/daemon/stop_test.go
+++ b/process/daemon/stop_test.go
@@ -11,6 +11,7 @@
 	"github.com/pomelospool/pomelospool/operator/caller"
 	"github.com/pomelospool/pomelospool/process/fold"
 	"github.com/pomelospool/pomelospool/process/settings"
+	"github.com/pomelospool/pomelospool/standin/plain"
 )
 
 // stop begins a planned stop of daemon i.
@@ -147,3 +148,37 @@
 		t.Errorf("the stop: %v", err)
 	}
 }
+
+// Guards against requests whose connections are closed without any answer, or in the
+// middle of a stream, since they are open at the end of a planned stop.
+func TestPlannedStopAnswersWhatItEnds(t *testing.T) {
+	f := newFleet(t, 2, settings.TLS{})
+	e, p := f.startEngine(10*time.Millisecond), plain.New(plain.Options{Name: "p", Latency: time.Minute})
+	f.run(p.Run, p.Close)
+	f.waitForVersion("feed", f.publish("feed", plainYAML(p.Addr(), time.Second)))
+	f.waitForVersion("language", f.publish("language", modelYAML(e.Addr())))
+	eventually(t, "the targets are live", func() bool {
+		s := f.status(0).Targets
+		return len(s) == 2 && s[0].State == "live" && s[1].State == "live"
+	})
+	c := caller.New(caller.Options{Daemons: []string{f.daemons[0].Listen().Callers}, SkipDiscovery: true, MaxAttempts: 1})
+	defer c.Close()
+	const calls = 2
+	answers := make(chan *caller.Answer, calls)
+	for _, r := range []caller.Request{caller.Chat("m", "long", 1000), {Path: "/s/feed/list", Body: []byte("b")}} {
+		r.Deadline = time.Minute
+		go func() {
+			a, _ := c.Do(t.Context(), r)
+			answers <- a
+		}()
+	}
+	eventually(t, "both run", func() bool { return f.daemons[0].entry.Open() == calls })
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	_ = f.daemons[0].Shutdown(ctx) // reports that it cut requests
+	for range calls {
+		if a := <-answers; a.Code != code.Stopped {
+			t.Errorf("%+v", a)
+		}
+	}
+}
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -68,6 +68,8 @@
 	open      atomic.Int64
 	draining  atomic.Bool
 	stopAt    atomic.Pointer[time.Time] // when open requests are cut; nil: no stop is planned
+	calls     context.Context           // of open requests
+	endCalls  context.CancelFunc
 }
 
 // Defaults of settings.Limits and Options.
@@ -103,6 +105,7 @@
 			ReadTimeout:      o.ReadTimeout,
 		}),
 	}
+	e.calls, e.endCalls = context.WithCancel(context.Background())
 	e.router = e.routes()
 	e.tomb.Go(func() error {
 		<-e.tomb.Dying()
--- a/request/entry/forward.go
+++ b/request/entry/forward.go
@@ -88,7 +88,7 @@
 		return
 	}
 	defer e.finish()
-	ctx, cancel := context.WithDeadline(req.Context(), params.deadline)
+	ctx, cancel := e.callContext(req.Context(), params.deadline)
 	defer cancel()
 	obs := newObservation(e.opts.Burn, svc.Doc.Service, params.org)
 	id := w.Header().Get(attempt.HeaderID)
@@ -104,6 +104,7 @@
 		Envelope: forward.Envelope{Version: svc.Version}, Deadline: params.deadline, Caller: req.RemoteAddr,
 	})
 	if err != nil {
+		err = stopError(ctx, err)
 		obs.finish(err, 0)
 		writeError(w, withDefaultRetryAfter(err))
 		return
--- a/request/entry/model.go
+++ b/request/entry/model.go
@@ -252,7 +252,7 @@
 		return
 	}
 	defer p.release()
-	ctx, cancel := context.WithDeadline(req.Context(), c.params.deadline)
+	ctx, cancel := e.callContext(req.Context(), c.params.deadline)
 	defer cancel()
 	if c.body.Stream {
 		if e.runStream(ctx, w, req, q, c, p, obs) != nil {
@@ -263,6 +263,7 @@
 	}
 	recv := &unstreamedReceiver{id: id, max: int64(e.opts.Limits.BodyBytes)}
 	_, err = e.runner.Run(ctx, q, &p.decision, recv)
+	err = stopError(ctx, err)
 	if e.retryViaPeer(req, c.svc, err) {
 		p.release()
 		e.forward(w, req, c.svc, c.params, c.raw)
@@ -285,6 +286,7 @@
 	out := &streamSink{w: w, bufferBytes: e.opts.Limits.BufferBytes, writeTimeout: e.opts.WriteTimeout, cancel: cancel, obs: obs}
 	recv := newStreamReceiver(q.ID, c.firstToken(), out)
 	_, err := e.runner.Run(ctx, q, &p.decision, recv)
+	err = stopError(ctx, err)
 	if out.writer == nil && e.retryViaPeer(req, c.svc, err) {
 		return err
 	}
--- a/request/entry/once.go
+++ b/request/entry/once.go
@@ -37,6 +37,8 @@
 		r.err = code.New(code.KeyBusy, "the deadline passed while it runs").WithRetryAfter(retryAfter)
 	case <-req.Context().Done():
 		r.err = code.New(code.CallerGone, "")
+	case <-e.calls.Done():
+		r.err = code.New(code.KeyBusy, "the daemon stops while it runs").WithRetryAfter(retryAfter)
 	}
 	if e.retryViaPeer(req, c.svc, r.err) {
 		e.forward(w, req, c.svc, c.params, c.body)
--- a/request/entry/plain.go
+++ b/request/entry/plain.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"errors"
 	"maps"
 	"net/http"
@@ -187,10 +186,11 @@
 		return
 	}
 	defer p.release()
-	ctx, cancel := context.WithDeadline(req.Context(), c.params.deadline)
+	ctx, cancel := e.callContext(req.Context(), c.params.deadline)
 	defer cancel()
 	recv := &plainReceiver{w: w, maxBuffered: int64(e.opts.Limits.BufferBytes), writeTimeout: e.opts.WriteTimeout}
 	_, err = e.runner.Run(ctx, q, &p.decision, recv)
+	err = stopError(ctx, err)
 	if !recv.committed && e.retryViaPeer(req, c.svc, err) {
 		p.release()
 		e.forward(w, req, c.svc, c.params, c.body)
