ingress: a refusal in a stop states what decided it

An on-call engineer who looks up a request that was refused with 1005 couldn't tell whether another daemon served then, how much of the stop was left and how long the call might have taken, so that the states of design/23 couldn't be told apart in a log. The detail of the error, which the line 'ingress: request ended' carries, states the three now.

--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -211,7 +211,7 @@
 	}
 	c.Deadline = x.arrived.Add(callTimeout(c))
 	if x.mustRefuse(c) {
-		return c, x.refuse()
+		return c, x.refuse(c)
 	}
 	return c, nil
 }
--- a/request/ingress/stop.go
+++ b/request/ingress/stop.go
@@ -96,11 +96,12 @@
 
 func (i *Ingress) othersServe() bool { return i.o.OthersServe == nil || i.o.OthersServe() }
 
-// refuse returns the error for a call whose answer may outlast the process.
-func (i *Ingress) refuse() error {
-	after := stoppingRetryAfter
-	if !i.othersServe() {
+// refuse returns the error for a call that may outlast the process.
+func (i *Ingress) refuse(c *dispatch.Call) error {
+	others, after := i.othersServe(), stoppingRetryAfter
+	if !others {
 		after = allStoppingRetryAfter
 	}
-	return code.New(code.Draining, "the answer may take longer than this daemon stays").WithRetryAfter(after)
+	left := time.Until(i.stop.Load().end).Round(time.Millisecond)
+	return code.New(code.Draining, "the daemon stops in %v, the call may take %v, others serve: %t", left, time.Until(c.Deadline).Round(time.Millisecond), others).WithRetryAfter(after)
 }
