--- a/process/front/front.go
+++ b/process/front/front.go
@@ -6,10 +6,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -27,8 +25,6 @@
 	"github.com/pomelospool/pomelospool/connection/shares"
 	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/connection/targets"
-	"github.com/pomelospool/pomelospool/internal/drain"
-	"github.com/pomelospool/pomelospool/internal/sock"
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/claim"
@@ -58,9 +54,6 @@
 	addressCacheFactor = 3
 	// upkeepInterval is the interval between two removals of stale state.
 	upkeepInterval = time.Second
-	// callerAckTimeout is how long data sent on an accepted connection may stay
-	// unacknowledged.
-	callerAckTimeout = 10 * time.Second
 	// controlTimeout bounds a control call to an engine, as opposed to a
 	// caller's request.
 	controlTimeout = 800 * time.Millisecond
@@ -119,14 +112,6 @@
 	endReads context.CancelFunc
 }
 
-// server is an HTTP server and its listener.
-type server struct {
-	name  string
-	http  *http.Server
-	l     net.Listener
-	drain *drain.Tracker
-}
-
 // New opens the daemon's ports and wires its parts. It starts nothing.
 func New(s *settings.Settings) (*Daemon, error) { return newDaemon(s, nil) }
 
@@ -209,12 +194,6 @@
 	return fmt.Errorf("front: peers: %w", err)
 }
 
-// listen opens a TCP port.
-func listen(addr string) (net.Listener, error) {
-	c := net.ListenConfig{Control: sock.UserTimeout(callerAckTimeout)}
-	return c.Listen(context.Background(), "tcp", addr)
-}
-
 func (d *Daemon) newRoster(addr string) error {
 	r, err := roster.New(roster.Options{
 		Self: roster.Member{
@@ -314,37 +293,6 @@
 	return d.r.Snapshot().Targets[service]
 }
 
-func (d *Daemon) wireServers() error {
-	d.addServer("peers", d.peers, newInternalServer(d.peersHandler(relay.Handler(d.caches))), drain.Options{MaxConns: descriptors(peersShare)})
-	add := func(name, addr string, s *http.Server, o drain.Options) (*server, error) {
-		l, err := listen(addr)
-		if err != nil {
-			return nil, fmt.Errorf("front: %s: %w", name, err)
-		}
-		return d.addServer(name, l, s, o), nil
-	}
-	var err error
-	if d.callers, err = add("callers", d.s.Listen.Callers, ingress.NewServer(d.ingress), drain.Options{MaxConns: descriptors(callersShare), IdleTimeout: d.idleTimeout}); err != nil {
-		return err
-	}
-	internal := drain.Options{MaxConns: descriptors(internalShare)}
-	if _, err = add("ready", d.s.Listen.Ready, newInternalServer(platform.ReadyHandler(d.roster)), internal); err != nil {
-		return err
-	}
-	addresses := drain.Options{MaxConns: descriptors(internalShare), IdleTimeout: d.idleTimeout}
-	if _, err = add("addresses", d.s.Listen.Addresses, newInternalServer(platform.AddressHandler(d.roster)), addresses); err != nil {
-		return err
-	}
-	_, err = add("operators", d.s.Listen.Operators, newInternalServer(d.operatorRoutes()), internal)
-	return err
-}
-
-func (d *Daemon) addServer(name string, l net.Listener, s *http.Server, o drain.Options) *server {
-	srv := &server{name: name, http: s, l: l, drain: drain.Track(s, o)}
-	d.servers = append(d.servers, srv)
-	return srv
-}
-
 // Start starts all parts and returns immediately.
 func (d *Daemon) Start() {
 	log.WithFields(log.Fields{"vm": d.s.VM, "zone": d.s.Zone, "callers": d.s.Listen.Callers, "peers": d.s.Listen.Peers, "operators": d.s.Listen.Operators, "bootstrap": d.s.Bootstrap}).Info("front: starting")
@@ -368,15 +316,6 @@
 	})
 }
 
-func (d *Daemon) serve(s *server) error {
-	err := s.drain.Serve(s.l)
-	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) || !d.tomb.Alive() {
-		return nil
-	}
-	log.WithError(err).WithField("port", s.name).Error("front: server failed")
-	return err
-}
-
 // Dying returns a channel that is closed when the daemon begins to end, be it
 // after Shutdown or because a server failed.
 func (d *Daemon) Dying() <-chan struct{} { return d.tomb.Dying() }
@@ -436,10 +375,3 @@
 	d.budget.Set(s.Bounds.RetryRatio, s.Bounds.RetrySlack)
 	log.WithFields(log.Fields{"retry_ratio": s.Bounds.RetryRatio, "retry_slack": s.Bounds.RetrySlack}).Info("front: settings reloaded")
 }
-
-func (d *Daemon) closeServers() {
-	for _, s := range d.servers {
-		_ = s.http.Close()
-		_ = s.l.Close()
-	}
-}
--- /dev/null
+++ b/process/front/servers.go
@@ -0,0 +1,83 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomelospool/pomelospool/internal/drain"
+	"github.com/pomelospool/pomelospool/internal/sock"
+	"github.com/pomelospool/pomelospool/platform"
+	"github.com/pomelospool/pomelospool/process/relay"
+	"github.com/pomelospool/pomelospool/request/ingress"
+)
+
+// callerAckTimeout is how long data sent on an accepted connection may stay
+// unacknowledged.
+const callerAckTimeout = 10 * time.Second
+
+// server is an HTTP server and its listener.
+type server struct {
+	name  string
+	http  *http.Server
+	l     net.Listener
+	drain *drain.Tracker
+}
+
+// listen opens a TCP port.
+func listen(addr string) (net.Listener, error) {
+	c := net.ListenConfig{Control: sock.UserTimeout(callerAckTimeout)}
+	return c.Listen(context.Background(), "tcp", addr)
+}
+
+func (d *Daemon) wireServers() error {
+	d.addServer("peers", d.peers, newInternalServer(d.peersHandler(relay.Handler(d.caches))), drain.Options{MaxConns: descriptors(peersShare)})
+	add := func(name, addr string, s *http.Server, o drain.Options) (*server, error) {
+		l, err := listen(addr)
+		if err != nil {
+			return nil, fmt.Errorf("front: %s: %w", name, err)
+		}
+		return d.addServer(name, l, s, o), nil
+	}
+	var err error
+	if d.callers, err = add("callers", d.s.Listen.Callers, ingress.NewServer(d.ingress), drain.Options{MaxConns: descriptors(callersShare), IdleTimeout: d.idleTimeout}); err != nil {
+		return err
+	}
+	internal := drain.Options{MaxConns: descriptors(internalShare)}
+	if _, err = add("ready", d.s.Listen.Ready, newInternalServer(platform.ReadyHandler(d.roster)), internal); err != nil {
+		return err
+	}
+	addresses := drain.Options{MaxConns: descriptors(internalShare), IdleTimeout: d.idleTimeout}
+	if _, err = add("addresses", d.s.Listen.Addresses, newInternalServer(platform.AddressHandler(d.roster)), addresses); err != nil {
+		return err
+	}
+	_, err = add("operators", d.s.Listen.Operators, newInternalServer(d.operatorRoutes()), internal)
+	return err
+}
+
+func (d *Daemon) addServer(name string, l net.Listener, s *http.Server, o drain.Options) *server {
+	srv := &server{name: name, http: s, l: l, drain: drain.Track(s, o)}
+	d.servers = append(d.servers, srv)
+	return srv
+}
+
+func (d *Daemon) serve(s *server) error {
+	err := s.drain.Serve(s.l)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) || !d.tomb.Alive() {
+		return nil
+	}
+	log.WithError(err).WithField("port", s.name).Error("front: server failed")
+	return err
+}
+
+func (d *Daemon) closeServers() {
+	for _, s := range d.servers {
+		_ = s.http.Close()
+		_ = s.l.Close()
+	}
+}
