entry: a target that only this daemon finds down is reached through peers

Cause: a failed connection outside a request, such as a probe, marks the target as down. Requests then find no target and are refused; no request fails at a target, which the search for lost links needs.

Evidence: daemon.TestTargetThatOnlyThisDaemonFindsDownIsReachedThroughPeers brings that state about and failed before with the very message, reset and refused; now both pass.

Change: a request for which no target is found, while this daemon finds targets down that aren't leaving, makes the links suspected until a probe decides, and goes through a peer. A forwarded one is refused with 2010, so that its sender asks a further daemon.

--- a/process/daemon/links_test.go
+++ b/process/daemon/links_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"syscall"
 	"testing"
 
 	"github.com/pomelospool/pomelospool/code"
@@ -57,3 +58,38 @@
 func newFleetWithLinks(t *testing.T, n int, links *linkfault.Links) *fleet {
 	return newFleetWithDial(t, n, settings.TLS{}, map[int]func(context.Context, string) (net.Conn, error){0: links.Dial})
 }
+
+// Guards against a daemon that finds by itself that the only target is down, and refuses
+// its callers, although another daemon reaches the target.
+func TestTargetThatOnlyThisDaemonFindsDownIsReachedThroughPeers(t *testing.T) {
+	for name, mode := range map[string]linkfault.Mode{"reset": linkfault.Reset, "refused": linkfault.Refuse} {
+		t.Run(name, func(t *testing.T) {
+			links := &linkfault.Links{}
+			f := newFleetWithLinks(t, 2, links)
+			e := f.startEngine(0)
+			f.waitForVersion("language", f.publish("language", modelYAML(e.Addr())))
+			state := func(i int) string {
+				s := f.status(i).Targets
+				if len(s) != 1 {
+					return ""
+				}
+				return s[0].State
+			}
+			for i := range f.daemons {
+				eventually(t, "the engine and the other daemon are live", func() bool {
+					live, _ := f.daemons[i].members.View().Reachable()
+					return live == 1 && state(i) == "live"
+				})
+			}
+			links.Set(mode)
+			d := f.daemons[0]
+			d.pool.ReportUnreachable(e.Addr(), syscall.ECONNREFUSED)
+			eventually(t, "the daemon finds the engine down", func() bool { return state(0) != "live" })
+			c := caller.New(caller.Options{Daemons: []string{d.Listen().Callers}, SkipDiscovery: true, MaxAttempts: 1})
+			defer c.Close()
+			if a, err := c.Do(t.Context(), caller.Chat("m", "hello", 8)); a.Code != code.OK || !a.Complete {
+				t.Errorf("code %d, complete %v, %v", a.Code, a.Complete, err)
+			}
+		})
+	}
+}
--- a/request/attempt/runner.go
+++ b/request/attempt/runner.go
@@ -67,6 +67,9 @@
 type Links interface {
 	Reached(service string)
 	Failed(service, target string)
+	// Suspect is called if requests find no target, and this process alone may not
+	// reach those that there are.
+	Suspect(service string)
 	// Lost reports whether requests should be sent through another daemon.
 	Lost(service string) bool
 }
--- a/request/entry/admit.go
+++ b/request/entry/admit.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		closeStream()
 		e.finish()
-		return nil, err
+		return nil, e.checkOwnFinding(q, err)
 	}
 	release := p.release
 	p.release = sync.OnceFunc(func() {
--- a/request/entry/admit_test.go
+++ b/request/entry/admit_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net/http/httptest"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -132,3 +135,28 @@
 		t.Errorf("with a short deadline: %+v, %d forwarded", r, peers.count)
 	}
 }
+
+// suspectedLinks are links that are lost once they are suspected.
+type suspectedLinks struct {
+	attempt.Links
+	suspected bool
+}
+
+func (l *suspectedLinks) Suspect(string)   { l.suspected = true }
+func (l *suspectedLinks) Lost(string) bool { return l.suspected }
+
+// Guards against forwarded requests that end at a daemon which alone finds the target
+// down: its refusal must let the sender ask a further daemon.
+func TestForwardedRequestIsPassedOnByOwnFinding(t *testing.T) {
+	l := &suspectedLinks{}
+	f := newFixture(t, []string{"127.0.0.1:1"}, nil, func(o *Options, _ *document.Document) { o.Links = l })
+	f.pool.ReportUnreachable("127.0.0.1:1", syscall.ECONNREFUSED)
+	w := httptest.NewRecorder()
+	req := httptest.NewRequest("POST", "/v1/completions", strings.NewReader(modelRequest("p", 1, true)))
+	if err := f.entry.ServeForwarded(w, req, forward.Envelope{From: "vm-1"}); err != nil {
+		t.Fatal(err)
+	}
+	if got := w.Header().Get(answer.HeaderCode); got != "2010" || !l.suspected {
+		t.Errorf("code %s, suspected: %v", got, l.suspected)
+	}
+}
--- a/request/entry/forward.go
+++ b/request/entry/forward.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/pomelospool/pomelospool/request/attempt"
 	"github.com/pomelospool/pomelospool/request/forward"
 	"github.com/pomelospool/pomelospool/request/limit"
+	"github.com/pomelospool/pomelospool/version/document"
 	"github.com/pomelospool/pomelospool/version/view"
 )
 
@@ -59,7 +61,7 @@
 	case svc.Version < envelope.Version:
 		return code.New(code.StaleConfiguration, "version %d, the request was matched by version %d", svc.Version, envelope.Version).WithRetryAfter(retryAfter)
 	case e.linksLost(svc):
-		return code.New(code.LinksLost, "no target of service %q can be reached", svc.Doc.Service).WithRetryAfter(retryAfter)
+		return e.linksLostError(svc)
 	}
 	return nil
 }
@@ -68,6 +70,31 @@
 	return e.opts.Links != nil && e.opts.Links.Lost(svc.Doc.Service)
 }
 
+// checkOwnFinding returns the error of a request for which no target was found. If
+// targets are down by this daemon's finding, the cause may be its links: they are
+// suspected until a probe decides, and the request can go through another daemon. A
+// forwarded one is refused so that its sender asks a further daemon.
+func (e *Entry) checkOwnFinding(q *attempt.Request, err error) error {
+	if e.opts.Links == nil || code.Of(err) != code.NoTarget || !e.findsTargetsDown(q.Service) {
+		return err
+	}
+	e.opts.Links.Suspect(q.Service.Doc.Service)
+	if q.Forwarded {
+		return e.linksLostError(q.Service)
+	}
+	return err
+}
+
+// findsTargetsDown reports whether a target that isn't leaving accepts no connections
+// of this daemon.
+func (e *Entry) findsTargetsDown(svc *view.Service) bool {
+	return slices.ContainsFunc(svc.Doc.Targets, func(t document.Target) bool { return !t.Drain && e.opts.Pool.Status(t.Addr).Down })
+}
+
+func (e *Entry) linksLostError(svc *view.Service) error {
+	return code.New(code.LinksLost, "no target of service %q can be reached", svc.Doc.Service).WithRetryAfter(retryAfter)
+}
+
 // viaPeer reports whether a request goes through another daemon. A request that
 // was forwarded to this daemon isn't forwarded again.
 func (e *Entry) viaPeer(req *http.Request, svc *view.Service) bool {
