stopping, drain: one piece for calls that a stop ends, one walk to a connection

Read-through of the change. request/ingress and request/entry had the same error, the same mapping to code 2013 and the same context, which ends with a stop; both call request/stopping now. drain.recordState and drain.tracked walked through the wrappers of a connection in two loops; recordState calls tracked. net/http passes it the TLS connection itself, so that the look at the protocol needs no walk.

No behaviour is changed: the tests of internal/drain (HTTP/2 in stops among them), request/ingress, request/entry and process/front pass unchanged.

--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -221,20 +221,9 @@
 
 // recordState is the ConnState of a server.
 func recordState(nc net.Conn, state http.ConnState) {
-	multiplexed := false
-	for {
-		if c, ok := nc.(*conn); ok {
-			c.setState(state, multiplexed)
-			return
-		}
-		if secure, ok := nc.(*tls.Conn); ok && state == http.StateActive {
-			multiplexed = secure.ConnectionState().NegotiatedProtocol == "h2"
-		}
-		wrapper, ok := nc.(interface{ NetConn() net.Conn })
-		if !ok {
-			return
-		}
-		nc = wrapper.NetConn()
+	if c := tracked(nc); c != nil {
+		secure, ok := nc.(*tls.Conn)
+		c.setState(state, ok && state == http.StateActive && secure.ConnectionState().NegotiatedProtocol == "h2")
 	}
 }
 
--- a/request/entry/forward.go
+++ b/request/entry/forward.go
@@ -16,6 +16,7 @@
 	"github.com/pomelospool/pomelospool/request/attempt"
 	"github.com/pomelospool/pomelospool/request/forward"
 	"github.com/pomelospool/pomelospool/request/limit"
+	"github.com/pomelospool/pomelospool/request/stopping"
 	"github.com/pomelospool/pomelospool/version/document"
 	"github.com/pomelospool/pomelospool/version/view"
 )
@@ -131,7 +132,7 @@
 		Envelope: forward.Envelope{Version: svc.Version}, Deadline: params.deadline, Caller: req.RemoteAddr,
 	})
 	if err != nil {
-		err = stopError(ctx, err)
+		err = stopping.Error(ctx, err)
 		obs.finish(err, 0)
 		writeError(w, withDefaultRetryAfter(err))
 		return
--- a/request/entry/model.go
+++ b/request/entry/model.go
@@ -17,6 +17,7 @@
 	"github.com/pomelospool/pomelospool/request/prefix"
 	"github.com/pomelospool/pomelospool/request/quarantine"
 	"github.com/pomelospool/pomelospool/request/routing"
+	"github.com/pomelospool/pomelospool/request/stopping"
 	"github.com/pomelospool/pomelospool/version/document"
 	"github.com/pomelospool/pomelospool/version/view"
 )
@@ -263,7 +264,7 @@
 	}
 	recv := &unstreamedReceiver{id: id, max: int64(e.opts.Limits.BodyBytes)}
 	_, err = e.runner.Run(ctx, q, &p.decision, recv)
-	err = stopError(ctx, err)
+	err = stopping.Error(ctx, err)
 	if e.retryViaPeer(req, c.svc, err) {
 		p.release()
 		e.forward(w, req, c.svc, c.params, c.raw)
@@ -286,7 +287,7 @@
 	out := &streamSink{w: w, bufferBytes: e.opts.Limits.BufferBytes, writeTimeout: e.opts.WriteTimeout, cancel: cancel, obs: obs}
 	recv := newStreamReceiver(q.ID, c.firstToken(), out)
 	_, err := e.runner.Run(ctx, q, &p.decision, recv)
-	err = stopError(ctx, err)
+	err = stopping.Error(ctx, err)
 	if out.writer == nil && e.retryViaPeer(req, c.svc, err) {
 		return err
 	}
--- a/request/entry/plain.go
+++ b/request/entry/plain.go
@@ -19,6 +19,7 @@
 	"github.com/pomelospool/pomelospool/request/limit"
 	"github.com/pomelospool/pomelospool/request/quarantine"
 	"github.com/pomelospool/pomelospool/request/routing"
+	"github.com/pomelospool/pomelospool/request/stopping"
 	"github.com/pomelospool/pomelospool/version/document"
 	"github.com/pomelospool/pomelospool/version/view"
 )
@@ -190,7 +191,7 @@
 	defer cancel()
 	recv := &plainReceiver{w: w, maxBuffered: int64(e.opts.Limits.BufferBytes), writeTimeout: e.opts.WriteTimeout}
 	_, err = e.runner.Run(ctx, q, &p.decision, recv)
-	err = stopError(ctx, err)
+	err = stopping.Error(ctx, err)
 	if !recv.committed && e.retryViaPeer(req, c.svc, err) {
 		p.release()
 		e.forward(w, req, c.svc, c.params, c.body)
--- a/request/entry/stop.go
+++ b/request/entry/stop.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/request/stopping"
 )
 
 // stoppingRetryAfter is the Retry-After time of requests that are refused because
@@ -42,10 +41,6 @@
 	return nil
 }
 
-// errStopping ends calls that are open when the daemon stops. It is a DeadlineExceeded,
-// since the call's time is over.
-var errStopping = fmt.Errorf("the daemon stops: %w", context.DeadlineExceeded)
-
 // EndCalls ends the open requests with errors, so that their callers get answers rather
 // than closed connections. Calls that may run once go on without their callers.
 func (e *Entry) EndCalls() { e.endCalls() }
@@ -53,20 +48,10 @@
 // callContext returns a context for a request's run. It ends at the deadline, or with
 // EndCalls.
 func (e *Entry) callContext(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
-	ctx, end := context.WithCancelCause(ctx)
-	detach := context.AfterFunc(e.calls, func() { end(errStopping) })
+	ctx, release := stopping.WithStop(ctx, e.calls, func() bool { return true })
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	return ctx, func() {
-		detach()
 		cancel()
-		end(nil)
+		release()
 	}
 }
-
-// stopError returns the error of a call, with its own code if EndCalls ended it.
-func stopError(ctx context.Context, err error) error {
-	if code.Of(err) == code.DeadlinePassed && errors.Is(context.Cause(ctx), errStopping) {
-		return code.Wrap(code.Stopped, err, "")
-	}
-	return err
-}
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -21,6 +21,7 @@
 	"github.com/pomelospool/pomelospool/request/dispatch"
 	"github.com/pomelospool/pomelospool/request/forward"
 	"github.com/pomelospool/pomelospool/request/limit"
+	"github.com/pomelospool/pomelospool/request/stopping"
 	"github.com/pomelospool/pomelospool/version/inforce"
 	"github.com/pomelospool/pomelospool/version/route"
 )
@@ -294,16 +295,17 @@
 
 // run runs the call and writes its answer.
 func (x *exchange) run(c *dispatch.Call) error {
-	ctx, release := x.untilStop(x.req.Context())
+	// A stream that has begun may still end in time.
+	ctx, release := stopping.WithStop(x.req.Context(), x.waiting, func() bool { return !x.headerSent.Load() })
 	defer release()
 	var err error
 	if c.Route.Kind == route.Stream {
 		x.trace, err = x.o.Runner.Streamed(ctx, c, x)
-		return x.stopError(ctx, err)
+		return stopping.Error(ctx, err)
 	}
 	var a *dispatch.Answer
 	if a, x.trace, err = x.o.Runner.Plain(ctx, c); err != nil {
-		return x.stopError(ctx, err)
+		return stopping.Error(ctx, err)
 	}
 	return x.writeAnswer(a)
 }
--- a/request/ingress/stop.go
+++ b/request/ingress/stop.go
@@ -1,9 +1,6 @@
 package ingress
 
 import (
-	"context"
-	"errors"
-	"fmt"
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
@@ -33,10 +30,6 @@
 // lastAnswer returns when calls without an answer get an error.
 func (s *plannedStop) lastAnswer() time.Time { return s.end.Add(-lastAnswerTime) }
 
-// errStopping ends calls that have no answer when the process stops. It is a
-// DeadlineExceeded, since the call's time is over.
-var errStopping = fmt.Errorf("the daemon stops: %w", context.DeadlineExceeded)
-
 // StopAt announces that the process closes its connections at end. Until then every
 // answer asks its caller to close the connection, and calls that may last longer are
 // refused, so that another daemon can answer them. Calls that have no answer shortly
@@ -51,29 +44,6 @@
 	time.AfterFunc(time.Until(stop.lastAnswer()), i.endWaiting)
 }
 
-// untilStop returns a context for the call's run that ends shortly before a planned
-// stop if the answer hasn't begun by then.
-func (x *exchange) untilStop(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	detach := context.AfterFunc(x.waiting, func() {
-		if !x.headerSent.Load() {
-			cancel(errStopping)
-		}
-	})
-	return ctx, func() {
-		detach()
-		cancel(nil)
-	}
-}
-
-// stopError returns the error of a call, with its own code if the stop ended it.
-func (x *exchange) stopError(ctx context.Context, err error) error {
-	if code.Of(err) == code.DeadlinePassed && errors.Is(context.Cause(ctx), errStopping) {
-		return code.Wrap(code.Stopped, err, "")
-	}
-	return err
-}
-
 // mustRefuse reports whether a call is refused because of a planned stop.
 //
 // A call whose deadline passes before the stop ends by then, whatever its target does.
