bench/crowd: clients that don't behave, against daemons on a small VM

Evidence: the tests start the daemons as processes on loopback, with a VM of 114 MB and 4,100 descriptors. They check that the process lives, that its resident memory together with the bytes that it has received and not read stays within the VM, that its sockets leave 200 descriptors to files, and that an ordinary request is answered beside the crowd and after it.

The tests run after all others, apart from their load.

--- a/Makefile
+++ b/Makefile
@@ -13,9 +13,13 @@
 # Tests and sub-tests listed in KNOWN-RED.txt, as go test's -skip takes them.
 RED = $(shell sed -n 's/^\(Test[A-Za-z0-9_/]*\) .*/\1/p' KNOWN-RED.txt 2>/dev/null | sed 's|/|$$/^|g; s/.*/^&$$/' | paste -sd'|')
 
+# Tests that measure a daemon's memory run apart from all other load.
+CROWD = bench/crowd
+
 test: ## Run all tests but those of KNOWN-RED.txt, which are printed.
 	@grep -s '^Test' KNOWN-RED.txt | sed 's/^/passed over: /'
-	$(GO) test $(if $(RED),-skip '$(RED)') ./...
+	$(GO) test $(if $(RED),-skip '$(RED)') $$($(GO) list ./... | grep -v '$(CROWD)$$')
+	$(GO) test $(if $(RED),-skip '$(RED)') ./$(CROWD)
 
 check: ## gofmt, vet and staticcheck.
 	@bad=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$bad" ]; then echo "gofmt: $$bad"; exit 1; fi
