quota: one account of the memory that callers hold, on all ports

Cause: each request had bounds, all requests together had none. limit.ReadBody bounded one body, allocated an announced length at once and grew others by copying; a header line costs some twenty times its bytes; answers and bytes behind a running request weren't bounded; only idle connections were closed when there were too many. The process didn't know its VM's memory, nor did the garbage collector.

Ruled out: a limit on header lines (a legal header may have thousands), reserving announced lengths (announcing would then be enough to lock others out), small receive buffers (uploads over a distance would suffer).

Change: internal/quota charges connections, headers as they are read, bodies and answers as they arrive, copies of headers, and bytes that the kernel holds for running requests to one account, 30% of limits.memory_mb. What doesn't fit evicts by bytes times the time without progress, so that small requests, complete within milliseconds, come last; running requests stay. A refusal is code 1020, 503 with Retry-After, truly not run; it lingers so that the caller gets it. The collector's target is 60% of the VM. Connections beyond a port's share are made room for in the same order.

--- a/bench/crowd/own_test.go
+++ b/bench/crowd/own_test.go
@@ -50,7 +50,7 @@
 listen: {callers: "%[2]s:17000", peers: "%[2]s:17003", operators: "%[2]s:17004"}
 platform: {log: "%[3]s", vms: "%[4]s", weights: "%[5]s"}
 control: {address_ttl: 1s}
-limits: {header_bytes: %[6]d, body_bytes: %[7]d}
+limits: {header_bytes: %[6]d, body_bytes: %[7]d, memory_mb: %[8]d}
 `
 
 const fleetDocument = "service: feed\nkind: plain\nowner: o\ntargets:\n  - {name: p, addr: %q, zone: a}\nobjectives: {answer: 5s}\n"
@@ -79,7 +79,7 @@
 	f.run(store.Run, store.Close)
 	f.run(service.Run, service.Close)
 	for i := range daemons {
-		text := fmt.Sprintf(fleetSettings, i, f.ip(i), events.URL(), list.URL(), store.URL(), fleetHeaderBytes, fleetBodyBytes)
+		text := fmt.Sprintf(fleetSettings, i, f.ip(i), events.URL(), list.URL(), store.URL(), fleetHeaderBytes, fleetBodyBytes, vmMemory>>20)
 		f.daemons = append(f.daemons, startProcess(t, fmt.Sprintf("daemon-%d", i), f.ip(i), text+extra))
 	}
 	p := &publish.Publisher{Log: events, Writer: "test"}
--- a/bench/crowd/site_test.go
+++ b/bench/crowd/site_test.go
@@ -61,6 +61,7 @@
 store: {addr: "%[3]s"}
 bounds: {grace: 8s, lease: 1s, address_ttl: 1s, retry_ratio: 0.2, retry_slack: 52, retry_window: 10s, apply_config: 2s, drain: 2s}
 log: {level: info, format: json}
+limits: {memory_mb: %[4]d}
 `
 
 // largeAnswer is the size of the answers under standin.SlowUnsafePrefix, in bytes.
@@ -83,7 +84,7 @@
 	const daemons = 2
 	for i := range daemons {
 		ip := fmt.Sprintf("%s.%d", s.prefix, i+1)
-		s.daemons = append(s.daemons, startProcess(t, fmt.Sprintf("daemon-%d", i), ip, fmt.Sprintf(siteSettings, i, ip, storeAddr)))
+		s.daemons = append(s.daemons, startProcess(t, fmt.Sprintf("daemon-%d", i), ip, fmt.Sprintf(siteSettings, i, ip, storeAddr, vmMemory>>20)))
 	}
 	eventually(t, "the daemons are ready", func() bool {
 		for i := range s.daemons {
--- a/code/table.go
+++ b/code/table.go
@@ -26,6 +26,7 @@
 
 	StaleConfiguration Code = 1018
 	ContentQuarantined Code = 1019
+	MemoryExhausted    Code = 1020
 
 	NoTarget          Code = 2001
 	TargetUnreachable Code = 2002
@@ -93,6 +94,7 @@
 	{Unauthorized, "UNAUTHORIZED", http.StatusUnauthorized, true, "The route needs an API key, and the configuration in force has no organisation with the one that was sent.", "Send one key of an organisation as a bearer token."},
 	{StaleConfiguration, "STALE_CONFIGURATION", http.StatusServiceUnavailable, true, "The API key is unknown to this daemon, which can't read the newest configuration.", "Use another address from the list, or come back after Retry-After."},
 	{ContentQuarantined, "CONTENT_QUARANTINED", http.StatusServiceUnavailable, true, "The content crashed the targets that ran it and isn't sent to targets for a time.", "Change the content, or come back after Retry-After."},
+	{MemoryExhausted, "MEMORY_EXHAUSTED", http.StatusServiceUnavailable, true, "The daemon has no memory for the request beside those of other callers.", "Use another address from the list, or come back after Retry-After."},
 
 	{NoTarget, "NO_TARGET", http.StatusServiceUnavailable, true, "No live target can serve the request, or the target itself said that it didn't run it.", "Send it again after Retry-After; see status for the targets."},
 	{TargetUnreachable, "TARGET_UNREACHABLE", http.StatusBadGateway, true, "No target accepted a connection.", "Send it again after Retry-After."},
--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pomelospool/pomelospool/internal/quota"
 )
 
 // phase is the state of a connection.
@@ -40,9 +42,10 @@
 // connection only if it has got no bytes and none are pending.
 type conn struct {
 	net.Conn
-	t      *Tracker
-	remove sync.Once
-	mute   atomic.Bool // closed with a part of a request, which the server would call malformed
+	t       *Tracker
+	account *quota.Account // of its memory
+	remove  sync.Once
+	mute    atomic.Bool // closed with a part of a request, which the server would call malformed
 
 	mu          sync.Mutex
 	phase       phase
@@ -53,6 +56,9 @@
 	early       bool      // bytes of the next request were read during the open one
 	multiplexed bool      // HTTP/2
 	deadline    time.Time // of reads, as the server has set it
+	headerBytes int       // that were read of a header
+	evicted     bool      // its memory is needed
+	lingers     bool      // it is in lingering, until it is closed
 	extended    bool      // the deadline was extended by readGrace, or was set to expire at once
 }
 
@@ -63,7 +69,7 @@
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		c.mu.Lock()
-		if c.closed {
+		if c.closed || c.evicted {
 			c.mu.Unlock()
 			return 0, os.ErrDeadlineExceeded
 		}
@@ -71,6 +77,11 @@
 		c.mu.Unlock()
 		n, err := c.Conn.Read(p)
 		if again, err := c.endRead(len(p), n, err); !again {
+			if n > 0 {
+				if refused := c.chargeHeader(p[:n]); refused != nil {
+					return 0, refused
+				}
+			}
 			return n, err
 		}
 	}
@@ -87,6 +98,8 @@
 		c.recordBytes(size)
 		c.resume()
 		return false, err
+	case c.evicted:
+		return false, err
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		return false, err
 	case c.closing && pending(c.Conn):
@@ -108,7 +121,8 @@
 	switch {
 	case c.multiplexed:
 	case c.phase == fresh || c.phase == idle:
-		c.phase, c.since = reading, time.Now()
+		c.phase, c.since, c.headerBytes = reading, time.Now(), 0
+		c.account.Receive()
 	case c.phase == active && size == 1:
 		// While a handler runs, net/http reads one byte ahead.
 		c.early = true
@@ -119,6 +133,7 @@
 func (c *conn) resume() {
 	if c.closing {
 		c.closing = false
+		c.account.Readmit()
 		_ = c.Conn.SetReadDeadline(c.deadline)
 	}
 }
@@ -148,8 +163,17 @@
 	return errors.Join(c.SetReadDeadline(d), c.SetWriteDeadline(d))
 }
 
-// CloseWrite closes the direction to the caller.
+// CloseWrite closes the direction to the caller. It closes a connection in both directions
+// if its request didn't fit into memory: the server would keep it open for a while, with
+// what it has received.
 func (c *conn) CloseWrite() error {
+	if c.account.Refused() {
+		return c.Close()
+	}
+	return c.closeWrite()
+}
+
+func (c *conn) closeWrite() error {
 	if half, ok := innermost(c.Conn).(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
@@ -159,6 +183,7 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.remove.Do(func() { c.t.remove(c) })
+	c.linger()
 	return c.Conn.Close()
 }
 
@@ -185,12 +210,14 @@
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
-// closeAfter closes the connection if it has been idle for the limit, or has been
-// waiting for the rest of a request's header for headerLimit.
+// closeAfter closes the connection if it has been idle for the limit, has been waiting for
+// the rest of a request's header for headerLimit, or has had no request yet for
+// firstRequestTimeout.
 func (c *conn) closeAfter(limit, headerLimit time.Duration, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == idle && now.Sub(c.since) >= limit || c.phase == reading && now.Sub(c.since) >= headerLimit {
+	age := now.Sub(c.since)
+	if c.phase == idle && age >= limit || c.phase == reading && age >= headerLimit || c.phase == fresh && age >= firstRequestTimeout {
 		c.interrupt()
 	}
 }
@@ -234,12 +261,20 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.multiplexed = c.multiplexed || multiplexed
+	if multiplexed && !c.multiplexed {
+		c.multiplexed = true
+		c.account.Reset(quota.ConnCost)
+		_ = c.account.Run() // its streams have accounts of their own
+	}
 	switch {
 	case state == http.StateActive:
 		c.phase = active
 	case state == http.StateIdle && c.early:
-		c.phase, c.since = reading, time.Now()
+		c.phase, c.since, c.headerBytes = reading, time.Now(), 0
+		c.account.Reset(quota.ConnCost)
+	case state == http.StateIdle && !c.multiplexed:
+		c.phase, c.since = idle, time.Now()
+		c.account.Reset(quota.ConnCost)
 	case state == http.StateIdle:
 		c.phase, c.since = idle, time.Now()
 	}
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"net"
 	"net/http"
 	"sync"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/internal/pause"
+	"github.com/pomelospool/pomelospool/internal/quota"
 )
 
 const (
@@ -32,16 +34,34 @@
 	// nil or returns 0 or less, the limit is defaultIdleTimeout.
 	IdleTimeout func() time.Duration
 	// MaxConns is the number of connections above which the longest idle ones are
-	// closed, so that new ones can be accepted. 0 means no limit. Connections with an
-	// open request are never closed.
+	// closed, so that new ones can be accepted, and then those whose requests have cost
+	// most without being complete. 0 means no limit. Connections whose requests run are
+	// never closed; beyond a sixteenth more, new ones are.
 	MaxConns int
+	// HeaderTimeout returns how long a caller may take to send a header. It may change.
+	// If it is nil or returns 0 or less, the limit is the server's ReadHeaderTimeout.
+	HeaderTimeout func() time.Duration
+	// HeaderBytes returns the maximum size of a header in bytes, 0 for that of the
+	// server. It may change. A header that isn't complete is refused soon after it
+	// exceeds the limit; the handler checks complete ones.
+	HeaderBytes func() int
+	// Memory is charged for what connections and their headers cost, and its account of a
+	// request stands in the request's context. It may be nil.
+	Memory *quota.Memory
+	// Reject answers a request whose header doesn't fit into Memory. If it is nil, the
+	// answer is a 503.
+	Reject func(w http.ResponseWriter, req *http.Request)
 }
 
+// counts are the counters of this package.
+var counts = expvar.NewMap("drain")
+
 // Tracker tracks the connections of a server. It is safe for concurrent use.
 type Tracker struct {
 	server   *http.Server
 	next     http.Handler
 	o        Options
+	secure   bool // the server uses TLS; the server's own TLSConfig is set in any case once it serves
 	draining atomic.Bool
 	count    atomic.Int64 // of conns
 
@@ -53,7 +73,7 @@
 // Track returns a Tracker of a server that doesn't serve yet. It sets the server's
 // ConnState and wraps its Handler and ConnContext. Serve the server with Tracker.Serve.
 func Track(s *http.Server, o Options) *Tracker {
-	t := &Tracker{server: s, next: s.Handler, o: o, conns: make(map[*conn]struct{})}
+	t := &Tracker{server: s, next: s.Handler, o: o, secure: s.TLSConfig != nil, conns: make(map[*conn]struct{})}
 	if t.next == nil {
 		t.next = http.DefaultServeMux
 	}
@@ -74,7 +94,7 @@
 	t.mu.Unlock()
 	tracked := &listener{Listener: l, t: t}
 	defer tracked.end()
-	if t.server.TLSConfig != nil {
+	if t.secure {
 		return t.server.ServeTLS(tracked, "", "")
 	}
 	return t.server.Serve(tracked)
@@ -86,6 +106,11 @@
 	if t.draining.Load() || t.crowded() {
 		w.Header().Set("Connection", "close")
 	}
+	req, done, ok := t.openAccount(w, req)
+	if !ok {
+		return
+	}
+	defer done()
 	if req.ProtoAtLeast(1, 1) {
 		t.next.ServeHTTP(w, req)
 		return
@@ -147,18 +172,26 @@
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
-	if err != nil {
-		if errors.Is(err, net.ErrClosed) {
-			l.end()
-		} else {
-			l.t.evict(l.t.batch(), 0)
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				l.end()
+			} else {
+				l.t.evict(l.t.batch(), 0)
+			}
+			return nil, err
+		}
+		c := &conn{Conn: inner, t: l.t, since: time.Now()}
+		c.account = l.t.o.Memory.Open(c.evict)
+		if !l.t.full() && c.account.Admit(quota.ConnCost) == nil {
+			l.t.add(c)
+			return c, nil
 		}
-		return nil, err
+		counts.Add("not_accepted", 1)
+		c.account.Close()
+		_ = inner.Close()
 	}
-	c := &conn{Conn: inner, t: l.t, since: time.Now()}
-	l.t.add(c)
-	return c, nil
 }
 
 func (l *listener) end() {
@@ -179,6 +212,7 @@
 }
 
 func (t *Tracker) remove(c *conn) {
+	c.account.Close()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.conns, c)
--- a/internal/drain/pending_linux.go
+++ b/internal/drain/pending_linux.go
@@ -25,6 +25,18 @@
 	return found
 }
 
+// unread returns the number of bytes that have arrived and weren't read. It returns 0 for
+// connections that aren't sockets.
+func unread(c net.Conn) int {
+	n := 0
+	control(innermost(c), func(fd int) {
+		if got, err := unix.IoctlGetInt(fd, unix.TIOCINQ); err == nil {
+			n = got
+		}
+	})
+	return n
+}
+
 // backlogged reports whether connections have arrived that weren't accepted. It
 // returns false for listeners that aren't sockets.
 func backlogged(l net.Listener) bool {
--- a/internal/drain/pending_other.go
+++ b/internal/drain/pending_other.go
@@ -9,3 +9,5 @@
 
 // backlogged returns false, since it isn't implemented on this system.
 func backlogged(net.Listener) bool { return false }
+
+func unread(net.Conn) int { return 0 }
--- a/internal/drain/sweep.go
+++ b/internal/drain/sweep.go
@@ -9,6 +9,8 @@
 const (
 	// defaultIdleTimeout is how long connections may stay idle if nothing else is set.
 	defaultIdleTimeout = 2 * time.Minute
+	// firstRequestTimeout is how long a new connection may stay without a request.
+	firstRequestTimeout = 10 * time.Second
 	// sweepsPerLimit is the number of sweeps within the idle timeout.
 	sweepsPerLimit   = 16
 	minSweepInterval = 50 * time.Millisecond
@@ -22,6 +24,9 @@
 	// reuseShare is the share of the idle timeout up to which callers use an idle
 	// connection again.
 	reuseShare = 0.8
+	// overShare is the part of Options.MaxConns by which the number of connections may
+	// exceed it, before new ones are closed.
+	overShare = 16
 	// batchesPerLimit is the number of batches of connections to close in MaxConns.
 	batchesPerLimit = 16
 )
@@ -36,6 +41,11 @@
 }
 
 func (t *Tracker) headerTimeout() time.Duration {
+	if t.o.HeaderTimeout != nil {
+		if limit := t.o.HeaderTimeout(); limit > 0 {
+			return limit
+		}
+	}
 	if t.server.ReadHeaderTimeout > 0 {
 		return t.server.ReadHeaderTimeout
 	}
@@ -54,7 +64,11 @@
 		}
 		limit := t.idleTimeout()
 		t.sweep(limit)
-		timer.Reset(min(max(limit/sweepsPerLimit, minSweepInterval), maxSweepInterval))
+		interval := min(max(limit/sweepsPerLimit, minSweepInterval), maxSweepInterval)
+		if t.measureUnread() {
+			interval = min(interval, unreadInterval)
+		}
+		timer.Reset(interval)
 	}
 }
 
@@ -75,14 +89,19 @@
 	}
 	if n >= t.o.MaxConns {
 		t.evict(n-t.o.MaxConns+t.batch(), 0)
-	} else if full := t.full(); n >= full {
+	} else if full := t.nearlyFull(); n >= full {
 		t.evict(n-full+t.batch(), t.reuseTime())
 	}
 }
 
-// full returns the number of connections from which on those are closed that callers
+// full reports whether no further connection is accepted.
+func (t *Tracker) full() bool {
+	return t.o.MaxConns > 0 && t.count.Load() >= int64(t.o.MaxConns+max(t.o.MaxConns/overShare, 1))
+}
+
+// nearlyFull returns the number of connections from which on those are closed that callers
 // don't use again.
-func (t *Tracker) full() int { return int(fullShare * float64(t.o.MaxConns)) }
+func (t *Tracker) nearlyFull() int { return int(fullShare * float64(t.o.MaxConns)) }
 
 // reuseTime returns the idle time after which callers don't use a connection again.
 func (t *Tracker) reuseTime() time.Duration {
@@ -104,7 +123,7 @@
 	}
 	if over := n - t.o.MaxConns; over >= 0 && over%t.batch() == 0 {
 		t.evict(over+t.batch(), 0)
-	} else if over := n - t.full(); over >= 0 && over%t.batch() == 0 {
+	} else if over := n - t.nearlyFull(); over >= 0 && over%t.batch() == 0 {
 		t.evict(over+t.batch(), t.reuseTime())
 	}
 }
@@ -129,4 +148,7 @@
 	for _, e := range all[:min(n, len(all))] {
 		e.c.closeIfWaiting()
 	}
+	if missing := n - len(all); missing > 0 && minIdle == 0 {
+		t.evictCostliest(missing)
+	}
 }
--- a/internal/drain/unframed.go
+++ b/internal/drain/unframed.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+
+	"github.com/pomelospool/pomelospool/internal/quota"
 )
 
 // connKey is the context key of a request's *conn.
@@ -18,6 +20,9 @@
 		}
 		if c := tracked(nc); c != nil {
 			ctx = context.WithValue(ctx, connKey{}, c)
+			if c.account != nil {
+				ctx = quota.WithAccount(ctx, c.account)
+			}
 		}
 		return ctx
 	}
--- a/internal/sock/sock_linux.go
+++ b/internal/sock/sock_linux.go
@@ -35,6 +35,30 @@
 	}
 }
 
+// Backlog is the number of connections that wait to be accepted. What their callers send
+// is received by the kernel, at the expense of the VM's memory.
+const Backlog = 256
+
+// LimitBacklog limits the connections of a listener that wait to be accepted to Backlog.
+func LimitBacklog(l net.Listener) error {
+	c, ok := l.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := c.SyscallConn()
+	if err == nil {
+		var set error
+		err = raw.Control(func(fd uintptr) { set = unix.Listen(int(fd), Backlog) })
+		if err == nil {
+			err = set
+		}
+	}
+	if err != nil {
+		return fmt.Errorf("sock: backlog: %w", err)
+	}
+	return nil
+}
+
 // MaxDescriptors returns the number of file descriptors that the process may have open.
 func MaxDescriptors() (int, error) {
 	var limit unix.Rlimit
@@ -44,6 +68,15 @@
 	return int(min(limit.Cur, math.MaxInt32)), nil
 }
 
+// SystemMemory returns the size of the system's memory in bytes.
+func SystemMemory() (int64, error) {
+	var info unix.Sysinfo_t
+	if err := unix.Sysinfo(&info); err != nil {
+		return 0, fmt.Errorf("sock: system's memory: %w", err)
+	}
+	return int64(uint64(info.Totalram) * uint64(info.Unit)), nil
+}
+
 // Reserve keeps a TCP address, which refuses connections, until the file is closed.
 // The kernel gives its port to no other socket, but the address can be listened on
 // again.
--- a/internal/sock/sock_other.go
+++ b/internal/sock/sock_other.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"net"
 	"os"
 	"syscall"
 	"time"
@@ -21,3 +22,9 @@
 
 // MaxDescriptors returns an error, since it isn't implemented on this system.
 func MaxDescriptors() (int, error) { return 0, errors.ErrUnsupported }
+
+// SystemMemory fails, since it isn't implemented on this system.
+func SystemMemory() (int64, error) { return 0, errors.ErrUnsupported }
+
+// LimitBacklog does nothing, since it isn't implemented on this system.
+func LimitBacklog(net.Listener) error { return nil }
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/pomelospool/pomelospool/connection/load"
 	"github.com/pomelospool/pomelospool/connection/pool"
 	"github.com/pomelospool/pomelospool/internal/drain"
+	"github.com/pomelospool/pomelospool/internal/quota"
 	"github.com/pomelospool/pomelospool/internal/sock"
 	"github.com/pomelospool/pomelospool/peer"
 	"github.com/pomelospool/pomelospool/peer/peerpb"
@@ -35,6 +36,7 @@
 	"github.com/pomelospool/pomelospool/process/follow"
 	"github.com/pomelospool/pomelospool/process/lease"
 	"github.com/pomelospool/pomelospool/process/membership"
+	"github.com/pomelospool/pomelospool/process/memlimit"
 	"github.com/pomelospool/pomelospool/process/reconcile"
 	"github.com/pomelospool/pomelospool/process/settings"
 	"github.com/pomelospool/pomelospool/request/budget"
@@ -77,6 +79,7 @@
 	links     *links.Tracker
 	forwarder *forward.Forwarder
 
+	memory    *quota.Memory // of all callers, on all ports
 	docs      documents
 	listeners listeners
 	callers   *http.Server
@@ -115,6 +118,8 @@
 		clock: clock.Boot{},
 		view:  &view.Holder{},
 
+		memory: memlimit.Apply(s.Limits),
+
 		demands: demandCounters{models: make(map[string]*demandCounter)},
 	}
 	if err := d.listen(); err != nil {
--- a/process/daemon/run.go
+++ b/process/daemon/run.go
@@ -32,13 +32,14 @@
 func (d *Daemon) wireServers(keys *keys) {
 	d.callers = entry.NewServer(d.s.Limits, d.entry)
 	d.callers.TLSConfig = keys.serverTLS()
-	d.drain = drain.Track(d.callers, drain.Options{MaxConns: entry.MaxConns(d.s.Limits)})
+	d.drain = drain.Track(d.callers, drain.Options{MaxConns: entry.MaxConns(d.s.Limits), Memory: d.memory, Reject: entry.Reject})
 	d.operators = &http.Server{
 		Handler:           keys.guardOperators(d.operatorRoutes()),
 		ReadHeaderTimeout: operatorTimeout,
+		MaxHeaderBytes:    d.s.Limits.HeaderBytes,
 		TLSConfig:         keys.serverTLS(),
 	}
-	d.drainOperators = drain.Track(d.operators, drain.Options{MaxConns: maxOperators})
+	d.drainOperators = drain.Track(d.operators, drain.Options{MaxConns: maxOperators, Memory: d.memory})
 	d.peers = peer.NewServer(peer.Handlers{
 		Heartbeat: d.members.HandleHeartbeat,
 		Fetch:     d.handleFetch,
--- a/process/front/conns.go
+++ b/process/front/conns.go
@@ -41,7 +41,14 @@
 // except the callers'.
 const internalHeaderTimeout = 5 * time.Second
 
-func newInternalServer(h http.Handler) *http.Server {
+// newInternalServer returns a server for a port other than the callers'.
+func (d *Daemon) newInternalServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: internalHeaderTimeout, MaxHeaderBytes: d.s.Limits.HeaderBytes}
+}
+
+// newPeersServer returns the server for other daemons. They forward callers' headers, which
+// package drain limits as the configuration says.
+func newPeersServer(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: internalHeaderTimeout}
 }
 
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -25,11 +25,13 @@
 	"github.com/pomelospool/pomelospool/connection/shares"
 	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/connection/targets"
+	"github.com/pomelospool/pomelospool/internal/quota"
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/claim"
 	"github.com/pomelospool/pomelospool/process/clock"
 	"github.com/pomelospool/pomelospool/process/discovery"
+	"github.com/pomelospool/pomelospool/process/memlimit"
 	"github.com/pomelospool/pomelospool/process/relay"
 	"github.com/pomelospool/pomelospool/process/roles"
 	"github.com/pomelospool/pomelospool/process/roster"
@@ -103,6 +105,7 @@
 	rate      *rateMeter // of callers' requests
 	ready     atomic.Bool
 
+	memory   *quota.Memory // of all callers, on all ports
 	servers  []*server
 	callers  *server
 	peers    net.Listener
@@ -126,6 +129,7 @@
 		speed:     speed.NewTracker(),
 		demand:    demand.New(time.Now),
 		rate:      newRateMeter(time.Now),
+		memory:    memlimit.Apply(s.Limits),
 	}
 	if s.Scheduling.FairShares {
 		d.shares = shares.New(time.Now)
--- a/process/front/metrics.go
+++ b/process/front/metrics.go
@@ -78,6 +78,8 @@
 		gauge("daemons_known", "Daemons that share the retry budgets, unresponsive ones and this one included.", func() float64 { return float64(d.roster.FleetSize()) }),
 		gauge("request_rate", "Callers' requests in the busiest of the last seconds.", d.rate.perSecond),
 		gauge("report_age_seconds", "How long ago the known loads of other daemons were true, 0: they count as fresh.", func() float64 { return d.runner.ReportAge().Seconds() }),
+		gauge("callers_memory_bytes", "Memory that callers' connections and requests hold, as accounted for.", func() float64 { return float64(d.memory.Used()) }),
+		gauge("callers_memory_limit_bytes", "Limit of the memory of callers.", func() float64 { return float64(d.memory.Limit()) }),
 		gauge("ready", "1 while the daemon takes requests.", func() float64 { return boolGauge(d.roster.Ready()) }),
 	)
 	if d.shares != nil {
--- a/process/front/servers.go
+++ b/process/front/servers.go
@@ -36,7 +36,9 @@
 }
 
 func (d *Daemon) wireServers() error {
-	d.addServer("peers", d.peers, newInternalServer(d.peersHandler(relay.Handler(d.caches))), drain.Options{MaxConns: descriptors(peersShare)})
+	d.addServer("peers", d.peers, newPeersServer(d.peersHandler(relay.Handler(d.caches))), drain.Options{
+		MaxConns: descriptors(peersShare), Reject: d.ingress.Reject,
+	})
 	add := func(name, addr string, s *http.Server, o drain.Options) (*server, error) {
 		l, err := listen(addr)
 		if err != nil {
@@ -45,22 +47,26 @@
 		return d.addServer(name, l, s, o), nil
 	}
 	var err error
-	if d.callers, err = add("callers", d.s.Listen.Callers, ingress.NewServer(d.ingress), drain.Options{MaxConns: descriptors(callersShare), IdleTimeout: d.idleTimeout}); err != nil {
+	if d.callers, err = add("callers", d.s.Listen.Callers, ingress.NewServer(d.ingress), drain.Options{
+		MaxConns: descriptors(callersShare), IdleTimeout: d.idleTimeout, Reject: d.ingress.Reject,
+	}); err != nil {
 		return err
 	}
-	internal := drain.Options{MaxConns: descriptors(internalShare)}
-	if _, err = add("ready", d.s.Listen.Ready, newInternalServer(platform.ReadyHandler(d.roster)), internal); err != nil {
+	internal := drain.Options{MaxConns: descriptors(internalShare), HeaderBytes: func() int { return d.s.Limits.HeaderBytes }}
+	if _, err = add("ready", d.s.Listen.Ready, d.newInternalServer(platform.ReadyHandler(d.roster)), internal); err != nil {
 		return err
 	}
-	addresses := drain.Options{MaxConns: descriptors(internalShare), IdleTimeout: d.idleTimeout}
-	if _, err = add("addresses", d.s.Listen.Addresses, newInternalServer(platform.AddressHandler(d.roster)), addresses); err != nil {
+	addresses := internal
+	addresses.IdleTimeout = d.idleTimeout
+	if _, err = add("addresses", d.s.Listen.Addresses, d.newInternalServer(platform.AddressHandler(d.roster)), addresses); err != nil {
 		return err
 	}
-	_, err = add("operators", d.s.Listen.Operators, newInternalServer(d.operatorRoutes()), internal)
+	_, err = add("operators", d.s.Listen.Operators, d.newInternalServer(d.operatorRoutes()), internal)
 	return err
 }
 
 func (d *Daemon) addServer(name string, l net.Listener, s *http.Server, o drain.Options) *server {
+	o.Memory = d.memory
 	srv := &server{name: name, http: s, l: l, drain: drain.Track(s, o)}
 	d.servers = append(d.servers, srv)
 	return srv
--- a/process/settings/load.go
+++ b/process/settings/load.go
@@ -31,6 +31,8 @@
 	maxConnections = 1 << 20
 	minBufferBytes = 4 << 10
 	maxBufferBytes = 64 << 20
+	maxStreams     = 1 << 16
+	maxMemoryMB    = 16 << 20
 	maxLinkMbps    = 1_000_000.0
 	maxCores       = 10_000.0
 )
@@ -65,6 +67,7 @@
 			ReadHeader:  5 * time.Second,
 			ReadBody:    30 * time.Second,
 			BufferBytes: 256 << 10,
+			Streams:     100,
 		},
 		Bounds: Bounds{
 			Grace:       8 * time.Second,
@@ -199,6 +202,13 @@
 	f.Duration("limits.read_header", l.ReadHeader, minTime, maxTime)
 	f.Duration("limits.read_body", l.ReadBody, minTime, maxTime)
 	yamlcheck.Range(f, "limits.buffer_bytes", l.BufferBytes, minBufferBytes, maxBufferBytes)
+	yamlcheck.Range(f, "limits.streams", l.Streams, 1, maxStreams)
+	yamlcheck.Range(f, "limits.memory_mb", l.MemoryMB, 0, maxMemoryMB)
+	yamlcheck.Range(f, "limits.callers_memory_mb", l.CallersMemoryMB, 0, maxMemoryMB)
+	if l.MemoryMB > 0 && l.CallersMemoryMB > l.MemoryMB {
+		f.Report("limits.callers_memory_mb", code.DocInconsistent,
+			fmt.Sprintf("%v is more than limits.memory_mb, %v", l.CallersMemoryMB, l.MemoryMB), "give less than the VM has")
+	}
 }
 
 func checkTLS(f *yamlcheck.File, t TLS) {
--- a/process/settings/types.go
+++ b/process/settings/types.go
@@ -136,6 +136,12 @@
 	ReadHeader  time.Duration `yaml:"read_header,omitempty"`  // 5s
 	ReadBody    time.Duration `yaml:"read_body,omitempty"`    // 30s
 	BufferBytes int           `yaml:"buffer_bytes,omitempty"` // buffered for one slow caller; 262144
+	Streams     int           `yaml:"streams,omitempty"`      // open on one connection with HTTP/2; 100
+	// MemoryMB is the memory of the VM in MB; 0: as the system says.
+	MemoryMB float64 `yaml:"memory_mb,omitempty"`
+	// CallersMemoryMB is the memory in MB that the connections to all ports, and their
+	// requests, may hold at a time; 0: 30% of the VM's.
+	CallersMemoryMB float64 `yaml:"callers_memory_mb,omitempty"`
 }
 
 // Log configures the daemon's log.
--- a/request/dispatch/peers.go
+++ b/request/dispatch/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/quota"
 	"github.com/pomelospool/pomelospool/request/forward"
 )
 
@@ -109,7 +110,7 @@
 		return nil, err
 	}
 	defer resp.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	body, err := quota.ReadAll(quota.FromContext(ctx), resp.Body, -1, maxAnswer)
 	if err == nil && len(body) > maxAnswer {
 		err = errTooLarge
 	}
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"expvar"
-	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -16,6 +15,7 @@
 	"github.com/pomelospool/pomelospool/connection/engines"
 	"github.com/pomelospool/pomelospool/connection/h1"
 	"github.com/pomelospool/pomelospool/connection/health"
+	"github.com/pomelospool/pomelospool/internal/quota"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/failure"
@@ -112,7 +112,7 @@
 // readAnswer reads the rest of an answer and closes the response.
 func (x *execution) readAnswer(ctx context.Context, target string, resp *h1.Response, v port.ResponseMeta) (*Answer, *sendFailure) {
 	defer resp.Close(v.KeepAlive)
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	body, err := quota.ReadAll(quota.FromContext(ctx), resp.Body, -1, maxAnswer)
 	if err == nil && len(body) > maxAnswer {
 		err = errTooLarge
 	}
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -79,6 +79,7 @@
 	defaultHeaderTimeout = 5 * time.Second
 	defaultBodyTimeout   = 30 * time.Second
 	defaultBufferBytes   = 256 << 10
+	defaultStreams       = 100
 	defaultWriteTimeout  = 10 * time.Second
 )
 
@@ -127,6 +128,9 @@
 	if l.ReadBody <= 0 {
 		l.ReadBody = defaultBodyTimeout
 	}
+	if l.Streams <= 0 {
+		l.Streams = defaultStreams
+	}
 	if l.BufferBytes <= 0 {
 		l.BufferBytes = defaultBufferBytes
 	}
--- a/request/entry/model.go
+++ b/request/entry/model.go
@@ -12,6 +12,7 @@
 	"github.com/uptrace/bunrouter"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/quota"
 	"github.com/pomelospool/pomelospool/request/attempt"
 	"github.com/pomelospool/pomelospool/request/limit"
 	"github.com/pomelospool/pomelospool/request/prefix"
@@ -262,7 +263,7 @@
 		}
 		return
 	}
-	recv := &unstreamedReceiver{id: id, max: int64(e.opts.Limits.BodyBytes)}
+	recv := &unstreamedReceiver{id: id, max: int64(e.opts.Limits.BodyBytes), account: quota.FromContext(req.Context())}
 	_, err = e.runner.Run(ctx, q, &p.decision, recv)
 	err = stopping.Error(ctx, err)
 	if e.retryViaPeer(req, c.svc, err) {
--- a/request/entry/once.go
+++ b/request/entry/once.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/quota"
 	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/attempt"
 	"github.com/pomelospool/pomelospool/request/failure"
@@ -101,7 +102,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	recv := &plainReceiver{maxBuffered: e.opts.Limits.BodyBytes}
+	recv := &plainReceiver{maxBuffered: e.opts.Limits.BodyBytes, account: quota.FromContext(ctx)}
 	result, err := e.runner.Run(ctx, q, &p.decision, &bufferedReceiver{recv})
 	return closeTicket(ticket, recv, result, err)
 }
@@ -143,7 +144,7 @@
 
 // Receive reads one attempt's answer without forwarding it.
 func (r *bufferedReceiver) Receive(a attempt.Answer) error {
-	body, err := readLimited(a.Body, r.maxBuffered)
+	body, err := readLimited(r.account, a.Body, r.maxBuffered)
 	if err == nil && !a.Framed && answer.HasBody(a.Status) {
 		err = errNoEndMarker
 	}
--- a/request/entry/plain.go
+++ b/request/entry/plain.go
@@ -13,6 +13,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/internal/hop"
+	"github.com/pomelospool/pomelospool/internal/quota"
 	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/attempt"
 	"github.com/pomelospool/pomelospool/request/failure"
@@ -189,7 +190,7 @@
 	defer p.release()
 	ctx, cancel := e.callContext(req.Context(), c.params.deadline)
 	defer cancel()
-	recv := &plainReceiver{w: w, maxBuffered: int64(e.opts.Limits.BufferBytes), writeTimeout: e.opts.WriteTimeout}
+	recv := &plainReceiver{w: w, maxBuffered: int64(e.opts.Limits.BufferBytes), writeTimeout: e.opts.WriteTimeout, account: quota.FromContext(req.Context())}
 	_, err = e.runner.Run(ctx, q, &p.decision, recv)
 	err = stopping.Error(ctx, err)
 	if !recv.committed && e.retryViaPeer(req, c.svc, err) {
--- a/request/entry/plainanswer.go
+++ b/request/entry/plainanswer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/quota"
 	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/attempt"
 	"github.com/pomelospool/pomelospool/request/failure"
@@ -22,6 +23,7 @@
 	w            http.ResponseWriter
 	maxBuffered  int64
 	writeTimeout time.Duration
+	account      *quota.Account // of the memory for buffered; may be nil
 
 	status    int
 	header    http.Header
@@ -35,7 +37,7 @@
 // Receive handles the answer of one attempt.
 func (r *plainReceiver) Receive(a attempt.Answer) error {
 	r.status = 0
-	buffered, err := io.ReadAll(io.LimitReader(a.Body, r.maxBuffered+1))
+	buffered, err := quota.ReadAll(r.account, a.Body, -1, r.maxBuffered)
 	if err != nil {
 		return &failure.Failure{Class: failure.Cut, Target: a.Target, Err: err}
 	}
--- a/request/entry/receive.go
+++ b/request/entry/receive.go
@@ -8,6 +8,7 @@
 	"mime"
 	"net/http"
 
+	"github.com/pomelospool/pomelospool/internal/quota"
 	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/attempt"
 	"github.com/pomelospool/pomelospool/request/failure"
@@ -48,10 +49,11 @@
 
 // unstreamedReceiver receives an unstreamed answer of an engine.
 type unstreamedReceiver struct {
-	id     string
-	max    int64
-	body   []byte
-	tokens int
+	id      string
+	max     int64
+	account *quota.Account // of the memory for body; may be nil
+	body    []byte
+	tokens  int
 }
 
 // unstreamedAnswer holds the fields of an unstreamed answer that are checked.
@@ -71,7 +73,7 @@
 	if err := modelFailure(a); err != nil {
 		return err
 	}
-	body, err := readLimited(a.Body, r.max)
+	body, err := readLimited(r.account, a.Body, r.max)
 	if err != nil {
 		return &failure.Failure{Class: failure.Cut, Target: a.Target, Err: err}
 	}
@@ -87,8 +89,8 @@
 	return nil
 }
 
-func readLimited(src io.Reader, max int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(src, max+1))
+func readLimited(account *quota.Account, src io.Reader, max int64) ([]byte, error) {
+	body, err := quota.ReadAll(account, src, -1, max)
 	if err != nil {
 		return nil, err
 	}
--- a/request/entry/server.go
+++ b/request/entry/server.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/pomelospool/pomelospool/internal/sock"
 	"github.com/pomelospool/pomelospool/process/settings"
 	"github.com/pomelospool/pomelospool/request/limit"
 )
@@ -34,10 +35,24 @@
 		ReadHeaderTimeout: l.ReadHeader,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    l.HeaderBytes * headerLimitFactor,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          l.Streams,
+			MaxReceiveBufferPerConnection: receiveBuffer,
+			MaxReceiveBufferPerStream:     receiveBuffer,
+		},
 	}
 }
 
-const defaultConnections = 4096
+// receiveBuffer is the number of bytes that a connection with HTTP/2 may have sent and its
+// requests not have read.
+const receiveBuffer = 256 << 10
+
+const (
+	defaultConnections = 4096
+	// connectionShare is the share of the process's descriptors that callers'
+	// connections may use.
+	connectionShare = 0.5
+)
 
 // Listen limits the number of open connections of l to s.Connections.
 func Listen(l net.Listener, s settings.Limits) net.Listener {
@@ -46,8 +61,15 @@
 
 // MaxConns returns the number of connections that callers may have open.
 func MaxConns(s settings.Limits) int {
-	if s.Connections > 0 {
-		return s.Connections
+	n := s.Connections
+	if n <= 0 {
+		n = defaultConnections
 	}
-	return defaultConnections
+	if descriptors, err := sock.MaxDescriptors(); err == nil {
+		n = min(n, int(connectionShare*float64(descriptors)))
+	}
+	return n
 }
+
+// Reject answers a request whose header doesn't fit into the memory for callers.
+func Reject(w http.ResponseWriter, _ *http.Request) { writeError(w, limit.MemoryExhausted()) }
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -173,7 +173,7 @@
 // refused. Nothing has run then.
 func canServeElsewhere(c code.Code) bool {
 	switch c {
-	case code.LinksLost, code.TargetUnreachable, code.Draining, code.Isolated, code.NoConfiguration, code.StaleConfiguration, code.TooManyConns:
+	case code.LinksLost, code.TargetUnreachable, code.Draining, code.Isolated, code.NoConfiguration, code.StaleConfiguration, code.TooManyConns, code.MemoryExhausted:
 		return true
 	}
 	return false
--- a/request/ingress/answer.go
+++ b/request/ingress/answer.go
@@ -27,7 +27,7 @@
 	}
 	x.status = a.Status
 	x.w.WriteHeader(a.Status)
-	if _, err := x.w.Write(a.Body); err != nil && answer.HasBody(a.Status) {
+	if err := limit.WriteAll(x.w, x.req, a.Body, writeTimeout); err != nil && answer.HasBody(a.Status) {
 		x.headerSent.Store(true)
 		return code.Wrap(code.CallerGone, err, "")
 	}
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -16,6 +16,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/internal/pause"
+	"github.com/pomelospool/pomelospool/internal/quota"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/dispatch"
@@ -133,6 +134,18 @@
 	}
 }
 
+// Reject answers a request whose header doesn't fit into the memory for callers.
+func (i *Ingress) Reject(w http.ResponseWriter, req *http.Request) {
+	x := &exchange{Ingress: i, w: w, req: req, arrived: time.Now()}
+	x.meta, _ = i.o.Protocol.ParseRequest(req.Header) // the answer names the request, if it has an id
+	if forward.IsForwarded(req.Header) {
+		// An unreadable envelope gives the answer's marks nothing to name.
+		e, _ := forward.TakeEnvelope(req.Header)
+		x.envelope = &e
+	}
+	x.writeError(limit.MemoryExhausted())
+}
+
 // exchange is one request with its answer.
 type exchange struct {
 	*Ingress
@@ -182,6 +195,10 @@
 	if err != nil {
 		return nil, err
 	}
+	// The headers are copied for the target and once more to be sent.
+	if quota.FromContext(x.req.Context()).Grow(headerCopies*quota.CostOf(x.req.Header)) != nil {
+		return nil, limit.MemoryExhausted()
+	}
 	c := &dispatch.Call{
 		Meta:    x.meta,
 		Route:   r,
@@ -226,6 +243,9 @@
 	return route.Seed(m.RequestID)
 }
 
+// headerCopies is the number of copies of a request's headers that are held while it runs.
+const headerCopies = 2
+
 const (
 	// versionWait is the time in which a daemon gets a version that another one
 	// already has: two reads of the configuration and the store's latency.
--- a/request/ingress/ingress_test.go
+++ b/request/ingress/ingress_test.go
@@ -65,6 +65,11 @@
 
 // keyedConfig returns a configuration with the given keys.
 func keyedConfig(version int64, keys *route.Keys) *route.Config {
+	return limitedConfig(version, keys, route.Limits{BodyBytes: 1000})
+}
+
+// limitedConfig returns a configuration with the given keys and limits.
+func limitedConfig(version int64, keys *route.Keys, limits route.Limits) *route.Config {
 	routes := []*route.Route{
 		{Name: "plain", Host: "a.example", Prefix: "/p/", Kind: route.Unsafe, Attempts: 1, Timeout: time.Minute, Split: []route.WeightedService{{Service: "app", Weight: 1}}},
 		{Name: "stream", Host: "a.example", Prefix: "/s/", Kind: route.Stream, Priority: 3, Attempts: 1, Timeout: time.Minute, Split: []route.WeightedService{{Service: "llm", Weight: 1}}},
@@ -72,7 +77,7 @@
 		{Name: "absent", Host: "a.example", Prefix: "/absent/", Attempts: 1, Split: []route.WeightedService{{Service: "nothing", Weight: 1}}},
 	}
 	services := []*route.Service{{Name: "app"}, {Name: "llm", Engine: &route.Engine{Slots: 4, KVTokens: 1000}}}
-	return route.New(version, routes, services, route.Limits{BodyBytes: 1000}, keys)
+	return route.New(version, routes, services, limits, keys)
 }
 
 func start(t *testing.T, configured bool) *fixture {
--- a/request/limit/limit.go
+++ b/request/limit/limit.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/quota"
 	"github.com/pomelospool/pomelospool/internal/watchdog"
 )
 
@@ -63,8 +64,12 @@
 	ctl := http.NewResponseController(w)
 	wd := watchdog.New(func() { _ = ctl.SetReadDeadline(expiredDeadline) })
 	wd.Arm(wait)
-	body, err := readAll(http.MaxBytesReader(w, req.Body, max), req.ContentLength)
+	account := quota.FromContext(req.Context())
+	body, err := quota.ReadAll(account, http.MaxBytesReader(w, req.Body, max), req.ContentLength, max)
 	expired := wd.Disarm()
+	if account.Run() != nil || errors.Is(err, quota.ErrExhausted) {
+		return nil, MemoryExhausted()
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, code.New(code.BodyTooLarge, "at most %d bytes", max)
@@ -78,13 +83,31 @@
 	return body, nil
 }
 
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
+// memoryRetryAfter is the Retry-After time of requests that don't fit into the memory for
+// callers. Other daemons may have room at once.
+const memoryRetryAfter = 500 * time.Millisecond
+
+// MemoryExhausted returns the error of a request that doesn't fit into the memory for
+// callers.
+func MemoryExhausted() *code.Error {
+	return code.New(code.MemoryExhausted, "").WithRetryAfter(memoryRetryAfter)
+}
+
+// WriteAll writes the body to the caller. It fails if the caller accepts no bytes for the
+// time stall.
+func WriteAll(w http.ResponseWriter, req *http.Request, body []byte, stall time.Duration) error {
+	const part = 16 << 10
+	account := quota.FromContext(req.Context())
+	out := NewWriter(w, stall)
+	for len(body) > 0 {
+		account.Send()
+		n, err := out.Write(body[:min(part, len(body))])
+		if err != nil {
+			return err
+		}
+		body = body[n:]
 	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
+	return nil
 }
 
 // rejection is the complete response to a connection beyond the limit.
