peer: calls from peers count towards the memory of callers

Callers saw: on the own protocol, the daemon's port for other daemons lets anyone who reaches it use up the daemon's memory by calls that are never ended.

Cause: gRPC bounds a message, not the number of calls or connections; each stream may hold a window of 1 MiB that nobody has read whole.

Change: the connections of the port are charged for the bytes that were read until gRPC reports their message, and calls for their messages until they end. A connection whose calls don't get on is closed when memory is needed; one without a call that arrives isn't. Connections, calls a connection, header lists and the time of a handshake are bounded.

--- a/peer/server.go
+++ b/peer/server.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
+	"github.com/pomelospool/pomelospool/internal/quota"
 	"github.com/pomelospool/pomelospool/peer/peerpb"
 )
 
@@ -30,13 +31,31 @@
 type Server struct {
 	peerpb.UnimplementedPeerServer
 	handlers Handlers
+	traffic  *traffic
 	grpc     *grpc.Server
 }
 
-// NewServer returns a server. If creds is nil, it serves without TLS.
-func NewServer(h Handlers, creds credentials.TransportCredentials) *Server {
+// ServerOptions configures a Server. The zero value selects TCP without TLS and without
+// limits.
+type ServerOptions struct {
+	Creds    credentials.TransportCredentials // nil for no TLS
+	Memory   *quota.Memory                    // is charged for connections and calls; may be nil
+	MaxConns int                              // connections beyond it are closed; 0: no limit
+}
+
+// maxStreams is the number of calls that a connection may have open. A peer with more
+// calls waits.
+const maxStreams = 1 << 10
+
+// NewServer returns a server.
+func NewServer(h Handlers, o ServerOptions) *Server {
+	traffic := newTraffic(o)
 	opts := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.MaxHeaderListSize(maxHeaderList),
+		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.ConnectionTimeout(connectTimeout),
+		grpc.StatsHandler(traffic),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: idleTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPingInterval, PermitWithoutStream: true}),
 		grpc.InitialWindowSize(windowSize),
@@ -44,16 +63,16 @@
 		grpc.ReadBufferSize(bufferSize),
 		grpc.WriteBufferSize(bufferSize),
 	}
-	if creds != nil {
-		opts = append(opts, grpc.Creds(creds))
+	if o.Creds != nil {
+		opts = append(opts, grpc.Creds(o.Creds))
 	}
-	s := &Server{handlers: h, grpc: grpc.NewServer(opts...)}
+	s := &Server{handlers: h, traffic: traffic, grpc: grpc.NewServer(opts...)}
 	peerpb.RegisterPeerServer(s.grpc, s)
 	return s
 }
 
 // Serve accepts connections on l until Stop is called.
-func (s *Server) Serve(l net.Listener) error { return s.grpc.Serve(l) }
+func (s *Server) Serve(l net.Listener) error { return s.grpc.Serve(s.traffic.listen(l)) }
 
 // Shutdown refuses new calls, so that callers know that they weren't run, and waits for
 // the open ones. Calls that are open at the end of ctx are cut.
--- a/peer/server_test.go
+++ b/peer/server_test.go
@@ -24,7 +24,7 @@
 		close(running)
 		<-finish
 		return send(&peerpb.ForwardReply{Status: 200})
-	}}, nil)
+	}}, ServerOptions{})
 	go func() { _ = s.Serve(l) }()
 	d := NewDialer(DialerOptions{})
 	defer d.Close()
@@ -70,7 +70,7 @@
 		close(running)
 		<-ctx.Done()
 		return ctx.Err()
-	}}, nil)
+	}}, ServerOptions{})
 	go func() { _ = s.Serve(l) }()
 	d := NewDialer(DialerOptions{})
 	defer d.Close()
--- a/process/daemon/keys_test.go
+++ b/process/daemon/keys_test.go
@@ -163,7 +163,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	untrusted := peer.NewServer(peer.Handlers{}, k.peerServer())
+	untrusted := peer.NewServer(peer.Handlers{}, peer.ServerOptions{Creds: k.peerServer()})
 	l, err := net.Listen("tcp", daemonIP(1)+":0")
 	if err != nil {
 		t.Fatal(err)
--- a/process/daemon/run.go
+++ b/process/daemon/run.go
@@ -47,9 +47,12 @@
 		Lookup:    d.once.HandleLookup,
 		Burn:      d.handleBurn,
 		Forward:   d.handleForward,
-	}, keys.peerServer())
+	}, peer.ServerOptions{Creds: keys.peerServer(), Memory: d.memory, MaxConns: entry.MaxConns(d.s.Limits) / peersConnShare})
 }
 
+// peersConnShare is the ratio of callers' connections to those of peers.
+const peersConnShare = 4
+
 const (
 	operatorTimeout = 5 * time.Second
 	// maxOperators is the number of operators' connections above which idle ones are
