sock: at most 256 connections of a port wait to be accepted

Callers saw: a crowd that connects at once uses up a daemon's memory before the daemon has seen its connections.

Cause: the kernel receives what callers send on connections that aren't accepted yet, up to a window each, and it keeps up to 4,096 of them for each port.

Change: the backlog of each TCP port is 256. Ruled out: smaller receive buffers, which would slow down uploads.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -151,7 +151,12 @@
 			return nil
 		}
 		var l net.Listener
-		l, err = listener.Listen(context.Background(), "tcp", addr)
+		if l, err = listener.Listen(context.Background(), "tcp", addr); err != nil {
+			return nil
+		}
+		if limited := sock.LimitBacklog(l); limited != nil {
+			log.WithError(limited).Warn("daemon: the backlog of a port isn't limited")
+		}
 		return l
 	}
 	d.listeners.callers = open(d.s.Listen.Callers)
--- a/process/front/servers.go
+++ b/process/front/servers.go
@@ -32,7 +32,14 @@
 // listen opens a TCP port.
 func listen(addr string) (net.Listener, error) {
 	c := net.ListenConfig{Control: sock.UserTimeout(callerAckTimeout)}
-	return c.Listen(context.Background(), "tcp", addr)
+	l, err := c.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	if err := sock.LimitBacklog(l); err != nil {
+		log.WithError(err).Warn("front: the backlog of a port isn't limited")
+	}
+	return l, nil
 }
 
 func (d *Daemon) wireServers() error {
