ingress: apply the header limits of the configuration

Callers saw: headers of 60 KB, and ones that take 10 s, where the configuration allows 16 KiB and 3 s; a crowd of them held memory for longer than the operator allows.

Cause: max_header_bytes and header_timeout_ms were decoded into route.Limits and read by nobody; the server had bounds of its own, 64 KiB and 10 s. Its bound would also have refused legal headers had the configuration allowed more.

Evidence: TestHeaderLimit/1 answered 200 before.

Change: a complete header over the limit gets 431 (1008), measured by the least number of bytes in which it can have been sent, so that a legal one is never refused; an incomplete one gets 431 once it is 8 KiB over. The time is that of the configuration in force. The peers' port allows the same and 4 KiB for the envelope, since headers are forwarded there.

--- a/process/front/conns.go
+++ b/process/front/conns.go
@@ -37,6 +37,30 @@
 	return cfg.Limits.IdleTimeout
 }
 
+// headerTimeout returns how long a caller may take to send a header, or 0 if the
+// configuration has no limit.
+func (d *Daemon) headerTimeout() time.Duration {
+	cfg := d.config.Load()
+	if cfg == nil {
+		return 0
+	}
+	return cfg.Limits.HeaderTimeout
+}
+
+// envelopeBytes is the room for what a daemon adds to the header of a request that it
+// forwards.
+const envelopeBytes = 4 << 10
+
+// headerBytes returns the maximum size of a caller's header, or that of the settings if
+// the configuration has no limit.
+func (d *Daemon) headerBytes() int {
+	cfg := d.config.Load()
+	if cfg == nil || cfg.Limits.HeaderBytes <= 0 {
+		return d.s.Limits.HeaderBytes
+	}
+	return cfg.Limits.HeaderBytes
+}
+
 // internalHeaderTimeout bounds the reading of a request's header on every port
 // except the callers'.
 const internalHeaderTimeout = 5 * time.Second
--- a/process/front/servers.go
+++ b/process/front/servers.go
@@ -44,7 +44,7 @@
 
 func (d *Daemon) wireServers() error {
 	d.addServer("peers", d.peers, newPeersServer(d.peersHandler(relay.Handler(d.caches))), drain.Options{
-		MaxConns: descriptors(peersShare), Reject: d.ingress.Reject,
+		MaxConns: descriptors(peersShare), HeaderBytes: func() int { return d.headerBytes() + envelopeBytes }, Reject: d.ingress.Reject,
 	})
 	add := func(name, addr string, s *http.Server, o drain.Options) (*server, error) {
 		l, err := listen(addr)
@@ -55,7 +55,7 @@
 	}
 	var err error
 	if d.callers, err = add("callers", d.s.Listen.Callers, ingress.NewServer(d.ingress), drain.Options{
-		MaxConns: descriptors(callersShare), IdleTimeout: d.idleTimeout, Reject: d.ingress.Reject,
+		MaxConns: descriptors(callersShare), IdleTimeout: d.idleTimeout, HeaderTimeout: d.headerTimeout, HeaderBytes: d.headerBytes, Reject: d.ingress.Reject,
 	}); err != nil {
 		return err
 	}
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -191,6 +191,9 @@
 	if svc == nil {
 		return nil, code.New(code.NoTarget, "route %q names a service that the configuration lacks", r.Name).WithRetryAfter(noConfigurationRetryAfter)
 	}
+	if max := cfg.Limits.HeaderBytes; max > 0 && x.envelope == nil && limit.HeaderBytes(x.req) > max {
+		return nil, code.New(code.HeaderTooLarge, "at most %d bytes", max)
+	}
 	body, err := limit.ReadBody(x.w, x.req, maxBodyBytes(cfg.Limits), bodyReadTimeout)
 	if err != nil {
 		return nil, err
--- a/request/ingress/memory_test.go
+++ b/request/ingress/memory_test.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"bufio"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -97,3 +99,39 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// Guards against a limit of the configuration that is read and not applied, and against
+// one that turns away the largest header that it allows.
+func TestHeaderLimit(t *testing.T) {
+	const limit = 2000
+	for _, over := range []int{0, 1} {
+		t.Run(fmt.Sprint(over), func(t *testing.T) {
+			f := startWith(t, limitedConfig(7, nil, route.Limits{HeaderBytes: limit}))
+			c, err := net.Dial("tcp", f.srv.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			var b strings.Builder
+			b.WriteString("POST /p/x HTTP/1.1\r\nHost:a.example\r\nX-Pomelospool-Request-Id:r1\r\n")
+			padding := "Padding:\r\n\r\n"
+			b.WriteString(strings.Replace(padding, "\r", strings.Repeat("p", limit-b.Len()-len(padding)+over)+"\r", 1))
+			if _, err := c.Write([]byte(b.String())); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			status := resp.StatusCode
+			want := http.StatusOK
+			if over > 0 {
+				want = http.StatusRequestHeaderFieldsTooLarge
+			}
+			if status != want {
+				t.Errorf("a header of %d bytes: status %d", b.Len(), status)
+			}
+		})
+	}
+}
--- a/request/ingress/server.go
+++ b/request/ingress/server.go
@@ -6,10 +6,9 @@
 )
 
 const (
-	// headerReadTimeout bounds the time to read a request's header.
-	headerReadTimeout = 10 * time.Second
-	// maxHeaderBytes is the maximum size of a request's header.
-	maxHeaderBytes = 64 << 10
+	// headerReadTimeout bounds the time to read a request's header, whatever the
+	// configuration says. Package drain applies the limits of the configuration.
+	headerReadTimeout = time.Minute
 )
 
 // NewServer returns a server for callers. It sets no idle timeout: package drain closes
@@ -18,6 +17,5 @@
 	return &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerReadTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
 	}
 }
