quota: an evicted request is answered by what it did when it was evicted

Callers saw: nothing yet; found by reading. A request that was evicted just as it became complete was refused truly, but its connection was closed before the answer was written, since its phase had gone on; a stream of HTTP/2 that was evicted while it arrived never got its answer, since its writes were ended, too.

Change: the phase no longer changes once an account is evicted, and eviction is told whether a refusal may still be written. A release no longer makes a channel that nobody waits for.

Evidence: the tests of quota, drain, peer and ingress under the race detector.

--- a/internal/drain/memory.go
+++ b/internal/drain/memory.go
@@ -119,7 +119,7 @@
 
 // evict ends the connection. A request that still arrives is answered first, unless many
 // are: until then the kernel holds what its caller sends.
-func (c *conn) evict() {
+func (c *conn) evict(receiving bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == idle && c.waiting {
@@ -127,7 +127,7 @@
 		return
 	}
 	c.evicted = true
-	if c.phase == active && c.account.Receiving() && beginLinger() {
+	if c.phase == active && receiving && beginLinger() {
 		c.lingers = true
 		_ = c.Conn.SetReadDeadline(expired)
 		return
@@ -156,9 +156,11 @@
 	var err error
 	if req.ProtoAtLeast(2, 0) {
 		ctl := http.NewResponseController(w)
-		a = t.o.Memory.Open(func() {
-			_ = ctl.SetReadDeadline(expired)
-			_ = ctl.SetWriteDeadline(expired)
+		a = t.o.Memory.Open(func(receiving bool) {
+			_ = ctl.SetReadDeadline(expired) // fails if the stream is closed
+			if !receiving {
+				_ = ctl.SetWriteDeadline(expired)
+			}
 		})
 		done = a.Close
 		req = req.WithContext(quota.WithAccount(req.Context(), a))
--- a/internal/quota/memory.go
+++ b/internal/quota/memory.go
@@ -62,7 +62,7 @@
 	used      int64 // sum of the accounts' bytes
 	releasing int64 // the part of used that belongs to evicted accounts
 	accounts  map[*Account]struct{}
-	freed     chan struct{} // closed when bytes are released
+	freed     chan struct{} // closed when bytes are released; nil: nobody waits for that
 	waiting   int           // charges of large accounts that wait
 	refused   int           // charges since loggedAt
 	evicted   int           // accounts since loggedAt
@@ -74,7 +74,7 @@
 	if limit <= 0 {
 		return nil
 	}
-	return &Memory{limit: limit, accounts: make(map[*Account]struct{}), freed: make(chan struct{})}
+	return &Memory{limit: limit, accounts: make(map[*Account]struct{})}
 }
 
 // Limit returns the limit in bytes, 0 for none.
@@ -100,7 +100,7 @@
 // succeed without an effect.
 type Account struct {
 	m     *Memory
-	evict func()
+	evict func(receiving bool)
 
 	// Guarded by m.mu.
 	bytes   int64
@@ -108,14 +108,16 @@
 	phase   phase
 	since   time.Time // of the last progress
 	evicted bool
+	arrived bool // the request was read whole when it was evicted
 	refused bool // a charge failed since the last Reset
 	closed  bool
 	waits   bool // counts in m.waiting
 }
 
 // Open opens an account. evict is called when the account is evicted, without locks; it
-// must make the reads and writes of the connection fail soon.
-func (m *Memory) Open(evict func()) *Account {
+// must make the reads and writes of the connection fail soon. receiving means that no
+// request was read whole, so that a refusal may still be written.
+func (m *Memory) Open(evict func(receiving bool)) *Account {
 	if m == nil {
 		return nil
 	}
@@ -151,8 +153,10 @@
 	if a.evicted {
 		m.releasing -= n
 	}
-	close(m.freed)
-	m.freed = make(chan struct{})
+	if m.freed != nil {
+		close(m.freed)
+		m.freed = nil
+	}
 }
 
 // Grow charges n bytes to the account. If they don't fit, it evicts others and waits for
@@ -232,7 +236,7 @@
 func (m *Memory) chargeAndEvict(a *Account, n int64, wait bool) (freed <-chan struct{}, err error) {
 	victims, freed, err := m.charge(a, n, wait)
 	for _, v := range victims {
-		v.evict()
+		v.evict(!v.arrived)
 	}
 	return freed, err
 }
@@ -270,6 +274,9 @@
 		a.bytes += n
 		return victims, nil, nil
 	}
+	if m.freed == nil {
+		m.freed = make(chan struct{})
+	}
 	return victims, m.freed, nil
 }
 
@@ -313,7 +320,7 @@
 
 // markEvicted marks an account as evicted. Callers hold m.mu and call a.evict later.
 func (m *Memory) markEvicted(a *Account) {
-	a.evicted = true
+	a.evicted, a.arrived = true, a.phase != receiving
 	m.releasing += a.bytes
 	m.evicted++
 	counts.Add("evicted", 1)
@@ -393,8 +400,11 @@
 	}
 	a.m.mu.Lock()
 	defer a.m.mu.Unlock()
+	if a.evicted {
+		return false
+	}
 	a.phase, a.since = p, time.Now()
-	return !a.evicted
+	return true
 }
 
 // SetUnread charges the bytes that the kernel has received for the connection and nobody
@@ -423,7 +433,7 @@
 	}
 	m.mu.Unlock()
 	for _, v := range victims {
-		v.evict()
+		v.evict(!v.arrived)
 	}
 }
 
@@ -442,16 +452,6 @@
 	return a.Grow(more)
 }
 
-// Receiving reports whether a request is being read.
-func (a *Account) Receiving() bool {
-	if a == nil {
-		return false
-	}
-	a.m.mu.Lock()
-	defer a.m.mu.Unlock()
-	return a.phase == receiving
-}
-
 // EvictCostliest evicts up to n of the accounts, by their cost.
 func (m *Memory) EvictCostliest(accounts []*Account, n int) {
 	if m == nil {
@@ -473,7 +473,7 @@
 	m.logEvictions()
 	m.mu.Unlock()
 	for _, c := range all {
-		c.a.evict()
+		c.a.evict(!c.a.arrived)
 	}
 }
 
--- a/internal/quota/memory_test.go
+++ b/internal/quota/memory_test.go
@@ -23,7 +23,7 @@
 // open opens an account that closes itself when it is evicted, and records that.
 func open(m *Memory, name string, evicted *[]string) *Account {
 	var a *Account
-	a = m.Open(func() {
+	a = m.Open(func(bool) {
 		*evicted = append(*evicted, name)
 		a.Close()
 	})
@@ -83,7 +83,7 @@
 // Guards against a request that runs after its caller was told that it doesn't.
 func TestEvictedRequestDoesNotRun(t *testing.T) {
 	m := New(mb)
-	a := m.Open(func() {})
+	a := m.Open(func(bool) {})
 	mustGrow(t, a, smallAccount)
 	m.EvictCostliest([]*Account{a}, 1)
 	if a.Run() == nil || a.Grow(1) == nil {
@@ -123,7 +123,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		m := New(4 * mb)
 		for range 20 {
-			a := m.Open(func() {})
+			a := m.Open(func(bool) {})
 			mustGrow(t, a, ConnCost)
 			a.Receive()
 			_, err := ReadAll(a, strings.NewReader(strings.Repeat("x", mb)), -1, 2*mb)
@@ -152,14 +152,14 @@
 func TestWaitIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := New(mb)
-		stuck := m.Open(func() {})
+		stuck := m.Open(func(bool) {})
 		mustGrow(t, stuck, 800<<10)
 		time.Sleep(time.Second)
 		begun := time.Now()
-		if err := m.Open(func() {}).Grow(200 << 10); !errors.Is(err, ErrExhausted) || time.Since(begun) != releaseTimeout {
+		if err := m.Open(func(bool) {}).Grow(200 << 10); !errors.Is(err, ErrExhausted) || time.Since(begun) != releaseTimeout {
 			t.Errorf("%v after %v", err, time.Since(begun))
 		}
-		if err := m.Open(func() {}).Admit(ConnCost); err != nil {
+		if err := m.Open(func(bool) {}).Admit(ConnCost); err != nil {
 			t.Errorf("a new connection: %v", err)
 		}
 	})
@@ -182,7 +182,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			m := New(mb)
-			a := m.Open(func() {})
+			a := m.Open(func(bool) {})
 			body, err := ReadAll(a, strings.NewReader(strings.Repeat("x", tc.size)), int64(tc.length), max)
 			if err != nil || len(body) != tc.want {
 				t.Errorf("%d bytes, %v", len(body), err)
@@ -197,7 +197,7 @@
 // Guards against a large buffer for a body that is announced and doesn't come.
 func TestAnnouncedLengthCostsNothing(t *testing.T) {
 	m := New(mb)
-	a := m.Open(func() {})
+	a := m.Open(func(bool) {})
 	body, err := ReadAll(a, io.MultiReader(strings.NewReader("x"), failing{}), 4<<20, 4<<20)
 	if !errors.Is(err, io.ErrUnexpectedEOF) || cap(body) > minBuffer {
 		t.Errorf("a buffer of %d bytes, %v", cap(body), err)
--- a/peer/traffic.go
+++ b/peer/traffic.go
@@ -67,7 +67,7 @@
 // add returns the charged connection, or nil if there is no room for it.
 func (t *traffic) add(inner net.Conn) *conn {
 	c := &conn{Conn: inner, t: t}
-	c.account = t.o.Memory.Open(func() { _ = inner.Close() })
+	c.account = t.o.Memory.Open(func(bool) { _ = inner.Close() })
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.o.MaxConns > 0 && len(t.conns) >= t.o.MaxConns || c.account.Admit(connCost) != nil {
--- a/request/ingress/memory_test.go
+++ b/request/ingress/memory_test.go
@@ -35,7 +35,7 @@
 	t.Helper()
 	for left += quota.ConnCost; m.Limit()-m.Used() > left; {
 		const part = 32 << 10 // small accounts may use the whole limit
-		a := m.Open(func() {})
+		a := m.Open(func(bool) {})
 		if err := a.Grow(min(part, m.Limit()-m.Used()-left)); err != nil {
 			t.Fatal(err)
 		}
