relay, operators, entry: answers that callers don't read count on every port

Cause: answers were charged on the platform's callers' port only. Records of the store that another daemon reads, what operators read, and the own protocol's buffered answers were held for as long as nobody read them. Plain answers of the own protocol had no bound on the time of a write.

Change: such answers are charged before they are written and are evicted first when memory is needed. Answers of calls that run at most once aren't charged: if one were refused, the call's outcome would be unknown.

--- a/bench/crowd/process_test.go
+++ b/bench/crowd/process_test.go
@@ -154,17 +154,23 @@
 	return sum
 }
 
-// check reports what doesn't fit into the VM.
+// check reports whether the process has ended, and what doesn't fit into the VM.
 func (p *process) check() {
 	p.t.Helper()
+	if !p.alive() {
+		p.t.Errorf("%s: the process has ended: %v", filepath.Base(p.logPath), p.cmd.ProcessState)
+	}
 	p.sample()
+	p.checkUsage()
+}
+
+// checkUsage reports what didn't fit into the VM.
+func (p *process) checkUsage() {
+	p.t.Helper()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	const mb = 1 << 20
 	p.t.Logf("%s: %d MB resident, %d MB unread, %d MB together, %d descriptors", filepath.Base(p.logPath), p.resident/mb, p.unread/mb, p.total/mb, p.descriptors)
-	if !p.alive() {
-		p.t.Errorf("%s: the process has ended: %v", filepath.Base(p.logPath), p.cmd.ProcessState)
-	}
 	if p.total > vmMemory {
 		p.t.Errorf("%s: %d MB of memory, the VM has %d MB", filepath.Base(p.logPath), p.total/mb, vmMemory/mb)
 	}
--- a/bench/crowd/site_cases_test.go
+++ b/bench/crowd/site_cases_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/pomelospool/pomelospool/platform/standin"
 )
@@ -145,6 +147,19 @@
 	}
 }
 
+// Guards against a daemon that runs out of memory by answers for operators that nobody
+// reads.
+func TestSiteUnreadMetrics(t *testing.T) {
+	for _, path := range []string{"/metrics", "/debug/vars"} {
+		t.Run(path[1:], func(t *testing.T) {
+			s := newSite(t)
+			request := []byte("GET " + path + " HTTP/1.1\r\nHost: a.example\r\n\r\n")
+			k := crowd{clients: 250, deaf: true, send: writesUntilBlocked(1<<20, bytes.Repeat(request, 100))}
+			s.bear(k, 1, portOperators)
+		})
+	}
+}
+
 // Guards against a daemon that runs out of memory by bytes that it has received and
 // doesn't read, since the connection's request still runs.
 func TestSitePipelinedRequests(t *testing.T) {
@@ -154,6 +169,47 @@
 	s.bear(k, 1, portCallers)
 }
 
+// Guards against a daemon that runs out of memory by requests at the limits that are
+// whole, and that wait for their targets.
+func TestSiteWholeRequestsThatWait(t *testing.T) {
+	s := newSite(t)
+	head := fmt.Appendf(s.head("POST", standin.SlowUnsafePrefix+"x"), "Content-Length: %d\r\n\r\n", siteBodyBytes)
+	s.bear(crowd{clients: 80, send: writes(head, bytes.Repeat([]byte("x"), siteBodyBytes))}, 1, portCallers)
+}
+
+// Guards against a daemon that runs out of memory by bodies that it forwards, since it has
+// lost its links to targets.
+func TestSiteBodiesOfRoutesWithoutTargets(t *testing.T) {
+	s := newSite(t)
+	head := fmt.Appendf(s.head("POST", "/s/x"), "Content-Length: %d\r\n\r\n", siteBodyBytes)
+	s.bear(crowd{clients: 80, send: writes(head, bytes.Repeat([]byte("x"), siteBodyBytes))}, 1, portCallers)
+}
+
+// Guards against a daemon that doesn't end in its grace time, or that runs out of memory,
+// if a crowd is there when it is stopped.
+func TestSiteStopsBesideACrowd(t *testing.T) {
+	const part, grace = 64 << 10, 8 * time.Second
+	s := newSite(t)
+	k := crowd{clients: 80, send: writesAgain(siteBodyBytes/part-1, append(s.head("POST", "/p/x"), chunked...), chunk(part, ""))}
+	leave := k.run(s.addrs(1, portCallers)...)
+	defer leave()
+	p := s.daemons[0]
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-p.exited:
+	case <-time.After(grace):
+		t.Error("the daemon hasn't ended")
+	}
+	if !p.cmd.ProcessState.Success() {
+		t.Errorf("the daemon ended with %v", p.cmd.ProcessState)
+	}
+	p.checkUsage()
+	eventually(t, "an ordinary request is answered by the other daemon", func() bool { return s.answers(1) })
+	s.daemons[1].check()
+}
+
 // Guards against a daemon whose descriptors are used up by requests that are never ended.
 func TestSiteManyConnections(t *testing.T) {
 	s := newSite(t)
--- a/internal/drain/memory_test.go
+++ b/internal/drain/memory_test.go
@@ -23,7 +23,7 @@
 	runs    chan struct{} // a request runs for each that is received
 }
 
-const memoryLimit = 1 << 20
+const memoryLimit = 2 << 20
 
 func newMemoryFixture(t *testing.T, o Options) *memoryFixture {
 	t.Helper()
@@ -35,7 +35,7 @@
 	o.Memory = f.memory
 	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		a := quota.FromContext(req.Context())
-		_, err := quota.ReadAll(a, req.Body, req.ContentLength, memoryLimit)
+		_, err := quota.ReadBody(a, req.Body, req.ContentLength, memoryLimit)
 		if a.Run() != nil || err != nil {
 			w.Header().Set("Retry-After", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -105,8 +105,8 @@
 func TestLargestBodyIsRefusedWhileItArrives(t *testing.T) {
 	f := newMemoryFixture(t, Options{})
 	const (
-		part   = 500 << 10
-		second = 260 << 10
+		part   = 1000 << 10
+		second = 520 << 10
 		older  = 300 * time.Millisecond // by which the first request has cost more
 	)
 	first := f.send(post(part+1) + strings.Repeat("x", part))
--- a/internal/quota/memory.go
+++ b/internal/quota/memory.go
@@ -99,8 +99,9 @@
 // carries several at a time. It is safe for concurrent use. All methods of a nil *Account
 // succeed without an effect.
 type Account struct {
-	m     *Memory
-	evict func(receiving bool)
+	m         *Memory
+	evict     func(receiving bool)
+	setWindow func(bytes int) // nil: the kernel's default
 
 	// Guarded by m.mu.
 	bytes   int64
@@ -128,6 +129,14 @@
 	return a
 }
 
+// ControlWindow sets a function that limits how many bytes the kernel receives for the
+// connection while nobody reads them. Call it before the account is used.
+func (a *Account) ControlWindow(set func(bytes int)) {
+	if a != nil {
+		a.setWindow = set
+	}
+}
+
 // Close closes the account and releases its bytes.
 func (a *Account) Close() {
 	if a == nil {
--- a/internal/quota/memory_test.go
+++ b/internal/quota/memory_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
@@ -126,7 +128,7 @@
 			a := m.Open(func(bool) {})
 			mustGrow(t, a, ConnCost)
 			a.Receive()
-			_, err := ReadAll(a, strings.NewReader(strings.Repeat("x", mb)), -1, 2*mb)
+			_, err := ReadBody(a, strings.NewReader(strings.Repeat("x", mb)), -1, 2*mb)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -165,7 +167,7 @@
 	})
 }
 
-func TestReadAll(t *testing.T) {
+func TestReadBody(t *testing.T) {
 	const max = 10_000
 	for _, tc := range []struct {
 		name         string
@@ -183,7 +185,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			m := New(mb)
 			a := m.Open(func(bool) {})
-			body, err := ReadAll(a, strings.NewReader(strings.Repeat("x", tc.size)), int64(tc.length), max)
+			body, err := ReadBody(a, strings.NewReader(strings.Repeat("x", tc.size)), int64(tc.length), max)
 			if err != nil || len(body) != tc.want {
 				t.Errorf("%d bytes, %v", len(body), err)
 			}
@@ -198,7 +200,7 @@
 func TestAnnouncedLengthCostsNothing(t *testing.T) {
 	m := New(mb)
 	a := m.Open(func(bool) {})
-	body, err := ReadAll(a, io.MultiReader(strings.NewReader("x"), failing{}), 4<<20, 4<<20)
+	body, err := ReadBody(a, io.MultiReader(strings.NewReader("x"), failing{}), 4<<20, 4<<20)
 	if !errors.Is(err, io.ErrUnexpectedEOF) || cap(body) > minBuffer {
 		t.Errorf("a buffer of %d bytes, %v", cap(body), err)
 	}
@@ -221,3 +223,55 @@
 	}
 	a.Close()
 }
+
+// Guards against answers to callers who don't read them that keep out others.
+func TestAnswersAreCharged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const cost = 600 << 10
+		m := New(mb)
+		var evicted []string
+		serve := func(name string) int {
+			a := open(m, name, &evicted)
+			w := httptest.NewRecorder()
+			req := httptest.NewRequest(http.MethodGet, "/", nil)
+			Answers(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(http.StatusOK)
+			}), cost).ServeHTTP(w, req.WithContext(WithAccount(req.Context(), a)))
+			return w.Code
+		}
+		first := serve("first")
+		time.Sleep(time.Second)
+		second := serve("second")
+		if first != http.StatusOK || second != http.StatusOK || !slices.Equal(evicted, []string{"first"}) {
+			t.Errorf("status %d and %d, evicted %v", first, second, evicted)
+		}
+	})
+}
+
+// Guards against a kernel that receives more and more for bodies, and against a small
+// body that costs calls of the system.
+func TestWindowIsChargedBeforeItIsWidened(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		size, length int
+		want         []int
+	}{
+		{"small", 1000, 1000, nil},
+		{"small, in chunks", 1000, -1, []int{smallWindow}},
+		{"large", 100_000, 100_000, []int{smallWindow, largeWindow}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			m := New(mb)
+			a := m.Open(func(bool) {})
+			var windows []int
+			a.ControlWindow(func(n int) { windows = append(windows, n) })
+			body, err := ReadBody(a, strings.NewReader(strings.Repeat("x", tc.size)), int64(tc.length), mb)
+			if err != nil || !slices.Equal(windows, tc.want) {
+				t.Errorf("windows %v, %v", windows, err)
+			}
+			if charged := m.Used() - int64(cap(body)); charged != 0 && len(tc.want) < 2 || charged != largeWindow && len(tc.want) == 2 {
+				t.Errorf("%d bytes are charged for the window", charged)
+			}
+		})
+	}
+}
--- a/internal/quota/request.go
+++ b/internal/quota/request.go
@@ -47,20 +47,86 @@
 	return a
 }
 
+// Answers returns a handler that charges each request for its answer and for what is
+// computed for it, in bytes. Callers that don't read their answers are the first to be
+// evicted.
+func Answers(next http.Handler, cost int64) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		a := FromContext(req.Context())
+		if a.Grow(cost) != nil {
+			w.Header().Set("Retry-After", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		a.Send()
+		next.ServeHTTP(w, req)
+	})
+}
+
+const (
+	// smallWindow is the number of bytes that the kernel receives for a body that has just
+	// begun. It is the usual one of a new connection.
+	smallWindow = 64 << 10
+	// largeWindow is the same for a large body. It is charged.
+	largeWindow = 128 << 10
+)
+
+// limitWindow keeps the kernel from receiving more and more for a body that may be large.
+func (a *Account) limitWindow(length int64) {
+	if a != nil && a.setWindow != nil && (length < 0 || length > smallWindow) {
+		a.setWindow(smallWindow)
+	}
+}
+
+// widenWindow makes large bodies arrive faster. Callers at a distance would need long
+// otherwise.
+func (a *Account) widenWindow() error {
+	if a == nil || a.setWindow == nil {
+		return nil
+	}
+	if err := a.Grow(largeWindow); err != nil {
+		return err
+	}
+	a.setWindow(largeWindow)
+	return nil
+}
+
 // minBuffer is the size of the first buffer of ReadAll.
 const minBuffer = 4 << 10
 
 // ReadAll reads r to its end, up to max bytes and one more, and charges the buffer to the
-// account. length is the expected number of bytes, or negative if it is unknown. The
-// buffer grows as bytes arrive, so that an announced length costs nothing by itself. The
-// error wraps ErrExhausted if the account can't bear the buffer.
-func ReadAll(a *Account, r io.Reader, length, max int64) ([]byte, error) {
+// account. The error wraps ErrExhausted if the account can't bear the buffer.
+func ReadAll(a *Account, r io.Reader, max int64) ([]byte, error) {
+	return readAll(a, r, max, func(int) error { return nil })
+}
+
+// ReadBody is ReadAll for the body of a request on the account's connection. length is the
+// expected number of bytes, or negative if it is unknown. The buffer grows as bytes arrive,
+// so that an announced length costs nothing by itself, and so does what the kernel
+// receives.
+func ReadBody(a *Account, r io.Reader, length, max int64) ([]byte, error) {
 	if length >= 0 {
 		max = min(length, max)
 	}
+	a.limitWindow(length)
+	widened := false
+	return readAll(a, r, max, func(n int) error {
+		if n < smallWindow || widened {
+			return nil
+		}
+		widened = true
+		return a.widenWindow()
+	})
+}
+
+// readAll implements ReadAll. It calls progress with the number of bytes before each read.
+func readAll(a *Account, r io.Reader, max int64, progress func(n int) error) ([]byte, error) {
 	r = io.LimitReader(r, max+1)
 	var buf []byte
 	for {
+		if err := progress(len(buf)); err != nil {
+			return nil, err
+		}
 		if len(buf) == cap(buf) {
 			size := min(int64(cap(buf))*2, max+1)
 			if len(buf) == 0 {
--- a/process/daemon/run.go
+++ b/process/daemon/run.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"github.com/pomelospool/pomelospool/internal/drain"
+	"github.com/pomelospool/pomelospool/internal/quota"
 	"github.com/pomelospool/pomelospool/peer"
 	"github.com/pomelospool/pomelospool/process/burn"
 	"github.com/pomelospool/pomelospool/request/entry"
@@ -34,7 +35,7 @@
 	d.callers.TLSConfig = keys.serverTLS()
 	d.drain = drain.Track(d.callers, drain.Options{MaxConns: entry.MaxConns(d.s.Limits), Memory: d.memory, Reject: entry.Reject})
 	d.operators = &http.Server{
-		Handler:           keys.guardOperators(d.operatorRoutes()),
+		Handler:           keys.guardOperators(quota.Answers(d.operatorRoutes(), operatorAnswerCost)),
 		ReadHeaderTimeout: operatorTimeout,
 		MaxHeaderBytes:    d.s.Limits.HeaderBytes,
 		TLSConfig:         keys.serverTLS(),
@@ -55,6 +56,9 @@
 
 const (
 	operatorTimeout = 5 * time.Second
+	// operatorAnswerCost is the cost in bytes of memory of an answer to operators: of the
+	// state that is gathered for it.
+	operatorAnswerCost = 256 << 10
 	// maxOperators is the number of operators' connections above which idle ones are
 	// closed.
 	maxOperators = 256
--- a/process/front/servers.go
+++ b/process/front/servers.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"github.com/pomelospool/pomelospool/internal/drain"
+	"github.com/pomelospool/pomelospool/internal/quota"
 	"github.com/pomelospool/pomelospool/internal/sock"
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/process/relay"
@@ -21,6 +22,10 @@
 // unacknowledged.
 const callerAckTimeout = 10 * time.Second
 
+// operatorAnswerCost is the cost in bytes of memory of an answer to operators: of the
+// metrics that are gathered for it.
+const operatorAnswerCost = 256 << 10
+
 // server is an HTTP server and its listener.
 type server struct {
 	name  string
@@ -68,7 +73,7 @@
 	if _, err = add("addresses", d.s.Listen.Addresses, d.newInternalServer(platform.AddressHandler(d.roster)), addresses); err != nil {
 		return err
 	}
-	_, err = add("operators", d.s.Listen.Operators, d.newInternalServer(d.operatorRoutes()), internal)
+	_, err = add("operators", d.s.Listen.Operators, d.newInternalServer(quota.Answers(d.operatorRoutes(), operatorAnswerCost)), internal)
 	return err
 }
 
--- a/process/relay/relay.go
+++ b/process/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/uptrace/bunrouter"
 
+	"github.com/pomelospool/pomelospool/internal/quota"
 	"github.com/pomelospool/pomelospool/port"
 )
 
@@ -53,7 +54,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return nil
 		}
-		return cache.write(w, l.key(), l.page.Records, answer{End: l.page.End})
+		return cache.write(w, req.Request, l.key(), l.page.Records, answer{End: l.page.End})
 	})
 	r.GET("/current", func(w http.ResponseWriter, req bunrouter.Request) error {
 		p := params{values: req.URL.Query()}
@@ -69,7 +70,7 @@
 			return nil
 		}
 		metrics.Add("listings_served", 1)
-		return cache.write(w, l.key(), l.page.Records, answer{End: l.page.End, ReadAt: l.readAt, AvailableFor: l.availableFor})
+		return cache.write(w, req.Request, l.key(), l.page.Records, answer{End: l.page.End, ReadAt: l.readAt, AvailableFor: l.availableFor})
 	})
 	r.GET("/records", func(w http.ResponseWriter, req bunrouter.Request) error {
 		p := params{values: req.URL.Query()}
@@ -86,7 +87,7 @@
 		switch status {
 		case ok:
 			metrics.Add("reads_served", 1)
-			return cache.write(w, b.key(), b.records(), answer{End: b.next, ReadAt: b.readAt, AvailableFor: b.availableFor})
+			return cache.write(w, req.Request, b.key(), b.records(), answer{End: b.next, ReadAt: b.readAt, AvailableFor: b.availableFor})
 		case gap:
 			w.WriteHeader(http.StatusGone)
 		default:
@@ -114,8 +115,8 @@
 	return time.Duration(p.number(name)) * time.Millisecond
 }
 
-// write sends records of the topic as the response.
-func (t *TopicCache) write(w http.ResponseWriter, key packKey, records []port.KeyedRecord, a answer) error {
+// write sends records of the topic as the response to req.
+func (t *TopicCache) write(w http.ResponseWriter, req *http.Request, key packKey, records []port.KeyedRecord, a answer) error {
 	var err error
 	if a.Pack, err = t.packer.pack(key, records); err != nil {
 		return err
@@ -124,6 +125,13 @@
 	if err != nil {
 		return fmt.Errorf("relay: %w", err)
 	}
+	// The packed records are shared by all responses, their encoding isn't.
+	account := quota.FromContext(req.Context())
+	if account.Grow(int64(len(data))) != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return nil
+	}
+	account.Send()
 	_, err = w.Write(data)
 	return err
 }
--- a/request/dispatch/peers.go
+++ b/request/dispatch/peers.go
@@ -110,7 +110,7 @@
 		return nil, err
 	}
 	defer resp.Close()
-	body, err := quota.ReadAll(quota.FromContext(ctx), resp.Body, -1, maxAnswer)
+	body, err := quota.ReadAll(quota.FromContext(ctx), resp.Body, maxAnswer)
 	if err == nil && len(body) > maxAnswer {
 		err = errTooLarge
 	}
--- a/request/dispatch/send.go
+++ b/request/dispatch/send.go
@@ -112,7 +112,7 @@
 // readAnswer reads the rest of an answer and closes the response.
 func (x *execution) readAnswer(ctx context.Context, target string, resp *h1.Response, v port.ResponseMeta) (*Answer, *sendFailure) {
 	defer resp.Close(v.KeepAlive)
-	body, err := quota.ReadAll(quota.FromContext(ctx), resp.Body, -1, maxAnswer)
+	body, err := quota.ReadAll(quota.FromContext(ctx), resp.Body, maxAnswer)
 	if err == nil && len(body) > maxAnswer {
 		err = errTooLarge
 	}
--- a/request/entry/answer.go
+++ b/request/entry/answer.go
@@ -6,7 +6,9 @@
 	"strconv"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/quota"
 	"github.com/pomelospool/pomelospool/request/answer"
+	"github.com/pomelospool/pomelospool/request/limit"
 )
 
 // writeError writes an error answer with err's result code.
@@ -19,11 +21,12 @@
 	if err != nil {
 		return err
 	}
-	writeAnswer(w, http.StatusOK, "application/json", data)
+	writeAnswer(w, nil, http.StatusOK, "application/json", data)
 	return nil
 }
 
-func writeAnswer(w http.ResponseWriter, status int, contentType string, body []byte) {
+// writeAnswer writes an answer whose body is a part of the account, which may be nil.
+func writeAnswer(w http.ResponseWriter, account *quota.Account, status int, contentType string, body []byte) {
 	h := w.Header()
 	if contentType != "" {
 		h.Set("Content-Type", contentType)
@@ -31,5 +34,5 @@
 	h.Set(answer.HeaderCode, strconv.Itoa(int(code.OK)))
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	_, _ = w.Write(body)
+	_ = limit.WriteAll(w, account, body, defaultWriteTimeout) // a disconnected caller can't be answered
 }
--- a/request/entry/model.go
+++ b/request/entry/model.go
@@ -276,7 +276,7 @@
 		writeError(w, err)
 		return
 	}
-	writeAnswer(w, http.StatusOK, "application/json", recv.body)
+	writeAnswer(w, recv.account, http.StatusOK, "application/json", recv.body)
 }
 
 // runStream runs a request whose answer is streamed and writes the answer. An
--- a/request/entry/once.go
+++ b/request/entry/once.go
@@ -50,7 +50,7 @@
 		writeError(w, r.err)
 		return
 	}
-	writeAnswer(w, r.answer.Status, r.answer.Type, r.answer.Body)
+	writeAnswer(w, quota.FromContext(req.Context()), r.answer.Status, r.answer.Type, r.answer.Body)
 }
 
 // startOnce admits the call and starts it. Admission comes before the key is
@@ -102,7 +102,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	recv := &plainReceiver{maxBuffered: e.opts.Limits.BodyBytes, account: quota.FromContext(ctx)}
+	// The answer isn't charged: a call whose answer is lost has an unknown outcome.
+	recv := &plainReceiver{maxBuffered: e.opts.Limits.BodyBytes}
 	result, err := e.runner.Run(ctx, q, &p.decision, &bufferedReceiver{recv})
 	return closeTicket(ticket, recv, result, err)
 }
--- a/request/entry/plain.go
+++ b/request/entry/plain.go
@@ -221,7 +221,7 @@
 		r.w.Header().Set("Content-Length", strconv.Itoa(len(r.buffered)))
 	}
 	r.w.WriteHeader(r.status)
-	_, _ = r.w.Write(r.buffered)
+	_ = limit.WriteAll(r.w, r.account, r.buffered, r.writeTimeout) // a disconnected caller can't be answered
 }
 
 // isTargetAnswer reports whether err represents a complete error answer of the
--- a/request/entry/plainanswer.go
+++ b/request/entry/plainanswer.go
@@ -37,7 +37,7 @@
 // Receive handles the answer of one attempt.
 func (r *plainReceiver) Receive(a attempt.Answer) error {
 	r.status = 0
-	buffered, err := quota.ReadAll(r.account, a.Body, -1, r.maxBuffered)
+	buffered, err := quota.ReadAll(r.account, a.Body, r.maxBuffered)
 	if err != nil {
 		return &failure.Failure{Class: failure.Cut, Target: a.Target, Err: err}
 	}
--- a/request/entry/receive.go
+++ b/request/entry/receive.go
@@ -90,7 +90,7 @@
 }
 
 func readLimited(account *quota.Account, src io.Reader, max int64) ([]byte, error) {
-	body, err := quota.ReadAll(account, src, -1, max)
+	body, err := quota.ReadAll(account, src, max)
 	if err != nil {
 		return nil, err
 	}
--- a/request/ingress/answer.go
+++ b/request/ingress/answer.go
@@ -8,6 +8,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/internal/hop"
+	"github.com/pomelospool/pomelospool/internal/quota"
 	"github.com/pomelospool/pomelospool/request/answer"
 	"github.com/pomelospool/pomelospool/request/dispatch"
 	"github.com/pomelospool/pomelospool/request/forward"
@@ -27,7 +28,7 @@
 	}
 	x.status = a.Status
 	x.w.WriteHeader(a.Status)
-	if err := limit.WriteAll(x.w, x.req, a.Body, writeTimeout); err != nil && answer.HasBody(a.Status) {
+	if err := limit.WriteAll(x.w, quota.FromContext(x.req.Context()), a.Body, writeTimeout); err != nil && answer.HasBody(a.Status) {
 		x.headerSent.Store(true)
 		return code.Wrap(code.CallerGone, err, "")
 	}
--- a/request/limit/limit.go
+++ b/request/limit/limit.go
@@ -65,7 +65,7 @@
 	wd := watchdog.New(func() { _ = ctl.SetReadDeadline(expiredDeadline) })
 	wd.Arm(wait)
 	account := quota.FromContext(req.Context())
-	body, err := quota.ReadAll(account, http.MaxBytesReader(w, req.Body, max), req.ContentLength, max)
+	body, err := quota.ReadBody(account, http.MaxBytesReader(w, req.Body, max), req.ContentLength, max)
 	expired := wd.Disarm()
 	if account.Run() != nil || errors.Is(err, quota.ErrExhausted) {
 		return nil, MemoryExhausted()
@@ -93,11 +93,10 @@
 	return code.New(code.MemoryExhausted, "").WithRetryAfter(memoryRetryAfter)
 }
 
-// WriteAll writes the body to the caller. It fails if the caller accepts no bytes for the
-// time stall.
-func WriteAll(w http.ResponseWriter, req *http.Request, body []byte, stall time.Duration) error {
+// WriteAll writes an answer's body to the caller, of whose account it is a part. The account
+// may be nil. It fails if the caller accepts no bytes for the time stall.
+func WriteAll(w http.ResponseWriter, account *quota.Account, body []byte, stall time.Duration) error {
 	const part = 16 << 10
-	account := quota.FromContext(req.Context())
 	out := NewWriter(w, stall)
 	for len(body) > 0 {
 		account.Send()
