drain: what the kernel may receive of a large body is charged

Callers saw: a crowd of bodies with a length, the last byte missing, could still exceed the VM's memory for a moment.

Cause: the kernel widens the window of a connection that is read fast; 230 connections held 46 MB that the daemon hadn't read, beside 80 MB of its own.

The shares of the VM are 25% for callers and 55% as the collector's target, which leaves more for the kernel and for garbage.

--- a/internal/drain/pending_linux.go
+++ b/internal/drain/pending_linux.go
@@ -37,6 +37,16 @@
 	return n
 }
 
+// setWindow limits the bytes that the kernel receives while nobody reads them. It has no
+// effect on connections that aren't sockets.
+func (c *conn) setWindow(bytes int) {
+	control(innermost(c.Conn), func(fd int) {
+		// The kernel keeps its defaults if it doesn't know an option.
+		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, bytes)
+	})
+}
+
 // backlogged reports whether connections have arrived that weren't accepted. It
 // returns false for listeners that aren't sockets.
 func backlogged(l net.Listener) bool {
--- a/internal/drain/pending_other.go
+++ b/internal/drain/pending_other.go
@@ -11,3 +11,5 @@
 func backlogged(net.Listener) bool { return false }
 
 func unread(net.Conn) int { return 0 }
+
+func (c *conn) setWindow(int) {}
--- a/process/memlimit/memlimit.go
+++ b/process/memlimit/memlimit.go
@@ -16,10 +16,10 @@
 	// heapShare is the share of the VM's memory that the runtime may use before it
 	// collects garbage more often. The rest is for the program, and for bytes that the
 	// kernel holds for sockets.
-	heapShare = 0.6
+	heapShare = 0.55
 	// callersShare is the share of the VM's memory that callers may hold by default.
 	// The heap also needs room for the daemon's own state and for garbage.
-	callersShare = 0.3
+	callersShare = 0.25
 )
 
 // Apply sets the runtime's memory limit and returns the account of callers' memory. The
--- a/process/settings/types.go
+++ b/process/settings/types.go
@@ -140,7 +140,7 @@
 	// MemoryMB is the memory of the VM in MB; 0: as the system says.
 	MemoryMB float64 `yaml:"memory_mb,omitempty"`
 	// CallersMemoryMB is the memory in MB that the connections to all ports, and their
-	// requests, may hold at a time; 0: 30% of the VM's.
+	// requests, may hold at a time; 0: 25% of the VM's.
 	CallersMemoryMB float64 `yaml:"callers_memory_mb,omitempty"`
 }
 
