--- a/bench/crowd/client_test.go
+++ b/bench/crowd/client_test.go
@@ -27,8 +27,7 @@
 	// maxConnects is how often a client connects: again after the daemon has closed
 	// its connection, as clients that don't wait do.
 	maxConnects = 12
-	// crowdTime bounds the time of a crowd. Its clients are told to leave then, even
-	// if some haven't sent all.
+	// crowdTime bounds the time in which the clients of a crowd send.
 	crowdTime = 8 * time.Second
 	// reconnectPause is the pause before a client connects again.
 	reconnectPause = 50 * time.Millisecond
--- a/bench/crowd/site_test.go
+++ b/bench/crowd/site_test.go
@@ -79,7 +79,7 @@
 	}
 	large := standin.NewTarget("i-large", "")
 	large.Service = standin.SlowService
-	store.Announce(large, s.serve(largeTarget(large)), false)
+	store.Announce(large, s.serve(standin.LargeAnswers(large, largeAnswer)), false)
 	store.ConfigureKeyed(1, "/p/", "o1", siteKey)
 	const daemons = 2
 	for i := range daemons {
@@ -109,31 +109,6 @@
 	return l.Addr().String()
 }
 
-// largeTarget returns a target whose answers have largeAnswer bytes and come after
-// the whole request, as answers of plain services do.
-func largeTarget(t *standin.Target) http.Handler {
-	answer := bytes.Repeat([]byte("a"), largeAnswer)
-	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		if !strings.HasPrefix(req.URL.Path, "/slow-") {
-			t.ServeHTTP(w, req)
-			return
-		}
-		_, _ = io.Copy(io.Discard, req.Body) // ends with the connection
-		id := req.Header.Get("X-Pomelospool-Request-Id")
-		w.Header().Set("X-Pomelospool-Request-Id", id)
-		w.Header().Set("X-Pomelospool-Response-Stamp", "stamp-"+id)
-		if strings.HasPrefix(req.URL.Path, standin.SlowStreamPrefix) {
-			w.Header().Set("Content-Type", "text/event-stream")
-			for line := []byte("data: " + strings.Repeat("e", 1<<10) + "\n\n"); ; {
-				if _, err := w.Write(line); err != nil {
-					return
-				}
-			}
-		}
-		_, _ = w.Write(answer)
-	})
-}
-
 // addrs returns the address of a port of the first n daemons.
 func (s *site) addrs(n, port int) (out []string) {
 	for _, p := range s.daemons[:n] {
--- a/internal/drain/memory_test.go
+++ b/internal/drain/memory_test.go
@@ -100,8 +100,8 @@
 	return fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", length)
 }
 
-// Guards against a caller that isn't told that its request wasn't run, and against an
-// ordinary request that is turned away in its place.
+// Guards against a caller that gets no answer while its request is refused, and against an
+// ordinary request that is refused in its place.
 func TestLargestBodyIsRefusedWhileItArrives(t *testing.T) {
 	f := newMemoryFixture(t, Options{})
 	const (
--- a/internal/quota/memory_test.go
+++ b/internal/quota/memory_test.go
@@ -82,7 +82,7 @@
 	})
 }
 
-// Guards against a request that runs after its caller was told that it doesn't.
+// Guards against a request that runs after it was refused as not run.
 func TestEvictedRequestDoesNotRun(t *testing.T) {
 	m := New(mb)
 	a := m.Open(func(bool) {})
--- a/request/ingress/memory_test.go
+++ b/request/ingress/memory_test.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// Guards against a request that is refused for lack of memory and whose caller isn't told
-// that it wasn't run, or when to come back.
+// Guards against a refusal for lack of memory that doesn't state that the request wasn't
+// run, or when to retry.
 func TestRefusalForLackOfMemory(t *testing.T) {
 	for name, tc := range map[string]struct {
 		left, header, body int
