drain, peer: log what is closed or refused before it is read

Callers saw: closed connections, and operators only a counter.

Change: connections that are closed at once, and headers that are refused before their end, have a line each, at most one a second, with the number since the last.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/internal/quota"
 )
@@ -56,6 +58,11 @@
 // counts are the counters of this package.
 var counts = expvar.NewMap("drain")
 
+var (
+	notAccepted     = quota.NewNotices("drain: connections were closed at once")
+	headersTooLarge = quota.NewNotices("drain: headers were refused before their end")
+)
+
 // Tracker tracks the connections of a server. It is safe for concurrent use.
 type Tracker struct {
 	server   *http.Server
@@ -190,6 +197,7 @@
 			return c, nil
 		}
 		counts.Add("not_accepted", 1)
+		notAccepted.Add(log.Fields{"port": l.Addr().String(), "connections": l.t.count.Load()})
 		c.account.Close()
 		_ = inner.Close()
 	}
--- a/internal/drain/memory.go
+++ b/internal/drain/memory.go
@@ -8,6 +8,8 @@
 	"os"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/pomelospool/pomelospool/internal/quota"
 )
 
@@ -54,6 +56,7 @@
 	c.mu.Unlock()
 	if max := c.t.headerBytes(); max > 0 && size > max+headerSlack {
 		counts.Add("headers_too_large", 1)
+		headersTooLarge.Add(log.Fields{"limit": max})
 		c.refuseHeader()
 		return io.EOF // the server closes the connection without an answer
 	}
--- a/peer/traffic.go
+++ b/peer/traffic.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"google.golang.org/grpc/stats"
 
 	"github.com/pomelospool/pomelospool/internal/quota"
@@ -29,6 +30,8 @@
 // counts are the counters of this package.
 var counts = expvar.NewMap("peer")
 
+var notAccepted = quota.NewNotices("peer: connections were closed at once")
+
 // traffic charges the memory of connections from peers. Bytes that were read count until
 // gRPC reports the message that they belong to, and messages until their call ends. It
 // implements stats.Handler.
@@ -60,6 +63,7 @@
 			return c, nil
 		}
 		counts.Add("not_accepted", 1)
+		notAccepted.Add(log.Fields{"limit": l.t.o.MaxConns})
 		_ = inner.Close()
 	}
 }
