--- /dev/null
+++ b/review/lab2/server.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// heartbeat is the interval at which servers write their entries.
+const heartbeat = 1200 * time.Millisecond
+
+// healthPath is the path of the servers' health checks.
+const healthPath = "/healthz"
+
+// server is a stand-in of a plain server, as PROTOCOL.md describes it.
+type server struct {
+	w           *world
+	service, id string
+	addr        string
+	version     string
+	born        int64 // 0: not stated
+	work        time.Duration
+	crashBody   string // a request with this body crashes the server
+
+	mu       sync.Mutex
+	state    string
+	seq      int
+	http     *http.Server
+	stopBeat chan struct{}
+	ran      []run
+	onCrash  func()
+}
+
+// run is a request that a server began to work on.
+type run struct {
+	at          time.Time
+	id, path    string
+	server, svc string
+}
+
+// newServer starts a server and registers it.
+func (w *world) newServer(service, id string) (*server, error) {
+	s := &server{w: w, service: service, id: id, version: "v1", work: 10 * time.Millisecond, state: "ready"}
+	l, err := net.Listen("tcp", w.newIP()+":0")
+	if err != nil {
+		return nil, err
+	}
+	s.addr = l.Addr().String()
+	s.listen(l)
+	s.write()
+	s.beat()
+	w.closers = append(w.closers, s.stop)
+	return s, nil
+}
+
+func (s *server) listen(l net.Listener) {
+	s.http = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
+	h := s.http
+	go func() { _ = h.Serve(l) }()
+}
+
+// beat writes the entry at each heartbeat.
+func (s *server) beat() {
+	stop := make(chan struct{})
+	s.stopBeat = stop
+	go func() {
+		t := time.NewTicker(heartbeat)
+		defer t.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-t.C:
+				s.write()
+			}
+		}
+	}()
+}
+
+func (s *server) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopBeat != nil {
+		close(s.stopBeat)
+		s.stopBeat = nil
+	}
+	_ = s.http.Close()
+}
+
+// write writes the server's entry, with all fields.
+func (s *server) write() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seq++
+	entry := map[string]any{
+		"service": s.service, "address": s.addr, "zone": "a", "version": s.version, "slots": 6,
+		"state": s.state, "cold_remaining_ms": 0, "seq": s.seq,
+	}
+	if s.born != 0 {
+		entry["born"] = s.born
+	}
+	data, err := json.Marshal(entry)
+	if err != nil {
+		panic(err) // maps of texts and numbers can always be encoded
+	}
+	s.w.store.Set("keyed.servers", s.id, data)
+}
+
+func (s *server) setState(state string) {
+	s.mu.Lock()
+	s.state = state
+	s.mu.Unlock()
+	s.write()
+	s.w.log("server %s of %s says that it is %s", s.id, s.service, state)
+}
+
+func (s *server) runs() []run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]run(nil), s.ran...)
+}
+
+// ServeHTTP answers requests and health checks.
+func (s *server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	id := req.Header.Get("X-Pomelospool-Request-Id")
+	if id != "" {
+		w.Header().Set("X-Pomelospool-Request-Id", id)
+	}
+	if want := req.Header.Get("X-Pomelospool-Expect-Instance"); want != "" && want != s.id {
+		w.Header().Set("X-Pomelospool-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if req.URL.Path == healthPath {
+		w.Header().Set("X-Pomelospool-Instance-Id", s.id)
+		if s.current() != "ready" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.ran = append(s.ran, run{at: time.Now(), id: id, path: req.URL.Path, server: s.id, svc: s.service})
+	crash := s.crashBody != "" && string(body) == s.crashBody
+	s.mu.Unlock()
+	s.w.log("server %s of %s runs %s %s", s.id, s.service, id, req.URL.Path)
+	if crash {
+		s.onCrash()
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(s.work)
+	w.Header().Set("X-Pomelospool-Response-Stamp", "stamp-"+s.id+"-"+id)
+	_, _ = io.WriteString(w, fmt.Sprintf("%s answers %s", s.service, id))
+}
+
+func (s *server) current() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state
+}
