--- a/review/lab2/innocent.go
+++ b/review/lab2/innocent.go
@@ -12,10 +12,12 @@
 // outage crashes the server for the time. It is back under a new id.
 func (s *server) outage(down time.Duration) {
 	s.mu.Lock()
-	if s.stopBeat != nil {
-		close(s.stopBeat)
-		s.stopBeat = nil
+	if s.stopBeat == nil {
+		s.mu.Unlock()
+		return // it has crashed
 	}
+	close(s.stopBeat)
+	s.stopBeat = nil
 	_ = s.http.Close()
 	old := s.id
 	s.starts++
@@ -35,8 +37,8 @@
 		s.id = fmt.Sprintf("%s-%d", old, s.starts)
 		s.listen(l)
 		s.mu.Unlock()
-		s.write()
 		s.beat()
+		s.write()
 		s.w.log("server %s of %s is back", s.id, s.service)
 	})
 }
--- a/review/lab2/server.go
+++ b/review/lab2/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -13,6 +14,9 @@
 // heartbeat is the interval at which servers write their entries.
 const heartbeat = 1200 * time.Millisecond
 
+// crashAfter is how long a server works on a request that crashes it.
+const crashAfter = 50 * time.Millisecond
+
 // healthPath is the path of the servers' health checks.
 const healthPath = "/healthz"
 
@@ -24,6 +28,8 @@
 	version     string
 	born        int64 // 0: not stated
 	work        time.Duration
+	crashBody   string        // a request with this body crashes the server
+	back        time.Duration // time until it is back then
 
 	mu       sync.Mutex
 	state    string
@@ -65,7 +71,9 @@
 // beat writes the entry at each heartbeat.
 func (s *server) beat() {
 	stop := make(chan struct{})
+	s.mu.Lock()
 	s.stopBeat = stop
+	s.mu.Unlock()
 	go func() {
 		t := time.NewTicker(heartbeat)
 		defer t.Stop()
@@ -136,18 +144,38 @@
 		}
 		return
 	}
-	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
 		return
 	}
 	s.mu.Lock()
 	s.ran = append(s.ran, run{at: time.Now(), id: id, path: req.URL.Path, server: s.id, svc: s.service})
 	s.mu.Unlock()
 	s.w.log("server %s of %s runs %s %s", s.id, s.service, id, req.URL.Path)
+	if s.crashBody != "" && string(body) == s.crashBody {
+		time.Sleep(crashAfter)
+		s.outage(s.back)
+		panic(http.ErrAbortHandler)
+	}
 	time.Sleep(s.work)
 	w.Header().Set("X-Pomelospool-Response-Stamp", "stamp-"+s.id+"-"+id)
 	_, _ = io.WriteString(w, fmt.Sprintf("%s answers %s", s.service, id))
 }
 
+// runsOf returns the runs that match, in order.
+func runsOf(servers []*server, match func(r run) bool) []run {
+	var out []run
+	for _, s := range servers {
+		for _, r := range s.runs() {
+			if match(r) {
+				out = append(out, r)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b run) int { return a.at.Compare(b.at) })
+	return out
+}
+
 func (s *server) current() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
