--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(w *world, trouble bool) ([]string, error){
 	"foreign-entry": foreignEntry,
 	"innocent":      innocent,
+	"quarter":       quarter,
 	"forgotten":     forgotten,
 }
 
--- a/review/lab2/server.go
+++ b/review/lab2/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -28,6 +29,8 @@
 	version     string
 	born        int64 // 0: not stated
 	work        time.Duration
+	slow        string // prefix of paths whose requests take slowWork
+	slowWork    time.Duration
 	crashBody   string        // a request with this body crashes the server
 	back        time.Duration // time until it is back then
 
@@ -37,6 +40,7 @@
 	http     *http.Server
 	stopBeat chan struct{}
 	ran      []run
+	running  int // requests under slow
 	starts   int
 }
 
@@ -157,11 +161,30 @@
 		s.outage(s.back)
 		panic(http.ErrAbortHandler)
 	}
-	time.Sleep(s.work)
+	if s.slow != "" && strings.HasPrefix(req.URL.Path, s.slow) {
+		s.addRunning(1)
+		time.Sleep(s.slowWork)
+		s.addRunning(-1)
+	} else {
+		time.Sleep(s.work)
+	}
 	w.Header().Set("X-Pomelospool-Response-Stamp", "stamp-"+s.id+"-"+id)
 	_, _ = io.WriteString(w, fmt.Sprintf("%s answers %s", s.service, id))
 }
 
+func (s *server) addRunning(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running += n
+}
+
+// runningSlow returns the number of requests under slow that run now.
+func (s *server) runningSlow() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running
+}
+
 // runsOf returns the runs that match, in order.
 func runsOf(servers []*server, match func(r run) bool) []run {
 	var out []run
