--- a/review/lab2/forgotten.go
+++ b/review/lab2/forgotten.go
@@ -96,7 +96,7 @@
 		}
 		time.Sleep(2 * time.Second)
 		for _, d := range w.daemons {
-			if err := w.start(d); err != nil {
+			if err := w.restart(d); err != nil {
 				return nil, err
 			}
 		}
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -26,6 +26,7 @@
 	"innocent":      innocent,
 	"quarter":       quarter,
 	"forgotten":     forgotten,
+	"take-ups":      takeUps,
 }
 
 func main() {
--- a/review/lab2/server.go
+++ b/review/lab2/server.go
@@ -28,6 +28,7 @@
 	addr        string
 	version     string
 	born        int64 // 0: not stated
+	slots       int
 	work        time.Duration
 	slow        string // prefix of paths whose requests take slowWork
 	slowWork    time.Duration
@@ -53,7 +54,7 @@
 
 // newServer starts a server and registers it.
 func (w *world) newServer(service, id string) (*server, error) {
-	s := &server{w: w, service: service, id: id, version: "v1", work: 10 * time.Millisecond, state: "ready"}
+	s := &server{w: w, service: service, id: id, version: "v1", slots: 6, work: 10 * time.Millisecond, state: "ready"}
 	l, err := net.Listen("tcp", w.newIP()+":0")
 	if err != nil {
 		return nil, err
@@ -108,7 +109,7 @@
 	defer s.mu.Unlock()
 	s.seq++
 	entry := map[string]any{
-		"service": s.service, "address": s.addr, "zone": "a", "version": s.version, "slots": 6,
+		"service": s.service, "address": s.addr, "zone": "a", "version": s.version, "slots": s.slots,
 		"state": s.state, "cold_remaining_ms": 0, "seq": s.seq,
 	}
 	if s.born != 0 {
@@ -161,6 +162,10 @@
 		s.outage(s.back)
 		panic(http.ErrAbortHandler)
 	}
+	if strings.HasPrefix(req.URL.Path, streamPath) {
+		s.serveStream(w, req, id)
+		return
+	}
 	if s.slow != "" && strings.HasPrefix(req.URL.Path, s.slow) {
 		s.addRunning(1)
 		time.Sleep(s.slowWork)
--- a/review/lab2/world.go
+++ b/review/lab2/world.go
@@ -159,6 +159,18 @@
 	return nil
 }
 
+// restart starts a daemon again. The system as a whole has started before.
+func (w *world) restart(d *daemon) error {
+	data, err := os.ReadFile(d.settings)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(d.settings, []byte(strings.Replace(string(data), "bootstrap: true\n", "", 1)), 0o600); err != nil {
+		return err
+	}
+	return w.start(d)
+}
+
 // awaitReady waits until the daemon says that it is ready.
 func (d *daemon) awaitReady(limit time.Duration) error {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
