--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -26,7 +26,8 @@
 	"innocent":      innocent,
 	"quarter":       quarter,
 	"forgotten":     forgotten,
-	"take-ups":      takeUps,
+	"take-ups-roll": takeUpsAfterRoll,
+	"take-ups-kill": takeUpsAfterKill,
 }
 
 func main() {
