--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -22,12 +22,13 @@
 
 // cases are the cases by name. Each returns what broke the rule, or nothing.
 var cases = map[string]func(w *world, trouble bool) ([]string, error){
-	"foreign-entry": foreignEntry,
-	"innocent":      innocent,
-	"quarter":       quarter,
-	"forgotten":     forgotten,
-	"take-ups-roll": takeUpsAfterRoll,
-	"take-ups-kill": takeUpsAfterKill,
+	"foreign-entry":    foreignEntry,
+	"innocent":         innocent,
+	"quarter":          quarter,
+	"forgotten":        forgotten,
+	"take-ups-roll":    takeUpsAfterRoll,
+	"take-ups-kill":    takeUpsAfterKill,
+	"take-ups-release": takeUpsInRelease,
 }
 
 func main() {
--- a/review/lab2/takeups.go
+++ b/review/lab2/takeups.go
@@ -137,31 +137,65 @@
 	})
 }
 
+// takeUpsInRelease: one of the daemons is killed a second before servers of a new version
+// join. Only its streams break off.
+func takeUpsInRelease(w *world, trouble bool) ([]string, error) {
+	return playTakeUps(w, trouble, takeUpPlan{oneVersion: true, clients: 60, restart: func(cut func()) error {
+		d := w.daemons[0]
+		d.stopped = true
+		_ = d.cmd.Process.Signal(syscall.SIGKILL)
+		w.log("%s is killed", d.name)
+		<-d.done
+		time.Sleep(restartDelay)
+		return w.restart(d)
+	}})
+}
+
 const (
 	restartDelay = 500 * time.Millisecond
 	graceTime    = 8 * time.Second
 )
 
-// takeUps: streams break off, and clients take them up again once all daemons are in touch,
-// while servers of two versions serve. restart restarts the daemons; cut makes the clients
-// lose the connections that they still have.
+// takeUps plays with two versions from the beginning.
 func takeUps(w *world, trouble bool, restart func(cut func()) error) ([]string, error) {
+	return playTakeUps(w, trouble, takeUpPlan{clients: 40, restart: restart})
+}
+
+// takeUpPlan is what differs between the cases. restart restarts daemons; cut makes the
+// clients lose the connections that they still have.
+type takeUpPlan struct {
+	oneVersion bool // the second version joins after restart
+	clients    int
+	restart    func(cut func()) error
+}
+
+// playTakeUps: streams break off, and clients take them up again once all daemons are in touch,
+// while servers of two versions serve.
+func playTakeUps(w *world, trouble bool, plan takeUpPlan) ([]string, error) {
 	c := plainConfig(3)
 	c["routes"] = append(c["routes"].([]map[string]any), map[string]any{
 		"name": "stream", "hostname": host, "path_prefix": streamPath, "kind": "streaming", "resumable": true, "timeout_ms": streamTimeout.Milliseconds(), "target_latency_ms": 500, "target_gap_ms": 300, "service": "stream-api", "max_attempts": 2, "priority": 1,
 	})
 	c["services"] = append(c["services"].([]map[string]any), map[string]any{"name": "stream-api", "health_path": healthPath, "max_conns": 200})
 	w.setConfig(c)
-	for i := range 6 {
-		s, err := w.newServer("stream-api", fmt.Sprintf("i-stream-%d", i+1))
+	add := func(i int, version string) error {
+		s, err := w.newServer("stream-api", fmt.Sprintf("i-stream-%d", i))
 		if err != nil {
-			return nil, err
-		}
-		s.slots = 64
-		if i%2 == 1 {
-			s.version = "v2"
+			return err
 		}
+		s.slots, s.version = 64, version
 		s.write()
+		w.log("server %s of %s starts, version %s", s.id, s.service, s.version)
+		return nil
+	}
+	for i := range 6 {
+		version := "v1"
+		if i%2 == 1 && !plan.oneVersion {
+			version = "v2"
+		}
+		if err := add(i, version); err != nil {
+			return nil, err
+		}
 	}
 	for _, zone := range []string{"a", "b", "c"} {
 		d, err := w.addDaemon(zone)
@@ -174,7 +208,7 @@
 	}
 	time.Sleep(8 * time.Second) // both versions are known everywhere
 
-	const clients = 40
+	clients := plan.clients
 	streams := make([]*clientStream, clients)
 	lost, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -190,32 +224,53 @@
 	}
 	time.Sleep(time.Second)
 	if trouble {
-		if err := restart(cancel); err != nil {
+		if err := plan.restart(cancel); err != nil {
 			return nil, err
 		}
-	} else {
+	} else if !plan.oneVersion {
 		time.Sleep(4 * time.Second)
 		cancel()
 	}
-	wg.Wait()
+	if plan.oneVersion {
+		time.Sleep(time.Second)
+		for i := range 2 {
+			if err := add(10+i, "v2"); err != nil {
+				return nil, err
+			}
+		}
+		if !trouble {
+			cancel() // all clients drop their connections
+		}
+		time.Sleep(200 * time.Millisecond)
+	} else {
+		wg.Wait()
+	}
 	started := time.Now()
 	for _, d := range w.daemons {
 		if err := d.awaitReady(2 * time.Second); err != nil {
 			return nil, err
 		}
 	}
-	time.Sleep(time.Until(started.Add(stableWindow + 200*time.Millisecond)))
-	w.log("all daemons are in touch")
+	wait := stableWindow + 200*time.Millisecond
+	if plan.oneVersion {
+		wait = time.Second // two daemons were in touch all the time
+	}
+	time.Sleep(time.Until(started.Add(wait)))
+	w.log("the clients take their streams up")
 	if left := streamTimeout - time.Since(begun); left < 3*time.Second {
 		return nil, fmt.Errorf("the clients have only %v left", left)
 	}
 
+	open := make([]bool, clients) // streams that still run
+	for n := range clients {
+		open[n] = plan.oneVersion && trouble && n%3 != 0
+	}
 	var mu sync.Mutex
 	tried, went, fresh, began := 0, 0, 0, 0
 	for n := range clients {
 		wg.Go(func() { // the client takes its stream up, once more after a refusal
 			st := streams[n]
-			if st.last == 0 || st.last == streamEvents {
+			if open[n] || st.last == 0 || st.last == streamEvents {
 				return
 			}
 			before := st.last
@@ -248,6 +303,7 @@
 		})
 	}
 	wg.Wait()
+	cancel()
 	joined := 0
 	for _, st := range streams {
 		if len(st.versions) > 1 {
