drain, ingress: log when a caller's close was noticed, and how late

What callers saw: nothing. Neither logs nor metrics told when the close of a caller's connection reached a daemon, so the three hypotheses on work for callers that left couldn't be told apart.

The line of a request that ends with code 2008 says after which time the departure was noticed, by what, and for how long the close had been waiting at the socket (TCP_INFO, time since the last segment). No decision changes.

--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pomelospool/pomelospool/internal/presence"
 	"github.com/pomelospool/pomelospool/internal/quota"
 )
 
@@ -60,6 +61,8 @@
 	evicted     bool      // its memory is needed
 	lingers     bool      // it is in lingering, until it is closed
 	extended    bool      // the deadline was extended by readGrace, or was set to expire at once
+
+	departure presence.Departure // zero: the caller hasn't left while a request was open
 }
 
 // NetConn returns the wrapped connection.
@@ -101,6 +104,7 @@
 	case c.evicted:
 		return false, err
 	case !errors.Is(err, os.ErrDeadlineExceeded):
+		c.recordDeparture(presence.ByRead)
 		return false, err
 	case c.closing && pending(c.Conn):
 		c.resume()
--- a/internal/drain/pending_linux.go
+++ b/internal/drain/pending_linux.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -37,6 +38,18 @@
 	return n
 }
 
+// sinceLastSegment returns the time since the last segment arrived on a connection, or a
+// negative time if that isn't known.
+func sinceLastSegment(c net.Conn) time.Duration {
+	age := time.Duration(-1)
+	control(innermost(c), func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			age = time.Duration(info.Last_ack_recv) * time.Millisecond
+		}
+	})
+	return age
+}
+
 // setWindow limits the bytes that the kernel receives while nobody reads them. It has no
 // effect on connections that aren't sockets.
 func (c *conn) setWindow(bytes int) {
--- a/internal/drain/pending_other.go
+++ b/internal/drain/pending_other.go
@@ -2,7 +2,10 @@
 
 package drain
 
-import "net"
+import (
+	"net"
+	"time"
+)
 
 // pending returns false, since it isn't implemented on this system.
 func pending(net.Conn) bool { return false }
@@ -12,4 +15,6 @@
 
 func unread(net.Conn) int { return 0 }
 
+func sinceLastSegment(net.Conn) time.Duration { return -1 }
+
 func (c *conn) setWindow(int) {}
--- a/internal/drain/unframed.go
+++ b/internal/drain/unframed.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 
+	"github.com/pomelospool/pomelospool/internal/presence"
 	"github.com/pomelospool/pomelospool/internal/quota"
 )
 
@@ -19,7 +20,7 @@
 			ctx = next(ctx, nc)
 		}
 		if c := tracked(nc); c != nil {
-			ctx = context.WithValue(ctx, connKey{}, c)
+			ctx = presence.WithCaller(context.WithValue(ctx, connKey{}, c), c)
 			if c.account != nil {
 				ctx = quota.WithAccount(ctx, c.account)
 			}
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -16,6 +16,7 @@
 
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/internal/pause"
+	"github.com/pomelospool/pomelospool/internal/presence"
 	"github.com/pomelospool/pomelospool/internal/quota"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/answer"
@@ -396,6 +397,9 @@
 	if q := x.trace.Quarantined; q != nil {
 		fields["quarantined"], fields["quarantined_part"] = q.Fingerprint.String(), q.Part
 	}
+	if d, left := presence.DepartureOf(x.req.Context()); left {
+		fields["left_after_ms"], fields["left_noticed_by"], fields["close_age_ms"] = d.At.Sub(x.arrived).Milliseconds(), string(d.By), d.Age.Milliseconds()
+	}
 	if len(x.trace.Exchanges) > 0 {
 		fields["exchanges"] = x.trace.ExchangeList()
 	}
