drain, h1: nothing is sent for callers that left before

What callers saw: a request of a caller that has closed its connection still reaches a target, if the daemon was late: stopped, short of processor time, or with a full accept queue. The target begins, and is cut a moment later.

Cause: nothing looked whether the caller was still there. net/http reads ahead in a goroutine of its own, which races with the run of the request; and h1 took a connection from the pool and wrote to it even if the call's context had already ended.

A context that was detached from the request's, as that of an at-most-once call that runs, doesn't end. h1 sends nothing if the context has ended, and puts the connection back.

--- a/connection/h1/exchange.go
+++ b/connection/h1/exchange.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pomelospool/pomelospool/internal/presence"
 	"github.com/pomelospool/pomelospool/internal/watchdog"
 )
 
@@ -119,12 +120,21 @@
 	unacked   int // bytes that were unacknowledged when the exchange was given up
 }
 
-// Do sends r and reads the response header. It closes the connection when ctx
+// Do sends r and reads the response header. It sends nothing if ctx has ended, or if the
+// caller whose request ctx belongs to has left. It closes the connection when ctx
 // ends or when the target makes no progress in time; most targets then stop
 // processing the request. The error is an *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
+	if ctx.Err() != nil {
+		return nil, &Error{Err: context.Cause(ctx)}
+	}
 	ctx, wd, cancel := newWatchdog(ctx, r)
 	c, err := p.acquire(ctx, r)
+	if err == nil {
+		if err = presence.Err(ctx); err != nil {
+			p.putBack(c)
+		}
+	}
 	if err != nil {
 		err = causeOf(ctx, err)
 		wd.Disarm()
--- a/connection/h1/pool.go
+++ b/connection/h1/pool.go
@@ -212,6 +212,11 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.addIdle(c)
+}
+
+// addIdle adds a connection to the idle ones. Callers hold p.mu.
+func (p *Pool) addIdle(c *conn) {
 	if retired, ok := p.retired[c.key]; ok && !c.dialed.After(retired) {
 		_ = c.Close()
 		return
@@ -224,6 +229,17 @@
 	p.idle[c.key] = append(list, c)
 }
 
+// putBack returns a connection that was acquired and not used.
+func (p *Pool) putBack(c *conn) {
+	if c.lastUsed.IsZero() { // a new one
+		_ = c.Close()
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.addIdle(c)
+}
+
 // Retire ends the reuse of the existing connections to a target after one of
 // them stalled: a network device that dropped the state of one connection has
 // often dropped that of others. Idle connections are closed. Busy ones finish
--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -104,7 +104,9 @@
 	case c.evicted:
 		return false, err
 	case !errors.Is(err, os.ErrDeadlineExceeded):
-		c.recordDeparture(presence.ByRead)
+		if !errors.Is(err, net.ErrClosed) {
+			c.recordDeparture(presence.ByRead)
+		}
 		return false, err
 	case c.closing && pending(c.Conn):
 		c.resume()
--- a/internal/drain/departure_test.go
+++ b/internal/drain/departure_test.go
@@ -17,8 +17,8 @@
 // noticeTime is the time in which a close must end the request.
 const noticeTime = 500 * time.Millisecond
 
-// openRequest is what the handler of a departures server saw of a request.
-type openRequest struct {
+// seenRequest is what the handler of a departures server saw of a request.
+type seenRequest struct {
 	path  string
 	ended chan struct{} // closed when the request's context ended
 }
@@ -29,7 +29,7 @@
 	l       net.Listener
 	tracker *Tracker
 	tls     *tls.Config // of callers; nil: the server doesn't use TLS
-	begun   chan openRequest
+	begun   chan seenRequest
 	live    atomic.Int64 // requests that began with an open context
 }
 
@@ -38,7 +38,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &departures{t: t, l: l, begun: make(chan openRequest, 64)}
+	d := &departures{t: t, l: l, begun: make(chan seenRequest, 64)}
 	server := &http.Server{Handler: http.HandlerFunc(d.serve)}
 	if secure {
 		keys := httptest.NewTLSServer(nil) // for its certificate
@@ -60,7 +60,7 @@
 		d.live.Add(1)
 	}
 	_, _ = io.Copy(io.Discard, req.Body)
-	r := openRequest{path: req.URL.Path, ended: make(chan struct{})}
+	r := seenRequest{path: req.URL.Path, ended: make(chan struct{})}
 	d.begun <- r
 	select {
 	case <-req.Context().Done():
@@ -107,7 +107,7 @@
 	}
 }
 
-func (r *openRequest) checkEnds(t *testing.T) {
+func (r *seenRequest) checkEnds(t *testing.T) {
 	t.Helper()
 	select {
 	case <-r.ended:
@@ -203,9 +203,9 @@
 func TestDepartureEndsHTTP2Requests(t *testing.T) {
 	for _, closed := range []bool{false, true} {
 		t.Run(map[bool]string{false: "cancelled", true: "closed"}[closed], func(t *testing.T) {
-			begun := make(chan openRequest, 1)
+			begun := make(chan seenRequest, 1)
 			client, _, l := newHTTP2(t, func(_ http.ResponseWriter, req *http.Request) {
-				r := openRequest{path: req.URL.Path, ended: make(chan struct{})}
+				r := seenRequest{path: req.URL.Path, ended: make(chan struct{})}
 				begun <- r
 				select {
 				case <-req.Context().Done():
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -118,6 +118,8 @@
 		return
 	}
 	defer done()
+	req, end := openRequest(req)
+	defer end()
 	if req.ProtoAtLeast(1, 1) {
 		t.next.ServeHTTP(w, req)
 		return
--- a/internal/drain/pending_linux.go
+++ b/internal/drain/pending_linux.go
@@ -38,6 +38,24 @@
 	return n
 }
 
+// closedByPeer reports whether the peer has closed its end of a connection, even if bytes
+// before the close weren't read. It returns false for connections that aren't sockets.
+func closedByPeer(c net.Conn) bool {
+	closed := false
+	control(innermost(c), func(fd int) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		for {
+			n, err := unix.Poll(fds, 0)
+			if err == unix.EINTR {
+				continue
+			}
+			closed = n > 0
+			return
+		}
+	})
+	return closed
+}
+
 // sinceLastSegment returns the time since the last segment arrived on a connection, or a
 // negative time if that isn't known.
 func sinceLastSegment(c net.Conn) time.Duration {
--- a/internal/drain/pending_other.go
+++ b/internal/drain/pending_other.go
@@ -15,6 +15,8 @@
 
 func unread(net.Conn) int { return 0 }
 
+func closedByPeer(net.Conn) bool { return false }
+
 func sinceLastSegment(net.Conn) time.Duration { return -1 }
 
 func (c *conn) setWindow(int) {}
--- a/internal/drain/unframed.go
+++ b/internal/drain/unframed.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 
-	"github.com/pomelospool/pomelospool/internal/presence"
 	"github.com/pomelospool/pomelospool/internal/quota"
 )
 
@@ -20,7 +19,7 @@
 			ctx = next(ctx, nc)
 		}
 		if c := tracked(nc); c != nil {
-			ctx = presence.WithCaller(context.WithValue(ctx, connKey{}, c), c)
+			ctx = context.WithValue(ctx, connKey{}, c)
 			if c.account != nil {
 				ctx = quota.WithAccount(ctx, c.account)
 			}
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -4,15 +4,20 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
+// ErrLeft is the cause of the contexts of requests whose callers have left.
+var ErrLeft = errors.New("the caller closed the connection")
+
 // Source is what noticed that a caller has left.
 type Source string
 
 // Sources.
 const (
-	ByRead Source = "read" // a read from the connection ended
+	ByRead  Source = "read"  // a read from the connection ended
+	ByCheck Source = "check" // a check before the request or a step of it
 )
 
 // Departure describes how it was noticed that a caller has closed its connection.
@@ -24,8 +29,10 @@
 	Age time.Duration
 }
 
-// Caller is the connection of a request's caller.
+// Caller is the caller of a request.
 type Caller interface {
+	// Check finds out whether the caller has left. If so, it ends the request's context.
+	Check()
 	// Departure returns how it was noticed that the caller has left, or false if it
 	// wasn't.
 	Departure() (Departure, bool)
@@ -39,6 +46,20 @@
 	return context.WithValue(ctx, callerKey{}, c)
 }
 
+// Err returns the cause of the end of ctx, or nil if it hasn't ended. It checks first
+// whether the request's caller has left, which a process that gets too little processor
+// time may otherwise notice late. A context that was detached from the request's doesn't
+// end with the caller.
+func Err(ctx context.Context) error {
+	if c, ok := ctx.Value(callerKey{}).(Caller); ok {
+		c.Check()
+	}
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return nil
+}
+
 // DepartureOf returns how it was noticed that the caller of a request has left. It returns
 // false if it hasn't, or if that isn't known.
 func DepartureOf(ctx context.Context) (Departure, bool) {
--- /dev/null
+++ b/process/front/departure_test.go
@@ -0,0 +1,240 @@
+package front
+
+import (
+	"expvar"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pomelospool/pomelospool/internal/linkfault"
+	"github.com/pomelospool/pomelospool/platform/standin"
+)
+
+// segmentTime is the time between two writes of a caller that the daemon reads apart.
+const segmentTime = 50 * time.Millisecond
+
+// noticeTime is the time in which targets must be told that a caller has left.
+const noticeTime = 500 * time.Millisecond
+
+// witness records when requests begin and end at targets.
+type witness struct {
+	mu    sync.Mutex
+	open  map[string]int
+	begun map[string]time.Time // of the last begin
+	left  map[string]time.Time // when the caller left
+}
+
+func newWitness() *witness {
+	return &witness{open: make(map[string]int), begun: make(map[string]time.Time), left: make(map[string]time.Time)}
+}
+
+// wrap returns the handler with its requests recorded. Other calls have no request id.
+func (w *witness) wrap(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
+		if id := req.Header.Get("X-Pomelospool-Request-Id"); id != "" {
+			w.add(id, 1)
+			defer w.add(id, -1)
+		}
+		h.ServeHTTP(rw, req)
+	})
+}
+
+func (w *witness) add(id string, n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.open[id] += n; n > 0 {
+		w.begun[id] = time.Now()
+	}
+}
+
+func (w *witness) isOpen(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.open[id] > 0
+}
+
+// working returns the requests that targets work on.
+func (w *witness) working() (ids []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, n := range w.open {
+		if n > 0 {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// leave closes the connection of a request's caller.
+func (w *witness) leave(c net.Conn, ids ...string) {
+	_ = c.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, id := range ids {
+		w.left[id] = time.Now()
+	}
+}
+
+// checkEnd checks that targets work on no request noticeTime after now.
+func (w *witness) checkEnd(t *testing.T) {
+	t.Helper()
+	limit := time.Now().Add(noticeTime)
+	for len(w.working()) > 0 && time.Now().Before(limit) {
+		<-time.After(time.Millisecond)
+	}
+	if ids := w.working(); len(ids) > 0 {
+		t.Errorf("targets work on %v %v after the close", ids, noticeTime)
+	}
+}
+
+// checkNoneBegan checks that no request has begun after its caller had left.
+func (w *witness) checkNoneBegan(t *testing.T) {
+	t.Helper()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, left := range w.left {
+		if at, ok := w.begun[id]; ok && at.After(left) {
+			t.Errorf("%s began %v after the close", id, at.Sub(left))
+		}
+	}
+}
+
+// newWitnessedPlatform returns a platform whose targets never answer.
+func newWitnessedPlatform(t *testing.T) (*testPlatform, *witness) {
+	w := newWitness()
+	p := &testPlatform{
+		t: t, store: standin.NewStore(),
+		prefill: standin.NewTarget("i-p", "prefill"), decode: standin.NewTarget("i-d", "decode"), plain: standin.NewTarget("i-a", ""),
+	}
+	p.addr = p.serve(p.store)
+	p.store.Configure(1, "/p/")
+	for _, target := range []*standin.Target{p.prefill, p.decode, p.plain} {
+		p.store.Announce(target, p.serve(w.wrap(target)), false)
+	}
+	for _, target := range []*standin.Target{p.decode, p.plain} {
+		target.Set(func(b *standin.Behaviour) { b.NoAnswer = true })
+	}
+	return p, w
+}
+
+// text returns a request as its caller sends it.
+func text(path, id, body string) string {
+	h := standin.CallerHeaders(id, 5*time.Second, "")
+	if strings.HasPrefix(path, "/s/") {
+		h = standin.CallerHeaders(id, 5*time.Second, "aa:10")
+	}
+	out := "POST " + path + " HTTP/1.1\r\nHost: a.example\r\n"
+	for _, k := range slices.Sorted(maps.Keys(h)) {
+		out += k + ": " + h.Get(k) + "\r\n"
+	}
+	return out + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+func (p *testPlatform) dialCallers(d *Daemon) net.Conn {
+	c, err := net.Dial("tcp", d.addr("callers"))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// departurePaths are the kinds of requests, by the step at which their callers leave.
+var departurePaths = map[string]string{"unsafe": "/p/x", "safe": "/i/x", "prefill": "/s/prefill", "decode": "/s/decode"}
+
+// Guards against targets that work for callers that have left, and against requests that
+// reach targets after their callers have left: in every step of a request, at this daemon
+// and through another one, with and without bytes between the request and the close.
+func TestTargetsAreToldThatCallerHasLeft(t *testing.T) {
+	between := map[string]func(id string) string{
+		"nothing": func(string) string { return "" },
+		"line":    func(string) string { return "\r\n" },
+		"request": func(id string) string { return text("/i/next", id+"-next", "") },
+	}
+	for _, forwarded := range []bool{false, true} {
+		p, w := newWitnessedPlatform(t)
+		links := &linkfault.Links{}
+		d := p.launchWithDial(settingsText, links.Dial)
+		p.waitFor(func() bool { return p.status(d, "ready", standin.ReadyPath) == http.StatusOK })
+		if forwarded {
+			p.startWith(replaceVM(settingsText, "vm-2"))
+			p.waitFor(func() bool { return len(d.roster.ReadyPeers()) == 1 })
+			links.Set(linkfault.Refuse)
+		}
+		for step, path := range departurePaths {
+			p.prefill.Set(func(b *standin.Behaviour) { b.NoAnswer = step == "prefill" })
+			for name, early := range between {
+				t.Run(fmt.Sprintf("%s, %s, forwarded %t", step, name, forwarded), func(t *testing.T) {
+					id := fmt.Sprintf("%s-%s-%t", step, name, forwarded)
+					c := p.dialCallers(d)
+					_, _ = io.WriteString(c, text(path, id, "body"))
+					p.waitFor(func() bool { return w.isOpen(id) })
+					if step == "decode" {
+						p.waitFor(func() bool { return p.decode.Arrivals() != nil })
+					}
+					if more := early(id); more != "" {
+						_, _ = io.WriteString(c, more)
+						<-time.After(segmentTime)
+					}
+					w.leave(c, id, id+"-next")
+					w.checkEnd(t)
+				})
+			}
+		}
+		w.checkNoneBegan(t)
+	}
+}
+
+// Guards against requests that reach targets though their callers closed the connection
+// before the daemon accepted it.
+func TestRequestsReadAfterTheCloseReachNoTarget(t *testing.T) {
+	p, w := newWitnessedPlatform(t)
+	release := make(chan struct{})
+	d := p.launchWrapped(settingsText, func(name string, l net.Listener) net.Listener {
+		if name == "callers" {
+			return &lateListener{Listener: l, release: release}
+		}
+		return l
+	})
+	p.waitFor(func() bool { return p.status(d, "ready", standin.ReadyPath) == http.StatusOK })
+	const rounds = 8
+	for i := range rounds {
+		for step, path := range departurePaths {
+			c := p.dialCallers(d)
+			_, _ = io.WriteString(c, text(path, fmt.Sprint(step, i), "body"))
+			w.leave(c, fmt.Sprint(step, i))
+		}
+	}
+	before := departures()
+	close(release)
+	p.waitFor(func() bool { return departures()-before == int64(rounds*len(departurePaths)) && d.ingress.Open() == 0 })
+	w.checkNoneBegan(t)
+}
+
+// departures returns the number of callers of this process that left.
+func departures() int64 {
+	n, ok := expvar.Get("drain").(*expvar.Map).Get("departures").(*expvar.Int)
+	if !ok {
+		return 0
+	}
+	return n.Value()
+}
+
+// lateListener accepts no connections until it is released, as a process that stands still.
+type lateListener struct {
+	net.Listener
+	release <-chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.release
+	return l.Listener.Accept()
+}
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/pomelospool/pomelospool/code"
 	"github.com/pomelospool/pomelospool/connection/address"
 	"github.com/pomelospool/pomelospool/connection/pool"
+	"github.com/pomelospool/pomelospool/internal/presence"
 	"github.com/pomelospool/pomelospool/process/burn"
 	"github.com/pomelospool/pomelospool/process/settings"
 	"github.com/pomelospool/pomelospool/request/admission"
@@ -170,6 +171,9 @@
 	if err == nil {
 		err = e.checkHeaderAndPath(req)
 	}
+	if left := presence.Err(req.Context()); err == nil && left != nil {
+		err = code.Wrap(code.CallerGone, left, "before the request was read")
+	}
 	if err != nil {
 		writeError(w, err)
 		return
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -14,6 +14,7 @@
 	"github.com/apex/log"
 
 	"github.com/pomelospool/pomelospool/code"
+	"github.com/pomelospool/pomelospool/internal/presence"
 )
 
 const (
@@ -138,6 +139,9 @@
 
 // offer sends the request to one daemon.
 func (f *Forwarder) offer(ctx context.Context, p Peer, r *Request) (*Response, *code.Error) {
+	if err := presence.Err(ctx); errors.Is(err, presence.ErrLeft) {
+		return nil, f.sendError(ctx, p, r, true, err)
+	}
 	f.beginWait(p.VM)
 	resp, unsent, err := f.transport.Send(ctx, p, r)
 	f.endWait(p.VM, err == nil)
--- a/request/ingress/ingress.go
+++ b/request/ingress/ingress.go
@@ -168,6 +168,9 @@
 	if err != nil {
 		return nil, code.Wrap(code.BadRequest, err, "")
 	}
+	if err := presence.Err(x.req.Context()); err != nil {
+		return nil, code.Wrap(code.CallerGone, err, "before the request was read")
+	}
 	cfg := x.o.Config.Load()
 	if cfg == nil {
 		return nil, code.New(code.NoConfiguration, "").WithRetryAfter(noConfigurationRetryAfter)
