drain: a close behind early bytes ends the request

Cause: net/http watches the connection of an open request by reading one byte ahead. A byte that comes ends the watch. The class: a notice that is taken from a stream of data, which stops where the data isn't read.

Change: package drain keeps the connections that have an open request and that nobody has read since bytes came. While there are any, it looks every 100 ms whether their callers have closed them, behind whatever was sent, and ends the requests' contexts. Connections without early bytes cost nothing more: the read ahead goes on there.

--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -62,6 +62,8 @@
 	lingers     bool      // it is in lingering, until it is closed
 	extended    bool      // the deadline was extended by readGrace, or was set to expire at once
 
+	open      *request           // of a connection that carries one request at a time; nil: none is open
+	inUnread  bool               // it is in Tracker.unread
 	departure presence.Departure // zero: the caller hasn't left while a request was open
 }
 
@@ -77,6 +79,10 @@
 			return 0, os.ErrDeadlineExceeded
 		}
 		c.waiting = true
+		if c.inUnread {
+			c.inUnread = false
+			c.t.unread.remove(c)
+		}
 		c.mu.Unlock()
 		n, err := c.Conn.Read(p)
 		if again, err := c.endRead(len(p), n, err); !again {
@@ -133,6 +139,10 @@
 		// While a handler runs, net/http reads one byte ahead.
 		c.early = true
 	}
+	if c.open != nil && !c.inUnread {
+		c.inUnread = true
+		c.t.unread.add(c)
+	}
 }
 
 // resume lets the connection live that a closer has interrupted. Callers hold c.mu.
--- a/internal/drain/departure.go
+++ b/internal/drain/departure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +13,9 @@
 const (
 	// lateNotice is the age of a close from which on its departure is counted as late.
 	lateNotice = 500 * time.Millisecond
+	// watchInterval is the interval between two looks at connections that nobody reads
+	// while a request runs.
+	watchInterval = 100 * time.Millisecond
 	// checkInterval is the time for which the result of a check holds.
 	checkInterval = 10 * time.Millisecond
 )
@@ -34,8 +38,12 @@
 	}
 	ctx, cancel := context.WithCancelCause(req.Context())
 	r := &request{c: c, cancel: cancel}
+	c.setRequest(r)
 	r.checkNow()
-	return req.WithContext(presence.WithCaller(ctx, r)), func() { cancel(nil) }
+	return req.WithContext(presence.WithCaller(ctx, r)), func() {
+		c.setRequest(nil)
+		cancel(nil)
+	}
 }
 
 // Check implements presence.Caller. It does nothing if there was a check within
@@ -60,6 +68,20 @@
 	return r.c.departure, !r.c.departure.At.IsZero()
 }
 
+// setRequest sets the open request of a connection that carries one at a time.
+func (c *conn) setRequest(r *request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.multiplexed {
+		return
+	}
+	c.open = r
+	if c.inUnread && r == nil {
+		c.inUnread = false
+		c.t.unread.remove(c)
+	}
+}
+
 // leftBy reports whether the caller has closed the connection, and records it.
 func (c *conn) leftBy(by presence.Source) bool {
 	closed := closedByPeer(c.Conn)
@@ -71,6 +93,19 @@
 	return closed || !c.departure.At.IsZero()
 }
 
+// look ends the open request if the caller has closed the connection.
+func (c *conn) look() {
+	if !c.leftBy(presence.ByWatch) {
+		return
+	}
+	c.mu.Lock()
+	open := c.open
+	c.mu.Unlock()
+	if open != nil {
+		open.cancel(presence.ErrLeft)
+	}
+}
+
 // recordDeparture records that the caller closed the connection while a request was open.
 // Callers hold c.mu.
 func (c *conn) recordDeparture(by presence.Source) {
@@ -83,3 +118,48 @@
 		counts.Add("departures_late", 1)
 	}
 }
+
+// unreadConns are the connections that have an open request and that nobody has read since
+// bytes came. Package net/http reads one byte ahead to notice the close of a connection. It
+// doesn't read on after a byte that belongs to the next request, so that a close behind it
+// would go unnoticed until the answer is written.
+type unreadConns struct {
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	timer *time.Timer // runs while there are conns
+}
+
+func (u *unreadConns) add(c *conn) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.conns == nil {
+		u.conns = make(map[*conn]struct{})
+	}
+	u.conns[c] = struct{}{}
+	if u.timer == nil {
+		u.timer = time.AfterFunc(watchInterval, u.look)
+	}
+}
+
+func (u *unreadConns) remove(c *conn) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.conns, c)
+}
+
+// look ends the requests whose callers have left.
+func (u *unreadConns) look() {
+	u.mu.Lock()
+	conns := make([]*conn, 0, len(u.conns))
+	for c := range u.conns {
+		conns = append(conns, c)
+	}
+	u.timer = nil
+	if len(conns) > 0 {
+		u.timer = time.AfterFunc(watchInterval, u.look)
+	}
+	u.mu.Unlock()
+	for _, c := range conns {
+		c.look()
+	}
+}
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -71,6 +71,7 @@
 	secure   bool // the server uses TLS; the server's own TLSConfig is set in any case once it serves
 	draining atomic.Bool
 	count    atomic.Int64 // of conns
+	unread   unreadConns
 
 	mu        sync.Mutex
 	conns     map[*conn]struct{}
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -17,6 +17,7 @@
 // Sources.
 const (
 	ByRead  Source = "read"  // a read from the connection ended
+	ByWatch Source = "watch" // a look at a connection that isn't being read
 	ByCheck Source = "check" // a check before the request or a step of it
 )
 
