--- a/process/front/departure_test.go
+++ b/process/front/departure_test.go
@@ -9,12 +9,12 @@
 	"net/http"
 	"slices"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/pomelospool/pomelospool/internal/linkfault"
 	"github.com/pomelospool/pomelospool/platform/standin"
+	targets "github.com/pomelospool/pomelospool/standin"
 )
 
 // segmentTime is the time between two writes of a caller that the daemon reads apart.
@@ -23,92 +23,9 @@
 // noticeTime is the time in which targets must be told that a caller has left.
 const noticeTime = 500 * time.Millisecond
 
-// witness records when requests begin and end at targets.
-type witness struct {
-	mu    sync.Mutex
-	open  map[string]int
-	begun map[string]time.Time // of the last begin
-	left  map[string]time.Time // when the caller left
-}
-
-func newWitness() *witness {
-	return &witness{open: make(map[string]int), begun: make(map[string]time.Time), left: make(map[string]time.Time)}
-}
-
-// wrap returns the handler with its requests recorded. Other calls have no request id.
-func (w *witness) wrap(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
-		if id := req.Header.Get("X-Pomelospool-Request-Id"); id != "" {
-			w.add(id, 1)
-			defer w.add(id, -1)
-		}
-		h.ServeHTTP(rw, req)
-	})
-}
-
-func (w *witness) add(id string, n int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.open[id] += n; n > 0 {
-		w.begun[id] = time.Now()
-	}
-}
-
-func (w *witness) isOpen(id string) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.open[id] > 0
-}
-
-// working returns the requests that targets work on.
-func (w *witness) working() (ids []string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for id, n := range w.open {
-		if n > 0 {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
-// leave closes the connection of a request's caller.
-func (w *witness) leave(c net.Conn, ids ...string) {
-	_ = c.Close()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, id := range ids {
-		w.left[id] = time.Now()
-	}
-}
-
-// checkEnd checks that targets work on no request noticeTime after now.
-func (w *witness) checkEnd(t *testing.T) {
-	t.Helper()
-	limit := time.Now().Add(noticeTime)
-	for len(w.working()) > 0 && time.Now().Before(limit) {
-		<-time.After(time.Millisecond)
-	}
-	if ids := w.working(); len(ids) > 0 {
-		t.Errorf("targets work on %v %v after the close", ids, noticeTime)
-	}
-}
-
-// checkNoneBegan checks that no request has begun after its caller had left.
-func (w *witness) checkNoneBegan(t *testing.T) {
-	t.Helper()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for id, left := range w.left {
-		if at, ok := w.begun[id]; ok && at.After(left) {
-			t.Errorf("%s began %v after the close", id, at.Sub(left))
-		}
-	}
-}
-
 // newWitnessedPlatform returns a platform whose targets never answer.
-func newWitnessedPlatform(t *testing.T) (*testPlatform, *witness) {
-	w := newWitness()
+func newWitnessedPlatform(t *testing.T) (*testPlatform, *targets.Witness) {
+	w := targets.NewWitness(func(h http.Header) string { return h.Get("X-Pomelospool-Request-Id") })
 	p := &testPlatform{
 		t: t, store: standin.NewStore(),
 		prefill: standin.NewTarget("i-p", "prefill"), decode: standin.NewTarget("i-d", "decode"), plain: standin.NewTarget("i-a", ""),
@@ -116,7 +33,7 @@
 	p.addr = p.serve(p.store)
 	p.store.Configure(1, "/p/")
 	for _, target := range []*standin.Target{p.prefill, p.decode, p.plain} {
-		p.store.Announce(target, p.serve(w.wrap(target)), false)
+		p.store.Announce(target, p.serve(w.Wrap(target)), false)
 	}
 	for _, target := range []*standin.Target{p.decode, p.plain} {
 		target.Set(func(b *standin.Behaviour) { b.NoAnswer = true })
@@ -175,7 +92,7 @@
 					id := fmt.Sprintf("%s-%s-%t", step, name, forwarded)
 					c := p.dialCallers(d)
 					_, _ = io.WriteString(c, text(path, id, "body"))
-					p.waitFor(func() bool { return w.isOpen(id) })
+					p.waitFor(func() bool { return w.WorksOn(id) })
 					if step == "decode" {
 						p.waitFor(func() bool { return p.decode.Arrivals() != nil })
 					}
@@ -183,12 +100,17 @@
 						_, _ = io.WriteString(c, more)
 						<-time.After(segmentTime)
 					}
-					w.leave(c, id, id+"-next")
-					w.checkEnd(t)
+					w.Leave(id, id+"-next")
+					_ = c.Close()
+					if err := w.AwaitNone(noticeTime); err != nil {
+						t.Error(err)
+					}
 				})
 			}
 		}
-		w.checkNoneBegan(t)
+		if late := w.BegunLate(); len(late) > 0 {
+			t.Errorf("forwarded %t: begun after the close: %v", forwarded, late)
+		}
 	}
 }
 
@@ -209,13 +131,16 @@
 		for step, path := range departurePaths {
 			c := p.dialCallers(d)
 			_, _ = io.WriteString(c, text(path, fmt.Sprint(step, i), "body"))
-			w.leave(c, fmt.Sprint(step, i))
+			w.Leave(fmt.Sprint(step, i))
+			_ = c.Close()
 		}
 	}
 	before := departures()
 	close(release)
 	p.waitFor(func() bool { return departures()-before == int64(rounds*len(departurePaths)) && d.ingress.Open() == 0 })
-	w.checkNoneBegan(t)
+	if late := w.BegunLate(); len(late) > 0 {
+		t.Errorf("begun after the close: %v", late)
+	}
 }
 
 // departures returns the number of callers of this process that left.
--- /dev/null
+++ b/standin/witness.go
@@ -0,0 +1,110 @@
+package standin
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Witness records which requests targets work on, and whether any begins after its caller
+// has left. It is safe for concurrent use.
+type Witness struct {
+	id func(http.Header) string
+
+	mu    sync.Mutex
+	open  map[string]int
+	begun map[string]time.Time // the last begin
+	left  map[string]time.Time // when the caller left
+}
+
+// NewWitness returns a Witness. id returns the id of a request, or "" for other calls, which
+// aren't recorded.
+func NewWitness(id func(http.Header) string) *Witness {
+	return &Witness{id: id, open: make(map[string]int), begun: make(map[string]time.Time), left: make(map[string]time.Time)}
+}
+
+// Wrap returns a target's handler with its requests recorded.
+func (w *Witness) Wrap(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
+		if id := w.id(req.Header); id != "" {
+			w.begin(id)
+			defer w.end(id)
+		}
+		h.ServeHTTP(rw, req)
+	})
+}
+
+func (w *Witness) begin(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.open[id]++
+	w.begun[id] = time.Now()
+}
+
+func (w *Witness) end(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.open[id]--; w.open[id] == 0 {
+		delete(w.open, id)
+	}
+}
+
+// Working returns the ids of the requests that targets work on, in order.
+func (w *Witness) Working() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ids := make([]string, 0, len(w.open))
+	for id := range w.open {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// WorksOn reports whether a target works on a request.
+func (w *Witness) WorksOn(id string) bool { return slices.Contains(w.Working(), id) }
+
+// Leave records that the callers of some requests leave now.
+func (w *Witness) Leave(ids ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, id := range ids {
+		w.left[id] = time.Now()
+	}
+}
+
+// AwaitNone waits until targets work on no request. It returns an error if they still do
+// after the limit.
+func (w *Witness) AwaitNone(limit time.Duration) error {
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	end := time.After(limit)
+	for {
+		ids := w.Working()
+		if len(ids) == 0 {
+			return nil
+		}
+		select {
+		case <-tick.C:
+		case <-end:
+			return fmt.Errorf("standin: targets work on %v after %v", ids, limit)
+		}
+	}
+}
+
+// BegunLate returns the ids of the requests that began after their callers had left, in
+// order.
+func (w *Witness) BegunLate() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var ids []string
+	for id, left := range w.left {
+		if at, ok := w.begun[id]; ok && at.After(left) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
