h1: heads of responses are charged to the caller's memory

What callers saw: a faulty target sends a head without end, and the daemon that called it holds it until the deadline. In a report of other operators the process ran out of memory, and the requests of others ended with it.

Cause: a head was bounded by its bytes (128 KiB) and not by what they take: short lines take twenty times their bytes. Nothing counted the heads of all requests together.

Change: what is read of a head is charged to the account of the request's caller, with the costs of a caller's header, until the exchange ends. What doesn't fit ends the exchange.

--- a/connection/h1/exchange.go
+++ b/connection/h1/exchange.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/internal/presence"
+	"github.com/pomelospool/pomelospool/internal/quota"
 	"github.com/pomelospool/pomelospool/internal/watchdog"
 )
 
@@ -178,7 +179,7 @@
 // caller on the connection. A connection with a stray response isn't reused.
 func (x *exchange) read() (*Response, error) {
 	r := x.req
-	x.conn.head.begin()
+	x.conn.head.begin(quota.FromContext(x.ctx))
 	for {
 		x.conn.head.body = false
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
@@ -311,10 +312,11 @@
 	})
 }
 
-// release disarms the watchdog and cancels the context.
+// release disarms the watchdog, cancels the context and releases the head's memory.
 func (x *exchange) release() {
 	x.watchdog.Disarm()
 	x.cancel(nil)
+	x.conn.head.end()
 }
 
 // retireIfStalled retires the target's connections if err reports a stall.
--- a/connection/h1/head.go
+++ b/connection/h1/head.go
@@ -1,8 +1,12 @@
 package h1
 
 import (
+	"bytes"
 	"errors"
+	"fmt"
 	"io"
+
+	"github.com/pomelospool/pomelospool/internal/quota"
 )
 
 // maxHead limits the status lines and headers that one exchange reads, in bytes:
@@ -14,11 +18,15 @@
 // maxHead.
 var ErrHeadTooLarge = errors.New("h1: response head is too large")
 
-// headReader reads from a connection and limits the bytes that are read of heads.
+// headReader reads from a connection and limits the bytes that are read of heads. It
+// charges them to the account of the request's caller, since short lines take many times
+// their bytes.
 type headReader struct {
-	src  io.Reader
-	left int  // bytes of heads that may still be read
-	body bool // a body is being read, which its reader limits
+	src     io.Reader
+	left    int  // bytes of heads that may still be read
+	body    bool // a body is being read, which its reader limits
+	account *quota.Account
+	charged int64 // bytes of memory
 }
 
 // Read implements io.Reader.
@@ -31,8 +39,26 @@
 	}
 	n, err := h.src.Read(p[:min(len(p), h.left)])
 	h.left -= n
+	if n == 0 || h.account == nil {
+		return n, err
+	}
+	cost := quota.HeaderCost(n, bytes.Count(p[:n], []byte("\n")))
+	if refused := h.account.Grow(cost); refused != nil {
+		return 0, fmt.Errorf("h1: head of a response: %w", refused)
+	}
+	h.charged += cost
 	return n, err
 }
 
-// begin starts an exchange.
-func (h *headReader) begin() { h.left, h.body = maxHead, false }
+// begin starts an exchange, whose caller's account may be nil.
+func (h *headReader) begin(account *quota.Account) {
+	h.left, h.body, h.account, h.charged = maxHead, false, account, 0
+}
+
+// end releases what was charged.
+func (h *headReader) end() {
+	if h.charged > 0 {
+		h.account.Shrink(h.charged)
+	}
+	h.account, h.charged = nil, 0
+}
--- a/connection/h1/head_test.go
+++ b/connection/h1/head_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/internal/pipenet"
+	"github.com/pomelospool/pomelospool/internal/quota"
 )
 
 // countingConn counts the bytes that its peer accepts.
@@ -155,3 +157,35 @@
 		p.Close()
 	}
 }
+
+// Guards against a daemon that runs out of memory by targets whose heads don't end: short
+// lines take many times their bytes.
+func TestHeadsAreCharged(t *testing.T) {
+	for name, limit := range map[string]int64{"too large": 64 << 10, "fits": 64 << 20} {
+		t.Run(name, func(t *testing.T) {
+			runInBubble(t, func(t *testing.T, n *pipenet.Net, p *Pool) {
+				n.Serve("a:1", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					for i := range 1000 {
+						w.Header().Set(fmt.Sprintf("X-%d", i), "a")
+					}
+				}))
+				memory := quota.New(limit)
+				account := memory.Open(func(bool) {})
+				resp, err := p.Do(quota.WithAccount(t.Context(), account), &Request{Addr: "a:1", Target: "t", Method: "GET", URI: "/x", Host: "h"})
+				if (err == nil) != (name == "fits") || err != nil && !errors.Is(err, quota.ErrExhausted) {
+					t.Errorf("error %v", err)
+				}
+				if err == nil {
+					if memory.Used() == 0 {
+						t.Error("nothing was charged")
+					}
+					_, _ = io.Copy(io.Discard, resp.Body)
+					resp.Close(0)
+				}
+				if used := memory.Used(); used != 0 {
+					t.Errorf("%d bytes are charged after the end", used)
+				}
+			})
+		})
+	}
+}
