dispatch, stream, quota: events that don't end are charged

An engine that begins an event and doesn't end it makes the daemon hold up to 1 MiB for each stream, 512 KiB on the own protocol.

Cause: the buffers of events had a bound each and none together; answers that are read whole were charged, streams weren't.

Change: quota.Extend grows a buffer and charges its capacity; both protocols' readers of events use it.

--- a/bench/crowd/site_test.go
+++ b/bench/crowd/site_test.go
@@ -67,8 +67,16 @@
 // largeAnswer is the size of the answers under standin.SlowUnsafePrefix, in bytes.
 const largeAnswer = 2 << 20
 
-// newSite starts a site of two daemons and waits until they are ready.
+// newSite starts a site of two daemons and waits until they are ready. Its slow service
+// gives large answers.
 func newSite(t *testing.T) *site {
+	return newSiteWith(t, func(s *site, slow *standin.Target) (addr string) {
+		return s.serve(standin.LargeAnswers(slow, largeAnswer))
+	})
+}
+
+// newSiteWith starts a site with a target of the slow service that serve starts.
+func newSiteWith(t *testing.T, serve func(s *site, slow *standin.Target) (addr string)) *site {
 	t.Helper()
 	s := &site{t: t, prefix: reserveRange(t)}
 	store := standin.NewStore()
@@ -79,7 +87,7 @@
 	}
 	large := standin.NewTarget("i-large", "")
 	large.Service = standin.SlowService
-	store.Announce(large, s.serve(standin.LargeAnswers(large, largeAnswer)), false)
+	store.Announce(large, serve(s, large), false)
 	store.ConfigureKeyed(1, "/p/", "o1", siteKey)
 	const daemons = 2
 	for i := range daemons {
--- a/internal/quota/request.go
+++ b/internal/quota/request.go
@@ -154,6 +154,18 @@
 	}
 }
 
+// Extend returns buf with room for n more bytes, and charges its capacity to the account.
+// Release must be called when the buffer isn't used any more.
+func Extend(a *Account, buf []byte, n int) ([]byte, error) {
+	if cap(buf)-len(buf) >= n {
+		return buf, nil
+	}
+	return grow(a, buf, int64(max(2*cap(buf), len(buf)+n)))
+}
+
+// Release releases the charge of a buffer that Extend returned.
+func Release(a *Account, buf []byte) { a.Shrink(int64(cap(buf))) }
+
 // grow copies buf to a buffer of the given size. Both are charged until the copy is done.
 func grow(a *Account, buf []byte, size int64) ([]byte, error) {
 	if err := a.Grow(size); err != nil {
--- a/request/dispatch/relay.go
+++ b/request/dispatch/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pomelospool/pomelospool/connection/h1"
+	"github.com/pomelospool/pomelospool/internal/quota"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/request/failure"
 )
@@ -27,7 +28,8 @@
 // complete one.
 func (x *execution) relay(ctx context.Context, target string, resp *h1.Response, v port.ResponseMeta, out Stream, hooks streamHooks) *sendFailure {
 	defer resp.Close(v.KeepAlive)
-	r := &eventReader{src: resp.Body}
+	r := &eventReader{src: resp.Body, account: quota.FromContext(ctx)}
+	defer r.release()
 	for {
 		events, err := r.next()
 		if len(events) > 0 {
@@ -88,8 +90,9 @@
 // events.
 type eventReader struct {
 	src      io.Reader
-	buf      []byte // bytes read; the first returned ones have been returned by next
-	returned int    // number of bytes that the last call of next returned
+	account  *quota.Account // is charged for buf
+	buf      []byte         // bytes read; the first returned ones have been returned by next
+	returned int            // number of bytes that the last call of next returned
 }
 
 const readSize = 4 << 10
@@ -116,14 +119,22 @@
 
 func (r *eventReader) fill() (int, error) {
 	at := len(r.buf)
-	if cap(r.buf)-at < readSize {
-		r.buf = append(r.buf, make([]byte, readSize)...)[:at]
+	buf, err := quota.Extend(r.account, r.buf, readSize)
+	if err != nil {
+		return 0, err
 	}
+	r.buf = buf
 	n, err := r.src.Read(r.buf[at:cap(r.buf)])
 	r.buf = r.buf[:at+n]
 	return n, err
 }
 
+// release releases the memory of the buffer.
+func (r *eventReader) release() {
+	quota.Release(r.account, r.buf)
+	r.buf, r.returned = nil, 0
+}
+
 // partial returns the bytes read after the last complete event.
 func (r *eventReader) partial() []byte { return r.buf[r.returned:] }
 
--- a/request/entry/model.go
+++ b/request/entry/model.go
@@ -287,6 +287,7 @@
 	defer cancel(nil)
 	out := &streamSink{w: w, bufferBytes: e.opts.Limits.BufferBytes, writeTimeout: e.opts.WriteTimeout, cancel: cancel, obs: obs}
 	recv := newStreamReceiver(q.ID, c.firstToken(), out)
+	recv.relay.Charge(quota.FromContext(ctx))
 	_, err := e.runner.Run(ctx, q, &p.decision, recv)
 	err = stopping.Error(ctx, err)
 	if out.writer == nil && e.retryViaPeer(req, c.svc, err) {
--- a/request/stream/reader.go
+++ b/request/stream/reader.go
@@ -8,11 +8,15 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"github.com/pomelospool/pomelospool/internal/quota"
 )
 
 // MaxEvent is the maximum size in bytes of an event from a target.
 const MaxEvent = 256 << 10
 
+var newline = []byte("\n")
+
 // Errors of a Reader, in addition to those of its source.
 var (
 	ErrTooLong   = errors.New("event too long")
@@ -22,14 +26,33 @@
 // Reader reads server-sent events. It accepts lines that end in LF or CRLF and
 // rejects fields that the protocol doesn't define.
 type Reader struct {
-	src  *bufio.Reader
-	line []byte
-	data []byte
+	src     *bufio.Reader
+	account *quota.Account // is charged for line and data
+	line    []byte
+	data    []byte
 }
 
-// NewReader returns a Reader that reads from src.
-func NewReader(src io.Reader) *Reader {
-	return &Reader{src: bufio.NewReader(src)}
+// NewReader returns a Reader that reads from src and charges its memory to the account,
+// which may be nil. The caller must call Release.
+func NewReader(src io.Reader, account *quota.Account) *Reader {
+	return &Reader{src: bufio.NewReader(src), account: account}
+}
+
+// Release releases the memory of the Reader, which can't be used any more.
+func (r *Reader) Release() {
+	quota.Release(r.account, r.line)
+	quota.Release(r.account, r.data)
+	r.line, r.data = nil, nil
+}
+
+// add appends a part to a buffer of the Reader.
+func (r *Reader) add(buf *[]byte, part []byte) error {
+	grown, err := quota.Extend(r.account, *buf, len(part))
+	if err != nil {
+		return err
+	}
+	*buf = append(grown, part...)
+	return nil
 }
 
 // Next returns the data of the next event, which is valid until the next call.
@@ -74,13 +97,15 @@
 		return false, ErrMalformed
 	}
 	if lines > 0 {
-		r.data = append(r.data, '\n')
+		if err := r.add(&r.data, newline); err != nil {
+			return false, err
+		}
 	}
-	r.data = append(r.data, bytes.TrimPrefix(value, []byte(" "))...)
-	if len(r.data) > MaxEvent {
+	value = bytes.TrimPrefix(value, []byte(" "))
+	if len(r.data)+len(value) > MaxEvent {
 		return false, ErrTooLong
 	}
-	return true, nil
+	return true, r.add(&r.data, value)
 }
 
 // readLine returns a line without its line ending. If the source ends within a
@@ -95,7 +120,9 @@
 		if err == nil && len(r.line) == 0 {
 			return trimEnd(part), nil
 		}
-		r.line = append(r.line, part...)
+		if failed := r.add(&r.line, part); failed != nil {
+			return nil, failed
+		}
 		if err == nil {
 			return trimEnd(r.line), nil
 		}
--- a/request/stream/relay.go
+++ b/request/stream/relay.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+
+	"github.com/pomelospool/pomelospool/internal/quota"
 )
 
 // Errors of Relay.Run.
@@ -41,6 +43,7 @@
 	handoverAfter int
 	chunk         chunk
 	out           []byte
+	account       *quota.Account // of the memory for events; may be nil
 }
 
 // NewRelay returns a Relay for the request id. The first token that it forwards
@@ -49,6 +52,9 @@
 	return &Relay{id: quote(id), sink: sink, next: start}
 }
 
+// Charge sets the account that is charged for the events that are read.
+func (r *Relay) Charge(a *quota.Account) { r.account = a }
+
 // Next returns the index of the next token, at which another attempt resumes.
 func (r *Relay) Next() int { return r.next }
 
@@ -66,7 +72,8 @@
 // Run forwards the stream of one attempt. It returns nil once the stream is
 // complete, otherwise an error that wraps one of this package or of src.
 func (r *Relay) Run(src io.Reader, attempt string) error {
-	events := NewReader(src)
+	events := NewReader(src, r.account)
+	defer events.Release()
 	foreign, start := 0, r.next
 	quotedID := quote(attempt)
 	for {
--- a/request/stream/stream_test.go
+++ b/request/stream/stream_test.go
@@ -12,6 +12,8 @@
 	"testing/iotest"
 	"testing/synctest"
 	"time"
+
+	"github.com/pomelospool/pomelospool/internal/quota"
 )
 
 type sink struct {
@@ -50,7 +52,7 @@
 }
 
 func readAll(src io.Reader) ([]string, error) {
-	r := NewReader(src)
+	r := NewReader(src, nil)
 	var out []string
 	for {
 		data, err := r.Next()
@@ -188,3 +190,19 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a daemon that runs out of memory by targets whose events don't end.
+func TestEventsAreCharged(t *testing.T) {
+	for name, in := range map[string]string{"line": "data: " + strings.Repeat("e", 64<<10), "lines": strings.Repeat("data: e\n", 16<<10)} {
+		memory := quota.New(16 << 10)
+		account := memory.Open(func(bool) {})
+		r := NewReader(strings.NewReader(in), account)
+		if _, err := r.Next(); !errors.Is(err, quota.ErrExhausted) {
+			t.Errorf("%s: error %v", name, err)
+		}
+		r.Release()
+		if used := memory.Used(); used != 0 {
+			t.Errorf("%s: %d bytes are charged after the end", name, used)
+		}
+	}
+}
