h1: an answer with a status below 100 isn't relayed

What callers saw: nothing.

Cause: http.ReadResponse accepts any three digits. The class: a value that is checked where it is written instead of where it is read.

Change: h1 fails the exchange with ErrInvalidStatus, for targets of both protocols and for other daemons. The target may have run the request: a safe one goes on elsewhere, others get 502.

--- a/connection/h1/exchange.go
+++ b/connection/h1/exchange.go
@@ -170,6 +170,10 @@
 	maxStrayBytes = 1 << 20
 )
 
+// ErrInvalidStatus is the error of a response whose status no response can have. It
+// can't be relayed.
+var ErrInvalidStatus = errors.New("h1: response with an invalid status")
+
 var errStray = errors.New("h1: response belongs to another request")
 
 // read reads the response header and skips informational responses.
@@ -186,6 +190,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("h1: no answer: %w", err)
 		}
+		if resp.StatusCode < http.StatusContinue {
+			return nil, ErrInvalidStatus
+		}
 		x.conn.head.body = true
 		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK {
 			continue
--- a/request/failure/cause.go
+++ b/request/failure/cause.go
@@ -26,7 +26,7 @@
 // safeErrors are the errors whose text contains nothing from callers or targets,
 // the more specific ones first.
 var safeErrors = []error{
-	h1.ErrConnect, h1.ErrNoProgress, h1.ErrHeadTooLarge,
+	h1.ErrConnect, h1.ErrNoProgress, h1.ErrHeadTooLarge, h1.ErrInvalidStatus,
 	stream.ErrTarget, stream.ErrMalformed, stream.ErrTooLong, stream.ErrCaller,
 	context.Canceled, context.DeadlineExceeded,
 	stream.ErrCut,
