--- a/connection/h1/h1_test.go
+++ b/connection/h1/h1_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/pomelospool/pomelospool/internal/pause"
 	"github.com/pomelospool/pomelospool/internal/pipenet"
+	"github.com/pomelospool/pomelospool/internal/presence"
 )
 
 // serveResponses returns a connection handler that writes the raw response
@@ -251,6 +252,36 @@
 	}
 }
 
+// gone is a caller that has left.
+type gone struct{ end context.CancelCauseFunc }
+
+func (g gone) Check()                              { g.end(presence.ErrLeft) }
+func (gone) Departure() (presence.Departure, bool) { return presence.Departure{}, true }
+
+// Guards against requests that are sent though their contexts have ended, or their callers
+// have left, and against the loss of the connections that they don't use.
+func TestNothingIsSentForCallersThatLeft(t *testing.T) {
+	runInBubble(t, func(t *testing.T, n *pipenet.Net, p *Pool) {
+		received := 0
+		n.Serve("a:1", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received++ }))
+		mustGet(t, p, false, "")
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		left, end := context.WithCancelCause(t.Context())
+		for want, ctx := range map[error]context.Context{context.Canceled: ended, presence.ErrLeft: presence.WithCaller(left, gone{end})} {
+			_, err := p.Do(ctx, &Request{Addr: "a:1", Target: "t", Method: "GET", URI: "/x", Host: "h"})
+			var he *Error
+			if !errors.Is(err, want) || !errors.As(err, &he) || he.Written {
+				t.Errorf("error %v, want %v", err, want)
+			}
+		}
+		mustGet(t, p, false, "")
+		if received != 2 || n.DialCount("a:1") != 1 {
+			t.Errorf("%d requests were received over %d connections", received, n.DialCount("a:1"))
+		}
+	})
+}
+
 // Guards against a request that stalls on a reused dead connection. A stream
 // stalls while another request to the same target is in flight. The other
 // connection becomes idle when its request ends, but may be dead, too.
--- a/request/failure/cause.go
+++ b/request/failure/cause.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"github.com/pomelospool/pomelospool/connection/h1"
+	"github.com/pomelospool/pomelospool/internal/presence"
 	"github.com/pomelospool/pomelospool/request/stream"
 )
 
@@ -28,7 +29,7 @@
 var safeErrors = []error{
 	h1.ErrConnect, h1.ErrNoProgress, h1.ErrHeadTooLarge, h1.ErrInvalidStatus,
 	stream.ErrTarget, stream.ErrMalformed, stream.ErrTooLong, stream.ErrCaller,
-	context.Canceled, context.DeadlineExceeded,
+	presence.ErrLeft, context.Canceled, context.DeadlineExceeded,
 	stream.ErrCut,
 }
 
