--- a/internal/drain/departure.go
+++ b/internal/drain/departure.go
@@ -13,7 +13,7 @@
 const (
 	// lateNotice is the age of a close from which on its departure is counted as late.
 	lateNotice = 500 * time.Millisecond
-	// watchInterval is the interval between two looks at connections that nobody reads
+	// watchInterval is the interval between two checks of connections that nobody reads
 	// while a request runs.
 	watchInterval = 100 * time.Millisecond
 	// checkInterval is the time for which the result of a check holds.
@@ -22,11 +22,12 @@
 
 // request is an open request. It implements presence.Caller.
 type request struct {
-	c      *conn
-	cancel context.CancelCauseFunc
-	check  atomic.Int64 // when the connection was last checked, in nanoseconds since processStart
+	c         *conn
+	cancel    context.CancelCauseFunc
+	checkedAt atomic.Int64 // when the connection was last checked, in nanoseconds since processStart
 }
 
+// processStart is the origin of request.checkedAt.
 var processStart = time.Now()
 
 // openRequest returns the request with a context that ends when its caller has left. done
@@ -46,19 +47,19 @@
 	}
 }
 
-// Check implements presence.Caller. It does nothing if there was a check within
-// checkInterval.
+// Check implements presence.Caller. It relies on a check within checkInterval.
 func (r *request) Check() {
-	if time.Since(processStart)-time.Duration(r.check.Load()) >= checkInterval {
+	if time.Since(processStart)-time.Duration(r.checkedAt.Load()) >= checkInterval {
 		r.checkNow()
 	}
 }
 
+// checkNow ends the request's context if the caller has closed the connection.
 func (r *request) checkNow() {
 	if r.c.leftBy(presence.ByCheck) {
 		r.cancel(presence.ErrLeft)
 	}
-	r.check.Store(int64(time.Since(processStart)))
+	r.checkedAt.Store(int64(time.Since(processStart)))
 }
 
 // Departure implements presence.Caller.
@@ -93,8 +94,8 @@
 	return closed || !c.departure.At.IsZero()
 }
 
-// look ends the open request if the caller has closed the connection.
-func (c *conn) look() {
+// endIfLeft ends the open request if the caller has closed the connection.
+func (c *conn) endIfLeft() {
 	if !c.leftBy(presence.ByWatch) {
 		return
 	}
@@ -137,7 +138,7 @@
 	}
 	u.conns[c] = struct{}{}
 	if u.timer == nil {
-		u.timer = time.AfterFunc(watchInterval, u.look)
+		u.timer = time.AfterFunc(watchInterval, u.check)
 	}
 }
 
@@ -147,8 +148,8 @@
 	delete(u.conns, c)
 }
 
-// look ends the requests whose callers have left.
-func (u *unreadConns) look() {
+// check ends the requests whose callers have left.
+func (u *unreadConns) check() {
 	u.mu.Lock()
 	conns := make([]*conn, 0, len(u.conns))
 	for c := range u.conns {
@@ -156,10 +157,10 @@
 	}
 	u.timer = nil
 	if len(conns) > 0 {
-		u.timer = time.AfterFunc(watchInterval, u.look)
+		u.timer = time.AfterFunc(watchInterval, u.check)
 	}
 	u.mu.Unlock()
 	for _, c := range conns {
-		c.look()
+		c.endIfLeft()
 	}
 }
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -17,8 +17,8 @@
 // Sources.
 const (
 	ByRead  Source = "read"  // a read from the connection ended
-	ByWatch Source = "watch" // a look at a connection that isn't being read
-	ByCheck Source = "check" // a check before the request or a step of it
+	ByWatch Source = "watch" // a periodic check of a connection that isn't being read
+	ByCheck Source = "check" // a check before the request was taken up or sent
 )
 
 // Departure describes how it was noticed that a caller has closed its connection.
