crowd: a soak of callers that leave at any time

Targets must end each request within half a second after its caller left, less the time for which its daemon stood still; what a caller closed while the daemon stood still must not begin.

--- a/bench/crowd/site_test.go
+++ b/bench/crowd/site_test.go
@@ -29,8 +29,10 @@
 type site struct {
 	t       *testing.T
 	prefix  string // of all addresses, with three octets
+	store   *standin.Store
 	daemons []*process
-	names   atomic.Int64 // of requests
+	start   func(i int) *process // starts a daemon
+	names   atomic.Int64         // of requests
 }
 
 // rangesTried counts the address ranges that this process has tried.
@@ -80,6 +82,7 @@
 	t.Helper()
 	s := &site{t: t, prefix: reserveRange(t)}
 	store := standin.NewStore()
+	s.store = store
 	storeAddr := s.serve(store)
 	for i, stage := range []string{"", "", "decode", "prefill"} {
 		target := standin.NewTarget(fmt.Sprintf("i-%d", i), stage)
@@ -90,9 +93,12 @@
 	store.Announce(large, serve(s, large), false)
 	store.ConfigureKeyed(1, "/p/", "o1", siteKey)
 	const daemons = 2
-	for i := range daemons {
+	s.start = func(i int) *process {
 		ip := fmt.Sprintf("%s.%d", s.prefix, i+1)
-		s.daemons = append(s.daemons, startProcess(t, fmt.Sprintf("daemon-%d", i), ip, fmt.Sprintf(siteSettings, i, ip, storeAddr, vmMemory>>20)))
+		return startProcess(t, fmt.Sprintf("daemon-%d", i), ip, fmt.Sprintf(siteSettings, i, ip, storeAddr, vmMemory>>20))
+	}
+	for i := range daemons {
+		s.daemons = append(s.daemons, s.start(i))
 	}
 	eventually(t, "the daemons are ready", func() bool {
 		for i := range s.daemons {
--- a/standin/witness.go
+++ b/standin/witness.go
@@ -16,13 +16,41 @@
 	mu    sync.Mutex
 	open  map[string]int
 	begun map[string]time.Time // the last begin
+	ended map[string]time.Time // the last end
 	left  map[string]time.Time // when the caller left
 }
 
+// Departure is a request that reached a target and whose caller has left.
+type Departure struct {
+	ID    string
+	Begun time.Time // when it last reached a target
+	Left  time.Time
+	Ended time.Time // when a target last ended it; zero: it goes on
+}
+
+// Departures returns the requests that reached targets and whose callers have left.
+func (w *Witness) Departures() []Departure {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []Departure
+	for id, left := range w.left {
+		begun, reached := w.begun[id]
+		if !reached {
+			continue
+		}
+		d := Departure{ID: id, Begun: begun, Left: left}
+		if w.open[id] == 0 {
+			d.Ended = w.ended[id]
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
 // NewWitness returns a Witness. id returns the id of a request, or "" for other calls, which
 // aren't recorded.
 func NewWitness(id func(http.Header) string) *Witness {
-	return &Witness{id: id, open: make(map[string]int), begun: make(map[string]time.Time), left: make(map[string]time.Time)}
+	return &Witness{id: id, open: make(map[string]int), begun: make(map[string]time.Time), ended: make(map[string]time.Time), left: make(map[string]time.Time)}
 }
 
 // Wrap returns a target's handler with its requests recorded.
@@ -46,6 +74,7 @@
 func (w *Witness) end(id string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.ended[id] = time.Now()
 	if w.open[id]--; w.open[id] == 0 {
 		delete(w.open, id)
 	}
@@ -97,12 +126,10 @@
 // BegunLate returns the ids of the requests that began after their callers had left, in
 // order.
 func (w *Witness) BegunLate() []string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	var ids []string
-	for id, left := range w.left {
-		if at, ok := w.begun[id]; ok && at.After(left) {
-			ids = append(ids, id)
+	for _, d := range w.Departures() {
+		if d.Begun.After(d.Left) {
+			ids = append(ids, d.ID)
 		}
 	}
 	slices.Sort(ids)
