drain, sock: a cancelled request of HTTP/2 isn't taken up late

What callers saw: a request of HTTP/2 that its caller has cancelled while the daemon stood still reaches a target when the daemon goes on, and is cut a moment later.

Cause: the cancellation lies behind the request on the same connection. The server starts a goroutine for the request before it reads on.

Change: the check of whether a caller has left first waits until the connection's reader has read and processed what has arrived by then, for 50 ms at most. A reader that waits for bytes, as it nearly always does, costs one look at the socket.

--- a/bench/crowd/own_test.go
+++ b/bench/crowd/own_test.go
@@ -58,6 +58,11 @@
 // newFleet starts a fleet of two daemons, with TLS if it is secure, and waits until they
 // serve.
 func newFleet(t *testing.T, secure bool) *fleet {
+	return newFleetWith(t, secure, func(h http.Handler) http.Handler { return h })
+}
+
+// newFleetWith starts a fleet whose target has the handler that wrap returns.
+func newFleetWith(t *testing.T, secure bool, wrap func(http.Handler) http.Handler) *fleet {
 	t.Helper()
 	f := &fleet{t: t, prefix: reserveRange(t), client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, scheme: "http"}
 	extra := ""
@@ -77,7 +82,7 @@
 	f.run(events.Run, events.Close)
 	f.run(list.Run, list.Close)
 	f.run(store.Run, store.Close)
-	f.run(service.Run, service.Close)
+	f.run(func(addr string) error { return service.Start(wrap(service.Handler()), addr) }, service.Close)
 	for i := range daemons {
 		text := fmt.Sprintf(fleetSettings, i, f.ip(i), events.URL(), list.URL(), store.URL(), fleetHeaderBytes, fleetBodyBytes, vmMemory>>20)
 		f.daemons = append(f.daemons, startProcess(t, fmt.Sprintf("daemon-%d", i), f.ip(i), text+extra))
--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -12,6 +12,7 @@
 
 	"github.com/pomelospool/pomelospool/internal/presence"
 	"github.com/pomelospool/pomelospool/internal/quota"
+	"github.com/pomelospool/pomelospool/internal/sock"
 )
 
 // phase is the state of a connection.
@@ -45,6 +46,7 @@
 	net.Conn
 	t       *Tracker
 	account *quota.Account // of its memory
+	inflow  sock.Inflow
 	remove  sync.Once
 	mute    atomic.Bool // closed with a part of a request, which the server would call malformed
 
@@ -84,7 +86,9 @@
 			c.t.unread.remove(c)
 		}
 		c.mu.Unlock()
+		c.inflow.BeginRead()
 		n, err := c.Conn.Read(p)
+		c.inflow.EndRead(n)
 		if again, err := c.endRead(len(p), n, err); !again {
 			if n > 0 {
 				if refused := c.chargeHeader(p[:n]); refused != nil {
@@ -190,7 +194,7 @@
 }
 
 func (c *conn) closeWrite() error {
-	if half, ok := innermost(c.Conn).(interface{ CloseWrite() error }); ok {
+	if half, ok := sock.Innermost(c.Conn).(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
 	return errors.ErrUnsupported
@@ -296,14 +300,3 @@
 	}
 	c.early = false
 }
-
-// innermost returns the connection below all wrappers.
-func innermost(c net.Conn) net.Conn {
-	for {
-		wrapper, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			return c
-		}
-		c = wrapper.NetConn()
-	}
-}
--- a/internal/drain/departure.go
+++ b/internal/drain/departure.go
@@ -18,11 +18,15 @@
 	watchInterval = 100 * time.Millisecond
 	// checkInterval is the time for which the result of a check holds.
 	checkInterval = 10 * time.Millisecond
+	// maxInflowWait bounds the wait of a check for what has arrived on a connection that
+	// carries several requests at a time.
+	maxInflowWait = 50 * time.Millisecond
 )
 
 // request is an open request. It implements presence.Caller.
 type request struct {
 	c         *conn
+	ctx       context.Context
 	cancel    context.CancelCauseFunc
 	checkedAt atomic.Int64 // when the connection was last checked, in nanoseconds since processStart
 }
@@ -38,7 +42,7 @@
 		return req, func() {}
 	}
 	ctx, cancel := context.WithCancelCause(req.Context())
-	r := &request{c: c, cancel: cancel}
+	r := &request{c: c, ctx: ctx, cancel: cancel}
 	c.setRequest(r)
 	r.checkNow()
 	return req.WithContext(presence.WithCaller(ctx, r)), func() {
@@ -54,8 +58,12 @@
 	}
 }
 
-// checkNow ends the request's context if the caller has closed the connection.
+// checkNow ends the request's context if the caller has closed the connection. The server
+// does so for cancelled requests of HTTP/2, once it has read that they were.
 func (r *request) checkNow() {
+	if r.c.isMultiplexed() {
+		r.c.inflow.Await(r.ctx, r.c.Conn, maxInflowWait)
+	}
 	if r.c.leftBy(presence.ByCheck) {
 		r.cancel(presence.ErrLeft)
 	}
@@ -69,6 +77,12 @@
 	return r.c.departure, !r.c.departure.At.IsZero()
 }
 
+func (c *conn) isMultiplexed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.multiplexed
+}
+
 // setRequest sets the open request of a connection that carries one at a time.
 func (c *conn) setRequest(r *request) {
 	c.mu.Lock()
--- a/internal/drain/memory.go
+++ b/internal/drain/memory.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"github.com/pomelospool/pomelospool/internal/quota"
+	"github.com/pomelospool/pomelospool/internal/sock"
 )
 
 const (
@@ -210,7 +211,7 @@
 		running := c.phase == active && !c.multiplexed
 		c.mu.Unlock()
 		if running {
-			c.account.SetUnread(int64(unread(c.Conn)))
+			c.account.SetUnread(int64(sock.Unread(c.Conn)))
 		}
 	}
 	return true
--- a/internal/drain/pending_linux.go
+++ b/internal/drain/pending_linux.go
@@ -6,13 +6,15 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/pomelospool/pomelospool/internal/sock"
 )
 
 // pending reports whether bytes have arrived that weren't read. It returns false for
 // connections that aren't sockets.
 func pending(c net.Conn) bool {
 	found := false
-	control(innermost(c), func(fd int) {
+	control(sock.Innermost(c), func(fd int) {
 		var b [1]byte
 		for {
 			n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
@@ -26,23 +28,11 @@
 	return found
 }
 
-// unread returns the number of bytes that have arrived and weren't read. It returns 0 for
-// connections that aren't sockets.
-func unread(c net.Conn) int {
-	n := 0
-	control(innermost(c), func(fd int) {
-		if got, err := unix.IoctlGetInt(fd, unix.TIOCINQ); err == nil {
-			n = got
-		}
-	})
-	return n
-}
-
 // closedByPeer reports whether the peer has closed its end of a connection, even if bytes
 // before the close weren't read. It returns false for connections that aren't sockets.
 func closedByPeer(c net.Conn) bool {
 	closed := false
-	control(innermost(c), func(fd int) {
+	control(sock.Innermost(c), func(fd int) {
 		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 		for {
 			n, err := unix.Poll(fds, 0)
@@ -60,7 +50,7 @@
 // negative time if that isn't known.
 func sinceLastSegment(c net.Conn) time.Duration {
 	age := time.Duration(-1)
-	control(innermost(c), func(fd int) {
+	control(sock.Innermost(c), func(fd int) {
 		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
 			age = time.Duration(info.Last_ack_recv) * time.Millisecond
 		}
@@ -71,7 +61,7 @@
 // setWindow limits the bytes that the kernel receives while nobody reads them. It has no
 // effect on connections that aren't sockets.
 func (c *conn) setWindow(bytes int) {
-	control(innermost(c.Conn), func(fd int) {
+	control(sock.Innermost(c.Conn), func(fd int) {
 		// The kernel keeps its defaults if it doesn't know an option.
 		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
 		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, bytes)
--- a/internal/drain/pending_other.go
+++ b/internal/drain/pending_other.go
@@ -13,8 +13,6 @@
 // backlogged returns false, since it isn't implemented on this system.
 func backlogged(net.Listener) bool { return false }
 
-func unread(net.Conn) int { return 0 }
-
 func closedByPeer(net.Conn) bool { return false }
 
 func sinceLastSegment(net.Conn) time.Duration { return -1 }
--- a/internal/drain/unframed.go
+++ b/internal/drain/unframed.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/pomelospool/pomelospool/internal/quota"
+	"github.com/pomelospool/pomelospool/internal/sock"
 )
 
 // connKey is the context key of a request's *conn.
@@ -58,7 +59,7 @@
 
 // setLinger sets what a close of the connection does, as net.TCPConn.SetLinger.
 func (c *conn) setLinger(seconds int) {
-	if tcp, ok := innermost(c.Conn).(*net.TCPConn); ok {
+	if tcp, ok := sock.Innermost(c.Conn).(*net.TCPConn); ok {
 		_ = tcp.SetLinger(seconds) // fails if the connection is closed
 	}
 }
--- a/internal/sock/sock_linux.go
+++ b/internal/sock/sock_linux.go
@@ -100,3 +100,23 @@
 	}
 	return f, nil
 }
+
+// Unread returns the number of bytes that have arrived on a connection and weren't read. It
+// returns 0 for connections that aren't sockets.
+func Unread(c net.Conn) int {
+	sc, ok := Innermost(c).(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0 // closed
+	}
+	n := 0
+	_ = raw.Control(func(fd uintptr) { // fails if it is closed
+		if got, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil {
+			n = got
+		}
+	})
+	return n
+}
--- a/internal/sock/sock_other.go
+++ b/internal/sock/sock_other.go
@@ -28,3 +28,6 @@
 
 // LimitBacklog does nothing, since it isn't implemented on this system.
 func LimitBacklog(net.Listener) error { return nil }
+
+// Unread returns 0, since it isn't implemented on this system.
+func Unread(net.Conn) int { return 0 }
