peer, sock: a cancelled forwarded request isn't taken up late

What callers saw: on the own protocol, a request that was forwarded to a daemon that stands still reaches a target when that daemon goes on, though its caller has left.

Cause: as with HTTP/2 from callers: gRPC starts the call's handler before it has read the cancellation behind it.

Change: calls of peers are presence.Callers, whose check waits for what has arrived.

--- a/internal/sock/inflow.go
+++ b/internal/sock/inflow.go
@@ -35,9 +35,10 @@
 }
 
 // Await waits until the bytes that have arrived on the connection have been read and
-// processed, up to the limit or the end of ctx.
+// processed, up to the limit or the end of ctx. All reads of the connection must have been
+// stated.
 func (f *Inflow) Await(ctx context.Context, c net.Conn, limit time.Duration) {
-	goal := f.received.Load() + int64(Unread(c))
+	goal := arrived(c)
 	end := time.Now().Add(limit)
 	for n := 0; !f.reading.Load() || f.received.Load() < goal; n++ {
 		if n < inflowYields {
--- a/internal/sock/sock_linux.go
+++ b/internal/sock/sock_linux.go
@@ -104,19 +104,37 @@
 // Unread returns the number of bytes that have arrived on a connection and weren't read. It
 // returns 0 for connections that aren't sockets.
 func Unread(c net.Conn) int {
+	n := 0
+	control(c, func(fd int) {
+		if got, err := unix.IoctlGetInt(fd, unix.TIOCINQ); err == nil {
+			n = got
+		}
+	})
+	return n
+}
+
+// arrived returns the number of bytes that have arrived on a connection since it was
+// opened, with one more once its peer has closed it. It returns 0 for connections that
+// aren't sockets.
+func arrived(c net.Conn) int64 {
+	n := int64(0)
+	control(c, func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			n = int64(info.Bytes_received)
+		}
+	})
+	return n
+}
+
+// control calls f with the descriptor of a connection, if it is an open socket.
+func control(c net.Conn, f func(fd int)) {
 	sc, ok := Innermost(c).(syscall.Conn)
 	if !ok {
-		return 0
+		return
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return 0 // closed
+		return // closed
 	}
-	n := 0
-	_ = raw.Control(func(fd uintptr) { // fails if it is closed
-		if got, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil {
-			n = got
-		}
-	})
-	return n
+	_ = raw.Control(func(fd uintptr) { f(int(fd)) }) // fails if it is closed
 }
--- a/internal/sock/sock_other.go
+++ b/internal/sock/sock_other.go
@@ -31,3 +31,6 @@
 
 // Unread returns 0, since it isn't implemented on this system.
 func Unread(net.Conn) int { return 0 }
+
+// arrived returns 0, since it isn't implemented on this system.
+func arrived(net.Conn) int64 { return 0 }
--- a/peer/traffic.go
+++ b/peer/traffic.go
@@ -10,7 +10,9 @@
 	"github.com/apex/log"
 	"google.golang.org/grpc/stats"
 
+	"github.com/pomelospool/pomelospool/internal/presence"
 	"github.com/pomelospool/pomelospool/internal/quota"
+	"github.com/pomelospool/pomelospool/internal/sock"
 )
 
 const (
@@ -22,6 +24,8 @@
 	connCost = quota.ConnCost
 	// callCost is the cost of an open call besides its messages.
 	callCost = 8 << 10
+	// maxInflowWait bounds the wait of a check whether a call was cancelled.
+	maxInflowWait = 50 * time.Millisecond
 	// frameBytes is the number of bytes of frames that stand for each event of a call
 	// besides its payload. They are read and forgotten.
 	frameBytes = 64
@@ -87,6 +91,7 @@
 	net.Conn
 	t       *traffic
 	account *quota.Account
+	inflow  sock.Inflow
 
 	mu      sync.Mutex
 	calls   int
@@ -96,7 +101,9 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	c.inflow.BeginRead()
 	n, err := c.Conn.Read(p)
+	c.inflow.EndRead(n)
 	if n > 0 && c.update(func() { c.pending += int64(n) }) != nil {
 		_ = c.Conn.Close()
 		return 0, net.ErrClosed
@@ -139,12 +146,20 @@
 	callKey struct{}
 )
 
-// call is an open call of a connection.
+// call is an open call of a connection. It implements presence.Caller.
 type call struct {
 	c    *conn
+	ctx  context.Context
 	held int64 // guarded by c.mu
 }
 
+// Check implements presence.Caller. The server ends the contexts of cancelled calls, once it
+// has read that they were.
+func (k *call) Check() { k.c.inflow.Await(k.ctx, k.c.Conn, maxInflowWait) }
+
+// Departure implements presence.Caller. How a peer cancels a call isn't tracked.
+func (k *call) Departure() (presence.Departure, bool) { return presence.Departure{}, false }
+
 // TagConn implements stats.Handler.
 func (t *traffic) TagConn(ctx context.Context, info *stats.ConnTagInfo) context.Context {
 	t.mu.Lock()
@@ -162,7 +177,8 @@
 	if c == nil {
 		return ctx
 	}
-	return context.WithValue(ctx, callKey{}, &call{c: c})
+	k := &call{c: c, ctx: ctx}
+	return presence.WithCaller(context.WithValue(ctx, callKey{}, k), k)
 }
 
 // HandleRPC implements stats.Handler.
