sock, drain, presence: read-through

Descriptors of sockets are reached in one place, tests are named after what must happen (TestTargetsStopWhenCallerLeaves, before TestTargetsAreToldThatCallerHasLeft), comments use the usual terms. No behaviour changes.

--- a/bench/crowd/departure_test.go
+++ b/bench/crowd/departure_test.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// noticeTime is the time in which targets must be told that a caller has left.
+	// noticeTime is the time in which targets must stop after a caller has left.
 	noticeTime = 500 * time.Millisecond
 	// segmentTime is the time between two writes of a caller that a daemon reads apart.
 	segmentTime = 50 * time.Millisecond
--- a/internal/drain/departure.go
+++ b/internal/drain/departure.go
@@ -141,7 +141,7 @@
 type unreadConns struct {
 	mu    sync.Mutex
 	conns map[*conn]struct{}
-	timer *time.Timer // runs while there are conns
+	armed bool // a check is due
 }
 
 func (u *unreadConns) add(c *conn) {
@@ -151,8 +151,14 @@
 		u.conns = make(map[*conn]struct{})
 	}
 	u.conns[c] = struct{}{}
-	if u.timer == nil {
-		u.timer = time.AfterFunc(watchInterval, u.check)
+	u.arm()
+}
+
+// arm schedules a check, unless one is due. Callers hold u.mu.
+func (u *unreadConns) arm() {
+	if !u.armed {
+		u.armed = true
+		time.AfterFunc(watchInterval, u.check)
 	}
 }
 
@@ -169,9 +175,9 @@
 	for c := range u.conns {
 		conns = append(conns, c)
 	}
-	u.timer = nil
+	u.armed = false
 	if len(conns) > 0 {
-		u.timer = time.AfterFunc(watchInterval, u.check)
+		u.arm()
 	}
 	u.mu.Unlock()
 	for _, c := range conns {
--- a/internal/drain/pending_linux.go
+++ b/internal/drain/pending_linux.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -14,7 +13,7 @@
 // connections that aren't sockets.
 func pending(c net.Conn) bool {
 	found := false
-	control(sock.Innermost(c), func(fd int) {
+	sock.OnDescriptor(sock.Innermost(c), func(fd int) {
 		var b [1]byte
 		for {
 			n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
@@ -32,7 +31,7 @@
 // before the close weren't read. It returns false for connections that aren't sockets.
 func closedByPeer(c net.Conn) bool {
 	closed := false
-	control(sock.Innermost(c), func(fd int) {
+	sock.OnDescriptor(sock.Innermost(c), func(fd int) {
 		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 		for {
 			n, err := unix.Poll(fds, 0)
@@ -50,7 +49,7 @@
 // negative time if that isn't known.
 func sinceLastSegment(c net.Conn) time.Duration {
 	age := time.Duration(-1)
-	control(sock.Innermost(c), func(fd int) {
+	sock.OnDescriptor(sock.Innermost(c), func(fd int) {
 		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
 			age = time.Duration(info.Last_ack_recv) * time.Millisecond
 		}
@@ -61,7 +60,7 @@
 // setWindow limits the bytes that the kernel receives while nobody reads them. It has no
 // effect on connections that aren't sockets.
 func (c *conn) setWindow(bytes int) {
-	control(sock.Innermost(c.Conn), func(fd int) {
+	sock.OnDescriptor(sock.Innermost(c.Conn), func(fd int) {
 		// The kernel keeps its defaults if it doesn't know an option.
 		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
 		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, bytes)
@@ -72,7 +71,7 @@
 // returns false for listeners that aren't sockets.
 func backlogged(l net.Listener) bool {
 	found := false
-	control(l, func(fd int) {
+	sock.OnDescriptor(l, func(fd int) {
 		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
 		for {
 			n, err := unix.Poll(fds, 0)
@@ -85,16 +84,3 @@
 	})
 	return found
 }
-
-// control calls f with the descriptor of s, if it is an open socket.
-func control(s any, f func(fd int)) {
-	sc, ok := s.(syscall.Conn)
-	if !ok {
-		return
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return // closed
-	}
-	_ = raw.Control(func(fd uintptr) { f(int(fd)) }) // fails if it is closed
-}
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -1,5 +1,5 @@
-// Package presence tells the parts that run a request whether its caller still waits for
-// the answer.
+// Package presence lets the parts that run a request check whether its caller is still
+// connected.
 package presence
 
 import (
--- a/internal/sock/sock_linux.go
+++ b/internal/sock/sock_linux.go
@@ -105,7 +105,7 @@
 // returns 0 for connections that aren't sockets.
 func Unread(c net.Conn) int {
 	n := 0
-	control(c, func(fd int) {
+	OnDescriptor(Innermost(c), func(fd int) {
 		if got, err := unix.IoctlGetInt(fd, unix.TIOCINQ); err == nil {
 			n = got
 		}
@@ -118,7 +118,7 @@
 // aren't sockets.
 func arrived(c net.Conn) int64 {
 	n := int64(0)
-	control(c, func(fd int) {
+	OnDescriptor(Innermost(c), func(fd int) {
 		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
 			n = int64(info.Bytes_received)
 		}
@@ -126,9 +126,10 @@
 	return n
 }
 
-// control calls f with the descriptor of a connection, if it is an open socket.
-func control(c net.Conn, f func(fd int)) {
-	sc, ok := Innermost(c).(syscall.Conn)
+// OnDescriptor calls f with the descriptor of a connection or a listener, if it is an open
+// socket.
+func OnDescriptor(s any, f func(fd int)) {
+	sc, ok := s.(syscall.Conn)
 	if !ok {
 		return
 	}
--- a/process/daemon/departure_test.go
+++ b/process/daemon/departure_test.go
@@ -23,7 +23,7 @@
 )
 
 const (
-	// noticeTime is the time in which targets must be told that a caller has left.
+	// noticeTime is the time in which targets must stop after a caller has left.
 	noticeTime = 500 * time.Millisecond
 	// segmentTime is the time between two writes of a caller that the daemon reads apart.
 	segmentTime = 50 * time.Millisecond
@@ -77,7 +77,7 @@
 
 // Guards against targets that work for callers that have left, on HTTP/1: at this daemon and
 // through another one, with and without bytes between the request and the close.
-func TestTargetsAreToldThatCallerHasLeft(t *testing.T) {
+func TestTargetsStopWhenCallerLeaves(t *testing.T) {
 	for _, forwarded := range []bool{false, true} {
 		links := &linkfault.Links{}
 		f := newFleetWithLinks(t, 2, links)
@@ -116,7 +116,7 @@
 
 // Guards against targets that work for callers that have cancelled a stream of HTTP/2 or
 // closed its connection.
-func TestTargetsAreToldThatHTTP2CallerHasLeft(t *testing.T) {
+func TestTargetsStopWhenHTTP2CallerLeaves(t *testing.T) {
 	ours := newTestCA(t, "fleet")
 	for _, forwarded := range []bool{false, true} {
 		links := &linkfault.Links{}
@@ -180,7 +180,7 @@
 		select {
 		case <-release:
 		case <-req.Context().Done():
-			t.Error("the target was told that the caller has left")
+			t.Error("the target was cancelled")
 		}
 		_, _ = io.WriteString(rw, "whole")
 	})))
--- a/process/front/departure_test.go
+++ b/process/front/departure_test.go
@@ -20,7 +20,7 @@
 // segmentTime is the time between two writes of a caller that the daemon reads apart.
 const segmentTime = 50 * time.Millisecond
 
-// noticeTime is the time in which targets must be told that a caller has left.
+// noticeTime is the time in which targets must stop after a caller has left.
 const noticeTime = 500 * time.Millisecond
 
 // newWitnessedPlatform returns a platform whose targets never answer.
@@ -69,7 +69,7 @@
 // Guards against targets that work for callers that have left, and against requests that
 // reach targets after their callers have left: in every step of a request, at this daemon
 // and through another one, with and without bytes between the request and the close.
-func TestTargetsAreToldThatCallerHasLeft(t *testing.T) {
+func TestTargetsStopWhenCallerLeaves(t *testing.T) {
 	between := map[string]func(id string) string{
 		"nothing": func(string) string { return "" },
 		"line":    func(string) string { return "\r\n" },
