origin: records of open streams are sent while a service has one version

What callers saw: one of three daemons is killed, 1.5 s later targets of a second software version join, and none of the dead daemon's 20 streams goes on at the others, which nothing has disturbed (503, 2011 ORIGIN_UNKNOWN, at both tries), while all new ones begin.

Cause: while a service has a single version a daemon records its streams for itself only. The records are sent once a second version appears, by the daemon that has them; one that died before had sent them to nobody, and as soon as there are two versions the only version is no answer.

Change: the record of a stream that is still open 100 ms after its first event is sent to its keepers also while there is one version. Most streams of short answers end before, and those of 100 ms are sent together. A stream without a record is refused as before: that it began before the second version can't be concluded, since records of a daemon that was cut off may be missing, and a wrong guess joins two versions.

TestStreamOfALostDaemonIsKnownOnceASecondVersionAppears fails on ("unknown" at both other daemons); it holds for a daemon that is cut off, too.

--- a/connection/origin/origin.go
+++ b/connection/origin/origin.go
@@ -3,10 +3,12 @@
 // write doesn't fit together: a stream may go on only at the version that began it.
 //
 // While a service has had a single version for longer than any stream lasts, that
-// version is the origin of all its streams, and nothing is sent. Otherwise each
-// daemon records the streams that begin at it and sends the records to a few other
-// daemons before the caller receives the first event: what only one daemon knows is
-// lost when that daemon dies, which is when callers take up its streams.
+// version is the origin of all its streams. Otherwise each daemon records the streams
+// that begin at it and sends the records to a few other daemons before the caller
+// receives the first event: what only one daemon knows is lost when that daemon dies,
+// which is when callers take up its streams. A second version may appear after the
+// daemon's death, so while there is one, the records of streams that stay open are
+// sent, too.
 package origin
 
 import (
@@ -146,6 +148,7 @@
 type Tracker struct {
 	o       Options
 	records *table
+	unsent  unsent
 }
 
 // New returns a Tracker without records.
@@ -173,7 +176,13 @@
 	lifetime := t.o.Lifetime(s.Service)
 	r := Record{Key: key, Owner: OwnerOf(s.Organisation), Software: software}
 	t.records.put(r, s.Service, lifetime)
-	if t.o.Peers == nil || t.isSole(s.Service) {
+	if t.o.Peers == nil {
+		return
+	}
+	if t.isSole(s.Service) {
+		if lifetime > 0 && t.unsent.addToShare(key) {
+			time.AfterFunc(shareDelay, t.shareOpen)
+		}
 		return
 	}
 	t.records.setShared(key)
--- a/connection/origin/origin_test.go
+++ b/connection/origin/origin_test.go
@@ -271,3 +271,43 @@
 		}
 	})
 }
+
+// Guards against streams that can't go on since their daemon died before a second
+// version appeared, when it had sent its records to nobody.
+func TestStreamOfALostDaemonIsKnownOnceASecondVersionAppears(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3, true)
+		f.observe("v1")
+		lost := f.daemons[0]
+		lost.Begin(stream, "v1")
+		lost.Begin(Stream{Service: "s", Request: "short"}, "v1")
+		lost.Complete(Stream{Service: "s", Request: "short"})
+		time.Sleep(2 * shareDelay)
+		lost.cutOff = true
+		f.run(time.Second)
+		f.observe("v1", "v2")
+		for i, d := range f.daemons[1:] {
+			if got := d.find("r1"); got != "v1" {
+				t.Errorf("daemon %d: %s", i+1, got)
+			}
+			if got := d.find("another"); got != "unknown" {
+				t.Errorf("daemon %d: %s for a stream without a record", i+1, got)
+			}
+		}
+		if lost.shared != 1 {
+			t.Errorf("%d records sent for one stream that stayed open", lost.shared)
+		}
+	})
+}
+
+// Guards against memory that grows with streams that nobody takes.
+func TestUnsentStreamsAreBounded(t *testing.T) {
+	var u unsent
+	for n := range 2 * maxUnsent {
+		k := Key{byte(n), byte(n >> 8), byte(n >> 16)}
+		u.addToShare(k)
+	}
+	if len(u.toShare) != maxUnsent {
+		t.Errorf("%d streams are queued", len(u.toShare))
+	}
+}
--- a/connection/origin/table.go
+++ b/connection/origin/table.go
@@ -27,6 +27,7 @@
 type entry struct {
 	record   Record
 	service  string        // set for own records
+	began    time.Duration // when an own record was stored last, by now
 	own      bool          // the stream began or went on at this daemon
 	complete bool          // the stream has ended whole, so that it isn't taken up
 	conflict bool          // there are records of the stream with different versions
@@ -52,7 +53,7 @@
 		e.conflict = e.conflict || e.record.Software != r.Software
 		e.expires = max(e.expires, now+lifetime)
 		if service != "" {
-			e.own, e.service, e.complete = true, service, false
+			e.own, e.service, e.complete, e.began = true, service, false, now
 		}
 		return
 	}
@@ -65,7 +66,24 @@
 		records = list.New()
 		t.byOwner[r.Owner] = records
 	}
-	t.byKey[r.Key] = records.PushBack(&entry{record: r, service: service, own: service != "", expires: now + lifetime, shared: neverShared})
+	t.byKey[r.Key] = records.PushBack(&entry{record: r, service: service, own: service != "", began: now, expires: now + lifetime, shared: neverShared})
+}
+
+// open returns the own record of a stream that hasn't ended whole, and when it was
+// stored.
+func (t *table) open(k Key) (r Record, began time.Duration, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	el := t.byKey[k]
+	if el == nil {
+		return Record{}, 0, false
+	}
+	e := el.Value.(*entry)
+	now := t.now()
+	if !e.own || e.complete || e.conflict || now >= e.expires {
+		return Record{}, 0, false
+	}
+	return e.record.withTimeLeft(e.expires - now), e.began, true
 }
 
 // get returns the version at which a stream began.
