origin, front: a planned stop hands over the records of streams

What callers saw: three daemons are restarted in turn, one second apart, while targets of two versions serve; 13 of 40 streams go on afterwards, those of the daemon that was stopped last. The others get 503 (2011 ORIGIN_UNKNOWN) at every try.

Cause: a daemon sends again only the records of its own streams. Those that it keeps for others end with it, so a record lives only as long as the daemons that were its keepers when the stream began; a restart of all, in turn, within a stream's life loses it.

Change: the last step of a planned stop before its ports close sends all records, also those kept for others, to the present keepers: 4,096 at most, the ones that are kept longest first.

TestRecordsOutliveAPlannedRestartOfAllDaemons fails without the handover ("unknown" at all daemons).

--- a/connection/origin/origin_test.go
+++ b/connection/origin/origin_test.go
@@ -300,6 +300,28 @@
 	})
 }
 
+// Guards against streams that can't go on after a planned restart of all daemons in
+// turn: those that were sent a record when its stream began are all replaced.
+func TestRecordsOutliveAPlannedRestartOfAllDaemons(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3, true)
+		f.observe("v1", "v2")
+		f.daemons[0].Begin(stream, "v2")
+		f.daemons[0].Begin(Stream{Service: "s", Request: "ended"}, "v2")
+		f.daemons[0].Complete(Stream{Service: "s", Request: "ended"})
+		for i, d := range f.daemons {
+			d.HandOver()
+			f.daemons[i] = f.newDaemon(false)
+			f.daemons[i].Observe(map[string][]string{"s": {"v1", "v2"}})
+		}
+		for i, d := range f.daemons {
+			if got := d.find("r1"); got != "v2" {
+				t.Errorf("daemon %d: %s", i, got)
+			}
+		}
+	})
+}
+
 // Guards against memory that grows with streams that nobody takes.
 func TestUnsentStreamsAreBounded(t *testing.T) {
 	var u unsent
--- a/connection/origin/table.go
+++ b/connection/origin/table.go
@@ -86,6 +86,20 @@
 	return e.record.withTimeLeft(e.expires - now), e.began, true
 }
 
+// unfinished returns the records of streams that may be taken up, own ones and those of
+// others.
+func (t *table) unfinished() (out []Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	for _, el := range t.byKey {
+		if e := el.Value.(*entry); !e.complete && !e.conflict && now < e.expires {
+			out = append(out, e.record.withTimeLeft(e.expires-now))
+		}
+	}
+	return out
+}
+
 // get returns the version at which a stream began.
 func (t *table) get(k Key) (software string, known bool) {
 	t.mu.Lock()
--- a/connection/origin/unsent.go
+++ b/connection/origin/unsent.go
@@ -1,6 +1,8 @@
 package origin
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 )
@@ -12,6 +14,8 @@
 	shareDelay = 100 * time.Millisecond
 	// maxUnsent bounds the streams that wait to be shared.
 	maxUnsent = 1 << 14
+	// maxHandedOver bounds the records that a daemon sends to others when it stops.
+	maxHandedOver = 4096
 )
 
 // unsent are the keys of own streams whose records other daemons may still need. It is safe for concurrent use.
@@ -53,3 +57,21 @@
 		t.o.Peers.ShareOrigins(records)
 	}
 }
+
+// longestKept returns up to limit of the records, those with the most time left first.
+func longestKept(records []Record, limit int) []Record {
+	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(b.LeftMs, a.LeftMs) })
+	return records[:min(len(records), limit)]
+}
+
+// HandOver sends all records to the daemons that keep them, also those of streams that
+// began elsewhere. It is called when this daemon stops: in a restart of all daemons in
+// turn, those that were sent a record when its stream began end one after the other.
+func (t *Tracker) HandOver() {
+	if t.o.Peers == nil {
+		return
+	}
+	if records := longestKept(t.records.unfinished(), maxHandedOver); len(records) > 0 {
+		t.o.Peers.ShareOrigins(records)
+	}
+}
--- a/process/front/stop.go
+++ b/process/front/stop.go
@@ -53,6 +53,7 @@
 		d.drainInternal(ctx)
 	})
 	steps.Step("usage", d.flushUsage)
+	steps.Step("origins", d.origins.HandOver)
 	if n := d.ingress.Open(); n > 0 {
 		log.WithField("open", n).Warn("front: requests cut at the end of the grace time")
 	}
