versions, front: the store keeps where open streams began

What callers saw: all daemons are killed at once while targets of two versions serve; none of 40 streams that callers take up afterwards goes on (503, 2011 ORIGIN_UNKNOWN), while all new ones begin.

Cause: at which version a stream began is known to daemons only. The store has the versions of a service, which is an answer only while there is one.

Change: each daemon keeps the records of its streams that have been open for 300 ms in the store, in one record under its name and start. It is written as streams open, not for each one, and at most as often as the saves of all daemons together take 5 % of the store's write rate (new setting store.writes_per_second, filled in by the template). The daemon that leads reads all of them once as it begins to lead, sends them to their keepers, and removes expired ones every minute. While the store is away it tries again; until then such streams are refused, not guessed.

--- a/connection/origin/origin.go
+++ b/connection/origin/origin.go
@@ -8,7 +8,7 @@
 // receives the first event: what only one daemon knows is lost when that daemon dies,
 // which is when callers take up its streams. A second version may appear after the
 // daemon's death, so while there is one, the records of streams that stay open are
-// sent, too.
+// sent, too. They are also saved outside the fleet, for the loss of all daemons.
 package origin
 
 import (
@@ -163,7 +163,7 @@
 	if o.History == nil {
 		o.History = NewHistory(HistoryOptions{})
 	}
-	return &Tracker{o: o, records: newTable(o.Now, maxRecords)}
+	return &Tracker{o: o, records: newTable(o.Now, maxRecords), unsent: unsent{saved: make(map[Key]bool)}}
 }
 
 // Begin records that a stream begins, or goes on, at a target of a software version.
@@ -176,6 +176,9 @@
 	lifetime := t.o.Lifetime(s.Service)
 	r := Record{Key: key, Owner: OwnerOf(s.Organisation), Software: software}
 	t.records.put(r, s.Service, lifetime)
+	if lifetime > 0 {
+		t.unsent.addToSave(key)
+	}
 	if t.o.Peers == nil {
 		return
 	}
--- a/connection/origin/origin_test.go
+++ b/connection/origin/origin_test.go
@@ -322,14 +322,48 @@
 	})
 }
 
-// Guards against memory that grows with streams that nobody takes.
+// Guards against records that are saved again and again, or for streams that have ended.
+func TestOpenStreamsAreSavedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newFleet(1, true).daemons[0]
+		d.Begin(stream, "v1")
+		d.Begin(Stream{Service: "s", Request: "short"}, "v1")
+		if records, _ := d.Unsaved(false); len(records) != 0 {
+			t.Errorf("%d records at once", len(records))
+		}
+		d.Complete(Stream{Service: "s", Request: "short"})
+		time.Sleep(SaveDelay)
+		records, changed := d.Unsaved(false)
+		if len(records) != 1 || !changed || records[0].Software != "v1" {
+			t.Errorf("%v, changed %v", records, changed)
+		}
+		if again, changed := d.Unsaved(false); len(again) != 0 || changed {
+			t.Errorf("%d records again, changed %v", len(again), changed)
+		}
+		if again, _ := d.Unsaved(true); len(again) != 1 {
+			t.Errorf("%d records after a failed save", len(again))
+		}
+		d.Begin(Stream{Service: "s", Request: "second"}, "v1")
+		time.Sleep(SaveDelay)
+		if records, _ := d.Unsaved(false); len(records) != 2 {
+			t.Errorf("%d records of two open streams", len(records))
+		}
+		d.Complete(stream)
+		if records, _ := d.Unsaved(true); len(records) != 1 {
+			t.Errorf("%d records of one open stream", len(records))
+		}
+	})
+}
+
+// Guards against memory that grows with streams that nobody saves.
 func TestUnsentStreamsAreBounded(t *testing.T) {
 	var u unsent
 	for n := range 2 * maxUnsent {
 		k := Key{byte(n), byte(n >> 8), byte(n >> 16)}
+		u.addToSave(k)
 		u.addToShare(k)
 	}
-	if len(u.toShare) != maxUnsent {
-		t.Errorf("%d streams are queued", len(u.toShare))
+	if len(u.toSave) != maxUnsent || len(u.toShare) != maxUnsent {
+		t.Errorf("%d and %d streams are queued", len(u.toSave), len(u.toShare))
 	}
 }
--- a/port/store.go
+++ b/port/store.go
@@ -23,6 +23,7 @@
 	TopicUsage                 // organisations' usage as reported
 	TopicScale                 // desired capacity of each service
 	TopicVersions              // software versions that each service's targets have had recently
+	TopicStreams               // software versions at which open streams began, keyed by daemon
 )
 
 // KeyedRecord is one record of a keyed topic.
@@ -62,3 +63,22 @@
 	// ErrConflict otherwise.
 	PutAt(ctx context.Context, t Topic, key string, value []byte, at int64) (int64, error)
 }
+
+// Newest calls handle for the newest record of each key of a topic. The records aren't
+// a snapshot.
+func Newest(ctx context.Context, s Store, t Topic, handle func(KeyedRecord)) error {
+	after := ""
+	for {
+		page, err := s.Newest(ctx, t, after)
+		if err != nil {
+			return err
+		}
+		for _, r := range page.Records {
+			after = r.Key
+			handle(r)
+		}
+		if !page.More || len(page.Records) == 0 {
+			return nil
+		}
+	}
+}
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -96,6 +96,7 @@
 	targetsConfirmed *relay.Confirmation // that the list of targets is complete
 
 	versions  *versions.Keeper
+	streams   *versions.StreamKeeper
 	runner    *dispatch.Runner
 	usage     *usage.Reporter // nil: usage isn't reported
 	scaler    *scale.Scaler   // nil: engines aren't ordered
@@ -316,6 +317,7 @@
 		})
 		d.tomb.Go(d.upkeep)
 		d.tomb.Go(d.trackOrigins)
+		d.tomb.Go(d.saveStreams)
 		return nil
 	})
 }
--- a/process/front/origins_test.go
+++ b/process/front/origins_test.go
@@ -12,6 +12,7 @@
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/platform/standin"
 	"github.com/pomelospool/pomelospool/port"
+	"github.com/pomelospool/pomelospool/process/versions"
 )
 
 // beginStream begins a stream at a daemon, reads its first event and breaks it off. It
@@ -51,17 +52,22 @@
 	return p.postWithHeaders(d, standin.ResumablePrefix+"x", h)
 }
 
-// Guards against streams that go on at another software version, or not at all, once
-// the daemon at which they began is gone.
-func TestStreamIsTakenUpAtAnotherDaemon(t *testing.T) {
-	s := newTestPlatform(t)
-	s.store.Withdraw(s.decode.ID)
+// serveTwoVersions replaces the decoding engine with two of different versions.
+func (p *testPlatform) serveTwoVersions() {
+	p.store.Withdraw(p.decode.ID)
 	for _, software := range []string{"v1", "v2"} {
 		target := standin.NewTarget("i-"+software, "decode")
 		target.Software = software
 		target.Set(func(b *standin.Behaviour) { b.Gap = 20 * time.Millisecond })
-		s.store.Announce(target, s.serve(target), false)
+		p.store.Announce(target, p.serve(target), false)
 	}
+}
+
+// Guards against streams that go on at another software version, or not at all, once
+// the daemon at which they began is gone.
+func TestStreamIsTakenUpAtAnotherDaemon(t *testing.T) {
+	s := newTestPlatform(t)
+	s.serveTwoVersions()
 	a := s.start()
 	b := s.startWith(replaceVM(settingsText, "vm-2"))
 	s.waitFor(func() bool { return len(a.roster.Members()) == 2 && len(b.roster.Members()) == 2 })
@@ -103,3 +109,45 @@
 		t.Errorf("status %d, %q", status, body)
 	}
 }
+
+// savedStreams returns the number of the streams r0 to r9 whose origins are in the store.
+func (p *testPlatform) savedStreams() (n int) {
+	origins := origin.New(origin.Options{})
+	versions.NewStreamKeeper(versions.StreamOptions{
+		Store: platform.NewStore(p.addr), Origins: origins, MayLead: func() bool { return true }, Daemons: func() int { return 1 }, WritesPerSecond: 400,
+	}).Update(p.t.Context())
+	for i := range 10 {
+		if _, from := origins.Find(p.t.Context(), origin.Stream{Service: "llm", Request: "r" + string(rune('0'+i))}); from == origin.FromRecord {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against streams that can't go on after the loss of all daemons while targets of
+// two software versions serve.
+func TestStreamsOfTwoVersionsOutliveAllDaemons(t *testing.T) {
+	s := newTestPlatform(t)
+	s.serveTwoVersions()
+	lost := []*Daemon{s.start(), s.startWith(replaceVM(settingsText, "vm-2"))}
+	began := make(map[string]string)
+	for i := range 6 {
+		id := "r" + string(rune('0'+i))
+		began[id] = s.beginStream(lost[i%2], id)
+	}
+	s.waitFor(func() bool { return s.savedStreams() == len(began) })
+	for _, d := range lost {
+		d.close()
+	}
+	d := s.startWith(replaceVM(settingsText, "vm-3"))
+	s.waitFor(func() bool {
+		_, from := d.origins.Find(t.Context(), origin.Stream{Service: "llm", Request: "r0"})
+		return from == origin.FromRecord
+	})
+	for id, software := range began {
+		status, body := s.takeUp(d, "second "+id, id)
+		if status != http.StatusOK || strings.Count(body, " by "+software+"\n") != 2 {
+			t.Errorf("stream %s began at %s: status %d, %q", id, software, status, body)
+		}
+	}
+}
--- a/process/settings/load.go
+++ b/process/settings/load.go
@@ -69,6 +69,7 @@
 			BufferBytes: 256 << 10,
 			Streams:     100,
 		},
+		Store: Store{WritesPerSecond: 400},
 		Bounds: Bounds{
 			Grace:       8 * time.Second,
 			Lease:       3 * time.Second,
--- a/process/settings/store.go
+++ b/process/settings/store.go
@@ -14,6 +14,12 @@
 	minRetryBudget = 0.0
 )
 
+// Bounds of the store's rate, in writes per second.
+const (
+	minWriteRate = 1.0
+	maxWriteRate = 1_000_000.0
+)
+
 // HasStore reports whether the platform keeps configuration and targets in a
 // store.
 func (s *Settings) HasStore() bool { return s.Store.Addr != "" }
@@ -32,6 +38,7 @@
 			f.Addr(field.path, field.addr, true)
 		}
 	}
+	yamlcheck.Range(f, "store.writes_per_second", s.Store.WritesPerSecond, minWriteRate, maxWriteRate)
 	checkDuties(f, s.Duties)
 	checkBounds(f, s.Bounds)
 }
--- a/process/settings/types.go
+++ b/process/settings/types.go
@@ -62,6 +62,8 @@
 // Store locates the platform's store.
 type Store struct {
 	Addr string `yaml:"addr"` // host:port
+	// WritesPerSecond is the rate of writes that the store accepts from the whole fleet.
+	WritesPerSecond float64 `yaml:"writes_per_second,omitempty"`
 }
 
 // Duties configures the calls to the platform that one daemon at a time makes
--- a/process/versions/keeper.go
+++ b/process/versions/keeper.go
@@ -69,21 +69,16 @@
 		return nil
 	}
 	stored := make(map[string][]string)
-	for after, more := "", true; more; {
-		page, err := k.o.Store.Newest(ctx, port.TopicVersions, after)
-		if err != nil {
-			return err
-		}
-		for _, r := range page.Records {
-			after = r.Key
-			var software []string
-			if err := json.Unmarshal(r.Value, &software); err != nil {
-				log.WithError(err).WithField("service", r.Key).Warn("versions: can't decode stored software versions")
-				continue
-			}
-			stored[r.Key] = software
+	err := port.Newest(ctx, k.o.Store, port.TopicVersions, func(r port.KeyedRecord) {
+		var software []string
+		if err := json.Unmarshal(r.Value, &software); err != nil {
+			log.WithError(err).WithField("service", r.Key).Warn("versions: can't decode stored software versions")
+			return
 		}
-		more = page.More && len(page.Records) > 0
+		stored[r.Key] = software
+	})
+	if err != nil {
+		return err
 	}
 	k.stored, k.read, k.gaps = stored, true, gaps
 	for service, software := range stored {
