saved: one keeper for state that outlives the loss of all daemons

The part of versions.StreamKeeper that saves, restores and cleans up becomes process/saved.Keeper, for any State; origin.Tracker is the first. A record of a daemon that lives isn't restored, and a State is told whether any daemon lives that was running when a record was saved, which quarantine needs.

--- a/connection/origin/unsent.go
+++ b/connection/origin/unsent.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 const (
@@ -12,13 +15,10 @@
 	// sent to other daemons while its service has a single version. A second version
 	// may appear once the stream's daemon has died. Most streams end before.
 	shareDelay = 100 * time.Millisecond
-	// SaveDelay is the time after which the record of an open stream is saved.
-	SaveDelay = 300 * time.Millisecond
+	// saveDelay is the time after which the record of an open stream is saved.
+	saveDelay = 300 * time.Millisecond
 	// maxUnsent bounds the streams that wait to be shared or saved.
 	maxUnsent = 1 << 14
-	// maxSaved bounds the records of one save. At about 50 bytes each they fit into one
-	// record of the store.
-	maxSaved = 2048
 	// maxHandedOver bounds the records that a daemon sends to others when it stops.
 	maxHandedOver = 4096
 )
@@ -74,28 +74,45 @@
 	}
 }
 
-// Unsaved returns the records of all streams that began at this daemon and have been
-// open for SaveDelay. changed reports whether some weren't in the previous result. The
-// caller saves the records for the case that all daemons are lost, and calls Unsaved
-// again with retry set if it failed.
-func (t *Tracker) Unsaved(retry bool) (records []Record, changed bool) {
+// Unsaved returns the encoded records of the streams that began at this daemon and have
+// been open for saveDelay, if there are new ones. It implements saved.State.
+func (t *Tracker) Unsaved(retry bool, maxBytes int) ([]byte, error) {
+	records := t.unsaved(retry)
+	if len(records) == 0 {
+		return nil, nil
+	}
+	for {
+		data, err := cbor.Marshal(records)
+		if err != nil {
+			return nil, fmt.Errorf("origin: encode records: %w", err)
+		}
+		if len(data) <= maxBytes {
+			return data, nil
+		}
+		records = longestKept(records, len(records)/2)
+	}
+}
+
+// unsaved returns all records to save if there are new ones or retry is set.
+func (t *Tracker) unsaved(retry bool) (records []Record) {
 	u := &t.unsent
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	changed := retry
 	now, waiting := t.o.Now(), u.toSave[:0]
 	for _, k := range u.toSave {
 		_, began, open := t.records.open(k)
 		switch {
 		case !open || u.saved[k]:
-		case now-began < SaveDelay:
+		case now-began < saveDelay:
 			waiting = append(waiting, k)
 		default:
 			u.saved[k], changed = true, true
 		}
 	}
 	u.toSave = waiting
-	if !changed && !retry {
-		return nil, false
+	if !changed {
+		return nil
 	}
 	for k := range u.saved {
 		r, _, open := t.records.open(k)
@@ -105,22 +122,47 @@
 		}
 		records = append(records, r)
 	}
-	return longestKept(records, maxSaved), changed
+	return records
 }
 
-// longestKept returns up to limit of the records, those with the most time left first.
-func longestKept(records []Record, limit int) []Record {
-	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(b.LeftMs, a.LeftMs) })
-	return records[:min(len(records), limit)]
-}
-
-// Restore stores saved records of daemons that may be lost, and sends them to the
-// daemons that keep them.
-func (t *Tracker) Restore(records []Record) {
+// Restore stores the saved records of a daemon that may be lost, and sends them to the
+// daemons that keep them. It implements saved.State.
+func (t *Tracker) Restore(data []byte, age time.Duration, _ bool) (adopted bool, err error) {
+	records, err := decodeSaved(data, age)
+	if err != nil {
+		return false, err
+	}
 	t.Store(records)
 	if t.o.Peers != nil && len(records) > 0 {
 		t.o.Peers.ShareOrigins(records)
 	}
+	return false, nil
+}
+
+// Expired implements saved.State.
+func (t *Tracker) Expired(data []byte, age time.Duration) bool {
+	records, err := decodeSaved(data, age)
+	return err == nil && len(records) == 0
+}
+
+// decodeSaved returns the records that are still kept after the given time.
+func decodeSaved(data []byte, age time.Duration) (out []Record, err error) {
+	var records []Record
+	if err := cbor.Unmarshal(data, &records); err != nil {
+		return nil, fmt.Errorf("origin: decode saved records: %w", err)
+	}
+	for _, r := range records {
+		if left := time.Duration(r.LeftMs)*time.Millisecond - age; left > 0 {
+			out = append(out, r.withTimeLeft(left))
+		}
+	}
+	return out, nil
+}
+
+// longestKept returns up to limit of the records, those with the most time left first.
+func longestKept(records []Record, limit int) []Record {
+	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(b.LeftMs, a.LeftMs) })
+	return records[:min(len(records), limit)]
 }
 
 // HandOver sends all records to the daemons that keep them, also those of streams that
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -35,6 +35,7 @@
 	"github.com/pomelospool/pomelospool/process/relay"
 	"github.com/pomelospool/pomelospool/process/roles"
 	"github.com/pomelospool/pomelospool/process/roster"
+	"github.com/pomelospool/pomelospool/process/saved"
 	"github.com/pomelospool/pomelospool/process/scale"
 	"github.com/pomelospool/pomelospool/process/settings"
 	"github.com/pomelospool/pomelospool/process/topic"
@@ -96,7 +97,7 @@
 	targetsConfirmed *relay.Confirmation // that the list of targets is complete
 
 	versions  *versions.Keeper
-	streams   *versions.StreamKeeper
+	saved     []*saved.Keeper
 	runner    *dispatch.Runner
 	usage     *usage.Reporter // nil: usage isn't reported
 	scaler    *scale.Scaler   // nil: engines aren't ordered
@@ -159,6 +160,7 @@
 	d.store.Depth = func() int { return d.roster.Upstream().Depth }
 	d.store.PeersWithStore = func() []string { return d.roster.PeersWithStore() }
 	d.wireOrigins()
+	d.keep(port.TopicStreams, d.origins)
 	if err := d.wireRoster(); err != nil {
 		return nil, err
 	}
@@ -317,7 +319,7 @@
 		})
 		d.tomb.Go(d.upkeep)
 		d.tomb.Go(d.trackOrigins)
-		d.tomb.Go(d.saveStreams)
+		d.tomb.Go(d.saveState)
 		return nil
 	})
 }
--- a/process/front/origins.go
+++ b/process/front/origins.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/pomelospool/pomelospool/connection/origin"
@@ -29,14 +28,6 @@
 	d.versions = versions.New(versions.Options{Store: d.monitored, History: history, Lifetime: d.streamLifetime, MayLead: func() bool { return d.roster.MayLead() }})
 	d.origins = origin.New(origin.Options{History: history, Peers: originPeers{d}, Lifetime: d.streamLifetime, Now: clock.Boot{}.Now,
 		Confirm: d.confirmTargets})
-	d.streams = versions.NewStreamKeeper(versions.StreamOptions{
-		Store:           d.monitored,
-		Origins:         d.origins,
-		Key:             fmt.Sprintf("%s/%x", d.s.VM, d.incarnation),
-		MayLead:         func() bool { return d.roster.MayLead() },
-		Daemons:         func() int { return d.roster.FleetSize() },
-		WritesPerSecond: d.s.Store.WritesPerSecond,
-	})
 }
 
 // confirmTargets reports whether the store has no change of the targets that this
@@ -70,15 +61,6 @@
 	p.d.roster.AskVersions(ctx, q, handle)
 }
 
-// saveStreams keeps in the store at which versions open streams began.
-func (d *Daemon) saveStreams() error {
-	ctx := d.tomb.Context(context.Background())
-	for pause.For(ctx, d.streams.Interval()) == nil {
-		d.streams.Update(ctx)
-	}
-	return nil
-}
-
 // trackOrigins keeps the tracker up to date.
 func (d *Daemon) trackOrigins() error {
 	ctx := d.tomb.Context(context.Background())
