quarantine, front: crashes and convictions outlive the loss of all daemons

What callers saw: a request that has crashed four servers is refused. All daemons are killed and start again; the request reaches servers four to six times more and crashes them, until it is convicted anew. Each further loss of all daemons gives as many again.

Cause: crashes and convictions are in the memory of daemons only. One that starts learns them from its peers, so they are lost with all.

Change: each daemon keeps in the store, in one record under its name and start, the contents that were in flight at crashes it saw: requests and parts of prompts, crashes that haven't convicted yet, those of targets that are silent, and what was answered since. The daemon that leads restores a record if no live daemon was running when it was saved; otherwise the fleet knows better, and the leader takes over saving what it knows of these contents. Then it removes the record.

So that old records convict nobody: a first conviction needs a crash that was noticed within the last 30 s. Without this, processes that learn three crashes of minutes ago convict content that was answered since.

The wiring: front.TestCrashesOutliveAllDaemons.

--- a/port/store.go
+++ b/port/store.go
@@ -24,6 +24,7 @@
 	TopicScale                 // desired capacity of each service
 	TopicVersions              // software versions that each service's targets have had recently
 	TopicStreams               // software versions at which open streams began, keyed by daemon
+	TopicCrashes               // content that crashed targets, keyed by daemon
 )
 
 // KeyedRecord is one record of a keyed topic.
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -161,6 +161,7 @@
 	d.store.PeersWithStore = func() []string { return d.roster.PeersWithStore() }
 	d.wireOrigins()
 	d.keep(port.TopicStreams, d.origins)
+	d.keep(port.TopicCrashes, d.crashes)
 	if err := d.wireRoster(); err != nil {
 		return nil, err
 	}
--- a/request/quarantine/content.go
+++ b/request/quarantine/content.go
@@ -51,6 +51,7 @@
 	service        string // of its targets; empty if this process hasn't sent it
 	part           int    // position in the prompt, from 1; 0: a whole request
 	answered       bool   // by a target, at any time
+	adopted        bool   // saved by this process though it saw no crash
 	crashes        []crash
 	claim          claim
 	convictedUntil time.Time
--- a/request/quarantine/pending.go
+++ b/request/quarantine/pending.go
@@ -27,6 +27,7 @@
 // publish sends what is known of a content in the next messages, the first one
 // soon.
 func (t *CrashTracker) publish(c *content) {
+	t.markUnsaved(c)
 	t.relay(c)
 	if t.o.Changed != nil {
 		t.o.Changed()
--- a/request/quarantine/tolerant.go
+++ b/request/quarantine/tolerant.go
@@ -21,6 +21,10 @@
 	// twinConviction is the duration of a conviction after that. A try of each
 	// content then shows which one is the cause.
 	twinConviction = 5 * time.Second
+	// maxCrashAge is the age up to which the last crash of content leads to its first
+	// conviction. A process that has just started learns of older ones, and the content
+	// may have been answered since.
+	maxCrashAge = 30 * time.Second
 )
 
 // tolerates reports whether suspect content runs like any other until it is
@@ -164,7 +168,7 @@
 func (t *CrashTracker) evaluate(c *content, now time.Time) {
 	t.dismissAnswered(c)
 	defer t.clearExplained(c, now)
-	if now.Before(c.convictedUntil) || c.convictions == 0 && !t.isSuspicious(c, now) {
+	if now.Before(c.convictedUntil) || c.convictions == 0 && (now.Sub(c.lastCrash()) > maxCrashAge || !t.isSuspicious(c, now)) {
 		return
 	}
 	explained, twin, similar := t.otherCauses(c, now)
--- a/request/quarantine/tracker.go
+++ b/request/quarantine/tracker.go
@@ -78,6 +78,7 @@
 	pendingClears []Fingerprint               // contents whose exclusive run has finished, cleared after settleTime
 	pending       map[Fingerprint]int         // transmissions left of the contents that changed
 	rotation      []Fingerprint               // contents that Pending still repeats in this round
+	unsaved       bool                        // contents that this process saves have changed
 }
 
 // targetCrash is a crash of a target that this process saw.
--- a/request/quarantine/updates.go
+++ b/request/quarantine/updates.go
@@ -225,6 +225,7 @@
 		}
 	}
 	if changed && t.tolerates() {
+		t.markUnsaved(c)
 		t.liftIfCleared(c)
 		t.relay(c)
 		t.reconsider(c, t.o.Now())
