h1, front: a target is told that its request was given up until it heeds it

What callers saw: nothing; targets worked on for callers that had left. A target that ignores the end of its caller's data and heeds only a reset worked until it wrote. After a path to targets had been silent for some seconds, what was given up meanwhile went on there.

Cause: a connection was closed once. The kernel repeats a close that is lost at growing intervals, and gives it up after the time limit for unacknowledged bytes, 1.5 s; a reset isn't repeated at all.

Change: the sending side is closed first. Then h1 waits in the background until the target closes its side. One that doesn't within 250 ms is reset as soon as it shows signs of life on another connection; it is probed for that, at intervals that grow to 1 s, for 20 s at most. While the kernel states that the close is unacknowledged, a reset is sent only after a probe had failed: if this connection alone is silent, the kernel goes on repeating the close. 512 connections at most are ended at a time. Requests of which bytes are unacknowledged are reset at once as before, so that they don't arrive late.

Logs now show how near this is to the users' bound: "front: requests given up at targets" counts targets that confirmed within half a second.

--- a/connection/h1/exchange.go
+++ b/connection/h1/exchange.go
@@ -69,6 +69,9 @@
 	Earlier int    // requests that the connection carried before
 	Written int    // bytes of the request that the kernel has accepted
 	Strays  int    // responses to other requests that were discarded
+	// Unacked is the number of bytes that the target's kernel hadn't acknowledged when the
+	// exchange was given up.
+	Unacked int
 }
 
 // String describes the use for a log line.
@@ -77,6 +80,9 @@
 		return "no connection"
 	}
 	text := fmt.Sprintf("via %s after %d, %d bytes", u.Local, u.Earlier, u.Written)
+	if u.Unacked > 0 {
+		text += fmt.Sprintf(", %d unacknowledged", u.Unacked)
+	}
 	if u.Strays > 0 {
 		text += fmt.Sprintf(", %d strays", u.Strays)
 	}
@@ -118,7 +124,8 @@
 	closeOnce sync.Once
 	strays    int // responses to other requests that arrived
 	giveUp    sync.Once
-	unacked   int // bytes that were unacknowledged when the exchange was given up
+	unacked   int        // bytes that were unacknowledged when the exchange was given up
+	half      halfCloser // set if only this side of the connection was closed then
 }
 
 // Do sends r and reads the response header. It sends nothing if ctx has ended, or if the
@@ -143,7 +150,7 @@
 		return nil, &Error{Err: err}
 	}
 	x := &exchange{pool: p, req: r, conn: c, ctx: ctx, watchdog: wd, cancel: cancel}
-	x.stop = context.AfterFunc(ctx, x.closeConn)
+	x.stop = context.AfterFunc(ctx, func() { x.closeConn(true) })
 	c.history.begin(r.Name)
 	x.startWrite()
 	resp, err := x.read()
@@ -151,6 +158,7 @@
 		return nil, x.abort(err)
 	}
 	wd.Disarm()
+	p.endings.sawLife(r.Addr)
 	return resp, nil
 }
 
@@ -285,7 +293,8 @@
 			x.pool.putIdle(x.conn, keepAlive)
 			return
 		}
-		_ = x.conn.Close()
+		x.closeConn(!alive || !x.bodyEnded.Load())
+		x.endConn()
 	})
 }
 
@@ -297,28 +306,43 @@
 // was reported as not run.
 func (x *exchange) abort(err error) *Error {
 	err = causeOf(x.ctx, err)
+	gaveUp := x.ctx.Err() != nil
 	x.retireIfStalled(err)
 	x.stop()
 	x.release()
-	x.closeConn()
+	x.closeConn(gaveUp)
 	<-x.write.ended
+	x.endConn()
 	sent := x.write.bytes
 	return &Error{Err: err, Written: sent > 0, Unacknowledged: sent > 0 && x.unacked >= sent, Dialed: x.conn.lastUsed.IsZero(), Use: x.use()}
 }
 
-// closeConn closes the connection. If bytes are unacknowledged, it resets the
-// connection, so that the kernel doesn't go on sending them.
-func (x *exchange) closeConn() {
+// closeConn closes the connection. If bytes are unacknowledged, it resets it, so that the
+// kernel doesn't go on sending them. Otherwise, if the request was given up, it closes
+// this side only, and endConn the other one.
+func (x *exchange) closeConn(gaveUp bool) {
 	x.giveUp.Do(func() {
 		if x.unacked = unacknowledged(x.conn.Conn); x.unacked > 0 {
 			if t, ok := x.conn.Conn.(*net.TCPConn); ok {
 				_ = t.SetLinger(0)
 			}
+		} else if half, ok := x.conn.Conn.(halfCloser); ok && gaveUp && half.CloseWrite() == nil {
+			x.half = half
+			_ = half.SetDeadline(time.Unix(0, 0)) // ends reads and writes in progress
+			return
 		}
 		_ = x.conn.Close()
 	})
 }
 
+// endConn ends a connection of which closeConn closed one side. Nothing else may use it
+// any more.
+func (x *exchange) endConn() {
+	if x.half != nil {
+		x.pool.endings.await(x.half, x.req.Addr)
+	}
+}
+
 // release disarms the watchdog, cancels the context and releases the head's memory.
 func (x *exchange) release() {
 	x.watchdog.Disarm()
--- a/connection/h1/pool.go
+++ b/connection/h1/pool.go
@@ -59,6 +59,8 @@
 type Pool struct {
 	opts Options
 
+	endings *endings
+
 	mu      sync.Mutex
 	idle    map[string][]*conn   // by Key, most recently used last
 	retired map[string]time.Time // by Key; connections dialed up to this time aren't reused
@@ -91,7 +93,9 @@
 	if o.Dial == nil {
 		o.Dial = dialWithin(&net.Dialer{KeepAliveConfig: o.KeepAlive, Control: sock.UserTimeout(o.UserTimeout)}, o.ConnectTimeout)
 	}
-	return &Pool{opts: o, idle: make(map[string][]*conn), retired: make(map[string]time.Time)}
+	p := &Pool{opts: o, idle: make(map[string][]*conn), retired: make(map[string]time.Time)}
+	p.endings = newEndings(func(addr string) error { return p.Probe(context.Background(), addr) })
+	return p
 }
 
 // ErrConnect is wrapped by the errors of requests for which no connection could
@@ -119,6 +123,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("h1: %w: %w", ErrConnect, err)
 	}
+	p.endings.sawLife(r.Addr)
 	head := &headReader{src: raw}
 	return &conn{Conn: raw, key: key, local: raw.LocalAddr().String(), head: head, reader: bufio.NewReader(head), dialed: dialed}, nil
 }
@@ -130,6 +135,7 @@
 	if err != nil {
 		return fmt.Errorf("h1: %w: %w", ErrConnect, err)
 	}
+	p.endings.sawLife(addr)
 	return c.Close()
 }
 
@@ -297,7 +303,11 @@
 	return addr, target
 }
 
-// Close closes the idle connections.
+// EndStats returns how requests that were given up have ended since the start.
+func (p *Pool) EndStats() EndStats { return p.endings.snapshot() }
+
+// Close closes the idle connections and those of requests that were given up.
 func (p *Pool) Close() {
+	p.endings.close()
 	p.Retain(func(string) bool { return false })
 }
--- a/internal/sock/sock_linux.go
+++ b/internal/sock/sock_linux.go
@@ -35,6 +35,14 @@
 	}
 }
 
+// SetUserTimeout sets TCP_USER_TIMEOUT of a connection, see UserTimeout. It does nothing
+// for connections that aren't sockets.
+func SetUserTimeout(c net.Conn, d time.Duration) {
+	OnDescriptor(Innermost(c), func(fd int) {
+		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds())) // fails if it is closed
+	})
+}
+
 // Backlog is the number of connections that wait to be accepted. What their callers send
 // is received by the kernel, at the expense of the VM's memory.
 const Backlog = 256
--- a/internal/sock/sock_other.go
+++ b/internal/sock/sock_other.go
@@ -17,6 +17,9 @@
 // UserTimeout returns nil, since only Linux has TCP_USER_TIMEOUT.
 func UserTimeout(time.Duration) Control { return nil }
 
+// SetUserTimeout does nothing, since only Linux has TCP_USER_TIMEOUT.
+func SetUserTimeout(net.Conn, time.Duration) {}
+
 // Reserve returns an error, since it isn't implemented on this system.
 func Reserve(string) (*os.File, error) { return nil, errors.ErrUnsupported }
 
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -57,6 +57,8 @@
 	addressCacheFactor = 3
 	// upkeepInterval is the interval between two removals of stale state.
 	upkeepInterval = time.Second
+	// endsLogTicks is the number of upkeepIntervals between two lines of logEnds.
+	endsLogTicks = 5
 	// controlTimeout bounds a control call to an engine, as opposed to a
 	// caller's request.
 	controlTimeout = 800 * time.Millisecond
@@ -77,6 +79,7 @@
 
 	dial        func(ctx context.Context, addr string) (net.Conn, error) // to targets; nil: TCP
 	pool        *h1.Pool
+	ends        h1.EndStats // of pool as logged last; used by upkeep
 	engines     *engines.Tracker
 	health      *health.Tracker
 	speed       *speed.Tracker
@@ -341,6 +344,8 @@
 func (d *Daemon) upkeep() error {
 	tick := time.NewTicker(readyInterval)
 	defer tick.Stop()
+	defer d.logEnds()
+	ticks := 0
 	for {
 		select {
 		case <-d.tomb.Dying():
@@ -361,6 +366,9 @@
 			d.updateShares()
 			d.metrics.setUnreported(d.config.Load(), d.runner)
 			d.updateSpeeds()
+			if ticks++; ticks%endsLogTicks == 0 {
+				d.logEnds()
+			}
 		}
 	}
 }
