sock, front, daemon: work for a daemon that is cut off ends

Cause: the cut-off daemon can't close its connection to the other one, which waits for nothing there: no bytes were unacknowledged, and the kernel probed the connection after 15 s only.

Change: sock.Listen opens all ports of both daemons. A connection whose peer acknowledges neither bytes nor probes is closed after 5 s for other daemons, 10 s (beside a store) or 20 s for callers. A caller that vanishes without a close is noticed so, too, which took unacknowledged bytes before.

daemon.TestAcceptedConnectionsTimeOut expected 20 s on all ports; it now states the exact value of each, 5 s for peers.

--- a/connection/h1/ack_test.go
+++ b/connection/h1/ack_test.go
@@ -8,30 +8,20 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/pomelospool/pomelospool/internal/linkfault"
 )
 
-// dropAll makes the kernel drop all segments that arrive for a connection, as on
-// a broken link, until the returned function is called.
+// dropAll drops all segments that arrive for a connection until the returned function is
+// called.
 func dropAll(t *testing.T, c syscall.Conn) (restore func()) {
 	t.Helper()
-	control := func(set func(fd int) error) {
-		raw, err := c.SyscallConn()
-		if err != nil {
+	set := func(drop bool) {
+		if err := linkfault.SetDropArriving(c, drop); err != nil {
 			t.Fatal(err)
 		}
-		var failed error
-		if err := raw.Control(func(fd uintptr) { failed = set(int(fd)) }); err != nil || failed != nil {
-			t.Fatal(err, failed)
-		}
-	}
-	control(func(fd int) error {
-		drop := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
-		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(drop)), Filter: &drop[0]})
-	})
-	return func() {
-		control(func(fd int) error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0) })
 	}
+	set(true)
+	return func() { set(false) }
 }
 
 // requestTo sends a request that nobody answers over a connection that is open
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -138,30 +138,28 @@
 	return d, nil
 }
 
-// acceptedTimeout is how long data sent to a caller or peer may stay
-// unacknowledged. Without it a connection whose other end vanished would hold
-// its stream and its memory for many minutes.
-const acceptedTimeout = 20 * time.Second
+const (
+	// callerSilence is the time after which a connection is closed whose caller
+	// acknowledges nothing. Otherwise it would hold its stream and its memory for many
+	// minutes.
+	callerSilence = 20 * time.Second
+	// peerSilence is that of other daemons. One that is cut off can't say that the callers
+	// of the requests that it has forwarded are gone. Few of them wait longer for a daemon
+	// that stands still.
+	peerSilence = 5 * time.Second
+)
 
 func (d *Daemon) listen() error {
-	listener := net.ListenConfig{Control: sock.UserTimeout(acceptedTimeout)}
 	var err error
-	open := func(addr string) net.Listener {
-		if err != nil {
-			return nil
-		}
-		var l net.Listener
-		if l, err = listener.Listen(context.Background(), "tcp", addr); err != nil {
-			return nil
-		}
-		if limited := sock.LimitBacklog(l); limited != nil {
-			log.WithError(limited).Warn("daemon: the backlog of a port isn't limited")
+	open := func(addr string, silence time.Duration) (l net.Listener) {
+		if err == nil {
+			l, err = sock.Listen(addr, silence)
 		}
 		return l
 	}
-	d.listeners.callers = open(d.s.Listen.Callers)
-	d.listeners.peers = open(d.s.Listen.Peers)
-	d.listeners.operators = open(d.s.Listen.Operators)
+	d.listeners.callers = open(d.s.Listen.Callers, callerSilence)
+	d.listeners.peers = open(d.s.Listen.Peers, peerSilence)
+	d.listeners.operators = open(d.s.Listen.Operators, callerSilence)
 	if err != nil {
 		d.listeners.close()
 		return fmt.Errorf("daemon: %w", err)
--- a/process/daemon/listen_test.go
+++ b/process/daemon/listen_test.go
@@ -20,13 +20,16 @@
 		t.Fatal(err)
 	}
 	defer d.listeners.close()
-	for name, l := range map[string]net.Listener{
-		"callers":   d.listeners.callers,
-		"peers":     d.listeners.peers,
-		"operators": d.listeners.operators,
+	for name, port := range map[string]struct {
+		l    net.Listener
+		want int // ms
+	}{
+		"callers":   {d.listeners.callers, 20_000},
+		"peers":     {d.listeners.peers, 5_000},
+		"operators": {d.listeners.operators, 20_000},
 	} {
-		if ms := acceptedUserTimeout(t, l); ms != 20_000 {
-			t.Errorf("%s: TCP_USER_TIMEOUT is %d ms", name, ms)
+		if ms := acceptedUserTimeout(t, port.l); ms != port.want {
+			t.Errorf("%s: TCP_USER_TIMEOUT is %d ms, want %d", name, ms, port.want)
 		}
 	}
 }
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -26,6 +26,7 @@
 	"github.com/pomelospool/pomelospool/connection/speed"
 	"github.com/pomelospool/pomelospool/connection/targets"
 	"github.com/pomelospool/pomelospool/internal/quota"
+	"github.com/pomelospool/pomelospool/internal/sock"
 	"github.com/pomelospool/pomelospool/platform"
 	"github.com/pomelospool/pomelospool/port"
 	"github.com/pomelospool/pomelospool/process/claim"
@@ -190,7 +191,7 @@
 	var err error
 	for range peerPortAttempts {
 		var l net.Listener
-		if l, err = listen(d.s.Listen.Peers); err != nil {
+		if l, err = sock.Listen(d.s.Listen.Peers, peerSilence); err != nil {
 			break
 		}
 		if err = d.newRoster(l.Addr().String()); err == nil {
--- a/process/front/servers.go
+++ b/process/front/servers.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -18,9 +17,15 @@
 	"github.com/pomelospool/pomelospool/request/ingress"
 )
 
-// callerAckTimeout is how long data sent on an accepted connection may stay
-// unacknowledged.
-const callerAckTimeout = 10 * time.Second
+const (
+	// callerSilence is the time after which a connection is closed whose caller
+	// acknowledges nothing.
+	callerSilence = 10 * time.Second
+	// peerSilence is that of other daemons. One that is cut off can't say that the callers
+	// of the requests that it has forwarded are gone. Few of them wait longer for a daemon
+	// that stands still.
+	peerSilence = 5 * time.Second
+)
 
 // operatorAnswerCost is the cost in bytes of memory of an answer to operators: of the
 // metrics that are gathered for it.
@@ -34,25 +39,12 @@
 	drain *drain.Tracker
 }
 
-// listen opens a TCP port.
-func listen(addr string) (net.Listener, error) {
-	c := net.ListenConfig{Control: sock.UserTimeout(callerAckTimeout)}
-	l, err := c.Listen(context.Background(), "tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	if err := sock.LimitBacklog(l); err != nil {
-		log.WithError(err).Warn("front: the backlog of a port isn't limited")
-	}
-	return l, nil
-}
-
 func (d *Daemon) wireServers() error {
 	d.addServer("peers", d.peers, newPeersServer(d.peersHandler(relay.Handler(d.caches))), drain.Options{
 		MaxConns: descriptors(peersShare), HeaderBytes: func() int { return d.headerBytes() + envelopeBytes }, Reject: d.ingress.Reject,
 	})
 	add := func(name, addr string, s *http.Server, o drain.Options) (*server, error) {
-		l, err := listen(addr)
+		l, err := sock.Listen(addr, callerSilence)
 		if err != nil {
 			return nil, fmt.Errorf("front: %s: %w", name, err)
 		}
