standin, crowd: targets count what the users' rule counts

The witness counts the requests that began at a target, or were at work there, more than the limit after their callers had left, and the longest work after a departure.

--- a/bench/crowd/departure_soak_test.go
+++ b/bench/crowd/departure_soak_test.go
@@ -193,7 +193,7 @@
 			d.t.Errorf("%s at daemon %d: a target worked for %v after its caller had left", r.ID, daemon, stayed)
 		}
 	}
-	d.t.Logf("%d requests reached targets", len(all))
+	d.t.Log(d.witness.CountDepartures(noticeTime))
 	const fewest = 100 // with fewer the trial shows nothing
 	if len(all) < fewest {
 		d.t.Errorf("only %d requests reached targets", len(all))
--- a/bench/crowd/departure_test.go
+++ b/bench/crowd/departure_test.go
@@ -117,6 +117,7 @@
 	if late := w.BegunLate(); len(late) > 0 {
 		s.t.Errorf("%d requests began after the close: %v", len(late), late)
 	}
+	s.t.Log(w.CountDepartures(noticeTime))
 }
 
 // request returns a request to the slow service, with a body of the given size.
--- a/standin/witness.go
+++ b/standin/witness.go
@@ -135,3 +135,36 @@
 	slices.Sort(ids)
 	return ids
 }
+
+// DepartureCount counts what targets did for callers that have left.
+type DepartureCount struct {
+	Reached   int           // requests that reached a target and whose callers have left
+	BegunLate int           // of these, begun at a target more than the limit after
+	AtWork    int           // of these, still worked on when the limit had passed
+	Longest   time.Duration // of the work after a caller had left
+}
+
+// String describes the count for a log line.
+func (c DepartureCount) String() string {
+	return fmt.Sprintf("of %d requests whose callers left, %d began late and %d were at work late, the longest for %v", c.Reached, c.BegunLate, c.AtWork, c.Longest.Round(time.Millisecond))
+}
+
+// CountDepartures counts what targets did for callers that have left, later than the limit
+// after they had.
+func (w *Witness) CountDepartures(limit time.Duration) (c DepartureCount) {
+	for _, d := range w.Departures() {
+		c.Reached++
+		ended := d.Ended
+		if ended.IsZero() {
+			ended = time.Now()
+		}
+		worked := ended.Sub(d.Left)
+		c.Longest = max(c.Longest, worked)
+		if d.Begun.Sub(d.Left) > limit {
+			c.BegunLate++
+		} else if worked > limit {
+			c.AtWork++
+		}
+	}
+	return c
+}
