quarantine: targets that end together convict no answered request

What callers saw: three of twelve servers crash at the same moment while they run the same harmless request, which had been answered 60 times; it is refused at all daemons for ten minutes (0 of 180 served, 1,200 of 1,200 on other routes). The same with the hottest page of a service all of whose servers crash at once.

Cause: a whole request needed three certain crashes only, also if all its runs began before the first one, which an outage explains. Parts of prompts need a run that began after it.

Change: so do requests that were answered before. One that was never answered is convicted as before: it may be sent to many targets at once.

TestTargetsThatEndTogetherConvictNoAnsweredRequest fails before ("3 processes refuse it, want 0"); a crash after that convicts.

--- a/request/quarantine/causes.go
+++ b/request/quarantine/causes.go
@@ -39,6 +39,10 @@
 		explained = t.explainedCrashes(c, now)
 	}
 	left := c.crashCount() - explained
+	if c.part == 0 && c.answered && !c.isSpread() {
+		// The targets that ran it ended together: it didn't crash them before.
+		return false
+	}
 	if c.part == 0 {
 		return c.certainCrashes()-explained > t.o.ToleratedCrashes || left > t.o.ToleratedCrashes && c.isSpread()
 	}
--- a/request/quarantine/tolerant_test.go
+++ b/request/quarantine/tolerant_test.go
@@ -489,3 +489,35 @@
 		})
 	}
 }
+
+// Guards against a harmless request that is refused since several targets that ran it
+// ended at the same moment. One that crashes targets later is still convicted.
+func TestTargetsThatEndTogetherConvictNoAnsweredRequest(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		t.Run(fmt.Sprintf("answered %t", answered), func(t *testing.T) {
+			withTolerantFleet(t, 3, func(t *testing.T, f *tolerantFleet) {
+				fp := contentNumber(1)
+				if answered {
+					f.answer(0, fp) // at one process only
+					f.exchange(time.Second)
+				}
+				for n := range 4 {
+					f.crash(n%3, fmt.Sprint("target-", n), fp)
+				}
+				f.exchange(2 * time.Second)
+				want := 3
+				if answered {
+					want = 0
+				}
+				if n := f.refusing(fp); n != want {
+					t.Errorf("%d processes refuse it after targets ended together, want %d", n, want)
+				}
+				f.crash(1, "target-9", fp)
+				f.exchange(2 * time.Second)
+				if n := f.refusing(fp); n != 3 {
+					t.Errorf("%d processes refuse it after it crashed another target", n)
+				}
+			})
+		})
+	}
+}
