quarantine: a restored conviction isn't counted once more

What callers saw: nothing yet. A conviction restored from the store counted one conviction more, so that the next one would last twice as long. Found by reading; TestSavedStateFollowsTheContents.

--- a/request/quarantine/saved.go
+++ b/request/quarantine/saved.go
@@ -61,7 +61,10 @@
 		return nil, fmt.Errorf("quarantine: encode: %w", err)
 	}
 	t.unsaved = false
-	return append(make([]byte, 0, len(data)), data...), nil
+	if data == nil {
+		data = []byte{} // to be saved: earlier contents were cleared
+	}
+	return data, nil
 }
 
 // savedUpdates returns the updates about a content without those about claims.
@@ -135,7 +138,7 @@
 			t.recordCrashTime(u.Target, at)
 			t.addCrash(c, crash{target: u.Target, began: at.Add(-run), at: at, presumed: u.Presumed, dismissed: u.Crashes == 0})
 		} else if until := now.Add(min(ttl, endless)); until.After(c.convictedUntil) {
-			c.convictions = max(c.convictions, int(u.Crashes))
+			c.convictions = max(c.convictions, int(u.Crashes)-1)
 			c.refuseFor(now, until.Sub(now))
 			convicted++
 		}
--- a/request/quarantine/saved_test.go
+++ b/request/quarantine/saved_test.go
@@ -271,3 +271,27 @@
 		}
 	})
 }
+
+// Guards against a conviction that is saved for good though its content was cleared, and
+// against one that lasts longer after a restore.
+func TestSavedStateFollowsTheContents(t *testing.T) {
+	withTolerantFleet(t, 1, func(t *testing.T, f *tolerantFleet) {
+		fp := contentNumber(1)
+		for n := range 3 {
+			f.crash(0, fmt.Sprint("target-", n), fp)
+			f.exchange(time.Second)
+		}
+		convictions := f.trackers[0].contents[fp].convictions
+		_, before := f.trackers[0].Check(fp)
+		f.loseAll(0)
+		c := f.trackers[0].contents[fp]
+		if _, after := f.trackers[0].Check(fp); c == nil || c.convictions != convictions || after > before {
+			t.Errorf("refused for %v, was %v; %+v", after, before, c)
+		}
+		f.answer(0, fp)
+		data, err := f.trackers[0].Unsaved(false, maxTestBytes)
+		if err != nil || data == nil || !f.trackers[0].Expired(data, 0) {
+			t.Errorf("%d bytes are saved of cleared content, %v", len(data), err)
+		}
+	})
+}
