h1: what a target sends because of a close is no answer

What callers saw: a request that was given up while its caller waited (a planned stop, a deadline) could get what the target sent because of the close: an empty answer, or the part of an answer that had been sent, ended in order. TestStopAnswersWaitingCalls got code 2003 in place of 2013.

The read in progress was ended right after the close, and the answer could arrive in between.

TestAnswerToTheCloseIsNoAnswer failed in both cases before: no error, and EOF.

Change: the connection is marked before the close, and reads that end after that return an error. What was read before counts as it did.

--- a/connection/h1/ending_test.go
+++ b/connection/h1/ending_test.go
@@ -169,6 +169,83 @@
 	w.awaitTold(t, 2*time.Second) // the kernel's next repetition
 }
 
+// answeredClose is a connection whose close isn't over until its reader has received what
+// the target sends because of it.
+type answeredClose struct {
+	*net.TCPConn
+	closing atomic.Bool
+	read    chan struct{}
+}
+
+func (c *answeredClose) CloseWrite() error {
+	c.closing.Store(true)
+	err := c.TCPConn.CloseWrite()
+	<-c.read
+	return err
+}
+
+func (c *answeredClose) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && c.closing.Load() {
+		close(c.read)
+	}
+	return n, err
+}
+
+// Guards against answers that targets end early, since the request was given up, and that
+// callers get as whole ones.
+func TestAnswerToTheCloseIsNoAnswer(t *testing.T) {
+	cases := map[string]struct{ before, after string }{
+		"no answer yet":  {"", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"},
+		"part of a body": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", "0\r\n\r\n"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			p := New(Options{Dial: func(context.Context, string) (net.Conn, error) {
+				c, err := net.Dial("tcp", l.Addr().String())
+				tcp, _ := c.(*net.TCPConn)
+				return &answeredClose{TCPConn: tcp, read: make(chan struct{})}, err
+			}})
+			defer p.Close()
+			ctx, leave := context.WithCancel(t.Context())
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				_, _ = c.Read(make([]byte, 1000))
+				_, _ = io.WriteString(c, tc.before)
+				if tc.before == "" {
+					leave()
+				}
+				_, _ = c.Read(make([]byte, 1))
+				_, _ = io.WriteString(c, tc.after)
+			}()
+			resp, err := p.Do(ctx, &Request{Addr: l.Addr().String(), Method: "POST", URI: "/", Host: "h", Body: []byte("body")})
+			if tc.before != "" {
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := io.ReadFull(resp.Body, make([]byte, 4)); err != nil {
+					t.Fatal(err)
+				}
+				leave()
+				_, err = resp.Body.Read(make([]byte, 1))
+				resp.Close(0)
+			}
+			if !errors.Is(err, context.Canceled) {
+				t.Errorf("error %v, want the caller's", err)
+			}
+		})
+	}
+}
+
 // Guards against connections that are kept for targets that never confirm, beyond a
 // limit, and after the pool was closed.
 func TestEndingConnectionsAreBounded(t *testing.T) {
--- a/connection/h1/exchange.go
+++ b/connection/h1/exchange.go
@@ -322,6 +322,7 @@
 // this side only, and endConn the other one.
 func (x *exchange) closeConn(gaveUp bool) {
 	x.giveUp.Do(func() {
+		x.conn.head.givenUp.Store(true)
 		if x.unacked = unacknowledged(x.conn.Conn); x.unacked > 0 {
 			if t, ok := x.conn.Conn.(*net.TCPConn); ok {
 				_ = t.SetLinger(0)
--- a/connection/h1/head.go
+++ b/connection/h1/head.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync/atomic"
 
 	"github.com/pomelospool/pomelospool/internal/quota"
 )
@@ -26,18 +27,32 @@
 	left    int  // bytes of heads that may still be read
 	body    bool // a body is being read, which its reader limits
 	account *quota.Account
-	charged int64 // bytes of memory
+	charged int64       // bytes of memory
+	givenUp atomic.Bool // the request was given up: what arrives may be due to that
+}
+
+// errGivenUp is the error of reads once the request was given up.
+var errGivenUp = errors.New("h1: the request was given up")
+
+// readSource drops what arrives once the request was given up. A target that sees the
+// close may end its answer early, though in order.
+func (h *headReader) readSource(p []byte) (int, error) {
+	n, err := h.src.Read(p)
+	if h.givenUp.Load() {
+		return 0, errGivenUp
+	}
+	return n, err
 }
 
 // Read implements io.Reader.
 func (h *headReader) Read(p []byte) (int, error) {
 	if h.body {
-		return h.src.Read(p)
+		return h.readSource(p)
 	}
 	if h.left <= 0 {
 		return 0, ErrHeadTooLarge
 	}
-	n, err := h.src.Read(p[:min(len(p), h.left)])
+	n, err := h.readSource(p[:min(len(p), h.left)])
 	h.left -= n
 	if n == 0 || h.account == nil {
 		return n, err
