h1: the rest of an answer isn't read once its request was given up

Cause: since the daemon waits until the target closes its side, and discards without a limit what arrives until then.

Change: after 64 KiB the connection is reset: such a target lives and doesn't heed the close.

--- a/connection/h1/ending.go
+++ b/connection/h1/ending.go
@@ -25,6 +25,9 @@
 	// maxEndTime is the time after which a target is given up that shows no sign of life.
 	// Few requests run longer.
 	maxEndTime = 20 * time.Second
+	// maxEndBytes is the number of bytes that are read from a target after this side was
+	// closed. One that sends more doesn't heed the close, and uses up the link.
+	maxEndBytes = 64 << 10
 	// maxEndings bounds the connections that are being ended.
 	maxEndings = 512
 	// LateEnd is the time after which work for a request that was given up is late to end.
@@ -78,12 +81,13 @@
 	began   time.Time
 	reached chan struct{} // receives when the target has shown signs of life
 	wasCut  atomic.Bool   // a probe of the target has failed
+	left    int64         // bytes that may still be read of what the target sends
 }
 
 // await waits in the background until the target has closed its side of the connection,
 // whose other side is closed, and then closes it.
 func (e *endings) await(c halfCloser, addr string) {
-	w := &ending{conn: c, addr: addr, began: time.Now(), reached: make(chan struct{}, 1)}
+	w := &ending{conn: c, addr: addr, began: time.Now(), reached: make(chan struct{}, 1), left: maxEndBytes}
 	e.mu.Lock()
 	e.stats.Given++
 	if e.closed || e.n >= maxEndings {
@@ -200,7 +204,7 @@
 	sock.SetUserTimeout(w.conn, maxEndTime) // the kernel goes on sending the close
 	for limit := endGrace; !w.awaitClose(limit); limit = endPoll {
 		age := time.Since(w.began)
-		if w.lives() || age >= maxEndTime {
+		if w.left <= 0 || w.lives() || age >= maxEndTime {
 			result.Reset = 1
 			_ = w.conn.SetLinger(0)
 			break
@@ -218,11 +222,13 @@
 	return result
 }
 
-// awaitClose discards what the target sends and reports whether it has closed its side.
+// awaitClose discards what the target sends, as long as that is little, and reports whether
+// it has closed its side.
 func (w *ending) awaitClose(limit time.Duration) bool {
 	_ = w.conn.SetReadDeadline(time.Now().Add(limit))
-	_, err := io.Copy(io.Discard, w.conn)
-	return !errors.Is(err, os.ErrDeadlineExceeded)
+	n, err := io.Copy(io.Discard, io.LimitReader(w.conn, w.left))
+	w.left -= n
+	return w.left > 0 && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // lives reports whether the target has shown signs of life. While the close is
--- a/connection/h1/ending_test.go
+++ b/connection/h1/ending_test.go
@@ -246,6 +246,63 @@
 	}
 }
 
+// countedConn counts the bytes that are read.
+type countedConn struct {
+	*net.TCPConn
+	read *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) WriteTo(w io.Writer) (int64, error) {
+	n, err := c.TCPConn.WriteTo(w)
+	c.read.Add(n)
+	return n, err
+}
+
+// Guards against a link that is used up by the rest of a large answer, which nobody needs.
+func TestRestOfAnAnswerIsNotRead(t *testing.T) {
+	var read atomic.Int64
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	p := New(Options{Dial: func(context.Context, string) (net.Conn, error) {
+		c, err := net.Dial("tcp", l.Addr().String())
+		tcp, _ := c.(*net.TCPConn)
+		return countedConn{TCPConn: tcp, read: &read}, err
+	}})
+	defer p.Close()
+	ended := make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n")
+		for err == nil {
+			_, err = c.Write(make([]byte, 1<<16))
+		}
+		ended <- err
+	}()
+	resp, err := p.Do(t.Context(), &Request{Addr: l.Addr().String(), Method: "POST", URI: "/", Host: "h", Body: []byte("body")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := read.Load()
+	resp.Close(0)
+	<-ended
+	if n := read.Load() - before; n > maxEndBytes {
+		t.Errorf("%d bytes were read after the request was given up", n)
+	}
+}
+
 // Guards against connections that are kept for targets that never confirm, beyond a
 // limit, and after the pool was closed.
 func TestEndingConnectionsAreBounded(t *testing.T) {
