--- a/bench/crowd/departure_test.go
+++ b/bench/crowd/departure_test.go
@@ -111,12 +111,9 @@
 			eventually(s.t, "the daemon answers again", func() bool { return s.answers(i) })
 		}
 	}
-	if err := w.AwaitNone(noticeTime); err != nil {
+	if err := w.CheckDepartures(noticeTime); err != nil {
 		s.t.Error(err)
 	}
-	if late := w.BegunLate(); len(late) > 0 {
-		s.t.Errorf("%d requests began after the close: %v", len(late), late)
-	}
 	s.t.Log(w.CountDepartures(noticeTime))
 }
 
--- a/bench/crowd/endless_test.go
+++ b/bench/crowd/endless_test.go
@@ -1,7 +1,6 @@
 package crowd
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -44,26 +43,13 @@
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				req, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, err = io.WriteString(c, strings.ReplaceAll(a.begin, "ID", req.Header.Get("X-Pomelospool-Request-Id")))
-				for err == nil && a.repeat != "" {
-					_, err = io.WriteString(c, a.repeat)
-				}
-				_, _ = io.Copy(io.Discard, c) // until the daemon closes it
-			}()
+	go standin.ServeRaw(l, func(c net.Conn, req *http.Request) {
+		_, err := io.WriteString(c, strings.ReplaceAll(a.begin, "ID", req.Header.Get("X-Pomelospool-Request-Id")))
+		for err == nil && a.repeat != "" {
+			_, err = io.WriteString(c, a.repeat)
 		}
-	}()
+		_, _ = io.Copy(io.Discard, c) // until the daemon closes it
+	})
 	return l.Addr().String()
 }
 
--- a/bench/crowd/own_departure_test.go
+++ b/bench/crowd/own_departure_test.go
@@ -100,10 +100,7 @@
 	<-time.After(stillTime)
 	signal(syscall.SIGCONT)
 	eventually(f.t, "the daemon answers again", func() bool { return f.answers(0) })
-	if err := w.AwaitNone(noticeTime); err != nil {
+	if err := w.CheckDepartures(noticeTime); err != nil {
 		f.t.Error(err)
 	}
-	if late := w.BegunLate(); len(late) > 0 {
-		f.t.Errorf("%d requests began after the close: %v", len(late), late)
-	}
 }
--- a/process/daemon/departure_test.go
+++ b/process/daemon/departure_test.go
@@ -84,41 +84,14 @@
 	return c
 }
 
-// answered returns a channel that is closed once an answer, or its end, arrives.
-func answered(c net.Conn) <-chan struct{} {
-	out := make(chan struct{})
-	go func() {
-		defer close(out)
-		_, _ = c.Read(make([]byte, 1))
-	}()
-	return out
-}
-
-// sendUntilRuns sends a request until a target works on it, and returns its id: a daemon
-// that gets its processor late may refuse some. send returns a channel that is closed once
-// the request is answered.
+// sendUntilRuns is Witness.SendUntilRuns.
 func sendUntilRuns(t *testing.T, w *standin.Witness, name string, send func(id string) <-chan struct{}) string {
 	t.Helper()
-	const tries = 20
-	for n := range tries {
-		id := fmt.Sprintf("%s-%d", name, n)
-		answered, runs := send(id), false
-		eventually(t, "the request runs or is refused", func() bool {
-			select {
-			case <-answered:
-				runs = w.WorksOn(id)
-				return true
-			default:
-				runs = w.WorksOn(id)
-				return runs
-			}
-		})
-		if runs {
-			return id
-		}
+	id, err := w.SendUntilRuns(name, send)
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatalf("%s was refused %d times", name, tries)
-	return ""
+	return id
 }
 
 // Guards against targets that work for callers that have left, on HTTP/1: at this daemon and
@@ -138,7 +111,7 @@
 					id := sendUntilRuns(t, w, fmt.Sprintf("%s-%s-%t", kind, name, forwarded), func(id string) <-chan struct{} {
 						c = f.dialCallers(t)
 						_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: a\r\nX-Request-Id: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", call.path, id, len(call.body), call.body)
-						return answered(c)
+						return standin.Answered(c)
 					})
 					if early != "" {
 						_, _ = io.WriteString(c, early)
--- a/process/front/departure_test.go
+++ b/process/front/departure_test.go
@@ -63,36 +63,19 @@
 	return c
 }
 
-// sendUntilRuns sends a request until a target works on it, and returns its connection and
-// id: a daemon that gets its processor late may refuse some.
+// sendUntilRuns is Witness.SendUntilRuns and returns the connection, too.
 func (p *testPlatform) sendUntilRuns(d *Daemon, w *targets.Witness, name, path string) (net.Conn, string) {
 	p.t.Helper()
-	const tries = 20
-	for n := range tries {
-		c, id := p.dialCallers(d), fmt.Sprintf("%s-%d", name, n)
+	var c net.Conn
+	id, err := w.SendUntilRuns(name, func(id string) <-chan struct{} {
+		c = p.dialCallers(d)
 		_, _ = io.WriteString(c, text(path, id, "body"))
-		answered := make(chan struct{})
-		go func() {
-			defer close(answered)
-			_, _ = c.Read(make([]byte, 1))
-		}()
-		runs := false
-		p.waitFor(func() bool {
-			select {
-			case <-answered:
-				runs = w.WorksOn(id)
-				return true
-			default:
-				runs = w.WorksOn(id)
-				return runs
-			}
-		})
-		if runs {
-			return c, id
-		}
+		return targets.Answered(c)
+	})
+	if err != nil {
+		p.t.Fatal(err)
 	}
-	p.t.Fatalf("%s was refused %d times", name, tries)
-	return nil, ""
+	return c, id
 }
 
 // departurePaths are the kinds of requests, by the step at which their callers leave.
--- a/process/front/status_test.go
+++ b/process/front/status_test.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -20,23 +19,10 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				req, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, req.Body)
-				_, _ = io.WriteString(c, strings.Replace(standin.RawAnswer(req, standin.Length, "text/plain", "part"), "200", "000", 1))
-			}()
-		}
-	}()
+	go standin.ServeRaw(l, func(c net.Conn, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(c, strings.Replace(standin.RawAnswer(req, standin.Length, "text/plain", "part"), "200", "000", 1))
+	})
 	p.store.Announce(p.plain, l.Addr().String(), false)
 	d := p.start()
 	for path, want := range map[string]int{"/p/x": http.StatusBadGateway, "/i/x": http.StatusBadGateway} {
--- a/request/ingress/cut_test.go
+++ b/request/ingress/cut_test.go
@@ -31,24 +31,11 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				req, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				if _, err := io.Copy(io.Discard, req.Body); err == nil {
-					_, _ = io.WriteString(c, answer(req))
-				}
-			}()
+	go standin.ServeRaw(l, func(c net.Conn, req *http.Request) {
+		if _, err := io.Copy(io.Discard, req.Body); err == nil {
+			_, _ = io.WriteString(c, answer(req))
 		}
-	}()
+	})
 	return l.Addr().String()
 }
 
--- a/standin/witness.go
+++ b/standin/witness.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -136,6 +137,67 @@
 	return ids
 }
 
+// CheckDepartures waits until targets work on no request. It returns an error if they still
+// do after the limit, or if a request began after its caller had left.
+func (w *Witness) CheckDepartures(limit time.Duration) error {
+	if err := w.AwaitNone(limit); err != nil {
+		return err
+	}
+	if late := w.BegunLate(); len(late) > 0 {
+		return fmt.Errorf("standin: %d requests began after the close: %v", len(late), late)
+	}
+	return nil
+}
+
+const (
+	// runTries is the number of requests of which a target has to work on one.
+	runTries = 20
+	// runTime is the time in which a request has to run or to be refused.
+	runTime = 20 * time.Second
+)
+
+// SendUntilRuns sends requests, one after the other, until a target works on one, and
+// returns its id: a daemon that gets its processor late may refuse some. send returns a
+// channel that is closed once the request is answered.
+func (w *Witness) SendUntilRuns(name string, send func(id string) (answered <-chan struct{})) (string, error) {
+	for n := range runTries {
+		id := fmt.Sprintf("%s-%d", name, n)
+		runs, err := w.awaitRun(id, send(id))
+		if runs || err != nil {
+			return id, err
+		}
+	}
+	return "", fmt.Errorf("standin: %s was refused %d times", name, runTries)
+}
+
+// awaitRun waits until a target works on a request or the request is answered, and reports
+// whether a target works on it.
+func (w *Witness) awaitRun(id string, answered <-chan struct{}) (runs bool, err error) {
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	end := time.After(runTime)
+	for !w.WorksOn(id) {
+		select {
+		case <-tick.C:
+		case <-answered:
+			return w.WorksOn(id), nil
+		case <-end:
+			return false, fmt.Errorf("standin: %s neither runs nor is answered", id)
+		}
+	}
+	return true, nil
+}
+
+// Answered returns a channel that is closed once bytes, or the end, arrive on a connection.
+func Answered(c net.Conn) <-chan struct{} {
+	out := make(chan struct{})
+	go func() {
+		defer close(out)
+		_, _ = c.Read(make([]byte, 1))
+	}()
+	return out
+}
+
 // DepartureCount counts what targets did for callers that have left.
 type DepartureCount struct {
 	Reached   int           // requests that reached a target and whose callers have left
