soak: two planted faults fit the code again

The edits name the lines of today; both are found again (TestPlantedFaultsInPlannedWork/a_connection_is_closed_as_idle_whose_request_was_read, TestPlantedFaults/a_cut_stream_ends_as_if_whole, one run each).

--- a/bench/soak/planned_work_test.go
+++ b/bench/soak/planned_work_test.go
@@ -121,7 +121,7 @@
 		{"a connection is closed as idle whose request was read", "1 runs, unexpected EOF: cut, though", []edit{
 			{"internal/drain/drain.go", "		case busy:\n			return false\n", "		case busy:\n			remaining++\n"},
 			{"internal/drain/conn.go", "if c.phase == active ||", "if c.phase == active && time.Since(c.since) > 500*time.Millisecond ||"},
-			{"internal/drain/conn.go", "	c.closing = true\n	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))", "	c.closing = true\n	_ = c.Conn.Close()"},
+			{"internal/drain/conn.go", "	c.closing = true\n	_ = c.Conn.SetReadDeadline(expired)", "	c.closing = true\n	_ = c.Conn.Close()"},
 		}},
 		{"a daemon that stops accepts streams that outlast it", "status 200, 1 runs, unexpected EOF: cut, though", []edit{
 			{"request/ingress/stop.go", "case stop == nil || !c.Deadline.After(stop.lastAnswer()):", "case true:"},
--- a/bench/soak/planted_test.go
+++ b/bench/soak/planted_test.go
@@ -46,7 +46,7 @@
 			{"request/dispatch/failure.go", "case x.possibleRuns > 0:", "case false:"},
 		}, onAll(DegradeTarget, degradeFail), "reported as not run", 0, 0},
 		{"a cut stream ends as if whole", []edit{
-			{"request/ingress/ingress.go", "if x.headerSent && err != nil {", "if false {"},
+			{"request/ingress/ingress.go", "if x.headerSent.Load() && err != nil {", "if false {"},
 		}, onAll(DegradeTarget, degradeCut), "is incomplete", 0, 0},
 		{"an answer is taken for whoever asks next", []edit{
 			{"request/dispatch/send.go", "Relate:           x.relate,", ""},
