h1: tests of ended requests share one pool with wrapped connections

Two tests of connection/h1 opened a listener and a pool whose connections are wrapped in the same lines. newWrappedPool does it for both.

--- a/connection/h1/ending_test.go
+++ b/connection/h1/ending_test.go
@@ -169,6 +169,26 @@
 	w.awaitTold(t, 2*time.Second) // the kernel's next repetition
 }
 
+// newWrappedPool returns a listener and a pool whose connections to it are wrapped.
+func newWrappedPool(t *testing.T, wrap func(*net.TCPConn) net.Conn) (net.Listener, *Pool) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	p := New(Options{Dial: func(context.Context, string) (net.Conn, error) {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			return nil, err
+		}
+		tcp, _ := c.(*net.TCPConn)
+		return wrap(tcp), nil
+	}})
+	t.Cleanup(p.Close)
+	return l, p
+}
+
 // answeredClose is a connection whose close isn't over until its reader has received what
 // the target sends because of it.
 type answeredClose struct {
@@ -201,17 +221,9 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer l.Close()
-			p := New(Options{Dial: func(context.Context, string) (net.Conn, error) {
-				c, err := net.Dial("tcp", l.Addr().String())
-				tcp, _ := c.(*net.TCPConn)
-				return &answeredClose{TCPConn: tcp, read: make(chan struct{})}, err
-			}})
-			defer p.Close()
+			l, p := newWrappedPool(t, func(c *net.TCPConn) net.Conn {
+				return &answeredClose{TCPConn: c, read: make(chan struct{})}
+			})
 			ctx, leave := context.WithCancel(t.Context())
 			go func() {
 				c, err := l.Accept()
@@ -267,17 +279,7 @@
 // Guards against a link that is used up by the rest of a large answer, which nobody needs.
 func TestRestOfAnAnswerIsNotRead(t *testing.T) {
 	var read atomic.Int64
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	p := New(Options{Dial: func(context.Context, string) (net.Conn, error) {
-		c, err := net.Dial("tcp", l.Addr().String())
-		tcp, _ := c.(*net.TCPConn)
-		return countedConn{TCPConn: tcp, read: &read}, err
-	}})
-	defer p.Close()
+	l, p := newWrappedPool(t, func(c *net.TCPConn) net.Conn { return countedConn{TCPConn: c, read: &read} })
 	ended := make(chan error, 1)
 	go func() {
 		c, err := l.Accept()
