quota: new connections wait for the memory of evicted ones

What callers saw: nothing; a daemon's account of its callers' memory exceeded its limit by the cost of each connection that it accepted while evicted connections still held their bytes.

Cause: Admit charged a new connection as soon as enough others were evicted, without waiting until they had released their bytes, as Grow does. Peers' connections were admitted with the lock held that a closing connection takes, so that they couldn't have waited.

Ruled out: the check of the test; the limit is the account's own statement.

Change: Admit is gone, new connections use Grow. A peer's connection is registered under the lock and charged without it.

Evidence: TestNewConnectionsStayWithinTheLimit failed before (1,073,152 of 1,048,576 bytes).

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -195,7 +195,7 @@
 		c := &conn{Conn: inner, t: l.t, since: time.Now()}
 		c.account = l.t.o.Memory.Open(c.evict)
 		c.account.ControlWindow(c.setWindow)
-		if !l.t.full() && c.account.Admit(quota.ConnCost) == nil {
+		if !l.t.full() && c.account.Grow(quota.ConnCost) == nil {
 			l.t.add(c)
 			return c, nil
 		}
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -71,7 +71,7 @@
 }
 
 func (a *Account) grow(n int64) error {
-	freed, err := a.m.chargeAndEvict(a, n, true)
+	freed, err := a.m.chargeAndEvict(a, n)
 	if freed == nil {
 		return err
 	}
@@ -87,7 +87,7 @@
 			a.m.refuse()
 			return ErrExhausted
 		}
-		freed, err = a.m.chargeAndEvict(a, n, true)
+		freed, err = a.m.chargeAndEvict(a, n)
 	}
 	return err
 }
@@ -118,16 +118,6 @@
 	}
 }
 
-// Admit is Grow for a new connection. It doesn't wait until those that were evicted have
-// released their bytes.
-func (a *Account) Admit(n int64) error {
-	if a == nil {
-		return nil
-	}
-	_, err := a.m.chargeAndEvict(a, n, false)
-	return err
-}
-
 // Shrink releases n of the account's bytes.
 func (a *Account) Shrink(n int64) {
 	if a == nil {
--- a/internal/quota/memory.go
+++ b/internal/quota/memory.go
@@ -116,8 +116,8 @@
 	}
 }
 
-func (m *Memory) chargeAndEvict(a *Account, n int64, wait bool) (freed <-chan struct{}, err error) {
-	victims, freed, err := m.charge(a, n, wait)
+func (m *Memory) chargeAndEvict(a *Account, n int64) (freed <-chan struct{}, err error) {
+	victims, freed, err := m.charge(a, n)
 	evictAll(victims)
 	return freed, err
 }
@@ -131,9 +131,8 @@
 }
 
 // charge charges n bytes to a, or selects accounts to evict. If freed isn't nil, the
-// charge must be repeated after freed is closed. Without wait it charges the bytes once
-// enough others are evicted.
-func (m *Memory) charge(a *Account, n int64, wait bool) (victims []*Account, freed <-chan struct{}, err error) {
+// charge must be repeated after freed is closed.
+func (m *Memory) charge(a *Account, n int64) (victims []*Account, freed <-chan struct{}, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if a.closed {
@@ -158,11 +157,6 @@
 		return victims, nil, ErrExhausted
 	}
 	m.logEvictions()
-	if !wait {
-		m.used += n
-		a.bytes += n
-		return victims, nil, nil
-	}
 	if m.freed == nil {
 		m.freed = make(chan struct{})
 	}
--- a/internal/quota/memory_test.go
+++ b/internal/quota/memory_test.go
@@ -161,12 +161,32 @@
 		if err := m.Open(func(bool) {}).Grow(200 << 10); !errors.Is(err, ErrExhausted) || time.Since(begun) != releaseTimeout {
 			t.Errorf("%v after %v", err, time.Since(begun))
 		}
-		if err := m.Open(func(bool) {}).Admit(ConnCost); err != nil {
+		if err := m.Open(func(bool) {}).Grow(ConnCost); err != nil {
 			t.Errorf("a new connection: %v", err)
 		}
 	})
 }
 
+// Guards against new connections that exceed the limit while evicted ones still hold
+// their bytes.
+func TestNewConnectionsStayWithinTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := New(mb)
+		for range mb / (64 << 10) {
+			var a *Account
+			a = m.Open(func(bool) { time.AfterFunc(10*time.Millisecond, a.Close) })
+			mustGrow(t, a, 64<<10)
+		}
+		time.Sleep(time.Second)
+		for range 20 {
+			mustGrow(t, m.Open(func(bool) {}), ConnCost)
+			if m.Used() > mb {
+				t.Fatalf("%d bytes of %d are used", m.Used(), mb)
+			}
+		}
+	})
+}
+
 func TestReadBody(t *testing.T) {
 	const max = 10_000
 	for _, tc := range []struct {
--- a/peer/traffic.go
+++ b/peer/traffic.go
@@ -76,16 +76,37 @@
 func (t *traffic) add(inner net.Conn) *conn {
 	c := &conn{Conn: inner, t: t}
 	c.account = t.o.Memory.Open(func(bool) { _ = inner.Close() })
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.o.MaxConns > 0 && len(t.conns) >= t.o.MaxConns || c.account.Admit(connCost) != nil {
+	if !t.register(c) {
 		c.account.Close()
 		return nil
 	}
-	t.conns[inner.RemoteAddr().String()] = c
+	// Without the lock, as evicted connections take it to release their bytes.
+	if c.account.Grow(connCost) != nil {
+		t.remove(c)
+		return nil
+	}
 	return c
 }
 
+// register adds the connection unless there are too many.
+func (t *traffic) register(c *conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.o.MaxConns > 0 && len(t.conns) >= t.o.MaxConns {
+		return false
+	}
+	t.conns[c.RemoteAddr().String()] = c
+	return true
+}
+
+// remove releases the connection's memory and its place.
+func (t *traffic) remove(c *conn) {
+	c.account.Close()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.conns, c.RemoteAddr().String())
+}
+
 // conn is a connection of a peer.
 type conn struct {
 	net.Conn
@@ -113,10 +134,7 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	c.account.Close()
-	c.t.mu.Lock()
-	delete(c.t.conns, c.RemoteAddr().String())
-	c.t.mu.Unlock()
+	c.t.remove(c)
 	return c.Conn.Close()
 }
 
