saved, daemon: crashes outlive the loss of all daemons on the own protocol

What callers saw: after the loss of all daemons of the product's own protocol, a prompt that had been refused crashed engines again.

Change: saved.Records is what a Keeper writes to: a keyed topic, or a stream of a log, of which the newest record of each key counts; there unchanged state is appended again each hour. Where suspect content runs alone, crashes, convictions and clearings now mark the state as unsaved, and convicted content is saved with its crashes, so that it is suspect again once its conviction has ended.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -38,6 +38,7 @@
 	"github.com/pomelospool/pomelospool/process/membership"
 	"github.com/pomelospool/pomelospool/process/memlimit"
 	"github.com/pomelospool/pomelospool/process/reconcile"
+	"github.com/pomelospool/pomelospool/process/saved"
 	"github.com/pomelospool/pomelospool/process/settings"
 	"github.com/pomelospool/pomelospool/request/budget"
 	"github.com/pomelospool/pomelospool/request/entry"
@@ -74,6 +75,7 @@
 	burn    *burn.Tracker
 	once    *once.LogDeduplicator
 	crashes *quarantine.PartTracker
+	saved   []*saved.Keeper
 	entry   *entry.Entry
 
 	links     *links.Tracker
@@ -133,6 +135,7 @@
 	d.wirePlatform()
 	d.wireMembership(keys)
 	d.wireAgreement()
+	d.wireSaved()
 	d.wireRequests()
 	d.wireServers(keys)
 	return d, nil
--- a/process/daemon/run.go
+++ b/process/daemon/run.go
@@ -82,6 +82,7 @@
 		d.crashes.Start()
 		d.tomb.Go(d.controlLoop)
 		d.tomb.Go(d.burnLoop)
+		d.tomb.Go(d.saveCrashes)
 		return nil
 	})
 }
--- a/process/front/saved.go
+++ b/process/front/saved.go
@@ -13,7 +13,8 @@
 // keep has a part of the daemon's state kept in the store.
 func (d *Daemon) keep(topic port.Topic, state saved.State) {
 	d.saved = append(d.saved, saved.New(saved.Options{
-		Store: d.monitored, Topic: topic, State: state,
+		Records: saved.InTopic(d.monitored, topic),
+		State:   state,
 		Key:     savedKey(d.s.VM, d.incarnation),
 		MayLead: func() bool { return d.roster.MayLead() },
 		Live:    d.liveDaemons,
--- a/process/front/saved_test.go
+++ b/process/front/saved_test.go
@@ -30,7 +30,7 @@
 // readSaved restores what all daemons have saved into a state.
 func (p *testPlatform) readSaved(topic port.Topic, state saved.State) {
 	saved.New(saved.Options{
-		Store: platform.NewStore(p.addr), Topic: topic, State: state, Key: "reader",
+		Records: saved.InTopic(platform.NewStore(p.addr), topic), State: state, Key: "reader",
 		MayLead: func() bool { return true }, Live: func() map[string]time.Time { return nil },
 	}).Update(p.t.Context())
 }
--- a/process/record/record.go
+++ b/process/record/record.go
@@ -14,6 +14,13 @@
 // Control is the name of the control stream, which every daemon folds.
 const Control = "control"
 
+// Streams of the crashes and convictions that daemons save: of whole requests, and of parts
+// of prompts.
+const (
+	RequestCrashes = "crashes"
+	PartCrashes    = "part-crashes"
+)
+
 // OnceStream returns the name of the stream of one at-most-once shard.
 func OnceStream(shard int) string { return fmt.Sprintf("once-%02d", shard) }
 
@@ -32,6 +39,7 @@
 	KindIntent     Kind = "intent"
 	KindResult     Kind = "result"
 	KindBurn       Kind = "burn"
+	KindSaved      Kind = "saved"
 )
 
 // Envelope wraps each record. ID is unique to one decision. A second append of
--- a/process/saved/keeper.go
+++ b/process/saved/keeper.go
@@ -1,4 +1,4 @@
-// Package saved keeps parts of each daemon's state in the store, for the loss of all
+// Package saved keeps parts of each daemon's state on the platform, for the loss of all
 // daemons at once. As long as one lives, daemons learn such state from each other.
 package saved
 
@@ -9,8 +9,6 @@
 
 	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
-
-	"github.com/pomelospool/pomelospool/port"
 )
 
 const (
@@ -46,17 +44,19 @@
 	Expired(data []byte, age time.Duration) bool
 }
 
-// Options configures a Keeper. All fields are required.
+// Options configures a Keeper. All fields but Refresh are required.
 type Options struct {
-	Store port.Store
-	Topic port.Topic
-	State State
+	Records Records
+	State   State
 	// Key is that of this daemon's record. It differs for each start of a daemon.
 	Key string
 	// MayLead reports whether this daemon reads for the fleet.
 	MayLead func() bool
 	// Live returns the keys of the live daemons, including this one, and when they started.
 	Live func() map[string]time.Time
+	// Refresh is the interval at which unchanged state is saved again, where records are
+	// kept for a limited time. 0 means never.
+	Refresh time.Duration
 }
 
 // Keeper saves one part of a daemon's state, and restores that of lost daemons. It is
@@ -64,6 +64,7 @@
 type Keeper struct {
 	o         Options
 	unsaved   bool      // the last save failed
+	savedAt   time.Time // zero: nothing was saved
 	cleanedAt time.Time // zero: the records weren't read since this daemon leads
 	adopted   []string  // keys of records that aren't needed once the state is saved
 	failing   bool      // the last call failed
@@ -78,8 +79,8 @@
 	return max(minInterval, time.Duration(float64(daemons)/(writeShare*writesPerSecond)*float64(time.Second)))
 }
 
-// record is the value of a daemon's record.
-type record struct {
+// snapshot is the value of a daemon's record.
+type snapshot struct {
 	_       struct{} `cbor:",toarray"`
 	SavedMs int64    // Unix milliseconds
 	Data    []byte
@@ -87,8 +88,8 @@
 
 // age returns the time since the record was saved. A clock that was set back doesn't make
 // it negative.
-func (r *record) age(now time.Time) time.Duration {
-	return max(0, time.Duration(now.UnixMilli()-r.SavedMs)*time.Millisecond)
+func (s *snapshot) age(now time.Time) time.Duration {
+	return max(0, time.Duration(now.UnixMilli()-s.SavedMs)*time.Millisecond)
 }
 
 // Update saves the state with one write if it has changed. On the daemon that leads it
@@ -101,29 +102,30 @@
 		err = leadErr
 	}
 	if err != nil && !k.failing {
-		log.WithError(err).WithField("key", k.o.Key).Warn("saved: can't keep state in the store; retrying")
+		log.WithError(err).WithField("key", k.o.Key).Warn("saved: can't keep state on the platform; retrying")
 	}
 	k.failing = err != nil
 }
 
 func (k *Keeper) save(ctx context.Context) error {
-	data, err := k.o.State.Unsaved(k.unsaved, maxBytes)
+	data, err := k.o.State.Unsaved(k.unsaved || k.needsRefresh(), maxBytes)
 	if err != nil {
 		return err
 	}
 	if data != nil {
-		value, err := cbor.Marshal(&record{SavedMs: time.Now().UnixMilli(), Data: data})
+		value, err := cbor.Marshal(&snapshot{SavedMs: time.Now().UnixMilli(), Data: data})
 		if err != nil {
 			return fmt.Errorf("saved: encode: %w", err)
 		}
-		_, err = k.o.Store.Put(ctx, k.o.Topic, k.o.Key, value)
+		err = k.o.Records.Put(ctx, k.o.Key, value)
 		if k.unsaved = err != nil; k.unsaved {
 			return err
 		}
+		k.savedAt = time.Now()
 	}
 	k.unsaved = false
 	for len(k.adopted) > 0 {
-		if err := k.remove(ctx, k.adopted[0]); err != nil {
+		if err := k.o.Records.Put(ctx, k.adopted[0], nil); err != nil {
 			return err
 		}
 		k.adopted = k.adopted[1:]
@@ -131,9 +133,8 @@
 	return nil
 }
 
-func (k *Keeper) remove(ctx context.Context, key string) error {
-	_, err := k.o.Store.Put(ctx, k.o.Topic, key, nil)
-	return err
+func (k *Keeper) needsRefresh() bool {
+	return k.o.Refresh > 0 && !k.savedAt.IsZero() && time.Since(k.savedAt) >= k.o.Refresh
 }
 
 // lead reads the records of all daemons, on the one that leads.
@@ -166,22 +167,22 @@
 	return nil
 }
 
-func (k *Keeper) read(ctx context.Context) (map[string]record, error) {
-	records := make(map[string]record)
-	err := port.Newest(ctx, k.o.Store, k.o.Topic, func(r port.KeyedRecord) {
-		var rec record
-		if err := cbor.Unmarshal(r.Value, &rec); err != nil {
-			log.WithError(err).WithField("key", r.Key).Warn("saved: can't decode a record")
+func (k *Keeper) read(ctx context.Context) (map[string]snapshot, error) {
+	records := make(map[string]snapshot)
+	err := k.o.Records.Newest(ctx, func(key string, value []byte) {
+		var rec snapshot
+		if err := cbor.Unmarshal(value, &rec); err != nil {
+			log.WithError(err).WithField("key", key).Warn("saved: can't decode a record")
 			return
 		}
-		records[r.Key] = rec
+		records[key] = rec
 	})
 	return records, err
 }
 
 // restore restores the record of a lost daemon and reports whether it isn't needed any
 // more.
-func (k *Keeper) restore(key string, rec *record, live map[string]time.Time, now time.Time) bool {
+func (k *Keeper) restore(key string, rec *snapshot, live map[string]time.Time, now time.Time) bool {
 	age := rec.age(now)
 	adopted, err := k.o.State.Restore(rec.Data, age, rec.lost(live))
 	if err != nil {
@@ -192,9 +193,9 @@
 }
 
 // lost reports whether none of the live daemons was running when the record was saved.
-func (r *record) lost(live map[string]time.Time) bool {
+func (s *snapshot) lost(live map[string]time.Time) bool {
 	for _, started := range live {
-		if started.Add(maxSkew).Before(time.UnixMilli(r.SavedMs)) {
+		if started.Add(maxSkew).Before(time.UnixMilli(s.SavedMs)) {
 			return false
 		}
 	}
--- a/process/saved/keeper_test.go
+++ b/process/saved/keeper_test.go
@@ -60,12 +60,16 @@
 
 // newStreamDaemon returns a daemon that knows that targets of these versions serve.
 func newStreamDaemon(s port.Store, key string, software ...string) *streamDaemon {
+	return newStreamDaemonWith(InTopic(s, port.TopicStreams), key, 0, software...)
+}
+
+func newStreamDaemonWith(records Records, key string, refresh time.Duration, software ...string) *streamDaemon {
 	start := time.Now()
 	now := func() time.Duration { return time.Since(start) }
 	d := &streamDaemon{leads: true, origins: origin.New(origin.Options{Now: now, History: origin.NewHistory(origin.HistoryOptions{Now: now, MaxAge: time.Second})})}
 	d.origins.Observe(map[string][]string{"llm": software})
 	d.Keeper = New(Options{
-		Store: s, State: d.origins, Key: key, MayLead: func() bool { return d.leads },
+		Records: records, State: d.origins, Key: key, Refresh: refresh, MayLead: func() bool { return d.leads },
 		Live: func() map[string]time.Time { return map[string]time.Time{key: start} },
 	})
 	return d
--- a/request/quarantine/claim.go
+++ b/request/quarantine/claim.go
@@ -191,6 +191,7 @@
 		}
 		c.clearAt = time.Time{}
 		c.dismissCrashes()
+		t.markUnsaved(c)
 		t.enqueue(t.contentUpdates(c, now))
 		counts.Add("cleared", 1)
 	}
--- a/request/quarantine/outage.go
+++ b/request/quarantine/outage.go
@@ -50,6 +50,7 @@
 				continue
 			}
 			c.dismissCrashes()
+			t.markUnsaved(c)
 		}
 	}
 }
--- a/request/quarantine/parts.go
+++ b/request/quarantine/parts.go
@@ -31,6 +31,9 @@
 	}
 }
 
+// Parts returns the tracker of parts.
+func (t *PartTracker) Parts() *CrashTracker { return t.parts }
+
 // CheckParts returns the verdict on the parts of a prompt.
 func (t *PartTracker) CheckParts(c Content) Ruling { return t.parts.CheckContent(c) }
 
--- a/request/quarantine/saved.go
+++ b/request/quarantine/saved.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -49,7 +48,7 @@
 	})
 	m, size := &peerpb.Convictions{}, 0
 	for _, c := range saved {
-		updates := t.savedUpdates(c, now)
+		updates := c.savedUpdates(now)
 		size += proto.Size(&peerpb.Convictions{Convictions: updates})
 		if size > maxBytes {
 			break
@@ -67,11 +66,13 @@
 	return data, nil
 }
 
-// savedUpdates returns the updates about a content without those about claims.
-func (t *CrashTracker) savedUpdates(c *content, now time.Time) []*peerpb.Conviction {
-	return slices.DeleteFunc(t.contentUpdates(c, now), func(u *peerpb.Conviction) bool {
-		return strings.HasPrefix(u.Target, claimPrefix)
-	})
+// savedUpdates returns the updates about a content's crashes, and then its conviction.
+func (c *content) savedUpdates(now time.Time) []*peerpb.Conviction {
+	out := c.crashUpdates(now)
+	if now.Before(c.convictedUntil) {
+		out = append(out, c.convictionUpdate(now))
+	}
+	return out
 }
 
 // decodeSaved returns the updates that still hold after the given time, with the time
@@ -140,6 +141,10 @@
 		} else if until := now.Add(min(ttl, endless)); until.After(c.convictedUntil) {
 			c.convictions = max(c.convictions, int(u.Crashes)-1)
 			c.refuseFor(now, until.Sub(now))
+			if !t.tolerates() && c.crashCount() == 0 {
+				// Its crashes have expired. Without one it would be clear after the conviction.
+				c.addCrash(crash{target: u.Target, began: now, at: now})
+			}
 			convicted++
 		}
 		t.relay(c)
--- a/request/quarantine/saved_test.go
+++ b/request/quarantine/saved_test.go
@@ -295,3 +295,72 @@
 		}
 	})
 }
+
+// Guards against content that runs as if it had crashed no target after the loss of all
+// processes, and against harmless content that is suspect then, where suspect content
+// runs alone.
+func TestCrashesOfContentThatRunsAloneOutliveAllProcesses(t *testing.T) {
+	fp := contentNumber(1)
+	const (
+		second = time.Second
+		after  = defaultConviction + time.Minute // the end of the first conviction
+	)
+	cases := []struct {
+		name          string
+		before        int // crashes
+		cleared       bool
+		age           time.Duration
+		want, wantOne Verdict // after the loss, and after one more crash
+	}{
+		{"one crash", 1, false, second, Suspect, Convicted},
+		{"two crashes", 2, false, second, Convicted, Convicted},
+		{"two crashes, conviction expired", 2, false, after, Suspect, Convicted},
+		{"two crashes, expired", 2, false, time.Hour, Clear, Suspect},
+		{"one crash, answered since", 1, true, second, Clear, Suspect},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := 0
+				crash := func(tr *CrashTracker) {
+					n++
+					target := fmt.Sprint("target-", n)
+					tr.Begin(fp, target)
+					tr.Crashed(target)
+					time.Sleep(time.Minute)
+				}
+				lost := New(Options{Self: "lost"})
+				for range tc.before {
+					crash(lost)
+				}
+				if tc.cleared {
+					if data, err := lost.Unsaved(false, maxTestBytes); err != nil || data == nil {
+						t.Fatalf("%d bytes to save, %v", len(data), err)
+					}
+					release, ok := lost.Claim(t.Context(), fp)
+					if !ok {
+						t.Fatal("the content may not run alone")
+					}
+					release(true)
+					time.Sleep(2 * settleTime)
+					lost.Check(fp)
+				}
+				data, err := lost.Unsaved(false, maxTestBytes)
+				if err != nil || data == nil {
+					t.Fatalf("%d bytes to save, %v", len(data), err)
+				}
+				tr := New(Options{Self: "new"})
+				if _, err := tr.Restore(data, tc.age, true); err != nil {
+					t.Fatal(err)
+				}
+				if got, _ := tr.Check(fp); got != tc.want {
+					t.Errorf("verdict %v after the loss, want %v", got, tc.want)
+				}
+				crash(tr)
+				if got, _ := tr.Check(fp); got != tc.wantOne {
+					t.Errorf("verdict %v after another crash, want %v", got, tc.wantOne)
+				}
+			})
+		})
+	}
+}
--- a/request/quarantine/tracker.go
+++ b/request/quarantine/tracker.go
@@ -285,6 +285,7 @@
 		if !c.addLocalCrash(tc) {
 			continue
 		}
+		t.markUnsaved(c)
 		changed = append(changed, c)
 		if c.crashCount() >= 2 && t.canConvict(c, tc.at) && !t.explainedByOther(fp, tc) {
 			convicted = append(convicted, c)
@@ -315,6 +316,7 @@
 		} else {
 			c.convict(now, t.o.Conviction)
 		}
+		t.markUnsaved(c)
 		counts.Add("convicted", 1)
 		logConviction(c, now)
 	}
--- a/request/quarantine/updates.go
+++ b/request/quarantine/updates.go
@@ -30,25 +30,40 @@
 }
 
 func (t *CrashTracker) contentUpdates(c *content, now time.Time) []*peerpb.Conviction {
-	last := ""
-	if n := len(c.crashes); n > 0 {
-		last = c.crashes[n-1].target
-	}
 	var out []*peerpb.Conviction
 	if now.Before(c.convictedUntil) {
-		out = []*peerpb.Conviction{{
-			Fingerprint: c.fp[:],
-			Crashes:     uint32(c.convictions + 1),
-			TtlMs:       c.convictedUntil.Sub(now).Milliseconds(),
-			Target:      last,
-			Part:        uint32(c.part),
-			Answered:    c.answered,
-		}}
+		out = append(out, c.convictionUpdate(now))
 		if !t.tolerates() {
 			return out
 		}
 	}
-	var dismissed []*peerpb.Conviction
+	out = append(out, c.crashUpdates(now)...)
+	if c.claim.by != "" {
+		out = append(out, claimUpdate(c, now))
+	}
+	return out
+}
+
+func (c *content) convictionUpdate(now time.Time) *peerpb.Conviction {
+	last := ""
+	if n := len(c.crashes); n > 0 {
+		last = c.crashes[n-1].target
+	}
+	return &peerpb.Conviction{
+		Fingerprint: c.fp[:],
+		Crashes:     uint32(c.convictions + 1),
+		TtlMs:       c.convictedUntil.Sub(now).Milliseconds(),
+		Target:      last,
+		Part:        uint32(c.part),
+		Answered:    c.answered,
+	}
+}
+
+// crashUpdates returns the updates about the crashes of a content. The dismissed ones come
+// last: a process that knows nothing of the content would otherwise take it for cleared
+// before it has read the other crashes.
+func (c *content) crashUpdates(now time.Time) []*peerpb.Conviction {
+	var out, dismissed []*peerpb.Conviction
 	for _, cr := range c.crashes {
 		u := &peerpb.Conviction{
 			Fingerprint: c.fp[:], Suspect: true, Crashes: 1, Target: cr.target,
@@ -62,13 +77,7 @@
 		}
 		out = append(out, u)
 	}
-	// A process that knows nothing of the content would otherwise take it for
-	// cleared before it has read the other crashes.
-	out = append(out, dismissed...)
-	if c.claim.by != "" {
-		out = append(out, claimUpdate(c, now))
-	}
-	return out
+	return append(out, dismissed...)
 }
 
 // claimUpdate returns the update about a claim. Its Crashes field is 1 once the
@@ -224,8 +233,10 @@
 			changed = true
 		}
 	}
-	if changed && t.tolerates() {
+	if changed {
 		t.markUnsaved(c)
+	}
+	if changed && t.tolerates() {
 		t.liftIfCleared(c)
 		t.relay(c)
 		t.reconsider(c, t.o.Now())
