peer: a late heartbeat doesn't cut open calls

What callers saw: on the own protocol, code 6001 ("daemon vm-1 didn't answer") for requests that ran: they had been forwarded to a daemon that was late for one heartbeat.

Cause: Dialer.Heartbeat closed the connection of a peer whose heartbeat failed, so that a stalled connection doesn't make a live peer look dead. Calls of all kinds share the connection and ended with it.

Change: the connection is retired: the next call dials a new one, and the old one is closed when its last open call has ended.

Evidence: TestLateHeartbeatCutsNoOpenCall failed before ("the client connection is closing").

--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -13,6 +16,7 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/stats"
 	"google.golang.org/grpc/status"
 
 	"github.com/pomelospool/pomelospool/peer/peerpb"
@@ -31,8 +35,9 @@
 type Dialer struct {
 	opts []grpc.DialOption
 
-	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn
+	mu      sync.Mutex
+	conns   map[string]*link
+	retired map[*link]bool // closed when their open calls have ended
 }
 
 // DialerOptions configures a Dialer. The zero value selects TCP without TLS.
@@ -68,7 +73,7 @@
 	if o.Dial != nil {
 		opts = append(opts, grpc.WithContextDialer(o.Dial))
 	}
-	return &Dialer{opts: opts, conns: make(map[string]*grpc.ClientConn)}
+	return &Dialer{opts: opts, conns: make(map[string]*link), retired: make(map[*link]bool)}
 }
 
 // windowSize is the flow control window of each connection and stream in bytes. A
@@ -83,30 +88,42 @@
 
 // Client returns a gRPC client for the peer at addr (host:port).
 func (d *Dialer) Client(addr string) (peerpb.PeerClient, error) {
+	l, err := d.link(addr)
+	if err != nil {
+		return nil, err
+	}
+	return peerpb.NewPeerClient(l.conn), nil
+}
+
+func (d *Dialer) link(addr string) (*link, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if c, ok := d.conns[addr]; ok {
-		return peerpb.NewPeerClient(c), nil
+	if l, ok := d.conns[addr]; ok {
+		return l, nil
 	}
-	c, err := grpc.NewClient("passthrough:///"+addr, d.opts...)
+	l := &link{}
+	l.closeRetired = func() { d.closeRetired(l) }
+	conn, err := grpc.NewClient("passthrough:///"+addr, append(d.opts[:len(d.opts):len(d.opts)], grpc.WithStatsHandler(l))...)
 	if err != nil {
 		return nil, fmt.Errorf("peer %s: %w", addr, err)
 	}
-	d.conns[addr] = c
-	return peerpb.NewPeerClient(c), nil
+	l.conn = conn
+	d.conns[addr] = l
+	return l, nil
 }
 
-// Heartbeat sends one heartbeat. If it fails, the connection is dropped. A stalled
-// connection would otherwise make a live peer look dead until TCP times out
-// minutes later.
+// Heartbeat sends one heartbeat. If it fails, the next call dials a new connection. A
+// stalled connection would otherwise make a live peer look dead until TCP times out minutes
+// later. Calls that are open on the old one go on: the peer may only be late. If it is dead,
+// they end once the kernel or a ping finds that it acknowledges nothing.
 func (d *Dialer) Heartbeat(ctx context.Context, addr string, r *peerpb.HeartbeatRequest) (*peerpb.HeartbeatReply, error) {
-	c, err := d.Client(addr)
+	l, err := d.link(addr)
 	if err != nil {
 		return nil, err
 	}
-	reply, err := c.Heartbeat(ctx, r)
+	reply, err := peerpb.NewPeerClient(l.conn).Heartbeat(ctx, r)
 	if err != nil {
-		d.Drop(addr)
+		d.retire(addr, l)
 		return nil, fmt.Errorf("heartbeat to %s: %w", addr, err)
 	}
 	return reply, nil
@@ -129,24 +146,64 @@
 	return stream, first, false, nil
 }
 
-// Drop closes the connection to addr. The next call dials a new one.
-func (d *Dialer) Drop(addr string) {
+// retire closes a connection once its open calls have ended.
+func (d *Dialer) retire(addr string, l *link) {
 	d.mu.Lock()
-	c := d.conns[addr]
-	delete(d.conns, addr)
+	if d.conns[addr] == l {
+		delete(d.conns, addr)
+		d.retired[l] = true
+	}
 	d.mu.Unlock()
-	if c != nil {
-		_ = c.Close()
+	l.retired.Store(true)
+	if l.open.Load() == 0 {
+		d.closeRetired(l)
 	}
 }
 
+func (d *Dialer) closeRetired(l *link) {
+	d.mu.Lock()
+	delete(d.retired, l)
+	d.mu.Unlock()
+	_ = l.conn.Close()
+}
+
 // Close closes all connections.
 func (d *Dialer) Close() {
 	d.mu.Lock()
-	conns := d.conns
-	d.conns = make(map[string]*grpc.ClientConn)
+	links := slices.AppendSeq(slices.Collect(maps.Values(d.conns)), maps.Keys(d.retired))
+	clear(d.conns)
+	clear(d.retired)
 	d.mu.Unlock()
-	for _, c := range conns {
-		_ = c.Close()
+	for _, l := range links {
+		_ = l.conn.Close()
 	}
 }
+
+// link is a connection to a peer. It counts its open calls as a stats.Handler.
+type link struct {
+	conn         *grpc.ClientConn
+	open         atomic.Int64
+	retired      atomic.Bool
+	closeRetired func() // called when a retired connection has no open call any more
+}
+
+// HandleRPC implements stats.Handler.
+func (l *link) HandleRPC(_ context.Context, s stats.RPCStats) {
+	switch s.(type) {
+	case *stats.Begin:
+		l.open.Add(1)
+	case *stats.End:
+		if l.open.Add(-1) == 0 && l.retired.Load() {
+			go l.closeRetired() // not within the call, which this would cancel
+		}
+	}
+}
+
+// TagRPC implements stats.Handler.
+func (l *link) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+
+// TagConn implements stats.Handler.
+func (l *link) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+
+// HandleConn implements stats.Handler.
+func (l *link) HandleConn(context.Context, stats.ConnStats) {}
