--- a/connection/origin/origin_test.go
+++ b/connection/origin/origin_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +15,7 @@
 // fleet connects the trackers of daemons. Each one's records go to its keepers, and
 // its queries to all reachable daemons.
 type fleet struct {
+	mu      sync.Mutex // guards changes of daemons: records are shared by timers, too
 	daemons []*testDaemon
 }
 
@@ -20,8 +23,8 @@
 	*Tracker
 	fleet   *fleet
 	history *History
-	cutOff  bool // from all other daemons
-	shared  int  // records sent
+	cutOff  atomic.Bool  // from all other daemons
+	shared  atomic.Int64 // records sent
 	age     time.Duration
 	behind  bool // the store has a change that this daemon lacks
 }
@@ -47,18 +50,20 @@
 }
 
 func (d *testDaemon) others() []*testDaemon {
-	return slices.DeleteFunc(slices.Clone(d.fleet.daemons), func(o *testDaemon) bool { return o == d || o.cutOff || d.cutOff })
+	d.fleet.mu.Lock()
+	defer d.fleet.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(d.fleet.daemons), func(o *testDaemon) bool { return o == d || o.cutOff.Load() || d.cutOff.Load() })
 }
 
 func (d *testDaemon) ShareOrigins(records []Record) {
-	d.shared += len(records)
+	d.shared.Add(int64(len(records)))
 	for _, o := range d.others() {
 		o.Store(records)
 	}
 }
 
 func (d *testDaemon) AskOrigins(ctx context.Context, q Query, handle func(Reply) bool) {
-	if d.cutOff {
+	if d.cutOff.Load() {
 		<-ctx.Done()
 	}
 	for _, o := range d.others() {
@@ -100,7 +105,9 @@
 // restart adds a daemon that has just started and lists the versions.
 func (f *fleet) restart(software ...string) *testDaemon {
 	d := f.newDaemon(false)
+	f.mu.Lock()
 	f.daemons = append(f.daemons, d)
+	f.mu.Unlock()
 	d.Observe(map[string][]string{"s": software})
 	return d
 }
@@ -114,7 +121,7 @@
 		f := newFleet(4, true)
 		f.observe("v1", "v2")
 		f.daemons[0].Begin(stream, "v2")
-		f.daemons[0].cutOff = true
+		f.daemons[0].cutOff.Store(true)
 		for i, d := range f.daemons[1:] {
 			if got := d.find("r1"); got != "v2" {
 				t.Errorf("daemon %d: %s", i+1, got)
@@ -139,13 +146,13 @@
 		f.daemons[0].Begin(stream, "v1")
 		f.daemons[0].Begin(Stream{Service: "s", Request: "ended"}, "v1")
 		f.daemons[0].Complete(Stream{Service: "s", Request: "ended"})
-		if f.daemons[0].shared != 0 {
-			t.Errorf("%d records sent while there is one version", f.daemons[0].shared)
+		if f.daemons[0].shared.Load() != 0 {
+			t.Errorf("%d records sent while there is one version", f.daemons[0].shared.Load())
 		}
 		f.observe("v1", "v2")
-		f.daemons[0].cutOff = true
-		if got := f.daemons[1].find("r1"); got != "v1" || f.daemons[0].shared != 1 {
-			t.Errorf("%s, %d records sent", got, f.daemons[0].shared)
+		f.daemons[0].cutOff.Store(true)
+		if got := f.daemons[1].find("r1"); got != "v1" || f.daemons[0].shared.Load() != 1 {
+			t.Errorf("%s, %d records sent", got, f.daemons[0].shared.Load())
 		}
 	})
 }
@@ -157,7 +164,7 @@
 		f := newFleet(3, true)
 		f.observe("v1")
 		f.daemons[0].Begin(stream, "v1")
-		f.daemons[0].cutOff = true
+		f.daemons[0].cutOff.Store(true)
 		if got := f.daemons[1].find("r1"); got != "v1" {
 			t.Errorf("after the loss of its daemon: %s", got)
 		}
@@ -166,7 +173,7 @@
 			t.Errorf("at a daemon that has just started: %s", got)
 		}
 		f.run(2 * time.Second)
-		restarted.cutOff = true
+		restarted.cutOff.Store(true)
 		if got := restarted.find("r1"); got != "v1" {
 			t.Errorf("at a daemon that was cut off after its start: %s", got)
 		}
@@ -191,7 +198,8 @@
 		if got := behind.find("another"); got != "unknown" {
 			t.Errorf("at a daemon with an outdated list, without a record: %s", got)
 		}
-		behind.cutOff, behind.age = true, 3*time.Second
+		behind.cutOff.Store(true)
+		behind.age = 3 * time.Second
 		if got := behind.find("another"); got != "unknown" {
 			t.Errorf("at a daemon that is cut off from all others and the store: %s", got)
 		}
@@ -211,7 +219,8 @@
 		f.observe("v1")
 		f.run(time.Minute)
 		cutOff := f.daemons[2]
-		cutOff.cutOff, cutOff.behind, cutOff.age = true, true, time.Second
+		cutOff.cutOff.Store(true)
+		cutOff.behind, cutOff.age = true, time.Second
 		for _, d := range f.daemons[:2] {
 			d.Observe(map[string][]string{"s": {"v1", "v2"}})
 		}
@@ -265,7 +274,7 @@
 			f.daemons[i].Observe(map[string][]string{"s": {"v1", "v2"}})
 			f.run(4 * time.Second)
 		}
-		f.daemons[0].cutOff = true
+		f.daemons[0].cutOff.Store(true)
 		for i, d := range f.daemons[1:] {
 			if got := d.find("r1"); got != "v2" {
 				t.Errorf("daemon %d: %s", i+1, got)
@@ -285,7 +294,7 @@
 		lost.Begin(Stream{Service: "s", Request: "short"}, "v1")
 		lost.Complete(Stream{Service: "s", Request: "short"})
 		time.Sleep(2 * shareDelay)
-		lost.cutOff = true
+		lost.cutOff.Store(true)
 		f.run(time.Second)
 		f.observe("v1", "v2")
 		for i, d := range f.daemons[1:] {
@@ -296,8 +305,8 @@
 				t.Errorf("daemon %d: %s for a stream without a record", i+1, got)
 			}
 		}
-		if lost.shared != 1 {
-			t.Errorf("%d records sent for one stream that stayed open", lost.shared)
+		if lost.shared.Load() != 1 {
+			t.Errorf("%d records sent for one stream that stayed open", lost.shared.Load())
 		}
 	})
 }
--- a/request/quarantine/harness_test.go
+++ b/request/quarantine/harness_test.go
@@ -88,6 +88,13 @@
 	b.Broadcast(ctx, updates, h.trackers[from].Incoming)
 }
 
+// setDropBroadcasts has broadcasts lost, or ends that.
+func (h *harness) setDropBroadcasts(drop bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.dropBroadcasts = drop
+}
+
 type peerClient struct {
 	peerpb.PeerClient
 	harness *harness
--- a/request/quarantine/quarantine_test.go
+++ b/request/quarantine/quarantine_test.go
@@ -70,7 +70,7 @@
 			}
 		}},
 		{"broadcasts lost, heartbeats not", []Fingerprint{bad}, 2, Convicted, func(h *harness) {
-			h.dropBroadcasts = true
+			h.setDropBroadcasts(true)
 			h.try(h.trackers[0], bad)
 			h.heartbeats(5 * time.Second)
 			for i := range daemons {
--- a/request/quarantine/target_test.go
+++ b/request/quarantine/target_test.go
@@ -63,10 +63,10 @@
 			<-time.After(time.Second)
 		}, []int{1, 2}, 1},
 		{"the release is lost, heartbeats tell", []int{0, 1}, func(h *harness, granted map[int]func(bool)) {
-			h.dropBroadcasts = true
+			h.setDropBroadcasts(true)
 			granted[0](true)
 			<-time.After(time.Second)
-			h.dropBroadcasts = false
+			h.setDropBroadcasts(false)
 			h.heartbeats(maxUpdateDelay / 2)
 		}, []int{1}, 1},
 		{"old news of an ended claim", []int{0}, func(h *harness, granted map[int]func(bool)) {
