--- a/connection/h1/head.go
+++ b/connection/h1/head.go
@@ -1,7 +1,6 @@
 package h1
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -57,7 +56,7 @@
 	if n == 0 || h.account == nil {
 		return n, err
 	}
-	cost := quota.HeaderCost(n, bytes.Count(p[:n], []byte("\n")))
+	cost := quota.HeaderCost(p[:n])
 	if refused := h.account.Grow(cost); refused != nil {
 		return 0, fmt.Errorf("h1: head of a response: %w", refused)
 	}
--- a/internal/drain/memory.go
+++ b/internal/drain/memory.go
@@ -1,7 +1,6 @@
 package drain
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -61,7 +60,7 @@
 		c.refuseHeader()
 		return io.EOF // the server closes the connection without an answer
 	}
-	cost := quota.HeaderCost(len(p), bytes.Count(p, []byte("\n")))
+	cost := quota.HeaderCost(p)
 	if c.t.secure {
 		cost = secureByteCost * int64(len(p))
 	}
--- a/internal/quota/request.go
+++ b/internal/quota/request.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -18,19 +19,21 @@
 	byteCost = 2
 )
 
-// HeaderCost returns the cost in bytes of a header of the given size and number of lines.
-func HeaderCost(bytes, lines int) int64 { return int64(byteCost*bytes + lineCost*lines) }
+// HeaderCost returns the cost in bytes of a part of a header as it was received.
+func HeaderCost(part []byte) int64 { return headerCost(len(part), bytes.Count(part, []byte("\n"))) }
+
+func headerCost(size, lines int) int64 { return int64(byteCost*size + lineCost*lines) }
 
 // CostOf returns the cost of a parsed header.
 func CostOf(h http.Header) int64 {
-	bytes, lines := 0, 0
+	size, lines := 0, 0
 	for k, values := range h {
 		for _, v := range values {
-			bytes += len(k) + len(v)
+			size += len(k) + len(v)
 			lines++
 		}
 	}
-	return HeaderCost(bytes, lines)
+	return headerCost(size, lines)
 }
 
 // accountKey is the context key of a request's *Account.
